--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,902 @@
+//! Every decision; its types, events and actions are in `src/interface.rs`.
+//!
+//! Each route (a destination, or one host of it where kinds are apart) has a fuse over a rolling error
+//! tally, as `docs/design.md` tells. In order: constants, message, route, tally, dispatcher, timers, guards.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::interface::*;
+use crate::state::*;
+
+const SECOND: Micros = 1_000_000;
+/// Span of the rolling error tally; the article's ten seconds.
+const TALLY_WINDOW: Micros = 10 * SECOND;
+/// Calls in the tally before its share of errors counts; the article's 20 never fills at a call a second.
+const VOLUME_FLOOR: usize = 4;
+/// Share of errors that trips; the article's 50 percent.
+const ERROR_SHARE: f64 = 0.5;
+/// So many failures with no success between trip below the floor: by mere bad luck that is rare.
+const RUN_TRIP: u32 = 2;
+/// Rest before a trial: short against deadlines of many seconds, long against one call.
+const SLEEP_WINDOW: Micros = 3 * SECOND / 2;
+/// A host that failed is avoided so long where another serves.
+const AVOID: Micros = 3 * SECOND;
+/// Bounds of the first gap after a refusal; between them it is that of an even part of the limit.
+const FIRST_GAP: (f64, f64) = (0.25, 2.0);
+/// A refusal makes the gap so many times longer ...
+const GAP_GROWS: Micros = 3;
+/// ... and a success so many times shorter: with both, one call in three is refused where many crowd.
+const GAP_SHRINKS: Micros = 2;
+/// The longest rest after refusals.
+const REST_MOST: Micros = 20 * SECOND;
+/// A refusal with less than this share of the allowance left is due to the limit; reports are noisy.
+const ALLOWANCE_SPENT: f64 = 0.1;
+/// With more than this share left, it is not.
+const ALLOWANCE_UNUSED: f64 = 0.9;
+/// Refusals alone for this long mean shut, not throttled: a limit lets someone in every second or two.
+const SHUT_AFTER: Micros = 2 * SECOND;
+/// A call out this many times its usual length counts as a pending error: slow calls are seldom so slow.
+const OVERDUE: f64 = 5.0;
+/// An attempt that may be repeated is given up after this many times its usual length, at the earliest.
+const PATIENCE: f64 = 10.0;
+/// Cut of cap and pace by a refusal; gentle, as a second one soon cuts again.
+const CAP_CUT: f64 = 0.8;
+/// No gap need be longer than so many times that of an even part: all together then ask for 0.7 of the limit.
+const GAP_EVEN: f64 = 1.4;
+/// So many relays at most are taken to be busy with one destination at a time.
+const SHARERS: f64 = 3.0;
+/// Rise of the pace with each success, as a share of the fair part.
+const PACE_RISE: f64 = 0.06;
+/// Lowest limit that is believed, in calls a second, so that a route is never given up.
+const PACE_LEAST: f64 = 0.3;
+/// Fading of the best rate seen, with each success.
+const BEST_FADE: f64 = 0.99;
+/// Calls a route may have out before it has shown more.
+const FIRST_CAP: f64 = 4.0;
+/// The most share of slots for one healthy route; the design's three quarters.
+const HEALTHY_SHARE: f64 = 0.75;
+/// The share of slots for all doubtful routes together; half would let a hang take the other half's work.
+const DOUBTFUL_SHARE: f64 = 0.25;
+/// Share of failures in the tally above which unsafe messages wait.
+const UNSAFE_DOUBT: f64 = 0.2;
+/// Unsafe messages wait no longer once this share of their whole time is left.
+const UNSAFE_RESERVE: f64 = 0.25;
+/// One part in so many of the hold is kept free for what comes in one round.
+const HOLD_ROOM: usize = 10;
+/// An outage counts as at least so long, also what is left of it: most relays see its start late.
+const OUTAGE_LEAST: Micros = 5 * SECOND;
+/// How far ahead the regret of waiting is judged.
+const HORIZON: Micros = 3 * SECOND;
+/// Weight of a new sample in the running means.
+const SMOOTH: f64 = 0.15;
+
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+enum Fuse {
+    #[default]
+    Closed,
+    HalfOpen,
+    /// Until this moment.
+    Open(Micros),
+}
+
+#[derive(Default)]
+struct Route {
+    hosts: Vec<HostId>,
+    fuse: Fuse,
+    tally: VecDeque<(Micros, Verdict)>,
+    run: u32,
+    refused_run: u32,
+    /// Since when refusals cannot be put down to a limit.
+    shut_since: Micros,
+    /// The last failure proves that nothing ran.
+    harmless: bool,
+    wait_until: Micros,
+    rest_until: Micros,
+    /// Calls a second for all relays together, as listed or reported.
+    told: Option<f64>,
+    /// Share of that which the last answer left.
+    left: Option<f64>,
+    /// Calls a second that this relay may make.
+    pace: f64,
+    /// Least time between calls after refusals; zero if there were none lately.
+    gap: Micros,
+    best: f64,
+    tokens: f64,
+    tokens_at: Micros,
+    cap: f64,
+    in_flight: usize,
+    /// Length of its calls against those of the same class elsewhere.
+    usual: f64,
+    /// Messages that wait for its destination here.
+    waiting: usize,
+    /// This relay was told of an outage, first at `down`; `back` is the first success after.
+    witness: bool,
+    down: Micros,
+    back: Option<Micros>,
+}
+
+impl Route {
+    fn fresh() -> Self {
+        let (pace, cap, usual) = (f64::INFINITY, FIRST_CAP, 1.0);
+        Route { harmless: true, pace, tokens: 1.0, cap, usual, ..Route::default() }
+    }
+
+    fn count(&self, verdict: Verdict) -> usize {
+        self.tally.iter().filter(|(_, v)| *v == verdict).count()
+    }
+
+    fn push(&mut self, now: Micros, verdict: Verdict) {
+        self.tally.push_back((now, verdict));
+        while self.tally.front().is_some_and(|(at, _)| at + TALLY_WINDOW < now) {
+            self.tally.pop_front();
+        }
+    }
+
+    fn own_rate(&self, now: Micros) -> f64 {
+        let span = 3 * SECOND;
+        let good = self.tally.iter().filter(|(at, v)| at + span >= now && *v == Verdict::Good).count();
+        good as f64 * SECOND as f64 / span as f64
+    }
+
+    /// What this relay may surely take, in calls a second: its part of what is told, or its own best yet.
+    fn fair(&self, siblings: f64) -> f64 {
+        let part = |told: f64| (told / siblings.min(SHARERS)).max(self.best.min(told / 2.0));
+        self.told.map_or(self.best, part).max(PACE_LEAST)
+    }
+
+    /// The gap, in seconds, at which all relays together ask for what is told.
+    fn even_gap(&self, siblings: f64) -> f64 {
+        siblings / self.told.unwrap_or(siblings)
+    }
+
+    fn doubtful(&self) -> bool {
+        self.run > 0 || self.fuse != Fuse::Closed
+    }
+
+    fn risky(&self) -> bool {
+        let failed = self.count(Verdict::Failed) as f64;
+        !self.harmless && (self.doubtful() || failed > 1.0 && failed > UNSAFE_DOUBT * self.tally.len() as f64)
+    }
+
+    fn trip(&mut self, now: Micros, rest: f64) {
+        self.fuse = Fuse::Open(now + rest as Micros);
+    }
+
+    /// Whether the route must be remembered: an outage is, for a minute after the last call.
+    fn binds(&self, now: Micros) -> bool {
+        let told = self.witness && self.tally.back().is_some_and(|(at, _)| at + 6 * TALLY_WINDOW > now);
+        self.in_flight > 0 || told || self.wait_until.max(self.rest_until) > now
+    }
+
+    /// `chance` of 0 to 1 sets when its turn comes: all who saw the outage would call at once otherwise.
+    fn saw_outage(&mut self, since: Micros, chance: f64) {
+        if !self.witness {
+            (self.down, self.tokens) = (since, self.tokens.min(chance));
+        }
+        (self.witness, self.back) = (true, None);
+    }
+}
+
+/// The decisions of one relay.
+#[derive(Default)]
+pub struct Relay {
+    set: Settings,
+    siblings: f64,
+    dice: Dice,
+    now: Micros,
+    held: BTreeMap<MessageId, Held>,
+    hosts: BTreeMap<HostId, Host>,
+    /// Hosts that are gone and not yet forgotten.
+    leaving: Vec<HostId>,
+    routes: BTreeMap<RouteKey, Route>,
+    calls: BTreeMap<u64, Call>,
+    next_call: u64,
+    keys: BTreeMap<u64, Turn>,
+    /// Mean length of a class's calls at a route of usual pace.
+    class_usual: Vec<f64>,
+    subscribed: bool,
+    ask_at: Micros,
+    ask_rest: Micros,
+    armed: Option<Micros>,
+}
+
+impl Relay {
+    /// A relay with nothing in hand.
+    pub fn new(set: Settings, seed: u64) -> Self {
+        Relay {
+            siblings: set.siblings as f64,
+            dice: Dice(seed),
+            class_usual: set.classes.iter().map(|c| c.aim as f64 / 6.0).collect(),
+            subscribed: !set.discovery_by_asking,
+            ask_rest: SECOND / 2,
+            set,
+            ..Relay::default()
+        }
+    }
+
+    /// From 0.9 to 1.1, so that relays which saw the same do not act in step.
+    fn jitter(&mut self) -> f64 {
+        0.9 + 0.2 * self.dice.roll()
+    }
+
+    /// Takes the events of one round and says what is to be done.
+    pub fn handle(&mut self, now: Micros, events: impl IntoIterator<Item = Event>, out: &mut Vec<Action>) {
+        self.now = now;
+        for event in events {
+            match event {
+                Event::Hosts { whole, cached, entries } => self.list(whole, cached, entries),
+                Event::HostsFailed => self.list_failed(),
+                Event::Arrived(message) => self.arrived(message),
+                Event::Started { id } => {
+                    self.held.get_mut(&id).into_iter().for_each(|held| held.started = true);
+                }
+                Event::Ended(ended) => self.ended(ended),
+                Event::Withdrawn(id) => self.close(id),
+                Event::Timer(token) => self.armed = self.armed.filter(|at| *at != token),
+                Event::Probed { host, outcome, elapsed, report } => {
+                    self.report(host, &report);
+                    if let Some(route) = self.route_of(host) {
+                        self.judge(route, host, outcome, elapsed, false, None);
+                    }
+                }
+                Event::Peer { .. } => {}
+            }
+        }
+        self.overdue();
+        self.deadlines(out);
+        self.dispatch(out);
+        self.make_room(out);
+        self.free_slots(out);
+        if !self.subscribed && self.ask_at <= now {
+            out.push(Action::Subscribe(true));
+            self.ask_at = now + (self.set.rules.ask_within / 2).max(SECOND);
+        }
+        self.arm(out);
+    }
+
+    fn class(&self, message: &Message) -> &Class {
+        &self.set.classes[usize::from(message.class).min(self.set.classes.len() - 1)]
+    }
+
+    fn kind(&self, entry: &HostEntry) -> Kind {
+        self.set.kinds.get(usize::from(entry.kind)).copied().unwrap_or(Kind { apart: false, per_call: 1 })
+    }
+
+    fn route_of(&self, host: HostId) -> Option<RouteKey> {
+        let entry = &self.hosts.get(&host)?.entry;
+        Some((entry.destination, self.kind(entry).apart.then_some(host)))
+    }
+
+    fn routes_to(&self, destination: DestinationId) -> Vec<RouteKey> {
+        let range = (destination, None)..=(destination, Some(HostId::MAX));
+        self.routes.range(range).map(|(key, _)| *key).collect()
+    }
+
+    /// Takes over the list or what changed of it; a host that is gone is forgotten once nothing is out there,
+    /// its route once no outage, wait or rest of it binds.
+    fn list(&mut self, whole: bool, cached: bool, mut entries: Vec<HostEntry>) {
+        if whole {
+            let named: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
+            let left = self.hosts.values().map(|h| h.entry).filter(|e| !named.contains(&e.host));
+            entries.extend(left.map(|e| HostEntry { listing: Listing::Gone, ..e }).collect::<Vec<_>>());
+        }
+        for entry in entries {
+            if let Some(route) = self.route_of(entry.host).and_then(|key| self.routes.get_mut(&key)) {
+                route.hosts.retain(|host| *host != entry.host);
+            }
+            let fresh = Host { entry, run: 0, avoid_until: 0, in_flight: 0 };
+            self.hosts.entry(entry.host).and_modify(|h| h.entry = entry).or_insert(fresh);
+            let Some(key) = self.route_of(entry.host).filter(|_| entry.listing != Listing::Draining) else {
+                continue;
+            };
+            if entry.listing == Listing::Gone {
+                self.leaving.push(entry.host);
+                continue;
+            }
+            let route = self.routes.entry(key).or_insert_with(Route::fresh);
+            route.hosts.push(entry.host);
+            route.hosts.sort_unstable();
+            if self.set.weights != WeightSource::Absent {
+                Self::tell(route, f64::from(entry.weight), 1.0, self.siblings);
+            }
+        }
+        for id in std::mem::take(&mut self.leaving) {
+            let Some(host) = self.hosts.get(&id).filter(|h| h.entry.listing == Listing::Gone) else {
+                continue;
+            };
+            let key = self.route_of(id);
+            let route = key.and_then(|key| self.routes.get(&key));
+            if host.in_flight > 0 || route.is_some_and(|r| r.hosts.is_empty() && r.binds(self.now)) {
+                self.leaving.push(id);
+                continue;
+            }
+            if let Some(key) = key.filter(|_| route.is_some_and(|r| r.hosts.is_empty())) {
+                self.routes.remove(&key);
+            }
+            self.hosts.remove(&id);
+        }
+        if !cached {
+            self.subscribed = true;
+            self.ask_rest = SECOND / 2;
+        }
+    }
+
+    fn list_failed(&mut self) {
+        self.subscribed = false;
+        self.ask_at = self.now + self.ask_rest;
+        self.ask_rest = (self.ask_rest * 2).min((self.set.rules.ask_within / 4).max(SECOND / 2));
+    }
+
+    /// A limit for all relays was told: the first sets the pace, later ones move it by `trust`.
+    fn tell(route: &mut Route, limit: f64, trust: f64, siblings: f64) {
+        // Guards against reports that are wildly wrong; it hurts a destination slower than the least pace.
+        if limit.is_finite() && limit >= PACE_LEAST {
+            if route.told.is_none() {
+                route.pace = route.pace.min(limit / siblings.min(SHARERS));
+            }
+            let told = route.told.unwrap_or(limit);
+            route.told = Some(told + trust * (limit.clamp(told / 2.0, told * 2.0) - told));
+        }
+    }
+
+    fn report(&mut self, host: HostId, values: &[f32]) {
+        let at = |field| self.set.report.iter().position(|f| *f == field).and_then(|at| values.get(at));
+        let (left, limit) = (at(ReportField::AllowanceLeft), at(ReportField::LimitPerSecond));
+        let (left, limit) = (left.map(|v| f64::from(*v)), limit.map_or(0.0, |v| f64::from(*v)));
+        if let Some(route) = self.route_of(host).and_then(|key| self.routes.get_mut(&key)) {
+            Self::tell(route, limit, SMOOTH, self.siblings);
+            route.left = left.filter(|_| limit > 0.0);
+        }
+    }
+
+    fn arrived(&mut self, message: Message) {
+        let class = self.class(&message);
+        let stretch = message.work.map_or(0.0, |w| w as f64 * class.aim_stretch) as Micros;
+        let first = message.due.saturating_sub(class.give_up);
+        let aim_at = (first + class.aim + stretch).min(message.due);
+        let (worth, in_order) = (class.worth, class.in_order);
+        if let (true, Some(key)) = (in_order, message.key) {
+            self.keys.entry(key).or_default().line.push_back(message.id);
+        }
+        let (id, attempts) = (message.id, Vec::new());
+        let held = Held { message, aim_at, attempts, not_before: 0, over: false, started: false, worth };
+        self.held.insert(id, held);
+    }
+
+    /// No answer is owed any more; the message stays only while attempts are out.
+    fn close(&mut self, id: MessageId) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.over = true;
+        if held.is_out() {
+            return;
+        }
+        if let Some(turn) = held.message.key.and_then(|key| self.keys.get_mut(&key)) {
+            turn.line.retain(|other| *other != id);
+            let now = self.now;
+            if self.keys.len() > 2 * self.held.len() + self.set.most_held {
+                self.keys.retain(|_, turn| !turn.line.is_empty() || turn.rest_until > now);
+            }
+        }
+        self.held.remove(&id);
+    }
+
+    /// The final answer when there will be no delivery: a refusal only where nothing may have run.
+    fn end(&mut self, id: MessageId, after: Micros, out: &mut Vec<Action>) {
+        if let Some(held) = self.held.get(&id).filter(|h| !h.over) {
+            let harmless = held.tainted().is_none();
+            out.push(if harmless { Action::Refuse { id, after } } else { Action::Fail(id) });
+            self.close(id);
+        }
+    }
+
+    fn ended(&mut self, end: Ended) {
+        let now = self.now;
+        let Some(held) = self.held.get_mut(&end.id) else { return };
+        held.over |= end.over;
+        let tries = held.attempts.len() as u64;
+        let attempt = held.attempts.get_mut(usize::from(end.attempt)).filter(|a| a.fate == Fate::Out);
+        let Some(attempt) = attempt else { return };
+        attempt.fate = match end.outcome {
+            Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot => Fate::NeverRan,
+            _ => Fate::MayHaveRun,
+        };
+        let call_id = attempt.call;
+        // Guards against a class that always fails somewhere: its tries must not follow at once.
+        held.not_before = match end.outcome {
+            Outcome::Error | Outcome::Reset => now + SECOND / 5 * tries,
+            _ => now,
+        };
+        let (order_key, over) = (held.message.key, held.over);
+        let class = usize::from(held.message.class).min(self.class_usual.len() - 1);
+        let may_run_on = matches!(end.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        if let (true, Some(turn)) = (may_run_on, order_key.and_then(|k| self.keys.get_mut(&k))) {
+            turn.rest_until = turn.rest_until.max(now + self.set.rules.turn_gap);
+        }
+        if over {
+            self.close(end.id);
+        }
+        let chance = (self.jitter() - 0.9) * 5.0;
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
+        call.left -= 1;
+        let (key, overdue, last) = (call.route, call.overdue, call.left == 0);
+        if let Some(route) = self.routes.get_mut(&key) {
+            route.in_flight -= usize::from(last);
+            // A told wait binds from any message of a call, whatever became of the others.
+            if let Outcome::Full { wait: wait @ 1.. } = end.outcome {
+                route.wait_until = route.wait_until.max(now.saturating_add(wait + self.set.tick));
+                if wait > SHUT_AFTER {
+                    route.saw_outage(now, chance);
+                }
+            }
+        }
+        if !last {
+            return;
+        }
+        self.calls.remove(&call_id);
+        if let Some(host) = self.hosts.get_mut(&end.host) {
+            host.in_flight = host.in_flight.saturating_sub(1);
+        }
+        self.report(end.host, &end.report);
+        self.judge(key, end.host, end.outcome, end.elapsed, overdue, Some(class));
+    }
+
+    /// Books an outcome; `counted` tells that the call was booked as a pending error already.
+    fn judge(
+        &mut self, key: RouteKey, host: HostId, outcome: Outcome, elapsed: Micros, counted: bool,
+        class: Option<usize>,
+    ) {
+        let (now, chance) = (self.now, (self.jitter() - 0.9) * 5.0);
+        match outcome {
+            Outcome::Ok => {
+                // The pending error was a false alarm.
+                if let (true, Some(route)) = (counted, self.routes.get_mut(&key)) {
+                    let last = route.tally.iter().rposition(|(_, v)| *v == Verdict::Failed);
+                    last.and_then(|at| route.tally.remove(at));
+                }
+                self.succeeded(key, host, elapsed, class);
+            }
+            Outcome::Full { .. } => self.refused(key),
+            Outcome::Cancelled | Outcome::Moot if !counted => {
+                if let Some(route) = self.routes.get_mut(&key).filter(|r| r.fuse == Fuse::HalfOpen) {
+                    route.trip(now, 0.0);
+                }
+            }
+            _ if counted => {
+                // Told at last that the calls failed: only now is the outage witnessed.
+                let route = self.routes.get_mut(&key).filter(|r| !r.witness && r.count(Verdict::Failed) > 1);
+                route.into_iter().for_each(|route| route.saw_outage(now, chance));
+            }
+            _ => self.failed(key, host, outcome == Outcome::ConnectFailed, true),
+        }
+    }
+
+    fn succeeded(&mut self, key: RouteKey, host: HostId, elapsed: Micros, class: Option<usize>) {
+        let now = self.now;
+        if let Some(host) = self.hosts.get_mut(&host) {
+            (host.run, host.avoid_until) = (0, 0);
+        }
+        let Some(route) = self.routes.get_mut(&key) else { return };
+        route.push(now, Verdict::Good);
+        (route.run, route.refused_run) = (0, 0);
+        let longest = (route.even_gap(self.siblings) * GAP_EVEN * SECOND as f64) as Micros;
+        route.gap = (route.gap / GAP_SHRINKS).min(longest);
+        route.rest_until = now + route.gap;
+        route.fuse = Fuse::Closed;
+        if route.witness && route.back.is_none() {
+            route.back = Some(now);
+        }
+        route.cap += 1.0 / route.cap;
+        let doubt = if self.set.weights == WeightSource::Rough { 1.5 } else { 1.1 };
+        let ceiling = route.told.map_or(f64::INFINITY, |told| told * doubt);
+        route.pace = (route.pace + PACE_RISE * route.fair(self.siblings).max(1.0)).min(ceiling);
+        route.best = (route.best * BEST_FADE).max(route.own_rate(now));
+        if let Some(mean) = class.and_then(|c| self.class_usual.get_mut(c)) {
+            let ratio = elapsed as f64 / *mean;
+            *mean += SMOOTH * 0.3 * (elapsed as f64 / route.usual - *mean);
+            route.usual = (route.usual + SMOOTH * (ratio - route.usual)).clamp(0.2, 50.0);
+        }
+    }
+
+    fn refused(&mut self, key: RouteKey) {
+        let (now, jitter, siblings) = (self.now, self.jitter(), self.siblings);
+        let Some(route) = self.routes.get_mut(&key) else { return };
+        route.push(now, Verdict::Refused);
+        route.refused_run += 1;
+        let limited = route.left.is_some_and(|left| left < ALLOWANCE_SPENT);
+        route.shut_since = if route.refused_run == 1 || limited { now } else { route.shut_since };
+        // Refused with the allowance hardly touched, a destination is shut.
+        let shut = route.left.is_some_and(|left| left > ALLOWANCE_UNUSED);
+        if route.rest_until <= now {
+            // Of calls that were out together the first refusal counts.
+            let (fair, even) = (route.fair(siblings), route.even_gap(siblings));
+            let first = (even.clamp(FIRST_GAP.0, FIRST_GAP.1) * SECOND as f64) as Micros;
+            let most = ((even * GAP_EVEN * SECOND as f64) as Micros).clamp(SLEEP_WINDOW, REST_MOST);
+            route.gap = (route.gap * GAP_GROWS).clamp(first, most.max(first));
+            let from = route.pace.min(route.own_rate(now).max(fair));
+            route.pace = (from * CAP_CUT).max(fair / GAP_EVEN);
+            route.cap = (route.cap * CAP_CUT).max(1.0);
+            // Not all who were told the same end of a wait may come at once: within a gap, by chance.
+            let told = route.wait_until > now;
+            let share = if told { (jitter - 0.9) * 5.0 } else { jitter };
+            route.rest_until = now.max(route.wait_until) + (route.gap as f64 * share) as Micros;
+        }
+        // Refusals alone for long are a shut destination, an outage; a few are its limit.
+        let alone = route.refused_run > RUN_TRIP || route.fuse != Fuse::Closed;
+        if shut || alone && now >= route.shut_since + SHUT_AFTER {
+            route.saw_outage(route.shut_since, (jitter - 0.9) * 5.0);
+        }
+        if alone {
+            route.harmless = true;
+            route.trip(now, SLEEP_WINDOW as f64 * jitter);
+        }
+    }
+
+    /// A call failed, or is out so long that it counts as failed.
+    fn failed(&mut self, key: RouteKey, host: HostId, harmless: bool, told: bool) {
+        let (now, jitter) = (self.now, self.jitter());
+        if let Some(host) = self.hosts.get_mut(&host) {
+            host.run += 1;
+            host.avoid_until = now + (AVOID as f64 * jitter) as Micros;
+        }
+        let Some(route) = self.routes.get_mut(&key) else { return };
+        // An outage of one endpoint must not close the rest: while one is in good standing, use that.
+        let elsewhere = route.hosts.iter().any(|h| self.hosts.get(h).is_some_and(|h| h.avoid_until <= now));
+        route.push(now, Verdict::Failed);
+        route.run += 1;
+        route.harmless = harmless;
+        let failures = route.count(Verdict::Failed);
+        if told && (route.run >= RUN_TRIP || failures > 1 || route.back.is_some()) {
+            route.saw_outage(now, (jitter - 0.9) * 5.0);
+        }
+        let share = (failures + route.count(Verdict::Refused)) as f64 / route.tally.len() as f64;
+        let trips = route.run >= RUN_TRIP || route.tally.len() >= VOLUME_FLOOR && share > ERROR_SHARE;
+        if route.fuse != Fuse::Closed || trips && !elsewhere {
+            route.trip(now, SLEEP_WINDOW as f64 * jitter);
+        }
+    }
+
+    /// Guards against hangs and silence: what is out far too long is an error before its time-out. It
+    /// should catch any stall; it hurts where one class is rarely very slow, until its answer comes.
+    fn overdue(&mut self) {
+        let now = self.now;
+        let late = self.calls.values_mut().filter(|c| !c.overdue && c.overdue_at <= now);
+        let late = late.map(|c| {
+            c.overdue = true;
+            (c.route, c.host)
+        });
+        for (route, host) in late.collect::<Vec<_>>() {
+            self.failed(route, host, false, false);
+        }
+    }
+
+    /// Ends in time what is not delivered, and at once what may not be sent any more.
+    fn deadlines(&mut self, out: &mut Vec<Action>) {
+        let limit = self.now + 2 * self.set.tick;
+        let done = self.held.iter().filter(|(_, h)| {
+            !h.over && !h.started && (h.message.due <= limit || !h.is_out() && !self.may_send(h))
+        });
+        for id in done.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.end(id, 0, out);
+        }
+    }
+
+    /// Whether the effect rule and the attempt limit allow another attempt.
+    fn may_send(&self, held: &Held) -> bool {
+        let allowed = match (self.class(&held.message).effect, held.tainted()) {
+            (_, None) | (Effect::Safe, _) => true,
+            (Effect::Unsafe, _) => false,
+            (Effect::Keyed { window, .. }, Some(first)) => self.now + 2 * self.set.tick < first.sent + window,
+        };
+        allowed && held.attempts.len() < self.set.max_attempts && self.set.slots > 0
+    }
+
+    fn worth_at(&self, held: &Held, at: Micros) -> f64 {
+        let (class, due) = (self.class(&held.message), held.message.due);
+        if at >= due {
+            return 0.0;
+        }
+        let late = at.saturating_sub(held.aim_at) as f64;
+        let share = match self.set.decay {
+            Decay::Linear => 1.0 - (1.0 - class.late_worth) * late / (due - held.aim_at).max(1) as f64,
+            Decay::Halving => 0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth),
+        };
+        held.worth * share
+    }
+
+    /// What a route back from an outage that this relay saw may get from it, in calls a second.
+    ///
+    /// Guards against pushing a cold destination over, whatever laid it low: its capacity grows from the
+    /// told least share to all of it, and each relay takes its part. It hurts when the failures were
+    /// no outage, for as long as a destination may be cold.
+    fn ramp(&self, route: &Route) -> f64 {
+        if !route.witness {
+            return f64::INFINITY;
+        }
+        let rules = &self.set.rules;
+        // All relays together hold no more than came while it was down: a message's part is one in all that.
+        let down = route.back.unwrap_or(self.now).saturating_sub(route.down).max(OUTAGE_LEAST);
+        let queue = route.waiting as f64 * SECOND as f64 / down as f64;
+        let part = (route.told.unwrap_or(route.best * self.siblings).max(1.0) / self.siblings).max(queue);
+        let warm = route.back.map_or(0.0, |b| (self.now - b) as f64 / rules.cold.max(1) as f64).min(1.0);
+        let share = rules.cold_from + (1.0 - rules.cold_from) * warm;
+        rules.overload_factor * part * share
+    }
+
+    /// Fills the route's bucket and gives the rate at which it fills.
+    fn refill(&mut self, key: RouteKey) -> f64 {
+        let (now, cold) = (self.now, self.set.rules.cold);
+        let ramp = self.routes.get(&key).map_or(0.0, |route| self.ramp(route));
+        let Some(route) = self.routes.get_mut(&key) else { return 0.0 };
+        if route.back.is_some_and(|back| back + cold <= now) {
+            (route.witness, route.back) = (false, None);
+        }
+        // A wait fills no bucket: all who were told of its end would come at once.
+        let passed = (now - route.tokens_at.max(route.wait_until.min(now))) as f64 / SECOND as f64;
+        let rate = route.pace.min(ramp);
+        let depth = if ramp.is_finite() { 1.0 } else { (rate * 0.6).max(1.0) };
+        route.tokens = if rate.is_finite() { (route.tokens + rate * passed).min(depth) } else { depth };
+        route.tokens_at = now;
+        rate
+    }
+
+    /// Whether the route takes a call now; if not, when to look again.
+    fn opening(&mut self, key: RouteKey) -> Result<(), Micros> {
+        let now = self.now;
+        let rate = self.refill(key);
+        let slots = self.set.slots as f64;
+        let Some(route) = self.routes.get(&key) else { return Err(Micros::MAX) };
+        let rest = route.wait_until.max(route.rest_until);
+        if rest > now {
+            return Err(rest);
+        }
+        let (share, less) = if route.doubtful() { (DOUBTFUL_SHARE, 0.0) } else { (HEALTHY_SHARE, 0.01) };
+        let most = (slots * share - less).floor();
+        let in_flight = route.in_flight as f64;
+        let barred = match route.fuse {
+            Fuse::Open(until) if until > now => return Err(until),
+            Fuse::Open(_) => in_flight >= most.max(2.0),
+            Fuse::HalfOpen => true,
+            Fuse::Closed => in_flight >= most.min(route.cap).max(1.0),
+        };
+        if barred {
+            return Err(Micros::MAX);
+        }
+        if route.tokens < 1.0 {
+            return Err((((1.0 - route.tokens) / rate * SECOND as f64) as Micros).saturating_add(now + 1));
+        }
+        Ok(())
+    }
+
+    /// Offers the waiting messages, worst regret first, to the routes that take calls.
+    fn dispatch(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let mut waiting: BTreeMap<DestinationId, Vec<MessageId>> = BTreeMap::new();
+        for (id, held) in &self.held {
+            if held.waits() && held.not_before <= now && self.in_turn(held) {
+                waiting.entry(held.message.destination).or_default().push(*id);
+            }
+        }
+        let mut offers: Vec<(f64, MessageId, DestinationId)> = Vec::new();
+        for (destination, ids) in &waiting {
+            for key in self.routes_to(*destination) {
+                self.routes.get_mut(&key).into_iter().for_each(|route| route.waiting = ids.len());
+            }
+            if !self.routes_to(*destination).into_iter().any(|key| self.opening(key).is_ok()) {
+                continue;
+            }
+            for id in ids {
+                let held = &self.held[id];
+                let soon = self.worth_at(held, now);
+                let left = held.aim_at.saturating_sub(now) as f64 / SECOND as f64;
+                let regret = soon - self.worth_at(held, now + HORIZON) + 0.02 * soon / (1.0 + left);
+                offers.push((regret, *id, *destination));
+            }
+        }
+        offers.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for i in 0..offers.len() {
+            if self.calls.len() >= self.set.slots {
+                break;
+            }
+            let (_, mut id, destination) = offers[i];
+            let Some((key, host)) = self.choose(id) else { continue };
+            // The trial risks its message: of those that may go there, take the one that risks least.
+            if self.routes.get(&key).is_some_and(|r| r.fuse != Fuse::Closed && !r.harmless) {
+                let mut mates: Vec<_> = offers.iter().filter(|o| o.2 == destination).map(|o| o.1).collect();
+                mates.sort_by_key(|mate| self.risk(*mate));
+                id = mates.into_iter().find(|m| self.choose(*m) == Some((key, host))).unwrap_or(id);
+                let unsafe_only = self.set.probes && self.risk(id) > 2;
+                if let Some(route) = self.routes.get_mut(&key).filter(|_| unsafe_only) {
+                    (route.tokens, route.fuse) = (route.tokens - 1.0, Fuse::HalfOpen);
+                    out.push(Action::Probe(host));
+                    continue;
+                }
+            }
+            self.send(id, key, host, None, out);
+            let per_call = self.hosts.get(&host).map_or(1, |h| self.kind(&h.entry).per_call);
+            let mates = offers[i..].iter().filter(|o| o.2 == destination);
+            let mut mates = mates.filter(|o| self.held.get(&o.1).is_some_and(|h| self.fits(h, host)));
+            let joining: Vec<_> = (1..per_call).map_while(|_| mates.next()).map(|o| o.1).collect();
+            for mate in joining {
+                self.send(mate, key, host, Some(self.next_call), out);
+            }
+        }
+    }
+
+    fn risk(&self, id: MessageId) -> u8 {
+        let Some(held) = self.held.get(&id) else { return u8::MAX };
+        match self.class(&held.message).effect {
+            Effect::Safe => 0,
+            Effect::Keyed { .. } => 1 + u8::from(held.tainted().is_none()),
+            Effect::Unsafe => 3,
+        }
+    }
+
+    fn in_turn(&self, held: &Held) -> bool {
+        let turn = held.message.key.filter(|_| self.class(&held.message).in_order);
+        let Some(turn) = turn.and_then(|key| self.keys.get(&key)) else { return true };
+        let own_rest = held.attempts.iter().any(|a| a.fate == Fate::MayHaveRun);
+        turn.line.front() == Some(&held.message.id) && (turn.rest_until <= self.now || own_rest)
+    }
+
+    /// Whether the message waits and may go to this host: listed ready, and the key's memory reaches it.
+    fn fits(&self, held: &Held, host: HostId) -> bool {
+        let Some(host) = self.hosts.get(&host) else { return false };
+        let zone_kept = match (self.class(&held.message).effect, held.tainted()) {
+            (Effect::Keyed { zone_only: true, .. }, Some(first)) => first.zone == host.entry.zone,
+            _ => true,
+        };
+        host.entry.listing == Listing::Ready && zone_kept && held.waits() && self.may_send(held)
+    }
+
+    fn choose(&mut self, id: MessageId) -> Option<(RouteKey, HostId)> {
+        let now = self.now;
+        let destination = self.held.get(&id)?.message.destination;
+        let mut best: Option<(f64, RouteKey, HostId)> = None;
+        for key in self.routes_to(destination) {
+            if self.opening(key).is_err() {
+                continue;
+            }
+            let (held, route) = (self.held.get(&id)?, self.routes.get(&key)?);
+            let class = self.class(&held.message);
+            // Guards unsafe messages against a route where calls fail after they may have run: they
+            // wait, while time is left. Hurts when the doubt is false and nothing else goes there.
+            let reserve = (class.give_up as f64 * UNSAFE_RESERVE) as Micros;
+            if class.effect == Effect::Unsafe && route.risky() && held.message.due > now + reserve {
+                continue;
+            }
+            for host_id in route.hosts.iter().filter(|h| self.fits(held, **h)) {
+                let host = &self.hosts[host_id];
+                let toll = self.set.toll.get(usize::from(host.entry.zone)).filter(|_| key.1.is_some());
+                let away = if host.entry.zone == self.set.zone { 0.0 } else { self.set.cross_zone_fee };
+                let cost = if host.avoid_until > now { 100.0 } else { 0.0 }
+                    + f64::from(host.run.min(5)) * 5.0
+                    + host.in_flight as f64 * route.usual
+                    + (away + toll.copied().unwrap_or(0.0)) * 10.0;
+                if best.is_none_or(|(least, _, _)| cost < least) {
+                    best = Some((cost, key, *host_id));
+                }
+            }
+        }
+        best.map(|(_, key, host)| (key, host))
+    }
+
+    fn send(&mut self, id: MessageId, key: RouteKey, to: HostId, join: Option<u64>, out: &mut Vec<Action>) {
+        let now = self.now;
+        let (Some(held), Some(route)) = (self.held.get(&id), self.routes.get(&key)) else { return };
+        let class = self.class(&held.message);
+        let mean = self.class_usual.get(usize::from(held.message.class)).unwrap_or(&self.class_usual[0]);
+        let usual = mean * route.usual;
+        let left = held.message.due.saturating_sub(now);
+        let patience = PATIENCE * usual * (held.attempts.len() as f64 + 1.0);
+        let patience = (patience.max(class.aim as f64) as Micros).max(left / 3).min(left);
+        let timeout = match (class.effect, held.tainted()) {
+            (Effect::Unsafe, _) => left,
+            // Leaves room for another attempt while the key is remembered.
+            (Effect::Keyed { window, .. }, None) if window < left => patience.min(window / 2),
+            _ => patience,
+        };
+        if join.is_none() {
+            self.next_call += 1;
+            let overdue_at = now + (OVERDUE * usual) as Micros + SECOND / 4;
+            let call = Call { route: key, host: to, overdue_at, overdue: false, left: 0 };
+            self.calls.insert(self.next_call, call);
+            if let Some(route) = self.routes.get_mut(&key) {
+                (route.in_flight, route.tokens) = (route.in_flight + 1, route.tokens - 1.0);
+                route.fuse = if route.fuse == Fuse::Closed { Fuse::Closed } else { Fuse::HalfOpen };
+            }
+        }
+        let call = join.unwrap_or(self.next_call);
+        self.calls.get_mut(&call).into_iter().for_each(|call| call.left += 1);
+        let (Some(host), Some(held)) = (self.hosts.get_mut(&to), self.held.get_mut(&id)) else { return };
+        host.in_flight += usize::from(join.is_none());
+        let (zone, fate) = (host.entry.zone, Fate::Out);
+        held.attempts.push(Attempt { sent: now, zone, call, fate, called_off: false });
+        out.push(Action::Send { id, host: to, timeout: timeout.max(1) });
+    }
+
+    /// One timer, for the next moment at which something can change by itself.
+    fn arm(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let mut wake = if self.subscribed { Micros::MAX } else { self.ask_at };
+        let mut destinations: Vec<DestinationId> = Vec::new();
+        for held in self.held.values().filter(|h| !h.over && !h.started) {
+            wake = wake.min(held.message.due.saturating_sub(2 * self.set.tick));
+            if !held.is_out() {
+                destinations.push(held.message.destination);
+                let turn = held.message.key.and_then(|key| self.keys.get(&key)).map_or(0, |t| t.rest_until);
+                let later = [held.not_before, turn].into_iter().filter(|at| *at > now);
+                wake = later.fold(wake, Micros::min);
+            }
+        }
+        wake = self.calls.values().filter(|c| !c.overdue).fold(wake, |wake, call| wake.min(call.overdue_at));
+        destinations.sort_unstable();
+        destinations.dedup();
+        for key in destinations.into_iter().flat_map(|d| self.routes_to(d)).collect::<Vec<_>>() {
+            wake = wake.min(self.opening(key).err().unwrap_or(now + SECOND / 2));
+        }
+        let wake = wake.max(now + self.set.tick.max(1));
+        if wake < Micros::MAX && self.armed.is_none_or(|at| at > wake || at <= now) {
+            self.armed = Some(wake);
+            out.push(Action::Timer { after: wake - now, token: wake });
+        }
+    }
+
+    /// Guards against a hold filled by messages for dead or swamped destinations, whatever made them so:
+    /// the door would turn away good ones. Refuses those worth least when their turn may come; a client
+    /// that comes again is a wider hold than ours. It hurts where clients never come again.
+    fn make_room(&mut self, out: &mut Vec<Action>) {
+        let keep = self.set.most_held - self.set.most_held.min((self.set.most_held / HOLD_ROOM).max(1));
+        if self.held.len() <= keep {
+            return;
+        }
+        let mut ahead: BTreeMap<DestinationId, (f64, f64)> = BTreeMap::new();
+        let mut ranked: Vec<(f64, MessageId)> = Vec::new();
+        for (id, held) in self.held.iter().filter(|(_, held)| held.waits()) {
+            let destination = held.message.destination;
+            let line = ahead.entry(destination).or_insert_with(|| self.outlook(destination));
+            line.0 += line.1;
+            if held.tainted().is_none() {
+                let turn = self.now + (line.0.min(60.0) * SECOND as f64) as Micros;
+                ranked.push((self.worth_at(held, turn), *id));
+            }
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        for (_, id) in ranked.into_iter().take(self.held.len() - keep) {
+            let after = self.set.max_retry_after as f64 * 0.75 * self.jitter();
+            self.end(id, after as Micros, out);
+        }
+    }
+
+    /// Seconds until a destination takes calls again, and between one call and the next.
+    fn outlook(&self, destination: DestinationId) -> (f64, f64) {
+        let (mut pace, mut shut) = (0.0, true);
+        for route in self.routes_to(destination).iter().filter_map(|key| self.routes.get(key)) {
+            pace += route.pace.min(self.ramp(route)).min(SECOND as f64 / route.gap.max(SECOND / 20) as f64);
+            shut &= route.fuse != Fuse::Closed;
+        }
+        (if shut { OUTAGE_LEAST as f64 / SECOND as f64 } else { 0.0 }, 1.0 / pace.max(0.1))
+    }
+
+    /// Guards against calls that hang, run away or crawl holding the slots that others could use: once
+    /// few are free, the overdue one that is out longest is called off. It gives up a message that
+    /// might still be answered, so it acts only while slots are short.
+    fn free_slots(&mut self, out: &mut Vec<Action>) {
+        let slots = self.set.slots;
+        if !self.set.cancelling || self.calls.len() + 1 < slots {
+            return;
+        }
+        let last = |held: &Held| {
+            held.attempts.last().map_or((0, false), |a| {
+                let overdue = self.calls.get(&a.call).is_some_and(|c| c.overdue);
+                (a.sent, overdue && a.fate == Fate::Out && !a.called_off)
+            })
+        };
+        let hung = self.held.iter().filter(|(_, held)| last(held).1);
+        let Some(id) = hung.min_by_key(|(_, held)| last(held).0).map(|(id, _)| *id) else { return };
+        if let Some(held) = self.held.get_mut(&id) {
+            let attempt = (held.attempts.len() - 1) as u8;
+            out.push(Action::Cancel { id, attempt });
+            held.attempts[usize::from(attempt)].called_off = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,370 @@
+//! The module's interface: start settings, events in, actions out.
+
+use std::fmt;
+
+/// A moment or a span, in microseconds.
+pub type Micros = u64;
+/// Names a message; returned exactly as given.
+pub type MessageId = u64;
+/// Names a host; returned exactly as given.
+pub type HostId = u32;
+/// Names a destination; a message may only go to hosts of its destination.
+pub type DestinationId = u16;
+
+/// Whether a message may be tried again after an attempt that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Repeats do no harm.
+    Safe,
+    /// Repeats are dropped by hosts that remember the key, for a while.
+    Keyed {
+        /// How long the key is remembered, from the first attempt that may have run.
+        window: Micros,
+        /// True if only hosts of one zone share the memory; false if all of the destination do.
+        zone_only: bool,
+    },
+    /// Must not run twice.
+    Unsafe,
+}
+
+/// A class of message.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Full worth when delivered within this time from first hand-in.
+    pub aim: Micros,
+    /// The aim grows by this many times the message's own expected work.
+    pub aim_stretch: f64,
+    /// Deadline, from first hand-in.
+    pub give_up: Micros,
+    /// Repeat rule.
+    pub effect: Effect,
+    /// Worth of one message.
+    pub worth: f64,
+    /// Share of the worth left at the deadline.
+    pub late_worth: f64,
+    /// Messages with one key go one at a time, in the order taken.
+    pub in_order: bool,
+}
+
+/// How worth falls after the aim.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Decay {
+    #[default]
+    /// Evenly, down to the late worth at the deadline.
+    Linear,
+    /// By half with each further aim, not under the late worth.
+    Halving,
+}
+
+/// How much the listed weights of hosts tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WeightSource {
+    #[default]
+    /// Nothing.
+    Absent,
+    /// The calls a second that the route takes from all relays.
+    Nominal,
+    /// The same, up to half too high or too low.
+    Rough,
+}
+
+/// What a value of a load report means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportField {
+    /// Share of the allowance that is left.
+    AllowanceLeft,
+    /// The limit in calls a second; zero where there is none.
+    LimitPerSecond,
+    /// Anything the module makes no use of.
+    Other,
+}
+
+/// A kind of destination.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    /// The hosts of a destination are separate routes.
+    pub apart: bool,
+    /// Messages that may share one call.
+    pub per_call: usize,
+}
+
+/// A tenant's share.
+#[derive(Clone, Copy, Debug)]
+pub struct Tenant {
+    /// Messages a second, over all relays, that count in full.
+    pub quota_per_s: f64,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rules {
+    /// With discovery by asking: longest time without asking.
+    pub ask_within: Micros,
+    /// Share of capacity a destination has at least when back from an outage.
+    pub cold_from: f64,
+    /// It has all of its capacity after this.
+    pub cold: Micros,
+    /// It falls over above this multiple of its present capacity ...
+    pub overload_factor: f64,
+    /// ... kept up for this long.
+    pub overload_for: Micros,
+    /// How long a key rests after an attempt that might still be running.
+    pub turn_gap: Micros,
+}
+
+/// What a relay is told when it starts.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Classes of message, by index.
+    pub classes: Vec<Class>,
+    /// Kinds of destination, by index.
+    pub kinds: Vec<Kind>,
+    /// Tenants, by index; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// Worth of a message past its tenant's share, as a fraction.
+    pub over_share_worth: f64,
+    /// How worth falls after the aim.
+    pub decay: Decay,
+    /// Fee by zone for each message a route apart takes on.
+    pub toll: Vec<f64>,
+    /// Points for attempts that cross zones.
+    pub cross_zone_fee: f64,
+    /// Calls out at once.
+    pub slots: usize,
+    /// Messages held at once, sent or not.
+    pub most_held: usize,
+    /// Attempts a message at most.
+    pub max_attempts: usize,
+    /// The longest wait a client heeds; zero if clients are not told waits.
+    pub max_retry_after: Micros,
+    /// Attempts may be called off.
+    pub cancelling: bool,
+    /// Hosts may be probed.
+    pub probes: bool,
+    /// Changes to the list come only when asked for.
+    pub discovery_by_asking: bool,
+    /// Relays in this tier, this one included.
+    pub siblings: usize,
+    /// Zone of this relay.
+    pub zone: u8,
+    /// Meaning of the listed weights.
+    pub weights: WeightSource,
+    /// Meaning of the values in load reports, in order.
+    pub report: Vec<ReportField>,
+    /// The rules' figures.
+    pub rules: Rules,
+    /// Least time between rounds.
+    pub tick: Micros,
+}
+
+/// Listing state of a host; it says nothing of health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// May be sent to.
+    Ready,
+    /// Nothing new may go there.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// One line of the list of hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HostEntry {
+    /// The host.
+    pub host: HostId,
+    /// Its destination.
+    pub destination: DestinationId,
+    /// Index into the kinds.
+    pub kind: u8,
+    /// Its zone.
+    pub zone: u8,
+    /// Listing state.
+    pub listing: Listing,
+    /// See [`WeightSource`].
+    pub weight: f32,
+}
+
+/// A message handed in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Message {
+    /// Its name.
+    pub id: MessageId,
+    /// Index into the classes.
+    pub class: u16,
+    /// Where it must go.
+    pub destination: DestinationId,
+    /// Deadline.
+    pub due: Micros,
+    /// Key of its order, if it has one.
+    pub key: Option<u64>,
+    /// Expected work, if known.
+    pub work: Option<Micros>,
+    /// Index into the tenants.
+    pub tenant: u16,
+    /// The client has handed it in before.
+    pub again: bool,
+}
+
+/// How a call or probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Delivered.
+    Ok,
+    /// Answered with an error; may have run.
+    Error,
+    /// Turned away unseen, perhaps with a wait that must be heeded.
+    Full {
+        /// The wait told, zero if none.
+        wait: Micros,
+    },
+    /// No answer in time; may have run or still do so.
+    Timeout,
+    /// No connection; never ran.
+    ConnectFailed,
+    /// The connection broke; may have run.
+    Reset,
+    /// Called off; may have run.
+    Cancelled,
+    /// Not sent; never ran.
+    Moot,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended {
+    /// The message.
+    pub id: MessageId,
+    /// Which attempt, from 0.
+    pub attempt: u8,
+    /// Where it went.
+    pub host: HostId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since sending.
+    pub elapsed: Micros,
+    /// No answer is owed any more.
+    pub over: bool,
+    /// Values as in the settings' `report`.
+    pub report: Vec<f32>,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The list of hosts: whole, or just what changed.
+    Hosts {
+        /// The entries replace the list instead of changing it.
+        whole: bool,
+        /// The list was remembered from before the start, not fresh news.
+        cached: bool,
+        /// The lines.
+        entries: Vec<HostEntry>,
+    },
+    /// A request for the list failed, or the subscription dropped.
+    HostsFailed,
+    /// A message came in; one final answer is owed.
+    Arrived(Message),
+    /// The answer of a streamed message has started.
+    Started {
+        /// The message.
+        id: MessageId,
+    },
+    /// An attempt ended.
+    Ended(Ended),
+    /// Nobody wants the message any more.
+    Withdrawn(MessageId),
+    /// A timer of ours is due.
+    Timer(u64),
+    /// A probe ended.
+    Probed {
+        /// Where it went.
+        host: HostId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since sending.
+        elapsed: Micros,
+        /// Values as in the settings' `report`.
+        report: Vec<f32>,
+    },
+    /// A fellow relay said something; the module takes no notice.
+    Peer {
+        /// Its number.
+        from: u16,
+        /// The content.
+        content: Vec<u8>,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Call a host with a message.
+    Send {
+        /// The message.
+        id: MessageId,
+        /// The host.
+        host: HostId,
+        /// Give up the attempt after this.
+        timeout: Micros,
+    },
+    /// Probe a host.
+    Probe(HostId),
+    /// Wake the module after a while.
+    Timer {
+        /// From now.
+        after: Micros,
+        /// Comes back in the event.
+        token: u64,
+    },
+    /// End a message undelivered; the client may safely come again.
+    Refuse {
+        /// The message.
+        id: MessageId,
+        /// Advice on when, zero for none.
+        after: Micros,
+    },
+    /// End a message as failed.
+    Fail(MessageId),
+    /// Stop waiting on an attempt.
+    Cancel {
+        /// The message.
+        id: MessageId,
+        /// Which attempt.
+        attempt: u8,
+    },
+    /// Close idle connections to a host.
+    CloseIdle(HostId),
+    /// Subscribe to changes of the list, or stop.
+    Subscribe(bool),
+    /// Ask for the whole list once.
+    FetchHosts,
+    /// Say something to one fellow relay, or to all.
+    Tell {
+        /// Its number; all if none.
+        to: Option<u16>,
+        /// The content.
+        content: Vec<u8>,
+    },
+    /// Add a line to the report.
+    Log(String),
+    /// The module cannot go on.
+    Fault(String),
+}
+
+/// Why settings or wire bytes were not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InputError {
+    /// What is wrong.
+    pub what: String,
+    /// Where it stands: an offset in the frame, or a settings key.
+    pub place: String,
+}
+
+impl fmt::Display for InputError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} at {}", self.what, self.place)
+    }
+}
+
+impl std::error::Error for InputError {}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,93 @@
+//! What a relay remembers of messages, calls and hosts; it decides nothing.
+#![allow(missing_docs)]
+
+use std::collections::VecDeque;
+
+use crate::interface::*;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+pub struct Attempt {
+    pub sent: Micros,
+    pub zone: u8,
+    pub call: u64,
+    pub fate: Fate,
+    pub called_off: bool,
+}
+
+pub struct Held {
+    pub message: Message,
+    pub aim_at: Micros,
+    pub attempts: Vec<Attempt>,
+    pub not_before: Micros,
+    /// No answer is owed any more; it stays while attempts are out.
+    pub over: bool,
+    pub started: bool,
+    pub worth: f64,
+}
+
+impl Held {
+    pub fn is_out(&self) -> bool {
+        self.attempts.iter().any(|a| a.fate == Fate::Out)
+    }
+
+    pub fn waits(&self) -> bool {
+        !self.over && !self.started && !self.is_out()
+    }
+
+    /// The first attempt that may have run, or may yet.
+    pub fn tainted(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|a| a.fate != Fate::NeverRan)
+    }
+}
+
+/// The messages of one key, in the order taken.
+#[derive(Default)]
+pub struct Turn {
+    pub line: VecDeque<MessageId>,
+    pub rest_until: Micros,
+}
+
+pub struct Host {
+    pub entry: HostEntry,
+    pub run: u32,
+    pub avoid_until: Micros,
+    pub in_flight: usize,
+}
+
+pub struct Call {
+    pub route: RouteKey,
+    pub host: HostId,
+    pub overdue_at: Micros,
+    pub overdue: bool,
+    pub left: usize,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Good,
+    Refused,
+    Failed,
+}
+
+pub type RouteKey = (DestinationId, Option<HostId>);
+
+/// A relay's own random numbers.
+#[derive(Default)]
+pub struct Dice(pub u64);
+
+impl Dice {
+    /// From 0 to 1.
+    pub fn roll(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,413 @@
+//! One small test for each failure found, named for its symptom.
+
+mod support;
+
+use support::*;
+use thornline::interface::*;
+
+/// Settles all calls, until `end`, as `verdict` says; steps of 50 ms.
+fn run(bench: &mut Bench, span: Micros, verdict: impl Fn(Micros, HostId) -> Option<Outcome>) {
+    let end = bench.now + span;
+    while bench.now < end {
+        bench.pass(50 * MS);
+        for (id, host) in bench.out() {
+            if let Some(outcome) = verdict(bench.now, host) {
+                bench.finish(id, outcome);
+            }
+        }
+        for id in bench.cancelled() {
+            bench.finish(id, Outcome::Cancelled);
+        }
+    }
+}
+
+#[test]
+fn a_message_for_nowhere_is_refused_in_time() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    let id = bench.arrive(0, 9, None);
+    bench.pass(30 * S);
+    assert_eq!(bench.answers[&id], Action::Refuse { id, after: 0 });
+}
+
+#[test]
+fn a_deadline_already_past_and_no_slots_still_get_an_answer() {
+    let mut set = settings();
+    set.slots = 0;
+    let mut bench = Bench::new(set, vec![host(1, 1)]);
+    let first = bench.arrive(2, 1, None);
+    let second = bench.arrive_due(2, 1, None, bench.now);
+    assert!(bench.answers.contains_key(&first) && bench.answers.contains_key(&second));
+    assert!(bench.sent.is_empty());
+}
+
+#[test]
+fn an_unsafe_message_that_may_have_run_fails_and_is_not_sent_again() {
+    for outcome in [Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Cancelled] {
+        let mut bench = Bench::new(settings(), vec![host(1, 1), host(2, 1)]);
+        let id = bench.arrive(2, 1, None);
+        bench.finish(id, outcome);
+        bench.pass(25 * S);
+        assert_eq!(bench.answers[&id], Action::Fail(id), "after {outcome:?}");
+        assert_eq!(bench.sent.len(), 1);
+    }
+}
+
+#[test]
+fn an_unsafe_message_that_never_ran_is_sent_again() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    let id = bench.arrive(2, 1, None);
+    bench.finish(id, Outcome::ConnectFailed);
+    bench.pass(5 * S);
+    assert_eq!(bench.sent.len(), 2);
+}
+
+#[test]
+fn a_keyed_message_ends_with_its_window() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    let id = bench.arrive(1, 1, None);
+    run(&mut bench, 15 * S, |_, _| Some(Outcome::Error));
+    assert_eq!(bench.answers[&id], Action::Fail(id));
+    assert!(bench.sent.len() > 1);
+}
+
+#[test]
+fn a_draining_host_gets_nothing_new() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1), host(2, 1)]);
+    bench.list(false, vec![HostEntry { listing: Listing::Draining, ..host(1, 1) }]);
+    for _ in 0..4 {
+        bench.arrive(0, 1, None);
+    }
+    assert!(bench.sent.len() > 1 && bench.sent.iter().all(|s| s.2 == 2));
+    bench.list(true, vec![host(3, 1)]);
+    bench.arrive(0, 1, None);
+    run(&mut bench, S, |_, _| Some(Outcome::Ok));
+    assert_eq!(bench.sent.last().map(|s| s.2), Some(3));
+}
+
+#[test]
+fn a_told_wait_binds_the_destination_or_the_route_apart() {
+    for apart in [false, true] {
+        let mut set = settings();
+        set.kinds[0].apart = apart;
+        let mut bench = Bench::new(set, vec![host(1, 1), host(2, 1)]);
+        let id = bench.arrive(0, 1, None);
+        let told = bench.sent[0].2;
+        bench.finish(id, Outcome::Full { wait: 3 * S });
+        bench.arrive(0, 1, None);
+        bench.pass(2 * S);
+        let others = bench.sent[1..].iter().filter(|s| s.2 != told).count();
+        assert_eq!(others > 0, apart, "apart {apart}");
+        run(&mut bench, 4 * S, |_, _| Some(Outcome::Ok));
+        assert_eq!(bench.delivered.len(), 2);
+    }
+}
+
+#[test]
+fn a_huge_told_wait_is_heeded_without_overflow() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    let id = bench.arrive(0, 1, None);
+    bench.finish(id, Outcome::Full { wait: u64::from(u32::MAX) * MS });
+    bench.pass(60 * S);
+    assert_eq!(bench.sent.len(), 1);
+    assert!(bench.answers.contains_key(&id));
+}
+
+#[test]
+fn a_key_goes_in_order_and_rests_after_a_time_out() {
+    let mut set = settings();
+    set.classes[0].in_order = true;
+    let mut bench = Bench::new(set, vec![host(1, 1)]);
+    let first = bench.arrive(0, 1, Some(5));
+    let second = bench.arrive(0, 1, Some(5));
+    assert_eq!(bench.sent.len(), 1);
+    bench.withdraw(first);
+    bench.pass(S);
+    assert_eq!(bench.sent.len(), 1, "the first is still out");
+    bench.finish(first, Outcome::Reset);
+    let ended = bench.now;
+    bench.pass(5 * S);
+    let at = bench.sent.iter().find(|s| s.1 == second).map(|s| s.0);
+    assert!(at.is_some_and(|at| at >= ended + S), "sent at {at:?}");
+}
+
+#[test]
+fn messages_for_a_dead_destination_are_parked_not_burnt() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1), host(2, 1)]);
+    for _ in 0..30 {
+        bench.arrive(0, 1, None);
+    }
+    run(&mut bench, 10 * S, |_, _| Some(Outcome::ConnectFailed));
+    assert!(bench.sent.len() < 25, "{} calls for 30 messages", bench.sent.len());
+}
+
+#[test]
+fn a_returning_destination_is_not_pushed_over_by_its_backlog() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    for _ in 0..60 {
+        bench.arrive(0, 1, None);
+    }
+    let back = bench.now + 6 * S;
+    let cold = |now| if now < back { Outcome::ConnectFailed } else { Outcome::Ok };
+    run(&mut bench, 15 * S, |now, _| Some(cold(now)));
+    let (told, rules) = (20.0, &bench.set.rules);
+    for (start, _, _) in bench.sent.iter().filter(|s| s.0 >= back) {
+        let end = start + rules.overload_for;
+        let sent = bench.sent.iter().filter(|s| (*start..end).contains(&s.0)).count() as f64;
+        // Capacity in the mean of the span: it warms evenly.
+        let mid = start + rules.overload_for / 2 - back;
+        let warm = (mid as f64 / rules.cold as f64).min(1.0);
+        let capacity = told * (rules.cold_from + (1.0 - rules.cold_from) * warm);
+        let part = rules.overload_factor * capacity * rules.overload_for as f64 / 1e6 / 2.0;
+        // One more than the rate gives fits into a span that begins with a call.
+        assert!(sent <= part + 1.0, "{sent} calls in a span from {start}, this relay's part is {part}");
+    }
+    assert!(bench.delivered.len() > 20, "but it must get some: {}", bench.delivered.len());
+}
+
+#[test]
+fn full_holds_do_not_turn_good_messages_away() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1), host(2, 2)]);
+    for _ in 0..200 {
+        bench.arrive(0, 1, None);
+    }
+    let held = 200 - bench.answers.len() - bench.delivered.len();
+    assert!(held < bench.set.most_held, "{held} held");
+    let good = bench.arrive(0, 2, None);
+    assert!(bench.sent.iter().any(|s| s.1 == good));
+}
+
+#[test]
+fn a_hang_parks_messages_before_the_first_time_out() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    for _ in 0..8 {
+        bench.arrive(0, 1, None);
+        run(&mut bench, S / 2, |_, _| Some(Outcome::Ok));
+    }
+    let before = bench.sent.len();
+    for n in 0..20 {
+        bench.arrive(if n < 2 { 0 } else { 2 }, 1, None);
+        run(&mut bench, S / 2, |_, _| None);
+    }
+    let risked = bench.sent[before..].iter().filter(|s| !bench.delivered.contains_key(&s.1)).count();
+    assert!(risked <= 8, "{risked} of 20 messages sent into a hang");
+    let mut few = Bench::new(settings(), vec![host(1, 1)]);
+    for _ in 0..30 {
+        few.arrive(0, 1, None);
+    }
+    run(&mut few, 4 * S, |_, _| None);
+    assert!(few.sent.len() <= 9, "{} calls into a hang", few.sent.len());
+}
+
+#[test]
+fn a_few_refusals_at_the_limit_are_no_outage() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    let start = bench.now;
+    let flow = |now| if now < start + S { Outcome::Full { wait: 0 } } else { Outcome::Ok };
+    for _ in 0..40 {
+        bench.arrive(0, 1, None);
+        run(&mut bench, 200 * MS, |now, _| Some(flow(now)));
+    }
+    let late = bench.delivered.len();
+    assert!(late >= 36, "{late} of 40 delivered within the flow");
+}
+
+#[test]
+fn slow_calls_that_are_answered_set_no_ramp() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    for n in 0..60 {
+        bench.arrive(0, 1, None);
+        // Every tenth call takes two seconds, the others fifty milliseconds.
+        let slow = bench.sent.iter().step_by(10).map(|s| (s.1, s.0)).collect::<Vec<_>>();
+        for _ in 0..4 {
+            bench.pass(50 * MS);
+            for (id, _) in bench.out() {
+                let since = slow.iter().find(|s| s.0 == id).map_or(0, |s| s.1);
+                if since == 0 || bench.now >= since + 2 * S {
+                    bench.finish(id, Outcome::Ok);
+                }
+            }
+        }
+        assert!(bench.cancelled().is_empty(), "called off in round {n} with slots to spare");
+    }
+    bench.pass(3 * S);
+    assert!(bench.delivered.len() >= 54, "{} of 60 delivered", bench.delivered.len());
+}
+
+#[test]
+fn hung_unsafe_calls_do_not_starve_the_slots() {
+    let mut bench = Bench::new(settings(), (1..9).map(|i| host(i, i as u16)).collect());
+    for i in 0..24 {
+        bench.arrive(2, 1 + i % 6, None);
+    }
+    let start = bench.now;
+    run(&mut bench, 8 * S, |_, host| (host > 6).then_some(Outcome::Ok));
+    let good: Vec<_> = (0..20).map(|_| bench.arrive(0, 8, None)).collect();
+    run(&mut bench, 4 * S, |_, host| (host > 6).then_some(Outcome::Ok));
+    let served = good.iter().filter(|id| bench.delivered.contains_key(id)).count();
+    assert_eq!(served, 20, "from {start}");
+}
+
+#[test]
+fn a_pace_cut_by_a_shut_spell_comes_back() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    let back = bench.now + 4 * S;
+    for _ in 0..60 {
+        bench.arrive(0, 1, None);
+    }
+    run(&mut bench, 16 * S, |now, _| Some(if now < back { Outcome::Full { wait: 0 } } else { Outcome::Ok }));
+    assert!(bench.delivered.len() >= 50, "{} of 60", bench.delivered.len());
+}
+
+#[test]
+fn one_dead_endpoint_does_not_close_the_other() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1), host(2, 1)]);
+    let mut ids = Vec::new();
+    for _ in 0..20 {
+        ids.push(bench.arrive(0, 1, None));
+        run(&mut bench, S / 4, |_, host| Some(if host == 1 { Outcome::ConnectFailed } else { Outcome::Ok }));
+    }
+    run(&mut bench, S, |_, host| Some(if host == 1 { Outcome::ConnectFailed } else { Outcome::Ok }));
+    assert!(bench.delivered.len() >= 19, "{} of 20", bench.delivered.len());
+}
+
+#[test]
+fn trouble_elsewhere_does_not_disturb_a_healthy_destination() {
+    let hosts = (1..9).map(|i| host(i, i as u16)).collect();
+    let mut bench = Bench::new(settings(), hosts);
+    let mut healthy = Vec::new();
+    for round in 0..200u16 {
+        for destination in 1..8 {
+            if round % 2 == 0 {
+                bench.arrive(round % 3, destination, None);
+            }
+        }
+        healthy.push((bench.arrive(0, 8, None), bench.now));
+        run(&mut bench, 150 * MS, |now, host| match host {
+            8 => Some(Outcome::Ok),
+            1 | 2 => None,
+            3 => Some(Outcome::Error),
+            4 => Some(Outcome::Full { wait: 700 * MS }),
+            5 => Some(if now / S % 2 == 0 { Outcome::Ok } else { Outcome::Error }),
+            6 => (now / S % 3 == 0).then_some(Outcome::Full { wait: 0 }),
+            _ => Some(Outcome::ConnectFailed),
+        });
+    }
+    let lost = healthy.iter().filter(|(id, _)| !bench.delivered.contains_key(id)).count();
+    let slow = healthy.iter().filter(|(id, at)| bench.delivered.get(id).is_some_and(|d| d - at > 500 * MS));
+    let slow = slow.count();
+    assert!(lost == 0 && slow <= 6, "of 200 healthy messages {lost} were lost and {slow} slow");
+}
+
+#[test]
+fn asks_again_when_the_list_cannot_be_had() {
+    let mut set = settings();
+    set.discovery_by_asking = true;
+    let mut bench = Bench::new(set.clone(), Vec::new());
+    let asked = |b: &Bench| b.actions.iter().filter(|a| **a == Action::Subscribe(true)).count();
+    bench.play(vec![Event::HostsFailed]);
+    bench.pass(set.rules.ask_within);
+    let first = asked(&bench);
+    assert!(first >= 1);
+    bench.play(vec![Event::HostsFailed]);
+    bench.pass(set.rules.ask_within);
+    assert!(asked(&bench) > first);
+    let mut cached = thornline::Relay::new(set, 1);
+    let mut out = Vec::new();
+    cached.handle(1, [Event::Hosts { whole: true, cached: true, entries: Vec::new() }], &mut out);
+    assert!(out.contains(&Action::Subscribe(true)), "a remembered list is no subscription");
+}
+
+#[test]
+fn messages_share_a_call_where_the_kind_allows() {
+    let mut set = settings();
+    set.kinds[0].per_call = 4;
+    set.slots = 1;
+    let mut bench = Bench::new(set, vec![host(1, 1)]);
+    let first = bench.arrive(0, 1, None);
+    let rest: Vec<_> = (0..6).map(|_| bench.arrive(0, 1, None)).collect();
+    assert_eq!(bench.sent.len(), 1);
+    bench.finish(first, Outcome::Ok);
+    bench.pass(S);
+    assert_eq!(bench.sent.len(), 5, "four of {} in the second call", rest.len());
+}
+
+#[test]
+fn wild_reports_and_a_flapping_list_do_no_harm() {
+    let mut set = settings();
+    set.report = vec![ReportField::AllowanceLeft, ReportField::LimitPerSecond];
+    let mut bench = Bench::new(set, vec![host(1, 1)]);
+    for (n, value) in
+        [f32::NAN, f32::INFINITY, -4.0, 1e30, 0.0, 1e-30].into_iter().cycle().take(60).enumerate()
+    {
+        let report = vec![value, value];
+        bench.play(vec![Event::Probed { host: 1, outcome: Outcome::Ok, elapsed: 9 * MS, report }]);
+        bench.list(true, if n % 2 == 0 { Vec::new() } else { vec![host(1, 1)] });
+        bench.arrive(0, 1, None);
+        run(&mut bench, S / 5, |_, _| Some(Outcome::Ok));
+    }
+    run(&mut bench, 15 * S, |_, _| Some(Outcome::Ok));
+    assert!(bench.delivered.len() >= 50, "{} of 60", bench.delivered.len());
+}
+
+/// One relay of a hundred, at destinations that tell of their limits.
+fn one_of_many() -> Settings {
+    let mut set = settings();
+    set.siblings = 100;
+    set.report = vec![ReportField::AllowanceLeft, ReportField::LimitPerSecond];
+    set
+}
+
+/// Hands in twelve messages and answers all calls of nine seconds with `verdict` and the share left.
+fn nine_seconds(siblings: usize, verdict: impl Fn(Micros) -> (Outcome, f32)) -> Bench {
+    let mut bench = Bench::new(Settings { siblings, ..one_of_many() }, vec![host(1, 1)]);
+    let start = bench.now;
+    for _ in 0..12 {
+        bench.arrive(0, 1, None);
+    }
+    while bench.now < start + 9 * S {
+        bench.pass(50 * MS);
+        for (id, _) in bench.out() {
+            let (outcome, left) = verdict(bench.now - start);
+            bench.answer(id, outcome, vec![left, 20.0]);
+        }
+    }
+    bench
+}
+
+#[test]
+fn a_busy_relay_among_many_is_not_held_to_an_even_part() {
+    let mut bench = Bench::new(one_of_many(), vec![host(1, 1)]);
+    for _ in 0..20 {
+        bench.arrive(0, 1, None);
+    }
+    run(&mut bench, 4 * S, |_, _| Some(Outcome::Ok));
+    assert_eq!(bench.delivered.len(), 20, "an even part is a call in five seconds");
+}
+
+#[test]
+fn refusals_at_a_spent_limit_set_no_ramp() {
+    let full = Outcome::Full { wait: 0 };
+    let bench = nine_seconds(10, |at| if at < 3200 * MS { (full, 0.0) } else { (Outcome::Ok, 0.5) });
+    assert!(bench.delivered.len() >= 10, "{} of 12 once the limit let calls in", bench.delivered.len());
+}
+
+#[test]
+fn refusals_with_the_allowance_unused_are_an_outage() {
+    let full = Outcome::Full { wait: 0 };
+    let bench = nine_seconds(10, |at| if at < 1800 * MS { (full, 0.95) } else { (Outcome::Ok, 1.0) });
+    let back = bench.delivered.values().min().copied().expect("some are delivered");
+    let soon = bench.sent.iter().filter(|s| (back..back + 3 * S / 2).contains(&s.0)).count();
+    assert!(soon <= 3, "{soon} calls within one and a half seconds of the return");
+}
+
+#[test]
+fn the_end_of_a_told_wait_lets_no_burst_out() {
+    let mut bench = Bench::new(one_of_many(), vec![host(1, 1)]);
+    let first = bench.arrive(0, 1, None);
+    bench.answer(first, Outcome::Full { wait: 8 * S }, vec![1.0, 20.0]);
+    let opens = bench.now + 8 * S;
+    run(&mut bench, 19 * S, |_, _| Some(Outcome::Ok));
+    let next = bench.sent.get(1).map_or(Micros::MAX, |s| s.0);
+    assert!(next > opens + S, "one of a hundred called {} ms after the opening", (next - opens) / 1000);
+    assert_eq!(bench.delivered.len(), 1, "but it must get its turn");
+}
