--- a/src/bin/thornline-drill.rs
+++ b/src/bin/madderpitch-adapter.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 
-use thornline::wire::{header, Adapter, HEADER};
+use madderpitch::wire::{header, Adapter, HEADER};
 
 fn run() -> Result<(), String> {
     let mut input = io::stdin().lock();
@@ -53,7 +53,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(line) => {
-            eprintln!("thornline-drill: {line}");
+            eprintln!("madderpitch-adapter: {line}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/src/bin/madderpitch/config.rs
@@ -0,0 +1,130 @@
+//! What the relay is told at its start: the environment's variables and the configuration file.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use madderpitch::interface::Settings;
+use madderpitch::wire;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::discovery::HostList;
+
+/// Limits of the machine that the relay runs on.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// File descriptors, sockets among them.
+    pub sockets: usize,
+    /// Megabytes in the folder that lasts.
+    pub disk_mb: f64,
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: Option<String>,
+    discovery: Option<String>,
+    state: Option<String>,
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: HostList,
+    settings: Value,
+}
+
+/// All that the relay is told.
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// The folder that lasts.
+    pub state: PathBuf,
+    /// Seed of all random numbers.
+    pub seed: u64,
+    /// Limits of the machine.
+    pub limits: Limits,
+    /// The list of hosts as this relay last had it.
+    pub known: HostList,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of the classes, by index.
+    pub classes: Vec<String>,
+    /// Names of the tenants, by index.
+    pub tenants: Vec<String>,
+    /// Names of the kinds of destination, by index.
+    pub kinds: Vec<String>,
+    /// Names of the zones, by index.
+    pub zones: Vec<String>,
+    /// Names of the values in load reports, by index.
+    pub report: Vec<String>,
+    /// A connection that is not up by then has failed.
+    pub dial_timeout: Duration,
+    /// Hosts close connections that were idle for this long.
+    pub idle_close: Duration,
+}
+
+impl Config {
+    /// Reads the variables and the file; the error is one plain line.
+    pub fn load() -> Result<Self, String> {
+        let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        let file: File =
+            serde_json::from_slice(&text).map_err(|e| format!("{path} is no usable configuration: {e}"))?;
+        let told = |name: &str, in_file: Option<String>| {
+            variable(name).or(in_file).ok_or_else(|| format!("{name} is not set"))
+        };
+        let settings = wire::settings(file.settings.to_string().as_bytes()).map_err(|e| e.to_string())?;
+        let root = &file.settings;
+        let classes = names(root, "/services")?;
+        if settings.max_retry_after > 3_600_000_000 || settings.tick > 1_000_000 {
+            return Err("settings hold a span that is out of range".into());
+        }
+        Ok(Config {
+            listen: address(&told("BALANCER_LISTEN", file.listen)?)?,
+            discovery: address(&told("BALANCER_DISCOVERY", file.discovery)?)?,
+            state: PathBuf::from(told("BALANCER_STATE", file.state)?),
+            seed: u64::from_str_radix(&file.seed, 16)
+                .map_err(|_| format!("seed {:?} is no hexadecimal number", file.seed))?,
+            limits: checked(file.limits)?,
+            known: file.known,
+            classes,
+            tenants: names(root, "/tenants")?,
+            kinds: names(root, "/skus")?,
+            zones: names(root, "/dcs")?,
+            report: names(root, "/stats/fields")?,
+            dial_timeout: span(root, "/limits/dialTimeout")?,
+            idle_close: span(root, "/limits/idleClose")?,
+            settings,
+        })
+    }
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+fn address(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{text:?} is no address and port"))
+}
+
+fn checked(limits: Limits) -> Result<Limits, String> {
+    // Under these figures the relay could not hold a call and a client at once.
+    if limits.sockets < 64 || !limits.disk_mb.is_finite() || limits.disk_mb < 0.25 {
+        return Err(format!("limits are too small: {} sockets, {} MB", limits.sockets, limits.disk_mb));
+    }
+    Ok(limits)
+}
+
+/// The names in a list of strings or of objects that have one; an absent list is empty.
+fn names(root: &Value, path: &str) -> Result<Vec<String>, String> {
+    let list = root.pointer(path).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+    let name = |entry: &Value| entry.as_str().or_else(|| entry.get("name")?.as_str()).map(String::from);
+    let bad = || format!("settings lack a name at {path}");
+    list.iter().map(|entry| name(entry).ok_or_else(bad)).collect()
+}
+
+fn span(root: &Value, path: &str) -> Result<Duration, String> {
+    let micros = root.pointer(path).and_then(Value::as_f64).filter(|v| (1.0..1e12).contains(v));
+    micros.map(|v| Duration::from_micros(v as u64)).ok_or_else(|| format!("settings lack a span at {path}"))
+}
--- /dev/null
+++ b/src/bin/madderpitch/discovery.rs
@@ -0,0 +1,261 @@
+//! Discovery: the list of hosts, the watch on its changes, and the notices to the platform.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HOST;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use madderpitch::interface::{Listing, MessageId};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, Notify};
+use tokio::time::{sleep, timeout};
+
+use crate::driver::Input;
+use crate::journal::Verdict;
+
+/// An empty line comes every 2 s; past this the watch is dead, whatever its connection says.
+const SILENCE: Duration = Duration::from_millis(3500);
+/// Longest wait for a connection or an answer.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Bounds of the rest between two tries.
+const REST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// A longer line is not read.
+const LONGEST_LINE: usize = 4 << 20;
+/// Notices in one request.
+const NOTICES: usize = 200;
+
+/// The list of hosts, or what changed of it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct HostList {
+    /// Its version.
+    #[serde(default)]
+    pub seq: u64,
+    /// The entries replace the list instead of changing it.
+    #[serde(default)]
+    pub whole: bool,
+    /// The entries.
+    #[serde(default)]
+    pub hosts: Vec<HostLine>,
+}
+
+/// One host in the list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct HostLine {
+    /// Its name.
+    pub host: String,
+    /// Where it takes connections.
+    pub dial: SocketAddr,
+    /// Name of its zone.
+    #[serde(default)]
+    pub site: String,
+    /// Name of its kind.
+    #[serde(default)]
+    pub class: String,
+    /// Its destination.
+    pub block: u16,
+    /// Its listing state.
+    #[serde(with = "Health")]
+    pub health: Listing,
+    /// Its weight.
+    #[serde(default)]
+    pub share: f32,
+}
+
+#[derive(Deserialize)]
+#[serde(remote = "Listing", rename_all = "lowercase")]
+enum Health {
+    #[serde(rename = "up")]
+    Ready,
+    Draining,
+    #[serde(rename = "removed")]
+    Gone,
+}
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Failure> {
+    let stream = timeout(PATIENCE, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::task::spawn_local(connection);
+    Ok(sender)
+}
+
+async fn ask(
+    sender: &mut SendRequest<Full<Bytes>>, address: SocketAddr, method: Method, path: &str, body: String,
+) -> Result<Response<Incoming>, Failure> {
+    let request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
+    let answer = sender.send_request(request.body(Full::new(body.into()))?);
+    Ok(timeout(PATIENCE, answer).await??)
+}
+
+/// Follows the list for ever, from a version on; every connection starts where the last one ended.
+pub async fn follow(address: SocketAddr, mut version: u64, inputs: mpsc::Sender<Input>) {
+    let mut rest = REST.0;
+    let mut logged = false;
+    loop {
+        let before = version;
+        let mut heard = false;
+        if let Err(error) = watch(address, &mut version, &mut heard, &inputs).await {
+            if !logged || heard {
+                eprintln!("discovery: the watch ended: {error}");
+            }
+            logged = true;
+        }
+        if inputs.is_closed() {
+            return;
+        }
+        rest = if heard || version > before { REST.0 } else { (rest * 2).min(REST.1) };
+        sleep(rest).await;
+    }
+}
+
+async fn watch(
+    address: SocketAddr, version: &mut u64, heard: &mut bool, inputs: &mpsc::Sender<Input>,
+) -> Result<(), Failure> {
+    let mut sender = connect(address).await?;
+    let path = format!("/catalog/members?follow=1&since={version}");
+    let answer = ask(&mut sender, address, Method::GET, &path, String::new()).await?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("answered {}", answer.status()).into());
+    }
+    let mut body = answer.into_body();
+    let mut text = BytesMut::new();
+    // Guards against a discovery that falls silent with its connections open: nothing else would tell.
+    while let Some(frame) = timeout(SILENCE, body.frame()).await? {
+        let Ok(data) = frame?.into_data() else { continue };
+        text.extend_from_slice(&data);
+        while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
+            let line = text.split_to(end + 1);
+            *heard = true;
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            match serde_json::from_slice::<HostList>(&line) {
+                Ok(list) => {
+                    *version = list.seq;
+                    inputs.send(Input::Hosts(list)).await?;
+                }
+                Err(error) => {
+                    eprintln!("discovery: skipped a malformed line: {error}");
+                    // What it would have told is in the whole list; until that comes, the old one holds.
+                    match whole_list(address).await {
+                        Ok(list) => {
+                            *version = list.seq;
+                            inputs.send(Input::Hosts(list)).await?;
+                        }
+                        Err(error) => eprintln!("discovery: no whole list: {error}"),
+                    }
+                }
+            }
+        }
+        if text.len() > LONGEST_LINE {
+            return Err("a line is too long".into());
+        }
+    }
+    Err("it was closed".into())
+}
+
+async fn whole_list(address: SocketAddr) -> Result<HostList, Failure> {
+    let mut sender = connect(address).await?;
+    let answer = ask(&mut sender, address, Method::GET, "/catalog/members", String::new()).await?;
+    let body = http_body_util::Limited::new(answer.into_body(), LONGEST_LINE);
+    let mut list: HostList = serde_json::from_slice(&timeout(PATIENCE, body.collect()).await??.to_bytes())?;
+    list.whole = true;
+    Ok(list)
+}
+
+/// Notices that the platform has not answered yet. Each is owed in the journal too, which bounds them.
+#[derive(Default)]
+pub struct Notices {
+    pending: RefCell<BTreeMap<MessageId, (String, Verdict)>>,
+    more: Notify,
+}
+
+#[derive(Serialize)]
+struct Notice<'a> {
+    id: &'a str,
+    status: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    again_ms: Option<u64>,
+}
+
+impl Notices {
+    /// Tells the platform how a message ended.
+    pub fn add(&self, id: MessageId, name: String, verdict: Verdict) {
+        self.pending.borrow_mut().insert(id, (name, verdict));
+        self.more.notify_one();
+    }
+
+    fn batch(&self) -> (Vec<MessageId>, String) {
+        let (mut ids, mut text) = (Vec::new(), String::new());
+        for (id, (name, verdict)) in self.pending.borrow().iter().take(NOTICES) {
+            let (status, again_ms) = match verdict {
+                Verdict::Undeliverable => ("undeliverable", None),
+                Verdict::Deferred(after) => ("deferred", Some(*after).filter(|after| *after > 0)),
+            };
+            let notice = Notice { id: name, status, again_ms };
+            text += &serde_json::to_string(&notice).unwrap_or_default();
+            text.push('\n');
+            ids.push(*id);
+        }
+        (ids, text)
+    }
+}
+
+/// Sends notices for ever, each until it is answered 204.
+pub async fn notify(address: SocketAddr, notices: Rc<Notices>, inputs: mpsc::Sender<Input>) {
+    let mut sender = None;
+    let mut rest = REST.0;
+    loop {
+        let (ids, text) = notices.batch();
+        if ids.is_empty() {
+            notices.more.notified().await;
+            continue;
+        }
+        match post(&mut sender, address, text).await {
+            Ok(()) => {
+                rest = REST.0;
+                notices.pending.borrow_mut().retain(|id, _| !ids.contains(id));
+                if inputs.send(Input::Noticed(ids)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                eprintln!("discovery: {} notices not taken, to be sent again: {error}", ids.len());
+                sender = None;
+                sleep(rest).await;
+                rest = (rest * 2).min(REST.1);
+            }
+        }
+    }
+}
+
+async fn post(
+    sender: &mut Option<SendRequest<Full<Bytes>>>, address: SocketAddr, text: String,
+) -> Result<(), Failure> {
+    let usable = match sender {
+        Some(sender) => sender.ready().await.is_ok(),
+        None => false,
+    };
+    if !usable {
+        *sender = Some(connect(address).await?);
+    }
+    let Some(sender) = sender else { return Err("no connection".into()) };
+    let answer = ask(sender, address, Method::POST, "/v1/notices", text).await?;
+    let status = answer.status();
+    timeout(PATIENCE, http_body_util::Limited::new(answer.into_body(), LONGEST_LINE).collect()).await??;
+    match status {
+        StatusCode::NO_CONTENT => Ok(()),
+        status => Err(format!("answered {status}").into()),
+    }
+}
--- /dev/null
+++ b/src/bin/madderpitch/driver.rs
@@ -0,0 +1,515 @@
+//! Drives the module: what happens on sockets goes in as events, and its actions are carried out.
+//!
+//! It owns the module, the clock and the timer, and knows which name on the wire is which of the
+//! module's numbers. It decides nothing about messages.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use madderpitch::interface::*;
+use madderpitch::Relay;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::time::{sleep_until, Instant};
+
+use crate::clients::{self, Reply};
+use crate::config::Config;
+use crate::discovery::{self, HostList, Notices};
+use crate::hosts::{Call, CallEnd, Hosts};
+use crate::journal::{Attempt, Journal, Owed, Taken, Verdict};
+
+/// Inputs that may wait for the driver; beyond, those who have more wait themselves.
+const INPUTS: usize = 1024;
+/// After the signal to stop: new connections may still come until the first, the module's last call has
+/// ended by the second, when clients' connections are closed, and by the third the process is gone.
+const STOP: [Duration; 3] =
+    [Duration::from_millis(500), Duration::from_millis(3300), Duration::from_millis(3550)];
+/// Descriptors that are no connection of a client or a host: discovery, the journal, the runtime's own.
+const OTHER_SOCKETS: usize = 24;
+
+/// Unix time that never goes backwards.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
+        Clock { start: Instant::now(), unix }
+    }
+
+    /// Now, in Unix time.
+    pub fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+
+    fn instant(&self, at: Micros) -> Instant {
+        // A moment that is too far off for the runtime is no sooner than a day from now.
+        self.start
+            + Duration::from_micros(
+                at.saturating_sub(self.unix).min((self.now() - self.unix) + 86_400_000_000),
+            )
+    }
+}
+
+/// A message that a client hands in.
+pub struct Enqueue {
+    /// Its name.
+    pub name: String,
+    /// Key of its order.
+    pub order: Option<u64>,
+    /// Name of its class.
+    pub class: String,
+    /// Name of its tenant.
+    pub tenant: String,
+    /// Where it must go.
+    pub destination: u16,
+    /// Deadline.
+    pub due: Micros,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// It was handed in before.
+    pub again: bool,
+    /// Its content.
+    pub body: Bytes,
+    /// Where the answer goes.
+    pub reply: Option<oneshot::Sender<Reply>>,
+}
+
+/// What happens on sockets.
+pub enum Input {
+    /// A client hands in a message.
+    Enqueue(Enqueue),
+    /// A call ended.
+    Ended(CallEnd),
+    /// Discovery told something.
+    Hosts(HostList),
+    /// The platform has taken the notices of these messages.
+    Noticed(Vec<MessageId>),
+}
+
+struct Driver {
+    config: Config,
+    relay: Relay,
+    clock: Clock,
+    journal: Journal,
+    hosts: Rc<Hosts>,
+    notices: Rc<Notices>,
+    inputs: mpsc::Sender<Input>,
+    /// What the module has not seen yet.
+    events: Vec<Event>,
+    timer: Option<(Micros, u64)>,
+    last_round: Instant,
+    /// Messages that the module has not decided on, with those who wait for the answer.
+    arriving: BTreeMap<MessageId, (Taken, Vec<oneshot::Sender<Reply>>)>,
+    /// Numbers of the messages in hand.
+    numbers: BTreeMap<String, MessageId>,
+    /// Calls that are out: the attempt, and what ends it early.
+    calls: BTreeMap<MessageId, (u8, oneshot::Sender<()>)>,
+    host_numbers: BTreeMap<String, HostId>,
+    listed: BTreeMap<HostId, (std::net::SocketAddr, u8)>,
+    destinations: BTreeSet<DestinationId>,
+    next_host: HostId,
+}
+
+/// Serves until `stop` is ready, and then brings what is out to its end.
+pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
+    let clock = Clock::new();
+    let folder = config.state.display();
+    let journal = Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)
+        .map_err(|e| format!("cannot use the journal in {folder}: {e}"))?;
+    // Half of the sockets are for clients; of the rest, the calls out come before what is idle.
+    let sockets = config.limits.sockets - OTHER_SOCKETS;
+    let most_clients = sockets / 2;
+    if config.settings.slots + 1 > sockets - most_clients {
+        return Err(format!("{} sockets do not do for {} slots", sockets, config.settings.slots));
+    }
+    let most_idle = sockets - most_clients - config.settings.slots;
+    let (listen, from) = (config.listen, config.discovery);
+    let (inputs, mut incoming) = mpsc::channel(INPUTS);
+    let mut driver = Driver {
+        relay: Relay::new(config.settings.clone(), config.seed),
+        clock,
+        journal,
+        hosts: Rc::new(Hosts::new(config.dial_timeout, config.idle_close, most_idle)),
+        notices: Rc::default(),
+        inputs: inputs.clone(),
+        events: Vec::new(),
+        timer: None,
+        last_round: Instant::now(),
+        arriving: BTreeMap::new(),
+        numbers: BTreeMap::new(),
+        calls: BTreeMap::new(),
+        host_numbers: BTreeMap::new(),
+        listed: BTreeMap::new(),
+        destinations: BTreeSet::new(),
+        next_host: 0,
+        config,
+    };
+    driver.restore();
+    driver.round()?;
+
+    let known = driver.config.known.seq;
+    tokio::task::spawn_local(discovery::follow(from, known, inputs.clone()));
+    tokio::task::spawn_local(discovery::notify(from, driver.notices.clone(), inputs.clone()));
+    let hosts = driver.hosts.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            hosts.sweep();
+        }
+    });
+    // Clients come last: the first answer to a PING says that all else is in place.
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let room = Arc::new(Semaphore::new(most_clients));
+    let (close, closing) = watch::channel(false);
+    tokio::task::spawn_local(clients::listen(listener, room.clone(), clock, inputs, closing));
+
+    let mut stop = std::pin::pin!(stop);
+    let mut stopping: Option<Instant> = None;
+    loop {
+        let now = Instant::now();
+        let mut wake = driver.next_round();
+        if wake <= now {
+            driver.round()?;
+            continue;
+        }
+        if let Some(since) = stopping {
+            let passed = now - since;
+            let quiet = room.available_permits() + 1 >= most_clients && driver.calls.is_empty();
+            if passed >= STOP[2] || (passed >= STOP[0] && quiet && driver.events.is_empty()) {
+                return Ok(());
+            }
+            if passed >= STOP[1] {
+                close.send_replace(true);
+            }
+            wake = wake.min(now + Duration::from_millis(20));
+        }
+        tokio::select! {
+            biased;
+            () = &mut stop, if stopping.is_none() => {
+                stopping = Some(Instant::now());
+                let at = clock.now() + STOP[1].as_micros() as Micros;
+                driver.events.push(Event::Stopping { at });
+                eprintln!("told to stop; {} messages in hand, {} calls out", driver.numbers.len(), driver.calls.len());
+            }
+            Some(input) = incoming.recv() => {
+                driver.take(input);
+                // What came together goes into one round, which must not wait for ever.
+                for _ in 0..INPUTS {
+                    let Ok(input) = incoming.try_recv() else { break };
+                    driver.take(input);
+                }
+            }
+            () = sleep_until(wake) => {}
+        }
+    }
+}
+
+fn logged(what: std::io::Result<()>) {
+    what.unwrap_or_else(|e| eprintln!("journal: cannot write: {e}"));
+}
+
+fn index_of(names: &[String], name: &str) -> Option<u16> {
+    names.iter().position(|known| known == name).and_then(|at| u16::try_from(at).ok())
+}
+
+fn may_have_run(outcome: Outcome) -> bool {
+    match outcome {
+        Outcome::Ok | Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => true,
+        Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot => false,
+    }
+}
+
+impl Driver {
+    fn next_round(&self) -> Instant {
+        let tick = Duration::from_micros(self.config.settings.tick.max(1000));
+        let soonest = self.last_round + tick;
+        match self.timer {
+            _ if !self.events.is_empty() => soonest,
+            Some((at, _)) => self.clock.instant(at).max(soonest),
+            None => soonest + Duration::from_secs(3600),
+        }
+    }
+
+    /// Hands to the module what the journal holds.
+    fn restore(&mut self) {
+        let known = std::mem::take(&mut self.config.known);
+        self.list(HostList { whole: true, ..known.clone() }, true);
+        self.config.known.seq = known.seq;
+        let owed: Vec<(MessageId, Owed)> =
+            self.journal.all().iter().map(|(id, owed)| (*id, owed.clone())).collect();
+        if !owed.is_empty() {
+            eprintln!("journal: {} messages are still owed their end", owed.len());
+        }
+        for (id, Owed { taken, attempts, verdict, .. }) in owed {
+            if let Some(verdict) = verdict {
+                self.notices.add(id, taken.name, verdict);
+                continue;
+            }
+            self.numbers.insert(taken.name.clone(), id);
+            let Some(message) = self.message(id, &taken) else {
+                eprintln!("journal: {} is of a class or tenant that is not known any more", taken.name);
+                let ran = attempts.iter().any(|attempt| attempt.may_have_run);
+                self.end(id, if ran { Verdict::Undeliverable } else { Verdict::Deferred(0) });
+                continue;
+            };
+            let attempts = attempts.iter().map(|attempt| PastAttempt {
+                sent: attempt.sent,
+                zone: attempt.zone,
+                may_have_run: attempt.may_have_run,
+            });
+            self.events.push(Event::Restored { message, attempts: attempts.collect() });
+        }
+    }
+
+    fn message(&self, id: MessageId, taken: &Taken) -> Option<Message> {
+        let tenant = index_of(&self.config.tenants, &taken.tenant);
+        Some(Message {
+            id,
+            class: index_of(&self.config.classes, &taken.class)?,
+            destination: taken.destination,
+            due: taken.due,
+            key: taken.order,
+            work: None,
+            tenant: tenant.or(self.config.tenants.is_empty().then_some(0))?,
+            again: taken.again,
+        })
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Enqueue(request) => self.enqueue(request),
+            Input::Ended(end) => self.ended(end),
+            Input::Hosts(list) => self.list(list, false),
+            Input::Noticed(ids) => ids.into_iter().for_each(|id| logged(self.journal.over(id))),
+        }
+    }
+
+    fn enqueue(&mut self, request: Enqueue) {
+        let Enqueue { name, order, class, tenant, destination, due, key, again, body, reply } = request;
+        let Some(reply) = reply else { return };
+        // Sent once more on another connection: it is in hand already.
+        if let Some(id) = self.numbers.get(&name) {
+            match self.arriving.get_mut(id) {
+                Some((_, replies)) => replies.push(reply),
+                None => drop(reply.send(Reply::Ok)),
+            }
+            return;
+        }
+        let taken = Taken { name, key, order, class, tenant, destination, due, again, body };
+        let id = self.journal.number();
+        match self.checked(id, &taken) {
+            Ok(message) => {
+                self.events.push(Event::Arrived(message));
+                self.numbers.insert(taken.name.clone(), id);
+                self.arriving.insert(id, (taken, vec![reply]));
+            }
+            Err(why) => drop(reply.send(why)),
+        }
+    }
+
+    fn checked(&self, id: MessageId, taken: &Taken) -> Result<Message, Reply> {
+        let error = |why: &str| Err(Reply::Error(why.into()));
+        let Some(class) = index_of(&self.config.classes, &taken.class) else {
+            return error("unknown class");
+        };
+        let keyed = self.config.settings.classes.get(usize::from(class));
+        if keyed.is_some_and(|class| matches!(class.effect, Effect::Keyed { .. })) && taken.key.is_none() {
+            return error("the list lacks k");
+        }
+        if self.destinations.is_empty() {
+            // Not a host is known yet, which says nothing about this message.
+            return Err(Reply::Busy(self.come_again()));
+        }
+        if !self.destinations.contains(&taken.destination) {
+            return error("unknown destination");
+        }
+        self.message(id, taken).map_or_else(|| error("unknown tenant"), Ok)
+    }
+
+    /// Advice for messages that never reach the module.
+    fn come_again(&self) -> u64 {
+        self.config.settings.max_retry_after / 2000
+    }
+
+    fn ended(&mut self, end: CallEnd) {
+        let CallEnd { id, attempt, host, outcome, over: told_over, report, elapsed } = end;
+        self.calls.remove(&id);
+        let owed = self.journal.all().get(&id);
+        let over = told_over || owed.is_none_or(|owed| owed.verdict.is_some());
+        if let Some(owed) = owed.filter(|_| over) {
+            self.numbers.remove(&owed.taken.name);
+        }
+        if told_over {
+            logged(self.journal.over(id));
+        } else {
+            logged(self.journal.outcome(id, attempt, may_have_run(outcome)));
+        }
+        let report = report.map(|text| self.report(&text)).unwrap_or_default();
+        self.events.push(Event::Ended(Ended { id, attempt, host, outcome, elapsed, over, report }));
+    }
+
+    fn report(&self, text: &str) -> Vec<f32> {
+        let value = |wanted: &String| {
+            let mut pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+            let value = pairs.find(|(name, _)| name.trim() == wanted).map(|(_, value)| value.trim());
+            value.and_then(|value| value.parse::<f32>().ok()).filter(|v| v.is_finite()).unwrap_or(0.0)
+        };
+        self.config.report.iter().map(value).collect()
+    }
+
+    fn list(&mut self, list: HostList, cached: bool) {
+        let mut entries = Vec::new();
+        let mut missing = if list.whole { self.host_numbers.clone() } else { BTreeMap::new() };
+        for line in list.hosts {
+            missing.remove(&line.host);
+            let number = *self.host_numbers.entry(line.host.clone()).or_insert_with(|| {
+                self.next_host += 1;
+                self.next_host
+            });
+            let zone = index_of(&self.config.zones, &line.site).unwrap_or(0) as u8;
+            entries.push(HostEntry {
+                host: number,
+                destination: line.block,
+                kind: index_of(&self.config.kinds, &line.class).unwrap_or(0) as u8,
+                zone,
+                listing: line.health,
+                weight: line.share,
+            });
+            self.destinations.insert(line.block);
+            if line.health == Listing::Gone {
+                missing.insert(line.host, number);
+            } else {
+                self.listed.insert(number, (line.dial, zone));
+            }
+            if line.health != Listing::Ready {
+                self.hosts.forget(number);
+            }
+        }
+        for (name, number) in missing {
+            self.host_numbers.remove(&name);
+            self.listed.remove(&number);
+            self.hosts.forget(number);
+        }
+        self.events.push(Event::Hosts { whole: list.whole, cached, entries });
+    }
+
+    fn round(&mut self) -> Result<(), String> {
+        self.last_round = Instant::now();
+        let now = self.clock.now();
+        if let Some((_, token)) = self.timer.filter(|(at, _)| *at <= now) {
+            self.timer = None;
+            self.events.push(Event::Timer(token));
+        }
+        let mut actions = Vec::new();
+        self.relay.handle(now, std::mem::take(&mut self.events), &mut actions);
+        for action in &actions {
+            match action {
+                Action::Refuse { id, after } => self.turn_away(*id, Reply::Busy(after.div_ceil(1000))),
+                Action::Fail(id) => self.turn_away(*id, Reply::Error("given up".into())),
+                _ => {}
+            }
+        }
+        self.take_on();
+        for action in actions {
+            match action {
+                Action::Send { id, host, timeout } => self.send(now, id, host, timeout),
+                Action::Timer { after, token } => self.timer = Some((now.saturating_add(after), token)),
+                Action::Refuse { id, after } => self.end(id, Verdict::Deferred(after.div_ceil(1000))),
+                Action::Fail(id) => self.end(id, Verdict::Undeliverable),
+                Action::Cancel { id, attempt } => {
+                    if self.calls.get(&id).is_some_and(|(out, _)| *out == attempt) {
+                        // Its other side takes this as the order to end.
+                        self.calls.remove(&id);
+                    }
+                }
+                Action::CloseIdle(host) => self.hosts.forget(host),
+                // The list is always watched, and there is nobody to probe or talk to.
+                Action::Subscribe(_) | Action::FetchHosts | Action::Probe(_) | Action::Tell { .. } => {}
+                Action::Log(text) => eprintln!("{text}"),
+                Action::Fault(text) => return Err(text),
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers a client whose message the module did not take on.
+    fn turn_away(&mut self, id: MessageId, reply: Reply) {
+        let Some((taken, replies)) = self.arriving.remove(&id) else { return };
+        self.numbers.remove(&taken.name);
+        replies.into_iter().for_each(|waiting| drop(waiting.send(reply.clone())));
+    }
+
+    /// Takes on what the module has kept: on disk first, then the client is told.
+    fn take_on(&mut self) {
+        for (id, (taken, replies)) in std::mem::take(&mut self.arriving) {
+            let name = taken.name.clone();
+            let reply = match self.journal.taken(id, taken) {
+                Ok(()) => Reply::Ok,
+                Err(error) => {
+                    eprintln!("journal: cannot take a message on: {error}");
+                    Reply::Busy(self.come_again())
+                }
+            };
+            let mut heard = false;
+            for waiting in replies {
+                heard |= waiting.send(reply.clone()).is_ok();
+            }
+            if reply != Reply::Ok || !heard {
+                // Nobody was told that it is taken on, so nothing is owed.
+                logged(self.journal.over(id));
+                self.numbers.remove(&name);
+                self.events.push(Event::Withdrawn(id));
+            }
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: MessageId, host: HostId, timeout: Micros) {
+        let owed = self.journal.all().get(&id);
+        let attempt = owed.map_or(0, |owed| owed.attempts.len().min(usize::from(u8::MAX)) as u8);
+        let moot = |over| {
+            let report = Vec::new();
+            Event::Ended(Ended { id, attempt, host, outcome: Outcome::Moot, elapsed: 0, over, report })
+        };
+        let (Some(owed), Some((address, zone))) = (owed, self.listed.get(&host).copied()) else {
+            self.events.push(moot(owed.is_none()));
+            return;
+        };
+        let taken = &owed.taken;
+        let call = Call {
+            id,
+            attempt,
+            host,
+            address,
+            name: taken.name.clone(),
+            key: taken.key.clone(),
+            body: taken.body.clone(),
+            timeout: Duration::from_micros(timeout),
+        };
+        if let Err(error) = self.journal.out(id, attempt, Attempt { sent: now, zone, may_have_run: true }) {
+            eprintln!("journal: a call is not made: {error}");
+            self.events.push(moot(false));
+            return;
+        }
+        let (cancel, cancelled) = oneshot::channel();
+        self.calls.insert(id, (attempt, cancel));
+        let (hosts, inputs) = (self.hosts.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move { hosts.call(call, cancelled, inputs).await });
+    }
+
+    /// The module has given up a message that was taken on.
+    fn end(&mut self, id: MessageId, verdict: Verdict) {
+        let Some(owed) = self.journal.all().get(&id) else { return };
+        let name = owed.taken.name.clone();
+        logged(self.journal.verdict(id, verdict));
+        self.numbers.remove(&name);
+        self.notices.add(id, name, verdict);
+    }
+}
--- /dev/null
+++ b/src/bin/madderpitch/hosts.rs
@@ -0,0 +1,356 @@
+//! Calls to hosts, and the connections that are kept for them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use madderpitch::interface::{HostId, MessageId, Micros, Outcome};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::{timeout, timeout_at, Instant};
+
+use crate::driver::Input;
+
+const REQUEST_LINE: &str = "POST /hook HTTP/1.1\r\n";
+/// The rest of an answer is read for so long and up to so much; then its connection is closed.
+const REST_OF_ANSWER: (Duration, usize) = (Duration::from_secs(1), 64 << 10);
+/// An outcome waits so long for the rest of its answer.
+const GRACE: Duration = Duration::from_millis(5);
+
+/// A call to be made.
+pub struct Call {
+    /// The message.
+    pub id: MessageId,
+    /// Which attempt, from 0.
+    pub attempt: u8,
+    /// The host.
+    pub host: HostId,
+    /// Where it takes connections.
+    pub address: SocketAddr,
+    /// The message's name, unchanged.
+    pub name: String,
+    /// Its idempotency key, unchanged.
+    pub key: Option<String>,
+    /// Its body, unchanged.
+    pub body: Bytes,
+    /// Give up after this.
+    pub timeout: Duration,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub struct CallEnd {
+    /// The message.
+    pub id: MessageId,
+    /// Which attempt.
+    pub attempt: u8,
+    /// The host.
+    pub host: HostId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The host says that the message is over.
+    pub over: bool,
+    /// The load report, as it came.
+    pub report: Option<String>,
+    /// How long it took.
+    pub elapsed: Micros,
+}
+
+/// A stream that counts what has been written to it: only a request whose last byte was not is known
+/// never to have run.
+struct Counted {
+    stream: TcpStream,
+    written: Arc<AtomicU64>,
+}
+
+impl Counted {
+    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = result {
+            self.written.fetch_add(n as u64, Ordering::Relaxed);
+        }
+        result
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, b)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &[u8]) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, b);
+        self.count(result)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, b);
+        self.count(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+}
+
+struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    /// Moves the bytes; ending it closes the connection.
+    task: JoinHandle<()>,
+    written: Arc<AtomicU64>,
+    idle_since: Instant,
+}
+
+impl Connection {
+    async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let written = Arc::new(AtomicU64::new(0));
+        let stream = Counted { stream, written: written.clone() };
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let task = tokio::task::spawn_local(async move { drop(connection.await) });
+        Ok(Connection { address, sender, task, written, idle_since: Instant::now() })
+    }
+
+    /// Closes the connection and returns once it is closed: a message must not go out again before.
+    async fn close(mut self) {
+        self.task.abort();
+        drop((&mut self.task).await);
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The connections to all hosts.
+pub struct Hosts {
+    idle: RefCell<BTreeMap<HostId, Vec<Connection>>>,
+    dial_timeout: Duration,
+    idle_close: Duration,
+    most_idle: usize,
+}
+
+/// How an attempt ended, and what is still to be read of its answer.
+struct Ended {
+    outcome: Outcome,
+    over: bool,
+    report: Option<String>,
+    rest: Option<(Connection, Response<Incoming>)>,
+}
+
+enum Sent {
+    Answer(Response<Incoming>),
+    /// Not a byte of it was written.
+    Unsent,
+    /// It broke before the last byte was written.
+    Partly,
+    Broken,
+}
+
+impl Hosts {
+    /// No connections yet; `most_idle` of them are kept at most.
+    pub fn new(dial_timeout: Duration, idle_close: Duration, most_idle: usize) -> Self {
+        // Closed a tenth early, so that no request crosses the host's own closing.
+        let idle_close = idle_close - idle_close / 10;
+        Hosts { idle: RefCell::default(), dial_timeout, idle_close, most_idle }
+    }
+
+    /// Closes what has stood idle too long.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, kept| {
+            kept.retain(|c| !c.sender.is_closed() && c.idle_since.elapsed() < self.idle_close);
+            !kept.is_empty()
+        });
+    }
+
+    /// Closes the idle connections to a host.
+    pub fn forget(&self, host: HostId) {
+        self.idle.borrow_mut().remove(&host);
+    }
+
+    /// The newest idle connection that still stands.
+    fn reuse(&self, host: HostId, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&host)?;
+        while let Some(connection) = kept.pop() {
+            let fresh = connection.idle_since.elapsed() < self.idle_close && connection.address == address;
+            if fresh && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, host: HostId, mut connection: Connection) {
+        connection.idle_since = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        idle.entry(host).or_default().push(connection);
+        if idle.values().map(Vec::len).sum::<usize>() > self.most_idle {
+            let oldest = idle.iter().min_by_key(|(_, kept)| kept.first().map(|c| c.idle_since));
+            if let Some(host) = oldest.map(|(host, _)| *host) {
+                idle.get_mut(&host).into_iter().for_each(|kept| drop(kept.remove(0)));
+                idle.retain(|_, kept| !kept.is_empty());
+            }
+        }
+    }
+
+    /// Makes a call and tells how it ended. `cancel` ends it early, also when its other side is dropped.
+    pub async fn call(&self, call: Call, mut cancel: oneshot::Receiver<()>, inputs: mpsc::Sender<Input>) {
+        let start = Instant::now();
+        let ended = self.attempt(&call, start + call.timeout, &mut cancel).await;
+        let elapsed = start.elapsed().as_micros() as Micros;
+        let Ended { outcome, over, report, rest } = ended;
+        let (id, attempt, host) = (call.id, call.attempt, call.host);
+        let end = Input::Ended(CallEnd { id, attempt, host, outcome, over, report, elapsed });
+        let Some((connection, answer)) = rest else { return drop(inputs.send(end).await) };
+        // The outcome waits a moment for its connection, so that the next call finds that idle.
+        let mut finish = std::pin::pin!(self.finish(call.host, connection, answer));
+        let finished = timeout(GRACE, &mut finish).await.is_ok();
+        drop(inputs.send(end).await);
+        if !finished {
+            finish.await;
+        }
+    }
+
+    async fn attempt(&self, call: &Call, ends: Instant, cancel: &mut oneshot::Receiver<()>) -> Ended {
+        let plain = |outcome| Ended { outcome, over: false, report: None, rest: None };
+        loop {
+            let mut connection = match self.reuse(call.host, call.address) {
+                Some(connection) => connection,
+                None => {
+                    let bound = ends.min(Instant::now() + self.dial_timeout);
+                    tokio::select! {
+                        // A vanished host says nothing, so the connect is bounded.
+                        opened = timeout_at(bound, Connection::open(call.address)) => match opened {
+                            Ok(Ok(connection)) => connection,
+                            _ => return plain(Outcome::ConnectFailed),
+                        },
+                        _ = &mut *cancel => return plain(Outcome::Moot),
+                    }
+                }
+            };
+            let before = connection.written.load(Ordering::Relaxed);
+            let Some((request, size)) = request(call, ends) else { return plain(Outcome::Moot) };
+            let whole = |c: &Connection| c.written.load(Ordering::Relaxed) >= before + size;
+            let sent = tokio::select! {
+                answer = connection.sender.try_send_request(request) => match answer {
+                    Ok(answer) => Sent::Answer(answer),
+                    Err(error) if error.message().is_some() => Sent::Unsent,
+                    Err(_) if !whole(&connection) => Sent::Partly,
+                    Err(_) => Sent::Broken,
+                },
+                () = tokio::time::sleep_until(ends) => {
+                    let outcome = if whole(&connection) { Outcome::Timeout } else { Outcome::ConnectFailed };
+                    connection.close().await;
+                    return plain(outcome);
+                }
+                _ = &mut *cancel => {
+                    let outcome = if whole(&connection) { Outcome::Cancelled } else { Outcome::Moot };
+                    connection.close().await;
+                    return plain(outcome);
+                }
+            };
+            match sent {
+                Sent::Answer(answer) => {
+                    let (outcome, over, report) = read(&answer);
+                    return Ended { outcome, over, report, rest: Some((connection, answer)) };
+                }
+                // The connection had been closed while it was idle; the call has not begun.
+                Sent::Unsent => connection.close().await,
+                Sent::Partly => {
+                    connection.close().await;
+                    return plain(Outcome::ConnectFailed);
+                }
+                Sent::Broken => {
+                    connection.close().await;
+                    return plain(Outcome::Reset);
+                }
+            }
+        }
+    }
+
+    /// Reads the rest of the answer, so that its connection can serve again.
+    async fn finish(&self, host: HostId, mut connection: Connection, answer: Response<Incoming>) {
+        let body = answer.into_body();
+        let read = body.is_end_stream() || {
+            let rest = Limited::new(body, REST_OF_ANSWER.1).collect();
+            matches!(timeout(REST_OF_ANSWER.0, rest).await, Ok(Ok(_)))
+        };
+        if read && matches!(timeout(REST_OF_ANSWER.0, connection.sender.ready()).await, Ok(Ok(()))) {
+            self.keep(host, connection);
+        } else {
+            connection.close().await;
+        }
+    }
+}
+
+/// The request of a call and its whole size in bytes, as hyper writes it.
+fn request(call: &Call, ends: Instant) -> Option<(Request<Full<Bytes>>, u64)> {
+    let left = ends.saturating_duration_since(Instant::now()).as_millis().max(1);
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, HeaderValue::from_str(&call.address.to_string()).ok()?);
+    headers.insert(HeaderName::from_static("x-trace-id"), HeaderValue::from_str(&call.name).ok()?);
+    if let Some(key) = &call.key {
+        headers.insert(HeaderName::from_static("idempotency-key"), HeaderValue::from_str(key).ok()?);
+    }
+    headers
+        .insert(HeaderName::from_static("x-expires-in-ms"), HeaderValue::from_str(&left.to_string()).ok()?);
+    headers.insert(CONTENT_LENGTH, HeaderValue::from(call.body.len()));
+    let lines: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    let size = (REQUEST_LINE.len() + lines + 2 + call.body.len()) as u64;
+    let mut request = Request::post("/hook").body(Full::new(call.body.clone())).ok()?;
+    *request.headers_mut() = headers;
+    Some((request, size))
+}
+
+/// What an answer says: PROTOCOL's table. Whatever it doesn't list may have run.
+fn read(answer: &Response<Incoming>) -> (Outcome, bool, Option<String>) {
+    let header = |name: &str| answer.headers().get(name).and_then(|value| value.to_str().ok());
+    let report = header("endpoint-load-metrics").map(|text| text.chars().take(256).collect());
+    let (outcome, over) = match answer.status().as_u16() {
+        200 => (Outcome::Ok, true),
+        429 => match header("x-backoff-ms").and_then(|text| text.trim().parse::<u64>().ok()) {
+            Some(wait) => (Outcome::Full { wait: wait.min(86_400_000) * 1000 }, false),
+            None => (Outcome::Error, false),
+        },
+        503 if header("x-egress-full").map(str::trim) == Some("1") => (Outcome::Moot, false),
+        503 => (Outcome::Full { wait: 0 }, false),
+        504 => (Outcome::Moot, false),
+        410 => (Outcome::Moot, true),
+        _ => (Outcome::Error, false),
+    };
+    (outcome, over, report)
+}
--- /dev/null
+++ b/src/bin/madderpitch/journal.rs
@@ -0,0 +1,301 @@
+//! What outlasts the process: an append-only file of what the relay has taken on and what became of it.
+//!
+//! A record is its length and CRC-32 (both 32 bits, little-endian), then its postcard text. What is written
+//! survives the process without a sync. The journal also keeps what it holds in memory, so that it can
+//! be written anew in short form.
+
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+use bytes::Bytes;
+use madderpitch::interface::{MessageId, Micros};
+use serde::{Deserialize, Serialize};
+
+const HEAD: usize = 8;
+/// No record is longer: a body, its names and some room.
+const LONGEST: usize = 128 * 1024;
+/// Parts of the disk's limit: what is owed, and the file with it. While the file is written anew both stand
+/// side by side and stay under the limit, with room for the small records of what is owed already.
+const OWED_PART: f64 = 0.3;
+const FILE_PART: f64 = 0.45;
+
+/// A message as it was handed in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Taken {
+    /// Its name on the wire.
+    pub name: String,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Key of its order.
+    pub order: Option<u64>,
+    /// Name of its class.
+    pub class: String,
+    /// Name of its tenant.
+    pub tenant: String,
+    /// Where it must go.
+    pub destination: u16,
+    /// Deadline, in Unix time.
+    pub due: Micros,
+    /// It was handed in before.
+    pub again: bool,
+    /// Its content.
+    pub body: Bytes,
+}
+
+/// An attempt on a message.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Attempt {
+    /// When it was sent, in Unix time.
+    pub sent: Micros,
+    /// Zone of its host.
+    pub zone: u8,
+    /// False once it is known not to have run.
+    pub may_have_run: bool,
+}
+
+/// How a message ended that was not delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Failed.
+    Undeliverable,
+    /// Refused; the client may come again after so many milliseconds.
+    Deferred(u64),
+}
+
+#[derive(Serialize, Deserialize)]
+enum Record {
+    Taken(MessageId, Taken),
+    /// With the attempt's number: one before it that could not be written was never sent.
+    Out(MessageId, u8, Attempt),
+    Outcome(MessageId, u8, bool),
+    /// The platform must be told; until it has been, the message is owed.
+    Verdict(MessageId, Verdict),
+    Over(MessageId),
+}
+
+/// A message that is owed its end.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Owed {
+    /// The message.
+    pub taken: Taken,
+    /// Its attempts, in order.
+    pub attempts: Vec<Attempt>,
+    /// Its end, of which the platform has not been told yet.
+    pub verdict: Option<Verdict>,
+    size: u64,
+}
+
+/// The journal.
+pub struct Journal {
+    path: PathBuf,
+    file: File,
+    length: u64,
+    /// The file ends in half a record that could not be cut off.
+    torn: bool,
+    owed_size: u64,
+    limit: f64,
+    owed: BTreeMap<MessageId, Owed>,
+    next: MessageId,
+}
+
+impl Journal {
+    /// Opens the journal in a folder, which may hold up to `limit` bytes, and reads what is owed.
+    pub fn open(folder: &Path, limit: u64) -> io::Result<Self> {
+        let path = folder.join("journal");
+        // Left by a process that ended while it wrote the journal anew.
+        match std::fs::remove_file(fresh_path(&path)) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        let mut file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path)?;
+        let mut text = Vec::new();
+        file.read_to_end(&mut text)?;
+        let mut journal = Journal {
+            path,
+            file,
+            length: 0,
+            torn: false,
+            owed_size: 0,
+            limit: limit as f64,
+            owed: BTreeMap::new(),
+            next: 1,
+        };
+        let mut rest = &text[..];
+        while let Some((record, size)) = read_record(rest) {
+            journal.book(record, size as u64);
+            rest = &rest[size..];
+        }
+        journal.length = (text.len() - rest.len()) as u64;
+        if !rest.is_empty() {
+            // The process ended within a write; nothing was promised on the strength of that record.
+            eprintln!("journal: dropped a torn tail of {} bytes", rest.len());
+            journal.file.set_len(journal.length)?;
+        }
+        journal.file.seek(SeekFrom::Start(journal.length))?;
+        Ok(journal)
+    }
+
+    /// All that is owed.
+    pub fn all(&self) -> &BTreeMap<MessageId, Owed> {
+        &self.owed
+    }
+
+    /// A number for a message that no other in the journal has.
+    pub fn number(&mut self) -> MessageId {
+        self.next += 1;
+        self.next - 1
+    }
+
+    /// A message is taken on. Once this returns, it outlasts the process.
+    pub fn taken(&mut self, id: MessageId, taken: Taken) -> io::Result<()> {
+        let room = self.limit * OWED_PART - self.owed_size as f64;
+        if taken.body.len() as f64 + 512.0 > room {
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal's part of the disk is full"));
+        }
+        self.write(Record::Taken(id, taken))
+    }
+
+    /// An attempt is about to go out.
+    pub fn out(&mut self, id: MessageId, number: u8, attempt: Attempt) -> io::Result<()> {
+        self.write(Record::Out(id, number, attempt))
+    }
+
+    /// An attempt came back, and the message was not delivered.
+    pub fn outcome(&mut self, id: MessageId, attempt: u8, may_have_run: bool) -> io::Result<()> {
+        if !self.owed.contains_key(&id) {
+            return Ok(());
+        }
+        self.write(Record::Outcome(id, attempt, may_have_run))
+    }
+
+    /// The module has given a message up; the platform is to be told.
+    pub fn verdict(&mut self, id: MessageId, verdict: Verdict) -> io::Result<()> {
+        self.write(Record::Verdict(id, verdict))
+    }
+
+    /// Nothing more is owed for a message.
+    pub fn over(&mut self, id: MessageId) -> io::Result<()> {
+        if !self.owed.contains_key(&id) {
+            return Ok(());
+        }
+        self.write(Record::Over(id))
+    }
+
+    /// Appends a record and books it, also when it can't be written: what happened has happened. But a
+    /// message that can't be written is not taken on, and an attempt that can't be is not sent.
+    fn write(&mut self, record: Record) -> io::Result<()> {
+        let text = encode(&record)?;
+        let mut written = Ok(());
+        if self.length as f64 + text.len() as f64 > self.limit * FILE_PART {
+            written = self.compact();
+        }
+        let written = written.and_then(|()| self.append(&text));
+        match record {
+            Record::Taken(..) if written.is_err() => {}
+            Record::Out(id, number, attempt) if written.is_err() => {
+                let unsent = Attempt { may_have_run: false, ..attempt };
+                self.book(Record::Out(id, number, unsent), 0);
+            }
+            record => self.book(record, text.len() as u64),
+        }
+        written
+    }
+
+    fn append(&mut self, text: &[u8]) -> io::Result<()> {
+        if self.torn {
+            self.cut()?;
+        }
+        let written = self.file.write_all(text);
+        if written.is_ok() {
+            self.length += text.len() as u64;
+        } else {
+            // What follows half a record could never be read again.
+            self.torn = true;
+            self.cut().unwrap_or_else(|e| eprintln!("journal: cannot cut off half a record: {e}"));
+        }
+        written
+    }
+
+    fn cut(&mut self) -> io::Result<()> {
+        self.file.set_len(self.length)?;
+        self.file.seek(SeekFrom::Start(self.length))?;
+        self.torn = false;
+        Ok(())
+    }
+
+    fn book(&mut self, record: Record, size: u64) {
+        match record {
+            Record::Taken(id, taken) => {
+                self.next = self.next.max(id + 1);
+                self.owed_size += size;
+                self.owed.insert(id, Owed { taken, attempts: Vec::new(), verdict: None, size });
+            }
+            Record::Out(id, number, attempt) => self.change(id, size, |owed| {
+                let unsent = Attempt { may_have_run: false, ..attempt };
+                owed.attempts.resize(usize::from(number), unsent);
+                owed.attempts.push(attempt);
+            }),
+            Record::Outcome(id, attempt, may_have_run) => self.change(id, 0, |owed| {
+                let attempt = owed.attempts.get_mut(usize::from(attempt));
+                attempt.into_iter().for_each(|attempt| attempt.may_have_run = may_have_run);
+            }),
+            Record::Verdict(id, verdict) => self.change(id, size, |owed| owed.verdict = Some(verdict)),
+            Record::Over(id) => self.owed_size -= self.owed.remove(&id).map_or(0, |owed| owed.size),
+        }
+    }
+
+    fn change(&mut self, id: MessageId, size: u64, change: impl FnOnce(&mut Owed)) {
+        if let Some(owed) = self.owed.get_mut(&id) {
+            change(owed);
+            owed.size += size;
+            self.owed_size += size;
+        }
+    }
+
+    /// Writes what is owed to a new file and puts that in place of the old one.
+    fn compact(&mut self) -> io::Result<()> {
+        let path = fresh_path(&self.path);
+        let mut text = Vec::with_capacity(self.owed_size as usize);
+        for (id, owed) in &self.owed {
+            text.extend(encode(&Record::Taken(*id, owed.taken.clone()))?);
+            for (number, attempt) in owed.attempts.iter().enumerate() {
+                text.extend(encode(&Record::Out(*id, number as u8, *attempt))?);
+            }
+            if let Some(verdict) = owed.verdict {
+                text.extend(encode(&Record::Verdict(*id, verdict))?);
+            }
+        }
+        if text.len() as u64 >= self.length {
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "all that the journal holds is owed"));
+        }
+        let mut file = File::create(&path)?;
+        file.write_all(&text).inspect_err(|_| drop(std::fs::remove_file(&path)))?;
+        std::fs::rename(&path, &self.path)?;
+        (self.file, self.length, self.torn) = (file, text.len() as u64, false);
+        Ok(())
+    }
+}
+
+fn fresh_path(path: &Path) -> PathBuf {
+    path.with_extension("new")
+}
+
+fn encode(record: &Record) -> io::Result<Vec<u8>> {
+    let text = postcard::to_extend(record, vec![0; HEAD]).map_err(io::Error::other)?;
+    let (length, sum) = ((text.len() - HEAD) as u32, crc32fast::hash(&text[HEAD..]));
+    let mut text = text;
+    text[..4].copy_from_slice(&length.to_le_bytes());
+    text[4..HEAD].copy_from_slice(&sum.to_le_bytes());
+    Ok(text)
+}
+
+/// The first record of a text and its size; none if it is torn or spoilt.
+fn read_record(text: &[u8]) -> Option<(Record, usize)> {
+    let length = u32::from_le_bytes(text.get(..4)?.try_into().ok()?) as usize;
+    let sum = u32::from_le_bytes(text.get(4..HEAD)?.try_into().ok()?);
+    let body = text.get(HEAD..HEAD + Some(length).filter(|n| *n <= LONGEST)?)?;
+    let record = (crc32fast::hash(body) == sum).then(|| postcard::from_bytes(body).ok())??;
+    Some((record, HEAD + length))
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -198,6 +198,8 @@
     ask_at: Micros,
     ask_rest: Micros,
     armed: Option<Micros>,
+    /// When the process ends.
+    stops_at: Micros,
 }
 
 impl Relay {
@@ -209,6 +211,7 @@
             class_usual: set.classes.iter().map(|c| c.aim as f64 / 6.0).collect(),
             subscribed: !set.discovery_by_asking,
             ask_rest: SECOND / 2,
+            stops_at: Micros::MAX,
             set,
             ..Relay::default()
         }
@@ -226,7 +229,14 @@
             match event {
                 Event::Hosts { whole, cached, entries } => self.list(whole, cached, entries),
                 Event::HostsFailed => self.list_failed(),
+                // Guards the hold where nothing in it may be refused to make room.
+                Event::Arrived(message) if self.held.len() >= self.set.most_held => {
+                    let after = self.advice();
+                    out.push(Action::Refuse { id: message.id, after });
+                }
                 Event::Arrived(message) => self.arrived(message),
+                Event::Restored { message, attempts } => self.restored(message, &attempts),
+                Event::Stopping { at } => self.stops_at = at,
                 Event::Started { id } => {
                     self.held.get_mut(&id).into_iter().for_each(|held| held.started = true);
                 }
@@ -363,6 +373,32 @@
         self.held.insert(id, held);
     }
 
+    /// Takes back a message from before a restart, with what its attempts allow.
+    ///
+    /// Guards a returning destination against this relay's backlog: the fuses are new, so a message that
+    /// is past its aim or was tried more than once is what is left of the outage that held it up. It
+    /// hurts a destination that was merely busy, for as long as one may be cold.
+    fn restored(&mut self, message: Message, attempts: &[PastAttempt]) {
+        self.arrived(message);
+        let (now, chance) = (self.now, self.dice.roll());
+        let Some(held) = self.held.get_mut(&message.id) else { return };
+        held.attempts.extend(attempts.iter().map(|past| {
+            let fate = if past.may_have_run { Fate::MayHaveRun } else { Fate::NeverRan };
+            Attempt { sent: past.sent, zone: past.zone, call: 0, fate, called_off: false }
+        }));
+        let held_up = held.aim_at <= now || attempts.len() > 1;
+        for key in self.routes_to(message.destination) {
+            if let Some(route) = self.routes.get_mut(&key).filter(|route| held_up && !route.witness) {
+                route.saw_outage(now, chance);
+            }
+        }
+    }
+
+    /// How long a refused client is told to stay away.
+    fn advice(&mut self) -> Micros {
+        (self.set.max_retry_after as f64 * 0.75 * self.jitter()) as Micros
+    }
+
     /// No answer is owed any more; the message stays only while attempts are out.
     fn close(&mut self, id: MessageId) {
         let Some(held) = self.held.get_mut(&id) else { return };
@@ -758,6 +794,10 @@
             }
             let (held, route) = (self.held.get(&id)?, self.routes.get(&key)?);
             let class = self.class(&held.message);
+            // Guards against calls cut off by the end of the process: after it they count as run.
+            if now.saturating_add(self.overdue_after(held, route)) > self.stops_at {
+                continue;
+            }
             // Guards unsafe messages against a route where calls fail after they may have run: they
             // wait, while time is left. Hurts when the doubt is false and nothing else goes there.
             let reserve = (class.give_up as f64 * UNSAFE_RESERVE) as Micros;
@@ -780,12 +820,22 @@
         best.map(|(_, key, host)| (key, host))
     }
 
+    /// Usual length of a call with this message at the route.
+    fn usual(&self, held: &Held, route: &Route) -> f64 {
+        let class = usize::from(held.message.class);
+        self.class_usual.get(class).unwrap_or(&self.class_usual[0]) * route.usual
+    }
+
+    fn overdue_after(&self, held: &Held, route: &Route) -> Micros {
+        (OVERDUE * self.usual(held, route)) as Micros + SECOND / 4
+    }
+
     fn send(&mut self, id: MessageId, key: RouteKey, to: HostId, join: Option<u64>, out: &mut Vec<Action>) {
         let now = self.now;
         let (Some(held), Some(route)) = (self.held.get(&id), self.routes.get(&key)) else { return };
         let class = self.class(&held.message);
-        let mean = self.class_usual.get(usize::from(held.message.class)).unwrap_or(&self.class_usual[0]);
-        let usual = mean * route.usual;
+        let usual = self.usual(held, route);
+        let overdue_at = now + self.overdue_after(held, route);
         let left = held.message.due.saturating_sub(now);
         let patience = PATIENCE * usual * (held.attempts.len() as f64 + 1.0);
         let patience = (patience.max(class.aim as f64) as Micros).max(left / 3).min(left);
@@ -797,7 +847,6 @@
         };
         if join.is_none() {
             self.next_call += 1;
-            let overdue_at = now + (OVERDUE * usual) as Micros + SECOND / 4;
             let call = Call { route: key, host: to, overdue_at, overdue: false, left: 0 };
             self.calls.insert(self.next_call, call);
             if let Some(route) = self.routes.get_mut(&key) {
@@ -862,8 +911,8 @@
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
         for (_, id) in ranked.into_iter().take(self.held.len() - keep) {
-            let after = self.set.max_retry_after as f64 * 0.75 * self.jitter();
-            self.end(id, after as Micros, out);
+            let after = self.advice();
+            self.end(id, after, out);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -206,6 +206,17 @@
     pub again: bool,
 }
 
+/// An attempt that was made before a restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PastAttempt {
+    /// When it was sent.
+    pub sent: Micros,
+    /// Zone of the host it went to.
+    pub zone: u8,
+    /// It may have run; false if it is known not to have.
+    pub may_have_run: bool,
+}
+
 /// How a call or probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -265,6 +276,18 @@
     HostsFailed,
     /// A message came in; one final answer is owed.
     Arrived(Message),
+    /// A message taken on before a restart, for which the final answer is still owed.
+    Restored {
+        /// The message.
+        message: Message,
+        /// Its attempts so far, in order; none is out any more.
+        attempts: Vec<PastAttempt>,
+    },
+    /// The process ends at this moment; no call should be out then.
+    Stopping {
+        /// When.
+        at: Micros,
+    },
     /// The answer of a streamed message has started.
     Started {
         /// The message.
--- a/tests/drill.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn drill(input: &[u8]) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_thornline-drill"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_madderpitch-adapter"));
     let command = command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
     let mut child = command.spawn().expect("starts");
     child.stdin.take().expect("piped").write_all(input).expect("takes the input");
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
+use madderpitch::interface::*;
 use support::*;
-use thornline::interface::*;
 
 fn script(seed: u64) {
     let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9) + 1);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use thornline::interface::*;
-use thornline::Relay;
+use madderpitch::interface::*;
+use madderpitch::Relay;
 
 pub const MS: Micros = 1000;
 pub const S: Micros = 1_000_000;
