Keep the list and told outages over a restart, and start late calls more boldly

The configuration's list may be older than what the last process was told, and restore() in driver.rs used only that; with discovery silent the relay sent to a host that drained. The module's witness of an outage died with the process, so a cold destination met the whole backlog. Both were shown by tests over sockets that fail without the change (a drain kept, an outage remembered, each over a SIGKILL), and ruled out that the watch covers it: it comes after the first round, and not at all while discovery is silent.

The folder that lasts now has a small file `memory` with the list and the outages; the module tells and takes back the latter. The guess in restored() from the age of a message is gone: it hurt destinations that were merely busy. Before the end of the process, calls that may be repeated start as long as twice their usual length is left. A refusal before the deadline always says when to come again.

--- a/src/bin/madderpitch/discovery.rs
+++ b/src/bin/madderpitch/discovery.rs
@@ -34,7 +34,7 @@
 const NOTICES: usize = 200;
 
 /// The list of hosts, or what changed of it.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct HostList {
     /// Its version.
     #[serde(default)]
@@ -48,7 +48,7 @@
 }
 
 /// One host in the list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostLine {
     /// Its name.
     pub host: String,
@@ -70,7 +70,7 @@
     pub share: f32,
 }
 
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(remote = "Listing", rename_all = "lowercase")]
 enum Health {
     #[serde(rename = "up")]
--- a/src/bin/madderpitch/driver.rs
+++ b/src/bin/madderpitch/driver.rs
@@ -18,9 +18,9 @@
 
 use crate::clients::{self, Reply};
 use crate::config::Config;
-use crate::discovery::{self, HostList, Notices};
+use crate::discovery::{self, HostLine, HostList, Notices};
 use crate::hosts::{Call, CallEnd, Hosts};
-use crate::journal::{Attempt, Journal, Owed, Taken, Verdict};
+use crate::journal::{Attempt, Journal, Memory, Owed, Taken, Verdict};
 
 /// Inputs that may wait for the driver; beyond, those who have more wait themselves.
 const INPUTS: usize = 1024;
@@ -116,14 +116,21 @@
     listed: BTreeMap<HostId, (std::net::SocketAddr, u8)>,
     destinations: BTreeSet<DestinationId>,
     next_host: HostId,
+    /// The list as last told.
+    lines: BTreeMap<String, HostLine>,
+    version: u64,
+    /// What is kept of the list and of outages.
+    memory: Memory,
+    disk: u64,
 }
 
 /// Serves until `stop` is ready, and then brings what is out to its end.
 pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
     let clock = Clock::new();
     let folder = config.state.display();
-    let journal = Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)
-        .map_err(|e| format!("cannot use the journal in {folder}: {e}"))?;
+    let disk = (config.limits.disk_mb * 1e6) as u64;
+    let journal =
+        Journal::open(&config.state, disk).map_err(|e| format!("cannot use the journal in {folder}: {e}"))?;
     // Half of the sockets are for clients; of the rest, the calls out come before what is idle.
     let sockets = config.limits.sockets - OTHER_SOCKETS;
     let most_clients = sockets / 2;
@@ -150,13 +157,16 @@
         listed: BTreeMap::new(),
         destinations: BTreeSet::new(),
         next_host: 0,
+        lines: BTreeMap::new(),
+        version: 0,
+        memory: Memory::load(&config.state),
+        disk,
         config,
     };
     driver.restore();
     driver.round()?;
 
-    let known = driver.config.known.seq;
-    tokio::task::spawn_local(discovery::follow(from, known, inputs.clone()));
+    tokio::task::spawn_local(discovery::follow(from, driver.version, inputs.clone()));
     tokio::task::spawn_local(discovery::notify(from, driver.notices.clone(), inputs.clone()));
     let hosts = driver.hosts.clone();
     tokio::task::spawn_local(async move {
@@ -240,9 +250,16 @@
 
     /// Hands to the module what the journal holds.
     fn restore(&mut self) {
-        let known = std::mem::take(&mut self.config.known);
-        self.list(HostList { whole: true, ..known.clone() }, true);
-        self.config.known.seq = known.seq;
+        let mut known = std::mem::take(&mut self.config.known);
+        // Guards hosts that drain: the configuration's list may be older than what the last process was
+        // told, and discovery may be silent now.
+        if self.memory.list.seq > known.seq {
+            known = self.memory.list.clone();
+        }
+        self.list(HostList { whole: true, ..known }, true);
+        for (destination, down, back) in self.memory.outages.clone() {
+            self.events.push(Event::Remembered(Outage { destination, down, back }));
+        }
         let owed: Vec<(MessageId, Owed)> =
             self.journal.all().iter().map(|(id, owed)| (*id, owed.clone())).collect();
         if !owed.is_empty() {
@@ -366,6 +383,16 @@
     }
 
     fn list(&mut self, list: HostList, cached: bool) {
+        self.version = list.seq;
+        if list.whole {
+            self.lines.clear();
+        }
+        for line in &list.hosts {
+            match line.health {
+                Listing::Gone => self.lines.remove(&line.host),
+                _ => self.lines.insert(line.host.clone(), line.clone()),
+            };
+        }
         let mut entries = Vec::new();
         let mut missing = if list.whole { self.host_numbers.clone() } else { BTreeMap::new() };
         for line in list.hosts {
@@ -418,6 +445,7 @@
             }
         }
         self.take_on();
+        self.remember();
         for action in actions {
             match action {
                 Action::Send { id, host, timeout } => self.send(now, id, host, timeout),
@@ -440,6 +468,19 @@
         Ok(())
     }
 
+    /// Keeps what has changed of the list and of outages.
+    fn remember(&mut self) {
+        let outages = self.relay.outages().map(|told| (told.destination, told.down, told.back)).collect();
+        if self.memory.list.seq == self.version && self.memory.outages == outages {
+            return;
+        }
+        let hosts = self.lines.values().cloned().collect();
+        self.memory = Memory { list: HostList { seq: self.version, whole: true, hosts }, outages };
+        if let Err(error) = self.memory.save(&self.config.state, self.disk) {
+            eprintln!("memory: cannot write: {error}");
+        }
+    }
+
     /// Answers a client whose message the module did not take on.
     fn turn_away(&mut self, id: MessageId, reply: Reply) {
         let Some((taken, replies)) = self.arriving.remove(&id) else { return };
--- a/src/bin/madderpitch/journal.rs
+++ b/src/bin/madderpitch/journal.rs
@@ -13,6 +13,8 @@
 use madderpitch::interface::{MessageId, Micros};
 use serde::{Deserialize, Serialize};
 
+use crate::discovery::HostList;
+
 const HEAD: usize = 8;
 /// No record is longer: a body, its names and some room.
 const LONGEST: usize = 128 * 1024;
@@ -20,6 +22,7 @@
 /// side by side and stay under the limit, with room for the small records of what is owed already.
 const OWED_PART: f64 = 0.3;
 const FILE_PART: f64 = 0.45;
+const MEMORY_PART: f64 = 0.05;
 
 /// A message as it was handed in.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -87,6 +90,40 @@
     size: u64,
 }
 
+/// What a relay was told, which a restart must not make it forget: kept whole in a small file of its own.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Memory {
+    /// The list of hosts.
+    pub list: HostList,
+    /// Outages: the destination, since when, and the first success after.
+    pub outages: Vec<(u16, Micros, Option<Micros>)>,
+}
+
+impl Memory {
+    /// What the folder holds; nothing if that can't be read.
+    pub fn load(folder: &Path) -> Self {
+        match std::fs::read(folder.join("memory")) {
+            Ok(text) => serde_json::from_slice(&text).unwrap_or_else(|e| {
+                eprintln!("memory: dropped, it cannot be read: {e}");
+                Memory::default()
+            }),
+            Err(_) => Memory::default(),
+        }
+    }
+
+    /// Puts this in place of what the folder holds.
+    pub fn save(&self, folder: &Path, limit: u64) -> io::Result<()> {
+        let text = serde_json::to_vec(self)?;
+        // The journal's files leave a quarter of the disk; two of these come on top.
+        if text.len() as f64 > limit as f64 * MEMORY_PART {
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "the list of hosts is too long to keep"));
+        }
+        let path = folder.join("memory");
+        std::fs::write(fresh_path(&path), text)?;
+        std::fs::rename(fresh_path(&path), path)
+    }
+}
+
 /// The journal.
 pub struct Journal {
     path: PathBuf,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,8 @@
 const OVERDUE: f64 = 5.0;
 /// An attempt that may be repeated is given up after this many times its usual length, at the earliest.
 const PATIENCE: f64 = 10.0;
+/// A call that may be repeated is started if it ends before the process even at this many times its usual length.
+const CUT_SHORT: f64 = 2.0;
 /// Cut of cap and pace by a refusal; gentle, as a second one soon cuts again.
 const CAP_CUT: f64 = 0.8;
 /// No gap need be longer than so many times that of an even part: all together then ask for 0.7 of the limit.
@@ -236,6 +238,7 @@
                 }
                 Event::Arrived(message) => self.arrived(message),
                 Event::Restored { message, attempts } => self.restored(message, &attempts),
+                Event::Remembered(outage) => self.remembered(outage),
                 Event::Stopping { at } => self.stops_at = at,
                 Event::Started { id } => {
                     self.held.get_mut(&id).into_iter().for_each(|held| held.started = true);
@@ -374,22 +377,35 @@
     }
 
     /// Takes back a message from before a restart, with what its attempts allow.
-    ///
-    /// Guards a returning destination against this relay's backlog: the fuses are new, so a message that
-    /// is past its aim or was tried more than once is what is left of the outage that held it up. It
-    /// hurts a destination that was merely busy, for as long as one may be cold.
     fn restored(&mut self, message: Message, attempts: &[PastAttempt]) {
         self.arrived(message);
-        let (now, chance) = (self.now, self.dice.roll());
         let Some(held) = self.held.get_mut(&message.id) else { return };
         held.attempts.extend(attempts.iter().map(|past| {
             let fate = if past.may_have_run { Fate::MayHaveRun } else { Fate::NeverRan };
             Attempt { sent: past.sent, zone: past.zone, call: 0, fate, called_off: false }
         }));
-        let held_up = held.aim_at <= now || attempts.len() > 1;
-        for key in self.routes_to(message.destination) {
-            if let Some(route) = self.routes.get_mut(&key).filter(|route| held_up && !route.witness) {
-                route.saw_outage(now, chance);
+    }
+
+    /// The outages that bind this relay still; they must outlast its process.
+    pub fn outages(&self) -> impl Iterator<Item = Outage> + '_ {
+        let told = self.routes.iter().filter(|(_, route)| route.witness);
+        told.map(|((destination, _), route)| Outage {
+            destination: *destination,
+            down: route.down,
+            back: route.back,
+        })
+    }
+
+    /// Guards a returning destination against a relay that a restart made forget its outage: its fuse
+    /// would be whole, and its backlog would come at once. A destination that is still down gets a trial.
+    fn remembered(&mut self, outage: Outage) {
+        let (now, chance) = (self.now, self.dice.roll());
+        for key in self.routes_to(outage.destination) {
+            let Some(route) = self.routes.get_mut(&key) else { continue };
+            route.saw_outage(outage.down.min(now), chance);
+            route.back = outage.back.map(|back| back.min(now));
+            if route.back.is_none() {
+                route.trip(now, 0.0);
             }
         }
     }
@@ -611,8 +627,10 @@
         let done = self.held.iter().filter(|(_, h)| {
             !h.over && !h.started && (h.message.due <= limit || !h.is_out() && !self.may_send(h))
         });
-        for id in done.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.end(id, 0, out);
+        for (id, due) in done.map(|(id, held)| (*id, held.message.due)).collect::<Vec<_>>() {
+            // One that ends before its time has spent its attempts: its client may come again.
+            let after = if due <= limit { 0 } else { self.advice() };
+            self.end(id, after, out);
         }
     }
 
@@ -794,8 +812,13 @@
             }
             let (held, route) = (self.held.get(&id)?, self.routes.get(&key)?);
             let class = self.class(&held.message);
-            // Guards against calls cut off by the end of the process: after it they count as run.
-            if now.saturating_add(self.overdue_after(held, route)) > self.stops_at {
+            // Guards against calls cut off by the end of the process: after it they count as run. Only
+            // those that may be repeated run the risk of a somewhat longer call.
+            let needs = match class.effect {
+                Effect::Unsafe => self.overdue_after(held, route),
+                _ => (CUT_SHORT * self.usual(held, route)) as Micros,
+            };
+            if now.saturating_add(needs) > self.stops_at {
                 continue;
             }
             // Guards unsafe messages against a route where calls fail after they may have run: they
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -217,6 +217,17 @@
     pub may_have_run: bool,
 }
 
+/// An outage of a destination that this relay was told of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outage {
+    /// The destination.
+    pub destination: DestinationId,
+    /// When it was first told.
+    pub down: Micros,
+    /// The first success after; none while it lasts.
+    pub back: Option<Micros>,
+}
+
 /// How a call or probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -283,6 +294,8 @@
         /// Its attempts so far, in order; none is out any more.
         attempts: Vec<PastAttempt>,
     },
+    /// An outage that this relay was told of before a restart.
+    Remembered(Outage),
     /// The process ends at this moment; no call should be out then.
     Stopping {
         /// When.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use madderpitch::interface::*;
+use madderpitch::Relay;
 use support::*;
 
 /// Settles all calls, until `end`, as `verdict` says; steps of 50 ms.
@@ -411,3 +412,89 @@
     assert!(next > opens + S, "one of a hundred called {} ms after the opening", (next - opens) / 1000);
     assert_eq!(bench.delivered.len(), 1, "but it must get its turn");
 }
+
+fn message(id: MessageId, class: u16, now: Micros) -> Message {
+    let (destination, due, key, work) = (1, now + 20 * S, None, None);
+    Message { id, class, destination, due, key, work, tenant: 0, again: false }
+}
+
+fn handle(relay: &mut Relay, now: Micros, events: Vec<Event>) -> Vec<Action> {
+    let mut actions = Vec::new();
+    relay.handle(now, events, &mut actions);
+    actions.retain(|action| !matches!(action, Action::Timer { .. }));
+    actions
+}
+
+fn listed(cached: bool) -> Event {
+    Event::Hosts { whole: true, cached, entries: vec![host(1, 1)] }
+}
+
+#[test]
+fn restored_messages_keep_what_their_attempts_allow() {
+    let now = 100 * S;
+    let past = |may_have_run, sent| PastAttempt { sent, zone: 0, may_have_run };
+    let restored = |class, attempts| Event::Restored { message: message(1, class, now), attempts };
+    // Unsafe, keyed and safe; never run, run lately, run before the key was forgotten.
+    for (class, attempts, sent, failed) in [
+        (2, vec![past(false, now - S)], true, false),
+        (2, vec![past(true, now - S), past(false, now - S)], false, true),
+        (1, vec![past(true, now - S)], true, false),
+        (1, vec![past(true, now - 7 * S), past(true, now - S)], false, true),
+        (0, vec![past(true, now - 7 * S)], true, false),
+        (0, vec![past(true, now - 7 * S); 8], false, true),
+    ] {
+        let mut relay = Relay::new(settings(), 7);
+        let actions = handle(&mut relay, now, vec![listed(true), restored(class, attempts.clone())]);
+        let was_sent = actions.iter().any(|action| matches!(action, Action::Send { id: 1, .. }));
+        assert_eq!((was_sent, actions.contains(&Action::Fail(1))), (sent, failed), "{class} {attempts:?}");
+    }
+    // Spent, but harmless: the client is told when to come again.
+    let mut relay = Relay::new(settings(), 7);
+    let actions = handle(&mut relay, now, vec![listed(true), restored(2, vec![past(false, now - S); 8])]);
+    assert!(matches!(actions[..], [Action::Refuse { id: 1, after: 1.. }]), "{actions:?}");
+}
+
+#[test]
+fn a_remembered_outage_lets_one_trial_through() {
+    let now = 100 * S;
+    for (back, most) in [(None, 1), (Some(now - S), 1), (Some(now - 11 * S), 12)] {
+        let mut relay = Relay::new(settings(), 7);
+        let outage = Outage { destination: 1, down: now - 20 * S, back };
+        let mut events = vec![listed(true), Event::Remembered(outage)];
+        events.extend((1..=12).map(|id| Event::Arrived(message(id, 0, now))));
+        let sent = handle(&mut relay, now, events).len();
+        assert!(sent <= most, "{sent} sent, back {back:?}");
+        assert_eq!(relay.outages().count(), usize::from(most == 1));
+    }
+}
+
+#[test]
+fn no_call_starts_that_the_end_of_the_process_would_cut_off() {
+    let now = 100 * S;
+    let mut relay = Relay::new(settings(), 7);
+    let stopping = Event::Stopping { at: now + 3 * S };
+    let arrived = |id, class, now| Event::Arrived(message(id, class, now));
+    let early = handle(&mut relay, now, vec![listed(false), stopping, arrived(1, 2, now)]);
+    assert!(matches!(early[..], [Action::Send { id: 1, .. }]), "{early:?}");
+    // By now an unsafe call might be cut off; one that may be repeated should end in time.
+    let now = now + 2 * S;
+    let late = handle(&mut relay, now, vec![arrived(2, 2, now), arrived(3, 0, now)]);
+    assert!(matches!(late[..], [Action::Send { id: 3, .. }]), "{late:?}");
+    let now = now + 9 * S / 10;
+    assert_eq!(handle(&mut relay, now, vec![arrived(4, 0, now)]), []);
+}
+
+#[test]
+fn what_comes_past_a_full_hold_is_refused_with_advice() {
+    let now = 100 * S;
+    let mut set = settings();
+    (set.most_held, set.slots) = (3, 8);
+    let mut relay = Relay::new(set, 7);
+    handle(&mut relay, now, vec![listed(false)]);
+    for id in 1..=3 {
+        // Out, each: there is nothing to make room with.
+        handle(&mut relay, now + id * S, vec![Event::Arrived(message(id, 0, now + id * S))]);
+    }
+    let actions = handle(&mut relay, now + 4 * S, vec![Event::Arrived(message(4, 0, now + 4 * S))]);
+    assert!(actions.iter().any(|a| matches!(a, Action::Refuse { id: 4, after: 1.. })), "{actions:?}");
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -358,6 +358,52 @@
     assert_eq!(late, 0);
 }
 
+#[test]
+fn a_drain_is_kept_by_a_relay_that_restarts_while_discovery_is_silent() {
+    let (old, new) = (Host::new(|_, _| ok()), Host::new(|_, _| ok()));
+    let mut scene = Scene::started(vec![up("a", &old, 1)]);
+    scene.discovery.push(2, &[entry("a", old.address, 1, "draining"), up("b", &new, 1), up("c", &new, 2)]);
+    until("the change", || (scene.enqueue("update", 2).1 == "+OK").then_some(()));
+    scene.discovery.silent.store(true, std::sync::atomic::Ordering::SeqCst);
+    scene.kill();
+    // The configuration still has the list from before the drain.
+    scene.start();
+    for _ in 0..5 {
+        let (id, _) = scene.enqueue("update", 1);
+        until("the call", || old.calls_of(&id).into_iter().chain(new.calls_of(&id)).next());
+    }
+    assert!(old.calls().is_empty(), "{:?}", old.calls());
+}
+
+#[test]
+fn an_outage_is_remembered_by_a_relay_that_restarts() {
+    let host = Host::new(|_, _| Answer::Hang);
+    let mut scene = Scene::new(vec![up("a", &host, 1)]);
+    scene.config["known"]["hosts"][0]["share"] = 8.0.into();
+    scene.config["settings"]["rules"]["cold"] = 20_000_000.into();
+    scene.config["settings"]["rules"]["coldFrom"] = 0.1.into();
+    scene.start();
+    // Errors trip the fuse, and what comes later is parked.
+    host.script(|_, _| status("500 Oops"));
+    for _ in 0..12 {
+        assert_eq!(scene.enqueue("update", 1).1, "+OK");
+    }
+    until("some failures", || (host.calls().len() >= 2).then_some(()));
+    until("the outage to be noted", || {
+        let memory: Value =
+            serde_json::from_slice(&fs::read(scene.folder.join("state/memory")).ok()?).ok()?;
+        memory["outages"].get(0).map(drop)
+    });
+    scene.kill();
+    host.script(|_, _| ok());
+    let before = host.calls().len();
+    scene.start();
+    until("three calls", || (host.calls().len() >= before + 3).then_some(()));
+    // Cold, it can take 0.8 a second and may get twice that; all twelve at once would push it over.
+    let after = host.calls().split_off(before);
+    assert!(after[2].at - after[0].at > Duration::from_millis(500), "{after:?}");
+}
+
 #[test]
 fn a_silent_discovery_is_asked_anew_from_the_last_version() {
     let (old, new) = (Host::new(|_, _| ok()), Host::new(|_, _| ok()));
