Let no call begin within a wait that was told while it was connecting

Seen: reading hosts.rs against the rule on waits. attempt() wrote its request as soon as its connection was up, up to the connect's time-out (a second) after the module had decided; a wait told meanwhile by another host of the destination was broken, as only a tenth of a second is let through. Shown by a test: a connect that hangs in a full queue, a wait told by the other host, then the queue is opened; 10 bytes were read within the wait. Ruled out that the module could do it: it can only cancel, and does not know which calls have begun.

Such a call ends as not sent now, its connection is kept, and the module decides when it goes. Also, the destinations of the configuration's list stay known when a newer list is taken from the folder, so that a message for one whose hosts are all being replaced is held and not failed.

--- a/src/bin/madderpitch/driver.rs
+++ b/src/bin/madderpitch/driver.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -19,7 +20,7 @@
 use crate::clients::{self, Reply};
 use crate::config::Config;
 use crate::discovery::{self, HostLine, HostList, Notices};
-use crate::hosts::{Call, CallEnd, Hosts};
+use crate::hosts::{Call, CallEnd, Hosts, Route};
 use crate::journal::{Attempt, Journal, Memory, Owed, Taken, Verdict};
 
 /// Inputs that may wait for the driver; beyond, those who have more wait themselves.
@@ -94,6 +95,14 @@
     Noticed(Vec<MessageId>),
 }
 
+/// What is kept of a host in the list.
+#[derive(Clone, Copy)]
+struct Listed {
+    address: SocketAddr,
+    zone: u8,
+    route: Route,
+}
+
 struct Driver {
     config: Config,
     relay: Relay,
@@ -113,7 +122,7 @@
     /// Calls that are out: the attempt, and what ends it early.
     calls: BTreeMap<MessageId, (u8, oneshot::Sender<()>)>,
     host_numbers: BTreeMap<String, HostId>,
-    listed: BTreeMap<HostId, (std::net::SocketAddr, u8)>,
+    listed: BTreeMap<HostId, Listed>,
     destinations: BTreeSet<DestinationId>,
     next_host: HostId,
     /// The list as last told.
@@ -253,6 +262,7 @@
         let mut known = std::mem::take(&mut self.config.known);
         // Guards hosts that drain: the configuration's list may be older than what the last process was
         // told, and discovery may be silent now.
+        self.destinations.extend(known.hosts.iter().map(|line| line.block));
         if self.memory.list.seq > known.seq {
             known = self.memory.list.clone();
         }
@@ -402,10 +412,13 @@
                 self.next_host
             });
             let zone = index_of(&self.config.zones, &line.site).unwrap_or(0) as u8;
+            let kind = index_of(&self.config.kinds, &line.class).unwrap_or(0) as u8;
+            let apart = self.config.settings.kinds.get(usize::from(kind)).is_some_and(|kind| kind.apart);
+            let route = (line.block, apart.then_some(number));
             entries.push(HostEntry {
                 host: number,
                 destination: line.block,
-                kind: index_of(&self.config.kinds, &line.class).unwrap_or(0) as u8,
+                kind,
                 zone,
                 listing: line.health,
                 weight: line.share,
@@ -414,7 +427,7 @@
             if line.health == Listing::Gone {
                 missing.insert(line.host, number);
             } else {
-                self.listed.insert(number, (line.dial, zone));
+                self.listed.insert(number, Listed { address: line.dial, zone, route });
             }
             if line.health != Listing::Ready {
                 self.hosts.forget(number);
@@ -519,15 +532,17 @@
             let report = Vec::new();
             Event::Ended(Ended { id, attempt, host, outcome: Outcome::Moot, elapsed: 0, over, report })
         };
-        let (Some(owed), Some((address, zone))) = (owed, self.listed.get(&host).copied()) else {
+        let (Some(owed), Some(listed)) = (owed, self.listed.get(&host).copied()) else {
             self.events.push(moot(owed.is_none()));
             return;
         };
+        let Listed { address, zone, route } = listed;
         let taken = &owed.taken;
         let call = Call {
             id,
             attempt,
             host,
+            route,
             address,
             name: taken.name.clone(),
             key: taken.key.clone(),
--- a/src/bin/madderpitch/hosts.rs
+++ b/src/bin/madderpitch/hosts.rs
@@ -17,7 +17,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use madderpitch::interface::{HostId, MessageId, Micros, Outcome};
+use madderpitch::interface::{DestinationId, HostId, MessageId, Micros, Outcome};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
@@ -32,6 +32,9 @@
 /// An outcome waits so long for the rest of its answer.
 const GRACE: Duration = Duration::from_millis(5);
 
+/// A destination, or one host of it where hosts are routes apart.
+pub type Route = (DestinationId, Option<HostId>);
+
 /// A call to be made.
 pub struct Call {
     /// The message.
@@ -40,6 +43,8 @@
     pub attempt: u8,
     /// The host.
     pub host: HostId,
+    /// For which calls a wait that one of them is told holds.
+    pub route: Route,
     /// Where it takes connections.
     pub address: SocketAddr,
     /// The message's name, unchanged.
@@ -157,6 +162,8 @@
 /// The connections to all hosts.
 pub struct Hosts {
     idle: RefCell<BTreeMap<HostId, Vec<Connection>>>,
+    /// Until when nothing may be sent, as told.
+    waits: RefCell<BTreeMap<Route, Instant>>,
     dial_timeout: Duration,
     idle_close: Duration,
     most_idle: usize,
@@ -184,11 +191,12 @@
     pub fn new(dial_timeout: Duration, idle_close: Duration, most_idle: usize) -> Self {
         // Closed a tenth early, so that no request crosses the host's own closing.
         let idle_close = idle_close - idle_close / 10;
-        Hosts { idle: RefCell::default(), dial_timeout, idle_close, most_idle }
+        Hosts { idle: RefCell::default(), waits: RefCell::default(), dial_timeout, idle_close, most_idle }
     }
 
     /// Closes what has stood idle too long.
     pub fn sweep(&self) {
+        self.waits.borrow_mut().retain(|_, until| *until > Instant::now());
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, kept| {
             kept.retain(|c| !c.sender.is_closed() && c.idle_since.elapsed() < self.idle_close);
@@ -262,6 +270,12 @@
                     }
                 }
             };
+            // Guards a wait that was told while this call was still connecting: it has not begun, so it
+            // must not begin now. The module decides when it goes.
+            if self.waits.borrow().get(&call.route).is_some_and(|until| *until > Instant::now()) {
+                self.keep(call.host, connection);
+                return plain(Outcome::Moot);
+            }
             let before = connection.written.load(Ordering::Relaxed);
             let Some((request, size)) = request(call, ends) else { return plain(Outcome::Moot) };
             let whole = |c: &Connection| c.written.load(Ordering::Relaxed) >= before + size;
@@ -286,6 +300,11 @@
             match sent {
                 Sent::Answer(answer) => {
                     let (outcome, over, report) = read(&answer);
+                    if let Outcome::Full { wait: wait @ 1.. } = outcome {
+                        let until = Instant::now() + Duration::from_micros(wait);
+                        let mut waits = self.waits.borrow_mut();
+                        waits.entry(call.route).and_modify(|at| *at = until.max(*at)).or_insert(until);
+                    }
                     return Ended { outcome, over, report, rest: Some((connection, answer)) };
                 }
                 // The connection had been closed while it was idle; the call has not begun.
@@ -364,7 +383,8 @@
     fn call(address: SocketAddr, key: Option<&str>, body: &[u8]) -> Call {
         let (name, key, body) =
             ("9b1f03aa5c7e2d41".into(), key.map(String::from), Bytes::copy_from_slice(body));
-        Call { id: 1, attempt: 0, host: 1, address, name, key, body, timeout: Duration::from_secs(30) }
+        let (route, timeout) = ((1, None), Duration::from_secs(30));
+        Call { id: 1, attempt: 0, host: 1, route, address, name, key, body, timeout }
     }
 
     fn local(test: impl std::future::Future<Output = ()>) {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -260,6 +260,52 @@
     assert!(early.is_empty(), "{early:?}");
 }
 
+#[test]
+fn a_call_that_is_still_connecting_heeds_a_wait_told_meanwhile() {
+    // A listener whose queue is full lets nobody in until it accepts.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: std::net::SocketAddr = bind().local_addr().expect("bound");
+    socket.bind(&any.into()).expect("bound");
+    socket.listen(0).expect("listens");
+    let fill: Vec<_> =
+        (0..4).map(|_| std::net::TcpStream::connect_timeout(&any, Duration::from_millis(300))).collect();
+    assert!(fill.last().expect("tried").is_err(), "the queue takes more than it should");
+    let host =
+        Host::new(|_, before| if before == 0 { status("429 Slow\r\nX-Backoff-Ms: 5000") } else { ok() });
+    let mut scene = Scene::new(vec![entry("a", any, 1, "up")]);
+    scene.config["settings"]["limits"]["dialTimeout"] = 20_000_000.into();
+    scene.start();
+    let (first, _) = scene.enqueue("update", 1);
+    // The other host tells a wait while that call hangs in its connect; the hosts' loads part them.
+    scene.discovery.push(2, &[up("b", &host, 1)]);
+    let start = until("a call at the other host", || {
+        scene.enqueue("update", 1);
+        host.calls().first().cloned()
+    });
+    drop(fill);
+    let listener = std::net::TcpListener::from(socket);
+    let calls = std::thread::spawn(move || {
+        let mut reached = Vec::new();
+        listener.set_nonblocking(true).expect("set");
+        while start.at.elapsed() < Duration::from_millis(4500) {
+            match listener.accept() {
+                Ok((stream, _)) => reached.push(stream),
+                Err(_) => std::thread::sleep(Duration::from_millis(5)),
+            }
+        }
+        let mut read = |stream: &mut std::net::TcpStream| {
+            stream.set_nonblocking(true).expect("set");
+            std::io::Read::read(stream, &mut [0; 10]).unwrap_or(0)
+        };
+        // Those that filled the queue come first and say nothing.
+        (reached.len(), reached.iter_mut().map(&mut read).sum::<usize>())
+    });
+    let (reached, read) = calls.join().expect("ends");
+    assert!(reached > 0, "nobody came through");
+    assert_eq!(read, 0, "a call began within the wait");
+    until("the first message", || host.calls_of(&first).first().cloned());
+}
+
 #[test]
 fn an_unsafe_message_goes_again_only_if_it_never_ran() {
     // Nobody listens there: the call never began.
