--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,7 @@
 //! Every decision; its types, events and actions are in `src/interface.rs`.
 //!
 //! Each route (a destination, or one host of it where kinds are apart) has a fuse over a rolling error
-//! tally, as `docs/design.md` tells. In order: constants, message, route, tally, dispatcher, timers, guards.
+//! tally, as the README tells. In order: constants, message, route, tally, dispatcher, timers, guards.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
