Close quiet client connections to make room, and read the configuration again on SIGHUP

Cause: listen() in clients.rs awaited a permit before it accepted, and permits came back only when clients closed; quiet connections kept all others out.

Clients: at the limit the connection that never asked, then the one quiet for longest is closed, never one with an open request; silence, half requests and unread answers are bounded; an error line is followed by an end of sending and a bounded read, as a close with unread input resets the line away; idle connections keep no buffer; a client at full speed gives way after each batch. SIGHUP reads the file again; the watch, the whole list and open notices move to the new address, the old connections are closed, an unusable file leaves the old one in force. For discovery the file wins over the variable, which a reload leaves stale; the log tells where the two differ.

--- a/src/bin/madderpitch/clients.rs
+++ b/src/bin/madderpitch/clients.rs
@@ -1,14 +1,19 @@
 //! Clients: RESP2 requests in, one answer each, in order.
 
-use std::sync::Arc;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::mem::MaybeUninit;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::driver::{Clock, Enqueue, Input};
 
@@ -22,6 +27,18 @@
 const NAME: usize = 128;
 /// Requests of one connection that may wait for their answers.
 const PIPELINED: usize = 64;
+/// A request that has begun is whole after this, or its client gets an error.
+const REQUEST_TIME: Duration = Duration::from_secs(2);
+/// The same for one of which most is not kept, as it is far too long.
+const SKIP_TIME: Duration = Duration::from_secs(5);
+/// A connection that has asked nothing yet is closed after this; and one that has, since its last request.
+const SILENCE: (Duration, Duration) = (Duration::from_millis(2200), Duration::from_secs(30));
+/// A connection that has been quiet for less is not closed to make room: its request may be on the way.
+const SETTLED: Duration = Duration::from_millis(20);
+/// What a client still sends after its error line is read for so long and up to so much.
+const LINGER: (Duration, usize) = (Duration::from_millis(400), 4 << 20);
+/// Room that is made for the next read.
+const READ: usize = 4 << 10;
 
 /// The answer to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,14 +65,103 @@
     }
 }
 
-/// Takes connections until `closing` is set, as many at once as there is room for.
+/// The connections that are open, and which of them may be closed to make room.
+pub struct Clients {
+    most: usize,
+    open: RefCell<BTreeMap<u64, Open>>,
+    next: Cell<u64>,
+    left: Notify,
+}
+
+struct Open {
+    /// It has not asked anything yet.
+    fresh: bool,
+    /// Since when no request has been open; none while one is.
+    quiet: Option<Instant>,
+    /// It is to close.
+    told: bool,
+    wake: Rc<Notify>,
+}
+
+/// A connection's place among those that are open; given back when this is dropped.
+struct Seat {
+    clients: Rc<Clients>,
+    number: u64,
+}
+
+impl Seat {
+    fn set(&self, quiet: bool) {
+        if let Some(open) = self.clients.open.borrow_mut().get_mut(&self.number) {
+            open.fresh &= quiet;
+            open.quiet = quiet.then(Instant::now);
+            open.told = false;
+        }
+    }
+
+    fn told(&self) -> bool {
+        self.clients.open.borrow().get(&self.number).is_none_or(|open| open.told)
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.clients.open.borrow_mut().remove(&self.number);
+        self.clients.left.notify_one();
+    }
+}
+
+impl Clients {
+    /// No connections yet, and at most so many at once.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Clients { most, open: RefCell::default(), next: Cell::default(), left: Notify::new() })
+    }
+
+    /// Connections that are open.
+    pub fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Waits until there is room for one more, which is made by closing a quiet connection.
+    async fn room(&self) {
+        while self.count() >= self.most {
+            self.close_one();
+            // It may turn out to have an open request after all.
+            drop(timeout(SETTLED / 4, self.left.notified()).await);
+        }
+    }
+
+    /// Guards against clients that keep connections and do not use them: without it they keep all others
+    /// out. Those that never asked go first, then the one that has been quiet for longest; never one with
+    /// an open request.
+    fn close_one(&self) {
+        let now = Instant::now();
+        let mut open = self.open.borrow_mut();
+        if open.values().any(|other| other.told) {
+            return;
+        }
+        let quiet = open.values_mut().filter_map(|other| Some((other.quiet?, other)));
+        let settled = quiet.filter(|(since, _)| now - *since >= SETTLED);
+        if let Some((_, victim)) = settled.min_by_key(|(since, other)| (!other.fresh, *since)) {
+            victim.told = true;
+            victim.wake.notify_one();
+        }
+    }
+
+    fn seat(self: &Rc<Self>) -> (Seat, Rc<Notify>) {
+        let number = self.next.replace(self.next.get() + 1);
+        let wake = Rc::new(Notify::new());
+        let open = Open { fresh: true, quiet: Some(Instant::now()), told: false, wake: wake.clone() };
+        self.open.borrow_mut().insert(number, open);
+        (Seat { clients: self.clone(), number }, wake)
+    }
+}
+
+/// Takes connections until `closing` is set.
 pub async fn listen(
-    listener: TcpListener, room: Arc<Semaphore>, clock: Clock, inputs: mpsc::Sender<Input>,
+    listener: TcpListener, clients: Rc<Clients>, clock: Clock, inputs: mpsc::Sender<Input>,
     mut closing: watch::Receiver<bool>,
 ) {
     loop {
-        // At the limit new connections wait in the listener's queue.
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
         let stream = tokio::select! {
             biased;
             _ = closing.wait_for(|closing| *closing) => return,
@@ -68,11 +174,17 @@
                 }
             },
         };
+        // At the limit this one is taken and the next ones wait in the listener's queue.
+        tokio::select! {
+            biased;
+            _ = closing.wait_for(|closing| *closing) => return,
+            () = clients.room() => {}
+        }
         let (inputs, closing) = (inputs.clone(), closing.clone());
+        let (seat, wake) = clients.seat();
         tokio::task::spawn_local(async move {
             // A client that goes away is no fault of the relay's.
-            drop(serve(stream, clock, inputs, closing).await);
-            drop(permit);
+            drop(serve(stream, &seat, &wake, clock, inputs, closing).await);
         });
     }
 }
@@ -83,11 +195,15 @@
 }
 
 async fn serve(
-    mut stream: TcpStream, clock: Clock, inputs: mpsc::Sender<Input>, mut closing: watch::Receiver<bool>,
+    mut stream: TcpStream, seat: &Seat, wake: &Notify, clock: Clock, inputs: mpsc::Sender<Input>,
+    mut closing: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let mut text = BytesMut::with_capacity(4 << 10);
+    let mut text = BytesMut::new();
     let mut skip = 0;
+    let mut silence = SILENCE.0;
+    // When the request that has not come whole yet began.
+    let mut began: Option<Instant> = None;
     loop {
         let mut answers = Vec::new();
         let mut malformed = false;
@@ -130,21 +246,85 @@
                 };
                 reply.write(&mut out);
             }
-            stream.write_all(&out).await?;
+            // Guards against a client that reads no answers.
+            timeout(REQUEST_TIME, stream.write_all(&out)).await??;
             if malformed {
-                return stream.shutdown().await;
+                return part(stream).await;
             }
+            (began, silence) = (None, SILENCE.1);
+            // Guards the others against a client at full speed: it has its turn, then they have theirs.
+            tokio::task::yield_now().await;
             continue;
         }
+        let quiet = text.is_empty() && skip == 0;
+        if quiet {
+            // An idle connection keeps no buffer.
+            text = BytesMut::new();
+        }
+        seat.set(quiet);
+        let since = *began.get_or_insert_with(Instant::now);
+        let bound = match skip {
+            _ if quiet => silence,
+            0 => REQUEST_TIME,
+            _ => SKIP_TIME,
+        };
         tokio::select! {
             biased;
-            read = stream.read_buf(&mut text) => if read? == 0 {
-                return Ok(());
+            ready = stream.readable() => {
+                ready?;
+                text.reserve(READ);
+                match stream.try_read_buf(&mut text) {
+                    Ok(0) => return Ok(()),
+                    Ok(_) => {
+                        seat.set(false);
+                        began = began.filter(|_| !quiet);
+                    }
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(error),
+                }
             },
             // Between requests a connection may be closed.
-            _ = closing.wait_for(|closing| *closing), if text.is_empty() && skip == 0 => return Ok(()),
+            _ = closing.wait_for(|closing| *closing), if quiet => return Ok(()),
+            // Guards clients that have just asked: what has come is not left unread.
+            () = wake.notified(), if quiet => if seat.told() && !has_input(&stream) {
+                return Ok(());
+            },
+            () = tokio::time::sleep_until(since + bound) => {
+                // Guards against clients that say nothing, or half a request, and hold a place for good.
+                if quiet && has_input(&stream) {
+                    continue;
+                }
+                if !quiet {
+                    let late = Reply::Error("protocol error: the request did not come whole".into());
+                    let mut out = Vec::new();
+                    late.write(&mut out);
+                    timeout(REQUEST_TIME, stream.write_all(&out)).await??;
+                }
+                return part(stream).await;
+            }
+        }
+    }
+}
+
+/// Whether anything, or an end, waits to be read, whatever the runtime has heard of it.
+fn has_input(stream: &TcpStream) -> bool {
+    matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(1..))
+}
+
+/// Ends sending and closes once the client has read: to close with input unread would reset the
+/// connection, which can destroy the error line on its way.
+async fn part(mut stream: TcpStream) -> std::io::Result<()> {
+    stream.shutdown().await?;
+    let until = Instant::now() + LINGER.0;
+    let (mut waste, mut read) = (BytesMut::with_capacity(READ), 0);
+    while read < LINGER.1 {
+        match timeout_at(until, stream.read_buf(&mut waste)).await {
+            Ok(Ok(n @ 1..)) => read += n,
+            _ => break,
         }
+        waste.clear();
     }
+    Ok(())
 }
 
 /// What stands at the start of a connection's text.
--- a/src/bin/madderpitch/config.rs
+++ b/src/bin/madderpitch/config.rs
@@ -66,6 +66,9 @@
 
 impl Config {
     /// Reads the variables and the file; the error is one plain line.
+    ///
+    /// Variables win over the file, but for discovery: the file is replaced while the process runs, and the
+    /// variables, which are not, would send it, or the next one, back to an address that was left.
     pub fn load() -> Result<Self, String> {
         let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
@@ -74,6 +77,13 @@
         let told = |name: &str, in_file: Option<String>| {
             variable(name).or(in_file).ok_or_else(|| format!("{name} is not set"))
         };
+        let from_variable = variable("BALANCER_DISCOVERY");
+        if let (Some(given), Some(holds)) = (&from_variable, &file.discovery) {
+            if given != holds {
+                eprintln!("configuration: discovery is at {holds} by the file, which holds, not at {given}");
+            }
+        }
+        let discovery = file.discovery.or(from_variable).ok_or("discovery is not set")?;
         let settings = wire::settings(file.settings.to_string().as_bytes()).map_err(|e| e.to_string())?;
         let root = &file.settings;
         let classes = names(root, "/services")?;
@@ -82,7 +92,7 @@
         }
         Ok(Config {
             listen: address(&told("BALANCER_LISTEN", file.listen)?)?,
-            discovery: address(&told("BALANCER_DISCOVERY", file.discovery)?)?,
+            discovery: address(&discovery)?,
             state: PathBuf::from(told("BALANCER_STATE", file.state)?),
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("seed {:?} is no hexadecimal number", file.seed))?,
--- a/src/bin/madderpitch/discovery.rs
+++ b/src/bin/madderpitch/discovery.rs
@@ -16,7 +16,8 @@
 use madderpitch::interface::{Listing, MessageId};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::driver::Input;
@@ -32,6 +33,8 @@
 const LONGEST_LINE: usize = 4 << 20;
 /// Notices in one request.
 const NOTICES: usize = 200;
+/// A new discovery whose list is older than the one in force is asked so often before it is believed.
+const STALE_LISTS: u32 = 20;
 
 /// The list of hosts, or what changed of it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -82,39 +85,85 @@
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Failure> {
-    let stream = timeout(PATIENCE, TcpStream::connect(address)).await??;
-    stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::task::spawn_local(connection);
-    Ok(sender)
+/// A connection to discovery, which is closed when this is dropped.
+struct Channel {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
 }
 
-async fn ask(
-    sender: &mut SendRequest<Full<Bytes>>, address: SocketAddr, method: Method, path: &str, body: String,
-) -> Result<Response<Incoming>, Failure> {
-    let request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
-    let answer = sender.send_request(request.body(Full::new(body.into()))?);
-    Ok(timeout(PATIENCE, answer).await??)
+impl Channel {
+    async fn open(address: SocketAddr) -> Result<Self, Failure> {
+        let stream = timeout(PATIENCE, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let task = tokio::task::spawn_local(async move { drop(connection.await) });
+        Ok(Channel { sender, task })
+    }
+
+    async fn ask(
+        &mut self, address: SocketAddr, method: Method, path: &str, body: String,
+    ) -> Result<Response<Incoming>, Failure> {
+        let request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
+        let answer = self.sender.send_request(request.body(Full::new(body.into()))?);
+        Ok(timeout(PATIENCE, answer).await??)
+    }
 }
 
-/// Follows the list for ever, from a version on; every connection starts where the last one ended.
-pub async fn follow(address: SocketAddr, mut version: u64, inputs: mpsc::Sender<Input>) {
+impl Drop for Channel {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Follows the list for ever, from a version on, at the address that is in force; every connection to the
+/// same address starts where the last one ended.
+pub async fn follow(mut at: watch::Receiver<SocketAddr>, mut version: u64, inputs: mpsc::Sender<Input>) {
+    let mut moved = false;
+    loop {
+        let address = *at.borrow_and_update();
+        tokio::select! {
+            biased;
+            // Guards against a watch on an address that the configuration has left: it tells nothing more.
+            changed = at.changed() => if changed.is_err() {
+                return;
+            },
+            () = follow_one(address, moved, &mut version, &inputs) => return,
+        }
+        moved = true;
+    }
+}
+
+/// Follows the list at one address; a new one is asked for the whole list first.
+async fn follow_one(address: SocketAddr, mut whole: bool, version: &mut u64, inputs: &mpsc::Sender<Input>) {
     let mut rest = REST.0;
     let mut logged = false;
+    let mut stale = 0;
     loop {
-        let before = version;
+        let before = *version;
         let mut heard = false;
-        if let Err(error) = watch(address, &mut version, &mut heard, &inputs).await {
+        let followed = async {
+            if whole {
+                let list = whole_list(address).await?;
+                // Guards drains that the old discovery told: a new one that is behind would take them back.
+                if list.seq < *version && stale < STALE_LISTS {
+                    stale += 1;
+                    return Err(format!("its list {} is older than {version}", list.seq).into());
+                }
+                (*version, heard, whole) = (list.seq, true, false);
+                inputs.send(Input::Hosts(list)).await?;
+            }
+            watch(address, version, &mut heard, inputs).await
+        };
+        if let Err(error) = followed.await {
             if !logged || heard {
-                eprintln!("discovery: the watch ended: {error}");
+                eprintln!("discovery: the watch at {address} ended: {error}");
             }
             logged = true;
         }
         if inputs.is_closed() {
             return;
         }
-        rest = if heard || version > before { REST.0 } else { (rest * 2).min(REST.1) };
+        rest = if heard || *version > before { REST.0 } else { (rest * 2).min(REST.1) };
         sleep(rest).await;
     }
 }
@@ -122,9 +171,9 @@
 async fn watch(
     address: SocketAddr, version: &mut u64, heard: &mut bool, inputs: &mpsc::Sender<Input>,
 ) -> Result<(), Failure> {
-    let mut sender = connect(address).await?;
+    let mut channel = Channel::open(address).await?;
     let path = format!("/catalog/members?follow=1&since={version}");
-    let answer = ask(&mut sender, address, Method::GET, &path, String::new()).await?;
+    let answer = channel.ask(address, Method::GET, &path, String::new()).await?;
     if answer.status() != StatusCode::OK {
         return Err(format!("answered {}", answer.status()).into());
     }
@@ -166,8 +215,8 @@
 }
 
 async fn whole_list(address: SocketAddr) -> Result<HostList, Failure> {
-    let mut sender = connect(address).await?;
-    let answer = ask(&mut sender, address, Method::GET, "/catalog/members", String::new()).await?;
+    let mut channel = Channel::open(address).await?;
+    let answer = channel.ask(address, Method::GET, "/catalog/members", String::new()).await?;
     let body = http_body_util::Limited::new(answer.into_body(), LONGEST_LINE);
     let mut list: HostList = serde_json::from_slice(&timeout(PATIENCE, body.collect()).await??.to_bytes())?;
     list.whole = true;
@@ -212,9 +261,9 @@
     }
 }
 
-/// Sends notices for ever, each until it is answered 204.
-pub async fn notify(address: SocketAddr, notices: Rc<Notices>, inputs: mpsc::Sender<Input>) {
-    let mut sender = None;
+/// Sends notices for ever, each until it is answered 204, to the address that is in force.
+pub async fn notify(mut at: watch::Receiver<SocketAddr>, notices: Rc<Notices>, inputs: mpsc::Sender<Input>) {
+    let mut channel = None;
     let mut rest = REST.0;
     loop {
         let (ids, text) = notices.batch();
@@ -222,36 +271,48 @@
             notices.more.notified().await;
             continue;
         }
-        match post(&mut sender, address, text).await {
-            Ok(()) => {
-                rest = REST.0;
-                notices.pending.borrow_mut().retain(|id, _| !ids.contains(id));
-                if inputs.send(Input::Noticed(ids)).await.is_err() {
-                    return;
-                }
-            }
-            Err(error) => {
+        let address = *at.borrow_and_update();
+        let sent = async {
+            let posted = post(&mut channel, address, text).await;
+            if let Err(error) = &posted {
                 eprintln!("discovery: {} notices not taken, to be sent again: {error}", ids.len());
-                sender = None;
                 sleep(rest).await;
-                rest = (rest * 2).min(REST.1);
             }
+            posted
+        };
+        // A notice that an old address may have taken is sent to the new one too, which does no harm.
+        let sent = tokio::select! {
+            biased;
+            sent = sent => sent,
+            changed = at.changed() => if changed.is_ok() { Err("it moved".into()) } else { return },
+        };
+        if sent.is_ok() {
+            rest = REST.0;
+            notices.pending.borrow_mut().retain(|id, _| !ids.contains(id));
+            if inputs.send(Input::Noticed(ids)).await.is_err() {
+                return;
+            }
+        } else {
+            channel = None;
+            rest = (rest * 2).min(REST.1);
         }
     }
 }
 
 async fn post(
-    sender: &mut Option<SendRequest<Full<Bytes>>>, address: SocketAddr, text: String,
+    channel: &mut Option<(SocketAddr, Channel)>, address: SocketAddr, text: String,
 ) -> Result<(), Failure> {
-    let usable = match sender {
-        Some(sender) => sender.ready().await.is_ok(),
+    let usable = match channel {
+        Some((at, open)) => {
+            *at == address && matches!(timeout(PATIENCE, open.sender.ready()).await, Ok(Ok(())))
+        }
         None => false,
     };
     if !usable {
-        *sender = Some(connect(address).await?);
+        *channel = Some((address, Channel::open(address).await?));
     }
-    let Some(sender) = sender else { return Err("no connection".into()) };
-    let answer = ask(sender, address, Method::POST, "/v1/notices", text).await?;
+    let Some((_, open)) = channel else { return Err("no connection".into()) };
+    let answer = open.ask(address, Method::POST, "/v1/notices", text).await?;
     let status = answer.status();
     timeout(PATIENCE, http_body_util::Limited::new(answer.into_body(), LONGEST_LINE).collect()).await??;
     match status {
--- a/src/bin/madderpitch/driver.rs
+++ b/src/bin/madderpitch/driver.rs
@@ -7,17 +7,17 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use madderpitch::interface::*;
 use madderpitch::Relay;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::signal::unix::Signal;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep_until, Instant};
 
-use crate::clients::{self, Reply};
+use crate::clients::{self, Clients, Reply};
 use crate::config::Config;
 use crate::discovery::{self, HostLine, HostList, Notices};
 use crate::hosts::{Call, CallEnd, Hosts, Route};
@@ -131,10 +131,13 @@
     /// What is kept of the list and of outages.
     memory: Memory,
     disk: u64,
+    /// Where discovery answers, for those who ask it.
+    discovery: watch::Sender<SocketAddr>,
 }
 
-/// Serves until `stop` is ready, and then brings what is out to its end.
-pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
+/// Serves until `stop` is ready, and then brings what is out to its end. `hangup` has the configuration read
+/// again.
+pub async fn run(config: Config, stop: impl Future<Output = ()>, mut hangup: Signal) -> Result<(), String> {
     let clock = Clock::new();
     let folder = config.state.display();
     let disk = (config.limits.disk_mb * 1e6) as u64;
@@ -147,7 +150,8 @@
         return Err(format!("{} sockets do not do for {} slots", sockets, config.settings.slots));
     }
     let most_idle = sockets - most_clients - config.settings.slots;
-    let (listen, from) = (config.listen, config.discovery);
+    let listen = config.listen;
+    let (discovery, at) = watch::channel(config.discovery);
     let (inputs, mut incoming) = mpsc::channel(INPUTS);
     let mut driver = Driver {
         relay: Relay::new(config.settings.clone(), config.seed),
@@ -170,13 +174,14 @@
         version: 0,
         memory: Memory::load(&config.state),
         disk,
+        discovery,
         config,
     };
     driver.restore();
     driver.round()?;
 
-    tokio::task::spawn_local(discovery::follow(from, driver.version, inputs.clone()));
-    tokio::task::spawn_local(discovery::notify(from, driver.notices.clone(), inputs.clone()));
+    tokio::task::spawn_local(discovery::follow(at.clone(), driver.version, inputs.clone()));
+    tokio::task::spawn_local(discovery::notify(at, driver.notices.clone(), inputs.clone()));
     let hosts = driver.hosts.clone();
     tokio::task::spawn_local(async move {
         loop {
@@ -186,9 +191,9 @@
     });
     // Clients come last: the first answer to a PING says that all else is in place.
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-    let room = Arc::new(Semaphore::new(most_clients));
+    let clients = Clients::new(most_clients);
     let (close, closing) = watch::channel(false);
-    tokio::task::spawn_local(clients::listen(listener, room.clone(), clock, inputs, closing));
+    tokio::task::spawn_local(clients::listen(listener, clients.clone(), clock, inputs, closing));
 
     let mut stop = std::pin::pin!(stop);
     let mut stopping: Option<Instant> = None;
@@ -201,7 +206,7 @@
         }
         if let Some(since) = stopping {
             let passed = now - since;
-            let quiet = room.available_permits() + 1 >= most_clients && driver.calls.is_empty();
+            let quiet = clients.count() == 0 && driver.calls.is_empty();
             if passed >= STOP[2] || (passed >= STOP[0] && quiet && driver.events.is_empty()) {
                 return Ok(());
             }
@@ -218,6 +223,8 @@
                 driver.events.push(Event::Stopping { at });
                 eprintln!("told to stop; {} messages in hand, {} calls out", driver.numbers.len(), driver.calls.len());
             }
+            // A stream of signals that has ended is no reason to spin.
+            Some(()) = hangup.recv() => driver.reload(),
             Some(input) = incoming.recv() => {
                 driver.take(input);
                 // What came together goes into one round, which must not wait for ever.
@@ -257,6 +264,22 @@
         }
     }
 
+    /// Reads the configuration again. One that can't be used leaves the old one in force.
+    fn reload(&mut self) {
+        match Config::load() {
+            Ok(new) => {
+                if (new.listen, &new.state) != (self.config.listen, &self.config.state) {
+                    eprintln!("configuration: a new listen address or folder counts from the next start on");
+                }
+                eprintln!("configuration: read again, discovery is at {}", new.discovery);
+                self.discovery.send_if_modified(|at| std::mem::replace(at, new.discovery) != new.discovery);
+            }
+            Err(error) => {
+                eprintln!("configuration: the old one stays in force: {}", error.replace('\n', " "));
+            }
+        }
+    }
+
     /// Hands to the module what the journal holds.
     fn restore(&mut self) {
         let mut known = std::mem::take(&mut self.config.known);
--- a/src/bin/madderpitch/main.rs
+++ b/src/bin/madderpitch/main.rs
@@ -12,19 +12,21 @@
 use tokio::signal::unix::{signal, SignalKind};
 
 fn run() -> Result<(), String> {
-    let config = config::Config::load()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+        // The handlers come before all else: without one, each of these signals ends the process.
+        let handle = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+        let hangup = handle(SignalKind::hangup())?;
+        let mut term = handle(SignalKind::terminate())?;
+        let mut interrupt = handle(SignalKind::interrupt())?;
         let stop = async move {
             tokio::select! {
                 _ = term.recv() => {}
                 _ = interrupt.recv() => {}
             }
         };
-        driver::run(config, stop).await
+        driver::run(config::Config::load()?, stop, hangup).await
     })
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -3,7 +3,7 @@
 mod scene;
 
 use std::fs;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 use scene::*;
@@ -542,6 +542,83 @@
     assert_eq!(client.line(), "+PONG");
 }
 
+#[test]
+fn connections_that_are_kept_unused_keep_nobody_out() {
+    let host = Host::new(|_, _| ok());
+    let mut scene = Scene::new(vec![up("a", &host, 1)]);
+    // Room for 20 clients.
+    scene.config["limits"]["sockets"] = 64.into();
+    scene.start();
+    let (mut asked, mut silent) = (Vec::new(), Vec::new());
+    for _ in 0..60 {
+        let mut client = scene.client();
+        client.send(&frame(&[b"PING"]));
+        assert_eq!(client.line(), "+PONG");
+        asked.push(client);
+        silent.push(scene.client());
+    }
+    let (id, answer) = scene.enqueue("update", 1);
+    assert_eq!(answer, "+OK");
+    until("the call", || host.calls_of(&id).first().cloned());
+}
+
+#[test]
+fn a_connection_with_an_open_request_is_not_closed_to_make_room() {
+    let host = Host::new(|_, _| ok());
+    let mut scene = Scene::new(vec![up("a", &host, 1)]);
+    scene.config["limits"]["sockets"] = 64.into();
+    // Requests stay open for a round.
+    scene.config["settings"]["tick"] = 1_000_000.into();
+    scene.start();
+    let mut first = scene.client();
+    first.send(&frame(&[b"PING"]));
+    assert_eq!(first.line(), "+PONG");
+    std::thread::sleep(Duration::from_millis(50));
+    first.send(&request("open", "update", 1, 20_000, b"x"));
+    let others: Vec<Client> = (0..40)
+        .map(|_| {
+            let mut client = scene.client();
+            client.send(&frame(&[b"PING"]));
+            assert_eq!(client.line(), "+PONG");
+            client
+        })
+        .collect();
+    assert_eq!(first.line(), "+OK");
+    drop(others);
+}
+
+#[test]
+fn silent_clients_are_closed_and_half_requests_get_an_error() {
+    let host = Host::new(|_, _| ok());
+    let scene = Scene::started(vec![up("a", &host, 1)]);
+    let text = request("half", "update", 1, 20_000, b"body");
+    let mut clients: Vec<Client> = (0..4).map(|_| scene.client()).collect();
+    clients[1].send(&text[..1]);
+    clients[2].send(&text[..text.len() - 1]);
+    // A whole request before it changes nothing.
+    clients[3].send(&frame(&[b"PING"]));
+    clients[3].send(&text[..40]);
+    assert_eq!(clients[3].line(), "+PONG");
+    assert_eq!(clients[0].line(), "", "closed with nothing to say");
+    for client in &mut clients[1..] {
+        assert_eq!(client.line(), "-ERR protocol error: the request did not come whole");
+        assert_eq!(client.line(), "");
+    }
+    assert!(host.calls().is_empty());
+}
+
+#[test]
+fn an_error_line_arrives_though_its_client_goes_on_sending() {
+    let host = Host::new(|_, _| ok());
+    let scene = Scene::started(vec![up("a", &host, 1)]);
+    let mut client = scene.client();
+    // Far more than the relay has read when it finds the first byte wrong.
+    client.send(&vec![b'x'; 1 << 20]);
+    assert_eq!(client.line(), "-ERR protocol error: no array of bulk strings");
+    let mut rest = Vec::new();
+    assert_eq!(client.reader.read_to_end(&mut rest).expect("an end and no reset"), 0);
+}
+
 #[test]
 fn wrong_requests_get_an_error_and_the_connection_stays() {
     let host = Host::new(|_, _| ok());
