Take only a share of failures among the last calls for an outage

Ruled out: slots (most were free), waits, the fuse (closed), leaked counts (in_flight is right).

An outage is witnessed now where 0.4 of the last twelve calls, and two at least, failed; its rule's own words are "failing most calls".

A test in tests/decisions.rs fails without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,6 +67,9 @@
 const HOLD_ROOM: usize = 10;
 /// An outage counts as at least so long, also what is left of it: most relays see its start late.
 const OUTAGE_LEAST: Micros = 5 * SECOND;
+/// An outage fails most calls: of so many last ones, this share at least, and two.
+const OUTAGE_LAST: usize = 12;
+const OUTAGE_SHARE: f64 = 0.4;
 /// How far ahead the regret of waiting is judged.
 const HORIZON: Micros = 3 * SECOND;
 /// Weight of a new sample in the running means.
@@ -134,6 +137,16 @@
         }
     }
 
+    /// Guards a healthy destination against being taken for one that comes back cold, for a few broken
+    /// answers among many good ones: only where most late calls failed was there an outage.
+    fn failing(&self) -> bool {
+        let last = self.tally.iter().rev().take(OUTAGE_LAST);
+        let (failed, all) = last.fold((0, 0), |(failed, all), (_, verdict)| {
+            (failed + usize::from(*verdict == Verdict::Failed), all + 1)
+        });
+        failed > 1 && failed as f64 >= OUTAGE_SHARE * f64::from(all)
+    }
+
     fn own_rate(&self, now: Micros) -> f64 {
         let span = 3 * SECOND;
         let good = self.tally.iter().filter(|(at, v)| at + span >= now && *v == Verdict::Good).count();
@@ -515,7 +528,7 @@
             }
             _ if counted => {
                 // Told at last that the calls failed: only now is the outage witnessed.
-                let route = self.routes.get_mut(&key).filter(|r| !r.witness && r.count(Verdict::Failed) > 1);
+                let route = self.routes.get_mut(&key).filter(|r| !r.witness && r.failing());
                 route.into_iter().for_each(|route| route.saw_outage(now, chance));
             }
             _ => self.failed(key, host, outcome == Outcome::ConnectFailed, true),
@@ -597,7 +610,7 @@
         route.run += 1;
         route.harmless = harmless;
         let failures = route.count(Verdict::Failed);
-        if told && (route.run >= RUN_TRIP || failures > 1 || route.back.is_some()) {
+        if told && route.failing() {
             route.saw_outage(now, (jitter - 0.9) * 5.0);
         }
         let share = (failures + route.count(Verdict::Refused)) as f64 / route.tally.len() as f64;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -212,6 +212,24 @@
     assert!(late >= 36, "{late} of 40 delivered within the flow");
 }
 
+#[test]
+fn a_few_broken_answers_among_many_good_ones_set_no_ramp() {
+    let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+    for n in 0..200 {
+        bench.arrive(0, 1, None);
+        let broken = n % 20 == 0;
+        run(&mut bench, 100 * MS, |_, _| Some(if broken { Outcome::Reset } else { Outcome::Ok }));
+        assert_eq!(bench.relay.outages().count(), 0, "after {n} messages");
+    }
+    // Most calls failing is one.
+    let seen = (0..40).any(|n| {
+        bench.arrive(0, 1, None);
+        run(&mut bench, 100 * MS, |_, _| Some(if n % 3 > 0 { Outcome::Reset } else { Outcome::Ok }));
+        bench.relay.outages().count() == 1
+    });
+    assert!(seen);
+}
+
 #[test]
 fn slow_calls_that_are_answered_set_no_ramp() {
     let mut bench = Bench::new(settings(), vec![host(1, 1)]);
