Keep what a spoilt answer's first line says, and let no bytes behind an answer pass for another

Seen from reading hosts.rs, then shown by tests over sockets: a parse error became a reset although the first line said 200, so a delivered unsafe message was reported undeliverable; a head without end held slot and buffer until the time-out, as did announcements (1xx) without end; bytes that came behind an answer while its connection was idle, not yet read by the library, were read as the next call's answer; a missing or absurd report value passed as zero or as it was. In driver.rs ended() dropped the call of a message whatever the attempt, and a send to a host that was not listed was not booked, after which both sides meant different attempts by one number.

The stream under the library keeps book of the first line past announcements, and refuses a request's first byte when anything waits to be read. A head has half a second and 32 KiB once its first line has begun. A report counts whole and within bounds, or not at all. A connection that turns out useless before the first byte costs no attempt; a new one that does is a host that can't be reached, so the loop in attempt() is bounded by the idle connections.

--- a/src/bin/madderpitch/driver.rs
+++ b/src/bin/madderpitch/driver.rs
@@ -246,6 +246,22 @@
     names.iter().position(|known| known == name).and_then(|at| u16::try_from(at).ok())
 }
 
+/// The values of a load report, in the settings' order; none at all where one is missing or absurd.
+///
+/// Guards the module against reports that can't be read: a missing value is not zero, and a share of the
+/// allowance of minus one or of a million would say things about a destination that nobody meant.
+fn read_report<'a>(
+    wanted: impl Iterator<Item = (&'a String, &'a ReportField)>, text: &str,
+) -> Option<Vec<f32>> {
+    let value = |(name, field): (&String, &ReportField)| {
+        let mut pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+        let (_, value) = pairs.find(|(other, _)| other.trim() == name)?;
+        let most = if *field == ReportField::AllowanceLeft { 2.0 } else { 1e6 };
+        value.trim().parse::<f32>().ok().filter(|value| (0.0..=most).contains(value))
+    };
+    wanted.map(value).collect()
+}
+
 fn may_have_run(outcome: Outcome) -> bool {
     match outcome {
         Outcome::Ok | Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => true,
@@ -391,7 +407,9 @@
 
     fn ended(&mut self, end: CallEnd) {
         let CallEnd { id, attempt, host, outcome, over: told_over, report, elapsed } = end;
-        self.calls.remove(&id);
+        if self.calls.get(&id).is_some_and(|(out, _)| *out == attempt) {
+            self.calls.remove(&id);
+        }
         let owed = self.journal.all().get(&id);
         let over = told_over || owed.is_none_or(|owed| owed.verdict.is_some());
         if let Some(owed) = owed.filter(|_| over) {
@@ -402,19 +420,11 @@
         } else {
             logged(self.journal.outcome(id, attempt, may_have_run(outcome)));
         }
-        let report = report.map(|text| self.report(&text)).unwrap_or_default();
+        let names = self.config.report.iter().zip(&self.config.settings.report);
+        let report = report.and_then(|text| read_report(names, &text)).unwrap_or_default();
         self.events.push(Event::Ended(Ended { id, attempt, host, outcome, elapsed, over, report }));
     }
 
-    fn report(&self, text: &str) -> Vec<f32> {
-        let value = |wanted: &String| {
-            let mut pairs = text.split(',').filter_map(|pair| pair.split_once('='));
-            let value = pairs.find(|(name, _)| name.trim() == wanted).map(|(_, value)| value.trim());
-            value.and_then(|value| value.parse::<f32>().ok()).filter(|v| v.is_finite()).unwrap_or(0.0)
-        };
-        self.config.report.iter().map(value).collect()
-    }
-
     fn list(&mut self, list: HostList, cached: bool) {
         self.version = list.seq;
         if list.whole {
@@ -555,9 +565,11 @@
             let report = Vec::new();
             Event::Ended(Ended { id, attempt, host, outcome: Outcome::Moot, elapsed: 0, over, report })
         };
-        let (Some(owed), Some(listed)) = (owed, self.listed.get(&host).copied()) else {
-            self.events.push(moot(owed.is_none()));
-            return;
+        let Some(owed) = owed else { return self.events.push(moot(true)) };
+        let Some(listed) = self.listed.get(&host).copied() else {
+            // Booked all the same: the module counts it, and both must mean the same attempt by a number.
+            logged(self.journal.out(id, attempt, Attempt { sent: now, zone: 0, may_have_run: false }));
+            return self.events.push(moot(false));
         };
         let Listed { address, zone, route } = listed;
         let taken = &owed.taken;
@@ -592,3 +604,23 @@
         self.notices.add(id, name, verdict);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_that_cannot_be_read_says_nothing() {
+        let names = ["x0".to_string(), "x1".to_string()];
+        let fields = [ReportField::AllowanceLeft, ReportField::LimitPerSecond];
+        let read = |text| read_report(names.iter().zip(&fields), text);
+        assert_eq!(read("x0=0.4,x1=25"), Some(vec![0.4, 25.0]));
+        assert_eq!(read(" x1 = 0 , y=7 , x0 = 1.05 "), Some(vec![1.05, 0.0]));
+        for text in ["", "x0=0.4", "x1=25", "x0=,x1=25", "x0=nan,x1=25", "x0=0.4,x1=inf", "x0=-1,x1=25"] {
+            assert_eq!(read(text), None, "{text}");
+        }
+        for text in ["x0=0.4,x1=1e30", "x0=900,x1=25", "x0=0.4,x1=-25", "\u{fffd}", "x0=0.4x1=25"] {
+            assert_eq!(read(text), None, "{text}");
+        }
+    }
+}
--- a/src/bin/madderpitch/hosts.rs
+++ b/src/bin/madderpitch/hosts.rs
@@ -3,11 +3,11 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,9 +18,10 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use madderpitch::interface::{DestinationId, HostId, MessageId, Micros, Outcome};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
@@ -28,9 +29,13 @@
 
 const REQUEST_LINE: &str = "POST /hook HTTP/1.1\r\n";
 /// The rest of an answer is read for so long and up to so much; then its connection is closed.
-const REST_OF_ANSWER: (Duration, usize) = (Duration::from_secs(1), 64 << 10);
+const REST_OF_ANSWER: (Duration, usize) = (Duration::from_millis(300), 64 << 10);
 /// An outcome waits so long for the rest of its answer.
 const GRACE: Duration = Duration::from_millis(5);
+/// Once an answer's first line has come, the rest of its head comes within this and in so much.
+const HEAD: (Duration, usize) = (Duration::from_millis(500), 32 << 10);
+/// So much may come before an answer's first line, as answers that only announce it.
+const ANNOUNCED: usize = 64 << 10;
 
 /// A destination, or one host of it where hosts are routes apart.
 pub type Route = (DestinationId, Option<HostId>);
@@ -76,32 +81,124 @@
     pub elapsed: Micros,
 }
 
-/// A stream that counts what has been written to it: only a request whose last byte was not is known
-/// never to have run.
-struct Counted {
+/// What has passed on a connection, whatever the library makes of it.
+#[derive(Default)]
+struct Passed {
+    /// Only a request whose last byte was not written is known never to have run.
+    written: u64,
+    /// Where the last request begins.
+    start: u64,
+    answer: FirstLine,
+}
+
+impl Passed {
+    fn begins(&self) -> bool {
+        self.written == self.start
+    }
+}
+
+/// Finds the status in an answer's first line, past answers that only announce it.
+///
+/// Guards what a spoilt answer still tells: with 200 on its first line, the message is delivered.
+#[derive(Default)]
+struct FirstLine {
+    status: Option<u16>,
+    read: usize,
+    line: Vec<u8>,
+    /// Within the lines of an answer that only announces.
+    announced: bool,
+}
+
+impl FirstLine {
+    /// A longer first line is none.
+    const LONGEST: usize = 1024;
+
+    fn begun(&self) -> bool {
+        self.status.is_some() || !self.announced && !self.line.is_empty()
+    }
+
+    fn take(&mut self, text: &[u8]) {
+        self.read += text.len();
+        for byte in text {
+            if self.status.is_some() {
+                return;
+            }
+            if *byte != b'\n' {
+                self.line.push(*byte);
+                self.status = (self.line.len() > Self::LONGEST).then_some(0);
+                continue;
+            }
+            let line = std::mem::take(&mut self.line);
+            let line = line.strip_suffix(b"\r").unwrap_or(&line);
+            if self.announced {
+                self.announced = !line.is_empty();
+                continue;
+            }
+            match status(line) {
+                Some(100..=199) => self.announced = true,
+                found => self.status = Some(found.unwrap_or(0)),
+            }
+        }
+    }
+}
+
+fn status(line: &[u8]) -> Option<u16> {
+    let rest = line.strip_prefix(b"HTTP/1.1 ").or_else(|| line.strip_prefix(b"HTTP/1.0 "))?;
+    let (code, rest) = rest.split_at_checked(3)?;
+    let whole = code.iter().all(u8::is_ascii_digit) && rest.first().is_none_or(|byte| *byte == b' ');
+    std::str::from_utf8(code).ok().filter(|_| whole)?.parse().ok()
+}
+
+/// A stream that keeps book of what passes on it.
+struct Watched {
     stream: TcpStream,
-    written: Arc<AtomicU64>,
+    passed: Rc<RefCell<Passed>>,
+    /// Told of each read.
+    news: Rc<Notify>,
 }
 
-impl Counted {
+impl Watched {
     fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = result {
-            self.written.fetch_add(n as u64, Ordering::Relaxed);
+            self.passed.borrow_mut().written += n as u64;
         }
         result
     }
+
+    /// Guards against bytes behind an answer being read as the next call's: what has come before the
+    /// request's first byte goes out answers nothing, and the connection is of no further use.
+    fn check(&self) -> io::Result<()> {
+        let begins = self.passed.borrow().begins();
+        if begins && has_input(&self.stream) {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "bytes that answer nothing"));
+        }
+        Ok(())
+    }
 }
 
-impl AsyncRead for Counted {
+/// Whether anything, or an end, waits to be read, whatever the runtime has heard of it.
+fn has_input(stream: &TcpStream) -> bool {
+    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(_) => true,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
+impl AsyncRead for Watched {
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, b)
+        let before = b.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, b))?;
+        self.passed.borrow_mut().answer.take(&b.filled()[before..]);
+        self.news.notify_one();
+        Poll::Ready(Ok(()))
     }
 }
 
-impl AsyncWrite for Counted {
+impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &[u8]) -> Poll<io::Result<usize>> {
+        self.check()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, b);
         self.count(result)
     }
@@ -117,6 +214,7 @@
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, b);
         self.count(result)
     }
@@ -131,7 +229,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// Moves the bytes; ending it closes the connection.
     task: JoinHandle<()>,
-    written: Arc<AtomicU64>,
+    passed: Rc<RefCell<Passed>>,
+    news: Rc<Notify>,
     idle_since: Instant,
 }
 
@@ -139,11 +238,38 @@
     async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let written = Arc::new(AtomicU64::new(0));
-        let stream = Counted { stream, written: written.clone() };
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (passed, news) = (Rc::default(), Rc::new(Notify::new()));
+        let stream = Watched { stream, passed: Rc::clone(&passed), news: news.clone() };
+        let mut library = http1::Builder::new();
+        // Guards memory against heads without end.
+        library.max_buf_size(HEAD.1);
+        let (sender, connection) = library.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
-        Ok(Connection { address, sender, task, written, idle_since: Instant::now() })
+        Ok(Connection { address, sender, task, passed, news, idle_since: Instant::now() })
+    }
+
+    /// A request is about to be written.
+    fn begin(&self) {
+        let mut passed = self.passed.borrow_mut();
+        passed.start = passed.written;
+        passed.answer = FirstLine::default();
+    }
+
+    /// Ready once an answer has begun whose head does not come to an end.
+    async fn endless(passed: Rc<RefCell<Passed>>, news: Rc<Notify>) {
+        while !passed.borrow().answer.begun() {
+            if passed.borrow().answer.read > ANNOUNCED {
+                return;
+            }
+            news.notified().await;
+        }
+        let most = passed.borrow().answer.read + HEAD.1;
+        let too_much = async {
+            while passed.borrow().answer.read <= most {
+                news.notified().await;
+            }
+        };
+        drop(timeout(HEAD.0, too_much).await);
     }
 
     /// Closes the connection and returns once it is closed: a message must not go out again before.
@@ -256,7 +382,9 @@
     async fn attempt(&self, call: &Call, ends: Instant, cancel: &mut oneshot::Receiver<()>) -> Ended {
         let plain = |outcome| Ended { outcome, over: false, report: None, rest: None };
         loop {
-            let mut connection = match self.reuse(call.host, call.address) {
+            let kept = self.reuse(call.host, call.address);
+            let fresh = kept.is_none();
+            let mut connection = match kept {
                 Some(connection) => connection,
                 None => {
                     let bound = ends.min(Instant::now() + self.dial_timeout);
@@ -276,25 +404,39 @@
                 self.keep(call.host, connection);
                 return plain(Outcome::Moot);
             }
-            let before = connection.written.load(Ordering::Relaxed);
             let Some((request, size)) = request(call, ends) else { return plain(Outcome::Moot) };
-            let whole = |c: &Connection| c.written.load(Ordering::Relaxed) >= before + size;
+            connection.begin();
+            let whole = |c: &Connection| {
+                let passed = c.passed.borrow();
+                passed.written >= passed.start + size
+            };
+            // With 200 on its first line an answer is true, whatever follows.
+            let spoilt = |c: &Connection, outcome| match c.passed.borrow().answer.status {
+                Some(200) => Ended { outcome: Outcome::Ok, over: true, report: None, rest: None },
+                _ => plain(outcome),
+            };
+            let endless = Connection::endless(connection.passed.clone(), connection.news.clone());
             let sent = tokio::select! {
+                biased;
                 answer = connection.sender.try_send_request(request) => match answer {
                     Ok(answer) => Sent::Answer(answer),
-                    Err(error) if error.message().is_some() => Sent::Unsent,
+                    Err(_) if connection.passed.borrow().begins() => Sent::Unsent,
                     Err(_) if !whole(&connection) => Sent::Partly,
                     Err(_) => Sent::Broken,
                 },
+                // Guards slots and memory against heads without end.
+                () = endless => Sent::Broken,
                 () = tokio::time::sleep_until(ends) => {
                     let outcome = if whole(&connection) { Outcome::Timeout } else { Outcome::ConnectFailed };
+                    let ended = spoilt(&connection, outcome);
                     connection.close().await;
-                    return plain(outcome);
+                    return ended;
                 }
                 _ = &mut *cancel => {
                     let outcome = if whole(&connection) { Outcome::Cancelled } else { Outcome::Moot };
+                    let ended = spoilt(&connection, outcome);
                     connection.close().await;
-                    return plain(outcome);
+                    return ended;
                 }
             };
             match sent {
@@ -307,15 +449,17 @@
                     }
                     return Ended { outcome, over, report, rest: Some((connection, answer)) };
                 }
-                // The connection had been closed while it was idle; the call has not begun.
-                Sent::Unsent => connection.close().await,
-                Sent::Partly => {
+                // The connection had been closed or spoilt while it was idle, and the call has not begun. Each
+                // turn uses one up; a new one that takes nothing is a host that can't be reached.
+                Sent::Unsent if !fresh => connection.close().await,
+                Sent::Unsent | Sent::Partly => {
                     connection.close().await;
                     return plain(Outcome::ConnectFailed);
                 }
                 Sent::Broken => {
+                    let ended = spoilt(&connection, Outcome::Reset);
                     connection.close().await;
-                    return plain(Outcome::Reset);
+                    return ended;
                 }
             }
         }
@@ -441,4 +585,72 @@
             assert_eq!(end.outcome, Outcome::ConnectFailed);
         });
     }
+
+    /// A second copy of an answer, however late, is not taken for the next call's.
+    #[test]
+    fn bytes_behind_an_answer_answer_nothing() {
+        const GOOD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        const BUSY: &[u8] = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+        // Together with the answer; while idle; and just before the next request, unseen by the library.
+        for timing in 0..3 {
+            local(async {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+                let address = listener.local_addr().expect("bound");
+                let hosts = Hosts::new(Duration::from_secs(5), Duration::from_secs(5), 4);
+                let (inputs, mut ends) = mpsc::channel(4);
+                let size = {
+                    let call = call(address, None, b"x");
+                    request(&call, Instant::now() + Duration::from_secs(30)).expect("a request").1 as usize
+                };
+                let (_cancel, cancelled) = oneshot::channel();
+                let first = async {
+                    let (mut stream, _) = listener.accept().await.expect("accepted");
+                    stream.read_exact(&mut vec![0; size]).await.expect("a call");
+                    let text = if timing == 0 { [GOOD, GOOD].concat() } else { GOOD.to_vec() };
+                    stream.write_all(&text).await.expect("written");
+                    stream
+                };
+                let one = hosts.call(call(address, None, b"x"), cancelled, inputs.clone());
+                let ((), stream) = tokio::join!(one, first);
+                let Some(Input::Ended(end)) = ends.recv().await else { panic!("no outcome") };
+                assert_eq!(end.outcome, Outcome::Ok);
+                if timing > 0 {
+                    SockRef::from(&stream).send(GOOD).expect("written");
+                }
+                if timing == 1 {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+                let (_cancel, cancelled) = oneshot::channel();
+                let second = async {
+                    let (mut stream, _) = listener.accept().await.expect("accepted");
+                    stream.read_exact(&mut vec![0; size]).await.expect("a call");
+                    stream.write_all(BUSY).await.expect("written");
+                };
+                let two = hosts.call(call(address, None, b"x"), cancelled, inputs);
+                timeout(Duration::from_secs(60), async { tokio::join!(two, second) })
+                    .await
+                    .expect("a new one");
+                let Some(Input::Ended(end)) = ends.recv().await else { panic!("no outcome") };
+                assert_eq!(end.outcome, Outcome::Full { wait: 0 }, "{timing}");
+            });
+        }
+    }
+
+    #[test]
+    fn the_first_line_is_found_past_announcements_and_cuts() {
+        let found = |text: &str, cut: usize| {
+            let mut line = FirstLine::default();
+            text.as_bytes().chunks(cut).for_each(|part| line.take(part));
+            line.status
+        };
+        for cut in [1, 3, 1000] {
+            assert_eq!(found("HTTP/1.1 200 OK\r\nX: \u{1}", cut), Some(200));
+            assert_eq!(found("HTTP/1.1 200\r\n", cut), Some(200));
+            assert_eq!(found("HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 500 Bad\r\n", cut), Some(500));
+            assert_eq!(found("HTTP/1.1 200 OK", cut), None);
+            assert_eq!(found("HTTP/1.1 2000 OK\r\n", cut), Some(0));
+            assert_eq!(found("noise 200\r\nHTTP/1.1 200 OK\r\n", cut), Some(0));
+            assert_eq!(found(&"x".repeat(2000), cut), Some(0));
+        }
+    }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -387,6 +387,54 @@
     assert_ne!(calls[0].connection, calls[1].connection);
 }
 
+#[test]
+fn a_spoilt_answer_may_have_run_unless_its_first_line_says_200() {
+    let host = Host::new(|_, _| ok());
+    let mut scene = Scene::started(vec![up("a", &host, 1)]);
+    let announced = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    let spoilt = [
+        (true, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc".to_string()),
+        (true, "HTTP/1.1 200 OK\r\nno header at all\u{1}\r\n\r\n".into()),
+        (true, "HTTP/1.1 200 OK\r\nX-Pad: never ends".into()),
+        (true, format!("HTTP/1.1 200 OK\r\n{}", "X-Pad: never ends\r\n".repeat(20_000))),
+        (true, "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nbegins".into()),
+        (true, announced.repeat(3) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        (false, announced.repeat(3) + "HTTP/1.1 500 Bad\r\nX-Pad: never ends"),
+        (false, announced.repeat(5000)),
+        (false, "\u{1}\u{2} no answer at all 200 OK\r\n\r\n".into()),
+        (false, "HTTP/1.1 20".into()),
+        (false, "HTTP/1.1 503 Busy\r\nno header at all\u{1}\r\n\r\n".into()),
+    ];
+    for (number, (delivered, text)) in spoilt.into_iter().enumerate() {
+        // A destination of its own, so that the fuse plays no part.
+        let block = 10 + number as u16;
+        scene.discovery.push(u64::from(block), &[up(&format!("h{block}"), &host, block)]);
+        until("the host", || (scene.enqueue("update", block).1 == "+OK").then_some(()));
+        let shown = text.chars().take(60).collect::<String>();
+        let answer = text.clone();
+        host.script(move |call, _| match call.body.as_slice() {
+            b"spoilt" => Answer::Parts(vec![(0, answer.clone()), (120_000, String::new())]),
+            _ => ok(),
+        });
+        // Its time is far longer than this test waits.
+        let (id, answer) = scene.enqueue_body("payout", block, 600_000, b"spoilt");
+        assert_eq!(answer, "+OK");
+        until("the call", || host.calls_of(&id).first().cloned());
+        if delivered {
+            // It is over for the relay, so the process ends without delay and owes nothing at the next start.
+            scene.term();
+            assert!(scene.end().success());
+            scene.start();
+            assert!(!scene.log().contains("still owed"), "{shown}");
+            assert_eq!(scene.discovery.notice_of(&id), None, "{shown}");
+        } else {
+            let notice = until(&shown, || scene.discovery.notice_of(&id));
+            assert_eq!(notice["status"], "undeliverable", "{shown}");
+        }
+        assert_eq!(host.calls_of(&id).len(), 1, "{shown}");
+    }
+}
+
 #[test]
 fn nothing_new_goes_to_a_host_that_drains() {
     let (old, new) = (Host::new(|_, _| ok()), Host::new(|_, _| ok()));
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -55,6 +55,8 @@
     Text(String),
     /// The same, after a while.
     Later(u64, String),
+    /// Writes these, each after a while.
+    Parts(Vec<(u64, String)>),
     /// Writes this and closes the connection.
     Last(String),
     /// Says nothing until the other side closes.
@@ -139,6 +141,12 @@
                     thread::sleep(Duration::from_millis(after));
                     writer.write_all(text.as_bytes()).ok()?;
                 }
+                Answer::Parts(parts) => {
+                    for (after, text) in parts {
+                        thread::sleep(Duration::from_millis(after));
+                        writer.write_all(text.as_bytes()).ok()?;
+                    }
+                }
                 Answer::Last(text) => return writer.write_all(text.as_bytes()).ok(),
                 Answer::Hang => {
                     drop(reader.read(&mut [0]));
