Close quiet client connections after two seconds where many are open, the longest quiet first

To blame: Clients::room() in clients.rs closed those that never asked first and kept those that had asked once for 30 s; clients that hold only so many connections had none left.

Now the longest quiet goes first, from two thirds of the places on, and where a third is in use quiet ones are closed after 2.1 s; where fewer are, after 30 s. Test in tests/relay.rs.

--- a/src/bin/madderpitch/clients.rs
+++ b/src/bin/madderpitch/clients.rs
@@ -31,10 +31,13 @@
 const REQUEST_TIME: Duration = Duration::from_secs(2);
 /// The same for one of which most is not kept, as it is far too long.
 const SKIP_TIME: Duration = Duration::from_secs(5);
-/// A connection that has asked nothing yet is closed after this; and one that has, since its last request.
-const SILENCE: (Duration, Duration) = (Duration::from_millis(2200), Duration::from_secs(30));
-/// A connection that has been quiet for less is not closed to make room: its request may be on the way.
-const SETTLED: Duration = Duration::from_millis(20);
+/// A connection that has asked nothing yet is closed after this, any quiet one where many are open ...
+const SILENCE: Duration = Duration::from_millis(2100);
+/// ... and where few are, after this.
+const IDLE: Duration = Duration::from_secs(30);
+/// To make room, no connection is closed that has been quiet for less: its request may be on the way. The
+/// first holds from two thirds of the places on, the second where none is left.
+const SETTLED: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(20));
 /// What a client still sends after its error line is read for so long and up to so much.
 const LINGER: (Duration, usize) = (Duration::from_millis(400), 4 << 20);
 /// Room that is made for the next read.
@@ -74,8 +77,6 @@
 }
 
 struct Open {
-    /// It has not asked anything yet.
-    fresh: bool,
     /// Since when no request has been open; none while one is.
     quiet: Option<Instant>,
     /// It is to close.
@@ -92,9 +93,9 @@
 impl Seat {
     fn set(&self, quiet: bool) {
         if let Some(open) = self.clients.open.borrow_mut().get_mut(&self.number) {
-            open.fresh &= quiet;
-            open.quiet = quiet.then(Instant::now);
-            open.told = false;
+            let since = open.quiet.unwrap_or_else(Instant::now);
+            open.quiet = quiet.then_some(since);
+            open.told &= quiet;
         }
     }
 
@@ -121,27 +122,36 @@
         self.open.borrow().len()
     }
 
-    /// Waits until there is room for one more, which is made by closing a quiet connection.
+    /// Whether so many are open that quiet ones do harm: clients that hold only so many connections
+    /// themselves have none left to ask on.
+    fn crowded(&self) -> bool {
+        self.count() >= self.most / 3
+    }
+
+    /// Waits until there is room for one more, which is made by closing quiet connections.
     async fn room(&self) {
+        if self.count() >= self.most / 3 * 2 {
+            self.close_one(SETTLED.0);
+        }
         while self.count() >= self.most {
-            self.close_one();
+            self.close_one(SETTLED.1);
             // It may turn out to have an open request after all.
-            drop(timeout(SETTLED / 4, self.left.notified()).await);
+            drop(timeout(SETTLED.1 / 4, self.left.notified()).await);
         }
     }
 
     /// Guards against clients that keep connections and do not use them: without it they keep all others
-    /// out. Those that never asked go first, then the one that has been quiet for longest; never one with
-    /// an open request.
-    fn close_one(&self) {
+    /// out. The one that has been quiet for longest goes, whether or not it has asked; never one with an
+    /// open request.
+    fn close_one(&self, settled: Duration) {
         let now = Instant::now();
         let mut open = self.open.borrow_mut();
         if open.values().any(|other| other.told) {
             return;
         }
         let quiet = open.values_mut().filter_map(|other| Some((other.quiet?, other)));
-        let settled = quiet.filter(|(since, _)| now - *since >= SETTLED);
-        if let Some((_, victim)) = settled.min_by_key(|(since, other)| (!other.fresh, *since)) {
+        let settled = quiet.filter(|(since, _)| now - *since >= settled);
+        if let Some((_, victim)) = settled.min_by_key(|(since, _)| *since) {
             victim.told = true;
             victim.wake.notify_one();
         }
@@ -150,7 +160,7 @@
     fn seat(self: &Rc<Self>) -> (Seat, Rc<Notify>) {
         let number = self.next.replace(self.next.get() + 1);
         let wake = Rc::new(Notify::new());
-        let open = Open { fresh: true, quiet: Some(Instant::now()), told: false, wake: wake.clone() };
+        let open = Open { quiet: Some(Instant::now()), told: false, wake: wake.clone() };
         self.open.borrow_mut().insert(number, open);
         (Seat { clients: self.clone(), number }, wake)
     }
@@ -201,7 +211,7 @@
     stream.set_nodelay(true)?;
     let mut text = BytesMut::new();
     let mut skip = 0;
-    let mut silence = SILENCE.0;
+    let mut asked = false;
     // When the request that has not come whole yet began.
     let mut began: Option<Instant> = None;
     loop {
@@ -251,7 +261,7 @@
             if malformed {
                 return part(stream).await;
             }
-            (began, silence) = (None, SILENCE.1);
+            (began, asked) = (None, true);
             // Guards the others against a client at full speed: it has its turn, then they have theirs.
             tokio::task::yield_now().await;
             continue;
@@ -264,7 +274,8 @@
         seat.set(quiet);
         let since = *began.get_or_insert_with(Instant::now);
         let bound = match skip {
-            _ if quiet => silence,
+            // Looked at again after each such span.
+            _ if quiet => SILENCE + since.elapsed(),
             0 => REQUEST_TIME,
             _ => SKIP_TIME,
         };
@@ -291,7 +302,8 @@
             },
             () = tokio::time::sleep_until(since + bound) => {
                 // Guards against clients that say nothing, or half a request, and hold a place for good.
-                if quiet && has_input(&stream) {
+                let stays = asked && !seat.clients.crowded() && since.elapsed() < IDLE;
+                if quiet && (stays || has_input(&stream)) {
                     continue;
                 }
                 if !quiet {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -632,6 +632,29 @@
     until("the call", || host.calls_of(&id).first().cloned());
 }
 
+#[test]
+fn quiet_connections_are_closed_where_many_are_open_and_kept_where_few_are() {
+    let host = Host::new(|_, _| ok());
+    let mut scene = Scene::new(vec![up("a", &host, 1)]);
+    scene.config["limits"]["sockets"] = 64.into();
+    scene.start();
+    let ask = |scene: &Scene| {
+        let mut client = scene.client();
+        client.send(&frame(&[b"PING"]));
+        assert_eq!(client.line(), "+PONG");
+        client
+    };
+    let mut alone = ask(&scene);
+    std::thread::sleep(Duration::from_millis(4500));
+    alone.send(&frame(&[b"PING"]));
+    assert_eq!(alone.line(), "+PONG", "one alone is kept");
+    // More than a third of the 20 places: clients that may hold no more of their own would be stuck.
+    let start = Instant::now();
+    let many: Vec<Client> = (0..10).map(|_| ask(&scene)).collect();
+    let closed = many.into_iter().filter_map(|mut client| client.line().is_empty().then_some(()));
+    assert!(closed.take(4).count() == 4 && start.elapsed() < Duration::from_secs(20));
+}
+
 #[test]
 fn a_connection_with_an_open_request_is_not_closed_to_make_room() {
     let host = Host::new(|_, _| ok());
