Share the hold, the slots and each destination's calls among tenants by weight

Need: with three tenants of equal share, 32 slots and a hold of 200, one that sends twenty times its usual load left another 20 to 35% of its service, as the module never looked at a message's tenant.

Change: the module asks a Sharing (crates/policy/src/sharing.rs) who comes before whom; crates/tenancy answers by start-time fair queueing of slot time and of each destination's calls, with a quantum within which worth decides, and by weighted places in the hold. Weights come from the settings' shares. Terms (rate, caps, standing) come as an event.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
+use crate::sharing::{Offer, Sharing, Unshared};
 use crate::state::*;
 
 const SECOND: Micros = 1_000_000;
@@ -199,9 +200,10 @@
 }
 
 /// The decisions of one relay.
-#[derive(Default)]
 pub struct Relay {
     set: Settings,
+    /// Who comes before whom among tenants.
+    sharing: Box<dyn Sharing>,
     siblings: f64,
     dice: Dice,
     now: Micros,
@@ -224,17 +226,32 @@
 }
 
 impl Relay {
-    /// A relay with nothing in hand.
+    /// A relay with nothing in hand, for which tenants make no difference.
     pub fn new(set: Settings, seed: u64) -> Self {
+        Relay::shared(set, seed, Box::new(Unshared))
+    }
+
+    /// A relay with nothing in hand, shared among tenants.
+    pub fn shared(set: Settings, seed: u64, sharing: Box<dyn Sharing>) -> Self {
         Relay {
+            sharing,
             siblings: set.siblings as f64,
             dice: Dice(seed),
+            now: 0,
+            held: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            leaving: Vec::new(),
+            routes: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            keys: BTreeMap::new(),
             class_usual: set.classes.iter().map(|c| c.aim as f64 / 6.0).collect(),
             subscribed: !set.discovery_by_asking,
+            ask_at: 0,
             ask_rest: SECOND / 2,
+            armed: None,
             stops_at: Micros::MAX,
             set,
-            ..Relay::default()
         }
     }
 
@@ -250,12 +267,7 @@
             match event {
                 Event::Hosts { whole, cached, entries } => self.list(whole, cached, entries),
                 Event::HostsFailed => self.list_failed(),
-                // Guards the hold where nothing in it may be refused to make room.
-                Event::Arrived(message) if self.held.len() >= self.set.most_held => {
-                    let after = self.advice();
-                    out.push(Action::Refuse { id: message.id, after });
-                }
-                Event::Arrived(message) => self.arrived(message),
+                Event::Arrived(message) => self.at_the_door(message, out),
                 Event::Restored { message, attempts } => self.restored(message, &attempts),
                 Event::Remembered(outage) => self.remembered(outage),
                 Event::Stopping { at } => self.stops_at = at,
@@ -264,6 +276,7 @@
                 }
                 Event::Ended(ended) => self.ended(ended),
                 Event::Withdrawn(id) => self.close(id),
+                Event::Tenant(tenant, terms) => self.sharing.set(now, tenant, terms),
                 Event::Timer(token) => self.armed = self.armed.filter(|at| *at != token),
                 Event::Probed { host, outcome, elapsed, report } => {
                     self.report(host, &report);
@@ -381,12 +394,32 @@
         }
     }
 
+    /// Takes a message on if its tenant may have one more and there is room; one whose tenant holds no more
+    /// than its part takes the place of another's.
+    fn at_the_door(&mut self, message: Message, out: &mut Vec<Action>) {
+        if let Err(after) = self.sharing.admit(self.now, message.tenant) {
+            let after = if after > 0 { after } else { self.advice() };
+            return out.push(Action::Refuse { id: message.id, after });
+        }
+        let most = self.set.most_held;
+        if self.held.len() >= most && !self.sharing.over_share(message.tenant, most) {
+            self.make_room(out);
+        }
+        // Guards the hold where nothing in it may be refused to make room.
+        if self.held.len() >= most {
+            let after = self.advice();
+            return out.push(Action::Refuse { id: message.id, after });
+        }
+        self.arrived(message);
+    }
+
     fn arrived(&mut self, message: Message) {
         let class = self.class(&message);
         let stretch = message.work.map_or(0.0, |w| w as f64 * class.aim_stretch) as Micros;
         let first = message.due.saturating_sub(class.give_up);
         let aim_at = (first + class.aim + stretch).min(message.due);
         let (worth, in_order) = (class.worth, class.in_order);
+        self.sharing.taken(self.now, &message);
         if let (true, Some(key)) = (in_order, message.key) {
             self.keys.entry(key).or_default().line.push_back(message.id);
         }
@@ -401,7 +434,7 @@
         let Some(held) = self.held.get_mut(&message.id) else { return };
         held.attempts.extend(attempts.iter().map(|past| {
             let fate = if past.may_have_run { Fate::MayHaveRun } else { Fate::NeverRan };
-            Attempt { sent: past.sent, zone: past.zone, call: 0, fate, called_off: false }
+            Attempt { sent: past.sent, zone: past.zone, call: 0, fate, called_off: false, booked: 0 }
         }));
     }
 
@@ -448,7 +481,7 @@
                 self.keys.retain(|_, turn| !turn.line.is_empty() || turn.rest_until > now);
             }
         }
-        self.held.remove(&id);
+        self.held.remove(&id).into_iter().for_each(|held| self.sharing.released(&held.message));
     }
 
     /// The final answer when there will be no delivery: a refusal only where nothing may have run.
@@ -472,6 +505,7 @@
             _ => Fate::MayHaveRun,
         };
         let call_id = attempt.call;
+        self.sharing.returned(&held.message, attempt.booked, end.elapsed);
         // Guards against a class that always fails somewhere: its tries must not follow at once.
         held.not_before = match end.outcome {
             Outcome::Error | Outcome::Reset => now + SECOND / 5 * tries,
@@ -655,7 +689,8 @@
     fn deadlines(&mut self, out: &mut Vec<Action>) {
         let limit = self.now + 2 * self.set.tick;
         let done = self.held.iter().filter(|(_, h)| {
-            !h.over && !h.started && (h.message.due <= limit || !h.is_out() && !self.may_send(h))
+            let spent = || !self.may_send(h) || self.sharing.abandons(h.message.tenant);
+            !h.over && !h.started && (h.message.due <= limit || !h.is_out() && spent())
         });
         for (id, due) in done.map(|(id, held)| (*id, held.message.due)).collect::<Vec<_>>() {
             // One that ends before its time has spent its attempts: its client may come again.
@@ -760,7 +795,7 @@
                 waiting.entry(held.message.destination).or_default().push(*id);
             }
         }
-        let mut offers: Vec<(f64, MessageId, DestinationId)> = Vec::new();
+        let mut offers: Vec<Offer> = Vec::new();
         for (destination, ids) in &waiting {
             for key in self.routes_to(*destination) {
                 self.routes.get_mut(&key).into_iter().for_each(|route| route.waiting = ids.len());
@@ -773,19 +808,26 @@
                 let soon = self.worth_at(held, now);
                 let left = held.aim_at.saturating_sub(now) as f64 / SECOND as f64;
                 let regret = soon - self.worth_at(held, now + HORIZON) + 0.02 * soon / (1.0 + left);
-                offers.push((regret, *id, *destination));
+                let (tenant, destination) = (held.message.tenant, *destination);
+                let usual = self.routes_to(destination).first().and_then(|key| self.routes.get(key));
+                let cost = usual.map_or(0, |route| self.usual(held, route) as Micros);
+                offers.push(Offer { id: *id, tenant, destination, regret, cost });
             }
         }
-        offers.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        offers.sort_by(|a, b| b.regret.total_cmp(&a.regret).then(a.id.cmp(&b.id)));
+        self.sharing.arrange(now, &mut offers);
+        let mut short = false;
         for i in 0..offers.len() {
-            if self.calls.len() >= self.set.slots {
+            short = self.calls.len() >= self.set.slots;
+            if short {
                 break;
             }
-            let (_, mut id, destination) = offers[i];
+            let Offer { mut id, destination, .. } = offers[i];
             let Some((key, host)) = self.choose(id) else { continue };
             // The trial risks its message: of those that may go there, take the one that risks least.
             if self.routes.get(&key).is_some_and(|r| r.fuse != Fuse::Closed && !r.harmless) {
-                let mut mates: Vec<_> = offers.iter().filter(|o| o.2 == destination).map(|o| o.1).collect();
+                let mates = offers.iter().filter(|o| o.destination == destination);
+                let mut mates: Vec<_> = mates.map(|o| o.id).collect();
                 mates.sort_by_key(|mate| self.risk(*mate));
                 id = mates.into_iter().find(|m| self.choose(*m) == Some((key, host))).unwrap_or(id);
                 let unsafe_only = self.set.probes && self.risk(id) > 2;
@@ -797,13 +839,14 @@
             }
             self.send(id, key, host, None, out);
             let per_call = self.hosts.get(&host).map_or(1, |h| self.kind(&h.entry).per_call);
-            let mates = offers[i..].iter().filter(|o| o.2 == destination);
-            let mut mates = mates.filter(|o| self.held.get(&o.1).is_some_and(|h| self.fits(h, host)));
-            let joining: Vec<_> = (1..per_call).map_while(|_| mates.next()).map(|o| o.1).collect();
+            let mates = offers[i..].iter().filter(|o| o.destination == destination);
+            let mut mates = mates.filter(|o| self.held.get(&o.id).is_some_and(|h| self.fits(h, host)));
+            let joining: Vec<_> = (1..per_call).map_while(|_| mates.next()).map(|o| o.id).collect();
             for mate in joining {
                 self.send(mate, key, host, Some(self.next_call), out);
             }
         }
+        self.sharing.settled(short);
     }
 
     fn risk(&self, id: MessageId) -> u8 {
@@ -829,7 +872,8 @@
             (Effect::Keyed { zone_only: true, .. }, Some(first)) => first.zone == host.entry.zone,
             _ => true,
         };
-        host.entry.listing == Listing::Ready && zone_kept && held.waits() && self.may_send(held)
+        let theirs = self.sharing.may_send(held.message.tenant);
+        host.entry.listing == Listing::Ready && zone_kept && theirs && held.waits() && self.may_send(held)
     }
 
     fn choose(&mut self, id: MessageId) -> Option<(RouteKey, HostId)> {
@@ -912,7 +956,9 @@
         let (Some(host), Some(held)) = (self.hosts.get_mut(&to), self.held.get_mut(&id)) else { return };
         host.in_flight += usize::from(join.is_none());
         let (zone, fate) = (host.entry.zone, Fate::Out);
-        held.attempts.push(Attempt { sent: now, zone, call, fate, called_off: false });
+        let booked = if join.is_none() { usual as Micros } else { 0 };
+        self.sharing.sent(&held.message, booked);
+        held.attempts.push(Attempt { sent: now, zone, call, fate, called_off: false, booked });
         out.push(Action::Send { id, host: to, timeout: timeout.max(1) });
     }
 
@@ -963,9 +1009,14 @@
             }
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
-        for (_, id) in ranked.into_iter().take(self.held.len() - keep) {
-            let after = self.advice();
-            self.end(id, after, out);
+        for (_, id) in ranked {
+            if self.held.len() <= keep {
+                break;
+            }
+            if self.sharing.over_share(self.held[&id].message.tenant, keep) {
+                let after = self.advice();
+                self.end(id, after, out);
+            }
         }
     }
 
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -10,6 +10,8 @@
 pub type HostId = u32;
 /// Names a destination; a message may only go to hosts of its destination.
 pub type DestinationId = u16;
+/// Names a tenant: its index in the settings, or the number that it has while it is known.
+pub type TenantId = u16;
 
 /// Whether a message may be tried again after an attempt that may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,6 +95,53 @@
 pub struct Tenant {
     /// Messages a second, over all relays, that count in full.
     pub quota_per_s: f64,
+    /// Its part of the service, against those of others; 1 where none is told.
+    pub share: f64,
+}
+
+/// How much a tenant may hand in; more is refused.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rate {
+    /// Messages a second in the long run, above 0.
+    pub per_s: f64,
+    /// Messages that may come at once, 1 at least.
+    pub burst: f64,
+}
+
+/// Where a tenant stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// Its messages are taken on and sent.
+    #[default]
+    Active,
+    /// Nothing is taken on, nothing new is sent; what is held waits, and ends when its time is up.
+    Paused,
+    /// Nothing is taken on; what is held goes on to its end.
+    Finishing,
+    /// Nothing is taken on; calls that are out come to their end, all else ends at once.
+    Ending,
+}
+
+/// What a tenant is entitled to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Its part against those of others, 1 at least.
+    pub weight: u32,
+    /// How much it may hand in; any amount if none.
+    pub rate: Option<Rate>,
+    /// Messages held at most.
+    pub most_held: usize,
+    /// Messages out in calls at most.
+    pub most_in_flight: usize,
+    /// Where it stands.
+    pub standing: Standing,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        let (most_held, most_in_flight) = (usize::MAX, usize::MAX);
+        Terms { weight: 1, rate: None, most_held, most_in_flight, standing: Standing::Active }
+    }
 }
 
 /// The figures of the rules.
@@ -200,8 +249,8 @@
     pub key: Option<u64>,
     /// Expected work, if known.
     pub work: Option<Micros>,
-    /// Index into the tenants.
-    pub tenant: u16,
+    /// Whose it is.
+    pub tenant: TenantId,
     /// The client has handed it in before.
     pub again: bool,
 }
@@ -313,6 +362,8 @@
     Ended(Ended),
     /// Nobody wants the message any more.
     Withdrawn(MessageId),
+    /// A tenant's terms from now on; none when it is gone.
+    Tenant(TenantId, Option<Terms>),
     /// A timer of ours is due.
     Timer(u64),
     /// A probe ended.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod brain;
 pub mod interface;
+pub mod sharing;
 mod state;
 
 pub use brain::Relay;
 pub use interface::{Action, Event, Settings};
+pub use sharing::Sharing;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -18,6 +18,8 @@
     pub call: u64,
     pub fate: Fate,
     pub called_off: bool,
+    /// How long it was thought to take.
+    pub booked: Micros,
 }
 
 pub struct Held {
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -11,6 +11,7 @@
 use madderpitch_policy::interface::*;
 use madderpitch_policy::Relay;
 use madderpitch_seam::{log, Signal, Signals, System};
+use madderpitch_tenancy::Shares;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::clients::{self, Clients};
@@ -97,7 +98,7 @@
     let (discovery, at) = watch::channel(config.discovery);
     let (inputs, mut incoming) = mpsc::channel(INPUTS);
     let mut driver = Driver {
-        relay: Relay::new(config.settings.clone(), config.seed),
+        relay: Relay::shared(config.settings.clone(), config.seed, Box::new(Shares::of(&config.settings))),
         clock: clock.clone(),
         journal,
         hosts: Rc::new(Hosts::new(system.clone(), config.dial_timeout, config.idle_close, most_idle)),
--- /dev/null
+++ b/crates/tenancy/src/shares.rs
@@ -0,0 +1,296 @@
+//! Who comes before whom: weighted shares of the hold, of the slots and of each destination's calls.
+//!
+//! Slots and destinations are shared by start-time fair queueing (Goyal, Vin, Cheng 1996): each tenant has a tag
+//! that grows by what it takes, divided by its weight; virtual time follows the least tag of those who ask.
+//! How far a tag lies ahead of virtual time is what its tenant has had beyond its share while others asked. A
+//! tenant that is less than a quantum ahead is not held back, so that within a quantum worth decides. Where
+//! nobody is left waiting virtual time catches up with all tags: what was borrowed from nobody is not owed.
+
+use std::collections::BTreeMap;
+
+use madderpitch_policy::interface::{DestinationId, Message, Micros, Settings, Standing, TenantId, Terms};
+use madderpitch_policy::sharing::{Offer, Sharing};
+
+use crate::meter::Meter;
+
+const SECOND: f64 = 1_000_000.0;
+/// How far ahead of its share of the slots a tenant may be before others go first, in seconds.
+const SLOTS_QUANTUM: f64 = 0.25;
+/// The same at a destination, in calls of all tenants there.
+const CALLS_QUANTUM: f64 = 4.0;
+/// A tenant that had all to itself is behind the others for so many quanta at most.
+const MOST_LEAD: f64 = 16.0;
+/// Destinations whose tags are kept at most; the one that was used longest ago is forgotten first, which forgives what
+/// tenants are ahead there.
+pub const MOST_CLOCKS: usize = 4096;
+/// Weight of a whole share in the settings, where shares are fractions.
+const WHOLE: f64 = 1000.0;
+/// The largest weight.
+const MOST_WEIGHT: f64 = 1e6;
+
+/// A tenant as the scheduler knows it.
+struct Account {
+    terms: Terms,
+    /// To be forgotten once it holds nothing.
+    gone: bool,
+    meter: Meter,
+    held: usize,
+    in_flight: usize,
+}
+
+/// The tags of the tenants that use one resource.
+#[derive(Default)]
+struct Clock {
+    virtual_time: f64,
+    /// Tags ahead of virtual time.
+    tags: BTreeMap<TenantId, f64>,
+    /// How far ahead a tag may be before another charge.
+    most: f64,
+    /// Offers of the last round that were not sent.
+    left: usize,
+    used: Micros,
+}
+
+impl Clock {
+    fn lead(&self, tenant: TenantId) -> f64 {
+        self.tags.get(&tenant).map_or(0.0, |tag| tag - self.virtual_time)
+    }
+
+    /// Virtual time comes up to the least tag of those who ask.
+    fn advance(&mut self, asking: impl Iterator<Item = TenantId>) {
+        let least = asking.map(|tenant| self.lead(tenant)).fold(f64::INFINITY, f64::min);
+        self.virtual_time += if least.is_finite() { least } else { 0.0 };
+        let now = self.virtual_time;
+        self.tags.retain(|_, tag| *tag > now);
+    }
+
+    /// A tenant takes something; what it was ahead by before counts up to a bound.
+    fn charge(&mut self, tenant: TenantId, by: f64) {
+        let lead = self.lead(tenant).min(self.most) + by;
+        if lead > 0.0 {
+            self.tags.insert(tenant, self.virtual_time + lead);
+        } else {
+            self.tags.remove(&tenant);
+        }
+    }
+
+    /// Nobody waits any more.
+    fn catch_up(&mut self) {
+        (self.virtual_time, self.tags) = (0.0, BTreeMap::new());
+    }
+}
+
+/// The shares of a relay's tenants.
+pub struct Shares {
+    accounts: BTreeMap<TenantId, Account>,
+    places: f64,
+    slots: Clock,
+    destinations: BTreeMap<DestinationId, Clock>,
+    /// Weights of the tenants that hold something, together.
+    holding: u64,
+    now: Micros,
+}
+
+impl Shares {
+    /// No tenants yet, for a relay with so many slots.
+    pub fn new(slots: usize) -> Self {
+        Shares {
+            accounts: BTreeMap::new(),
+            places: slots.max(1) as f64,
+            slots: Clock::default(),
+            destinations: BTreeMap::new(),
+            holding: 0,
+            now: 0,
+        }
+    }
+
+    /// The tenants of the settings, each with its share as its weight.
+    pub fn of(set: &Settings) -> Self {
+        let mut shares = Shares::new(set.slots);
+        for (number, tenant) in (0..).zip(&set.tenants) {
+            let weight = (tenant.share * WHOLE).clamp(1.0, MOST_WEIGHT) as u32;
+            shares.set(0, number, Some(Terms { weight, ..Terms::default() }));
+        }
+        shares
+    }
+
+    /// Destinations whose tags are kept, [`MOST_CLOCKS`] at most.
+    pub fn destinations(&self) -> usize {
+        self.destinations.len()
+    }
+
+    fn weight(&self, tenant: TenantId) -> f64 {
+        self.accounts.get(&tenant).map_or(1.0, |account| f64::from(account.terms.weight))
+    }
+
+    fn clock(&mut self, destination: DestinationId) -> &mut Clock {
+        if self.destinations.len() >= MOST_CLOCKS && !self.destinations.contains_key(&destination) {
+            let oldest = self.destinations.iter().min_by_key(|(_, clock)| clock.used).map(|(at, _)| *at);
+            oldest.and_then(|at| self.destinations.remove(&at));
+        }
+        let clock = self.destinations.entry(destination).or_default();
+        clock.used = self.now;
+        clock
+    }
+}
+
+impl Sharing for Shares {
+    fn set(&mut self, now: Micros, tenant: TenantId, terms: Option<Terms>) {
+        self.now = now;
+        let Some(terms) = terms else {
+            if let Some(account) = self.accounts.get_mut(&tenant) {
+                account.gone = true;
+                account.terms.standing = Standing::Ending;
+                if account.held == 0 {
+                    self.accounts.remove(&tenant);
+                }
+            }
+            return;
+        };
+        let terms = Terms { weight: terms.weight.max(1), ..terms };
+        let fresh = Account { terms, gone: false, meter: Meter::default(), held: 0, in_flight: 0 };
+        let account = self.accounts.entry(tenant).or_insert(fresh);
+        if account.held > 0 {
+            self.holding = self.holding - u64::from(account.terms.weight) + u64::from(terms.weight);
+        }
+        if let Some(rate) = terms.rate.filter(|rate| account.terms.rate != Some(*rate)) {
+            account.meter.change(now, rate);
+        }
+        (account.terms, account.gone) = (terms, false);
+    }
+
+    fn admit(&self, now: Micros, tenant: TenantId) -> Result<(), Micros> {
+        let Some(account) = self.accounts.get(&tenant) else { return Ok(()) };
+        let terms = account.terms;
+        if terms.standing != Standing::Active || account.held >= terms.most_held {
+            return Err(0);
+        }
+        terms.rate.map_or(Ok(()), |rate| account.meter.room(now, rate))
+    }
+
+    fn taken(&mut self, now: Micros, message: &Message) {
+        let Some(account) = self.accounts.get_mut(&message.tenant) else { return };
+        if let Some(rate) = account.terms.rate {
+            account.meter.take(now, rate);
+        }
+        if account.held == 0 {
+            self.holding += u64::from(account.terms.weight);
+        }
+        account.held += 1;
+    }
+
+    fn released(&mut self, message: &Message) {
+        // One that was held before its tenant's terms were told counts for nobody.
+        let account = self.accounts.get_mut(&message.tenant).filter(|account| account.held > 0);
+        let Some(account) = account else { return };
+        account.held -= 1;
+        if account.held == 0 {
+            self.holding -= u64::from(account.terms.weight);
+            if account.gone {
+                self.accounts.remove(&message.tenant);
+            }
+        }
+    }
+
+    fn over_share(&self, tenant: TenantId, places: usize) -> bool {
+        let Some(account) = self.accounts.get(&tenant) else { return true };
+        let weight = u64::from(account.terms.weight);
+        let all = self.holding + if account.held == 0 { weight } else { 0 };
+        account.held as f64 * all as f64 > places as f64 * weight as f64
+    }
+
+    fn arrange(&mut self, now: Micros, offers: &mut Vec<Offer>) {
+        self.now = now;
+        offers.retain(|offer| self.may_send(offer.tenant));
+        if self.accounts.len() < 2 || offers.is_empty() {
+            return;
+        }
+        let mut asking: BTreeMap<DestinationId, BTreeMap<TenantId, f64>> = BTreeMap::new();
+        let mut all: BTreeMap<TenantId, f64> = BTreeMap::new();
+        for offer in offers.iter() {
+            asking.entry(offer.destination).or_default().insert(offer.tenant, 0.0);
+            all.insert(offer.tenant, 0.0);
+        }
+        let sum = |tenants: &BTreeMap<TenantId, f64>| tenants.keys().map(|t| self.weight(*t)).sum::<f64>();
+        let whole = sum(&all);
+        let wholes: BTreeMap<DestinationId, f64> = asking.iter().map(|(d, t)| (*d, sum(t))).collect();
+        // Seconds of all slots, and calls of a destination, that a tenant has had beyond its share.
+        let scale = whole / self.places;
+        self.slots.advance(all.keys().copied());
+        self.slots.most = MOST_LEAD * SLOTS_QUANTUM / scale;
+        all.iter_mut().for_each(|(tenant, lead)| *lead = self.slots.lead(*tenant) * scale);
+        for (destination, tenants) in &mut asking {
+            let scale = wholes[destination];
+            let clock = self.clock(*destination);
+            clock.left = 0;
+            clock.advance(tenants.keys().copied());
+            clock.most = MOST_LEAD * CALLS_QUANTUM / scale;
+            tenants.iter_mut().for_each(|(tenant, lead)| *lead = clock.lead(*tenant) * scale);
+        }
+        let mut turns: Vec<(u32, Offer)> = Vec::with_capacity(offers.len());
+        for offer in offers.drain(..) {
+            let weight = self.weight(offer.tenant);
+            let mut turn = 0.0;
+            if let Some(lead) = all.get_mut(&offer.tenant) {
+                turn = *lead / SLOTS_QUANTUM;
+                *lead += offer.cost as f64 / SECOND / weight * scale;
+            }
+            let there = asking.get_mut(&offer.destination).and_then(|t| t.get_mut(&offer.tenant));
+            if let Some(lead) = there {
+                turn = turn.max(*lead / CALLS_QUANTUM);
+                *lead += wholes[&offer.destination] / weight;
+            }
+            if let Some(clock) = self.destinations.get_mut(&offer.destination) {
+                clock.left += 1;
+            }
+            turns.push((turn as u32, offer));
+        }
+        turns.sort_by_key(|(turn, _)| *turn);
+        offers.extend(turns.into_iter().map(|(_, offer)| offer));
+    }
+
+    fn may_send(&self, tenant: TenantId) -> bool {
+        self.accounts.get(&tenant).is_none_or(|account| {
+            let stands = matches!(account.terms.standing, Standing::Active | Standing::Finishing);
+            stands && account.in_flight < account.terms.most_in_flight
+        })
+    }
+
+    fn sent(&mut self, message: &Message, cost: Micros) {
+        let weight = self.weight(message.tenant);
+        if let Some(account) = self.accounts.get_mut(&message.tenant) {
+            account.in_flight += 1;
+        }
+        if self.accounts.len() < 2 {
+            return;
+        }
+        self.slots.charge(message.tenant, cost as f64 / SECOND / weight);
+        let clock = self.clock(message.destination);
+        clock.charge(message.tenant, 1.0 / weight);
+        clock.left = clock.left.saturating_sub(1);
+    }
+
+    fn returned(&mut self, message: &Message, cost: Micros, elapsed: Micros) {
+        let weight = self.weight(message.tenant);
+        if let Some(account) = self.accounts.get_mut(&message.tenant) {
+            account.in_flight = account.in_flight.saturating_sub(1);
+        }
+        if cost > 0 && self.accounts.len() > 1 {
+            self.slots.charge(message.tenant, (elapsed as f64 - cost as f64) / SECOND / weight);
+        }
+    }
+
+    fn settled(&mut self, short_of_slots: bool) {
+        if !short_of_slots {
+            self.slots.catch_up();
+        }
+        let now = self.now;
+        for clock in self.destinations.values_mut().filter(|clock| clock.used == now && clock.left == 0) {
+            clock.catch_up();
+        }
+    }
+
+    fn abandons(&self, tenant: TenantId) -> bool {
+        self.accounts.get(&tenant).is_some_and(|account| account.terms.standing == Standing::Ending)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 use madderpitch_policy::interface::*;
 use madderpitch_policy::Relay;
+use madderpitch_tenancy::Shares;
 
 /// Bytes of a batch header: the length, then the clock.
 pub const HEADER: usize = 12;
@@ -157,7 +158,10 @@
         kinds,
         tenants: list("/tenants")
             .iter()
-            .map(|t| Tenant { quota_per_s: number(t, "/quotaPerS").unwrap_or(f64::INFINITY) })
+            .map(|t| Tenant {
+                quota_per_s: number(t, "/quotaPerS").unwrap_or(f64::INFINITY),
+                share: number(t, "/share").unwrap_or(1.0),
+            })
             .collect(),
         over_share_worth: number(&root, "/overShareWorth").unwrap_or(1.0),
         decay: match text_at("/familyInfo/late") {
@@ -251,7 +255,8 @@
             let Some((relay, record)) = self.record(&mut reader)? else { continue };
             match record {
                 Record::Begin(seed, settings) => {
-                    self.relays.insert(relay, Relay::new(*settings, seed));
+                    let shares = Box::new(Shares::of(&settings));
+                    self.relays.insert(relay, Relay::shared(*settings, seed, shares));
                     pending.insert(relay, Vec::new());
                 }
                 Record::Exit => {
