Split the driver by what it keeps, and give what parts say to each other a package

Need: tenants and fronts will talk to the driver, and each would want a field and a branch in a file of 610 lines that kept hosts' names, messages' names and the round all at once.

Change: crates/exchange holds what parts and fronts say to each other; directory.rs keeps hosts by name and number, hand.rs messages by name. Behaviour is the same.

--- a/crates/relay/src/exchange.rs
+++ b/crates/exchange/src/lib.rs
@@ -1,4 +1,4 @@
-//! What the relay's parts say to each other; this module imports none of them.
+//! What the relay's parts and its fronts say to each other; this package imports none of them.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -6,14 +6,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
+use madderpitch_exchange::{Clock, Enqueue, Input, Reply};
 use madderpitch_seam::{log, Listener, Stream, System, Waiting};
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 
-use crate::exchange::{Clock, Enqueue, Input, Reply};
-
 /// The longest body.
 const BODY: usize = 64 << 10;
 /// The longest request but for its body.
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -4,14 +4,13 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use madderpitch_exchange::HostList;
 use madderpitch_policy::interface::Settings;
 use madderpitch_seam::{log, System};
 use madderpitch_wire as wire;
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::exchange::HostList;
-
 /// Limits of the machine that the relay runs on.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
--- /dev/null
+++ b/crates/relay/src/directory.rs
@@ -0,0 +1,130 @@
+//! What is known of hosts: their names on the wire, the module's numbers for them, and where they stand.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use madderpitch_exchange::{HostLine, HostList, Route};
+use madderpitch_policy::interface::{DestinationId, HostEntry, HostId, Kind, Listing};
+
+/// What is kept of a host in the list.
+#[derive(Clone, Copy)]
+pub struct Listed {
+    /// Where it takes connections.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: u8,
+    /// For which calls a wait that one of them is told holds.
+    pub route: Route,
+}
+
+/// The names in the configuration that lines of the list refer to, by index.
+pub struct Names<'a> {
+    /// Zones.
+    pub zones: &'a [String],
+    /// Kinds of destination.
+    pub kinds: &'a [String],
+    /// What the settings say of the kinds.
+    pub settings: &'a [Kind],
+}
+
+/// What a list, or a part of one, changes.
+pub struct Changes {
+    /// For the module.
+    pub entries: Vec<HostEntry>,
+    /// Hosts in the order told: whether they may be called, or drain or are gone.
+    pub ready: Vec<(HostId, bool)>,
+}
+
+/// The hosts as last told.
+#[derive(Default)]
+pub struct Directory {
+    numbers: BTreeMap<String, HostId>,
+    listed: BTreeMap<HostId, Listed>,
+    destinations: BTreeSet<DestinationId>,
+    next: HostId,
+    lines: BTreeMap<String, HostLine>,
+    version: u64,
+}
+
+/// Where a name stands in a list of them.
+pub fn index_of(names: &[String], name: &str) -> Option<u16> {
+    names.iter().position(|known| known == name).and_then(|at| u16::try_from(at).ok())
+}
+
+impl Directory {
+    /// The version of the list.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The list, whole.
+    pub fn whole(&self) -> HostList {
+        HostList { seq: self.version, whole: true, hosts: self.lines.values().cloned().collect() }
+    }
+
+    /// A host that is listed.
+    pub fn find(&self, host: HostId) -> Option<Listed> {
+        self.listed.get(&host).copied()
+    }
+
+    /// Whether no destination has ever been told.
+    pub fn is_empty(&self) -> bool {
+        self.destinations.is_empty()
+    }
+
+    /// Whether a destination has ever been told.
+    pub fn knows(&self, destination: DestinationId) -> bool {
+        self.destinations.contains(&destination)
+    }
+
+    /// Destinations that are known though the list may not name them any more.
+    pub fn know(&mut self, destinations: impl Iterator<Item = DestinationId>) {
+        self.destinations.extend(destinations);
+    }
+
+    /// Takes over a list, or what changed of it.
+    pub fn take(&mut self, list: HostList, names: &Names<'_>) -> Changes {
+        self.version = list.seq;
+        if list.whole {
+            self.lines.clear();
+        }
+        let mut missing = if list.whole { self.numbers.clone() } else { BTreeMap::new() };
+        let mut changes = Changes { entries: Vec::new(), ready: Vec::new() };
+        for line in list.hosts {
+            match line.health {
+                Listing::Gone => self.lines.remove(&line.host),
+                _ => self.lines.insert(line.host.clone(), line.clone()),
+            };
+            missing.remove(&line.host);
+            let number = *self.numbers.entry(line.host.clone()).or_insert_with(|| {
+                self.next += 1;
+                self.next
+            });
+            let zone = index_of(names.zones, &line.site).unwrap_or(0) as u8;
+            let kind = index_of(names.kinds, &line.class).unwrap_or(0) as u8;
+            let apart = names.settings.get(usize::from(kind)).is_some_and(|kind| kind.apart);
+            let route = (line.block, apart.then_some(number));
+            changes.entries.push(HostEntry {
+                host: number,
+                destination: line.block,
+                kind,
+                zone,
+                listing: line.health,
+                weight: line.share,
+            });
+            self.destinations.insert(line.block);
+            if line.health == Listing::Gone {
+                missing.insert(line.host, number);
+            } else {
+                self.listed.insert(number, Listed { address: line.dial, zone, route });
+            }
+            changes.ready.push((number, line.health == Listing::Ready));
+        }
+        for (name, number) in missing {
+            self.numbers.remove(&name);
+            self.listed.remove(&number);
+            changes.ready.push((number, false));
+        }
+        changes
+    }
+}
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -13,13 +13,12 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use madderpitch_exchange::{HostList, Input, Verdict};
 use madderpitch_policy::interface::MessageId;
 use madderpitch_seam::{log, Stream, System, Task};
 use serde::Serialize;
 use tokio::sync::{mpsc, watch, Notify};
 
-use crate::exchange::{HostList, Input, Verdict};
-
 /// An empty line comes every 2 s; past this the watch is dead, whatever its connection says.
 const SILENCE: Duration = Duration::from_millis(3500);
 /// Longest wait for a connection or an answer.
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -1,13 +1,14 @@
 //! Drives the module: what happens on sockets goes in as events, and its actions are carried out.
 //!
-//! It owns the module, the clock and the timer, and knows which name on the wire is which of the
-//! module's numbers. It decides nothing about messages.
+//! It owns the module, the clock and the timer, and decides nothing about messages. Which name on the wire is
+//! which of the module's numbers is kept beside it: hosts in `directory`, messages in `hand`.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use madderpitch_exchange::{CallEnd, Clock, Enqueue, HostList, Input, Reply, Verdict};
 use madderpitch_policy::interface::*;
 use madderpitch_policy::Relay;
 use madderpitch_seam::{log, Signal, Signals, System};
@@ -16,8 +17,9 @@
 
 use crate::clients::{self, Clients};
 use crate::config::Config;
+use crate::directory::{index_of, Directory, Listed, Names};
 use crate::discovery::{self, Notices};
-use crate::exchange::{CallEnd, Clock, Enqueue, HostLine, HostList, Input, Reply, Route, Verdict};
+use crate::hand::Hand;
 use crate::hosts::{Call, Hosts};
 use crate::journal::{Attempt, Journal, Memory, Owed, Taken};
 
@@ -27,19 +29,9 @@
 /// ended by the second, when clients' connections are closed, and by the third the process is gone.
 const STOP: [Duration; 3] =
     [Duration::from_millis(500), Duration::from_millis(3300), Duration::from_millis(3550)];
-/// So many messages that are over stay known by their names, each for as long as a client may ask again.
-const KNOWN_OVER: (usize, Duration) = (4096, Duration::from_secs(30));
 /// Descriptors that are no connection of a client or a host: discovery, the journal, the runtime's own.
 const OTHER_SOCKETS: usize = 24;
 
-/// What is kept of a host in the list.
-#[derive(Clone, Copy)]
-struct Listed {
-    address: SocketAddr,
-    zone: u8,
-    route: Route,
-}
-
 struct Driver<S: System> {
     system: S,
     config: Config,
@@ -53,22 +45,10 @@
     events: Vec<Event>,
     timer: Option<(Micros, u64)>,
     last_round: Instant,
-    /// Messages that the module has not decided on, with those who wait for the answer.
-    arriving: BTreeMap<MessageId, (Taken, Vec<oneshot::Sender<Reply>>)>,
-    /// Numbers of the messages in hand.
-    numbers: BTreeMap<String, MessageId>,
-    /// Names of messages that were taken on and are over.
-    over: BTreeSet<String>,
-    over_since: VecDeque<(Instant, String)>,
+    hand: Hand,
     /// Calls that are out: the attempt, and what ends it early.
     calls: BTreeMap<MessageId, (u8, oneshot::Sender<()>)>,
-    host_numbers: BTreeMap<String, HostId>,
-    listed: BTreeMap<HostId, Listed>,
-    destinations: BTreeSet<DestinationId>,
-    next_host: HostId,
-    /// The list as last told.
-    lines: BTreeMap<String, HostLine>,
-    version: u64,
+    directory: Directory,
     /// What is kept of the list and of outages.
     memory: Memory,
     disk: u64,
@@ -107,17 +87,9 @@
         events: Vec::new(),
         timer: None,
         last_round: system.now(),
-        arriving: BTreeMap::new(),
-        numbers: BTreeMap::new(),
-        over: BTreeSet::new(),
-        over_since: VecDeque::new(),
+        hand: Hand::default(),
         calls: BTreeMap::new(),
-        host_numbers: BTreeMap::new(),
-        listed: BTreeMap::new(),
-        destinations: BTreeSet::new(),
-        next_host: 0,
-        lines: BTreeMap::new(),
-        version: 0,
+        directory: Directory::default(),
         memory: Memory::load(&system, &config.state),
         disk,
         discovery,
@@ -127,7 +99,7 @@
     driver.restore();
     driver.round()?;
 
-    system.spawn(discovery::follow(system.clone(), at.clone(), driver.version, inputs.clone()));
+    system.spawn(discovery::follow(system.clone(), at.clone(), driver.directory.version(), inputs.clone()));
     system.spawn(discovery::notify(system.clone(), at, driver.notices.clone(), inputs.clone()));
     let (hosts, timers) = (driver.hosts.clone(), system.clone());
     system.spawn(async move {
@@ -169,7 +141,7 @@
                     stopping = Some(system.now());
                     let at = clock.now() + STOP[1].as_micros() as Micros;
                     driver.events.push(Event::Stopping { at });
-                    let (held, out) = (driver.numbers.len(), driver.calls.len());
+                    let (held, out) = (driver.hand.len(), driver.calls.len());
                     log!(system, "told to stop; {held} messages in hand, {out} calls out");
                 }
                 Signal::Reload => driver.reload(),
@@ -191,10 +163,6 @@
     what.unwrap_or_else(|e| log!(*system, "journal: cannot write: {e}"));
 }
 
-fn index_of(names: &[String], name: &str) -> Option<u16> {
-    names.iter().position(|known| known == name).and_then(|at| u16::try_from(at).ok())
-}
-
 /// The values of a load report, in the settings' order; none at all where one is missing or absurd.
 ///
 /// Guards the module against reports that can't be read: a missing value is not zero, and a share of the
@@ -258,7 +226,7 @@
         let mut known = std::mem::take(&mut self.config.known);
         // Guards hosts that drain: the configuration's list may be older than what the last process was
         // told, and discovery may be silent now.
-        self.destinations.extend(known.hosts.iter().map(|line| line.block));
+        self.directory.know(known.hosts.iter().map(|line| line.block));
         if self.memory.list.seq > known.seq {
             known = self.memory.list.clone();
         }
@@ -276,7 +244,7 @@
                 self.notices.add(id, taken.name, verdict);
                 continue;
             }
-            self.numbers.insert(taken.name.clone(), id);
+            self.hand.restored(id, taken.name.clone());
             let Some(message) = self.message(id, &taken) else {
                 log!(
                     self.system,
@@ -323,26 +291,13 @@
 
     fn enqueue(&mut self, request: Enqueue) {
         let Enqueue { name, order, class, tenant, destination, due, key, again, body, reply } = request;
-        let Some(reply) = reply else { return };
-        // Sent once more on another connection: it is in hand already.
-        if let Some(id) = self.numbers.get(&name) {
-            match self.arriving.get_mut(id) {
-                Some((_, replies)) => replies.push(reply),
-                None => drop(reply.send(Reply::Ok)),
-            }
-            return;
-        }
-        // Guards against a second effect: a request with the id of a message that is over brings nothing new.
-        if self.over.contains(&name) {
-            return drop(reply.send(Reply::Ok));
-        }
+        let Some(reply) = reply.and_then(|reply| self.hand.known(&name, reply)) else { return };
         let taken = Taken { name, key, order, class, tenant, destination, due, again, body };
         let id = self.journal.number();
         match self.checked(id, &taken) {
             Ok(message) => {
                 self.events.push(Event::Arrived(message));
-                self.numbers.insert(taken.name.clone(), id);
-                self.arriving.insert(id, (taken, vec![reply]));
+                self.hand.arrives(id, taken, reply);
             }
             Err(why) => drop(reply.send(why)),
         }
@@ -357,11 +312,11 @@
         if keyed.is_some_and(|class| matches!(class.effect, Effect::Keyed { .. })) && taken.key.is_none() {
             return error("the list lacks k");
         }
-        if self.destinations.is_empty() {
+        if self.directory.is_empty() {
             // Not a host is known yet, which says nothing about this message.
             return Err(Reply::Busy(self.come_again()));
         }
-        if !self.destinations.contains(&taken.destination) {
+        if !self.directory.knows(taken.destination) {
             return error("unknown destination");
         }
         self.message(id, taken).map_or_else(|| error("unknown tenant"), Ok)
@@ -380,7 +335,7 @@
         let owed = self.journal.all().get(&id);
         let over = told_over || owed.is_none_or(|owed| owed.verdict.is_some());
         if let Some(name) = owed.filter(|_| over).map(|owed| owed.taken.name.clone()) {
-            self.forget(name);
+            self.hand.ended(self.system.now(), name);
         }
         if told_over {
             logged(&self.system, self.journal.over(id));
@@ -393,53 +348,16 @@
     }
 
     fn list(&mut self, list: HostList, cached: bool) {
-        self.version = list.seq;
-        if list.whole {
-            self.lines.clear();
-        }
-        for line in &list.hosts {
-            match line.health {
-                Listing::Gone => self.lines.remove(&line.host),
-                _ => self.lines.insert(line.host.clone(), line.clone()),
-            };
-        }
-        let mut entries = Vec::new();
-        let mut missing = if list.whole { self.host_numbers.clone() } else { BTreeMap::new() };
-        for line in list.hosts {
-            missing.remove(&line.host);
-            let number = *self.host_numbers.entry(line.host.clone()).or_insert_with(|| {
-                self.next_host += 1;
-                self.next_host
-            });
-            let zone = index_of(&self.config.zones, &line.site).unwrap_or(0) as u8;
-            let kind = index_of(&self.config.kinds, &line.class).unwrap_or(0) as u8;
-            let apart = self.config.settings.kinds.get(usize::from(kind)).is_some_and(|kind| kind.apart);
-            let route = (line.block, apart.then_some(number));
-            entries.push(HostEntry {
-                host: number,
-                destination: line.block,
-                kind,
-                zone,
-                listing: line.health,
-                weight: line.share,
-            });
-            self.destinations.insert(line.block);
-            if line.health == Listing::Gone {
-                missing.insert(line.host, number);
-            } else {
-                self.listed.insert(number, Listed { address: line.dial, zone, route });
-            }
-            match line.health {
-                Listing::Ready => self.hosts.welcome(number),
-                _ => self.hosts.forget(number),
+        let whole = list.whole;
+        let Config { zones, kinds, settings, .. } = &self.config;
+        let changes = self.directory.take(list, &Names { zones, kinds, settings: &settings.kinds });
+        for (host, ready) in changes.ready {
+            match ready {
+                true => self.hosts.welcome(host),
+                false => self.hosts.forget(host),
             }
         }
-        for (name, number) in missing {
-            self.host_numbers.remove(&name);
-            self.listed.remove(&number);
-            self.hosts.forget(number);
-        }
-        self.events.push(Event::Hosts { whole: list.whole, cached, entries });
+        self.events.push(Event::Hosts { whole, cached, entries: changes.entries });
     }
 
     fn round(&mut self) -> Result<(), String> {
@@ -453,8 +371,8 @@
         self.relay.handle(now, std::mem::take(&mut self.events), &mut actions);
         for action in &actions {
             match action {
-                Action::Refuse { id, after } => self.turn_away(*id, Reply::Busy(after.div_ceil(1000))),
-                Action::Fail(id) => self.turn_away(*id, Reply::Error("given up".into())),
+                Action::Refuse { id, after } => self.hand.turn_away(*id, &Reply::Busy(after.div_ceil(1000))),
+                Action::Fail(id) => self.hand.turn_away(*id, &Reply::Error("given up".into())),
                 _ => {}
             }
         }
@@ -485,26 +403,18 @@
     /// Keeps what has changed of the list and of outages.
     fn remember(&mut self) {
         let outages = self.relay.outages().map(|told| (told.destination, told.down, told.back)).collect();
-        if self.memory.list.seq == self.version && self.memory.outages == outages {
+        if self.memory.list.seq == self.directory.version() && self.memory.outages == outages {
             return;
         }
-        let hosts = self.lines.values().cloned().collect();
-        self.memory = Memory { list: HostList { seq: self.version, whole: true, hosts }, outages };
+        self.memory = Memory { list: self.directory.whole(), outages };
         if let Err(error) = self.memory.save(&self.system, &self.config.state, self.disk) {
             log!(self.system, "memory: cannot write: {error}");
         }
     }
 
-    /// Answers a client whose message the module did not take on.
-    fn turn_away(&mut self, id: MessageId, reply: Reply) {
-        let Some((taken, replies)) = self.arriving.remove(&id) else { return };
-        self.numbers.remove(&taken.name);
-        replies.into_iter().for_each(|waiting| drop(waiting.send(reply.clone())));
-    }
-
     /// Takes on what the module has kept: on disk first, then the client is told.
     fn take_on(&mut self) {
-        for (id, (taken, replies)) in std::mem::take(&mut self.arriving) {
+        for (id, (taken, replies)) in self.hand.kept() {
             let name = taken.name.clone();
             let reply = match self.journal.taken(id, taken) {
                 Ok(()) => Reply::Ok,
@@ -520,7 +430,7 @@
             if reply != Reply::Ok || !heard {
                 // Nobody was told that it is taken on, so nothing is owed.
                 logged(&self.system, self.journal.over(id));
-                self.numbers.remove(&name);
+                self.hand.dropped(&name);
                 self.events.push(Event::Withdrawn(id));
             }
         }
@@ -534,7 +444,7 @@
             Event::Ended(Ended { id, attempt, host, outcome: Outcome::Moot, elapsed: 0, over, report })
         };
         let Some(owed) = owed else { return self.events.push(moot(true)) };
-        let Some(listed) = self.listed.get(&host).copied() else {
+        let Some(listed) = self.directory.find(host) else {
             // Booked all the same: the module counts it, and both must mean the same attempt by a number.
             logged(
                 &self.system,
@@ -571,23 +481,9 @@
         let Some(owed) = self.journal.all().get(&id) else { return };
         let name = owed.taken.name.clone();
         logged(&self.system, self.journal.verdict(id, verdict));
-        self.forget(name.clone());
+        self.hand.ended(self.system.now(), name.clone());
         self.notices.add(id, name, verdict);
     }
-
-    /// A message that was taken on is over; its name is kept for a while.
-    fn forget(&mut self, name: String) {
-        self.numbers.remove(&name);
-        let ((most, span), now) = (KNOWN_OVER, self.system.now());
-        let old = |(since, _): &(Instant, String)| now - *since > span;
-        while self.over_since.len() >= most || self.over_since.front().is_some_and(old) {
-            let Some((_, gone)) = self.over_since.pop_front() else { break };
-            self.over.remove(&gone);
-        }
-        if self.over.insert(name.clone()) {
-            self.over_since.push_back((now, name));
-        }
-    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/relay/src/hand.rs
@@ -0,0 +1,96 @@
+//! Messages by the names that clients gave them: those that arrive, those in hand, those that are over.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use madderpitch_exchange::Reply;
+use madderpitch_policy::interface::MessageId;
+use tokio::sync::oneshot;
+
+use crate::journal::Taken;
+
+/// So many messages that are over stay known by their names, each for as long as a client may ask again.
+const KNOWN_OVER: (usize, Duration) = (4096, Duration::from_secs(30));
+
+/// A client that waits for its answer.
+type Waiting = oneshot::Sender<Reply>;
+
+/// The messages of a relay by name.
+#[derive(Default)]
+pub struct Hand {
+    /// Messages that the module has not decided on, with those who wait for the answer.
+    arriving: BTreeMap<MessageId, (Taken, Vec<Waiting>)>,
+    /// Numbers of the messages in hand.
+    numbers: BTreeMap<String, MessageId>,
+    /// Names of messages that were taken on and are over.
+    over: BTreeSet<String>,
+    over_since: VecDeque<(Instant, String)>,
+}
+
+impl Hand {
+    /// Messages in hand, those that arrive among them.
+    pub fn len(&self) -> usize {
+        self.numbers.len()
+    }
+
+    /// Answers a request for a message that is known by its name; gives the way back for one that is not.
+    ///
+    /// Guards against a second effect: a request with the name of a message that is over brings nothing new.
+    pub fn known(&mut self, name: &str, reply: Waiting) -> Option<Waiting> {
+        // Sent once more on another connection: it is in hand already.
+        if let Some(id) = self.numbers.get(name) {
+            match self.arriving.get_mut(id) {
+                Some((_, replies)) => replies.push(reply),
+                None => drop(reply.send(Reply::Ok)),
+            }
+            return None;
+        }
+        if self.over.contains(name) {
+            drop(reply.send(Reply::Ok));
+            return None;
+        }
+        Some(reply)
+    }
+
+    /// A new message, on which the module is to decide.
+    pub fn arrives(&mut self, id: MessageId, taken: Taken, reply: Waiting) {
+        self.numbers.insert(taken.name.clone(), id);
+        self.arriving.insert(id, (taken, vec![reply]));
+    }
+
+    /// The module did not take a message on.
+    pub fn turn_away(&mut self, id: MessageId, reply: &Reply) {
+        let Some((taken, replies)) = self.arriving.remove(&id) else { return };
+        self.numbers.remove(&taken.name);
+        replies.into_iter().for_each(|waiting| drop(waiting.send(reply.clone())));
+    }
+
+    /// The messages that the module has kept, with those who wait to hear so.
+    pub fn kept(&mut self) -> BTreeMap<MessageId, (Taken, Vec<Waiting>)> {
+        std::mem::take(&mut self.arriving)
+    }
+
+    /// A message from before a restart.
+    pub fn restored(&mut self, id: MessageId, name: String) {
+        self.numbers.insert(name, id);
+    }
+
+    /// A message that was not taken on after all.
+    pub fn dropped(&mut self, name: &str) {
+        self.numbers.remove(name);
+    }
+
+    /// A message that was taken on is over; its name is kept for a while.
+    pub fn ended(&mut self, now: Instant, name: String) {
+        self.numbers.remove(&name);
+        let (most, span) = KNOWN_OVER;
+        let old = |(since, _): &(Instant, String)| now - *since > span;
+        while self.over_since.len() >= most || self.over_since.front().is_some_and(old) {
+            let Some((_, gone)) = self.over_since.pop_front() else { break };
+            self.over.remove(&gone);
+        }
+        if self.over.insert(name.clone()) {
+            self.over_since.push_back((now, name));
+        }
+    }
+}
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -16,13 +16,12 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use madderpitch_exchange::{CallEnd, Input, Route};
 use madderpitch_policy::interface::{HostId, MessageId, Micros, Outcome};
 use madderpitch_seam::{Stream, System, Task, Waiting};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{mpsc, oneshot, Notify};
 
-use crate::exchange::{CallEnd, Input, Route};
-
 const REQUEST_LINE: &str = "POST /hook HTTP/1.1\r\n";
 /// The rest of an answer is read for so long and up to so much; then its connection is closed.
 const REST_OF_ANSWER: (Duration, usize) = (Duration::from_millis(300), 64 << 10);
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -9,12 +9,11 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
+use madderpitch_exchange::{HostList, Verdict};
 use madderpitch_policy::interface::{MessageId, Micros};
 use madderpitch_seam::{log, File, System};
 use serde::{Deserialize, Serialize};
 
-use crate::exchange::{HostList, Verdict};
-
 const HEAD: usize = 8;
 /// No record is longer: a body, its names and some room.
 const LONGEST: usize = 128 * 1024;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,9 +5,10 @@
 
 mod clients;
 mod config;
+mod directory;
 mod discovery;
 mod driver;
-mod exchange;
+mod hand;
 mod hosts;
 mod journal;
 
