--- a/crates/sim/src/demo.rs
+++ b/crates/sim/src/demo.rs
@@ -6,12 +6,12 @@
 use madderpitch_seam::{Real, System};
 use tokio::sync::watch;
 
-use crate::checker::Repeat;
 use crate::dice::Dice;
 use crate::loopback::{configuration, free_address, stage, Process};
 use crate::peers::clients::{until_ready, Client, Habit, Plan};
 use crate::peers::discovery::{Discovery, Line};
 use crate::peers::hosts::{Host, Mood};
+use crate::rules::facts::{Repeat, Seen};
 
 /// Messages are handed in for this long, so many a second.
 const ARRIVALS: (u64, u64) = (10, 30);
@@ -108,10 +108,10 @@
     let say = |line: String| println!("{:5.1} s  {line}", stage.at().as_secs_f64());
     say(format!("three partners and discovery listen; the configuration is {}", file.display()));
     let mut process = Some(Process::start(&program, &["relay"], &file, &state)?);
-    checker.borrow_mut().started(stage.at(), 1);
+    stage.see(&Seen::Started(1));
     let ready = system.timeout(Duration::from_secs(20), until_ready(&stage, relay)).await;
     ready.map_err(|_| "the relay did not get ready within 20 s")?;
-    checker.borrow_mut().ready(stage.at());
+    stage.see(&Seen::Ready);
     say(format!("the relay is ready at {relay}; {} messages a second come in", ARRIVALS.1));
     let start = stage.at();
     let window = Duration::from_secs(20);
@@ -123,29 +123,28 @@
     let mood = |block: u16, mood: Mood| *hosts[usize::from(block) - 1].mood.borrow_mut() = mood;
     for second in 1..=ARRIVALS.0 + AFTER {
         system.sleep_until(stage.instant(start + Duration::from_secs(second))).await;
-        let at = stage.at();
         if second == BROKEN.1 {
             mood(BROKEN.0, Mood { fails: 100, ..Mood::default() });
-            checker.borrow_mut().outage(at, BROKEN.0, true);
+            stage.see(&Seen::Outage(BROKEN.0, true));
             say(format!("partner {} breaks: every call to it ends in an error", BROKEN.0));
         }
         if second == BROKEN.2 {
             mood(BROKEN.0, Mood::default());
-            checker.borrow_mut().outage(at, BROKEN.0, false);
+            stage.see(&Seen::Outage(BROKEN.0, false));
             say(format!("partner {} is mended", BROKEN.0));
         }
         if second == KILLED {
             // Dropped, it is killed.
             drop(process.take());
-            checker.borrow_mut().gone(stage.at());
+            stage.see(&Seen::Gone);
             say("the relay is killed with SIGKILL, and starts again on its journal".into());
             process = Some(Process::start(&program, &["relay"], &file, &state)?);
-            checker.borrow_mut().started(stage.at(), 2);
+            stage.see(&Seen::Started(2));
             let ready = system.timeout(Duration::from_secs(20), until_ready(&stage, relay)).await;
             ready.map_err(|_| "the relay did not get ready again within 20 s")?;
-            checker.borrow_mut().ready(stage.at());
+            stage.see(&Seen::Ready);
         }
-        checker.borrow_mut().pass(stage.at());
+        stage.see(&Seen::Pass);
         let (counts, open) = (checker.borrow().counts, checker.borrow().open());
         let ended = counts.undeliverable + counts.deferred;
         say(format!(
--- /dev/null
+++ b/crates/sim/src/faults/mod.rs
@@ -0,0 +1,130 @@
+//! What goes wrong on a day. A fault knows how to draw and to apply itself; it reaches the world through a scene.
+
+mod listing;
+mod partners;
+mod process;
+mod traffic;
+
+use std::fmt::Debug;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::dice::Dice;
+use crate::machine::{AddressFault, Machine, ProcId};
+use crate::peers::discovery::Discovery;
+use crate::peers::hosts::Mood;
+use crate::rules::facts::Seen;
+
+/// What a fault may touch of the world.
+pub trait Scene {
+    /// The machine.
+    fn machine(&self) -> &Machine;
+    /// Discovery.
+    fn discovery(&self) -> &Discovery;
+    /// Tells the checker what is true from now on.
+    fn see(&self, seen: &Seen<'_>);
+    /// Changes how the hosts of a destination do.
+    fn mood(&self, block: u16, change: &dyn Fn(&mut Mood));
+    /// Makes the hosts of a destination slower by so many milliseconds than they are.
+    fn slow(&self, block: u16, by: u64);
+    /// What is wrong with the addresses of a destination's hosts from now on.
+    fn address(&self, block: u16, fault: AddressFault);
+    /// Changes a host's entry in the list, whose version grows by `jump`.
+    fn list(&self, host: usize, health: &'static str, jump: u64);
+    /// Hosts there are.
+    fn hosts(&self) -> usize;
+    /// A host has another name from now on.
+    fn rename(&self, host: usize);
+    /// The relay's process.
+    fn process(&self) -> ProcId;
+    /// How long the relay is down after its next kill.
+    fn down_for(&mut self, span: Duration);
+    /// SIGTERM; the relay starts again so long after its end.
+    fn stop(&mut self, down: Duration);
+    /// SIGHUP with a configuration that names another discovery.
+    fn reload(&mut self);
+}
+
+/// Something that goes wrong for a while.
+pub trait Trouble: Debug {
+    /// It begins, and will end at `until`.
+    fn begins(&self, scene: &mut dyn Scene, until: Duration);
+
+    /// It ends.
+    fn ends(&self, _scene: &mut dyn Scene) {}
+
+    /// So many more messages for a destination are handed in while it holds.
+    fn surge(&self) -> Option<(u16, u64)> {
+        None
+    }
+
+    /// Of a hundred messages so many come from clients with a bad habit, all day.
+    fn bad_clients(&self) -> Option<u64> {
+        None
+    }
+}
+
+/// A fault and when it holds, in milliseconds.
+#[derive(Clone, Debug)]
+pub struct Fault {
+    /// From then on.
+    pub from: u64,
+    /// Until then.
+    pub until: u64,
+    /// What goes wrong.
+    pub trouble: Rc<dyn Trouble>,
+}
+
+/// What a fault may strike: one of the destinations, and one of the hosts.
+struct Target {
+    block: u16,
+    host: usize,
+}
+
+fn trouble(dice: &mut Dice, blocks: &[u16], hosts: usize) -> Rc<dyn Trouble> {
+    let at = Target { block: *dice.pick(blocks), host: dice.below(hosts as u64) as usize };
+    match dice.below(27) {
+        0 => Rc::new(partners::Fails::draw(dice, &at)),
+        1 => Rc::new(partners::Shut(at.block)),
+        2 => Rc::new(partners::ShutTold(at.block)),
+        3 => Rc::new(partners::Hangs(at.block)),
+        4 => Rc::new(partners::Trickles(at.block)),
+        5 => Rc::new(partners::Refuses(at.block)),
+        6 => Rc::new(partners::BlackHole(at.block)),
+        7 => Rc::new(partners::Cuts::draw(dice, &at)),
+        8 => Rc::new(partners::Stale(at.block)),
+        9 => Rc::new(partners::Spoils::draw(dice, &at)),
+        10 => Rc::new(partners::Limited::draw(dice, &at)),
+        11 => Rc::new(partners::Slow::draw(dice, &at)),
+        12 => Rc::new(listing::Drains(at.host)),
+        13 => Rc::new(listing::Replaced(at.host)),
+        14 => Rc::new(listing::ListLags::draw(dice)),
+        15 | 16 => Rc::new(listing::ListSilent),
+        17 => Rc::new(listing::ListJumps),
+        18 | 19 => Rc::new(process::Kill::draw(dice)),
+        20 => Rc::new(process::KillInRewriting::draw(dice)),
+        21 => Rc::new(process::Stop::draw(dice)),
+        22 => Rc::new(process::Reload),
+        23 => Rc::new(process::DiskFull::draw(dice)),
+        24 => Rc::new(process::ShortWrites::draw(dice)),
+        25 => Rc::new(traffic::Surge::draw(dice, &at)),
+        _ => Rc::new(traffic::BadClients::draw(dice)),
+    }
+}
+
+/// Two faults that overlap, and up to three more, in the order of their beginnings.
+pub fn draw(dice: &mut Dice, blocks: &[u16], hosts: usize) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let middle = dice.between(4_000, 11_000);
+    for number in 0..dice.between(2, 5) {
+        let (from, until) = if number < 2 {
+            (middle - dice.between(100, 3_500), middle + dice.between(300, 4_000))
+        } else {
+            let from = dice.between(500, 13_000);
+            (from, from + dice.between(200, 5_000))
+        };
+        faults.push(Fault { from, until, trouble: trouble(dice, blocks, hosts) });
+    }
+    faults.sort_by_key(|fault| fault.from);
+    faults
+}
--- /dev/null
+++ b/crates/sim/src/faults/partners.rs
@@ -0,0 +1,216 @@
+//! Partners that do badly.
+
+use std::time::Duration;
+
+use super::{Scene, Target, Trouble};
+use crate::dice::Dice;
+use crate::machine::AddressFault;
+use crate::rules::facts::Seen;
+
+/// A partner's calls fail, so many of a hundred.
+#[derive(Debug)]
+pub(super) struct Fails(u16, u64);
+
+impl Fails {
+    pub fn draw(dice: &mut Dice, at: &Target) -> Self {
+        Fails(at.block, dice.between(50, 100))
+    }
+}
+
+impl Trouble for Fails {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.mood(self.0, &|mood| mood.fails = self.1);
+        scene.see(&Seen::Outage(self.0, true));
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.mood(self.0, &|mood| mood.fails = 0);
+        scene.see(&Seen::Outage(self.0, false));
+    }
+}
+
+/// A partner turns all away, and tells no wait.
+#[derive(Debug)]
+pub(super) struct Shut(pub u16);
+
+impl Trouble for Shut {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.mood(self.0, &|mood| mood.shut = Some(None));
+        scene.see(&Seen::Outage(self.0, true));
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.mood(self.0, &|mood| mood.shut = None);
+        scene.see(&Seen::Outage(self.0, false));
+    }
+}
+
+/// A partner turns all away, and tells how long.
+#[derive(Debug)]
+pub(super) struct ShutTold(pub u16);
+
+impl Trouble for ShutTold {
+    fn begins(&self, scene: &mut dyn Scene, until: Duration) {
+        scene.mood(self.0, &|mood| mood.shut = Some(Some(until)));
+        scene.see(&Seen::Outage(self.0, true));
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        Shut(self.0).ends(scene);
+    }
+}
+
+/// A partner says nothing.
+#[derive(Debug)]
+pub(super) struct Hangs(pub u16);
+
+impl Trouble for Hangs {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.mood(self.0, &|mood| mood.hangs = true);
+        scene.see(&Seen::Outage(self.0, true));
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.mood(self.0, &|mood| mood.hangs = false);
+        scene.see(&Seen::Outage(self.0, false));
+    }
+}
+
+/// A partner answers a byte at a time.
+#[derive(Debug)]
+pub(super) struct Trickles(pub u16);
+
+impl Trouble for Trickles {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.mood(self.0, &|mood| mood.trickles = true);
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.mood(self.0, &|mood| mood.trickles = false);
+    }
+}
+
+/// A partner's connections are refused.
+#[derive(Debug)]
+pub(super) struct Refuses(pub u16);
+
+impl Trouble for Refuses {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.address(self.0, AddressFault { refuses: true, ..AddressFault::default() });
+        scene.see(&Seen::Outage(self.0, true));
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.address(self.0, AddressFault::default());
+        scene.see(&Seen::Outage(self.0, false));
+    }
+}
+
+/// Nothing gets through to a partner and back.
+#[derive(Debug)]
+pub(super) struct BlackHole(pub u16);
+
+impl Trouble for BlackHole {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.address(self.0, AddressFault { silent: true, ..AddressFault::default() });
+        scene.see(&Seen::Outage(self.0, true));
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        Refuses(self.0).ends(scene);
+    }
+}
+
+/// Connections to a partner are reset at any byte, so many of a hundred.
+#[derive(Debug)]
+pub(super) struct Cuts(u16, u64);
+
+impl Cuts {
+    pub fn draw(dice: &mut Dice, at: &Target) -> Self {
+        Cuts(at.block, dice.between(10, 60))
+    }
+}
+
+impl Trouble for Cuts {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.address(self.0, AddressFault { cuts: self.1, ..AddressFault::default() });
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.address(self.0, AddressFault::default());
+    }
+}
+
+/// A partner closes kept connections, also as they are used.
+#[derive(Debug)]
+pub(super) struct Stale(pub u16);
+
+impl Trouble for Stale {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.mood(self.0, &|mood| mood.closes = true);
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.mood(self.0, &|mood| mood.closes = false);
+    }
+}
+
+/// A partner's answers are spoilt, so many of a hundred.
+#[derive(Debug)]
+pub(super) struct Spoils(u16, u64);
+
+impl Spoils {
+    pub fn draw(dice: &mut Dice, at: &Target) -> Self {
+        Spoils(at.block, dice.between(5, 40))
+    }
+}
+
+impl Trouble for Spoils {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.mood(self.0, &|mood| mood.spoils = self.1);
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.mood(self.0, &|mood| mood.spoils = 0);
+    }
+}
+
+/// A partner has a limit of so many calls a second and tells waits past it.
+#[derive(Debug)]
+pub(super) struct Limited(u16, u64);
+
+impl Limited {
+    pub fn draw(dice: &mut Dice, at: &Target) -> Self {
+        Limited(at.block, dice.between(2, 10))
+    }
+}
+
+impl Trouble for Limited {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.mood(self.0, &|mood| mood.limit = Some(self.1 as f64));
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.mood(self.0, &|mood| mood.limit = None);
+    }
+}
+
+/// A partner is slow, by so many milliseconds.
+#[derive(Debug)]
+pub(super) struct Slow(u16, u64);
+
+impl Slow {
+    pub fn draw(dice: &mut Dice, at: &Target) -> Self {
+        Slow(at.block, dice.between(200, 1_500))
+    }
+}
+
+impl Trouble for Slow {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.slow(self.0, self.1);
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.slow(self.0, 0);
+    }
+}
--- /dev/null
+++ b/crates/sim/src/faults/process.rs
@@ -0,0 +1,116 @@
+//! A relay that is killed, stopped or told to read its configuration again, and a disk that is full.
+
+use std::time::Duration;
+
+use super::{Scene, Trouble};
+use crate::dice::Dice;
+use crate::rules::facts::Seen;
+
+/// SIGKILL after so many more effects, and a start so many milliseconds later.
+#[derive(Debug)]
+pub(super) struct Kill(u64, u64);
+
+impl Kill {
+    pub fn draw(dice: &mut Dice) -> Self {
+        Kill(dice.below(40), dice.between(300, 1_500))
+    }
+}
+
+impl Trouble for Kill {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.down_for(Duration::from_millis(self.1));
+        scene.machine().kill_after(scene.process(), self.0);
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        // One that has had nothing to do since is killed all the same.
+        if scene.machine().kill_is_due(scene.process()) {
+            scene.machine().kill(scene.process());
+        }
+    }
+}
+
+/// The same, within the journal's next rewriting.
+#[derive(Debug)]
+pub(super) struct KillInRewriting(u64, u64);
+
+impl KillInRewriting {
+    pub fn draw(dice: &mut Dice) -> Self {
+        KillInRewriting(dice.below(5), dice.between(300, 1_500))
+    }
+}
+
+impl Trouble for KillInRewriting {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.down_for(Duration::from_millis(self.1));
+        scene.machine().kill_in(scene.process(), "journal.new", self.0);
+    }
+}
+
+/// SIGTERM, and a start after the end.
+#[derive(Debug)]
+pub(super) struct Stop(u64);
+
+impl Stop {
+    pub fn draw(dice: &mut Dice) -> Self {
+        Stop(dice.between(300, 1_500))
+    }
+}
+
+impl Trouble for Stop {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.stop(Duration::from_millis(self.0));
+    }
+}
+
+/// SIGHUP with a configuration that names another discovery.
+#[derive(Debug)]
+pub(super) struct Reload;
+
+impl Trouble for Reload {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.reload();
+    }
+}
+
+/// The disk takes so many more bytes.
+#[derive(Debug)]
+pub(super) struct DiskFull(u64);
+
+impl DiskFull {
+    pub fn draw(dice: &mut Dice) -> Self {
+        DiskFull(dice.below(4_000))
+    }
+}
+
+impl Trouble for DiskFull {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.machine().disk(|disk| disk.room = Some(self.0));
+        scene.see(&Seen::KeepsNothing(true));
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.machine().disk(|disk| disk.room = None);
+        scene.see(&Seen::KeepsNothing(false));
+    }
+}
+
+/// So many of a hundred writes to the disk are short.
+#[derive(Debug)]
+pub(super) struct ShortWrites(u64);
+
+impl ShortWrites {
+    pub fn draw(dice: &mut Dice) -> Self {
+        ShortWrites(dice.between(5, 60))
+    }
+}
+
+impl Trouble for ShortWrites {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.machine().disk(|disk| disk.short = self.0);
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.machine().disk(|disk| disk.short = 0);
+    }
+}
--- a/crates/sim/src/loopback.rs
+++ b/crates/sim/src/loopback.rs
@@ -12,8 +12,9 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 
-use crate::checker::{Checker, Rules};
+use crate::checker::Checker;
 use crate::peers::Stage;
+use crate::rules::facts::Rules;
 use crate::script::Script;
 
 /// A relay's process, which does not outlive this.
--- a/crates/sim/src/peers/clients.rs
+++ b/crates/sim/src/peers/clients.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::Stage;
-use crate::checker::{Handed, Repeat};
+use crate::rules::facts::{Handed, Repeat, Seen};
 
 /// A client waits so long for an answer.
 const PATIENCE: Duration = Duration::from_millis(400);
@@ -175,7 +175,7 @@
             self.report(plan, id, due);
             if plan.habit == Habit::Vanishes {
                 self.open = None;
-                self.stage.checker.borrow_mut().abandoned(self.stage.at(), id);
+                self.stage.see(&Seen::Abandoned(id));
                 return None;
             }
             if plan.habit == Habit::Resends {
@@ -190,7 +190,7 @@
             };
             match heard {
                 Heard::Line(line) => {
-                    self.stage.checker.borrow_mut().answered(self.stage.at(), id, &line);
+                    self.stage.see(&Seen::Answered(id, &line));
                     (self.stage.news)(format_args!("{id} is answered {line}"));
                     let busy = line.strip_prefix("-BUSY")?;
                     let after = busy.trim().parse().unwrap_or(200);
@@ -199,12 +199,12 @@
                 Heard::Ended if used => self.open = None,
                 Heard::Ended | Heard::Nothing => {
                     self.open = None;
-                    self.stage.checker.borrow_mut().abandoned(self.stage.at(), id);
+                    self.stage.see(&Seen::Abandoned(id));
                     return Some(soon);
                 }
             }
         }
-        self.stage.checker.borrow_mut().abandoned(self.stage.at(), id);
+        self.stage.see(&Seen::Abandoned(id));
         Some(soon)
     }
 
@@ -231,7 +231,7 @@
             body: body(plan),
             due,
         };
-        self.stage.checker.borrow_mut().handed_in(self.stage.at(), handed);
+        self.stage.see(&Seen::HandedIn(&handed));
     }
 
     /// Sends what can't be read and waits for an error and a close.
@@ -251,7 +251,7 @@
             Ok(_) => true,
             Err(_) => false,
         };
-        self.stage.checker.borrow_mut().garbled(self.stage.at(), since, good);
+        self.stage.see(&Seen::Garbled(since, good));
     }
 
     /// Sends half a request and says no more.
@@ -271,7 +271,7 @@
     let mut open = Connection { stream, text: BytesMut::new(), used: false };
     open.stream.write_all(&text).await?;
     if let Some(line) = stage.system.timeout(PATIENCE, open.line()).await?? {
-        stage.checker.borrow_mut().answered(stage.at(), &id, &line);
+        stage.see(&Seen::Answered(&id, &line));
     }
     Ok(())
 }
--- a/crates/sim/src/peers/discovery.rs
+++ b/crates/sim/src/peers/discovery.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use super::{read_request, until_closed, Stage};
+use crate::rules::facts::Seen;
 
 /// An empty line comes so often.
 const BEAT: Duration = Duration::from_secs(2);
@@ -152,14 +153,14 @@
         let Ok(lines) = lines else { return false };
         for line in lines {
             let text = |name: &str| line.get(name).and_then(Value::as_str).unwrap_or("");
-            stage.checker.borrow_mut().noticed(stage.at(), text("id"), text("status"));
+            stage.see(&Seen::Noticed(text("id"), text("status")));
             (stage.news)(format_args!("notice: {} {}", text("id"), text("status")));
         }
         true
     }
 
     fn tell<S: System>(&self, stage: &Stage<S>, line: &Line) {
-        stage.checker.borrow_mut().told(stage.at(), &line.host, line.health == "up");
+        stage.see(&Seen::Told(&line.host, line.health == "up"));
     }
 
     fn tell_whole<S: System>(&self, stage: &Stage<S>) {
@@ -168,7 +169,7 @@
         // What has gone is told by its absence.
         let changes = self.changes.borrow();
         let gone = changes.iter().filter(|(_, _, line)| !self.lines.borrow().contains_key(&line.host));
-        gone.for_each(|(_, _, line)| stage.checker.borrow_mut().told(stage.at(), &line.host, false));
+        gone.for_each(|(_, _, line)| stage.see(&Seen::Told(&line.host, false)));
     }
 
     async fn watch<S: System>(
--- a/crates/sim/src/peers/hosts.rs
+++ b/crates/sim/src/peers/hosts.rs
@@ -12,8 +12,8 @@
 use tokio::io::AsyncWriteExt;
 
 use super::{read_request, until_closed, Numbered, Request, Stage};
-use crate::checker::{CallName, Called, Verdict};
 use crate::dice::Dice;
+use crate::rules::facts::{CallName, Called, Seen, Verdict};
 
 /// How a host does at present.
 #[derive(Clone, Debug, PartialEq)]
@@ -110,14 +110,14 @@
         let mut text = BytesMut::new();
         while let Some(request) = read_request(stage, &mut stream, &mut text).await? {
             let called = self.called(stage, &request, stream.number());
-            let name = stage.checker.borrow_mut().called(stage.at(), called, |conn| (stage.holds)(conn));
+            let name = stage.checker.borrow_mut().called(stage.at(), &called, &|conn| (stage.holds)(conn));
             let Some(name) = name else {
                 stream.write_all(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").await?;
                 continue;
             };
             let kept = self.answer(stage, &mut stream, &name).await;
             if !matches!(kept, Ok(true)) {
-                stage.checker.borrow_mut().closed(stage.at(), &name);
+                stage.see(&Seen::Closed(&name));
                 kept?;
                 return Ok(());
             }
@@ -212,7 +212,7 @@
             for (count, byte) in good.bytes().enumerate() {
                 stage.system.sleep(Duration::from_millis(40)).await;
                 if count + 1 == line {
-                    stage.checker.borrow_mut().answers(stage.at(), name, Verdict::Delivered);
+                    stage.see(&Seen::Answers(name, Verdict::Delivered));
                 }
                 stream.write_all(&[byte]).await?;
             }
@@ -234,7 +234,7 @@
     where
         S::Stream: Numbered,
     {
-        stage.checker.borrow_mut().answers(stage.at(), name, verdict);
+        stage.see(&Seen::Answers(name, verdict));
         stream.write_all(text.as_bytes()).await?;
         self.tell_read(stage, stream.number(), name);
         Ok(())
@@ -246,7 +246,7 @@
         stage.system.spawn(async move {
             own.system.sleep(Duration::from_millis(20)).await;
             if (own.hears)(conn) {
-                own.checker.borrow_mut().read(own.at(), &name);
+                own.see(&Seen::Read(&name));
             }
         });
     }
@@ -281,7 +281,7 @@
                 (Verdict::Delivered, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nabc")
             }
         };
-        stage.checker.borrow_mut().answers(stage.at(), name, verdict);
+        stage.see(&Seen::Answers(name, verdict));
         stream.write_all(text).await?;
         if matches!(kind, 4 | 6) {
             self.tell_read(stage, stream.number(), name);
--- a/crates/sim/src/peers/mod.rs
+++ b/crates/sim/src/peers/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::checker::Checker;
 use crate::machine::VirtualStream;
+use crate::rules::facts::Seen;
 
 /// A connection whose number no other has.
 pub trait Numbered {
@@ -59,6 +60,11 @@
         self.system.now() - self.start
     }
 
+    /// Tells the checker what passes.
+    pub fn see(&self, seen: &Seen<'_>) {
+        self.checker.borrow_mut().see(self.at(), seen);
+    }
+
     /// The moment of a span since the start.
     pub fn instant(&self, at: Duration) -> Instant {
         self.start + at
--- /dev/null
+++ b/crates/sim/src/rules/facts.rs
@@ -0,0 +1,387 @@
+//! What passed: the record that all rules share. It judges nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// From a restart's signal until so long after the relay is ready, no notice is overdue.
+const READY: Duration = Duration::from_millis(1500);
+
+/// Whether a message may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Always.
+    Safe,
+    /// While its key is remembered.
+    Keyed {
+        /// For how long, from the first call that may have run.
+        window: Duration,
+        /// Only hosts of one zone share the memory.
+        zone_only: bool,
+    },
+    /// Never, if it may have run.
+    Unsafe,
+}
+
+/// The figures of the rules, as the world has them.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// Attempts at most.
+    pub attempts: usize,
+    /// How long a key rests after a call that might still be running.
+    pub turn_gap: Duration,
+    /// Capacity at a destination's return, as a share.
+    pub cold_from: f64,
+    /// All of it is there after this.
+    pub cold: Duration,
+    /// It falls over above this multiple of its capacity ...
+    pub overload_factor: f64,
+    /// ... kept up for this long.
+    pub overload_for: Duration,
+    /// Bytes that the relay's folder may hold.
+    pub disk: u64,
+    /// Calls a second that a destination takes.
+    pub capacity: BTreeMap<u16, f64>,
+}
+
+/// A message as its client hands it in.
+#[derive(Clone, Debug)]
+pub struct Handed {
+    /// Its id.
+    pub id: String,
+    /// Its repeat rule.
+    pub repeat: Repeat,
+    /// The key of its order, where its class asks for it.
+    pub order: Option<u64>,
+    /// Its destination.
+    pub destination: u16,
+    /// Its idempotency key.
+    pub key: Option<String>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// When its time is up.
+    pub due: Duration,
+}
+
+/// What a host makes of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// A first line with 200.
+    Delivered,
+    /// Turned away unseen, with the wait told.
+    NeverRan(Duration),
+    /// Anything else.
+    MayHaveRun,
+}
+
+/// Names a call to the checker.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallName {
+    /// The message's id.
+    pub id: String,
+    /// Which of its calls.
+    pub number: usize,
+}
+
+/// A call as a host has read it.
+#[derive(Clone, Debug)]
+pub struct Called {
+    /// The number of its connection.
+    pub conn: u64,
+    /// The host's id, destination and zone.
+    pub host: (String, u16, String),
+    /// When its first byte came.
+    pub begun: Duration,
+    /// The method and path.
+    pub line: String,
+    /// Its id.
+    pub id: String,
+    /// Its idempotency key.
+    pub key: Option<String>,
+    /// How long the relay says that it will wait, in milliseconds.
+    pub expires: Option<u64>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// A call on a message.
+pub struct Call {
+    /// The number of its connection.
+    pub conn: u64,
+    /// The host's zone.
+    pub zone: String,
+    /// When its first byte came.
+    pub begun: Duration,
+    /// When its last byte came.
+    pub whole: Duration,
+    /// The process that made it.
+    pub process: u32,
+    /// The first line of its answer, and when that was written.
+    pub verdict: Option<(Duration, Verdict)>,
+    /// The host saw the connection end.
+    pub ended: Option<Duration>,
+}
+
+impl Call {
+    /// Whether it is not known never to have run.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self.verdict, Some((_, Verdict::NeverRan(_))))
+    }
+
+    /// Neither an answer nor the connection's end was seen.
+    pub fn is_out(&self) -> bool {
+        self.verdict.is_none() && self.ended.is_none()
+    }
+}
+
+/// How a message ended that was not delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// Failed.
+    Undeliverable,
+    /// Refused.
+    Deferred,
+}
+
+/// A message and what became of it.
+pub struct Message {
+    /// The message.
+    pub handed: Handed,
+    /// The process that it was handed to first.
+    pub by: u32,
+    /// When its client heard that it is taken on.
+    pub taken: Option<Duration>,
+    /// Its client waits for no answer any more, and what becomes of it counts for nothing.
+    pub abandoned: bool,
+    /// Its calls, in order.
+    pub calls: Vec<Call>,
+    /// When a host last answered 200.
+    pub delivered: Option<Duration>,
+    /// The first notice of it.
+    pub notice: Option<(Duration, Notice)>,
+}
+
+impl Message {
+    /// Whether it has an end.
+    pub fn over(&self) -> bool {
+        self.delivered.is_some() || self.notice.is_some()
+    }
+}
+
+/// Something that passed.
+pub enum Seen<'a> {
+    /// A process of the relay starts.
+    Started(u32),
+    /// The relay answers `PING` for the first time since its start.
+    Ready,
+    /// The relay gets SIGTERM.
+    ToldToStop,
+    /// The relay's process is gone, by a kill or by itself.
+    Gone,
+    /// The relay's process has ended by itself.
+    EndedByItself(&'a Result<(), String>),
+    /// The disk's folder holds so much.
+    Disk(u64),
+    /// The disk takes nothing from now on, or does again.
+    KeepsNothing(bool),
+    /// The world goes round in circles.
+    Endless,
+    /// No notice can be taken from then until then.
+    Deaf(Duration, Duration),
+    /// A request's last byte is sent.
+    HandedIn(&'a Handed),
+    /// A client reads the answer to its request.
+    Answered(&'a str, &'a str),
+    /// A client waits no longer for the answer to its request.
+    Abandoned(&'a str),
+    /// What can't be read was sent at this moment, and got its error line or a close by now, or did not.
+    Garbled(Duration, bool),
+    /// A call's last byte has come to a host, and whether the relay still holds a connection.
+    Called(&'a Called, &'a dyn Fn(u64) -> bool),
+    /// A host writes the first line of its answer.
+    Answers(&'a CallName, Verdict),
+    /// The relay has read an answer.
+    Read(&'a CallName),
+    /// A host sees a call's connection end.
+    Closed(&'a CallName),
+    /// The platform takes a notice.
+    Noticed(&'a str, &'a str),
+    /// Discovery has written a line of the list to the relay: the host, and whether it is ready.
+    Told(&'a str, bool),
+    /// All hosts of a destination are in trouble from now on, or are back.
+    Outage(u16, bool),
+    /// It is time to look at what must have happened by now.
+    Pass,
+}
+
+/// The record.
+pub struct Facts {
+    /// The figures.
+    pub rules: Rules,
+    /// When what is seen passes.
+    pub now: Duration,
+    /// All messages by their ids.
+    pub messages: BTreeMap<String, Message>,
+    /// Messages that are taken on and have no end yet.
+    pub open: BTreeSet<String>,
+    /// The relay's process.
+    pub process: u32,
+    /// When the process started.
+    pub born: Duration,
+    /// The disk took nothing at some moment of the process's life.
+    pub disk_full: bool,
+    /// When the process was told to stop.
+    pub stopping: Option<Duration>,
+    /// Restarts: from the signal until the relay was ready again and some time more.
+    pub excused: Vec<(Duration, Duration)>,
+    /// Notices can't be taken within these.
+    pub deaf: Vec<(Duration, Duration)>,
+}
+
+impl Facts {
+    /// Nothing has passed yet.
+    pub fn new(rules: Rules) -> Self {
+        Facts {
+            rules,
+            now: Duration::ZERO,
+            messages: BTreeMap::new(),
+            open: BTreeSet::new(),
+            process: 0,
+            born: Duration::ZERO,
+            disk_full: false,
+            stopping: None,
+            excused: Vec::new(),
+            deaf: Vec::new(),
+        }
+    }
+
+    /// A call that was named, and its message.
+    pub fn call(&self, name: &CallName) -> Option<(&Message, &Call)> {
+        let message = self.messages.get(&name.id)?;
+        Some((message, message.calls.get(name.number)?))
+    }
+
+    /// How long past a moment restarts and a deaf platform excuse.
+    pub fn excused_until(&self, at: Duration, patience: Duration) -> Duration {
+        let all = self.excused.iter().chain(&self.deaf);
+        all.fold(at, |at, (from, until)| {
+            let within = *from <= at.saturating_add(patience) && at < *until;
+            if within {
+                *until
+            } else {
+                at
+            }
+        })
+    }
+
+    fn excuse(&mut self) {
+        if self.excused.last().is_none_or(|(_, until)| *until != Duration::MAX) {
+            self.excused.push((self.now, Duration::MAX));
+        }
+    }
+
+    /// Books what passed, once all rules have seen it.
+    pub fn book(&mut self, seen: &Seen<'_>) {
+        let now = self.now;
+        match seen {
+            Seen::Started(process) => {
+                (self.process, self.born) = (*process, now);
+                self.stopping = None;
+            }
+            Seen::Ready => {
+                if let Some((_, until)) = self.excused.last_mut().filter(|(_, until)| *until == Duration::MAX)
+                {
+                    *until = now + READY;
+                }
+            }
+            Seen::ToldToStop => {
+                self.stopping = Some(now);
+                self.excuse();
+            }
+            Seen::Gone => {
+                (self.stopping, self.disk_full) = (None, false);
+                self.excuse();
+            }
+            Seen::KeepsNothing(begins) => self.disk_full |= begins,
+            Seen::Deaf(from, until) => self.deaf.push((*from, *until)),
+            Seen::HandedIn(handed) => {
+                let fresh = Message {
+                    handed: (*handed).clone(),
+                    by: self.process,
+                    taken: None,
+                    abandoned: false,
+                    calls: Vec::new(),
+                    delivered: None,
+                    notice: None,
+                };
+                // Sent once more on a new connection, it is the same message.
+                let message = self.messages.entry(handed.id.clone()).or_insert(fresh);
+                message.handed.due = message.handed.due.max(handed.due);
+            }
+            Seen::Answered(id, line) => {
+                let Some(message) = self.messages.get_mut(*id).filter(|message| message.taken.is_none())
+                else {
+                    return;
+                };
+                if line.starts_with('+') {
+                    message.taken = Some(now);
+                    if !message.over() {
+                        self.open.insert((*id).into());
+                    }
+                }
+            }
+            Seen::Abandoned(id) => {
+                if let Some(message) = self.messages.get_mut(*id).filter(|message| message.taken.is_none()) {
+                    message.abandoned = true;
+                }
+            }
+            Seen::Called(call, _) => {
+                let Some(message) = self.messages.get_mut(&call.id) else { return };
+                message.calls.push(Call {
+                    conn: call.conn,
+                    zone: call.host.2.clone(),
+                    begun: call.begun,
+                    whole: now,
+                    process: self.process,
+                    verdict: None,
+                    ended: None,
+                });
+            }
+            Seen::Answers(name, verdict) => {
+                let Some(message) = self.messages.get_mut(&name.id) else { return };
+                if let Some(call) = message.calls.get_mut(name.number) {
+                    call.verdict.get_or_insert((now, *verdict));
+                }
+                if *verdict == Verdict::Delivered {
+                    message.delivered = Some(now);
+                    self.open.remove(&name.id);
+                }
+            }
+            Seen::Closed(name) => {
+                let call = self.messages.get_mut(&name.id);
+                let call = call.and_then(|message| message.calls.get_mut(name.number));
+                if let Some(call) = call.filter(|call| call.is_out()) {
+                    call.ended = Some(now);
+                }
+            }
+            Seen::Noticed(id, status) => {
+                let notice = match *status {
+                    "undeliverable" => Notice::Undeliverable,
+                    "deferred" => Notice::Deferred,
+                    _ => return,
+                };
+                if let Some(message) = self.messages.get_mut(*id).filter(|message| message.notice.is_none()) {
+                    message.notice = Some((now, notice));
+                    self.open.remove(*id);
+                }
+            }
+            Seen::EndedByItself(_)
+            | Seen::Disk(_)
+            | Seen::Endless
+            | Seen::Garbled(..)
+            | Seen::Read(_)
+            | Seen::Told(..)
+            | Seen::Outage(..)
+            | Seen::Pass => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/sim/src/rules/mod.rs
@@ -0,0 +1,46 @@
+//! The rules, each in a file of its own. All are told the same, before it is booked in the facts that they share.
+
+pub mod facts;
+
+mod calls;
+mod drains;
+mod effects;
+mod ends;
+mod lost;
+mod order;
+mod process;
+mod returns;
+mod waits;
+
+use std::time::Duration;
+
+use facts::{Facts, Seen};
+
+/// What is under way counts for so long.
+const SLACK: Duration = Duration::from_millis(50);
+/// What was told less than this before a kill may not have reached the disk.
+const NOT_KEPT: Duration = Duration::from_millis(100);
+
+/// Breaches found: the rule's name, and what happened.
+pub type Broken = Vec<(&'static str, String)>;
+
+/// A rule, or a few that belong together.
+pub trait Rule {
+    /// Looks at what passed, and at what passed before.
+    fn see(&mut self, facts: &Facts, seen: &Seen<'_>, broken: &mut Broken);
+}
+
+/// All rules. The first breach of a moment is the one that is told, so that their order is that of what says most.
+pub fn all() -> Vec<Box<dyn Rule>> {
+    vec![
+        Box::new(calls::Calls),
+        Box::new(effects::Effects),
+        Box::new(ends::Ends::default()),
+        Box::new(drains::Drains::default()),
+        Box::new(waits::Waits::default()),
+        Box::new(order::Order::default()),
+        Box::new(returns::Returns::default()),
+        Box::new(process::Process),
+        Box::new(lost::Lost::default()),
+    ]
+}
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Serialize;
 use serde_json::{json, Value};
 
-use crate::checker::{Repeat, Rules};
 use crate::dice::Dice;
+use crate::faults::{self, Fault};
 use crate::peers::clients::{Habit, Plan};
+use crate::rules::facts::{Repeat, Rules};
 
 /// Clients hand messages in for this long, and at least so many of them.
 const ARRIVALS: (u64, usize) = (15_000, 200);
@@ -18,73 +18,6 @@
 /// Attempts at most; on every fourth day fewer, so that the bound is met.
 const ATTEMPTS: (u64, u64) = (2, 12);
 
-/// What goes wrong.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Trouble {
-    /// A partner's calls fail, so many of a hundred.
-    Fails(u16, u64),
-    /// A partner turns all away, and tells no wait.
-    Shut(u16),
-    /// A partner turns all away, and tells how long.
-    ShutTold(u16),
-    /// A partner says nothing.
-    Hangs(u16),
-    /// A partner answers a byte at a time.
-    Trickles(u16),
-    /// A partner's connections are refused.
-    Refuses(u16),
-    /// Nothing gets through to a partner and back.
-    BlackHole(u16),
-    /// Connections to a partner are reset at any byte, so many of a hundred.
-    Cuts(u16, u64),
-    /// A partner closes kept connections, also as they are used.
-    Stale(u16),
-    /// A partner's answers are spoilt, so many of a hundred.
-    Spoils(u16, u64),
-    /// A partner has a limit of so many calls a second and tells waits past it.
-    Limited(u16, u64),
-    /// A partner is slow, by so many milliseconds.
-    Slow(u16, u64),
-    /// A host drains, and is removed at the end.
-    Drains(usize),
-    /// A host is replaced by a new one at its address.
-    Replaced(usize),
-    /// The list comes later by so many milliseconds.
-    ListLags(u64),
-    /// Discovery says nothing on the list.
-    ListSilent,
-    /// The list's version jumps with the next changes.
-    ListJumps,
-    /// SIGKILL after so many more effects, and a start so many milliseconds later.
-    Kill(u64, u64),
-    /// The same, within the journal's next rewriting.
-    KillInRewriting(u64, u64),
-    /// SIGTERM, and a start after the end.
-    Stop(u64),
-    /// SIGHUP with a configuration that names another discovery.
-    Reload,
-    /// The disk takes so many more bytes.
-    DiskFull(u64),
-    /// So many of a hundred writes to the disk are short.
-    ShortWrites(u64),
-    /// A brand hands in so many more messages for one partner.
-    Surge(u16, u64),
-    /// So many clients have a bad habit.
-    BadClients(u64),
-}
-
-/// A fault and when it holds, in milliseconds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct Fault {
-    /// From then on.
-    pub from: u64,
-    /// Until then.
-    pub until: u64,
-    /// What goes wrong.
-    pub trouble: Trouble,
-}
-
 /// A partner's host.
 #[derive(Clone, Debug)]
 pub struct HostPlan {
@@ -185,7 +118,7 @@
         };
         let disk_mb = *dice.pick(&[0.25, 0.4, 1.0, 3.0]);
         let settings = settings(&rules, &classes, &mut dice);
-        let faults = faults(&mut dice, &blocks, hosts.len());
+        let faults = faults::draw(&mut dice, &blocks, hosts.len());
         let rules = Rules { disk: (disk_mb * 1e6) as u64, ..rules };
         let clients = messages(&mut dice, &classes, &blocks, &faults);
         Script { seed, hosts, clients, faults, rules, settings, disk_mb }
@@ -249,61 +182,9 @@
     })
 }
 
-fn trouble(dice: &mut Dice, blocks: &[u16], hosts: usize) -> Trouble {
-    let block = *dice.pick(blocks);
-    let host = dice.below(hosts as u64) as usize;
-    match dice.below(27) {
-        0 => Trouble::Fails(block, dice.between(50, 100)),
-        1 => Trouble::Shut(block),
-        2 => Trouble::ShutTold(block),
-        3 => Trouble::Hangs(block),
-        4 => Trouble::Trickles(block),
-        5 => Trouble::Refuses(block),
-        6 => Trouble::BlackHole(block),
-        7 => Trouble::Cuts(block, dice.between(10, 60)),
-        8 => Trouble::Stale(block),
-        9 => Trouble::Spoils(block, dice.between(5, 40)),
-        10 => Trouble::Limited(block, dice.between(2, 10)),
-        11 => Trouble::Slow(block, dice.between(200, 1_500)),
-        12 => Trouble::Drains(host),
-        13 => Trouble::Replaced(host),
-        14 => Trouble::ListLags(dice.between(200, 3_000)),
-        15 | 16 => Trouble::ListSilent,
-        17 => Trouble::ListJumps,
-        18 | 19 => Trouble::Kill(dice.below(40), dice.between(300, 1_500)),
-        20 => Trouble::KillInRewriting(dice.below(5), dice.between(300, 1_500)),
-        21 => Trouble::Stop(dice.between(300, 1_500)),
-        22 => Trouble::Reload,
-        23 => Trouble::DiskFull(dice.below(4_000)),
-        24 => Trouble::ShortWrites(dice.between(5, 60)),
-        25 => Trouble::Surge(block, dice.between(40, 160)),
-        _ => Trouble::BadClients(dice.between(10, 40)),
-    }
-}
-
-/// Two faults that overlap, and up to three more.
-fn faults(dice: &mut Dice, blocks: &[u16], hosts: usize) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    let middle = dice.between(4_000, 11_000);
-    for number in 0..dice.between(2, 5) {
-        let (from, until) = if number < 2 {
-            (middle - dice.between(100, 3_500), middle + dice.between(300, 4_000))
-        } else {
-            let from = dice.between(500, 13_000);
-            (from, from + dice.between(200, 5_000))
-        };
-        faults.push(Fault { from, until, trouble: trouble(dice, blocks, hosts) });
-    }
-    faults.sort_by_key(|fault| fault.from);
-    faults
-}
-
 fn messages(dice: &mut Dice, classes: &[Class], blocks: &[u16], faults: &[Fault]) -> Vec<Vec<Plan>> {
     let mut clients: Vec<Vec<Plan>> = (0..CLIENTS).map(|_| Vec::new()).collect();
-    let bad = faults.iter().find_map(|fault| match fault.trouble {
-        Trouble::BadClients(share) => Some(share),
-        _ => None,
-    });
+    let bad = faults.iter().find_map(|fault| fault.trouble.bad_clients());
     let large = dice.percent(40);
     let mut number = 0;
     let mut add = |dice: &mut Dice, at: u64, block: u16| {
@@ -339,7 +220,7 @@
         add(dice, at, block);
     }
     for fault in faults {
-        if let Trouble::Surge(block, many) = fault.trouble {
+        if let Some((block, many)) = fault.trouble.surge() {
             for _ in 0..many {
                 let at = dice.between(fault.from, fault.until.min(ARRIVALS.0));
                 add(dice, at, block);
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -13,12 +13,14 @@
 
 use crate::checker::{Breach, Checker, Counts};
 use crate::dice::Dice;
+use crate::faults::{Fault, Scene};
 use crate::machine::{AddressFault, Lie, Machine, ProcId, Virtual, CONFIG};
 use crate::peers::clients::{until_ready, Client};
 use crate::peers::discovery::{Discovery, Line};
-use crate::peers::hosts::Host;
+use crate::peers::hosts::{Host, Mood};
 use crate::peers::Stage;
-use crate::script::{discovery_address, Fault, Script, Trouble, RELAY};
+use crate::rules::facts::Seen;
+use crate::script::{discovery_address, Script, RELAY};
 
 /// After the last message's time is up the world runs on for so long.
 const AFTER: Duration = Duration::from_millis(2500);
@@ -26,6 +28,8 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// A world that needs more steps than this goes round in circles.
 const STEPS: u64 = 5_000_000;
+/// No notice can be taken for so long after a reload.
+const MOVED: Duration = Duration::from_secs(4);
 /// The folder of the relay.
 const FOLDER: &str = "/state";
 
@@ -193,16 +197,15 @@
             }
             self.live(now, relay);
             if look <= now {
-                let mut checker = self.stage.checker.borrow_mut();
-                checker.disk(now, self.machine.disk(|disk| disk.size(Path::new(FOLDER))));
-                checker.pass(now);
+                self.stage.see(&Seen::Disk(self.machine.disk(|disk| disk.size(Path::new(FOLDER)))));
+                self.stage.see(&Seen::Pass);
                 look = now + LOOK;
             }
             let until = edges.peek().map_or(ends, |(at, _, _)| *at).min(look).min(ends);
             // After every step the breach, if there is one, is known at the top of this loop.
             self.machine.step(until);
             if self.machine.steps() > STEPS {
-                self.stage.checker.borrow_mut().endless(now);
+                self.stage.see(&Seen::Endless);
             }
         }
         self.report()
@@ -249,11 +252,11 @@
         self.process = self.machine.process(self.options.lie, madderpitch_relay::run);
         self.life = Life::Up;
         self.machine.note(format_args!("process {} starts", self.process));
-        self.stage.checker.borrow_mut().started(self.machine.now(), self.process);
+        self.stage.see(&Seen::Started(self.process));
         let stage = self.stage.clone();
         self.stage.system.spawn(async move {
             until_ready(&stage, relay).await;
-            stage.checker.borrow_mut().ready(stage.at());
+            stage.see(&Seen::Ready);
         });
     }
 
@@ -264,13 +267,11 @@
             Life::Down(_) => {}
             Life::Up | Life::Stopping(_) if self.machine.is_alive(self.process) => {}
             Life::Up | Life::Stopping(_) => {
-                let mut checker = self.stage.checker.borrow_mut();
                 if let Some(how) = self.machine.ended(self.process) {
-                    checker.ended_by_itself(now, &how);
+                    self.stage.see(&Seen::EndedByItself(&how));
                 }
-                checker.gone(now);
+                self.stage.see(&Seen::Gone);
                 self.machine.note(format_args!("process {} is gone", self.process));
-                drop(checker);
                 self.machine.kill(self.process);
                 let after = match self.life {
                     Life::Stopping(after) => after,
@@ -281,141 +282,89 @@
         }
     }
 
+    fn edge(&mut self, fault: &Fault, begins: bool) {
+        match begins {
+            true => fault.trouble.begins(self, Duration::from_millis(fault.until)),
+            false => fault.trouble.ends(self),
+        }
+    }
+
     fn of_block(&self, block: u16) -> impl Iterator<Item = &Rc<Host>> {
         self.hosts.iter().filter(move |host| host.block == block)
     }
+}
 
-    fn edge(&mut self, fault: &Fault, begins: bool) {
-        let now = self.machine.now();
-        let until = Duration::from_millis(fault.until);
-        let millis = Duration::from_millis;
-        match fault.trouble {
-            Trouble::Fails(block, share) => {
-                self.of_block(block).for_each(|h| h.mood.borrow_mut().fails = if begins { share } else { 0 });
-                self.outage(now, block, begins);
-            }
-            Trouble::Shut(block) => {
-                self.of_block(block).for_each(|h| h.mood.borrow_mut().shut = begins.then_some(None));
-                self.outage(now, block, begins);
-            }
-            Trouble::ShutTold(block) => {
-                self.of_block(block).for_each(|h| h.mood.borrow_mut().shut = begins.then_some(Some(until)));
-                self.outage(now, block, begins);
-            }
-            Trouble::Hangs(block) => {
-                self.of_block(block).for_each(|h| h.mood.borrow_mut().hangs = begins);
-                self.outage(now, block, begins);
-            }
-            Trouble::Trickles(block) => {
-                self.of_block(block).for_each(|h| h.mood.borrow_mut().trickles = begins);
-            }
-            Trouble::Refuses(block) => {
-                self.address(block, AddressFault { refuses: begins, ..AddressFault::default() });
-                self.outage(now, block, begins);
-            }
-            Trouble::BlackHole(block) => {
-                self.address(block, AddressFault { silent: begins, ..AddressFault::default() });
-                self.outage(now, block, begins);
-            }
-            Trouble::Cuts(block, share) => {
-                let cuts = if begins { share } else { 0 };
-                self.address(block, AddressFault { cuts, ..AddressFault::default() });
-            }
-            Trouble::Stale(block) => {
-                self.of_block(block).for_each(|h| h.mood.borrow_mut().closes = begins);
-            }
-            Trouble::Spoils(block, share) => {
-                self.of_block(block)
-                    .for_each(|h| h.mood.borrow_mut().spoils = if begins { share } else { 0 });
-            }
-            Trouble::Limited(block, limit) => {
-                let limit = begins.then_some(limit as f64);
-                self.of_block(block).for_each(|h| h.mood.borrow_mut().limit = limit);
-            }
-            Trouble::Slow(block, by) => {
-                for (plan, host) in self.script.hosts.iter().zip(&self.hosts) {
-                    if host.block == block {
-                        let by = if begins { by } else { 0 };
-                        host.mood.borrow_mut().takes = (plan.takes.0 + by, plan.takes.1 + by);
-                    }
-                }
-            }
-            Trouble::Drains(number) => {
-                let health = if begins { "draining" } else { "removed" };
-                self.list(number, health, 1);
-            }
-            Trouble::Replaced(number) if begins => {
-                self.list(number, "removed", 1);
-                let name = format!("{}r", self.hosts[number].name.borrow());
-                *self.hosts[number].name.borrow_mut() = name;
-                self.list(number, "up", 1);
-            }
-            Trouble::ListLags(by) => self.discovery.lag.set(millis(if begins { by } else { 0 })),
-            Trouble::ListSilent => {
-                self.discovery.silent.set(begins);
-                self.discovery.wake();
-            }
-            Trouble::ListJumps => {
-                for number in 0..self.hosts.len() {
-                    self.list(number, "up", 1_000);
-                }
-            }
-            Trouble::Kill(effects, down) if begins => {
-                self.down_for = millis(down);
-                self.machine.kill_after(self.process, effects);
-            }
-            Trouble::KillInRewriting(effects, down) if begins => {
-                self.down_for = millis(down);
-                self.machine.kill_in(self.process, "journal.new", effects);
-            }
-            // One that has had nothing to do since is killed all the same.
-            Trouble::Kill(..) if self.machine.kill_is_due(self.process) => self.machine.kill(self.process),
-            Trouble::Stop(down) if begins && matches!(self.life, Life::Up) => {
-                self.life = Life::Stopping(millis(down));
-                self.stage.checker.borrow_mut().told_to_stop(now);
-                self.machine.signal(self.process, Signal::Stop);
-            }
-            Trouble::Reload if begins => {
-                self.moves += 1;
-                self.closes_discovery.send_replace(true);
-                self.serve_discovery();
-                self.configure();
-                if self.machine.is_alive(self.process) {
-                    self.machine.signal(self.process, Signal::Reload);
-                }
-                self.stage.checker.borrow_mut().deaf(now, now + millis(4_000));
-            }
-            Trouble::DiskFull(room) => {
-                self.machine.disk(|disk| disk.room = begins.then_some(room));
-                let mut checker = self.stage.checker.borrow_mut();
-                checker.keeps_nothing(begins);
-            }
-            Trouble::ShortWrites(share) => {
-                self.machine.disk(|disk| disk.short = if begins { share } else { 0 });
-            }
-            Trouble::Kill(..)
-            | Trouble::KillInRewriting(..)
-            | Trouble::Stop(_)
-            | Trouble::Reload
-            | Trouble::Replaced(_)
-            | Trouble::Surge(..)
-            | Trouble::BadClients(_) => {}
-        }
+impl Scene for World<'_> {
+    fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    fn discovery(&self) -> &Discovery {
+        &self.discovery
+    }
+
+    fn see(&self, seen: &Seen<'_>) {
+        self.stage.see(seen);
     }
 
-    fn outage(&self, now: Duration, block: u16, begins: bool) {
-        self.stage.checker.borrow_mut().outage(now, block, begins);
+    fn mood(&self, block: u16, change: &dyn Fn(&mut Mood)) {
+        self.of_block(block).for_each(|host| change(&mut host.mood.borrow_mut()));
+    }
+
+    fn slow(&self, block: u16, by: u64) {
+        for (plan, host) in self.script.hosts.iter().zip(&self.hosts) {
+            if host.block == block {
+                host.mood.borrow_mut().takes = (plan.takes.0 + by, plan.takes.1 + by);
+            }
+        }
     }
 
     fn address(&self, block: u16, fault: AddressFault) {
         self.of_block(block).for_each(|host| self.machine.fault(host.address, fault));
     }
 
-    fn list(&self, number: usize, health: &'static str, jump: u64) {
-        let host = &self.hosts[number];
+    fn list(&self, host: usize, health: &'static str, jump: u64) {
+        let host = &self.hosts[host];
         let line = line(host, health, host.capacity);
         self.discovery.change(self.machine.now(), line, jump);
     }
+
+    fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    fn rename(&self, host: usize) {
+        let name = format!("{}r", self.hosts[host].name.borrow());
+        *self.hosts[host].name.borrow_mut() = name;
+    }
+
+    fn process(&self) -> ProcId {
+        self.process
+    }
+
+    fn down_for(&mut self, span: Duration) {
+        self.down_for = span;
+    }
+
+    fn stop(&mut self, down: Duration) {
+        if matches!(self.life, Life::Up) {
+            self.life = Life::Stopping(down);
+            self.stage.see(&Seen::ToldToStop);
+            self.machine.signal(self.process, Signal::Stop);
+        }
+    }
+
+    fn reload(&mut self) {
+        self.moves += 1;
+        self.closes_discovery.send_replace(true);
+        self.serve_discovery();
+        self.configure();
+        if self.machine.is_alive(self.process) {
+            self.machine.signal(self.process, Signal::Reload);
+        }
+        let now = self.machine.now();
+        self.stage.see(&Seen::Deaf(now, now + MOVED));
+    }
 }
 
 fn line(host: &Host, health: &'static str, capacity: f64) -> Line {
