--- a/crates/tenancy/src/lib.rs
+++ b/crates/tenancy/src/lib.rs
@@ -1,6 +1,14 @@
 //! Tenants of a relay: what each is entitled to, and who comes before whom. It does no I/O.
+//!
+//! [`Shares`] is what the decision module asks; [`registry`] is what administrators change; [`record`] is how
+//! that is written, and read after anything that can happen to a file.
 
 mod meter;
+pub mod record;
+pub mod registry;
+pub mod secret;
 mod shares;
+pub mod spec;
 
+pub use registry::Registry;
 pub use shares::{Shares, MOST_CLOCKS};
--- /dev/null
+++ b/crates/tenancy/src/record.rs
@@ -0,0 +1,306 @@
+//! How a registry is written, and read after anything that can happen to a file.
+//!
+//! A line is the CRC-32 of its text in eight hexadecimal digits, a space, the text as JSON, and a line feed. A
+//! file begins with a snapshot, which says how many lines it has, and goes on with changes, each with its number.
+//! Two copies of the file are kept: what one has lost the other heals. A change that both have lost is told as
+//! lost, never passed over in silence.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::registry::{Answered, Kept, Record, Registry, Tenant};
+
+/// The format that is written; a later one is not read.
+pub const FORMAT: u32 = 1;
+/// A longer line is not read, in bytes. The longest that is written has two tenants with 256 classes,
+/// 256 ranges of destinations and 8 secrets each.
+pub const LONGEST_LINE: usize = 256 << 10;
+
+/// The first line of a file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Head {
+    format: u32,
+    /// Number of the last change that the snapshot holds.
+    seq: u64,
+    /// Lines of the snapshot after this one.
+    lines: usize,
+    /// Changes that were lost before the snapshot.
+    lost: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Line {
+    Head(Head),
+    Tenant(Tenant),
+    Gone(String, u32),
+    Answered(Answered),
+    Change(Box<Record>),
+}
+
+fn encode(line: &Line) -> Vec<u8> {
+    // Types of this package, of which none fails to be written.
+    let text = serde_json::to_vec(line).unwrap_or_default();
+    let mut out = format!("{:08x} ", crc32fast::hash(&text)).into_bytes();
+    out.extend(text);
+    out.push(b'\n');
+    out
+}
+
+fn decode(line: &[u8]) -> Option<Line> {
+    let (sum, text) = line.split_at_checked(8)?;
+    let text = text.strip_prefix(b" ")?;
+    let good = sum == format!("{:08x}", crc32fast::hash(text)).as_bytes();
+    good.then(|| serde_json::from_slice(text).ok())?
+}
+
+/// The line of a change.
+pub fn change(record: &Record) -> Vec<u8> {
+    encode(&Line::Change(Box::new(record.clone())))
+}
+
+/// The snapshot of a registry, with the changes that are still to be told elsewhere.
+pub fn snapshot(registry: &Registry, lost: u64, untold: &[Record]) -> Vec<u8> {
+    let kept = registry.kept();
+    let tenants = kept.tenants.into_iter().map(Line::Tenant);
+    let gone = kept.gone.into_iter().map(|(name, generation)| Line::Gone(name, generation));
+    let answered = kept.answered.into_iter().map(Line::Answered);
+    let lines: Vec<Line> = tenants.chain(gone).chain(answered).collect();
+    let head = Head { format: FORMAT, seq: kept.seq, lines: lines.len(), lost };
+    let mut out = encode(&Line::Head(head));
+    lines.iter().for_each(|line| out.extend(encode(line)));
+    untold.iter().for_each(|record| out.extend(change(record)));
+    out
+}
+
+/// What one copy holds.
+#[derive(Default)]
+struct Copy {
+    head: Option<Head>,
+    tenants: Vec<Tenant>,
+    gone: Vec<(String, u32)>,
+    answered: Vec<Answered>,
+    changes: BTreeMap<u64, Record>,
+    /// Not every line could be read.
+    spoilt: bool,
+}
+
+impl Copy {
+    fn read(text: &[u8]) -> Self {
+        let mut copy = Copy::default();
+        for line in text.split_inclusive(|byte| *byte == b'\n') {
+            let whole = line.strip_suffix(b"\n").filter(|line| line.len() <= LONGEST_LINE);
+            match whole.and_then(decode) {
+                Some(Line::Head(head)) => copy.head = Some(head),
+                Some(Line::Tenant(tenant)) => copy.tenants.push(tenant),
+                Some(Line::Gone(name, generation)) => copy.gone.push((name, generation)),
+                Some(Line::Answered(answered)) => copy.answered.push(answered),
+                Some(Line::Change(record)) => drop(copy.changes.insert(record.seq, *record)),
+                None => copy.spoilt = true,
+            }
+        }
+        copy
+    }
+
+    fn whole(&self) -> Option<&Head> {
+        let lines = self.tenants.len() + self.gone.len() + self.answered.len();
+        self.head.as_ref().filter(|head| head.lines == lines)
+    }
+}
+
+/// What was read.
+#[derive(Debug, Default)]
+pub struct Recovered {
+    /// The registry as it was last kept.
+    pub kept: Kept,
+    /// The changes that the files still hold, by number.
+    pub changes: BTreeMap<u64, Record>,
+    /// Changes that are lost: a tenant may stand as it did before one of them.
+    pub lost: u64,
+    /// The files are not what they should be, and are to be written anew.
+    pub spoilt: bool,
+}
+
+/// Why files can't be read at all.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unreadable {
+    /// A later version has written them.
+    #[error("the registry of tenants is of format {0}, this version reads {FORMAT} at most")]
+    Later(u32),
+}
+
+/// Reads the two copies, either of which may be torn, spoilt or missing.
+pub fn recover(
+    classes: &[String], one: Option<&[u8]>, other: Option<&[u8]>,
+) -> Result<Recovered, Unreadable> {
+    let mut copies: Vec<Copy> = [one, other].into_iter().flatten().map(Copy::read).collect();
+    if copies.is_empty() {
+        return Ok(Recovered::default());
+    }
+    let formats = copies.iter().filter_map(|copy| copy.head.as_ref()).map(|head| head.format);
+    if let Some(later) = formats.max().filter(|format| *format > FORMAT) {
+        return Err(Unreadable::Later(later));
+    }
+    let spoilt = copies.len() < 2 || copies.iter().any(|copy| copy.spoilt) || one != other;
+    copies.sort_by_key(|copy| std::cmp::Reverse(copy.whole().map(|head| head.seq)));
+    let changes: BTreeMap<u64, Record> =
+        copies.iter().flat_map(|copy| &copy.changes).map(|(seq, record)| (*seq, record.clone())).collect();
+    let mut lost =
+        copies.iter().filter_map(|copy| copy.head.as_ref()).map(|head| head.lost).max().unwrap_or(0);
+    let best = &copies[0];
+    let mut kept = Kept {
+        seq: best.head.as_ref().map_or(0, |head| head.seq),
+        tenants: best.tenants.clone(),
+        gone: best.gone.clone(),
+        answered: best.answered.clone(),
+    };
+    if best.whole().is_none() {
+        // Neither snapshot is whole: what either still has, each tenant in its newest state.
+        lost += 1;
+        kept.seq =
+            copies.iter().filter_map(|copy| copy.head.as_ref()).map(|head| head.seq).max().unwrap_or(0);
+        let mut newest: BTreeMap<(String, u32), Tenant> = BTreeMap::new();
+        for tenant in copies.iter().flat_map(|copy| &copy.tenants) {
+            let place = newest.entry((tenant.name.clone(), tenant.version.generation));
+            let place = place.or_insert_with(|| tenant.clone());
+            if place.version < tenant.version {
+                *place = tenant.clone();
+            }
+        }
+        kept.tenants = newest.into_values().collect();
+        kept.gone = copies.iter().flat_map(|copy| copy.gone.clone()).collect();
+        kept.answered.clear();
+    }
+    let mut registry = Registry::restored(classes.to_vec(), kept);
+    for (seq, record) in changes.range(registry.seq() + 1..) {
+        lost += seq - registry.seq() - 1;
+        registry.commit(record);
+    }
+    Ok(Recovered { kept: registry.kept(), changes, lost, spoilt })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::registry::{Actor, Change, Command, Decision, Expect};
+    use crate::spec::{OnRemoval, Spec};
+
+    fn command(name: &str, change: Change) -> Command {
+        let actor = Actor { name: "ops".into(), role: "admin".into() };
+        let key = Some((format!("{name} {change:?}"), crate::secret::Digest::of(name.as_bytes())));
+        Command { actor, request: "r".into(), key, name: name.into(), expect: Expect::Any, change }
+    }
+
+    /// A registry after some changes, the file that was written meanwhile, and the state after each change.
+    fn story() -> (Vec<u8>, Vec<Kept>) {
+        let mut registry = Registry::new(vec!["payout".into()]);
+        let mut text = snapshot(&registry, 0, &[]);
+        let mut states = vec![registry.kept()];
+        for (at, command) in [
+            command("acme", Change::Create(Spec::default())),
+            command("beta", Change::Create(Spec { weight: 7, ..Spec::default() })),
+            command("acme", Change::Pause),
+            command("beta", Change::Merge(serde_json::json!({"max_held": 9, "classes": ["payout"]}))),
+            command("acme", Change::Resume),
+            command("beta", Change::Remove(Some(OnRemoval::Refuse))),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let Ok(Decision::Make(record)) = registry.decide(at as u64, &command) else {
+                panic!("{command:?}")
+            };
+            text.extend(change(&record));
+            registry.commit(&record);
+            states.push(registry.kept());
+        }
+        let record = registry.drained(9).expect("one that is owed nothing");
+        text.extend(change(&record));
+        registry.commit(&record);
+        states.push(registry.kept());
+        (text, states)
+    }
+
+    fn read(one: Option<&[u8]>, other: Option<&[u8]>) -> Recovered {
+        recover(&["payout".into()], one, other).expect("readable")
+    }
+
+    #[test]
+    fn what_was_written_is_read() {
+        let (text, states) = story();
+        let recovered = read(Some(&text), Some(&text));
+        assert_eq!(Some(&recovered.kept), states.last());
+        assert!(!recovered.spoilt && recovered.lost == 0 && recovered.changes.len() == 7);
+        // The same from a snapshot of it.
+        let registry = Registry::restored(vec!["payout".into()], recovered.kept.clone());
+        let text = snapshot(&registry, 0, &[]);
+        let again = read(Some(&text), Some(&text));
+        assert_eq!(again.kept, recovered.kept);
+        assert!(!again.spoilt && again.lost == 0 && again.changes.is_empty());
+    }
+
+    /// Cut at every byte, alone or with a whole copy beside it.
+    #[test]
+    fn a_torn_file_is_a_state_that_was_there() {
+        let (text, states) = story();
+        for cut in 0..text.len() {
+            let alone = read(Some(&text[..cut]), None);
+            assert!(states.contains(&alone.kept), "cut at {cut}");
+            // What is lost is the tail, which nobody was told of; only a cut snapshot counts as a loss.
+            let head = text.iter().position(|byte| *byte == b'\n').expect("a line") + 1;
+            assert_eq!(alone.lost > 0, cut < head, "cut at {cut}");
+            for (one, other) in [(&text[..cut], &text[..]), (&text[..], &text[..cut])] {
+                let beside = read(Some(one), Some(other));
+                assert_eq!(Some(&beside.kept), states.last(), "cut at {cut}");
+                assert!(beside.spoilt && beside.lost == 0, "cut at {cut}");
+            }
+        }
+    }
+
+    /// Each bit flipped: healed by the other copy; alone, never a state that was not there without saying so.
+    #[test]
+    fn a_flipped_bit_is_healed_or_told() {
+        let (text, states) = story();
+        let mut alone_lost = 0;
+        for at in 0..text.len() {
+            for bit in 0..8 {
+                let mut spoilt = text.clone();
+                spoilt[at] ^= 1 << bit;
+                let beside = read(Some(&spoilt), Some(&text));
+                assert_eq!(Some(&beside.kept), states.last(), "byte {at} bit {bit}");
+                assert!(beside.spoilt && beside.lost == 0, "byte {at} bit {bit}");
+                let alone = read(Some(&spoilt), Some(&spoilt));
+                assert!(alone.spoilt, "byte {at} bit {bit}");
+                alone_lost += u64::from(alone.lost > 0);
+                assert!(alone.lost > 0 || states.contains(&alone.kept), "byte {at} bit {bit}");
+            }
+        }
+        assert!(alone_lost > 0);
+    }
+
+    #[test]
+    fn copies_that_were_cut_off_at_different_changes_are_one_story() {
+        let (text, states) = story();
+        let ends: Vec<usize> =
+            text.iter().enumerate().filter(|(_, byte)| **byte == b'\n').map(|(at, _)| at + 1).collect();
+        let (two, five) = (&text[..ends[2]], &text[..ends[5]]);
+        let recovered = read(Some(two), Some(five));
+        assert_eq!(recovered.kept, states[5]);
+        // One copy has been written anew since, the other has not.
+        let registry = Registry::restored(vec!["payout".into()], states[5].clone());
+        let fresh = [snapshot(&registry, 0, &[]), text[ends[5]..ends[6]].to_vec()].concat();
+        let recovered = read(Some(&fresh), Some(five));
+        assert_eq!(recovered.kept, states[6]);
+        assert_eq!(recovered.lost, 0);
+    }
+
+    #[test]
+    fn a_later_format_is_not_read() {
+        let head = Head { format: FORMAT + 1, ..Head::default() };
+        let text = encode(&Line::Head(head));
+        let read = recover(&[], Some(&text), None);
+        assert!(matches!(read, Err(Unreadable::Later(2))));
+        assert!(recover(&[], None, None).is_ok_and(|read| read.kept == Kept::default() && !read.spoilt));
+    }
+}
--- /dev/null
+++ b/crates/tenancy/src/registry.rs
@@ -0,0 +1,766 @@
+//! The tenants there are, and how administrators change them.
+//!
+//! A change is decided against the state ([`Registry::decide`]), kept by whoever has a disk, and only then
+//! made ([`Registry::commit`]): what was answered holds, and what was not answered is there whole or not at all.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::str::FromStr;
+
+use madderpitch_policy::interface::{DestinationId, Standing, TenantId, Terms};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::secret::{Digest, MOST_SECRETS};
+use crate::spec::{check_name, Invalid, OnRemoval, Spec};
+
+/// Tenants at most, those that drain among them.
+pub const MOST_TENANTS: usize = 16_384;
+/// Tenants of one name that drain at once at most.
+pub const MOST_DRAINING: usize = 4;
+/// Answers that are remembered by their idempotency keys at most; past that the oldest is forgotten.
+pub const MOST_KEYS: usize = 1000;
+/// How long such an answer is remembered, in milliseconds.
+pub const KEY_LIFE: u64 = 24 * 3600 * 1000;
+/// Names of tenants that are gone, remembered to say so; past that the oldest is forgotten.
+pub const MOST_GONE: usize = 1024;
+
+/// Which tenant of a name, and which state of it: the entity tag of the API.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Version {
+    /// 1 for the first tenant of its name, one more for each that was made after one was removed.
+    pub generation: u32,
+    /// 1 when it is made, one more with each change.
+    pub revision: u64,
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.generation, self.revision)
+    }
+}
+
+impl FromStr for Version {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Invalid> {
+        let parts = text.split_once('.').and_then(|(generation, revision)| {
+            Some(Version { generation: generation.parse().ok()?, revision: revision.parse().ok()? })
+        });
+        parts.ok_or_else(|| Invalid::new("version", "is not a generation, a point and a revision"))
+    }
+}
+
+/// Where a tenant stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Its messages are taken on and sent.
+    Active,
+    /// Nothing is taken on, nothing new is sent; what is held ends when its time is up.
+    Paused,
+    /// It is removed: nothing is taken on, what is held ends as its specification says, then it is gone.
+    Draining,
+}
+
+/// What a client of the tenant may name itself with.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+pub struct Secret {
+    /// Its name among the tenant's secrets.
+    pub id: String,
+    /// SHA-256 of the secret, in hexadecimal digits.
+    #[cfg_attr(feature = "openapi", schema(value_type = String, pattern = "^[0-9a-f]{64}$"))]
+    pub sha256: Digest,
+    /// When it was added, in milliseconds since the Unix epoch.
+    pub created_at_ms: u64,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Which of its name, and which state of it.
+    pub version: Version,
+    /// Where it stands.
+    pub state: State,
+    /// What an administrator set.
+    pub spec: Spec,
+    /// What its clients may name themselves with.
+    pub secrets: Vec<Secret>,
+    /// When it was made, in milliseconds since the Unix epoch.
+    pub created_at_ms: u64,
+    /// When it was last changed.
+    pub changed_at_ms: u64,
+}
+
+impl Tenant {
+    /// How the module is to treat it.
+    pub fn terms(&self) -> Terms {
+        let standing = match (self.state, self.spec.on_removal) {
+            (State::Active, _) => Standing::Active,
+            (State::Paused, _) => Standing::Paused,
+            (State::Draining, OnRemoval::Finish) => Standing::Finishing,
+            (State::Draining, OnRemoval::Refuse) => Standing::Ending,
+        };
+        self.spec.terms(standing)
+    }
+
+    /// How the journal names it: its name, and its generation if that is not the first.
+    pub fn reference(&self) -> String {
+        match self.version.generation {
+            1 => self.name.clone(),
+            generation => format!("{}/{generation}", self.name),
+        }
+    }
+}
+
+/// Who asks for a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+pub struct Actor {
+    /// Name of the token, or `relay` for what the relay does by itself.
+    pub name: String,
+    /// Its role.
+    pub role: String,
+}
+
+/// Which state a change is meant for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Expect {
+    /// Whatever state the tenant is in.
+    Any,
+    /// One of these.
+    OneOf(Vec<Version>),
+}
+
+/// A change that is asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A new tenant.
+    Create(Spec),
+    /// Another specification in place of what there is.
+    Replace(Spec),
+    /// Parts of the specification, as a JSON merge patch (RFC 7396).
+    Merge(Value),
+    /// Take nothing more on and send nothing new.
+    Pause,
+    /// The other way round.
+    Resume,
+    /// Remove it; by its specification or as told here.
+    Remove(Option<OnRemoval>),
+    /// One more secret.
+    AddSecret {
+        /// Its name among the tenant's.
+        id: String,
+        /// Its digest.
+        sha256: Digest,
+    },
+    /// One secret less.
+    DropSecret(String),
+}
+
+/// What an administrator asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Command {
+    /// Who.
+    pub actor: Actor,
+    /// A name for the request, for the audit log.
+    pub request: String,
+    /// A key by which the same request is known again, and a digest of what was asked.
+    pub key: Option<(String, Digest)>,
+    /// The tenant.
+    pub name: String,
+    /// Which state of it is meant; not looked at where one is made.
+    pub expect: Expect,
+    /// What is to become of it.
+    pub change: Change,
+}
+
+/// What kind of change was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Made.
+    Created,
+    /// Its specification is another.
+    Changed,
+    /// Paused.
+    Paused,
+    /// Active again.
+    Resumed,
+    /// Removed; it drains.
+    Removed,
+    /// It has drained, and is gone.
+    Gone,
+    /// It has one more secret.
+    SecretAdded,
+    /// It has one secret less.
+    SecretDropped,
+}
+
+/// A change as it is kept: all that it takes to make it again, and to tell who made it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Counts all changes of the registry, from 1.
+    pub seq: u64,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Who.
+    pub actor: Actor,
+    /// The request's name.
+    pub request: String,
+    /// The request's key, and the digest of what was asked.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<(String, Digest)>,
+    /// What kind of change.
+    pub action: Action,
+    /// The tenant before; none where it was made.
+    pub from: Option<Tenant>,
+    /// The tenant after; none where it is gone.
+    pub to: Option<Tenant>,
+}
+
+/// An answer that is remembered by its key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answered {
+    /// Who asked.
+    pub actor: String,
+    /// The key.
+    pub key: String,
+    /// Digest of what was asked.
+    pub digest: Digest,
+    /// When.
+    pub at_ms: u64,
+    /// What kind of change it was.
+    pub action: Action,
+    /// The tenant as it was told.
+    pub tenant: Tenant,
+}
+
+/// What is to become of a command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Keep this record, then commit it.
+    Make(Box<Record>),
+    /// Nothing changes: the tenant is as it was asked to be.
+    Nothing(Box<Tenant>),
+    /// It was made before, and answered so.
+    Again(Box<Answered>),
+}
+
+/// Why a change is not made.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// There is no such tenant, and was none that is remembered.
+    #[error("there is no tenant {0:?}")]
+    Unknown(String),
+    /// It was removed, and has drained.
+    #[error("the tenant {0:?} was removed")]
+    Gone(String),
+    /// There is one of this name.
+    #[error("there is a tenant {0:?} already")]
+    Exists(String),
+    /// It drains, which can't be changed any more.
+    #[error("the tenant {0:?} is being removed")]
+    Draining(String),
+    /// It is in another state than the one that was meant.
+    #[error("the tenant is at version {0} now")]
+    Stale(Version),
+    /// A value is out of bounds.
+    #[error(transparent)]
+    Invalid(#[from] Invalid),
+    /// There are as many as there may be.
+    #[error("there are {most} {what}, which is the most")]
+    TooMany {
+        /// Of what.
+        what: &'static str,
+        /// How many.
+        most: usize,
+    },
+    /// There is a secret of this name, or none.
+    #[error("{0}")]
+    Secret(String),
+    /// The idempotency key came with another request before.
+    #[error("the idempotency key was used for another request")]
+    KeyReused,
+}
+
+/// What passed for a tenant since the relay's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Messages taken on.
+    pub taken: u64,
+    /// Messages delivered.
+    pub delivered: u64,
+    /// Messages refused: at the door, or by a notice once they were taken on. Their clients may come again.
+    pub refused: u64,
+    /// Messages that were taken on and failed.
+    pub failed: u64,
+    /// Requests that were not the tenant's to make: another's, or of a class or destination that it may not use.
+    pub rejected: u64,
+}
+
+/// A tenant in use.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The tenant.
+    pub tenant: Tenant,
+    /// The module's number for it.
+    pub number: TenantId,
+    /// What passed.
+    pub counts: Counts,
+    /// Messages that were taken on and are still owed something.
+    pub owed: usize,
+}
+
+/// The tenants of a name: one that takes messages on, and those that drain.
+#[derive(Clone, Debug, Default)]
+struct Line {
+    current: Option<Entry>,
+    draining: Vec<Entry>,
+}
+
+impl Line {
+    fn newest(&self) -> Option<&Entry> {
+        self.current.as_ref().or(self.draining.last())
+    }
+
+    fn all(&self) -> impl Iterator<Item = &Entry> {
+        self.draining.iter().chain(&self.current)
+    }
+
+    fn find(&mut self, generation: u32) -> Option<&mut Entry> {
+        let mut all = self.draining.iter_mut().chain(&mut self.current);
+        all.find(|entry| entry.tenant.version.generation == generation)
+    }
+}
+
+/// All that is kept of a registry, for a snapshot.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    /// Number of the last change.
+    pub seq: u64,
+    /// All tenants.
+    pub tenants: Vec<Tenant>,
+    /// Generations of names whose tenants are gone, oldest first.
+    pub gone: Vec<(String, u32)>,
+    /// Answers by their keys, oldest first.
+    pub answered: Vec<Answered>,
+}
+
+/// A change of what the module is to know.
+pub type Effect = (TenantId, Option<Terms>);
+
+/// The tenants there are.
+#[derive(Default)]
+pub struct Registry {
+    classes: Vec<String>,
+    lines: BTreeMap<String, Line>,
+    /// Generation of the last tenant of a name that is gone, and the names oldest first.
+    gone: BTreeMap<String, u32>,
+    gone_order: VecDeque<String>,
+    answered: VecDeque<Answered>,
+    numbers: Numbers,
+    seq: u64,
+}
+
+/// The module's numbers, each given to one tenant at a time.
+#[derive(Default)]
+struct Numbers {
+    used: usize,
+    next: TenantId,
+    free: Vec<TenantId>,
+}
+
+impl Numbers {
+    /// A number that no other tenant has; `MOST_TENANTS` bounds them.
+    fn take(&mut self) -> TenantId {
+        self.used += 1;
+        self.free.pop().unwrap_or_else(|| {
+            self.next += 1;
+            self.next - 1
+        })
+    }
+
+    fn give_back(&mut self, number: TenantId) {
+        self.used -= 1;
+        self.free.push(number);
+    }
+}
+
+impl Registry {
+    /// No tenants, for a relay that knows these classes.
+    pub fn new(classes: Vec<String>) -> Self {
+        Registry { classes, ..Registry::default() }
+    }
+
+    /// The registry that was kept.
+    pub fn restored(classes: Vec<String>, kept: Kept) -> Self {
+        let mut registry = Registry { classes, seq: kept.seq, ..Registry::default() };
+        let mut tenants = kept.tenants;
+        tenants.sort_by_key(|tenant| tenant.version.generation);
+        for tenant in tenants.into_iter().take(MOST_TENANTS) {
+            registry.put(tenant);
+        }
+        kept.gone.into_iter().for_each(|(name, generation)| registry.bury(name, generation));
+        registry.answered = kept.answered.into();
+        registry
+    }
+
+    /// All that is to be kept.
+    pub fn kept(&self) -> Kept {
+        let gone = |name: &String| Some((name.clone(), *self.gone.get(name)?));
+        Kept {
+            seq: self.seq,
+            tenants: self.entries().map(|entry| entry.tenant.clone()).collect(),
+            gone: self.gone_order.iter().filter_map(gone).collect(),
+            answered: self.answered.iter().cloned().collect(),
+        }
+    }
+
+    /// Number of the last change.
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// Tenants there are, those that drain among them.
+    pub fn len(&self) -> usize {
+        self.numbers.used
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.numbers.used == 0
+    }
+
+    /// All tenants, by name and generation.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.lines.values().flat_map(Line::all)
+    }
+
+    /// The tenants of each name that comes after one, newest first where there are several.
+    pub fn page<'a>(&'a self, after: Option<&str>) -> impl Iterator<Item = &'a Entry> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        let from = after.map_or(Unbounded, Excluded);
+        self.lines.range::<str, _>((from, Unbounded)).filter_map(|(_, line)| line.newest())
+    }
+
+    /// The tenant of a name, or the newest that drains.
+    pub fn find(&self, name: &str) -> Result<&Entry, Refusal> {
+        let newest = self.lines.get(name).and_then(Line::newest);
+        newest.ok_or_else(|| match self.gone.contains_key(name) {
+            true => Refusal::Gone(name.into()),
+            false => Refusal::Unknown(name.chars().take(crate::spec::MOST_NAME).collect()),
+        })
+    }
+
+    /// The tenants of a name that drain.
+    pub fn draining(&self, name: &str) -> &[Entry] {
+        self.lines.get(name).map_or(&[], |line| &line.draining)
+    }
+
+    /// The tenant that takes messages of this name on, if it may have one of a class for a destination.
+    pub fn admits(
+        &mut self, name: &str, class: &str, destination: DestinationId,
+    ) -> Result<&mut Entry, &'static str> {
+        let Some(line) = self.lines.get_mut(name) else { return Err("unknown tenant") };
+        let Some(entry) = &mut line.current else { return Err("the tenant is being removed") };
+        if let Err(why) = entry.tenant.spec.allows(class, destination) {
+            entry.counts.rejected += 1;
+            return Err(why);
+        }
+        Ok(entry)
+    }
+
+    /// The tenant that a message was taken on for, by the journal's name for it.
+    pub fn recall(&mut self, reference: &str) -> Option<&mut Entry> {
+        let (name, generation) = match reference.split_once('/') {
+            Some((name, generation)) => (name, generation.parse().ok()?),
+            None => (reference, 1),
+        };
+        self.lines.get_mut(name)?.find(generation)
+    }
+
+    /// Whether a client may name itself as a tenant with a secret: its generation and the secret's name.
+    pub fn login(&self, name: &str, secret: &[u8]) -> Option<Login> {
+        let digest = Digest::of(secret);
+        let tenant = &self.lines.get(name)?.current.as_ref()?.tenant;
+        let found = tenant.secrets.iter().find(|known| known.sha256.same(&digest))?;
+        let (tenant, generation) = (tenant.name.clone(), tenant.version.generation);
+        Some(Login { tenant, generation, secret: found.id.clone() })
+    }
+
+    /// Whether a client that named itself before may still speak for its tenant.
+    pub fn knows(&self, login: &Login) -> bool {
+        let current = self.lines.get(&login.tenant).and_then(|line| line.current.as_ref());
+        current.is_some_and(|entry| {
+            let Tenant { version, secrets, .. } = &entry.tenant;
+            version.generation == login.generation && secrets.iter().any(|known| known.id == login.secret)
+        })
+    }
+
+    /// What a command comes to, as things stand.
+    pub fn decide(&self, now_ms: u64, command: &Command) -> Result<Decision, Refusal> {
+        if let Some((key, digest)) = &command.key {
+            let mine = |a: &&Answered| a.actor == command.actor.name && a.key == *key && a.lives(now_ms);
+            if let Some(answered) = self.answered.iter().find(mine) {
+                return match answered.digest == *digest {
+                    true => Ok(Decision::Again(Box::new(answered.clone()))),
+                    false => Err(Refusal::KeyReused),
+                };
+            }
+        }
+        if let Change::Create(spec) = &command.change {
+            return self.create(now_ms, command, spec);
+        }
+        let entry = self.find(&command.name)?;
+        let tenant = &entry.tenant;
+        if matches!(&command.expect, Expect::OneOf(versions) if !versions.contains(&tenant.version)) {
+            return Err(Refusal::Stale(tenant.version));
+        }
+        let mut to = tenant.clone();
+        let action = self.change(&command.change, &mut to, now_ms)?;
+        if to == *tenant {
+            return Ok(Decision::Nothing(Box::new(to)));
+        }
+        to.version.revision += 1;
+        to.changed_at_ms = now_ms;
+        Ok(Decision::Make(Box::new(self.record(now_ms, command, action, Some(tenant.clone()), to))))
+    }
+
+    fn create(&self, now_ms: u64, command: &Command, spec: &Spec) -> Result<Decision, Refusal> {
+        check_name(&command.name)?;
+        spec.check(&self.classes)?;
+        let line = self.lines.get(&command.name);
+        if line.is_some_and(|line| line.current.is_some()) {
+            return Err(Refusal::Exists(command.name.clone()));
+        }
+        if self.numbers.used >= MOST_TENANTS {
+            return Err(Refusal::TooMany { what: "tenants", most: MOST_TENANTS });
+        }
+        if line.is_some_and(|line| line.draining.len() >= MOST_DRAINING) {
+            return Err(Refusal::TooMany { what: "tenants of this name that drain", most: MOST_DRAINING });
+        }
+        let last = line.and_then(Line::newest).map(|entry| entry.tenant.version.generation);
+        let last = last.max(self.gone.get(&command.name).copied()).unwrap_or(0);
+        let to = Tenant {
+            name: command.name.clone(),
+            version: Version { generation: last + 1, revision: 1 },
+            state: State::Active,
+            spec: spec.clone(),
+            secrets: Vec::new(),
+            created_at_ms: now_ms,
+            changed_at_ms: now_ms,
+        };
+        Ok(Decision::Make(Box::new(self.record(now_ms, command, Action::Created, None, to))))
+    }
+
+    /// Changes a tenant as asked, but for its version.
+    fn change(&self, change: &Change, to: &mut Tenant, now_ms: u64) -> Result<Action, Refusal> {
+        let draining = to.state == State::Draining;
+        if draining && !matches!(change, Change::Remove(_)) {
+            return Err(Refusal::Draining(to.name.clone()));
+        }
+        match change {
+            Change::Create(_) => Err(Refusal::Exists(to.name.clone())),
+            Change::Replace(spec) => {
+                spec.check(&self.classes)?;
+                to.spec = spec.clone();
+                Ok(Action::Changed)
+            }
+            Change::Merge(patch) => {
+                // An array would be read as a specification whose fields stand in their order.
+                if !patch.is_object() {
+                    return Err(Invalid::new("patch", "is no object").into());
+                }
+                let bad = |e: serde_json::Error| Invalid::new("patch", e.to_string());
+                let mut value = serde_json::to_value(&to.spec).map_err(bad)?;
+                merge(&mut value, patch);
+                let spec: Spec = serde_json::from_value(value).map_err(bad)?;
+                spec.check(&self.classes)?;
+                to.spec = spec;
+                Ok(Action::Changed)
+            }
+            Change::Pause => {
+                to.state = State::Paused;
+                Ok(Action::Paused)
+            }
+            Change::Resume => {
+                to.state = State::Active;
+                Ok(Action::Resumed)
+            }
+            Change::Remove(how) => {
+                to.state = State::Draining;
+                // One that drains may be hurried, but nothing that has ended comes back.
+                to.spec.on_removal =
+                    how.filter(|how| !draining || *how == OnRemoval::Refuse).unwrap_or(to.spec.on_removal);
+                Ok(Action::Removed)
+            }
+            Change::AddSecret { id, sha256 } => {
+                check_name(id).map_err(|e| Invalid::new("id", e.why))?;
+                if to.secrets.iter().any(|secret| secret.id == *id) {
+                    return Err(Refusal::Secret(format!("there is a secret {id:?} already")));
+                }
+                if to.secrets.len() >= MOST_SECRETS {
+                    return Err(Refusal::TooMany { what: "secrets", most: MOST_SECRETS });
+                }
+                to.secrets.push(Secret { id: id.clone(), sha256: sha256.clone(), created_at_ms: now_ms });
+                Ok(Action::SecretAdded)
+            }
+            Change::DropSecret(id) => {
+                let before = to.secrets.len();
+                to.secrets.retain(|secret| secret.id != *id);
+                if to.secrets.len() == before {
+                    let id: String = id.chars().take(crate::spec::MOST_NAME).collect();
+                    return Err(Refusal::Secret(format!("there is no secret {id:?}")));
+                }
+                Ok(Action::SecretDropped)
+            }
+        }
+    }
+
+    fn record(
+        &self, at_ms: u64, command: &Command, action: Action, from: Option<Tenant>, to: Tenant,
+    ) -> Record {
+        let (actor, request, key) = (command.actor.clone(), command.request.clone(), command.key.clone());
+        Record { seq: self.seq + 1, at_ms, actor, request, key, action, from, to: Some(to) }
+    }
+
+    /// Tenants that drain and are owed nothing any more: the records by which they are gone.
+    pub fn drained(&self, now_ms: u64) -> Option<Record> {
+        let drained = self.lines.values().flat_map(|line| &line.draining).find(|entry| entry.owed == 0)?;
+        Some(Record {
+            seq: self.seq + 1,
+            at_ms: now_ms,
+            actor: Actor { name: "relay".into(), role: "relay".into() },
+            request: String::new(),
+            key: None,
+            action: Action::Gone,
+            from: Some(drained.tenant.clone()),
+            to: None,
+        })
+    }
+
+    /// Makes a change that was kept, and says what the module must know.
+    pub fn commit(&mut self, record: &Record) -> Vec<Effect> {
+        self.seq = self.seq.max(record.seq);
+        if let (Some((key, digest)), Some(tenant)) = (&record.key, &record.to) {
+            self.remember(Answered {
+                actor: record.actor.name.clone(),
+                key: key.clone(),
+                digest: digest.clone(),
+                at_ms: record.at_ms,
+                action: record.action,
+                tenant: tenant.clone(),
+            });
+        }
+        match (&record.from, &record.to) {
+            (_, Some(to)) => self.put(to.clone()).into_iter().collect(),
+            (Some(from), None) => self.take_out(from).into_iter().collect(),
+            (None, None) => Vec::new(),
+        }
+    }
+
+    fn remember(&mut self, answered: Answered) {
+        let now = answered.at_ms;
+        self.answered.push_back(answered);
+        while self.answered.len() > MOST_KEYS || self.answered.front().is_some_and(|a| !a.lives(now)) {
+            self.answered.pop_front();
+        }
+    }
+
+    /// Takes a tenant as it is now.
+    fn put(&mut self, tenant: Tenant) -> Option<Effect> {
+        let line = self.lines.entry(tenant.name.clone()).or_default();
+        let terms = tenant.terms();
+        let drains = tenant.state == State::Draining;
+        let entry = match line.find(tenant.version.generation) {
+            Some(entry) => {
+                entry.tenant = tenant;
+                entry.clone()
+            }
+            None => {
+                let number = self.numbers.take();
+                Entry { tenant, number, counts: Counts::default(), owed: 0 }
+            }
+        };
+        let (number, generation) = (entry.number, entry.tenant.version.generation);
+        line.draining.retain(|other| other.tenant.version.generation != generation);
+        if line.current.as_ref().is_some_and(|other| other.tenant.version.generation == generation) {
+            line.current = None;
+        }
+        match drains {
+            true => line.draining.push(entry),
+            false => line.current = Some(entry),
+        }
+        line.draining.sort_by_key(|entry| entry.tenant.version.generation);
+        Some((number, Some(terms)))
+    }
+
+    fn take_out(&mut self, tenant: &Tenant) -> Option<Effect> {
+        let line = self.lines.get_mut(&tenant.name)?;
+        let number = line.find(tenant.version.generation)?.number;
+        line.draining.retain(|entry| entry.number != number);
+        if line.current.as_ref().is_some_and(|entry| entry.number == number) {
+            line.current = None;
+        }
+        if line.newest().is_none() {
+            self.lines.remove(&tenant.name);
+        }
+        self.numbers.give_back(number);
+        self.bury(tenant.name.clone(), tenant.version.generation);
+        Some((number, None))
+    }
+
+    fn bury(&mut self, name: String, generation: u32) {
+        let newest = self.gone.get(&name).copied().unwrap_or(0).max(generation);
+        if self.gone.insert(name.clone(), newest).is_some() {
+            self.gone_order.retain(|other| *other != name);
+        }
+        self.gone_order.push_back(name);
+        if self.gone_order.len() > MOST_GONE {
+            let oldest = self.gone_order.pop_front();
+            oldest.and_then(|name| self.gone.remove(&name));
+        }
+    }
+}
+
+impl Answered {
+    fn lives(&self, now_ms: u64) -> bool {
+        now_ms < self.at_ms.saturating_add(KEY_LIFE)
+    }
+}
+
+/// A client that has named itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Login {
+    /// The tenant.
+    pub tenant: String,
+    /// Which of its name.
+    pub generation: u32,
+    /// Name of the secret that it named itself with.
+    pub secret: String,
+}
+
+/// Applies a JSON merge patch (RFC 7396).
+fn merge(target: &mut Value, patch: &Value) {
+    let Value::Object(patch) = patch else {
+        *target = patch.clone();
+        return;
+    };
+    if !target.is_object() {
+        *target = Value::Object(serde_json::Map::new());
+    }
+    let Value::Object(target) = target else { return };
+    for (name, value) in patch {
+        if value.is_null() {
+            target.remove(name);
+        } else {
+            merge(target.entry(name.clone()).or_insert(Value::Null), value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tenancy/src/secret.rs
@@ -0,0 +1,108 @@
+//! Secrets, of which only digests are kept.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::spec::Invalid;
+
+/// Secrets of one tenant at most: one in use, one that replaces it, and some for single clients.
+pub const MOST_SECRETS: usize = 8;
+/// The longest secret, in bytes.
+pub const LONGEST: usize = 256;
+
+/// SHA-256 of a secret. It protects secrets that can't be guessed: use 128 random bits or more.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// The digest of some bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        Digest(Sha256::digest(bytes).into())
+    }
+
+    /// The digest of parts, each told from the next.
+    pub fn of_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut sum = Sha256::new();
+        for part in parts {
+            sum.update((part.len() as u64).to_le_bytes());
+            sum.update(part);
+        }
+        Digest(sum.finalize().into())
+    }
+
+    /// Whether both are the same, in a time that does not tell where they differ.
+    pub fn same(&self, other: &Digest) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({self})")
+    }
+}
+
+impl FromStr for Digest {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Invalid> {
+        let bad = || Invalid::new("sha256", "is not 64 hexadecimal digits");
+        if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(bad());
+        }
+        let mut digest = [0; 32];
+        for (at, byte) in digest.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * at..2 * at + 2], 16).map_err(|_| bad())?;
+        }
+        Ok(Digest(digest))
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = Invalid;
+
+    fn try_from(text: String) -> Result<Self, Invalid> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> String {
+        digest.to_string()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_digest_is_sha_256_in_hexadecimal() {
+        // FIPS 180-2, appendix B.1.
+        let text = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+        assert_eq!(Digest::of(b"abc").to_string(), text);
+        assert!(Digest::of(b"abc").same(&text.parse().expect("a digest")));
+        assert!(!Digest::of(b"abd").same(&text.parse().expect("a digest")));
+        for bad in ["", "ba", &text[1..], &format!("{text}0"), &text.replace('b', "g")] {
+            assert!(bad.parse::<Digest>().is_err(), "{bad}");
+        }
+    }
+
+    #[test]
+    fn parts_are_told_apart() {
+        let digest = |parts: &[&[u8]]| Digest::of_parts(parts.iter().copied());
+        assert_ne!(digest(&[b"ab", b"c"]), digest(&[b"a", b"bc"]));
+        assert_eq!(digest(&[b"a", b"b"]), digest(&[b"a", b"b"]));
+    }
+}
--- /dev/null
+++ b/crates/tenancy/src/spec.rs
@@ -0,0 +1,310 @@
+//! What an administrator sets of a tenant, and its bounds.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::str::FromStr;
+
+use madderpitch_policy::interface::{DestinationId, Rate, Standing, Terms};
+use serde::{Deserialize, Serialize};
+
+/// Characters of a tenant's name at most.
+pub const MOST_NAME: usize = 64;
+/// The largest weight.
+pub const MOST_WEIGHT: u32 = 10_000;
+/// Weight of a tenant that none is set for.
+pub const USUAL_WEIGHT: u32 = 100;
+/// The highest rate, in messages a second, and the largest burst, in messages.
+pub const MOST_RATE: (f64, u32) = (1e6, 1_000_000);
+/// Classes and ranges of destinations that a specification names at most.
+pub const MOST_NAMED: usize = 256;
+
+/// How much a tenant may hand in; more is refused, and its client told when there is room again.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+#[serde(deny_unknown_fields)]
+pub struct RateSpec {
+    /// Messages a second in the long run, above 0 and up to 1,000,000.
+    pub per_second: f64,
+    /// Messages that may come at once, from 1 to 1,000,000.
+    #[cfg_attr(feature = "openapi", schema(minimum = 1, maximum = 1_000_000))]
+    pub burst: u32,
+}
+
+/// What becomes of a tenant's messages when it is removed. Calls that are out come to their end either way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+#[serde(rename_all = "lowercase")]
+pub enum OnRemoval {
+    /// What is held goes on to its end.
+    #[default]
+    Finish,
+    /// What is held ends at once.
+    Refuse,
+}
+
+/// Destinations from one number to another, both included: `7` or `10-19`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+#[cfg_attr(feature = "openapi", schema(value_type = String, example = "10-19"))]
+#[serde(try_from = "String", into = "String")]
+pub struct Destinations {
+    first: DestinationId,
+    last: DestinationId,
+}
+
+impl Destinations {
+    /// Whether a destination is among them.
+    pub fn contains(&self, destination: DestinationId) -> bool {
+        (self.first..=self.last).contains(&destination)
+    }
+}
+
+impl FromStr for Destinations {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Invalid> {
+        let bad =
+            || Invalid::new("destinations", format!("{text:?} is no number of a destination and no range"));
+        let (first, last) = text.split_once('-').unwrap_or((text, text));
+        let range =
+            Destinations { first: first.parse().map_err(|_| bad())?, last: last.parse().map_err(|_| bad())? };
+        if range.first <= range.last {
+            Ok(range)
+        } else {
+            Err(bad())
+        }
+    }
+}
+
+impl TryFrom<String> for Destinations {
+    type Error = Invalid;
+
+    fn try_from(text: String) -> Result<Self, Invalid> {
+        text.parse()
+    }
+}
+
+impl fmt::Display for Destinations {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.first == self.last {
+            write!(f, "{}", self.first)
+        } else {
+            write!(f, "{}-{}", self.first, self.last)
+        }
+    }
+}
+
+impl From<Destinations> for String {
+    fn from(range: Destinations) -> String {
+        range.to_string()
+    }
+}
+
+/// What an administrator sets of a tenant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+#[serde(deny_unknown_fields, default)]
+pub struct Spec {
+    /// Its part of the hold, of the slots and of each destination's calls, against those of the other tenants
+    /// that use them, from 1 to 10,000. What a tenant leaves unused is lent to the others.
+    #[cfg_attr(feature = "openapi", schema(minimum = 1, maximum = 10_000))]
+    pub weight: u32,
+    /// How much it may hand in; any amount if absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rate: Option<RateSpec>,
+    /// Messages held at most; more are refused. As many as the relay holds if absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[cfg_attr(feature = "openapi", schema(minimum = 1))]
+    pub max_held: Option<u32>,
+    /// Messages out in calls at most; more wait. As many as the relay has slots if absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[cfg_attr(feature = "openapi", schema(minimum = 1))]
+    pub max_in_flight: Option<u32>,
+    /// Classes that it may hand in; all if absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[cfg_attr(feature = "openapi", schema(max_items = 256))]
+    pub classes: Option<BTreeSet<String>>,
+    /// Destinations that its messages may go to; all if absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[cfg_attr(feature = "openapi", schema(max_items = 256))]
+    pub destinations: Option<Vec<Destinations>>,
+    /// What becomes of its messages when it is removed.
+    pub on_removal: OnRemoval,
+}
+
+impl Default for Spec {
+    fn default() -> Self {
+        Spec {
+            weight: USUAL_WEIGHT,
+            rate: None,
+            max_held: None,
+            max_in_flight: None,
+            classes: None,
+            destinations: None,
+            on_removal: OnRemoval::Finish,
+        }
+    }
+}
+
+/// A value that a specification may not have.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{field}: {why}")]
+pub struct Invalid {
+    /// The field.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+impl Invalid {
+    pub(crate) fn new(field: &'static str, why: impl Into<String>) -> Self {
+        Invalid { field, why: why.into() }
+    }
+}
+
+impl Spec {
+    /// Whether all values are within their bounds and the classes are among those known.
+    pub fn check(&self, known_classes: &[String]) -> Result<(), Invalid> {
+        if !(1..=MOST_WEIGHT).contains(&self.weight) {
+            return Err(Invalid::new("weight", format!("{} is not from 1 to {MOST_WEIGHT}", self.weight)));
+        }
+        if let Some(RateSpec { per_second, burst }) = self.rate {
+            let (most, most_burst) = MOST_RATE;
+            if !(per_second > 0.0 && per_second <= most) {
+                return Err(Invalid::new(
+                    "rate",
+                    format!("{per_second} a second is not above 0 and up to {most}"),
+                ));
+            }
+            if !(1..=most_burst).contains(&burst) {
+                return Err(Invalid::new(
+                    "rate",
+                    format!("a burst of {burst} is not from 1 to {most_burst}"),
+                ));
+            }
+        }
+        if self.max_held == Some(0) {
+            return Err(Invalid::new(
+                "max_held",
+                "0 would let nothing be taken on; pause the tenant instead",
+            ));
+        }
+        if self.max_in_flight == Some(0) {
+            return Err(Invalid::new(
+                "max_in_flight",
+                "0 would let nothing be sent; pause the tenant instead",
+            ));
+        }
+        if let Some(classes) = &self.classes {
+            if classes.len() > MOST_NAMED {
+                return Err(Invalid::new("classes", format!("more than {MOST_NAMED}")));
+            }
+            if let Some(unknown) = classes.iter().find(|class| !known_classes.contains(class)) {
+                let unknown: String = unknown.chars().take(MOST_NAME).collect();
+                return Err(Invalid::new("classes", format!("there is no class {unknown:?}")));
+            }
+        }
+        if self.destinations.as_ref().is_some_and(|ranges| ranges.len() > MOST_NAMED) {
+            return Err(Invalid::new("destinations", format!("more than {MOST_NAMED}")));
+        }
+        Ok(())
+    }
+
+    /// Whether a message of a class may go to a destination.
+    pub fn allows(&self, class: &str, destination: DestinationId) -> Result<(), &'static str> {
+        if self.classes.as_ref().is_some_and(|classes| !classes.contains(class)) {
+            return Err("the tenant may not hand in this class");
+        }
+        let ranges = self.destinations.as_ref();
+        if ranges.is_some_and(|ranges| !ranges.iter().any(|range| range.contains(destination))) {
+            return Err("the tenant may not send to this destination");
+        }
+        Ok(())
+    }
+
+    /// The terms by which the module treats a tenant that stands so.
+    pub fn terms(&self, standing: Standing) -> Terms {
+        let most = |limit: Option<u32>| limit.map_or(usize::MAX, |limit| limit as usize);
+        Terms {
+            weight: self.weight,
+            rate: self.rate.map(|rate| Rate { per_s: rate.per_second, burst: f64::from(rate.burst) }),
+            most_held: most(self.max_held),
+            most_in_flight: most(self.max_in_flight),
+            standing,
+        }
+    }
+}
+
+/// Whether a tenant may be called so: letters, digits, `.`, `_` and `-`, the first a letter or digit.
+pub fn check_name(name: &str) -> Result<(), Invalid> {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    let first = name.bytes().next().is_some_and(|byte| byte.is_ascii_alphanumeric());
+    if first && name.len() <= MOST_NAME && name.bytes().all(plain) {
+        return Ok(());
+    }
+    let shown: String = name.chars().take(MOST_NAME).collect();
+    let why = format!(
+        "{shown:?} is not 1 to {MOST_NAME} letters, digits, '.', '_' and '-', a letter or digit first"
+    );
+    Err(Invalid::new("name", why))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec(text: &str) -> Result<Spec, String> {
+        let spec: Spec = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        spec.check(&["payout".into(), "update".into()]).map_err(|e| e.to_string()).map(|()| spec)
+    }
+
+    #[test]
+    fn what_is_absent_has_its_default() {
+        assert_eq!(spec("{}"), Ok(Spec::default()));
+        let text = serde_json::to_string(&Spec::default()).expect("JSON");
+        assert_eq!(text, r#"{"weight":100,"on_removal":"finish"}"#);
+    }
+
+    #[test]
+    fn values_out_of_bounds_are_named() {
+        for (text, named) in [
+            (r#"{"weight":0}"#, "weight"),
+            (r#"{"weight":10001}"#, "weight"),
+            (r#"{"weight":-1}"#, "invalid value"),
+            (r#"{"waight":1}"#, "unknown field `waight`"),
+            (r#"{"rate":{"per_second":0,"burst":1}}"#, "rate"),
+            (r#"{"rate":{"per_second":1e7,"burst":1}}"#, "rate"),
+            (r#"{"rate":{"per_second":1,"burst":0}}"#, "burst"),
+            (r#"{"rate":{"per_second":1}}"#, "missing field `burst`"),
+            (r#"{"max_held":0}"#, "max_held"),
+            (r#"{"max_in_flight":0}"#, "max_in_flight"),
+            (r#"{"classes":["payout","nothing"]}"#, "nothing"),
+            (r#"{"destinations":["9-3"]}"#, "9-3"),
+            (r#"{"destinations":["70000"]}"#, "70000"),
+            (r#"{"destinations":["-"]}"#, "range"),
+            (r#"{"on_removal":"drop"}"#, "unknown variant"),
+        ] {
+            let error = spec(text).expect_err(text);
+            assert!(error.contains(named), "{text}: {error}");
+        }
+    }
+
+    #[test]
+    fn classes_and_destinations_are_kept_to() {
+        let spec = spec(r#"{"classes":["payout"],"destinations":["3","10-12"]}"#).expect("good");
+        assert!(spec.allows("payout", 3).is_ok() && spec.allows("payout", 12).is_ok());
+        for (class, destination) in [("update", 3), ("payout", 4), ("payout", 13), ("payout", 9)] {
+            assert!(spec.allows(class, destination).is_err(), "{class} {destination}");
+        }
+    }
+
+    #[test]
+    fn names_are_plain() {
+        for good in ["a", "forthside-cash", "Acme.2_b", &"x".repeat(64)] {
+            assert!(check_name(good).is_ok(), "{good}");
+        }
+        for bad in ["", "-a", ".a", "a b", "a/2", "a,b", "a=b", "ä", &"x".repeat(65)] {
+            assert!(check_name(bad).is_err(), "{bad}");
+        }
+    }
+}
