Let the seam take connections at Unix sockets

Need: the administration API listens on loopback or a Unix socket, and hosts and an identity issuer will be reached by Unix sockets too.

Change: an Address is a port or a socket's path; the machine's stream and listener are one or the other. A socket is its owner's alone (mode 0600) and replaces one that nobody listens at any more, nothing else.

--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -12,21 +12,22 @@
 use std::future::Future;
 use std::io::{self, Read, Seek, Write};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-pub use real::Real;
+pub use real::{Real, RealListener, RealStream, RealTask};
 
 /// The system that a relay runs on.
 pub trait System: Clone + 'static {
     /// A task that was started.
     type Task: Task;
-    /// A TCP connection.
+    /// A connection.
     type Stream: Stream;
-    /// A TCP port.
+    /// A port or socket that takes connections.
     type Listener: Listener<Stream = Self::Stream>;
     /// An open file.
     type File: File;
@@ -46,10 +47,11 @@
     fn spawn(&self, task: impl Future<Output = ()> + 'static) -> Self::Task;
 
     /// Opens a connection; an address that says nothing takes for ever.
-    fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
+    fn connect(&self, to: impl Into<Address>) -> impl Future<Output = io::Result<Self::Stream>>;
 
-    /// Takes connections at an address.
-    fn listen(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>>;
+    /// Takes connections at an address. A Unix socket is its owner's alone, and takes the place of one that
+    /// nobody listens at any more.
+    fn listen(&self, at: impl Into<Address>) -> impl Future<Output = io::Result<Self::Listener>>;
 
     /// Opens a file to read and write, and makes it if there is none.
     fn open(&self, path: &Path) -> io::Result<Self::File>;
@@ -139,6 +141,52 @@
     fn ended(&mut self) -> impl Future<Output = ()>;
 }
 
+/// Where connections are taken: `127.0.0.1:8700`, `[::1]:8700` or `unix:/run/madderpitch.sock`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Address {
+    /// A TCP port.
+    Tcp(SocketAddr),
+    /// A Unix stream socket, by its path.
+    Unix(PathBuf),
+}
+
+impl Address {
+    /// Whether only this machine reaches it.
+    pub fn is_local(&self) -> bool {
+        match self {
+            Address::Tcp(at) => at.ip().is_loopback(),
+            Address::Unix(_) => true,
+        }
+    }
+}
+
+impl From<SocketAddr> for Address {
+    fn from(at: SocketAddr) -> Self {
+        Address::Tcp(at)
+    }
+}
+
+impl FromStr for Address {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text.strip_prefix("unix:") {
+            Some(path) if path.starts_with('/') => Ok(Address::Unix(path.into())),
+            Some(path) => Err(format!("{path:?} is no absolute path of a socket")),
+            None => text.parse().map(Address::Tcp).map_err(|_| format!("{text:?} is no address and port")),
+        }
+    }
+}
+
+impl fmt::Display for Address {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Address::Tcp(at) => write!(f, "{at}"),
+            Address::Unix(path) => write!(f, "unix:{}", path.display()),
+        }
+    }
+}
+
 /// What waits to be read on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Waiting {
@@ -150,7 +198,7 @@
     End,
 }
 
-/// A TCP connection; dropping it closes it.
+/// A connection; dropping it closes it.
 pub trait Stream: AsyncRead + AsyncWrite + Unpin + 'static {
     /// Sends small writes at once.
     fn set_nodelay(&self) -> io::Result<()>;
@@ -165,7 +213,7 @@
     fn waiting(&self) -> Waiting;
 }
 
-/// A TCP port.
+/// A port or socket that takes connections.
 pub trait Listener: 'static {
     /// The connections that it takes.
     type Stream;
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -1,20 +1,24 @@
 //! The machine: tokio's current-thread runtime, the operating system's files and signals.
 
 use std::fmt;
+use std::fs::Permissions;
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
+use std::os::unix::fs::{FileTypeExt, PermissionsExt};
 use std::path::Path;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::BytesMut;
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::JoinHandle;
 
-use crate::{File, Listener, Signal, Signals, Stream, System, Task, Waiting};
+use crate::{Address, File, Listener, Signal, Signals, Stream, System, Task, Waiting};
 
 /// The machine that the process runs on. Must be used within a current-thread runtime's `LocalSet`.
 #[derive(Clone, Copy, Debug, Default)]
@@ -22,8 +26,8 @@
 
 impl System for Real {
     type Task = RealTask;
-    type Stream = TcpStream;
-    type Listener = TcpListener;
+    type Stream = RealStream;
+    type Listener = RealListener;
     type File = std::fs::File;
     type Signals = RealSignals;
 
@@ -43,12 +47,18 @@
         RealTask(tokio::task::spawn_local(task))
     }
 
-    async fn connect(&self, to: SocketAddr) -> io::Result<TcpStream> {
-        TcpStream::connect(to).await
+    async fn connect(&self, to: impl Into<Address>) -> io::Result<RealStream> {
+        match to.into() {
+            Address::Tcp(to) => TcpStream::connect(to).await.map(RealStream::Tcp),
+            Address::Unix(to) => UnixStream::connect(to).await.map(RealStream::Unix),
+        }
     }
 
-    async fn listen(&self, at: SocketAddr) -> io::Result<TcpListener> {
-        TcpListener::bind(at).await
+    async fn listen(&self, at: impl Into<Address>) -> io::Result<RealListener> {
+        match at.into() {
+            Address::Tcp(at) => TcpListener::bind(at).await.map(RealListener::Tcp),
+            Address::Unix(at) => listen_local(&at).await.map(RealListener::Unix),
+        }
     }
 
     fn open(&self, path: &Path) -> io::Result<std::fs::File> {
@@ -102,21 +112,95 @@
     }
 }
 
-impl Stream for TcpStream {
+/// Takes connections at a Unix socket that only its owner may use.
+async fn listen_local(at: &Path) -> io::Result<UnixListener> {
+    let bind = || -> io::Result<UnixListener> {
+        let listener = UnixListener::bind(at)?;
+        std::fs::set_permissions(at, Permissions::from_mode(0o600))?;
+        Ok(listener)
+    };
+    match bind() {
+        Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
+            // A process that was killed leaves its socket behind; nothing else of that name is touched.
+            let stale = std::fs::symlink_metadata(at).is_ok_and(|meta| meta.file_type().is_socket());
+            if !stale || UnixStream::connect(at).await.is_ok() {
+                return Err(error);
+            }
+            std::fs::remove_file(at)?;
+            bind()
+        }
+        bound => bound,
+    }
+}
+
+/// A connection of the machine.
+#[derive(Debug)]
+pub enum RealStream {
+    /// By TCP.
+    Tcp(TcpStream),
+    /// By a Unix socket.
+    Unix(UnixStream),
+}
+
+/// Does the same on either kind of connection.
+macro_rules! either {
+    ($stream:expr, $inner:ident => $do:expr) => {
+        match $stream {
+            RealStream::Tcp($inner) => $do,
+            RealStream::Unix($inner) => $do,
+        }
+    };
+}
+
+impl AsyncRead for RealStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, into: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        either!(self.get_mut(), stream => Pin::new(stream).poll_read(cx, into))
+    }
+}
+
+impl AsyncWrite for RealStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, text: &[u8]) -> Poll<io::Result<usize>> {
+        either!(self.get_mut(), stream => Pin::new(stream).poll_write(cx, text))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        either!(self.get_mut(), stream => Pin::new(stream).poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        either!(self.get_mut(), stream => Pin::new(stream).poll_shutdown(cx))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context<'_>, parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        either!(self.get_mut(), stream => Pin::new(stream).poll_write_vectored(cx, parts))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+}
+
+impl Stream for RealStream {
     fn set_nodelay(&self) -> io::Result<()> {
-        TcpStream::set_nodelay(self, true)
+        match self {
+            RealStream::Tcp(stream) => stream.set_nodelay(true),
+            RealStream::Unix(_) => Ok(()),
+        }
     }
 
     async fn readable(&self) -> io::Result<()> {
-        TcpStream::readable(self).await
+        either!(self, stream => stream.readable().await)
     }
 
     fn try_read_buf(&self, into: &mut BytesMut) -> io::Result<usize> {
-        TcpStream::try_read_buf(self, into)
+        either!(self, stream => stream.try_read_buf(into))
     }
 
     fn waiting(&self) -> Waiting {
-        match SockRef::from(self).peek(&mut [MaybeUninit::uninit()]) {
+        let socket = either!(self, stream => SockRef::from(stream));
+        match socket.peek(&mut [MaybeUninit::uninit()]) {
             Ok(1..) => Waiting::Bytes,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Waiting::Nothing,
             Ok(0) | Err(_) => Waiting::End,
@@ -124,11 +208,25 @@
     }
 }
 
-impl Listener for TcpListener {
-    type Stream = TcpStream;
+/// A port or socket of the machine.
+#[derive(Debug)]
+pub enum RealListener {
+    /// A TCP port.
+    Tcp(TcpListener),
+    /// A Unix socket.
+    Unix(UnixListener),
+}
+
+impl Listener for RealListener {
+    type Stream = RealStream;
 
-    async fn accept(&self) -> io::Result<TcpStream> {
-        TcpListener::accept(self).await.map(|(stream, _)| stream)
+    async fn accept(&self) -> io::Result<RealStream> {
+        match self {
+            RealListener::Tcp(listener) => listener.accept().await.map(|(stream, _)| RealStream::Tcp(stream)),
+            RealListener::Unix(listener) => {
+                listener.accept().await.map(|(stream, _)| RealStream::Unix(stream))
+            }
+        }
     }
 }
 
--- a/crates/sim/src/cost.rs
+++ b/crates/sim/src/cost.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use madderpitch_seam::{Real, System};
+use madderpitch_seam::{Listener, Real, Stream, System};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::watch;
 
@@ -88,7 +88,7 @@
         system.spawn(async move {
             let asked = async {
                 let mut stream = system.connect(listen).await?;
-                stream.set_nodelay(true)?;
+                stream.set_nodelay()?;
                 let mut text = BytesMut::new();
                 for number in 0..messages / CLIENTS {
                     let id = format!("c{client:02}n{number:08}");
@@ -123,7 +123,7 @@
 async fn serve(stage: Stage<Real>, at: std::net::SocketAddr) -> std::io::Result<()> {
     let listener = stage.system.listen(at).await?;
     loop {
-        let (mut stream, _) = listener.accept().await?;
+        let mut stream = listener.accept().await?;
         let own = stage.clone();
         stage.system.spawn(async move {
             let mut text = BytesMut::new();
--- a/crates/sim/src/machine/io.rs
+++ b/crates/sim/src/machine/io.rs
@@ -2,13 +2,12 @@
 
 use std::future::poll_fn;
 use std::io::{self, Read, Seek, SeekFrom, Write};
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use madderpitch_seam::{File, Listener, Stream, System, Waiting};
+use madderpitch_seam::{Address, File, Listener, Stream, System, Waiting};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::disk::Inode;
@@ -24,20 +23,20 @@
 /// A connection that is to be cut is so within this many bytes.
 const CUT_WITHIN: u64 = 1200;
 
-pub(super) async fn connect(system: &Virtual, to: SocketAddr) -> io::Result<VirtualStream> {
+pub(super) async fn connect(system: &Virtual, to: Address) -> io::Result<VirtualStream> {
     let to = match system.core.borrow().lie(system.proc) {
         Some(Lie::WrongHost) => system.core.borrow().net.neighbour(to),
         _ => to,
     };
     let delay = Duration::from_micros(DELAY.0 + system.random(DELAY.1 - DELAY.0));
     system.sleep(delay).await;
-    if system.core.borrow().net.fault(to).silent {
+    if system.core.borrow().net.fault(&to).silent {
         return std::future::pending().await;
     }
     let opened = {
         let mut core = system.core.borrow_mut();
         let core = &mut *core;
-        let fault = core.net.fault(to);
+        let fault = core.net.fault(&to);
         let cut = core.dice.percent(fault.cuts).then(|| {
             let within = if core.dice.percent(50) { 60 } else { CUT_WITHIN };
             let after = core.dice.below(within);
@@ -45,7 +44,7 @@
         });
         let owner = core.net.ports.get(&to).filter(|_| !fault.refuses).map(|port| port.proc);
         owner.map(|owner| {
-            let id = core.net.open(to, [system.proc, owner], delay, cut);
+            let id = core.net.open(to.clone(), [system.proc, owner], delay, cut);
             let waker = core.net.ports.get_mut(&to).and_then(|port| {
                 port.queue.push_back(id);
                 port.waker.take()
@@ -59,19 +58,19 @@
     stream.ok_or_else(|| io::ErrorKind::ConnectionRefused.into())
 }
 
-pub(super) fn listen(system: &Virtual, at: SocketAddr) -> io::Result<VirtualListener> {
+pub(super) fn listen(system: &Virtual, at: Address) -> io::Result<VirtualListener> {
     let mut core = system.core.borrow_mut();
     if core.net.ports.contains_key(&at) {
         return Err(io::ErrorKind::AddrInUse.into());
     }
-    core.net.ports.insert(at, Port { proc: system.proc, queue: Default::default(), waker: None });
+    core.net.ports.insert(at.clone(), Port { proc: system.proc, queue: Default::default(), waker: None });
     Ok(VirtualListener { system: system.clone(), at })
 }
 
 /// A port that takes connections.
 pub struct VirtualListener {
     system: Virtual,
-    at: SocketAddr,
+    at: Address,
 }
 
 impl Listener for VirtualListener {
--- a/crates/sim/src/machine/mod.rs
+++ b/crates/sim/src/machine/mod.rs
@@ -12,14 +12,13 @@
 use std::future::{poll_fn, Future};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io as std_io;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-use madderpitch_seam::{Signal, Signals, System, Task};
+use madderpitch_seam::{Address, Signal, Signals, System, Task};
 
 pub use disk::Disk;
 pub use io::{VirtualFile, VirtualListener, VirtualStream};
@@ -283,10 +282,11 @@
 
     /// What is wrong with an address from now on. Where one was silent and is no more, the connections that
     /// were open are reset.
-    pub fn fault(&self, at: SocketAddr, fault: AddressFault) {
+    pub fn fault(&self, at: impl Into<Address>, fault: AddressFault) {
+        let at = at.into();
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
-        let before = core.net.faults.insert(at, fault).unwrap_or_default();
+        let before = core.net.faults.insert(at.clone(), fault).unwrap_or_default();
         let now = core.now;
         if before.silent == fault.silent {
             return;
@@ -459,14 +459,14 @@
         VirtualTask { core: self.core.clone(), id }
     }
 
-    async fn connect(&self, to: SocketAddr) -> std_io::Result<VirtualStream> {
+    async fn connect(&self, to: impl Into<Address>) -> std_io::Result<VirtualStream> {
         self.effect()?;
-        io::connect(self, to).await
+        io::connect(self, to.into()).await
     }
 
-    async fn listen(&self, at: SocketAddr) -> std_io::Result<VirtualListener> {
+    async fn listen(&self, at: impl Into<Address>) -> std_io::Result<VirtualListener> {
         self.effect()?;
-        io::listen(self, at)
+        io::listen(self, at.into())
     }
 
     fn open(&self, path: &Path) -> std_io::Result<VirtualFile> {
--- a/crates/sim/src/machine/net.rs
+++ b/crates/sim/src/machine/net.rs
@@ -1,11 +1,11 @@
 //! TCP between processes of the world: connections with a delay, and the ways in which they fail.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
 use std::task::Waker;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
+use madderpitch_seam::Address;
 
 use super::ProcId;
 
@@ -91,7 +91,7 @@
 
 pub(super) struct Conn {
     /// Where it was made to.
-    pub to: SocketAddr,
+    pub to: Address,
     /// By side: 0 opened it.
     pub owner: [ProcId; 2],
     /// By the side that reads.
@@ -119,8 +119,8 @@
 #[derive(Default)]
 pub(super) struct Net {
     pub conns: BTreeMap<ConnId, Conn>,
-    pub ports: BTreeMap<SocketAddr, Port>,
-    pub faults: BTreeMap<SocketAddr, AddressFault>,
+    pub ports: BTreeMap<Address, Port>,
+    pub faults: BTreeMap<Address, AddressFault>,
     next: ConnId,
 }
 
@@ -128,12 +128,12 @@
 pub(super) type Arrival = (Duration, usize);
 
 impl Net {
-    pub fn fault(&self, at: SocketAddr) -> AddressFault {
-        self.faults.get(&at).copied().unwrap_or_default()
+    pub fn fault(&self, at: &Address) -> AddressFault {
+        self.faults.get(at).copied().unwrap_or_default()
     }
 
     pub fn open(
-        &mut self, to: SocketAddr, owner: [ProcId; 2], delay: Duration, cut: Option<(usize, u64)>,
+        &mut self, to: Address, owner: [ProcId; 2], delay: Duration, cut: Option<(usize, u64)>,
     ) -> ConnId {
         self.next += 1;
         let mut pipes = [Pipe::default(), Pipe::default()];
@@ -251,14 +251,22 @@
     }
 
     /// Another address that takes connections.
-    pub fn neighbour(&self, to: SocketAddr) -> SocketAddr {
-        let mut others = self.ports.keys().filter(|at| at.port() == to.port() && **at > to);
-        others.next().or(self.ports.keys().find(|at| at.port() == to.port())).copied().unwrap_or(to)
+    pub fn neighbour(&self, to: Address) -> Address {
+        let alike = |at: &&Address| port(at) == port(&to);
+        let mut others = self.ports.keys().filter(|at| alike(at) && **at > to);
+        others.next().or(self.ports.keys().find(alike)).cloned().unwrap_or(to)
     }
 
     /// Whether a closed connection is to stay, where the seam deceives a relay: those that carry a call.
     pub fn is_kept(&self, id: ConnId) -> bool {
-        self.conns.get(&id).is_some_and(|conn| conn.to.port() == HOST_PORT)
+        self.conns.get(&id).is_some_and(|conn| port(&conn.to) == Some(HOST_PORT))
+    }
+}
+
+fn port(at: &Address) -> Option<u16> {
+    match at {
+        Address::Tcp(at) => Some(at.port()),
+        Address::Unix(_) => None,
     }
 }
 
--- a/crates/sim/src/peers/mod.rs
+++ b/crates/sim/src/peers/mod.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, BytesMut};
-use madderpitch_seam::{Stream, System};
+use madderpitch_seam::{RealStream, Stream, System};
 use tokio::io::AsyncReadExt;
 
 use crate::checker::Checker;
@@ -30,10 +30,13 @@
     }
 }
 
-impl Numbered for tokio::net::TcpStream {
+impl Numbered for RealStream {
     fn number(&self) -> u64 {
-        // The port of the side that made it; ports come again only much later.
-        self.peer_addr().map_or(0, |peer| u64::from(peer.port()))
+        match self {
+            // The port of the side that made it; ports come again only much later.
+            RealStream::Tcp(stream) => stream.peer_addr().map_or(0, |peer| u64::from(peer.port())),
+            RealStream::Unix(_) => 0,
+        }
     }
 }
 
