--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,35 @@
+//! The administration API: HTTP and JSON on a listener of its own.
+//!
+//! It talks to the relay in [`madderpitch_exchange`]'s terms alone, and only by questions and answers: what is
+//! decided of tenants is decided in [`madderpitch_tenancy`], what is kept is kept by the relay.
+
+mod api;
+mod auth;
+mod model;
+mod problem;
+mod request;
+mod serve;
+mod settings;
+
+use madderpitch_exchange::Input;
+use madderpitch_seam::{log, System};
+use tokio::sync::{mpsc, watch};
+
+pub use api::{document, LONGEST_BODY};
+pub use auth::Tokens;
+pub use settings::{Role, Settings, Token};
+
+/// Listens, and serves the API from then on. The error is one plain line.
+pub async fn start<S: System>(
+    system: &S, settings: &Settings, tokens: watch::Receiver<Tokens>, driver: mpsc::Sender<Input>,
+) -> Result<(), String> {
+    let address = settings.address()?;
+    let listener = system.listen(address.clone()).await;
+    let listener = listener.map_err(|e| format!("cannot listen on {address} for administration: {e}"))?;
+    let prefix = format!("{:x}", system.unix_time().as_millis());
+    let router = api::router(api::Api::new(driver, tokens, &prefix));
+    let (connections, pace) = (settings.connections, settings.requests_per_second);
+    log!(*system, "admin: serves at {address}");
+    system.spawn(serve::serve(system.clone(), listener, router, connections, pace));
+    Ok(())
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -1,14 +1,19 @@
 //! What the relay's parts and its fronts say to each other; this package imports none of them.
 
+pub mod tenants;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use madderpitch_policy::interface::{DestinationId, HostId, Listing, MessageId, Micros, Outcome};
 use madderpitch_seam::System;
+use madderpitch_tenancy::registry::Login;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+use tenants::{LoginCall, TenantsCall};
+
 /// Unix time that never goes backwards.
 #[derive(Clone)]
 pub struct Clock<S> {
@@ -47,6 +52,10 @@
     Error(String),
     /// The answer to `PING`.
     Pong,
+    /// The client has to name itself first.
+    NoAuth,
+    /// The client has named itself wrongly.
+    WrongPass,
 }
 
 impl Reply {
@@ -58,6 +67,8 @@
             Reply::Busy(after) => out.extend(format!("-BUSY {after}\r\n").bytes()),
             Reply::Error(why) => out.extend(format!("-ERR {why}\r\n").bytes()),
             Reply::Pong => out.extend(b"+PONG\r\n"),
+            Reply::NoAuth => out.extend(b"-NOAUTH Authentication required.\r\n"),
+            Reply::WrongPass => out.extend(b"-WRONGPASS invalid username-password pair\r\n"),
         }
     }
 }
@@ -82,6 +93,8 @@
     pub again: bool,
     /// Its content.
     pub body: Bytes,
+    /// Whom its client has named itself as.
+    pub login: Option<Login>,
     /// Where the answer goes.
     pub reply: Option<oneshot::Sender<Reply>>,
 }
@@ -96,6 +109,10 @@
     Hosts(HostList),
     /// The platform has taken the notices of these messages.
     Noticed(Vec<MessageId>),
+    /// A front asks about tenants.
+    Tenants(TenantsCall),
+    /// A client names itself.
+    Login(LoginCall),
 }
 
 /// A destination, or one host of it where hosts are routes apart.
--- /dev/null
+++ b/crates/exchange/src/tenants.rs
@@ -0,0 +1,162 @@
+//! What fronts ask about tenants, and what they are told.
+
+use madderpitch_tenancy::audit::Entry;
+use madderpitch_tenancy::registry::{Action, Command, Counts, Login, Refusal, Tenant, Version};
+use tokio::sync::oneshot;
+
+/// Which tenants somebody may see: names, or beginnings of names followed by `*`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Scope(pub Vec<String>);
+
+impl Scope {
+    /// Whether a tenant of this name is among them.
+    pub fn covers(&self, name: &str) -> bool {
+        self.0.iter().any(|pattern| match pattern.strip_suffix('*') {
+            Some(beginning) => name.starts_with(beginning),
+            None => name == pattern,
+        })
+    }
+}
+
+/// What is asked.
+#[derive(Debug)]
+pub enum Ask {
+    /// Change a tenant.
+    Change(Box<Command>),
+    /// Show a tenant.
+    Find(String),
+    /// Show those whose names come after one.
+    Page {
+        /// The name.
+        after: Option<String>,
+        /// So many at most.
+        most: usize,
+        /// Of these alone.
+        scope: Scope,
+    },
+    /// Show what passed for a tenant.
+    Usage(String),
+    /// Show changes, the newest first.
+    Audit {
+        /// Only those before this one.
+        before: Option<u64>,
+        /// So many at most.
+        most: usize,
+        /// Of these tenants alone.
+        scope: Scope,
+        /// Of this one alone.
+        tenant: Option<String>,
+    },
+    /// Show how the registry does.
+    Status,
+}
+
+/// A tenant as it is shown.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shown {
+    /// The tenant.
+    pub tenant: Tenant,
+    /// Those of its name that drain beside it.
+    pub draining: Vec<Version>,
+}
+
+/// What a tenant has in the relay, and what passed since the relay's start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Usage {
+    /// Its name.
+    pub name: String,
+    /// Which it is.
+    pub version: Version,
+    /// What passed.
+    pub counts: Counts,
+    /// Messages that are held, those out in calls among them.
+    pub held: usize,
+    /// Messages that are out in calls.
+    pub in_flight: usize,
+    /// Messages that were taken on and are still owed something, if only that the platform takes their notice.
+    pub owed: usize,
+}
+
+/// How the registry does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// Tenants there are.
+    pub tenants: usize,
+    /// Number of the last change.
+    pub seq: u64,
+    /// Changes that were lost to damage of the files.
+    pub lost: u64,
+    /// Changes that the audit log could not be told of yet.
+    pub untold: usize,
+    /// When the relay started, in milliseconds since the Unix epoch.
+    pub since_ms: u64,
+}
+
+/// What is told.
+#[derive(Debug)]
+pub enum Told {
+    /// It was changed.
+    Made {
+        /// The tenant after.
+        shown: Box<Shown>,
+        /// How.
+        action: Action,
+        /// It was asked before with the same key, and this is the answer of then.
+        again: bool,
+    },
+    /// It was so already.
+    Unchanged(Box<Shown>),
+    /// The tenant.
+    Found(Box<Shown>),
+    /// Tenants, and whether more follow.
+    Page(Vec<Shown>, bool),
+    /// What passed, for the tenant and for those of its name that drain; and since when, in milliseconds.
+    Usage(Vec<Usage>, u64),
+    /// Changes, and whether there are older ones that are still known.
+    Audit(Vec<Entry>, bool),
+    /// How the registry does.
+    Status(Status),
+    /// It was not changed, or there is nothing to show.
+    Refused(Refusal),
+    /// It was not changed, as it could not be kept.
+    NotKept(String),
+}
+
+/// A question with the way back for its answer.
+pub struct TenantsCall {
+    /// What is asked.
+    pub ask: Ask,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<Told>,
+}
+
+/// A client that names itself, and the way back for whom it is taken.
+pub struct LoginCall {
+    /// The tenant's name.
+    pub name: String,
+    /// The secret.
+    pub secret: Vec<u8>,
+    /// Where the answer goes: none if it is wrong.
+    pub reply: oneshot::Sender<Option<Login>>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_scope_covers_names_and_beginnings() {
+        let scope = Scope(vec!["acme".into(), "team-*".into()]);
+        for (name, covered) in [
+            ("acme", true),
+            ("acme2", false),
+            ("team-", true),
+            ("team-a", true),
+            ("team", false),
+            ("", false),
+        ] {
+            assert_eq!(scope.covers(name), covered, "{name}");
+        }
+        assert!(Scope(vec!["*".into()]).covers("anything") && !Scope(Vec::new()).covers("acme"));
+    }
+}
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
-use crate::sharing::{Offer, Sharing, Unshared};
+use crate::sharing::{Load, Offer, Sharing, Unshared};
 use crate::state::*;
 
 const SECOND: Micros = 1_000_000;
@@ -255,6 +255,11 @@
         }
     }
 
+    /// What a tenant has in the relay.
+    pub fn load(&self, tenant: TenantId) -> Load {
+        self.sharing.load(tenant)
+    }
+
     /// From 0.9 to 1.1, so that relays which saw the same do not act in step.
     fn jitter(&mut self) -> f64 {
         0.9 + 0.2 * self.dice.roll()
--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/sharing.rs
@@ -56,6 +56,18 @@
 
     /// Whether the tenant's messages are to end at once.
     fn abandons(&self, tenant: TenantId) -> bool;
+
+    /// What the tenant has in the relay.
+    fn load(&self, tenant: TenantId) -> Load;
+}
+
+/// What a tenant has in the relay.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Messages held, those out in calls among them.
+    pub held: usize,
+    /// Messages out in calls.
+    pub in_flight: usize,
 }
 
 /// No tenants: all come as the module has them.
@@ -92,4 +104,8 @@
     fn abandons(&self, _: TenantId) -> bool {
         false
     }
+
+    fn load(&self, _: TenantId) -> Load {
+        Load::default()
+    }
 }
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -6,8 +6,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
+use madderpitch_exchange::tenants::LoginCall;
 use madderpitch_exchange::{Clock, Enqueue, Input, Reply};
 use madderpitch_seam::{log, Listener, Stream, System, Waiting};
+use madderpitch_tenancy::registry::Login;
+use madderpitch_tenancy::secret::LONGEST as LONGEST_SECRET;
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,6 +37,8 @@
 /// To make room, no connection is closed that has been quiet for less: its request may be on the way. The
 /// first holds from two thirds of the places on, the second where none is left.
 const SETTLED: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(20));
+/// A connection that has named itself wrongly so often is closed.
+const WRONG: u32 = 3;
 /// What a client still sends after its error line is read for so long and up to so much.
 const LINGER: (Duration, usize) = (Duration::from_millis(400), 4 << 20);
 /// Room that is made for the next read.
@@ -43,6 +48,8 @@
 pub struct Clients<S> {
     system: S,
     most: usize,
+    /// Clients have to name themselves.
+    auth: bool,
     open: RefCell<BTreeMap<u64, Open>>,
     next: Cell<u64>,
     left: Notify,
@@ -84,10 +91,10 @@
 }
 
 impl<S: System> Clients<S> {
-    /// No connections yet, and at most so many at once.
-    pub fn new(system: S, most: usize) -> Rc<Self> {
+    /// No connections yet, and at most so many at once; `auth` tells whether clients have to name themselves.
+    pub fn new(system: S, most: usize, auth: bool) -> Rc<Self> {
         let (open, next, left) = (RefCell::default(), Cell::default(), Notify::new());
-        Rc::new(Clients { system, most, open, next, left })
+        Rc::new(Clients { system, most, auth, open, next, left })
     }
 
     /// Connections that are open.
@@ -173,6 +180,15 @@
     }
 }
 
+/// Whom a connection has named itself as.
+struct Named {
+    /// Clients have to.
+    wanted: bool,
+    login: Option<Login>,
+    /// How often it was wrong.
+    wrong: u32,
+}
+
 enum Answer {
     Now(Reply),
     Later(oneshot::Receiver<Reply>),
@@ -184,6 +200,7 @@
 ) -> std::io::Result<()> {
     let system = &seat.clients.system;
     stream.set_nodelay()?;
+    let mut named = Named { wanted: seat.clients.auth, login: None, wrong: 0 };
     let mut text = BytesMut::new();
     let mut skip = 0;
     let mut asked = false;
@@ -211,7 +228,9 @@
                     let mut request = text.split_to(length);
                     match decode_bytes_mut(&mut request) {
                         Ok(Some((BytesFrame::Array(parts), _, _))) => {
-                            answers.push(request_answer(parts, clock, &inputs).await);
+                            answers.push(request_answer(parts, clock, &inputs, &mut named).await);
+                            // Guards secrets against being guessed at full speed.
+                            malformed = named.wrong >= WRONG;
                         }
                         _ => {
                             answers.push(Answer::Now(Reply::Error("protocol error: no request".into())));
@@ -382,7 +401,7 @@
 }
 
 async fn request_answer<S: System>(
-    parts: Vec<BytesFrame>, clock: &Clock<S>, inputs: &mpsc::Sender<Input>,
+    parts: Vec<BytesFrame>, clock: &Clock<S>, inputs: &mpsc::Sender<Input>, login: &mut Named,
 ) -> Answer {
     let parts: Vec<Bytes> = parts
         .into_iter()
@@ -398,6 +417,7 @@
             Ok(mut request) => {
                 let (reply, answer) = oneshot::channel();
                 request.reply = Some(reply);
+                request.login = login.login.clone();
                 match inputs.send(Input::Enqueue(request)).await {
                     Ok(()) => Answer::Later(answer),
                     Err(_) => Answer::Now(Reply::Busy(0)),
@@ -405,10 +425,36 @@
             }
             Err(why) => Answer::Now(Reply::Error(why)),
         },
+        b"AUTH" if login.wanted => Answer::Now(auth(&parts[1..], inputs, login).await),
         _ => Answer::Now(Reply::Error("unknown command".into())),
     }
 }
 
+/// A client names itself; what it asks after that is asked by this name.
+async fn auth(parts: &[Bytes], inputs: &mpsc::Sender<Input>, named: &mut Named) -> Reply {
+    let [name, secret] = parts else {
+        return Reply::Error("AUTH takes a name and a secret".into());
+    };
+    let (reply, answer) = oneshot::channel();
+    let name = text(name).filter(|name| is_name(name)).filter(|_| secret.len() <= LONGEST_SECRET);
+    let call = name.map(|name| LoginCall { name: name.into(), secret: secret.to_vec(), reply });
+    // One that names itself wrongly is nobody, whoever it was before.
+    named.login = None;
+    if let Some(call) = call {
+        if inputs.send(Input::Login(call)).await.is_err() {
+            return Reply::Busy(0);
+        }
+        named.login = answer.await.unwrap_or_default();
+    }
+    match named.login {
+        Some(_) => Reply::Ok,
+        None => {
+            named.wrong += 1;
+            Reply::WrongPass
+        }
+    }
+}
+
 /// Reads a request's parts; whether its class, tenant and destination are known is the driver's to say.
 fn enqueue<S: System>(parts: &[Bytes], clock: &Clock<S>) -> Result<Enqueue, String> {
     let [order, name, list, body] = parts else {
@@ -439,6 +485,7 @@
         key,
         again: field("r") == Some("1"),
         body: Bytes::copy_from_slice(body),
+        login: None,
         reply: None,
     })
 }
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -5,23 +5,27 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use madderpitch_admin::Tokens;
+use madderpitch_exchange::tenants::{LoginCall, TenantsCall};
 use madderpitch_exchange::{CallEnd, Clock, Enqueue, HostList, Input, Reply, Verdict};
 use madderpitch_policy::interface::*;
 use madderpitch_policy::Relay;
 use madderpitch_seam::{log, Signal, Signals, System};
-use madderpitch_tenancy::Shares;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::clients::{self, Clients};
 use crate::config::Config;
 use crate::directory::{index_of, Directory, Listed, Names};
 use crate::discovery::{self, Notices};
-use crate::hand::Hand;
+use crate::hand::{Hand, Name};
 use crate::hosts::{Call, Hosts};
 use crate::journal::{Attempt, Journal, Memory, Owed, Taken};
+use crate::operator::Operator;
+use crate::tenants::Tenants;
 
 /// Inputs that may wait for the driver; beyond, those who have more wait themselves.
 const INPUTS: usize = 1024;
@@ -31,6 +35,8 @@
     [Duration::from_millis(500), Duration::from_millis(3300), Duration::from_millis(3550)];
 /// Descriptors that are no connection of a client or a host: discovery, the journal, the runtime's own.
 const OTHER_SOCKETS: usize = 24;
+/// The same beside the connections of administrators: their listener, the registry's files, the audit log.
+const ADMIN_SOCKETS: usize = 8;
 
 struct Driver<S: System> {
     system: S,
@@ -38,6 +44,11 @@
     relay: Relay,
     clock: Clock<S>,
     journal: Journal<S>,
+    tenants: Tenants<S>,
+    /// The operator file.
+    operator: Option<PathBuf>,
+    /// Who may use the administration API.
+    tokens: watch::Sender<Tokens>,
     hosts: Rc<Hosts<S>>,
     notices: Rc<Notices>,
     inputs: mpsc::Sender<Input>,
@@ -57,18 +68,20 @@
 }
 
 /// One relay's whole life: starts, serves until it is told to stop, and then brings what is out to its end.
-/// The error is one plain line.
-pub async fn run<S: System>(system: S) -> Result<(), String> {
+/// The operator file says what goes beyond the platform's configuration. The error is one plain line.
+pub async fn run<S: System>(system: S, operator: Option<PathBuf>) -> Result<(), String> {
     // The handlers come before all else: without one, each of these signals ends the process.
     let mut signals = system.signals().map_err(|e| format!("no signals: {e}"))?;
     let config = Config::load(&system)?;
+    let wanted = Operator::load(&system, operator.as_deref())?;
     let clock = Clock::new(system.clone());
     let folder = config.state.display();
     let disk = (config.limits.disk_mb * 1e6) as u64;
     let journal = Journal::open(system.clone(), &config.state, disk)
         .map_err(|e| format!("cannot use the journal in {folder}: {e}"))?;
     // Half of the sockets are for clients; of the rest, the calls out come before what is idle.
-    let sockets = config.limits.sockets - OTHER_SOCKETS;
+    let admin = wanted.admin.as_ref().map_or(0, |admin| admin.connections + ADMIN_SOCKETS);
+    let sockets = config.limits.sockets.saturating_sub(OTHER_SOCKETS + admin);
     let most_clients = sockets / 2;
     if config.settings.slots + 1 > sockets - most_clients {
         return Err(format!("{} sockets do not do for {} slots", sockets, config.settings.slots));
@@ -77,14 +90,21 @@
     let listen = config.listen;
     let (discovery, at) = watch::channel(config.discovery);
     let (inputs, mut incoming) = mpsc::channel(INPUTS);
+    let Config { tenants, classes, settings, .. } = &config;
+    let tenants = Tenants::open(&system, wanted.tenants.as_ref(), tenants, classes, settings)?;
+    let (sharing, terms) = tenants.sharing(settings);
+    let (tokens, tokens_in_force) = watch::channel(wanted.tokens());
     let mut driver = Driver {
-        relay: Relay::shared(config.settings.clone(), config.seed, Box::new(Shares::of(&config.settings))),
+        relay: Relay::shared(config.settings.clone(), config.seed, sharing),
+        tenants,
+        operator,
+        tokens,
         clock: clock.clone(),
         journal,
         hosts: Rc::new(Hosts::new(system.clone(), config.dial_timeout, config.idle_close, most_idle)),
         notices: Rc::default(),
         inputs: inputs.clone(),
-        events: Vec::new(),
+        events: terms,
         timer: None,
         last_round: system.now(),
         hand: Hand::default(),
@@ -110,7 +130,10 @@
     });
     // Clients come last: the first answer to a PING says that all else is in place.
     let listener = system.listen(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-    let clients = Clients::new(system.clone(), most_clients);
+    let clients = Clients::new(system.clone(), most_clients, driver.tenants.wants_login());
+    if let Some(admin) = &wanted.admin {
+        madderpitch_admin::start(&system, admin, tokens_in_force, inputs.clone()).await?;
+    }
     let (close, closing) = watch::channel(false);
     system.spawn(clients::listen(listener, clients.clone(), clock.clone(), inputs, closing));
 
@@ -122,6 +145,9 @@
             driver.round()?;
             continue;
         }
+        if driver.tenants.tend(&mut driver.events) {
+            wake = wake.min(now + Duration::from_millis(1));
+        }
         if let Some(since) = stopping {
             let passed = now - since;
             let quiet = clients.count() == 0 && driver.calls.is_empty();
@@ -219,6 +245,16 @@
                 log!(self.system, "configuration: the old one stays in force: {}", error.replace('\n', " "));
             }
         }
+        if self.operator.is_none() {
+            return;
+        }
+        match Operator::load(&self.system, self.operator.as_deref()) {
+            Ok(new) => {
+                log!(self.system, "operator file: read again; all but tokens counts from the next start on");
+                self.tokens.send_replace(new.tokens());
+            }
+            Err(error) => log!(self.system, "operator file: the old one stays in force: {error}"),
+        }
     }
 
     /// Hands to the module what the journal holds.
@@ -240,12 +276,13 @@
             log!(self.system, "journal: {} messages are still owed their end", owed.len());
         }
         for (id, Owed { taken, attempts, verdict, .. }) in owed {
+            let tenant = self.tenants.restored(&taken.tenant);
             if let Some(verdict) = verdict {
                 self.notices.add(id, taken.name, verdict);
                 continue;
             }
-            self.hand.restored(id, taken.name.clone());
-            let Some(message) = self.message(id, &taken) else {
+            self.hand.restored(id, &taken);
+            let Some(message) = tenant.and_then(|tenant| self.message(id, &taken, tenant)) else {
                 log!(
                     self.system,
                     "journal: {} is of a class or tenant that is not known any more",
@@ -264,8 +301,7 @@
         }
     }
 
-    fn message(&self, id: MessageId, taken: &Taken) -> Option<Message> {
-        let tenant = index_of(&self.config.tenants, &taken.tenant);
+    fn message(&self, id: MessageId, taken: &Taken, tenant: TenantId) -> Option<Message> {
         Some(Message {
             id,
             class: index_of(&self.config.classes, &taken.class)?,
@@ -273,7 +309,7 @@
             due: taken.due,
             key: taken.order,
             work: None,
-            tenant: tenant.or(self.config.tenants.is_empty().then_some(0))?,
+            tenant,
             again: taken.again,
         })
     }
@@ -283,27 +319,41 @@
             Input::Enqueue(request) => self.enqueue(request),
             Input::Ended(end) => self.ended(end),
             Input::Hosts(list) => self.list(list, false),
-            Input::Noticed(ids) => {
-                ids.into_iter().for_each(|id| logged(&self.system, self.journal.over(id)));
+            Input::Noticed(ids) => ids.into_iter().for_each(|id| self.over(id)),
+            Input::Tenants(TenantsCall { ask, reply }) => {
+                let told = self.tenants.answer(ask, |tenant| self.relay.load(tenant), &mut self.events);
+                drop(reply.send(told));
+            }
+            Input::Login(LoginCall { name, secret, reply }) => {
+                drop(reply.send(self.tenants.login(&name, &secret)));
             }
         }
     }
 
     fn enqueue(&mut self, request: Enqueue) {
-        let Enqueue { name, order, class, tenant, destination, due, key, again, body, reply } = request;
-        let Some(reply) = reply.and_then(|reply| self.hand.known(&name, reply)) else { return };
-        let taken = Taken { name, key, order, class, tenant, destination, due, again, body };
-        let id = self.journal.number();
-        match self.checked(id, &taken) {
-            Ok(message) => {
-                self.events.push(Event::Arrived(message));
-                self.hand.arrives(id, taken, reply);
-            }
-            Err(why) => drop(reply.send(why)),
+        let Enqueue { name, order, class, tenant, destination, due, key, again, body, login, reply } =
+            request;
+        let Some(reply) = reply else { return };
+        if let Err(why) = self.tenants.speaks(&tenant, login.as_ref()) {
+            return drop(reply.send(why));
         }
+        let Some(reply) = self.hand.known(&Name::new(&tenant, &name), reply) else { return };
+        let mut taken = Taken { name, key, order, class, tenant, destination, due, again, body };
+        let admitted =
+            self.checked(&taken).and_then(|()| self.tenants.admit(&taken.tenant, &taken.class, destination));
+        let (number, reference) = match admitted {
+            Ok(admitted) => admitted,
+            Err(why) => return drop(reply.send(why)),
+        };
+        taken.tenant = reference;
+        let id = self.journal.number();
+        let message = self.message(id, &taken, number);
+        self.events.extend(message.map(Event::Arrived));
+        self.hand.arrives(id, taken, reply);
     }
 
-    fn checked(&self, id: MessageId, taken: &Taken) -> Result<Message, Reply> {
+    /// Whether a message is one that this relay could carry.
+    fn checked(&self, taken: &Taken) -> Result<(), Reply> {
         let error = |why: &str| Err(Reply::Error(why.into()));
         let Some(class) = index_of(&self.config.classes, &taken.class) else {
             return error("unknown class");
@@ -319,7 +369,7 @@
         if !self.directory.knows(taken.destination) {
             return error("unknown destination");
         }
-        self.message(id, taken).map_or_else(|| error("unknown tenant"), Ok)
+        Ok(())
     }
 
     /// Advice for messages that never reach the module.
@@ -334,11 +384,14 @@
         }
         let owed = self.journal.all().get(&id);
         let over = told_over || owed.is_none_or(|owed| owed.verdict.is_some());
-        if let Some(name) = owed.filter(|_| over).map(|owed| owed.taken.name.clone()) {
-            self.hand.ended(self.system.now(), name);
+        if let Some(owed) = owed.filter(|_| over) {
+            if outcome == Outcome::Ok && owed.verdict.is_none() {
+                self.tenants.delivered(&owed.taken.tenant);
+            }
+            self.hand.ended(self.system.now(), Name::of(&owed.taken));
         }
         if told_over {
-            logged(&self.system, self.journal.over(id));
+            self.over(id);
         } else {
             logged(&self.system, self.journal.outcome(id, attempt, may_have_run(outcome)));
         }
@@ -347,6 +400,21 @@
         self.events.push(Event::Ended(Ended { id, attempt, host, outcome, elapsed, over, report }));
     }
 
+    /// Nothing more is owed for a message.
+    fn over(&mut self, id: MessageId) {
+        if let Some(owed) = self.journal.all().get(&id) {
+            self.tenants.released(&owed.taken.tenant);
+        }
+        logged(&self.system, self.journal.over(id));
+    }
+
+    /// Answers those whose message the module did not take on.
+    fn turn_away(&mut self, id: MessageId, reply: &Reply) {
+        if let Some(taken) = self.hand.turn_away(id, reply) {
+            self.tenants.turned_away(&taken.tenant);
+        }
+    }
+
     fn list(&mut self, list: HostList, cached: bool) {
         let whole = list.whole;
         let Config { zones, kinds, settings, .. } = &self.config;
@@ -371,8 +439,8 @@
         self.relay.handle(now, std::mem::take(&mut self.events), &mut actions);
         for action in &actions {
             match action {
-                Action::Refuse { id, after } => self.hand.turn_away(*id, &Reply::Busy(after.div_ceil(1000))),
-                Action::Fail(id) => self.hand.turn_away(*id, &Reply::Error("given up".into())),
+                Action::Refuse { id, after } => self.turn_away(*id, &Reply::Busy(after.div_ceil(1000))),
+                Action::Fail(id) => self.turn_away(*id, &Reply::Error("given up".into())),
                 _ => {}
             }
         }
@@ -415,7 +483,7 @@
     /// Takes on what the module has kept: on disk first, then the client is told.
     fn take_on(&mut self) {
         for (id, (taken, replies)) in self.hand.kept() {
-            let name = taken.name.clone();
+            let (name, tenant) = (Name::of(&taken), taken.tenant.clone());
             let reply = match self.journal.taken(id, taken) {
                 Ok(()) => Reply::Ok,
                 Err(error) => {
@@ -431,7 +499,10 @@
                 // Nobody was told that it is taken on, so nothing is owed.
                 logged(&self.system, self.journal.over(id));
                 self.hand.dropped(&name);
+                self.tenants.turned_away(&tenant);
                 self.events.push(Event::Withdrawn(id));
+            } else {
+                self.tenants.taken(&tenant);
             }
         }
     }
@@ -480,8 +551,10 @@
     fn end(&mut self, id: MessageId, verdict: Verdict) {
         let Some(owed) = self.journal.all().get(&id) else { return };
         let name = owed.taken.name.clone();
+        let known_as = Name::of(&owed.taken);
+        self.tenants.ended(&owed.taken.tenant, verdict);
         logged(&self.system, self.journal.verdict(id, verdict));
-        self.hand.ended(self.system.now(), name.clone());
+        self.hand.ended(self.system.now(), known_as);
         self.notices.add(id, name, verdict);
     }
 }
--- a/crates/relay/src/hand.rs
+++ b/crates/relay/src/hand.rs
@@ -1,4 +1,5 @@
-//! Messages by the names that clients gave them: those that arrive, those in hand, those that are over.
+//! Messages by the names that clients gave them: those that arrive, those in hand, those that are over. A name is
+//! its tenant's: two tenants may use the same.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -15,16 +16,35 @@
 /// A client that waits for its answer.
 type Waiting = oneshot::Sender<Reply>;
 
+/// A message's name among those of all tenants.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Name(String);
+
+impl Name {
+    /// The name of a message that was handed in for a tenant.
+    pub fn new(tenant: &str, name: &str) -> Self {
+        // The journal's word for a tenant has its generation behind a slash, which says nothing here.
+        let tenant = tenant.split('/').next().unwrap_or(tenant);
+        // No tenant's name has a line break.
+        Name(format!("{tenant}\n{name}"))
+    }
+
+    /// The name of a message that was taken on.
+    pub fn of(taken: &Taken) -> Self {
+        Name::new(&taken.tenant, &taken.name)
+    }
+}
+
 /// The messages of a relay by name.
 #[derive(Default)]
 pub struct Hand {
     /// Messages that the module has not decided on, with those who wait for the answer.
     arriving: BTreeMap<MessageId, (Taken, Vec<Waiting>)>,
     /// Numbers of the messages in hand.
-    numbers: BTreeMap<String, MessageId>,
+    numbers: BTreeMap<Name, MessageId>,
     /// Names of messages that were taken on and are over.
-    over: BTreeSet<String>,
-    over_since: VecDeque<(Instant, String)>,
+    over: BTreeSet<Name>,
+    over_since: VecDeque<(Instant, Name)>,
 }
 
 impl Hand {
@@ -36,7 +56,7 @@
     /// Answers a request for a message that is known by its name; gives the way back for one that is not.
     ///
     /// Guards against a second effect: a request with the name of a message that is over brings nothing new.
-    pub fn known(&mut self, name: &str, reply: Waiting) -> Option<Waiting> {
+    pub fn known(&mut self, name: &Name, reply: Waiting) -> Option<Waiting> {
         // Sent once more on another connection: it is in hand already.
         if let Some(id) = self.numbers.get(name) {
             match self.arriving.get_mut(id) {
@@ -54,15 +74,16 @@
 
     /// A new message, on which the module is to decide.
     pub fn arrives(&mut self, id: MessageId, taken: Taken, reply: Waiting) {
-        self.numbers.insert(taken.name.clone(), id);
+        self.numbers.insert(Name::of(&taken), id);
         self.arriving.insert(id, (taken, vec![reply]));
     }
 
-    /// The module did not take a message on.
-    pub fn turn_away(&mut self, id: MessageId, reply: &Reply) {
-        let Some((taken, replies)) = self.arriving.remove(&id) else { return };
-        self.numbers.remove(&taken.name);
+    /// The module did not take a message on; none if it did before.
+    pub fn turn_away(&mut self, id: MessageId, reply: &Reply) -> Option<Taken> {
+        let (taken, replies) = self.arriving.remove(&id)?;
+        self.numbers.remove(&Name::of(&taken));
         replies.into_iter().for_each(|waiting| drop(waiting.send(reply.clone())));
+        Some(taken)
     }
 
     /// The messages that the module has kept, with those who wait to hear so.
@@ -71,20 +92,20 @@
     }
 
     /// A message from before a restart.
-    pub fn restored(&mut self, id: MessageId, name: String) {
-        self.numbers.insert(name, id);
+    pub fn restored(&mut self, id: MessageId, taken: &Taken) {
+        self.numbers.insert(Name::of(taken), id);
     }
 
     /// A message that was not taken on after all.
-    pub fn dropped(&mut self, name: &str) {
+    pub fn dropped(&mut self, name: &Name) {
         self.numbers.remove(name);
     }
 
     /// A message that was taken on is over; its name is kept for a while.
-    pub fn ended(&mut self, now: Instant, name: String) {
+    pub fn ended(&mut self, now: Instant, name: Name) {
         self.numbers.remove(&name);
         let (most, span) = KNOWN_OVER;
-        let old = |(since, _): &(Instant, String)| now - *since > span;
+        let old = |(since, _): &(Instant, Name)| now - *since > span;
         while self.over_since.len() >= most || self.over_since.front().is_some_and(old) {
             let Some((_, gone)) = self.over_since.pop_front() else { break };
             self.over.remove(&gone);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,5 +11,7 @@
 mod hand;
 mod hosts;
 mod journal;
+mod operator;
+mod tenants;
 
 pub use driver::run;
--- /dev/null
+++ b/crates/relay/src/tenants/mod.rs
@@ -0,0 +1,353 @@
+//! Whose messages they are: the tenants of the settings, or those of a registry that administrators change.
+
+mod audit;
+mod store;
+
+use std::path::Path;
+
+use madderpitch_exchange::tenants::{Ask, Shown, Status, Told, Usage};
+use madderpitch_exchange::{Reply, Verdict};
+use madderpitch_policy::interface::{DestinationId, Event, Settings, TenantId};
+use madderpitch_policy::sharing::Load;
+use madderpitch_policy::Sharing;
+use madderpitch_seam::{log, System};
+use madderpitch_tenancy::registry::{
+    Actor, Change, Command, Decision, Entry, Expect, Login, Record, Refusal,
+};
+use madderpitch_tenancy::spec::Spec;
+use madderpitch_tenancy::{Registry, Shares};
+
+use crate::directory::index_of;
+use crate::operator;
+use audit::Audit;
+use store::{Opened, Store};
+
+/// Changes that the audit log lacks at most; past that no further change is made.
+const MOST_UNTOLD: usize = 100;
+/// What could not be kept is tried again after this, in milliseconds.
+const RETRY_MS: u64 = 1000;
+/// Weight of a whole share in the settings, where shares are fractions.
+const WHOLE: f64 = 1000.0;
+
+/// The tenants of a relay.
+pub enum Tenants<S: System> {
+    /// Those of the settings, by index.
+    Fixed(Vec<String>),
+    /// Those of a registry.
+    Hosted(Box<Hosted<S>>),
+}
+
+/// Tenants that administrators change.
+pub struct Hosted<S: System> {
+    system: S,
+    registry: Registry,
+    store: Store<S>,
+    audit: Audit<S>,
+    /// Clients have to name themselves.
+    auth: bool,
+    since_ms: u64,
+    /// What could not be kept by itself is tried again then.
+    retry_ms: u64,
+}
+
+fn unix_ms(system: &impl System) -> u64 {
+    system.unix_time().as_millis() as u64
+}
+
+impl<S: System> Tenants<S> {
+    /// The tenants of the settings, or with the operator's word those of a registry.
+    pub fn open(
+        system: &S, operator: Option<&operator::Tenants>, names: &[String], classes: &[String],
+        settings: &Settings,
+    ) -> Result<Self, String> {
+        match operator {
+            None => Ok(Tenants::Fixed(names.to_vec())),
+            Some(operator) => {
+                let shares = settings.tenants.iter().map(|tenant| tenant.share);
+                let known = names.iter().cloned().zip(shares).collect();
+                Hosted::open(system, operator, known, classes).map(|h| Tenants::Hosted(Box::new(h)))
+            }
+        }
+    }
+
+    /// Who shares the relay with whom, and what the module is told first.
+    pub fn sharing(&self, settings: &Settings) -> (Box<dyn Sharing>, Vec<Event>) {
+        match self {
+            Tenants::Fixed(_) => (Box::new(Shares::of(settings)), Vec::new()),
+            Tenants::Hosted(hosted) => {
+                let told = |entry: &Entry| Event::Tenant(entry.number, Some(entry.tenant.terms()));
+                let events = hosted.registry.entries().map(told).collect();
+                (Box::new(Shares::new(settings.slots)), events)
+            }
+        }
+    }
+
+    /// Whether a client may speak for a tenant, as whom it has named itself.
+    pub fn speaks(&mut self, name: &str, login: Option<&Login>) -> Result<(), Reply> {
+        let Tenants::Hosted(hosted) = self else { return Ok(()) };
+        if !hosted.auth {
+            return Ok(());
+        }
+        let login = login.filter(|login| hosted.registry.knows(login)).ok_or(Reply::NoAuth)?;
+        if login.tenant == name {
+            return Ok(());
+        }
+        hosted.rejected(&login.tenant);
+        Err(Reply::Error("the message is for another tenant".into()))
+    }
+
+    /// The number of the tenant that a message is to be taken on for, and the journal's name for it.
+    pub fn admit(
+        &mut self, name: &str, class: &str, destination: DestinationId,
+    ) -> Result<(TenantId, String), Reply> {
+        let error = |why: &str| Reply::Error(why.into());
+        match self {
+            Tenants::Fixed(names) => {
+                let number = index_of(names, name).or(names.is_empty().then_some(0));
+                number.map(|number| (number, name.into())).ok_or_else(|| error("unknown tenant"))
+            }
+            Tenants::Hosted(hosted) => {
+                let entry = hosted.registry.admits(name, class, destination).map_err(error)?;
+                entry.owed += 1;
+                Ok((entry.number, entry.tenant.reference()))
+            }
+        }
+    }
+
+    /// The number of the tenant of a message that was taken on before a restart.
+    pub fn restored(&mut self, reference: &str) -> Option<TenantId> {
+        match self {
+            Tenants::Fixed(names) => index_of(names, reference).or(names.is_empty().then_some(0)),
+            Tenants::Hosted(hosted) => {
+                let entry = hosted.registry.recall(reference)?;
+                entry.owed += 1;
+                Some(entry.number)
+            }
+        }
+    }
+
+    fn entry(&mut self, reference: &str) -> Option<&mut Entry> {
+        match self {
+            Tenants::Fixed(_) => None,
+            Tenants::Hosted(hosted) => hosted.registry.recall(reference),
+        }
+    }
+
+    /// A message was not taken on.
+    pub fn turned_away(&mut self, reference: &str) {
+        if let Some(entry) = self.entry(reference) {
+            entry.counts.refused += 1;
+            entry.owed = entry.owed.saturating_sub(1);
+        }
+    }
+
+    /// A message was taken on.
+    pub fn taken(&mut self, reference: &str) {
+        self.entry(reference).into_iter().for_each(|entry| entry.counts.taken += 1);
+    }
+
+    /// A message was delivered.
+    pub fn delivered(&mut self, reference: &str) {
+        self.entry(reference).into_iter().for_each(|entry| entry.counts.delivered += 1);
+    }
+
+    /// A message was given up.
+    pub fn ended(&mut self, reference: &str, verdict: Verdict) {
+        let Some(entry) = self.entry(reference) else { return };
+        match verdict {
+            Verdict::Undeliverable => entry.counts.failed += 1,
+            Verdict::Deferred(_) => entry.counts.refused += 1,
+        }
+    }
+
+    /// Nothing more is owed for a message.
+    pub fn released(&mut self, reference: &str) {
+        if let Some(entry) = self.entry(reference) {
+            entry.owed = entry.owed.saturating_sub(1);
+        }
+    }
+
+    /// Whom a client is taken for.
+    pub fn login(&self, name: &str, secret: &[u8]) -> Option<Login> {
+        match self {
+            Tenants::Fixed(_) => None,
+            Tenants::Hosted(hosted) => hosted.registry.login(name, secret),
+        }
+    }
+
+    /// Whether clients have to name themselves.
+    pub fn wants_login(&self) -> bool {
+        matches!(self, Tenants::Hosted(hosted) if hosted.auth)
+    }
+
+    /// Answers a front; what the module is to be told of it goes to `events`.
+    pub fn answer(&mut self, ask: Ask, load: impl Fn(TenantId) -> Load, events: &mut Vec<Event>) -> Told {
+        match self {
+            Tenants::Fixed(_) => Told::NotKept("the tenants are those of the settings".into()),
+            Tenants::Hosted(hosted) => hosted.answer(ask, load, events),
+        }
+    }
+
+    /// What is to be done between rounds; true if there is more of it.
+    pub fn tend(&mut self, events: &mut Vec<Event>) -> bool {
+        match self {
+            Tenants::Fixed(_) => false,
+            Tenants::Hosted(hosted) => hosted.tend(events),
+        }
+    }
+}
+
+impl<S: System> Hosted<S> {
+    /// Opens the registry. A new one begins with the tenants of the settings, if the operator says so.
+    fn open(
+        system: &S, operator: &operator::Tenants, known: Vec<(String, f64)>, classes: &[String],
+    ) -> Result<Self, String> {
+        let folder = Path::new(&operator.folder);
+        let Opened { store, registry, changes, fresh } =
+            Store::open(system, folder, operator.store_bytes(), classes)?;
+        let audit = Audit::open(system, folder, operator.audit(), &changes)?;
+        let (system, since_ms) = (system.clone(), unix_ms(system));
+        let mut hosted =
+            Hosted { system, registry, store, audit, auth: operator.auth, since_ms, retry_ms: 0 };
+        if fresh && operator.import {
+            for (name, share) in known {
+                let weight =
+                    (share * WHOLE).clamp(1.0, f64::from(madderpitch_tenancy::spec::MOST_WEIGHT)) as u32;
+                let command = Command {
+                    actor: Actor { name: "configuration".into(), role: "relay".into() },
+                    request: String::new(),
+                    key: None,
+                    name: name.clone(),
+                    expect: Expect::Any,
+                    change: Change::Create(Spec { weight, ..Spec::default() }),
+                };
+                if let Told::Refused(why) = hosted.change(command, &mut Vec::new()) {
+                    return Err(format!("the tenant {name:?} of the settings can't be hosted: {why}"));
+                }
+            }
+        }
+        Ok(hosted)
+    }
+
+    fn rejected(&mut self, name: &str) {
+        if let Ok(entry) = self.registry.find(name) {
+            let reference = entry.tenant.reference();
+            self.registry.recall(&reference).into_iter().for_each(|entry| entry.counts.rejected += 1);
+        }
+    }
+
+    fn shown(&self, tenant: madderpitch_tenancy::registry::Tenant) -> Box<Shown> {
+        let draining = self.registry.draining(&tenant.name).iter().map(|entry| entry.tenant.version);
+        let draining = draining.filter(|version| version.generation != tenant.version.generation).collect();
+        Box::new(Shown { tenant, draining })
+    }
+
+    fn answer(&mut self, ask: Ask, load: impl Fn(TenantId) -> Load, events: &mut Vec<Event>) -> Told {
+        match ask {
+            Ask::Change(command) => self.change(*command, events),
+            Ask::Find(name) => match self.registry.find(&name) {
+                Ok(entry) => Told::Found(self.shown(entry.tenant.clone())),
+                Err(why) => Told::Refused(why),
+            },
+            Ask::Page { after, most, scope } => {
+                let page = self.registry.page(after.as_deref());
+                let mut page = page.filter(|entry| scope.covers(&entry.tenant.name));
+                let tenants =
+                    page.by_ref().take(most).map(|entry| *self.shown(entry.tenant.clone())).collect();
+                Told::Page(tenants, page.next().is_some())
+            }
+            Ask::Usage(name) => match self.registry.find(&name) {
+                Ok(entry) => {
+                    let drains = self.registry.draining(&name).iter();
+                    let drains = drains.filter(|other| other.number != entry.number);
+                    let all = std::iter::once(entry).chain(drains);
+                    Told::Usage(all.map(|entry| usage(entry, load(entry.number))).collect(), self.since_ms)
+                }
+                Err(why) => Told::Refused(why),
+            },
+            Ask::Audit { before, most, scope, tenant } => {
+                let entries = self.audit.newest(before).filter(|entry| scope.covers(&entry.tenant));
+                let mut entries =
+                    entries.filter(|entry| tenant.as_ref().is_none_or(|name| entry.tenant == *name));
+                let page = entries.by_ref().take(most).cloned().collect();
+                Told::Audit(page, entries.next().is_some())
+            }
+            Ask::Status => Told::Status(Status {
+                tenants: self.registry.len(),
+                seq: self.registry.seq(),
+                lost: self.store.lost,
+                untold: self.audit.behind(),
+                since_ms: self.since_ms,
+            }),
+        }
+    }
+
+    fn change(&mut self, command: Command, events: &mut Vec<Event>) -> Told {
+        let decision = match self.registry.decide(unix_ms(&self.system), &command) {
+            Ok(decision) => decision,
+            Err(why) => return Told::Refused(why),
+        };
+        match decision {
+            Decision::Nothing(tenant) => Told::Unchanged(self.shown(*tenant)),
+            Decision::Again(answered) => {
+                let shown = self.shown(answered.tenant);
+                Told::Made { shown, action: answered.action, again: true }
+            }
+            Decision::Make(record) => {
+                if let Err(why) = self.make(&record, events) {
+                    return Told::NotKept(why);
+                }
+                match record.to {
+                    Some(tenant) => {
+                        Told::Made { shown: self.shown(tenant), action: record.action, again: false }
+                    }
+                    None => Told::Refused(Refusal::Gone(command.name)),
+                }
+            }
+        }
+    }
+
+    /// Keeps a change, makes it, and tells the module and the audit log.
+    fn make(&mut self, record: &Record, events: &mut Vec<Event>) -> Result<(), String> {
+        if self.audit.behind() >= MOST_UNTOLD {
+            self.audit.flush();
+            if self.audit.behind() >= MOST_UNTOLD {
+                return Err("the audit log cannot be written".into());
+            }
+        }
+        self.store.append(record).map_err(|e| format!("the registry cannot be written: {e}"))?;
+        let effects = self.registry.commit(record);
+        events.extend(effects.into_iter().map(|(number, terms)| Event::Tenant(number, terms)));
+        self.audit.tell(record);
+        Ok(())
+    }
+
+    fn tend(&mut self, events: &mut Vec<Event>) -> bool {
+        let now = unix_ms(&self.system);
+        if let Some(record) = self.registry.drained(now).filter(|_| self.retry_ms <= now) {
+            if let Err(why) = self.make(&record, events) {
+                log!(self.system, "tenants: one that has drained stays for now: {why}");
+                self.retry_ms = now + RETRY_MS;
+            }
+        }
+        // The files hold what the audit log lacks until it has it.
+        if self.audit.behind() > 0 {
+            self.audit.flush();
+        }
+        if self.audit.behind() == 0 {
+            self.store.tend(&self.registry);
+        }
+        self.store.is_busy()
+    }
+}
+
+fn usage(entry: &Entry, load: Load) -> Usage {
+    Usage {
+        name: entry.tenant.name.clone(),
+        version: entry.tenant.version,
+        counts: entry.counts,
+        held: load.held,
+        in_flight: load.in_flight,
+        owed: entry.owed,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/tenants/store.rs
@@ -0,0 +1,249 @@
+//! The registry's two files. A change is in the first before it is answered; the second heals what the first
+//! loses. Both are written anew now and then, in slices, so that no round stands still for it.
+
+use std::collections::BTreeMap;
+use std::io::{self, Read, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+use madderpitch_seam::{log, File, System};
+use madderpitch_tenancy::record::{self, Snapshot};
+use madderpitch_tenancy::registry::Record;
+use madderpitch_tenancy::Registry;
+
+/// The files, the leading one first.
+const FILES: [&str; 2] = ["tenants.a", "tenants.b"];
+/// Changes may take as much room as the snapshot, and this, before the files are written anew, in bytes.
+const ROOM: u64 = 1 << 20;
+/// Tenants, and bytes, of one slice of a rewriting.
+const SLICE: (usize, usize) = (128, 64 << 10);
+
+/// One of the files.
+struct Copy<F> {
+    path: PathBuf,
+    file: F,
+    length: u64,
+    /// It ends in half a line that could not be cut off.
+    torn: bool,
+    /// It lacks lines that the other has.
+    behind: bool,
+}
+
+/// A rewriting under way.
+enum Rewriting<F> {
+    /// The snapshot is being taken.
+    Taking(Snapshot),
+    /// It is being written to one of the files.
+    Writing { copy: usize, text: Vec<u8>, done: usize, file: Option<F> },
+}
+
+/// The registry's files.
+pub(super) struct Store<S: System> {
+    system: S,
+    copies: Vec<Copy<S::File>>,
+    /// Bytes of the last snapshot.
+    snapshot: u64,
+    limit: u64,
+    rewriting: Option<Rewriting<S::File>>,
+    /// Changes since the rewriting began, as they are written.
+    tail: Vec<u8>,
+    /// A rewriting failed; the next is not begun before the next change.
+    failed: bool,
+    /// Changes that were lost to damage.
+    pub lost: u64,
+}
+
+/// What the files held.
+pub(super) struct Opened<S: System> {
+    pub store: Store<S>,
+    pub registry: Registry,
+    /// Changes that the files still hold.
+    pub changes: BTreeMap<u64, Record>,
+    /// There were no files.
+    pub fresh: bool,
+}
+
+impl<S: System> Store<S> {
+    /// Reads the files in a folder, and mends them. `limit` bounds each, in bytes.
+    pub fn open(system: &S, folder: &Path, limit: u64, classes: &[String]) -> Result<Opened<S>, String> {
+        let mut copies = Vec::new();
+        let mut texts = Vec::new();
+        for name in FILES {
+            let path = folder.join(name);
+            let (file, text) =
+                Self::read(system, &path).map_err(|e| format!("cannot use {}: {e}", path.display()))?;
+            let length = text.as_ref().map_or(0, |text| text.len() as u64);
+            copies.push(Copy { path, file, length, torn: false, behind: false });
+            texts.push(text);
+        }
+        let fresh = texts.iter().all(Option::is_none);
+        let read =
+            record::recover(classes, texts[0].as_deref(), texts[1].as_deref()).map_err(|e| e.to_string())?;
+        let registry = Registry::restored(classes.to_vec(), read.kept);
+        let mut store = Store {
+            system: system.clone(),
+            copies,
+            snapshot: 0,
+            limit,
+            rewriting: None,
+            tail: Vec::new(),
+            failed: false,
+            lost: read.lost,
+        };
+        if read.lost > 0 {
+            log!(*system, "tenants: {} changes are lost, a tenant may stand as it did before one", read.lost);
+        }
+        if fresh || read.spoilt {
+            if !fresh {
+                log!(*system, "tenants: the registry's files differed or were spoilt, and are written anew");
+            }
+            store
+                .anew(&registry, &read.changes)
+                .map_err(|e| format!("cannot write the registry of tenants: {e}"))?;
+        } else {
+            store.snapshot = record::snapshot(&registry, read.lost).len() as u64;
+        }
+        Ok(Opened { store, registry, changes: read.changes, fresh })
+    }
+
+    fn read(system: &S, path: &Path) -> io::Result<(S::File, Option<Vec<u8>>)> {
+        // Left by a process that ended while it wrote the file anew.
+        match system.remove(&fresh_path(path)) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        let exists = match system.read(path) {
+            Ok(_) => true,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => false,
+            Err(e) => return Err(e),
+        };
+        let mut file = system.open(path)?;
+        let mut text = Vec::new();
+        file.read_to_end(&mut text)?;
+        Ok((file, exists.then_some(text)))
+    }
+
+    /// Keeps a change. Once this returns, it outlasts the process; an error leaves no trace of it.
+    pub fn append(&mut self, record: &Record) -> io::Result<()> {
+        let text = record::change(record);
+        if self.copies[0].length + text.len() as u64 > self.limit {
+            self.failed = false;
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "the registry's files are full"));
+        }
+        self.copies[0].append(&text)?;
+        if self.copies[1].behind || self.copies[1].append(&text).is_err() {
+            // What the leading file holds is kept; the other is written anew.
+            self.copies[1].behind = true;
+        }
+        if self.rewriting.is_some() {
+            self.tail.extend(text);
+        }
+        self.failed = false;
+        Ok(())
+    }
+
+    /// Writes both files anew at once.
+    fn anew(&mut self, registry: &Registry, untold: &BTreeMap<u64, Record>) -> io::Result<()> {
+        let mut text = record::snapshot(registry, self.lost);
+        self.snapshot = text.len() as u64;
+        untold.values().for_each(|change| text.extend(record::change(change)));
+        for copy in &mut self.copies {
+            let fresh = fresh_path(&copy.path);
+            let mut file = self.system.create(&fresh)?;
+            file.write_all(&text).inspect_err(|_| drop(self.system.remove(&fresh)))?;
+            self.system.rename(&fresh, &copy.path)?;
+            (copy.file, copy.length, copy.torn, copy.behind) = (file, text.len() as u64, false, false);
+        }
+        Ok(())
+    }
+
+    /// Whether there is a slice of work to be done.
+    pub fn is_busy(&self) -> bool {
+        self.rewriting.is_some()
+    }
+
+    /// Begins to write the files anew where they have grown, and goes on with a slice of it.
+    pub fn tend(&mut self, registry: &Registry) {
+        let grown = self.copies[0].length > 2 * self.snapshot + ROOM || self.copies[1].behind;
+        if self.rewriting.is_none() && grown && !self.failed {
+            self.tail.clear();
+            self.rewriting = Some(Rewriting::Taking(Snapshot::begin(registry, self.lost)));
+        }
+        let Some(rewriting) = self.rewriting.take() else { return };
+        match self.slice(registry, rewriting) {
+            Ok(next) => self.rewriting = next,
+            Err(error) => {
+                log!(
+                    self.system,
+                    "tenants: the registry's files stay as they are, not written anew: {error}"
+                );
+                self.copies.iter().for_each(|copy| drop(self.system.remove(&fresh_path(&copy.path))));
+                self.failed = true;
+            }
+        }
+    }
+
+    fn slice(
+        &mut self, registry: &Registry, rewriting: Rewriting<S::File>,
+    ) -> io::Result<Option<Rewriting<S::File>>> {
+        match rewriting {
+            Rewriting::Taking(mut snapshot) => {
+                if !snapshot.take(registry, SLICE.0) {
+                    return Ok(Some(Rewriting::Taking(snapshot)));
+                }
+                Ok(Some(Rewriting::Writing { copy: 0, text: snapshot.text(), done: 0, file: None }))
+            }
+            Rewriting::Writing { copy, text, done, file } => {
+                let path = self.copies[copy].path.clone();
+                let fresh = fresh_path(&path);
+                let mut file = match file {
+                    Some(file) => file,
+                    None => self.system.create(&fresh)?,
+                };
+                let end = (done + SLICE.1).min(text.len());
+                file.write_all(&text[done..end])?;
+                if end < text.len() {
+                    return Ok(Some(Rewriting::Writing { copy, text, done: end, file: Some(file) }));
+                }
+                // The changes since the beginning, some of which stand in the snapshot already.
+                file.write_all(&self.tail)?;
+                self.system.rename(&fresh, &path)?;
+                let length = (text.len() + self.tail.len()) as u64;
+                self.copies[copy] = Copy { path, file, length, torn: false, behind: false };
+                if copy + 1 < self.copies.len() {
+                    return Ok(Some(Rewriting::Writing { copy: copy + 1, text, done: 0, file: None }));
+                }
+                self.snapshot = text.len() as u64;
+                self.tail.clear();
+                Ok(None)
+            }
+        }
+    }
+}
+
+impl<F: File> Copy<F> {
+    fn append(&mut self, text: &[u8]) -> io::Result<()> {
+        if self.torn {
+            self.cut()?;
+        }
+        self.file.seek(SeekFrom::Start(self.length))?;
+        let written = self.file.write_all(text);
+        match written {
+            Ok(()) => self.length += text.len() as u64,
+            // What follows half a line would be read as a part of it.
+            Err(_) => self.torn = self.cut().is_err(),
+        }
+        written
+    }
+
+    fn cut(&mut self) -> io::Result<()> {
+        self.file.set_len(self.length)?;
+        self.torn = false;
+        Ok(())
+    }
+}
+
+fn fresh_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".new");
+    name.into()
+}
--- a/crates/relay/tests/scene/mod.rs
+++ b/crates/relay/tests/scene/mod.rs
@@ -329,6 +329,8 @@
     pub folder: PathBuf,
     pub config: Value,
     pub relay: Option<Child>,
+    /// The text of the operator file, if there is one.
+    pub operator: Option<String>,
     next: u32,
 }
 
@@ -346,7 +348,7 @@
             "seed": "8c1f30d27a5be964", "settings": settings(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
             "known": {"seq": 1, "whole": true, "hosts": known}});
-        Scene { discovery, listen, folder, config, relay: None, next: 1 }
+        Scene { discovery, listen, folder, config, relay: None, operator: None, next: 1 }
     }
 
     /// The same, started.
@@ -362,6 +364,11 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_madderpitch"));
         command.env("BALANCER_CONFIG", path).env("BALANCER_STATE", self.folder.join("state"));
         command.env_remove("BALANCER_LISTEN").env_remove("BALANCER_DISCOVERY");
+        if let Some(operator) = &self.operator {
+            let path = self.folder.join("operator.toml");
+            std::fs::write(&path, operator).expect("a file");
+            command.arg("--operator").arg(path);
+        }
         command
     }
 
@@ -417,12 +424,25 @@
     }
 
     pub fn enqueue_body(&mut self, class: &str, block: u16, left: u64, body: &[u8]) -> (String, String) {
-        let id = format!("m{:04}", self.next);
-        self.next += 1;
+        let id = self.id();
         let mut client = self.client();
         client.send(&request(&id, class, block, left, body));
         (id, client.line())
     }
+
+    /// A new id.
+    pub fn id(&mut self) -> String {
+        self.next += 1;
+        format!("m{:04}", self.next - 1)
+    }
+
+    /// The same for a tenant.
+    pub fn enqueue_for(&mut self, tenant: &str, class: &str, block: u16, left: u64) -> (String, String) {
+        let id = self.id();
+        let mut client = self.client();
+        client.send(&request_for(tenant, &id, class, block, left, b"body"));
+        (id, client.line())
+    }
 }
 
 impl Drop for Scene {
@@ -449,8 +469,12 @@
 }
 
 pub fn request(id: &str, class: &str, block: u16, left: u64, body: &[u8]) -> Vec<u8> {
+    request_for("acme", id, class, block, left, body)
+}
+
+pub fn request_for(tenant: &str, id: &str, class: &str, block: u16, left: u64, body: &[u8]) -> Vec<u8> {
     let key = if class == "event" { format!("k=k-{id},") } else { String::new() };
-    let list = format!("c={class},t=acme,d={left},{key}dest={block}");
+    let list = format!("c={class},t={tenant},d={left},{key}dest={block}");
     frame(&[b"ENQUEUE", b"0000000000000000", id.as_bytes(), list.as_bytes(), body])
 }
 
--- a/crates/sim/src/demo.rs
+++ b/crates/sim/src/demo.rs
@@ -28,7 +28,7 @@
 pub fn relay() -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, madderpitch_relay::run(Real))
+    tokio::task::LocalSet::new().block_on(&runtime, madderpitch_relay::run(Real, None))
 }
 
 /// Plays the demo. False if a rule was broken.
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -249,7 +249,7 @@
     }
 
     fn start(&mut self, relay: SocketAddr) {
-        self.process = self.machine.process(self.options.lie, madderpitch_relay::run);
+        self.process = self.machine.process(self.options.lie, |system| madderpitch_relay::run(system, None));
         self.life = Life::Up;
         self.machine.note(format_args!("process {} starts", self.process));
         self.stage.see(&Seen::Started(self.process));
--- /dev/null
+++ b/crates/tenancy/src/audit.rs
@@ -0,0 +1,102 @@
+//! The audit log's entries: who changed what from what to what.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+use crate::registry::{Action, Record, State, Tenant};
+use crate::spec::Spec;
+
+/// A tenant as it was before or after a change. Of its secrets only the names are told.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+pub struct Image {
+    /// Its generation and revision.
+    pub version: String,
+    /// Where it stood.
+    pub state: State,
+    /// What was set.
+    pub spec: Spec,
+    /// Names of its secrets.
+    pub secrets: Vec<String>,
+}
+
+impl Image {
+    fn of(tenant: &Tenant) -> Self {
+        Image {
+            version: tenant.version.to_string(),
+            state: tenant.state,
+            spec: tenant.spec.clone(),
+            secrets: tenant.secrets.iter().map(|secret| secret.id.clone()).collect(),
+        }
+    }
+}
+
+/// A change that was made.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
+pub struct Entry {
+    /// Counts all changes, from 1 and without a gap.
+    pub seq: u64,
+    /// When, as RFC 3339 has it.
+    pub at: String,
+    /// Name of the token that was used, or `relay` for what the relay did by itself.
+    pub actor: String,
+    /// Its role.
+    pub role: String,
+    /// The request's name.
+    pub request: String,
+    /// What was done.
+    pub action: Action,
+    /// The tenant's name.
+    pub tenant: String,
+    /// The tenant before; null where it was made.
+    pub from: Option<Image>,
+    /// The tenant after; null where it is gone.
+    pub to: Option<Image>,
+}
+
+impl Entry {
+    /// The entry of a change.
+    pub fn of(record: &Record) -> Self {
+        let tenant = record.to.as_ref().or(record.from.as_ref());
+        Entry {
+            seq: record.seq,
+            at: rfc3339(record.at_ms),
+            actor: record.actor.name.clone(),
+            role: record.actor.role.clone(),
+            request: record.request.clone(),
+            action: record.action,
+            tenant: tenant.map(|tenant| tenant.name.clone()).unwrap_or_default(),
+            from: record.from.as_ref().map(Image::of),
+            to: record.to.as_ref().map(Image::of),
+        }
+    }
+
+    /// The entry as a line of JSON.
+    pub fn line(&self) -> Vec<u8> {
+        // Types of this package, of which none fails to be written.
+        let mut text = serde_json::to_vec(self).unwrap_or_default();
+        text.push(b'\n');
+        text
+    }
+}
+
+/// A moment, given in milliseconds since the Unix epoch, as RFC 3339 has it.
+pub fn rfc3339(at_ms: u64) -> String {
+    // The last moment that the format has room for; later ones show as that.
+    const LAST: u64 = 253_402_300_799_999;
+    humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(at_ms.min(LAST))).to_string()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn moments_are_told_in_utc() {
+        assert_eq!(rfc3339(0), "1970-01-01T00:00:00.000Z");
+        assert_eq!(rfc3339(1_790_000_000_123), "2026-09-21T14:13:20.123Z");
+        assert_eq!(rfc3339(u64::MAX), "9999-12-31T23:59:59.999Z");
+    }
+}
--- a/crates/tenancy/src/lib.rs
+++ b/crates/tenancy/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Shares`] is what the decision module asks; [`registry`] is what administrators change; [`record`] is how
 //! that is written, and read after anything that can happen to a file.
 
+pub mod audit;
 mod meter;
 pub mod record;
 pub mod registry;
--- a/crates/tenancy/src/record.rs
+++ b/crates/tenancy/src/record.rs
@@ -1,7 +1,8 @@
 //! How a registry is written, and read after anything that can happen to a file.
 //!
 //! A line is the CRC-32 of its text in eight hexadecimal digits, a space, the text as JSON, and a line feed. A
-//! file begins with a snapshot, which says how many lines it has, and goes on with changes, each with its number.
+//! file begins with a snapshot, whose last line says how many it has, and goes on with changes, each with its
+//! number.
 //! Two copies of the file are kept: what one has lost the other heals. A change that both have lost is told as
 //! lost, never passed over in silence.
 
@@ -17,13 +18,13 @@
 /// 256 ranges of destinations and 8 secrets each.
 pub const LONGEST_LINE: usize = 256 << 10;
 
-/// The first line of a file.
+/// The line that ends a snapshot.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Head {
     format: u32,
     /// Number of the last change that the snapshot holds.
     seq: u64,
-    /// Lines of the snapshot after this one.
+    /// Lines of the snapshot before this one.
     lines: usize,
     /// Changes that were lost before the snapshot.
     lost: u64,
@@ -60,18 +61,58 @@
     encode(&Line::Change(Box::new(record.clone())))
 }
 
-/// The snapshot of a registry, with the changes that are still to be told elsewhere.
-pub fn snapshot(registry: &Registry, lost: u64, untold: &[Record]) -> Vec<u8> {
-    let kept = registry.kept();
-    let tenants = kept.tenants.into_iter().map(Line::Tenant);
-    let gone = kept.gone.into_iter().map(|(name, generation)| Line::Gone(name, generation));
-    let answered = kept.answered.into_iter().map(Line::Answered);
-    let lines: Vec<Line> = tenants.chain(gone).chain(answered).collect();
-    let head = Head { format: FORMAT, seq: kept.seq, lines: lines.len(), lost };
-    let mut out = encode(&Line::Head(head));
-    lines.iter().for_each(|line| out.extend(encode(line)));
-    untold.iter().for_each(|record| out.extend(change(record)));
-    out
+/// The snapshot of a registry, taken in parts while it goes on changing.
+///
+/// A tenant stands in it as it was when its part was taken, which may be later than the number in the head says:
+/// the changes from that number on follow in the file, and each brings a tenant whole.
+pub struct Snapshot {
+    text: Vec<u8>,
+    lines: usize,
+    seq: u64,
+    lost: u64,
+    after: Option<String>,
+}
+
+impl Snapshot {
+    /// Nothing of it is taken yet; `lost` changes were lost before.
+    pub fn begin(registry: &Registry, lost: u64) -> Self {
+        Snapshot { text: Vec::new(), lines: 0, seq: registry.seq(), lost, after: None }
+    }
+
+    fn add(&mut self, line: &Line) {
+        self.text.extend(encode(line));
+        self.lines += 1;
+    }
+
+    /// Takes the next tenants, about as many; true once all is taken.
+    pub fn take(&mut self, registry: &Registry, most: usize) -> bool {
+        let after = self.after.clone();
+        for (taken, entry) in registry.after(after.as_deref()).enumerate() {
+            // Those of one name are taken together.
+            if taken >= most && self.after.as_ref() != Some(&entry.tenant.name) {
+                return false;
+            }
+            self.add(&Line::Tenant(entry.tenant.clone()));
+            self.after = Some(entry.tenant.name.clone());
+        }
+        registry.gone().for_each(|(name, generation)| self.add(&Line::Gone(name.clone(), generation)));
+        registry.answered().for_each(|answered| self.add(&Line::Answered(answered.clone())));
+        let head = Head { format: FORMAT, seq: self.seq, lines: self.lines, lost: self.lost };
+        self.text.extend(encode(&Line::Head(head)));
+        true
+    }
+
+    /// What is to be written.
+    pub fn text(self) -> Vec<u8> {
+        self.text
+    }
+}
+
+/// The whole snapshot of a registry.
+pub fn snapshot(registry: &Registry, lost: u64) -> Vec<u8> {
+    let mut snapshot = Snapshot::begin(registry, lost);
+    snapshot.take(registry, usize::MAX);
+    snapshot.text()
 }
 
 /// What one copy holds.
@@ -175,7 +216,13 @@
     let mut registry = Registry::restored(classes.to_vec(), kept);
     for (seq, record) in changes.range(registry.seq() + 1..) {
         lost += seq - registry.seq() - 1;
-        registry.commit(record);
+        // One that the snapshot holds in a later state already stays so.
+        let known = record.to.as_ref().and_then(|to| registry.version(&to.name, to.version.generation));
+        if known.is_some_and(|known| record.to.as_ref().is_some_and(|to| to.version <= known)) {
+            registry.pass(record);
+        } else {
+            registry.commit(record);
+        }
     }
     Ok(Recovered { kept: registry.kept(), changes, lost, spoilt })
 }
@@ -195,7 +242,7 @@
     /// A registry after some changes, the file that was written meanwhile, and the state after each change.
     fn story() -> (Vec<u8>, Vec<Kept>) {
         let mut registry = Registry::new(vec!["payout".into()]);
-        let mut text = snapshot(&registry, 0, &[]);
+        let mut text = snapshot(&registry, 0);
         let mut states = vec![registry.kept()];
         for (at, command) in [
             command("acme", Change::Create(Spec::default())),
@@ -234,7 +281,7 @@
         assert!(!recovered.spoilt && recovered.lost == 0 && recovered.changes.len() == 7);
         // The same from a snapshot of it.
         let registry = Registry::restored(vec!["payout".into()], recovered.kept.clone());
-        let text = snapshot(&registry, 0, &[]);
+        let text = snapshot(&registry, 0);
         let again = read(Some(&text), Some(&text));
         assert_eq!(again.kept, recovered.kept);
         assert!(!again.spoilt && again.lost == 0 && again.changes.is_empty());
@@ -289,12 +336,56 @@
         assert_eq!(recovered.kept, states[5]);
         // One copy has been written anew since, the other has not.
         let registry = Registry::restored(vec!["payout".into()], states[5].clone());
-        let fresh = [snapshot(&registry, 0, &[]), text[ends[5]..ends[6]].to_vec()].concat();
+        let fresh = [snapshot(&registry, 0), text[ends[5]..ends[6]].to_vec()].concat();
         let recovered = read(Some(&fresh), Some(five));
         assert_eq!(recovered.kept, states[6]);
         assert_eq!(recovered.lost, 0);
     }
 
+    /// A snapshot that is taken in parts while tenants are made, changed and removed is, with the changes that
+    /// follow it, the state at the end.
+    #[test]
+    fn a_snapshot_in_parts_is_whole_with_what_follows() {
+        for part in [1, 2, 3, 7] {
+            let mut registry = Registry::new(Vec::new());
+            let make = |registry: &mut Registry, name: &str, change: Change| {
+                let Ok(Decision::Make(record)) = registry.decide(5, &command(name, change)) else {
+                    return Vec::new();
+                };
+                registry.commit(&record);
+                super::change(&record)
+            };
+            for n in 0..20 {
+                make(&mut registry, &format!("t{n:02}"), Change::Create(Spec::default()));
+            }
+            let mut snapshot = Snapshot::begin(&registry, 0);
+            let (mut tail, mut step) = (Vec::new(), 0);
+            while !snapshot.take(&registry, part) {
+                step += 1;
+                let (one, other) = (format!("t{:02}", step % 20), format!("t{:02}", (step * 7) % 20));
+                tail.extend(make(
+                    &mut registry,
+                    &one,
+                    Change::Merge(serde_json::json!({"weight": 100 + step})),
+                ));
+                tail.extend(make(&mut registry, &other, Change::Remove(None)));
+                if let Some(gone) = registry.drained(6).filter(|_| step % 2 == 0) {
+                    tail.extend(super::change(&gone));
+                    registry.commit(&gone);
+                }
+                tail.extend(make(&mut registry, &other, Change::Create(Spec::default())));
+                tail.extend(make(&mut registry, &format!("n{step}"), Change::Create(Spec::default())));
+            }
+            let text = [snapshot.text(), tail].concat();
+            let read = read(Some(&text), Some(&text));
+            let (mut kept, mut now) = (read.kept, registry.kept());
+            kept.answered.sort_by(|a, b| a.key.cmp(&b.key));
+            now.answered.sort_by(|a, b| a.key.cmp(&b.key));
+            assert_eq!(kept, now, "parts of {part}");
+            assert!(!read.spoilt && read.lost == 0);
+        }
+    }
+
     #[test]
     fn a_later_format_is_not_read() {
         let head = Head { format: FORMAT + 1, ..Head::default() };
--- a/crates/tenancy/src/registry.rs
+++ b/crates/tenancy/src/registry.rs
@@ -3,7 +3,7 @@
 //! A change is decided against the state ([`Registry::decide`]), kept by whoever has a disk, and only then
 //! made ([`Registry::commit`]): what was answered holds, and what was not answered is there whole or not at all.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::str::FromStr;
 
@@ -66,12 +66,10 @@
 
 /// What a client of the tenant may name itself with.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
 pub struct Secret {
     /// Its name among the tenant's secrets.
     pub id: String,
     /// SHA-256 of the secret, in hexadecimal digits.
-    #[cfg_attr(feature = "openapi", schema(value_type = String, pattern = "^[0-9a-f]{64}$"))]
     pub sha256: Digest,
     /// When it was added, in milliseconds since the Unix epoch.
     pub created_at_ms: u64,
@@ -119,7 +117,6 @@
 
 /// Who asks for a change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
 pub struct Actor {
     /// Name of the token, or `relay` for what the relay does by itself.
     pub name: String,
@@ -360,6 +357,8 @@
 pub struct Registry {
     classes: Vec<String>,
     lines: BTreeMap<String, Line>,
+    /// Tenants that drain, by name and generation.
+    draining: BTreeSet<(String, u32)>,
     /// Generation of the last tenant of a name that is gone, and the names oldest first.
     gone: BTreeMap<String, u32>,
     gone_order: VecDeque<String>,
@@ -411,14 +410,23 @@
         registry
     }
 
+    /// Names that are gone, with the generation of the last of each, oldest first.
+    pub fn gone(&self) -> impl Iterator<Item = (&String, u32)> {
+        self.gone_order.iter().filter_map(|name| Some((name, *self.gone.get(name)?)))
+    }
+
+    /// Answers that are remembered by their keys, oldest first.
+    pub fn answered(&self) -> impl Iterator<Item = &Answered> {
+        self.answered.iter()
+    }
+
     /// All that is to be kept.
     pub fn kept(&self) -> Kept {
-        let gone = |name: &String| Some((name.clone(), *self.gone.get(name)?));
         Kept {
             seq: self.seq,
             tenants: self.entries().map(|entry| entry.tenant.clone()).collect(),
-            gone: self.gone_order.iter().filter_map(gone).collect(),
-            answered: self.answered.iter().cloned().collect(),
+            gone: self.gone().map(|(name, generation)| (name.clone(), generation)).collect(),
+            answered: self.answered().cloned().collect(),
         }
     }
 
@@ -442,11 +450,20 @@
         self.lines.values().flat_map(Line::all)
     }
 
-    /// The tenants of each name that comes after one, newest first where there are several.
-    pub fn page<'a>(&'a self, after: Option<&str>) -> impl Iterator<Item = &'a Entry> {
+    /// All tenants of the names that come after one, by name and generation.
+    pub fn after<'a>(&'a self, name: Option<&str>) -> impl Iterator<Item = &'a Entry> {
+        self.range(name).flat_map(|(_, line)| line.all())
+    }
+
+    fn range<'a>(&'a self, after: Option<&str>) -> impl Iterator<Item = (&'a String, &'a Line)> {
         use std::ops::Bound::{Excluded, Unbounded};
         let from = after.map_or(Unbounded, Excluded);
-        self.lines.range::<str, _>((from, Unbounded)).filter_map(|(_, line)| line.newest())
+        self.lines.range::<str, _>((from, Unbounded))
+    }
+
+    /// The tenants of each name that comes after one, newest first where there are several.
+    pub fn page<'a>(&'a self, after: Option<&str>) -> impl Iterator<Item = &'a Entry> {
+        self.range(after).filter_map(|(_, line)| line.newest())
     }
 
     /// The tenant of a name, or the newest that drains.
@@ -632,7 +649,11 @@
 
     /// Tenants that drain and are owed nothing any more: the records by which they are gone.
     pub fn drained(&self, now_ms: u64) -> Option<Record> {
-        let drained = self.lines.values().flat_map(|line| &line.draining).find(|entry| entry.owed == 0)?;
+        let entries = self.draining.iter().filter_map(|(name, generation)| {
+            let line = self.lines.get(name)?;
+            line.draining.iter().find(|entry| entry.tenant.version.generation == *generation)
+        });
+        let drained = entries.into_iter().find(|entry| entry.owed == 0)?;
         Some(Record {
             seq: self.seq + 1,
             at_ms: now_ms,
@@ -645,8 +666,14 @@
         })
     }
 
-    /// Makes a change that was kept, and says what the module must know.
-    pub fn commit(&mut self, record: &Record) -> Vec<Effect> {
+    /// The state in which a tenant is known.
+    pub fn version(&self, name: &str, generation: u32) -> Option<Version> {
+        let mut all = self.lines.get(name)?.all();
+        all.find(|entry| entry.tenant.version.generation == generation).map(|entry| entry.tenant.version)
+    }
+
+    /// Takes note of a change that has been made already.
+    pub fn pass(&mut self, record: &Record) {
         self.seq = self.seq.max(record.seq);
         if let (Some((key, digest)), Some(tenant)) = (&record.key, &record.to) {
             self.remember(Answered {
@@ -658,6 +685,11 @@
                 tenant: tenant.clone(),
             });
         }
+    }
+
+    /// Makes a change that was kept, and says what the module must know.
+    pub fn commit(&mut self, record: &Record) -> Vec<Effect> {
+        self.pass(record);
         match (&record.from, &record.to) {
             (_, Some(to)) => self.put(to.clone()).into_iter().collect(),
             (Some(from), None) => self.take_out(from).into_iter().collect(),
@@ -667,6 +699,7 @@
 
     fn remember(&mut self, answered: Answered) {
         let now = answered.at_ms;
+        self.answered.retain(|other| other.key != answered.key || other.actor != answered.actor);
         self.answered.push_back(answered);
         while self.answered.len() > MOST_KEYS || self.answered.front().is_some_and(|a| !a.lives(now)) {
             self.answered.pop_front();
@@ -693,9 +726,11 @@
         if line.current.as_ref().is_some_and(|other| other.tenant.version.generation == generation) {
             line.current = None;
         }
-        match drains {
-            true => line.draining.push(entry),
-            false => line.current = Some(entry),
+        if drains {
+            self.draining.insert((entry.tenant.name.clone(), generation));
+            line.draining.push(entry);
+        } else {
+            line.current = Some(entry);
         }
         line.draining.sort_by_key(|entry| entry.tenant.version.generation);
         Some((number, Some(terms)))
@@ -711,6 +746,7 @@
         if line.newest().is_none() {
             self.lines.remove(&tenant.name);
         }
+        self.draining.remove(&(tenant.name.clone(), tenant.version.generation));
         self.numbers.give_back(number);
         self.bury(tenant.name.clone(), tenant.version.generation);
         Some((number, None))
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 use madderpitch_policy::interface::{DestinationId, Message, Micros, Settings, Standing, TenantId, Terms};
-use madderpitch_policy::sharing::{Offer, Sharing};
+use madderpitch_policy::sharing::{Load, Offer, Sharing};
 
 use crate::meter::Meter;
 
@@ -293,4 +293,9 @@
     fn abandons(&self, tenant: TenantId) -> bool {
         self.accounts.get(&tenant).is_some_and(|account| account.terms.standing == Standing::Ending)
     }
+
+    fn load(&self, tenant: TenantId) -> Load {
+        let account = self.accounts.get(&tenant);
+        account.map_or(Load::default(), |account| Load { held: account.held, in_flight: account.in_flight })
+    }
 }
--- a/crates/tenancy/src/spec.rs
+++ b/crates/tenancy/src/spec.rs
@@ -44,8 +44,6 @@
 
 /// Destinations from one number to another, both included: `7` or `10-19`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[cfg_attr(feature = "openapi", derive(utoipa::ToSchema))]
-#[cfg_attr(feature = "openapi", schema(value_type = String, example = "10-19"))]
 #[serde(try_from = "String", into = "String")]
 pub struct Destinations {
     first: DestinationId,
@@ -126,7 +124,7 @@
     pub classes: Option<BTreeSet<String>>,
     /// Destinations that its messages may go to; all if absent.
     #[serde(skip_serializing_if = "Option::is_none")]
-    #[cfg_attr(feature = "openapi", schema(max_items = 256))]
+    #[cfg_attr(feature = "openapi", schema(max_items = 256, value_type = Option<Vec<String>>, example = json!(["7", "10-19"])))]
     pub destinations: Option<Vec<Destinations>>,
     /// What becomes of its messages when it is removed.
     pub on_removal: OnRemoval,
--- a/crates/tenancy/tests/registry.rs
+++ b/crates/tenancy/tests/registry.rs
@@ -264,7 +264,7 @@
     #[test]
     fn what_is_read_back_is_what_was_there(steps in prop::collection::vec((any_change(), any::<bool>()), 1..60)) {
         let mut registry = Registry::new(classes());
-        let mut text = record::snapshot(&registry, 0, &[]);
+        let mut text = record::snapshot(&registry, 0);
         let mut newest = std::collections::BTreeMap::new();
         for (at, ((name, change, key), anew)) in steps.into_iter().enumerate() {
             let name = format!("t{name}");
@@ -285,7 +285,7 @@
                 }
             }
             if anew {
-                text = record::snapshot(&registry, 0, &[]);
+                text = record::snapshot(&registry, 0);
             }
             let numbers: BTreeSet<_> = registry.entries().map(|entry| entry.number).collect();
             prop_assert_eq!(numbers.len(), registry.len());
