Share the bytes of the hold among tenants too, and keep its last tenth for others

While others ask, a tenant that has its part of the hold may not fill its last tenth with calls. A tenant counts among those who share the hold for 10 s after it last handed something in.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
-use crate::sharing::{Load, Offer, Sharing, Unshared};
+use crate::sharing::{Load, Offer, Room, Sharing, Unshared};
 use crate::state::*;
 
 const SECOND: Micros = 1_000_000;
@@ -208,6 +208,8 @@
     dice: Dice,
     now: Micros,
     held: BTreeMap<MessageId, Held>,
+    /// Bytes that are held.
+    bytes: usize,
     hosts: BTreeMap<HostId, Host>,
     /// Hosts that are gone and not yet forgotten.
     leaving: Vec<HostId>,
@@ -239,6 +241,7 @@
             dice: Dice(seed),
             now: 0,
             held: BTreeMap::new(),
+            bytes: 0,
             hosts: BTreeMap::new(),
             leaving: Vec::new(),
             routes: BTreeMap::new(),
@@ -295,7 +298,7 @@
         self.overdue();
         self.deadlines(out);
         self.dispatch(out);
-        self.make_room(out);
+        self.make_room(0, out);
         self.free_slots(out);
         if !self.subscribed && self.ask_at <= now {
             out.push(Action::Subscribe(true));
@@ -406,12 +409,13 @@
             let after = if after > 0 { after } else { self.advice() };
             return out.push(Action::Refuse { id: message.id, after });
         }
-        let most = self.set.most_held;
-        if self.held.len() >= most && !self.sharing.over_share(message.tenant, most) {
-            self.make_room(out);
+        let most = self.hold(0);
+        let full = |relay: &Relay| relay.held.len() >= most.places || relay.bytes + message.size > most.bytes;
+        if full(self) && !self.sharing.over_share(message.tenant, most) {
+            self.make_room(message.size, out);
         }
         // Guards the hold where nothing in it may be refused to make room.
-        if self.held.len() >= most {
+        if full(self) {
             let after = self.advice();
             return out.push(Action::Refuse { id: message.id, after });
         }
@@ -425,6 +429,7 @@
         let aim_at = (first + class.aim + stretch).min(message.due);
         let (worth, in_order) = (class.worth, class.in_order);
         self.sharing.taken(self.now, &message);
+        self.bytes += message.size;
         if let (true, Some(key)) = (in_order, message.key) {
             self.keys.entry(key).or_default().line.push_back(message.id);
         }
@@ -486,7 +491,10 @@
                 self.keys.retain(|_, turn| !turn.line.is_empty() || turn.rest_until > now);
             }
         }
-        self.held.remove(&id).into_iter().for_each(|held| self.sharing.released(&held.message));
+        if let Some(held) = self.held.remove(&id) {
+            self.sharing.released(&held.message);
+            self.bytes -= held.message.size;
+        }
     }
 
     /// The final answer when there will be no delivery: a refusal only where nothing may have run.
@@ -821,13 +829,18 @@
         }
         offers.sort_by(|a, b| b.regret.total_cmp(&a.regret).then(a.id.cmp(&b.id)));
         self.sharing.arrange(now, &mut offers);
-        let mut short = false;
+        let (keep, mut stuck, mut short) = (self.hold(HOLD_ROOM), self.stuck(), false);
         for i in 0..offers.len() {
             short = self.calls.len() >= self.set.slots;
             if short {
                 break;
             }
-            let Offer { mut id, destination, .. } = offers[i];
+            let Offer { mut id, tenant, destination, .. } = offers[i];
+            // Guards those who hold less than their part against a hold full of calls that are out.
+            let full = stuck.places >= keep.places || stuck.bytes >= keep.bytes;
+            if full && self.sharing.crowds(now, tenant, keep) {
+                continue;
+            }
             let Some((key, host)) = self.choose(id) else { continue };
             // The trial risks its message: of those that may go there, take the one that risks least.
             if self.routes.get(&key).is_some_and(|r| r.fuse != Fuse::Closed && !r.harmless) {
@@ -843,6 +856,8 @@
                 }
             }
             self.send(id, key, host, None, out);
+            let bytes = stuck.bytes + self.held.get(&id).map_or(0, |held| held.message.size);
+            stuck = Room { places: stuck.places + 1, bytes };
             let per_call = self.hosts.get(&host).map_or(1, |h| self.kind(&h.entry).per_call);
             let mates = offers[i..].iter().filter(|o| o.destination == destination);
             let mut mates = mates.filter(|o| self.held.get(&o.id).is_some_and(|h| self.fits(h, host)));
@@ -854,6 +869,14 @@
         self.sharing.settled(short);
     }
 
+    /// What is held and may not be refused.
+    fn stuck(&self) -> Room {
+        let stuck = self.held.values().filter(|held| !held.waits() || held.tainted().is_some());
+        let sum =
+            |room: Room, held: &Held| Room { places: room.places + 1, bytes: room.bytes + held.message.size };
+        stuck.fold(Room { places: 0, bytes: 0 }, sum)
+    }
+
     fn risk(&self, id: MessageId) -> u8 {
         let Some(held) = self.held.get(&id) else { return u8::MAX };
         match self.class(&held.message).effect {
@@ -994,12 +1017,20 @@
         }
     }
 
+    /// What the hold has room for, but for one part in so many; all if none.
+    fn hold(&self, spared: usize) -> Room {
+        let less = |most: usize| most - most.checked_div(spared).map_or(0, |part| part.max(1).min(most));
+        let bytes = if self.set.most_bytes == 0 { usize::MAX } else { less(self.set.most_bytes) };
+        Room { places: less(self.set.most_held), bytes }
+    }
+
     /// Guards against a hold filled by messages for dead or swamped destinations, whatever made them so:
     /// the door would turn away good ones. Refuses those worth least when their turn may come; a client
     /// that comes again is a wider hold than ours. It hurts where clients never come again.
-    fn make_room(&mut self, out: &mut Vec<Action>) {
-        let keep = self.set.most_held - self.set.most_held.min((self.set.most_held / HOLD_ROOM).max(1));
-        if self.held.len() <= keep {
+    fn make_room(&mut self, wanted: usize, out: &mut Vec<Action>) {
+        let keep = self.hold(HOLD_ROOM);
+        let enough = |relay: &Relay| relay.held.len() <= keep.places && relay.bytes + wanted <= keep.bytes;
+        if enough(self) {
             return;
         }
         let mut ahead: BTreeMap<DestinationId, (f64, f64)> = BTreeMap::new();
@@ -1015,7 +1046,7 @@
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
         for (_, id) in ranked {
-            if self.held.len() <= keep {
+            if enough(self) {
                 break;
             }
             if self.sharing.over_share(self.held[&id].message.tenant, keep) {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -182,6 +182,8 @@
     pub slots: usize,
     /// Messages held at once, sent or not.
     pub most_held: usize,
+    /// Bytes that they may take together; zero where nothing bounds them.
+    pub most_bytes: usize,
     /// Attempts a message at most.
     pub max_attempts: usize,
     /// The longest wait a client heeds; zero if clients are not told waits.
@@ -253,6 +255,8 @@
     pub tenant: TenantId,
     /// The client has handed it in before.
     pub again: bool,
+    /// Bytes that it takes while it is held; zero where they don't count.
+    pub size: usize,
 }
 
 /// An attempt that was made before a restart.
--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/sharing.rs
@@ -5,6 +5,15 @@
 
 use crate::interface::{DestinationId, Message, MessageId, Micros, TenantId, Terms};
 
+/// What there is room for in a hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Messages.
+    pub places: usize,
+    /// Bytes of messages.
+    pub bytes: usize,
+}
+
 /// A message that waits for a destination which takes calls now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Offer {
@@ -35,8 +44,11 @@
     /// It is held no more.
     fn released(&mut self, message: &Message);
 
-    /// Whether the tenant holds more than its part of so many places, so that others may have them.
-    fn over_share(&self, tenant: TenantId, places: usize) -> bool;
+    /// Whether the tenant holds more than its part of so much, so that others may have it.
+    fn over_share(&self, tenant: TenantId, room: Room) -> bool;
+
+    /// Whether the last of the room is to be kept from the tenant: it has its part, and others may ask.
+    fn crowds(&mut self, now: Micros, tenant: TenantId, room: Room) -> bool;
 
     /// Puts offers, which come with the highest regret first, in the order in which they are to be tried, and
     /// drops those that may not be.
@@ -85,10 +97,14 @@
 
     fn released(&mut self, _: &Message) {}
 
-    fn over_share(&self, _: TenantId, _: usize) -> bool {
+    fn over_share(&self, _: TenantId, _: Room) -> bool {
         true
     }
 
+    fn crowds(&mut self, _: Micros, _: TenantId, _: Room) -> bool {
+        false
+    }
+
     fn arrange(&mut self, _: Micros, _: &mut Vec<Offer>) {}
 
     fn may_send(&self, _: TenantId) -> bool {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -451,7 +451,7 @@
 
 fn message(id: MessageId, class: u16, now: Micros) -> Message {
     let (destination, due, key, work) = (1, now + 20 * S, None, None);
-    Message { id, class, destination, due, key, work, tenant: 0, again: false }
+    Message { id, class, destination, due, key, work, tenant: 0, again: false, size: 0 }
 }
 
 fn handle(relay: &mut Relay, now: Micros, events: Vec<Event>) -> Vec<Action> {
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -36,6 +36,7 @@
         cross_zone_fee: 0.0,
         slots: 12,
         most_held: 100,
+        most_bytes: 0,
         max_attempts: 8,
         max_retry_after: S,
         cancelling: true,
@@ -136,7 +137,8 @@
     ) -> MessageId {
         let id = self.next;
         self.next += 1;
-        let message = Message { id, class, destination, due, key, work: None, tenant: 0, again: false };
+        let message =
+            Message { id, class, destination, due, key, work: None, tenant: 0, again: false, size: 0 };
         if let (true, Some(key)) = (self.set.classes[usize::from(class)].in_order, key) {
             self.order.entry(key).or_default().push(id);
         }
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -79,6 +79,8 @@
     let disk = (config.limits.disk_mb * 1e6) as u64;
     let journal = Journal::open(system.clone(), &config.state, disk)
         .map_err(|e| format!("cannot use the journal in {folder}: {e}"))?;
+    let config =
+        Config { settings: Settings { most_bytes: journal.capacity(), ..config.settings }, ..config };
     // Half of the sockets are for clients; of the rest, the calls out come before what is idle.
     let admin = wanted.admin.as_ref().map_or(0, |admin| admin.connections + ADMIN_SOCKETS);
     let sockets = config.limits.sockets.saturating_sub(OTHER_SOCKETS + admin);
@@ -311,6 +313,7 @@
             work: None,
             tenant,
             again: taken.again,
+            size: taken.room(),
         })
     }
 
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -48,6 +48,16 @@
     pub body: Bytes,
 }
 
+/// Room in the journal that a message takes beside its body at most: its names, and the records of its attempts.
+const BESIDE: usize = 768;
+
+impl Taken {
+    /// Bytes that the message takes in the journal, at most.
+    pub fn room(&self) -> usize {
+        self.body.len() + BESIDE
+    }
+}
+
 /// An attempt on a message.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Attempt {
@@ -174,6 +184,11 @@
         Ok(journal)
     }
 
+    /// Bytes of messages that the journal has room for.
+    pub fn capacity(&self) -> usize {
+        (self.limit * OWED_PART) as usize
+    }
+
     /// All that is owed.
     pub fn all(&self) -> &BTreeMap<MessageId, Owed> {
         &self.owed
@@ -188,7 +203,7 @@
     /// A message is taken on. Once this returns, it outlasts the process.
     pub fn taken(&mut self, id: MessageId, taken: Taken) -> io::Result<()> {
         let room = self.limit * OWED_PART - self.owed_size as f64;
-        if taken.body.len() as f64 + 512.0 > room {
+        if taken.room() as f64 > room {
             return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal's part of the disk is full"));
         }
         self.write(Record::Taken(id, taken))
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -6,10 +6,10 @@
 //! tenant that is less than a quantum ahead is not held back, so that within a quantum worth decides. Where
 //! nobody is left waiting virtual time catches up with all tags: what was borrowed from nobody is not owed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use madderpitch_policy::interface::{DestinationId, Message, Micros, Settings, Standing, TenantId, Terms};
-use madderpitch_policy::sharing::{Load, Offer, Sharing};
+use madderpitch_policy::sharing::{Load, Offer, Room, Sharing};
 
 use crate::meter::Meter;
 
@@ -23,6 +23,9 @@
 /// Destinations whose tags are kept at most; the one that was used longest ago is forgotten first, which forgives what
 /// tenants are ahead there.
 pub const MOST_CLOCKS: usize = 4096;
+/// A tenant counts among those who share the hold for so long after it had a message taken on, and its time is
+/// told anew once half of it has passed.
+const RECENT: Micros = 10_000_000;
 /// Weight of a whole share in the settings, where shares are fractions.
 const WHOLE: f64 = 1000.0;
 /// The largest weight.
@@ -35,7 +38,17 @@
     gone: bool,
     meter: Meter,
     held: usize,
+    bytes: usize,
     in_flight: usize,
+    /// It had a message taken on so recently that it counts until then, whatever it holds.
+    counts_until: Micros,
+}
+
+impl Account {
+    /// Whether it is among those who share the hold.
+    fn counts(&self) -> bool {
+        self.counts_until > 0
+    }
 }
 
 /// The tags of the tenants that use one resource.
@@ -86,8 +99,10 @@
     places: f64,
     slots: Clock,
     destinations: BTreeMap<DestinationId, Clock>,
-    /// Weights of the tenants that hold something, together.
+    /// Weights of the tenants that hold something, or did until lately, together.
     holding: u64,
+    /// Tenants by when they stop counting if they hold nothing.
+    recent: BTreeSet<(Micros, TenantId)>,
     now: Micros,
 }
 
@@ -100,6 +115,7 @@
             slots: Clock::default(),
             destinations: BTreeMap::new(),
             holding: 0,
+            recent: BTreeSet::new(),
             now: 0,
         }
     }
@@ -119,6 +135,30 @@
         self.destinations.len()
     }
 
+    /// A tenant is gone, and holds nothing.
+    fn forget(&mut self, tenant: TenantId) {
+        let Some(account) = self.accounts.remove(&tenant) else { return };
+        if account.counts_until > 0 {
+            self.holding -= u64::from(account.terms.weight);
+            self.recent.remove(&(account.counts_until, tenant));
+        }
+    }
+
+    /// Those who hold nothing, and asked last too long ago, share the hold no more.
+    fn expire(&mut self, now: Micros) {
+        while let Some((until, tenant)) = self.recent.first().copied().filter(|(until, _)| *until <= now) {
+            self.recent.pop_first();
+            let Some(account) = self.accounts.get_mut(&tenant) else { continue };
+            if account.held > 0 {
+                account.counts_until = now + RECENT;
+                self.recent.insert((account.counts_until, tenant));
+            } else if account.counts_until == until {
+                account.counts_until = 0;
+                self.holding -= u64::from(account.terms.weight);
+            }
+        }
+    }
+
     fn weight(&self, tenant: TenantId) -> f64 {
         self.accounts.get(&tenant).map_or(1.0, |account| f64::from(account.terms.weight))
     }
@@ -142,15 +182,23 @@
                 account.gone = true;
                 account.terms.standing = Standing::Ending;
                 if account.held == 0 {
-                    self.accounts.remove(&tenant);
+                    self.forget(tenant);
                 }
             }
             return;
         };
         let terms = Terms { weight: terms.weight.max(1), ..terms };
-        let fresh = Account { terms, gone: false, meter: Meter::default(), held: 0, in_flight: 0 };
+        let fresh = Account {
+            terms,
+            gone: false,
+            meter: Meter::default(),
+            held: 0,
+            bytes: 0,
+            in_flight: 0,
+            counts_until: 0,
+        };
         let account = self.accounts.entry(tenant).or_insert(fresh);
-        if account.held > 0 {
+        if account.counts() {
             self.holding = self.holding - u64::from(account.terms.weight) + u64::from(terms.weight);
         }
         if let Some(rate) = terms.rate.filter(|rate| account.terms.rate != Some(*rate)) {
@@ -173,10 +221,16 @@
         if let Some(rate) = account.terms.rate {
             account.meter.take(now, rate);
         }
-        if account.held == 0 {
+        if !account.counts() {
             self.holding += u64::from(account.terms.weight);
         }
         account.held += 1;
+        if account.counts_until < now + RECENT / 2 {
+            self.recent.remove(&(account.counts_until, message.tenant));
+            account.counts_until = now + RECENT;
+            self.recent.insert((account.counts_until, message.tenant));
+        }
+        account.bytes += message.size;
     }
 
     fn released(&mut self, message: &Message) {
@@ -184,19 +238,25 @@
         let account = self.accounts.get_mut(&message.tenant).filter(|account| account.held > 0);
         let Some(account) = account else { return };
         account.held -= 1;
-        if account.held == 0 {
-            self.holding -= u64::from(account.terms.weight);
-            if account.gone {
-                self.accounts.remove(&message.tenant);
-            }
+        account.bytes = account.bytes.saturating_sub(message.size);
+        if account.held == 0 && account.gone {
+            self.forget(message.tenant);
         }
     }
 
-    fn over_share(&self, tenant: TenantId, places: usize) -> bool {
+    fn over_share(&self, tenant: TenantId, room: Room) -> bool {
         let Some(account) = self.accounts.get(&tenant) else { return true };
         let weight = u64::from(account.terms.weight);
-        let all = self.holding + if account.held == 0 { weight } else { 0 };
-        account.held as f64 * all as f64 > places as f64 * weight as f64
+        let all = self.holding + if account.counts() { 0 } else { weight };
+        let over = |has: usize, most: usize| has as f64 * all as f64 > most as f64 * weight as f64;
+        over(account.held, room.places) || over(account.bytes, room.bytes)
+    }
+
+    fn crowds(&mut self, now: Micros, tenant: TenantId, room: Room) -> bool {
+        self.expire(now);
+        let Some(account) = self.accounts.get(&tenant) else { return false };
+        let own = if account.counts() { u64::from(account.terms.weight) } else { 0 };
+        self.holding > own && self.over_share(tenant, room)
     }
 
     fn arrange(&mut self, now: Micros, offers: &mut Vec<Offer>) {
--- a/crates/tenancy/tests/flood.rs
+++ b/crates/tenancy/tests/flood.rs
@@ -39,6 +39,7 @@
         over_share_worth: 0.1,
         slots: 32,
         most_held: 200,
+        most_bytes: 900_000,
         max_attempts: 12,
         max_retry_after: 2 * S,
         cancelling: true,
@@ -61,6 +62,8 @@
     per_s: u64,
     class: fn(u64) -> u16,
     to: fn(u64) -> DestinationId,
+    /// Bytes of each.
+    size: usize,
 }
 
 struct Underway {
@@ -68,6 +71,7 @@
     class: u16,
     first: Micros,
     destination: DestinationId,
+    size: usize,
     tries: u32,
 }
 
@@ -107,7 +111,8 @@
                 sent[number] += 1;
                 let (class, destination) = ((traffic.class)(count), (traffic.to)(count));
                 next += 1;
-                let fresh = Underway { tenant: number, class, first: now, destination, tries: 0 };
+                let size = traffic.size;
+                let fresh = Underway { tenant: number, class, first: now, destination, size, tries: 0 };
                 again.insert((now, next), fresh);
             }
         }
@@ -129,6 +134,7 @@
                 work: None,
                 tenant,
                 again,
+                size: underway.size,
             }));
             open.insert(id, underway);
         }
@@ -200,9 +206,11 @@
     [1, 2].map(|tenant| flooded.in_time[tenant] as f64 / calm.in_time[tenant] as f64)
 }
 
-fn mixes() -> [(&'static str, [Traffic; 3], Traffic); 4] {
-    let traffic = |class, to| Traffic { per_s: USUAL, class, to };
-    let flood = |class, to| Traffic { per_s: USUAL * FLOOD, class, to };
+fn mixes() -> [(&'static str, [Traffic; 3], Traffic); 5] {
+    let traffic = |class, to| Traffic { per_s: USUAL, class, to, size: 500 };
+    let flood = |class, to| Traffic { per_s: USUAL * FLOOD, class, to, size: 500 };
+    // 30 of them fill the hold.
+    let large = |traffic| Traffic { size: 30_000, ..traffic };
     let updates: fn(u64) -> u16 = |_| UPDATE;
     let payouts: fn(u64) -> u16 = |_| PAYOUT;
     let mixed: fn(u64) -> u16 = |n| if n % 5 == 0 { PAYOUT } else { UPDATE };
@@ -213,6 +221,7 @@
         ("updates against a flood of payouts", [traffic(updates, all); 3], flood(payouts, all)),
         ("one shared partner", [traffic(mixed, one); 3], flood(mixed, one)),
         ("all partners", [traffic(mixed, all); 3], flood(mixed, all)),
+        ("large bodies", [large(traffic(mixed, all)); 3], large(flood(mixed, all))),
     ]
 }
 
--- a/crates/tenancy/tests/shares.rs
+++ b/crates/tenancy/tests/shares.rs
@@ -1,9 +1,9 @@
 //! Properties of the shares: what is lent comes back, nobody who asks falls behind, and nothing is lost count of.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use madderpitch_policy::interface::*;
-use madderpitch_policy::sharing::{Offer, Sharing};
+use madderpitch_policy::sharing::{Offer, Room, Sharing};
 use madderpitch_tenancy::{Shares, MOST_CLOCKS};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -16,7 +16,7 @@
 
 fn message(offer: &Offer) -> Message {
     let Offer { id, tenant, destination, .. } = *offer;
-    Message { id, class: 0, destination, due: 0, key: None, work: None, tenant, again: false }
+    Message { id, class: 0, destination, due: 0, key: None, work: None, tenant, again: false, size: 0 }
 }
 
 fn with_weights(slots: usize, weights: &[u32]) -> Shares {
@@ -143,8 +143,9 @@
         let mut shares = Shares::new(8);
         let mut terms: BTreeMap<TenantId, u32> = BTreeMap::new();
         let mut held: BTreeMap<TenantId, usize> = BTreeMap::new();
+        let mut counting: BTreeSet<TenantId> = BTreeSet::new();
         for (tenant, what, weight) in steps {
-            let one = message(&offer(1, tenant, 1.0, MS));
+            let one = Message { size: 100, ..message(&offer(1, tenant, 1.0, MS)) };
             match what {
                 0 => {
                     terms.insert(tenant, weight);
@@ -165,15 +166,21 @@
                 _ => {}
             }
             held.retain(|_, held| *held > 0);
-            let whole: u64 = held.keys().map(|tenant| u64::from(terms[tenant])).sum();
+            // All that happens within a moment: whoever held something still counts.
+            counting.retain(|tenant| terms.contains_key(tenant));
+            counting.extend(held.keys());
+            let whole: u64 = counting.iter().map(|tenant| u64::from(terms[tenant])).sum();
             let all: usize = held.values().sum();
             for (tenant, held) in &held {
                 for places in [all / 2, all.saturating_sub(1), all, 2 * all] {
                     let over = (*held as u64) * whole > places as u64 * u64::from(terms[tenant]);
-                    prop_assert_eq!(shares.over_share(*tenant, places), over);
+                    let by = |places, bytes| shares.over_share(*tenant, Room { places, bytes });
+                    prop_assert_eq!(by(places, usize::MAX), over);
+                    prop_assert_eq!(by(usize::MAX, places * 100), over);
                 }
             }
-            prop_assert!(all == 0 || held.keys().any(|tenant| shares.over_share(*tenant, all - 1)));
+            let most = Room { places: all.saturating_sub(1), bytes: usize::MAX };
+            prop_assert!(all == 0 || held.keys().any(|tenant| shares.over_share(*tenant, most)));
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -172,6 +172,7 @@
         cross_zone_fee: or_zero("/fees/crossZone"),
         slots: need("/familyInfo/callsOut")? as usize,
         most_held: need("/limits/mostHeld")? as usize,
+        most_bytes: 0,
         max_attempts: need("/limits/maxAttempts")? as usize,
         max_retry_after: if tells_waits { or_zero("/limits/maxRetryAfter") as Micros } else { 0 },
         cancelling: flag("/limits/cancelling"),
@@ -351,6 +352,7 @@
                     work: (bits & HINT_VALID != 0).then_some(Micros::from(effort)),
                     tenant,
                     again: bits & HANDED_IN_AGAIN != 0,
+                    size: 0,
                 })
             }
             3 => {
