Wait where a call can't be made, and leave a full disk's last room to ends

Need: on a full disk a message's attempts were used up within 60 ms by calls that are not made, and it ended as refused.

Change: after a call that was not made a message waits 0.2 s for each try, as after an error. While the spare does not stand no change of a tenant is taken (503).

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -519,9 +519,10 @@
         };
         let call_id = attempt.call;
         self.sharing.returned(&held.message, attempt.booked, end.elapsed);
-        // Guards against a class that always fails somewhere: its tries must not follow at once.
+        // Guards against a class that always fails somewhere, and against calls that can't be made: their tries
+        // must not follow at once.
         held.not_before = match end.outcome {
-            Outcome::Error | Outcome::Reset => now + SECOND / 5 * tries,
+            Outcome::Error | Outcome::Reset | Outcome::Moot => now + SECOND / 5 * tries,
             _ => now,
         };
         let (order_key, over) = (held.message.key, held.over);
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -147,7 +147,7 @@
             driver.round()?;
             continue;
         }
-        if driver.tenants.tend(&mut driver.events) {
+        if driver.tenants.tend(&mut driver.events, driver.journal.has_spare()) {
             wake = wake.min(now + Duration::from_millis(1));
         }
         if let Some(since) = stopping {
@@ -324,7 +324,8 @@
             Input::Hosts(list) => self.list(list, false),
             Input::Noticed(ids) => ids.into_iter().for_each(|id| self.over(id)),
             Input::Tenants(TenantsCall { ask, reply }) => {
-                let told = self.tenants.answer(ask, |tenant| self.relay.load(tenant), &mut self.events);
+                let (load, room) = (|tenant| self.relay.load(tenant), self.journal.regain_spare());
+                let told = self.tenants.answer(ask, load, &mut self.events, room);
                 drop(reply.send(told));
             }
             Input::Login(LoginCall { name, secret, reply }) => {
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -189,6 +189,20 @@
         (self.limit * OWED_PART) as usize
     }
 
+    /// Whether room is set aside for the ends of messages; without it the disk was full when that was last tried,
+    /// and whatever else is written would take the room of ends.
+    pub fn has_spare(&self) -> bool {
+        self.spare
+    }
+
+    /// The same, tried again where it was not.
+    pub fn regain_spare(&mut self) -> bool {
+        if !self.spare {
+            self.keep_spare();
+        }
+        self.spare
+    }
+
     /// All that is owed.
     pub fn all(&self) -> &BTreeMap<MessageId, Owed> {
         &self.owed
@@ -214,9 +228,11 @@
         self.write(Record::Out(id, number, attempt))
     }
 
-    /// An attempt came back, and the message was not delivered.
+    /// An attempt came back, and the message was not delivered. What the journal says of it already takes no
+    /// room: on a full disk that is for ends.
     pub fn outcome(&mut self, id: MessageId, attempt: u8, may_have_run: bool) -> io::Result<()> {
-        if !self.owed.contains_key(&id) {
+        let known = self.owed.get(&id).and_then(|owed| owed.attempts.get(usize::from(attempt)));
+        if known.is_none_or(|known| known.may_have_run == may_have_run) {
             return Ok(());
         }
         self.write(Record::Outcome(id, attempt, may_have_run))
@@ -251,10 +267,8 @@
         let ends = matches!(record, Record::Verdict(..) | Record::Over(..));
         // Nothing new begins while there is no room for the ends of what has begun.
         let begins = matches!(record, Record::Taken(..) | Record::Out(..));
-        if begins && !self.spare {
-            self.keep_spare();
-            let full = || io::Error::new(io::ErrorKind::StorageFull, "no room for the ends of messages");
-            written = if self.spare { written } else { Err(full()) };
+        if begins && !self.regain_spare() {
+            written = Err(io::Error::new(io::ErrorKind::StorageFull, "no room for the ends of messages"));
         }
         let written = written.and_then(|()| self.append(&text, ends));
         match record {
--- a/crates/relay/src/tenants/mod.rs
+++ b/crates/relay/src/tenants/mod.rs
@@ -180,19 +180,25 @@
         matches!(self, Tenants::Hosted(hosted) if hosted.auth)
     }
 
-    /// Answers a front; what the module is to be told of it goes to `events`.
-    pub fn answer(&mut self, ask: Ask, load: impl Fn(TenantId) -> Load, events: &mut Vec<Event>) -> Told {
+    /// Answers a front; what the module is to be told of it goes to `events`. Nothing is changed while there is
+    /// no `room` on the disk but for the ends of messages.
+    pub fn answer(
+        &mut self, ask: Ask, load: impl Fn(TenantId) -> Load, events: &mut Vec<Event>, room: bool,
+    ) -> Told {
         match self {
             Tenants::Fixed(_) => Told::NotKept("the tenants are those of the settings".into()),
+            Tenants::Hosted(_) if !room && matches!(ask, Ask::Change(_)) => {
+                Told::NotKept("the disk is full, what room there is is for the ends of messages".into())
+            }
             Tenants::Hosted(hosted) => hosted.answer(ask, load, events),
         }
     }
 
-    /// What is to be done between rounds; true if there is more of it.
-    pub fn tend(&mut self, events: &mut Vec<Event>) -> bool {
+    /// What is to be done between rounds, if there is `room` on the disk; true if there is more of it.
+    pub fn tend(&mut self, events: &mut Vec<Event>, room: bool) -> bool {
         match self {
-            Tenants::Fixed(_) => false,
-            Tenants::Hosted(hosted) => hosted.tend(events),
+            Tenants::Hosted(hosted) if room => hosted.tend(events),
+            _ => false,
         }
     }
 }
