Read a registry that lost the end of both copies by its audit log

Need: where both copies of the registry end early on a line's end, neither tells that anything is missing, and numbers of changes were given twice. A copy with half a line at its end was appended to, so that the next change was read as part of it. On a full disk a spoilt copy kept the relay from starting.

Change: the audit log's last number is followed, and what is missing is told as lost; half a line is cut off before the next; files that can't be written anew now are written later. A name is gone once its newest tenant has drained, also while an older one still does.

--- a/crates/relay/src/tenants/audit.rs
+++ b/crates/relay/src/tenants/audit.rs
@@ -81,6 +81,11 @@
         self.flush();
     }
 
+    /// Number of the last change that stands in the log.
+    pub fn told(&self) -> u64 {
+        self.told
+    }
+
     /// Changes that wait to be written.
     pub fn behind(&self) -> usize {
         self.untold.len()
--- a/crates/relay/src/tenants/mod.rs
+++ b/crates/relay/src/tenants/mod.rs
@@ -209,9 +209,15 @@
         system: &S, operator: &operator::Tenants, known: Vec<(String, f64)>, classes: &[String],
     ) -> Result<Self, String> {
         let folder = Path::new(&operator.folder);
-        let Opened { store, registry, changes, fresh } =
+        let Opened { mut store, mut registry, changes, fresh } =
             Store::open(system, folder, operator.store_bytes(), classes)?;
         let audit = Audit::open(system, folder, operator.audit(), &changes)?;
+        // Guards against an end that both files have lost, which they can't tell: the audit log was told of it.
+        let lost = registry.follow(audit.told());
+        if lost > 0 {
+            log!(*system, "tenants: the last {lost} changes are lost, the audit log has them");
+            store.lost += lost;
+        }
         let (system, since_ms) = (system.clone(), unix_ms(system));
         let mut hosted =
             Hosted { system, registry, store, audit, auth: operator.auth, since_ms, retry_ms: 0 };
--- a/crates/relay/src/tenants/store.rs
+++ b/crates/relay/src/tenants/store.rs
@@ -48,6 +48,8 @@
     tail: Vec<u8>,
     /// A rewriting failed; the next is not begun before the next change.
     failed: bool,
+    /// The files are to be written anew, as each lacks what the other has.
+    spoilt: bool,
     /// Changes that were lost to damage.
     pub lost: u64,
 }
@@ -71,8 +73,11 @@
             let path = folder.join(name);
             let (file, text) =
                 Self::read(system, &path).map_err(|e| format!("cannot use {}: {e}", path.display()))?;
-            let length = text.as_ref().map_or(0, |text| text.len() as u64);
-            copies.push(Copy { path, file, length, torn: false, behind: false });
+            // What follows half a line would be read as a part of it.
+            let lines = text.as_ref().and_then(|text| text.iter().rposition(|byte| *byte == b'\n'));
+            let length = lines.map_or(0, |end| end as u64 + 1);
+            let torn = text.as_ref().is_some_and(|text| length < text.len() as u64);
+            copies.push(Copy { path, file, length, torn, behind: false });
             texts.push(text);
         }
         let fresh = texts.iter().all(Option::is_none);
@@ -87,20 +92,22 @@
             rewriting: None,
             tail: Vec::new(),
             failed: false,
+            spoilt: false,
             lost: read.lost,
         };
         if read.lost > 0 {
             log!(*system, "tenants: {} changes are lost, a tenant may stand as it did before one", read.lost);
         }
+        store.snapshot = record::snapshot(&registry, read.lost).len() as u64;
         if fresh || read.spoilt {
             if !fresh {
                 log!(*system, "tenants: the registry's files differed or were spoilt, and are written anew");
             }
-            store
-                .anew(&registry, &read.changes)
-                .map_err(|e| format!("cannot write the registry of tenants: {e}"))?;
-        } else {
-            store.snapshot = record::snapshot(&registry, read.lost).len() as u64;
+            // On a full disk both stay as they are: together they hold what was read.
+            if let Err(error) = store.anew(&registry, &read.changes) {
+                log!(*system, "tenants: the registry's files cannot be written anew yet: {error}");
+                store.spoilt = true;
+            }
         }
         Ok(Opened { store, registry, changes: read.changes, fresh })
     }
@@ -163,7 +170,8 @@
 
     /// Begins to write the files anew where they have grown, and goes on with a slice of it.
     pub fn tend(&mut self, registry: &Registry) {
-        let grown = self.copies[0].length > 2 * self.snapshot + ROOM || self.copies[1].behind;
+        let grown = self.copies[0].length > 2 * self.snapshot + ROOM;
+        let grown = grown || self.copies[1].behind || self.spoilt;
         if self.rewriting.is_none() && grown && !self.failed {
             self.tail.clear();
             self.rewriting = Some(Rewriting::Taking(Snapshot::begin(registry, self.lost)));
@@ -212,7 +220,7 @@
                 if copy + 1 < self.copies.len() {
                     return Ok(Some(Rewriting::Writing { copy: copy + 1, text, done: 0, file: None }));
                 }
-                self.snapshot = text.len() as u64;
+                (self.snapshot, self.spoilt) = (text.len() as u64, false);
                 self.tail.clear();
                 Ok(None)
             }
--- a/crates/tenancy/src/registry.rs
+++ b/crates/tenancy/src/registry.rs
@@ -435,6 +435,13 @@
         self.seq
     }
 
+    /// Changes were made up to this number: tells how many are not known here. The next one gets a higher number.
+    pub fn follow(&mut self, seq: u64) -> u64 {
+        let unknown = seq.saturating_sub(self.seq);
+        self.seq += unknown;
+        unknown
+    }
+
     /// Tenants there are, those that drain among them.
     pub fn len(&self) -> usize {
         self.numbers.used
@@ -466,9 +473,11 @@
         self.range(after).filter_map(|(_, line)| line.newest())
     }
 
-    /// The tenant of a name, or the newest that drains.
+    /// The newest tenant of a name; it is gone once it has drained, also while an older one still does.
     pub fn find(&self, name: &str) -> Result<&Entry, Refusal> {
         let newest = self.lines.get(name).and_then(Line::newest);
+        let gone = self.gone.get(name).copied().unwrap_or(0);
+        let newest = newest.filter(|entry| entry.tenant.version.generation > gone);
         newest.ok_or_else(|| match self.gone.contains_key(name) {
             true => Refusal::Gone(name.into()),
             false => Refusal::Unknown(name.chars().take(crate::spec::MOST_NAME).collect()),
