Pace what a relay owed before its restart as a cold destination takes it

Need: a destination that came back while a relay was down got all that the relay held at once, where the last process had seen too little of the outage to remember it.

Change: routes to a destination that restored messages are for begin as back from an outage now, so that the ramp holds until the time is over for which a destination may be cold.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -446,6 +446,15 @@
             let fate = if past.may_have_run { Fate::MayHaveRun } else { Fate::NeverRan };
             Attempt { sent: past.sent, zone: past.zone, call: 0, fate, called_off: false, booked: 0 }
         }));
+        // Guards against a destination that returned while this relay was down, of whose outage the last process
+        // saw too little to remember it: what was held would come at once. Until it is told otherwise, a relay that
+        // has just started takes those that it owes something for cold.
+        let (now, destination) = (self.now, message.destination);
+        for key in self.routes_to(destination) {
+            let Some(route) = self.routes.get_mut(&key).filter(|route| !route.witness) else { continue };
+            route.saw_outage(now.saturating_sub(OUTAGE_LEAST), 1.0);
+            route.back = Some(now);
+        }
     }
 
     /// The outages that bind this relay still; they must outlast its process.
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -504,6 +504,30 @@
     }
 }
 
+/// Its last process may have seen too little of an outage to remember it.
+#[test]
+fn what_a_relay_owed_before_a_restart_does_not_go_out_at_once() {
+    let now = 100 * S;
+    let mut relay = Relay::new(settings(), 7);
+    let entries = vec![host(1, 1), host(2, 2)];
+    let mut events = vec![Event::Hosts { whole: true, cached: true, entries }];
+    let restored = |id| Event::Restored { message: message(id, 0, now), attempts: Vec::new() };
+    events.extend((1..=8).map(restored));
+    // Another destination, of which nothing was owed.
+    events.extend((11..=14).map(|id| Event::Arrived(Message { destination: 2, ..message(id, 0, now) })));
+    let actions = handle(&mut relay, now, events);
+    let sent = |actions: &[Action], host| {
+        actions.iter().filter(|a| matches!(a, Action::Send { host: to, .. } if *to == host)).count()
+    };
+    assert_eq!((sent(&actions, 1), sent(&actions, 2) > 1), (1, true), "{actions:?}");
+    // Two relays, told of 20 calls a second, cold at a fifth, twice over: 4 a second.
+    let mut more = 0;
+    for tick in 1..=50 {
+        more += sent(&handle(&mut relay, now + tick * 10 * MS, Vec::new()), 1);
+    }
+    assert!((1..=2).contains(&more), "{more} in half a second");
+}
+
 #[test]
 fn no_call_starts_that_the_end_of_the_process_would_cut_off() {
     let now = 100 * S;
