Play several relays round the same partners, each struck by itself

Change: a machine of the simulation has a number, with a disk, a clock and cuts of its own; the world has a seat for each relay, with its process and its agent of discovery; clients fail over; each fault strikes one relay, all are killed at one instant, one is cut off from a destination.

--- a/crates/sim/src/checker.rs
+++ b/crates/sim/src/checker.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::rules::facts::{CallName, Called, Facts, Rules, Seen, Verdict};
+use crate::rules::returns::Returns;
 use crate::rules::{self, Rule};
 
 /// A breach of a rule.
@@ -49,20 +50,27 @@
     pub restarts: u64,
 }
 
-/// Judges a world.
-pub struct Checker {
+/// A relay, with what passed round it and the rules that it is judged by.
+struct Lane {
     facts: Facts,
     rules: Vec<Box<dyn Rule>>,
+}
+
+/// Judges a world: each relay by itself, and what all did together.
+pub struct Checker {
+    lanes: Vec<Lane>,
+    returns: Returns,
     breach: Option<Breach>,
     /// Counts for the report.
     pub counts: Counts,
 }
 
 impl Checker {
-    /// Judges by these figures.
-    pub fn new(figures: Rules) -> Self {
-        let (facts, rules) = (Facts::new(figures), rules::all());
-        Checker { facts, rules, breach: None, counts: Counts::default() }
+    /// Judges so many relays by these figures.
+    pub fn new(figures: Rules, relays: usize) -> Self {
+        let lane = |_| Lane { facts: Facts::new(figures.clone()), rules: rules::all() };
+        let lanes = (0..relays.max(1)).map(lane).collect();
+        Checker { lanes, returns: Returns::default(), breach: None, counts: Counts::default() }
     }
 
     /// The first breach so far.
@@ -72,24 +80,46 @@
 
     /// Messages that were taken on and have no end yet.
     pub fn open(&self) -> usize {
-        self.facts.open.len()
+        self.lanes.iter().map(|lane| lane.facts.open.len()).sum()
     }
 
-    /// Tells all rules what passed, and books it.
-    pub fn see(&mut self, at: Duration, seen: &Seen<'_>) {
-        self.facts.now = at;
-        self.count(seen);
+    /// Tells all rules what passed round a relay, and books it.
+    pub fn see(&mut self, at: Duration, relay: usize, seen: &Seen<'_>) {
+        let lanes = match seen {
+            // What is true of the world is so for all.
+            Seen::Outage(..) | Seen::Pass | Seen::Endless => 0..self.lanes.len(),
+            // A host knows whose call it has by the message's name alone.
+            Seen::Called(call, _) => self.lane_of(&call.id, relay),
+            Seen::Answers(name, _) | Seen::Closed(name) | Seen::Read(name) => self.lane_of(&name.id, relay),
+            _ => relay..relay + 1,
+        };
         let mut broken = Vec::new();
-        self.rules.iter_mut().for_each(|rule| rule.see(&self.facts, seen, &mut broken));
-        self.facts.book(seen);
-        if let Some((rule, what)) = broken.into_iter().next() {
+        let all = &mut self.lanes[..];
+        all.iter_mut().for_each(|lane| lane.facts.now = at);
+        self.returns.see(all.iter().map(|lane| &lane.facts), lanes.start, seen, &mut broken);
+        for lane in lanes {
+            self.count(lane, seen);
+            let Lane { facts, rules } = &mut self.lanes[lane];
+            rules.iter_mut().for_each(|rule| rule.see(facts, seen, &mut broken));
+            facts.book(seen);
+        }
+        // Of several breaches of one moment the one that says most is told: the order of the rules.
+        let told = broken.iter().position(|(rule, _)| *rule != rules::NOT_PUSHED_OVER).unwrap_or(0);
+        if let Some((rule, what)) = broken.into_iter().nth(told) {
             self.breach.get_or_insert(Breach { rule, at, what });
         }
     }
 
-    fn count(&mut self, seen: &Seen<'_>) {
-        let counts = &mut self.counts;
-        let message = |id: &str| self.facts.messages.get(id);
+    /// The lane that a message was handed in on, as a range of one.
+    fn lane_of(&self, id: &str, usual: usize) -> std::ops::Range<usize> {
+        let lane = self.lanes.iter().position(|lane| lane.facts.messages.contains_key(id));
+        let lane = lane.unwrap_or(usual);
+        lane..lane + 1
+    }
+
+    fn count(&mut self, lane: usize, seen: &Seen<'_>) {
+        let (counts, facts) = (&mut self.counts, &self.lanes[lane].facts);
+        let message = |id: &str| facts.messages.get(id);
         match seen {
             Seen::Gone => counts.restarts += 1,
             Seen::HandedIn(_) => counts.handed += 1,
@@ -118,8 +148,8 @@
     /// A call's last byte has come to a host. `holds` tells whether the relay still holds a connection. None for
     /// a message that nobody handed in.
     pub fn called(&mut self, at: Duration, call: &Called, holds: &dyn Fn(u64) -> bool) -> Option<CallName> {
-        self.see(at, &Seen::Called(call, holds));
-        let message = self.facts.messages.get(&call.id)?;
+        self.see(at, 0, &Seen::Called(call, holds));
+        let message = self.lanes.iter().find_map(|lane| lane.facts.messages.get(&call.id))?;
         Some(CallName { id: call.id.clone(), number: message.calls.len() - 1 })
     }
 }
--- a/crates/sim/src/demo.rs
+++ b/crates/sim/src/demo.rs
@@ -118,7 +118,7 @@
     let window = Duration::from_secs(20);
     for plans in plans(window) {
         let shifted = plans.into_iter().map(|plan| Plan { at: plan.at + start, ..plan }).collect();
-        let client = Client::new(stage.clone(), relay, shifted, None);
+        let client = Client::new(stage.clone(), vec![relay], 0, shifted, None);
         system.spawn(client.run());
     }
     let mood = |block: u16, mood: Mood| *hosts[usize::from(block) - 1].mood.borrow_mut() = mood;
--- a/crates/sim/src/faults/mod.rs
+++ b/crates/sim/src/faults/mod.rs
@@ -1,5 +1,6 @@
 //! What goes wrong on a day. A fault knows how to draw and to apply itself; it reaches the world through a scene.
 
+mod fleet;
 mod listing;
 mod partners;
 mod process;
@@ -36,8 +37,14 @@
     fn hosts(&self) -> usize;
     /// A host has another name from now on.
     fn rename(&self, host: usize);
+    /// Number of the relay that the fault strikes, if it strikes one; also that of its machine.
+    fn relay(&self) -> usize;
     /// The relay's process.
     fn process(&self) -> ProcId;
+    /// Kills all relays within one instant.
+    fn kill_all(&mut self);
+    /// From the relay's machine nothing gets through to the hosts of a destination, or does again.
+    fn cut(&self, block: u16, cut: bool);
     /// How long the relay is down after its next kill.
     fn down_for(&mut self, span: Duration);
     /// SIGTERM; the relay starts again so long after its end.
@@ -74,6 +81,8 @@
     pub from: u64,
     /// Until then.
     pub until: u64,
+    /// The relay that it strikes, if it strikes one.
+    pub relay: usize,
     /// What goes wrong.
     pub trouble: Rc<dyn Trouble>,
 }
@@ -127,11 +136,28 @@
     };
     let fault = |dice: &mut Dice| {
         let from = dice.between(500, 13_000);
-        Fault { from, until: from + 1, trouble: trouble(dice) }
+        Fault { from, until: from + 1, relay: 0, trouble: trouble(dice) }
     };
     (0..dice.between(0, 2)).map(|_| fault(dice)).collect()
 }
 
+/// What befalls several relays: each fault of the day strikes one of them, and up to two more strike some apart
+/// from the others.
+pub fn of_fleet(dice: &mut Dice, faults: &mut Vec<Fault>, relays: u64, blocks: &[u16]) {
+    for _ in 0..dice.between(0, 2) {
+        let from = dice.between(500, 12_000);
+        let until = from + dice.between(300, 4_000);
+        let trouble: Rc<dyn Trouble> = match dice.below(4) {
+            0 => Rc::new(fleet::KillAll::draw(dice)),
+            1 | 2 => Rc::new(fleet::CutOff(*dice.pick(blocks))),
+            _ => Rc::new(listing::ListSilent),
+        };
+        faults.push(Fault { from, until, relay: 0, trouble });
+    }
+    faults.iter_mut().for_each(|fault| fault.relay = dice.below(relays) as usize);
+    faults.sort_by_key(|fault| fault.from);
+}
+
 /// Two faults that overlap, and up to three more, in the order of their beginnings.
 pub fn draw(dice: &mut Dice, blocks: &[u16], hosts: usize) -> Vec<Fault> {
     let mut faults = Vec::new();
@@ -143,7 +169,7 @@
             let from = dice.between(500, 13_000);
             (from, from + dice.between(200, 5_000))
         };
-        faults.push(Fault { from, until, trouble: trouble(dice, blocks, hosts) });
+        faults.push(Fault { from, until, relay: 0, trouble: trouble(dice, blocks, hosts) });
     }
     faults.sort_by_key(|fault| fault.from);
     faults
--- a/crates/sim/src/faults/process.rs
+++ b/crates/sim/src/faults/process.rs
@@ -85,12 +85,12 @@
 
 impl Trouble for DiskFull {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
-        scene.machine().disk(|disk| disk.room = Some(self.0));
+        scene.machine().disk(scene.relay(), |disk| disk.room = Some(self.0));
         scene.see(&Seen::KeepsNothing(true));
     }
 
     fn ends(&self, scene: &mut dyn Scene) {
-        scene.machine().disk(|disk| disk.room = None);
+        scene.machine().disk(scene.relay(), |disk| disk.room = None);
         scene.see(&Seen::KeepsNothing(false));
     }
 }
@@ -107,10 +107,10 @@
 
 impl Trouble for ShortWrites {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
-        scene.machine().disk(|disk| disk.short = self.0);
+        scene.machine().disk(scene.relay(), |disk| disk.short = self.0);
     }
 
     fn ends(&self, scene: &mut dyn Scene) {
-        scene.machine().disk(|disk| disk.short = 0);
+        scene.machine().disk(scene.relay(), |disk| disk.short = 0);
     }
 }
--- a/crates/sim/src/faults/tenants.rs
+++ b/crates/sim/src/faults/tenants.rs
@@ -41,7 +41,7 @@
 impl Trouble for SpoiltRegistry {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
         let path = Path::new(FOLDER).join(self.copy);
-        scene.machine().disk(|disk| match self.cut {
+        scene.machine().disk(scene.relay(), |disk| match self.cut {
             true => disk.cut(&path, self.at),
             false => disk.flip(&path, self.at),
         });
--- a/crates/sim/src/loopback.rs
+++ b/crates/sim/src/loopback.rs
@@ -68,7 +68,7 @@
     relay: SocketAddr, discovery: SocketAddr, state: &Path, known: &Value, left: u64,
 ) -> (Value, Rules) {
     let script = Script::draw(0);
-    let mut config = script.config(known, discovery);
+    let mut config = script.config(0, known, discovery);
     config["listen"] = relay.to_string().into();
     config["state"] = state.to_string_lossy().into_owned().into();
     config["limits"]["disk_mb"] = 3.0.into();
@@ -88,7 +88,8 @@
     Stage {
         system: Real,
         start: Real.now(),
-        checker: Rc::new(RefCell::new(Checker::new(rules))),
+        relay: 0,
+        checker: Rc::new(RefCell::new(Checker::new(rules, 1))),
         holds: Rc::new(|_| false),
         hears: Rc::new(|_| true),
         news: Rc::new(|_| {}),
--- a/crates/sim/src/machine/io.rs
+++ b/crates/sim/src/machine/io.rs
@@ -30,7 +30,11 @@
     };
     let delay = Duration::from_micros(DELAY.0 + system.random(DELAY.1 - DELAY.0));
     system.sleep(delay).await;
-    if system.core.borrow().net.fault(&to).silent {
+    let silent = {
+        let core = system.core.borrow();
+        core.net.fault(&to).silent || core.is_cut(system.proc, &to)
+    };
+    if silent {
         return std::future::pending().await;
     }
     let opened = {
@@ -332,16 +336,17 @@
             (Some(Lie::DropTenants), _) if self.of_tenants => return Ok(text.len()),
             _ => {}
         }
+        let short = core.disk(self.system.proc).short;
         let most = match core.effect(self.system.proc) {
             Fate::Dead => return Err(io::ErrorKind::Other.into()),
             // Torn at any length.
             Fate::Dies { .. } => core.dice.below(text.len() as u64 + 1) as usize,
-            Fate::Alive if text.len() > 1 && core.dice.percent(core.disk.short) => {
+            Fate::Alive if text.len() > 1 && core.dice.percent(short) => {
                 1 + core.dice.below(text.len() as u64 - 1) as usize
             }
             Fate::Alive => text.len(),
         };
-        let written = core.disk.write(&self.inode, self.at, text, most)?;
+        let written = core.disk(self.system.proc).write(&self.inode, self.at, text, most)?;
         self.at += written as u64;
         Ok(written)
     }
@@ -367,7 +372,7 @@
 impl File for VirtualFile {
     fn set_len(&self, length: u64) -> io::Result<()> {
         self.system.effect()?;
-        self.system.core.borrow_mut().disk.resize(&self.inode, length as usize);
+        self.system.core.borrow_mut().disk(self.system.proc).resize(&self.inode, length as usize);
         Ok(())
     }
 }
--- a/crates/sim/src/machine/mod.rs
+++ b/crates/sim/src/machine/mod.rs
@@ -74,6 +74,8 @@
 #[derive(Default)]
 struct Proc {
     alive: bool,
+    /// Which machine it runs on; each has a disk and a clock of its own.
+    place: usize,
     /// What it has done to the world so far: writes, connections, file operations.
     effects: u64,
     kill_at: Option<u64>,
@@ -93,7 +95,10 @@
     steps: u64,
     sched: Sched,
     net: Net,
-    disk: Disk,
+    /// By machine.
+    disks: Vec<Disk>,
+    /// By machine: how far its clock is ahead.
+    ahead: Vec<Duration>,
     procs: BTreeMap<ProcId, Proc>,
     dice: Dice,
     digest: DefaultHasher,
@@ -125,6 +130,31 @@
         self.procs.get(&proc).and_then(|proc| proc.lie)
     }
 
+    /// The disk of a process's machine.
+    fn disk(&mut self, proc: ProcId) -> &mut Disk {
+        let place = self.procs.get(&proc).map_or(0, |proc| proc.place);
+        self.disk_of(place)
+    }
+
+    fn disk_of(&mut self, place: usize) -> &mut Disk {
+        if self.disks.len() <= place {
+            self.disks.resize_with(place + 1, Disk::default);
+        }
+        &mut self.disks[place]
+    }
+
+    /// How far the clock of a process's machine is ahead.
+    fn ahead(&self, proc: ProcId) -> Duration {
+        let place = self.procs.get(&proc).map_or(0, |proc| proc.place);
+        self.ahead.get(place).copied().unwrap_or_default()
+    }
+
+    /// Whether nothing gets through from a process's machine to an address.
+    fn is_cut(&self, proc: ProcId, to: &Address) -> bool {
+        let place = self.procs.get(&proc).map_or(0, |proc| proc.place);
+        self.net.cuts.contains(&(place, to.clone()))
+    }
+
     /// How far a process's clock has come.
     fn local(&self, proc: ProcId) -> Duration {
         match self.procs.get(&proc) {
@@ -174,7 +204,8 @@
             steps: 0,
             sched: Sched::default(),
             net: Net::default(),
-            disk: Disk::default(),
+            disks: Vec::new(),
+            ahead: Vec::new(),
             procs: BTreeMap::new(),
             dice: Dice::new(seed, 1),
             digest: DefaultHasher::new(),
@@ -188,8 +219,8 @@
         Virtual { core: self.core.clone(), proc: 0 }
     }
 
-    /// A new process, which runs `main` until it ends or is killed.
-    pub fn process<F>(&mut self, lie: Option<Lie>, main: impl FnOnce(Virtual) -> F) -> ProcId
+    /// A new process on a machine of that number, which runs `main` until it ends or is killed.
+    pub fn process<F>(&mut self, place: usize, lie: Option<Lie>, main: impl FnOnce(Virtual) -> F) -> ProcId
     where
         F: Future<Output = Result<(), String>> + 'static,
     {
@@ -197,7 +228,7 @@
         let proc = self.next;
         let variables = [("BALANCER_CONFIG".to_string(), CONFIG.to_string())];
         let born = self.now();
-        let this = Proc { alive: true, variables: variables.into(), lie, born, ..Proc::default() };
+        let this = Proc { alive: true, place, variables: variables.into(), lie, born, ..Proc::default() };
         self.core.borrow_mut().procs.insert(proc, this);
         let system = Virtual { core: self.core.clone(), proc };
         let (core, main) = (self.core.clone(), main(system.clone()));
@@ -281,9 +312,41 @@
         drop(slots);
     }
 
-    /// The disk.
-    pub fn disk<T>(&self, look: impl FnOnce(&mut Disk) -> T) -> T {
-        look(&mut self.core.borrow_mut().disk)
+    /// The disk of the machine of that number.
+    pub fn disk<T>(&self, place: usize, look: impl FnOnce(&mut Disk) -> T) -> T {
+        look(self.core.borrow_mut().disk_of(place))
+    }
+
+    /// The clocks of the machines are so far ahead, by their numbers.
+    pub fn set_clocks(&self, ahead: Vec<Duration>) {
+        self.core.borrow_mut().ahead = ahead;
+    }
+
+    /// From now on nothing gets through from a machine to an address, or does again; then the connections that
+    /// were open are reset.
+    pub fn cut(&self, place: usize, to: impl Into<Address>, cut: bool) {
+        let to = to.into();
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        let changed = match cut {
+            true => core.net.cuts.insert((place, to.clone())),
+            false => core.net.cuts.remove(&(place, to.clone())),
+        };
+        if !changed {
+            return;
+        }
+        let of_place = |proc: &ProcId| core.procs.get(proc).is_some_and(|proc| proc.place == place);
+        let ids = core.net.conns.iter().filter(|(_, conn)| conn.to == to && of_place(&conn.owner[0]));
+        let ids: Vec<_> = ids.map(|(id, _)| *id).collect();
+        let now = core.now;
+        for id in ids {
+            if cut {
+                core.net.silence(id);
+            } else {
+                let told = core.net.reset(id, now);
+                core.tell(told, id);
+            }
+        }
     }
 
     /// What is wrong with an address from now on. Where one was silent and is no more, the connections that
@@ -455,7 +518,8 @@
     }
 
     fn unix_time(&self) -> Duration {
-        Duration::from_secs(EPOCH) + self.core.borrow().local(self.proc)
+        let core = self.core.borrow();
+        Duration::from_secs(EPOCH) + core.local(self.proc) + core.ahead(self.proc)
     }
 
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> {
@@ -483,7 +547,7 @@
 
     fn open(&self, path: &Path) -> std_io::Result<VirtualFile> {
         self.effect()?;
-        let inode = self.core.borrow_mut().disk.open(path);
+        let inode = self.core.borrow_mut().disk(self.proc).open(path);
         Ok(self.file(inode, path))
     }
 
@@ -496,24 +560,24 @@
                 this.kill_at = Some(effects + 1 + more);
             }
         }
-        let inode = core.disk.create(path);
+        let inode = core.disk(self.proc).create(path);
         drop(core);
         Ok(self.file(inode, path))
     }
 
     fn read(&self, path: &Path) -> std_io::Result<Vec<u8>> {
-        let text = self.core.borrow().disk.text(path);
+        let text = self.core.borrow_mut().disk(self.proc).text(path);
         text.ok_or_else(|| std_io::ErrorKind::NotFound.into())
     }
 
     fn rename(&self, from: &Path, to: &Path) -> std_io::Result<()> {
         self.effect()?;
-        self.core.borrow_mut().disk.rename(from, to)
+        self.core.borrow_mut().disk(self.proc).rename(from, to)
     }
 
     fn remove(&self, path: &Path) -> std_io::Result<()> {
         self.effect()?;
-        self.core.borrow_mut().disk.remove(path)
+        self.core.borrow_mut().disk(self.proc).remove(path)
     }
 
     fn signals(&self) -> std_io::Result<VirtualSignals> {
--- a/crates/sim/src/machine/net.rs
+++ b/crates/sim/src/machine/net.rs
@@ -1,6 +1,6 @@
 //! TCP between processes of the world: connections with a delay, and the ways in which they fail.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::task::Waker;
 use std::time::Duration;
 
@@ -121,6 +121,8 @@
     pub conns: BTreeMap<ConnId, Conn>,
     pub ports: BTreeMap<Address, Port>,
     pub faults: BTreeMap<Address, AddressFault>,
+    /// Machines and the addresses that nothing from them gets through to.
+    pub cuts: BTreeSet<(usize, Address)>,
     next: ConnId,
 }
 
--- a/crates/sim/src/peers/clients.rs
+++ b/crates/sim/src/peers/clients.rs
@@ -102,7 +102,9 @@
 /// A client with its own connection and its own list of messages.
 pub struct Client<S: System> {
     stage: Stage<S>,
-    relay: SocketAddr,
+    /// The relays that it knows, and the one that it uses now.
+    relays: Vec<SocketAddr>,
+    at: usize,
     open: Option<Connection<S::Stream>>,
     /// What is to be handed in, by when, with the number of the try and when its time is up.
     plans: BTreeMap<(Duration, u64), (Plan, u32, Duration)>,
@@ -112,11 +114,15 @@
 }
 
 impl<S: System> Client<S> {
-    /// A client of the relay at an address.
+    /// A client of the relays at some addresses, which begins with the one of a number. Where that does not answer
+    /// it goes on with the next.
     pub fn new(
-        stage: Stage<S>, relay: SocketAddr, plans: Vec<Plan>, login: Option<(String, String)>,
+        stage: Stage<S>, relays: Vec<SocketAddr>, first: usize, plans: Vec<Plan>,
+        login: Option<(String, String)>,
     ) -> Self {
-        let mut client = Client { stage, relay, open: None, plans: BTreeMap::new(), next: 0, login };
+        let stage = Stage { relay: first, ..stage };
+        let mut client =
+            Client { stage, relays, at: first, open: None, plans: BTreeMap::new(), next: 0, login };
         for plan in plans {
             let due = plan.at + Duration::from_millis(plan.left);
             client.add(plan.at, plan, 0, due);
@@ -124,6 +130,17 @@
         client
     }
 
+    fn relay(&self) -> SocketAddr {
+        self.relays[self.at]
+    }
+
+    /// The relay has not answered: the next one is asked from now on.
+    fn fail_over(&mut self) {
+        self.open = None;
+        self.at = (self.at + 1) % self.relays.len();
+        self.stage.relay = self.at;
+    }
+
     fn add(&mut self, at: Duration, plan: Plan, tries: u32, due: Duration) {
         self.next += 1;
         self.plans.insert((at, self.next), (plan, tries, due));
@@ -146,7 +163,8 @@
 
     async fn connect(&mut self) -> io::Result<()> {
         if self.open.is_none() {
-            let stream = self.stage.system.timeout(PATIENCE, self.stage.system.connect(self.relay)).await??;
+            let stream =
+                self.stage.system.timeout(PATIENCE, self.stage.system.connect(self.relay())).await??;
             stream.set_nodelay()?;
             let mut open = Connection { stream, text: BytesMut::new(), used: false };
             if let Some((tenant, secret)) = &self.login {
@@ -176,7 +194,7 @@
         // On a kept connection that was closed meanwhile the request was not read; it goes once more.
         for _ in 0..2 {
             if self.connect().await.is_err() {
-                self.open = None;
+                self.fail_over();
                 return Some(Duration::from_millis(100));
             }
             let text = self.request(plan, id, tries, due);
@@ -196,7 +214,8 @@
                 return None;
             }
             if plan.habit == Habit::Resends {
-                let (stage, relay, text, id) = (self.stage.clone(), self.relay, text.clone(), id.to_string());
+                let (stage, relay, text, id) =
+                    (self.stage.clone(), self.relay(), text.clone(), id.to_string());
                 self.stage.system.spawn(async move { drop(resend(stage, relay, text, id).await) });
             }
             let Some(open) = &mut self.open else { return Some(soon) };
@@ -215,8 +234,8 @@
                 }
                 Heard::Ended if used => self.open = None,
                 Heard::Ended | Heard::Nothing => {
-                    self.open = None;
                     self.stage.see(&Seen::Abandoned(id));
+                    self.fail_over();
                     return Some(soon);
                 }
             }
@@ -265,7 +284,7 @@
     /// Sends what can't be read and waits for an error and a close.
     async fn garble(&mut self) {
         let asked = async {
-            let mut stream = self.stage.system.connect(self.relay).await?;
+            let mut stream = self.stage.system.connect(self.relay()).await?;
             stream.write_all(b"*3\r\n$-7\r\nrubbish\r\n").await?;
             let mut open = Connection { stream, text: BytesMut::new(), used: true };
             let line = open.line().await?;
@@ -285,7 +304,7 @@
     /// Sends half a request and says no more.
     async fn stall(&mut self, half: &[u8]) {
         let stalled = async {
-            let mut stream = self.stage.system.connect(self.relay).await?;
+            let mut stream = self.stage.system.connect(self.relay()).await?;
             stream.write_all(half).await?;
             self.stage.system.sleep(Duration::from_millis(700)).await;
             Ok::<_, io::Error>(())
--- a/crates/sim/src/peers/mod.rs
+++ b/crates/sim/src/peers/mod.rs
@@ -48,6 +48,8 @@
     pub system: S,
     /// The moment from which all spans count.
     pub start: Instant,
+    /// Number of the relay that is talked to, where only one is.
+    pub relay: usize,
     /// Who is told of what passes.
     pub checker: Rc<RefCell<Checker>>,
     /// Whether the relay still holds a connection that it made.
@@ -66,7 +68,7 @@
 
     /// Tells the checker what passes.
     pub fn see(&self, seen: &Seen<'_>) {
-        self.checker.borrow_mut().see(self.at(), seen);
+        self.checker.borrow_mut().see(self.at(), self.relay, seen);
     }
 
     /// The moment of a span since the start.
--- a/crates/sim/src/rules/mod.rs
+++ b/crates/sim/src/rules/mod.rs
@@ -9,7 +9,7 @@
 mod lost;
 mod order;
 mod process;
-mod returns;
+pub(crate) mod returns;
 mod shares;
 mod tenants;
 mod waits;
@@ -32,7 +32,10 @@
     fn see(&mut self, facts: &Facts, seen: &Seen<'_>, broken: &mut Broken);
 }
 
-/// All rules. The first breach of a moment is the one that is told, so that their order is that of what says most.
+/// Name of the rule that is about all relays together.
+pub(crate) const NOT_PUSHED_OVER: &str = "not pushed over";
+
+/// All rules that are about one relay. The first breach of a moment is the one that is told, so that their order is that of what says most.
 pub fn all() -> Vec<Box<dyn Rule>> {
     vec![
         Box::new(calls::Calls),
@@ -41,7 +44,6 @@
         Box::new(drains::Drains::default()),
         Box::new(waits::Waits::default()),
         Box::new(order::Order::default()),
-        Box::new(returns::Returns::default()),
         Box::new(process::Process),
         Box::new(lost::Lost::default()),
         Box::new(tenants::Tenants::default()),
--- a/crates/sim/src/rules/returns.rs
+++ b/crates/sim/src/rules/returns.rs
@@ -1,10 +1,11 @@
-//! Not pushed over: a destination that is back from an outage gets no more than it can take while it is cold.
+//! Not pushed over: a destination that is back from an outage gets no more than it can take while it is cold, from
+//! all relays together, where most of it comes from those that were told of the outage.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use super::facts::{CallName, Facts, Seen, Verdict};
-use super::{Broken, Rule, NOT_KEPT};
+use super::{Broken, NOT_KEPT, NOT_PUSHED_OVER};
 
 /// An outage that lasts less leaves nobody cold.
 const OUTAGE: Duration = Duration::from_secs(1);
@@ -15,53 +16,65 @@
     since: Duration,
     /// When that ended.
     back: Option<Duration>,
-    /// The relay was told of it.
-    told: bool,
+    /// Relays that were told of it.
+    told: BTreeSet<usize>,
 }
 
 #[derive(Default)]
 pub struct Returns {
     outages: BTreeMap<u16, Outage>,
     /// By destination: the calls of the span that the rule looks at.
-    recent: BTreeMap<u16, VecDeque<Duration>>,
+    recent: BTreeMap<u16, VecDeque<(Duration, usize)>>,
 }
 
-impl Rule for Returns {
-    fn see(&mut self, facts: &Facts, seen: &Seen<'_>, broken: &mut Broken) {
+impl Returns {
+    /// Looks at what passed round a relay, of which all facts are known.
+    pub fn see<'f>(
+        &mut self, mut all: impl Iterator<Item = &'f Facts>, relay: usize, seen: &Seen<'_>,
+        broken: &mut Broken,
+    ) {
+        let Some(facts) = all.nth(relay) else { return };
         match seen {
             Seen::Outage(block, down) => self.outage(facts.now, *block, *down),
             Seen::Gone => {
                 for outage in self.outages.values_mut() {
-                    outage.told &= outage.back.is_none_or(|back| back + NOT_KEPT < facts.now);
-                    outage.told &= !facts.disk_full;
+                    if facts.disk_full || outage.back.is_some_and(|back| back + NOT_KEPT >= facts.now) {
+                        outage.told.remove(&relay);
+                    }
                 }
             }
-            Seen::Answers(name, Verdict::NeverRan(_) | Verdict::MayHaveRun) => self.trouble(facts, name),
+            Seen::Answers(name, Verdict::NeverRan(_) | Verdict::MayHaveRun) => {
+                self.trouble(facts, relay, name);
+            }
             Seen::Closed(name) if facts.call(name).is_some_and(|(_, call)| call.is_out()) => {
-                self.trouble(facts, name);
+                self.trouble(facts, relay, name);
             }
             // One that nobody handed in is a breach of its own.
             Seen::Called(call, _) if facts.messages.contains_key(&call.id) => {
                 let (_, block, _) = call.host;
                 let budget = self.budget(facts, block, call.begun);
                 let recent = self.recent.entry(block).or_default();
-                recent.push_back(call.begun);
-                while recent.front().is_some_and(|first| *first + facts.rules.overload_for < call.begun) {
+                recent.push_back((call.begun, relay));
+                while recent.front().is_some_and(|(first, _)| *first + facts.rules.overload_for < call.begun)
+                {
                     recent.pop_front();
                 }
                 let Some((since, most)) = budget else { return };
-                let count = recent.iter().filter(|at| **at >= since).count();
-                if count as f64 > most {
+                let outage_told =
+                    self.outages.get(&block).map(|outage| &outage.told).cloned().unwrap_or_default();
+                let in_span = recent.iter().filter(|(at, _)| *at >= since);
+                let (count, told) = in_span.fold((0, 0), |(count, told), (_, relay)| {
+                    (count + 1, told + usize::from(outage_told.contains(relay)))
+                });
+                if count as f64 > most && told * 3 >= count * 2 {
                     let what = format!("{block} got {count} calls where {most:.1} are room");
-                    broken.push(("not pushed over", what));
+                    broken.push((NOT_PUSHED_OVER, what));
                 }
             }
             _ => {}
         }
     }
-}
 
-impl Returns {
     fn outage(&mut self, now: Duration, block: u16, down: bool) {
         match self.outages.get_mut(&block) {
             Some(Outage { since, back: None, .. }) if !down && *since + OUTAGE > now => {
@@ -70,24 +83,24 @@
             Some(Outage { back: back @ None, .. }) if !down => *back = Some(now),
             Some(Outage { back: None, .. }) => {}
             _ if down => {
-                self.outages.insert(block, Outage { since: now, back: None, told: false });
+                self.outages.insert(block, Outage { since: now, back: None, told: BTreeSet::new() });
             }
             _ => {}
         }
     }
 
-    fn trouble(&mut self, facts: &Facts, name: &CallName) {
+    fn trouble(&mut self, facts: &Facts, relay: usize, name: &CallName) {
         let block = facts.messages.get(&name.id).map(|message| message.handed.destination);
         let outage = block.and_then(|block| self.outages.get_mut(&block));
         if let Some(outage) = outage.filter(|outage| outage.back.is_none()) {
-            outage.told = true;
+            outage.told.insert(relay);
         }
     }
 
     /// Since when a destination that is back counts, and how many calls it takes in that span.
     fn budget(&self, facts: &Facts, block: u16, at: Duration) -> Option<(Duration, f64)> {
         let rules = &facts.rules;
-        let outage = self.outages.get(&block).filter(|outage| outage.told)?;
+        let outage = self.outages.get(&block).filter(|outage| !outage.told.is_empty())?;
         let back = outage.back.filter(|back| *back <= at)?;
         let from = at.saturating_sub(rules.overload_for).max(back);
         let cold = rules.cold.as_secs_f64().max(1e-3);
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -16,6 +16,8 @@
 const ARRIVALS: (u64, usize) = (15_000, 200);
 /// Clients of a day.
 const CLIENTS: u64 = 8;
+/// Relays of a day that has several.
+const RELAYS: (u64, u64) = (3, 5);
 /// Attempts at most; on every fourth day fewer, so that the bound is met.
 const ATTEMPTS: (u64, u64) = (2, 12);
 
@@ -55,6 +57,8 @@
     pub settings: Value,
     /// Megabytes of disk.
     pub disk_mb: f64,
+    /// Relays that share the work.
+    pub relays: usize,
     /// Tenants and their administrators, on days that have them.
     pub hosted: Option<Hosted>,
 }
@@ -67,16 +71,20 @@
     Plain,
     /// Several tenants, changed by administrators.
     Hosted,
+    /// Three to five relays round the same partners.
+    Fleet,
 }
 
 /// The port that discovery answers at; a reload moves it to the next.
 pub const DISCOVERY_PORT: u16 = 8500;
-/// Where the relay takes clients.
-pub const RELAY: &str = "10.0.0.1:6379";
+/// Where the relay of a number takes clients.
+pub fn relay_address(relay: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1 + relay as u8], 6379))
+}
 
-/// Where discovery answers after so many reloads.
-pub fn discovery_address(moves: u16) -> SocketAddr {
-    SocketAddr::from(([10, 2, 0, 1], DISCOVERY_PORT + moves))
+/// Where a relay's discovery answers after so many reloads: each has an agent of its own.
+pub fn discovery_address(relay: usize, moves: u16) -> SocketAddr {
+    SocketAddr::from(([10, 2, 0, 1 + relay as u8], DISCOVERY_PORT + moves))
 }
 
 struct Class {
@@ -150,7 +158,7 @@
             ..rules
         };
         let clients = messages(&mut dice, &classes, &blocks, &faults);
-        Script { seed, hosts, clients, faults, rules, settings, disk_mb, hosted: None }
+        Script { seed, hosts, clients, faults, rules, settings, disk_mb, relays: 1, hosted: None }
     }
 
     /// The day of a seed with several tenants, which administrators change.
@@ -167,18 +175,31 @@
         script
     }
 
+    /// The day of a seed with several relays, which know of each other only how many they are.
+    pub fn draw_fleet(seed: u64) -> Self {
+        let (mut script, mut dice) = (Script::draw(seed), Dice::new(seed, 4));
+        let relays = dice.between(RELAYS.0, RELAYS.1);
+        let blocks: Vec<u16> = script.rules.capacity.keys().copied().collect();
+        faults::of_fleet(&mut dice, &mut script.faults, relays, &blocks);
+        script.settings["siblings"] = relays.into();
+        script.relays = relays as usize;
+        script
+    }
+
     /// The day of a seed, of a kind.
     pub fn of(days: Days, seed: u64) -> Self {
         match days {
             Days::Plain => Script::draw(seed),
             Days::Hosted => Script::draw_hosted(seed),
+            Days::Fleet => Script::draw_fleet(seed),
         }
     }
 
-    /// The configuration file, with discovery at an address.
-    pub fn config(&self, known: &Value, discovery: SocketAddr) -> Value {
-        json!({"name": "n0", "listen": RELAY, "discovery": discovery.to_string(),
-            "state": "/state", "seed": format!("{:x}", self.seed), "settings": self.settings, "known": known,
+    /// The configuration file of a relay, with discovery at an address.
+    pub fn config(&self, relay: usize, known: &Value, discovery: SocketAddr) -> Value {
+        let (listen, seed) = (relay_address(relay).to_string(), format!("{:x}", self.seed + relay as u64));
+        json!({"name": format!("n{relay}"), "listen": listen, "discovery": discovery.to_string(),
+            "state": "/state", "seed": seed, "settings": self.settings, "known": known,
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": self.disk_mb}})
     }
 
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -22,7 +22,7 @@
 use crate::peers::hosts::{Host, Mood};
 use crate::peers::Stage;
 use crate::rules::facts::Seen;
-use crate::script::{discovery_address, Script, RELAY};
+use crate::script::{discovery_address, relay_address, Script};
 
 /// After the last message's time is up the world runs on for so long.
 const AFTER: Duration = Duration::from_millis(2500);
@@ -48,6 +48,9 @@
     pub rogue: Option<Rogue>,
 }
 
+/// On a day with several relays the clocks of their machines are less than this ahead of the world's, in milliseconds.
+const AHEAD: u64 = 5_000;
+
 /// What became of a day.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -82,20 +85,27 @@
     Stopping(Duration),
 }
 
+/// A relay: its process, its agent of discovery, and what is to become of them.
+struct Seat {
+    process: ProcId,
+    life: Life,
+    discovery: Rc<Discovery>,
+    moves: u16,
+    closes_discovery: watch::Sender<bool>,
+    /// How long a start takes after a kill that strikes by itself.
+    down_for: Duration,
+}
+
 struct World<'a> {
     script: &'a Script,
     options: Options,
     machine: Machine,
     stage: Stage<Virtual>,
     hosts: Vec<Rc<Host>>,
-    discovery: Rc<Discovery>,
     known: serde_json::Value,
-    process: ProcId,
-    life: Life,
-    moves: u16,
-    closes_discovery: watch::Sender<bool>,
-    /// How long a start takes after a kill that strikes by itself.
-    down_for: Duration,
+    seats: Vec<Seat>,
+    /// The relay that the fault at hand strikes.
+    struck: usize,
     /// The process, and after how many effects it is killed once a change of a tenant is sent.
     strike: Rc<Cell<(ProcId, Option<u64>)>>,
 }
@@ -130,7 +140,8 @@
         let stage = Stage {
             start: system.now(),
             system,
-            checker: Rc::new(RefCell::new(Checker::new(script.rules.clone()))),
+            relay: 0,
+            checker: Rc::new(RefCell::new(Checker::new(script.rules.clone(), script.relays))),
             holds: Rc::new(move |conn| holder.caller_holds(conn)),
             hears: Rc::new(move |conn| hearer.caller_hears(conn)),
             news: Rc::new(move |line| noter.note(line)),
@@ -145,47 +156,48 @@
             lines.push(line(&host, "up", capacity));
             hosts.push(host);
         }
-        let discovery = Discovery::new(lines);
-        let known = discovery.whole();
-        let (closes_discovery, _) = watch::channel(false);
-        World {
-            script,
-            options,
-            machine,
-            stage,
-            hosts,
-            discovery,
-            known,
+        let seat = |_| Seat {
             process: 0,
             life: Life::Up,
+            discovery: Discovery::new(lines.clone()),
             moves: 0,
-            closes_discovery,
+            closes_discovery: watch::channel(false).0,
             down_for: Duration::from_millis(600),
-            strike: Rc::default(),
+        };
+        let seats: Vec<Seat> = (0..script.relays).map(seat).collect();
+        let known = seats[0].discovery.whole();
+        if script.relays > 1 {
+            let mut dice = Dice::new(script.seed, 5);
+            machine
+                .set_clocks((0..script.relays).map(|_| Duration::from_millis(dice.below(AHEAD))).collect());
         }
+        World { script, options, machine, stage, hosts, known, seats, struck: 0, strike: Rc::default() }
     }
 
     fn run(mut self) -> Report {
-        let relay: SocketAddr = RELAY.parse().unwrap_or_else(|_| SocketAddr::from(([10, 0, 0, 1], 6379)));
         for host in &self.hosts {
             let served = host.clone().serve(self.stage.clone());
             self.stage.system.spawn(async move { drop(served.await) });
         }
-        self.serve_discovery();
-        self.configure();
+        for relay in 0..self.seats.len() {
+            self.serve_discovery(relay);
+            self.configure(relay);
+        }
         if let Some(hosted) = &self.script.hosted {
             let registry = hosted.registry();
             for name in ["tenants.a", "tenants.b"] {
                 let path = Path::new(hosted::FOLDER).join(name);
-                self.machine.disk(|disk| disk.put(path, registry.clone()));
+                self.machine.disk(0, |disk| disk.put(path, registry.clone()));
             }
         }
-        self.start(relay);
+        (0..self.seats.len()).for_each(|relay| self.start(relay));
+        let relays: Vec<SocketAddr> = (0..self.seats.len()).map(relay_address).collect();
         for (number, plans) in self.script.clients.iter().enumerate() {
             let hosted = self.script.hosted.as_ref().filter(|hosted| hosted.auth);
             let login = hosted.map(|hosted| hosted.tenant_of(number));
             let login = login.map(|tenant| (tenant.name.clone(), tenant.secret.clone()));
-            let client = Client::new(self.stage.clone(), relay, plans.clone(), login);
+            let client =
+                Client::new(self.stage.clone(), relays.clone(), number % relays.len(), plans.clone(), login);
             self.stage.system.spawn(client.run());
         }
         self.administrate();
@@ -213,9 +225,12 @@
                 self.edge(fault, begins);
                 continue;
             }
-            self.live(now, relay);
+            (0..self.seats.len()).for_each(|relay| self.live(now, relay));
             if look <= now {
-                self.stage.see(&Seen::Disk(self.machine.disk(|disk| disk.size(Path::new(FOLDER)))));
+                for relay in 0..self.seats.len() {
+                    let size = self.machine.disk(relay, |disk| disk.size(Path::new(FOLDER)));
+                    self.of(relay).see(&Seen::Disk(size));
+                }
                 self.stage.see(&Seen::Pass);
                 look = now + LOOK;
             }
@@ -269,62 +284,76 @@
         }
     }
 
-    fn serve_discovery(&mut self) {
+    /// The stage as seen from a relay.
+    fn of(&self, relay: usize) -> Stage<Virtual> {
+        Stage { relay, ..self.stage.clone() }
+    }
+
+    fn serve_discovery(&mut self, relay: usize) {
         let (close, closing) = watch::channel(false);
-        self.closes_discovery = close;
-        let served = self.discovery.clone().serve(self.stage.clone(), discovery_address(self.moves), closing);
+        let stage = self.of(relay);
+        let seat = &mut self.seats[relay];
+        seat.closes_discovery = close;
+        let served = seat.discovery.clone().serve(stage, discovery_address(relay, seat.moves), closing);
         self.stage.system.spawn(async move { drop(served.await) });
     }
 
-    fn configure(&self) {
-        let mut config = self.script.config(&self.known, discovery_address(self.moves));
+    fn configure(&self, relay: usize) {
+        let discovery = discovery_address(relay, self.seats[relay].moves);
+        let mut config = self.script.config(relay, &self.known, discovery);
         if let Some(change) = self.options.misconfigure {
             change(&mut config);
         }
-        self.machine.disk(|disk| disk.put(CONFIG, config.to_string().into_bytes()));
+        self.machine.disk(relay, |disk| disk.put(CONFIG, config.to_string().into_bytes()));
         if let Some(hosted) = &self.script.hosted {
-            self.machine.disk(|disk| disk.put(OPERATOR, hosted.operator().into_bytes()));
+            self.machine.disk(relay, |disk| disk.put(OPERATOR, hosted.operator().into_bytes()));
         }
     }
 
-    fn start(&mut self, relay: SocketAddr) {
+    fn start(&mut self, relay: usize) {
         let operator = self.script.hosted.as_ref().map(|_| OPERATOR.into());
         let run = |system| madderpitch_relay::run(system, operator);
-        self.process = self.machine.process(self.options.lie, run);
-        self.strike.set((self.process, self.strike.get().1));
-        self.life = Life::Up;
-        self.machine.note(format_args!("process {} starts", self.process));
-        self.stage.see(&Seen::Started(self.process));
-        let stage = self.stage.clone();
+        let process = self.machine.process(relay, self.options.lie, run);
+        if relay == 0 {
+            self.strike.set((process, self.strike.get().1));
+        }
+        (self.seats[relay].process, self.seats[relay].life) = (process, Life::Up);
+        self.machine.note(format_args!("process {process} starts"));
+        let stage = self.of(relay);
+        stage.see(&Seen::Started(process));
         self.stage.system.spawn(async move {
-            until_ready(&stage, relay).await;
+            until_ready(&stage, relay_address(relay)).await;
             stage.see(&Seen::Ready);
         });
     }
 
     /// Notices what became of the process, and starts it again when it is time.
-    fn live(&mut self, now: Duration, relay: SocketAddr) {
-        match self.life {
+    fn live(&mut self, now: Duration, relay: usize) {
+        let process = self.seats[relay].process;
+        match self.seats[relay].life {
             Life::Down(at) if at <= now => self.start(relay),
             Life::Down(_) => {}
-            Life::Up | Life::Stopping(_) if self.machine.is_alive(self.process) => {}
+            Life::Up | Life::Stopping(_) if self.machine.is_alive(process) => {}
             Life::Up | Life::Stopping(_) => {
-                if let Some(how) = self.machine.ended(self.process) {
-                    self.stage.see(&Seen::EndedByItself(&how));
+                let stage = self.of(relay);
+                if let Some(how) = self.machine.ended(process) {
+                    stage.see(&Seen::EndedByItself(&how));
                 }
-                self.stage.see(&Seen::Gone);
-                self.machine.note(format_args!("process {} is gone", self.process));
-                self.machine.kill(self.process);
-                let after = match self.life {
+                stage.see(&Seen::Gone);
+                self.machine.note(format_args!("process {process} is gone"));
+                self.machine.kill(process);
+                let seat = &mut self.seats[relay];
+                let after = match seat.life {
                     Life::Stopping(after) => after,
-                    _ => self.down_for,
+                    _ => seat.down_for,
                 };
-                self.life = Life::Down(now + after);
+                seat.life = Life::Down(now + after);
             }
         }
     }
 
     fn edge(&mut self, fault: &Fault, begins: bool) {
+        self.struck = fault.relay;
         match begins {
             true => fault.trouble.begins(self, Duration::from_millis(fault.until)),
             false => fault.trouble.ends(self),
@@ -342,11 +371,11 @@
     }
 
     fn discovery(&self) -> &Discovery {
-        &self.discovery
+        &self.seats[self.struck].discovery
     }
 
     fn see(&self, seen: &Seen<'_>) {
-        self.stage.see(seen);
+        self.of(self.struck).see(seen);
     }
 
     fn mood(&self, block: u16, change: &dyn Fn(&mut Mood)) {
@@ -368,7 +397,8 @@
     fn list(&self, host: usize, health: &'static str, jump: u64) {
         let host = &self.hosts[host];
         let line = line(host, health, host.capacity);
-        self.discovery.change(self.machine.now(), line, jump);
+        // The change reaches all agents, each with its own lag.
+        self.seats.iter().for_each(|seat| seat.discovery.change(self.machine.now(), line.clone(), jump));
     }
 
     fn hosts(&self) -> usize {
@@ -380,36 +410,56 @@
         *self.hosts[host].name.borrow_mut() = name;
     }
 
+    fn relay(&self) -> usize {
+        self.struck
+    }
+
     fn process(&self) -> ProcId {
-        self.process
+        self.seats[self.struck].process
+    }
+
+    fn kill_all(&mut self) {
+        let down_for = self.seats[self.struck].down_for;
+        for seat in &mut self.seats {
+            seat.down_for = down_for;
+            self.machine.kill(seat.process);
+        }
+    }
+
+    fn cut(&self, block: u16, cut: bool) {
+        self.of_block(block).for_each(|host| self.machine.cut(self.struck, host.address, cut));
     }
 
     fn down_for(&mut self, span: Duration) {
-        self.down_for = span;
+        self.seats[self.struck].down_for = span;
     }
 
     fn stop(&mut self, down: Duration) {
-        if matches!(self.life, Life::Up) {
-            self.life = Life::Stopping(down);
-            self.stage.see(&Seen::ToldToStop);
-            self.machine.signal(self.process, Signal::Stop);
+        let stage = self.of(self.struck);
+        let seat = &mut self.seats[self.struck];
+        if matches!(seat.life, Life::Up) {
+            seat.life = Life::Stopping(down);
+            stage.see(&Seen::ToldToStop);
+            self.machine.signal(seat.process, Signal::Stop);
         }
     }
 
     fn reload(&mut self) {
-        self.moves += 1;
-        self.closes_discovery.send_replace(true);
-        self.serve_discovery();
-        self.configure();
-        if self.machine.is_alive(self.process) {
-            self.machine.signal(self.process, Signal::Reload);
+        let relay = self.struck;
+        self.seats[relay].moves += 1;
+        self.seats[relay].closes_discovery.send_replace(true);
+        self.serve_discovery(relay);
+        self.configure(relay);
+        let process = self.seats[relay].process;
+        if self.machine.is_alive(process) {
+            self.machine.signal(process, Signal::Reload);
         }
         let now = self.machine.now();
-        self.stage.see(&Seen::Deaf(now, now + MOVED));
+        self.of(relay).see(&Seen::Deaf(now, now + MOVED));
     }
 
     fn strike_at_change(&mut self, effects: u64) {
-        self.strike.set((self.process, Some(effects)));
+        self.strike.set((self.process(), Some(effects)));
     }
 }
 
