Take silence after refusals, and three failures in a row, for an outage

Change: a success 1.3 s or more after the first refusal, with none between, is a return from an outage, unless the allowance was spent or this relay used half of its even part of what is told: then the limit is the likelier cause. Three failures with no success between are an outage.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -18,6 +18,8 @@
 const ERROR_SHARE: f64 = 0.5;
 /// So many failures with no success between trip below the floor, where they are a fair share of the last calls.
 const RUN_TRIP: u32 = 2;
+/// So many are an outage, whatever their share: where one call in ten fails by itself, one run in a thousand.
+const RUN_OUTAGE: u32 = 3;
 /// Rest before a trial: short against deadlines of many seconds, long against one call.
 const SLEEP_WINDOW: Micros = 3 * SECOND / 2;
 /// A host that failed is avoided so long where another serves.
@@ -94,6 +96,8 @@
     refused_run: u32,
     /// Since when refusals cannot be put down to a limit.
     shut_since: Micros,
+    /// The last refusal can.
+    limited: bool,
     /// The last failure proves that nothing ran.
     harmless: bool,
     wait_until: Micros,
@@ -149,9 +153,9 @@
     }
 
     /// Guards a destination that few calls met while it was away: one that fails on behind a fuse that it has
-    /// tripped had an outage, whatever came before.
+    /// tripped, or fails several calls with no success between, had an outage, whatever came before.
     fn out_of_order(&self) -> bool {
-        self.failing() || self.fuse != Fuse::Closed
+        self.failing() || self.fuse != Fuse::Closed || self.run >= RUN_OUTAGE
     }
 
     fn own_rate(&self, now: Micros) -> f64 {
@@ -582,7 +586,7 @@
                     let last = route.tally.iter().rposition(|(_, v)| *v == Verdict::Failed);
                     last.and_then(|at| route.tally.remove(at));
                 }
-                self.succeeded(key, host, elapsed, class);
+                self.succeeded(key, host, elapsed, chance, class);
             }
             Outcome::Full { .. } => self.refused(key),
             // Guards healthy hosts: a kept connection that breaks is no news of its host, which the next
@@ -601,12 +605,17 @@
         }
     }
 
-    fn succeeded(&mut self, key: RouteKey, host: HostId, elapsed: Micros, class: Option<usize>) {
+    fn succeeded(&mut self, key: RouteKey, host: HostId, elapsed: Micros, chance: f64, class: Option<usize>) {
         let now = self.now;
         if let Some(host) = self.hosts.get_mut(&host) {
             (host.run, host.avoid_until) = (0, 0);
         }
         let Some(route) = self.routes.get_mut(&key) else { return };
+        // Guards a destination whose end of an outage comes within the rest after a refusal: what was away from
+        // then until now, as far as this relay can tell, is back from an outage.
+        if route.refused_run > 0 && !route.limited && now >= route.shut_since + SHUT_AFTER {
+            route.saw_outage(route.shut_since, chance);
+        }
         route.push(now, Verdict::Good);
         (route.run, route.refused_run) = (0, 0);
         let longest = (route.even_gap(self.siblings) * GAP_EVEN * SECOND as f64) as Micros;
@@ -640,6 +649,9 @@
         route.push(now, Verdict::Refused);
         route.refused_run += 1;
         let limited = route.left.is_some_and(|left| left < ALLOWANCE_SPENT);
+        // Where this relay's even part of what is told is in use, the limit is the likelier cause.
+        let busy = route.own_rate(now) * siblings.min(SHARERS) * 2.0 > route.told.unwrap_or(0.0);
+        route.limited = limited || busy;
         route.shut_since = if route.refused_run == 1 || limited { now } else { route.shut_since };
         // Refused with the allowance hardly touched, a destination is shut.
         let shut = route.left.is_some_and(|left| left > ALLOWANCE_UNUSED);
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -528,6 +528,48 @@
     assert!((1..=2).contains(&more), "{more} in half a second");
 }
 
+/// Only the first calls met the shut destination; the relay rested until it was back.
+#[test]
+fn an_outage_that_a_rest_hid_ends_by_the_ramp() {
+    let shut = |busy: bool| {
+        let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+        // 20 a second are told for two relays: six a second are this relay's part, one is far from it.
+        for _ in 0..30 {
+            let id = bench.arrive(0, 1, None);
+            bench.finish(id, Outcome::Ok);
+            bench.pass(if busy { 150 * MS } else { S });
+        }
+        let id = bench.arrive(0, 1, None);
+        bench.finish(id, Outcome::Full { wait: S });
+        bench.pass(8 * S / 5);
+        let id = bench.out().first().map_or_else(|| bench.arrive(0, 1, None), |(id, _)| *id);
+        bench.finish(id, Outcome::Ok);
+        bench.relay.outages().count()
+    };
+    assert_eq!(shut(false), 1);
+    // At its limit a destination refuses too, and is not away.
+    assert_eq!(shut(true), 0);
+}
+
+#[test]
+fn three_failures_with_no_success_between_are_an_outage_and_two_among_many_good_are_not() {
+    for (failures, outages) in [(2, 0), (3, 1)] {
+        let mut bench = Bench::new(settings(), vec![host(1, 1)]);
+        for _ in 0..20 {
+            let id = bench.arrive(0, 1, None);
+            bench.finish(id, Outcome::Ok);
+            bench.pass(200 * MS);
+        }
+        for _ in 0..failures {
+            let id = bench.arrive(0, 1, None);
+            bench.finish(id, Outcome::Error);
+            bench.withdraw(id);
+            bench.pass(200 * MS);
+        }
+        assert_eq!(bench.relay.outages().count(), outages, "after {failures} failures");
+    }
+}
+
 #[test]
 fn no_call_starts_that_the_end_of_the_process_would_cut_off() {
     let now = 100 * S;
--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -46,6 +46,18 @@
     holds([16412, 51164]);
 }
 
+/// A hang that few calls met failed three of them with no success between, and passed for no outage.
+#[test]
+fn three_failures_in_a_row_are_an_outage() {
+    holds([22616, 23720, 29056, 82950]);
+}
+
+/// One moment's refusals were all that was seen of a shut, as the relay rested until it was over.
+#[test]
+fn an_outage_that_a_rest_hid_ends_gently() {
+    holds([30708, 33598, 76335, 77841, 97735]);
+}
+
 /// What a relay could not know was held against it: the checker's own faults.
 #[test]
 fn what_never_reached_the_relay_is_not_held_against_it() {
