Take two failures that span 1.3 s with no success between for an outage

Change: a success that comes 1.3 s or more after the first of two or more failures, with none between, is a return, as after refusals.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -93,6 +93,8 @@
     fuse: Fuse,
     tally: VecDeque<(Micros, Verdict)>,
     run: u32,
+    /// When the first failure of the run counted.
+    failing_since: Micros,
     refused_run: u32,
     /// Since when refusals cannot be put down to a limit.
     shut_since: Micros,
@@ -611,10 +613,12 @@
             (host.run, host.avoid_until) = (0, 0);
         }
         let Some(route) = self.routes.get_mut(&key) else { return };
-        // Guards a destination whose end of an outage comes within the rest after a refusal: what was away from
-        // then until now, as far as this relay can tell, is back from an outage.
-        if route.refused_run > 0 && !route.limited && now >= route.shut_since + SHUT_AFTER {
-            route.saw_outage(route.shut_since, chance);
+        // Guards a destination whose outage few calls met, as the relay rested after a refusal or waited for two
+        // that hung: what was away from then until now, as far as this relay can tell, is back from an outage.
+        let shut = route.refused_run > 0 && !route.limited && now >= route.shut_since + SHUT_AFTER;
+        let hung = route.run > 1 && now >= route.failing_since + SHUT_AFTER;
+        if shut || hung {
+            route.saw_outage(if shut { route.shut_since } else { route.failing_since }, chance);
         }
         route.push(now, Verdict::Good);
         (route.run, route.refused_run) = (0, 0);
@@ -692,6 +696,7 @@
         let elsewhere = route.hosts.iter().any(|h| self.hosts.get(h).is_some_and(|h| h.avoid_until <= now));
         route.push(now, Verdict::Failed);
         route.run += 1;
+        route.failing_since = if route.run == 1 { now } else { route.failing_since };
         route.harmless = harmless;
         let failures = route.count(Verdict::Failed);
         if told && route.out_of_order() {
--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -58,6 +58,12 @@
     holds([30708, 33598, 76335, 77841, 97735]);
 }
 
+/// Two calls hung, all others waited for them, and nothing more was seen of the outage.
+#[test]
+fn two_calls_that_hang_are_an_outage_where_nothing_else_comes_through() {
+    holds([3917]);
+}
+
 /// What a relay could not know was held against it: the checker's own faults.
 #[test]
 fn what_never_reached_the_relay_is_not_held_against_it() {
