Log each call on request, and hold thin senders to their part of a spent limit

Each relay kept calling at a pace of a third of the limit or, once told a wait, within a gap after its end; no relay saw more than a call in three seconds, so none learned of its part. Ruled out: connections (refusals come as often on kept ones, in 11 to 15 ms), hosts' queues (few refusals with much of the allowance left), the cap. At fault: Route::fair and the pace in brain.rs, which take three relays for all that are busy.

Each relay now asks for no more than its even part of the limit times 0.6^(1-4x), x being the share of the allowance that the last answer told: 0.6 of it where nothing is left, all at a quarter, 4.6 times at a full allowance.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -135,6 +135,8 @@
     pub report: Option<String>,
     /// How long it took.
     pub elapsed: Micros,
+    /// A connection was opened, or tried, for it.
+    pub fresh: bool,
 }
 
 /// How a message ended that was not delivered.
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -48,6 +48,9 @@
 const CAP_CUT: f64 = 0.8;
 /// No gap need be longer than so many times that of an even part: all together then ask for 0.7 of the limit.
 const GAP_EVEN: f64 = 1.4;
+/// What a relay asks for of its even part of a limit of which nothing is left, and the share of the allowance
+/// left at which it asks for all of that part; with each such share more it asks for as many times more.
+const RATION: (f64, f64) = (0.6, 0.25);
 /// So many relays at most are taken to be busy with one destination at a time.
 const SHARERS: f64 = 3.0;
 /// Rise of the pace with each success, as a share of the fair part.
@@ -172,6 +175,15 @@
         self.told.map_or(self.best, part).max(PACE_LEAST)
     }
 
+    /// Calls a second that this relay may ask for by what the last answer left of the allowance.
+    ///
+    /// Guards a limit that refused calls use up too against a fleet in which no relay sees much of it: asked
+    /// for more than it gives, it serves none, and each relay alone sees too little to find its part.
+    fn ration(&self, siblings: f64) -> f64 {
+        let (Some(told), Some(left)) = (self.told, self.left) else { return f64::INFINITY };
+        told / siblings * RATION.0.powf(1.0 - left / RATION.1)
+    }
+
     /// The gap, in seconds, at which all relays together ask for what is told.
     fn even_gap(&self, siblings: f64) -> f64 {
         siblings / self.told.unwrap_or(siblings)
@@ -269,6 +281,19 @@
         self.sharing.load(tenant)
     }
 
+    /// How the relay stands towards a destination, as `name=value` for the log.
+    pub fn standing(&self, destination: DestinationId) -> String {
+        let routes = self.routes_to(destination);
+        let text = routes.iter().filter_map(|key| self.routes.get(key)).map(|r| {
+            let fuse = ["closed", "half", "open"][usize::from(r.fuse != Fuse::Closed) + usize::from(matches!(r.fuse, Fuse::Open(_)))];
+            let rest = r.rest_until.max(r.wait_until).saturating_sub(self.now) / 1000;
+            let (pace, gap, out) = (r.pace, r.gap / 1000, r.in_flight);
+            let (told, left) = (r.told.unwrap_or(0.0), r.left.unwrap_or(-1.0));
+            format!("{fuse} pace={pace:.2} gap={gap} rest={rest} out={out} cap={:.1} told={told:.1} left={left:.2} cold={}", r.cap, u8::from(r.witness))
+        });
+        text.collect::<Vec<_>>().join(" | ")
+    }
+
     /// From 0.9 to 1.1, so that relays which saw the same do not act in step.
     fn jitter(&mut self) -> f64 {
         0.9 + 0.2 * self.dice.roll()
@@ -791,7 +816,7 @@
         }
         // A wait fills no bucket: all who were told of its end would come at once.
         let passed = (now - route.tokens_at.max(route.wait_until.min(now))) as f64 / SECOND as f64;
-        let rate = route.pace.min(ramp);
+        let rate = route.pace.min(ramp).min(route.ration(self.siblings));
         let depth = if ramp.is_finite() { 1.0 } else { (rate * 0.6).max(1.0) };
         route.tokens = if rate.is_finite() { (route.tokens + rate * passed).min(depth) } else { depth };
         route.tokens_at = now;
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -26,6 +26,7 @@
 use crate::journal::{Attempt, Journal, Memory, Owed, Taken};
 use crate::operator::Operator;
 use crate::tenants::Tenants;
+use crate::trace::Trace;
 
 /// Inputs that may wait for the driver; beyond, those who have more wait themselves.
 const INPUTS: usize = 1024;
@@ -65,6 +66,7 @@
     disk: u64,
     /// Where discovery answers, for those who ask it.
     discovery: watch::Sender<SocketAddr>,
+    trace: Trace<S>,
 }
 
 /// One relay's whole life: starts, serves until it is told to stop, and then brings what is out to its end.
@@ -115,9 +117,11 @@
         memory: Memory::load(&system, &config.state),
         disk,
         discovery,
+        trace: Trace::new(system.clone(), wanted.log_calls),
         config,
         system: system.clone(),
     };
+    driver.trace.start(driver.clock.now(), &driver.config.settings);
     driver.restore();
     driver.round()?;
 
@@ -382,7 +386,8 @@
     }
 
     fn ended(&mut self, end: CallEnd) {
-        let CallEnd { id, attempt, host, outcome, over: told_over, report, elapsed } = end;
+        let CallEnd { id, attempt, host, outcome, over: told_over, report, elapsed, fresh } = end;
+        self.trace.call(self.clock.now(), id, fresh);
         if self.calls.get(&id).is_some_and(|(out, _)| *out == attempt) {
             self.calls.remove(&id);
         }
@@ -440,7 +445,9 @@
             self.events.push(Event::Timer(token));
         }
         let mut actions = Vec::new();
+        self.trace.events(now, &self.events);
         self.relay.handle(now, std::mem::take(&mut self.events), &mut actions);
+        self.trace.actions(now, &actions, &self.relay);
         for action in &actions {
             match action {
                 Action::Refuse { id, after } => self.turn_away(*id, &Reply::Busy(after.div_ceil(1000))),
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -357,11 +357,12 @@
     /// Makes a call and tells how it ended. `cancel` ends it early, also when its other side is dropped.
     pub async fn call(&self, call: Call, mut cancel: oneshot::Receiver<()>, inputs: mpsc::Sender<Input>) {
         let start = self.system.now();
-        let ended = self.attempt(&call, start + call.timeout, &mut cancel).await;
+        let mut fresh = false;
+        let ended = self.attempt(&call, start + call.timeout, &mut cancel, &mut fresh).await;
         let elapsed = (self.system.now() - start).as_micros() as Micros;
         let Ended { outcome, over, report, rest } = ended;
         let (id, attempt, host) = (call.id, call.attempt, call.host);
-        let end = Input::Ended(CallEnd { id, attempt, host, outcome, over, report, elapsed });
+        let end = Input::Ended(CallEnd { id, attempt, host, outcome, over, report, elapsed, fresh });
         let Some((connection, answer)) = rest else { return drop(inputs.send(end).await) };
         // The outcome waits a moment for its connection, so that the next call finds that idle.
         let mut finish = std::pin::pin!(self.finish(call.host, connection, answer));
@@ -372,11 +373,13 @@
         }
     }
 
-    async fn attempt(&self, call: &Call, ends: Instant, cancel: &mut oneshot::Receiver<()>) -> Ended<S> {
+    async fn attempt(
+        &self, call: &Call, ends: Instant, cancel: &mut oneshot::Receiver<()>, fresh: &mut bool,
+    ) -> Ended<S> {
         let plain = |outcome| Ended { outcome, over: false, report: None, rest: None };
         loop {
             let kept = self.reuse(call.host, call.address);
-            let fresh = kept.is_none();
+            *fresh = kept.is_none();
             let mut connection = match kept {
                 Some(connection) => connection,
                 None => {
@@ -447,14 +450,14 @@
                 }
                 // A kept connection was closed or spoilt while it was idle; the call never ran. Each turn uses
                 // one up; a new one that does not take a call is a host that can't be reached.
-                Sent::Unsent | Sent::Partly if !fresh => connection.close().await,
+                Sent::Unsent | Sent::Partly if !*fresh => connection.close().await,
                 Sent::Unsent | Sent::Partly => {
                     connection.close().await;
                     return plain(Outcome::ConnectFailed);
                 }
                 Sent::Broken => {
                     let silent = connection.passed.borrow().answer.read == 0;
-                    let outcome = if silent && !fresh { Outcome::Dropped } else { Outcome::Reset };
+                    let outcome = if silent && !*fresh { Outcome::Dropped } else { Outcome::Reset };
                     let ended = spoilt(&connection, outcome);
                     connection.close().await;
                     if outcome == Outcome::Dropped {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,5 +13,6 @@
 mod journal;
 mod operator;
 mod tenants;
+mod trace;
 
 pub use driver::run;
--- a/crates/relay/src/operator.rs
+++ b/crates/relay/src/operator.rs
@@ -19,6 +19,9 @@
     pub tenants: Option<Tenants>,
     /// The administration API.
     pub admin: Option<madderpitch_admin::Settings>,
+    /// A line in the log for each message taken, call made and answer, for counts over a fleet.
+    #[serde(default)]
+    pub log_calls: bool,
 }
 
 /// Tenants that administrators change.
--- /dev/null
+++ b/crates/relay/src/trace.rs
@@ -0,0 +1,123 @@
+//! One line for each event that the module is told and each action that it takes, for counts over a fleet.
+//!
+//! A line is `fleet`, the Unix time in milliseconds, a word and its values, which
+//! `madderpitch-bench fleet` reads back. Bodies, keys and names of messages are never written.
+
+use std::collections::BTreeMap;
+
+use madderpitch_policy::interface::*;
+use madderpitch_policy::Relay;
+use madderpitch_seam::{log, System};
+
+/// Writes the lines; does nothing where the operator has not asked for them.
+pub struct Trace<S> {
+    system: S,
+    on: bool,
+    /// Destinations of what is held, as an end names only its message; bounded by what is held.
+    destinations: BTreeMap<MessageId, DestinationId>,
+}
+
+impl<S: System> Trace<S> {
+    /// `on` as the operator file says.
+    pub fn new(system: S, on: bool) -> Self {
+        Trace { system, on, destinations: BTreeMap::new() }
+    }
+
+    /// The process has started with these settings.
+    pub fn start(&self, now: Micros, settings: &Settings) {
+        if self.on {
+            let Settings { siblings, slots, most_held, rules, .. } = settings;
+            log!(
+                self.system,
+                "fleet {} start siblings={siblings} slots={slots} held={most_held} cold={}",
+                now / 1000,
+                rules.cold / 1000
+            );
+        }
+    }
+
+    /// A call has ended, for which a connection was opened or not.
+    pub fn call(&self, now: Micros, id: MessageId, fresh: bool) {
+        if self.on && fresh {
+            let destination = self.destinations.get(&id).copied().unwrap_or(u16::MAX);
+            log!(self.system, "fleet {} opened {destination} {id}", now / 1000);
+        }
+    }
+
+    /// What the module is about to be told.
+    pub fn events(&mut self, now: Micros, events: &[Event]) {
+        if !self.on {
+            return;
+        }
+        let at = now / 1000;
+        for event in events {
+            match event {
+                Event::Hosts { entries, .. } => entries.iter().for_each(|entry| {
+                    let HostEntry { host, destination, listing, weight, kind, .. } = entry;
+                    let kind = *kind;
+                    log!(
+                        self.system,
+                        "fleet {at} list {destination} host={host} kind={kind} weight={weight} {listing:?}"
+                    );
+                }),
+                Event::Arrived(m) | Event::Restored { message: m, .. } => {
+                    self.destinations.insert(m.id, m.destination);
+                    let word = if matches!(event, Event::Arrived(_)) { "arrived" } else { "restored" };
+                    let left = m.due.saturating_sub(now) / 1000;
+                    log!(
+                        self.system,
+                        "fleet {at} {word} {} {} class={} left={left} again={}",
+                        m.destination,
+                        m.id,
+                        m.class,
+                        u8::from(m.again)
+                    );
+                }
+                Event::Ended(end) => {
+                    let destination = self.destinations.get(&end.id).copied().unwrap_or(u16::MAX);
+                    let (outcome, wait) = match end.outcome {
+                        Outcome::Full { wait } => ("Full".to_string(), wait / 1000),
+                        other => (format!("{other:?}"), 0),
+                    };
+                    log!(
+                        self.system,
+                        "fleet {at} ended {destination} {} {outcome} wait={wait} took={} report={:?}",
+                        end.id,
+                        end.elapsed / 1000,
+                        end.report
+                    );
+                    if end.over {
+                        self.destinations.remove(&end.id);
+                    }
+                }
+                Event::Remembered(outage) => {
+                    log!(self.system, "fleet {at} outage {}", outage.destination);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// What the module has said.
+    pub fn actions(&mut self, now: Micros, actions: &[Action], relay: &Relay) {
+        if !self.on {
+            return;
+        }
+        let at = now / 1000;
+        for action in actions {
+            let (word, id) = match action {
+                Action::Send { id, .. } => ("send", id),
+                Action::Refuse { id, .. } => ("refuse", id),
+                Action::Fail(id) => ("fail", id),
+                _ => continue,
+            };
+            let destination = self.destinations.get(id).copied().unwrap_or(u16::MAX);
+            let held = self.destinations.len();
+            let standing = relay.standing(destination);
+            log!(self.system, "fleet {at} {word} {destination} {id} held={held} {standing}");
+            if word != "send" {
+                self.destinations.remove(id);
+            }
+        }
+    }
+}
