Ask discovery with rests, patience and a start that grow with the fleet

With each step of the watch logged: a relay gave up each call after 1 s (its answer was still being made, for nobody), came again after 1 s at most, and was answered 503 in 20 ms; 70 calls a second for 20 s, of which a handful were answered. Ruled out: the watch itself (those that got one kept it) and the list (1,400 lines at the start were read in a tick). At fault: PATIENCE and REST in discovery.rs, the same for one relay and for a hundred, and no spread.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod brain;
 pub mod interface;
 pub mod sharing;
-mod state;
+pub mod state;
 
 pub use brain::Relay;
 pub use interface::{Action, Event, Settings};
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -19,11 +19,13 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, watch, Notify};
 
+use crate::asking::Asking;
+
 /// An empty line comes every 2 s; past this the watch is dead, whatever its connection says.
 const SILENCE: Duration = Duration::from_millis(3500);
-/// Longest wait for a connection or an answer.
+/// Longest wait for a connection, or for the answer to notices.
 const PATIENCE: Duration = Duration::from_secs(1);
-/// Bounds of the rest between two tries.
+/// Bounds of the rest between two tries to send notices.
 const REST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// A longer line is not read.
 const LONGEST_LINE: usize = 4 << 20;
@@ -51,11 +53,11 @@
     }
 
     async fn ask(
-        &mut self, address: SocketAddr, method: Method, path: &str, body: String,
+        &mut self, address: SocketAddr, method: Method, path: &str, body: String, patience: Duration,
     ) -> Result<Response<Incoming>, Failure> {
         let request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
         let answer = self.sender.send_request(request.body(Full::new(body.into()))?);
-        Ok(self.system.timeout(PATIENCE, answer).await??)
+        Ok(self.system.timeout(patience, answer).await??)
     }
 }
 
@@ -68,8 +70,10 @@
 /// Follows the list for ever, from a version on, at the address that is in force; every connection to the
 /// same address starts where the last one ended.
 pub async fn follow<S: System>(
-    system: S, mut at: watch::Receiver<SocketAddr>, mut version: u64, inputs: mpsc::Sender<Input>,
+    system: S, mut at: watch::Receiver<SocketAddr>, mut version: u64, mut asking: Asking,
+    inputs: mpsc::Sender<Input>,
 ) {
+    system.sleep(asking.start()).await;
     let mut moved = false;
     loop {
         let address = *at.borrow_and_update();
@@ -79,7 +83,7 @@
             changed = at.changed() => if changed.is_err() {
                 return;
             },
-            () = follow_one(&system, address, moved, &mut version, &inputs) => return,
+            () = follow_one(&system, address, moved, &mut version, &mut asking, &inputs) => return,
         }
         moved = true;
     }
@@ -87,9 +91,10 @@
 
 /// Follows the list at one address; a new one is asked for the whole list first.
 async fn follow_one<S: System>(
-    system: &S, address: SocketAddr, mut whole: bool, version: &mut u64, inputs: &mpsc::Sender<Input>,
+    system: &S, address: SocketAddr, mut whole: bool, version: &mut u64, asking: &mut Asking,
+    inputs: &mpsc::Sender<Input>,
 ) {
-    let mut rest = REST.0;
+    let patience = asking.patience();
     let mut logged = false;
     let mut stale = 0;
     loop {
@@ -97,7 +102,7 @@
         let mut heard = false;
         let followed = async {
             if whole {
-                let list = whole_list(system, address).await?;
+                let list = whole_list(system, address, patience).await?;
                 // Guards drains that the old discovery told: a new one that is behind would take them back.
                 if list.seq < *version && stale < STALE_LISTS {
                     stale += 1;
@@ -106,7 +111,7 @@
                 (*version, heard, whole) = (list.seq, true, false);
                 inputs.send(Input::Hosts(list)).await?;
             }
-            watch(system, address, version, &mut heard, inputs).await
+            watch(system, address, version, &mut heard, patience, inputs).await
         };
         if let Err(error) = followed.await {
             if !logged || heard {
@@ -117,17 +122,20 @@
         if inputs.is_closed() {
             return;
         }
-        rest = if heard || *version > before { REST.0 } else { (rest * 2).min(REST.1) };
-        system.sleep(rest).await;
+        if heard || *version > before {
+            asking.heard();
+        }
+        system.sleep(asking.rest()).await;
     }
 }
 
 async fn watch<S: System>(
-    system: &S, address: SocketAddr, version: &mut u64, heard: &mut bool, inputs: &mpsc::Sender<Input>,
+    system: &S, address: SocketAddr, version: &mut u64, heard: &mut bool, patience: Duration,
+    inputs: &mpsc::Sender<Input>,
 ) -> Result<(), Failure> {
     let mut channel = Channel::open(system, address).await?;
     let path = format!("/catalog/members?follow=1&since={version}");
-    let answer = channel.ask(address, Method::GET, &path, String::new()).await?;
+    let answer = channel.ask(address, Method::GET, &path, String::new(), patience).await?;
     if answer.status() != StatusCode::OK {
         return Err(format!("answered {}", answer.status()).into());
     }
@@ -151,7 +159,7 @@
                 Err(error) => {
                     log!(*system, "discovery: skipped a malformed line: {error}");
                     // What it would have told is in the whole list; until that comes, the old one holds.
-                    match whole_list(system, address).await {
+                    match whole_list(system, address, patience).await {
                         Ok(list) => {
                             *version = list.seq;
                             inputs.send(Input::Hosts(list)).await?;
@@ -168,12 +176,14 @@
     Err("it was closed".into())
 }
 
-async fn whole_list<S: System>(system: &S, address: SocketAddr) -> Result<HostList, Failure> {
+async fn whole_list<S: System>(
+    system: &S, address: SocketAddr, patience: Duration,
+) -> Result<HostList, Failure> {
     let mut channel = Channel::open(system, address).await?;
-    let answer = channel.ask(address, Method::GET, "/catalog/members", String::new()).await?;
+    let answer = channel.ask(address, Method::GET, "/catalog/members", String::new(), patience).await?;
     let body = http_body_util::Limited::new(answer.into_body(), LONGEST_LINE);
     let mut list: HostList =
-        serde_json::from_slice(&system.timeout(PATIENCE, body.collect()).await??.to_bytes())?;
+        serde_json::from_slice(&system.timeout(patience, body.collect()).await??.to_bytes())?;
     list.whole = true;
     Ok(list)
 }
@@ -269,7 +279,7 @@
         *channel = Some((address, Channel::open(system, address).await?));
     }
     let Some((_, open)) = channel else { return Err("no connection".into()) };
-    let answer = open.ask(address, Method::POST, "/v1/notices", text).await?;
+    let answer = open.ask(address, Method::POST, "/v1/notices", text, PATIENCE).await?;
     let status = answer.status();
     system
         .timeout(PATIENCE, http_body_util::Limited::new(answer.into_body(), LONGEST_LINE).collect())
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -17,6 +17,7 @@
 use madderpitch_seam::{log, Signal, Signals, System};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::asking::Asking;
 use crate::clients::{self, Clients};
 use crate::config::Config;
 use crate::directory::{index_of, Directory, Listed, Names};
@@ -125,7 +126,9 @@
     driver.restore();
     driver.round()?;
 
-    system.spawn(discovery::follow(system.clone(), at.clone(), driver.directory.version(), inputs.clone()));
+    let asking = Asking::new(driver.config.settings.siblings, driver.config.seed);
+    let version = driver.directory.version();
+    system.spawn(discovery::follow(system.clone(), at.clone(), version, asking, inputs.clone()));
     system.spawn(discovery::notify(system.clone(), at, driver.notices.clone(), inputs.clone()));
     let (hosts, timers) = (driver.hosts.clone(), system.clone());
     system.spawn(async move {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`run`] is one process's whole life. All that it takes from its system goes through
 //! [`madderpitch_seam::System`].
 
+mod asking;
 mod clients;
 mod config;
 mod directory;
