Let a thin sender's part of a limit fall at once and rise slowly, and believe a changed limit

Seen in the calls per second over all relays: destinations with a backlog went between 110% and 0% of their limit every few seconds. A part that follows what is left of the allowance from 0.6 to 4.6 is a control loop whose report is as old as the gap between two calls, 1 to 3 s, against an allowance that empties within one: it must swing.

The part now falls to 0.7 of the even one where nothing is left and to 0.95 where little is, comes back to that at once, and rises by at most a sixth with each answer, to 4 times the even part. After a refusal the next turn comes by chance within one gap. A reported limit counts the more the farther it is from the known one, fully from half on. Old: ration() and tell() in brain.rs.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -24,6 +24,8 @@
 const SLEEP_WINDOW: Micros = 3 * SECOND / 2;
 /// A host that failed is avoided so long where another serves.
 const AVOID: Micros = 3 * SECOND;
+/// Trust in a reported limit: so many times its distance from what was told, as a share of that.
+const TRUST: f64 = 2.0;
 /// Bounds of the first gap after a refusal; between them it is that of an even part of the limit.
 const FIRST_GAP: (f64, f64) = (0.25, 2.0);
 /// A refusal makes the gap so many times longer ...
@@ -48,9 +50,13 @@
 const CAP_CUT: f64 = 0.8;
 /// No gap need be longer than so many times that of an even part: all together then ask for 0.7 of the limit.
 const GAP_EVEN: f64 = 1.4;
-/// What a relay asks for of its even part of a limit of which nothing is left, and the share of the allowance
-/// left at which it asks for all of that part; with each such share more it asks for as many times more.
-const RATION: (f64, f64) = (0.6, 0.25);
+/// What a relay asks for of its even part of a limit: where nothing is left of the allowance; where little is;
+/// and at most.
+const PART: (f64, f64, f64) = (0.7, 0.95, 4.0);
+/// Less than this share of the allowance is little.
+const ALLOWANCE_LITTLE: f64 = 0.3;
+/// Rise of the part with each report, for all of the allowance above that.
+const PART_RISE: f64 = 0.25;
 /// So many relays at most are taken to be busy with one destination at a time.
 const SHARERS: f64 = 3.0;
 /// Rise of the pace with each success, as a share of the fair part.
@@ -111,6 +117,8 @@
     told: Option<f64>,
     /// Share of that which the last answer left.
     left: Option<f64>,
+    /// What it may ask for, against its even part of the limit.
+    part: f64,
     /// Calls a second that this relay may make.
     pace: f64,
     /// Least time between calls after refusals; zero if there were none lately.
@@ -133,7 +141,7 @@
 impl Route {
     fn fresh() -> Self {
         let (pace, cap, usual) = (f64::INFINITY, FIRST_CAP, 1.0);
-        Route { harmless: true, pace, tokens: 1.0, cap, usual, ..Route::default() }
+        Route { harmless: true, part: PART.2, pace, tokens: 1.0, cap, usual, ..Route::default() }
     }
 
     fn count(&self, verdict: Verdict) -> usize {
@@ -175,13 +183,26 @@
         self.told.map_or(self.best, part).max(PACE_LEAST)
     }
 
-    /// Calls a second that this relay may ask for by what the last answer left of the allowance.
+    /// Calls a second that this relay may ask for where the destination tells of its limit.
+    fn ration(&self, siblings: f64) -> f64 {
+        match (self.told, self.left) {
+            (Some(told), Some(_)) => told / siblings * self.part,
+            _ => f64::INFINITY,
+        }
+    }
+
+    /// A report told what is left of the allowance.
     ///
     /// Guards a limit that refused calls use up too against a fleet in which no relay sees much of it: asked
-    /// for more than it gives, it serves none, and each relay alone sees too little to find its part.
-    fn ration(&self, siblings: f64) -> f64 {
-        let (Some(told), Some(left)) = (self.told, self.left) else { return f64::INFINITY };
-        told / siblings * RATION.0.powf(1.0 - left / RATION.1)
+    /// for more than it gives, it serves none, and each relay alone sees too little to find its part. What is
+    /// left is old news to a thin sender, so the part falls at once and to a fixed share, and rises slowly.
+    fn reported(&mut self, left: f64) {
+        self.left = Some(left);
+        self.part = match left {
+            _ if left < ALLOWANCE_SPENT => PART.0,
+            _ if left < ALLOWANCE_LITTLE => self.part.min(PART.1),
+            _ => (self.part.max(PART.1) * (1.0 + PART_RISE * (left - ALLOWANCE_LITTLE))).min(PART.2),
+        };
     }
 
     /// The gap, in seconds, at which all relays together ask for what is told.
@@ -428,8 +449,14 @@
         let (left, limit) = (at(ReportField::AllowanceLeft), at(ReportField::LimitPerSecond));
         let (left, limit) = (left.map(|v| f64::from(*v)), limit.map_or(0.0, |v| f64::from(*v)));
         if let Some(route) = self.route_of(host).and_then(|key| self.routes.get_mut(&key)) {
-            Self::tell(route, limit, SMOOTH, self.siblings);
-            route.left = left.filter(|_| limit > 0.0);
+            // A limit that is far from what was told has changed; noise is small.
+            let told = route.told.unwrap_or(limit).max(PACE_LEAST);
+            let trust = (TRUST * (limit - told).abs() / told).clamp(SMOOTH, 1.0);
+            Self::tell(route, limit, trust, self.siblings);
+            match left.filter(|_| limit > 0.0) {
+                Some(left) => route.reported(left),
+                None => route.left = None,
+            }
         }
     }
 
@@ -684,7 +711,11 @@
         route.shut_since = if route.refused_run == 1 || limited { now } else { route.shut_since };
         // Refused with the allowance hardly touched, a destination is shut.
         let shut = route.left.is_some_and(|left| left > ALLOWANCE_UNUSED);
-        if route.rest_until <= now {
+        if limited {
+            // The part says how soon; not all who were refused may come again at once.
+            route.tokens = route.tokens.min((jitter - 0.9) * 5.0);
+            route.rest_until = route.rest_until.max(route.wait_until);
+        } else if route.rest_until <= now {
             // Of calls that were out together the first refusal counts.
             let (fair, even) = (route.fair(siblings), route.even_gap(siblings));
             let first = (even.clamp(FIRST_GAP.0, FIRST_GAP.1) * SECOND as f64) as Micros;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -422,8 +422,8 @@
 }
 
 /// Calls that one of a hundred relays with a full hold makes in twenty seconds at a destination that takes fifty a
-/// second from all, with so much of its allowance left at each call.
-fn calls_with_left(left: f32) -> usize {
+/// second from all, with so much of its allowance left at each call and such a limit reported.
+fn calls_with_left(left: f32, limit: f32) -> usize {
     let shared = HostEntry { weight: 50.0, ..host(1, 1) };
     let mut bench = Bench::new(one_of_many(), vec![shared]);
     for _ in 0..90 {
@@ -436,7 +436,7 @@
             // Half of the refusals tell a wait.
             let wait = (id % 2) * 300 * MS;
             let outcome = if left < 0.05 { Outcome::Full { wait } } else { Outcome::Ok };
-            bench.answer(id, outcome, vec![left, 50.0]);
+            bench.answer(id, outcome, vec![left, limit]);
         }
         bench.pass(50 * MS);
     }
@@ -446,14 +446,20 @@
 #[test]
 fn a_hundred_relays_together_ask_for_less_than_a_spent_limit_gives() {
     // An even part is half a call a second, ten in this time; the first ones go out before anything is told.
-    let spent = calls_with_left(0.0);
+    let spent = calls_with_left(0.0, 50.0);
     assert!(spent <= 4 + 6, "{spent} calls each at a limit of which nothing is left");
-    let low = calls_with_left(0.25);
+    let low = calls_with_left(0.25, 50.0);
     assert!((8..=16).contains(&low), "{low} calls each with a quarter left: about an even part");
-    let much = calls_with_left(0.9);
+    let much = calls_with_left(0.9, 50.0);
     assert!(much >= 3 * 10, "{much} calls each with nearly all left: others leave their parts");
 }
 
+#[test]
+fn a_limit_that_was_lowered_is_believed_at_the_first_report() {
+    let lowered = calls_with_left(0.25, 25.0);
+    assert!(lowered <= 8, "{lowered} calls each at a limit that was halved, ten before");
+}
+
 #[test]
 fn refusals_at_a_spent_limit_set_no_ramp() {
     let full = Outcome::Full { wait: 0 };
