Take refusals between two close successes for a full queue, and let parts rise more slowly

Small destinations still went from all to nothing every few seconds: the part of an even share rose by a sixth an answer, now by a fourteenth at most.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -56,7 +56,7 @@
 /// Less than this share of the allowance is little.
 const ALLOWANCE_LITTLE: f64 = 0.3;
 /// Rise of the part with each report, for all of the allowance above that.
-const PART_RISE: f64 = 0.25;
+const PART_RISE: f64 = 0.1;
 /// So many relays at most are taken to be busy with one destination at a time.
 const SHARERS: f64 = 3.0;
 /// Rise of the pace with each success, as a share of the fair part.
@@ -77,6 +77,8 @@
 const UNSAFE_RESERVE: f64 = 0.25;
 /// One part in so many of the hold is kept free for what comes in one round.
 const HOLD_ROOM: usize = 10;
+/// Between two good calls no further apart nothing was away, whatever was refused or failed between them.
+const GLITCH: Micros = 3 * SECOND / 2;
 /// An outage counts as at least so long, also what is left of it: most relays see its start late.
 const OUTAGE_LEAST: Micros = 5 * SECOND;
 /// An outage fails most calls: of so many last ones, this share at least, and two.
@@ -672,6 +674,7 @@
         if shut || hung {
             route.saw_outage(if shut { route.shut_since } else { route.failing_since }, chance);
         }
+        let good = route.tally.iter().rfind(|(_, v)| *v == Verdict::Good).map_or(0, |(at, _)| *at);
         route.push(now, Verdict::Good);
         (route.run, route.refused_run) = (0, 0);
         let longest = (route.even_gap(self.siblings) * GAP_EVEN * SECOND as f64) as Micros;
@@ -685,7 +688,9 @@
         // destination would count as warm when it comes back.
         let since = now.saturating_sub(elapsed);
         if route.witness && route.back.is_none() && since >= route.down && now >= route.wait_until {
-            route.back = Some(now);
+            // Guards a busy destination whose queue was full for a moment against the ramp of one that was away.
+            route.witness = route.down < good || now >= good + GLITCH;
+            route.back = Some(now).filter(|_| route.witness);
         }
         route.cap += 1.0 / route.cap;
         let doubt = if self.set.weights == WeightSource::Rough { 1.5 } else { 1.1 };
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -476,6 +476,24 @@
     assert!(soon <= 3, "{soon} calls within one and a half seconds of the return");
 }
 
+#[test]
+fn a_queue_that_was_full_for_a_moment_is_no_outage() {
+    let mut bench = Bench::new(Settings { siblings: 10, ..one_of_many() }, vec![host(1, 1)]);
+    for outcome in [Outcome::Ok, Outcome::Full { wait: 0 }, Outcome::Ok] {
+        let id = bench.arrive(0, 1, None);
+        bench.pass(400 * MS);
+        bench.answer(bench.out().first().map_or(id, |out| out.0), outcome, vec![1.0, 20.0]);
+    }
+    run(&mut bench, 2 * S, |_, _| Some(Outcome::Ok));
+    let before = bench.delivered.len();
+    for _ in 0..10 {
+        bench.arrive(0, 1, None);
+    }
+    run(&mut bench, 4 * S, |_, _| Some(Outcome::Ok));
+    let soon = bench.delivered.len() - before;
+    assert_eq!(soon, 10, "calls in four seconds; the ramp of an outage keeps two of them back");
+}
+
 #[test]
 fn the_end_of_a_told_wait_lets_no_burst_out() {
     let mut bench = Bench::new(one_of_many(), vec![host(1, 1)]);
