Mend a test that answered a call before it was made

Debug builds caught it as an overflow in the test's own bench: the refused message had not been called again when its answer was given.

--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -479,11 +479,15 @@
 #[test]
 fn a_queue_that_was_full_for_a_moment_is_no_outage() {
     let mut bench = Bench::new(Settings { siblings: 10, ..one_of_many() }, vec![host(1, 1)]);
+    let start = bench.now;
     for outcome in [Outcome::Ok, Outcome::Full { wait: 0 }, Outcome::Ok] {
-        let id = bench.arrive(0, 1, None);
-        bench.pass(400 * MS);
-        bench.answer(bench.out().first().map_or(id, |out| out.0), outcome, vec![1.0, 20.0]);
+        bench.arrive(0, 1, None);
+        while bench.out().is_empty() {
+            bench.pass(100 * MS);
+        }
+        bench.answer(bench.out()[0].0, outcome, vec![1.0, 20.0]);
     }
+    assert!(bench.now < start + 3 * S / 2, "the two that were good are not close");
     run(&mut bench, 2 * S, |_, _| Some(Outcome::Ok));
     let before = bench.delivered.len();
     for _ in 0..10 {
