--- a/crates/sim/src/checker.rs
+++ b/crates/sim/src/checker.rs
@@ -48,6 +48,16 @@
     pub deferred: u64,
     /// Kills and stops.
     pub restarts: u64,
+    /// Calls that hosts turned away.
+    pub turned_away: u64,
+    /// Of those delivered, the ones in time for their class's aim.
+    pub in_aim: u64,
+    /// Calls for the list or its changes.
+    pub lists: u64,
+    /// Connections that hosts took.
+    pub opened: u64,
+    /// Connections that one host held at the most.
+    pub most_open: u64,
 }
 
 /// A relay, with what passed round it and the rules that it is judged by.
@@ -123,6 +133,12 @@
         match seen {
             Seen::Gone => counts.restarts += 1,
             Seen::HandedIn(_) => counts.handed += 1,
+            Seen::ListAsked => counts.lists += 1,
+            Seen::Opened(now) => {
+                counts.opened += 1;
+                counts.most_open = counts.most_open.max(*now as u64);
+            }
+            Seen::Answers(_, Verdict::NeverRan(_)) => counts.turned_away += 1,
             Seen::Called(..) => counts.calls += 1,
             Seen::Answered(id, line) => {
                 let Some(message) = message(id) else { return };
@@ -136,6 +152,9 @@
             Seen::Answers(name, Verdict::Delivered) => {
                 let first = message(&name.id).is_some_and(|m| m.delivered.is_none() && m.taken.is_some());
                 counts.delivered += u64::from(first);
+                let early = |due: Duration| facts.now + facts.rules.late_for <= due;
+                let in_aim = first && message(&name.id).is_some_and(|m| early(m.handed.due));
+                counts.in_aim += u64::from(in_aim);
             }
             Seen::Noticed(id, status) if message(id).is_some_and(|message| message.notice.is_none()) => {
                 counts.undeliverable += u64::from(*status == "undeliverable");
--- a/crates/sim/src/faults/mod.rs
+++ b/crates/sim/src/faults/mod.rs
@@ -6,6 +6,7 @@
 mod process;
 mod tenants;
 mod traffic;
+mod vast;
 
 use std::fmt::Debug;
 use std::rc::Rc;
@@ -43,6 +44,8 @@
     fn process(&self) -> ProcId;
     /// Kills all relays within one instant.
     fn kill_all(&mut self);
+    /// Kills so many of a hundred relays within one instant.
+    fn kill_some(&mut self, percent: u64);
     /// From the relay's machine nothing gets through to the hosts of a destination, or does again.
     fn cut(&self, block: u16, cut: bool);
     /// How long the relay is down after its next kill.
@@ -158,6 +161,30 @@
     faults.sort_by_key(|fault| fault.from);
 }
 
+/// What befalls a large fleet: one of a restart of most, an outage of destinations with half of the traffic, and a
+/// limit lowered for nine seconds; at times two of them.
+pub fn of_vast(dice: &mut Dice, blocks: &[u16], relays: usize) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut add = |from: u64, span: u64, trouble: Rc<dyn Trouble>| {
+        faults.push(Fault { from, until: from + span, relay: 0, trouble });
+    };
+    let first = dice.below(3);
+    let second = if dice.percent(30) { dice.below(3) } else { first };
+    for kind in std::collections::BTreeSet::from([first, second]) {
+        let from = dice.between(3_000, 7_000);
+        match kind {
+            0 if relays > 1 => add(from, 1, Rc::new(vast::KillMost::draw(dice))),
+            0 | 1 => {
+                let half = &blocks[..blocks.len().div_ceil(2)];
+                half.iter().for_each(|block| add(from, 5_000, Rc::new(partners::Refuses(*block))));
+            }
+            _ => add(from, 9_000, Rc::new(vast::Lowered(*dice.pick(blocks)))),
+        }
+    }
+    faults.sort_by_key(|fault| fault.from);
+    faults
+}
+
 /// Two faults that overlap, and up to three more, in the order of their beginnings.
 pub fn draw(dice: &mut Dice, blocks: &[u16], hosts: usize) -> Vec<Fault> {
     let mut faults = Vec::new();
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod rules;
 pub mod script;
 pub mod shrink;
+pub mod vast;
 pub mod world;
--- a/crates/sim/src/peers/discovery.rs
+++ b/crates/sim/src/peers/discovery.rs
@@ -19,6 +19,9 @@
 /// An empty line comes so often.
 const BEAT: Duration = Duration::from_secs(2);
 
+/// A call that would wait longer is turned away.
+const OVERBOOKED: Duration = Duration::from_secs(2);
+
 /// An entry of the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Line {
@@ -44,6 +47,30 @@
     }
 }
 
+/// What the agents of all relays share: it answers one call for a list after the other.
+pub struct Gate {
+    /// What each call takes.
+    pub each: Duration,
+    busy: Cell<Duration>,
+}
+
+impl Gate {
+    /// One that takes so long for each call.
+    pub fn new(each: Duration) -> Rc<Self> {
+        Rc::new(Gate { each, busy: Cell::default() })
+    }
+
+    /// How long a call that comes now waits for its answer; none if that would be too long.
+    fn take(&self, at: Duration) -> Option<Duration> {
+        let done = self.busy.get().max(at) + self.each;
+        if done > at + OVERBOOKED {
+            return None;
+        }
+        self.busy.set(done);
+        Some(done - at)
+    }
+}
+
 /// Discovery.
 #[derive(Default)]
 pub struct Discovery {
@@ -56,6 +83,8 @@
     pub silent: Cell<bool>,
     /// Changes are told so much later.
     pub lag: Cell<Duration>,
+    /// What it shares with the other relays' agents, if it does.
+    pub gate: RefCell<Option<Rc<Gate>>>,
     news: Notify,
 }
 
@@ -131,6 +160,16 @@
                 until_closed(&mut stream).await;
                 return Ok(());
             }
+            stage.see(&Seen::ListAsked);
+            let gate = self.gate.borrow().clone();
+            if let Some(gate) = gate {
+                let Some(wait) = gate.take(stage.at()) else {
+                    let text = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                    stream.write_all(text.as_bytes()).await?;
+                    continue;
+                };
+                stage.system.sleep(wait).await;
+            }
             match request.line.split_once("since=") {
                 Some((_, since)) => return self.watch(stage, &mut stream, since.parse().unwrap_or(0)).await,
                 None => {
--- a/crates/sim/src/peers/hosts.rs
+++ b/crates/sim/src/peers/hosts.rs
@@ -1,6 +1,6 @@
 //! Partners' hosts: they take calls and answer them, more or less well.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -15,6 +15,9 @@
 use crate::dice::Dice;
 use crate::rules::facts::{CallName, Called, Seen, Verdict};
 
+/// A host's report on its allowance is as old as this at most.
+const REPORTED: Duration = Duration::from_millis(300);
+
 /// How a host does at present.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Mood {
@@ -34,6 +37,10 @@
     pub closes: bool,
     /// Calls a second that it takes; turns the others away and tells a wait.
     pub limit: Option<f64>,
+    /// Those turned away use the limit up too, half of them are told no wait, and answers report what is left.
+    pub spends: bool,
+    /// Connections that it holds at most.
+    pub connections: Option<usize>,
 }
 
 impl Default for Mood {
@@ -47,6 +54,8 @@
             trickles: false,
             closes: false,
             limit: None,
+            spends: false,
+            connections: None,
         }
     }
 }
@@ -67,6 +76,10 @@
     pub capacity: f64,
     dice: RefCell<Dice>,
     taken: RefCell<VecDeque<Duration>>,
+    /// Connections that are open.
+    open: Cell<usize>,
+    /// What it reports as left of its allowance, and since when.
+    left: Cell<(Duration, f64)>,
 }
 
 impl Host {
@@ -83,6 +96,8 @@
             capacity,
             dice: RefCell::new(dice),
             taken: RefCell::default(),
+            open: Cell::new(0),
+            left: Cell::new((Duration::ZERO, 1.0)),
         })
     }
 
@@ -96,8 +111,11 @@
             let stream = listener.accept().await?;
             let (host, own) = (self.clone(), stage.clone());
             stage.system.spawn(async move {
+                host.open.set(host.open.get() + 1);
+                own.see(&Seen::Opened(host.open.get()));
                 // A connection that breaks is the relay's to make good.
                 let _ = host.connection(&own, stream).await;
+                host.open.set(host.open.get() - 1);
             });
         }
     }
@@ -108,6 +126,7 @@
     {
         stream.set_nodelay()?;
         let mut text = BytesMut::new();
+        let crowded = self.mood.borrow().connections.is_some_and(|most| self.open.get() > most);
         while let Some(request) = read_request(stage, &mut stream, &mut text).await? {
             let called = self.called(stage, &request, stream.number());
             let name = stage.checker.borrow_mut().called(stage.at(), &called, &|conn| (stage.holds)(conn));
@@ -115,6 +134,11 @@
                 stream.write_all(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").await?;
                 continue;
             };
+            if crowded {
+                let text =
+                    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+                return self.write(stage, &mut stream, &name, Verdict::NeverRan(Duration::ZERO), text).await;
+            }
             let kept = self.answer(stage, &mut stream, &name).await;
             if !matches!(kept, Ok(true)) {
                 stage.see(&Seen::Closed(&name));
@@ -147,7 +171,7 @@
     }
 
     /// How long a call has to stay away, if the host is at its limit.
-    fn over_limit(&self, limit: f64, at: Duration) -> Option<Duration> {
+    fn over_limit(&self, limit: f64, at: Duration, spends: bool) -> Option<Duration> {
         let mut taken = self.taken.borrow_mut();
         while taken.front().is_some_and(|first| *first + Duration::from_secs(1) < at) {
             taken.pop_front();
@@ -156,7 +180,28 @@
             taken.push_back(at);
             return None;
         }
-        taken.front().map(|first| (*first + Duration::from_millis(1050)).saturating_sub(at))
+        let again = taken.front().map(|first| (*first + Duration::from_millis(1050)).saturating_sub(at));
+        if spends {
+            taken.push_back(at);
+            taken.truncate(4 * limit as usize + 4);
+        }
+        again
+    }
+
+    /// The load report of an answer: what is left is read anew every 0.3 s.
+    fn report(&self, at: Duration) -> String {
+        let mood = self.mood.borrow();
+        let limit = mood.limit.filter(|_| mood.spends);
+        let Some(limit) = limit else {
+            return format!("Endpoint-Load-Metrics: x0=0.6,x1={:.1}\r\n", self.capacity);
+        };
+        let (since, left) = self.left.get();
+        if since + REPORTED <= at {
+            let taken =
+                self.taken.borrow().iter().filter(|call| **call + Duration::from_secs(1) >= at).count();
+            self.left.set((at, (1.0 - taken as f64 / limit).max(0.0)));
+        }
+        format!("Endpoint-Load-Metrics: x0={left:.3},x1={limit:.1}\r\n")
     }
 
     /// Answers a call; false if the connection is of no further use.
@@ -173,10 +218,11 @@
         }
         let refused = match mood.shut {
             Some(until) => Some(until.map(|until| until.saturating_sub(stage.at()))),
-            None => mood.limit.and_then(|limit| self.over_limit(limit, stage.at())).map(Some),
+            None => mood.limit.and_then(|limit| self.over_limit(limit, stage.at(), mood.spends)).map(Some),
         };
         if let Some(wait) = refused {
-            let wait = wait.unwrap_or_default();
+            let silent = mood.spends && self.draw(|dice| dice.percent(50));
+            let wait = wait.filter(|_| !silent).unwrap_or_default();
             let millis = wait.as_millis();
             let head = if millis > 0 {
                 format!("HTTP/1.1 429 Too Many Requests\r\nX-Backoff-Ms: {millis}\r\n")
@@ -184,7 +230,8 @@
                 "HTTP/1.1 503 Service Unavailable\r\n".into()
             };
             let wait = Duration::from_millis(millis as u64);
-            let text = format!("{head}Content-Length: 0\r\n\r\n");
+            let report = if mood.spends { self.report(stage.at()) } else { String::new() };
+            let text = format!("{head}{report}Content-Length: 0\r\n\r\n");
             self.write(stage, stream, name, Verdict::NeverRan(wait), &text).await?;
             return Ok(true);
         }
@@ -205,7 +252,7 @@
             self.write(stage, stream, name, Verdict::MayHaveRun, text).await?;
             return Ok(true);
         }
-        let report = format!("Endpoint-Load-Metrics: x0=0.6,x1={:.1}\r\n", self.capacity);
+        let report = self.report(stage.at());
         let good = format!("HTTP/1.1 200 OK\r\n{report}Content-Length: 2\r\n\r\nok");
         if mood.trickles {
             let line = good.find('\n').unwrap_or(0) + 1;
--- a/crates/sim/src/rules/facts.rs
+++ b/crates/sim/src/rules/facts.rs
@@ -37,6 +37,8 @@
     pub overload_factor: f64,
     /// ... kept up for this long.
     pub overload_for: Duration,
+    /// A message delivered at least so long before its time is up was in time for its aim.
+    pub late_for: Duration,
     /// Bytes that the relay's folder may hold.
     pub disk: u64,
     /// Calls a second that a destination takes.
@@ -256,6 +258,10 @@
     Closed(&'a CallName),
     /// The platform takes a notice.
     Noticed(&'a str, &'a str),
+    /// Discovery is asked for the list or for its changes.
+    ListAsked,
+    /// A host has taken a connection, and now holds so many.
+    Opened(usize),
     /// Discovery has written a line of the list to the relay: the host, and whether it is ready.
     Told(&'a str, bool),
     /// All hosts of a destination are in trouble from now on, or are back.
@@ -475,6 +481,8 @@
             Seen::EndedByItself(_)
             | Seen::Disk(_)
             | Seen::Endless
+            | Seen::ListAsked
+            | Seen::Opened(_)
             | Seen::Garbled(..)
             | Seen::Read(_)
             | Seen::Told(..)
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -11,6 +11,7 @@
 use crate::hosted::Hosted;
 use crate::peers::clients::{Habit, Plan};
 use crate::rules::facts::{Repeat, Rules};
+use crate::vast::Vast;
 
 /// Clients hand messages in for this long, and at least so many of them.
 const ARRIVALS: (u64, usize) = (15_000, 200);
@@ -61,6 +62,8 @@
     pub relays: usize,
     /// Tenants and their administrators, on days that have them.
     pub hosted: Option<Hosted>,
+    /// What hosts and discovery are like, on days of a large fleet.
+    pub vast: Option<Vast>,
 }
 
 /// Which days are played.
@@ -73,6 +76,8 @@
     Hosted,
     /// Three to five relays round the same partners.
     Fleet,
+    /// A hundred relays with little traffic each, round few destinations whose limits refused calls use up.
+    Vast,
 }
 
 /// The port that discovery answers at; a reload moves it to the next.
@@ -138,6 +143,7 @@
             cold: Duration::from_millis(dice.between(2_000, 8_000)),
             overload_factor: 2.0,
             overload_for: Duration::from_millis(dice.between(1_000, 2_500)),
+            late_for: Duration::ZERO,
             disk: 0,
             capacity,
             slots: 0,
@@ -158,7 +164,7 @@
             ..rules
         };
         let clients = messages(&mut dice, &classes, &blocks, &faults);
-        Script { seed, hosts, clients, faults, rules, settings, disk_mb, relays: 1, hosted: None }
+        Script { seed, hosts, clients, faults, rules, settings, disk_mb, relays: 1, hosted: None, vast: None }
     }
 
     /// The day of a seed with several tenants, which administrators change.
@@ -192,6 +198,7 @@
             Days::Plain => Script::draw(seed),
             Days::Hosted => Script::draw_hosted(seed),
             Days::Fleet => Script::draw_fleet(seed),
+            Days::Vast => Script::draw_vast(seed, crate::vast::RELAYS),
         }
     }
 
--- /dev/null
+++ b/crates/sim/src/vast.rs
@@ -0,0 +1,163 @@
+//! Days of a large fleet: many relays, each with little traffic, round few destinations whose limits refused calls
+//! use up, with few connections and a discovery that answers one relay after the other.
+
+use std::time::Duration;
+
+use crate::checker::{Breach, Counts};
+use crate::dice::Dice;
+use crate::faults;
+use crate::peers::clients::{Habit, Plan};
+use crate::rules::facts::{Repeat, Rules};
+use crate::script::{HostPlan, Script};
+
+/// Relays of a day, where no other number is asked for.
+pub const RELAYS: usize = 100;
+/// Clients hand messages in for so many milliseconds.
+const ARRIVALS: u64 = 16_000;
+/// Time for the aim, and until a message is given up.
+const TIMES: (Duration, Duration) = (Duration::from_millis(1_000), Duration::from_millis(9_000));
+/// Messages that all relays hold at most, and calls that they have out, at whatever number of relays.
+const ALL: (usize, usize) = (2_400, 400);
+/// The same for each relay at least.
+const LEAST: (usize, usize) = (24, 5);
+/// Discovery answers one call from each relay in so many milliseconds, whatever their number.
+const ALL_CALLS: u64 = 5_000;
+
+/// What is bound on such a day beside the rules: the figures are a third above the largest of the seeds 0..300.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Calls turned away, for each message handed in first.
+    pub turned_away: f64,
+    /// Calls for the list, for each relay and start.
+    pub lists: f64,
+    /// Connections that hosts took, for each call.
+    pub opened: f64,
+}
+
+/// What hosts and discovery of such a day are like.
+#[derive(Clone, Debug)]
+pub struct Vast {
+    /// Connections that a host holds at most.
+    pub connections: usize,
+    /// What a call for the list takes discovery.
+    pub each_list: Duration,
+    /// What the whole fleet keeps to.
+    pub bounds: Bounds,
+}
+
+impl Vast {
+    /// The bound that was not kept, if one was not.
+    pub fn judge(&self, script: &Script, counts: &Counts, at: Duration) -> Option<Breach> {
+        let starts = (script.relays as u64 + counts.restarts) as f64;
+        let ratio = |part: u64, all: f64| part as f64 / all.max(1.0);
+        let figures = [
+            ("few refusals", ratio(counts.turned_away, script.size() as f64), self.bounds.turned_away),
+            ("few calls for lists", ratio(counts.lists, starts), self.bounds.lists),
+            ("few connections", ratio(counts.opened, counts.calls as f64), self.bounds.opened),
+        ];
+        let (rule, figure, most) = figures.into_iter().find(|(_, figure, most)| figure > most)?;
+        Some(Breach { rule, at, what: format!("{figure:.2} where {most:.2} are the bound") })
+    }
+}
+
+impl Script {
+    /// The day of a seed with so many relays; the load does not depend on their number.
+    pub fn draw_vast(seed: u64, relays: usize) -> Self {
+        let mut script = Script::draw(seed);
+        let mut dice = Dice::new(seed, 6);
+        let blocks: Vec<u16> = (1..=dice.between(3, 5) as u16).collect();
+        script.hosts.clear();
+        script.rules.capacity.clear();
+        for block in &blocks {
+            let zone = "a";
+            let address = std::net::SocketAddr::from(([10, 1, *block as u8, 1], 8080));
+            let name = format!("s-{block}0");
+            script.hosts.push(HostPlan { name, block: *block, zone, address, takes: (20, 90) });
+            script.rules.capacity.insert(*block, dice.between(25, 90) as f64);
+        }
+        script.faults = faults::of_vast(&mut dice, &blocks, relays);
+        script.relays = relays;
+        script.disk_mb = 1.0;
+        let (held, slots) = ((ALL.0 / relays).max(LEAST.0), (ALL.1 / relays).clamp(LEAST.1, 60));
+        let window = Duration::from_secs(6);
+        let classes = [
+            ("update", Repeat::Safe),
+            ("event", Repeat::Keyed { window, zone_only: false }),
+            ("payout", Repeat::Unsafe),
+        ];
+        script.rules = Rules {
+            attempts: 12,
+            cold_from: 0.2,
+            cold: Duration::from_secs(8),
+            overload_for: Duration::from_millis(1_500),
+            slots,
+            most_held: held,
+            disk: 1_000_000,
+            most_bytes: 300_000,
+            late_for: TIMES.1 - TIMES.0,
+            ..script.rules
+        };
+        let set = &mut script.settings;
+        let micros = |span: Duration| span.as_micros() as u64;
+        set["siblings"] = relays.into();
+        set["familyInfo"]["callsOut"] = slots.into();
+        set["limits"]["mostHeld"] = held.into();
+        set["limits"]["maxAttempts"] = 12.into();
+        set["limits"]["idleClose"] = 10_000_000.into();
+        set["rules"]["cold"] = micros(script.rules.cold).into();
+        set["rules"]["coldFrom"] = script.rules.cold_from.into();
+        set["rules"]["overloadFor"] = micros(script.rules.overload_for).into();
+        for (number, (name, repeat)) in classes.iter().enumerate() {
+            let class = &mut set["services"][number];
+            class["name"] = (*name).into();
+            class["aim"] = micros(TIMES.0).into();
+            class["giveUp"] = micros(TIMES.1).into();
+            class["fifoByKey"] = false.into();
+            class["keyScope"] = "all".into();
+            if let Repeat::Keyed { window, .. } = repeat {
+                class["window"] = micros(*window).into();
+            }
+        }
+        script.clients = messages(&mut dice, &script.rules, &classes, relays);
+        let bounds = Bounds { turned_away: 0.6, lists: 8.0, opened: 0.6 };
+        script.vast = Some(Vast {
+            connections: relays + relays / 2 + 20,
+            each_list: Duration::from_millis((ALL_CALLS / relays as u64).min(50)),
+            bounds,
+        });
+        script
+    }
+}
+
+/// At each destination four fifths of what it takes, some of it in clumps; any relay may get any of it.
+fn messages(
+    dice: &mut Dice, rules: &Rules, classes: &[(&'static str, Repeat)], relays: usize,
+) -> Vec<Vec<Plan>> {
+    let mut clients: Vec<Vec<Plan>> = (0..relays).map(|_| Vec::new()).collect();
+    let mut number = 0;
+    for (block, capacity) in &rules.capacity {
+        let part = dice.between(65, 95);
+        let count = (*capacity * ARRIVALS as f64 / 1000.0) as u64 * part / 100;
+        let clump = dice.between(1_000, ARRIVALS - 2_000);
+        for _ in 0..count {
+            number += 1;
+            let at = if dice.percent(8) { clump + dice.below(500) } else { 100 + dice.below(ARRIVALS) };
+            let (class, repeat) = *dice.pick(classes);
+            let left = TIMES.1.as_millis() as u64;
+            clients[dice.below(relays as u64) as usize].push(Plan {
+                at: Duration::from_millis(at),
+                name: format!("m{number:05}"),
+                tenant: "acme".into(),
+                class,
+                repeat,
+                order: 0,
+                in_order: false,
+                destination: *block,
+                left,
+                size: 60,
+                habit: Habit::Plain,
+            });
+        }
+    }
+    clients
+}
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -18,7 +18,7 @@
 use crate::machine::{AddressFault, Lie, Machine, ProcId, Virtual, CONFIG};
 use crate::peers::admins::{Admin, Rogue};
 use crate::peers::clients::{until_ready, Client};
-use crate::peers::discovery::{Discovery, Line};
+use crate::peers::discovery::{Discovery, Gate, Line};
 use crate::peers::hosts::{Host, Mood};
 use crate::peers::Stage;
 use crate::rules::facts::Seen;
@@ -153,6 +153,10 @@
             let dice = Dice::new(script.seed, 100 + number as u64);
             let host = Host::new(&plan.name, plan.block, plan.zone, plan.address, capacity, dice);
             host.mood.borrow_mut().takes = plan.takes;
+            if let Some(vast) = &script.vast {
+                let mut mood = host.mood.borrow_mut();
+                (mood.limit, mood.spends, mood.connections) = (Some(capacity), true, Some(vast.connections));
+            }
             lines.push(line(&host, "up", capacity));
             hosts.push(host);
         }
@@ -165,6 +169,10 @@
             down_for: Duration::from_millis(600),
         };
         let seats: Vec<Seat> = (0..script.relays).map(seat).collect();
+        if let Some(vast) = &script.vast {
+            let gate = Gate::new(vast.each_list);
+            seats.iter().for_each(|seat| *seat.discovery.gate.borrow_mut() = Some(gate.clone()));
+        }
         let known = seats[0].discovery.whole();
         if script.relays > 1 {
             let mut dice = Dice::new(script.seed, 5);
@@ -246,7 +254,8 @@
 
     fn report(self) -> Report {
         let checker = self.stage.checker.borrow();
-        let breach = checker.breach().cloned();
+        let fleet = || self.script.vast.as_ref()?.judge(self.script, &checker.counts, self.machine.now());
+        let breach = checker.breach().cloned().or_else(fleet);
         let broken = breach
             .as_ref()
             .map(|breach| format!("seed {} step {} at {breach}", self.script.seed, self.machine.steps()));
@@ -426,6 +435,15 @@
         }
     }
 
+    fn kill_some(&mut self, percent: u64) {
+        let down_for = self.seats[self.struck].down_for;
+        let many = self.seats.len() * percent as usize / 100;
+        for seat in &mut self.seats[..many] {
+            seat.down_for = down_for;
+            self.machine.kill(seat.process);
+        }
+    }
+
     fn cut(&self, block: u16, cut: bool) {
         self.of_block(block).for_each(|host| self.machine.cut(self.struck, host.address, cut));
     }
