--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -22,6 +22,9 @@
 const RUN_OUTAGE: u32 = 3;
 /// Rest before a trial: short against deadlines of many seconds, long against one call.
 const SLEEP_WINDOW: Micros = 3 * SECOND / 2;
+/// The rest is at least so many times the gap of an even part of the limit: the trials of all relays come at a
+/// destination that is back, and cold.
+const SLEEP_EVEN: f64 = 1.5;
 /// A host that failed is avoided so long where another serves.
 const AVOID: Micros = 3 * SECOND;
 /// Trust in a reported limit: so many times its distance from what was told, as a share of that.
@@ -63,6 +66,8 @@
 const PACE_RISE: f64 = 0.06;
 /// Lowest limit that is believed, in calls a second, so that a route is never given up.
 const PACE_LEAST: f64 = 0.3;
+/// Highest limit that is believed.
+const PACE_MOST: f64 = 1e6;
 /// Fading of the best rate seen, with each success.
 const BEST_FADE: f64 = 0.99;
 /// Calls a route may have out before it has shown more.
@@ -212,6 +217,13 @@
         siblings / self.told.unwrap_or(siblings)
     }
 
+    /// Guards a destination that comes back against the trials of a large fleet, which alone are more than it takes
+    /// while cold. It hurts where few of the relays have anything for it.
+    fn sleep_window(&self, siblings: f64) -> f64 {
+        let even = self.even_gap(siblings) * SLEEP_EVEN * SECOND as f64;
+        even.clamp(SLEEP_WINDOW as f64, OUTAGE_LEAST as f64)
+    }
+
     fn doubtful(&self) -> bool {
         self.run > 0 || self.fuse != Fuse::Closed
     }
@@ -437,7 +449,7 @@
     /// A limit for all relays was told: the first sets the pace, later ones move it by `trust`.
     fn tell(route: &mut Route, limit: f64, trust: f64, siblings: f64) {
         // Guards against reports that are wildly wrong; it hurts a destination slower than the least pace.
-        if limit.is_finite() && limit >= PACE_LEAST {
+        if (PACE_LEAST..=PACE_MOST).contains(&limit) {
             if route.told.is_none() {
                 route.pace = route.pace.min(limit / siblings.min(SHARERS));
             }
@@ -741,13 +753,13 @@
         }
         if alone {
             route.harmless = true;
-            route.trip(now, SLEEP_WINDOW as f64 * jitter);
+            route.trip(now, route.sleep_window(siblings) * jitter);
         }
     }
 
     /// A call failed, or is out so long that it counts as failed.
     fn failed(&mut self, key: RouteKey, host: HostId, harmless: bool, told: bool) {
-        let (now, jitter) = (self.now, self.jitter());
+        let (now, jitter, siblings) = (self.now, self.jitter(), self.siblings);
         if let Some(host) = self.hosts.get_mut(&host) {
             host.run += 1;
             host.avoid_until = now + (AVOID as f64 * jitter) as Micros;
@@ -768,7 +780,7 @@
         let row = route.run >= RUN_TRIP && route.failing();
         let trips = row || route.tally.len() >= VOLUME_FLOOR && share > ERROR_SHARE;
         if route.fuse != Fuse::Closed || trips && !elsewhere {
-            route.trip(now, SLEEP_WINDOW as f64 * jitter);
+            route.trip(now, route.sleep_window(siblings) * jitter);
         }
     }
 
@@ -836,7 +848,8 @@
         // All relays together hold no more than came while it was down: a message's part is one in all that.
         let down = route.back.unwrap_or(self.now).saturating_sub(route.down).max(OUTAGE_LEAST);
         let queue = route.waiting as f64 * SECOND as f64 / down as f64;
-        let part = (route.told.unwrap_or(route.best * self.siblings).max(1.0) / self.siblings).max(queue);
+        let all = route.told.unwrap_or(route.best * self.siblings).max(1.0);
+        let part = (all / self.siblings).max(queue.min(all));
         let warm = route.back.map_or(0.0, |b| (self.now - b) as f64 / rules.cold.max(1) as f64).min(1.0);
         let share = rules.cold_from + (1.0 - rules.cold_from) * warm;
         rules.overload_factor * part * share
--- a/crates/sim/src/faults/mod.rs
+++ b/crates/sim/src/faults/mod.rs
@@ -176,7 +176,7 @@
             0 if relays > 1 => add(from, 1, Rc::new(vast::KillMost::draw(dice))),
             0 | 1 => {
                 let half = &blocks[..blocks.len().div_ceil(2)];
-                half.iter().for_each(|block| add(from, 5_000, Rc::new(partners::Refuses(*block))));
+                half.iter().for_each(|block| add(from, 5_000, Rc::new(vast::Down(*block))));
             }
             _ => add(from, 9_000, Rc::new(vast::Lowered(*dice.pick(blocks)))),
         }
--- a/crates/sim/src/faults/vast.rs
+++ b/crates/sim/src/faults/vast.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::partners::Refuses;
 use super::{Scene, Trouble};
 use crate::dice::Dice;
 
@@ -22,6 +23,22 @@
     }
 }
 
+/// A destination is away: new connections are refused, and those that are open end at the next call.
+#[derive(Debug)]
+pub(super) struct Down(pub u16);
+
+impl Trouble for Down {
+    fn begins(&self, scene: &mut dyn Scene, until: Duration) {
+        scene.mood(self.0, &|mood| mood.down = true);
+        Refuses(self.0).begins(scene, until);
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.mood(self.0, &|mood| mood.down = false);
+        Refuses(self.0).ends(scene);
+    }
+}
+
 /// A destination lowers its limit to a half, and tells so in its reports.
 #[derive(Debug)]
 pub(super) struct Lowered(pub u16);
--- a/crates/sim/src/peers/hosts.rs
+++ b/crates/sim/src/peers/hosts.rs
@@ -31,6 +31,8 @@
     pub shut: Option<Option<Duration>>,
     /// Says nothing.
     pub hangs: bool,
+    /// Ends each connection that a call comes on.
+    pub down: bool,
     /// Answers a byte at a time.
     pub trickles: bool,
     /// Closes connections soon after an answer, or just when the next call comes.
@@ -51,6 +53,7 @@
             spoils: 0,
             shut: None,
             hangs: false,
+            down: false,
             trickles: false,
             closes: false,
             limit: None,
@@ -134,6 +137,10 @@
                 stream.write_all(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").await?;
                 continue;
             };
+            if self.mood.borrow().down {
+                stage.see(&Seen::Closed(&name));
+                return Ok(());
+            }
             if crowded {
                 let text =
                     "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
--- a/crates/sim/src/vast.rs
+++ b/crates/sim/src/vast.rs
@@ -23,7 +23,7 @@
 /// Discovery answers one call from each relay in so many milliseconds, whatever their number.
 const ALL_CALLS: u64 = 5_000;
 
-/// What is bound on such a day beside the rules: the figures are a third above the largest of the seeds 0..300.
+/// What is bound on such a day beside the rules: some half above the largest figures of the seeds 0..120.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// Calls turned away, for each message handed in first.
@@ -46,15 +46,20 @@
 }
 
 impl Vast {
-    /// The bound that was not kept, if one was not.
-    pub fn judge(&self, script: &Script, counts: &Counts, at: Duration) -> Option<Breach> {
+    /// The figures that are bound: the name, the figure, the bound.
+    pub fn figures(&self, script: &Script, counts: &Counts) -> [(&'static str, f64, f64); 3] {
         let starts = (script.relays as u64 + counts.restarts) as f64;
         let ratio = |part: u64, all: f64| part as f64 / all.max(1.0);
-        let figures = [
+        [
             ("few refusals", ratio(counts.turned_away, script.size() as f64), self.bounds.turned_away),
             ("few calls for lists", ratio(counts.lists, starts), self.bounds.lists),
             ("few connections", ratio(counts.opened, counts.calls as f64), self.bounds.opened),
-        ];
+        ]
+    }
+
+    /// The bound that was not kept, if one was not.
+    pub fn judge(&self, script: &Script, counts: &Counts, at: Duration) -> Option<Breach> {
+        let figures = self.figures(script, counts);
         let (rule, figure, most) = figures.into_iter().find(|(_, figure, most)| figure > most)?;
         Some(Breach { rule, at, what: format!("{figure:.2} where {most:.2} are the bound") })
     }
@@ -118,8 +123,8 @@
                 class["window"] = micros(*window).into();
             }
         }
-        script.clients = messages(&mut dice, &script.rules, &classes, relays);
-        let bounds = Bounds { turned_away: 0.6, lists: 8.0, opened: 0.6 };
+        script.clients = messages(&mut Dice::new(seed, 7), &script.rules, &classes, relays);
+        let bounds = Bounds { turned_away: 0.25, lists: 2.0, opened: 0.45 };
         script.vast = Some(Vast {
             connections: relays + relays / 2 + 20,
             each_list: Duration::from_millis((ALL_CALLS / relays as u64).min(50)),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -153,6 +153,10 @@
         })
         .collect();
     let tells_waits = flag("/limits/retryAfter");
+    let siblings = need("/siblings")? as usize;
+    if siblings == 0 || or_zero("/ordinal") as usize >= siblings {
+        return bad("settings count fewer relays than there are", "/siblings");
+    }
     Ok(Settings {
         classes,
         kinds,
@@ -178,7 +182,7 @@
         cancelling: flag("/limits/cancelling"),
         probes: flag("/limits/probes"),
         discovery_by_asking: text_at("/discovery") == "ask",
-        siblings: (or_zero("/siblings") as usize).max(1),
+        siblings,
         zone: or_zero("/myZone") as u8,
         weights: match text_at("/weightSource") {
             "nominal" => WeightSource::Nominal,
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -102,7 +102,13 @@
         ("[]", "not an object"),
         ("{}", "/services"),
         (r#"{"services":[{"aim":1,"giveUp":1,"effect":"odd"}]}"#, "/services/0/effect"),
-        (r#"{"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#, "/familyInfo/callsOut"),
+        (r#"{"siblings":1,"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#, "/familyInfo/callsOut"),
+        (r#"{"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#, "/siblings"),
+        (r#"{"siblings":0,"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#, "fewer relays"),
+        (
+            r#"{"siblings":3,"ordinal":3,"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#,
+            "fewer relays",
+        ),
     ] {
         let error = settings(text.as_bytes()).expect_err(text).to_string();
         assert!(error.contains(say) && !error.contains('\n'), "{text}: {error}");
