--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -22,9 +22,6 @@
 const RUN_OUTAGE: u32 = 3;
 /// Rest before a trial: short against deadlines of many seconds, long against one call.
 const SLEEP_WINDOW: Micros = 3 * SECOND / 2;
-/// The rest is at least so many times the gap of an even part of the limit: the trials of all relays come at a
-/// destination that is back, and cold.
-const SLEEP_EVEN: f64 = 1.5;
 /// A host that failed is avoided so long where another serves.
 const AVOID: Micros = 3 * SECOND;
 /// Trust in a reported limit: so many times its distance from what was told, as a share of that.
@@ -60,6 +57,8 @@
 const ALLOWANCE_LITTLE: f64 = 0.3;
 /// Rise of the part with each report, for all of the allowance above that.
 const PART_RISE: f64 = 0.1;
+/// So many relays are few: their trials alone harm nobody.
+const FEW: f64 = 6.0;
 /// So many relays at most are taken to be busy with one destination at a time.
 const SHARERS: f64 = 3.0;
 /// Rise of the pace with each success, as a share of the fair part.
@@ -217,11 +216,18 @@
         siblings / self.told.unwrap_or(siblings)
     }
 
+    /// The rest before the next trial, by `chance` of 0 to 1.
+    ///
     /// Guards a destination that comes back against the trials of a large fleet, which alone are more than it takes
-    /// while cold. It hurts where few of the relays have anything for it.
-    fn sleep_window(&self, siblings: f64) -> f64 {
-        let even = self.even_gap(siblings) * SLEEP_EVEN * SECOND as f64;
-        even.clamp(SLEEP_WINDOW as f64, OUTAGE_LEAST as f64)
+    /// while cold: all together they ask for no more than that, and those that failed together don't come together.
+    /// It hurts where few of the relays have anything for it.
+    fn sleep_window(&self, siblings: f64, rules: &Rules, chance: f64) -> Micros {
+        if siblings <= FEW {
+            return (SLEEP_WINDOW as f64 * (0.9 + 0.2 * chance)) as Micros;
+        }
+        let cold = (rules.overload_factor * rules.cold_from).max(0.1);
+        let even = self.even_gap(siblings) / cold * SECOND as f64;
+        (even.clamp(SLEEP_WINDOW as f64, OUTAGE_LEAST as f64) * (0.5 + chance)) as Micros
     }
 
     fn doubtful(&self) -> bool {
@@ -233,8 +239,8 @@
         !self.harmless && (self.doubtful() || failed > 1.0 && failed > UNSAFE_DOUBT * self.tally.len() as f64)
     }
 
-    fn trip(&mut self, now: Micros, rest: f64) {
-        self.fuse = Fuse::Open(now + rest as Micros);
+    fn trip(&mut self, until: Micros) {
+        self.fuse = Fuse::Open(until);
     }
 
     /// Whether the route must be remembered: an outage is, for a minute after the last call.
@@ -548,7 +554,10 @@
             route.saw_outage(outage.down.min(now), chance);
             route.back = outage.back.map(|back| back.min(now));
             if route.back.is_none() {
-                route.trip(now, 0.0);
+                // Most of a large fleet may have started just now.
+                let many = self.siblings > FEW;
+                let rest = route.sleep_window(self.siblings, &self.set.rules, chance);
+                route.trip(if many { now + rest } else { now });
             }
         }
     }
@@ -616,7 +625,7 @@
         if over {
             self.close(end.id);
         }
-        let chance = (self.jitter() - 0.9) * 5.0;
+        let chance = self.dice.roll();
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.left -= 1;
         let (key, overdue, last) = (call.route, call.overdue, call.left == 0);
@@ -646,7 +655,7 @@
         &mut self, key: RouteKey, host: HostId, outcome: Outcome, elapsed: Micros, counted: bool,
         class: Option<usize>,
     ) {
-        let (now, chance) = (self.now, (self.jitter() - 0.9) * 5.0);
+        let (now, chance) = (self.now, self.dice.roll());
         match outcome {
             Outcome::Ok => {
                 // The pending error was a false alarm.
@@ -661,7 +670,7 @@
             // call asks on a new one.
             Outcome::Dropped | Outcome::Cancelled | Outcome::Moot if !counted => {
                 if let Some(route) = self.routes.get_mut(&key).filter(|r| r.fuse == Fuse::HalfOpen) {
-                    route.trip(now, 0.0);
+                    route.trip(now);
                 }
             }
             _ if counted => {
@@ -717,7 +726,8 @@
     }
 
     fn refused(&mut self, key: RouteKey) {
-        let (now, jitter, siblings) = (self.now, self.jitter(), self.siblings);
+        let (now, chance, siblings) = (self.now, self.dice.roll(), self.siblings);
+        let jitter = 0.9 + 0.2 * chance;
         let Some(route) = self.routes.get_mut(&key) else { return };
         route.push(now, Verdict::Refused);
         route.refused_run += 1;
@@ -730,7 +740,7 @@
         let shut = route.left.is_some_and(|left| left > ALLOWANCE_UNUSED);
         if limited {
             // The part says how soon; not all who were refused may come again at once.
-            route.tokens = route.tokens.min((jitter - 0.9) * 5.0);
+            route.tokens = route.tokens.min(chance);
             route.rest_until = route.rest_until.max(route.wait_until);
         } else if route.rest_until <= now {
             // Of calls that were out together the first refusal counts.
@@ -743,23 +753,24 @@
             route.cap = (route.cap * CAP_CUT).max(1.0);
             // Not all who were told the same end of a wait may come at once: within a gap, by chance.
             let told = route.wait_until > now;
-            let share = if told { (jitter - 0.9) * 5.0 } else { jitter };
+            let share = if told { chance } else { jitter };
             route.rest_until = now.max(route.wait_until) + (route.gap as f64 * share) as Micros;
         }
         // Refusals alone for long are a shut destination, an outage; a few are its limit.
         let alone = route.refused_run > RUN_TRIP || route.fuse != Fuse::Closed;
         if shut || alone && now >= route.shut_since + SHUT_AFTER {
-            route.saw_outage(route.shut_since, (jitter - 0.9) * 5.0);
+            route.saw_outage(route.shut_since, chance);
         }
         if alone {
             route.harmless = true;
-            route.trip(now, route.sleep_window(siblings) * jitter);
+            route.trip(now + route.sleep_window(siblings, &self.set.rules, chance));
         }
     }
 
     /// A call failed, or is out so long that it counts as failed.
     fn failed(&mut self, key: RouteKey, host: HostId, harmless: bool, told: bool) {
-        let (now, jitter, siblings) = (self.now, self.jitter(), self.siblings);
+        let (now, chance, siblings) = (self.now, self.dice.roll(), self.siblings);
+        let jitter = 0.9 + 0.2 * chance;
         if let Some(host) = self.hosts.get_mut(&host) {
             host.run += 1;
             host.avoid_until = now + (AVOID as f64 * jitter) as Micros;
@@ -773,14 +784,14 @@
         route.harmless = harmless;
         let failures = route.count(Verdict::Failed);
         if told && route.out_of_order() {
-            route.saw_outage(now, (jitter - 0.9) * 5.0);
+            route.saw_outage(now, chance);
         }
         let share = (failures + route.count(Verdict::Refused)) as f64 / route.tally.len() as f64;
         // Where many calls are good, two failures in a row are no rarity and no outage.
         let row = route.run >= RUN_TRIP && route.failing();
         let trips = row || route.tally.len() >= VOLUME_FLOOR && share > ERROR_SHARE;
         if route.fuse != Fuse::Closed || trips && !elsewhere {
-            route.trip(now, route.sleep_window(siblings) * jitter);
+            route.trip(now + route.sleep_window(siblings, &self.set.rules, chance));
         }
     }
 
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -661,3 +661,54 @@
     let actions = handle(&mut relay, now + 4 * S, vec![Event::Arrived(message(4, 0, now + 4 * S))]);
     assert!(actions.iter().any(|a| matches!(a, Action::Refuse { id: 4, after: 1.. })), "{actions:?}");
 }
+
+/// A hundred relays whose calls all failed at one instant, while the destination stays away: the trials of any
+/// second and a half are no more than it takes while cold, but for chance.
+#[test]
+fn the_trials_of_a_hundred_relays_are_no_more_than_a_cold_destination_takes() {
+    let (set, limit) = (one_of_many(), 60.0);
+    let mut trials: Vec<Micros> = Vec::new();
+    for seed in 0..100 {
+        let mut relay = Relay::new(set.clone(), seed * 7919 + 1);
+        let mut now = 100 * S;
+        let entries = vec![HostEntry { weight: limit, ..host(1, 1) }];
+        let mut actions = handle(&mut relay, now, vec![Event::Hosts { whole: true, cached: false, entries }]);
+        let arrivals = (0..20).map(|id| Event::Arrived(message(id, 0, now))).collect();
+        actions.extend(handle(&mut relay, now, arrivals));
+        let end = now + 12 * S;
+        let mut tries: std::collections::BTreeMap<MessageId, u8> = Default::default();
+        while now < end {
+            let sent = std::mem::take(&mut actions).into_iter().filter_map(|action| match action {
+                Action::Send { id, host, .. } => Some((id, host)),
+                _ => None,
+            });
+            now += 10 * MS;
+            let mut events = Vec::new();
+            for (id, host) in sent {
+                trials.push(now);
+                let attempt = *tries.entry(id).and_modify(|n| *n += 1).or_insert(0);
+                let (outcome, report) = (Outcome::ConnectFailed, Vec::new());
+                events.push(Event::Ended(Ended {
+                    id,
+                    attempt,
+                    host,
+                    outcome,
+                    elapsed: 0,
+                    over: false,
+                    report,
+                }));
+            }
+            actions = handle(&mut relay, now, events);
+        }
+    }
+    trials.sort_unstable();
+    // From when all have tripped.
+    let late: Vec<Micros> = trials.into_iter().filter(|at| *at > 102 * S).collect();
+    let most =
+        late.iter().map(|from| late.iter().filter(|at| (*from..*from + 3 * S / 2).contains(at)).count());
+    let (most, room) = (most.max().unwrap_or(0), 2.0 * 0.2 * f64::from(limit) * 1.5);
+    assert!(
+        (10..=(room + 2.0 + 2.0 * room.sqrt()) as usize).contains(&most),
+        "{most} trials, room for {room}"
+    );
+}
