--- /dev/null
+++ b/crates/undeliverable/src/batch.rs
@@ -0,0 +1,389 @@
+//! Many records sent again under one name: at a rate, a few at a time, and not on and on where they fail.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::decide::Need;
+use crate::filter::Filter;
+use crate::record::{RecordId, LONGEST_NAME};
+use crate::Micros;
+
+const SECOND: f64 = 1e6;
+/// Batches that a store holds at most; past that the oldest that has ended gives way, or a new one is refused.
+pub const MOST: usize = 256;
+/// Bounds of a batch's rate, in records a second.
+pub const RATE: (f64, f64) = (0.01, 1000.0);
+/// Bounds of the records that it has out at once.
+pub const AT_ONCE: (u32, u32) = (1, 64);
+
+/// What somebody asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Spec {
+    /// Its name: letters, digits, `.`, `_` and `-`.
+    pub name: String,
+    /// Which records.
+    pub filter: Filter,
+    /// So many a second at most.
+    pub per_second: f64,
+    /// So many out at once at most.
+    pub at_once: u32,
+    /// It stops by itself once so many of the last twice as many ended without delivery.
+    pub stop_after: u32,
+}
+
+/// Where a batch stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// Counted, not begun.
+    Planned,
+    /// Records are sent.
+    Running,
+    /// Nothing new is sent.
+    Paused,
+    /// It has stopped by itself, as too many failed; it may be resumed.
+    Stopped,
+    /// All of its records were looked at, and those sent have ended.
+    Done,
+    /// It was called off.
+    Cancelled,
+}
+
+impl State {
+    /// Its word.
+    pub fn word(&self) -> &'static str {
+        match self {
+            State::Planned => "planned",
+            State::Running => "running",
+            State::Paused => "paused",
+            State::Stopped => "stopped",
+            State::Done => "done",
+            State::Cancelled => "cancelled",
+        }
+    }
+
+    /// Whether nothing more comes of it.
+    pub fn is_over(&self) -> bool {
+        matches!(self, State::Done | State::Cancelled)
+    }
+}
+
+/// What an operator wants of a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Begin, or go on.
+    Run,
+    /// Send nothing new.
+    Pause,
+    /// Send nothing more.
+    Cancel,
+}
+
+/// What a dry run found, and what came of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Records that fit and are open, when the batch was planned.
+    pub found: u64,
+    /// Of those, the ones that could go then.
+    pub may_go: u64,
+    /// Of those, the ones that could not, by what they need.
+    pub needs: BTreeMap<String, u64>,
+    /// Sent.
+    pub sent: u64,
+    /// Delivered.
+    pub delivered: u64,
+    /// Ended without delivery.
+    pub failed: u64,
+    /// Passed over: changed meanwhile, or not to be sent.
+    pub skipped: u64,
+}
+
+impl Counts {
+    /// Books a record of a dry run.
+    pub fn book(&mut self, may_go: Result<(), Need>) {
+        self.found += 1;
+        match may_go {
+            Ok(()) => self.may_go += 1,
+            Err(need) => *self.needs.entry(need.word().into()).or_default() += 1,
+        }
+    }
+}
+
+/// A batch.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Batch {
+    /// What was asked for.
+    pub spec: Spec,
+    /// By whom.
+    pub by: String,
+    /// When, in Unix time.
+    pub made: Micros,
+    /// Where it stands.
+    pub state: State,
+    /// Counts.
+    pub counts: Counts,
+    /// Grows with every order.
+    pub version: u32,
+    /// The last record that was looked at.
+    pub looked: RecordId,
+    /// The last record that there was when it was planned; later ones are not meant.
+    pub upto: RecordId,
+    recent: VecDeque<bool>,
+    out: u32,
+    tokens: f64,
+    tokens_at: Micros,
+}
+
+/// Why a batch is not made, or an order not followed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// There is one of this name.
+    #[error("there is a batch of this name")]
+    Exists,
+    /// There is none of this name.
+    #[error("there is no such batch")]
+    None,
+    /// There are too many.
+    #[error("there are {MOST} batches; cancel one that waits")]
+    TooMany,
+    /// It has changed since.
+    #[error("the batch is in version {0} by now")]
+    Version(u32),
+    /// It is over.
+    #[error("the batch is {0}")]
+    Over(&'static str),
+    /// What was given is of no use.
+    #[error("{0}")]
+    Malformed(&'static str),
+}
+
+impl Spec {
+    /// Checks all of it.
+    pub fn check(&self) -> Result<(), Refusal> {
+        let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+        if self.name.is_empty() || self.name.len() > LONGEST_NAME || !self.name.bytes().all(plain) {
+            return Err(Refusal::Malformed("the name is not of 1 to 64 letters, digits, '.', '_' and '-'"));
+        }
+        if !(RATE.0..=RATE.1).contains(&self.per_second) {
+            return Err(Refusal::Malformed("per_second is not from 0.01 to 1000"));
+        }
+        if !(AT_ONCE.0..=AT_ONCE.1).contains(&self.at_once) {
+            return Err(Refusal::Malformed("at_once is not from 1 to 64"));
+        }
+        if !(1..=1000).contains(&self.stop_after) {
+            return Err(Refusal::Malformed("stop_after is not from 1 to 1000"));
+        }
+        Ok(())
+    }
+}
+
+impl Batch {
+    /// A batch that was counted, and has not begun.
+    pub fn plan(spec: Spec, by: &str, now: Micros, upto: RecordId, counts: Counts) -> Result<Self, Refusal> {
+        spec.check()?;
+        Ok(Batch {
+            spec,
+            by: by.into(),
+            made: now,
+            state: State::Planned,
+            counts,
+            version: 1,
+            looked: 0,
+            upto,
+            recent: VecDeque::new(),
+            out: 0,
+            tokens: 1.0,
+            tokens_at: now,
+        })
+    }
+
+    /// Who sends its records, as their state names it.
+    pub fn sender(&self) -> String {
+        format!("batch {}", self.spec.name)
+    }
+
+    /// Follows an order; one that it follows already changes nothing.
+    pub fn order(&mut self, order: Order, version: Option<u32>, now: Micros) -> Result<(), Refusal> {
+        if version.is_some_and(|wanted| wanted != self.version) {
+            return Err(Refusal::Version(self.version));
+        }
+        if self.state.is_over() {
+            return Err(Refusal::Over(self.state.word()));
+        }
+        let state = match (order, &self.state) {
+            (Order::Run, State::Running)
+            | (Order::Pause, State::Planned | State::Paused | State::Stopped) => return Ok(()),
+            (Order::Run, _) => {
+                self.recent.clear();
+                (self.tokens, self.tokens_at) = (1.0, now);
+                State::Running
+            }
+            (Order::Pause, _) => State::Paused,
+            (Order::Cancel, _) => State::Cancelled,
+        };
+        self.state = state;
+        self.version += 1;
+        Ok(())
+    }
+
+    /// Whether a record may be sent now; if not, when to look again.
+    pub fn ready(&mut self, now: Micros) -> Result<(), Micros> {
+        if self.state != State::Running || self.out >= self.spec.at_once {
+            return Err(Micros::MAX);
+        }
+        // A clock that was set back fills nothing, and takes nothing away.
+        let passed = now.saturating_sub(self.tokens_at) as f64 / SECOND;
+        self.tokens = (self.tokens + passed * self.spec.per_second).min(1.0);
+        self.tokens_at = now;
+        if self.tokens >= 1.0 {
+            return Ok(());
+        }
+        let wait = (1.0 - self.tokens) / self.spec.per_second * SECOND;
+        Err(now.saturating_add(wait.ceil() as Micros + 1))
+    }
+
+    /// A record was looked at and passed over.
+    pub fn passed_over(&mut self, id: RecordId) {
+        self.looked = self.looked.max(id);
+        self.counts.skipped += 1;
+    }
+
+    /// A record was sent.
+    pub fn sent(&mut self, id: RecordId) {
+        self.looked = self.looked.max(id);
+        self.tokens -= 1.0;
+        self.out += 1;
+        self.counts.sent += 1;
+    }
+
+    /// A record that it sent has ended. True if the batch has stopped by that.
+    pub fn ended(&mut self, delivered: bool) -> bool {
+        self.out = self.out.saturating_sub(1);
+        match delivered {
+            true => self.counts.delivered += 1,
+            false => self.counts.failed += 1,
+        }
+        self.recent.push_back(delivered);
+        let span = 2 * self.spec.stop_after as usize;
+        while self.recent.len() > span {
+            self.recent.pop_front();
+        }
+        let failed = self.recent.iter().filter(|delivered| !**delivered).count();
+        let stops = self.state == State::Running && failed >= self.spec.stop_after as usize;
+        if stops {
+            self.state = State::Stopped;
+            self.version += 1;
+        }
+        stops
+    }
+
+    /// Nothing is left to look at.
+    pub fn exhausted(&mut self) {
+        self.looked = self.upto;
+        if self.state == State::Running && self.out == 0 {
+            self.state = State::Done;
+            self.version += 1;
+        }
+    }
+
+    /// After a restart so many of its records are out.
+    pub fn restarted(&mut self, out: u32, now: Micros) {
+        (self.out, self.tokens, self.tokens_at) = (out, 0.0, now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec() -> Spec {
+        Spec { name: "b1".into(), filter: Filter::default(), per_second: 2.0, at_once: 3, stop_after: 2 }
+    }
+
+    fn running() -> Batch {
+        let mut batch = Batch::plan(spec(), "ann", 0, 100, Counts::default()).expect("good");
+        batch.order(Order::Run, Some(1), 0).expect("planned");
+        batch
+    }
+
+    #[test]
+    fn it_keeps_its_rate_and_its_number_out_at_once() {
+        let (mut batch, mut now, mut sent) = (running(), 0, Vec::new());
+        while now < 10_000_000 {
+            if batch.ready(now).is_ok() {
+                batch.sent(sent.len() as u64 + 1);
+                sent.push(now);
+            }
+            if now % 2_000_000 == 0 {
+                while batch.out > 0 {
+                    batch.ended(true);
+                }
+            }
+            now += 10_000;
+        }
+        assert!(sent.windows(2).all(|two| two[1] - two[0] >= 490_000), "{sent:?}");
+        assert!((14..=17).contains(&sent.len()), "three at a time, every two seconds: {}", sent.len());
+    }
+
+    #[test]
+    fn it_stops_when_failures_mount_and_goes_on_when_told() {
+        let mut batch = running();
+        for (delivered, stops) in
+            [(false, false), (true, false), (true, false), (true, false), (false, false), (false, true)]
+        {
+            batch.sent(1);
+            assert_eq!(batch.ended(delivered), stops);
+        }
+        assert_eq!((batch.state.clone(), batch.ready(99_000_000)), (State::Stopped, Err(Micros::MAX)));
+        batch.order(Order::Run, None, 99_000_000).expect("stopped is not over");
+        assert!(batch.ready(99_000_000).is_ok());
+        assert!(!batch.ended(false), "what was before counts no more");
+    }
+
+    #[test]
+    fn orders_name_a_version_and_what_is_over_stays_so() {
+        let mut batch = running();
+        assert_eq!(batch.order(Order::Pause, Some(1), 0), Err(Refusal::Version(2)));
+        batch.order(Order::Run, Some(2), 0).expect("no change");
+        assert_eq!(batch.version, 2);
+        batch.order(Order::Pause, Some(2), 0).expect("running");
+        assert_eq!(batch.ready(5_000_000), Err(Micros::MAX));
+        batch.order(Order::Cancel, Some(3), 0).expect("paused");
+        assert_eq!(batch.order(Order::Run, None, 0), Err(Refusal::Over("cancelled")));
+    }
+
+    #[test]
+    fn it_is_done_once_all_is_looked_at_and_nothing_is_out() {
+        let mut batch = running();
+        batch.sent(7);
+        batch.exhausted();
+        assert_eq!(batch.state, State::Running);
+        batch.ended(true);
+        batch.exhausted();
+        assert_eq!((batch.state.clone(), batch.looked), (State::Done, 100));
+    }
+
+    #[test]
+    fn a_clock_that_is_set_back_neither_frees_nor_blocks() {
+        let mut batch = running();
+        batch.ready(50_000_000).expect("full");
+        batch.sent(1);
+        assert!(batch.ready(10_000_000).is_err());
+        assert!(batch.ready(10_600_000).is_ok());
+    }
+
+    #[test]
+    fn wrong_values_are_refused() {
+        let wrong = [
+            Spec { name: String::new(), ..spec() },
+            Spec { name: "a b".into(), ..spec() },
+            Spec { per_second: f64::NAN, ..spec() },
+            Spec { per_second: 0.0, ..spec() },
+            Spec { at_once: 0, ..spec() },
+            Spec { stop_after: 0, ..spec() },
+        ];
+        for spec in wrong {
+            assert!(Batch::plan(spec.clone(), "ann", 0, 1, Counts::default()).is_err(), "{spec:?}");
+        }
+    }
+}
