Let the seam open files of pages, and put a virtual process's life in a room of its own

An embedded database reads and writes its file at any place and from other threads. System::pages gives such a file: on the machine a locked std file, in the simulation pages that outlast the process, torn by a kill within a write, or full. The life of a virtual process is shared with its pages.

--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -31,6 +31,8 @@
     type Listener: Listener<Stream = Self::Stream>;
     /// An open file.
     type File: File;
+    /// A file of pages.
+    type Pages: Pages;
     /// The signals sent to this process.
     type Signals: Signals;
 
@@ -59,6 +61,9 @@
     /// Opens an empty file to write, in place of what there was.
     fn create(&self, path: &Path) -> io::Result<Self::File>;
 
+    /// Opens a file of pages, and makes it if there is none. One process has it open at a time.
+    fn pages(&self, path: &Path) -> io::Result<Self::Pages>;
+
     /// The whole of a file.
     fn read(&self, path: &Path) -> io::Result<Vec<u8>>;
 
@@ -228,6 +233,24 @@
     fn set_len(&self, length: u64) -> io::Result<()>;
 }
 
+/// A file that is read and written at any place, as an embedded database does; it may be handed to other threads.
+pub trait Pages: fmt::Debug + Send + Sync + 'static {
+    /// Its length in bytes.
+    fn length(&self) -> io::Result<u64>;
+
+    /// Fills the buffer from a place on; an error if the file ends before.
+    fn read_at(&self, at: u64, into: &mut [u8]) -> io::Result<()>;
+
+    /// Writes all of the bytes at a place.
+    fn write_at(&self, at: u64, bytes: &[u8]) -> io::Result<()>;
+
+    /// Cuts the file off, or fills it up with zeros.
+    fn set_length(&self, length: u64) -> io::Result<()>;
+
+    /// Returns once all that was written would outlast the machine.
+    fn sync(&self) -> io::Result<()>;
+}
+
 /// A signal that means something to a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -5,7 +5,7 @@
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
-use std::os::unix::fs::{FileTypeExt, PermissionsExt};
+use std::os::unix::fs::{FileExt, FileTypeExt, PermissionsExt};
 use std::path::Path;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -18,7 +18,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::JoinHandle;
 
-use crate::{Address, File, Listener, Signal, Signals, Stream, System, Task, Waiting};
+use crate::{Address, File, Listener, Pages, Signal, Signals, Stream, System, Task, Waiting};
 
 /// The machine that the process runs on. Must be used within a current-thread runtime's `LocalSet`.
 #[derive(Clone, Copy, Debug, Default)]
@@ -29,6 +29,7 @@
     type Stream = RealStream;
     type Listener = RealListener;
     type File = std::fs::File;
+    type Pages = std::fs::File;
     type Signals = RealSignals;
 
     fn now(&self) -> Instant {
@@ -69,6 +70,14 @@
         std::fs::File::create(path)
     }
 
+    fn pages(&self, path: &Path) -> io::Result<std::fs::File> {
+        let file = self.open(path)?;
+        // Guards a store against two relays that were given the same file.
+        file.try_lock()
+            .map_err(|_| io::Error::new(io::ErrorKind::WouldBlock, "another process has it open"))?;
+        Ok(file)
+    }
+
     fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
         std::fs::read(path)
     }
@@ -98,6 +107,28 @@
     }
 }
 
+impl Pages for std::fs::File {
+    fn length(&self) -> io::Result<u64> {
+        Ok(self.metadata()?.len())
+    }
+
+    fn read_at(&self, at: u64, into: &mut [u8]) -> io::Result<()> {
+        FileExt::read_exact_at(self, into, at)
+    }
+
+    fn write_at(&self, at: u64, bytes: &[u8]) -> io::Result<()> {
+        FileExt::write_all_at(self, bytes, at)
+    }
+
+    fn set_length(&self, length: u64) -> io::Result<()> {
+        self.set_len(length)
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
+
 /// A task of the runtime.
 pub struct RealTask(JoinHandle<()>);
 
--- a/crates/sim/src/machine/disk.rs
+++ b/crates/sim/src/machine/disk.rs
@@ -6,12 +6,15 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
+use super::pages::PageFile;
+
 pub(super) type Inode = Rc<RefCell<Vec<u8>>>;
 
 /// All files by their path.
 #[derive(Default)]
 pub struct Disk {
     files: BTreeMap<PathBuf, Inode>,
+    pages: BTreeMap<PathBuf, PageFile>,
     /// Bytes by which all files together may still grow; none for no bound.
     pub room: Option<u64>,
     /// Of a hundred writes so many are short.
@@ -51,6 +54,20 @@
         self.resize(&inode, at.checked_rem(length).unwrap_or(0) as usize);
     }
 
+    /// Files of pages may not grow from now on, or may again.
+    pub fn fill_pages(&mut self, full: bool) {
+        self.pages.values().for_each(|file| file.fill(full));
+    }
+
+    /// Flips a bit of a file of pages, at an offset modulo its length.
+    pub fn flip_page(&mut self, path: &Path, at: u64) {
+        self.pages.get(path).into_iter().for_each(|file| file.flip(at));
+    }
+
+    pub(super) fn pages(&mut self, path: &Path) -> PageFile {
+        self.pages.entry(path.into()).or_default().clone()
+    }
+
     pub(super) fn open(&mut self, path: &Path) -> Inode {
         self.files.entry(path.into()).or_default().clone()
     }
@@ -62,6 +79,10 @@
     }
 
     pub(super) fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
+        if let Some(pages) = self.pages.remove(from) {
+            self.pages.insert(to.into(), pages);
+            return Ok(());
+        }
         let inode = self.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
         let old = self.files.insert(to.into(), inode);
         self.free(old.map_or(0, |old| old.borrow().len()));
--- a/crates/sim/src/machine/io.rs
+++ b/crates/sim/src/machine/io.rs
@@ -122,7 +122,7 @@
     fn look(&self, waker: Option<&Waker>) -> Found {
         let mut core = self.system.core.borrow_mut();
         let now = core.now;
-        let dead = core.procs.get(&self.system.proc).is_some_and(|proc| !proc.alive);
+        let dead = core.procs.get(&self.system.proc).is_some_and(|proc| !proc.life.alive());
         let Some(conn) = core.net.conns.get_mut(&self.id).filter(|_| !dead) else { return Found::Nothing };
         let pipe = &mut conn.pipes[self.side];
         let found = pipe.look(now);
--- a/crates/sim/src/machine/mod.rs
+++ b/crates/sim/src/machine/mod.rs
@@ -3,7 +3,9 @@
 
 mod disk;
 mod io;
+mod life;
 mod net;
+mod pages;
 mod sched;
 
 use std::cell::RefCell;
@@ -15,6 +17,7 @@
 use std::path::Path;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
@@ -23,8 +26,10 @@
 pub use disk::Disk;
 pub use io::{VirtualFile, VirtualListener, VirtualStream};
 pub use net::AddressFault;
+pub use pages::VirtualPages;
 
 use crate::dice::Dice;
+use life::{Life, Step};
 use net::Net;
 use sched::{Due, Next, Sched, TaskId, TimerKey};
 
@@ -73,12 +78,9 @@
 
 #[derive(Default)]
 struct Proc {
-    alive: bool,
+    life: Arc<Life>,
     /// Which machine it runs on; each has a disk and a clock of its own.
     place: usize,
-    /// What it has done to the world so far: writes, connections, file operations.
-    effects: u64,
-    kill_at: Option<u64>,
     /// The kill strikes so many effects after the next creation of a file with this ending.
     kill_in: Option<(&'static str, u64)>,
     signals: VecDeque<Signal>,
@@ -109,20 +111,16 @@
 impl Core {
     fn effect(&mut self, proc: ProcId) -> Fate {
         let Some(this) = self.procs.get_mut(&proc) else { return Fate::Alive };
-        if !this.alive {
-            return Fate::Dead;
+        match this.life.step() {
+            Step::Done => Fate::Alive,
+            Step::Dies => Fate::Dies { done: self.dice.below(2) == 0 },
+            Step::Dead => Fate::Dead,
         }
-        this.effects += 1;
-        if this.kill_at.is_some_and(|at| at <= this.effects) {
-            this.alive = false;
-            return Fate::Dies { done: self.dice.below(2) == 0 };
-        }
-        Fate::Alive
     }
 
     fn kill_after(&mut self, proc: ProcId, effects: u64) {
         if let Some(this) = self.procs.get_mut(&proc) {
-            this.kill_at = Some(this.effects + 1 + effects);
+            this.life.kill_after(effects);
         }
     }
 
@@ -242,7 +240,7 @@
         let proc = self.next;
         let variables = [("BALANCER_CONFIG".to_string(), CONFIG.to_string())];
         let born = self.now();
-        let this = Proc { alive: true, place, variables: variables.into(), lie, born, ..Proc::default() };
+        let this = Proc { place, variables: variables.into(), lie, born, ..Proc::default() };
         self.core.borrow_mut().procs.insert(proc, this);
         let system = Virtual { core: self.core.clone(), proc };
         let (core, main) = (self.core.clone(), main(system.clone()));
@@ -250,7 +248,7 @@
             let ended = main.await;
             if let Some(this) = core.borrow_mut().procs.get_mut(&proc) {
                 this.ended = Some(ended);
-                this.alive = false;
+                this.life.end();
             }
         });
         proc
@@ -283,7 +281,7 @@
 
     /// Whether a process runs.
     pub fn is_alive(&self, proc: ProcId) -> bool {
-        self.core.borrow().procs.get(&proc).is_some_and(|proc| proc.alive)
+        self.core.borrow().procs.get(&proc).is_some_and(|proc| proc.life.alive())
     }
 
     /// How a process ended by itself, if it did.
@@ -318,7 +316,7 @@
         let slots = {
             let mut core = self.core.borrow_mut();
             if let Some(this) = core.procs.get_mut(&proc) {
-                this.alive = false;
+                this.life.end();
             }
             core.sched.take_all(proc)
         };
@@ -371,7 +369,7 @@
 
     /// Whether a kill is under way that has not struck yet.
     pub fn kill_is_due(&self, proc: ProcId) -> bool {
-        self.core.borrow().procs.get(&proc).is_some_and(|this| this.alive && this.kill_at.is_some())
+        self.core.borrow().procs.get(&proc).is_some_and(|this| this.life.alive() && this.life.kill_is_due())
     }
 
     /// What those who watch the machine may hold beside it.
@@ -431,7 +429,7 @@
             let orphan = self.core.borrow_mut().sched.put_back(id, body);
             drop(orphan);
         }
-        let dead = self.core.borrow().procs.get(&proc).is_some_and(|proc| !proc.alive);
+        let dead = self.core.borrow().procs.get(&proc).is_some_and(|proc| !proc.life.alive());
         if dead {
             self.kill(proc);
         }
@@ -508,6 +506,7 @@
     type Stream = VirtualStream;
     type Listener = VirtualListener;
     type File = VirtualFile;
+    type Pages = VirtualPages;
     type Signals = VirtualSignals;
 
     fn now(&self) -> Instant {
@@ -553,9 +552,9 @@
         self.effect()?;
         let mut core = self.core.borrow_mut();
         if let Some(this) = core.procs.get_mut(&self.proc) {
-            let (text, effects) = (path.to_string_lossy(), this.effects);
+            let text = path.to_string_lossy();
             if let Some((_, more)) = this.kill_in.take_if(|(ending, _)| text.ends_with(*ending)) {
-                this.kill_at = Some(effects + 1 + more);
+                this.life.kill_after(more);
             }
         }
         let inode = core.disk(self.proc).create(path);
@@ -563,6 +562,13 @@
         Ok(self.file(inode, path))
     }
 
+    fn pages(&self, path: &Path) -> std_io::Result<VirtualPages> {
+        self.effect()?;
+        let mut core = self.core.borrow_mut();
+        let life = core.procs.get(&self.proc).map(|proc| proc.life.clone());
+        Ok(VirtualPages::new(core.disk(self.proc).pages(path), life))
+    }
+
     fn read(&self, path: &Path) -> std_io::Result<Vec<u8>> {
         let text = self.core.borrow_mut().disk(self.proc).text(path);
         text.ok_or_else(|| std_io::ErrorKind::NotFound.into())
@@ -588,7 +594,7 @@
 
     fn log(&self, line: fmt::Arguments<'_>) {
         let mut core = self.core.borrow_mut();
-        if core.procs.get(&self.proc).is_none_or(|proc| proc.alive) {
+        if core.procs.get(&self.proc).is_none_or(|proc| proc.life.alive()) {
             let proc = self.proc;
             core.note(format_args!("log {proc}: {line}"));
         }
