Show undeliverable messages and send them again by the administration API and madderpitchctl

Need: records were kept and could be neither looked through nor sent again by an operator.

Change: /v1/undeliverable (list with filters and stable cursors, counts, status, a record's story, its body for operators), claim, release, resend, attest, ask, discard under If-Match, and batches planned as a dry run, run, paused and cancelled; the same in madderpitchctl, with an export as JSON lines. A token sees its tenants' records alone.

Seen while testing and mended: a resend whose tenant is gone was answered 202 and left its batch one short for good; a resend whose name was in hand counted a message of the tenant that never ended; a batch passed over a record whose resend had just failed, as its partner had been asked lately.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -11,7 +11,7 @@
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine;
 use madderpitch_exchange::tenants::{Ask, Shown, TenantsCall, Told};
-use madderpitch_exchange::Input;
+use madderpitch_exchange::{undeliverable, Input};
 use madderpitch_tenancy::registry::{Change, Command};
 use madderpitch_tenancy::spec::{OnRemoval, Spec};
 use serde::Deserialize;
@@ -32,7 +32,7 @@
 pub const LONGEST_BODY: usize = 64 << 10;
 /// Tenants and audit entries of a page: where no limit is given, and at most.
 const PAGE: (usize, usize) = (50, 200);
-const JSON: &[&str] = &["application/json"];
+pub(crate) const JSON: &[&str] = &["application/json"];
 const PATCH: &[&str] = &["application/merge-patch+json", "application/json"];
 
 /// What the handlers share.
@@ -61,6 +61,17 @@
         format!("{}-{}", self.prefix, self.requests.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Asks about undeliverable messages.
+    pub(crate) async fn ask_undeliverable(
+        &self, ask: undeliverable::Ask,
+    ) -> Result<undeliverable::Told, Problem> {
+        let (reply, answer) = oneshot::channel();
+        let call = undeliverable::News::Call(undeliverable::Call { ask, reply });
+        let gone = || Problem::unavailable("the relay is coming to its end");
+        self.driver.send(Input::Undeliverable(call)).await.map_err(|_| gone())?;
+        answer.await.map_err(|_| gone())
+    }
+
     async fn ask(&self, ask: Ask) -> Result<Told, Problem> {
         let (reply, answer) = oneshot::channel();
         let call = Input::Tenants(TenantsCall { ask, reply });
@@ -95,7 +106,7 @@
     }
 }
 
-fn unexpected() -> Problem {
+pub(crate) fn unexpected() -> Problem {
     Problem::new(
         StatusCode::INTERNAL_SERVER_ERROR,
         "internal",
@@ -116,7 +127,7 @@
     response
 }
 
-fn cursor(text: Option<String>) -> Result<Option<String>, Problem> {
+pub(crate) fn cursor(text: Option<String>) -> Result<Option<String>, Problem> {
     let Some(text) = text else { return Ok(None) };
     let bad = || Problem::malformed("the cursor is none of this API's");
     let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|_| bad())?;
@@ -124,11 +135,11 @@
     text.strip_prefix("v1:").map(|text| Some(text.into())).ok_or_else(bad)
 }
 
-fn to_cursor(text: impl std::fmt::Display) -> String {
+pub(crate) fn to_cursor(text: impl std::fmt::Display) -> String {
     URL_SAFE_NO_PAD.encode(format!("v1:{text}"))
 }
 
-fn page(limit: Option<usize>) -> Result<usize, Problem> {
+pub(crate) fn page(limit: Option<usize>) -> Result<usize, Problem> {
     match limit {
         None => Ok(PAGE.0),
         Some(limit) if (1..=PAGE.1).contains(&limit) => Ok(limit),
@@ -136,13 +147,13 @@
     }
 }
 
-type Answer = Result<Response, Problem>;
+pub(crate) type Answer = Result<Response, Problem>;
 
 /// Which page.
 #[derive(Deserialize, IntoParams)]
 #[serde(deny_unknown_fields)]
 #[into_params(parameter_in = Query)]
-struct Paging {
+pub(crate) struct Paging {
     /// Items at most; 50 if absent.
     #[param(minimum = 1, maximum = 200)]
     limit: Option<usize>,
@@ -173,11 +184,13 @@
     on_removal: Option<OnRemoval>,
 }
 
-fn query<T>(query: Result<Query<T>, axum::extract::rejection::QueryRejection>) -> Result<T, Problem> {
+pub(crate) fn query<T>(
+    query: Result<Query<T>, axum::extract::rejection::QueryRejection>,
+) -> Result<T, Problem> {
     query.map(|Query(query)| query).map_err(|e| Problem::malformed(e.body_text()))
 }
 
-type Queried<T> = Result<Query<T>, axum::extract::rejection::QueryRejection>;
+pub(crate) type Queried<T> = Result<Query<T>, axum::extract::rejection::QueryRejection>;
 
 /// List tenants by name. Role: viewer.
 #[utoipa::path(get, path = "/v1/tenants", tag = "tenants", params(Paging), responses(
@@ -394,9 +407,9 @@
 #[derive(utoipa::OpenApi)]
 #[openapi(
     info(title = "madderpitch administration",
-        description = "Tenants of a relay: made, changed, paused and removed while traffic flows. A change names the \
-            state that it is meant for by If-Match; of two who change the same state, one wins. What was answered with \
-            2xx holds over any end of the process.",
+        description = "Tenants of a relay: made, changed, paused and removed while traffic flows. Undeliverable messages: \
+            looked through, claimed and sent again. A change names the state that it is meant for by If-Match; of two \
+            who change the same state, one wins. What was answered with 2xx holds over any end of the process.",
         license(name = "MIT", identifier = "MIT")),
     components(schemas(Spec)),
     security(("bearer" = [])),
@@ -425,6 +438,7 @@
         .routes(routes!(drop_secret))
         .routes(routes!(audit))
         .routes(routes!(status))
+        .merge(crate::undeliverable::routes())
 }
 
 /// The API's document, from the code.
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -10,6 +10,7 @@
 mod request;
 mod serve;
 mod settings;
+mod undeliverable;
 
 use madderpitch_exchange::Input;
 use madderpitch_seam::{log, System};
--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -3,7 +3,7 @@
 use axum::http::header::{CONTENT_TYPE, ETAG, RETRY_AFTER, WWW_AUTHENTICATE};
 use axum::http::{HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
-use madderpitch_tenancy::registry::{Refusal, Version};
+use madderpitch_tenancy::registry::Refusal;
 use serde::Serialize;
 
 /// What went wrong, as RFC 9457 has it.
@@ -20,7 +20,7 @@
     status: u16,
     /// What is wrong this time.
     detail: String,
-    /// The tenant's version as it is now, where another was meant.
+    /// The version as it is now, where another was meant.
     #[serde(skip_serializing_if = "Option::is_none")]
     current_version: Option<String>,
     /// The field that is wrong.
@@ -32,8 +32,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum More {
     Nothing,
-    /// The tenant's version as it is now.
-    Current(Version),
+    /// The version as it is now.
+    Current(String),
     /// The field that is wrong.
     Field(&'static str),
 }
@@ -71,7 +71,7 @@
 
     /// 428: a change has to say which state it is meant for.
     pub fn precondition_required() -> Self {
-        let detail = "a change needs If-Match with the tenant's ETag, or * for any state";
+        let detail = "a change needs If-Match with the ETag of what it changes, or * for any state";
         Problem::new(StatusCode::PRECONDITION_REQUIRED, "precondition-required", detail)
     }
 
@@ -84,6 +84,12 @@
         )
     }
 
+    /// 412: another version was meant.
+    pub fn stale(current: String, detail: impl Into<String>) -> Self {
+        let problem = Problem::new(StatusCode::PRECONDITION_FAILED, "stale-version", detail);
+        Problem { more: More::Current(current), ..problem }
+    }
+
     /// 503: not done, and harmless to ask again.
     pub fn unavailable(detail: impl Into<String>) -> Self {
         Problem::new(StatusCode::SERVICE_UNAVAILABLE, "unavailable", detail)
@@ -99,10 +105,7 @@
             Refusal::Gone(_) => problem(StatusCode::GONE, "tenant-removed"),
             Refusal::Exists(_) => problem(StatusCode::CONFLICT, "tenant-exists"),
             Refusal::Draining(_) => problem(StatusCode::CONFLICT, "tenant-draining"),
-            Refusal::Stale(current) => {
-                let problem = problem(StatusCode::PRECONDITION_FAILED, "stale-version");
-                Problem { more: More::Current(current), ..problem }
-            }
+            Refusal::Stale(current) => Problem::stale(current.to_string(), detail.clone()),
             Refusal::Invalid(invalid) => {
                 let problem = problem(StatusCode::UNPROCESSABLE_ENTITY, "invalid-value");
                 Problem { more: More::Field(invalid.field), ..problem }
@@ -118,7 +121,7 @@
     fn into_response(self) -> Response {
         let (current, field) = match self.more {
             More::Nothing => (None, None),
-            More::Current(version) => (Some(version.to_string()), None),
+            More::Current(version) => (Some(version), None),
             More::Field(field) => (None, Some(field)),
         };
         let etag = current.as_ref().and_then(|v| HeaderValue::from_str(&format!("\"{v}\"")).ok());
--- a/crates/admin/src/request.rs
+++ b/crates/admin/src/request.rs
@@ -136,6 +136,19 @@
         }
     }
 
+    /// Which version of something that has plain numbers for versions the change is meant for; none for any.
+    pub fn expect_number(&self) -> Result<Option<u32>, Problem> {
+        let Some(tag) = text(&self.headers, IF_MATCH.as_str())? else {
+            return Err(Problem::precondition_required());
+        };
+        if tag.trim() == "*" {
+            return Ok(None);
+        }
+        let number = tag.trim().strip_prefix('"').and_then(|tag| tag.strip_suffix('"'));
+        let number = number.and_then(|number| number.parse().ok());
+        number.map(Some).ok_or_else(|| Problem::malformed("if-match is not one entity tag of this resource"))
+    }
+
     /// Whether the tenant is to be made, and must not be there yet.
     pub fn makes(&self) -> Result<bool, Problem> {
         let none = tags(&self.headers, IF_NONE_MATCH.as_str())?;
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -4,10 +4,10 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
-/// Administrates a relay's tenants.
+/// Administrates a relay's tenants and its undeliverable messages.
 ///
-/// Exit codes: 0 done; 1 something else failed; 2 wrong arguments; 3 no such tenant; 4 in another state than was
-/// meant, or there already; 5 not allowed; 6 not reached; 7 busy, try again later; 8 a value is wrong.
+/// Exit codes: 0 done; 1 something else failed; 2 wrong arguments; 3 there is no such thing; 4 in another state
+/// than was meant, or there already; 5 not allowed; 6 not reached; 7 busy, try again later; 8 a value is wrong.
 #[derive(Parser)]
 #[command(version, name = "madderpitchctl")]
 pub struct Arguments {
@@ -37,6 +37,9 @@
     /// Add and remove what a tenant's clients name themselves with.
     #[command(subcommand)]
     Secrets(Secrets),
+    /// Look through messages that were given up, and send them again.
+    #[command(subcommand)]
+    Undeliverable(crate::undeliverable::Undeliverable),
     /// Show the newest changes, the newest first.
     Audit {
         /// Of this tenant alone.
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -45,7 +45,7 @@
         match self {
             Failure::Usage(_) => 2,
             Failure::Refused { status: 404 | 410, .. } => 3,
-            Failure::Refused { status: 409 | 412, .. } => 4,
+            Failure::Refused { status: 409 | 412 | 423, .. } => 4,
             Failure::Refused { status: 401 | 403, .. } => 5,
             Failure::Unreachable(..) => 6,
             Failure::Refused { status: 429 | 503, .. } => 7,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,8 +1,9 @@
-//! `madderpitchctl`: a relay's tenants from a shell. It knows the administration API's document, not the relay.
+//! `madderpitchctl`: a relay's tenants and undeliverable messages from a shell. It knows the administration API's document, not the relay.
 
 mod arguments;
 mod client;
 mod output;
+mod undeliverable;
 
 use std::io::Read;
 use std::path::Path;
@@ -241,6 +242,7 @@
         match command {
             Command::Tenants(command) => self.tenants(command).await,
             Command::Secrets(command) => self.secrets(command).await,
+            Command::Undeliverable(command) => self.undeliverable(command).await,
             Command::Audit { tenant, limit } => {
                 let of = match &tenant {
                     Some(tenant) => format!("tenant={}&", in_path(tenant)?),
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -3,10 +3,10 @@
 use comfy_table::{presets, ContentArrangement, Table};
 use serde_json::Value;
 
-fn table(head: &[&str]) -> Table {
+fn table(head: &[impl AsRef<str>]) -> Table {
     let mut table = Table::new();
     table.load_preset(presets::NOTHING).set_content_arrangement(ContentArrangement::Disabled);
-    table.set_header(head.iter().map(|head| head.to_uppercase()));
+    table.set_header(head.iter().map(|head| head.as_ref().to_uppercase()));
     table
 }
 
@@ -111,6 +111,72 @@
     }
 }
 
+/// Undeliverable messages, a line each.
+pub fn records<'a>(items: impl IntoIterator<Item = &'a Value>) -> String {
+    let fields = [
+        "id",
+        "state",
+        "version",
+        "holder",
+        "message",
+        "tenant",
+        "class",
+        "destination",
+        "reason",
+        "may_have_run",
+        "resends",
+        "ended_at",
+    ];
+    let mut table = table(&fields.map(|field| field.replace('_', " ")));
+    for record in items {
+        table.add_row(fields.map(|field| cell(record.get(field))));
+    }
+    text(&table)
+}
+
+/// An undeliverable message with its whole story.
+pub fn story(record: &Value) -> String {
+    let mut plain = record.clone();
+    if let Some(fields) = plain.as_object_mut() {
+        fields.remove("attempts");
+        fields.remove("statements");
+    }
+    let mut out = fields(&plain);
+    for (name, columns) in [
+        ("attempts", &["at", "host", "outcome", "may_have_run", "resend"][..]),
+        ("statements", &["at", "operator", "says", "resends"]),
+    ] {
+        let items = record[name].as_array().into_iter().flatten();
+        let head: Vec<String> = columns.iter().map(|column| column.replace('_', " ")).collect();
+        let mut table = table(&head);
+        for item in items {
+            table.add_row(columns.iter().map(|column| cell(item.get(column))));
+        }
+        out += &format!("\n{name}\n{}", text(&table));
+    }
+    out
+}
+
+/// Records counted by a field.
+pub fn counts<'a>(by: &str, items: impl IntoIterator<Item = &'a Value>) -> String {
+    let mut table = table(&[by, "records"]);
+    for count in items {
+        table.add_row([cell(count.get("value")), cell(count.get("records"))]);
+    }
+    text(&table)
+}
+
+/// Batches, a line each.
+pub fn batches<'a>(items: impl IntoIterator<Item = &'a Value>) -> String {
+    let fields =
+        ["name", "state", "version", "by", "found", "may_go", "sent", "delivered", "failed", "skipped"];
+    let mut table = table(&fields.map(|field| field.replace('_', " ")));
+    for batch in items {
+        table.add_row(fields.map(|field| cell(batch.get(field))));
+    }
+    text(&table)
+}
+
 /// An object, a line a field.
 pub fn fields(value: &Value) -> String {
     let mut table = Table::new();
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -30,6 +30,7 @@
 use crate::tenants::Tenants;
 use crate::trace::Trace;
 use crate::undeliverable::{self, Desk, Live, Resend};
+use madderpitch_undeliverable::record::Refusal;
 
 /// Inputs that may wait for the driver; beyond, those who have more wait themselves.
 const INPUTS: usize = 1024;
@@ -386,7 +387,7 @@
         for id in desk.kept_ends(ended.into_iter()) {
             self.over(id);
         }
-        resends.into_iter().for_each(|resend| self.resend(now, resend));
+        resends.into_iter().for_each(|resend| drop(self.resend(now, resend)));
     }
 
     fn undeliverable(&mut self, news: News) {
@@ -395,9 +396,13 @@
             (Some(desk), News::Word { id, asked, says }) => desk.word(id, asked, says, now),
             (Some(desk), News::Call(call)) => {
                 let mut resends = Vec::new();
-                let told = desk.answer(call.ask, now, live, &mut resends);
+                let mut told = desk.answer(call.ask, now, live, &mut resends);
+                for resend in resends {
+                    if !self.resend(now, resend) {
+                        told = Told::Refused(Refusal::NotHandedOver);
+                    }
+                }
                 drop(call.reply.send(told));
-                resends.into_iter().for_each(|resend| self.resend(now, resend));
             }
             (None, News::Call(call)) => {
                 let none = Told::Unavailable("undeliverable messages are not kept here".into());
@@ -407,14 +412,18 @@
         }
     }
 
-    /// A message that was given up goes to the module once more.
-    fn resend(&mut self, now: Micros, resend: Resend) {
+    /// A message that was given up goes to the module once more; false if it can't.
+    fn resend(&mut self, now: Micros, resend: Resend) -> bool {
         let Resend { again, mut taken } = resend;
         let class = index_of(&self.config.classes, &taken.class);
         let give_up = class.and_then(|class| self.config.settings.classes.get(usize::from(class)));
         taken.due = now + give_up.map_or(0, |class| class.give_up);
         let known_as = Name::of(&taken);
-        let number = self.tenants.restored(&taken.tenant).filter(|_| !self.hand.holds(&known_as));
+        // A message of this name that is in hand is another one's.
+        let number = match self.hand.holds(&known_as) {
+            true => None,
+            false => self.tenants.restored(&taken.tenant),
+        };
         let id = self.journal.number();
         let message = number.and_then(|tenant| self.message(id, &taken, tenant));
         let Some(message) = message.filter(|_| self.tenants.stands(&taken.tenant)) else {
@@ -426,18 +435,21 @@
             if number.is_some() {
                 self.tenants.released(&taken.tenant);
             }
-            return self.desk.iter_mut().for_each(|desk| desk.not_begun(&again));
+            self.desk.iter_mut().for_each(|desk| desk.not_begun(&again));
+            return false;
         };
         if let Err(error) = self.journal.taken_again(id, taken.clone(), again) {
             log!(self.system, "undeliverable: record {} is not sent again: {error}", again.record);
             self.tenants.released(&taken.tenant);
-            return self.desk.iter_mut().for_each(|desk| desk.not_begun(&again));
+            self.desk.iter_mut().for_each(|desk| desk.not_begun(&again));
+            return false;
         }
         self.hand.restored(id, &taken);
         self.desk.iter_mut().for_each(|desk| desk.begun(id, again));
         let past =
             again.past.map(|past| PastAttempt { sent: past.sent, zone: past.zone, may_have_run: true });
         self.events.push(Event::Again { message, attempts: past.into_iter().collect() });
+        true
     }
 
     fn message(&self, id: MessageId, taken: &Taken, tenant: TenantId) -> Option<Message> {
--- a/crates/relay/src/undeliverable/mod.rs
+++ b/crates/relay/src/undeliverable/mod.rs
@@ -426,6 +426,8 @@
         }
         self.out.remove(&id);
         self.ends.remove(&id);
+        // What its partner said before says nothing of this attempt.
+        self.asked.remove(&again.record);
         self.batch_ended(&by, delivered);
         true
     }
@@ -442,12 +444,19 @@
 
     /// A resend could not be handed over.
     pub fn not_begun(&mut self, again: &Again) {
-        self.with(|store| {
+        let by = self.with(|store| {
             store.change(again.record, |record| {
-                let _: () = record.not_begun();
-                Ok::<_, Refusal>(())
+                let by = match &record.state {
+                    State::Sending { by, .. } => by.clone(),
+                    _ => String::new(),
+                };
+                record.not_begun();
+                Ok::<_, Refusal>(by)
             })
         });
+        if let Some(Some(Ok(by))) = by {
+            self.batch_ended(&by, false);
+        }
     }
 
     /// The resend is in the journal under this number.
--- a/crates/relay/tests/openapi.rs
+++ b/crates/relay/tests/openapi.rs
@@ -54,7 +54,7 @@
             assert!(responses.keys().any(|status| status.starts_with('2')), "{method} {path}");
         }
     }
-    assert_eq!(operations.len(), 13);
+    assert_eq!(operations.len(), 30);
     // What is answered is what the document says, and what it says may be sent is taken.
     let is = |name: &str, value: &Value| {
         let schema = schema(&document, &format!("/components/schemas/{name}"));
--- a/crates/undeliverable/src/record.rs
+++ b/crates/undeliverable/src/record.rs
@@ -276,6 +276,9 @@
     /// It may not be sent again as things stand.
     #[error("the message may not be sent again: {0}")]
     Need(crate::decide::Need),
+    /// The relay could not take it on once more; the record is open again.
+    #[error("its class or tenant is gone, a message of its name is in hand, or the journal is full")]
+    NotHandedOver,
     /// What was given is of no use.
     #[error("{0}")]
     Malformed(&'static str),
