--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -387,7 +387,9 @@
         for id in desk.kept_ends(ended.into_iter()) {
             self.over(id);
         }
-        resends.into_iter().for_each(|resend| drop(self.resend(now, resend)));
+        for resend in resends {
+            self.resend(now, resend);
+        }
     }
 
     fn undeliverable(&mut self, news: News) {
