--- a/crates/admin/src/undeliverable.rs
+++ b/crates/admin/src/undeliverable.rs
@@ -51,6 +51,7 @@
         Refusal::Sending => problem(StatusCode::CONFLICT, "record-sending"),
         Refusal::Closed(_) => problem(StatusCode::CONFLICT, "record-closed"),
         Refusal::Need(need) => problem(StatusCode::CONFLICT, need.word()),
+        Refusal::Resting => problem(StatusCode::TOO_MANY_REQUESTS, "record-resting"),
         Refusal::NotHandedOver => problem(StatusCode::CONFLICT, "not-handed-over"),
         Refusal::Malformed(_) => problem(StatusCode::UNPROCESSABLE_ENTITY, "invalid-value"),
     }
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -305,11 +305,11 @@
                     self.again_over(id, &message);
                     continue;
                 };
-                if desk.is_closed(&again) {
+                if desk.is_closed(&again, &message.taken.name) {
                     self.over(id);
                     continue;
                 }
-                desk.restored(id, again);
+                desk.restored(id, again, &message.taken.name, self.clock.now());
             } else if message.verdict == Some(Verdict::Undeliverable) {
                 // The store may not have it yet.
                 self.given_up(&message);
@@ -346,8 +346,8 @@
         let now = self.clock.now();
         let (class, most) = (self.class_of(message), self.config.settings.max_attempts);
         if let (Some(desk), Some(again), Some(verdict)) = (&mut self.desk, message.again, message.verdict) {
-            if !desk.is_closed(&again) {
-                desk.restored(id, again);
+            if !desk.is_closed(&again, &message.taken.name) {
+                desk.restored(id, again, &message.taken.name, now);
                 if !desk.came_back(id, message, class.as_ref(), verdict, most, now) {
                     return;
                 }
@@ -447,7 +447,7 @@
             return false;
         }
         self.hand.restored(id, &taken);
-        self.desk.iter_mut().for_each(|desk| desk.begun(id, again));
+        self.desk.iter_mut().for_each(|desk| desk.begun(id, again, &taken.name));
         let past =
             again.past.map(|past| PastAttempt { sent: past.sent, zone: past.zone, may_have_run: true });
         self.events.push(Event::Again { message, attempts: past.into_iter().collect() });
--- a/crates/relay/src/undeliverable/mod.rs
+++ b/crates/relay/src/undeliverable/mod.rs
@@ -52,6 +52,10 @@
 const ASK_AGAIN: Micros = 10_000_000;
 /// Whoever finds too much under way comes again after this, in milliseconds.
 const COME_AGAIN: u64 = 200;
+/// A record is not sent again before its last call, which is called off when its message is given up, has surely ended.
+const REST: Micros = 1_000_000;
+/// Spoilt stores that a process puts aside; past that what is given up is not kept until an operator has looked.
+const MOST_ASIDE: u32 = 4;
 
 /// What the relay has to spare.
 #[derive(Clone, Copy, Debug)]
@@ -81,9 +85,20 @@
     pub taken: Taken,
 }
 
+#[derive(Clone)]
 struct Out {
     again: Again,
     by: String,
+    /// The message's name. A store that was begun anew gives the same number to another record.
+    name: String,
+}
+
+impl Out {
+    /// Whether a record is the one that is out, and still is.
+    fn is(&self, record: &Record) -> bool {
+        let sending = matches!(record.state, State::Sending { .. });
+        sending && record.resends == self.again.number && record.origin.name == self.name
+    }
 }
 
 /// The desk of undeliverable messages.
@@ -95,6 +110,8 @@
     store: Option<Store>,
     trouble: Option<String>,
     reopen: Instant,
+    /// Spoilt stores put aside so far.
+    aside: u32,
     /// Given up and not kept yet.
     fresh: Vec<(Record, Bytes)>,
     lost: u64,
@@ -111,6 +128,8 @@
     /// Partners that are being asked or were lately, and when.
     asked: BTreeMap<RecordId, Micros>,
     asking: BTreeSet<RecordId>,
+    /// Records that rest until then.
+    resting: BTreeMap<RecordId, Micros>,
     look: Instant,
     drop: Instant,
 }
@@ -119,7 +138,8 @@
 #[derive(Clone, Debug)]
 enum End {
     Delivered,
-    Back(Vec<Attempt>, Option<Reason>),
+    /// Its attempts, why it failed, and what is kept of it if its record is gone.
+    Back(Vec<Attempt>, Option<Reason>, Box<(Record, Bytes)>),
 }
 
 fn effect(class: &Class) -> record::Effect {
@@ -188,6 +208,7 @@
             store: None,
             trouble: None,
             reopen: now,
+            aside: 0,
             fresh: Vec::new(),
             lost: 0,
             batches: BTreeMap::new(),
@@ -199,6 +220,7 @@
             ends: BTreeMap::new(),
             asked: BTreeMap::new(),
             asking: BTreeSet::new(),
+            resting: BTreeMap::new(),
             look: now,
             drop: now,
         };
@@ -224,28 +246,42 @@
                     log!(self.system, "undeliverable: the store can be used again");
                 }
             }
-            Err(error) => self.broken(&error),
+            Err(error) => {
+                self.broken(&error);
+                if matches!(error, Error::Corrupt(_)) {
+                    self.put_aside();
+                }
+            }
         }
     }
 
-    /// The store can't be used. Spoilt, it is put aside and a new one begun: what it held can't be told truly.
+    /// The store can't be used for now.
     fn broken(&mut self, error: &Error) {
-        let first = self.trouble.is_none();
-        if first {
+        if self.trouble.is_none() {
             log!(self.system, "undeliverable: {error}");
         }
         self.store = None;
-        if !first && self.out.is_empty() && self.ends.is_empty() {
-            let aside = self.path.with_extension("spoilt");
-            match self.system.rename(&self.path, &aside) {
-                Ok(()) => {
-                    log!(self.system, "undeliverable: the store is put aside as {}", aside.display());
-                    self.batches.clear();
-                }
-                Err(e) => log!(self.system, "undeliverable: the store can't be put aside: {e}"),
+        self.trouble = Some(error.to_string());
+    }
+
+    /// A store that is spoilt is kept for whoever can read it, and a new one is begun: what it held can't be told
+    /// truly. Resends that are out find their records gone.
+    fn put_aside(&mut self) {
+        if self.aside >= MOST_ASIDE {
+            return;
+        }
+        self.aside += 1;
+        let name = format!("spoilt-{}", self.system.unix_time().as_secs());
+        let aside = self.path.with_extension(name);
+        match self.system.rename(&self.path, &aside) {
+            Ok(()) => {
+                log!(self.system, "undeliverable: the store is put aside as {}", aside.display());
+                self.batches.clear();
+                self.changed.clear();
+                self.looked = 0;
             }
+            Err(e) => log!(self.system, "undeliverable: the store can't be put aside: {e}"),
         }
-        self.trouble = Some(error.to_string());
     }
 
     /// What the store gives, or nothing and the trouble is noted.
@@ -279,8 +315,9 @@
         self.look
     }
 
-    /// After the start: what the journal holds of resends goes on, and what is being sent by the store's word and is
-    /// not in the journal was not begun.
+    /// After the start: what the journal holds of resends goes on. What is being sent by the store's word and is not in
+    /// the journal was most likely not begun; but a store whose newest change was torn or spoilt opens as it was before
+    /// that, and then its end may be what is missing. It is a doubt.
     pub fn settle(&mut self, now: Micros) {
         let held: BTreeSet<(RecordId, u32)> =
             self.out.values().map(|out| (out.again.record, out.again.number)).collect();
@@ -292,7 +329,7 @@
                     let by = record.state.clone();
                     self.with(|store| {
                         store.change(*id, |record| {
-                            let _: () = record.not_begun();
+                            record.lost_sight(now);
                             Ok::<_, Refusal>(())
                         })
                     });
@@ -312,20 +349,26 @@
     }
 
     /// A resend from before the restart goes on.
-    pub fn restored(&mut self, id: MessageId, again: Again) {
-        let found = self.with(|store| store.find(again.record)).flatten();
-        let by = match found.map(|record| record.state) {
-            Some(State::Sending { by, .. }) => by,
-            _ => String::new(),
-        };
-        self.out.insert(id, Out { again, by });
+    pub fn restored(&mut self, id: MessageId, again: Again, name: &str, now: Micros) {
+        // The journal is right where the store has gone back.
+        self.with(|store| {
+            store.change(again.record, |record| {
+                if record.origin.name == name {
+                    record.resume("", again.number, now);
+                }
+                Ok::<_, Refusal>(())
+            })
+        });
+        self.begun(id, again, name);
     }
 
     /// Whether a resend from the journal has its end in the store already: it must not be made again.
-    pub fn is_closed(&mut self, again: &Again) -> bool {
+    pub fn is_closed(&mut self, again: &Again, name: &str) -> bool {
         let found = self.with(|store| store.find(again.record)).flatten();
         found.is_some_and(|record| {
-            !matches!(record.state, State::Sending { .. }) || record.resends != again.number
+            let sending = matches!(record.state, State::Sending { .. });
+            let known = record.resends == again.number && !sending || record.resends > again.number;
+            record.origin.name == name && (known || matches!(record.state, State::Closed(..)))
         })
     }
 
@@ -333,6 +376,14 @@
     pub fn given_up(
         &mut self, owed: &Owed, class: Option<&Class>, abandoned: bool, most_attempts: usize, now: Micros,
     ) {
+        let record = self.record(owed, class, abandoned, most_attempts, now);
+        self.fresh(record, owed.taken.body.clone());
+    }
+
+    /// The record of a message that was given up.
+    fn record(
+        &self, owed: &Owed, class: Option<&Class>, abandoned: bool, most_attempts: usize, now: Micros,
+    ) -> Record {
         let taken = &owed.taken;
         let origin = Origin {
             name: taken.name.clone(),
@@ -343,7 +394,7 @@
             order: taken.order,
             due: taken.due,
         };
-        let record = Record {
+        Record {
             origin,
             effect: class.map_or(record::Effect::Unsafe, effect),
             size: taken.body.len() as u32,
@@ -354,7 +405,10 @@
             state: State::Open,
             version: 1,
             resends: 0,
-        };
+        }
+    }
+
+    fn fresh(&mut self, record: Record, body: Bytes) {
         if self.fresh.len() >= MOST_FRESH {
             self.fresh.remove(0);
             self.lost += 1;
@@ -362,7 +416,7 @@
                 log!(self.system, "undeliverable: {} messages could not be kept", self.lost);
             }
         }
-        self.fresh.push((record, taken.body.clone()));
+        self.fresh.push((record, body));
     }
 
     /// Keeps what was given up. Must have been called before the journal forgets any of it.
@@ -373,12 +427,25 @@
         let fresh = std::mem::take(&mut self.fresh);
         let all: Vec<(Record, &[u8])> =
             fresh.iter().map(|(record, body)| (record.clone(), &body[..])).collect();
-        if self.with(|store| store.keep(&all)).is_none() {
-            self.fresh = fresh;
+        match self.with(|store| store.keep(&all)) {
+            Some(numbers) => self.rest(&numbers),
+            None => self.fresh = fresh,
         }
     }
 
-    /// Whether all that was given up is kept, or can't be.
+    fn rest(&mut self, records: &[RecordId]) {
+        let now = self.system.unix_time().as_micros() as Micros;
+        self.resting.retain(|_, until| *until > now && *until <= now + REST);
+        self.resting.extend(records.iter().map(|id| (*id, now + REST)));
+    }
+
+    /// Whether it is too early to send a record again; a clock that was set back ends a rest, which is done anew.
+    fn rests(&self, id: RecordId) -> bool {
+        let now = self.system.unix_time().as_micros() as Micros;
+        self.resting.get(&id).is_some_and(|until| *until > now && *until <= now + REST)
+    }
+
+    /// Whether a message is a resend.
     pub fn is_resend(&self, id: MessageId) -> bool {
         self.out.contains_key(&id)
     }
@@ -402,30 +469,49 @@
     ) -> bool {
         let failed = matches!(verdict, Verdict::Undeliverable) || owed.attempts.len() >= most_attempts;
         let why = failed.then(|| reason(owed, class, false, most_attempts, now));
-        self.end(id, End::Back(story(owed), why), now)
+        let mut whole = owed.clone();
+        whole.again = None;
+        let kept = self.record(&whole, class, false, most_attempts, now);
+        self.end(id, End::Back(story(owed), why, Box::new((kept, owed.taken.body.clone()))), now)
     }
 
     fn end(&mut self, id: MessageId, end: End, now: Micros) -> bool {
         let Some(out) = self.out.get(&id) else { return true };
+        let out = out.clone();
         let (again, by) = (out.again, out.by.clone());
         let delivered = matches!(end, End::Delivered);
         let change = |record: &mut Record| {
             // Another resend's end, or a closed record: this end was kept before a restart.
-            if matches!(record.state, State::Sending { .. }) && record.resends == again.number {
+            let theirs = record.origin.name == out.name;
+            if out.is(record) {
                 match &end {
                     End::Delivered => record.close(Closed::Delivered, now),
-                    End::Back(attempts, why) => record.came_back(attempts.clone(), *why),
+                    End::Back(attempts, why, _) => record.came_back(attempts.clone(), *why),
                 }
             }
-            Ok::<_, Refusal>(())
+            Ok::<_, Refusal>(theirs)
         };
-        // A record that is gone has nothing to be kept.
-        if self.store.is_none() || self.with(|store| store.change(again.record, change)).is_none() {
-            self.ends.insert(id, end);
-            return false;
+        let kept = self.store.as_ref().map(|store| store.change(again.record, change));
+        match kept {
+            Some(Ok(Some(Ok(true)))) => {}
+            // The record is gone with a store that was put aside: what is known of the message is kept anew.
+            Some(Ok(_)) => {
+                if let End::Back(_, _, kept) = end {
+                    self.fresh(kept.0, kept.1);
+                    self.keep();
+                }
+            }
+            other => {
+                if let Some(Err(error)) = other {
+                    self.broken(&error);
+                }
+                self.ends.insert(id, end);
+                return false;
+            }
         }
         self.out.remove(&id);
         self.ends.remove(&id);
+        self.rest(&[again.record]);
         // What its partner said before says nothing of this attempt.
         self.asked.remove(&again.record);
         self.batch_ended(&by, delivered);
@@ -460,18 +546,22 @@
     }
 
     /// The resend is in the journal under this number.
-    pub fn begun(&mut self, id: MessageId, again: Again) {
-        let by = match self.with(|store| store.find(again.record)).flatten().map(|record| record.state) {
-            Some(State::Sending { by, .. }) => by,
-            _ => String::new(),
-        };
-        self.out.insert(id, Out { again, by });
+    pub fn begun(&mut self, id: MessageId, again: Again, name: &str) {
+        let mut out = Out { again, by: String::new(), name: name.into() };
+        let found = self.with(|store| store.find(again.record)).flatten().filter(|record| out.is(record));
+        if let Some(State::Sending { by, .. }) = found.map(|record| record.state) {
+            out.by = by;
+        }
+        self.out.insert(id, out);
     }
 
     /// Makes a record ready to be sent again, if it may be.
     fn start(
         &mut self, id: RecordId, sender: &str, who: &str, version: Option<u32>, now: Micros,
     ) -> Option<Result<Resend, Refusal>> {
+        if self.rests(id) {
+            return Some(Err(Refusal::Resting));
+        }
         let terms = self.terms(now);
         let found = self.with(|store| {
             let Some(body) = store.body(id)? else { return Ok(None) };
@@ -571,8 +661,8 @@
                         self.batches.get_mut(&name).into_iter().for_each(|batch| batch.sent(id));
                     }
                     Some(Err(refusal)) => {
-                        // The batch waits while the partner is asked.
-                        if self.look_into(id, &refusal, now) {
+                        // The batch waits while the partner is asked, or the last call ends.
+                        if refusal == Refusal::Resting || self.look_into(id, &refusal, now) {
                             break;
                         }
                         self.batches.get_mut(&name).into_iter().for_each(|batch| batch.passed_over(id));
@@ -595,6 +685,9 @@
                 self.looked = id - 1;
                 return;
             }
+            if self.rests(id) {
+                continue;
+            }
             let Some(rule) = self.rules.wanting(&record, &self.partners, now) else { continue };
             // Whether it may go is looked at before the rule's turn is used up.
             if let Err(need) = may_go(&record, &self.terms(now)) {
--- a/crates/sim/src/checker.rs
+++ b/crates/sim/src/checker.rs
@@ -8,7 +8,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use crate::rules::facts::{CallName, Called, Facts, Rules, Seen, Verdict};
+use crate::rules::facts::{CallName, Called, Facts, Repeat, Rules, Seen, Verdict};
 use crate::rules::returns::Returns;
 use crate::rules::{self, Rule};
 
@@ -58,6 +58,12 @@
     pub opened: u64,
     /// Connections that one host held at the most.
     pub most_open: u64,
+    /// Records of messages that were given up, as shown at the end.
+    pub records: u64,
+    /// Of those, the ones whose message a resend has delivered.
+    pub resent: u64,
+    /// Of those, the ones that were found to have taken effect before.
+    pub applied_before: u64,
 }
 
 /// A relay, with what passed round it and the rules that it is judged by.
@@ -88,6 +94,11 @@
         self.breach.as_ref()
     }
 
+    /// The repeat rule of a message that was handed in.
+    pub fn repeat_of(&self, id: &str) -> Option<Repeat> {
+        self.lanes.iter().find_map(|lane| lane.facts.messages.get(id)).map(|message| message.handed.repeat)
+    }
+
     /// Messages that were taken on and have no end yet.
     pub fn open(&self) -> usize {
         self.lanes.iter().map(|lane| lane.facts.open.len()).sum()
@@ -138,6 +149,11 @@
                 counts.opened += 1;
                 counts.most_open = counts.most_open.max(*now as u64);
             }
+            Seen::RecordShown(_, state) => {
+                counts.records += 1;
+                counts.resent += u64::from(*state == "delivered");
+                counts.applied_before += u64::from(*state == "applied-before");
+            }
             Seen::Answers(_, Verdict::NeverRan(_)) => counts.turned_away += 1,
             Seen::Called(..) => counts.calls += 1,
             Seen::Answered(id, line) => {
--- /dev/null
+++ b/crates/sim/src/faults/kept.rs
@@ -0,0 +1,56 @@
+//! What strikes the store of undeliverable messages.
+
+use std::time::Duration;
+
+use super::{Scene, Trouble};
+use crate::dice::Dice;
+use crate::kept::store;
+
+/// SIGKILL so many effects after an operator's next change is sent: between the claim, the journal and the call.
+#[derive(Debug)]
+pub(super) struct KillInResend(u64, u64);
+
+impl KillInResend {
+    pub fn draw(dice: &mut Dice) -> Self {
+        KillInResend(dice.below(80), dice.between(300, 1_500))
+    }
+}
+
+impl Trouble for KillInResend {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.down_for(Duration::from_millis(self.1));
+        scene.strike_at_change(self.0);
+    }
+}
+
+/// Bits of the store's file are flipped while the relay is down.
+#[derive(Debug)]
+pub(super) struct SpoiltStore(Vec<u64>);
+
+impl SpoiltStore {
+    pub fn draw(dice: &mut Dice) -> Self {
+        SpoiltStore((0..dice.between(1, 8)).map(|_| dice.below(1 << 40)).collect())
+    }
+}
+
+impl Trouble for SpoiltStore {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.machine().kill(scene.process());
+        let flip = |at: &u64| scene.machine().disk(scene.relay(), |disk| disk.flip_page(&store(), *at));
+        self.0.iter().for_each(flip);
+    }
+}
+
+/// The store's disk takes no more for a while.
+#[derive(Debug)]
+pub(super) struct StoreFull;
+
+impl Trouble for StoreFull {
+    fn begins(&self, scene: &mut dyn Scene, _: Duration) {
+        scene.machine().disk(scene.relay(), |disk| disk.fill_pages(true));
+    }
+
+    fn ends(&self, scene: &mut dyn Scene) {
+        scene.machine().disk(scene.relay(), |disk| disk.fill_pages(false));
+    }
+}
--- a/crates/sim/src/faults/mod.rs
+++ b/crates/sim/src/faults/mod.rs
@@ -1,6 +1,7 @@
 //! What goes wrong on a day. A fault knows how to draw and to apply itself; it reaches the world through a scene.
 
 mod fleet;
+mod kept;
 mod listing;
 mod partners;
 mod process;
@@ -144,6 +145,20 @@
     (0..dice.between(0, 2)).map(|_| fault(dice)).collect()
 }
 
+/// Up to three faults that strike the store of undeliverable messages, each with whether it may lose records.
+pub fn of_kept(dice: &mut Dice) -> Vec<(Fault, bool)> {
+    let fault = |dice: &mut Dice| {
+        let from = dice.between(2_000, 20_000);
+        let (span, spoils, trouble): (u64, bool, Rc<dyn Trouble>) = match dice.below(10) {
+            0..=6 => (1, false, Rc::new(kept::KillInResend::draw(dice))),
+            7 => (1, true, Rc::new(kept::SpoiltStore::draw(dice))),
+            _ => (dice.between(500, 4_000), true, Rc::new(kept::StoreFull)),
+        };
+        (Fault { from, until: from + span, relay: 0, trouble }, spoils)
+    };
+    (0..dice.between(0, 3)).map(|_| fault(dice)).collect()
+}
+
 /// What befalls several relays: each fault of the day strikes one of them, and up to two more strike some apart
 /// from the others.
 pub fn of_fleet(dice: &mut Dice, faults: &mut Vec<Fault>, relays: u64, blocks: &[u16]) {
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dice;
 pub mod faults;
 pub mod hosted;
+pub mod kept;
 mod loopback;
 pub mod machine;
 pub mod peers;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -196,6 +196,14 @@
         sum(|r| r.counts.deferred),
         sum(|r| r.counts.restarts),
     );
+    let records = sum(|r| r.counts.records);
+    if records > 0 {
+        println!(
+            "{records} records of given-up messages, {} delivered by a resend, {} had taken effect before",
+            sum(|r| r.counts.resent),
+            sum(|r| r.counts.applied_before),
+        );
+    }
     let mut digests = std::hash::DefaultHasher::new();
     for (seed, report) in reports {
         std::hash::Hash::hash(&(seed, &report.digest), &mut digests);
--- a/crates/sim/src/peers/hosts.rs
+++ b/crates/sim/src/peers/hosts.rs
@@ -11,6 +11,7 @@
 use madderpitch_seam::{Listener, Stream, System};
 use tokio::io::AsyncWriteExt;
 
+use super::ledger::Ledger;
 use super::{read_request, until_closed, Numbered, Request, Stage};
 use crate::dice::Dice;
 use crate::rules::facts::{CallName, Called, Seen, Verdict};
@@ -83,6 +84,8 @@
     open: Cell<usize>,
     /// What it reports as left of its allowance, and since when.
     left: Cell<(Duration, f64)>,
+    /// Where it books what took effect, on days on which that is asked for.
+    pub ledger: RefCell<Option<Ledger>>,
 }
 
 impl Host {
@@ -101,6 +104,7 @@
             taken: RefCell::default(),
             open: Cell::new(0),
             left: Cell::new((Duration::ZERO, 1.0)),
+            ledger: RefCell::default(),
         })
     }
 
@@ -138,6 +142,7 @@
                 continue;
             };
             if self.mood.borrow().down {
+                self.book(stage, &called, false);
                 stage.see(&Seen::Closed(&name));
                 return Ok(());
             }
@@ -146,7 +151,7 @@
                     "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
                 return self.write(stage, &mut stream, &name, Verdict::NeverRan(Duration::ZERO), text).await;
             }
-            let kept = self.answer(stage, &mut stream, &name).await;
+            let kept = self.answer(stage, &mut stream, &name, &called).await;
             if !matches!(kept, Ok(true)) {
                 stage.see(&Seen::Closed(&name));
                 kept?;
@@ -211,15 +216,23 @@
         format!("Endpoint-Load-Metrics: x0={left:.3},x1={limit:.1}\r\n")
     }
 
+    /// A call that was not turned away takes effect, or may.
+    fn book<S: System>(&self, stage: &Stage<S>, called: &Called, well: bool) {
+        if let Some(ledger) = &*self.ledger.borrow() {
+            ledger.arrives(stage, called, well);
+        }
+    }
+
     /// Answers a call; false if the connection is of no further use.
     async fn answer<S: System>(
-        &self, stage: &Stage<S>, stream: &mut S::Stream, name: &CallName,
+        &self, stage: &Stage<S>, stream: &mut S::Stream, name: &CallName, called: &Called,
     ) -> io::Result<bool>
     where
         S::Stream: Numbered,
     {
         let mood = self.mood.borrow().clone();
         if mood.hangs {
+            self.book(stage, called, false);
             until_closed(stream).await;
             return Ok(false);
         }
@@ -245,6 +258,9 @@
         let (takes, fails, spoils) = self.draw(|dice| {
             (dice.between(mood.takes.0, mood.takes.1), dice.percent(mood.fails), dice.percent(mood.spoils))
         });
+        if !spoils {
+            self.book(stage, called, !fails);
+        }
         // A relay that gives the call up closes its connection meanwhile.
         tokio::select! {
             biased;
@@ -252,7 +268,7 @@
             () = until_closed(stream) => return Ok(false),
         }
         if spoils {
-            return self.spoil(stage, stream, name).await;
+            return self.spoil(stage, stream, name, called).await;
         }
         if fails {
             let text = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
@@ -307,7 +323,7 @@
 
     /// An answer that is not as it should be. What it says in its first line is still true.
     async fn spoil<S: System>(
-        &self, stage: &Stage<S>, stream: &mut S::Stream, name: &CallName,
+        &self, stage: &Stage<S>, stream: &mut S::Stream, name: &CallName, called: &Called,
     ) -> io::Result<bool>
     where
         S::Stream: Numbered,
@@ -335,6 +351,7 @@
                 (Verdict::Delivered, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nabc")
             }
         };
+        self.book(stage, called, verdict == Verdict::Delivered);
         stage.see(&Seen::Answers(name, verdict));
         stream.write_all(text).await?;
         if matches!(kind, 4 | 6) {
--- a/crates/sim/src/peers/mod.rs
+++ b/crates/sim/src/peers/mod.rs
@@ -5,6 +5,8 @@
 pub mod clients;
 pub mod discovery;
 pub mod hosts;
+pub mod ledger;
+pub mod operators;
 
 use std::cell::RefCell;
 use std::io;
--- a/crates/sim/src/rules/effects.rs
+++ b/crates/sim/src/rules/effects.rs
@@ -21,6 +21,10 @@
                     let what = format!("{id} came to {host} while a call of {since:.3} is out");
                     broken.push(("one at a time", what));
                 }
+                // A resend is judged by what took effect.
+                if facts.rules.kept {
+                    return;
+                }
                 let ran = message.calls.iter().find(|c| c.may_have_run());
                 match (message.handed.repeat, ran) {
                     (Repeat::Unsafe, Some(first)) => {
--- a/crates/sim/src/rules/facts.rs
+++ b/crates/sim/src/rules/facts.rs
@@ -53,6 +53,10 @@
     pub beside: usize,
     /// Tenants with their weights, on days that have several.
     pub tenants: Vec<(String, u64)>,
+    /// What is given up is kept and sent again.
+    pub kept: bool,
+    /// The store of what was given up is struck, so that records may be lost.
+    pub store_spoilt: bool,
 }
 
 /// A message as its client hands it in.
@@ -304,6 +308,12 @@
         /// It, if it is there.
         standing: Option<&'a Standing>,
     },
+    /// A message took effect at its partner, for so many times by now.
+    Applied(&'a str, u32),
+    /// A record of a message that was given up is shown, in this state.
+    RecordShown(&'a str, &'a str),
+    /// All records were shown.
+    AllRecordsShown,
     /// It is time to look at what must have happened by now.
     Pass,
 }
@@ -491,6 +501,9 @@
             | Seen::TenantTold { .. }
             | Seen::TenantUnanswered { .. }
             | Seen::TenantShown { .. }
+            | Seen::Applied(..)
+            | Seen::RecordShown(..)
+            | Seen::AllRecordsShown
             | Seen::Pass => {}
         }
     }
--- a/crates/sim/src/rules/mod.rs
+++ b/crates/sim/src/rules/mod.rs
@@ -6,6 +6,7 @@
 mod drains;
 mod effects;
 mod ends;
+mod kept;
 mod lost;
 mod order;
 mod process;
@@ -46,6 +47,7 @@
         Box::new(order::Order::default()),
         Box::new(process::Process),
         Box::new(lost::Lost::default()),
+        Box::new(kept::Kept::default()),
         Box::new(tenants::Tenants::default()),
         Box::new(shares::Shares::default()),
     ]
--- /dev/null
+++ b/crates/sim/tests/kept.rs
@@ -0,0 +1,48 @@
+//! Days on which what is given up is kept and sent again: a fixed range of seeds, and each rule of theirs seen broken
+//! by a planted fault. Long ranges are the tool's (`run --days kept`).
+
+mod support;
+
+use madderpitch_sim::peers::admins::Rogue;
+use madderpitch_sim::script::{Days, Script};
+use madderpitch_sim::world::{play, Options};
+
+/// Days that broke a rule once: a store that opened as it was before its newest change hid a resend (1836), one that
+/// was spoilt while a resend was out stayed shut (61, 183), a resend came while the last call was being called off
+/// (3992).
+const MENDED: [u64; 4] = [1836, 61, 183, 3992];
+
+#[test]
+fn all_rules_hold_on_the_first_seeds() {
+    support::hold(Days::Kept, (0..200).chain(MENDED), 20);
+}
+
+#[test]
+fn resends_are_made_and_partners_words_close_records() {
+    let counts = (0..20).map(|seed| play(&Script::draw_kept(seed), Options::default()).counts);
+    let (resent, before) = counts.fold((0, 0), |sum, c| (sum.0 + c.resent, sum.1 + c.applied_before));
+    assert!(resent >= 20 && before >= 20, "{resent} resent, {before} found applied");
+}
+
+#[test]
+fn a_seed_gives_the_same_day_again() {
+    let digest = |seed| play(&Script::draw_kept(seed), Options::default()).digest;
+    let first: Vec<String> = (0..4).map(digest).collect();
+    let again: Vec<String> = (0..4).map(digest).collect();
+    assert_eq!(first, again);
+}
+
+fn caught(rule: &str, rogue: Rogue) {
+    let options = Options { rogue: Some(rogue), ..Options::default() };
+    support::seeds_until(Days::Kept, rule, 0..100, options, |_| {});
+}
+
+#[test]
+fn operators_who_attest_what_is_not_so_make_a_second_effect() {
+    caught("applied once", Rogue::Perjures);
+}
+
+#[test]
+fn a_record_that_is_missing_is_noticed() {
+    caught("accounted for", Rogue::Forgets);
+}
--- a/crates/undeliverable/src/record.rs
+++ b/crates/undeliverable/src/record.rs
@@ -276,6 +276,9 @@
     /// It may not be sent again as things stand.
     #[error("the message may not be sent again: {0}")]
     Need(crate::decide::Need),
+    /// The last call of its message may still be on its way to be called off.
+    #[error("its last call was given up a moment ago")]
+    Resting,
     /// The relay could not take it on once more; the record is open again.
     #[error("its class or tenant is gone, a message of its name is in hand, or the journal is full")]
     NotHandedOver,
@@ -368,6 +371,29 @@
         }
     }
 
+    /// A resend of which nobody knows any more what became of it, since some moment before now: it may have run at
+    /// any time between, so that both ends of that span stand in the story.
+    pub fn lost_sight(&mut self, now: Micros) {
+        let State::Sending { since, .. } = self.state else { return };
+        let resend = self.resends;
+        let doubt = |sent| Attempt {
+            sent,
+            host: String::new(),
+            outcome: Outcome::Unknown,
+            may_have_run: true,
+            resend,
+        };
+        self.came_back(vec![doubt(since.min(now)), doubt(now)], None);
+    }
+
+    /// The store has gone back to before a resend that is under way.
+    pub fn resume(&mut self, by: &str, number: u32, now: Micros) {
+        if self.resends < number && !matches!(self.state, State::Closed(..)) {
+            self.resends = number;
+            self.becomes(State::Sending { by: by.into(), since: now });
+        }
+    }
+
     /// A resend has ended without delivery; its attempts are added to the story.
     pub fn came_back(&mut self, attempts: Vec<Attempt>, reason: Option<Reason>) {
         if !matches!(self.state, State::Sending { .. }) {
@@ -425,6 +451,22 @@
         }
     }
 
+    #[test]
+    fn a_resend_that_is_lost_sight_of_is_a_doubt_from_its_beginning_until_now() {
+        let mut one = record(Effect::Safe, Vec::new());
+        one.begin("ann", 100);
+        one.lost_sight(900);
+        let told: Vec<_> = one.attempts.iter().map(|a| (a.sent, a.may_have_run, a.resend)).collect();
+        assert_eq!((one.state.clone(), told), (State::Open, vec![(100, true, 1), (900, true, 1)]));
+        one.lost_sight(950);
+        assert_eq!(one.attempts.len(), 2, "nothing is under way");
+        one.resume("ann", 3, 1000);
+        assert_eq!((one.state.word(), one.resends), ("sending", 3));
+        one.close(Closed::Delivered, 1001);
+        one.resume("ann", 4, 1002);
+        assert_eq!(one.state.word(), "delivered");
+    }
+
     #[test]
     fn words_of_reasons_are_read_back_and_are_as_serde_has_them() {
         for reason in Reason::ALL {
--- a/crates/undeliverable/src/store.rs
+++ b/crates/undeliverable/src/store.rs
@@ -107,6 +107,9 @@
     /// The database or its file gave an error. What was asked for was not done.
     #[error("the store of undeliverable messages: {0}")]
     Database(String),
+    /// The file is not what was written: nothing in it can be relied on.
+    #[error("the store of undeliverable messages is spoilt: {0}")]
+    Corrupt(String),
     /// A value can't be read.
     #[error("record {0} can't be read")]
     Spoilt(RecordId),
@@ -114,7 +117,14 @@
 
 impl<E: Into<redb::Error>> From<E> for Error {
     fn from(error: E) -> Self {
-        Error::Database(error.into().to_string())
+        use std::io::ErrorKind::{InvalidData, UnexpectedEof};
+        match error.into() {
+            redb::Error::Corrupted(what) => Error::Corrupt(what),
+            redb::Error::Io(e) if matches!(e.kind(), InvalidData | UnexpectedEof) => {
+                Error::Corrupt(e.to_string())
+            }
+            other => Error::Database(other.to_string()),
+        }
     }
 }
 
@@ -227,7 +237,7 @@
         });
         // A file of noise may be taken for anything.
         let database = std::panic::catch_unwind(opening)
-            .unwrap_or_else(|_| Err(Error::Database("the file can't be made sense of".into())))?;
+            .unwrap_or_else(|_| Err(Error::Corrupt("the file can't be made sense of".into())))?;
         Ok(Store { database, spoilt: Default::default() })
     }
 
