--- a/crates/relay/src/undeliverable/mod.rs
+++ b/crates/relay/src/undeliverable/mod.rs
@@ -564,9 +564,6 @@
     fn start(
         &mut self, id: RecordId, sender: &str, who: &str, version: Option<u32>, now: Micros,
     ) -> Option<Result<Resend, Refusal>> {
-        if self.rests(id) {
-            return Some(Err(Refusal::Resting));
-        }
         let terms = self.terms(now);
         // A look costs much less than a change that is not made.
         let looked = self.with(|store| store.find(id))?;
@@ -575,6 +572,9 @@
         if let Err(refusal) = free.and_then(|()| may_go(&record, &terms).map_err(Refusal::Need)) {
             return Some(Err(refusal));
         }
+        if self.rests(id) {
+            return Some(Err(Refusal::Resting));
+        }
         let found = self.with(|store| {
             let Some(body) = store.body(id)? else { return Ok(None) };
             let begun = store.change(id, |record| {
