Say once what a change of a record or a batch may be refused with

The eight handlers of such changes repeated five or four lines each of the document. They share two enums of answers now; the document, compared as JSON before and after, is the same.

--- a/crates/admin/src/undeliverable.rs
+++ b/crates/admin/src/undeliverable.rs
@@ -656,15 +656,50 @@
     Ok(([(CONTENT_TYPE, "application/octet-stream")], body).into_response())
 }
 
+/// Answers to a change of a record that was not made.
+#[derive(utoipa::IntoResponses)]
+#[allow(dead_code, reason = "the document is made from it")]
+enum RecordNotChanged {
+    /// It is being sent, closed, or may not be sent again; the type says which.
+    #[response(status = 409, content_type = "application/problem+json")]
+    Conflict(ProblemBody),
+    /// It is in another version, which current_version tells.
+    #[response(status = 412, content_type = "application/problem+json")]
+    Stale(ProblemBody),
+    /// Somebody else has claimed it.
+    #[response(status = 423, content_type = "application/problem+json")]
+    Claimed(ProblemBody),
+    /// Not as asked.
+    #[response(status = "4XX", content_type = "application/problem+json")]
+    Wrong(ProblemBody),
+    /// Not kept; harmless to ask again.
+    #[response(status = 503, content_type = "application/problem+json")]
+    NotKept(ProblemBody),
+}
+
+/// Answers to an order to a batch that was not followed.
+#[derive(utoipa::IntoResponses)]
+#[allow(dead_code, reason = "the document is made from it")]
+enum BatchNotChanged {
+    /// It is over.
+    #[response(status = 409, content_type = "application/problem+json")]
+    Over(ProblemBody),
+    /// It is in another version, which current_version tells.
+    #[response(status = 412, content_type = "application/problem+json")]
+    Stale(ProblemBody),
+    /// Not as asked.
+    #[response(status = "4XX", content_type = "application/problem+json")]
+    Wrong(ProblemBody),
+    /// Not kept; harmless to ask again.
+    #[response(status = 503, content_type = "application/problem+json")]
+    NotKept(ProblemBody),
+}
+
 /// Set a record aside for the one who asks: until the claim is over nobody else may change it. Role: operator.
 #[utoipa::path(post, path = "/v1/undeliverable/{id}/claim", tag = "undeliverable", params(("id" = u64, Path),
     ("If-Match" = String, Header, description = "The record's ETag, or * for any version.")), responses(
     (status = 200, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
-    (status = 409, description = "It is being sent, closed, or may not be sent again; the type says which.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 412, description = "It is in another version, which current_version tells.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 423, description = "Somebody else has claimed it.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
+    RecordNotChanged))]
 async fn claim_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
     api.act(&asked, id, Act::Claim, StatusCode::OK).await
 }
@@ -673,11 +708,7 @@
 #[utoipa::path(post, path = "/v1/undeliverable/{id}/release", tag = "undeliverable", params(("id" = u64, Path),
     ("If-Match" = String, Header, description = "The record's ETag, or * for any version.")), responses(
     (status = 200, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
-    (status = 409, description = "It is being sent, closed, or may not be sent again; the type says which.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 412, description = "It is in another version, which current_version tells.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 423, description = "Somebody else has claimed it.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
+    RecordNotChanged))]
 async fn release_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
     api.act(&asked, id, Act::Release, StatusCode::OK).await
 }
@@ -686,12 +717,8 @@
 #[utoipa::path(post, path = "/v1/undeliverable/{id}/resend", tag = "undeliverable", params(("id" = u64, Path),
     ("If-Match" = String, Header, description = "The record's ETag, or * for any version.")), responses(
     (status = 202, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
-    (status = 409, description = "It is being sent, closed, or may not be sent again; the type says which.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 412, description = "It is in another version, which current_version tells.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 423, description = "Somebody else has claimed it.", body = ProblemBody, content_type = "application/problem+json"),
     (status = 429, description = "Too much is sent again already, or live messages need the room; nothing was done.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
+    RecordNotChanged))]
 async fn resend_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
     api.act(&asked, id, Act::Resend, StatusCode::ACCEPTED).await
 }
@@ -700,11 +727,7 @@
 #[utoipa::path(post, path = "/v1/undeliverable/{id}/ask", tag = "undeliverable", params(("id" = u64, Path),
     ("If-Match" = String, Header, description = "The record's ETag, or * for any version.")), responses(
     (status = 202, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
-    (status = 409, description = "It is being sent, closed, or may not be sent again; the type says which.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 412, description = "It is in another version, which current_version tells.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 423, description = "Somebody else has claimed it.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
+    RecordNotChanged))]
 async fn ask_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
     api.act(&asked, id, Act::AskPartner, StatusCode::ACCEPTED).await
 }
@@ -713,11 +736,7 @@
 #[utoipa::path(post, path = "/v1/undeliverable/{id}/discard", tag = "undeliverable", params(("id" = u64, Path),
     ("If-Match" = String, Header, description = "The record's ETag, or * for any version.")), responses(
     (status = 200, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
-    (status = 409, description = "It is being sent, closed, or may not be sent again; the type says which.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 412, description = "It is in another version, which current_version tells.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 423, description = "Somebody else has claimed it.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
+    RecordNotChanged))]
 async fn discard_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
     api.act(&asked, id, Act::Discard, StatusCode::OK).await
 }
@@ -785,10 +804,7 @@
 #[utoipa::path(post, path = "/v1/undeliverable-batches/{name}/run", tag = "undeliverable", params(("name" = String, Path),
     ("If-Match" = String, Header, description = "The batch's ETag, or * for any version.")), responses(
     (status = 200, description = "The batch after.", body = ResendBatch, headers(("ETag" = String, description = "Its version."))),
-    (status = 409, description = "It is over.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 412, description = "It is in another version, which current_version tells.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
+    BatchNotChanged))]
 async fn run_batch(State(api): State<Api>, Path(name): Path<String>, asked: Asked) -> Answer {
     api.order(&asked, name, Order::Run).await
 }
@@ -797,10 +813,7 @@
 #[utoipa::path(post, path = "/v1/undeliverable-batches/{name}/pause", tag = "undeliverable", params(("name" = String, Path),
     ("If-Match" = String, Header, description = "The batch's ETag, or * for any version.")), responses(
     (status = 200, description = "The batch after.", body = ResendBatch, headers(("ETag" = String, description = "Its version."))),
-    (status = 409, description = "It is over.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 412, description = "It is in another version, which current_version tells.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
+    BatchNotChanged))]
 async fn pause_batch(State(api): State<Api>, Path(name): Path<String>, asked: Asked) -> Answer {
     api.order(&asked, name, Order::Pause).await
 }
@@ -809,10 +822,7 @@
 #[utoipa::path(post, path = "/v1/undeliverable-batches/{name}/cancel", tag = "undeliverable", params(("name" = String, Path),
     ("If-Match" = String, Header, description = "The batch's ETag, or * for any version.")), responses(
     (status = 200, description = "The batch after.", body = ResendBatch, headers(("ETag" = String, description = "Its version."))),
-    (status = 409, description = "It is over.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 412, description = "It is in another version, which current_version tells.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
-    (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
+    BatchNotChanged))]
 async fn cancel_batch(State(api): State<Api>, Path(name): Path<String>, asked: Asked) -> Answer {
     api.order(&asked, name, Order::Cancel).await
 }
