Decide a token's scope in one place, and show a token without tenants no record

Cause, found by reading: the filter of records had its own copy of the scope's patterns, in which no pattern meant every tenant, while the administration API lets a token stand with `tenants = []`. Such a token would have seen all records and ordered everybody's batches.

Change: Scope moves to crates/tenancy and is what the filter holds, absent for whoever may see all.

Measured: a loopback test with a token of no tenants sees no record, count or batch, and can't run one; the tests of tenancy and undeliverable pass.

--- a/crates/admin/src/undeliverable.rs
+++ b/crates/admin/src/undeliverable.rs
@@ -9,6 +9,7 @@
 use axum::Json;
 use madderpitch_exchange::undeliverable::{Act, Ask, Shown, Status, Told};
 use madderpitch_tenancy::audit::rfc3339;
+use madderpitch_tenancy::Scope;
 use madderpitch_undeliverable::batch::{self, Batch, Order, Spec};
 use madderpitch_undeliverable::record::{self, By, Effect, Says, Statement};
 use madderpitch_undeliverable::store::By as Group;
@@ -123,21 +124,14 @@
     }
 }
 
-fn all(caller: &Caller) -> bool {
-    caller.scope.0.iter().any(|pattern| pattern == "*")
-}
-
-fn scope(caller: &Caller) -> Vec<String> {
-    if all(caller) {
-        Vec::new()
-    } else {
-        caller.scope.0.clone()
-    }
+/// What of records the caller may see; none for all of them.
+fn scope(caller: &Caller) -> Option<Scope> {
+    (!caller.scope.covers_all()).then(|| caller.scope.clone())
 }
 
 /// Whether a batch is of the caller's tenants alone.
 fn theirs(caller: &Caller, batch: &Batch) -> bool {
-    all(caller) || batch.spec.filter.scope == caller.scope.0
+    caller.scope.covers_all() || batch.spec.filter.scope.as_ref() == Some(&caller.scope)
 }
 
 fn tagged(version: u32, mut response: Response) -> Response {
@@ -607,7 +601,7 @@
         "state" => Group::State,
         _ => return Err(Problem::malformed("by is none of destination, class, reason, tenant and state")),
     };
-    if by != Group::Tenant && !all(&caller) {
+    if by != Group::Tenant && !caller.scope.covers_all() {
         return Err(Problem::forbidden("these counts are of all tenants, the token is not"));
     }
     let Told::Counts(counts) = api.told(Ask::Counts(by)).await? else { return Err(unexpected()) };
@@ -628,7 +622,7 @@
     (status = 503, description = "Such messages are not kept.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn undeliverable_status(State(api): State<Api>, caller: Caller) -> Answer {
     caller.may(Role::Viewer)?;
-    if !all(&caller) {
+    if !caller.scope.covers_all() {
         return Err(Problem::forbidden("the store is that of all tenants, the token is not"));
     }
     let Told::Status(status) = api.told(Ask::Status).await? else { return Err(unexpected()) };
--- a/crates/exchange/src/tenants.rs
+++ b/crates/exchange/src/tenants.rs
@@ -2,22 +2,9 @@
 
 use madderpitch_tenancy::audit::Entry;
 use madderpitch_tenancy::registry::{Action, Command, Counts, Login, Refusal, Tenant, Version};
+pub use madderpitch_tenancy::Scope;
 use tokio::sync::oneshot;
 
-/// Which tenants somebody may see: names, or beginnings of names followed by `*`.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Scope(pub Vec<String>);
-
-impl Scope {
-    /// Whether a tenant of this name is among them.
-    pub fn covers(&self, name: &str) -> bool {
-        self.0.iter().any(|pattern| match pattern.strip_suffix('*') {
-            Some(beginning) => name.starts_with(beginning),
-            None => name == pattern,
-        })
-    }
-}
-
 /// What is asked.
 #[derive(Debug)]
 pub enum Ask {
--- a/crates/relay/src/hand.rs
+++ b/crates/relay/src/hand.rs
@@ -6,6 +6,7 @@
 
 use madderpitch_exchange::Reply;
 use madderpitch_policy::interface::MessageId;
+use madderpitch_tenancy::registry::name_of;
 use tokio::sync::oneshot;
 
 use crate::journal::Taken;
@@ -23,8 +24,8 @@
 impl Name {
     /// The name of a message that was handed in for a tenant.
     pub fn new(tenant: &str, name: &str) -> Self {
-        // The journal's word for a tenant has its generation behind a slash, which says nothing here.
-        let tenant = tenant.split('/').next().unwrap_or(tenant);
+        // The generation says nothing here.
+        let tenant = name_of(tenant);
         // No tenant's name has a line break.
         Name(format!("{tenant}\n{name}"))
     }
--- a/crates/relay/tests/undeliverable.rs
+++ b/crates/relay/tests/undeliverable.rs
@@ -103,10 +103,14 @@
         // Tenants as the platform has them, unless the test makes its own.
         let (tenants, admin) = admin.split_once("[admin]").expect("a section");
         let tenants = if more.contains("# hosted") { tenants } else { "" };
-        let others = "[[admin.tokens]]\nname = \"second\"\nrole = \"operator\"\nsha256 = \"";
-        let digest = madderpitch_tenancy::secret::Digest::of(token("second").as_bytes());
-        let second = format!("{others}{digest}\"\ntenants = [\"*\"]\n");
-        scene.operator = Some(format!("{tenants}[admin]{admin}[[admin.tokens]]{tokens}{second}{section}"));
+        let operator = |name: &str, scope: &str| {
+            let digest = madderpitch_tenancy::secret::Digest::of(token(name).as_bytes());
+            let head = format!("[[admin.tokens]]\nname = {name:?}\nrole = \"operator\"\n");
+            format!("{head}sha256 = \"{digest}\"\ntenants = [{scope}]\n")
+        };
+        let more_tokens = operator("second", "\"*\"") + &operator("nobodys", "");
+        scene.operator =
+            Some(format!("{tenants}[admin]{admin}[[admin.tokens]]{tokens}{more_tokens}{section}"));
         scene.start();
         let api = Api::new(&address, Some(&token("ops")));
         Desk { scene, api, address }
@@ -266,6 +270,12 @@
     // Counts and scopes.
     let counts = desk.api.get("/v1/undeliverable/counts?by=reason").body;
     assert_eq!(counts["items"], json!([{"value": "may-have-run", "records": 6}]));
+    for name in ["team", "nobodys"] {
+        let theirs = desk.as_of(name);
+        assert_eq!(theirs.get("/v1/undeliverable").body["items"], json!([]), "{name}");
+        assert_eq!(theirs.get(&format!("/v1/undeliverable/{id}")).status, 404, "{name}");
+        assert_eq!(theirs.get("/v1/undeliverable/counts?by=tenant").body["items"], json!([]), "{name}");
+    }
     let team = desk.as_of("team");
     assert_eq!(team.get("/v1/undeliverable").body["items"], json!([]));
     assert_eq!(team.get(&format!("/v1/undeliverable/{id}")).status, 404);
@@ -282,6 +292,10 @@
     let batch = json!({"name": "b", "filter": {"reason": "may-have-run"}});
     let batch = desk.api.ask("POST", "/v1/undeliverable-batches", &[JSON], &batch.to_string());
     assert_eq!(batch.status, 201);
+    let nobodys = desk.as_of("nobodys");
+    assert_eq!(nobodys.get("/v1/undeliverable-batches").body["items"], json!([]));
+    let run = nobodys.ask("POST", "/v1/undeliverable-batches/b/run", &[("if-match", "*")], "");
+    assert_eq!(run.status, 404);
     for (name, body) in [
         ("UndeliverablePage", &second),
         ("UndeliverableRecord", &desk.one(id)),
--- a/crates/tenancy/src/lib.rs
+++ b/crates/tenancy/src/lib.rs
@@ -7,9 +7,11 @@
 mod meter;
 pub mod record;
 pub mod registry;
+pub mod scope;
 pub mod secret;
 mod shares;
 pub mod spec;
 
 pub use registry::Registry;
+pub use scope::Scope;
 pub use shares::{Shares, MOST_CLOCKS};
--- a/crates/tenancy/src/registry.rs
+++ b/crates/tenancy/src/registry.rs
@@ -502,7 +502,7 @@
         Ok(entry)
     }
 
-    /// The tenant that a message was taken on for, by the journal's name for it.
+    /// The tenant that a message was taken on for, by the journal's name for it: see [`name_of`].
     pub fn recall(&mut self, reference: &str) -> Option<&mut Entry> {
         let (name, generation) = match reference.split_once('/') {
             Some((name, generation)) => (name, generation.parse().ok()?),
@@ -809,3 +809,8 @@
         }
     }
 }
+
+/// A tenant's name in the journal's word for it, which has its generation behind a slash.
+pub fn name_of(reference: &str) -> &str {
+    reference.split_once('/').map_or(reference, |(name, _)| name)
+}
--- a/crates/undeliverable/src/filter.rs
+++ b/crates/undeliverable/src/filter.rs
@@ -1,5 +1,6 @@
 //! Which records are meant.
 
+use madderpitch_tenancy::Scope;
 use serde::{Deserialize, Serialize};
 
 use crate::record::{Reason, Record, State};
@@ -16,8 +17,8 @@
     pub reason: Option<Reason>,
     /// Of this tenant.
     pub tenant: Option<String>,
-    /// Of tenants whose names fit one of these, which may end in `*`; of all if there are none.
-    pub scope: Vec<String>,
+    /// Of tenants that whoever asks may see.
+    pub scope: Option<Scope>,
     /// Given up at this moment or later.
     pub since: Option<Micros>,
     /// Given up before this moment.
@@ -37,7 +38,7 @@
             && self.class.as_ref().is_none_or(|wanted| *wanted == origin.class)
             && self.reason.is_none_or(|wanted| wanted == record.reason)
             && self.tenant.as_ref().is_none_or(|wanted| wanted == tenant)
-            && (self.scope.is_empty() || self.scope.iter().any(|pattern| covers(pattern, tenant)))
+            && self.scope.as_ref().is_none_or(|scope| scope.covers(tenant))
             && self.since.is_none_or(|since| record.ended >= since)
             && self.until.is_none_or(|until| record.ended < until)
             && self.may_have_run.is_none_or(|wanted| wanted == record.may_have_run())
@@ -50,13 +51,6 @@
     }
 }
 
-fn covers(pattern: &str, name: &str) -> bool {
-    match pattern.strip_suffix('*') {
-        Some(beginning) => name.starts_with(beginning),
-        None => name == pattern,
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -71,7 +65,7 @@
             class: Some("payout".into()),
             reason: Some(Reason::OutOfTime),
             tenant: Some("acme".into()),
-            scope: vec!["zeta".into(), "ac*".into()],
+            scope: Some(Scope(vec!["zeta".into(), "ac*".into()])),
             since: Some(5_000_000),
             until: Some(5_000_001),
             may_have_run: Some(true),
@@ -83,7 +77,8 @@
             Filter { class: Some("event".into()), ..all.clone() },
             Filter { reason: Some(Reason::GivenUp), ..all.clone() },
             Filter { tenant: Some("acme/2".into()), ..all.clone() },
-            Filter { scope: vec!["zeta".into()], ..all.clone() },
+            Filter { scope: Some(Scope(vec!["zeta".into()])), ..all.clone() },
+            Filter { scope: Some(Scope(Vec::new())), ..all.clone() },
             Filter { since: Some(5_000_001), ..all.clone() },
             Filter { until: Some(5_000_000), ..all.clone() },
             Filter { may_have_run: Some(false), ..all.clone() },
--- a/crates/undeliverable/src/record.rs
+++ b/crates/undeliverable/src/record.rs
@@ -1,5 +1,6 @@
 //! What is kept of a message that was given up, and how its state changes.
 
+use madderpitch_tenancy::registry::name_of;
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
@@ -226,7 +227,7 @@
 impl Origin {
     /// The tenant's name, without the generation that the journal adds.
     pub fn tenant_name(&self) -> &str {
-        self.tenant.split('/').next().unwrap_or(&self.tenant)
+        name_of(&self.tenant)
     }
 }
 
