Let the desk tell which ends it has kept, and settle a store whenever it is opened

A store that could not be used at the start and could later was not settled: records stood as being sent until the next restart. An unreadable record at a resend's end shut the whole store, again each second.

Change: the desk gives the ends it has kept; opening and settling belong together, and batches are counted once; a record that can't be read counts as gone, and what is known of the message is kept anew.

--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -379,14 +379,8 @@
     fn tend_desk(&mut self) {
         let (now, live) = (self.clock.now(), self.live());
         let Some(desk) = &mut self.desk else { return };
-        let resends = desk.tend(now, live);
-        // Ends that the store has taken by now; what the journal holds of them is done with.
-        let ended =
-            self.journal.all().iter().filter(|(_, owed)| owed.again.is_some() && owed.verdict.is_some());
-        let ended: Vec<MessageId> = ended.map(|(id, _)| *id).collect();
-        for id in desk.kept_ends(ended.into_iter()) {
-            self.over(id);
-        }
+        let (resends, ended) = desk.tend(now, live);
+        ended.into_iter().for_each(|id| self.over(id));
         for resend in resends {
             self.resend(now, resend);
         }
--- a/crates/relay/src/undeliverable/mod.rs
+++ b/crates/relay/src/undeliverable/mod.rs
@@ -229,21 +229,18 @@
             drop: now,
             keep_counts: now,
         };
-        desk.open(0);
+        desk.open();
         desk
     }
 
-    fn open(&mut self, now: Micros) {
+    fn open(&mut self) {
         self.reopen = self.system.now() + REOPEN;
         let pages = self.system.pages(&self.path).map_err(|e| Error::Database(e.to_string()));
         let opened = pages.and_then(|pages| Store::open(pages, self.set.sync));
         let opened = opened.and_then(|store| store.batches().map(|batches| (store, batches)));
         match opened {
             Ok((store, batches)) => {
-                for mut batch in batches {
-                    let sender = batch.sender();
-                    let out = self.out.values().filter(|out| out.by == sender).count() as u32;
-                    batch.restarted(out, now);
+                for batch in batches {
                     self.batches.entry(batch.spec.name.clone()).or_insert(batch);
                 }
                 self.store = Some(store);
@@ -320,8 +317,8 @@
         self.look
     }
 
-    /// After the start: what the journal holds of resends goes on. What is being sent by the store's word and is not in
-    /// the journal was most likely not begun; but a store whose newest change was torn or spoilt opens as it was before
+    /// After the store was opened: what the journal holds of resends goes on. What is being sent by the store's word and
+    /// is not in the journal was most likely not begun; but a store whose newest change was torn or spoilt opens as it was before
     /// that, and then its end may be what is missing. It is a doubt.
     pub fn settle(&mut self, now: Micros) {
         let held: BTreeSet<(RecordId, u32)> =
@@ -499,8 +496,9 @@
         let kept = self.store.as_ref().map(|store| store.change(again.record, change));
         match kept {
             Some(Ok(Some(Ok(true)))) => {}
-            // The record is gone with a store that was put aside: what is known of the message is kept anew.
-            Some(Ok(_)) => {
+            // The record can't be read, or is gone with a store that was put aside: what is known of the message is
+            // kept anew.
+            Some(Ok(_) | Err(Error::Spoilt(_))) => {
                 if let End::Back(_, _, kept) = end {
                     self.fresh(kept.0, kept.1);
                     self.keep();
@@ -515,7 +513,6 @@
             }
         }
         self.out.remove(&id);
-        self.ends.remove(&id);
         self.rest(&[again.record]);
         // What its partner said before says nothing of this attempt.
         self.asked.remove(&again.record);
@@ -600,17 +597,21 @@
         }))
     }
 
-    /// Looks after the store, batches and rules; gives what is to be sent now.
-    pub fn tend(&mut self, now: Micros, live: Live) -> Vec<Resend> {
+    /// Looks after the store, batches and rules; gives what is to be sent now, and the resends whose ends have been
+    /// kept meanwhile, so that the journal may forget them.
+    pub fn tend(&mut self, now: Micros, live: Live) -> (Vec<Resend>, Vec<MessageId>) {
         let at = self.system.now();
         self.look = at + LOOK;
         if self.store.is_none() && self.reopen <= at {
-            self.open(now);
+            self.open();
+            self.settle(now);
         }
         self.keep();
-        let waiting: Vec<(MessageId, End)> = self.ends.iter().map(|(id, end)| (*id, end.clone())).collect();
-        for (id, end) in waiting {
-            self.end(id, end, now);
+        let mut ended = Vec::new();
+        for (id, end) in std::mem::take(&mut self.ends) {
+            if self.end(id, end, now) {
+                ended.push(id);
+            }
         }
         if self.drop <= at {
             self.drop = at + DROP.0;
@@ -628,12 +629,7 @@
             self.run_rules(now, &mut resends);
         }
         self.keep_batches();
-        resends
-    }
-
-    /// Ends that have been kept meanwhile, so that the journal may forget them.
-    pub fn kept_ends(&self, owed: impl Iterator<Item = MessageId>) -> Vec<MessageId> {
-        owed.filter(|id| !self.out.contains_key(id)).collect()
+        (resends, ended)
     }
 
     fn room(&self, resends: &[Resend]) -> bool {
--- a/crates/sim/src/machine/mod.rs
+++ b/crates/sim/src/machine/mod.rs
@@ -246,7 +246,8 @@
         let (core, main) = (self.core.clone(), main(system.clone()));
         system.spawn(async move {
             let ended = main.await;
-            if let Some(this) = core.borrow_mut().procs.get_mut(&proc) {
+            // One that was killed goes on to the end of its poll, and nothing that it does there counts.
+            if let Some(this) = core.borrow_mut().procs.get_mut(&proc).filter(|this| this.life.alive()) {
                 this.ended = Some(ended);
                 this.life.end();
             }
--- a/crates/sim/tests/kept.rs
+++ b/crates/sim/tests/kept.rs
@@ -9,8 +9,8 @@
 
 /// Days that broke a rule once: a store that opened as it was before its newest change hid a resend (1836), one that
 /// was spoilt while a resend was out stayed shut (61, 183), a resend came while the last call was being called off
-/// (3992).
-const MENDED: [u64; 4] = [1836, 61, 183, 3992];
+/// (3992), a kill within a start was taken for an end by itself (2708).
+const MENDED: [u64; 5] = [1836, 61, 183, 3992, 2708];
 
 #[test]
 fn all_rules_hold_on_the_first_seeds() {
