Tell an operator when too many partners are being asked, and test the command line on records

Cause, found by reading: with eight partners being asked already, `ask` was answered 202 and nobody was asked. And `madderpitchctl undeliverable` had no test.

Change: 429 then, as for a resend without room. The command line runs against a store of 250 records: list, filters, counts, story, export, changes, batches and the exit codes. Choices are called by the names that the command line has for them, instead of by four lists of the same words; the simulation holds the API's address as an address, not as text that two places parsed.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -12,14 +12,14 @@
 
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine;
-use clap::Parser;
+use clap::{Parser, ValueEnum};
 use hyper::Method;
 use rand::rngs::SysRng;
 use rand::TryRng;
 use serde_json::{json, Map, Value};
 use sha2::{Digest, Sha256};
 
-use arguments::{Arguments, Command, Field, OnRemoval, Role, Secrets, SpecArguments, Tenants};
+use arguments::{Arguments, Command, Field, Secrets, SpecArguments, Tenants};
 use client::{Answer, Ask, Client, Failure};
 
 const JSON: &str = "application/json";
@@ -38,11 +38,9 @@
     Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn on_removal(how: OnRemoval) -> &'static str {
-    match how {
-        OnRemoval::Finish => "finish",
-        OnRemoval::Refuse => "refuse",
-    }
+/// What a choice is called, on the command line and by the API.
+fn word(choice: impl ValueEnum) -> String {
+    choice.to_possible_value().map_or_else(String::new, |choice| choice.get_name().into())
 }
 
 /// The parts of a specification that were given.
@@ -58,7 +56,7 @@
     set("max_in_flight", given.max_in_flight.map(Value::from));
     set("classes", (!given.classes.is_empty()).then(|| json!(given.classes)));
     set("destinations", (!given.destinations.is_empty()).then(|| json!(given.destinations)));
-    set("on_removal", given.on_removal.map(|how| on_removal(how).into()));
+    set("on_removal", given.on_removal.map(|how| word(how).into()));
     spec
 }
 
@@ -181,7 +179,7 @@
                 self.change(&name, if_version, put(Method::POST, &name, "/resume")?).await?
             }
             Tenants::Remove { name, on_removal: how, wait, if_version } => {
-                let rest = how.map_or(String::new(), |how| format!("?on_removal={}", on_removal(how)));
+                let rest = how.map_or(String::new(), |how| format!("?on_removal={}", word(how)));
                 let answer = self.change(&name, if_version, put(Method::DELETE, &name, &rest)?).await?;
                 if let Some(seconds) = wait {
                     self.drained(&name, &answer.body["version"], Duration::from_secs(seconds)).await?;
@@ -264,11 +262,7 @@
             }
             Command::Token { name, role, tenants } => {
                 let (name, token) = (in_path(&name)?, random()?);
-                let role = match role {
-                    Role::Viewer => "viewer",
-                    Role::Operator => "operator",
-                    Role::Admin => "admin",
-                };
+                let role = word(role);
                 let sha256 = digest(&token);
                 let shown =
                     json!({"name": name, "role": role, "tenants": tenants, "token": token, "sha256": sha256});
--- a/crates/ctl/src/undeliverable.rs
+++ b/crates/ctl/src/undeliverable.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Map, Value};
 
 use crate::client::{Answer, Ask, Failure};
-use crate::{in_path, output, Run, JSON};
+use crate::{in_path, output, word, Run, JSON};
 
 /// The path of the records, and of the batches.
 const RECORDS: &str = "/v1/undeliverable";
@@ -171,18 +171,6 @@
     State,
 }
 
-impl Group {
-    fn word(self) -> &'static str {
-        match self {
-            Group::Destination => "destination",
-            Group::Class => "class",
-            Group::Reason => "reason",
-            Group::Tenant => "tenant",
-            Group::State => "state",
-        }
-    }
-}
-
 /// What is so of a message.
 #[derive(Clone, Copy, ValueEnum)]
 pub enum Says {
@@ -194,16 +182,6 @@
     Unknown,
 }
 
-impl Says {
-    fn word(self) -> &'static str {
-        match self {
-            Says::Applied => "applied",
-            Says::NotApplied => "not-applied",
-            Says::Unknown => "unknown",
-        }
-    }
-}
-
 impl FilterArguments {
     fn fields(&self) -> Map<String, Value> {
         let mut fields = Map::new();
@@ -336,8 +314,8 @@
                 Ok(())
             }
             Undeliverable::Counts { by } => {
-                let counts = get(format!("{RECORDS}/counts?by={}", by.word())).await?.body["items"].take();
-                self.print(&counts, |all| output::counts(by.word(), all.as_array().into_iter().flatten()));
+                let counts = get(format!("{RECORDS}/counts?by={}", word(by))).await?.body["items"].take();
+                self.print(&counts, |all| output::counts(&word(by), all.as_array().into_iter().flatten()));
                 Ok(())
             }
             Undeliverable::Status => {
@@ -351,7 +329,7 @@
             Undeliverable::Ask(one) => self.act(one, "ask", None).await,
             Undeliverable::Discard(one) => self.act(one, "discard", None).await,
             Undeliverable::Attest { one, says } => {
-                self.act(one, "attest", Some(json!({"says": says.word()}))).await
+                self.act(one, "attest", Some(json!({"says": word(says)}))).await
             }
             Undeliverable::Batch(command) => self.batch(command).await,
         }
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -6,7 +6,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use madderpitch_seam::Real;
+use madderpitch_seam::{Real, System};
+use madderpitch_undeliverable::record::{Effect, Origin};
+use madderpitch_undeliverable::{Attempt, Outcome, Reason, Record, State, Store};
 use serde_json::{json, Value};
 
 const CTL: &str = env!("CARGO_BIN_EXE_madderpitchctl");
@@ -25,6 +27,40 @@
             "tenants": [{"name": "acme", "share": 0.5}]}})
 }
 
+/// Fills a store with payouts that were given up; every other one may have run.
+fn fill(folder: &Path, count: u64) {
+    let record = |number: u64| Record {
+        origin: Origin {
+            name: format!("m{number}"),
+            tenant: "acme".into(),
+            class: "payout".into(),
+            destination: 17,
+            key: None,
+            order: None,
+            due: 1_000_000 * number,
+        },
+        effect: Effect::Unsafe,
+        size: 4,
+        ended: u64::from(u32::MAX) * 1_000_000,
+        reason: Reason::OutOfTime,
+        attempts: vec![Attempt {
+            sent: 1,
+            host: "h".into(),
+            outcome: Outcome::TimedOut,
+            may_have_run: number % 2 == 1,
+            resend: 0,
+        }],
+        statements: Vec::new(),
+        state: State::Open,
+        version: 1,
+        resends: 0,
+    };
+    let pages = Real.pages(&folder.join("undeliverable.redb")).expect("a file");
+    let store = Store::open(pages, false).expect("a store");
+    let records: Vec<(Record, &[u8])> = (1..=count).map(|number| (record(number), &b"body"[..])).collect();
+    store.keep(&records).expect("kept");
+}
+
 struct Scene {
     folder: tempfile::TempDir,
     server: String,
@@ -38,6 +74,8 @@
         let at = |name: &str| folder.path().join(name);
         std::fs::create_dir(at("state")).expect("a folder");
         std::fs::create_dir(at("tenants")).expect("a folder");
+        std::fs::create_dir(at("kept")).expect("a folder");
+        fill(&at("kept"), 250);
         std::fs::write(at("config.json"), configuration(&at("state")).to_string()).expect("written");
         let server = format!("unix:{}", at("admin.sock").display());
         let mut text = format!("[tenants]\nfolder = {:?}\n[admin]\nlisten = {server:?}\n", at("tenants"));
@@ -51,6 +89,7 @@
                 "[[admin.tokens]]\nname = {name:?}\nrole = {role:?}\nsha256 = {sha256}\ntenants = [\"*\"]\n"
             );
         }
+        text += &format!("[undeliverable]\nfolder = {:?}\n", at("kept"));
         std::fs::write(at("operator.toml"), text).expect("written");
         std::env::set_var("BALANCER_CONFIG", at("config.json"));
         let operator = at("operator.toml");
@@ -188,4 +227,66 @@
     assert_eq!(scene.code(&["--server", "unix:/nowhere/at/all", "tenants", "list"]), Some(6));
     assert_eq!(scene.run(&["tenants"]).status.code(), Some(2));
     assert_eq!(scene.run(&["--help"]).status.code(), Some(0));
+    undeliverable(&scene);
+}
+
+/// Undeliverable messages from the same shell.
+fn undeliverable(scene: &Scene) {
+    let do_with = |rest: &[&'static str]| [&["undeliverable"], rest].concat();
+    let good = |rest: &[&'static str]| scene.good(&do_with(rest));
+    let json = |rest: &[&'static str]| scene.json(&do_with(rest));
+    let fails = |rest: &[&'static str]| scene.code(&do_with(rest));
+    let listed = good(&["list", "--limit", "3"]);
+    assert_eq!(listed.lines().count(), 4, "{listed}");
+    assert!(listed.starts_with("ID") && listed.contains("out-of-time"), "{listed}");
+    assert_eq!(
+        json(&["list", "--may-have-run", "true", "--limit", "1000"]).as_array().map(Vec::len),
+        Some(125)
+    );
+    assert_eq!(json(&["list", "--until", "2020-01-01T00:00:00Z"]), json!([]));
+    let counts = good(&["counts", "--by", "destination"]);
+    let counted: Vec<&str> = counts.split_whitespace().collect();
+    assert_eq!(counted, ["DESTINATION", "RECORDS", "17", "250"]);
+    assert!(good(&["status"]).contains("250"));
+    let story = good(&["show", "1"]);
+    assert!(
+        story.contains("needs-word") && story.contains("timed-out") && story.contains("attempts"),
+        "{story}"
+    );
+    // An export is whole, a line a record, and does not write over a file.
+    let exported = good(&["export"]);
+    let lines: Vec<Value> = exported.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+    assert_eq!((lines.len(), lines[0]["message"].as_str()), (250, Some("m250")));
+    let file = scene.path("export.jsonl").display().to_string();
+    let to = ["undeliverable", "export", "--state", "open", "--to", &file];
+    scene.good(&to);
+    assert_eq!(std::fs::read_to_string(&file).expect("written"), exported);
+    assert_eq!(scene.code(&to), Some(2));
+    // Changes and what they are refused with.
+    assert_eq!(json(&["claim", "1"])["holder"], "root");
+    assert_eq!(fails(&["claim", "1", "--if-version", "1"]), Some(4));
+    assert_eq!(fails(&["resend", "1"]), Some(4), "it needs a word");
+    assert_eq!(json(&["attest", "1", "--says", "not-applied"])["statements"][0]["operator"], "root");
+    assert_eq!(json(&["release", "1"])["state"], "open");
+    assert_eq!(fails(&["ask", "1"]), Some(8), "its partner can't be asked");
+    assert_eq!(json(&["discard", "1"])["state"], "discarded");
+    assert_eq!(fails(&["discard", "1"]), Some(4));
+    assert_eq!(fails(&["show", "999"]), Some(3));
+    assert_eq!(fails(&["list", "--reason", "none"]), Some(8));
+    assert_eq!(fails(&["list", "--class", "a b"]), Some(2));
+    let eyes = scene.command("eyes", &["undeliverable", "claim", "2"]).output().expect("runs");
+    assert_eq!(code(&eyes), Some(5));
+    // Batches.
+    let planned = json(&["batch", "plan", "night", "--class", "payout", "--per-second", "0.01"]);
+    assert_eq!((&planned["state"], &planned["found"]), (&json!("planned"), &json!(249)));
+    assert_eq!((&planned["may_go"], &planned["needs"]["needs-word"]), (&json!(125), &json!(124)));
+    assert_eq!(fails(&["batch", "plan", "night"]), Some(4));
+    assert_eq!(fails(&["batch", "plan", "closed", "--state", "discarded"]), Some(2));
+    assert_eq!(json(&["batch", "run", "night"])["state"], "running");
+    assert_eq!(json(&["batch", "pause", "night"])["state"], "paused");
+    assert_eq!(json(&["batch", "cancel", "night"])["state"], "cancelled");
+    assert_eq!(fails(&["batch", "run", "night"]), Some(4));
+    assert_eq!(fails(&["batch", "show", "none"]), Some(3));
+    let batches = good(&["batch", "list"]);
+    assert!(batches.contains("night") && batches.contains("cancelled"), "{batches}");
 }
--- a/crates/relay/src/undeliverable/mod.rs
+++ b/crates/relay/src/undeliverable/mod.rs
@@ -877,6 +877,9 @@
         }
         match act {
             Act::State(_) => self.close_applied(id, now),
+            Act::AskPartner if self.asking.len() >= MOST_ASKED && !self.asking.contains(&id) => {
+                return Told::Busy(COME_AGAIN);
+            }
             Act::AskPartner => {
                 self.asked.remove(&id);
                 if !self.ask_partner(id, now) {
--- a/crates/relay/tests/undeliverable.rs
+++ b/crates/relay/tests/undeliverable.rs
@@ -49,7 +49,7 @@
                     let truth = json!({"status": if known { "done" } else { "absent" }}).to_string();
                     let body = lie.unwrap_or(truth);
                     if body.is_empty() {
-                        thread::sleep(Duration::from_millis(1500));
+                        thread::sleep(Duration::from_millis(4000));
                     }
                     let mut stream = stream;
                     let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
@@ -96,7 +96,7 @@
         let section = format!(
             "[undeliverable]\nfolder = {:?}\nsettle_s = 0.0\n{more}\n[[undeliverable.partners]]\ndestination = 1\n\
              address = \"{}\"\npath = \"/s/{{id}}\"\napplied = [\"done\"]\nnot_applied = [\"absent\"]\n\
-             timeout_ms = 500\n",
+             timeout_ms = 2000\n",
             folder.display().to_string(),
             ledger.address
         );
@@ -360,8 +360,10 @@
 #[test]
 fn a_partners_word_that_says_nothing_lets_nothing_go() {
     let ledger = Ledger::new();
-    let host = Host::new(|_, _| Answer::Close);
+    let host = Host::new(only_good);
     let mut desk = Desk::new(up(&host), &ledger, "", 100);
+    let _good = Good::traffic(&desk.scene);
+    thread::sleep(Duration::from_millis(300));
     let all = desk.given_up("payout", 1);
     let id = &all.values().next().expect("one")["id"];
     // Unknown, no JSON, late.
@@ -370,9 +372,19 @@
         let before = ledger.asked.lock().unwrap().len();
         assert_eq!(desk.act(id, "ask").status, 202, "{lie}");
         until("the question", || (ledger.asked.lock().unwrap().len() > before).then_some(()));
-        thread::sleep(Duration::from_millis(700));
+        thread::sleep(Duration::from_millis(2300));
         assert_eq!(problem(&desk.act(id, "resend")), (409, "needs-word".into()), "{lie}");
     }
+    // Only so many are asked at once; whoever comes then is told so.
+    ledger.answers(Some(""));
+    let more = desk.given_up("payout", 9);
+    let asked = more
+        .values()
+        .filter(|record| record["id"] != *id)
+        .map(|record| problem(&desk.act(&record["id"], "ask")));
+    let refused: Vec<(u16, String)> = asked.filter(|(status, _)| *status != 202).collect();
+    assert_eq!(refused, [(429, "too-much-under-way".to_string())]);
+    thread::sleep(Duration::from_millis(2300));
     // It changes its mind: not applied, then applied. Two operators have to agree.
     for (lie, needs) in
         [(r#"{"status":"absent"}"#, Value::Null), (r#"{"status":"done"}"#, json!("needs-agreement"))]
--- a/crates/sim/src/hosted.rs
+++ b/crates/sim/src/hosted.rs
@@ -2,6 +2,7 @@
 //!
 //! Drawn on top of a plain day from numbers of their own, so that the plain days stay as they are.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use madderpitch_tenancy::registry::{Action, Actor, Record, Secret, State, Tenant, Version};
@@ -14,7 +15,7 @@
 use crate::rules::facts::Repeat;
 
 /// Where the administration API listens.
-pub const ADMIN: &str = "127.0.0.1:8700";
+pub const ADMIN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8700);
 /// The folder of the registry.
 pub const FOLDER: &str = "/tenants";
 /// Where the relay finds its operator file.
@@ -113,7 +114,7 @@
         let digest = Digest::of(b"token");
         format!(
             "[tenants]\nfolder = {FOLDER:?}\nauth = {}\nimport = false\nstore_mb = 1\n\
-             [admin]\nlisten = {ADMIN:?}\nrequests_per_second = 1000\n\
+             [admin]\nlisten = \"{ADMIN}\"\nrequests_per_second = 1000\n\
              [[admin.tokens]]\nname = \"root\"\nrole = \"admin\"\nsha256 = \"{digest}\"\ntenants = [\"*\"]\n",
             self.auth
         )
--- a/crates/sim/src/kept.rs
+++ b/crates/sim/src/kept.rs
@@ -55,7 +55,7 @@
 impl Kept {
     /// The operator file.
     pub fn operator_file(&self, blocks: impl Iterator<Item = u16>) -> String {
-        let mut text = format!("[admin]\nlisten = {ADMIN:?}\nrequests_per_second = 1000\n");
+        let mut text = format!("[admin]\nlisten = \"{ADMIN}\"\nrequests_per_second = 1000\n");
         for name in (0..OPERATORS).map(operator) {
             let digest = Digest::of(name.as_bytes());
             text += &format!(
--- a/crates/sim/src/peers/admins.rs
+++ b/crates/sim/src/peers/admins.rs
@@ -1,7 +1,6 @@
 //! Administrators: they look at tenants and change them, two at once, and some of what they send can't be read.
 
 use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -10,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::Stage;
-use crate::hosted::{Deed, Errand, TenantPlan};
+use crate::hosted::{Deed, Errand, TenantPlan, ADMIN};
 use crate::rules::facts::{Asking, Seen, Standing};
 
 /// An administrator waits so long for an answer.
@@ -46,7 +45,6 @@
 /// An administrator.
 pub struct Admin<S> {
     stage: Stage<S>,
-    api: SocketAddr,
     number: u64,
     tenants: Vec<TenantPlan>,
     errands: Vec<Errand>,
@@ -59,13 +57,13 @@
 }
 
 impl<S: System> Admin<S> {
-    /// An administrator of the API at an address.
+    /// An administrator.
     pub fn new(
-        stage: Stage<S>, api: SocketAddr, number: u64, tenants: Vec<TenantPlan>, errands: Vec<Errand>,
-        rogue: Option<Rogue>, strikes: std::rc::Rc<dyn Fn()>,
+        stage: Stage<S>, number: u64, tenants: Vec<TenantPlan>, errands: Vec<Errand>, rogue: Option<Rogue>,
+        strikes: std::rc::Rc<dyn Fn()>,
     ) -> Self {
         let seen = vec![None; tenants.len()];
-        Admin { stage, api, number, tenants, errands, rogue, asked: 0, seen, strikes }
+        Admin { stage, number, tenants, errands, rogue, asked: 0, seen, strikes }
     }
 
     /// Does all errands, each at its time.
@@ -199,7 +197,7 @@
 
     /// Sends what can't be read, or not all of it.
     async fn rubbish(&self, kind: u64) -> io::Result<()> {
-        let mut stream = self.stage.system.connect(self.api).await?;
+        let mut stream = self.stage.system.connect(ADMIN).await?;
         let text: &[u8] = match kind {
             0 => b"\x16\x03\x01\x02\x00 no request at all\r\n\r\n",
             1 => b"POST /v1/tenants HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000000\r\n\r\n{",
@@ -224,9 +222,8 @@
     });
     let head = format!("{method} {path} HTTP/1.1\r\nHost: relay\r\nAuthorization: Bearer {token}\r\n");
     let text = format!("{head}Connection: close\r\n{headers}{kind}\r\n{body}");
-    let api: SocketAddr = crate::hosted::ADMIN.parse().map_err(io::Error::other)?;
     let asked = async {
-        let mut stream = stage.system.connect(api).await?;
+        let mut stream = stage.system.connect(ADMIN).await?;
         stream.write_all(text.as_bytes()).await?;
         let mut read = BytesMut::new();
         loop {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -14,7 +14,7 @@
 use crate::checker::{Breach, Checker, Counts};
 use crate::dice::Dice;
 use crate::faults::{Fault, Scene};
-use crate::hosted::{self, ADMIN, OPERATOR};
+use crate::hosted::{self, OPERATOR};
 use crate::kept;
 use crate::machine::{AddressFault, Lie, Machine, ProcId, Virtual, CONFIG};
 use crate::peers::admins::{Admin, Rogue};
@@ -340,12 +340,11 @@
     /// Starts the administrators of a hosted day.
     fn administrate(&self) {
         let Some(hosted) = &self.script.hosted else { return };
-        let Ok(api) = ADMIN.parse() else { return };
         for (number, errands) in self.script.hosted.iter().flat_map(|hosted| &hosted.admins).enumerate() {
             let strikes = self.strikes();
             let (tenants, errands) = (hosted.tenants.clone(), errands.clone());
             let (stage, rogue) = (self.stage.clone(), self.options.rogue);
-            let admin = Admin::new(stage, api, number as u64 + 1, tenants, errands, rogue, strikes);
+            let admin = Admin::new(stage, number as u64 + 1, tenants, errands, rogue, strikes);
             self.stage.system.spawn(admin.run());
         }
     }
