Call no host before a new process's list is confirmed, nor one that left meanwhile

Cause: a process that starts called from its remembered list and asked for the live one up to 1 s later (`Asking::start`), 4 to 6 s after an announcement where its predecessor had ended early.

Change: `crates/membership` owns how far the list may be believed and paces calls for it (the former `asking.rs`). Under `ask` the pace stays, within what counts as told.

Calls for lists under push double at a start, at no cost there.

Tests: the hold and its bound, the judgement of older lists, the pace under both kinds, the feed, a drain told while a connection comes up (new and kept). `Scene`'s discovery tells the same in its whole list as on its watches now.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -108,6 +108,8 @@
     Ended(CallEnd),
     /// Discovery told something.
     Hosts(HostList),
+    /// Discovery has confirmed that the list in force is the latest.
+    Unchanged,
     /// The platform has taken the notices of these messages.
     Noticed(Vec<MessageId>),
     /// A front asks about tenants.
@@ -181,19 +183,37 @@
     /// Its destination.
     pub block: u16,
     /// Its listing state.
-    #[serde(with = "Health")]
+    #[serde(with = "health", default = "health::unknown")]
     pub health: Listing,
     /// Its weight.
     #[serde(default)]
     pub share: f32,
 }
 
-#[derive(Serialize, Deserialize)]
-#[serde(remote = "Listing", rename_all = "lowercase")]
-enum Health {
-    #[serde(rename = "up")]
-    Ready,
-    Draining,
-    #[serde(rename = "removed")]
-    Gone,
+/// `up`, `draining` or `removed` on the wire.
+mod health {
+    use madderpitch_policy::interface::Listing;
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub fn serialize<S: Serializer>(listing: &Listing, to: S) -> Result<S::Ok, S::Error> {
+        let word = match listing {
+            Listing::Ready => "up",
+            Listing::Draining => "draining",
+            Listing::Gone => "removed",
+        };
+        word.serialize(to)
+    }
+
+    /// Guards hosts in a state that is not known here: only one that is told to be up gets anything.
+    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<Listing, D::Error> {
+        Ok(match serde_json::Value::deserialize(from)?.as_str() {
+            Some("up") => Listing::Ready,
+            Some("removed") => Listing::Gone,
+            _ => Listing::Draining,
+        })
+    }
+
+    pub fn unknown() -> Listing {
+        Listing::Draining
+    }
 }
--- /dev/null
+++ b/crates/membership/src/members.rs
@@ -0,0 +1,186 @@
+//! The one place that knows how far the list may be believed: what was told, and since when that is unconfirmed.
+//! It is asked when a call is chosen and again just before the call's first byte.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use madderpitch_policy::interface::HostId;
+
+use crate::pace::Pace;
+
+/// Calls wait so long for the answer to the first call for the list, from when that was made. An agent on the same machine
+/// answers at once, a busy core makes some hundred milliseconds of it; one that has said nothing by then is silent, and
+/// what is remembered has to serve.
+pub const HOLD: Duration = Duration::from_secs(1);
+/// A discovery that tells only lists older than the one in force is believed after so long. By then it counts as told of
+/// all that the other one knew: 4 s after its address was told, and 6 s for what it had not been sent.
+pub const OLDER_FOR: Duration = Duration::from_secs(10);
+
+/// What the settings say of discovery.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Changes come unasked, from an agent beside the relay that answers at once.
+    pub pushed: bool,
+    /// Relays that ask.
+    pub siblings: usize,
+    /// A host that drains, or is gone, gets nothing new so long after that was told.
+    pub drain_grace: Duration,
+    /// Seed of the random numbers.
+    pub seed: u64,
+}
+
+/// What to do with a list that discovery tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Take it over.
+    Current,
+    /// It is older than the one in force. It may take hosts away and gives none back; a whole one is to be asked for again.
+    Older,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trust {
+    /// This process has not heard from discovery. Calls wait, until this moment once it has asked.
+    Unconfirmed(Option<Instant>),
+    /// It has, or discovery is silent.
+    Believed,
+}
+
+/// What is known of the list.
+pub struct Members {
+    trust: Trust,
+    /// Hosts that are listed as up.
+    up: BTreeSet<HostId>,
+    /// Since when all that was told was older than what is in force.
+    older: Option<Instant>,
+    /// When to ask.
+    pub pace: Pace,
+}
+
+impl Members {
+    /// For a process that starts; whatever list it has is from before.
+    pub fn new(terms: &Terms) -> Self {
+        Members { trust: Trust::Unconfirmed(None), up: BTreeSet::new(), older: None, pace: Pace::new(terms) }
+    }
+
+    /// A call for the list is made.
+    pub fn asks(&mut self, now: Instant) {
+        if self.trust == Trust::Unconfirmed(None) {
+            self.trust = Trust::Unconfirmed(Some(now + HOLD));
+        }
+    }
+
+    /// Discovery has told where the list stands, and that is in force; or it is silent, and the list has to serve. Whether
+    /// calls waited for that.
+    pub fn confirmed(&mut self) -> bool {
+        std::mem::replace(&mut self.trust, Trust::Believed) != Trust::Believed
+    }
+
+    /// Whether calls may rest on the list.
+    pub fn believed(&self, now: Instant) -> bool {
+        match self.trust {
+            Trust::Believed => true,
+            Trust::Unconfirmed(until) => until.is_some_and(|until| until <= now),
+        }
+    }
+
+    /// Until when calls wait if discovery says nothing, while they do.
+    pub fn waits_until(&self) -> Option<Instant> {
+        match self.trust {
+            Trust::Unconfirmed(until) => until,
+            Trust::Believed => None,
+        }
+    }
+
+    /// A host is listed as up, or drains or is gone.
+    pub fn list(&mut self, host: HostId, up: bool) {
+        if up {
+            self.up.insert(host);
+        } else {
+            self.up.remove(&host);
+        }
+    }
+
+    /// Whether a host is listed as up.
+    pub fn is_up(&self, host: HostId) -> bool {
+        self.up.contains(&host)
+    }
+
+    /// Whether a call to a host may begin.
+    pub fn may_begin(&self, host: HostId, now: Instant) -> bool {
+        self.believed(now) && self.is_up(host)
+    }
+
+    /// Judges a list by its version and that of the one in force; `whole` if it stands for itself.
+    ///
+    /// Guards drains that one discovery told against another, or one that was started again, that is behind: its list
+    /// would take them back. And it guards against that list's own drains being passed over meanwhile.
+    pub fn judge(&mut self, version: u64, in_force: u64, whole: bool, now: Instant) -> Word {
+        if version >= in_force {
+            if whole {
+                self.older = None;
+            }
+            return Word::Current;
+        }
+        let since = *self.older.get_or_insert(now);
+        if whole && now >= since + OLDER_FOR {
+            self.older = None;
+            return Word::Current;
+        }
+        Word::Older
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn members(pushed: bool) -> Members {
+        let drain_grace = Duration::from_secs(2);
+        Members::new(&Terms { pushed, siblings: 300, drain_grace, seed: 7 })
+    }
+
+    #[test]
+    fn a_process_that_starts_calls_nobody_until_its_list_is_confirmed() {
+        let (mut members, now) = (members(true), Instant::now());
+        members.list(1, true);
+        assert!(!members.may_begin(1, now + HOLD * 100), "it has not even asked");
+        members.asks(now);
+        assert!(!members.may_begin(1, now));
+        members.list(1, false);
+        members.list(2, true);
+        members.confirmed();
+        assert!(!members.may_begin(1, now) && members.may_begin(2, now));
+        assert_eq!(members.waits_until(), None);
+    }
+
+    #[test]
+    fn a_silent_discovery_holds_calls_up_for_a_bounded_time_however_often_it_is_asked() {
+        let (mut members, now) = (members(true), Instant::now());
+        members.list(1, true);
+        for asked in 0..10 {
+            members.asks(now + HOLD / 4 * asked);
+        }
+        assert_eq!(members.waits_until(), Some(now + HOLD));
+        assert!(!members.may_begin(1, now + HOLD - Duration::from_millis(1)));
+        assert!(members.may_begin(1, now + HOLD));
+    }
+
+    #[test]
+    fn an_older_list_is_believed_only_once_it_can_be_no_lag() {
+        let (mut members, now) = (members(true), Instant::now());
+        assert_eq!(members.judge(8, 8, false, now), Word::Current);
+        assert_eq!(members.judge(7, 8, true, now), Word::Older);
+        assert_eq!(
+            members.judge(7, 8, false, now + OLDER_FOR),
+            Word::Older,
+            "a change alone says too little"
+        );
+        assert_eq!(members.judge(7, 8, true, now + OLDER_FOR - Duration::from_millis(1)), Word::Older);
+        assert_eq!(members.judge(7, 8, true, now + OLDER_FOR), Word::Current);
+        // The next time counts from its own beginning.
+        assert_eq!(members.judge(6, 7, true, now + OLDER_FOR), Word::Older);
+        assert_eq!(members.judge(7, 7, true, now + OLDER_FOR), Word::Current);
+        assert_eq!(members.judge(6, 7, true, now + OLDER_FOR * 2), Word::Older);
+    }
+}
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -291,6 +291,8 @@
     /// Mean length of a class's calls at a route of usual pace.
     class_usual: Vec<f64>,
     subscribed: bool,
+    /// The list is still to be confirmed.
+    doubted: bool,
     ask_at: Micros,
     ask_rest: Micros,
     armed: Option<Micros>,
@@ -321,6 +323,7 @@
             keys: BTreeMap::new(),
             class_usual: set.classes.iter().map(|c| c.aim as f64 / 6.0).collect(),
             subscribed: !set.discovery_by_asking,
+            doubted: false,
             ask_at: 0,
             ask_rest: SECOND / 2,
             armed: None,
@@ -368,6 +371,7 @@
             match event {
                 Event::Hosts { whole, cached, entries } => self.list(whole, cached, entries),
                 Event::HostsFailed => self.list_failed(),
+                Event::HostsDoubted(doubted) => self.doubted = doubted,
                 Event::Arrived(message) => self.at_the_door(message, out),
                 Event::Restored { message, attempts } => self.restored(message, &attempts),
                 Event::Again { message, attempts } => self.again(message, &attempts),
@@ -656,19 +660,17 @@
                 self.keys.retain(|_, turn| !turn.line.is_empty() || turn.rest_until > self.now);
             }
         }
-        if let Some(held) = self.held.remove(&id) {
-            self.sharing.released(&held.message);
-            self.bytes -= held.message.size;
-        }
+        let Some(held) = self.held.remove(&id) else { return };
+        self.sharing.released(&held.message);
+        self.bytes -= held.message.size;
     }
 
     /// The final answer when there will be no delivery: a refusal only where nothing may have run.
     fn end(&mut self, id: MessageId, after: Micros, out: &mut Vec<Action>) {
-        if let Some(held) = self.held.get(&id).filter(|h| !h.over) {
-            let harmless = held.tainted().is_none();
-            out.push(if harmless { Action::Refuse { id, after } } else { Action::Fail(id) });
-            self.close(id);
-        }
+        let Some(held) = self.held.get(&id).filter(|h| !h.over) else { return };
+        let harmless = held.tainted().is_none();
+        out.push(if harmless { Action::Refuse { id, after } } else { Action::Fail(id) });
+        self.close(id);
     }
 
     fn ended(&mut self, end: Ended) {
@@ -678,12 +680,10 @@
         let tries = held.attempts.len() as u64;
         let attempt = held.attempts.get_mut(usize::from(end.attempt)).filter(|a| a.fate == Fate::Out);
         let Some(attempt) = attempt else { return };
-        attempt.fate = match end.outcome {
-            Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot => Fate::NeverRan,
-            _ => Fate::MayHaveRun,
-        };
+        attempt.fate = if end.outcome.may_have_run() { Fate::MayHaveRun } else { Fate::NeverRan };
         let call_id = attempt.call;
         self.sharing.returned(&held.message, attempt.booked, end.elapsed);
+        held.attempts.truncate(tries as usize - usize::from(end.outcome == Outcome::NotBegun));
         // Guards against a class that always fails somewhere, and against calls that can't be made: their tries
         // must not follow at once.
         held.not_before = match end.outcome {
@@ -743,7 +743,7 @@
             Outcome::Full { .. } => self.refused(key),
             // Guards healthy hosts: a kept connection that breaks is no news of its host, which the next
             // call asks on a new one.
-            Outcome::Dropped | Outcome::Cancelled | Outcome::Moot if !counted => {
+            Outcome::Dropped | Outcome::Cancelled | Outcome::Moot | Outcome::NotBegun if !counted => {
                 if let Some(route) = self.routes.get_mut(&key).filter(|r| r.fuse == Fuse::HalfOpen) {
                     route.trip(now);
                 }
@@ -991,7 +991,7 @@
         let now = self.now;
         let mut waiting: BTreeMap<DestinationId, Vec<MessageId>> = BTreeMap::new();
         for (id, held) in &self.held {
-            if held.waits() && held.not_before <= now && self.in_turn(held) {
+            if !self.doubted && held.waits() && held.not_before <= now && self.in_turn(held) {
                 waiting.entry(held.message.destination).or_default().push(*id);
             }
         }
@@ -1269,10 +1269,9 @@
         };
         let hung = self.held.iter().filter(|(_, held)| last(held).1);
         let Some(id) = hung.min_by_key(|(_, held)| last(held).0).map(|(id, _)| *id) else { return };
-        if let Some(held) = self.held.get_mut(&id) {
-            let attempt = (held.attempts.len() - 1) as u8;
-            out.push(Action::Cancel { id, attempt });
-            held.attempts[usize::from(attempt)].called_off = true;
-        }
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let attempt = (held.attempts.len() - 1) as u8;
+        out.push(Action::Cancel { id, attempt });
+        held.attempts[usize::from(attempt)].called_off = true;
     }
 }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -308,6 +308,16 @@
     Cancelled,
     /// Not sent; never ran.
     Moot,
+    /// Not a byte was written, as its host may not be called any more, or not yet; it is no attempt.
+    NotBegun,
+}
+
+impl Outcome {
+    /// False where it proves that the call never ran.
+    pub fn may_have_run(self) -> bool {
+        use Outcome::*;
+        !matches!(self, Full { .. } | ConnectFailed | Moot | NotBegun)
+    }
 }
 
 /// How an attempt ended.
@@ -343,6 +353,8 @@
     },
     /// A request for the list failed, or the subscription dropped.
     HostsFailed,
+    /// Whether calls wait, as the list of hosts is still to be confirmed.
+    HostsDoubted(bool),
     /// A message came in; one final answer is owed.
     Arrived(Message),
     /// A message taken on before a restart, for which the final answer is still owed.
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -12,6 +12,9 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+/// What the protocol leaves a host that drains where the settings say nothing.
+const DRAIN_GRACE: Duration = Duration::from_secs(2);
+
 /// Limits of the machine that the relay runs on.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 pub struct Limits {
@@ -68,6 +71,8 @@
     pub dial_timeout: Duration,
     /// Hosts close connections that were idle for this long.
     pub idle_close: Duration,
+    /// A host that drains, or is gone, gets nothing new so long after that was told.
+    pub drain_grace: Duration,
 }
 
 impl Config {
@@ -120,6 +125,10 @@
             report: names(root, "/stats/fields")?,
             dial_timeout: span(root, "/limits/dialTimeout")?,
             idle_close: span(root, "/limits/idleClose")?,
+            drain_grace: match root.pointer("/rules/drainGrace") {
+                Some(_) => span(root, "/rules/drainGrace")?,
+                None => DRAIN_GRACE,
+            },
             settings,
         })
     }
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -2,11 +2,12 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -14,26 +15,27 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use madderpitch_exchange::{HostList, Input, Verdict};
-use madderpitch_policy::interface::MessageId;
+use madderpitch_membership::pace::SILENCE;
+use madderpitch_membership::{Members, Word};
+use madderpitch_policy::interface::{Listing, MessageId};
 use madderpitch_seam::{log, Stream, System, Task};
 use serde::Serialize;
 use tokio::sync::{mpsc, watch, Notify};
 
-use crate::asking::Asking;
+use crate::feed::{Feed, Item, LONGEST};
 
-/// An empty line comes every 2 s; past this the watch is dead, whatever its connection says.
-const SILENCE: Duration = Duration::from_millis(3500);
+/// A list that has begun comes whole within this.
+const WHOLE: Duration = Duration::from_secs(1);
+/// A new watch on which nothing comes for so long has nothing to tell that is not known.
+const LINGER: Duration = Duration::from_millis(100);
 /// Longest wait for a connection, or for the answer to notices.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// Bounds of the rest between two tries to send notices.
 const REST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
-/// A longer line is not read.
-const LONGEST_LINE: usize = 4 << 20;
+/// More of the answer to notices is not read.
+const LONGEST_ANSWER: usize = 64 << 10;
 /// Notices in one request.
 const NOTICES: usize = 200;
-/// A new discovery whose list is older than the one in force is asked so often before it is believed.
-const STALE_LISTS: u32 = 20;
-
 type Failure = Box<dyn std::error::Error + Send + Sync>;
 
 /// A connection to discovery, which is closed when this is dropped.
@@ -70,122 +72,181 @@
 /// Follows the list for ever, from a version on, at the address that is in force; every connection to the
 /// same address starts where the last one ended.
 pub async fn follow<S: System>(
-    system: S, mut at: watch::Receiver<SocketAddr>, mut version: u64, mut asking: Asking,
+    system: S, mut at: watch::Receiver<SocketAddr>, version: u64, members: Rc<RefCell<Members>>,
     inputs: mpsc::Sender<Input>,
 ) {
-    system.sleep(asking.start()).await;
-    let mut moved = false;
+    let (start, pushed) = {
+        let pace = &mut members.borrow_mut().pace;
+        (pace.start(), pace.pushed())
+    };
+    system.sleep(start).await;
+    // An agent beside the relay confirms a list at once where it is asked for it whole; a watch may say nothing for 2 s.
+    let mut follower =
+        Follower { system, address: *at.borrow(), version, whole: pushed, silent: true, members, inputs };
     loop {
-        let address = *at.borrow_and_update();
+        follower.address = *at.borrow_and_update();
         tokio::select! {
             biased;
             // Guards against a watch on an address that the configuration has left: it tells nothing more.
             changed = at.changed() => if changed.is_err() {
                 return;
             },
-            () = follow_one(&system, address, moved, &mut version, &mut asking, &inputs) => return,
+            () = follower.follow() => return,
         }
-        moved = true;
+        // A new one is asked for the whole list first.
+        follower.whole = true;
     }
 }
 
-/// Follows the list at one address; a new one is asked for the whole list first.
-async fn follow_one<S: System>(
-    system: &S, address: SocketAddr, mut whole: bool, version: &mut u64, asking: &mut Asking,
-    inputs: &mpsc::Sender<Input>,
-) {
-    let patience = asking.patience();
-    let mut logged = false;
-    let mut stale = 0;
-    loop {
-        let before = *version;
-        let mut heard = false;
-        let followed = async {
-            if whole {
-                let list = whole_list(system, address, patience).await?;
-                // Guards drains that the old discovery told: a new one that is behind would take them back.
-                if list.seq < *version && stale < STALE_LISTS {
-                    stale += 1;
-                    return Err(format!("its list {} is older than {version}", list.seq).into());
+/// What ended a watch.
+enum Cut {
+    /// It broke, or said nothing, or is not to be had.
+    Ended(Failure),
+    /// What it said can't be used, and counts as told.
+    Spoilt(Failure),
+}
+
+impl<E: Into<Failure>> From<E> for Cut {
+    fn from(error: E) -> Self {
+        Cut::Ended(error.into())
+    }
+}
+
+/// Follows the list at one address.
+struct Follower<S: System> {
+    system: S,
+    address: SocketAddr,
+    version: u64,
+    /// The whole list is wanted, as what has come since the one in force is not known.
+    whole: bool,
+    /// This process has not heard from discovery.
+    silent: bool,
+    members: Rc<RefCell<Members>>,
+    inputs: mpsc::Sender<Input>,
+}
+
+impl<S: System> Follower<S> {
+    async fn follow(&mut self) {
+        let mut logged = false;
+        loop {
+            let mut heard = false;
+            let Err(cut) = self.listen(&mut heard).await;
+            let rest = {
+                let pace = &mut self.members.borrow_mut().pace;
+                if heard {
+                    pace.heard();
                 }
-                (*version, heard, whole) = (list.seq, true, false);
-                inputs.send(Input::Hosts(list)).await?;
-            }
-            watch(system, address, version, &mut heard, patience, inputs).await
-        };
-        if let Err(error) = followed.await {
+                match &cut {
+                    Cut::Ended(_) => pace.rest(),
+                    Cut::Spoilt(_) => pace.spoilt(),
+                }
+            };
+            self.whole |= matches!(cut, Cut::Spoilt(_));
             if !logged || heard {
-                log!(*system, "discovery: the watch at {address} ended: {error}");
+                let (address, system) = (self.address, &self.system);
+                match cut {
+                    Cut::Ended(error) => log!(*system, "discovery: the watch at {address} ended: {error}"),
+                    Cut::Spoilt(error) => {
+                        log!(*system, "discovery: what {address} told cannot be used: {error}")
+                    }
+                }
             }
             logged = true;
+            if self.inputs.is_closed() {
+                return;
+            }
+            self.system.sleep(rest).await;
         }
-        if inputs.is_closed() {
-            return;
-        }
-        if heard || *version > before {
-            asking.heard();
-        }
-        system.sleep(asking.rest()).await;
     }
-}
 
-async fn watch<S: System>(
-    system: &S, address: SocketAddr, version: &mut u64, heard: &mut bool, patience: Duration,
-    inputs: &mpsc::Sender<Input>,
-) -> Result<(), Failure> {
-    let mut channel = Channel::open(system, address).await?;
-    let path = format!("/catalog/members?follow=1&since={version}");
-    let answer = channel.ask(address, Method::GET, &path, String::new(), patience).await?;
-    if answer.status() != StatusCode::OK {
-        return Err(format!("answered {}", answer.status()).into());
-    }
-    let mut body = answer.into_body();
-    let mut text = BytesMut::new();
-    // Guards against a discovery that falls silent with its connections open: nothing else would tell.
-    while let Some(frame) = system.timeout(SILENCE, body.frame()).await? {
-        let Ok(data) = frame?.into_data() else { continue };
-        text.extend_from_slice(&data);
-        while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
-            let line = text.split_to(end + 1);
-            *heard = true;
-            if line.trim_ascii().is_empty() {
-                continue;
+    /// Asks for what is wanted and reads what comes, until it ends.
+    async fn listen(&mut self, heard: &mut bool) -> Result<Infallible, Cut> {
+        if self.whole {
+            let list = self.whole_list().await?;
+            self.take(list).await?;
+            (*heard, self.whole) = (true, false);
+        }
+        let path = format!("/catalog/members?follow=1&since={}", self.version);
+        let (_channel, mut body) = self.ask(&path).await?;
+        let mut feed = Feed::default();
+        let mut began = None;
+        loop {
+            let now = self.system.now();
+            // Guards against a discovery that falls silent with its connections open: nothing else would tell.
+            let mut until = now + SILENCE;
+            if feed.is_open() {
+                until = until.min(*began.get_or_insert(now) + WHOLE);
+            } else {
+                began = None;
+            }
+            if self.silent {
+                // What has changed comes at once.
+                until = until.min(now + LINGER);
             }
-            match serde_json::from_slice::<HostList>(&line) {
-                Ok(list) => {
-                    *version = list.seq;
-                    inputs.send(Input::Hosts(list)).await?;
+            let frame = match self.system.timeout_at(until, body.frame()).await {
+                Ok(frame) => frame.ok_or("it was closed")??,
+                Err(_) if self.silent && !feed.is_open() => {
+                    self.confirm(Input::Unchanged).await?;
+                    continue;
                 }
-                Err(error) => {
-                    log!(*system, "discovery: skipped a malformed line: {error}");
-                    // What it would have told is in the whole list; until that comes, the old one holds.
-                    match whole_list(system, address, patience).await {
-                        Ok(list) => {
-                            *version = list.seq;
-                            inputs.send(Input::Hosts(list)).await?;
-                        }
-                        Err(error) => log!(*system, "discovery: no whole list: {error}"),
-                    }
+                Err(_) if feed.is_open() => return Err(Cut::Spoilt("half of a list came".into())),
+                Err(late) => return Err(Cut::Ended(late.into())),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            feed.extend(&data);
+            while let Some(item) = feed.next().map_err(|error| Cut::Spoilt(error.into()))? {
+                match item {
+                    Item::List(list) => self.take(list).await?,
+                    Item::Beat if self.silent => self.confirm(Input::Unchanged).await?,
+                    Item::Beat => {}
                 }
+                *heard = true;
             }
         }
-        if text.len() > LONGEST_LINE {
-            return Err("a line is too long".into());
+    }
+
+    /// Passes a list on, or what may be used of one that is older than the one in force.
+    async fn take(&mut self, list: HostList) -> Result<(), Cut> {
+        let (version, now) = (list.seq, self.system.now());
+        let word = self.members.borrow_mut().judge(version, self.version, list.whole, now);
+        if word == Word::Current {
+            self.version = version;
+            return Ok(self.confirm(Input::Hosts(list)).await?);
         }
+        let hosts = list.hosts.into_iter().filter(|line| line.health != Listing::Ready).collect();
+        let less = HostList { seq: self.version, whole: false, hosts };
+        self.confirm(Input::Hosts(less)).await?;
+        Err(Cut::Spoilt(format!("its list {version} is older than {}", self.version).into()))
+    }
+
+    async fn confirm(&mut self, news: Input) -> Result<(), Failure> {
+        self.silent = false;
+        Ok(self.inputs.send(news).await?)
     }
-    Err("it was closed".into())
-}
 
-async fn whole_list<S: System>(
-    system: &S, address: SocketAddr, patience: Duration,
-) -> Result<HostList, Failure> {
-    let mut channel = Channel::open(system, address).await?;
-    let answer = channel.ask(address, Method::GET, "/catalog/members", String::new(), patience).await?;
-    let body = http_body_util::Limited::new(answer.into_body(), LONGEST_LINE);
-    let mut list: HostList =
-        serde_json::from_slice(&system.timeout(patience, body.collect()).await??.to_bytes())?;
-    list.whole = true;
-    Ok(list)
+    /// Makes a call for a list; its answer's body comes with what holds its connection.
+    async fn ask(&self, path: &str) -> Result<(Channel<S>, Incoming), Failure> {
+        let patience = {
+            let mut members = self.members.borrow_mut();
+            members.asks(self.system.now());
+            members.pace.patience()
+        };
+        let mut channel = Channel::open(&self.system, self.address).await?;
+        let answer = channel.ask(self.address, Method::GET, path, String::new(), patience).await?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("answered {}", answer.status()).into());
+        }
+        Ok((channel, answer.into_body()))
+    }
+
+    async fn whole_list(&self) -> Result<HostList, Cut> {
+        let (_channel, body) = self.ask("/catalog/members").await?;
+        let body = http_body_util::Limited::new(body, LONGEST);
+        let text = self.system.timeout(WHOLE, body.collect()).await??.to_bytes();
+        let mut list: HostList = serde_json::from_slice(&text).map_err(|error| Cut::Spoilt(error.into()))?;
+        list.whole = true;
+        Ok(list)
+    }
 }
 
 /// Notices that the platform has not answered yet. Each is owed in the journal too, which bounds them.
@@ -287,7 +348,7 @@
     let answer = open.ask(address, Method::POST, "/v1/notices", text, PATIENCE).await?;
     let status = answer.status();
     system
-        .timeout(PATIENCE, http_body_util::Limited::new(answer.into_body(), LONGEST_LINE).collect())
+        .timeout(PATIENCE, http_body_util::Limited::new(answer.into_body(), LONGEST_ANSWER).collect())
         .await??;
     match status {
         StatusCode::NO_CONTENT => Ok(()),
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -3,6 +3,7 @@
 //! It owns the module, the clock and the timer, and decides nothing about messages. Which name on the wire is
 //! which of the module's numbers is kept beside it: hosts in `directory`, messages in `hand`.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -14,6 +15,7 @@
 use madderpitch_exchange::tenants::{LoginCall, TenantsCall};
 use madderpitch_exchange::undeliverable::{News, Told};
 use madderpitch_exchange::{CallEnd, Clock, Enqueue, HostList, Input, Reply, Verdict};
+use madderpitch_membership::Members;
 use madderpitch_policy::interface::*;
 use madderpitch_policy::Relay;
 use madderpitch_seam::{log, System};
@@ -51,6 +53,8 @@
     /// Who may use the administration API.
     pub tokens: watch::Sender<Tokens>,
     pub hosts: Rc<Hosts<S>>,
+    /// How far the list may be believed.
+    pub members: Rc<RefCell<Members>>,
     pub notices: Rc<Notices>,
     pub inputs: mpsc::Sender<Input>,
     /// What the module has not seen yet.
@@ -97,18 +101,6 @@
     wanted.map(value).collect()
 }
 
-fn may_have_run(outcome: Outcome) -> bool {
-    match outcome {
-        Outcome::Ok
-        | Outcome::Error
-        | Outcome::Timeout
-        | Outcome::Reset
-        | Outcome::Dropped
-        | Outcome::Cancelled => true,
-        Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot => false,
-    }
-}
-
 impl<S: System> Driver<S> {
     /// When the module is to be asked next.
     pub fn next_round(&self) -> Instant {
@@ -202,6 +194,7 @@
             known = self.memory.list.clone();
         }
         self.list(HostList { whole: true, ..known }, true);
+        self.events.push(Event::HostsDoubted(true));
         for (destination, down, back) in self.memory.outages.clone() {
             self.events.push(Event::Remembered(Outage { destination, down, back }));
         }
@@ -433,7 +426,11 @@
                 self.office.heard(&end);
                 self.ended(end);
             }
-            Input::Hosts(list) => self.list(list, false),
+            Input::Hosts(list) => {
+                self.list(list, false);
+                self.believe();
+            }
+            Input::Unchanged => self.believe(),
             Input::Noticed(ids) => {
                 self.desk.iter_mut().for_each(Desk::keep);
                 ids.into_iter().for_each(|id| self.over(id));
@@ -525,11 +522,13 @@
             self.hand.ended(self.system.now(), Name::of(&owed.taken));
         }
         let destination = owed.map(|owed| owed.taken.destination);
-        let kept = self.tell_desk(id, attempt, host, outcome, destination);
+        let kept = outcome == Outcome::NotBegun || self.tell_desk(id, attempt, host, outcome, destination);
         if told_over && kept {
             self.over(id);
+        } else if outcome == Outcome::NotBegun {
+            logged(&self.system, self.journal.not_begun(id, attempt));
         } else {
-            logged(&self.system, self.journal.outcome(id, attempt, may_have_run(outcome)));
+            logged(&self.system, self.journal.outcome(id, attempt, outcome.may_have_run()));
         }
         let names = self.config.report.iter().zip(&self.config.settings.report);
         let report = report.and_then(|text| read_report(names, &text)).unwrap_or_default();
@@ -567,14 +566,20 @@
         }
     }
 
+    /// The list is confirmed, or discovery is silent and what is remembered has to serve: calls wait no longer.
+    pub fn believe(&mut self) {
+        let waited = self.members.borrow_mut().confirmed();
+        self.events.extend(waited.then_some(Event::HostsDoubted(false)));
+    }
+
     fn list(&mut self, list: HostList, cached: bool) {
         let whole = list.whole;
         let Config { zones, kinds, settings, .. } = &self.config;
         let changes = self.directory.take(list, &Names { zones, kinds, settings: &settings.kinds });
-        for (host, ready) in changes.ready {
-            match ready {
-                true => self.hosts.welcome(host),
-                false => self.hosts.forget(host),
+        for (host, up) in changes.ready {
+            self.members.borrow_mut().list(host, up);
+            if !up {
+                self.hosts.close_idle(host);
             }
         }
         self.events.push(Event::Hosts { whole, cached, entries: changes.entries });
@@ -589,7 +594,7 @@
             self.events.push(Event::Timer(token));
         }
         let mut actions = Vec::new();
-        self.trace.events(now, &self.events);
+        self.trace.events(now, &self.events, &self.directory);
         self.relay.handle(now, std::mem::take(&mut self.events), &mut actions);
         self.trace.actions(now, &actions, &self.relay);
         for action in &actions {
@@ -671,18 +676,15 @@
     fn send(&mut self, now: Micros, id: MessageId, host: HostId, timeout: Micros) {
         let owed = self.journal.all().get(&id);
         let attempt = owed.map_or(0, |owed| owed.attempts.len().min(usize::from(u8::MAX)) as u8);
-        let moot = |over| {
+        let unsent = |outcome, over| {
             let report = Vec::new();
-            Event::Ended(Ended { id, attempt, host, outcome: Outcome::Moot, elapsed: 0, over, report })
+            Event::Ended(Ended { id, attempt, host, outcome, elapsed: 0, over, report })
         };
-        let Some(owed) = owed else { return self.events.push(moot(true)) };
-        let Some(listed) = self.directory.find(host) else {
-            // Booked all the same: the module counts it, and both must mean the same attempt by a number.
-            logged(
-                &self.system,
-                self.journal.out(id, attempt, Attempt { sent: now, zone: 0, may_have_run: false }),
-            );
-            return self.events.push(moot(false));
+        let Some(owed) = owed else { return self.events.push(unsent(Outcome::Moot, true)) };
+        // The module learns with its next round what the list says by now.
+        let listed = self.directory.find(host);
+        let Some(listed) = listed.filter(|_| self.members.borrow().may_begin(host, self.system.now())) else {
+            return self.events.push(unsent(Outcome::NotBegun, false));
         };
         let Listed { address, zone, route } = listed;
         let taken = &owed.taken;
@@ -705,7 +707,7 @@
         };
         if let Err(error) = self.journal.out(id, attempt, Attempt { sent: now, zone, may_have_run: true }) {
             log!(self.system, "journal: a call is not made: {error}");
-            self.events.push(moot(false));
+            self.events.push(unsent(Outcome::Moot, false));
             return;
         }
         if self.desk.is_some() {
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -1,7 +1,7 @@
 //! Calls to hosts, and the connections that are kept for them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -17,6 +17,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use madderpitch_exchange::{CallEnd, Input, Route};
+use madderpitch_membership::Members;
 use madderpitch_policy::interface::{HostId, MessageId, Micros, Outcome};
 use madderpitch_seam::{Stream, System, Task, Waiting};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -269,7 +270,10 @@
 pub struct Hosts<S: System> {
     system: S,
     idle: RefCell<BTreeMap<HostId, Vec<Connection<S>>>>,
-    welcome: RefCell<BTreeSet<HostId>>,
+    /// Which hosts may be called.
+    members: Rc<RefCell<Members>>,
+    /// Nothing is kept any more.
+    retired: Cell<bool>,
     /// Until when nothing may be sent, as told.
     waits: RefCell<BTreeMap<Route, Instant>>,
     dial_timeout: Duration,
@@ -298,14 +302,16 @@
 impl<S: System> Hosts<S> {
     /// No connections yet; `most_idle` of them are kept at most. Requests that are written whole are counted.
     pub fn new(
-        system: S, dial_timeout: Duration, idle_close: Duration, most_idle: usize, dispatches: Rc<Cell<u64>>,
+        system: S, members: Rc<RefCell<Members>>, dial_timeout: Duration, idle_close: Duration,
+        most_idle: usize, dispatches: Rc<Cell<u64>>,
     ) -> Self {
         // Closed a tenth early, so that no request crosses the host's own closing.
         let idle_close = idle_close - idle_close / 10;
         Hosts {
             system,
             idle: RefCell::default(),
-            welcome: RefCell::default(),
+            members,
+            retired: Cell::new(false),
             waits: RefCell::default(),
             dial_timeout,
             idle_close,
@@ -335,29 +341,17 @@
         });
     }
 
-    /// Closes the idle connections to a host.
+    /// Closes the idle connections to a host; those of calls to one that drains or is gone are not kept at their end.
     pub fn close_idle(&self, host: HostId) {
         self.idle.borrow_mut().remove(&host);
     }
 
     /// Nothing new will be called: connections are closed as they fall idle.
     pub fn retire(&self) {
-        self.welcome.borrow_mut().clear();
+        self.retired.set(true);
         self.idle.borrow_mut().clear();
     }
 
-    /// A host may be called, so that its connections are worth keeping.
-    pub fn welcome(&self, host: HostId) {
-        self.welcome.borrow_mut().insert(host);
-    }
-
-    /// A host drains or is gone. Guards its table, and ours, against connections that nobody will use:
-    /// those of calls that end later are closed too.
-    pub fn forget(&self, host: HostId) {
-        self.welcome.borrow_mut().remove(&host);
-        self.close_idle(host);
-    }
-
     /// The newest idle connection that still stands.
     fn reuse(&self, host: HostId, address: SocketAddr) -> Option<Connection<S>> {
         let now = self.system.now();
@@ -373,7 +367,8 @@
     }
 
     fn keep(&self, host: HostId, mut connection: Connection<S>) {
-        if !self.welcome.borrow().contains(&host) {
+        // Guards a host that drains or is gone, and our table, against connections that nobody will use.
+        if self.retired.get() || !self.members.borrow().is_up(host) {
             return;
         }
         connection.idle_since = self.system.now();
@@ -429,6 +424,12 @@
                     }
                 }
             };
+            // Guards a host that was announced as leaving while this call was still connecting: nothing of it has been
+            // written, so it goes back to the module, which finds another host or waits for one.
+            if !self.members.borrow().may_begin(call.host, self.system.now()) {
+                self.keep(call.host, connection);
+                return plain(Outcome::NotBegun);
+            }
             // Guards a wait that was told while this call was still connecting: it has not begun, so it
             // must not begin now. The module decides when it goes.
             if self.waits.borrow().get(&call.route).is_some_and(|until| *until > self.system.now()) {
@@ -565,6 +566,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use madderpitch_membership::Terms;
     use madderpitch_seam::Real;
     use socket2::SockRef;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -578,6 +580,16 @@
         Call { id: 1, attempt: 0, host: 1, route, address, name, key, body, timeout, begin_by: None }
     }
 
+    /// The connections of a relay that may call host 1.
+    fn hosts(most_idle: usize) -> Hosts<Real> {
+        let drain_grace = Duration::from_secs(2);
+        let mut members = Members::new(&Terms { pushed: true, siblings: 1, drain_grace, seed: 1 });
+        members.list(1, true);
+        members.confirmed();
+        let (members, span) = (Rc::new(RefCell::new(members)), Duration::from_secs(5));
+        Hosts::new(Real, members, span, span, most_idle, Rc::default())
+    }
+
     fn local(test: impl std::future::Future<Output = ()>) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         tokio::task::LocalSet::new().block_on(&runtime, test);
@@ -592,9 +604,7 @@
                 let address = listener.local_addr().expect("bound");
                 let call = call(address, key, body);
                 let (_, size) = request(&call, Duration::from_secs(30)).expect("a request");
-                let hosts =
-                    Hosts::new(Real, Duration::from_secs(5), Duration::from_secs(5), 1, Rc::default());
-                hosts.welcome(1);
+                let hosts = hosts(1);
                 let (inputs, mut ends) = mpsc::channel(1);
                 let (_cancel, cancelled) = oneshot::channel();
                 let peer = async {
@@ -621,8 +631,7 @@
         local(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
             let address = listener.local_addr().expect("bound");
-            let hosts = Hosts::new(Real, Duration::from_secs(5), Duration::from_secs(5), 1, Rc::default());
-            hosts.welcome(1);
+            let hosts = hosts(1);
             let (inputs, mut ends) = mpsc::channel(1);
             let (_cancel, cancelled) = oneshot::channel();
             let late = Instant::now().checked_sub(Duration::from_millis(1));
@@ -635,6 +644,34 @@
         });
     }
 
+    /// A drain that is told while the connection comes up takes the call back, on a new connection and on a kept one.
+    #[test]
+    fn a_call_to_a_host_announced_as_leaving_meanwhile_does_not_begin() {
+        for kept in [false, true] {
+            local(async move {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+                let address = listener.local_addr().expect("bound");
+                let hosts = hosts(1);
+                if kept {
+                    let opened = Connection::open(&Real, address, Rc::default()).await;
+                    let mut opened = opened.expect("opened");
+                    opened.sender.ready().await.expect("ready");
+                    hosts.keep(1, opened);
+                }
+                let (inputs, mut ends) = mpsc::channel(1);
+                let (_cancel, cancelled) = oneshot::channel();
+                // What `driver` does at a drain, but for the connections that it closes.
+                hosts.members.borrow_mut().list(1, false);
+                hosts.call(call(address, Some("k"), b"x"), cancelled, inputs).await;
+                let Some(Input::Ended(end)) = ends.recv().await else { panic!("no outcome") };
+                assert_eq!((end.outcome, end.fresh), (Outcome::NotBegun, !kept));
+                let (mut stream, _) = listener.accept().await.expect("accepted");
+                let read = timeout(Duration::from_millis(50), stream.read(&mut [0])).await;
+                assert!(!matches!(read, Ok(Ok(1..))), "not a byte of it was written");
+            });
+        }
+    }
+
     /// A break before the last byte is written proves that the call never ran.
     #[test]
     fn a_request_that_was_not_written_whole_never_ran() {
@@ -642,7 +679,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
             // More than the sockets' buffers take, so that the end cannot have been written.
             let call = call(listener.local_addr().expect("bound"), None, &vec![7; 32 << 20]);
-            let hosts = Hosts::new(Real, Duration::from_secs(5), Duration::from_secs(5), 1, Rc::default());
+            let hosts = hosts(1);
             let (inputs, mut ends) = mpsc::channel(1);
             let (_cancel, cancelled) = oneshot::channel();
             let peer = async {
@@ -665,9 +702,7 @@
             local(async {
                 let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
                 let address = listener.local_addr().expect("bound");
-                let hosts =
-                    Hosts::new(Real, Duration::from_secs(5), Duration::from_secs(5), 4, Rc::default());
-                hosts.welcome(1);
+                let hosts = hosts(4);
                 let (inputs, mut ends) = mpsc::channel(4);
                 let size = {
                     let call = call(address, None, b"x");
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -99,6 +99,8 @@
     Told(MessageId, u8, String, Outcome),
     /// What a class means for the messages that are taken from here on.
     Class(String, Class),
+    /// Not a byte of an attempt was written, so that it is none.
+    NotBegun(MessageId, u8),
 }
 
 /// A message that is owed its end.
@@ -321,6 +323,14 @@
         self.write(Record::Outcome(id, attempt, may_have_run))
     }
 
+    /// Not a byte of an attempt was written: it does not count, and the next one has its number.
+    pub fn not_begun(&mut self, id: MessageId, attempt: u8) -> io::Result<()> {
+        if self.owed.get(&id).is_none_or(|owed| owed.attempts.len() != usize::from(attempt) + 1) {
+            return Ok(());
+        }
+        self.write(Record::NotBegun(id, attempt))
+    }
+
     /// The module has given a message up; the platform is to be told.
     pub fn verdict(&mut self, id: MessageId, verdict: Verdict) -> io::Result<()> {
         self.write(Record::Verdict(id, verdict))
@@ -438,6 +448,10 @@
                 let attempt = owed.attempts.get_mut(usize::from(attempt));
                 attempt.into_iter().for_each(|attempt| attempt.may_have_run = may_have_run);
             }),
+            Record::NotBegun(id, attempt) => self.change(id, 0, |owed| {
+                owed.attempts.truncate(usize::from(attempt));
+                owed.told.remove(&attempt);
+            }),
             Record::Verdict(id, verdict) => self.change(id, size, |owed| owed.verdict = Some(verdict)),
             Record::Class(name, class) => {
                 self.versions += 1;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,7 +3,6 @@
 //! [`run`] is one process's whole life. All that it takes from its system goes through
 //! [`madderpitch_seam::System`].
 
-mod asking;
 mod classes;
 mod clients;
 mod config;
@@ -11,6 +10,7 @@
 mod directory;
 mod discovery;
 mod driver;
+mod feed;
 mod hand;
 mod hosts;
 mod journal;
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -1,6 +1,7 @@
 //! One process's life: it starts, takes the folder, serves until it is told to stop or another process takes over, and
 //! brings what is out to its end.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -8,12 +9,12 @@
 
 use madderpitch_control::{State, Told};
 use madderpitch_exchange::{Clock, Input, Reply};
+use madderpitch_membership::{Members, Terms};
 use madderpitch_policy::interface::Settings;
 use madderpitch_policy::Relay;
 use madderpitch_seam::{log, Signal, Signals, System, Task};
 use tokio::sync::{mpsc, watch};
 
-use crate::asking::Asking;
 use crate::classes::Classes;
 use crate::clients::{self, Clients};
 use crate::config::Config;
@@ -118,6 +119,12 @@
         let Config { tenants, classes, settings, .. } = &config;
         let tenants = Tenants::open(system, wanted.tenants.as_ref(), tenants, classes, settings)?;
         let (sharing, terms) = tenants.sharing(settings);
+        let members = Rc::new(RefCell::new(Members::new(&Terms {
+            pushed: !settings.discovery_by_asking,
+            siblings: settings.siblings,
+            drain_grace: config.drain_grace,
+            seed: config.seed,
+        })));
         let mut driver = Driver {
             relay: Relay::shared(settings.clone(), config.seed, sharing),
             tenants,
@@ -127,11 +134,13 @@
             journal,
             hosts: Rc::new(Hosts::new(
                 system.clone(),
+                members.clone(),
                 config.dial_timeout,
                 config.idle_close,
                 most_idle,
                 control.dispatches(),
             )),
+            members,
             notices: Rc::default(),
             inputs: inputs.clone(),
             events: terms,
@@ -160,7 +169,7 @@
     async fn serve(&mut self, office: Office<S>) -> Result<Option<(Arm<S>, Rc<Clients<S>>)>, String> {
         let (mut driver, at, most_clients) = self.open(office).await?;
         let Process { system, clock, control, inputs, .. } = self;
-        let asking = Asking::new(driver.config.settings.siblings, driver.config.seed);
+        let members = driver.members.clone();
         let version = driver.directory.version();
         let (hosts, timers) = (driver.hosts.clone(), system.clone());
         let sweep = async move {
@@ -171,7 +180,7 @@
         };
         let notices = driver.notices.clone();
         let mut tasks = vec![
-            system.spawn(discovery::follow(system.clone(), at.clone(), version, asking, inputs.clone())),
+            system.spawn(discovery::follow(system.clone(), at.clone(), version, members, inputs.clone())),
             system.spawn(discovery::notify(system.clone(), at, notices, inputs.clone())),
             system.spawn(sweep),
         ];
@@ -267,6 +276,15 @@
             }
             wake = wake.min(at.max(now + Duration::from_millis(1)));
         }
+        let doubted = driver.members.borrow().waits_until();
+        if let Some(until) = doubted {
+            if until <= now {
+                log!(*system, "discovery: silent since the start; calls go by the remembered list");
+                driver.believe();
+                return Ok(true);
+            }
+            wake = wake.min(until);
+        }
         if let Some(at) = driver.office.due() {
             if at <= now {
                 driver.tend_office();
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -9,6 +9,7 @@
 use madderpitch_policy::Relay;
 use madderpitch_seam::{log, System};
 
+use crate::directory::Directory;
 use crate::levels::Level;
 
 /// Levels are written so often.
@@ -34,9 +35,10 @@
     pub fn start(&self, now: Micros, settings: &Settings) {
         if self.on {
             let Settings { siblings, slots, most_held, rules, .. } = settings;
+            let discovery = if settings.discovery_by_asking { "ask" } else { "push" };
             log!(
                 self.system,
-                "fleet {} start siblings={siblings} slots={slots} held={most_held} cold={}",
+                "fleet {} start siblings={siblings} slots={slots} held={most_held} cold={} discovery={discovery}",
                 now / 1000,
                 rules.cold / 1000
             );
@@ -52,7 +54,7 @@
     }
 
     /// What the module is about to be told.
-    pub fn events(&mut self, now: Micros, events: &[Event]) {
+    pub fn events(&mut self, now: Micros, events: &[Event], directory: &Directory) {
         if !self.on {
             return;
         }
@@ -62,9 +64,10 @@
                 Event::Hosts { entries, .. } => entries.iter().for_each(|entry| {
                     let HostEntry { host, destination, listing, weight, kind, .. } = entry;
                     let kind = *kind;
+                    let name = directory.name_of(*host).unwrap_or_default();
                     log!(
                         self.system,
-                        "fleet {at} list {destination} host={host} kind={kind} weight={weight} {listing:?}"
+                        "fleet {at} list {destination} host={host} kind={kind} weight={weight} {listing:?} name={name}"
                     );
                 }),
                 Event::Arrived(m) | Event::Restored { message: m, .. } | Event::Again { message: m, .. } => {
@@ -125,16 +128,16 @@
         }
         let at = now / 1000;
         for action in actions {
-            let (word, id) = match action {
-                Action::Send { id, .. } => ("send", id),
-                Action::Refuse { id, .. } => ("refuse", id),
-                Action::Fail(id) => ("fail", id),
+            let (word, id, to) = match action {
+                Action::Send { id, host, .. } => ("send", id, format!(" to={host}")),
+                Action::Refuse { id, .. } => ("refuse", id, String::new()),
+                Action::Fail(id) => ("fail", id, String::new()),
                 _ => continue,
             };
             let destination = self.destinations.get(id).copied().unwrap_or(u16::MAX);
             let held = self.destinations.len();
             let standing = relay.standing(destination);
-            log!(self.system, "fleet {at} {word} {destination} {id} held={held} {standing}");
+            log!(self.system, "fleet {at} {word} {destination} {id} held={held}{to} {standing}");
             if word != "send" {
                 self.destinations.remove(id);
             }
--- a/crates/relay/src/undeliverable/mod.rs
+++ b/crates/relay/src/undeliverable/mod.rs
@@ -165,7 +165,7 @@
         CallOutcome::ConnectFailed => Outcome::NotConnected,
         CallOutcome::Reset | CallOutcome::Dropped => Outcome::Broken,
         CallOutcome::Cancelled => Outcome::CalledOff,
-        CallOutcome::Moot => Outcome::NotSent,
+        CallOutcome::Moot | CallOutcome::NotBegun => Outcome::NotSent,
     }
 }
 
--- a/crates/relay/tests/scene/mod.rs
+++ b/crates/relay/tests/scene/mod.rs
@@ -221,8 +221,14 @@
         discovery
     }
 
-    /// Tells all watches.
+    /// Tells all watches, and those who ask for the whole list.
     pub fn push(&self, seq: u64, hosts: &[Value]) {
+        let mut whole = self.hosts.lock().unwrap();
+        for host in hosts {
+            whole.retain(|known| known["host"] != host["host"]);
+            whole.extend((host["health"] != "removed").then(|| host.clone()));
+        }
+        drop(whole);
         self.push_text(seq, json!({"seq": seq, "whole": false, "hosts": hosts}).to_string());
     }
 
@@ -235,6 +241,16 @@
         *self.hosts.lock().unwrap() = hosts;
     }
 
+    /// Requests so far whose first line has this.
+    pub fn asked_for(&self, what: &str) -> usize {
+        self.asked.lock().unwrap().iter().filter(|line| line.contains(what)).count()
+    }
+
+    /// Waits until so many watches were opened, or fails the test.
+    pub fn until_watched(&self, times: usize) {
+        until("a watch", || (self.asked_for("follow=1") >= times).then_some(()));
+    }
+
     pub fn notice_of(&self, id: &str) -> Option<Value> {
         self.notices.lock().unwrap().iter().find(|notice| notice["id"] == id).cloned()
     }
