--- a/crates/sim/src/vast.rs
+++ b/crates/sim/src/vast.rs
@@ -105,6 +105,8 @@
         let set = &mut script.settings;
         let micros = |span: Duration| span.as_micros() as u64;
         set["siblings"] = relays.into();
+        // One discovery for all, which answers one call after the other.
+        set["discovery"] = "ask".into();
         set["familyInfo"]["callsOut"] = slots.into();
         set["limits"]["mostHeld"] = held.into();
         set["limits"]["maxAttempts"] = 12.into();
