--- a/crates/relay/tests/scene/mod.rs
+++ b/crates/relay/tests/scene/mod.rs
@@ -193,6 +193,10 @@
     pub notices: Arc<Mutex<Vec<Value>>>,
     /// Says nothing while set; connections stay open.
     pub silent: Arc<AtomicBool>,
+    /// Calls for the list are closed unanswered while set, and watches end.
+    pub closes: Arc<AtomicBool>,
+    /// Calls for the list are answered so many milliseconds later.
+    pub slow: Arc<AtomicU32>,
     /// Notices are answered 503 while set.
     pub refuses: Arc<AtomicBool>,
     /// First lines of all requests.
@@ -208,6 +212,8 @@
             hosts: Arc::default(),
             notices: Arc::default(),
             silent: Arc::default(),
+            closes: Arc::default(),
+            slow: Arc::default(),
             refuses: Arc::default(),
             asked: Arc::default(),
         };
@@ -278,6 +284,10 @@
             while self.silent.load(Ordering::SeqCst) {
                 thread::sleep(Duration::from_millis(2));
             }
+            thread::sleep(Duration::from_millis(self.slow.load(Ordering::SeqCst).into()));
+            if self.closes.load(Ordering::SeqCst) {
+                return None;
+            }
             let Some((_, since)) = first.split_once("since=") else {
                 let seq = self.lines.lock().unwrap().iter().map(|(seq, _)| *seq).max().unwrap_or(1);
                 let list = json!({"seq": seq, "whole": true, "hosts": *self.hosts.lock().unwrap()});
@@ -295,6 +305,9 @@
                     drop(reader.read(&mut [0]));
                     return None;
                 }
+                if self.closes.load(Ordering::SeqCst) {
+                    return None;
+                }
                 let lines: Vec<_> = self.lines.lock().unwrap().iter().skip(told).cloned().collect();
                 told += lines.len();
                 for (_, line) in lines.into_iter().filter(|(seq, _)| *seq > since) {
@@ -423,6 +436,14 @@
         assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
     }
 
+    /// SIGHUP, with discovery elsewhere.
+    pub fn move_discovery(&mut self, to: &Discovery) {
+        self.config["discovery"] = to.address.to_string().into();
+        std::fs::write(self.folder.join("config.json"), self.config.to_string()).expect("a file");
+        let id = self.relay.as_ref().expect("runs").id().to_string();
+        assert!(Command::new("kill").args(["-HUP", &id]).status().expect("kill runs").success());
+    }
+
     pub fn end(&mut self) -> ExitStatus {
         let mut relay = self.relay.take().expect("runs");
         until("the relay to end", || relay.try_wait().expect("waits"))
