--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,4 +4,4 @@
 mod members;
 pub mod pace;
 
-pub use members::{Members, Terms, Word, HOLD, OLDER_FOR};
+pub use members::{Members, Terms, Word, ASKED_HOLD, HOLD, OLDER_FOR};
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -12,6 +12,9 @@
 /// answers at once, a busy core makes some hundred milliseconds of it; one that has said nothing by then is silent, and
 /// what is remembered has to serve.
 pub const HOLD: Duration = Duration::from_secs(1);
+/// The same where relays ask one discovery for it. What a call that has to wait there misses counts as told only after its wait,
+/// and one that is overbooked after a restart of most relays would hold all of them up.
+pub const ASKED_HOLD: Duration = Duration::from_millis(250);
 /// A discovery that tells only lists older than the one in force is believed after so long. By then it counts as told of
 /// all that the other one knew: 4 s after its address was told, and 6 s for what it had not been sent.
 pub const OLDER_FOR: Duration = Duration::from_secs(10);
@@ -66,7 +69,8 @@
     /// A call for the list is made.
     pub fn asks(&mut self, now: Instant) {
         if self.trust == Trust::Unconfirmed(None) {
-            self.trust = Trust::Unconfirmed(Some(now + HOLD));
+            let hold = if self.pace.pushed() { HOLD } else { ASKED_HOLD };
+            self.trust = Trust::Unconfirmed(Some(now + hold));
         }
     }
 
--- a/crates/membership/src/pace.rs
+++ b/crates/membership/src/pace.rs
@@ -112,7 +112,7 @@
     /// for the whole of it, one of many for half to three halves, by chance.
     pub fn rest(&mut self) -> Duration {
         let rest = self.rest;
-        let most = if self.pushed { PUSHED_REST.1 } else { self.grown(REST.1, EACH_MOST) };
+        let most = if self.pushed { PUSHED_REST.1 } else { self.grown(REST.1, EACH_MOST).min(self.within()) };
         self.rest = (rest * 2).min(most);
         if self.siblings < 2 {
             return rest;
--- a/crates/sim/src/faults/mod.rs
+++ b/crates/sim/src/faults/mod.rs
@@ -5,6 +5,7 @@
 mod listing;
 mod partners;
 mod process;
+mod rolling;
 mod staff;
 mod tenants;
 mod traffic;
@@ -266,6 +267,47 @@
     faults
 }
 
+/// All relays are restarted, a tenth at a time, while up to a third of the hosts leave in steps, never the last of a
+/// destination; discovery moves for most relays, and is late or silent for some.
+pub fn of_rolling(dice: &mut Dice, relays: usize, hosts: usize, each: usize) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut add = |from: u64, span: u64, relay: usize, trouble: Rc<dyn Trouble>| {
+        faults.push(Fault { from, until: from + span, relay, trouble });
+    };
+    for relay in 0..relays {
+        let turn = (relay * 10 / relays) as u64;
+        add(2_000 + turn * 1_200 + dice.below(200), 1, relay, Rc::new(rolling::Restarted::draw(dice)));
+    }
+    let moved = dice.between(4_000, 10_000);
+    for relay in 0..relays {
+        if dice.percent(70) {
+            add(moved + dice.below(1_000), 1, relay, Rc::new(process::Reload));
+        }
+        match dice.below(10) {
+            0 => add(
+                dice.between(2_000, 11_000),
+                dice.between(200, 3_000),
+                relay,
+                Rc::new(listing::ListSilent),
+            ),
+            1 => add(dice.between(2_000, 11_000), 2_000, relay, Rc::new(listing::ListLags::draw(dice))),
+            _ => {}
+        }
+    }
+    for _ in 0..dice.between(3, 6) {
+        let from = dice.between(2_500, 14_000);
+        for host in 0..hosts {
+            // One of each destination stays for good: not the first, which idle relays prefer.
+            let stays = (host + 1) % each == 0 || host + 1 == hosts;
+            if !stays && dice.percent(15) {
+                add(from, dice.between(3_000, 6_000), 0, Rc::new(listing::Drains(host)));
+            }
+        }
+    }
+    faults.sort_by_key(|fault| fault.from);
+    faults
+}
+
 /// Two faults that overlap, and up to three more, in the order of their beginnings.
 pub fn draw(dice: &mut Dice, blocks: &[u16], hosts: usize) -> Vec<Fault> {
     let mut faults = Vec::new();
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod machine;
 pub mod operated;
 pub mod peers;
+pub mod rolling;
 pub mod rules;
 pub mod script;
 pub mod shrink;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -39,6 +39,12 @@
         /// Which days are played.
         #[arg(long, value_enum, default_value_t)]
         days: Days,
+        /// Relays of a rolling day; as drawn if not given.
+        #[arg(long, value_parser = clap::value_parser!(u16).range(1..=1024))]
+        relays: Option<u16>,
+        /// Hosts of a rolling day; as drawn if not given.
+        #[arg(long, value_parser = clap::value_parser!(u16).range(1..=3072))]
+        hosts: Option<u16>,
     },
     /// Play one seed and show what happened.
     Replay {
@@ -120,7 +126,13 @@
         }
     };
     let done = match arguments.command {
-        Command::Run { seeds, jobs, json, days } => run(seeds, jobs, json, days),
+        Command::Run { seeds, jobs, json, days, relays, hosts } => {
+            let sizes = [relays, hosts].map(|size| size.map(usize::from));
+            match (days, sizes) {
+                (Days::Rolling, _) | (_, [None, None]) => run(seeds, jobs, json, days, sizes),
+                _ => Err("only rolling days can be drawn for other numbers of relays or hosts".into()),
+            }
+        }
         Command::Replay { seed, trace, days } => replay(seed, trace, days),
         Command::Shrink { seed, days } => cut_down(seed, days),
         Command::Demo => demo::run(),
@@ -140,7 +152,13 @@
     }
 }
 
-fn run(seeds: std::ops::Range<u64>, jobs: u16, json: Option<PathBuf>, days: Days) -> Result<bool, String> {
+fn run(
+    seeds: std::ops::Range<u64>, jobs: u16, json: Option<PathBuf>, days: Days, sizes: [Option<usize>; 2],
+) -> Result<bool, String> {
+    let script = |seed| match days {
+        Days::Rolling => Script::draw_rolling(seed, sizes[0], sizes[1]),
+        days => Script::of(days, seed),
+    };
     // Before the work, so that a path that can't be written costs none.
     let mut file = match &json {
         Some(path) => {
@@ -165,7 +183,7 @@
                 if seed >= seeds.end {
                     break;
                 }
-                let report = play(&Script::of(days, seed), Options::default());
+                let report = play(&script(seed), Options::default());
                 if let Some(broken) = &report.broken {
                     bar.suspend(|| println!("{broken}"));
                 }
--- a/crates/sim/src/peers/discovery.rs
+++ b/crates/sim/src/peers/discovery.rs
@@ -97,8 +97,8 @@
         Rc::new(discovery)
     }
 
-    /// Changes an entry; the version grows by `jump`.
-    pub fn change(&self, at: Duration, line: Line, jump: u64) {
+    /// Changes an entry; the version grows by `jump`. Gives the moment from which it is told.
+    pub fn change(&self, at: Duration, line: Line, jump: u64) -> Duration {
         self.version.set(self.version.get() + jump.max(1));
         match line.health {
             "removed" => drop(self.lines.borrow_mut().remove(&line.host)),
@@ -107,9 +107,11 @@
         let mut changes = self.changes.borrow_mut();
         // In the order of their versions, whatever the lag is now.
         let before = changes.last().map_or(Duration::ZERO, |(_, told, _)| *told);
-        changes.push((self.version.get(), before.max(at + self.lag.get()), line));
+        let told = before.max(at + self.lag.get());
+        changes.push((self.version.get(), told, line));
         drop(changes);
         self.news.notify_waiters();
+        told
     }
 
     /// Wakes watches after a change of `silent`.
@@ -157,7 +159,9 @@
                 continue;
             }
             if self.silent.get() {
+                stage.see(&Seen::ListWaits(true));
                 until_closed(&mut stream).await;
+                stage.see(&Seen::ListWaits(false));
                 return Ok(());
             }
             stage.see(&Seen::ListAsked);
--- a/crates/sim/src/rules/facts.rs
+++ b/crates/sim/src/rules/facts.rs
@@ -59,6 +59,8 @@
     pub garbled: Vec<(u16, Duration)>,
     /// A class that comes and goes over the day.
     pub passing: Option<&'static str>,
+    /// Lists are pushed by an agent of the relay's own; if not, relays ask one discovery, and calls may wait.
+    pub pushed: bool,
     /// What is given up is kept and sent again.
     pub kept: bool,
     /// The store of what was given up is struck, so that records may be lost.
@@ -280,6 +282,12 @@
     Opened(usize),
     /// Discovery has written a line of the list to the relay: the host, and whether it is ready.
     Told(&'a str, bool),
+    /// A host is listed as up or not, which the relay counts as told at that moment unless it is sent it before.
+    Listed(&'a str, bool, Duration),
+    /// A call for the list waits for its answer from now on, or has had it or was given up.
+    ListWaits(bool),
+    /// The relay's agent says nothing on the list from now on, or does again.
+    Silent(bool),
     /// All hosts of a destination are in trouble from now on, or are back.
     Outage(u16, bool),
     /// An administrator begins to ask for a change.
@@ -535,6 +543,9 @@
             | Seen::Garbled(..)
             | Seen::Read(_)
             | Seen::Told(..)
+            | Seen::Listed(..)
+            | Seen::ListWaits(_)
+            | Seen::Silent(_)
             | Seen::Outage(..)
             | Seen::TenantAsked { .. }
             | Seen::TenantTold { .. }
--- a/crates/sim/src/rules/mod.rs
+++ b/crates/sim/src/rules/mod.rs
@@ -9,6 +9,7 @@
 mod ends;
 mod figures;
 mod kept;
+mod leaving;
 mod lost;
 mod order;
 mod process;
@@ -45,6 +46,7 @@
         Box::new(effects::Effects),
         Box::new(ends::Ends::default()),
         Box::new(drains::Drains::default()),
+        Box::new(leaving::Leaving::default()),
         Box::new(waits::Waits::default()),
         Box::new(order::Order::default()),
         Box::new(process::Process),
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -87,6 +87,8 @@
     Fleet,
     /// A hundred relays with little traffic each, round few destinations whose limits refused calls use up.
     Vast,
+    /// A rolling restart of a fleet while hosts are replaced and discovery moves.
+    Rolling,
     /// One relay that keeps what it gives up, operators who send it again, and partners that apply some calls silently.
     Kept,
     /// One relay, which new versions take over under load, killed at any step.
@@ -99,12 +101,12 @@
 pub const DISCOVERY_PORT: u16 = 8500;
 /// Where the relay of a number takes clients.
 pub fn relay_address(relay: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, 1 + relay as u8], 6379))
+    SocketAddr::from(([10, 0, (relay / 200) as u8, 1 + (relay % 200) as u8], 6379))
 }
 
 /// Where a relay's discovery answers after so many reloads: each has an agent of its own.
 pub fn discovery_address(relay: usize, moves: u16) -> SocketAddr {
-    SocketAddr::from(([10, 2, 0, 1 + relay as u8], DISCOVERY_PORT + moves))
+    SocketAddr::from(([10, 200, (relay / 200) as u8, 1 + (relay % 200) as u8], DISCOVERY_PORT + moves))
 }
 
 struct Class {
@@ -171,6 +173,7 @@
             eaten: false,
             garbled: Vec::new(),
             passing: None,
+            pushed: true,
         };
         let disk_mb = *dice.pick(&[0.25, 0.4, 1.0, 3.0]);
         let settings = settings(&rules, &classes, &mut dice);
@@ -269,6 +272,7 @@
             Days::Kept => Script::draw_kept(seed),
             Days::Upgraded => Script::draw_upgraded(seed),
             Days::Operated => Script::draw_operated(seed),
+            Days::Rolling => Script::draw_rolling(seed, None, None),
             Days::Vast => Script::draw_vast(seed, crate::vast::RELAYS),
         }
     }
--- a/crates/sim/src/vast.rs
+++ b/crates/sim/src/vast.rs
@@ -23,6 +23,13 @@
 /// Discovery answers one call from each relay in so many milliseconds, whatever their number.
 const ALL_CALLS: u64 = 5_000;
 
+/// The classes of such a day.
+pub(crate) const CLASSES: [(&str, Repeat); 3] = [
+    ("update", Repeat::Safe),
+    ("event", Repeat::Keyed { window: Duration::from_secs(6), zone_only: false }),
+    ("payout", Repeat::Unsafe),
+];
+
 /// What is bound on such a day beside the rules: some half above the largest figures of the seeds 0..120.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -84,12 +91,6 @@
         script.relays = relays;
         script.disk_mb = 1.0;
         let (held, slots) = ((ALL.0 / relays).max(LEAST.0), (ALL.1 / relays).clamp(LEAST.1, 60));
-        let window = Duration::from_secs(6);
-        let classes = [
-            ("update", Repeat::Safe),
-            ("event", Repeat::Keyed { window, zone_only: false }),
-            ("payout", Repeat::Unsafe),
-        ];
         script.rules = Rules {
             attempts: 12,
             cold_from: 0.2,
@@ -100,6 +101,7 @@
             disk: 1_000_000,
             most_bytes: 300_000,
             late_for: TIMES.1 - TIMES.0,
+            pushed: false,
             ..script.rules
         };
         let set = &mut script.settings;
@@ -114,7 +116,7 @@
         set["rules"]["cold"] = micros(script.rules.cold).into();
         set["rules"]["coldFrom"] = script.rules.cold_from.into();
         set["rules"]["overloadFor"] = micros(script.rules.overload_for).into();
-        for (number, (name, repeat)) in classes.iter().enumerate() {
+        for (number, (name, repeat)) in CLASSES.iter().enumerate() {
             let class = &mut set["services"][number];
             class["name"] = (*name).into();
             class["aim"] = micros(TIMES.0).into();
@@ -125,7 +127,7 @@
                 class["window"] = micros(*window).into();
             }
         }
-        script.clients = messages(&mut Dice::new(seed, 7), &script.rules, &classes, relays);
+        script.clients = messages(&mut Dice::new(seed, 7), &script.rules, &CLASSES, relays);
         let bounds = Bounds { turned_away: 0.25, lists: 2.0, opened: 0.45 };
         script.vast = Some(Vast {
             connections: relays + relays / 2 + 20,
@@ -137,7 +139,7 @@
 }
 
 /// At each destination four fifths of what it takes, some of it in clumps; any relay may get any of it.
-fn messages(
+pub(crate) fn messages(
     dice: &mut Dice, rules: &Rules, classes: &[(&'static str, Repeat)], relays: usize,
 ) -> Vec<Vec<Plan>> {
     let mut clients: Vec<Vec<Plan>> = (0..relays).map(|_| Vec::new()).collect();
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -40,6 +40,8 @@
 const MOVED: Duration = Duration::from_secs(4);
 /// SIGKILL comes so long after SIGTERM in an upgrade.
 const KILLED_AFTER: Duration = Duration::from_millis(3700);
+/// Where relays ask for it, what the list has to tell counts as told so much later at the latest.
+const ASKED: Duration = Duration::from_secs(6);
 /// A connection that stands for less was just opened, as the front's are.
 const JUST_OPENED: Duration = Duration::from_millis(500);
 /// A configuration has been read so long after its signal, and so long after a start.
@@ -634,7 +636,11 @@
         let host = &self.hosts[host];
         let line = line(host, health, host.capacity);
         // The change reaches all agents, each with its own lag.
-        self.seats.iter().for_each(|seat| seat.discovery.change(self.machine.now(), line.clone(), jump));
+        let late = if self.script.rules.pushed { Duration::ZERO } else { ASKED };
+        for (relay, seat) in self.seats.iter().enumerate() {
+            let told = seat.discovery.change(self.machine.now(), line.clone(), jump) + late;
+            self.of(relay).see(&Seen::Listed(&line.host, line.health == "up", told));
+        }
     }
 
     fn hosts(&self) -> usize {
