Under ask let a list confirmed a moment ago serve at once; keep a smaller memory with a checksum

`memory` moved to a file of its own: names once, CRC-32, 53 KB for 1,024 hosts instead of some 140; the old form is read. Names by number no longer searched through. Zones and kinds past 255 count as one.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -61,9 +61,15 @@
 }
 
 impl Members {
-    /// For a process that starts; whatever list it has is from before.
-    pub fn new(terms: &Terms) -> Self {
-        Members { trust: Trust::Unconfirmed(None), up: BTreeSet::new(), older: None, pace: Pace::new(terms) }
+    /// For a process that starts; whatever list it has is from before. `heard` is how long ago the process before last heard from
+    /// discovery; none if no process ever has, so that all is as the platform told it.
+    ///
+    /// Where relays ask, what the list has to tell binds only some seconds after: a list that was confirmed a moment ago serves until the
+    /// answer can be here. Guards a discovery that is overbooked after a restart of most relays, whose calls wait.
+    pub fn new(terms: &Terms, heard: Option<Duration>) -> Self {
+        let fresh = !terms.pushed && heard.is_none_or(|ago| ago <= Pace::fresh(terms));
+        let trust = if fresh { Trust::Believed } else { Trust::Unconfirmed(None) };
+        Members { trust, up: BTreeSet::new(), older: None, pace: Pace::new(terms) }
     }
 
     /// A call for the list is made.
@@ -141,7 +147,21 @@
 
     fn members(pushed: bool) -> Members {
         let drain_grace = Duration::from_secs(2);
-        Members::new(&Terms { pushed, siblings: 300, drain_grace, seed: 7 })
+        Members::new(&Terms { pushed, siblings: 300, drain_grace, seed: 7 }, None)
+    }
+
+    /// What was confirmed a moment ago binds later where relays ask, and counts as told where lists are pushed.
+    #[test]
+    fn a_list_that_was_confirmed_a_moment_ago_serves_where_relays_ask_for_it() {
+        let (now, drain_grace) = (Instant::now(), Duration::from_secs(2));
+        for (pushed, heard, serves) in
+            [(false, 0, true), (false, 3, true), (false, 4, false), (true, 0, false)]
+        {
+            let terms = Terms { pushed, siblings: 300, drain_grace, seed: 7 };
+            let mut members = Members::new(&terms, Some(Duration::from_secs(heard)));
+            members.list(1, true);
+            assert_eq!(members.may_begin(1, now), serves, "pushed {pushed}, {heard} s");
+        }
     }
 
     #[test]
--- a/crates/membership/src/pace.rs
+++ b/crates/membership/src/pace.rs
@@ -14,6 +14,8 @@
 pub const SILENCE: Duration = Duration::from_millis(3500);
 /// What discovery has to tell counts as told so long after a watch fell silent.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
+/// An empty line comes so often where nothing changes; what it confirms may be that old.
+const BEAT: Duration = Duration::from_secs(2);
 /// What is left of that for the answer, its lines and the relay's own work, at least.
 const ANSWER: Duration = Duration::from_millis(1500);
 
@@ -71,6 +73,12 @@
         (alone + each * (self.siblings - 1)).min(BOUND)
     }
 
+    /// Where relays ask: a list that was confirmed no longer ago than this serves a process that starts until its first call is
+    /// answered, before what came after that confirmation binds.
+    pub(crate) fn fresh(terms: &Terms) -> Duration {
+        (TOLD_AFTER + terms.drain_grace).saturating_sub(terms.drain_grace / 2 + ANSWER + BEAT)
+    }
+
     /// How long to wait before the first call of a process; calls to hosts wait as long, and for the answer.
     pub fn start(&mut self) -> Duration {
         if self.pushed {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -39,11 +39,15 @@
 #[derive(Default)]
 pub struct Directory {
     numbers: BTreeMap<String, HostId>,
+    /// The same the other way round.
+    names: BTreeMap<HostId, String>,
     listed: BTreeMap<HostId, Listed>,
     destinations: BTreeSet<DestinationId>,
     next: HostId,
     lines: BTreeMap<String, HostLine>,
     version: u64,
+    /// Since it was last asked for.
+    changed: bool,
 }
 
 /// Where a name stands in a list of them.
@@ -57,6 +61,11 @@
         self.version
     }
 
+    /// Whether anything was told since this was last asked; an older list may change hosts under the same version.
+    pub fn has_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// The numbers of hosts, by name.
     pub fn numbers(&self) -> Vec<(String, HostId)> {
         self.numbers.iter().map(|(name, number)| (name.clone(), *number)).collect()
@@ -65,6 +74,7 @@
     /// The numbers that another process gave; hosts that come get others.
     pub fn adopt(&mut self, numbers: Vec<(String, HostId)>) {
         self.next = numbers.iter().map(|(_, number)| *number).fold(self.next, HostId::max);
+        self.names.extend(numbers.iter().map(|(name, number)| (*number, name.clone())));
         self.numbers.extend(numbers);
     }
 
@@ -85,7 +95,7 @@
 
     /// A host's name on the wire.
     pub fn name_of(&self, host: HostId) -> Option<&str> {
-        self.numbers.iter().find(|(_, number)| **number == host).map(|(name, _)| name.as_str())
+        self.names.get(&host).map(String::as_str)
     }
 
     /// Whether no destination has ever been told.
@@ -105,7 +115,7 @@
 
     /// Takes over a list, or what changed of it.
     pub fn take(&mut self, list: HostList, names: &Names<'_>) -> Changes {
-        self.version = list.seq;
+        (self.version, self.changed) = (list.seq, true);
         if list.whole {
             self.lines.clear();
         }
@@ -119,10 +129,12 @@
             missing.remove(&line.host);
             let number = *self.numbers.entry(line.host.clone()).or_insert_with(|| {
                 self.next += 1;
+                self.names.insert(self.next, line.host.clone());
                 self.next
             });
-            let zone = index_of(names.zones, &line.site).unwrap_or(0) as u8;
-            let kind = index_of(names.kinds, &line.class).unwrap_or(0) as u8;
+            // Those past the last number are one, which is nobody's own.
+            let index = |names, name| u8::try_from(index_of(names, name).unwrap_or(0)).unwrap_or(u8::MAX);
+            let (zone, kind) = (index(names.zones, &line.site), index(names.kinds, &line.class));
             let apart = names.settings.get(usize::from(kind)).is_some_and(|kind| kind.apart);
             let route = (line.block, apart.then_some(number));
             changes.entries.push(HostEntry {
@@ -143,6 +155,7 @@
         }
         for (name, number) in missing {
             self.numbers.remove(&name);
+            self.names.remove(&number);
             self.listed.remove(&number);
             changes.ready.push((number, false));
         }
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -81,8 +81,16 @@
     };
     system.sleep(start).await;
     // An agent beside the relay confirms a list at once where it is asked for it whole; a watch may say nothing for 2 s.
-    let mut follower =
-        Follower { system, address: *at.borrow(), version, whole: pushed, silent: true, members, inputs };
+    let mut follower = Follower {
+        system,
+        address: *at.borrow(),
+        version,
+        whole: pushed,
+        pushed,
+        silent: true,
+        members,
+        inputs,
+    };
     loop {
         follower.address = *at.borrow_and_update();
         tokio::select! {
@@ -119,6 +127,7 @@
     version: u64,
     /// The whole list is wanted, as what has come since the one in force is not known.
     whole: bool,
+    pushed: bool,
     /// This process has not heard from discovery.
     silent: bool,
     members: Rc<RefCell<Members>>,
@@ -197,7 +206,7 @@
             while let Some(item) = feed.next().map_err(|error| Cut::Spoilt(error.into()))? {
                 match item {
                     Item::List(list) => self.take(list).await?,
-                    Item::Beat if self.silent => self.confirm(Input::Unchanged).await?,
+                    Item::Beat if self.silent || !self.pushed => self.confirm(Input::Unchanged).await?,
                     Item::Beat => {}
                 }
                 *heard = true;
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -28,8 +28,9 @@
 use crate::discovery::Notices;
 use crate::hand::{Hand, Name};
 use crate::hosts::{Call, Hosts};
-use crate::journal::{Attempt, Journal, Memory, Owed, Taken};
+use crate::journal::{Attempt, Journal, Owed, Taken};
 use crate::levels;
+use crate::memory::{self, Memory};
 use crate::operator;
 use crate::ownership::{Calls, Office, State as Left};
 use crate::tenants::Tenants;
@@ -194,7 +195,7 @@
             known = self.memory.list.clone();
         }
         self.list(HostList { whole: true, ..known }, true);
-        self.events.push(Event::HostsDoubted(true));
+        self.events.push(Event::HostsDoubted(!self.members.borrow().believed(self.system.now())));
         for (destination, down, back) in self.memory.outages.clone() {
             self.events.push(Event::Remembered(Outage { destination, down, back }));
         }
@@ -428,9 +429,9 @@
             }
             Input::Hosts(list) => {
                 self.list(list, false);
-                self.believe();
+                self.heard();
             }
-            Input::Unchanged => self.believe(),
+            Input::Unchanged => self.heard(),
             Input::Noticed(ids) => {
                 self.desk.iter_mut().for_each(Desk::keep);
                 ids.into_iter().for_each(|id| self.over(id));
@@ -572,6 +573,16 @@
         self.events.extend(waited.then_some(Event::HostsDoubted(false)));
     }
 
+    /// Discovery was heard.
+    fn heard(&mut self) {
+        self.believe();
+        // Where lists are pushed the next process need not know: to it, what its agent has counts as told at once.
+        if self.config.settings.discovery_by_asking {
+            let kept = memory::hear(&self.system, &self.config.state);
+            kept.unwrap_or_else(|e| log!(self.system, "memory: cannot write: {e}"));
+        }
+    }
+
     fn list(&mut self, list: HostList, cached: bool) {
         let whole = list.whole;
         let Config { zones, kinds, settings, .. } = &self.config;
@@ -635,7 +646,7 @@
     /// Keeps what has changed of the list and of outages.
     fn remember(&mut self) {
         let outages = self.relay.outages().map(|told| (told.destination, told.down, told.back)).collect();
-        if self.memory.list.seq == self.directory.version() && self.memory.outages == outages {
+        if !self.directory.has_changed() && self.memory.outages == outages {
             return;
         }
         self.memory = Memory { list: self.directory.whole(), outages };
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -583,7 +583,7 @@
     /// The connections of a relay that may call host 1.
     fn hosts(most_idle: usize) -> Hosts<Real> {
         let drain_grace = Duration::from_secs(2);
-        let mut members = Members::new(&Terms { pushed: true, siblings: 1, drain_grace, seed: 1 });
+        let mut members = Members::new(&Terms { pushed: true, siblings: 1, drain_grace, seed: 1 }, None);
         members.list(1, true);
         members.confirmed();
         let (members, span) = (Rc::new(RefCell::new(members)), Duration::from_secs(5));
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use madderpitch_exchange::{HostList, Verdict};
+use madderpitch_exchange::Verdict;
 use madderpitch_policy::interface::{Class, MessageId, Micros};
 use madderpitch_seam::{log, File, System};
 use madderpitch_undeliverable::{Outcome, RecordId};
@@ -24,7 +24,6 @@
 /// side by side and stay under the limit, with room for the small records of what is owed already.
 const OWED_PART: f64 = 0.3;
 const FILE_PART: f64 = 0.45;
-const MEMORY_PART: f64 = 0.05;
 /// Bytes that are kept free for the ends of messages, as a part of the limit and at most; some 500 ends.
 const SPARE: (f64, f64) = (0.04, 16384.0);
 
@@ -137,42 +136,6 @@
     }
 }
 
-/// What a relay was told, which a restart must not make it forget: kept whole in a small file of its own.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Memory {
-    /// The list of hosts.
-    pub list: HostList,
-    /// Outages: the destination, since when, and the first success after.
-    pub outages: Vec<(u16, Micros, Option<Micros>)>,
-}
-
-impl Memory {
-    /// What the folder holds; nothing if that can't be read.
-    pub fn load(system: &impl System, folder: &Path) -> Self {
-        match system.read(&folder.join("memory")) {
-            Ok(text) => serde_json::from_slice(&text).unwrap_or_else(|e| {
-                log!(*system, "memory: dropped, it cannot be read: {e}");
-                Memory::default()
-            }),
-            Err(_) => Memory::default(),
-        }
-    }
-
-    /// Puts this in place of what the folder holds.
-    pub fn save(&self, system: &impl System, folder: &Path, limit: u64) -> io::Result<()> {
-        let text = serde_json::to_vec(self)?;
-        // The journal's files leave a quarter of the disk; two of these come on top.
-        if text.len() as f64 > limit as f64 * MEMORY_PART {
-            return Err(io::Error::new(io::ErrorKind::StorageFull, "the list of hosts is too long to keep"));
-        }
-        let path = folder.join("memory");
-        let written = system.write(&fresh_path(&path), &text);
-        // Half of it would take room that others need.
-        written.inspect_err(|_| drop(system.remove(&fresh_path(&path))))?;
-        system.rename(&fresh_path(&path), &path)
-    }
-}
-
 /// The journal.
 pub struct Journal<S: System> {
     system: S,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod journal;
 mod levels;
 mod life;
+mod memory;
 mod operator;
 mod ownership;
 mod tenants;
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -24,7 +24,8 @@
 use crate::driver::{Driver, ELSEWHERE};
 use crate::hand::Hand;
 use crate::hosts::Hosts;
-use crate::journal::{Journal, Memory};
+use crate::journal::Journal;
+use crate::memory::{self, Memory};
 use crate::operator::Operator;
 use crate::ownership::{Arm, Folder, Office};
 use crate::tenants::Tenants;
@@ -119,12 +120,14 @@
         let Config { tenants, classes, settings, .. } = &config;
         let tenants = Tenants::open(system, wanted.tenants.as_ref(), tenants, classes, settings)?;
         let (sharing, terms) = tenants.sharing(settings);
-        let members = Rc::new(RefCell::new(Members::new(&Terms {
+        let terms_of_discovery = Terms {
             pushed: !settings.discovery_by_asking,
             siblings: settings.siblings,
             drain_grace: config.drain_grace,
             seed: config.seed,
-        })));
+        };
+        let heard = memory::heard(system, &config.state);
+        let members = Rc::new(RefCell::new(Members::new(&terms_of_discovery, heard)));
         let mut driver = Driver {
             relay: Relay::shared(settings.clone(), config.seed, sharing),
             tenants,
