Don't open spoilt watches without end where whole lists are sound

Seen on reading the change once more, then by a test: a discovery whose whole list is sound and whose watch is not got 567 calls for the list a second. Each sound whole list counted as news and made the next rest none (`Follower::follow`, `Pace::heard` before `Pace::spoilt`).

The test (`watches_that_are_spoilt_at_once_are_not_opened_without_end`) fails without it.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -138,19 +138,22 @@
     async fn follow(&mut self) {
         let mut logged = false;
         loop {
-            let mut heard = false;
+            let (mut heard, began) = (false, self.system.now());
             let Err(cut) = self.listen(&mut heard).await;
+            let spoilt = matches!(cut, Cut::Spoilt(_));
             let rest = {
                 let pace = &mut self.members.borrow_mut().pace;
-                if heard {
+                // Guards a discovery whose whole list is sound and whose watch is not: what it said between is no news.
+                if heard && (!spoilt || self.system.now() >= began + SILENCE) {
                     pace.heard();
                 }
-                match &cut {
-                    Cut::Ended(_) => pace.rest(),
-                    Cut::Spoilt(_) => pace.spoilt(),
+                if spoilt {
+                    pace.spoilt()
+                } else {
+                    pace.rest()
                 }
             };
-            self.whole |= matches!(cut, Cut::Spoilt(_));
+            self.whole |= spoilt;
             if !logged || heard {
                 let (address, system) = (self.address, &self.system);
                 match cut {
--- a/crates/relay/tests/leaving.rs
+++ b/crates/relay/tests/leaving.rs
@@ -205,3 +205,19 @@
     until("the call", || old.calls_of(&id).first().cloned());
     assert!(scene.log().lines().count() < 60, "{}", scene.log());
 }
+
+/// The same where whole lists are sound and each watch is not.
+#[test]
+fn watches_that_are_spoilt_at_once_are_not_opened_without_end() {
+    let (mut scene, old, _) = fleet();
+    let before = scene.discovery.asked_for("members HTTP");
+    scene.discovery.spoils.store(true, SeqCst);
+    scene.discovery.closes.store(true, SeqCst);
+    until("the watch to end", || scene.log().contains("ended").then_some(()));
+    scene.discovery.closes.store(false, SeqCst);
+    std::thread::sleep(Duration::from_millis(1000));
+    let asked = scene.discovery.asked_for("members HTTP") - before;
+    assert!((1..20).contains(&asked), "{asked} calls for the list");
+    let (id, _) = scene.enqueue("update", 1);
+    until("the call", || old.calls_of(&id).first().cloned());
+}
--- a/crates/relay/tests/scene/mod.rs
+++ b/crates/relay/tests/scene/mod.rs
@@ -195,6 +195,8 @@
     pub silent: Arc<AtomicBool>,
     /// Calls for the list are closed unanswered while set, and watches end.
     pub closes: Arc<AtomicBool>,
+    /// Watches begin with a line that is no list, while set.
+    pub spoils: Arc<AtomicBool>,
     /// Calls for the list are answered so many milliseconds later.
     pub slow: Arc<AtomicU32>,
     /// Notices are answered 503 while set.
@@ -213,6 +215,7 @@
             notices: Arc::default(),
             silent: Arc::default(),
             closes: Arc::default(),
+            spoils: Arc::default(),
             slow: Arc::default(),
             refuses: Arc::default(),
             asked: Arc::default(),
@@ -297,6 +300,9 @@
             };
             let since: u64 = since.split_whitespace().next()?.parse().ok()?;
             writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+            if self.spoils.load(Ordering::SeqCst) {
+                writer.write_all(b"6\r\nnoise\n\r\n").ok()?;
+            }
             // A watch that fell silent stays so: only a new one is told more.
             let mut told = 0;
             let mut beat = Instant::now();
