Say once how long a drain leaves, and ask the pace whether lists are pushed

Two rules of the checker had the same constant beside each other, and the follower a copy of what the pace knows.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -75,22 +75,12 @@
     system: S, mut at: watch::Receiver<SocketAddr>, version: u64, members: Rc<RefCell<Members>>,
     inputs: mpsc::Sender<Input>,
 ) {
-    let (start, pushed) = {
-        let pace = &mut members.borrow_mut().pace;
-        (pace.start(), pace.pushed())
-    };
+    let start = members.borrow_mut().pace.start();
     system.sleep(start).await;
     // An agent beside the relay confirms a list at once where it is asked for it whole; a watch may say nothing for 2 s.
-    let mut follower = Follower {
-        system,
-        address: *at.borrow(),
-        version,
-        whole: pushed,
-        pushed,
-        silent: true,
-        members,
-        inputs,
-    };
+    let whole = members.borrow().pace.pushed();
+    let address = *at.borrow();
+    let mut follower = Follower { system, address, version, whole, silent: true, members, inputs };
     loop {
         follower.address = *at.borrow_and_update();
         tokio::select! {
@@ -127,7 +117,6 @@
     version: u64,
     /// The whole list is wanted, as what has come since the one in force is not known.
     whole: bool,
-    pushed: bool,
     /// This process has not heard from discovery.
     silent: bool,
     members: Rc<RefCell<Members>>,
@@ -207,9 +196,11 @@
             let Ok(data) = frame.into_data() else { continue };
             feed.extend(&data);
             while let Some(item) = feed.next().map_err(|error| Cut::Spoilt(error.into()))? {
+                // Where relays ask, the next process is to know when this one last heard.
+                let tells = self.silent || !self.members.borrow().pace.pushed();
                 match item {
                     Item::List(list) => self.take(list).await?,
-                    Item::Beat if self.silent || !self.pushed => self.confirm(Input::Unchanged).await?,
+                    Item::Beat if tells => self.confirm(Input::Unchanged).await?,
                     Item::Beat => {}
                 }
                 *heard = true;
--- a/crates/sim/src/rules/drains.rs
+++ b/crates/sim/src/rules/drains.rs
@@ -4,10 +4,7 @@
 use std::time::Duration;
 
 use super::facts::{Facts, Seen};
-use super::{Broken, Rule, NOT_KEPT, SLACK};
-
-/// A host that drains gets nothing new so long after the relay was told.
-const DRAIN: Duration = Duration::from_secs(2);
+use super::{Broken, Rule, DRAIN, NOT_KEPT, SLACK};
 
 #[derive(Default)]
 pub struct Drains {
--- a/crates/sim/src/rules/leaving.rs
+++ b/crates/sim/src/rules/leaving.rs
@@ -7,10 +7,8 @@
 use std::time::Duration;
 
 use super::facts::{Facts, Seen};
-use super::{Broken, Rule, NOT_KEPT, SLACK};
+use super::{Broken, Rule, DRAIN, NOT_KEPT, SLACK};
 
-/// A host that drains or is gone gets nothing new so long after that counts as told.
-const DRAIN: Duration = Duration::from_secs(2);
 /// What a watch that has fallen silent misses counts as told so long after.
 const SILENT: Duration = Duration::from_secs(6);
 /// What a call for the list that has to wait misses counts as told so long after that wait is over.
