Serve customers whose settings name no tenants: their clients name none either

Checked: the relays start, become ready and hear lists; a scratch copy that prints refusals shows each ENQUEUE answered 'the list lacks t'. Ruled out: watches, hosts, the module (it had no message). At fault: clients.rs enqueue, need("t"); tenants/mod.rs admit would have taken it. Mend: t may be absent; where there are tenants a message without one is an error as before. Tests: tests/customers.rs, over a restart too (the first fails without the mend, as its first answer is the error).

--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -524,7 +524,8 @@
         name: name.into(),
         order: Some(order).filter(|key| *key != 0),
         class: need("c")?.into(),
-        tenant: need("t")?.into(),
+        // Where the settings name no tenants, clients don't either.
+        tenant: field("t").unwrap_or_default().into(),
         destination: need("dest")?.parse().map_err(|_| "dest is no number of a destination")?,
         due: sent + left.min(86_400_000) * 1000,
         key,
--- a/crates/relay/src/tenants/mod.rs
+++ b/crates/relay/src/tenants/mod.rs
@@ -129,6 +129,10 @@
         &mut self, name: &str, class: &str, destination: DestinationId,
     ) -> Result<(TenantId, String), Reply> {
         let error = |why: &str| Reply::Error(why.into());
+        let needs_one = !matches!(self, Tenants::Fixed(names) if names.is_empty());
+        if name.is_empty() && needs_one {
+            return Err(error("the list lacks t"));
+        }
         match self {
             Tenants::Fixed(names) => {
                 let number = index_of(names, name).or(names.is_empty().then_some(0));
--- /dev/null
+++ b/crates/relay/tests/customers.rs
@@ -0,0 +1,54 @@
+//! Settings of other customers: what one of them has and another one has not.
+
+mod scene;
+
+use scene::*;
+
+/// What a client without a tenant sends.
+fn untold(id: &str, class: &str, block: u16) -> Vec<u8> {
+    let list = format!("c={class},d=20000,dest={block}");
+    frame(&[b"ENQUEUE", b"0000000000000000", id.as_bytes(), list.as_bytes(), b"body"])
+}
+
+/// Settings may name no tenants; then clients name none.
+#[test]
+fn without_tenants_messages_are_taken_on_delivered_and_owed_over_a_restart() {
+    for listed in [true, false] {
+        let host = Host::new(|_, _| ok());
+        let mut scene = Scene::new(vec![entry("a", host.address, 1, "up")]);
+        let settings = scene.config["settings"].as_object_mut().expect("an object");
+        drop(settings.remove("tenants"));
+        if listed {
+            settings.insert("tenants".into(), serde_json::json!([]));
+        }
+        scene.start();
+        for id in ["one", "two"] {
+            let mut client = scene.client();
+            client.send(&untold(id, "update", 1));
+            assert_eq!(client.line(), "+OK");
+            until("the call", || host.calls_of(id).first().cloned());
+        }
+        host.script(|_, _| status("503 Busy"));
+        let mut client = scene.client();
+        client.send(&untold("three", "payout", 1));
+        assert_eq!(client.line(), "+OK");
+        until("a refused call", || host.calls_of("three").first().cloned());
+        scene.kill();
+        host.script(|_, _| ok());
+        let before = host.calls_of("three").len();
+        scene.start();
+        until("the call after the restart", || (host.calls_of("three").len() > before).then_some(()));
+    }
+}
+
+/// Where there are tenants, a message is one of theirs.
+#[test]
+fn with_tenants_a_message_without_one_is_an_error() {
+    let host = Host::new(|_, _| ok());
+    let mut scene = Scene::started(vec![entry("a", host.address, 1, "up")]);
+    let mut client = scene.client();
+    client.send(&untold("one", "update", 1));
+    assert_eq!(client.line(), "-ERR the list lacks t");
+    assert_eq!(scene.enqueue("update", 1).1, "+OK");
+    assert!(host.calls_of("one").is_empty());
+}
