--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -54,8 +54,7 @@
 const CAP_CUT: f64 = 0.8;
 /// No gap need be longer than so many times that of an even part: all together then ask for 0.7 of the limit.
 const GAP_EVEN: f64 = 1.4;
-/// What a relay asks for of its even part of a limit: where nothing is left of the allowance; where little is;
-/// and at most.
+/// What a relay asks for of its even part of a limit where nothing is left of the allowance, where little is, at most.
 const PART: (f64, f64, f64) = (0.7, 0.95, 4.0);
 /// Less than this share of the allowance is little.
 const ALLOWANCE_LITTLE: f64 = 0.3;
@@ -200,11 +199,9 @@
         }
     }
 
-    /// A report told what is left of the allowance.
-    ///
-    /// Guards a limit that refused calls use up too against a fleet in which no relay sees much of it: asked
-    /// for more than it gives, it serves none, and each relay alone sees too little to find its part. What is
-    /// left is old news to a thin sender, so the part falls at once and to a fixed share, and rises slowly.
+    /// A report told what is left of the allowance. Guards a limit that refused calls use up too against a fleet in which
+    /// no relay sees much of it: asked for more than it gives, it serves none. What is left is old news to a thin sender,
+    /// so the part falls at once and to a fixed share, and rises slowly.
     fn reported(&mut self, left: f64) {
         self.left = Some(left);
         self.part = match left {
@@ -219,11 +216,9 @@
         siblings / self.told.unwrap_or(siblings)
     }
 
-    /// The rest before the next trial, by `chance` of 0 to 1.
-    ///
-    /// Guards a destination that comes back against the trials of a large fleet, which alone are more than it takes
-    /// while cold: all together they ask for no more than that, and those that failed together don't come together.
-    /// It hurts where few of the relays have anything for it.
+    /// The rest before the next trial, by `chance` of 0 to 1. Guards a destination that comes back against the trials of a
+    /// large fleet, which alone are more than it takes while cold: all together they ask for no more than that, and those
+    /// that failed together don't come together. It hurts where few of the relays have anything for it.
     fn sleep_window(&self, siblings: f64, rules: &Rules, chance: f64) -> Micros {
         if siblings <= FEW {
             return (SLEEP_WINDOW as f64 * (0.9 + 0.2 * chance)) as Micros;
@@ -565,9 +560,8 @@
         let cut = message.key.filter(|_| attempts.last().is_some_and(|past| past.may_have_run));
         let turn = cut.and_then(|key| self.keys.get_mut(&key));
         turn.into_iter().for_each(|turn| turn.rest_until = self.now + self.set.rules.turn_gap);
-        // Guards against a destination that returned while this relay was down, of whose outage the last process
-        // saw too little: until it is told otherwise, a relay that has just started takes those that it owes
-        // something for cold, or what was held would come at once.
+        // Guards against a destination that returned while this relay was down, of whose outage the last process saw
+        // too little: those that it owes something are taken for cold, or what was held would come at once.
         let (now, destination) = (self.now, message.destination);
         for key in self.routes_to(destination) {
             let Some(route) = self.routes.get_mut(&key).filter(|route| !route.witness) else { continue };
@@ -619,11 +613,7 @@
     /// The outages that bind this relay still; they must outlast its process.
     pub fn outages(&self) -> impl Iterator<Item = Outage> + '_ {
         let told = self.routes.iter().filter(|(_, route)| route.witness);
-        told.map(|((destination, _), route)| Outage {
-            destination: *destination,
-            down: route.down,
-            back: route.back,
-        })
+        told.map(|(key, route)| Outage { destination: key.0, down: route.down, back: route.back })
     }
 
     /// Guards a returning destination against a relay that a restart made forget its outage: its fuse
@@ -684,8 +674,7 @@
         let call_id = attempt.call;
         self.sharing.returned(&held.message, attempt.booked, end.elapsed);
         held.attempts.truncate(tries as usize - usize::from(end.outcome == Outcome::NotBegun));
-        // Guards against a class that always fails somewhere, and against calls that can't be made: their tries
-        // must not follow at once.
+        // Guards against a class that always fails somewhere, and against calls that can't be made, following at once.
         held.not_before = match end.outcome {
             Outcome::Error | Outcome::Reset | Outcome::Moot => now + SECOND / 5 * tries,
             _ => now,
@@ -741,8 +730,7 @@
                 self.succeeded(key, host, elapsed, chance, class);
             }
             Outcome::Full { .. } => self.refused(key),
-            // Guards healthy hosts: a kept connection that breaks is no news of its host, which the next
-            // call asks on a new one.
+            // Guards healthy hosts: a kept connection that breaks is no news of its host; the next call asks on a new one.
             Outcome::Dropped | Outcome::Cancelled | Outcome::Moot | Outcome::NotBegun if !counted => {
                 if let Some(route) = self.routes.get_mut(&key).filter(|r| r.fuse == Fuse::HalfOpen) {
                     route.trip(now);
@@ -870,16 +858,12 @@
         }
     }
 
-    /// Guards against hangs and silence: what is out far too long is an error before its time-out. It
-    /// should catch any stall; it hurts where one class is rarely very slow, until its answer comes.
+    /// Guards against hangs and silence: what is out far too long is an error before its time-out, any stall.
     fn overdue(&mut self) {
         let now = self.now;
         let late = self.calls.values_mut().filter(|c| !c.overdue && c.overdue_at <= now);
-        let late = late.map(|c| {
-            c.overdue = true;
-            (c.route, c.host)
-        });
-        for (route, host) in late.collect::<Vec<_>>() {
+        let late: Vec<_> = late.map(|c| (std::mem::replace(&mut c.overdue, true), c.route, c.host)).collect();
+        for (_, route, host) in late {
             self.failed(route, host, false, false);
         }
     }
@@ -921,11 +905,9 @@
         held.worth * share
     }
 
-    /// What a route back from an outage that this relay saw may get from it, in calls a second.
-    ///
-    /// Guards against pushing a cold destination over, whatever laid it low: its capacity grows from the
-    /// told least share to all of it, and each relay takes its part. It hurts when the failures were
-    /// no outage, for as long as a destination may be cold.
+    /// What a route back from an outage that this relay saw may get from it, in calls a second. Guards against pushing a
+    /// cold destination over, whatever laid it low: its capacity grows from the told least share to all of it, and each
+    /// relay takes its part. It hurts when the failures were no outage, for as long as a destination may be cold.
     fn ramp(&self, route: &Route) -> f64 {
         if !route.witness {
             return f64::INFINITY;
@@ -1059,9 +1041,8 @@
     /// What is held and may not be refused.
     fn stuck(&self) -> Room {
         let stuck = self.held.values().filter(|held| !held.waits() || held.tainted().is_some());
-        let sum =
-            |room: Room, held: &Held| Room { places: room.places + 1, bytes: room.bytes + held.message.size };
-        stuck.fold(Room { places: 0, bytes: 0 }, sum)
+        let (places, bytes) = stuck.fold((0, 0), |(n, sum), held| (n + 1, sum + held.message.size));
+        Room { places, bytes }
     }
 
     fn risk(&self, id: MessageId) -> u8 {
@@ -1101,8 +1082,7 @@
             }
             let (held, route) = (self.held.get(&id)?, self.routes.get(&key)?);
             let class = self.class(&held.message);
-            // Guards against calls cut off by the end of the process: after it they count as run. Only
-            // those that may be repeated run the risk of a somewhat longer call.
+            // Guards against calls cut off by the end of the process, which count as run: only repeatable ones risk that.
             let needs = match class.effect {
                 Effect::Unsafe => self.overdue_after(held, route),
                 _ => (CUT_SHORT * self.usual(held, route)) as Micros,
@@ -1211,9 +1191,8 @@
         Room { places: less(self.set.most_held), bytes }
     }
 
-    /// Guards against a hold filled by messages for dead or swamped destinations, whatever made them so:
-    /// the door would turn away good ones. Refuses those worth least when their turn may come; a client
-    /// that comes again is a wider hold than ours. It hurts where clients never come again.
+    /// Guards against a hold filled by messages for dead or swamped destinations: the door would turn away good ones.
+    /// Refuses those worth least when their turn may come; a client that comes again is a wider hold than ours.
     fn make_room(&mut self, wanted: usize, out: &mut Vec<Action>) {
         let keep = self.hold(HOLD_ROOM);
         let enough = |relay: &Relay| relay.held.len() <= keep.places && relay.bytes + wanted <= keep.bytes;
@@ -1253,9 +1232,8 @@
         (if shut { OUTAGE_LEAST as f64 / SECOND as f64 } else { 0.0 }, 1.0 / pace.max(0.1))
     }
 
-    /// Guards against calls that hang, run away or crawl holding the slots that others could use: once
-    /// few are free, the overdue one that is out longest is called off. It gives up a message that
-    /// might still be answered, so it acts only while slots are short.
+    /// Guards against calls that hang, run away or crawl holding the slots that others could use: once few are free, the
+    /// overdue one that is out longest is called off. It might still be answered, so only while slots are short.
     fn free_slots(&mut self, out: &mut Vec<Action>) {
         let slots = self.set.slots;
         if !self.set.cancelling || self.calls.len() + 1 < slots {
