Try what a restart finds taken on and untried before its time is up

Seen on loopback, program before: of some 36 untried messages 2 were tried where the destination stayed away, 3 where new messages arrived, 13 of 300 relays' with a silent discovery and a second kill, 0 for a tenant that the settings name no more, 15 with 2.5 s left and a cold destination. Cause, in brain.rs: opening() bars a fuse that is open or half open, for all of a short deadline; ramp() counts what waits over OUTAGE_LEAST; dispatch() prefers what is worth more; make_room() gives up what is worth least; tenants/mod.rs restored() knows no tenant that is gone. Mend: one mechanism, Route.pressing: the pace at which those that are owed and untried are called in time, at most the told limit, past fuse and rest but never past a told wait; they go first within their tenant's turn, and give way to new ones last.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -141,6 +141,8 @@
     usual: f64,
     /// Messages that wait for its destination here.
     waiting: usize,
+    /// Calls a second by which what a restart found untried is tried in time; zero if nothing is.
+    pressing: f64,
     /// This relay was told of an outage, first at `down`; `back` is the first success after.
     witness: bool,
     down: Micros,
@@ -164,8 +166,7 @@
         }
     }
 
-    /// Guards a healthy destination against being taken for one that comes back cold, for a few broken
-    /// answers among many good ones: only where most late calls failed was there an outage.
+    /// Guards a healthy destination with a few broken answers: only where most late calls failed was there an outage.
     fn failing(&self) -> bool {
         let last = self.tally.iter().rev().take(OUTAGE_LAST);
         let (failed, all) = last.fold((0, 0), |(failed, all), (_, verdict)| {
@@ -509,8 +510,7 @@
         }
     }
 
-    /// Takes a message on if its tenant may have one more and there is room; one whose tenant holds no more
-    /// than its part takes the place of another's.
+    /// Takes a message on if its tenant may have one more and there is room, or its tenant holds no more than its part.
     fn at_the_door(&mut self, message: Message, out: &mut Vec<Action>) {
         if let Err(after) = self.sharing.admit(self.now, message.tenant) {
             let after = if after > 0 { after } else { self.advice() };
@@ -539,7 +539,16 @@
         if let (true, Some(key)) = (in_order, message.key) {
             self.keys.entry(key).or_default().line.push_back(message.id);
         }
-        let held = Held { message, aim_at, attempts, not_before: 0, over: false, started: false, worth };
+        let held = Held {
+            message,
+            aim_at,
+            attempts,
+            not_before: 0,
+            over: false,
+            started: false,
+            worth,
+            owed: false,
+        };
         self.held.insert(message.id, held);
     }
 
@@ -556,6 +565,7 @@
     /// Takes back a message from before a restart.
     fn restored(&mut self, message: Message, attempts: &[PastAttempt]) {
         self.again(message, attempts);
+        self.held.get_mut(&message.id).into_iter().for_each(|held| held.owed = true);
         // A call that the end of a process cut off may run on at its host.
         let cut = message.key.filter(|_| attempts.last().is_some_and(|past| past.may_have_run));
         let turn = cut.and_then(|key| self.keys.get_mut(&key));
@@ -768,8 +778,7 @@
             // Rest fills no bucket: what has waited must not come at once.
             (route.fuse, route.tokens) = (Fuse::Closed, route.tokens.min(0.0));
         }
-        // Guards against the good end of a call that was out before the outage being taken for the return: the
-        // destination would count as warm when it comes back.
+        // Guards against the good end of a call from before the outage: the destination would count as warm too soon.
         let since = now.saturating_sub(elapsed);
         if route.witness && route.back.is_none() && since >= route.down && now >= route.wait_until {
             // Guards a busy destination whose queue was full for a moment against the ramp of one that was away.
@@ -933,7 +942,7 @@
         }
         // A wait fills no bucket: all who were told of its end would come at once.
         let passed = (now - route.tokens_at.max(route.wait_until.min(now))) as f64 / SECOND as f64;
-        let rate = route.pace.min(ramp).min(route.ration(self.siblings));
+        let rate = route.pace.min(ramp).min(route.ration(self.siblings)).max(route.pressing);
         let depth = if ramp.is_finite() { 1.0 } else { (rate * 0.6).max(1.0) };
         route.tokens = if rate.is_finite() { (route.tokens + rate * passed).min(depth) } else { depth };
         route.tokens_at = now;
@@ -941,12 +950,13 @@
     }
 
     /// Whether the route takes a call now; if not, when to look again.
-    fn opening(&mut self, key: RouteKey) -> Result<(), Micros> {
+    fn opening(&mut self, key: RouteKey, pressing: bool) -> Result<(), Micros> {
         let now = self.now;
         let rate = self.refill(key);
         let slots = self.set.slots as f64;
         let Some(route) = self.routes.get(&key) else { return Err(Micros::MAX) };
-        let rest = route.wait_until.max(route.rest_until);
+        // Guards what a restart found untried against its end behind a fuse or a rest; a told wait binds it.
+        let rest = if pressing { route.wait_until } else { route.wait_until.max(route.rest_until) };
         if rest > now {
             return Err(rest);
         }
@@ -954,9 +964,9 @@
         let most = (slots * share - less).floor();
         let in_flight = route.in_flight as f64;
         let barred = match route.fuse {
-            Fuse::Open(until) if until > now => return Err(until),
+            Fuse::Open(until) if until > now && !pressing => return Err(until),
             Fuse::Open(_) => in_flight >= most.max(2.0),
-            Fuse::HalfOpen => true,
+            Fuse::HalfOpen => !pressing || in_flight >= most.max(2.0),
             Fuse::Closed => in_flight >= most.min(route.cap).max(1.0),
         };
         if barred {
@@ -979,10 +989,13 @@
         }
         let mut offers: Vec<Offer> = Vec::new();
         for (destination, ids) in &waiting {
+            let pressing = self.pressing(ids);
             for key in self.routes_to(*destination) {
-                self.routes.get_mut(&key).into_iter().for_each(|route| route.waiting = ids.len());
+                let Some(route) = self.routes.get_mut(&key) else { continue };
+                (route.waiting, route.pressing) = (ids.len(), pressing.min(route.told.unwrap_or(pressing)));
             }
-            if !self.routes_to(*destination).into_iter().any(|key| self.opening(key).is_ok()) {
+            if !self.routes_to(*destination).into_iter().any(|key| self.opening(key, pressing > 0.0).is_ok())
+            {
                 continue;
             }
             for id in ids {
@@ -997,6 +1010,7 @@
             }
         }
         offers.sort_by(|a, b| b.regret.total_cmp(&a.regret).then(a.id.cmp(&b.id)));
+        offers.sort_by_key(|offer| self.held[&offer.id].first_by());
         self.sharing.arrange(now, &mut offers);
         let (keep, mut stuck, mut short) = (self.hold(HOLD_ROOM), self.stuck(), false);
         for i in 0..offers.len() {
@@ -1015,7 +1029,7 @@
             if self.routes.get(&key).is_some_and(|r| r.fuse != Fuse::Closed && !r.harmless) {
                 let mates = offers.iter().filter(|o| o.destination == destination);
                 let mut mates: Vec<_> = mates.map(|o| o.id).collect();
-                mates.sort_by_key(|mate| self.risk(*mate));
+                mates.sort_by_key(|mate| (self.held[mate].first_by(), self.risk(*mate)));
                 id = mates.into_iter().find(|m| self.choose(*m) == Some((key, host))).unwrap_or(id);
                 let unsafe_only = self.set.probes && self.risk(id) > 2;
                 if let Some(route) = self.routes.get_mut(&key).filter(|_| unsafe_only) {
@@ -1038,6 +1052,14 @@
         self.sharing.settled(short);
     }
 
+    /// Calls a second by which what a restart found untried among these is tried before its time is up; a relay may stall.
+    fn pressing(&self, ids: &[MessageId]) -> f64 {
+        let untried = ids.iter().map(|id| &self.held[id]).filter(|held| held.untried());
+        let left = untried.map(|h| h.message.due.saturating_sub(self.now + SECOND / 4).max(self.set.tick));
+        let (count, sum) = left.fold((0.0, 0.0), |(n, sum), left| (n + 1.0, sum + left as f64));
+        count * count / f64::max(sum, 1.0) * SECOND as f64
+    }
+
     /// What is held and may not be refused.
     fn stuck(&self) -> Room {
         let stuck = self.held.values().filter(|held| !held.waits() || held.tainted().is_some());
@@ -1074,10 +1096,10 @@
 
     fn choose(&mut self, id: MessageId) -> Option<(RouteKey, HostId)> {
         let now = self.now;
-        let destination = self.held.get(&id)?.message.destination;
+        let (destination, untried) = self.held.get(&id).map(|h| (h.message.destination, h.untried()))?;
         let mut best: Option<(f64, RouteKey, HostId)> = None;
         for key in self.routes_to(destination) {
-            if self.opening(key).is_err() {
+            if self.opening(key, untried).is_err() {
                 continue;
             }
             let (held, route) = (self.held.get(&id)?, self.routes.get(&key)?);
@@ -1175,7 +1197,8 @@
         destinations.sort_unstable();
         destinations.dedup();
         for key in destinations.into_iter().flat_map(|d| self.routes_to(d)).collect::<Vec<_>>() {
-            wake = wake.min(self.opening(key).err().unwrap_or(now + SECOND / 2));
+            let pressing = self.routes.get(&key).is_some_and(|route| route.pressing > 0.0);
+            wake = wake.min(self.opening(key, pressing).err().unwrap_or(now + SECOND / 2));
         }
         let wake = wake.max(now + self.set.tick.max(1));
         if wake < Micros::MAX && self.armed.is_none_or(|at| at > wake || at <= now) {
@@ -1200,18 +1223,18 @@
             return;
         }
         let mut ahead: BTreeMap<DestinationId, (f64, f64)> = BTreeMap::new();
-        let mut ranked: Vec<(f64, MessageId)> = Vec::new();
+        let mut ranked: Vec<(bool, f64, MessageId)> = Vec::new();
         for (id, held) in self.held.iter().filter(|(_, held)| held.waits()) {
             let destination = held.message.destination;
             let line = ahead.entry(destination).or_insert_with(|| self.outlook(destination));
             line.0 += line.1;
             if held.tainted().is_none() {
                 let turn = self.now + (line.0.min(60.0) * SECOND as f64) as Micros;
-                ranked.push((self.worth_at(held, turn), *id));
+                ranked.push((held.untried(), self.worth_at(held, turn), *id));
             }
         }
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
-        for (_, id) in ranked {
+        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(b.2.cmp(&a.2)));
+        for (.., id) in ranked {
             if enough(self) {
                 break;
             }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -33,6 +33,8 @@
     pub over: bool,
     pub started: bool,
     pub worth: f64,
+    /// It was taken on by a process before this one.
+    pub owed: bool,
 }
 
 impl Held {
@@ -44,6 +46,20 @@
         !self.over && !self.started && !self.is_out()
     }
 
+    /// A process before this one took it on, and nobody has tried it.
+    pub fn untried(&self) -> bool {
+        self.owed && self.attempts.is_empty()
+    }
+
+    /// Those that are untried go first, by their deadlines.
+    pub fn first_by(&self) -> Micros {
+        if self.untried() {
+            self.message.due
+        } else {
+            Micros::MAX
+        }
+    }
+
     /// The first attempt that may have run, or may yet.
     pub fn tainted(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|a| a.fate != Fate::NeverRan)
--- a/crates/relay/src/tenants/mod.rs
+++ b/crates/relay/src/tenants/mod.rs
@@ -149,7 +149,8 @@
     /// The number of the tenant of a message that was taken on before a restart.
     pub fn restored(&mut self, reference: &str) -> Option<TenantId> {
         match self {
-            Tenants::Fixed(names) => index_of(names, reference).or(names.is_empty().then_some(0)),
+            // One that the settings name no more has no share to keep, and is owed its end all the same.
+            Tenants::Fixed(names) => index_of(names, reference).or_else(|| names.len().try_into().ok()),
             Tenants::Hosted(hosted) => {
                 let entry = hosted.registry.recall(reference)?;
                 entry.owed += 1;
--- /dev/null
+++ b/crates/relay/tests/restart.rs
@@ -0,0 +1,144 @@
+//! What a restart finds taken on and untried is still tried, whatever the restart met.
+
+mod scene;
+
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::{Duration, Instant};
+
+use scene::*;
+use serde_json::json;
+
+/// Calls a second that the destination takes when warm.
+const LIMIT: f64 = 10.0;
+/// Messages that are handed in before the process ends, and for how long they may be delivered.
+const MANY: usize = 40;
+const LEFT: u64 = 5_000;
+
+fn scene(siblings: u64, host: &Host) -> Scene {
+    let mut line = entry("a", host.address, 1, "up");
+    line["share"] = LIMIT.into();
+    let mut scene = Scene::new(vec![line]);
+    let settings = &mut scene.config["settings"];
+    settings["siblings"] = siblings.into();
+    settings["rules"] =
+        json!({"cold": 9_000_000, "coldFrom": 0.2, "overloadFactor": 2.0, "overloadFor": 1_500_000});
+    scene
+}
+
+/// Takes messages on for a host that says nothing, and ends the process; gives those that were not called.
+fn untried(scene: &mut Scene, host: &Host, class: &str, left: u64) -> Vec<String> {
+    host.script(|_, _| Answer::Hang);
+    scene.start();
+    let ids: Vec<String> = (0..MANY)
+        .map(|_| {
+            let (id, answer) = scene.enqueue_body(class, 1, left, b"body");
+            assert_eq!(answer, "+OK");
+            id
+        })
+        .collect();
+    until("a call", || (!host.calls().is_empty()).then_some(()));
+    scene.kill();
+    let rest: Vec<String> = ids.into_iter().filter(|id| host.calls_of(id).is_empty()).collect();
+    assert!(rest.len() > MANY / 2, "most wait behind the fuse: {}", rest.len());
+    rest
+}
+
+/// Waits until each has its end, and gives how many were called.
+fn tried(scene: &Scene, host: &Host, ids: &[String]) -> usize {
+    let called = |id: &String| !host.calls_of(id).is_empty();
+    until("an end of each", || {
+        ids.iter().all(|id| called(id) || scene.discovery.notice_of(id).is_some()).then_some(())
+    });
+    ids.iter().filter(|id| called(id)).count()
+}
+
+/// No more calls within the rule's span than a cold destination takes, with the rule's room for chance.
+fn assert_not_pushed_over(host: &Host, since: Instant) {
+    let calls: Vec<Instant> = host.calls().iter().map(|call| call.at).filter(|at| *at >= since).collect();
+    let span = Duration::from_millis(1500);
+    for (n, first) in calls.iter().enumerate() {
+        let within = calls[n..].iter().filter(|at| **at < *first + span).count() as f64;
+        // Its capacity by the end of the span.
+        let cold = (0.2 + 0.8 * (first.duration_since(since) + span).as_secs_f64() / 9.0).min(1.0);
+        let most = 2.0 * LIMIT * cold * span.as_secs_f64();
+        assert!(within <= most + 3.0 * most.sqrt() + 3.0, "{within} calls within 1.5 s, {most} are allowed");
+    }
+}
+
+#[test]
+fn a_cold_destination_gets_what_is_owed_with_short_deadlines_and_is_not_pushed_over() {
+    for siblings in [1, 7, 300] {
+        for (class, left) in [("update", LEFT), ("payout", LEFT), ("update", LEFT / 2)] {
+            let host = Host::new(|_, _| ok());
+            let mut scene = scene(siblings, &host);
+            let ids = untried(&mut scene, &host, class, left);
+            host.script(|_, _| ok());
+            let back = Instant::now();
+            scene.start();
+            let tried = tried(&scene, &host, &ids);
+            assert!(2 * tried > ids.len(), "{siblings} relays, {class}: {tried} of {} were tried", ids.len());
+            assert_not_pushed_over(&host, back);
+        }
+    }
+}
+
+#[test]
+fn a_destination_that_stays_away_is_tried_with_what_is_owed_all_the_same() {
+    for siblings in [1, 300] {
+        let host = Host::new(|_, _| Answer::Hang);
+        let mut scene = scene(siblings, &host);
+        let ids = untried(&mut scene, &host, "update", LEFT);
+        host.script(|_, _| status("500 Bad"));
+        scene.start();
+        let tried = tried(&scene, &host, &ids);
+        assert!(2 * tried > ids.len(), "{siblings} relays: {tried} of {} were tried", ids.len());
+    }
+}
+
+#[test]
+fn a_silent_discovery_and_a_second_kill_leave_time_for_what_is_owed() {
+    for siblings in [1, 300] {
+        let host = Host::new(|_, _| ok());
+        let mut scene = scene(siblings, &host);
+        let ids = untried(&mut scene, &host, "update", LEFT);
+        host.script(|_, _| ok());
+        scene.discovery.silent.store(true, SeqCst);
+        scene.start();
+        // The term names this second.
+        std::thread::sleep(Duration::from_secs(1));
+        scene.kill();
+        scene.start();
+        let tried = tried(&scene, &host, &ids);
+        assert!(2 * tried > ids.len(), "{siblings} relays: {tried} of {} were tried", ids.len());
+    }
+}
+
+/// New messages do not take the places of those.
+#[test]
+fn what_is_owed_is_not_given_up_to_make_room_for_what_arrives() {
+    let host = Host::new(|_, _| ok());
+    let mut scene = scene(1, &host);
+    scene.config["settings"]["limits"]["mostHeld"] = (MANY + MANY / 4).into();
+    let ids = untried(&mut scene, &host, "update", LEFT);
+    host.script(|_, _| ok());
+    scene.start();
+    // Worth more than what is owed.
+    for _ in 0..MANY {
+        scene.enqueue_body("payout", 1, 60_000, b"body");
+    }
+    let tried = tried(&scene, &host, &ids);
+    assert!(2 * tried > ids.len(), "{tried} of {} were tried", ids.len());
+}
+
+/// Settings may have changed between two processes.
+#[test]
+fn what_is_owed_for_a_tenant_that_the_settings_name_no_more_is_still_tried() {
+    let host = Host::new(|_, _| ok());
+    let mut scene = scene(1, &host);
+    let ids = untried(&mut scene, &host, "update", LEFT);
+    host.script(|_, _| ok());
+    scene.config["settings"]["tenants"] = json!([{"name": "other", "quotaPerS": 1000.0, "share": 1.0}]);
+    scene.start();
+    let tried = tried(&scene, &host, &ids);
+    assert!(2 * tried > ids.len(), "{tried} of {} were tried", ids.len());
+}
