Take and answer what comes in a process's last moment, and stay for messages in hand

Three races at the end, each forced by letting the process stand still (SIGSTOP) while things happen: - turn() ended at 0.5 s after SIGTERM with messages in hand, though calls may go out for 3.3 s; they lost four seconds of their time. A message that waits as told now goes out before the end (Driver::is_idle). - listen() dropped a listener whose queue held a connection with a request in it. An idle process now takes what waits at the port first (Told::Idle). - serve() returned at STOP_ENDS whatever had come: a request on an open connection was reset unread. It has its answer now (last_words). Ruled out: bytes between peek and close of a quiet connection are what PROTOCOL lets a client send once more.

--- a/crates/control/src/lifecycle.rs
+++ b/crates/control/src/lifecycle.rs
@@ -48,6 +48,8 @@
     TakenBack,
     /// SIGTERM.
     Stop,
+    /// A process that was told to stop has nothing left to do.
+    Idle,
 }
 
 /// What connections are to do.
@@ -70,11 +72,19 @@
     drained: bool,
     /// Another process takes over, or has.
     handed: bool,
+    /// It stops and has nothing left to do: what the port still holds is served, and no more comes.
+    idle: bool,
 }
 
 impl Default for Lifecycle {
     fn default() -> Self {
-        Lifecycle { state: State::Starting, since: Duration::ZERO, drained: false, handed: false }
+        Lifecycle {
+            state: State::Starting,
+            since: Duration::ZERO,
+            drained: false,
+            handed: false,
+            idle: false,
+        }
     }
 }
 
@@ -97,6 +107,7 @@
             (State::HandingOver, Told::TakenBack) if self.drained => State::Draining,
             (State::HandingOver, Told::TakenBack) => State::Serving,
             (State::Stopping, Told::Stop) => return false,
+            (State::Stopping, Told::Idle) => return !std::mem::replace(&mut self.idle, true),
             (_, Told::Stop) => State::Stopping,
             _ => return false,
         };
@@ -140,7 +151,7 @@
             _ if self.handed => false,
             State::Starting | State::HandingOver => false,
             State::Serving | State::Draining => true,
-            State::Stopping => self.past(now) < STOP_CLOSES,
+            State::Stopping => !self.idle && self.past(now) < STOP_CLOSES,
         }
     }
 
@@ -167,6 +178,11 @@
         self.state == State::Stopping && (past >= STOP_ENDS || quiet && past >= front)
     }
 
+    /// Whether its time is up, whatever is left.
+    pub fn must_end(&self, now: Duration) -> bool {
+        self.state == State::Stopping && self.past(now) >= STOP_ENDS
+    }
+
     /// When the last call has to have ended, once the process was told to stop.
     pub fn last_call(&self) -> Option<Duration> {
         (self.state == State::Stopping).then_some(self.since + STOP_CLOSES)
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -38,6 +38,8 @@
 /// process begins may have waited for up to the second, and what they ask counts from then: too little time left does
 /// no harm, too much would tell hosts and clients what is not so. Who waits longer has long gone.
 const QUEUED: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Once no more connections are taken, the port closes when none has come for the first span, and after the second.
+const LAST_TAKEN: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
 /// A connection that was just opened has its first request on the way: where all are closed, it has so long.
 const FRESH: Duration = Duration::from_millis(100);
 /// A connection that has asked nothing yet is closed after this, any quiet one where many are open ...
@@ -64,6 +66,8 @@
     open: RefCell<BTreeMap<u64, Open>>,
     next: Cell<u64>,
     left: Notify,
+    /// The port is open.
+    listens: Cell<bool>,
 }
 
 struct Open {
@@ -104,8 +108,14 @@
 impl<S: System> Clients<S> {
     /// No connections yet, and at most so many at once; `auth` tells whether clients have to name themselves.
     pub fn new(system: S, control: Rc<Control<S>>, most: usize, auth: bool) -> Rc<Self> {
-        let (open, next, left) = (RefCell::default(), Cell::default(), Notify::new());
-        Rc::new(Clients { system, control, most, auth, open, next, left })
+        let (open, next, left, listens) =
+            (RefCell::default(), Cell::default(), Notify::new(), Cell::default());
+        Rc::new(Clients { system, control, most, auth, open, next, left, listens })
+    }
+
+    /// Whether the port is open, or connections that waited there are still being taken.
+    pub fn listens(&self) -> bool {
+        self.listens.get()
     }
 
     /// Connections that are open.
@@ -157,7 +167,8 @@
     }
 }
 
-/// Takes connections until the process accepts no more. `shared` tells that the port outlasts processes.
+/// Takes connections until the process accepts no more, and those that wait then. `shared` tells that the port outlasts
+/// processes, so that these are for the next one.
 pub async fn listen<S: System>(
     listener: S::Listener, clients: Rc<Clients<S>>, clock: Clock<S>, inputs: mpsc::Sender<Input>,
     shared: bool,
@@ -165,10 +176,21 @@
     let system = clients.system.clone();
     let began = system.now();
     let mut doors = clients.control.doors();
+    let mut closing = doors.clone();
+    clients.listens.set(true);
+    let mut until = None;
     loop {
+        // Guards connections that came before the port closes and were not taken yet: with it they would be reset, and
+        // their requests with them.
+        if !doors.borrow_and_update().accepts {
+            let until = *until.get_or_insert_with(|| system.now() + LAST_TAKEN.1);
+            if shared || system.now() >= until {
+                break;
+            }
+        }
         let stream = tokio::select! {
             biased;
-            _ = doors.wait_for(|doors| !doors.accepts) => return,
+            _ = doors.wait_for(|doors| !doors.accepts), if shared => break,
             accepted = listener.accept() => match accepted {
                 Ok(stream) => stream,
                 Err(error) => {
@@ -177,6 +199,10 @@
                     continue;
                 }
             },
+            () = async {
+                drop(closing.wait_for(|doors| !doors.accepts).await);
+                system.sleep(LAST_TAKEN.0).await;
+            } => break,
         };
         // At the limit this one is taken and the next ones wait in the listener's queue. One that was taken is served,
         // whatever the process is told meanwhile.
@@ -194,6 +220,7 @@
             drop(serve(stream, &seat, &wake, &clock, inputs, waited).await);
         });
     }
+    clients.listens.set(false);
 }
 
 /// Whom a connection has named itself as.
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -128,10 +128,18 @@
         lifecycle.moves().then_some(Duration::from_millis(20))
     }
 
-    /// Whether the process ends now; `quiet` is asked only when that matters.
-    pub fn ends(&self, quiet: impl FnOnce() -> bool) -> bool {
-        let lifecycle = self.lifecycle.borrow();
-        lifecycle.state() == State::Stopping && lifecycle.ends(self.span(), quiet())
+    /// Whether the process ends now; `quiet` is asked only when that matters. `listens` tells that the port is still
+    /// open: connections that wait there are taken before a quiet process ends.
+    pub fn ends(&self, listens: bool, quiet: impl FnOnce() -> bool) -> bool {
+        let lifecycle = *self.lifecycle.borrow();
+        if lifecycle.state() != State::Stopping || !lifecycle.ends(self.span(), quiet()) {
+            return false;
+        }
+        if listens && !lifecycle.must_end(self.span()) {
+            self.tell(Told::Idle);
+            return false;
+        }
+        true
     }
 
     /// Whether another process is to have everything now.
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Whether nothing is left to do for what was taken on: no message in hand, no call out, no end to be told.
+    pub fn is_idle(&self) -> bool {
+        self.hand.len() == 0 && self.calls.is_empty() && self.events.is_empty() && self.notices.len() == 0
+    }
+
     /// Told to stop: no call may be out when the process ends.
     pub fn stop(&mut self) {
         if !self.control.tell(Change::Stop) {
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -38,6 +38,8 @@
 const OTHER_SOCKETS: usize = 24;
 /// The same beside the connections of administrators: their listener, the registry's files, the audit log.
 const ADMIN_SOCKETS: usize = 8;
+/// At its end a process reads what has come for so long, and writes its answers for so long.
+const LAST: Duration = Duration::from_millis(5);
 /// How often what is left of a process looks round.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -211,7 +213,7 @@
         driver.office.serves();
         loop {
             if !self.turn(&mut driver, &clients).await? {
-                return Ok(None);
+                return self.last_words(&mut driver).await.map(|()| None);
             }
             if !self.control.hands_over(clients.count()) {
                 continue;
@@ -248,6 +250,18 @@
         }
     }
 
+    /// Answers what came while the process was about to end: a request that is whole has its answer, and what is taken
+    /// on is the next process's.
+    async fn last_words(&mut self, driver: &mut Driver<S>) -> Result<(), String> {
+        self.system.sleep(LAST).await;
+        while let Ok(input) = self.incoming.try_recv() {
+            driver.take(input);
+        }
+        driver.round()?;
+        self.system.sleep(LAST).await;
+        Ok(())
+    }
+
     /// Does what is due, or waits for something to happen; false once the process ends.
     async fn turn(&mut self, driver: &mut Driver<S>, clients: &Clients<S>) -> Result<bool, String> {
         let Process { system, control, signals, incoming, .. } = self;
@@ -267,7 +281,9 @@
             }
             wake = wake.min(due.max(now + Duration::from_millis(1)));
         }
-        if control.ends(|| clients.count() == 0 && driver.calls.is_empty() && driver.events.is_empty()) {
+        // Messages in hand may go out until the last call has to end, and what a restart costs them is not theirs to lose.
+        let idle = || driver.is_idle() && clients.count() == 0 && incoming.is_empty();
+        if control.ends(clients.listens(), idle) {
             return Ok(false);
         }
         if let Some(soon) = control.show() {
@@ -320,7 +336,7 @@
         loop {
             let stopping = control.state() == State::Stopping;
             if arm.is_idle() && clients.count() == 0 && (stopping || arm.is_replaced())
-                || control.ends(|| arm.is_idle())
+                || control.ends(false, || arm.is_idle())
             {
                 return None;
             }
