Hear an agent that comes back within any drain grace, and drop no list while discovery moves

By reading: Channel::open waited up to 1 s for a connection beside the 0.75 s for its answer and up to 0.375 s of rest, more than the 1 s of drain grace that the other customer's settings leave; WHOLE was 1 s too. One span for both now, at most three eighths of the grace; rests at most an eighth; a list comes whole within half of it. With a grace of 2 s the figures are as before, but that a connection counts in. Follower::take set the version before it waited for room; a SIGHUP there dropped the list and a drain with it for good. Room is reserved first.

--- a/crates/membership/src/pace.rs
+++ b/crates/membership/src/pace.rs
@@ -19,10 +19,15 @@
 /// What is left of that for the answer, its lines and the relay's own work, at least.
 const ANSWER: Duration = Duration::from_millis(1500);
 
-/// Where changes are pushed: longest wait for an answer, the first rest after an end, and the longest. An agent that comes
-/// back is heard within the sum, which is well within the two seconds that a drain leaves.
+/// Where changes are pushed: longest wait for a connection and its answer, the first rest after an end, and the longest; all are
+/// less where a drain leaves less than two seconds.
 const PUSHED_PATIENCE: Duration = Duration::from_millis(750);
 const PUSHED_REST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(250));
+/// The same as parts of what a drain leaves: an agent that comes back is heard within the first two and a half of the second,
+/// as rests are drawn up to three halves, which leaves three tenths of it for the relay's own work.
+const PUSHED_PARTS: (f64, f64) = (0.375, 0.125);
+/// A list that has begun comes whole within this, and within half of what a drain leaves.
+const WHOLE: Duration = Duration::from_secs(1);
 
 /// Where discovery is asked: the first rest after an end, and the longest one, for a relay alone.
 const REST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
@@ -90,15 +95,29 @@
     /// How long to wait for an answer to begin.
     pub fn patience(&self) -> Duration {
         if self.pushed {
-            return PUSHED_PATIENCE;
+            return PUSHED_PATIENCE.min(self.drain_grace.mul_f64(PUSHED_PARTS.0));
         }
         self.grown(PATIENCE, EACH_PATIENCE)
     }
 
+    /// How long a list that has begun may take to come whole.
+    pub fn whole(&self) -> Duration {
+        WHOLE.min(self.drain_grace / 2)
+    }
+
+    /// Bounds of the rests where changes are pushed.
+    fn pushed_rest(&self) -> (Duration, Duration) {
+        let most = PUSHED_REST.1.min(self.drain_grace.mul_f64(PUSHED_PARTS.1));
+        (PUSHED_REST.0.min(most), most)
+    }
+
     /// Discovery has told something: the next end is the first.
     pub fn heard(&mut self) {
-        self.rest =
-            if self.pushed { PUSHED_REST.0 } else { self.grown(REST.0, EACH_FIRST).min(self.within()) };
+        self.rest = if self.pushed {
+            self.pushed_rest().0
+        } else {
+            self.grown(REST.0, EACH_FIRST).min(self.within())
+        };
         self.spoilt = false;
     }
 
@@ -120,7 +139,8 @@
     /// for the whole of it, one of many for half to three halves, by chance.
     pub fn rest(&mut self) -> Duration {
         let rest = self.rest;
-        let most = if self.pushed { PUSHED_REST.1 } else { self.grown(REST.1, EACH_MOST).min(self.within()) };
+        let most =
+            if self.pushed { self.pushed_rest().1 } else { self.grown(REST.1, EACH_MOST).min(self.within()) };
         self.rest = (rest * 2).min(most);
         if self.siblings < 2 {
             return rest;
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -24,11 +24,9 @@
 
 use crate::feed::{Feed, Item, LONGEST};
 
-/// A list that has begun comes whole within this.
-const WHOLE: Duration = Duration::from_secs(1);
 /// A new watch on which nothing comes for so long has nothing to tell that is not known.
 const LINGER: Duration = Duration::from_millis(100);
-/// Longest wait for a connection, or for the answer to notices.
+/// Longest wait for a connection that is to take notices, or for the answer to them.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// Bounds of the rest between two tries to send notices.
 const REST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
@@ -46,8 +44,8 @@
 }
 
 impl<S: System> Channel<S> {
-    async fn open(system: &S, address: SocketAddr) -> Result<Self, Failure> {
-        let stream = system.timeout(PATIENCE, system.connect(address)).await??;
+    async fn open(system: &S, address: SocketAddr, patience: Duration) -> Result<Self, Failure> {
+        let stream = system.timeout(patience, system.connect(address)).await??;
         stream.set_nodelay()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = system.spawn(async move { drop(connection.await) });
@@ -176,7 +174,7 @@
             // Guards against a discovery that falls silent with its connections open: nothing else would tell.
             let mut until = now + SILENCE;
             if feed.is_open() {
-                until = until.min(*began.get_or_insert(now) + WHOLE);
+                until = until.min(*began.get_or_insert(now) + self.members.borrow().pace.whole());
             } else {
                 began = None;
             }
@@ -213,8 +211,12 @@
         let (version, now) = (list.seq, self.system.now());
         let word = self.members.borrow_mut().judge(version, self.version, list.whole, now);
         if word == Word::Current {
-            self.version = version;
-            return Ok(self.confirm(Input::Hosts(list)).await?);
+            // Guards a list against being dropped here, where discovery moves while it waits to be taken: it does not
+            // count as known before it is handed on.
+            let room = self.inputs.reserve().await?;
+            (self.version, self.silent) = (version, false);
+            room.send(Input::Hosts(list));
+            return Ok(());
         }
         let hosts = list.hosts.into_iter().filter(|line| line.health != Listing::Ready).collect();
         let less = HostList { seq: self.version, whole: false, hosts };
@@ -234,8 +236,11 @@
             members.asks(self.system.now());
             members.pace.patience()
         };
-        let mut channel = Channel::open(&self.system, self.address).await?;
-        let answer = channel.ask(self.address, Method::GET, path, String::new(), patience).await?;
+        // One span for the connection and the answer: a connection that does not come up is as silent as its agent.
+        let until = self.system.now() + patience;
+        let mut channel = Channel::open(&self.system, self.address, patience).await?;
+        let left = until.saturating_duration_since(self.system.now());
+        let answer = channel.ask(self.address, Method::GET, path, String::new(), left).await?;
         if answer.status() != StatusCode::OK {
             return Err(format!("answered {}", answer.status()).into());
         }
@@ -245,7 +250,8 @@
     async fn whole_list(&self) -> Result<HostList, Cut> {
         let (_channel, body) = self.ask("/catalog/members").await?;
         let body = http_body_util::Limited::new(body, LONGEST);
-        let text = self.system.timeout(WHOLE, body.collect()).await??.to_bytes();
+        let whole = self.members.borrow().pace.whole();
+        let text = self.system.timeout(whole, body.collect()).await??.to_bytes();
         let mut list: HostList = serde_json::from_slice(&text).map_err(|error| Cut::Spoilt(error.into()))?;
         list.whole = true;
         Ok(list)
@@ -345,7 +351,7 @@
         None => false,
     };
     if !usable {
-        *channel = Some((address, Channel::open(system, address).await?));
+        *channel = Some((address, Channel::open(system, address, PATIENCE).await?));
     }
     let Some((_, open)) = channel else { return Err("no connection".into()) };
     let answer = open.ask(address, Method::POST, "/v1/notices", text, PATIENCE).await?;
