Let the test of customers without tenants not rest on when a refusal is read

Seen: one hang in two repetitions on two cores. Cause: the test killed the process once the host had the payout, perhaps before the process had read the 503; then the payout may have run and is rightly not sent again. The message is a safe one now, which has to come again in either order.

--- a/crates/relay/tests/customers.rs
+++ b/crates/relay/tests/customers.rs
@@ -30,7 +30,8 @@
         }
         host.script(|_, _| status("503 Busy"));
         let mut client = scene.client();
-        client.send(&untold("three", "payout", 1));
+        // Safe, as the process may be killed before it has read the refusal.
+        client.send(&untold("three", "update", 1));
         assert_eq!(client.line(), "+OK");
         until("a refused call", || host.calls_of("three").first().cloned());
         scene.kill();
