Hold on to what a restart found untried until a call has reached a host

Traced with a line in Relay::end and in the rule (scratch copy): each had one to three attempts, all refused connections; three and more seconds before its time make_room gave it up for what arrived. Fault: state.rs untried(), which an attempt that reached nobody ended. The simulation draws the drain grace (1 to 3 s) and judges by it; a reload that changes it says that it counts from the next start on.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -565,7 +565,7 @@
     /// Takes back a message from before a restart.
     fn restored(&mut self, message: Message, attempts: &[PastAttempt]) {
         self.again(message, attempts);
-        self.held.get_mut(&message.id).into_iter().for_each(|held| held.owed = true);
+        self.held.get_mut(&message.id).into_iter().for_each(|held| held.owed = attempts.is_empty());
         // A call that the end of a process cut off may run on at its host.
         let cut = message.key.filter(|_| attempts.last().is_some_and(|past| past.may_have_run));
         let turn = cut.and_then(|key| self.keys.get_mut(&key));
@@ -684,6 +684,8 @@
         let call_id = attempt.call;
         self.sharing.returned(&held.message, attempt.booked, end.elapsed);
         held.attempts.truncate(tries as usize - usize::from(end.outcome == Outcome::NotBegun));
+        let unreached = matches!(end.outcome, Outcome::ConnectFailed | Outcome::Moot | Outcome::NotBegun);
+        held.owed &= unreached && held.attempts.len() + 1 < self.set.max_attempts;
         // Guards against a class that always fails somewhere, and against calls that can't be made, following at once.
         held.not_before = match end.outcome {
             Outcome::Error | Outcome::Reset | Outcome::Moot => now + SECOND / 5 * tries,
@@ -799,7 +801,6 @@
 
     fn refused(&mut self, key: RouteKey) {
         let (now, chance, siblings) = (self.now, self.dice.roll(), self.siblings);
-        let jitter = 0.9 + 0.2 * chance;
         let Some(route) = self.routes.get_mut(&key) else { return };
         route.push(now, Verdict::Refused);
         route.refused_run += 1;
@@ -825,7 +826,7 @@
             route.cap = (route.cap * CAP_CUT).max(1.0);
             // Not all who were told the same end of a wait may come at once: within a gap, by chance.
             let told = route.wait_until > now;
-            let share = if told { chance } else { jitter };
+            let share = if told { chance } else { 0.9 + 0.2 * chance };
             route.rest_until = now.max(route.wait_until) + (route.gap as f64 * share) as Micros;
         }
         // Refusals alone for long are a shut destination, an outage; a few are its limit.
@@ -842,10 +843,9 @@
     /// A call failed, or is out so long that it counts as failed.
     fn failed(&mut self, key: RouteKey, host: HostId, harmless: bool, told: bool) {
         let (now, chance, siblings) = (self.now, self.dice.roll(), self.siblings);
-        let jitter = 0.9 + 0.2 * chance;
         if let Some(host) = self.hosts.get_mut(&host) {
             host.run += 1;
-            host.avoid_until = now + (AVOID as f64 * jitter) as Micros;
+            host.avoid_until = now + (AVOID as f64 * (0.9 + 0.2 * chance)) as Micros;
         }
         let Some(route) = self.routes.get_mut(&key) else { return };
         // An outage of one endpoint must not close the rest: while one is in good standing, use that.
@@ -1054,7 +1054,7 @@
 
     /// Calls a second by which what a restart found untried among these is tried before its time is up; a relay may stall.
     fn pressing(&self, ids: &[MessageId]) -> f64 {
-        let untried = ids.iter().map(|id| &self.held[id]).filter(|held| held.untried());
+        let untried = ids.iter().map(|id| &self.held[id]).filter(|held| held.presses());
         let left = untried.map(|h| h.message.due.saturating_sub(self.now + SECOND / 4).max(self.set.tick));
         let (count, sum) = left.fold((0.0, 0.0), |(n, sum), left| (n + 1.0, sum + left as f64));
         count * count / f64::max(sum, 1.0) * SECOND as f64
@@ -1096,10 +1096,10 @@
 
     fn choose(&mut self, id: MessageId) -> Option<(RouteKey, HostId)> {
         let now = self.now;
-        let (destination, untried) = self.held.get(&id).map(|h| (h.message.destination, h.untried()))?;
+        let (destination, presses) = self.held.get(&id).map(|h| (h.message.destination, h.presses()))?;
         let mut best: Option<(f64, RouteKey, HostId)> = None;
         for key in self.routes_to(destination) {
-            if self.opening(key, untried).is_err() {
+            if self.opening(key, presses).is_err() {
                 continue;
             }
             let (held, route) = (self.held.get(&id)?, self.routes.get(&key)?);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -33,7 +33,7 @@
     pub over: bool,
     pub started: bool,
     pub worth: f64,
-    /// It was taken on by a process before this one.
+    /// It was taken on by a process before this one and has reached no host since, though it could be tried again.
     pub owed: bool,
 }
 
@@ -46,8 +46,13 @@
         !self.over && !self.started && !self.is_out()
     }
 
-    /// A process before this one took it on, and nobody has tried it.
+    /// A process before this one took it on, and no call with it has reached a host or is out.
     pub fn untried(&self) -> bool {
+        self.owed && !self.is_out()
+    }
+
+    /// It is untried, and not even a connection was tried for it.
+    pub fn presses(&self) -> bool {
         self.owed && self.attempts.is_empty()
     }
 
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -159,6 +159,7 @@
             ("settings.familyInfo.callsOut", before.slots != after.slots),
             ("settings.limits.dialTimeout", old.dial_timeout != new.dial_timeout),
             ("settings.limits.idleClose", old.idle_close != new.idle_close),
+            ("settings.rules.drainGrace", old.drain_grace != new.drain_grace),
         ];
         changes.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
     }
--- a/crates/relay/tests/restart.rs
+++ b/crates/relay/tests/restart.rs
@@ -2,6 +2,8 @@
 
 mod scene;
 
+use std::collections::BTreeSet;
+use std::net::TcpListener;
 use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
 
@@ -130,6 +132,34 @@
     assert!(2 * tried > ids.len(), "{tried} of {} were tried", ids.len());
 }
 
+/// A connection that is refused is no call: who met nothing else is not given up for what arrives, and goes first once
+/// the destination is back.
+#[test]
+fn what_was_only_refused_a_connection_is_not_given_up_to_make_room() {
+    let host = Host::new(|_, _| ok());
+    let mut scene = scene(1, &host);
+    scene.operator = Some("log_calls = true\n".into());
+    scene.config["settings"]["limits"]["mostHeld"] = (MANY + MANY / 4).into();
+    scene.config["settings"]["rules"] = settings()["rules"].clone();
+    let ids = untried(&mut scene, &host, "update", 2 * LEFT);
+    // It stands elsewhere now, where nobody listens yet.
+    let moved = bind().local_addr().expect("bound");
+    scene.discovery.push(2, &[entry("a", moved, 1, "up")]);
+    scene.start();
+    until("refused connections of most", || {
+        let log = scene.log();
+        let failed = log.lines().filter(|line| line.contains(" ConnectFailed "));
+        let failed: BTreeSet<&str> = failed.filter_map(|line| line.split(' ').nth(4)).collect();
+        (3 * failed.len() > 2 * ids.len()).then_some(())
+    });
+    for _ in 0..MANY {
+        scene.enqueue_body("payout", 1, 60_000, b"body");
+    }
+    let back = Host::at(TcpListener::bind(moved).expect("the port is free"), |_, _| ok());
+    let tried = tried(&scene, &back, &ids);
+    assert!(2 * tried > ids.len(), "{tried} of {} were tried", ids.len());
+}
+
 /// Settings may have changed between two processes.
 #[test]
 fn what_is_owed_for_a_tenant_that_the_settings_name_no_more_is_still_tried() {
--- a/crates/relay/tests/scene/mod.rs
+++ b/crates/relay/tests/scene/mod.rs
@@ -91,7 +91,13 @@
 impl Host {
     /// A host whose script gets each call and how many calls came before it.
     pub fn new(script: impl Fn(&Seen, usize) -> Answer + Send + Sync + 'static) -> Host {
-        let listener = bind();
+        Host::at(bind(), script)
+    }
+
+    /// The same at a port of the test's own.
+    pub fn at(
+        listener: TcpListener, script: impl Fn(&Seen, usize) -> Answer + Send + Sync + 'static,
+    ) -> Host {
         let host = Host {
             address: listener.local_addr().expect("bound"),
             seen: Arc::default(),
--- a/crates/sim/src/rules/drains.rs
+++ b/crates/sim/src/rules/drains.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::facts::{Facts, Seen};
-use super::{Broken, Rule, DRAIN, NOT_KEPT, SLACK};
+use super::{Broken, Rule, NOT_KEPT, SLACK};
 
 #[derive(Default)]
 pub struct Drains {
@@ -23,7 +23,11 @@
             Seen::Gone => self.told.retain(|_, told| *told + NOT_KEPT < now),
             Seen::Called(call, _) => {
                 let host = &call.host.0;
-                if self.told.get(host).is_some_and(|told| call.begun > *told + DRAIN + SLACK) {
+                if self
+                    .told
+                    .get(host)
+                    .is_some_and(|told| call.begun > *told + facts.rules.drain_grace + SLACK)
+                {
                     broken.push(("drains", format!("{} went to {host}, which drains", call.id)));
                 }
             }
--- a/crates/sim/src/rules/facts.rs
+++ b/crates/sim/src/rules/facts.rs
@@ -37,6 +37,8 @@
     pub overload_factor: f64,
     /// ... kept up for this long.
     pub overload_for: Duration,
+    /// A host that drains or is gone gets nothing new so long after the relay was told.
+    pub drain_grace: Duration,
     /// A message delivered at least so long before its time is up was in time for its aim.
     pub late_for: Duration,
     /// Bytes that the relay's folder may hold.
--- a/crates/sim/src/rules/leaving.rs
+++ b/crates/sim/src/rules/leaving.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::facts::{Facts, Seen};
-use super::{Broken, Rule, DRAIN, NOT_KEPT, SLACK};
+use super::{Broken, Rule, NOT_KEPT, SLACK};
 
 /// What a watch that has fallen silent misses counts as told so long after.
 const SILENT: Duration = Duration::from_secs(6);
@@ -87,7 +87,9 @@
             Seen::Called(call, _) => {
                 let asks = self.silent.is_some() || self.waits > 0;
                 let left = self.hosts.get(&call.host.0).filter(|left| left.sent.is_some() || !asks);
-                if let Some(left) = left.filter(|left| call.begun > left.since() + DRAIN + SLACK) {
+                if let Some(left) =
+                    left.filter(|left| call.begun > left.since() + facts.rules.drain_grace + SLACK)
+                {
                     let late = (call.begun - left.since()).as_millis();
                     let text = format!("{} went to {}, told {late} ms before", call.id, call.host.0);
                     broken.push(("leaving", text));
--- a/crates/sim/src/rules/mod.rs
+++ b/crates/sim/src/rules/mod.rs
@@ -25,8 +25,6 @@
 
 /// What is under way counts for so long.
 const SLACK: Duration = Duration::from_millis(50);
-/// A host that drains or is gone gets nothing new so long after the relay was told.
-const DRAIN: Duration = Duration::from_secs(2);
 /// What was told less than this before a kill may not have reached the disk.
 const NOT_KEPT: Duration = Duration::from_millis(100);
 
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -22,6 +22,8 @@
 const RELAYS: (u64, u64) = (3, 5);
 /// Attempts at most; on every fourth day fewer, so that the bound is met.
 const ATTEMPTS: (u64, u64) = (2, 12);
+/// What a drain may leave a relay, in milliseconds.
+const GRACES: [u64; 5] = [1_000, 1_500, 2_000, 2_000, 3_000];
 
 /// The part of the disk that messages may take, and what one takes beside its body at most.
 const JOURNAL_PART: f64 = 0.3;
@@ -160,6 +162,8 @@
             cold: Duration::from_millis(dice.between(2_000, 8_000)),
             overload_factor: 2.0,
             overload_for: Duration::from_millis(dice.between(1_000, 2_500)),
+            // Numbers of their own, so that all else of a seed's day stays as it was.
+            drain_grace: Duration::from_millis(*Dice::new(seed, 14).pick(&GRACES)),
             late_for: Duration::ZERO,
             disk: 0,
             capacity,
@@ -330,7 +334,7 @@
         "myZone": 0, "overShareWorth": 0.1, "siblings": 1, "tick": 5000, "weightSource": "nominal",
         "rules": {"cold": micros(rules.cold), "coldFrom": rules.cold_from,
             "overloadFactor": rules.overload_factor, "overloadFor": micros(rules.overload_for),
-            "turnGap": micros(rules.turn_gap)},
+            "drainGrace": micros(rules.drain_grace), "turnGap": micros(rules.turn_gap)},
         "services": classes,
         "stats": {"fields": ["x0", "x1"], "source": "answers"},
         "tenants": [{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}]
