--- a/crates/relay/tests/scene/mod.rs
+++ b/crates/relay/tests/scene/mod.rs
@@ -1,6 +1,8 @@
 //! Scripted peers on loopback sockets: clients, hosts and discovery around one relay process.
 #![allow(dead_code)]
 
+pub mod stepped;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -10,7 +12,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use madderpitch_seam::Signal;
 use serde_json::{json, Value};
+use stepped::Inside;
 
 /// Far more than anything here takes, so that a slow machine gives the same verdict.
 pub const LONG: Duration = Duration::from_secs(60);
@@ -418,6 +422,22 @@
         let mut command = self.command();
         command.stdout(Stdio::null()).stderr(log.expect("a log"));
         self.relay = Some(command.spawn().expect("starts"));
+        self.until_ready();
+    }
+
+    /// The same relay in this process, where the test has points between its lines; `first` has come before its first turn.
+    pub fn inside(&self, first: &[Signal]) -> Inside {
+        let path = self.folder.join("config.json");
+        std::fs::write(&path, self.config.to_string()).expect("a file");
+        let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"));
+        let variable = |name: &str, path: PathBuf| (name.into(), path.to_string_lossy().into_owned());
+        let variables =
+            vec![variable("BALANCER_CONFIG", path), variable("BALANCER_STATE", self.folder.join("state"))];
+        Inside::start(variables, log.expect("a log"), first)
+    }
+
+    /// Waits until the relay takes clients.
+    pub fn until_ready(&self) {
         until("the relay to be ready", || {
             let mut client = TcpStream::connect(self.listen).ok()?;
             client.write_all(b"*1\r\n$4\r\nPING\r\n").ok()?;
--- /dev/null
+++ b/crates/relay/tests/scene/stepped.rs
@@ -0,0 +1,315 @@
+//! A relay in the test's own process, on real sockets and files, whose system calls the test at named points: what the
+//! test does there comes between two lines of the relay, every time. Nothing of it is in what the platform starts.
+
+use std::fmt;
+use std::fs::File as Disk;
+use std::future::Future;
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use madderpitch_seam::{
+    Address, File, Listener, Real, RealListener, RealStream, RealTask, Signal, Signals, Stream, System,
+    Waiting,
+};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::{mpsc, oneshot};
+
+/// Where the relay is, just after it did so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Point {
+    /// It looked what waits on a client's connection, and found nothing.
+    ClientLooked,
+    /// It looked what waits on a connection of its own, and found nothing.
+    HostLooked,
+    /// It wrote to its journal.
+    Kept,
+}
+
+type Hook = Box<dyn FnMut(Point) + Send>;
+
+struct Shared {
+    variables: Vec<(String, String)>,
+    hook: Mutex<Option<Hook>>,
+    log: Mutex<Disk>,
+    signals: Mutex<Option<mpsc::UnboundedReceiver<Signal>>>,
+}
+
+impl Shared {
+    fn at(&self, point: Point) {
+        // Taken out meanwhile, as what the test does there may bring the relay to a point.
+        let hook = self.hook.lock().unwrap().take();
+        if let Some(mut hook) = hook {
+            hook(point);
+            self.hook.lock().unwrap().get_or_insert(hook);
+        }
+    }
+}
+
+/// A relay that runs in a thread of the test.
+pub struct Inside {
+    shared: Arc<Shared>,
+    signals: mpsc::UnboundedSender<Signal>,
+    kill: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<Option<Result<(), String>>>>,
+}
+
+impl Inside {
+    /// Starts one with these variables, a log, and signals that have come before it reads its first.
+    pub fn start(variables: Vec<(String, String)>, log: Disk, first: &[Signal]) -> Inside {
+        let (signals, sent) = mpsc::unbounded_channel();
+        first.iter().for_each(|signal| signals.send(*signal).expect("open"));
+        let shared = Arc::new(Shared {
+            variables,
+            hook: Mutex::default(),
+            log: Mutex::new(log),
+            signals: Mutex::new(Some(sent)),
+        });
+        let (kill, killed) = oneshot::channel::<()>();
+        let system = shared.clone();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.expect("a runtime");
+            tokio::task::LocalSet::new().block_on(&runtime, async {
+                tokio::select! {
+                    biased;
+                    Ok(()) = killed => None,
+                    ended = madderpitch_relay::run(Stepped(system), None) => Some(ended),
+                }
+            })
+        });
+        Inside { shared, signals, kill: Some(kill), thread: Some(thread) }
+    }
+
+    /// What is done from now on at each point.
+    pub fn at_points(&self, hook: impl FnMut(Point) + Send + 'static) {
+        *self.shared.hook.lock().unwrap() = Some(Box::new(hook));
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        self.signals.send(signal).expect("it runs");
+    }
+
+    /// Waits for its end.
+    pub fn end(mut self) -> Result<(), String> {
+        let thread = self.thread.take().expect("runs");
+        super::until("the relay to end", || thread.is_finished().then_some(()));
+        thread.join().expect("no panic").expect("not killed")
+    }
+}
+
+impl Drop for Inside {
+    fn drop(&mut self) {
+        // One that has ended by itself hears nothing.
+        let _ = self.kill.take().map(|kill| kill.send(()));
+        let _ = self.thread.take().map(JoinHandle::join);
+    }
+}
+
+/// The machine, with points.
+#[derive(Clone)]
+struct Stepped(Arc<Shared>);
+
+impl System for Stepped {
+    type Task = RealTask;
+    type Stream = SteppedStream;
+    type Listener = SteppedListener;
+    type File = SteppedFile;
+    type Pages = Disk;
+    type Signals = SteppedSignals;
+    type Lock = Disk;
+
+    fn now(&self) -> Instant {
+        Real.now()
+    }
+
+    fn unix_time(&self) -> Duration {
+        Real.unix_time()
+    }
+
+    fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> {
+        Real.sleep_until(at)
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> RealTask {
+        Real.spawn(task)
+    }
+
+    async fn connect(&self, to: impl Into<Address>) -> io::Result<SteppedStream> {
+        let stream = Real.connect(to).await?;
+        Ok(SteppedStream { stream, shared: self.0.clone(), looked: Point::HostLooked })
+    }
+
+    async fn listen(&self, at: impl Into<Address>) -> io::Result<SteppedListener> {
+        Ok(SteppedListener(Real.listen(at).await?, self.0.clone()))
+    }
+
+    fn inherited(&self, descriptor: i32) -> io::Result<SteppedListener> {
+        Ok(SteppedListener(Real.inherited(descriptor)?, self.0.clone()))
+    }
+
+    fn lock(&self, path: &Path) -> io::Result<Option<Disk>> {
+        Real.lock(path)
+    }
+
+    fn open(&self, path: &Path) -> io::Result<SteppedFile> {
+        Ok(SteppedFile { file: Real.open(path)?, path: path.into(), shared: self.0.clone() })
+    }
+
+    fn create(&self, path: &Path) -> io::Result<SteppedFile> {
+        Ok(SteppedFile { file: Real.create(path)?, path: path.into(), shared: self.0.clone() })
+    }
+
+    fn pages(&self, path: &Path) -> io::Result<Disk> {
+        Real.pages(path)
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
+        Real.read(path)
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        Real.rename(from, to)
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        Real.remove(path)
+    }
+
+    fn signals(&self) -> io::Result<SteppedSignals> {
+        Ok(SteppedSignals(self.0.signals.lock().unwrap().take().expect("asked for once")))
+    }
+
+    fn variable(&self, name: &str) -> Option<String> {
+        self.0.variables.iter().find(|(known, _)| known == name).map(|(_, value)| value.clone())
+    }
+
+    fn log(&self, line: fmt::Arguments<'_>) {
+        writeln!(self.0.log.lock().unwrap(), "{line}").expect("a log");
+    }
+}
+
+struct SteppedSignals(mpsc::UnboundedReceiver<Signal>);
+
+impl Signals for SteppedSignals {
+    async fn next(&mut self) -> Signal {
+        match self.0.recv().await {
+            Some(signal) => signal,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+struct SteppedListener(RealListener, Arc<Shared>);
+
+impl Listener for SteppedListener {
+    type Stream = SteppedStream;
+
+    async fn accept(&self) -> io::Result<SteppedStream> {
+        let stream = self.0.accept().await?;
+        Ok(SteppedStream { stream, shared: self.1.clone(), looked: Point::ClientLooked })
+    }
+}
+
+struct SteppedStream {
+    stream: RealStream,
+    shared: Arc<Shared>,
+    looked: Point,
+}
+
+impl Stream for SteppedStream {
+    fn set_nodelay(&self) -> io::Result<()> {
+        self.stream.set_nodelay()
+    }
+
+    fn readable(&self) -> impl Future<Output = io::Result<()>> {
+        self.stream.readable()
+    }
+
+    fn try_read_buf(&self, into: &mut BytesMut) -> io::Result<usize> {
+        self.stream.try_read_buf(into)
+    }
+
+    fn waiting(&self) -> Waiting {
+        let waiting = self.stream.waiting();
+        if waiting == Waiting::Nothing {
+            self.shared.at(self.looked);
+        }
+        waiting
+    }
+}
+
+impl AsyncRead for SteppedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, into: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, into)
+    }
+}
+
+impl AsyncWrite for SteppedStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, text: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, text)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+struct SteppedFile {
+    file: Disk,
+    path: PathBuf,
+    shared: Arc<Shared>,
+}
+
+impl Read for SteppedFile {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        self.file.read(into)
+    }
+}
+
+impl Write for SteppedFile {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let written = self.file.write(bytes);
+        if self.path.ends_with("journal") {
+            self.shared.at(Point::Kept);
+        }
+        written
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.file.flush()
+    }
+}
+
+impl Seek for SteppedFile {
+    fn seek(&mut self, to: SeekFrom) -> io::Result<u64> {
+        self.file.seek(to)
+    }
+}
+
+impl File for SteppedFile {
+    fn set_len(&self, length: u64) -> io::Result<()> {
+        File::set_len(&self.file, length)
+    }
+}
