--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -1212,7 +1212,7 @@
 
     /// Guards against a hold filled by messages for dead or swamped destinations: the door would turn away good ones.
     /// Refuses those worth least when their turn may come; a client that comes again is a wider hold than ours. Of what a
-    /// restart found untried no more than a third, those with the least time left: it was taken on to be tried.
+    /// restart found untried a fourth at most, those with the least time left: most is tried also after two restarts.
     fn make_room(&mut self, wanted: usize, out: &mut Vec<Action>) {
         let keep = self.hold(HOLD_ROOM);
         let enough = |relay: &Relay| relay.held.len() <= keep.places && relay.bytes + wanted <= keep.bytes;
@@ -1236,7 +1236,7 @@
             if enough(self) {
                 break;
             }
-            let kept = untried && 3 * (self.found.1 + 1) > self.found.0;
+            let kept = untried && 4 * (self.found.1 + 1) > self.found.0;
             if !kept && self.sharing.over_share(self.held[&id].message.tenant, keep) {
                 self.found.1 += usize::from(untried);
                 let after = self.advice();
--- a/crates/relay/tests/restart.rs
+++ b/crates/relay/tests/restart.rs
@@ -139,7 +139,7 @@
     only_refused(json!([{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}]), "acme");
 }
 
-/// The same for a tenant that held far more than its share as its process ended: others have no more than a third of that.
+/// The same for a tenant that held far more than its share as its process ended: others have no more than a fourth of that.
 #[test]
 fn what_a_tenant_over_its_share_is_owed_is_not_given_up_for_another() {
     let other = json!({"name": "other", "quotaPerS": 1000.0, "share": 0.9});
