Let a start that is told to stop while it waits for the folder end and take nothing over

By reading: run() awaited Folder::acquire without looking at the signals. An operator who called an upgrade off with SIGTERM to the new version had it take over first and then end, and the old one had nothing left: nobody served. Forced by an old process that stands still (SIGSTOP) while the new one waits. Mend: the wait for the folder ends with SIGTERM; what it had locked is free with it. Tests: operations.rs, two: the first waits in vain without the mend (played), the second (SIGTERM to the old one with a call out) passes on the program as it stood.

--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -74,7 +74,14 @@
     let (inputs, incoming) = mpsc::channel(INPUTS);
     let clock = Clock::new(system.clone());
     let mut process = Process { system, operator, clock, control, signals, inputs, incoming, inherited };
-    let mut office = Folder::new(&process.system, &config.state).acquire(inherited.is_some()).await?;
+    let folder = Folder::new(&process.system, &config.state);
+    // Guards an upgrade that is called off: told to stop while it waits, this process takes nothing over, and the other one
+    // serves on.
+    let mut office = tokio::select! {
+        biased;
+        () = stopped(&mut process.signals) => return Ok(()),
+        office = folder.acquire(inherited.is_some()) => office?,
+    };
     loop {
         let Some((arm, clients)) = process.serve(office).await? else { return Ok(()) };
         match process.finish(arm, &clients).await {
@@ -84,6 +91,11 @@
     }
 }
 
+/// Ready once the process is told to stop; what it would read again it has yet to read.
+async fn stopped(signals: &mut impl Signals) {
+    while signals.next().await != Signal::Stop {}
+}
+
 /// The descriptor of the listening socket that the platform holds, if it does.
 fn inherited(system: &impl System) -> Result<Option<i32>, String> {
     let Some(text) = system.variable("BALANCER_SOCKET_FD") else { return Ok(None) };
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -7,7 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::AsRawFd;
-use std::process::{Child, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use scene::*;
@@ -392,6 +392,57 @@
     end(old);
 }
 
+fn signal(process: &Child, name: &str) {
+    assert!(Command::new("kill")
+        .args([name, &process.id().to_string()])
+        .status()
+        .expect("kill runs")
+        .success());
+}
+
+/// A new version that is told to stop before the old one has heard of it takes nothing over.
+#[test]
+fn a_new_version_that_is_told_to_stop_while_it_waits_leaves_the_old_one_serving() {
+    let host = Host::new(|_, _| ok());
+    let scene = &mut Scene::new(vec![up("a", &host, 1)]);
+    let held = Held::new(scene);
+    let (old, old_door) = held.start(scene);
+    ready(old_door);
+    // It stands still, so that it cannot hand over first.
+    signal(&old, "-STOP");
+    let (mut new, _) = held.start(scene);
+    until("the request", || scene.folder.join("state/upgrade.ask").exists().then_some(()));
+    signal(&new, "-TERM");
+    assert!(until("the new one to end", || new.try_wait().expect("waits")).success());
+    signal(&old, "-CONT");
+    ready(old_door);
+    let (id, answer) = scene.enqueue("payout", 1);
+    assert_eq!(answer, "+OK");
+    until("a delivery", || (figure(old_door, "success.payout") == 1).then_some(()));
+    assert_eq!(host.calls_of(&id).len(), 1);
+    end(old);
+}
+
+/// The old version is told to stop while a call of its own is out: it brings that to its end, and the new one hears of it.
+#[test]
+fn an_old_version_that_is_told_to_stop_in_a_hand_over_brings_its_calls_to_their_end() {
+    let host = Host::new(|_, _| Answer::Later(1500, ok_text()));
+    let scene = &mut Scene::new(vec![up("a", &host, 1)]);
+    let held = Held::new(scene);
+    let (mut old, old_door) = held.start(scene);
+    ready(old_door);
+    let (id, answer) = scene.enqueue("payout", 1);
+    assert_eq!(answer, "+OK");
+    until("the call", || (!host.calls_of(&id).is_empty()).then_some(()));
+    let (new, door) = held.start(scene);
+    ready(door);
+    signal(&old, "-TERM");
+    assert!(until("the old one to leave", || old.try_wait().expect("waits")).success());
+    until("the end of the call", || (figure(door, "success.payout") == 1).then_some(()));
+    assert_eq!((host.calls_of(&id).len(), scene.discovery.notice_of(&id)), (1, None));
+    end(new);
+}
+
 #[test]
 fn a_drain_goes_across_and_a_third_process_is_turned_away() {
     let host = Host::new(|_, _| Answer::Later(2500, ok_text()));
