Hold on to what a restart found untried also where one try is left

The bound on tries was there while an untried message was called past the fuse again and again; since only those with no attempt are, it only took protection away where the settings allow two or three attempts.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -680,8 +680,7 @@
         let call_id = attempt.call;
         self.sharing.returned(&held.message, attempt.booked, end.elapsed);
         held.attempts.truncate(tries as usize - usize::from(end.outcome == Outcome::NotBegun));
-        let unreached = matches!(end.outcome, Outcome::ConnectFailed | Outcome::Moot | Outcome::NotBegun);
-        held.owed &= unreached && held.attempts.len() + 1 < self.set.max_attempts;
+        held.owed &= matches!(end.outcome, Outcome::ConnectFailed | Outcome::Moot | Outcome::NotBegun);
         // Guards against a class that always fails somewhere, and against calls that can't be made, following at once.
         held.not_before = match end.outcome {
             Outcome::Error | Outcome::Reset | Outcome::Moot => now + SECOND / 5 * tries,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -33,7 +33,7 @@
     pub over: bool,
     pub started: bool,
     pub worth: f64,
-    /// It was taken on by a process before this one and has reached no host since, though it could be tried again.
+    /// It was taken on by a process before this one and has reached no host since.
     pub owed: bool,
 }
 
--- a/crates/relay/tests/restart.rs
+++ b/crates/relay/tests/restart.rs
@@ -136,24 +136,26 @@
 /// the destination is back.
 #[test]
 fn what_was_only_refused_a_connection_is_not_given_up_to_make_room() {
-    only_refused(json!([{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}]), "acme");
+    only_refused(json!([{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}]), "acme", 3);
 }
 
 /// The same for a tenant that held far more than its share as its process ended: others have no more than a fourth of that.
 #[test]
 fn what_a_tenant_over_its_share_is_owed_is_not_given_up_for_another() {
     let other = json!({"name": "other", "quotaPerS": 1000.0, "share": 0.9});
-    only_refused(json!([{"name": "acme", "quotaPerS": 1000.0, "share": 0.1}, other]), "other");
+    only_refused(json!([{"name": "acme", "quotaPerS": 1000.0, "share": 0.1}, other]), "other", 12);
 }
 
-/// Restarts with messages that meet refused connections until another tenant, or the same one, has handed in more.
-fn only_refused(tenants: Value, arrives: &str) {
+/// Restarts with messages that meet refused connections until another tenant, or the same one, has handed in more. A refused
+/// connection is an attempt, of which there are so many.
+fn only_refused(tenants: Value, arrives: &str, attempts: u64) {
     let host = Host::new(|_, _| ok());
     let mut scene = scene(1, &host);
     scene.operator = Some("log_calls = true\n".into());
     let settings_here = &mut scene.config["settings"];
     settings_here["limits"]["mostHeld"] = (MANY + MANY / 4).into();
     settings_here["rules"] = settings()["rules"].clone();
+    settings_here["limits"]["maxAttempts"] = attempts.into();
     settings_here["tenants"] = tenants;
     let ids = untried(&mut scene, &host, "update", 2 * LEFT);
     // It stands elsewhere now, where nobody listens yet.
