Keep golden files of stored data and of each wire, written by the program as it stands

Need: the renaming and cutting up that follows must not change what is stored or sent.

Tests write the same bytes and read the files; none rewrites them.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,8 @@
 mod memory;
 mod operator;
 mod ownership;
+#[cfg(test)]
+mod stored_format_tests;
 mod tenants;
 mod trace;
 mod undeliverable;
