Let the simulation tell a digest of moments, tasks, effects and bytes, without texts

To show that a renaming changes nothing else, a second digest hashes moments, the order of tasks, signals, files by name and every byte that is written.

Change: Report::effects_digest; run and replay print it.

--- a/crates/sim/src/machine/io.rs
+++ b/crates/sim/src/machine/io.rs
@@ -236,6 +236,9 @@
         let text = told.as_deref().unwrap_or(text);
         let (written, arrivals) =
             core.net.write(self.id, self.side, &text[..most.min(text.len())], core.now, jitter);
+        if let Written::Count(count) = &written {
+            core.record_effect(self.system.proc, "send", &text[..*count]);
+        }
         core.tell(arrivals, self.id);
         match written {
             Written::Count(count) => Poll::Ready(Ok(count)),
@@ -359,6 +362,7 @@
                 _ => {}
             }
         }
+        core.record_effect(self.system.proc, "close", &[]);
         let told = core.net.close(self.id, self.side, core.now);
         core.tell(told, self.id);
     }
@@ -411,6 +415,7 @@
             Fate::Alive => text.len(),
         };
         let written = core.disk(self.system.proc).write(&self.inode, self.at, text, most)?;
+        core.record_effect(self.system.proc, "write", &text[..written]);
         self.at += written as u64;
         Ok(written)
     }
--- a/crates/sim/src/machine/mod.rs
+++ b/crates/sim/src/machine/mod.rs
@@ -123,6 +123,8 @@
     taken: u64,
     dice: Dice,
     digest: DefaultHasher,
+    /// The same without texts: moments, the order of tasks, effects and the bytes that are written.
+    effects_digest: DefaultHasher,
     /// Lines for a reader, if any are wanted.
     trace: Option<Vec<String>>,
 }
@@ -210,6 +212,11 @@
         }
     }
 
+    /// Adds an effect of a process to the digest of effects.
+    fn record_effect(&mut self, process: ProcId, effect: &str, bytes: &[u8]) {
+        (self.now, process, effect, bytes).hash(&mut self.effects_digest);
+    }
+
     fn note(&mut self, line: fmt::Arguments<'_>) {
         let line = line.to_string();
         (self.now, &line).hash(&mut self.digest);
@@ -242,6 +249,7 @@
             taken: 0,
             dice: Dice::new(seed, 1),
             digest: DefaultHasher::new(),
+            effects_digest: DefaultHasher::new(),
             trace: traced.then(Vec::new),
         };
         Machine { core: Rc::new(RefCell::new(core)), next: 0 }
@@ -311,6 +319,11 @@
         self.core.borrow().digest.finish()
     }
 
+    /// The same for moments, the order of tasks, effects and written bytes alone: no renamed text changes it.
+    pub fn effects_digest(&self) -> u64 {
+        self.core.borrow().effects_digest.finish()
+    }
+
     /// The notes so far, if they are kept.
     pub fn trace(&self) -> Vec<String> {
         self.core.borrow_mut().trace.as_mut().map(std::mem::take).unwrap_or_default()
@@ -335,6 +348,7 @@
     pub fn signal(&self, proc: ProcId, signal: Signal) {
         let mut core = self.core.borrow_mut();
         core.note(format_args!("process {proc} gets {signal:?}"));
+        core.record_effect(proc, "signal", &[]);
         if let Some(this) = core.procs.get_mut(&proc) {
             this.signals.push_back(signal);
             this.waits_for_signal.take().into_iter().for_each(Waker::wake);
@@ -462,6 +476,7 @@
             let mut core = self.core.borrow_mut();
             core.steps += 1;
             (core.now, id).hash(&mut core.digest);
+            (core.now, id).hash(&mut core.effects_digest);
         }
         let ended = aborted || body.as_mut().poll(&mut Context::from_waker(&waker)).is_ready();
         if ended {
@@ -529,6 +544,13 @@
         self.core.borrow_mut().dice.below(n)
     }
 
+    /// The same for an effect on a file, which the digest of effects tells.
+    fn file_effect(&self, effect: &str, path: &Path) -> std_io::Result<()> {
+        let path = path.to_string_lossy();
+        self.core.borrow_mut().record_effect(self.proc, effect, path.as_bytes());
+        self.effect()
+    }
+
     /// Fails if the process is dead, or dies before this effect.
     fn effect(&self) -> std_io::Result<()> {
         match self.core.borrow_mut().effect(self.proc) {
@@ -594,7 +616,7 @@
     }
 
     fn lock(&self, path: &Path) -> std_io::Result<Option<VirtualLock>> {
-        self.effect()?;
+        self.file_effect("lock", path)?;
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
         let key = (core.place(self.proc), path.to_path_buf());
@@ -613,13 +635,13 @@
     }
 
     fn open(&self, path: &Path) -> std_io::Result<VirtualFile> {
-        self.effect()?;
+        self.file_effect("open", path)?;
         let inode = self.core.borrow_mut().disk(self.proc).open(path);
         Ok(self.file(inode, path))
     }
 
     fn create(&self, path: &Path) -> std_io::Result<VirtualFile> {
-        self.effect()?;
+        self.file_effect("create", path)?;
         let mut core = self.core.borrow_mut();
         if let Some(this) = core.procs.get_mut(&self.proc) {
             let text = path.to_string_lossy();
@@ -633,7 +655,7 @@
     }
 
     fn pages(&self, path: &Path) -> std_io::Result<VirtualPages> {
-        self.effect()?;
+        self.file_effect("pages", path)?;
         let mut core = self.core.borrow_mut();
         let life = core.procs.get(&self.proc).map(|proc| proc.life.clone());
         Ok(VirtualPages::new(core.disk(self.proc).pages(path), life))
@@ -652,12 +674,12 @@
     }
 
     fn rename(&self, from: &Path, to: &Path) -> std_io::Result<()> {
-        self.effect()?;
+        self.file_effect("rename", to)?;
         self.core.borrow_mut().disk(self.proc).rename(from, to)
     }
 
     fn remove(&self, path: &Path) -> std_io::Result<()> {
-        self.effect()?;
+        self.file_effect("remove", path)?;
         self.core.borrow_mut().disk(self.proc).remove(path)
     }
 
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -2,6 +2,7 @@
 //! newcomer the relay at work.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -238,17 +239,23 @@
             sum(|r| r.counts.applied_before),
         );
     }
-    let mut digests = std::hash::DefaultHasher::new();
-    for (seed, report) in reports {
-        std::hash::Hash::hash(&(seed, &report.digest), &mut digests);
-    }
-    println!("digest {:016x}", std::hash::Hasher::finish(&digests));
+    println!("digest {:016x}", combined(reports, |report| &report.digest));
+    println!("digest of effects {:016x}", combined(reports, |report| &report.effects_digest));
     match rules.is_empty() {
         true => println!("no rule broken"),
         false => println!("broken: {rules:?}"),
     }
 }
 
+/// One number for a digest of all reports.
+fn combined(reports: &BTreeMap<u64, Report>, digest: impl Fn(&Report) -> &String) -> u64 {
+    let mut combined = DefaultHasher::new();
+    for (seed, report) in reports {
+        (seed, digest(report)).hash(&mut combined);
+    }
+    combined.finish()
+}
+
 fn replay(seed: u64, trace: Option<PathBuf>, days: Days) -> Result<bool, String> {
     let script = Script::of(days, seed);
     for fault in &script.faults {
@@ -267,6 +274,7 @@
     }
     println!("{} messages, {} steps, {:?}", report.messages, report.steps, report.counts);
     println!("digest {}", report.digest);
+    println!("digest of effects {}", report.effects_digest);
     println!("{}", report.broken.as_deref().unwrap_or("no rule broken"));
     Ok(report.broken.is_none())
 }
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -72,6 +72,8 @@
     pub seed: u64,
     /// One number for all that happened.
     pub digest: String,
+    /// The same without texts: moments, the order of tasks, effects and the bytes that are written.
+    pub effects_digest: String,
     /// Steps played.
     pub steps: u64,
     /// Virtual milliseconds played.
@@ -159,6 +161,7 @@
         Report {
             seed: script.seed,
             digest: String::new(),
+            effects_digest: String::new(),
             steps: 0,
             virtual_ms: 0,
             messages: script.size(),
@@ -341,6 +344,7 @@
         Report {
             seed: self.script.seed,
             digest: format!("{:016x}", self.machine.digest()),
+            effects_digest: format!("{:016x}", self.machine.effects_digest()),
             steps: self.machine.steps(),
             virtual_ms: self.machine.now().as_millis() as u64,
             messages: self.script.size(),
