--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -48,7 +48,12 @@
 impl Api {
     /// An API that asks a driver, for the tokens that are in force.
     pub fn new(driver: mpsc::Sender<Input>, tokens: watch::Receiver<Tokens>, prefix: &str) -> Self {
-        Api { driver, tokens, requests: Arc::default(), prefix: prefix.into() }
+        Api {
+            driver,
+            tokens,
+            requests: Arc::default(),
+            prefix: prefix.into(),
+        }
     }
 
     /// Whose token a header bears.
@@ -58,17 +63,25 @@
 
     /// A name for a request that has none.
     pub fn request_id(&self) -> String {
-        format!("{}-{}", self.prefix, self.requests.fetch_add(1, Ordering::Relaxed))
+        format!(
+            "{}-{}",
+            self.prefix,
+            self.requests.fetch_add(1, Ordering::Relaxed)
+        )
     }
 
     /// Asks about undeliverable messages.
     pub(crate) async fn ask_undeliverable(
-        &self, ask: undeliverable::Ask,
+        &self,
+        ask: undeliverable::Ask,
     ) -> Result<undeliverable::Told, Problem> {
         let (reply, answer) = oneshot::channel();
         let call = undeliverable::News::Call(undeliverable::Call { ask, reply });
         let gone = || Problem::unavailable("the relay is coming to its end");
-        self.driver.send(Input::Undeliverable(call)).await.map_err(|_| gone())?;
+        self.driver
+            .send(Input::Undeliverable(call))
+            .await
+            .map_err(|_| gone())?;
         answer.await.map_err(|_| gone())
     }
 
@@ -88,19 +101,30 @@
     async fn change(&self, command: Command, done: StatusCode) -> Result<Response, Problem> {
         let (shown, status, again) = match self.ask(Ask::Change(Box::new(command))).await? {
             Told::Made { shown, again, .. } => (shown, done, again),
-            Told::Unchanged(shown) => {
-                (shown, if done == StatusCode::ACCEPTED { done } else { StatusCode::OK }, false)
-            }
+            Told::Unchanged(shown) => (
+                shown,
+                if done == StatusCode::ACCEPTED {
+                    done
+                } else {
+                    StatusCode::OK
+                },
+                false,
+            ),
             _ => return Err(unexpected()),
         };
-        let location = (done == StatusCode::CREATED).then(|| format!("/v1/tenants/{}", shown.tenant.name));
+        let location =
+            (done == StatusCode::CREATED).then(|| format!("/v1/tenants/{}", shown.tenant.name));
         let mut response = tenant(*shown, status);
         let headers = response.headers_mut();
-        if let Some(location) = location.and_then(|location| HeaderValue::from_str(&location).ok()) {
+        if let Some(location) = location.and_then(|location| HeaderValue::from_str(&location).ok())
+        {
             headers.insert(LOCATION, location);
         }
         if again {
-            headers.insert(HeaderName::from_static("idempotent-replayed"), HeaderValue::from_static("true"));
+            headers.insert(
+                HeaderName::from_static("idempotent-replayed"),
+                HeaderValue::from_static("true"),
+            );
         }
         Ok(response)
     }
@@ -132,7 +156,9 @@
     let bad = || Problem::malformed("the cursor is none of this API's");
     let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|_| bad())?;
     let text = String::from_utf8(bytes).map_err(|_| bad())?;
-    text.strip_prefix("v1:").map(|text| Some(text.into())).ok_or_else(bad)
+    text.strip_prefix("v1:")
+        .map(|text| Some(text.into()))
+        .ok_or_else(bad)
 }
 
 pub(crate) fn to_cursor(text: impl std::fmt::Display) -> String {
@@ -143,7 +169,10 @@
     match limit {
         None => Ok(PAGE.0),
         Some(limit) if (1..=PAGE.1).contains(&limit) => Ok(limit),
-        Some(_) => Err(Problem::malformed(format!("limit is not from 1 to {}", PAGE.1))),
+        Some(_) => Err(Problem::malformed(format!(
+            "limit is not from 1 to {}",
+            PAGE.1
+        ))),
     }
 }
 
@@ -187,7 +216,9 @@
 pub(crate) fn query<T>(
     query: Result<Query<T>, axum::extract::rejection::QueryRejection>,
 ) -> Result<T, Problem> {
-    query.map(|Query(query)| query).map_err(|e| Problem::malformed(e.body_text()))
+    query
+        .map(|Query(query)| query)
+        .map_err(|e| Problem::malformed(e.body_text()))
 }
 
 pub(crate) type Queried<T> = Result<Query<T>, axum::extract::rejection::QueryRejection>;
@@ -200,11 +231,21 @@
     caller.may(Role::Viewer)?;
     let asked = query(asked)?;
     let (after, most) = (cursor(asked.cursor)?, page(asked.limit)?);
-    let Told::Page(tenants, more) = api.ask(Ask::Page { after, most, scope: caller.scope }).await? else {
+    let Told::Page(tenants, more) = api
+        .ask(Ask::Page {
+            after,
+            most,
+            scope: caller.scope,
+        })
+        .await?
+    else {
         return Err(unexpected());
     };
     let items: Vec<Tenant> = tenants.into_iter().map(Tenant::from).collect();
-    let next = items.last().filter(|_| more).map(|last| to_cursor(&last.name));
+    let next = items
+        .last()
+        .filter(|_| more)
+        .map(|last| to_cursor(&last.name));
     Ok(Json(TenantPage { items, next }).into_response())
 }
 
@@ -221,7 +262,11 @@
     asked.caller.may(Role::Admin)?;
     let NewTenant { name, spec } = asked.json(JSON)?;
     asked.caller.may_for(Role::Admin, &name)?;
-    let command = asked.command(&name, madderpitch_tenancy::registry::Expect::Any, Change::Create(spec))?;
+    let command = asked.command(
+        &name,
+        madderpitch_tenancy::registry::Expect::Any,
+        Change::Create(spec),
+    )?;
     api.change(command, StatusCode::CREATED).await
 }
 
@@ -234,11 +279,16 @@
     (status = 410, description = "It was removed and has drained.", body = ProblemBody, content_type = "application/problem+json"),
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn show(
-    State(api): State<Api>, caller: Caller, Path(name): Path<String>, headers: HeaderMap,
+    State(api): State<Api>,
+    caller: Caller,
+    Path(name): Path<String>,
+    headers: HeaderMap,
 ) -> Answer {
     caller.may_for(Role::Viewer, &name)?;
     let none = tags(&headers, IF_NONE_MATCH.as_str())?;
-    let Told::Found(shown) = api.ask(Ask::Find(name)).await? else { return Err(unexpected()) };
+    let Told::Found(shown) = api.ask(Ask::Find(name)).await? else {
+        return Err(unexpected());
+    };
     let same = match none {
         Some(Tags::Any) => true,
         Some(Tags::These(versions)) => versions.contains(&shown.tenant.version),
@@ -264,11 +314,18 @@
     (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn replace(State(api): State<Api>, Path(name): Path<String>, asked: Asked) -> Answer {
     let makes = asked.makes()?;
-    asked.caller.may_for(if makes { Role::Admin } else { Role::Operator }, &name)?;
+    asked
+        .caller
+        .may_for(if makes { Role::Admin } else { Role::Operator }, &name)?;
     let Replacement { spec } = asked.json(JSON)?;
     if makes {
         let any = madderpitch_tenancy::registry::Expect::Any;
-        return api.change(asked.command(&name, any, Change::Create(spec))?, StatusCode::CREATED).await;
+        return api
+            .change(
+                asked.command(&name, any, Change::Create(spec))?,
+                StatusCode::CREATED,
+            )
+            .await;
     }
     let command = asked.command(&name, asked.expect()?, Change::Replace(spec))?;
     api.change(command, StatusCode::OK).await
@@ -302,7 +359,10 @@
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
     (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn remove(
-    State(api): State<Api>, Path(name): Path<String>, how: Queried<Removal>, asked: Asked,
+    State(api): State<Api>,
+    Path(name): Path<String>,
+    how: Queried<Removal>,
+    asked: Asked,
 ) -> Answer {
     asked.caller.may_for(Role::Admin, &name)?;
     let how = query(how)?.on_removal;
@@ -319,7 +379,11 @@
     (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn pause(State(api): State<Api>, Path(name): Path<String>, asked: Asked) -> Answer {
     asked.caller.may_for(Role::Operator, &name)?;
-    api.change(asked.command(&name, asked.expect()?, Change::Pause)?, StatusCode::OK).await
+    api.change(
+        asked.command(&name, asked.expect()?, Change::Pause)?,
+        StatusCode::OK,
+    )
+    .await
 }
 
 /// Let a paused tenant go on. Role: operator.
@@ -331,7 +395,11 @@
     (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn resume(State(api): State<Api>, Path(name): Path<String>, asked: Asked) -> Answer {
     asked.caller.may_for(Role::Operator, &name)?;
-    api.change(asked.command(&name, asked.expect()?, Change::Resume)?, StatusCode::OK).await
+    api.change(
+        asked.command(&name, asked.expect()?, Change::Resume)?,
+        StatusCode::OK,
+    )
+    .await
 }
 
 /// Show what a tenant has in the relay, and what passed since the relay's start. Role: viewer.
@@ -340,8 +408,12 @@
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn usage(State(api): State<Api>, caller: Caller, Path(name): Path<String>) -> Answer {
     caller.may_for(Role::Viewer, &name)?;
-    let Told::Usage(all, since_ms) = api.ask(Ask::Usage(name)).await? else { return Err(unexpected()) };
-    let mut all = all.into_iter().map(|usage| TenantUsage::new(usage, since_ms));
+    let Told::Usage(all, since_ms) = api.ask(Ask::Usage(name)).await? else {
+        return Err(unexpected());
+    };
+    let mut all = all
+        .into_iter()
+        .map(|usage| TenantUsage::new(usage, since_ms));
     let mut first = all.next().ok_or_else(unexpected)?;
     first.draining = all.collect();
     Ok(Json(first).into_response())
@@ -357,8 +429,9 @@
 async fn add_secret(State(api): State<Api>, Path(name): Path<String>, asked: Asked) -> Answer {
     asked.caller.may_for(Role::Admin, &name)?;
     let NewSecret { id, sha256 } = asked.json(JSON)?;
-    let sha256 =
-        sha256.parse().map_err(|e| Problem::from(madderpitch_tenancy::registry::Refusal::Invalid(e)))?;
+    let sha256 = sha256
+        .parse()
+        .map_err(|e| Problem::from(madderpitch_tenancy::registry::Refusal::Invalid(e)))?;
     let command = asked.command(&name, asked.expect()?, Change::AddSecret { id, sha256 })?;
     api.change(command, StatusCode::CREATED).await
 }
@@ -372,7 +445,9 @@
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
     (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn drop_secret(
-    State(api): State<Api>, Path((name, id)): Path<(String, String)>, asked: Asked,
+    State(api): State<Api>,
+    Path((name, id)): Path<(String, String)>,
+    asked: Asked,
 ) -> Answer {
     asked.caller.may_for(Role::Admin, &name)?;
     let command = asked.command(&name, asked.expect()?, Change::DropSecret(id))?;
@@ -387,10 +462,22 @@
     caller.may(Role::Operator)?;
     let asked = query(asked)?;
     let before = cursor(asked.cursor)?.map(|text| text.parse::<u64>());
-    let before = before.transpose().map_err(|_| Problem::malformed("the cursor is none of this list's"))?;
-    let ask = Ask::Audit { before, most: page(asked.limit)?, scope: caller.scope, tenant: asked.tenant };
-    let Told::Audit(items, more) = api.ask(ask).await? else { return Err(unexpected()) };
-    let next = items.last().filter(|_| more).map(|last| to_cursor(last.seq));
+    let before = before
+        .transpose()
+        .map_err(|_| Problem::malformed("the cursor is none of this list's"))?;
+    let ask = Ask::Audit {
+        before,
+        most: page(asked.limit)?,
+        scope: caller.scope,
+        tenant: asked.tenant,
+    };
+    let Told::Audit(items, more) = api.ask(ask).await? else {
+        return Err(unexpected());
+    };
+    let next = items
+        .last()
+        .filter(|_| more)
+        .map(|last| to_cursor(last.seq));
     Ok(Json(AuditPage { items, next }).into_response())
 }
 
@@ -400,7 +487,9 @@
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn status(State(api): State<Api>, caller: Caller) -> Answer {
     caller.may(Role::Viewer)?;
-    let Told::Status(status) = api.ask(Ask::Status).await? else { return Err(unexpected()) };
+    let Told::Status(status) = api.ask(Ask::Status).await? else {
+        return Err(unexpected());
+    };
     Ok(Json(RegistryStatus::from(status)).into_response())
 }
 
@@ -451,10 +540,19 @@
     let (router, document) = routes().split_for_parts();
     let text = serde_json::to_string(&document).unwrap_or_default();
     let document = move || async move { ([("content-type", "application/json")], text.clone()) };
-    let no_path =
-        || async { Problem::new(StatusCode::NOT_FOUND, "no-such-path", "there is nothing at this path") };
+    let no_path = || async {
+        Problem::new(
+            StatusCode::NOT_FOUND,
+            "no-such-path",
+            "there is nothing at this path",
+        )
+    };
     let no_method = || async {
-        Problem::new(StatusCode::METHOD_NOT_ALLOWED, "no-such-method", "the path has no such method")
+        Problem::new(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "no-such-method",
+            "the path has no such method",
+        )
     };
     router
         .route("/v1/openapi.json", axum::routing::get(document))
--- a/crates/admin/src/auth.rs
+++ b/crates/admin/src/auth.rs
@@ -25,12 +25,18 @@
         let (scheme, token) = header.split_once(' ').unwrap_or((header, ""));
         let token = token.trim();
         if !scheme.eq_ignore_ascii_case("bearer") || token.is_empty() || token.len() > LONGEST {
-            return Err(Problem::unauthorized("the authorization is no bearer token"));
+            return Err(Problem::unauthorized(
+                "the authorization is no bearer token",
+            ));
         }
         let digest = Digest::of(token.as_bytes());
         let found = self.0.iter().find(|known| known.sha256.same(&digest));
         let found = found.ok_or_else(|| Problem::unauthorized("the token is not known"))?;
-        Ok(Caller { name: found.name.clone(), role: found.role, scope: found.scope() })
+        Ok(Caller {
+            name: found.name.clone(),
+            role: found.role,
+            scope: found.scope(),
+        })
     }
 }
 
@@ -69,7 +75,10 @@
 
     /// As the audit log names the caller.
     pub fn actor(&self) -> Actor {
-        Actor { name: self.name.clone(), role: self.role.name().into() }
+        Actor {
+            name: self.name.clone(),
+            role: self.role.name().into(),
+        }
     }
 }
 
@@ -99,9 +108,16 @@
         assert_eq!(who("bearer  turn ").as_deref(), Ok("op"));
         let digest = Digest::of(b"all").to_string();
         let long = format!("Bearer {}", "x".repeat(LONGEST + 1));
-        for bad in
-            ["", "Bearer", "Bearer ", "Basic see", "see", "Bearer seen", &format!("Bearer {digest}"), &long]
-        {
+        for bad in [
+            "",
+            "Bearer",
+            "Bearer ",
+            "Basic see",
+            "see",
+            "Bearer seen",
+            &format!("Bearer {digest}"),
+            &long,
+        ] {
             assert_eq!(who(bad).expect_err(bad).status, 401, "{bad}");
         }
         assert_eq!(tokens.who(None).expect_err("none").status, 401);
@@ -110,7 +126,11 @@
     #[test]
     fn roles_hold_what_lower_ones_do_and_scopes_bind_all() {
         let tokens = tokens();
-        let who = |secret: &str| tokens.who(Some(&format!("Bearer {secret}"))).expect("known");
+        let who = |secret: &str| {
+            tokens
+                .who(Some(&format!("Bearer {secret}")))
+                .expect("known")
+        };
         let may = |secret: &str, role, tenant: &str| who(secret).may_for(role, tenant).is_ok();
         for role in [Role::Viewer, Role::Operator, Role::Admin] {
             assert!(may("all", role, "anything"));
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -22,14 +22,24 @@
 
 /// Listens, and serves the API from then on, until the task is ended. The error is one plain line.
 pub async fn start<S: System>(
-    system: &S, settings: &Settings, tokens: watch::Receiver<Tokens>, driver: mpsc::Sender<Input>,
+    system: &S,
+    settings: &Settings,
+    tokens: watch::Receiver<Tokens>,
+    driver: mpsc::Sender<Input>,
 ) -> Result<S::Task, String> {
     let address = settings.address()?;
     let listener = system.listen(address.clone()).await;
-    let listener = listener.map_err(|e| format!("cannot listen on {address} for administration: {e}"))?;
+    let listener =
+        listener.map_err(|e| format!("cannot listen on {address} for administration: {e}"))?;
     let prefix = format!("{:x}", system.unix_time().as_millis());
     let router = api::router(api::Api::new(driver, tokens, &prefix));
     let (connections, pace) = (settings.connections, settings.requests_per_second);
     log!(*system, "admin: serves at {address}");
-    Ok(system.spawn(serve::serve(system.clone(), listener, router, connections, pace)))
+    Ok(system.spawn(serve::serve(
+        system.clone(),
+        listener,
+        router,
+        connections,
+        pace,
+    )))
 }
--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -51,7 +51,12 @@
 impl Problem {
     /// A problem of a kind.
     pub fn new(status: StatusCode, kind: &'static str, detail: impl Into<String>) -> Self {
-        Problem { status, kind, detail: detail.into(), more: More::Nothing }
+        Problem {
+            status,
+            kind,
+            detail: detail.into(),
+            more: More::Nothing,
+        }
     }
 
     /// 401.
@@ -72,7 +77,11 @@
     /// 428: a change has to say which state it is meant for.
     pub fn precondition_required() -> Self {
         let detail = "a change needs If-Match with the ETag of what it changes, or * for any state";
-        Problem::new(StatusCode::PRECONDITION_REQUIRED, "precondition-required", detail)
+        Problem::new(
+            StatusCode::PRECONDITION_REQUIRED,
+            "precondition-required",
+            detail,
+        )
     }
 
     /// 429.
@@ -87,7 +96,10 @@
     /// 412: another version was meant.
     pub fn stale(current: String, detail: impl Into<String>) -> Self {
         let problem = Problem::new(StatusCode::PRECONDITION_FAILED, "stale-version", detail);
-        Problem { more: More::Current(current), ..problem }
+        Problem {
+            more: More::Current(current),
+            ..problem
+        }
     }
 
     /// 503: not done, and harmless to ask again.
@@ -108,11 +120,16 @@
             Refusal::Stale(current) => Problem::stale(current.to_string(), detail.clone()),
             Refusal::Invalid(invalid) => {
                 let problem = problem(StatusCode::UNPROCESSABLE_ENTITY, "invalid-value");
-                Problem { more: More::Field(invalid.field), ..problem }
+                Problem {
+                    more: More::Field(invalid.field),
+                    ..problem
+                }
             }
             Refusal::TooMany { .. } => problem(StatusCode::CONFLICT, "too-many"),
             Refusal::Secret(_) => problem(StatusCode::CONFLICT, "secret"),
-            Refusal::KeyReused => problem(StatusCode::UNPROCESSABLE_ENTITY, "idempotency-key-reused"),
+            Refusal::KeyReused => {
+                problem(StatusCode::UNPROCESSABLE_ENTITY, "idempotency-key-reused")
+            }
         }
     }
 }
@@ -124,7 +141,9 @@
             More::Current(version) => (Some(version), None),
             More::Field(field) => (None, Some(field)),
         };
-        let etag = current.as_ref().and_then(|v| HeaderValue::from_str(&format!("\"{v}\"")).ok());
+        let etag = current
+            .as_ref()
+            .and_then(|v| HeaderValue::from_str(&format!("\"{v}\"")).ok());
         let body = ProblemBody {
             kind: format!("urn:madderpitch:problem:{}", self.kind),
             title: self.kind.replace('-', " "),
@@ -137,7 +156,10 @@
         let text = serde_json::to_vec(&body).unwrap_or_default();
         let mut response = (self.status, text).into_response();
         let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
         match self.status {
             StatusCode::UNAUTHORIZED => {
                 headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
@@ -147,7 +169,8 @@
             }
             _ => {}
         }
-        etag.into_iter().for_each(|etag| drop(headers.insert(ETAG, etag)));
+        etag.into_iter()
+            .for_each(|etag| drop(headers.insert(ETAG, etag)));
         response
     }
 }
--- a/crates/admin/src/request.rs
+++ b/crates/admin/src/request.rs
@@ -19,16 +19,21 @@
 const MOST_VERSIONS: usize = 16;
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Problem> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
-    value.to_str().map(Some).map_err(|_| Problem::malformed(format!("{name} is no text")))
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    value
+        .to_str()
+        .map(Some)
+        .map_err(|_| Problem::malformed(format!("{name} is no text")))
 }
 
 /// A short text of printable characters.
 fn name<'a>(headers: &'a HeaderMap, header: &str) -> Result<Option<&'a str>, Problem> {
     match text(headers, header)? {
-        Some(name) if name.is_empty() || name.len() > LONGEST_NAME => {
-            Err(Problem::malformed(format!("{header} is not 1 to {LONGEST_NAME} characters")))
-        }
+        Some(name) if name.is_empty() || name.len() > LONGEST_NAME => Err(Problem::malformed(
+            format!("{header} is not 1 to {LONGEST_NAME} characters"),
+        )),
         name => Ok(name),
     }
 }
@@ -37,7 +42,10 @@
     type Rejection = Problem;
 
     async fn from_request_parts(parts: &mut Parts, api: &Api) -> Result<Self, Problem> {
-        let header = parts.headers.get(AUTHORIZATION).map(|value| value.to_str().unwrap_or(""));
+        let header = parts
+            .headers
+            .get(AUTHORIZATION)
+            .map(|value| value.to_str().unwrap_or(""));
         api.who(header)
     }
 }
@@ -53,7 +61,9 @@
 
 /// The tags of a header, if it is there.
 pub fn tags(headers: &HeaderMap, header: &str) -> Result<Option<Tags>, Problem> {
-    let Some(list) = text(headers, header)? else { return Ok(None) };
+    let Some(list) = text(headers, header)? else {
+        return Ok(None);
+    };
     if list.trim() == "*" {
         return Ok(Some(Tags::Any));
     }
@@ -64,7 +74,11 @@
             // A tag that is none of ours is that of no state.
             Some(tag) => versions.extend(tag.parse::<Version>().ok()),
             None if tag.starts_with("W/\"") => {}
-            None => return Err(Problem::malformed(format!("{header} is no list of entity tags"))),
+            None => {
+                return Err(Problem::malformed(format!(
+                    "{header} is no list of entity tags"
+                )))
+            }
         }
     }
     versions.truncate(MOST_VERSIONS);
@@ -88,21 +102,37 @@
     async fn from_request(request: Request, api: &Api) -> Result<Self, Problem> {
         let (mut parts, body) = request.into_parts();
         let caller = Caller::from_request_parts(&mut parts, api).await?;
-        let uri = OriginalUri::from_request_parts(&mut parts, api).await.map(|OriginalUri(uri)| uri);
+        let uri = OriginalUri::from_request_parts(&mut parts, api)
+            .await
+            .map(|OriginalUri(uri)| uri);
         let uri = uri.unwrap_or_else(|never| match never {});
         let method = parts.method.clone();
         let headers = parts.headers.clone();
         let request = Request::from_parts(parts, body);
-        let body = Bytes::from_request(request, api).await.map_err(|rejection| {
-            Problem::new(rejection.status(), "unreadable-body", rejection.body_text())
-        })?;
+        let body = Bytes::from_request(request, api)
+            .await
+            .map_err(|rejection| {
+                Problem::new(rejection.status(), "unreadable-body", rejection.body_text())
+            })?;
         let header = |name| headers.get(name).map_or(&b""[..], |value| value.as_bytes());
         let target = uri.path_and_query().map_or("", |target| target.as_str());
-        let parts =
-            [method.as_str().as_bytes(), target.as_bytes(), header(IF_MATCH), header(IF_NONE_MATCH), &body];
+        let parts = [
+            method.as_str().as_bytes(),
+            target.as_bytes(),
+            header(IF_MATCH),
+            header(IF_NONE_MATCH),
+            &body,
+        ];
         let digest = Digest::of_parts(parts);
-        let request = name(&headers, "x-request-id")?.map_or_else(|| api.request_id(), String::from);
-        Ok(Asked { caller, headers, digest, request, body })
+        let request =
+            name(&headers, "x-request-id")?.map_or_else(|| api.request_id(), String::from);
+        Ok(Asked {
+            caller,
+            headers,
+            digest,
+            request,
+            body,
+        })
     }
 }
 
@@ -110,10 +140,19 @@
     /// The body as JSON of a type, which is an object.
     pub fn json<T: DeserializeOwned>(&self, types: &[&str]) -> Result<T, Problem> {
         let kind = text(&self.headers, CONTENT_TYPE.as_str())?.unwrap_or("");
-        let kind = kind.split(';').next().unwrap_or("").trim().to_ascii_lowercase();
+        let kind = kind
+            .split(';')
+            .next()
+            .unwrap_or("")
+            .trim()
+            .to_ascii_lowercase();
         if !types.contains(&kind.as_str()) {
             let detail = format!("the body is to be {}", types.join(" or "));
-            return Err(Problem::new(StatusCode::UNSUPPORTED_MEDIA_TYPE, "unsupported-media-type", detail));
+            return Err(Problem::new(
+                StatusCode::UNSUPPORTED_MEDIA_TYPE,
+                "unsupported-media-type",
+                detail,
+            ));
         }
         let value: serde_json::Value = serde_json::from_slice(&self.body)
             .map_err(|e| Problem::malformed(format!("the body is no JSON: {e}")))?;
@@ -122,7 +161,11 @@
             return Err(Problem::malformed("the body is no JSON object"));
         }
         let bad = |e: serde_json::Error| {
-            Problem::new(StatusCode::UNPROCESSABLE_ENTITY, "invalid-value", e.to_string())
+            Problem::new(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "invalid-value",
+                e.to_string(),
+            )
         };
         serde_json::from_value(value).map_err(bad)
     }
@@ -144,9 +187,14 @@
         if tag.trim() == "*" {
             return Ok(None);
         }
-        let number = tag.trim().strip_prefix('"').and_then(|tag| tag.strip_suffix('"'));
+        let number = tag
+            .trim()
+            .strip_prefix('"')
+            .and_then(|tag| tag.strip_suffix('"'));
         let number = number.and_then(|number| number.parse().ok());
-        number.map(Some).ok_or_else(|| Problem::malformed("if-match is not one entity tag of this resource"))
+        number
+            .map(Some)
+            .ok_or_else(|| Problem::malformed("if-match is not one entity tag of this resource"))
     }
 
     /// Whether the tenant is to be made, and must not be there yet.
@@ -156,7 +204,12 @@
     }
 
     /// The change as the registry takes it.
-    pub fn command(&self, tenant: &str, expect: Expect, change: Change) -> Result<Command, Problem> {
+    pub fn command(
+        &self,
+        tenant: &str,
+        expect: Expect,
+        change: Change,
+    ) -> Result<Command, Problem> {
         let key = name(&self.headers, "idempotency-key")?;
         Ok(Command {
             actor: self.caller.actor(),
@@ -181,11 +234,17 @@
 
     #[test]
     fn entity_tags_are_read_as_the_rfc_has_them() {
-        let version = |generation, revision| Version { generation, revision };
+        let version = |generation, revision| Version {
+            generation,
+            revision,
+        };
         assert_eq!(tags(&HeaderMap::new(), "if-match"), Ok(None));
         assert_eq!(read("*"), Ok(Some(Tags::Any)));
         assert_eq!(read("\"1.7\""), Ok(Some(Tags::These(vec![version(1, 7)]))));
-        assert_eq!(read("\"1.7\" , \"2.1\""), Ok(Some(Tags::These(vec![version(1, 7), version(2, 1)]))));
+        assert_eq!(
+            read("\"1.7\" , \"2.1\""),
+            Ok(Some(Tags::These(vec![version(1, 7), version(2, 1)])))
+        );
         assert_eq!(read("W/\"1.7\""), Ok(Some(Tags::These(Vec::new()))));
         assert_eq!(read("\"other\""), Ok(Some(Tags::These(Vec::new()))));
         for bad in ["1.7", "\"1.7", "", "\"1.7\", x"] {
--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -37,7 +37,10 @@
 impl Pace {
     fn take(&mut self, now: Instant) -> bool {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        (self.tokens, self.at) = ((self.tokens + passed * self.per_s).min(2.0 * self.per_s), now);
+        (self.tokens, self.at) = (
+            (self.tokens + passed * self.per_s).min(2.0 * self.per_s),
+            now,
+        );
         let room = self.tokens >= 1.0;
         self.tokens -= if room { 1.0 } else { 0.0 };
         room
@@ -46,11 +49,19 @@
 
 /// Serves the API's routes for good.
 pub async fn serve<S: System>(
-    system: S, listener: S::Listener, router: Router, connections: usize, requests_per_second: f64,
+    system: S,
+    listener: S::Listener,
+    router: Router,
+    connections: usize,
+    requests_per_second: f64,
 ) {
     let open = Rc::new(Cell::new(0));
     let per_s = requests_per_second;
-    let pace = Rc::new(RefCell::new(Pace { per_s, tokens: 2.0 * per_s, at: system.now() }));
+    let pace = Rc::new(RefCell::new(Pace {
+        per_s,
+        tokens: 2.0 * per_s,
+        at: system.now(),
+    }));
     loop {
         let stream = match listener.accept().await {
             Ok(stream) => stream,
@@ -67,7 +78,8 @@
             continue;
         }
         open.set(open.get() + 1);
-        let (own, router, pace, open) = (system.clone(), router.clone(), pace.clone(), open.clone());
+        let (own, router, pace, open) =
+            (system.clone(), router.clone(), pace.clone(), open.clone());
         system.spawn(async move {
             connection(&own, stream, router, pace).await;
             open.set(open.get() - 1);
@@ -75,7 +87,12 @@
     }
 }
 
-async fn connection<S: System>(system: &S, stream: S::Stream, router: Router, pace: Rc<RefCell<Pace>>) {
+async fn connection<S: System>(
+    system: &S,
+    stream: S::Stream,
+    router: Router,
+    pace: Rc<RefCell<Pace>>,
+) {
     if stream.set_nodelay().is_err() {
         return;
     }
@@ -86,7 +103,10 @@
         let room = pace.borrow_mut().take(system.now());
         async move {
             let mut response: Response<Body> = match room {
-                true => router.oneshot(request).await.unwrap_or_else(|never| match never {}),
+                true => router
+                    .oneshot(request)
+                    .await
+                    .unwrap_or_else(|never| match never {}),
                 false => Problem::too_many_requests().into_response(),
             };
             let date = httpdate::fmt_http_date(std::time::UNIX_EPOCH + system.unix_time());
@@ -98,7 +118,10 @@
         }
     });
     let mut library = http1::Builder::new();
-    library.max_buf_size(LONGEST_HEAD).auto_date_header(false).half_close(false);
+    library
+        .max_buf_size(LONGEST_HEAD)
+        .auto_date_header(false)
+        .half_close(false);
     let mut served = std::pin::pin!(library.serve_connection(TokioIo::new(stream), service));
     loop {
         let until = last.get() + IDLE;
--- a/crates/admin/src/settings.rs
+++ b/crates/admin/src/settings.rs
@@ -90,18 +90,30 @@
             return Err(format!("admin.connections is not from 1 to {}", MOST.0));
         }
         if !(self.requests_per_second >= 1.0 && self.requests_per_second <= MOST.1) {
-            return Err(format!("admin.requests_per_second is not from 1 to {}", MOST.1));
+            return Err(format!(
+                "admin.requests_per_second is not from 1 to {}",
+                MOST.1
+            ));
         }
         if self.tokens.len() > MOST_TOKENS {
             return Err(format!("admin.tokens are more than {MOST_TOKENS}"));
         }
         for (at, token) in self.tokens.iter().enumerate() {
             check_name(&token.name).map_err(|e| format!("admin.tokens: {e}"))?;
-            if self.tokens[..at].iter().any(|other| other.name == token.name) {
+            if self.tokens[..at]
+                .iter()
+                .any(|other| other.name == token.name)
+            {
                 return Err(format!("admin.tokens: {:?} is there twice", token.name));
             }
-            if self.tokens[..at].iter().any(|other| other.sha256 == token.sha256) {
-                return Err(format!("admin.tokens: {:?} has the digest of another", token.name));
+            if self.tokens[..at]
+                .iter()
+                .any(|other| other.sha256 == token.sha256)
+            {
+                return Err(format!(
+                    "admin.tokens: {:?} has the digest of another",
+                    token.name
+                ));
             }
             let named = |pattern: &String| {
                 let name = pattern.strip_suffix('*').unwrap_or(pattern);
@@ -119,7 +131,10 @@
 
     /// Where it listens.
     pub fn address(&self) -> Result<Address, String> {
-        let address: Address = self.listen.parse().map_err(|e| format!("admin.listen: {e}"))?;
+        let address: Address = self
+            .listen
+            .parse()
+            .map_err(|e| format!("admin.listen: {e}"))?;
         if address.is_local() {
             Ok(address)
         } else {
--- a/crates/admin/src/undeliverable.rs
+++ b/crates/admin/src/undeliverable.rs
@@ -36,7 +36,9 @@
     let Some(text) = text else { return Ok(None) };
     let bad = || Problem::malformed(format!("{name} is no time such as 2026-12-01T08:00:00Z"));
     let time = humantime::parse_rfc3339(text).map_err(|_| bad())?;
-    let since = time.duration_since(std::time::UNIX_EPOCH).map_err(|_| bad())?;
+    let since = time
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_err(|_| bad())?;
     Ok(Some(since.as_micros() as Micros))
 }
 
@@ -89,7 +91,9 @@
 
     /// A record that the caller may see: one outside the token's scope is as if it were not there.
     async fn seen(&self, caller: &Caller, id: RecordId) -> Result<Shown, Problem> {
-        let Told::Found(shown) = self.told(Ask::Find(id)).await? else { return Err(unexpected()) };
+        let Told::Found(shown) = self.told(Ask::Find(id)).await? else {
+            return Err(unexpected());
+        };
         match caller.scope.covers(shown.record.origin.tenant_name()) {
             true => Ok(*shown),
             false => Err(refused(record::Refusal::NoRecord)),
@@ -100,13 +104,22 @@
         asked.caller.may(Role::Operator)?;
         let version = asked.expect_number()?;
         self.seen(&asked.caller, id).await?;
-        let ask = Ask::Act { id, act, who: asked.caller.name.clone(), version };
-        let Told::Found(shown) = self.told(ask).await? else { return Err(unexpected()) };
+        let ask = Ask::Act {
+            id,
+            act,
+            who: asked.caller.name.clone(),
+            version,
+        };
+        let Told::Found(shown) = self.told(ask).await? else {
+            return Err(unexpected());
+        };
         Ok(one(*shown, done))
     }
 
     async fn batches(&self, caller: &Caller) -> Result<Vec<Batch>, Problem> {
-        let Told::Batches(mut batches) = self.told(Ask::Batches).await? else { return Err(unexpected()) };
+        let Told::Batches(mut batches) = self.told(Ask::Batches).await? else {
+            return Err(unexpected());
+        };
         batches.retain(|batch| theirs(caller, batch));
         Ok(batches)
     }
@@ -114,10 +127,22 @@
     async fn order(&self, asked: &Asked, name: String, order: Order) -> Answer {
         asked.caller.may(Role::Operator)?;
         let version = asked.expect_number()?;
-        if !self.batches(&asked.caller).await?.iter().any(|batch| batch.spec.name == name) {
+        if !self
+            .batches(&asked.caller)
+            .await?
+            .iter()
+            .any(|batch| batch.spec.name == name)
+        {
             return Err(batch_refused(batch::Refusal::None));
         }
-        let Told::Batch(batch) = self.told(Ask::Order { name, order, version }).await? else {
+        let Told::Batch(batch) = self
+            .told(Ask::Order {
+                name,
+                order,
+                version,
+            })
+            .await?
+        else {
             return Err(unexpected());
         };
         Ok(one_batch(*batch, StatusCode::OK))
@@ -135,7 +160,8 @@
 }
 
 fn tagged(version: u32, mut response: Response) -> Response {
-    let tag = HeaderValue::from_str(&format!("\"{version}\"")).unwrap_or(HeaderValue::from_static("\"\""));
+    let tag = HeaderValue::from_str(&format!("\"{version}\""))
+        .unwrap_or(HeaderValue::from_static("\"\""));
     response.headers_mut().insert(ETAG, tag);
     response
 }
@@ -144,13 +170,24 @@
     let version = shown.record.version;
     tagged(
         version,
-        (status, Json(UndeliverableRecord::new(shown.id, &shown.record, Some(shown.need)))).into_response(),
+        (
+            status,
+            Json(UndeliverableRecord::new(
+                shown.id,
+                &shown.record,
+                Some(shown.need),
+            )),
+        )
+            .into_response(),
     )
 }
 
 fn one_batch(batch: Batch, status: StatusCode) -> Response {
     let version = batch.version;
-    tagged(version, (status, Json(ResendBatch::from(batch))).into_response())
+    tagged(
+        version,
+        (status, Json(ResendBatch::from(batch))).into_response(),
+    )
 }
 
 /// An attempt on a message.
@@ -266,7 +303,11 @@
 }
 
 impl UndeliverableRecord {
-    fn new(id: RecordId, record: &Record, need: Option<Option<madderpitch_undeliverable::Need>>) -> Self {
+    fn new(
+        id: RecordId,
+        record: &Record,
+        need: Option<Option<madderpitch_undeliverable::Need>>,
+    ) -> Self {
         use madderpitch_undeliverable::State;
         let (holder, state_at) = match &record.state {
             State::Open => (None, None),
@@ -371,7 +412,11 @@
             sending: status.out,
             trouble: status.trouble,
             dropped: dropped
-                .map(|(tenant, cause, records)| UndeliverableDropped { tenant, cause, records })
+                .map(|(tenant, cause, records)| UndeliverableDropped {
+                    tenant,
+                    cause,
+                    records,
+                })
                 .collect(),
         }
     }
@@ -572,18 +617,55 @@
     (status = 200, description = "Records of tenants in the token's scope.", body = UndeliverablePage),
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
     (status = 503, description = "They can't be read now, or are not kept.", body = ProblemBody, content_type = "application/problem+json")))]
-async fn list_undeliverable(State(api): State<Api>, caller: Caller, asked: Queried<Wanted>) -> Answer {
+async fn list_undeliverable(
+    State(api): State<Api>,
+    caller: Caller,
+    asked: Queried<Wanted>,
+) -> Answer {
     caller.may(Role::Viewer)?;
-    let Wanted { limit, cursor: from, destination, class, reason, tenant, since, until, may_have_run, state } =
-        query(asked)?;
+    let Wanted {
+        limit,
+        cursor: from,
+        destination,
+        class,
+        reason,
+        tenant,
+        since,
+        until,
+        may_have_run,
+        state,
+    } = query(asked)?;
     let before = cursor(from)?.map(|text| text.parse::<RecordId>());
-    let before = before.transpose().map_err(|_| Problem::malformed("the cursor is none of this list's"))?;
-    let filter = RecordFilter { destination, class, reason, tenant, since, until, may_have_run };
-    let ask = Ask::Page { filter: filter.read(&caller, state)?, before, most: page(limit)? };
-    let Told::Page(found) = api.told(ask).await? else { return Err(unexpected()) };
-    let items =
-        found.records.iter().map(|(id, record)| UndeliverableRecord::new(*id, record, None)).collect();
-    Ok(Json(UndeliverablePage { items, next: found.next.map(to_cursor) }).into_response())
+    let before = before
+        .transpose()
+        .map_err(|_| Problem::malformed("the cursor is none of this list's"))?;
+    let filter = RecordFilter {
+        destination,
+        class,
+        reason,
+        tenant,
+        since,
+        until,
+        may_have_run,
+    };
+    let ask = Ask::Page {
+        filter: filter.read(&caller, state)?,
+        before,
+        most: page(limit)?,
+    };
+    let Told::Page(found) = api.told(ask).await? else {
+        return Err(unexpected());
+    };
+    let items = found
+        .records
+        .iter()
+        .map(|(id, record)| UndeliverableRecord::new(*id, record, None))
+        .collect();
+    Ok(Json(UndeliverablePage {
+        items,
+        next: found.next.map(to_cursor),
+    })
+    .into_response())
 }
 
 /// Count undeliverable messages by a field. Role: viewer; by another field than tenant only for all tenants.
@@ -591,7 +673,11 @@
     (status = 200, description = "The counts.", body = UndeliverableCounts),
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json"),
     (status = 503, description = "They can't be read now, or are not kept.", body = ProblemBody, content_type = "application/problem+json")))]
-async fn count_undeliverable(State(api): State<Api>, caller: Caller, asked: Queried<CountedBy>) -> Answer {
+async fn count_undeliverable(
+    State(api): State<Api>,
+    caller: Caller,
+    asked: Queried<CountedBy>,
+) -> Answer {
     caller.may(Role::Viewer)?;
     let by = match query(asked)?.by.as_str() {
         "destination" => Group::Destination,
@@ -599,19 +685,36 @@
         "reason" => Group::Reason,
         "tenant" => Group::Tenant,
         "state" => Group::State,
-        _ => return Err(Problem::malformed("by is none of destination, class, reason, tenant and state")),
+        _ => {
+            return Err(Problem::malformed(
+                "by is none of destination, class, reason, tenant and state",
+            ))
+        }
     };
     if by != Group::Tenant && !caller.scope.covers_all() {
-        return Err(Problem::forbidden("these counts are of all tenants, the token is not"));
+        return Err(Problem::forbidden(
+            "these counts are of all tenants, the token is not",
+        ));
     }
-    let Told::Counts(counts) = api.told(Ask::Counts(by)).await? else { return Err(unexpected()) };
-    let seen = counts.into_iter().filter(|(value, _)| by != Group::Tenant || caller.scope.covers(value));
+    let Told::Counts(counts) = api.told(Ask::Counts(by)).await? else {
+        return Err(unexpected());
+    };
+    let seen = counts
+        .into_iter()
+        .filter(|(value, _)| by != Group::Tenant || caller.scope.covers(value));
     // Destinations stand with leading zeros in the store.
     let plain = |value: String| match by {
-        Group::Destination => value.parse::<u16>().map_or(value, |number| number.to_string()),
+        Group::Destination => value
+            .parse::<u16>()
+            .map_or(value, |number| number.to_string()),
         _ => value,
     };
-    let items = seen.map(|(value, records)| UndeliverableCount { value: plain(value), records }).collect();
+    let items = seen
+        .map(|(value, records)| UndeliverableCount {
+            value: plain(value),
+            records,
+        })
+        .collect();
     Ok(Json(UndeliverableCounts { items }).into_response())
 }
 
@@ -623,9 +726,13 @@
 async fn undeliverable_status(State(api): State<Api>, caller: Caller) -> Answer {
     caller.may(Role::Viewer)?;
     if !caller.scope.covers_all() {
-        return Err(Problem::forbidden("the store is that of all tenants, the token is not"));
+        return Err(Problem::forbidden(
+            "the store is that of all tenants, the token is not",
+        ));
     }
-    let Told::Status(status) = api.told(Ask::Status).await? else { return Err(unexpected()) };
+    let Told::Status(status) = api.told(Ask::Status).await? else {
+        return Err(unexpected());
+    };
     Ok(Json(UndeliverableStatus::from(status)).into_response())
 }
 
@@ -646,7 +753,9 @@
 async fn undeliverable_body(State(api): State<Api>, caller: Caller, Path(id): Path<u64>) -> Answer {
     caller.may(Role::Operator)?;
     api.seen(&caller, id).await?;
-    let Told::Body(body) = api.told(Ask::Body(id)).await? else { return Err(unexpected()) };
+    let Told::Body(body) = api.told(Ask::Body(id)).await? else {
+        return Err(unexpected());
+    };
     Ok(([(CONTENT_TYPE, "application/octet-stream")], body).into_response())
 }
 
@@ -703,7 +812,11 @@
     ("If-Match" = String, Header, description = "The record's ETag, or * for any version.")), responses(
     (status = 200, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
     RecordNotChanged))]
-async fn release_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
+async fn release_undeliverable(
+    State(api): State<Api>,
+    Path(id): Path<u64>,
+    asked: Asked,
+) -> Answer {
     api.act(&asked, id, Act::Release, StatusCode::OK).await
 }
 
@@ -723,7 +836,8 @@
     (status = 202, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
     RecordNotChanged))]
 async fn ask_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
-    api.act(&asked, id, Act::AskPartner, StatusCode::ACCEPTED).await
+    api.act(&asked, id, Act::AskPartner, StatusCode::ACCEPTED)
+        .await
 }
 
 /// Close a record without more. Role: operator.
@@ -731,7 +845,11 @@
     ("If-Match" = String, Header, description = "The record's ETag, or * for any version.")), responses(
     (status = 200, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
     RecordNotChanged))]
-async fn discard_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
+async fn discard_undeliverable(
+    State(api): State<Api>,
+    Path(id): Path<u64>,
+    asked: Asked,
+) -> Answer {
     api.act(&asked, id, Act::Discard, StatusCode::OK).await
 }
 
@@ -753,7 +871,12 @@
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn list_batches(State(api): State<Api>, caller: Caller) -> Answer {
     caller.may(Role::Viewer)?;
-    let items = api.batches(&caller).await?.into_iter().map(ResendBatch::from).collect();
+    let items = api
+        .batches(&caller)
+        .await?
+        .into_iter()
+        .map(ResendBatch::from)
+        .collect();
     Ok(Json(BatchList { items }).into_response())
 }
 
@@ -775,8 +898,13 @@
         stop_after: new.stop_after.unwrap_or(PACE.2),
     };
     let location = format!("/v1/undeliverable-batches/{}", spec.name);
-    let ask = Ask::Plan { spec, who: asked.caller.name.clone() };
-    let Told::Batch(batch) = api.told(ask).await? else { return Err(unexpected()) };
+    let ask = Ask::Plan {
+        spec,
+        who: asked.caller.name.clone(),
+    };
+    let Told::Batch(batch) = api.told(ask).await? else {
+        return Err(unexpected());
+    };
     let mut response = one_batch(*batch, StatusCode::CREATED);
     if let Ok(location) = HeaderValue::from_str(&location) {
         response.headers_mut().insert(LOCATION, location);
@@ -790,8 +918,15 @@
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn show_batch(State(api): State<Api>, caller: Caller, Path(name): Path<String>) -> Answer {
     caller.may(Role::Viewer)?;
-    let found = api.batches(&caller).await?.into_iter().find(|batch| batch.spec.name == name);
-    Ok(one_batch(found.ok_or_else(|| batch_refused(batch::Refusal::None))?, StatusCode::OK))
+    let found = api
+        .batches(&caller)
+        .await?
+        .into_iter()
+        .find(|batch| batch.spec.name == name);
+    Ok(one_batch(
+        found.ok_or_else(|| batch_refused(batch::Refusal::None))?,
+        StatusCode::OK,
+    ))
 }
 
 /// Run a batch, or let one go on. Role: operator.
--- a/crates/bench/src/chart.rs
+++ b/crates/bench/src/chart.rs
@@ -28,7 +28,11 @@
         .y_label_area_size(50)
         .build_cartesian_2d((0.9..most).log_scale(), 0.0..1.0)
         .map_err(|e| fail(&e))?;
-    chart.configure_mesh().x_desc(across).draw().map_err(|e| fail(&e))?;
+    chart
+        .configure_mesh()
+        .x_desc(across)
+        .draw()
+        .map_err(|e| fail(&e))?;
     for (number, line) in series.iter().enumerate() {
         let colour = Palette99::pick(number).to_rgba();
         let points = line.points.clone();
@@ -38,7 +42,11 @@
             .label(line.name)
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
         chart
-            .draw_series(points.into_iter().map(|point| Circle::new(point, 3, colour.filled())))
+            .draw_series(
+                points
+                    .into_iter()
+                    .map(|point| Circle::new(point, 3, colour.filled())),
+            )
             .map_err(|e| fail(&e))?;
     }
     chart
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -54,8 +54,10 @@
     /// Books a line of the list.
     fn listed(&mut self, at: u64, rest: &[&str]) {
         let value = |key: &str| rest.iter().find_map(|word| word.strip_prefix(key));
-        let (Some(number), Some(name)) = (value("host="), value("name=").filter(|name| !name.is_empty()))
-        else {
+        let (Some(number), Some(name)) = (
+            value("host="),
+            value("name=").filter(|name| !name.is_empty()),
+        ) else {
             return;
         };
         self.names.insert(number.into(), name.into());
@@ -83,9 +85,14 @@
 impl Counts {
     /// Books a line; any other than one of a call is passed over.
     pub fn line(&mut self, line: &str, step: u64) {
-        let mut words = line.split_ascii_whitespace().skip_while(|word| *word != "fleet").skip(1);
-        let (Some(at), Some(word)) = (words.next().and_then(|at| at.parse::<u64>().ok()), words.next())
-        else {
+        let mut words = line
+            .split_ascii_whitespace()
+            .skip_while(|word| *word != "fleet")
+            .skip(1);
+        let (Some(at), Some(word)) = (
+            words.next().and_then(|at| at.parse::<u64>().ok()),
+            words.next(),
+        ) else {
             return;
         };
         let first = *self.first.get_or_insert(at);
@@ -95,18 +102,25 @@
             self.leaving.names.clear();
             return;
         }
-        let Some(destination) = words.next().and_then(|number| number.parse::<u16>().ok()) else { return };
+        let Some(destination) = words.next().and_then(|number| number.parse::<u16>().ok()) else {
+            return;
+        };
         let rest: Vec<&str> = words.collect();
         if word == "list" {
             self.list_lines += 1;
             self.leaving.listed(at, &rest);
-            let weight = rest.iter().find_map(|word| word.strip_prefix("weight=")?.parse().ok());
+            let weight = rest
+                .iter()
+                .find_map(|word| word.strip_prefix("weight=")?.parse().ok());
             if let Some(weight) = weight {
                 self.told.entry(destination).or_insert(weight);
             }
             return;
         }
-        let span = self.spans.entry((destination, at.saturating_sub(first) / step)).or_default();
+        let span = self
+            .spans
+            .entry((destination, at.saturating_sub(first) / step))
+            .or_default();
         match word {
             "arrived" => span.arrived += 1,
             "restored" => span.restored += 1,
@@ -127,7 +141,8 @@
                     _ => span.failed += 1,
                 }
                 let left = rest.iter().find_map(|word| word.strip_prefix("report=["));
-                let left = left.and_then(|text| text.trim_end_matches([',', ']']).parse::<f64>().ok());
+                let left =
+                    left.and_then(|text| text.trim_end_matches([',', ']']).parse::<f64>().ok());
                 if let Some(left) = left {
                     span.left = (span.left.0 + left, span.left.1 + 1);
                 }
@@ -160,7 +175,9 @@
         for ((_, at), span) in self.spans.range((destination, 0)..=(destination, u64::MAX)) {
             if span.good == 0 && span.calls > 0 {
                 since = Some(*at);
-            } else if let Some(from) = since.filter(|_| told > 0.0 && span.good as f64 >= 0.9 * told) {
+            } else if let Some(from) =
+                since.filter(|_| told > 0.0 && span.good as f64 >= 0.9 * told)
+            {
                 all.push((at - from) * step);
                 since = None;
             }
@@ -182,11 +199,21 @@
     }
     // All moments count from the first line of all.
     let mut counts = Counts::default();
-    let moments = texts.iter().flat_map(|text| text.lines()).filter_map(|line| {
-        line.split_ascii_whitespace().skip_while(|word| *word != "fleet").nth(1)?.parse::<u64>().ok()
-    });
+    let moments = texts
+        .iter()
+        .flat_map(|text| text.lines())
+        .filter_map(|line| {
+            line.split_ascii_whitespace()
+                .skip_while(|word| *word != "fleet")
+                .nth(1)?
+                .parse::<u64>()
+                .ok()
+        });
     counts.first = moments.min();
-    texts.iter().flat_map(|text| text.lines()).for_each(|line| counts.line(line, step));
+    texts
+        .iter()
+        .flat_map(|text| text.lines())
+        .for_each(|line| counts.line(line, step));
     if counts.spans.is_empty() {
         return Err(Error::NoLines(logs.into()));
     }
@@ -198,14 +225,23 @@
     let destinations: Vec<u16> = counts.told.keys().copied().collect();
     for destination in destinations.iter().filter(|_| !brief) {
         let told = counts.told[destination];
-        text += &format!("destination {destination}, takes {told} calls a second; each row {step} ms\n");
+        text += &format!(
+            "destination {destination}, takes {told} calls a second; each row {step} ms\n"
+        );
         let mut table = Table::new();
         table.load_preset(presets::NOTHING).set_header([
-            "at s", "arrived", "calls", "trials", "good", "refused", "waits", "failed", "opened", "given up",
-            "left",
+            "at s", "arrived", "calls", "trials", "good", "refused", "waits", "failed", "opened",
+            "given up", "left",
         ]);
-        for ((_, at), span) in counts.spans.range((*destination, 0)..=(*destination, u64::MAX)) {
-            let left = if span.left.1 > 0 { span.left.0 / span.left.1 as f64 } else { 0.0 };
+        for ((_, at), span) in counts
+            .spans
+            .range((*destination, 0)..=(*destination, u64::MAX))
+        {
+            let left = if span.left.1 > 0 {
+                span.left.0 / span.left.1 as f64
+            } else {
+                0.0
+            };
             let mut row = vec![format!("{:.1}", (at * step) as f64 / 1000.0)];
             let numbers = [
                 span.arrived,
@@ -226,7 +262,10 @@
     }
     let (all, late) = (counts.sum(), counts.leaving.late());
     let arrived = all.arrived.max(1) as f64;
-    let returns: Vec<u64> = destinations.iter().flat_map(|d| counts.returns(*d, step)).collect();
+    let returns: Vec<u64> = destinations
+        .iter()
+        .flat_map(|d| counts.returns(*d, step))
+        .collect();
     let mean = returns.iter().sum::<u64>() as f64 / returns.len().max(1) as f64 / 1000.0;
     text += &format!(
         "{} starts, {} messages came ({} from journals), {} given up\n\
@@ -284,11 +323,13 @@
             fleet 901 list 7 host=3 kind=0 weight=2 Ready name=s-b\nfleet 1500 send 7 1 held=1 to=1 closed\n\
             fleet 2700 send 7 1 held=1 to=1 closed\nfleet 2800 send 7 1 held=1 to=3 closed\n\
             fleet 2900 start\nfleet 3000 send 7 1 held=1 to=1 closed";
-        [one, two].iter().flat_map(|log| log.lines()).for_each(|line| counts.line(line, 1000));
+        [one, two]
+            .iter()
+            .flat_map(|log| log.lines())
+            .for_each(|line| counts.line(line, 1000));
         assert_eq!(counts.leaving.late(), [700, 100]);
-        assert!(
-            shown(&counts, 1000, true).contains("1 hosts announced as leaving; 2 calls to them after that")
-        );
+        assert!(shown(&counts, 1000, true)
+            .contains("1 hosts announced as leaving; 2 calls to them after that"));
     }
 
     #[test]
@@ -297,14 +338,30 @@
         LOG.lines().for_each(|line| counts.line(line, 1000));
         let (first, second) = (&counts.spans[&(7, 0)], &counts.spans[&(7, 1)]);
         assert_eq!(
-            (first.arrived, first.calls, first.trials, first.refused, first.waits, first.opened),
+            (
+                first.arrived,
+                first.calls,
+                first.trials,
+                first.refused,
+                first.waits,
+                first.opened
+            ),
             (1, 1, 0, 1, 1, 1)
         );
-        assert_eq!((second.calls, second.trials, second.good, second.left), (1, 1, 2, (0.75, 1)));
-        assert_eq!((counts.starts, counts.list_lines, counts.told[&7]), (1, 1, 2.0));
+        assert_eq!(
+            (second.calls, second.trials, second.good, second.left),
+            (1, 1, 2, (0.75, 1))
+        );
+        assert_eq!(
+            (counts.starts, counts.list_lines, counts.told[&7]),
+            (1, 1, 2.0)
+        );
         assert_eq!(counts.spans.len(), 2);
         assert_eq!(counts.returns(7, 1000), [1000]);
         let text = shown(&counts, 1000, false);
-        assert!(text.contains("1 refused (1.00 a message; 1 with a wait)"), "{text}");
+        assert!(
+            text.contains("1 refused (1.00 a message; 1 with a wait)"),
+            "{text}"
+        );
     }
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -78,7 +78,11 @@
     let arguments = match Arguments::try_parse() {
         Ok(arguments) => arguments,
         Err(error) => {
-            let code = if error.use_stderr() { ExitCode::from(2) } else { ExitCode::SUCCESS };
+            let code = if error.use_stderr() {
+                ExitCode::from(2)
+            } else {
+                ExitCode::SUCCESS
+            };
             drop(error.print());
             return code;
         }
@@ -86,7 +90,12 @@
     let done = match arguments.command {
         Command::Fleet { logs, step, brief } => fleet::run(&logs, step, brief),
         Command::Store { records } => store::run(records),
-        Command::Sizes { relays, seeds, jobs, chart } => sizes::run(&relays, seeds, jobs, chart.as_deref()),
+        Command::Sizes {
+            relays,
+            seeds,
+            jobs,
+            chart,
+        } => sizes::run(&relays, seeds, jobs, chart.as_deref()),
     };
     match done {
         Ok(text) => {
--- a/crates/bench/src/sizes.rs
+++ b/crates/bench/src/sizes.rs
@@ -32,14 +32,22 @@
     if let Some(wrong) = relays.iter().find(|relays| !(1..=200).contains(*relays)) {
         return Err(Error::Relays(*wrong));
     }
-    let rows: Vec<Sums> = relays.iter().map(|relays| of_size(*relays, seeds, jobs)).collect();
+    let rows: Vec<Sums> = relays
+        .iter()
+        .map(|relays| of_size(*relays, seeds, jobs))
+        .collect();
     if let Some(path) = chart {
         let line = |name, of: fn(&Sums) -> f64| {
-            let points = rows.iter().map(|row| (f64::from(row.relays), of(row).min(1.0))).collect();
+            let points = rows
+                .iter()
+                .map(|row| (f64::from(row.relays), of(row).min(1.0)))
+                .collect();
             Series { name, points }
         };
         let series = [
-            line("delivered in aim, of all messages", |s| s.in_aim / s.messages),
+            line("delivered in aim, of all messages", |s| {
+                s.in_aim / s.messages
+            }),
             line("delivered", |s| s.delivered / s.messages),
             line("calls refused, for a message", |s| s.refused / s.messages),
             line("connections opened, for a call", |s| s.opened / s.calls),
@@ -73,7 +81,13 @@
 }
 
 fn of_size(relays: u16, seeds: u64, jobs: u16) -> Sums {
-    let (next, sums) = (AtomicU64::new(0), Mutex::new(Sums { relays, ..Sums::default() }));
+    let (next, sums) = (
+        AtomicU64::new(0),
+        Mutex::new(Sums {
+            relays,
+            ..Sums::default()
+        }),
+    );
     std::thread::scope(|scope| {
         for _ in 0..jobs {
             scope.spawn(|| loop {
@@ -81,8 +95,14 @@
                 if seed >= seeds {
                     break;
                 }
-                let report = play(&Script::draw_vast(seed, usize::from(relays)), Options::default());
-                report.broken.iter().for_each(|broken| eprintln!("{relays} relays: {broken}"));
+                let report = play(
+                    &Script::draw_vast(seed, usize::from(relays)),
+                    Options::default(),
+                );
+                report
+                    .broken
+                    .iter()
+                    .for_each(|broken| eprintln!("{relays} relays: {broken}"));
                 let Ok(mut sums) = sums.lock() else { break };
                 let counts = report.counts;
                 sums.messages += report.messages as f64;
@@ -107,9 +127,14 @@
 
     #[test]
     fn a_table_has_a_row_a_size_and_a_chart_is_written() {
-        let chart = std::env::temp_dir().join(format!("madderpitch-sizes-{}.svg", std::process::id()));
+        let chart =
+            std::env::temp_dir().join(format!("madderpitch-sizes-{}.svg", std::process::id()));
         let text = run(&[1, 3], 1, 1, Some(&chart)).expect("played");
-        assert_eq!(text.lines().filter(|line| line.contains("0.")).count(), 2, "{text}");
+        assert_eq!(
+            text.lines().filter(|line| line.contains("0.")).count(),
+            2,
+            "{text}"
+        );
         let drawn = std::fs::read_to_string(&chart).expect("written");
         assert!(drawn.contains("<svg") && drawn.contains("delivered in aim"));
         std::fs::remove_file(chart).expect("removed");
--- a/crates/bench/src/store.rs
+++ b/crates/bench/src/store.rs
@@ -25,7 +25,11 @@
     let attempt = |sent| Attempt {
         sent,
         host: format!("partner-{}-a.example", number % 200),
-        outcome: if may_have_run { Outcome::TimedOut } else { Outcome::Refused },
+        outcome: if may_have_run {
+            Outcome::TimedOut
+        } else {
+            Outcome::Refused
+        },
         may_have_run,
         resend: 0,
     };
@@ -44,7 +48,9 @@
         size: BODY as u32,
         ended,
         reason: Reason::ALL[number as usize % Reason::ALL.len()],
-        attempts: (0..1 + number % 4).map(|n| attempt(ended.saturating_sub(n * 1000))).collect(),
+        attempts: (0..1 + number % 4)
+            .map(|n| attempt(ended.saturating_sub(n * 1000)))
+            .collect(),
         statements: Vec::new(),
         state: State::Open,
         version: 1,
@@ -56,7 +62,13 @@
 fn memory(line: &str) -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let found = status.lines().find_map(|text| text.strip_prefix(line));
-    found.and_then(|text| text.trim_matches(|c: char| !c.is_ascii_digit()).parse().ok()).unwrap_or(0)
+    found
+        .and_then(|text| {
+            text.trim_matches(|c: char| !c.is_ascii_digit())
+                .parse()
+                .ok()
+        })
+        .unwrap_or(0)
 }
 
 /// Fills a store in a folder of its own, reads pages, and gives the table.
@@ -74,8 +86,9 @@
     let began = Instant::now();
     let mut keeps = Histogram::<u64>::new_with_bounds(1, 600_000_000, 3).map_err(|e| bad(&e))?;
     for first in (0..records).step_by(AT_ONCE as usize) {
-        let all: Vec<(Record, &[u8])> =
-            (first..(first + AT_ONCE).min(records)).map(|number| (record(number), &body[..])).collect();
+        let all: Vec<(Record, &[u8])> = (first..(first + AT_ONCE).min(records))
+            .map(|number| (record(number), &body[..]))
+            .collect();
         let one = Instant::now();
         store.keep(&all).map_err(|e| bad(&e))?;
         keeps.saturating_record(one.elapsed().as_micros() as u64);
@@ -87,7 +100,9 @@
     let store = open()?;
     let reopened = began.elapsed();
     let mut table = Table::new();
-    table.load_preset(presets::ASCII_MARKDOWN).set_header(["what", "p50 ms", "p99 ms", "most ms"]);
+    table
+        .load_preset(presets::ASCII_MARKDOWN)
+        .set_header(["what", "p50 ms", "p99 ms", "most ms"]);
     let ms = |micros: u64| format!("{:.2}", micros as f64 / 1000.0);
     let mut row = |name: &str, times: &Histogram<u64>| {
         table.add_row([
@@ -110,11 +125,28 @@
     row("change a record", &changes);
     let filters = [
         ("no filter", Filter::default()),
-        ("destination", Filter { destination: Some(17), ..Filter::default() }),
-        ("tenant and class", Filter { tenant: tenant(), class: Some("payout".into()), ..Filter::default() }),
+        (
+            "destination",
+            Filter {
+                destination: Some(17),
+                ..Filter::default()
+            },
+        ),
+        (
+            "tenant and class",
+            Filter {
+                tenant: tenant(),
+                class: Some("payout".into()),
+                ..Filter::default()
+            },
+        ),
         (
             "reason and may have run",
-            Filter { reason: Some(Reason::AttemptsSpent), may_have_run: Some(true), ..Filter::default() },
+            Filter {
+                reason: Some(Reason::AttemptsSpent),
+                may_have_run: Some(true),
+                ..Filter::default()
+            },
         ),
         (
             "destination and an hour",
@@ -136,7 +168,8 @@
         ),
     ];
     for (name, filter) in filters {
-        let mut times = Histogram::<u64>::new_with_bounds(1, 600_000_000, 3).map_err(|e| bad(&e))?;
+        let mut times =
+            Histogram::<u64>::new_with_bounds(1, 600_000_000, 3).map_err(|e| bad(&e))?;
         let (mut before, mut found) = (None, 0);
         for _ in 0..PAGE.1 {
             let one = Instant::now();
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -63,13 +63,17 @@
 
     /// The classes of the settings from now on; new ones start at 0, and those that went keep their counts.
     pub fn classes<'a>(&mut self, classes: impl IntoIterator<Item = &'a String>) {
-        self.classes.values_mut().for_each(|counts| counts.listed = false);
+        self.classes
+            .values_mut()
+            .for_each(|counts| counts.listed = false);
         for class in classes {
             self.classes.entry(class.clone()).or_default().listed = true;
         }
         while self.classes.len() > MOST_CLASSES {
             let gone = self.classes.iter().filter(|(_, counts)| !counts.listed);
-            let Some(least) = gone.min_by_key(|(_, counts)| counts.all()).map(|(name, _)| name.clone())
+            let Some(least) = gone
+                .min_by_key(|(_, counts)| counts.all())
+                .map(|(name, _)| name.clone())
             else {
                 break;
             };
@@ -85,7 +89,10 @@
     /// A message that was taken on has ended.
     pub fn ended(&mut self, class: &str, end: End) {
         self.ended += 1;
-        debug_assert!(self.ended <= self.taken, "more messages ended than were taken");
+        debug_assert!(
+            self.ended <= self.taken,
+            "more messages ended than were taken"
+        );
         self.count(class, end);
     }
 
@@ -115,7 +122,9 @@
     }
 
     fn count(&mut self, class: &str, end: End) {
-        let Some(counts) = self.classes.get_mut(class) else { return };
+        let Some(counts) = self.classes.get_mut(class) else {
+            return;
+        };
         match end {
             End::Success => counts.success += 1,
             End::Overload => counts.overload += 1,
@@ -129,7 +138,12 @@
         let mut text = String::new();
         // A text takes every line.
         for (class, counts) in &self.classes {
-            let Counts { success, overload, error, .. } = counts;
+            let Counts {
+                success,
+                overload,
+                error,
+                ..
+            } = counts;
             let _ = writeln!(text, "relay.success.{class}={success}");
             let _ = writeln!(text, "relay.overload.{class}={overload}");
             let _ = writeln!(text, "relay.error.{class}={error}");
--- a/crates/control/src/lifecycle.rs
+++ b/crates/control/src/lifecycle.rs
@@ -132,7 +132,8 @@
 
     /// Whether another process is to have everything now: it was told so, and clients are gone or have had their time.
     pub fn hands_over(&self, now: Duration, clients: usize) -> bool {
-        self.handed && (clients == 0 || self.state == State::Stopping || self.past(now) >= HAND_OVER)
+        self.handed
+            && (clients == 0 || self.state == State::Stopping || self.past(now) >= HAND_OVER)
     }
 
     /// Whether an operator has it drained.
@@ -174,7 +175,11 @@
     /// Whether the process ends; `quiet` tells that it has no calls out, no clients and nothing left to do.
     pub fn ends(&self, now: Duration, quiet: bool) -> bool {
         let past = self.past(now);
-        let front = if self.handed { Duration::ZERO } else { STOP_FRONT };
+        let front = if self.handed {
+            Duration::ZERO
+        } else {
+            STOP_FRONT
+        };
         self.state == State::Stopping && (past >= STOP_ENDS || quiet && past >= front)
     }
 
@@ -190,7 +195,10 @@
 
     /// Whether time alone changes what is said, so that it has to be asked again soon.
     pub fn moves(&self) -> bool {
-        matches!(self.state, State::Draining | State::HandingOver | State::Stopping)
+        matches!(
+            self.state,
+            State::Draining | State::HandingOver | State::Stopping
+        )
     }
 
     fn past(&self, now: Duration) -> Duration {
--- a/crates/control/src/line.rs
+++ b/crates/control/src/line.rs
@@ -53,13 +53,19 @@
 /// Reads the first line of a text. White space round the word and a carriage return are let pass.
 pub fn read(text: &[u8]) -> Line {
     let Some(end) = text.iter().position(|byte| *byte == b'\n') else {
-        return if text.len() > LONGEST { Line::Wrong("the line is too long") } else { Line::Partial };
+        return if text.len() > LONGEST {
+            Line::Wrong("the line is too long")
+        } else {
+            Line::Partial
+        };
     };
     if end > LONGEST {
         return Line::Wrong("the line is too long");
     }
     let word = text[..end].trim_ascii();
-    let call = Call::ALL.into_iter().find(|call| call.word().as_bytes() == word);
+    let call = Call::ALL
+        .into_iter()
+        .find(|call| call.word().as_bytes() == word);
     call.map_or(Line::Wrong("unknown call"), Line::Call)
 }
 
--- a/crates/control/tests/ledger.rs
+++ b/crates/control/tests/ledger.rs
@@ -10,12 +10,19 @@
 
 /// The value of a figure as the door shows it.
 fn figure(text: &str, name: &str) -> Option<u64> {
-    let line = text.lines().find_map(|line| line.strip_prefix(&format!("relay.{name}=")));
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix(&format!("relay.{name}=")));
     line.and_then(|value| value.parse().ok())
 }
 
 fn end() -> impl Strategy<Value = End> {
-    prop_oneof![Just(End::Success), Just(End::Overload), Just(End::Error), Just(End::Other)]
+    prop_oneof![
+        Just(End::Success),
+        Just(End::Overload),
+        Just(End::Error),
+        Just(End::Other)
+    ]
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -105,7 +112,10 @@
     ledger.ended("a", End::Success);
     ledger.classes(&names(&["b", "c"]));
     let text = ledger.show(0, Targets::default());
-    assert_eq!((figure(&text, "success.a"), figure(&text, "success.c")), (Some(1), Some(0)));
+    assert_eq!(
+        (figure(&text, "success.a"), figure(&text, "success.c")),
+        (Some(1), Some(0))
+    );
 }
 
 #[test]
@@ -116,7 +126,15 @@
         ledger.turned_away("always", End::Error);
     }
     let text = ledger.show(0, Targets::default());
-    assert_eq!(text.lines().filter(|line| line.starts_with("relay.success.")).count(), MOST_CLASSES);
+    assert_eq!(
+        text.lines()
+            .filter(|line| line.starts_with("relay.success."))
+            .count(),
+        MOST_CLASSES
+    );
     assert_eq!(figure(&text, "error.always"), Some(2 * MOST_CLASSES as u64));
-    assert_eq!(figure(&text, &format!("success.c{}", 2 * MOST_CLASSES - 1)), Some(0));
+    assert_eq!(
+        figure(&text, &format!("success.c{}", 2 * MOST_CLASSES - 1)),
+        Some(0)
+    );
 }
--- a/crates/control/tests/lifecycle.rs
+++ b/crates/control/tests/lifecycle.rs
@@ -8,8 +8,14 @@
 use madderpitch_control::{Lifecycle, Stage, State, Told};
 
 const MS: Duration = Duration::from_millis(1);
-const INPUTS: [Told; 6] =
-    [Told::Started, Told::Drain, Told::Resume, Told::HandOver, Told::TakenBack, Told::Stop];
+const INPUTS: [Told; 6] = [
+    Told::Started,
+    Told::Drain,
+    Told::Resume,
+    Told::HandOver,
+    Told::TakenBack,
+    Told::Stop,
+];
 
 /// A process that got to a state the shortest way.
 fn at(state: State) -> Lifecycle {
@@ -21,7 +27,8 @@
         State::HandingOver => &[Told::Started, Told::HandOver],
         State::Stopping => &[Told::Started, Told::Stop],
     };
-    way.iter().for_each(|told| assert!(life.tell(*told, Duration::ZERO)));
+    way.iter()
+        .for_each(|told| assert!(life.tell(*told, Duration::ZERO)));
     assert_eq!(life.state(), state);
     life
 }
@@ -31,10 +38,36 @@
     use State::*;
     // Columns as in INPUTS; none where an input changes nothing.
     let table: [(State, [Option<State>; 6]); 5] = [
-        (Starting, [Some(Serving), None, None, None, None, Some(Stopping)]),
-        (Serving, [None, Some(Draining), None, Some(HandingOver), None, Some(Stopping)]),
-        (Draining, [None, None, Some(Serving), Some(HandingOver), None, Some(Stopping)]),
-        (HandingOver, [None, None, None, None, Some(Serving), Some(Stopping)]),
+        (
+            Starting,
+            [Some(Serving), None, None, None, None, Some(Stopping)],
+        ),
+        (
+            Serving,
+            [
+                None,
+                Some(Draining),
+                None,
+                Some(HandingOver),
+                None,
+                Some(Stopping),
+            ],
+        ),
+        (
+            Draining,
+            [
+                None,
+                None,
+                Some(Serving),
+                Some(HandingOver),
+                None,
+                Some(Stopping),
+            ],
+        ),
+        (
+            HandingOver,
+            [None, None, None, None, Some(Serving), Some(Stopping)],
+        ),
         (Stopping, [None, None, None, None, None, None]),
     ];
     for (state, row) in table {
@@ -58,7 +91,10 @@
     assert_eq!(life.stage(DRAIN_CLOSES - MS), Stage::Open);
     assert_eq!(life.stage(DRAIN_CLOSES), Stage::Closing);
     assert_eq!(life.stage(DRAIN_REFUSES), Stage::Refusing);
-    assert!(!life.ends(Duration::from_secs(3600), true), "a drain ends no process");
+    assert!(
+        !life.ends(Duration::from_secs(3600), true),
+        "a drain ends no process"
+    );
     // The front asks every 0.1 s and stops 0.2 s after a no; 4 s after the call no message may be under 2 s old.
     assert!(
         DRAIN_CLOSES > Duration::from_millis(300)
@@ -84,7 +120,11 @@
 fn a_process_that_hands_over_accepts_no_more_and_is_never_held_up_by_clients() {
     let life = at(State::HandingOver);
     assert!(!life.accepts(Duration::ZERO) && !life.ready());
-    assert_eq!(life.stage(HAND_OVER - MS), Stage::Closing, "requests that have begun are served");
+    assert_eq!(
+        life.stage(HAND_OVER - MS),
+        Stage::Closing,
+        "requests that have begun are served"
+    );
     assert_eq!(life.stage(HAND_OVER), Stage::Refusing);
     assert!(life.hands_over(Duration::ZERO, 0) && !life.hands_over(HAND_OVER - MS, 1));
     assert!(life.hands_over(HAND_OVER, 1));
@@ -103,8 +143,18 @@
     assert!(life.accepts(STOP_CLOSES - MS) && !life.accepts(STOP_CLOSES));
     assert_eq!(life.stage(STOP_CLOSES - MS), Stage::Open);
     assert_eq!(life.stage(STOP_CLOSES), Stage::Closing);
-    assert!(!life.ends(STOP_FRONT - MS, true), "new connections may still be on the way");
-    assert!(life.ends(STOP_FRONT, true) && !life.ends(STOP_ENDS - MS, false) && life.ends(STOP_ENDS, false));
-    assert!(STOP_ENDS < Duration::from_millis(3700), "SIGKILL comes then");
+    assert!(
+        !life.ends(STOP_FRONT - MS, true),
+        "new connections may still be on the way"
+    );
+    assert!(
+        life.ends(STOP_FRONT, true)
+            && !life.ends(STOP_ENDS - MS, false)
+            && life.ends(STOP_ENDS, false)
+    );
+    assert!(
+        STOP_ENDS < Duration::from_millis(3700),
+        "SIGKILL comes then"
+    );
     assert_eq!(life.last_call(), Some(STOP_CLOSES));
 }
--- a/crates/control/tests/line.rs
+++ b/crates/control/tests/line.rs
@@ -10,7 +10,11 @@
         for end in ["\n", "\r\n", " \n"] {
             let text = format!("{call}{end}");
             for cut in 0..text.len() {
-                assert_eq!(read(&text.as_bytes()[..cut]), Line::Partial, "{text:?} cut at {cut}");
+                assert_eq!(
+                    read(&text.as_bytes()[..cut]),
+                    Line::Partial,
+                    "{text:?} cut at {cut}"
+                );
             }
             assert_eq!(read(text.as_bytes()), Line::Call(call));
             // What follows the line is not looked at.
@@ -22,7 +26,14 @@
 #[test]
 fn what_is_no_call_is_told_so_at_once() {
     let long = vec![b'a'; LONGEST + 1];
-    for text in [&b"\n"[..], b"READY\n", b"ready now\n", b"\xff\x00\n", b"show-stat\0\n", &long] {
+    for text in [
+        &b"\n"[..],
+        b"READY\n",
+        b"ready now\n",
+        b"\xff\x00\n",
+        b"show-stat\0\n",
+        &long,
+    ] {
         assert!(matches!(read(text), Line::Wrong(_)), "{text:?}");
     }
 }
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -12,7 +12,12 @@
 #[command(version, name = "madderpitchctl")]
 pub struct Arguments {
     /// Where the API listens: an address and port, or unix: and a path.
-    #[arg(long, global = true, env = "MADDERPITCH_SERVER", default_value = "127.0.0.1:8700")]
+    #[arg(
+        long,
+        global = true,
+        env = "MADDERPITCH_SERVER",
+        default_value = "127.0.0.1:8700"
+    )]
     pub server: String,
     /// A file with the bearer token; the variable MADDERPITCH_TOKEN may hold the token itself.
     #[arg(long, global = true, env = "MADDERPITCH_TOKEN_FILE")]
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -44,12 +44,23 @@
     pub fn code(&self) -> u8 {
         match self {
             Failure::Usage(_) => 2,
-            Failure::Refused { status: 404 | 410, .. } => 3,
-            Failure::Refused { status: 409 | 412 | 423, .. } => 4,
-            Failure::Refused { status: 401 | 403, .. } => 5,
+            Failure::Refused {
+                status: 404 | 410, ..
+            } => 3,
+            Failure::Refused {
+                status: 409 | 412 | 423,
+                ..
+            } => 4,
+            Failure::Refused {
+                status: 401 | 403, ..
+            } => 5,
             Failure::Unreachable(..) => 6,
-            Failure::Refused { status: 429 | 503, .. } => 7,
-            Failure::Refused { status: 400..=499, .. } => 8,
+            Failure::Refused {
+                status: 429 | 503, ..
+            } => 7,
+            Failure::Refused {
+                status: 400..=499, ..
+            } => 8,
             Failure::Refused { .. } | Failure::Strange(_) => 1,
         }
     }
@@ -76,7 +87,12 @@
 impl Ask {
     /// A request for a path.
     pub fn new(method: Method, path: impl Into<String>) -> Self {
-        Ask { method, path: path.into(), headers: Vec::new(), body: None }
+        Ask {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: None,
+        }
     }
 
     /// The same with a header.
@@ -102,7 +118,11 @@
 impl Client {
     /// An API at an address and port, or at `unix:` and a path.
     pub fn new(server: String, token: Option<String>, timeout: Duration) -> Self {
-        Client { server, token, timeout }
+        Client {
+            server,
+            token,
+            timeout,
+        }
     }
 
     /// Makes a request, again where that is harmless: a change has to carry an idempotency key.
@@ -111,10 +131,19 @@
         for tried in 1.. {
             let answer = match tokio::time::timeout(self.timeout, self.once(&ask)).await {
                 Ok(answer) => answer,
-                Err(_) => Err(Failure::Unreachable(self.server.clone(), "no answer in time".into())),
+                Err(_) => Err(Failure::Unreachable(
+                    self.server.clone(),
+                    "no answer in time".into(),
+                )),
             };
-            let again =
-                matches!(&answer, Err(Failure::Unreachable(..) | Failure::Refused { status: 429 | 503, .. }));
+            let again = matches!(
+                &answer,
+                Err(Failure::Unreachable(..)
+                    | Failure::Refused {
+                        status: 429 | 503,
+                        ..
+                    })
+            );
             if !again || tried == TRIES {
                 return answer;
             }
@@ -129,11 +158,15 @@
             |e: &dyn std::fmt::Display| Failure::Unreachable(self.server.clone(), e.to_string());
         match self.server.strip_prefix("unix:") {
             Some(path) => {
-                let stream = UnixStream::connect(path).await.map_err(|e| unreachable(&e))?;
+                let stream = UnixStream::connect(path)
+                    .await
+                    .map_err(|e| unreachable(&e))?;
                 self.on(TokioIo::new(stream), "localhost", ask).await
             }
             None => {
-                let stream = TcpStream::connect(&self.server).await.map_err(|e| unreachable(&e))?;
+                let stream = TcpStream::connect(&self.server)
+                    .await
+                    .map_err(|e| unreachable(&e))?;
                 self.on(TokioIo::new(stream), &self.server, ask).await
             }
         }
@@ -143,15 +176,18 @@
     where
         T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
     {
-        let unreachable = |e: hyper::Error| Failure::Unreachable(self.server.clone(), e.to_string());
-        let (mut sender, connection) =
-            hyper::client::conn::http1::handshake(stream).await.map_err(unreachable)?;
+        let unreachable =
+            |e: hyper::Error| Failure::Unreachable(self.server.clone(), e.to_string());
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
+            .await
+            .map_err(unreachable)?;
         let request = self.request(host, ask)?;
         let answered = async {
             let response = sender.send_request(request).await.map_err(unreachable)?;
             let (parts, body) = response.into_parts();
             let body = Limited::new(body, LONGEST).collect().await;
-            let body = body.map_err(|e| Failure::Unreachable(self.server.clone(), e.to_string()))?;
+            let body =
+                body.map_err(|e| Failure::Unreachable(self.server.clone(), e.to_string()))?;
             read(parts.status, &parts.headers, &body.to_bytes())
         };
         tokio::select! {
@@ -164,13 +200,22 @@
 
     fn request(&self, host: &str, ask: &Ask) -> Result<Request<Full<Bytes>>, Failure> {
         let bad = |what: &str| Failure::Usage(format!("{what} has characters that can't be sent"));
-        let text = ask.body.as_ref().map_or(Vec::new(), |(_, body)| body.to_string().into_bytes());
+        let text = ask
+            .body
+            .as_ref()
+            .map_or(Vec::new(), |(_, body)| body.to_string().into_bytes());
         let request = Request::builder().method(ask.method.clone()).uri(&ask.path);
-        let mut request = request.body(Full::new(text.into())).map_err(|_| bad("the name"))?;
+        let mut request = request
+            .body(Full::new(text.into()))
+            .map_err(|_| bad("the name"))?;
         let headers = request.headers_mut();
-        headers.insert(HOST, HeaderValue::from_str(host).map_err(|_| bad("the server"))?);
+        headers.insert(
+            HOST,
+            HeaderValue::from_str(host).map_err(|_| bad("the server"))?,
+        );
         if let Some(token) = &self.token {
-            let value = HeaderValue::from_str(&format!("Bearer {token}")).map_err(|_| bad("the token"))?;
+            let value =
+                HeaderValue::from_str(&format!("Bearer {token}")).map_err(|_| bad("the token"))?;
             headers.insert(AUTHORIZATION, value);
         }
         if let Some((kind, _)) = &ask.body {
@@ -185,7 +230,10 @@
 }
 
 fn read(status: StatusCode, headers: &HeaderMap, body: &[u8]) -> Result<Answer, Failure> {
-    let etag = headers.get("etag").and_then(|value| value.to_str().ok()).map(String::from);
+    let etag = headers
+        .get("etag")
+        .and_then(|value| value.to_str().ok())
+        .map(String::from);
     let body = match body {
         [] => Value::Null,
         text => serde_json::from_slice(text).map_err(|e| Failure::Strange(e.to_string()))?,
@@ -202,5 +250,8 @@
     if let Some(field) = said("field") {
         detail += &format!(" (in {field})");
     }
-    Err(Failure::Refused { status: status.as_u16(), detail })
+    Err(Failure::Refused {
+        status: status.as_u16(),
+        detail,
+    })
 }
--- a/crates/ctl/src/control.rs
+++ b/crates/ctl/src/control.rs
@@ -52,15 +52,29 @@
 pub fn call(control: &Control, json: bool, timeout: Duration) -> Result<String, Failure> {
     let answer = ask(control.at, control.call.call(), timeout)
         .map_err(|e| Failure::Unreachable(control.at.to_string(), e.to_string()))?;
-    let (first, rest) = answer.split_once('\n').ok_or_else(|| Failure::Strange("half a line".into()))?;
+    let (first, rest) = answer
+        .split_once('\n')
+        .ok_or_else(|| Failure::Strange("half a line".into()))?;
     if let Some(why) = first.strip_prefix("fail") {
-        return Err(Failure::Refused { status: 409, detail: why.trim().into() });
+        return Err(Failure::Refused {
+            status: 409,
+            detail: why.trim().into(),
+        });
     }
-    let what = first.strip_prefix("ok").ok_or_else(|| Failure::Strange(first.into()))?.trim();
+    let what = first
+        .strip_prefix("ok")
+        .ok_or_else(|| Failure::Strange(first.into()))?
+        .trim();
     match control.call {
         Word::ShowStat => {
-            let figures = rest.strip_suffix("eof\n").ok_or_else(|| Failure::Strange("no eof".into()))?;
-            Ok(if json { as_json(figures)? } else { figures.into() })
+            let figures = rest
+                .strip_suffix("eof\n")
+                .ok_or_else(|| Failure::Strange("no eof".into()))?;
+            Ok(if json {
+                as_json(figures)?
+            } else {
+                figures.into()
+            })
         }
         _ if json => Ok(format!("{}\n", serde_json::json!({ "answer": what }))),
         _ => Ok(format!("{what}\n")),
@@ -130,23 +144,42 @@
     #[test]
     fn answers_are_shown_and_refusals_told_by_their_code() {
         let (told, heard) = said(Word::Drain, "ok is being emptied\n", false);
-        assert_eq!((told.ok().as_deref(), heard.as_str()), (Some("is being emptied\n"), "drain\n"));
+        assert_eq!(
+            (told.ok().as_deref(), heard.as_str()),
+            (Some("is being emptied\n"), "drain\n")
+        );
         let (told, _) = said(Word::Ready, "fail takes no clients: draining\n", false);
         assert_eq!(told.err().map(|failure| failure.code()), Some(4));
         let figures = "ok figures\nrelay.success.a=3\nrelay.concurrent=0\neof\n";
         let (told, heard) = said(Word::ShowStat, figures, false);
-        assert_eq!(told.ok().as_deref(), Some("relay.success.a=3\nrelay.concurrent=0\n"));
+        assert_eq!(
+            told.ok().as_deref(),
+            Some("relay.success.a=3\nrelay.concurrent=0\n")
+        );
         assert_eq!(heard, "show-stat\n");
         let (told, _) = said(Word::ShowStat, figures, true);
         let shown: Value = serde_json::from_str(&told.unwrap_or_default()).expect("JSON");
-        assert_eq!(shown, serde_json::json!({"relay.success.a": 3, "relay.concurrent": 0}));
+        assert_eq!(
+            shown,
+            serde_json::json!({"relay.success.a": 3, "relay.concurrent": 0})
+        );
     }
 
     #[test]
     fn what_is_no_answer_is_none() {
-        for answer in ["", "ok", "perhaps\n", "ok figures\nrelay.success.a=3\n", "ok\nrelay.x=y\neof\n"] {
+        for answer in [
+            "",
+            "ok",
+            "perhaps\n",
+            "ok figures\nrelay.success.a=3\n",
+            "ok\nrelay.x=y\neof\n",
+        ] {
             let (told, _) = said(Word::ShowStat, answer, true);
-            assert_eq!(told.err().map(|failure| failure.code()), Some(1), "{answer:?}");
+            assert_eq!(
+                told.err().map(|failure| failure.code()),
+                Some(1),
+                "{answer:?}"
+            );
         }
     }
 
@@ -154,7 +187,14 @@
     fn a_door_that_says_nothing_is_not_reached_in_time() {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let at = listener.local_addr().expect("bound");
-        let told = call(&Control { at, call: Word::Ready }, false, Duration::from_millis(50));
+        let told = call(
+            &Control {
+                at,
+                call: Word::Ready,
+            },
+            false,
+            Duration::from_millis(50),
+        );
         assert_eq!(told.err().map(|failure| failure.code()), Some(6));
     }
 }
--- a/crates/ctl/src/undeliverable.rs
+++ b/crates/ctl/src/undeliverable.rs
@@ -186,7 +186,9 @@
     fn fields(&self) -> Map<String, Value> {
         let mut fields = Map::new();
         let mut set = |name: &str, value: Option<Value>| {
-            value.into_iter().for_each(|value| drop(fields.insert(name.into(), value)));
+            value
+                .into_iter()
+                .for_each(|value| drop(fields.insert(name.into(), value)));
         };
         set("destination", self.destination.map(Value::from));
         set("class", self.class.clone().map(Value::from));
@@ -203,7 +205,9 @@
     fn list(&self) -> Result<String, Failure> {
         let mut list = format!("{RECORDS}?");
         for (name, value) in self.fields() {
-            let value = value.as_str().map_or_else(|| value.to_string(), String::from);
+            let value = value
+                .as_str()
+                .map_or_else(|| value.to_string(), String::from);
             // Names and times stand in an address as they are, but for the plus of a time zone.
             let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-:+".contains(&byte);
             if value.is_empty() || !value.bytes().all(plain) {
@@ -225,7 +229,9 @@
             Some(version) => format!("\"{version}\""),
             None => {
                 let shown = self.client.ask(Ask::new(Method::GET, at)).await?;
-                shown.etag.ok_or_else(|| Failure::Strange("what is shown has no ETag".into()))?
+                shown
+                    .etag
+                    .ok_or_else(|| Failure::Strange("what is shown has no ETag".into()))?
             }
         };
         self.client.ask(ask.header("if-match", etag)).await
@@ -245,8 +251,11 @@
     async fn batch(&self, command: Batch) -> Result<(), Failure> {
         let (named, order) = match command {
             Batch::List => {
-                let all = self.client.ask(Ask::new(Method::GET, BATCHES)).await?.body["items"].take();
-                self.print(&all, |all| output::batches(all.as_array().into_iter().flatten()));
+                let all =
+                    self.client.ask(Ask::new(Method::GET, BATCHES)).await?.body["items"].take();
+                self.print(&all, |all| {
+                    output::batches(all.as_array().into_iter().flatten())
+                });
                 return Ok(());
             }
             Batch::Show { name } => {
@@ -255,14 +264,23 @@
                 self.print(&batch.body, output::fields);
                 return Ok(());
             }
-            Batch::Plan { name, filter, per_second, at_once, stop_after } => {
+            Batch::Plan {
+                name,
+                filter,
+                per_second,
+                at_once,
+                stop_after,
+            } => {
                 let mut fields = filter.fields();
                 if fields.remove("state").is_some_and(|state| state != "open") {
                     return Err(Failure::Usage("a batch is of open records".into()));
                 }
                 let body = json!({"name": in_path(&name)?, "filter": fields, "per_second": per_second,
                     "at_once": at_once, "stop_after": stop_after});
-                let batch = self.client.ask(Ask::new(Method::POST, BATCHES).body(JSON, body)).await?;
+                let batch = self
+                    .client
+                    .ask(Ask::new(Method::POST, BATCHES).body(JSON, body))
+                    .await?;
                 self.print(&batch.body, output::fields);
                 return Ok(());
             }
@@ -287,13 +305,18 @@
         let list = filter.list()?;
         let mut cursor = String::new();
         loop {
-            let page = self.client.ask(Ask::new(Method::GET, format!("{list}limit=200{cursor}"))).await?;
+            let page = self
+                .client
+                .ask(Ask::new(Method::GET, format!("{list}limit=200{cursor}")))
+                .await?;
             let mut lines = String::new();
             for record in page.body["items"].as_array().into_iter().flatten() {
                 lines += &format!("{record}\n");
             }
             out.write_all(lines.as_bytes()).map_err(bad)?;
-            let Some(next) = page.body["next"].as_str() else { return out.flush().map_err(bad) };
+            let Some(next) = page.body["next"].as_str() else {
+                return out.flush().map_err(bad);
+            };
             cursor = format!("&cursor={next}");
         }
     }
@@ -304,7 +327,9 @@
         match command {
             Undeliverable::List { filter, limit } => {
                 let all = Value::from(self.pages(&filter.list()?, limit as usize).await?);
-                self.print(&all, |all| output::records(all.as_array().into_iter().flatten()));
+                self.print(&all, |all| {
+                    output::records(all.as_array().into_iter().flatten())
+                });
                 Ok(())
             }
             Undeliverable::Export { filter, to } => self.export(&filter, to).await,
@@ -314,8 +339,11 @@
                 Ok(())
             }
             Undeliverable::Counts { by } => {
-                let counts = get(format!("{RECORDS}/counts?by={}", word(by))).await?.body["items"].take();
-                self.print(&counts, |all| output::counts(&word(by), all.as_array().into_iter().flatten()));
+                let counts =
+                    get(format!("{RECORDS}/counts?by={}", word(by))).await?.body["items"].take();
+                self.print(&counts, |all| {
+                    output::counts(&word(by), all.as_array().into_iter().flatten())
+                });
                 Ok(())
             }
             Undeliverable::Status => {
@@ -329,7 +357,8 @@
             Undeliverable::Ask(one) => self.act(one, "ask", None).await,
             Undeliverable::Discard(one) => self.act(one, "discard", None).await,
             Undeliverable::Attest { one, says } => {
-                self.act(one, "attest", Some(json!({"says": word(says)}))).await
+                self.act(one, "attest", Some(json!({"says": word(says)})))
+                    .await
             }
             Undeliverable::Batch(command) => self.batch(command).await,
         }
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -15,7 +15,12 @@
 
 /// What a relay without hosts is told.
 fn configuration(folder: &Path) -> Value {
-    let free = || TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").to_string();
+    let free = || {
+        TcpListener::bind("127.0.0.1:0")
+            .and_then(|l| l.local_addr())
+            .expect("a port")
+            .to_string()
+    };
     json!({"name": "n0", "listen": free(), "discovery": free(), "state": folder, "seed": "1",
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3}, "known": {"seq": 1, "hosts": []},
         "settings": {"dcs": ["a"], "discovery": "push", "skus": ["p"], "tick": 5000, "siblings": 1,
@@ -55,9 +60,13 @@
         version: 1,
         resends: 0,
     };
-    let pages = Real.pages(&folder.join("undeliverable.redb")).expect("a file");
+    let pages = Real
+        .pages(&folder.join("undeliverable.redb"))
+        .expect("a file");
     let store = Store::open(pages, false).expect("a store");
-    let records: Vec<(Record, &[u8])> = (1..=count).map(|number| (record(number), &b"body"[..])).collect();
+    let records: Vec<(Record, &[u8])> = (1..=count)
+        .map(|number| (record(number), &b"body"[..]))
+        .collect();
     store.keep(&records).expect("kept");
 }
 
@@ -76,12 +85,18 @@
         std::fs::create_dir(at("tenants")).expect("a folder");
         std::fs::create_dir(at("kept")).expect("a folder");
         fill(&at("kept"), 250);
-        std::fs::write(at("config.json"), configuration(&at("state")).to_string()).expect("written");
+        std::fs::write(at("config.json"), configuration(&at("state")).to_string())
+            .expect("written");
         let server = format!("unix:{}", at("admin.sock").display());
-        let mut text = format!("[tenants]\nfolder = {:?}\n[admin]\nlisten = {server:?}\n", at("tenants"));
+        let mut text = format!(
+            "[tenants]\nfolder = {:?}\n[admin]\nlisten = {server:?}\n",
+            at("tenants")
+        );
         for (name, role) in [("root", "admin"), ("eyes", "viewer")] {
-            let made =
-                Command::new(CTL).args(["--json", "token", name, "--role", role]).output().expect("runs");
+            let made = Command::new(CTL)
+                .args(["--json", "token", name, "--role", role])
+                .output()
+                .expect("runs");
             let made: Value = serde_json::from_slice(&made.stdout).expect("JSON");
             let (token, sha256) = (made["token"].as_str().expect("a token"), &made["sha256"]);
             std::fs::write(at(name), format!("{token}\n")).expect("written");
@@ -94,8 +109,10 @@
         std::env::set_var("BALANCER_CONFIG", at("config.json"));
         let operator = at("operator.toml");
         thread::spawn(move || {
-            let runtime =
-                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime");
             let run = madderpitch_relay::run(Real, Some(operator));
             let ended = tokio::task::LocalSet::new().block_on(&runtime, run);
             eprintln!("the relay ended: {ended:?}");
@@ -103,7 +120,10 @@
         let scene = Scene { folder, server };
         let start = Instant::now();
         while !scene.path("admin.sock").exists() {
-            assert!(start.elapsed() < Duration::from_secs(60), "the relay does not start");
+            assert!(
+                start.elapsed() < Duration::from_secs(60),
+                "the relay does not start"
+            );
             thread::sleep(Duration::from_millis(5));
         }
         scene
@@ -115,8 +135,12 @@
 
     fn command(&self, token: &str, arguments: &[&str]) -> Command {
         let mut command = Command::new(CTL);
-        command.env_remove("MADDERPITCH_TOKEN").env("MADDERPITCH_TOKEN_FILE", self.path(token));
-        command.env("MADDERPITCH_SERVER", &self.server).args(arguments);
+        command
+            .env_remove("MADDERPITCH_TOKEN")
+            .env("MADDERPITCH_TOKEN_FILE", self.path(token));
+        command
+            .env("MADDERPITCH_SERVER", &self.server)
+            .args(arguments);
         command
     }
 
@@ -127,7 +151,12 @@
     /// What is printed, of a command that does well.
     fn good(&self, arguments: &[&str]) -> String {
         let output = self.run(arguments);
-        assert_eq!(output.status.code(), Some(0), "{arguments:?}: {}", text(&output.stderr));
+        assert_eq!(
+            output.status.code(),
+            Some(0),
+            "{arguments:?}: {}",
+            text(&output.stderr)
+        );
         text(&output.stdout)
     }
 
@@ -148,8 +177,15 @@
 
 fn code(output: &Output) -> Option<i32> {
     let error = text(&output.stderr);
-    assert!(!output.status.success() && output.stdout.is_empty(), "{}", text(&output.stdout));
-    assert!(error.starts_with("madderpitchctl: ") && error.lines().count() == 1, "{error}");
+    assert!(
+        !output.status.success() && output.stdout.is_empty(),
+        "{}",
+        text(&output.stdout)
+    );
+    assert!(
+        error.starts_with("madderpitchctl: ") && error.lines().count() == 1,
+        "{error}"
+    );
     output.status.code()
 }
 
@@ -158,7 +194,12 @@
     let scene = Scene::start();
     // The tenant of the settings, with its share as its weight.
     let listed = scene.good(&["tenants", "list"]);
-    let line: Vec<&str> = listed.lines().nth(1).expect("a line").split_whitespace().collect();
+    let line: Vec<&str> = listed
+        .lines()
+        .nth(1)
+        .expect("a line")
+        .split_whitespace()
+        .collect();
     assert_eq!(line[..4], ["acme", "active", "1.1", "500"]);
     let made = scene.json(&[
         "tenants",
@@ -180,51 +221,127 @@
         json!({"weight": 7, "rate": {"per_second": 2.5, "burst": 3}, "classes": ["payout"],
             "destinations": ["10-19"], "on_removal": "refuse"})
     );
-    let set =
-        scene.json(&["tenants", "set", "beta", "--max-held", "5", "--clear", "rate", "--clear", "classes"]);
+    let set = scene.json(&[
+        "tenants",
+        "set",
+        "beta",
+        "--max-held",
+        "5",
+        "--clear",
+        "rate",
+        "--clear",
+        "classes",
+    ]);
     assert_eq!(
-        (&set["version"], &set["spec"]["max_held"], &set["spec"]["rate"]),
+        (
+            &set["version"],
+            &set["spec"]["max_held"],
+            &set["spec"]["rate"]
+        ),
         (&json!("1.2"), &json!(5), &Value::Null)
     );
-    assert_eq!(scene.code(&["tenants", "set", "beta", "--weight", "8", "--if-version", "1.1"]), Some(4));
     assert_eq!(
-        scene.json(&["tenants", "set", "beta", "--weight", "8", "--if-version", "1.2"])["version"],
+        scene.code(&[
+            "tenants",
+            "set",
+            "beta",
+            "--weight",
+            "8",
+            "--if-version",
+            "1.1"
+        ]),
+        Some(4)
+    );
+    assert_eq!(
+        scene.json(&[
+            "tenants",
+            "set",
+            "beta",
+            "--weight",
+            "8",
+            "--if-version",
+            "1.2"
+        ])["version"],
         "1.3"
     );
     std::fs::write(scene.path("spec.json"), "{\"weight\": 9}").expect("written");
     let spec = scene.path("spec.json").display().to_string();
     let replaced = scene.json(&["tenants", "replace", "beta", "--from", &spec]);
-    assert_eq!(replaced["spec"], json!({"weight": 9, "on_removal": "finish"}));
+    assert_eq!(
+        replaced["spec"],
+        json!({"weight": 9, "on_removal": "finish"})
+    );
     assert_eq!(scene.json(&["tenants", "pause", "beta"])["state"], "paused");
-    assert_eq!(scene.json(&["tenants", "resume", "beta"])["state"], "active");
+    assert_eq!(
+        scene.json(&["tenants", "resume", "beta"])["state"],
+        "active"
+    );
     let secret = scene.json(&["secrets", "add", "beta", "main"]);
-    assert!(secret["secret"].as_str().is_some_and(|secret| secret.len() == 43), "{secret}");
-    assert_eq!(scene.json(&["tenants", "show", "beta"])["secrets"][0]["id"], "main");
-    assert_eq!(scene.json(&["secrets", "remove", "beta", "main"])["secrets"], json!([]));
+    assert!(
+        secret["secret"]
+            .as_str()
+            .is_some_and(|secret| secret.len() == 43),
+        "{secret}"
+    );
+    assert_eq!(
+        scene.json(&["tenants", "show", "beta"])["secrets"][0]["id"],
+        "main"
+    );
+    assert_eq!(
+        scene.json(&["secrets", "remove", "beta", "main"])["secrets"],
+        json!([])
+    );
     let usage = scene.good(&["tenants", "usage", "beta"]);
-    assert!(usage.starts_with("VERSION") && usage.contains("IN FLIGHT"), "{usage}");
-    assert_eq!(scene.json(&["tenants", "remove", "beta", "--wait", "30"])["state"], "draining");
+    assert!(
+        usage.starts_with("VERSION") && usage.contains("IN FLIGHT"),
+        "{usage}"
+    );
+    assert_eq!(
+        scene.json(&["tenants", "remove", "beta", "--wait", "30"])["state"],
+        "draining"
+    );
     assert_eq!(scene.code(&["tenants", "show", "beta"]), Some(3));
     let audit = scene.good(&["audit", "--tenant", "beta", "--limit", "3"]);
     assert_eq!(audit.lines().count(), 4, "{audit}");
-    assert!(audit.contains("secret_dropped") && audit.contains("gone"), "{audit}");
+    assert!(
+        audit.contains("secret_dropped") && audit.contains("gone"),
+        "{audit}"
+    );
     assert!(scene.good(&["audit"]).contains("weight 8 > 9"));
     assert!(scene.good(&["status"]).contains("lost changes"));
-    assert_eq!(serde_json::from_str::<Value>(&scene.good(&["openapi"])).expect("JSON")["openapi"], "3.1.0");
+    assert_eq!(
+        serde_json::from_str::<Value>(&scene.good(&["openapi"])).expect("JSON")["openapi"],
+        "3.1.0"
+    );
 
     // The exit codes.
     assert_eq!(scene.code(&["tenants", "set", "acme"]), Some(2));
     assert_eq!(scene.code(&["tenants", "show", "a b"]), Some(2));
-    assert_eq!(scene.code(&["tenants", "replace", "acme", "--from", "/nowhere/at/all"]), Some(2));
+    assert_eq!(
+        scene.code(&["tenants", "replace", "acme", "--from", "/nowhere/at/all"]),
+        Some(2)
+    );
     assert_eq!(scene.code(&["tenants", "show", "none"]), Some(3));
     assert_eq!(scene.code(&["tenants", "pause", "none"]), Some(3));
     assert_eq!(scene.code(&["tenants", "create", "acme"]), Some(4));
-    assert_eq!(scene.code(&["tenants", "create", "gamma", "--weight", "0"]), Some(8));
-    let eyes = scene.command("eyes", &["tenants", "pause", "acme"]).output().expect("runs");
+    assert_eq!(
+        scene.code(&["tenants", "create", "gamma", "--weight", "0"]),
+        Some(8)
+    );
+    let eyes = scene
+        .command("eyes", &["tenants", "pause", "acme"])
+        .output()
+        .expect("runs");
     assert_eq!(code(&eyes), Some(5));
-    let nobody = scene.command("spec.json", &["tenants", "list"]).output().expect("runs");
+    let nobody = scene
+        .command("spec.json", &["tenants", "list"])
+        .output()
+        .expect("runs");
     assert_eq!(code(&nobody), Some(5));
-    assert_eq!(scene.code(&["--server", "unix:/nowhere/at/all", "tenants", "list"]), Some(6));
+    assert_eq!(
+        scene.code(&["--server", "unix:/nowhere/at/all", "tenants", "list"]),
+        Some(6)
+    );
     assert_eq!(scene.run(&["tenants"]).status.code(), Some(2));
     assert_eq!(scene.run(&["--help"]).status.code(), Some(0));
     undeliverable(&scene);
@@ -238,12 +355,20 @@
     let fails = |rest: &[&'static str]| scene.code(&do_with(rest));
     let listed = good(&["list", "--limit", "3"]);
     assert_eq!(listed.lines().count(), 4, "{listed}");
-    assert!(listed.starts_with("ID") && listed.contains("out-of-time"), "{listed}");
+    assert!(
+        listed.starts_with("ID") && listed.contains("out-of-time"),
+        "{listed}"
+    );
     assert_eq!(
-        json(&["list", "--may-have-run", "true", "--limit", "1000"]).as_array().map(Vec::len),
+        json(&["list", "--may-have-run", "true", "--limit", "1000"])
+            .as_array()
+            .map(Vec::len),
         Some(125)
     );
-    assert_eq!(json(&["list", "--until", "2020-01-01T00:00:00Z"]), json!([]));
+    assert_eq!(
+        json(&["list", "--until", "2020-01-01T00:00:00Z"]),
+        json!([])
+    );
     let counts = good(&["counts", "--by", "destination"]);
     let counted: Vec<&str> = counts.split_whitespace().collect();
     assert_eq!(counted, ["DESTINATION", "RECORDS", "17", "250"]);
@@ -255,8 +380,14 @@
     );
     // An export is whole, a line a record, and does not write over a file.
     let exported = good(&["export"]);
-    let lines: Vec<Value> = exported.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
-    assert_eq!((lines.len(), lines[0]["message"].as_str()), (250, Some("m250")));
+    let lines: Vec<Value> = exported
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("JSON"))
+        .collect();
+    assert_eq!(
+        (lines.len(), lines[0]["message"].as_str()),
+        (250, Some("m250"))
+    );
     let file = scene.path("export.jsonl").display().to_string();
     let to = ["undeliverable", "export", "--state", "open", "--to", &file];
     scene.good(&to);
@@ -266,7 +397,10 @@
     assert_eq!(json(&["claim", "1"])["holder"], "root");
     assert_eq!(fails(&["claim", "1", "--if-version", "1"]), Some(4));
     assert_eq!(fails(&["resend", "1"]), Some(4), "it needs a word");
-    assert_eq!(json(&["attest", "1", "--says", "not-applied"])["statements"][0]["operator"], "root");
+    assert_eq!(
+        json(&["attest", "1", "--says", "not-applied"])["statements"][0]["operator"],
+        "root"
+    );
     assert_eq!(json(&["release", "1"])["state"], "open");
     assert_eq!(fails(&["ask", "1"]), Some(8), "its partner can't be asked");
     assert_eq!(json(&["discard", "1"])["state"], "discarded");
@@ -274,19 +408,42 @@
     assert_eq!(fails(&["show", "999"]), Some(3));
     assert_eq!(fails(&["list", "--reason", "none"]), Some(8));
     assert_eq!(fails(&["list", "--class", "a b"]), Some(2));
-    let eyes = scene.command("eyes", &["undeliverable", "claim", "2"]).output().expect("runs");
+    let eyes = scene
+        .command("eyes", &["undeliverable", "claim", "2"])
+        .output()
+        .expect("runs");
     assert_eq!(code(&eyes), Some(5));
     // Batches.
-    let planned = json(&["batch", "plan", "night", "--class", "payout", "--per-second", "0.01"]);
-    assert_eq!((&planned["state"], &planned["found"]), (&json!("planned"), &json!(249)));
-    assert_eq!((&planned["may_go"], &planned["needs"]["needs-word"]), (&json!(125), &json!(124)));
+    let planned = json(&[
+        "batch",
+        "plan",
+        "night",
+        "--class",
+        "payout",
+        "--per-second",
+        "0.01",
+    ]);
+    assert_eq!(
+        (&planned["state"], &planned["found"]),
+        (&json!("planned"), &json!(249))
+    );
+    assert_eq!(
+        (&planned["may_go"], &planned["needs"]["needs-word"]),
+        (&json!(125), &json!(124))
+    );
     assert_eq!(fails(&["batch", "plan", "night"]), Some(4));
-    assert_eq!(fails(&["batch", "plan", "closed", "--state", "discarded"]), Some(2));
+    assert_eq!(
+        fails(&["batch", "plan", "closed", "--state", "discarded"]),
+        Some(2)
+    );
     assert_eq!(json(&["batch", "run", "night"])["state"], "running");
     assert_eq!(json(&["batch", "pause", "night"])["state"], "paused");
     assert_eq!(json(&["batch", "cancel", "night"])["state"], "cancelled");
     assert_eq!(fails(&["batch", "run", "night"]), Some(4));
     assert_eq!(fails(&["batch", "show", "none"]), Some(3));
     let batches = good(&["batch", "list"]);
-    assert!(batches.contains("night") && batches.contains("cancelled"), "{batches}");
+    assert!(
+        batches.contains("night") && batches.contains("cancelled"),
+        "{batches}"
+    );
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -27,7 +27,11 @@
     /// A clock that follows the system's Unix time as it is now, and from then on only time that passes.
     pub fn new(system: S) -> Self {
         let (start, unix) = (system.now(), system.unix_time().as_micros() as Micros);
-        Clock { system, start, unix }
+        Clock {
+            system,
+            start,
+            unix,
+        }
     }
 
     /// Now, in Unix time.
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -68,8 +68,17 @@
     /// answer can be here. Guards a discovery that is overbooked after a restart of most relays, whose calls wait.
     pub fn new(terms: &Terms, heard: Option<Duration>) -> Self {
         let fresh = !terms.pushed && heard.is_none_or(|ago| ago <= Pace::fresh(terms));
-        let trust = if fresh { Trust::Believed } else { Trust::Unconfirmed(None) };
-        Members { trust, up: BTreeSet::new(), older: None, pace: Pace::new(terms) }
+        let trust = if fresh {
+            Trust::Believed
+        } else {
+            Trust::Unconfirmed(None)
+        };
+        Members {
+            trust,
+            up: BTreeSet::new(),
+            older: None,
+            pace: Pace::new(terms),
+        }
     }
 
     /// A call for the list is made.
@@ -147,20 +156,40 @@
 
     fn members(pushed: bool) -> Members {
         let drain_grace = Duration::from_secs(2);
-        Members::new(&Terms { pushed, siblings: 300, drain_grace, seed: 7 }, None)
+        Members::new(
+            &Terms {
+                pushed,
+                siblings: 300,
+                drain_grace,
+                seed: 7,
+            },
+            None,
+        )
     }
 
     /// What was confirmed a moment ago binds later where relays ask, and counts as told where lists are pushed.
     #[test]
     fn a_list_that_was_confirmed_a_moment_ago_serves_where_relays_ask_for_it() {
         let (now, drain_grace) = (Instant::now(), Duration::from_secs(2));
-        for (pushed, heard, serves) in
-            [(false, 0, true), (false, 3, true), (false, 4, false), (true, 0, false)]
-        {
-            let terms = Terms { pushed, siblings: 300, drain_grace, seed: 7 };
+        for (pushed, heard, serves) in [
+            (false, 0, true),
+            (false, 3, true),
+            (false, 4, false),
+            (true, 0, false),
+        ] {
+            let terms = Terms {
+                pushed,
+                siblings: 300,
+                drain_grace,
+                seed: 7,
+            };
             let mut members = Members::new(&terms, Some(Duration::from_secs(heard)));
             members.list(1, true);
-            assert_eq!(members.may_begin(1, now), serves, "pushed {pushed}, {heard} s");
+            assert_eq!(
+                members.may_begin(1, now),
+                serves,
+                "pushed {pushed}, {heard} s"
+            );
         }
     }
 
@@ -168,7 +197,10 @@
     fn a_process_that_starts_calls_nobody_until_its_list_is_confirmed() {
         let (mut members, now) = (members(true), Instant::now());
         members.list(1, true);
-        assert!(!members.may_begin(1, now + HOLD * 100), "it has not even asked");
+        assert!(
+            !members.may_begin(1, now + HOLD * 100),
+            "it has not even asked"
+        );
         members.asks(now);
         assert!(!members.may_begin(1, now));
         members.list(1, false);
@@ -200,7 +232,10 @@
             Word::Older,
             "a change alone says too little"
         );
-        assert_eq!(members.judge(7, 8, true, now + OLDER_FOR - Duration::from_millis(1)), Word::Older);
+        assert_eq!(
+            members.judge(7, 8, true, now + OLDER_FOR - Duration::from_millis(1)),
+            Word::Older
+        );
         assert_eq!(members.judge(7, 8, true, now + OLDER_FOR), Word::Current);
         // The next time counts from its own beginning.
         assert_eq!(members.judge(6, 7, true, now + OLDER_FOR), Word::Older);
--- a/crates/membership/src/pace.rs
+++ b/crates/membership/src/pace.rs
@@ -61,10 +61,22 @@
     /// For one of so many relays, with random numbers from the configured seed.
     pub fn new(terms: &Terms) -> Self {
         let siblings = terms.siblings.clamp(1, 100_000) as u32;
-        let Terms { pushed, drain_grace, seed, .. } = *terms;
+        let Terms {
+            pushed,
+            drain_grace,
+            seed,
+            ..
+        } = *terms;
         // Not the module's own numbers.
         let dice = Dice(!seed);
-        let mut pace = Pace { pushed, siblings, drain_grace, dice, rest: Duration::ZERO, spoilt: false };
+        let mut pace = Pace {
+            pushed,
+            siblings,
+            drain_grace,
+            dice,
+            rest: Duration::ZERO,
+            spoilt: false,
+        };
         pace.heard();
         pace
     }
@@ -89,7 +101,9 @@
         if self.pushed {
             return Duration::ZERO;
         }
-        (EACH_FIRST * (self.siblings - 1)).min(self.drain_grace / 2).mul_f64(self.dice.roll())
+        (EACH_FIRST * (self.siblings - 1))
+            .min(self.drain_grace / 2)
+            .mul_f64(self.dice.roll())
     }
 
     /// How long to wait for an answer to begin.
@@ -123,7 +137,9 @@
 
     /// The longest first rest after a watch fell silent that leaves time for an answer before its news bind.
     fn within(&self) -> Duration {
-        (TOLD_AFTER + self.drain_grace).saturating_sub(SILENCE + ANSWER).mul_f64(2.0 / 3.0)
+        (TOLD_AFTER + self.drain_grace)
+            .saturating_sub(SILENCE + ANSWER)
+            .mul_f64(2.0 / 3.0)
     }
 
     /// What discovery said could not be read or was older, and counts as told: how long to rest before asking for the whole
@@ -139,8 +155,11 @@
     /// for the whole of it, one of many for half to three halves, by chance.
     pub fn rest(&mut self) -> Duration {
         let rest = self.rest;
-        let most =
-            if self.pushed { self.pushed_rest().1 } else { self.grown(REST.1, EACH_MOST).min(self.within()) };
+        let most = if self.pushed {
+            self.pushed_rest().1
+        } else {
+            self.grown(REST.1, EACH_MOST).min(self.within())
+        };
         self.rest = (rest * 2).min(most);
         if self.siblings < 2 {
             return rest;
@@ -156,11 +175,21 @@
     const GRACE: Duration = Duration::from_secs(2);
 
     fn asked(siblings: usize, seed: u64) -> Pace {
-        Pace::new(&Terms { pushed: false, siblings, drain_grace: GRACE, seed })
+        Pace::new(&Terms {
+            pushed: false,
+            siblings,
+            drain_grace: GRACE,
+            seed,
+        })
     }
 
     fn pushed(siblings: usize, seed: u64) -> Pace {
-        Pace::new(&Terms { pushed: true, siblings, drain_grace: GRACE, seed })
+        Pace::new(&Terms {
+            pushed: true,
+            siblings,
+            drain_grace: GRACE,
+            seed,
+        })
     }
 
     #[test]
@@ -205,7 +234,10 @@
                 }
                 assert!(calls < 1000, "they keep it busy for nothing");
             }
-            assert!(last < Duration::from_secs(20), "the last one is heard after {last:?}");
+            assert!(
+                last < Duration::from_secs(20),
+                "the last one is heard after {last:?}"
+            );
             assert!(calls <= 300, "{calls} calls for lists");
         }
     }
@@ -216,7 +248,10 @@
         for siblings in [1, 2, 100, 300, 1024, 100_000] {
             for seed in 0..200 {
                 let rest = asked(siblings, seed).rest();
-                assert!(SILENCE + rest + ANSWER <= TOLD_AFTER + GRACE, "{siblings} relays: {rest:?}");
+                assert!(
+                    SILENCE + rest + ANSWER <= TOLD_AFTER + GRACE,
+                    "{siblings} relays: {rest:?}"
+                );
             }
         }
     }
@@ -230,7 +265,10 @@
                 assert_eq!(pace.start(), Duration::ZERO);
                 for _ in 0..50 {
                     let gap = pace.patience() + pace.rest();
-                    assert!(gap + Duration::from_millis(500) <= GRACE, "{siblings} relays: {gap:?}");
+                    assert!(
+                        gap + Duration::from_millis(500) <= GRACE,
+                        "{siblings} relays: {gap:?}"
+                    );
                 }
             }
         }
@@ -242,7 +280,12 @@
         for millis in [200, 500, 1000, 1500, 2000, 3000, 10_000] {
             let drain_grace = Duration::from_millis(millis);
             for seed in 0..200 {
-                let mut pace = Pace::new(&Terms { pushed: true, siblings: 300, drain_grace, seed });
+                let mut pace = Pace::new(&Terms {
+                    pushed: true,
+                    siblings: 300,
+                    drain_grace,
+                    seed,
+                });
                 assert!(pace.whole() <= drain_grace / 2);
                 for _ in 0..50 {
                     let gap = pace.patience() + pace.rest();
@@ -257,8 +300,14 @@
         for mut pace in [asked(300, 3), pushed(300, 3)] {
             assert_eq!(pace.spoilt(), Duration::ZERO);
             let rests: Vec<_> = (0..20).map(|_| pace.spoilt()).collect();
-            assert!(rests.iter().all(|rest| *rest >= Duration::from_millis(25)), "{rests:?}");
-            assert!(rests.iter().sum::<Duration>() > Duration::from_secs(2), "{rests:?}");
+            assert!(
+                rests.iter().all(|rest| *rest >= Duration::from_millis(25)),
+                "{rests:?}"
+            );
+            assert!(
+                rests.iter().sum::<Duration>() > Duration::from_secs(2),
+                "{rests:?}"
+            );
             pace.heard();
             assert_eq!(pace.spoilt(), Duration::ZERO);
         }
--- a/crates/relay/src/classes.rs
+++ b/crates/relay/src/classes.rs
@@ -25,7 +25,9 @@
             terms: terms.clone(),
             in_force: true,
         };
-        Classes { entries: names.iter().zip(terms).map(entry).collect() }
+        Classes {
+            entries: names.iter().zip(terms).map(entry).collect(),
+        }
     }
 
     /// Meanings of classes, in force or not.
@@ -35,25 +37,37 @@
 
     /// The number of a class that is in force.
     pub fn number(&self, name: &str) -> Option<u16> {
-        let at = self.entries.iter().position(|entry| entry.in_force && entry.name == name);
+        let at = self
+            .entries
+            .iter()
+            .position(|entry| entry.in_force && entry.name == name);
         at.and_then(|at| u16::try_from(at).ok())
     }
 
     /// A class that is in force.
     pub fn named(&self, name: &str) -> Option<&Class> {
-        self.entries.get(usize::from(self.number(name)?)).map(|entry| &entry.terms)
+        self.entries
+            .get(usize::from(self.number(name)?))
+            .map(|entry| &entry.terms)
     }
 
     /// The number of a class with these terms, in force or not.
     pub fn find(&self, name: &str, terms: &Class) -> Option<u16> {
-        let at = self.entries.iter().position(|entry| entry.name == name && entry.terms == *terms);
+        let at = self
+            .entries
+            .iter()
+            .position(|entry| entry.name == name && entry.terms == *terms);
         at.and_then(|at| u16::try_from(at).ok())
     }
 
     /// The number of the class that a message was taken under, in force or not; none if there is no room for it.
     pub fn taken_under(&mut self, name: &str, terms: &Class) -> Option<u16> {
         self.find(name, terms).or_else(|| {
-            let entry = Entry { name: name.into(), terms: terms.clone(), in_force: false };
+            let entry = Entry {
+                name: name.into(),
+                terms: terms.clone(),
+                in_force: false,
+            };
             (self.entries.len() < MOST).then(|| self.entries.push(entry))?;
             u16::try_from(self.entries.len() - 1).ok()
         })
@@ -61,35 +75,52 @@
 
     /// Puts other classes in force; false if there is no room, and then nothing has changed. A class that changes is a
     /// new number. `in_use` tells whether a message has a number: those without are given anew.
-    pub fn retune(&mut self, names: &[String], terms: &[Class], in_use: impl Fn(u16) -> bool) -> bool {
+    pub fn retune(
+        &mut self,
+        names: &[String],
+        terms: &[Class],
+        in_use: impl Fn(u16) -> bool,
+    ) -> bool {
         let same = |entry: &Entry| {
             let at = names.iter().position(|name| *name == entry.name);
-            at.and_then(|at| terms.get(at)).is_some_and(|terms| *terms == entry.terms)
+            at.and_then(|at| terms.get(at))
+                .is_some_and(|terms| *terms == entry.terms)
         };
         let used = |at: usize| u16::try_from(at).is_ok_and(&in_use);
         let mut free: Vec<usize> = Vec::new();
         let mut stay: Vec<(usize, bool)> = Vec::new();
         for (at, entry) in self.entries.iter().enumerate() {
             // Of two equal entries one is enough in force.
-            let first = !self.entries[..at].iter().any(|other| other.name == entry.name && same(other));
+            let first = !self.entries[..at]
+                .iter()
+                .any(|other| other.name == entry.name && same(other));
             match same(entry) && first {
                 true => stay.push((at, true)),
                 false if used(at) => stay.push((at, false)),
                 false => free.push(at),
             }
         }
-        let stays = |name: &String| stay.iter().any(|(at, force)| *force && self.entries[*at].name == *name);
+        let stays = |name: &String| {
+            stay.iter()
+                .any(|(at, force)| *force && self.entries[*at].name == *name)
+        };
         let come: Vec<Entry> = names
             .iter()
             .zip(terms)
             .filter(|(name, _)| !stays(name))
-            .map(|(name, terms)| Entry { name: name.clone(), terms: terms.clone(), in_force: true })
+            .map(|(name, terms)| Entry {
+                name: name.clone(),
+                terms: terms.clone(),
+                in_force: true,
+            })
             .collect();
         if self.entries.len() + come.len().saturating_sub(free.len()) > MOST {
             return false;
         }
-        stay.into_iter().for_each(|(at, force)| self.entries[at].in_force = force);
-        free.iter().for_each(|at| self.entries[*at].in_force = false);
+        stay.into_iter()
+            .for_each(|(at, force)| self.entries[at].in_force = force);
+        free.iter()
+            .for_each(|at| self.entries[*at].in_force = false);
         let mut free = free.into_iter();
         for entry in come {
             match free.next() {
@@ -102,12 +133,18 @@
 
     /// What the numbers mean, in their order.
     pub fn terms(&self) -> Vec<Class> {
-        self.entries.iter().map(|entry| entry.terms.clone()).collect()
+        self.entries
+            .iter()
+            .map(|entry| entry.terms.clone())
+            .collect()
     }
 
     /// The classes in force.
     pub fn in_force(&self) -> impl Iterator<Item = (&String, &Class)> {
-        self.entries.iter().filter(|entry| entry.in_force).map(|entry| (&entry.name, &entry.terms))
+        self.entries
+            .iter()
+            .filter(|entry| entry.in_force)
+            .map(|entry| (&entry.name, &entry.terms))
     }
 }
 
@@ -117,7 +154,15 @@
     use madderpitch_policy::interface::Effect;
 
     fn class(give_up: u64, effect: Effect) -> Class {
-        Class { aim: 1, aim_stretch: 0.0, give_up, effect, worth: 1.0, late_worth: 0.0, in_order: false }
+        Class {
+            aim: 1,
+            aim_stretch: 0.0,
+            give_up,
+            effect,
+            worth: 1.0,
+            late_worth: 0.0,
+            in_order: false,
+        }
     }
 
     fn names(text: &str) -> Vec<String> {
@@ -128,13 +173,27 @@
     fn a_class_that_changes_gets_a_new_number_while_a_message_has_the_old_one() {
         let (safe, unsafe_) = (class(9, Effect::Safe), class(9, Effect::Unsafe));
         let mut classes = Classes::new(&names("a b"), &[safe.clone(), safe.clone()]);
-        assert!(classes.retune(&names("a b"), &[unsafe_.clone(), safe.clone()], |number| number == 0));
+        assert!(classes.retune(
+            &names("a b"),
+            &[unsafe_.clone(), safe.clone()],
+            |number| number == 0
+        ));
         assert_eq!(classes.number("a"), Some(2));
         assert_eq!(classes.number("b"), Some(1));
-        assert_eq!(classes.terms(), [safe.clone(), safe.clone(), unsafe_.clone()]);
+        assert_eq!(
+            classes.terms(),
+            [safe.clone(), safe.clone(), unsafe_.clone()]
+        );
         // Once no message has it, the old number is given anew.
-        assert!(classes.retune(&names("a b c"), &[unsafe_.clone(), safe.clone(), safe.clone()], |_| false));
-        assert_eq!((classes.number("a"), classes.number("c")), (Some(2), Some(0)));
+        assert!(classes.retune(
+            &names("a b c"),
+            &[unsafe_.clone(), safe.clone(), safe.clone()],
+            |_| false
+        ));
+        assert_eq!(
+            (classes.number("a"), classes.number("c")),
+            (Some(2), Some(0))
+        );
         assert_eq!(classes.terms().len(), 3);
     }
 
@@ -150,7 +209,10 @@
         assert_eq!(classes.number("a"), Some(0));
         let other = class(7, Effect::Unsafe);
         assert!(classes.retune(&names("b a"), &[safe.clone(), other.clone()], |_| true));
-        assert_eq!((classes.number("a"), classes.named("a")), (Some(2), Some(&other)));
+        assert_eq!(
+            (classes.number("a"), classes.named("a")),
+            (Some(2), Some(&other))
+        );
     }
 
     #[test]
@@ -160,7 +222,10 @@
         assert_eq!(classes.taken_under("a", &unsafe_), Some(0));
         assert_eq!(classes.taken_under("a", &safe), Some(1));
         assert_eq!(classes.taken_under("gone", &safe), Some(2));
-        assert_eq!((classes.number("a"), classes.number("gone")), (Some(0), None));
+        assert_eq!(
+            (classes.number("a"), classes.number("gone")),
+            (Some(0), None)
+        );
     }
 
     #[test]
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -94,7 +94,11 @@
     }
 
     fn told(&self) -> bool {
-        self.clients.open.borrow().get(&self.number).is_none_or(|open| open.told)
+        self.clients
+            .open
+            .borrow()
+            .get(&self.number)
+            .is_none_or(|open| open.told)
     }
 }
 
@@ -108,9 +112,22 @@
 impl<S: System> Clients<S> {
     /// No connections yet, and at most so many at once; `auth` tells whether clients have to name themselves.
     pub fn new(system: S, control: Rc<Control<S>>, most: usize, auth: bool) -> Rc<Self> {
-        let (open, next, left, listens) =
-            (RefCell::default(), Cell::default(), Notify::new(), Cell::default());
-        Rc::new(Clients { system, control, most, auth, open, next, left, listens })
+        let (open, next, left, listens) = (
+            RefCell::default(),
+            Cell::default(),
+            Notify::new(),
+            Cell::default(),
+        );
+        Rc::new(Clients {
+            system,
+            control,
+            most,
+            auth,
+            open,
+            next,
+            left,
+            listens,
+        })
     }
 
     /// Whether the port is open, or connections that waited there are still being taken.
@@ -137,7 +154,10 @@
         while self.count() >= self.most {
             self.close_one(SETTLED.1);
             // It may turn out to have an open request after all.
-            let _ = self.system.timeout(SETTLED.1 / 4, self.left.notified()).await;
+            let _ = self
+                .system
+                .timeout(SETTLED.1 / 4, self.left.notified())
+                .await;
         }
     }
 
@@ -150,7 +170,9 @@
         if open.values().any(|other| other.told) {
             return;
         }
-        let quiet = open.values_mut().filter_map(|other| Some((other.quiet?, other)));
+        let quiet = open
+            .values_mut()
+            .filter_map(|other| Some((other.quiet?, other)));
         let settled = quiet.filter(|(since, _)| now - *since >= settled);
         if let Some((_, victim)) = settled.min_by_key(|(since, _)| *since) {
             victim.told = true;
@@ -161,16 +183,29 @@
     fn seat(self: &Rc<Self>) -> (Seat<S>, Rc<Notify>) {
         let number = self.next.replace(self.next.get() + 1);
         let wake = Rc::new(Notify::new());
-        let open = Open { quiet: Some(self.system.now()), told: false, wake: wake.clone() };
+        let open = Open {
+            quiet: Some(self.system.now()),
+            told: false,
+            wake: wake.clone(),
+        };
         self.open.borrow_mut().insert(number, open);
-        (Seat { clients: self.clone(), number }, wake)
+        (
+            Seat {
+                clients: self.clone(),
+                number,
+            },
+            wake,
+        )
     }
 }
 
 /// Takes connections until the process accepts no more, and those that wait then. `shared` tells that the port outlasts
 /// processes, so that these are for the next one.
 pub async fn listen<S: System>(
-    listener: S::Listener, clients: Rc<Clients<S>>, clock: Clock<S>, inputs: mpsc::Sender<Input>,
+    listener: S::Listener,
+    clients: Rc<Clients<S>>,
+    clock: Clock<S>,
+    inputs: mpsc::Sender<Input>,
     shared: bool,
 ) {
     let system = clients.system.clone();
@@ -238,13 +273,21 @@
 }
 
 async fn serve<S: System>(
-    mut stream: S::Stream, seat: &Seat<S>, wake: &Notify, clock: &Clock<S>, inputs: mpsc::Sender<Input>,
+    mut stream: S::Stream,
+    seat: &Seat<S>,
+    wake: &Notify,
+    clock: &Clock<S>,
+    inputs: mpsc::Sender<Input>,
     mut waited: Duration,
 ) -> std::io::Result<()> {
     let (system, control) = (&seat.clients.system, &seat.clients.control);
     let mut doors = control.doors();
     stream.set_nodelay()?;
-    let mut named = Named { wanted: seat.clients.auth, login: None, wrong: 0 };
+    let mut named = Named {
+        wanted: seat.clients.auth,
+        login: None,
+        wrong: 0,
+    };
     let mut text = BytesMut::new();
     let mut skip = 0;
     let mut asked = false;
@@ -287,7 +330,9 @@
                             malformed = named.wrong >= WRONG;
                         }
                         _ => {
-                            answers.push(Answer::Now(Reply::Error("protocol error: no request".into())));
+                            answers.push(Answer::Now(Reply::Error(
+                                "protocol error: no request".into(),
+                            )));
                             malformed = true;
                         }
                     }
@@ -305,7 +350,9 @@
                 reply.write(&mut out);
             }
             // Guards against a client that reads no answers.
-            system.timeout(REQUEST_TIME, stream.write_all(&out)).await??;
+            system
+                .timeout(REQUEST_TIME, stream.write_all(&out))
+                .await??;
             if malformed {
                 return part(system, stream).await;
             }
@@ -454,14 +501,19 @@
         Some(byte) if *byte != kind => return Err(Shape::Malformed("no array of bulk strings")),
         Some(_) => {}
     }
-    let digits = rest[1..].iter().take_while(|byte| byte.is_ascii_digit()).count();
+    let digits = rest[1..]
+        .iter()
+        .take_while(|byte| byte.is_ascii_digit())
+        .count();
     if digits > 12 || (digits == 0 && rest.len() > 1) {
         return Err(Shape::Malformed("no count"));
     }
     match rest.get(1 + digits..3 + digits) {
         Some(b"\r\n") => {
             let text = std::str::from_utf8(&rest[1..=digits]).unwrap_or_default();
-            text.parse().map(|n| (at + digits + 3, n)).map_err(|_| Shape::Malformed("no count"))
+            text.parse()
+                .map(|n| (at + digits + 3, n))
+                .map_err(|_| Shape::Malformed("no count"))
         }
         Some(_) => Err(Shape::Malformed("no count")),
         None => match rest.get(1 + digits) {
@@ -473,7 +525,11 @@
 
 /// `sent` is when the client sent it, as far as can be told.
 async fn request_answer(
-    parts: Vec<BytesFrame>, sent: Micros, inputs: &mpsc::Sender<Input>, ready: bool, login: &mut Named,
+    parts: Vec<BytesFrame>,
+    sent: Micros,
+    inputs: &mpsc::Sender<Input>,
+    ready: bool,
+    login: &mut Named,
 ) -> Answer {
     let parts: Vec<Bytes> = parts
         .into_iter()
@@ -482,7 +538,10 @@
             _ => None,
         })
         .collect();
-    let command = parts.first().map(|part| part.to_ascii_uppercase()).unwrap_or_default();
+    let command = parts
+        .first()
+        .map(|part| part.to_ascii_uppercase())
+        .unwrap_or_default();
     match command.as_slice() {
         b"PING" if ready => Answer::Now(Reply::Pong),
         b"PING" => Answer::Now(Reply::Error("takes no clients now".into())),
@@ -509,8 +568,14 @@
         return Reply::Error("AUTH takes a name and a secret".into());
     };
     let (reply, answer) = oneshot::channel();
-    let name = text(name).filter(|name| is_name(name)).filter(|_| secret.len() <= LONGEST_SECRET);
-    let call = name.map(|name| LoginCall { name: name.into(), secret: secret.to_vec(), reply });
+    let name = text(name)
+        .filter(|name| is_name(name))
+        .filter(|_| secret.len() <= LONGEST_SECRET);
+    let call = name.map(|name| LoginCall {
+        name: name.into(),
+        secret: secret.to_vec(),
+        reply,
+    });
     // One that names itself wrongly is nobody, whoever it was before.
     named.login = None;
     if let Some(call) = call {
@@ -533,16 +598,23 @@
     let [order, name, list, body] = parts else {
         return Err("ENQUEUE takes a key, an id, a list and a body".into());
     };
-    let order =
-        text(order).and_then(|key| u64::from_str_radix(key, 16).ok()).ok_or("the key is not valid")?;
-    let name = text(name).filter(|name| is_name(name)).ok_or("the id is not valid")?;
+    let order = text(order)
+        .and_then(|key| u64::from_str_radix(key, 16).ok())
+        .ok_or("the key is not valid")?;
+    let name = text(name)
+        .filter(|name| is_name(name))
+        .ok_or("the id is not valid")?;
     let list = text(list).ok_or("the list is not valid")?;
     let field = |wanted: &str| {
         let mut pairs = list.split(',').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(name, _)| *name == wanted).map(|(_, value)| value)
+        pairs
+            .find(|(name, _)| *name == wanted)
+            .map(|(_, value)| value)
     };
     let need = |wanted: &str| field(wanted).ok_or(format!("the list lacks {wanted}"));
-    let left: u64 = need("d")?.parse().map_err(|_| "d is no number of milliseconds")?;
+    let left: u64 = need("d")?
+        .parse()
+        .map_err(|_| "d is no number of milliseconds")?;
     let key = field("k").map(String::from);
     if key.as_ref().is_some_and(|key| !is_name(key)) {
         return Err("k is not valid".into());
@@ -553,7 +625,9 @@
         class: need("c")?.into(),
         // Where the settings name no tenants, clients don't either.
         tenant: field("t").unwrap_or_default().into(),
-        destination: need("dest")?.parse().map_err(|_| "dest is no number of a destination")?,
+        destination: need("dest")?
+            .parse()
+            .map_err(|_| "dest is no number of a destination")?,
         due: sent + left.min(86_400_000) * 1000,
         key,
         again: field("r") == Some("1"),
@@ -570,5 +644,7 @@
 /// A part of printable ASCII, which may stand in a header.
 fn text(part: &[u8]) -> Option<&str> {
     let printable = part.iter().all(|byte| (b' '..=b'~').contains(byte));
-    std::str::from_utf8(part).ok().filter(|text| printable && text.len() <= 1024)
+    std::str::from_utf8(part)
+        .ok()
+        .filter(|text| printable && text.len() <= 1024)
 }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -83,14 +83,18 @@
     pub fn load(system: &impl System) -> Result<Self, String> {
         let variable = |name: &str| system.variable(name);
         let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-        let text = system.read(Path::new(&path)).map_err(|e| format!("cannot read {path}: {e}"))?;
+        let text = system
+            .read(Path::new(&path))
+            .map_err(|e| format!("cannot read {path}: {e}"))?;
         let unusable = |e: serde_json::Error| format!("{path} is no usable configuration: {e}");
         let whole: Value = serde_json::from_slice(&text).map_err(unusable)?;
         let mut found = BTreeSet::new();
         keys(&whole, "", &mut found);
         let file = File::deserialize(&whole).map_err(unusable)?;
         let told = |name: &str, in_file: Option<String>| {
-            variable(name).or(in_file).ok_or_else(|| format!("{name} is not set"))
+            variable(name)
+                .or(in_file)
+                .ok_or_else(|| format!("{name} is not set"))
         };
         let from_variable = variable("BALANCER_DISCOVERY");
         if let (Some(given), Some(holds)) = (&from_variable, &file.discovery) {
@@ -101,8 +105,12 @@
                 );
             }
         }
-        let discovery = file.discovery.or(from_variable).ok_or("discovery is not set")?;
-        let settings = wire::settings(file.settings.to_string().as_bytes()).map_err(|e| e.to_string())?;
+        let discovery = file
+            .discovery
+            .or(from_variable)
+            .ok_or("discovery is not set")?;
+        let settings =
+            wire::settings(file.settings.to_string().as_bytes()).map_err(|e| e.to_string())?;
         let root = &file.settings;
         let classes = names(root, "/services")?;
         if settings.max_retry_after > 3_600_000_000 || settings.tick > 1_000_000 {
@@ -113,7 +121,10 @@
             listen: address(&told("BALANCER_LISTEN", file.listen)?)?,
             discovery: address(&discovery)?,
             state: PathBuf::from(told("BALANCER_STATE", file.state)?),
-            control: variable("BALANCER_CONTROL").or(file.control).map(|at| address(&at)).transpose()?,
+            control: variable("BALANCER_CONTROL")
+                .or(file.control)
+                .map(|at| address(&at))
+                .transpose()?,
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("seed {:?} is no hexadecimal number", file.seed))?,
             limits: checked(file.limits)?,
@@ -152,16 +163,32 @@
             ("limits", old.limits != new.limits),
             ("settings.tenants", old.tenants != new.tenants),
             ("settings.skus", old.kinds != new.kinds),
-            ("settings.dcs", old.zones != new.zones || before.zone != after.zone),
+            (
+                "settings.dcs",
+                old.zones != new.zones || before.zone != after.zone,
+            ),
             ("settings.stats", old.report != new.report),
             ("settings.siblings", before.siblings != after.siblings),
             ("settings.tick", before.tick != after.tick),
             ("settings.familyInfo.callsOut", before.slots != after.slots),
-            ("settings.limits.dialTimeout", old.dial_timeout != new.dial_timeout),
-            ("settings.limits.idleClose", old.idle_close != new.idle_close),
-            ("settings.rules.drainGrace", old.drain_grace != new.drain_grace),
+            (
+                "settings.limits.dialTimeout",
+                old.dial_timeout != new.dial_timeout,
+            ),
+            (
+                "settings.limits.idleClose",
+                old.idle_close != new.idle_close,
+            ),
+            (
+                "settings.rules.drainGrace",
+                old.drain_grace != new.drain_grace,
+            ),
         ];
-        changes.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
+        changes
+            .into_iter()
+            .filter(|(_, changed)| *changed)
+            .map(|(key, _)| key)
+            .collect()
     }
 
     /// Takes over what may change while the process runs.
@@ -188,33 +215,56 @@
 /// Collects the paths of a value's keys; what stands in lists comes and goes, and so do the hosts.
 fn keys(value: &Value, at: &str, found: &mut BTreeSet<String>) {
     for (key, value) in value.as_object().into_iter().flatten() {
-        let path = if at.is_empty() { key.clone() } else { format!("{at}.{key}") };
+        let path = if at.is_empty() {
+            key.clone()
+        } else {
+            format!("{at}.{key}")
+        };
         keys(value, &path, found);
         found.insert(path);
     }
 }
 
 fn address(text: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{text:?} is no address and port"))
+    text.parse()
+        .map_err(|_| format!("{text:?} is no address and port"))
 }
 
 fn checked(limits: Limits) -> Result<Limits, String> {
     // Under these figures the relay could not hold a call and a client at once.
     if limits.sockets < 64 || !limits.disk_mb.is_finite() || limits.disk_mb < 0.25 {
-        return Err(format!("limits are too small: {} sockets, {} MB", limits.sockets, limits.disk_mb));
+        return Err(format!(
+            "limits are too small: {} sockets, {} MB",
+            limits.sockets, limits.disk_mb
+        ));
     }
     Ok(limits)
 }
 
 /// The names in a list of strings or of objects that have one; an absent list is empty.
 fn names(root: &Value, path: &str) -> Result<Vec<String>, String> {
-    let list = root.pointer(path).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
-    let name = |entry: &Value| entry.as_str().or_else(|| entry.get("name")?.as_str()).map(String::from);
+    let list = root
+        .pointer(path)
+        .and_then(Value::as_array)
+        .map_or(&[][..], Vec::as_slice);
+    let name = |entry: &Value| {
+        entry
+            .as_str()
+            .or_else(|| entry.get("name")?.as_str())
+            .map(String::from)
+    };
     let bad = || format!("settings lack a name at {path}");
-    list.iter().map(|entry| name(entry).ok_or_else(bad)).collect()
+    list.iter()
+        .map(|entry| name(entry).ok_or_else(bad))
+        .collect()
 }
 
 fn span(root: &Value, path: &str) -> Result<Duration, String> {
-    let micros = root.pointer(path).and_then(Value::as_f64).filter(|v| (1.0..1e12).contains(v));
-    micros.map(|v| Duration::from_micros(v as u64)).ok_or_else(|| format!("settings lack a span at {path}"))
+    let micros = root
+        .pointer(path)
+        .and_then(Value::as_f64)
+        .filter(|v| (1.0..1e12).contains(v));
+    micros
+        .map(|v| Duration::from_micros(v as u64))
+        .ok_or_else(|| format!("settings lack a span at {path}"))
 }
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -55,7 +55,10 @@
 impl<S: System> Control<S> {
     /// A process that starts. `door` tells whether there is one.
     pub fn new(system: &S, classes: &[String], door: bool) -> Rc<Self> {
-        let (doors, _) = watch::channel(Doors { accepts: true, stage: Stage::Open });
+        let (doors, _) = watch::channel(Doors {
+            accepts: true,
+            stage: Stage::Open,
+        });
         let now = system.now();
         Rc::new(Control {
             system: system.clone(),
@@ -123,8 +126,12 @@
     /// Tells connections what holds now, and says how soon to do so again, if time alone may change it.
     pub fn show(&self) -> Option<Duration> {
         let (lifecycle, now) = (self.lifecycle.borrow(), self.span());
-        let doors = Doors { accepts: lifecycle.accepts(now), stage: lifecycle.stage(now) };
-        self.doors.send_if_modified(|old| std::mem::replace(old, doors) != doors);
+        let doors = Doors {
+            accepts: lifecycle.accepts(now),
+            stage: lifecycle.stage(now),
+        };
+        self.doors
+            .send_if_modified(|old| std::mem::replace(old, doors) != doors);
         lifecycle.moves().then_some(Duration::from_millis(20))
     }
 
@@ -159,7 +166,10 @@
 
     /// How long from now the last call may be out, once the process was told to stop.
     pub fn last_call(&self) -> Option<Duration> {
-        self.lifecycle.borrow().last_call().map(|at| at.saturating_sub(self.span()))
+        self.lifecycle
+            .borrow()
+            .last_call()
+            .map(|at| at.saturating_sub(self.span()))
     }
 
     /// When the module's view of hosts is wanted next.
@@ -176,9 +186,14 @@
     fn answer(&self, call: Call) -> String {
         match call {
             Call::Ready if self.ready() => line::ok("takes clients"),
-            Call::Ready => line::fail(&format!("takes no clients: {:?}", self.state()).to_lowercase()),
+            Call::Ready => {
+                line::fail(&format!("takes no clients: {:?}", self.state()).to_lowercase())
+            }
             Call::ShowStat => {
-                let figures = self.ledger.borrow().show(self.dispatches.get(), self.targets.get());
+                let figures = self
+                    .ledger
+                    .borrow()
+                    .show(self.dispatches.get(), self.targets.get());
                 line::ok("figures") + &figures + "eof\n"
             }
             Call::Drain => self.switch(Told::Drain, State::Draining, "is being emptied"),
@@ -238,7 +253,9 @@
             let mut callers = callers.borrow_mut();
             // Guards callers with something to say against those that say nothing.
             while callers.open >= CONNECTIONS {
-                let Some((_, oldest)) = callers.silent.pop_front() else { break };
+                let Some((_, oldest)) = callers.silent.pop_front() else {
+                    break;
+                };
                 oldest.notify_one();
                 callers.open -= 1;
             }
@@ -258,7 +275,11 @@
 
 /// Serves one caller.
 async fn serve<S: System>(
-    mut stream: S::Stream, control: &Control<S>, callers: &RefCell<Callers>, number: u64, wake: &Notify,
+    mut stream: S::Stream,
+    control: &Control<S>,
+    callers: &RefCell<Callers>,
+    number: u64,
+    wake: &Notify,
 ) -> std::io::Result<()> {
     let system = &control.system;
     let until = system.now() + LINE_TIME;
@@ -292,7 +313,10 @@
     let mut told = Ok(());
     if let Some(answer) = answer {
         // Guards against a caller that reads no answer.
-        told = match system.timeout(ANSWER_TIME, stream.write_all(answer.as_bytes())).await {
+        told = match system
+            .timeout(ANSWER_TIME, stream.write_all(answer.as_bytes()))
+            .await
+        {
             Ok(Ok(())) => part(system, stream).await,
             Ok(Err(error)) => Err(error),
             Err(late) => Err(late.into()),
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -52,7 +52,10 @@
 
 /// Where a name stands in a list of them.
 pub fn index_of(names: &[String], name: &str) -> Option<u16> {
-    names.iter().position(|known| known == name).and_then(|at| u16::try_from(at).ok())
+    names
+        .iter()
+        .position(|known| known == name)
+        .and_then(|at| u16::try_from(at).ok())
 }
 
 impl Directory {
@@ -68,13 +71,20 @@
 
     /// The numbers of hosts, by name.
     pub fn numbers(&self) -> Vec<(String, HostId)> {
-        self.numbers.iter().map(|(name, number)| (name.clone(), *number)).collect()
+        self.numbers
+            .iter()
+            .map(|(name, number)| (name.clone(), *number))
+            .collect()
     }
 
     /// The numbers that another process gave; hosts that come get others.
     pub fn adopt(&mut self, numbers: Vec<(String, HostId)>) {
-        self.next = numbers.iter().map(|(_, number)| *number).fold(self.next, HostId::max);
-        self.names.extend(numbers.iter().map(|(name, number)| (*number, name.clone())));
+        self.next = numbers
+            .iter()
+            .map(|(_, number)| *number)
+            .fold(self.next, HostId::max);
+        self.names
+            .extend(numbers.iter().map(|(name, number)| (*number, name.clone())));
         self.numbers.extend(numbers);
     }
 
@@ -85,7 +95,11 @@
 
     /// The list, whole.
     pub fn whole(&self) -> HostList {
-        HostList { seq: self.version, whole: true, hosts: self.lines.values().cloned().collect() }
+        HostList {
+            seq: self.version,
+            whole: true,
+            hosts: self.lines.values().cloned().collect(),
+        }
     }
 
     /// A host that is listed.
@@ -119,8 +133,15 @@
         if list.whole {
             self.lines.clear();
         }
-        let mut missing = if list.whole { self.numbers.clone() } else { BTreeMap::new() };
-        let mut changes = Changes { entries: Vec::new(), ready: Vec::new() };
+        let mut missing = if list.whole {
+            self.numbers.clone()
+        } else {
+            BTreeMap::new()
+        };
+        let mut changes = Changes {
+            entries: Vec::new(),
+            ready: Vec::new(),
+        };
         for line in list.hosts {
             match line.health {
                 Listing::Gone => self.lines.remove(&line.host),
@@ -133,9 +154,16 @@
                 self.next
             });
             // Those past the last number are one, which is nobody's own.
-            let index = |names, name| u8::try_from(index_of(names, name).unwrap_or(0)).unwrap_or(u8::MAX);
-            let (zone, kind) = (index(names.zones, &line.site), index(names.kinds, &line.class));
-            let apart = names.settings.get(usize::from(kind)).is_some_and(|kind| kind.apart);
+            let index =
+                |names, name| u8::try_from(index_of(names, name).unwrap_or(0)).unwrap_or(u8::MAX);
+            let (zone, kind) = (
+                index(names.zones, &line.site),
+                index(names.kinds, &line.class),
+            );
+            let apart = names
+                .settings
+                .get(usize::from(kind))
+                .is_some_and(|kind| kind.apart);
             let route = (line.block, apart.then_some(number));
             changes.entries.push(HostEntry {
                 host: number,
@@ -149,7 +177,14 @@
             if line.health == Listing::Gone {
                 missing.insert(line.host, number);
             } else {
-                self.listed.insert(number, Listed { address: line.dial, zone, route });
+                self.listed.insert(
+                    number,
+                    Listed {
+                        address: line.dial,
+                        zone,
+                        route,
+                    },
+                );
             }
             changes.ready.push((number, line.health == Listing::Ready));
         }
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -49,14 +49,28 @@
         stream.set_nodelay()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = system.spawn(async move { drop(connection.await) });
-        Ok(Channel { system: system.clone(), sender, task })
+        Ok(Channel {
+            system: system.clone(),
+            sender,
+            task,
+        })
     }
 
     async fn ask(
-        &mut self, address: SocketAddr, method: Method, path: &str, body: String, patience: Duration,
+        &mut self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: String,
+        patience: Duration,
     ) -> Result<Response<Incoming>, Failure> {
-        let request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
-        let answer = self.sender.send_request(request.body(Full::new(body.into()))?);
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, address.to_string());
+        let answer = self
+            .sender
+            .send_request(request.body(Full::new(body.into()))?);
         Ok(self.system.timeout(patience, answer).await??)
     }
 }
@@ -70,7 +84,10 @@
 /// Follows the list for ever, from a version on, at the address that is in force; every connection to the
 /// same address starts where the last one ended.
 pub async fn follow<S: System>(
-    system: S, mut at: watch::Receiver<SocketAddr>, version: u64, members: Rc<RefCell<Members>>,
+    system: S,
+    mut at: watch::Receiver<SocketAddr>,
+    version: u64,
+    members: Rc<RefCell<Members>>,
     inputs: mpsc::Sender<Input>,
 ) {
     let start = members.borrow_mut().pace.start();
@@ -79,7 +96,16 @@
     let whole = members.borrow().pace.pushed();
     let address = *at.borrow();
     let taken = None;
-    let mut follower = Follower { system, address, version, whole, silent: true, taken, members, inputs };
+    let mut follower = Follower {
+        system,
+        address,
+        version,
+        whole,
+        silent: true,
+        taken,
+        members,
+        inputs,
+    };
     loop {
         follower.address = *at.borrow_and_update();
         tokio::select! {
@@ -151,9 +177,14 @@
             if !logged || heard {
                 let (address, system) = (self.address, &self.system);
                 match cut {
-                    Cut::Ended(error) => log!(*system, "discovery: the watch at {address} ended: {error}"),
+                    Cut::Ended(error) => {
+                        log!(*system, "discovery: the watch at {address} ended: {error}")
+                    }
                     Cut::Spoilt(error) => {
-                        log!(*system, "discovery: what {address} told cannot be used: {error}")
+                        log!(
+                            *system,
+                            "discovery: what {address} told cannot be used: {error}"
+                        )
                     }
                 }
             }
@@ -198,7 +229,9 @@
                 Err(_) if feed.is_open() => return Err(Cut::Spoilt("half of a list came".into())),
                 Err(late) => return Err(Cut::Ended(late.into())),
             };
-            let Ok(data) = frame.into_data() else { continue };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
             feed.extend(&data);
             while let Some(item) = feed.next().map_err(|error| Cut::Spoilt(error.into()))? {
                 // Where relays ask, the next process is to know when this one last heard.
@@ -216,15 +249,31 @@
     /// Passes a list on, or what may be used of one that is older than the one in force.
     async fn take(&mut self, list: HostList) -> Result<(), Cut> {
         let (version, now) = (list.seq, self.system.now());
-        let word = self.members.borrow_mut().judge(version, self.version, list.whole, now);
+        let word = self
+            .members
+            .borrow_mut()
+            .judge(version, self.version, list.whole, now);
         if word == Word::Current {
             (self.version, self.silent, self.taken) = (version, false, Some(list));
             return Ok(self.hand_on().await?);
         }
-        let hosts = list.hosts.into_iter().filter(|line| line.health != Listing::Ready).collect();
-        (self.silent, self.taken) = (false, Some(HostList { seq: self.version, whole: false, hosts }));
+        let hosts = list
+            .hosts
+            .into_iter()
+            .filter(|line| line.health != Listing::Ready)
+            .collect();
+        (self.silent, self.taken) = (
+            false,
+            Some(HostList {
+                seq: self.version,
+                whole: false,
+                hosts,
+            }),
+        );
         self.hand_on().await?;
-        Err(Cut::Spoilt(format!("its list {version} is older than {}", self.version).into()))
+        Err(Cut::Spoilt(
+            format!("its list {version} is older than {}", self.version).into(),
+        ))
     }
 
     /// Hands on what was taken. Guards a list against being dropped with this call, where discovery moves while it waits.
@@ -254,7 +303,9 @@
         let until = self.system.now() + patience;
         let mut channel = Channel::open(&self.system, self.address, patience).await?;
         let left = until.saturating_duration_since(self.system.now());
-        let answer = channel.ask(self.address, Method::GET, path, String::new(), left).await?;
+        let answer = channel
+            .ask(self.address, Method::GET, path, String::new(), left)
+            .await?;
         if answer.status() != StatusCode::OK {
             return Err(format!("answered {}", answer.status()).into());
         }
@@ -265,8 +316,13 @@
         let (_channel, body) = self.ask("/catalog/members").await?;
         let body = http_body_util::Limited::new(body, LONGEST);
         let whole = self.members.borrow().pace.whole();
-        let text = self.system.timeout(whole, body.collect()).await??.to_bytes();
-        let mut list: HostList = serde_json::from_slice(&text).map_err(|error| Cut::Spoilt(error.into()))?;
+        let text = self
+            .system
+            .timeout(whole, body.collect())
+            .await??
+            .to_bytes();
+        let mut list: HostList =
+            serde_json::from_slice(&text).map_err(|error| Cut::Spoilt(error.into()))?;
         list.whole = true;
         Ok(list)
     }
@@ -306,7 +362,11 @@
                 Verdict::Undeliverable => ("undeliverable", None),
                 Verdict::Deferred(after) => ("deferred", Some(*after).filter(|after| *after > 0)),
             };
-            let notice = Notice { id: name, status, again_ms };
+            let notice = Notice {
+                id: name,
+                status,
+                again_ms,
+            };
             text += &serde_json::to_string(&notice).unwrap_or_default();
             text.push('\n');
             ids.push(*id);
@@ -317,7 +377,10 @@
 
 /// Sends notices for ever, each until it is answered 204, to the address that is in force.
 pub async fn notify<S: System>(
-    system: S, mut at: watch::Receiver<SocketAddr>, notices: Rc<Notices>, inputs: mpsc::Sender<Input>,
+    system: S,
+    mut at: watch::Receiver<SocketAddr>,
+    notices: Rc<Notices>,
+    inputs: mpsc::Sender<Input>,
 ) {
     let mut channel = None;
     let mut rest = REST.0;
@@ -331,7 +394,11 @@
         let sent = async {
             let posted = post(&system, &mut channel, address, text).await;
             if let Err(error) = &posted {
-                log!(system, "discovery: {} notices not taken, to be sent again: {error}", ids.len());
+                log!(
+                    system,
+                    "discovery: {} notices not taken, to be sent again: {error}",
+                    ids.len()
+                );
                 system.sleep(rest).await;
             }
             posted
@@ -344,7 +411,10 @@
         };
         if sent.is_ok() {
             rest = REST.0;
-            notices.pending.borrow_mut().retain(|id, _| !ids.contains(id));
+            notices
+                .pending
+                .borrow_mut()
+                .retain(|id, _| !ids.contains(id));
             if inputs.send(Input::Noticed(ids)).await.is_err() {
                 return;
             }
@@ -356,22 +426,36 @@
 }
 
 async fn post<S: System>(
-    system: &S, channel: &mut Option<(SocketAddr, Channel<S>)>, address: SocketAddr, text: String,
+    system: &S,
+    channel: &mut Option<(SocketAddr, Channel<S>)>,
+    address: SocketAddr,
+    text: String,
 ) -> Result<(), Failure> {
     let usable = match channel {
         Some((at, open)) => {
-            *at == address && matches!(system.timeout(PATIENCE, open.sender.ready()).await, Ok(Ok(())))
+            *at == address
+                && matches!(
+                    system.timeout(PATIENCE, open.sender.ready()).await,
+                    Ok(Ok(()))
+                )
         }
         None => false,
     };
     if !usable {
         *channel = Some((address, Channel::open(system, address, PATIENCE).await?));
     }
-    let Some((_, open)) = channel else { return Err("no connection".into()) };
-    let answer = open.ask(address, Method::POST, "/v1/notices", text, PATIENCE).await?;
+    let Some((_, open)) = channel else {
+        return Err("no connection".into());
+    };
+    let answer = open
+        .ask(address, Method::POST, "/v1/notices", text, PATIENCE)
+        .await?;
     let status = answer.status();
     system
-        .timeout(PATIENCE, http_body_util::Limited::new(answer.into_body(), LONGEST_ANSWER).collect())
+        .timeout(
+            PATIENCE,
+            http_body_util::Limited::new(answer.into_body(), LONGEST_ANSWER).collect(),
+        )
         .await??;
     match status {
         StatusCode::NO_CONTENT => Ok(()),
@@ -389,7 +473,10 @@
     /// list that is older than the one in force.
     #[test]
     fn a_list_that_waits_as_discovery_moves_is_handed_on() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
         runtime.block_on(async {
             for (version, older) in [(2, false), (1, true)] {
                 let drain_grace = Duration::from_secs(2);
