--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -91,13 +91,22 @@
 /// Guards the module against reports that can't be read: a missing value is not zero, and a share of the
 /// allowance of minus one or of a million would say things about a destination that nobody meant.
 fn read_report<'a>(
-    wanted: impl Iterator<Item = (&'a String, &'a ReportField)>, text: &str,
+    wanted: impl Iterator<Item = (&'a String, &'a ReportField)>,
+    text: &str,
 ) -> Option<Vec<f32>> {
     let value = |(name, field): (&String, &ReportField)| {
         let mut pairs = text.split(',').filter_map(|pair| pair.split_once('='));
         let (_, value) = pairs.find(|(other, _)| other.trim() == name)?;
-        let most = if *field == ReportField::AllowanceLeft { 2.0 } else { 1e6 };
-        value.trim().parse::<f32>().ok().filter(|value| (0.0..=most).contains(value))
+        let most = if *field == ReportField::AllowanceLeft {
+            2.0
+        } else {
+            1e6
+        };
+        value
+            .trim()
+            .parse::<f32>()
+            .ok()
+            .filter(|value| (0.0..=most).contains(value))
     };
     wanted.map(value).collect()
 }
@@ -116,7 +125,10 @@
 
     /// Whether nothing is left to do for what was taken on: no message in hand, no call out, no end to be told.
     pub fn is_idle(&self) -> bool {
-        self.hand.len() == 0 && self.calls.is_empty() && self.events.is_empty() && self.notices.len() == 0
+        self.hand.len() == 0
+            && self.calls.is_empty()
+            && self.events.is_empty()
+            && self.notices.len() == 0
     }
 
     /// Told to stop: no call may be out when the process ends.
@@ -129,13 +141,19 @@
             self.events.push(Event::Stopping { at });
         }
         let (held, out) = (self.hand.len(), self.calls.len());
-        log!(self.system, "told to stop; {held} messages in hand, {out} calls out");
+        log!(
+            self.system,
+            "told to stop; {held} messages in hand, {out} calls out"
+        );
     }
 
     /// Shows how the module sees the hosts.
     pub fn view(&self) {
         let disabled = self.relay.avoided(self.clock.now());
-        self.control.view(Targets { listed: self.directory.count(), disabled });
+        self.control.view(Targets {
+            listed: self.directory.count(),
+            disabled,
+        });
     }
 
     /// Reads the configuration again. One that can't be used leaves the old one in force, whole.
@@ -145,7 +163,11 @@
         let changed = Config::load(&self.system).and_then(|new| self.retune(new));
         self.control.ledger().reloaded(changed.is_ok());
         if let Err(error) = changed {
-            log!(self.system, "configuration: the old one stays in force: {}", error.replace('\n', " "));
+            log!(
+                self.system,
+                "configuration: the old one stays in force: {}",
+                error.replace('\n', " ")
+            );
         }
         operator::read_again(&self.system, self.operator.as_deref(), &self.tokens);
         Ok(())
@@ -154,24 +176,41 @@
     /// Puts a new configuration in force, or nothing of it.
     fn retune(&mut self, new: Config) -> Result<(), String> {
         if let Some(key) = new.lacks(&self.config) {
-            return Err(format!("the new one lacks {key}, so it may be half of a file"));
+            return Err(format!(
+                "the new one lacks {key}, so it may be half of a file"
+            ));
         }
         let number = |owed: &Owed| match &owed.terms {
             Some(terms) => self.classes.find(&owed.taken.class, &terms.class),
             None => self.classes.number(&owed.taken.class),
         };
         let in_use: BTreeSet<u16> = self.journal.all().values().filter_map(number).collect();
-        if !self.classes.retune(&new.classes, &new.settings.classes, |number| in_use.contains(&number)) {
+        if !self
+            .classes
+            .retune(&new.classes, &new.settings.classes, |number| {
+                in_use.contains(&number)
+            })
+        {
             return Err("too many classes are in use at once".into());
         }
         let fixed = new.fixed(&self.config);
         if !fixed.is_empty() {
-            log!(self.system, "configuration: counts from the next start on: {}", fixed.join(", "));
+            log!(
+                self.system,
+                "configuration: counts from the next start on: {}",
+                fixed.join(", ")
+            );
         }
         self.config.retune(new);
-        let Config { discovery, classes, .. } = &self.config;
-        log!(self.system, "configuration: read again, discovery is at {discovery}");
-        self.discovery.send_if_modified(|at| std::mem::replace(at, *discovery) != *discovery);
+        let Config {
+            discovery, classes, ..
+        } = &self.config;
+        log!(
+            self.system,
+            "configuration: read again, discovery is at {discovery}"
+        );
+        self.discovery
+            .send_if_modified(|at| std::mem::replace(at, *discovery) != *discovery);
         self.control.ledger().classes(classes);
         self.tenants.know_classes(classes);
         logged(&self.system, self.journal.declare(self.classes.in_force()));
@@ -188,31 +227,56 @@
             self.hand.know_over(self.system.now(), left.over);
             // A drain outlasts an upgrade, not a crash.
             self.control.inherits(left.drained && took_over);
-            out = left.out.into_iter().map(|(id, attempt, host)| (id, (attempt, host))).collect();
+            out = left
+                .out
+                .into_iter()
+                .map(|(id, attempt, host)| (id, (attempt, host)))
+                .collect();
             used = left.used;
             left.heritage
         });
         let mut known = std::mem::take(&mut self.config.known);
         // Guards hosts that drain: the configuration's list may be older than what the last process was
         // told, and discovery may be silent now.
-        self.directory.know(known.hosts.iter().map(|line| line.block));
+        self.directory
+            .know(known.hosts.iter().map(|line| line.block));
         if self.memory.list.seq > known.seq {
             known = self.memory.list.clone();
         }
-        self.list(HostList { whole: true, ..known }, true);
-        self.events.push(Event::HostsDoubted(!self.members.borrow().believed(self.system.now())));
+        self.list(
+            HostList {
+                whole: true,
+                ..known
+            },
+            true,
+        );
+        self.events.push(Event::HostsDoubted(
+            !self.members.borrow().believed(self.system.now()),
+        ));
         for (destination, down, back) in self.memory.outages.clone() {
-            self.events.push(Event::Remembered(Outage { destination, down, back }));
+            self.events.push(Event::Remembered(Outage {
+                destination,
+                down,
+                back,
+            }));
         }
         if let Some(heritage) = heritage {
             // It is of routes, which the list makes.
             self.round()?;
             self.relay.inherit(heritage);
         }
-        let owed: Vec<(MessageId, Owed)> =
-            self.journal.all().iter().map(|(id, owed)| (*id, owed.clone())).collect();
+        let owed: Vec<(MessageId, Owed)> = self
+            .journal
+            .all()
+            .iter()
+            .map(|(id, owed)| (*id, owed.clone()))
+            .collect();
         if !owed.is_empty() {
-            log!(self.system, "journal: {} messages are still owed their end", owed.len());
+            log!(
+                self.system,
+                "journal: {} messages are still owed their end",
+                owed.len()
+            );
         }
         for (id, message) in owed {
             let tenant = self.tenants.restored(&message.taken.tenant);
@@ -231,7 +295,13 @@
                 // The store may not have it yet.
                 self.given_up(&message);
             }
-            let Owed { taken, attempts, verdict, terms, .. } = message;
+            let Owed {
+                taken,
+                attempts,
+                verdict,
+                terms,
+                ..
+            } = message;
             if let Some(verdict) = verdict {
                 self.notices.add(id, taken.name, verdict);
                 continue;
@@ -242,17 +312,27 @@
                 Some(terms) => self.classes.taken_under(&taken.class, &terms.class),
                 None => self.classes.number(&taken.class),
             };
-            let Some(message) = tenant.and_then(|tenant| self.message(id, &taken, tenant, class)) else {
+            let Some(message) = tenant.and_then(|tenant| self.message(id, &taken, tenant, class))
+            else {
                 log!(
                     self.system,
                     "journal: {} is of a class or tenant that is not known any more",
                     taken.name
                 );
                 let ran = attempts.iter().any(|attempt| attempt.may_have_run);
-                self.end(id, if ran { Verdict::Undeliverable } else { Verdict::Deferred(0) });
+                self.end(
+                    id,
+                    if ran {
+                        Verdict::Undeliverable
+                    } else {
+                        Verdict::Deferred(0)
+                    },
+                );
                 continue;
             };
-            let out = out.get(&id).filter(|(at, _)| usize::from(*at) + 1 == attempts.len());
+            let out = out
+                .get(&id)
+                .filter(|(at, _)| usize::from(*at) + 1 == attempts.len());
             let out = out.map(|(_, host)| *host);
             let attempts = attempts.iter().map(|attempt| PastAttempt {
                 sent: attempt.sent,
@@ -261,7 +341,11 @@
             });
             let attempts = attempts.collect();
             self.events.push(match took_over || out.is_some() {
-                true => Event::Adopted { message, attempts, out },
+                true => Event::Adopted {
+                    message,
+                    attempts,
+                    out,
+                },
                 false => Event::Restored { message, attempts },
             });
         }
@@ -289,9 +373,16 @@
 
     /// What goes across to another process beside the journal.
     pub fn state(&mut self) -> Left {
-        let out = self.calls.iter().map(|(id, (attempt, host, _))| (*id, *attempt, *host)).collect();
+        let out = self
+            .calls
+            .iter()
+            .map(|(id, (attempt, host, _))| (*id, *attempt, *host))
+            .collect();
         let mut state = Left::new(self.control.drained(), out, self.relay.heritage());
-        (state.numbers, state.over) = (self.directory.numbers(), self.hand.recent(self.system.now()));
+        (state.numbers, state.over) = (
+            self.directory.numbers(),
+            self.hand.recent(self.system.now()),
+        );
         state.used = self.tenants.used(self.clock.now(), self.relay.sharing());
         state
     }
@@ -299,14 +390,19 @@
     /// The settings in force, with what all numbers of classes mean.
     fn retuned(&self) -> Event {
         let settings = self.config.settings.clone();
-        Event::Retuned(Box::new(Settings { classes: self.classes.terms(), ..settings }))
+        Event::Retuned(Box::new(Settings {
+            classes: self.classes.terms(),
+            ..settings
+        }))
     }
 
     /// A resend whose verdict was kept in the journal, and in the store perhaps not yet.
     fn again_over(&mut self, id: MessageId, message: &Owed) {
         let now = self.clock.now();
         let (class, most) = (self.class_of(message), self.config.settings.max_attempts);
-        if let (Some(desk), Some(again), Some(verdict)) = (&mut self.desk, message.again, message.verdict) {
+        if let (Some(desk), Some(again), Some(verdict)) =
+            (&mut self.desk, message.again, message.verdict)
+        {
             if !desk.is_closed(&again, &message.taken.name) {
                 desk.restored(id, again, &message.taken.name, now);
                 if !desk.came_back(id, message, class.as_ref(), verdict, most, now) {
@@ -319,12 +415,18 @@
 
     fn class_of(&self, owed: &Owed) -> Option<Class> {
         let terms = owed.terms.as_ref().map(|terms| &*terms.class);
-        terms.or_else(|| self.classes.named(&owed.taken.class)).cloned()
+        terms
+            .or_else(|| self.classes.named(&owed.taken.class))
+            .cloned()
     }
 
     /// Hands a message that was given up over to those who keep it.
     fn given_up(&mut self, owed: &Owed) {
-        let (now, class, most) = (self.clock.now(), self.class_of(owed), self.config.settings.max_attempts);
+        let (now, class, most) = (
+            self.clock.now(),
+            self.class_of(owed),
+            self.config.settings.max_attempts,
+        );
         let abandoned = self.tenants.removed(&owed.taken.tenant);
         if let Some(desk) = &mut self.desk {
             desk.given_up(owed, class.as_ref(), abandoned, most, now);
@@ -334,7 +436,12 @@
     fn live(&self) -> Live {
         let settings = &self.config.settings;
         let (held, out) = (self.hand.len(), self.calls.len());
-        Live { held, most_held: settings.most_held, out, slots: settings.slots }
+        Live {
+            held,
+            most_held: settings.most_held,
+            out,
+            slots: settings.slots,
+        }
     }
 
     /// Lets those who keep undeliverable messages do what is due.
@@ -373,7 +480,11 @@
     /// A message that was given up goes to the module once more; false if it can't.
     fn resend(&mut self, now: Micros, resend: Resend) -> bool {
         let Resend { again, mut taken } = resend;
-        taken.due = now + self.classes.named(&taken.class).map_or(0, |class| class.give_up);
+        taken.due = now
+            + self
+                .classes
+                .named(&taken.class)
+                .map_or(0, |class| class.give_up);
         let known_as = Name::of(&taken);
         // A message of this name that is in hand is another one's.
         let number = match self.hand.holds(&known_as) {
@@ -396,21 +507,39 @@
             return false;
         };
         if let Err(error) = self.journal.taken_again(id, taken.clone(), again) {
-            log!(self.system, "undeliverable: record {} is not sent again: {error}", again.record);
+            log!(
+                self.system,
+                "undeliverable: record {} is not sent again: {error}",
+                again.record
+            );
             self.tenants.released(&taken.tenant);
             self.desk.iter_mut().for_each(|desk| desk.not_begun(&again));
             return false;
         }
         self.hand.restored(id, &taken);
         self.control.ledger().taken();
-        self.desk.iter_mut().for_each(|desk| desk.begun(id, again, &taken.name));
-        let past =
-            again.past.map(|past| PastAttempt { sent: past.sent, zone: past.zone, may_have_run: true });
-        self.events.push(Event::Again { message, attempts: past.into_iter().collect() });
+        self.desk
+            .iter_mut()
+            .for_each(|desk| desk.begun(id, again, &taken.name));
+        let past = again.past.map(|past| PastAttempt {
+            sent: past.sent,
+            zone: past.zone,
+            may_have_run: true,
+        });
+        self.events.push(Event::Again {
+            message,
+            attempts: past.into_iter().collect(),
+        });
         true
     }
 
-    fn message(&self, id: MessageId, taken: &Taken, tenant: TenantId, class: Option<u16>) -> Option<Message> {
+    fn message(
+        &self,
+        id: MessageId,
+        taken: &Taken,
+        tenant: TenantId,
+        class: Option<u16>,
+    ) -> Option<Message> {
         Some(Message {
             id,
             class: class?,
@@ -443,30 +572,60 @@
             }
             Input::Tenants(TenantsCall { ask, reply }) => {
                 let (sharing, room) = (self.relay.sharing(), self.journal.regain_spare());
-                let told = self.tenants.answer(ask, |tenant| sharing.load(tenant), &mut self.events, room);
+                let told =
+                    self.tenants
+                        .answer(ask, |tenant| sharing.load(tenant), &mut self.events, room);
                 drop(reply.send(told));
             }
             Input::Undeliverable(news) => self.undeliverable(news),
-            Input::Login(LoginCall { name, secret, reply }) => {
+            Input::Login(LoginCall {
+                name,
+                secret,
+                reply,
+            }) => {
                 drop(reply.send(self.tenants.login(&name, &secret)));
             }
         }
     }
 
     fn enqueue(&mut self, request: Enqueue) {
-        let Enqueue { name, order, class, tenant, destination, due, key, again, body, login, reply } =
-            request;
+        let Enqueue {
+            name,
+            order,
+            class,
+            tenant,
+            destination,
+            due,
+            key,
+            again,
+            body,
+            login,
+            reply,
+        } = request;
         let Some(reply) = reply else { return };
         if let Err(why) = self.tenants.speaks(&tenant, login.as_ref()) {
             return self.refuse(&class, reply, why);
         }
-        let Some(reply) = self.hand.known(&Name::new(&tenant, &name), reply) else { return };
+        let Some(reply) = self.hand.known(&Name::new(&tenant, &name), reply) else {
+            return;
+        };
         if self.control.refuses() {
             return self.refuse(&class, reply, Reply::Busy(ELSEWHERE));
         }
-        let mut taken = Taken { name, key, order, class, tenant, destination, due, again, body };
-        let admitted =
-            self.checked(&taken).and_then(|()| self.tenants.admit(&taken.tenant, &taken.class, destination));
+        let mut taken = Taken {
+            name,
+            key,
+            order,
+            class,
+            tenant,
+            destination,
+            due,
+            again,
+            body,
+        };
+        let admitted = self
+            .checked(&taken)
+            .and_then(|()| self.tenants.admit(&taken.tenant, &taken.class, destination));
         let (number, reference) = match admitted {
             Ok(admitted) => admitted,
             Err(why) => return self.refuse(&taken.class, reply, why),
@@ -480,7 +639,9 @@
 
     /// Answers a request that never reaches the module.
     fn refuse(&mut self, class: &str, reply: oneshot::Sender<Reply>, why: Reply) {
-        self.control.ledger().turned_away(class, control::end_of(&why));
+        self.control
+            .ledger()
+            .turned_away(class, control::end_of(&why));
         drop(reply.send(why));
     }
 
@@ -509,7 +670,16 @@
     }
 
     fn ended(&mut self, end: CallEnd) {
-        let CallEnd { id, attempt, host, outcome, over: told_over, report, elapsed, fresh } = end;
+        let CallEnd {
+            id,
+            attempt,
+            host,
+            outcome,
+            over: told_over,
+            report,
+            elapsed,
+            fresh,
+        } = end;
         self.trace.call(self.clock.now(), id, fresh);
         if self.calls.get(&id).is_some_and(|(out, ..)| *out == attempt) {
             self.calls.remove(&id);
@@ -521,36 +691,71 @@
                 self.tenants.delivered(&owed.taken.tenant);
             }
             if owed.verdict.is_none() {
-                let end = if outcome == Outcome::Ok { End::Success } else { End::Other };
-                let end = if owed.again.is_some() { End::Other } else { end };
+                let end = if outcome == Outcome::Ok {
+                    End::Success
+                } else {
+                    End::Other
+                };
+                let end = if owed.again.is_some() {
+                    End::Other
+                } else {
+                    end
+                };
                 self.control.ledger().ended(&owed.taken.class, end);
             }
             self.hand.ended(self.system.now(), Name::of(&owed.taken));
         }
         let destination = owed.map(|owed| owed.taken.destination);
-        let kept = outcome == Outcome::NotBegun || self.tell_desk(id, attempt, host, outcome, destination);
+        let kept =
+            outcome == Outcome::NotBegun || self.tell_desk(id, attempt, host, outcome, destination);
         if told_over && kept {
             self.over(id);
         } else if outcome == Outcome::NotBegun {
             logged(&self.system, self.journal.not_begun(id, attempt));
         } else {
-            logged(&self.system, self.journal.outcome(id, attempt, outcome.may_have_run()));
+            logged(
+                &self.system,
+                self.journal.outcome(id, attempt, outcome.may_have_run()),
+            );
         }
         let names = self.config.report.iter().zip(&self.config.settings.report);
-        let report = report.and_then(|text| read_report(names, &text)).unwrap_or_default();
-        self.events.push(Event::Ended(Ended { id, attempt, host, outcome, elapsed, over, report }));
+        let report = report
+            .and_then(|text| read_report(names, &text))
+            .unwrap_or_default();
+        self.events.push(Event::Ended(Ended {
+            id,
+            attempt,
+            host,
+            outcome,
+            elapsed,
+            over,
+            report,
+        }));
     }
 
     /// Tells those who keep undeliverable messages of a call; false if its end can't be kept yet.
     fn tell_desk(
-        &mut self, id: MessageId, attempt: u8, host: HostId, outcome: Outcome, destination: Option<u16>,
+        &mut self,
+        id: MessageId,
+        attempt: u8,
+        host: HostId,
+        outcome: Outcome,
+        destination: Option<u16>,
     ) -> bool {
         let now = self.clock.now();
-        let Some(desk) = &mut self.desk else { return true };
+        let Some(desk) = &mut self.desk else {
+            return true;
+        };
         let name = self.directory.name_of(host).unwrap_or_default().to_string();
-        logged(&self.system, self.journal.told(id, attempt, &name, undeliverable::told(outcome)));
+        logged(
+            &self.system,
+            self.journal
+                .told(id, attempt, &name, undeliverable::told(outcome)),
+        );
         if !desk.is_resend(id) {
-            destination.into_iter().for_each(|destination| desk.called(destination, outcome, now));
+            destination
+                .into_iter()
+                .for_each(|destination| desk.called(destination, outcome, now));
             return true;
         }
         outcome != Outcome::Ok || desk.delivered(id, now)
@@ -567,7 +772,9 @@
     /// Answers those whose message the module did not take on.
     fn turn_away(&mut self, id: MessageId, reply: &Reply) {
         if let Some(taken) = self.hand.turn_away(id, reply) {
-            self.control.ledger().turned_away(&taken.class, control::end_of(reply));
+            self.control
+                .ledger()
+                .turned_away(&taken.class, control::end_of(reply));
             self.tenants.turned_away(&taken.tenant);
         }
     }
@@ -575,7 +782,8 @@
     /// The list is confirmed, or discovery is silent and what is remembered has to serve: calls wait no longer.
     pub fn believe(&mut self) {
         let waited = self.members.borrow_mut().confirmed();
-        self.events.extend(waited.then_some(Event::HostsDoubted(false)));
+        self.events
+            .extend(waited.then_some(Event::HostsDoubted(false)));
     }
 
     /// Discovery was heard.
@@ -590,15 +798,31 @@
 
     fn list(&mut self, list: HostList, cached: bool) {
         let whole = list.whole;
-        let Config { zones, kinds, settings, .. } = &self.config;
-        let changes = self.directory.take(list, &Names { zones, kinds, settings: &settings.kinds });
+        let Config {
+            zones,
+            kinds,
+            settings,
+            ..
+        } = &self.config;
+        let changes = self.directory.take(
+            list,
+            &Names {
+                zones,
+                kinds,
+                settings: &settings.kinds,
+            },
+        );
         for (host, up) in changes.ready {
             self.members.borrow_mut().list(host, up);
             if !up {
                 self.hosts.close_idle(host);
             }
         }
-        self.events.push(Event::Hosts { whole, cached, entries: changes.entries });
+        self.events.push(Event::Hosts {
+            whole,
+            cached,
+            entries: changes.entries,
+        });
     }
 
     /// Tells the module what happened, and does what it says.
@@ -611,11 +835,14 @@
         }
         let mut actions = Vec::new();
         self.trace.events(now, &self.events, &self.directory);
-        self.relay.handle(now, std::mem::take(&mut self.events), &mut actions);
+        self.relay
+            .handle(now, std::mem::take(&mut self.events), &mut actions);
         self.trace.actions(now, &actions, &self.relay);
         for action in &actions {
             match action {
-                Action::Refuse { id, after } => self.turn_away(*id, &Reply::Busy(after.div_ceil(1000))),
+                Action::Refuse { id, after } => {
+                    self.turn_away(*id, &Reply::Busy(after.div_ceil(1000)))
+                }
                 Action::Fail(id) => self.turn_away(*id, &Reply::Error("given up".into())),
                 _ => {}
             }
@@ -625,11 +852,16 @@
         for action in actions {
             match action {
                 Action::Send { id, host, timeout } => self.send(now, id, host, timeout),
-                Action::Timer { after, token } => self.timer = Some((now.saturating_add(after), token)),
-                Action::Refuse { id, after } => self.end(id, Verdict::Deferred(after.div_ceil(1000))),
+                Action::Timer { after, token } => {
+                    self.timer = Some((now.saturating_add(after), token))
+                }
+                Action::Refuse { id, after } => {
+                    self.end(id, Verdict::Deferred(after.div_ceil(1000)))
+                }
                 Action::Fail(id) => self.end(id, Verdict::Undeliverable),
                 Action::Cancel { id, attempt } => {
-                    if let Some((_, _, cancel)) = self.calls.get_mut(&id).filter(|(out, ..)| *out == attempt)
+                    if let Some((_, _, cancel)) =
+                        self.calls.get_mut(&id).filter(|(out, ..)| *out == attempt)
                     {
                         // Its other side takes this as the order to end. A call of another process is not ended early.
                         *cancel = None;
@@ -637,7 +869,10 @@
                 }
                 Action::CloseIdle(host) => self.hosts.close_idle(host),
                 // The list is always watched, and there is nobody to probe or talk to.
-                Action::Subscribe(_) | Action::FetchHosts | Action::Probe(_) | Action::Tell { .. } => {}
+                Action::Subscribe(_)
+                | Action::FetchHosts
+                | Action::Probe(_)
+                | Action::Tell { .. } => {}
                 Action::Log(text) => log!(self.system, "{text}"),
                 Action::Fault(text) => return Err(text),
             }
@@ -650,12 +885,22 @@
 
     /// Keeps what has changed of the list and of outages.
     fn remember(&mut self) {
-        let outages = self.relay.outages().map(|told| (told.destination, told.down, told.back)).collect();
+        let outages = self
+            .relay
+            .outages()
+            .map(|told| (told.destination, told.down, told.back))
+            .collect();
         if !self.directory.has_changed() && self.memory.outages == outages {
             return;
         }
-        self.memory = Memory { list: self.directory.whole(), outages };
-        if let Err(error) = self.memory.save(&self.system, &self.config.state, self.disk) {
+        self.memory = Memory {
+            list: self.directory.whole(),
+            outages,
+        };
+        if let Err(error) = self
+            .memory
+            .save(&self.system, &self.config.state, self.disk)
+        {
             log!(self.system, "memory: cannot write: {error}");
         }
     }
@@ -663,7 +908,8 @@
     /// Takes on what the module has kept: on disk first, then the client is told.
     fn take_on(&mut self) {
         for (id, (taken, replies)) in self.hand.kept() {
-            let (name, tenant, class) = (Name::of(&taken), taken.tenant.clone(), taken.class.clone());
+            let (name, tenant, class) =
+                (Name::of(&taken), taken.tenant.clone(), taken.class.clone());
             let reply = match self.journal.taken(id, taken) {
                 Ok(()) => Reply::Ok,
                 Err(error) => {
@@ -681,7 +927,9 @@
                 self.hand.dropped(&name);
                 self.tenants.turned_away(&tenant);
                 self.events.push(Event::Withdrawn(id));
-                self.control.ledger().turned_away(&class, control::end_of(&reply));
+                self.control
+                    .ledger()
+                    .turned_away(&class, control::end_of(&reply));
             } else {
                 self.control.ledger().taken();
                 self.tenants.taken(&tenant);
@@ -691,18 +939,36 @@
 
     fn send(&mut self, now: Micros, id: MessageId, host: HostId, timeout: Micros) {
         let owed = self.journal.all().get(&id);
-        let attempt = owed.map_or(0, |owed| owed.attempts.len().min(usize::from(u8::MAX)) as u8);
+        let attempt = owed.map_or(0, |owed| {
+            owed.attempts.len().min(usize::from(u8::MAX)) as u8
+        });
         let unsent = |outcome, over| {
             let report = Vec::new();
-            Event::Ended(Ended { id, attempt, host, outcome, elapsed: 0, over, report })
+            Event::Ended(Ended {
+                id,
+                attempt,
+                host,
+                outcome,
+                elapsed: 0,
+                over,
+                report,
+            })
+        };
+        let Some(owed) = owed else {
+            return self.events.push(unsent(Outcome::Moot, true));
         };
-        let Some(owed) = owed else { return self.events.push(unsent(Outcome::Moot, true)) };
         // The module learns with its next round what the list says by now.
         let listed = self.directory.find(host);
-        let Some(listed) = listed.filter(|_| self.members.borrow().may_begin(host, self.system.now())) else {
+        let Some(listed) =
+            listed.filter(|_| self.members.borrow().may_begin(host, self.system.now()))
+        else {
             return self.events.push(unsent(Outcome::NotBegun, false));
         };
-        let Listed { address, zone, route } = listed;
+        let Listed {
+            address,
+            zone,
+            route,
+        } = listed;
         let taken = &owed.taken;
         let ran = owed.attempts.iter().find(|attempt| attempt.may_have_run);
         let begin_by = ran.and_then(|first| match self.class_of(owed)?.effect {
@@ -721,7 +987,15 @@
             timeout: Duration::from_micros(timeout),
             begin_by,
         };
-        if let Err(error) = self.journal.out(id, attempt, Attempt { sent: now, zone, may_have_run: true }) {
+        if let Err(error) = self.journal.out(
+            id,
+            attempt,
+            Attempt {
+                sent: now,
+                zone,
+                may_have_run: true,
+            },
+        ) {
             log!(self.system, "journal: a call is not made: {error}");
             self.events.push(unsent(Outcome::Moot, false));
             return;
@@ -734,18 +1008,25 @@
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert(id, (attempt, host, Some(cancel)));
         let (hosts, inputs) = (self.hosts.clone(), self.inputs.clone());
-        self.system.spawn(async move { hosts.call(call, cancelled, inputs).await });
+        self.system
+            .spawn(async move { hosts.call(call, cancelled, inputs).await });
     }
 
     /// The module has given up a message that was taken on.
     fn end(&mut self, id: MessageId, verdict: Verdict) {
-        let Some(owed) = self.journal.all().get(&id) else { return };
+        let Some(owed) = self.journal.all().get(&id) else {
+            return;
+        };
         let name = owed.taken.name.clone();
         let known_as = Name::of(&owed.taken);
         let kept = self.desk.is_some().then(|| owed.clone());
         let again = owed.again.is_some();
         self.tenants.ended(&owed.taken.tenant, verdict);
-        let end = if again { End::Other } else { control::end_by(verdict) };
+        let end = if again {
+            End::Other
+        } else {
+            control::end_by(verdict)
+        };
         self.control.ledger().ended(&owed.taken.class, end);
         logged(&self.system, self.journal.verdict(id, verdict));
         self.hand.ended(self.system.now(), known_as);
@@ -754,7 +1035,9 @@
             let (now, most) = (self.clock.now(), self.config.settings.max_attempts);
             let class = kept.as_ref().and_then(|owed| self.class_of(owed));
             let done = match (&mut self.desk, &kept) {
-                (Some(desk), Some(owed)) => desk.came_back(id, owed, class.as_ref(), verdict, most, now),
+                (Some(desk), Some(owed)) => {
+                    desk.came_back(id, owed, class.as_ref(), verdict, most, now)
+                }
                 _ => true,
             };
             return if done {
@@ -779,10 +1062,24 @@
         let read = |text| read_report(names.iter().zip(&fields), text);
         assert_eq!(read("x0=0.4,x1=25"), Some(vec![0.4, 25.0]));
         assert_eq!(read(" x1 = 0 , y=7 , x0 = 1.05 "), Some(vec![1.05, 0.0]));
-        for text in ["", "x0=0.4", "x1=25", "x0=,x1=25", "x0=nan,x1=25", "x0=0.4,x1=inf", "x0=-1,x1=25"] {
+        for text in [
+            "",
+            "x0=0.4",
+            "x1=25",
+            "x0=,x1=25",
+            "x0=nan,x1=25",
+            "x0=0.4,x1=inf",
+            "x0=-1,x1=25",
+        ] {
             assert_eq!(read(text), None, "{text}");
         }
-        for text in ["x0=0.4,x1=1e30", "x0=900,x1=25", "x0=0.4,x1=-25", "\u{fffd}", "x0=0.4x1=25"] {
+        for text in [
+            "x0=0.4,x1=1e30",
+            "x0=900,x1=25",
+            "x0=0.4,x1=-25",
+            "\u{fffd}",
+            "x0=0.4x1=25",
+        ] {
             assert_eq!(read(text), None, "{text}");
         }
     }
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -113,8 +113,13 @@
         for cut in [1, 2, 7, 1000] {
             for text in [LINE, INDENTED] {
                 let found = items(&format!("\n{text}\n \n"), cut);
-                let lists: Vec<_> = found.iter().filter(|item| !matches!(item, Ok(Item::Beat))).collect();
-                let [Ok(Item::List(list))] = &lists[..] else { panic!("{found:?}") };
+                let lists: Vec<_> = found
+                    .iter()
+                    .filter(|item| !matches!(item, Ok(Item::Beat)))
+                    .collect();
+                let [Ok(Item::List(list))] = &lists[..] else {
+                    panic!("{found:?}")
+                };
                 assert_eq!((list.seq, &*list.hosts[0].host), (43, "a\"}"));
                 assert_eq!(list.hosts[0].health, Listing::Draining);
             }
@@ -124,11 +129,22 @@
     #[test]
     fn a_list_that_is_cut_off_is_told_from_one_that_is_to_come() {
         // Behind a value, and within a string.
-        for (half, cut) in [45, 60].into_iter().flat_map(|at| [1, 1000].map(|cut| (&LINE[..at], cut))) {
+        for (half, cut) in [45, 60]
+            .into_iter()
+            .flat_map(|at| [1, 1000].map(|cut| (&LINE[..at], cut)))
+        {
             // The next empty line, or the next list, shows that its rest is not to come.
-            assert!(items(&format!("{half}\n\n"), cut).last().expect("an item").is_err());
+            assert!(items(&format!("{half}\n\n"), cut)
+                .last()
+                .expect("an item")
+                .is_err());
             let with_next = format!("{half}\n{LINE}\n\n");
-            assert!(items(&with_next, cut).iter().all(|item| !matches!(item, Ok(Item::List(_)))), "{cut}");
+            assert!(
+                items(&with_next, cut)
+                    .iter()
+                    .all(|item| !matches!(item, Ok(Item::List(_)))),
+                "{cut}"
+            );
             assert!(items(&with_next, cut).last().expect("an item").is_err());
         }
         let mut feed = Feed::default();
@@ -138,7 +154,14 @@
 
     #[test]
     fn what_is_no_list_is_an_error_and_a_list_without_end_too() {
-        for text in ["noise\n", "[1]\n", "}\n", "{\"seq\":true}\n", "{\"hosts\":[{}]}\n", "\"a\"\n"] {
+        for text in [
+            "noise\n",
+            "[1]\n",
+            "}\n",
+            "{\"seq\":true}\n",
+            "{\"hosts\":[{}]}\n",
+            "\"a\"\n",
+        ] {
             assert!(items(text, 3).last().expect("an item").is_err(), "{text}");
         }
         let mut feed = Feed::default();
@@ -149,9 +172,16 @@
 
     #[test]
     fn a_health_that_is_not_known_is_not_taken_for_up() {
-        for health in [r#""health":"leaving""#, r#""health":null"#, r#""health":7"#, r#""share":1.0"#] {
+        for health in [
+            r#""health":"leaving""#,
+            r#""health":null"#,
+            r#""health":7"#,
+            r#""share":1.0"#,
+        ] {
             let text = LINE.replace(r#""health":"draining""#, health);
-            let [Ok(Item::List(list))] = &items(&text, 1000)[..] else { panic!("{text}") };
+            let [Ok(Item::List(list))] = &items(&text, 1000)[..] else {
+                panic!("{text}")
+            };
             assert_eq!(list.hosts[0].health, Listing::Draining, "{text}");
         }
     }
--- a/crates/relay/src/hand.rs
+++ b/crates/relay/src/hand.rs
@@ -97,19 +97,28 @@
     pub fn turn_away(&mut self, id: MessageId, reply: &Reply) -> Option<Taken> {
         let (taken, replies) = self.arriving.remove(&id)?;
         self.numbers.remove(&Name::of(&taken));
-        replies.into_iter().for_each(|waiting| drop(waiting.send(reply.clone())));
+        replies
+            .into_iter()
+            .for_each(|waiting| drop(waiting.send(reply.clone())));
         Some(taken)
     }
 
     /// Names of messages that were over lately, the last one first, for another process.
     pub fn recent(&self, now: Instant) -> Vec<String> {
-        let recent = self.over_since.iter().rev().take_while(|(since, _)| now - *since <= TOLD_OVER);
+        let recent = self
+            .over_since
+            .iter()
+            .rev()
+            .take_while(|(since, _)| now - *since <= TOLD_OVER);
         recent.map(|(_, name)| name.0.clone()).collect()
     }
 
     /// The same, told by another process.
     pub fn know_over(&mut self, now: Instant, names: Vec<String>) {
-        names.into_iter().rev().for_each(|name| self.ended(now, Name(name)));
+        names
+            .into_iter()
+            .rev()
+            .for_each(|name| self.ended(now, Name(name)));
     }
 
     /// The messages that the module has kept, with those who wait to hear so.
@@ -133,7 +142,9 @@
         let (most, span) = KNOWN_OVER;
         let old = |(since, _): &(Instant, Name)| now - *since > span;
         while self.over_since.len() >= most || self.over_since.front().is_some_and(old) {
-            let Some((_, gone)) = self.over_since.pop_front() else { break };
+            let Some((_, gone)) = self.over_since.pop_front() else {
+                break;
+            };
             self.over.remove(&gone);
         }
         if self.over.insert(name.clone()) {
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -124,10 +124,17 @@
 }
 
 fn status(line: &[u8]) -> Option<u16> {
-    let rest = line.strip_prefix(b"HTTP/1.1 ").or_else(|| line.strip_prefix(b"HTTP/1.0 "))?;
+    let rest = line
+        .strip_prefix(b"HTTP/1.1 ")
+        .or_else(|| line.strip_prefix(b"HTTP/1.0 "))?;
     let (code, rest) = rest.split_at_checked(3)?;
-    let whole = code.iter().all(u8::is_ascii_digit) && rest.first().is_none_or(|byte| *byte == b' ');
-    std::str::from_utf8(code).ok().filter(|_| whole)?.parse().ok()
+    let whole =
+        code.iter().all(u8::is_ascii_digit) && rest.first().is_none_or(|byte| *byte == b' ');
+    std::str::from_utf8(code)
+        .ok()
+        .filter(|_| whole)?
+        .parse()
+        .ok()
 }
 
 /// A stream that keeps book of what passes on it.
@@ -158,7 +165,10 @@
     fn check(&self) -> io::Result<()> {
         let begins = self.passed.borrow().begins();
         if begins && self.stream.waiting() != Waiting::Nothing {
-            return Err(io::Error::new(io::ErrorKind::InvalidData, "bytes that answer nothing"));
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "bytes that answer nothing",
+            ));
         }
         Ok(())
     }
@@ -166,7 +176,9 @@
 
 impl<T: Stream> AsyncRead for Watched<T> {
     fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &mut ReadBuf<'_>,
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        b: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = b.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, b))?;
@@ -177,7 +189,11 @@
 }
 
 impl<T: Stream> AsyncWrite for Watched<T> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        b: &[u8],
+    ) -> Poll<io::Result<usize>> {
         self.check()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, b);
         self.count(result)
@@ -192,7 +208,9 @@
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &[io::IoSlice<'_>],
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        b: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, b);
@@ -219,14 +237,29 @@
         let stream = system.connect(address).await?;
         stream.set_nodelay()?;
         let (passed, news) = (Rc::default(), Rc::new(Notify::new()));
-        let stream = Watched { stream, passed: Rc::clone(&passed), news: news.clone(), dispatches };
+        let stream = Watched {
+            stream,
+            passed: Rc::clone(&passed),
+            news: news.clone(),
+            dispatches,
+        };
         let mut library = http1::Builder::new();
         // Guards memory against heads without end.
         library.max_buf_size(HEAD.1);
-        let (sender, connection) = library.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, connection) = library
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let task = system.spawn(async move { drop(connection.await) });
         let idle_since = system.now();
-        Ok(Connection { address, sender, task, passed, news, idle_since })
+        Ok(Connection {
+            address,
+            sender,
+            task,
+            passed,
+            news,
+            idle_since,
+        })
     }
 
     /// A request is about to be written.
@@ -302,8 +335,12 @@
 impl<S: System> Hosts<S> {
     /// No connections yet; `most_idle` of them are kept at most. Requests that are written whole are counted.
     pub fn new(
-        system: S, members: Rc<RefCell<Members>>, dial_timeout: Duration, idle_close: Duration,
-        most_idle: usize, dispatches: Rc<Cell<u64>>,
+        system: S,
+        members: Rc<RefCell<Members>>,
+        dial_timeout: Duration,
+        idle_close: Duration,
+        most_idle: usize,
+        dispatches: Rc<Cell<u64>>,
     ) -> Self {
         // Closed a tenth early, so that no request crosses the host's own closing.
         let idle_close = idle_close - idle_close / 10;
@@ -358,7 +395,8 @@
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&host)?;
         while let Some(connection) = kept.pop() {
-            let fresh = now - connection.idle_since < self.idle_close && connection.address == address;
+            let fresh =
+                now - connection.idle_since < self.idle_close && connection.address == address;
             if fresh && connection.sender.is_ready() {
                 return Some(connection);
             }
@@ -375,24 +413,51 @@
         let mut idle = self.idle.borrow_mut();
         idle.entry(host).or_default().push(connection);
         if idle.values().map(Vec::len).sum::<usize>() > self.most_idle {
-            let oldest = idle.iter().min_by_key(|(_, kept)| kept.first().map(|c| c.idle_since));
+            let oldest = idle
+                .iter()
+                .min_by_key(|(_, kept)| kept.first().map(|c| c.idle_since));
             if let Some(host) = oldest.map(|(host, _)| *host) {
-                idle.get_mut(&host).into_iter().for_each(|kept| drop(kept.remove(0)));
+                idle.get_mut(&host)
+                    .into_iter()
+                    .for_each(|kept| drop(kept.remove(0)));
                 idle.retain(|_, kept| !kept.is_empty());
             }
         }
     }
 
     /// Makes a call and tells how it ended. `cancel` ends it early, also when its other side is dropped.
-    pub async fn call(&self, call: Call, mut cancel: oneshot::Receiver<()>, inputs: mpsc::Sender<Input>) {
+    pub async fn call(
+        &self,
+        call: Call,
+        mut cancel: oneshot::Receiver<()>,
+        inputs: mpsc::Sender<Input>,
+    ) {
         let start = self.system.now();
         let mut fresh = false;
-        let ended = self.attempt(&call, start + call.timeout, &mut cancel, &mut fresh).await;
+        let ended = self
+            .attempt(&call, start + call.timeout, &mut cancel, &mut fresh)
+            .await;
         let elapsed = (self.system.now() - start).as_micros() as Micros;
-        let Ended { outcome, over, report, rest } = ended;
+        let Ended {
+            outcome,
+            over,
+            report,
+            rest,
+        } = ended;
         let (id, attempt, host) = (call.id, call.attempt, call.host);
-        let end = Input::Ended(CallEnd { id, attempt, host, outcome, over, report, elapsed, fresh });
-        let Some((connection, answer)) = rest else { return drop(inputs.send(end).await) };
+        let end = Input::Ended(CallEnd {
+            id,
+            attempt,
+            host,
+            outcome,
+            over,
+            report,
+            elapsed,
+            fresh,
+        });
+        let Some((connection, answer)) = rest else {
+            return drop(inputs.send(end).await);
+        };
         // The outcome waits a moment for its connection, so that the next call finds that idle.
         let mut finish = std::pin::pin!(self.finish(call.host, connection, answer));
         let finished = self.system.timeout(GRACE, &mut finish).await.is_ok();
@@ -403,9 +468,18 @@
     }
 
     async fn attempt(
-        &self, call: &Call, ends: Instant, cancel: &mut oneshot::Receiver<()>, fresh: &mut bool,
+        &self,
+        call: &Call,
+        ends: Instant,
+        cancel: &mut oneshot::Receiver<()>,
+        fresh: &mut bool,
     ) -> Ended<S> {
-        let plain = |outcome| Ended { outcome, over: false, report: None, rest: None };
+        let plain = |outcome| Ended {
+            outcome,
+            over: false,
+            report: None,
+            rest: None,
+        };
         loop {
             let kept = self.reuse(call.host, call.address);
             *fresh = kept.is_none();
@@ -426,13 +500,22 @@
             };
             // Guards a host that was announced as leaving while this call was still connecting: nothing of it has been
             // written, so it goes back to the module, which finds another host or waits for one.
-            if !self.members.borrow().may_begin(call.host, self.system.now()) {
+            if !self
+                .members
+                .borrow()
+                .may_begin(call.host, self.system.now())
+            {
                 self.keep(call.host, connection);
                 return plain(Outcome::NotBegun);
             }
             // Guards a wait that was told while this call was still connecting: it has not begun, so it
             // must not begin now. The module decides when it goes.
-            if self.waits.borrow().get(&call.route).is_some_and(|until| *until > self.system.now()) {
+            if self
+                .waits
+                .borrow()
+                .get(&call.route)
+                .is_some_and(|until| *until > self.system.now())
+            {
                 self.keep(call.host, connection);
                 return plain(Outcome::Moot);
             }
@@ -443,16 +526,26 @@
                 return plain(Outcome::Moot);
             }
             let left = ends.saturating_duration_since(self.system.now());
-            let Some((request, size)) = request(call, left) else { return plain(Outcome::Moot) };
+            let Some((request, size)) = request(call, left) else {
+                return plain(Outcome::Moot);
+            };
             connection.begin(size);
             let whole = |c: &Connection<S>| c.passed.borrow().whole();
             // With 200 on its first line an answer is true, whatever follows.
             let spoilt = |c: &Connection<S>, outcome| match c.passed.borrow().answer.status {
-                Some(200) => Ended { outcome: Outcome::Ok, over: true, report: None, rest: None },
+                Some(200) => Ended {
+                    outcome: Outcome::Ok,
+                    over: true,
+                    report: None,
+                    rest: None,
+                },
                 _ => plain(outcome),
             };
-            let endless =
-                Connection::endless(self.system.clone(), connection.passed.clone(), connection.news.clone());
+            let endless = Connection::endless(
+                self.system.clone(),
+                connection.passed.clone(),
+                connection.news.clone(),
+            );
             let sent = tokio::select! {
                 biased;
                 answer = connection.sender.try_send_request(request) => match answer {
@@ -482,9 +575,17 @@
                     if let Outcome::Full { wait: wait @ 1.. } = outcome {
                         let until = self.system.now() + Duration::from_micros(wait);
                         let mut waits = self.waits.borrow_mut();
-                        waits.entry(call.route).and_modify(|at| *at = until.max(*at)).or_insert(until);
+                        waits
+                            .entry(call.route)
+                            .and_modify(|at| *at = until.max(*at))
+                            .or_insert(until);
                     }
-                    return Ended { outcome, over, report, rest: Some((connection, answer)) };
+                    return Ended {
+                        outcome,
+                        over,
+                        report,
+                        rest: Some((connection, answer)),
+                    };
                 }
                 // A kept connection was closed or spoilt while it was idle; the call never ran. Each turn uses
                 // one up; a new one that does not take a call is a host that can't be reached.
@@ -495,7 +596,11 @@
                 }
                 Sent::Broken => {
                     let silent = connection.passed.borrow().answer.read == 0;
-                    let outcome = if silent && !*fresh { Outcome::Dropped } else { Outcome::Reset };
+                    let outcome = if silent && !*fresh {
+                        Outcome::Dropped
+                    } else {
+                        Outcome::Reset
+                    };
                     let ended = spoilt(&connection, outcome);
                     connection.close().await;
                     if outcome == Outcome::Dropped {
@@ -509,14 +614,24 @@
     }
 
     /// Reads the rest of the answer, so that its connection can serve again.
-    async fn finish(&self, host: HostId, mut connection: Connection<S>, answer: Response<Incoming>) {
+    async fn finish(
+        &self,
+        host: HostId,
+        mut connection: Connection<S>,
+        answer: Response<Incoming>,
+    ) {
         let body = answer.into_body();
         let read = body.is_end_stream() || {
             let rest = Limited::new(body, REST_OF_ANSWER.1).collect();
             matches!(self.system.timeout(REST_OF_ANSWER.0, rest).await, Ok(Ok(_)))
         };
         if read
-            && matches!(self.system.timeout(REST_OF_ANSWER.0, connection.sender.ready()).await, Ok(Ok(())))
+            && matches!(
+                self.system
+                    .timeout(REST_OF_ANSWER.0, connection.sender.ready())
+                    .await,
+                Ok(Ok(()))
+            )
         {
             self.keep(host, connection);
         } else {
@@ -530,28 +645,51 @@
     let left = left.as_millis().max(1);
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_str(&call.address.to_string()).ok()?);
-    headers.insert(HeaderName::from_static("x-trace-id"), HeaderValue::from_str(&call.name).ok()?);
+    headers.insert(
+        HeaderName::from_static("x-trace-id"),
+        HeaderValue::from_str(&call.name).ok()?,
+    );
     if let Some(key) = &call.key {
-        headers.insert(HeaderName::from_static("idempotency-key"), HeaderValue::from_str(key).ok()?);
-    }
-    headers
-        .insert(HeaderName::from_static("x-expires-in-ms"), HeaderValue::from_str(&left.to_string()).ok()?);
+        headers.insert(
+            HeaderName::from_static("idempotency-key"),
+            HeaderValue::from_str(key).ok()?,
+        );
+    }
+    headers.insert(
+        HeaderName::from_static("x-expires-in-ms"),
+        HeaderValue::from_str(&left.to_string()).ok()?,
+    );
     headers.insert(CONTENT_LENGTH, HeaderValue::from(call.body.len()));
-    let lines: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    let lines: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
     let size = (REQUEST_LINE.len() + lines + 2 + call.body.len()) as u64;
-    let mut request = Request::post("/hook").body(Full::new(call.body.clone())).ok()?;
+    let mut request = Request::post("/hook")
+        .body(Full::new(call.body.clone()))
+        .ok()?;
     *request.headers_mut() = headers;
     Some((request, size))
 }
 
 /// What an answer says: PROTOCOL's table. Whatever it doesn't list may have run.
 fn read(answer: &Response<Incoming>) -> (Outcome, bool, Option<String>) {
-    let header = |name: &str| answer.headers().get(name).and_then(|value| value.to_str().ok());
+    let header = |name: &str| {
+        answer
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
     let report = header("endpoint-load-metrics").map(|text| text.chars().take(256).collect());
     let (outcome, over) = match answer.status().as_u16() {
         200 => (Outcome::Ok, true),
         429 => match header("x-backoff-ms").and_then(|text| text.trim().parse::<u64>().ok()) {
-            Some(wait) => (Outcome::Full { wait: wait.min(86_400_000) * 1000 }, false),
+            Some(wait) => (
+                Outcome::Full {
+                    wait: wait.min(86_400_000) * 1000,
+                },
+                false,
+            ),
             None => (Outcome::Error, false),
         },
         503 if header("x-egress-full").map(str::trim) == Some("1") => (Outcome::Moot, false),
@@ -574,16 +712,38 @@
     use tokio::time::timeout;
 
     fn call(address: SocketAddr, key: Option<&str>, body: &[u8]) -> Call {
-        let (name, key, body) =
-            ("9b1f03aa5c7e2d41".into(), key.map(String::from), Bytes::copy_from_slice(body));
+        let (name, key, body) = (
+            "9b1f03aa5c7e2d41".into(),
+            key.map(String::from),
+            Bytes::copy_from_slice(body),
+        );
         let (route, timeout) = ((1, None), Duration::from_secs(30));
-        Call { id: 1, attempt: 0, host: 1, route, address, name, key, body, timeout, begin_by: None }
+        Call {
+            id: 1,
+            attempt: 0,
+            host: 1,
+            route,
+            address,
+            name,
+            key,
+            body,
+            timeout,
+            begin_by: None,
+        }
     }
 
     /// The connections of a relay that may call host 1.
     fn hosts(most_idle: usize) -> Hosts<Real> {
         let drain_grace = Duration::from_secs(2);
-        let mut members = Members::new(&Terms { pushed: true, siblings: 1, drain_grace, seed: 1 }, None);
+        let mut members = Members::new(
+            &Terms {
+                pushed: true,
+                siblings: 1,
+                drain_grace,
+                seed: 1,
+            },
+            None,
+        );
         members.list(1, true);
         members.confirmed();
         let (members, span) = (Rc::new(RefCell::new(members)), Duration::from_secs(5));
@@ -591,7 +751,10 @@
     }
 
     fn local(test: impl std::future::Future<Output = ()>) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
         tokio::task::LocalSet::new().block_on(&runtime, test);
     }
 
@@ -599,7 +762,11 @@
     #[test]
     fn a_requests_size_is_what_is_written() {
         local(async {
-            for (key, body) in [(None, &b""[..]), (Some("5c0f6e1a"), b"body"), (None, &[7; 65536])] {
+            for (key, body) in [
+                (None, &b""[..]),
+                (Some("5c0f6e1a"), b"body"),
+                (None, &[7; 65536]),
+            ] {
                 let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
                 let address = listener.local_addr().expect("bound");
                 let call = call(address, key, body);
@@ -612,14 +779,19 @@
                     let mut text = vec![0; size as usize];
                     stream.read_exact(&mut text).await.expect("all of it");
                     // Not a byte more is written before the answer.
-                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("written");
+                    stream
+                        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                        .await
+                        .expect("written");
                     assert!(text.ends_with(body));
                     let mut more = [0];
                     let more = timeout(Duration::from_millis(100), stream.read(&mut more)).await;
                     assert!(more.is_err(), "{more:?}");
                 };
                 tokio::join!(hosts.call(call, cancelled, inputs), peer);
-                let Some(Input::Ended(end)) = ends.recv().await else { panic!("no outcome") };
+                let Some(Input::Ended(end)) = ends.recv().await else {
+                    panic!("no outcome")
+                };
                 assert_eq!(end.outcome, Outcome::Ok);
             }
         });
@@ -635,8 +807,19 @@
             let (inputs, mut ends) = mpsc::channel(1);
             let (_cancel, cancelled) = oneshot::channel();
             let late = Instant::now().checked_sub(Duration::from_millis(1));
-            hosts.call(Call { begin_by: late, ..call(address, Some("k"), b"x") }, cancelled, inputs).await;
-            let Some(Input::Ended(end)) = ends.recv().await else { panic!("no outcome") };
+            hosts
+                .call(
+                    Call {
+                        begin_by: late,
+                        ..call(address, Some("k"), b"x")
+                    },
+                    cancelled,
+                    inputs,
+                )
+                .await;
+            let Some(Input::Ended(end)) = ends.recv().await else {
+                panic!("no outcome")
+            };
             assert_eq!(end.outcome, Outcome::Moot, "it is known not to have run");
             let (mut stream, _) = listener.accept().await.expect("accepted");
             let read = timeout(Duration::from_millis(50), stream.read(&mut [0])).await;
@@ -662,8 +845,12 @@
                 let (_cancel, cancelled) = oneshot::channel();
                 // What `driver` does at a drain, but for the connections that it closes.
                 hosts.members.borrow_mut().list(1, false);
-                hosts.call(call(address, Some("k"), b"x"), cancelled, inputs).await;
-                let Some(Input::Ended(end)) = ends.recv().await else { panic!("no outcome") };
+                hosts
+                    .call(call(address, Some("k"), b"x"), cancelled, inputs)
+                    .await;
+                let Some(Input::Ended(end)) = ends.recv().await else {
+                    panic!("no outcome")
+                };
                 assert_eq!((end.outcome, end.fresh), (Outcome::NotBegun, !kept));
                 let (mut stream, _) = listener.accept().await.expect("accepted");
                 let read = timeout(Duration::from_millis(50), stream.read(&mut [0])).await;
@@ -678,7 +865,11 @@
         local(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
             // More than the sockets' buffers take, so that the end cannot have been written.
-            let call = call(listener.local_addr().expect("bound"), None, &vec![7; 32 << 20]);
+            let call = call(
+                listener.local_addr().expect("bound"),
+                None,
+                &vec![7; 32 << 20],
+            );
             let hosts = hosts(1);
             let (inputs, mut ends) = mpsc::channel(1);
             let (_cancel, cancelled) = oneshot::channel();
@@ -687,7 +878,9 @@
                 stream.read_exact(&mut [0; 1000]).await.expect("some of it");
             };
             tokio::join!(hosts.call(call, cancelled, inputs), peer);
-            let Some(Input::Ended(end)) = ends.recv().await else { panic!("no outcome") };
+            let Some(Input::Ended(end)) = ends.recv().await else {
+                panic!("no outcome")
+            };
             assert_eq!(end.outcome, Outcome::ConnectFailed);
         });
     }
@@ -706,19 +899,27 @@
                 let (inputs, mut ends) = mpsc::channel(4);
                 let size = {
                     let call = call(address, None, b"x");
-                    request(&call, Duration::from_secs(30)).expect("a request").1 as usize
+                    request(&call, Duration::from_secs(30))
+                        .expect("a request")
+                        .1 as usize
                 };
                 let (_cancel, cancelled) = oneshot::channel();
                 let first = async {
                     let (mut stream, _) = listener.accept().await.expect("accepted");
                     stream.read_exact(&mut vec![0; size]).await.expect("a call");
-                    let text = if timing == 0 { [GOOD, GOOD].concat() } else { GOOD.to_vec() };
+                    let text = if timing == 0 {
+                        [GOOD, GOOD].concat()
+                    } else {
+                        GOOD.to_vec()
+                    };
                     stream.write_all(&text).await.expect("written");
                     stream
                 };
                 let one = hosts.call(call(address, None, b"x"), cancelled, inputs.clone());
                 let ((), stream) = tokio::join!(one, first);
-                let Some(Input::Ended(end)) = ends.recv().await else { panic!("no outcome") };
+                let Some(Input::Ended(end)) = ends.recv().await else {
+                    panic!("no outcome")
+                };
                 assert_eq!(end.outcome, Outcome::Ok);
                 if timing > 0 {
                     SockRef::from(&stream).send(GOOD).expect("written");
@@ -736,7 +937,9 @@
                 timeout(Duration::from_secs(60), async { tokio::join!(two, second) })
                     .await
                     .expect("a new one");
-                let Some(Input::Ended(end)) = ends.recv().await else { panic!("no outcome") };
+                let Some(Input::Ended(end)) = ends.recv().await else {
+                    panic!("no outcome")
+                };
                 assert_eq!(end.outcome, Outcome::Full { wait: 0 }, "{timing}");
             });
         }
@@ -752,7 +955,13 @@
         for cut in [1, 3, 1000] {
             assert_eq!(found("HTTP/1.1 200 OK\r\nX: \u{1}", cut), Some(200));
             assert_eq!(found("HTTP/1.1 200\r\n", cut), Some(200));
-            assert_eq!(found("HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 500 Bad\r\n", cut), Some(500));
+            assert_eq!(
+                found(
+                    "HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 500 Bad\r\n",
+                    cut
+                ),
+                Some(500)
+            );
             assert_eq!(found("HTTP/1.1 200 OK", cut), None);
             assert_eq!(found("HTTP/1.1 2000 OK\r\n", cut), Some(0));
             assert_eq!(found("noise 200\r\nHTTP/1.1 200 OK\r\n", cut), Some(0));
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -132,7 +132,15 @@
 impl Owed {
     fn new(taken: Taken, again: Option<Again>, terms: Option<Terms>, size: u64) -> Self {
         let attempts = again.and_then(|again| again.past).into_iter().collect();
-        Owed { taken, attempts, verdict: None, again, told: BTreeMap::new(), terms, size }
+        Owed {
+            taken,
+            attempts,
+            verdict: None,
+            again,
+            told: BTreeMap::new(),
+            terms,
+            size,
+        }
     }
 }
 
@@ -189,7 +197,11 @@
         journal.length = (text.len() - rest.len()) as u64;
         if !rest.is_empty() {
             // The process ended within a write; nothing was promised on the strength of that record.
-            log!(journal.system, "journal: dropped a torn tail of {} bytes", rest.len());
+            log!(
+                journal.system,
+                "journal: dropped a torn tail of {} bytes",
+                rest.len()
+            );
             journal.file.set_len(journal.length)?;
         }
         journal.file.seek(SeekFrom::Start(journal.length))?;
@@ -204,7 +216,10 @@
 
     /// Bytes of the file, and the most that it may have before and after it is written anew.
     pub fn length(&self) -> (usize, usize) {
-        (self.length as usize, (self.limit * (FILE_PART + OWED_PART)) as usize)
+        (
+            self.length as usize,
+            (self.limit * (FILE_PART + OWED_PART)) as usize,
+        )
     }
 
     /// Whether room is set aside for the ends of messages; without it the disk was full when that was last tried,
@@ -233,12 +248,19 @@
     }
 
     /// What classes mean from here on; those that are not named are in force no more.
-    pub fn declare<'a>(&mut self, classes: impl Iterator<Item = (&'a String, &'a Class)>) -> io::Result<()> {
+    pub fn declare<'a>(
+        &mut self,
+        classes: impl Iterator<Item = (&'a String, &'a Class)>,
+    ) -> io::Result<()> {
         let mut written = Ok(());
         let classes: BTreeMap<&String, &Class> = classes.collect();
         self.terms.retain(|name, _| classes.contains_key(name));
         for (name, class) in classes {
-            if self.terms.get(name).is_none_or(|known| *known.class != *class) {
+            if self
+                .terms
+                .get(name)
+                .is_none_or(|known| *known.class != *class)
+            {
                 written = written.and(self.write(Record::Class(name.clone(), class.clone())));
             }
         }
@@ -249,7 +271,10 @@
     pub fn taken(&mut self, id: MessageId, taken: Taken) -> io::Result<()> {
         let room = self.limit * OWED_PART - self.owed_size as f64;
         if taken.room() as f64 > room {
-            return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal's part of the disk is full"));
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "the journal's part of the disk is full",
+            ));
         }
         self.write(Record::Taken(id, taken))
     }
@@ -258,17 +283,31 @@
     pub fn taken_again(&mut self, id: MessageId, taken: Taken, again: Again) -> io::Result<()> {
         let room = self.limit * OWED_PART - self.owed_size as f64;
         if taken.room() as f64 > room {
-            return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal's part of the disk is full"));
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "the journal's part of the disk is full",
+            ));
         }
         self.write(Record::TakenAgain(id, taken, again))
     }
 
     /// The host of an attempt, and how it ended.
-    pub fn told(&mut self, id: MessageId, attempt: u8, host: &str, outcome: Outcome) -> io::Result<()> {
+    pub fn told(
+        &mut self,
+        id: MessageId,
+        attempt: u8,
+        host: &str,
+        outcome: Outcome,
+    ) -> io::Result<()> {
         if !self.owed.contains_key(&id) {
             return Ok(());
         }
-        self.write(Record::Told(id, attempt, host.chars().take(64).collect(), outcome))
+        self.write(Record::Told(
+            id,
+            attempt,
+            host.chars().take(64).collect(),
+            outcome,
+        ))
     }
 
     /// An attempt is about to go out.
@@ -279,7 +318,10 @@
     /// An attempt came back, and the message was not delivered. What the journal says of it already takes no
     /// room: on a full disk that is for ends.
     pub fn outcome(&mut self, id: MessageId, attempt: u8, may_have_run: bool) -> io::Result<()> {
-        let known = self.owed.get(&id).and_then(|owed| owed.attempts.get(usize::from(attempt)));
+        let known = self
+            .owed
+            .get(&id)
+            .and_then(|owed| owed.attempts.get(usize::from(attempt)));
         if known.is_none_or(|known| known.may_have_run == may_have_run) {
             return Ok(());
         }
@@ -288,7 +330,11 @@
 
     /// Not a byte of an attempt was written: it does not count, and the next one has its number.
     pub fn not_begun(&mut self, id: MessageId, attempt: u8) -> io::Result<()> {
-        if self.owed.get(&id).is_none_or(|owed| owed.attempts.len() != usize::from(attempt) + 1) {
+        if self
+            .owed
+            .get(&id)
+            .is_none_or(|owed| owed.attempts.len() != usize::from(attempt) + 1)
+        {
             return Ok(());
         }
         self.write(Record::NotBegun(id, attempt))
@@ -323,15 +369,24 @@
         }
         let ends = matches!(record, Record::Verdict(..) | Record::Over(..));
         // Nothing new begins while there is no room for the ends of what has begun.
-        let begins = matches!(record, Record::Taken(..) | Record::TakenAgain(..) | Record::Out(..));
+        let begins = matches!(
+            record,
+            Record::Taken(..) | Record::TakenAgain(..) | Record::Out(..)
+        );
         if begins && !self.regain_spare() {
-            written = Err(io::Error::new(io::ErrorKind::StorageFull, "no room for the ends of messages"));
+            written = Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "no room for the ends of messages",
+            ));
         }
         let written = written.and_then(|()| self.append(&text, ends));
         match record {
             Record::Taken(..) | Record::TakenAgain(..) | Record::Told(..) if written.is_err() => {}
             Record::Out(id, number, attempt) if written.is_err() => {
-                let unsent = Attempt { may_have_run: false, ..attempt };
+                let unsent = Attempt {
+                    may_have_run: false,
+                    ..attempt
+                };
                 self.book(Record::Out(id, number, unsent), 0);
             }
             record => self.book(record, text.len() as u64),
@@ -354,7 +409,8 @@
             // What follows half a record could never be read again.
             self.torn = true;
             let system = self.system.clone();
-            self.cut().unwrap_or_else(|e| log!(system, "journal: cannot cut off half a record: {e}"));
+            self.cut()
+                .unwrap_or_else(|e| log!(system, "journal: cannot cut off half a record: {e}"));
         }
         written
     }
@@ -375,7 +431,11 @@
     /// Frees what was set aside; false if that is gone already.
     fn give_up_spare(&mut self) -> bool {
         let spare = std::mem::take(&mut self.spare);
-        spare && self.system.remove(&self.path.with_extension("spare")).is_ok()
+        spare
+            && self
+                .system
+                .remove(&self.path.with_extension("spare"))
+                .is_ok()
     }
 
     fn cut(&mut self) -> io::Result<()> {
@@ -397,28 +457,44 @@
                 self.next = self.next.max(id + 1);
                 self.owed_size += size;
                 let terms = self.terms.get(&taken.class).cloned();
-                self.owed.insert(id, Owed::new(taken, Some(again), terms, size));
+                self.owed
+                    .insert(id, Owed::new(taken, Some(again), terms, size));
             }
             Record::Told(id, attempt, host, outcome) => {
-                self.change(id, size, |owed| drop(owed.told.insert(attempt, (host, outcome))));
+                self.change(id, size, |owed| {
+                    drop(owed.told.insert(attempt, (host, outcome)))
+                });
             }
             Record::Out(id, number, attempt) => self.change(id, size, |owed| {
-                let unsent = Attempt { may_have_run: false, ..attempt };
+                let unsent = Attempt {
+                    may_have_run: false,
+                    ..attempt
+                };
                 owed.attempts.resize(usize::from(number), unsent);
                 owed.attempts.push(attempt);
             }),
             Record::Outcome(id, attempt, may_have_run) => self.change(id, 0, |owed| {
                 let attempt = owed.attempts.get_mut(usize::from(attempt));
-                attempt.into_iter().for_each(|attempt| attempt.may_have_run = may_have_run);
+                attempt
+                    .into_iter()
+                    .for_each(|attempt| attempt.may_have_run = may_have_run);
             }),
             Record::NotBegun(id, attempt) => self.change(id, 0, |owed| {
                 owed.attempts.truncate(usize::from(attempt));
                 owed.told.remove(&attempt);
             }),
-            Record::Verdict(id, verdict) => self.change(id, size, |owed| owed.verdict = Some(verdict)),
+            Record::Verdict(id, verdict) => {
+                self.change(id, size, |owed| owed.verdict = Some(verdict))
+            }
             Record::Class(name, class) => {
                 self.versions += 1;
-                self.terms.insert(name, Terms { version: self.versions, class: Rc::new(class) });
+                self.terms.insert(
+                    name,
+                    Terms {
+                        version: self.versions,
+                        class: Rc::new(class),
+                    },
+                );
             }
             Record::Over(id) => self.owed_size -= self.owed.remove(&id).map_or(0, |owed| owed.size),
         }
@@ -443,12 +519,18 @@
         all.sort_by_key(|(id, owed)| (version(owed), **id));
         let mut told = None;
         for (id, owed) in all {
-            if let Some(terms) = owed.terms.as_ref().filter(|terms| told != Some(terms.version)) {
+            if let Some(terms) = owed
+                .terms
+                .as_ref()
+                .filter(|terms| told != Some(terms.version))
+            {
                 told = Some(terms.version);
                 let class = Class::clone(&terms.class);
                 text.extend(encode(&Record::Class(owed.taken.class.clone(), class))?);
             }
-            let past = owed.again.map_or(0, |again| usize::from(again.past.is_some()));
+            let past = owed
+                .again
+                .map_or(0, |again| usize::from(again.past.is_some()));
             text.extend(encode(&match owed.again {
                 Some(again) => Record::TakenAgain(*id, owed.taken.clone(), again),
                 None => Record::Taken(*id, owed.taken.clone()),
@@ -457,20 +539,32 @@
                 text.extend(encode(&Record::Out(*id, number as u8, *attempt))?);
             }
             for (attempt, (host, outcome)) in &owed.told {
-                text.extend(encode(&Record::Told(*id, *attempt, host.clone(), *outcome))?);
+                text.extend(encode(&Record::Told(
+                    *id,
+                    *attempt,
+                    host.clone(),
+                    *outcome,
+                ))?);
             }
             if let Some(verdict) = owed.verdict {
                 text.extend(encode(&Record::Verdict(*id, verdict))?);
             }
         }
         for (name, terms) in &self.terms {
-            text.extend(encode(&Record::Class(name.clone(), Class::clone(&terms.class)))?);
+            text.extend(encode(&Record::Class(
+                name.clone(),
+                Class::clone(&terms.class),
+            ))?);
         }
         if text.len() as u64 >= self.length {
-            return Err(io::Error::new(io::ErrorKind::StorageFull, "all that the journal holds is owed"));
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "all that the journal holds is owed",
+            ));
         }
         let mut file = self.system.create(&path)?;
-        file.write_all(&text).inspect_err(|_| drop(self.system.remove(&path)))?;
+        file.write_all(&text)
+            .inspect_err(|_| drop(self.system.remove(&path)))?;
         self.system.rename(&path, &self.path)?;
         (self.file, self.length, self.torn) = (file, text.len() as u64, false);
         Ok(())
@@ -494,13 +588,27 @@
 /// The first record of a text and its size; none if it is torn or spoilt. An error if it is whole and says nothing that
 /// this program knows: a newer one wrote it, and cutting it off would lose what it owes.
 pub fn decode<T: DeserializeOwned>(text: &[u8]) -> io::Result<Option<(T, usize)>> {
-    let Some((length, sum)) = text.get(..HEAD).map(|head| head.split_at(4)) else { return Ok(None) };
-    let number = |bytes: &[u8]| bytes.iter().rev().fold(0u32, |sum, byte| sum << 8 | u32::from(*byte));
+    let Some((length, sum)) = text.get(..HEAD).map(|head| head.split_at(4)) else {
+        return Ok(None);
+    };
+    let number = |bytes: &[u8]| {
+        bytes
+            .iter()
+            .rev()
+            .fold(0u32, |sum, byte| sum << 8 | u32::from(*byte))
+    };
     let (length, sum) = (number(length) as usize, number(sum));
-    let body = text.get(HEAD..HEAD + length.min(LONGEST)).filter(|_| (1..=LONGEST).contains(&length));
-    let Some(body) = body.filter(|body| crc32fast::hash(body) == sum) else { return Ok(None) };
+    let body = text
+        .get(HEAD..HEAD + length.min(LONGEST))
+        .filter(|_| (1..=LONGEST).contains(&length));
+    let Some(body) = body.filter(|body| crc32fast::hash(body) == sum) else {
+        return Ok(None);
+    };
     match postcard::from_bytes(body) {
         Ok(value) => Ok(Some((value, HEAD + length))),
-        Err(_) => Err(io::Error::new(io::ErrorKind::InvalidData, "a newer version of the program wrote it")),
+        Err(_) => Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "a newer version of the program wrote it",
+        )),
     }
 }
--- a/crates/relay/src/levels.rs
+++ b/crates/relay/src/levels.rs
@@ -22,7 +22,11 @@
         ("idle", driver.hosts.idle(), driver.hosts.most_idle()),
         ("classes", driver.classes.len(), classes::MOST),
         // Keys at rest are let go of when there are more of them than that.
-        ("turns", driver.relay.heritage().turns.len(), 3 * settings.most_held),
+        (
+            "turns",
+            driver.relay.heritage().turns.len(),
+            3 * settings.most_held,
+        ),
         ("journal", length, longest),
     ]
 }
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -67,13 +67,24 @@
     let control = Control::new(&system, &config.classes, config.control.is_some());
     // The door stands before all else, so that it says no until clients may come.
     if let Some(at) = config.control {
-        let door =
-            system.listen(at).await.map_err(|e| format!("cannot listen for operators on {at}: {e}"))?;
+        let door = system
+            .listen(at)
+            .await
+            .map_err(|e| format!("cannot listen for operators on {at}: {e}"))?;
         system.spawn(control::listen::<S>(door, control.clone()));
     }
     let (inputs, incoming) = mpsc::channel(INPUTS);
     let clock = Clock::new(system.clone());
-    let mut process = Process { system, operator, clock, control, signals, inputs, incoming, inherited };
+    let mut process = Process {
+        system,
+        operator,
+        clock,
+        control,
+        signals,
+        inputs,
+        incoming,
+        inherited,
+    };
     let folder = Folder::new(&process.system, &config.state);
     // Guards an upgrade that is called off: told to stop while it waits, this process takes nothing over, and the other one
     // serves on.
@@ -83,7 +94,9 @@
         office = folder.acquire(inherited.is_some()) => office?,
     };
     loop {
-        let Some((arm, clients)) = process.serve(office).await? else { return Ok(()) };
+        let Some((arm, clients)) = process.serve(office).await? else {
+            return Ok(());
+        };
         match process.finish(arm, &clients).await {
             Some(back) => office = back,
             None => return Ok(()),
@@ -98,18 +111,32 @@
 
 /// The descriptor of the listening socket that the platform holds, if it does.
 fn inherited(system: &impl System) -> Result<Option<i32>, String> {
-    let Some(text) = system.variable("BALANCER_SOCKET_FD") else { return Ok(None) };
-    let descriptor = text.parse().map_err(|_| format!("{text:?} is no descriptor of a socket"))?;
-    system.inherited(descriptor).map_err(|e| format!("cannot listen on descriptor {descriptor}: {e}"))?;
+    let Some(text) = system.variable("BALANCER_SOCKET_FD") else {
+        return Ok(None);
+    };
+    let descriptor = text
+        .parse()
+        .map_err(|_| format!("{text:?} is no descriptor of a socket"))?;
+    system
+        .inherited(descriptor)
+        .map_err(|e| format!("cannot listen on descriptor {descriptor}: {e}"))?;
     Ok(Some(descriptor))
 }
 
 impl<S: System> Process<S> {
     /// Starts all that a relay has, on what the folder holds.
     async fn open(
-        &self, mut office: Office<S>,
+        &self,
+        mut office: Office<S>,
     ) -> Result<(Driver<S>, watch::Receiver<std::net::SocketAddr>, usize), String> {
-        let Process { system, operator, clock, control, inputs, .. } = self;
+        let Process {
+            system,
+            operator,
+            clock,
+            control,
+            inputs,
+            ..
+        } = self;
         let config = Config::load(system)?;
         let wanted = Operator::load(system, operator.as_deref())?;
         let left = office.inheritance().await;
@@ -117,21 +144,42 @@
         let disk = (config.limits.disk_mb * 1e6) as u64;
         let journal = Journal::open(system.clone(), &config.state, disk)
             .map_err(|e| format!("cannot use the journal in {folder}: {e}"))?;
-        let config =
-            Config { settings: Settings { most_bytes: journal.capacity(), ..config.settings }, ..config };
+        let config = Config {
+            settings: Settings {
+                most_bytes: journal.capacity(),
+                ..config.settings
+            },
+            ..config
+        };
         // Half of the sockets are for clients; of the rest, the calls out come before what is idle.
-        let admin = wanted.admin.as_ref().map_or(0, |admin| admin.connections + ADMIN_SOCKETS);
+        let admin = wanted
+            .admin
+            .as_ref()
+            .map_or(0, |admin| admin.connections + ADMIN_SOCKETS);
         let door = config.control.map_or(0, |_| control::SOCKETS);
         // In an upgrade the other process has its door and its last calls beside this one's.
-        let beside = self.inherited.map_or(0, |_| door + OTHER_SOCKETS + config.settings.slots);
-        let sockets = config.limits.sockets.saturating_sub(OTHER_SOCKETS + admin + door + beside);
+        let beside = self
+            .inherited
+            .map_or(0, |_| door + OTHER_SOCKETS + config.settings.slots);
+        let sockets = config
+            .limits
+            .sockets
+            .saturating_sub(OTHER_SOCKETS + admin + door + beside);
         let most_clients = sockets / 2;
         if config.settings.slots + 1 > sockets - most_clients {
-            return Err(format!("{} sockets do not do for {} slots", sockets, config.settings.slots));
+            return Err(format!(
+                "{} sockets do not do for {} slots",
+                sockets, config.settings.slots
+            ));
         }
         let most_idle = sockets - most_clients - config.settings.slots;
         let (discovery, at) = watch::channel(config.discovery);
-        let Config { tenants, classes, settings, .. } = &config;
+        let Config {
+            tenants,
+            classes,
+            settings,
+            ..
+        } = &config;
         let tenants = Tenants::open(system, wanted.tenants.as_ref(), tenants, classes, settings)?;
         let (sharing, terms) = tenants.sharing(settings);
         let terms_of_discovery = Terms {
@@ -173,19 +221,32 @@
             office,
             control: control.clone(),
             trace: Trace::new(system.clone(), wanted.log_calls),
-            desk: wanted.undeliverable.map(|set| Desk::new(system.clone(), set, inputs.clone())),
+            desk: wanted
+                .undeliverable
+                .map(|set| Desk::new(system.clone(), set, inputs.clone())),
             config,
             system: system.clone(),
         };
-        driver.trace.start(driver.clock.now(), &driver.config.settings);
+        driver
+            .trace
+            .start(driver.clock.now(), &driver.config.settings);
         driver.restore(left)?;
         Ok((driver, at, most_clients))
     }
 
     /// Serves until the process ends, which gives nothing, or another one has everything but the calls that are out.
-    async fn serve(&mut self, office: Office<S>) -> Result<Option<(Arm<S>, Rc<Clients<S>>)>, String> {
+    async fn serve(
+        &mut self,
+        office: Office<S>,
+    ) -> Result<Option<(Arm<S>, Rc<Clients<S>>)>, String> {
         let (mut driver, at, most_clients) = self.open(office).await?;
-        let Process { system, clock, control, inputs, .. } = self;
+        let Process {
+            system,
+            clock,
+            control,
+            inputs,
+            ..
+        } = self;
         let members = driver.members.clone();
         let version = driver.directory.version();
         let (hosts, timers) = (driver.hosts.clone(), system.clone());
@@ -197,8 +258,19 @@
         };
         let notices = driver.notices.clone();
         let mut tasks = vec![
-            system.spawn(discovery::follow(system.clone(), at.clone(), version, members, inputs.clone())),
-            system.spawn(discovery::notify(system.clone(), at, notices, inputs.clone())),
+            system.spawn(discovery::follow(
+                system.clone(),
+                at.clone(),
+                version,
+                members,
+                inputs.clone(),
+            )),
+            system.spawn(discovery::notify(
+                system.clone(),
+                at,
+                notices,
+                inputs.clone(),
+            )),
             system.spawn(sweep),
         ];
         // Clients come last: the first answer to a PING says that all else is in place.
@@ -208,13 +280,21 @@
             None => system.listen(listen).await,
         };
         let listener = listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-        let clients =
-            Clients::new(system.clone(), control.clone(), most_clients, driver.tenants.wants_login());
+        let clients = Clients::new(
+            system.clone(),
+            control.clone(),
+            most_clients,
+            driver.tenants.wants_login(),
+        );
         if let Some(admin) = Operator::load(system, self.operator.as_deref())?.admin {
             let tokens = driver.tokens.subscribe();
             tasks.push(madderpitch_admin::start(system, &admin, tokens, inputs.clone()).await?);
         }
-        control.tell(if control.state() == State::HandingOver { Told::TakenBack } else { Told::Started });
+        control.tell(if control.state() == State::HandingOver {
+            Told::TakenBack
+        } else {
+            Told::Started
+        });
         system.spawn(clients::listen(
             listener,
             clients.clone(),
@@ -239,7 +319,10 @@
             let (held, out) = (driver.hand.len(), state.out.len());
             match driver.office.give(state, driver.disk) {
                 Ok(mut arm) => {
-                    log!(self.system, "upgrade: handed over {held} messages; {out} calls are out here");
+                    log!(
+                        self.system,
+                        "upgrade: handed over {held} messages; {out} calls are out here"
+                    );
                     tasks.iter().for_each(Task::abort);
                     driver.hosts.retire();
                     self.control.ledger().handed_over();
@@ -250,12 +333,22 @@
                     return Ok(Some((arm, clients)));
                 }
                 Err(error) => {
-                    log!(self.system, "upgrade: cannot hand over, and serves on: {error}");
+                    log!(
+                        self.system,
+                        "upgrade: cannot hand over, and serves on: {error}"
+                    );
                     if self.control.tell(Told::TakenBack) {
                         let listener = self.system.inherited(self.inherited.unwrap_or(-1));
-                        let listener = listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+                        let listener =
+                            listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
                         let (clock, inputs) = (self.clock.clone(), self.inputs.clone());
-                        self.system.spawn(clients::listen(listener, clients.clone(), clock, inputs, true));
+                        self.system.spawn(clients::listen(
+                            listener,
+                            clients.clone(),
+                            clock,
+                            inputs,
+                            true,
+                        ));
                     }
                 }
             }
@@ -276,14 +369,23 @@
 
     /// Does what is due, or waits for something to happen; false once the process ends.
     async fn turn(&mut self, driver: &mut Driver<S>, clients: &Clients<S>) -> Result<bool, String> {
-        let Process { system, control, signals, incoming, .. } = self;
+        let Process {
+            system,
+            control,
+            signals,
+            incoming,
+            ..
+        } = self;
         let now = system.now();
         let mut wake = driver.next_round();
         if wake <= now {
             driver.round()?;
             return Ok(true);
         }
-        if driver.tenants.tend(&mut driver.events, driver.journal.has_spare()) {
+        if driver
+            .tenants
+            .tend(&mut driver.events, driver.journal.has_spare())
+        {
             wake = wake.min(now + Duration::from_millis(1));
         }
         if let Some(due) = driver.desk.as_ref().map(Desk::due) {
@@ -310,7 +412,10 @@
         let doubted = driver.members.borrow().waits_until();
         if let Some(until) = doubted {
             if until <= now {
-                log!(*system, "discovery: silent since the start; calls go by the remembered list");
+                log!(
+                    *system,
+                    "discovery: silent since the start; calls go by the remembered list"
+                );
                 driver.believe();
                 return Ok(true);
             }
@@ -344,7 +449,13 @@
 
     /// Brings the calls of a process that has handed over to their end. Gives the folder where it came back.
     async fn finish(&mut self, mut arm: Arm<S>, clients: &Clients<S>) -> Option<Office<S>> {
-        let Process { system, control, signals, incoming, .. } = self;
+        let Process {
+            system,
+            control,
+            signals,
+            incoming,
+            ..
+        } = self;
         loop {
             let stopping = control.state() == State::Stopping;
             if arm.is_idle() && clients.count() == 0 && (stopping || arm.is_replaced())
@@ -356,7 +467,10 @@
             if !stopping {
                 match arm.take_back() {
                     Ok(office) => {
-                        log!(*system, "upgrade: the process that took over is gone; this one serves again");
+                        log!(
+                            *system,
+                            "upgrade: the process that took over is gone; this one serves again"
+                        );
                         return Some(office);
                     }
                     Err(still) => arm = still,
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -17,7 +17,9 @@
 }
 
 fn run(operator: Option<PathBuf>) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, madderpitch_relay::run(Real, operator))
 }
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -42,36 +42,81 @@
     fn of(memory: &Memory) -> Self {
         let mut names: Vec<String> = Vec::new();
         let mut index = |name: &String| {
-            names.iter().position(|known| known == name).unwrap_or_else(|| {
-                names.push(name.clone());
-                names.len() - 1
-            })
+            names
+                .iter()
+                .position(|known| known == name)
+                .unwrap_or_else(|| {
+                    names.push(name.clone());
+                    names.len() - 1
+                })
         };
         let row = |line: &HostLine| {
             let drains = u8::from(line.health != Listing::Ready);
-            let HostLine { host, dial, site, class, block, share, .. } = line;
-            (host.clone(), *dial, index(site), index(class), *block, drains, *share)
+            let HostLine {
+                host,
+                dial,
+                site,
+                class,
+                block,
+                share,
+                ..
+            } = line;
+            (
+                host.clone(),
+                *dial,
+                index(site),
+                index(class),
+                *block,
+                drains,
+                *share,
+            )
         };
         let hosts = memory.list.hosts.iter().map(row).collect();
-        Kept { seq: memory.list.seq, names, hosts, outages: memory.outages.clone() }
+        Kept {
+            seq: memory.list.seq,
+            names,
+            hosts,
+            outages: memory.outages.clone(),
+        }
     }
 
     /// None where an index names nothing.
     fn whole(self) -> Option<Memory> {
         let name = |at: usize| self.names.get(at).cloned();
         let line = |(host, dial, site, class, block, drains, share): Row| {
-            let health = if drains == 0 { Listing::Ready } else { Listing::Draining };
-            Some(HostLine { host, dial, site: name(site)?, class: name(class)?, block, health, share })
+            let health = if drains == 0 {
+                Listing::Ready
+            } else {
+                Listing::Draining
+            };
+            Some(HostLine {
+                host,
+                dial,
+                site: name(site)?,
+                class: name(class)?,
+                block,
+                health,
+                share,
+            })
         };
         let hosts = self.hosts.into_iter().map(line).collect::<Option<_>>()?;
-        Some(Memory { list: HostList { seq: self.seq, whole: true, hosts }, outages: self.outages })
+        Some(Memory {
+            list: HostList {
+                seq: self.seq,
+                whole: true,
+                hosts,
+            },
+            outages: self.outages,
+        })
     }
 }
 
 impl Memory {
     /// What the folder holds; nothing if that can't be read.
     pub fn load(system: &impl System, folder: &Path) -> Self {
-        let Ok(text) = system.read(&folder.join("memory")) else { return Memory::default() };
+        let Ok(text) = system.read(&folder.join("memory")) else {
+            return Memory::default();
+        };
         Memory::read(&text).unwrap_or_else(|| {
             log!(*system, "memory: dropped, it cannot be read");
             Memory::default()
@@ -99,7 +144,10 @@
     pub fn save(&self, system: &impl System, folder: &Path, limit: u64) -> io::Result<()> {
         let text = self.text()?;
         if text.len() as f64 > limit as f64 * PART {
-            return Err(io::Error::new(io::ErrorKind::StorageFull, "the list of hosts is too long to keep"));
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "the list of hosts is too long to keep",
+            ));
         }
         let path = folder.join("memory");
         let fresh: PathBuf = path.with_extension("new");
@@ -112,7 +160,10 @@
 
 /// Keeps that discovery was heard just now.
 pub fn hear(system: &impl System, folder: &Path) -> io::Result<()> {
-    system.write(&folder.join("heard"), system.unix_time().as_millis().to_string().as_bytes())
+    system.write(
+        &folder.join("heard"),
+        system.unix_time().as_millis().to_string().as_bytes(),
+    )
 }
 
 /// How long ago discovery was last heard, as far as the folder tells. What was cut off reads as long ago, what lies ahead as not known.
@@ -137,19 +188,34 @@
             site: format!("leith-dc-{}", at % 4),
             class: ["major-partner", "partner"][usize::from(at % 2)].into(),
             block: at / 3,
-            health: if at.is_multiple_of(5) { Listing::Draining } else { Listing::Ready },
+            health: if at.is_multiple_of(5) {
+                Listing::Draining
+            } else {
+                Listing::Ready
+            },
             share: 1234.5,
         };
-        let list = HostList { seq: 7, whole: true, hosts: (0..hosts).map(line).collect() };
+        let list = HostList {
+            seq: 7,
+            whole: true,
+            hosts: (0..hosts).map(line).collect(),
+        };
         let outage = |at| (at, 1_796_168_056_871_000, Some(1_796_168_056_991_000));
-        Memory { list, outages: (0..hosts / 3).map(outage).collect() }
+        Memory {
+            list,
+            outages: (0..hosts / 3).map(outage).collect(),
+        }
     }
 
     #[test]
     fn what_is_kept_is_read_again_also_what_a_version_before_kept() {
         let memory = memory(30);
-        assert_eq!(Memory::read(memory.text().expect("text").as_bytes()), Some(memory.clone()));
-        let before = serde_json::json!({"list": memory.list, "outages": memory.outages}).to_string();
+        assert_eq!(
+            Memory::read(memory.text().expect("text").as_bytes()),
+            Some(memory.clone())
+        );
+        let before =
+            serde_json::json!({"list": memory.list, "outages": memory.outages}).to_string();
         assert_eq!(Memory::read(before.as_bytes()), Some(memory));
     }
 
--- a/crates/relay/src/operator.rs
+++ b/crates/relay/src/operator.rs
@@ -78,13 +78,17 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        let within = |name: &str, value: u64, (least, most): (u64, u64)| match (least..=most).contains(&value)
+        let within = |name: &str, value: u64, (least, most): (u64, u64)| match (least..=most)
+            .contains(&value)
         {
             true => Ok(()),
             false => Err(format!("tenants.{name} is not from {least} to {most}")),
         };
         if !Path::new(&self.folder).is_absolute() {
-            return Err(format!("tenants.folder: {:?} is no absolute path", self.folder));
+            return Err(format!(
+                "tenants.folder: {:?} is no absolute path",
+                self.folder
+            ));
         }
         within("store_mb", self.store_mb, STORE_MB)?;
         within("audit_mb", self.audit_mb, AUDIT_MB)?;
@@ -96,11 +100,20 @@
 impl Operator {
     /// Reads the file and checks all of it; the error is one plain line.
     pub fn load(system: &impl System, path: Option<&Path>) -> Result<Self, String> {
-        let Some(path) = path else { return Ok(Operator::default()) };
+        let Some(path) = path else {
+            return Ok(Operator::default());
+        };
         let shown = path.display();
-        let text = system.read(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
+        let text = system
+            .read(path)
+            .map_err(|e| format!("cannot read {shown}: {e}"))?;
         let text = std::str::from_utf8(&text).map_err(|_| format!("{shown} is no text"))?;
-        let bad = |e: String| format!("{shown} is no usable operator file: {}", e.trim().replace('\n', " "));
+        let bad = |e: String| {
+            format!(
+                "{shown} is no usable operator file: {}",
+                e.trim().replace('\n', " ")
+            )
+        };
         let operator: Operator = toml::from_str(text).map_err(|e| bad(e.to_string()))?;
         operator.check().map_err(bad)?;
         Ok(operator)
@@ -113,12 +126,15 @@
 
     fn check(&self) -> Result<(), String> {
         self.tenants.as_ref().map_or(Ok(()), Tenants::check)?;
-        self.undeliverable.as_ref().map_or(Ok(()), crate::undeliverable::Settings::check)?;
+        self.undeliverable
+            .as_ref()
+            .map_or(Ok(()), crate::undeliverable::Settings::check)?;
         if let Some(admin) = &self.admin {
             admin.check()?;
             if self.tenants.is_none() && self.undeliverable.is_none() {
                 return Err(
-                    "admin needs tenants or undeliverable: there is nothing else to administrate".into()
+                    "admin needs tenants or undeliverable: there is nothing else to administrate"
+                        .into(),
                 );
             }
         }
@@ -132,9 +148,15 @@
     }
     match Operator::load(system, path) {
         Ok(new) => {
-            log!(*system, "operator file: read again; all but tokens counts from the next start on");
+            log!(
+                *system,
+                "operator file: read again; all but tokens counts from the next start on"
+            );
             tokens.send_replace(new.tokens());
         }
-        Err(error) => log!(*system, "operator file: the old one stays in force: {error}"),
+        Err(error) => log!(
+            *system,
+            "operator file: the old one stays in force: {error}"
+        ),
     }
 }
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/ownership.rs
@@ -62,7 +62,15 @@
 impl State {
     /// The state of a process that hands over.
     pub fn new(drained: bool, out: Vec<(MessageId, u8, HostId)>, heritage: Heritage) -> Self {
-        State { form: FORM, drained, out, numbers: Vec::new(), over: Vec::new(), heritage, used: Vec::new() }
+        State {
+            form: FORM,
+            drained,
+            out,
+            numbers: Vec::new(),
+            over: Vec::new(),
+            heritage,
+            used: Vec::new(),
+        }
     }
 }
 
@@ -76,7 +84,10 @@
 impl<S: System> Folder<S> {
     /// A folder that lasts.
     pub fn new(system: &S, path: &Path) -> Self {
-        Folder { system: system.clone(), path: path.into() }
+        Folder {
+            system: system.clone(),
+            path: path.into(),
+        }
     }
 
     fn lock(&self, name: &str) -> io::Result<Option<S::Lock>> {
@@ -100,7 +111,8 @@
     /// Becomes the owner: at once, or of another process that hands over. Only one that `inherits` the listening
     /// socket may run beside another. The error is one plain line.
     pub async fn acquire(self, inherits: bool) -> Result<Office<S>, String> {
-        let unusable = |e: io::Error| format!("cannot lock the folder {}: {e}", self.path.display());
+        let unusable =
+            |e: io::Error| format!("cannot lock the folder {}: {e}", self.path.display());
         let until = self.system.now() + FREED;
         loop {
             if let Some(owner) = self.lock(OWNER).map_err(unusable)? {
@@ -110,7 +122,10 @@
                 break;
             }
             if self.system.now() >= until {
-                return Err(format!("another process uses the folder {}", self.path.display()));
+                return Err(format!(
+                    "another process uses the folder {}",
+                    self.path.display()
+                ));
             }
             self.system.sleep(CLOSE_LOOK).await;
         }
@@ -124,7 +139,10 @@
             }
             self.system.sleep(CLOSE_LOOK).await;
         };
-        log!(self.system, "upgrade: another process serves; it is asked to hand over");
+        log!(
+            self.system,
+            "upgrade: another process serves; it is asked to hand over"
+        );
         loop {
             // Asked until it is heard: the owner removes what it takes for a request left over.
             if !self.has(ASK) {
@@ -184,7 +202,10 @@
         let state = text.ok().and_then(|text| {
             let (state, size) = decode::<State>(&text).ok().flatten()?;
             let used = decode(&text[size..]).ok().flatten().map(|(used, _)| used);
-            Some(State { used: used.unwrap_or_default(), ..state })
+            Some(State {
+                used: used.unwrap_or_default(),
+                ..state
+            })
         });
         let Some(state) = state.filter(|state| state.form == FORM) else {
             while self.arm.is_none() && !self.folder.is_free(ARM) {
@@ -193,7 +214,11 @@
             self.settle();
             return None;
         };
-        self.out = state.out.iter().map(|(id, attempt, host)| (*id, (*attempt, *host))).collect();
+        self.out = state
+            .out
+            .iter()
+            .map(|(id, attempt, host)| (*id, (*attempt, *host)))
+            .collect();
         (self.due, self.left) = (Some(system.now()), true);
         Some(state)
     }
@@ -235,11 +260,19 @@
         self.due = Some(system.now() + CLOSE_LOOK);
         // Asked before its ends are read: what it wrote last is then there.
         let gone = self.arm.is_none() && self.folder.is_free(ARM);
-        let text = system.read(&self.folder.path.join(ENDS)).unwrap_or_default();
+        let text = system
+            .read(&self.folder.path.join(ENDS))
+            .unwrap_or_default();
         let mut ends = Vec::new();
-        while let Ok(Some((end, size))) = decode::<CallEnd>(text.get(self.read..).unwrap_or_default()) {
+        while let Ok(Some((end, size))) =
+            decode::<CallEnd>(text.get(self.read..).unwrap_or_default())
+        {
             self.read += size;
-            if self.out.get(&end.id).is_some_and(|(attempt, _)| *attempt == end.attempt) {
+            if self
+                .out
+                .get(&end.id)
+                .is_some_and(|(attempt, _)| *attempt == end.attempt)
+            {
                 self.out.remove(&end.id);
                 ends.push(end);
             }
@@ -262,7 +295,11 @@
 
     /// A call of this process has ended; it may be one from before it took the folder back.
     pub fn heard(&mut self, end: &CallEnd) {
-        if self.out.get(&end.id).is_some_and(|(attempt, _)| *attempt == end.attempt) {
+        if self
+            .out
+            .get(&end.id)
+            .is_some_and(|(attempt, _)| *attempt == end.attempt)
+        {
             self.out.remove(&end.id);
         }
     }
@@ -288,7 +325,12 @@
     pub fn give(&mut self, mut state: State, limit: u64) -> io::Result<Arm<S>> {
         self.due = Some(self.folder.system.now() + AGAIN);
         let (system, path) = (&self.folder.system, &self.folder.path);
-        let busy = || io::Error::new(io::ErrorKind::WouldBlock, "a process that handed over is still there");
+        let busy = || {
+            io::Error::new(
+                io::ErrorKind::WouldBlock,
+                "a process that handed over is still there",
+            )
+        };
         let lock = self.folder.lock(ARM)?.ok_or_else(busy)?;
         let most = ((limit as f64 * STATE_PART) as usize).min(LONGEST);
         let mut text = encode(&state)?;
@@ -298,7 +340,10 @@
             text = encode(&state)?;
         }
         if text.len() > most {
-            return Err(io::Error::new(io::ErrorKind::StorageFull, "there is too much to hand over"));
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "there is too much to hand over",
+            ));
         }
         // Of rates that were used as many as there is room for: the others start anew.
         let mut used = &state.used[..];
@@ -310,11 +355,25 @@
         }
         let ends = system.create(&path.join(ENDS))?;
         let fresh = path.join(STATE).with_extension("new");
-        let written = system.write(&fresh, &text).and_then(|()| system.rename(&fresh, &path.join(STATE)));
+        let written = system
+            .write(&fresh, &text)
+            .and_then(|()| system.rename(&fresh, &path.join(STATE)));
         written.inspect_err(|_| drop(system.remove(&fresh)))?;
-        let out = state.out.iter().map(|(id, attempt, _)| (*id, *attempt)).collect();
+        let out = state
+            .out
+            .iter()
+            .map(|(id, attempt, _)| (*id, *attempt))
+            .collect();
         let (folder, look) = (self.folder.clone(), system.now() + LOOK);
-        Ok(Arm { folder, owner: self.owner.take(), _lock: lock, ends, out, calls: Calls::new(), look })
+        Ok(Arm {
+            folder,
+            owner: self.owner.take(),
+            _lock: lock,
+            ends,
+            out,
+            calls: Calls::new(),
+            look,
+        })
     }
 }
 
@@ -375,8 +434,12 @@
             return Err(self);
         }
         self.look = now + LOOK;
-        let Ok(Some(next)) = self.folder.lock(NEXT) else { return Err(self) };
-        let Ok(Some(owner)) = self.folder.lock(OWNER) else { return Err(self) };
+        let Ok(Some(next)) = self.folder.lock(NEXT) else {
+            return Err(self);
+        };
+        let Ok(Some(owner)) = self.folder.lock(OWNER) else {
+            return Err(self);
+        };
         self.folder.remove(ASK);
         drop(next);
         let mut office = Office::new(self.folder.clone(), owner, None, true);
--- a/crates/relay/src/stored_format_tests.rs
+++ b/crates/relay/src/stored_format_tests.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use madderpitch_exchange::{CallEnd, HostLine, HostList, Verdict};
 use madderpitch_policy::interface::{
-    Action, Class, Decay, Effect, Ended, Event, HostEntry, Kind, Listing, Message, Outcome, ReportField,
-    Rules, Settings, WeightSource,
+    Action, Class, Decay, Effect, Ended, Event, HostEntry, Kind, Listing, Message, Outcome,
+    ReportField, Rules, Settings, WeightSource,
 };
 use madderpitch_policy::Relay;
 use madderpitch_seam::Real;
@@ -21,7 +21,9 @@
 const DISK_LIMIT: u64 = 3_000_000;
 
 fn golden(name: &str) -> Vec<u8> {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden").join(name);
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/golden")
+        .join(name);
     fs::read(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
 }
 
@@ -60,7 +62,11 @@
 }
 
 fn attempt(number: u8, may_have_run: bool) -> Attempt {
-    Attempt { sent: 1_796_168_000_000_000 + u64::from(number), zone: number, may_have_run }
+    Attempt {
+        sent: 1_796_168_000_000_000 + u64::from(number),
+        zone: number,
+        may_have_run,
+    }
 }
 
 /// Every kind of record.
@@ -68,17 +74,27 @@
     use madderpitch_undeliverable::Outcome as Kept;
     let mut journal = Journal::open(Real, directory, DISK_LIMIT).expect("opens");
     let classes = [
-        ("event".to_string(), class(Effect::Keyed { window: 6_000_000, zone_only: true })),
+        (
+            "event".to_string(),
+            class(Effect::Keyed {
+                window: 6_000_000,
+                zone_only: true,
+            }),
+        ),
         ("payout".to_string(), class(Effect::Unsafe)),
         ("update".to_string(), class(Effect::Safe)),
     ];
-    journal.declare(classes.iter().map(|(name, class)| (name, class))).expect("written");
+    journal
+        .declare(classes.iter().map(|(name, class)| (name, class)))
+        .expect("written");
     for number in 1..=6 {
         assert_eq!(journal.number(), number);
     }
     journal.taken(1, taken("m1", "event")).expect("written");
     journal.out(1, 0, attempt(0, true)).expect("written");
-    journal.told(1, 0, "s-0001", Kept::Refused).expect("written");
+    journal
+        .told(1, 0, "s-0001", Kept::Refused)
+        .expect("written");
     journal.outcome(1, 0, false).expect("written");
     journal.out(1, 1, attempt(1, true)).expect("written");
     journal.taken(2, taken("m2", "payout")).expect("written");
@@ -90,18 +106,33 @@
     journal.taken(4, taken("m4", "payout")).expect("written");
     journal.out(4, 0, attempt(2, true)).expect("written");
     journal.verdict(4, Verdict::Undeliverable).expect("written");
-    let again = Again { record: 12, number: 3, past: Some(attempt(9, true)) };
-    journal.taken_again(5, taken("m5", "event"), again).expect("written");
+    let again = Again {
+        record: 12,
+        number: 3,
+        past: Some(attempt(9, true)),
+    };
+    journal
+        .taken_again(5, taken("m5", "event"), again)
+        .expect("written");
     journal.out(5, 1, attempt(3, true)).expect("written");
-    let again = Again { record: 13, number: 1, past: None };
-    journal.taken_again(6, taken("m6", "update"), again).expect("written");
+    let again = Again {
+        record: 13,
+        number: 1,
+        past: None,
+    };
+    journal
+        .taken_again(6, taken("m6", "update"), again)
+        .expect("written");
 }
 
 #[test]
 fn journal_is_written_as_before() {
     let directory = directory("journal-written");
     write_journal(&directory);
-    assert_eq!(fs::read(directory.join("journal")).expect("written"), golden("journal"));
+    assert_eq!(
+        fs::read(directory.join("journal")).expect("written"),
+        golden("journal")
+    );
     fs::remove_dir_all(directory).expect("removed");
 }
 
@@ -115,7 +146,10 @@
     let journal = Journal::open(Real, &directory, DISK_LIMIT).expect("opens");
     assert_eq!(journal.length().0, length, "the torn tail is cut off");
     let text = format!("{:#?}\n", summary(&journal));
-    assert_eq!(text, String::from_utf8(golden("journal.txt")).expect("text"));
+    assert_eq!(
+        text,
+        String::from_utf8(golden("journal.txt")).expect("text")
+    );
     fs::remove_dir_all(directory).expect("removed");
 }
 
@@ -124,11 +158,25 @@
     let attempt = |one: &Attempt| format!("{}/{}/{}", one.sent, one.zone, one.may_have_run);
     let mut lines = Vec::new();
     for (id, owed) in journal.all() {
-        let Taken { name, key, order, class, tenant, destination, due, again, body } = &owed.taken;
+        let Taken {
+            name,
+            key,
+            order,
+            class,
+            tenant,
+            destination,
+            due,
+            again,
+            body,
+        } = &owed.taken;
         lines.push(format!(
             "{id} {name} {key:?} {order:?} {class} {tenant} {destination} {due} {again} {body:?}"
         ));
-        lines.extend(owed.attempts.iter().map(|one| format!("{id} attempt {}", attempt(one))));
+        lines.extend(
+            owed.attempts
+                .iter()
+                .map(|one| format!("{id} attempt {}", attempt(one))),
+        );
         for (number, (host, outcome)) in &owed.told {
             let outcome = serde_json::to_string(outcome).expect("a word");
             lines.push(format!("{id} outcome {number} {host} {outcome}"));
@@ -137,11 +185,27 @@
             Verdict::Undeliverable => format!("{id} end undeliverable"),
             Verdict::Deferred(after) => format!("{id} end deferred {after}"),
         }));
-        if let Some(Again { record, number, past }) = &owed.again {
-            lines.push(format!("{id} resend {record} {number} {:?}", past.as_ref().map(attempt)));
+        if let Some(Again {
+            record,
+            number,
+            past,
+        }) = &owed.again
+        {
+            lines.push(format!(
+                "{id} resend {record} {number} {:?}",
+                past.as_ref().map(attempt)
+            ));
         }
         if let Some(terms) = &owed.terms {
-            let Class { aim, aim_stretch, give_up, effect, worth, late_worth, in_order } = &*terms.class;
+            let Class {
+                aim,
+                aim_stretch,
+                give_up,
+                effect,
+                worth,
+                late_worth,
+                in_order,
+            } = &*terms.class;
             let effect = match effect {
                 Effect::Safe => "safe".to_string(),
                 Effect::Unsafe => "unsafe".to_string(),
@@ -162,29 +226,61 @@
         site: format!("leith-dc-{}", at % 2),
         class: ["major-partner", "partner"][usize::from(at % 2)].into(),
         block: at / 3,
-        health: if at == 4 { Listing::Draining } else { Listing::Ready },
+        health: if at == 4 {
+            Listing::Draining
+        } else {
+            Listing::Ready
+        },
         share: 1234.5,
     };
-    let list = HostList { seq: 7, whole: true, hosts: (0..6).map(line).collect() };
-    Memory { list, outages: vec![(1, 1_796_168_056_871_000, Some(1_796_168_056_991_000)), (2, 17, None)] }
+    let list = HostList {
+        seq: 7,
+        whole: true,
+        hosts: (0..6).map(line).collect(),
+    };
+    Memory {
+        list,
+        outages: vec![
+            (1, 1_796_168_056_871_000, Some(1_796_168_056_991_000)),
+            (2, 17, None),
+        ],
+    }
 }
 
 #[test]
 fn memory_is_written_and_read_as_before() {
     let directory = directory("memory");
-    memory().save(&Real, &directory, DISK_LIMIT).expect("written");
-    assert_eq!(fs::read(directory.join("memory")).expect("written"), golden("memory"));
+    memory()
+        .save(&Real, &directory, DISK_LIMIT)
+        .expect("written");
+    assert_eq!(
+        fs::read(directory.join("memory")).expect("written"),
+        golden("memory")
+    );
     fs::write(directory.join("memory"), golden("memory")).expect("written");
     assert_eq!(Memory::load(&Real, &directory), memory());
     fs::write(directory.join("memory"), golden("memory-without-checksum")).expect("written");
-    assert_eq!(Memory::load(&Real, &directory), memory(), "of a version that kept no checksum");
+    assert_eq!(
+        Memory::load(&Real, &directory),
+        memory(),
+        "of a version that kept no checksum"
+    );
     fs::remove_dir_all(directory).expect("removed");
 }
 
 fn settings() -> Settings {
     Settings {
         classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
-        kinds: vec![Kind { apart: true, per_call: 1 }, Kind { apart: false, per_call: 1 }],
+        kinds: vec![
+            Kind {
+                apart: true,
+                per_call: 1,
+            },
+            Kind {
+                apart: false,
+                per_call: 1,
+            },
+        ],
         tenants: Vec::new(),
         over_share_worth: 0.1,
         decay: Decay::Linear,
@@ -227,7 +323,11 @@
     };
     let mut now = 1_000_000;
     let mut actions = Vec::new();
-    let list = Event::Hosts { whole: true, cached: false, entries: (0..8).map(entry).collect() };
+    let list = Event::Hosts {
+        whole: true,
+        cached: false,
+        entries: (0..8).map(entry).collect(),
+    };
     relay.handle(now, [list], &mut actions);
     for id in 1..=40u64 {
         now += 100_000;
@@ -295,7 +395,11 @@
             &vec!["acme\nm9".to_string(), "acme\nm8".to_string()],
         )
     );
-    assert_eq!(encode(&read).expect("encodes"), text, "the module's part, too, is read whole");
+    assert_eq!(
+        encode(&read).expect("encodes"),
+        text,
+        "the module's part, too, is read whole"
+    );
 }
 
 fn call_ends() -> Vec<CallEnd> {
@@ -328,7 +432,10 @@
 #[test]
 fn ends_of_calls_in_a_hand_over_are_written_and_read_as_before() {
     let text = golden("upgrade.ends");
-    let written: Vec<u8> = call_ends().iter().flat_map(|end| encode(end).expect("encodes")).collect();
+    let written: Vec<u8> = call_ends()
+        .iter()
+        .flat_map(|end| encode(end).expect("encodes"))
+        .collect();
     assert_eq!(written, text);
     let mut rest = &text[..];
     let mut read = Vec::new();
--- a/crates/relay/src/tenants/audit.rs
+++ b/crates/relay/src/tenants/audit.rs
@@ -36,7 +36,10 @@
 impl<S: System> Audit<S> {
     /// Opens the log, and adds the changes that it lacks: those that were kept just before a process ended.
     pub fn open(
-        system: &S, folder: &Path, most: (u64, u32), changes: &BTreeMap<u64, Record>,
+        system: &S,
+        folder: &Path,
+        most: (u64, u32),
+        changes: &BTreeMap<u64, Record>,
     ) -> Result<Self, String> {
         let path = folder.join(FILE);
         let bad = |e: io::Error| format!("cannot use {}: {e}", path.display());
@@ -47,7 +50,10 @@
         let mut text = Vec::new();
         file.read_to_end(&mut text).map_err(bad)?;
         // The process may have ended within a line.
-        let whole = text.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
+        let whole = text
+            .iter()
+            .rposition(|byte| *byte == b'\n')
+            .map_or(0, |at| at + 1);
         let mut at_hand: VecDeque<Entry> = text[..whole]
             .split(|byte| *byte == b'\n')
             .filter_map(|line| serde_json::from_slice(line).ok())
@@ -66,7 +72,9 @@
             at_hand,
             logged: false,
         };
-        changes.range(told + 1..).for_each(|(_, record)| audit.tell(record));
+        changes
+            .range(told + 1..)
+            .for_each(|(_, record)| audit.tell(record));
         Ok(audit)
     }
 
@@ -97,7 +105,10 @@
             let (seq, line) = (entry.seq, entry.line());
             if let Err(error) = self.write(&line) {
                 if !self.logged {
-                    log!(self.system, "audit: cannot write, changes are refused once too many wait: {error}");
+                    log!(
+                        self.system,
+                        "audit: cannot write, changes are refused once too many wait: {error}"
+                    );
                 }
                 self.logged = true;
                 return;
@@ -133,14 +144,26 @@
 
     /// Begins a new file; the oldest one goes.
     fn turn(&mut self) -> io::Result<()> {
-        let absent = |e: io::Error| if e.kind() == io::ErrorKind::NotFound { Ok(()) } else { Err(e) };
+        let absent = |e: io::Error| {
+            if e.kind() == io::ErrorKind::NotFound {
+                Ok(())
+            } else {
+                Err(e)
+            }
+        };
         if let Err(error) = self.system.remove(&self.older(self.most.1)) {
             absent(error)?;
         } else {
-            log!(self.system, "audit: the oldest of {} files is gone", self.most.1 + 1);
+            log!(
+                self.system,
+                "audit: the oldest of {} files is gone",
+                self.most.1 + 1
+            );
         }
         for number in (0..self.most.1).rev() {
-            self.system.rename(&self.older(number), &self.older(number + 1)).or_else(absent)?;
+            self.system
+                .rename(&self.older(number), &self.older(number + 1))
+                .or_else(absent)?;
         }
         self.file = self.system.open(&self.older(0))?;
         self.file.set_len(0)?;
@@ -151,6 +174,9 @@
     /// The newest entries at hand before one, newest first.
     pub fn newest(&self, before: Option<u64>) -> impl Iterator<Item = &Entry> {
         let before = before.unwrap_or(u64::MAX);
-        self.at_hand.iter().rev().filter(move |entry| entry.seq < before)
+        self.at_hand
+            .iter()
+            .rev()
+            .filter(move |entry| entry.seq < before)
     }
 }
--- a/crates/relay/src/tenants/mod.rs
+++ b/crates/relay/src/tenants/mod.rs
@@ -58,7 +58,10 @@
 impl<S: System> Tenants<S> {
     /// The tenants of the settings, or with the operator's word those of a registry.
     pub fn open(
-        system: &S, operator: Option<&operator::Tenants>, names: &[String], classes: &[String],
+        system: &S,
+        operator: Option<&operator::Tenants>,
+        names: &[String],
+        classes: &[String],
         settings: &Settings,
     ) -> Result<Self, String> {
         match operator {
@@ -93,10 +96,16 @@
     /// What tenants have used of their rates, for a process that takes over: by the journal's name for them, those
     /// that are furthest from having it made good first.
     pub fn used(&self, now: Micros, sharing: &dyn Sharing) -> Vec<(String, Micros)> {
-        let Tenants::Hosted(hosted) = self else { return Vec::new() };
+        let Tenants::Hosted(hosted) = self else {
+            return Vec::new();
+        };
         let until = |entry: &Entry| (entry.tenant.reference(), sharing.used_until(entry.number));
-        let mut used: Vec<_> =
-            hosted.registry.entries().map(until).filter(|(_, until)| *until > now).collect();
+        let mut used: Vec<_> = hosted
+            .registry
+            .entries()
+            .map(until)
+            .filter(|(_, until)| *until > now)
+            .collect();
         used.sort_by_key(|(_, until)| Reverse(*until));
         used
     }
@@ -112,11 +121,15 @@
 
     /// Whether a client may speak for a tenant, as whom it has named itself.
     pub fn speaks(&mut self, name: &str, login: Option<&Login>) -> Result<(), Reply> {
-        let Tenants::Hosted(hosted) = self else { return Ok(()) };
+        let Tenants::Hosted(hosted) = self else {
+            return Ok(());
+        };
         if !hosted.auth {
             return Ok(());
         }
-        let login = login.filter(|login| hosted.registry.knows(login)).ok_or(Reply::NoAuth)?;
+        let login = login
+            .filter(|login| hosted.registry.knows(login))
+            .ok_or(Reply::NoAuth)?;
         if login.tenant == name {
             return Ok(());
         }
@@ -126,7 +139,10 @@
 
     /// The number of the tenant that a message is to be taken on for, and the journal's name for it.
     pub fn admit(
-        &mut self, name: &str, class: &str, destination: DestinationId,
+        &mut self,
+        name: &str,
+        class: &str,
+        destination: DestinationId,
     ) -> Result<(TenantId, String), Reply> {
         let error = |why: &str| Reply::Error(why.into());
         let needs_one = !matches!(self, Tenants::Fixed(names) if names.is_empty());
@@ -136,10 +152,15 @@
         match self {
             Tenants::Fixed(names) => {
                 let number = index_of(names, name).or(names.is_empty().then_some(0));
-                number.map(|number| (number, name.into())).ok_or_else(|| error("unknown tenant"))
+                number
+                    .map(|number| (number, name.into()))
+                    .ok_or_else(|| error("unknown tenant"))
             }
             Tenants::Hosted(hosted) => {
-                let entry = hosted.registry.admits(name, class, destination).map_err(error)?;
+                let entry = hosted
+                    .registry
+                    .admits(name, class, destination)
+                    .map_err(error)?;
                 entry.owed += 1;
                 Ok((entry.number, entry.tenant.reference()))
             }
@@ -150,7 +171,9 @@
     pub fn restored(&mut self, reference: &str) -> Option<TenantId> {
         match self {
             // One that the settings name no more has no share to keep, and is owed its end all the same.
-            Tenants::Fixed(names) => index_of(names, reference).or_else(|| names.len().try_into().ok()),
+            Tenants::Fixed(names) => {
+                index_of(names, reference).or_else(|| names.len().try_into().ok())
+            }
             Tenants::Hosted(hosted) => {
                 let entry = hosted.registry.recall(reference)?;
                 entry.owed += 1;
@@ -176,17 +199,23 @@
 
     /// A message was taken on.
     pub fn taken(&mut self, reference: &str) {
-        self.entry(reference).into_iter().for_each(|entry| entry.counts.taken += 1);
+        self.entry(reference)
+            .into_iter()
+            .for_each(|entry| entry.counts.taken += 1);
     }
 
     /// A message was delivered.
     pub fn delivered(&mut self, reference: &str) {
-        self.entry(reference).into_iter().for_each(|entry| entry.counts.delivered += 1);
+        self.entry(reference)
+            .into_iter()
+            .for_each(|entry| entry.counts.delivered += 1);
     }
 
     /// A message was given up.
     pub fn ended(&mut self, reference: &str, verdict: Verdict) {
-        let Some(entry) = self.entry(reference) else { return };
+        let Some(entry) = self.entry(reference) else {
+            return;
+        };
         match verdict {
             Verdict::Undeliverable => entry.counts.failed += 1,
             Verdict::Deferred(_) => entry.counts.refused += 1,
@@ -196,7 +225,9 @@
     /// Whether a tenant is removed, or about to be.
     pub fn removed(&mut self, reference: &str) -> bool {
         match self {
-            Tenants::Fixed(names) => !names.is_empty() && !names.iter().any(|name| name == reference),
+            Tenants::Fixed(names) => {
+                !names.is_empty() && !names.iter().any(|name| name == reference)
+            }
             Tenants::Hosted(hosted) => {
                 let entry = hosted.registry.recall(reference);
                 entry.is_none_or(|entry| entry.tenant.state == State::Draining)
@@ -208,9 +239,10 @@
     pub fn stands(&mut self, reference: &str) -> bool {
         match self {
             Tenants::Fixed(names) => names.is_empty() || names.iter().any(|name| name == reference),
-            Tenants::Hosted(hosted) => {
-                hosted.registry.recall(reference).is_some_and(|entry| entry.tenant.state == State::Active)
-            }
+            Tenants::Hosted(hosted) => hosted
+                .registry
+                .recall(reference)
+                .is_some_and(|entry| entry.tenant.state == State::Active),
         }
     }
 
@@ -237,13 +269,17 @@
     /// Answers a front; what the module is to be told of it goes to `events`. Nothing is changed while there is
     /// no `room` on the disk but for the ends of messages.
     pub fn answer(
-        &mut self, ask: Ask, load: impl Fn(TenantId) -> Load, events: &mut Vec<Event>, room: bool,
+        &mut self,
+        ask: Ask,
+        load: impl Fn(TenantId) -> Load,
+        events: &mut Vec<Event>,
+        room: bool,
     ) -> Told {
         match self {
             Tenants::Fixed(_) => Told::NotKept("the tenants are those of the settings".into()),
-            Tenants::Hosted(_) if !room && matches!(ask, Ask::Change(_)) => {
-                Told::NotKept("the disk is full, what room there is is for the ends of messages".into())
-            }
+            Tenants::Hosted(_) if !room && matches!(ask, Ask::Change(_)) => Told::NotKept(
+                "the disk is full, what room there is is for the ends of messages".into(),
+            ),
             Tenants::Hosted(hosted) => hosted.answer(ask, load, events),
         }
     }
@@ -260,35 +296,61 @@
 impl<S: System> Hosted<S> {
     /// Opens the registry. A new one begins with the tenants of the settings, if the operator says so.
     fn open(
-        system: &S, operator: &operator::Tenants, known: Vec<(String, f64)>, classes: &[String],
+        system: &S,
+        operator: &operator::Tenants,
+        known: Vec<(String, f64)>,
+        classes: &[String],
     ) -> Result<Self, String> {
         let folder = Path::new(&operator.folder);
-        let Opened { mut store, mut registry, changes, fresh } =
-            Store::open(system, folder, operator.store_bytes(), classes)?;
+        let Opened {
+            mut store,
+            mut registry,
+            changes,
+            fresh,
+        } = Store::open(system, folder, operator.store_bytes(), classes)?;
         let audit = Audit::open(system, folder, operator.audit(), &changes)?;
         // Guards against an end that both files have lost, which they can't tell: the audit log was told of it.
         let lost = registry.follow(audit.told());
         if lost > 0 {
-            log!(*system, "tenants: the last {lost} changes are lost, the audit log has them");
+            log!(
+                *system,
+                "tenants: the last {lost} changes are lost, the audit log has them"
+            );
             store.lost += lost;
         }
         let (system, since_ms) = (system.clone(), unix_ms(system));
-        let mut hosted =
-            Hosted { system, registry, store, audit, auth: operator.auth, since_ms, retry_ms: 0 };
+        let mut hosted = Hosted {
+            system,
+            registry,
+            store,
+            audit,
+            auth: operator.auth,
+            since_ms,
+            retry_ms: 0,
+        };
         if fresh && operator.import {
             for (name, share) in known {
-                let weight =
-                    (share * WHOLE).clamp(1.0, f64::from(madderpitch_tenancy::spec::MOST_WEIGHT)) as u32;
+                let weight = (share * WHOLE)
+                    .clamp(1.0, f64::from(madderpitch_tenancy::spec::MOST_WEIGHT))
+                    as u32;
                 let command = Command {
-                    actor: Actor { name: "configuration".into(), role: "relay".into() },
+                    actor: Actor {
+                        name: "configuration".into(),
+                        role: "relay".into(),
+                    },
                     request: String::new(),
                     key: None,
                     name: name.clone(),
                     expect: Expect::Any,
-                    change: Change::Create(Spec { weight, ..Spec::default() }),
+                    change: Change::Create(Spec {
+                        weight,
+                        ..Spec::default()
+                    }),
                 };
                 if let Told::Refused(why) = hosted.change(command, &mut Vec::new()) {
-                    return Err(format!("the tenant {name:?} of the settings can't be hosted: {why}"));
+                    return Err(format!(
+                        "the tenant {name:?} of the settings can't be hosted: {why}"
+                    ));
                 }
             }
         }
@@ -298,17 +360,31 @@
     fn rejected(&mut self, name: &str) {
         if let Ok(entry) = self.registry.find(name) {
             let reference = entry.tenant.reference();
-            self.registry.recall(&reference).into_iter().for_each(|entry| entry.counts.rejected += 1);
+            self.registry
+                .recall(&reference)
+                .into_iter()
+                .for_each(|entry| entry.counts.rejected += 1);
         }
     }
 
     fn shown(&self, tenant: madderpitch_tenancy::registry::Tenant) -> Box<Shown> {
-        let draining = self.registry.draining(&tenant.name).iter().map(|entry| entry.tenant.version);
-        let draining = draining.filter(|version| version.generation != tenant.version.generation).collect();
+        let draining = self
+            .registry
+            .draining(&tenant.name)
+            .iter()
+            .map(|entry| entry.tenant.version);
+        let draining = draining
+            .filter(|version| version.generation != tenant.version.generation)
+            .collect();
         Box::new(Shown { tenant, draining })
     }
 
-    fn answer(&mut self, ask: Ask, load: impl Fn(TenantId) -> Load, events: &mut Vec<Event>) -> Told {
+    fn answer(
+        &mut self,
+        ask: Ask,
+        load: impl Fn(TenantId) -> Load,
+        events: &mut Vec<Event>,
+    ) -> Told {
         match ask {
             Ask::Change(command) => self.change(*command, events),
             Ask::Find(name) => match self.registry.find(&name) {
@@ -318,8 +394,11 @@
             Ask::Page { after, most, scope } => {
                 let page = self.registry.page(after.as_deref());
                 let mut page = page.filter(|entry| scope.covers(&entry.tenant.name));
-                let tenants =
-                    page.by_ref().take(most).map(|entry| *self.shown(entry.tenant.clone())).collect();
+                let tenants = page
+                    .by_ref()
+                    .take(most)
+                    .map(|entry| *self.shown(entry.tenant.clone()))
+                    .collect();
                 Told::Page(tenants, page.next().is_some())
             }
             Ask::Usage(name) => match self.registry.find(&name) {
@@ -327,14 +406,25 @@
                     let drains = self.registry.draining(&name).iter();
                     let drains = drains.filter(|other| other.number != entry.number);
                     let all = std::iter::once(entry).chain(drains);
-                    Told::Usage(all.map(|entry| usage(entry, load(entry.number))).collect(), self.since_ms)
+                    Told::Usage(
+                        all.map(|entry| usage(entry, load(entry.number))).collect(),
+                        self.since_ms,
+                    )
                 }
                 Err(why) => Told::Refused(why),
             },
-            Ask::Audit { before, most, scope, tenant } => {
-                let entries = self.audit.newest(before).filter(|entry| scope.covers(&entry.tenant));
-                let mut entries =
-                    entries.filter(|entry| tenant.as_ref().is_none_or(|name| entry.tenant == *name));
+            Ask::Audit {
+                before,
+                most,
+                scope,
+                tenant,
+            } => {
+                let entries = self
+                    .audit
+                    .newest(before)
+                    .filter(|entry| scope.covers(&entry.tenant));
+                let mut entries = entries
+                    .filter(|entry| tenant.as_ref().is_none_or(|name| entry.tenant == *name));
                 let page = entries.by_ref().take(most).cloned().collect();
                 Told::Audit(page, entries.next().is_some())
             }
@@ -357,16 +447,22 @@
             Decision::Nothing(tenant) => Told::Unchanged(self.shown(*tenant)),
             Decision::Again(answered) => {
                 let shown = self.shown(answered.tenant);
-                Told::Made { shown, action: answered.action, again: true }
+                Told::Made {
+                    shown,
+                    action: answered.action,
+                    again: true,
+                }
             }
             Decision::Make(record) => {
                 if let Err(why) = self.make(&record, events) {
                     return Told::NotKept(why);
                 }
                 match record.to {
-                    Some(tenant) => {
-                        Told::Made { shown: self.shown(tenant), action: record.action, again: false }
-                    }
+                    Some(tenant) => Told::Made {
+                        shown: self.shown(tenant),
+                        action: record.action,
+                        again: false,
+                    },
                     None => Told::Refused(Refusal::Gone(command.name)),
                 }
             }
@@ -381,9 +477,15 @@
                 return Err("the audit log cannot be written".into());
             }
         }
-        self.store.append(record).map_err(|e| format!("the registry cannot be written: {e}"))?;
+        self.store
+            .append(record)
+            .map_err(|e| format!("the registry cannot be written: {e}"))?;
         let effects = self.registry.commit(record);
-        events.extend(effects.into_iter().map(|(number, terms)| Event::Tenant(number, terms)));
+        events.extend(
+            effects
+                .into_iter()
+                .map(|(number, terms)| Event::Tenant(number, terms)),
+        );
         self.audit.tell(record);
         Ok(())
     }
@@ -392,7 +494,10 @@
         let now = unix_ms(&self.system);
         if let Some(record) = self.registry.drained(now).filter(|_| self.retry_ms <= now) {
             if let Err(why) = self.make(&record, events) {
-                log!(self.system, "tenants: one that has drained stays for now: {why}");
+                log!(
+                    self.system,
+                    "tenants: one that has drained stays for now: {why}"
+                );
                 self.retry_ms = now + RETRY_MS;
             }
         }
--- a/crates/relay/src/tenants/store.rs
+++ b/crates/relay/src/tenants/store.rs
@@ -33,7 +33,12 @@
     /// The snapshot is being taken.
     Taking(Snapshot),
     /// It is being written to one of the files.
-    Writing { copy: usize, text: Vec<u8>, done: usize, file: Option<F> },
+    Writing {
+        copy: usize,
+        text: Vec<u8>,
+        done: usize,
+        file: Option<F>,
+    },
 }
 
 /// The registry's files.
@@ -66,23 +71,36 @@
 
 impl<S: System> Store<S> {
     /// Reads the files in a folder, and mends them. `limit` bounds each, in bytes.
-    pub fn open(system: &S, folder: &Path, limit: u64, classes: &[String]) -> Result<Opened<S>, String> {
+    pub fn open(
+        system: &S,
+        folder: &Path,
+        limit: u64,
+        classes: &[String],
+    ) -> Result<Opened<S>, String> {
         let mut copies = Vec::new();
         let mut texts = Vec::new();
         for name in FILES {
             let path = folder.join(name);
-            let (file, text) =
-                Self::read(system, &path).map_err(|e| format!("cannot use {}: {e}", path.display()))?;
+            let (file, text) = Self::read(system, &path)
+                .map_err(|e| format!("cannot use {}: {e}", path.display()))?;
             // What follows half a line would be read as a part of it.
-            let lines = text.as_ref().and_then(|text| text.iter().rposition(|byte| *byte == b'\n'));
+            let lines = text
+                .as_ref()
+                .and_then(|text| text.iter().rposition(|byte| *byte == b'\n'));
             let length = lines.map_or(0, |end| end as u64 + 1);
             let torn = text.as_ref().is_some_and(|text| length < text.len() as u64);
-            copies.push(Copy { path, file, length, torn, behind: false });
+            copies.push(Copy {
+                path,
+                file,
+                length,
+                torn,
+                behind: false,
+            });
             texts.push(text);
         }
         let fresh = texts.iter().all(Option::is_none);
-        let read =
-            record::recover(classes, texts[0].as_deref(), texts[1].as_deref()).map_err(|e| e.to_string())?;
+        let read = record::recover(classes, texts[0].as_deref(), texts[1].as_deref())
+            .map_err(|e| e.to_string())?;
         let registry = Registry::restored(classes.to_vec(), read.kept);
         let mut store = Store {
             system: system.clone(),
@@ -96,20 +114,35 @@
             lost: read.lost,
         };
         if read.lost > 0 {
-            log!(*system, "tenants: {} changes are lost, a tenant may stand as it did before one", read.lost);
+            log!(
+                *system,
+                "tenants: {} changes are lost, a tenant may stand as it did before one",
+                read.lost
+            );
         }
         store.snapshot = record::snapshot(&registry, read.lost).len() as u64;
         if fresh || read.spoilt {
             if !fresh {
-                log!(*system, "tenants: the registry's files differed or were spoilt, and are written anew");
+                log!(
+                    *system,
+                    "tenants: the registry's files differed or were spoilt, and are written anew"
+                );
             }
             // On a full disk both stay as they are: together they hold what was read.
             if let Err(error) = store.anew(&registry, &read.changes) {
-                log!(*system, "tenants: the registry's files cannot be written anew yet: {error}");
+                log!(
+                    *system,
+                    "tenants: the registry's files cannot be written anew yet: {error}"
+                );
                 store.spoilt = true;
             }
         }
-        Ok(Opened { store, registry, changes: read.changes, fresh })
+        Ok(Opened {
+            store,
+            registry,
+            changes: read.changes,
+            fresh,
+        })
     }
 
     fn read(system: &S, path: &Path) -> io::Result<(S::File, Option<Vec<u8>>)> {
@@ -134,7 +167,10 @@
         let text = record::change(record);
         if self.copies[0].length + text.len() as u64 > self.limit {
             self.failed = false;
-            return Err(io::Error::new(io::ErrorKind::StorageFull, "the registry's files are full"));
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "the registry's files are full",
+            ));
         }
         self.copies[0].append(&text)?;
         if self.copies[1].behind || self.copies[1].append(&text).is_err() {
@@ -152,13 +188,17 @@
     fn anew(&mut self, registry: &Registry, untold: &BTreeMap<u64, Record>) -> io::Result<()> {
         let mut text = record::snapshot(registry, self.lost);
         self.snapshot = text.len() as u64;
-        untold.values().for_each(|change| text.extend(record::change(change)));
+        untold
+            .values()
+            .for_each(|change| text.extend(record::change(change)));
         for copy in &mut self.copies {
             let fresh = fresh_path(&copy.path);
             let mut file = self.system.create(&fresh)?;
-            file.write_all(&text).inspect_err(|_| drop(self.system.remove(&fresh)))?;
+            file.write_all(&text)
+                .inspect_err(|_| drop(self.system.remove(&fresh)))?;
             self.system.rename(&fresh, &copy.path)?;
-            (copy.file, copy.length, copy.torn, copy.behind) = (file, text.len() as u64, false, false);
+            (copy.file, copy.length, copy.torn, copy.behind) =
+                (file, text.len() as u64, false, false);
         }
         Ok(())
     }
@@ -176,7 +216,9 @@
             self.tail.clear();
             self.rewriting = Some(Rewriting::Taking(Snapshot::begin(registry, self.lost)));
         }
-        let Some(rewriting) = self.rewriting.take() else { return };
+        let Some(rewriting) = self.rewriting.take() else {
+            return;
+        };
         match self.slice(registry, rewriting) {
             Ok(next) => self.rewriting = next,
             Err(error) => {
@@ -184,23 +226,37 @@
                     self.system,
                     "tenants: the registry's files stay as they are, not written anew: {error}"
                 );
-                self.copies.iter().for_each(|copy| drop(self.system.remove(&fresh_path(&copy.path))));
+                self.copies
+                    .iter()
+                    .for_each(|copy| drop(self.system.remove(&fresh_path(&copy.path))));
                 self.failed = true;
             }
         }
     }
 
     fn slice(
-        &mut self, registry: &Registry, rewriting: Rewriting<S::File>,
+        &mut self,
+        registry: &Registry,
+        rewriting: Rewriting<S::File>,
     ) -> io::Result<Option<Rewriting<S::File>>> {
         match rewriting {
             Rewriting::Taking(mut snapshot) => {
                 if !snapshot.take(registry, SLICE.0) {
                     return Ok(Some(Rewriting::Taking(snapshot)));
                 }
-                Ok(Some(Rewriting::Writing { copy: 0, text: snapshot.text(), done: 0, file: None }))
+                Ok(Some(Rewriting::Writing {
+                    copy: 0,
+                    text: snapshot.text(),
+                    done: 0,
+                    file: None,
+                }))
             }
-            Rewriting::Writing { copy, text, done, file } => {
+            Rewriting::Writing {
+                copy,
+                text,
+                done,
+                file,
+            } => {
                 let path = self.copies[copy].path.clone();
                 let fresh = fresh_path(&path);
                 let mut file = match file {
@@ -210,15 +266,31 @@
                 let end = (done + SLICE.1).min(text.len());
                 file.write_all(&text[done..end])?;
                 if end < text.len() {
-                    return Ok(Some(Rewriting::Writing { copy, text, done: end, file: Some(file) }));
+                    return Ok(Some(Rewriting::Writing {
+                        copy,
+                        text,
+                        done: end,
+                        file: Some(file),
+                    }));
                 }
                 // The changes since the beginning, some of which stand in the snapshot already.
                 file.write_all(&self.tail)?;
                 self.system.rename(&fresh, &path)?;
                 let length = (text.len() + self.tail.len()) as u64;
-                self.copies[copy] = Copy { path, file, length, torn: false, behind: false };
+                self.copies[copy] = Copy {
+                    path,
+                    file,
+                    length,
+                    torn: false,
+                    behind: false,
+                };
                 if copy + 1 < self.copies.len() {
-                    return Ok(Some(Rewriting::Writing { copy: copy + 1, text, done: 0, file: None }));
+                    return Ok(Some(Rewriting::Writing {
+                        copy: copy + 1,
+                        text,
+                        done: 0,
+                        file: None,
+                    }));
                 }
                 (self.snapshot, self.spoilt) = (text.len() as u64, false);
                 self.tail.clear();
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -28,14 +28,29 @@
 impl<S: System> Trace<S> {
     /// `on` as the operator file says.
     pub fn new(system: S, on: bool) -> Self {
-        Trace { system, on, destinations: BTreeMap::new(), levels_at: 0 }
+        Trace {
+            system,
+            on,
+            destinations: BTreeMap::new(),
+            levels_at: 0,
+        }
     }
 
     /// The process has started with these settings.
     pub fn start(&self, now: Micros, settings: &Settings) {
         if self.on {
-            let Settings { siblings, slots, most_held, rules, .. } = settings;
-            let discovery = if settings.discovery_by_asking { "ask" } else { "push" };
+            let Settings {
+                siblings,
+                slots,
+                most_held,
+                rules,
+                ..
+            } = settings;
+            let discovery = if settings.discovery_by_asking {
+                "ask"
+            } else {
+                "push"
+            };
             log!(
                 self.system,
                 "fleet {} start siblings={siblings} slots={slots} held={most_held} cold={} discovery={discovery}",
@@ -49,7 +64,11 @@
     pub fn call(&self, now: Micros, id: MessageId, fresh: bool) {
         if self.on && fresh {
             let destination = self.destinations.get(&id).copied().unwrap_or(u16::MAX);
-            log!(self.system, "fleet {} opened {destination} {id}", now / 1000);
+            log!(
+                self.system,
+                "fleet {} opened {destination} {id}",
+                now / 1000
+            );
         }
     }
 
@@ -117,7 +136,10 @@
 
     /// How full the tables are.
     pub fn levels(&self, now: Micros, levels: &[Level]) {
-        let text: String = levels.iter().map(|(name, has, most)| format!(" {name}={has}/{most}")).collect();
+        let text: String = levels
+            .iter()
+            .map(|(name, has, most)| format!(" {name}={has}/{most}"))
+            .collect();
         log!(self.system, "fleet {} levels{text}", now / 1000);
     }
 
@@ -137,7 +159,10 @@
             let destination = self.destinations.get(id).copied().unwrap_or(u16::MAX);
             let held = self.destinations.len();
             let standing = relay.standing(destination);
-            log!(self.system, "fleet {at} {word} {destination} {id} held={held}{to} {standing}");
+            log!(
+                self.system,
+                "fleet {at} {word} {destination} {id} held={held}{to} {standing}"
+            );
             if word != "send" {
                 self.destinations.remove(id);
             }
--- a/crates/relay/src/undeliverable/mod.rs
+++ b/crates/relay/src/undeliverable/mod.rs
@@ -150,7 +150,10 @@
     match class.effect {
         Effect::Safe => record::Effect::Safe,
         // Which zone knows a key is not kept: such a one is taken for unsafe.
-        Effect::Keyed { zone_only: true, .. } | Effect::Unsafe => record::Effect::Unsafe,
+        Effect::Keyed {
+            zone_only: true, ..
+        }
+        | Effect::Unsafe => record::Effect::Unsafe,
         Effect::Keyed { window, .. } => record::Effect::Keyed { window },
     }
 }
@@ -171,19 +174,38 @@
 
 /// A message's attempts as the store has them, without those from before a resend.
 fn story(owed: &Owed) -> Vec<Attempt> {
-    let (number, past) = owed.again.map_or((0, 0), |again| (again.number, usize::from(again.past.is_some())));
+    let (number, past) = owed.again.map_or((0, 0), |again| {
+        (again.number, usize::from(again.past.is_some()))
+    });
     let attempts = owed.attempts.iter().enumerate().skip(past);
     let attempt = |(at, attempt): (usize, &journal::Attempt)| {
-        let (host, outcome) =
-            owed.told.get(&(at as u8)).cloned().unwrap_or((String::new(), Outcome::Unknown));
-        Attempt { sent: attempt.sent, host, outcome, may_have_run: attempt.may_have_run, resend: number }
+        let (host, outcome) = owed
+            .told
+            .get(&(at as u8))
+            .cloned()
+            .unwrap_or((String::new(), Outcome::Unknown));
+        Attempt {
+            sent: attempt.sent,
+            host,
+            outcome,
+            may_have_run: attempt.may_have_run,
+            resend: number,
+        }
     };
     attempts.map(attempt).collect()
 }
 
 /// Why a message was given up, as far as what is known of it tells.
-fn reason(owed: &Owed, class: Option<&Class>, abandoned: bool, most_attempts: usize, now: Micros) -> Reason {
-    let Some(class) = class else { return Reason::NotKnown };
+fn reason(
+    owed: &Owed,
+    class: Option<&Class>,
+    abandoned: bool,
+    most_attempts: usize,
+    now: Micros,
+) -> Reason {
+    let Some(class) = class else {
+        return Reason::NotKnown;
+    };
     let may_have_run = owed.attempts.iter().any(|attempt| attempt.may_have_run);
     // The module ends a message a few rounds before its time is up.
     let late = now + 100_000 >= owed.taken.due;
@@ -235,7 +257,10 @@
 
     fn open(&mut self) {
         self.reopen = self.system.now() + REOPEN;
-        let pages = self.system.pages(&self.path).map_err(|e| Error::Database(e.to_string()));
+        let pages = self
+            .system
+            .pages(&self.path)
+            .map_err(|e| Error::Database(e.to_string()));
         let opened = pages.and_then(|pages| Store::open(pages, self.set.sync));
         let opened = opened.and_then(|store| store.batches().map(|batches| (store, batches)));
         match opened {
@@ -277,12 +302,19 @@
         let aside = self.path.with_extension(name);
         match self.system.rename(&self.path, &aside) {
             Ok(()) => {
-                log!(self.system, "undeliverable: the store is put aside as {}", aside.display());
+                log!(
+                    self.system,
+                    "undeliverable: the store is put aside as {}",
+                    aside.display()
+                );
                 self.batches.clear();
                 self.changed.clear();
                 self.looked = 0;
             }
-            Err(e) => log!(self.system, "undeliverable: the store can't be put aside: {e}"),
+            Err(e) => log!(
+                self.system,
+                "undeliverable: the store can't be put aside: {e}"
+            ),
         }
     }
 
@@ -321,9 +353,15 @@
     /// is not in the journal was most likely not begun; but a store whose newest change was torn or spoilt opens as it was before
     /// that, and then its end may be what is missing. It is a doubt.
     pub fn settle(&mut self, now: Micros) {
-        let held: BTreeSet<(RecordId, u32)> =
-            self.out.values().map(|out| (out.again.record, out.again.number)).collect();
-        let sending = Filter { state: Some("sending".into()), ..Filter::default() };
+        let held: BTreeSet<(RecordId, u32)> = self
+            .out
+            .values()
+            .map(|out| (out.again.record, out.again.number))
+            .collect();
+        let sending = Filter {
+            state: Some("sending".into()),
+            ..Filter::default()
+        };
         let mut after = 0;
         while let Some(page) = self.with(|store| store.after(&sending, after, 200)) {
             for (id, record) in &page.records {
@@ -376,7 +414,12 @@
 
     /// A message was given up; it is kept with the next [`Desk::keep`].
     pub fn given_up(
-        &mut self, owed: &Owed, class: Option<&Class>, abandoned: bool, most_attempts: usize, now: Micros,
+        &mut self,
+        owed: &Owed,
+        class: Option<&Class>,
+        abandoned: bool,
+        most_attempts: usize,
+        now: Micros,
     ) {
         let record = self.record(owed, class, abandoned, most_attempts, now);
         self.fresh(record, owed.taken.body.clone());
@@ -384,7 +427,12 @@
 
     /// The record of a message that was given up.
     fn record(
-        &self, owed: &Owed, class: Option<&Class>, abandoned: bool, most_attempts: usize, now: Micros,
+        &self,
+        owed: &Owed,
+        class: Option<&Class>,
+        abandoned: bool,
+        most_attempts: usize,
+        now: Micros,
     ) -> Record {
         let taken = &owed.taken;
         let origin = Origin {
@@ -415,7 +463,11 @@
             self.fresh.remove(0);
             self.lost += 1;
             if self.lost % 100 == 1 {
-                log!(self.system, "undeliverable: {} messages could not be kept", self.lost);
+                log!(
+                    self.system,
+                    "undeliverable: {} messages could not be kept",
+                    self.lost
+                );
             }
         }
         self.fresh.push((record, body));
@@ -427,8 +479,10 @@
             return;
         }
         let fresh = std::mem::take(&mut self.fresh);
-        let all: Vec<(Record, &[u8])> =
-            fresh.iter().map(|(record, body)| (record.clone(), &body[..])).collect();
+        let all: Vec<(Record, &[u8])> = fresh
+            .iter()
+            .map(|(record, body)| (record.clone(), &body[..]))
+            .collect();
         match self.with(|store| store.keep(&all)) {
             Some(numbers) => self.rest(&numbers),
             None => self.fresh = fresh,
@@ -437,14 +491,18 @@
 
     fn rest(&mut self, records: &[RecordId]) {
         let now = self.system.unix_time().as_micros() as Micros;
-        self.resting.retain(|_, until| *until > now && *until <= now + REST);
-        self.resting.extend(records.iter().map(|id| (*id, now + REST)));
+        self.resting
+            .retain(|_, until| *until > now && *until <= now + REST);
+        self.resting
+            .extend(records.iter().map(|id| (*id, now + REST)));
     }
 
     /// Whether it is too early to send a record again; a clock that was set back ends a rest, which is done anew.
     fn rests(&self, id: RecordId) -> bool {
         let now = self.system.unix_time().as_micros() as Micros;
-        self.resting.get(&id).is_some_and(|until| *until > now && *until <= now + REST)
+        self.resting
+            .get(&id)
+            .is_some_and(|until| *until > now && *until <= now + REST)
     }
 
     /// Whether a message is a resend.
@@ -455,7 +513,8 @@
     /// A live call has ended.
     pub fn called(&mut self, destination: u16, outcome: CallOutcome, now: Micros) {
         if !self.rules.is_empty() {
-            self.partners.ended(destination, outcome == CallOutcome::Ok, now);
+            self.partners
+                .ended(destination, outcome == CallOutcome::Ok, now);
         }
     }
 
@@ -466,19 +525,31 @@
 
     /// A resend was given up or handed back. True once that is kept, so that the journal may forget it.
     pub fn came_back(
-        &mut self, id: MessageId, owed: &Owed, class: Option<&Class>, verdict: Verdict, most_attempts: usize,
+        &mut self,
+        id: MessageId,
+        owed: &Owed,
+        class: Option<&Class>,
+        verdict: Verdict,
+        most_attempts: usize,
         now: Micros,
     ) -> bool {
-        let failed = matches!(verdict, Verdict::Undeliverable) || owed.attempts.len() >= most_attempts;
+        let failed =
+            matches!(verdict, Verdict::Undeliverable) || owed.attempts.len() >= most_attempts;
         let why = failed.then(|| reason(owed, class, false, most_attempts, now));
         let mut whole = owed.clone();
         whole.again = None;
         let kept = self.record(&whole, class, false, most_attempts, now);
-        self.end(id, End::Back(story(owed), why, Box::new((kept, owed.taken.body.clone()))), now)
+        self.end(
+            id,
+            End::Back(story(owed), why, Box::new((kept, owed.taken.body.clone()))),
+            now,
+        )
     }
 
     fn end(&mut self, id: MessageId, end: End, now: Micros) -> bool {
-        let Some(out) = self.out.get(&id) else { return true };
+        let Some(out) = self.out.get(&id) else {
+            return true;
+        };
         let out = out.clone();
         let (again, by) = (out.again, out.by.clone());
         let delivered = matches!(end, End::Delivered);
@@ -493,7 +564,10 @@
             }
             Ok::<_, Refusal>(theirs)
         };
-        let kept = self.store.as_ref().map(|store| store.change(again.record, change));
+        let kept = self
+            .store
+            .as_ref()
+            .map(|store| store.change(again.record, change));
         match kept {
             Some(Ok(Some(Ok(true)))) => {}
             // The record can't be read, or is gone with a store that was put aside: what is known of the message is
@@ -521,11 +595,18 @@
     }
 
     fn batch_ended(&mut self, by: &str, delivered: bool) {
-        let Some(batch) = by.strip_prefix("batch ").and_then(|name| self.batches.get_mut(name)) else {
+        let Some(batch) = by
+            .strip_prefix("batch ")
+            .and_then(|name| self.batches.get_mut(name))
+        else {
             return;
         };
         if batch.ended(delivered) {
-            log!(self.system, "undeliverable: batch {} has stopped, as too many fail", batch.spec.name);
+            log!(
+                self.system,
+                "undeliverable: batch {} has stopped, as too many fail",
+                batch.spec.name
+            );
         }
         self.changed.insert(batch.spec.name.clone());
     }
@@ -549,8 +630,15 @@
 
     /// The resend is in the journal under this number.
     pub fn begun(&mut self, id: MessageId, again: Again, name: &str) {
-        let mut out = Out { again, by: String::new(), name: name.into() };
-        let found = self.with(|store| store.find(again.record)).flatten().filter(|record| out.is(record));
+        let mut out = Out {
+            again,
+            by: String::new(),
+            name: name.into(),
+        };
+        let found = self
+            .with(|store| store.find(again.record))
+            .flatten()
+            .filter(|record| out.is(record));
         if let Some(State::Sending { by, .. }) = found.map(|record| record.state) {
             out.by = by;
         }
@@ -559,12 +647,19 @@
 
     /// Makes a record ready to be sent again, if it may be.
     fn start(
-        &mut self, id: RecordId, sender: &str, who: &str, version: Option<u32>, now: Micros,
+        &mut self,
+        id: RecordId,
+        sender: &str,
+        who: &str,
+        version: Option<u32>,
+        now: Micros,
     ) -> Option<Result<Resend, Refusal>> {
         let terms = self.terms(now);
         // A look costs much less than a change that is not made.
         let looked = self.with(|store| store.find(id))?;
-        let Some(record) = looked else { return Some(Err(Refusal::NoRecord)) };
+        let Some(record) = looked else {
+            return Some(Err(Refusal::NoRecord));
+        };
         let free = record.free(who, version, now);
         if let Err(refusal) = free.and_then(|()| may_go(&record, &terms).map_err(Refusal::Need)) {
             return Some(Err(refusal));
@@ -573,7 +668,9 @@
             return Some(Err(Refusal::Resting));
         }
         let found = self.with(|store| {
-            let Some(body) = store.body(id)? else { return Ok(None) };
+            let Some(body) = store.body(id)? else {
+                return Ok(None);
+            };
             let begun = store.change(id, |record| {
                 record.free(who, version, now)?;
                 let clearance = may_go(record, &terms).map_err(Refusal::Need)?;
@@ -582,18 +679,47 @@
             })?;
             Ok(begun.map(|begun| begun.map(|begun| (begun, body))))
         })?;
-        let Some(begun) = found else { return Some(Err(Refusal::NoRecord)) };
+        let Some(begun) = found else {
+            return Some(Err(Refusal::NoRecord));
+        };
         Some(begun.map(|((clearance, number, origin), body)| {
             let past = match clearance {
                 Clearance::Clean => None,
-                Clearance::Keyed { first } => {
-                    Some(journal::Attempt { sent: first, zone: 0, may_have_run: true })
-                }
+                Clearance::Keyed { first } => Some(journal::Attempt {
+                    sent: first,
+                    zone: 0,
+                    may_have_run: true,
+                }),
             };
-            let Origin { name, tenant, class, destination, key, order, .. } = origin;
+            let Origin {
+                name,
+                tenant,
+                class,
+                destination,
+                key,
+                order,
+                ..
+            } = origin;
             let body = Bytes::from(body);
-            let taken = Taken { name, key, order, class, tenant, destination, due: 0, again: true, body };
-            Resend { again: Again { record: id, number, past }, taken }
+            let taken = Taken {
+                name,
+                key,
+                order,
+                class,
+                tenant,
+                destination,
+                due: 0,
+                again: true,
+                body,
+            };
+            Resend {
+                again: Again {
+                    record: id,
+                    number,
+                    past,
+                },
+                taken,
+            }
         }))
     }
 
@@ -617,7 +743,10 @@
             self.drop = at + DROP.0;
             let caps = self.set.caps();
             if let Some(dropped @ 1..) = self.with(|store| store.drop_past(&caps, now, DROP.1)) {
-                log!(self.system, "undeliverable: {dropped} records are dropped, past the caps");
+                log!(
+                    self.system,
+                    "undeliverable: {dropped} records are dropped, past the caps"
+                );
                 if dropped as usize >= DROP.1 {
                     self.drop = at;
                 }
@@ -642,13 +771,20 @@
             let sender = format!("batch {name}");
             for _ in 0..LOOKED_AT {
                 let room = self.room(resends);
-                let Some(batch) = self.batches.get_mut(&name).filter(|_| room) else { break };
+                let Some(batch) = self.batches.get_mut(&name).filter(|_| room) else {
+                    break;
+                };
                 if batch.ready(now).is_err() {
                     break;
                 }
-                let (filter, looked, upto) = (batch.spec.filter.of_open(), batch.looked, batch.upto);
-                let Some(page) = self.with(|store| store.after(&filter, looked, 1)) else { return };
-                let Some(batch) = self.batches.get_mut(&name) else { break };
+                let (filter, looked, upto) =
+                    (batch.spec.filter.of_open(), batch.looked, batch.upto);
+                let Some(page) = self.with(|store| store.after(&filter, looked, 1)) else {
+                    return;
+                };
+                let Some(batch) = self.batches.get_mut(&name) else {
+                    break;
+                };
                 let next = page.records.first().map(|(id, _)| *id).or(page.next);
                 let Some(id) = next.filter(|id| *id <= upto) else {
                     let before = batch.version;
@@ -666,14 +802,20 @@
                 match self.start(id, &sender, &sender, None, now) {
                     Some(Ok(resend)) => {
                         resends.push(resend);
-                        self.batches.get_mut(&name).into_iter().for_each(|batch| batch.sent(id));
+                        self.batches
+                            .get_mut(&name)
+                            .into_iter()
+                            .for_each(|batch| batch.sent(id));
                     }
                     Some(Err(refusal)) => {
                         // The batch waits while the partner is asked, or the last call ends.
                         if refusal == Refusal::Resting || self.look_into(id, &refusal, now) {
                             break;
                         }
-                        self.batches.get_mut(&name).into_iter().for_each(|batch| batch.passed_over(id));
+                        self.batches
+                            .get_mut(&name)
+                            .into_iter()
+                            .for_each(|batch| batch.passed_over(id));
                     }
                     None => return,
                 }
@@ -686,7 +828,9 @@
             return;
         }
         let (open, looked) = (Filter::default().of_open(), self.looked);
-        let Some(page) = self.with(|store| store.after(&open, looked, LOOKED_AT)) else { return };
+        let Some(page) = self.with(|store| store.after(&open, looked, LOOKED_AT)) else {
+            return;
+        };
         self.looked = page.next.unwrap_or(0);
         for (id, record) in page.records {
             if !self.room(resends) {
@@ -696,7 +840,9 @@
             if self.rests(id) {
                 continue;
             }
-            let Some(rule) = self.rules.wanting(&record, &self.partners, now) else { continue };
+            let Some(rule) = self.rules.wanting(&record, &self.partners, now) else {
+                continue;
+            };
             // Whether it may go is looked at before the rule's turn is used up.
             if let Err(need) = may_go(&record, &self.terms(now)) {
                 self.look_into(id, &Refusal::Need(need), now);
@@ -740,25 +886,38 @@
         if self.asking.contains(&id) {
             return true;
         }
-        let lately = self.asked.get(&id).is_some_and(|at| at.saturating_add(ASK_AGAIN) > now && *at <= now);
+        let lately = self
+            .asked
+            .get(&id)
+            .is_some_and(|at| at.saturating_add(ASK_AGAIN) > now && *at <= now);
         if lately {
             return false;
         }
-        let Some(record) = self.with(|store| store.find(id)).flatten() else { return false };
-        let partner =
-            self.set.partners.iter().find(|partner| partner.destination == record.origin.destination);
+        let Some(record) = self.with(|store| store.find(id)).flatten() else {
+            return false;
+        };
+        let partner = self
+            .set
+            .partners
+            .iter()
+            .find(|partner| partner.destination == record.origin.destination);
         let Some(partner) = partner else { return false };
         if self.asking.len() >= MOST_ASKED {
             return true;
         }
-        self.asked.retain(|_, at| at.saturating_add(ASK_AGAIN) > now && *at <= now);
+        self.asked
+            .retain(|_, at| at.saturating_add(ASK_AGAIN) > now && *at <= now);
         self.asked.insert(id, now);
         self.asking.insert(id);
         let question = Question::new(partner, &record.origin.name, record.origin.key.as_deref());
         let (system, inputs) = (self.system.clone(), self.inputs.clone());
         self.system.spawn(async move {
             let says = question.ask(system).await;
-            let word = News::Word { id, asked: now, says };
+            let word = News::Word {
+                id,
+                asked: now,
+                says,
+            };
             drop(inputs.send(Input::Undeliverable(word)).await);
         });
         true
@@ -768,7 +927,11 @@
     pub fn word(&mut self, id: RecordId, asked: Micros, says: Option<Says>, now: Micros) {
         self.asking.remove(&id);
         let Some(says) = says else { return };
-        self.with(|store| store.change(id, |record| record.state_that(By::Partner, says, asked, None, now)));
+        self.with(|store| {
+            store.change(id, |record| {
+                record.state_that(By::Partner, says, asked, None, now)
+            })
+        });
         if says == Says::Applied {
             self.close_applied(id, now);
         }
@@ -785,7 +948,9 @@
         }
         self.keep_counts = at + KEEP_COUNTS;
         for name in std::mem::take(&mut self.changed) {
-            let Some(batch) = self.batches.get(&name).cloned() else { continue };
+            let Some(batch) = self.batches.get(&name).cloned() else {
+                continue;
+            };
             if self.store.is_none() || self.with(|store| store.keep_batch(&batch)).is_none() {
                 self.changed.insert(name);
             }
@@ -793,14 +958,22 @@
     }
 
     fn unavailable(&self) -> Told {
-        Told::Unavailable(self.trouble.clone().unwrap_or_else(|| "the store can't be used".into()))
+        Told::Unavailable(
+            self.trouble
+                .clone()
+                .unwrap_or_else(|| "the store can't be used".into()),
+        )
     }
 
     /// Answers a front; a record that it wants sent again goes to `resends`.
     pub fn answer(&mut self, ask: Ask, now: Micros, live: Live, resends: &mut Vec<Resend>) -> Told {
         self.keep();
         match ask {
-            Ask::Page { filter, before, most } => self
+            Ask::Page {
+                filter,
+                before,
+                most,
+            } => self
                 .with(|store| store.page(&filter, before, most))
                 .map_or_else(|| self.unavailable(), Told::Page),
             Ask::Find(id) => self.shown(id, now),
@@ -809,22 +982,36 @@
                 Some(None) => Told::Refused(Refusal::NoRecord),
                 None => self.unavailable(),
             },
-            Ask::Counts(by) => {
-                self.with(|store| store.counts(by)).map_or_else(|| self.unavailable(), Told::Counts)
-            }
+            Ask::Counts(by) => self
+                .with(|store| store.counts(by))
+                .map_or_else(|| self.unavailable(), Told::Counts),
             Ask::Status => {
                 let sums = self.with(Store::sums).unwrap_or_default();
                 Told::Status(self.status(sums))
             }
-            Ask::Act { id, act, who, version } => self.act(id, act, &who, version, now, live, resends),
+            Ask::Act {
+                id,
+                act,
+                who,
+                version,
+            } => self.act(id, act, &who, version, now, live, resends),
             Ask::Batches => Told::Batches(self.batches.values().cloned().collect()),
             Ask::Plan { spec, who } => self.plan(spec, &who, now),
-            Ask::Order { name, order, version } => self.order(&name, order, version, now),
+            Ask::Order {
+                name,
+                order,
+                version,
+            } => self.order(&name, order, version, now),
         }
     }
 
     fn status(&self, sums: Sums) -> Status {
-        Status { sums, lost: self.lost, out: self.out.len(), trouble: self.trouble.clone() }
+        Status {
+            sums,
+            lost: self.lost,
+            out: self.out.len(),
+            trouble: self.trouble.clone(),
+        }
     }
 
     fn shown(&mut self, id: RecordId, now: Micros) -> Told {
@@ -841,7 +1028,13 @@
 
     #[allow(clippy::too_many_arguments)]
     fn act(
-        &mut self, id: RecordId, act: Act, who: &str, version: Option<u32>, now: Micros, live: Live,
+        &mut self,
+        id: RecordId,
+        act: Act,
+        who: &str,
+        version: Option<u32>,
+        now: Micros,
+        live: Live,
         resends: &mut Vec<Resend>,
     ) -> Told {
         let lease = self.set.lease();
@@ -864,8 +1057,12 @@
         let change = |record: &mut Record| match act {
             Act::Claim => record.claim(who, version, now, lease),
             Act::Release => record.release(who, version, now),
-            Act::State(says) => record.state_that(By::Operator(who.into()), says, now, version, now),
-            Act::Discard => record.free(who, version, now).map(|()| record.close(Closed::Discarded, now)),
+            Act::State(says) => {
+                record.state_that(By::Operator(who.into()), says, now, version, now)
+            }
+            Act::Discard => record
+                .free(who, version, now)
+                .map(|()| record.close(Closed::Discarded, now)),
             Act::AskPartner => record.free(who, version, now),
             Act::Resend => Ok(()),
         };
@@ -900,8 +1097,11 @@
             return Told::BatchRefused(batch::Refusal::Exists);
         }
         if self.batches.len() >= batch::MOST {
-            let over =
-                self.batches.values().filter(|batch| batch.state.is_over()).min_by_key(|batch| batch.made);
+            let over = self
+                .batches
+                .values()
+                .filter(|batch| batch.state.is_over())
+                .min_by_key(|batch| batch.made);
             let Some(name) = over.map(|batch| batch.spec.name.clone()) else {
                 return Told::BatchRefused(batch::Refusal::TooMany);
             };
@@ -917,13 +1117,18 @@
                 for (_, record) in page.records.iter().filter(|(id, _)| *id <= upto) {
                     counts.book(may_go(record, &terms).map(|_| ()));
                 }
-                let Some(next) = page.next.filter(|next| *next < upto && counts.found < MOST_COUNTED) else {
+                let Some(next) = page
+                    .next
+                    .filter(|next| *next < upto && counts.found < MOST_COUNTED)
+                else {
                     return Ok((upto, counts));
                 };
                 after = next;
             }
         });
-        let Some((upto, counts)) = counted else { return self.unavailable() };
+        let Some((upto, counts)) = counted else {
+            return self.unavailable();
+        };
         let batch = match Batch::plan(spec, who, now, upto, counts) {
             Ok(batch) => batch,
             Err(refusal) => return Told::BatchRefused(refusal),
@@ -936,7 +1141,9 @@
     }
 
     fn order(&mut self, name: &str, order: Order, version: Option<u32>, now: Micros) -> Told {
-        let Some(batch) = self.batches.get(name) else { return Told::BatchRefused(batch::Refusal::None) };
+        let Some(batch) = self.batches.get(name) else {
+            return Told::BatchRefused(batch::Refusal::None);
+        };
         let mut after = batch.clone();
         if let Err(refusal) = after.order(order, version, now) {
             return Told::BatchRefused(refusal);
--- a/crates/relay/src/undeliverable/partner.rs
+++ b/crates/relay/src/undeliverable/partner.rs
@@ -28,8 +28,16 @@
 impl Question {
     /// The question on a message of this name and key.
     pub fn new(partner: &Partner, name: &str, key: Option<&str>) -> Self {
-        let path = partner.path.replace("{id}", &in_path(name)).replace("{key}", &in_path(key.unwrap_or("")));
-        Question { address: partner.address, path, timeout: partner.timeout(), partner: partner.clone() }
+        let path = partner
+            .path
+            .replace("{id}", &in_path(name))
+            .replace("{key}", &in_path(key.unwrap_or("")));
+        Question {
+            address: partner.address,
+            path,
+            timeout: partner.timeout(),
+            partner: partner.clone(),
+        }
     }
 
     /// Asks; none if no answer that can be read came in time.
@@ -41,9 +49,16 @@
             let mut task = system.spawn(async move { drop(connection.await) });
             let request = Request::get(&self.path).header(HOST, self.address.to_string());
             let told = async {
-                let answer = sender.send_request(request.body(Empty::<Bytes>::new()).ok()?).await.ok()?;
+                let answer = sender
+                    .send_request(request.body(Empty::<Bytes>::new()).ok()?)
+                    .await
+                    .ok()?;
                 let status = answer.status();
-                let body = Limited::new(answer.into_body(), LONGEST).collect().await.ok()?.to_bytes();
+                let body = Limited::new(answer.into_body(), LONGEST)
+                    .collect()
+                    .await
+                    .ok()?
+                    .to_bytes();
                 read(&self.partner, status, &body)
             };
             let told = told.await;
@@ -66,11 +81,13 @@
     let value: serde_json::Value = serde_json::from_slice(body).ok()?;
     let word = value.get(&partner.field)?.as_str()?;
     let among = |words: &[String]| words.iter().any(|known| known == word);
-    Some(match (among(&partner.applied), among(&partner.not_applied)) {
-        (true, _) => Says::Applied,
-        (_, true) => Says::NotApplied,
-        _ => Says::Unknown,
-    })
+    Some(
+        match (among(&partner.applied), among(&partner.not_applied)) {
+            (true, _) => Says::Applied,
+            (_, true) => Says::NotApplied,
+            _ => Says::Unknown,
+        },
+    )
 }
 
 /// Text as it may stand in a path (RFC 3986, section 2.3).
@@ -101,7 +118,11 @@
     #[test]
     fn an_answer_says_only_what_was_agreed_on() {
         let said = |status: u16, body: &str| {
-            read(&partner(false), StatusCode::from_u16(status).expect("status"), body.as_bytes())
+            read(
+                &partner(false),
+                StatusCode::from_u16(status).expect("status"),
+                body.as_bytes(),
+            )
         };
         assert_eq!(said(200, r#"{"status":"done"}"#), Some(Says::Applied));
         assert_eq!(said(200, r#"{"status":"none"}"#), Some(Says::NotApplied));
@@ -116,7 +137,10 @@
         ] {
             assert_eq!(said(status, body), None, "{status} {body}");
         }
-        assert_eq!(read(&partner(true), StatusCode::NOT_FOUND, b""), Some(Says::NotApplied));
+        assert_eq!(
+            read(&partner(true), StatusCode::NOT_FOUND, b""),
+            Some(Says::NotApplied)
+        );
     }
 
     #[test]
--- a/crates/relay/src/undeliverable/settings.rs
+++ b/crates/relay/src/undeliverable/settings.rs
@@ -190,12 +190,18 @@
 
     /// Checks all values; the error is one plain line.
     pub fn check(&self) -> Result<(), String> {
-        let within = |name: &str, value: f64, least: f64, most: f64| match (least..=most).contains(&value) {
-            true => Ok(()),
-            false => Err(format!("undeliverable.{name} is not from {least} to {most}")),
-        };
+        let within =
+            |name: &str, value: f64, least: f64, most: f64| match (least..=most).contains(&value) {
+                true => Ok(()),
+                false => Err(format!(
+                    "undeliverable.{name} is not from {least} to {most}"
+                )),
+            };
         if !Path::new(&self.folder).is_absolute() {
-            return Err(format!("undeliverable.folder: {:?} is no absolute path", self.folder));
+            return Err(format!(
+                "undeliverable.folder: {:?} is no absolute path",
+                self.folder
+            ));
         }
         within("max_mb", self.max_mb as f64, 1.0, 1_048_576.0)?;
         within("tenant_max_mb", self.tenant_max_mb as f64, 1.0, 1_048_576.0)?;
@@ -214,20 +220,40 @@
         }
         for partner in &self.partners {
             let of = format!("partners: destination {}", partner.destination);
-            let plain =
-                |text: &str| text.len() <= LONGEST && text.bytes().all(|byte| byte.is_ascii_graphic());
-            if !partner.path.starts_with('/') || !plain(&partner.path) || !partner.path.contains("{id}") {
-                return Err(format!("undeliverable.{of}: path is no path with {{id}} in it"));
+            let plain = |text: &str| {
+                text.len() <= LONGEST && text.bytes().all(|byte| byte.is_ascii_graphic())
+            };
+            if !partner.path.starts_with('/')
+                || !plain(&partner.path)
+                || !partner.path.contains("{id}")
+            {
+                return Err(format!(
+                    "undeliverable.{of}: path is no path with {{id}} in it"
+                ));
             }
             if partner.applied.is_empty()
-                || partner.applied.iter().any(|word| partner.not_applied.contains(word))
+                || partner
+                    .applied
+                    .iter()
+                    .any(|word| partner.not_applied.contains(word))
             {
                 return Err(format!(
                     "undeliverable.{of}: applied is empty, or shares a value with not_applied"
                 ));
             }
-            within(&format!("{of}: timeout_ms"), partner.timeout_ms as f64, 1.0, 60_000.0)?;
-            if self.partners.iter().filter(|other| other.destination == partner.destination).count() > 1 {
+            within(
+                &format!("{of}: timeout_ms"),
+                partner.timeout_ms as f64,
+                1.0,
+                60_000.0,
+            )?;
+            if self
+                .partners
+                .iter()
+                .filter(|other| other.destination == partner.destination)
+                .count()
+                > 1
+            {
                 return Err(format!("undeliverable.{of} is named twice"));
             }
         }
@@ -236,13 +262,29 @@
             if rule.name.is_empty() || rule.name.len() > 64 {
                 return Err("undeliverable.rules: a name is empty or over 64 bytes".into());
             }
-            within(&format!("{of}: per_minute"), f64::from(rule.per_minute), 1.0, 60_000.0)?;
-            within(&format!("{of}: resends"), f64::from(rule.resends), 1.0, 100.0)?;
+            within(
+                &format!("{of}: per_minute"),
+                f64::from(rule.per_minute),
+                1.0,
+                60_000.0,
+            )?;
+            within(
+                &format!("{of}: resends"),
+                f64::from(rule.resends),
+                1.0,
+                100.0,
+            )?;
             match (rule.when, rule.after_s) {
-                (Moment::After, Some(after)) => within(&format!("{of}: after_s"), after, 1.0, 31_536_000.0)?,
-                (Moment::After, None) => return Err(format!("undeliverable.{of}: after_s is missing")),
+                (Moment::After, Some(after)) => {
+                    within(&format!("{of}: after_s"), after, 1.0, 31_536_000.0)?
+                }
+                (Moment::After, None) => {
+                    return Err(format!("undeliverable.{of}: after_s is missing"))
+                }
                 (Moment::Recovered, Some(_)) => {
-                    return Err(format!("undeliverable.{of}: after_s goes with when = \"after\""));
+                    return Err(format!(
+                        "undeliverable.{of}: after_s goes with when = \"after\""
+                    ));
                 }
                 (Moment::Recovered, None) => {}
             }
@@ -263,7 +305,10 @@
     #[test]
     fn what_is_wrong_is_named_and_what_is_absent_has_its_default() {
         let good = read("folder = \"/x\"").expect("good");
-        assert_eq!((good.at_once, good.settle(), good.caps().records), (2, 60_000_000, 1_000_000));
+        assert_eq!(
+            (good.at_once, good.settle(), good.caps().records),
+            (2, 60_000_000, 1_000_000)
+        );
         let partner = "folder = \"/x\"\n[[partners]]\ndestination = 3\naddress = \"127.0.0.1:9\"\n";
         let rule = "folder = \"/x\"\n[[rules]]\nname = \"r\"\n";
         for (text, named) in [
@@ -271,13 +316,28 @@
             ("folder = \"/x\"\nmax_mb = 0".into(), "max_mb"),
             ("folder = \"/x\"\nsettle_s = nan".into(), "settle_s"),
             ("folder = \"/x\"\nat_onze = 1".into(), "at_onze"),
-            (format!("{partner}path = \"/s\"\napplied = [\"done\"]"), "{id}"),
-            (format!("{partner}path = \"/s/{{id}}\"\napplied = []"), "applied"),
-            (format!("{partner}path = \"/s/{{id}}\"\napplied = [\"a\"]\nnot_applied = [\"a\"]"), "applied"),
+            (
+                format!("{partner}path = \"/s\"\napplied = [\"done\"]"),
+                "{id}",
+            ),
+            (
+                format!("{partner}path = \"/s/{{id}}\"\napplied = []"),
+                "applied",
+            ),
+            (
+                format!("{partner}path = \"/s/{{id}}\"\napplied = [\"a\"]\nnot_applied = [\"a\"]"),
+                "applied",
+            ),
             (format!("{rule}when = \"after\""), "after_s"),
-            (format!("{rule}when = \"recovered\"\nafter_s = 3.0"), "after_s"),
+            (
+                format!("{rule}when = \"recovered\"\nafter_s = 3.0"),
+                "after_s",
+            ),
             (format!("{rule}when = \"now\""), "now"),
-            (format!("{rule}when = \"recovered\"\nper_minute = 0"), "per_minute"),
+            (
+                format!("{rule}when = \"recovered\"\nper_minute = 0"),
+                "per_minute",
+            ),
         ] {
             let error = read(&text).expect_err(&text);
             assert!(error.contains(named), "{text}: {error}");
--- a/crates/relay/tests/api/mod.rs
+++ b/crates/relay/tests/api/mod.rs
@@ -37,7 +37,9 @@
 impl Api {
     pub fn new(address: &str, token: Option<&str>) -> Self {
         let config = Agent::config_builder().http_status_as_error(false);
-        let config = config.timeout_global(Some(Duration::from_secs(60))).max_idle_connections(0);
+        let config = config
+            .timeout_global(Some(Duration::from_secs(60)))
+            .max_idle_connections(0);
         Api {
             agent: Agent::new_with_config(config.build()),
             address: address.into(),
@@ -46,8 +48,15 @@
     }
 
     /// A request with headers and a body; none where no answer came.
-    pub fn try_ask(&self, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Option<Reply> {
-        let mut request = Request::builder().method(Method::from_bytes(method.as_bytes()).expect("a method"));
+    pub fn try_ask(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<Reply> {
+        let mut request =
+            Request::builder().method(Method::from_bytes(method.as_bytes()).expect("a method"));
         request = request.uri(format!("http://{}{path}", self.address));
         if let Some(token) = &self.token {
             request = request.header("authorization", format!("Bearer {token}"));
@@ -57,17 +66,33 @@
         }
         let mut response = match body {
             "" => self.agent.run(request.body(()).expect("a request")).ok()?,
-            body => self.agent.run(request.body(body.to_string()).expect("a request")).ok()?,
+            body => self
+                .agent
+                .run(request.body(body.to_string()).expect("a request"))
+                .ok()?,
         };
         let headers = response.headers().clone();
-        let etag = headers.get("etag").and_then(|value| value.to_str().ok()).map(String::from);
+        let etag = headers
+            .get("etag")
+            .and_then(|value| value.to_str().ok())
+            .map(String::from);
         let text = response.body_mut().read_to_string().ok()?;
-        let body = if text.is_empty() { Value::Null } else { serde_json::from_str(&text).expect("JSON") };
-        Some(Reply { status: response.status().as_u16(), etag, body, headers })
+        let body = if text.is_empty() {
+            Value::Null
+        } else {
+            serde_json::from_str(&text).expect("JSON")
+        };
+        Some(Reply {
+            status: response.status().as_u16(),
+            etag,
+            body,
+            headers,
+        })
     }
 
     pub fn ask(&self, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Reply {
-        self.try_ask(method, path, headers, body).expect("an answer")
+        self.try_ask(method, path, headers, body)
+            .expect("an answer")
     }
 
     pub fn get(&self, path: &str) -> Reply {
@@ -76,18 +101,31 @@
 
     pub fn create(&self, name: &str, spec: Value) -> Reply {
         let body = json!({"name": name, "spec": spec}).to_string();
-        self.ask("POST", "/v1/tenants", &[("content-type", "application/json")], &body)
+        self.ask(
+            "POST",
+            "/v1/tenants",
+            &[("content-type", "application/json")],
+            &body,
+        )
     }
 
     pub fn patch(&self, name: &str, tag: &str, spec: Value) -> Option<Reply> {
-        let headers = [("content-type", "application/merge-patch+json"), ("if-match", tag)];
+        let headers = [
+            ("content-type", "application/merge-patch+json"),
+            ("if-match", tag),
+        ];
         let body = json!({"spec": spec}).to_string();
         self.try_ask("PATCH", &format!("/v1/tenants/{name}"), &headers, &body)
     }
 
     /// A change of whatever state the tenant is in.
     pub fn change(&self, method: &str, path: &str) -> Reply {
-        self.ask(method, &format!("/v1/tenants/{path}"), &[("if-match", "*")], "")
+        self.ask(
+            method,
+            &format!("/v1/tenants/{path}"),
+            &[("if-match", "*")],
+            "",
+        )
     }
 
     pub fn usage(&self, name: &str) -> Value {
@@ -96,8 +134,12 @@
 }
 
 /// The tokens of the operator file: the secret is the name twice.
-const TOKENS: &[(&str, &str, &str)] =
-    &[("root", "admin", "*"), ("ops", "operator", "*"), ("eyes", "viewer", "*"), ("team", "admin", "team-*")];
+const TOKENS: &[(&str, &str, &str)] = &[
+    ("root", "admin", "*"),
+    ("ops", "operator", "*"),
+    ("eyes", "viewer", "*"),
+    ("team", "admin", "team-*"),
+];
 
 pub fn token(name: &str) -> String {
     format!("{name}{name}")
@@ -107,7 +149,10 @@
 pub fn operator(scene: &Scene, address: &str, tenants: &str, admin: &str) -> String {
     let folder = scene.folder.join("tenants");
     std::fs::create_dir_all(&folder).expect("a folder");
-    let mut text = format!("[tenants]\nfolder = {:?}\n{tenants}\n", folder.display().to_string());
+    let mut text = format!(
+        "[tenants]\nfolder = {:?}\n{tenants}\n",
+        folder.display().to_string()
+    );
     text += &format!("[admin]\nlisten = \"{address}\"\nrequests_per_second = 10000\n{admin}\n");
     for (name, role, scope) in TOKENS {
         let sha256 = Digest::of(token(name).as_bytes());
