--- a/crates/relay/tests/customers.rs
+++ b/crates/relay/tests/customers.rs
@@ -7,7 +7,13 @@
 /// What a client without a tenant sends.
 fn untold(id: &str, class: &str, block: u16) -> Vec<u8> {
     let list = format!("c={class},d=20000,dest={block}");
-    frame(&[b"ENQUEUE", b"0000000000000000", id.as_bytes(), list.as_bytes(), b"body"])
+    frame(&[
+        b"ENQUEUE",
+        b"0000000000000000",
+        id.as_bytes(),
+        list.as_bytes(),
+        b"body",
+    ])
 }
 
 /// Settings may name no tenants; then clients name none.
@@ -38,7 +44,9 @@
         host.script(|_, _| ok());
         let before = host.calls_of("three").len();
         scene.start();
-        until("the call after the restart", || (host.calls_of("three").len() > before).then_some(()));
+        until("the call after the restart", || {
+            (host.calls_of("three").len() > before).then_some(())
+        });
     }
 }
 
--- a/crates/relay/tests/leaving.rs
+++ b/crates/relay/tests/leaving.rs
@@ -22,19 +22,39 @@
 }
 
 fn leave(discovery: &Discovery, seq: u64, old: &Host, new: &Host) {
-    discovery.push(seq, &[entry("a", old.address, 1, "draining"), entry("b", new.address, 1, "up")]);
+    discovery.push(
+        seq,
+        &[
+            entry("a", old.address, 1, "draining"),
+            entry("b", new.address, 1, "up"),
+        ],
+    );
 }
 
 /// Hands messages in, one after the other, until the new host has had so many, and gives the time of the last call
 /// to the old one after a moment.
-fn hand_in(scene: &mut Scene, old: &Host, new: &Host, calls: usize, since: Instant) -> Option<Duration> {
+fn hand_in(
+    scene: &mut Scene,
+    old: &Host,
+    new: &Host,
+    calls: usize,
+    since: Instant,
+) -> Option<Duration> {
     until("calls to the new host", || {
         let (id, answer) = scene.enqueue("update", 1);
         assert_eq!(answer, "+OK");
-        until("the call", || old.calls_of(&id).into_iter().chain(new.calls_of(&id)).next());
+        until("the call", || {
+            old.calls_of(&id)
+                .into_iter()
+                .chain(new.calls_of(&id))
+                .next()
+        });
         (new.calls().len() >= calls).then_some(())
     });
-    old.calls().iter().filter_map(|call| call.at.checked_duration_since(since)).max()
+    old.calls()
+        .iter()
+        .filter_map(|call| call.at.checked_duration_since(since))
+        .max()
 }
 
 #[test]
@@ -50,8 +70,16 @@
         }
         leave(&scene.discovery, 2, &old, &new);
         scene.start();
-        assert_eq!(hand_in(&mut scene, &old, &new, 5, Instant::now()), None, "killed: {killed}");
-        assert!(old.calls().is_empty(), "killed: {killed}: {:?}", old.calls());
+        assert_eq!(
+            hand_in(&mut scene, &old, &new, 5, Instant::now()),
+            None,
+            "killed: {killed}"
+        );
+        assert!(
+            old.calls().is_empty(),
+            "killed: {killed}: {:?}",
+            old.calls()
+        );
     }
 }
 
@@ -94,7 +122,11 @@
     let call = until("the call", || old.calls_of(&id).first().cloned());
     let held = call.at.checked_duration_since(start).unwrap_or_default();
     assert!(held < Duration::from_secs(5), "held for {held:?}");
-    assert!(scene.log().contains("calls go by the remembered list"), "{}", scene.log());
+    assert!(
+        scene.log().contains("calls go by the remembered list"),
+        "{}",
+        scene.log()
+    );
 }
 
 /// What a silent watch misses counts as told six seconds after it fell silent.
@@ -130,10 +162,16 @@
         // The rest of this one never comes: its news count as told.
         let spare = Host::new(|_, _| ok());
         let told = Instant::now();
-        let list = vec![entry("b", new.address, 1, "draining"), entry("c", spare.address, 1, "up")];
+        let list = vec![
+            entry("b", new.address, 1, "draining"),
+            entry("c", spare.address, 1, "up"),
+        ];
         scene.discovery.set_whole(list);
         scene.discovery.halts.store(true, SeqCst);
-        scene.discovery.push_text(3, "{\"seq\":3,\"whole\":false,\"hosts\":[{\"host\":\"b\"".into());
+        scene.discovery.push_text(
+            3,
+            "{\"seq\":3,\"whole\":false,\"hosts\":[{\"host\":\"b\"".into(),
+        );
         let last = hand_in(&mut scene, &new, &spare, 1, told);
         assert!(last < Some(grace), "{last:?}");
     }
@@ -145,7 +183,9 @@
     let (mut scene, old, new) = fleet();
     scene.discovery.closes.store(true, SeqCst);
     let before = scene.discovery.asked_for("follow=1");
-    until("another try", || (scene.discovery.asked_for("follow=1") > before + 1).then_some(()));
+    until("another try", || {
+        (scene.discovery.asked_for("follow=1") > before + 1).then_some(())
+    });
     leave(&scene.discovery, 2, &old, &new);
     let told = Instant::now();
     scene.discovery.closes.store(false, SeqCst);
@@ -158,11 +198,16 @@
 fn a_moved_discovery_that_knows_of_a_drain_is_heard_in_time() {
     let (mut scene, old, new) = fleet();
     let moved = Discovery::new();
-    moved.set_whole(vec![entry("a", old.address, 1, "draining"), entry("b", new.address, 1, "up")]);
+    moved.set_whole(vec![
+        entry("a", old.address, 1, "draining"),
+        entry("b", new.address, 1, "up"),
+    ]);
     moved.closes.store(true, SeqCst);
     let told = Instant::now();
     scene.move_discovery(&moved);
-    until("calls", || (moved.asked_for("members HTTP") >= 4).then_some(()));
+    until("calls", || {
+        (moved.asked_for("members HTTP") >= 4).then_some(())
+    });
     moved.closes.store(false, SeqCst);
     let last = hand_in(&mut scene, &old, &new, 1, told);
     assert!(last < Some(Duration::from_secs(4) + GRACE), "{last:?}");
@@ -173,25 +218,48 @@
 fn an_older_list_takes_hosts_away_and_gives_none_back() {
     let (mut scene, old, new) = fleet();
     let other = Host::new(|_, _| ok());
-    scene.discovery.push(9, &[entry("c", other.address, 2, "up")]);
+    scene
+        .discovery
+        .push(9, &[entry("c", other.address, 2, "up")]);
     leave(&scene.discovery, 10, &old, &new);
-    until("the change", || (scene.enqueue("update", 2).1 == "+OK").then_some(()));
+    until("the change", || {
+        (scene.enqueue("update", 2).1 == "+OK").then_some(())
+    });
     hand_in(&mut scene, &old, &new, 1, Instant::now());
     let behind = Discovery::new();
     let spare = Host::new(|_, _| ok());
-    behind.set_whole(vec![entry("a", old.address, 1, "up"), entry("c", other.address, 2, "draining")]);
+    behind.set_whole(vec![
+        entry("a", old.address, 1, "up"),
+        entry("c", other.address, 2, "draining"),
+    ]);
     let before = old.calls().len();
     scene.move_discovery(&behind);
-    until("more than one call", || (behind.asked_for("members HTTP") >= 3).then_some(()));
+    until("more than one call", || {
+        (behind.asked_for("members HTTP") >= 3).then_some(())
+    });
     let (others, seen) = (other.calls().len(), new.calls().len());
     hand_in(&mut scene, &old, &new, seen + 5, Instant::now());
-    assert_eq!(old.calls().len(), before, "its list of before the drain was taken for news");
+    assert_eq!(
+        old.calls().len(),
+        before,
+        "its list of before the drain was taken for news"
+    );
     assert_eq!(scene.enqueue("update", 2).1, "+OK");
     // It catches up, and what waited goes on.
-    behind.push(11, &[entry("a", old.address, 1, "draining"), entry("b", new.address, 1, "up")]);
+    behind.push(
+        11,
+        &[
+            entry("a", old.address, 1, "draining"),
+            entry("b", new.address, 1, "up"),
+        ],
+    );
     behind.push(12, &[entry("d", spare.address, 2, "up")]);
     until("the call", || spare.calls().first().cloned());
-    assert_eq!(other.calls().len(), others, "the drain that it told was passed over");
+    assert_eq!(
+        other.calls().len(),
+        others,
+        "the drain that it told was passed over"
+    );
     assert_eq!(old.calls().len(), before);
 }
 
@@ -199,12 +267,21 @@
 fn an_indented_list_is_taken_as_it_is() {
     let (mut scene, old, new) = fleet();
     let whole = scene.discovery.asked_for("members HTTP");
-    let lines = [entry("a", old.address, 1, "draining"), entry("b", new.address, 1, "up")];
+    let lines = [
+        entry("a", old.address, 1, "draining"),
+        entry("b", new.address, 1, "up"),
+    ];
     let list = json!({"seq": 2, "whole": false, "hosts": lines});
-    scene.discovery.push_text(2, serde_json::to_string_pretty(&list).expect("text"));
+    scene
+        .discovery
+        .push_text(2, serde_json::to_string_pretty(&list).expect("text"));
     let last = hand_in(&mut scene, &old, &new, 1, Instant::now());
     assert!(last < Some(GRACE), "{last:?}");
-    assert_eq!(scene.discovery.asked_for("members HTTP"), whole, "it was not understood");
+    assert_eq!(
+        scene.discovery.asked_for("members HTTP"),
+        whole,
+        "it was not understood"
+    );
 }
 
 /// The rest of a list that was cut off never comes; its news count as told.
@@ -212,8 +289,14 @@
 fn a_list_that_is_cut_off_is_asked_for_at_once() {
     let (mut scene, old, new) = fleet();
     let told = Instant::now();
-    scene.discovery.set_whole(vec![entry("a", old.address, 1, "draining"), entry("b", new.address, 1, "up")]);
-    scene.discovery.push_text(2, "{\"seq\":2,\"whole\":false,\"hosts\":[{\"host\":\"a\"".into());
+    scene.discovery.set_whole(vec![
+        entry("a", old.address, 1, "draining"),
+        entry("b", new.address, 1, "up"),
+    ]);
+    scene.discovery.push_text(
+        2,
+        "{\"seq\":2,\"whole\":false,\"hosts\":[{\"host\":\"a\"".into(),
+    );
     let last = hand_in(&mut scene, &old, &new, 1, told);
     assert!(last < Some(GRACE), "{last:?}");
 }
@@ -241,7 +324,9 @@
     let before = scene.discovery.asked_for("members HTTP");
     scene.discovery.spoils.store(true, SeqCst);
     scene.discovery.closes.store(true, SeqCst);
-    until("the watch to end", || scene.log().contains("ended").then_some(()));
+    until("the watch to end", || {
+        scene.log().contains("ended").then_some(())
+    });
     scene.discovery.closes.store(false, SeqCst);
     std::thread::sleep(Duration::from_millis(1000));
     let asked = scene.discovery.asked_for("members HTTP") - before;
--- a/crates/relay/tests/openapi.rs
+++ b/crates/relay/tests/openapi.rs
@@ -9,7 +9,10 @@
 
 /// A schema of the document with what it refers to.
 fn schema(document: &Value, pointer: &str) -> Value {
-    let mut schema = document.pointer(pointer).unwrap_or_else(|| panic!("{pointer}")).clone();
+    let mut schema = document
+        .pointer(pointer)
+        .unwrap_or_else(|| panic!("{pointer}"))
+        .clone();
     schema["components"] = document["components"].clone();
     schema
 }
@@ -30,13 +33,17 @@
     let (mut scene, api) = started(Vec::new(), "import = false");
     let document = api.get("/v1/openapi.json").body;
     let parsed = oas3::from_json(document.to_string()).expect("a document by OpenAPI 3.1");
-    assert!(parsed.validate_version().is_ok_and(|version| version.major == 3 && version.minor == 1));
+    assert!(parsed
+        .validate_version()
+        .is_ok_and(|version| version.major == 3 && version.minor == 1));
     // All references lead somewhere, all operations are told apart and say what they answer.
     let mut found = Vec::new();
     references(&document, &mut found);
     assert!(found.len() > 20);
     for reference in found {
-        let pointer = reference.strip_prefix('#').expect("a reference within the document");
+        let pointer = reference
+            .strip_prefix('#')
+            .expect("a reference within the document");
         assert!(document.pointer(pointer).is_some(), "{reference}");
     }
     let mut operations = std::collections::BTreeSet::new();
@@ -44,14 +51,31 @@
         for (method, operation) in item.as_object().expect("operations") {
             let name = operation["operationId"].as_str().expect("a name");
             assert!(operations.insert(name.to_string()), "{name} is there twice");
-            assert!(operation["summary"].as_str().or(operation["description"].as_str()).is_some(), "{name}");
-            let declared = operation["parameters"].as_array().cloned().unwrap_or_default();
+            assert!(
+                operation["summary"]
+                    .as_str()
+                    .or(operation["description"].as_str())
+                    .is_some(),
+                "{name}"
+            );
+            let declared = operation["parameters"]
+                .as_array()
+                .cloned()
+                .unwrap_or_default();
             for part in path.split('/').filter_map(|part| part.strip_prefix('{')) {
                 let part = part.trim_end_matches('}');
-                assert!(declared.iter().any(|p| p["name"] == part && p["in"] == "path"), "{method} {path}");
+                assert!(
+                    declared
+                        .iter()
+                        .any(|p| p["name"] == part && p["in"] == "path"),
+                    "{method} {path}"
+                );
             }
             let responses = operation["responses"].as_object().expect("answers");
-            assert!(responses.keys().any(|status| status.starts_with('2')), "{method} {path}");
+            assert!(
+                responses.keys().any(|status| status.starts_with('2')),
+                "{method} {path}"
+            );
         }
     }
     assert_eq!(operations.len(), 30);
@@ -59,7 +83,10 @@
     let is = |name: &str, value: &Value| {
         let schema = schema(&document, &format!("/components/schemas/{name}"));
         let validator = jsonschema::draft202012::new(&schema).expect("a schema");
-        let errors: Vec<String> = validator.iter_errors(value).map(|e| e.to_string()).collect();
+        let errors: Vec<String> = validator
+            .iter_errors(value)
+            .map(|e| e.to_string())
+            .collect();
         assert!(errors.is_empty(), "{name}: {errors:?} in {value}");
     };
     let body = json!({"name": "acme", "spec": {"weight": 9, "rate": {"per_second": 1.5, "burst": 3}, "max_held": 2,
@@ -82,7 +109,12 @@
     // A checker that takes anything would take these too.
     let refuses = |name: &str, value: &Value| {
         let schema = schema(&document, &format!("/components/schemas/{name}"));
-        assert!(!jsonschema::draft202012::new(&schema).expect("a schema").is_valid(value), "{name}: {value}");
+        assert!(
+            !jsonschema::draft202012::new(&schema)
+                .expect("a schema")
+                .is_valid(value),
+            "{name}: {value}"
+        );
     };
     refuses("Tenant", &json!({"name": "acme"}));
     refuses("NewTenant", &json!({"name": "acme", "spec": {"weight": 0}}));
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -35,9 +35,16 @@
 /// The figures by name, which end with `eof`.
 fn figures(at: SocketAddr) -> BTreeMap<String, u64> {
     let text = call(at, "show-stat");
-    assert!(text.starts_with("ok") && text.ends_with("\neof\n"), "{text}");
-    let pairs = text.lines().filter_map(|line| line.strip_prefix("relay.")?.split_once('='));
-    pairs.map(|(name, value)| (name.to_string(), value.parse().expect("a number"))).collect()
+    assert!(
+        text.starts_with("ok") && text.ends_with("\neof\n"),
+        "{text}"
+    );
+    let pairs = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("relay.")?.split_once('='));
+    pairs
+        .map(|(name, value)| (name.to_string(), value.parse().expect("a number")))
+        .collect()
 }
 
 fn figure(at: SocketAddr, name: &str) -> u64 {
@@ -62,7 +69,9 @@
 fn reload(scene: &Scene, text: &str) {
     std::fs::write(scene.folder.join("config.json"), text).expect("a file");
     let id = scene.relay.as_ref().expect("runs").id().to_string();
-    let sent = std::process::Command::new("kill").args(["-HUP", &id]).status();
+    let sent = std::process::Command::new("kill")
+        .args(["-HUP", &id])
+        .status();
     assert!(sent.expect("kill runs").success());
 }
 
@@ -75,7 +84,10 @@
     assert!(say(door, b"show-stat\r\n").ends_with("eof\n"));
     for text in [&b"reboot\n"[..], b"\n", b"\xff\xfe\x00\n", &[b'x'; 500]] {
         let answer = say(door, text);
-        assert!(answer.starts_with("fail") && answer.lines().count() == 1, "{answer}");
+        assert!(
+            answer.starts_with("fail") && answer.lines().count() == 1,
+            "{answer}"
+        );
     }
     // Half a line, and then nothing more to come.
     let mut half = TcpStream::connect(door).expect("open");
@@ -85,7 +97,9 @@
     drop(half.read_to_string(&mut rest));
     assert!(!rest.starts_with("ok"), "{rest}");
     // Callers that say nothing keep no other out.
-    let silent: Vec<_> = (0..200).map(|_| TcpStream::connect(door).expect("taken")).collect();
+    let silent: Vec<_> = (0..200)
+        .map(|_| TcpStream::connect(door).expect("taken"))
+        .collect();
     let start = Instant::now();
     assert!(call(door, "ready").starts_with("ok"));
     assert!(start.elapsed() < Duration::from_secs(1));
@@ -100,7 +114,11 @@
     scene.start();
     let callers: Vec<_> = (0..4)
         .map(|_| {
-            std::thread::spawn(move || (0..250).map(|_| figure(door, "success.update")).collect::<Vec<u64>>())
+            std::thread::spawn(move || {
+                (0..250)
+                    .map(|_| figure(door, "success.update"))
+                    .collect::<Vec<u64>>()
+            })
         })
         .collect();
     for _ in 0..20 {
@@ -110,7 +128,9 @@
         let seen = caller.join().expect("all calls are answered");
         assert!(seen.is_sorted(), "a count never falls: {seen:?}");
     }
-    until("the deliveries", || (figure(door, "success.update") == 20).then_some(()));
+    until("the deliveries", || {
+        (figure(door, "success.update") == 20).then_some(())
+    });
 }
 
 #[test]
@@ -119,13 +139,19 @@
         b"fails" => status("500 Broken"),
         _ => ok(),
     });
-    let (mut scene, door) =
-        with_door(vec![up("a", &host, 1), entry("b", bind().local_addr().unwrap(), 2, "draining")]);
+    let (mut scene, door) = with_door(vec![
+        up("a", &host, 1),
+        entry("b", bind().local_addr().unwrap(), 2, "draining"),
+    ]);
     scene.start();
     let none = figures(door);
     for class in ["event", "update", "payout"] {
         for figure in ["success", "overload", "error"] {
-            assert_eq!(none[&format!("{figure}.{class}")], 0, "all classes are listed from the start");
+            assert_eq!(
+                none[&format!("{figure}.{class}")],
+                0,
+                "all classes are listed from the start"
+            );
         }
     }
     for _ in 0..5 {
@@ -133,22 +159,38 @@
     }
     // An unsafe message that may have run fails for good.
     assert_eq!(scene.enqueue_body("payout", 1, 20_000, b"fails").1, "+OK");
-    assert!(scene.enqueue("update", 9).1.starts_with("-ERR unknown destination"));
+    assert!(scene
+        .enqueue("update", 9)
+        .1
+        .starts_with("-ERR unknown destination"));
     // Nobody serves this one, and its time is short.
     assert_eq!(scene.enqueue_body("update", 2, 300, b"b").1, "+OK");
-    until("all to end", || (figure(door, "concurrent") == 0).then_some(()));
+    until("all to end", || {
+        (figure(door, "concurrent") == 0).then_some(())
+    });
     let told = figures(door);
     let of = |name: &str| told[name];
-    assert_eq!((of("success.update"), of("error.payout"), of("error.update")), (5, 1, 1));
+    assert_eq!(
+        (of("success.update"), of("error.payout"), of("error.update")),
+        (5, 1, 1)
+    );
     assert_eq!((of("overload.update"), of("success.payout")), (1, 0));
     assert_eq!(of("dispatches"), host.calls().len() as u64);
-    until("the view of hosts", || (figure(door, "targets_disabled") >= 1).then_some(()));
+    until("the view of hosts", || {
+        (figure(door, "targets_disabled") >= 1).then_some(())
+    });
     assert_eq!(figure(door, "targets"), 2);
 }
 
 #[test]
 fn a_drained_relay_says_no_closes_its_clients_and_goes_on_delivering() {
-    let host = Host::new(|_, before| if before == 0 { Answer::Later(2500, ok_text()) } else { ok() });
+    let host = Host::new(|_, before| {
+        if before == 0 {
+            Answer::Later(2500, ok_text())
+        } else {
+            ok()
+        }
+    });
     let (mut scene, door) = with_door(vec![up("a", &host, 1)]);
     scene.start();
     let mut idle = scene.client();
@@ -159,17 +201,31 @@
     assert!(call(door, "drain").starts_with("ok"));
     assert!(ping(&scene).starts_with("-ERR"), "it says no at once");
     assert!(call(door, "ready").starts_with("fail"));
-    assert!(call(door, "drain").starts_with("ok"), "drained twice is drained");
+    assert!(
+        call(door, "drain").starts_with("ok"),
+        "drained twice is drained"
+    );
     let start = Instant::now();
     assert_eq!(idle.line(), "", "the connection is closed");
     assert!(start.elapsed() < Duration::from_millis(1900));
     // Past the time of the front, a message is refused and harmless elsewhere.
-    until("a refusal", || scene.enqueue("update", 1).1.starts_with("-BUSY").then_some(()));
-    until("the held message", || (figure(door, "success.update") >= 1).then_some(()));
+    until("a refusal", || {
+        scene
+            .enqueue("update", 1)
+            .1
+            .starts_with("-BUSY")
+            .then_some(())
+    });
+    until("the held message", || {
+        (figure(door, "success.update") >= 1).then_some(())
+    });
     assert_eq!(host.calls_of(&id).len(), 1);
     assert!(call(door, "resume").starts_with("ok"));
     assert_eq!(ping(&scene), "+PONG");
-    assert!(call(door, "resume").starts_with("ok"), "resumed undrained is at work");
+    assert!(
+        call(door, "resume").starts_with("ok"),
+        "resumed undrained is at work"
+    );
     assert_eq!(scene.enqueue("update", 1).1, "+OK");
 }
 
@@ -178,16 +234,33 @@
     let host = Host::new(|_, _| ok());
     let (mut scene, door) = with_door(vec![up("a", &host, 1)]);
     scene.start();
-    assert!(scene.enqueue("fresh", 1).1.starts_with("-ERR unknown class"));
+    assert!(scene
+        .enqueue("fresh", 1)
+        .1
+        .starts_with("-ERR unknown class"));
     let mut new = scene.config.clone();
     let mut class = new["settings"]["services"][1].clone();
     class["name"] = json!("fresh");
-    new["settings"]["services"].as_array_mut().expect("a list").push(class);
-    new["settings"]["services"].as_array_mut().expect("a list").remove(0);
+    new["settings"]["services"]
+        .as_array_mut()
+        .expect("a list")
+        .push(class);
+    new["settings"]["services"]
+        .as_array_mut()
+        .expect("a list")
+        .remove(0);
     reload(&scene, &new.to_string());
-    until("the file to be taken", || (figure(door, "reload_success") == 1).then_some(()));
+    until("the file to be taken", || {
+        (figure(door, "reload_success") == 1).then_some(())
+    });
     assert_eq!(scene.enqueue("fresh", 1).1, "+OK");
-    assert!(scene.enqueue("event", 1).1.starts_with("-ERR unknown class"), "it went");
+    assert!(
+        scene
+            .enqueue("event", 1)
+            .1
+            .starts_with("-ERR unknown class"),
+        "it went"
+    );
     assert_eq!(figures(door)["success.event"], 0, "what it counted stays");
     let change = |at: &str, value: Value| {
         let mut bad = new.clone();
@@ -198,7 +271,10 @@
     };
     let lacks = |key: &str| {
         let mut bad = new.clone();
-        bad["settings"]["limits"].as_object_mut().expect("an object").remove(key);
+        bad["settings"]["limits"]
+            .as_object_mut()
+            .expect("an object")
+            .remove(key);
         bad.to_string()
     };
     let whole = new.to_string();
@@ -232,23 +308,35 @@
     scene.start();
     let (id, answer) = scene.enqueue("update", 1);
     assert_eq!(answer, "+OK");
-    until("the first call", || (!host.calls_of(&id).is_empty()).then_some(()));
+    until("the first call", || {
+        (!host.calls_of(&id).is_empty()).then_some(())
+    });
     // The class turns unsafe for what comes from now on, and another one goes.
     scene.config["settings"]["services"][1]["effect"] = json!("fragile");
     reload(&scene, &scene.config.to_string());
-    until("the file to be taken", || (figure(door, "reload_success") == 1).then_some(()));
+    until("the file to be taken", || {
+        (figure(door, "reload_success") == 1).then_some(())
+    });
     let before = host.calls_of(&id).len();
-    until("another call", || (host.calls_of(&id).len() > before).then_some(()));
+    until("another call", || {
+        (host.calls_of(&id).len() > before).then_some(())
+    });
     scene.kill();
     scene.start();
     let before = host.calls_of(&id).len();
-    until("a call after the restart", || (host.calls_of(&id).len() > before).then_some(()));
+    until("a call after the restart", || {
+        (host.calls_of(&id).len() > before).then_some(())
+    });
     host.script(|_, _| ok());
-    until("its delivery", || (figure(door, "success.update") == 1).then_some(()));
+    until("its delivery", || {
+        (figure(door, "success.update") == 1).then_some(())
+    });
     // One that is taken now is unsafe: after an error it is never called again.
     host.script(|_, _| status("500 Broken"));
     let (id, _) = scene.enqueue("update", 1);
-    until("its end", || (figure(door, "error.update") == 1).then_some(()));
+    until("its end", || {
+        (figure(door, "error.update") == 1).then_some(())
+    });
     assert_eq!(host.calls_of(&id).len(), 1);
 }
 
@@ -270,11 +358,18 @@
     /// Starts a process with a door of its own beside those that run.
     fn start(&self, scene: &Scene) -> (Child, SocketAddr) {
         let door = bind().local_addr().expect("bound");
-        let log = std::fs::File::options().create(true).append(true).open(scene.folder.join("log"));
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(scene.folder.join("log"));
         let mut command = scene.command();
         command.env("BALANCER_SOCKET_FD", self.socket.as_raw_fd().to_string());
         command.env("BALANCER_CONTROL", door.to_string());
-        let child = command.stdout(Stdio::null()).stderr(log.expect("a log")).spawn().expect("starts");
+        let child = command
+            .stdout(Stdio::null())
+            .stderr(log.expect("a log"))
+            .spawn()
+            .expect("starts");
         (child, door)
     }
 }
@@ -307,17 +402,25 @@
     assert_eq!(answer, "+OK");
     let (waits, answer) = scene.enqueue("update", 2);
     assert_eq!(answer, "+OK");
-    until("the call", || (!slow.calls_of(&out).is_empty()).then_some(()));
+    until("the call", || {
+        (!slow.calls_of(&out).is_empty()).then_some(())
+    });
     let (new, door) = held.start(scene);
     ready(door);
-    assert!(call(old_door, "ready").starts_with("fail") || old.try_wait().expect("waits").is_some());
+    assert!(
+        call(old_door, "ready").starts_with("fail") || old.try_wait().expect("waits").is_some()
+    );
     assert_eq!(figure(door, "concurrent"), 2);
     // Handed in again while its call is out at the other process: it is known, and nothing goes twice.
     let mut client = scene.client();
     client.send(&request(&out, "payout", 1, 20_000, b"body"));
     assert_eq!(client.line(), "+OK");
-    until("the end of the call", || (figure(door, "success.payout") == 1).then_some(()));
-    until("the old process to leave", || old.try_wait().expect("waits"));
+    until("the end of the call", || {
+        (figure(door, "success.payout") == 1).then_some(())
+    });
+    until("the old process to leave", || {
+        old.try_wait().expect("waits")
+    });
     assert_eq!(slow.calls_of(&out).len(), 1);
     let mut client = scene.client();
     client.send(&request(&out, "payout", 1, 20_000, b"body"));
@@ -329,29 +432,44 @@
     let n = stream.read(&mut text).expect("read");
     assert!(String::from_utf8_lossy(&text[..n]).contains(&waits));
     stream.write_all(ok_text().as_bytes()).expect("answered");
-    until("its delivery", || (figure(door, "success.update") == 1).then_some(()));
+    until("its delivery", || {
+        (figure(door, "success.update") == 1).then_some(())
+    });
     assert_eq!(slow.calls_of(&out).len(), 1);
-    until("the folder to be tidy", || (!scene.folder.join("state/upgrade.state").exists()).then_some(()));
+    until("the folder to be tidy", || {
+        (!scene.folder.join("state/upgrade.state").exists()).then_some(())
+    });
     end(new);
 }
 
 #[test]
 fn a_call_that_is_cut_off_with_the_old_process_may_have_run() {
-    let host = Host::new(|seen, _| if seen.key.is_some() { ok() } else { Answer::Hang });
+    let host = Host::new(|seen, _| {
+        if seen.key.is_some() {
+            ok()
+        } else {
+            Answer::Hang
+        }
+    });
     let scene = &mut Scene::new(vec![up("a", &host, 1)]);
     let held = Held::new(scene);
     let (old, old_door) = held.start(scene);
     ready(old_door);
     let (id, answer) = scene.enqueue("payout", 1);
     assert_eq!(answer, "+OK");
-    until("the call", || (!host.calls_of(&id).is_empty()).then_some(()));
+    until("the call", || {
+        (!host.calls_of(&id).is_empty()).then_some(())
+    });
     let (new, door) = held.start(scene);
     ready(door);
     end(old);
     // It is unsafe: it fails, and does not go again.
     until("its notice", || {
         let notices = scene.discovery.notices.lock().unwrap();
-        notices.iter().any(|n| n["id"] == json!(id) && n["status"] == "undeliverable").then_some(())
+        notices
+            .iter()
+            .any(|n| n["id"] == json!(id) && n["status"] == "undeliverable")
+            .then_some(())
     });
     assert_eq!(host.calls_of(&id).len(), 1);
     assert_eq!(figure(door, "error.payout"), 1);
@@ -369,22 +487,30 @@
     assert!(call(old_door, "resume").starts_with("ok"));
     let (id, answer) = scene.enqueue("payout", 1);
     assert_eq!(answer, "+OK");
-    until("the call", || (!host.calls_of(&id).is_empty()).then_some(()));
+    until("the call", || {
+        (!host.calls_of(&id).is_empty()).then_some(())
+    });
     // It takes over, and dies.
     let (new, door) = held.start(scene);
     ready(door);
     end(new);
     ready(old_door);
     assert_eq!(ping(scene), "+PONG");
-    until("the call to end where it began", || (figure(old_door, "success.payout") == 1).then_some(()));
+    until("the call to end where it began", || {
+        (figure(old_door, "success.payout") == 1).then_some(())
+    });
     assert_eq!(host.calls_of(&id).len(), 1);
     let (id, answer) = scene.enqueue("update", 1);
     assert_eq!(answer, "+OK");
-    until("a delivery", || (figure(old_door, "success.update") == 1).then_some(()));
+    until("a delivery", || {
+        (figure(old_door, "success.update") == 1).then_some(())
+    });
     assert_eq!(host.calls_of(&id).len(), 1);
     // A request that its process did not live to see answered is dropped, and the next one is served.
     std::fs::write(scene.folder.join("state/upgrade.ask"), b"").expect("a file");
-    until("the request to go", || (!scene.folder.join("state/upgrade.ask").exists()).then_some(()));
+    until("the request to go", || {
+        (!scene.folder.join("state/upgrade.ask").exists()).then_some(())
+    });
     assert!(call(old_door, "ready").starts_with("ok"));
     let (new, door) = held.start(scene);
     ready(door);
@@ -411,14 +537,22 @@
     // It stands still, so that it cannot hand over first.
     signal(&old, "-STOP");
     let (mut new, _) = held.start(scene);
-    until("the request", || scene.folder.join("state/upgrade.ask").exists().then_some(()));
+    until("the request", || {
+        scene
+            .folder
+            .join("state/upgrade.ask")
+            .exists()
+            .then_some(())
+    });
     signal(&new, "-TERM");
     assert!(until("the new one to end", || new.try_wait().expect("waits")).success());
     signal(&old, "-CONT");
     ready(old_door);
     let (id, answer) = scene.enqueue("payout", 1);
     assert_eq!(answer, "+OK");
-    until("a delivery", || (figure(old_door, "success.payout") == 1).then_some(()));
+    until("a delivery", || {
+        (figure(old_door, "success.payout") == 1).then_some(())
+    });
     assert_eq!(host.calls_of(&id).len(), 1);
     end(old);
 }
@@ -433,13 +567,20 @@
     ready(old_door);
     let (id, answer) = scene.enqueue("payout", 1);
     assert_eq!(answer, "+OK");
-    until("the call", || (!host.calls_of(&id).is_empty()).then_some(()));
+    until("the call", || {
+        (!host.calls_of(&id).is_empty()).then_some(())
+    });
     let (new, door) = held.start(scene);
     ready(door);
     signal(&old, "-TERM");
     assert!(until("the old one to leave", || old.try_wait().expect("waits")).success());
-    until("the end of the call", || (figure(door, "success.payout") == 1).then_some(()));
-    assert_eq!((host.calls_of(&id).len(), scene.discovery.notice_of(&id)), (1, None));
+    until("the end of the call", || {
+        (figure(door, "success.payout") == 1).then_some(())
+    });
+    assert_eq!(
+        (host.calls_of(&id).len(), scene.discovery.notice_of(&id)),
+        (1, None)
+    );
     end(new);
 }
 
@@ -455,15 +596,25 @@
     assert!(call(old_door, "drain").starts_with("ok"));
     let (new, door) = held.start(scene);
     until("its door", || TcpStream::connect(door).ok());
-    until("it to have taken over", || call(door, "ready").contains("draining").then_some(()));
+    until("it to have taken over", || {
+        call(door, "ready").contains("draining").then_some(())
+    });
     // While the old one's call is out there are two; a third is one too many.
     let (mut third, _) = held.start(scene);
     let status = until("the third to end", || third.try_wait().expect("waits"));
     assert!(!status.success());
-    assert!(scene.log().contains("another process is about to take over already"), "{}", scene.log());
+    assert!(
+        scene
+            .log()
+            .contains("another process is about to take over already"),
+        "{}",
+        scene.log()
+    );
     assert!(call(door, "resume").starts_with("ok"));
     assert_eq!(ping(scene), "+PONG");
-    until("the old process to leave", || old.try_wait().expect("waits"));
+    until("the old process to leave", || {
+        old.try_wait().expect("waits")
+    });
     assert_eq!(host.calls().len(), 1);
     end(new);
 }
@@ -478,7 +629,10 @@
         let text = String::from_utf8_lossy(&output.stderr).to_string();
         assert!(!output.status.success() && text.contains(says), "{text}");
         assert_eq!(
-            text.trim_end().lines().filter(|line| line.starts_with("madderpitch:")).count(),
+            text.trim_end()
+                .lines()
+                .filter(|line| line.starts_with("madderpitch:"))
+                .count(),
             1,
             "{text}"
         );
@@ -489,7 +643,11 @@
     fails("BALANCER_CONTROL", "here", "no address and port");
     fails("BALANCER_SOCKET_FD", "soon", "no descriptor");
     fails("BALANCER_SOCKET_FD", "1", "cannot listen on descriptor 1");
-    fails("BALANCER_SOCKET_FD", "977", "cannot listen on descriptor 977");
+    fails(
+        "BALANCER_SOCKET_FD",
+        "977",
+        "cannot listen on descriptor 977",
+    );
     // A journal of a form to come is left as it is.
     let journal = scene.journal();
     let body = [200u8, 1, 2, 3];
@@ -547,7 +705,9 @@
     for _ in 0..3 {
         let (new, door) = held.start(scene);
         ready(door);
-        until("the old process to leave", || old.try_wait().expect("waits"));
+        until("the old process to leave", || {
+            old.try_wait().expect("waits")
+        });
         old = new;
     }
     over.store(true, std::sync::atomic::Ordering::SeqCst);
@@ -557,9 +717,13 @@
         (sent, unread) = (sent + s, unread + u);
     }
     assert!(sent > 20, "only {sent} were sent");
-    assert!(unread <= 6, "{unread} of {sent} met a connection that was closed before it was read");
+    assert!(
+        unread <= 6,
+        "{unread} of {sent} met a connection that was closed before it was read"
+    );
     until("all deliveries", || {
-        let ids: std::collections::BTreeSet<_> = host.calls().into_iter().map(|seen| seen.id).collect();
+        let ids: std::collections::BTreeSet<_> =
+            host.calls().into_iter().map(|seen| seen.id).collect();
         (ids.len() as u32 >= sent).then_some(())
     });
     let calls = host.calls();
@@ -583,7 +747,9 @@
     for _ in 0..3 {
         assert_eq!(scene.enqueue_for("acme", "update", 1, 9000).1, "+OK");
     }
-    until("the deliveries", || (figure(old_door, "success.update") == 3).then_some(()));
+    until("the deliveries", || {
+        (figure(old_door, "success.update") == 3).then_some(())
+    });
     for weight in 2..5 {
         let before = scene.enqueue_for("acme", "update", 1, 9000).1;
         assert!(before.starts_with("-BUSY"), "{before}");
@@ -591,12 +757,19 @@
         ready(door);
         // It serves the API before it says yes.
         let shown = api.get("/v1/tenants/acme");
-        assert_eq!((shown.status, shown.body["spec"]["weight"].as_u64()), (200, Some(weight - 1)));
-        let changed = api.patch("acme", shown.tag(), json!({"weight": weight})).expect("an answer");
+        assert_eq!(
+            (shown.status, shown.body["spec"]["weight"].as_u64()),
+            (200, Some(weight - 1))
+        );
+        let changed = api
+            .patch("acme", shown.tag(), json!({"weight": weight}))
+            .expect("an answer");
         assert_eq!(changed.status, 200);
         let after = scene.enqueue_for("acme", "update", 1, 9000).1;
         assert!(after.starts_with("-BUSY"), "{after}");
-        until("the old process to leave", || old.try_wait().expect("waits"));
+        until("the old process to leave", || {
+            old.try_wait().expect("waits")
+        });
         (old, _) = (new, door);
     }
     end(old);
--- a/crates/relay/tests/platform.rs
+++ b/crates/relay/tests/platform.rs
@@ -10,7 +10,10 @@
 use serde_json::{json, Value};
 
 fn root() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").canonicalize().expect("the repository")
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../..")
+        .canonicalize()
+        .expect("the repository")
 }
 
 fn read(path: impl AsRef<Path>) -> String {
@@ -23,7 +26,9 @@
 
 fn list(table: &toml::Table, key: &str) -> Vec<String> {
     let entries = table[key].as_array().expect("a list").iter();
-    entries.map(|entry| entry.as_str().expect("text").to_string()).collect()
+    entries
+        .map(|entry| entry.as_str().expect("text").to_string())
+        .collect()
 }
 
 /// The packages of this workspace that the relay is made of, by what their manifests say.
@@ -33,9 +38,14 @@
         if !found.insert(package.clone()) {
             continue;
         }
-        let manifest: toml::Table = read(format!("crates/{package}/Cargo.toml")).parse().expect("TOML");
+        let manifest: toml::Table = read(format!("crates/{package}/Cargo.toml"))
+            .parse()
+            .expect("TOML");
         let needs = manifest.get("dependencies").and_then(toml::Value::as_table);
-        let ours = needs.into_iter().flatten().filter_map(|(name, _)| name.strip_prefix("madderpitch-"));
+        let ours = needs
+            .into_iter()
+            .flatten()
+            .filter_map(|(name, _)| name.strip_prefix("madderpitch-"));
         to_do.extend(ours.map(String::from));
     }
     found
@@ -46,14 +56,23 @@
     for file in ["deploy/balancer.toml", "deploy/balancer-log.toml"] {
         let table = deploy(file);
         let named: BTreeSet<String> = list(&table, "node").into_iter().collect();
-        let made_of: BTreeSet<String> = packages().iter().map(|name| format!("crates/{name}/src")).collect();
+        let made_of: BTreeSet<String> = packages()
+            .iter()
+            .map(|name| format!("crates/{name}/src"))
+            .collect();
         assert_eq!(named, made_of, "{file}");
         for key in ["run", "sim"] {
             let command = table[key].as_str().expect("text");
-            assert!(command.starts_with("exec target/release/madderpitch"), "{command}");
+            assert!(
+                command.starts_with("exec target/release/madderpitch"),
+                "{command}"
+            );
         }
         for path in list(&table, "policy") {
-            let lines = read(&path).lines().filter(|line| !line.trim().is_empty()).count();
+            let lines = read(&path)
+                .lines()
+                .filter(|line| !line.trim().is_empty())
+                .count();
             assert!(lines <= 1200, "{path} has {lines} lines");
         }
     }
@@ -72,10 +91,19 @@
 #[test]
 fn nothing_that_is_refused_is_called() {
     let mut files = Vec::new();
-    packages().iter().for_each(|name| sources(&root().join(format!("crates/{name}/src")), &mut files));
+    packages()
+        .iter()
+        .for_each(|name| sources(&root().join(format!("crates/{name}/src")), &mut files));
     assert!(files.len() > 40, "{}", files.len());
-    let refused =
-        ["process::Command", "fork(", "io_uring", "splice(", "sendfile", "UdpSocket", "::shutdown(Shutdown"];
+    let refused = [
+        "process::Command",
+        "fork(",
+        "io_uring",
+        "splice(",
+        "sendfile",
+        "UdpSocket",
+        "::shutdown(Shutdown",
+    ];
     let mut allowed = 0;
     for file in files {
         let text = std::fs::read_to_string(&file).expect("a source");
@@ -84,13 +112,20 @@
         }
         // Unix sockets are the administration's alone, which the deploy file does not switch on.
         allowed += u32::from(text.contains("UnixListener"));
-        let unsafe_calls = text.lines().filter(|line| line.contains("unsafe {")).count();
+        let unsafe_calls = text
+            .lines()
+            .filter(|line| line.contains("unsafe {"))
+            .count();
         let may = usize::from(file.ends_with("seam/src/inherited.rs"));
         assert_eq!(unsafe_calls, may, "{}", file.display());
     }
     assert_eq!(allowed, 1, "one place knows Unix sockets");
     let lock: toml::Table = read("Cargo.lock").parse().expect("TOML");
-    let names = lock["package"].as_array().expect("a list").iter().filter_map(|p| p["name"].as_str());
+    let names = lock["package"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .filter_map(|p| p["name"].as_str());
     let names: BTreeSet<&str> = names.collect();
     for library in ["io-uring", "tokio-uring", "rio", "monoio", "glommio"] {
         assert!(!names.contains(library), "{library}");
@@ -119,19 +154,40 @@
     assert_eq!(scene.enqueue("update", 1).1, "+OK");
     until("its delivery", || (!host.calls().is_empty()).then_some(()));
     // Without each of these keys it does not start, and says which.
-    let keys =
-        ["/settings/limits/maxAttempts", "/settings/services", "/seed", "/limits", "/settings/siblings"];
+    let keys = [
+        "/settings/limits/maxAttempts",
+        "/settings/services",
+        "/seed",
+        "/limits",
+        "/settings/siblings",
+    ];
     scene.kill();
     for key in keys {
         let (parent, name) = key.rsplit_once('/').expect("a path");
         let before = scene.config.clone();
-        let parent =
-            if parent.is_empty() { Some(&mut scene.config) } else { scene.config.pointer_mut(parent) };
-        parent.and_then(Value::as_object_mut).expect("an object").remove(name).expect("a key");
+        let parent = if parent.is_empty() {
+            Some(&mut scene.config)
+        } else {
+            scene.config.pointer_mut(parent)
+        };
+        parent
+            .and_then(Value::as_object_mut)
+            .expect("an object")
+            .remove(name)
+            .expect("a key");
         let output = scene.command().output().expect("runs");
         let text = String::from_utf8_lossy(&output.stderr).to_string();
-        assert!(!output.status.success() && text.contains(name), "{key}: {text}");
-        assert_eq!(text.lines().filter(|line| line.starts_with("madderpitch:")).count(), 1, "{text}");
+        assert!(
+            !output.status.success() && text.contains(name),
+            "{key}: {text}"
+        );
+        assert_eq!(
+            text.lines()
+                .filter(|line| line.starts_with("madderpitch:"))
+                .count(),
+            1,
+            "{text}"
+        );
         scene.config = before;
     }
 }
--- a/crates/relay/tests/races.rs
+++ b/crates/relay/tests/races.rs
@@ -17,7 +17,9 @@
 
 /// Closes a connection with a reset.
 fn reset(stream: TcpStream) {
-    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+    SockRef::from(&stream)
+        .set_linger(Some(Duration::ZERO))
+        .expect("set");
 }
 
 /// Reads a call to its end and gives its id.
@@ -30,7 +32,9 @@
         text.push(byte[0]);
     }
     let text = String::from_utf8(text).expect("text");
-    let id = text.lines().find_map(|line| line.strip_prefix("x-trace-id: "));
+    let id = text
+        .lines()
+        .find_map(|line| line.strip_prefix("x-trace-id: "));
     id.expect("a name").into()
 }
 
@@ -81,9 +85,12 @@
 /// on a new connection; after a close what is written may have run as far as the relay can tell.
 #[test]
 fn a_kept_connection_that_ends_under_the_first_byte_makes_no_second_effect() {
-    for (class, ends) in
-        [("payout", Ends::Reset), ("payout", Ends::Close), ("update", Ends::Reset), ("update", Ends::Close)]
-    {
+    for (class, ends) in [
+        ("payout", Ends::Reset),
+        ("payout", Ends::Close),
+        ("update", Ends::Reset),
+        ("update", Ends::Close),
+    ] {
         // Too slow: the call came before the connection was kept. The order is what counts, so once more.
         while !ends_under_the_first_byte(class, ends) {}
     }
@@ -92,14 +99,22 @@
 /// False if the kept connection was not used.
 fn ends_under_the_first_byte(class: &str, ends: Ends) -> bool {
     let listener = bind();
-    let mut scene = Scene::new(vec![entry("a", listener.local_addr().expect("bound"), 1, "up")]);
+    let mut scene = Scene::new(vec![entry(
+        "a",
+        listener.local_addr().expect("bound"),
+        1,
+        "up",
+    )]);
     let relay = scene.inside(&[]);
     scene.until_ready();
     let (first, answer) = scene.enqueue("update", 1);
     assert_eq!(answer, "+OK");
     let (mut stream, _) = listener.accept().expect("accepted");
     assert_eq!(read_call(&mut stream), first);
-    let (kept, ended) = (Arc::new(Mutex::new(None::<TcpStream>)), Arc::new(Mutex::new(false)));
+    let (kept, ended) = (
+        Arc::new(Mutex::new(None::<TcpStream>)),
+        Arc::new(Mutex::new(false)),
+    );
     let over = Arc::new(Mutex::new(false));
     let (mine, done, told) = (kept.clone(), ended.clone(), over.clone());
     relay.at_points(move |point| {
@@ -114,13 +129,21 @@
         }
     });
     stream.write_all(ok_text().as_bytes()).expect("written");
-    until("the end of the first message", || over.lock().unwrap().then_some(()));
+    until("the end of the first message", || {
+        over.lock().unwrap().then_some(())
+    });
     *kept.lock().unwrap() = Some(stream);
     let ids = Arc::new(Mutex::new(Vec::new()));
     serve(listener, ids.clone());
     let (id, answer) = scene.enqueue(class, 1);
     assert_eq!(answer, "+OK");
-    let times = || ids.lock().unwrap().iter().filter(|seen| **seen == id).count();
+    let times = || {
+        ids.lock()
+            .unwrap()
+            .iter()
+            .filter(|seen| **seen == id)
+            .count()
+    };
     let notice = until("its end or its call", || {
         let notice = scene.discovery.notice_of(&id);
         (notice.is_some() || times() > 0).then_some(notice)
@@ -130,7 +153,10 @@
     }
     thread::sleep(Duration::from_millis(50));
     if class == "payout" && ends == Ends::Close {
-        assert_eq!(notice.map(|notice| notice["status"].clone()), Some("undeliverable".into()));
+        assert_eq!(
+            notice.map(|notice| notice["status"].clone()),
+            Some("undeliverable".into())
+        );
         assert_eq!(times(), 0, "it may have run");
     } else {
         assert_eq!((times(), notice), (1, None), "{class} {ends:?}");
@@ -180,7 +206,10 @@
     let (again, answer) = scene.enqueue("payout", 1);
     assert_eq!(answer, "+OK");
     until("the call", || host.calls_of(&again).first().cloned());
-    assert_eq!((host.calls_of(&id).len(), host.calls_of(&again).len()), (1, 1));
+    assert_eq!(
+        (host.calls_of(&id).len(), host.calls_of(&again).len()),
+        (1, 1)
+    );
     relay.signal(Signal::Stop);
     assert_eq!(relay.end(), Ok(()));
 }
@@ -190,7 +219,11 @@
 fn signals_before_the_first_list_end_the_process_and_lose_nothing() {
     use Signal::{Reload, Stop};
     let cases = [&[Stop][..], &[Stop, Stop], &[Reload, Stop], &[Stop, Reload]];
-    thread::scope(|threads| cases.map(|first| threads.spawn(move || signals_first(first))).map(drop));
+    thread::scope(|threads| {
+        cases
+            .map(|first| threads.spawn(move || signals_first(first)))
+            .map(drop)
+    });
 }
 
 fn signals_first(first: &[Signal]) {
@@ -206,6 +239,8 @@
     host.script(|_, _| ok());
     let before = host.calls_of(&id).len();
     scene.start();
-    until("the call", || (host.calls_of(&id).len() > before).then_some(()));
+    until("the call", || {
+        (host.calls_of(&id).len() > before).then_some(())
+    });
     assert_eq!(scene.discovery.notice_of(&id), None, "{first:?}");
 }
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -17,7 +17,12 @@
 fn messages_reach_their_host_unchanged_split_and_pipelined() {
     let host = Host::new(|_, _| ok());
     let scene = Scene::started(vec![up("a", &host, 7)]);
-    let bodies: Vec<Vec<u8>> = vec![(0..=255).collect(), b"\r\n$3\r\n".to_vec(), Vec::new(), vec![9; 65536]];
+    let bodies: Vec<Vec<u8>> = vec![
+        (0..=255).collect(),
+        b"\r\n$3\r\n".to_vec(),
+        Vec::new(),
+        vec![9; 65536],
+    ];
     let mut text = Vec::new();
     for (number, body) in bodies.iter().enumerate() {
         text.extend(request(&format!("x{number}"), "event", 7, 20_000, body));
@@ -33,7 +38,9 @@
     }
     for (number, body) in bodies.iter().enumerate() {
         let id = format!("x{number}");
-        let calls = until("the call", || Some(host.calls_of(&id)).filter(|calls| !calls.is_empty()));
+        let calls = until("the call", || {
+            Some(host.calls_of(&id)).filter(|calls| !calls.is_empty())
+        });
         assert_eq!(&calls[0].body, body);
         assert_eq!(calls[0].key.as_deref(), Some(format!("k-{id}").as_str()));
     }
@@ -47,13 +54,21 @@
         assert_eq!(scene.enqueue("update", 7).1, "+OK");
         until("the call", || (host.calls().len() == number).then_some(()));
     }
-    assert!(host.calls().iter().all(|call| call.connection == 0), "{:?}", host.calls());
+    assert!(
+        host.calls().iter().all(|call| call.connection == 0),
+        "{:?}",
+        host.calls()
+    );
 }
 
 #[test]
 fn a_call_that_was_out_at_a_kill_may_have_run() {
     let host = Host::new(|_, _| Answer::Hang);
-    let mut scene = Scene::started(vec![up("a", &host, 1), up("b", &host, 2), up("c", &host, 3)]);
+    let mut scene = Scene::started(vec![
+        up("a", &host, 1),
+        up("b", &host, 2),
+        up("c", &host, 3),
+    ]);
     let ids: Vec<String> = [("update", 1), ("event", 2), ("payout", 3)]
         .iter()
         .map(|(class, block)| {
@@ -68,8 +83,13 @@
     scene.start();
     // Safe and keyed ones go again, under their names and keys.
     for id in &ids[..2] {
-        let calls = until("another call", || Some(host.calls_of(id)).filter(|calls| calls.len() == 2));
-        assert_eq!((&calls[0].key, &calls[0].body), (&calls[1].key, &calls[1].body));
+        let calls = until("another call", || {
+            Some(host.calls_of(id)).filter(|calls| calls.len() == 2)
+        });
+        assert_eq!(
+            (&calls[0].key, &calls[0].body),
+            (&calls[1].key, &calls[1].body)
+        );
     }
     // An unsafe one must not, nor may its client be told that it is harmless to come again.
     let notice = until("the notice", || scene.discovery.notice_of(&ids[2]));
@@ -125,8 +145,16 @@
     until("the call", || host.calls_of(&id).first().cloned());
     scene.kill();
     let whole = fs::read(scene.journal()).expect("a journal");
-    for tail in [&whole[..5], &[0xff; 40][..], &whole[..whole.len() / 2 - 1], &[40, 0, 0, 0, 1, 2, 3, 4, 5]] {
-        let mut file = fs::File::options().append(true).open(scene.journal()).expect("a journal");
+    for tail in [
+        &whole[..5],
+        &[0xff; 40][..],
+        &whole[..whole.len() / 2 - 1],
+        &[40, 0, 0, 0, 1, 2, 3, 4, 5],
+    ] {
+        let mut file = fs::File::options()
+            .append(true)
+            .open(scene.journal())
+            .expect("a journal");
         file.write_all(tail).expect("written");
     }
     host.script(|_, _| ok());
@@ -144,13 +172,24 @@
 }
 
 fn folder_size(scene: &Scene) -> u64 {
-    let files = fs::read_dir(scene.folder.join("state")).expect("a folder").flatten();
-    files.filter_map(|file| file.metadata().ok()).map(|meta| meta.len().div_ceil(512) * 512).sum()
+    let files = fs::read_dir(scene.folder.join("state"))
+        .expect("a folder")
+        .flatten();
+    files
+        .filter_map(|file| file.metadata().ok())
+        .map(|meta| meta.len().div_ceil(512) * 512)
+        .sum()
 }
 
 #[test]
 fn the_journal_is_written_anew_and_stays_under_its_limit() {
-    let host = Host::new(|seen, _| if seen.id == "m0001" { Answer::Hang } else { ok() });
+    let host = Host::new(|seen, _| {
+        if seen.id == "m0001" {
+            Answer::Hang
+        } else {
+            ok()
+        }
+    });
     let mut scene = Scene::new(vec![up("a", &host, 1), up("b", &host, 2)]);
     scene.config["limits"]["disk_mb"] = 0.25.into();
     scene.start();
@@ -170,7 +209,9 @@
     scene.kill();
     host.script(|_, _| ok());
     scene.start();
-    until("what was owed all along", || host.calls_of(&owed).get(1).cloned());
+    until("what was owed all along", || {
+        host.calls_of(&owed).get(1).cloned()
+    });
     assert_eq!(host.calls_of(&owed)[1].body, b"body");
 }
 
@@ -180,10 +221,19 @@
     let mut scene = Scene::new(vec![up("a", &host, 1), up("b", &host, 2)]);
     scene.config["limits"]["disk_mb"] = 0.25.into();
     scene.start();
-    let answers: Vec<String> =
-        (0..20).map(|_| scene.enqueue_body("update", 1, 50_000, &[7; 10_000]).1).collect();
-    assert!(answers[..5].iter().all(|answer| answer == "+OK"), "{answers:?}");
-    assert!(answers[10..].iter().all(|answer| answer.starts_with("-BUSY ")), "{answers:?}");
+    let answers: Vec<String> = (0..20)
+        .map(|_| scene.enqueue_body("update", 1, 50_000, &[7; 10_000]).1)
+        .collect();
+    assert!(
+        answers[..5].iter().all(|answer| answer == "+OK"),
+        "{answers:?}"
+    );
+    assert!(
+        answers[10..]
+            .iter()
+            .all(|answer| answer.starts_with("-BUSY ")),
+        "{answers:?}"
+    );
     let (id, answer) = scene.enqueue_body("update", 2, 50_000, b"small");
     assert_eq!(answer, "+OK");
     until("the call", || host.calls_of(&id).first().cloned());
@@ -192,12 +242,15 @@
 
 #[test]
 fn sigterm_answers_all_requests_lets_calls_end_and_keeps_the_rest() {
-    let host = Host::new(|_, _| Answer::Later(700, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".into()));
+    let host =
+        Host::new(|_, _| Answer::Later(700, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".into()));
     let hung = Host::new(|_, _| Answer::Hang);
     let mut scene = Scene::started(vec![up("a", &host, 1), up("b", &hung, 2)]);
     let (slow, _) = scene.enqueue("payout", 1);
     let (kept, _) = scene.enqueue("update", 2);
-    until("both calls", || (host.calls().len() + hung.calls().len() == 2).then_some(()));
+    until("both calls", || {
+        (host.calls().len() + hung.calls().len() == 2).then_some(())
+    });
     let mut client = scene.client();
     client.send(b"*1\r\n$4\r\nPING\r\n");
     assert_eq!(client.line(), "+PONG");
@@ -208,7 +261,10 @@
     for number in 0.. {
         let id = format!("t{number}");
         let stream = client.reader.get_mut();
-        if stream.write_all(&request(&id, "update", 2, 20_000, b"late")).is_err() {
+        if stream
+            .write_all(&request(&id, "update", 2, 20_000, b"late"))
+            .is_err()
+        {
             break;
         }
         match client.line().as_str() {
@@ -220,13 +276,19 @@
         std::thread::sleep(Duration::from_millis(80));
     }
     assert!(scene.end().success());
-    assert!(start.elapsed() < Duration::from_millis(3700), "{:?}", start.elapsed());
+    assert!(
+        start.elapsed() < Duration::from_millis(3700),
+        "{:?}",
+        start.elapsed()
+    );
     assert!(!taken.is_empty());
     hung.script(|_, _| ok());
     scene.start();
     until("the kept message", || hung.calls_of(&kept).get(1).cloned());
     for id in &taken {
-        until("what was taken on late", || hung.calls_of(id).last().cloned());
+        until("what was taken on late", || {
+            hung.calls_of(id).last().cloned()
+        });
     }
     // Its outcome was written down, so it is neither sent again nor given up.
     assert_eq!(host.calls_of(&slow).len(), 1);
@@ -256,22 +318,36 @@
     until("another call", || host.calls_of(&first).get(1).cloned());
     // Calls may cross the answer for a tenth of a second.
     let wait = start + Duration::from_millis(100)..start + Duration::from_millis(900);
-    let early: Vec<_> = host.calls().into_iter().filter(|call| wait.contains(&call.at)).collect();
+    let early: Vec<_> = host
+        .calls()
+        .into_iter()
+        .filter(|call| wait.contains(&call.at))
+        .collect();
     assert!(early.is_empty(), "{early:?}");
 }
 
 #[test]
 fn a_call_that_is_still_connecting_heeds_a_wait_told_meanwhile() {
     // A listener whose queue is full lets nobody in until it accepts.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let socket =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     let any: std::net::SocketAddr = bind().local_addr().expect("bound");
     socket.bind(&any.into()).expect("bound");
     socket.listen(0).expect("listens");
-    let fill: Vec<_> =
-        (0..4).map(|_| std::net::TcpStream::connect_timeout(&any, Duration::from_millis(300))).collect();
-    assert!(fill.last().expect("tried").is_err(), "the queue takes more than it should");
-    let host =
-        Host::new(|_, before| if before == 0 { status("429 Slow\r\nX-Backoff-Ms: 5000") } else { ok() });
+    let fill: Vec<_> = (0..4)
+        .map(|_| std::net::TcpStream::connect_timeout(&any, Duration::from_millis(300)))
+        .collect();
+    assert!(
+        fill.last().expect("tried").is_err(),
+        "the queue takes more than it should"
+    );
+    let host = Host::new(|_, before| {
+        if before == 0 {
+            status("429 Slow\r\nX-Backoff-Ms: 5000")
+        } else {
+            ok()
+        }
+    });
     let mut scene = Scene::new(vec![entry("a", any, 1, "up")]);
     scene.config["settings"]["limits"]["dialTimeout"] = 20_000_000.into();
     scene.start();
@@ -298,12 +374,17 @@
             std::io::Read::read(stream, &mut [0; 10]).unwrap_or(0)
         };
         // Those that filled the queue come first and say nothing.
-        (reached.len(), reached.iter_mut().map(&mut read).sum::<usize>())
+        (
+            reached.len(),
+            reached.iter_mut().map(&mut read).sum::<usize>(),
+        )
     });
     let (reached, read) = calls.join().expect("ends");
     assert!(reached > 0, "nobody came through");
     assert_eq!(read, 0, "a call began within the wait");
-    until("the first message", || host.calls_of(&first).first().cloned());
+    until("the first message", || {
+        host.calls_of(&first).first().cloned()
+    });
 }
 
 #[test]
@@ -313,15 +394,25 @@
     let host = Host::new(|_, _| ok());
     let mut scene = Scene::started(vec![entry("a", gone, 1, "up"), up("b", &host, 1)]);
     let (id, _) = scene.enqueue("payout", 1);
-    until("a call at the other host", || host.calls_of(&id).first().cloned());
+    until("a call at the other host", || {
+        host.calls_of(&id).first().cloned()
+    });
 
     // Broken after the last byte, an error, and no HTTP at all: each may have run.
     let garbled = Answer::Last("what?\r\n\r\n".into());
-    let odd =
-        [Answer::Close, status("500 Oops"), garbled, status("302 Elsewhere"), status("429 No wait told")];
+    let odd = [
+        Answer::Close,
+        status("500 Oops"),
+        garbled,
+        status("302 Elsewhere"),
+        status("429 No wait told"),
+    ];
     for (block, answer) in (2..).zip(odd) {
         let broken = Host::new(move |_, _| answer.clone());
-        scene.discovery.push(u64::from(block), &[up(&format!("h{block}"), &broken, block)]);
+        scene.discovery.push(
+            u64::from(block),
+            &[up(&format!("h{block}"), &broken, block)],
+        );
         let id = until("the new host", || {
             let (id, answer) = scene.enqueue("payout", block);
             (answer == "+OK").then_some(id)
@@ -334,7 +425,12 @@
 
 #[test]
 fn turned_away_messages_go_again_even_unsafe_ones() {
-    for line in ["503 Full", "503 Full\r\nX-Egress-Full: 1", "504 Spent", "429 Slow\r\nX-Backoff-Ms: 50"] {
+    for line in [
+        "503 Full",
+        "503 Full\r\nX-Egress-Full: 1",
+        "504 Spent",
+        "429 Slow\r\nX-Backoff-Ms: 50",
+    ] {
         let host = Host::new(move |_, before| if before == 0 { status(line) } else { ok() });
         let mut scene = Scene::started(vec![up("a", &host, 1)]);
         let (id, _) = scene.enqueue("payout", 1);
@@ -357,17 +453,28 @@
     scene.start();
     let (last, _) = scene.enqueue("update", 1);
     until("the last call", || host.calls_of(&last).first().cloned());
-    assert_eq!((host.calls_of(&id).len(), scene.discovery.notice_of(&id)), (1, None));
+    assert_eq!(
+        (host.calls_of(&id).len(), scene.discovery.notice_of(&id)),
+        (1, None)
+    );
 }
 
 #[test]
 fn a_connection_closed_while_idle_costs_no_attempt() {
     let closes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    let host = Host::new(move |_, before| if before == 0 { Answer::Last(closes.into()) } else { ok() });
+    let host = Host::new(move |_, before| {
+        if before == 0 {
+            Answer::Last(closes.into())
+        } else {
+            ok()
+        }
+    });
     let mut scene = Scene::started(vec![up("a", &host, 1)]);
     let (first, _) = scene.enqueue("payout", 1);
     until("the call", || host.calls_of(&first).first().cloned());
-    until("the connection to end", || host.ended.lock().unwrap().first().cloned());
+    until("the connection to end", || {
+        host.ended.lock().unwrap().first().cloned()
+    });
     let (second, _) = scene.enqueue("payout", 1);
     let call = until("the call", || host.calls_of(&second).first().cloned());
     assert_eq!(call.connection, 1);
@@ -381,16 +488,31 @@
     // Four at once, so that four connections are kept.
     let mut client = scene.client();
     for number in 0..4 {
-        client.send(&request(&format!("first{number}"), "update", 1, 20_000, b"x"));
+        client.send(&request(
+            &format!("first{number}"),
+            "update",
+            1,
+            20_000,
+            b"x",
+        ));
     }
-    until("four answered calls", || (host.calls().len() == 4).then_some(()));
+    until("four answered calls", || {
+        (host.calls().len() == 4).then_some(())
+    });
     std::thread::sleep(Duration::from_millis(300));
     // From here on each of them breaks under its next call, as if something between had forgotten it.
-    host.script(|call, _| if call.connection < 4 { Answer::Close } else { ok() });
+    host.script(|call, _| {
+        if call.connection < 4 {
+            Answer::Close
+        } else {
+            ok()
+        }
+    });
     let (id, answer) = scene.enqueue("update", 1);
     assert_eq!(answer, "+OK");
     let calls = until("the call that is answered", || {
-        Some(host.calls_of(&id)).filter(|calls| calls.last().is_some_and(|call| call.connection >= 4))
+        Some(host.calls_of(&id))
+            .filter(|calls| calls.last().is_some_and(|call| call.connection >= 4))
     });
     // The others that stood as long are given up with it.
     assert_eq!(calls.len(), 2, "{calls:?}");
@@ -401,8 +523,12 @@
     let host = Host::new(|_, before| if before == 0 { Answer::Hang } else { ok() });
     let mut scene = Scene::started(vec![up("a", &host, 1)]);
     let (id, _) = scene.enqueue_body("update", 1, 6_000, b"x");
-    let calls = until("another call", || Some(host.calls_of(&id)).filter(|calls| calls.len() > 1));
-    let ended = until("the first to end", || host.ended.lock().unwrap().first().cloned());
+    let calls = until("another call", || {
+        Some(host.calls_of(&id)).filter(|calls| calls.len() > 1)
+    });
+    let ended = until("the first to end", || {
+        host.ended.lock().unwrap().first().cloned()
+    });
     assert_eq!(ended.0, calls[0].connection);
     // The peer's threads note times in any order; a connection that was kept would end when idle.
     assert!(ended.1 < calls[1].at + Duration::from_secs(5));
@@ -415,23 +541,51 @@
     let mut scene = Scene::started(vec![up("a", &host, 1)]);
     let announced = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
     let spoilt = [
-        (true, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc".to_string()),
-        (true, "HTTP/1.1 200 OK\r\nno header at all\u{1}\r\n\r\n".into()),
+        (
+            true,
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc".to_string(),
+        ),
+        (
+            true,
+            "HTTP/1.1 200 OK\r\nno header at all\u{1}\r\n\r\n".into(),
+        ),
         (true, "HTTP/1.1 200 OK\r\nX-Pad: never ends".into()),
-        (true, format!("HTTP/1.1 200 OK\r\n{}", "X-Pad: never ends\r\n".repeat(20_000))),
-        (true, "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nbegins".into()),
-        (true, announced.repeat(3) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
-        (false, announced.repeat(3) + "HTTP/1.1 500 Bad\r\nX-Pad: never ends"),
+        (
+            true,
+            format!(
+                "HTTP/1.1 200 OK\r\n{}",
+                "X-Pad: never ends\r\n".repeat(20_000)
+            ),
+        ),
+        (
+            true,
+            "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nbegins".into(),
+        ),
+        (
+            true,
+            announced.repeat(3) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        ),
+        (
+            false,
+            announced.repeat(3) + "HTTP/1.1 500 Bad\r\nX-Pad: never ends",
+        ),
         (false, announced.repeat(5000)),
         (false, "\u{1}\u{2} no answer at all 200 OK\r\n\r\n".into()),
         (false, "HTTP/1.1 20".into()),
-        (false, "HTTP/1.1 503 Busy\r\nno header at all\u{1}\r\n\r\n".into()),
+        (
+            false,
+            "HTTP/1.1 503 Busy\r\nno header at all\u{1}\r\n\r\n".into(),
+        ),
     ];
     for (number, (delivered, text)) in spoilt.into_iter().enumerate() {
         // A destination of its own, so that the fuse plays no part.
         let block = 10 + number as u16;
-        scene.discovery.push(u64::from(block), &[up(&format!("h{block}"), &host, block)]);
-        until("the host", || (scene.enqueue("update", block).1 == "+OK").then_some(()));
+        scene
+            .discovery
+            .push(u64::from(block), &[up(&format!("h{block}"), &host, block)]);
+        until("the host", || {
+            (scene.enqueue("update", block).1 == "+OK").then_some(())
+        });
         let shown = text.chars().take(60).collect::<String>();
         let answer = text.clone();
         host.script(move |call, _| match call.body.as_slice() {
@@ -463,14 +617,23 @@
     let mut scene = Scene::started(vec![up("a", &old, 1)]);
     let (id, _) = scene.enqueue("update", 1);
     until("the call", || old.calls_of(&id).first().cloned());
-    scene.discovery.push(2, &[entry("a", old.address, 1, "draining"), up("b", &new, 1)]);
+    scene.discovery.push(
+        2,
+        &[entry("a", old.address, 1, "draining"), up("b", &new, 1)],
+    );
     let told = Instant::now();
     until("calls at the new host", || {
         let (id, _) = scene.enqueue("update", 1);
-        until("the call", || (old.calls_of(&id).len() + new.calls_of(&id).len() == 1).then_some(()));
+        until("the call", || {
+            (old.calls_of(&id).len() + new.calls_of(&id).len() == 1).then_some(())
+        });
         (new.calls().len() >= 20).then_some(())
     });
-    let late = old.calls().into_iter().filter(|call| call.at > told + Duration::from_secs(2)).count();
+    let late = old
+        .calls()
+        .into_iter()
+        .filter(|call| call.at > told + Duration::from_secs(2))
+        .count();
     assert_eq!(late, 0);
 }
 
@@ -478,15 +641,32 @@
 fn a_drain_is_kept_by_a_relay_that_restarts_while_discovery_is_silent() {
     let (old, new) = (Host::new(|_, _| ok()), Host::new(|_, _| ok()));
     let mut scene = Scene::started(vec![up("a", &old, 1)]);
-    scene.discovery.push(2, &[entry("a", old.address, 1, "draining"), up("b", &new, 1), up("c", &new, 2)]);
-    until("the change", || (scene.enqueue("update", 2).1 == "+OK").then_some(()));
-    scene.discovery.silent.store(true, std::sync::atomic::Ordering::SeqCst);
+    scene.discovery.push(
+        2,
+        &[
+            entry("a", old.address, 1, "draining"),
+            up("b", &new, 1),
+            up("c", &new, 2),
+        ],
+    );
+    until("the change", || {
+        (scene.enqueue("update", 2).1 == "+OK").then_some(())
+    });
+    scene
+        .discovery
+        .silent
+        .store(true, std::sync::atomic::Ordering::SeqCst);
     scene.kill();
     // The configuration still has the list from before the drain.
     scene.start();
     for _ in 0..5 {
         let (id, _) = scene.enqueue("update", 1);
-        until("the call", || old.calls_of(&id).into_iter().chain(new.calls_of(&id)).next());
+        until("the call", || {
+            old.calls_of(&id)
+                .into_iter()
+                .chain(new.calls_of(&id))
+                .next()
+        });
     }
     assert!(old.calls().is_empty(), "{:?}", old.calls());
 }
@@ -506,19 +686,28 @@
     }
     until("some failures", || (host.calls().len() >= 2).then_some(()));
     until("the outage to be noted", || {
-        let memory: Value =
-            serde_json::from_str(fs::read_to_string(scene.folder.join("state/memory")).ok()?.lines().next()?)
-                .ok()?;
+        let memory: Value = serde_json::from_str(
+            fs::read_to_string(scene.folder.join("state/memory"))
+                .ok()?
+                .lines()
+                .next()?,
+        )
+        .ok()?;
         memory["outages"].get(0).map(drop)
     });
     scene.kill();
     host.script(|_, _| ok());
     let before = host.calls().len();
     scene.start();
-    until("three calls", || (host.calls().len() >= before + 3).then_some(()));
+    until("three calls", || {
+        (host.calls().len() >= before + 3).then_some(())
+    });
     // Cold, it can take 0.8 a second and may get twice that; all twelve at once would push it over.
     let after = host.calls().split_off(before);
-    assert!(after[2].at - after[0].at > Duration::from_millis(500), "{after:?}");
+    assert!(
+        after[2].at - after[0].at > Duration::from_millis(500),
+        "{after:?}"
+    );
 }
 
 #[test]
@@ -526,15 +715,34 @@
     let (old, new) = (Host::new(|_, _| ok()), Host::new(|_, _| ok()));
     let mut scene = Scene::started(vec![up("a", &old, 1)]);
     scene.discovery.push(5, &[entry("z", old.address, 9, "up")]);
-    until("the change", || (scene.enqueue("update", 9).1 == "+OK").then_some(()));
-    scene.discovery.silent.store(true, std::sync::atomic::Ordering::SeqCst);
+    until("the change", || {
+        (scene.enqueue("update", 9).1 == "+OK").then_some(())
+    });
+    scene
+        .discovery
+        .silent
+        .store(true, std::sync::atomic::Ordering::SeqCst);
     // Calls go on meanwhile.
     let (id, _) = scene.enqueue("update", 1);
     until("the call", || old.calls_of(&id).first().cloned());
-    let asked = || scene.discovery.asked.lock().unwrap().iter().filter(|l| l.contains("since=5")).count();
-    until("new watches from the last version", || (asked() >= 2).then_some(()));
+    let asked = || {
+        scene
+            .discovery
+            .asked
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|l| l.contains("since=5"))
+            .count()
+    };
+    until("new watches from the last version", || {
+        (asked() >= 2).then_some(())
+    });
     scene.discovery.push(6, &[up("b", &new, 2)]);
-    scene.discovery.silent.store(false, std::sync::atomic::Ordering::SeqCst);
+    scene
+        .discovery
+        .silent
+        .store(false, std::sync::atomic::Ordering::SeqCst);
     let id = until("what was missed", || {
         let (id, answer) = scene.enqueue("update", 2);
         (answer == "+OK").then_some(id)
@@ -547,8 +755,15 @@
     let (host, new) = (Host::new(|_, _| ok()), Host::new(|_, _| ok()));
     let mut scene = Scene::started(vec![up("a", &host, 1)]);
     scene.discovery.until_watched(1);
-    scene.discovery.set_whole(vec![up("a", &host, 1), up("b", &new, 2)]);
-    for line in ["{", "[]", "{\"seq\":3,\"whole\":false,\"hosts\":[{\"host\":\"b\"}]}", "\u{fffd}"] {
+    scene
+        .discovery
+        .set_whole(vec![up("a", &host, 1), up("b", &new, 2)]);
+    for line in [
+        "{",
+        "[]",
+        "{\"seq\":3,\"whole\":false,\"hosts\":[{\"host\":\"b\"}]}",
+        "\u{fffd}",
+    ] {
         scene.discovery.push_text(3, line.into());
     }
     let id = until("the host of the lines that were lost", || {
@@ -563,12 +778,27 @@
 fn notices_go_on_until_they_are_taken_also_over_a_restart() {
     let host = Host::new(|_, _| Answer::Close);
     let mut scene = Scene::started(vec![up("a", &host, 1)]);
-    scene.discovery.refuses.store(true, std::sync::atomic::Ordering::SeqCst);
+    scene
+        .discovery
+        .refuses
+        .store(true, std::sync::atomic::Ordering::SeqCst);
     let (id, _) = scene.enqueue("payout", 1);
-    let posts = || scene.discovery.asked.lock().unwrap().iter().filter(|l| l.starts_with("POST")).count();
+    let posts = || {
+        scene
+            .discovery
+            .asked
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|l| l.starts_with("POST"))
+            .count()
+    };
     until("some tries", || (posts() >= 3).then_some(()));
     scene.kill();
-    scene.discovery.refuses.store(false, std::sync::atomic::Ordering::SeqCst);
+    scene
+        .discovery
+        .refuses
+        .store(false, std::sync::atomic::Ordering::SeqCst);
     scene.start();
     let notice = until("the notice", || scene.discovery.notice_of(&id));
     assert_eq!(notice["status"], "undeliverable");
@@ -653,7 +883,9 @@
     // More than a third of the 20 places: clients that may hold no more of their own would be stuck.
     let start = Instant::now();
     let many: Vec<Client> = (0..10).map(|_| ask(&scene)).collect();
-    let closed = many.into_iter().filter_map(|mut client| client.line().is_empty().then_some(()));
+    let closed = many
+        .into_iter()
+        .filter_map(|mut client| client.line().is_empty().then_some(()));
     assert!(closed.take(4).count() == 4 && start.elapsed() < Duration::from_secs(20));
 }
 
@@ -704,13 +936,21 @@
 fn resident(scene: &Scene) -> usize {
     let id = scene.relay.as_ref().expect("runs").id();
     let status = fs::read_to_string(format!("/proc/{id}/status")).expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory");
-    line.split_whitespace().next().and_then(|kb| kb.parse().ok()).expect("a number")
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .expect("its memory");
+    line.split_whitespace()
+        .next()
+        .and_then(|kb| kb.parse().ok())
+        .expect("a number")
 }
 
 fn descriptors(scene: &Scene) -> usize {
     let id = scene.relay.as_ref().expect("runs").id();
-    fs::read_dir(format!("/proc/{id}/fd")).expect("a process").count()
+    fs::read_dir(format!("/proc/{id}/fd"))
+        .expect("a process")
+        .count()
 }
 
 #[test]
@@ -723,7 +963,9 @@
             // A new host at the address of the one that goes.
             seq += 1;
             let gone = entry(&format!("h{}", seq - 2), host.address, 1, "removed");
-            scene.discovery.push(seq, &[up(&format!("h{}", seq - 1), &host, 1), gone]);
+            scene
+                .discovery
+                .push(seq, &[up(&format!("h{}", seq - 1), &host, 1), gone]);
             for _ in 0..4 {
                 // Each on a connection of its own, which is dropped.
                 let (id, answer) = scene.enqueue("event", 1);
@@ -736,10 +978,15 @@
     churn(&mut scene, 150);
     let before = (resident(&scene), descriptors(&scene));
     churn(&mut scene, 600);
-    let after = until("few descriptors", || Some(descriptors(&scene)).filter(|now| *now < before.1 + 20));
+    let after = until("few descriptors", || {
+        Some(descriptors(&scene)).filter(|now| *now < before.1 + 20)
+    });
     let grown = resident(&scene).saturating_sub(before.0);
     // 2,400 messages, connections, ids and keys, and 600 hosts: a kilobyte left by each would be more.
-    assert!(grown < 2048, "{before:?} grew by {grown} KB, {after} descriptors");
+    assert!(
+        grown < 2048,
+        "{before:?} grew by {grown} KB, {after} descriptors"
+    );
 }
 
 #[test]
@@ -756,7 +1003,10 @@
     assert_eq!(clients[3].line(), "+PONG");
     assert_eq!(clients[0].line(), "", "closed with nothing to say");
     for client in &mut clients[1..] {
-        assert_eq!(client.line(), "-ERR protocol error: the request did not come whole");
+        assert_eq!(
+            client.line(),
+            "-ERR protocol error: the request did not come whole"
+        );
         assert_eq!(client.line(), "");
     }
     assert!(host.calls().is_empty());
@@ -769,16 +1019,33 @@
     let mut client = scene.client();
     // Far more than the relay has read when it finds the first byte wrong.
     client.send(&vec![b'x'; 1 << 20]);
-    assert_eq!(client.line(), "-ERR protocol error: no array of bulk strings");
+    assert_eq!(
+        client.line(),
+        "-ERR protocol error: no array of bulk strings"
+    );
     let mut rest = Vec::new();
-    assert_eq!(client.reader.read_to_end(&mut rest).expect("an end and no reset"), 0);
+    assert_eq!(
+        client
+            .reader
+            .read_to_end(&mut rest)
+            .expect("an end and no reset"),
+        0
+    );
 }
 
 #[test]
 fn wrong_requests_get_an_error_and_the_connection_stays() {
     let host = Host::new(|_, _| ok());
     let scene = Scene::started(vec![up("a", &host, 1)]);
-    let with = |list: &str| frame(&[b"ENQUEUE", b"0000000000000000", b"id", list.as_bytes(), b"body"]);
+    let with = |list: &str| {
+        frame(&[
+            b"ENQUEUE",
+            b"0000000000000000",
+            b"id",
+            list.as_bytes(),
+            b"body",
+        ])
+    };
     let cases = vec![
         frame(&[b"GET", b"x"]),
         frame(&[b"ENQUEUE"]),
@@ -795,9 +1062,27 @@
         with("c=update,t=acme,d=1000,dest=70000"),
         with("c=update,t=acme,d=-5,dest=1"),
         with("c=event,t=acme,d=1000,k=a\r\nb,dest=1"),
-        frame(&[b"ENQUEUE", b"zz", b"id", b"c=update,t=acme,d=1000,dest=1", b"body"]),
-        frame(&[b"ENQUEUE", b"00", b"i\r\nd: 1", b"c=update,t=acme,d=1000,dest=1", b"body"]),
-        frame(&[b"ENQUEUE", b"00", &[0xff, 0xfe], b"c=update,t=acme,d=1000,dest=1", b"body"]),
+        frame(&[
+            b"ENQUEUE",
+            b"zz",
+            b"id",
+            b"c=update,t=acme,d=1000,dest=1",
+            b"body",
+        ]),
+        frame(&[
+            b"ENQUEUE",
+            b"00",
+            b"i\r\nd: 1",
+            b"c=update,t=acme,d=1000,dest=1",
+            b"body",
+        ]),
+        frame(&[
+            b"ENQUEUE",
+            b"00",
+            &[0xff, 0xfe],
+            b"c=update,t=acme,d=1000,dest=1",
+            b"body",
+        ]),
         request("id", "update", 1, 1000, &[1; 65_537]),
         request("id", "update", 1, 1000, &vec![1; 3_000_000]),
     ];
@@ -835,7 +1120,13 @@
         scene.config = config;
         let output = scene.command().output().expect("runs");
         let text = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert!(!output.status.success() && text.lines().count() == 1, "{text}");
-        assert!(text.starts_with("madderpitch: ") && !text.contains("panicked"), "{text}");
+        assert!(
+            !output.status.success() && text.lines().count() == 1,
+            "{text}"
+        );
+        assert!(
+            text.starts_with("madderpitch: ") && !text.contains("panicked"),
+            "{text}"
+        );
     }
 }
--- a/crates/relay/tests/restart.rs
+++ b/crates/relay/tests/restart.rs
@@ -22,8 +22,7 @@
     let mut scene = Scene::new(vec![line]);
     let settings = &mut scene.config["settings"];
     settings["siblings"] = siblings.into();
-    settings["rules"] =
-        json!({"cold": 9_000_000, "coldFrom": 0.2, "overloadFactor": 2.0, "overloadFor": 1_500_000});
+    settings["rules"] = json!({"cold": 9_000_000, "coldFrom": 0.2, "overloadFactor": 2.0, "overloadFor": 1_500_000});
     scene
 }
 
@@ -40,8 +39,15 @@
         .collect();
     until("a call", || (!host.calls().is_empty()).then_some(()));
     scene.kill();
-    let rest: Vec<String> = ids.into_iter().filter(|id| host.calls_of(id).is_empty()).collect();
-    assert!(rest.len() > MANY / 2, "most wait behind the fuse: {}", rest.len());
+    let rest: Vec<String> = ids
+        .into_iter()
+        .filter(|id| host.calls_of(id).is_empty())
+        .collect();
+    assert!(
+        rest.len() > MANY / 2,
+        "most wait behind the fuse: {}",
+        rest.len()
+    );
     rest
 }
 
@@ -49,21 +55,31 @@
 fn tried(scene: &Scene, host: &Host, ids: &[String]) -> usize {
     let called = |id: &String| !host.calls_of(id).is_empty();
     until("an end of each", || {
-        ids.iter().all(|id| called(id) || scene.discovery.notice_of(id).is_some()).then_some(())
+        ids.iter()
+            .all(|id| called(id) || scene.discovery.notice_of(id).is_some())
+            .then_some(())
     });
     ids.iter().filter(|id| called(id)).count()
 }
 
 /// No more calls within the rule's span than a cold destination takes, with the rule's room for chance.
 fn assert_not_pushed_over(host: &Host, since: Instant) {
-    let calls: Vec<Instant> = host.calls().iter().map(|call| call.at).filter(|at| *at >= since).collect();
+    let calls: Vec<Instant> = host
+        .calls()
+        .iter()
+        .map(|call| call.at)
+        .filter(|at| *at >= since)
+        .collect();
     let span = Duration::from_millis(1500);
     for (n, first) in calls.iter().enumerate() {
         let within = calls[n..].iter().filter(|at| **at < *first + span).count() as f64;
         // Its capacity by the end of the span.
         let cold = (0.2 + 0.8 * (first.duration_since(since) + span).as_secs_f64() / 9.0).min(1.0);
         let most = 2.0 * LIMIT * cold * span.as_secs_f64();
-        assert!(within <= most + 3.0 * most.sqrt() + 3.0, "{within} calls within 1.5 s, {most} are allowed");
+        assert!(
+            within <= most + 3.0 * most.sqrt() + 3.0,
+            "{within} calls within 1.5 s, {most} are allowed"
+        );
     }
 }
 
@@ -78,7 +94,11 @@
             let back = Instant::now();
             scene.start();
             let tried = tried(&scene, &host, &ids);
-            assert!(2 * tried > ids.len(), "{siblings} relays, {class}: {tried} of {} were tried", ids.len());
+            assert!(
+                2 * tried > ids.len(),
+                "{siblings} relays, {class}: {tried} of {} were tried",
+                ids.len()
+            );
             assert_not_pushed_over(&host, back);
         }
     }
@@ -93,7 +113,11 @@
         host.script(|_, _| status("500 Bad"));
         scene.start();
         let tried = tried(&scene, &host, &ids);
-        assert!(2 * tried > ids.len(), "{siblings} relays: {tried} of {} were tried", ids.len());
+        assert!(
+            2 * tried > ids.len(),
+            "{siblings} relays: {tried} of {} were tried",
+            ids.len()
+        );
     }
 }
 
@@ -111,7 +135,11 @@
         scene.kill();
         scene.start();
         let tried = tried(&scene, &host, &ids);
-        assert!(2 * tried > ids.len(), "{siblings} relays: {tried} of {} were tried", ids.len());
+        assert!(
+            2 * tried > ids.len(),
+            "{siblings} relays: {tried} of {} were tried",
+            ids.len()
+        );
     }
 }
 
@@ -136,14 +164,22 @@
 /// the destination is back.
 #[test]
 fn what_was_only_refused_a_connection_is_not_given_up_to_make_room() {
-    only_refused(json!([{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}]), "acme", 3);
+    only_refused(
+        json!([{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}]),
+        "acme",
+        3,
+    );
 }
 
 /// The same for a tenant that held far more than its share as its process ended: others have no more than a fourth of that.
 #[test]
 fn what_a_tenant_over_its_share_is_owed_is_not_given_up_for_another() {
     let other = json!({"name": "other", "quotaPerS": 1000.0, "share": 0.9});
-    only_refused(json!([{"name": "acme", "quotaPerS": 1000.0, "share": 0.1}, other]), "other", 12);
+    only_refused(
+        json!([{"name": "acme", "quotaPerS": 1000.0, "share": 0.1}, other]),
+        "other",
+        12,
+    );
 }
 
 /// Restarts with messages that meet refused connections until another tenant, or the same one, has handed in more. A refused
@@ -171,7 +207,10 @@
     for _ in 0..MANY {
         scene.enqueue_for(arrives, "payout", 1, 60_000);
     }
-    let back = Host::at(TcpListener::bind(moved).expect("the port is free"), |_, _| ok());
+    let back = Host::at(
+        TcpListener::bind(moved).expect("the port is free"),
+        |_, _| ok(),
+    );
     let tried = tried(&scene, &back, &ids);
     assert!(2 * tried > ids.len(), "{tried} of {} were tried", ids.len());
 }
@@ -183,7 +222,8 @@
     let mut scene = scene(1, &host);
     let ids = untried(&mut scene, &host, "update", LEFT);
     host.script(|_, _| ok());
-    scene.config["settings"]["tenants"] = json!([{"name": "other", "quotaPerS": 1000.0, "share": 1.0}]);
+    scene.config["settings"]["tenants"] =
+        json!([{"name": "other", "quotaPerS": 1000.0, "share": 1.0}]);
     scene.start();
     let tried = tried(&scene, &host, &ids);
     assert!(2 * tried > ids.len(), "{tried} of {} were tried", ids.len());
--- a/crates/relay/tests/scene/mod.rs
+++ b/crates/relay/tests/scene/mod.rs
@@ -35,7 +35,12 @@
 fn address() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let n = NEXT.fetch_add(1, Ordering::Relaxed);
-    format!("127.{}.{}.{}:0", 1 + std::process::id() % 250, n / 200, 1 + n % 200)
+    format!(
+        "127.{}.{}.{}:0",
+        1 + std::process::id() % 250,
+        n / 200,
+        1 + n % 200
+    )
 }
 
 pub fn bind() -> TcpListener {
@@ -100,7 +105,8 @@
 
     /// The same at a port of the test's own.
     pub fn at(
-        listener: TcpListener, script: impl Fn(&Seen, usize) -> Answer + Send + Sync + 'static,
+        listener: TcpListener,
+        script: impl Fn(&Seen, usize) -> Answer + Send + Sync + 'static,
     ) -> Host {
         let host = Host {
             address: listener.local_addr().expect("bound"),
@@ -130,7 +136,10 @@
     }
 
     pub fn calls_of(&self, id: &str) -> Vec<Seen> {
-        self.calls().into_iter().filter(|seen| seen.id == id).collect()
+        self.calls()
+            .into_iter()
+            .filter(|seen| seen.id == id)
+            .collect()
     }
 
     fn serve(&self, stream: TcpStream, connection: usize) -> Option<()> {
@@ -142,7 +151,13 @@
             reader.read_exact(&mut body).ok()?;
             let id = header(&headers, "x-trace-id")?;
             let key = header(&headers, "idempotency-key");
-            let seen = Seen { id, key, body, connection, at: Instant::now() };
+            let seen = Seen {
+                id,
+                key,
+                body,
+                connection,
+                at: Instant::now(),
+            };
             let before = {
                 let mut all = self.seen.lock().unwrap();
                 all.push(seen.clone());
@@ -254,7 +269,10 @@
             whole.extend((host["health"] != "removed").then(|| host.clone()));
         }
         drop(whole);
-        self.push_text(seq, json!({"seq": seq, "whole": false, "hosts": hosts}).to_string());
+        self.push_text(
+            seq,
+            json!({"seq": seq, "whole": false, "hosts": hosts}).to_string(),
+        );
     }
 
     pub fn push_text(&self, seq: u64, line: String) {
@@ -268,16 +286,28 @@
 
     /// Requests so far whose first line has this.
     pub fn asked_for(&self, what: &str) -> usize {
-        self.asked.lock().unwrap().iter().filter(|line| line.contains(what)).count()
+        self.asked
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|line| line.contains(what))
+            .count()
     }
 
     /// Waits until so many watches were opened, or fails the test.
     pub fn until_watched(&self, times: usize) {
-        until("a watch", || (self.asked_for("follow=1") >= times).then_some(()));
+        until("a watch", || {
+            (self.asked_for("follow=1") >= times).then_some(())
+        });
     }
 
     pub fn notice_of(&self, id: &str) -> Option<Value> {
-        self.notices.lock().unwrap().iter().find(|notice| notice["id"] == id).cloned()
+        self.notices
+            .lock()
+            .unwrap()
+            .iter()
+            .find(|notice| notice["id"] == id)
+            .cloned()
     }
 
     fn serve(&self, stream: TcpStream) -> Option<()> {
@@ -285,17 +315,23 @@
         let mut writer = stream;
         loop {
             let (first, headers) = head(&mut reader)?;
-            let length = header(&headers, "content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+            let length = header(&headers, "content-length")
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(0);
             let mut body = vec![0; length];
             reader.read_exact(&mut body).ok()?;
             self.asked.lock().unwrap().push(first.clone());
             if first.starts_with("POST") {
                 if self.refuses.load(Ordering::SeqCst) {
-                    writer.write_all(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n").ok()?;
+                    writer
+                        .write_all(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+                        .ok()?;
                     continue;
                 }
                 let text = String::from_utf8(body).expect("notices are text");
-                let lines = text.lines().map(|line| serde_json::from_str(line).expect("a notice is JSON"));
+                let lines = text
+                    .lines()
+                    .map(|line| serde_json::from_str(line).expect("a notice is JSON"));
                 self.notices.lock().unwrap().extend(lines);
                 writer.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").ok()?;
                 continue;
@@ -303,15 +339,29 @@
             while self.silent.load(Ordering::SeqCst) {
                 thread::sleep(Duration::from_millis(2));
             }
-            thread::sleep(Duration::from_millis(self.slow.load(Ordering::SeqCst).into()));
+            thread::sleep(Duration::from_millis(
+                self.slow.load(Ordering::SeqCst).into(),
+            ));
             if self.closes.load(Ordering::SeqCst) {
                 return None;
             }
             let Some((_, since)) = first.split_once("since=") else {
-                let seq = self.lines.lock().unwrap().iter().map(|(seq, _)| *seq).max().unwrap_or(1);
+                let seq = self
+                    .lines
+                    .lock()
+                    .unwrap()
+                    .iter()
+                    .map(|(seq, _)| *seq)
+                    .max()
+                    .unwrap_or(1);
                 let list = json!({"seq": seq, "whole": true, "hosts": *self.hosts.lock().unwrap()});
                 let text = format!("{list}\n");
-                write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()).ok()?;
+                write!(
+                    writer,
+                    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}",
+                    text.len()
+                )
+                .ok()?;
                 continue;
             };
             let since: u64 = since.split_whitespace().next()?.parse().ok()?;
@@ -319,7 +369,9 @@
                 drop(reader.read(&mut [0]));
                 return None;
             }
-            writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+            writer
+                .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                .ok()?;
             if self.spoils.load(Ordering::SeqCst) {
                 writer.write_all(b"6\r\nnoise\n\r\n").ok()?;
             }
@@ -334,7 +386,14 @@
                 if self.closes.load(Ordering::SeqCst) {
                     return None;
                 }
-                let lines: Vec<_> = self.lines.lock().unwrap().iter().skip(told).cloned().collect();
+                let lines: Vec<_> = self
+                    .lines
+                    .lock()
+                    .unwrap()
+                    .iter()
+                    .skip(told)
+                    .cloned()
+                    .collect();
                 told += lines.len();
                 for (_, line) in lines.into_iter().filter(|(seq, _)| *seq > since) {
                     write!(writer, "{:x}\r\n{line}\n\r\n", line.len() + 1).ok()?;
@@ -398,7 +457,11 @@
     pub fn new(known: Vec<Value>) -> Scene {
         let discovery = Discovery::new();
         let listen = bind().local_addr().expect("bound");
-        let folder = std::env::temp_dir().join(format!("madderpitch-{}-{}", std::process::id(), listen.ip()));
+        let folder = std::env::temp_dir().join(format!(
+            "madderpitch-{}-{}",
+            std::process::id(),
+            listen.ip()
+        ));
         drop(std::fs::remove_dir_all(&folder));
         std::fs::create_dir_all(folder.join("state")).expect("a folder");
         discovery.set_whole(known.clone());
@@ -407,7 +470,15 @@
             "seed": "8c1f30d27a5be964", "settings": settings(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
             "known": {"seq": 1, "whole": true, "hosts": known}});
-        Scene { discovery, listen, folder, config, relay: None, operator: None, next: 1 }
+        Scene {
+            discovery,
+            listen,
+            folder,
+            config,
+            relay: None,
+            operator: None,
+            next: 1,
+        }
     }
 
     /// The same, started.
@@ -421,8 +492,12 @@
         let path = self.folder.join("config.json");
         std::fs::write(&path, self.config.to_string()).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_madderpitch"));
-        command.env("BALANCER_CONFIG", path).env("BALANCER_STATE", self.folder.join("state"));
-        command.env_remove("BALANCER_LISTEN").env_remove("BALANCER_DISCOVERY");
+        command
+            .env("BALANCER_CONFIG", path)
+            .env("BALANCER_STATE", self.folder.join("state"));
+        command
+            .env_remove("BALANCER_LISTEN")
+            .env_remove("BALANCER_DISCOVERY");
         if let Some(operator) = &self.operator {
             let path = self.folder.join("operator.toml");
             std::fs::write(&path, operator).expect("a file");
@@ -432,7 +507,10 @@
     }
 
     pub fn start(&mut self) {
-        let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"));
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("log"));
         let mut command = self.command();
         command.stdout(Stdio::null()).stderr(log.expect("a log"));
         self.relay = Some(command.spawn().expect("starts"));
@@ -443,10 +521,16 @@
     pub fn inside(&self, first: &[Signal]) -> Inside {
         let path = self.folder.join("config.json");
         std::fs::write(&path, self.config.to_string()).expect("a file");
-        let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"));
-        let variable = |name: &str, path: PathBuf| (name.into(), path.to_string_lossy().into_owned());
-        let variables =
-            vec![variable("BALANCER_CONFIG", path), variable("BALANCER_STATE", self.folder.join("state"))];
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("log"));
+        let variable =
+            |name: &str, path: PathBuf| (name.into(), path.to_string_lossy().into_owned());
+        let variables = vec![
+            variable("BALANCER_CONFIG", path),
+            variable("BALANCER_STATE", self.folder.join("state")),
+        ];
         Inside::start(variables, log.expect("a log"), first)
     }
 
@@ -479,7 +563,11 @@
     /// SIGTERM; the process goes on.
     pub fn term(&self) {
         let id = self.relay.as_ref().expect("runs").id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill")
+            .args(["-TERM", &id])
+            .status()
+            .expect("kill runs")
+            .success());
     }
 
     /// SIGHUP, with discovery elsewhere.
@@ -487,7 +575,11 @@
         self.config["discovery"] = to.address.to_string().into();
         std::fs::write(self.folder.join("config.json"), self.config.to_string()).expect("a file");
         let id = self.relay.as_ref().expect("runs").id().to_string();
-        assert!(Command::new("kill").args(["-HUP", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill")
+            .args(["-HUP", &id])
+            .status()
+            .expect("kill runs")
+            .success());
     }
 
     pub fn end(&mut self) -> ExitStatus {
@@ -498,7 +590,9 @@
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.listen).expect("connects");
         stream.set_read_timeout(Some(LONG)).expect("set");
-        Client { reader: BufReader::new(stream) }
+        Client {
+            reader: BufReader::new(stream),
+        }
     }
 
     /// Hands in a message and gives its id and the answer.
@@ -506,7 +600,13 @@
         self.enqueue_body(class, block, 20_000, b"body")
     }
 
-    pub fn enqueue_body(&mut self, class: &str, block: u16, left: u64, body: &[u8]) -> (String, String) {
+    pub fn enqueue_body(
+        &mut self,
+        class: &str,
+        block: u16,
+        left: u64,
+        body: &[u8],
+    ) -> (String, String) {
         let id = self.id();
         let mut client = self.client();
         client.send(&request(&id, class, block, left, body));
@@ -520,7 +620,13 @@
     }
 
     /// The same for a tenant.
-    pub fn enqueue_for(&mut self, tenant: &str, class: &str, block: u16, left: u64) -> (String, String) {
+    pub fn enqueue_for(
+        &mut self,
+        tenant: &str,
+        class: &str,
+        block: u16,
+        left: u64,
+    ) -> (String, String) {
         let id = self.id();
         let mut client = self.client();
         client.send(&request_for(tenant, &id, class, block, left, b"body"));
@@ -555,10 +661,27 @@
     request_for("acme", id, class, block, left, body)
 }
 
-pub fn request_for(tenant: &str, id: &str, class: &str, block: u16, left: u64, body: &[u8]) -> Vec<u8> {
-    let key = if class == "event" { format!("k=k-{id},") } else { String::new() };
+pub fn request_for(
+    tenant: &str,
+    id: &str,
+    class: &str,
+    block: u16,
+    left: u64,
+    body: &[u8],
+) -> Vec<u8> {
+    let key = if class == "event" {
+        format!("k=k-{id},")
+    } else {
+        String::new()
+    };
     let list = format!("c={class},t={tenant},d={left},{key}dest={block}");
-    frame(&[b"ENQUEUE", b"0000000000000000", id.as_bytes(), list.as_bytes(), body])
+    frame(&[
+        b"ENQUEUE",
+        b"0000000000000000",
+        id.as_bytes(),
+        list.as_bytes(),
+        body,
+    ])
 }
 
 pub struct Client {
--- a/crates/relay/tests/scene/stepped.rs
+++ b/crates/relay/tests/scene/stepped.rs
@@ -14,8 +14,8 @@
 
 use bytes::BytesMut;
 use madderpitch_seam::{
-    Address, File, Listener, Real, RealListener, RealStream, RealTask, Signal, Signals, Stream, System,
-    Waiting,
+    Address, File, Listener, Real, RealListener, RealStream, RealTask, Signal, Signals, Stream,
+    System, Waiting,
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{mpsc, oneshot};
@@ -63,7 +63,9 @@
     /// Starts one with these variables, a log, and signals that have come before it reads its first.
     pub fn start(variables: Vec<(String, String)>, log: Disk, first: &[Signal]) -> Inside {
         let (signals, sent) = mpsc::unbounded_channel();
-        first.iter().for_each(|signal| signals.send(*signal).expect("open"));
+        first
+            .iter()
+            .for_each(|signal| signals.send(*signal).expect("open"));
         let shared = Arc::new(Shared {
             variables,
             hook: Mutex::default(),
@@ -73,7 +75,9 @@
         let (kill, killed) = oneshot::channel::<()>();
         let system = shared.clone();
         let thread = std::thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
             let runtime = runtime.expect("a runtime");
             tokio::task::LocalSet::new().block_on(&runtime, async {
                 tokio::select! {
@@ -83,7 +87,12 @@
                 }
             })
         });
-        Inside { shared, signals, kill: Some(kill), thread: Some(thread) }
+        Inside {
+            shared,
+            signals,
+            kill: Some(kill),
+            thread: Some(thread),
+        }
     }
 
     /// What is done from now on at each point.
@@ -142,7 +151,11 @@
 
     async fn connect(&self, to: impl Into<Address>) -> io::Result<SteppedStream> {
         let stream = Real.connect(to).await?;
-        Ok(SteppedStream { stream, shared: self.0.clone(), looked: Point::HostLooked })
+        Ok(SteppedStream {
+            stream,
+            shared: self.0.clone(),
+            looked: Point::HostLooked,
+        })
     }
 
     async fn listen(&self, at: impl Into<Address>) -> io::Result<SteppedListener> {
@@ -158,11 +171,19 @@
     }
 
     fn open(&self, path: &Path) -> io::Result<SteppedFile> {
-        Ok(SteppedFile { file: Real.open(path)?, path: path.into(), shared: self.0.clone() })
+        Ok(SteppedFile {
+            file: Real.open(path)?,
+            path: path.into(),
+            shared: self.0.clone(),
+        })
     }
 
     fn create(&self, path: &Path) -> io::Result<SteppedFile> {
-        Ok(SteppedFile { file: Real.create(path)?, path: path.into(), shared: self.0.clone() })
+        Ok(SteppedFile {
+            file: Real.create(path)?,
+            path: path.into(),
+            shared: self.0.clone(),
+        })
     }
 
     fn pages(&self, path: &Path) -> io::Result<Disk> {
@@ -182,11 +203,22 @@
     }
 
     fn signals(&self) -> io::Result<SteppedSignals> {
-        Ok(SteppedSignals(self.0.signals.lock().unwrap().take().expect("asked for once")))
+        Ok(SteppedSignals(
+            self.0
+                .signals
+                .lock()
+                .unwrap()
+                .take()
+                .expect("asked for once"),
+        ))
     }
 
     fn variable(&self, name: &str) -> Option<String> {
-        self.0.variables.iter().find(|(known, _)| known == name).map(|(_, value)| value.clone())
+        self.0
+            .variables
+            .iter()
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| value.clone())
     }
 
     fn log(&self, line: fmt::Arguments<'_>) {
@@ -212,7 +244,11 @@
 
     async fn accept(&self) -> io::Result<SteppedStream> {
         let stream = self.0.accept().await?;
-        Ok(SteppedStream { stream, shared: self.1.clone(), looked: Point::ClientLooked })
+        Ok(SteppedStream {
+            stream,
+            shared: self.1.clone(),
+            looked: Point::ClientLooked,
+        })
     }
 }
 
@@ -246,14 +282,20 @@
 
 impl AsyncRead for SteppedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, into: &mut ReadBuf<'_>,
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        into: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_read(cx, into)
     }
 }
 
 impl AsyncWrite for SteppedStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, text: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        text: &[u8],
+    ) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, text)
     }
 
@@ -266,7 +308,9 @@
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, parts: &[io::IoSlice<'_>],
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
     }
--- a/crates/relay/tests/shutdown.rs
+++ b/crates/relay/tests/shutdown.rs
@@ -10,34 +10,57 @@
 
 fn signal(scene: &Scene, name: &str) {
     let id = scene.relay.as_ref().expect("runs").id().to_string();
-    assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    assert!(Command::new("kill")
+        .args([name, &id])
+        .status()
+        .expect("kill runs")
+        .success());
 }
 
 /// Lets the process read the signal to stop and then stand still; false if it had ended by then.
 fn stops_and_stands(scene: &Scene) -> bool {
     let before = scene.log().matches("told to stop").count();
     scene.term();
-    until("the signal to be read", || (scene.log().matches("told to stop").count() > before).then_some(()));
+    until("the signal to be read", || {
+        (scene.log().matches("told to stop").count() > before).then_some(())
+    });
     signal(scene, "-STOP");
     let stat = format!("/proc/{}/stat", scene.relay.as_ref().expect("runs").id());
-    let state = || std::fs::read_to_string(&stat).ok()?.split(") ").nth(1)?.chars().next();
-    until("the process to stand", || state().filter(|state| "TZ".contains(*state))) == 'T'
+    let state = || {
+        std::fs::read_to_string(&stat)
+            .ok()?
+            .split(") ")
+            .nth(1)?
+            .chars()
+            .next()
+    };
+    until("the process to stand", || {
+        state().filter(|state| "TZ".contains(*state))
+    }) == 'T'
 }
 
 /// A message that waits as its destination asked for it goes out before the process ends.
 #[test]
 fn a_process_without_clients_stays_for_the_messages_that_it_has_in_hand() {
     let host = Host::new(|_, calls| match calls {
-        0 => Answer::Text("HTTP/1.1 429 Wait\r\nX-Backoff-Ms: 1200\r\nContent-Length: 0\r\n\r\n".into()),
+        0 => Answer::Text(
+            "HTTP/1.1 429 Wait\r\nX-Backoff-Ms: 1200\r\nContent-Length: 0\r\n\r\n".into(),
+        ),
         _ => ok(),
     });
     let mut scene = Scene::started(vec![entry("a", host.address, 1, "up")]);
     let (id, answer) = scene.enqueue("payout", 1);
     assert_eq!(answer, "+OK");
-    until("the call that is told to wait", || host.calls_of(&id).first().cloned());
+    until("the call that is told to wait", || {
+        host.calls_of(&id).first().cloned()
+    });
     scene.term();
     assert!(scene.end().success());
-    assert_eq!(host.calls_of(&id).len(), 2, "it was sent again before the end");
+    assert_eq!(
+        host.calls_of(&id).len(),
+        2,
+        "it was sent again before the end"
+    );
 }
 
 /// A connection that came before the port closes and was not accepted yet has its answer.
--- a/crates/relay/tests/transcripts.rs
+++ b/crates/relay/tests/transcripts.rs
@@ -15,9 +15,15 @@
 
 /// Compares a transcript with its golden file, line by line.
 fn assert_transcript(name: &str, lines: &[String]) {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden").join(name);
-    let golden = fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()));
-    assert_eq!(lines.iter().map(String::as_str).collect::<Vec<_>>(), golden.lines().collect::<Vec<_>>());
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/golden")
+        .join(name);
+    let golden =
+        fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()));
+    assert_eq!(
+        lines.iter().map(String::as_str).collect::<Vec<_>>(),
+        golden.lines().collect::<Vec<_>>()
+    );
 }
 
 fn escaped(bytes: &[u8]) -> String {
@@ -34,16 +40,23 @@
 impl Recorder {
     fn new(peer: SocketAddr) -> Recorder {
         let listener = bind();
-        let recorder = Recorder { address: listener.local_addr().expect("bound"), sent: Arc::default() };
+        let recorder = Recorder {
+            address: listener.local_addr().expect("bound"),
+            sent: Arc::default(),
+        };
         let sent = recorder.sent.clone();
         thread::spawn(move || {
             for (number, from) in listener.incoming().flatten().enumerate() {
                 let to = TcpStream::connect(peer).expect("the peer listens");
                 sent.lock().unwrap().push(Vec::new());
-                let (from_back, to_back) =
-                    (from.try_clone().expect("cloned"), to.try_clone().expect("cloned"));
+                let (from_back, to_back) = (
+                    from.try_clone().expect("cloned"),
+                    to.try_clone().expect("cloned"),
+                );
                 let sent = sent.clone();
-                thread::spawn(move || forward(from, to, |bytes| sent.lock().unwrap()[number].extend(bytes)));
+                thread::spawn(move || {
+                    forward(from, to, |bytes| sent.lock().unwrap()[number].extend(bytes))
+                });
                 thread::spawn(move || forward(to_back, from_back, |_| ()));
             }
         });
@@ -57,11 +70,17 @@
             let text = String::from_utf8_lossy(bytes).into_owned();
             let cuts: Vec<usize> = ["GET ", "POST "]
                 .iter()
-                .flat_map(|method| text.match_indices(method).map(|(at, _)| at).collect::<Vec<_>>())
+                .flat_map(|method| {
+                    text.match_indices(method)
+                        .map(|(at, _)| at)
+                        .collect::<Vec<_>>()
+                })
                 .collect();
             let mut cuts = [cuts, vec![text.len()]].concat();
             cuts.sort_unstable();
-            cuts.windows(2).map(|pair| text[pair[0]..pair[1]].to_string()).collect::<Vec<_>>()
+            cuts.windows(2)
+                .map(|pair| text[pair[0]..pair[1]].to_string())
+                .collect::<Vec<_>>()
         });
         text.collect()
     }
@@ -81,12 +100,14 @@
 
 /// Puts a word in place of a header's value that the time decides.
 fn without_time(request: &str) -> String {
-    let lines = request.split("\r\n").map(|line| match line.split_once(": ") {
-        Some((name @ "x-expires-in-ms", value)) if value.parse::<u64>().is_ok() => {
-            format!("{name}: MILLISECONDS")
-        }
-        _ => line.to_string(),
-    });
+    let lines = request
+        .split("\r\n")
+        .map(|line| match line.split_once(": ") {
+            Some((name @ "x-expires-in-ms", value)) if value.parse::<u64>().is_ok() => {
+                format!("{name}: MILLISECONDS")
+            }
+            _ => line.to_string(),
+        });
     lines.collect::<Vec<_>>().join("\r\n")
 }
 
@@ -102,7 +123,13 @@
 }
 
 fn list(fields: &str) -> Vec<u8> {
-    frame(&[b"ENQUEUE", b"0000000000000000", b"m-list", fields.as_bytes(), b"body"])
+    frame(&[
+        b"ENQUEUE",
+        b"0000000000000000",
+        b"m-list",
+        fields.as_bytes(),
+        b"body",
+    ])
 }
 
 #[test]
@@ -112,7 +139,12 @@
     let texts: Vec<Vec<u8>> = vec![
         frame(&[b"PING"]),
         frame(&[b"ping"]),
-        [frame(&[b"PING"]), request("m-two", "update", 7, 20_000, b"x"), frame(&[b"PING"])].concat(),
+        [
+            frame(&[b"PING"]),
+            request("m-two", "update", 7, 20_000, b"x"),
+            frame(&[b"PING"]),
+        ]
+        .concat(),
         request("m-event", "event", 7, 20_000, b"\r\n\x00body"),
         request("m-update", "update", 7, 20_000, b""),
         request("m-payout", "payout", 7, 20_000, b"body"),
@@ -127,9 +159,26 @@
         list("c=update,t=acme,d=soon,dest=7"),
         list("c=update,t=acme,d=8000,dest=70000"),
         list("c=event,t=acme,d=8000,dest=7,k=a b"),
-        frame(&[b"ENQUEUE", b"zz", b"m-key", b"c=update,t=acme,d=8000,dest=7", b"body"]),
-        frame(&[b"ENQUEUE", b"0", b"m key", b"c=update,t=acme,d=8000,dest=7", b"body"]),
-        frame(&[b"ENQUEUE", b"0", b"m-parts", b"c=update,t=acme,d=8000,dest=7"]),
+        frame(&[
+            b"ENQUEUE",
+            b"zz",
+            b"m-key",
+            b"c=update,t=acme,d=8000,dest=7",
+            b"body",
+        ]),
+        frame(&[
+            b"ENQUEUE",
+            b"0",
+            b"m key",
+            b"c=update,t=acme,d=8000,dest=7",
+            b"body",
+        ]),
+        frame(&[
+            b"ENQUEUE",
+            b"0",
+            b"m-parts",
+            b"c=update,t=acme,d=8000,dest=7",
+        ]),
         frame(&[b"AUTH", b"acme", b"secret"]),
         frame(&[b"HELLO", b"3"]),
         b"PING\r\n".to_vec(),
@@ -154,7 +203,11 @@
         stream.shutdown(Shutdown::Write).expect("shut");
         let mut answer = Vec::new();
         stream.read_to_end(&mut answer).expect("read");
-        let shown = if text.len() > 4096 { format!("{} bytes", text.len()) } else { escaped(&text) };
+        let shown = if text.len() > 4096 {
+            format!("{} bytes", text.len())
+        } else {
+            escaped(&text)
+        };
         lines.push(format!("client: {shown}"));
         lines.push(format!("relay: {}", escaped(&answer)));
     }
@@ -163,12 +216,20 @@
 
 #[test]
 fn calls_to_hosts() {
-    let host = Host::new(|_, before| if before == 0 { status("500 Broken") } else { ok() });
+    let host = Host::new(|_, before| {
+        if before == 0 {
+            status("500 Broken")
+        } else {
+            ok()
+        }
+    });
     let recorder = Recorder::new(host.address);
     let mut scene = Scene::started(vec![entry("a", recorder.address, 7, "up")]);
-    for (class, body, calls) in
-        [("event", &b"\r\n\x00body"[..], 2), ("update", b"", 3), ("payout", b"body", 4)]
-    {
+    for (class, body, calls) in [
+        ("event", &b"\r\n\x00body"[..], 2),
+        ("update", b"", 3),
+        ("payout", b"body", 4),
+    ] {
         assert_eq!(scene.enqueue_body(class, 7, 20_000, body).1, "+OK");
         until("the calls", || (host.calls().len() == calls).then_some(()));
     }
@@ -184,7 +245,10 @@
     let host = Host::new(|_, _| Answer::Close);
     // An address that takes no connections.
     let closed = bind().local_addr().expect("bound");
-    let mut scene = Scene::new(vec![entry("a", host.address, 7, "up"), entry("b", closed, 8, "up")]);
+    let mut scene = Scene::new(vec![
+        entry("a", host.address, 7, "up"),
+        entry("b", closed, 8, "up"),
+    ]);
     let recorder = Recorder::new(scene.discovery.address);
     scene.config["discovery"] = json!(recorder.address.to_string());
     scene.start();
--- a/crates/relay/tests/undeliverable.rs
+++ b/crates/relay/tests/undeliverable.rs
@@ -42,17 +42,26 @@
                     let mut reader = BufReader::new(stream.try_clone().ok()?);
                     let mut first = String::new();
                     reader.read_line(&mut first).ok()?;
-                    let id = first.split('/').nth(2)?.split_whitespace().next()?.to_string();
+                    let id = first
+                        .split('/')
+                        .nth(2)?
+                        .split_whitespace()
+                        .next()?
+                        .to_string();
                     peer.asked.lock().unwrap().push(id.clone());
                     let known = peer.applied.lock().unwrap().contains_key(&id);
                     let lie = peer.lies.lock().unwrap().clone();
-                    let truth = json!({"status": if known { "done" } else { "absent" }}).to_string();
+                    let truth =
+                        json!({"status": if known { "done" } else { "absent" }}).to_string();
                     let body = lie.unwrap_or(truth);
                     if body.is_empty() {
                         thread::sleep(Duration::from_millis(4000));
                     }
                     let mut stream = stream;
-                    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                    let text = format!(
+                        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                        body.len()
+                    );
                     stream.write_all(text.as_bytes()).ok()
                 });
             }
@@ -102,18 +111,27 @@
         );
         // Tenants as the platform has them, unless the test makes its own.
         let (tenants, admin) = admin.split_once("[admin]").expect("a section");
-        let tenants = if more.contains("# hosted") { tenants } else { "" };
+        let tenants = if more.contains("# hosted") {
+            tenants
+        } else {
+            ""
+        };
         let operator = |name: &str, scope: &str| {
             let digest = madderpitch_tenancy::secret::Digest::of(token(name).as_bytes());
             let head = format!("[[admin.tokens]]\nname = {name:?}\nrole = \"operator\"\n");
             format!("{head}sha256 = \"{digest}\"\ntenants = [{scope}]\n")
         };
         let more_tokens = operator("second", "\"*\"") + &operator("nobodys", "");
-        scene.operator =
-            Some(format!("{tenants}[admin]{admin}[[admin.tokens]]{tokens}{more_tokens}{section}"));
+        scene.operator = Some(format!(
+            "{tenants}[admin]{admin}[[admin.tokens]]{tokens}{more_tokens}{section}"
+        ));
         scene.start();
         let api = Api::new(&address, Some(&token("ops")));
-        Desk { scene, api, address }
+        Desk {
+            scene,
+            api,
+            address,
+        }
     }
 
     fn as_of(&self, name: &str) -> Api {
@@ -139,12 +157,19 @@
     fn all(&self, filter: &str) -> BTreeMap<String, Value> {
         let (mut all, mut cursor) = (BTreeMap::new(), String::new());
         loop {
-            let page = self.api.get(&format!("/v1/undeliverable?limit=200{filter}{cursor}"));
+            let page = self
+                .api
+                .get(&format!("/v1/undeliverable?limit=200{filter}{cursor}"));
             assert_eq!(page.status, 200, "{:?}", page.body);
             for item in page.body["items"].as_array().expect("items") {
-                all.insert(item["message"].as_str().expect("a name").to_string(), item.clone());
+                all.insert(
+                    item["message"].as_str().expect("a name").to_string(),
+                    item.clone(),
+                );
             }
-            let Some(next) = page.body["next"].as_str() else { return all };
+            let Some(next) = page.body["next"].as_str() else {
+                return all;
+            };
             cursor = format!("&cursor={next}");
         }
     }
@@ -158,25 +183,40 @@
     }
 
     fn in_state(&self, id: &Value, state: &str) -> Value {
-        until(state, || Some(self.one(id)).filter(|record| record["state"] == state))
+        until(state, || {
+            Some(self.one(id)).filter(|record| record["state"] == state)
+        })
     }
 }
 
 fn act_as(api: &Api, id: &Value, act: &str, tag: &str) -> Reply {
     // A record rests for a second after its message was given up.
     until("an answer after the rest", || {
-        let reply = api.ask("POST", &format!("/v1/undeliverable/{id}/{act}"), &[("if-match", tag)], "");
+        let reply = api.ask(
+            "POST",
+            &format!("/v1/undeliverable/{id}/{act}"),
+            &[("if-match", tag)],
+            "",
+        );
         Some(reply).filter(|reply| problem(reply).1 != "record-resting")
     })
 }
 
 fn attest(api: &Api, id: &Value, says: &str) -> Reply {
     let body = json!({ "says": says }).to_string();
-    api.ask("POST", &format!("/v1/undeliverable/{id}/attest"), &[("if-match", "*"), JSON], &body)
+    api.ask(
+        "POST",
+        &format!("/v1/undeliverable/{id}/attest"),
+        &[("if-match", "*"), JSON],
+        &body,
+    )
 }
 
 /// Live messages that are answered well, so that the destination's fuse stays closed; they go on until it is dropped.
-struct Good(Arc<std::sync::atomic::AtomicBool>, Option<thread::JoinHandle<()>>);
+struct Good(
+    Arc<std::sync::atomic::AtomicBool>,
+    Option<thread::JoinHandle<()>>,
+);
 
 impl Good {
     fn traffic(scene: &Scene) -> Good {
@@ -199,7 +239,10 @@
 impl Drop for Good {
     fn drop(&mut self) {
         self.0.store(true, std::sync::atomic::Ordering::Relaxed);
-        self.1.take().into_iter().for_each(|thread| drop(thread.join()));
+        self.1
+            .take()
+            .into_iter()
+            .for_each(|thread| drop(thread.join()));
     }
 }
 
@@ -217,7 +260,13 @@
 }
 
 fn problem(reply: &Reply) -> (u16, String) {
-    let kind = reply.body["type"].as_str().unwrap_or("").rsplit(':').next().unwrap_or("").to_string();
+    let kind = reply.body["type"]
+        .as_str()
+        .unwrap_or("")
+        .rsplit(':')
+        .next()
+        .unwrap_or("")
+        .to_string();
     (reply.status, kind)
 }
 
@@ -233,7 +282,10 @@
         (record["reason"].as_str(), record["effect"].as_str()),
         (Some("may-have-run"), Some("unsafe"))
     );
-    assert_eq!((record["tenant"].as_str(), record["size"].as_u64()), (Some("acme"), Some(4)));
+    assert_eq!(
+        (record["tenant"].as_str(), record["size"].as_u64()),
+        (Some("acme"), Some(4))
+    );
     assert_eq!(record["attempts"][0]["host"], "a");
     assert_eq!(record["attempts"][0]["outcome"], "broken");
     assert_eq!(record["may_have_run"], true);
@@ -256,25 +308,60 @@
     ] {
         assert_eq!(desk.all(filter).len(), found, "{filter}");
     }
-    for bad in ["reason=none", "since=yesterday", "cursor=x", "limit=0", "colour=red"] {
-        assert_eq!(desk.api.get(&format!("/v1/undeliverable?{bad}")).status, 400, "{bad}");
+    for bad in [
+        "reason=none",
+        "since=yesterday",
+        "cursor=x",
+        "limit=0",
+        "colour=red",
+    ] {
+        assert_eq!(
+            desk.api.get(&format!("/v1/undeliverable?{bad}")).status,
+            400,
+            "{bad}"
+        );
     }
     // Cursors stay where they are while records come.
     let first = desk.api.get("/v1/undeliverable?limit=2").body;
-    let newest: Vec<u64> =
-        first["items"].as_array().expect("items").iter().filter_map(|r| r["id"].as_u64()).collect();
+    let newest: Vec<u64> = first["items"]
+        .as_array()
+        .expect("items")
+        .iter()
+        .filter_map(|r| r["id"].as_u64())
+        .collect();
     desk.given_up("payout", 1);
     let cursor = first["next"].as_str().expect("more");
-    let second = desk.api.get(&format!("/v1/undeliverable?limit=2&cursor={cursor}")).body;
-    assert_eq!(second["items"][0]["id"].as_u64(), newest.last().map(|id| id - 1));
+    let second = desk
+        .api
+        .get(&format!("/v1/undeliverable?limit=2&cursor={cursor}"))
+        .body;
+    assert_eq!(
+        second["items"][0]["id"].as_u64(),
+        newest.last().map(|id| id - 1)
+    );
     // Counts and scopes.
     let counts = desk.api.get("/v1/undeliverable/counts?by=reason").body;
-    assert_eq!(counts["items"], json!([{"value": "may-have-run", "records": 6}]));
+    assert_eq!(
+        counts["items"],
+        json!([{"value": "may-have-run", "records": 6}])
+    );
     for name in ["team", "nobodys"] {
         let theirs = desk.as_of(name);
-        assert_eq!(theirs.get("/v1/undeliverable").body["items"], json!([]), "{name}");
-        assert_eq!(theirs.get(&format!("/v1/undeliverable/{id}")).status, 404, "{name}");
-        assert_eq!(theirs.get("/v1/undeliverable/counts?by=tenant").body["items"], json!([]), "{name}");
+        assert_eq!(
+            theirs.get("/v1/undeliverable").body["items"],
+            json!([]),
+            "{name}"
+        );
+        assert_eq!(
+            theirs.get(&format!("/v1/undeliverable/{id}")).status,
+            404,
+            "{name}"
+        );
+        assert_eq!(
+            theirs.get("/v1/undeliverable/counts?by=tenant").body["items"],
+            json!([]),
+            "{name}"
+        );
     }
     let team = desk.as_of("team");
     assert_eq!(team.get("/v1/undeliverable").body["items"], json!([]));
@@ -290,11 +377,24 @@
     // The document is true of what is answered.
     let document = desk.api.get("/v1/openapi.json").body;
     let batch = json!({"name": "b", "filter": {"reason": "may-have-run"}});
-    let batch = desk.api.ask("POST", "/v1/undeliverable-batches", &[JSON], &batch.to_string());
+    let batch = desk.api.ask(
+        "POST",
+        "/v1/undeliverable-batches",
+        &[JSON],
+        &batch.to_string(),
+    );
     assert_eq!(batch.status, 201);
     let nobodys = desk.as_of("nobodys");
-    assert_eq!(nobodys.get("/v1/undeliverable-batches").body["items"], json!([]));
-    let run = nobodys.ask("POST", "/v1/undeliverable-batches/b/run", &[("if-match", "*")], "");
+    assert_eq!(
+        nobodys.get("/v1/undeliverable-batches").body["items"],
+        json!([])
+    );
+    let run = nobodys.ask(
+        "POST",
+        "/v1/undeliverable-batches/b/run",
+        &[("if-match", "*")],
+        "",
+    );
     assert_eq!(run.status, 404);
     for (name, body) in [
         ("UndeliverablePage", &second),
@@ -310,7 +410,10 @@
         let errors: Vec<String> = validator.iter_errors(body).map(|e| e.to_string()).collect();
         assert!(errors.is_empty(), "{name}: {errors:?} in {body}");
     }
-    assert_eq!((status["records"].as_u64(), status["trouble"].is_null()), (Some(6), true));
+    assert_eq!(
+        (status["records"].as_u64(), status["trouble"].is_null()),
+        (Some(6), true)
+    );
 }
 
 #[test]
@@ -341,13 +444,21 @@
         assert_eq!(problem(&desk.act(id, "resend")), (409, "needs-word".into()));
         if applied {
             desk.in_state(id, "applied-before");
-            assert_eq!(problem(&desk.act(id, "resend")), (409, "record-closed".into()));
+            assert_eq!(
+                problem(&desk.act(id, "resend")),
+                (409, "record-closed".into())
+            );
         } else {
             until("the word", || desk.one(id)["needs"].is_null().then_some(()));
-            until("the resend", || (desk.act(id, "resend").status == 202).then_some(()));
+            until("the resend", || {
+                (desk.act(id, "resend").status == 202).then_some(())
+            });
             let record = desk.in_state(id, "delivered");
             assert_eq!(
-                (record["resends"].as_u64(), record["statements"][0]["says"].as_str()),
+                (
+                    record["resends"].as_u64(),
+                    record["statements"][0]["says"].as_str()
+                ),
                 (Some(1), Some("not-applied"))
             );
         }
@@ -367,13 +478,24 @@
     let all = desk.given_up("payout", 1);
     let id = &all.values().next().expect("one")["id"];
     // Unknown, no JSON, late.
-    for lie in [r#"{"status":"queued"}"#, "yes", r#"{"status":["absent"]}"#, ""] {
+    for lie in [
+        r#"{"status":"queued"}"#,
+        "yes",
+        r#"{"status":["absent"]}"#,
+        "",
+    ] {
         ledger.answers(Some(lie));
         let before = ledger.asked.lock().unwrap().len();
         assert_eq!(desk.act(id, "ask").status, 202, "{lie}");
-        until("the question", || (ledger.asked.lock().unwrap().len() > before).then_some(()));
+        until("the question", || {
+            (ledger.asked.lock().unwrap().len() > before).then_some(())
+        });
         thread::sleep(Duration::from_millis(2300));
-        assert_eq!(problem(&desk.act(id, "resend")), (409, "needs-word".into()), "{lie}");
+        assert_eq!(
+            problem(&desk.act(id, "resend")),
+            (409, "needs-word".into()),
+            "{lie}"
+        );
     }
     // Only so many are asked at once; whoever comes then is told so.
     ledger.answers(Some(""));
@@ -386,20 +508,32 @@
     assert_eq!(refused, [(429, "too-much-under-way".to_string())]);
     thread::sleep(Duration::from_millis(2300));
     // It changes its mind: not applied, then applied. Two operators have to agree.
-    for (lie, needs) in
-        [(r#"{"status":"absent"}"#, Value::Null), (r#"{"status":"done"}"#, json!("needs-agreement"))]
-    {
+    for (lie, needs) in [
+        (r#"{"status":"absent"}"#, Value::Null),
+        (r#"{"status":"done"}"#, json!("needs-agreement")),
+    ] {
         ledger.answers(Some(lie));
         assert_eq!(desk.act(id, "ask").status, 202);
-        until("the word", || (desk.one(id)["needs"] == needs).then_some(()));
+        until("the word", || {
+            (desk.one(id)["needs"] == needs).then_some(())
+        });
     }
-    assert_eq!(problem(&desk.act(id, "resend")), (409, "needs-agreement".into()));
+    assert_eq!(
+        problem(&desk.act(id, "resend")),
+        (409, "needs-agreement".into())
+    );
     assert_eq!(attest(&desk.api, id, "not-applied").status, 200);
     assert_eq!(attest(&desk.api, id, "not-applied").status, 200);
-    assert_eq!(desk.one(id)["needs"], "needs-agreement", "one operator, twice");
+    assert_eq!(
+        desk.one(id)["needs"],
+        "needs-agreement",
+        "one operator, twice"
+    );
     assert_eq!(attest(&desk.as_of("second"), id, "not-applied").status, 200);
     host.script(|_, _| ok());
-    until("the resend", || (desk.act(id, "resend").status == 202).then_some(()));
+    until("the resend", || {
+        (desk.act(id, "resend").status == 202).then_some(())
+    });
     desk.in_state(id, "delivered");
 }
 
@@ -415,7 +549,10 @@
     let (id, tag) = (&record["id"], format!("\"{}\"", record["version"]));
     // A claim keeps the other one out.
     assert_eq!(desk.act(id, "claim").status, 200);
-    assert_eq!(problem(&act_as(&desk.as_of("second"), id, "resend", "*")), (423, "record-claimed".into()));
+    assert_eq!(
+        problem(&act_as(&desk.as_of("second"), id, "resend", "*")),
+        (423, "record-claimed".into())
+    );
     assert_eq!(desk.act(id, "release").status, 200);
     assert_eq!(act_as(&desk.api, id, "resend", &tag).status, 412);
     let tag = format!("\"{}\"", desk.one(id)["version"]);
@@ -428,14 +565,33 @@
             thread::spawn(move || act_as(&api, &id, "resend", &tag).status)
         })
         .collect();
-    let statuses: Vec<u16> = askers.into_iter().map(|asker| asker.join().expect("asked")).collect();
-    assert_eq!(statuses.iter().filter(|status| **status == 202).count(), 1, "{statuses:?}");
-    assert!(statuses.iter().all(|status| [202, 409, 412].contains(status)), "{statuses:?}");
+    let statuses: Vec<u16> = askers
+        .into_iter()
+        .map(|asker| asker.join().expect("asked"))
+        .collect();
+    assert_eq!(
+        statuses.iter().filter(|status| **status == 202).count(),
+        1,
+        "{statuses:?}"
+    );
+    assert!(
+        statuses
+            .iter()
+            .all(|status| [202, 409, 412].contains(status)),
+        "{statuses:?}"
+    );
     desk.in_state(id, "delivered");
     assert_eq!(host.calls_of(&name).len(), before + 1);
     // No second final answer.
-    let told =
-        desk.scene.discovery.notices.lock().unwrap().iter().filter(|n| n["id"] == name.as_str()).count();
+    let told = desk
+        .scene
+        .discovery
+        .notices
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|n| n["id"] == name.as_str())
+        .count();
     assert_eq!(told, 1);
 }
 
@@ -446,24 +602,43 @@
     let mut desk = Desk::new(up(&host), &ledger, "max_resends = 2", 100);
     let _good = Good::traffic(&desk.scene);
     thread::sleep(Duration::from_millis(300));
-    let first = desk.given_up("payout", 1).into_values().next().expect("one");
+    let first = desk
+        .given_up("payout", 1)
+        .into_values()
+        .next()
+        .expect("one");
     let id = &first["id"];
     for resends in 1..=2 {
         assert_eq!(desk.act(id, "ask").status, 202);
         until("the word", || desk.one(id)["needs"].is_null().then_some(()));
-        until("the resend", || (desk.act(id, "resend").status == 202).then_some(()));
+        until("the resend", || {
+            (desk.act(id, "resend").status == 202).then_some(())
+        });
         let record = until("its end", || {
             Some(desk.one(id)).filter(|r| {
                 r["state"] == "open" && r["attempts"].as_array().map(Vec::len) == Some(1 + resends)
             })
         });
         assert_eq!(record["resends"].as_u64(), Some(resends as u64));
-        assert_eq!(record["attempts"][resends]["resend"].as_u64(), Some(resends as u64));
+        assert_eq!(
+            record["attempts"][resends]["resend"].as_u64(),
+            Some(resends as u64)
+        );
         assert_eq!(record["ended_at"], first["ended_at"]);
         // The word was given before the last attempt.
-        assert_eq!(record["needs"], if resends == 2 { "resends-spent" } else { "needs-word" });
+        assert_eq!(
+            record["needs"],
+            if resends == 2 {
+                "resends-spent"
+            } else {
+                "needs-word"
+            }
+        );
     }
-    assert_eq!(problem(&desk.act(id, "resend")), (409, "resends-spent".into()));
+    assert_eq!(
+        problem(&desk.act(id, "resend")),
+        (409, "resends-spent".into())
+    );
     assert_eq!(desk.act(id, "discard").status, 200);
     assert_eq!(desk.one(id)["state"], "discarded");
 }
@@ -478,12 +653,20 @@
     let id = &record["id"];
     let first = record["attempts"].as_array().expect("attempts").len();
     assert_eq!(desk.act(id, "resend").status, 202);
-    until("a call", || (host.calls_of(&name).len() > first).then_some(()));
+    until("a call", || {
+        (host.calls_of(&name).len() > first).then_some(())
+    });
     desk.scene.kill();
     desk.scene.start();
     let shown = desk.one(id);
-    assert_eq!((shown["state"].as_str(), shown["resends"].as_u64()), (Some("sending"), Some(1)));
-    assert_eq!(problem(&desk.act(id, "resend")), (409, "record-sending".into()));
+    assert_eq!(
+        (shown["state"].as_str(), shown["resends"].as_u64()),
+        (Some("sending"), Some(1))
+    );
+    assert_eq!(
+        problem(&desk.act(id, "resend")),
+        (409, "record-sending".into())
+    );
     host.script(|_, _| ok());
     let record = desk.in_state(id, "delivered");
     assert_eq!(record["resends"].as_u64(), Some(1));
@@ -495,16 +678,26 @@
     let host = Host::new(|_, _| Answer::Close);
     let mut desk = Desk::new(up(&host), &ledger, "# hosted", 100);
     let root = desk.as_of("root");
-    until("the tenant", || (root.get("/v1/tenants/acme").status == 200).then_some(()));
+    until("the tenant", || {
+        (root.get("/v1/tenants/acme").status == 200).then_some(())
+    });
     let all = desk.given_up("payout", 1);
     let (name, record) = all.iter().next().expect("one");
     let id = &record["id"];
     assert_eq!(root.change("DELETE", "acme").status, 202);
-    until("it to be gone", || (root.get("/v1/tenants/acme").status == 410).then_some(()));
+    until("it to be gone", || {
+        (root.get("/v1/tenants/acme").status == 410).then_some(())
+    });
     assert_eq!(desk.act(id, "ask").status, 202);
     until("the word", || desk.one(id)["needs"].is_null().then_some(()));
-    assert_eq!(problem(&desk.act(id, "resend")), (409, "not-handed-over".into()));
-    assert_eq!((desk.one(id)["state"].as_str(), host.calls_of(name).len()), (Some("open"), 1));
+    assert_eq!(
+        problem(&desk.act(id, "resend")),
+        (409, "not-handed-over".into())
+    );
+    assert_eq!(
+        (desk.one(id)["state"].as_str(), host.calls_of(name).len()),
+        (Some("open"), 1)
+    );
 }
 
 #[test]
@@ -522,16 +715,32 @@
     let plan = |name: &str, stop: u32| {
         let body = json!({"name": name, "filter": {"class": "payout"}, "per_second": 200.0, "at_once": 2,
             "stop_after": stop});
-        desk.api.ask("POST", "/v1/undeliverable-batches", &[JSON], &body.to_string())
+        desk.api.ask(
+            "POST",
+            "/v1/undeliverable-batches",
+            &[JSON],
+            &body.to_string(),
+        )
     };
     let planned = plan("night", 3);
-    assert_eq!((planned.status, planned.body["state"].as_str()), (201, Some("planned")));
     assert_eq!(
-        (planned.body["found"].as_u64(), planned.body["needs"]["needs-word"].as_u64()),
+        (planned.status, planned.body["state"].as_str()),
+        (201, Some("planned"))
+    );
+    assert_eq!(
+        (
+            planned.body["found"].as_u64(),
+            planned.body["needs"]["needs-word"].as_u64()
+        ),
         (Some(20), Some(20))
     );
     assert_eq!(plan("night", 3).status, 409);
-    let bad = || host.calls().iter().filter(|seen| seen.body != b"good").count();
+    let bad = || {
+        host.calls()
+            .iter()
+            .filter(|seen| seen.body != b"good")
+            .count()
+    };
     let calls = bad();
     thread::sleep(Duration::from_millis(200));
     assert_eq!(bad(), calls, "a plan sends nothing");
@@ -539,11 +748,20 @@
         let path = format!("/v1/undeliverable-batches/{name}/{order}");
         desk.api.ask("POST", &path, &[("if-match", "*")], "")
     };
-    let state = |name: &str| desk.api.get(&format!("/v1/undeliverable-batches/{name}")).body;
+    let state = |name: &str| {
+        desk.api
+            .get(&format!("/v1/undeliverable-batches/{name}"))
+            .body
+    };
     assert_eq!(order("night", "run").status, 200);
     // The host still fails: three failures stop it.
-    let stopped = until("the stop", || Some(state("night")).filter(|batch| batch["state"] == "stopped"));
-    assert!((3..=5).contains(&stopped["failed"].as_u64().expect("a count")), "{stopped}");
+    let stopped = until("the stop", || {
+        Some(state("night")).filter(|batch| batch["state"] == "stopped")
+    });
+    assert!(
+        (3..=5).contains(&stopped["failed"].as_u64().expect("a count")),
+        "{stopped}"
+    );
     host.script({
         let book = ledger.clone();
         move |seen, _| {
@@ -553,11 +771,15 @@
     });
     assert_eq!(order("night", "pause").status, 200);
     assert_eq!(order("night", "run").status, 200);
-    let done = until("the end", || Some(state("night")).filter(|batch| batch["state"] == "done"));
+    let done = until("the end", || {
+        Some(state("night")).filter(|batch| batch["state"] == "done")
+    });
     assert_eq!(order("night", "run").status, 409);
     // Those that failed in the batch are open still, and another batch takes them.
     assert!(plan("rest", 5).status == 201 && order("rest", "run").status == 200);
-    until("the rest", || Some(state("rest")).filter(|batch| batch["state"] == "done"));
+    until("the rest", || {
+        Some(state("rest")).filter(|batch| batch["state"] == "done")
+    });
     let records = desk.all("");
     for name in all.keys() {
         assert_eq!(
@@ -588,7 +810,9 @@
         desk.scene.enqueue("update", 1);
         thread::sleep(Duration::from_millis(50));
         let records = desk.all("&state=delivered");
-        all.keys().all(|name| records.contains_key(name)).then_some(())
+        all.keys()
+            .all(|name| records.contains_key(name))
+            .then_some(())
     });
     assert!(all.keys().all(|name| ledger.times(name) == 1));
 }
@@ -607,11 +831,17 @@
     until("the oldest to be dropped", || {
         (desk.api.get(&format!("/v1/undeliverable/{id}")).status == 404).then_some(())
     });
-    assert_eq!(problem(&desk.act(&id, "resend")), (404, "no-such-record".into()));
+    assert_eq!(
+        problem(&desk.act(&id, "resend")),
+        (404, "no-such-record".into())
+    );
     let status = until("the counts", || {
         Some(desk.api.get("/v1/undeliverable/status").body).filter(|status| status["records"] == 3)
     });
-    assert_eq!(status["dropped"], json!([{"tenant": "acme", "cause": "records", "records": 2}]));
+    assert_eq!(
+        status["dropped"],
+        json!([{"tenant": "acme", "cause": "records", "records": 2}])
+    );
 }
 
 #[test]
@@ -635,16 +865,30 @@
         let list = desk.api.get("/v1/undeliverable?class=payout");
         (list.status == 200 && list.body["items"][0]["message"] == name.as_str()).then_some(())
     });
-    assert!(desk.scene.log().contains("undeliverable: the store is put aside"));
+    assert!(desk
+        .scene
+        .log()
+        .contains("undeliverable: the store is put aside"));
     let kept = std::fs::read_dir(desk.scene.folder.join("kept")).expect("the folder");
-    let names: Vec<String> = kept.flatten().map(|entry| entry.file_name().to_string_lossy().into()).collect();
-    assert!(names.iter().any(|name| name.starts_with("undeliverable.spoilt-")), "{names:?}");
+    let names: Vec<String> = kept
+        .flatten()
+        .map(|entry| entry.file_name().to_string_lossy().into())
+        .collect();
+    assert!(
+        names
+            .iter()
+            .any(|name| name.starts_with("undeliverable.spoilt-")),
+        "{names:?}"
+    );
 }
 
 /// So many payouts: `PAYOUTS=10000 cargo test --release -p madderpitch-relay --test undeliverable ten_thousand`.
 #[test]
 fn ten_thousand_payouts_are_applied_once_whoever_is_killed() {
-    let count: usize = std::env::var("PAYOUTS").ok().and_then(|text| text.parse().ok()).unwrap_or(400);
+    let count: usize = std::env::var("PAYOUTS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(400);
     let ledger = Ledger::new();
     let book = ledger.clone();
     // Some are applied, some are not; none is answered.
@@ -671,7 +915,9 @@
     let good = ledger.clone();
     let silent = Arc::new(std::sync::atomic::AtomicU32::new(0));
     let turn = silent.clone();
-    until("a third to be given up", || (desk.all("").len() >= 3.min(count)).then_some(()));
+    until("a third to be given up", || {
+        (desk.all("").len() >= 3.min(count)).then_some(())
+    });
     host.script(move |seen, _| {
         // It still applies one in ten without saying so, and drops one in ten.
         match turn.fetch_add(1, std::sync::atomic::Ordering::Relaxed) % 10 {
@@ -688,15 +934,24 @@
     });
     until("all to be delivered or kept", || {
         let kept = desk.all("");
-        let done = ids.iter().filter(|id| kept.contains_key(*id) || ledger.times(id) > 0).count();
+        let done = ids
+            .iter()
+            .filter(|id| kept.contains_key(*id) || ledger.times(id) > 0)
+            .count();
         (done == ids.len()).then_some(())
     });
     // Two operators run batches of all records, again and again, and the relay is killed meanwhile.
     let mut round = 0;
     loop {
         let records = desk.all("");
-        let open = records.values().filter(|record| record["state"] == "open").count();
-        let sending = records.values().filter(|record| record["state"] == "sending").count();
+        let open = records
+            .values()
+            .filter(|record| record["state"] == "open")
+            .count();
+        let sending = records
+            .values()
+            .filter(|record| record["state"] == "sending")
+            .count();
         if open + sending == 0 {
             break;
         }
@@ -704,10 +959,16 @@
         for operator in ["ops", "second"] {
             let (api, name) = (desk.as_of(operator), format!("{operator}-{round}"));
             let body =
-                json!({"name": name, "per_second": 1000.0, "at_once": 64, "stop_after": 1000}).to_string();
+                json!({"name": name, "per_second": 1000.0, "at_once": 64, "stop_after": 1000})
+                    .to_string();
             let path = "/v1/undeliverable-batches";
             if api.ask("POST", path, &[JSON], &body).status == 201 {
-                api.ask("POST", &format!("{path}/{name}/run"), &[("if-match", "*")], "");
+                api.ask(
+                    "POST",
+                    &format!("{path}/{name}/run"),
+                    &[("if-match", "*")],
+                    "",
+                );
             }
         }
         thread::sleep(Duration::from_millis(300));
@@ -722,7 +983,8 @@
     for id in &ids {
         assert_eq!(ledger.times(id), 1, "{id}: {:?}", records.get(id));
         if let Some(record) = records.get(id) {
-            assert!(["delivered", "applied-before"].contains(&record["state"].as_str().expect("a state")));
+            assert!(["delivered", "applied-before"]
+                .contains(&record["state"].as_str().expect("a state")));
         }
     }
     eprintln!(
@@ -758,7 +1020,9 @@
         // Few enough beside the good ones that the fuse stays closed.
         thread::sleep(Duration::from_millis(40));
     }
-    until("all to be kept", || (desk.all("").len() >= given_up).then_some(()));
+    until("all to be kept", || {
+        (desk.all("").len() >= given_up).then_some(())
+    });
     host.script(|_, _| Answer::Later(20, ok_text()));
     drop(good);
     thread::sleep(Duration::from_secs(3));
@@ -774,11 +1038,19 @@
             thread::sleep(Duration::from_millis(15));
         }
         let seen: BTreeMap<String, std::time::Instant> = until("all calls", || {
-            let seen: BTreeMap<_, _> = host.calls().into_iter().map(|seen| (seen.id, seen.at)).collect();
-            sent.iter().all(|(id, _)| seen.contains_key(id)).then_some(seen)
+            let seen: BTreeMap<_, _> = host
+                .calls()
+                .into_iter()
+                .map(|seen| (seen.id, seen.at))
+                .collect();
+            sent.iter()
+                .all(|(id, _)| seen.contains_key(id))
+                .then_some(seen)
         });
-        let mut times: Vec<u128> =
-            sent.iter().map(|(id, at)| seen[id].saturating_duration_since(*at).as_micros()).collect();
+        let mut times: Vec<u128> = sent
+            .iter()
+            .map(|(id, at)| seen[id].saturating_duration_since(*at).as_micros())
+            .collect();
         times.sort_unstable();
         (times[times.len() / 2], times[times.len() * 99 / 100])
     };
@@ -786,18 +1058,38 @@
     for round in 0..3 {
         let without = measure(round * 10_000);
         let name = format!("b{round}");
-        let body = json!({"name": name, "per_second": 8.0, "at_once": 2, "stop_after": 1000}).to_string();
+        let body =
+            json!({"name": name, "per_second": 8.0, "at_once": 2, "stop_after": 1000}).to_string();
         let path = "/v1/undeliverable-batches";
         assert_eq!(desk.api.ask("POST", path, &[JSON], &body).status, 201);
-        desk.api.ask("POST", &format!("{path}/{name}/run"), &[("if-match", "*")], "");
+        desk.api.ask(
+            "POST",
+            &format!("{path}/{name}/run"),
+            &[("if-match", "*")],
+            "",
+        );
         let with = measure(round * 10_000 + 5_000);
-        let batch = desk.api.ask("POST", &format!("{path}/{name}/cancel"), &[("if-match", "*")], "").body;
+        let batch = desk
+            .api
+            .ask(
+                "POST",
+                &format!("{path}/{name}/cancel"),
+                &[("if-match", "*")],
+                "",
+            )
+            .body;
         assert!(batch["sent"].as_u64() > Some(50), "the batch ran: {batch}");
-        println!("µs p50, p99 without a batch {without:?}, with one {with:?}, {} sent", batch["sent"]);
+        println!(
+            "µs p50, p99 without a batch {without:?}, with one {with:?}, {} sent",
+            batch["sent"]
+        );
         rows.push((without.1, with.1));
     }
     rows.sort_by_key(|(without, with)| with * 1000 / without.max(&1));
     let (without, with) = rows[1];
     // A resend begins a round of its own, and the next round comes a tick of 5 ms later.
-    assert!(with <= without + 5_000, "p99 {without} µs without a batch, {with} µs with one");
+    assert!(
+        with <= without + 5_000,
+        "p99 {without} µs without a batch, {with} µs with one"
+    );
 }
--- a/crates/seam/src/inherited.rs
+++ b/crates/seam/src/inherited.rs
@@ -12,7 +12,9 @@
 /// Another descriptor of that socket, ready for the runtime; the one that was given stays as it is.
 pub fn listener(descriptor: i32) -> io::Result<TcpListener> {
     let wrong = |why: &str| io::Error::new(io::ErrorKind::InvalidInput, why.to_string());
-    if descriptor < LEAST || std::fs::symlink_metadata(format!("/proc/self/fd/{descriptor}")).is_err() {
+    if descriptor < LEAST
+        || std::fs::symlink_metadata(format!("/proc/self/fd/{descriptor}")).is_err()
+    {
         return Err(wrong("it is not open"));
     }
     let socket = Socket::from(copy(descriptor)?);
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -99,7 +99,9 @@
 
     /// What the future gives, if it is ready by then.
     fn timeout_at<F: Future>(
-        &self, at: Instant, future: F,
+        &self,
+        at: Instant,
+        future: F,
     ) -> impl Future<Output = Result<F::Output, Elapsed>> {
         async move {
             tokio::select! {
@@ -112,7 +114,9 @@
 
     /// What the future gives, if it is ready within the span.
     fn timeout<F: Future>(
-        &self, span: Duration, future: F,
+        &self,
+        span: Duration,
+        future: F,
     ) -> impl Future<Output = Result<F::Output, Elapsed>> {
         self.timeout_at(self.now() + span, future)
     }
@@ -188,7 +192,10 @@
         match text.strip_prefix("unix:") {
             Some(path) if path.starts_with('/') => Ok(Address::Unix(path.into())),
             Some(path) => Err(format!("{path:?} is no absolute path of a socket")),
-            None => text.parse().map(Address::Tcp).map_err(|_| format!("{text:?} is no address and port")),
+            None => text
+                .parse()
+                .map(Address::Tcp)
+                .map_err(|_| format!("{text:?} is no address and port")),
         }
     }
 }
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -38,7 +38,9 @@
     }
 
     fn unix_time(&self) -> Duration {
-        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
     }
 
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> {
@@ -77,7 +79,12 @@
     }
 
     fn open(&self, path: &Path) -> io::Result<std::fs::File> {
-        std::fs::OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
+        std::fs::OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(path)
     }
 
     fn create(&self, path: &Path) -> io::Result<std::fs::File> {
@@ -87,8 +94,9 @@
     fn pages(&self, path: &Path) -> io::Result<std::fs::File> {
         let file = self.open(path)?;
         // Guards a store against two relays that were given the same file.
-        file.try_lock()
-            .map_err(|_| io::Error::new(io::ErrorKind::WouldBlock, "another process has it open"))?;
+        file.try_lock().map_err(|_| {
+            io::Error::new(io::ErrorKind::WouldBlock, "another process has it open")
+        })?;
         Ok(file)
     }
 
@@ -167,7 +175,8 @@
     match bind() {
         Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
             // A process that was killed leaves its socket behind; nothing else of that name is touched.
-            let stale = std::fs::symlink_metadata(at).is_ok_and(|meta| meta.file_type().is_socket());
+            let stale =
+                std::fs::symlink_metadata(at).is_ok_and(|meta| meta.file_type().is_socket());
             if !stale || UnixStream::connect(at).await.is_ok() {
                 return Err(error);
             }
@@ -198,13 +207,21 @@
 }
 
 impl AsyncRead for RealStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, into: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        into: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         either!(self.get_mut(), stream => Pin::new(stream).poll_read(cx, into))
     }
 }
 
 impl AsyncWrite for RealStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, text: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        text: &[u8],
+    ) -> Poll<io::Result<usize>> {
         either!(self.get_mut(), stream => Pin::new(stream).poll_write(cx, text))
     }
 
@@ -217,7 +234,9 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>, cx: &mut Context<'_>, parts: &[io::IoSlice<'_>],
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         either!(self.get_mut(), stream => Pin::new(stream).poll_write_vectored(cx, parts))
     }
@@ -267,10 +286,14 @@
 
     async fn accept(&self) -> io::Result<RealStream> {
         match self {
-            RealListener::Tcp(listener) => listener.accept().await.map(|(stream, _)| RealStream::Tcp(stream)),
-            RealListener::Unix(listener) => {
-                listener.accept().await.map(|(stream, _)| RealStream::Unix(stream))
-            }
+            RealListener::Tcp(listener) => listener
+                .accept()
+                .await
+                .map(|(stream, _)| RealStream::Tcp(stream)),
+            RealListener::Unix(listener) => listener
+                .accept()
+                .await
+                .map(|(stream, _)| RealStream::Unix(stream)),
         }
     }
 }
--- a/crates/seam/tests/local.rs
+++ b/crates/seam/tests/local.rs
@@ -7,7 +7,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 fn local(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
 
@@ -40,7 +43,10 @@
         let (path, file) = (folder.path().join("socket"), folder.path().join("file"));
         let at = Address::Unix(path.clone());
         let first = Real.listen(at.clone()).await.expect("bound");
-        let mode = std::fs::metadata(&path).expect("a socket").permissions().mode();
+        let mode = std::fs::metadata(&path)
+            .expect("a socket")
+            .permissions()
+            .mode();
         assert_eq!(mode & 0o777, 0o600);
         let second = Real.listen(at.clone()).await.map(|_| ());
         assert_eq!(second.expect_err("taken").kind(), ErrorKind::AddrInUse);
@@ -66,7 +72,10 @@
         ("unix:/run/admin.sock", true),
     ] {
         let address: Address = text.parse().expect(text);
-        assert_eq!((address.to_string(), address.is_local()), (text.into(), is_local));
+        assert_eq!(
+            (address.to_string(), address.is_local()),
+            (text.into(), is_local)
+        );
     }
     for bad in ["", "unix:", "unix:run", "localhost:80", "127.0.0.1", "8700"] {
         assert!(bad.parse::<Address>().is_err(), "{bad}");
--- a/crates/sim/src/checker.rs
+++ b/crates/sim/src/checker.rs
@@ -25,7 +25,13 @@
 
 impl fmt::Display for Breach {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:.6}: {}: {}", self.at.as_secs_f64(), self.rule, self.what)
+        write!(
+            f,
+            "{:.6}: {}: {}",
+            self.at.as_secs_f64(),
+            self.rule,
+            self.what
+        )
     }
 }
 
@@ -84,9 +90,17 @@
 impl Checker {
     /// Judges so many relays by these figures.
     pub fn new(figures: Rules, relays: usize) -> Self {
-        let lane = |_| Lane { facts: Facts::new(figures.clone()), rules: rules::all() };
+        let lane = |_| Lane {
+            facts: Facts::new(figures.clone()),
+            rules: rules::all(),
+        };
         let lanes = (0..relays.max(1)).map(lane).collect();
-        Checker { lanes, returns: Returns::default(), breach: None, counts: Counts::default() }
+        Checker {
+            lanes,
+            returns: Returns::default(),
+            breach: None,
+            counts: Counts::default(),
+        }
     }
 
     /// The first breach so far.
@@ -96,7 +110,10 @@
 
     /// The repeat rule of a message that was handed in.
     pub fn repeat_of(&self, id: &str) -> Option<Repeat> {
-        self.lanes.iter().find_map(|lane| lane.facts.messages.get(id)).map(|message| message.handed.repeat)
+        self.lanes
+            .iter()
+            .find_map(|lane| lane.facts.messages.get(id))
+            .map(|message| message.handed.repeat)
     }
 
     /// Messages that were taken on and have no end yet.
@@ -111,21 +128,33 @@
             Seen::Outage(..) | Seen::Pass | Seen::Endless => 0..self.lanes.len(),
             // A host knows whose call it has by the message's name alone.
             Seen::Called(call, _) => self.lane_of(&call.id, relay),
-            Seen::Answers(name, _) | Seen::Closed(name) | Seen::Read(name) => self.lane_of(&name.id, relay),
+            Seen::Answers(name, _) | Seen::Closed(name) | Seen::Read(name) => {
+                self.lane_of(&name.id, relay)
+            }
             _ => relay..relay + 1,
         };
         let mut broken = Vec::new();
         let all = &mut self.lanes[..];
         all.iter_mut().for_each(|lane| lane.facts.now = at);
-        self.returns.see(all.iter().map(|lane| &lane.facts), lanes.start, seen, &mut broken);
+        self.returns.see(
+            all.iter().map(|lane| &lane.facts),
+            lanes.start,
+            seen,
+            &mut broken,
+        );
         for lane in lanes {
             self.count(lane, seen);
             let Lane { facts, rules } = &mut self.lanes[lane];
-            rules.iter_mut().for_each(|rule| rule.see(facts, seen, &mut broken));
+            rules
+                .iter_mut()
+                .for_each(|rule| rule.see(facts, seen, &mut broken));
             facts.book(seen);
         }
         // Of several breaches of one moment the one that says most is told: the order of the rules.
-        let told = broken.iter().position(|(rule, _)| *rule != rules::NOT_PUSHED_OVER).unwrap_or(0);
+        let told = broken
+            .iter()
+            .position(|(rule, _)| *rule != rules::NOT_PUSHED_OVER)
+            .unwrap_or(0);
         if let Some((rule, what)) = broken.into_iter().nth(told) {
             self.breach.get_or_insert(Breach { rule, at, what });
         }
@@ -133,7 +162,10 @@
 
     /// The lane that a message was handed in on, as a range of one.
     fn lane_of(&self, id: &str, usual: usize) -> std::ops::Range<usize> {
-        let lane = self.lanes.iter().position(|lane| lane.facts.messages.contains_key(id));
+        let lane = self
+            .lanes
+            .iter()
+            .position(|lane| lane.facts.messages.contains_key(id));
         let lane = lane.unwrap_or(usual);
         lane..lane + 1
     }
@@ -166,13 +198,16 @@
                 }
             }
             Seen::Answers(name, Verdict::Delivered) => {
-                let first = message(&name.id).is_some_and(|m| m.delivered.is_none() && m.taken.is_some());
+                let first =
+                    message(&name.id).is_some_and(|m| m.delivered.is_none() && m.taken.is_some());
                 counts.delivered += u64::from(first);
                 let early = |due: Duration| facts.now + facts.rules.late_for <= due;
                 let in_aim = first && message(&name.id).is_some_and(|m| early(m.handed.due));
                 counts.in_aim += u64::from(in_aim);
             }
-            Seen::Noticed(id, status) if message(id).is_some_and(|message| message.notice.is_none()) => {
+            Seen::Noticed(id, status)
+                if message(id).is_some_and(|message| message.notice.is_none()) =>
+            {
                 counts.undeliverable += u64::from(*status == "undeliverable");
                 counts.deferred += u64::from(*status == "deferred");
             }
@@ -182,9 +217,20 @@
 
     /// A call's last byte has come to a host. `holds` tells whether the relay still holds a connection. None for
     /// a message that nobody handed in.
-    pub fn called(&mut self, at: Duration, call: &Called, holds: &dyn Fn(u64) -> bool) -> Option<CallName> {
+    pub fn called(
+        &mut self,
+        at: Duration,
+        call: &Called,
+        holds: &dyn Fn(u64) -> bool,
+    ) -> Option<CallName> {
         self.see(at, 0, &Seen::Called(call, holds));
-        let message = self.lanes.iter().find_map(|lane| lane.facts.messages.get(&call.id))?;
-        Some(CallName { id: call.id.clone(), number: message.calls.len() - 1 })
+        let message = self
+            .lanes
+            .iter()
+            .find_map(|lane| lane.facts.messages.get(&call.id))?;
+        Some(CallName {
+            id: call.id.clone(),
+            number: message.calls.len() - 1,
+        })
     }
 }
--- a/crates/sim/src/cost.rs
+++ b/crates/sim/src/cost.rs
@@ -25,15 +25,24 @@
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).map_err(|e| e.to_string())?;
     // The name stands in brackets and may hold anything.
     let rest = text.rsplit_once(')').map_or("", |(_, rest)| rest);
-    let field = |n: usize| rest.split_whitespace().nth(n).and_then(|field| field.parse::<u64>().ok());
-    field(11).zip(field(12)).map(|(user, system)| user + system).ok_or("no CPU time is told".into())
+    let field = |n: usize| {
+        rest.split_whitespace()
+            .nth(n)
+            .and_then(|field| field.parse::<u64>().ok())
+    };
+    field(11)
+        .zip(field(12))
+        .map(|(user, system)| user + system)
+        .ok_or("no CPU time is told".into())
 }
 
 /// Resident memory of a process, in KiB.
 fn resident(pid: u32) -> Result<u64, String> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status")).map_err(|e| e.to_string())?;
     let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let number = line.and_then(|line| line.split_whitespace().next()).and_then(|n| n.parse().ok());
+    let number = line
+        .and_then(|line| line.split_whitespace().next())
+        .and_then(|n| n.parse().ok());
     number.ok_or("no memory is told".into())
 }
 
@@ -46,7 +55,8 @@
 impl std::fmt::Display for Case {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{}", self.relay.display())?;
-        self.tenants.map_or(Ok(()), |tenants| write!(f, " with {tenants} tenants"))
+        self.tenants
+            .map_or(Ok(()), |tenants| write!(f, " with {tenants} tenants"))
     }
 }
 
@@ -59,14 +69,24 @@
 
 /// Measures the builds in turn, each with each number of tenants, `rounds` times, and prints microseconds of CPU a
 /// message and the resident memory at the start.
-pub fn run(relays: &[PathBuf], tenants: &[u64], rounds: u32, messages: u64) -> Result<bool, String> {
+pub fn run(
+    relays: &[PathBuf],
+    tenants: &[u64],
+    rounds: u32,
+    messages: u64,
+) -> Result<bool, String> {
     let numbers = match tenants {
         [] => vec![None],
         some => some.iter().copied().map(Some).collect(),
     };
     let cases: Vec<Case> = relays
         .iter()
-        .flat_map(|relay| numbers.iter().map(|tenants| Case { relay: relay.clone(), tenants: *tenants }))
+        .flat_map(|relay| {
+            numbers.iter().map(|tenants| Case {
+                relay: relay.clone(),
+                tenants: *tenants,
+            })
+        })
         .collect();
     let mut all: Vec<Vec<Cost>> = cases.iter().map(|_| Vec::new()).collect();
     for round in 1..=rounds {
@@ -96,8 +116,10 @@
         std::fs::write(folder.join(copy), &text).map_err(|e| format!("cannot write: {e}"))?;
     }
     let file = folder.join("operator.toml");
-    let text =
-        format!("[tenants]\nfolder = {:?}\nauth = false\nimport = false\n", folder.display().to_string());
+    let text = format!(
+        "[tenants]\nfolder = {:?}\nauth = false\nimport = false\n",
+        folder.display().to_string()
+    );
     std::fs::write(&file, text).map_err(|e| format!("cannot write: {e}"))?;
     Ok(file)
 }
@@ -110,15 +132,28 @@
     let relay = case.relay.as_path();
     let folder = tempfile::tempdir().map_err(|e| format!("no folder: {e}"))?;
     let listen = free_address()?;
-    let Quick { stage, file, state, _open } = quick(folder.path(), listen, PARTNERS, LEFT)?;
+    let Quick {
+        stage,
+        file,
+        state,
+        _open,
+    } = quick(folder.path(), listen, PARTNERS, LEFT)?;
     let system = stage.system;
     let registry = folder.path().join("tenants");
     std::fs::create_dir(&registry).map_err(|e| format!("no folder for the tenants: {e}"))?;
-    let operator = case.tenants.map(|tenants| host(&registry, tenants)).transpose()?;
+    let operator = case
+        .tenants
+        .map(|tenants| host(&registry, tenants))
+        .transpose()?;
     let operator = operator.map(|path| path.display().to_string());
-    let arguments: Vec<&str> = operator.iter().flat_map(|path| ["--operator", path]).collect();
+    let arguments: Vec<&str> = operator
+        .iter()
+        .flat_map(|path| ["--operator", path])
+        .collect();
     let process = Process::start(relay, &arguments, &file, &state)?;
-    let ready = system.timeout(Duration::from_secs(20), until_ready(&stage, listen)).await;
+    let ready = system
+        .timeout(Duration::from_secs(20), until_ready(&stage, listen))
+        .await;
     ready.map_err(|_| format!("{} does not get ready", relay.display()))?;
     let (before, ready_kib) = (ticks(process.id())?, resident(process.id())?);
     let taken = Rc::new(RefCell::new(0));
@@ -153,5 +188,8 @@
     if taken * 100 < messages * 95 {
         return Err(format!("only {taken} of {messages} messages were taken on"));
     }
-    Ok(Cost { us: (after - before) as f64 * 10_000.0 / taken as f64, ready_kib })
+    Ok(Cost {
+        us: (after - before) as f64 * 10_000.0 / taken as f64,
+        ready_kib,
+    })
 }
--- a/crates/sim/src/demo.rs
+++ b/crates/sim/src/demo.rs
@@ -46,7 +46,13 @@
     for number in 0..ARRIVALS.0 * ARRIVALS.1 {
         let (class, repeat) = match number % 3 {
             0 => ("update", Repeat::Safe),
-            1 => ("event", Repeat::Keyed { window, zone_only: false }),
+            1 => (
+                "event",
+                Repeat::Keyed {
+                    window,
+                    zone_only: false,
+                },
+            ),
             _ => ("payout", Repeat::Unsafe),
         };
         clients[number as usize % 4].push(Plan {
@@ -69,7 +75,10 @@
 
 async fn play() -> Result<bool, String> {
     let folder = tempfile::tempdir().map_err(|e| format!("no folder for the demo: {e}"))?;
-    let (state, file) = (folder.path().join("state"), folder.path().join("config.json"));
+    let (state, file) = (
+        folder.path().join("state"),
+        folder.path().join("config.json"),
+    );
     std::fs::create_dir(&state).map_err(|e| format!("no folder for the journal: {e}"))?;
     let program = std::env::current_exe().map_err(|e| format!("cannot find this program: {e}"))?;
     let (relay, discovery_at) = (free_address()?, free_address()?);
@@ -86,11 +95,19 @@
             health: "up",
             share: 60,
         });
-        hosts.push(Host::new(&name, block, "a", address, 60.0, Dice::new(0, u64::from(block))));
+        hosts.push(Host::new(
+            &name,
+            block,
+            "a",
+            address,
+            60.0,
+            Dice::new(0, u64::from(block)),
+        ));
     }
     let discovery = Discovery::new(lines);
     let (config, rules) = configuration(relay, discovery_at, &state, &discovery.whole(), LEFT);
-    std::fs::write(&file, config.to_string()).map_err(|e| format!("cannot write the configuration: {e}"))?;
+    std::fs::write(&file, config.to_string())
+        .map_err(|e| format!("cannot write the configuration: {e}"))?;
 
     let system = Real;
     let stage = stage(rules);
@@ -100,31 +117,58 @@
         system.spawn(async move { drop(served.await) });
     }
     let (_open, closing) = watch::channel(false);
-    let served = discovery.clone().serve(stage.clone(), discovery_at, closing);
+    let served = discovery
+        .clone()
+        .serve(stage.clone(), discovery_at, closing);
     system.spawn(async move { drop(served.await) });
 
     let say = |line: String| println!("{:5.1} s  {line}", stage.at().as_secs_f64());
-    say(format!("three partners and discovery listen; the configuration is {}", file.display()));
+    say(format!(
+        "three partners and discovery listen; the configuration is {}",
+        file.display()
+    ));
     let mut process = Some(Process::start(&program, &["relay"], &file, &state)?);
     stage.see(&Seen::Started(1));
-    let ready = system.timeout(Duration::from_secs(20), until_ready(&stage, relay)).await;
+    let ready = system
+        .timeout(Duration::from_secs(20), until_ready(&stage, relay))
+        .await;
     ready.map_err(|_| "the relay did not get ready within 20 s")?;
     stage.see(&Seen::Ready);
-    say(format!("the relay is ready at {relay}; {} messages a second come in", ARRIVALS.1));
+    say(format!(
+        "the relay is ready at {relay}; {} messages a second come in",
+        ARRIVALS.1
+    ));
     let start = stage.at();
     let window = Duration::from_secs(20);
     for plans in plans(window) {
-        let shifted = plans.into_iter().map(|plan| Plan { at: plan.at + start, ..plan }).collect();
+        let shifted = plans
+            .into_iter()
+            .map(|plan| Plan {
+                at: plan.at + start,
+                ..plan
+            })
+            .collect();
         let client = Client::new(stage.clone(), vec![relay], 0, shifted, None);
         system.spawn(client.run());
     }
     let mood = |block: u16, mood: Mood| *hosts[usize::from(block) - 1].mood.borrow_mut() = mood;
     for second in 1..=ARRIVALS.0 + AFTER {
-        system.sleep_until(stage.instant(start + Duration::from_secs(second))).await;
+        system
+            .sleep_until(stage.instant(start + Duration::from_secs(second)))
+            .await;
         if second == BROKEN.1 {
-            mood(BROKEN.0, Mood { fails: 100, ..Mood::default() });
+            mood(
+                BROKEN.0,
+                Mood {
+                    fails: 100,
+                    ..Mood::default()
+                },
+            );
             stage.see(&Seen::Outage(BROKEN.0, true));
-            say(format!("partner {} breaks: every call to it ends in an error", BROKEN.0));
+            say(format!(
+                "partner {} breaks: every call to it ends in an error",
+                BROKEN.0
+            ));
         }
         if second == BROKEN.2 {
             mood(BROKEN.0, Mood::default());
@@ -138,7 +182,9 @@
             say("the relay is killed with SIGKILL, and starts again on its journal".into());
             process = Some(Process::start(&program, &["relay"], &file, &state)?);
             stage.see(&Seen::Started(2));
-            let ready = system.timeout(Duration::from_secs(20), until_ready(&stage, relay)).await;
+            let ready = system
+                .timeout(Duration::from_secs(20), until_ready(&stage, relay))
+                .await;
             ready.map_err(|_| "the relay did not get ready again within 20 s")?;
             stage.see(&Seen::Ready);
         }
@@ -157,16 +203,31 @@
         Some(process) => process.stop(&system).await,
         None => false,
     };
-    say(format!("the relay was told to stop and {}", if ended_well { "ended" } else { "did not end well" }));
+    say(format!(
+        "the relay was told to stop and {}",
+        if ended_well {
+            "ended"
+        } else {
+            "did not end well"
+        }
+    ));
     let checker = checker.borrow();
     let (counts, open) = (checker.counts, checker.open());
     println!();
-    println!("Taken on: {}. Delivered: {}.", counts.taken, counts.delivered);
-    println!("Ended by a notice: {} failed, {} refused.", counts.undeliverable, counts.deferred);
+    println!(
+        "Taken on: {}. Delivered: {}.",
+        counts.taken, counts.delivered
+    );
+    println!(
+        "Ended by a notice: {} failed, {} refused.",
+        counts.undeliverable, counts.deferred
+    );
     println!("Without an end: {open}. Calls made: {}.", counts.calls);
     match checker.breach() {
         Some(breach) => println!("A rule was broken at {breach}"),
-        None => println!("No rule was broken: nothing lost, no payout twice, one end for each message."),
+        None => {
+            println!("No rule was broken: nothing lost, no payout twice, one end for each message.")
+        }
     }
     Ok(ended_well && open == 0 && checker.breach().is_none())
 }
--- a/crates/sim/src/faults/kept.rs
+++ b/crates/sim/src/faults/kept.rs
@@ -29,14 +29,22 @@
 
 impl SpoiltStore {
     pub fn draw(dice: &mut Dice) -> Self {
-        SpoiltStore((0..dice.between(1, 8)).map(|_| dice.below(1 << 40)).collect())
+        SpoiltStore(
+            (0..dice.between(1, 8))
+                .map(|_| dice.below(1 << 40))
+                .collect(),
+        )
     }
 }
 
 impl Trouble for SpoiltStore {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
         scene.machine().kill(scene.process());
-        let flip = |at: &u64| scene.machine().disk(scene.relay(), |disk| disk.flip_page(&store(), *at));
+        let flip = |at: &u64| {
+            scene
+                .machine()
+                .disk(scene.relay(), |disk| disk.flip_page(&store(), *at))
+        };
         self.0.iter().for_each(flip);
     }
 }
@@ -47,10 +55,14 @@
 
 impl Trouble for StoreFull {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
-        scene.machine().disk(scene.relay(), |disk| disk.fill_pages(true));
+        scene
+            .machine()
+            .disk(scene.relay(), |disk| disk.fill_pages(true));
     }
 
     fn ends(&self, scene: &mut dyn Scene) {
-        scene.machine().disk(scene.relay(), |disk| disk.fill_pages(false));
+        scene
+            .machine()
+            .disk(scene.relay(), |disk| disk.fill_pages(false));
     }
 }
--- a/crates/sim/src/faults/mod.rs
+++ b/crates/sim/src/faults/mod.rs
@@ -131,7 +131,10 @@
 }
 
 fn trouble(dice: &mut Dice, blocks: &[u16], hosts: usize) -> Rc<dyn Trouble> {
-    let at = Target { block: *dice.pick(blocks), host: dice.below(hosts as u64) as usize };
+    let at = Target {
+        block: *dice.pick(blocks),
+        host: dice.below(hosts as u64) as usize,
+    };
     match dice.below(27) {
         0 => Rc::new(partners::Fails::draw(dice, &at)),
         1 => Rc::new(partners::Shut(at.block)),
@@ -164,7 +167,11 @@
 /// Up to two faults that strike the registry of tenants.
 pub fn of_tenants(dice: &mut Dice) -> Vec<Fault> {
     // Two copies heal what either loses, not what both do.
-    let copy = if dice.percent(50) { "tenants.a" } else { "tenants.b" };
+    let copy = if dice.percent(50) {
+        "tenants.a"
+    } else {
+        "tenants.b"
+    };
     let trouble = |dice: &mut Dice| -> Rc<dyn Trouble> {
         match dice.percent(60) {
             true => Rc::new(tenants::KillInChange::draw(dice)),
@@ -173,7 +180,12 @@
     };
     let fault = |dice: &mut Dice| {
         let from = dice.between(500, 13_000);
-        Fault { from, until: from + 1, relay: 0, trouble: trouble(dice) }
+        Fault {
+            from,
+            until: from + 1,
+            relay: 0,
+            trouble: trouble(dice),
+        }
     };
     (0..dice.between(0, 2)).map(|_| fault(dice)).collect()
 }
@@ -187,7 +199,15 @@
             7 => (1, true, Rc::new(kept::SpoiltStore::draw(dice))),
             _ => (dice.between(500, 4_000), true, Rc::new(kept::StoreFull)),
         };
-        (Fault { from, until: from + span, relay: 0, trouble }, spoils)
+        (
+            Fault {
+                from,
+                until: from + span,
+                relay: 0,
+                trouble,
+            },
+            spoils,
+        )
     };
     (0..dice.between(0, 3)).map(|_| fault(dice)).collect()
 }
@@ -197,7 +217,12 @@
     let mut from = 0;
     let fault = |_| {
         from += dice.between(1_500, 5_000);
-        Fault { from, until: from + 1, relay: 0, trouble: Rc::new(upgrade::NewVersion::draw(dice)) }
+        Fault {
+            from,
+            until: from + 1,
+            relay: 0,
+            trouble: Rc::new(upgrade::NewVersion::draw(dice)),
+        }
     };
     (0..3).map(fault).collect()
 }
@@ -206,10 +231,18 @@
 pub fn of_staff(dice: &mut Dice, changes: &Changes) -> Vec<Fault> {
     let mut faults = Vec::new();
     let mut add = |from: u64, until: u64, trouble: Rc<dyn Trouble>| {
-        faults.push(Fault { from, until, relay: 0, trouble });
+        faults.push(Fault {
+            from,
+            until,
+            relay: 0,
+            trouble,
+        });
     };
     add(changes.rush.0, changes.rush.1, Rc::new(staff::Rush));
-    changes.hardened.into_iter().for_each(|at| add(at, at + 1, Rc::new(staff::Hardens)));
+    changes
+        .hardened
+        .into_iter()
+        .for_each(|at| add(at, at + 1, Rc::new(staff::Hardens)));
     if let Some((at, most)) = changes.fewer {
         add(at, at + IN_USE, Rc::new(staff::Fewer(most)));
     }
@@ -237,9 +270,16 @@
             1 | 2 => Rc::new(fleet::CutOff(*dice.pick(blocks))),
             _ => Rc::new(listing::ListSilent),
         };
-        faults.push(Fault { from, until, relay: 0, trouble });
+        faults.push(Fault {
+            from,
+            until,
+            relay: 0,
+            trouble,
+        });
     }
-    faults.iter_mut().for_each(|fault| fault.relay = dice.below(relays) as usize);
+    faults
+        .iter_mut()
+        .for_each(|fault| fault.relay = dice.below(relays) as usize);
     faults.sort_by_key(|fault| fault.from);
 }
 
@@ -248,17 +288,27 @@
 pub fn of_vast(dice: &mut Dice, blocks: &[u16], relays: usize) -> Vec<Fault> {
     let mut faults = Vec::new();
     let mut add = |from: u64, span: u64, trouble: Rc<dyn Trouble>| {
-        faults.push(Fault { from, until: from + span, relay: 0, trouble });
+        faults.push(Fault {
+            from,
+            until: from + span,
+            relay: 0,
+            trouble,
+        });
     };
     let first = dice.below(3);
-    let second = if dice.percent(30) { dice.below(3) } else { first };
+    let second = if dice.percent(30) {
+        dice.below(3)
+    } else {
+        first
+    };
     for kind in std::collections::BTreeSet::from([first, second]) {
         let from = dice.between(3_000, 7_000);
         match kind {
             0 if relays > 1 => add(from, 1, Rc::new(vast::KillMost::draw(dice))),
             0 | 1 => {
                 let half = &blocks[..blocks.len().div_ceil(2)];
-                half.iter().for_each(|block| add(from, 5_000, Rc::new(vast::Down(*block))));
+                half.iter()
+                    .for_each(|block| add(from, 5_000, Rc::new(vast::Down(*block))));
             }
             _ => add(from, 9_000, Rc::new(vast::Lowered(*dice.pick(blocks)))),
         }
@@ -272,16 +322,31 @@
 pub fn of_rolling(dice: &mut Dice, relays: usize, hosts: usize, each: usize) -> Vec<Fault> {
     let mut faults = Vec::new();
     let mut add = |from: u64, span: u64, relay: usize, trouble: Rc<dyn Trouble>| {
-        faults.push(Fault { from, until: from + span, relay, trouble });
+        faults.push(Fault {
+            from,
+            until: from + span,
+            relay,
+            trouble,
+        });
     };
     for relay in 0..relays {
         let turn = (relay * 10 / relays) as u64;
-        add(2_000 + turn * 1_200 + dice.below(200), 1, relay, Rc::new(rolling::Restarted::draw(dice)));
+        add(
+            2_000 + turn * 1_200 + dice.below(200),
+            1,
+            relay,
+            Rc::new(rolling::Restarted::draw(dice)),
+        );
     }
     let moved = dice.between(4_000, 10_000);
     for relay in 0..relays {
         if dice.percent(70) {
-            add(moved + dice.below(1_000), 1, relay, Rc::new(process::Reload));
+            add(
+                moved + dice.below(1_000),
+                1,
+                relay,
+                Rc::new(process::Reload),
+            );
         }
         match dice.below(10) {
             0 => add(
@@ -290,7 +355,12 @@
                 relay,
                 Rc::new(listing::ListSilent),
             ),
-            1 => add(dice.between(2_000, 11_000), 2_000, relay, Rc::new(listing::ListLags::draw(dice))),
+            1 => add(
+                dice.between(2_000, 11_000),
+                2_000,
+                relay,
+                Rc::new(listing::ListLags::draw(dice)),
+            ),
             _ => {}
         }
     }
@@ -300,7 +370,12 @@
             // One of each destination stays for good: not the first, which idle relays prefer.
             let stays = (host + 1) % each == 0 || host + 1 == hosts;
             if !stays && dice.percent(15) {
-                add(from, dice.between(3_000, 6_000), 0, Rc::new(listing::Drains(host)));
+                add(
+                    from,
+                    dice.between(3_000, 6_000),
+                    0,
+                    Rc::new(listing::Drains(host)),
+                );
             }
         }
     }
@@ -314,12 +389,20 @@
     let middle = dice.between(4_000, 11_000);
     for number in 0..dice.between(2, 5) {
         let (from, until) = if number < 2 {
-            (middle - dice.between(100, 3_500), middle + dice.between(300, 4_000))
+            (
+                middle - dice.between(100, 3_500),
+                middle + dice.between(300, 4_000),
+            )
         } else {
             let from = dice.between(500, 13_000);
             (from, from + dice.between(200, 5_000))
         };
-        faults.push(Fault { from, until, relay: 0, trouble: trouble(dice, blocks, hosts) });
+        faults.push(Fault {
+            from,
+            until,
+            relay: 0,
+            trouble: trouble(dice, blocks, hosts),
+        });
     }
     faults.sort_by_key(|fault| fault.from);
     faults
--- a/crates/sim/src/faults/partners.rs
+++ b/crates/sim/src/faults/partners.rs
@@ -108,7 +108,13 @@
     }
 
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
-        scene.address(self.0, AddressFault { refuses: true, ..AddressFault::default() });
+        scene.address(
+            self.0,
+            AddressFault {
+                refuses: true,
+                ..AddressFault::default()
+            },
+        );
         scene.see(&Seen::Outage(self.0, true));
     }
 
@@ -132,7 +138,13 @@
     }
 
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
-        scene.address(self.0, AddressFault { silent: true, ..AddressFault::default() });
+        scene.address(
+            self.0,
+            AddressFault {
+                silent: true,
+                ..AddressFault::default()
+            },
+        );
         scene.see(&Seen::Outage(self.0, true));
     }
 
@@ -161,7 +173,13 @@
     }
 
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
-        scene.address(self.0, AddressFault { cuts: self.1, ..AddressFault::default() });
+        scene.address(
+            self.0,
+            AddressFault {
+                cuts: self.1,
+                ..AddressFault::default()
+            },
+        );
     }
 
     fn ends(&self, scene: &mut dyn Scene) {
--- a/crates/sim/src/faults/process.rs
+++ b/crates/sim/src/faults/process.rs
@@ -43,7 +43,9 @@
 impl Trouble for KillInRewriting {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
         scene.down_for(Duration::from_millis(self.1));
-        scene.machine().kill_in(scene.process(), "journal.new", self.0);
+        scene
+            .machine()
+            .kill_in(scene.process(), "journal.new", self.0);
     }
 }
 
@@ -85,7 +87,9 @@
 
 impl Trouble for DiskFull {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
-        scene.machine().disk(scene.relay(), |disk| disk.room = Some(self.0));
+        scene
+            .machine()
+            .disk(scene.relay(), |disk| disk.room = Some(self.0));
         scene.see(&Seen::KeepsNothing(true));
     }
 
@@ -107,7 +111,9 @@
 
 impl Trouble for ShortWrites {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
-        scene.machine().disk(scene.relay(), |disk| disk.short = self.0);
+        scene
+            .machine()
+            .disk(scene.relay(), |disk| disk.short = self.0);
     }
 
     fn ends(&self, scene: &mut dyn Scene) {
--- a/crates/sim/src/faults/rolling.rs
+++ b/crates/sim/src/faults/rolling.rs
@@ -16,7 +16,14 @@
     /// After SIGTERM a process that leaves early is down for as long as the others take.
     pub fn draw(dice: &mut Dice) -> Self {
         let stopped = dice.percent(50);
-        Restarted { stopped, down: if stopped { dice.between(600, 4_300) } else { 600 } }
+        Restarted {
+            stopped,
+            down: if stopped {
+                dice.between(600, 4_300)
+            } else {
+                600
+            },
+        }
     }
 }
 
--- a/crates/sim/src/faults/tenants.rs
+++ b/crates/sim/src/faults/tenants.rs
@@ -34,7 +34,11 @@
 
 impl SpoiltRegistry {
     pub fn draw(dice: &mut Dice, copy: &'static str) -> Self {
-        SpoiltRegistry { copy, at: dice.below(1 << 20), cut: dice.percent(30) }
+        SpoiltRegistry {
+            copy,
+            at: dice.below(1 << 20),
+            cut: dice.percent(30),
+        }
     }
 }
 
--- a/crates/sim/src/faults/vast.rs
+++ b/crates/sim/src/faults/vast.rs
@@ -45,10 +45,14 @@
 
 impl Trouble for Lowered {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
-        scene.mood(self.0, &|mood| mood.limit = mood.limit.map(|limit| limit / 2.0));
+        scene.mood(self.0, &|mood| {
+            mood.limit = mood.limit.map(|limit| limit / 2.0)
+        });
     }
 
     fn ends(&self, scene: &mut dyn Scene) {
-        scene.mood(self.0, &|mood| mood.limit = mood.limit.map(|limit| limit * 2.0));
+        scene.mood(self.0, &|mood| {
+            mood.limit = mood.limit.map(|limit| limit * 2.0)
+        });
     }
 }
--- a/crates/sim/src/hosted.rs
+++ b/crates/sim/src/hosted.rs
@@ -106,7 +106,11 @@
                 errands
             })
             .collect();
-        Hosted { auth: dice.percent(50), tenants, admins }
+        Hosted {
+            auth: dice.percent(50),
+            tenants,
+            admins,
+        }
     }
 
     /// The operator file.
@@ -122,7 +126,10 @@
 
     /// The registry as it is before the relay's first start.
     pub fn registry(&self) -> Vec<u8> {
-        let tenants = self.tenants.iter().map(|plan| (plan.name.as_str(), plan.weight, plan.secret.as_str()));
+        let tenants = self
+            .tenants
+            .iter()
+            .map(|plan| (plan.name.as_str(), plan.weight, plan.secret.as_str()));
         registry(tenants)
     }
 
@@ -135,7 +142,9 @@
     pub fn fill(&self, dice: &mut Dice, clients: &mut [Vec<Plan>], blocks: &[u16]) {
         for (client, plans) in clients.iter_mut().enumerate() {
             let tenant = &self.tenant_of(client).name;
-            plans.iter_mut().for_each(|plan| plan.tenant = tenant.clone());
+            plans
+                .iter_mut()
+                .for_each(|plan| plan.tenant = tenant.clone());
         }
         let mut number = 0;
         for _ in 0..dice.between(1, 3) {
@@ -146,8 +155,9 @@
             let kind = dice.below(3);
             for _ in 0..many {
                 number += 1;
-                let senders: Vec<usize> =
-                    (0..clients.len()).filter(|c| c % self.tenants.len() == tenant).collect();
+                let senders: Vec<usize> = (0..clients.len())
+                    .filter(|c| c % self.tenants.len() == tenant)
+                    .collect();
                 let client = *dice.pick(&senders);
                 let (class, repeat, left) = match kind {
                     0 => ("payout", Repeat::Unsafe, 10_000),
@@ -171,7 +181,11 @@
         }
         if self.auth {
             // Some ask for another's tenant.
-            for plan in clients.iter_mut().flatten().filter(|plan| plan.habit == Habit::Plain) {
+            for plan in clients
+                .iter_mut()
+                .flatten()
+                .filter(|plan| plan.habit == Habit::Plain)
+            {
                 if dice.percent(2) {
                     plan.habit = Habit::Impostor;
                 }
@@ -184,12 +198,22 @@
 pub fn registry<'a>(tenants: impl Iterator<Item = (&'a str, u32, &'a str)>) -> Vec<u8> {
     let mut registry = Registry::new(Vec::new());
     for (seq, (name, weight, secret)) in (1..).zip(tenants) {
-        let secret = Secret { id: "main".into(), sha256: Digest::of(secret.as_bytes()), created_at_ms: 0 };
+        let secret = Secret {
+            id: "main".into(),
+            sha256: Digest::of(secret.as_bytes()),
+            created_at_ms: 0,
+        };
         let to = Tenant {
             name: name.into(),
-            version: Version { generation: 1, revision: 1 },
+            version: Version {
+                generation: 1,
+                revision: 1,
+            },
             state: State::Active,
-            spec: Spec { weight, ..Spec::default() },
+            spec: Spec {
+                weight,
+                ..Spec::default()
+            },
             secrets: vec![secret],
             created_at_ms: 0,
             changed_at_ms: 0,
@@ -197,7 +221,10 @@
         registry.commit(&Record {
             seq,
             at_ms: 0,
-            actor: Actor { name: "world".into(), role: "relay".into() },
+            actor: Actor {
+                name: "world".into(),
+                role: "relay".into(),
+            },
             request: String::new(),
             key: None,
             action: Action::Created,
@@ -213,7 +240,13 @@
     let at = dice.between(AT_WORK.0, AT_WORK.1);
     let tenant = dice.below(TENANTS) as usize;
     let (stale, insists) = (dice.percent(15), dice.percent(50));
-    let one = |at: u64, deed| Errand { at: Duration::from_millis(at), tenant, deed, stale, insists };
+    let one = |at: u64, deed| Errand {
+        at: Duration::from_millis(at),
+        tenant,
+        deed,
+        stale,
+        insists,
+    };
     let later = |dice: &mut Dice| at + dice.between(50, 3_000);
     match dice.below(20) {
         0..=3 => vec![one(at, Deed::Look)],
@@ -228,7 +261,10 @@
                 "\"rate\":{\"per_second\":6,\"burst\":3}",
             ]);
             let clear = "{\"max_held\":null,\"max_in_flight\":null,\"rate\":null}";
-            vec![one(at, Deed::Set(format!("{{{set}}}"))), one(later(dice), Deed::Set(clear.into()))]
+            vec![
+                one(at, Deed::Set(format!("{{{set}}}"))),
+                one(later(dice), Deed::Set(clear.into())),
+            ]
         }
         9..=12 => vec![one(at, Deed::Pause), one(later(dice), Deed::Resume)],
         13..=17 => {
--- a/crates/sim/src/kept.rs
+++ b/crates/sim/src/kept.rs
@@ -86,10 +86,18 @@
     pub fn draw_kept(seed: u64) -> Self {
         let (mut script, mut dice) = (Script::draw(seed), Dice::new(seed, 8));
         // A resend comes after whatever its order would have put behind it.
-        for class in script.settings["services"].as_array_mut().into_iter().flatten() {
+        for class in script.settings["services"]
+            .as_array_mut()
+            .into_iter()
+            .flatten()
+        {
             class["fifoByKey"] = false.into();
         }
-        script.clients.iter_mut().flatten().for_each(|plan| plan.in_order = false);
+        script
+            .clients
+            .iter_mut()
+            .flatten()
+            .for_each(|plan| plan.in_order = false);
         for plan in script.clients.iter_mut().flatten() {
             if dice.percent(50) {
                 (plan.class, plan.repeat) = ("payout", Repeat::Unsafe);
@@ -97,7 +105,9 @@
         }
         let struck = faults::of_kept(&mut dice);
         let spoilt = struck.iter().any(|(_, spoils)| *spoils);
-        script.faults.extend(struck.into_iter().map(|(fault, _)| fault));
+        script
+            .faults
+            .extend(struck.into_iter().map(|(fault, _)| fault));
         script.faults.sort_by_key(|fault| fault.from);
         (script.rules.kept, script.rules.store_spoilt) = (true, spoilt);
         script.kept = Some(Kept {
