--- a/crates/sim/src/loopback.rs
+++ b/crates/sim/src/loopback.rs
@@ -29,22 +29,45 @@
 
 impl Process {
     /// Starts a program, with its arguments, as a relay with this configuration and folder.
-    pub fn start(program: &Path, arguments: &[&str], config: &Path, state: &Path) -> Result<Self, String> {
+    pub fn start(
+        program: &Path,
+        arguments: &[&str],
+        config: &Path,
+        state: &Path,
+    ) -> Result<Self, String> {
         Process::with(program, arguments, config, state, &[])
     }
 
     /// The same with more variables.
     pub fn with(
-        program: &Path, arguments: &[&str], config: &Path, state: &Path, variables: &[(&str, String)],
+        program: &Path,
+        arguments: &[&str],
+        config: &Path,
+        state: &Path,
+        variables: &[(&str, String)],
     ) -> Result<Self, String> {
         let mut command = Command::new(program);
-        for name in ["BALANCER_LISTEN", "BALANCER_DISCOVERY", "BALANCER_CONTROL", "BALANCER_SOCKET_FD"] {
+        for name in [
+            "BALANCER_LISTEN",
+            "BALANCER_DISCOVERY",
+            "BALANCER_CONTROL",
+            "BALANCER_SOCKET_FD",
+        ] {
             command.env_remove(name);
         }
-        command.args(arguments).env("BALANCER_CONFIG", config).env("BALANCER_STATE", state);
+        command
+            .args(arguments)
+            .env("BALANCER_CONFIG", config)
+            .env("BALANCER_STATE", state);
         command.envs(variables.iter().map(|(name, value)| (name, value)));
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
-        command.spawn().map(Process).map_err(|e| format!("cannot start {}: {e}", program.display()))
+        command
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null());
+        command
+            .spawn()
+            .map(Process)
+            .map_err(|e| format!("cannot start {}: {e}", program.display()))
     }
 
     /// Its number.
@@ -90,7 +113,11 @@
 
 /// The configuration of a simulated day, with other addresses and `left` milliseconds for each message.
 pub(crate) fn configuration(
-    relay: SocketAddr, discovery: SocketAddr, state: &Path, known: &Value, left: u64,
+    relay: SocketAddr,
+    discovery: SocketAddr,
+    state: &Path,
+    known: &Value,
+    left: u64,
 ) -> (Value, Rules) {
     let script = Script::draw(0);
     let mut config = script.config(0, &script.settings, known, discovery);
@@ -99,13 +126,24 @@
     config["limits"]["disk_mb"] = 3.0.into();
     config["settings"]["limits"]["mostHeld"] = 200.into();
     config["settings"]["familyInfo"]["callsOut"] = 16.into();
-    for class in config["settings"]["services"].as_array_mut().into_iter().flatten() {
+    for class in config["settings"]["services"]
+        .as_array_mut()
+        .into_iter()
+        .flatten()
+    {
         class["giveUp"] = (left * 1000).into();
         class["fifoByKey"] = false.into();
         class["keyScope"] = "all".into();
     }
     let capacity: BTreeMap<u16, f64> = (1..=3).map(|block| (block, 60.0)).collect();
-    (config, Rules { disk: 3_000_000, capacity, ..script.rules })
+    (
+        config,
+        Rules {
+            disk: 3_000_000,
+            capacity,
+            ..script.rules
+        },
+    )
 }
 
 /// A stage on real sockets, where it is not known when the relay closes one, only when a host hears of it.
@@ -133,7 +171,12 @@
 }
 
 /// Starts so many partners, for a relay that listens at an address and whose messages have `left` milliseconds.
-pub(crate) fn quick(folder: &Path, listen: SocketAddr, partners: u16, left: u64) -> Result<Quick, String> {
+pub(crate) fn quick(
+    folder: &Path,
+    listen: SocketAddr,
+    partners: u16,
+    left: u64,
+) -> Result<Quick, String> {
     let (state, file) = (folder.join("state"), folder.join("config.json"));
     std::fs::create_dir(&state).map_err(|e| format!("no folder for the journal: {e}"))?;
     let discovery_at = free_address()?;
@@ -142,7 +185,14 @@
     for block in 1..=partners {
         let (host, dial) = (format!("partner-{block}"), free_address()?);
         addresses.push(dial);
-        lines.push(Line { host, dial, site: "a".into(), block, health: "up", share: 10_000 });
+        lines.push(Line {
+            host,
+            dial,
+            site: "a".into(),
+            block,
+            health: "up",
+            share: 10_000,
+        });
     }
     let discovery = Discovery::new(lines);
     let (config, rules) = configuration(listen, discovery_at, &state, &discovery.whole(), left);
@@ -150,12 +200,19 @@
     let stage = stage(rules);
     for address in addresses {
         let own = stage.clone();
-        stage.system.spawn(async move { drop(serve(own, address).await) });
+        stage
+            .system
+            .spawn(async move { drop(serve(own, address).await) });
     }
     let (_open, closing) = watch::channel(false);
     let served = discovery.serve(stage.clone(), discovery_at, closing);
     stage.system.spawn(async move { drop(served.await) });
-    Ok(Quick { stage, file, state, _open })
+    Ok(Quick {
+        stage,
+        file,
+        state,
+        _open,
+    })
 }
 
 async fn serve(stage: Stage<Real>, at: SocketAddr) -> io::Result<()> {
@@ -166,7 +223,11 @@
         stage.system.spawn(async move {
             let mut text = BytesMut::new();
             while let Ok(Some(_)) = read_request(&own, &mut stream, &mut text).await {
-                if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.is_err() {
+                if stream
+                    .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    .await
+                    .is_err()
+                {
                     return;
                 }
             }
@@ -177,11 +238,20 @@
 /// A message of 200 bytes that a client hands in.
 pub(crate) fn request(id: &str, tenant: &str, destination: u64, left: u64) -> Vec<u8> {
     let list = format!("c=update,t={tenant},d={left},dest={destination}");
-    frame(&[b"ENQUEUE", b"0", id.as_bytes(), list.as_bytes(), &[b'x'; 200]])
+    frame(&[
+        b"ENQUEUE",
+        b"0",
+        id.as_bytes(),
+        list.as_bytes(),
+        &[b'x'; 200],
+    ])
 }
 
 /// Whether a message was taken on; none if the connection ended before it was answered.
-pub(crate) async fn ask(stream: &mut <Real as System>::Stream, request: &[u8]) -> io::Result<Option<bool>> {
+pub(crate) async fn ask(
+    stream: &mut <Real as System>::Stream,
+    request: &[u8],
+) -> io::Result<Option<bool>> {
     stream.write_all(request).await?;
     let mut text = BytesMut::new();
     while !text.ends_with(b"\r\n") {
@@ -194,7 +264,9 @@
 
 /// Runs something on a runtime of its own; what it has spawned ends with it.
 pub(crate) fn block_on<T>(what: impl Future<Output = Result<T, String>>) -> Result<T, String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, what)
 }
--- a/crates/sim/src/machine/disk.rs
+++ b/crates/sim/src/machine/disk.rs
@@ -29,8 +29,13 @@
 
     /// Sum of the sizes below a folder, each file in whole blocks of 512 bytes.
     pub fn size(&self, folder: &Path) -> u64 {
-        let below = self.files.iter().filter(|(path, _)| path.starts_with(folder));
-        below.map(|(_, inode)| (inode.borrow().len() as u64).div_ceil(512) * 512).sum()
+        let below = self
+            .files
+            .iter()
+            .filter(|(path, _)| path.starts_with(folder));
+        below
+            .map(|(_, inode)| (inode.borrow().len() as u64).div_ceil(512) * 512)
+            .sum()
     }
 
     /// A file's text.
@@ -40,7 +45,9 @@
 
     /// Flips a bit of a file that has one, at an offset modulo its length.
     pub fn flip(&mut self, path: &Path, at: u64) {
-        let Some(inode) = self.files.get(path) else { return };
+        let Some(inode) = self.files.get(path) else {
+            return;
+        };
         let mut file = inode.borrow_mut();
         if let Some(at) = at.checked_rem(file.len() as u64) {
             file[at as usize] ^= 1 << (at % 8);
@@ -49,7 +56,9 @@
 
     /// Cuts a file off at an offset modulo its length.
     pub fn cut(&mut self, path: &Path, at: u64) {
-        let Some(inode) = self.files.get(path).cloned() else { return };
+        let Some(inode) = self.files.get(path).cloned() else {
+            return;
+        };
         let length = inode.borrow().len() as u64;
         self.resize(&inode, at.checked_rem(length).unwrap_or(0) as usize);
     }
@@ -61,7 +70,10 @@
 
     /// Flips a bit of a file of pages, at an offset modulo its length.
     pub fn flip_page(&mut self, path: &Path, at: u64) {
-        self.pages.get(path).into_iter().for_each(|file| file.flip(at));
+        self.pages
+            .get(path)
+            .into_iter()
+            .for_each(|file| file.flip(at));
     }
 
     pub(super) fn pages(&mut self, path: &Path) -> PageFile {
@@ -109,10 +121,18 @@
     }
 
     /// Writes at an offset up to `most` bytes and as far as there is room, and tells how many.
-    pub(super) fn write(&mut self, inode: &Inode, at: u64, text: &[u8], most: usize) -> io::Result<usize> {
+    pub(super) fn write(
+        &mut self,
+        inode: &Inode,
+        at: u64,
+        text: &[u8],
+        most: usize,
+    ) -> io::Result<usize> {
         let at = at as usize;
         let before = inode.borrow().len();
-        let room = self.room.map_or(usize::MAX, |room| usize::try_from(room).unwrap_or(usize::MAX));
+        let room = self.room.map_or(usize::MAX, |room| {
+            usize::try_from(room).unwrap_or(usize::MAX)
+        });
         let reach = before.saturating_add(room).saturating_sub(at);
         let count = text.len().min(most).min(reach);
         if count == 0 && !text.is_empty() && most > 0 {
--- a/crates/sim/src/machine/io.rs
+++ b/crates/sim/src/machine/io.rs
@@ -43,22 +43,38 @@
         let core = &mut *core;
         let fault = core.net.fault(&to);
         let cut = core.dice.percent(fault.cuts).then(|| {
-            let within = if core.dice.percent(50) { 60 } else { CUT_WITHIN };
+            let within = if core.dice.percent(50) {
+                60
+            } else {
+                CUT_WITHIN
+            };
             let after = core.dice.below(within);
             (core.dice.below(2) as usize, after)
         });
-        let owner = core.net.ports.get(&to).filter(|_| !fault.refuses).map(|port| port.proc);
+        let owner = core
+            .net
+            .ports
+            .get(&to)
+            .filter(|_| !fault.refuses)
+            .map(|port| port.proc);
         owner.map(|owner| {
             let id = core.net.open(to.clone(), [system.proc, owner], delay, cut);
             let waiting = core.net.ports.get_mut(&to).map(|port| {
                 port.queue.push_back(id);
                 std::mem::take(&mut port.waiting)
             });
-            waiting.into_iter().flat_map(BTreeMap::into_values).for_each(Waker::wake);
+            waiting
+                .into_iter()
+                .flat_map(BTreeMap::into_values)
+                .for_each(Waker::wake);
             id
         })
     };
-    let stream = opened.map(|id| VirtualStream { system: system.clone(), id, side: 0 });
+    let stream = opened.map(|id| VirtualStream {
+        system: system.clone(),
+        id,
+        side: 0,
+    });
     system.sleep(delay).await;
     stream.ok_or_else(|| io::ErrorKind::ConnectionRefused.into())
 }
@@ -68,17 +84,34 @@
     if core.net.ports.contains_key(&at) {
         return Err(io::ErrorKind::AddrInUse.into());
     }
-    let port = Port { proc: system.proc, queue: Default::default(), waiting: BTreeMap::new() };
+    let port = Port {
+        proc: system.proc,
+        queue: Default::default(),
+        waiting: BTreeMap::new(),
+    };
     core.net.ports.insert(at.clone(), port);
-    Ok(VirtualListener { system: system.clone(), at, shared: false })
+    Ok(VirtualListener {
+        system: system.clone(),
+        at,
+        shared: false,
+    })
 }
 
 /// The port that the process was started with, which others have too.
 pub(super) fn inherited(system: &Virtual) -> io::Result<VirtualListener> {
     let core = system.core.borrow();
-    let at = core.procs.get(&system.proc).and_then(|proc| proc.inherited.clone());
-    let at = at.filter(|at| core.net.ports.contains_key(at)).ok_or(io::ErrorKind::InvalidInput)?;
-    Ok(VirtualListener { system: system.clone(), at, shared: true })
+    let at = core
+        .procs
+        .get(&system.proc)
+        .and_then(|proc| proc.inherited.clone());
+    let at = at
+        .filter(|at| core.net.ports.contains_key(at))
+        .ok_or(io::ErrorKind::InvalidInput)?;
+    Ok(VirtualListener {
+        system: system.clone(),
+        at,
+        shared: true,
+    })
 }
 
 /// A port that takes connections.
@@ -96,10 +129,16 @@
         let id = poll_fn(|cx| {
             let mut core = self.system.core.borrow_mut();
             let core = &mut *core;
-            let Some(port) = core.net.ports.get_mut(&self.at) else { return Poll::Pending };
+            let Some(port) = core.net.ports.get_mut(&self.at) else {
+                return Poll::Pending;
+            };
             match port.queue.pop_front() {
                 Some(id) => {
-                    core.net.conns.get_mut(&id).into_iter().for_each(|conn| conn.owner[1] = self.system.proc);
+                    core.net
+                        .conns
+                        .get_mut(&id)
+                        .into_iter()
+                        .for_each(|conn| conn.owner[1] = self.system.proc);
                     Poll::Ready(id)
                 }
                 None => {
@@ -108,7 +147,11 @@
                 }
             }
         });
-        Ok(VirtualStream { system: self.system.clone(), id: id.await, side: 1 })
+        Ok(VirtualStream {
+            system: self.system.clone(),
+            id: id.await,
+            side: 1,
+        })
     }
 }
 
@@ -121,7 +164,9 @@
             let waiting = port.and_then(|port| port.waiting.remove(&self.system.proc));
             return drop(waiting);
         }
-        let Some(port) = core.net.ports.remove(&self.at) else { return };
+        let Some(port) = core.net.ports.remove(&self.at) else {
+            return;
+        };
         let now = core.now;
         for id in port.queue {
             let told = core.net.reset(id, now);
@@ -143,8 +188,13 @@
     fn look(&self, waker: Option<&Waker>) -> Found {
         let mut core = self.system.core.borrow_mut();
         let now = core.now;
-        let dead = core.procs.get(&self.system.proc).is_some_and(|proc| !proc.life.alive());
-        let Some(conn) = core.net.conns.get_mut(&self.id).filter(|_| !dead) else { return Found::Nothing };
+        let dead = core
+            .procs
+            .get(&self.system.proc)
+            .is_some_and(|proc| !proc.life.alive());
+        let Some(conn) = core.net.conns.get_mut(&self.id).filter(|_| !dead) else {
+            return Found::Nothing;
+        };
         let pipe = &mut conn.pipes[self.side];
         let found = pipe.look(now);
         if let (Found::Nothing, Some(waker)) = (&found, waker) {
@@ -186,13 +236,20 @@
 impl VirtualStream {
     /// Whether it came in by the port that the process was started with.
     fn is_clients(&self, core: &Core) -> bool {
-        let port = core.procs.get(&self.system.proc).and_then(|this| this.inherited.clone());
+        let port = core
+            .procs
+            .get(&self.system.proc)
+            .and_then(|this| this.inherited.clone());
         port.is_some() && core.net.conns.get(&self.id).map(|conn| conn.to.clone()) == port
     }
 }
 
 impl AsyncRead for VirtualStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, into: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        into: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         match self.look(Some(cx.waker())) {
             Found::Nothing => Poll::Pending,
             Found::End(end) => Poll::Ready(ended(end)),
@@ -207,7 +264,11 @@
 }
 
 impl AsyncWrite for VirtualStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, text: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        text: &[u8],
+    ) -> Poll<io::Result<usize>> {
         let mut core = self.system.core.borrow_mut();
         let core = &mut *core;
         let most = match core.effect(self.system.proc) {
@@ -219,8 +280,11 @@
             }
             Fate::Alive => text.len(),
         };
-        let told =
-            core.net.peer(self.id, self.side).and_then(|peer| core.lie(peer)).map(|lie| tell_lie(lie, text));
+        let told = core
+            .net
+            .peer(self.id, self.side)
+            .and_then(|peer| core.lie(peer))
+            .map(|lie| tell_lie(lie, text));
         let ours = core.lie(self.system.proc);
         if ours == Some(Lie::LoseNotices) && text.starts_with(b"POST /v1/notices") {
             return Poll::Ready(Ok(text.len()));
@@ -234,8 +298,13 @@
         }
         let jitter = Duration::from_micros(core.dice.below(JITTER));
         let text = told.as_deref().unwrap_or(text);
-        let (written, arrivals) =
-            core.net.write(self.id, self.side, &text[..most.min(text.len())], core.now, jitter);
+        let (written, arrivals) = core.net.write(
+            self.id,
+            self.side,
+            &text[..most.min(text.len())],
+            core.now,
+            jitter,
+        );
         if let Written::Count(count) = &written {
             core.record_effect(self.system.proc, "send", &text[..*count]);
         }
@@ -259,8 +328,9 @@
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut core = self.system.core.borrow_mut();
         let core = &mut *core;
-        let mute =
-            core.lie(self.system.proc) == Some(Lie::MuteDoor) && self.side == 1 && !self.is_clients(core);
+        let mute = core.lie(self.system.proc) == Some(Lie::MuteDoor)
+            && self.side == 1
+            && !self.is_clients(core);
         if !mute && core.effect(self.system.proc) == Fate::Alive {
             let told = core.net.shut(self.id, self.side, core.now);
             core.tell(told, self.id);
@@ -276,7 +346,12 @@
     for at in 0..out.len() {
         match out[at] {
             b'\n' => in_figure = false,
-            b'=' => in_figure = out[..at].rsplit(|byte| *byte == b'\n').next().is_some_and(is_delivery),
+            b'=' => {
+                in_figure = out[..at]
+                    .rsplit(|byte| *byte == b'\n')
+                    .next()
+                    .is_some_and(is_delivery)
+            }
             byte if in_figure && byte.is_ascii_digit() => out[at] = b'0',
             _ => {}
         }
@@ -304,7 +379,9 @@
         Lie::HideWaits => {
             let mut out = text.to_vec();
             if let Some(at) = text.windows(14).position(|part| part == b"X-Backoff-Ms: ") {
-                let digits = out[at + 14..].iter_mut().take_while(|byte| byte.is_ascii_digit());
+                let digits = out[at + 14..]
+                    .iter_mut()
+                    .take_while(|byte| byte.is_ascii_digit());
                 digits.for_each(|digit| *digit = b'0');
             }
             out
@@ -352,7 +429,10 @@
     fn drop(&mut self) {
         let mut core = self.system.core.borrow_mut();
         let core = &mut *core;
-        if self.side == 0 && core.lie(self.system.proc) == Some(Lie::KeepCalls) && core.net.is_kept(self.id) {
+        if self.side == 0
+            && core.lie(self.system.proc) == Some(Lie::KeepCalls)
+            && core.net.is_kept(self.id)
+        {
             return;
         }
         if self.side == 1 {
@@ -379,7 +459,12 @@
 
 impl VirtualFile {
     pub(super) fn new(system: Virtual, inode: Inode, of_tenants: bool) -> Self {
-        VirtualFile { system, inode, at: 0, of_tenants }
+        VirtualFile {
+            system,
+            inode,
+            at: 0,
+            of_tenants,
+        }
     }
 }
 
@@ -400,7 +485,9 @@
         let core = &mut *core;
         // A record's kind stands behind its length and checksum.
         match (core.lie(self.system.proc), text.get(8)) {
-            (Some(Lie::DropTaken), Some(0)) | (Some(Lie::DropAttempts), Some(1)) => return Ok(text.len()),
+            (Some(Lie::DropTaken), Some(0)) | (Some(Lie::DropAttempts), Some(1)) => {
+                return Ok(text.len())
+            }
             (Some(Lie::DropTenants), _) if self.of_tenants => return Ok(text.len()),
             _ => {}
         }
@@ -414,7 +501,9 @@
             }
             Fate::Alive => text.len(),
         };
-        let written = core.disk(self.system.proc).write(&self.inode, self.at, text, most)?;
+        let written = core
+            .disk(self.system.proc)
+            .write(&self.inode, self.at, text, most)?;
         core.record_effect(self.system.proc, "write", &text[..written]);
         self.at += written as u64;
         Ok(written)
@@ -441,7 +530,11 @@
 impl File for VirtualFile {
     fn set_len(&self, length: u64) -> io::Result<()> {
         self.system.effect()?;
-        self.system.core.borrow_mut().disk(self.system.proc).resize(&self.inode, length as usize);
+        self.system
+            .core
+            .borrow_mut()
+            .disk(self.system.proc)
+            .resize(&self.inode, length as usize);
         Ok(())
     }
 }
--- a/crates/sim/src/machine/life.rs
+++ b/crates/sim/src/machine/life.rs
@@ -26,7 +26,11 @@
 
 impl Default for Life {
     fn default() -> Self {
-        Life { dead: AtomicBool::new(false), effects: AtomicU64::new(0), kill_at: AtomicU64::new(NEVER) }
+        Life {
+            dead: AtomicBool::new(false),
+            effects: AtomicU64::new(0),
+            kill_at: AtomicU64::new(NEVER),
+        }
     }
 }
 
@@ -46,7 +50,10 @@
 
     /// The kill strikes after so many more effects.
     pub fn kill_after(&self, effects: u64) {
-        self.kill_at.store(self.effects.load(Ordering::SeqCst) + 1 + effects, Ordering::SeqCst);
+        self.kill_at.store(
+            self.effects.load(Ordering::SeqCst) + 1 + effects,
+            Ordering::SeqCst,
+        );
     }
 
     pub fn step(&self) -> Step {
--- a/crates/sim/src/machine/mod.rs
+++ b/crates/sim/src/machine/mod.rs
@@ -131,10 +131,14 @@
 
 impl Core {
     fn effect(&mut self, proc: ProcId) -> Fate {
-        let Some(this) = self.procs.get_mut(&proc) else { return Fate::Alive };
+        let Some(this) = self.procs.get_mut(&proc) else {
+            return Fate::Alive;
+        };
         match this.life.step() {
             Step::Done => Fate::Alive,
-            Step::Dies => Fate::Dies { done: self.dice.below(2) == 0 },
+            Step::Dies => Fate::Dies {
+                done: self.dice.below(2) == 0,
+            },
             Step::Dead => Fate::Dead,
         }
     }
@@ -168,7 +172,10 @@
 
     /// How far the clock of a process's machine is ahead.
     fn ahead(&self, proc: ProcId) -> Duration {
-        self.ahead.get(self.place(proc)).copied().unwrap_or_default()
+        self.ahead
+            .get(self.place(proc))
+            .copied()
+            .unwrap_or_default()
     }
 
     /// Whether nothing gets through from a process's machine to an address.
@@ -191,7 +198,9 @@
     /// How far a process's clock has come.
     fn local(&self, proc: ProcId) -> Duration {
         match self.procs.get(&proc) {
-            Some(this) if this.lie == Some(Lie::SlowClock) => this.born + (self.now - this.born) * 4 / 5,
+            Some(this) if this.lie == Some(Lie::SlowClock) => {
+                this.born + (self.now - this.born) * 4 / 5
+            }
             _ => self.now,
         }
     }
@@ -221,7 +230,11 @@
         let line = line.to_string();
         (self.now, &line).hash(&mut self.digest);
         if let Some(trace) = &mut self.trace {
-            let text = format!("{:>10.6} step {:<7} {line}", self.now.as_secs_f64(), self.steps);
+            let text = format!(
+                "{:>10.6} step {:<7} {line}",
+                self.now.as_secs_f64(),
+                self.steps
+            );
             trace.push(text);
         }
     }
@@ -252,16 +265,27 @@
             effects_digest: DefaultHasher::new(),
             trace: traced.then(Vec::new),
         };
-        Machine { core: Rc::new(RefCell::new(core)), next: 0 }
+        Machine {
+            core: Rc::new(RefCell::new(core)),
+            next: 0,
+        }
     }
 
     /// The system as the world's own tasks see it.
     pub fn world(&self) -> Virtual {
-        Virtual { core: self.core.clone(), proc: 0 }
+        Virtual {
+            core: self.core.clone(),
+            proc: 0,
+        }
     }
 
     /// A new process on a machine of that number, which runs `main` until it ends or is killed.
-    pub fn process<F>(&mut self, place: usize, lie: Option<Lie>, main: impl FnOnce(Virtual) -> F) -> ProcId
+    pub fn process<F>(
+        &mut self,
+        place: usize,
+        lie: Option<Lie>,
+        main: impl FnOnce(Virtual) -> F,
+    ) -> ProcId
     where
         F: Future<Output = Result<(), String>> + 'static,
     {
@@ -269,14 +293,28 @@
         let proc = self.next;
         let variables = [("BALANCER_CONFIG".to_string(), CONFIG.to_string())];
         let born = self.now();
-        let this = Proc { place, variables: variables.into(), lie, born, ..Proc::default() };
+        let this = Proc {
+            place,
+            variables: variables.into(),
+            lie,
+            born,
+            ..Proc::default()
+        };
         self.core.borrow_mut().procs.insert(proc, this);
-        let system = Virtual { core: self.core.clone(), proc };
+        let system = Virtual {
+            core: self.core.clone(),
+            proc,
+        };
         let (core, main) = (self.core.clone(), main(system.clone()));
         system.spawn(async move {
             let ended = main.await;
             // One that was killed goes on to the end of its poll, and nothing that it does there counts.
-            if let Some(this) = core.borrow_mut().procs.get_mut(&proc).filter(|this| this.life.alive()) {
+            if let Some(this) = core
+                .borrow_mut()
+                .procs
+                .get_mut(&proc)
+                .filter(|this| this.life.alive())
+            {
                 this.ended = Some(ended);
                 this.life.end();
             }
@@ -286,7 +324,11 @@
 
     /// A port that stays, whichever processes come and go.
     pub fn hold(&self, at: impl Into<Address>) {
-        let port = net::Port { proc: 0, queue: VecDeque::new(), waiting: BTreeMap::new() };
+        let port = net::Port {
+            proc: 0,
+            queue: VecDeque::new(),
+            waiting: BTreeMap::new(),
+        };
         self.core.borrow_mut().net.ports.insert(at.into(), port);
     }
 
@@ -294,8 +336,10 @@
     pub fn inherit(&self, proc: ProcId, port: impl Into<Address>, door: impl Into<Address>) {
         if let Some(this) = self.core.borrow_mut().procs.get_mut(&proc) {
             this.inherited = Some(port.into());
-            this.variables.insert("BALANCER_SOCKET_FD".into(), "4".into());
-            this.variables.insert("BALANCER_CONTROL".into(), door.into().to_string());
+            this.variables
+                .insert("BALANCER_SOCKET_FD".into(), "4".into());
+            this.variables
+                .insert("BALANCER_CONTROL".into(), door.into().to_string());
         }
     }
 
@@ -326,7 +370,12 @@
 
     /// The notes so far, if they are kept.
     pub fn trace(&self) -> Vec<String> {
-        self.core.borrow_mut().trace.as_mut().map(std::mem::take).unwrap_or_default()
+        self.core
+            .borrow_mut()
+            .trace
+            .as_mut()
+            .map(std::mem::take)
+            .unwrap_or_default()
     }
 
     /// Notes something that counts for the digest.
@@ -336,12 +385,20 @@
 
     /// Whether a process runs.
     pub fn is_alive(&self, proc: ProcId) -> bool {
-        self.core.borrow().procs.get(&proc).is_some_and(|proc| proc.life.alive())
+        self.core
+            .borrow()
+            .procs
+            .get(&proc)
+            .is_some_and(|proc| proc.life.alive())
     }
 
     /// How a process ended by itself, if it did.
     pub fn ended(&self, proc: ProcId) -> Option<Result<(), String>> {
-        self.core.borrow().procs.get(&proc).and_then(|proc| proc.ended.clone())
+        self.core
+            .borrow()
+            .procs
+            .get(&proc)
+            .and_then(|proc| proc.ended.clone())
     }
 
     /// Sends a signal to a process.
@@ -351,7 +408,10 @@
         core.record_effect(proc, "signal", &[]);
         if let Some(this) = core.procs.get_mut(&proc) {
             this.signals.push_back(signal);
-            this.waits_for_signal.take().into_iter().for_each(Waker::wake);
+            this.waits_for_signal
+                .take()
+                .into_iter()
+                .for_each(Waker::wake);
         }
     }
 
@@ -415,22 +475,38 @@
         let at = at.into();
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
-        let before = core.net.faults.insert(at.clone(), fault).unwrap_or_default();
+        let before = core
+            .net
+            .faults
+            .insert(at.clone(), fault)
+            .unwrap_or_default();
         if before.silent == fault.silent {
             return;
         }
-        let ids = core.net.conns.iter().filter(|(_, c)| c.to == at).map(|(id, _)| *id).collect();
+        let ids = core
+            .net
+            .conns
+            .iter()
+            .filter(|(_, c)| c.to == at)
+            .map(|(id, _)| *id)
+            .collect();
         core.silence(ids, fault.silent);
     }
 
     /// Whether a kill is under way that has not struck yet.
     pub fn kill_is_due(&self, proc: ProcId) -> bool {
-        self.core.borrow().procs.get(&proc).is_some_and(|this| this.life.alive() && this.life.kill_is_due())
+        self.core
+            .borrow()
+            .procs
+            .get(&proc)
+            .is_some_and(|this| this.life.alive() && this.life.kill_is_due())
     }
 
     /// What those who watch the machine may hold beside it.
     pub fn handle(&self) -> Handle {
-        Handle { core: self.core.clone() }
+        Handle {
+            core: self.core.clone(),
+        }
     }
 
     /// Does the next thing, if that is before `until`; else time is `until`, and false is told.
@@ -464,21 +540,31 @@
         match due {
             Due::Wake(waker) => waker.wake(),
             Due::Arrival(conn, side) => {
-                let reader = core.net.conns.get_mut(&conn).and_then(|conn| conn.pipes[side].reader.take());
+                let reader = core
+                    .net
+                    .conns
+                    .get_mut(&conn)
+                    .and_then(|conn| conn.pipes[side].reader.take());
                 reader.into_iter().for_each(Waker::wake);
             }
         }
     }
 
     fn poll(&self, id: TaskId) {
-        let Some((proc, mut body, aborted, waker)) = self.core.borrow_mut().sched.take(id) else { return };
+        let Some((proc, mut body, aborted, waker)) = self.core.borrow_mut().sched.take(id) else {
+            return;
+        };
         {
             let mut core = self.core.borrow_mut();
             core.steps += 1;
             (core.now, id).hash(&mut core.digest);
             (core.now, id).hash(&mut core.effects_digest);
         }
-        let ended = aborted || body.as_mut().poll(&mut Context::from_waker(&waker)).is_ready();
+        let ended = aborted
+            || body
+                .as_mut()
+                .poll(&mut Context::from_waker(&waker))
+                .is_ready();
         if ended {
             drop(body);
             self.core.borrow_mut().sched.finish(id);
@@ -486,7 +572,12 @@
             let orphan = self.core.borrow_mut().sched.put_back(id, body);
             drop(orphan);
         }
-        let dead = self.core.borrow().procs.get(&proc).is_some_and(|proc| !proc.life.alive());
+        let dead = self
+            .core
+            .borrow()
+            .procs
+            .get(&proc)
+            .is_some_and(|proc| !proc.life.alive());
         if dead {
             self.kill(proc);
         }
@@ -547,7 +638,9 @@
     /// The same for an effect on a file, which the digest of effects tells.
     fn file_effect(&self, effect: &str, path: &Path) -> std_io::Result<()> {
         let path = path.to_string_lossy();
-        self.core.borrow_mut().record_effect(self.proc, effect, path.as_bytes());
+        self.core
+            .borrow_mut()
+            .record_effect(self.proc, effect, path.as_bytes());
         self.effect()
     }
 
@@ -581,7 +674,8 @@
 
     fn unix_time(&self) -> Duration {
         let core = self.core.borrow();
-        let later = |this: &Proc| this.lie == Some(Lie::ClockAhead) && this.born > Duration::from_secs(1);
+        let later =
+            |this: &Proc| this.lie == Some(Lie::ClockAhead) && this.born > Duration::from_secs(1);
         let minute = core.procs.get(&self.proc).is_some_and(later);
         let lie = Duration::from_secs(if minute { 60 } else { 0 });
         Duration::from_secs(EPOCH) + core.local(self.proc) + core.ahead(self.proc) + lie
@@ -592,12 +686,23 @@
         let at = core.global(self.proc, at.saturating_duration_since(core.base));
         // The runtime's timers are no finer than a millisecond, and never early.
         let at = Duration::from_millis(at.as_micros().div_ceil(1000) as u64);
-        Sleep { core: self.core.clone(), at, key: None }
+        Sleep {
+            core: self.core.clone(),
+            at,
+            key: None,
+        }
     }
 
     fn spawn(&self, task: impl Future<Output = ()> + 'static) -> VirtualTask {
-        let id = self.core.borrow_mut().sched.spawn(self.proc, Box::pin(task));
-        VirtualTask { core: self.core.clone(), id }
+        let id = self
+            .core
+            .borrow_mut()
+            .sched
+            .spawn(self.proc, Box::pin(task));
+        VirtualTask {
+            core: self.core.clone(),
+            id,
+        }
     }
 
     async fn connect(&self, to: impl Into<Address>) -> std_io::Result<VirtualStream> {
@@ -623,7 +728,11 @@
         let holder = core.locks.get(&key).map(|(holder, _)| *holder);
         let shares = core.lie(self.proc) == Some(Lie::ShareLocks);
         if !shares
-            && holder.is_some_and(|holder| core.procs.get(&holder).is_some_and(|proc| proc.life.alive()))
+            && holder.is_some_and(|holder| {
+                core.procs
+                    .get(&holder)
+                    .is_some_and(|proc| proc.life.alive())
+            })
         {
             return Ok(None);
         }
@@ -631,7 +740,11 @@
         core.disk(self.proc).open(path);
         core.taken += 1;
         core.locks.insert(key.clone(), (self.proc, core.taken));
-        Ok(Some(VirtualLock { core: self.core.clone(), key, number: core.taken }))
+        Ok(Some(VirtualLock {
+            core: self.core.clone(),
+            key,
+            number: core.taken,
+        }))
     }
 
     fn open(&self, path: &Path) -> std_io::Result<VirtualFile> {
@@ -665,7 +778,11 @@
         let mut core = self.core.borrow_mut();
         let text = core.disk(self.proc).text(path);
         let old = core.lie(self.proc) == Some(Lie::OldFile) && path == Path::new(CONFIG);
-        let first = core.procs.get_mut(&self.proc).filter(|_| old).map(|this| &mut this.first_read);
+        let first = core
+            .procs
+            .get_mut(&self.proc)
+            .filter(|_| old)
+            .map(|this| &mut this.first_read);
         let text = match first {
             Some(first) => first.get_or_insert(text.unwrap_or_default()).clone().into(),
             None => text,
@@ -684,16 +801,29 @@
     }
 
     fn signals(&self) -> std_io::Result<VirtualSignals> {
-        Ok(VirtualSignals { core: self.core.clone(), proc: self.proc })
+        Ok(VirtualSignals {
+            core: self.core.clone(),
+            proc: self.proc,
+        })
     }
 
     fn variable(&self, name: &str) -> Option<String> {
-        self.core.borrow().procs.get(&self.proc)?.variables.get(name).cloned()
+        self.core
+            .borrow()
+            .procs
+            .get(&self.proc)?
+            .variables
+            .get(name)
+            .cloned()
     }
 
     fn log(&self, line: fmt::Arguments<'_>) {
         let mut core = self.core.borrow_mut();
-        if core.procs.get(&self.proc).is_none_or(|proc| proc.life.alive()) {
+        if core
+            .procs
+            .get(&self.proc)
+            .is_none_or(|proc| proc.life.alive())
+        {
             let proc = self.proc;
             core.note(format_args!("log {proc}: {line}"));
         }
@@ -711,7 +841,11 @@
     fn drop(&mut self) {
         let mut core = self.core.borrow_mut();
         // One whose process was killed may be another's by now.
-        if core.locks.get(&self.key).is_some_and(|(_, number)| *number == self.number) {
+        if core
+            .locks
+            .get(&self.key)
+            .is_some_and(|(_, number)| *number == self.number)
+        {
             core.locks.remove(&self.key);
         }
     }
@@ -745,7 +879,9 @@
 
 impl Drop for Sleep {
     fn drop(&mut self) {
-        let due = self.key.and_then(|key| self.core.borrow_mut().sched.cancel(key));
+        let due = self
+            .key
+            .and_then(|key| self.core.borrow_mut().sched.cancel(key));
         drop(due);
     }
 }
@@ -762,10 +898,11 @@
     }
 
     async fn ended(&mut self) {
-        let ended = |cx: &mut Context<'_>| match self.core.borrow_mut().sched.ended(self.id, cx.waker()) {
-            true => Poll::Ready(()),
-            false => Poll::Pending,
-        };
+        let ended =
+            |cx: &mut Context<'_>| match self.core.borrow_mut().sched.ended(self.id, cx.waker()) {
+                true => Poll::Ready(()),
+                false => Poll::Pending,
+            };
         poll_fn(ended).await;
     }
 }
@@ -780,7 +917,9 @@
     async fn next(&mut self) -> Signal {
         poll_fn(|cx| {
             let mut core = self.core.borrow_mut();
-            let Some(this) = core.procs.get_mut(&self.proc) else { return Poll::Pending };
+            let Some(this) = core.procs.get_mut(&self.proc) else {
+                return Poll::Pending;
+            };
             match this.signals.pop_front() {
                 Some(signal) => Poll::Ready(signal),
                 None => {
--- a/crates/sim/src/machine/net.rs
+++ b/crates/sim/src/machine/net.rs
@@ -58,7 +58,10 @@
         match self.queue.front() {
             Some((at, bytes)) if *at <= now => Found::Bytes(bytes.clone()),
             Some(_) => Found::Nothing,
-            None => self.end.filter(|(at, _)| *at <= now).map_or(Found::Nothing, |(_, end)| Found::End(end)),
+            None => self
+                .end
+                .filter(|(at, _)| *at <= now)
+                .map_or(Found::Nothing, |(_, end)| Found::End(end)),
         }
     }
 
@@ -136,23 +139,41 @@
     }
 
     pub fn open(
-        &mut self, to: Address, owner: [ProcId; 2], delay: Duration, cut: Option<(usize, u64)>,
+        &mut self,
+        to: Address,
+        owner: [ProcId; 2],
+        delay: Duration,
+        cut: Option<(usize, u64)>,
     ) -> ConnId {
         self.next += 1;
         let mut pipes = [Pipe::default(), Pipe::default()];
         if let Some((side, after)) = cut {
             pipes[side].cut = Some(after);
         }
-        let conn = Conn { to, owner, pipes, open: [true; 2], delay, silent: false };
+        let conn = Conn {
+            to,
+            owner,
+            pipes,
+            open: [true; 2],
+            delay,
+            silent: false,
+        };
         self.conns.insert(self.next, conn);
         self.next
     }
 
     /// A side writes; the arrivals are to be told.
     pub fn write(
-        &mut self, id: ConnId, side: usize, text: &[u8], now: Duration, jitter: Duration,
+        &mut self,
+        id: ConnId,
+        side: usize,
+        text: &[u8],
+        now: Duration,
+        jitter: Duration,
     ) -> (Written, Vec<Arrival>) {
-        let Some(conn) = self.conns.get_mut(&id) else { return (Written::Reset, Vec::new()) };
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return (Written::Reset, Vec::new());
+        };
         let other = 1 - side;
         if matches!(conn.pipes[side].end, Some((at, End::Reset)) if at <= now) {
             return (Written::Reset, Vec::new());
@@ -182,7 +203,8 @@
         pipe.written += count as u64;
         pipe.under_way += count;
         if count > 0 {
-            pipe.queue.push_back((at, Bytes::copy_from_slice(&text[..count])));
+            pipe.queue
+                .push_back((at, Bytes::copy_from_slice(&text[..count])));
         }
         let mut told = vec![(at, other)];
         if cut {
@@ -240,19 +262,29 @@
 
     /// Both sides are reset.
     pub fn reset(&mut self, id: ConnId, now: Duration) -> Vec<Arrival> {
-        let Some(conn) = self.conns.get_mut(&id) else { return Vec::new() };
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return Vec::new();
+        };
         conn.silent = false;
         let at = now + conn.delay;
-        conn.pipes.iter_mut().for_each(|pipe| pipe.finish(at, End::Reset));
+        conn.pipes
+            .iter_mut()
+            .for_each(|pipe| pipe.finish(at, End::Reset));
         let at = |side: usize| conn.pipes[side].end.map_or(at, |(at, _)| at);
         vec![(at(0), 0), (at(1), 1)]
     }
 
     /// Connections to a port that were accepted, and are held by the side that did.
     pub fn accepted(&self, at: &Address) -> Vec<ConnId> {
-        let waits = |id: &ConnId| self.ports.get(at).is_some_and(|port| port.queue.contains(id));
-        let held =
-            self.conns.iter().filter(|(id, conn)| conn.to == *at && conn.open == [true; 2] && !waits(id));
+        let waits = |id: &ConnId| {
+            self.ports
+                .get(at)
+                .is_some_and(|port| port.queue.contains(id))
+        };
+        let held = self
+            .conns
+            .iter()
+            .filter(|(id, conn)| conn.to == *at && conn.open == [true; 2] && !waits(id));
         held.map(|(id, _)| *id).collect()
     }
 
@@ -265,12 +297,18 @@
     pub fn neighbour(&self, to: Address) -> Address {
         let alike = |at: &&Address| port(at) == port(&to);
         let mut others = self.ports.keys().filter(|at| alike(at) && **at > to);
-        others.next().or(self.ports.keys().find(alike)).cloned().unwrap_or(to)
+        others
+            .next()
+            .or(self.ports.keys().find(alike))
+            .cloned()
+            .unwrap_or(to)
     }
 
     /// Whether a closed connection is to stay, where the seam deceives a relay: those that carry a call.
     pub fn is_kept(&self, id: ConnId) -> bool {
-        self.conns.get(&id).is_some_and(|conn| port(&conn.to) == Some(HOST_PORT))
+        self.conns
+            .get(&id)
+            .is_some_and(|conn| port(&conn.to) == Some(HOST_PORT))
     }
 }
 
--- a/crates/sim/src/machine/pages.rs
+++ b/crates/sim/src/machine/pages.rs
@@ -56,19 +56,34 @@
 
 impl Pages for VirtualPages {
     fn length(&self) -> io::Result<u64> {
-        Ok(self.file.bytes.lock().unwrap_or_else(PoisonError::into_inner).len() as u64)
+        Ok(self
+            .file
+            .bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .len() as u64)
     }
 
     fn read_at(&self, at: u64, into: &mut [u8]) -> io::Result<()> {
-        let bytes = self.file.bytes.lock().unwrap_or_else(PoisonError::into_inner);
-        let from = bytes.get(at as usize..).and_then(|rest| rest.get(..into.len()));
+        let bytes = self
+            .file
+            .bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let from = bytes
+            .get(at as usize..)
+            .and_then(|rest| rest.get(..into.len()));
         into.copy_from_slice(from.ok_or(io::ErrorKind::UnexpectedEof)?);
         Ok(())
     }
 
     fn write_at(&self, at: u64, text: &[u8]) -> io::Result<()> {
         let reach = self.reach(text.len(), at)?;
-        let mut bytes = self.file.bytes.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut bytes = self
+            .file
+            .bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let end = at as usize + reach;
         if end > bytes.len() {
             if self.file.full.load(Ordering::SeqCst) {
@@ -87,7 +102,11 @@
         if self.reach(1, length)? == 0 {
             return Err(io::ErrorKind::Other.into());
         }
-        let mut bytes = self.file.bytes.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut bytes = self
+            .file
+            .bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         if length as usize > bytes.len() && self.file.full.load(Ordering::SeqCst) {
             return Err(io::ErrorKind::StorageFull.into());
         }
--- a/crates/sim/src/machine/sched.rs
+++ b/crates/sim/src/machine/sched.rs
@@ -82,8 +82,21 @@
     pub fn spawn(&mut self, proc: ProcId, body: Body) -> TaskId {
         self.next += 1;
         let id = self.next;
-        let waker = Arc::new(TaskWaker { id, queued: AtomicBool::new(true), woken: self.woken.clone() });
-        self.tasks.insert(id, Slot { proc, body: Some(body), aborted: false, waker, waiters: Vec::new() });
+        let waker = Arc::new(TaskWaker {
+            id,
+            queued: AtomicBool::new(true),
+            woken: self.woken.clone(),
+        });
+        self.tasks.insert(
+            id,
+            Slot {
+                proc,
+                body: Some(body),
+                aborted: false,
+                waker,
+                waiters: Vec::new(),
+            },
+        );
         self.ready.push(id);
         id
     }
@@ -137,14 +150,22 @@
         let due = self.timers.range(..=(now, u64::MAX)).count();
         let all = self.ready.len() + due;
         if all == 0 {
-            return self.timers.first_key_value().map_or(Next::Nothing, |((at, _), _)| Next::Wait(*at));
+            return self
+                .timers
+                .first_key_value()
+                .map_or(Next::Nothing, |((at, _), _)| Next::Wait(*at));
         }
-        let chosen = if all == 1 { 0 } else { below(all as u64) as usize };
+        let chosen = if all == 1 {
+            0
+        } else {
+            below(all as u64) as usize
+        };
         if chosen < self.ready.len() {
             return Next::Poll(self.ready.swap_remove(chosen));
         }
         let key = self.timers.keys().nth(chosen - self.ready.len()).copied();
-        key.and_then(|key| self.timers.remove(&key)).map_or(Next::Nothing, Next::Timer)
+        key.and_then(|key| self.timers.remove(&key))
+            .map_or(Next::Nothing, Next::Timer)
     }
 
     /// Takes a task's body out to be polled, with whether it was aborted.
@@ -174,8 +195,14 @@
 
     /// Takes out all tasks of a process, to be dropped by the caller.
     pub fn take_all(&mut self, proc: ProcId) -> Vec<Slot> {
-        let ids: Vec<TaskId> =
-            self.tasks.iter().filter(|(_, slot)| slot.proc == proc).map(|(id, _)| *id).collect();
-        ids.into_iter().filter_map(|id| self.tasks.remove(&id)).collect()
+        let ids: Vec<TaskId> = self
+            .tasks
+            .iter()
+            .filter(|(_, slot)| slot.proc == proc)
+            .map(|(id, _)| *id)
+            .collect();
+        ids.into_iter()
+            .filter_map(|id| self.tasks.remove(&id))
+            .collect()
     }
 }
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -104,7 +104,10 @@
 fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
     let bad = || format!("{text:?} is no range of seeds, such as 0..1000");
     let (first, last) = text.split_once("..").ok_or_else(bad)?;
-    let (first, last) = (first.parse().map_err(|_| bad())?, last.parse().map_err(|_| bad())?);
+    let (first, last) = (
+        first.parse().map_err(|_| bad())?,
+        last.parse().map_err(|_| bad())?,
+    );
     if first < last {
         Ok(first..last)
     } else {
@@ -127,20 +130,36 @@
         }
     };
     let done = match arguments.command {
-        Command::Run { seeds, jobs, json, days, relays, hosts } => {
+        Command::Run {
+            seeds,
+            jobs,
+            json,
+            days,
+            relays,
+            hosts,
+        } => {
             let sizes = [relays, hosts].map(|size| size.map(usize::from));
             match (days, sizes) {
                 (Days::Rolling, _) | (_, [None, None]) => run(seeds, jobs, json, days, sizes),
-                _ => Err("only rolling days can be drawn for other numbers of relays or hosts".into()),
+                _ => Err(
+                    "only rolling days can be drawn for other numbers of relays or hosts".into(),
+                ),
             }
         }
         Command::Replay { seed, trace, days } => replay(seed, trace, days),
         Command::Shrink { seed, days } => cut_down(seed, days),
         Command::Demo => demo::run(),
-        Command::Cost { relay, tenants, rounds, messages } => cost::run(&relay, &tenants, rounds, messages),
-        Command::Upgrades { relay, times, pause } => {
-            upgrades::run(&relay, times, Duration::from_millis(pause))
-        }
+        Command::Cost {
+            relay,
+            tenants,
+            rounds,
+            messages,
+        } => cost::run(&relay, &tenants, rounds, messages),
+        Command::Upgrades {
+            relay,
+            times,
+            pause,
+        } => upgrades::run(&relay, times, Duration::from_millis(pause)),
         Command::Relay => demo::relay().map(|()| true),
     };
     match done {
@@ -154,7 +173,11 @@
 }
 
 fn run(
-    seeds: std::ops::Range<u64>, jobs: u16, json: Option<PathBuf>, days: Days, sizes: [Option<usize>; 2],
+    seeds: std::ops::Range<u64>,
+    jobs: u16,
+    json: Option<PathBuf>,
+    days: Days,
+    sizes: [Option<usize>; 2],
 ) -> Result<bool, String> {
     let script = |seed| match days {
         Days::Rolling => Script::draw_rolling(seed, sizes[0], sizes[1]),
@@ -162,15 +185,18 @@
     };
     // Before the work, so that a path that can't be written costs none.
     let mut file = match &json {
-        Some(path) => {
-            Some(std::fs::File::create(path).map_err(|e| format!("cannot write {}: {e}", path.display()))?)
-        }
+        Some(path) => Some(
+            std::fs::File::create(path)
+                .map_err(|e| format!("cannot write {}: {e}", path.display()))?,
+        ),
         None => None,
     };
     let began = Instant::now();
     let count = seeds.end - seeds.start;
     let bar = ProgressBar::new(count);
-    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos} of {len} seeds, {per_sec}, {msg}") {
+    if let Ok(style) =
+        ProgressStyle::with_template("{bar:40} {pos} of {len} seeds, {per_sec}, {msg}")
+    {
         bar.set_style(style);
     }
     // A panic in the relay counts as a breach and is told as one.
@@ -240,7 +266,10 @@
         );
     }
     println!("digest {:016x}", combined(reports, |report| &report.digest));
-    println!("digest of effects {:016x}", combined(reports, |report| &report.effects_digest));
+    println!(
+        "digest of effects {:016x}",
+        combined(reports, |report| &report.effects_digest)
+    );
     match rules.is_empty() {
         true => println!("no rule broken"),
         false => println!("broken: {rules:?}"),
@@ -259,20 +288,35 @@
 fn replay(seed: u64, trace: Option<PathBuf>, days: Days) -> Result<bool, String> {
     let script = Script::of(days, seed);
     for fault in &script.faults {
-        println!("from {} ms until {} ms: {:?}", fault.from, fault.until, fault.trouble);
+        println!(
+            "from {} ms until {} ms: {:?}",
+            fault.from, fault.until, fault.trouble
+        );
     }
-    let report = play(&script, Options { traced: true, ..Options::default() });
+    let report = play(
+        &script,
+        Options {
+            traced: true,
+            ..Options::default()
+        },
+    );
     match &trace {
         Some(path) => {
             let text = report.trace.join("\n") + "\n";
-            std::fs::write(path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
+            std::fs::write(path, text)
+                .map_err(|e| format!("cannot write {}: {e}", path.display()))?;
         }
         None => {
             let last = report.trace.len().saturating_sub(40);
-            report.trace[last..].iter().for_each(|line| println!("{line}"));
+            report.trace[last..]
+                .iter()
+                .for_each(|line| println!("{line}"));
         }
     }
-    println!("{} messages, {} steps, {:?}", report.messages, report.steps, report.counts);
+    println!(
+        "{} messages, {} steps, {:?}",
+        report.messages, report.steps, report.counts
+    );
     println!("digest {}", report.digest);
     println!("digest of effects {}", report.effects_digest);
     println!("{}", report.broken.as_deref().unwrap_or("no rule broken"));
@@ -286,9 +330,18 @@
         return Ok(true);
     };
     for fault in &small.script.faults {
-        println!("from {} ms until {} ms: {:?}", fault.from, fault.until, fault.trouble);
+        println!(
+            "from {} ms until {} ms: {:?}",
+            fault.from, fault.until, fault.trouble
+        );
     }
-    let names: Vec<&str> = small.script.clients.iter().flatten().map(|plan| plan.name.as_str()).collect();
+    let names: Vec<&str> = small
+        .script
+        .clients
+        .iter()
+        .flatten()
+        .map(|plan| plan.name.as_str())
+        .collect();
     println!("{} messages: {}", names.len(), names.join(" "));
     println!("{}", small.broken);
     Ok(false)
--- a/crates/sim/src/operated.rs
+++ b/crates/sim/src/operated.rs
@@ -36,8 +36,14 @@
         let from = dice.between(1_000, 8_000);
         let rush = (from, from + dice.between(3_000, 6_000));
         let hardened = dice.percent(60).then(|| dice.between(2_000, 11_000));
-        let fewer = dice.percent(60).then(|| (dice.between(2_000, 11_000), (attempts / 2).max(2)));
-        Changes { rush, hardened, fewer }
+        let fewer = dice
+            .percent(60)
+            .then(|| (dice.between(2_000, 11_000), (attempts / 2).max(2)));
+        Changes {
+            rush,
+            hardened,
+            fewer,
+        }
     }
 }
 
@@ -63,8 +69,12 @@
 
 /// A class turns unsafe.
 pub fn harden(settings: &mut Value) {
-    let class = classes(settings).iter_mut().find(|class| class["name"] == HARDENED.0);
-    class.into_iter().for_each(|class| class["effect"] = HARDENED.1.into());
+    let class = classes(settings)
+        .iter_mut()
+        .find(|class| class["name"] == HARDENED.0);
+    class
+        .into_iter()
+        .for_each(|class| class["effect"] = HARDENED.1.into());
 }
 
 /// Ways in which a configuration is not whole.
@@ -77,7 +87,11 @@
     match way {
         0 => return Vec::new(),
         1 => return text[..text.len() / 2].to_vec(),
-        2 => drop(config["settings"]["limits"].as_object_mut().map(|limits| limits.remove("maxAttempts"))),
+        2 => drop(
+            config["settings"]["limits"]
+                .as_object_mut()
+                .map(|limits| limits.remove("maxAttempts")),
+        ),
         3 => config["settings"]["services"][0]["giveUp"] = 0.into(),
         4 => config["settings"]["limits"]["maxAttempts"] = (-3).into(),
         // All of it but for a discovery that is none.
@@ -96,10 +110,9 @@
         }
         script.faults.extend(faults::of_staff(&mut dice, &changes));
         script.faults.sort_by_key(|fault| fault.from);
-        let garbled = script
-            .faults
-            .iter()
-            .filter_map(|fault| Some((fault.trouble.garbles()?, Duration::from_millis(fault.from))));
+        let garbled = script.faults.iter().filter_map(|fault| {
+            Some((fault.trouble.garbles()?, Duration::from_millis(fault.from)))
+        });
         script.rules.garbled = garbled.collect();
         script.rules.eaten = script.faults.iter().any(|fault| fault.trouble.eats());
         script.rules.passing = Some(RUSH);
@@ -107,13 +120,17 @@
         if let Some(at) = changes.hardened {
             let from = Duration::from_millis(at + IN_USE);
             let plans = script.clients.iter_mut().flatten();
-            plans.filter(|plan| plan.class == HARDENED.0).for_each(|plan| plan.unsafe_from = Some(from));
+            plans
+                .filter(|plan| plan.class == HARDENED.0)
+                .for_each(|plan| plan.unsafe_from = Some(from));
         }
         let blocks: Vec<u16> = script.rules.capacity.keys().copied().collect();
         let many = script.clients.len() as u64;
         for number in 0..RUSHES.0 {
             let plan = Plan {
-                at: Duration::from_millis(dice.between(changes.rush.0 + IN_USE, changes.rush.1 - 100)),
+                at: Duration::from_millis(
+                    dice.between(changes.rush.0 + IN_USE, changes.rush.1 - 100),
+                ),
                 name: format!("r{number:04}"),
                 tenant: "acme".into(),
                 class: RUSH,
--- a/crates/sim/src/peers/admins.rs
+++ b/crates/sim/src/peers/admins.rs
@@ -59,17 +59,33 @@
 impl<S: System> Admin<S> {
     /// An administrator.
     pub fn new(
-        stage: Stage<S>, number: u64, tenants: Vec<TenantPlan>, errands: Vec<Errand>, rogue: Option<Rogue>,
+        stage: Stage<S>,
+        number: u64,
+        tenants: Vec<TenantPlan>,
+        errands: Vec<Errand>,
+        rogue: Option<Rogue>,
         strikes: std::rc::Rc<dyn Fn()>,
     ) -> Self {
         let seen = vec![None; tenants.len()];
-        Admin { stage, number, tenants, errands, rogue, asked: 0, seen, strikes }
+        Admin {
+            stage,
+            number,
+            tenants,
+            errands,
+            rogue,
+            asked: 0,
+            seen,
+            strikes,
+        }
     }
 
     /// Does all errands, each at its time.
     pub async fn run(mut self) {
         for errand in std::mem::take(&mut self.errands) {
-            self.stage.system.sleep_until(self.stage.instant(errand.at)).await;
+            self.stage
+                .system
+                .sleep_until(self.stage.instant(errand.at))
+                .await;
             self.go(&errand).await;
         }
         // What became of it all.
@@ -100,44 +116,90 @@
                     Some(Rogue::Weights) => spec.replace("\"weight\":", "\"weight\":1"),
                     _ => spec.clone(),
                 };
-                ("PATCH", path, Some((merge, format!("{{\"spec\":{told}}}"))), Asking::Set)
+                (
+                    "PATCH",
+                    path,
+                    Some((merge, format!("{{\"spec\":{told}}}"))),
+                    Asking::Set,
+                )
             }
             Deed::Pause => ("POST", path + "/pause", None, Asking::Pause),
             Deed::Resume => ("POST", path + "/resume", None, Asking::Resume),
             Deed::Remove { refuse } => {
                 let refuses = *refuse && self.rogue != Some(Rogue::Finishes);
                 let how = if refuses { "refuse" } else { "finish" };
-                ("DELETE", format!("{path}?on_removal={how}"), None, Asking::Remove { refuse: *refuse })
+                (
+                    "DELETE",
+                    format!("{path}?on_removal={how}"),
+                    None,
+                    Asking::Remove { refuse: *refuse },
+                )
             }
             Deed::Create(weight) => return self.create(errand, &name, *weight).await,
         };
         let headers = format!("If-Match: {tag}\r\n");
-        self.change(errand, &name, method, &path, &headers, body, asking).await;
+        self.change(errand, &name, method, &path, &headers, body, asking)
+            .await;
         if self.rogue == Some(Rogue::Resumes) && asking == Asking::Pause {
-            drop(self.ask("POST", &format!("/v1/tenants/{name}/resume"), "If-Match: *\r\n", None).await);
+            drop(
+                self.ask(
+                    "POST",
+                    &format!("/v1/tenants/{name}/resume"),
+                    "If-Match: *\r\n",
+                    None,
+                )
+                .await,
+            );
         }
     }
 
     async fn create(&mut self, errand: &Errand, name: &str, weight: u32) {
         let body = format!("{{\"name\":\"{name}\",\"spec\":{{\"weight\":{weight}}}}}");
         let made = self
-            .change(errand, name, "POST", "/v1/tenants", "", Some(("application/json", body)), Asking::Create)
+            .change(
+                errand,
+                name,
+                "POST",
+                "/v1/tenants",
+                "",
+                Some(("application/json", body)),
+                Asking::Create,
+            )
             .await;
         if made {
             // Its clients' secret is another's now, and has to be given to it anew.
-            let digest =
-                madderpitch_tenancy::secret::Digest::of(self.tenants[errand.tenant].secret.as_bytes());
-            let body = Some(("application/json", format!("{{\"id\":\"main\",\"sha256\":\"{digest}\"}}")));
+            let digest = madderpitch_tenancy::secret::Digest::of(
+                self.tenants[errand.tenant].secret.as_bytes(),
+            );
+            let body = Some((
+                "application/json",
+                format!("{{\"id\":\"main\",\"sha256\":\"{digest}\"}}"),
+            ));
             let path = format!("/v1/tenants/{name}/secrets");
-            self.change(errand, name, "POST", &path, "If-Match: *\r\n", body, Asking::Set).await;
+            self.change(
+                errand,
+                name,
+                "POST",
+                &path,
+                "If-Match: *\r\n",
+                body,
+                Asking::Set,
+            )
+            .await;
         }
     }
 
     /// Asks for a change, again where no answer came; whether it was answered 2xx.
     #[allow(clippy::too_many_arguments)]
     async fn change(
-        &mut self, errand: &Errand, name: &str, method: &str, path: &str, headers: &str,
-        body: Option<(&str, String)>, asking: Asking,
+        &mut self,
+        errand: &Errand,
+        name: &str,
+        method: &str,
+        path: &str,
+        headers: &str,
+        body: Option<(&str, String)>,
+        asking: Asking,
     ) -> bool {
         self.asked += 1;
         let number = self.number * 1_000_000 + self.asked;
@@ -146,7 +208,11 @@
             false => headers.into(),
         };
         (self.strikes)();
-        self.stage.see(&Seen::TenantAsked { number, tenant: name, asking });
+        self.stage.see(&Seen::TenantAsked {
+            number,
+            tenant: name,
+            asking,
+        });
         for _ in 0..if errand.insists { TRIES.0 } else { 1 } {
             match self.ask(method, path, &headers, body.as_ref()).await {
                 Ok(answer) => {
@@ -160,16 +226,24 @@
                         replayed: answer.replayed,
                     };
                     self.stage.see(&seen);
-                    (self.stage.news)(format_args!("{method} {path} is answered {}", answer.status));
+                    (self.stage.news)(format_args!(
+                        "{method} {path} is answered {}",
+                        answer.status
+                    ));
                     if answer.status != 503 {
                         return done;
                     }
                 }
-                Err(error) => (self.stage.news)(format_args!("{method} {path} is not answered: {error}")),
+                Err(error) => {
+                    (self.stage.news)(format_args!("{method} {path} is not answered: {error}"))
+                }
             }
             self.stage.system.sleep(TRIES.1).await;
         }
-        self.stage.see(&Seen::TenantUnanswered { number, tenant: name });
+        self.stage.see(&Seen::TenantUnanswered {
+            number,
+            tenant: name,
+        });
         false
     }
 
@@ -177,11 +251,18 @@
     async fn look(&mut self, tenant: usize) -> Option<String> {
         let name = self.tenants[tenant].name.clone();
         let asked = self.stage.at();
-        let answer = self.ask("GET", &format!("/v1/tenants/{name}"), "", None).await.ok()?;
+        let answer = self
+            .ask("GET", &format!("/v1/tenants/{name}"), "", None)
+            .await
+            .ok()?;
         let standing = standing(&answer, self.rogue);
         match answer.status {
             200 | 404 | 410 => {
-                self.stage.see(&Seen::TenantShown { tenant: &name, asked, standing: standing.as_ref() });
+                self.stage.see(&Seen::TenantShown {
+                    tenant: &name,
+                    asked,
+                    standing: standing.as_ref(),
+                });
                 (self.stage.news)(format_args!("{name} is shown as {standing:?}"));
                 answer.etag.filter(|_| answer.status == 200)
             }
@@ -190,7 +271,11 @@
     }
 
     async fn ask(
-        &self, method: &str, path: &str, headers: &str, body: Option<&(&str, String)>,
+        &self,
+        method: &str,
+        path: &str,
+        headers: &str,
+        body: Option<&(&str, String)>,
     ) -> io::Result<Answer> {
         request(&self.stage, "token", method, path, headers, body).await
     }
@@ -215,12 +300,21 @@
 
 /// Asks the API as the bearer of a token.
 pub(super) async fn request<S: System>(
-    stage: &Stage<S>, token: &str, method: &str, path: &str, headers: &str, body: Option<&(&str, String)>,
+    stage: &Stage<S>,
+    token: &str,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: Option<&(&str, String)>,
 ) -> io::Result<Answer> {
     let (kind, body) = body.map_or((String::new(), ""), |(kind, body)| {
-        (format!("Content-Type: {kind}\r\nContent-Length: {}\r\n", body.len()), body.as_str())
+        (
+            format!("Content-Type: {kind}\r\nContent-Length: {}\r\n", body.len()),
+            body.as_str(),
+        )
     });
-    let head = format!("{method} {path} HTTP/1.1\r\nHost: relay\r\nAuthorization: Bearer {token}\r\n");
+    let head =
+        format!("{method} {path} HTTP/1.1\r\nHost: relay\r\nAuthorization: Bearer {token}\r\n");
     let text = format!("{head}Connection: close\r\n{headers}{kind}\r\n{body}");
     let asked = async {
         let mut stream = stage.system.connect(ADMIN).await?;
@@ -244,12 +338,18 @@
     let (generation, revision) = version.split_once('.')?;
     let spec = answer.body.get("spec")?;
     let weight = spec.get("weight")?.as_u64()?;
-    let capped = ["max_held", "max_in_flight", "rate"].iter().any(|field| spec.get(*field).is_some());
+    let capped = ["max_held", "max_in_flight", "rate"]
+        .iter()
+        .any(|field| spec.get(*field).is_some());
     Some(Standing {
         version: (generation.parse().ok()?, revision.parse().ok()?),
         state: answer.body.get("state")?.as_str()?.into(),
         // The rogue says that a tenant has the weight that it asked for, of which it has set another.
-        weight: if rogue == Some(Rogue::Weights) { 10_000 / weight.max(1) } else { weight },
+        weight: if rogue == Some(Rogue::Weights) {
+            10_000 / weight.max(1)
+        } else {
+            weight
+        },
         capped,
         spec: spec.to_string(),
     })
@@ -262,11 +362,18 @@
         return Ok(None);
     };
     let header = |name: &str| {
-        let found = parsed.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+        let found = parsed
+            .headers
+            .iter()
+            .find(|header| header.name.eq_ignore_ascii_case(name));
         found.map(|header| String::from_utf8_lossy(header.value).into_owned())
     };
-    let length = header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
-    let Some(body) = text.get(head..head + length) else { return Ok(None) };
+    let length = header("content-length")
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0);
+    let Some(body) = text.get(head..head + length) else {
+        return Ok(None);
+    };
     Ok(Some(Answer {
         status: parsed.code.unwrap_or(0),
         etag: header("etag"),
--- a/crates/sim/src/peers/clients.rs
+++ b/crates/sim/src/peers/clients.rs
@@ -93,14 +93,20 @@
     /// A new one.
     pub async fn to<S: System<Stream = T>>(stage: &Stage<S>, at: SocketAddr) -> io::Result<Self> {
         let stream = stage.system.connect(at).await?;
-        Ok(Connection { stream, text: BytesMut::new(), used: false })
+        Ok(Connection {
+            stream,
+            text: BytesMut::new(),
+            used: false,
+        })
     }
 
     pub async fn line(&mut self) -> io::Result<Option<String>> {
         loop {
             if let Some(end) = self.text.iter().position(|byte| *byte == b'\n') {
                 let line = self.text.split_to(end + 1);
-                return Ok(Some(String::from_utf8_lossy(line.trim_ascii_end()).into_owned()));
+                return Ok(Some(
+                    String::from_utf8_lossy(line.trim_ascii_end()).into_owned(),
+                ));
             }
             if self.stream.read_buf(&mut self.text).await? == 0 {
                 return Ok(None);
@@ -129,10 +135,16 @@
     /// A client of the relays at some addresses, which begins with the one of a number. Where that does not answer
     /// it goes on with the next.
     pub fn new(
-        stage: Stage<S>, relays: Vec<SocketAddr>, first: usize, plans: Vec<Plan>,
+        stage: Stage<S>,
+        relays: Vec<SocketAddr>,
+        first: usize,
+        plans: Vec<Plan>,
         login: Option<(String, String)>,
     ) -> Self {
-        let stage = Stage { relay: first, ..stage };
+        let stage = Stage {
+            relay: first,
+            ..stage
+        };
         let mut client = Client {
             stage,
             relays,
@@ -193,12 +205,21 @@
 
     async fn connect(&mut self) -> io::Result<()> {
         if self.open.is_none() {
-            let stream =
-                self.stage.system.timeout(PATIENCE, self.stage.system.connect(self.relay())).await??;
+            let stream = self
+                .stage
+                .system
+                .timeout(PATIENCE, self.stage.system.connect(self.relay()))
+                .await??;
             stream.set_nodelay()?;
-            let mut open = Connection { stream, text: BytesMut::new(), used: false };
+            let mut open = Connection {
+                stream,
+                text: BytesMut::new(),
+                used: false,
+            };
             if let Some((tenant, secret)) = &self.login {
-                open.stream.write_all(&frame(&[b"AUTH", tenant.as_bytes(), secret.as_bytes()])).await?;
+                open.stream
+                    .write_all(&frame(&[b"AUTH", tenant.as_bytes(), secret.as_bytes()]))
+                    .await?;
                 let line = self.stage.system.timeout(PATIENCE, open.line()).await??;
                 // One that is wrong now may be right on another connection.
                 if line.as_deref() != Some("+OK") {
@@ -211,7 +232,13 @@
     }
 
     /// Hands a message in; tells after what time it is to be handed in again.
-    async fn hand_in(&mut self, plan: &Plan, id: &str, tries: u32, due: Duration) -> Option<Duration> {
+    async fn hand_in(
+        &mut self,
+        plan: &Plan,
+        id: &str,
+        tries: u32,
+        due: Duration,
+    ) -> Option<Duration> {
         let soon = Duration::from_millis(50);
         match plan.habit {
             Habit::Garbles if tries == 0 => self.garble().await,
@@ -231,7 +258,9 @@
                 return Some(Duration::from_millis(100));
             }
             let text = self.request(plan, id, tries, due);
-            let Some(open) = &mut self.open else { return Some(soon) };
+            let Some(open) = &mut self.open else {
+                return Some(soon);
+            };
             let used = std::mem::replace(&mut open.used, true);
             if open.stream.write_all(&text).await.is_err() {
                 self.open = None;
@@ -247,11 +276,19 @@
                 return None;
             }
             if plan.habit == Habit::Resends {
-                let (stage, relay, text, id) =
-                    (self.stage.clone(), self.relay(), text.clone(), id.to_string());
-                self.stage.system.spawn(async move { drop(resend(stage, relay, text, id).await) });
+                let (stage, relay, text, id) = (
+                    self.stage.clone(),
+                    self.relay(),
+                    text.clone(),
+                    id.to_string(),
+                );
+                self.stage
+                    .system
+                    .spawn(async move { drop(resend(stage, relay, text, id).await) });
             }
-            let Some(open) = &mut self.open else { return Some(soon) };
+            let Some(open) = &mut self.open else {
+                return Some(soon);
+            };
             let heard = match self.stage.system.timeout(PATIENCE, open.line()).await {
                 Ok(Ok(Some(line))) => Heard::Line(line),
                 Ok(_) => Heard::Ended,
@@ -279,12 +316,23 @@
 
     fn request(&self, plan: &Plan, id: &str, tries: u32, due: Duration) -> Vec<u8> {
         let left = due.saturating_sub(self.stage.at()).as_millis();
-        let key = self.key(plan).map_or(String::new(), |key| format!("k={key},"));
+        let key = self
+            .key(plan)
+            .map_or(String::new(), |key| format!("k={key},"));
         let again = if tries > 0 { "r=1," } else { "" };
         let tenant = self.tenant(plan);
-        let list = format!("c={},t={tenant},d={left},{key}{again}dest={}", plan.class, plan.destination);
+        let list = format!(
+            "c={},t={tenant},d={left},{key}{again}dest={}",
+            plan.class, plan.destination
+        );
         let order = format!("{:016x}", plan.order);
-        frame(&[b"ENQUEUE", order.as_bytes(), id.as_bytes(), list.as_bytes(), &body(plan)])
+        frame(&[
+            b"ENQUEUE",
+            order.as_bytes(),
+            id.as_bytes(),
+            list.as_bytes(),
+            &body(plan),
+        ])
     }
 
     /// The tenant that a message is handed in for.
@@ -306,7 +354,11 @@
             class: plan.class.into(),
             tenant: self.tenant(plan),
             impostor: plan.habit == Habit::Impostor,
-            repeat: if hardened { Repeat::Unsafe } else { plan.repeat },
+            repeat: if hardened {
+                Repeat::Unsafe
+            } else {
+                plan.repeat
+            },
             order: Some(plan.order).filter(|order| plan.in_order && *order > 0),
             destination: plan.destination,
             key: self.key(plan),
@@ -321,12 +373,20 @@
         let asked = async {
             let mut stream = self.stage.system.connect(self.relay()).await?;
             stream.write_all(b"*3\r\n$-7\r\nrubbish\r\n").await?;
-            let mut open = Connection { stream, text: BytesMut::new(), used: true };
+            let mut open = Connection {
+                stream,
+                text: BytesMut::new(),
+                used: true,
+            };
             let line = open.line().await?;
             Ok::<_, io::Error>((line, open.line().await?))
         };
         let since = self.stage.at();
-        let heard = self.stage.system.timeout(Duration::from_secs(3), asked).await;
+        let heard = self
+            .stage
+            .system
+            .timeout(Duration::from_secs(3), asked)
+            .await;
         let good = match heard {
             Ok(Ok((Some(line), second))) => line.starts_with("-ERR") && second.is_none(),
             // Closed or reset at once.
@@ -344,13 +404,29 @@
             self.stage.system.sleep(Duration::from_millis(700)).await;
             Ok::<_, io::Error>(())
         };
-        let _ = self.stage.system.timeout(Duration::from_secs(2), stalled).await;
+        let _ = self
+            .stage
+            .system
+            .timeout(Duration::from_secs(2), stalled)
+            .await;
     }
 }
 
-async fn resend<S: System>(stage: Stage<S>, relay: SocketAddr, text: Vec<u8>, id: String) -> io::Result<()> {
-    let stream = stage.system.timeout(PATIENCE, stage.system.connect(relay)).await??;
-    let mut open = Connection { stream, text: BytesMut::new(), used: false };
+async fn resend<S: System>(
+    stage: Stage<S>,
+    relay: SocketAddr,
+    text: Vec<u8>,
+    id: String,
+) -> io::Result<()> {
+    let stream = stage
+        .system
+        .timeout(PATIENCE, stage.system.connect(relay))
+        .await??;
+    let mut open = Connection {
+        stream,
+        text: BytesMut::new(),
+        used: false,
+    };
     open.stream.write_all(&text).await?;
     if let Some(line) = stage.system.timeout(PATIENCE, open.line()).await?? {
         stage.see(&Seen::Answered(&id, &line));
@@ -361,7 +437,10 @@
 /// A message's body, which names it.
 fn body(plan: &Plan) -> Vec<u8> {
     let mut body = plan.name.clone().into_bytes();
-    let filler = plan.name.bytes().fold(7u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
+    let filler = plan
+        .name
+        .bytes()
+        .fold(7u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
     body.resize(plan.size.max(body.len()), filler);
     body
 }
--- a/crates/sim/src/peers/discovery.rs
+++ b/crates/sim/src/peers/discovery.rs
@@ -57,7 +57,10 @@
 impl Gate {
     /// One that takes so long for each call.
     pub fn new(each: Duration) -> Rc<Self> {
-        Rc::new(Gate { each, busy: Cell::default() })
+        Rc::new(Gate {
+            each,
+            busy: Cell::default(),
+        })
     }
 
     /// How long a call that comes now waits for its answer; none if that would be too long.
@@ -93,7 +96,10 @@
     pub fn new(lines: Vec<Line>) -> Rc<Self> {
         let discovery = Discovery::default();
         discovery.version.set(1);
-        discovery.lines.borrow_mut().extend(lines.into_iter().map(|line| (line.host.clone(), line)));
+        discovery
+            .lines
+            .borrow_mut()
+            .extend(lines.into_iter().map(|line| (line.host.clone(), line)));
         Rc::new(discovery)
     }
 
@@ -102,7 +108,11 @@
         self.version.set(self.version.get() + jump.max(1));
         match line.health {
             "removed" => drop(self.lines.borrow_mut().remove(&line.host)),
-            _ => drop(self.lines.borrow_mut().insert(line.host.clone(), line.clone())),
+            _ => drop(
+                self.lines
+                    .borrow_mut()
+                    .insert(line.host.clone(), line.clone()),
+            ),
         }
         let mut changes = self.changes.borrow_mut();
         // In the order of their versions, whatever the lag is now.
@@ -127,7 +137,10 @@
 
     /// Answers at an address for good; told to end, it takes no new connection and closes the open ones.
     pub async fn serve<S: System>(
-        self: Rc<Self>, stage: Stage<S>, at: SocketAddr, end: tokio::sync::watch::Receiver<bool>,
+        self: Rc<Self>,
+        stage: Stage<S>,
+        at: SocketAddr,
+        end: tokio::sync::watch::Receiver<bool>,
     ) -> io::Result<()> {
         let listener = stage.system.listen(at).await?;
         let mut ends = end.clone();
@@ -148,14 +161,24 @@
         }
     }
 
-    async fn connection<S: System>(&self, stage: &Stage<S>, mut stream: S::Stream) -> io::Result<()> {
+    async fn connection<S: System>(
+        &self,
+        stage: &Stage<S>,
+        mut stream: S::Stream,
+    ) -> io::Result<()> {
         stream.set_nodelay()?;
         let mut text = BytesMut::new();
         while let Some(request) = read_request(stage, &mut stream, &mut text).await? {
             if request.line == "POST /v1/notices" {
                 let good = self.notices(stage, &request.body);
-                let line = if good { "204 No Content" } else { "400 Bad Request" };
-                stream.write_all(format!("HTTP/1.1 {line}\r\n\r\n").as_bytes()).await?;
+                let line = if good {
+                    "204 No Content"
+                } else {
+                    "400 Bad Request"
+                };
+                stream
+                    .write_all(format!("HTTP/1.1 {line}\r\n\r\n").as_bytes())
+                    .await?;
                 continue;
             }
             if self.silent.get() {
@@ -175,7 +198,11 @@
                 stage.system.sleep(wait).await;
             }
             match request.line.split_once("since=") {
-                Some((_, since)) => return self.watch(stage, &mut stream, since.parse().unwrap_or(0)).await,
+                Some((_, since)) => {
+                    return self
+                        .watch(stage, &mut stream, since.parse().unwrap_or(0))
+                        .await
+                }
                 None => {
                     let text = format!("{}\n", self.whole());
                     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
@@ -211,14 +238,21 @@
         lines.iter().for_each(|line| self.tell(stage, line));
         // What has gone is told by its absence.
         let changes = self.changes.borrow();
-        let gone = changes.iter().filter(|(_, _, line)| !self.lines.borrow().contains_key(&line.host));
+        let gone = changes
+            .iter()
+            .filter(|(_, _, line)| !self.lines.borrow().contains_key(&line.host));
         gone.for_each(|(_, _, line)| stage.see(&Seen::Told(&line.host, false)));
     }
 
     async fn watch<S: System>(
-        &self, stage: &Stage<S>, stream: &mut S::Stream, mut since: u64,
+        &self,
+        stage: &Stage<S>,
+        stream: &mut S::Stream,
+        mut since: u64,
     ) -> io::Result<()> {
-        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            .await?;
         let mut beat = stage.at() + BEAT;
         loop {
             if self.silent.get() {
@@ -228,24 +262,39 @@
             }
             let news = self.news.notified();
             let now = stage.at();
-            let changes: Vec<_> =
-                self.changes.borrow().iter().filter(|(v, _, _)| *v > since).cloned().collect();
+            let changes: Vec<_> = self
+                .changes
+                .borrow()
+                .iter()
+                .filter(|(v, _, _)| *v > since)
+                .cloned()
+                .collect();
             let due: Vec<_> = changes.iter().take_while(|(_, at, _)| *at <= now).collect();
             let mut text = String::new();
             if let Some((version, _, _)) = due.last() {
                 since = *version;
                 let hosts: Vec<Value> = due.iter().map(|(_, _, line)| line.json()).collect();
-                text = format!("{}\n", json!({"seq": version, "whole": false, "hosts": hosts}));
+                text = format!(
+                    "{}\n",
+                    json!({"seq": version, "whole": false, "hosts": hosts})
+                );
             } else if beat <= now {
                 text = "\n".into();
             }
             if !text.is_empty() {
                 beat = now + BEAT;
-                stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await?;
+                stream
+                    .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+                    .await?;
                 due.iter().for_each(|(_, _, line)| self.tell(stage, line));
                 continue;
             }
-            let next = changes.iter().map(|(_, at, _)| *at).min().unwrap_or(beat).min(beat);
+            let next = changes
+                .iter()
+                .map(|(_, at, _)| *at)
+                .min()
+                .unwrap_or(beat)
+                .min(beat);
             tokio::select! {
                 biased;
                 () = news => {}
--- a/crates/sim/src/peers/hosts.rs
+++ b/crates/sim/src/peers/hosts.rs
@@ -91,7 +91,12 @@
 impl Host {
     /// A host that does well.
     pub fn new(
-        name: &str, block: u16, zone: &str, address: SocketAddr, capacity: f64, dice: Dice,
+        name: &str,
+        block: u16,
+        zone: &str,
+        address: SocketAddr,
+        capacity: f64,
+        dice: Dice,
     ) -> Rc<Self> {
         Rc::new(Host {
             name: RefCell::new(name.into()),
@@ -133,12 +138,21 @@
     {
         stream.set_nodelay()?;
         let mut text = BytesMut::new();
-        let crowded = self.mood.borrow().connections.is_some_and(|most| self.open.get() > most);
+        let crowded = self
+            .mood
+            .borrow()
+            .connections
+            .is_some_and(|most| self.open.get() > most);
         while let Some(request) = read_request(stage, &mut stream, &mut text).await? {
             let called = self.called(stage, &request, stream.number());
-            let name = stage.checker.borrow_mut().called(stage.at(), &called, &|conn| (stage.holds)(conn));
+            let name = stage
+                .checker
+                .borrow_mut()
+                .called(stage.at(), &called, &|conn| (stage.holds)(conn));
             let Some(name) = name else {
-                stream.write_all(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").await?;
+                stream
+                    .write_all(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+                    .await?;
                 continue;
             };
             if self.mood.borrow().down {
@@ -149,7 +163,15 @@
             if crowded {
                 let text =
                     "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-                return self.write(stage, &mut stream, &name, Verdict::NeverRan(Duration::ZERO), text).await;
+                return self
+                    .write(
+                        stage,
+                        &mut stream,
+                        &name,
+                        Verdict::NeverRan(Duration::ZERO),
+                        text,
+                    )
+                    .await;
             }
             let kept = self.answer(stage, &mut stream, &name, &called).await;
             if !matches!(kept, Ok(true)) {
@@ -185,14 +207,19 @@
     /// How long a call has to stay away, if the host is at its limit.
     fn over_limit(&self, limit: f64, at: Duration, spends: bool) -> Option<Duration> {
         let mut taken = self.taken.borrow_mut();
-        while taken.front().is_some_and(|first| *first + Duration::from_secs(1) < at) {
+        while taken
+            .front()
+            .is_some_and(|first| *first + Duration::from_secs(1) < at)
+        {
             taken.pop_front();
         }
         if (taken.len() as f64) < limit {
             taken.push_back(at);
             return None;
         }
-        let again = taken.front().map(|first| (*first + Duration::from_millis(1050)).saturating_sub(at));
+        let again = taken
+            .front()
+            .map(|first| (*first + Duration::from_millis(1050)).saturating_sub(at));
         if spends {
             taken.push_back(at);
             taken.truncate(4 * limit as usize + 4);
@@ -209,8 +236,12 @@
         };
         let (since, left) = self.left.get();
         if since + REPORTED <= at {
-            let taken =
-                self.taken.borrow().iter().filter(|call| **call + Duration::from_secs(1) >= at).count();
+            let taken = self
+                .taken
+                .borrow()
+                .iter()
+                .filter(|call| **call + Duration::from_secs(1) >= at)
+                .count();
             self.left.set((at, (1.0 - taken as f64 / limit).max(0.0)));
         }
         format!("Endpoint-Load-Metrics: x0={left:.3},x1={limit:.1}\r\n")
@@ -225,7 +256,11 @@
 
     /// Answers a call; false if the connection is of no further use.
     async fn answer<S: System>(
-        &self, stage: &Stage<S>, stream: &mut S::Stream, name: &CallName, called: &Called,
+        &self,
+        stage: &Stage<S>,
+        stream: &mut S::Stream,
+        name: &CallName,
+        called: &Called,
     ) -> io::Result<bool>
     where
         S::Stream: Numbered,
@@ -238,7 +273,10 @@
         }
         let refused = match mood.shut {
             Some(until) => Some(until.map(|until| until.saturating_sub(stage.at()))),
-            None => mood.limit.and_then(|limit| self.over_limit(limit, stage.at(), mood.spends)).map(Some),
+            None => mood
+                .limit
+                .and_then(|limit| self.over_limit(limit, stage.at(), mood.spends))
+                .map(Some),
         };
         if let Some(wait) = refused {
             let silent = mood.spends && self.draw(|dice| dice.percent(50));
@@ -250,13 +288,22 @@
                 "HTTP/1.1 503 Service Unavailable\r\n".into()
             };
             let wait = Duration::from_millis(millis as u64);
-            let report = if mood.spends { self.report(stage.at()) } else { String::new() };
+            let report = if mood.spends {
+                self.report(stage.at())
+            } else {
+                String::new()
+            };
             let text = format!("{head}{report}Content-Length: 0\r\n\r\n");
-            self.write(stage, stream, name, Verdict::NeverRan(wait), &text).await?;
+            self.write(stage, stream, name, Verdict::NeverRan(wait), &text)
+                .await?;
             return Ok(true);
         }
         let (takes, fails, spoils) = self.draw(|dice| {
-            (dice.between(mood.takes.0, mood.takes.1), dice.percent(mood.fails), dice.percent(mood.spoils))
+            (
+                dice.between(mood.takes.0, mood.takes.1),
+                dice.percent(mood.fails),
+                dice.percent(mood.spoils),
+            )
         });
         if !spoils {
             self.book(stage, called, !fails);
@@ -272,7 +319,8 @@
         }
         if fails {
             let text = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
-            self.write(stage, stream, name, Verdict::MayHaveRun, text).await?;
+            self.write(stage, stream, name, Verdict::MayHaveRun, text)
+                .await?;
             return Ok(true);
         }
         let report = self.report(stage.at());
@@ -288,7 +336,8 @@
             }
             return Ok(true);
         }
-        self.write(stage, stream, name, Verdict::Delivered, &good).await?;
+        self.write(stage, stream, name, Verdict::Delivered, &good)
+            .await?;
         if mood.closes && self.draw(|dice| dice.percent(60)) {
             let after = self.draw(|dice| dice.below(250));
             // It may cross the next call, which is then never read.
@@ -299,7 +348,12 @@
     }
 
     async fn write<S: System>(
-        &self, stage: &Stage<S>, stream: &mut S::Stream, name: &CallName, verdict: Verdict, text: &str,
+        &self,
+        stage: &Stage<S>,
+        stream: &mut S::Stream,
+        name: &CallName,
+        verdict: Verdict,
+        text: &str,
     ) -> io::Result<()>
     where
         S::Stream: Numbered,
@@ -323,7 +377,11 @@
 
     /// An answer that is not as it should be. What it says in its first line is still true.
     async fn spoil<S: System>(
-        &self, stage: &Stage<S>, stream: &mut S::Stream, name: &CallName, called: &Called,
+        &self,
+        stage: &Stage<S>,
+        stream: &mut S::Stream,
+        name: &CallName,
+        called: &Called,
     ) -> io::Result<bool>
     where
         S::Stream: Numbered,
--- a/crates/sim/src/peers/ledger.rs
+++ b/crates/sim/src/peers/ledger.rs
@@ -35,20 +35,34 @@
 impl Ledger {
     /// Nothing has taken effect yet.
     pub fn new(dice: Dice) -> Self {
-        Ledger(Rc::new(RefCell::new(Book { dice, effects: BTreeMap::new(), keys: BTreeMap::new() })))
+        Ledger(Rc::new(RefCell::new(Book {
+            dice,
+            effects: BTreeMap::new(),
+            keys: BTreeMap::new(),
+        })))
     }
 
     /// A call has come that was not turned away. One that is answered well takes effect, another may.
     pub fn arrives<S: System>(&self, stage: &Stage<S>, call: &Called, well: bool) {
-        let Some(repeat) = stage.checker.borrow().repeat_of(&call.id) else { return };
+        let Some(repeat) = stage.checker.borrow().repeat_of(&call.id) else {
+            return;
+        };
         let mut book = self.0.borrow_mut();
         if !well && !book.dice.percent(SILENTLY) {
             return;
         }
         if let (Repeat::Keyed { window, zone_only }, Some(key)) = (repeat, &call.key) {
-            let zone = if zone_only { call.host.2.clone() } else { String::new() };
+            let zone = if zone_only {
+                call.host.2.clone()
+            } else {
+                String::new()
+            };
             let at = (call.host.1, zone, key.clone());
-            if book.keys.get(&at).is_some_and(|since| *since + window > stage.at()) {
+            if book
+                .keys
+                .get(&at)
+                .is_some_and(|since| *since + window > stage.at())
+            {
                 return;
             }
             book.keys.insert(at, stage.at());
@@ -74,7 +88,9 @@
             let (own, ledger) = (stage.clone(), self.clone());
             stage.system.spawn(async move {
                 let mut text = BytesMut::new();
-                let Ok(Some(request)) = read_request(&own, &mut stream, &mut text).await else { return };
+                let Ok(Some(request)) = read_request(&own, &mut stream, &mut text).await else {
+                    return;
+                };
                 let id = request.line.rsplit('/').next().unwrap_or("").to_string();
                 let kind = ledger.0.borrow_mut().dice.below(10);
                 if kind == 0 {
@@ -88,7 +104,10 @@
                     _ => format!("{{\"status\":\"{truth}\"}}"),
                 };
                 let head = if kind == 3 { "500 Oh" } else { "200 OK" };
-                let text = format!("HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                let text = format!(
+                    "HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}",
+                    body.len()
+                );
                 // Who does not read it asks again.
                 let _ = stream.write_all(text.as_bytes()).await;
                 own.system.sleep(LATE).await;
--- a/crates/sim/src/peers/mod.rs
+++ b/crates/sim/src/peers/mod.rs
@@ -91,7 +91,10 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(other, _)| other.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(other, _)| other.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 }
@@ -101,7 +104,9 @@
 
 /// Reads one request; none at the connection's end.
 pub(crate) async fn read_request<S: System>(
-    stage: &Stage<S>, stream: &mut S::Stream, text: &mut BytesMut,
+    stage: &Stage<S>,
+    stream: &mut S::Stream,
+    text: &mut BytesMut,
 ) -> io::Result<Option<Request>> {
     let mut begun = None;
     loop {
@@ -111,14 +116,28 @@
             let mut parsed = httparse::Request::new(&mut headers);
             let status = parsed.parse(text).map_err(io::Error::other)?;
             if let httparse::Status::Complete(head) = status {
-                let line = format!("{} {}", parsed.method.unwrap_or(""), parsed.path.unwrap_or(""));
+                let line = format!(
+                    "{} {}",
+                    parsed.method.unwrap_or(""),
+                    parsed.path.unwrap_or("")
+                );
                 let pair = |header: &httparse::Header<'_>| {
-                    (header.name.to_string(), String::from_utf8_lossy(header.value).into_owned())
+                    (
+                        header.name.to_string(),
+                        String::from_utf8_lossy(header.value).into_owned(),
+                    )
                 };
                 let headers = parsed.headers.iter().map(pair).collect();
-                let mut request = Request { line, headers, body: Vec::new(), begun };
-                let length: usize =
-                    request.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+                let mut request = Request {
+                    line,
+                    headers,
+                    body: Vec::new(),
+                    begun,
+                };
+                let length: usize = request
+                    .header("content-length")
+                    .and_then(|n| n.parse().ok())
+                    .unwrap_or(0);
                 if text.len() >= head + length {
                     text.advance(head);
                     request.body = text.split_to(length).to_vec();
--- a/crates/sim/src/peers/operators.rs
+++ b/crates/sim/src/peers/operators.rs
@@ -58,7 +58,11 @@
     }
 
     async fn ask(
-        &self, method: &str, path: &str, headers: &str, body: Option<String>,
+        &self,
+        method: &str,
+        path: &str,
+        headers: &str,
+        body: Option<String>,
     ) -> Option<(u16, Value)> {
         let body = body.map(|body| ("application/json", body));
         let token = kept::operator(self.number);
@@ -71,7 +75,10 @@
         (self.strikes)();
         for _ in 0..AGAIN.1 {
             let told = self.ask("POST", path, headers, body.clone()).await;
-            (self.stage.news)(format_args!("POST {path}: {:?}", told.as_ref().map(|(status, _)| status)));
+            (self.stage.news)(format_args!(
+                "POST {path}: {:?}",
+                told.as_ref().map(|(status, _)| status)
+            ));
             if told.is_some_and(|(status, _)| status != 503) {
                 return;
             }
@@ -83,9 +90,16 @@
         if self.dice.percent(12) {
             return self.batch().await;
         }
-        let filter = *self.dice.pick(&["", "&may_have_run=true", "&may_have_run=false", "&class=payout"]);
+        let filter = *self.dice.pick(&[
+            "",
+            "&may_have_run=true",
+            "&may_have_run=false",
+            "&class=payout",
+        ]);
         let path = format!("/v1/undeliverable?state=open&limit={PAGE}{filter}");
-        let Some((200, page)) = self.ask("GET", &path, "", None).await else { return };
+        let Some((200, page)) = self.ask("GET", &path, "", None).await else {
+            return;
+        };
         let records = page["items"].as_array().cloned().unwrap_or_default();
         for record in records {
             if self.dice.percent(60) {
@@ -95,10 +109,16 @@
     }
 
     async fn act(&mut self, record: &Value) {
-        let (Some(id), Some(version)) = (record["id"].as_u64(), record["version"].as_u64()) else { return };
+        let (Some(id), Some(version)) = (record["id"].as_u64(), record["version"].as_u64()) else {
+            return;
+        };
         let path = |act: &str| format!("/v1/undeliverable/{id}/{act}");
         let seen = format!("If-Match: \"{version}\"\r\n");
-        let any = if self.dice.percent(20) { "If-Match: *\r\n" } else { &seen };
+        let any = if self.dice.percent(20) {
+            "If-Match: *\r\n"
+        } else {
+            &seen
+        };
         match self.dice.below(20) {
             0..=7 => self.change(&path("resend"), any, None).await,
             8..=12 => self.change(&path("ask"), any, None).await,
@@ -112,7 +132,12 @@
                     false => "not-applied",
                 };
                 // What is attested is what was found out of the record as it was seen.
-                self.change(&path("attest"), &seen, Some(format!("{{\"says\":\"{says}\"}}"))).await;
+                self.change(
+                    &path("attest"),
+                    &seen,
+                    Some(format!("{{\"says\":\"{says}\"}}")),
+                )
+                .await;
             }
         }
     }
@@ -125,9 +150,11 @@
         );
         let path = "/v1/undeliverable-batches";
         self.change(path, "", Some(spec)).await;
-        self.change(&format!("{path}/{name}/run"), "If-Match: *\r\n", None).await;
+        self.change(&format!("{path}/{name}/run"), "If-Match: *\r\n", None)
+            .await;
         if self.dice.percent(20) {
-            self.change(&format!("{path}/{name}/pause"), "If-Match: *\r\n", None).await;
+            self.change(&format!("{path}/{name}/pause"), "If-Match: *\r\n", None)
+                .await;
         }
     }
 
@@ -136,17 +163,25 @@
         let (mut all, mut cursor) = (Vec::new(), String::new());
         loop {
             let path = format!("/v1/undeliverable?limit=100{cursor}");
-            let (200, page) = self.ask("GET", &path, "", None).await? else { return None };
+            let (200, page) = self.ask("GET", &path, "", None).await? else {
+                return None;
+            };
             for record in page["items"].as_array()? {
-                all.push((record["message"].as_str()?.to_string(), record["state"].as_str()?.to_string()));
+                all.push((
+                    record["message"].as_str()?.to_string(),
+                    record["state"].as_str()?.to_string(),
+                ));
             }
-            let Some(next) = page["next"].as_str() else { break };
+            let Some(next) = page["next"].as_str() else {
+                break;
+            };
             cursor = format!("&cursor={next}");
         }
         if self.rogue == Some(Rogue::Forgets) {
             all.pop();
         }
-        all.iter().for_each(|(id, state)| self.stage.see(&Seen::RecordShown(id, state)));
+        all.iter()
+            .for_each(|(id, state)| self.stage.see(&Seen::RecordShown(id, state)));
         self.stage.see(&Seen::AllRecordsShown);
         self.done.set(true);
         Some(())
--- a/crates/sim/src/peers/staff.rs
+++ b/crates/sim/src/peers/staff.rs
@@ -73,7 +73,9 @@
 /// One call at a door: the whole answer, none if the process ended it.
 async fn call<S: System>(stage: &Stage<S>, door: SocketAddr, word: &str) -> io::Result<String> {
     let mut open = Connection::to(stage, door).await?;
-    open.stream.write_all(format!("{word}\n").as_bytes()).await?;
+    open.stream
+        .write_all(format!("{word}\n").as_bytes())
+        .await?;
     let mut text = String::new();
     while let Some(line) = open.line().await? {
         text += &line;
@@ -87,7 +89,11 @@
     loop {
         let (process, at) = door.get();
         let asked = stage.at();
-        match stage.system.timeout(PATIENCE, call(&stage, at, "show-stat")).await {
+        match stage
+            .system
+            .timeout(PATIENCE, call(&stage, at, "show-stat"))
+            .await
+        {
             Ok(Ok(text)) if text.starts_with("ok") && text.ends_with("eof\n") => {
                 stage.see(&Seen::Figures(process, asked, &text));
             }
--- a/crates/sim/src/rolling.rs
+++ b/crates/sim/src/rolling.rs
@@ -21,8 +21,12 @@
     /// The day of a seed with so many relays and hosts, some hundreds of either; as drawn where none are asked for.
     pub fn draw_rolling(seed: u64, relays: Option<usize>, hosts: Option<usize>) -> Self {
         let mut dice = Dice::new(seed, 12);
-        let relays = relays.unwrap_or(dice.between(RELAYS.0, RELAYS.1) as usize).max(1);
-        let hosts = hosts.unwrap_or(dice.between(HOSTS.0, HOSTS.1) as usize).max(1);
+        let relays = relays
+            .unwrap_or(dice.between(RELAYS.0, RELAYS.1) as usize)
+            .max(1);
+        let hosts = hosts
+            .unwrap_or(dice.between(HOSTS.0, HOSTS.1) as usize)
+            .max(1);
         let mut script = Script::draw_vast(seed, relays);
         script.vast = None;
         script.hosts.clear();
@@ -30,7 +34,12 @@
         let blocks = hosts.div_ceil(EACH) as u64;
         for number in 0..hosts {
             let (block, place) = (1 + number / EACH, number % EACH);
-            let address = [10, 1 + (block / 200) as u8, 1 + (block % 200) as u8, 1 + place as u8];
+            let address = [
+                10,
+                1 + (block / 200) as u8,
+                1 + (block % 200) as u8,
+                1 + place as u8,
+            ];
             script.hosts.push(HostPlan {
                 name: format!("s-{block}-{place}"),
                 block: block as u16,
@@ -38,7 +47,11 @@
                 address: std::net::SocketAddr::from((address, 8080)),
                 takes: (20, 90),
             });
-            script.rules.capacity.entry(block as u16).or_insert((ALL.0 / blocks).max(ALL.1) as f64);
+            script
+                .rules
+                .capacity
+                .entry(block as u16)
+                .or_insert((ALL.0 / blocks).max(ALL.1) as f64);
         }
         script.faults = faults::of_rolling(&mut dice, relays, hosts, EACH);
         let pushed = seed.is_multiple_of(2);
@@ -46,7 +59,12 @@
         script.settings["siblings"] = relays.max(FLEET).into();
         script.rules.pushed = pushed;
         script.settings["discovery"] = if pushed { "push" } else { "ask" }.into();
-        script.clients = vast::messages(&mut Dice::new(seed, 13), &script.rules, &vast::CLASSES, relays);
+        script.clients = vast::messages(
+            &mut Dice::new(seed, 13),
+            &script.rules,
+            &vast::CLASSES,
+            relays,
+        );
         script
     }
 }
--- a/crates/sim/src/rules/calls.rs
+++ b/crates/sim/src/rules/calls.rs
@@ -22,15 +22,25 @@
             broken.push(("right host", what));
         }
         if handed.body != call.body || handed.key != call.key {
-            broken.push(("unchanged", format!("{id} came to {host} with another key or body")));
+            broken.push((
+                "unchanged",
+                format!("{id} came to {host} with another key or body"),
+            ));
         }
         // A resend has time of its own.
         if facts.rules.kept {
             return;
         }
         let left = handed.due.saturating_sub(call.begun) + SLACK;
-        if call.expires.is_none_or(|expires| u128::from(expires) > left.as_millis().max(1)) {
-            let what = format!("{id} tells {:?} ms, {} ms are left", call.expires, left.as_millis());
+        if call
+            .expires
+            .is_none_or(|expires| u128::from(expires) > left.as_millis().max(1))
+        {
+            let what = format!(
+                "{id} tells {:?} ms, {} ms are left",
+                call.expires,
+                left.as_millis()
+            );
             broken.push(("expiry", what));
         }
     }
--- a/crates/sim/src/rules/door.rs
+++ b/crates/sim/src/rules/door.rs
@@ -20,8 +20,9 @@
 
 impl Rule for Door {
     fn see(&mut self, facts: &Facts, seen: &Seen<'_>, broken: &mut Broken) {
-        let past =
-            |since: Option<Duration>, span: Duration| since.is_some_and(|at| at + span + SLACK < facts.now);
+        let past = |since: Option<Duration>, span: Duration| {
+            since.is_some_and(|at| at + span + SLACK < facts.now)
+        };
         match seen {
             Seen::Drained(true) => (self.drained, self.resumed) = (Some(facts.now), None),
             Seen::Resuming => self.drained = None,
@@ -32,16 +33,27 @@
             Seen::Front(true) => {
                 self.resumed = None;
                 if past(self.drained, EMPTY) {
-                    broken.push(("drained", "a drained relay says that it takes clients".into()));
+                    broken.push((
+                        "drained",
+                        "a drained relay says that it takes clients".into(),
+                    ));
                 }
             }
             Seen::Front(false) if past(self.resumed, BACK) => {
-                broken.push(("drained", "the drain is over, and the relay still says no".into()));
+                broken.push((
+                    "drained",
+                    "the drain is over, and the relay still says no".into(),
+                ));
             }
             Seen::HeldInDrain(many) if past(self.drained, EMPTY) && facts.stopping.is_none() => {
-                broken.push(("drained", format!("a drained relay holds {many} connections of clients")));
+                broken.push((
+                    "drained",
+                    format!("a drained relay holds {many} connections of clients"),
+                ));
+            }
+            Seen::DoorSilent => {
+                broken.push(("door", "a call got no answer within its time".into()))
             }
-            Seen::DoorSilent => broken.push(("door", "a call got no answer within its time".into())),
             _ => {}
         }
     }
--- a/crates/sim/src/rules/drains.rs
+++ b/crates/sim/src/rules/drains.rs
@@ -28,7 +28,10 @@
                     .get(host)
                     .is_some_and(|told| call.begun > *told + facts.rules.drain_grace + SLACK)
                 {
-                    broken.push(("drains", format!("{} went to {host}, which drains", call.id)));
+                    broken.push((
+                        "drains",
+                        format!("{} went to {host}, which drains", call.id),
+                    ));
                 }
             }
             _ => {}
--- a/crates/sim/src/rules/effects.rs
+++ b/crates/sim/src/rules/effects.rs
@@ -11,7 +11,9 @@
             Seen::Called(call, holds) => {
                 let (host, _, zone) = &call.host;
                 let id = &call.id;
-                let Some(message) = facts.messages.get(id) else { return };
+                let Some(message) = facts.messages.get(id) else {
+                    return;
+                };
                 let out = message.calls.iter().find(|c| {
                     // A process that is gone holds nothing.
                     c.is_out() && c.process == facts.process && holds(c.conn)
@@ -29,7 +31,8 @@
                 match (message.handed.repeat, ran) {
                     (Repeat::Unsafe, Some(first)) => {
                         let first = first.whole.as_secs_f64();
-                        let what = format!("unsafe {id} went again, a call of {first:.3} may have run");
+                        let what =
+                            format!("unsafe {id} went again, a call of {first:.3} may have run");
                         broken.push(("no double effect", what));
                     }
                     (Repeat::Keyed { window, zone_only }, Some(first)) => {
@@ -39,19 +42,25 @@
                             broken.push(("no double effect", what));
                         }
                         if zone_only && first.zone != *zone {
-                            let what = format!("keyed {id} went to zone {zone} after {}", first.zone);
+                            let what =
+                                format!("keyed {id} went to zone {zone} after {}", first.zone);
                             broken.push(("no double effect", what));
                         }
                     }
                     _ => {}
                 }
                 if message.calls.len() >= message.attempts {
-                    broken
-                        .push(("attempts", format!("{id} has its call number {}", message.calls.len() + 1)));
+                    broken.push((
+                        "attempts",
+                        format!("{id} has its call number {}", message.calls.len() + 1),
+                    ));
                 }
             }
             Seen::Noticed(id, "deferred") => {
-                let message = facts.messages.get(*id).filter(|message| message.notice.is_none());
+                let message = facts
+                    .messages
+                    .get(*id)
+                    .filter(|message| message.notice.is_none());
                 let Some(message) = message else { return };
                 let ran = message.calls.iter().any(|c| c.may_have_run());
                 let harmful = match message.handed.repeat {
@@ -60,7 +69,10 @@
                     Repeat::Unsafe => ran,
                 };
                 if harmful {
-                    broken.push(("no double effect", format!("{id} is refused though it may have run")));
+                    broken.push((
+                        "no double effect",
+                        format!("{id} is refused though it may have run"),
+                    ));
                 }
             }
             _ => {}
--- a/crates/sim/src/rules/ends.rs
+++ b/crates/sim/src/rules/ends.rs
@@ -20,26 +20,43 @@
         let now = facts.now;
         match seen {
             Seen::Read(name) => {
-                let Some((_, call)) = facts.call(name) else { return };
-                if call.process == facts.process && matches!(call.verdict, Some((_, Verdict::Delivered))) {
-                    self.known.entry(name.id.clone()).or_insert((now, facts.process));
+                let Some((_, call)) = facts.call(name) else {
+                    return;
+                };
+                if call.process == facts.process
+                    && matches!(call.verdict, Some((_, Verdict::Delivered)))
+                {
+                    self.known
+                        .entry(name.id.clone())
+                        .or_insert((now, facts.process));
                 }
             }
             Seen::Called(call, _) => {
                 let ((host, _, _), id) = (&call.host, &call.id);
-                let Some(message) = facts.messages.get(id) else { return };
+                let Some(message) = facts.messages.get(id) else {
+                    return;
+                };
                 // A call that was given up may be answered 200 after all; what a resend may do is judged by what
                 // took effect.
                 let resent = |notice| facts.rules.kept && notice == Notice::Undeliverable;
                 let given_up = message.notice.is_some_and(|(_, how)| resent(how));
-                let known = self.known.get(id).filter(|(_, by)| *by == facts.process && !given_up);
+                let known = self
+                    .known
+                    .get(id)
+                    .filter(|(_, by)| *by == facts.process && !given_up);
                 if known.is_some_and(|(known, _)| *known + SLACK < call.begun) {
-                    let what = format!("{id} went to {host} after the relay was told of its delivery");
+                    let what =
+                        format!("{id} went to {host} after the relay was told of its delivery");
                     broken.push(("one end", what));
                 }
-                let over = message.notice.filter(|(at, how)| *at + SLACK < call.begun && !resent(*how));
+                let over = message
+                    .notice
+                    .filter(|(at, how)| *at + SLACK < call.begun && !resent(*how));
                 if let Some((at, _)) = over {
-                    let what = format!("{id} went to {host} after its notice of {:.3}", at.as_secs_f64());
+                    let what = format!(
+                        "{id} went to {host} after its notice of {:.3}",
+                        at.as_secs_f64()
+                    );
                     broken.push(("one end", what));
                 }
             }
@@ -61,7 +78,10 @@
         };
         if let Some((_, before)) = message.notice {
             if before != notice {
-                broken.push(("one end", format!("{id} is {notice:?}, and was {before:?} before")));
+                broken.push((
+                    "one end",
+                    format!("{id} is {notice:?}, and was {before:?} before"),
+                ));
             }
             return;
         }
@@ -74,9 +94,16 @@
             *by == facts.process && *known > facts.born && unexcused
         });
         let Some((known, _)) = late else { return };
-        if !facts.deaf.iter().any(|(from, until)| *from < facts.now && known < until) {
+        if !facts
+            .deaf
+            .iter()
+            .any(|(from, until)| *from < facts.now && known < until)
+        {
             let known = known.as_secs_f64();
-            broken.push(("one end", format!("{id} gets a notice, and was delivered at {known:.3}")));
+            broken.push((
+                "one end",
+                format!("{id} gets a notice, and was delivered at {known:.3}"),
+            ));
         }
     }
 }
--- a/crates/sim/src/rules/facts.rs
+++ b/crates/sim/src/rules/facts.rs
@@ -425,7 +425,11 @@
     }
 
     fn excuse(&mut self) {
-        if self.excused.last().is_none_or(|(_, until)| *until != Duration::MAX) {
+        if self
+            .excused
+            .last()
+            .is_none_or(|(_, until)| *until != Duration::MAX)
+        {
             self.excused.push((self.now, Duration::MAX));
         }
     }
@@ -439,7 +443,10 @@
                 self.stopping = None;
             }
             Seen::Ready => {
-                if let Some((_, until)) = self.excused.last_mut().filter(|(_, until)| *until == Duration::MAX)
+                if let Some((_, until)) = self
+                    .excused
+                    .last_mut()
+                    .filter(|(_, until)| *until == Duration::MAX)
                 {
                     *until = now + READY;
                 }
@@ -476,7 +483,9 @@
                 message.handed.due = message.handed.due.max(handed.due);
             }
             Seen::Answered(id, line) => {
-                let Some(message) = self.messages.get_mut(*id) else { return };
+                let Some(message) = self.messages.get_mut(*id) else {
+                    return;
+                };
                 if !line.starts_with('+') {
                     message.turned_away[usize::from(!line.starts_with("-BUSY"))].push(now);
                 }
@@ -492,12 +501,18 @@
                 }
             }
             Seen::Abandoned(id) => {
-                if let Some(message) = self.messages.get_mut(*id).filter(|message| message.taken.is_none()) {
+                if let Some(message) = self
+                    .messages
+                    .get_mut(*id)
+                    .filter(|message| message.taken.is_none())
+                {
                     message.abandoned = true;
                 }
             }
             Seen::Called(call, _) => {
-                let Some(message) = self.messages.get_mut(&call.id) else { return };
+                let Some(message) = self.messages.get_mut(&call.id) else {
+                    return;
+                };
                 message.calls.push(Call {
                     conn: call.conn,
                     zone: call.host.2.clone(),
@@ -509,7 +524,9 @@
                 });
             }
             Seen::Answers(name, verdict) => {
-                let Some(message) = self.messages.get_mut(&name.id) else { return };
+                let Some(message) = self.messages.get_mut(&name.id) else {
+                    return;
+                };
                 if let Some(call) = message.calls.get_mut(name.number) {
                     call.verdict.get_or_insert((now, *verdict));
                 }
@@ -531,7 +548,11 @@
                     "deferred" => Notice::Deferred,
                     _ => return,
                 };
-                if let Some(message) = self.messages.get_mut(*id).filter(|message| message.notice.is_none()) {
+                if let Some(message) = self
+                    .messages
+                    .get_mut(*id)
+                    .filter(|message| message.notice.is_none())
+                {
                     message.notice = Some((now, notice));
                     self.open.remove(*id);
                 }
--- a/crates/sim/src/rules/kept.rs
+++ b/crates/sim/src/rules/kept.rs
@@ -21,7 +21,10 @@
                 self.times.insert((*id).into(), *times);
                 let repeat = facts.messages.get(*id).map(|message| message.handed.repeat);
                 if *times > 1 && repeat.is_some_and(|repeat| repeat != Repeat::Safe) {
-                    broken.push(("applied once", format!("{id} took effect for the time {times}")));
+                    broken.push((
+                        "applied once",
+                        format!("{id} took effect for the time {times}"),
+                    ));
                 }
             }
             Seen::RecordShown(id, state) => {
@@ -36,15 +39,22 @@
 
 impl Kept {
     fn judge(&self, facts: &Facts, broken: &mut Broken) {
-        let failed =
-            |message: &super::facts::Message| matches!(message.notice, Some((_, Notice::Undeliverable)));
+        let failed = |message: &super::facts::Message| {
+            matches!(message.notice, Some((_, Notice::Undeliverable)))
+        };
         for (id, _) in facts.messages.iter().filter(|(_, message)| failed(message)) {
             let times = self.times.get(id).copied().unwrap_or(0);
             match self.shown.get(id).map(String::as_str) {
                 None if facts.rules.store_spoilt => {}
-                None => broken.push(("accounted for", format!("{id} was given up and has no record"))),
+                None => broken.push((
+                    "accounted for",
+                    format!("{id} was given up and has no record"),
+                )),
                 Some("delivered" | "applied-before") if times == 0 => {
-                    broken.push(("accounted for", format!("{id} is closed as done and never took effect")));
+                    broken.push((
+                        "accounted for",
+                        format!("{id} is closed as done and never took effect"),
+                    ));
                 }
                 Some(_) => {}
             }
--- a/crates/sim/src/rules/leaving.rs
+++ b/crates/sim/src/rules/leaving.rs
@@ -58,10 +58,15 @@
             Seen::Listed(host, true, _) | Seen::Told(host, true) => drop(self.hosts.remove(*host)),
             Seen::Listed(host, false, told) => {
                 let told = self.fell.map_or(*told, |fell| (fell + SILENT).max(*told));
-                self.hosts.entry((*host).into()).or_insert(Left { told, sent: None });
+                self.hosts
+                    .entry((*host).into())
+                    .or_insert(Left { told, sent: None });
             }
             Seen::Told(host, false) => {
-                let left = self.hosts.entry((*host).into()).or_insert(Left { told: now, sent: None });
+                let left = self.hosts.entry((*host).into()).or_insert(Left {
+                    told: now,
+                    sent: None,
+                });
                 left.sent.get_or_insert(now);
             }
             Seen::Silent(true) => (self.silent, self.fell) = (Some(now), Some(now)),
@@ -79,19 +84,25 @@
             Seen::Gone => {
                 self.fell = None;
                 // What came just before may not have been kept.
-                let unkept =
-                    self.hosts.values_mut().filter(|left| left.sent.is_some_and(|at| at + NOT_KEPT >= now));
+                let unkept = self
+                    .hosts
+                    .values_mut()
+                    .filter(|left| left.sent.is_some_and(|at| at + NOT_KEPT >= now));
                 unkept.for_each(|left| left.sent = None);
             }
             Seen::Deaf(from, _) => self.not_before(*from + MOVED),
             Seen::Called(call, _) => {
                 let asks = self.silent.is_some() || self.waits > 0;
-                let left = self.hosts.get(&call.host.0).filter(|left| left.sent.is_some() || !asks);
+                let left = self
+                    .hosts
+                    .get(&call.host.0)
+                    .filter(|left| left.sent.is_some() || !asks);
                 if let Some(left) =
                     left.filter(|left| call.begun > left.since() + facts.rules.drain_grace + SLACK)
                 {
                     let late = (call.begun - left.since()).as_millis();
-                    let text = format!("{} went to {}, told {late} ms before", call.id, call.host.0);
+                    let text =
+                        format!("{} went to {}, told {late} ms before", call.id, call.host.0);
                     broken.push(("leaving", text));
                 }
             }
--- a/crates/sim/src/rules/lost.rs
+++ b/crates/sim/src/rules/lost.rs
@@ -21,14 +21,20 @@
     fn see(&mut self, facts: &Facts, seen: &Seen<'_>, broken: &mut Broken) {
         match seen {
             Seen::Read(name) => {
-                let Some((message, call)) = facts.call(name) else { return };
-                let Some((told, Verdict::MayHaveRun)) = call.verdict else { return };
+                let Some((message, call)) = facts.call(name) else {
+                    return;
+                };
+                let Some((told, Verdict::MayHaveRun)) = call.verdict else {
+                    return;
+                };
                 if call.process == facts.process && message.handed.repeat == Repeat::Unsafe {
                     self.spent.entry(name.id.clone()).or_insert(told);
                 }
             }
             Seen::Closed(name) => {
-                let Some((message, call)) = facts.call(name) else { return };
+                let Some((message, call)) = facts.call(name) else {
+                    return;
+                };
                 if call.is_out() && message.handed.repeat == Repeat::Unsafe {
                     self.spent.entry(name.id.clone()).or_insert(facts.now);
                 }
@@ -43,10 +49,15 @@
     /// Looks at what must have happened by now.
     fn pass(&self, facts: &Facts, broken: &mut Broken) {
         let late = |since: Duration, patience: Duration| {
-            facts.excused_until(since, patience).saturating_add(patience) < facts.now
+            facts
+                .excused_until(since, patience)
+                .saturating_add(patience)
+                < facts.now
         };
         for id in facts.open.iter().rev() {
-            let Some(message) = facts.messages.get(id) else { continue };
+            let Some(message) = facts.messages.get(id) else {
+                continue;
+            };
             let due = message.handed.due.max(message.taken.unwrap_or_default());
             if late(due, GRACE + SLACK) {
                 let due = message.handed.due.as_secs_f64();
@@ -54,8 +65,10 @@
             }
             if let Some(spent) = self.spent.get(id).filter(|spent| late(**spent, AT_ONCE)) {
                 let spent = spent.as_secs_f64();
-                return broken
-                    .push(("at once", format!("{id} can't go again since {spent:.3} and has no end")));
+                return broken.push((
+                    "at once",
+                    format!("{id} can't go again since {spent:.3} and has no end"),
+                ));
             }
         }
     }
--- a/crates/sim/src/rules/process.rs
+++ b/crates/sim/src/rules/process.rs
@@ -14,7 +14,9 @@
     fn see(&mut self, facts: &Facts, seen: &Seen<'_>, broken: &mut Broken) {
         let now = facts.now;
         match seen {
-            Seen::EndedByItself(Err(line)) => broken.push(("crash", format!("the relay ended: {line}"))),
+            Seen::EndedByItself(Err(line)) => {
+                broken.push(("crash", format!("the relay ended: {line}")))
+            }
             Seen::EndedByItself(Ok(())) if facts.stopping.is_none() => {
                 broken.push(("crash", "the relay ended without being told to".into()));
             }
@@ -26,13 +28,19 @@
             Seen::Garbled(since, false) => {
                 let excused = |(from, until): &(Duration, Duration)| *from <= now && since <= until;
                 if !facts.excused.iter().any(excused) {
-                    broken.push(("bad input", "what can't be read got no error line and no close".into()));
+                    broken.push((
+                        "bad input",
+                        "what can't be read got no error line and no close".into(),
+                    ));
                 }
             }
             Seen::Pass => {
                 if let Some(since) = facts.stopping.filter(|since| *since + STOP < now) {
                     let since = since.as_secs_f64();
-                    broken.push(("stop", format!("the process told to stop at {since:.3} goes on")));
+                    broken.push((
+                        "stop",
+                        format!("the process told to stop at {since:.3} goes on"),
+                    ));
                 }
             }
             _ => {}
--- a/crates/sim/src/rules/returns.rs
+++ b/crates/sim/src/rules/returns.rs
@@ -30,7 +30,10 @@
 impl Returns {
     /// Looks at what passed round a relay, of which all facts are known.
     pub fn see<'f>(
-        &mut self, mut all: impl Iterator<Item = &'f Facts>, relay: usize, seen: &Seen<'_>,
+        &mut self,
+        mut all: impl Iterator<Item = &'f Facts>,
+        relay: usize,
+        seen: &Seen<'_>,
         broken: &mut Broken,
     ) {
         let Some(facts) = all.nth(relay) else { return };
@@ -38,7 +41,9 @@
             Seen::Outage(block, down) => self.outage(facts.now, *block, *down),
             Seen::Gone => {
                 for outage in self.outages.values_mut() {
-                    if facts.disk_full || outage.back.is_some_and(|back| back + NOT_KEPT >= facts.now) {
+                    if facts.disk_full
+                        || outage.back.is_some_and(|back| back + NOT_KEPT >= facts.now)
+                    {
                         outage.told.remove(&relay);
                     }
                 }
@@ -55,11 +60,15 @@
                 let budget = self.budget(facts, block, call.begun);
                 let recent = self.recent.entry(block).or_default();
                 recent.push_back((call.begun, relay));
-                while recent.front().is_some_and(|(first, _)| *first + facts.rules.overload_for < call.begun)
+                while recent
+                    .front()
+                    .is_some_and(|(first, _)| *first + facts.rules.overload_for < call.begun)
                 {
                     recent.pop_front();
                 }
-                let (Some((since, most)), Some(outage)) = (budget, self.outages.get(&block)) else { return };
+                let (Some((since, most)), Some(outage)) = (budget, self.outages.get(&block)) else {
+                    return;
+                };
                 let in_span = recent.iter().filter(|(at, _)| *at >= since);
                 let (count, told) = in_span.fold((0, 0), |(count, told), (_, relay)| {
                     (count + 1, told + usize::from(outage.told.contains(relay)))
@@ -75,20 +84,34 @@
 
     fn outage(&mut self, now: Duration, block: u16, down: bool) {
         match self.outages.get_mut(&block) {
-            Some(Outage { since, back: None, .. }) if !down && *since + OUTAGE > now => {
+            Some(Outage {
+                since, back: None, ..
+            }) if !down && *since + OUTAGE > now => {
                 self.outages.remove(&block);
             }
-            Some(Outage { back: back @ None, .. }) if !down => *back = Some(now),
+            Some(Outage {
+                back: back @ None, ..
+            }) if !down => *back = Some(now),
             Some(Outage { back: None, .. }) => {}
             _ if down => {
-                self.outages.insert(block, Outage { since: now, back: None, told: BTreeSet::new() });
+                self.outages.insert(
+                    block,
+                    Outage {
+                        since: now,
+                        back: None,
+                        told: BTreeSet::new(),
+                    },
+                );
             }
             _ => {}
         }
     }
 
     fn trouble(&mut self, facts: &Facts, relay: usize, name: &CallName) {
-        let block = facts.messages.get(&name.id).map(|message| message.handed.destination);
+        let block = facts
+            .messages
+            .get(&name.id)
+            .map(|message| message.handed.destination);
         let outage = block.and_then(|block| self.outages.get_mut(&block));
         if let Some(outage) = outage.filter(|outage| outage.back.is_none()) {
             outage.told.insert(relay);
@@ -98,7 +121,10 @@
     /// Since when a destination that is back counts, and how many calls it takes in that span.
     fn budget(&self, facts: &Facts, block: u16, at: Duration) -> Option<(Duration, f64)> {
         let rules = &facts.rules;
-        let outage = self.outages.get(&block).filter(|outage| !outage.told.is_empty())?;
+        let outage = self
+            .outages
+            .get(&block)
+            .filter(|outage| !outage.told.is_empty())?;
         let back = outage.back.filter(|back| *back <= at)?;
         let from = at.saturating_sub(rules.overload_for).max(back);
         let cold = rules.cold.as_secs_f64().max(1e-3);
--- a/crates/sim/src/rules/shares.rs
+++ b/crates/sim/src/rules/shares.rs
@@ -74,7 +74,12 @@
             return;
         }
         if self.weights.is_empty() {
-            self.weights = facts.rules.tenants.iter().map(|(name, w)| (name.clone(), (*w, false))).collect();
+            self.weights = facts
+                .rules
+                .tenants
+                .iter()
+                .map(|(name, w)| (name.clone(), (*w, false)))
+                .collect();
         }
         let now = facts.now;
         match seen {
@@ -85,8 +90,16 @@
                 *bound = true;
                 self.unsettle(now);
             }
-            Seen::TenantTold { tenant, standing: Some(standing), .. }
-            | Seen::TenantShown { tenant, standing: Some(standing), .. } => {
+            Seen::TenantTold {
+                tenant,
+                standing: Some(standing),
+                ..
+            }
+            | Seen::TenantShown {
+                tenant,
+                standing: Some(standing),
+                ..
+            } => {
                 let bound = standing.capped || standing.state != "active";
                 let generation = self.generations.entry((*tenant).into()).or_insert(1);
                 if standing.version.0 > *generation {
@@ -94,12 +107,18 @@
                     let elder = self.weights.get(*tenant).map_or(0, |(weight, _)| *weight);
                     self.elders.push((now + DRAINS, elder));
                 }
-                let before = self.weights.insert((*tenant).into(), (standing.weight, bound));
+                let before = self
+                    .weights
+                    .insert((*tenant).into(), (standing.weight, bound));
                 if before != Some((standing.weight, bound)) {
                     self.unsettle(now);
                 }
             }
-            Seen::Started(_) | Seen::Ready | Seen::ToldToStop | Seen::Gone | Seen::KeepsNothing(_) => {
+            Seen::Started(_)
+            | Seen::Ready
+            | Seen::ToldToStop
+            | Seen::Gone
+            | Seen::KeepsNothing(_) => {
                 self.unsettle(now);
                 self.asking.clear();
             }
@@ -109,7 +128,11 @@
             }
             Seen::HandedIn(handed) => drop(self.handed.insert(handed.tenant.clone(), now)),
             Seen::Answered(id, line) => {
-                let Some(message) = facts.messages.get(*id).filter(|message| message.taken.is_none()) else {
+                let Some(message) = facts
+                    .messages
+                    .get(*id)
+                    .filter(|message| message.taken.is_none())
+                else {
                     return;
                 };
                 if line.starts_with('+') && could_go(message) {
@@ -119,10 +142,16 @@
                 }
             }
             Seen::Noticed(id, "deferred") => {
-                let Some(message) = facts.messages.get(*id).filter(|m| m.notice.is_none()) else { return };
+                let Some(message) = facts.messages.get(*id).filter(|m| m.notice.is_none()) else {
+                    return;
+                };
                 self.leaves(message);
                 // Its attempts may be over, of which those that reach no host are not seen.
-                let down = self.down.get(&message.handed.destination).copied().unwrap_or(false);
+                let down = self
+                    .down
+                    .get(&message.handed.destination)
+                    .copied()
+                    .unwrap_or(false);
                 if facts.rules.attempts >= MANY && now < message.handed_at + SOON && !down {
                     self.refused(facts, id, message, broken);
                 }
@@ -133,13 +162,19 @@
                 }
             }
             Seen::Called(call, _) => {
-                let Some(message) = facts.messages.get(&call.id) else { return };
+                let Some(message) = facts.messages.get(&call.id) else {
+                    return;
+                };
                 self.leaves(message);
                 self.called(facts, message, broken);
             }
-            Seen::Answers(name, Verdict::Delivered | Verdict::MayHaveRun | Verdict::NeverRan(_))
+            Seen::Answers(
+                name,
+                Verdict::Delivered | Verdict::MayHaveRun | Verdict::NeverRan(_),
+            )
             | Seen::Closed(name) => {
-                let Some((message, call)) = facts.call(name).filter(|(_, call)| call.is_out()) else {
+                let Some((message, call)) = facts.call(name).filter(|(_, call)| call.is_out())
+                else {
                     return;
                 };
                 *self.used.entry(message.handed.tenant.clone()).or_default() +=
@@ -158,7 +193,12 @@
 
     /// What is counted of some who ask begins anew.
     fn restart(&mut self, which: impl Fn(&(u16, String)) -> bool) {
-        for (_, asks) in self.asking.iter_mut().filter(|(key, _)| which(key)).map(|(_, value)| value) {
+        for (_, asks) in self
+            .asking
+            .iter_mut()
+            .filter(|(key, _)| which(key))
+            .map(|(_, value)| value)
+        {
             *asks = Asks::default();
         }
     }
@@ -168,11 +208,20 @@
         let mut own = self.used.get(tenant).copied().unwrap_or_default();
         let mut all: Duration = self.used.values().sum();
         for id in &facts.open {
-            let Some(message) = facts.messages.get(id) else { continue };
-            let out = message.calls.iter().filter(|call| call.is_out() && call.process == facts.process);
+            let Some(message) = facts.messages.get(id) else {
+                continue;
+            };
+            let out = message
+                .calls
+                .iter()
+                .filter(|call| call.is_out() && call.process == facts.process);
             let out: Duration = out.map(|call| facts.now - call.whole).sum();
             all += out;
-            own += if message.handed.tenant == tenant { out } else { Duration::ZERO };
+            own += if message.handed.tenant == tenant {
+                out
+            } else {
+                Duration::ZERO
+            };
         }
         (own, all)
     }
@@ -180,9 +229,16 @@
     fn asks(&mut self, facts: &Facts, message: &Message) {
         let tenant = message.handed.tenant.clone();
         let (slots, all_slots) = self.slots(facts, &tenant);
-        let (count, asks) = self.asking.entry((message.handed.destination, tenant)).or_default();
+        let (count, asks) = self
+            .asking
+            .entry((message.handed.destination, tenant))
+            .or_default();
         if *count == 0 {
-            *asks = Asks { slots, all_slots, ..Asks::default() };
+            *asks = Asks {
+                slots,
+                all_slots,
+                ..Asks::default()
+            };
         }
         *count += 1;
     }
@@ -199,13 +255,19 @@
 
     /// Weights of the elders that may still be there, together.
     fn elders(&self, now: Duration) -> u64 {
-        self.elders.iter().filter(|(until, _)| *until > now).map(|(_, weight)| *weight).sum()
+        self.elders
+            .iter()
+            .filter(|(until, _)| *until > now)
+            .map(|(_, weight)| *weight)
+            .sum()
     }
 
     fn share(&self, tenant: &str, now: Duration) -> f64 {
         let all: u64 = self.weights.values().map(|(weight, _)| *weight).sum();
         let all = all + self.elders(now);
-        self.weights.get(tenant).map_or(0.0, |(weight, _)| *weight as f64 / all as f64)
+        self.weights
+            .get(tenant)
+            .map_or(0.0, |(weight, _)| *weight as f64 / all as f64)
     }
 
     /// A call went out: all who ask at its destination are looked at.
@@ -217,11 +279,17 @@
             let share = self.share(&tenant, facts.now);
             let bound = self.weights.get(&tenant).is_some_and(|(_, bound)| *bound);
             let (own_slots, all_slots) = self.slots(facts, &tenant);
-            let Some((count, asks)) = self.asking.get_mut(&(block, tenant.clone())) else { continue };
+            let Some((count, asks)) = self.asking.get_mut(&(block, tenant.clone())) else {
+                continue;
+            };
             let down = self.down.get(&block).copied().unwrap_or(false);
             // Where nothing can be refused to make room, what is held of others goes first.
             if *count == 0 || bound || down || stuck + UNDER_WAY > facts.rules.most_held * 8 / 10 {
-                *asks = Asks { slots: own_slots, all_slots, ..Asks::default() };
+                *asks = Asks {
+                    slots: own_slots,
+                    all_slots,
+                    ..Asks::default()
+                };
                 continue;
             }
             asks.all += 1;
@@ -230,7 +298,8 @@
             let slots = own_slots.saturating_sub(asks.slots).as_secs_f64();
             let fair_slots = share * all_slots.saturating_sub(asks.all_slots).as_secs_f64();
             let spare = BEHIND_SLOTS * facts.rules.slots as f64;
-            if asks.all >= LEAST && asks.calls as f64 + BEHIND < fair && slots + spare < fair_slots {
+            if asks.all >= LEAST && asks.calls as f64 + BEHIND < fair && slots + spare < fair_slots
+            {
                 let what = format!(
                     "{tenant} asked all along and got {} of {} calls to {block}, its share is {fair:.1}",
                     asks.calls, asks.all
@@ -243,14 +312,17 @@
     /// Messages that may not be refused to make room for others.
     fn stuck(&self, facts: &Facts) -> usize {
         let open = facts.open.iter().filter_map(|id| facts.messages.get(id));
-        open.filter(|message| message.calls.iter().any(|call| call.may_have_run())).count()
+        open.filter(|message| message.calls.iter().any(|call| call.may_have_run()))
+            .count()
     }
 
     /// A message is refused: its tenant must hold its part, or something else must be full.
     fn refused(&self, facts: &Facts, id: &str, message: &Message, broken: &mut Broken) {
         let now = facts.now;
         let tenant = &message.handed.tenant;
-        let Some((weight, false)) = self.weights.get(tenant).copied() else { return };
+        let Some((weight, false)) = self.weights.get(tenant).copied() else {
+            return;
+        };
         let stopping = facts.stopping.is_some() || facts.excused_until(now, Duration::ZERO) > now;
         let late = now + NEARLY_DUE >= message.handed.due;
         if now < self.settled || stopping || facts.disk_full || late {
@@ -270,8 +342,9 @@
             }
             holding.insert(&message.handed.tenant);
             let size = message.handed.body.len() + facts.rules.beside;
-            let fixed =
-                reading || message.calls.iter().any(|call| call.may_have_run()) || message.taken.is_none();
+            let fixed = reading
+                || message.calls.iter().any(|call| call.may_have_run())
+                || message.taken.is_none();
             stuck += usize::from(fixed);
             bytes += if fixed { size } else { 0 };
             if message.handed.tenant == *tenant {
@@ -282,9 +355,16 @@
             let recent = self.handed.get(name).is_some_and(|at| *at + RECENT >= now);
             recent || holding.contains(name)
         };
-        let all = self.weights.iter().filter(|(name, _)| counts(name)).map(|(_, (weight, _))| weight);
+        let all = self
+            .weights
+            .iter()
+            .filter(|(name, _)| counts(name))
+            .map(|(_, (weight, _))| weight);
         let share = weight as f64 / (all.sum::<u64>() + self.elders(now)).max(weight) as f64;
-        let (most, most_bytes) = (facts.rules.most_held * 9 / 10, facts.rules.most_bytes * 9 / 10);
+        let (most, most_bytes) = (
+            facts.rules.most_held * 9 / 10,
+            facts.rules.most_bytes * 9 / 10,
+        );
         let room = stuck + UNDER_WAY < most && bytes + UNDER_WAY * facts.rules.beside < most_bytes;
         let part = own + UNDER_WAY < (share * most as f64) as usize
             && own_bytes + UNDER_WAY * facts.rules.beside < (share * most_bytes as f64) as usize;
--- a/crates/sim/src/rules/tenants.rs
+++ b/crates/sim/src/rules/tenants.rs
@@ -56,7 +56,11 @@
     fn see(&mut self, facts: &Facts, seen: &Seen<'_>, broken: &mut Broken) {
         let now = facts.now;
         match seen {
-            Seen::TenantAsked { number, tenant, asking } => {
+            Seen::TenantAsked {
+                number,
+                tenant,
+                asking,
+            } => {
                 let known = self.known.entry((*tenant).into()).or_default();
                 known.open.insert(*number, *asking);
                 self.asked.insert(*number, known.newest);
@@ -64,15 +68,25 @@
                     known.closed = None;
                     // What is under way may come after the change.
                     let of_tenant = |id: &String| {
-                        facts.messages.get(id).is_some_and(|message| message.handed.tenant == *tenant)
+                        facts
+                            .messages
+                            .get(id)
+                            .is_some_and(|message| message.handed.tenant == *tenant)
                     };
-                    self.barred.retain(|id, rule| *rule != "admission" || !of_tenant(id));
+                    self.barred
+                        .retain(|id, rule| *rule != "admission" || !of_tenant(id));
                 }
                 if *asking == Asking::Create {
                     (known.abandoned, known.born) = (None, now);
                 }
             }
-            Seen::TenantTold { number, tenant, status, standing, replayed } => {
+            Seen::TenantTold {
+                number,
+                tenant,
+                status,
+                standing,
+                replayed,
+            } => {
                 let known = self.known.entry((*tenant).into()).or_default();
                 let asking = known.open.remove(number);
                 let done = (200..300).contains(status);
@@ -80,11 +94,20 @@
                     // Not kept; it may be asked again.
                     known.open.extend(asking.map(|asking| (*number, asking)));
                 }
-                let (Some(standing), true) = (standing, done) else { return };
+                let (Some(standing), true) = (standing, done) else {
+                    return;
+                };
                 // An answer that was given before may be of a state that is past.
-                let before = self.asked.get(number).copied().filter(|_| !replayed).unwrap_or_default();
+                let before = self
+                    .asked
+                    .get(number)
+                    .copied()
+                    .filter(|_| !replayed)
+                    .unwrap_or_default();
                 self.shown(facts, tenant, standing, before, broken);
-                let Some(known) = self.known.get_mut(*tenant) else { return };
+                let Some(known) = self.known.get_mut(*tenant) else {
+                    return;
+                };
                 // With another change under way nobody can say which came last.
                 let alone = !known.maybe(opens) && known.newest == standing.version && !replayed;
                 match asking {
@@ -101,26 +124,44 @@
                 let asking = known.open.remove(number);
                 known.lost.extend(asking.map(|asking| (*number, asking)));
             }
-            Seen::TenantShown { tenant, asked, standing } => {
+            Seen::TenantShown {
+                tenant,
+                asked,
+                standing,
+            } => {
                 let history = self.history.get(*tenant).map_or(&[][..], Vec::as_slice);
-                let before = history.iter().rev().find(|(at, _)| at <= asked).map_or((0, 0), |(_, v)| *v);
+                let before = history
+                    .iter()
+                    .rev()
+                    .find(|(at, _)| at <= asked)
+                    .map_or((0, 0), |(_, v)| *v);
                 match standing {
                     Some(standing) => self.shown(facts, tenant, standing, before, broken),
                     None => {
                         let known = self.known.entry((*tenant).into()).or_default();
-                        let drains =
-                            known.told.get(&known.newest).is_some_and(|(state, _)| state == "draining");
+                        let drains = known
+                            .told
+                            .get(&known.newest)
+                            .is_some_and(|(state, _)| state == "draining");
                         // It may have been made anew since it was asked for.
                         let anew = known.born >= *asked;
-                        if !anew && !drains && !known.maybe(|asking| matches!(asking, Asking::Remove { .. }))
+                        if !anew
+                            && !drains
+                            && !known.maybe(|asking| matches!(asking, Asking::Remove { .. }))
                         {
-                            broken.push(("registry", format!("{tenant} is gone, and nobody removed it")));
+                            broken.push((
+                                "registry",
+                                format!("{tenant} is gone, and nobody removed it"),
+                            ));
                         }
                     }
                 }
             }
             Seen::HandedIn(handed) if !facts.messages.contains_key(&handed.id) => {
-                let closed = self.known.get(&handed.tenant).and_then(|known| known.closed);
+                let closed = self
+                    .known
+                    .get(&handed.tenant)
+                    .and_then(|known| known.closed);
                 if handed.impostor {
                     self.barred.insert(handed.id.clone(), "another's");
                 } else if closed.is_some_and(|closed| closed + SLACK < now) {
@@ -145,7 +186,12 @@
 impl Tenants {
     /// A tenant is told or shown in a state, when `before` was known already.
     fn shown(
-        &mut self, facts: &Facts, tenant: &str, standing: &Standing, before: Version, broken: &mut Broken,
+        &mut self,
+        facts: &Facts,
+        tenant: &str,
+        standing: &Standing,
+        before: Version,
+        broken: &mut Broken,
     ) {
         let known = self.known.entry(tenant.into()).or_default();
         let version = standing.version;
@@ -163,33 +209,49 @@
         known.told.insert(version, content);
         if version > known.newest {
             known.newest = version;
-            self.history.entry(tenant.into()).or_default().push((facts.now, version));
+            self.history
+                .entry(tenant.into())
+                .or_default()
+                .push((facts.now, version));
         }
     }
 
     /// What a tenant that is told to end at once holds is to have its end.
     fn pass(&self, facts: &Facts, broken: &mut Broken) {
-        let abandoned =
-            self.known.iter().filter_map(|(name, known)| Some((name, known.born, known.abandoned?)));
+        let abandoned = self
+            .known
+            .iter()
+            .filter_map(|(name, known)| Some((name, known.born, known.abandoned?)));
         for (tenant, born, since) in abandoned {
             for id in &facts.open {
-                let Some(message) = facts.messages.get(id).filter(|m| m.handed.tenant == *tenant) else {
+                let Some(message) = facts
+                    .messages
+                    .get(id)
+                    .filter(|m| m.handed.tenant == *tenant)
+                else {
                     continue;
                 };
                 // Those of one that was removed before it end as that one's specification says.
-                let before = message.taken.is_some_and(|taken| taken < since) && message.handed_at >= born;
+                let before =
+                    message.taken.is_some_and(|taken| taken < since) && message.handed_at >= born;
                 if !before || message.calls.iter().any(|call| call.is_out()) {
                     continue;
                 }
-                let last =
-                    message.calls.iter().filter_map(|call| call.ended.max(call.verdict.map(|(at, _)| at)));
+                let last = message
+                    .calls
+                    .iter()
+                    .filter_map(|call| call.ended.max(call.verdict.map(|(at, _)| at)));
                 // A call that nothing gets through to is not seen.
                 let trouble = self.down.get(&message.handed.destination);
-                let Some(over) = trouble.copied().unwrap_or(Some(Duration::ZERO)) else { continue };
+                let Some(over) = trouble.copied().unwrap_or(Some(Duration::ZERO)) else {
+                    continue;
+                };
                 let since = last.max().unwrap_or_default().max(since).max(over);
                 if facts.excused_until(since, AT_ONCE).saturating_add(AT_ONCE) < facts.now {
                     let since = since.as_secs_f64();
-                    let what = format!("{id} of {tenant}, which ends at once since {since:.3}, has no end");
+                    let what = format!(
+                        "{id} of {tenant}, which ends at once since {since:.3}, has no end"
+                    );
                     return broken.push(("abandoned", what));
                 }
             }
--- a/crates/sim/src/rules/untried.rs
+++ b/crates/sim/src/rules/untried.rs
@@ -74,18 +74,30 @@
             Seen::Told(host, false) | Seen::Listed(host, false, _) => {
                 self.away.insert(host.to_string());
             }
-            Seen::TenantAsked { tenant, asking: Asking::Remove { .. }, .. } => {
+            Seen::TenantAsked {
+                tenant,
+                asking: Asking::Remove { .. },
+                ..
+            } => {
                 self.removed.insert(tenant.to_string());
             }
             Seen::Outage(destination, true) => {
-                self.outages.entry(*destination).or_default().push((facts.now, None));
+                self.outages
+                    .entry(*destination)
+                    .or_default()
+                    .push((facts.now, None));
             }
             Seen::Outage(destination, false) => {
-                let last = self.outages.get_mut(destination).and_then(|outages| outages.last_mut());
+                let last = self
+                    .outages
+                    .get_mut(destination)
+                    .and_then(|outages| outages.last_mut());
                 last.into_iter().for_each(|last| last.1 = Some(facts.now));
             }
             Seen::Noticed(id, _) => {
-                let Some(found) = self.open.remove(*id) else { return };
+                let Some(found) = self.open.remove(*id) else {
+                    return;
+                };
                 let handed = facts.messages.get(*id).map(|message| &message.handed);
                 let stands = handed.is_some_and(|handed| self.stands(handed.destination));
                 // One that ends at its time after a destination refused all connections for most of what was left could not
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -108,7 +108,10 @@
 
 /// Where a relay's discovery answers after so many reloads: each has an agent of its own.
 pub fn discovery_address(relay: usize, moves: u16) -> SocketAddr {
-    SocketAddr::from(([10, 200, (relay / 200) as u8, 1 + (relay % 200) as u8], DISCOVERY_PORT + moves))
+    SocketAddr::from((
+        [10, 200, (relay / 200) as u8, 1 + (relay % 200) as u8],
+        DISCOVERY_PORT + moves,
+    ))
 }
 
 struct Class {
@@ -131,14 +134,25 @@
                 let address = SocketAddr::from(([10, 1, *block as u8, number as u8 + 1], 8080));
                 let takes = if slow { (50, 400) } else { (3, 60) };
                 let zone = if number == 0 { "a" } else { "b" };
-                hosts.push(HostPlan { name, block: *block, zone, address, takes });
+                hosts.push(HostPlan {
+                    name,
+                    block: *block,
+                    zone,
+                    address,
+                    takes,
+                });
             }
         }
         let zone_only = dice.percent(30);
         let window = Duration::from_millis(dice.between(2_000, 20_000));
         let in_order = dice.percent(60);
         let classes = [
-            Class { name: "update", repeat: Repeat::Safe, in_order, left: 6_000 },
+            Class {
+                name: "update",
+                repeat: Repeat::Safe,
+                in_order,
+                left: 6_000,
+            },
             Class {
                 name: "event",
                 repeat: Repeat::Keyed { window, zone_only },
@@ -152,7 +166,10 @@
                 left: 10_000,
             },
         ];
-        let capacity: BTreeMap<u16, f64> = blocks.iter().map(|b| (*b, dice.between(8, 60) as f64)).collect();
+        let capacity: BTreeMap<u16, f64> = blocks
+            .iter()
+            .map(|b| (*b, dice.between(8, 60) as f64))
+            .collect();
         let few = Dice::new(seed, 2).between(ATTEMPTS.0, ATTEMPTS.1 / 2);
         let attempts = if seed % 4 == 3 { few } else { ATTEMPTS.1 } as usize;
         let rules = Rules {
@@ -182,7 +199,8 @@
         let disk_mb = *dice.pick(&[0.25, 0.4, 1.0, 3.0]);
         let settings = settings(&rules, &classes, &mut dice);
         let faults = faults::draw(&mut dice, &blocks, hosts.len());
-        let number = |path: &str| settings.pointer(path).and_then(Value::as_u64).unwrap_or(0) as usize;
+        let number =
+            |path: &str| settings.pointer(path).and_then(Value::as_u64).unwrap_or(0) as usize;
         let rules = Rules {
             disk: (disk_mb * 1e6) as u64,
             slots: number("/familyInfo/callsOut"),
@@ -250,8 +268,11 @@
         hosted.fill(&mut dice, &mut script.clients, &blocks);
         script.faults.extend(faults::of_tenants(&mut dice));
         script.faults.sort_by_key(|fault| fault.from);
-        script.rules.tenants =
-            hosted.tenants.iter().map(|plan| (plan.name.clone(), u64::from(plan.weight))).collect();
+        script.rules.tenants = hosted
+            .tenants
+            .iter()
+            .map(|plan| (plan.name.clone(), u64::from(plan.weight)))
+            .collect();
         script.hosted = Some(hosted);
         script
     }
@@ -282,8 +303,17 @@
     }
 
     /// The configuration file of a relay with these settings, with discovery at an address.
-    pub fn config(&self, relay: usize, settings: &Value, known: &Value, discovery: SocketAddr) -> Value {
-        let (listen, seed) = (relay_address(relay).to_string(), format!("{:x}", self.seed + relay as u64));
+    pub fn config(
+        &self,
+        relay: usize,
+        settings: &Value,
+        known: &Value,
+        discovery: SocketAddr,
+    ) -> Value {
+        let (listen, seed) = (
+            relay_address(relay).to_string(),
+            format!("{:x}", self.seed + relay as u64),
+        );
         json!({"name": format!("n{relay}"), "listen": listen, "discovery": discovery.to_string(),
             "state": "/state", "seed": seed, "settings": settings, "known": known,
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": self.disk_mb}})
@@ -292,8 +322,14 @@
     /// When the last message is handed in, and by when all must have their end.
     pub fn ends(&self) -> Duration {
         let plans = self.clients.iter().flatten();
-        let last = plans.map(|plan| plan.at + Duration::from_millis(plan.left)).max().unwrap_or_default();
-        last + self.kept.as_ref().map_or(Duration::ZERO, |_| crate::kept::AFTER)
+        let last = plans
+            .map(|plan| plan.at + Duration::from_millis(plan.left))
+            .max()
+            .unwrap_or_default();
+        last + self
+            .kept
+            .as_ref()
+            .map_or(Duration::ZERO, |_| crate::kept::AFTER)
     }
 
     /// Messages that clients hand in, each counted once.
@@ -311,7 +347,10 @@
                 "worth": 2.0, "lateWorth": 0.4, "fifoByKey": class.in_order});
             let (effect, window, scope) = match class.repeat {
                 Repeat::Safe => ("retryable", None, "all"),
-                Repeat::Keyed { window, zone_only: true } => ("dedup", Some(window), "zone"),
+                Repeat::Keyed {
+                    window,
+                    zone_only: true,
+                } => ("dedup", Some(window), "zone"),
                 Repeat::Keyed { window, .. } => ("dedup", Some(window), "all"),
                 Repeat::Unsafe => ("fragile", None, "all"),
             };
@@ -341,7 +380,12 @@
     })
 }
 
-fn messages(dice: &mut Dice, classes: &[Class], blocks: &[u16], faults: &[Fault]) -> Vec<Vec<Plan>> {
+fn messages(
+    dice: &mut Dice,
+    classes: &[Class],
+    blocks: &[u16],
+    faults: &[Fault],
+) -> Vec<Vec<Plan>> {
     let mut clients: Vec<Vec<Plan>> = (0..CLIENTS).map(|_| Vec::new()).collect();
     let bad = faults.iter().find_map(|fault| fault.trouble.bad_clients());
     let large = dice.percent(40);
@@ -350,15 +394,26 @@
         number += 1;
         let class = dice.pick(classes);
         let habit = match bad {
-            Some(share) if dice.percent(share) => {
-                *dice.pick(&[Habit::Resends, Habit::Vanishes, Habit::Stalls, Habit::Garbles])
-            }
+            Some(share) if dice.percent(share) => *dice.pick(&[
+                Habit::Resends,
+                Habit::Vanishes,
+                Habit::Stalls,
+                Habit::Garbles,
+            ]),
             _ => Habit::Plain,
         };
         // A relay gets all messages of a key, and a client sends those of one key one after another.
         let client = dice.below(CLIENTS);
-        let order = if dice.percent(50) { client * 100 + dice.between(1, 3) } else { 0 };
-        let size = if large { dice.below(4_000) } else { dice.below(200) } as usize;
+        let order = if dice.percent(50) {
+            client * 100 + dice.between(1, 3)
+        } else {
+            0
+        };
+        let size = if large {
+            dice.below(4_000)
+        } else {
+            dice.below(200)
+        } as usize;
         clients[client as usize].push(Plan {
             at: Duration::from_millis(at),
             name: format!("m{number:04}"),
@@ -369,7 +424,11 @@
             in_order: class.in_order,
             unsafe_from: None,
             destination: block,
-            left: if dice.percent(10) { dice.between(200, 2_000) } else { class.left },
+            left: if dice.percent(10) {
+                dice.between(200, 2_000)
+            } else {
+                class.left
+            },
             size,
             habit,
         });
--- a/crates/sim/src/upgrades.rs
+++ b/crates/sim/src/upgrades.rs
@@ -74,24 +74,44 @@
 async fn play(relay: &Path, times: u32, pause: Duration) -> Result<bool, String> {
     let folder = tempfile::tempdir().map_err(|e| format!("no folder: {e}"))?;
     let held = TcpListener::bind("127.0.0.1:0").map_err(|e| format!("no loopback port: {e}"))?;
-    let listen = held.local_addr().map_err(|e| format!("no loopback port: {e}"))?;
+    let listen = held
+        .local_addr()
+        .map_err(|e| format!("no loopback port: {e}"))?;
     // Every process inherits it.
     fcntl_setfd(&held, FdFlags::empty()).map_err(|e| format!("cannot pass the port on: {e}"))?;
-    let Quick { stage, file, state, _open } = quick(folder.path(), listen, PARTNERS, LEFT)?;
+    let Quick {
+        stage,
+        file,
+        state,
+        _open,
+    } = quick(folder.path(), listen, PARTNERS, LEFT)?;
     let start = || -> Result<(Process, SocketAddr), String> {
         let door = free_address()?;
-        let variables =
-            [("BALANCER_SOCKET_FD", held.as_raw_fd().to_string()), ("BALANCER_CONTROL", door.to_string())];
+        let variables = [
+            ("BALANCER_SOCKET_FD", held.as_raw_fd().to_string()),
+            ("BALANCER_CONTROL", door.to_string()),
+        ];
         Ok((Process::with(relay, &[], &file, &state, &variables)?, door))
     };
     let system = Real;
     let (mut process, door) = start()?;
-    let ready = system.timeout(Duration::from_secs(20), until_yes(&stage, door)).await;
+    let ready = system
+        .timeout(Duration::from_secs(20), until_yes(&stage, door))
+        .await;
     ready.map_err(|_| format!("{} does not get ready", relay.display()))?;
-    let (book, door, stop) =
-        (Rc::<RefCell<Book>>::default(), Rc::new(Cell::new(door)), Rc::new(Cell::new(false)));
+    let (book, door, stop) = (
+        Rc::<RefCell<Book>>::default(),
+        Rc::new(Cell::new(door)),
+        Rc::new(Cell::new(false)),
+    );
     for number in 0..CLIENTS {
-        system.spawn(client(listen, number, pause, Rc::clone(&book), stop.clone()));
+        system.spawn(client(
+            listen,
+            number,
+            pause,
+            Rc::clone(&book),
+            stop.clone(),
+        ));
     }
     for word in ["ready", "show-stat"] {
         system.spawn(caller(door.clone(), word, Rc::clone(&book)));
@@ -102,7 +122,9 @@
         let began = Instant::now();
         book.borrow_mut().in_upgrade = true;
         let (mut new, new_door) = start()?;
-        let ready = system.timeout(Duration::from_secs(20), until_yes(&stage, new_door)).await;
+        let ready = system
+            .timeout(Duration::from_secs(20), until_yes(&stage, new_door))
+            .await;
         ready.map_err(|_| format!("a new version does not get ready; it {}", new.told()))?;
         took.push(began.elapsed());
         door.set(new_door);
@@ -130,29 +152,59 @@
         let first = taken.partition_point(|at| at < from).saturating_sub(1);
         let last = (taken.partition_point(|at| at < until) + 1).min(taken.len());
         let pairs = taken.get(first..last).unwrap_or_default().windows(2);
-        pairs.map(|pair| pair[1] - pair[0]).max().unwrap_or(*until - *from)
+        pairs
+            .map(|pair| pair[1] - pair[0])
+            .max()
+            .unwrap_or(*until - *from)
     };
     spans.iter().map(longest).collect()
 }
 
 fn report(book: &Book, took: Vec<Duration>, spans: &[(Instant, Instant)]) -> bool {
-    let Book { taken, turned_away, lost, door, silent, .. } = book;
+    let Book {
+        taken,
+        turned_away,
+        lost,
+        door,
+        silent,
+        ..
+    } = book;
     let of = |how: Lost| lost.iter().filter(|(_, lost)| *lost == how).count();
-    let within =
-        |(from, until): &(Instant, Instant)| lost.iter().filter(|(at, _)| from <= at && at < until).count();
+    let within = |(from, until): &(Instant, Instant)| {
+        lost.iter()
+            .filter(|(at, _)| from <= at && at < until)
+            .count()
+    };
     let each: Vec<usize> = spans.iter().map(within).collect();
-    let (in_one, outside) =
-        (each.iter().copied().max().unwrap_or(0), lost.len() - each.iter().sum::<usize>());
+    let (in_one, outside) = (
+        each.iter().copied().max().unwrap_or(0),
+        lost.len() - each.iter().sum::<usize>(),
+    );
     // The time before an upgrade, as long as the shortest wait, is what upgrades are held against.
-    let quiet: Vec<(Instant, Instant)> =
-        spans.iter().map(|(from, _)| (*from - BETWEEN + Duration::from_millis(100), *from)).collect();
-    println!("{} upgrades, {} messages taken on, {turned_away} turned away", spans.len(), taken.len());
+    let quiet: Vec<(Instant, Instant)> = spans
+        .iter()
+        .map(|(from, _)| (*from - BETWEEN + Duration::from_millis(100), *from))
+        .collect();
+    println!(
+        "{} upgrades, {} messages taken on, {turned_away} turned away",
+        spans.len(),
+        taken.len()
+    );
     let (refused, reset, unread) = (of(Lost::Refused), of(Lost::Reset), of(Lost::Unread));
     println!("connections: {refused} refused, {reset} reset, {unread} unread; {in_one} at most in an upgrade, {outside} outside");
     line("start until yes", took);
-    line("longest time between two messages taken on, in an upgrade", gaps(taken, spans));
+    line(
+        "longest time between two messages taken on, in an upgrade",
+        gaps(taken, spans),
+    );
     line("the same in 0.6 s before each", gaps(taken, &quiet));
-    line(&format!("answers at the door ({}; {silent} calls without)", door.len()), door.clone());
+    line(
+        &format!(
+            "answers at the door ({}; {silent} calls without)",
+            door.len()
+        ),
+        door.clone(),
+    );
     in_one <= MOST && outside == 0
 }
 
@@ -163,18 +215,34 @@
             .get((times.len() * share).div_ceil(100).saturating_sub(1))
             .map_or(0.0, |t| t.as_secs_f64() * 1e3)
     };
-    println!("{what}: p50 {:.1} ms, p99 {:.1} ms, longest {:.1} ms", ms(50), ms(99), ms(100));
+    println!(
+        "{what}: p50 {:.1} ms, p99 {:.1} ms, longest {:.1} ms",
+        ms(50),
+        ms(99),
+        ms(100)
+    );
 }
 
 /// Hands messages in until it is to stop; one that is lost is handed in again.
-async fn client(at: SocketAddr, number: u64, pause: Duration, book: Rc<RefCell<Book>>, stop: Rc<Cell<bool>>) {
+async fn client(
+    at: SocketAddr,
+    number: u64,
+    pause: Duration,
+    book: Rc<RefCell<Book>>,
+    stop: Rc<Cell<bool>>,
+) {
     let (mut open, mut count) = (None, 0u64);
     while !stop.get() {
         // A connection that was closed while it was quiet is no loss.
-        let kept = open.take().filter(|stream: &<Real as System>::Stream| stream.waiting() != Waiting::End);
+        let kept = open
+            .take()
+            .filter(|stream: &<Real as System>::Stream| stream.waiting() != Waiting::End);
         let stream = match kept {
             Some(stream) => Ok(stream),
-            None => Real.connect(at).await.and_then(|stream| stream.set_nodelay().map(|()| stream)),
+            None => Real
+                .connect(at)
+                .await
+                .and_then(|stream| stream.set_nodelay().map(|()| stream)),
         };
         let Ok(mut stream) = stream else {
             book.borrow_mut().lost.push((Instant::now(), Lost::Refused));
@@ -214,8 +282,12 @@
             }
             Err(std::io::Error::from(ErrorKind::UnexpectedEof))
         };
-        let answered = matches!(Real.timeout(Duration::from_secs(1), called).await, Ok(Ok(())));
-        book.borrow_mut().called(door.get() == at, answered.then(|| began.elapsed()));
+        let answered = matches!(
+            Real.timeout(Duration::from_secs(1), called).await,
+            Ok(Ok(()))
+        );
+        book.borrow_mut()
+            .called(door.get() == at, answered.then(|| began.elapsed()));
         Real.sleep(CALLS).await;
     }
 }
--- a/crates/sim/src/vast.rs
+++ b/crates/sim/src/vast.rs
@@ -26,7 +26,13 @@
 /// The classes of such a day.
 pub(crate) const CLASSES: [(&str, Repeat); 3] = [
     ("update", Repeat::Safe),
-    ("event", Repeat::Keyed { window: Duration::from_secs(6), zone_only: false }),
+    (
+        "event",
+        Repeat::Keyed {
+            window: Duration::from_secs(6),
+            zone_only: false,
+        },
+    ),
     ("payout", Repeat::Unsafe),
 ];
 
@@ -58,17 +64,35 @@
         let starts = (script.relays as u64 + counts.restarts) as f64;
         let ratio = |part: u64, all: f64| part as f64 / all.max(1.0);
         [
-            ("few refusals", ratio(counts.turned_away, script.size() as f64), self.bounds.turned_away),
-            ("few calls for lists", ratio(counts.lists, starts), self.bounds.lists),
-            ("few connections", ratio(counts.opened, counts.calls as f64), self.bounds.opened),
+            (
+                "few refusals",
+                ratio(counts.turned_away, script.size() as f64),
+                self.bounds.turned_away,
+            ),
+            (
+                "few calls for lists",
+                ratio(counts.lists, starts),
+                self.bounds.lists,
+            ),
+            (
+                "few connections",
+                ratio(counts.opened, counts.calls as f64),
+                self.bounds.opened,
+            ),
         ]
     }
 
     /// The bound that was not kept, if one was not.
     pub fn judge(&self, script: &Script, counts: &Counts, at: Duration) -> Option<Breach> {
         let figures = self.figures(script, counts);
-        let (rule, figure, most) = figures.into_iter().find(|(_, figure, most)| figure > most)?;
-        Some(Breach { rule, at, what: format!("{figure:.2} where {most:.2} are the bound") })
+        let (rule, figure, most) = figures
+            .into_iter()
+            .find(|(_, figure, most)| figure > most)?;
+        Some(Breach {
+            rule,
+            at,
+            what: format!("{figure:.2} where {most:.2} are the bound"),
+        })
     }
 }
 
@@ -84,13 +108,25 @@
             let zone = "a";
             let address = std::net::SocketAddr::from(([10, 1, *block as u8, 1], 8080));
             let name = format!("s-{block}0");
-            script.hosts.push(HostPlan { name, block: *block, zone, address, takes: (20, 90) });
-            script.rules.capacity.insert(*block, dice.between(25, 90) as f64);
+            script.hosts.push(HostPlan {
+                name,
+                block: *block,
+                zone,
+                address,
+                takes: (20, 90),
+            });
+            script
+                .rules
+                .capacity
+                .insert(*block, dice.between(25, 90) as f64);
         }
         script.faults = faults::of_vast(&mut dice, &blocks, relays);
         script.relays = relays;
         script.disk_mb = 1.0;
-        let (held, slots) = ((ALL.0 / relays).max(LEAST.0), (ALL.1 / relays).clamp(LEAST.1, 60));
+        let (held, slots) = (
+            (ALL.0 / relays).max(LEAST.0),
+            (ALL.1 / relays).clamp(LEAST.1, 60),
+        );
         script.rules = Rules {
             attempts: 12,
             cold_from: 0.2,
@@ -128,7 +164,11 @@
             }
         }
         script.clients = messages(&mut Dice::new(seed, 7), &script.rules, &CLASSES, relays);
-        let bounds = Bounds { turned_away: 0.25, lists: 2.0, opened: 0.45 };
+        let bounds = Bounds {
+            turned_away: 0.25,
+            lists: 2.0,
+            opened: 0.45,
+        };
         script.vast = Some(Vast {
             connections: relays + relays / 2 + 20,
             each_list: Duration::from_millis((ALL_CALLS / relays as u64).min(50)),
@@ -140,7 +180,10 @@
 
 /// At each destination four fifths of what it takes, some of it in clumps; any relay may get any of it.
 pub(crate) fn messages(
-    dice: &mut Dice, rules: &Rules, classes: &[(&'static str, Repeat)], relays: usize,
+    dice: &mut Dice,
+    rules: &Rules,
+    classes: &[(&'static str, Repeat)],
+    relays: usize,
 ) -> Vec<Vec<Plan>> {
     let mut clients: Vec<Vec<Plan>> = (0..relays).map(|_| Vec::new()).collect();
     let mut number = 0;
@@ -150,7 +193,11 @@
         let clump = dice.between(1_000, ARRIVALS - 2_000);
         for _ in 0..count {
             number += 1;
-            let at = if dice.percent(8) { clump + dice.below(500) } else { 100 + dice.below(ARRIVALS) };
+            let at = if dice.percent(8) {
+                clump + dice.below(500)
+            } else {
+                100 + dice.below(ARRIVALS)
+            };
             let (class, repeat) = *dice.pick(classes);
             let left = TIMES.1.as_millis() as u64;
             clients[dice.below(relays as u64) as usize].push(Plan {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -157,7 +157,11 @@
         let text = panic.downcast_ref::<String>().cloned();
         let text = text.or_else(|| panic.downcast_ref::<&str>().map(|text| text.to_string()));
         let what = format!("a panic: {}", text.unwrap_or_default());
-        let breach = Breach { rule: "crash", at: Duration::ZERO, what };
+        let breach = Breach {
+            rule: "crash",
+            at: Duration::ZERO,
+            what,
+        };
         Report {
             seed: script.seed,
             digest: String::new(),
@@ -182,7 +186,10 @@
             start: system.now(),
             system,
             relay: 0,
-            checker: Rc::new(RefCell::new(Checker::new(script.rules.clone(), script.relays))),
+            checker: Rc::new(RefCell::new(Checker::new(
+                script.rules.clone(),
+                script.relays,
+            ))),
             holds: Rc::new(move |conn| holder.caller_holds(conn)),
             hears: Rc::new(move |conn| hearer.caller_hears(conn)),
             news: Rc::new(move |line| noter.note(line)),
@@ -190,16 +197,29 @@
         let mut hosts = Vec::new();
         let mut lines = Vec::new();
         for (number, plan) in script.hosts.iter().enumerate() {
-            let capacity = script.rules.capacity.get(&plan.block).copied().unwrap_or(10.0);
+            let capacity = script
+                .rules
+                .capacity
+                .get(&plan.block)
+                .copied()
+                .unwrap_or(10.0);
             let dice = Dice::new(script.seed, 100 + number as u64);
-            let host = Host::new(&plan.name, plan.block, plan.zone, plan.address, capacity, dice);
+            let host = Host::new(
+                &plan.name,
+                plan.block,
+                plan.zone,
+                plan.address,
+                capacity,
+                dice,
+            );
             host.mood.borrow_mut().takes = plan.takes;
             if let Some(kept) = &script.kept {
                 host.mood.borrow_mut().fails = kept.fails;
             }
             if let Some(vast) = &script.vast {
                 let mut mood = host.mood.borrow_mut();
-                (mood.limit, mood.spends, mood.connections) = (Some(capacity), true, Some(vast.connections));
+                (mood.limit, mood.spends, mood.connections) =
+                    (Some(capacity), true, Some(vast.connections));
             }
             lines.push(line(&host, "up", capacity));
             hosts.push(host);
@@ -221,13 +241,18 @@
         let seats: Vec<Seat> = (0..script.relays).map(seat).collect();
         if let Some(vast) = &script.vast {
             let gate = Gate::new(vast.each_list);
-            seats.iter().for_each(|seat| *seat.discovery.gate.borrow_mut() = Some(gate.clone()));
+            seats
+                .iter()
+                .for_each(|seat| *seat.discovery.gate.borrow_mut() = Some(gate.clone()));
         }
         let known = seats[0].discovery.whole();
         if script.relays > 1 {
             let mut dice = Dice::new(script.seed, 5);
-            machine
-                .set_clocks((0..script.relays).map(|_| Duration::from_millis(dice.below(AHEAD))).collect());
+            machine.set_clocks(
+                (0..script.relays)
+                    .map(|_| Duration::from_millis(dice.below(AHEAD)))
+                    .collect(),
+            );
         }
         World {
             script,
@@ -256,7 +281,8 @@
             let registry = hosted.registry();
             for name in ["tenants.a", "tenants.b"] {
                 let path = Path::new(hosted::FOLDER).join(name);
-                self.machine.disk(0, |disk| disk.put(path, registry.clone()));
+                self.machine
+                    .disk(0, |disk| disk.put(path, registry.clone()));
             }
         }
         if self.script.upgrades {
@@ -268,8 +294,13 @@
             let hosted = self.script.hosted.as_ref().filter(|hosted| hosted.auth);
             let login = hosted.map(|hosted| hosted.tenant_of(number));
             let login = login.map(|tenant| (tenant.name.clone(), tenant.secret.clone()));
-            let client =
-                Client::new(self.stage.clone(), relays.clone(), number % relays.len(), plans.clone(), login);
+            let client = Client::new(
+                self.stage.clone(),
+                relays.clone(),
+                number % relays.len(),
+                plans.clone(),
+                login,
+            );
             let shut = self.seats[number % relays.len()].shut.clone();
             self.stage.system.spawn(client.behind(shut).run());
         }
@@ -306,7 +337,9 @@
             }
             if look <= now {
                 for relay in 0..self.seats.len() {
-                    let size = self.machine.disk(relay, |disk| disk.size(Path::new(FOLDER)));
+                    let size = self
+                        .machine
+                        .disk(relay, |disk| disk.size(Path::new(FOLDER)));
                     self.of(relay).see(&Seen::Disk(size));
                     if self.script.operated {
                         self.look_in(now, relay);
@@ -315,7 +348,11 @@
                 self.stage.see(&Seen::Pass);
                 look = now + LOOK;
             }
-            let until = edges.peek().map_or(ends, |(at, _, _)| *at).min(look).min(ends);
+            let until = edges
+                .peek()
+                .map_or(ends, |(at, _, _)| *at)
+                .min(look)
+                .min(ends);
             // After every step the breach, if there is one, is known at the top of this loop.
             self.machine.step(until);
             if self.machine.steps() > STEPS {
@@ -327,7 +364,12 @@
 
     fn report(self) -> Report {
         let checker = self.stage.checker.borrow();
-        let fleet = || self.script.vast.as_ref()?.judge(self.script, &checker.counts, self.machine.now());
+        let fleet = || {
+            self.script
+                .vast
+                .as_ref()?
+                .judge(self.script, &checker.counts, self.machine.now())
+        };
         let unseen = || Breach {
             rule: "accounted for",
             at: self.machine.now(),
@@ -335,9 +377,13 @@
         };
         let kept = || (self.script.kept.is_some() && !self.shown.get()).then(unseen);
         let breach = checker.breach().cloned().or_else(fleet).or_else(kept);
-        let broken = breach
-            .as_ref()
-            .map(|breach| format!("seed {} step {} at {breach}", self.script.seed, self.machine.steps()));
+        let broken = breach.as_ref().map(|breach| {
+            format!(
+                "seed {} step {} at {breach}",
+                self.script.seed,
+                self.machine.steps()
+            )
+        });
         if let Some(broken) = &broken {
             self.machine.note(format_args!("{broken}"));
         }
@@ -361,7 +407,9 @@
         Rc::new(move || {
             let (process, effects) = strike.get();
             strike.set((process, None));
-            effects.into_iter().for_each(|effects| handle.kill_after(process, effects));
+            effects
+                .into_iter()
+                .for_each(|effects| handle.kill_after(process, effects));
         })
     }
 
@@ -371,9 +419,13 @@
             return;
         }
         let ledger = Ledger::new(Dice::new(self.script.seed, 9));
-        self.hosts.iter().for_each(|host| *host.ledger.borrow_mut() = Some(ledger.clone()));
+        self.hosts
+            .iter()
+            .for_each(|host| *host.ledger.borrow_mut() = Some(ledger.clone()));
         for block in self.script.rules.capacity.keys() {
-            let served = ledger.clone().serve(self.stage.clone(), kept::status_address(*block));
+            let served = ledger
+                .clone()
+                .serve(self.stage.clone(), kept::status_address(*block));
             self.stage.system.spawn(async move { drop(served.await) });
         }
         for number in 0..kept::OPERATORS {
@@ -393,8 +445,16 @@
 
     /// Starts the administrators of a hosted day.
     fn administrate(&self) {
-        let Some(hosted) = &self.script.hosted else { return };
-        for (number, errands) in self.script.hosted.iter().flat_map(|hosted| &hosted.admins).enumerate() {
+        let Some(hosted) = &self.script.hosted else {
+            return;
+        };
+        for (number, errands) in self
+            .script
+            .hosted
+            .iter()
+            .flat_map(|hosted| &hosted.admins)
+            .enumerate()
+        {
             let strikes = self.strikes();
             let (tenants, errands) = (hosted.tenants.clone(), errands.clone());
             let (stage, rogue) = (self.stage.clone(), self.options.rogue);
@@ -405,7 +465,10 @@
 
     /// The stage as seen from a relay.
     fn of(&self, relay: usize) -> Stage<Virtual> {
-        Stage { relay, ..self.stage.clone() }
+        Stage {
+            relay,
+            ..self.stage.clone()
+        }
     }
 
     fn serve_discovery(&mut self, relay: usize) {
@@ -413,37 +476,51 @@
         let stage = self.of(relay);
         let seat = &mut self.seats[relay];
         seat.closes_discovery = close;
-        let served = seat.discovery.clone().serve(stage, discovery_address(relay, seat.moves), closing);
+        let served =
+            seat.discovery
+                .clone()
+                .serve(stage, discovery_address(relay, seat.moves), closing);
         self.stage.system.spawn(async move { drop(served.await) });
     }
 
     fn configure(&self, relay: usize) {
         let discovery = discovery_address(relay, self.seats[relay].moves);
-        let mut config = self.script.config(relay, &self.seats[relay].settings, &self.known, discovery);
+        let mut config =
+            self.script
+                .config(relay, &self.seats[relay].settings, &self.known, discovery);
         if let Some(change) = self.options.misconfigure {
             change(&mut config);
         }
-        self.machine.disk(relay, |disk| disk.put(CONFIG, config.to_string().into_bytes()));
+        self.machine.disk(relay, |disk| {
+            disk.put(CONFIG, config.to_string().into_bytes())
+        });
         if let Some(hosted) = &self.script.hosted {
-            self.machine.disk(relay, |disk| disk.put(OPERATOR, hosted.operator().into_bytes()));
+            self.machine.disk(relay, |disk| {
+                disk.put(OPERATOR, hosted.operator().into_bytes())
+            });
         }
         if self.script.levels {
-            self.machine.disk(relay, |disk| disk.put(OPERATOR, b"log_calls = true".to_vec()));
+            self.machine.disk(relay, |disk| {
+                disk.put(OPERATOR, b"log_calls = true".to_vec())
+            });
         }
         if let Some(kept) = &self.script.kept {
             let text = kept.operator_file(self.script.rules.capacity.keys().copied());
-            self.machine.disk(relay, |disk| disk.put(OPERATOR, text.into_bytes()));
+            self.machine
+                .disk(relay, |disk| disk.put(OPERATOR, text.into_bytes()));
         }
     }
 
     /// A new process of a relay.
     fn spawn(&mut self, relay: usize) -> ProcId {
-        let beyond = self.script.hosted.is_some() || self.script.kept.is_some() || self.script.levels;
+        let beyond =
+            self.script.hosted.is_some() || self.script.kept.is_some() || self.script.levels;
         let operator = beyond.then(|| OPERATOR.into());
         let run = |system| madderpitch_relay::run(system, operator);
         let process = self.machine.process(relay, self.options.lie, run);
         if self.script.upgrades {
-            self.machine.inherit(process, relay_address(relay), door_address(process));
+            self.machine
+                .inherit(process, relay_address(relay), door_address(process));
         }
         process
     }
@@ -479,10 +556,18 @@
         }
         for (relay, seat) in self.seats.iter().enumerate() {
             let system = &self.stage.system;
-            system.spawn(staff::front(self.of(relay), relay_address(relay), seat.shut.clone()));
+            system.spawn(staff::front(
+                self.of(relay),
+                relay_address(relay),
+                seat.shut.clone(),
+            ));
             system.spawn(staff::fetch(self.of(relay), seat.door.clone()));
             for _ in 0..staff::IDLERS {
-                system.spawn(staff::idle(self.of(relay), relay_address(relay), seat.shut.clone()));
+                system.spawn(staff::idle(
+                    self.of(relay),
+                    relay_address(relay),
+                    seat.shut.clone(),
+                ));
             }
             for _ in 0..staff::LOITERERS {
                 system.spawn(staff::loiter(self.of(relay), seat.door.clone()));
@@ -498,7 +583,10 @@
         for number in open {
             held.entry(number).or_insert(now);
         }
-        let many = held.values().filter(|since| now >= **since + JUST_OPENED).count();
+        let many = held
+            .values()
+            .filter(|since| now >= **since + JUST_OPENED)
+            .count();
         if many > 0 {
             self.of(relay).see(&Seen::HeldInDrain(many));
         }
@@ -510,7 +598,10 @@
         let now = self.machine.now();
         let seat = &mut self.seats[relay];
         seat.touched = now;
-        for process in [Some(seat.process), seat.old.as_ref().map(|old| old.process)].into_iter().flatten() {
+        for process in [Some(seat.process), seat.old.as_ref().map(|old| old.process)]
+            .into_iter()
+            .flatten()
+        {
             if self.machine.is_alive(process) {
                 self.machine.signal(process, Signal::Reload);
                 self.of(relay).see(&Seen::Retuned(whole));
@@ -521,7 +612,9 @@
     /// Sees an upgrade through: stops the old process after the new one's yes, and notices which of them is gone.
     fn replace(&mut self, now: Duration, relay: usize) {
         let new = self.seats[relay].process;
-        let Some(old) = &mut self.seats[relay].old else { return };
+        let Some(old) = &mut self.seats[relay].old else {
+            return;
+        };
         let process = old.process;
         match (self.machine.is_alive(process), self.machine.is_alive(new)) {
             (true, true) => match (old.stopped, old.yes.get()) {
@@ -534,7 +627,8 @@
             },
             (false, alive) => {
                 let how = self.machine.ended(process);
-                self.machine.note(format_args!("process {process} is gone, and was replaced"));
+                self.machine
+                    .note(format_args!("process {process} is gone, and was replaced"));
                 self.seats[relay].old = None;
                 self.seats[relay].door.set((new, door_address(new)));
                 self.machine.kill(process);
@@ -551,7 +645,9 @@
             (true, false) => {
                 let stopped = old.stopped.is_some();
                 let how = self.machine.ended(new);
-                self.machine.note(format_args!("process {new} is gone, and was to replace {process}"));
+                self.machine.note(format_args!(
+                    "process {new} is gone, and was to replace {process}"
+                ));
                 self.machine.kill(new);
                 let seat = &mut self.seats[relay];
                 (seat.old, seat.process) = (None, process);
@@ -597,7 +693,9 @@
     fn edge(&mut self, fault: &Fault, begins: bool) {
         self.struck = fault.relay;
         match begins {
-            true => fault.trouble.begins(self, Duration::from_millis(fault.until)),
+            true => fault
+                .trouble
+                .begins(self, Duration::from_millis(fault.until)),
             false => fault.trouble.ends(self),
         }
     }
@@ -621,7 +719,8 @@
     }
 
     fn mood(&self, block: u16, change: &dyn Fn(&mut Mood)) {
-        self.of_block(block).for_each(|host| change(&mut host.mood.borrow_mut()));
+        self.of_block(block)
+            .for_each(|host| change(&mut host.mood.borrow_mut()));
     }
 
     fn slow(&self, block: u16, by: u64) {
@@ -633,17 +732,26 @@
     }
 
     fn address(&self, block: u16, fault: AddressFault) {
-        self.of_block(block).for_each(|host| self.machine.fault(host.address, fault));
+        self.of_block(block)
+            .for_each(|host| self.machine.fault(host.address, fault));
     }
 
     fn list(&self, host: usize, health: &'static str, jump: u64) {
         let host = &self.hosts[host];
         let line = line(host, health, host.capacity);
         // The change reaches all agents, each with its own lag.
-        let late = if self.script.rules.pushed { Duration::ZERO } else { ASKED };
+        let late = if self.script.rules.pushed {
+            Duration::ZERO
+        } else {
+            ASKED
+        };
         for (relay, seat) in self.seats.iter().enumerate() {
-            let told = seat.discovery.change(self.machine.now(), line.clone(), jump) + late;
-            self.of(relay).see(&Seen::Listed(&line.host, line.health == "up", told));
+            let told = seat
+                .discovery
+                .change(self.machine.now(), line.clone(), jump)
+                + late;
+            self.of(relay)
+                .see(&Seen::Listed(&line.host, line.health == "up", told));
         }
     }
 
@@ -682,7 +790,8 @@
     }
 
     fn cut(&self, block: u16, cut: bool) {
-        self.of_block(block).for_each(|host| self.machine.cut(self.struck, host.address, cut));
+        self.of_block(block)
+            .for_each(|host| self.machine.cut(self.struck, host.address, cut));
     }
 
     fn down_for(&mut self, span: Duration) {
@@ -719,14 +828,22 @@
         }
         self.configure(relay);
         let new = self.spawn(relay);
-        self.machine.note(format_args!("process {new} starts beside {old}"));
+        self.machine
+            .note(format_args!("process {new} starts beside {old}"));
         for (process, effects) in [old, new].into_iter().zip(plan.kills) {
-            effects.into_iter().for_each(|effects| self.machine.kill_after(process, effects));
+            effects
+                .into_iter()
+                .for_each(|effects| self.machine.kill_after(process, effects));
         }
         let yes: Rc<Cell<Option<Duration>>> = Rc::default();
         let seat = &mut self.seats[relay];
         seat.process = new;
-        seat.old = Some(Old { process: old, stop_after: plan.stop_after, yes: yes.clone(), stopped: None });
+        seat.old = Some(Old {
+            process: old,
+            stop_after: plan.stop_after,
+            yes: yes.clone(),
+            stopped: None,
+        });
         let stage = self.of(relay);
         stage.see(&Seen::Upgrades([old, new]));
         self.stage.system.spawn(async move {
@@ -756,7 +873,9 @@
             return;
         }
         let discovery = discovery_address(relay, seat.moves);
-        let config = self.script.config(relay, &seat.settings, &self.known, discovery);
+        let config = self
+            .script
+            .config(relay, &seat.settings, &self.known, discovery);
         let text = operated::spoil(&config, way);
         self.machine.disk(relay, |disk| disk.put(CONFIG, text));
         self.read_again(relay, false);
