--- a/crates/sim/tests/caught.rs
+++ b/crates/sim/tests/caught.rs
@@ -13,15 +13,30 @@
 }
 
 fn lie(rule: &str, lie: Lie) {
-    caught(rule, Options { lie: Some(lie), ..Options::default() });
+    caught(
+        rule,
+        Options {
+            lie: Some(lie),
+            ..Options::default()
+        },
+    );
 }
 
 fn misconfigured(rule: &str, change: fn(&mut Value)) {
-    caught(rule, Options { misconfigure: Some(change), ..Options::default() });
+    caught(
+        rule,
+        Options {
+            misconfigure: Some(change),
+            ..Options::default()
+        },
+    );
 }
 
 fn classes(config: &mut Value) -> impl Iterator<Item = &mut Value> {
-    config["settings"]["services"].as_array_mut().expect("classes").iter_mut()
+    config["settings"]["services"]
+        .as_array_mut()
+        .expect("classes")
+        .iter_mut()
 }
 
 #[test]
@@ -67,14 +82,18 @@
 #[test]
 fn unsafe_classes_that_pass_for_safe_go_twice() {
     misconfigured("no double effect", |config| {
-        classes(config).filter(|c| c["effect"] == "fragile").for_each(|c| c["effect"] = "retryable".into());
+        classes(config)
+            .filter(|c| c["effect"] == "fragile")
+            .for_each(|c| c["effect"] = "retryable".into());
     });
 }
 
 #[test]
 fn keys_that_are_thought_to_be_remembered_for_ever_outlive_their_window() {
     misconfigured("no double effect", |config| {
-        classes(config).filter(|c| c["effect"] == "dedup").for_each(|c| c["window"] = 1_000_000_000.into());
+        classes(config)
+            .filter(|c| c["effect"] == "dedup")
+            .for_each(|c| c["window"] = 1_000_000_000.into());
     });
 }
 
@@ -88,7 +107,9 @@
 
 #[test]
 fn classes_that_pass_for_unordered_lose_their_order() {
-    misconfigured("order", |config| classes(config).for_each(|c| c["fifoByKey"] = false.into()));
+    misconfigured("order", |config| {
+        classes(config).for_each(|c| c["fifoByKey"] = false.into())
+    });
 }
 
 #[test]
--- a/crates/sim/tests/hosted.rs
+++ b/crates/sim/tests/hosted.rs
@@ -10,8 +10,9 @@
 
 /// Days that broke a rule once: lines of the registry took the room of ends (7735), what was owed before a restart went out
 /// at once (1196 to 9962), an outage was seen too late (4013, 1857), and the checker forgot that a tenant which drains has a share (4884, 6444, 8760).
-const MENDED: [u64; 16] =
-    [4013, 1857, 7735, 1196, 2768, 3598, 3932, 4664, 5568, 5803, 6432, 7120, 9962, 4884, 6444, 8760];
+const MENDED: [u64; 16] = [
+    4013, 1857, 7735, 1196, 2768, 3598, 3932, 4664, 5568, 5803, 6432, 7120, 9962, 4884, 6444, 8760,
+];
 
 #[test]
 fn all_rules_hold_on_the_first_seeds() {
@@ -34,28 +35,63 @@
 
 #[test]
 fn a_registry_that_keeps_nothing_forgets_what_was_answered() {
-    caught("registry", 200, Options { lie: Some(Lie::DropTenants), ..Options::default() }, |_| {});
+    caught(
+        "registry",
+        200,
+        Options {
+            lie: Some(Lie::DropTenants),
+            ..Options::default()
+        },
+        |_| {},
+    );
 }
 
 #[test]
 fn a_pause_that_is_undone_is_seen_by_what_is_taken_on() {
-    caught("admission", 200, Options { rogue: Some(Rogue::Resumes), ..Options::default() }, |_| {});
+    caught(
+        "admission",
+        200,
+        Options {
+            rogue: Some(Rogue::Resumes),
+            ..Options::default()
+        },
+        |_| {},
+    );
 }
 
 #[test]
 fn a_removal_that_ends_nothing_is_seen_by_what_stays() {
-    caught("abandoned", 200, Options { rogue: Some(Rogue::Finishes), ..Options::default() }, |_| {});
+    caught(
+        "abandoned",
+        200,
+        Options {
+            rogue: Some(Rogue::Finishes),
+            ..Options::default()
+        },
+        |_| {},
+    );
 }
 
 #[test]
 fn weights_that_are_not_those_that_were_told_starve_a_tenant() {
-    caught("below its share", 400, Options { rogue: Some(Rogue::Weights), ..Options::default() }, |_| {});
+    caught(
+        "below its share",
+        400,
+        Options {
+            rogue: Some(Rogue::Weights),
+            ..Options::default()
+        },
+        |_| {},
+    );
 }
 
 #[test]
 fn clients_that_need_no_name_speak_for_others() {
     // The world has clients that speak for another, and the relay asks nobody for a name.
     caught("another's", 200, Options::default(), |script| {
-        script.hosted.iter_mut().for_each(|hosted| hosted.auth = false);
+        script
+            .hosted
+            .iter_mut()
+            .for_each(|hosted| hosted.auth = false);
     });
 }
--- a/crates/sim/tests/kept.rs
+++ b/crates/sim/tests/kept.rs
@@ -20,8 +20,13 @@
 #[test]
 fn resends_are_made_and_partners_words_close_records() {
     let counts = (0..20).map(|seed| play(&Script::draw_kept(seed), Options::default()).counts);
-    let (resent, before) = counts.fold((0, 0), |sum, c| (sum.0 + c.resent, sum.1 + c.applied_before));
-    assert!(resent >= 20 && before >= 20, "{resent} resent, {before} found applied");
+    let (resent, before) = counts.fold((0, 0), |sum, c| {
+        (sum.0 + c.resent, sum.1 + c.applied_before)
+    });
+    assert!(
+        resent >= 20 && before >= 20,
+        "{resent} resent, {before} found applied"
+    );
 }
 
 #[test]
@@ -30,7 +35,10 @@
 }
 
 fn caught(rule: &str, rogue: Rogue) {
-    let options = Options { rogue: Some(rogue), ..Options::default() };
+    let options = Options {
+        rogue: Some(rogue),
+        ..Options::default()
+    };
     support::seeds_until(Days::Kept, rule, 0..100, options, |_| {});
 }
 
--- a/crates/sim/tests/operated.rs
+++ b/crates/sim/tests/operated.rs
@@ -22,19 +22,31 @@
 /// and go, and all that beside upgrades.
 #[test]
 fn staff_get_something_done() {
-    let traced = Options { traced: true, ..Options::default() };
-    let lines =
-        ["Drain, now Draining", "Resume, now Serving", "the old one stays in force", "upgrade: handed over"];
+    let traced = Options {
+        traced: true,
+        ..Options::default()
+    };
+    let lines = [
+        "Drain, now Draining",
+        "Resume, now Serving",
+        "the old one stays in force",
+        "upgrade: handed over",
+    ];
     let (mut seen, mut rushed) = ([0; 4], 0);
     for seed in 0..40 {
         let trace = play(&Script::draw_operated(seed), traced).trace.join("\n");
         for (seen, line) in seen.iter_mut().zip(lines) {
             *seen += u32::from(trace.contains(line));
         }
-        rushed +=
-            trace.lines().filter(|line| line.contains(" r0") && line.ends_with("is answered +OK")).count();
+        rushed += trace
+            .lines()
+            .filter(|line| line.contains(" r0") && line.ends_with("is answered +OK"))
+            .count();
     }
-    assert!(seen[0] >= 35 && seen[1] >= 25 && seen[2] >= 15 && seen[3] >= 15, "{seen:?}");
+    assert!(
+        seen[0] >= 35 && seen[1] >= 25 && seen[2] >= 15 && seen[3] >= 15,
+        "{seen:?}"
+    );
     assert!(rushed >= 400, "{rushed}");
 }
 
@@ -44,7 +56,10 @@
 }
 
 fn caught(rule: &str, lie: Lie) {
-    let options = Options { lie: Some(lie), ..Options::default() };
+    let options = Options {
+        lie: Some(lie),
+        ..Options::default()
+    };
     support::seeds_until(Days::Operated, rule, 0..60, options, |_| {});
 }
 
--- a/crates/sim/tests/rolling.rs
+++ b/crates/sim/tests/rolling.rs
@@ -21,11 +21,24 @@
 #[test]
 fn a_day_holds_what_it_is_about() {
     let scripts: Vec<Script> = (0..2).map(|seed| Script::of(Days::Rolling, seed)).collect();
-    assert_eq!(scripts.iter().map(|script| script.rules.pushed).collect::<Vec<_>>(), [true, false]);
+    assert_eq!(
+        scripts
+            .iter()
+            .map(|script| script.rules.pushed)
+            .collect::<Vec<_>>(),
+        [true, false]
+    );
     for script in &scripts {
         let report = play(script, Options::default());
-        assert_eq!(report.counts.restarts as usize, script.relays, "{:?}", report.broken);
-        let left = script.faults.iter().filter(|fault| format!("{:?}", fault.trouble).starts_with("Drains"));
+        assert_eq!(
+            report.counts.restarts as usize, script.relays,
+            "{:?}",
+            report.broken
+        );
+        let left = script
+            .faults
+            .iter()
+            .filter(|fault| format!("{:?}", fault.trouble).starts_with("Drains"));
         assert!(left.count() > 0);
     }
 }
@@ -33,7 +46,10 @@
 /// A drain that reads as none: what a process was to hear at its start counts as told, though it was not sent then.
 #[test]
 fn hosts_that_left_while_a_process_was_down_are_seen_to_be_called() {
-    let options = Options { lie: Some(Lie::HideDrains), ..Options::default() };
+    let options = Options {
+        lie: Some(Lie::HideDrains),
+        ..Options::default()
+    };
     support::seeds_until(Days::Rolling, "leaving", 0..80, options, |_| {});
 }
 
--- a/crates/sim/tests/same.rs
+++ b/crates/sim/tests/same.rs
@@ -10,8 +10,15 @@
 #[test]
 fn a_seed_gives_the_same_digest_on_other_threads_and_in_another_order() {
     let first: Vec<String> = (0..12).map(|seed| day(seed).digest).collect();
-    let threads: Vec<_> = (0..12).rev().map(|seed| std::thread::spawn(move || day(seed).digest)).collect();
-    let again: Vec<String> = threads.into_iter().rev().map(|thread| thread.join().expect("played")).collect();
+    let threads: Vec<_> = (0..12)
+        .rev()
+        .map(|seed| std::thread::spawn(move || day(seed).digest))
+        .collect();
+    let again: Vec<String> = threads
+        .into_iter()
+        .rev()
+        .map(|thread| thread.join().expect("played"))
+        .collect();
     assert_eq!(first, again);
     let different: std::collections::BTreeSet<_> = first.iter().collect();
     assert_eq!(different.len(), first.len());
@@ -23,7 +30,10 @@
         let (script, report) = (Script::draw(seed), day(seed));
         assert!(script.size() >= 200 && script.faults.len() >= 2, "{seed}");
         let overlap = script.faults.iter().any(|a| {
-            script.faults.iter().any(|b| !std::ptr::eq(a, b) && a.from < b.until && b.from < a.until)
+            script
+                .faults
+                .iter()
+                .any(|b| !std::ptr::eq(a, b) && a.from < b.until && b.from < a.until)
         });
         assert!(overlap, "{seed}: {:?}", script.faults);
         if report.broken.is_none() {
@@ -41,11 +51,25 @@
             config["limits"]["disk_mb"] = 50.0.into();
         }) as fn(&mut serde_json::Value),
     );
-    let options = Options { misconfigure, ..Options::default() };
-    let whole = (0..50).map(Script::draw).find(|script| play(script, options).broken.is_some());
+    let options = Options {
+        misconfigure,
+        ..Options::default()
+    };
+    let whole = (0..50)
+        .map(Script::draw)
+        .find(|script| play(script, options).broken.is_some());
     let whole = whole.expect("a seed that overfills its disk");
     let small = madderpitch_sim::shrink::shrink(whole.clone(), options).expect("a breach");
-    assert!(small.script.size() < whole.size(), "{}", small.script.size());
+    assert!(
+        small.script.size() < whole.size(),
+        "{}",
+        small.script.size()
+    );
     assert!(small.script.faults.is_empty(), "{:?}", small.script.faults);
-    assert_eq!(play(&small.script, options).breach.map(|breach| breach.rule), Some("disk"));
+    assert_eq!(
+        play(&small.script, options)
+            .breach
+            .map(|breach| breach.rule),
+        Some("disk")
+    );
 }
--- a/crates/sim/tests/seeds.rs
+++ b/crates/sim/tests/seeds.rs
@@ -4,16 +4,21 @@
 use madderpitch_sim::world::{play, Options};
 
 fn holds(seeds: impl IntoIterator<Item = u64>) {
-    let broken = seeds.into_iter().filter_map(|seed| play(&Script::draw(seed), Options::default()).broken);
+    let broken = seeds
+        .into_iter()
+        .filter_map(|seed| play(&Script::draw(seed), Options::default()).broken);
     let broken: Vec<String> = broken.collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
 #[test]
 fn all_rules_hold_on_the_first_seeds() {
-    let threads: Vec<_> =
-        (0..2).map(|half| std::thread::spawn(move || holds((0..2000).filter(|s| s % 2 == half)))).collect();
-    threads.into_iter().for_each(|thread| thread.join().expect("no rule is broken"));
+    let threads: Vec<_> = (0..2)
+        .map(|half| std::thread::spawn(move || holds((0..2000).filter(|s| s % 2 == half))))
+        .collect();
+    threads
+        .into_iter()
+        .for_each(|thread| thread.join().expect("no rule is broken"));
 }
 
 /// An end that the full disk had no room for was forgotten with the process, and its message sent again.
--- a/crates/sim/tests/soak.rs
+++ b/crates/sim/tests/soak.rs
@@ -12,12 +12,17 @@
 fn levels(report: &Report) -> BTreeMap<String, Vec<(usize, usize)>> {
     let mut levels: BTreeMap<String, Vec<(usize, usize)>> = BTreeMap::new();
     for line in report.trace.iter().filter(|line| line.contains("fleet ")) {
-        let Some((_, text)) = line.split_once(" levels ") else { continue };
+        let Some((_, text)) = line.split_once(" levels ") else {
+            continue;
+        };
         for pair in text.split(' ') {
             let (name, level) = pair.split_once('=').expect("a name and a level");
             let (has, most) = level.split_once('/').expect("a level and a bound");
             let number = |text: &str| text.parse().expect("a number");
-            levels.entry(name.into()).or_default().push((number(has), number(most)));
+            levels
+                .entry(name.into())
+                .or_default()
+                .push((number(has), number(most)));
         }
     }
     levels
@@ -29,11 +34,19 @@
 
 fn holds(seed: u64) {
     let script = Script::draw_long(seed, TIMES);
-    let report = play(&script, Options { traced: true, ..Options::default() });
+    let report = play(
+        &script,
+        Options {
+            traced: true,
+            ..Options::default()
+        },
+    );
     assert!(report.broken.is_none(), "{:?}", report.broken);
     assert!(report.counts.delivered > 50 * TIMES, "{:?}", report.counts);
     let levels = levels(&report);
-    let names = ["calls", "classes", "held", "idle", "journal", "names", "notices", "turns"];
+    let names = [
+        "calls", "classes", "held", "idle", "journal", "names", "notices", "turns",
+    ];
     assert_eq!(levels.keys().collect::<Vec<_>>(), names);
     for (name, looks) in &levels {
         assert!(looks.len() as u64 > TIMES, "{name}: {} looks", looks.len());
@@ -43,12 +56,17 @@
         let third = looks.len() / 3;
         let (first, last) = (most(&looks[..third]), most(&looks[2 * third..]));
         println!("{name}: {first} at most in the first third, {last} in the last");
-        assert!(last <= first + first / 2 + 8, "{name} grows: {first}, then {last}");
+        assert!(
+            last <= first + first / 2 + 8,
+            "{name} grows: {first}, then {last}"
+        );
     }
 }
 
 #[test]
 fn nothing_grows_over_half_an_hour() {
     let threads = [1, 4].map(|seed| std::thread::spawn(move || holds(seed)));
-    threads.into_iter().for_each(|thread| thread.join().expect("it holds"));
+    threads
+        .into_iter()
+        .for_each(|thread| thread.join().expect("it holds"));
 }
--- a/crates/sim/tests/support/mod.rs
+++ b/crates/sim/tests/support/mod.rs
@@ -7,7 +7,10 @@
 /// Plays seeds on two threads: each breaks no rule, and has more than `least` messages delivered.
 pub fn hold(days: Days, seeds: impl IntoIterator<Item = u64>, least: u64) {
     let mut halves = [Vec::new(), Vec::new()];
-    seeds.into_iter().enumerate().for_each(|(number, seed)| halves[number % 2].push(seed));
+    seeds
+        .into_iter()
+        .enumerate()
+        .for_each(|(number, seed)| halves[number % 2].push(seed));
     let threads = halves.map(|seeds| {
         std::thread::spawn(move || {
             let broken = seeds.into_iter().filter_map(|seed| {
@@ -20,20 +23,30 @@
             assert!(broken.is_empty(), "{broken:#?}");
         })
     });
-    threads.into_iter().for_each(|thread| thread.join().expect("no rule is broken"));
+    threads
+        .into_iter()
+        .for_each(|thread| thread.join().expect("no rule is broken"));
 }
 
 /// Plays the seeds, each script changed, until the rule is broken, and tells how many that took.
 pub fn seeds_until(
-    days: Days, rule: &str, mut seeds: impl Iterator<Item = u64>, options: Options, change: fn(&mut Script),
+    days: Days,
+    rule: &str,
+    mut seeds: impl Iterator<Item = u64>,
+    options: Options,
+    change: fn(&mut Script),
 ) {
     let broken = |seed: &u64| {
         let mut script = Script::of(days, *seed);
         change(&mut script);
-        play(&script, options).breach.is_some_and(|breach| breach.rule == rule)
+        play(&script, options)
+            .breach
+            .is_some_and(|breach| breach.rule == rule)
     };
     let found = seeds.find(broken);
-    let Some(seed) = found else { panic!("{rule}: not caught") };
+    let Some(seed) = found else {
+        panic!("{rule}: not caught")
+    };
     println!("{rule}: caught with {} seeds", seed + 1);
 }
 
--- a/crates/sim/tests/tool.rs
+++ b/crates/sim/tests/tool.rs
@@ -3,7 +3,10 @@
 use std::process::{Command, Output};
 
 fn tool(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_madderpitch-sim")).args(arguments).output().expect("runs")
+    Command::new(env!("CARGO_BIN_EXE_madderpitch-sim"))
+        .args(arguments)
+        .output()
+        .expect("runs")
 }
 
 fn text(output: &[u8]) -> String {
@@ -24,7 +27,12 @@
     ];
     for arguments in all {
         let output = tool(arguments);
-        assert_eq!(output.status.code(), Some(2), "{arguments:?}: {}", text(&output.stderr));
+        assert_eq!(
+            output.status.code(),
+            Some(2),
+            "{arguments:?}: {}",
+            text(&output.stderr)
+        );
         let line = text(&output.stderr);
         assert_eq!(line.lines().count(), 1, "{arguments:?}: {line}");
         assert!(line.starts_with("madderpitch-sim: "), "{line}");
@@ -44,14 +52,21 @@
     let (one, four) = (play("1"), play("4"));
     assert_eq!(one, four);
     assert_eq!(one.lines().count(), 40);
-    let first: serde_json::Value = serde_json::from_str(one.lines().next().expect("a line")).expect("JSON");
+    let first: serde_json::Value =
+        serde_json::from_str(one.lines().next().expect("a line")).expect("JSON");
     assert_eq!(first["seed"], 20);
     let trace = folder.path().join("trace");
     let replayed = tool(&["replay", "20", "--trace", &trace.to_string_lossy()]);
     assert!(replayed.status.success());
     let digest = first["digest"].as_str().expect("a digest");
-    assert!(text(&replayed.stdout).contains(digest), "{}", text(&replayed.stdout));
-    assert!(std::fs::read_to_string(trace).expect("a trace").contains("process 1 starts"));
+    assert!(
+        text(&replayed.stdout).contains(digest),
+        "{}",
+        text(&replayed.stdout)
+    );
+    assert!(std::fs::read_to_string(trace)
+        .expect("a trace")
+        .contains("process 1 starts"));
 }
 
 #[test]
@@ -65,11 +80,21 @@
 fn the_demo_ends_by_itself_with_all_rules_kept_and_leaves_nothing_behind() {
     let folder = tempfile::tempdir().expect("a folder");
     let mut command = Command::new(env!("CARGO_BIN_EXE_madderpitch-sim"));
-    let output = command.arg("demo").env("TMPDIR", folder.path()).output().expect("runs");
+    let output = command
+        .arg("demo")
+        .env("TMPDIR", folder.path())
+        .output()
+        .expect("runs");
     let told = text(&output.stdout);
     assert!(output.status.success(), "{told}{}", text(&output.stderr));
-    assert!(told.contains("Without an end: 0.") && told.contains("No rule was broken"), "{told}");
-    assert!(told.contains("partner 2 breaks") && told.contains("SIGKILL"), "{told}");
+    assert!(
+        told.contains("Without an end: 0.") && told.contains("No rule was broken"),
+        "{told}"
+    );
+    assert!(
+        told.contains("partner 2 breaks") && told.contains("SIGKILL"),
+        "{told}"
+    );
     let left = std::fs::read_dir(folder.path()).expect("a folder").count();
     assert_eq!(left, 0);
 }
--- a/crates/sim/tests/upgraded.rs
+++ b/crates/sim/tests/upgraded.rs
@@ -11,7 +11,9 @@
 /// for a client that had gone (112, 284); an old process left though the new one had just died (275).
 /// The world's own fault: a new configuration was told only to the process that was yet to take over, so that the
 /// other's notices went to a discovery that had moved (3194 and after).
-const MENDED: [u64; 12] = [267, 299, 112, 284, 275, 3194, 3806, 5473, 5940, 6676, 9298, 10114];
+const MENDED: [u64; 12] = [
+    267, 299, 112, 284, 275, 3194, 3806, 5473, 5940, 6676, 9298, 10114,
+];
 
 #[test]
 fn all_rules_hold_on_the_first_seeds() {
@@ -22,11 +24,18 @@
 /// that takes everything back.
 #[test]
 fn processes_hand_over_die_and_take_back() {
-    let traced = Options { traced: true, ..Options::default() };
+    let traced = Options {
+        traced: true,
+        ..Options::default()
+    };
     let mut seen = [0; 3];
     for seed in 0..80 {
         let trace = play(&Script::draw_upgraded(seed), traced).trace.join("\n");
-        let lines = ["upgrade: handed over", "and was replaced", "this one serves again"];
+        let lines = [
+            "upgrade: handed over",
+            "and was replaced",
+            "this one serves again",
+        ];
         for (seen, line) in seen.iter_mut().zip(lines) {
             *seen += u32::from(trace.contains(line));
         }
@@ -42,8 +51,15 @@
 /// Two processes that both believe to own the folder have a second effect, or lose what the other took on.
 #[test]
 fn two_owners_are_caught() {
-    let options = Options { lie: Some(Lie::ShareLocks), ..Options::default() };
-    let rules = (0..40).filter_map(|seed| play(&Script::draw_upgraded(seed), options).breach.map(|b| b.rule));
+    let options = Options {
+        lie: Some(Lie::ShareLocks),
+        ..Options::default()
+    };
+    let rules = (0..40).filter_map(|seed| {
+        play(&Script::draw_upgraded(seed), options)
+            .breach
+            .map(|b| b.rule)
+    });
     let rules: Vec<&str> = rules.collect();
     println!("{rules:?}");
     assert!(rules.len() >= 10, "{rules:?}");
--- a/crates/sim/tests/vast.rs
+++ b/crates/sim/tests/vast.rs
@@ -9,16 +9,27 @@
 
 fn day(seed: u64, misconfigure: Option<fn(&mut Value)>) -> (Script, Report) {
     let script = Script::of(Days::Vast, seed);
-    let report = play(&script, Options { misconfigure, ..Options::default() });
+    let report = play(
+        &script,
+        Options {
+            misconfigure,
+            ..Options::default()
+        },
+    );
     (script, report)
 }
 
 /// The figures that are past their bounds on a day.
 fn over(seed: u64, misconfigure: Option<fn(&mut Value)>) -> Vec<&'static str> {
     let (script, report) = day(seed, misconfigure);
-    let Some(vast) = &script.vast else { panic!("no day of a large fleet") };
+    let Some(vast) = &script.vast else {
+        panic!("no day of a large fleet")
+    };
     let figures = vast.figures(&script, &report.counts).into_iter();
-    figures.filter(|(_, figure, most)| figure > most).map(|(rule, _, _)| rule).collect()
+    figures
+        .filter(|(_, figure, most)| figure > most)
+        .map(|(rule, _, _)| rule)
+        .collect()
 }
 
 #[test]
@@ -29,10 +40,15 @@
 #[test]
 fn a_seed_gives_its_day_again() {
     let (script, first) = day(3, None);
-    let again = std::thread::spawn(|| day(3, None).1).join().expect("played");
+    let again = std::thread::spawn(|| day(3, None).1)
+        .join()
+        .expect("played");
     assert_eq!(first.digest, again.digest);
     assert_eq!(script.relays, 100);
-    assert!(first.counts.restarts == 0 || first.counts.restarts >= 50, "most are killed, or none");
+    assert!(
+        first.counts.restarts == 0 || first.counts.restarts >= 50,
+        "most are killed, or none"
+    );
 }
 
 /// Without the even part of a limit each relay asks for all of it; without the spread of calls for the list all ask
@@ -56,9 +72,16 @@
     let sizes = [1, 3, 30, 100].map(|relays| Script::draw_vast(5, relays));
     let first = sizes[0].size();
     assert!(sizes.iter().all(|script| script.size() == first));
-    let vast: Vec<&Vast> = sizes.iter().filter_map(|script| script.vast.as_ref()).collect();
+    let vast: Vec<&Vast> = sizes
+        .iter()
+        .filter_map(|script| script.vast.as_ref())
+        .collect();
     assert_eq!(vast.len(), sizes.len());
     let alone = play(&sizes[0], Options::default());
     assert_eq!(alone.broken, None);
-    assert!(alone.counts.delivered * 10 >= first as u64 * 9, "{:?}", alone.counts);
+    assert!(
+        alone.counts.delivered * 10 >= first as u64 * 9,
+        "{:?}",
+        alone.counts
+    );
 }
--- a/crates/tenancy/src/audit.rs
+++ b/crates/tenancy/src/audit.rs
@@ -27,7 +27,11 @@
             version: tenant.version.to_string(),
             state: tenant.state,
             spec: tenant.spec.clone(),
-            secrets: tenant.secrets.iter().map(|secret| secret.id.clone()).collect(),
+            secrets: tenant
+                .secrets
+                .iter()
+                .map(|secret| secret.id.clone())
+                .collect(),
         }
     }
 }
@@ -86,7 +90,8 @@
 pub fn rfc3339(at_ms: u64) -> String {
     // The last moment that the format has room for; later ones show as that.
     const LAST: u64 = 253_402_300_799_999;
-    humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(at_ms.min(LAST))).to_string()
+    humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(at_ms.min(LAST)))
+        .to_string()
 }
 
 #[cfg(test)]
--- a/crates/tenancy/src/meter.rs
+++ b/crates/tenancy/src/meter.rs
@@ -61,7 +61,13 @@
 
     #[test]
     fn a_burst_goes_and_then_one_at_each_interval() {
-        let (mut meter, rate) = (Meter::default(), Rate { per_s: 10.0, burst: 3.0 });
+        let (mut meter, rate) = (
+            Meter::default(),
+            Rate {
+                per_s: 10.0,
+                burst: 3.0,
+            },
+        );
         for _ in 0..3 {
             assert_eq!(taken(&mut meter, NOW, rate), Ok(()));
         }
@@ -75,9 +81,22 @@
     fn a_rate_that_is_cut_leaves_a_debt_of_one_bucket_at_most() {
         let mut meter = Meter::default();
         for _ in 0..100 {
-            assert_eq!(taken(&mut meter, NOW, Rate { per_s: 1.0, burst: 100.0 }), Ok(()));
+            assert_eq!(
+                taken(
+                    &mut meter,
+                    NOW,
+                    Rate {
+                        per_s: 1.0,
+                        burst: 100.0
+                    }
+                ),
+                Ok(())
+            );
         }
-        let less = Rate { per_s: 1.0, burst: 2.0 };
+        let less = Rate {
+            per_s: 1.0,
+            burst: 2.0,
+        };
         meter.change(NOW, less);
         assert_eq!(taken(&mut meter, NOW, less), Err(1_000_000));
         assert_eq!(taken(&mut meter, NOW + 1_000_000, less), Ok(()));
@@ -85,8 +104,16 @@
 
     #[test]
     fn what_passes_in_a_span_is_the_burst_and_the_rate_times_the_span() {
-        let (mut meter, rate) = (Meter::default(), Rate { per_s: 37.0, burst: 5.0 });
-        let passed = (0..10_000).filter(|ms| taken(&mut meter, NOW + ms * 1000, rate).is_ok()).count();
+        let (mut meter, rate) = (
+            Meter::default(),
+            Rate {
+                per_s: 37.0,
+                burst: 5.0,
+            },
+        );
+        let passed = (0..10_000)
+            .filter(|ms| taken(&mut meter, NOW + ms * 1000, rate).is_ok())
+            .count();
         assert!((374..=375).contains(&passed), "{passed}");
     }
 }
--- a/crates/tenancy/src/record.rs
+++ b/crates/tenancy/src/record.rs
@@ -76,7 +76,13 @@
 impl Snapshot {
     /// Nothing of it is taken yet; `lost` changes were lost before.
     pub fn begin(registry: &Registry, lost: u64) -> Self {
-        Snapshot { text: Vec::new(), lines: 0, seq: registry.seq(), lost, after: None }
+        Snapshot {
+            text: Vec::new(),
+            lines: 0,
+            seq: registry.seq(),
+            lost,
+            after: None,
+        }
     }
 
     fn add(&mut self, line: &Line) {
@@ -95,9 +101,18 @@
             self.add(&Line::Tenant(entry.tenant.clone()));
             self.after = Some(entry.tenant.name.clone());
         }
-        registry.gone().for_each(|(name, generation)| self.add(&Line::Gone(name.clone(), generation)));
-        registry.answered().for_each(|answered| self.add(&Line::Answered(answered.clone())));
-        let head = Head { format: FORMAT, seq: self.seq, lines: self.lines, lost: self.lost };
+        registry
+            .gone()
+            .for_each(|(name, generation)| self.add(&Line::Gone(name.clone(), generation)));
+        registry
+            .answered()
+            .for_each(|answered| self.add(&Line::Answered(answered.clone())));
+        let head = Head {
+            format: FORMAT,
+            seq: self.seq,
+            lines: self.lines,
+            lost: self.lost,
+        };
         self.text.extend(encode(&Line::Head(head)));
         true
     }
@@ -131,7 +146,9 @@
     fn read(text: &[u8]) -> Self {
         let mut copy = Copy::default();
         for line in text.split_inclusive(|byte| *byte == b'\n') {
-            let whole = line.strip_suffix(b"\n").filter(|line| line.len() <= LONGEST_LINE);
+            let whole = line
+                .strip_suffix(b"\n")
+                .filter(|line| line.len() <= LONGEST_LINE);
             match whole.and_then(decode) {
                 Some(Line::Head(head)) => copy.head = Some(head),
                 Some(Line::Tenant(tenant)) => copy.tenants.push(tenant),
@@ -173,22 +190,34 @@
 
 /// Reads the two copies, either of which may be torn, spoilt or missing.
 pub fn recover(
-    classes: &[String], one: Option<&[u8]>, other: Option<&[u8]>,
+    classes: &[String],
+    one: Option<&[u8]>,
+    other: Option<&[u8]>,
 ) -> Result<Recovered, Unreadable> {
     let mut copies: Vec<Copy> = [one, other].into_iter().flatten().map(Copy::read).collect();
     if copies.is_empty() {
         return Ok(Recovered::default());
     }
-    let formats = copies.iter().filter_map(|copy| copy.head.as_ref()).map(|head| head.format);
+    let formats = copies
+        .iter()
+        .filter_map(|copy| copy.head.as_ref())
+        .map(|head| head.format);
     if let Some(later) = formats.max().filter(|format| *format > FORMAT) {
         return Err(Unreadable::Later(later));
     }
     let spoilt = copies.len() < 2 || copies.iter().any(|copy| copy.spoilt) || one != other;
     copies.sort_by_key(|copy| std::cmp::Reverse(copy.whole().map(|head| head.seq)));
-    let changes: BTreeMap<u64, Record> =
-        copies.iter().flat_map(|copy| &copy.changes).map(|(seq, record)| (*seq, record.clone())).collect();
-    let mut lost =
-        copies.iter().filter_map(|copy| copy.head.as_ref()).map(|head| head.lost).max().unwrap_or(0);
+    let changes: BTreeMap<u64, Record> = copies
+        .iter()
+        .flat_map(|copy| &copy.changes)
+        .map(|(seq, record)| (*seq, record.clone()))
+        .collect();
+    let mut lost = copies
+        .iter()
+        .filter_map(|copy| copy.head.as_ref())
+        .map(|head| head.lost)
+        .max()
+        .unwrap_or(0);
     let best = &copies[0];
     let mut kept = Kept {
         seq: best.head.as_ref().map_or(0, |head| head.seq),
@@ -199,8 +228,12 @@
     if best.whole().is_none() {
         // Neither snapshot is whole: what either still has, each tenant in its newest state.
         lost += 1;
-        kept.seq =
-            copies.iter().filter_map(|copy| copy.head.as_ref()).map(|head| head.seq).max().unwrap_or(0);
+        kept.seq = copies
+            .iter()
+            .filter_map(|copy| copy.head.as_ref())
+            .map(|head| head.seq)
+            .max()
+            .unwrap_or(0);
         let mut newest: BTreeMap<(String, u32), Tenant> = BTreeMap::new();
         for tenant in copies.iter().flat_map(|copy| &copy.tenants) {
             let place = newest.entry((tenant.name.clone(), tenant.version.generation));
@@ -217,14 +250,22 @@
     for (seq, record) in changes.range(registry.seq() + 1..) {
         lost += seq - registry.seq() - 1;
         // One that the snapshot holds in a later state already stays so.
-        let known = record.to.as_ref().and_then(|to| registry.version(&to.name, to.version.generation));
+        let known = record
+            .to
+            .as_ref()
+            .and_then(|to| registry.version(&to.name, to.version.generation));
         if known.is_some_and(|known| record.to.as_ref().is_some_and(|to| to.version <= known)) {
             registry.pass(record);
         } else {
             registry.commit(record);
         }
     }
-    Ok(Recovered { kept: registry.kept(), changes, lost, spoilt })
+    Ok(Recovered {
+        kept: registry.kept(),
+        changes,
+        lost,
+        spoilt,
+    })
 }
 
 #[cfg(test)]
@@ -234,9 +275,22 @@
     use crate::spec::{OnRemoval, Spec};
 
     fn command(name: &str, change: Change) -> Command {
-        let actor = Actor { name: "ops".into(), role: "admin".into() };
-        let key = Some((format!("{name} {change:?}"), crate::secret::Digest::of(name.as_bytes())));
-        Command { actor, request: "r".into(), key, name: name.into(), expect: Expect::Any, change }
+        let actor = Actor {
+            name: "ops".into(),
+            role: "admin".into(),
+        };
+        let key = Some((
+            format!("{name} {change:?}"),
+            crate::secret::Digest::of(name.as_bytes()),
+        ));
+        Command {
+            actor,
+            request: "r".into(),
+            key,
+            name: name.into(),
+            expect: Expect::Any,
+            change,
+        }
     }
 
     /// A registry after some changes, the file that was written meanwhile, and the state after each change.
@@ -246,9 +300,18 @@
         let mut states = vec![registry.kept()];
         for (at, command) in [
             command("acme", Change::Create(Spec::default())),
-            command("beta", Change::Create(Spec { weight: 7, ..Spec::default() })),
+            command(
+                "beta",
+                Change::Create(Spec {
+                    weight: 7,
+                    ..Spec::default()
+                }),
+            ),
             command("acme", Change::Pause),
-            command("beta", Change::Merge(serde_json::json!({"max_held": 9, "classes": ["payout"]}))),
+            command(
+                "beta",
+                Change::Merge(serde_json::json!({"max_held": 9, "classes": ["payout"]})),
+            ),
             command("acme", Change::Resume),
             command("beta", Change::Remove(Some(OnRemoval::Refuse))),
         ]
@@ -320,7 +383,10 @@
                 let alone = read(Some(&spoilt), Some(&spoilt));
                 assert!(alone.spoilt, "byte {at} bit {bit}");
                 alone_lost += u64::from(alone.lost > 0);
-                assert!(alone.lost > 0 || states.contains(&alone.kept), "byte {at} bit {bit}");
+                assert!(
+                    alone.lost > 0 || states.contains(&alone.kept),
+                    "byte {at} bit {bit}"
+                );
             }
         }
         assert!(alone_lost > 0);
@@ -329,8 +395,12 @@
     #[test]
     fn copies_that_were_cut_off_at_different_changes_are_one_story() {
         let (text, states) = story();
-        let ends: Vec<usize> =
-            text.iter().enumerate().filter(|(_, byte)| **byte == b'\n').map(|(at, _)| at + 1).collect();
+        let ends: Vec<usize> = text
+            .iter()
+            .enumerate()
+            .filter(|(_, byte)| **byte == b'\n')
+            .map(|(at, _)| at + 1)
+            .collect();
         let (two, five) = (&text[..ends[2]], &text[..ends[5]]);
         let recovered = read(Some(two), Some(five));
         assert_eq!(recovered.kept, states[5]);
@@ -356,13 +426,20 @@
                 super::change(&record)
             };
             for n in 0..20 {
-                make(&mut registry, &format!("t{n:02}"), Change::Create(Spec::default()));
+                make(
+                    &mut registry,
+                    &format!("t{n:02}"),
+                    Change::Create(Spec::default()),
+                );
             }
             let mut snapshot = Snapshot::begin(&registry, 0);
             let (mut tail, mut step) = (Vec::new(), 0);
             while !snapshot.take(&registry, part) {
                 step += 1;
-                let (one, other) = (format!("t{:02}", step % 20), format!("t{:02}", (step * 7) % 20));
+                let (one, other) = (
+                    format!("t{:02}", step % 20),
+                    format!("t{:02}", (step * 7) % 20),
+                );
                 tail.extend(make(
                     &mut registry,
                     &one,
@@ -374,7 +451,11 @@
                     registry.commit(&gone);
                 }
                 tail.extend(make(&mut registry, &other, Change::Create(Spec::default())));
-                tail.extend(make(&mut registry, &format!("n{step}"), Change::Create(Spec::default())));
+                tail.extend(make(
+                    &mut registry,
+                    &format!("n{step}"),
+                    Change::Create(Spec::default()),
+                ));
             }
             let text = [snapshot.text(), tail].concat();
             let read = read(Some(&text), Some(&text));
@@ -388,10 +469,15 @@
 
     #[test]
     fn a_later_format_is_not_read() {
-        let head = Head { format: FORMAT + 1, ..Head::default() };
+        let head = Head {
+            format: FORMAT + 1,
+            ..Head::default()
+        };
         let text = encode(&Line::Head(head));
         let read = recover(&[], Some(&text), None);
         assert!(matches!(read, Err(Unreadable::Later(2))));
-        assert!(recover(&[], None, None).is_ok_and(|read| read.kept == Kept::default() && !read.spoilt));
+        assert!(
+            recover(&[], None, None).is_ok_and(|read| read.kept == Kept::default() && !read.spoilt)
+        );
     }
 }
--- a/crates/tenancy/src/registry.rs
+++ b/crates/tenancy/src/registry.rs
@@ -45,7 +45,10 @@
 
     fn from_str(text: &str) -> Result<Self, Invalid> {
         let parts = text.split_once('.').and_then(|(generation, revision)| {
-            Some(Version { generation: generation.parse().ok()?, revision: revision.parse().ok()? })
+            Some(Version {
+                generation: generation.parse().ok()?,
+                revision: revision.parse().ok()?,
+            })
         });
         parts.ok_or_else(|| Invalid::new("version", "is not a generation, a point and a revision"))
     }
@@ -399,25 +402,36 @@
 
     /// No tenants, for a relay that knows these classes.
     pub fn new(classes: Vec<String>) -> Self {
-        Registry { classes, ..Registry::default() }
+        Registry {
+            classes,
+            ..Registry::default()
+        }
     }
 
     /// The registry that was kept.
     pub fn restored(classes: Vec<String>, kept: Kept) -> Self {
-        let mut registry = Registry { classes, seq: kept.seq, ..Registry::default() };
+        let mut registry = Registry {
+            classes,
+            seq: kept.seq,
+            ..Registry::default()
+        };
         let mut tenants = kept.tenants;
         tenants.sort_by_key(|tenant| tenant.version.generation);
         for tenant in tenants.into_iter().take(MOST_TENANTS) {
             registry.put(tenant);
         }
-        kept.gone.into_iter().for_each(|(name, generation)| registry.bury(name, generation));
+        kept.gone
+            .into_iter()
+            .for_each(|(name, generation)| registry.bury(name, generation));
         registry.answered = kept.answered.into();
         registry
     }
 
     /// Names that are gone, with the generation of the last of each, oldest first.
     pub fn gone(&self) -> impl Iterator<Item = (&String, u32)> {
-        self.gone_order.iter().filter_map(|name| Some((name, *self.gone.get(name)?)))
+        self.gone_order
+            .iter()
+            .filter_map(|name| Some((name, *self.gone.get(name)?)))
     }
 
     /// Answers that are remembered by their keys, oldest first.
@@ -430,7 +444,10 @@
         Kept {
             seq: self.seq,
             tenants: self.entries().map(|entry| entry.tenant.clone()).collect(),
-            gone: self.gone().map(|(name, generation)| (name.clone(), generation)).collect(),
+            gone: self
+                .gone()
+                .map(|(name, generation)| (name.clone(), generation))
+                .collect(),
             answered: self.answered().cloned().collect(),
         }
     }
@@ -496,10 +513,17 @@
 
     /// The tenant that takes messages of this name on, if it may have one of a class for a destination.
     pub fn admits(
-        &mut self, name: &str, class: &str, destination: DestinationId,
+        &mut self,
+        name: &str,
+        class: &str,
+        destination: DestinationId,
     ) -> Result<&mut Entry, &'static str> {
-        let Some(line) = self.lines.get_mut(name) else { return Err("unknown tenant") };
-        let Some(entry) = &mut line.current else { return Err("the tenant is being removed") };
+        let Some(line) = self.lines.get_mut(name) else {
+            return Err("unknown tenant");
+        };
+        let Some(entry) = &mut line.current else {
+            return Err("the tenant is being removed");
+        };
         if let Err(why) = entry.tenant.spec.allows(class, destination) {
             entry.counts.rejected += 1;
             return Err(why);
@@ -520,24 +544,38 @@
     pub fn login(&self, name: &str, secret: &[u8]) -> Option<Login> {
         let digest = Digest::of(secret);
         let tenant = &self.lines.get(name)?.current.as_ref()?.tenant;
-        let found = tenant.secrets.iter().find(|known| known.sha256.same(&digest))?;
+        let found = tenant
+            .secrets
+            .iter()
+            .find(|known| known.sha256.same(&digest))?;
         let (tenant, generation) = (tenant.name.clone(), tenant.version.generation);
-        Some(Login { tenant, generation, secret: found.id.clone() })
+        Some(Login {
+            tenant,
+            generation,
+            secret: found.id.clone(),
+        })
     }
 
     /// Whether a client that named itself before may still speak for its tenant.
     pub fn knows(&self, login: &Login) -> bool {
-        let current = self.lines.get(&login.tenant).and_then(|line| line.current.as_ref());
+        let current = self
+            .lines
+            .get(&login.tenant)
+            .and_then(|line| line.current.as_ref());
         current.is_some_and(|entry| {
-            let Tenant { version, secrets, .. } = &entry.tenant;
-            version.generation == login.generation && secrets.iter().any(|known| known.id == login.secret)
+            let Tenant {
+                version, secrets, ..
+            } = &entry.tenant;
+            version.generation == login.generation
+                && secrets.iter().any(|known| known.id == login.secret)
         })
     }
 
     /// What a command comes to, as things stand.
     pub fn decide(&self, now_ms: u64, command: &Command) -> Result<Decision, Refusal> {
         if let Some((key, digest)) = &command.key {
-            let mine = |a: &&Answered| a.actor == command.actor.name && a.key == *key && a.lives(now_ms);
+            let mine =
+                |a: &&Answered| a.actor == command.actor.name && a.key == *key && a.lives(now_ms);
             if let Some(answered) = self.answered.iter().find(mine) {
                 return match answered.digest == *digest {
                     true => Ok(Decision::Again(Box::new(answered.clone()))),
@@ -550,7 +588,8 @@
         }
         let entry = self.find(&command.name)?;
         let tenant = &entry.tenant;
-        if matches!(&command.expect, Expect::OneOf(versions) if !versions.contains(&tenant.version)) {
+        if matches!(&command.expect, Expect::OneOf(versions) if !versions.contains(&tenant.version))
+        {
             return Err(Refusal::Stale(tenant.version));
         }
         let mut to = tenant.clone();
@@ -560,7 +599,13 @@
         }
         to.version.revision += 1;
         to.changed_at_ms = now_ms;
-        Ok(Decision::Make(Box::new(self.record(now_ms, command, action, Some(tenant.clone()), to))))
+        Ok(Decision::Make(Box::new(self.record(
+            now_ms,
+            command,
+            action,
+            Some(tenant.clone()),
+            to,
+        ))))
     }
 
     fn create(&self, now_ms: u64, command: &Command, spec: &Spec) -> Result<Decision, Refusal> {
@@ -571,23 +616,40 @@
             return Err(Refusal::Exists(command.name.clone()));
         }
         if self.numbers.used >= MOST_TENANTS {
-            return Err(Refusal::TooMany { what: "tenants", most: MOST_TENANTS });
+            return Err(Refusal::TooMany {
+                what: "tenants",
+                most: MOST_TENANTS,
+            });
         }
         if line.is_some_and(|line| line.draining.len() >= MOST_DRAINING) {
-            return Err(Refusal::TooMany { what: "tenants of this name that drain", most: MOST_DRAINING });
+            return Err(Refusal::TooMany {
+                what: "tenants of this name that drain",
+                most: MOST_DRAINING,
+            });
         }
-        let last = line.and_then(Line::newest).map(|entry| entry.tenant.version.generation);
+        let last = line
+            .and_then(Line::newest)
+            .map(|entry| entry.tenant.version.generation);
         let last = last.max(self.gone.get(&command.name).copied()).unwrap_or(0);
         let to = Tenant {
             name: command.name.clone(),
-            version: Version { generation: last + 1, revision: 1 },
+            version: Version {
+                generation: last + 1,
+                revision: 1,
+            },
             state: State::Active,
             spec: spec.clone(),
             secrets: Vec::new(),
             created_at_ms: now_ms,
             changed_at_ms: now_ms,
         };
-        Ok(Decision::Make(Box::new(self.record(now_ms, command, Action::Created, None, to))))
+        Ok(Decision::Make(Box::new(self.record(
+            now_ms,
+            command,
+            Action::Created,
+            None,
+            to,
+        ))))
     }
 
     /// Changes a tenant as asked, but for its version.
@@ -627,8 +689,9 @@
             Change::Remove(how) => {
                 to.state = State::Draining;
                 // One that drains may be hurried, but nothing that has ended comes back.
-                to.spec.on_removal =
-                    how.filter(|how| !draining || *how == OnRemoval::Refuse).unwrap_or(to.spec.on_removal);
+                to.spec.on_removal = how
+                    .filter(|how| !draining || *how == OnRemoval::Refuse)
+                    .unwrap_or(to.spec.on_removal);
                 Ok(Action::Removed)
             }
             Change::AddSecret { id, sha256 } => {
@@ -637,9 +700,16 @@
                     return Err(Refusal::Secret(format!("there is a secret {id:?} already")));
                 }
                 if to.secrets.len() >= MOST_SECRETS {
-                    return Err(Refusal::TooMany { what: "secrets", most: MOST_SECRETS });
+                    return Err(Refusal::TooMany {
+                        what: "secrets",
+                        most: MOST_SECRETS,
+                    });
                 }
-                to.secrets.push(Secret { id: id.clone(), sha256: sha256.clone(), created_at_ms: now_ms });
+                to.secrets.push(Secret {
+                    id: id.clone(),
+                    sha256: sha256.clone(),
+                    created_at_ms: now_ms,
+                });
                 Ok(Action::SecretAdded)
             }
             Change::DropSecret(id) => {
@@ -655,23 +725,46 @@
     }
 
     fn record(
-        &self, at_ms: u64, command: &Command, action: Action, from: Option<Tenant>, to: Tenant,
+        &self,
+        at_ms: u64,
+        command: &Command,
+        action: Action,
+        from: Option<Tenant>,
+        to: Tenant,
     ) -> Record {
-        let (actor, request, key) = (command.actor.clone(), command.request.clone(), command.key.clone());
-        Record { seq: self.seq + 1, at_ms, actor, request, key, action, from, to: Some(to) }
+        let (actor, request, key) = (
+            command.actor.clone(),
+            command.request.clone(),
+            command.key.clone(),
+        );
+        Record {
+            seq: self.seq + 1,
+            at_ms,
+            actor,
+            request,
+            key,
+            action,
+            from,
+            to: Some(to),
+        }
     }
 
     /// Tenants that drain and are owed nothing any more: the records by which they are gone.
     pub fn drained(&self, now_ms: u64) -> Option<Record> {
         let entries = self.draining.iter().filter_map(|(name, generation)| {
             let line = self.lines.get(name)?;
-            line.draining.iter().find(|entry| entry.tenant.version.generation == *generation)
+            line.draining
+                .iter()
+                .find(|entry| entry.tenant.version.generation == *generation)
         });
         let drained = entries.into_iter().find(|entry| entry.owed == 0)?;
         Some(Record {
             seq: self.seq + 1,
             at_ms: now_ms,
-            actor: Actor { name: "relay".into(), role: "relay".into() },
+            actor: Actor {
+                name: "relay".into(),
+                role: "relay".into(),
+            },
             request: String::new(),
             key: None,
             action: Action::Gone,
@@ -683,7 +776,8 @@
     /// The state in which a tenant is known.
     pub fn version(&self, name: &str, generation: u32) -> Option<Version> {
         let mut all = self.lines.get(name)?.all();
-        all.find(|entry| entry.tenant.version.generation == generation).map(|entry| entry.tenant.version)
+        all.find(|entry| entry.tenant.version.generation == generation)
+            .map(|entry| entry.tenant.version)
     }
 
     /// Takes note of a change that has been made already.
@@ -713,9 +807,12 @@
 
     fn remember(&mut self, answered: Answered) {
         let now = answered.at_ms;
-        self.answered.retain(|other| other.key != answered.key || other.actor != answered.actor);
+        self.answered
+            .retain(|other| other.key != answered.key || other.actor != answered.actor);
         self.answered.push_back(answered);
-        while self.answered.len() > MOST_KEYS || self.answered.front().is_some_and(|a| !a.lives(now)) {
+        while self.answered.len() > MOST_KEYS
+            || self.answered.front().is_some_and(|a| !a.lives(now))
+        {
             self.answered.pop_front();
         }
     }
@@ -732,21 +829,33 @@
             }
             None => {
                 let number = self.numbers.take();
-                Entry { tenant, number, counts: Counts::default(), owed: 0 }
+                Entry {
+                    tenant,
+                    number,
+                    counts: Counts::default(),
+                    owed: 0,
+                }
             }
         };
         let (number, generation) = (entry.number, entry.tenant.version.generation);
-        line.draining.retain(|other| other.tenant.version.generation != generation);
-        if line.current.as_ref().is_some_and(|other| other.tenant.version.generation == generation) {
+        line.draining
+            .retain(|other| other.tenant.version.generation != generation);
+        if line
+            .current
+            .as_ref()
+            .is_some_and(|other| other.tenant.version.generation == generation)
+        {
             line.current = None;
         }
         if drains {
-            self.draining.insert((entry.tenant.name.clone(), generation));
+            self.draining
+                .insert((entry.tenant.name.clone(), generation));
             line.draining.push(entry);
         } else {
             line.current = Some(entry);
         }
-        line.draining.sort_by_key(|entry| entry.tenant.version.generation);
+        line.draining
+            .sort_by_key(|entry| entry.tenant.version.generation);
         Some((number, Some(terms)))
     }
 
@@ -754,13 +863,18 @@
         let line = self.lines.get_mut(&tenant.name)?;
         let number = line.find(tenant.version.generation)?.number;
         line.draining.retain(|entry| entry.number != number);
-        if line.current.as_ref().is_some_and(|entry| entry.number == number) {
+        if line
+            .current
+            .as_ref()
+            .is_some_and(|entry| entry.number == number)
+        {
             line.current = None;
         }
         if line.newest().is_none() {
             self.lines.remove(&tenant.name);
         }
-        self.draining.remove(&(tenant.name.clone(), tenant.version.generation));
+        self.draining
+            .remove(&(tenant.name.clone(), tenant.version.generation));
         self.numbers.give_back(number);
         self.bury(tenant.name.clone(), tenant.version.generation);
         Some((number, None))
@@ -805,7 +919,9 @@
     if !target.is_object() {
         *target = Value::Object(serde_json::Map::new());
     }
-    let Value::Object(target) = target else { return };
+    let Value::Object(target) = target else {
+        return;
+    };
     for (name, value) in patch {
         if value.is_null() {
             target.remove(name);
@@ -817,5 +933,7 @@
 
 /// A tenant's name in the journal's word for it, which has its generation behind a slash.
 pub fn name_of(reference: &str) -> &str {
-    reference.split_once('/').map_or(reference, |(name, _)| name)
+    reference
+        .split_once('/')
+        .map_or(reference, |(name, _)| name)
 }
--- a/crates/tenancy/src/scope.rs
+++ b/crates/tenancy/src/scope.rs
@@ -9,10 +9,12 @@
 impl Scope {
     /// Whether a tenant of this name is among them.
     pub fn covers(&self, name: &str) -> bool {
-        self.0.iter().any(|pattern| match pattern.strip_suffix('*') {
-            Some(beginning) => name.starts_with(beginning),
-            None => name == pattern,
-        })
+        self.0
+            .iter()
+            .any(|pattern| match pattern.strip_suffix('*') {
+                Some(beginning) => name.starts_with(beginning),
+                None => name == pattern,
+            })
     }
 
     /// Whether every tenant is.
--- a/crates/tenancy/src/secret.rs
+++ b/crates/tenancy/src/secret.rs
@@ -94,7 +94,13 @@
         assert_eq!(Digest::of(b"abc").to_string(), text);
         assert!(Digest::of(b"abc").same(&text.parse().expect("a digest")));
         assert!(!Digest::of(b"abd").same(&text.parse().expect("a digest")));
-        for bad in ["", "ba", &text[1..], &format!("{text}0"), &text.replace('b', "g")] {
+        for bad in [
+            "",
+            "ba",
+            &text[1..],
+            &format!("{text}0"),
+            &text.replace('b', "g"),
+        ] {
             assert!(bad.parse::<Digest>().is_err(), "{bad}");
         }
     }
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -8,7 +8,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use madderpitch_policy::interface::{DestinationId, Message, Micros, Settings, Standing, TenantId, Terms};
+use madderpitch_policy::interface::{
+    DestinationId, Message, Micros, Settings, Standing, TenantId, Terms,
+};
 use madderpitch_policy::sharing::{Load, Offer, Room, Sharing};
 
 use crate::meter::Meter;
@@ -66,12 +68,16 @@
 
 impl Clock {
     fn lead(&self, tenant: TenantId) -> f64 {
-        self.tags.get(&tenant).map_or(0.0, |tag| tag - self.virtual_time)
+        self.tags
+            .get(&tenant)
+            .map_or(0.0, |tag| tag - self.virtual_time)
     }
 
     /// Virtual time comes up to the least tag of those who ask.
     fn advance(&mut self, asking: impl Iterator<Item = TenantId>) {
-        let least = asking.map(|tenant| self.lead(tenant)).fold(f64::INFINITY, f64::min);
+        let least = asking
+            .map(|tenant| self.lead(tenant))
+            .fold(f64::INFINITY, f64::min);
         self.virtual_time += if least.is_finite() { least } else { 0.0 };
         let now = self.virtual_time;
         self.tags.retain(|_, tag| *tag > now);
@@ -125,7 +131,14 @@
         let mut shares = Shares::new(set.slots);
         for (number, tenant) in (0..).zip(&set.tenants) {
             let weight = (tenant.share * WHOLE).clamp(1.0, MOST_WEIGHT) as u32;
-            shares.set(0, number, Some(Terms { weight, ..Terms::default() }));
+            shares.set(
+                0,
+                number,
+                Some(Terms {
+                    weight,
+                    ..Terms::default()
+                }),
+            );
         }
         shares
     }
@@ -137,7 +150,9 @@
 
     /// A tenant is gone, and holds nothing.
     fn forget(&mut self, tenant: TenantId) {
-        let Some(account) = self.accounts.remove(&tenant) else { return };
+        let Some(account) = self.accounts.remove(&tenant) else {
+            return;
+        };
         if account.counts_until > 0 {
             self.holding -= u64::from(account.terms.weight);
             self.recent.remove(&(account.counts_until, tenant));
@@ -146,9 +161,16 @@
 
     /// Those who hold nothing, and asked last too long ago, share the hold no more.
     fn expire(&mut self, now: Micros) {
-        while let Some((until, tenant)) = self.recent.first().copied().filter(|(until, _)| *until <= now) {
+        while let Some((until, tenant)) = self
+            .recent
+            .first()
+            .copied()
+            .filter(|(until, _)| *until <= now)
+        {
             self.recent.pop_first();
-            let Some(account) = self.accounts.get_mut(&tenant) else { continue };
+            let Some(account) = self.accounts.get_mut(&tenant) else {
+                continue;
+            };
             if account.held > 0 {
                 account.counts_until = now + RECENT;
                 self.recent.insert((account.counts_until, tenant));
@@ -160,12 +182,18 @@
     }
 
     fn weight(&self, tenant: TenantId) -> f64 {
-        self.accounts.get(&tenant).map_or(1.0, |account| f64::from(account.terms.weight))
+        self.accounts
+            .get(&tenant)
+            .map_or(1.0, |account| f64::from(account.terms.weight))
     }
 
     fn clock(&mut self, destination: DestinationId) -> &mut Clock {
         if self.destinations.len() >= MOST_CLOCKS && !self.destinations.contains_key(&destination) {
-            let oldest = self.destinations.iter().min_by_key(|(_, clock)| clock.used).map(|(at, _)| *at);
+            let oldest = self
+                .destinations
+                .iter()
+                .min_by_key(|(_, clock)| clock.used)
+                .map(|(at, _)| *at);
             oldest.and_then(|at| self.destinations.remove(&at));
         }
         let clock = self.destinations.entry(destination).or_default();
@@ -187,7 +215,10 @@
             }
             return;
         };
-        let terms = Terms { weight: terms.weight.max(1), ..terms };
+        let terms = Terms {
+            weight: terms.weight.max(1),
+            ..terms
+        };
         let fresh = Account {
             terms,
             gone: false,
@@ -208,16 +239,22 @@
     }
 
     fn admit(&self, now: Micros, tenant: TenantId) -> Result<(), Micros> {
-        let Some(account) = self.accounts.get(&tenant) else { return Ok(()) };
+        let Some(account) = self.accounts.get(&tenant) else {
+            return Ok(());
+        };
         let terms = account.terms;
         if terms.standing != Standing::Active || account.held >= terms.most_held {
             return Err(0);
         }
-        terms.rate.map_or(Ok(()), |rate| account.meter.room(now, rate))
+        terms
+            .rate
+            .map_or(Ok(()), |rate| account.meter.room(now, rate))
     }
 
     fn taken(&mut self, now: Micros, message: &Message) {
-        let Some(account) = self.accounts.get_mut(&message.tenant) else { return };
+        let Some(account) = self.accounts.get_mut(&message.tenant) else {
+            return;
+        };
         if let Some(rate) = account.terms.rate {
             account.meter.take(now, rate);
         }
@@ -235,7 +272,10 @@
 
     fn released(&mut self, message: &Message) {
         // One that was held before its tenant's terms were told counts for nobody.
-        let account = self.accounts.get_mut(&message.tenant).filter(|account| account.held > 0);
+        let account = self
+            .accounts
+            .get_mut(&message.tenant)
+            .filter(|account| account.held > 0);
         let Some(account) = account else { return };
         account.held -= 1;
         account.bytes = account.bytes.saturating_sub(message.size);
@@ -245,7 +285,9 @@
     }
 
     fn over_share(&self, tenant: TenantId, room: Room) -> bool {
-        let Some(account) = self.accounts.get(&tenant) else { return true };
+        let Some(account) = self.accounts.get(&tenant) else {
+            return true;
+        };
         let weight = u64::from(account.terms.weight);
         let all = self.holding + if account.counts() { 0 } else { weight };
         let over = |has: usize, most: usize| has as f64 * all as f64 > most as f64 * weight as f64;
@@ -254,8 +296,14 @@
 
     fn crowds(&mut self, now: Micros, tenant: TenantId, room: Room) -> bool {
         self.expire(now);
-        let Some(account) = self.accounts.get(&tenant) else { return false };
-        let own = if account.counts() { u64::from(account.terms.weight) } else { 0 };
+        let Some(account) = self.accounts.get(&tenant) else {
+            return false;
+        };
+        let own = if account.counts() {
+            u64::from(account.terms.weight)
+        } else {
+            0
+        };
         self.holding > own && self.over_share(tenant, room)
     }
 
@@ -268,24 +316,33 @@
         let mut asking: BTreeMap<DestinationId, BTreeMap<TenantId, f64>> = BTreeMap::new();
         let mut all: BTreeMap<TenantId, f64> = BTreeMap::new();
         for offer in offers.iter() {
-            asking.entry(offer.destination).or_default().insert(offer.tenant, 0.0);
+            asking
+                .entry(offer.destination)
+                .or_default()
+                .insert(offer.tenant, 0.0);
             all.insert(offer.tenant, 0.0);
         }
-        let sum = |tenants: &BTreeMap<TenantId, f64>| tenants.keys().map(|t| self.weight(*t)).sum::<f64>();
+        let sum = |tenants: &BTreeMap<TenantId, f64>| {
+            tenants.keys().map(|t| self.weight(*t)).sum::<f64>()
+        };
         let whole = sum(&all);
-        let wholes: BTreeMap<DestinationId, f64> = asking.iter().map(|(d, t)| (*d, sum(t))).collect();
+        let wholes: BTreeMap<DestinationId, f64> =
+            asking.iter().map(|(d, t)| (*d, sum(t))).collect();
         // Seconds of all slots, and calls of a destination, that a tenant has had beyond its share.
         let scale = whole / self.places;
         self.slots.advance(all.keys().copied());
         self.slots.most = MOST_LEAD * SLOTS_QUANTUM / scale;
-        all.iter_mut().for_each(|(tenant, lead)| *lead = self.slots.lead(*tenant) * scale);
+        all.iter_mut()
+            .for_each(|(tenant, lead)| *lead = self.slots.lead(*tenant) * scale);
         for (destination, tenants) in &mut asking {
             let scale = wholes[destination];
             let clock = self.clock(*destination);
             clock.left = 0;
             clock.advance(tenants.keys().copied());
             clock.most = MOST_LEAD * CALLS_QUANTUM / scale;
-            tenants.iter_mut().for_each(|(tenant, lead)| *lead = clock.lead(*tenant) * scale);
+            tenants
+                .iter_mut()
+                .for_each(|(tenant, lead)| *lead = clock.lead(*tenant) * scale);
         }
         let mut turns: Vec<(u32, Offer)> = Vec::with_capacity(offers.len());
         for offer in offers.drain(..) {
@@ -295,7 +352,9 @@
                 turn = *lead / SLOTS_QUANTUM;
                 *lead += offer.cost as f64 / SECOND / weight * scale;
             }
-            let there = asking.get_mut(&offer.destination).and_then(|t| t.get_mut(&offer.tenant));
+            let there = asking
+                .get_mut(&offer.destination)
+                .and_then(|t| t.get_mut(&offer.tenant));
             if let Some(lead) = there {
                 turn = turn.max(*lead / CALLS_QUANTUM);
                 *lead += wholes[&offer.destination] / weight;
@@ -311,7 +370,10 @@
 
     fn may_send(&self, tenant: TenantId) -> bool {
         self.accounts.get(&tenant).is_none_or(|account| {
-            let stands = matches!(account.terms.standing, Standing::Active | Standing::Finishing);
+            let stands = matches!(
+                account.terms.standing,
+                Standing::Active | Standing::Finishing
+            );
             stands && account.in_flight < account.terms.most_in_flight
         })
     }
@@ -324,7 +386,8 @@
         if self.accounts.len() < 2 {
             return;
         }
-        self.slots.charge(message.tenant, cost as f64 / SECOND / weight);
+        self.slots
+            .charge(message.tenant, cost as f64 / SECOND / weight);
         let clock = self.clock(message.destination);
         clock.charge(message.tenant, 1.0 / weight);
         clock.left = clock.left.saturating_sub(1);
@@ -336,7 +399,10 @@
             account.in_flight = account.in_flight.saturating_sub(1);
         }
         if cost > 0 && self.accounts.len() > 1 {
-            self.slots.charge(message.tenant, (elapsed as f64 - cost as f64) / SECOND / weight);
+            self.slots.charge(
+                message.tenant,
+                (elapsed as f64 - cost as f64) / SECOND / weight,
+            );
         }
     }
 
@@ -345,22 +411,33 @@
             self.slots.catch_up();
         }
         let now = self.now;
-        for clock in self.destinations.values_mut().filter(|clock| clock.used == now && clock.left == 0) {
+        for clock in self
+            .destinations
+            .values_mut()
+            .filter(|clock| clock.used == now && clock.left == 0)
+        {
             clock.catch_up();
         }
     }
 
     fn abandons(&self, tenant: TenantId) -> bool {
-        self.accounts.get(&tenant).is_some_and(|account| account.terms.standing == Standing::Ending)
+        self.accounts
+            .get(&tenant)
+            .is_some_and(|account| account.terms.standing == Standing::Ending)
     }
 
     fn load(&self, tenant: TenantId) -> Load {
         let account = self.accounts.get(&tenant);
-        account.map_or(Load::default(), |account| Load { held: account.held, in_flight: account.in_flight })
+        account.map_or(Load::default(), |account| Load {
+            held: account.held,
+            in_flight: account.in_flight,
+        })
     }
 
     fn used_until(&self, tenant: TenantId) -> Micros {
-        self.accounts.get(&tenant).map_or(0, |account| account.meter.full_at())
+        self.accounts
+            .get(&tenant)
+            .map_or(0, |account| account.meter.full_at())
     }
 
     fn use_until(&mut self, tenant: TenantId, until: Micros) {
--- a/crates/tenancy/src/spec.rs
+++ b/crates/tenancy/src/spec.rs
@@ -61,11 +61,17 @@
     type Err = Invalid;
 
     fn from_str(text: &str) -> Result<Self, Invalid> {
-        let bad =
-            || Invalid::new("destinations", format!("{text:?} is no number of a destination and no range"));
+        let bad = || {
+            Invalid::new(
+                "destinations",
+                format!("{text:?} is no number of a destination and no range"),
+            )
+        };
         let (first, last) = text.split_once('-').unwrap_or((text, text));
-        let range =
-            Destinations { first: first.parse().map_err(|_| bad())?, last: last.parse().map_err(|_| bad())? };
+        let range = Destinations {
+            first: first.parse().map_err(|_| bad())?,
+            last: last.parse().map_err(|_| bad())?,
+        };
         if range.first <= range.last {
             Ok(range)
         } else {
@@ -156,7 +162,10 @@
 
 impl Invalid {
     pub(crate) fn new(field: &'static str, why: impl Into<String>) -> Self {
-        Invalid { field, why: why.into() }
+        Invalid {
+            field,
+            why: why.into(),
+        }
     }
 }
 
@@ -164,7 +173,10 @@
     /// Whether all values are within their bounds and the classes are among those known.
     pub fn check(&self, known_classes: &[String]) -> Result<(), Invalid> {
         if !(1..=MOST_WEIGHT).contains(&self.weight) {
-            return Err(Invalid::new("weight", format!("{} is not from 1 to {MOST_WEIGHT}", self.weight)));
+            return Err(Invalid::new(
+                "weight",
+                format!("{} is not from 1 to {MOST_WEIGHT}", self.weight),
+            ));
         }
         if let Some(RateSpec { per_second, burst }) = self.rate {
             let (most, most_burst) = MOST_RATE;
@@ -199,18 +211,32 @@
             }
             if let Some(unknown) = classes.iter().find(|class| !known_classes.contains(class)) {
                 let unknown: String = unknown.chars().take(MOST_NAME).collect();
-                return Err(Invalid::new("classes", format!("there is no class {unknown:?}")));
+                return Err(Invalid::new(
+                    "classes",
+                    format!("there is no class {unknown:?}"),
+                ));
             }
         }
-        if self.destinations.as_ref().is_some_and(|ranges| ranges.len() > MOST_NAMED) {
-            return Err(Invalid::new("destinations", format!("more than {MOST_NAMED}")));
+        if self
+            .destinations
+            .as_ref()
+            .is_some_and(|ranges| ranges.len() > MOST_NAMED)
+        {
+            return Err(Invalid::new(
+                "destinations",
+                format!("more than {MOST_NAMED}"),
+            ));
         }
         Ok(())
     }
 
     /// Whether a message of a class may go to a destination.
     pub fn allows(&self, class: &str, destination: DestinationId) -> Result<(), &'static str> {
-        if self.classes.as_ref().is_some_and(|classes| !classes.contains(class)) {
+        if self
+            .classes
+            .as_ref()
+            .is_some_and(|classes| !classes.contains(class))
+        {
             return Err("the tenant may not hand in this class");
         }
         let ranges = self.destinations.as_ref();
@@ -225,7 +251,10 @@
         let most = |limit: Option<u32>| limit.map_or(usize::MAX, |limit| limit as usize);
         Terms {
             weight: self.weight,
-            rate: self.rate.map(|rate| Rate { per_s: rate.per_second, burst: f64::from(rate.burst) }),
+            rate: self.rate.map(|rate| Rate {
+                per_s: rate.per_second,
+                burst: f64::from(rate.burst),
+            }),
             most_held: most(self.max_held),
             most_in_flight: most(self.max_in_flight),
             standing,
@@ -236,7 +265,10 @@
 /// Whether a tenant may be called so: letters, digits, `.`, `_` and `-`, the first a letter or digit.
 pub fn check_name(name: &str) -> Result<(), Invalid> {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
-    let first = name.bytes().next().is_some_and(|byte| byte.is_ascii_alphanumeric());
+    let first = name
+        .bytes()
+        .next()
+        .is_some_and(|byte| byte.is_ascii_alphanumeric());
     if first && name.len() <= MOST_NAME && name.bytes().all(plain) {
         return Ok(());
     }
@@ -253,7 +285,9 @@
 
     fn spec(text: &str) -> Result<Spec, String> {
         let spec: Spec = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        spec.check(&["payout".into(), "update".into()]).map_err(|e| e.to_string()).map(|()| spec)
+        spec.check(&["payout".into(), "update".into()])
+            .map_err(|e| e.to_string())
+            .map(|()| spec)
     }
 
     #[test]
@@ -292,7 +326,10 @@
         let spec = spec(r#"{"classes":["payout"],"destinations":["3","10-12"]}"#).expect("good");
         assert!(spec.allows("payout", 3).is_ok() && spec.allows("payout", 12).is_ok());
         for (class, destination) in [("update", 3), ("payout", 4), ("payout", 13), ("payout", 9)] {
-            assert!(spec.allows(class, destination).is_err(), "{class} {destination}");
+            assert!(
+                spec.allows(class, destination).is_err(),
+                "{class} {destination}"
+            );
         }
     }
 
@@ -301,7 +338,17 @@
         for good in ["a", "forthside-cash", "Acme.2_b", &"x".repeat(64)] {
             assert!(check_name(good).is_ok(), "{good}");
         }
-        for bad in ["", "-a", ".a", "a b", "a/2", "a,b", "a=b", "ä", &"x".repeat(65)] {
+        for bad in [
+            "",
+            "-a",
+            ".a",
+            "a b",
+            "a/2",
+            "a,b",
+            "a=b",
+            "ä",
+            &"x".repeat(65),
+        ] {
             assert!(check_name(bad).is_err(), "{bad}");
         }
     }
--- a/crates/tenancy/tests/flood.rs
+++ b/crates/tenancy/tests/flood.rs
@@ -34,8 +34,17 @@
     };
     Settings {
         classes: vec![class(Effect::Safe, 2.0), class(Effect::Unsafe, 5.0)],
-        kinds: vec![Kind { apart: false, per_call: 1 }],
-        tenants: vec![Tenant { quota_per_s: 100.0, share: 1.0 }; 3],
+        kinds: vec![Kind {
+            apart: false,
+            per_call: 1,
+        }],
+        tenants: vec![
+            Tenant {
+                quota_per_s: 100.0,
+                share: 1.0
+            };
+            3
+        ],
         over_share_worth: 0.1,
         slots: 32,
         most_held: 200,
@@ -85,7 +94,14 @@
 fn play(tenants: [Option<Traffic>; 3], sharing: Box<dyn Sharing>, at_once: usize) -> Served {
     let set = settings();
     let mut relay = Relay::shared(set.clone(), 11, sharing);
-    let (mut now, mut next, mut served) = (100 * S, 0, Served { in_time: [0; 3], calls: 0 });
+    let (mut now, mut next, mut served) = (
+        100 * S,
+        0,
+        Served {
+            in_time: [0; 3],
+            calls: 0,
+        },
+    );
     let start = now;
     let hosts = (1..=4).map(|d| HostEntry {
         host: u32::from(d),
@@ -95,7 +111,11 @@
         listing: Listing::Ready,
         weight: 0.0,
     });
-    let mut events = vec![Event::Hosts { whole: true, cached: false, entries: hosts.collect() }];
+    let mut events = vec![Event::Hosts {
+        whole: true,
+        cached: false,
+        entries: hosts.collect(),
+    }];
     let mut open: BTreeMap<MessageId, Underway> = BTreeMap::new();
     let mut attempts: BTreeMap<MessageId, u8> = BTreeMap::new();
     // By when: what a client hands in again, what a partner answers, timers.
@@ -105,14 +125,25 @@
     let mut timers: BTreeMap<Micros, u64> = BTreeMap::new();
     let mut sent = [0; 3];
     while now < start + SPAN {
-        for (number, traffic) in tenants.iter().enumerate().filter_map(|(n, t)| t.map(|t| (n, t))) {
+        for (number, traffic) in tenants
+            .iter()
+            .enumerate()
+            .filter_map(|(n, t)| t.map(|t| (n, t)))
+        {
             while sent[number] * S < (now - start) * traffic.per_s {
                 let count = sent[number];
                 sent[number] += 1;
                 let (class, destination) = ((traffic.class)(count), (traffic.to)(count));
                 next += 1;
                 let size = traffic.size;
-                let fresh = Underway { tenant: number, class, first: now, destination, size, tries: 0 };
+                let fresh = Underway {
+                    tenant: number,
+                    class,
+                    first: now,
+                    destination,
+                    size,
+                    tries: 0,
+                };
                 again.insert((now, next), fresh);
             }
         }
@@ -182,7 +213,13 @@
                     let gone = open.remove(&id).expect("one that is open");
                     if gone.tries < TRIES {
                         next += 1;
-                        again.insert((now + after, next), Underway { tries: gone.tries + 1, ..gone });
+                        again.insert(
+                            (now + after, next),
+                            Underway {
+                                tries: gone.tries + 1,
+                                ..gone
+                            },
+                        );
                     }
                 }
                 Action::Timer { after, token } => drop(timers.insert(now + after, token)),
@@ -200,35 +237,72 @@
 }
 
 /// What tenants 1 and 2 keep of their service, each, while tenant 0 floods.
-fn kept(usual: [Traffic; 3], flood: Traffic, sharing: fn() -> Box<dyn Sharing>, at_once: usize) -> [f64; 2] {
+fn kept(
+    usual: [Traffic; 3],
+    flood: Traffic,
+    sharing: fn() -> Box<dyn Sharing>,
+    at_once: usize,
+) -> [f64; 2] {
     let calm = play(usual.map(Some), sharing(), at_once);
     let flooded = play([flood, usual[1], usual[2]].map(Some), sharing(), at_once);
     [1, 2].map(|tenant| flooded.in_time[tenant] as f64 / calm.in_time[tenant] as f64)
 }
 
 fn mixes() -> [(&'static str, [Traffic; 3], Traffic); 5] {
-    let traffic = |class, to| Traffic { per_s: USUAL, class, to, size: 500 };
-    let flood = |class, to| Traffic { per_s: USUAL * FLOOD, class, to, size: 500 };
+    let traffic = |class, to| Traffic {
+        per_s: USUAL,
+        class,
+        to,
+        size: 500,
+    };
+    let flood = |class, to| Traffic {
+        per_s: USUAL * FLOOD,
+        class,
+        to,
+        size: 500,
+    };
     // 30 of them fill the hold.
-    let large = |traffic| Traffic { size: 30_000, ..traffic };
+    let large = |traffic| Traffic {
+        size: 30_000,
+        ..traffic
+    };
     let updates: fn(u64) -> u16 = |_| UPDATE;
     let payouts: fn(u64) -> u16 = |_| PAYOUT;
     let mixed: fn(u64) -> u16 = |n| if n % 5 == 0 { PAYOUT } else { UPDATE };
     let all: fn(u64) -> DestinationId = |n| 1 + (n % 4) as DestinationId;
     let one: fn(u64) -> DestinationId = |_| 1;
     [
-        ("same class", [traffic(updates, all); 3], flood(updates, all)),
-        ("updates against a flood of payouts", [traffic(updates, all); 3], flood(payouts, all)),
-        ("one shared partner", [traffic(mixed, one); 3], flood(mixed, one)),
+        (
+            "same class",
+            [traffic(updates, all); 3],
+            flood(updates, all),
+        ),
+        (
+            "updates against a flood of payouts",
+            [traffic(updates, all); 3],
+            flood(payouts, all),
+        ),
+        (
+            "one shared partner",
+            [traffic(mixed, one); 3],
+            flood(mixed, one),
+        ),
         ("all partners", [traffic(mixed, all); 3], flood(mixed, all)),
-        ("large bodies", [large(traffic(mixed, all)); 3], large(flood(mixed, all))),
+        (
+            "large bodies",
+            [large(traffic(mixed, all)); 3],
+            large(flood(mixed, all)),
+        ),
     ]
 }
 
 #[test]
 fn others_keep_their_service_while_one_floods() {
     for (name, usual, flood) in mixes() {
-        let (kept, before) = (kept(usual, flood, shares, 64), kept(usual, flood, || Box::new(Unshared), 64));
+        let (kept, before) = (
+            kept(usual, flood, shares, 64),
+            kept(usual, flood, || Box::new(Unshared), 64),
+        );
         println!("{name}: kept {kept:.3?}, without shares {before:.3?}");
         assert!(kept.iter().all(|kept| *kept >= 0.95), "{name}: {kept:?}");
     }
@@ -239,7 +313,10 @@
     for (name, _, flood) in mixes() {
         let alone = play([Some(flood), None, None], shares(), 64);
         let unshared = play([Some(flood), None, None], Box::new(Unshared), 64);
-        println!("{name}: {} calls alone, {} without shares", alone.calls, unshared.calls);
+        println!(
+            "{name}: {} calls alone, {} without shares",
+            alone.calls, unshared.calls
+        );
         assert!(alone.calls as f64 >= 0.98 * unshared.calls as f64, "{name}");
     }
 }
--- a/crates/tenancy/tests/registry.rs
+++ b/crates/tenancy/tests/registry.rs
@@ -17,8 +17,18 @@
 }
 
 fn command(name: &str, expect: Expect, change: Change) -> Command {
-    let actor = Actor { name: "ops".into(), role: "admin".into() };
-    Command { actor, request: "r1".into(), key: None, name: name.into(), expect, change }
+    let actor = Actor {
+        name: "ops".into(),
+        role: "admin".into(),
+    };
+    Command {
+        actor,
+        request: "r1".into(),
+        key: None,
+        name: name.into(),
+        expect,
+        change,
+    }
 }
 
 /// Decides and commits; tells the tenant as it is after.
@@ -34,7 +44,11 @@
 }
 
 fn create(registry: &mut Registry, name: &str) -> Tenant {
-    make(registry, &command(name, Expect::Any, Change::Create(Spec::default()))).expect("made")
+    make(
+        registry,
+        &command(name, Expect::Any, Change::Create(Spec::default())),
+    )
+    .expect("made")
 }
 
 fn drain(registry: &mut Registry) -> usize {
@@ -54,18 +68,41 @@
     let expect = || Expect::OneOf(vec![made.version]);
     let heavier = command("acme", expect(), Change::Merge(json!({"weight": 300})));
     let lighter = command("acme", expect(), Change::Merge(json!({"weight": 30})));
-    assert_eq!(make(&mut registry, &heavier).expect("the first wins").spec.weight, 300);
-    let now = Version { generation: 1, revision: 2 };
+    assert_eq!(
+        make(&mut registry, &heavier)
+            .expect("the first wins")
+            .spec
+            .weight,
+        300
+    );
+    let now = Version {
+        generation: 1,
+        revision: 2,
+    };
     assert_eq!(make(&mut registry, &lighter), Err(Refusal::Stale(now)));
-    let again = command("acme", Expect::OneOf(vec![made.version, now]), Change::Merge(json!({"weight": 30})));
-    assert_eq!(make(&mut registry, &again).expect("by the state that is").spec.weight, 30);
+    let again = command(
+        "acme",
+        Expect::OneOf(vec![made.version, now]),
+        Change::Merge(json!({"weight": 30})),
+    );
+    assert_eq!(
+        make(&mut registry, &again)
+            .expect("by the state that is")
+            .spec
+            .weight,
+        30
+    );
 }
 
 #[test]
 fn a_change_that_changes_nothing_is_no_change() {
     let mut registry = Registry::new(classes());
     let made = create(&mut registry, "acme");
-    for change in [Change::Resume, Change::Replace(Spec::default()), Change::Merge(json!({}))] {
+    for change in [
+        Change::Resume,
+        Change::Replace(Spec::default()),
+        Change::Merge(json!({})),
+    ] {
         let same = registry.decide(1, &command("acme", Expect::Any, change));
         assert_eq!(same, Ok(Decision::Nothing(Box::new(made.clone()))));
     }
@@ -75,16 +112,36 @@
 fn a_merge_patch_sets_and_clears_and_is_checked() {
     let mut registry = Registry::new(classes());
     create(&mut registry, "acme");
-    let mut merge = |patch| make(&mut registry, &command("acme", Expect::Any, Change::Merge(patch)));
+    let mut merge = |patch| {
+        make(
+            &mut registry,
+            &command("acme", Expect::Any, Change::Merge(patch)),
+        )
+    };
     let rate = json!({"rate": {"per_second": 5.0, "burst": 9}, "classes": ["payout"]});
     let set = merge(rate).expect("good").spec;
-    assert_eq!(set.rate.map(|rate| (rate.per_second, rate.burst)), Some((5.0, 9)));
+    assert_eq!(
+        set.rate.map(|rate| (rate.per_second, rate.burst)),
+        Some((5.0, 9))
+    );
     assert_eq!(set.classes, Some(BTreeSet::from(["payout".to_string()])));
     let part = merge(json!({"rate": {"burst": 3}})).expect("good").spec;
-    assert_eq!(part.rate.map(|rate| (rate.per_second, rate.burst)), Some((5.0, 3)));
+    assert_eq!(
+        part.rate.map(|rate| (rate.per_second, rate.burst)),
+        Some((5.0, 3))
+    );
     assert_eq!(merge(json!({"rate": null})).expect("good").spec.rate, None);
-    for bad in [json!(7), json!({"weight": 0}), json!({"nothing": 1}), json!({"classes": ["x"]}), json!([])] {
-        assert!(matches!(merge(bad.clone()), Err(Refusal::Invalid(_))), "{bad}");
+    for bad in [
+        json!(7),
+        json!({"weight": 0}),
+        json!({"nothing": 1}),
+        json!({"classes": ["x"]}),
+        json!([]),
+    ] {
+        assert!(
+            matches!(merge(bad.clone()), Err(Refusal::Invalid(_))),
+            "{bad}"
+        );
     }
 }
 
@@ -95,7 +152,11 @@
     let first = registry.admits("acme", "payout", 1).expect("admitted");
     first.owed = 2;
     let number = first.number;
-    let removed = make(&mut registry, &command("acme", Expect::Any, Change::Remove(None))).expect("removed");
+    let removed = make(
+        &mut registry,
+        &command("acme", Expect::Any, Change::Remove(None)),
+    )
+    .expect("removed");
     assert_eq!(removed.terms().standing, Standing::Finishing);
     assert!(registry.admits("acme", "payout", 1).is_err());
     assert_eq!(drain(&mut registry), 0);
@@ -106,26 +167,50 @@
     let hurried = make(&mut registry, &command("acme", Expect::Any, hurry)).expect("hurried");
     assert_eq!(hurried.terms().standing, Standing::Ending);
     let slow = Change::Remove(Some(OnRemoval::Finish));
-    assert_eq!(make(&mut registry, &command("acme", Expect::Any, slow)), Ok(hurried));
+    assert_eq!(
+        make(&mut registry, &command("acme", Expect::Any, slow)),
+        Ok(hurried)
+    );
     // Made anew under its name, it is another, beside the one that drains.
     let second = create(&mut registry, "acme");
-    assert_eq!(second.version, Version { generation: 2, revision: 1 });
+    assert_eq!(
+        second.version,
+        Version {
+            generation: 2,
+            revision: 1
+        }
+    );
     assert_eq!(second.reference(), "acme/2");
     let fresh = registry.admits("acme", "payout", 1).expect("admitted");
     assert_ne!(fresh.number, number);
     fresh.owed = 1;
-    assert_eq!(registry.recall("acme").map(|entry| (entry.number, entry.owed)), Some((number, 2)));
+    assert_eq!(
+        registry
+            .recall("acme")
+            .map(|entry| (entry.number, entry.owed)),
+        Some((number, 2))
+    );
     assert_eq!(registry.recall("acme/2").map(|entry| entry.owed), Some(1));
     assert!(registry.recall("acme/3").is_none() && registry.recall("acme/x").is_none());
     assert_eq!(registry.len(), 2);
     registry.recall("acme").expect("drains").owed = 0;
     assert_eq!(drain(&mut registry), 1);
     assert!(registry.recall("acme").is_none() && registry.find("acme").is_ok());
-    make(&mut registry, &command("acme", Expect::Any, Change::Remove(None))).expect("removed");
+    make(
+        &mut registry,
+        &command("acme", Expect::Any, Change::Remove(None)),
+    )
+    .expect("removed");
     registry.recall("acme/2").expect("drains").owed = 0;
     assert_eq!(drain(&mut registry), 1);
-    assert_eq!(registry.find("acme").map(|_| ()), Err(Refusal::Gone("acme".into())));
-    assert_eq!(registry.find("beta").map(|_| ()), Err(Refusal::Unknown("beta".into())));
+    assert_eq!(
+        registry.find("acme").map(|_| ()),
+        Err(Refusal::Gone("acme".into()))
+    );
+    assert_eq!(
+        registry.find("beta").map(|_| ()),
+        Err(Refusal::Unknown("beta".into()))
+    );
     assert!(registry.is_empty());
     // Its generations are not used again.
     assert_eq!(create(&mut registry, "acme").version.generation, 3);
@@ -137,32 +222,76 @@
     for _ in 0..=MOST_DRAINING {
         create(&mut registry, "acme");
         registry.admits("acme", "payout", 1).expect("admitted").owed = 1;
-        make(&mut registry, &command("acme", Expect::Any, Change::Remove(None))).expect("removed");
+        make(
+            &mut registry,
+            &command("acme", Expect::Any, Change::Remove(None)),
+        )
+        .expect("removed");
         if registry.draining("acme").len() == MOST_DRAINING {
             break;
         }
     }
-    let more = make(&mut registry, &command("acme", Expect::Any, Change::Create(Spec::default())));
-    assert!(matches!(more, Err(Refusal::TooMany { most: MOST_DRAINING, .. })), "{more:?}");
+    let more = make(
+        &mut registry,
+        &command("acme", Expect::Any, Change::Create(Spec::default())),
+    );
+    assert!(
+        matches!(
+            more,
+            Err(Refusal::TooMany {
+                most: MOST_DRAINING,
+                ..
+            })
+        ),
+        "{more:?}"
+    );
     for n in 0..MOST_TENANTS - MOST_DRAINING {
         create(&mut registry, &format!("t{n}"));
     }
-    let more = make(&mut registry, &command("late", Expect::Any, Change::Create(Spec::default())));
-    assert!(matches!(more, Err(Refusal::TooMany { most: MOST_TENANTS, .. })), "{more:?}");
+    let more = make(
+        &mut registry,
+        &command("late", Expect::Any, Change::Create(Spec::default())),
+    );
+    assert!(
+        matches!(
+            more,
+            Err(Refusal::TooMany {
+                most: MOST_TENANTS,
+                ..
+            })
+        ),
+        "{more:?}"
+    );
     // As many as may be are read back, too.
     let kept = Registry::restored(classes(), registry.kept());
     assert_eq!(kept.len(), MOST_TENANTS);
     for n in 0..MOST_GONE + 10 {
-        make(&mut registry, &command(&format!("t{n}"), Expect::Any, Change::Remove(None))).expect("removed");
+        make(
+            &mut registry,
+            &command(&format!("t{n}"), Expect::Any, Change::Remove(None)),
+        )
+        .expect("removed");
         drain(&mut registry);
     }
     assert_eq!(registry.kept().gone.len(), MOST_GONE);
-    let secret = |n: usize| Change::AddSecret { id: format!("s{n}"), sha256: Digest::of(&n.to_le_bytes()) };
+    let secret = |n: usize| Change::AddSecret {
+        id: format!("s{n}"),
+        sha256: Digest::of(&n.to_le_bytes()),
+    };
     for n in 0..MOST_SECRETS {
         make(&mut registry, &command("t5000", Expect::Any, secret(n))).expect("added");
     }
     let more = make(&mut registry, &command("t5000", Expect::Any, secret(99)));
-    assert!(matches!(more, Err(Refusal::TooMany { most: MOST_SECRETS, .. })), "{more:?}");
+    assert!(
+        matches!(
+            more,
+            Err(Refusal::TooMany {
+                most: MOST_SECRETS,
+                ..
+            })
+        ),
+        "{more:?}"
+    );
 }
 
 #[test]
@@ -170,7 +299,10 @@
     let mut registry = Registry::new(classes());
     let keyed = |key: &str, asked: &[u8], change: Change| {
         let key = Some((key.to_string(), Digest::of(asked)));
-        Command { key, ..command("acme", Expect::Any, change) }
+        Command {
+            key,
+            ..command("acme", Expect::Any, change)
+        }
     };
     let create = keyed("k1", b"create", Change::Create(Spec::default()));
     let made = make(&mut registry, &create).expect("made");
@@ -180,20 +312,38 @@
     let other = keyed("k1", b"other", Change::Pause);
     assert_eq!(registry.decide(2000, &other), Err(Refusal::KeyReused));
     // Another's key is another key.
-    let actor = Actor { name: "dev".into(), role: "admin".into() };
-    let theirs = Command { actor, ..other.clone() };
-    assert!(matches!(registry.decide(2000, &theirs), Ok(Decision::Nothing(_))));
+    let actor = Actor {
+        name: "dev".into(),
+        role: "admin".into(),
+    };
+    let theirs = Command {
+        actor,
+        ..other.clone()
+    };
+    assert!(matches!(
+        registry.decide(2000, &theirs),
+        Ok(Decision::Nothing(_))
+    ));
     // Over a restart, and for a day.
     let restored = Registry::restored(classes(), registry.kept());
-    assert!(matches!(restored.decide(2000, &create), Ok(Decision::Again(_))));
+    assert!(matches!(
+        restored.decide(2000, &create),
+        Ok(Decision::Again(_))
+    ));
     let late = 1000 + KEY_LIFE;
-    assert_eq!(restored.decide(late, &create), Err(Refusal::Exists("acme".into())));
+    assert_eq!(
+        restored.decide(late, &create),
+        Err(Refusal::Exists("acme".into()))
+    );
     for n in 0..MOST_KEYS as u64 {
         let change = Change::Merge(json!({"weight": 1 + n}));
         make(&mut registry, &keyed(&format!("n{n}"), b"x", change)).expect("changed");
     }
     assert_eq!(registry.kept().answered.len(), MOST_KEYS);
-    assert_eq!(registry.decide(2000, &create), Err(Refusal::Exists("acme".into())));
+    assert_eq!(
+        registry.decide(2000, &create),
+        Err(Refusal::Exists("acme".into()))
+    );
 }
 
 #[test]
@@ -202,22 +352,46 @@
     create(&mut registry, "acme");
     assert_eq!(registry.login("acme", b""), None);
     let add = |id: &str, secret: &[u8]| {
-        command("acme", Expect::Any, Change::AddSecret { id: id.into(), sha256: Digest::of(secret) })
+        command(
+            "acme",
+            Expect::Any,
+            Change::AddSecret {
+                id: id.into(),
+                sha256: Digest::of(secret),
+            },
+        )
     };
     make(&mut registry, &add("old", b"first")).expect("added");
     make(&mut registry, &add("new", b"second")).expect("added");
-    assert!(matches!(make(&mut registry, &add("new", b"third")), Err(Refusal::Secret(_))));
-    let (old, new) = (registry.login("acme", b"first"), registry.login("acme", b"second"));
+    assert!(matches!(
+        make(&mut registry, &add("new", b"third")),
+        Err(Refusal::Secret(_))
+    ));
+    let (old, new) = (
+        registry.login("acme", b"first"),
+        registry.login("acme", b"second"),
+    );
     let (old, new) = (old.expect("known"), new.expect("known"));
     assert_eq!(registry.login("acme", b"third"), None);
     assert_eq!(registry.login("beta", b"first"), None);
     assert!(registry.knows(&old) && registry.knows(&new));
-    make(&mut registry, &command("acme", Expect::Any, Change::DropSecret("old".into()))).expect("dropped");
+    make(
+        &mut registry,
+        &command("acme", Expect::Any, Change::DropSecret("old".into())),
+    )
+    .expect("dropped");
     assert!(!registry.knows(&old) && registry.knows(&new));
-    let none = make(&mut registry, &command("acme", Expect::Any, Change::DropSecret("old".into())));
+    let none = make(
+        &mut registry,
+        &command("acme", Expect::Any, Change::DropSecret("old".into())),
+    );
     assert!(matches!(none, Err(Refusal::Secret(_))));
     // A tenant that is made anew has secrets of its own.
-    make(&mut registry, &command("acme", Expect::Any, Change::Remove(None))).expect("removed");
+    make(
+        &mut registry,
+        &command("acme", Expect::Any, Change::Remove(None)),
+    )
+    .expect("removed");
     assert!(!registry.knows(&new));
     create(&mut registry, "acme");
     assert!(!registry.knows(&new) && registry.login("acme", b"second").is_none());
@@ -230,10 +404,17 @@
         create(&mut registry, name);
     }
     registry.admits("b", "payout", 1).expect("admitted").owed = 1;
-    make(&mut registry, &command("b", Expect::Any, Change::Remove(None))).expect("removed");
+    make(
+        &mut registry,
+        &command("b", Expect::Any, Change::Remove(None)),
+    )
+    .expect("removed");
     create(&mut registry, "b");
     let names = |after: Option<&str>| -> Vec<String> {
-        registry.page(after).map(|entry| entry.tenant.reference()).collect()
+        registry
+            .page(after)
+            .map(|entry| entry.tenant.reference())
+            .collect()
     };
     assert_eq!(names(None), ["a", "b/2", "c"]);
     assert_eq!(names(Some("a")), ["b/2", "c"]);
--- a/crates/tenancy/tests/shares.rs
+++ b/crates/tenancy/tests/shares.rs
@@ -11,18 +11,46 @@
 const MS: Micros = 1000;
 
 fn offer(id: MessageId, tenant: TenantId, regret: f64, cost: Micros) -> Offer {
-    Offer { id, tenant, destination: 1, regret, cost }
+    Offer {
+        id,
+        tenant,
+        destination: 1,
+        regret,
+        cost,
+    }
 }
 
 fn message(offer: &Offer) -> Message {
-    let Offer { id, tenant, destination, .. } = *offer;
-    Message { id, class: 0, destination, due: 0, key: None, work: None, tenant, again: false, size: 0 }
+    let Offer {
+        id,
+        tenant,
+        destination,
+        ..
+    } = *offer;
+    Message {
+        id,
+        class: 0,
+        destination,
+        due: 0,
+        key: None,
+        work: None,
+        tenant,
+        again: false,
+        size: 0,
+    }
 }
 
 fn with_weights(slots: usize, weights: &[u32]) -> Shares {
     let mut shares = Shares::new(slots);
     for (tenant, weight) in (0..).zip(weights) {
-        shares.set(0, tenant, Some(Terms { weight: *weight, ..Terms::default() }));
+        shares.set(
+            0,
+            tenant,
+            Some(Terms {
+                weight: *weight,
+                ..Terms::default()
+            }),
+        );
     }
     shares
 }
@@ -30,7 +58,10 @@
 /// Rounds in which each tenant asks for so many calls of its own length at one destination that takes so many
 /// a round, and all slots are wanted; tells how many calls, and how much slot time, each got.
 fn contend(
-    shares: &mut Shares, asks: &[(usize, Micros, f64)], a_round: usize, rounds: usize,
+    shares: &mut Shares,
+    asks: &[(usize, Micros, f64)],
+    a_round: usize,
+    rounds: usize,
 ) -> Vec<(u64, u64)> {
     let mut got = vec![(0, 0); asks.len()];
     for round in 0..rounds {
@@ -188,7 +219,11 @@
 #[test]
 fn a_tenant_keeps_to_its_caps_and_its_standing() {
     let mut shares = Shares::new(8);
-    let active = Terms { most_held: 2, most_in_flight: 1, ..Terms::default() };
+    let active = Terms {
+        most_held: 2,
+        most_in_flight: 1,
+        ..Terms::default()
+    };
     shares.set(0, 3, Some(active));
     let one = message(&offer(1, 3, 1.0, MS));
     shares.taken(0, &one);
@@ -225,8 +260,18 @@
 #[test]
 fn a_rate_binds_at_the_door_and_is_counted_when_a_message_is_taken() {
     let mut shares = Shares::new(8);
-    let rate = Some(Rate { per_s: 10.0, burst: 2.0 });
-    shares.set(0, 1, Some(Terms { rate, ..Terms::default() }));
+    let rate = Some(Rate {
+        per_s: 10.0,
+        burst: 2.0,
+    });
+    shares.set(
+        0,
+        1,
+        Some(Terms {
+            rate,
+            ..Terms::default()
+        }),
+    );
     let one = message(&offer(1, 1, 1.0, MS));
     for _ in 0..2 {
         assert_eq!(shares.admit(0, 1), Ok(()));
@@ -242,8 +287,12 @@
 fn destinations_are_forgotten_past_the_bound() {
     let mut shares = with_weights(100_000, &[1, 1]);
     for destination in 0..20_000 {
-        let mut offers: Vec<Offer> =
-            (0..2).map(|tenant| Offer { destination, ..offer(1, tenant, 1.0, MS) }).collect();
+        let mut offers: Vec<Offer> = (0..2)
+            .map(|tenant| Offer {
+                destination,
+                ..offer(1, tenant, 1.0, MS)
+            })
+            .collect();
         shares.arrange(Micros::from(destination), &mut offers);
         shares.sent(&message(&offers[0]), MS);
         shares.settled(false);
--- a/crates/tenancy/tests/stored_format.rs
+++ b/crates/tenancy/tests/stored_format.rs
@@ -13,7 +13,9 @@
 use serde_json::json;
 
 fn golden(name: &str) -> Vec<u8> {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden").join(name);
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/golden")
+        .join(name);
     fs::read(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
 }
 
@@ -24,11 +26,17 @@
 fn full_spec() -> Spec {
     Spec {
         weight: 7,
-        rate: Some(RateSpec { per_second: 2.5, burst: 40 }),
+        rate: Some(RateSpec {
+            per_second: 2.5,
+            burst: 40,
+        }),
         max_held: Some(9),
         max_in_flight: Some(3),
         classes: Some(["payout".to_string()].into()),
-        destinations: Some(vec!["7".parse().expect("a number"), "10-19".parse().expect("a range")]),
+        destinations: Some(vec![
+            "7".parse().expect("a number"),
+            "10-19".parse().expect("a range"),
+        ]),
         on_removal: OnRemoval::Refuse,
     }
 }
@@ -37,7 +45,10 @@
 fn changed() -> (Registry, Vec<Record>) {
     let mut registry = Registry::new(classes());
     let mut records = Vec::new();
-    let secret = || Change::AddSecret { id: "s1".into(), sha256: Digest::of(b"secret") };
+    let secret = || Change::AddSecret {
+        id: "s1".into(),
+        sha256: Digest::of(b"secret"),
+    };
     let changes = [
         ("acme", Change::Create(Spec::default())),
         ("beta", Change::Create(full_spec())),
@@ -52,16 +63,29 @@
     ];
     for (at, (name, change)) in changes.into_iter().enumerate() {
         let key = (at % 2 == 0).then(|| (format!("key-{at}"), Digest::of(name.as_bytes())));
-        let actor = Actor { name: "ops".into(), role: "admin".into() };
+        let actor = Actor {
+            name: "ops".into(),
+            role: "admin".into(),
+        };
         let request = format!("r{at}");
-        let command = Command { actor, request, key, name: name.into(), expect: Expect::Any, change };
-        let Ok(Decision::Make(record)) = registry.decide(1_790_000_000_123 + at as u64, &command) else {
+        let command = Command {
+            actor,
+            request,
+            key,
+            name: name.into(),
+            expect: Expect::Any,
+            change,
+        };
+        let Ok(Decision::Make(record)) = registry.decide(1_790_000_000_123 + at as u64, &command)
+        else {
             panic!("{command:?}")
         };
         registry.commit(&record);
         records.push(*record);
     }
-    let gone = registry.drained(1_790_000_000_999).expect("one that is owed nothing");
+    let gone = registry
+        .drained(1_790_000_000_999)
+        .expect("one that is owed nothing");
     registry.commit(&gone);
     records.push(gone);
     (registry, records)
@@ -69,14 +93,20 @@
 
 fn written_changes() -> Vec<u8> {
     let mut text = record::snapshot(&Registry::new(classes()), 0);
-    changed().1.iter().for_each(|change| text.extend(record::change(change)));
+    changed()
+        .1
+        .iter()
+        .for_each(|change| text.extend(record::change(change)));
     text
 }
 
 #[test]
 fn registry_is_written_as_before() {
     assert_eq!(written_changes(), golden("tenants.changes"));
-    assert_eq!(record::snapshot(&changed().0, 2), golden("tenants.snapshot"));
+    assert_eq!(
+        record::snapshot(&changed().0, 2),
+        golden("tenants.snapshot")
+    );
 }
 
 #[test]
@@ -84,14 +114,23 @@
     let (snapshot, changes) = (golden("tenants.snapshot"), golden("tenants.changes"));
     let (registry, records) = changed();
     let read = recover(&classes(), Some(&changes), Some(&changes)).expect("readable");
-    assert_eq!((read.kept, read.lost, read.spoilt), (registry.kept(), 0, false));
+    assert_eq!(
+        (read.kept, read.lost, read.spoilt),
+        (registry.kept(), 0, false)
+    );
     assert_eq!(read.changes.into_values().collect::<Vec<_>>(), records);
     let read = recover(&classes(), Some(&snapshot), Some(&snapshot)).expect("readable");
-    assert_eq!((read.kept, read.lost, read.spoilt), (registry.kept(), 2, false));
+    assert_eq!(
+        (read.kept, read.lost, read.spoilt),
+        (registry.kept(), 2, false)
+    );
     // The first copy is torn within its last change, the second one heals it.
     let torn = &changes[..changes.len() - 30];
     let read = recover(&classes(), Some(torn), Some(&changes)).expect("readable");
-    assert_eq!((read.kept, read.lost, read.spoilt), (registry.kept(), 0, true));
+    assert_eq!(
+        (read.kept, read.lost, read.spoilt),
+        (registry.kept(), 0, true)
+    );
 }
 
 #[test]
@@ -100,7 +139,11 @@
     let written: Vec<u8> = entries.iter().flat_map(Entry::line).collect();
     let text = golden("audit.jsonl");
     assert_eq!(written, text);
-    let lines = text.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
-    let read: Vec<Entry> = lines.map(|line| serde_json::from_slice(line).expect("an entry")).collect();
+    let lines = text
+        .split(|byte| *byte == b'\n')
+        .filter(|line| !line.is_empty());
+    let read: Vec<Entry> = lines
+        .map(|line| serde_json::from_slice(line).expect("an entry"))
+        .collect();
     assert_eq!(read, entries);
 }
--- a/crates/undeliverable/src/batch.rs
+++ b/crates/undeliverable/src/batch.rs
@@ -162,7 +162,9 @@
     pub fn check(&self) -> Result<(), Refusal> {
         let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
         if self.name.is_empty() || self.name.len() > LONGEST_NAME || !self.name.bytes().all(plain) {
-            return Err(Refusal::Malformed("the name is not of 1 to 64 letters, digits, '.', '_' and '-'"));
+            return Err(Refusal::Malformed(
+                "the name is not of 1 to 64 letters, digits, '.', '_' and '-'",
+            ));
         }
         if !(RATE.0..=RATE.1).contains(&self.per_second) {
             return Err(Refusal::Malformed("per_second is not from 0.01 to 1000"));
@@ -179,7 +181,13 @@
 
 impl Batch {
     /// A batch that was counted, and has not begun.
-    pub fn plan(spec: Spec, by: &str, now: Micros, upto: RecordId, counts: Counts) -> Result<Self, Refusal> {
+    pub fn plan(
+        spec: Spec,
+        by: &str,
+        now: Micros,
+        upto: RecordId,
+        counts: Counts,
+    ) -> Result<Self, Refusal> {
         spec.check()?;
         Ok(Batch {
             spec,
@@ -203,7 +211,12 @@
     }
 
     /// Follows an order; one that it follows already changes nothing.
-    pub fn order(&mut self, order: Order, version: Option<u32>, now: Micros) -> Result<(), Refusal> {
+    pub fn order(
+        &mut self,
+        order: Order,
+        version: Option<u32>,
+        now: Micros,
+    ) -> Result<(), Refusal> {
         if version.is_some_and(|wanted| wanted != self.version) {
             return Err(Refusal::Version(self.version));
         }
@@ -297,7 +310,13 @@
     use super::*;
 
     fn spec() -> Spec {
-        Spec { name: "b1".into(), filter: Filter::default(), per_second: 2.0, at_once: 3, stop_after: 2 }
+        Spec {
+            name: "b1".into(),
+            filter: Filter::default(),
+            per_second: 2.0,
+            at_once: 3,
+            stop_after: 2,
+        }
     }
 
     fn running() -> Batch {
@@ -321,21 +340,38 @@
             }
             now += 10_000;
         }
-        assert!(sent.windows(2).all(|two| two[1] - two[0] >= 490_000), "{sent:?}");
-        assert!((14..=17).contains(&sent.len()), "three at a time, every two seconds: {}", sent.len());
+        assert!(
+            sent.windows(2).all(|two| two[1] - two[0] >= 490_000),
+            "{sent:?}"
+        );
+        assert!(
+            (14..=17).contains(&sent.len()),
+            "three at a time, every two seconds: {}",
+            sent.len()
+        );
     }
 
     #[test]
     fn it_stops_when_failures_mount_and_goes_on_when_told() {
         let mut batch = running();
-        for (delivered, stops) in
-            [(false, false), (true, false), (true, false), (true, false), (false, false), (false, true)]
-        {
+        for (delivered, stops) in [
+            (false, false),
+            (true, false),
+            (true, false),
+            (true, false),
+            (false, false),
+            (false, true),
+        ] {
             batch.sent(1);
             assert_eq!(batch.ended(delivered), stops);
         }
-        assert_eq!((batch.state.clone(), batch.ready(99_000_000)), (State::Stopped, Err(Micros::MAX)));
-        batch.order(Order::Run, None, 99_000_000).expect("stopped is not over");
+        assert_eq!(
+            (batch.state.clone(), batch.ready(99_000_000)),
+            (State::Stopped, Err(Micros::MAX))
+        );
+        batch
+            .order(Order::Run, None, 99_000_000)
+            .expect("stopped is not over");
         assert!(batch.ready(99_000_000).is_ok());
         assert!(!batch.ended(false), "what was before counts no more");
     }
@@ -343,13 +379,19 @@
     #[test]
     fn orders_name_a_version_and_what_is_over_stays_so() {
         let mut batch = running();
-        assert_eq!(batch.order(Order::Pause, Some(1), 0), Err(Refusal::Version(2)));
+        assert_eq!(
+            batch.order(Order::Pause, Some(1), 0),
+            Err(Refusal::Version(2))
+        );
         batch.order(Order::Run, Some(2), 0).expect("no change");
         assert_eq!(batch.version, 2);
         batch.order(Order::Pause, Some(2), 0).expect("running");
         assert_eq!(batch.ready(5_000_000), Err(Micros::MAX));
         batch.order(Order::Cancel, Some(3), 0).expect("paused");
-        assert_eq!(batch.order(Order::Run, None, 0), Err(Refusal::Over("cancelled")));
+        assert_eq!(
+            batch.order(Order::Run, None, 0),
+            Err(Refusal::Over("cancelled"))
+        );
     }
 
     #[test]
@@ -375,15 +417,36 @@
     #[test]
     fn wrong_values_are_refused() {
         let wrong = [
-            Spec { name: String::new(), ..spec() },
-            Spec { name: "a b".into(), ..spec() },
-            Spec { per_second: f64::NAN, ..spec() },
-            Spec { per_second: 0.0, ..spec() },
-            Spec { at_once: 0, ..spec() },
-            Spec { stop_after: 0, ..spec() },
+            Spec {
+                name: String::new(),
+                ..spec()
+            },
+            Spec {
+                name: "a b".into(),
+                ..spec()
+            },
+            Spec {
+                per_second: f64::NAN,
+                ..spec()
+            },
+            Spec {
+                per_second: 0.0,
+                ..spec()
+            },
+            Spec {
+                at_once: 0,
+                ..spec()
+            },
+            Spec {
+                stop_after: 0,
+                ..spec()
+            },
         ];
         for spec in wrong {
-            assert!(Batch::plan(spec.clone(), "ann", 0, 1, Counts::default()).is_err(), "{spec:?}");
+            assert!(
+                Batch::plan(spec.clone(), "ann", 0, 1, Counts::default()).is_err(),
+                "{spec:?}"
+            );
         }
     }
 }
--- a/crates/undeliverable/src/decide.rs
+++ b/crates/undeliverable/src/decide.rs
@@ -80,7 +80,9 @@
 impl fmt::Display for Need {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Need::Word => "it may have taken effect; the partner's word or two operators' is needed",
+            Need::Word => {
+                "it may have taken effect; the partner's word or two operators' is needed"
+            }
             Need::Agreement => "what was said of it is contradictory; two operators have to agree",
             Need::SecondOperator => "another operator's word is needed beside the first",
             Need::Applied => "it has taken effect",
@@ -99,7 +101,11 @@
     if record.resends >= terms.most_resends {
         return Err(Need::Spent);
     }
-    let first = record.attempts.iter().find(|attempt| attempt.may_have_run).map(|attempt| attempt.sent);
+    let first = record
+        .attempts
+        .iter()
+        .find(|attempt| attempt.may_have_run)
+        .map(|attempt| attempt.sent);
     match (record.effect, first) {
         (_, None) | (Effect::Safe, _) => Ok(Clearance::Clean),
         (Effect::Keyed { window }, Some(first)) if remembered(first, window, terms) => {
@@ -116,13 +122,20 @@
 
 /// Whether it is known that no attempt took effect.
 fn word(record: &Record, terms: &Terms) -> Result<(), Need> {
-    let doubt = record.attempts.iter().filter(|attempt| attempt.may_have_run);
-    let settled = doubt.map(|attempt| attempt.sent.saturating_add(terms.settle)).max().unwrap_or(0);
+    let doubt = record
+        .attempts
+        .iter()
+        .filter(|attempt| attempt.may_have_run);
+    let settled = doubt
+        .map(|attempt| attempt.sent.saturating_add(terms.settle))
+        .max()
+        .unwrap_or(0);
     // What was said before the last resend, or while an attempt could still run, does not cover what came after;
     // but an effect does not go away again.
     let counts = |statement: &&Statement| {
-        let covers =
-            statement.resends == record.resends && statement.at >= settled && statement.at <= terms.now;
+        let covers = statement.resends == record.resends
+            && statement.at >= settled
+            && statement.at <= terms.now;
         statement.says == Says::Applied || covers && statement.says == Says::NotApplied
     };
     let all: Vec<&Statement> = record.statements.iter().filter(counts).collect();
@@ -139,16 +152,24 @@
         names.dedup();
         names.len()
     };
-    let last_partner = all.iter().rposition(|statement| statement.by == By::Partner);
+    let last_partner = all
+        .iter()
+        .rposition(|statement| statement.by == By::Partner);
     let (applied, not) = (Says::Applied, Says::NotApplied);
     let says = |says: Says| all.iter().any(|statement| statement.says == says);
     match (says(applied), says(not)) {
         (false, false) => Err(Need::Word),
         (true, true) => {
             // After the last word of a partner, or the last change of mind, two operators decide.
-            let turn = all.windows(2).rposition(|two| two[0].says != two[1].says).map_or(0, |at| at + 1);
+            let turn = all
+                .windows(2)
+                .rposition(|two| two[0].says != two[1].says)
+                .map_or(0, |at| at + 1);
             let from = turn.max(last_partner.map_or(0, |at| at + 1)).min(all.len());
-            match (operators(from, applied) >= OPERATORS, operators(from, not) >= OPERATORS) {
+            match (
+                operators(from, applied) >= OPERATORS,
+                operators(from, not) >= OPERATORS,
+            ) {
                 (true, _) => Err(Need::Applied),
                 (_, true) => Ok(()),
                 _ => Err(Need::Agreement),
@@ -160,7 +181,8 @@
         },
         (false, true) => {
             let partner = last_partner.map(|at| all[at]);
-            let fresh = partner.is_some_and(|word| word.at.saturating_add(terms.fresh) >= terms.now);
+            let fresh =
+                partner.is_some_and(|word| word.at.saturating_add(terms.fresh) >= terms.now);
             match fresh || operators(0, not) >= OPERATORS {
                 true => Ok(()),
                 false if partner.is_some() => Err(Need::Word),
@@ -181,25 +203,48 @@
     const KEYED: Effect = Effect::Keyed { window: 6 * S };
 
     fn terms(now: Micros) -> Terms {
-        Terms { now, margin: S, settle: 2 * S, fresh: 60 * S, most_resends: 5 }
+        Terms {
+            now,
+            margin: S,
+            settle: 2 * S,
+            fresh: 60 * S,
+            most_resends: 5,
+        }
     }
 
     fn said(one: &mut Record, by: &str, says: Says, at: Micros) {
-        let by = if by.is_empty() { By::Partner } else { By::Operator(by.into()) };
+        let by = if by.is_empty() {
+            By::Partner
+        } else {
+            By::Operator(by.into())
+        };
         one.state_that(by, says, at, None, at).expect("free");
     }
 
     #[test]
     fn the_table_of_the_module() {
-        let ran = || vec![attempt(10 * S, false), attempt(11 * S, true), attempt(12 * S, true)];
+        let ran = || {
+            vec![
+                attempt(10 * S, false),
+                attempt(11 * S, true),
+                attempt(12 * S, true),
+            ]
+        };
         let clean = || vec![attempt(10 * S, false)];
         let go = |effect, attempts, now| may_go(&record(effect, attempts), &terms(now));
         assert_eq!(go(Effect::Safe, ran(), 100 * S), Ok(Clearance::Clean));
         assert_eq!(go(Effect::Unsafe, clean(), 100 * S), Ok(Clearance::Clean));
         assert_eq!(go(KEYED, clean(), 100 * S), Ok(Clearance::Clean));
-        assert_eq!(go(KEYED, ran(), 15 * S), Ok(Clearance::Keyed { first: 11 * S }));
+        assert_eq!(
+            go(KEYED, ran(), 15 * S),
+            Ok(Clearance::Keyed { first: 11 * S })
+        );
         assert_eq!(go(KEYED, ran(), 16 * S), Err(Need::Word), "the margin");
-        assert_eq!(go(KEYED, ran(), 5 * S), Err(Need::Word), "the clock was set back");
+        assert_eq!(
+            go(KEYED, ran(), 5 * S),
+            Err(Need::Word),
+            "the clock was set back"
+        );
         assert_eq!(go(Effect::Unsafe, ran(), 100 * S), Err(Need::Word));
     }
 
@@ -211,9 +256,20 @@
             said(&mut one, "", says, at);
             may_go(&one, &terms(now))
         };
-        assert_eq!(after(Says::NotApplied, 11 * S, 20 * S), Err(Need::Word), "it could still run");
-        assert_eq!(after(Says::NotApplied, 12 * S, 20 * S), Ok(Clearance::Clean));
-        assert_eq!(after(Says::NotApplied, 12 * S, 73 * S), Err(Need::Word), "old news");
+        assert_eq!(
+            after(Says::NotApplied, 11 * S, 20 * S),
+            Err(Need::Word),
+            "it could still run"
+        );
+        assert_eq!(
+            after(Says::NotApplied, 12 * S, 20 * S),
+            Ok(Clearance::Clean)
+        );
+        assert_eq!(
+            after(Says::NotApplied, 12 * S, 73 * S),
+            Err(Need::Word),
+            "old news"
+        );
         assert_eq!(
             after(Says::NotApplied, 30 * S, 20 * S),
             Err(Need::Word),
@@ -236,7 +292,11 @@
         said(&mut one, "ann", Says::NotApplied, 22 * S);
         assert_eq!(may_go(&one, &terms(23 * S)), Err(Need::Agreement));
         said(&mut one, "ann", Says::NotApplied, 23 * S);
-        assert_eq!(may_go(&one, &terms(24 * S)), Err(Need::Agreement), "one operator twice is one");
+        assert_eq!(
+            may_go(&one, &terms(24 * S)),
+            Err(Need::Agreement),
+            "one operator twice is one"
+        );
         said(&mut one, "bob", Says::NotApplied, 24 * S);
         assert_eq!(may_go(&one, &terms(25 * S)), Ok(Clearance::Clean));
         said(&mut one, "", Says::Applied, 26 * S);
@@ -245,7 +305,10 @@
 
     #[test]
     fn two_operators_clear_or_close_and_one_does_neither() {
-        for (says, after) in [(Says::NotApplied, Ok(Clearance::Clean)), (Says::Applied, Err(Need::Applied))] {
+        for (says, after) in [
+            (Says::NotApplied, Ok(Clearance::Clean)),
+            (Says::Applied, Err(Need::Applied)),
+        ] {
             let mut one = record(Effect::Unsafe, vec![attempt(10 * S, true)]);
             said(&mut one, "ann", says, 20 * S);
             assert_eq!(may_go(&one, &terms(21 * S)), Err(Need::SecondOperator));
@@ -259,7 +322,13 @@
         let mut one = record(Effect::Unsafe, vec![attempt(10 * S, true)]);
         said(&mut one, "", Says::NotApplied, 20 * S);
         one.begin("ann", 21 * S);
-        one.came_back(vec![Attempt { resend: 1, ..attempt(21 * S, true) }], None);
+        one.came_back(
+            vec![Attempt {
+                resend: 1,
+                ..attempt(21 * S, true)
+            }],
+            None,
+        );
         assert_eq!(may_go(&one, &terms(24 * S)), Err(Need::Word));
         said(&mut one, "", Says::NotApplied, 24 * S);
         assert_eq!(may_go(&one, &terms(25 * S)), Ok(Clearance::Clean));
--- a/crates/undeliverable/src/filter.rs
+++ b/crates/undeliverable/src/filter.rs
@@ -34,20 +34,32 @@
     pub fn fits(&self, record: &Record) -> bool {
         let origin = &record.origin;
         let tenant = origin.tenant_name();
-        self.destination.is_none_or(|wanted| wanted == origin.destination)
-            && self.class.as_ref().is_none_or(|wanted| *wanted == origin.class)
+        self.destination
+            .is_none_or(|wanted| wanted == origin.destination)
+            && self
+                .class
+                .as_ref()
+                .is_none_or(|wanted| *wanted == origin.class)
             && self.reason.is_none_or(|wanted| wanted == record.reason)
             && self.tenant.as_ref().is_none_or(|wanted| wanted == tenant)
             && self.scope.as_ref().is_none_or(|scope| scope.covers(tenant))
             && self.since.is_none_or(|since| record.ended >= since)
             && self.until.is_none_or(|until| record.ended < until)
-            && self.may_have_run.is_none_or(|wanted| wanted == record.may_have_run())
-            && self.state.as_ref().is_none_or(|wanted| *wanted == record.state.word())
+            && self
+                .may_have_run
+                .is_none_or(|wanted| wanted == record.may_have_run())
+            && self
+                .state
+                .as_ref()
+                .is_none_or(|wanted| *wanted == record.state.word())
     }
 
     /// The same filter, for records that wait to be sent again.
     pub fn of_open(&self) -> Self {
-        Filter { state: Some(State::Open.word().into()), ..self.clone() }
+        Filter {
+            state: Some(State::Open.word().into()),
+            ..self.clone()
+        }
     }
 }
 
@@ -73,16 +85,46 @@
         };
         assert!(Filter::default().fits(&one) && all.fits(&one));
         let others = [
-            Filter { destination: Some(4), ..all.clone() },
-            Filter { class: Some("event".into()), ..all.clone() },
-            Filter { reason: Some(Reason::GivenUp), ..all.clone() },
-            Filter { tenant: Some("acme/2".into()), ..all.clone() },
-            Filter { scope: Some(Scope(vec!["zeta".into()])), ..all.clone() },
-            Filter { scope: Some(Scope(Vec::new())), ..all.clone() },
-            Filter { since: Some(5_000_001), ..all.clone() },
-            Filter { until: Some(5_000_000), ..all.clone() },
-            Filter { may_have_run: Some(false), ..all.clone() },
-            Filter { state: Some("sending".into()), ..all.clone() },
+            Filter {
+                destination: Some(4),
+                ..all.clone()
+            },
+            Filter {
+                class: Some("event".into()),
+                ..all.clone()
+            },
+            Filter {
+                reason: Some(Reason::GivenUp),
+                ..all.clone()
+            },
+            Filter {
+                tenant: Some("acme/2".into()),
+                ..all.clone()
+            },
+            Filter {
+                scope: Some(Scope(vec!["zeta".into()])),
+                ..all.clone()
+            },
+            Filter {
+                scope: Some(Scope(Vec::new())),
+                ..all.clone()
+            },
+            Filter {
+                since: Some(5_000_001),
+                ..all.clone()
+            },
+            Filter {
+                until: Some(5_000_000),
+                ..all.clone()
+            },
+            Filter {
+                may_have_run: Some(false),
+                ..all.clone()
+            },
+            Filter {
+                state: Some("sending".into()),
+                ..all.clone()
+            },
         ];
         assert!(others.iter().all(|filter| !filter.fits(&one)));
     }
--- a/crates/undeliverable/src/record.rs
+++ b/crates/undeliverable/src/record.rs
@@ -281,7 +281,9 @@
     #[error("its last call was given up a moment ago")]
     Resting,
     /// The relay could not take it on once more; the record is open again.
-    #[error("its class or tenant is gone, a message of its name is in hand, or the journal is full")]
+    #[error(
+        "its class or tenant is gone, a message of its name is in hand, or the journal is full"
+    )]
     NotHandedOver,
     /// What was given is of no use.
     #[error("{0}")]
@@ -301,7 +303,9 @@
             return Err(Refusal::Version(self.version));
         }
         match &self.state {
-            State::Claimed { by, until } if by != who && *until > now => Err(Refusal::Claimed(by.clone())),
+            State::Claimed { by, until } if by != who && *until > now => {
+                Err(Refusal::Claimed(by.clone()))
+            }
             State::Open | State::Claimed { .. } => Ok(()),
             State::Sending { .. } => Err(Refusal::Sending),
             closed @ State::Closed(..) => Err(Refusal::Closed(closed.word())),
@@ -315,13 +319,22 @@
 
     /// Sets it aside for an operator.
     pub fn claim(
-        &mut self, who: &str, version: Option<u32>, now: Micros, lease: Micros,
+        &mut self,
+        who: &str,
+        version: Option<u32>,
+        now: Micros,
+        lease: Micros,
     ) -> Result<(), Refusal> {
         if who.is_empty() || who.len() > LONGEST_NAME {
-            return Err(Refusal::Malformed("the operator's name is empty or too long"));
+            return Err(Refusal::Malformed(
+                "the operator's name is empty or too long",
+            ));
         }
         self.free(who, version, now)?;
-        self.becomes(State::Claimed { by: who.into(), until: now.saturating_add(lease) });
+        self.becomes(State::Claimed {
+            by: who.into(),
+            until: now.saturating_add(lease),
+        });
         Ok(())
     }
 
@@ -336,7 +349,12 @@
 
     /// Adds a statement. The same operator's earlier one on the same resend counts no more.
     pub fn state_that(
-        &mut self, by: By, says: Says, asked: Micros, version: Option<u32>, now: Micros,
+        &mut self,
+        by: By,
+        says: Says,
+        asked: Micros,
+        version: Option<u32>,
+        now: Micros,
     ) -> Result<(), Refusal> {
         let who = match &by {
             By::Operator(name) => name.clone(),
@@ -348,20 +366,32 @@
             _ => self.free(&who, version, now)?,
         }
         let resends = self.resends;
-        self.statements.retain(|old| old.by != by || old.resends != resends || by == By::Partner);
+        self.statements
+            .retain(|old| old.by != by || old.resends != resends || by == By::Partner);
         if self.statements.len() >= MOST_STATEMENTS {
             self.statements.remove(0);
         }
-        self.statements.push(Statement { by, says, at: asked, resends });
+        self.statements.push(Statement {
+            by,
+            says,
+            at: asked,
+            resends,
+        });
         self.version = self.version.wrapping_add(1);
         Ok(())
     }
 
     /// It is about to be sent again; returns the number of the resend.
     pub fn begin(&mut self, by: &str, now: Micros) -> u32 {
-        debug_assert!(matches!(self.state, State::Open | State::Claimed { .. }), "one resend at a time");
+        debug_assert!(
+            matches!(self.state, State::Open | State::Claimed { .. }),
+            "one resend at a time"
+        );
         self.resends += 1;
-        self.becomes(State::Sending { by: by.into(), since: now });
+        self.becomes(State::Sending {
+            by: by.into(),
+            since: now,
+        });
         self.resends
     }
 
@@ -375,7 +405,9 @@
     /// A resend of which nobody knows any more what became of it, since some moment before now: it may have run at
     /// any time between, so that both ends of that span stand in the story.
     pub fn lost_sight(&mut self, now: Micros) {
-        let State::Sending { since, .. } = self.state else { return };
+        let State::Sending { since, .. } = self.state else {
+            return;
+        };
         let resend = self.resends;
         let doubt = |sent| Attempt {
             sent,
@@ -391,7 +423,10 @@
     pub fn resume(&mut self, by: &str, number: u32, now: Micros) {
         if self.resends < number && !matches!(self.state, State::Closed(..)) {
             self.resends = number;
-            self.becomes(State::Sending { by: by.into(), since: now });
+            self.becomes(State::Sending {
+                by: by.into(),
+                since: now,
+            });
         }
     }
 
@@ -403,8 +438,8 @@
         for attempt in attempts {
             if self.attempts.len() >= MOST_ATTEMPTS {
                 // The first half tells how it began; a doubt is never dropped.
-                let middle =
-                    (MOST_ATTEMPTS / 2..self.attempts.len()).find(|at| !self.attempts[*at].may_have_run);
+                let middle = (MOST_ATTEMPTS / 2..self.attempts.len())
+                    .find(|at| !self.attempts[*at].may_have_run);
                 self.attempts.remove(middle.unwrap_or(MOST_ATTEMPTS / 2));
             }
             self.attempts.push(attempt);
@@ -424,8 +459,18 @@
     use super::*;
 
     pub fn attempt(sent: Micros, may_have_run: bool) -> Attempt {
-        let outcome = if may_have_run { Outcome::TimedOut } else { Outcome::Refused };
-        Attempt { sent, host: "h".into(), outcome, may_have_run, resend: 0 }
+        let outcome = if may_have_run {
+            Outcome::TimedOut
+        } else {
+            Outcome::Refused
+        };
+        Attempt {
+            sent,
+            host: "h".into(),
+            outcome,
+            may_have_run,
+            resend: 0,
+        }
     }
 
     pub fn record(effect: Effect, attempts: Vec<Attempt>) -> Record {
@@ -457,8 +502,15 @@
         let mut one = record(Effect::Safe, Vec::new());
         one.begin("ann", 100);
         one.lost_sight(900);
-        let told: Vec<_> = one.attempts.iter().map(|a| (a.sent, a.may_have_run, a.resend)).collect();
-        assert_eq!((one.state.clone(), told), (State::Open, vec![(100, true, 1), (900, true, 1)]));
+        let told: Vec<_> = one
+            .attempts
+            .iter()
+            .map(|a| (a.sent, a.may_have_run, a.resend))
+            .collect();
+        assert_eq!(
+            (one.state.clone(), told),
+            (State::Open, vec![(100, true, 1), (900, true, 1)])
+        );
         one.lost_sight(950);
         assert_eq!(one.attempts.len(), 2, "nothing is under way");
         one.resume("ann", 3, 1000);
@@ -480,14 +532,22 @@
     fn a_claim_keeps_others_out_until_it_is_over_and_versions_tell_changes() {
         let mut one = record(Effect::Safe, Vec::new());
         one.claim("ann", Some(1), 100, 50).expect("free");
-        assert_eq!(one.claim("bob", None, 120, 50), Err(Refusal::Claimed("ann".into())));
+        assert_eq!(
+            one.claim("bob", None, 120, 50),
+            Err(Refusal::Claimed("ann".into()))
+        );
         assert_eq!(one.claim("ann", Some(1), 120, 50), Err(Refusal::Version(2)));
         one.claim("ann", Some(2), 120, 50).expect("its own");
         one.claim("bob", Some(3), 170, 50).expect("over");
-        assert_eq!(one.release("ann", None, 171), Err(Refusal::Claimed("bob".into())));
+        assert_eq!(
+            one.release("ann", None, 171),
+            Err(Refusal::Claimed("bob".into()))
+        );
         one.release("bob", None, 171).expect("its own");
         assert_eq!(one.state, State::Open);
-        assert!(one.claim("", None, 0, 1).is_err() && one.claim(&"x".repeat(65), None, 0, 1).is_err());
+        assert!(
+            one.claim("", None, 0, 1).is_err() && one.claim(&"x".repeat(65), None, 0, 1).is_err()
+        );
     }
 
     #[test]
@@ -499,25 +559,49 @@
         assert_eq!(one.begin("ann", 1000), 1);
         assert_eq!(one.free("ann", None, 1000), Err(Refusal::Sending));
         one.came_back(vec![attempt(9, true)], Some(Reason::MayHaveRun));
-        assert_eq!((one.attempts.len(), one.reason, one.ended), (1, Reason::MayHaveRun, 5_000_000));
+        assert_eq!(
+            (one.attempts.len(), one.reason, one.ended),
+            (1, Reason::MayHaveRun, 5_000_000)
+        );
         assert_eq!(one.begin("bob", 1001), 2);
         one.not_begun();
         assert_eq!((one.state.clone(), one.resends), (State::Open, 2));
         one.close(Closed::Delivered, 1002);
-        assert_eq!(one.free("ann", None, 1003), Err(Refusal::Closed("delivered")));
+        assert_eq!(
+            one.free("ann", None, 1003),
+            Err(Refusal::Closed("delivered"))
+        );
         one.came_back(vec![attempt(9, true)], None);
-        assert_eq!(one.attempts.len(), 1, "a closed record has no more attempts");
+        assert_eq!(
+            one.attempts.len(),
+            1,
+            "a closed record has no more attempts"
+        );
     }
 
     #[test]
     fn the_story_is_bound_and_keeps_every_doubt() {
-        let mut one = record(Effect::Unsafe, (0..40).map(|at| attempt(at, false)).collect());
+        let mut one = record(
+            Effect::Unsafe,
+            (0..40).map(|at| attempt(at, false)).collect(),
+        );
         for round in 0..10 {
             one.begin("ann", round);
-            one.came_back((0..12).map(|at| attempt(100 * round + at, at == 3)).collect(), None);
+            one.came_back(
+                (0..12)
+                    .map(|at| attempt(100 * round + at, at == 3))
+                    .collect(),
+                None,
+            );
         }
         assert_eq!(one.attempts.len(), MOST_ATTEMPTS);
-        assert_eq!(one.attempts.iter().filter(|attempt| attempt.may_have_run).count(), 10);
+        assert_eq!(
+            one.attempts
+                .iter()
+                .filter(|attempt| attempt.may_have_run)
+                .count(),
+            10
+        );
         assert_eq!(one.attempts[0].sent, 0);
         assert_eq!(one.attempts.last().map(|last| last.sent), Some(911));
     }
@@ -526,13 +610,23 @@
     fn a_partners_word_is_heard_while_an_operator_has_the_record() {
         let mut one = record(Effect::Unsafe, vec![attempt(1, true)]);
         one.claim("ann", None, 10, 100).expect("free");
-        one.state_that(By::Partner, Says::Applied, 11, None, 12).expect("heard");
-        assert!(one.state_that(By::Operator("bob".into()), Says::Applied, 11, None, 12).is_err());
-        one.state_that(By::Operator("ann".into()), Says::Unknown, 11, None, 12).expect("its own");
-        one.state_that(By::Operator("ann".into()), Says::Applied, 13, None, 13).expect("its own");
-        assert_eq!(one.statements.len(), 2, "the later one of an operator counts");
+        one.state_that(By::Partner, Says::Applied, 11, None, 12)
+            .expect("heard");
+        assert!(one
+            .state_that(By::Operator("bob".into()), Says::Applied, 11, None, 12)
+            .is_err());
+        one.state_that(By::Operator("ann".into()), Says::Unknown, 11, None, 12)
+            .expect("its own");
+        one.state_that(By::Operator("ann".into()), Says::Applied, 13, None, 13)
+            .expect("its own");
+        assert_eq!(
+            one.statements.len(),
+            2,
+            "the later one of an operator counts"
+        );
         for at in 0..40 {
-            one.state_that(By::Partner, Says::Unknown, at, None, 14).expect("heard");
+            one.state_that(By::Partner, Says::Unknown, at, None, 14)
+                .expect("heard");
         }
         assert_eq!(one.statements.len(), MOST_STATEMENTS);
     }
--- a/crates/undeliverable/src/rules.rs
+++ b/crates/undeliverable/src/rules.rs
@@ -58,7 +58,11 @@
 
     /// Since when a partner is well; none if it is not, or not known to be.
     pub fn well_since(&self, destination: u16) -> Option<Micros> {
-        self.good.get(&destination).filter(|row| row.len() >= RECOVERED)?.front().copied()
+        self.good
+            .get(&destination)
+            .filter(|row| row.len() >= RECOVERED)?
+            .front()
+            .copied()
     }
 }
 
@@ -71,7 +75,12 @@
 impl Rules {
     /// These rules.
     pub fn new(rules: Vec<Rule>) -> Self {
-        Rules { rules: rules.into_iter().map(|rule| (rule, VecDeque::new())).collect() }
+        Rules {
+            rules: rules
+                .into_iter()
+                .map(|rule| (rule, VecDeque::new()))
+                .collect(),
+        }
     }
 
     /// Whether there are none.
@@ -81,7 +90,9 @@
 
     /// Whether any rule has room for one more now.
     pub fn has_room(&mut self, now: Micros) -> bool {
-        self.rules.iter_mut().any(|(rule, sent)| room(rule, sent, now))
+        self.rules
+            .iter_mut()
+            .any(|(rule, sent)| room(rule, sent, now))
     }
 
     /// The first rule that sends a record now, by its place.
@@ -89,24 +100,34 @@
         if record.state != State::Open {
             return None;
         }
-        let last = record.attempts.iter().map(|attempt| attempt.sent).max().unwrap_or(0).max(record.ended);
+        let last = record
+            .attempts
+            .iter()
+            .map(|attempt| attempt.sent)
+            .max()
+            .unwrap_or(0)
+            .max(record.ended);
         self.rules.iter_mut().position(|(rule, sent)| {
             let due = match rule.when {
-                When::Recovered => {
-                    partners.well_since(record.origin.destination).is_some_and(|since| since > last)
-                }
+                When::Recovered => partners
+                    .well_since(record.origin.destination)
+                    .is_some_and(|since| since > last),
                 When::After(span) => {
                     let times = u64::from(record.resends) + 1;
                     now >= record.ended.saturating_add(span.saturating_mul(times))
                 }
             };
-            due && record.resends < rule.resends && rule.filter.fits(record) && room(rule, sent, now)
+            due && record.resends < rule.resends
+                && rule.filter.fits(record)
+                && room(rule, sent, now)
         })
     }
 
     /// A rule has sent a record; returns who sent it, as the record's state names it.
     pub fn sent(&mut self, rule: usize, now: Micros) -> String {
-        let Some((rule, sent)) = self.rules.get_mut(rule) else { return String::new() };
+        let Some((rule, sent)) = self.rules.get_mut(rule) else {
+            return String::new();
+        };
         sent.push_back(now);
         format!("rule {}", rule.name)
     }
@@ -115,7 +136,10 @@
 fn room(rule: &Rule, sent: &mut VecDeque<Micros>, now: Micros) -> bool {
     // Of a clock that was set back what was sent later counts as sent now.
     sent.iter_mut().for_each(|at| *at = (*at).min(now));
-    while sent.front().is_some_and(|at| at.saturating_add(MINUTE) <= now) {
+    while sent
+        .front()
+        .is_some_and(|at| at.saturating_add(MINUTE) <= now)
+    {
         sent.pop_front();
     }
     (sent.len() as u32) < rule.per_minute
@@ -128,12 +152,19 @@
     use crate::record::Effect;
 
     fn rule(when: When) -> Rule {
-        Rule { name: "r".into(), filter: Filter::default(), when, per_minute: 2, resends: 3 }
+        Rule {
+            name: "r".into(),
+            filter: Filter::default(),
+            when,
+            per_minute: 2,
+            resends: 3,
+        }
     }
 
     #[test]
     fn a_partner_is_well_after_three_good_calls_in_a_row_since_the_records_last_attempt() {
-        let (mut partners, mut rules) = (Partners::default(), Rules::new(vec![rule(When::Recovered)]));
+        let (mut partners, mut rules) =
+            (Partners::default(), Rules::new(vec![rule(When::Recovered)]));
         let one = record(Effect::Safe, vec![attempt(6_000_000, false)]);
         for at in [7_000_000, 7_100_000] {
             partners.ended(3, true, at);
@@ -151,30 +182,52 @@
         partners.ended(3, true, 7_600_000);
         assert_eq!(rules.wanting(&one, &partners, 8_000_000), Some(0));
         partners.ended(4, false, 7_700_000);
-        assert_eq!(rules.wanting(&one, &partners, 8_000_000), Some(0), "another partner's trouble");
+        assert_eq!(
+            rules.wanting(&one, &partners, 8_000_000),
+            Some(0),
+            "another partner's trouble"
+        );
     }
 
     #[test]
     fn each_resend_waits_as_long_again_and_a_rule_keeps_its_rate() {
-        let (partners, mut rules) = (Partners::default(), Rules::new(vec![rule(When::After(10_000_000))]));
+        let (partners, mut rules) = (
+            Partners::default(),
+            Rules::new(vec![rule(When::After(10_000_000))]),
+        );
         let mut one = record(Effect::Safe, Vec::new());
         assert_eq!(rules.wanting(&one, &partners, 14_999_999), None);
         assert_eq!(rules.wanting(&one, &partners, 15_000_000), Some(0));
         assert_eq!(rules.sent(0, 15_000_000), "rule r");
         one.begin("rule r", 15_000_000);
-        assert_eq!(rules.wanting(&one, &partners, 99_000_000), None, "it is out");
+        assert_eq!(
+            rules.wanting(&one, &partners, 99_000_000),
+            None,
+            "it is out"
+        );
         one.came_back(Vec::new(), None);
         assert_eq!(rules.wanting(&one, &partners, 24_999_999), None);
         assert_eq!(rules.wanting(&one, &partners, 25_000_000), Some(0));
         rules.sent(0, 25_000_000);
         assert!(!rules.has_room(25_000_001));
-        assert_eq!(rules.wanting(&one, &partners, 26_000_000), None, "two a minute");
-        assert!(!rules.has_room(1_000_000), "a clock that is set back frees nothing");
+        assert_eq!(
+            rules.wanting(&one, &partners, 26_000_000),
+            None,
+            "two a minute"
+        );
+        assert!(
+            !rules.has_room(1_000_000),
+            "a clock that is set back frees nothing"
+        );
         assert!(rules.has_room(61_000_001));
         (0..2).for_each(|_| {
             one.begin("x", 0);
             one.not_begun();
         });
-        assert_eq!(rules.wanting(&one, &partners, 999_000_000), None, "resent as often as the rule wants");
+        assert_eq!(
+            rules.wanting(&one, &partners, 999_000_000),
+            None,
+            "resent as often as the rule wants"
+        );
     }
 }
--- a/crates/undeliverable/src/store.rs
+++ b/crates/undeliverable/src/store.rs
@@ -10,7 +10,9 @@
 use std::io;
 
 use madderpitch_seam::Pages;
-use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, WriteTransaction};
+use redb::{
+    Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, WriteTransaction,
+};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -57,7 +59,13 @@
 
 impl By {
     /// All of them.
-    pub const ALL: [By; 5] = [By::Destination, By::Class, By::Reason, By::Tenant, By::State];
+    pub const ALL: [By; 5] = [
+        By::Destination,
+        By::Class,
+        By::Reason,
+        By::Tenant,
+        By::State,
+    ];
 
     fn kind(self) -> u8 {
         self as u8
@@ -157,7 +165,8 @@
 }
 
 fn pack(value: &impl Serialize) -> Result<Vec<u8>, Error> {
-    let text = postcard::to_extend(value, vec![0; 5]).map_err(|e| Error::Database(e.to_string()))?;
+    let text =
+        postcard::to_extend(value, vec![0; 5]).map_err(|e| Error::Database(e.to_string()))?;
     Ok(sealed(text))
 }
 
@@ -221,7 +230,9 @@
     fn open_on(file: impl StorageBackend) -> Result<Self, Error> {
         let opening = std::panic::AssertUnwindSafe(|| -> Result<Database, Error> {
             let mut builder = redb::Builder::new();
-            builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
+            builder
+                .set_cache_size(CACHE)
+                .set_check_integrity_on_open(true);
             let database = builder.create_with_backend(file)?;
             let change = database.begin_write()?;
             change.open_table(RECORDS)?;
@@ -238,7 +249,10 @@
         // A file of noise may be taken for anything.
         let database = std::panic::catch_unwind(opening)
             .unwrap_or_else(|_| Err(Error::Corrupt("the file can't be made sense of".into())))?;
-        Ok(Store { database, spoilt: Default::default() })
+        Ok(Store {
+            database,
+            spoilt: Default::default(),
+        })
     }
 
     /// Keeps records, each with the body of its message. One whose message is kept already changes nothing: the
@@ -248,7 +262,10 @@
         let mut numbers = Vec::with_capacity(records.len());
         for (record, body) in records {
             let origin = origin_key(record);
-            let known = change.open_table(ORIGINS)?.get(origin.as_str())?.map(|id| id.value());
+            let known = change
+                .open_table(ORIGINS)?
+                .get(origin.as_str())?
+                .map(|id| id.value());
             if let Some(known) = known {
                 numbers.push(known);
                 continue;
@@ -257,7 +274,9 @@
             change.open_table(ORIGINS)?.insert(origin.as_str(), id)?;
             let mut text = vec![0; 5];
             text.extend_from_slice(body);
-            change.open_table(BODIES)?.insert(id, sealed(text).as_slice())?;
+            change
+                .open_table(BODIES)?
+                .insert(id, sealed(text).as_slice())?;
             write(&change, id, None, record, body.len())?;
             numbers.push(id);
         }
@@ -269,7 +288,9 @@
     pub fn find(&self, id: RecordId) -> Result<Option<Record>, Error> {
         let read = self.database.begin_read()?;
         let table = read.open_table(RECORDS)?;
-        let Some(text) = table.get(id)? else { return Ok(None) };
+        let Some(text) = table.get(id)? else {
+            return Ok(None);
+        };
         self.read(id, text.value()).map(Some)
     }
 
@@ -284,7 +305,9 @@
     pub fn body(&self, id: RecordId) -> Result<Option<Vec<u8>>, Error> {
         let read = self.database.begin_read()?;
         let table = read.open_table(BODIES)?;
-        let Some(text) = table.get(id)? else { return Ok(None) };
+        let Some(text) = table.get(id)? else {
+            return Ok(None);
+        };
         let body = opened(text.value()).map(<[u8]>::to_vec);
         body.map(Some).ok_or_else(|| {
             self.spoilt.set(self.spoilt.get() + 1);
@@ -295,11 +318,18 @@
     /// Changes a record, in one transaction with all that is found by. The change sees it as it is now; where it gives
     /// an error nothing is written. None if there is no such record.
     pub fn change<T, E>(
-        &self, id: RecordId, change: impl FnOnce(&mut Record) -> Result<T, E>,
+        &self,
+        id: RecordId,
+        change: impl FnOnce(&mut Record) -> Result<T, E>,
     ) -> Result<Option<Result<T, E>>, Error> {
         let writing = self.database.begin_write()?;
-        let before = writing.open_table(RECORDS)?.get(id)?.map(|text| self.read(id, text.value()));
-        let Some(before) = before.transpose()? else { return Ok(None) };
+        let before = writing
+            .open_table(RECORDS)?
+            .get(id)?
+            .map(|text| self.read(id, text.value()));
+        let Some(before) = before.transpose()? else {
+            return Ok(None);
+        };
         let mut after = before.clone();
         let told = match change(&mut after) {
             Ok(told) => told,
@@ -314,7 +344,12 @@
     }
 
     /// Records that fit, newest first, from before a number on.
-    pub fn page(&self, filter: &Filter, before: Option<RecordId>, most: usize) -> Result<Page, Error> {
+    pub fn page(
+        &self,
+        filter: &Filter,
+        before: Option<RecordId>,
+        most: usize,
+    ) -> Result<Page, Error> {
         self.scan(filter, before.unwrap_or(RecordId::MAX), most, true)
     }
 
@@ -324,13 +359,23 @@
     }
 
     /// Goes through the narrowest of the lists that the filter names, up to a bounded number of records.
-    fn scan(&self, filter: &Filter, from: RecordId, most: usize, back: bool) -> Result<Page, Error> {
+    fn scan(
+        &self,
+        filter: &Filter,
+        from: RecordId,
+        most: usize,
+        back: bool,
+    ) -> Result<Page, Error> {
         let read = self.database.begin_read()?;
         let counts = read.open_table(COUNTS)?;
         let mut narrowest: Option<(u64, By, String)> = None;
         for by in By::ALL {
-            let Some(value) = by.wanted(filter) else { continue };
-            let count = counts.get((by.kind(), value.as_str()))?.map_or(0, |count| count.value());
+            let Some(value) = by.wanted(filter) else {
+                continue;
+            };
+            let count = counts
+                .get((by.kind(), value.as_str()))?
+                .map_or(0, |count| count.value());
             if narrowest.as_ref().is_none_or(|(least, ..)| count < *least) {
                 narrowest = Some((count, by, value));
             }
@@ -352,13 +397,21 @@
             page.next = full.then_some(id);
             Ok(full)
         };
-        let (low, high) = if back { (0, from) } else { (from.saturating_add(1), RecordId::MAX) };
+        let (low, high) = if back {
+            (0, from)
+        } else {
+            (from.saturating_add(1), RecordId::MAX)
+        };
         match &narrowest {
             Some((_, by, value)) => {
                 let index = read.open_table(INDEX)?;
                 let range = (by.kind(), value.as_str(), low)..(by.kind(), value.as_str(), high);
                 let mut range = index.range(range)?;
-                while let Some(entry) = if back { range.next_back() } else { range.next() } {
+                while let Some(entry) = if back {
+                    range.next_back()
+                } else {
+                    range.next()
+                } {
                     if take(entry?.0.value().2, &mut page)? {
                         break;
                     }
@@ -366,7 +419,11 @@
             }
             None => {
                 let mut range = records.range(low..high)?;
-                while let Some(entry) = if back { range.next_back() } else { range.next() } {
+                while let Some(entry) = if back {
+                    range.next_back()
+                } else {
+                    range.next()
+                } {
                     if take(entry?.0.value(), &mut page)? {
                         break;
                     }
@@ -417,16 +474,26 @@
         let change = self.database.begin_write()?;
         let mut dropped = 0;
         let mut drop_one = |id: RecordId, cause: &str| -> Result<bool, Error> {
-            let text = change.open_table(RECORDS)?.get(id)?.map(|text| text.value().to_vec());
+            let text = change
+                .open_table(RECORDS)?
+                .get(id)?
+                .map(|text| text.value().to_vec());
             let Some(text) = text else { return Ok(false) };
             let record: Option<Record> = unpack(&text);
-            if record.as_ref().is_some_and(|record| matches!(record.state, State::Sending { .. })) {
+            if record
+                .as_ref()
+                .is_some_and(|record| matches!(record.state, State::Sending { .. }))
+            {
                 return Ok(false);
             }
             remove(&change, id, record.as_ref())?;
-            let tenant = record.as_ref().map_or(String::new(), |record| record.origin.tenant_name().into());
+            let tenant = record
+                .as_ref()
+                .map_or(String::new(), |record| record.origin.tenant_name().into());
             let mut table = change.open_table(DROPPED)?;
-            let count = table.get((tenant.as_str(), cause))?.map_or(0, |count| count.value());
+            let count = table
+                .get((tenant.as_str(), cause))?
+                .map_or(0, |count| count.value());
             table.insert((tenant.as_str(), cause), count + 1)?;
             dropped += 1;
             Ok(true)
@@ -438,7 +505,10 @@
             let mut all = Vec::new();
             for entry in table.iter()?.take(left) {
                 let (id, text) = entry?;
-                all.push((id.value(), unpack::<Record>(text.value()).map(|record| record.ended)));
+                all.push((
+                    id.value(),
+                    unpack::<Record>(text.value()).map(|record| record.ended),
+                ));
             }
             all
         };
@@ -464,16 +534,18 @@
             let ids: Vec<RecordId> = {
                 let index = change.open_table(INDEX)?;
                 let kind = By::Tenant.kind();
-                let range =
-                    index.range((kind, tenant.as_str(), 0)..(kind, tenant.as_str(), RecordId::MAX))?;
+                let range = index
+                    .range((kind, tenant.as_str(), 0)..(kind, tenant.as_str(), RecordId::MAX))?;
                 range
                     .take(left)
                     .map(|entry| entry.map(|entry| entry.0.value().2))
                     .collect::<Result<_, _>>()?
             };
             for id in ids {
-                let bytes =
-                    change.open_table(COUNTS)?.get((BYTES, tenant.as_str()))?.map_or(0, |b| b.value());
+                let bytes = change
+                    .open_table(COUNTS)?
+                    .get((BYTES, tenant.as_str()))?
+                    .map_or(0, |b| b.value());
                 if bytes <= caps.tenant_bytes || left == 0 {
                     break;
                 }
@@ -483,7 +555,10 @@
         // By all.
         for (id, _) in &oldest {
             let sum = |name| -> Result<u64, Error> {
-                Ok(change.open_table(NUMBERS)?.get(name)?.map_or(0, |n| n.value()))
+                Ok(change
+                    .open_table(NUMBERS)?
+                    .get(name)?
+                    .map_or(0, |n| n.value()))
             };
             let cause = match (sum("bytes")? > caps.bytes, sum("records")? > caps.records) {
                 (true, _) => "bytes",
@@ -517,7 +592,9 @@
     /// Keeps a batch as it is now.
     pub fn keep_batch(&self, batch: &Batch) -> Result<(), Error> {
         let change = self.database.begin_write()?;
-        change.open_table(BATCHES)?.insert(batch.spec.name.as_str(), pack(batch)?.as_slice())?;
+        change
+            .open_table(BATCHES)?
+            .insert(batch.spec.name.as_str(), pack(batch)?.as_slice())?;
         Ok(change.commit()?)
     }
 
@@ -542,14 +619,20 @@
 
 fn add(change: &WriteTransaction, name: &str, by: i64) -> Result<u64, Error> {
     let mut table = change.open_table(NUMBERS)?;
-    let sum = table.get(name)?.map_or(0, |number| number.value()).saturating_add_signed(by);
+    let sum = table
+        .get(name)?
+        .map_or(0, |number| number.value())
+        .saturating_add_signed(by);
     table.insert(name, sum)?;
     Ok(sum)
 }
 
 fn count(change: &WriteTransaction, kind: u8, value: &str, by: i64) -> Result<(), Error> {
     let mut table = change.open_table(COUNTS)?;
-    let sum = table.get((kind, value))?.map_or(0, |count| count.value()).saturating_add_signed(by);
+    let sum = table
+        .get((kind, value))?
+        .map_or(0, |count| count.value())
+        .saturating_add_signed(by);
     match sum {
         0 => drop(table.remove((kind, value))?),
         sum => drop(table.insert((kind, value), sum)?),
@@ -559,10 +642,17 @@
 
 /// Writes a record, and moves it in the lists by which it is found.
 fn write(
-    change: &WriteTransaction, id: RecordId, before: Option<&Record>, after: &Record, body: usize,
+    change: &WriteTransaction,
+    id: RecordId,
+    before: Option<&Record>,
+    after: &Record,
+    body: usize,
 ) -> Result<(), Error> {
     let text = pack(after)?;
-    let old = before.map(pack).transpose()?.map_or(0, |text| text.len() as i64 + body as i64 + BESIDE as i64);
+    let old = before
+        .map(pack)
+        .transpose()?
+        .map_or(0, |text| text.len() as i64 + body as i64 + BESIDE as i64);
     let bytes = text.len() as i64 + body as i64 + BESIDE as i64 - old;
     change.open_table(RECORDS)?.insert(id, text.as_slice())?;
     for by in By::ALL {
@@ -576,7 +666,8 @@
         }
         index.insert((by.kind(), new.as_str(), id), ())?;
         drop(index);
-        old.iter().try_for_each(|old| count(change, by.kind(), old, -1))?;
+        old.iter()
+            .try_for_each(|old| count(change, by.kind(), old, -1))?;
         count(change, by.kind(), &new, 1)?;
     }
     count(change, BYTES, after.origin.tenant_name(), bytes)?;
@@ -589,14 +680,24 @@
 
 /// Takes a record away; of one that can't be read, what is known of it.
 fn remove(change: &WriteTransaction, id: RecordId, record: Option<&Record>) -> Result<(), Error> {
-    let text = change.open_table(RECORDS)?.remove(id)?.map_or(0, |text| text.value().len());
-    let body = change.open_table(BODIES)?.remove(id)?.map_or(0, |text| text.value().len().saturating_sub(5));
+    let text = change
+        .open_table(RECORDS)?
+        .remove(id)?
+        .map_or(0, |text| text.value().len());
+    let body = change
+        .open_table(BODIES)?
+        .remove(id)?
+        .map_or(0, |text| text.value().len().saturating_sub(5));
     let bytes = text as i64 + body as i64 + BESIDE as i64;
     if let Some(record) = record {
-        change.open_table(ORIGINS)?.remove(origin_key(record).as_str())?;
+        change
+            .open_table(ORIGINS)?
+            .remove(origin_key(record).as_str())?;
         for by in By::ALL {
             let value = by.value(record);
-            change.open_table(INDEX)?.remove((by.kind(), value.as_str(), id))?;
+            change
+                .open_table(INDEX)?
+                .remove((by.kind(), value.as_str(), id))?;
             count(change, by.kind(), &value, -1)?;
         }
         count(change, BYTES, record.origin.tenant_name(), -bytes)?;
@@ -618,7 +719,10 @@
     }
 
     fn numbered(number: u64, destination: u16, tenant: &str) -> Record {
-        let mut one = record(Effect::Unsafe, vec![attempt(number, number.is_multiple_of(2))]);
+        let mut one = record(
+            Effect::Unsafe,
+            vec![attempt(number, number.is_multiple_of(2))],
+        );
         one.origin.name = format!("m{number}");
         one.origin.destination = destination;
         one.origin.tenant = format!("{tenant}/1");
@@ -631,42 +735,80 @@
         let all: Vec<Record> = (0..records)
             .map(|n| numbered(n, (n % 3) as u16, if n % 4 == 0 { "acme" } else { "beta" }))
             .collect();
-        let kept: Vec<(Record, &[u8])> =
-            all.iter().map(|record| (record.clone(), &b"0123456789"[..])).collect();
-        assert_eq!(store.keep(&kept).expect("kept"), (1..=records).collect::<Vec<_>>());
+        let kept: Vec<(Record, &[u8])> = all
+            .iter()
+            .map(|record| (record.clone(), &b"0123456789"[..]))
+            .collect();
+        assert_eq!(
+            store.keep(&kept).expect("kept"),
+            (1..=records).collect::<Vec<_>>()
+        );
         store
     }
 
-    const CAPS: Caps = Caps { bytes: u64::MAX, tenant_bytes: u64::MAX, records: u64::MAX, age: u64::MAX };
+    const CAPS: Caps = Caps {
+        bytes: u64::MAX,
+        tenant_bytes: u64::MAX,
+        records: u64::MAX,
+        age: u64::MAX,
+    };
 
     #[test]
     fn what_is_kept_is_found_again_and_a_second_hand_over_changes_nothing() {
         let store = filled(10);
         let again = numbered(4, 1, "acme");
         assert_eq!(store.keep(&[(again, b"other")]).expect("known"), [5]);
-        assert_eq!(store.find(5).expect("read").map(|record| record.origin.name), Some("m4".into()));
-        assert_eq!(store.body(5).expect("read").as_deref(), Some(&b"0123456789"[..]));
+        assert_eq!(
+            store
+                .find(5)
+                .expect("read")
+                .map(|record| record.origin.name),
+            Some("m4".into())
+        );
+        assert_eq!(
+            store.body(5).expect("read").as_deref(),
+            Some(&b"0123456789"[..])
+        );
         assert_eq!(store.find(99).expect("read"), None);
-        assert_eq!((store.sums().expect("read").records, store.last().expect("read")), (10, 10));
+        assert_eq!(
+            (
+                store.sums().expect("read").records,
+                store.last().expect("read")
+            ),
+            (10, 10)
+        );
     }
 
     #[test]
     fn pages_are_stable_whatever_comes_or_goes_between() {
         let store = filled(30);
-        let filter = Filter { destination: Some(1), tenant: Some("beta".into()), ..Filter::default() };
+        let filter = Filter {
+            destination: Some(1),
+            tenant: Some("beta".into()),
+            ..Filter::default()
+        };
         let (mut seen, mut before) = (Vec::new(), None);
         loop {
             let page = store.page(&filter, before, 2).expect("read");
             seen.extend(page.records.iter().map(|(id, _)| *id));
             // New ones come, of which none is on a later page.
-            store.keep(&[(numbered(100 + seen.len() as u64, 1, "beta"), b"x")]).expect("kept");
+            store
+                .keep(&[(numbered(100 + seen.len() as u64, 1, "beta"), b"x")])
+                .expect("kept");
             let Some(next) = page.next else { break };
             before = Some(next);
         }
-        let wanted: Vec<u64> = (0..30).filter(|n| n % 3 == 1 && n % 4 != 0).map(|n| n + 1).rev().collect();
+        let wanted: Vec<u64> = (0..30)
+            .filter(|n| n % 3 == 1 && n % 4 != 0)
+            .map(|n| n + 1)
+            .rev()
+            .collect();
         assert_eq!(seen, wanted);
         let oldest = store.after(&filter, 0, 3).expect("read");
-        assert_eq!(oldest.records.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [2, 8, 11]);
+        assert_eq!(
+            oldest.records.iter().map(|(id, _)| *id).collect::<Vec<_>>(),
+            [2, 8, 11]
+        );
         assert_eq!(oldest.next, Some(11));
     }
 
@@ -679,10 +821,30 @@
             Ok::<_, Refusal>(())
         });
         assert_eq!(closed.expect("written"), Some(Ok(())));
-        let of = |state: &str| Filter { state: Some(state.into()), ..Filter::default() };
-        assert_eq!(store.page(&of("discarded"), None, 10).expect("read").records.len(), 1);
-        assert_eq!(store.page(&of("open"), None, 10).expect("read").records.len(), 5);
-        assert_eq!(store.counts(By::State).expect("read"), [("discarded".into(), 1), ("open".into(), 5)]);
+        let of = |state: &str| Filter {
+            state: Some(state.into()),
+            ..Filter::default()
+        };
+        assert_eq!(
+            store
+                .page(&of("discarded"), None, 10)
+                .expect("read")
+                .records
+                .len(),
+            1
+        );
+        assert_eq!(
+            store
+                .page(&of("open"), None, 10)
+                .expect("read")
+                .records
+                .len(),
+            5
+        );
+        assert_eq!(
+            store.counts(By::State).expect("read"),
+            [("discarded".into(), 1), ("open".into(), 5)]
+        );
         assert_eq!(
             store.counts(By::Reason).expect("read"),
             [("given-up".into(), 1), ("out-of-time".into(), 5)]
@@ -692,15 +854,26 @@
             Err::<(), _>(Refusal::Sending)
         });
         assert_eq!(refused.expect("read"), Some(Err(Refusal::Sending)));
-        assert_eq!(store.find(1).expect("read").map(|record| record.state), Some(State::Open));
-        assert_eq!(store.change(77, |_| Ok::<_, Refusal>(())).expect("read"), None);
+        assert_eq!(
+            store.find(1).expect("read").map(|record| record.state),
+            Some(State::Open)
+        );
+        assert_eq!(
+            store.change(77, |_| Ok::<_, Refusal>(())).expect("read"),
+            None
+        );
     }
 
     #[test]
     fn caps_drop_the_oldest_count_them_and_spare_what_is_being_sent() {
         let store = filled(20);
-        store.change(1, |record| Ok::<_, Refusal>(record.begin("ann", 1))).expect("written");
-        let by_records = Caps { records: 17, ..CAPS };
+        store
+            .change(1, |record| Ok::<_, Refusal>(record.begin("ann", 1)))
+            .expect("written");
+        let by_records = Caps {
+            records: 17,
+            ..CAPS
+        };
         assert_eq!(store.drop_past(&by_records, 2000, 100).expect("dropped"), 3);
         assert!(store.find(1).expect("read").is_some() && store.find(4).expect("read").is_none());
         let by_age = Caps { age: 1000, ..CAPS };
@@ -710,14 +883,20 @@
         let acme = store.counts(By::Tenant).expect("read")[0].clone();
         assert_eq!(acme, ("acme".into(), 3));
         let each = bytes / store.sums().expect("read").records;
-        let by_tenant = Caps { tenant_bytes: 4 * each, ..CAPS };
+        let by_tenant = Caps {
+            tenant_bytes: 4 * each,
+            ..CAPS
+        };
         assert!(store.drop_past(&by_tenant, 0, 100).expect("dropped") > 0);
         assert_eq!(
             store.counts(By::Tenant).expect("read")[0],
             ("acme".into(), 3),
             "another tenant's are not touched"
         );
-        let by_bytes = Caps { bytes: 3 * each, ..CAPS };
+        let by_bytes = Caps {
+            bytes: 3 * each,
+            ..CAPS
+        };
         while store.drop_past(&by_bytes, 0, 2).expect("dropped") > 0 {}
         let sums = store.sums().expect("read");
         assert!(sums.bytes <= 3 * each + each / 2, "{sums:?}");
@@ -725,7 +904,12 @@
         assert_eq!(told + sums.records, 20, "{sums:?}");
         assert!(store.find(1).expect("read").is_some());
         // All sums agree with what is there.
-        let open: u64 = store.counts(By::Class).expect("read").iter().map(|(_, count)| count).sum();
+        let open: u64 = store
+            .counts(By::Class)
+            .expect("read")
+            .iter()
+            .map(|(_, count)| count)
+            .sum();
         assert_eq!(open, sums.records);
     }
 
@@ -736,8 +920,9 @@
         for seed in 0..8u8 {
             let noise = InMemoryBackend::new();
             noise.set_len(1 << 16).expect("memory");
-            let text: Vec<u8> =
-                (0..1u32 << 16).map(|n| (n as u8).wrapping_mul(seed).wrapping_add(n as u8 >> 3)).collect();
+            let text: Vec<u8> = (0..1u32 << 16)
+                .map(|n| (n as u8).wrapping_mul(seed).wrapping_add(n as u8 >> 3))
+                .collect();
             noise.write(0, &text).expect("memory");
             assert!(Store::open_on(noise).is_err(), "{seed}");
         }
--- a/crates/undeliverable/tests/stored_format.rs
+++ b/crates/undeliverable/tests/stored_format.rs
@@ -9,11 +9,15 @@
 use madderpitch_undeliverable::batch::{Batch, Counts, Order, Spec};
 use madderpitch_undeliverable::record::{By, Origin, Refusal, Says};
 use madderpitch_undeliverable::store::{self, Caps};
-use madderpitch_undeliverable::{Attempt, Closed, Effect, Filter, Outcome, Reason, Record, State, Store};
+use madderpitch_undeliverable::{
+    Attempt, Closed, Effect, Filter, Outcome, Reason, Record, State, Store,
+};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 
 fn golden_path(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden").join(name)
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/golden")
+        .join(name)
 }
 
 fn directory(name: &str) -> PathBuf {
@@ -28,7 +32,10 @@
 }
 
 fn attempt(number: u64, outcome: Outcome) -> Attempt {
-    let may_have_run = !matches!(outcome, Outcome::Refused | Outcome::NotConnected | Outcome::NotSent);
+    let may_have_run = !matches!(
+        outcome,
+        Outcome::Refused | Outcome::NotConnected | Outcome::NotSent
+    );
     Attempt {
         sent: 1_796_168_000_000_000 + number,
         host: format!("s-{number:04}"),
@@ -54,7 +61,11 @@
     let record = |(reason, number): (Reason, u64)| Record {
         origin: Origin {
             name: format!("m{number}"),
-            tenant: if number % 2 == 0 { "acme/2".into() } else { "beta".into() },
+            tenant: if number % 2 == 0 {
+                "acme/2".into()
+            } else {
+                "beta".into()
+            },
             class: ["event", "payout", "update"][number as usize % 3].into(),
             destination: number as u16 % 2,
             key: (number % 3 == 0).then(|| format!("k-{number}")),
@@ -69,7 +80,11 @@
         size: 10,
         ended: 1_796_168_060_000_000 + number,
         reason,
-        attempts: outcomes.iter().zip(number * 100..).map(|(outcome, at)| attempt(at, *outcome)).collect(),
+        attempts: outcomes
+            .iter()
+            .zip(number * 100..)
+            .map(|(outcome, at)| attempt(at, *outcome))
+            .collect(),
         statements: Vec::new(),
         state: State::Open,
         version: 1,
@@ -82,85 +97,171 @@
 fn write_store(path: &Path) {
     let now = 1_796_168_070_000_000;
     let store = open(path);
-    let records: Vec<(Record, &[u8])> =
-        records().into_iter().map(|one| (one, &b"\r\n\x00body"[..])).collect();
-    assert_eq!(store.keep(&records).expect("kept"), (1..=8).collect::<Vec<_>>());
+    let records: Vec<(Record, &[u8])> = records()
+        .into_iter()
+        .map(|one| (one, &b"\r\n\x00body"[..]))
+        .collect();
+    assert_eq!(
+        store.keep(&records).expect("kept"),
+        (1..=8).collect::<Vec<_>>()
+    );
     let change = |id, change: &dyn Fn(&mut Record) -> Result<(), Refusal>| {
-        assert_eq!(store.change(id, |record| change(record)).expect("written"), Some(Ok(())));
+        assert_eq!(
+            store.change(id, |record| change(record)).expect("written"),
+            Some(Ok(()))
+        );
     };
     change(2, &|record| record.claim("ann", Some(1), now, 600_000_000));
     change(3, &|record| {
         record.begin("batch/nightly", now);
         Ok(())
     });
-    for (id, closed) in [(4, Closed::Delivered), (5, Closed::AppliedBefore), (6, Closed::Discarded)] {
+    for (id, closed) in [
+        (4, Closed::Delivered),
+        (5, Closed::AppliedBefore),
+        (6, Closed::Discarded),
+    ] {
         change(id, &|record| {
             record.close(closed, now);
             Ok(())
         });
     }
-    change(7, &|record| record.state_that(By::Partner, Says::NotApplied, now, None, now));
-    change(7, &|record| record.state_that(By::Operator("ann".into()), Says::Applied, now + 1, None, now));
-    change(8, &|record| record.state_that(By::Partner, Says::Unknown, now, None, now));
-    let caps = Caps { bytes: u64::MAX, tenant_bytes: u64::MAX, records: 7, age: u64::MAX };
+    change(7, &|record| {
+        record.state_that(By::Partner, Says::NotApplied, now, None, now)
+    });
+    change(7, &|record| {
+        record.state_that(
+            By::Operator("ann".into()),
+            Says::Applied,
+            now + 1,
+            None,
+            now,
+        )
+    });
+    change(8, &|record| {
+        record.state_that(By::Partner, Says::Unknown, now, None, now)
+    });
+    let caps = Caps {
+        bytes: u64::MAX,
+        tenant_bytes: u64::MAX,
+        records: 7,
+        age: u64::MAX,
+    };
     assert_eq!(store.drop_past(&caps, now, 10).expect("dropped"), 1);
     let spec = |name: &str| Spec {
         name: name.into(),
-        filter: Filter { destination: Some(1), reason: Some(Reason::KeyForgotten), ..Filter::default() },
+        filter: Filter {
+            destination: Some(1),
+            reason: Some(Reason::KeyForgotten),
+            ..Filter::default()
+        },
         per_second: 2.5,
         at_once: 4,
         stop_after: 10,
     };
-    let mut counts = Counts { found: 3, may_go: 2, ..Counts::default() };
+    let mut counts = Counts {
+        found: 3,
+        may_go: 2,
+        ..Counts::default()
+    };
     counts.needs.insert("key-forgotten".into(), 1);
     let planned = Batch::plan(spec("nightly"), "ann", now, 8, counts).expect("a plan");
     store.keep_batch(&planned).expect("kept");
-    let mut running = Batch::plan(spec("weekly"), "bob", now, 8, Counts::default()).expect("a plan");
+    let mut running =
+        Batch::plan(spec("weekly"), "bob", now, 8, Counts::default()).expect("a plan");
     running.order(Order::Run, None, now + 1).expect("runs");
     store.keep_batch(&running).expect("kept");
 }
 
 fn hex(bytes: &[u8]) -> String {
-    bytes.iter().fold(String::new(), |text, byte| text + &format!("{byte:02x}"))
+    bytes
+        .iter()
+        .fold(String::new(), |text, byte| text + &format!("{byte:02x}"))
 }
 
 /// Every table as the database itself has it.
 fn dump(path: &Path) -> String {
-    const NUMBERED: [TableDefinition<u64, &[u8]>; 2] =
-        [TableDefinition::new("records"), TableDefinition::new("bodies")];
+    const NUMBERED: [TableDefinition<u64, &[u8]>; 2] = [
+        TableDefinition::new("records"),
+        TableDefinition::new("bodies"),
+    ];
     let database = Database::open(path).expect("a database");
     let read = database.begin_read().expect("readable");
     let mut text = String::new();
     for definition in NUMBERED {
-        for entry in read.open_table(definition).expect("a table").iter().expect("entries") {
+        for entry in read
+            .open_table(definition)
+            .expect("a table")
+            .iter()
+            .expect("entries")
+        {
             let (key, value) = entry.expect("readable");
             writeln!(text, "{definition} {} {}", key.value(), hex(value.value())).expect("text");
         }
     }
-    for definition in [TableDefinition::<&str, u64>::new("origins"), TableDefinition::new("numbers")] {
-        for entry in read.open_table(definition).expect("a table").iter().expect("entries") {
+    for definition in [
+        TableDefinition::<&str, u64>::new("origins"),
+        TableDefinition::new("numbers"),
+    ] {
+        for entry in read
+            .open_table(definition)
+            .expect("a table")
+            .iter()
+            .expect("entries")
+        {
             let (key, value) = entry.expect("readable");
             writeln!(text, "{definition} {:?} {}", key.value(), value.value()).expect("text");
         }
     }
     let definition: TableDefinition<(u8, &str, u64), ()> = TableDefinition::new("index");
-    for entry in read.open_table(definition).expect("a table").iter().expect("entries") {
-        writeln!(text, "{definition} {:?}", entry.expect("readable").0.value()).expect("text");
+    for entry in read
+        .open_table(definition)
+        .expect("a table")
+        .iter()
+        .expect("entries")
+    {
+        writeln!(
+            text,
+            "{definition} {:?}",
+            entry.expect("readable").0.value()
+        )
+        .expect("text");
     }
     let definition: TableDefinition<(u8, &str), u64> = TableDefinition::new("counts");
-    for entry in read.open_table(definition).expect("a table").iter().expect("entries") {
+    for entry in read
+        .open_table(definition)
+        .expect("a table")
+        .iter()
+        .expect("entries")
+    {
         let (key, value) = entry.expect("readable");
         writeln!(text, "{definition} {:?} {}", key.value(), value.value()).expect("text");
     }
     let definition: TableDefinition<(&str, &str), u64> = TableDefinition::new("dropped");
-    for entry in read.open_table(definition).expect("a table").iter().expect("entries") {
+    for entry in read
+        .open_table(definition)
+        .expect("a table")
+        .iter()
+        .expect("entries")
+    {
         let (key, value) = entry.expect("readable");
         writeln!(text, "{definition} {:?} {}", key.value(), value.value()).expect("text");
     }
     let definition: TableDefinition<&str, &[u8]> = TableDefinition::new("batches");
-    for entry in read.open_table(definition).expect("a table").iter().expect("entries") {
+    for entry in read
+        .open_table(definition)
+        .expect("a table")
+        .iter()
+        .expect("entries")
+    {
         let (key, value) = entry.expect("readable");
-        writeln!(text, "{definition} {:?} {}", key.value(), hex(value.value())).expect("text");
+        writeln!(
+            text,
+            "{definition} {:?} {}",
+            key.value(),
+            hex(value.value())
+        )
+        .expect("text");
     }
     text
 }
@@ -170,7 +271,10 @@
     let directory = directory("store-written");
     let path = directory.join("undeliverable.redb");
     write_store(&path);
-    assert_eq!(dump(&path), fs::read_to_string(golden_path("store.txt")).expect("golden"));
+    assert_eq!(
+        dump(&path),
+        fs::read_to_string(golden_path("store.txt")).expect("golden")
+    );
     fs::remove_dir_all(directory).expect("removed");
 }
 
@@ -192,20 +296,48 @@
             (&read.attempts, read.ended, read.size),
             (&expected.attempts, expected.ended, expected.size)
         );
-        assert_eq!(store.body(id).expect("read").as_deref(), Some(&b"\r\n\x00body"[..]));
+        assert_eq!(
+            store.body(id).expect("read").as_deref(),
+            Some(&b"\r\n\x00body"[..])
+        );
         words.push(read.state.word());
     }
-    assert_eq!(words, ["claimed", "sending", "delivered", "applied-before", "discarded", "open", "open"]);
-    assert_eq!(store.find(7).expect("read").map(|record| record.statements.len()), Some(2));
+    assert_eq!(
+        words,
+        [
+            "claimed",
+            "sending",
+            "delivered",
+            "applied-before",
+            "discarded",
+            "open",
+            "open"
+        ]
+    );
+    assert_eq!(
+        store
+            .find(7)
+            .expect("read")
+            .map(|record| record.statements.len()),
+        Some(2)
+    );
     let sums = store.sums().expect("read");
     assert_eq!((sums.records, sums.spoilt), (7, 0));
-    assert_eq!(sums.dropped, [("beta".to_string(), "records".to_string(), 1)]);
+    assert_eq!(
+        sums.dropped,
+        [("beta".to_string(), "records".to_string(), 1)]
+    );
     let counts = store.counts(store::By::State).expect("read");
     assert_eq!(counts.iter().map(|(_, count)| count).sum::<u64>(), 7);
     let batches = store.batches().expect("read");
-    let batches: Vec<_> =
-        batches.iter().map(|one| (one.spec.name.as_str(), one.state.word(), one.version)).collect();
-    assert_eq!(batches, [("nightly", "planned", 1), ("weekly", "running", 2)]);
+    let batches: Vec<_> = batches
+        .iter()
+        .map(|one| (one.spec.name.as_str(), one.state.word(), one.version))
+        .collect();
+    assert_eq!(
+        batches,
+        [("nightly", "planned", 1), ("weekly", "running", 2)]
+    );
     drop(store);
     fs::remove_dir_all(directory).expect("removed");
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,10 @@
 const HANDED_IN_AGAIN: u8 = 2;
 
 fn bad<T>(what: impl Into<String>, place: impl Into<String>) -> Result<T, InputError> {
-    Err(InputError { what: what.into(), place: place.into() })
+    Err(InputError {
+        what: what.into(),
+        place: place.into(),
+    })
 }
 
 /// Splits a batch header into the payload's length and the clock.
@@ -34,12 +37,19 @@
 
 impl<'a> Reader<'a> {
     fn take(&mut self, n: usize) -> Result<&'a [u8], InputError> {
-        match self.at.checked_add(n).and_then(|end| self.bytes.get(self.at..end)) {
+        match self
+            .at
+            .checked_add(n)
+            .and_then(|end| self.bytes.get(self.at..end))
+        {
             Some(part) => {
                 self.at += n;
                 Ok(part)
             }
-            None => bad(format!("record wants {n} bytes more than the frame holds"), self.place()),
+            None => bad(
+                format!("record wants {n} bytes more than the frame holds"),
+                self.place(),
+            ),
         }
     }
 
@@ -100,7 +110,14 @@
         let destination = self.u16()?;
         let host = self.u32()?;
         self.u64()?;
-        Ok(HostEntry { host, destination, kind, zone, listing, weight })
+        Ok(HostEntry {
+            host,
+            destination,
+            kind,
+            zone,
+            listing,
+            weight,
+        })
     }
 }
 
@@ -108,7 +125,9 @@
     match code {
         0 => Outcome::Ok,
         1 => Outcome::Error,
-        2 => Outcome::Full { wait: Micros::from(remark_ms) * 1000 },
+        2 => Outcome::Full {
+            wait: Micros::from(remark_ms) * 1000,
+        },
         3 => Outcome::Timeout,
         4 => Outcome::ConnectFailed,
         5 => Outcome::Reset,
@@ -121,13 +140,22 @@
 pub fn settings(text: &[u8]) -> Result<Settings, InputError> {
     let root: Value = match serde_json::from_slice(text) {
         Ok(value) => value,
-        Err(error) => return bad(format!("settings are not JSON ({error})"), "the settings text"),
+        Err(error) => {
+            return bad(
+                format!("settings are not JSON ({error})"),
+                "the settings text",
+            )
+        }
     };
     if !root.is_object() {
         return bad("settings are not an object", "the settings text");
     }
     let need = |path: &str| -> Result<f64, InputError> {
-        match root.pointer(path).and_then(Value::as_f64).filter(|v| v.is_finite() && *v >= 0.0) {
+        match root
+            .pointer(path)
+            .and_then(Value::as_f64)
+            .filter(|v| v.is_finite() && *v >= 0.0)
+        {
             Some(value) => Ok(value),
             None => bad("settings lack a number", path),
         }
@@ -137,7 +165,12 @@
         _ => bad("settings want a number of 1 or more", path),
     };
     let or_zero = |path: &str| number(&root, path).unwrap_or(0.0);
-    let list = |path: &str| root.pointer(path).and_then(Value::as_array).cloned().unwrap_or_default();
+    let list = |path: &str| {
+        root.pointer(path)
+            .and_then(Value::as_array)
+            .cloned()
+            .unwrap_or_default()
+    };
     let flag = |path: &str| root.pointer(path).and_then(Value::as_bool).unwrap_or(false);
     let text_at = |path: &str| root.pointer(path).and_then(Value::as_str).unwrap_or("");
 
@@ -176,13 +209,20 @@
             "halving" => Decay::Halving,
             _ => Decay::Linear,
         },
-        toll: list("/familyInfo/toll").iter().map(|v| v.as_f64().unwrap_or(0.0)).collect(),
+        toll: list("/familyInfo/toll")
+            .iter()
+            .map(|v| v.as_f64().unwrap_or(0.0))
+            .collect(),
         cross_zone_fee: or_zero("/fees/crossZone"),
         slots: need("/familyInfo/callsOut")? as usize,
         most_held: need("/limits/mostHeld")? as usize,
         most_bytes: 0,
         max_attempts: positive("/limits/maxAttempts")? as usize,
-        max_retry_after: if tells_waits { or_zero("/limits/maxRetryAfter") as Micros } else { 0 },
+        max_retry_after: if tells_waits {
+            or_zero("/limits/maxRetryAfter") as Micros
+        } else {
+            0
+        },
         cancelling: flag("/limits/cancelling"),
         probes: flag("/limits/probes"),
         discovery_by_asking: text_at("/discovery") == "ask",
@@ -214,7 +254,10 @@
 }
 
 fn number(value: &Value, path: &str) -> Option<f64> {
-    value.pointer(path).and_then(Value::as_f64).filter(|v| v.is_finite() && *v >= 0.0)
+    value
+        .pointer(path)
+        .and_then(Value::as_f64)
+        .filter(|v| v.is_finite() && *v >= 0.0)
 }
 
 fn class_of(class: &Value, place: &str) -> Result<Class, InputError> {
@@ -233,7 +276,10 @@
     };
     let positive = |key: &str| match need(key)? {
         value if value >= 1.0 => Ok(value as Micros),
-        _ => bad("settings want a number of 1 or more", format!("{place}{key}")),
+        _ => bad(
+            "settings want a number of 1 or more",
+            format!("{place}{key}"),
+        ),
     };
     Ok(Class {
         aim: need("/aim")? as Micros,
@@ -242,7 +288,10 @@
         effect,
         worth: number(class, "/worth").unwrap_or(1.0),
         late_worth: number(class, "/lateWorth").unwrap_or(0.0),
-        in_order: class.pointer("/fifoByKey").and_then(Value::as_bool).unwrap_or(false),
+        in_order: class
+            .pointer("/fifoByKey")
+            .and_then(Value::as_bool)
+            .unwrap_or(false),
     })
 }
 
@@ -262,14 +311,20 @@
 impl Adapter {
     /// Takes the payload of one batch and gives the whole reply, header included.
     pub fn round(&mut self, now: Micros, payload: &[u8]) -> Result<Vec<u8>, InputError> {
-        let mut reader = Reader { bytes: payload, at: 0 };
+        let mut reader = Reader {
+            bytes: payload,
+            at: 0,
+        };
         let mut pending: BTreeMap<u16, Vec<Event>> = BTreeMap::new();
         while reader.at < payload.len() {
-            let Some((relay, record)) = self.record(&mut reader)? else { continue };
+            let Some((relay, record)) = self.record(&mut reader)? else {
+                continue;
+            };
             match record {
                 Record::Begin(seed, settings) => {
                     let shares = Box::new(Shares::of(&settings));
-                    self.relays.insert(relay, Relay::shared(*settings, seed, shares));
+                    self.relays
+                        .insert(relay, Relay::shared(*settings, seed, shares));
                     pending.insert(relay, Vec::new());
                 }
                 Record::Exit => {
@@ -323,7 +378,10 @@
                 let seed = r.u64()?;
                 let n = r.u32()? as usize;
                 let text = r.take(n)?;
-                return Ok(Some((relay, Record::Begin(seed, Box::new(settings(text)?)))));
+                return Ok(Some((
+                    relay,
+                    Record::Begin(seed, Box::new(settings(text)?)),
+                )));
             }
             9 => return Ok(Some((relay, Record::Exit))),
             1 => {
@@ -378,7 +436,15 @@
                 let elapsed = Micros::from(r.u32()?);
                 let over = r.u8()? != 0;
                 let outcome = outcome(rc, r.u32()?);
-                Event::Ended(Ended { id, attempt, host, outcome, elapsed, over, report: r.report()? })
+                Event::Ended(Ended {
+                    id,
+                    attempt,
+                    host,
+                    outcome,
+                    elapsed,
+                    over,
+                    report: r.report()?,
+                })
             }
             5 => Event::Withdrawn(r.u64()?),
             6 => Event::Timer(r.u64()?),
@@ -386,12 +452,20 @@
                 let host = r.u32()?;
                 let outcome = outcome(r.outcome()?, 0);
                 let elapsed = Micros::from(r.u32()?);
-                Event::Probed { host, outcome, elapsed, report: r.report()? }
+                Event::Probed {
+                    host,
+                    outcome,
+                    elapsed,
+                    report: r.report()?,
+                }
             }
             _ => {
                 let from = r.u16()?;
                 let n = r.u16()? as usize;
-                Event::Peer { from, content: r.take(n)?.to_vec() }
+                Event::Peer {
+                    from,
+                    content: r.take(n)?.to_vec(),
+                }
             }
         };
         Ok(Some((relay, Record::Event(event))))
--- a/crates/wire/src/main.rs
+++ b/crates/wire/src/main.rs
@@ -12,12 +12,15 @@
     let mut payload = Vec::new();
     loop {
         let mut head = [0; HEADER];
-        let got = fill(&mut input, &mut head).map_err(|e| format!("cannot read standard input: {e}"))?;
+        let got =
+            fill(&mut input, &mut head).map_err(|e| format!("cannot read standard input: {e}"))?;
         if got == 0 {
             return Ok(());
         }
         if got < HEADER {
-            return Err(format!("input ends within a header, after {got} of {HEADER} bytes"));
+            return Err(format!(
+                "input ends within a header, after {got} of {HEADER} bytes"
+            ));
         }
         let (length, now) = header(&head);
         payload.clear();
@@ -26,7 +29,10 @@
             .read_to_end(&mut payload)
             .map_err(|e| format!("cannot read standard input: {e}"))?;
         if payload.len() < length {
-            return Err(format!("input ends within a frame, after {} of {length} bytes", payload.len()));
+            return Err(format!(
+                "input ends within a frame, after {} of {length} bytes",
+                payload.len()
+            ));
         }
         let reply = adapter.round(now, &payload).map_err(|e| e.to_string())?;
         output
--- a/crates/wire/tests/adapter.rs
+++ b/crates/wire/tests/adapter.rs
@@ -5,9 +5,17 @@
 
 fn drill(input: &[u8]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_madderpitch-adapter"));
-    let command = command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let command = command
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
     let mut child = command.spawn().expect("starts");
-    child.stdin.take().expect("piped").write_all(input).expect("takes the input");
+    child
+        .stdin
+        .take()
+        .expect("piped")
+        .write_all(input)
+        .expect("takes the input");
     child.wait_with_output().expect("ends")
 }
 
@@ -25,7 +33,10 @@
     for input in [&[0u8; 5][..], &too_short, &unknown] {
         let output = drill(input);
         let line = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert!(!output.status.success() && line.lines().count() == 1, "{line}");
+        assert!(
+            !output.status.success() && line.lines().count() == 1,
+            "{line}"
+        );
         assert!(!line.contains("panicked"), "{line}");
     }
 }
--- a/crates/wire/tests/transcript.rs
+++ b/crates/wire/tests/transcript.rs
@@ -18,8 +18,12 @@
     let mut adapter = Adapter::default();
     let mut batches = 0;
     for line in text.lines() {
-        let [clock, batch, reply] = line.split(' ').collect::<Vec<_>>()[..] else { panic!("{line}") };
-        let actual = adapter.round(clock.parse().expect("a clock"), &bytes(batch)).expect("a reply");
+        let [clock, batch, reply] = line.split(' ').collect::<Vec<_>>()[..] else {
+            panic!("{line}")
+        };
+        let actual = adapter
+            .round(clock.parse().expect("a clock"), &bytes(batch))
+            .expect("a reply");
         assert_eq!(actual, bytes(reply), "batch {batches} at {clock}");
         batches += 1;
     }
