--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -14,7 +14,10 @@
 fn bytes(hex: &str) -> Vec<u8> {
     let digits: Vec<u8> = hex.bytes().filter(|b| !b.is_ascii_whitespace()).collect();
     let byte = |pair: &[u8]| u8::from_str_radix(&String::from_utf8_lossy(pair), 16);
-    digits.chunks(2).map(|pair| byte(pair).expect("hex")).collect()
+    digits
+        .chunks(2)
+        .map(|pair| byte(pair).expect("hex"))
+        .collect()
 }
 
 fn begin(relay: u16, text: &str) -> Vec<u8> {
@@ -30,26 +33,58 @@
     0000c03f 00 00 01 3900 f211902c 20145d0000000000 01 0300 2900000000000000 00000000 00";
 const INGRESS: &str =
     "02 0300 c4913a5df5c50e00 640ad2557c3bf091 0000 00006442 da05840000000000 e02e0000 0000 01";
-const ENDED: &str = "04 0300 c4913a5df5c50e00 00 074a1203 0000 44480000 01 00000000 02 cdcccc3e0000a03f";
+const ENDED: &str =
+    "04 0300 c4913a5df5c50e00 00 074a1203 0000 44480000 01 00000000 02 cdcccc3e0000a03f";
 
 #[test]
 fn reads_the_header_and_answers_an_empty_batch() {
     let head = bytes("00000000 5a5c800000000000");
-    assert_eq!(header(&head.try_into().expect("twelve bytes")), (0, 0x80_5c5a));
-    assert_eq!(Adapter::default().round(5, &[]).expect("empty"), bytes("00000000 00000000"));
+    assert_eq!(
+        header(&head.try_into().expect("twelve bytes")),
+        (0, 0x80_5c5a)
+    );
+    assert_eq!(
+        Adapter::default().round(5, &[]).expect("empty"),
+        bytes("00000000 00000000")
+    );
 }
 
 #[test]
 fn writes_actions_as_the_note_shows() {
-    let send = Action::Send { id: 0x0e_c5f5_5d3a_91c4, host: 0x0312_4a07, timeout: 80_000 };
+    let send = Action::Send {
+        id: 0x0e_c5f5_5d3a_91c4,
+        host: 0x0312_4a07,
+        timeout: 80_000,
+    };
     for (action, hex) in [
         (send, "03 0300 c4913a5df5c50e00 074a1203 80380100"),
-        (Action::Timer { after: 500_000, token: 77 }, "00 0300 20a10700 4d00000000000000"),
-        (Action::Log("two servers known".into()), "07 0300 1100 74776f2073657276657273206b6e6f776e"),
-        (Action::Tell { to: None, content: b"hi 7".to_vec() }, "09 0300 ffff 0400 68692037"),
-        (Action::Refuse { id: 5, after: 2 }, "05 0300 0500000000000000 02000000"),
+        (
+            Action::Timer {
+                after: 500_000,
+                token: 77,
+            },
+            "00 0300 20a10700 4d00000000000000",
+        ),
+        (
+            Action::Log("two servers known".into()),
+            "07 0300 1100 74776f2073657276657273206b6e6f776e",
+        ),
+        (
+            Action::Tell {
+                to: None,
+                content: b"hi 7".to_vec(),
+            },
+            "09 0300 ffff 0400 68692037",
+        ),
+        (
+            Action::Refuse { id: 5, after: 2 },
+            "05 0300 0500000000000000 02000000",
+        ),
         (Action::Fail(5), "0a 0300 0500000000000000"),
-        (Action::Cancel { id: 5, attempt: 1 }, "04 0300 0500000000000000 01"),
+        (
+            Action::Cancel { id: 5, attempt: 1 },
+            "04 0300 0500000000000000 01",
+        ),
         (Action::Probe(6), "02 0300 06000000"),
         (Action::CloseIdle(6), "0b 0300 06000000"),
         (Action::Subscribe(true), "08 0300 01"),
@@ -70,7 +105,10 @@
     frame.extend(bytes(INGRESS));
     let reply = adapter.round(0x80_5c5a - 600_000, &frame).expect("a reply");
     let send = bytes("03 0300 c4913a5df5c50e00");
-    assert!(reply.windows(send.len()).any(|part| part == send), "the message goes out at once");
+    assert!(
+        reply.windows(send.len()).any(|part| part == send),
+        "the message goes out at once"
+    );
     let more = format!(
         "{ENDED} 05 0300 192b6f0e132b0b00 06 0300 4d00000000000000 08 0300 0100 0200 6869
         03 0300 c4913a5df5c50e00 00 074a1203 44480000 07 0300 074a1203 0200 44480000 00
@@ -86,13 +124,35 @@
 #[test]
 fn reads_settings_and_skips_what_is_unknown() {
     let set = settings(SETTINGS.as_bytes()).expect("settings");
-    assert_eq!(set.classes[0].effect, Effect::Keyed { window: 6_000_000, zone_only: true });
+    assert_eq!(
+        set.classes[0].effect,
+        Effect::Keyed {
+            window: 6_000_000,
+            zone_only: true
+        }
+    );
     assert_eq!(set.classes[1].effect, Effect::Unsafe);
     assert!(set.classes[0].in_order && set.discovery_by_asking && set.kinds[1].apart && set.probes);
-    assert_eq!((set.slots, set.most_held, set.max_attempts, set.siblings), (8, 100, 12, 2));
-    assert_eq!((set.kinds[1].per_call, set.decay, set.weights), (4, Decay::Halving, WeightSource::Rough));
-    assert_eq!(set.report, [ReportField::LimitPerSecond, ReportField::Other, ReportField::AllowanceLeft]);
-    assert_eq!((set.rules.turn_gap, set.max_retry_after, set.toll[0]), (9, 7, 0.5));
+    assert_eq!(
+        (set.slots, set.most_held, set.max_attempts, set.siblings),
+        (8, 100, 12, 2)
+    );
+    assert_eq!(
+        (set.kinds[1].per_call, set.decay, set.weights),
+        (4, Decay::Halving, WeightSource::Rough)
+    );
+    assert_eq!(
+        set.report,
+        [
+            ReportField::LimitPerSecond,
+            ReportField::Other,
+            ReportField::AllowanceLeft
+        ]
+    );
+    assert_eq!(
+        (set.rules.turn_gap, set.max_retry_after, set.toll[0]),
+        (9, 7, 0.5)
+    );
 }
 
 #[test]
@@ -101,17 +161,32 @@
         ("{", "not JSON"),
         ("[]", "not an object"),
         ("{}", "/services"),
-        (r#"{"services":[{"aim":1,"giveUp":1,"effect":"odd"}]}"#, "/services/0/effect"),
-        (r#"{"siblings":1,"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#, "/familyInfo/callsOut"),
-        (r#"{"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#, "/siblings"),
-        (r#"{"siblings":0,"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#, "fewer relays"),
+        (
+            r#"{"services":[{"aim":1,"giveUp":1,"effect":"odd"}]}"#,
+            "/services/0/effect",
+        ),
+        (
+            r#"{"siblings":1,"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#,
+            "/familyInfo/callsOut",
+        ),
+        (
+            r#"{"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#,
+            "/siblings",
+        ),
+        (
+            r#"{"siblings":0,"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#,
+            "fewer relays",
+        ),
         (
             r#"{"siblings":3,"ordinal":3,"services":[{"aim":1,"giveUp":1,"effect":"fragile"}]}"#,
             "fewer relays",
         ),
     ] {
         let error = settings(text.as_bytes()).expect_err(text).to_string();
-        assert!(error.contains(say) && !error.contains('\n'), "{text}: {error}");
+        assert!(
+            error.contains(say) && !error.contains('\n'),
+            "{text}: {error}"
+        );
     }
 }
 
@@ -121,11 +196,15 @@
     frame.extend(bytes(LIST));
     frame.extend(bytes(INGRESS));
     frame.extend(bytes(ENDED));
-    let cut_errors = (1..frame.len()).filter(|n| Adapter::default().round(9, &frame[..*n]).is_err()).count();
+    let cut_errors = (1..frame.len())
+        .filter(|n| Adapter::default().round(9, &frame[..*n]).is_err())
+        .count();
     assert!(cut_errors > frame.len() - 8, "only whole records pass");
     let mut state = 1u64;
     for _ in 0..20_000 {
-        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         let mut odd = frame.clone();
         let at = (state >> 33) as usize % odd.len();
         odd[at] = (state >> 20) as u8;
@@ -133,7 +212,12 @@
             assert!(!error.to_string().contains('\n'));
         }
     }
-    for odd in ["63", "0b 0300", "01 0300 2900000000000000 05000000 00", "0a 10000000 00000000"] {
+    for odd in [
+        "63",
+        "0b 0300",
+        "01 0300 2900000000000000 05000000 00",
+        "0a 10000000 00000000",
+    ] {
         assert!(Adapter::default().round(9, &bytes(odd)).is_err(), "{odd}");
     }
 }
--- a/crates/work/src/job.rs
+++ b/crates/work/src/job.rs
@@ -168,9 +168,13 @@
             (_, State::Done(_) | State::Failed(_) | State::Cancelled) => return false,
             (Order::Pause, State::Running) => self.wanted = self.wanted.or(Some(Wanted::Pause)),
             (Order::Cancel, State::Running) => self.wanted = Some(Wanted::Cancel),
-            (Order::Resume, State::Running) if self.wanted == Some(Wanted::Pause) => self.wanted = None,
+            (Order::Resume, State::Running) if self.wanted == Some(Wanted::Pause) => {
+                self.wanted = None
+            }
             (Order::Pause, State::Waiting(_)) => self.becomes(State::Paused),
-            (Order::Resume, State::Paused) => self.becomes(State::Waiting(now.max(self.spec.not_before))),
+            (Order::Resume, State::Paused) => {
+                self.becomes(State::Waiting(now.max(self.spec.not_before)))
+            }
             (Order::Cancel, _) => self.becomes(State::Cancelled),
             _ => return false,
         }
@@ -221,7 +225,10 @@
         if self.tried >= self.spec.tries {
             return self.becomes(State::Failed(Cause::Tries));
         }
-        let doubled = WAITS.0.saturating_mul(1 << (self.tried - 1).min(32)).min(WAITS.1);
+        let doubled = WAITS
+            .0
+            .saturating_mul(1 << (self.tried - 1).min(32))
+            .min(WAITS.1);
         let wait = (doubled as f64 * (0.5 + 0.5 * spread.clamp(0.0, 1.0))) as Micros;
         self.becomes(State::Waiting(now.saturating_add(wait)));
     }
--- a/crates/work/src/schedule.rs
+++ b/crates/work/src/schedule.rs
@@ -9,7 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::job::{Cause, Job, JobId, Order, Owner, Slice, Spec, State, Wanted, LONGEST_NAME, MOST_AFTER};
+use crate::job::{
+    Cause, Job, JobId, Order, Owner, Slice, Spec, State, Wanted, LONGEST_NAME, MOST_AFTER,
+};
 use crate::Micros;
 
 const SECOND: Micros = 1_000_000;
@@ -65,9 +67,19 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        let budget = |weight, time| Budget { weight, time, bytes: 16 << 20, calls: 100 };
+        let budget = |weight, time| Budget {
+            weight,
+            time,
+            bytes: 16 << 20,
+            calls: 100,
+        };
         Settings {
-            budgets: [budget(8, 200_000), budget(4, 100_000), budget(2, 50_000), budget(1, 20_000)],
+            budgets: [
+                budget(8, 200_000),
+                budget(4, 100_000),
+                budget(2, 50_000),
+                budget(1, 20_000),
+            ],
             slice: (2_000, 500),
             starve_after: SECOND,
             most: 10_000,
@@ -81,11 +93,15 @@
     pub fn check(&self) -> Result<(), String> {
         for (class, budget) in Class::ALL.iter().zip(&self.budgets) {
             if budget.weight == 0 || budget.time == 0 || budget.time > SECOND {
-                return Err(format!("work: {class:?}: a weight of 0, or a time that is not within a second"));
+                return Err(format!(
+                    "work: {class:?}: a weight of 0, or a time that is not within a second"
+                ));
             }
         }
         if self.slice.1 == 0 || self.slice.1 > self.slice.0 || self.slice.0 > SECOND / 10 {
-            return Err("work: a slice is not from 1 us to 100 ms, or the least is over the longest".into());
+            return Err(
+                "work: a slice is not from 1 us to 100 ms, or the least is over the longest".into(),
+            );
         }
         if self.most == 0 || self.most_of_owner == 0 || self.starve_after == 0 {
             return Err("work: a bound of 0".into());
@@ -191,7 +207,11 @@
     }
 
     /// Jobs as they were kept by a process that is gone.
-    pub fn restored(set: Settings, kept: impl IntoIterator<Item = (JobId, Job)>, now: Micros) -> Self {
+    pub fn restored(
+        set: Settings,
+        kept: impl IntoIterator<Item = (JobId, Job)>,
+        now: Micros,
+    ) -> Self {
         let mut work = Work::new(set, now);
         for (id, mut job) in kept {
             job.restarted(now);
@@ -220,18 +240,27 @@
 
     /// Takes a job on.
     pub fn submit(&mut self, spec: Spec) -> Result<JobId, Refusal> {
-        if spec.name.is_empty() || spec.name.len() > LONGEST_NAME || spec.name.chars().any(char::is_control) {
-            return Err(Refusal::Malformed("a name is empty, over 64 bytes, or has control characters"));
+        if spec.name.is_empty()
+            || spec.name.len() > LONGEST_NAME
+            || spec.name.chars().any(char::is_control)
+        {
+            return Err(Refusal::Malformed(
+                "a name is empty, over 64 bytes, or has control characters",
+            ));
         }
         if spec.tries == 0 || spec.period == Some(0) {
             return Err(Refusal::Malformed("tries or a period of 0"));
         }
-        if spec.after.len() > MOST_AFTER || spec.after.iter().any(|id| !self.jobs.contains_key(id)) {
+        if spec.after.len() > MOST_AFTER || spec.after.iter().any(|id| !self.jobs.contains_key(id))
+        {
             return Err(Refusal::Malformed(
                 "it is to come after over 16 jobs, or after one that is not there",
             ));
         }
-        let of_owner = self.under_way().filter(|(_, job)| job.spec.owner == spec.owner).count();
+        let of_owner = self
+            .under_way()
+            .filter(|(_, job)| job.spec.owner == spec.owner)
+            .count();
         if self.under_way().count() >= self.set.most || of_owner >= self.set.most_of_owner {
             return Err(Refusal::TooMany(SECOND));
         }
@@ -242,7 +271,11 @@
 
     /// Follows an order, if the job is in the version that is meant.
     pub fn order(
-        &mut self, id: JobId, order: Order, version: Option<u64>, now: Micros,
+        &mut self,
+        id: JobId,
+        order: Order,
+        version: Option<u64>,
+        now: Micros,
     ) -> Result<(), Refusal> {
         let job = self.jobs.get_mut(&id).ok_or(Refusal::None)?;
         if version.is_some_and(|wanted| wanted != job.version) {
@@ -257,10 +290,15 @@
 
     /// An owner is gone: its jobs end, one within a slice at that slice's end.
     pub fn owner_gone(&mut self, owner: &Owner) {
-        let theirs: Vec<JobId> =
-            self.under_way().filter(|(_, job)| job.spec.owner == *owner).map(|(id, _)| *id).collect();
+        let theirs: Vec<JobId> = self
+            .under_way()
+            .filter(|(_, job)| job.spec.owner == *owner)
+            .map(|(id, _)| *id)
+            .collect();
         for id in theirs {
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
             match job.state {
                 State::Running => job.wanted = Some(Wanted::OwnerGone),
                 _ => job.becomes(State::Failed(Cause::OwnerGone)),
@@ -276,7 +314,10 @@
             self.over.push_back(id);
         }
         while self.over.len() > MOST_OVER {
-            self.over.pop_front().into_iter().for_each(|id| drop(self.jobs.remove(&id)));
+            self.over
+                .pop_front()
+                .into_iter()
+                .for_each(|id| drop(self.jobs.remove(&id)));
         }
     }
 
@@ -324,13 +365,18 @@
             .map(|(id, _)| *id)
             .collect();
         for id in lost {
-            self.jobs.get_mut(&id).into_iter().for_each(|job| job.becomes(State::Failed(Cause::Dependency)));
+            self.jobs
+                .get_mut(&id)
+                .into_iter()
+                .for_each(|job| job.becomes(State::Failed(Cause::Dependency)));
             self.settle(id);
         }
         let mut soonest = Micros::MAX;
         let mut best: [Option<Rank>; 4] = [None; 4];
         for (id, job) in &self.jobs {
-            let State::Waiting(at) = job.state else { continue };
+            let State::Waiting(at) = job.state else {
+                continue;
+            };
             if self.freed(job) != Ok(true) {
                 continue;
             }
@@ -339,9 +385,17 @@
                 continue;
             }
             let class = job.spec.class;
-            let served = self.served.get(&(class, job.spec.owner.clone())).copied().unwrap_or(0);
+            let served = self
+                .served
+                .get(&(class, job.spec.owner.clone()))
+                .copied()
+                .unwrap_or(0);
             // A deadline that has passed gives no precedence, so that nothing waits for good behind one.
-            let deadline = job.spec.deadline.filter(|deadline| *deadline > now).unwrap_or(Micros::MAX);
+            let deadline = job
+                .spec
+                .deadline
+                .filter(|deadline| *deadline > now)
+                .unwrap_or(Micros::MAX);
             let rank = (served, deadline, job.served, *id);
             let slot = &mut best[class as usize];
             if slot.is_none_or(|other| rank < other) {
@@ -354,7 +408,11 @@
         if !(0..4).any(|at| may(at, &self.left)) {
             // Budgets that are used up fill again within a second at most.
             let waits = best.iter().any(Option::is_some);
-            return Next::Wait(if waits { soonest.min(now + SECOND / 100) } else { soonest });
+            return Next::Wait(if waits {
+                soonest.min(now + SECOND / 100)
+            } else {
+                soonest
+            });
         }
         // A class without work gathers nothing.
         for (left, best) in self.left.iter_mut().zip(&best) {
@@ -365,8 +423,14 @@
         loop {
             let at = self.turn;
             if may(at, &self.left) && self.left[at].deficit > 0 {
-                let Some((.., id)) = best[at] else { return Next::Wait(now + SECOND / 100) };
-                let slice = if busy { self.set.slice.1 } else { self.set.slice.0 };
+                let Some((.., id)) = best[at] else {
+                    return Next::Wait(now + SECOND / 100);
+                };
+                let slice = if busy {
+                    self.set.slice.1
+                } else {
+                    self.set.slice.0
+                };
                 return self.start(id, now, slice.min(self.left[at].time.max(1) as Micros));
             }
             self.turn = (at + 1) % 4;
@@ -383,7 +447,8 @@
             job.begun.get_or_insert(now);
             self.serving += 1;
             job.served = self.serving;
-            self.served.insert((job.spec.class, job.spec.owner.clone()), self.serving);
+            self.served
+                .insert((job.spec.class, job.spec.owner.clone()), self.serving);
         }
         self.running = Some(id);
         Next::Run(id, slice)
@@ -391,13 +456,18 @@
 
     /// The slice that runs has ended. `spread`, from 0 to 1, is drawn by the caller.
     pub fn ended(&mut self, slice: Slice, used: Used, now: Micros, spread: f64) {
-        let Some(id) = self.running.take() else { return };
+        let Some(id) = self.running.take() else {
+            return;
+        };
         self.ran = now;
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         let left = &mut self.left[job.spec.class as usize];
         // What one slice overran is paid back for a second's worth at most.
         let paid = |left: i64, used: u64, most: u64| {
-            left.saturating_sub_unsigned(used).max(-(most.min(i64::MAX as u64) as i64))
+            left.saturating_sub_unsigned(used)
+                .max(-(most.min(i64::MAX as u64) as i64))
         };
         left.deficit = paid(left.deficit, used.time.max(1), SECOND);
         let budget = &self.set.budgets[job.spec.class as usize];
--- a/crates/work/tests/schedule.rs
+++ b/crates/work/tests/schedule.rs
@@ -24,12 +24,23 @@
 }
 
 fn wide() -> Settings {
-    let budget = |weight| Budget { weight, time: SECOND, bytes: 1 << 40, calls: 1 << 40 };
-    Settings { budgets: [budget(8), budget(4), budget(2), budget(1)], ..Settings::default() }
+    let budget = |weight| Budget {
+        weight,
+        time: SECOND,
+        bytes: 1 << 40,
+        calls: 1 << 40,
+    };
+    Settings {
+        budgets: [budget(8), budget(4), budget(2), budget(1)],
+        ..Settings::default()
+    }
 }
 
 fn took(time: Micros) -> Used {
-    Used { time, ..Used::default() }
+    Used {
+        time,
+        ..Used::default()
+    }
 }
 
 /// Runs slices that use all they are given for a span; what each job got.
@@ -51,16 +62,24 @@
 #[test]
 fn classes_share_by_weight_and_owners_by_turns() {
     let mut work = Work::new(wide(), 0);
-    let ids: Vec<JobId> =
-        Class::ALL.iter().map(|class| work.submit(spec("j", *class)).expect("taken")).collect();
-    let other = Spec { owner: Owner::Tenant("acme".into()), ..spec("t", Class::Idle) };
+    let ids: Vec<JobId> = Class::ALL
+        .iter()
+        .map(|class| work.submit(spec("j", *class)).expect("taken"))
+        .collect();
+    let other = Spec {
+        owner: Owner::Tenant("acme".into()),
+        ..spec("t", Class::Idle)
+    };
     let other = work.submit(other).expect("taken");
     let got = run(&mut work, 0, 30 * SECOND, false);
     let part = |id: JobId| got[&id] as f64 / got.values().sum::<u64>() as f64;
     for (id, wanted) in ids[..3].iter().zip([8.0 / 15.0, 4.0 / 15.0, 2.0 / 15.0]) {
         assert!((part(*id) - wanted).abs() < 0.02, "{got:?}");
     }
-    assert!((part(ids[3]) - part(other)).abs() < 0.005, "two owners of one class: {got:?}");
+    assert!(
+        (part(ids[3]) - part(other)).abs() < 0.005,
+        "two owners of one class: {got:?}"
+    );
 }
 
 #[test]
@@ -77,18 +96,25 @@
     for name in ["a", "b"] {
         work.submit(spec(name, Class::Upkeep)).expect("taken");
     }
-    let Next::Run(_, slice) = work.next(0, false) else { panic!("a slice") };
+    let Next::Run(_, slice) = work.next(0, false) else {
+        panic!("a slice")
+    };
     work.ended(Slice::More(Vec::new()), took(slice * 50), slice * 50, 0.5);
     let idle = work.submit(spec("c", Class::Idle)).expect("c");
     let mut next = Vec::new();
     let mut now = slice * 50;
     for _ in 0..20 {
-        let Next::Run(id, slice) = work.next(now, false) else { panic!("a slice") };
+        let Next::Run(id, slice) = work.next(now, false) else {
+            panic!("a slice")
+        };
         now += slice;
         work.ended(Slice::More(Vec::new()), took(slice), now, 0.5);
         next.push(id);
     }
-    assert!(next[..3].iter().all(|id| *id == idle), "the others wait until it is paid back: {next:?}");
+    assert!(
+        next[..3].iter().all(|id| *id == idle),
+        "the others wait until it is paid back: {next:?}"
+    );
 }
 
 #[test]
@@ -106,20 +132,45 @@
 #[test]
 fn the_earliest_deadline_goes_first_and_what_comes_after_waits() {
     let mut work = Work::new(wide(), 0);
-    let late = work.submit(Spec { deadline: Some(900), ..spec("late", Class::Bulk) }).expect("taken");
-    let soon = work.submit(Spec { deadline: Some(300), ..spec("soon", Class::Bulk) }).expect("taken");
-    let last = work.submit(Spec { after: vec![late], ..spec("last", Class::Upkeep) }).expect("taken");
+    let late = work
+        .submit(Spec {
+            deadline: Some(900),
+            ..spec("late", Class::Bulk)
+        })
+        .expect("taken");
+    let soon = work
+        .submit(Spec {
+            deadline: Some(300),
+            ..spec("soon", Class::Bulk)
+        })
+        .expect("taken");
+    let last = work
+        .submit(Spec {
+            after: vec![late],
+            ..spec("last", Class::Upkeep)
+        })
+        .expect("taken");
     for wanted in [soon, late, last] {
-        let Next::Run(id, _) = work.next(10, false) else { panic!("a slice") };
+        let Next::Run(id, _) = work.next(10, false) else {
+            panic!("a slice")
+        };
         assert_eq!(id, wanted);
         work.ended(Slice::Done, took(10), 20, 0.5);
     }
     assert_eq!(work.next(30, false), Next::Wait(Micros::MAX));
     let gone = work.submit(spec("gone", Class::Bulk)).expect("taken");
-    let lost = work.submit(Spec { after: vec![gone], ..spec("lost", Class::Bulk) }).expect("taken");
+    let lost = work
+        .submit(Spec {
+            after: vec![gone],
+            ..spec("lost", Class::Bulk)
+        })
+        .expect("taken");
     work.order(gone, Order::Cancel, Some(1), 40).expect("waits");
     work.next(50, false);
-    assert_eq!(work.find(lost).map(|job| &job.state), Some(&State::Failed(Cause::Dependency)));
+    assert_eq!(
+        work.find(lost).map(|job| &job.state),
+        Some(&State::Failed(Cause::Dependency))
+    );
 }
 
 #[test]
@@ -136,12 +187,23 @@
         }
     }
     assert_eq!(waits, [SECOND, 2 * SECOND]);
-    assert_eq!(work.find(id).map(|job| &job.state), Some(&State::Failed(Cause::Tries)));
+    assert_eq!(
+        work.find(id).map(|job| &job.state),
+        Some(&State::Failed(Cause::Tries))
+    );
     // A point that is too long can't be kept.
-    let long = work.submit(Spec { tries: 1, ..spec("long", Class::Prompt) }).expect("taken");
+    let long = work
+        .submit(Spec {
+            tries: 1,
+            ..spec("long", Class::Prompt)
+        })
+        .expect("taken");
     assert!(matches!(work.next(now, false), Next::Run(..)));
     work.ended(Slice::More(vec![0; LONGEST_POINT + 1]), took(1), now, 0.0);
-    assert_eq!(work.find(long).map(|job| &job.state), Some(&State::Failed(Cause::Tries)));
+    assert_eq!(
+        work.find(long).map(|job| &job.state),
+        Some(&State::Failed(Cause::Tries))
+    );
 }
 
 #[test]
@@ -154,23 +216,39 @@
     let kept: Vec<(JobId, Job)> = work.jobs().map(|(id, job)| (id, job.clone())).collect();
     let restored = Work::restored(wide(), kept.clone(), 100);
     let job = restored.find(again).expect("kept");
-    assert_eq!((job.point.as_slice(), &job.state), (&b"half"[..], &State::Waiting(100)));
+    assert_eq!(
+        (job.point.as_slice(), &job.state),
+        (&b"half"[..], &State::Waiting(100))
+    );
     let unsafe_one = kept.into_iter().map(|(id, mut job)| {
         job.spec.repeatable = false;
         (id, job)
     });
     let restored = Work::restored(wide(), unsafe_one, 100);
-    assert_eq!(restored.find(again).map(|job| &job.state), Some(&State::Failed(Cause::MayHaveRun)));
+    assert_eq!(
+        restored.find(again).map(|job| &job.state),
+        Some(&State::Failed(Cause::MayHaveRun))
+    );
 }
 
 #[test]
 fn orders_within_a_slice_count_at_its_end_and_versions_tell_changes() {
     let mut work = Work::new(wide(), 0);
-    let id =
-        work.submit(Spec { owner: Owner::Tenant("acme".into()), ..spec("j", Class::Bulk) }).expect("taken");
-    assert_eq!(work.order(id, Order::Resume, None, 0), Err(Refusal::NoChange));
+    let id = work
+        .submit(Spec {
+            owner: Owner::Tenant("acme".into()),
+            ..spec("j", Class::Bulk)
+        })
+        .expect("taken");
+    assert_eq!(
+        work.order(id, Order::Resume, None, 0),
+        Err(Refusal::NoChange)
+    );
     assert!(matches!(work.next(0, false), Next::Run(..)));
-    assert_eq!(work.order(id, Order::Pause, Some(1), 0), Err(Refusal::Version(2)));
+    assert_eq!(
+        work.order(id, Order::Pause, Some(1), 0),
+        Err(Refusal::Version(2))
+    );
     work.order(id, Order::Pause, Some(2), 0).expect("runs");
     work.ended(Slice::More(Vec::new()), took(1), 1, 0.5);
     assert_eq!(work.find(id).map(|job| &job.state), Some(&State::Paused));
@@ -178,27 +256,54 @@
     assert!(matches!(work.next(2, false), Next::Run(..)));
     work.owner_gone(&Owner::Tenant("acme".into()));
     work.ended(Slice::More(Vec::new()), took(1), 3, 0.5);
-    assert_eq!(work.find(id).map(|job| &job.state), Some(&State::Failed(Cause::OwnerGone)));
-    assert_eq!(work.order(id, Order::Cancel, None, 4), Err(Refusal::NoChange));
+    assert_eq!(
+        work.find(id).map(|job| &job.state),
+        Some(&State::Failed(Cause::OwnerGone))
+    );
+    assert_eq!(
+        work.order(id, Order::Cancel, None, 4),
+        Err(Refusal::NoChange)
+    );
     assert_eq!(work.order(99, Order::Cancel, None, 4), Err(Refusal::None));
 }
 
 #[test]
 fn bounds_hold_and_tell_when_to_come_back() {
-    let set = Settings { most: 20, most_of_owner: 5, ..wide() };
+    let set = Settings {
+        most: 20,
+        most_of_owner: 5,
+        ..wide()
+    };
     let mut work = Work::new(set, 0);
     for number in 0..5 {
-        work.submit(spec(&format!("s{number}"), Class::Bulk)).expect("room");
+        work.submit(spec(&format!("s{number}"), Class::Bulk))
+            .expect("room");
     }
-    assert_eq!(work.submit(spec("more", Class::Bulk)), Err(Refusal::TooMany(SECOND)));
+    assert_eq!(
+        work.submit(spec("more", Class::Bulk)),
+        Err(Refusal::TooMany(SECOND))
+    );
     for number in 0..15 {
         let owner = Owner::Tenant(format!("t{number}"));
-        work.submit(Spec { owner, ..spec("t", Class::Bulk) }).expect("room");
+        work.submit(Spec {
+            owner,
+            ..spec("t", Class::Bulk)
+        })
+        .expect("room");
     }
-    let last = Spec { owner: Owner::Tenant("last".into()), ..spec("t", Class::Bulk) };
+    let last = Spec {
+        owner: Owner::Tenant("last".into()),
+        ..spec("t", Class::Bulk)
+    };
     assert_eq!(work.submit(last), Err(Refusal::TooMany(SECOND)));
-    for bad in [spec("", Class::Bulk), Spec { tries: 0, ..spec("x", Class::Bulk) }, spec("a\nb", Class::Bulk)]
-    {
+    for bad in [
+        spec("", Class::Bulk),
+        Spec {
+            tries: 0,
+            ..spec("x", Class::Bulk)
+        },
+        spec("a\nb", Class::Bulk),
+    ] {
         assert!(matches!(work.submit(bad), Err(Refusal::Malformed(_))));
     }
     // What is over is forgotten past a bound.
@@ -213,13 +318,24 @@
 #[test]
 fn a_period_makes_up_for_nothing_and_a_clock_set_back_delays_by_one_period() {
     let mut work = Work::new(wide(), 0);
-    let id = work.submit(Spec { period: Some(SECOND), ..spec("sweep", Class::Idle) }).expect("taken");
+    let id = work
+        .submit(Spec {
+            period: Some(SECOND),
+            ..spec("sweep", Class::Idle)
+        })
+        .expect("taken");
     assert!(matches!(work.next(0, false), Next::Run(..)));
     work.ended(Slice::Done, took(1), 10 * SECOND, 0.5);
-    assert_eq!(work.find(id).map(|job| &job.state), Some(&State::Waiting(10 * SECOND)));
+    assert_eq!(
+        work.find(id).map(|job| &job.state),
+        Some(&State::Waiting(10 * SECOND))
+    );
     assert!(matches!(work.next(10 * SECOND, false), Next::Run(..)));
     work.ended(Slice::Done, took(1), 5 * SECOND, 0.5);
-    assert_eq!(work.find(id).map(|job| &job.state), Some(&State::Waiting(6 * SECOND)));
+    assert_eq!(
+        work.find(id).map(|job| &job.state),
+        Some(&State::Waiting(6 * SECOND))
+    );
 }
 
 proptest! {
