--- a/crates/wire/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -5,9 +5,9 @@
 
 use serde_json::Value;
 
-use madderpitch_policy::interface::*;
-use madderpitch_policy::Relay;
-use madderpitch_tenancy::Shares;
+use policy::types::*;
+use policy::Relay;
+use tenancy::Shares;
 
 /// Bytes of a batch header: the length, then the clock.
 pub const HEADER: usize = 12;
--- a/crates/wire/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 
-use madderpitch_wire::{header, Adapter, HEADER};
+use adapter::{header, Adapter, HEADER};
 
 fn run() -> Result<(), String> {
     let mut input = io::stdin().lock();
--- a/crates/wire/tests/transcript.rs
+++ b/crates/adapter/tests/transcript.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::path::Path;
 
-use madderpitch_wire::Adapter;
+use adapter::Adapter;
 
 fn bytes(hex: &str) -> Vec<u8> {
     let byte = |pair: &[u8]| u8::from_str_radix(&String::from_utf8_lossy(pair), 16).expect("hex");
--- a/crates/wire/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire: the bytes of the protocol note, and bad input.
 
-use madderpitch_policy::interface::*;
-use madderpitch_wire::{encode, header, settings, Adapter};
+use adapter::{encode, header, settings, Adapter};
+use policy::types::*;
 
 const SETTINGS: &str = r#"{"services":[{"aim":2000000,"giveUp":24000000,"effect":"dedup","keyScope":"zone",
 "window":6000000,"worth":1.5,"lateWorth":0.5,"fifoByKey":true},{"aim":1,"giveUp":2,"effect":"fragile"}],
--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -10,11 +10,11 @@
 use axum::{Json, Router};
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine;
-use madderpitch_exchange::tenants::{Ask, Shown, TenantsCall, Told};
-use madderpitch_exchange::{undeliverable, Input};
-use madderpitch_tenancy::registry::{Change, Command};
-use madderpitch_tenancy::spec::{OnRemoval, Spec};
+use relay_events::tenants::{Ask, Shown, TenantsCall, Told};
+use relay_events::{undeliverable, Input};
 use serde::Deserialize;
+use tenancy::registry::{Change, Command};
+use tenancy::spec::{OnRemoval, Spec};
 use tokio::sync::{mpsc, oneshot, watch};
 use utoipa::openapi::security::{HttpAuthScheme, HttpBuilder, SecurityScheme};
 use utoipa::openapi::OpenApi;
@@ -262,11 +262,7 @@
     asked.caller.may(Role::Admin)?;
     let NewTenant { name, spec } = asked.json(JSON)?;
     asked.caller.may_for(Role::Admin, &name)?;
-    let command = asked.command(
-        &name,
-        madderpitch_tenancy::registry::Expect::Any,
-        Change::Create(spec),
-    )?;
+    let command = asked.command(&name, tenancy::registry::Expect::Any, Change::Create(spec))?;
     api.change(command, StatusCode::CREATED).await
 }
 
@@ -319,7 +315,7 @@
         .may_for(if makes { Role::Admin } else { Role::Operator }, &name)?;
     let Replacement { spec } = asked.json(JSON)?;
     if makes {
-        let any = madderpitch_tenancy::registry::Expect::Any;
+        let any = tenancy::registry::Expect::Any;
         return api
             .change(
                 asked.command(&name, any, Change::Create(spec))?,
@@ -431,7 +427,7 @@
     let NewSecret { id, sha256 } = asked.json(JSON)?;
     let sha256 = sha256
         .parse()
-        .map_err(|e| Problem::from(madderpitch_tenancy::registry::Refusal::Invalid(e)))?;
+        .map_err(|e| Problem::from(tenancy::registry::Refusal::Invalid(e)))?;
     let command = asked.command(&name, asked.expect()?, Change::AddSecret { id, sha256 })?;
     api.change(command, StatusCode::CREATED).await
 }
--- a/crates/admin/src/auth.rs
+++ b/crates/admin/src/auth.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use madderpitch_exchange::tenants::Scope;
-use madderpitch_tenancy::registry::Actor;
-use madderpitch_tenancy::secret::{Digest, LONGEST};
+use relay_events::tenants::Scope;
+use tenancy::registry::Actor;
+use tenancy::secret::{Digest, LONGEST};
 
 use crate::problem::Problem;
 use crate::settings::{Role, Token};
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,7 +1,7 @@
 //! The administration API: HTTP and JSON on a listener of its own.
 //!
-//! It talks to the relay in [`madderpitch_exchange`]'s terms alone, and only by questions and answers: what is
-//! decided of tenants is decided in [`madderpitch_tenancy`], what is kept is kept by the relay.
+//! It talks to the relay in [`relay_events`]'s terms alone, and only by questions and answers: what is
+//! decided of tenants is decided in [`tenancy`], what is kept is kept by the relay.
 
 mod api;
 mod auth;
@@ -12,8 +12,8 @@
 mod settings;
 mod undeliverable;
 
-use madderpitch_exchange::Input;
-use madderpitch_seam::{log, System};
+use relay_events::Input;
+use runtime::{log, System};
 use tokio::sync::{mpsc, watch};
 
 pub use api::{document, LONGEST_BODY};
--- a/crates/admin/src/model.rs
+++ b/crates/admin/src/model.rs
@@ -1,10 +1,10 @@
 //! Bodies of requests and answers.
 
-use madderpitch_exchange::tenants::{Shown, Status, Usage};
-use madderpitch_tenancy::audit::{rfc3339, Entry};
-use madderpitch_tenancy::registry::State;
-use madderpitch_tenancy::spec::Spec;
+use relay_events::tenants::{Shown, Status, Usage};
 use serde::{Deserialize, Serialize};
+use tenancy::audit::{rfc3339, Entry};
+use tenancy::registry::State;
+use tenancy::spec::Spec;
 use utoipa::ToSchema;
 
 /// A tenant.
@@ -44,7 +44,7 @@
 
 impl From<Shown> for Tenant {
     fn from(Shown { tenant, draining }: Shown) -> Self {
-        let secret = |secret: &madderpitch_tenancy::registry::Secret| Secret {
+        let secret = |secret: &tenancy::registry::Secret| Secret {
             id: secret.id.clone(),
             created_at: rfc3339(secret.created_at_ms),
         };
--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -3,8 +3,8 @@
 use axum::http::header::{CONTENT_TYPE, ETAG, RETRY_AFTER, WWW_AUTHENTICATE};
 use axum::http::{HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
-use madderpitch_tenancy::registry::Refusal;
 use serde::Serialize;
+use tenancy::registry::Refusal;
 
 /// What went wrong, as RFC 9457 has it.
 #[derive(Debug, Serialize, utoipa::ToSchema)]
--- a/crates/admin/src/request.rs
+++ b/crates/admin/src/request.rs
@@ -5,9 +5,9 @@
 use axum::http::header::{AUTHORIZATION, CONTENT_TYPE, IF_MATCH, IF_NONE_MATCH};
 use axum::http::request::Parts;
 use axum::http::{HeaderMap, StatusCode};
-use madderpitch_tenancy::registry::{Change, Command, Expect, Version};
-use madderpitch_tenancy::secret::Digest;
 use serde::de::DeserializeOwned;
+use tenancy::registry::{Change, Command, Expect, Version};
+use tenancy::secret::Digest;
 
 use crate::api::Api;
 use crate::auth::Caller;
--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use madderpitch_seam::{log, Listener, Stream, System};
+use runtime::{log, Listener, Stream, System};
 use tower::ServiceExt;
 
 use crate::problem::Problem;
--- a/crates/admin/src/settings.rs
+++ b/crates/admin/src/settings.rs
@@ -1,10 +1,10 @@
 //! What an operator sets of the API.
 
-use madderpitch_exchange::tenants::Scope;
-use madderpitch_seam::Address;
-use madderpitch_tenancy::secret::Digest;
-use madderpitch_tenancy::spec::check_name;
+use relay_events::tenants::Scope;
+use runtime::Address;
 use serde::Deserialize;
+use tenancy::secret::Digest;
+use tenancy::spec::check_name;
 
 /// Tokens at most.
 pub const MOST_TOKENS: usize = 256;
--- a/crates/admin/src/undeliverable.rs
+++ b/crates/admin/src/undeliverable.rs
@@ -7,14 +7,14 @@
 use axum::http::{HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::Json;
-use madderpitch_exchange::undeliverable::{Act, Ask, Shown, Status, Told};
-use madderpitch_tenancy::audit::rfc3339;
-use madderpitch_tenancy::Scope;
-use madderpitch_undeliverable::batch::{self, Batch, Order, Spec};
-use madderpitch_undeliverable::record::{self, By, Effect, Says, Statement};
-use madderpitch_undeliverable::store::By as Group;
-use madderpitch_undeliverable::{Attempt, Filter, Micros, Reason, Record, RecordId};
+use relay_events::undeliverable::{Act, Ask, Shown, Status, Told};
 use serde::{Deserialize, Serialize};
+use tenancy::audit::rfc3339;
+use tenancy::Scope;
+use undeliverable::batch::{self, Batch, Order, Spec};
+use undeliverable::record::{self, By, Effect, Says, Statement};
+use undeliverable::store::By as Group;
+use undeliverable::{Attempt, Filter, Micros, Reason, Record, RecordId};
 use utoipa::{IntoParams, ToSchema};
 use utoipa_axum::router::OpenApiRouter;
 use utoipa_axum::routes;
@@ -200,7 +200,7 @@
     pub host: Option<String>,
     /// How it ended.
     #[schema(value_type = String, example = "timed-out")]
-    pub outcome: madderpitch_undeliverable::Outcome,
+    pub outcome: undeliverable::Outcome,
     /// False once it is known not to have run.
     pub may_have_run: bool,
     /// 0 for those before the message was given up, else the number of the resend.
@@ -303,12 +303,8 @@
 }
 
 impl UndeliverableRecord {
-    fn new(
-        id: RecordId,
-        record: &Record,
-        need: Option<Option<madderpitch_undeliverable::Need>>,
-    ) -> Self {
-        use madderpitch_undeliverable::State;
+    fn new(id: RecordId, record: &Record, need: Option<Option<undeliverable::Need>>) -> Self {
+        use undeliverable::State;
         let (holder, state_at) = match &record.state {
             State::Open => (None, None),
             State::Claimed { by, until } => (Some(by.clone()), Some(at(*until))),
@@ -341,7 +337,7 @@
             resends: record.resends,
             attempts: record.attempts.iter().map(Into::into).collect(),
             statements: record.statements.iter().map(Into::into).collect(),
-            needs: need.map(|need| need.map(madderpitch_undeliverable::Need::word)),
+            needs: need.map(|need| need.map(undeliverable::Need::word)),
         }
     }
 }
--- a/crates/control/tests/lifecycle.rs
+++ b/crates/control/tests/lifecycle.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use madderpitch_control::lifecycle::{
+use control::lifecycle::{
     DRAIN_CLOSES, DRAIN_REFUSES, HAND_OVER, STOP_CLOSES, STOP_ENDS, STOP_FRONT,
 };
-use madderpitch_control::{Lifecycle, Stage, State, Told};
+use control::{Lifecycle, Stage, State, Told};
 
 const MS: Duration = Duration::from_millis(1);
 const INPUTS: [Told; 6] = [
--- a/crates/control/tests/ledger.rs
+++ b/crates/control/tests/metrics.rs
@@ -1,7 +1,7 @@
 //! The ledger: whatever happens in whatever order, the figures add up.
 
-use madderpitch_control::ledger::MOST_CLASSES;
-use madderpitch_control::{End, Ledger, Targets};
+use control::metrics::MOST_CLASSES;
+use control::{End, Ledger, Targets};
 use proptest::prelude::*;
 
 fn names(list: &[&str]) -> Vec<String> {
--- a/crates/control/tests/line.rs
+++ b/crates/control/tests/protocol.rs
@@ -1,7 +1,7 @@
 //! The line protocol: each call, cut at each byte, and what is none.
 
-use madderpitch_control::line::{read, LONGEST};
-use madderpitch_control::{Call, Line};
+use control::protocol::{read, LONGEST};
+use control::{Call, Line};
 use proptest::prelude::*;
 
 #[test]
--- a/crates/bench/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -1,4 +1,4 @@
-//! `madderpitch-bench`: counts over a fleet's logs, and experiments on the simulation.
+//! `relay-experiments`: counts over a fleet's logs, and experiments on the simulation.
 
 mod chart;
 mod fleet;
@@ -103,7 +103,7 @@
             ExitCode::SUCCESS
         }
         Err(error) => {
-            eprintln!("madderpitch-bench: {error}");
+            eprintln!("relay-experiments: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/bench/src/sizes.rs
+++ b/crates/experiments/src/sizes.rs
@@ -5,8 +5,8 @@
 use std::sync::Mutex;
 
 use comfy_table::{presets, Table};
-use madderpitch_sim::script::Script;
-use madderpitch_sim::world::{play, Options};
+use simulator::script::Script;
+use simulator::world::{play, Options};
 
 use crate::chart::{self, Series};
 use crate::Error;
--- a/crates/bench/src/store.rs
+++ b/crates/experiments/src/store.rs
@@ -4,9 +4,9 @@
 
 use comfy_table::{presets, Table};
 use hdrhistogram::Histogram;
-use madderpitch_seam::{Real, System};
-use madderpitch_undeliverable::record::{Effect, Origin};
-use madderpitch_undeliverable::{Attempt, Filter, Outcome, Reason, Record, State, Store};
+use runtime::{Real, System};
+use undeliverable::record::{Effect, Origin};
+use undeliverable::{Attempt, Filter, Outcome, Reason, Record, State, Store};
 
 use crate::Error;
 
--- a/crates/work/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::schedule::Class;
+use crate::scheduler::Class;
 use crate::Micros;
 
 /// Names a job; later ones are larger.
--- a/crates/work/tests/schedule.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use madderpitch_work::job::{Cause, LONGEST_POINT};
-use madderpitch_work::schedule::{Budget, Used, MOST_OVER};
-use madderpitch_work::*;
+use jobs::job::{Cause, LONGEST_POINT};
+use jobs::scheduler::{Budget, Used, MOST_OVER};
+use jobs::*;
 use proptest::prelude::*;
 
 const SECOND: Micros = 1_000_000;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/host_membership.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use madderpitch_policy::interface::HostId;
+use policy::types::HostId;
 
-use crate::pace::Pace;
+use crate::poll_schedule::Pace;
 
 /// Calls wait so long for the answer to the first call for the list, from when that was made. An agent on the same machine
 /// answers at once, a busy core makes some hundred milliseconds of it; one that has said nothing by then is silent, and
--- a/crates/membership/src/pace.rs
+++ b/crates/membership/src/poll_schedule.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use madderpitch_policy::state::Dice;
+use policy::state::Dice;
 
 use crate::Terms;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,11 +1,11 @@
 //! Decides when and where to send, hold, retry, refuse or fail each message. It does no I/O: events go in,
 //! actions come out.
 
-pub mod brain;
-pub mod interface;
-pub mod sharing;
+pub mod policy;
+pub mod scheduler;
 pub mod state;
+pub mod types;
 
-pub use brain::Relay;
-pub use interface::{Action, Event, Settings};
-pub use sharing::Sharing;
+pub use policy::Relay;
+pub use scheduler::Sharing;
+pub use types::{Action, Event, Settings};
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/policy.rs
@@ -7,9 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::interface::*;
-use crate::sharing::{Offer, Room, Sharing, Unshared};
+use crate::scheduler::{Offer, Room, Sharing, Unshared};
 use crate::state::*;
+use crate::types::*;
 
 const SECOND: Micros = 1_000_000;
 /// Span of the rolling error tally; the article's ten seconds.
--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/scheduler.rs
@@ -3,7 +3,7 @@
 //! The module decides which host, whether to retry and what is turned away; who comes before whom is decided
 //! behind [`Sharing`]. Nothing here decides anything.
 
-use crate::interface::{DestinationId, Message, MessageId, Micros, TenantId, Terms};
+use crate::types::{DestinationId, Message, MessageId, Micros, TenantId, Terms};
 
 /// What there is room for in a hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::interface::*;
+use crate::types::*;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Fate {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use madderpitch_policy::interface::*;
-use madderpitch_policy::Relay;
+use policy::types::*;
+use policy::Relay;
 use support::*;
 
 /// Settles all calls, until `end`, as `verdict` says; steps of 50 ms.
@@ -348,7 +348,7 @@
     bench.play(vec![Event::HostsFailed]);
     bench.pass(set.rules.ask_within);
     assert!(asked(&bench) > first);
-    let mut cached = madderpitch_policy::Relay::new(set, 1);
+    let mut cached = policy::Relay::new(set, 1);
     let mut out = Vec::new();
     cached.handle(1, [Event::Hosts { whole: true, cached: true, entries: Vec::new() }], &mut out);
     assert!(out.contains(&Action::Subscribe(true)), "a remembered list is no subscription");
--- a/crates/policy/tests/random.rs
+++ b/crates/policy/tests/random.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use madderpitch_policy::interface::*;
+use policy::types::*;
 use support::*;
 
 fn script(seed: u64) {
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use madderpitch_policy::interface::*;
-use madderpitch_policy::Relay;
+use policy::types::*;
+use policy::Relay;
 
 pub const MS: Micros = 1000;
 pub const S: Micros = 1_000_000;
--- a/crates/exchange/src/lib.rs
+++ b/crates/relay-events/src/lib.rs
@@ -7,10 +7,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use madderpitch_policy::interface::{DestinationId, HostId, Listing, MessageId, Micros, Outcome};
-use madderpitch_seam::System;
-use madderpitch_tenancy::registry::Login;
+use policy::types::{DestinationId, HostId, Listing, MessageId, Micros, Outcome};
+use runtime::System;
 use serde::{Deserialize, Serialize};
+use tenancy::registry::Login;
 use tokio::sync::oneshot;
 
 use tenants::{LoginCall, TenantsCall};
@@ -196,7 +196,7 @@
 
 /// `up`, `draining` or `removed` on the wire.
 mod health {
-    use madderpitch_policy::interface::Listing;
+    use policy::types::Listing;
     use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
     pub fn serialize<S: Serializer>(listing: &Listing, to: S) -> Result<S::Ok, S::Error> {
--- a/crates/exchange/src/tenants.rs
+++ b/crates/relay-events/src/tenants.rs
@@ -1,8 +1,8 @@
 //! What fronts ask about tenants, and what they are told.
 
-use madderpitch_tenancy::audit::Entry;
-use madderpitch_tenancy::registry::{Action, Command, Counts, Login, Refusal, Tenant, Version};
-pub use madderpitch_tenancy::Scope;
+use tenancy::audit::Entry;
+use tenancy::registry::{Action, Command, Counts, Login, Refusal, Tenant, Version};
+pub use tenancy::Scope;
 use tokio::sync::oneshot;
 
 /// What is asked.
--- a/crates/exchange/src/undeliverable.rs
+++ b/crates/relay-events/src/undeliverable.rs
@@ -1,10 +1,10 @@
 //! What fronts ask about undeliverable messages, and what they are told.
 
-use madderpitch_undeliverable::batch::{self, Batch, Order, Spec};
-use madderpitch_undeliverable::record::{self, Says};
-use madderpitch_undeliverable::store::{By, Page, Sums};
-use madderpitch_undeliverable::{Filter, Micros, Need, Record, RecordId};
 use tokio::sync::oneshot;
+use undeliverable::batch::{self, Batch, Order, Spec};
+use undeliverable::record::{self, Says};
+use undeliverable::store::{By, Page, Sums};
+use undeliverable::{Filter, Micros, Need, Record, RecordId};
 
 /// What is to be done with a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/cached_state.rs
@@ -7,9 +7,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use madderpitch_exchange::{HostLine, HostList};
-use madderpitch_policy::interface::{Listing, Micros};
-use madderpitch_seam::{log, System};
+use policy::types::{Listing, Micros};
+use relay_events::{HostLine, HostList};
+use runtime::{log, System};
 use serde::{Deserialize, Serialize};
 
 /// Part of the disk's limit that the file may take: two of it come on top of the journal's files, which leave a quarter.
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/call_log.rs
@@ -1,16 +1,16 @@
 //! One line for each event that the module is told and each action that it takes, for counts over a fleet.
 //!
 //! A line is `fleet`, the Unix time in milliseconds, a word and its values, which
-//! `madderpitch-bench fleet` reads back. Bodies, keys and names of messages are never written.
+//! `relay-experiments fleet` reads back. Bodies, keys and names of messages are never written.
 
 use std::collections::BTreeMap;
 
-use madderpitch_policy::interface::*;
-use madderpitch_policy::Relay;
-use madderpitch_seam::{log, System};
+use policy::types::*;
+use policy::Relay;
+use runtime::{log, System};
 
-use crate::directory::Directory;
-use crate::levels::Level;
+use crate::host_directory::Directory;
+use crate::route_levels::Level;
 
 /// Levels are written so often.
 const LEVELS: Micros = 10_000_000;
--- a/crates/relay/src/classes.rs
+++ b/crates/relay/src/classes.rs
@@ -1,7 +1,7 @@
 //! The classes by the module's numbers: those of the settings in force, and retired ones that messages under way still
 //! have. A message keeps the class that it was taken with.
 
-use madderpitch_policy::interface::Class;
+use policy::types::Class;
 
 /// Numbers that are given at most, retired ones among them; settings that need more are turned down.
 pub const MOST: usize = 1024;
@@ -151,7 +151,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use madderpitch_policy::interface::Effect;
+    use policy::types::Effect;
 
     fn class(give_up: u64, effect: Effect) -> Class {
         Class {
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/client_connections.rs
@@ -6,19 +6,19 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
-use madderpitch_control::Stage;
-use madderpitch_exchange::tenants::LoginCall;
-use madderpitch_exchange::{Clock, Enqueue, Input, Reply};
-use madderpitch_policy::interface::Micros;
-use madderpitch_seam::{log, Listener, Stream, System, Waiting};
-use madderpitch_tenancy::registry::Login;
-use madderpitch_tenancy::secret::LONGEST as LONGEST_SECRET;
+use control::Stage;
+use policy::types::Micros;
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
+use relay_events::tenants::LoginCall;
+use relay_events::{Clock, Enqueue, Input, Reply};
+use runtime::{log, Listener, Stream, System, Waiting};
+use tenancy::registry::Login;
+use tenancy::secret::LONGEST as LONGEST_SECRET;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, oneshot, Notify};
 
-use crate::control::Control;
+use crate::control_socket::Control;
 
 /// The longest body.
 const BODY: usize = 64 << 10;
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -5,10 +5,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use madderpitch_exchange::HostList;
-use madderpitch_policy::interface::Settings;
-use madderpitch_seam::{log, System};
-use madderpitch_wire as wire;
+use adapter as wire;
+use policy::types::Settings;
+use relay_events::HostList;
+use runtime::{log, System};
 use serde::Deserialize;
 use serde_json::Value;
 
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control_socket.rs
@@ -8,13 +8,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use madderpitch_control::{line, Call, End, Ledger, Lifecycle, Line, Stage, State, Targets, Told};
-use madderpitch_exchange::{Reply, Verdict};
-use madderpitch_seam::{log, Listener, System};
+use control::{protocol, Call, End, Ledger, Lifecycle, Line, Stage, State, Targets, Told};
+use relay_events::{Reply, Verdict};
+use runtime::{log, Listener, System};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{watch, Notify};
 
-use crate::clients::part;
+use crate::client_connections::part;
 
 /// Connections at once. One more takes the place of the one that has said nothing for longest.
 const CONNECTIONS: usize = 16;
@@ -185,16 +185,16 @@
 
     fn answer(&self, call: Call) -> String {
         match call {
-            Call::Ready if self.ready() => line::ok("takes clients"),
+            Call::Ready if self.ready() => protocol::ok("takes clients"),
             Call::Ready => {
-                line::fail(&format!("takes no clients: {:?}", self.state()).to_lowercase())
+                protocol::fail(&format!("takes no clients: {:?}", self.state()).to_lowercase())
             }
             Call::ShowStat => {
                 let figures = self
                     .ledger
                     .borrow()
                     .show(self.dispatches.get(), self.targets.get());
-                line::ok("figures") + &figures + "eof\n"
+                protocol::ok("figures") + &figures + "eof\n"
             }
             Call::Drain => self.switch(Told::Drain, State::Draining, "is being emptied"),
             Call::Resume => self.switch(Told::Resume, State::Serving, "is back to work"),
@@ -205,9 +205,9 @@
     fn switch(&self, told: Told, wanted: State, what: &str) -> String {
         let changed = self.tell(told);
         match self.state() {
-            state if state == wanted && changed => line::ok(what),
-            state if state == wanted => line::ok(&format!("{what} already")),
-            state => line::fail(&format!("not while {state:?}").to_lowercase()),
+            state if state == wanted && changed => protocol::ok(what),
+            state if state == wanted => protocol::ok(&format!("{what} already")),
+            state => protocol::fail(&format!("not while {state:?}").to_lowercase()),
         }
     }
 }
@@ -285,11 +285,11 @@
     let until = system.now() + LINE_TIME;
     let mut text = BytesMut::new();
     let said = loop {
-        match line::read(&text) {
+        match protocol::read(&text) {
             Line::Partial => {}
             said => break Some(said),
         }
-        text.reserve(line::LONGEST);
+        text.reserve(protocol::LONGEST);
         tokio::select! {
             biased;
             read = stream.read_buf(&mut text) => if !matches!(read, Ok(1..)) { break None },
@@ -307,8 +307,8 @@
     let answer = match said {
         None => None,
         Some(Line::Call(call)) => Some(control.answer(call)),
-        Some(Line::Wrong(why)) => Some(line::fail(why)),
-        Some(Line::Partial) => Some(line::fail("half a line")),
+        Some(Line::Wrong(why)) => Some(protocol::fail(why)),
+        Some(Line::Partial) => Some(protocol::fail("half a line")),
     };
     let mut told = Ok(());
     if let Some(answer) = answer {
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery_client.rs
@@ -14,15 +14,15 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use madderpitch_exchange::{HostList, Input, Verdict};
-use madderpitch_membership::pace::SILENCE;
-use madderpitch_membership::{Members, Word};
-use madderpitch_policy::interface::{Listing, MessageId};
-use madderpitch_seam::{log, Stream, System, Task};
+use membership::poll_schedule::SILENCE;
+use membership::{Members, Word};
+use policy::types::{Listing, MessageId};
+use relay_events::{HostList, Input, Verdict};
+use runtime::{log, Stream, System, Task};
 use serde::Serialize;
 use tokio::sync::{mpsc, watch, Notify};
 
-use crate::feed::{Feed, Item, LONGEST};
+use crate::list_decoder::{Feed, Item, LONGEST};
 
 /// A new watch on which nothing comes for so long has nothing to tell that is not known.
 const LINGER: Duration = Duration::from_millis(100);
@@ -466,8 +466,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use madderpitch_membership::Terms;
-    use madderpitch_seam::Real;
+    use membership::Terms;
+    use runtime::Real;
 
     /// SIGHUP moves discovery while a list waits for room among the inputs: a drain in it is heard all the same, also in a
     /// list that is older than the one in force.
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/event_loop.rs
@@ -10,33 +10,33 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use madderpitch_admin::Tokens;
-use madderpitch_control::{End, State, Targets, Told as Change};
-use madderpitch_exchange::tenants::{LoginCall, TenantsCall};
-use madderpitch_exchange::undeliverable::{News, Told};
-use madderpitch_exchange::{CallEnd, Clock, Enqueue, HostList, Input, Reply, Verdict};
-use madderpitch_membership::Members;
-use madderpitch_policy::interface::*;
-use madderpitch_policy::Relay;
-use madderpitch_seam::{log, System};
+use admin::Tokens;
+use control::{End, State, Targets, Told as Change};
+use membership::Members;
+use policy::types::*;
+use policy::Relay;
+use relay_events::tenants::{LoginCall, TenantsCall};
+use relay_events::undeliverable::{News, Told};
+use relay_events::{CallEnd, Clock, Enqueue, HostList, Input, Reply, Verdict};
+use runtime::{log, System};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::cached_state::{self, Memory};
+use crate::call_log::Trace;
 use crate::classes::Classes;
 use crate::config::Config;
-use crate::control::{self, Control};
-use crate::directory::{Directory, Listed, Names};
-use crate::discovery::Notices;
-use crate::hand::{Hand, Name};
-use crate::hosts::{Call, Hosts};
+use crate::control_socket::{self, Control};
+use crate::discovery_client::Notices;
+use crate::host_connections::{Call, Hosts};
+use crate::host_directory::{Directory, Listed, Names};
+use crate::in_flight::{Hand, Name};
 use crate::journal::{Attempt, Journal, Owed, Taken};
-use crate::levels;
-use crate::memory::{self, Memory};
-use crate::operator;
-use crate::ownership::{Calls, Office, State as Left};
-use crate::tenants::Tenants;
-use crate::trace::Trace;
-use crate::undeliverable::{self, Desk, Live, Resend};
-use madderpitch_undeliverable::record::Refusal;
+use crate::operator_config;
+use crate::route_levels;
+use crate::state_directory::{Calls, Office, State as Left};
+use crate::tenant_service::Tenants;
+use crate::undeliverable_service::{self, Desk, Live, Resend};
+use undeliverable::record::Refusal;
 
 /// A client that is refused in a drain may hand its message in elsewhere at once; in milliseconds, as 0 tells nothing.
 pub const ELSEWHERE: u64 = 1;
@@ -169,7 +169,7 @@
                 error.replace('\n', " ")
             );
         }
-        operator::read_again(&self.system, self.operator.as_deref(), &self.tokens);
+        operator_config::read_again(&self.system, self.operator.as_deref(), &self.tokens);
         Ok(())
     }
 
@@ -641,7 +641,7 @@
     fn refuse(&mut self, class: &str, reply: oneshot::Sender<Reply>, why: Reply) {
         self.control
             .ledger()
-            .turned_away(class, control::end_of(&why));
+            .turned_away(class, control_socket::end_of(&why));
         drop(reply.send(why));
     }
 
@@ -750,7 +750,7 @@
         logged(
             &self.system,
             self.journal
-                .told(id, attempt, &name, undeliverable::told(outcome)),
+                .told(id, attempt, &name, undeliverable_service::told(outcome)),
         );
         if !desk.is_resend(id) {
             destination
@@ -774,7 +774,7 @@
         if let Some(taken) = self.hand.turn_away(id, reply) {
             self.control
                 .ledger()
-                .turned_away(&taken.class, control::end_of(reply));
+                .turned_away(&taken.class, control_socket::end_of(reply));
             self.tenants.turned_away(&taken.tenant);
         }
     }
@@ -791,7 +791,7 @@
         self.believe();
         // Where lists are pushed the next process need not know: to it, what its agent has counts as told at once.
         if self.config.settings.discovery_by_asking {
-            let kept = memory::hear(&self.system, &self.config.state);
+            let kept = cached_state::hear(&self.system, &self.config.state);
             kept.unwrap_or_else(|e| log!(self.system, "memory: cannot write: {e}"));
         }
     }
@@ -878,7 +878,7 @@
             }
         }
         if self.trace.wants_levels(now) {
-            self.trace.levels(now, &levels::of(self));
+            self.trace.levels(now, &route_levels::of(self));
         }
         Ok(())
     }
@@ -929,7 +929,7 @@
                 self.events.push(Event::Withdrawn(id));
                 self.control
                     .ledger()
-                    .turned_away(&class, control::end_of(&reply));
+                    .turned_away(&class, control_socket::end_of(&reply));
             } else {
                 self.control.ledger().taken();
                 self.tenants.taken(&tenant);
@@ -1002,7 +1002,7 @@
         }
         if self.desk.is_some() {
             let name = self.directory.name_of(host).unwrap_or_default().to_string();
-            let unknown = madderpitch_undeliverable::Outcome::Unknown;
+            let unknown = undeliverable::Outcome::Unknown;
             logged(&self.system, self.journal.told(id, attempt, &name, unknown));
         }
         let (cancel, cancelled) = oneshot::channel();
@@ -1025,7 +1025,7 @@
         let end = if again {
             End::Other
         } else {
-            control::end_by(verdict)
+            control_socket::end_by(verdict)
         };
         self.control.ledger().ended(&owed.taken.class, end);
         logged(&self.system, self.journal.verdict(id, verdict));
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/host_connections.rs
@@ -16,10 +16,10 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use madderpitch_exchange::{CallEnd, Input, Route};
-use madderpitch_membership::Members;
-use madderpitch_policy::interface::{HostId, MessageId, Micros, Outcome};
-use madderpitch_seam::{Stream, System, Task, Waiting};
+use membership::Members;
+use policy::types::{HostId, MessageId, Micros, Outcome};
+use relay_events::{CallEnd, Input, Route};
+use runtime::{Stream, System, Task, Waiting};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{mpsc, oneshot, Notify};
 
@@ -704,8 +704,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use madderpitch_membership::Terms;
-    use madderpitch_seam::Real;
+    use membership::Terms;
+    use runtime::Real;
     use socket2::SockRef;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/host_directory.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use madderpitch_exchange::{HostLine, HostList, Route};
-use madderpitch_policy::interface::{DestinationId, HostEntry, HostId, Kind, Listing};
+use policy::types::{DestinationId, HostEntry, HostId, Kind, Listing};
+use relay_events::{HostLine, HostList, Route};
 
 /// What is kept of a host in the list.
 #[derive(Clone, Copy)]
--- a/crates/relay/src/hand.rs
+++ b/crates/relay/src/in_flight.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use madderpitch_exchange::Reply;
-use madderpitch_policy::interface::MessageId;
-use madderpitch_tenancy::registry::name_of;
+use policy::types::MessageId;
+use relay_events::Reply;
+use tenancy::registry::name_of;
 use tokio::sync::oneshot;
 
 use crate::journal::Taken;
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -10,12 +10,12 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use madderpitch_exchange::Verdict;
-use madderpitch_policy::interface::{Class, MessageId, Micros};
-use madderpitch_seam::{log, File, System};
-use madderpitch_undeliverable::{Outcome, RecordId};
+use policy::types::{Class, MessageId, Micros};
+use relay_events::Verdict;
+use runtime::{log, File, System};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use undeliverable::{Outcome, RecordId};
 
 const HEAD: usize = 8;
 /// No record is longer: a body, its names and some room, or what one process hands over to another.
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/list_decoder.rs
@@ -1,7 +1,7 @@
 //! Lists as they come: one JSON object after another, in pieces, on one line or indented over many.
 
 use bytes::{Buf, BytesMut};
-use madderpitch_exchange::HostList;
+use relay_events::HostList;
 
 /// Bytes of a list at most: some twenty thousand hosts.
 pub const LONGEST: usize = 4 << 20;
@@ -85,7 +85,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use madderpitch_policy::interface::Listing;
+    use policy::types::Listing;
 
     const LINE: &str = r#"{"seq":43,"whole":false,"hosts":[{"host":"a\"}","dial":"10.1.0.1:80","block":3,"health":"draining"}]}"#;
     const INDENTED: &str = "{\n  \"seq\": 43,\n  \"whole\": false,\n  \"hosts\": [\r\n    {\n      \"host\": \"a\\\"}\",\n      \"dial\": \"10.1.0.1:80\",\n      \"block\": 3,\n      \"health\": \"draining\"\n    }\n  ]\n}\n";
--- a/crates/relay/src/operator.rs
+++ b/crates/relay/src/operator_config.rs
@@ -2,8 +2,8 @@
 
 use std::path::Path;
 
-use madderpitch_admin::Tokens;
-use madderpitch_seam::{log, System};
+use admin::Tokens;
+use runtime::{log, System};
 use serde::Deserialize;
 use tokio::sync::watch;
 
@@ -19,9 +19,9 @@
     /// Tenants that administrators change.
     pub tenants: Option<Tenants>,
     /// Messages that were given up: kept, looked through, sent again.
-    pub undeliverable: Option<crate::undeliverable::Settings>,
+    pub undeliverable: Option<crate::undeliverable_service::Settings>,
     /// The administration API.
-    pub admin: Option<madderpitch_admin::Settings>,
+    pub admin: Option<admin::Settings>,
     /// A line in the log for each message taken, call made and answer, for counts over a fleet.
     #[serde(default)]
     pub log_calls: bool,
@@ -128,7 +128,7 @@
         self.tenants.as_ref().map_or(Ok(()), Tenants::check)?;
         self.undeliverable
             .as_ref()
-            .map_or(Ok(()), crate::undeliverable::Settings::check)?;
+            .map_or(Ok(()), crate::undeliverable_service::Settings::check)?;
         if let Some(admin) = &self.admin {
             admin.check()?;
             if self.tenants.is_none() && self.undeliverable.is_none() {
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/process.rs
@@ -7,30 +7,30 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use madderpitch_control::{State, Told};
-use madderpitch_exchange::{Clock, Input, Reply};
-use madderpitch_membership::{Members, Terms};
-use madderpitch_policy::interface::Settings;
-use madderpitch_policy::Relay;
-use madderpitch_seam::{log, Signal, Signals, System, Task};
+use control::{State, Told};
+use membership::{Members, Terms};
+use policy::types::Settings;
+use policy::Relay;
+use relay_events::{Clock, Input, Reply};
+use runtime::{log, Signal, Signals, System, Task};
 use tokio::sync::{mpsc, watch};
 
+use crate::cached_state::{self, Memory};
+use crate::call_log::Trace;
 use crate::classes::Classes;
-use crate::clients::{self, Clients};
+use crate::client_connections::{self, Clients};
 use crate::config::Config;
-use crate::control::{self, Control};
-use crate::directory::Directory;
-use crate::discovery;
-use crate::driver::{Driver, ELSEWHERE};
-use crate::hand::Hand;
-use crate::hosts::Hosts;
+use crate::control_socket::{self, Control};
+use crate::discovery_client;
+use crate::event_loop::{Driver, ELSEWHERE};
+use crate::host_connections::Hosts;
+use crate::host_directory::Directory;
+use crate::in_flight::Hand;
 use crate::journal::Journal;
-use crate::memory::{self, Memory};
-use crate::operator::Operator;
-use crate::ownership::{Arm, Folder, Office};
-use crate::tenants::Tenants;
-use crate::trace::Trace;
-use crate::undeliverable::Desk;
+use crate::operator_config::Operator;
+use crate::state_directory::{Arm, Folder, Office};
+use crate::tenant_service::Tenants;
+use crate::undeliverable_service::Desk;
 
 /// Inputs that may wait for the driver; beyond, those who have more wait themselves.
 const INPUTS: usize = 1024;
@@ -71,7 +71,7 @@
             .listen(at)
             .await
             .map_err(|e| format!("cannot listen for operators on {at}: {e}"))?;
-        system.spawn(control::listen::<S>(door, control.clone()));
+        system.spawn(control_socket::listen::<S>(door, control.clone()));
     }
     let (inputs, incoming) = mpsc::channel(INPUTS);
     let clock = Clock::new(system.clone());
@@ -156,7 +156,7 @@
             .admin
             .as_ref()
             .map_or(0, |admin| admin.connections + ADMIN_SOCKETS);
-        let door = config.control.map_or(0, |_| control::SOCKETS);
+        let door = config.control.map_or(0, |_| control_socket::SOCKETS);
         // In an upgrade the other process has its door and its last calls beside this one's.
         let beside = self
             .inherited
@@ -188,7 +188,7 @@
             drain_grace: config.drain_grace,
             seed: config.seed,
         };
-        let heard = memory::heard(system, &config.state);
+        let heard = cached_state::heard(system, &config.state);
         let members = Rc::new(RefCell::new(Members::new(&terms_of_discovery, heard)));
         let mut driver = Driver {
             relay: Relay::shared(settings.clone(), config.seed, sharing),
@@ -258,14 +258,14 @@
         };
         let notices = driver.notices.clone();
         let mut tasks = vec![
-            system.spawn(discovery::follow(
+            system.spawn(discovery_client::follow(
                 system.clone(),
                 at.clone(),
                 version,
                 members,
                 inputs.clone(),
             )),
-            system.spawn(discovery::notify(
+            system.spawn(discovery_client::notify(
                 system.clone(),
                 at,
                 notices,
@@ -288,14 +288,14 @@
         );
         if let Some(admin) = Operator::load(system, self.operator.as_deref())?.admin {
             let tokens = driver.tokens.subscribe();
-            tasks.push(madderpitch_admin::start(system, &admin, tokens, inputs.clone()).await?);
+            tasks.push(admin::start(system, &admin, tokens, inputs.clone()).await?);
         }
         control.tell(if control.state() == State::HandingOver {
             Told::TakenBack
         } else {
             Told::Started
         });
-        system.spawn(clients::listen(
+        system.spawn(client_connections::listen(
             listener,
             clients.clone(),
             clock.clone(),
@@ -342,7 +342,7 @@
                         let listener =
                             listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
                         let (clock, inputs) = (self.clock.clone(), self.inputs.clone());
-                        self.system.spawn(clients::listen(
+                        self.system.spawn(client_connections::listen(
                             listener,
                             clients.clone(),
                             clock,
--- a/crates/relay/src/levels.rs
+++ b/crates/relay/src/route_levels.rs
@@ -1,10 +1,10 @@
 //! How full the relay's tables are, each by name with its bound.
 
-use madderpitch_seam::System;
+use runtime::System;
 
 use crate::classes;
-use crate::driver::Driver;
-use crate::hand::KNOWN_OVER;
+use crate::event_loop::Driver;
+use crate::in_flight::KNOWN_OVER;
 
 /// A table, what it holds and what it may hold at most.
 pub type Level = (&'static str, usize, usize);
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/state_directory.rs
@@ -8,10 +8,10 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use madderpitch_exchange::CallEnd;
-use madderpitch_policy::brain::Heritage;
-use madderpitch_policy::interface::{HostId, MessageId, Micros, Outcome};
-use madderpitch_seam::{log, System};
+use policy::policy::Heritage;
+use policy::types::{HostId, MessageId, Micros, Outcome};
+use relay_events::CallEnd;
+use runtime::{log, System};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
--- a/crates/relay/src/stored_format_tests.rs
+++ b/crates/relay/src/stored_format_tests.rs
@@ -6,17 +6,17 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use madderpitch_exchange::{CallEnd, HostLine, HostList, Verdict};
-use madderpitch_policy::interface::{
+use policy::types::{
     Action, Class, Decay, Effect, Ended, Event, HostEntry, Kind, Listing, Message, Outcome,
     ReportField, Rules, Settings, WeightSource,
 };
-use madderpitch_policy::Relay;
-use madderpitch_seam::Real;
+use policy::Relay;
+use relay_events::{CallEnd, HostLine, HostList, Verdict};
+use runtime::Real;
 
+use crate::cached_state::Memory;
 use crate::journal::{decode, encode, Again, Attempt, Journal, Taken};
-use crate::memory::Memory;
-use crate::ownership::State;
+use crate::state_directory::State;
 
 const DISK_LIMIT: u64 = 3_000_000;
 
@@ -71,7 +71,7 @@
 
 /// Every kind of record.
 fn write_journal(directory: &Path) {
-    use madderpitch_undeliverable::Outcome as Kept;
+    use undeliverable::Outcome as Kept;
     let mut journal = Journal::open(Real, directory, DISK_LIMIT).expect("opens");
     let classes = [
         (
--- a/crates/relay/src/tenants/audit.rs
+++ b/crates/relay/src/tenant_service/audit.rs
@@ -4,9 +4,9 @@
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
-use madderpitch_seam::{log, File, System};
-use madderpitch_tenancy::audit::Entry;
-use madderpitch_tenancy::registry::Record;
+use runtime::{log, File, System};
+use tenancy::audit::Entry;
+use tenancy::registry::Record;
 
 /// The file that is written; older ones have a number before their ending, the oldest the highest.
 const FILE: &str = "audit.jsonl";
--- a/crates/relay/src/tenants/mod.rs
+++ b/crates/relay/src/tenant_service/mod.rs
@@ -6,20 +6,20 @@
 use std::cmp::Reverse;
 use std::path::Path;
 
-use madderpitch_exchange::tenants::{Ask, Shown, Status, Told, Usage};
-use madderpitch_exchange::{Reply, Verdict};
-use madderpitch_policy::interface::{DestinationId, Event, Micros, Settings, TenantId};
-use madderpitch_policy::sharing::Load;
-use madderpitch_policy::Sharing;
-use madderpitch_seam::{log, System};
-use madderpitch_tenancy::registry::{
+use policy::scheduler::Load;
+use policy::types::{DestinationId, Event, Micros, Settings, TenantId};
+use policy::Sharing;
+use relay_events::tenants::{Ask, Shown, Status, Told, Usage};
+use relay_events::{Reply, Verdict};
+use runtime::{log, System};
+use tenancy::registry::{
     Actor, Change, Command, Decision, Entry, Expect, Login, Record, Refusal, State,
 };
-use madderpitch_tenancy::spec::Spec;
-use madderpitch_tenancy::{Registry, Shares};
+use tenancy::spec::Spec;
+use tenancy::{Registry, Shares};
 
-use crate::directory::index_of;
-use crate::operator;
+use crate::host_directory::index_of;
+use crate::operator_config;
 use audit::Audit;
 use store::{Opened, Store};
 
@@ -59,7 +59,7 @@
     /// The tenants of the settings, or with the operator's word those of a registry.
     pub fn open(
         system: &S,
-        operator: Option<&operator::Tenants>,
+        operator: Option<&operator_config::Tenants>,
         names: &[String],
         classes: &[String],
         settings: &Settings,
@@ -297,7 +297,7 @@
     /// Opens the registry. A new one begins with the tenants of the settings, if the operator says so.
     fn open(
         system: &S,
-        operator: &operator::Tenants,
+        operator: &operator_config::Tenants,
         known: Vec<(String, f64)>,
         classes: &[String],
     ) -> Result<Self, String> {
@@ -330,9 +330,8 @@
         };
         if fresh && operator.import {
             for (name, share) in known {
-                let weight = (share * WHOLE)
-                    .clamp(1.0, f64::from(madderpitch_tenancy::spec::MOST_WEIGHT))
-                    as u32;
+                let weight =
+                    (share * WHOLE).clamp(1.0, f64::from(tenancy::spec::MOST_WEIGHT)) as u32;
                 let command = Command {
                     actor: Actor {
                         name: "configuration".into(),
@@ -367,7 +366,7 @@
         }
     }
 
-    fn shown(&self, tenant: madderpitch_tenancy::registry::Tenant) -> Box<Shown> {
+    fn shown(&self, tenant: tenancy::registry::Tenant) -> Box<Shown> {
         let draining = self
             .registry
             .draining(&tenant.name)
--- a/crates/relay/src/tenants/store.rs
+++ b/crates/relay/src/tenant_service/store.rs
@@ -5,10 +5,10 @@
 use std::io::{self, Read, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
-use madderpitch_seam::{log, File, System};
-use madderpitch_tenancy::record::{self, Snapshot};
-use madderpitch_tenancy::registry::Record;
-use madderpitch_tenancy::Registry;
+use runtime::{log, File, System};
+use tenancy::record::{self, Snapshot};
+use tenancy::registry::Record;
+use tenancy::Registry;
 
 /// The files, the leading one first.
 const FILES: [&str; 2] = ["tenants.a", "tenants.b"];
--- a/crates/relay/src/undeliverable/mod.rs
+++ b/crates/relay/src/undeliverable_service/mod.rs
@@ -1,6 +1,6 @@
 //! Undeliverable messages: hands what is given up over to the store, answers fronts, and sends records again.
 //!
-//! What may be sent again is decided in [`madderpitch_undeliverable`]; a resend goes through the same decision
+//! What may be sent again is decided in [`undeliverable`]; a resend goes through the same decision
 //! module, journal and hosts as any other message. The order of steps keeps a resend from being made twice:
 //!
 //! 1. the record's state becomes `sending`, with the resend's number, and that is kept;
@@ -19,17 +19,17 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use madderpitch_exchange::undeliverable::{Act, Ask, News, Shown, Status, Told};
-use madderpitch_exchange::{Input, Verdict};
-use madderpitch_policy::interface::{Class, Effect, MessageId, Micros, Outcome as CallOutcome};
-use madderpitch_seam::{log, System};
-use madderpitch_undeliverable::batch::{self, Batch, Counts, Order, Spec};
-use madderpitch_undeliverable::decide::{may_go, Clearance, Need, Terms};
-use madderpitch_undeliverable::record::{self, By, Closed, Origin, Refusal, Says};
-use madderpitch_undeliverable::rules::{Partners, Rules};
-use madderpitch_undeliverable::store::{Error, Sums};
-use madderpitch_undeliverable::{Attempt, Filter, Outcome, Reason, Record, RecordId, State, Store};
+use policy::types::{Class, Effect, MessageId, Micros, Outcome as CallOutcome};
+use relay_events::undeliverable::{Act, Ask, News, Shown, Status, Told};
+use relay_events::{Input, Verdict};
+use runtime::{log, System};
 use tokio::sync::mpsc;
+use undeliverable::batch::{self, Batch, Counts, Order, Spec};
+use undeliverable::decide::{may_go, Clearance, Need, Terms};
+use undeliverable::record::{self, By, Closed, Origin, Refusal, Says};
+use undeliverable::rules::{Partners, Rules};
+use undeliverable::store::{Error, Sums};
+use undeliverable::{Attempt, Filter, Outcome, Reason, Record, RecordId, State, Store};
 
 use crate::journal::{self, Again, Owed, Taken};
 use partner::Question;
--- a/crates/relay/src/undeliverable/partner.rs
+++ b/crates/relay/src/undeliverable_service/partner.rs
@@ -9,8 +9,8 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use madderpitch_seam::{Stream, System, Task};
-use madderpitch_undeliverable::record::Says;
+use runtime::{Stream, System, Task};
+use undeliverable::record::Says;
 
 use super::settings::Partner;
 
--- a/crates/relay/src/undeliverable/settings.rs
+++ b/crates/relay/src/undeliverable_service/settings.rs
@@ -4,10 +4,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-use madderpitch_undeliverable::rules::{Rule, When};
-use madderpitch_undeliverable::store::Caps;
-use madderpitch_undeliverable::{Filter, Reason};
 use serde::Deserialize;
+use undeliverable::rules::{Rule, When};
+use undeliverable::store::Caps;
+use undeliverable::{Filter, Reason};
 
 /// Partners and rules that may be set.
 const MOST_PARTNERS: usize = 10_000;
--- a/crates/relay/tests/admin.rs
+++ b/crates/relay/tests/admin.rs
@@ -503,7 +503,7 @@
     });
     assert_eq!(eyes.get("/v1/tenants").status, 200);
     let without = good.replace("name = \"eyes\"", "name = \"blind\"").replace(
-        &madderpitch_tenancy::secret::Digest::of(token("eyes").as_bytes()).to_string(),
+        &tenancy::secret::Digest::of(token("eyes").as_bytes()).to_string(),
         &"0".repeat(64),
     );
     fs::write(&path, without).expect("written");
@@ -986,7 +986,7 @@
     let (scene, api) = started(vec![up("a", &host, 1)], "auth = true");
     assert_eq!(api.create("beta", json!({})).status, 201);
     let secret = |tenant: &str, id: &str, secret: &str| {
-        let sha256 = madderpitch_tenancy::secret::Digest::of(secret.as_bytes());
+        let sha256 = tenancy::secret::Digest::of(secret.as_bytes());
         let body = json!({"id": id, "sha256": sha256.to_string()}).to_string();
         let headers = [("content-type", "application/json"), ("if-match", "*")];
         let answer = api.ask(
--- a/crates/relay/tests/api/mod.rs
+++ b/crates/relay/tests/api/mod.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use madderpitch_tenancy::secret::Digest;
 use serde_json::{json, Value};
+use tenancy::secret::Digest;
 use ureq::http::{Method, Request};
 use ureq::Agent;
 
--- a/crates/relay/tests/races.rs
+++ b/crates/relay/tests/races.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
-use madderpitch_seam::Signal;
+use runtime::Signal;
 use scene::stepped::Point;
 use scene::*;
 use socket2::SockRef;
--- a/crates/relay/tests/scene/mod.rs
+++ b/crates/relay/tests/scene/mod.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use madderpitch_seam::Signal;
+use runtime::Signal;
 use serde_json::{json, Value};
 use stepped::Inside;
 
--- a/crates/relay/tests/scene/stepped.rs
+++ b/crates/relay/tests/scene/stepped.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use madderpitch_seam::{
+use runtime::{
     Address, File, Listener, Real, RealListener, RealStream, RealTask, Signal, Signals, Stream,
     System, Waiting,
 };
@@ -83,7 +83,7 @@
                 tokio::select! {
                     biased;
                     Ok(()) = killed => None,
-                    ended = madderpitch_relay::run(Stepped(system), None) => Some(ended),
+                    ended = relay::run(Stepped(system), None) => Some(ended),
                 }
             })
         });
--- a/crates/relay/tests/undeliverable.rs
+++ b/crates/relay/tests/undeliverable.rs
@@ -117,7 +117,7 @@
             ""
         };
         let operator = |name: &str, scope: &str| {
-            let digest = madderpitch_tenancy::secret::Digest::of(token(name).as_bytes());
+            let digest = tenancy::secret::Digest::of(token(name).as_bytes());
             let head = format!("[[admin.tokens]]\nname = {name:?}\nrole = \"operator\"\n");
             format!("{head}sha256 = \"{digest}\"\ntenants = [{scope}]\n")
         };
--- a/crates/ctl/src/arguments.rs
+++ b/crates/relayctl/src/arguments.rs
@@ -9,7 +9,7 @@
 /// Exit codes: 0 done; 1 something else failed; 2 wrong arguments; 3 there is no such thing; 4 in another state
 /// than was meant, or there already; 5 not allowed; 6 not reached; 7 busy, try again later; 8 a value is wrong.
 #[derive(Parser)]
-#[command(version, name = "madderpitchctl")]
+#[command(version, name = "relayctl")]
 pub struct Arguments {
     /// Where the API listens: an address and port, or unix: and a path.
     #[arg(
--- a/crates/ctl/src/control.rs
+++ b/crates/relayctl/src/control.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use clap::{Args, ValueEnum};
-use madderpitch_control::Call;
+use control::Call;
 use serde_json::{Map, Value};
 
 use crate::client::Failure;
--- a/crates/ctl/src/main.rs
+++ b/crates/relayctl/src/main.rs
@@ -1,4 +1,4 @@
-//! `madderpitchctl`: a relay's tenants and undeliverable messages from a shell. It knows the administration API's document, not the relay.
+//! `relayctl`: a relay's tenants and undeliverable messages from a shell. It knows the administration API's document, not the relay.
 
 mod arguments;
 mod client;
@@ -435,7 +435,7 @@
     match run(Arguments::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
-            eprintln!("madderpitchctl: {}", failure.to_string().replace('\n', " "));
+            eprintln!("relayctl: {}", failure.to_string().replace('\n', " "));
             ExitCode::from(failure.code())
         }
     }
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/relayctl/tests/ctl.rs
@@ -6,12 +6,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use madderpitch_seam::{Real, System};
-use madderpitch_undeliverable::record::{Effect, Origin};
-use madderpitch_undeliverable::{Attempt, Outcome, Reason, Record, State, Store};
+use runtime::{Real, System};
 use serde_json::{json, Value};
+use undeliverable::record::{Effect, Origin};
+use undeliverable::{Attempt, Outcome, Reason, Record, State, Store};
 
-const CTL: &str = env!("CARGO_BIN_EXE_madderpitchctl");
+const CTL: &str = env!("CARGO_BIN_EXE_relayctl");
 
 /// What a relay without hosts is told.
 fn configuration(folder: &Path) -> Value {
@@ -113,7 +113,7 @@
                 .enable_all()
                 .build()
                 .expect("a runtime");
-            let run = madderpitch_relay::run(Real, Some(operator));
+            let run = relay::run(Real, Some(operator));
             let ended = tokio::task::LocalSet::new().block_on(&runtime, run);
             eprintln!("the relay ended: {ended:?}");
         });
@@ -183,7 +183,7 @@
         text(&output.stdout)
     );
     assert!(
-        error.starts_with("madderpitchctl: ") && error.lines().count() == 1,
+        error.starts_with("relayctl: ") && error.lines().count() == 1,
         "{error}"
     );
     output.status.code()
--- a/crates/seam/tests/local.rs
+++ b/crates/runtime/tests/local.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::os::unix::fs::PermissionsExt;
 
-use madderpitch_seam::{Address, Listener, Real, Stream, System, Waiting};
+use runtime::{Address, Listener, Real, Stream, System, Waiting};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 fn local(test: impl std::future::Future<Output = ()>) {
--- a/crates/sim/src/cost.rs
+++ b/crates/simulator/src/cost.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use madderpitch_seam::{Stream, System};
+use runtime::{Stream, System};
 
 use crate::loopback::{ask, block_on, free_address, quick, request, Process, Quick};
 use crate::peers::clients::until_ready;
--- a/crates/sim/src/demo.rs
+++ b/crates/simulator/src/demo.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use madderpitch_seam::{Real, System};
+use runtime::{Real, System};
 use tokio::sync::watch;
 
 use crate::dice::Dice;
@@ -26,7 +26,7 @@
 
 /// The relay itself, in a process of its own.
 pub fn relay() -> Result<(), String> {
-    block_on(madderpitch_relay::run(Real, None))
+    block_on(relay::run(Real, None))
 }
 
 /// Plays the demo. False if a rule was broken.
--- a/crates/sim/src/hosted.rs
+++ b/crates/simulator/src/hosted.rs
@@ -5,10 +5,10 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use madderpitch_tenancy::registry::{Action, Actor, Record, Secret, State, Tenant, Version};
-use madderpitch_tenancy::secret::Digest;
-use madderpitch_tenancy::spec::Spec;
-use madderpitch_tenancy::{record, Registry};
+use tenancy::registry::{Action, Actor, Record, Secret, State, Tenant, Version};
+use tenancy::secret::Digest;
+use tenancy::spec::Spec;
+use tenancy::{record, Registry};
 
 use crate::dice::Dice;
 use crate::peers::clients::{Habit, Plan};
--- a/crates/sim/src/kept.rs
+++ b/crates/simulator/src/kept.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use madderpitch_tenancy::secret::Digest;
+use tenancy::secret::Digest;
 
 use crate::dice::Dice;
 use crate::faults;
--- a/crates/sim/src/loopback.rs
+++ b/crates/simulator/src/loopback.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use madderpitch_seam::{Listener, Real, System};
+use runtime::{Listener, Real, System};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/sim/src/machine/io.rs
+++ b/crates/simulator/src/machine/io.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use madderpitch_seam::{Address, File, Listener, Stream, System, Waiting};
+use runtime::{Address, File, Listener, Stream, System, Waiting};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::disk::Inode;
--- a/crates/sim/src/machine/mod.rs
+++ b/crates/simulator/src/machine/mod.rs
@@ -21,7 +21,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-use madderpitch_seam::{Address, Signal, Signals, System, Task};
+use runtime::{Address, Signal, Signals, System, Task};
 
 pub use disk::Disk;
 pub use io::{VirtualFile, VirtualListener, VirtualStream};
--- a/crates/sim/src/machine/net.rs
+++ b/crates/simulator/src/machine/net.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
-use madderpitch_seam::Address;
+use runtime::Address;
 
 use super::ProcId;
 
--- a/crates/sim/src/machine/pages.rs
+++ b/crates/simulator/src/machine/pages.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use madderpitch_seam::Pages;
+use runtime::Pages;
 
 use super::life::{Life, Step};
 
--- a/crates/sim/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,4 +1,4 @@
-//! `madderpitch-sim`: plays days from seeds, shows one step by step, cuts a fault script down, and shows a
+//! `relay-simulator`: plays days from seeds, shows one step by step, cuts a fault script down, and shows a
 //! newcomer the relay at work.
 
 use std::collections::BTreeMap;
@@ -12,9 +12,9 @@
 
 use clap::{Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use madderpitch_sim::script::{Days, Script};
-use madderpitch_sim::world::{play, Options, Report};
-use madderpitch_sim::{cost, demo, shrink, upgrades};
+use simulator::script::{Days, Script};
+use simulator::world::{play, Options, Report};
+use simulator::{cost, demo, shrink, upgrades};
 
 /// Plays the whole relay on a virtual clock, against faults scripted from a seed, and checks its rules.
 #[derive(Parser)]
@@ -121,7 +121,7 @@
         Err(error) if error.use_stderr() => {
             let text = error.to_string();
             let line = text.lines().next().unwrap_or("wrong arguments");
-            eprintln!("madderpitch-sim: {}", line.trim_start_matches("error: "));
+            eprintln!("relay-simulator: {}", line.trim_start_matches("error: "));
             return ExitCode::from(2);
         }
         Err(help) => {
@@ -166,7 +166,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(line) => {
-            eprintln!("madderpitch-sim: {}", line.replace('\n', " "));
+            eprintln!("relay-simulator: {}", line.replace('\n', " "));
             ExitCode::from(2)
         }
     }
--- a/crates/sim/src/peers/admins.rs
+++ b/crates/simulator/src/peers/admins.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use madderpitch_seam::System;
+use runtime::System;
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -168,9 +168,7 @@
             .await;
         if made {
             // Its clients' secret is another's now, and has to be given to it anew.
-            let digest = madderpitch_tenancy::secret::Digest::of(
-                self.tenants[errand.tenant].secret.as_bytes(),
-            );
+            let digest = tenancy::secret::Digest::of(self.tenants[errand.tenant].secret.as_bytes());
             let body = Some((
                 "application/json",
                 format!("{{\"id\":\"main\",\"sha256\":\"{digest}\"}}"),
--- a/crates/sim/src/peers/clients.rs
+++ b/crates/simulator/src/peers/clients.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use madderpitch_seam::{Stream, System};
+use runtime::{Stream, System};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::Stage;
--- a/crates/sim/src/peers/discovery.rs
+++ b/crates/simulator/src/peers/discovery.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use madderpitch_seam::{Listener, Stream, System};
+use runtime::{Listener, Stream, System};
 use serde_json::{json, Value};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
--- a/crates/sim/src/peers/hosts.rs
+++ b/crates/simulator/src/peers/hosts.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use madderpitch_seam::{Listener, Stream, System};
+use runtime::{Listener, Stream, System};
 use tokio::io::AsyncWriteExt;
 
 use super::ledger::Ledger;
--- a/crates/sim/src/peers/ledger.rs
+++ b/crates/simulator/src/peers/ledger.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use madderpitch_seam::{Listener, System};
+use runtime::{Listener, System};
 use tokio::io::AsyncWriteExt;
 
 use super::{read_request, Stage};
--- a/crates/sim/src/peers/mod.rs
+++ b/crates/simulator/src/peers/mod.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, BytesMut};
-use madderpitch_seam::{RealStream, Stream, System};
+use runtime::{RealStream, Stream, System};
 use tokio::io::AsyncReadExt;
 
 use crate::checker::Checker;
--- a/crates/sim/src/peers/operators.rs
+++ b/crates/simulator/src/peers/operators.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use madderpitch_seam::System;
+use runtime::System;
 use serde_json::Value;
 
 use super::admins::{request, Rogue};
--- a/crates/sim/src/peers/staff.rs
+++ b/crates/simulator/src/peers/staff.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use madderpitch_seam::System;
+use runtime::System;
 use tokio::io::AsyncWriteExt;
 
 use super::clients::{frame, Connection};
--- a/crates/sim/src/upgrades.rs
+++ b/crates/simulator/src/upgrades.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use madderpitch_seam::{Real, Stream, System, Waiting};
+use runtime::{Real, Stream, System, Waiting};
 use rustix::io::{fcntl_setfd, FdFlags};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
--- a/crates/sim/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use madderpitch_seam::{Signal, System};
+use runtime::{Signal, System};
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -516,7 +516,7 @@
         let beyond =
             self.script.hosted.is_some() || self.script.kept.is_some() || self.script.levels;
         let operator = beyond.then(|| OPERATOR.into());
-        let run = |system| madderpitch_relay::run(system, operator);
+        let run = |system| relay::run(system, operator);
         let process = self.machine.process(relay, self.options.lie, run);
         if self.script.upgrades {
             self.machine
--- a/crates/sim/tests/caught.rs
+++ b/crates/simulator/tests/caught.rs
@@ -3,10 +3,10 @@
 
 mod support;
 
-use madderpitch_sim::machine::Lie;
-use madderpitch_sim::script::Days;
-use madderpitch_sim::world::Options;
 use serde_json::Value;
+use simulator::machine::Lie;
+use simulator::script::Days;
+use simulator::world::Options;
 
 fn caught(rule: &str, options: Options) {
     support::seeds_until(Days::Plain, rule, 0..400, options, |_| {});
--- a/crates/sim/tests/fleet.rs
+++ b/crates/simulator/tests/fleet.rs
@@ -3,8 +3,8 @@
 
 mod support;
 
-use madderpitch_sim::script::{Days, Script};
-use madderpitch_sim::world::{play, Options};
+use simulator::script::{Days, Script};
+use simulator::world::{play, Options};
 
 /// Pushes a returning destination over by a fifth of a call, as it did before its mend and again since the schedule of
 /// the machine changed; `docs/simulation.md` lists it as not mended.
--- a/crates/sim/tests/hosted.rs
+++ b/crates/simulator/tests/hosted.rs
@@ -3,10 +3,10 @@
 
 mod support;
 
-use madderpitch_sim::machine::Lie;
-use madderpitch_sim::peers::admins::Rogue;
-use madderpitch_sim::script::{Days, Script};
-use madderpitch_sim::world::{play, Options};
+use simulator::machine::Lie;
+use simulator::peers::admins::Rogue;
+use simulator::script::{Days, Script};
+use simulator::world::{play, Options};
 
 /// Days that broke a rule once: lines of the registry took the room of ends (7735), what was owed before a restart went out
 /// at once (1196 to 9962), an outage was seen too late (4013, 1857), and the checker forgot that a tenant which drains has a share (4884, 6444, 8760).
--- a/crates/sim/tests/kept.rs
+++ b/crates/simulator/tests/kept.rs
@@ -3,9 +3,9 @@
 
 mod support;
 
-use madderpitch_sim::peers::admins::Rogue;
-use madderpitch_sim::script::{Days, Script};
-use madderpitch_sim::world::{play, Options};
+use simulator::peers::admins::Rogue;
+use simulator::script::{Days, Script};
+use simulator::world::{play, Options};
 
 /// Days that broke a rule once: a store that opened as it was before its newest change hid a resend (1836), one that
 /// was spoilt while a resend was out stayed shut (61, 183), a resend came while the last call was being called off
--- a/crates/sim/tests/operated.rs
+++ b/crates/simulator/tests/operated.rs
@@ -3,9 +3,9 @@
 
 mod support;
 
-use madderpitch_sim::machine::Lie;
-use madderpitch_sim::script::{Days, Script};
-use madderpitch_sim::world::{play, Options};
+use simulator::machine::Lie;
+use simulator::script::{Days, Script};
+use simulator::world::{play, Options};
 
 #[test]
 fn all_rules_hold_on_the_first_seeds() {
--- a/crates/sim/tests/rolling.rs
+++ b/crates/simulator/tests/rolling.rs
@@ -3,9 +3,9 @@
 
 mod support;
 
-use madderpitch_sim::machine::Lie;
-use madderpitch_sim::script::{Days, Script};
-use madderpitch_sim::world::{play, Options};
+use simulator::machine::Lie;
+use simulator::script::{Days, Script};
+use simulator::world::{play, Options};
 
 #[test]
 fn no_host_announced_as_leaving_gets_anything_on_the_first_seeds() {
@@ -58,8 +58,8 @@
     let script = Script::draw_rolling(1, Some(350), Some(400));
     assert_eq!((script.relays, script.hosts.len()), (350, 400));
     let mut addresses: Vec<_> = script.hosts.iter().map(|host| host.address).collect();
-    addresses.extend((0..1024).map(madderpitch_sim::script::relay_address));
-    addresses.extend((0..1024).map(|relay| madderpitch_sim::script::discovery_address(relay, 0)));
+    addresses.extend((0..1024).map(simulator::script::relay_address));
+    addresses.extend((0..1024).map(|relay| simulator::script::discovery_address(relay, 0)));
     let all = addresses.len();
     addresses.sort();
     addresses.dedup();
--- a/crates/sim/tests/same.rs
+++ b/crates/simulator/tests/same.rs
@@ -1,7 +1,7 @@
 //! The same seed gives the same day, whatever else the process plays.
 
-use madderpitch_sim::script::Script;
-use madderpitch_sim::world::{play, Options, Report};
+use simulator::script::Script;
+use simulator::world::{play, Options, Report};
 
 fn day(seed: u64) -> Report {
     play(&Script::draw(seed), Options::default())
@@ -59,7 +59,7 @@
         .map(Script::draw)
         .find(|script| play(script, options).broken.is_some());
     let whole = whole.expect("a seed that overfills its disk");
-    let small = madderpitch_sim::shrink::shrink(whole.clone(), options).expect("a breach");
+    let small = simulator::shrink::shrink(whole.clone(), options).expect("a breach");
     assert!(
         small.script.size() < whole.size(),
         "{}",
--- a/crates/sim/tests/seeds.rs
+++ b/crates/simulator/tests/seeds.rs
@@ -1,7 +1,7 @@
 //! A fixed range of seeds, and those that once broke a rule. Long ranges are the tool's.
 
-use madderpitch_sim::script::Script;
-use madderpitch_sim::world::{play, Options};
+use simulator::script::Script;
+use simulator::world::{play, Options};
 
 fn holds(seeds: impl IntoIterator<Item = u64>) {
     let broken = seeds
--- a/crates/sim/tests/soak.rs
+++ b/crates/simulator/tests/soak.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use madderpitch_sim::script::Script;
-use madderpitch_sim::world::{play, Options, Report};
+use simulator::script::Script;
+use simulator::world::{play, Options, Report};
 
 /// Days of 16 seconds one after the other: half an hour.
 const TIMES: u64 = 115;
--- a/crates/sim/tests/support/mod.rs
+++ b/crates/simulator/tests/support/mod.rs
@@ -1,8 +1,8 @@
 //! What tests that play ranges of seeds share; not each of them uses all.
 #![allow(dead_code)]
 
-use madderpitch_sim::script::{Days, Script};
-use madderpitch_sim::world::{play, Options};
+use simulator::script::{Days, Script};
+use simulator::world::{play, Options};
 
 /// Plays seeds on two threads: each breaks no rule, and has more than `least` messages delivered.
 pub fn hold(days: Days, seeds: impl IntoIterator<Item = u64>, least: u64) {
--- a/crates/sim/tests/tool.rs
+++ b/crates/simulator/tests/tool.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Output};
 
 fn tool(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_madderpitch-sim"))
+    Command::new(env!("CARGO_BIN_EXE_relay-simulator"))
         .args(arguments)
         .output()
         .expect("runs")
@@ -35,7 +35,7 @@
         );
         let line = text(&output.stderr);
         assert_eq!(line.lines().count(), 1, "{arguments:?}: {line}");
-        assert!(line.starts_with("madderpitch-sim: "), "{line}");
+        assert!(line.starts_with("relay-simulator: "), "{line}");
     }
 }
 
@@ -79,7 +79,7 @@
 #[test]
 fn the_demo_ends_by_itself_with_all_rules_kept_and_leaves_nothing_behind() {
     let folder = tempfile::tempdir().expect("a folder");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_madderpitch-sim"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_relay-simulator"));
     let output = command
         .arg("demo")
         .env("TMPDIR", folder.path())
--- a/crates/sim/tests/upgraded.rs
+++ b/crates/simulator/tests/upgraded.rs
@@ -3,9 +3,9 @@
 
 mod support;
 
-use madderpitch_sim::machine::Lie;
-use madderpitch_sim::script::{Days, Script};
-use madderpitch_sim::world::{play, Options};
+use simulator::machine::Lie;
+use simulator::script::{Days, Script};
+use simulator::world::{play, Options};
 
 /// Days that broke a rule once: what had waited in the shared port was given too much time (267, 299), or was taken on
 /// for a client that had gone (112, 284); an old process left though the new one had just died (275).
--- a/crates/sim/tests/vast.rs
+++ b/crates/simulator/tests/vast.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use madderpitch_sim::script::{Days, Script};
-use madderpitch_sim::vast::Vast;
-use madderpitch_sim::world::{play, Options, Report};
 use serde_json::Value;
+use simulator::script::{Days, Script};
+use simulator::vast::Vast;
+use simulator::world::{play, Options, Report};
 
 fn day(seed: u64, misconfigure: Option<fn(&mut Value)>) -> (Script, Report) {
     let script = Script::of(Days::Vast, seed);
--- a/crates/tenancy/src/meter.rs
+++ b/crates/tenancy/src/meter.rs
@@ -1,6 +1,6 @@
 //! How much a tenant has handed in against its rate.
 
-use madderpitch_policy::interface::{Micros, Rate};
+use policy::types::{Micros, Rate};
 
 const SECOND: f64 = 1_000_000.0;
 
--- a/crates/tenancy/src/registry.rs
+++ b/crates/tenancy/src/registry.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use madderpitch_policy::interface::{DestinationId, Standing, TenantId, Terms};
+use policy::types::{DestinationId, Standing, TenantId, Terms};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -8,10 +8,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use madderpitch_policy::interface::{
-    DestinationId, Message, Micros, Settings, Standing, TenantId, Terms,
-};
-use madderpitch_policy::sharing::{Load, Offer, Room, Sharing};
+use policy::scheduler::{Load, Offer, Room, Sharing};
+use policy::types::{DestinationId, Message, Micros, Settings, Standing, TenantId, Terms};
 
 use crate::meter::Meter;
 
--- a/crates/tenancy/src/spec.rs
+++ b/crates/tenancy/src/spec.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use madderpitch_policy::interface::{DestinationId, Rate, Standing, Terms};
+use policy::types::{DestinationId, Rate, Standing, Terms};
 use serde::{Deserialize, Serialize};
 
 /// Characters of a tenant's name at most.
--- a/crates/tenancy/tests/flood.rs
+++ b/crates/tenancy/tests/flood.rs
@@ -3,10 +3,10 @@
 
 use std::collections::BTreeMap;
 
-use madderpitch_policy::interface::*;
-use madderpitch_policy::sharing::Unshared;
-use madderpitch_policy::{Relay, Sharing};
-use madderpitch_tenancy::Shares;
+use policy::scheduler::Unshared;
+use policy::types::*;
+use policy::{Relay, Sharing};
+use tenancy::Shares;
 
 const MS: Micros = 1000;
 const S: Micros = 1_000_000;
--- a/crates/tenancy/tests/registry.rs
+++ b/crates/tenancy/tests/registry.rs
@@ -2,15 +2,15 @@
 
 use std::collections::BTreeSet;
 
-use madderpitch_policy::interface::Standing;
-use madderpitch_tenancy::record::{self, recover};
-use madderpitch_tenancy::registry::*;
-use madderpitch_tenancy::secret::{Digest, MOST_SECRETS};
-use madderpitch_tenancy::spec::{OnRemoval, Spec};
-use madderpitch_tenancy::Registry;
+use policy::types::Standing;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use serde_json::json;
+use tenancy::record::{self, recover};
+use tenancy::registry::*;
+use tenancy::secret::{Digest, MOST_SECRETS};
+use tenancy::spec::{OnRemoval, Spec};
+use tenancy::Registry;
 
 fn classes() -> Vec<String> {
     vec!["payout".into(), "update".into()]
--- a/crates/tenancy/tests/shares.rs
+++ b/crates/tenancy/tests/shares.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use madderpitch_policy::interface::*;
-use madderpitch_policy::sharing::{Offer, Room, Sharing};
-use madderpitch_tenancy::{Shares, MOST_CLOCKS};
+use policy::scheduler::{Offer, Room, Sharing};
+use policy::types::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use tenancy::{Shares, MOST_CLOCKS};
 
 const MS: Micros = 1000;
 
--- a/crates/tenancy/tests/stored_format.rs
+++ b/crates/tenancy/tests/stored_format.rs
@@ -4,13 +4,13 @@
 use std::fs;
 use std::path::Path;
 
-use madderpitch_tenancy::audit::Entry;
-use madderpitch_tenancy::record::{self, recover};
-use madderpitch_tenancy::registry::{Actor, Change, Command, Decision, Expect, Record};
-use madderpitch_tenancy::secret::Digest;
-use madderpitch_tenancy::spec::{OnRemoval, RateSpec, Spec};
-use madderpitch_tenancy::Registry;
 use serde_json::json;
+use tenancy::audit::Entry;
+use tenancy::record::{self, recover};
+use tenancy::registry::{Actor, Change, Command, Decision, Expect, Record};
+use tenancy::secret::Digest;
+use tenancy::spec::{OnRemoval, RateSpec, Spec};
+use tenancy::Registry;
 
 fn golden(name: &str) -> Vec<u8> {
     let path = Path::new(env!("CARGO_MANIFEST_DIR"))
--- a/crates/undeliverable/src/filter.rs
+++ b/crates/undeliverable/src/filter.rs
@@ -1,7 +1,7 @@
 //! Which records are meant.
 
-use madderpitch_tenancy::Scope;
 use serde::{Deserialize, Serialize};
+use tenancy::Scope;
 
 use crate::record::{Reason, Record, State};
 use crate::Micros;
--- a/crates/undeliverable/src/record.rs
+++ b/crates/undeliverable/src/record.rs
@@ -1,7 +1,7 @@
 //! What is kept of a message that was given up, and how its state changes.
 
-use madderpitch_tenancy::registry::name_of;
 use serde::{Deserialize, Serialize};
+use tenancy::registry::name_of;
 
 use crate::Micros;
 
--- a/crates/undeliverable/src/store.rs
+++ b/crates/undeliverable/src/store.rs
@@ -9,10 +9,10 @@
 
 use std::io;
 
-use madderpitch_seam::Pages;
 use redb::{
     Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, WriteTransaction,
 };
+use runtime::Pages;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
--- a/crates/undeliverable/tests/stored_format.rs
+++ b/crates/undeliverable/tests/stored_format.rs
@@ -5,14 +5,12 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use madderpitch_seam::{Real, System};
-use madderpitch_undeliverable::batch::{Batch, Counts, Order, Spec};
-use madderpitch_undeliverable::record::{By, Origin, Refusal, Says};
-use madderpitch_undeliverable::store::{self, Caps};
-use madderpitch_undeliverable::{
-    Attempt, Closed, Effect, Filter, Outcome, Reason, Record, State, Store,
-};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use runtime::{Real, System};
+use undeliverable::batch::{Batch, Counts, Order, Spec};
+use undeliverable::record::{By, Origin, Refusal, Says};
+use undeliverable::store::{self, Caps};
+use undeliverable::{Attempt, Closed, Effect, Filter, Outcome, Reason, Record, State, Store};
 
 fn golden_path(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR"))
