--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use policy::types::*;
-use policy::Relay;
+use policy::DeliveryPolicy;
 use tenancy::Shares;
 
 /// Bytes of a batch header: the length, then the clock.
@@ -18,8 +18,8 @@
 
 fn bad<T>(what: impl Into<String>, place: impl Into<String>) -> Result<T, InputError> {
     Err(InputError {
-        what: what.into(),
-        place: place.into(),
+        problem: what.into(),
+        location: place.into(),
     })
 }
 
@@ -102,9 +102,9 @@
         let zone = self.u8()?;
         let at = self.place();
         let listing = match self.u8()? {
-            0 => Listing::Gone,
-            1 => Listing::Ready,
-            2 => Listing::Draining,
+            0 => HostState::Removed,
+            1 => HostState::Ready,
+            2 => HostState::Draining,
             code => return bad(format!("unknown host state {code}"), at),
         };
         let destination = self.u16()?;
@@ -115,24 +115,24 @@
             destination,
             kind,
             zone,
-            listing,
+            state: listing,
             weight,
         })
     }
 }
 
-fn outcome(code: u16, remark_ms: u32) -> Outcome {
+fn outcome(code: u16, remark_ms: u32) -> AttemptOutcome {
     match code {
-        0 => Outcome::Ok,
-        1 => Outcome::Error,
-        2 => Outcome::Full {
-            wait: Micros::from(remark_ms) * 1000,
+        0 => AttemptOutcome::Delivered,
+        1 => AttemptOutcome::Error,
+        2 => AttemptOutcome::Rejected {
+            retry_after: Micros::from(remark_ms) * 1000,
         },
-        3 => Outcome::Timeout,
-        4 => Outcome::ConnectFailed,
-        5 => Outcome::Reset,
-        6 => Outcome::Cancelled,
-        _ => Outcome::Moot,
+        3 => AttemptOutcome::Timeout,
+        4 => AttemptOutcome::ConnectFailed,
+        5 => AttemptOutcome::Reset,
+        6 => AttemptOutcome::Cancelled,
+        _ => AttemptOutcome::Obsolete,
     }
 }
 
@@ -184,9 +184,10 @@
     let apart = list("/familyInfo/kindApart");
     let per_call = list("/familyInfo/perCall");
     let kinds = (0..apart.len().max(per_call.len()))
-        .map(|i| Kind {
-            apart: apart.get(i).and_then(Value::as_bool).unwrap_or(false),
-            per_call: per_call.get(i).and_then(Value::as_u64).unwrap_or(1).max(1) as usize,
+        .map(|i| DestinationKind {
+            has_host_routes: apart.get(i).and_then(Value::as_bool).unwrap_or(false),
+            max_messages_per_call: per_call.get(i).and_then(Value::as_u64).unwrap_or(1).max(1)
+                as usize,
         })
         .collect();
     let tells_waits = flag("/limits/retryAfter");
@@ -200,40 +201,40 @@
         tenants: list("/tenants")
             .iter()
             .map(|t| Tenant {
-                quota_per_s: number(t, "/quotaPerS").unwrap_or(f64::INFINITY),
+                quota_per_second: number(t, "/quotaPerS").unwrap_or(f64::INFINITY),
                 share: number(t, "/share").unwrap_or(1.0),
             })
             .collect(),
-        over_share_worth: number(&root, "/overShareWorth").unwrap_or(1.0),
+        over_quota_value: number(&root, "/overShareWorth").unwrap_or(1.0),
         decay: match text_at("/familyInfo/late") {
-            "halving" => Decay::Halving,
-            _ => Decay::Linear,
+            "halving" => ValueDecay::Halving,
+            _ => ValueDecay::Linear,
         },
-        toll: list("/familyInfo/toll")
+        zone_fees: list("/familyInfo/toll")
             .iter()
             .map(|v| v.as_f64().unwrap_or(0.0))
             .collect(),
         cross_zone_fee: or_zero("/fees/crossZone"),
-        slots: need("/familyInfo/callsOut")? as usize,
-        most_held: need("/limits/mostHeld")? as usize,
-        most_bytes: 0,
+        max_calls: need("/familyInfo/callsOut")? as usize,
+        max_queued: need("/limits/mostHeld")? as usize,
+        max_queued_bytes: 0,
         max_attempts: positive("/limits/maxAttempts")? as usize,
         max_retry_after: if tells_waits {
             or_zero("/limits/maxRetryAfter") as Micros
         } else {
             0
         },
-        cancelling: flag("/limits/cancelling"),
-        probes: flag("/limits/probes"),
-        discovery_by_asking: text_at("/discovery") == "ask",
-        siblings,
+        can_cancel: flag("/limits/cancelling"),
+        can_probe: flag("/limits/probes"),
+        polls_discovery: text_at("/discovery") == "ask",
+        replicas: siblings,
         zone: or_zero("/myZone") as u8,
-        weights: match text_at("/weightSource") {
+        weight_source: match text_at("/weightSource") {
             "nominal" => WeightSource::Nominal,
             "rough" => WeightSource::Rough,
             _ => WeightSource::Absent,
         },
-        report: list("/stats/fields")
+        report_fields: list("/stats/fields")
             .iter()
             .map(|v| match v.as_str().unwrap_or("") {
                 "x0" => ReportField::AllowanceLeft,
@@ -241,13 +242,13 @@
                 _ => ReportField::Other,
             })
             .collect(),
-        rules: Rules {
-            ask_within: or_zero("/rules/askWithin") as Micros,
-            cold_from: need("/rules/coldFrom")?,
-            cold: need("/rules/cold")? as Micros,
+        rules: PlatformRules {
+            max_poll_interval: or_zero("/rules/askWithin") as Micros,
+            initial_capacity_share: need("/rules/coldFrom")?,
+            warm_up: need("/rules/cold")? as Micros,
             overload_factor: need("/rules/overloadFactor")?,
-            overload_for: need("/rules/overloadFor")? as Micros,
-            turn_gap: or_zero("/rules/turnGap") as Micros,
+            overload_duration: need("/rules/overloadFor")? as Micros,
+            ordering_delay: or_zero("/rules/turnGap") as Micros,
         },
         tick: or_zero("/tick") as Micros,
     })
@@ -266,12 +267,12 @@
         None => bad("settings lack a number", format!("{place}{key}")),
     };
     let effect = match class.pointer("/effect").and_then(Value::as_str) {
-        Some("retryable") => Effect::Safe,
-        Some("dedup") => Effect::Keyed {
+        Some("retryable") => Idempotency::Idempotent,
+        Some("dedup") => Idempotency::Keyed {
             window: need("/window")? as Micros,
             zone_only: class.pointer("/keyScope").and_then(Value::as_str) != Some("all"),
         },
-        Some("fragile") => Effect::Unsafe,
+        Some("fragile") => Idempotency::NonIdempotent,
         _ => return bad("settings lack a known effect", format!("{place}/effect")),
     };
     let positive = |key: &str| match need(key)? {
@@ -282,13 +283,13 @@
         ),
     };
     Ok(Class {
-        aim: need("/aim")? as Micros,
-        aim_stretch: number(class, "/aimStretch").unwrap_or(0.0),
-        give_up: positive("/giveUp")?,
-        effect,
-        worth: number(class, "/worth").unwrap_or(1.0),
-        late_worth: number(class, "/lateWorth").unwrap_or(0.0),
-        in_order: class
+        latency_objective: need("/aim")? as Micros,
+        objective_stretch: number(class, "/aimStretch").unwrap_or(0.0),
+        time_to_live: positive("/giveUp")?,
+        idempotency: effect,
+        value: number(class, "/worth").unwrap_or(1.0),
+        late_value: number(class, "/lateWorth").unwrap_or(0.0),
+        is_ordered: class
             .pointer("/fifoByKey")
             .and_then(Value::as_bool)
             .unwrap_or(false),
@@ -304,7 +305,7 @@
 /// Hosts the instances of one process; they share nothing but the process.
 #[derive(Default)]
 pub struct Adapter {
-    relays: BTreeMap<u16, Relay>,
+    relays: BTreeMap<u16, DeliveryPolicy>,
     rosters: [Option<Arc<Vec<HostEntry>>>; ROSTERS],
 }
 
@@ -323,8 +324,10 @@
             match record {
                 Record::Begin(seed, settings) => {
                     let shares = Box::new(Shares::of(&settings));
-                    self.relays
-                        .insert(relay, Relay::shared(*settings, seed, shares));
+                    self.relays.insert(
+                        relay,
+                        DeliveryPolicy::with_scheduler(*settings, seed, shares),
+                    );
                     pending.insert(relay, Vec::new());
                 }
                 Record::Exit => {
@@ -389,10 +392,10 @@
                 let slot = r.u32()? as usize;
                 let how = r.u8()?;
                 match how {
-                    1 => Event::HostsFailed,
+                    1 => Event::DiscoveryFailed,
                     0 | 2 | 3 => match self.rosters.get(slot).and_then(Option::as_ref) {
-                        Some(roster) => Event::Hosts {
-                            whole: how != 3,
+                        Some(roster) => Event::HostsUpdated {
+                            is_full: how != 3,
                             cached: how == 0,
                             entries: roster.as_ref().clone(),
                         },
@@ -413,22 +416,22 @@
                 if cell.fract() != 0.0 || !(0.0..=f32::from(u16::MAX)).contains(&cell) {
                     return bad(format!("{cell} is no destination"), place);
                 }
-                Event::Arrived(Message {
+                Event::MessageReceived(Message {
                     id,
                     class,
                     destination: cell as u16,
-                    due,
-                    key,
-                    work: (bits & HINT_VALID != 0).then_some(Micros::from(effort)),
+                    deadline: due,
+                    ordering_key: key,
+                    expected_work: (bits & HINT_VALID != 0).then_some(Micros::from(effort)),
                     tenant,
-                    again: bits & HANDED_IN_AGAIN != 0,
+                    is_resubmitted: bits & HANDED_IN_AGAIN != 0,
                     size: 0,
                 })
             }
             3 => {
                 let id = r.u64()?;
                 r.take(9)?;
-                Event::Started { id }
+                Event::ResponseStarted { id }
             }
             4 => {
                 let (id, attempt, host) = (r.u64()?, r.u8()?, r.u32()?);
@@ -436,33 +439,33 @@
                 let elapsed = Micros::from(r.u32()?);
                 let over = r.u8()? != 0;
                 let outcome = outcome(rc, r.u32()?);
-                Event::Ended(Ended {
+                Event::AttemptEnded(AttemptEnd {
                     id,
                     attempt,
                     host,
                     outcome,
                     elapsed,
-                    over,
-                    report: r.report()?,
+                    is_final: over,
+                    load_report: r.report()?,
                 })
             }
-            5 => Event::Withdrawn(r.u64()?),
-            6 => Event::Timer(r.u64()?),
+            5 => Event::MessageWithdrawn(r.u64()?),
+            6 => Event::TimerFired(r.u64()?),
             7 => {
                 let host = r.u32()?;
                 let outcome = outcome(r.outcome()?, 0);
                 let elapsed = Micros::from(r.u32()?);
-                Event::Probed {
+                Event::ProbeEnded {
                     host,
                     outcome,
                     elapsed,
-                    report: r.report()?,
+                    load_report: r.report()?,
                 }
             }
             _ => {
                 let from = r.u16()?;
                 let n = r.u16()? as usize;
-                Event::Peer {
+                Event::PeerMessage {
                     from,
                     content: r.take(n)?.to_vec(),
                 }
@@ -500,15 +503,15 @@
             start(2);
             out.extend(host.to_le_bytes());
         }
-        Action::Timer { after, token } => {
+        Action::SetTimer { delay, token } => {
             start(0);
-            out.extend(span(*after));
+            out.extend(span(*delay));
             out.extend(token.to_le_bytes());
         }
-        Action::Refuse { id, after } => {
+        Action::Reject { id, retry_after } => {
             start(5);
             out.extend(id.to_le_bytes());
-            out.extend(span(*after));
+            out.extend(span(*retry_after));
         }
         Action::Fail(id) => {
             start(10);
@@ -519,7 +522,7 @@
             out.extend(id.to_le_bytes());
             out.push(*attempt);
         }
-        Action::CloseIdle(host) => {
+        Action::CloseIdleConnections(host) => {
             start(11);
             out.extend(host.to_le_bytes());
         }
@@ -527,8 +530,8 @@
             start(8);
             out.push(u8::from(*on));
         }
-        Action::FetchHosts => start(6),
-        Action::Tell { to, content } => {
+        Action::PollDiscovery => start(6),
+        Action::SendToPeers { to, content } => {
             start(9);
             out.extend(to.unwrap_or(ALL_PEERS).to_le_bytes());
             counted(content, out);
@@ -537,7 +540,7 @@
             start(7);
             counted(text.as_bytes(), out);
         }
-        Action::Fault(text) => {
+        Action::Abort(text) => {
             start(1);
             counted(text.as_bytes(), out);
         }
--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -59,8 +59,8 @@
     for (action, hex) in [
         (send, "03 0300 c4913a5df5c50e00 074a1203 80380100"),
         (
-            Action::Timer {
-                after: 500_000,
+            Action::SetTimer {
+                delay: 500_000,
                 token: 77,
             },
             "00 0300 20a10700 4d00000000000000",
@@ -70,14 +70,17 @@
             "07 0300 1100 74776f2073657276657273206b6e6f776e",
         ),
         (
-            Action::Tell {
+            Action::SendToPeers {
                 to: None,
                 content: b"hi 7".to_vec(),
             },
             "09 0300 ffff 0400 68692037",
         ),
         (
-            Action::Refuse { id: 5, after: 2 },
+            Action::Reject {
+                id: 5,
+                retry_after: 2,
+            },
             "05 0300 0500000000000000 02000000",
         ),
         (Action::Fail(5), "0a 0300 0500000000000000"),
@@ -86,10 +89,10 @@
             "04 0300 0500000000000000 01",
         ),
         (Action::Probe(6), "02 0300 06000000"),
-        (Action::CloseIdle(6), "0b 0300 06000000"),
+        (Action::CloseIdleConnections(6), "0b 0300 06000000"),
         (Action::Subscribe(true), "08 0300 01"),
-        (Action::FetchHosts, "06 0300"),
-        (Action::Fault("x".into()), "01 0300 0100 78"),
+        (Action::PollDiscovery, "06 0300"),
+        (Action::Abort("x".into()), "01 0300 0100 78"),
     ] {
         let mut out = Vec::new();
         encode(3, &action, &mut out);
@@ -125,24 +128,38 @@
 fn reads_settings_and_skips_what_is_unknown() {
     let set = settings(SETTINGS.as_bytes()).expect("settings");
     assert_eq!(
-        set.classes[0].effect,
-        Effect::Keyed {
+        set.classes[0].idempotency,
+        Idempotency::Keyed {
             window: 6_000_000,
             zone_only: true
         }
     );
-    assert_eq!(set.classes[1].effect, Effect::Unsafe);
-    assert!(set.classes[0].in_order && set.discovery_by_asking && set.kinds[1].apart && set.probes);
+    assert_eq!(set.classes[1].idempotency, Idempotency::NonIdempotent);
+    assert!(
+        set.classes[0].is_ordered
+            && set.polls_discovery
+            && set.kinds[1].has_host_routes
+            && set.can_probe
+    );
     assert_eq!(
-        (set.slots, set.most_held, set.max_attempts, set.siblings),
+        (
+            set.max_calls,
+            set.max_queued,
+            set.max_attempts,
+            set.replicas
+        ),
         (8, 100, 12, 2)
     );
     assert_eq!(
-        (set.kinds[1].per_call, set.decay, set.weights),
-        (4, Decay::Halving, WeightSource::Rough)
+        (
+            set.kinds[1].max_messages_per_call,
+            set.decay,
+            set.weight_source
+        ),
+        (4, ValueDecay::Halving, WeightSource::Rough)
     );
     assert_eq!(
-        set.report,
+        set.report_fields,
         [
             ReportField::LimitPerSecond,
             ReportField::Other,
@@ -150,7 +167,11 @@
         ]
     );
     assert_eq!(
-        (set.rules.turn_gap, set.max_retry_after, set.toll[0]),
+        (
+            set.rules.ordering_delay,
+            set.max_retry_after,
+            set.zone_fees[0]
+        ),
         (9, 7, 0.5)
     );
 }
--- a/crates/membership/src/poll_schedule.rs
+++ b/crates/membership/src/poll_schedule.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use policy::state::Dice;
+use policy::state::Rng;
 
 use crate::Terms;
 
@@ -51,7 +51,7 @@
     pushed: bool,
     siblings: u32,
     drain_grace: Duration,
-    dice: Dice,
+    dice: Rng,
     rest: Duration,
     /// The last answer could not be read.
     spoilt: bool,
@@ -68,7 +68,7 @@
             ..
         } = *terms;
         // Not the module's own numbers.
-        let dice = Dice(!seed);
+        let dice = Rng(!seed);
         let mut pace = Pace {
             pushed,
             siblings,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod state;
 pub mod types;
 
-pub use policy::Relay;
-pub use scheduler::Sharing;
+pub use policy::DeliveryPolicy;
+pub use scheduler::TenantScheduler;
+pub use state::HandoverSnapshot;
 pub use types::{Action, Event, Settings};
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -3,11 +3,9 @@
 //! Each route (a destination, or one host of it where kinds are apart) has a fuse over a rolling error
 //! tally, as the README tells. In order: constants, message, route, tally, dispatcher, timers, guards.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
-use serde::{Deserialize, Serialize};
-
-use crate::scheduler::{Offer, Room, Sharing, Unshared};
+use crate::scheduler::{Candidate, Capacity, NoTenants, TenantScheduler};
 use crate::state::*;
 use crate::types::*;
 
@@ -96,59 +94,6 @@
 /// Weight of a new sample in the running means.
 const SMOOTH: f64 = 0.15;
 
-#[derive(Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-enum Fuse {
-    #[default]
-    Closed,
-    HalfOpen,
-    /// Until this moment.
-    Open(Micros),
-}
-
-#[derive(Clone, Default, Serialize, Deserialize)]
-struct Route {
-    hosts: Vec<HostId>,
-    fuse: Fuse,
-    tally: VecDeque<(Micros, Verdict)>,
-    run: u32,
-    /// When the first failure of the run counted.
-    failing_since: Micros,
-    refused_run: u32,
-    /// Since when refusals cannot be put down to a limit.
-    shut_since: Micros,
-    /// The last refusal can.
-    limited: bool,
-    /// The last failure proves that nothing ran.
-    harmless: bool,
-    wait_until: Micros,
-    rest_until: Micros,
-    /// Calls a second for all relays together, as listed or reported.
-    told: Option<f64>,
-    /// Share of that which the last answer left.
-    left: Option<f64>,
-    /// What it may ask for, against its even part of the limit.
-    part: f64,
-    /// Calls a second that this relay may make.
-    pace: f64,
-    /// Least time between calls after refusals; zero if there were none lately.
-    gap: Micros,
-    best: f64,
-    tokens: f64,
-    tokens_at: Micros,
-    cap: f64,
-    in_flight: usize,
-    /// Length of its calls against those of the same class elsewhere.
-    usual: f64,
-    /// Messages that wait for its destination here.
-    waiting: usize,
-    /// Calls a second by which what a restart found untried is tried in time; zero if nothing is.
-    pressing: f64,
-    /// This relay was told of an outage, first at `down`; `back` is the first success after.
-    witness: bool,
-    down: Micros,
-    back: Option<Micros>,
-}
-
 impl Route {
     fn fresh() -> Self {
         let (pace, cap, usual) = (f64::INFINITY, FIRST_CAP, 1.0);
@@ -220,11 +165,11 @@
     /// The rest before the next trial, by `chance` of 0 to 1. Guards a destination that comes back against the trials of a
     /// large fleet, which alone are more than it takes while cold: all together they ask for no more than that, and those
     /// that failed together don't come together. It hurts where few of the relays have anything for it.
-    fn sleep_window(&self, siblings: f64, rules: &Rules, chance: f64) -> Micros {
+    fn sleep_window(&self, siblings: f64, rules: &PlatformRules, chance: f64) -> Micros {
         if siblings <= FEW {
             return (SLEEP_WINDOW as f64 * (0.9 + 0.2 * chance)) as Micros;
         }
-        let cold = (rules.overload_factor * rules.cold_from).max(0.1);
+        let cold = (rules.overload_factor * rules.initial_capacity_share).max(0.1);
         let even = self.even_gap(siblings) / cold * SECOND as f64;
         (even.clamp(SLEEP_WINDOW as f64, OUTAGE_LEAST as f64) * (0.5 + chance)) as Micros
     }
@@ -257,35 +202,26 @@
     }
 }
 
-/// What a process that takes over has to know of routes, turns and classes.
-#[derive(Clone, Default, Serialize, Deserialize)]
-pub struct Heritage {
-    routes: BTreeMap<RouteKey, Route>,
-    /// Keys with an order, and until when each rests.
-    pub turns: Vec<(u64, Micros)>,
-    usual: Vec<f64>,
-}
-
 /// The decisions of one relay.
-pub struct Relay {
+pub struct DeliveryPolicy {
     set: Settings,
     /// Who comes before whom among tenants.
-    sharing: Box<dyn Sharing>,
+    scheduler: Box<dyn TenantScheduler>,
     siblings: f64,
-    dice: Dice,
+    dice: Rng,
     now: Micros,
-    held: BTreeMap<MessageId, Held>,
+    held: BTreeMap<MessageId, QueuedMessage>,
     /// Bytes that are held.
     bytes: usize,
     /// How many a restart found untried, and how many of them made room for others.
     found: (usize, usize),
-    hosts: BTreeMap<HostId, Host>,
+    hosts: BTreeMap<HostId, HostRecord>,
     /// Hosts that are gone and not yet forgotten.
     leaving: Vec<HostId>,
     routes: BTreeMap<RouteKey, Route>,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
-    keys: BTreeMap<u64, Turn>,
+    keys: BTreeMap<u64, OrderedKey>,
     /// Mean length of a class's calls at a route of usual pace.
     class_usual: Vec<f64>,
     subscribed: bool,
@@ -298,18 +234,18 @@
     stops_at: Micros,
 }
 
-impl Relay {
+impl DeliveryPolicy {
     /// A relay with nothing in hand, for which tenants make no difference.
     pub fn new(set: Settings, seed: u64) -> Self {
-        Relay::shared(set, seed, Box::new(Unshared))
+        DeliveryPolicy::with_scheduler(set, seed, Box::new(NoTenants))
     }
 
     /// A relay with nothing in hand, shared among tenants.
-    pub fn shared(set: Settings, seed: u64, sharing: Box<dyn Sharing>) -> Self {
-        Relay {
-            sharing,
-            siblings: set.siblings as f64,
-            dice: Dice(seed),
+    pub fn with_scheduler(set: Settings, seed: u64, scheduler: Box<dyn TenantScheduler>) -> Self {
+        DeliveryPolicy {
+            scheduler,
+            siblings: set.replicas as f64,
+            dice: Rng(seed),
             now: 0,
             held: BTreeMap::new(),
             bytes: 0,
@@ -320,8 +256,8 @@
             calls: BTreeMap::new(),
             next_call: 0,
             keys: BTreeMap::new(),
-            class_usual: set.classes.iter().map(|c| c.aim as f64 / 6.0).collect(),
-            subscribed: !set.discovery_by_asking,
+            class_usual: set.classes.iter().map(|c| c.latency_objective as f64 / 6.0).collect(),
+            subscribed: !set.polls_discovery,
             doubted: false,
             ask_at: 0,
             ask_rest: SECOND / 2,
@@ -332,12 +268,12 @@
     }
 
     /// What tenants have in the relay, and have used of their rates.
-    pub fn sharing(&mut self) -> &mut dyn Sharing {
-        &mut *self.sharing
+    pub fn scheduler(&mut self) -> &mut dyn TenantScheduler {
+        &mut *self.scheduler
     }
 
     /// How the relay stands towards a destination, as `name=value` for the log.
-    pub fn standing(&self, destination: DestinationId) -> String {
+    pub fn describe_destination(&self, destination: DestinationId) -> String {
         let routes = self.routes_to(destination);
         let text = routes.iter().filter_map(|key| self.routes.get(key)).map(|r| {
             let fuse = ["closed", "half", "open"][usize::from(r.fuse != Fuse::Closed) + usize::from(matches!(r.fuse, Fuse::Open(_)))];
@@ -350,11 +286,11 @@
     }
 
     /// Listed hosts that get nothing now: they drain, failed a moment ago, were told a wait, or their fuse is not whole.
-    pub fn avoided(&self, now: Micros) -> usize {
+    pub fn ejected_hosts(&self, now: Micros) -> usize {
         let route = |id| self.route_of(id).and_then(|key| self.routes.get(&key));
         let shut = |id| route(id).is_some_and(|r| r.fuse != Fuse::Closed || r.wait_until > now);
-        let listed = self.hosts.iter().filter(|(_, h)| h.entry.listing != Listing::Gone);
-        let rests = |h: &Host| h.entry.listing == Listing::Draining || h.avoid_until > now;
+        let listed = self.hosts.iter().filter(|(_, h)| h.entry.state != HostState::Removed);
+        let rests = |h: &HostRecord| h.entry.state == HostState::Draining || h.avoid_until > now;
         listed.filter(|(id, h)| rests(h) || shut(**id)).count()
     }
 
@@ -368,28 +304,30 @@
         self.now = now;
         for event in events {
             match event {
-                Event::Hosts { whole, cached, entries } => self.list(whole, cached, entries),
-                Event::HostsFailed => self.list_failed(),
-                Event::HostsDoubted(doubted) => self.doubted = doubted,
-                Event::Arrived(message) => self.at_the_door(message, out),
-                Event::Restored { message, attempts } => self.restored(message, &attempts),
-                Event::Again { message, attempts } => self.again(message, &attempts),
-                Event::Adopted { message, attempts, out } => self.adopted(message, &attempts, out),
-                Event::Remembered(outage) => self.remembered(outage),
-                Event::Retuned(set) => self.retune(*set),
-                Event::Stopping { at } => self.stops_at = at,
-                Event::Started { id } => self.held.get_mut(&id).into_iter().for_each(|h| h.started = true),
-                Event::Ended(ended) => self.ended(ended),
-                Event::Withdrawn(id) => self.close(id),
-                Event::Tenant(tenant, terms) => self.sharing.set(now, tenant, terms),
-                Event::Timer(token) => self.armed = self.armed.filter(|at| *at != token),
-                Event::Probed { host, outcome, elapsed, report } => {
-                    self.report(host, &report);
+                Event::HostsUpdated { is_full, cached, entries } => self.list(is_full, cached, entries),
+                Event::DiscoveryFailed => self.list_failed(),
+                Event::HostsUnconfirmed(doubted) => self.doubted = doubted,
+                Event::MessageReceived(message) => self.at_the_door(message, out),
+                Event::MessageRestored { message, attempts } => self.restored(message, &attempts),
+                Event::MessageResent { message, attempts } => self.again(message, &attempts),
+                Event::MessageAdopted { message, attempts, out } => self.adopted(message, &attempts, out),
+                Event::OutageRestored(outage) => self.remembered(outage),
+                Event::SettingsChanged(set) => self.retune(*set),
+                Event::ShuttingDown { at } => self.stops_at = at,
+                Event::ResponseStarted { id } => {
+                    self.held.get_mut(&id).into_iter().for_each(|h| h.started = true)
+                }
+                Event::AttemptEnded(ended) => self.ended(ended),
+                Event::MessageWithdrawn(id) => self.close(id),
+                Event::TenantChanged(tenant, terms) => self.scheduler.update_tenant(now, tenant, terms),
+                Event::TimerFired(token) => self.armed = self.armed.filter(|at| *at != token),
+                Event::ProbeEnded { host, outcome, elapsed, load_report } => {
+                    self.report(host, &load_report);
                     if let Some(route) = self.route_of(host) {
                         self.judge(route, host, outcome, elapsed, false, None);
                     }
                 }
-                Event::Peer { .. } => {}
+                Event::PeerMessage { .. } => {}
             }
         }
         self.overdue();
@@ -399,7 +337,7 @@
         self.free_slots(out);
         if !self.subscribed && self.ask_at <= now {
             out.push(Action::Subscribe(true));
-            self.ask_at = now + (self.set.rules.ask_within / 2).max(SECOND);
+            self.ask_at = now + (self.set.rules.max_poll_interval / 2).max(SECOND);
         }
         self.arm(out);
     }
@@ -409,7 +347,7 @@
         self.class_usual.resize(self.set.classes.len(), 0.0);
         for (at, class) in self.set.classes.iter().enumerate() {
             if old.classes.get(at) != Some(class) {
-                self.class_usual[at] = class.aim as f64 / 6.0;
+                self.class_usual[at] = class.latency_objective as f64 / 6.0;
             }
         }
     }
@@ -418,13 +356,17 @@
         &self.set.classes[usize::from(message.class).min(self.set.classes.len() - 1)]
     }
 
-    fn kind(&self, entry: &HostEntry) -> Kind {
-        self.set.kinds.get(usize::from(entry.kind)).copied().unwrap_or(Kind { apart: false, per_call: 1 })
+    fn kind(&self, entry: &HostEntry) -> DestinationKind {
+        self.set
+            .kinds
+            .get(usize::from(entry.kind))
+            .copied()
+            .unwrap_or(DestinationKind { has_host_routes: false, max_messages_per_call: 1 })
     }
 
     fn route_of(&self, host: HostId) -> Option<RouteKey> {
         let entry = &self.hosts.get(&host)?.entry;
-        Some((entry.destination, self.kind(entry).apart.then_some(host)))
+        Some((entry.destination, self.kind(entry).has_host_routes.then_some(host)))
     }
 
     fn routes_to(&self, destination: DestinationId) -> Vec<RouteKey> {
@@ -438,30 +380,30 @@
         if whole {
             let named: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
             let left = self.hosts.values().map(|h| h.entry).filter(|e| !named.contains(&e.host));
-            entries.extend(left.map(|e| HostEntry { listing: Listing::Gone, ..e }).collect::<Vec<_>>());
+            entries.extend(left.map(|e| HostEntry { state: HostState::Removed, ..e }).collect::<Vec<_>>());
         }
         for entry in entries {
             if let Some(route) = self.route_of(entry.host).and_then(|key| self.routes.get_mut(&key)) {
                 route.hosts.retain(|host| *host != entry.host);
             }
-            let fresh = Host { entry, run: 0, avoid_until: 0, in_flight: 0 };
+            let fresh = HostRecord { entry, run: 0, avoid_until: 0, in_flight: 0 };
             self.hosts.entry(entry.host).and_modify(|h| h.entry = entry).or_insert(fresh);
-            let Some(key) = self.route_of(entry.host).filter(|_| entry.listing != Listing::Draining) else {
+            let Some(key) = self.route_of(entry.host).filter(|_| entry.state != HostState::Draining) else {
                 continue;
             };
-            if entry.listing == Listing::Gone {
+            if entry.state == HostState::Removed {
                 self.leaving.push(entry.host);
                 continue;
             }
             let route = self.routes.entry(key).or_insert_with(Route::fresh);
             route.hosts.push(entry.host);
             route.hosts.sort_unstable();
-            if self.set.weights != WeightSource::Absent {
+            if self.set.weight_source != WeightSource::Absent {
                 Self::tell(route, f64::from(entry.weight), 1.0, self.siblings);
             }
         }
         for id in std::mem::take(&mut self.leaving) {
-            let Some(host) = self.hosts.get(&id).filter(|h| h.entry.listing == Listing::Gone) else {
+            let Some(host) = self.hosts.get(&id).filter(|h| h.entry.state == HostState::Removed) else {
                 continue;
             };
             let key = self.route_of(id);
@@ -482,7 +424,7 @@
 
     fn list_failed(&mut self) {
         (self.subscribed, self.ask_at) = (false, self.now + self.ask_rest);
-        self.ask_rest = (self.ask_rest * 2).min((self.set.rules.ask_within / 4).max(SECOND / 2));
+        self.ask_rest = (self.ask_rest * 2).min((self.set.rules.max_poll_interval / 4).max(SECOND / 2));
     }
 
     /// A limit for all relays was told: the first sets the pace, later ones move it by `trust`.
@@ -498,7 +440,8 @@
     }
 
     fn report(&mut self, host: HostId, values: &[f32]) {
-        let at = |field| self.set.report.iter().position(|f| *f == field).and_then(|at| values.get(at));
+        let at =
+            |field| self.set.report_fields.iter().position(|f| *f == field).and_then(|at| values.get(at));
         let (left, limit) = (at(ReportField::AllowanceLeft), at(ReportField::LimitPerSecond));
         let (left, limit) = (left.map(|v| f64::from(*v)), limit.map_or(0.0, |v| f64::from(*v)));
         if let Some(route) = self.route_of(host).and_then(|key| self.routes.get_mut(&key)) {
@@ -515,35 +458,39 @@
 
     /// Takes a message on if its tenant may have one more and there is room, or its tenant holds no more than its part.
     fn at_the_door(&mut self, message: Message, out: &mut Vec<Action>) {
-        if let Err(after) = self.sharing.admit(self.now, message.tenant) {
+        if let Err(after) = self.scheduler.admit(self.now, message.tenant) {
             let after = if after > 0 { after } else { self.advice() };
-            return out.push(Action::Refuse { id: message.id, after });
+            return out.push(Action::Reject { id: message.id, retry_after: after });
         }
         let most = self.hold(0);
-        let full = |relay: &Relay| relay.held.len() >= most.places || relay.bytes + message.size > most.bytes;
-        if full(self) && !self.sharing.over_share(message.tenant, most) {
+        let full = |relay: &DeliveryPolicy| {
+            relay.held.len() >= most.messages || relay.bytes + message.size > most.bytes
+        };
+        if full(self) && !self.scheduler.exceeds_share(message.tenant, most) {
             self.make_room(message.size, out);
         }
         // Guards the hold where nothing in it may be refused to make room.
         if full(self) {
             let after = self.advice();
-            return out.push(Action::Refuse { id: message.id, after });
+            return out.push(Action::Reject { id: message.id, retry_after: after });
         }
         self.arrived(message);
     }
 
     fn arrived(&mut self, message: Message) {
         let class = self.class(&message);
-        let stretch = message.work.map_or(0.0, |w| w as f64 * class.aim_stretch) as Micros;
-        let aim_at = (message.due.saturating_sub(class.give_up) + class.aim + stretch).min(message.due);
-        let (worth, in_order, attempts) = (class.worth, class.in_order, Vec::new());
-        self.sharing.taken(self.now, &message);
+        let stretch = message.expected_work.map_or(0.0, |w| w as f64 * class.objective_stretch) as Micros;
+        let aim_at =
+            (message.deadline.saturating_sub(class.time_to_live) + class.latency_objective + stretch)
+                .min(message.deadline);
+        let (worth, in_order, attempts) = (class.value, class.is_ordered, Vec::new());
+        self.scheduler.message_queued(self.now, &message);
         self.bytes += message.size;
-        if let (true, Some(key)) = (in_order, message.key) {
+        if let (true, Some(key)) = (in_order, message.ordering_key) {
             self.keys.entry(key).or_default().line.push_back(message.id);
         }
         let (not_before, over, started, owed) = (0, false, false, false);
-        let held = Held { message, aim_at, attempts, not_before, over, started, worth, owed };
+        let held = QueuedMessage { message, aim_at, attempts, not_before, over, started, worth, owed };
         self.held.insert(message.id, held);
     }
 
@@ -552,8 +499,8 @@
         self.arrived(message);
         let Some(held) = self.held.get_mut(&message.id) else { return };
         held.attempts.extend(attempts.iter().map(|past| {
-            let fate = if past.may_have_run { Fate::MayHaveRun } else { Fate::NeverRan };
-            Attempt { sent: past.sent, zone: past.zone, call: 0, fate, called_off: false, booked: 0 }
+            let fate = if past.may_have_executed { AttemptState::MayHaveRun } else { AttemptState::NeverRan };
+            Attempt { sent: past.sent_at, zone: past.zone, call: 0, fate, called_off: false, booked: 0 }
         }));
     }
 
@@ -563,9 +510,9 @@
         self.held.get_mut(&message.id).into_iter().for_each(|held| held.owed = attempts.is_empty());
         self.found.0 += usize::from(attempts.is_empty());
         // A call that the end of a process cut off may run on at its host.
-        let cut = message.key.filter(|_| attempts.last().is_some_and(|past| past.may_have_run));
+        let cut = message.ordering_key.filter(|_| attempts.last().is_some_and(|past| past.may_have_executed));
         let turn = cut.and_then(|key| self.keys.get_mut(&key));
-        turn.into_iter().for_each(|turn| turn.rest_until = self.now + self.set.rules.turn_gap);
+        turn.into_iter().for_each(|turn| turn.rest_until = self.now + self.set.rules.ordering_delay);
         // Guards against a destination that returned while this relay was down, of whose outage the last process saw
         // too little: those that it owes something are taken for cold, or what was held would come at once.
         let (now, destination) = (self.now, message.destination);
@@ -577,23 +524,23 @@
     }
 
     /// For the process that takes over; calls that are out are told with their messages.
-    pub fn heritage(&self) -> Heritage {
+    pub fn handover_snapshot(&self) -> HandoverSnapshot {
         let turns = self.keys.iter().map(|(key, turn)| (*key, turn.rest_until)).collect();
         let mut routes = self.routes.clone();
         routes.values_mut().for_each(|r| drop(r.tally.drain(..r.tally.len().saturating_sub(TALLY_TOLD))));
-        Heritage { routes, turns, usual: self.class_usual.clone() }
+        HandoverSnapshot { routes, ordered_keys: turns, usual: self.class_usual.clone() }
     }
 
     /// Takes over from a process with the same list and numbers of hosts and classes.
-    pub fn inherit(&mut self, heritage: Heritage) {
+    pub fn restore_handover(&mut self, heritage: HandoverSnapshot) {
         for (key, known) in heritage.routes {
             let Some(route) = self.routes.get_mut(&key) else { continue };
             // The trial, if it is out still, comes with its message.
             let fuse = if known.fuse == Fuse::HalfOpen { Fuse::Open(0) } else { known.fuse };
             *route = Route { hosts: std::mem::take(&mut route.hosts), in_flight: 0, fuse, ..known };
         }
-        let turn = |(key, rest_until)| (key, Turn { rest_until, ..Turn::default() });
-        self.keys.extend(heritage.turns.into_iter().map(turn));
+        let turn = |(key, rest_until)| (key, OrderedKey { rest_until, ..OrderedKey::default() });
+        self.keys.extend(heritage.ordered_keys.into_iter().map(turn));
         self.class_usual.iter_mut().zip(heritage.usual).for_each(|(mine, known)| *mine = known);
     }
 
@@ -604,7 +551,7 @@
         self.next_call += 1;
         let call = self.next_call;
         let last = self.held.get_mut(&id).and_then(|held| held.attempts.last_mut());
-        last.into_iter().for_each(|last| (last.call, last.fate) = (call, Fate::Out));
+        last.into_iter().for_each(|last| (last.call, last.fate) = (call, AttemptState::Out));
         let Some(route) = self.route_of(host) else { return };
         let Some(known) = self.routes.get(&route) else { return };
         let overdue_at = self.now + self.overdue_after(&self.held[&id], known);
@@ -619,7 +566,11 @@
     /// The outages that bind this relay still; they must outlast its process.
     pub fn outages(&self) -> impl Iterator<Item = Outage> + '_ {
         let told = self.routes.iter().filter(|(_, route)| route.witness);
-        told.map(|(key, route)| Outage { destination: key.0, down: route.down, back: route.back })
+        told.map(|(key, route)| Outage {
+            destination: key.0,
+            started_at: route.down,
+            recovered_at: route.back,
+        })
     }
 
     /// Guards a returning destination against a relay that a restart made forget its outage: its fuse
@@ -628,8 +579,8 @@
         let (now, chance) = (self.now, self.dice.roll());
         for key in self.routes_to(outage.destination) {
             let Some(route) = self.routes.get_mut(&key) else { continue };
-            route.saw_outage(outage.down.min(now), chance);
-            route.back = outage.back.map(|back| back.min(now));
+            route.saw_outage(outage.started_at.min(now), chance);
+            route.back = outage.recovered_at.map(|back| back.min(now));
             if route.back.is_none() {
                 // Most of a large fleet may have started just now.
                 let rest = route.sleep_window(self.siblings, &self.set.rules, chance);
@@ -650,14 +601,14 @@
         if held.is_out() {
             return;
         }
-        if let Some(turn) = held.message.key.and_then(|key| self.keys.get_mut(&key)) {
+        if let Some(turn) = held.message.ordering_key.and_then(|key| self.keys.get_mut(&key)) {
             turn.line.retain(|other| *other != id);
-            if self.keys.len() > 2 * self.held.len() + self.set.most_held {
+            if self.keys.len() > 2 * self.held.len() + self.set.max_queued {
                 self.keys.retain(|_, turn| !turn.line.is_empty() || turn.rest_until > self.now);
             }
         }
         let Some(held) = self.held.remove(&id) else { return };
-        self.sharing.released(&held.message);
+        self.scheduler.message_removed(&held.message);
         self.bytes -= held.message.size;
     }
 
@@ -665,33 +616,44 @@
     fn end(&mut self, id: MessageId, after: Micros, out: &mut Vec<Action>) {
         let Some(held) = self.held.get(&id).filter(|h| !h.over) else { return };
         let harmless = held.tainted().is_none();
-        out.push(if harmless { Action::Refuse { id, after } } else { Action::Fail(id) });
+        out.push(if harmless { Action::Reject { id, retry_after: after } } else { Action::Fail(id) });
         self.close(id);
     }
 
-    fn ended(&mut self, end: Ended) {
+    fn ended(&mut self, end: AttemptEnd) {
         let now = self.now;
         let Some(held) = self.held.get_mut(&end.id) else { return };
-        held.over |= end.over;
+        held.over |= end.is_final;
         let tries = held.attempts.len() as u64;
-        let attempt = held.attempts.get_mut(usize::from(end.attempt)).filter(|a| a.fate == Fate::Out);
+        let attempt = held.attempts.get_mut(usize::from(end.attempt)).filter(|a| a.fate == AttemptState::Out);
         let Some(attempt) = attempt else { return };
-        attempt.fate = if end.outcome.may_have_run() { Fate::MayHaveRun } else { Fate::NeverRan };
+        attempt.fate =
+            if end.outcome.may_have_executed() { AttemptState::MayHaveRun } else { AttemptState::NeverRan };
         let call_id = attempt.call;
-        self.sharing.returned(&held.message, attempt.booked, end.elapsed);
-        held.attempts.truncate(tries as usize - usize::from(end.outcome == Outcome::NotBegun));
-        held.owed &= matches!(end.outcome, Outcome::ConnectFailed | Outcome::Moot | Outcome::NotBegun);
+        self.scheduler.call_ended(&held.message, attempt.booked, end.elapsed);
+        held.attempts.truncate(tries as usize - usize::from(end.outcome == AttemptOutcome::NotStarted));
+        held.owed &= matches!(
+            end.outcome,
+            AttemptOutcome::ConnectFailed | AttemptOutcome::Obsolete | AttemptOutcome::NotStarted
+        );
         // Guards against a class that always fails somewhere, and against calls that can't be made, following at once.
         held.not_before = match end.outcome {
-            Outcome::Error | Outcome::Reset | Outcome::Moot => now + SECOND / 5 * tries,
+            AttemptOutcome::Error | AttemptOutcome::Reset | AttemptOutcome::Obsolete => {
+                now + SECOND / 5 * tries
+            }
             _ => now,
         };
-        let (order_key, over) = (held.message.key, held.over);
+        let (order_key, over) = (held.message.ordering_key, held.over);
         let class = usize::from(held.message.class).min(self.class_usual.len() - 1);
-        let may_run_on =
-            matches!(end.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Dropped | Outcome::Cancelled);
+        let may_run_on = matches!(
+            end.outcome,
+            AttemptOutcome::Timeout
+                | AttemptOutcome::Reset
+                | AttemptOutcome::ConnectionLost
+                | AttemptOutcome::Cancelled
+        );
         if let (true, Some(turn)) = (may_run_on, order_key.and_then(|k| self.keys.get_mut(&k))) {
-            turn.rest_until = turn.rest_until.max(now + self.set.rules.turn_gap);
+            turn.rest_until = turn.rest_until.max(now + self.set.rules.ordering_delay);
         }
         if over {
             self.close(end.id);
@@ -703,7 +665,7 @@
         if let Some(route) = self.routes.get_mut(&key) {
             route.in_flight -= usize::from(last);
             // A told wait binds from any message of a call, whatever became of the others.
-            if let Outcome::Full { wait: wait @ 1.. } = end.outcome {
+            if let AttemptOutcome::Rejected { retry_after: wait @ 1.. } = end.outcome {
                 route.wait_until = route.wait_until.max(now.saturating_add(wait + self.set.tick));
                 if wait > SHUT_AFTER {
                     route.saw_outage(now, chance);
@@ -717,18 +679,18 @@
         if let Some(host) = self.hosts.get_mut(&end.host) {
             host.in_flight = host.in_flight.saturating_sub(1);
         }
-        self.report(end.host, &end.report);
+        self.report(end.host, &end.load_report);
         self.judge(key, end.host, end.outcome, end.elapsed, overdue, Some(class));
     }
 
     /// Books an outcome; `counted` tells that the call was booked as a pending error already.
     fn judge(
-        &mut self, key: RouteKey, host: HostId, outcome: Outcome, elapsed: Micros, counted: bool,
+        &mut self, key: RouteKey, host: HostId, outcome: AttemptOutcome, elapsed: Micros, counted: bool,
         class: Option<usize>,
     ) {
         let (now, chance) = (self.now, self.dice.roll());
         match outcome {
-            Outcome::Ok => {
+            AttemptOutcome::Delivered => {
                 // The pending error was a false alarm.
                 if let (true, Some(route)) = (counted, self.routes.get_mut(&key)) {
                     let last = route.tally.iter().rposition(|(_, v)| *v == Verdict::Failed);
@@ -736,9 +698,14 @@
                 }
                 self.succeeded(key, host, elapsed, chance, class);
             }
-            Outcome::Full { .. } => self.refused(key),
+            AttemptOutcome::Rejected { .. } => self.refused(key),
             // Guards healthy hosts: a kept connection that breaks is no news of its host; the next call asks on a new one.
-            Outcome::Dropped | Outcome::Cancelled | Outcome::Moot | Outcome::NotBegun if !counted => {
+            AttemptOutcome::ConnectionLost
+            | AttemptOutcome::Cancelled
+            | AttemptOutcome::Obsolete
+            | AttemptOutcome::NotStarted
+                if !counted =>
+            {
                 if let Some(route) = self.routes.get_mut(&key).filter(|r| r.fuse == Fuse::HalfOpen) {
                     route.trip(now);
                 }
@@ -748,7 +715,7 @@
                 let route = self.routes.get_mut(&key).filter(|r| !r.witness && r.out_of_order());
                 route.into_iter().for_each(|route| route.saw_outage(now, chance));
             }
-            _ => self.failed(key, host, outcome == Outcome::ConnectFailed, true),
+            _ => self.failed(key, host, outcome == AttemptOutcome::ConnectFailed, true),
         }
     }
 
@@ -783,7 +750,7 @@
             route.back = Some(now).filter(|_| route.witness);
         }
         route.cap += 1.0 / route.cap;
-        let doubt = if self.set.weights == WeightSource::Rough { 1.5 } else { 1.1 };
+        let doubt = if self.set.weight_source == WeightSource::Rough { 1.5 } else { 1.1 };
         let ceiling = route.told.map_or(f64::INFINITY, |told| told * doubt);
         route.pace = (route.pace + PACE_RISE * route.fair(self.siblings).max(1.0)).min(ceiling);
         route.best = (route.best * BEST_FADE).max(route.own_rate(now));
@@ -876,10 +843,10 @@
     fn deadlines(&mut self, out: &mut Vec<Action>) {
         let limit = self.now + 2 * self.set.tick;
         let done = self.held.iter().filter(|(_, h)| {
-            let spent = || !self.may_send(h) || self.sharing.abandons(h.message.tenant);
-            !h.over && !h.started && (h.message.due <= limit || !h.is_out() && spent())
+            let spent = || !self.may_send(h) || self.scheduler.abandons_messages(h.message.tenant);
+            !h.over && !h.started && (h.message.deadline <= limit || !h.is_out() && spent())
         });
-        for (id, due) in done.map(|(id, held)| (*id, held.message.due)).collect::<Vec<_>>() {
+        for (id, due) in done.map(|(id, held)| (*id, held.message.deadline)).collect::<Vec<_>>() {
             // One that ends before its time has spent its attempts: its client may come again.
             let after = if due <= limit { 0 } else { self.advice() };
             self.end(id, after, out);
@@ -887,24 +854,28 @@
     }
 
     /// Whether the effect rule and the attempt limit allow another attempt.
-    fn may_send(&self, held: &Held) -> bool {
-        let allowed = match (self.class(&held.message).effect, held.tainted()) {
-            (_, None) | (Effect::Safe, _) => true,
-            (Effect::Unsafe, _) => false,
-            (Effect::Keyed { window, .. }, Some(first)) => self.now + 2 * self.set.tick < first.sent + window,
+    fn may_send(&self, held: &QueuedMessage) -> bool {
+        let allowed = match (self.class(&held.message).idempotency, held.tainted()) {
+            (_, None) | (Idempotency::Idempotent, _) => true,
+            (Idempotency::NonIdempotent, _) => false,
+            (Idempotency::Keyed { window, .. }, Some(first)) => {
+                self.now + 2 * self.set.tick < first.sent + window
+            }
         };
-        allowed && held.attempts.len() < self.set.max_attempts && self.set.slots > 0
+        allowed && held.attempts.len() < self.set.max_attempts && self.set.max_calls > 0
     }
 
-    fn worth_at(&self, held: &Held, at: Micros) -> f64 {
-        let (class, due) = (self.class(&held.message), held.message.due);
+    fn worth_at(&self, held: &QueuedMessage, at: Micros) -> f64 {
+        let (class, due) = (self.class(&held.message), held.message.deadline);
         if at >= due {
             return 0.0;
         }
         let late = at.saturating_sub(held.aim_at) as f64;
         let share = match self.set.decay {
-            Decay::Linear => 1.0 - (1.0 - class.late_worth) * late / (due - held.aim_at).max(1) as f64,
-            Decay::Halving => 0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth),
+            ValueDecay::Linear => 1.0 - (1.0 - class.late_value) * late / (due - held.aim_at).max(1) as f64,
+            ValueDecay::Halving => {
+                0.5f64.powf(late / class.latency_objective.max(1) as f64).max(class.late_value)
+            }
         };
         held.worth * share
     }
@@ -922,14 +893,14 @@
         let queue = route.waiting as f64 * SECOND as f64 / down as f64;
         let all = route.told.unwrap_or(route.best * self.siblings).max(1.0);
         let part = (all / self.siblings).max(queue.min(all));
-        let warm = route.back.map_or(0.0, |b| (self.now - b) as f64 / rules.cold.max(1) as f64).min(1.0);
-        let share = rules.cold_from + (1.0 - rules.cold_from) * warm;
+        let warm = route.back.map_or(0.0, |b| (self.now - b) as f64 / rules.warm_up.max(1) as f64).min(1.0);
+        let share = rules.initial_capacity_share + (1.0 - rules.initial_capacity_share) * warm;
         rules.overload_factor * part * share
     }
 
     /// Fills the route's bucket and gives the rate at which it fills.
     fn refill(&mut self, key: RouteKey) -> f64 {
-        let (now, cold) = (self.now, self.set.rules.cold);
+        let (now, cold) = (self.now, self.set.rules.warm_up);
         let ramp = self.routes.get(&key).map_or(0.0, |route| self.ramp(route));
         let Some(route) = self.routes.get_mut(&key) else { return 0.0 };
         if route.back.is_some_and(|back| back + cold <= now) {
@@ -948,7 +919,7 @@
     fn opening(&mut self, key: RouteKey, pressing: bool) -> Result<(), Micros> {
         let now = self.now;
         let rate = self.refill(key);
-        let slots = self.set.slots as f64;
+        let slots = self.set.max_calls as f64;
         let Some(route) = self.routes.get(&key) else { return Err(Micros::MAX) };
         // Guards what a restart found untried against its end behind a fuse or a rest; a told wait binds it.
         let rest = if pressing { route.wait_until } else { route.wait_until.max(route.rest_until) };
@@ -982,7 +953,7 @@
                 waiting.entry(held.message.destination).or_default().push(*id);
             }
         }
-        let mut offers: Vec<Offer> = Vec::new();
+        let mut offers: Vec<Candidate> = Vec::new();
         for (destination, ids) in &waiting {
             let pressing = self.pressing(ids);
             for key in self.routes_to(*destination) {
@@ -1001,22 +972,28 @@
                 let (tenant, destination) = (held.message.tenant, *destination);
                 let usual = self.routes_to(destination).first().and_then(|key| self.routes.get(key));
                 let cost = usual.map_or(0, |route| self.usual(held, route) as Micros);
-                offers.push(Offer { id: *id, tenant, destination, regret, cost });
+                offers.push(Candidate {
+                    id: *id,
+                    tenant,
+                    destination,
+                    cost_of_delay: regret,
+                    expected_duration: cost,
+                });
             }
         }
-        offers.sort_by(|a, b| b.regret.total_cmp(&a.regret).then(a.id.cmp(&b.id)));
+        offers.sort_by(|a, b| b.cost_of_delay.total_cmp(&a.cost_of_delay).then(a.id.cmp(&b.id)));
         offers.sort_by_key(|offer| self.held[&offer.id].first_by());
-        self.sharing.arrange(now, &mut offers);
+        self.scheduler.order_candidates(now, &mut offers);
         let (keep, mut stuck, mut short) = (self.hold(HOLD_ROOM), self.stuck(), false);
         for i in 0..offers.len() {
-            short = self.calls.len() >= self.set.slots;
+            short = self.calls.len() >= self.set.max_calls;
             if short {
                 break;
             }
-            let Offer { mut id, tenant, destination, .. } = offers[i];
+            let Candidate { mut id, tenant, destination, .. } = offers[i];
             // Guards those who hold less than their part against a hold full of calls that are out.
-            let full = stuck.places >= keep.places || stuck.bytes >= keep.bytes;
-            if full && self.sharing.crowds(now, tenant, keep) {
+            let full = stuck.messages >= keep.messages || stuck.bytes >= keep.bytes;
+            if full && self.scheduler.must_yield(now, tenant, keep) {
                 continue;
             }
             let Some((key, host)) = self.choose(id) else { continue };
@@ -1026,7 +1003,7 @@
                 let mut mates: Vec<_> = mates.map(|o| o.id).collect();
                 mates.sort_by_key(|mate| (self.held[mate].first_by(), self.risk(*mate)));
                 id = mates.into_iter().find(|m| self.choose(*m) == Some((key, host))).unwrap_or(id);
-                let unsafe_only = self.set.probes && self.risk(id) > 2;
+                let unsafe_only = self.set.can_probe && self.risk(id) > 2;
                 if let Some(route) = self.routes.get_mut(&key).filter(|_| unsafe_only) {
                     (route.tokens, route.fuse) = (route.tokens - 1.0, Fuse::HalfOpen);
                     out.push(Action::Probe(host));
@@ -1035,8 +1012,8 @@
             }
             self.send(id, key, host, None, out);
             let bytes = stuck.bytes + self.held.get(&id).map_or(0, |held| held.message.size);
-            stuck = Room { places: stuck.places + 1, bytes };
-            let per_call = self.hosts.get(&host).map_or(1, |h| self.kind(&h.entry).per_call);
+            stuck = Capacity { messages: stuck.messages + 1, bytes };
+            let per_call = self.hosts.get(&host).map_or(1, |h| self.kind(&h.entry).max_messages_per_call);
             let mates = offers[i..].iter().filter(|o| o.destination == destination);
             let mut mates = mates.filter(|o| self.held.get(&o.id).is_some_and(|h| self.fits(h, host)));
             let joining: Vec<_> = (1..per_call).map_while(|_| mates.next()).map(|o| o.id).collect();
@@ -1044,49 +1021,50 @@
                 self.send(mate, key, host, Some(self.next_call), out);
             }
         }
-        self.sharing.settled(short);
+        self.scheduler.round_ended(short);
     }
 
     /// Calls a second by which what a restart found untried among these is tried before its time is up; a relay may stall.
     fn pressing(&self, ids: &[MessageId]) -> f64 {
         let untried = ids.iter().map(|id| &self.held[id]).filter(|held| held.presses());
-        let left = untried.map(|h| h.message.due.saturating_sub(self.now + SECOND / 4).max(self.set.tick));
+        let left =
+            untried.map(|h| h.message.deadline.saturating_sub(self.now + SECOND / 4).max(self.set.tick));
         let (count, sum) = left.fold((0.0, 0.0), |(n, sum), left| (n + 1.0, sum + left as f64));
         count * count / f64::max(sum, 1.0) * SECOND as f64
     }
 
     /// What is held and may not be refused.
-    fn stuck(&self) -> Room {
+    fn stuck(&self) -> Capacity {
         let stuck = self.held.values().filter(|held| !held.waits() || held.tainted().is_some());
         let (places, bytes) = stuck.fold((0, 0), |(n, sum), held| (n + 1, sum + held.message.size));
-        Room { places, bytes }
+        Capacity { messages: places, bytes }
     }
 
     fn risk(&self, id: MessageId) -> u8 {
         let Some(held) = self.held.get(&id) else { return u8::MAX };
-        match self.class(&held.message).effect {
-            Effect::Safe => 0,
-            Effect::Keyed { .. } => 1 + u8::from(held.tainted().is_none()),
-            Effect::Unsafe => 3,
+        match self.class(&held.message).idempotency {
+            Idempotency::Idempotent => 0,
+            Idempotency::Keyed { .. } => 1 + u8::from(held.tainted().is_none()),
+            Idempotency::NonIdempotent => 3,
         }
     }
 
-    fn in_turn(&self, held: &Held) -> bool {
-        let turn = held.message.key.filter(|_| self.class(&held.message).in_order);
+    fn in_turn(&self, held: &QueuedMessage) -> bool {
+        let turn = held.message.ordering_key.filter(|_| self.class(&held.message).is_ordered);
         let Some(turn) = turn.and_then(|key| self.keys.get(&key)) else { return true };
-        let own_rest = held.attempts.iter().any(|a| a.fate == Fate::MayHaveRun);
+        let own_rest = held.attempts.iter().any(|a| a.fate == AttemptState::MayHaveRun);
         turn.line.front() == Some(&held.message.id) && (turn.rest_until <= self.now || own_rest)
     }
 
     /// Whether the message waits and may go to this host: listed ready, and the key's memory reaches it.
-    fn fits(&self, held: &Held, host: HostId) -> bool {
+    fn fits(&self, held: &QueuedMessage, host: HostId) -> bool {
         let Some(host) = self.hosts.get(&host) else { return false };
-        let zone_kept = match (self.class(&held.message).effect, held.tainted()) {
-            (Effect::Keyed { zone_only: true, .. }, Some(first)) => first.zone == host.entry.zone,
+        let zone_kept = match (self.class(&held.message).idempotency, held.tainted()) {
+            (Idempotency::Keyed { zone_only: true, .. }, Some(first)) => first.zone == host.entry.zone,
             _ => true,
         };
-        let theirs = self.sharing.may_send(held.message.tenant);
-        host.entry.listing == Listing::Ready && zone_kept && theirs && held.waits() && self.may_send(held)
+        let theirs = self.scheduler.may_start_call(held.message.tenant);
+        host.entry.state == HostState::Ready && zone_kept && theirs && held.waits() && self.may_send(held)
     }
 
     fn choose(&mut self, id: MessageId) -> Option<(RouteKey, HostId)> {
@@ -1100,8 +1078,8 @@
             let (held, route) = (self.held.get(&id)?, self.routes.get(&key)?);
             let class = self.class(&held.message);
             // Guards against calls cut off by the end of the process, which count as run: only repeatable ones risk that.
-            let needs = match class.effect {
-                Effect::Unsafe => self.overdue_after(held, route),
+            let needs = match class.idempotency {
+                Idempotency::NonIdempotent => self.overdue_after(held, route),
                 _ => (CUT_SHORT * self.usual(held, route)) as Micros,
             };
             if now.saturating_add(needs) > self.stops_at {
@@ -1109,13 +1087,16 @@
             }
             // Guards unsafe messages against a route where calls fail after they may have run: they
             // wait, while time is left. Hurts when the doubt is false and nothing else goes there.
-            let reserve = (class.give_up as f64 * UNSAFE_RESERVE) as Micros;
-            if class.effect == Effect::Unsafe && route.risky() && held.message.due > now + reserve {
+            let reserve = (class.time_to_live as f64 * UNSAFE_RESERVE) as Micros;
+            if class.idempotency == Idempotency::NonIdempotent
+                && route.risky()
+                && held.message.deadline > now + reserve
+            {
                 continue;
             }
             for host_id in route.hosts.iter().filter(|h| self.fits(held, **h)) {
                 let host = &self.hosts[host_id];
-                let toll = self.set.toll.get(usize::from(host.entry.zone)).filter(|_| key.1.is_some());
+                let toll = self.set.zone_fees.get(usize::from(host.entry.zone)).filter(|_| key.1.is_some());
                 let away = if host.entry.zone == self.set.zone { 0.0 } else { self.set.cross_zone_fee };
                 let cost = if host.avoid_until > now { 100.0 } else { 0.0 }
                     + f64::from(host.run.min(5)) * 5.0
@@ -1130,12 +1111,12 @@
     }
 
     /// Usual length of a call with this message at the route.
-    fn usual(&self, held: &Held, route: &Route) -> f64 {
+    fn usual(&self, held: &QueuedMessage, route: &Route) -> f64 {
         let class = usize::from(held.message.class);
         self.class_usual.get(class).unwrap_or(&self.class_usual[0]) * route.usual
     }
 
-    fn overdue_after(&self, held: &Held, route: &Route) -> Micros {
+    fn overdue_after(&self, held: &QueuedMessage, route: &Route) -> Micros {
         (OVERDUE * self.usual(held, route)) as Micros + SECOND / 4
     }
 
@@ -1145,13 +1126,13 @@
         let class = self.class(&held.message);
         let usual = self.usual(held, route);
         let overdue_at = now + self.overdue_after(held, route);
-        let left = held.message.due.saturating_sub(now);
+        let left = held.message.deadline.saturating_sub(now);
         let patience = PATIENCE * usual * (held.attempts.len() as f64 + 1.0);
-        let patience = (patience.max(class.aim as f64) as Micros).max(left / 3).min(left);
-        let timeout = match (class.effect, held.tainted()) {
-            (Effect::Unsafe, _) => left,
+        let patience = (patience.max(class.latency_objective as f64) as Micros).max(left / 3).min(left);
+        let timeout = match (class.idempotency, held.tainted()) {
+            (Idempotency::NonIdempotent, _) => left,
             // Leaves room for another attempt while the key is remembered.
-            (Effect::Keyed { window, .. }, None) if window < left => patience.min(window / 2),
+            (Idempotency::Keyed { window, .. }, None) if window < left => patience.min(window / 2),
             _ => patience,
         };
         if join.is_none() {
@@ -1167,9 +1148,9 @@
         self.calls.get_mut(&call).into_iter().for_each(|call| call.left += 1);
         let (Some(host), Some(held)) = (self.hosts.get_mut(&to), self.held.get_mut(&id)) else { return };
         host.in_flight += usize::from(join.is_none());
-        let (zone, fate) = (host.entry.zone, Fate::Out);
+        let (zone, fate) = (host.entry.zone, AttemptState::Out);
         let booked = if join.is_none() { usual as Micros } else { 0 };
-        self.sharing.sent(&held.message, booked);
+        self.scheduler.call_started(&held.message, booked);
         held.attempts.push(Attempt { sent: now, zone, call, fate, called_off: false, booked });
         out.push(Action::Send { id, host: to, timeout: timeout.max(1) });
     }
@@ -1180,10 +1161,11 @@
         let mut wake = if self.subscribed { Micros::MAX } else { self.ask_at };
         let mut destinations: Vec<DestinationId> = Vec::new();
         for held in self.held.values().filter(|h| !h.over && !h.started) {
-            wake = wake.min(held.message.due.saturating_sub(2 * self.set.tick));
+            wake = wake.min(held.message.deadline.saturating_sub(2 * self.set.tick));
             if !held.is_out() {
                 destinations.push(held.message.destination);
-                let turn = held.message.key.and_then(|key| self.keys.get(&key)).map_or(0, |t| t.rest_until);
+                let turn =
+                    held.message.ordering_key.and_then(|key| self.keys.get(&key)).map_or(0, |t| t.rest_until);
                 let later = [held.not_before, turn].into_iter().filter(|at| *at > now);
                 wake = later.fold(wake, Micros::min);
             }
@@ -1198,15 +1180,15 @@
         let wake = wake.max(now + self.set.tick.max(1));
         if wake < Micros::MAX && self.armed.is_none_or(|at| at > wake || at <= now) {
             self.armed = Some(wake);
-            out.push(Action::Timer { after: wake - now, token: wake });
+            out.push(Action::SetTimer { delay: wake - now, token: wake });
         }
     }
 
     /// What the hold has room for, but for one part in so many; all if none.
-    fn hold(&self, spared: usize) -> Room {
+    fn hold(&self, spared: usize) -> Capacity {
         let less = |most: usize| most - most.checked_div(spared).map_or(0, |part| part.max(1).min(most));
-        let bytes = if self.set.most_bytes == 0 { usize::MAX } else { less(self.set.most_bytes) };
-        Room { places: less(self.set.most_held), bytes }
+        let bytes = if self.set.max_queued_bytes == 0 { usize::MAX } else { less(self.set.max_queued_bytes) };
+        Capacity { messages: less(self.set.max_queued), bytes }
     }
 
     /// Guards against a hold filled by messages for dead or swamped destinations: the door would turn away good ones.
@@ -1214,7 +1196,8 @@
     /// restart found untried a fourth at most, those with the least time left: most is tried also after two restarts.
     fn make_room(&mut self, wanted: usize, out: &mut Vec<Action>) {
         let keep = self.hold(HOLD_ROOM);
-        let enough = |relay: &Relay| relay.held.len() <= keep.places && relay.bytes + wanted <= keep.bytes;
+        let enough =
+            |relay: &DeliveryPolicy| relay.held.len() <= keep.messages && relay.bytes + wanted <= keep.bytes;
         if enough(self) {
             return;
         }
@@ -1226,7 +1209,8 @@
             line.0 += line.1;
             if held.tainted().is_none() {
                 let turn = self.now + (line.0.min(60.0) * SECOND as f64) as Micros;
-                let worth = if held.untried() { held.message.due as f64 } else { self.worth_at(held, turn) };
+                let worth =
+                    if held.untried() { held.message.deadline as f64 } else { self.worth_at(held, turn) };
                 ranked.push((held.untried(), worth, *id));
             }
         }
@@ -1236,7 +1220,7 @@
                 break;
             }
             let kept = untried && 4 * (self.found.1 + 1) > self.found.0;
-            if !kept && self.sharing.over_share(self.held[&id].message.tenant, keep) {
+            if !kept && self.scheduler.exceeds_share(self.held[&id].message.tenant, keep) {
                 self.found.1 += usize::from(untried);
                 let after = self.advice();
                 self.end(id, after, out);
@@ -1257,14 +1241,14 @@
     /// Guards against calls that hang, run away or crawl holding the slots that others could use: once few are free, the
     /// overdue one that is out longest is called off. It might still be answered, so only while slots are short.
     fn free_slots(&mut self, out: &mut Vec<Action>) {
-        let slots = self.set.slots;
-        if !self.set.cancelling || self.calls.len() + 1 < slots {
+        let slots = self.set.max_calls;
+        if !self.set.can_cancel || self.calls.len() + 1 < slots {
             return;
         }
-        let last = |held: &Held| {
+        let last = |held: &QueuedMessage| {
             held.attempts.last().map_or((0, false), |a| {
                 let overdue = self.calls.get(&a.call).is_some_and(|c| c.overdue);
-                (a.sent, overdue && a.fate == Fate::Out && !a.called_off)
+                (a.sent, overdue && a.fate == AttemptState::Out && !a.called_off)
             })
         };
         let hung = self.held.iter().filter(|(_, held)| last(held).1);
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -3,20 +3,20 @@
 //! The module decides which host, whether to retry and what is turned away; who comes before whom is decided
 //! behind [`Sharing`]. Nothing here decides anything.
 
-use crate::types::{DestinationId, Message, MessageId, Micros, TenantId, Terms};
+use crate::types::{DestinationId, Message, MessageId, Micros, TenantId, TenantTerms};
 
 /// What there is room for in a hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Room {
+pub struct Capacity {
     /// Messages.
-    pub places: usize,
+    pub messages: usize,
     /// Bytes of messages.
     pub bytes: usize,
 }
 
 /// A message that waits for a destination which takes calls now.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Offer {
+pub struct Candidate {
     /// The message.
     pub id: MessageId,
     /// Whose it is.
@@ -24,116 +24,116 @@
     /// Where it must go.
     pub destination: DestinationId,
     /// What waiting costs, in worth.
-    pub regret: f64,
+    pub cost_of_delay: f64,
     /// How long its call is likely to hold a slot.
-    pub cost: Micros,
+    pub expected_duration: Micros,
 }
 
 /// Says which tenant may take which part of the hold, the slots and the rate.
-pub trait Sharing {
+pub trait TenantScheduler {
     /// A tenant's terms from now on; none when it is gone, which holds once nothing of it is held.
-    fn set(&mut self, now: Micros, tenant: TenantId, terms: Option<Terms>);
+    fn update_tenant(&mut self, now: Micros, tenant: TenantId, terms: Option<TenantTerms>);
 
     /// Whether the tenant may have one more message taken on; if not, how long its client should stay away, 0
     /// for as long as the module advises.
     fn admit(&self, now: Micros, tenant: TenantId) -> Result<(), Micros>;
 
     /// A message is held from now on.
-    fn taken(&mut self, now: Micros, message: &Message);
+    fn message_queued(&mut self, now: Micros, message: &Message);
 
     /// It is held no more.
-    fn released(&mut self, message: &Message);
+    fn message_removed(&mut self, message: &Message);
 
     /// Whether the tenant holds more than its part of so much, so that others may have it.
-    fn over_share(&self, tenant: TenantId, room: Room) -> bool;
+    fn exceeds_share(&self, tenant: TenantId, room: Capacity) -> bool;
 
     /// Whether the last of the room is to be kept from the tenant: it has its part, and others may ask.
-    fn crowds(&mut self, now: Micros, tenant: TenantId, room: Room) -> bool;
+    fn must_yield(&mut self, now: Micros, tenant: TenantId, room: Capacity) -> bool;
 
     /// Puts offers, which come with the highest regret first, in the order in which they are to be tried, and
     /// drops those that may not be.
-    fn arrange(&mut self, now: Micros, offers: &mut Vec<Offer>);
+    fn order_candidates(&mut self, now: Micros, offers: &mut Vec<Candidate>);
 
     /// Whether the tenant may have one more call out.
-    fn may_send(&self, tenant: TenantId) -> bool;
+    fn may_start_call(&self, tenant: TenantId) -> bool;
 
     /// A message went out in a call that is likely to hold its slot for `cost`, 0 where it joined another's.
-    fn sent(&mut self, message: &Message, cost: Micros);
+    fn call_started(&mut self, message: &Message, cost: Micros);
 
     /// An attempt came back after `elapsed`, for which `cost` was told when it was sent.
-    fn returned(&mut self, message: &Message, cost: Micros, elapsed: Micros);
+    fn call_ended(&mut self, message: &Message, cost: Micros, elapsed: Micros);
 
     /// A round is over; whether offers were left for want of slots alone.
-    fn settled(&mut self, short_of_slots: bool);
+    fn round_ended(&mut self, short_of_slots: bool);
 
     /// Whether the tenant's messages are to end at once.
-    fn abandons(&self, tenant: TenantId) -> bool;
+    fn abandons_messages(&self, tenant: TenantId) -> bool;
 
     /// What the tenant has in the relay.
-    fn load(&self, tenant: TenantId) -> Load;
+    fn usage(&self, tenant: TenantId) -> TenantUsage;
 
     /// When what the tenant has used of its rate is made good; a moment in the past if it is.
-    fn used_until(&self, tenant: TenantId) -> Micros;
+    fn rate_used_until(&self, tenant: TenantId) -> Micros;
 
     /// The same as another process knew it, for this one to go on from.
-    fn use_until(&mut self, tenant: TenantId, until: Micros);
+    fn restore_rate_used_until(&mut self, tenant: TenantId, until: Micros);
 }
 
 /// What a tenant has in the relay.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
+pub struct TenantUsage {
     /// Messages held, those out in calls among them.
-    pub held: usize,
+    pub queued: usize,
     /// Messages out in calls.
     pub in_flight: usize,
 }
 
 /// No tenants: all come as the module has them.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Unshared;
+pub struct NoTenants;
 
-impl Sharing for Unshared {
-    fn set(&mut self, _: Micros, _: TenantId, _: Option<Terms>) {}
+impl TenantScheduler for NoTenants {
+    fn update_tenant(&mut self, _: Micros, _: TenantId, _: Option<TenantTerms>) {}
 
     fn admit(&self, _: Micros, _: TenantId) -> Result<(), Micros> {
         Ok(())
     }
 
-    fn taken(&mut self, _: Micros, _: &Message) {}
+    fn message_queued(&mut self, _: Micros, _: &Message) {}
 
-    fn released(&mut self, _: &Message) {}
+    fn message_removed(&mut self, _: &Message) {}
 
-    fn over_share(&self, _: TenantId, _: Room) -> bool {
+    fn exceeds_share(&self, _: TenantId, _: Capacity) -> bool {
         true
     }
 
-    fn crowds(&mut self, _: Micros, _: TenantId, _: Room) -> bool {
+    fn must_yield(&mut self, _: Micros, _: TenantId, _: Capacity) -> bool {
         false
     }
 
-    fn arrange(&mut self, _: Micros, _: &mut Vec<Offer>) {}
+    fn order_candidates(&mut self, _: Micros, _: &mut Vec<Candidate>) {}
 
-    fn may_send(&self, _: TenantId) -> bool {
+    fn may_start_call(&self, _: TenantId) -> bool {
         true
     }
 
-    fn sent(&mut self, _: &Message, _: Micros) {}
+    fn call_started(&mut self, _: &Message, _: Micros) {}
 
-    fn returned(&mut self, _: &Message, _: Micros, _: Micros) {}
+    fn call_ended(&mut self, _: &Message, _: Micros, _: Micros) {}
 
-    fn settled(&mut self, _: bool) {}
+    fn round_ended(&mut self, _: bool) {}
 
-    fn abandons(&self, _: TenantId) -> bool {
+    fn abandons_messages(&self, _: TenantId) -> bool {
         false
     }
 
-    fn load(&self, _: TenantId) -> Load {
-        Load::default()
+    fn usage(&self, _: TenantId) -> TenantUsage {
+        TenantUsage::default()
     }
 
-    fn used_until(&self, _: TenantId) -> Micros {
+    fn rate_used_until(&self, _: TenantId) -> Micros {
         0
     }
 
-    fn use_until(&mut self, _: TenantId, _: Micros) {}
+    fn restore_rate_used_until(&mut self, _: TenantId, _: Micros) {}
 }
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -17,9 +17,9 @@
 
 /// Whether a message may be tried again after an attempt that may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Effect {
+pub enum Idempotency {
     /// Repeats do no harm.
-    Safe,
+    Idempotent,
     /// Repeats are dropped by hosts that remember the key, for a while.
     Keyed {
         /// How long the key is remembered, from the first attempt that may have run.
@@ -28,31 +28,31 @@
         zone_only: bool,
     },
     /// Must not run twice.
-    Unsafe,
+    NonIdempotent,
 }
 
 /// A class of message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Full worth when delivered within this time from first hand-in.
-    pub aim: Micros,
+    pub latency_objective: Micros,
     /// The aim grows by this many times the message's own expected work.
-    pub aim_stretch: f64,
+    pub objective_stretch: f64,
     /// Deadline, from first hand-in.
-    pub give_up: Micros,
+    pub time_to_live: Micros,
     /// Repeat rule.
-    pub effect: Effect,
+    pub idempotency: Idempotency,
     /// Worth of one message.
-    pub worth: f64,
+    pub value: f64,
     /// Share of the worth left at the deadline.
-    pub late_worth: f64,
+    pub late_value: f64,
     /// Messages with one key go one at a time, in the order taken.
-    pub in_order: bool,
+    pub is_ordered: bool,
 }
 
 /// How worth falls after the aim.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Decay {
+pub enum ValueDecay {
     #[default]
     /// Evenly, down to the late worth at the deadline.
     Linear,
@@ -85,82 +85,87 @@
 
 /// A kind of destination.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Kind {
+pub struct DestinationKind {
     /// The hosts of a destination are separate routes.
-    pub apart: bool,
+    pub has_host_routes: bool,
     /// Messages that may share one call.
-    pub per_call: usize,
+    pub max_messages_per_call: usize,
 }
 
 /// A tenant's share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tenant {
     /// Messages a second, over all relays, that count in full.
-    pub quota_per_s: f64,
+    pub quota_per_second: f64,
     /// Its part of the service, against those of others; 1 where none is told.
     pub share: f64,
 }
 
 /// How much a tenant may hand in; more is refused.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Rate {
+pub struct RateLimit {
     /// Messages a second in the long run, above 0.
-    pub per_s: f64,
+    pub per_second: f64,
     /// Messages that may come at once, 1 at least.
     pub burst: f64,
 }
 
 /// Where a tenant stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Standing {
+pub enum TenantState {
     /// Its messages are taken on and sent.
     #[default]
     Active,
     /// Nothing is taken on, nothing new is sent; what is held waits, and ends when its time is up.
     Paused,
     /// Nothing is taken on; what is held goes on to its end.
-    Finishing,
+    Draining,
     /// Nothing is taken on; calls that are out come to their end, all else ends at once.
-    Ending,
+    Terminating,
 }
 
 /// What a tenant is entitled to.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Terms {
+pub struct TenantTerms {
     /// Its part against those of others, 1 at least.
     pub weight: u32,
     /// How much it may hand in; any amount if none.
-    pub rate: Option<Rate>,
+    pub rate: Option<RateLimit>,
     /// Messages held at most.
-    pub most_held: usize,
+    pub max_queued: usize,
     /// Messages out in calls at most.
-    pub most_in_flight: usize,
+    pub max_in_flight: usize,
     /// Where it stands.
-    pub standing: Standing,
+    pub state: TenantState,
 }
 
-impl Default for Terms {
+impl Default for TenantTerms {
     fn default() -> Self {
-        let (most_held, most_in_flight) = (usize::MAX, usize::MAX);
-        Terms { weight: 1, rate: None, most_held, most_in_flight, standing: Standing::Active }
+        TenantTerms {
+            weight: 1,
+            rate: None,
+            max_queued: usize::MAX,
+            max_in_flight: usize::MAX,
+            state: TenantState::Active,
+        }
     }
 }
 
 /// The figures of the rules.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Rules {
+pub struct PlatformRules {
     /// With discovery by asking: longest time without asking.
-    pub ask_within: Micros,
+    pub max_poll_interval: Micros,
     /// Share of capacity a destination has at least when back from an outage.
-    pub cold_from: f64,
+    pub initial_capacity_share: f64,
     /// It has all of its capacity after this.
-    pub cold: Micros,
+    pub warm_up: Micros,
     /// It falls over above this multiple of its present capacity ...
     pub overload_factor: f64,
     /// ... kept up for this long.
-    pub overload_for: Micros,
+    pub overload_duration: Micros,
     /// How long a key rests after an attempt that might still be running.
-    pub turn_gap: Micros,
+    pub ordering_delay: Micros,
 }
 
 /// What a relay is told when it starts.
@@ -169,56 +174,56 @@
     /// Classes of message, by index.
     pub classes: Vec<Class>,
     /// Kinds of destination, by index.
-    pub kinds: Vec<Kind>,
+    pub kinds: Vec<DestinationKind>,
     /// Tenants, by index; may be empty.
     pub tenants: Vec<Tenant>,
     /// Worth of a message past its tenant's share, as a fraction.
-    pub over_share_worth: f64,
+    pub over_quota_value: f64,
     /// How worth falls after the aim.
-    pub decay: Decay,
+    pub decay: ValueDecay,
     /// Fee by zone for each message a route apart takes on.
-    pub toll: Vec<f64>,
+    pub zone_fees: Vec<f64>,
     /// Points for attempts that cross zones.
     pub cross_zone_fee: f64,
     /// Calls out at once.
-    pub slots: usize,
+    pub max_calls: usize,
     /// Messages held at once, sent or not.
-    pub most_held: usize,
+    pub max_queued: usize,
     /// Bytes that they may take together; zero where nothing bounds them.
-    pub most_bytes: usize,
+    pub max_queued_bytes: usize,
     /// Attempts a message at most.
     pub max_attempts: usize,
     /// The longest wait a client heeds; zero if clients are not told waits.
     pub max_retry_after: Micros,
     /// Attempts may be called off.
-    pub cancelling: bool,
+    pub can_cancel: bool,
     /// Hosts may be probed.
-    pub probes: bool,
+    pub can_probe: bool,
     /// Changes to the list come only when asked for.
-    pub discovery_by_asking: bool,
+    pub polls_discovery: bool,
     /// Relays in this tier, this one included.
-    pub siblings: usize,
+    pub replicas: usize,
     /// Zone of this relay.
     pub zone: u8,
     /// Meaning of the listed weights.
-    pub weights: WeightSource,
+    pub weight_source: WeightSource,
     /// Meaning of the values in load reports, in order.
-    pub report: Vec<ReportField>,
+    pub report_fields: Vec<ReportField>,
     /// The rules' figures.
-    pub rules: Rules,
+    pub rules: PlatformRules,
     /// Least time between rounds.
     pub tick: Micros,
 }
 
 /// Listing state of a host; it says nothing of health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listing {
+pub enum HostState {
     /// May be sent to.
     Ready,
     /// Nothing new may go there.
     Draining,
     /// Removed.
-    Gone,
+    Removed,
 }
 
 /// One line of the list of hosts.
@@ -233,7 +238,7 @@
     /// Its zone.
     pub zone: u8,
     /// Listing state.
-    pub listing: Listing,
+    pub state: HostState,
     /// See [`WeightSource`].
     pub weight: f32,
 }
@@ -248,15 +253,15 @@
     /// Where it must go.
     pub destination: DestinationId,
     /// Deadline.
-    pub due: Micros,
+    pub deadline: Micros,
     /// Key of its order, if it has one.
-    pub key: Option<u64>,
+    pub ordering_key: Option<u64>,
     /// Expected work, if known.
-    pub work: Option<Micros>,
+    pub expected_work: Option<Micros>,
     /// Whose it is.
     pub tenant: TenantId,
     /// The client has handed it in before.
-    pub again: bool,
+    pub is_resubmitted: bool,
     /// Bytes that it takes while it is held; zero where they don't count.
     pub size: usize,
 }
@@ -265,11 +270,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PastAttempt {
     /// When it was sent.
-    pub sent: Micros,
+    pub sent_at: Micros,
     /// Zone of the host it went to.
     pub zone: u8,
     /// It may have run; false if it is known not to have.
-    pub may_have_run: bool,
+    pub may_have_executed: bool,
 }
 
 /// An outage of a destination that this relay was told of.
@@ -278,22 +283,22 @@
     /// The destination.
     pub destination: DestinationId,
     /// When it was first told.
-    pub down: Micros,
+    pub started_at: Micros,
     /// The first success after; none while it lasts.
-    pub back: Option<Micros>,
+    pub recovered_at: Option<Micros>,
 }
 
 /// How a call or probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Outcome {
+pub enum AttemptOutcome {
     /// Delivered.
-    Ok,
+    Delivered,
     /// Answered with an error; may have run.
     Error,
     /// Turned away unseen, perhaps with a wait that must be heeded.
-    Full {
+    Rejected {
         /// The wait told, zero if none.
-        wait: Micros,
+        retry_after: Micros,
     },
     /// No answer in time; may have run or still do so.
     Timeout,
@@ -303,26 +308,31 @@
     Reset,
     /// A connection that was kept from an earlier call broke before anything came back; may have run, but
     /// says more about the connection than about its host.
-    Dropped,
+    ConnectionLost,
     /// Called off; may have run.
     Cancelled,
     /// Not sent; never ran.
-    Moot,
+    Obsolete,
     /// Not a byte was written, as its host may not be called any more, or not yet; it is no attempt.
-    NotBegun,
+    NotStarted,
 }
 
-impl Outcome {
+impl AttemptOutcome {
     /// False where it proves that the call never ran.
-    pub fn may_have_run(self) -> bool {
-        use Outcome::*;
-        !matches!(self, Full { .. } | ConnectFailed | Moot | NotBegun)
+    pub fn may_have_executed(self) -> bool {
+        !matches!(
+            self,
+            AttemptOutcome::Rejected { .. }
+                | AttemptOutcome::ConnectFailed
+                | AttemptOutcome::Obsolete
+                | AttemptOutcome::NotStarted
+        )
     }
 }
 
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Ended {
+pub struct AttemptEnd {
     /// The message.
     pub id: MessageId,
     /// Which attempt, from 0.
@@ -330,49 +340,49 @@
     /// Where it went.
     pub host: HostId,
     /// How it ended.
-    pub outcome: Outcome,
+    pub outcome: AttemptOutcome,
     /// Time since sending.
     pub elapsed: Micros,
     /// No answer is owed any more.
-    pub over: bool,
+    pub is_final: bool,
     /// Values as in the settings' `report`.
-    pub report: Vec<f32>,
+    pub load_report: Vec<f32>,
 }
 
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// The list of hosts: whole, or just what changed.
-    Hosts {
+    HostsUpdated {
         /// The entries replace the list instead of changing it.
-        whole: bool,
+        is_full: bool,
         /// The list was remembered from before the start, not fresh news.
         cached: bool,
         /// The lines.
         entries: Vec<HostEntry>,
     },
     /// A request for the list failed, or the subscription dropped.
-    HostsFailed,
+    DiscoveryFailed,
     /// Whether calls wait, as the list of hosts is still to be confirmed.
-    HostsDoubted(bool),
+    HostsUnconfirmed(bool),
     /// A message came in; one final answer is owed.
-    Arrived(Message),
+    MessageReceived(Message),
     /// A message taken on before a restart, for which the final answer is still owed.
-    Restored {
+    MessageRestored {
         /// The message.
         message: Message,
         /// Its attempts so far, in order; none is out any more.
         attempts: Vec<PastAttempt>,
     },
     /// A message that was given up before and is sent again; one final answer is owed.
-    Again {
+    MessageResent {
         /// The message.
         message: Message,
         /// Attempts that count still, in order; none is out any more.
         attempts: Vec<PastAttempt>,
     },
     /// A message that is taken over from a process that goes on to its calls' ends only; one final answer is owed.
-    Adopted {
+    MessageAdopted {
         /// The message.
         message: Message,
         /// Its attempts so far, in order.
@@ -381,41 +391,41 @@
         out: Option<HostId>,
     },
     /// An outage that this relay was told of before a restart.
-    Remembered(Outage),
+    OutageRestored(Outage),
     /// The settings from now on. What a class's number means for the messages that have it does not change; a number
     /// that no message has may mean another class.
-    Retuned(Box<Settings>),
+    SettingsChanged(Box<Settings>),
     /// The process ends at this moment; no call should be out then.
-    Stopping {
+    ShuttingDown {
         /// When.
         at: Micros,
     },
     /// The answer of a streamed message has started.
-    Started {
+    ResponseStarted {
         /// The message.
         id: MessageId,
     },
     /// An attempt ended.
-    Ended(Ended),
+    AttemptEnded(AttemptEnd),
     /// Nobody wants the message any more.
-    Withdrawn(MessageId),
+    MessageWithdrawn(MessageId),
     /// A tenant's terms from now on; none when it is gone.
-    Tenant(TenantId, Option<Terms>),
+    TenantChanged(TenantId, Option<TenantTerms>),
     /// A timer of ours is due.
-    Timer(u64),
+    TimerFired(u64),
     /// A probe ended.
-    Probed {
+    ProbeEnded {
         /// Where it went.
         host: HostId,
         /// How it ended.
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         /// Time since sending.
         elapsed: Micros,
         /// Values as in the settings' `report`.
-        report: Vec<f32>,
+        load_report: Vec<f32>,
     },
     /// A fellow relay said something; the module takes no notice.
-    Peer {
+    PeerMessage {
         /// Its number.
         from: u16,
         /// The content.
@@ -438,18 +448,18 @@
     /// Probe a host.
     Probe(HostId),
     /// Wake the module after a while.
-    Timer {
+    SetTimer {
         /// From now.
-        after: Micros,
+        delay: Micros,
         /// Comes back in the event.
         token: u64,
     },
     /// End a message undelivered; the client may safely come again.
-    Refuse {
+    Reject {
         /// The message.
         id: MessageId,
         /// Advice on when, zero for none.
-        after: Micros,
+        retry_after: Micros,
     },
     /// End a message as failed.
     Fail(MessageId),
@@ -461,13 +471,13 @@
         attempt: u8,
     },
     /// Close idle connections to a host.
-    CloseIdle(HostId),
+    CloseIdleConnections(HostId),
     /// Subscribe to changes of the list, or stop.
     Subscribe(bool),
     /// Ask for the whole list once.
-    FetchHosts,
+    PollDiscovery,
     /// Say something to one fellow relay, or to all.
-    Tell {
+    SendToPeers {
         /// Its number; all if none.
         to: Option<u16>,
         /// The content.
@@ -476,21 +486,21 @@
     /// Add a line to the report.
     Log(String),
     /// The module cannot go on.
-    Fault(String),
+    Abort(String),
 }
 
 /// Why settings or wire bytes were not accepted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InputError {
     /// What is wrong.
-    pub what: String,
+    pub problem: String,
     /// Where it stands: an offset in the frame, or a settings key.
-    pub place: String,
+    pub location: String,
 }
 
 impl fmt::Display for InputError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} at {}", self.what, self.place)
+        write!(f, "{} at {}", self.problem, self.location)
     }
 }
 
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use policy::types::*;
-use policy::Relay;
+use policy::DeliveryPolicy;
 use support::*;
 
 /// Settles all calls, until `end`, as `verdict` says; steps of 50 ms.
-fn run(bench: &mut Bench, span: Micros, verdict: impl Fn(Micros, HostId) -> Option<Outcome>) {
+fn run(bench: &mut Bench, span: Micros, verdict: impl Fn(Micros, HostId) -> Option<AttemptOutcome>) {
     let end = bench.now + span;
     while bench.now < end {
         bench.pass(50 * MS);
@@ -17,7 +17,7 @@
             }
         }
         for id in bench.cancelled() {
-            bench.finish(id, Outcome::Cancelled);
+            bench.finish(id, AttemptOutcome::Cancelled);
         }
     }
 }
@@ -27,13 +27,13 @@
     let mut bench = Bench::new(settings(), vec![host(1, 1)]);
     let id = bench.arrive(0, 9, None);
     bench.pass(30 * S);
-    assert_eq!(bench.answers[&id], Action::Refuse { id, after: 0 });
+    assert_eq!(bench.answers[&id], Action::Reject { id, retry_after: 0 });
 }
 
 #[test]
 fn a_deadline_already_past_and_no_slots_still_get_an_answer() {
     let mut set = settings();
-    set.slots = 0;
+    set.max_calls = 0;
     let mut bench = Bench::new(set, vec![host(1, 1)]);
     let first = bench.arrive(2, 1, None);
     let second = bench.arrive_due(2, 1, None, bench.now);
@@ -43,7 +43,9 @@
 
 #[test]
 fn an_unsafe_message_that_may_have_run_fails_and_is_not_sent_again() {
-    for outcome in [Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Cancelled] {
+    for outcome in
+        [AttemptOutcome::Error, AttemptOutcome::Timeout, AttemptOutcome::Reset, AttemptOutcome::Cancelled]
+    {
         let mut bench = Bench::new(settings(), vec![host(1, 1), host(2, 1)]);
         let id = bench.arrive(2, 1, None);
         bench.finish(id, outcome);
@@ -57,7 +59,7 @@
 fn an_unsafe_message_that_never_ran_is_sent_again() {
     let mut bench = Bench::new(settings(), vec![host(1, 1)]);
     let id = bench.arrive(2, 1, None);
-    bench.finish(id, Outcome::ConnectFailed);
+    bench.finish(id, AttemptOutcome::ConnectFailed);
     bench.pass(5 * S);
     assert_eq!(bench.sent.len(), 2);
 }
@@ -66,7 +68,7 @@
 fn a_keyed_message_ends_with_its_window() {
     let mut bench = Bench::new(settings(), vec![host(1, 1)]);
     let id = bench.arrive(1, 1, None);
-    run(&mut bench, 15 * S, |_, _| Some(Outcome::Error));
+    run(&mut bench, 15 * S, |_, _| Some(AttemptOutcome::Error));
     assert_eq!(bench.answers[&id], Action::Fail(id));
     assert!(bench.sent.len() > 1);
 }
@@ -74,14 +76,14 @@
 #[test]
 fn a_draining_host_gets_nothing_new() {
     let mut bench = Bench::new(settings(), vec![host(1, 1), host(2, 1)]);
-    bench.list(false, vec![HostEntry { listing: Listing::Draining, ..host(1, 1) }]);
+    bench.list(false, vec![HostEntry { state: HostState::Draining, ..host(1, 1) }]);
     for _ in 0..4 {
         bench.arrive(0, 1, None);
     }
     assert!(bench.sent.len() > 1 && bench.sent.iter().all(|s| s.2 == 2));
     bench.list(true, vec![host(3, 1)]);
     bench.arrive(0, 1, None);
-    run(&mut bench, S, |_, _| Some(Outcome::Ok));
+    run(&mut bench, S, |_, _| Some(AttemptOutcome::Delivered));
     assert_eq!(bench.sent.last().map(|s| s.2), Some(3));
 }
 
@@ -89,16 +91,16 @@
 fn a_told_wait_binds_the_destination_or_the_route_apart() {
     for apart in [false, true] {
         let mut set = settings();
-        set.kinds[0].apart = apart;
+        set.kinds[0].has_host_routes = apart;
         let mut bench = Bench::new(set, vec![host(1, 1), host(2, 1)]);
         let id = bench.arrive(0, 1, None);
         let told = bench.sent[0].2;
-        bench.finish(id, Outcome::Full { wait: 3 * S });
+        bench.finish(id, AttemptOutcome::Rejected { retry_after: 3 * S });
         bench.arrive(0, 1, None);
         bench.pass(2 * S);
         let others = bench.sent[1..].iter().filter(|s| s.2 != told).count();
         assert_eq!(others > 0, apart, "apart {apart}");
-        run(&mut bench, 4 * S, |_, _| Some(Outcome::Ok));
+        run(&mut bench, 4 * S, |_, _| Some(AttemptOutcome::Delivered));
         assert_eq!(bench.delivered.len(), 2);
     }
 }
@@ -107,7 +109,7 @@
 fn a_huge_told_wait_is_heeded_without_overflow() {
     let mut bench = Bench::new(settings(), vec![host(1, 1)]);
     let id = bench.arrive(0, 1, None);
-    bench.finish(id, Outcome::Full { wait: u64::from(u32::MAX) * MS });
+    bench.finish(id, AttemptOutcome::Rejected { retry_after: u64::from(u32::MAX) * MS });
     bench.pass(60 * S);
     assert_eq!(bench.sent.len(), 1);
     assert!(bench.answers.contains_key(&id));
@@ -116,7 +118,7 @@
 #[test]
 fn a_key_goes_in_order_and_rests_after_a_time_out() {
     let mut set = settings();
-    set.classes[0].in_order = true;
+    set.classes[0].is_ordered = true;
     let mut bench = Bench::new(set, vec![host(1, 1)]);
     let first = bench.arrive(0, 1, Some(5));
     let second = bench.arrive(0, 1, Some(5));
@@ -124,7 +126,7 @@
     bench.withdraw(first);
     bench.pass(S);
     assert_eq!(bench.sent.len(), 1, "the first is still out");
-    bench.finish(first, Outcome::Reset);
+    bench.finish(first, AttemptOutcome::Reset);
     let ended = bench.now;
     bench.pass(5 * S);
     let at = bench.sent.iter().find(|s| s.1 == second).map(|s| s.0);
@@ -137,7 +139,7 @@
     for _ in 0..30 {
         bench.arrive(0, 1, None);
     }
-    run(&mut bench, 10 * S, |_, _| Some(Outcome::ConnectFailed));
+    run(&mut bench, 10 * S, |_, _| Some(AttemptOutcome::ConnectFailed));
     assert!(bench.sent.len() < 25, "{} calls for 30 messages", bench.sent.len());
 }
 
@@ -148,17 +150,17 @@
         bench.arrive(0, 1, None);
     }
     let back = bench.now + 6 * S;
-    let cold = |now| if now < back { Outcome::ConnectFailed } else { Outcome::Ok };
+    let cold = |now| if now < back { AttemptOutcome::ConnectFailed } else { AttemptOutcome::Delivered };
     run(&mut bench, 15 * S, |now, _| Some(cold(now)));
     let (told, rules) = (20.0, &bench.set.rules);
     for (start, _, _) in bench.sent.iter().filter(|s| s.0 >= back) {
-        let end = start + rules.overload_for;
+        let end = start + rules.overload_duration;
         let sent = bench.sent.iter().filter(|s| (*start..end).contains(&s.0)).count() as f64;
         // Capacity in the mean of the span: it warms evenly.
-        let mid = start + rules.overload_for / 2 - back;
-        let warm = (mid as f64 / rules.cold as f64).min(1.0);
-        let capacity = told * (rules.cold_from + (1.0 - rules.cold_from) * warm);
-        let part = rules.overload_factor * capacity * rules.overload_for as f64 / 1e6 / 2.0;
+        let mid = start + rules.overload_duration / 2 - back;
+        let warm = (mid as f64 / rules.warm_up as f64).min(1.0);
+        let capacity = told * (rules.initial_capacity_share + (1.0 - rules.initial_capacity_share) * warm);
+        let part = rules.overload_factor * capacity * rules.overload_duration as f64 / 1e6 / 2.0;
         // One more than the rate gives fits into a span that begins with a call.
         assert!(sent <= part + 1.0, "{sent} calls in a span from {start}, this relay's part is {part}");
     }
@@ -172,7 +174,7 @@
         bench.arrive(0, 1, None);
     }
     let held = 200 - bench.answers.len() - bench.delivered.len();
-    assert!(held < bench.set.most_held, "{held} held");
+    assert!(held < bench.set.max_queued, "{held} held");
     let good = bench.arrive(0, 2, None);
     assert!(bench.sent.iter().any(|s| s.1 == good));
 }
@@ -182,7 +184,7 @@
     let mut bench = Bench::new(settings(), vec![host(1, 1)]);
     for _ in 0..8 {
         bench.arrive(0, 1, None);
-        run(&mut bench, S / 2, |_, _| Some(Outcome::Ok));
+        run(&mut bench, S / 2, |_, _| Some(AttemptOutcome::Delivered));
     }
     let before = bench.sent.len();
     for n in 0..20 {
@@ -203,7 +205,13 @@
 fn a_few_refusals_at_the_limit_are_no_outage() {
     let mut bench = Bench::new(settings(), vec![host(1, 1)]);
     let start = bench.now;
-    let flow = |now| if now < start + S { Outcome::Full { wait: 0 } } else { Outcome::Ok };
+    let flow = |now| {
+        if now < start + S {
+            AttemptOutcome::Rejected { retry_after: 0 }
+        } else {
+            AttemptOutcome::Delivered
+        }
+    };
     for _ in 0..40 {
         bench.arrive(0, 1, None);
         run(&mut bench, 200 * MS, |now, _| Some(flow(now)));
@@ -218,13 +226,17 @@
     for n in 0..200 {
         bench.arrive(0, 1, None);
         let broken = n % 20 == 0;
-        run(&mut bench, 100 * MS, |_, _| Some(if broken { Outcome::Reset } else { Outcome::Ok }));
+        run(&mut bench, 100 * MS, |_, _| {
+            Some(if broken { AttemptOutcome::Reset } else { AttemptOutcome::Delivered })
+        });
         assert_eq!(bench.relay.outages().count(), 0, "after {n} messages");
     }
     // Most calls failing is one.
     let seen = (0..40).any(|n| {
         bench.arrive(0, 1, None);
-        run(&mut bench, 100 * MS, |_, _| Some(if n % 3 > 0 { Outcome::Reset } else { Outcome::Ok }));
+        run(&mut bench, 100 * MS, |_, _| {
+            Some(if n % 3 > 0 { AttemptOutcome::Reset } else { AttemptOutcome::Delivered })
+        });
         bench.relay.outages().count() == 1
     });
     assert!(seen);
@@ -232,14 +244,16 @@
 
 #[test]
 fn scattered_failures_do_not_park_a_busy_destination() {
-    for outcome in [Outcome::Reset, Outcome::Dropped] {
+    for outcome in [AttemptOutcome::Reset, AttemptOutcome::ConnectionLost] {
         let mut bench = Bench::new(settings(), vec![host(1, 1)]);
         let ids: Vec<_> = (0..100)
             .map(|n| {
                 let id = bench.arrive(0, 1, None);
                 // Two in a row now and then.
                 let broken = n > 10 && n % 20 < 2;
-                run(&mut bench, 100 * MS, |_, _| Some(if broken { outcome } else { Outcome::Ok }));
+                run(&mut bench, 100 * MS, |_, _| {
+                    Some(if broken { outcome } else { AttemptOutcome::Delivered })
+                });
                 id
             })
             .collect();
@@ -260,7 +274,7 @@
             for (id, _) in bench.out() {
                 let since = slow.iter().find(|s| s.0 == id).map_or(0, |s| s.1);
                 if since == 0 || bench.now >= since + 2 * S {
-                    bench.finish(id, Outcome::Ok);
+                    bench.finish(id, AttemptOutcome::Delivered);
                 }
             }
         }
@@ -277,9 +291,9 @@
         bench.arrive(2, 1 + i % 6, None);
     }
     let start = bench.now;
-    run(&mut bench, 8 * S, |_, host| (host > 6).then_some(Outcome::Ok));
+    run(&mut bench, 8 * S, |_, host| (host > 6).then_some(AttemptOutcome::Delivered));
     let good: Vec<_> = (0..20).map(|_| bench.arrive(0, 8, None)).collect();
-    run(&mut bench, 4 * S, |_, host| (host > 6).then_some(Outcome::Ok));
+    run(&mut bench, 4 * S, |_, host| (host > 6).then_some(AttemptOutcome::Delivered));
     let served = good.iter().filter(|id| bench.delivered.contains_key(id)).count();
     assert_eq!(served, 20, "from {start}");
 }
@@ -291,7 +305,9 @@
     for _ in 0..60 {
         bench.arrive(0, 1, None);
     }
-    run(&mut bench, 16 * S, |now, _| Some(if now < back { Outcome::Full { wait: 0 } } else { Outcome::Ok }));
+    run(&mut bench, 16 * S, |now, _| {
+        Some(if now < back { AttemptOutcome::Rejected { retry_after: 0 } } else { AttemptOutcome::Delivered })
+    });
     assert!(bench.delivered.len() >= 50, "{} of 60", bench.delivered.len());
 }
 
@@ -301,9 +317,13 @@
     let mut ids = Vec::new();
     for _ in 0..20 {
         ids.push(bench.arrive(0, 1, None));
-        run(&mut bench, S / 4, |_, host| Some(if host == 1 { Outcome::ConnectFailed } else { Outcome::Ok }));
+        run(&mut bench, S / 4, |_, host| {
+            Some(if host == 1 { AttemptOutcome::ConnectFailed } else { AttemptOutcome::Delivered })
+        });
     }
-    run(&mut bench, S, |_, host| Some(if host == 1 { Outcome::ConnectFailed } else { Outcome::Ok }));
+    run(&mut bench, S, |_, host| {
+        Some(if host == 1 { AttemptOutcome::ConnectFailed } else { AttemptOutcome::Delivered })
+    });
     assert!(bench.delivered.len() >= 19, "{} of 20", bench.delivered.len());
 }
 
@@ -320,13 +340,17 @@
         }
         healthy.push((bench.arrive(0, 8, None), bench.now));
         run(&mut bench, 150 * MS, |now, host| match host {
-            8 => Some(Outcome::Ok),
+            8 => Some(AttemptOutcome::Delivered),
             1 | 2 => None,
-            3 => Some(Outcome::Error),
-            4 => Some(Outcome::Full { wait: 700 * MS }),
-            5 => Some(if (now / S).is_multiple_of(2) { Outcome::Ok } else { Outcome::Error }),
-            6 => (now / S).is_multiple_of(3).then_some(Outcome::Full { wait: 0 }),
-            _ => Some(Outcome::ConnectFailed),
+            3 => Some(AttemptOutcome::Error),
+            4 => Some(AttemptOutcome::Rejected { retry_after: 700 * MS }),
+            5 => Some(if (now / S).is_multiple_of(2) {
+                AttemptOutcome::Delivered
+            } else {
+                AttemptOutcome::Error
+            }),
+            6 => (now / S).is_multiple_of(3).then_some(AttemptOutcome::Rejected { retry_after: 0 }),
+            _ => Some(AttemptOutcome::ConnectFailed),
         });
     }
     let lost = healthy.iter().filter(|(id, _)| !bench.delivered.contains_key(id)).count();
@@ -338,32 +362,32 @@
 #[test]
 fn asks_again_when_the_list_cannot_be_had() {
     let mut set = settings();
-    set.discovery_by_asking = true;
+    set.polls_discovery = true;
     let mut bench = Bench::new(set.clone(), Vec::new());
     let asked = |b: &Bench| b.actions.iter().filter(|a| **a == Action::Subscribe(true)).count();
-    bench.play(vec![Event::HostsFailed]);
-    bench.pass(set.rules.ask_within);
+    bench.play(vec![Event::DiscoveryFailed]);
+    bench.pass(set.rules.max_poll_interval);
     let first = asked(&bench);
     assert!(first >= 1);
-    bench.play(vec![Event::HostsFailed]);
-    bench.pass(set.rules.ask_within);
+    bench.play(vec![Event::DiscoveryFailed]);
+    bench.pass(set.rules.max_poll_interval);
     assert!(asked(&bench) > first);
-    let mut cached = policy::Relay::new(set, 1);
+    let mut cached = policy::DeliveryPolicy::new(set, 1);
     let mut out = Vec::new();
-    cached.handle(1, [Event::Hosts { whole: true, cached: true, entries: Vec::new() }], &mut out);
+    cached.handle(1, [Event::HostsUpdated { is_full: true, cached: true, entries: Vec::new() }], &mut out);
     assert!(out.contains(&Action::Subscribe(true)), "a remembered list is no subscription");
 }
 
 #[test]
 fn messages_share_a_call_where_the_kind_allows() {
     let mut set = settings();
-    set.kinds[0].per_call = 4;
-    set.slots = 1;
+    set.kinds[0].max_messages_per_call = 4;
+    set.max_calls = 1;
     let mut bench = Bench::new(set, vec![host(1, 1)]);
     let first = bench.arrive(0, 1, None);
     let rest: Vec<_> = (0..6).map(|_| bench.arrive(0, 1, None)).collect();
     assert_eq!(bench.sent.len(), 1);
-    bench.finish(first, Outcome::Ok);
+    bench.finish(first, AttemptOutcome::Delivered);
     bench.pass(S);
     assert_eq!(bench.sent.len(), 5, "four of {} in the second call", rest.len());
 }
@@ -371,32 +395,37 @@
 #[test]
 fn wild_reports_and_a_flapping_list_do_no_harm() {
     let mut set = settings();
-    set.report = vec![ReportField::AllowanceLeft, ReportField::LimitPerSecond];
+    set.report_fields = vec![ReportField::AllowanceLeft, ReportField::LimitPerSecond];
     let mut bench = Bench::new(set, vec![host(1, 1)]);
     for (n, value) in
         [f32::NAN, f32::INFINITY, -4.0, 1e30, 0.0, 1e-30].into_iter().cycle().take(60).enumerate()
     {
         let report = vec![value, value];
-        bench.play(vec![Event::Probed { host: 1, outcome: Outcome::Ok, elapsed: 9 * MS, report }]);
+        bench.play(vec![Event::ProbeEnded {
+            host: 1,
+            outcome: AttemptOutcome::Delivered,
+            elapsed: 9 * MS,
+            load_report: report,
+        }]);
         bench.list(true, if n % 2 == 0 { Vec::new() } else { vec![host(1, 1)] });
         bench.arrive(0, 1, None);
-        run(&mut bench, S / 5, |_, _| Some(Outcome::Ok));
+        run(&mut bench, S / 5, |_, _| Some(AttemptOutcome::Delivered));
     }
-    run(&mut bench, 15 * S, |_, _| Some(Outcome::Ok));
+    run(&mut bench, 15 * S, |_, _| Some(AttemptOutcome::Delivered));
     assert!(bench.delivered.len() >= 50, "{} of 60", bench.delivered.len());
 }
 
 /// One relay of a hundred, at destinations that tell of their limits.
 fn one_of_many() -> Settings {
     let mut set = settings();
-    set.siblings = 100;
-    set.report = vec![ReportField::AllowanceLeft, ReportField::LimitPerSecond];
+    set.replicas = 100;
+    set.report_fields = vec![ReportField::AllowanceLeft, ReportField::LimitPerSecond];
     set
 }
 
 /// Hands in twelve messages and answers all calls of nine seconds with `verdict` and the share left.
-fn nine_seconds(siblings: usize, verdict: impl Fn(Micros) -> (Outcome, f32)) -> Bench {
-    let mut bench = Bench::new(Settings { siblings, ..one_of_many() }, vec![host(1, 1)]);
+fn nine_seconds(siblings: usize, verdict: impl Fn(Micros) -> (AttemptOutcome, f32)) -> Bench {
+    let mut bench = Bench::new(Settings { replicas: siblings, ..one_of_many() }, vec![host(1, 1)]);
     let start = bench.now;
     for _ in 0..12 {
         bench.arrive(0, 1, None);
@@ -417,7 +446,7 @@
     for _ in 0..20 {
         bench.arrive(0, 1, None);
     }
-    run(&mut bench, 4 * S, |_, _| Some(Outcome::Ok));
+    run(&mut bench, 4 * S, |_, _| Some(AttemptOutcome::Delivered));
     assert_eq!(bench.delivered.len(), 20, "an even part is a call in five seconds");
 }
 
@@ -435,7 +464,11 @@
         for (id, _) in bench.out() {
             // Half of the refusals tell a wait.
             let wait = (id % 2) * 300 * MS;
-            let outcome = if left < 0.05 { Outcome::Full { wait } } else { Outcome::Ok };
+            let outcome = if left < 0.05 {
+                AttemptOutcome::Rejected { retry_after: wait }
+            } else {
+                AttemptOutcome::Delivered
+            };
             bench.answer(id, outcome, vec![left, limit]);
         }
         bench.pass(50 * MS);
@@ -462,15 +495,17 @@
 
 #[test]
 fn refusals_at_a_spent_limit_set_no_ramp() {
-    let full = Outcome::Full { wait: 0 };
-    let bench = nine_seconds(10, |at| if at < 3200 * MS { (full, 0.0) } else { (Outcome::Ok, 0.5) });
+    let full = AttemptOutcome::Rejected { retry_after: 0 };
+    let bench =
+        nine_seconds(10, |at| if at < 3200 * MS { (full, 0.0) } else { (AttemptOutcome::Delivered, 0.5) });
     assert!(bench.delivered.len() >= 10, "{} of 12 once the limit let calls in", bench.delivered.len());
 }
 
 #[test]
 fn refusals_with_the_allowance_unused_are_an_outage() {
-    let full = Outcome::Full { wait: 0 };
-    let bench = nine_seconds(10, |at| if at < 1800 * MS { (full, 0.95) } else { (Outcome::Ok, 1.0) });
+    let full = AttemptOutcome::Rejected { retry_after: 0 };
+    let bench =
+        nine_seconds(10, |at| if at < 1800 * MS { (full, 0.95) } else { (AttemptOutcome::Delivered, 1.0) });
     let back = bench.delivered.values().min().copied().expect("some are delivered");
     let soon = bench.sent.iter().filter(|s| (back..back + 3 * S / 2).contains(&s.0)).count();
     assert!(soon <= 3, "{soon} calls within one and a half seconds of the return");
@@ -478,9 +513,11 @@
 
 #[test]
 fn a_queue_that_was_full_for_a_moment_is_no_outage() {
-    let mut bench = Bench::new(Settings { siblings: 10, ..one_of_many() }, vec![host(1, 1)]);
+    let mut bench = Bench::new(Settings { replicas: 10, ..one_of_many() }, vec![host(1, 1)]);
     let start = bench.now;
-    for outcome in [Outcome::Ok, Outcome::Full { wait: 0 }, Outcome::Ok] {
+    for outcome in
+        [AttemptOutcome::Delivered, AttemptOutcome::Rejected { retry_after: 0 }, AttemptOutcome::Delivered]
+    {
         bench.arrive(0, 1, None);
         while bench.out().is_empty() {
             bench.pass(100 * MS);
@@ -488,12 +525,12 @@
         bench.answer(bench.out()[0].0, outcome, vec![1.0, 20.0]);
     }
     assert!(bench.now < start + 3 * S / 2, "the two that were good are not close");
-    run(&mut bench, 2 * S, |_, _| Some(Outcome::Ok));
+    run(&mut bench, 2 * S, |_, _| Some(AttemptOutcome::Delivered));
     let before = bench.delivered.len();
     for _ in 0..10 {
         bench.arrive(0, 1, None);
     }
-    run(&mut bench, 4 * S, |_, _| Some(Outcome::Ok));
+    run(&mut bench, 4 * S, |_, _| Some(AttemptOutcome::Delivered));
     let soon = bench.delivered.len() - before;
     assert_eq!(soon, 10, "calls in four seconds; the ramp of an outage keeps two of them back");
 }
@@ -502,9 +539,9 @@
 fn the_end_of_a_told_wait_lets_no_burst_out() {
     let mut bench = Bench::new(one_of_many(), vec![host(1, 1)]);
     let first = bench.arrive(0, 1, None);
-    bench.answer(first, Outcome::Full { wait: 8 * S }, vec![1.0, 20.0]);
+    bench.answer(first, AttemptOutcome::Rejected { retry_after: 8 * S }, vec![1.0, 20.0]);
     let opens = bench.now + 8 * S;
-    run(&mut bench, 19 * S, |_, _| Some(Outcome::Ok));
+    run(&mut bench, 19 * S, |_, _| Some(AttemptOutcome::Delivered));
     let next = bench.sent.get(1).map_or(Micros::MAX, |s| s.0);
     assert!(next > opens + S, "one of a hundred called {} ms after the opening", (next - opens) / 1000);
     assert_eq!(bench.delivered.len(), 1, "but it must get its turn");
@@ -512,25 +549,35 @@
 
 fn message(id: MessageId, class: u16, now: Micros) -> Message {
     let (destination, due, key, work) = (1, now + 20 * S, None, None);
-    Message { id, class, destination, due, key, work, tenant: 0, again: false, size: 0 }
+    Message {
+        id,
+        class,
+        destination,
+        deadline: due,
+        ordering_key: key,
+        expected_work: work,
+        tenant: 0,
+        is_resubmitted: false,
+        size: 0,
+    }
 }
 
-fn handle(relay: &mut Relay, now: Micros, events: Vec<Event>) -> Vec<Action> {
+fn handle(relay: &mut DeliveryPolicy, now: Micros, events: Vec<Event>) -> Vec<Action> {
     let mut actions = Vec::new();
     relay.handle(now, events, &mut actions);
-    actions.retain(|action| !matches!(action, Action::Timer { .. }));
+    actions.retain(|action| !matches!(action, Action::SetTimer { .. }));
     actions
 }
 
 fn listed(cached: bool) -> Event {
-    Event::Hosts { whole: true, cached, entries: vec![host(1, 1)] }
+    Event::HostsUpdated { is_full: true, cached, entries: vec![host(1, 1)] }
 }
 
 #[test]
 fn restored_messages_keep_what_their_attempts_allow() {
     let now = 100 * S;
-    let past = |may_have_run, sent| PastAttempt { sent, zone: 0, may_have_run };
-    let restored = |class, attempts| Event::Restored { message: message(1, class, now), attempts };
+    let past = |may_have_run, sent| PastAttempt { sent_at: sent, zone: 0, may_have_executed: may_have_run };
+    let restored = |class, attempts| Event::MessageRestored { message: message(1, class, now), attempts };
     // Unsafe, keyed and safe; never run, run lately, run before the key was forgotten.
     for (class, attempts, sent, failed) in [
         (2, vec![past(false, now - S)], true, false),
@@ -540,31 +587,32 @@
         (0, vec![past(true, now - 7 * S)], true, false),
         (0, vec![past(true, now - 7 * S); 8], false, true),
     ] {
-        let mut relay = Relay::new(settings(), 7);
+        let mut relay = DeliveryPolicy::new(settings(), 7);
         let actions = handle(&mut relay, now, vec![listed(true), restored(class, attempts.clone())]);
         let was_sent = actions.iter().any(|action| matches!(action, Action::Send { id: 1, .. }));
         assert_eq!((was_sent, actions.contains(&Action::Fail(1))), (sent, failed), "{class} {attempts:?}");
     }
     // Spent, but harmless: the client is told when to come again.
-    let mut relay = Relay::new(settings(), 7);
+    let mut relay = DeliveryPolicy::new(settings(), 7);
     let actions = handle(&mut relay, now, vec![listed(true), restored(2, vec![past(false, now - S); 8])]);
-    assert!(matches!(actions[..], [Action::Refuse { id: 1, after: 1.. }]), "{actions:?}");
+    assert!(matches!(actions[..], [Action::Reject { id: 1, retry_after: 1.. }]), "{actions:?}");
 }
 
 /// The call that the end of the process cut off may run on at its host.
 #[test]
 fn a_key_rests_after_a_call_that_a_restart_cut_off() {
     let (now, mut set) = (100 * S, settings());
-    set.classes[2].in_order = true;
-    let gap = set.rules.turn_gap;
+    set.classes[2].is_ordered = true;
+    let gap = set.rules.ordering_delay;
     assert!(gap > 20 * MS, "there is something to wait for");
-    let one = |id, key| Message { key: Some(key), ..message(id, 2, now) };
+    let one = |id, key| Message { ordering_key: Some(key), ..message(id, 2, now) };
     for (may_have_run, key, waits) in [(true, 7, true), (true, 8, false), (false, 7, false)] {
-        let mut relay = Relay::new(set.clone(), 7);
+        let mut relay = DeliveryPolicy::new(set.clone(), 7);
         // As after another process's calls: it could be told of the end of none of them.
-        let attempts = vec![PastAttempt { sent: now - S, zone: 0, may_have_run }; 8];
-        let restored = Event::Restored { message: one(1, 7), attempts };
-        let mut actions = handle(&mut relay, now, vec![listed(true), restored, Event::Arrived(one(2, key))]);
+        let attempts = vec![PastAttempt { sent_at: now - S, zone: 0, may_have_executed: may_have_run }; 8];
+        let restored = Event::MessageRestored { message: one(1, 7), attempts };
+        let mut actions =
+            handle(&mut relay, now, vec![listed(true), restored, Event::MessageReceived(one(2, key))]);
         let sent = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Send { id: 2, .. }));
         let mut at = now;
         while !sent(&actions) && at < now + 10 * S {
@@ -580,10 +628,10 @@
 fn a_remembered_outage_lets_one_trial_through() {
     let now = 100 * S;
     for (back, most) in [(None, 1), (Some(now - S), 1), (Some(now - 11 * S), 12)] {
-        let mut relay = Relay::new(settings(), 7);
-        let outage = Outage { destination: 1, down: now - 20 * S, back };
-        let mut events = vec![listed(true), Event::Remembered(outage)];
-        events.extend((1..=12).map(|id| Event::Arrived(message(id, 0, now))));
+        let mut relay = DeliveryPolicy::new(settings(), 7);
+        let outage = Outage { destination: 1, started_at: now - 20 * S, recovered_at: back };
+        let mut events = vec![listed(true), Event::OutageRestored(outage)];
+        events.extend((1..=12).map(|id| Event::MessageReceived(message(id, 0, now))));
         let sent = handle(&mut relay, now, events).len();
         assert!(sent <= most, "{sent} sent, back {back:?}");
         assert_eq!(relay.outages().count(), usize::from(most == 1));
@@ -594,13 +642,15 @@
 #[test]
 fn what_a_relay_owed_before_a_restart_does_not_go_out_at_once() {
     let now = 100 * S;
-    let mut relay = Relay::new(settings(), 7);
+    let mut relay = DeliveryPolicy::new(settings(), 7);
     let entries = vec![host(1, 1), host(2, 2)];
-    let mut events = vec![Event::Hosts { whole: true, cached: true, entries }];
-    let restored = |id| Event::Restored { message: message(id, 0, now), attempts: Vec::new() };
+    let mut events = vec![Event::HostsUpdated { is_full: true, cached: true, entries }];
+    let restored = |id| Event::MessageRestored { message: message(id, 0, now), attempts: Vec::new() };
     events.extend((1..=8).map(restored));
     // Another destination, of which nothing was owed.
-    events.extend((11..=14).map(|id| Event::Arrived(Message { destination: 2, ..message(id, 0, now) })));
+    events.extend(
+        (11..=14).map(|id| Event::MessageReceived(Message { destination: 2, ..message(id, 0, now) })),
+    );
     let actions = handle(&mut relay, now, events);
     let sent = |actions: &[Action], host| {
         actions.iter().filter(|a| matches!(a, Action::Send { host: to, .. } if *to == host)).count()
@@ -622,14 +672,14 @@
         // 20 a second are told for two relays: six a second are this relay's part, one is far from it.
         for _ in 0..30 {
             let id = bench.arrive(0, 1, None);
-            bench.finish(id, Outcome::Ok);
+            bench.finish(id, AttemptOutcome::Delivered);
             bench.pass(if busy { 150 * MS } else { S });
         }
         let id = bench.arrive(0, 1, None);
-        bench.finish(id, Outcome::Full { wait: S });
+        bench.finish(id, AttemptOutcome::Rejected { retry_after: S });
         bench.pass(8 * S / 5);
         let id = bench.out().first().map_or_else(|| bench.arrive(0, 1, None), |(id, _)| *id);
-        bench.finish(id, Outcome::Ok);
+        bench.finish(id, AttemptOutcome::Delivered);
         bench.relay.outages().count()
     };
     assert_eq!(shut(false), 1);
@@ -643,12 +693,12 @@
         let mut bench = Bench::new(settings(), vec![host(1, 1)]);
         for _ in 0..20 {
             let id = bench.arrive(0, 1, None);
-            bench.finish(id, Outcome::Ok);
+            bench.finish(id, AttemptOutcome::Delivered);
             bench.pass(200 * MS);
         }
         for _ in 0..failures {
             let id = bench.arrive(0, 1, None);
-            bench.finish(id, Outcome::Error);
+            bench.finish(id, AttemptOutcome::Error);
             bench.withdraw(id);
             bench.pass(200 * MS);
         }
@@ -659,9 +709,9 @@
 #[test]
 fn no_call_starts_that_the_end_of_the_process_would_cut_off() {
     let now = 100 * S;
-    let mut relay = Relay::new(settings(), 7);
-    let stopping = Event::Stopping { at: now + 3 * S };
-    let arrived = |id, class, now| Event::Arrived(message(id, class, now));
+    let mut relay = DeliveryPolicy::new(settings(), 7);
+    let stopping = Event::ShuttingDown { at: now + 3 * S };
+    let arrived = |id, class, now| Event::MessageReceived(message(id, class, now));
     let early = handle(&mut relay, now, vec![listed(false), stopping, arrived(1, 2, now)]);
     assert!(matches!(early[..], [Action::Send { id: 1, .. }]), "{early:?}");
     // By now an unsafe call might be cut off; one that may be repeated should end in time.
@@ -676,15 +726,15 @@
 fn what_comes_past_a_full_hold_is_refused_with_advice() {
     let now = 100 * S;
     let mut set = settings();
-    (set.most_held, set.slots) = (3, 8);
-    let mut relay = Relay::new(set, 7);
+    (set.max_queued, set.max_calls) = (3, 8);
+    let mut relay = DeliveryPolicy::new(set, 7);
     handle(&mut relay, now, vec![listed(false)]);
     for id in 1..=3 {
         // Out, each: there is nothing to make room with.
-        handle(&mut relay, now + id * S, vec![Event::Arrived(message(id, 0, now + id * S))]);
+        handle(&mut relay, now + id * S, vec![Event::MessageReceived(message(id, 0, now + id * S))]);
     }
-    let actions = handle(&mut relay, now + 4 * S, vec![Event::Arrived(message(4, 0, now + 4 * S))]);
-    assert!(actions.iter().any(|a| matches!(a, Action::Refuse { id: 4, after: 1.. })), "{actions:?}");
+    let actions = handle(&mut relay, now + 4 * S, vec![Event::MessageReceived(message(4, 0, now + 4 * S))]);
+    assert!(actions.iter().any(|a| matches!(a, Action::Reject { id: 4, retry_after: 1.. })), "{actions:?}");
 }
 
 /// A hundred relays whose calls all failed at one instant, while the destination stays away: the trials of any
@@ -694,11 +744,12 @@
     let (set, limit) = (one_of_many(), 60.0);
     let mut trials: Vec<Micros> = Vec::new();
     for seed in 0..100 {
-        let mut relay = Relay::new(set.clone(), seed * 7919 + 1);
+        let mut relay = DeliveryPolicy::new(set.clone(), seed * 7919 + 1);
         let mut now = 100 * S;
         let entries = vec![HostEntry { weight: limit, ..host(1, 1) }];
-        let mut actions = handle(&mut relay, now, vec![Event::Hosts { whole: true, cached: false, entries }]);
-        let arrivals = (0..20).map(|id| Event::Arrived(message(id, 0, now))).collect();
+        let mut actions =
+            handle(&mut relay, now, vec![Event::HostsUpdated { is_full: true, cached: false, entries }]);
+        let arrivals = (0..20).map(|id| Event::MessageReceived(message(id, 0, now))).collect();
         actions.extend(handle(&mut relay, now, arrivals));
         let end = now + 12 * S;
         let mut tries: std::collections::BTreeMap<MessageId, u8> = Default::default();
@@ -712,15 +763,15 @@
             for (id, host) in sent {
                 trials.push(now);
                 let attempt = *tries.entry(id).and_modify(|n| *n += 1).or_insert(0);
-                let (outcome, report) = (Outcome::ConnectFailed, Vec::new());
-                events.push(Event::Ended(Ended {
+                let (outcome, report) = (AttemptOutcome::ConnectFailed, Vec::new());
+                events.push(Event::AttemptEnded(AttemptEnd {
                     id,
                     attempt,
                     host,
                     outcome,
                     elapsed: 0,
-                    over: false,
-                    report,
+                    is_final: false,
+                    load_report: report,
                 }));
             }
             actions = handle(&mut relay, now, events);
@@ -740,15 +791,15 @@
 fn what_goes_across_does_not_grow_with_what_was_delivered_lately() {
     let heritage = |calls: usize| {
         let mut set = settings();
-        set.weights = WeightSource::Absent;
+        set.weight_source = WeightSource::Absent;
         let mut bench = Bench::new(set, vec![host(1, 1)]);
         for _ in 0..calls {
             let id = bench.arrive(0, 1, None);
             bench.pass(MS);
-            bench.finish(id, Outcome::Ok);
+            bench.finish(id, AttemptOutcome::Delivered);
         }
         assert_eq!(bench.delivered.len(), calls);
-        postcard::to_allocvec(&bench.relay.heritage()).expect("written").len()
+        postcard::to_allocvec(&bench.relay.handover_snapshot()).expect("written").len()
     };
     let (few, many) = (heritage(100), heritage(4000));
     assert!(many <= few + 16, "{few} bytes after 100 calls, {many} after 4,000 in four seconds");
--- a/crates/relay-events/src/lib.rs
+++ b/crates/relay-events/src/lib.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use policy::types::{DestinationId, HostId, Listing, MessageId, Micros, Outcome};
+use policy::types::{AttemptOutcome, DestinationId, HostId, HostState, MessageId, Micros};
 use runtime::System;
 use serde::{Deserialize, Serialize};
 use tenancy::registry::Login;
@@ -137,7 +137,7 @@
     /// The host.
     pub host: HostId,
     /// How it ended.
-    pub outcome: Outcome,
+    pub outcome: AttemptOutcome,
     /// The host says that the message is over.
     pub over: bool,
     /// The load report, as it came.
@@ -188,7 +188,7 @@
     pub block: u16,
     /// Its listing state.
     #[serde(with = "health", default = "health::unknown")]
-    pub health: Listing,
+    pub health: HostState,
     /// Its weight.
     #[serde(default)]
     pub share: f32,
@@ -196,28 +196,28 @@
 
 /// `up`, `draining` or `removed` on the wire.
 mod health {
-    use policy::types::Listing;
+    use policy::types::HostState;
     use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-    pub fn serialize<S: Serializer>(listing: &Listing, to: S) -> Result<S::Ok, S::Error> {
+    pub fn serialize<S: Serializer>(listing: &HostState, to: S) -> Result<S::Ok, S::Error> {
         let word = match listing {
-            Listing::Ready => "up",
-            Listing::Draining => "draining",
-            Listing::Gone => "removed",
+            HostState::Ready => "up",
+            HostState::Draining => "draining",
+            HostState::Removed => "removed",
         };
         word.serialize(to)
     }
 
     /// Guards hosts in a state that is not known here: only one that is told to be up gets anything.
-    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<Listing, D::Error> {
+    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<HostState, D::Error> {
         Ok(match serde_json::Value::deserialize(from)?.as_str() {
-            Some("up") => Listing::Ready,
-            Some("removed") => Listing::Gone,
-            _ => Listing::Draining,
+            Some("up") => HostState::Ready,
+            Some("removed") => HostState::Removed,
+            _ => HostState::Draining,
         })
     }
 
-    pub fn unknown() -> Listing {
-        Listing::Draining
+    pub fn unknown() -> HostState {
+        HostState::Draining
     }
 }
--- a/crates/relay/src/cached_state.rs
+++ b/crates/relay/src/cached_state.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use policy::types::{Listing, Micros};
+use policy::types::{HostState, Micros};
 use relay_events::{HostLine, HostList};
 use runtime::{log, System};
 use serde::{Deserialize, Serialize};
@@ -51,7 +51,7 @@
                 })
         };
         let row = |line: &HostLine| {
-            let drains = u8::from(line.health != Listing::Ready);
+            let drains = u8::from(line.health != HostState::Ready);
             let HostLine {
                 host,
                 dial,
@@ -85,9 +85,9 @@
         let name = |at: usize| self.names.get(at).cloned();
         let line = |(host, dial, site, class, block, drains, share): Row| {
             let health = if drains == 0 {
-                Listing::Ready
+                HostState::Ready
             } else {
-                Listing::Draining
+                HostState::Draining
             };
             Some(HostLine {
                 host,
@@ -189,9 +189,9 @@
             class: ["major-partner", "partner"][usize::from(at % 2)].into(),
             block: at / 3,
             health: if at.is_multiple_of(5) {
-                Listing::Draining
+                HostState::Draining
             } else {
-                Listing::Ready
+                HostState::Ready
             },
             share: 1234.5,
         };
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use policy::types::*;
-use policy::Relay;
+use policy::DeliveryPolicy;
 use runtime::{log, System};
 
 use crate::host_directory::Directory;
@@ -40,22 +40,22 @@
     pub fn start(&self, now: Micros, settings: &Settings) {
         if self.on {
             let Settings {
-                siblings,
-                slots,
-                most_held,
+                replicas,
+                max_calls,
+                max_queued,
                 rules,
                 ..
             } = settings;
-            let discovery = if settings.discovery_by_asking {
+            let discovery = if settings.polls_discovery {
                 "ask"
             } else {
                 "push"
             };
             log!(
                 self.system,
-                "fleet {} start siblings={siblings} slots={slots} held={most_held} cold={} discovery={discovery}",
+                "fleet {} start siblings={replicas} slots={max_calls} held={max_queued} cold={} discovery={discovery}",
                 now / 1000,
-                rules.cold / 1000
+                rules.warm_up / 1000
             );
         }
     }
@@ -80,32 +80,32 @@
         let at = now / 1000;
         for event in events {
             match event {
-                Event::Hosts { entries, .. } => entries.iter().for_each(|entry| {
-                    let HostEntry { host, destination, listing, weight, kind, .. } = entry;
+                Event::HostsUpdated { entries, .. } => entries.iter().for_each(|entry| {
+                    let HostEntry { host, destination, state, weight, kind, .. } = entry;
                     let kind = *kind;
                     let name = directory.name_of(*host).unwrap_or_default();
                     log!(
                         self.system,
-                        "fleet {at} list {destination} host={host} kind={kind} weight={weight} {listing:?} name={name}"
+                        "fleet {at} list {destination} host={host} kind={kind} weight={weight} {state:?} name={name}"
                     );
                 }),
-                Event::Arrived(m) | Event::Restored { message: m, .. } | Event::Again { message: m, .. } => {
+                Event::MessageReceived(m) | Event::MessageRestored { message: m, .. } | Event::MessageResent { message: m, .. } => {
                     self.destinations.insert(m.id, m.destination);
-                    let word = if matches!(event, Event::Arrived(_)) { "arrived" } else { "restored" };
-                    let left = m.due.saturating_sub(now) / 1000;
+                    let word = if matches!(event, Event::MessageReceived(_)) { "arrived" } else { "restored" };
+                    let left = m.deadline.saturating_sub(now) / 1000;
                     log!(
                         self.system,
                         "fleet {at} {word} {} {} class={} left={left} again={}",
                         m.destination,
                         m.id,
                         m.class,
-                        u8::from(m.again)
+                        u8::from(m.is_resubmitted)
                     );
                 }
-                Event::Ended(end) => {
+                Event::AttemptEnded(end) => {
                     let destination = self.destinations.get(&end.id).copied().unwrap_or(u16::MAX);
                     let (outcome, wait) = match end.outcome {
-                        Outcome::Full { wait } => ("Full".to_string(), wait / 1000),
+                        AttemptOutcome::Rejected { retry_after } => ("Full".to_string(), retry_after / 1000),
                         other => (format!("{other:?}"), 0),
                     };
                     log!(
@@ -113,13 +113,13 @@
                         "fleet {at} ended {destination} {} {outcome} wait={wait} took={} report={:?}",
                         end.id,
                         end.elapsed / 1000,
-                        end.report
+                        end.load_report
                     );
-                    if end.over {
+                    if end.is_final {
                         self.destinations.remove(&end.id);
                     }
                 }
-                Event::Remembered(outage) => {
+                Event::OutageRestored(outage) => {
                     log!(self.system, "fleet {at} outage {}", outage.destination);
                 }
                 _ => {}
@@ -144,7 +144,7 @@
     }
 
     /// What the module has said.
-    pub fn actions(&mut self, now: Micros, actions: &[Action], relay: &Relay) {
+    pub fn actions(&mut self, now: Micros, actions: &[Action], relay: &DeliveryPolicy) {
         if !self.on {
             return;
         }
@@ -152,13 +152,13 @@
         for action in actions {
             let (word, id, to) = match action {
                 Action::Send { id, host, .. } => ("send", id, format!(" to={host}")),
-                Action::Refuse { id, .. } => ("refuse", id, String::new()),
+                Action::Reject { id, .. } => ("refuse", id, String::new()),
                 Action::Fail(id) => ("fail", id, String::new()),
                 _ => continue,
             };
             let destination = self.destinations.get(id).copied().unwrap_or(u16::MAX);
             let held = self.destinations.len();
-            let standing = relay.standing(destination);
+            let standing = relay.describe_destination(destination);
             log!(
                 self.system,
                 "fleet {at} {word} {destination} {id} held={held}{to} {standing}"
--- a/crates/relay/src/classes.rs
+++ b/crates/relay/src/classes.rs
@@ -151,17 +151,17 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use policy::types::Effect;
+    use policy::types::Idempotency;
 
-    fn class(give_up: u64, effect: Effect) -> Class {
+    fn class(give_up: u64, effect: Idempotency) -> Class {
         Class {
-            aim: 1,
-            aim_stretch: 0.0,
-            give_up,
-            effect,
-            worth: 1.0,
-            late_worth: 0.0,
-            in_order: false,
+            latency_objective: 1,
+            objective_stretch: 0.0,
+            time_to_live: give_up,
+            idempotency: effect,
+            value: 1.0,
+            late_value: 0.0,
+            is_ordered: false,
         }
     }
 
@@ -171,7 +171,10 @@
 
     #[test]
     fn a_class_that_changes_gets_a_new_number_while_a_message_has_the_old_one() {
-        let (safe, unsafe_) = (class(9, Effect::Safe), class(9, Effect::Unsafe));
+        let (safe, unsafe_) = (
+            class(9, Idempotency::Idempotent),
+            class(9, Idempotency::NonIdempotent),
+        );
         let mut classes = Classes::new(&names("a b"), &[safe.clone(), safe.clone()]);
         assert!(classes.retune(
             &names("a b"),
@@ -199,7 +202,7 @@
 
     #[test]
     fn a_class_that_goes_and_comes_back_is_unknown_in_between() {
-        let safe = class(9, Effect::Safe);
+        let safe = class(9, Idempotency::Idempotent);
         let mut classes = Classes::new(&names("a b"), &[safe.clone(), safe.clone()]);
         assert!(classes.retune(&names("b"), std::slice::from_ref(&safe), |_| true));
         assert_eq!(classes.number("a"), None);
@@ -207,7 +210,7 @@
         // Back with the same terms, it is the number that its messages still have.
         assert!(classes.retune(&names("b a"), &[safe.clone(), safe.clone()], |_| true));
         assert_eq!(classes.number("a"), Some(0));
-        let other = class(7, Effect::Unsafe);
+        let other = class(7, Idempotency::NonIdempotent);
         assert!(classes.retune(&names("b a"), &[safe.clone(), other.clone()], |_| true));
         assert_eq!(
             (classes.number("a"), classes.named("a")),
@@ -217,7 +220,10 @@
 
     #[test]
     fn a_message_from_before_a_restart_keeps_terms_that_are_in_no_file() {
-        let (safe, unsafe_) = (class(9, Effect::Safe), class(9, Effect::Unsafe));
+        let (safe, unsafe_) = (
+            class(9, Idempotency::Idempotent),
+            class(9, Idempotency::NonIdempotent),
+        );
         let mut classes = Classes::new(&names("a"), std::slice::from_ref(&unsafe_));
         assert_eq!(classes.taken_under("a", &unsafe_), Some(0));
         assert_eq!(classes.taken_under("a", &safe), Some(1));
@@ -230,11 +236,15 @@
 
     #[test]
     fn numbers_are_bounded_and_settings_that_need_more_change_nothing() {
-        let mut classes = Classes::new(&names("a"), &[class(1, Effect::Safe)]);
+        let mut classes = Classes::new(&names("a"), &[class(1, Idempotency::Idempotent)]);
         let mut turned_down = 0;
         for give_up in 2..MOST as u64 + 50 {
             let before = classes.terms();
-            if !classes.retune(&names("a"), &[class(give_up, Effect::Safe)], |_| true) {
+            if !classes.retune(
+                &names("a"),
+                &[class(give_up, Idempotency::Idempotent)],
+                |_| true,
+            ) {
                 turned_down += 1;
                 assert_eq!(classes.terms(), before);
             }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -168,9 +168,12 @@
                 old.zones != new.zones || before.zone != after.zone,
             ),
             ("settings.stats", old.report != new.report),
-            ("settings.siblings", before.siblings != after.siblings),
+            ("settings.siblings", before.replicas != after.replicas),
             ("settings.tick", before.tick != after.tick),
-            ("settings.familyInfo.callsOut", before.slots != after.slots),
+            (
+                "settings.familyInfo.callsOut",
+                before.max_calls != after.max_calls,
+            ),
             (
                 "settings.limits.dialTimeout",
                 old.dial_timeout != new.dial_timeout,
@@ -197,13 +200,13 @@
         self.settings = Settings {
             kinds: old.kinds,
             tenants: old.tenants,
-            slots: old.slots,
-            most_bytes: old.most_bytes,
-            discovery_by_asking: old.discovery_by_asking,
-            siblings: old.siblings,
+            max_calls: old.max_calls,
+            max_queued_bytes: old.max_queued_bytes,
+            polls_discovery: old.polls_discovery,
+            replicas: old.replicas,
             zone: old.zone,
-            weights: old.weights,
-            report: old.report,
+            weight_source: old.weight_source,
+            report_fields: old.report_fields,
             tick: old.tick,
             ..new.settings
         };
--- a/crates/relay/src/discovery_client.rs
+++ b/crates/relay/src/discovery_client.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use membership::poll_schedule::SILENCE;
 use membership::{Members, Word};
-use policy::types::{Listing, MessageId};
+use policy::types::{HostState, MessageId};
 use relay_events::{HostList, Input, Verdict};
 use runtime::{log, Stream, System, Task};
 use serde::Serialize;
@@ -260,7 +260,7 @@
         let hosts = list
             .hosts
             .into_iter()
-            .filter(|line| line.health != Listing::Ready)
+            .filter(|line| line.health != HostState::Ready)
             .collect();
         (self.silent, self.taken) = (
             false,
@@ -503,7 +503,7 @@
                 assert!(matches!(driver.try_recv(), Ok(Input::Unchanged)));
                 follower.hand_on().await.expect("the driver is there");
                 let Ok(Input::Hosts(heard)) = driver.try_recv() else { panic!("the list is gone") };
-                assert_eq!(heard.hosts[0].health, Listing::Draining, "older: {older}");
+                assert_eq!(heard.hosts[0].health, HostState::Draining, "older: {older}");
             }
         });
     }
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -14,7 +14,7 @@
 use control::{End, State, Targets, Told as Change};
 use membership::Members;
 use policy::types::*;
-use policy::Relay;
+use policy::DeliveryPolicy;
 use relay_events::tenants::{LoginCall, TenantsCall};
 use relay_events::undeliverable::{News, Told};
 use relay_events::{CallEnd, Clock, Enqueue, HostList, Input, Reply, Verdict};
@@ -45,7 +45,7 @@
 pub struct Driver<S: System> {
     pub system: S,
     pub config: Config,
-    pub relay: Relay,
+    pub relay: DeliveryPolicy,
     pub clock: Clock<S>,
     pub journal: Journal<S>,
     pub tenants: Tenants<S>,
@@ -138,7 +138,7 @@
         }
         if let Some(left) = self.control.last_call() {
             let at = self.clock.now() + left.as_micros() as Micros;
-            self.events.push(Event::Stopping { at });
+            self.events.push(Event::ShuttingDown { at });
         }
         let (held, out) = (self.hand.len(), self.calls.len());
         log!(
@@ -149,7 +149,7 @@
 
     /// Shows how the module sees the hosts.
     pub fn view(&self) {
-        let disabled = self.relay.avoided(self.clock.now());
+        let disabled = self.relay.ejected_hosts(self.clock.now());
         self.control.view(Targets {
             listed: self.directory.count(),
             disabled,
@@ -250,20 +250,20 @@
             },
             true,
         );
-        self.events.push(Event::HostsDoubted(
+        self.events.push(Event::HostsUnconfirmed(
             !self.members.borrow().believed(self.system.now()),
         ));
         for (destination, down, back) in self.memory.outages.clone() {
-            self.events.push(Event::Remembered(Outage {
+            self.events.push(Event::OutageRestored(Outage {
                 destination,
-                down,
-                back,
+                started_at: down,
+                recovered_at: back,
             }));
         }
         if let Some(heritage) = heritage {
             // It is of routes, which the list makes.
             self.round()?;
-            self.relay.inherit(heritage);
+            self.relay.restore_handover(heritage);
         }
         let owed: Vec<(MessageId, Owed)> = self
             .journal
@@ -335,18 +335,18 @@
                 .filter(|(at, _)| usize::from(*at) + 1 == attempts.len());
             let out = out.map(|(_, host)| *host);
             let attempts = attempts.iter().map(|attempt| PastAttempt {
-                sent: attempt.sent,
+                sent_at: attempt.sent,
                 zone: attempt.zone,
-                may_have_run: attempt.may_have_run,
+                may_have_executed: attempt.may_have_run,
             });
             let attempts = attempts.collect();
             self.events.push(match took_over || out.is_some() {
-                true => Event::Adopted {
+                true => Event::MessageAdopted {
                     message,
                     attempts,
                     out,
                 },
-                false => Event::Restored { message, attempts },
+                false => Event::MessageRestored { message, attempts },
             });
         }
         if self.classes.terms().len() > self.config.settings.classes.len() {
@@ -356,7 +356,7 @@
         let now = self.clock.now();
         self.desk.iter_mut().for_each(|desk| desk.settle(now));
         self.round()?;
-        self.tenants.go_on_from(&used, self.relay.sharing());
+        self.tenants.go_on_from(&used, self.relay.scheduler());
         logged(&self.system, self.journal.declare(self.classes.in_force()));
         Ok(())
     }
@@ -378,19 +378,19 @@
             .iter()
             .map(|(id, (attempt, host, _))| (*id, *attempt, *host))
             .collect();
-        let mut state = Left::new(self.control.drained(), out, self.relay.heritage());
+        let mut state = Left::new(self.control.drained(), out, self.relay.handover_snapshot());
         (state.numbers, state.over) = (
             self.directory.numbers(),
             self.hand.recent(self.system.now()),
         );
-        state.used = self.tenants.used(self.clock.now(), self.relay.sharing());
+        state.used = self.tenants.used(self.clock.now(), self.relay.scheduler());
         state
     }
 
     /// The settings in force, with what all numbers of classes mean.
     fn retuned(&self) -> Event {
         let settings = self.config.settings.clone();
-        Event::Retuned(Box::new(Settings {
+        Event::SettingsChanged(Box::new(Settings {
             classes: self.classes.terms(),
             ..settings
         }))
@@ -438,9 +438,9 @@
         let (held, out) = (self.hand.len(), self.calls.len());
         Live {
             held,
-            most_held: settings.most_held,
+            most_held: settings.max_queued,
             out,
-            slots: settings.slots,
+            slots: settings.max_calls,
         }
     }
 
@@ -484,7 +484,7 @@
             + self
                 .classes
                 .named(&taken.class)
-                .map_or(0, |class| class.give_up);
+                .map_or(0, |class| class.time_to_live);
         let known_as = Name::of(&taken);
         // A message of this name that is in hand is another one's.
         let number = match self.hand.holds(&known_as) {
@@ -522,11 +522,11 @@
             .iter_mut()
             .for_each(|desk| desk.begun(id, again, &taken.name));
         let past = again.past.map(|past| PastAttempt {
-            sent: past.sent,
+            sent_at: past.sent,
             zone: past.zone,
-            may_have_run: true,
+            may_have_executed: true,
         });
-        self.events.push(Event::Again {
+        self.events.push(Event::MessageResent {
             message,
             attempts: past.into_iter().collect(),
         });
@@ -544,11 +544,11 @@
             id,
             class: class?,
             destination: taken.destination,
-            due: taken.due,
-            key: taken.order,
-            work: None,
+            deadline: taken.due,
+            ordering_key: taken.order,
+            expected_work: None,
             tenant,
-            again: taken.again,
+            is_resubmitted: taken.again,
             size: taken.room(),
         })
     }
@@ -571,10 +571,13 @@
                 ids.into_iter().for_each(|id| self.over(id));
             }
             Input::Tenants(TenantsCall { ask, reply }) => {
-                let (sharing, room) = (self.relay.sharing(), self.journal.regain_spare());
-                let told =
-                    self.tenants
-                        .answer(ask, |tenant| sharing.load(tenant), &mut self.events, room);
+                let (sharing, room) = (self.relay.scheduler(), self.journal.regain_spare());
+                let told = self.tenants.answer(
+                    ask,
+                    |tenant| sharing.usage(tenant),
+                    &mut self.events,
+                    room,
+                );
                 drop(reply.send(told));
             }
             Input::Undeliverable(news) => self.undeliverable(news),
@@ -633,7 +636,7 @@
         taken.tenant = reference;
         let id = self.journal.number();
         let message = self.message(id, &taken, number, self.classes.number(&taken.class));
-        self.events.extend(message.map(Event::Arrived));
+        self.events.extend(message.map(Event::MessageReceived));
         self.hand.arrives(id, taken, reply);
     }
 
@@ -651,7 +654,7 @@
         let Some(class) = self.classes.named(&taken.class) else {
             return error("unknown class");
         };
-        if matches!(class.effect, Effect::Keyed { .. }) && taken.key.is_none() {
+        if matches!(class.idempotency, Idempotency::Keyed { .. }) && taken.key.is_none() {
             return error("the list lacks k");
         }
         if self.directory.is_empty() {
@@ -687,11 +690,11 @@
         let owed = self.journal.all().get(&id);
         let over = told_over || owed.is_none_or(|owed| owed.verdict.is_some());
         if let Some(owed) = owed.filter(|_| over) {
-            if outcome == Outcome::Ok && owed.verdict.is_none() {
+            if outcome == AttemptOutcome::Delivered && owed.verdict.is_none() {
                 self.tenants.delivered(&owed.taken.tenant);
             }
             if owed.verdict.is_none() {
-                let end = if outcome == Outcome::Ok {
+                let end = if outcome == AttemptOutcome::Delivered {
                     End::Success
                 } else {
                     End::Other
@@ -706,30 +709,35 @@
             self.hand.ended(self.system.now(), Name::of(&owed.taken));
         }
         let destination = owed.map(|owed| owed.taken.destination);
-        let kept =
-            outcome == Outcome::NotBegun || self.tell_desk(id, attempt, host, outcome, destination);
+        let kept = outcome == AttemptOutcome::NotStarted
+            || self.tell_desk(id, attempt, host, outcome, destination);
         if told_over && kept {
             self.over(id);
-        } else if outcome == Outcome::NotBegun {
+        } else if outcome == AttemptOutcome::NotStarted {
             logged(&self.system, self.journal.not_begun(id, attempt));
         } else {
             logged(
                 &self.system,
-                self.journal.outcome(id, attempt, outcome.may_have_run()),
+                self.journal
+                    .outcome(id, attempt, outcome.may_have_executed()),
             );
         }
-        let names = self.config.report.iter().zip(&self.config.settings.report);
+        let names = self
+            .config
+            .report
+            .iter()
+            .zip(&self.config.settings.report_fields);
         let report = report
             .and_then(|text| read_report(names, &text))
             .unwrap_or_default();
-        self.events.push(Event::Ended(Ended {
+        self.events.push(Event::AttemptEnded(AttemptEnd {
             id,
             attempt,
             host,
             outcome,
             elapsed,
-            over,
-            report,
+            is_final: over,
+            load_report: report,
         }));
     }
 
@@ -739,7 +747,7 @@
         id: MessageId,
         attempt: u8,
         host: HostId,
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         destination: Option<u16>,
     ) -> bool {
         let now = self.clock.now();
@@ -758,7 +766,7 @@
                 .for_each(|destination| desk.called(destination, outcome, now));
             return true;
         }
-        outcome != Outcome::Ok || desk.delivered(id, now)
+        outcome != AttemptOutcome::Delivered || desk.delivered(id, now)
     }
 
     /// Nothing more is owed for a message.
@@ -783,14 +791,14 @@
     pub fn believe(&mut self) {
         let waited = self.members.borrow_mut().confirmed();
         self.events
-            .extend(waited.then_some(Event::HostsDoubted(false)));
+            .extend(waited.then_some(Event::HostsUnconfirmed(false)));
     }
 
     /// Discovery was heard.
     fn heard(&mut self) {
         self.believe();
         // Where lists are pushed the next process need not know: to it, what its agent has counts as told at once.
-        if self.config.settings.discovery_by_asking {
+        if self.config.settings.polls_discovery {
             let kept = cached_state::hear(&self.system, &self.config.state);
             kept.unwrap_or_else(|e| log!(self.system, "memory: cannot write: {e}"));
         }
@@ -818,8 +826,8 @@
                 self.hosts.close_idle(host);
             }
         }
-        self.events.push(Event::Hosts {
-            whole,
+        self.events.push(Event::HostsUpdated {
+            is_full: whole,
             cached,
             entries: changes.entries,
         });
@@ -831,7 +839,7 @@
         let now = self.clock.now();
         if let Some((_, token)) = self.timer.filter(|(at, _)| *at <= now) {
             self.timer = None;
-            self.events.push(Event::Timer(token));
+            self.events.push(Event::TimerFired(token));
         }
         let mut actions = Vec::new();
         self.trace.events(now, &self.events, &self.directory);
@@ -840,8 +848,8 @@
         self.trace.actions(now, &actions, &self.relay);
         for action in &actions {
             match action {
-                Action::Refuse { id, after } => {
-                    self.turn_away(*id, &Reply::Busy(after.div_ceil(1000)))
+                Action::Reject { id, retry_after } => {
+                    self.turn_away(*id, &Reply::Busy(retry_after.div_ceil(1000)))
                 }
                 Action::Fail(id) => self.turn_away(*id, &Reply::Error("given up".into())),
                 _ => {}
@@ -852,11 +860,11 @@
         for action in actions {
             match action {
                 Action::Send { id, host, timeout } => self.send(now, id, host, timeout),
-                Action::Timer { after, token } => {
-                    self.timer = Some((now.saturating_add(after), token))
+                Action::SetTimer { delay, token } => {
+                    self.timer = Some((now.saturating_add(delay), token))
                 }
-                Action::Refuse { id, after } => {
-                    self.end(id, Verdict::Deferred(after.div_ceil(1000)))
+                Action::Reject { id, retry_after } => {
+                    self.end(id, Verdict::Deferred(retry_after.div_ceil(1000)))
                 }
                 Action::Fail(id) => self.end(id, Verdict::Undeliverable),
                 Action::Cancel { id, attempt } => {
@@ -867,14 +875,14 @@
                         *cancel = None;
                     }
                 }
-                Action::CloseIdle(host) => self.hosts.close_idle(host),
+                Action::CloseIdleConnections(host) => self.hosts.close_idle(host),
                 // The list is always watched, and there is nobody to probe or talk to.
                 Action::Subscribe(_)
-                | Action::FetchHosts
+                | Action::PollDiscovery
                 | Action::Probe(_)
-                | Action::Tell { .. } => {}
+                | Action::SendToPeers { .. } => {}
                 Action::Log(text) => log!(self.system, "{text}"),
-                Action::Fault(text) => return Err(text),
+                Action::Abort(text) => return Err(text),
             }
         }
         if self.trace.wants_levels(now) {
@@ -888,7 +896,7 @@
         let outages = self
             .relay
             .outages()
-            .map(|told| (told.destination, told.down, told.back))
+            .map(|told| (told.destination, told.started_at, told.recovered_at))
             .collect();
         if !self.directory.has_changed() && self.memory.outages == outages {
             return;
@@ -926,7 +934,7 @@
                 logged(&self.system, self.journal.over(id));
                 self.hand.dropped(&name);
                 self.tenants.turned_away(&tenant);
-                self.events.push(Event::Withdrawn(id));
+                self.events.push(Event::MessageWithdrawn(id));
                 self.control
                     .ledger()
                     .turned_away(&class, control_socket::end_of(&reply));
@@ -944,25 +952,25 @@
         });
         let unsent = |outcome, over| {
             let report = Vec::new();
-            Event::Ended(Ended {
+            Event::AttemptEnded(AttemptEnd {
                 id,
                 attempt,
                 host,
                 outcome,
                 elapsed: 0,
-                over,
-                report,
+                is_final: over,
+                load_report: report,
             })
         };
         let Some(owed) = owed else {
-            return self.events.push(unsent(Outcome::Moot, true));
+            return self.events.push(unsent(AttemptOutcome::Obsolete, true));
         };
         // The module learns with its next round what the list says by now.
         let listed = self.directory.find(host);
         let Some(listed) =
             listed.filter(|_| self.members.borrow().may_begin(host, self.system.now()))
         else {
-            return self.events.push(unsent(Outcome::NotBegun, false));
+            return self.events.push(unsent(AttemptOutcome::NotStarted, false));
         };
         let Listed {
             address,
@@ -971,9 +979,9 @@
         } = listed;
         let taken = &owed.taken;
         let ran = owed.attempts.iter().find(|attempt| attempt.may_have_run);
-        let begin_by = ran.and_then(|first| match self.class_of(owed)?.effect {
-            Effect::Keyed { window, .. } => Some(self.clock.instant(first.sent + window)),
-            Effect::Safe | Effect::Unsafe => None,
+        let begin_by = ran.and_then(|first| match self.class_of(owed)?.idempotency {
+            Idempotency::Keyed { window, .. } => Some(self.clock.instant(first.sent + window)),
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
         });
         let call = Call {
             id,
@@ -997,7 +1005,7 @@
             },
         ) {
             log!(self.system, "journal: a call is not made: {error}");
-            self.events.push(unsent(Outcome::Moot, false));
+            self.events.push(unsent(AttemptOutcome::Obsolete, false));
             return;
         }
         if self.desk.is_some() {
--- a/crates/relay/src/host_connections.rs
+++ b/crates/relay/src/host_connections.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use membership::Members;
-use policy::types::{HostId, MessageId, Micros, Outcome};
+use policy::types::{AttemptOutcome, HostId, MessageId, Micros};
 use relay_events::{CallEnd, Input, Route};
 use runtime::{Stream, System, Task, Waiting};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -317,7 +317,7 @@
 
 /// How an attempt ended, and what is still to be read of its answer.
 struct Ended<S: System> {
-    outcome: Outcome,
+    outcome: AttemptOutcome,
     over: bool,
     report: Option<String>,
     rest: Option<(Connection<S>, Response<Incoming>)>,
@@ -492,9 +492,9 @@
                         // A vanished host says nothing, so the connect is bounded.
                         opened = self.system.timeout_at(bound, Connection::open(&self.system, call.address, self.dispatches.clone())) => match opened {
                             Ok(Ok(connection)) => connection,
-                            _ => return plain(Outcome::ConnectFailed),
+                            _ => return plain(AttemptOutcome::ConnectFailed),
                         },
-                        _ = &mut *cancel => return plain(Outcome::Moot),
+                        _ = &mut *cancel => return plain(AttemptOutcome::Obsolete),
                     }
                 }
             };
@@ -506,7 +506,7 @@
                 .may_begin(call.host, self.system.now())
             {
                 self.keep(call.host, connection);
-                return plain(Outcome::NotBegun);
+                return plain(AttemptOutcome::NotStarted);
             }
             // Guards a wait that was told while this call was still connecting: it has not begun, so it
             // must not begin now. The module decides when it goes.
@@ -517,24 +517,24 @@
                 .is_some_and(|until| *until > self.system.now())
             {
                 self.keep(call.host, connection);
-                return plain(Outcome::Moot);
+                return plain(AttemptOutcome::Obsolete);
             }
             // Guards a keyed message that may have run against a copy past the memory of its key: the connection may
             // have taken long to come up.
             if call.begin_by.is_some_and(|by| by < self.system.now()) {
                 self.keep(call.host, connection);
-                return plain(Outcome::Moot);
+                return plain(AttemptOutcome::Obsolete);
             }
             let left = ends.saturating_duration_since(self.system.now());
             let Some((request, size)) = request(call, left) else {
-                return plain(Outcome::Moot);
+                return plain(AttemptOutcome::Obsolete);
             };
             connection.begin(size);
             let whole = |c: &Connection<S>| c.passed.borrow().whole();
             // With 200 on its first line an answer is true, whatever follows.
             let spoilt = |c: &Connection<S>, outcome| match c.passed.borrow().answer.status {
                 Some(200) => Ended {
-                    outcome: Outcome::Ok,
+                    outcome: AttemptOutcome::Delivered,
                     over: true,
                     report: None,
                     rest: None,
@@ -557,13 +557,13 @@
                 // Guards slots and memory against heads without end.
                 () = endless => Sent::Broken,
                 () = self.system.sleep_until(ends) => {
-                    let outcome = if whole(&connection) { Outcome::Timeout } else { Outcome::ConnectFailed };
+                    let outcome = if whole(&connection) { AttemptOutcome::Timeout } else { AttemptOutcome::ConnectFailed };
                     let ended = spoilt(&connection, outcome);
                     connection.close().await;
                     return ended;
                 }
                 _ = &mut *cancel => {
-                    let outcome = if whole(&connection) { Outcome::Cancelled } else { Outcome::Moot };
+                    let outcome = if whole(&connection) { AttemptOutcome::Cancelled } else { AttemptOutcome::Obsolete };
                     let ended = spoilt(&connection, outcome);
                     connection.close().await;
                     return ended;
@@ -572,7 +572,10 @@
             match sent {
                 Sent::Answer(answer) => {
                     let (outcome, over, report) = read(&answer);
-                    if let Outcome::Full { wait: wait @ 1.. } = outcome {
+                    if let AttemptOutcome::Rejected {
+                        retry_after: wait @ 1..,
+                    } = outcome
+                    {
                         let until = self.system.now() + Duration::from_micros(wait);
                         let mut waits = self.waits.borrow_mut();
                         waits
@@ -592,18 +595,18 @@
                 Sent::Unsent | Sent::Partly if !*fresh => connection.close().await,
                 Sent::Unsent | Sent::Partly => {
                     connection.close().await;
-                    return plain(Outcome::ConnectFailed);
+                    return plain(AttemptOutcome::ConnectFailed);
                 }
                 Sent::Broken => {
                     let silent = connection.passed.borrow().answer.read == 0;
                     let outcome = if silent && !*fresh {
-                        Outcome::Dropped
+                        AttemptOutcome::ConnectionLost
                     } else {
-                        Outcome::Reset
+                        AttemptOutcome::Reset
                     };
                     let ended = spoilt(&connection, outcome);
                     connection.close().await;
-                    if outcome == Outcome::Dropped {
+                    if outcome == AttemptOutcome::ConnectionLost {
                         // Those that stood as long may be no better, and the next call is to ask the host.
                         self.close_idle(call.host);
                     }
@@ -673,7 +676,7 @@
 }
 
 /// What an answer says: PROTOCOL's table. Whatever it doesn't list may have run.
-fn read(answer: &Response<Incoming>) -> (Outcome, bool, Option<String>) {
+fn read(answer: &Response<Incoming>) -> (AttemptOutcome, bool, Option<String>) {
     let header = |name: &str| {
         answer
             .headers()
@@ -682,21 +685,23 @@
     };
     let report = header("endpoint-load-metrics").map(|text| text.chars().take(256).collect());
     let (outcome, over) = match answer.status().as_u16() {
-        200 => (Outcome::Ok, true),
+        200 => (AttemptOutcome::Delivered, true),
         429 => match header("x-backoff-ms").and_then(|text| text.trim().parse::<u64>().ok()) {
             Some(wait) => (
-                Outcome::Full {
-                    wait: wait.min(86_400_000) * 1000,
+                AttemptOutcome::Rejected {
+                    retry_after: wait.min(86_400_000) * 1000,
                 },
                 false,
             ),
-            None => (Outcome::Error, false),
+            None => (AttemptOutcome::Error, false),
         },
-        503 if header("x-egress-full").map(str::trim) == Some("1") => (Outcome::Moot, false),
-        503 => (Outcome::Full { wait: 0 }, false),
-        504 => (Outcome::Moot, false),
-        410 => (Outcome::Moot, true),
-        _ => (Outcome::Error, false),
+        503 if header("x-egress-full").map(str::trim) == Some("1") => {
+            (AttemptOutcome::Obsolete, false)
+        }
+        503 => (AttemptOutcome::Rejected { retry_after: 0 }, false),
+        504 => (AttemptOutcome::Obsolete, false),
+        410 => (AttemptOutcome::Obsolete, true),
+        _ => (AttemptOutcome::Error, false),
     };
     (outcome, over, report)
 }
@@ -792,7 +797,7 @@
                 let Some(Input::Ended(end)) = ends.recv().await else {
                     panic!("no outcome")
                 };
-                assert_eq!(end.outcome, Outcome::Ok);
+                assert_eq!(end.outcome, AttemptOutcome::Delivered);
             }
         });
     }
@@ -820,7 +825,11 @@
             let Some(Input::Ended(end)) = ends.recv().await else {
                 panic!("no outcome")
             };
-            assert_eq!(end.outcome, Outcome::Moot, "it is known not to have run");
+            assert_eq!(
+                end.outcome,
+                AttemptOutcome::Obsolete,
+                "it is known not to have run"
+            );
             let (mut stream, _) = listener.accept().await.expect("accepted");
             let read = timeout(Duration::from_millis(50), stream.read(&mut [0])).await;
             assert!(!matches!(read, Ok(Ok(1..))), "not a byte of it was written");
@@ -851,7 +860,10 @@
                 let Some(Input::Ended(end)) = ends.recv().await else {
                     panic!("no outcome")
                 };
-                assert_eq!((end.outcome, end.fresh), (Outcome::NotBegun, !kept));
+                assert_eq!(
+                    (end.outcome, end.fresh),
+                    (AttemptOutcome::NotStarted, !kept)
+                );
                 let (mut stream, _) = listener.accept().await.expect("accepted");
                 let read = timeout(Duration::from_millis(50), stream.read(&mut [0])).await;
                 assert!(!matches!(read, Ok(Ok(1..))), "not a byte of it was written");
@@ -881,7 +893,7 @@
             let Some(Input::Ended(end)) = ends.recv().await else {
                 panic!("no outcome")
             };
-            assert_eq!(end.outcome, Outcome::ConnectFailed);
+            assert_eq!(end.outcome, AttemptOutcome::ConnectFailed);
         });
     }
 
@@ -920,7 +932,7 @@
                 let Some(Input::Ended(end)) = ends.recv().await else {
                     panic!("no outcome")
                 };
-                assert_eq!(end.outcome, Outcome::Ok);
+                assert_eq!(end.outcome, AttemptOutcome::Delivered);
                 if timing > 0 {
                     SockRef::from(&stream).send(GOOD).expect("written");
                 }
@@ -940,7 +952,11 @@
                 let Some(Input::Ended(end)) = ends.recv().await else {
                     panic!("no outcome")
                 };
-                assert_eq!(end.outcome, Outcome::Full { wait: 0 }, "{timing}");
+                assert_eq!(
+                    end.outcome,
+                    AttemptOutcome::Rejected { retry_after: 0 },
+                    "{timing}"
+                );
             });
         }
     }
--- a/crates/relay/src/host_directory.rs
+++ b/crates/relay/src/host_directory.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use policy::types::{DestinationId, HostEntry, HostId, Kind, Listing};
+use policy::types::{DestinationId, DestinationKind, HostEntry, HostId, HostState};
 use relay_events::{HostLine, HostList, Route};
 
 /// What is kept of a host in the list.
@@ -24,7 +24,7 @@
     /// Kinds of destination.
     pub kinds: &'a [String],
     /// What the settings say of the kinds.
-    pub settings: &'a [Kind],
+    pub settings: &'a [DestinationKind],
 }
 
 /// What a list, or a part of one, changes.
@@ -144,7 +144,7 @@
         };
         for line in list.hosts {
             match line.health {
-                Listing::Gone => self.lines.remove(&line.host),
+                HostState::Removed => self.lines.remove(&line.host),
                 _ => self.lines.insert(line.host.clone(), line.clone()),
             };
             missing.remove(&line.host);
@@ -163,18 +163,18 @@
             let apart = names
                 .settings
                 .get(usize::from(kind))
-                .is_some_and(|kind| kind.apart);
+                .is_some_and(|kind| kind.has_host_routes);
             let route = (line.block, apart.then_some(number));
             changes.entries.push(HostEntry {
                 host: number,
                 destination: line.block,
                 kind,
                 zone,
-                listing: line.health,
+                state: line.health,
                 weight: line.share,
             });
             self.destinations.insert(line.block);
-            if line.health == Listing::Gone {
+            if line.health == HostState::Removed {
                 missing.insert(line.host, number);
             } else {
                 self.listed.insert(
@@ -186,7 +186,9 @@
                     },
                 );
             }
-            changes.ready.push((number, line.health == Listing::Ready));
+            changes
+                .ready
+                .push((number, line.health == HostState::Ready));
         }
         for (name, number) in missing {
             self.numbers.remove(&name);
--- a/crates/relay/src/list_decoder.rs
+++ b/crates/relay/src/list_decoder.rs
@@ -85,7 +85,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use policy::types::Listing;
+    use policy::types::HostState;
 
     const LINE: &str = r#"{"seq":43,"whole":false,"hosts":[{"host":"a\"}","dial":"10.1.0.1:80","block":3,"health":"draining"}]}"#;
     const INDENTED: &str = "{\n  \"seq\": 43,\n  \"whole\": false,\n  \"hosts\": [\r\n    {\n      \"host\": \"a\\\"}\",\n      \"dial\": \"10.1.0.1:80\",\n      \"block\": 3,\n      \"health\": \"draining\"\n    }\n  ]\n}\n";
@@ -121,7 +121,7 @@
                     panic!("{found:?}")
                 };
                 assert_eq!((list.seq, &*list.hosts[0].host), (43, "a\"}"));
-                assert_eq!(list.hosts[0].health, Listing::Draining);
+                assert_eq!(list.hosts[0].health, HostState::Draining);
             }
         }
     }
@@ -182,7 +182,7 @@
             let [Ok(Item::List(list))] = &items(&text, 1000)[..] else {
                 panic!("{text}")
             };
-            assert_eq!(list.hosts[0].health, Listing::Draining, "{text}");
+            assert_eq!(list.hosts[0].health, HostState::Draining, "{text}");
         }
     }
 }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -10,7 +10,7 @@
 use control::{State, Told};
 use membership::{Members, Terms};
 use policy::types::Settings;
-use policy::Relay;
+use policy::DeliveryPolicy;
 use relay_events::{Clock, Input, Reply};
 use runtime::{log, Signal, Signals, System, Task};
 use tokio::sync::{mpsc, watch};
@@ -146,7 +146,7 @@
             .map_err(|e| format!("cannot use the journal in {folder}: {e}"))?;
         let config = Config {
             settings: Settings {
-                most_bytes: journal.capacity(),
+                max_queued_bytes: journal.capacity(),
                 ..config.settings
             },
             ..config
@@ -160,19 +160,19 @@
         // In an upgrade the other process has its door and its last calls beside this one's.
         let beside = self
             .inherited
-            .map_or(0, |_| door + OTHER_SOCKETS + config.settings.slots);
+            .map_or(0, |_| door + OTHER_SOCKETS + config.settings.max_calls);
         let sockets = config
             .limits
             .sockets
             .saturating_sub(OTHER_SOCKETS + admin + door + beside);
         let most_clients = sockets / 2;
-        if config.settings.slots + 1 > sockets - most_clients {
+        if config.settings.max_calls + 1 > sockets - most_clients {
             return Err(format!(
                 "{} sockets do not do for {} slots",
-                sockets, config.settings.slots
+                sockets, config.settings.max_calls
             ));
         }
-        let most_idle = sockets - most_clients - config.settings.slots;
+        let most_idle = sockets - most_clients - config.settings.max_calls;
         let (discovery, at) = watch::channel(config.discovery);
         let Config {
             tenants,
@@ -183,15 +183,15 @@
         let tenants = Tenants::open(system, wanted.tenants.as_ref(), tenants, classes, settings)?;
         let (sharing, terms) = tenants.sharing(settings);
         let terms_of_discovery = Terms {
-            pushed: !settings.discovery_by_asking,
-            siblings: settings.siblings,
+            pushed: !settings.polls_discovery,
+            siblings: settings.replicas,
             drain_grace: config.drain_grace,
             seed: config.seed,
         };
         let heard = cached_state::heard(system, &config.state);
         let members = Rc::new(RefCell::new(Members::new(&terms_of_discovery, heard)));
         let mut driver = Driver {
-            relay: Relay::shared(settings.clone(), config.seed, sharing),
+            relay: DeliveryPolicy::with_scheduler(settings.clone(), config.seed, sharing),
             tenants,
             operator: operator.clone(),
             tokens: watch::channel(wanted.tokens()).0,
--- a/crates/relay/src/route_levels.rs
+++ b/crates/relay/src/route_levels.rs
@@ -14,9 +14,9 @@
     let settings = &driver.config.settings;
     let (length, longest) = driver.journal.length();
     vec![
-        ("held", driver.hand.len(), settings.most_held),
+        ("held", driver.hand.len(), settings.max_queued),
         ("names", driver.hand.over(), KNOWN_OVER.0),
-        ("calls", driver.calls.len(), settings.slots),
+        ("calls", driver.calls.len(), settings.max_calls),
         // Told or not, what has an end is owed until the platform has heard of it.
         ("notices", driver.notices.len(), driver.journal.all().len()),
         ("idle", driver.hosts.idle(), driver.hosts.most_idle()),
@@ -24,8 +24,8 @@
         // Keys at rest are let go of when there are more of them than that.
         (
             "turns",
-            driver.relay.heritage().turns.len(),
-            3 * settings.most_held,
+            driver.relay.handover_snapshot().ordered_keys.len(),
+            3 * settings.max_queued,
         ),
         ("journal", length, longest),
     ]
--- a/crates/relay/src/state_directory.rs
+++ b/crates/relay/src/state_directory.rs
@@ -8,8 +8,8 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use policy::policy::Heritage;
-use policy::types::{HostId, MessageId, Micros, Outcome};
+use policy::types::{AttemptOutcome, HostId, MessageId, Micros};
+use policy::HandoverSnapshot;
 use relay_events::CallEnd;
 use runtime::{log, System};
 use serde::{Deserialize, Serialize};
@@ -53,7 +53,7 @@
     /// Names of messages that were over lately.
     pub over: Vec<String>,
     /// What the module knows of routes and turns.
-    pub heritage: Heritage,
+    pub heritage: HandoverSnapshot,
     /// Until when tenants have used their rates; a record of its own behind the state, which older versions let be.
     #[serde(skip)]
     pub used: Vec<(String, Micros)>,
@@ -61,7 +61,11 @@
 
 impl State {
     /// The state of a process that hands over.
-    pub fn new(drained: bool, out: Vec<(MessageId, u8, HostId)>, heritage: Heritage) -> Self {
+    pub fn new(
+        drained: bool,
+        out: Vec<(MessageId, u8, HostId)>,
+        heritage: HandoverSnapshot,
+    ) -> Self {
         State {
             form: FORM,
             drained,
@@ -283,7 +287,7 @@
                 id,
                 attempt,
                 host,
-                outcome: Outcome::Dropped,
+                outcome: AttemptOutcome::ConnectionLost,
                 over: false,
                 report: None,
                 elapsed: 0,
--- a/crates/relay/src/stored_format_tests.rs
+++ b/crates/relay/src/stored_format_tests.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use policy::types::{
-    Action, Class, Decay, Effect, Ended, Event, HostEntry, Kind, Listing, Message, Outcome,
-    ReportField, Rules, Settings, WeightSource,
+    Action, AttemptEnd, AttemptOutcome, Class, DestinationKind, Event, HostEntry, HostState,
+    Idempotency, Message, PlatformRules, ReportField, Settings, ValueDecay, WeightSource,
 };
-use policy::Relay;
+use policy::DeliveryPolicy;
 use relay_events::{CallEnd, HostLine, HostList, Verdict};
 use runtime::Real;
 
@@ -35,15 +35,15 @@
     path
 }
 
-fn class(effect: Effect) -> Class {
+fn class(effect: Idempotency) -> Class {
     Class {
-        aim: 200_000,
-        aim_stretch: 0.5,
-        give_up: 60_000_000,
-        effect,
-        worth: 5.0,
-        late_worth: 0.25,
-        in_order: true,
+        latency_objective: 200_000,
+        objective_stretch: 0.5,
+        time_to_live: 60_000_000,
+        idempotency: effect,
+        value: 5.0,
+        late_value: 0.25,
+        is_ordered: true,
     }
 }
 
@@ -76,13 +76,13 @@
     let classes = [
         (
             "event".to_string(),
-            class(Effect::Keyed {
+            class(Idempotency::Keyed {
                 window: 6_000_000,
                 zone_only: true,
             }),
         ),
-        ("payout".to_string(), class(Effect::Unsafe)),
-        ("update".to_string(), class(Effect::Safe)),
+        ("payout".to_string(), class(Idempotency::NonIdempotent)),
+        ("update".to_string(), class(Idempotency::Idempotent)),
     ];
     journal
         .declare(classes.iter().map(|(name, class)| (name, class)))
@@ -198,21 +198,21 @@
         }
         if let Some(terms) = &owed.terms {
             let Class {
-                aim,
-                aim_stretch,
-                give_up,
-                effect,
-                worth,
-                late_worth,
-                in_order,
+                latency_objective,
+                objective_stretch,
+                time_to_live,
+                idempotency,
+                value,
+                late_value,
+                is_ordered,
             } = &*terms.class;
-            let effect = match effect {
-                Effect::Safe => "safe".to_string(),
-                Effect::Unsafe => "unsafe".to_string(),
-                Effect::Keyed { window, zone_only } => format!("keyed {window} {zone_only}"),
+            let effect = match idempotency {
+                Idempotency::Idempotent => "safe".to_string(),
+                Idempotency::NonIdempotent => "unsafe".to_string(),
+                Idempotency::Keyed { window, zone_only } => format!("keyed {window} {zone_only}"),
             };
             lines.push(format!(
-                "{id} class {aim} {aim_stretch} {give_up} {effect} {worth} {late_worth} {in_order}"
+                "{id} class {latency_objective} {objective_stretch} {time_to_live} {effect} {value} {late_value} {is_ordered}"
             ));
         }
     }
@@ -227,9 +227,9 @@
         class: ["major-partner", "partner"][usize::from(at % 2)].into(),
         block: at / 3,
         health: if at == 4 {
-            Listing::Draining
+            HostState::Draining
         } else {
-            Listing::Ready
+            HostState::Ready
         },
         share: 1234.5,
     };
@@ -270,61 +270,64 @@
 
 fn settings() -> Settings {
     Settings {
-        classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
+        classes: vec![
+            class(Idempotency::Idempotent),
+            class(Idempotency::NonIdempotent),
+        ],
         kinds: vec![
-            Kind {
-                apart: true,
-                per_call: 1,
+            DestinationKind {
+                has_host_routes: true,
+                max_messages_per_call: 1,
             },
-            Kind {
-                apart: false,
-                per_call: 1,
+            DestinationKind {
+                has_host_routes: false,
+                max_messages_per_call: 1,
             },
         ],
         tenants: Vec::new(),
-        over_share_worth: 0.1,
-        decay: Decay::Linear,
-        toll: vec![0.0],
+        over_quota_value: 0.1,
+        decay: ValueDecay::Linear,
+        zone_fees: vec![0.0],
         cross_zone_fee: 0.0,
-        slots: 16,
-        most_held: 100,
-        most_bytes: 0,
+        max_calls: 16,
+        max_queued: 100,
+        max_queued_bytes: 0,
         max_attempts: 12,
         max_retry_after: 2_000_000,
-        cancelling: true,
-        probes: false,
-        discovery_by_asking: false,
-        siblings: 3,
+        can_cancel: true,
+        can_probe: false,
+        polls_discovery: false,
+        replicas: 3,
         zone: 0,
-        weights: WeightSource::Nominal,
-        report: vec![ReportField::AllowanceLeft, ReportField::LimitPerSecond],
-        rules: Rules {
-            ask_within: 10_000_000,
-            cold_from: 0.2,
-            cold: 10_000_000,
+        weight_source: WeightSource::Nominal,
+        report_fields: vec![ReportField::AllowanceLeft, ReportField::LimitPerSecond],
+        rules: PlatformRules {
+            max_poll_interval: 10_000_000,
+            initial_capacity_share: 0.2,
+            warm_up: 10_000_000,
             overload_factor: 2.0,
-            overload_for: 1_500_000,
-            turn_gap: 1_000_000,
+            overload_duration: 1_500_000,
+            ordering_delay: 1_000_000,
         },
         tick: 5000,
     }
 }
 
 /// A module with routes in every state: healthy, refused, failing, and with a call out.
-fn module() -> Relay {
-    let mut relay = Relay::new(settings(), 7);
+fn module() -> DeliveryPolicy {
+    let mut relay = DeliveryPolicy::new(settings(), 7);
     let entry = |host: u32| HostEntry {
         host,
         destination: (host / 2) as u16,
         kind: (host % 2) as u8,
         zone: 0,
-        listing: Listing::Ready,
+        state: HostState::Ready,
         weight: 20.0,
     };
     let mut now = 1_000_000;
     let mut actions = Vec::new();
-    let list = Event::Hosts {
-        whole: true,
+    let list = Event::HostsUpdated {
+        is_full: true,
         cached: false,
         entries: (0..8).map(entry).collect(),
     };
@@ -335,33 +338,35 @@
             id,
             class: (id % 2) as u16,
             destination: (id % 4) as u16,
-            due: now + 60_000_000,
-            key: Some(id % 5),
-            work: None,
+            deadline: now + 60_000_000,
+            ordering_key: Some(id % 5),
+            expected_work: None,
             tenant: 0,
-            again: false,
+            is_resubmitted: false,
             size: 10,
         };
         actions.clear();
-        relay.handle(now, [Event::Arrived(message)], &mut actions);
+        relay.handle(now, [Event::MessageReceived(message)], &mut actions);
         let ends = actions.iter().filter_map(|action| match action {
             Action::Send { id, host, .. } if id % 10 != 7 => {
                 let outcome = match host / 2 {
-                    0 => Outcome::Ok,
-                    1 => Outcome::Full { wait: 700_000 },
-                    2 => Outcome::Error,
-                    _ => Outcome::ConnectFailed,
+                    0 => AttemptOutcome::Delivered,
+                    1 => AttemptOutcome::Rejected {
+                        retry_after: 700_000,
+                    },
+                    2 => AttemptOutcome::Error,
+                    _ => AttemptOutcome::ConnectFailed,
                 };
                 let report = vec![0.5, 30.0];
                 let (id, host) = (*id, *host);
-                Some(Event::Ended(Ended {
+                Some(Event::AttemptEnded(AttemptEnd {
                     id,
                     attempt: 0,
                     host,
                     outcome,
                     elapsed: 40_000,
-                    over: false,
-                    report,
+                    is_final: false,
+                    load_report: report,
                 }))
             }
             _ => None,
@@ -374,7 +379,11 @@
 }
 
 fn state() -> State {
-    let mut state = State::new(true, vec![(7, 0, 3), (17, 2, 1)], module().heritage());
+    let mut state = State::new(
+        true,
+        vec![(7, 0, 3), (17, 2, 1)],
+        module().handover_snapshot(),
+    );
     state.numbers = vec![("s-0001".into(), 1), ("s-0003".into(), 3)];
     state.over = vec!["acme\nm9".into(), "acme\nm8".into()];
     state
@@ -404,19 +413,21 @@
 
 fn call_ends() -> Vec<CallEnd> {
     let outcomes = [
-        Outcome::Ok,
-        Outcome::Error,
-        Outcome::Full { wait: 700_000 },
-        Outcome::Timeout,
-        Outcome::ConnectFailed,
-        Outcome::Reset,
-        Outcome::Dropped,
-        Outcome::Cancelled,
-        Outcome::Moot,
-        Outcome::NotBegun,
+        AttemptOutcome::Delivered,
+        AttemptOutcome::Error,
+        AttemptOutcome::Rejected {
+            retry_after: 700_000,
+        },
+        AttemptOutcome::Timeout,
+        AttemptOutcome::ConnectFailed,
+        AttemptOutcome::Reset,
+        AttemptOutcome::ConnectionLost,
+        AttemptOutcome::Cancelled,
+        AttemptOutcome::Obsolete,
+        AttemptOutcome::NotStarted,
     ];
     let ends = outcomes.into_iter().zip(1u64..);
-    let end = |(outcome, id): (Outcome, u64)| CallEnd {
+    let end = |(outcome, id): (AttemptOutcome, u64)| CallEnd {
         id,
         attempt: id as u8,
         host: 3,
--- a/crates/relay/src/tenant_service/mod.rs
+++ b/crates/relay/src/tenant_service/mod.rs
@@ -6,9 +6,9 @@
 use std::cmp::Reverse;
 use std::path::Path;
 
-use policy::scheduler::Load;
+use policy::scheduler::TenantUsage;
 use policy::types::{DestinationId, Event, Micros, Settings, TenantId};
-use policy::Sharing;
+use policy::TenantScheduler;
 use relay_events::tenants::{Ask, Shown, Status, Told, Usage};
 use relay_events::{Reply, Verdict};
 use runtime::{log, System};
@@ -82,24 +82,30 @@
     }
 
     /// Who shares the relay with whom, and what the module is told first.
-    pub fn sharing(&self, settings: &Settings) -> (Box<dyn Sharing>, Vec<Event>) {
+    pub fn sharing(&self, settings: &Settings) -> (Box<dyn TenantScheduler>, Vec<Event>) {
         match self {
             Tenants::Fixed(_) => (Box::new(Shares::of(settings)), Vec::new()),
             Tenants::Hosted(hosted) => {
-                let told = |entry: &Entry| Event::Tenant(entry.number, Some(entry.tenant.terms()));
+                let told =
+                    |entry: &Entry| Event::TenantChanged(entry.number, Some(entry.tenant.terms()));
                 let events = hosted.registry.entries().map(told).collect();
-                (Box::new(Shares::new(settings.slots)), events)
+                (Box::new(Shares::new(settings.max_calls)), events)
             }
         }
     }
 
     /// What tenants have used of their rates, for a process that takes over: by the journal's name for them, those
     /// that are furthest from having it made good first.
-    pub fn used(&self, now: Micros, sharing: &dyn Sharing) -> Vec<(String, Micros)> {
+    pub fn used(&self, now: Micros, sharing: &dyn TenantScheduler) -> Vec<(String, Micros)> {
         let Tenants::Hosted(hosted) = self else {
             return Vec::new();
         };
-        let until = |entry: &Entry| (entry.tenant.reference(), sharing.used_until(entry.number));
+        let until = |entry: &Entry| {
+            (
+                entry.tenant.reference(),
+                sharing.rate_used_until(entry.number),
+            )
+        };
         let mut used: Vec<_> = hosted
             .registry
             .entries()
@@ -111,10 +117,10 @@
     }
 
     /// Goes on from what another process knew of that.
-    pub fn go_on_from(&mut self, used: &[(String, Micros)], sharing: &mut dyn Sharing) {
+    pub fn go_on_from(&mut self, used: &[(String, Micros)], sharing: &mut dyn TenantScheduler) {
         for (reference, until) in used {
             if let Some(entry) = self.entry(reference) {
-                sharing.use_until(entry.number, *until);
+                sharing.restore_rate_used_until(entry.number, *until);
             }
         }
     }
@@ -271,7 +277,7 @@
     pub fn answer(
         &mut self,
         ask: Ask,
-        load: impl Fn(TenantId) -> Load,
+        load: impl Fn(TenantId) -> TenantUsage,
         events: &mut Vec<Event>,
         room: bool,
     ) -> Told {
@@ -381,7 +387,7 @@
     fn answer(
         &mut self,
         ask: Ask,
-        load: impl Fn(TenantId) -> Load,
+        load: impl Fn(TenantId) -> TenantUsage,
         events: &mut Vec<Event>,
     ) -> Told {
         match ask {
@@ -483,7 +489,7 @@
         events.extend(
             effects
                 .into_iter()
-                .map(|(number, terms)| Event::Tenant(number, terms)),
+                .map(|(number, terms)| Event::TenantChanged(number, terms)),
         );
         self.audit.tell(record);
         Ok(())
@@ -511,12 +517,12 @@
     }
 }
 
-fn usage(entry: &Entry, load: Load) -> Usage {
+fn usage(entry: &Entry, load: TenantUsage) -> Usage {
     Usage {
         name: entry.tenant.name.clone(),
         version: entry.tenant.version,
         counts: entry.counts,
-        held: load.held,
+        held: load.queued,
         in_flight: load.in_flight,
         owed: entry.owed,
     }
--- a/crates/relay/src/undeliverable_service/mod.rs
+++ b/crates/relay/src/undeliverable_service/mod.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use policy::types::{Class, Effect, MessageId, Micros, Outcome as CallOutcome};
+use policy::types::{AttemptOutcome, Class, Idempotency, MessageId, Micros};
 use relay_events::undeliverable::{Act, Ask, News, Shown, Status, Told};
 use relay_events::{Input, Verdict};
 use runtime::{log, System};
@@ -147,28 +147,28 @@
 }
 
 fn effect(class: &Class) -> record::Effect {
-    match class.effect {
-        Effect::Safe => record::Effect::Safe,
+    match class.idempotency {
+        Idempotency::Idempotent => record::Effect::Safe,
         // Which zone knows a key is not kept: such a one is taken for unsafe.
-        Effect::Keyed {
+        Idempotency::Keyed {
             zone_only: true, ..
         }
-        | Effect::Unsafe => record::Effect::Unsafe,
-        Effect::Keyed { window, .. } => record::Effect::Keyed { window },
+        | Idempotency::NonIdempotent => record::Effect::Unsafe,
+        Idempotency::Keyed { window, .. } => record::Effect::Keyed { window },
     }
 }
 
 /// How the story calls an outcome.
-pub fn told(outcome: CallOutcome) -> Outcome {
+pub fn told(outcome: AttemptOutcome) -> Outcome {
     match outcome {
-        CallOutcome::Ok => Outcome::Delivered,
-        CallOutcome::Error => Outcome::Error,
-        CallOutcome::Full { .. } => Outcome::Refused,
-        CallOutcome::Timeout => Outcome::TimedOut,
-        CallOutcome::ConnectFailed => Outcome::NotConnected,
-        CallOutcome::Reset | CallOutcome::Dropped => Outcome::Broken,
-        CallOutcome::Cancelled => Outcome::CalledOff,
-        CallOutcome::Moot | CallOutcome::NotBegun => Outcome::NotSent,
+        AttemptOutcome::Delivered => Outcome::Delivered,
+        AttemptOutcome::Error => Outcome::Error,
+        AttemptOutcome::Rejected { .. } => Outcome::Refused,
+        AttemptOutcome::Timeout => Outcome::TimedOut,
+        AttemptOutcome::ConnectFailed => Outcome::NotConnected,
+        AttemptOutcome::Reset | AttemptOutcome::ConnectionLost => Outcome::Broken,
+        AttemptOutcome::Cancelled => Outcome::CalledOff,
+        AttemptOutcome::Obsolete | AttemptOutcome::NotStarted => Outcome::NotSent,
     }
 }
 
@@ -209,13 +209,13 @@
     let may_have_run = owed.attempts.iter().any(|attempt| attempt.may_have_run);
     // The module ends a message a few rounds before its time is up.
     let late = now + 100_000 >= owed.taken.due;
-    match class.effect {
+    match class.idempotency {
         _ if abandoned => Reason::TenantRemoved,
         _ if late && owed.attempts.is_empty() => Reason::OutOfTimeUnsent,
         _ if owed.attempts.len() >= most_attempts => Reason::AttemptsSpent,
-        Effect::Unsafe if may_have_run => Reason::MayHaveRun,
+        Idempotency::NonIdempotent if may_have_run => Reason::MayHaveRun,
         _ if late => Reason::OutOfTime,
-        Effect::Keyed { .. } if may_have_run => Reason::KeyForgotten,
+        Idempotency::Keyed { .. } if may_have_run => Reason::KeyForgotten,
         _ => Reason::GivenUp,
     }
 }
@@ -511,10 +511,10 @@
     }
 
     /// A live call has ended.
-    pub fn called(&mut self, destination: u16, outcome: CallOutcome, now: Micros) {
+    pub fn called(&mut self, destination: u16, outcome: AttemptOutcome, now: Micros) {
         if !self.rules.is_empty() {
             self.partners
-                .ended(destination, outcome == CallOutcome::Ok, now);
+                .ended(destination, outcome == AttemptOutcome::Delivered, now);
         }
     }
 
