--- a/crates/tenancy/src/meter.rs
+++ b/crates/tenancy/src/meter.rs
@@ -1,6 +1,6 @@
 //! How much a tenant has handed in against its rate.
 
-use policy::types::{Micros, Rate};
+use policy::types::{Micros, RateLimit};
 
 const SECOND: f64 = 1_000_000.0;
 
@@ -13,8 +13,9 @@
 
 impl Meter {
     /// Whether the rate has room for one message; if not, how long until it has.
-    pub fn room(&self, now: Micros, rate: Rate) -> Result<(), Micros> {
-        let early = self.full_at.max(now as f64) + SECOND / rate.per_s - now as f64 - depth(rate);
+    pub fn room(&self, now: Micros, rate: RateLimit) -> Result<(), Micros> {
+        let early =
+            self.full_at.max(now as f64) + SECOND / rate.per_second - now as f64 - depth(rate);
         // Half a microsecond for rounding.
         if early > 0.5 {
             Err(early.ceil() as Micros)
@@ -24,8 +25,8 @@
     }
 
     /// Counts one message.
-    pub fn take(&mut self, now: Micros, rate: Rate) {
-        self.full_at = self.full_at.max(now as f64) + SECOND / rate.per_s;
+    pub fn take(&mut self, now: Micros, rate: RateLimit) {
+        self.full_at = self.full_at.max(now as f64) + SECOND / rate.per_second;
     }
 
     /// When all that was taken is made good, in microseconds.
@@ -39,14 +40,14 @@
     }
 
     /// The rate is another from now on: what was taken by the old one leaves a debt of one bucket at most.
-    pub fn change(&mut self, now: Micros, rate: Rate) {
+    pub fn change(&mut self, now: Micros, rate: RateLimit) {
         self.full_at = self.full_at.min(now as f64 + depth(rate));
     }
 }
 
 /// How long an empty bucket takes to fill, in microseconds.
-fn depth(rate: Rate) -> f64 {
-    SECOND / rate.per_s * rate.burst.max(1.0)
+fn depth(rate: RateLimit) -> f64 {
+    SECOND / rate.per_second * rate.burst.max(1.0)
 }
 
 #[cfg(test)]
@@ -55,7 +56,7 @@
 
     const NOW: Micros = 5_000_000;
 
-    fn taken(meter: &mut Meter, now: Micros, rate: Rate) -> Result<(), Micros> {
+    fn taken(meter: &mut Meter, now: Micros, rate: RateLimit) -> Result<(), Micros> {
         meter.room(now, rate).inspect(|()| meter.take(now, rate))
     }
 
@@ -63,8 +64,8 @@
     fn a_burst_goes_and_then_one_at_each_interval() {
         let (mut meter, rate) = (
             Meter::default(),
-            Rate {
-                per_s: 10.0,
+            RateLimit {
+                per_second: 10.0,
                 burst: 3.0,
             },
         );
@@ -85,16 +86,16 @@
                 taken(
                     &mut meter,
                     NOW,
-                    Rate {
-                        per_s: 1.0,
+                    RateLimit {
+                        per_second: 1.0,
                         burst: 100.0
                     }
                 ),
                 Ok(())
             );
         }
-        let less = Rate {
-            per_s: 1.0,
+        let less = RateLimit {
+            per_second: 1.0,
             burst: 2.0,
         };
         meter.change(NOW, less);
@@ -106,8 +107,8 @@
     fn what_passes_in_a_span_is_the_burst_and_the_rate_times_the_span() {
         let (mut meter, rate) = (
             Meter::default(),
-            Rate {
-                per_s: 37.0,
+            RateLimit {
+                per_second: 37.0,
                 burst: 5.0,
             },
         );
--- a/crates/tenancy/src/registry.rs
+++ b/crates/tenancy/src/registry.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use policy::types::{DestinationId, Standing, TenantId, Terms};
+use policy::types::{DestinationId, TenantId, TenantState, TenantTerms};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -99,12 +99,12 @@
 
 impl Tenant {
     /// How the module is to treat it.
-    pub fn terms(&self) -> Terms {
+    pub fn terms(&self) -> TenantTerms {
         let standing = match (self.state, self.spec.on_removal) {
-            (State::Active, _) => Standing::Active,
-            (State::Paused, _) => Standing::Paused,
-            (State::Draining, OnRemoval::Finish) => Standing::Finishing,
-            (State::Draining, OnRemoval::Refuse) => Standing::Ending,
+            (State::Active, _) => TenantState::Active,
+            (State::Paused, _) => TenantState::Paused,
+            (State::Draining, OnRemoval::Finish) => TenantState::Draining,
+            (State::Draining, OnRemoval::Refuse) => TenantState::Terminating,
         };
         self.spec.terms(standing)
     }
@@ -353,7 +353,7 @@
 }
 
 /// A change of what the module is to know.
-pub type Effect = (TenantId, Option<Terms>);
+pub type Effect = (TenantId, Option<TenantTerms>);
 
 /// The tenants there are.
 #[derive(Default)]
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -8,8 +8,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use policy::scheduler::{Load, Offer, Room, Sharing};
-use policy::types::{DestinationId, Message, Micros, Settings, Standing, TenantId, Terms};
+use policy::scheduler::{Candidate, Capacity, TenantScheduler, TenantUsage};
+use policy::types::{DestinationId, Message, Micros, Settings, TenantId, TenantState, TenantTerms};
 
 use crate::meter::Meter;
 
@@ -33,7 +33,7 @@
 
 /// A tenant as the scheduler knows it.
 struct Account {
-    terms: Terms,
+    terms: TenantTerms,
     /// To be forgotten once it holds nothing.
     gone: bool,
     meter: Meter,
@@ -126,15 +126,15 @@
 
     /// The tenants of the settings, each with its share as its weight.
     pub fn of(set: &Settings) -> Self {
-        let mut shares = Shares::new(set.slots);
+        let mut shares = Shares::new(set.max_calls);
         for (number, tenant) in (0..).zip(&set.tenants) {
             let weight = (tenant.share * WHOLE).clamp(1.0, MOST_WEIGHT) as u32;
-            shares.set(
+            shares.update_tenant(
                 0,
                 number,
-                Some(Terms {
+                Some(TenantTerms {
                     weight,
-                    ..Terms::default()
+                    ..TenantTerms::default()
                 }),
             );
         }
@@ -200,20 +200,20 @@
     }
 }
 
-impl Sharing for Shares {
-    fn set(&mut self, now: Micros, tenant: TenantId, terms: Option<Terms>) {
+impl TenantScheduler for Shares {
+    fn update_tenant(&mut self, now: Micros, tenant: TenantId, terms: Option<TenantTerms>) {
         self.now = now;
         let Some(terms) = terms else {
             if let Some(account) = self.accounts.get_mut(&tenant) {
                 account.gone = true;
-                account.terms.standing = Standing::Ending;
+                account.terms.state = TenantState::Terminating;
                 if account.held == 0 {
                     self.forget(tenant);
                 }
             }
             return;
         };
-        let terms = Terms {
+        let terms = TenantTerms {
             weight: terms.weight.max(1),
             ..terms
         };
@@ -241,7 +241,7 @@
             return Ok(());
         };
         let terms = account.terms;
-        if terms.standing != Standing::Active || account.held >= terms.most_held {
+        if terms.state != TenantState::Active || account.held >= terms.max_queued {
             return Err(0);
         }
         terms
@@ -249,7 +249,7 @@
             .map_or(Ok(()), |rate| account.meter.room(now, rate))
     }
 
-    fn taken(&mut self, now: Micros, message: &Message) {
+    fn message_queued(&mut self, now: Micros, message: &Message) {
         let Some(account) = self.accounts.get_mut(&message.tenant) else {
             return;
         };
@@ -268,7 +268,7 @@
         account.bytes += message.size;
     }
 
-    fn released(&mut self, message: &Message) {
+    fn message_removed(&mut self, message: &Message) {
         // One that was held before its tenant's terms were told counts for nobody.
         let account = self
             .accounts
@@ -282,17 +282,17 @@
         }
     }
 
-    fn over_share(&self, tenant: TenantId, room: Room) -> bool {
+    fn exceeds_share(&self, tenant: TenantId, room: Capacity) -> bool {
         let Some(account) = self.accounts.get(&tenant) else {
             return true;
         };
         let weight = u64::from(account.terms.weight);
         let all = self.holding + if account.counts() { 0 } else { weight };
         let over = |has: usize, most: usize| has as f64 * all as f64 > most as f64 * weight as f64;
-        over(account.held, room.places) || over(account.bytes, room.bytes)
+        over(account.held, room.messages) || over(account.bytes, room.bytes)
     }
 
-    fn crowds(&mut self, now: Micros, tenant: TenantId, room: Room) -> bool {
+    fn must_yield(&mut self, now: Micros, tenant: TenantId, room: Capacity) -> bool {
         self.expire(now);
         let Some(account) = self.accounts.get(&tenant) else {
             return false;
@@ -302,12 +302,12 @@
         } else {
             0
         };
-        self.holding > own && self.over_share(tenant, room)
+        self.holding > own && self.exceeds_share(tenant, room)
     }
 
-    fn arrange(&mut self, now: Micros, offers: &mut Vec<Offer>) {
+    fn order_candidates(&mut self, now: Micros, offers: &mut Vec<Candidate>) {
         self.now = now;
-        offers.retain(|offer| self.may_send(offer.tenant));
+        offers.retain(|offer| self.may_start_call(offer.tenant));
         if self.accounts.len() < 2 || offers.is_empty() {
             return;
         }
@@ -342,13 +342,13 @@
                 .iter_mut()
                 .for_each(|(tenant, lead)| *lead = clock.lead(*tenant) * scale);
         }
-        let mut turns: Vec<(u32, Offer)> = Vec::with_capacity(offers.len());
+        let mut turns: Vec<(u32, Candidate)> = Vec::with_capacity(offers.len());
         for offer in offers.drain(..) {
             let weight = self.weight(offer.tenant);
             let mut turn = 0.0;
             if let Some(lead) = all.get_mut(&offer.tenant) {
                 turn = *lead / SLOTS_QUANTUM;
-                *lead += offer.cost as f64 / SECOND / weight * scale;
+                *lead += offer.expected_duration as f64 / SECOND / weight * scale;
             }
             let there = asking
                 .get_mut(&offer.destination)
@@ -366,17 +366,17 @@
         offers.extend(turns.into_iter().map(|(_, offer)| offer));
     }
 
-    fn may_send(&self, tenant: TenantId) -> bool {
+    fn may_start_call(&self, tenant: TenantId) -> bool {
         self.accounts.get(&tenant).is_none_or(|account| {
             let stands = matches!(
-                account.terms.standing,
-                Standing::Active | Standing::Finishing
+                account.terms.state,
+                TenantState::Active | TenantState::Draining
             );
-            stands && account.in_flight < account.terms.most_in_flight
+            stands && account.in_flight < account.terms.max_in_flight
         })
     }
 
-    fn sent(&mut self, message: &Message, cost: Micros) {
+    fn call_started(&mut self, message: &Message, cost: Micros) {
         let weight = self.weight(message.tenant);
         if let Some(account) = self.accounts.get_mut(&message.tenant) {
             account.in_flight += 1;
@@ -391,7 +391,7 @@
         clock.left = clock.left.saturating_sub(1);
     }
 
-    fn returned(&mut self, message: &Message, cost: Micros, elapsed: Micros) {
+    fn call_ended(&mut self, message: &Message, cost: Micros, elapsed: Micros) {
         let weight = self.weight(message.tenant);
         if let Some(account) = self.accounts.get_mut(&message.tenant) {
             account.in_flight = account.in_flight.saturating_sub(1);
@@ -404,7 +404,7 @@
         }
     }
 
-    fn settled(&mut self, short_of_slots: bool) {
+    fn round_ended(&mut self, short_of_slots: bool) {
         if !short_of_slots {
             self.slots.catch_up();
         }
@@ -418,27 +418,27 @@
         }
     }
 
-    fn abandons(&self, tenant: TenantId) -> bool {
+    fn abandons_messages(&self, tenant: TenantId) -> bool {
         self.accounts
             .get(&tenant)
-            .is_some_and(|account| account.terms.standing == Standing::Ending)
+            .is_some_and(|account| account.terms.state == TenantState::Terminating)
     }
 
-    fn load(&self, tenant: TenantId) -> Load {
+    fn usage(&self, tenant: TenantId) -> TenantUsage {
         let account = self.accounts.get(&tenant);
-        account.map_or(Load::default(), |account| Load {
-            held: account.held,
+        account.map_or(TenantUsage::default(), |account| TenantUsage {
+            queued: account.held,
             in_flight: account.in_flight,
         })
     }
 
-    fn used_until(&self, tenant: TenantId) -> Micros {
+    fn rate_used_until(&self, tenant: TenantId) -> Micros {
         self.accounts
             .get(&tenant)
             .map_or(0, |account| account.meter.full_at())
     }
 
-    fn use_until(&mut self, tenant: TenantId, until: Micros) {
+    fn restore_rate_used_until(&mut self, tenant: TenantId, until: Micros) {
         if let Some(account) = self.accounts.get_mut(&tenant) {
             account.meter.resume(until);
         }
--- a/crates/tenancy/src/spec.rs
+++ b/crates/tenancy/src/spec.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use policy::types::{DestinationId, Rate, Standing, Terms};
+use policy::types::{DestinationId, RateLimit, TenantState, TenantTerms};
 use serde::{Deserialize, Serialize};
 
 /// Characters of a tenant's name at most.
@@ -247,17 +247,17 @@
     }
 
     /// The terms by which the module treats a tenant that stands so.
-    pub fn terms(&self, standing: Standing) -> Terms {
+    pub fn terms(&self, state: TenantState) -> TenantTerms {
         let most = |limit: Option<u32>| limit.map_or(usize::MAX, |limit| limit as usize);
-        Terms {
+        TenantTerms {
             weight: self.weight,
-            rate: self.rate.map(|rate| Rate {
-                per_s: rate.per_second,
+            rate: self.rate.map(|rate| RateLimit {
+                per_second: rate.per_second,
                 burst: f64::from(rate.burst),
             }),
-            most_held: most(self.max_held),
-            most_in_flight: most(self.max_in_flight),
-            standing,
+            max_queued: most(self.max_held),
+            max_in_flight: most(self.max_in_flight),
+            state,
         }
     }
 }
--- a/crates/tenancy/tests/flood.rs
+++ b/crates/tenancy/tests/flood.rs
@@ -3,9 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use policy::scheduler::Unshared;
+use policy::scheduler::NoTenants;
 use policy::types::*;
-use policy::{Relay, Sharing};
+use policy::{DeliveryPolicy, TenantScheduler};
 use tenancy::Shares;
 
 const MS: Micros = 1000;
@@ -24,41 +24,44 @@
 
 fn settings() -> Settings {
     let class = |effect, worth| Class {
-        aim: 2 * S,
-        aim_stretch: 0.0,
-        give_up: 20 * S,
-        effect,
-        worth,
-        late_worth: 0.3,
-        in_order: false,
+        latency_objective: 2 * S,
+        objective_stretch: 0.0,
+        time_to_live: 20 * S,
+        idempotency: effect,
+        value: worth,
+        late_value: 0.3,
+        is_ordered: false,
     };
     Settings {
-        classes: vec![class(Effect::Safe, 2.0), class(Effect::Unsafe, 5.0)],
-        kinds: vec![Kind {
-            apart: false,
-            per_call: 1,
+        classes: vec![
+            class(Idempotency::Idempotent, 2.0),
+            class(Idempotency::NonIdempotent, 5.0),
+        ],
+        kinds: vec![DestinationKind {
+            has_host_routes: false,
+            max_messages_per_call: 1,
         }],
         tenants: vec![
             Tenant {
-                quota_per_s: 100.0,
+                quota_per_second: 100.0,
                 share: 1.0
             };
             3
         ],
-        over_share_worth: 0.1,
-        slots: 32,
-        most_held: 200,
-        most_bytes: 900_000,
+        over_quota_value: 0.1,
+        max_calls: 32,
+        max_queued: 200,
+        max_queued_bytes: 900_000,
         max_attempts: 12,
         max_retry_after: 2 * S,
-        cancelling: true,
-        siblings: 1,
-        rules: Rules {
-            cold_from: 0.2,
-            cold: 10 * S,
+        can_cancel: true,
+        replicas: 1,
+        rules: PlatformRules {
+            initial_capacity_share: 0.2,
+            warm_up: 10 * S,
             overload_factor: 2.0,
-            overload_for: 2 * S,
-            ..Rules::default()
+            overload_duration: 2 * S,
+            ..PlatformRules::default()
         },
         tick: 5 * MS,
         ..Settings::default()
@@ -91,9 +94,13 @@
 }
 
 /// Plays a span with partners that take so many calls at once each.
-fn play(tenants: [Option<Traffic>; 3], sharing: Box<dyn Sharing>, at_once: usize) -> Served {
+fn play(
+    tenants: [Option<Traffic>; 3],
+    sharing: Box<dyn TenantScheduler>,
+    at_once: usize,
+) -> Served {
     let set = settings();
-    let mut relay = Relay::shared(set.clone(), 11, sharing);
+    let mut relay = DeliveryPolicy::with_scheduler(set.clone(), 11, sharing);
     let (mut now, mut next, mut served) = (
         100 * S,
         0,
@@ -108,11 +115,11 @@
         destination: d,
         kind: 0,
         zone: 0,
-        listing: Listing::Ready,
+        state: HostState::Ready,
         weight: 0.0,
     });
-    let mut events = vec![Event::Hosts {
-        whole: true,
+    let mut events = vec![Event::HostsUpdated {
+        is_full: true,
         cached: false,
         entries: hosts.collect(),
     }];
@@ -156,15 +163,15 @@
             let due = underway.first + 20 * S;
             let tenant = underway.tenant as TenantId;
             let again = underway.tries > 0;
-            events.push(Event::Arrived(Message {
+            events.push(Event::MessageReceived(Message {
                 id,
                 class,
                 destination,
-                due,
-                key: None,
-                work: None,
+                deadline: due,
+                ordering_key: None,
+                expected_work: None,
                 tenant,
-                again,
+                is_resubmitted: again,
                 size: underway.size,
             }));
             open.insert(id, underway);
@@ -174,16 +181,16 @@
                 calls.insert((at, id), (host, sent_at));
                 break;
             }
-            let (outcome, over) = (Outcome::Ok, true);
+            let (outcome, over) = (AttemptOutcome::Delivered, true);
             let (attempt, elapsed) = (attempts[&id], at - sent_at);
-            events.push(Event::Ended(Ended {
+            events.push(Event::AttemptEnded(AttemptEnd {
                 id,
                 attempt,
                 host,
                 outcome,
                 elapsed,
-                over,
-                report: Vec::new(),
+                is_final: over,
+                load_report: Vec::new(),
             }));
             served.calls += 1;
             if let Some(done) = open.remove(&id) {
@@ -195,7 +202,7 @@
                 timers.insert(at, token);
                 break;
             }
-            events.push(Event::Timer(token));
+            events.push(Event::TimerFired(token));
         }
         let mut actions = Vec::new();
         relay.handle(now, std::mem::take(&mut events), &mut actions);
@@ -209,12 +216,12 @@
                     *place = now.max(*place) + TAKES;
                     calls.insert((*place, id), (host, now));
                 }
-                Action::Refuse { id, after } => {
+                Action::Reject { id, retry_after } => {
                     let gone = open.remove(&id).expect("one that is open");
                     if gone.tries < TRIES {
                         next += 1;
                         again.insert(
-                            (now + after, next),
+                            (now + retry_after, next),
                             Underway {
                                 tries: gone.tries + 1,
                                 ..gone
@@ -222,7 +229,7 @@
                         );
                     }
                 }
-                Action::Timer { after, token } => drop(timers.insert(now + after, token)),
+                Action::SetTimer { delay, token } => drop(timers.insert(now + delay, token)),
                 Action::Fail(id) => drop(open.remove(&id)),
                 _ => {}
             }
@@ -232,7 +239,7 @@
     served
 }
 
-fn shares() -> Box<dyn Sharing> {
+fn shares() -> Box<dyn TenantScheduler> {
     Box::new(Shares::of(&settings()))
 }
 
@@ -240,7 +247,7 @@
 fn kept(
     usual: [Traffic; 3],
     flood: Traffic,
-    sharing: fn() -> Box<dyn Sharing>,
+    sharing: fn() -> Box<dyn TenantScheduler>,
     at_once: usize,
 ) -> [f64; 2] {
     let calm = play(usual.map(Some), sharing(), at_once);
@@ -301,7 +308,7 @@
     for (name, usual, flood) in mixes() {
         let (kept, before) = (
             kept(usual, flood, shares, 64),
-            kept(usual, flood, || Box::new(Unshared), 64),
+            kept(usual, flood, || Box::new(NoTenants), 64),
         );
         println!("{name}: kept {kept:.3?}, without shares {before:.3?}");
         assert!(kept.iter().all(|kept| *kept >= 0.95), "{name}: {kept:?}");
@@ -312,7 +319,7 @@
 fn a_flooder_alone_gets_all_of_the_capacity() {
     for (name, _, flood) in mixes() {
         let alone = play([Some(flood), None, None], shares(), 64);
-        let unshared = play([Some(flood), None, None], Box::new(Unshared), 64);
+        let unshared = play([Some(flood), None, None], Box::new(NoTenants), 64);
         println!(
             "{name}: {} calls alone, {} without shares",
             alone.calls, unshared.calls
--- a/crates/tenancy/tests/registry.rs
+++ b/crates/tenancy/tests/registry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use policy::types::Standing;
+use policy::types::TenantState;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use serde_json::json;
@@ -157,7 +157,7 @@
         &command("acme", Expect::Any, Change::Remove(None)),
     )
     .expect("removed");
-    assert_eq!(removed.terms().standing, Standing::Finishing);
+    assert_eq!(removed.terms().state, TenantState::Draining);
     assert!(registry.admits("acme", "payout", 1).is_err());
     assert_eq!(drain(&mut registry), 0);
     // It can't be changed any more, but hurried.
@@ -165,7 +165,7 @@
     assert_eq!(pause, Err(Refusal::Draining("acme".into())));
     let hurry = Change::Remove(Some(OnRemoval::Refuse));
     let hurried = make(&mut registry, &command("acme", Expect::Any, hurry)).expect("hurried");
-    assert_eq!(hurried.terms().standing, Standing::Ending);
+    assert_eq!(hurried.terms().state, TenantState::Terminating);
     let slow = Change::Remove(Some(OnRemoval::Finish));
     assert_eq!(
         make(&mut registry, &command("acme", Expect::Any, slow)),
--- a/crates/tenancy/tests/shares.rs
+++ b/crates/tenancy/tests/shares.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use policy::scheduler::{Offer, Room, Sharing};
+use policy::scheduler::{Candidate, Capacity, TenantScheduler};
 use policy::types::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -10,18 +10,18 @@
 
 const MS: Micros = 1000;
 
-fn offer(id: MessageId, tenant: TenantId, regret: f64, cost: Micros) -> Offer {
-    Offer {
+fn offer(id: MessageId, tenant: TenantId, regret: f64, cost: Micros) -> Candidate {
+    Candidate {
         id,
         tenant,
         destination: 1,
-        regret,
-        cost,
+        cost_of_delay: regret,
+        expected_duration: cost,
     }
 }
 
-fn message(offer: &Offer) -> Message {
-    let Offer {
+fn message(offer: &Candidate) -> Message {
+    let Candidate {
         id,
         tenant,
         destination,
@@ -31,11 +31,11 @@
         id,
         class: 0,
         destination,
-        due: 0,
-        key: None,
-        work: None,
+        deadline: 0,
+        ordering_key: None,
+        expected_work: None,
         tenant,
-        again: false,
+        is_resubmitted: false,
         size: 0,
     }
 }
@@ -43,12 +43,12 @@
 fn with_weights(slots: usize, weights: &[u32]) -> Shares {
     let mut shares = Shares::new(slots);
     for (tenant, weight) in (0..).zip(weights) {
-        shares.set(
+        shares.update_tenant(
             0,
             tenant,
-            Some(Terms {
+            Some(TenantTerms {
                 weight: *weight,
-                ..Terms::default()
+                ..TenantTerms::default()
             }),
         );
     }
@@ -69,17 +69,21 @@
         for (tenant, (many, cost, regret)) in (0..).zip(asks) {
             offers.extend((0..*many).map(|n| offer(n as u64, tenant, *regret, *cost)));
         }
-        offers.sort_by(|a, b| b.regret.total_cmp(&a.regret));
+        offers.sort_by(|a, b| b.cost_of_delay.total_cmp(&a.cost_of_delay));
         let before = offers.len();
-        shares.arrange(round as Micros * 10 * MS, &mut offers);
+        shares.order_candidates(round as Micros * 10 * MS, &mut offers);
         assert_eq!(offers.len(), before);
         for offer in offers.iter().take(a_round) {
-            shares.sent(&message(offer), offer.cost);
+            shares.call_started(&message(offer), offer.expected_duration);
             let (calls, time) = &mut got[usize::from(offer.tenant)];
-            (*calls, *time) = (*calls + 1, *time + offer.cost);
-            shares.returned(&message(offer), offer.cost, offer.cost);
+            (*calls, *time) = (*calls + 1, *time + offer.expected_duration);
+            shares.call_ended(
+                &message(offer),
+                offer.expected_duration,
+                offer.expected_duration,
+            );
         }
-        shares.settled(before > a_round);
+        shares.round_ended(before > a_round);
     }
     got
 }
@@ -122,17 +126,17 @@
             let mut offers = Vec::new();
             for tenant in 0..weights.len() as u16 {
                 let cost = costs[usize::from(tenant)] * MS;
-                let many = (0..10).map(|n| Offer { destination: tenant, ..offer(n, tenant, 1.0, cost) });
+                let many = (0..10).map(|n| Candidate { destination: tenant, ..offer(n, tenant, 1.0, cost) });
                 offers.extend(many);
             }
-            shares.arrange(round * 10 * MS, &mut offers);
+            shares.order_candidates(round * 10 * MS, &mut offers);
             for offer in offers.iter().take(a_round) {
-                shares.sent(&message(offer), offer.cost);
+                shares.call_started(&message(offer), offer.expected_duration);
                 // It takes twice as long as was thought.
-                shares.returned(&message(offer), offer.cost, 2 * offer.cost);
-                got[usize::from(offer.tenant)] += 2.0 * offer.cost as f64;
+                shares.call_ended(&message(offer), offer.expected_duration, 2 * offer.expected_duration);
+                got[usize::from(offer.tenant)] += 2.0 * offer.expected_duration as f64;
             }
-            shares.settled(true);
+            shares.round_ended(true);
         }
         let whole: u32 = weights.iter().sum();
         let all: f64 = got.iter().sum();
@@ -180,18 +184,18 @@
             match what {
                 0 => {
                     terms.insert(tenant, weight);
-                    shares.set(0, tenant, Some(Terms { weight, ..Terms::default() }));
+                    shares.update_tenant(0, tenant, Some(TenantTerms { weight, ..TenantTerms::default() }));
                 }
                 1 if held.get(&tenant).is_none_or(|held| *held == 0) => {
                     terms.remove(&tenant);
-                    shares.set(0, tenant, None);
+                    shares.update_tenant(0, tenant, None);
                 }
                 2 if held.get(&tenant).is_some_and(|held| *held > 0) => {
-                    shares.released(&one);
+                    shares.message_removed(&one);
                     *held.entry(tenant).or_default() -= 1;
                 }
                 _ if terms.contains_key(&tenant) => {
-                    shares.taken(0, &one);
+                    shares.message_queued(0, &one);
                     *held.entry(tenant).or_default() += 1;
                 }
                 _ => {}
@@ -205,13 +209,13 @@
             for (tenant, held) in &held {
                 for places in [all / 2, all.saturating_sub(1), all, 2 * all] {
                     let over = (*held as u64) * whole > places as u64 * u64::from(terms[tenant]);
-                    let by = |places, bytes| shares.over_share(*tenant, Room { places, bytes });
+                    let by = |places, bytes| shares.exceeds_share(*tenant, Capacity { messages: places, bytes });
                     prop_assert_eq!(by(places, usize::MAX), over);
                     prop_assert_eq!(by(usize::MAX, places * 100), over);
                 }
             }
-            let most = Room { places: all.saturating_sub(1), bytes: usize::MAX };
-            prop_assert!(all == 0 || held.keys().any(|tenant| shares.over_share(*tenant, most)));
+            let most = Capacity { messages: all.saturating_sub(1), bytes: usize::MAX };
+            prop_assert!(all == 0 || held.keys().any(|tenant| shares.exceeds_share(*tenant, most)));
         }
     }
 }
@@ -219,64 +223,64 @@
 #[test]
 fn a_tenant_keeps_to_its_caps_and_its_standing() {
     let mut shares = Shares::new(8);
-    let active = Terms {
-        most_held: 2,
-        most_in_flight: 1,
-        ..Terms::default()
+    let active = TenantTerms {
+        max_queued: 2,
+        max_in_flight: 1,
+        ..TenantTerms::default()
     };
-    shares.set(0, 3, Some(active));
+    shares.update_tenant(0, 3, Some(active));
     let one = message(&offer(1, 3, 1.0, MS));
-    shares.taken(0, &one);
+    shares.message_queued(0, &one);
     assert_eq!(shares.admit(0, 3), Ok(()));
-    shares.taken(0, &one);
+    shares.message_queued(0, &one);
     assert_eq!(shares.admit(0, 3), Err(0));
-    assert!(shares.may_send(3));
-    shares.sent(&one, MS);
-    assert!(!shares.may_send(3));
+    assert!(shares.may_start_call(3));
+    shares.call_started(&one, MS);
+    assert!(!shares.may_start_call(3));
     let mut offers = vec![offer(2, 3, 1.0, MS)];
-    shares.arrange(0, &mut offers);
+    shares.order_candidates(0, &mut offers);
     assert!(offers.is_empty());
-    shares.returned(&one, MS, MS);
-    assert!(shares.may_send(3));
-    shares.released(&one);
-    for (standing, admits, sends, abandons) in [
-        (Standing::Active, true, true, false),
-        (Standing::Paused, false, false, false),
-        (Standing::Finishing, false, true, false),
-        (Standing::Ending, false, false, true),
+    shares.call_ended(&one, MS, MS);
+    assert!(shares.may_start_call(3));
+    shares.message_removed(&one);
+    for (state, admits, sends, abandons) in [
+        (TenantState::Active, true, true, false),
+        (TenantState::Paused, false, false, false),
+        (TenantState::Draining, false, true, false),
+        (TenantState::Terminating, false, false, true),
     ] {
-        shares.set(0, 3, Some(Terms { standing, ..active }));
-        assert_eq!(shares.admit(0, 3).is_ok(), admits, "{standing:?}");
-        assert_eq!(shares.may_send(3), sends, "{standing:?}");
-        assert_eq!(shares.abandons(3), abandons, "{standing:?}");
+        shares.update_tenant(0, 3, Some(TenantTerms { state, ..active }));
+        assert_eq!(shares.admit(0, 3).is_ok(), admits, "{state:?}");
+        assert_eq!(shares.may_start_call(3), sends, "{state:?}");
+        assert_eq!(shares.abandons_messages(3), abandons, "{state:?}");
     }
     // One that is gone ends, until nothing of it is held; then its number may be another's.
-    shares.set(0, 3, None);
-    assert!(shares.abandons(3));
-    shares.released(&one);
-    assert!(!shares.abandons(3) && shares.admit(0, 3).is_ok());
+    shares.update_tenant(0, 3, None);
+    assert!(shares.abandons_messages(3));
+    shares.message_removed(&one);
+    assert!(!shares.abandons_messages(3) && shares.admit(0, 3).is_ok());
 }
 
 #[test]
 fn a_rate_binds_at_the_door_and_is_counted_when_a_message_is_taken() {
     let mut shares = Shares::new(8);
-    let rate = Some(Rate {
-        per_s: 10.0,
+    let rate = Some(RateLimit {
+        per_second: 10.0,
         burst: 2.0,
     });
-    shares.set(
+    shares.update_tenant(
         0,
         1,
-        Some(Terms {
+        Some(TenantTerms {
             rate,
-            ..Terms::default()
+            ..TenantTerms::default()
         }),
     );
     let one = message(&offer(1, 1, 1.0, MS));
     for _ in 0..2 {
         assert_eq!(shares.admit(0, 1), Ok(()));
         assert_eq!(shares.admit(0, 1), Ok(()));
-        shares.taken(0, &one);
+        shares.message_queued(0, &one);
     }
     assert_eq!(shares.admit(0, 1), Err(100 * MS));
     assert_eq!(shares.admit(100 * MS, 1), Ok(()));
@@ -287,15 +291,15 @@
 fn destinations_are_forgotten_past_the_bound() {
     let mut shares = with_weights(100_000, &[1, 1]);
     for destination in 0..20_000 {
-        let mut offers: Vec<Offer> = (0..2)
-            .map(|tenant| Offer {
+        let mut offers: Vec<Candidate> = (0..2)
+            .map(|tenant| Candidate {
                 destination,
                 ..offer(1, tenant, 1.0, MS)
             })
             .collect();
-        shares.arrange(Micros::from(destination), &mut offers);
-        shares.sent(&message(&offers[0]), MS);
-        shares.settled(false);
+        shares.order_candidates(Micros::from(destination), &mut offers);
+        shares.call_started(&message(&offers[0]), MS);
+        shares.round_ended(false);
     }
     assert_eq!(shares.destinations(), MOST_CLOCKS);
 }
