--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -10,8 +10,8 @@
 use axum::{Json, Router};
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine;
-use relay_events::tenants::{Ask, Shown, TenantsCall, Told};
-use relay_events::{undeliverable, Input};
+use relay_events::tenants::{TenantCall, TenantRequest, TenantResponse, TenantView};
+use relay_events::{undeliverable, RelayEvent};
 use serde::Deserialize;
 use tenancy::registry::{Change, Command};
 use tenancy::spec::{OnRemoval, Spec};
@@ -38,7 +38,7 @@
 /// What the handlers share.
 #[derive(Clone)]
 pub struct Api {
-    driver: mpsc::Sender<Input>,
+    driver: mpsc::Sender<RelayEvent>,
     tokens: watch::Receiver<Tokens>,
     requests: Arc<AtomicU64>,
     /// Names of requests begin so; no other process of this relay's had the same.
@@ -47,7 +47,11 @@
 
 impl Api {
     /// An API that asks a driver, for the tokens that are in force.
-    pub fn new(driver: mpsc::Sender<Input>, tokens: watch::Receiver<Tokens>, prefix: &str) -> Self {
+    pub fn new(
+        driver: mpsc::Sender<RelayEvent>,
+        tokens: watch::Receiver<Tokens>,
+        prefix: &str,
+    ) -> Self {
         Api {
             driver,
             tokens,
@@ -73,45 +77,48 @@
     /// Asks about undeliverable messages.
     pub(crate) async fn ask_undeliverable(
         &self,
-        ask: undeliverable::Ask,
-    ) -> Result<undeliverable::Told, Problem> {
+        ask: undeliverable::UndeliverableRequest,
+    ) -> Result<undeliverable::UndeliverableResponse, Problem> {
         let (reply, answer) = oneshot::channel();
-        let call = undeliverable::News::Call(undeliverable::Call { ask, reply });
+        let call = undeliverable::UndeliverableEvent::UndeliverableCall(
+            undeliverable::UndeliverableCall { ask, reply },
+        );
         let gone = || Problem::unavailable("the relay is coming to its end");
         self.driver
-            .send(Input::Undeliverable(call))
+            .send(RelayEvent::Undeliverable(call))
             .await
             .map_err(|_| gone())?;
         answer.await.map_err(|_| gone())
     }
 
-    async fn ask(&self, ask: Ask) -> Result<Told, Problem> {
+    async fn ask(&self, ask: TenantRequest) -> Result<TenantResponse, Problem> {
         let (reply, answer) = oneshot::channel();
-        let call = Input::Tenants(TenantsCall { ask, reply });
+        let call = RelayEvent::Tenants(TenantCall { ask, reply });
         let gone = || Problem::unavailable("the relay is coming to its end");
         self.driver.send(call).await.map_err(|_| gone())?;
         match answer.await.map_err(|_| gone())? {
-            Told::Refused(why) => Err(why.into()),
-            Told::NotKept(why) => Err(Problem::unavailable(why)),
+            TenantResponse::Refused(why) => Err(why.into()),
+            TenantResponse::NotKept(why) => Err(Problem::unavailable(why)),
             told => Ok(told),
         }
     }
 
     /// Makes a change, and answers with the tenant as it is after.
     async fn change(&self, command: Command, done: StatusCode) -> Result<Response, Problem> {
-        let (shown, status, again) = match self.ask(Ask::Change(Box::new(command))).await? {
-            Told::Made { shown, again, .. } => (shown, done, again),
-            Told::Unchanged(shown) => (
-                shown,
-                if done == StatusCode::ACCEPTED {
-                    done
-                } else {
-                    StatusCode::OK
-                },
-                false,
-            ),
-            _ => return Err(unexpected()),
-        };
+        let (shown, status, again) =
+            match self.ask(TenantRequest::Change(Box::new(command))).await? {
+                TenantResponse::Changed { shown, again, .. } => (shown, done, again),
+                TenantResponse::Unchanged(shown) => (
+                    shown,
+                    if done == StatusCode::ACCEPTED {
+                        done
+                    } else {
+                        StatusCode::OK
+                    },
+                    false,
+                ),
+                _ => return Err(unexpected()),
+            };
         let location =
             (done == StatusCode::CREATED).then(|| format!("/v1/tenants/{}", shown.tenant.name));
         let mut response = tenant(*shown, status);
@@ -138,13 +145,13 @@
     )
 }
 
-fn etag(shown: &Shown) -> HeaderValue {
+fn etag(shown: &TenantView) -> HeaderValue {
     // Digits and a point.
     HeaderValue::from_str(&format!("\"{}\"", shown.tenant.version))
         .unwrap_or(HeaderValue::from_static("\"\""))
 }
 
-fn tenant(shown: Shown, status: StatusCode) -> Response {
+fn tenant(shown: TenantView, status: StatusCode) -> Response {
     let etag = etag(&shown);
     let mut response = (status, Json(Tenant::from(shown))).into_response();
     response.headers_mut().insert(ETAG, etag);
@@ -231,8 +238,8 @@
     caller.may(Role::Viewer)?;
     let asked = query(asked)?;
     let (after, most) = (cursor(asked.cursor)?, page(asked.limit)?);
-    let Told::Page(tenants, more) = api
-        .ask(Ask::Page {
+    let TenantResponse::Page(tenants, more) = api
+        .ask(TenantRequest::Page {
             after,
             most,
             scope: caller.scope,
@@ -282,7 +289,7 @@
 ) -> Answer {
     caller.may_for(Role::Viewer, &name)?;
     let none = tags(&headers, IF_NONE_MATCH.as_str())?;
-    let Told::Found(shown) = api.ask(Ask::Find(name)).await? else {
+    let TenantResponse::Found(shown) = api.ask(TenantRequest::Find(name)).await? else {
         return Err(unexpected());
     };
     let same = match none {
@@ -404,7 +411,9 @@
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn usage(State(api): State<Api>, caller: Caller, Path(name): Path<String>) -> Answer {
     caller.may_for(Role::Viewer, &name)?;
-    let Told::Usage(all, since_ms) = api.ask(Ask::Usage(name)).await? else {
+    let TenantResponse::UsageReport(all, since_ms) =
+        api.ask(TenantRequest::UsageReport(name)).await?
+    else {
         return Err(unexpected());
     };
     let mut all = all
@@ -461,13 +470,13 @@
     let before = before
         .transpose()
         .map_err(|_| Problem::malformed("the cursor is none of this list's"))?;
-    let ask = Ask::Audit {
+    let ask = TenantRequest::Audit {
         before,
         most: page(asked.limit)?,
         scope: caller.scope,
         tenant: asked.tenant,
     };
-    let Told::Audit(items, more) = api.ask(ask).await? else {
+    let TenantResponse::Audit(items, more) = api.ask(ask).await? else {
         return Err(unexpected());
     };
     let next = items
@@ -483,7 +492,8 @@
     (status = "4XX", description = "Not as asked.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn status(State(api): State<Api>, caller: Caller) -> Answer {
     caller.may(Role::Viewer)?;
-    let Told::Status(status) = api.ask(Ask::Status).await? else {
+    let TenantResponse::RegistryReport(status) = api.ask(TenantRequest::RegistryReport).await?
+    else {
         return Err(unexpected());
     };
     Ok(Json(RegistryStatus::from(status)).into_response())
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -12,8 +12,8 @@
 mod settings;
 mod undeliverable;
 
-use relay_events::Input;
-use runtime::{log, System};
+use relay_events::RelayEvent;
+use runtime::{log, Runtime};
 use tokio::sync::{mpsc, watch};
 
 pub use api::{document, LONGEST_BODY};
@@ -21,22 +21,22 @@
 pub use settings::{Role, Settings, Token};
 
 /// Listens, and serves the API from then on, until the task is ended. The error is one plain line.
-pub async fn start<S: System>(
-    system: &S,
+pub async fn start<R: Runtime>(
+    runtime: &R,
     settings: &Settings,
     tokens: watch::Receiver<Tokens>,
-    driver: mpsc::Sender<Input>,
-) -> Result<S::Task, String> {
+    driver: mpsc::Sender<RelayEvent>,
+) -> Result<R::Task, String> {
     let address = settings.address()?;
-    let listener = system.listen(address.clone()).await;
+    let listener = runtime.listen(address.clone()).await;
     let listener =
         listener.map_err(|e| format!("cannot listen on {address} for administration: {e}"))?;
-    let prefix = format!("{:x}", system.unix_time().as_millis());
+    let prefix = format!("{:x}", runtime.unix_time().as_millis());
     let router = api::router(api::Api::new(driver, tokens, &prefix));
     let (connections, pace) = (settings.connections, settings.requests_per_second);
-    log!(*system, "admin: serves at {address}");
-    Ok(system.spawn(serve::serve(
-        system.clone(),
+    log!(*runtime, "admin: serves at {address}");
+    Ok(runtime.spawn(serve::serve(
+        runtime.clone(),
         listener,
         router,
         connections,
--- a/crates/admin/src/model.rs
+++ b/crates/admin/src/model.rs
@@ -1,6 +1,6 @@
 //! Bodies of requests and answers.
 
-use relay_events::tenants::{Shown, Status, Usage};
+use relay_events::tenants::{RegistryReport, TenantView, UsageReport};
 use serde::{Deserialize, Serialize};
 use tenancy::audit::{rfc3339, Entry};
 use tenancy::registry::State;
@@ -42,8 +42,8 @@
     pub created_at: String,
 }
 
-impl From<Shown> for Tenant {
-    fn from(Shown { tenant, draining }: Shown) -> Self {
+impl From<TenantView> for Tenant {
+    fn from(TenantView { tenant, draining }: TenantView) -> Self {
         let secret = |secret: &tenancy::registry::Secret| Secret {
             id: secret.id.clone(),
             created_at: rfc3339(secret.created_at_ms),
@@ -146,7 +146,7 @@
 
 impl TenantUsage {
     /// The usage of a tenant that has been counted since a moment, in milliseconds since the Unix epoch.
-    pub fn new(usage: Usage, since_ms: u64) -> Self {
+    pub fn new(usage: UsageReport, since_ms: u64) -> Self {
         TenantUsage {
             name: usage.name,
             version: usage.version.to_string(),
@@ -189,8 +189,8 @@
     pub since: String,
 }
 
-impl From<Status> for RegistryStatus {
-    fn from(status: Status) -> Self {
+impl From<RegistryReport> for RegistryStatus {
+    fn from(status: RegistryReport) -> Self {
         RegistryStatus {
             tenants: status.tenants,
             changes: status.seq,
--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use runtime::{log, Listener, Stream, System};
+use runtime::{log, Listener, Runtime, Stream};
 use tower::ServiceExt;
 
 use crate::problem::Problem;
@@ -48,9 +48,9 @@
 }
 
 /// Serves the API's routes for good.
-pub async fn serve<S: System>(
-    system: S,
-    listener: S::Listener,
+pub async fn serve<R: Runtime>(
+    runtime: R,
+    listener: R::Listener,
     router: Router,
     connections: usize,
     requests_per_second: f64,
@@ -60,36 +60,36 @@
     let pace = Rc::new(RefCell::new(Pace {
         per_s,
         tokens: 2.0 * per_s,
-        at: system.now(),
+        at: runtime.now(),
     }));
     loop {
         let stream = match listener.accept().await {
             Ok(stream) => stream,
             Err(error) => {
-                log!(system, "admin: cannot accept: {error}");
-                system.sleep(REST).await;
+                log!(runtime, "admin: cannot accept: {error}");
+                runtime.sleep(REST).await;
                 continue;
             }
         };
         if open.get() >= connections {
             drop(stream);
             // Guards the process against a client that opens connections at full speed.
-            system.sleep(REST).await;
+            runtime.sleep(REST).await;
             continue;
         }
         open.set(open.get() + 1);
         let (own, router, pace, open) =
-            (system.clone(), router.clone(), pace.clone(), open.clone());
-        system.spawn(async move {
+            (runtime.clone(), router.clone(), pace.clone(), open.clone());
+        runtime.spawn(async move {
             connection(&own, stream, router, pace).await;
             open.set(open.get() - 1);
         });
     }
 }
 
-async fn connection<S: System>(
-    system: &S,
-    stream: S::Stream,
+async fn connection<R: Runtime>(
+    runtime: &R,
+    stream: R::Stream,
     router: Router,
     pace: Rc<RefCell<Pace>>,
 ) {
@@ -97,10 +97,10 @@
         return;
     }
     // When the last request was answered, or the connection began.
-    let last = Rc::new(Cell::new(system.now()));
+    let last = Rc::new(Cell::new(runtime.now()));
     let service = service_fn(|request: Request<Incoming>| {
         let (router, last) = (router.clone(), last.clone());
-        let room = pace.borrow_mut().take(system.now());
+        let room = pace.borrow_mut().take(runtime.now());
         async move {
             let mut response: Response<Body> = match room {
                 true => router
@@ -109,11 +109,11 @@
                     .unwrap_or_else(|never| match never {}),
                 false => Problem::too_many_requests().into_response(),
             };
-            let date = httpdate::fmt_http_date(std::time::UNIX_EPOCH + system.unix_time());
+            let date = httpdate::fmt_http_date(std::time::UNIX_EPOCH + runtime.unix_time());
             if let Ok(date) = HeaderValue::from_str(&date) {
                 response.headers_mut().insert(DATE, date);
             }
-            last.set(system.now());
+            last.set(runtime.now());
             Ok::<_, std::convert::Infallible>(response)
         }
     });
@@ -129,7 +129,7 @@
             biased;
             // A client that breaks off or sends what can't be read has its connection closed.
             _ = &mut served => return,
-            () = system.sleep_until(until) => if system.now() >= last.get() + IDLE {
+            () = runtime.sleep_until(until) => if runtime.now() >= last.get() + IDLE {
                 return;
             },
         }
--- a/crates/admin/src/undeliverable.rs
+++ b/crates/admin/src/undeliverable.rs
@@ -7,7 +7,9 @@
 use axum::http::{HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::Json;
-use relay_events::undeliverable::{Act, Ask, Shown, Status, Told};
+use relay_events::undeliverable::{
+    RecordAction, RecordView, StoreReport, UndeliverableRequest, UndeliverableResponse,
+};
 use serde::{Deserialize, Serialize};
 use tenancy::audit::rfc3339;
 use tenancy::Scope;
@@ -75,12 +77,12 @@
 }
 
 impl Api {
-    async fn told(&self, ask: Ask) -> Result<Told, Problem> {
+    async fn told(&self, ask: UndeliverableRequest) -> Result<UndeliverableResponse, Problem> {
         match self.ask_undeliverable(ask).await? {
-            Told::Refused(refusal) => Err(refused(refusal)),
-            Told::BatchRefused(refusal) => Err(batch_refused(refusal)),
-            Told::Unavailable(why) => Err(Problem::unavailable(why)),
-            Told::Busy(_) => Err(Problem::new(
+            UndeliverableResponse::Refused(refusal) => Err(refused(refusal)),
+            UndeliverableResponse::BatchRefused(refusal) => Err(batch_refused(refusal)),
+            UndeliverableResponse::Unavailable(why) => Err(Problem::unavailable(why)),
+            UndeliverableResponse::Busy(_) => Err(Problem::new(
                 StatusCode::TOO_MANY_REQUESTS,
                 "too-much-under-way",
                 "as much is sent again as may be beside live messages; nothing was done",
@@ -90,8 +92,9 @@
     }
 
     /// A record that the caller may see: one outside the token's scope is as if it were not there.
-    async fn seen(&self, caller: &Caller, id: RecordId) -> Result<Shown, Problem> {
-        let Told::Found(shown) = self.told(Ask::Find(id)).await? else {
+    async fn seen(&self, caller: &Caller, id: RecordId) -> Result<RecordView, Problem> {
+        let UndeliverableResponse::Found(shown) = self.told(UndeliverableRequest::Find(id)).await?
+        else {
             return Err(unexpected());
         };
         match caller.scope.covers(shown.record.origin.tenant_name()) {
@@ -100,24 +103,32 @@
         }
     }
 
-    async fn act(&self, asked: &Asked, id: RecordId, act: Act, done: StatusCode) -> Answer {
+    async fn act(
+        &self,
+        asked: &Asked,
+        id: RecordId,
+        act: RecordAction,
+        done: StatusCode,
+    ) -> Answer {
         asked.caller.may(Role::Operator)?;
         let version = asked.expect_number()?;
         self.seen(&asked.caller, id).await?;
-        let ask = Ask::Act {
+        let ask = UndeliverableRequest::RecordAction {
             id,
             act,
             who: asked.caller.name.clone(),
             version,
         };
-        let Told::Found(shown) = self.told(ask).await? else {
+        let UndeliverableResponse::Found(shown) = self.told(ask).await? else {
             return Err(unexpected());
         };
         Ok(one(*shown, done))
     }
 
     async fn batches(&self, caller: &Caller) -> Result<Vec<Batch>, Problem> {
-        let Told::Batches(mut batches) = self.told(Ask::Batches).await? else {
+        let UndeliverableResponse::Batches(mut batches) =
+            self.told(UndeliverableRequest::Batches).await?
+        else {
             return Err(unexpected());
         };
         batches.retain(|batch| theirs(caller, batch));
@@ -135,8 +146,8 @@
         {
             return Err(batch_refused(batch::Refusal::None));
         }
-        let Told::Batch(batch) = self
-            .told(Ask::Order {
+        let UndeliverableResponse::Batch(batch) = self
+            .told(UndeliverableRequest::Order {
                 name,
                 order,
                 version,
@@ -166,7 +177,7 @@
     response
 }
 
-fn one(shown: Shown, status: StatusCode) -> Response {
+fn one(shown: RecordView, status: StatusCode) -> Response {
     let version = shown.record.version;
     tagged(
         version,
@@ -397,8 +408,8 @@
     pub dropped: Vec<UndeliverableDropped>,
 }
 
-impl From<Status> for UndeliverableStatus {
-    fn from(status: Status) -> Self {
+impl From<StoreReport> for UndeliverableStatus {
+    fn from(status: StoreReport) -> Self {
         let dropped = status.sums.dropped.into_iter();
         UndeliverableStatus {
             records: status.sums.records,
@@ -644,12 +655,12 @@
         until,
         may_have_run,
     };
-    let ask = Ask::Page {
+    let ask = UndeliverableRequest::Page {
         filter: filter.read(&caller, state)?,
         before,
         most: page(limit)?,
     };
-    let Told::Page(found) = api.told(ask).await? else {
+    let UndeliverableResponse::Page(found) = api.told(ask).await? else {
         return Err(unexpected());
     };
     let items = found
@@ -692,7 +703,8 @@
             "these counts are of all tenants, the token is not",
         ));
     }
-    let Told::Counts(counts) = api.told(Ask::Counts(by)).await? else {
+    let UndeliverableResponse::Counts(counts) = api.told(UndeliverableRequest::Counts(by)).await?
+    else {
         return Err(unexpected());
     };
     let seen = counts
@@ -726,7 +738,9 @@
             "the store is that of all tenants, the token is not",
         ));
     }
-    let Told::Status(status) = api.told(Ask::Status).await? else {
+    let UndeliverableResponse::StoreReport(status) =
+        api.told(UndeliverableRequest::StoreReport).await?
+    else {
         return Err(unexpected());
     };
     Ok(Json(UndeliverableStatus::from(status)).into_response())
@@ -749,7 +763,7 @@
 async fn undeliverable_body(State(api): State<Api>, caller: Caller, Path(id): Path<u64>) -> Answer {
     caller.may(Role::Operator)?;
     api.seen(&caller, id).await?;
-    let Told::Body(body) = api.told(Ask::Body(id)).await? else {
+    let UndeliverableResponse::Body(body) = api.told(UndeliverableRequest::Body(id)).await? else {
         return Err(unexpected());
     };
     Ok(([(CONTENT_TYPE, "application/octet-stream")], body).into_response())
@@ -800,7 +814,8 @@
     (status = 200, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
     RecordNotChanged))]
 async fn claim_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
-    api.act(&asked, id, Act::Claim, StatusCode::OK).await
+    api.act(&asked, id, RecordAction::Claim, StatusCode::OK)
+        .await
 }
 
 /// Give a claim up. Role: operator.
@@ -813,7 +828,8 @@
     Path(id): Path<u64>,
     asked: Asked,
 ) -> Answer {
-    api.act(&asked, id, Act::Release, StatusCode::OK).await
+    api.act(&asked, id, RecordAction::Release, StatusCode::OK)
+        .await
 }
 
 /// Send a message again, if its rules allow that now. Role: operator.
@@ -823,7 +839,8 @@
     (status = 429, description = "Too much is sent again already, or live messages need the room; nothing was done.", body = ProblemBody, content_type = "application/problem+json"),
     RecordNotChanged))]
 async fn resend_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
-    api.act(&asked, id, Act::Resend, StatusCode::ACCEPTED).await
+    api.act(&asked, id, RecordAction::Resend, StatusCode::ACCEPTED)
+        .await
 }
 
 /// Ask the partner whether a message took effect. What it says stands among the statements. Role: operator.
@@ -832,7 +849,7 @@
     (status = 202, description = "The record after.", body = UndeliverableRecord, headers(("ETag" = String, description = "Its version."))),
     RecordNotChanged))]
 async fn ask_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
-    api.act(&asked, id, Act::AskPartner, StatusCode::ACCEPTED)
+    api.act(&asked, id, RecordAction::AskPartner, StatusCode::ACCEPTED)
         .await
 }
 
@@ -846,7 +863,8 @@
     Path(id): Path<u64>,
     asked: Asked,
 ) -> Answer {
-    api.act(&asked, id, Act::Discard, StatusCode::OK).await
+    api.act(&asked, id, RecordAction::Discard, StatusCode::OK)
+        .await
 }
 
 /// Say whether a message took effect. Two operators who agree stand for the partner's word. Role: operator.
@@ -858,7 +876,8 @@
     (status = 503, description = "Not kept; harmless to ask again.", body = ProblemBody, content_type = "application/problem+json")))]
 async fn attest_undeliverable(State(api): State<Api>, Path(id): Path<u64>, asked: Asked) -> Answer {
     let Attestation { says } = asked.json(JSON)?;
-    api.act(&asked, id, Act::State(says), StatusCode::OK).await
+    api.act(&asked, id, RecordAction::State(says), StatusCode::OK)
+        .await
 }
 
 /// List batches of resends. Role: viewer.
@@ -894,11 +913,11 @@
         stop_after: new.stop_after.unwrap_or(PACE.2),
     };
     let location = format!("/v1/undeliverable-batches/{}", spec.name);
-    let ask = Ask::Plan {
+    let ask = UndeliverableRequest::Plan {
         spec,
         who: asked.caller.name.clone(),
     };
-    let Told::Batch(batch) = api.told(ask).await? else {
+    let UndeliverableResponse::Batch(batch) = api.told(ask).await? else {
         return Err(unexpected());
     };
     let mut response = one_batch(*batch, StatusCode::CREATED);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,6 @@
 pub mod metrics;
 pub mod protocol;
 
-pub use lifecycle::{Lifecycle, Stage, State, Told};
-pub use metrics::{End, Ledger, Targets};
-pub use protocol::{Call, Line};
+pub use lifecycle::{ConnectionStage, Lifecycle, LifecycleEvent, LifecycleState};
+pub use metrics::{HostCounts, MessageEnd, Metrics};
+pub use protocol::{Command, ParsedLine};
--- a/crates/control/src/lifecycle.rs
+++ b/crates/control/src/lifecycle.rs
@@ -20,7 +20,7 @@
 
 /// Where a process stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
+pub enum LifecycleState {
     /// It takes no clients yet.
     Starting,
     /// It takes clients.
@@ -35,7 +35,7 @@
 
 /// What a process is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Told {
+pub enum LifecycleEvent {
     /// All is in place.
     Started,
     /// An operator empties it.
@@ -54,7 +54,7 @@
 
 /// What connections are to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
+pub enum ConnectionStage {
     /// Stay open.
     Open,
     /// Close between requests; those that have come are served.
@@ -66,7 +66,7 @@
 /// The machine. Moments are spans since any fixed start.
 #[derive(Clone, Copy, Debug)]
 pub struct Lifecycle {
-    state: State,
+    state: LifecycleState,
     since: Duration,
     /// An operator has it drained; whoever takes over learns it.
     drained: bool,
@@ -79,7 +79,7 @@
 impl Default for Lifecycle {
     fn default() -> Self {
         Lifecycle {
-            state: State::Starting,
+            state: LifecycleState::Starting,
             since: Duration::ZERO,
             drained: false,
             handed: false,
@@ -90,35 +90,43 @@
 
 impl Lifecycle {
     /// Where it stands.
-    pub fn state(&self) -> State {
+    pub fn state(&self) -> LifecycleState {
         self.state
     }
 
     /// Takes an input. False if it changes nothing where the process stands: it is that already, or is past it.
     ///
     /// Stopping is never left. A drain survives being handed over: whoever takes over is drained too.
-    pub fn tell(&mut self, told: Told, now: Duration) -> bool {
+    pub fn tell(&mut self, told: LifecycleEvent, now: Duration) -> bool {
         let next = match (self.state, told) {
-            (State::Starting, Told::Started) if self.drained => State::Draining,
-            (State::Starting, Told::Started) => State::Serving,
-            (State::Serving, Told::Drain) => State::Draining,
-            (State::Draining, Told::Resume) => State::Serving,
-            (State::Serving | State::Draining, Told::HandOver) => State::HandingOver,
-            (State::HandingOver, Told::TakenBack) if self.drained => State::Draining,
-            (State::HandingOver, Told::TakenBack) => State::Serving,
-            (State::Stopping, Told::Stop) => return false,
-            (State::Stopping, Told::Idle) => return !std::mem::replace(&mut self.idle, true),
-            (_, Told::Stop) => State::Stopping,
+            (LifecycleState::Starting, LifecycleEvent::Started) if self.drained => {
+                LifecycleState::Draining
+            }
+            (LifecycleState::Starting, LifecycleEvent::Started) => LifecycleState::Serving,
+            (LifecycleState::Serving, LifecycleEvent::Drain) => LifecycleState::Draining,
+            (LifecycleState::Draining, LifecycleEvent::Resume) => LifecycleState::Serving,
+            (LifecycleState::Serving | LifecycleState::Draining, LifecycleEvent::HandOver) => {
+                LifecycleState::HandingOver
+            }
+            (LifecycleState::HandingOver, LifecycleEvent::TakenBack) if self.drained => {
+                LifecycleState::Draining
+            }
+            (LifecycleState::HandingOver, LifecycleEvent::TakenBack) => LifecycleState::Serving,
+            (LifecycleState::Stopping, LifecycleEvent::Stop) => return false,
+            (LifecycleState::Stopping, LifecycleEvent::Idle) => {
+                return !std::mem::replace(&mut self.idle, true)
+            }
+            (_, LifecycleEvent::Stop) => LifecycleState::Stopping,
             _ => return false,
         };
         self.drained = match told {
-            Told::Drain => true,
-            Told::Resume => false,
+            LifecycleEvent::Drain => true,
+            LifecycleEvent::Resume => false,
             _ => self.drained,
         };
         self.handed = match told {
-            Told::HandOver => true,
-            Told::TakenBack => false,
+            LifecycleEvent::HandOver => true,
+            LifecycleEvent::TakenBack => false,
             _ => self.handed,
         };
         (self.state, self.since) = (next, now);
@@ -133,7 +141,9 @@
     /// Whether another process is to have everything now: it was told so, and clients are gone or have had their time.
     pub fn hands_over(&self, now: Duration, clients: usize) -> bool {
         self.handed
-            && (clients == 0 || self.state == State::Stopping || self.past(now) >= HAND_OVER)
+            && (clients == 0
+                || self.state == LifecycleState::Stopping
+                || self.past(now) >= HAND_OVER)
     }
 
     /// Whether an operator has it drained.
@@ -143,32 +153,32 @@
 
     /// Whether the process takes clients: the answer to `ready`, and to `PING` yes or no.
     pub fn ready(&self) -> bool {
-        self.state == State::Serving
+        self.state == LifecycleState::Serving
     }
 
     /// Whether new connections are accepted. A drained process goes on, as it answers the front's question with no.
     pub fn accepts(&self, now: Duration) -> bool {
         match self.state {
             _ if self.handed => false,
-            State::Starting | State::HandingOver => false,
-            State::Serving | State::Draining => true,
-            State::Stopping => !self.idle && self.past(now) < STOP_CLOSES,
+            LifecycleState::Starting | LifecycleState::HandingOver => false,
+            LifecycleState::Serving | LifecycleState::Draining => true,
+            LifecycleState::Stopping => !self.idle && self.past(now) < STOP_CLOSES,
         }
     }
 
     /// What open connections are to do.
-    pub fn stage(&self, now: Duration) -> Stage {
+    pub fn stage(&self, now: Duration) -> ConnectionStage {
         let past = self.past(now);
         match self.state {
-            State::Starting | State::Serving => Stage::Open,
-            State::Draining if past >= DRAIN_REFUSES => Stage::Refusing,
-            State::Draining if past >= DRAIN_CLOSES => Stage::Closing,
-            State::Draining => Stage::Open,
-            State::HandingOver if past < HAND_OVER => Stage::Closing,
-            State::HandingOver => Stage::Refusing,
-            State::Stopping if self.handed => Stage::Refusing,
-            State::Stopping if past >= STOP_CLOSES => Stage::Closing,
-            State::Stopping => Stage::Open,
+            LifecycleState::Starting | LifecycleState::Serving => ConnectionStage::Open,
+            LifecycleState::Draining if past >= DRAIN_REFUSES => ConnectionStage::Refusing,
+            LifecycleState::Draining if past >= DRAIN_CLOSES => ConnectionStage::Closing,
+            LifecycleState::Draining => ConnectionStage::Open,
+            LifecycleState::HandingOver if past < HAND_OVER => ConnectionStage::Closing,
+            LifecycleState::HandingOver => ConnectionStage::Refusing,
+            LifecycleState::Stopping if self.handed => ConnectionStage::Refusing,
+            LifecycleState::Stopping if past >= STOP_CLOSES => ConnectionStage::Closing,
+            LifecycleState::Stopping => ConnectionStage::Open,
         }
     }
 
@@ -180,24 +190,24 @@
         } else {
             STOP_FRONT
         };
-        self.state == State::Stopping && (past >= STOP_ENDS || quiet && past >= front)
+        self.state == LifecycleState::Stopping && (past >= STOP_ENDS || quiet && past >= front)
     }
 
     /// Whether its time is up, whatever is left.
     pub fn must_end(&self, now: Duration) -> bool {
-        self.state == State::Stopping && self.past(now) >= STOP_ENDS
+        self.state == LifecycleState::Stopping && self.past(now) >= STOP_ENDS
     }
 
     /// When the last call has to have ended, once the process was told to stop.
     pub fn last_call(&self) -> Option<Duration> {
-        (self.state == State::Stopping).then_some(self.since + STOP_CLOSES)
+        (self.state == LifecycleState::Stopping).then_some(self.since + STOP_CLOSES)
     }
 
     /// Whether time alone changes what is said, so that it has to be asked again soon.
     pub fn moves(&self) -> bool {
         matches!(
             self.state,
-            State::Draining | State::HandingOver | State::Stopping
+            LifecycleState::Draining | LifecycleState::HandingOver | LifecycleState::Stopping
         )
     }
 
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -9,7 +9,7 @@
 
 /// How a message ended, or was not taken on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
+pub enum MessageEnd {
     /// Delivered.
     Success,
     /// Refused at the door, or handed back.
@@ -37,7 +37,7 @@
 
 /// Hosts as the list and the module have them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Targets {
+pub struct HostCounts {
     /// Hosts in the list, those that drain among them.
     pub listed: usize,
     /// Of these, the ones that the relay sends nothing to now.
@@ -46,17 +46,17 @@
 
 /// The figures of one process.
 #[derive(Clone, Debug, Default)]
-pub struct Ledger {
+pub struct Metrics {
     classes: BTreeMap<String, Counts>,
     taken: u64,
     ended: u64,
     reloads: [u64; 2],
 }
 
-impl Ledger {
+impl Metrics {
     /// All classes of the settings at 0.
     pub fn new<'a>(classes: impl IntoIterator<Item = &'a String>) -> Self {
-        let mut ledger = Ledger::default();
+        let mut ledger = Metrics::default();
         ledger.classes(classes);
         ledger
     }
@@ -87,7 +87,7 @@
     }
 
     /// A message that was taken on has ended.
-    pub fn ended(&mut self, class: &str, end: End) {
+    pub fn ended(&mut self, class: &str, end: MessageEnd) {
         self.ended += 1;
         debug_assert!(
             self.ended <= self.taken,
@@ -102,7 +102,7 @@
     }
 
     /// A message was not taken on. A class that the settings never had is not counted: names are the client's.
-    pub fn turned_away(&mut self, class: &str, end: End) {
+    pub fn turned_away(&mut self, class: &str, end: MessageEnd) {
         self.count(class, end);
     }
 
@@ -121,20 +121,20 @@
         (self.taken, self.ended)
     }
 
-    fn count(&mut self, class: &str, end: End) {
+    fn count(&mut self, class: &str, end: MessageEnd) {
         let Some(counts) = self.classes.get_mut(class) else {
             return;
         };
         match end {
-            End::Success => counts.success += 1,
-            End::Overload => counts.overload += 1,
-            End::Error => counts.error += 1,
-            End::Other => {}
+            MessageEnd::Success => counts.success += 1,
+            MessageEnd::Overload => counts.overload += 1,
+            MessageEnd::Error => counts.error += 1,
+            MessageEnd::Other => {}
         }
     }
 
     /// The figures as the door shows them, one `name=value` a line.
-    pub fn show(&self, dispatches: u64, targets: Targets) -> String {
+    pub fn show(&self, dispatches: u64, targets: HostCounts) -> String {
         let mut text = String::new();
         // A text takes every line.
         for (class, counts) in &self.classes {
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -7,7 +7,7 @@
 
 /// A call of an operator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Call {
+pub enum Command {
     /// Whether the process takes clients.
     Ready,
     /// The figures.
@@ -18,22 +18,27 @@
     Resume,
 }
 
-impl Call {
+impl Command {
     /// All calls.
-    pub const ALL: [Call; 4] = [Call::Ready, Call::ShowStat, Call::Drain, Call::Resume];
+    pub const ALL: [Command; 4] = [
+        Command::Ready,
+        Command::ShowStat,
+        Command::Drain,
+        Command::Resume,
+    ];
 
     /// Its word on the wire.
     pub fn word(self) -> &'static str {
         match self {
-            Call::Ready => "ready",
-            Call::ShowStat => "show-stat",
-            Call::Drain => "drain",
-            Call::Resume => "resume",
+            Command::Ready => "ready",
+            Command::ShowStat => "show-stat",
+            Command::Drain => "drain",
+            Command::Resume => "resume",
         }
     }
 }
 
-impl fmt::Display for Call {
+impl fmt::Display for Command {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.word())
     }
@@ -41,32 +46,32 @@
 
 /// What stands at the start of a connection's text.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Line {
+pub enum ParsedLine {
     /// No whole line yet.
     Partial,
     /// A call.
-    Call(Call),
+    Command(Command),
     /// A line that is no call, and why.
     Wrong(&'static str),
 }
 
 /// Reads the first line of a text. White space round the word and a carriage return are let pass.
-pub fn read(text: &[u8]) -> Line {
+pub fn read(text: &[u8]) -> ParsedLine {
     let Some(end) = text.iter().position(|byte| *byte == b'\n') else {
         return if text.len() > LONGEST {
-            Line::Wrong("the line is too long")
+            ParsedLine::Wrong("the line is too long")
         } else {
-            Line::Partial
+            ParsedLine::Partial
         };
     };
     if end > LONGEST {
-        return Line::Wrong("the line is too long");
+        return ParsedLine::Wrong("the line is too long");
     }
     let word = text[..end].trim_ascii();
-    let call = Call::ALL
+    let call = Command::ALL
         .into_iter()
         .find(|call| call.word().as_bytes() == word);
-    call.map_or(Line::Wrong("unknown call"), Line::Call)
+    call.map_or(ParsedLine::Wrong("unknown call"), ParsedLine::Command)
 }
 
 /// The answer to a call that worked.
--- a/crates/control/tests/lifecycle.rs
+++ b/crates/control/tests/lifecycle.rs
@@ -5,27 +5,27 @@
 use control::lifecycle::{
     DRAIN_CLOSES, DRAIN_REFUSES, HAND_OVER, STOP_CLOSES, STOP_ENDS, STOP_FRONT,
 };
-use control::{Lifecycle, Stage, State, Told};
+use control::{ConnectionStage, Lifecycle, LifecycleEvent, LifecycleState};
 
 const MS: Duration = Duration::from_millis(1);
-const INPUTS: [Told; 6] = [
-    Told::Started,
-    Told::Drain,
-    Told::Resume,
-    Told::HandOver,
-    Told::TakenBack,
-    Told::Stop,
+const INPUTS: [LifecycleEvent; 6] = [
+    LifecycleEvent::Started,
+    LifecycleEvent::Drain,
+    LifecycleEvent::Resume,
+    LifecycleEvent::HandOver,
+    LifecycleEvent::TakenBack,
+    LifecycleEvent::Stop,
 ];
 
 /// A process that got to a state the shortest way.
-fn at(state: State) -> Lifecycle {
+fn at(state: LifecycleState) -> Lifecycle {
     let mut life = Lifecycle::default();
-    let way: &[Told] = match state {
-        State::Starting => &[],
-        State::Serving => &[Told::Started],
-        State::Draining => &[Told::Started, Told::Drain],
-        State::HandingOver => &[Told::Started, Told::HandOver],
-        State::Stopping => &[Told::Started, Told::Stop],
+    let way: &[LifecycleEvent] = match state {
+        LifecycleState::Starting => &[],
+        LifecycleState::Serving => &[LifecycleEvent::Started],
+        LifecycleState::Draining => &[LifecycleEvent::Started, LifecycleEvent::Drain],
+        LifecycleState::HandingOver => &[LifecycleEvent::Started, LifecycleEvent::HandOver],
+        LifecycleState::Stopping => &[LifecycleEvent::Started, LifecycleEvent::Stop],
     };
     way.iter()
         .for_each(|told| assert!(life.tell(*told, Duration::ZERO)));
@@ -35,9 +35,9 @@
 
 #[test]
 fn each_state_takes_each_input_as_the_table_says() {
-    use State::*;
+    use LifecycleState::*;
     // Columns as in INPUTS; none where an input changes nothing.
-    let table: [(State, [Option<State>; 6]); 5] = [
+    let table: [(LifecycleState, [Option<LifecycleState>; 6]); 5] = [
         (
             Starting,
             [Some(Serving), None, None, None, None, Some(Stopping)],
@@ -83,14 +83,14 @@
 
 #[test]
 fn a_drained_relay_closes_in_steps_and_leaves_the_page_a_margin() {
-    let life = at(State::Draining);
+    let life = at(LifecycleState::Draining);
     assert!(
         !life.ready() && life.accepts(Duration::from_secs(60)),
         "it answers the front's question with no"
     );
-    assert_eq!(life.stage(DRAIN_CLOSES - MS), Stage::Open);
-    assert_eq!(life.stage(DRAIN_CLOSES), Stage::Closing);
-    assert_eq!(life.stage(DRAIN_REFUSES), Stage::Refusing);
+    assert_eq!(life.stage(DRAIN_CLOSES - MS), ConnectionStage::Open);
+    assert_eq!(life.stage(DRAIN_CLOSES), ConnectionStage::Closing);
+    assert_eq!(life.stage(DRAIN_REFUSES), ConnectionStage::Refusing);
     assert!(
         !life.ends(Duration::from_secs(3600), true),
         "a drain ends no process"
@@ -104,45 +104,45 @@
 
 #[test]
 fn a_drain_survives_an_upgrade_on_both_sides() {
-    let mut old = at(State::Draining);
-    assert!(old.tell(Told::HandOver, MS) && old.drained());
+    let mut old = at(LifecycleState::Draining);
+    assert!(old.tell(LifecycleEvent::HandOver, MS) && old.drained());
     let mut new = Lifecycle::default();
     new.inherits(old.drained());
-    assert!(new.tell(Told::Started, MS));
-    assert_eq!(new.state(), State::Draining);
-    assert!(new.tell(Told::Resume, MS) && new.ready());
+    assert!(new.tell(LifecycleEvent::Started, MS));
+    assert_eq!(new.state(), LifecycleState::Draining);
+    assert!(new.tell(LifecycleEvent::Resume, MS) && new.ready());
     // And where the new one dies, the old one is drained as before.
-    assert!(old.tell(Told::TakenBack, MS));
-    assert_eq!(old.state(), State::Draining);
+    assert!(old.tell(LifecycleEvent::TakenBack, MS));
+    assert_eq!(old.state(), LifecycleState::Draining);
 }
 
 #[test]
 fn a_process_that_hands_over_accepts_no_more_and_is_never_held_up_by_clients() {
-    let life = at(State::HandingOver);
+    let life = at(LifecycleState::HandingOver);
     assert!(!life.accepts(Duration::ZERO) && !life.ready());
     assert_eq!(
         life.stage(HAND_OVER - MS),
-        Stage::Closing,
+        ConnectionStage::Closing,
         "requests that have begun are served"
     );
-    assert_eq!(life.stage(HAND_OVER), Stage::Refusing);
+    assert_eq!(life.stage(HAND_OVER), ConnectionStage::Refusing);
     assert!(life.hands_over(Duration::ZERO, 0) && !life.hands_over(HAND_OVER - MS, 1));
     assert!(life.hands_over(HAND_OVER, 1));
     // Told to stop in between, it hands over at once and ends as soon as nothing is out.
     let mut life = life;
-    assert!(life.tell(Told::Stop, MS));
+    assert!(life.tell(LifecycleEvent::Stop, MS));
     assert!(life.hands_over(MS, 9) && !life.accepts(MS));
-    assert_eq!(life.stage(MS), Stage::Refusing);
+    assert_eq!(life.stage(MS), ConnectionStage::Refusing);
     assert!(life.ends(MS, true) && !life.ends(MS, false) && life.ends(MS + STOP_ENDS, false));
-    assert!(!at(State::Serving).hands_over(Duration::from_secs(9), 0));
+    assert!(!at(LifecycleState::Serving).hands_over(Duration::from_secs(9), 0));
 }
 
 #[test]
 fn a_stop_serves_on_and_ends_before_the_kill() {
-    let life = at(State::Stopping);
+    let life = at(LifecycleState::Stopping);
     assert!(life.accepts(STOP_CLOSES - MS) && !life.accepts(STOP_CLOSES));
-    assert_eq!(life.stage(STOP_CLOSES - MS), Stage::Open);
-    assert_eq!(life.stage(STOP_CLOSES), Stage::Closing);
+    assert_eq!(life.stage(STOP_CLOSES - MS), ConnectionStage::Open);
+    assert_eq!(life.stage(STOP_CLOSES), ConnectionStage::Closing);
     assert!(
         !life.ends(STOP_FRONT - MS, true),
         "new connections may still be on the way"
--- a/crates/control/tests/metrics.rs
+++ b/crates/control/tests/metrics.rs
@@ -1,7 +1,7 @@
 //! The ledger: whatever happens in whatever order, the figures add up.
 
 use control::metrics::MOST_CLASSES;
-use control::{End, Ledger, Targets};
+use control::{HostCounts, MessageEnd, Metrics};
 use proptest::prelude::*;
 
 fn names(list: &[&str]) -> Vec<String> {
@@ -16,20 +16,20 @@
     line.and_then(|value| value.parse().ok())
 }
 
-fn end() -> impl Strategy<Value = End> {
+fn end() -> impl Strategy<Value = MessageEnd> {
     prop_oneof![
-        Just(End::Success),
-        Just(End::Overload),
-        Just(End::Error),
-        Just(End::Other)
+        Just(MessageEnd::Success),
+        Just(MessageEnd::Overload),
+        Just(MessageEnd::Error),
+        Just(MessageEnd::Other)
     ]
 }
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Taken,
-    Ended(usize, End),
-    TurnedAway(usize, End),
+    Ended(usize, MessageEnd),
+    TurnedAway(usize, MessageEnd),
     Reload(bool),
     HandedOver,
 }
@@ -50,15 +50,15 @@
     #[test]
     fn what_was_taken_has_ended_or_is_concurrent(steps in prop::collection::vec(step(), 0..200)) {
         let classes = names(&["a", "b", "c", "no class"]);
-        let mut ledger = Ledger::new(&classes[..3]);
+        let mut ledger = Metrics::new(&classes[..3]);
         let (mut held, mut counts, mut reloads) = (0u64, [[0u64; 3]; 3], [0u64; 2]);
         for step in steps {
-            let mut count = |class: usize, end: End| {
+            let mut count = |class: usize, end: MessageEnd| {
                 let column = match end {
-                    End::Success => 0,
-                    End::Overload => 1,
-                    End::Error => 2,
-                    End::Other => return,
+                    MessageEnd::Success => 0,
+                    MessageEnd::Overload => 1,
+                    MessageEnd::Error => 2,
+                    MessageEnd::Other => return,
                 };
                 counts.get_mut(class).into_iter().for_each(|row| row[column] += 1);
             };
@@ -90,7 +90,7 @@
             prop_assert_eq!(taken, ended + ledger.concurrent());
             prop_assert_eq!(ledger.concurrent(), held);
         }
-        let text = ledger.show(7, Targets { listed: 5, disabled: 2 });
+        let text = ledger.show(7, HostCounts { listed: 5, disabled: 2 });
         for (class, row) in classes.iter().zip(counts) {
             for (name, value) in ["success", "overload", "error"].into_iter().zip(row) {
                 prop_assert_eq!(figure(&text, &format!("{name}.{class}")), Some(value));
@@ -107,11 +107,11 @@
 
 #[test]
 fn classes_come_at_zero_and_those_that_go_keep_their_counts() {
-    let mut ledger = Ledger::new(&names(&["a", "b"]));
+    let mut ledger = Metrics::new(&names(&["a", "b"]));
     ledger.taken();
-    ledger.ended("a", End::Success);
+    ledger.ended("a", MessageEnd::Success);
     ledger.classes(&names(&["b", "c"]));
-    let text = ledger.show(0, Targets::default());
+    let text = ledger.show(0, HostCounts::default());
     assert_eq!(
         (figure(&text, "success.a"), figure(&text, "success.c")),
         (Some(1), Some(0))
@@ -120,12 +120,12 @@
 
 #[test]
 fn names_of_classes_are_bounded_and_those_in_force_always_stand() {
-    let mut ledger = Ledger::default();
+    let mut ledger = Metrics::default();
     for number in 0..2 * MOST_CLASSES {
         ledger.classes(&names(&[&format!("c{number}"), "always"]));
-        ledger.turned_away("always", End::Error);
+        ledger.turned_away("always", MessageEnd::Error);
     }
-    let text = ledger.show(0, Targets::default());
+    let text = ledger.show(0, HostCounts::default());
     assert_eq!(
         text.lines()
             .filter(|line| line.starts_with("relay.success."))
--- a/crates/control/tests/protocol.rs
+++ b/crates/control/tests/protocol.rs
@@ -1,24 +1,27 @@
 //! The line protocol: each call, cut at each byte, and what is none.
 
 use control::protocol::{read, LONGEST};
-use control::{Call, Line};
+use control::{Command, ParsedLine};
 use proptest::prelude::*;
 
 #[test]
 fn each_call_is_read_once_its_line_is_whole() {
-    for call in Call::ALL {
+    for call in Command::ALL {
         for end in ["\n", "\r\n", " \n"] {
             let text = format!("{call}{end}");
             for cut in 0..text.len() {
                 assert_eq!(
                     read(&text.as_bytes()[..cut]),
-                    Line::Partial,
+                    ParsedLine::Partial,
                     "{text:?} cut at {cut}"
                 );
             }
-            assert_eq!(read(text.as_bytes()), Line::Call(call));
+            assert_eq!(read(text.as_bytes()), ParsedLine::Command(call));
             // What follows the line is not looked at.
-            assert_eq!(read(format!("{text}more").as_bytes()), Line::Call(call));
+            assert_eq!(
+                read(format!("{text}more").as_bytes()),
+                ParsedLine::Command(call)
+            );
         }
     }
 }
@@ -34,19 +37,19 @@
         b"show-stat\0\n",
         &long,
     ] {
-        assert!(matches!(read(text), Line::Wrong(_)), "{text:?}");
+        assert!(matches!(read(text), ParsedLine::Wrong(_)), "{text:?}");
     }
 }
 
 proptest! {
     #[test]
     fn no_text_is_taken_for_a_call_that_it_does_not_name(text in prop::collection::vec(any::<u8>(), 0..200)) {
-        if let Line::Call(call) = read(&text) {
+        if let ParsedLine::Command(call) = read(&text) {
             let first = text.split(|byte| *byte == b'\n').next().unwrap_or_default();
             prop_assert_eq!(first.trim_ascii(), call.word().as_bytes());
         }
         if !text.contains(&b'\n') && text.len() <= LONGEST {
-            prop_assert_eq!(read(&text), Line::Partial);
+            prop_assert_eq!(read(&text), ParsedLine::Partial);
         }
     }
 }
--- a/crates/experiments/src/store.rs
+++ b/crates/experiments/src/store.rs
@@ -4,7 +4,7 @@
 
 use comfy_table::{presets, Table};
 use hdrhistogram::Histogram;
-use runtime::{Real, System};
+use runtime::{OsRuntime, Runtime};
 use undeliverable::record::{Effect, Origin};
 use undeliverable::{Attempt, Filter, Outcome, Reason, Record, State, Store};
 
@@ -78,7 +78,7 @@
     let path = folder.path().join("undeliverable.redb");
     let before = memory("VmRSS:");
     let open = || -> Result<Store, Error> {
-        let pages = Real.pages(&path).map_err(|e| bad(&e))?;
+        let pages = OsRuntime.open_random_access(&path).map_err(|e| bad(&e))?;
         Store::open(pages, false).map_err(|e| bad(&e))
     };
     let store = open()?;
--- a/crates/membership/src/host_membership.rs
+++ b/crates/membership/src/host_membership.rs
@@ -6,7 +6,7 @@
 
 use policy::types::HostId;
 
-use crate::poll_schedule::Pace;
+use crate::poll_schedule::PollSchedule;
 
 /// Calls wait so long for the answer to the first call for the list, from when that was made. An agent on the same machine
 /// answers at once, a busy core makes some hundred milliseconds of it; one that has said nothing by then is silent, and
@@ -21,7 +21,7 @@
 
 /// What the settings say of discovery.
 #[derive(Clone, Copy, Debug)]
-pub struct Terms {
+pub struct DiscoverySettings {
     /// Changes come unasked, from an agent beside the relay that answers at once.
     pub pushed: bool,
     /// Relays that ask.
@@ -34,7 +34,7 @@
 
 /// What to do with a list that discovery tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum ListFreshness {
     /// Take it over.
     Current,
     /// It is older than the one in force. It may take hosts away and gives none back; a whole one is to be asked for again.
@@ -50,34 +50,34 @@
 }
 
 /// What is known of the list.
-pub struct Members {
+pub struct HostMembership {
     trust: Trust,
     /// Hosts that are listed as up.
     up: BTreeSet<HostId>,
     /// Since when all that was told was older than what is in force.
     older: Option<Instant>,
     /// When to ask.
-    pub pace: Pace,
+    pub pace: PollSchedule,
 }
 
-impl Members {
+impl HostMembership {
     /// For a process that starts; whatever list it has is from before. `heard` is how long ago the process before last heard from
     /// discovery; none if no process ever has, so that all is as the platform told it.
     ///
     /// Where relays ask, what the list has to tell binds only some seconds after: a list that was confirmed a moment ago serves until the
     /// answer can be here. Guards a discovery that is overbooked after a restart of most relays, whose calls wait.
-    pub fn new(terms: &Terms, heard: Option<Duration>) -> Self {
-        let fresh = !terms.pushed && heard.is_none_or(|ago| ago <= Pace::fresh(terms));
+    pub fn new(terms: &DiscoverySettings, heard: Option<Duration>) -> Self {
+        let fresh = !terms.pushed && heard.is_none_or(|ago| ago <= PollSchedule::fresh(terms));
         let trust = if fresh {
             Trust::Believed
         } else {
             Trust::Unconfirmed(None)
         };
-        Members {
+        HostMembership {
             trust,
             up: BTreeSet::new(),
             older: None,
-            pace: Pace::new(terms),
+            pace: PollSchedule::new(terms),
         }
     }
 
@@ -134,19 +134,25 @@
     ///
     /// Guards drains that one discovery told against another, or one that was started again, that is behind: its list
     /// would take them back. And it guards against that list's own drains being passed over meanwhile.
-    pub fn judge(&mut self, version: u64, in_force: u64, whole: bool, now: Instant) -> Word {
+    pub fn judge(
+        &mut self,
+        version: u64,
+        in_force: u64,
+        whole: bool,
+        now: Instant,
+    ) -> ListFreshness {
         if version >= in_force {
             if whole {
                 self.older = None;
             }
-            return Word::Current;
+            return ListFreshness::Current;
         }
         let since = *self.older.get_or_insert(now);
         if whole && now >= since + OLDER_FOR {
             self.older = None;
-            return Word::Current;
+            return ListFreshness::Current;
         }
-        Word::Older
+        ListFreshness::Older
     }
 }
 
@@ -154,10 +160,10 @@
 mod tests {
     use super::*;
 
-    fn members(pushed: bool) -> Members {
+    fn members(pushed: bool) -> HostMembership {
         let drain_grace = Duration::from_secs(2);
-        Members::new(
-            &Terms {
+        HostMembership::new(
+            &DiscoverySettings {
                 pushed,
                 siblings: 300,
                 drain_grace,
@@ -177,13 +183,13 @@
             (false, 4, false),
             (true, 0, false),
         ] {
-            let terms = Terms {
+            let terms = DiscoverySettings {
                 pushed,
                 siblings: 300,
                 drain_grace,
                 seed: 7,
             };
-            let mut members = Members::new(&terms, Some(Duration::from_secs(heard)));
+            let mut members = HostMembership::new(&terms, Some(Duration::from_secs(heard)));
             members.list(1, true);
             assert_eq!(
                 members.may_begin(1, now),
@@ -225,21 +231,33 @@
     #[test]
     fn an_older_list_is_believed_only_once_it_can_be_no_lag() {
         let (mut members, now) = (members(true), Instant::now());
-        assert_eq!(members.judge(8, 8, false, now), Word::Current);
-        assert_eq!(members.judge(7, 8, true, now), Word::Older);
+        assert_eq!(members.judge(8, 8, false, now), ListFreshness::Current);
+        assert_eq!(members.judge(7, 8, true, now), ListFreshness::Older);
         assert_eq!(
             members.judge(7, 8, false, now + OLDER_FOR),
-            Word::Older,
+            ListFreshness::Older,
             "a change alone says too little"
         );
         assert_eq!(
             members.judge(7, 8, true, now + OLDER_FOR - Duration::from_millis(1)),
-            Word::Older
+            ListFreshness::Older
+        );
+        assert_eq!(
+            members.judge(7, 8, true, now + OLDER_FOR),
+            ListFreshness::Current
         );
-        assert_eq!(members.judge(7, 8, true, now + OLDER_FOR), Word::Current);
         // The next time counts from its own beginning.
-        assert_eq!(members.judge(6, 7, true, now + OLDER_FOR), Word::Older);
-        assert_eq!(members.judge(7, 7, true, now + OLDER_FOR), Word::Current);
-        assert_eq!(members.judge(6, 7, true, now + OLDER_FOR * 2), Word::Older);
+        assert_eq!(
+            members.judge(6, 7, true, now + OLDER_FOR),
+            ListFreshness::Older
+        );
+        assert_eq!(
+            members.judge(7, 7, true, now + OLDER_FOR),
+            ListFreshness::Current
+        );
+        assert_eq!(
+            members.judge(6, 7, true, now + OLDER_FOR * 2),
+            ListFreshness::Older
+        );
     }
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,4 +4,6 @@
 mod host_membership;
 pub mod poll_schedule;
 
-pub use host_membership::{Members, Terms, Word, ASKED_HOLD, HOLD, OLDER_FOR};
+pub use host_membership::{
+    DiscoverySettings, HostMembership, ListFreshness, ASKED_HOLD, HOLD, OLDER_FOR,
+};
--- a/crates/membership/src/poll_schedule.rs
+++ b/crates/membership/src/poll_schedule.rs
@@ -8,7 +8,7 @@
 
 use policy::state::Rng;
 
-use crate::Terms;
+use crate::DiscoverySettings;
 
 /// A watch on which nothing comes for so long is dead, whatever its connection says: an empty line comes every 2 s.
 pub const SILENCE: Duration = Duration::from_millis(3500);
@@ -47,7 +47,7 @@
 ///
 /// Guards a discovery that a hundred relays ask at once, after a start or an end that all of them saw: one that
 /// gave up early left its call behind to be answered for nobody, and those turned away came again together.
-pub struct Pace {
+pub struct PollSchedule {
     pushed: bool,
     siblings: u32,
     drain_grace: Duration,
@@ -57,11 +57,11 @@
     spoilt: bool,
 }
 
-impl Pace {
+impl PollSchedule {
     /// For one of so many relays, with random numbers from the configured seed.
-    pub fn new(terms: &Terms) -> Self {
+    pub fn new(terms: &DiscoverySettings) -> Self {
         let siblings = terms.siblings.clamp(1, 100_000) as u32;
-        let Terms {
+        let DiscoverySettings {
             pushed,
             drain_grace,
             seed,
@@ -69,7 +69,7 @@
         } = *terms;
         // Not the module's own numbers.
         let dice = Rng(!seed);
-        let mut pace = Pace {
+        let mut pace = PollSchedule {
             pushed,
             siblings,
             drain_grace,
@@ -92,7 +92,7 @@
 
     /// Where relays ask: a list that was confirmed no longer ago than this serves a process that starts until its first call is
     /// answered, before what came after that confirmation binds.
-    pub(crate) fn fresh(terms: &Terms) -> Duration {
+    pub(crate) fn fresh(terms: &DiscoverySettings) -> Duration {
         (TOLD_AFTER + terms.drain_grace).saturating_sub(terms.drain_grace / 2 + ANSWER + BEAT)
     }
 
@@ -174,8 +174,8 @@
 
     const GRACE: Duration = Duration::from_secs(2);
 
-    fn asked(siblings: usize, seed: u64) -> Pace {
-        Pace::new(&Terms {
+    fn asked(siblings: usize, seed: u64) -> PollSchedule {
+        PollSchedule::new(&DiscoverySettings {
             pushed: false,
             siblings,
             drain_grace: GRACE,
@@ -183,8 +183,8 @@
         })
     }
 
-    fn pushed(siblings: usize, seed: u64) -> Pace {
-        Pace::new(&Terms {
+    fn pushed(siblings: usize, seed: u64) -> PollSchedule {
+        PollSchedule::new(&DiscoverySettings {
             pushed: true,
             siblings,
             drain_grace: GRACE,
@@ -280,7 +280,7 @@
         for millis in [200, 500, 1000, 1500, 2000, 3000, 10_000] {
             let drain_grace = Duration::from_millis(millis);
             for seed in 0..200 {
-                let mut pace = Pace::new(&Terms {
+                let mut pace = PollSchedule::new(&DiscoverySettings {
                     pushed: true,
                     siblings: 300,
                     drain_grace,
--- a/crates/relay-events/src/lib.rs
+++ b/crates/relay-events/src/lib.rs
@@ -8,27 +8,27 @@
 
 use bytes::Bytes;
 use policy::types::{AttemptOutcome, DestinationId, HostId, HostState, MessageId, Micros};
-use runtime::System;
+use runtime::Runtime;
 use serde::{Deserialize, Serialize};
 use tenancy::registry::Login;
 use tokio::sync::oneshot;
 
-use tenants::{LoginCall, TenantsCall};
+use tenants::{LoginRequest, TenantCall};
 
 /// Unix time that never goes backwards.
 #[derive(Clone)]
-pub struct Clock<S> {
-    system: S,
+pub struct Clock<R> {
+    runtime: R,
     start: Instant,
     unix: Micros,
 }
 
-impl<S: System> Clock<S> {
+impl<R: Runtime> Clock<R> {
     /// A clock that follows the system's Unix time as it is now, and from then on only time that passes.
-    pub fn new(system: S) -> Self {
-        let (start, unix) = (system.now(), system.unix_time().as_micros() as Micros);
+    pub fn new(runtime: R) -> Self {
+        let (start, unix) = (runtime.now(), runtime.unix_time().as_micros() as Micros);
         Clock {
-            system,
+            runtime,
             start,
             unix,
         }
@@ -36,7 +36,7 @@
 
     /// Now, in Unix time.
     pub fn now(&self) -> Micros {
-        self.unix + (self.system.now() - self.start).as_micros() as Micros
+        self.unix + (self.runtime.now() - self.start).as_micros() as Micros
     }
 
     /// The moment of a Unix time; one that is too far off for a timer is no sooner than a day from now.
@@ -79,11 +79,11 @@
 }
 
 /// A message that a client hands in.
-pub struct Enqueue {
+pub struct EnqueueRequest {
     /// Its name.
     pub name: String,
     /// Key of its order.
-    pub order: Option<u64>,
+    pub ordering_key: Option<u64>,
     /// Name of its class.
     pub class: String,
     /// Name of its tenant.
@@ -91,11 +91,11 @@
     /// Where it must go.
     pub destination: u16,
     /// Deadline.
-    pub due: Micros,
+    pub deadline: Micros,
     /// Idempotency key.
-    pub key: Option<String>,
+    pub idempotency_key: Option<String>,
     /// It was handed in before.
-    pub again: bool,
+    pub is_resubmitted: bool,
     /// Its content.
     pub body: Bytes,
     /// Whom its client has named itself as.
@@ -105,23 +105,23 @@
 }
 
 /// What happens on sockets.
-pub enum Input {
+pub enum RelayEvent {
     /// A client hands in a message.
-    Enqueue(Enqueue),
+    EnqueueRequest(EnqueueRequest),
     /// A call ended.
-    Ended(CallEnd),
+    CallCompleted(CompletedCall),
     /// Discovery told something.
-    Hosts(HostList),
+    HostListReceived(HostList),
     /// Discovery has confirmed that the list in force is the latest.
-    Unchanged,
+    HostListConfirmed,
     /// The platform has taken the notices of these messages.
-    Noticed(Vec<MessageId>),
+    NotificationsAccepted(Vec<MessageId>),
     /// A front asks about tenants.
-    Tenants(TenantsCall),
+    Tenants(TenantCall),
     /// A client names itself.
-    Login(LoginCall),
+    Login(LoginRequest),
     /// A front asks about undeliverable messages, or a partner has answered on one.
-    Undeliverable(undeliverable::News),
+    Undeliverable(undeliverable::UndeliverableEvent),
 }
 
 /// A destination, or one host of it where hosts are routes apart.
@@ -129,7 +129,7 @@
 
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct CallEnd {
+pub struct CompletedCall {
     /// The message.
     pub id: MessageId,
     /// Which attempt.
@@ -139,18 +139,18 @@
     /// How it ended.
     pub outcome: AttemptOutcome,
     /// The host says that the message is over.
-    pub over: bool,
+    pub is_final: bool,
     /// The load report, as it came.
-    pub report: Option<String>,
+    pub load_report: Option<String>,
     /// How long it took.
     pub elapsed: Micros,
     /// A connection was opened, or tried, for it.
-    pub fresh: bool,
+    pub opened_connection: bool,
 }
 
 /// How a message ended that was not delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Verdict {
+pub enum DeliveryFailure {
     /// Failed.
     Undeliverable,
     /// Refused; the client may come again after so many milliseconds.
@@ -161,37 +161,40 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct HostList {
     /// Its version.
-    #[serde(default)]
-    pub seq: u64,
+    #[serde(rename = "seq", default)]
+    pub version: u64,
     /// The entries replace the list instead of changing it.
-    #[serde(default)]
-    pub whole: bool,
+    #[serde(rename = "whole", default)]
+    pub is_full: bool,
     /// The entries.
     #[serde(default)]
-    pub hosts: Vec<HostLine>,
+    pub hosts: Vec<HostListEntry>,
 }
 
 /// One host in the list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct HostLine {
+pub struct HostListEntry {
     /// Its name.
-    pub host: String,
+    #[serde(rename = "host")]
+    pub name: String,
     /// Where it takes connections.
-    pub dial: SocketAddr,
+    #[serde(rename = "dial")]
+    pub address: SocketAddr,
     /// Name of its zone.
-    #[serde(default)]
-    pub site: String,
+    #[serde(rename = "site", default)]
+    pub zone: String,
     /// Name of its kind.
-    #[serde(default)]
-    pub class: String,
+    #[serde(rename = "class", default)]
+    pub kind: String,
     /// Its destination.
-    pub block: u16,
+    #[serde(rename = "block")]
+    pub destination: u16,
     /// Its listing state.
-    #[serde(with = "health", default = "health::unknown")]
-    pub health: HostState,
+    #[serde(rename = "health", with = "health", default = "health::unknown")]
+    pub state: HostState,
     /// Its weight.
-    #[serde(default)]
-    pub share: f32,
+    #[serde(rename = "share", default)]
+    pub weight: f32,
 }
 
 /// `up`, `draining` or `removed` on the wire.
--- a/crates/relay-events/src/tenants.rs
+++ b/crates/relay-events/src/tenants.rs
@@ -7,7 +7,7 @@
 
 /// What is asked.
 #[derive(Debug)]
-pub enum Ask {
+pub enum TenantRequest {
     /// Change a tenant.
     Change(Box<Command>),
     /// Show a tenant.
@@ -22,7 +22,7 @@
         scope: Scope,
     },
     /// Show what passed for a tenant.
-    Usage(String),
+    UsageReport(String),
     /// Show changes, the newest first.
     Audit {
         /// Only those before this one.
@@ -35,12 +35,12 @@
         tenant: Option<String>,
     },
     /// Show how the registry does.
-    Status,
+    RegistryReport,
 }
 
 /// A tenant as it is shown.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Shown {
+pub struct TenantView {
     /// The tenant.
     pub tenant: Tenant,
     /// Those of its name that drain beside it.
@@ -49,7 +49,7 @@
 
 /// What a tenant has in the relay, and what passed since the relay's start.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Usage {
+pub struct UsageReport {
     /// Its name.
     pub name: String,
     /// Which it is.
@@ -66,7 +66,7 @@
 
 /// How the registry does.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Status {
+pub struct RegistryReport {
     /// Tenants there are.
     pub tenants: usize,
     /// Number of the last change.
@@ -81,28 +81,28 @@
 
 /// What is told.
 #[derive(Debug)]
-pub enum Told {
+pub enum TenantResponse {
     /// It was changed.
-    Made {
+    Changed {
         /// The tenant after.
-        shown: Box<Shown>,
+        shown: Box<TenantView>,
         /// How.
         action: Action,
         /// It was asked before with the same key, and this is the answer of then.
         again: bool,
     },
     /// It was so already.
-    Unchanged(Box<Shown>),
+    Unchanged(Box<TenantView>),
     /// The tenant.
-    Found(Box<Shown>),
+    Found(Box<TenantView>),
     /// Tenants, and whether more follow.
-    Page(Vec<Shown>, bool),
+    Page(Vec<TenantView>, bool),
     /// What passed, for the tenant and for those of its name that drain; and since when, in milliseconds.
-    Usage(Vec<Usage>, u64),
+    UsageReport(Vec<UsageReport>, u64),
     /// Changes, and whether there are older ones that are still known.
     Audit(Vec<Entry>, bool),
     /// How the registry does.
-    Status(Status),
+    RegistryReport(RegistryReport),
     /// It was not changed, or there is nothing to show.
     Refused(Refusal),
     /// It was not changed, as it could not be kept.
@@ -110,15 +110,15 @@
 }
 
 /// A question with the way back for its answer.
-pub struct TenantsCall {
+pub struct TenantCall {
     /// What is asked.
-    pub ask: Ask,
+    pub ask: TenantRequest,
     /// Where the answer goes.
-    pub reply: oneshot::Sender<Told>,
+    pub reply: oneshot::Sender<TenantResponse>,
 }
 
 /// A client that names itself, and the way back for whom it is taken.
-pub struct LoginCall {
+pub struct LoginRequest {
     /// The tenant's name.
     pub name: String,
     /// The secret.
--- a/crates/relay-events/src/undeliverable.rs
+++ b/crates/relay-events/src/undeliverable.rs
@@ -8,7 +8,7 @@
 
 /// What is to be done with a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Act {
+pub enum RecordAction {
     /// Set it aside for the one who asks.
     Claim,
     /// Give that up.
@@ -25,7 +25,7 @@
 
 /// What is asked.
 #[derive(Clone, Debug)]
-pub enum Ask {
+pub enum UndeliverableRequest {
     /// Records that fit, newest first.
     Page {
         /// Which.
@@ -42,13 +42,13 @@
     /// How many there are by each value.
     Counts(By),
     /// How the store does.
-    Status,
+    StoreReport,
     /// Do something with a record.
-    Act {
+    RecordAction {
         /// Which.
         id: RecordId,
         /// What.
-        act: Act,
+        act: RecordAction,
         /// Who wants it.
         who: String,
         /// Only in this version.
@@ -76,7 +76,7 @@
 
 /// A record as it is shown.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Shown {
+pub struct RecordView {
     /// Its number.
     pub id: RecordId,
     /// The record.
@@ -87,7 +87,7 @@
 
 /// How the store does.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Status {
+pub struct StoreReport {
     /// What it holds.
     pub sums: Sums,
     /// Messages that were given up and could not be kept.
@@ -100,17 +100,17 @@
 
 /// What is told.
 #[derive(Clone, Debug)]
-pub enum Told {
+pub enum UndeliverableResponse {
     /// Records.
     Page(Page),
     /// One record.
-    Found(Box<Shown>),
+    Found(Box<RecordView>),
     /// A body.
     Body(Vec<u8>),
     /// Counts.
     Counts(Vec<(String, u64)>),
     /// How the store does.
-    Status(Status),
+    StoreReport(StoreReport),
     /// Batches.
     Batches(Vec<Batch>),
     /// One batch.
@@ -126,19 +126,19 @@
 }
 
 /// A question with the way back for its answer.
-pub struct Call {
+pub struct UndeliverableCall {
     /// What is asked.
-    pub ask: Ask,
+    pub ask: UndeliverableRequest,
     /// Where the answer goes.
-    pub reply: oneshot::Sender<Told>,
+    pub reply: oneshot::Sender<UndeliverableResponse>,
 }
 
 /// What happens about undeliverable messages.
-pub enum News {
+pub enum UndeliverableEvent {
     /// A front asks.
-    Call(Call),
+    UndeliverableCall(UndeliverableCall),
     /// A partner was asked whether a message took effect.
-    Word {
+    PartnerAnswered {
         /// The record.
         id: RecordId,
         /// When it was asked, in Unix time.
--- a/crates/relay/src/cached_state.rs
+++ b/crates/relay/src/cached_state.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use policy::types::{HostState, Micros};
-use relay_events::{HostLine, HostList};
-use runtime::{log, System};
+use relay_events::{HostList, HostListEntry};
+use runtime::{log, Runtime};
 use serde::{Deserialize, Serialize};
 
 /// Part of the disk's limit that the file may take: two of it come on top of the journal's files, which leave a quarter.
@@ -17,7 +17,7 @@
 
 /// The list of hosts, and outages.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
-pub struct Memory {
+pub struct CachedState {
     /// The list of hosts.
     pub list: HostList,
     /// Outages: the destination, since when, and the first success after.
@@ -31,15 +31,15 @@
 
 /// As the file has it: names that many hosts share stand there once, some 55 bytes a host.
 #[derive(Serialize, Deserialize)]
-struct Kept {
+struct StoredState {
     seq: u64,
     names: Vec<String>,
     hosts: Vec<Row>,
     outages: Vec<Outage>,
 }
 
-impl Kept {
-    fn of(memory: &Memory) -> Self {
+impl StoredState {
+    fn of(memory: &CachedState) -> Self {
         let mut names: Vec<String> = Vec::new();
         let mut index = |name: &String| {
             names
@@ -50,30 +50,30 @@
                     names.len() - 1
                 })
         };
-        let row = |line: &HostLine| {
-            let drains = u8::from(line.health != HostState::Ready);
-            let HostLine {
-                host,
-                dial,
-                site,
-                class,
-                block,
-                share,
+        let row = |line: &HostListEntry| {
+            let drains = u8::from(line.state != HostState::Ready);
+            let HostListEntry {
+                name,
+                address,
+                zone,
+                kind,
+                destination,
+                weight,
                 ..
             } = line;
             (
-                host.clone(),
-                *dial,
-                index(site),
-                index(class),
-                *block,
+                name.clone(),
+                *address,
+                index(zone),
+                index(kind),
+                *destination,
                 drains,
-                *share,
+                *weight,
             )
         };
         let hosts = memory.list.hosts.iter().map(row).collect();
-        Kept {
-            seq: memory.list.seq,
+        StoredState {
+            seq: memory.list.version,
             names,
             hosts,
             outages: memory.outages.clone(),
@@ -81,7 +81,7 @@
     }
 
     /// None where an index names nothing.
-    fn whole(self) -> Option<Memory> {
+    fn whole(self) -> Option<CachedState> {
         let name = |at: usize| self.names.get(at).cloned();
         let line = |(host, dial, site, class, block, drains, share): Row| {
             let health = if drains == 0 {
@@ -89,21 +89,21 @@
             } else {
                 HostState::Draining
             };
-            Some(HostLine {
-                host,
-                dial,
-                site: name(site)?,
-                class: name(class)?,
-                block,
-                health,
-                share,
+            Some(HostListEntry {
+                name: host,
+                address: dial,
+                zone: name(site)?,
+                kind: name(class)?,
+                destination: block,
+                state: health,
+                weight: share,
             })
         };
         let hosts = self.hosts.into_iter().map(line).collect::<Option<_>>()?;
-        Some(Memory {
+        Some(CachedState {
             list: HostList {
-                seq: self.seq,
-                whole: true,
+                version: self.seq,
+                is_full: true,
                 hosts,
             },
             outages: self.outages,
@@ -111,15 +111,15 @@
     }
 }
 
-impl Memory {
+impl CachedState {
     /// What the folder holds; nothing if that can't be read.
-    pub fn load(system: &impl System, folder: &Path) -> Self {
-        let Ok(text) = system.read(&folder.join("memory")) else {
-            return Memory::default();
+    pub fn load(runtime: &impl Runtime, folder: &Path) -> Self {
+        let Ok(text) = runtime.read(&folder.join("memory")) else {
+            return CachedState::default();
         };
-        Memory::read(&text).unwrap_or_else(|| {
-            log!(*system, "memory: dropped, it cannot be read");
-            Memory::default()
+        CachedState::read(&text).unwrap_or_else(|| {
+            log!(*runtime, "memory: dropped, it cannot be read");
+            CachedState::default()
         })
     }
 
@@ -127,7 +127,7 @@
         let text = std::str::from_utf8(text).ok()?;
         match text.split_once('\n') {
             Some((line, sum)) if sum.trim_end() == sum_of(line) => {
-                serde_json::from_str::<Kept>(line).ok()?.whole()
+                serde_json::from_str::<StoredState>(line).ok()?.whole()
             }
             Some(_) => None,
             None => serde_json::from_str(text).ok(),
@@ -135,13 +135,13 @@
     }
 
     fn text(&self) -> io::Result<String> {
-        let line = serde_json::to_string(&Kept::of(self))?;
+        let line = serde_json::to_string(&StoredState::of(self))?;
         let sum = sum_of(&line);
         Ok(line + "\n" + &sum + "\n")
     }
 
     /// Puts this in place of what the folder holds, which may have `limit` bytes in all.
-    pub fn save(&self, system: &impl System, folder: &Path, limit: u64) -> io::Result<()> {
+    pub fn save(&self, runtime: &impl Runtime, folder: &Path, limit: u64) -> io::Result<()> {
         let text = self.text()?;
         if text.len() as f64 > limit as f64 * PART {
             return Err(io::Error::new(
@@ -151,26 +151,26 @@
         }
         let path = folder.join("memory");
         let fresh: PathBuf = path.with_extension("new");
-        let written = system.write(&fresh, text.as_bytes());
+        let written = runtime.write(&fresh, text.as_bytes());
         // Half of it would take room that others need.
-        written.inspect_err(|_| drop(system.remove(&fresh)))?;
-        system.rename(&fresh, &path)
+        written.inspect_err(|_| drop(runtime.remove(&fresh)))?;
+        runtime.rename(&fresh, &path)
     }
 }
 
 /// Keeps that discovery was heard just now.
-pub fn hear(system: &impl System, folder: &Path) -> io::Result<()> {
-    system.write(
+pub fn hear(runtime: &impl Runtime, folder: &Path) -> io::Result<()> {
+    runtime.write(
         &folder.join("heard"),
-        system.unix_time().as_millis().to_string().as_bytes(),
+        runtime.unix_time().as_millis().to_string().as_bytes(),
     )
 }
 
 /// How long ago discovery was last heard, as far as the folder tells. What was cut off reads as long ago, what lies ahead as not known.
-pub fn heard(system: &impl System, folder: &Path) -> Option<Duration> {
-    let text = system.read(&folder.join("heard")).ok()?;
+pub fn heard(runtime: &impl Runtime, folder: &Path) -> Option<Duration> {
+    let text = runtime.read(&folder.join("heard")).ok()?;
     let at = std::str::from_utf8(&text).ok()?.parse().ok()?;
-    system.unix_time().checked_sub(Duration::from_millis(at))
+    runtime.unix_time().checked_sub(Duration::from_millis(at))
 }
 
 fn sum_of(line: &str) -> String {
@@ -181,27 +181,27 @@
 mod tests {
     use super::*;
 
-    fn memory(hosts: u16) -> Memory {
-        let line = |at: u16| HostLine {
-            host: format!("s-{at:08x}"),
-            dial: SocketAddr::from(([127, 12, (at >> 8) as u8, at as u8], 40_000)),
-            site: format!("leith-dc-{}", at % 4),
-            class: ["major-partner", "partner"][usize::from(at % 2)].into(),
-            block: at / 3,
-            health: if at.is_multiple_of(5) {
+    fn memory(hosts: u16) -> CachedState {
+        let line = |at: u16| HostListEntry {
+            name: format!("s-{at:08x}"),
+            address: SocketAddr::from(([127, 12, (at >> 8) as u8, at as u8], 40_000)),
+            zone: format!("leith-dc-{}", at % 4),
+            kind: ["major-partner", "partner"][usize::from(at % 2)].into(),
+            destination: at / 3,
+            state: if at.is_multiple_of(5) {
                 HostState::Draining
             } else {
                 HostState::Ready
             },
-            share: 1234.5,
+            weight: 1234.5,
         };
         let list = HostList {
-            seq: 7,
-            whole: true,
+            version: 7,
+            is_full: true,
             hosts: (0..hosts).map(line).collect(),
         };
         let outage = |at| (at, 1_796_168_056_871_000, Some(1_796_168_056_991_000));
-        Memory {
+        CachedState {
             list,
             outages: (0..hosts / 3).map(outage).collect(),
         }
@@ -211,12 +211,12 @@
     fn what_is_kept_is_read_again_also_what_a_version_before_kept() {
         let memory = memory(30);
         assert_eq!(
-            Memory::read(memory.text().expect("text").as_bytes()),
+            CachedState::read(memory.text().expect("text").as_bytes()),
             Some(memory.clone())
         );
         let before =
             serde_json::json!({"list": memory.list, "outages": memory.outages}).to_string();
-        assert_eq!(Memory::read(before.as_bytes()), Some(memory));
+        assert_eq!(CachedState::read(before.as_bytes()), Some(memory));
     }
 
     /// Wherever a bit is flipped or the file is cut, it counts as none rather than as another list.
@@ -228,12 +228,12 @@
             for bit in 0..8 {
                 let mut spoilt = text.clone();
                 spoilt[at] ^= 1 << bit;
-                assert_eq!(Memory::read(&spoilt), None, "bit {bit} of byte {at}");
+                assert_eq!(CachedState::read(&spoilt), None, "bit {bit} of byte {at}");
             }
-            assert_eq!(Memory::read(&text[..at]), None, "cut at {at}");
+            assert_eq!(CachedState::read(&text[..at]), None, "cut at {at}");
         }
         for text in ["", "{}", "\n", "null", "{\"list\":1,\"outages\":[]}"] {
-            assert_eq!(Memory::read(text.as_bytes()), None, "{text}");
+            assert_eq!(CachedState::read(text.as_bytes()), None, "{text}");
         }
     }
 
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -7,17 +7,17 @@
 
 use policy::types::*;
 use policy::DeliveryPolicy;
-use runtime::{log, System};
+use runtime::{log, Runtime};
 
-use crate::host_directory::Directory;
+use crate::host_directory::HostDirectory;
 use crate::route_levels::Level;
 
 /// Levels are written so often.
 const LEVELS: Micros = 10_000_000;
 
 /// Writes the lines; does nothing where the operator has not asked for them.
-pub struct Trace<S> {
-    system: S,
+pub struct CallLog<R> {
+    runtime: R,
     on: bool,
     /// Destinations of what is held, as an end names only its message; bounded by what is held.
     destinations: BTreeMap<MessageId, DestinationId>,
@@ -25,11 +25,11 @@
     levels_at: Micros,
 }
 
-impl<S: System> Trace<S> {
+impl<R: Runtime> CallLog<R> {
     /// `on` as the operator file says.
-    pub fn new(system: S, on: bool) -> Self {
-        Trace {
-            system,
+    pub fn new(runtime: R, on: bool) -> Self {
+        CallLog {
+            runtime,
             on,
             destinations: BTreeMap::new(),
             levels_at: 0,
@@ -52,7 +52,7 @@
                 "push"
             };
             log!(
-                self.system,
+                self.runtime,
                 "fleet {} start siblings={replicas} slots={max_calls} held={max_queued} cold={} discovery={discovery}",
                 now / 1000,
                 rules.warm_up / 1000
@@ -65,7 +65,7 @@
         if self.on && fresh {
             let destination = self.destinations.get(&id).copied().unwrap_or(u16::MAX);
             log!(
-                self.system,
+                self.runtime,
                 "fleet {} opened {destination} {id}",
                 now / 1000
             );
@@ -73,7 +73,7 @@
     }
 
     /// What the module is about to be told.
-    pub fn events(&mut self, now: Micros, events: &[Event], directory: &Directory) {
+    pub fn events(&mut self, now: Micros, events: &[Event], directory: &HostDirectory) {
         if !self.on {
             return;
         }
@@ -85,7 +85,7 @@
                     let kind = *kind;
                     let name = directory.name_of(*host).unwrap_or_default();
                     log!(
-                        self.system,
+                        self.runtime,
                         "fleet {at} list {destination} host={host} kind={kind} weight={weight} {state:?} name={name}"
                     );
                 }),
@@ -94,7 +94,7 @@
                     let word = if matches!(event, Event::MessageReceived(_)) { "arrived" } else { "restored" };
                     let left = m.deadline.saturating_sub(now) / 1000;
                     log!(
-                        self.system,
+                        self.runtime,
                         "fleet {at} {word} {} {} class={} left={left} again={}",
                         m.destination,
                         m.id,
@@ -109,7 +109,7 @@
                         other => (format!("{other:?}"), 0),
                     };
                     log!(
-                        self.system,
+                        self.runtime,
                         "fleet {at} ended {destination} {} {outcome} wait={wait} took={} report={:?}",
                         end.id,
                         end.elapsed / 1000,
@@ -120,7 +120,7 @@
                     }
                 }
                 Event::OutageRestored(outage) => {
-                    log!(self.system, "fleet {at} outage {}", outage.destination);
+                    log!(self.runtime, "fleet {at} outage {}", outage.destination);
                 }
                 _ => {}
             }
@@ -140,7 +140,7 @@
             .iter()
             .map(|(name, has, most)| format!(" {name}={has}/{most}"))
             .collect();
-        log!(self.system, "fleet {} levels{text}", now / 1000);
+        log!(self.runtime, "fleet {} levels{text}", now / 1000);
     }
 
     /// What the module has said.
@@ -160,7 +160,7 @@
             let held = self.destinations.len();
             let standing = relay.describe_destination(destination);
             log!(
-                self.system,
+                self.runtime,
                 "fleet {at} {word} {destination} {id} held={held}{to} {standing}"
             );
             if word != "send" {
--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -6,13 +6,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
-use control::Stage;
+use control::ConnectionStage;
 use policy::types::Micros;
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
-use relay_events::tenants::LoginCall;
-use relay_events::{Clock, Enqueue, Input, Reply};
-use runtime::{log, Listener, Stream, System, Waiting};
+use relay_events::tenants::LoginRequest;
+use relay_events::{Clock, EnqueueRequest, RelayEvent, Reply};
+use runtime::{log, Listener, PendingInput, Runtime, Stream};
 use tenancy::registry::Login;
 use tenancy::secret::LONGEST as LONGEST_SECRET;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -57,9 +57,9 @@
 const READ: usize = 4 << 10;
 
 /// The connections that are open, and which of them may be closed to make room.
-pub struct Clients<S> {
-    system: S,
-    control: Rc<Control<S>>,
+pub struct ClientConnections<R> {
+    runtime: R,
+    control: Rc<Control<R>>,
     most: usize,
     /// Clients have to name themselves.
     auth: bool,
@@ -79,15 +79,15 @@
 }
 
 /// A connection's place among those that are open; given back when this is dropped.
-struct Seat<S> {
-    clients: Rc<Clients<S>>,
+struct ConnectionSlot<R> {
+    clients: Rc<ClientConnections<R>>,
     number: u64,
 }
 
-impl<S: System> Seat<S> {
+impl<R: Runtime> ConnectionSlot<R> {
     fn set(&self, quiet: bool) {
         if let Some(open) = self.clients.open.borrow_mut().get_mut(&self.number) {
-            let since = open.quiet.unwrap_or_else(|| self.clients.system.now());
+            let since = open.quiet.unwrap_or_else(|| self.clients.runtime.now());
             open.quiet = quiet.then_some(since);
             open.told &= quiet;
         }
@@ -102,24 +102,24 @@
     }
 }
 
-impl<S> Drop for Seat<S> {
+impl<R> Drop for ConnectionSlot<R> {
     fn drop(&mut self) {
         self.clients.open.borrow_mut().remove(&self.number);
         self.clients.left.notify_one();
     }
 }
 
-impl<S: System> Clients<S> {
+impl<R: Runtime> ClientConnections<R> {
     /// No connections yet, and at most so many at once; `auth` tells whether clients have to name themselves.
-    pub fn new(system: S, control: Rc<Control<S>>, most: usize, auth: bool) -> Rc<Self> {
+    pub fn new(runtime: R, control: Rc<Control<R>>, most: usize, auth: bool) -> Rc<Self> {
         let (open, next, left, listens) = (
             RefCell::default(),
             Cell::default(),
             Notify::new(),
             Cell::default(),
         );
-        Rc::new(Clients {
-            system,
+        Rc::new(ClientConnections {
+            runtime,
             control,
             most,
             auth,
@@ -155,7 +155,7 @@
             self.close_one(SETTLED.1);
             // It may turn out to have an open request after all.
             let _ = self
-                .system
+                .runtime
                 .timeout(SETTLED.1 / 4, self.left.notified())
                 .await;
         }
@@ -165,7 +165,7 @@
     /// out. The one that has been quiet for longest goes, whether or not it has asked; never one with an
     /// open request.
     fn close_one(&self, settled: Duration) {
-        let now = self.system.now();
+        let now = self.runtime.now();
         let mut open = self.open.borrow_mut();
         if open.values().any(|other| other.told) {
             return;
@@ -180,17 +180,17 @@
         }
     }
 
-    fn seat(self: &Rc<Self>) -> (Seat<S>, Rc<Notify>) {
+    fn seat(self: &Rc<Self>) -> (ConnectionSlot<R>, Rc<Notify>) {
         let number = self.next.replace(self.next.get() + 1);
         let wake = Rc::new(Notify::new());
         let open = Open {
-            quiet: Some(self.system.now()),
+            quiet: Some(self.runtime.now()),
             told: false,
             wake: wake.clone(),
         };
         self.open.borrow_mut().insert(number, open);
         (
-            Seat {
+            ConnectionSlot {
                 clients: self.clone(),
                 number,
             },
@@ -201,15 +201,15 @@
 
 /// Takes connections until the process accepts no more, and those that wait then. `shared` tells that the port outlasts
 /// processes, so that these are for the next one.
-pub async fn listen<S: System>(
-    listener: S::Listener,
-    clients: Rc<Clients<S>>,
-    clock: Clock<S>,
-    inputs: mpsc::Sender<Input>,
+pub async fn listen<R: Runtime>(
+    listener: R::Listener,
+    clients: Rc<ClientConnections<R>>,
+    clock: Clock<R>,
+    inputs: mpsc::Sender<RelayEvent>,
     shared: bool,
 ) {
-    let system = clients.system.clone();
-    let began = system.now();
+    let runtime = clients.runtime.clone();
+    let began = runtime.now();
     let mut doors = clients.control.doors();
     let mut closing = doors.clone();
     clients.listens.set(true);
@@ -218,8 +218,8 @@
         // Guards connections that came before the port closes and were not taken yet: with it they would be reset, and
         // their requests with them.
         if !doors.borrow_and_update().accepts {
-            let until = *until.get_or_insert_with(|| system.now() + LAST_TAKEN.1);
-            if shared || system.now() >= until {
+            let until = *until.get_or_insert_with(|| runtime.now() + LAST_TAKEN.1);
+            if shared || runtime.now() >= until {
                 break;
             }
         }
@@ -229,14 +229,14 @@
             accepted = listener.accept() => match accepted {
                 Ok(stream) => stream,
                 Err(error) => {
-                    log!(system, "clients: cannot accept: {error}");
-                    system.sleep(Duration::from_millis(20)).await;
+                    log!(runtime, "clients: cannot accept: {error}");
+                    runtime.sleep(Duration::from_millis(20)).await;
                     continue;
                 }
             },
             () = async {
                 drop(closing.wait_for(|doors| !doors.accepts).await);
-                system.sleep(LAST_TAKEN.0).await;
+                runtime.sleep(LAST_TAKEN.0).await;
             } => break,
         };
         // At the limit this one is taken and the next ones wait in the listener's queue. One that was taken is served,
@@ -248,9 +248,9 @@
         }
         let (clock, inputs) = (clock.clone(), inputs.clone());
         let (seat, wake) = clients.seat();
-        let queued = shared && system.now() < began + QUEUED.0;
+        let queued = shared && runtime.now() < began + QUEUED.0;
         let waited = if queued { QUEUED.1 } else { Duration::ZERO };
-        system.spawn(async move {
+        runtime.spawn(async move {
             // A client that goes away is no fault of the relay's.
             drop(serve(stream, &seat, &wake, &clock, inputs, waited).await);
         });
@@ -259,7 +259,7 @@
 }
 
 /// Whom a connection has named itself as.
-struct Named {
+struct AuthenticatedSession {
     /// Clients have to.
     wanted: bool,
     login: Option<Login>,
@@ -272,18 +272,18 @@
     Later(oneshot::Receiver<Reply>),
 }
 
-async fn serve<S: System>(
-    mut stream: S::Stream,
-    seat: &Seat<S>,
+async fn serve<R: Runtime>(
+    mut stream: R::Stream,
+    seat: &ConnectionSlot<R>,
     wake: &Notify,
-    clock: &Clock<S>,
-    inputs: mpsc::Sender<Input>,
+    clock: &Clock<R>,
+    inputs: mpsc::Sender<RelayEvent>,
     mut waited: Duration,
 ) -> std::io::Result<()> {
-    let (system, control) = (&seat.clients.system, &seat.clients.control);
+    let (runtime, control) = (&seat.clients.runtime, &seat.clients.control);
     let mut doors = control.doors();
     stream.set_nodelay()?;
-    let mut named = Named {
+    let mut named = AuthenticatedSession {
         wanted: seat.clients.auth,
         login: None,
         wrong: 0,
@@ -291,7 +291,7 @@
     let mut text = BytesMut::new();
     let mut skip = 0;
     let mut asked = false;
-    let opened = system.now();
+    let opened = runtime.now();
     // When the request that has not come whole yet began.
     let mut began: Option<Instant> = None;
     loop {
@@ -350,28 +350,28 @@
                 reply.write(&mut out);
             }
             // Guards against a client that reads no answers.
-            system
+            runtime
                 .timeout(REQUEST_TIME, stream.write_all(&out))
                 .await??;
             if malformed {
-                return part(system, stream).await;
+                return part(runtime, stream).await;
             }
             (began, asked, waited) = (None, true, Duration::ZERO);
             // Guards the others against a client at full speed: it has its turn, then they have theirs.
             tokio::task::yield_now().await;
             continue;
         }
-        let fresh = !asked && system.now() < opened + FRESH;
+        let fresh = !asked && runtime.now() < opened + FRESH;
         let quiet = text.is_empty() && skip == 0;
         if quiet {
             // An idle connection keeps no buffer.
             text = BytesMut::new();
         }
         seat.set(quiet);
-        let since = *began.get_or_insert_with(|| system.now());
+        let since = *began.get_or_insert_with(|| runtime.now());
         let bound = match skip {
             // Looked at again after each such span.
-            _ if quiet => SILENCE + (system.now() - since),
+            _ if quiet => SILENCE + (runtime.now() - since),
             0 => REQUEST_TIME,
             _ => SKIP_TIME,
         };
@@ -383,7 +383,7 @@
                 match stream.try_read_buf(&mut text) {
                     Ok(0) => return Ok(()),
                     // Who asked while nobody accepted, and has gone since, is not to be answered for.
-                    Ok(_) if !waited.is_zero() && stream.waiting() == Waiting::End => return Ok(()),
+                    Ok(_) if !waited.is_zero() && stream.pending_input() == PendingInput::Closed => return Ok(()),
                     Ok(_) => {
                         seat.set(false);
                         began = began.filter(|_| !quiet);
@@ -394,37 +394,37 @@
             },
             // Between requests a connection may be closed, but what has come is not left unread.
             () = async {
-                let _ = doors.wait_for(|doors| doors.stage > Stage::Open).await;
+                let _ = doors.wait_for(|doors| doors.stage > ConnectionStage::Open).await;
                 if fresh {
-                    system.sleep_until(opened + FRESH).await;
+                    runtime.sleep_until(opened + FRESH).await;
                 }
             }, if quiet => {
                 if fresh {
                     continue;
                 }
-                if stream.waiting() != Waiting::Bytes {
+                if stream.pending_input() != PendingInput::Bytes {
                     return Ok(());
                 }
                 // The runtime has yet to hear of those bytes.
                 tokio::task::yield_now().await;
             },
             // Guards clients that have just asked: what has come is not left unread.
-            () = wake.notified(), if quiet => if seat.told() && stream.waiting() != Waiting::Bytes {
+            () = wake.notified(), if quiet => if seat.told() && stream.pending_input() != PendingInput::Bytes {
                 return Ok(());
             },
-            () = system.sleep_until(since + bound) => {
+            () = runtime.sleep_until(since + bound) => {
                 // Guards against clients that say nothing, or half a request, and hold a place for good.
-                let stays = asked && !seat.clients.crowded() && system.now() - since < IDLE;
-                if quiet && (stays || stream.waiting() == Waiting::Bytes) {
+                let stays = asked && !seat.clients.crowded() && runtime.now() - since < IDLE;
+                if quiet && (stays || stream.pending_input() == PendingInput::Bytes) {
                     continue;
                 }
                 if !quiet {
                     let late = Reply::Error("protocol error: the request did not come whole".into());
                     let mut out = Vec::new();
                     late.write(&mut out);
-                    system.timeout(REQUEST_TIME, stream.write_all(&out)).await??;
+                    runtime.timeout(REQUEST_TIME, stream.write_all(&out)).await??;
                 }
-                return part(system, stream).await;
+                return part(runtime, stream).await;
             }
         }
     }
@@ -432,12 +432,12 @@
 
 /// Ends sending and closes once the client has read: to close with input unread would reset the
 /// connection, which can destroy the error line on its way.
-pub async fn part<S: System>(system: &S, mut stream: S::Stream) -> std::io::Result<()> {
+pub async fn part<R: Runtime>(runtime: &R, mut stream: R::Stream) -> std::io::Result<()> {
     stream.shutdown().await?;
-    let until = system.now() + LINGER.0;
+    let until = runtime.now() + LINGER.0;
     let (mut waste, mut read) = (BytesMut::with_capacity(READ), 0);
     while read < LINGER.1 {
-        match system.timeout_at(until, stream.read_buf(&mut waste)).await {
+        match runtime.timeout_at(until, stream.read_buf(&mut waste)).await {
             Ok(Ok(n @ 1..)) => read += n,
             _ => break,
         }
@@ -527,9 +527,9 @@
 async fn request_answer(
     parts: Vec<BytesFrame>,
     sent: Micros,
-    inputs: &mpsc::Sender<Input>,
+    inputs: &mpsc::Sender<RelayEvent>,
     ready: bool,
-    login: &mut Named,
+    login: &mut AuthenticatedSession,
 ) -> Answer {
     let parts: Vec<Bytes> = parts
         .into_iter()
@@ -550,7 +550,7 @@
                 let (reply, answer) = oneshot::channel();
                 request.reply = Some(reply);
                 request.login = login.login.clone();
-                match inputs.send(Input::Enqueue(request)).await {
+                match inputs.send(RelayEvent::EnqueueRequest(request)).await {
                     Ok(()) => Answer::Later(answer),
                     Err(_) => Answer::Now(Reply::Busy(0)),
                 }
@@ -563,7 +563,11 @@
 }
 
 /// A client names itself; what it asks after that is asked by this name.
-async fn auth(parts: &[Bytes], inputs: &mpsc::Sender<Input>, named: &mut Named) -> Reply {
+async fn auth(
+    parts: &[Bytes],
+    inputs: &mpsc::Sender<RelayEvent>,
+    named: &mut AuthenticatedSession,
+) -> Reply {
     let [name, secret] = parts else {
         return Reply::Error("AUTH takes a name and a secret".into());
     };
@@ -571,7 +575,7 @@
     let name = text(name)
         .filter(|name| is_name(name))
         .filter(|_| secret.len() <= LONGEST_SECRET);
-    let call = name.map(|name| LoginCall {
+    let call = name.map(|name| LoginRequest {
         name: name.into(),
         secret: secret.to_vec(),
         reply,
@@ -579,7 +583,7 @@
     // One that names itself wrongly is nobody, whoever it was before.
     named.login = None;
     if let Some(call) = call {
-        if inputs.send(Input::Login(call)).await.is_err() {
+        if inputs.send(RelayEvent::Login(call)).await.is_err() {
             return Reply::Busy(0);
         }
         named.login = answer.await.unwrap_or_default();
@@ -594,7 +598,7 @@
 }
 
 /// Reads a request's parts; whether its class, tenant and destination are known is the driver's to say.
-fn enqueue(parts: &[Bytes], sent: Micros) -> Result<Enqueue, String> {
+fn enqueue(parts: &[Bytes], sent: Micros) -> Result<EnqueueRequest, String> {
     let [order, name, list, body] = parts else {
         return Err("ENQUEUE takes a key, an id, a list and a body".into());
     };
@@ -619,18 +623,18 @@
     if key.as_ref().is_some_and(|key| !is_name(key)) {
         return Err("k is not valid".into());
     }
-    Ok(Enqueue {
+    Ok(EnqueueRequest {
         name: name.into(),
-        order: Some(order).filter(|key| *key != 0),
+        ordering_key: Some(order).filter(|key| *key != 0),
         class: need("c")?.into(),
         // Where the settings name no tenants, clients don't either.
         tenant: field("t").unwrap_or_default().into(),
         destination: need("dest")?
             .parse()
             .map_err(|_| "dest is no number of a destination")?,
-        due: sent + left.min(86_400_000) * 1000,
-        key,
-        again: field("r") == Some("1"),
+        deadline: sent + left.min(86_400_000) * 1000,
+        idempotency_key: key,
+        is_resubmitted: field("r") == Some("1"),
         body: Bytes::copy_from_slice(body),
         login: None,
         reply: None,
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -8,7 +8,7 @@
 use adapter as wire;
 use policy::types::Settings;
 use relay_events::HostList;
-use runtime::{log, System};
+use runtime::{log, Runtime};
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -80,10 +80,10 @@
     ///
     /// Variables win over the file, but for discovery: the file is replaced while the process runs, and the
     /// variables, which are not, would send it, or the next one, back to an address that was left.
-    pub fn load(system: &impl System) -> Result<Self, String> {
-        let variable = |name: &str| system.variable(name);
+    pub fn load(runtime: &impl Runtime) -> Result<Self, String> {
+        let variable = |name: &str| runtime.env_var(name);
         let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-        let text = system
+        let text = runtime
             .read(Path::new(&path))
             .map_err(|e| format!("cannot read {path}: {e}"))?;
         let unusable = |e: serde_json::Error| format!("{path} is no usable configuration: {e}");
@@ -100,7 +100,7 @@
         if let (Some(given), Some(holds)) = (&from_variable, &file.discovery) {
             if given != holds {
                 log!(
-                    *system,
+                    *runtime,
                     "configuration: discovery is at {holds} by the file, which holds, not at {given}"
                 );
             }
--- a/crates/relay/src/control_socket.rs
+++ b/crates/relay/src/control_socket.rs
@@ -8,9 +8,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use control::{protocol, Call, End, Ledger, Lifecycle, Line, Stage, State, Targets, Told};
-use relay_events::{Reply, Verdict};
-use runtime::{log, Listener, System};
+use control::{
+    protocol, Command, ConnectionStage, HostCounts, Lifecycle, LifecycleEvent, LifecycleState,
+    MessageEnd, Metrics, ParsedLine,
+};
+use relay_events::{DeliveryFailure, Reply};
+use runtime::{log, Listener, Runtime};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{watch, Notify};
 
@@ -33,18 +36,18 @@
     /// New connections are accepted.
     pub accepts: bool,
     /// What open ones do.
-    pub stage: Stage,
+    pub stage: ConnectionStage,
 }
 
 /// The lifecycle and the figures of this process, for the door, the driver and the clients.
-pub struct Control<S> {
-    system: S,
+pub struct Control<R> {
+    runtime: R,
     start: Instant,
     lifecycle: RefCell<Lifecycle>,
-    ledger: RefCell<Ledger>,
+    ledger: RefCell<Metrics>,
     /// Messages written whole to hosts; counted where that happens.
     dispatches: Rc<Cell<u64>>,
-    targets: Cell<Targets>,
+    targets: Cell<HostCounts>,
     /// When the module's view is next wanted, if there is a door to show it.
     view_at: Cell<Option<Instant>>,
     doors: watch::Sender<Doors>,
@@ -52,19 +55,19 @@
     told: Notify,
 }
 
-impl<S: System> Control<S> {
+impl<R: Runtime> Control<R> {
     /// A process that starts. `door` tells whether there is one.
-    pub fn new(system: &S, classes: &[String], door: bool) -> Rc<Self> {
+    pub fn new(runtime: &R, classes: &[String], door: bool) -> Rc<Self> {
         let (doors, _) = watch::channel(Doors {
             accepts: true,
-            stage: Stage::Open,
+            stage: ConnectionStage::Open,
         });
-        let now = system.now();
+        let now = runtime.now();
         Rc::new(Control {
-            system: system.clone(),
+            runtime: runtime.clone(),
             start: now,
             lifecycle: RefCell::default(),
-            ledger: RefCell::new(Ledger::new(classes)),
+            ledger: RefCell::new(Metrics::new(classes)),
             dispatches: Rc::default(),
             targets: Cell::default(),
             view_at: Cell::new(door.then_some(now)),
@@ -74,7 +77,7 @@
     }
 
     /// The ledger, to book in.
-    pub fn ledger(&self) -> std::cell::RefMut<'_, Ledger> {
+    pub fn ledger(&self) -> std::cell::RefMut<'_, Metrics> {
         self.ledger.borrow_mut()
     }
 
@@ -89,11 +92,11 @@
     }
 
     fn span(&self) -> Duration {
-        self.system.now() - self.start
+        self.runtime.now() - self.start
     }
 
     /// Where the process stands.
-    pub fn state(&self) -> State {
+    pub fn state(&self) -> LifecycleState {
         self.lifecycle.borrow().state()
     }
 
@@ -104,14 +107,14 @@
 
     /// Whether new messages are refused, as clients are to go elsewhere.
     pub fn refuses(&self) -> bool {
-        self.lifecycle.borrow().stage(self.span()) == Stage::Refusing
+        self.lifecycle.borrow().stage(self.span()) == ConnectionStage::Refusing
     }
 
     /// Takes an input; false if it changes nothing.
-    pub fn tell(&self, told: Told) -> bool {
+    pub fn tell(&self, told: LifecycleEvent) -> bool {
         let changed = self.lifecycle.borrow_mut().tell(told, self.span());
         if changed {
-            log!(self.system, "control: {told:?}, now {:?}", self.state());
+            log!(self.runtime, "control: {told:?}, now {:?}", self.state());
             self.show();
             self.told.notify_one();
         }
@@ -139,11 +142,11 @@
     /// open: connections that wait there are taken before a quiet process ends.
     pub fn ends(&self, listens: bool, quiet: impl FnOnce() -> bool) -> bool {
         let lifecycle = *self.lifecycle.borrow();
-        if lifecycle.state() != State::Stopping || !lifecycle.ends(self.span(), quiet()) {
+        if lifecycle.state() != LifecycleState::Stopping || !lifecycle.ends(self.span(), quiet()) {
             return false;
         }
         if listens && !lifecycle.must_end(self.span()) {
-            self.tell(Told::Idle);
+            self.tell(LifecycleEvent::Idle);
             return false;
         }
         true
@@ -178,31 +181,39 @@
     }
 
     /// The module's view of hosts.
-    pub fn view(&self, targets: Targets) {
+    pub fn view(&self, targets: HostCounts) {
         self.targets.set(targets);
-        self.view_at.set(Some(self.system.now() + VIEW));
+        self.view_at.set(Some(self.runtime.now() + VIEW));
     }
 
-    fn answer(&self, call: Call) -> String {
+    fn answer(&self, call: Command) -> String {
         match call {
-            Call::Ready if self.ready() => protocol::ok("takes clients"),
-            Call::Ready => {
+            Command::Ready if self.ready() => protocol::ok("takes clients"),
+            Command::Ready => {
                 protocol::fail(&format!("takes no clients: {:?}", self.state()).to_lowercase())
             }
-            Call::ShowStat => {
+            Command::ShowStat => {
                 let figures = self
                     .ledger
                     .borrow()
                     .show(self.dispatches.get(), self.targets.get());
                 protocol::ok("figures") + &figures + "eof\n"
             }
-            Call::Drain => self.switch(Told::Drain, State::Draining, "is being emptied"),
-            Call::Resume => self.switch(Told::Resume, State::Serving, "is back to work"),
+            Command::Drain => self.switch(
+                LifecycleEvent::Drain,
+                LifecycleState::Draining,
+                "is being emptied",
+            ),
+            Command::Resume => self.switch(
+                LifecycleEvent::Resume,
+                LifecycleState::Serving,
+                "is back to work",
+            ),
         }
     }
 
     /// A call that asks for a state: it works if the process gets there, or is there already.
-    fn switch(&self, told: Told, wanted: State, what: &str) -> String {
+    fn switch(&self, told: LifecycleEvent, wanted: LifecycleState, what: &str) -> String {
         let changed = self.tell(told);
         match self.state() {
             state if state == wanted && changed => protocol::ok(what),
@@ -213,19 +224,19 @@
 }
 
 /// The end that an answer at the door means.
-pub fn end_of(reply: &Reply) -> End {
+pub fn end_of(reply: &Reply) -> MessageEnd {
     match reply {
-        Reply::Busy(_) => End::Overload,
-        Reply::Error(_) | Reply::NoAuth | Reply::WrongPass => End::Error,
-        Reply::Ok | Reply::Pong => End::Other,
+        Reply::Busy(_) => MessageEnd::Overload,
+        Reply::Error(_) | Reply::NoAuth | Reply::WrongPass => MessageEnd::Error,
+        Reply::Ok | Reply::Pong => MessageEnd::Other,
     }
 }
 
 /// The end that a verdict means.
-pub fn end_by(verdict: Verdict) -> End {
+pub fn end_by(verdict: DeliveryFailure) -> MessageEnd {
     match verdict {
-        Verdict::Undeliverable => End::Error,
-        Verdict::Deferred(_) => End::Overload,
+        DeliveryFailure::Undeliverable => MessageEnd::Error,
+        DeliveryFailure::Deferred(_) => MessageEnd::Overload,
     }
 }
 
@@ -238,14 +249,14 @@
 }
 
 /// Takes callers for ever.
-pub async fn listen<S: System>(listener: S::Listener, control: Rc<Control<S>>) {
+pub async fn listen<R: Runtime>(listener: R::Listener, control: Rc<Control<R>>) {
     let callers: Rc<RefCell<Callers>> = Rc::default();
     loop {
         let stream = match listener.accept().await {
             Ok(stream) => stream,
             Err(error) => {
-                log!(control.system, "control: cannot accept: {error}");
-                control.system.sleep(Duration::from_millis(20)).await;
+                log!(control.runtime, "control: cannot accept: {error}");
+                control.runtime.sleep(Duration::from_millis(20)).await;
                 continue;
             }
         };
@@ -267,34 +278,34 @@
             (number, wake)
         };
         let (control, callers) = (control.clone(), callers.clone());
-        control.system.clone().spawn(async move {
+        control.runtime.clone().spawn(async move {
             drop(serve(stream, &control, &callers, number, &wake).await);
         });
     }
 }
 
 /// Serves one caller.
-async fn serve<S: System>(
-    mut stream: S::Stream,
-    control: &Control<S>,
+async fn serve<R: Runtime>(
+    mut stream: R::Stream,
+    control: &Control<R>,
     callers: &RefCell<Callers>,
     number: u64,
     wake: &Notify,
 ) -> std::io::Result<()> {
-    let system = &control.system;
-    let until = system.now() + LINE_TIME;
+    let runtime = &control.runtime;
+    let until = runtime.now() + LINE_TIME;
     let mut text = BytesMut::new();
     let said = loop {
         match protocol::read(&text) {
-            Line::Partial => {}
+            ParsedLine::Partial => {}
             said => break Some(said),
         }
         text.reserve(protocol::LONGEST);
         tokio::select! {
             biased;
             read = stream.read_buf(&mut text) => if !matches!(read, Ok(1..)) { break None },
-            () = wake.notified() => break Some(Line::Wrong("too many callers")),
-            () = system.sleep_until(until) => break Some(Line::Wrong("the line did not come whole")),
+            () = wake.notified() => break Some(ParsedLine::Wrong("too many callers")),
+            () = runtime.sleep_until(until) => break Some(ParsedLine::Wrong("the line did not come whole")),
         }
     };
     let seated = {
@@ -306,18 +317,18 @@
     };
     let answer = match said {
         None => None,
-        Some(Line::Call(call)) => Some(control.answer(call)),
-        Some(Line::Wrong(why)) => Some(protocol::fail(why)),
-        Some(Line::Partial) => Some(protocol::fail("half a line")),
+        Some(ParsedLine::Command(call)) => Some(control.answer(call)),
+        Some(ParsedLine::Wrong(why)) => Some(protocol::fail(why)),
+        Some(ParsedLine::Partial) => Some(protocol::fail("half a line")),
     };
     let mut told = Ok(());
     if let Some(answer) = answer {
         // Guards against a caller that reads no answer.
-        told = match system
+        told = match runtime
             .timeout(ANSWER_TIME, stream.write_all(answer.as_bytes()))
             .await
         {
-            Ok(Ok(())) => part(system, stream).await,
+            Ok(Ok(())) => part(runtime, stream).await,
             Ok(Err(error)) => Err(error),
             Err(late) => Err(late.into()),
         };
--- a/crates/relay/src/discovery_client.rs
+++ b/crates/relay/src/discovery_client.rs
@@ -15,14 +15,14 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use membership::poll_schedule::SILENCE;
-use membership::{Members, Word};
+use membership::{HostMembership, ListFreshness};
 use policy::types::{HostState, MessageId};
-use relay_events::{HostList, Input, Verdict};
-use runtime::{log, Stream, System, Task};
+use relay_events::{DeliveryFailure, HostList, RelayEvent};
+use runtime::{log, Runtime, Stream, Task};
 use serde::Serialize;
 use tokio::sync::{mpsc, watch, Notify};
 
-use crate::list_decoder::{Feed, Item, LONGEST};
+use crate::list_decoder::{Item, ListDecoder, LONGEST};
 
 /// A new watch on which nothing comes for so long has nothing to tell that is not known.
 const LINGER: Duration = Duration::from_millis(100);
@@ -37,20 +37,22 @@
 type Failure = Box<dyn std::error::Error + Send + Sync>;
 
 /// A connection to discovery, which is closed when this is dropped.
-struct Channel<S: System> {
-    system: S,
+struct Channel<R: Runtime> {
+    runtime: R,
     sender: SendRequest<Full<Bytes>>,
-    task: S::Task,
+    task: R::Task,
 }
 
-impl<S: System> Channel<S> {
-    async fn open(system: &S, address: SocketAddr, patience: Duration) -> Result<Self, Failure> {
-        let stream = system.timeout(patience, system.connect(address)).await??;
+impl<R: Runtime> Channel<R> {
+    async fn open(runtime: &R, address: SocketAddr, patience: Duration) -> Result<Self, Failure> {
+        let stream = runtime
+            .timeout(patience, runtime.connect(address))
+            .await??;
         stream.set_nodelay()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let task = system.spawn(async move { drop(connection.await) });
+        let task = runtime.spawn(async move { drop(connection.await) });
         Ok(Channel {
-            system: system.clone(),
+            runtime: runtime.clone(),
             sender,
             task,
         })
@@ -71,11 +73,11 @@
         let answer = self
             .sender
             .send_request(request.body(Full::new(body.into()))?);
-        Ok(self.system.timeout(patience, answer).await??)
+        Ok(self.runtime.timeout(patience, answer).await??)
     }
 }
 
-impl<S: System> Drop for Channel<S> {
+impl<R: Runtime> Drop for Channel<R> {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -83,21 +85,21 @@
 
 /// Follows the list for ever, from a version on, at the address that is in force; every connection to the
 /// same address starts where the last one ended.
-pub async fn follow<S: System>(
-    system: S,
+pub async fn follow<R: Runtime>(
+    runtime: R,
     mut at: watch::Receiver<SocketAddr>,
     version: u64,
-    members: Rc<RefCell<Members>>,
-    inputs: mpsc::Sender<Input>,
+    members: Rc<RefCell<HostMembership>>,
+    inputs: mpsc::Sender<RelayEvent>,
 ) {
     let start = members.borrow_mut().pace.start();
-    system.sleep(start).await;
+    runtime.sleep(start).await;
     // An agent beside the relay confirms a list at once where it is asked for it whole; a watch may say nothing for 2 s.
     let whole = members.borrow().pace.pushed();
     let address = *at.borrow();
     let taken = None;
-    let mut follower = Follower {
-        system,
+    let mut follower = DiscoveryWatch {
+        runtime,
         address,
         version,
         whole,
@@ -140,8 +142,8 @@
 }
 
 /// Follows the list at one address.
-struct Follower<S: System> {
-    system: S,
+struct DiscoveryWatch<R: Runtime> {
+    runtime: R,
     address: SocketAddr,
     version: u64,
     /// The whole list is wanted, as what has come since the one in force is not known.
@@ -150,21 +152,21 @@
     silent: bool,
     /// A list that is in force and has to be handed on.
     taken: Option<HostList>,
-    members: Rc<RefCell<Members>>,
-    inputs: mpsc::Sender<Input>,
+    members: Rc<RefCell<HostMembership>>,
+    inputs: mpsc::Sender<RelayEvent>,
 }
 
-impl<S: System> Follower<S> {
+impl<R: Runtime> DiscoveryWatch<R> {
     async fn follow(&mut self) {
         let mut logged = false;
         loop {
-            let (mut heard, began) = (false, self.system.now());
+            let (mut heard, began) = (false, self.runtime.now());
             let Err(cut) = self.listen(&mut heard).await;
             let spoilt = matches!(cut, Cut::Spoilt(_));
             let rest = {
                 let pace = &mut self.members.borrow_mut().pace;
                 // Guards a discovery whose whole list is sound and whose watch is not: what it said between is no news.
-                if heard && (!spoilt || self.system.now() >= began + SILENCE) {
+                if heard && (!spoilt || self.runtime.now() >= began + SILENCE) {
                     pace.heard();
                 }
                 if spoilt {
@@ -175,14 +177,14 @@
             };
             self.whole |= spoilt;
             if !logged || heard {
-                let (address, system) = (self.address, &self.system);
+                let (address, runtime) = (self.address, &self.runtime);
                 match cut {
                     Cut::Ended(error) => {
-                        log!(*system, "discovery: the watch at {address} ended: {error}")
+                        log!(*runtime, "discovery: the watch at {address} ended: {error}")
                     }
                     Cut::Spoilt(error) => {
                         log!(
-                            *system,
+                            *runtime,
                             "discovery: what {address} told cannot be used: {error}"
                         )
                     }
@@ -192,7 +194,7 @@
             if self.inputs.is_closed() {
                 return;
             }
-            self.system.sleep(rest).await;
+            self.runtime.sleep(rest).await;
         }
     }
 
@@ -205,10 +207,10 @@
         }
         let path = format!("/catalog/members?follow=1&since={}", self.version);
         let (_channel, mut body) = self.ask(&path).await?;
-        let mut feed = Feed::default();
+        let mut feed = ListDecoder::default();
         let mut began = None;
         loop {
-            let now = self.system.now();
+            let now = self.runtime.now();
             // Guards against a discovery that falls silent with its connections open: nothing else would tell.
             let mut until = now + SILENCE;
             if feed.is_open() {
@@ -220,10 +222,10 @@
                 // What has changed comes at once.
                 until = until.min(now + LINGER);
             }
-            let frame = match self.system.timeout_at(until, body.frame()).await {
+            let frame = match self.runtime.timeout_at(until, body.frame()).await {
                 Ok(frame) => frame.ok_or("it was closed")??,
                 Err(_) if self.silent && !feed.is_open() => {
-                    self.confirm(Input::Unchanged).await?;
+                    self.confirm(RelayEvent::HostListConfirmed).await?;
                     continue;
                 }
                 Err(_) if feed.is_open() => return Err(Cut::Spoilt("half of a list came".into())),
@@ -238,7 +240,7 @@
                 let tells = self.silent || !self.members.borrow().pace.pushed();
                 match item {
                     Item::List(list) => self.take(list).await?,
-                    Item::Beat if tells => self.confirm(Input::Unchanged).await?,
+                    Item::Beat if tells => self.confirm(RelayEvent::HostListConfirmed).await?,
                     Item::Beat => {}
                 }
                 *heard = true;
@@ -248,25 +250,25 @@
 
     /// Passes a list on, or what may be used of one that is older than the one in force.
     async fn take(&mut self, list: HostList) -> Result<(), Cut> {
-        let (version, now) = (list.seq, self.system.now());
+        let (version, now) = (list.version, self.runtime.now());
         let word = self
             .members
             .borrow_mut()
-            .judge(version, self.version, list.whole, now);
-        if word == Word::Current {
+            .judge(version, self.version, list.is_full, now);
+        if word == ListFreshness::Current {
             (self.version, self.silent, self.taken) = (version, false, Some(list));
             return Ok(self.hand_on().await?);
         }
         let hosts = list
             .hosts
             .into_iter()
-            .filter(|line| line.health != HostState::Ready)
+            .filter(|line| line.state != HostState::Ready)
             .collect();
         (self.silent, self.taken) = (
             false,
             Some(HostList {
-                seq: self.version,
-                whole: false,
+                version: self.version,
+                is_full: false,
                 hosts,
             }),
         );
@@ -281,28 +283,28 @@
         if self.taken.is_some() {
             let room = self.inputs.reserve().await?;
             if let Some(list) = self.taken.take() {
-                room.send(Input::Hosts(list));
+                room.send(RelayEvent::HostListReceived(list));
             }
         }
         Ok(())
     }
 
-    async fn confirm(&mut self, news: Input) -> Result<(), Failure> {
+    async fn confirm(&mut self, news: RelayEvent) -> Result<(), Failure> {
         self.silent = false;
         Ok(self.inputs.send(news).await?)
     }
 
     /// Makes a call for a list; its answer's body comes with what holds its connection.
-    async fn ask(&self, path: &str) -> Result<(Channel<S>, Incoming), Failure> {
+    async fn ask(&self, path: &str) -> Result<(Channel<R>, Incoming), Failure> {
         let patience = {
             let mut members = self.members.borrow_mut();
-            members.asks(self.system.now());
+            members.asks(self.runtime.now());
             members.pace.patience()
         };
         // One span for the connection and the answer: a connection that does not come up is as silent as its agent.
-        let until = self.system.now() + patience;
-        let mut channel = Channel::open(&self.system, self.address, patience).await?;
-        let left = until.saturating_duration_since(self.system.now());
+        let until = self.runtime.now() + patience;
+        let mut channel = Channel::open(&self.runtime, self.address, patience).await?;
+        let left = until.saturating_duration_since(self.runtime.now());
         let answer = channel
             .ask(self.address, Method::GET, path, String::new(), left)
             .await?;
@@ -317,21 +319,21 @@
         let body = http_body_util::Limited::new(body, LONGEST);
         let whole = self.members.borrow().pace.whole();
         let text = self
-            .system
+            .runtime
             .timeout(whole, body.collect())
             .await??
             .to_bytes();
         let mut list: HostList =
             serde_json::from_slice(&text).map_err(|error| Cut::Spoilt(error.into()))?;
-        list.whole = true;
+        list.is_full = true;
         Ok(list)
     }
 }
 
 /// Notices that the platform has not answered yet. Each is owed in the journal too, which bounds them.
 #[derive(Default)]
-pub struct Notices {
-    pending: RefCell<BTreeMap<MessageId, (String, Verdict)>>,
+pub struct Notifications {
+    pending: RefCell<BTreeMap<MessageId, (String, DeliveryFailure)>>,
     more: Notify,
 }
 
@@ -343,9 +345,9 @@
     again_ms: Option<u64>,
 }
 
-impl Notices {
+impl Notifications {
     /// Tells the platform how a message ended.
-    pub fn add(&self, id: MessageId, name: String, verdict: Verdict) {
+    pub fn add(&self, id: MessageId, name: String, verdict: DeliveryFailure) {
         self.pending.borrow_mut().insert(id, (name, verdict));
         self.more.notify_one();
     }
@@ -359,8 +361,10 @@
         let (mut ids, mut text) = (Vec::new(), String::new());
         for (id, (name, verdict)) in self.pending.borrow().iter().take(NOTICES) {
             let (status, again_ms) = match verdict {
-                Verdict::Undeliverable => ("undeliverable", None),
-                Verdict::Deferred(after) => ("deferred", Some(*after).filter(|after| *after > 0)),
+                DeliveryFailure::Undeliverable => ("undeliverable", None),
+                DeliveryFailure::Deferred(after) => {
+                    ("deferred", Some(*after).filter(|after| *after > 0))
+                }
             };
             let notice = Notice {
                 id: name,
@@ -376,11 +380,11 @@
 }
 
 /// Sends notices for ever, each until it is answered 204, to the address that is in force.
-pub async fn notify<S: System>(
-    system: S,
+pub async fn notify<R: Runtime>(
+    runtime: R,
     mut at: watch::Receiver<SocketAddr>,
-    notices: Rc<Notices>,
-    inputs: mpsc::Sender<Input>,
+    notices: Rc<Notifications>,
+    inputs: mpsc::Sender<RelayEvent>,
 ) {
     let mut channel = None;
     let mut rest = REST.0;
@@ -392,14 +396,14 @@
         }
         let address = *at.borrow_and_update();
         let sent = async {
-            let posted = post(&system, &mut channel, address, text).await;
+            let posted = post(&runtime, &mut channel, address, text).await;
             if let Err(error) = &posted {
                 log!(
-                    system,
+                    runtime,
                     "discovery: {} notices not taken, to be sent again: {error}",
                     ids.len()
                 );
-                system.sleep(rest).await;
+                runtime.sleep(rest).await;
             }
             posted
         };
@@ -415,7 +419,11 @@
                 .pending
                 .borrow_mut()
                 .retain(|id, _| !ids.contains(id));
-            if inputs.send(Input::Noticed(ids)).await.is_err() {
+            if inputs
+                .send(RelayEvent::NotificationsAccepted(ids))
+                .await
+                .is_err()
+            {
                 return;
             }
         } else {
@@ -425,9 +433,9 @@
     }
 }
 
-async fn post<S: System>(
-    system: &S,
-    channel: &mut Option<(SocketAddr, Channel<S>)>,
+async fn post<R: Runtime>(
+    runtime: &R,
+    channel: &mut Option<(SocketAddr, Channel<R>)>,
     address: SocketAddr,
     text: String,
 ) -> Result<(), Failure> {
@@ -435,14 +443,14 @@
         Some((at, open)) => {
             *at == address
                 && matches!(
-                    system.timeout(PATIENCE, open.sender.ready()).await,
+                    runtime.timeout(PATIENCE, open.sender.ready()).await,
                     Ok(Ok(()))
                 )
         }
         None => false,
     };
     if !usable {
-        *channel = Some((address, Channel::open(system, address, PATIENCE).await?));
+        *channel = Some((address, Channel::open(runtime, address, PATIENCE).await?));
     }
     let Some((_, open)) = channel else {
         return Err("no connection".into());
@@ -451,7 +459,7 @@
         .ask(address, Method::POST, "/v1/notices", text, PATIENCE)
         .await?;
     let status = answer.status();
-    system
+    runtime
         .timeout(
             PATIENCE,
             http_body_util::Limited::new(answer.into_body(), LONGEST_ANSWER).collect(),
@@ -466,8 +474,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use membership::Terms;
-    use runtime::Real;
+    use membership::DiscoverySettings;
+    use runtime::OsRuntime;
 
     /// SIGHUP moves discovery while a list waits for room among the inputs: a drain in it is heard all the same, also in a
     /// list that is older than the one in force.
@@ -480,17 +488,17 @@
         runtime.block_on(async {
             for (version, older) in [(2, false), (1, true)] {
                 let drain_grace = Duration::from_secs(2);
-                let terms = Terms { pushed: true, siblings: 1, drain_grace, seed: 1 };
+                let terms = DiscoverySettings { pushed: true, siblings: 1, drain_grace, seed: 1 };
                 let (inputs, mut driver) = mpsc::channel(1);
-                inputs.try_send(Input::Unchanged).expect("room for one");
-                let mut follower = Follower {
-                    system: Real,
+                inputs.try_send(RelayEvent::HostListConfirmed).expect("room for one");
+                let mut follower = DiscoveryWatch {
+                    runtime: OsRuntime,
                     address: SocketAddr::from(([127, 0, 0, 1], 1)),
                     version: if older { 5 } else { 1 },
                     whole: false,
                     silent: true,
                     taken: None,
-                    members: Rc::new(RefCell::new(Members::new(&terms, None))),
+                    members: Rc::new(RefCell::new(HostMembership::new(&terms, None))),
                     inputs,
                 };
                 let list = serde_json::json!({"seq": version, "whole": false, "hosts": [
@@ -500,10 +508,10 @@
                 // Dropped where it waits, as `follow` does where the address changes.
                 let waits = tokio::time::timeout(Duration::ZERO, follower.take(list)).await;
                 assert!(waits.is_err(), "there is no room");
-                assert!(matches!(driver.try_recv(), Ok(Input::Unchanged)));
+                assert!(matches!(driver.try_recv(), Ok(RelayEvent::HostListConfirmed)));
                 follower.hand_on().await.expect("the driver is there");
-                let Ok(Input::Hosts(heard)) = driver.try_recv() else { panic!("the list is gone") };
-                assert_eq!(heard.hosts[0].health, HostState::Draining, "older: {older}");
+                let Ok(RelayEvent::HostListReceived(heard)) = driver.try_recv() else { panic!("the list is gone") };
+                assert_eq!(heard.hosts[0].state, HostState::Draining, "older: {older}");
             }
         });
     }
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -11,79 +11,81 @@
 use std::time::{Duration, Instant};
 
 use admin::Tokens;
-use control::{End, State, Targets, Told as Change};
-use membership::Members;
+use control::{HostCounts, LifecycleEvent as Change, LifecycleState, MessageEnd};
+use membership::HostMembership;
 use policy::types::*;
 use policy::DeliveryPolicy;
-use relay_events::tenants::{LoginCall, TenantsCall};
-use relay_events::undeliverable::{News, Told};
-use relay_events::{CallEnd, Clock, Enqueue, HostList, Input, Reply, Verdict};
-use runtime::{log, System};
+use relay_events::tenants::{LoginRequest, TenantCall};
+use relay_events::undeliverable::{UndeliverableEvent, UndeliverableResponse};
+use relay_events::{
+    Clock, CompletedCall, DeliveryFailure, EnqueueRequest, HostList, RelayEvent, Reply,
+};
+use runtime::{log, Runtime};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::cached_state::{self, Memory};
-use crate::call_log::Trace;
+use crate::cached_state::{self, CachedState};
+use crate::call_log::CallLog;
 use crate::classes::Classes;
 use crate::config::Config;
 use crate::control_socket::{self, Control};
-use crate::discovery_client::Notices;
-use crate::host_connections::{Call, Hosts};
-use crate::host_directory::{Directory, Listed, Names};
-use crate::in_flight::{Hand, Name};
-use crate::journal::{Attempt, Journal, Owed, Taken};
+use crate::discovery_client::Notifications;
+use crate::host_connections::{Call, HostConnections};
+use crate::host_directory::{HostDirectory, ListedHost, Names};
+use crate::in_flight::{InFlightMessages, MessageName};
+use crate::journal::{AcceptedMessage, Attempt, Journal, PendingMessage};
 use crate::operator_config;
 use crate::route_levels;
-use crate::state_directory::{Calls, Office, State as Left};
+use crate::state_directory::{Calls, DirectoryOwner, HandoverState as Left};
 use crate::tenant_service::Tenants;
-use crate::undeliverable_service::{self, Desk, Live, Resend};
+use crate::undeliverable_service::{self, Live, Resend, UndeliverableService};
 use undeliverable::record::Refusal;
 
 /// A client that is refused in a drain may hand its message in elsewhere at once; in milliseconds, as 0 tells nothing.
 pub const ELSEWHERE: u64 = 1;
 
 /// What joins the sockets, the journal and the module.
-pub struct Driver<S: System> {
-    pub system: S,
+pub struct EventLoop<R: Runtime> {
+    pub runtime: R,
     pub config: Config,
     pub relay: DeliveryPolicy,
-    pub clock: Clock<S>,
-    pub journal: Journal<S>,
-    pub tenants: Tenants<S>,
+    pub clock: Clock<R>,
+    pub journal: Journal<R>,
+    pub tenants: Tenants<R>,
     /// The operator file.
     pub operator: Option<PathBuf>,
     /// Who may use the administration API.
     pub tokens: watch::Sender<Tokens>,
-    pub hosts: Rc<Hosts<S>>,
+    pub hosts: Rc<HostConnections<R>>,
     /// How far the list may be believed.
-    pub members: Rc<RefCell<Members>>,
-    pub notices: Rc<Notices>,
-    pub inputs: mpsc::Sender<Input>,
+    pub members: Rc<RefCell<HostMembership>>,
+    pub notices: Rc<Notifications>,
+    pub inputs: mpsc::Sender<RelayEvent>,
     /// What the module has not seen yet.
     pub events: Vec<Event>,
     pub timer: Option<(Micros, u64)>,
     pub last_round: Instant,
-    pub hand: Hand,
+    pub hand: InFlightMessages,
     /// Calls that are out: the attempt, and what ends it early.
     pub calls: Calls,
-    pub directory: Directory,
+    pub directory: HostDirectory,
     /// The module's numbers of classes.
     pub classes: Classes,
     /// What is kept of the list and of outages.
-    pub memory: Memory,
+    pub memory: CachedState,
     pub disk: u64,
     /// Where discovery answers, for those who ask it.
     pub discovery: watch::Sender<SocketAddr>,
     /// Whose the folder is.
-    pub office: Office<S>,
+    pub office: DirectoryOwner<R>,
     /// Where the process stands, and the figures.
-    pub control: Rc<Control<S>>,
-    pub trace: Trace<S>,
+    pub control: Rc<Control<R>>,
+    pub trace: CallLog<R>,
     /// Messages that were given up, where the operator wants them kept.
-    pub desk: Option<Desk<S>>,
+    pub desk: Option<UndeliverableService<R>>,
 }
 
-fn logged(system: &impl System, what: std::io::Result<()>) {
-    what.unwrap_or_else(|e| log!(*system, "journal: cannot write: {e}"));
+fn logged(runtime: &impl Runtime, what: std::io::Result<()>) {
+    what.unwrap_or_else(|e| log!(*runtime, "journal: cannot write: {e}"));
 }
 
 /// The values of a load report, in the settings' order; none at all where one is missing or absurd.
@@ -111,7 +113,7 @@
     wanted.map(value).collect()
 }
 
-impl<S: System> Driver<S> {
+impl<R: Runtime> EventLoop<R> {
     /// When the module is to be asked next.
     pub fn next_round(&self) -> Instant {
         let tick = Duration::from_micros(self.config.settings.tick.max(1000));
@@ -142,7 +144,7 @@
         }
         let (held, out) = (self.hand.len(), self.calls.len());
         log!(
-            self.system,
+            self.runtime,
             "told to stop; {held} messages in hand, {out} calls out"
         );
     }
@@ -150,7 +152,7 @@
     /// Shows how the module sees the hosts.
     pub fn view(&self) {
         let disabled = self.relay.ejected_hosts(self.clock.now());
-        self.control.view(Targets {
+        self.control.view(HostCounts {
             listed: self.directory.count(),
             disabled,
         });
@@ -160,16 +162,16 @@
     pub fn reload(&mut self) -> Result<(), String> {
         // What was decided under the old settings is taken on under them.
         self.round()?;
-        let changed = Config::load(&self.system).and_then(|new| self.retune(new));
+        let changed = Config::load(&self.runtime).and_then(|new| self.retune(new));
         self.control.ledger().reloaded(changed.is_ok());
         if let Err(error) = changed {
             log!(
-                self.system,
+                self.runtime,
                 "configuration: the old one stays in force: {}",
                 error.replace('\n', " ")
             );
         }
-        operator_config::read_again(&self.system, self.operator.as_deref(), &self.tokens);
+        operator_config::read_again(&self.runtime, self.operator.as_deref(), &self.tokens);
         Ok(())
     }
 
@@ -180,9 +182,9 @@
                 "the new one lacks {key}, so it may be half of a file"
             ));
         }
-        let number = |owed: &Owed| match &owed.terms {
-            Some(terms) => self.classes.find(&owed.taken.class, &terms.class),
-            None => self.classes.number(&owed.taken.class),
+        let number = |owed: &PendingMessage| match &owed.class_version {
+            Some(terms) => self.classes.find(&owed.accepted.class, &terms.class),
+            None => self.classes.number(&owed.accepted.class),
         };
         let in_use: BTreeSet<u16> = self.journal.all().values().filter_map(number).collect();
         if !self
@@ -196,7 +198,7 @@
         let fixed = new.fixed(&self.config);
         if !fixed.is_empty() {
             log!(
-                self.system,
+                self.runtime,
                 "configuration: counts from the next start on: {}",
                 fixed.join(", ")
             );
@@ -206,14 +208,14 @@
             discovery, classes, ..
         } = &self.config;
         log!(
-            self.system,
+            self.runtime,
             "configuration: read again, discovery is at {discovery}"
         );
         self.discovery
             .send_if_modified(|at| std::mem::replace(at, *discovery) != *discovery);
         self.control.ledger().classes(classes);
         self.tenants.know_classes(classes);
-        logged(&self.system, self.journal.declare(self.classes.in_force()));
+        logged(&self.runtime, self.journal.declare(self.classes.in_force()));
         self.events.push(self.retuned());
         Ok(())
     }
@@ -224,7 +226,7 @@
         let took_over = self.office.took_over();
         let heritage = left.map(|left| {
             self.directory.adopt(left.numbers);
-            self.hand.know_over(self.system.now(), left.over);
+            self.hand.know_over(self.runtime.now(), left.over);
             // A drain outlasts an upgrade, not a crash.
             self.control.inherits(left.drained && took_over);
             out = left
@@ -239,19 +241,19 @@
         // Guards hosts that drain: the configuration's list may be older than what the last process was
         // told, and discovery may be silent now.
         self.directory
-            .know(known.hosts.iter().map(|line| line.block));
-        if self.memory.list.seq > known.seq {
+            .know(known.hosts.iter().map(|line| line.destination));
+        if self.memory.list.version > known.version {
             known = self.memory.list.clone();
         }
         self.list(
             HostList {
-                whole: true,
+                is_full: true,
                 ..known
             },
             true,
         );
         self.events.push(Event::HostsUnconfirmed(
-            !self.members.borrow().believed(self.system.now()),
+            !self.members.borrow().believed(self.runtime.now()),
         ));
         for (destination, down, back) in self.memory.outages.clone() {
             self.events.push(Event::OutageRestored(Outage {
@@ -265,7 +267,7 @@
             self.round()?;
             self.relay.restore_handover(heritage);
         }
-        let owed: Vec<(MessageId, Owed)> = self
+        let owed: Vec<(MessageId, PendingMessage)> = self
             .journal
             .all()
             .iter()
@@ -273,59 +275,60 @@
             .collect();
         if !owed.is_empty() {
             log!(
-                self.system,
+                self.runtime,
                 "journal: {} messages are still owed their end",
                 owed.len()
             );
         }
         for (id, message) in owed {
-            let tenant = self.tenants.restored(&message.taken.tenant);
-            if let Some(again) = message.again {
+            let tenant = self.tenants.restored(&message.accepted.tenant);
+            if let Some(again) = message.resend {
                 // Its end is in the store already, or there is no store any more that could tell of it.
-                let Some(desk) = self.desk.as_mut().filter(|_| message.verdict.is_none()) else {
+                let Some(desk) = self.desk.as_mut().filter(|_| message.failure.is_none()) else {
                     self.again_over(id, &message);
                     continue;
                 };
-                if desk.is_closed(&again, &message.taken.name) {
+                if desk.is_closed(&again, &message.accepted.name) {
                     self.over(id);
                     continue;
                 }
-                desk.restored(id, again, &message.taken.name, self.clock.now());
-            } else if message.verdict == Some(Verdict::Undeliverable) {
+                desk.restored(id, again, &message.accepted.name, self.clock.now());
+            } else if message.failure == Some(DeliveryFailure::Undeliverable) {
                 // The store may not have it yet.
                 self.given_up(&message);
             }
-            let Owed {
-                taken,
+            let PendingMessage {
+                accepted,
                 attempts,
-                verdict,
-                terms,
+                failure,
+                class_version,
                 ..
             } = message;
-            if let Some(verdict) = verdict {
-                self.notices.add(id, taken.name, verdict);
+            if let Some(verdict) = failure {
+                self.notices.add(id, accepted.name, verdict);
                 continue;
             }
-            self.hand.restored(id, &taken);
+            self.hand.restored(id, &accepted);
             self.control.ledger().taken();
-            let class = match &terms {
-                Some(terms) => self.classes.taken_under(&taken.class, &terms.class),
-                None => self.classes.number(&taken.class),
+            let class = match &class_version {
+                Some(terms) => self.classes.taken_under(&accepted.class, &terms.class),
+                None => self.classes.number(&accepted.class),
             };
-            let Some(message) = tenant.and_then(|tenant| self.message(id, &taken, tenant, class))
+            let Some(message) =
+                tenant.and_then(|tenant| self.message(id, &accepted, tenant, class))
             else {
                 log!(
-                    self.system,
+                    self.runtime,
                     "journal: {} is of a class or tenant that is not known any more",
-                    taken.name
+                    accepted.name
                 );
-                let ran = attempts.iter().any(|attempt| attempt.may_have_run);
+                let ran = attempts.iter().any(|attempt| attempt.may_have_executed);
                 self.end(
                     id,
                     if ran {
-                        Verdict::Undeliverable
+                        DeliveryFailure::Undeliverable
                     } else {
-                        Verdict::Deferred(0)
+                        DeliveryFailure::Deferred(0)
                     },
                 );
                 continue;
@@ -335,9 +338,9 @@
                 .filter(|(at, _)| usize::from(*at) + 1 == attempts.len());
             let out = out.map(|(_, host)| *host);
             let attempts = attempts.iter().map(|attempt| PastAttempt {
-                sent_at: attempt.sent,
+                sent_at: attempt.sent_at,
                 zone: attempt.zone,
-                may_have_executed: attempt.may_have_run,
+                may_have_executed: attempt.may_have_executed,
             });
             let attempts = attempts.collect();
             self.events.push(match took_over || out.is_some() {
@@ -357,13 +360,17 @@
         self.desk.iter_mut().for_each(|desk| desk.settle(now));
         self.round()?;
         self.tenants.go_on_from(&used, self.relay.scheduler());
-        logged(&self.system, self.journal.declare(self.classes.in_force()));
+        logged(&self.runtime, self.journal.declare(self.classes.in_force()));
         Ok(())
     }
 
     /// Looks at the folder: another process may ask for it, or have told ends of its calls.
     pub fn tend_office(&mut self) {
-        if matches!(self.control.state(), State::Serving | State::Draining) && self.office.asked() {
+        if matches!(
+            self.control.state(),
+            LifecycleState::Serving | LifecycleState::Draining
+        ) && self.office.asked()
+        {
             self.control.tell(Change::HandOver);
         }
         let ends = self.office.ends();
@@ -381,7 +388,7 @@
         let mut state = Left::new(self.control.drained(), out, self.relay.handover_snapshot());
         (state.numbers, state.over) = (
             self.directory.numbers(),
-            self.hand.recent(self.system.now()),
+            self.hand.recent(self.runtime.now()),
         );
         state.used = self.tenants.used(self.clock.now(), self.relay.scheduler());
         state
@@ -397,14 +404,14 @@
     }
 
     /// A resend whose verdict was kept in the journal, and in the store perhaps not yet.
-    fn again_over(&mut self, id: MessageId, message: &Owed) {
+    fn again_over(&mut self, id: MessageId, message: &PendingMessage) {
         let now = self.clock.now();
         let (class, most) = (self.class_of(message), self.config.settings.max_attempts);
         if let (Some(desk), Some(again), Some(verdict)) =
-            (&mut self.desk, message.again, message.verdict)
+            (&mut self.desk, message.resend, message.failure)
         {
-            if !desk.is_closed(&again, &message.taken.name) {
-                desk.restored(id, again, &message.taken.name, now);
+            if !desk.is_closed(&again, &message.accepted.name) {
+                desk.restored(id, again, &message.accepted.name, now);
                 if !desk.came_back(id, message, class.as_ref(), verdict, most, now) {
                     return;
                 }
@@ -413,21 +420,21 @@
         self.over(id);
     }
 
-    fn class_of(&self, owed: &Owed) -> Option<Class> {
-        let terms = owed.terms.as_ref().map(|terms| &*terms.class);
+    fn class_of(&self, owed: &PendingMessage) -> Option<Class> {
+        let terms = owed.class_version.as_ref().map(|terms| &*terms.class);
         terms
-            .or_else(|| self.classes.named(&owed.taken.class))
+            .or_else(|| self.classes.named(&owed.accepted.class))
             .cloned()
     }
 
     /// Hands a message that was given up over to those who keep it.
-    fn given_up(&mut self, owed: &Owed) {
+    fn given_up(&mut self, owed: &PendingMessage) {
         let (now, class, most) = (
             self.clock.now(),
             self.class_of(owed),
             self.config.settings.max_attempts,
         );
-        let abandoned = self.tenants.removed(&owed.taken.tenant);
+        let abandoned = self.tenants.removed(&owed.accepted.tenant);
         if let Some(desk) = &mut self.desk {
             desk.given_up(owed, class.as_ref(), abandoned, most, now);
         }
@@ -455,37 +462,41 @@
         }
     }
 
-    fn undeliverable(&mut self, news: News) {
+    fn undeliverable(&mut self, news: UndeliverableEvent) {
         let (now, live) = (self.clock.now(), self.live());
         match (&mut self.desk, news) {
-            (Some(desk), News::Word { id, asked, says }) => desk.word(id, asked, says, now),
-            (Some(desk), News::Call(call)) => {
+            (Some(desk), UndeliverableEvent::PartnerAnswered { id, asked, says }) => {
+                desk.word(id, asked, says, now)
+            }
+            (Some(desk), UndeliverableEvent::UndeliverableCall(call)) => {
                 let mut resends = Vec::new();
                 let mut told = desk.answer(call.ask, now, live, &mut resends);
                 for resend in resends {
                     if !self.resend(now, resend) {
-                        told = Told::Refused(Refusal::NotHandedOver);
+                        told = UndeliverableResponse::Refused(Refusal::NotHandedOver);
                     }
                 }
                 drop(call.reply.send(told));
             }
-            (None, News::Call(call)) => {
-                let none = Told::Unavailable("undeliverable messages are not kept here".into());
+            (None, UndeliverableEvent::UndeliverableCall(call)) => {
+                let none = UndeliverableResponse::Unavailable(
+                    "undeliverable messages are not kept here".into(),
+                );
                 drop(call.reply.send(none));
             }
-            (None, News::Word { .. }) => {}
+            (None, UndeliverableEvent::PartnerAnswered { .. }) => {}
         }
     }
 
     /// A message that was given up goes to the module once more; false if it can't.
     fn resend(&mut self, now: Micros, resend: Resend) -> bool {
         let Resend { again, mut taken } = resend;
-        taken.due = now
+        taken.deadline = now
             + self
                 .classes
                 .named(&taken.class)
                 .map_or(0, |class| class.time_to_live);
-        let known_as = Name::of(&taken);
+        let known_as = MessageName::of(&taken);
         // A message of this name that is in hand is another one's.
         let number = match self.hand.holds(&known_as) {
             true => None,
@@ -496,7 +507,7 @@
         let message = number.and_then(|tenant| self.message(id, &taken, tenant, class));
         let Some(message) = message.filter(|_| self.tenants.stands(&taken.tenant)) else {
             log!(
-                self.system,
+                self.runtime,
                 "undeliverable: record {} is not sent again: its class, tenant or name",
                 again.record
             );
@@ -508,7 +519,7 @@
         };
         if let Err(error) = self.journal.taken_again(id, taken.clone(), again) {
             log!(
-                self.system,
+                self.runtime,
                 "undeliverable: record {} is not sent again: {error}",
                 again.record
             );
@@ -521,8 +532,8 @@
         self.desk
             .iter_mut()
             .for_each(|desk| desk.begun(id, again, &taken.name));
-        let past = again.past.map(|past| PastAttempt {
-            sent_at: past.sent,
+        let past = again.past_attempt.map(|past| PastAttempt {
+            sent_at: past.sent_at,
             zone: past.zone,
             may_have_executed: true,
         });
@@ -536,7 +547,7 @@
     fn message(
         &self,
         id: MessageId,
-        taken: &Taken,
+        taken: &AcceptedMessage,
         tenant: TenantId,
         class: Option<u16>,
     ) -> Option<Message> {
@@ -544,33 +555,33 @@
             id,
             class: class?,
             destination: taken.destination,
-            deadline: taken.due,
-            ordering_key: taken.order,
+            deadline: taken.deadline,
+            ordering_key: taken.ordering_key,
             expected_work: None,
             tenant,
-            is_resubmitted: taken.again,
+            is_resubmitted: taken.is_resubmitted,
             size: taken.room(),
         })
     }
 
     /// Something happened on a socket.
-    pub fn take(&mut self, input: Input) {
+    pub fn take(&mut self, input: RelayEvent) {
         match input {
-            Input::Enqueue(request) => self.enqueue(request),
-            Input::Ended(end) => {
+            RelayEvent::EnqueueRequest(request) => self.enqueue(request),
+            RelayEvent::CallCompleted(end) => {
                 self.office.heard(&end);
                 self.ended(end);
             }
-            Input::Hosts(list) => {
+            RelayEvent::HostListReceived(list) => {
                 self.list(list, false);
                 self.heard();
             }
-            Input::Unchanged => self.heard(),
-            Input::Noticed(ids) => {
-                self.desk.iter_mut().for_each(Desk::keep);
+            RelayEvent::HostListConfirmed => self.heard(),
+            RelayEvent::NotificationsAccepted(ids) => {
+                self.desk.iter_mut().for_each(UndeliverableService::keep);
                 ids.into_iter().for_each(|id| self.over(id));
             }
-            Input::Tenants(TenantsCall { ask, reply }) => {
+            RelayEvent::Tenants(TenantCall { ask, reply }) => {
                 let (sharing, room) = (self.relay.scheduler(), self.journal.regain_spare());
                 let told = self.tenants.answer(
                     ask,
@@ -580,8 +591,8 @@
                 );
                 drop(reply.send(told));
             }
-            Input::Undeliverable(news) => self.undeliverable(news),
-            Input::Login(LoginCall {
+            RelayEvent::Undeliverable(news) => self.undeliverable(news),
+            RelayEvent::Login(LoginRequest {
                 name,
                 secret,
                 reply,
@@ -591,16 +602,16 @@
         }
     }
 
-    fn enqueue(&mut self, request: Enqueue) {
-        let Enqueue {
+    fn enqueue(&mut self, request: EnqueueRequest) {
+        let EnqueueRequest {
             name,
-            order,
+            ordering_key,
             class,
             tenant,
             destination,
-            due,
-            key,
-            again,
+            deadline,
+            idempotency_key,
+            is_resubmitted,
             body,
             login,
             reply,
@@ -609,21 +620,21 @@
         if let Err(why) = self.tenants.speaks(&tenant, login.as_ref()) {
             return self.refuse(&class, reply, why);
         }
-        let Some(reply) = self.hand.known(&Name::new(&tenant, &name), reply) else {
+        let Some(reply) = self.hand.known(&MessageName::new(&tenant, &name), reply) else {
             return;
         };
         if self.control.refuses() {
             return self.refuse(&class, reply, Reply::Busy(ELSEWHERE));
         }
-        let mut taken = Taken {
+        let mut taken = AcceptedMessage {
             name,
-            key,
-            order,
+            idempotency_key,
+            ordering_key,
             class,
             tenant,
             destination,
-            due,
-            again,
+            deadline,
+            is_resubmitted,
             body,
         };
         let admitted = self
@@ -649,12 +660,13 @@
     }
 
     /// Whether a message is one that this relay could carry.
-    fn checked(&self, taken: &Taken) -> Result<(), Reply> {
+    fn checked(&self, taken: &AcceptedMessage) -> Result<(), Reply> {
         let error = |why: &str| Err(Reply::Error(why.into()));
         let Some(class) = self.classes.named(&taken.class) else {
             return error("unknown class");
         };
-        if matches!(class.idempotency, Idempotency::Keyed { .. }) && taken.key.is_none() {
+        if matches!(class.idempotency, Idempotency::Keyed { .. }) && taken.idempotency_key.is_none()
+        {
             return error("the list lacks k");
         }
         if self.directory.is_empty() {
@@ -672,52 +684,53 @@
         self.config.settings.max_retry_after / 2000
     }
 
-    fn ended(&mut self, end: CallEnd) {
-        let CallEnd {
+    fn ended(&mut self, end: CompletedCall) {
+        let CompletedCall {
             id,
             attempt,
             host,
             outcome,
-            over: told_over,
-            report,
+            is_final: told_over,
+            load_report,
             elapsed,
-            fresh,
+            opened_connection,
         } = end;
-        self.trace.call(self.clock.now(), id, fresh);
+        self.trace.call(self.clock.now(), id, opened_connection);
         if self.calls.get(&id).is_some_and(|(out, ..)| *out == attempt) {
             self.calls.remove(&id);
         }
         let owed = self.journal.all().get(&id);
-        let over = told_over || owed.is_none_or(|owed| owed.verdict.is_some());
+        let over = told_over || owed.is_none_or(|owed| owed.failure.is_some());
         if let Some(owed) = owed.filter(|_| over) {
-            if outcome == AttemptOutcome::Delivered && owed.verdict.is_none() {
-                self.tenants.delivered(&owed.taken.tenant);
+            if outcome == AttemptOutcome::Delivered && owed.failure.is_none() {
+                self.tenants.delivered(&owed.accepted.tenant);
             }
-            if owed.verdict.is_none() {
+            if owed.failure.is_none() {
                 let end = if outcome == AttemptOutcome::Delivered {
-                    End::Success
+                    MessageEnd::Success
                 } else {
-                    End::Other
+                    MessageEnd::Other
                 };
-                let end = if owed.again.is_some() {
-                    End::Other
+                let end = if owed.resend.is_some() {
+                    MessageEnd::Other
                 } else {
                     end
                 };
-                self.control.ledger().ended(&owed.taken.class, end);
+                self.control.ledger().ended(&owed.accepted.class, end);
             }
-            self.hand.ended(self.system.now(), Name::of(&owed.taken));
+            self.hand
+                .ended(self.runtime.now(), MessageName::of(&owed.accepted));
         }
-        let destination = owed.map(|owed| owed.taken.destination);
+        let destination = owed.map(|owed| owed.accepted.destination);
         let kept = outcome == AttemptOutcome::NotStarted
             || self.tell_desk(id, attempt, host, outcome, destination);
         if told_over && kept {
             self.over(id);
         } else if outcome == AttemptOutcome::NotStarted {
-            logged(&self.system, self.journal.not_begun(id, attempt));
+            logged(&self.runtime, self.journal.not_begun(id, attempt));
         } else {
             logged(
-                &self.system,
+                &self.runtime,
                 self.journal
                     .outcome(id, attempt, outcome.may_have_executed()),
             );
@@ -727,7 +740,7 @@
             .report
             .iter()
             .zip(&self.config.settings.report_fields);
-        let report = report
+        let report = load_report
             .and_then(|text| read_report(names, &text))
             .unwrap_or_default();
         self.events.push(Event::AttemptEnded(AttemptEnd {
@@ -756,7 +769,7 @@
         };
         let name = self.directory.name_of(host).unwrap_or_default().to_string();
         logged(
-            &self.system,
+            &self.runtime,
             self.journal
                 .told(id, attempt, &name, undeliverable_service::told(outcome)),
         );
@@ -772,9 +785,9 @@
     /// Nothing more is owed for a message.
     fn over(&mut self, id: MessageId) {
         if let Some(owed) = self.journal.all().get(&id) {
-            self.tenants.released(&owed.taken.tenant);
+            self.tenants.released(&owed.accepted.tenant);
         }
-        logged(&self.system, self.journal.over(id));
+        logged(&self.runtime, self.journal.over(id));
     }
 
     /// Answers those whose message the module did not take on.
@@ -799,13 +812,13 @@
         self.believe();
         // Where lists are pushed the next process need not know: to it, what its agent has counts as told at once.
         if self.config.settings.polls_discovery {
-            let kept = cached_state::hear(&self.system, &self.config.state);
-            kept.unwrap_or_else(|e| log!(self.system, "memory: cannot write: {e}"));
+            let kept = cached_state::hear(&self.runtime, &self.config.state);
+            kept.unwrap_or_else(|e| log!(self.runtime, "memory: cannot write: {e}"));
         }
     }
 
     fn list(&mut self, list: HostList, cached: bool) {
-        let whole = list.whole;
+        let whole = list.is_full;
         let Config {
             zones,
             kinds,
@@ -835,7 +848,7 @@
 
     /// Tells the module what happened, and does what it says.
     pub fn round(&mut self) -> Result<(), String> {
-        self.last_round = self.system.now();
+        self.last_round = self.runtime.now();
         let now = self.clock.now();
         if let Some((_, token)) = self.timer.filter(|(at, _)| *at <= now) {
             self.timer = None;
@@ -864,9 +877,9 @@
                     self.timer = Some((now.saturating_add(delay), token))
                 }
                 Action::Reject { id, retry_after } => {
-                    self.end(id, Verdict::Deferred(retry_after.div_ceil(1000)))
+                    self.end(id, DeliveryFailure::Deferred(retry_after.div_ceil(1000)))
                 }
-                Action::Fail(id) => self.end(id, Verdict::Undeliverable),
+                Action::Fail(id) => self.end(id, DeliveryFailure::Undeliverable),
                 Action::Cancel { id, attempt } => {
                     if let Some((_, _, cancel)) =
                         self.calls.get_mut(&id).filter(|(out, ..)| *out == attempt)
@@ -881,7 +894,7 @@
                 | Action::PollDiscovery
                 | Action::Probe(_)
                 | Action::SendToPeers { .. } => {}
-                Action::Log(text) => log!(self.system, "{text}"),
+                Action::Log(text) => log!(self.runtime, "{text}"),
                 Action::Abort(text) => return Err(text),
             }
         }
@@ -901,27 +914,30 @@
         if !self.directory.has_changed() && self.memory.outages == outages {
             return;
         }
-        self.memory = Memory {
+        self.memory = CachedState {
             list: self.directory.whole(),
             outages,
         };
         if let Err(error) = self
             .memory
-            .save(&self.system, &self.config.state, self.disk)
+            .save(&self.runtime, &self.config.state, self.disk)
         {
-            log!(self.system, "memory: cannot write: {error}");
+            log!(self.runtime, "memory: cannot write: {error}");
         }
     }
 
     /// Takes on what the module has kept: on disk first, then the client is told.
     fn take_on(&mut self) {
         for (id, (taken, replies)) in self.hand.kept() {
-            let (name, tenant, class) =
-                (Name::of(&taken), taken.tenant.clone(), taken.class.clone());
+            let (name, tenant, class) = (
+                MessageName::of(&taken),
+                taken.tenant.clone(),
+                taken.class.clone(),
+            );
             let reply = match self.journal.taken(id, taken) {
                 Ok(()) => Reply::Ok,
                 Err(error) => {
-                    log!(self.system, "journal: cannot take a message on: {error}");
+                    log!(self.runtime, "journal: cannot take a message on: {error}");
                     Reply::Busy(self.come_again())
                 }
             };
@@ -931,7 +947,7 @@
             }
             if reply != Reply::Ok || !heard {
                 // Nobody was told that it is taken on, so nothing is owed.
-                logged(&self.system, self.journal.over(id));
+                logged(&self.runtime, self.journal.over(id));
                 self.hand.dropped(&name);
                 self.tenants.turned_away(&tenant);
                 self.events.push(Event::MessageWithdrawn(id));
@@ -968,19 +984,22 @@
         // The module learns with its next round what the list says by now.
         let listed = self.directory.find(host);
         let Some(listed) =
-            listed.filter(|_| self.members.borrow().may_begin(host, self.system.now()))
+            listed.filter(|_| self.members.borrow().may_begin(host, self.runtime.now()))
         else {
             return self.events.push(unsent(AttemptOutcome::NotStarted, false));
         };
-        let Listed {
+        let ListedHost {
             address,
             zone,
             route,
         } = listed;
-        let taken = &owed.taken;
-        let ran = owed.attempts.iter().find(|attempt| attempt.may_have_run);
+        let taken = &owed.accepted;
+        let ran = owed
+            .attempts
+            .iter()
+            .find(|attempt| attempt.may_have_executed);
         let begin_by = ran.and_then(|first| match self.class_of(owed)?.idempotency {
-            Idempotency::Keyed { window, .. } => Some(self.clock.instant(first.sent + window)),
+            Idempotency::Keyed { window, .. } => Some(self.clock.instant(first.sent_at + window)),
             Idempotency::Idempotent | Idempotency::NonIdempotent => None,
         });
         let call = Call {
@@ -990,7 +1009,7 @@
             route,
             address,
             name: taken.name.clone(),
-            key: taken.key.clone(),
+            key: taken.idempotency_key.clone(),
             body: taken.body.clone(),
             timeout: Duration::from_micros(timeout),
             begin_by,
@@ -999,45 +1018,48 @@
             id,
             attempt,
             Attempt {
-                sent: now,
+                sent_at: now,
                 zone,
-                may_have_run: true,
+                may_have_executed: true,
             },
         ) {
-            log!(self.system, "journal: a call is not made: {error}");
+            log!(self.runtime, "journal: a call is not made: {error}");
             self.events.push(unsent(AttemptOutcome::Obsolete, false));
             return;
         }
         if self.desk.is_some() {
             let name = self.directory.name_of(host).unwrap_or_default().to_string();
             let unknown = undeliverable::Outcome::Unknown;
-            logged(&self.system, self.journal.told(id, attempt, &name, unknown));
+            logged(
+                &self.runtime,
+                self.journal.told(id, attempt, &name, unknown),
+            );
         }
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert(id, (attempt, host, Some(cancel)));
         let (hosts, inputs) = (self.hosts.clone(), self.inputs.clone());
-        self.system
+        self.runtime
             .spawn(async move { hosts.call(call, cancelled, inputs).await });
     }
 
     /// The module has given up a message that was taken on.
-    fn end(&mut self, id: MessageId, verdict: Verdict) {
+    fn end(&mut self, id: MessageId, verdict: DeliveryFailure) {
         let Some(owed) = self.journal.all().get(&id) else {
             return;
         };
-        let name = owed.taken.name.clone();
-        let known_as = Name::of(&owed.taken);
+        let name = owed.accepted.name.clone();
+        let known_as = MessageName::of(&owed.accepted);
         let kept = self.desk.is_some().then(|| owed.clone());
-        let again = owed.again.is_some();
-        self.tenants.ended(&owed.taken.tenant, verdict);
+        let again = owed.resend.is_some();
+        self.tenants.ended(&owed.accepted.tenant, verdict);
         let end = if again {
-            End::Other
+            MessageEnd::Other
         } else {
             control_socket::end_by(verdict)
         };
-        self.control.ledger().ended(&owed.taken.class, end);
-        logged(&self.system, self.journal.verdict(id, verdict));
-        self.hand.ended(self.system.now(), known_as);
+        self.control.ledger().ended(&owed.accepted.class, end);
+        logged(&self.runtime, self.journal.verdict(id, verdict));
+        self.hand.ended(self.runtime.now(), known_as);
         if again {
             // Its one final answer was given long ago; the record tells of this end.
             let (now, most) = (self.clock.now(), self.config.settings.max_attempts);
@@ -1052,7 +1074,7 @@
                 self.over(id)
             };
         }
-        if let (Verdict::Undeliverable, Some(owed)) = (verdict, &kept) {
+        if let (DeliveryFailure::Undeliverable, Some(owed)) = (verdict, &kept) {
             self.given_up(owed);
         }
         self.notices.add(id, name, verdict);
--- a/crates/relay/src/host_connections.rs
+++ b/crates/relay/src/host_connections.rs
@@ -16,10 +16,10 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use membership::Members;
+use membership::HostMembership;
 use policy::types::{AttemptOutcome, HostId, MessageId, Micros};
-use relay_events::{CallEnd, Input, Route};
-use runtime::{Stream, System, Task, Waiting};
+use relay_events::{CompletedCall, RelayEvent, Route};
+use runtime::{PendingInput, Runtime, Stream, Task};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{mpsc, oneshot, Notify};
 
@@ -164,7 +164,7 @@
     /// request's first byte goes out answers nothing, and the connection is of no further use.
     fn check(&self) -> io::Result<()> {
         let begins = self.passed.borrow().begins();
-        if begins && self.stream.waiting() != Waiting::Nothing {
+        if begins && self.stream.pending_input() != PendingInput::Empty {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
                 "bytes that answer nothing",
@@ -222,19 +222,19 @@
     }
 }
 
-struct Connection<S: System> {
+struct Connection<R: Runtime> {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     /// Moves the bytes; ending it closes the connection.
-    task: S::Task,
+    task: R::Task,
     passed: Rc<RefCell<Passed>>,
     news: Rc<Notify>,
     idle_since: Instant,
 }
 
-impl<S: System> Connection<S> {
-    async fn open(system: &S, address: SocketAddr, dispatches: Rc<Cell<u64>>) -> io::Result<Self> {
-        let stream = system.connect(address).await?;
+impl<R: Runtime> Connection<R> {
+    async fn open(runtime: &R, address: SocketAddr, dispatches: Rc<Cell<u64>>) -> io::Result<Self> {
+        let stream = runtime.connect(address).await?;
         stream.set_nodelay()?;
         let (passed, news) = (Rc::default(), Rc::new(Notify::new()));
         let stream = Watched {
@@ -250,8 +250,8 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
-        let task = system.spawn(async move { drop(connection.await) });
-        let idle_since = system.now();
+        let task = runtime.spawn(async move { drop(connection.await) });
+        let idle_since = runtime.now();
         Ok(Connection {
             address,
             sender,
@@ -270,7 +270,7 @@
     }
 
     /// Ready once an answer has begun whose head does not come to an end.
-    async fn endless(system: S, passed: Rc<RefCell<Passed>>, news: Rc<Notify>) {
+    async fn endless(runtime: R, passed: Rc<RefCell<Passed>>, news: Rc<Notify>) {
         while !passed.borrow().answer.begun() {
             if passed.borrow().answer.read > ANNOUNCED {
                 return;
@@ -283,28 +283,28 @@
                 news.notified().await;
             }
         };
-        let _ = system.timeout(HEAD.0, too_much).await;
+        let _ = runtime.timeout(HEAD.0, too_much).await;
     }
 
     /// Closes the connection and returns once it is closed: a message must not go out again before.
     async fn close(mut self) {
         self.task.abort();
-        self.task.ended().await;
+        self.task.join().await;
     }
 }
 
-impl<S: System> Drop for Connection<S> {
+impl<R: Runtime> Drop for Connection<R> {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
 /// The connections to all hosts.
-pub struct Hosts<S: System> {
-    system: S,
-    idle: RefCell<BTreeMap<HostId, Vec<Connection<S>>>>,
+pub struct HostConnections<R: Runtime> {
+    runtime: R,
+    idle: RefCell<BTreeMap<HostId, Vec<Connection<R>>>>,
     /// Which hosts may be called.
-    members: Rc<RefCell<Members>>,
+    members: Rc<RefCell<HostMembership>>,
     /// Nothing is kept any more.
     retired: Cell<bool>,
     /// Until when nothing may be sent, as told.
@@ -316,11 +316,11 @@
 }
 
 /// How an attempt ended, and what is still to be read of its answer.
-struct Ended<S: System> {
+struct Ended<R: Runtime> {
     outcome: AttemptOutcome,
     over: bool,
     report: Option<String>,
-    rest: Option<(Connection<S>, Response<Incoming>)>,
+    rest: Option<(Connection<R>, Response<Incoming>)>,
 }
 
 enum Sent {
@@ -332,11 +332,11 @@
     Broken,
 }
 
-impl<S: System> Hosts<S> {
+impl<R: Runtime> HostConnections<R> {
     /// No connections yet; `most_idle` of them are kept at most. Requests that are written whole are counted.
     pub fn new(
-        system: S,
-        members: Rc<RefCell<Members>>,
+        runtime: R,
+        members: Rc<RefCell<HostMembership>>,
         dial_timeout: Duration,
         idle_close: Duration,
         most_idle: usize,
@@ -344,8 +344,8 @@
     ) -> Self {
         // Closed a tenth early, so that no request crosses the host's own closing.
         let idle_close = idle_close - idle_close / 10;
-        Hosts {
-            system,
+        HostConnections {
+            runtime,
             idle: RefCell::default(),
             members,
             retired: Cell::new(false),
@@ -369,7 +369,7 @@
 
     /// Closes what has stood idle too long.
     pub fn sweep(&self) {
-        let now = self.system.now();
+        let now = self.runtime.now();
         self.waits.borrow_mut().retain(|_, until| *until > now);
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, kept| {
@@ -390,8 +390,8 @@
     }
 
     /// The newest idle connection that still stands.
-    fn reuse(&self, host: HostId, address: SocketAddr) -> Option<Connection<S>> {
-        let now = self.system.now();
+    fn reuse(&self, host: HostId, address: SocketAddr) -> Option<Connection<R>> {
+        let now = self.runtime.now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&host)?;
         while let Some(connection) = kept.pop() {
@@ -404,12 +404,12 @@
         None
     }
 
-    fn keep(&self, host: HostId, mut connection: Connection<S>) {
+    fn keep(&self, host: HostId, mut connection: Connection<R>) {
         // Guards a host that drains or is gone, and our table, against connections that nobody will use.
         if self.retired.get() || !self.members.borrow().is_up(host) {
             return;
         }
-        connection.idle_since = self.system.now();
+        connection.idle_since = self.runtime.now();
         let mut idle = self.idle.borrow_mut();
         idle.entry(host).or_default().push(connection);
         if idle.values().map(Vec::len).sum::<usize>() > self.most_idle {
@@ -430,14 +430,14 @@
         &self,
         call: Call,
         mut cancel: oneshot::Receiver<()>,
-        inputs: mpsc::Sender<Input>,
+        inputs: mpsc::Sender<RelayEvent>,
     ) {
-        let start = self.system.now();
+        let start = self.runtime.now();
         let mut fresh = false;
         let ended = self
             .attempt(&call, start + call.timeout, &mut cancel, &mut fresh)
             .await;
-        let elapsed = (self.system.now() - start).as_micros() as Micros;
+        let elapsed = (self.runtime.now() - start).as_micros() as Micros;
         let Ended {
             outcome,
             over,
@@ -445,22 +445,22 @@
             rest,
         } = ended;
         let (id, attempt, host) = (call.id, call.attempt, call.host);
-        let end = Input::Ended(CallEnd {
+        let end = RelayEvent::CallCompleted(CompletedCall {
             id,
             attempt,
             host,
             outcome,
-            over,
-            report,
+            is_final: over,
+            load_report: report,
             elapsed,
-            fresh,
+            opened_connection: fresh,
         });
         let Some((connection, answer)) = rest else {
             return drop(inputs.send(end).await);
         };
         // The outcome waits a moment for its connection, so that the next call finds that idle.
         let mut finish = std::pin::pin!(self.finish(call.host, connection, answer));
-        let finished = self.system.timeout(GRACE, &mut finish).await.is_ok();
+        let finished = self.runtime.timeout(GRACE, &mut finish).await.is_ok();
         drop(inputs.send(end).await);
         if !finished {
             finish.await;
@@ -473,7 +473,7 @@
         ends: Instant,
         cancel: &mut oneshot::Receiver<()>,
         fresh: &mut bool,
-    ) -> Ended<S> {
+    ) -> Ended<R> {
         let plain = |outcome| Ended {
             outcome,
             over: false,
@@ -486,11 +486,11 @@
             let mut connection = match kept {
                 Some(connection) => connection,
                 None => {
-                    let bound = ends.min(self.system.now() + self.dial_timeout);
+                    let bound = ends.min(self.runtime.now() + self.dial_timeout);
                     tokio::select! {
                         biased;
                         // A vanished host says nothing, so the connect is bounded.
-                        opened = self.system.timeout_at(bound, Connection::open(&self.system, call.address, self.dispatches.clone())) => match opened {
+                        opened = self.runtime.timeout_at(bound, Connection::open(&self.runtime, call.address, self.dispatches.clone())) => match opened {
                             Ok(Ok(connection)) => connection,
                             _ => return plain(AttemptOutcome::ConnectFailed),
                         },
@@ -503,7 +503,7 @@
             if !self
                 .members
                 .borrow()
-                .may_begin(call.host, self.system.now())
+                .may_begin(call.host, self.runtime.now())
             {
                 self.keep(call.host, connection);
                 return plain(AttemptOutcome::NotStarted);
@@ -514,25 +514,25 @@
                 .waits
                 .borrow()
                 .get(&call.route)
-                .is_some_and(|until| *until > self.system.now())
+                .is_some_and(|until| *until > self.runtime.now())
             {
                 self.keep(call.host, connection);
                 return plain(AttemptOutcome::Obsolete);
             }
             // Guards a keyed message that may have run against a copy past the memory of its key: the connection may
             // have taken long to come up.
-            if call.begin_by.is_some_and(|by| by < self.system.now()) {
+            if call.begin_by.is_some_and(|by| by < self.runtime.now()) {
                 self.keep(call.host, connection);
                 return plain(AttemptOutcome::Obsolete);
             }
-            let left = ends.saturating_duration_since(self.system.now());
+            let left = ends.saturating_duration_since(self.runtime.now());
             let Some((request, size)) = request(call, left) else {
                 return plain(AttemptOutcome::Obsolete);
             };
             connection.begin(size);
-            let whole = |c: &Connection<S>| c.passed.borrow().whole();
+            let whole = |c: &Connection<R>| c.passed.borrow().whole();
             // With 200 on its first line an answer is true, whatever follows.
-            let spoilt = |c: &Connection<S>, outcome| match c.passed.borrow().answer.status {
+            let spoilt = |c: &Connection<R>, outcome| match c.passed.borrow().answer.status {
                 Some(200) => Ended {
                     outcome: AttemptOutcome::Delivered,
                     over: true,
@@ -542,7 +542,7 @@
                 _ => plain(outcome),
             };
             let endless = Connection::endless(
-                self.system.clone(),
+                self.runtime.clone(),
                 connection.passed.clone(),
                 connection.news.clone(),
             );
@@ -556,7 +556,7 @@
                 },
                 // Guards slots and memory against heads without end.
                 () = endless => Sent::Broken,
-                () = self.system.sleep_until(ends) => {
+                () = self.runtime.sleep_until(ends) => {
                     let outcome = if whole(&connection) { AttemptOutcome::Timeout } else { AttemptOutcome::ConnectFailed };
                     let ended = spoilt(&connection, outcome);
                     connection.close().await;
@@ -576,7 +576,7 @@
                         retry_after: wait @ 1..,
                     } = outcome
                     {
-                        let until = self.system.now() + Duration::from_micros(wait);
+                        let until = self.runtime.now() + Duration::from_micros(wait);
                         let mut waits = self.waits.borrow_mut();
                         waits
                             .entry(call.route)
@@ -620,17 +620,20 @@
     async fn finish(
         &self,
         host: HostId,
-        mut connection: Connection<S>,
+        mut connection: Connection<R>,
         answer: Response<Incoming>,
     ) {
         let body = answer.into_body();
         let read = body.is_end_stream() || {
             let rest = Limited::new(body, REST_OF_ANSWER.1).collect();
-            matches!(self.system.timeout(REST_OF_ANSWER.0, rest).await, Ok(Ok(_)))
+            matches!(
+                self.runtime.timeout(REST_OF_ANSWER.0, rest).await,
+                Ok(Ok(_))
+            )
         };
         if read
             && matches!(
-                self.system
+                self.runtime
                     .timeout(REST_OF_ANSWER.0, connection.sender.ready())
                     .await,
                 Ok(Ok(()))
@@ -709,8 +712,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use membership::Terms;
-    use runtime::Real;
+    use membership::DiscoverySettings;
+    use runtime::OsRuntime;
     use socket2::SockRef;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
@@ -738,10 +741,10 @@
     }
 
     /// The connections of a relay that may call host 1.
-    fn hosts(most_idle: usize) -> Hosts<Real> {
+    fn hosts(most_idle: usize) -> HostConnections<OsRuntime> {
         let drain_grace = Duration::from_secs(2);
-        let mut members = Members::new(
-            &Terms {
+        let mut members = HostMembership::new(
+            &DiscoverySettings {
                 pushed: true,
                 siblings: 1,
                 drain_grace,
@@ -752,7 +755,7 @@
         members.list(1, true);
         members.confirmed();
         let (members, span) = (Rc::new(RefCell::new(members)), Duration::from_secs(5));
-        Hosts::new(Real, members, span, span, most_idle, Rc::default())
+        HostConnections::new(OsRuntime, members, span, span, most_idle, Rc::default())
     }
 
     fn local(test: impl std::future::Future<Output = ()>) {
@@ -794,7 +797,7 @@
                     assert!(more.is_err(), "{more:?}");
                 };
                 tokio::join!(hosts.call(call, cancelled, inputs), peer);
-                let Some(Input::Ended(end)) = ends.recv().await else {
+                let Some(RelayEvent::CallCompleted(end)) = ends.recv().await else {
                     panic!("no outcome")
                 };
                 assert_eq!(end.outcome, AttemptOutcome::Delivered);
@@ -822,7 +825,7 @@
                     inputs,
                 )
                 .await;
-            let Some(Input::Ended(end)) = ends.recv().await else {
+            let Some(RelayEvent::CallCompleted(end)) = ends.recv().await else {
                 panic!("no outcome")
             };
             assert_eq!(
@@ -845,7 +848,7 @@
                 let address = listener.local_addr().expect("bound");
                 let hosts = hosts(1);
                 if kept {
-                    let opened = Connection::open(&Real, address, Rc::default()).await;
+                    let opened = Connection::open(&OsRuntime, address, Rc::default()).await;
                     let mut opened = opened.expect("opened");
                     opened.sender.ready().await.expect("ready");
                     hosts.keep(1, opened);
@@ -857,11 +860,11 @@
                 hosts
                     .call(call(address, Some("k"), b"x"), cancelled, inputs)
                     .await;
-                let Some(Input::Ended(end)) = ends.recv().await else {
+                let Some(RelayEvent::CallCompleted(end)) = ends.recv().await else {
                     panic!("no outcome")
                 };
                 assert_eq!(
-                    (end.outcome, end.fresh),
+                    (end.outcome, end.opened_connection),
                     (AttemptOutcome::NotStarted, !kept)
                 );
                 let (mut stream, _) = listener.accept().await.expect("accepted");
@@ -890,7 +893,7 @@
                 stream.read_exact(&mut [0; 1000]).await.expect("some of it");
             };
             tokio::join!(hosts.call(call, cancelled, inputs), peer);
-            let Some(Input::Ended(end)) = ends.recv().await else {
+            let Some(RelayEvent::CallCompleted(end)) = ends.recv().await else {
                 panic!("no outcome")
             };
             assert_eq!(end.outcome, AttemptOutcome::ConnectFailed);
@@ -929,7 +932,7 @@
                 };
                 let one = hosts.call(call(address, None, b"x"), cancelled, inputs.clone());
                 let ((), stream) = tokio::join!(one, first);
-                let Some(Input::Ended(end)) = ends.recv().await else {
+                let Some(RelayEvent::CallCompleted(end)) = ends.recv().await else {
                     panic!("no outcome")
                 };
                 assert_eq!(end.outcome, AttemptOutcome::Delivered);
@@ -949,7 +952,7 @@
                 timeout(Duration::from_secs(60), async { tokio::join!(two, second) })
                     .await
                     .expect("a new one");
-                let Some(Input::Ended(end)) = ends.recv().await else {
+                let Some(RelayEvent::CallCompleted(end)) = ends.recv().await else {
                     panic!("no outcome")
                 };
                 assert_eq!(
--- a/crates/relay/src/host_directory.rs
+++ b/crates/relay/src/host_directory.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 
 use policy::types::{DestinationId, DestinationKind, HostEntry, HostId, HostState};
-use relay_events::{HostLine, HostList, Route};
+use relay_events::{HostList, HostListEntry, Route};
 
 /// What is kept of a host in the list.
 #[derive(Clone, Copy)]
-pub struct Listed {
+pub struct ListedHost {
     /// Where it takes connections.
     pub address: SocketAddr,
     /// Its zone.
@@ -37,14 +37,14 @@
 
 /// The hosts as last told.
 #[derive(Default)]
-pub struct Directory {
+pub struct HostDirectory {
     numbers: BTreeMap<String, HostId>,
     /// The same the other way round.
     names: BTreeMap<HostId, String>,
-    listed: BTreeMap<HostId, Listed>,
+    listed: BTreeMap<HostId, ListedHost>,
     destinations: BTreeSet<DestinationId>,
     next: HostId,
-    lines: BTreeMap<String, HostLine>,
+    lines: BTreeMap<String, HostListEntry>,
     version: u64,
     /// Since it was last asked for.
     changed: bool,
@@ -58,7 +58,7 @@
         .and_then(|at| u16::try_from(at).ok())
 }
 
-impl Directory {
+impl HostDirectory {
     /// The version of the list.
     pub fn version(&self) -> u64 {
         self.version
@@ -96,14 +96,14 @@
     /// The list, whole.
     pub fn whole(&self) -> HostList {
         HostList {
-            seq: self.version,
-            whole: true,
+            version: self.version,
+            is_full: true,
             hosts: self.lines.values().cloned().collect(),
         }
     }
 
     /// A host that is listed.
-    pub fn find(&self, host: HostId) -> Option<Listed> {
+    pub fn find(&self, host: HostId) -> Option<ListedHost> {
         self.listed.get(&host).copied()
     }
 
@@ -129,11 +129,11 @@
 
     /// Takes over a list, or what changed of it.
     pub fn take(&mut self, list: HostList, names: &Names<'_>) -> Changes {
-        (self.version, self.changed) = (list.seq, true);
-        if list.whole {
+        (self.version, self.changed) = (list.version, true);
+        if list.is_full {
             self.lines.clear();
         }
-        let mut missing = if list.whole {
+        let mut missing = if list.is_full {
             self.numbers.clone()
         } else {
             BTreeMap::new()
@@ -143,52 +143,50 @@
             ready: Vec::new(),
         };
         for line in list.hosts {
-            match line.health {
-                HostState::Removed => self.lines.remove(&line.host),
-                _ => self.lines.insert(line.host.clone(), line.clone()),
+            match line.state {
+                HostState::Removed => self.lines.remove(&line.name),
+                _ => self.lines.insert(line.name.clone(), line.clone()),
             };
-            missing.remove(&line.host);
-            let number = *self.numbers.entry(line.host.clone()).or_insert_with(|| {
+            missing.remove(&line.name);
+            let number = *self.numbers.entry(line.name.clone()).or_insert_with(|| {
                 self.next += 1;
-                self.names.insert(self.next, line.host.clone());
+                self.names.insert(self.next, line.name.clone());
                 self.next
             });
             // Those past the last number are one, which is nobody's own.
             let index =
                 |names, name| u8::try_from(index_of(names, name).unwrap_or(0)).unwrap_or(u8::MAX);
             let (zone, kind) = (
-                index(names.zones, &line.site),
-                index(names.kinds, &line.class),
+                index(names.zones, &line.zone),
+                index(names.kinds, &line.kind),
             );
             let apart = names
                 .settings
                 .get(usize::from(kind))
                 .is_some_and(|kind| kind.has_host_routes);
-            let route = (line.block, apart.then_some(number));
+            let route = (line.destination, apart.then_some(number));
             changes.entries.push(HostEntry {
                 host: number,
-                destination: line.block,
+                destination: line.destination,
                 kind,
                 zone,
-                state: line.health,
-                weight: line.share,
+                state: line.state,
+                weight: line.weight,
             });
-            self.destinations.insert(line.block);
-            if line.health == HostState::Removed {
-                missing.insert(line.host, number);
+            self.destinations.insert(line.destination);
+            if line.state == HostState::Removed {
+                missing.insert(line.name, number);
             } else {
                 self.listed.insert(
                     number,
-                    Listed {
-                        address: line.dial,
+                    ListedHost {
+                        address: line.address,
                         zone,
                         route,
                     },
                 );
             }
-            changes
-                .ready
-                .push((number, line.health == HostState::Ready));
+            changes.ready.push((number, line.state == HostState::Ready));
         }
         for (name, number) in missing {
             self.numbers.remove(&name);
