--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -9,7 +9,7 @@
 use tenancy::registry::name_of;
 use tokio::sync::oneshot;
 
-use crate::journal::Taken;
+use crate::journal::AcceptedMessage;
 
 /// So many messages that are over stay known by their names, each for as long as a client may ask again.
 pub const KNOWN_OVER: (usize, Duration) = (4096, Duration::from_secs(30));
@@ -23,36 +23,36 @@
 
 /// A message's name among those of all tenants.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Name(String);
+pub struct MessageName(String);
 
-impl Name {
+impl MessageName {
     /// The name of a message that was handed in for a tenant.
     pub fn new(tenant: &str, name: &str) -> Self {
         // The generation says nothing here.
         let tenant = name_of(tenant);
         // No tenant's name has a line break.
-        Name(format!("{tenant}\n{name}"))
+        MessageName(format!("{tenant}\n{name}"))
     }
 
     /// The name of a message that was taken on.
-    pub fn of(taken: &Taken) -> Self {
-        Name::new(&taken.tenant, &taken.name)
+    pub fn of(taken: &AcceptedMessage) -> Self {
+        MessageName::new(&taken.tenant, &taken.name)
     }
 }
 
 /// The messages of a relay by name.
 #[derive(Default)]
-pub struct Hand {
+pub struct InFlightMessages {
     /// Messages that the module has not decided on, with those who wait for the answer.
-    arriving: BTreeMap<MessageId, (Taken, Vec<Waiting>)>,
+    arriving: BTreeMap<MessageId, (AcceptedMessage, Vec<Waiting>)>,
     /// Numbers of the messages in hand.
-    numbers: BTreeMap<Name, MessageId>,
+    numbers: BTreeMap<MessageName, MessageId>,
     /// Names of messages that were taken on and are over.
-    over: BTreeSet<Name>,
-    over_since: VecDeque<(Instant, Name)>,
+    over: BTreeSet<MessageName>,
+    over_since: VecDeque<(Instant, MessageName)>,
 }
 
-impl Hand {
+impl InFlightMessages {
     /// Messages in hand, those that arrive among them.
     pub fn len(&self) -> usize {
         self.numbers.len()
@@ -66,7 +66,7 @@
     /// Answers a request for a message that is known by its name; gives the way back for one that is not.
     ///
     /// Guards against a second effect: a request with the name of a message that is over brings nothing new.
-    pub fn known(&mut self, name: &Name, reply: Waiting) -> Option<Waiting> {
+    pub fn known(&mut self, name: &MessageName, reply: Waiting) -> Option<Waiting> {
         // Sent once more on another connection: it is in hand already.
         if let Some(id) = self.numbers.get(name) {
             match self.arriving.get_mut(id) {
@@ -83,20 +83,20 @@
     }
 
     /// Whether a message of this name is in hand.
-    pub fn holds(&self, name: &Name) -> bool {
+    pub fn holds(&self, name: &MessageName) -> bool {
         self.numbers.contains_key(name)
     }
 
     /// A new message, on which the module is to decide.
-    pub fn arrives(&mut self, id: MessageId, taken: Taken, reply: Waiting) {
-        self.numbers.insert(Name::of(&taken), id);
+    pub fn arrives(&mut self, id: MessageId, taken: AcceptedMessage, reply: Waiting) {
+        self.numbers.insert(MessageName::of(&taken), id);
         self.arriving.insert(id, (taken, vec![reply]));
     }
 
     /// The module did not take a message on; none if it did before.
-    pub fn turn_away(&mut self, id: MessageId, reply: &Reply) -> Option<Taken> {
+    pub fn turn_away(&mut self, id: MessageId, reply: &Reply) -> Option<AcceptedMessage> {
         let (taken, replies) = self.arriving.remove(&id)?;
-        self.numbers.remove(&Name::of(&taken));
+        self.numbers.remove(&MessageName::of(&taken));
         replies
             .into_iter()
             .for_each(|waiting| drop(waiting.send(reply.clone())));
@@ -118,29 +118,29 @@
         names
             .into_iter()
             .rev()
-            .for_each(|name| self.ended(now, Name(name)));
+            .for_each(|name| self.ended(now, MessageName(name)));
     }
 
     /// The messages that the module has kept, with those who wait to hear so.
-    pub fn kept(&mut self) -> BTreeMap<MessageId, (Taken, Vec<Waiting>)> {
+    pub fn kept(&mut self) -> BTreeMap<MessageId, (AcceptedMessage, Vec<Waiting>)> {
         std::mem::take(&mut self.arriving)
     }
 
     /// A message from before a restart.
-    pub fn restored(&mut self, id: MessageId, taken: &Taken) {
-        self.numbers.insert(Name::of(taken), id);
+    pub fn restored(&mut self, id: MessageId, taken: &AcceptedMessage) {
+        self.numbers.insert(MessageName::of(taken), id);
     }
 
     /// A message that was not taken on after all.
-    pub fn dropped(&mut self, name: &Name) {
+    pub fn dropped(&mut self, name: &MessageName) {
         self.numbers.remove(name);
     }
 
     /// A message that was taken on is over; its name is kept for a while.
-    pub fn ended(&mut self, now: Instant, name: Name) {
+    pub fn ended(&mut self, now: Instant, name: MessageName) {
         self.numbers.remove(&name);
         let (most, span) = KNOWN_OVER;
-        let old = |(since, _): &(Instant, Name)| now - *since > span;
+        let old = |(since, _): &(Instant, MessageName)| now - *since > span;
         while self.over_since.len() >= most || self.over_since.front().is_some_and(old) {
             let Some((_, gone)) = self.over_since.pop_front() else {
                 break;
@@ -157,14 +157,18 @@
 mod tests {
     use super::*;
 
-    fn name(number: usize) -> Name {
-        Name::new("acme", &format!("m{number}"))
+    fn name(number: usize) -> MessageName {
+        MessageName::new("acme", &format!("m{number}"))
     }
 
     /// However many messages end within a second, a client that sends one of them once more is known to the next process.
     #[test]
     fn a_process_that_takes_over_knows_all_that_was_over_within_a_second() {
-        let (mut old, mut new, start) = (Hand::default(), Hand::default(), Instant::now());
+        let (mut old, mut new, start) = (
+            InFlightMessages::default(),
+            InFlightMessages::default(),
+            Instant::now(),
+        );
         old.ended(start, name(0));
         let now = start + TOLD_OVER + Duration::from_millis(1);
         (1..=2000).for_each(|number| old.ended(now, name(number)));
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -11,8 +11,8 @@
 
 use bytes::Bytes;
 use policy::types::{Class, MessageId, Micros};
-use relay_events::Verdict;
-use runtime::{log, File, System};
+use relay_events::DeliveryFailure;
+use runtime::{log, File, Runtime};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use undeliverable::{Outcome, RecordId};
@@ -29,13 +29,13 @@
 
 /// A message as it was handed in.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Taken {
+pub struct AcceptedMessage {
     /// Its name on the wire.
     pub name: String,
     /// Idempotency key.
-    pub key: Option<String>,
+    pub idempotency_key: Option<String>,
     /// Key of its order.
-    pub order: Option<u64>,
+    pub ordering_key: Option<u64>,
     /// Name of its class.
     pub class: String,
     /// Name of its tenant.
@@ -43,9 +43,9 @@
     /// Where it must go.
     pub destination: u16,
     /// Deadline, in Unix time.
-    pub due: Micros,
+    pub deadline: Micros,
     /// It was handed in before.
-    pub again: bool,
+    pub is_resubmitted: bool,
     /// Its content.
     pub body: Bytes,
 }
@@ -53,7 +53,7 @@
 /// Room in the journal that a message takes beside its body at most: its names, and the records of its attempts.
 const BESIDE: usize = 768;
 
-impl Taken {
+impl AcceptedMessage {
     /// Bytes that the message takes in the journal, at most.
     pub fn room(&self) -> usize {
         self.body.len() + BESIDE
@@ -64,36 +64,36 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Attempt {
     /// When it was sent, in Unix time.
-    pub sent: Micros,
+    pub sent_at: Micros,
     /// Zone of its host.
     pub zone: u8,
     /// False once it is known not to have run.
-    pub may_have_run: bool,
+    pub may_have_executed: bool,
 }
 
 /// What a message that is sent again stems from.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Again {
+pub struct ResendOrigin {
     /// The record of the undeliverable message.
     pub record: RecordId,
     /// Which of its resends.
     pub number: u32,
     /// The first of its attempts that may have run, where its key is still remembered.
-    pub past: Option<Attempt>,
+    pub past_attempt: Option<Attempt>,
 }
 
 // New kinds come last: a file of the version before is read by the numbers of the others.
 #[derive(Serialize, Deserialize)]
 enum Record {
-    Taken(MessageId, Taken),
+    AcceptedMessage(MessageId, AcceptedMessage),
     /// With the attempt's number: one before it that could not be written was never sent.
     Out(MessageId, u8, Attempt),
     Outcome(MessageId, u8, bool),
     /// The platform must be told; until it has been, the message is owed.
-    Verdict(MessageId, Verdict),
+    Verdict(MessageId, DeliveryFailure),
     Over(MessageId),
     /// A message is sent again.
-    TakenAgain(MessageId, Taken, Again),
+    TakenAgain(MessageId, AcceptedMessage, ResendOrigin),
     /// The host of an attempt and how it ended; only where undeliverable messages are kept.
     Told(MessageId, u8, String, Outcome),
     /// What a class means for the messages that are taken from here on.
@@ -104,74 +104,82 @@
 
 /// A message that is owed its end.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Owed {
+pub struct PendingMessage {
     /// The message.
-    pub taken: Taken,
+    pub accepted: AcceptedMessage,
     /// Its attempts, in order.
     pub attempts: Vec<Attempt>,
     /// Its end, of which the platform has not been told yet.
-    pub verdict: Option<Verdict>,
+    pub failure: Option<DeliveryFailure>,
     /// What it stems from, if it is sent again.
-    pub again: Option<Again>,
+    pub resend: Option<ResendOrigin>,
     /// Hosts of attempts and how they ended, by the attempt's number.
-    pub told: BTreeMap<u8, (String, Outcome)>,
+    pub outcomes: BTreeMap<u8, (String, Outcome)>,
     /// What it was taken under; unknown for one from before journals said so.
-    pub terms: Option<Terms>,
+    pub class_version: Option<ClassVersion>,
     size: u64,
 }
 
 /// What a class meant from some place of the journal on.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Terms {
+pub struct ClassVersion {
     /// A number that grows with each change.
     version: u64,
     /// The class.
     pub class: Rc<Class>,
 }
 
-impl Owed {
-    fn new(taken: Taken, again: Option<Again>, terms: Option<Terms>, size: u64) -> Self {
-        let attempts = again.and_then(|again| again.past).into_iter().collect();
-        Owed {
-            taken,
+impl PendingMessage {
+    fn new(
+        taken: AcceptedMessage,
+        again: Option<ResendOrigin>,
+        terms: Option<ClassVersion>,
+        size: u64,
+    ) -> Self {
+        let attempts = again
+            .and_then(|again| again.past_attempt)
+            .into_iter()
+            .collect();
+        PendingMessage {
+            accepted: taken,
             attempts,
-            verdict: None,
-            again,
-            told: BTreeMap::new(),
-            terms,
+            failure: None,
+            resend: again,
+            outcomes: BTreeMap::new(),
+            class_version: terms,
             size,
         }
     }
 }
 
 /// The journal.
-pub struct Journal<S: System> {
-    system: S,
+pub struct Journal<R: Runtime> {
+    runtime: R,
     path: PathBuf,
-    file: S::File,
+    file: R::File,
     length: u64,
     /// The file ends in half a record that could not be cut off.
     torn: bool,
     owed_size: u64,
     limit: f64,
-    owed: BTreeMap<MessageId, Owed>,
+    owed: BTreeMap<MessageId, PendingMessage>,
     /// What classes mean from here on, by name.
-    terms: BTreeMap<String, Terms>,
+    terms: BTreeMap<String, ClassVersion>,
     versions: u64,
     next: MessageId,
     /// The spare file stands.
     spare: bool,
 }
 
-impl<S: System> Journal<S> {
+impl<R: Runtime> Journal<R> {
     /// Opens the journal in a folder, which may hold up to `limit` bytes, and reads what is owed.
-    pub fn open(system: S, folder: &Path, limit: u64) -> io::Result<Self> {
+    pub fn open(runtime: R, folder: &Path, limit: u64) -> io::Result<Self> {
         let path = folder.join("journal");
-        let mut file = system.open(&path)?;
+        let mut file = runtime.open(&path)?;
         let mut text = Vec::new();
         file.read_to_end(&mut text)?;
         let mut journal = Journal {
-            system,
+            runtime,
             path,
             file,
             length: 0,
@@ -190,7 +198,7 @@
             rest = &rest[size..];
         }
         // Left by a process that ended while it wrote the journal anew.
-        match journal.system.remove(&fresh_path(&journal.path)) {
+        match journal.runtime.remove(&fresh_path(&journal.path)) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
             _ => {}
         }
@@ -198,7 +206,7 @@
         if !rest.is_empty() {
             // The process ended within a write; nothing was promised on the strength of that record.
             log!(
-                journal.system,
+                journal.runtime,
                 "journal: dropped a torn tail of {} bytes",
                 rest.len()
             );
@@ -237,7 +245,7 @@
     }
 
     /// All that is owed.
-    pub fn all(&self) -> &BTreeMap<MessageId, Owed> {
+    pub fn all(&self) -> &BTreeMap<MessageId, PendingMessage> {
         &self.owed
     }
 
@@ -268,7 +276,7 @@
     }
 
     /// A message is taken on. Once this returns, it outlasts the process.
-    pub fn taken(&mut self, id: MessageId, taken: Taken) -> io::Result<()> {
+    pub fn taken(&mut self, id: MessageId, taken: AcceptedMessage) -> io::Result<()> {
         let room = self.limit * OWED_PART - self.owed_size as f64;
         if taken.room() as f64 > room {
             return Err(io::Error::new(
@@ -276,11 +284,16 @@
                 "the journal's part of the disk is full",
             ));
         }
-        self.write(Record::Taken(id, taken))
+        self.write(Record::AcceptedMessage(id, taken))
     }
 
     /// A message is sent again. Once this returns, it outlasts the process.
-    pub fn taken_again(&mut self, id: MessageId, taken: Taken, again: Again) -> io::Result<()> {
+    pub fn taken_again(
+        &mut self,
+        id: MessageId,
+        taken: AcceptedMessage,
+        again: ResendOrigin,
+    ) -> io::Result<()> {
         let room = self.limit * OWED_PART - self.owed_size as f64;
         if taken.room() as f64 > room {
             return Err(io::Error::new(
@@ -322,7 +335,7 @@
             .owed
             .get(&id)
             .and_then(|owed| owed.attempts.get(usize::from(attempt)));
-        if known.is_none_or(|known| known.may_have_run == may_have_run) {
+        if known.is_none_or(|known| known.may_have_executed == may_have_run) {
             return Ok(());
         }
         self.write(Record::Outcome(id, attempt, may_have_run))
@@ -341,7 +354,7 @@
     }
 
     /// The module has given a message up; the platform is to be told.
-    pub fn verdict(&mut self, id: MessageId, verdict: Verdict) -> io::Result<()> {
+    pub fn verdict(&mut self, id: MessageId, verdict: DeliveryFailure) -> io::Result<()> {
         self.write(Record::Verdict(id, verdict))
     }
 
@@ -363,7 +376,7 @@
             written = self.compact();
             // Where the file can't be written anew there is no second one: what is owed already may go on in
             // the room that was for it.
-            let more = !matches!(record, Record::Taken(..) | Record::TakenAgain(..))
+            let more = !matches!(record, Record::AcceptedMessage(..) | Record::TakenAgain(..))
                 && length <= self.limit * (FILE_PART + OWED_PART);
             written = if more { Ok(()) } else { written };
         }
@@ -371,7 +384,7 @@
         // Nothing new begins while there is no room for the ends of what has begun.
         let begins = matches!(
             record,
-            Record::Taken(..) | Record::TakenAgain(..) | Record::Out(..)
+            Record::AcceptedMessage(..) | Record::TakenAgain(..) | Record::Out(..)
         );
         if begins && !self.regain_spare() {
             written = Err(io::Error::new(
@@ -381,10 +394,11 @@
         }
         let written = written.and_then(|()| self.append(&text, ends));
         match record {
-            Record::Taken(..) | Record::TakenAgain(..) | Record::Told(..) if written.is_err() => {}
+            Record::AcceptedMessage(..) | Record::TakenAgain(..) | Record::Told(..)
+                if written.is_err() => {}
             Record::Out(id, number, attempt) if written.is_err() => {
                 let unsent = Attempt {
-                    may_have_run: false,
+                    may_have_executed: false,
                     ..attempt
                 };
                 self.book(Record::Out(id, number, unsent), 0);
@@ -408,9 +422,9 @@
         } else {
             // What follows half a record could never be read again.
             self.torn = true;
-            let system = self.system.clone();
+            let runtime = self.runtime.clone();
             self.cut()
-                .unwrap_or_else(|e| log!(system, "journal: cannot cut off half a record: {e}"));
+                .unwrap_or_else(|e| log!(runtime, "journal: cannot cut off half a record: {e}"));
         }
         written
     }
@@ -422,9 +436,9 @@
     fn keep_spare(&mut self) {
         let path = self.path.with_extension("spare");
         let text = vec![0; (self.limit * SPARE.0).min(SPARE.1) as usize];
-        self.spare = self.system.write(&path, &text).is_ok();
+        self.spare = self.runtime.write(&path, &text).is_ok();
         if !self.spare {
-            drop(self.system.remove(&path));
+            drop(self.runtime.remove(&path));
         }
     }
 
@@ -433,7 +447,7 @@
         let spare = std::mem::take(&mut self.spare);
         spare
             && self
-                .system
+                .runtime
                 .remove(&self.path.with_extension("spare"))
                 .is_ok()
     }
@@ -447,27 +461,28 @@
 
     fn book(&mut self, record: Record, size: u64) {
         match record {
-            Record::Taken(id, taken) => {
+            Record::AcceptedMessage(id, taken) => {
                 self.next = self.next.max(id + 1);
                 self.owed_size += size;
                 let terms = self.terms.get(&taken.class).cloned();
-                self.owed.insert(id, Owed::new(taken, None, terms, size));
+                self.owed
+                    .insert(id, PendingMessage::new(taken, None, terms, size));
             }
             Record::TakenAgain(id, taken, again) => {
                 self.next = self.next.max(id + 1);
                 self.owed_size += size;
                 let terms = self.terms.get(&taken.class).cloned();
                 self.owed
-                    .insert(id, Owed::new(taken, Some(again), terms, size));
+                    .insert(id, PendingMessage::new(taken, Some(again), terms, size));
             }
             Record::Told(id, attempt, host, outcome) => {
                 self.change(id, size, |owed| {
-                    drop(owed.told.insert(attempt, (host, outcome)))
+                    drop(owed.outcomes.insert(attempt, (host, outcome)))
                 });
             }
             Record::Out(id, number, attempt) => self.change(id, size, |owed| {
                 let unsent = Attempt {
-                    may_have_run: false,
+                    may_have_executed: false,
                     ..attempt
                 };
                 owed.attempts.resize(usize::from(number), unsent);
@@ -477,20 +492,20 @@
                 let attempt = owed.attempts.get_mut(usize::from(attempt));
                 attempt
                     .into_iter()
-                    .for_each(|attempt| attempt.may_have_run = may_have_run);
+                    .for_each(|attempt| attempt.may_have_executed = may_have_run);
             }),
             Record::NotBegun(id, attempt) => self.change(id, 0, |owed| {
                 owed.attempts.truncate(usize::from(attempt));
-                owed.told.remove(&attempt);
+                owed.outcomes.remove(&attempt);
             }),
             Record::Verdict(id, verdict) => {
-                self.change(id, size, |owed| owed.verdict = Some(verdict))
+                self.change(id, size, |owed| owed.failure = Some(verdict))
             }
             Record::Class(name, class) => {
                 self.versions += 1;
                 self.terms.insert(
                     name,
-                    Terms {
+                    ClassVersion {
                         version: self.versions,
                         class: Rc::new(class),
                     },
@@ -500,7 +515,7 @@
         }
     }
 
-    fn change(&mut self, id: MessageId, size: u64, change: impl FnOnce(&mut Owed)) {
+    fn change(&mut self, id: MessageId, size: u64, change: impl FnOnce(&mut PendingMessage)) {
         if let Some(owed) = self.owed.get_mut(&id) {
             change(owed);
             owed.size += size;
@@ -514,31 +529,32 @@
         let mut text = Vec::with_capacity(self.owed_size as usize);
         // By what they were taken under, so that each version of a class is told once; those from before journals
         // said so come before all.
-        let version = |owed: &Owed| owed.terms.as_ref().map(|terms| terms.version);
-        let mut all: Vec<(&MessageId, &Owed)> = self.owed.iter().collect();
+        let version =
+            |owed: &PendingMessage| owed.class_version.as_ref().map(|terms| terms.version);
+        let mut all: Vec<(&MessageId, &PendingMessage)> = self.owed.iter().collect();
         all.sort_by_key(|(id, owed)| (version(owed), **id));
         let mut told = None;
         for (id, owed) in all {
             if let Some(terms) = owed
-                .terms
+                .class_version
                 .as_ref()
                 .filter(|terms| told != Some(terms.version))
             {
                 told = Some(terms.version);
                 let class = Class::clone(&terms.class);
-                text.extend(encode(&Record::Class(owed.taken.class.clone(), class))?);
+                text.extend(encode(&Record::Class(owed.accepted.class.clone(), class))?);
             }
             let past = owed
-                .again
-                .map_or(0, |again| usize::from(again.past.is_some()));
-            text.extend(encode(&match owed.again {
-                Some(again) => Record::TakenAgain(*id, owed.taken.clone(), again),
-                None => Record::Taken(*id, owed.taken.clone()),
+                .resend
+                .map_or(0, |again| usize::from(again.past_attempt.is_some()));
+            text.extend(encode(&match owed.resend {
+                Some(again) => Record::TakenAgain(*id, owed.accepted.clone(), again),
+                None => Record::AcceptedMessage(*id, owed.accepted.clone()),
             })?);
             for (number, attempt) in owed.attempts.iter().enumerate().skip(past) {
                 text.extend(encode(&Record::Out(*id, number as u8, *attempt))?);
             }
-            for (attempt, (host, outcome)) in &owed.told {
+            for (attempt, (host, outcome)) in &owed.outcomes {
                 text.extend(encode(&Record::Told(
                     *id,
                     *attempt,
@@ -546,7 +562,7 @@
                     *outcome,
                 ))?);
             }
-            if let Some(verdict) = owed.verdict {
+            if let Some(verdict) = owed.failure {
                 text.extend(encode(&Record::Verdict(*id, verdict))?);
             }
         }
@@ -562,10 +578,10 @@
                 "all that the journal holds is owed",
             ));
         }
-        let mut file = self.system.create(&path)?;
+        let mut file = self.runtime.create(&path)?;
         file.write_all(&text)
-            .inspect_err(|_| drop(self.system.remove(&path)))?;
-        self.system.rename(&path, &self.path)?;
+            .inspect_err(|_| drop(self.runtime.remove(&path)))?;
+        self.runtime.rename(&path, &self.path)?;
         (self.file, self.length, self.torn) = (file, text.len() as u64, false);
         Ok(())
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,7 +1,7 @@
 //! The relay: what clients hand in goes to hosts as the decision module says, and a journal keeps what is owed.
 //!
 //! [`run`] is one process's whole life. All that it takes from its system goes through
-//! [`runtime::System`].
+//! [`runtime::Runtime`].
 
 mod cached_state;
 mod call_log;
--- a/crates/relay/src/list_decoder.rs
+++ b/crates/relay/src/list_decoder.rs
@@ -17,7 +17,7 @@
 
 /// Cuts a stream into lists; each byte is looked at once.
 #[derive(Default)]
-pub struct Feed {
+pub struct ListDecoder {
     text: BytesMut,
     /// So much of it was looked at.
     seen: usize,
@@ -30,7 +30,7 @@
     line_ended: bool,
 }
 
-impl Feed {
+impl ListDecoder {
     /// More of the stream.
     pub fn extend(&mut self, text: &[u8]) {
         self.text.extend_from_slice(text);
@@ -91,7 +91,7 @@
     const INDENTED: &str = "{\n  \"seq\": 43,\n  \"whole\": false,\n  \"hosts\": [\r\n    {\n      \"host\": \"a\\\"}\",\n      \"dial\": \"10.1.0.1:80\",\n      \"block\": 3,\n      \"health\": \"draining\"\n    }\n  ]\n}\n";
 
     fn items(text: &str, cut: usize) -> Vec<Result<Item, String>> {
-        let (mut feed, mut items) = (Feed::default(), Vec::new());
+        let (mut feed, mut items) = (ListDecoder::default(), Vec::new());
         for part in text.as_bytes().chunks(cut) {
             feed.extend(part);
             loop {
@@ -120,8 +120,8 @@
                 let [Ok(Item::List(list))] = &lists[..] else {
                     panic!("{found:?}")
                 };
-                assert_eq!((list.seq, &*list.hosts[0].host), (43, "a\"}"));
-                assert_eq!(list.hosts[0].health, HostState::Draining);
+                assert_eq!((list.version, &*list.hosts[0].name), (43, "a\"}"));
+                assert_eq!(list.hosts[0].state, HostState::Draining);
             }
         }
     }
@@ -147,7 +147,7 @@
             );
             assert!(items(&with_next, cut).last().expect("an item").is_err());
         }
-        let mut feed = Feed::default();
+        let mut feed = ListDecoder::default();
         feed.extend(&LINE.as_bytes()[..60]);
         assert_eq!((feed.next(), feed.is_open()), (Ok(None), true));
     }
@@ -164,7 +164,7 @@
         ] {
             assert!(items(text, 3).last().expect("an item").is_err(), "{text}");
         }
-        let mut feed = Feed::default();
+        let mut feed = ListDecoder::default();
         feed.extend(b"{\"a\":[");
         feed.extend(&vec![b'1'; LONGEST]);
         assert!(feed.next().is_err());
@@ -182,7 +182,7 @@
             let [Ok(Item::List(list))] = &items(&text, 1000)[..] else {
                 panic!("{text}")
             };
-            assert_eq!(list.hosts[0].health, HostState::Draining, "{text}");
+            assert_eq!(list.hosts[0].state, HostState::Draining, "{text}");
         }
     }
 }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use runtime::Real;
+use runtime::OsRuntime;
 
 /// Carries messages to partners' systems. Reads BALANCER_CONFIG, the path of its configuration, and
 /// BALANCER_LISTEN, BALANCER_DISCOVERY and BALANCER_STATE.
@@ -21,7 +21,7 @@
         .enable_all()
         .build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, relay::run(Real, operator))
+    tokio::task::LocalSet::new().block_on(&runtime, relay::run(OsRuntime, operator))
 }
 
 fn main() -> ExitCode {
--- a/crates/relay/src/operator_config.rs
+++ b/crates/relay/src/operator_config.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use admin::Tokens;
-use runtime::{log, System};
+use runtime::{log, Runtime};
 use serde::Deserialize;
 use tokio::sync::watch;
 
@@ -99,12 +99,12 @@
 
 impl Operator {
     /// Reads the file and checks all of it; the error is one plain line.
-    pub fn load(system: &impl System, path: Option<&Path>) -> Result<Self, String> {
+    pub fn load(runtime: &impl Runtime, path: Option<&Path>) -> Result<Self, String> {
         let Some(path) = path else {
             return Ok(Operator::default());
         };
         let shown = path.display();
-        let text = system
+        let text = runtime
             .read(path)
             .map_err(|e| format!("cannot read {shown}: {e}"))?;
         let text = std::str::from_utf8(&text).map_err(|_| format!("{shown} is no text"))?;
@@ -142,20 +142,20 @@
     }
 }
 /// Reads the file again, for its tokens; one that is not usable changes nothing.
-pub fn read_again(system: &impl System, path: Option<&Path>, tokens: &watch::Sender<Tokens>) {
+pub fn read_again(runtime: &impl Runtime, path: Option<&Path>, tokens: &watch::Sender<Tokens>) {
     if path.is_none() {
         return;
     }
-    match Operator::load(system, path) {
+    match Operator::load(runtime, path) {
         Ok(new) => {
             log!(
-                *system,
+                *runtime,
                 "operator file: read again; all but tokens counts from the next start on"
             );
             tokens.send_replace(new.tokens());
         }
         Err(error) => log!(
-            *system,
+            *runtime,
             "operator file: the old one stays in force: {error}"
         ),
     }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -7,30 +7,30 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use control::{State, Told};
-use membership::{Members, Terms};
+use control::{LifecycleEvent, LifecycleState};
+use membership::{DiscoverySettings, HostMembership};
 use policy::types::Settings;
 use policy::DeliveryPolicy;
-use relay_events::{Clock, Input, Reply};
-use runtime::{log, Signal, Signals, System, Task};
+use relay_events::{Clock, RelayEvent, Reply};
+use runtime::{log, Runtime, Signal, Signals, Task};
 use tokio::sync::{mpsc, watch};
 
-use crate::cached_state::{self, Memory};
-use crate::call_log::Trace;
+use crate::cached_state::{self, CachedState};
+use crate::call_log::CallLog;
 use crate::classes::Classes;
-use crate::client_connections::{self, Clients};
+use crate::client_connections::{self, ClientConnections};
 use crate::config::Config;
 use crate::control_socket::{self, Control};
 use crate::discovery_client;
-use crate::event_loop::{Driver, ELSEWHERE};
-use crate::host_connections::Hosts;
-use crate::host_directory::Directory;
-use crate::in_flight::Hand;
+use crate::event_loop::{EventLoop, ELSEWHERE};
+use crate::host_connections::HostConnections;
+use crate::host_directory::HostDirectory;
+use crate::in_flight::InFlightMessages;
 use crate::journal::Journal;
 use crate::operator_config::Operator;
-use crate::state_directory::{Arm, Folder, Office};
+use crate::state_directory::{DepartingProcess, DirectoryOwner, StateDirectory};
 use crate::tenant_service::Tenants;
-use crate::undeliverable_service::Desk;
+use crate::undeliverable_service::UndeliverableService;
 
 /// Inputs that may wait for the driver; beyond, those who have more wait themselves.
 const INPUTS: usize = 1024;
@@ -44,39 +44,39 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 /// What outlasts a hand-over within one process.
-struct Process<S: System> {
-    system: S,
+struct Process<R: Runtime> {
+    runtime: R,
     operator: Option<PathBuf>,
-    clock: Clock<S>,
-    control: Rc<Control<S>>,
-    signals: S::Signals,
-    inputs: mpsc::Sender<Input>,
-    incoming: mpsc::Receiver<Input>,
+    clock: Clock<R>,
+    control: Rc<Control<R>>,
+    signals: R::Signals,
+    inputs: mpsc::Sender<RelayEvent>,
+    incoming: mpsc::Receiver<RelayEvent>,
     /// The listening socket that the process was started with.
     inherited: Option<i32>,
 }
 
 /// One relay's whole life. The operator file says what goes beyond the platform's configuration. The error is one plain
 /// line.
-pub async fn run<S: System>(system: S, operator: Option<PathBuf>) -> Result<(), String> {
+pub async fn run<R: Runtime>(runtime: R, operator: Option<PathBuf>) -> Result<(), String> {
     // The handlers come before all else: without one, each of these signals ends the process.
-    let signals = system.signals().map_err(|e| format!("no signals: {e}"))?;
-    let config = Config::load(&system)?;
-    Operator::load(&system, operator.as_deref())?;
-    let inherited = inherited(&system)?;
-    let control = Control::new(&system, &config.classes, config.control.is_some());
+    let signals = runtime.signals().map_err(|e| format!("no signals: {e}"))?;
+    let config = Config::load(&runtime)?;
+    Operator::load(&runtime, operator.as_deref())?;
+    let inherited = inherited(&runtime)?;
+    let control = Control::new(&runtime, &config.classes, config.control.is_some());
     // The door stands before all else, so that it says no until clients may come.
     if let Some(at) = config.control {
-        let door = system
+        let door = runtime
             .listen(at)
             .await
             .map_err(|e| format!("cannot listen for operators on {at}: {e}"))?;
-        system.spawn(control_socket::listen::<S>(door, control.clone()));
+        runtime.spawn(control_socket::listen::<R>(door, control.clone()));
     }
     let (inputs, incoming) = mpsc::channel(INPUTS);
-    let clock = Clock::new(system.clone());
+    let clock = Clock::new(runtime.clone());
     let mut process = Process {
-        system,
+        runtime,
         operator,
         clock,
         control,
@@ -85,7 +85,7 @@
         incoming,
         inherited,
     };
-    let folder = Folder::new(&process.system, &config.state);
+    let folder = StateDirectory::new(&process.runtime, &config.state);
     // Guards an upgrade that is called off: told to stop while it waits, this process takes nothing over, and the other one
     // serves on.
     let mut office = tokio::select! {
@@ -110,39 +110,39 @@
 }
 
 /// The descriptor of the listening socket that the platform holds, if it does.
-fn inherited(system: &impl System) -> Result<Option<i32>, String> {
-    let Some(text) = system.variable("BALANCER_SOCKET_FD") else {
+fn inherited(runtime: &impl Runtime) -> Result<Option<i32>, String> {
+    let Some(text) = runtime.env_var("BALANCER_SOCKET_FD") else {
         return Ok(None);
     };
     let descriptor = text
         .parse()
         .map_err(|_| format!("{text:?} is no descriptor of a socket"))?;
-    system
-        .inherited(descriptor)
+    runtime
+        .inherited_listener(descriptor)
         .map_err(|e| format!("cannot listen on descriptor {descriptor}: {e}"))?;
     Ok(Some(descriptor))
 }
 
-impl<S: System> Process<S> {
+impl<R: Runtime> Process<R> {
     /// Starts all that a relay has, on what the folder holds.
     async fn open(
         &self,
-        mut office: Office<S>,
-    ) -> Result<(Driver<S>, watch::Receiver<std::net::SocketAddr>, usize), String> {
+        mut office: DirectoryOwner<R>,
+    ) -> Result<(EventLoop<R>, watch::Receiver<std::net::SocketAddr>, usize), String> {
         let Process {
-            system,
+            runtime,
             operator,
             clock,
             control,
             inputs,
             ..
         } = self;
-        let config = Config::load(system)?;
-        let wanted = Operator::load(system, operator.as_deref())?;
+        let config = Config::load(runtime)?;
+        let wanted = Operator::load(runtime, operator.as_deref())?;
         let left = office.inheritance().await;
         let folder = config.state.display();
         let disk = (config.limits.disk_mb * 1e6) as u64;
-        let journal = Journal::open(system.clone(), &config.state, disk)
+        let journal = Journal::open(runtime.clone(), &config.state, disk)
             .map_err(|e| format!("cannot use the journal in {folder}: {e}"))?;
         let config = Config {
             settings: Settings {
@@ -180,25 +180,28 @@
             settings,
             ..
         } = &config;
-        let tenants = Tenants::open(system, wanted.tenants.as_ref(), tenants, classes, settings)?;
+        let tenants = Tenants::open(runtime, wanted.tenants.as_ref(), tenants, classes, settings)?;
         let (sharing, terms) = tenants.sharing(settings);
-        let terms_of_discovery = Terms {
+        let terms_of_discovery = DiscoverySettings {
             pushed: !settings.polls_discovery,
             siblings: settings.replicas,
             drain_grace: config.drain_grace,
             seed: config.seed,
         };
-        let heard = cached_state::heard(system, &config.state);
-        let members = Rc::new(RefCell::new(Members::new(&terms_of_discovery, heard)));
-        let mut driver = Driver {
+        let heard = cached_state::heard(runtime, &config.state);
+        let members = Rc::new(RefCell::new(HostMembership::new(
+            &terms_of_discovery,
+            heard,
+        )));
+        let mut driver = EventLoop {
             relay: DeliveryPolicy::with_scheduler(settings.clone(), config.seed, sharing),
             tenants,
             operator: operator.clone(),
             tokens: watch::channel(wanted.tokens()).0,
             clock: clock.clone(),
             journal,
-            hosts: Rc::new(Hosts::new(
-                system.clone(),
+            hosts: Rc::new(HostConnections::new(
+                runtime.clone(),
                 members.clone(),
                 config.dial_timeout,
                 config.idle_close,
@@ -210,22 +213,22 @@
             inputs: inputs.clone(),
             events: terms,
             timer: None,
-            last_round: system.now(),
-            hand: Hand::default(),
+            last_round: runtime.now(),
+            hand: InFlightMessages::default(),
             calls: BTreeMap::new(),
-            directory: Directory::default(),
+            directory: HostDirectory::default(),
             classes: Classes::new(classes, &settings.classes),
-            memory: Memory::load(system, &config.state),
+            memory: CachedState::load(runtime, &config.state),
             disk,
             discovery,
             office,
             control: control.clone(),
-            trace: Trace::new(system.clone(), wanted.log_calls),
+            trace: CallLog::new(runtime.clone(), wanted.log_calls),
             desk: wanted
                 .undeliverable
-                .map(|set| Desk::new(system.clone(), set, inputs.clone())),
+                .map(|set| UndeliverableService::new(runtime.clone(), set, inputs.clone())),
             config,
-            system: system.clone(),
+            runtime: runtime.clone(),
         };
         driver
             .trace
@@ -237,11 +240,11 @@
     /// Serves until the process ends, which gives nothing, or another one has everything but the calls that are out.
     async fn serve(
         &mut self,
-        office: Office<S>,
-    ) -> Result<Option<(Arm<S>, Rc<Clients<S>>)>, String> {
+        office: DirectoryOwner<R>,
+    ) -> Result<Option<(DepartingProcess<R>, Rc<ClientConnections<R>>)>, String> {
         let (mut driver, at, most_clients) = self.open(office).await?;
         let Process {
-            system,
+            runtime,
             clock,
             control,
             inputs,
@@ -249,7 +252,7 @@
         } = self;
         let members = driver.members.clone();
         let version = driver.directory.version();
-        let (hosts, timers) = (driver.hosts.clone(), system.clone());
+        let (hosts, timers) = (driver.hosts.clone(), runtime.clone());
         let sweep = async move {
             loop {
                 timers.sleep(Duration::from_millis(250)).await;
@@ -258,44 +261,44 @@
         };
         let notices = driver.notices.clone();
         let mut tasks = vec![
-            system.spawn(discovery_client::follow(
-                system.clone(),
+            runtime.spawn(discovery_client::follow(
+                runtime.clone(),
                 at.clone(),
                 version,
                 members,
                 inputs.clone(),
             )),
-            system.spawn(discovery_client::notify(
-                system.clone(),
+            runtime.spawn(discovery_client::notify(
+                runtime.clone(),
                 at,
                 notices,
                 inputs.clone(),
             )),
-            system.spawn(sweep),
+            runtime.spawn(sweep),
         ];
         // Clients come last: the first answer to a PING says that all else is in place.
         let listen = driver.config.listen;
         let listener = match self.inherited {
-            Some(descriptor) => system.inherited(descriptor),
-            None => system.listen(listen).await,
+            Some(descriptor) => runtime.inherited_listener(descriptor),
+            None => runtime.listen(listen).await,
         };
         let listener = listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-        let clients = Clients::new(
-            system.clone(),
+        let clients = ClientConnections::new(
+            runtime.clone(),
             control.clone(),
             most_clients,
             driver.tenants.wants_login(),
         );
-        if let Some(admin) = Operator::load(system, self.operator.as_deref())?.admin {
+        if let Some(admin) = Operator::load(runtime, self.operator.as_deref())?.admin {
             let tokens = driver.tokens.subscribe();
-            tasks.push(admin::start(system, &admin, tokens, inputs.clone()).await?);
+            tasks.push(admin::start(runtime, &admin, tokens, inputs.clone()).await?);
         }
-        control.tell(if control.state() == State::HandingOver {
-            Told::TakenBack
+        control.tell(if control.state() == LifecycleState::HandingOver {
+            LifecycleEvent::TakenBack
         } else {
-            Told::Started
+            LifecycleEvent::Started
         });
-        system.spawn(client_connections::listen(
+        runtime.spawn(client_connections::listen(
             listener,
             clients.clone(),
             clock.clone(),
@@ -320,7 +323,7 @@
             match driver.office.give(state, driver.disk) {
                 Ok(mut arm) => {
                     log!(
-                        self.system,
+                        self.runtime,
                         "upgrade: handed over {held} messages; {out} calls are out here"
                     );
                     tasks.iter().for_each(Task::abort);
@@ -334,15 +337,17 @@
                 }
                 Err(error) => {
                     log!(
-                        self.system,
+                        self.runtime,
                         "upgrade: cannot hand over, and serves on: {error}"
                     );
-                    if self.control.tell(Told::TakenBack) {
-                        let listener = self.system.inherited(self.inherited.unwrap_or(-1));
+                    if self.control.tell(LifecycleEvent::TakenBack) {
+                        let listener = self
+                            .runtime
+                            .inherited_listener(self.inherited.unwrap_or(-1));
                         let listener =
                             listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
                         let (clock, inputs) = (self.clock.clone(), self.inputs.clone());
-                        self.system.spawn(client_connections::listen(
+                        self.runtime.spawn(client_connections::listen(
                             listener,
                             clients.clone(),
                             clock,
@@ -357,26 +362,30 @@
 
     /// Answers what came while the process was about to end: a request that is whole has its answer, and what is taken
     /// on is the next process's.
-    async fn last_words(&mut self, driver: &mut Driver<S>) -> Result<(), String> {
-        self.system.sleep(LAST).await;
+    async fn last_words(&mut self, driver: &mut EventLoop<R>) -> Result<(), String> {
+        self.runtime.sleep(LAST).await;
         while let Ok(input) = self.incoming.try_recv() {
             driver.take(input);
         }
         driver.round()?;
-        self.system.sleep(LAST).await;
+        self.runtime.sleep(LAST).await;
         Ok(())
     }
 
     /// Does what is due, or waits for something to happen; false once the process ends.
-    async fn turn(&mut self, driver: &mut Driver<S>, clients: &Clients<S>) -> Result<bool, String> {
+    async fn turn(
+        &mut self,
+        driver: &mut EventLoop<R>,
+        clients: &ClientConnections<R>,
+    ) -> Result<bool, String> {
         let Process {
-            system,
+            runtime,
             control,
             signals,
             incoming,
             ..
         } = self;
-        let now = system.now();
+        let now = runtime.now();
         let mut wake = driver.next_round();
         if wake <= now {
             driver.round()?;
@@ -388,8 +397,8 @@
         {
             wake = wake.min(now + Duration::from_millis(1));
         }
-        if let Some(due) = driver.desk.as_ref().map(Desk::due) {
-            if due <= now && control.state() != State::Stopping {
+        if let Some(due) = driver.desk.as_ref().map(UndeliverableService::due) {
+            if due <= now && control.state() != LifecycleState::Stopping {
                 driver.tend_desk();
                 return Ok(true);
             }
@@ -413,7 +422,7 @@
         if let Some(until) = doubted {
             if until <= now {
                 log!(
-                    *system,
+                    *runtime,
                     "discovery: silent since the start; calls go by the remembered list"
                 );
                 driver.believe();
@@ -442,22 +451,26 @@
                 }
             }
             () = control.changed() => {}
-            () = system.sleep_until(wake) => {}
+            () = runtime.sleep_until(wake) => {}
         }
         Ok(true)
     }
 
     /// Brings the calls of a process that has handed over to their end. Gives the folder where it came back.
-    async fn finish(&mut self, mut arm: Arm<S>, clients: &Clients<S>) -> Option<Office<S>> {
+    async fn finish(
+        &mut self,
+        mut arm: DepartingProcess<R>,
+        clients: &ClientConnections<R>,
+    ) -> Option<DirectoryOwner<R>> {
         let Process {
-            system,
+            runtime,
             control,
             signals,
             incoming,
             ..
         } = self;
         loop {
-            let stopping = control.state() == State::Stopping;
+            let stopping = control.state() == LifecycleState::Stopping;
             if arm.is_idle() && clients.count() == 0 && (stopping || arm.is_replaced())
                 || control.ends(false, || arm.is_idle())
             {
@@ -468,7 +481,7 @@
                 match arm.take_back() {
                     Ok(office) => {
                         log!(
-                            *system,
+                            *runtime,
                             "upgrade: the process that took over is gone; this one serves again"
                         );
                         return Some(office);
@@ -479,20 +492,20 @@
             tokio::select! {
                 biased;
                 signal = signals.next() => match signal {
-                    Signal::Stop => drop(control.tell(Told::Stop)),
-                    Signal::Reload => log!(*system, "configuration: it is the new process's to read"),
+                    Signal::Stop => drop(control.tell(LifecycleEvent::Stop)),
+                    Signal::Reload => log!(*runtime, "configuration: it is the new process's to read"),
                 },
                 Some(input) = incoming.recv() => match input {
-                    Input::Ended(end) => arm.ended(&end).unwrap_or_else(|e| {
-                        log!(*system, "upgrade: cannot tell the end of a call: {e}");
+                    RelayEvent::CallCompleted(end) => arm.ended(&end).unwrap_or_else(|e| {
+                        log!(*runtime, "upgrade: cannot tell the end of a call: {e}");
                     }),
-                    Input::Enqueue(request) => {
+                    RelayEvent::EnqueueRequest(request) => {
                         request.reply.into_iter().for_each(|reply| drop(reply.send(Reply::Busy(ELSEWHERE))));
                     }
                     // All else is the new process's to hear.
                     _ => {}
                 },
-                () = system.sleep(LOOK) => {}
+                () = runtime.sleep(LOOK) => {}
             }
         }
     }
--- a/crates/relay/src/route_levels.rs
+++ b/crates/relay/src/route_levels.rs
@@ -1,16 +1,16 @@
 //! How full the relay's tables are, each by name with its bound.
 
-use runtime::System;
+use runtime::Runtime;
 
 use crate::classes;
-use crate::event_loop::Driver;
+use crate::event_loop::EventLoop;
 use crate::in_flight::KNOWN_OVER;
 
 /// A table, what it holds and what it may hold at most.
 pub type Level = (&'static str, usize, usize);
 
 /// All tables that grow with what passes. Messages in hand are in whole words; the journal is in bytes.
-pub fn of<S: System>(driver: &Driver<S>) -> Vec<Level> {
+pub fn of<R: Runtime>(driver: &EventLoop<R>) -> Vec<Level> {
     let settings = &driver.config.settings;
     let (length, longest) = driver.journal.length();
     vec![
--- a/crates/relay/src/state_directory.rs
+++ b/crates/relay/src/state_directory.rs
@@ -10,8 +10,8 @@
 
 use policy::types::{AttemptOutcome, HostId, MessageId, Micros};
 use policy::HandoverSnapshot;
-use relay_events::CallEnd;
-use runtime::{log, System};
+use relay_events::CompletedCall;
+use runtime::{log, Runtime};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
@@ -41,7 +41,7 @@
 
 /// What goes across beside the journal.
 #[derive(Serialize, Deserialize)]
-pub struct State {
+pub struct HandoverState {
     /// Version of the form.
     form: u16,
     /// An operator has the relay drained.
@@ -59,14 +59,14 @@
     pub used: Vec<(String, Micros)>,
 }
 
-impl State {
+impl HandoverState {
     /// The state of a process that hands over.
     pub fn new(
         drained: bool,
         out: Vec<(MessageId, u8, HostId)>,
         heritage: HandoverSnapshot,
     ) -> Self {
-        State {
+        HandoverState {
             form: FORM,
             drained,
             out,
@@ -80,22 +80,22 @@
 
 /// The folder, as every process may use it.
 #[derive(Clone)]
-pub struct Folder<S> {
-    system: S,
+pub struct StateDirectory<R> {
+    runtime: R,
     path: PathBuf,
 }
 
-impl<S: System> Folder<S> {
+impl<R: Runtime> StateDirectory<R> {
     /// A folder that lasts.
-    pub fn new(system: &S, path: &Path) -> Self {
-        Folder {
-            system: system.clone(),
+    pub fn new(runtime: &R, path: &Path) -> Self {
+        StateDirectory {
+            runtime: runtime.clone(),
             path: path.into(),
         }
     }
 
-    fn lock(&self, name: &str) -> io::Result<Option<S::Lock>> {
-        self.system.lock(&self.path.join(name))
+    fn lock(&self, name: &str) -> io::Result<Option<R::Lock>> {
+        self.runtime.lock(&self.path.join(name))
     }
 
     /// Whether a lock's holder is gone, or never was.
@@ -104,68 +104,68 @@
     }
 
     fn has(&self, name: &str) -> bool {
-        self.system.read(&self.path.join(name)).is_ok()
+        self.runtime.read(&self.path.join(name)).is_ok()
     }
 
     fn remove(&self, name: &str) {
         // What is not there needs no removing, and what can't be removed is removed later.
-        drop(self.system.remove(&self.path.join(name)));
+        drop(self.runtime.remove(&self.path.join(name)));
     }
 
     /// Becomes the owner: at once, or of another process that hands over. Only one that `inherits` the listening
     /// socket may run beside another. The error is one plain line.
-    pub async fn acquire(self, inherits: bool) -> Result<Office<S>, String> {
+    pub async fn acquire(self, inherits: bool) -> Result<DirectoryOwner<R>, String> {
         let unusable =
             |e: io::Error| format!("cannot lock the folder {}: {e}", self.path.display());
-        let until = self.system.now() + FREED;
+        let until = self.runtime.now() + FREED;
         loop {
             if let Some(owner) = self.lock(OWNER).map_err(unusable)? {
-                return Ok(Office::new(self, owner, None, inherits));
+                return Ok(DirectoryOwner::new(self, owner, None, inherits));
             }
             if inherits {
                 break;
             }
-            if self.system.now() >= until {
+            if self.runtime.now() >= until {
                 return Err(format!(
                     "another process uses the folder {}",
                     self.path.display()
                 ));
             }
-            self.system.sleep(CLOSE_LOOK).await;
+            self.runtime.sleep(CLOSE_LOOK).await;
         }
-        let until = self.system.now() + PROBED;
+        let until = self.runtime.now() + PROBED;
         let next = loop {
             if let Some(next) = self.lock(NEXT).map_err(unusable)? {
                 break next;
             }
-            if self.system.now() >= until {
+            if self.runtime.now() >= until {
                 return Err("another process is about to take over already".into());
             }
-            self.system.sleep(CLOSE_LOOK).await;
+            self.runtime.sleep(CLOSE_LOOK).await;
         };
         log!(
-            self.system,
+            self.runtime,
             "upgrade: another process serves; it is asked to hand over"
         );
         loop {
             // Asked until it is heard: the owner removes what it takes for a request left over.
             if !self.has(ASK) {
-                drop(self.system.write(&self.path.join(ASK), b""));
+                drop(self.runtime.write(&self.path.join(ASK), b""));
             }
             if let Some(owner) = self.lock(OWNER).map_err(unusable)? {
-                return Ok(Office::new(self, owner, Some(next), inherits));
+                return Ok(DirectoryOwner::new(self, owner, Some(next), inherits));
             }
-            self.system.sleep(CLOSE_LOOK).await;
+            self.runtime.sleep(CLOSE_LOOK).await;
         }
     }
 }
 
 /// The right to the folder.
-pub struct Office<S: System> {
-    folder: Folder<S>,
-    owner: Option<S::Lock>,
+pub struct DirectoryOwner<R: Runtime> {
+    folder: StateDirectory<R>,
+    owner: Option<R::Lock>,
     /// Held while the process that was the owner before may still live.
-    next: Option<S::Lock>,
+    next: Option<R::Lock>,
     inherits: bool,
     /// When to look at the folder next, if ever.
     due: Option<Instant>,
@@ -175,13 +175,18 @@
     /// The process before left a state, which stays until all its calls have ended.
     left: bool,
     /// That process is this one: it has taken back what it had handed over.
-    arm: Option<Arm<S>>,
+    arm: Option<DepartingProcess<R>>,
 }
 
-impl<S: System> Office<S> {
-    fn new(folder: Folder<S>, owner: S::Lock, next: Option<S::Lock>, inherits: bool) -> Self {
-        let due = inherits.then(|| folder.system.now());
-        Office {
+impl<R: Runtime> DirectoryOwner<R> {
+    fn new(
+        folder: StateDirectory<R>,
+        owner: R::Lock,
+        next: Option<R::Lock>,
+        inherits: bool,
+    ) -> Self {
+        let due = inherits.then(|| folder.runtime.now());
+        DirectoryOwner {
             folder,
             owner: Some(owner),
             next,
@@ -200,20 +205,20 @@
     }
 
     /// What the process before left. Where that can't be read, this waits until none of its calls can be out.
-    pub async fn inheritance(&mut self) -> Option<State> {
-        let system = self.folder.system.clone();
-        let text = system.read(&self.folder.path.join(STATE));
+    pub async fn inheritance(&mut self) -> Option<HandoverState> {
+        let runtime = self.folder.runtime.clone();
+        let text = runtime.read(&self.folder.path.join(STATE));
         let state = text.ok().and_then(|text| {
-            let (state, size) = decode::<State>(&text).ok().flatten()?;
+            let (state, size) = decode::<HandoverState>(&text).ok().flatten()?;
             let used = decode(&text[size..]).ok().flatten().map(|(used, _)| used);
-            Some(State {
+            Some(HandoverState {
                 used: used.unwrap_or_default(),
                 ..state
             })
         });
         let Some(state) = state.filter(|state| state.form == FORM) else {
             while self.arm.is_none() && !self.folder.is_free(ARM) {
-                system.sleep(CLOSE_LOOK).await;
+                runtime.sleep(CLOSE_LOOK).await;
             }
             self.settle();
             return None;
@@ -223,7 +228,7 @@
             .iter()
             .map(|(id, attempt, host)| (*id, (*attempt, *host)))
             .collect();
-        (self.due, self.left) = (Some(system.now()), true);
+        (self.due, self.left) = (Some(runtime.now()), true);
         Some(state)
     }
 
@@ -242,7 +247,7 @@
         if !self.inherits || self.next.is_some() || self.arm.is_some() {
             return false;
         }
-        self.due = Some(self.folder.system.now() + LOOK);
+        self.due = Some(self.folder.runtime.now() + LOOK);
         if !self.folder.has(ASK) {
             return false;
         }
@@ -256,20 +261,20 @@
 
     /// Ends of calls that were out at the process before, since they were last asked for. Once that is gone, what has
     /// no end may have run.
-    pub fn ends(&mut self) -> Vec<CallEnd> {
+    pub fn ends(&mut self) -> Vec<CompletedCall> {
         if self.out.is_empty() && self.next.is_none() && self.arm.is_none() {
             return Vec::new();
         }
-        let system = self.folder.system.clone();
-        self.due = Some(system.now() + CLOSE_LOOK);
+        let runtime = self.folder.runtime.clone();
+        self.due = Some(runtime.now() + CLOSE_LOOK);
         // Asked before its ends are read: what it wrote last is then there.
         let gone = self.arm.is_none() && self.folder.is_free(ARM);
-        let text = system
+        let text = runtime
             .read(&self.folder.path.join(ENDS))
             .unwrap_or_default();
         let mut ends = Vec::new();
         while let Ok(Some((end, size))) =
-            decode::<CallEnd>(text.get(self.read..).unwrap_or_default())
+            decode::<CompletedCall>(text.get(self.read..).unwrap_or_default())
         {
             self.read += size;
             if self
@@ -283,22 +288,22 @@
         }
         if gone {
             let lost = std::mem::take(&mut self.out).into_iter();
-            ends.extend(lost.map(|(id, (attempt, host))| CallEnd {
+            ends.extend(lost.map(|(id, (attempt, host))| CompletedCall {
                 id,
                 attempt,
                 host,
                 outcome: AttemptOutcome::ConnectionLost,
-                over: false,
-                report: None,
+                is_final: false,
+                load_report: None,
                 elapsed: 0,
-                fresh: false,
+                opened_connection: false,
             }));
         }
         ends
     }
 
     /// A call of this process has ended; it may be one from before it took the folder back.
-    pub fn heard(&mut self, end: &CallEnd) {
+    pub fn heard(&mut self, end: &CompletedCall) {
         if self
             .out
             .get(&end.id)
@@ -322,13 +327,17 @@
             self.folder.remove(name);
         }
         (self.next, self.arm, self.left) = (None, None, false);
-        self.due = self.inherits.then(|| self.folder.system.now() + LOOK);
+        self.due = self.inherits.then(|| self.folder.runtime.now() + LOOK);
     }
 
     /// Gives the folder away. On an error it stays with this process.
-    pub fn give(&mut self, mut state: State, limit: u64) -> io::Result<Arm<S>> {
-        self.due = Some(self.folder.system.now() + AGAIN);
-        let (system, path) = (&self.folder.system, &self.folder.path);
+    pub fn give(
+        &mut self,
+        mut state: HandoverState,
+        limit: u64,
+    ) -> io::Result<DepartingProcess<R>> {
+        self.due = Some(self.folder.runtime.now() + AGAIN);
+        let (runtime, path) = (&self.folder.runtime, &self.folder.path);
         let busy = || {
             io::Error::new(
                 io::ErrorKind::WouldBlock,
@@ -357,19 +366,19 @@
         if !used.is_empty() {
             text.extend(encode(&used)?);
         }
-        let ends = system.create(&path.join(ENDS))?;
+        let ends = runtime.create(&path.join(ENDS))?;
         let fresh = path.join(STATE).with_extension("new");
-        let written = system
+        let written = runtime
             .write(&fresh, &text)
-            .and_then(|()| system.rename(&fresh, &path.join(STATE)));
-        written.inspect_err(|_| drop(system.remove(&fresh)))?;
+            .and_then(|()| runtime.rename(&fresh, &path.join(STATE)));
+        written.inspect_err(|_| drop(runtime.remove(&fresh)))?;
         let out = state
             .out
             .iter()
             .map(|(id, attempt, _)| (*id, *attempt))
             .collect();
-        let (folder, look) = (self.folder.clone(), system.now() + LOOK);
-        Ok(Arm {
+        let (folder, look) = (self.folder.clone(), runtime.now() + LOOK);
+        Ok(DepartingProcess {
             folder,
             owner: self.owner.take(),
             _lock: lock,
@@ -382,12 +391,12 @@
 }
 
 /// What is left of a process that has handed over: its calls.
-pub struct Arm<S: System> {
-    folder: Folder<S>,
+pub struct DepartingProcess<R: Runtime> {
+    folder: StateDirectory<R>,
     /// Until all that uses the folder is closed.
-    owner: Option<S::Lock>,
-    _lock: S::Lock,
-    ends: S::File,
+    owner: Option<R::Lock>,
+    _lock: R::Lock,
+    ends: R::File,
     out: BTreeMap<MessageId, u8>,
     /// What would end the calls early if it were dropped.
     calls: Calls,
@@ -397,7 +406,7 @@
 /// Calls that are out: the attempt, the host, and what ends it early.
 pub type Calls = BTreeMap<MessageId, (u8, HostId, Option<oneshot::Sender<()>>)>;
 
-impl<S: System> Arm<S> {
+impl<R: Runtime> DepartingProcess<R> {
     /// Its calls, which are to go on.
     pub fn keep(&mut self, calls: Calls) {
         self.calls = calls;
@@ -409,7 +418,7 @@
     }
 
     /// A call has ended, which the new owner is to read.
-    pub fn ended(&mut self, end: &CallEnd) -> io::Result<()> {
+    pub fn ended(&mut self, end: &CompletedCall) -> io::Result<()> {
         if self.out.get(&end.id) == Some(&end.attempt) {
             self.out.remove(&end.id);
             self.calls.remove(&end.id);
@@ -432,8 +441,8 @@
 
     /// The folder again, where the process that took it is gone. Calls that are out here stay so: their ends come by the
     /// file, as they would to another process.
-    pub fn take_back(mut self) -> Result<Office<S>, Self> {
-        let now = self.folder.system.now();
+    pub fn take_back(mut self) -> Result<DirectoryOwner<R>, Self> {
+        let now = self.folder.runtime.now();
         if now < self.look {
             return Err(self);
         }
@@ -446,7 +455,7 @@
         };
         self.folder.remove(ASK);
         drop(next);
-        let mut office = Office::new(self.folder.clone(), owner, None, true);
+        let mut office = DirectoryOwner::new(self.folder.clone(), owner, None, true);
         office.arm = Some(self);
         Ok(office)
     }
--- a/crates/relay/src/stored_format_tests.rs
+++ b/crates/relay/src/stored_format_tests.rs
@@ -11,12 +11,12 @@
     Idempotency, Message, PlatformRules, ReportField, Settings, ValueDecay, WeightSource,
 };
 use policy::DeliveryPolicy;
-use relay_events::{CallEnd, HostLine, HostList, Verdict};
-use runtime::Real;
+use relay_events::{CompletedCall, DeliveryFailure, HostList, HostListEntry};
+use runtime::OsRuntime;
 
-use crate::cached_state::Memory;
-use crate::journal::{decode, encode, Again, Attempt, Journal, Taken};
-use crate::state_directory::State;
+use crate::cached_state::CachedState;
+use crate::journal::{decode, encode, AcceptedMessage, Attempt, Journal, ResendOrigin};
+use crate::state_directory::HandoverState;
 
 const DISK_LIMIT: u64 = 3_000_000;
 
@@ -47,32 +47,32 @@
     }
 }
 
-fn taken(name: &str, class: &str) -> Taken {
-    Taken {
+fn taken(name: &str, class: &str) -> AcceptedMessage {
+    AcceptedMessage {
         name: name.into(),
-        key: Some(format!("k-{name}")),
-        order: Some(7),
+        idempotency_key: Some(format!("k-{name}")),
+        ordering_key: Some(7),
         class: class.into(),
         tenant: "acme/2".into(),
         destination: 7,
-        due: 1_796_168_056_871_000,
-        again: name == "m2",
+        deadline: 1_796_168_056_871_000,
+        is_resubmitted: name == "m2",
         body: Bytes::from_static(b"\r\n\x00body"),
     }
 }
 
 fn attempt(number: u8, may_have_run: bool) -> Attempt {
     Attempt {
-        sent: 1_796_168_000_000_000 + u64::from(number),
+        sent_at: 1_796_168_000_000_000 + u64::from(number),
         zone: number,
-        may_have_run,
+        may_have_executed: may_have_run,
     }
 }
 
 /// Every kind of record.
 fn write_journal(directory: &Path) {
     use undeliverable::Outcome as Kept;
-    let mut journal = Journal::open(Real, directory, DISK_LIMIT).expect("opens");
+    let mut journal = Journal::open(OsRuntime, directory, DISK_LIMIT).expect("opens");
     let classes = [
         (
             "event".to_string(),
@@ -100,25 +100,29 @@
     journal.taken(2, taken("m2", "payout")).expect("written");
     journal.out(2, 0, attempt(0, true)).expect("written");
     journal.not_begun(2, 0).expect("written");
-    journal.verdict(2, Verdict::Deferred(500)).expect("written");
+    journal
+        .verdict(2, DeliveryFailure::Deferred(500))
+        .expect("written");
     journal.taken(3, taken("m3", "update")).expect("written");
     journal.over(3).expect("written");
     journal.taken(4, taken("m4", "payout")).expect("written");
     journal.out(4, 0, attempt(2, true)).expect("written");
-    journal.verdict(4, Verdict::Undeliverable).expect("written");
-    let again = Again {
+    journal
+        .verdict(4, DeliveryFailure::Undeliverable)
+        .expect("written");
+    let again = ResendOrigin {
         record: 12,
         number: 3,
-        past: Some(attempt(9, true)),
+        past_attempt: Some(attempt(9, true)),
     };
     journal
         .taken_again(5, taken("m5", "event"), again)
         .expect("written");
     journal.out(5, 1, attempt(3, true)).expect("written");
-    let again = Again {
+    let again = ResendOrigin {
         record: 13,
         number: 1,
-        past: None,
+        past_attempt: None,
     };
     journal
         .taken_again(6, taken("m6", "update"), again)
@@ -143,7 +147,7 @@
     let length = bytes.len();
     bytes.extend(&golden("journal")[..21]);
     fs::write(directory.join("journal"), bytes).expect("written");
-    let journal = Journal::open(Real, &directory, DISK_LIMIT).expect("opens");
+    let journal = Journal::open(OsRuntime, &directory, DISK_LIMIT).expect("opens");
     assert_eq!(journal.length().0, length, "the torn tail is cut off");
     let text = format!("{:#?}\n", summary(&journal));
     assert_eq!(
@@ -154,49 +158,49 @@
 }
 
 /// What a journal holds, in words that no renaming of types or fields touches.
-fn summary(journal: &Journal<Real>) -> Vec<String> {
-    let attempt = |one: &Attempt| format!("{}/{}/{}", one.sent, one.zone, one.may_have_run);
+fn summary(journal: &Journal<OsRuntime>) -> Vec<String> {
+    let attempt = |one: &Attempt| format!("{}/{}/{}", one.sent_at, one.zone, one.may_have_executed);
     let mut lines = Vec::new();
     for (id, owed) in journal.all() {
-        let Taken {
+        let AcceptedMessage {
             name,
-            key,
-            order,
+            idempotency_key,
+            ordering_key,
             class,
             tenant,
             destination,
-            due,
-            again,
+            deadline,
+            is_resubmitted,
             body,
-        } = &owed.taken;
+        } = &owed.accepted;
         lines.push(format!(
-            "{id} {name} {key:?} {order:?} {class} {tenant} {destination} {due} {again} {body:?}"
+            "{id} {name} {idempotency_key:?} {ordering_key:?} {class} {tenant} {destination} {deadline} {is_resubmitted} {body:?}"
         ));
         lines.extend(
             owed.attempts
                 .iter()
                 .map(|one| format!("{id} attempt {}", attempt(one))),
         );
-        for (number, (host, outcome)) in &owed.told {
+        for (number, (host, outcome)) in &owed.outcomes {
             let outcome = serde_json::to_string(outcome).expect("a word");
             lines.push(format!("{id} outcome {number} {host} {outcome}"));
         }
-        lines.extend(owed.verdict.map(|verdict| match verdict {
-            Verdict::Undeliverable => format!("{id} end undeliverable"),
-            Verdict::Deferred(after) => format!("{id} end deferred {after}"),
+        lines.extend(owed.failure.map(|verdict| match verdict {
+            DeliveryFailure::Undeliverable => format!("{id} end undeliverable"),
+            DeliveryFailure::Deferred(after) => format!("{id} end deferred {after}"),
         }));
-        if let Some(Again {
+        if let Some(ResendOrigin {
             record,
             number,
-            past,
-        }) = &owed.again
+            past_attempt,
+        }) = &owed.resend
         {
             lines.push(format!(
                 "{id} resend {record} {number} {:?}",
-                past.as_ref().map(attempt)
+                past_attempt.as_ref().map(attempt)
             ));
         }
-        if let Some(terms) = &owed.terms {
+        if let Some(terms) = &owed.class_version {
             let Class {
                 latency_objective,
                 objective_stretch,
@@ -219,26 +223,26 @@
     lines
 }
 
-fn memory() -> Memory {
-    let line = |at: u16| HostLine {
-        host: format!("s-{at:04x}"),
-        dial: SocketAddr::from(([127, 12, 0, at as u8], 40_000)),
-        site: format!("leith-dc-{}", at % 2),
-        class: ["major-partner", "partner"][usize::from(at % 2)].into(),
-        block: at / 3,
-        health: if at == 4 {
+fn memory() -> CachedState {
+    let line = |at: u16| HostListEntry {
+        name: format!("s-{at:04x}"),
+        address: SocketAddr::from(([127, 12, 0, at as u8], 40_000)),
+        zone: format!("leith-dc-{}", at % 2),
+        kind: ["major-partner", "partner"][usize::from(at % 2)].into(),
+        destination: at / 3,
+        state: if at == 4 {
             HostState::Draining
         } else {
             HostState::Ready
         },
-        share: 1234.5,
+        weight: 1234.5,
     };
     let list = HostList {
-        seq: 7,
-        whole: true,
+        version: 7,
+        is_full: true,
         hosts: (0..6).map(line).collect(),
     };
-    Memory {
+    CachedState {
         list,
         outages: vec![
             (1, 1_796_168_056_871_000, Some(1_796_168_056_991_000)),
@@ -251,17 +255,17 @@
 fn memory_is_written_and_read_as_before() {
     let directory = directory("memory");
     memory()
-        .save(&Real, &directory, DISK_LIMIT)
+        .save(&OsRuntime, &directory, DISK_LIMIT)
         .expect("written");
     assert_eq!(
         fs::read(directory.join("memory")).expect("written"),
         golden("memory")
     );
     fs::write(directory.join("memory"), golden("memory")).expect("written");
-    assert_eq!(Memory::load(&Real, &directory), memory());
+    assert_eq!(CachedState::load(&OsRuntime, &directory), memory());
     fs::write(directory.join("memory"), golden("memory-without-checksum")).expect("written");
     assert_eq!(
-        Memory::load(&Real, &directory),
+        CachedState::load(&OsRuntime, &directory),
         memory(),
         "of a version that kept no checksum"
     );
@@ -378,8 +382,8 @@
     relay
 }
 
-fn state() -> State {
-    let mut state = State::new(
+fn state() -> HandoverState {
+    let mut state = HandoverState::new(
         true,
         vec![(7, 0, 3), (17, 2, 1)],
         module().handover_snapshot(),
@@ -393,7 +397,9 @@
 fn hand_over_state_is_written_and_read_as_before() {
     let text = golden("upgrade.state");
     assert_eq!(encode(&state()).expect("encodes"), text);
-    let (read, size) = decode::<State>(&text).expect("known").expect("whole");
+    let (read, size) = decode::<HandoverState>(&text)
+        .expect("known")
+        .expect("whole");
     assert_eq!(size, text.len());
     assert_eq!(
         (read.drained, &read.out, &read.numbers, &read.over),
@@ -411,7 +417,7 @@
     );
 }
 
-fn call_ends() -> Vec<CallEnd> {
+fn call_ends() -> Vec<CompletedCall> {
     let outcomes = [
         AttemptOutcome::Delivered,
         AttemptOutcome::Error,
@@ -427,15 +433,15 @@
         AttemptOutcome::NotStarted,
     ];
     let ends = outcomes.into_iter().zip(1u64..);
-    let end = |(outcome, id): (AttemptOutcome, u64)| CallEnd {
+    let end = |(outcome, id): (AttemptOutcome, u64)| CompletedCall {
         id,
         attempt: id as u8,
         host: 3,
         outcome,
-        over: id == 1,
-        report: (id % 2 == 0).then(|| "x0=0.4,x1=25".to_string()),
+        is_final: id == 1,
+        load_report: (id % 2 == 0).then(|| "x0=0.4,x1=25".to_string()),
         elapsed: 40_000 + id,
-        fresh: id == 5,
+        opened_connection: id == 5,
     };
     ends.map(end).collect()
 }
@@ -450,7 +456,7 @@
     assert_eq!(written, text);
     let mut rest = &text[..];
     let mut read = Vec::new();
-    while let Some((end, size)) = decode::<CallEnd>(rest).expect("known") {
+    while let Some((end, size)) = decode::<CompletedCall>(rest).expect("known") {
         read.push(end);
         rest = &rest[size..];
     }
--- a/crates/relay/src/tenant_service/audit.rs
+++ b/crates/relay/src/tenant_service/audit.rs
@@ -4,7 +4,7 @@
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
-use runtime::{log, File, System};
+use runtime::{log, File, Runtime};
 use tenancy::audit::Entry;
 use tenancy::registry::Record;
 
@@ -16,10 +16,10 @@
 const TAIL: u64 = 1 << 20;
 
 /// The audit log.
-pub(super) struct Audit<S: System> {
-    system: S,
+pub(super) struct Audit<R: Runtime> {
+    runtime: R,
     folder: PathBuf,
-    file: S::File,
+    file: R::File,
     length: u64,
     torn: bool,
     /// Bytes of a file, and how many older ones are kept.
@@ -33,17 +33,17 @@
     logged: bool,
 }
 
-impl<S: System> Audit<S> {
+impl<R: Runtime> Audit<R> {
     /// Opens the log, and adds the changes that it lacks: those that were kept just before a process ended.
     pub fn open(
-        system: &S,
+        runtime: &R,
         folder: &Path,
         most: (u64, u32),
         changes: &BTreeMap<u64, Record>,
     ) -> Result<Self, String> {
         let path = folder.join(FILE);
         let bad = |e: io::Error| format!("cannot use {}: {e}", path.display());
-        let mut file = system.open(&path).map_err(bad)?;
+        let mut file = runtime.open(&path).map_err(bad)?;
         let end = file.seek(SeekFrom::End(0)).map_err(bad)?;
         let from = end.saturating_sub(TAIL);
         file.seek(SeekFrom::Start(from)).map_err(bad)?;
@@ -61,7 +61,7 @@
         at_hand.drain(..at_hand.len().saturating_sub(AT_HAND));
         let told = at_hand.iter().map(|entry| entry.seq).max().unwrap_or(0);
         let mut audit = Audit {
-            system: system.clone(),
+            runtime: runtime.clone(),
             folder: folder.into(),
             file,
             length: from + whole as u64,
@@ -106,7 +106,7 @@
             if let Err(error) = self.write(&line) {
                 if !self.logged {
                     log!(
-                        self.system,
+                        self.runtime,
                         "audit: cannot write, changes are refused once too many wait: {error}"
                     );
                 }
@@ -151,21 +151,21 @@
                 Err(e)
             }
         };
-        if let Err(error) = self.system.remove(&self.older(self.most.1)) {
+        if let Err(error) = self.runtime.remove(&self.older(self.most.1)) {
             absent(error)?;
         } else {
             log!(
-                self.system,
+                self.runtime,
                 "audit: the oldest of {} files is gone",
                 self.most.1 + 1
             );
         }
         for number in (0..self.most.1).rev() {
-            self.system
+            self.runtime
                 .rename(&self.older(number), &self.older(number + 1))
                 .or_else(absent)?;
         }
-        self.file = self.system.open(&self.older(0))?;
+        self.file = self.runtime.open(&self.older(0))?;
         self.file.set_len(0)?;
         (self.length, self.torn) = (0, false);
         Ok(())
--- a/crates/relay/src/tenant_service/mod.rs
+++ b/crates/relay/src/tenant_service/mod.rs
@@ -9,9 +9,11 @@
 use policy::scheduler::TenantUsage;
 use policy::types::{DestinationId, Event, Micros, Settings, TenantId};
 use policy::TenantScheduler;
-use relay_events::tenants::{Ask, Shown, Status, Told, Usage};
-use relay_events::{Reply, Verdict};
-use runtime::{log, System};
+use relay_events::tenants::{
+    RegistryReport, TenantRequest, TenantResponse, TenantView, UsageReport,
+};
+use relay_events::{DeliveryFailure, Reply};
+use runtime::{log, Runtime};
 use tenancy::registry::{
     Actor, Change, Command, Decision, Entry, Expect, Login, Record, Refusal, State,
 };
@@ -31,19 +33,19 @@
 const WHOLE: f64 = 1000.0;
 
 /// The tenants of a relay.
-pub enum Tenants<S: System> {
+pub enum Tenants<R: Runtime> {
     /// Those of the settings, by index.
     Fixed(Vec<String>),
     /// Those of a registry.
-    Hosted(Box<Hosted<S>>),
+    Hosted(Box<Hosted<R>>),
 }
 
 /// Tenants that administrators change.
-pub struct Hosted<S: System> {
-    system: S,
+pub struct Hosted<R: Runtime> {
+    runtime: R,
     registry: Registry,
-    store: Store<S>,
-    audit: Audit<S>,
+    store: Store<R>,
+    audit: Audit<R>,
     /// Clients have to name themselves.
     auth: bool,
     since_ms: u64,
@@ -51,14 +53,14 @@
     retry_ms: u64,
 }
 
-fn unix_ms(system: &impl System) -> u64 {
-    system.unix_time().as_millis() as u64
+fn unix_ms(runtime: &impl Runtime) -> u64 {
+    runtime.unix_time().as_millis() as u64
 }
 
-impl<S: System> Tenants<S> {
+impl<R: Runtime> Tenants<R> {
     /// The tenants of the settings, or with the operator's word those of a registry.
     pub fn open(
-        system: &S,
+        runtime: &R,
         operator: Option<&operator_config::Tenants>,
         names: &[String],
         classes: &[String],
@@ -69,7 +71,8 @@
             Some(operator) => {
                 let shares = settings.tenants.iter().map(|tenant| tenant.share);
                 let known = names.iter().cloned().zip(shares).collect();
-                Hosted::open(system, operator, known, classes).map(|h| Tenants::Hosted(Box::new(h)))
+                Hosted::open(runtime, operator, known, classes)
+                    .map(|h| Tenants::Hosted(Box::new(h)))
             }
         }
     }
@@ -218,13 +221,13 @@
     }
 
     /// A message was given up.
-    pub fn ended(&mut self, reference: &str, verdict: Verdict) {
+    pub fn ended(&mut self, reference: &str, verdict: DeliveryFailure) {
         let Some(entry) = self.entry(reference) else {
             return;
         };
         match verdict {
-            Verdict::Undeliverable => entry.counts.failed += 1,
-            Verdict::Deferred(_) => entry.counts.refused += 1,
+            DeliveryFailure::Undeliverable => entry.counts.failed += 1,
+            DeliveryFailure::Deferred(_) => entry.counts.refused += 1,
         }
     }
 
@@ -276,16 +279,20 @@
     /// no `room` on the disk but for the ends of messages.
     pub fn answer(
         &mut self,
-        ask: Ask,
+        ask: TenantRequest,
         load: impl Fn(TenantId) -> TenantUsage,
         events: &mut Vec<Event>,
         room: bool,
-    ) -> Told {
+    ) -> TenantResponse {
         match self {
-            Tenants::Fixed(_) => Told::NotKept("the tenants are those of the settings".into()),
-            Tenants::Hosted(_) if !room && matches!(ask, Ask::Change(_)) => Told::NotKept(
-                "the disk is full, what room there is is for the ends of messages".into(),
-            ),
+            Tenants::Fixed(_) => {
+                TenantResponse::NotKept("the tenants are those of the settings".into())
+            }
+            Tenants::Hosted(_) if !room && matches!(ask, TenantRequest::Change(_)) => {
+                TenantResponse::NotKept(
+                    "the disk is full, what room there is is for the ends of messages".into(),
+                )
+            }
             Tenants::Hosted(hosted) => hosted.answer(ask, load, events),
         }
     }
@@ -299,10 +306,10 @@
     }
 }
 
-impl<S: System> Hosted<S> {
+impl<R: Runtime> Hosted<R> {
     /// Opens the registry. A new one begins with the tenants of the settings, if the operator says so.
     fn open(
-        system: &S,
+        runtime: &R,
         operator: &operator_config::Tenants,
         known: Vec<(String, f64)>,
         classes: &[String],
@@ -313,20 +320,20 @@
             mut registry,
             changes,
             fresh,
-        } = Store::open(system, folder, operator.store_bytes(), classes)?;
-        let audit = Audit::open(system, folder, operator.audit(), &changes)?;
+        } = Store::open(runtime, folder, operator.store_bytes(), classes)?;
+        let audit = Audit::open(runtime, folder, operator.audit(), &changes)?;
         // Guards against an end that both files have lost, which they can't tell: the audit log was told of it.
         let lost = registry.follow(audit.told());
         if lost > 0 {
             log!(
-                *system,
+                *runtime,
                 "tenants: the last {lost} changes are lost, the audit log has them"
             );
             store.lost += lost;
         }
-        let (system, since_ms) = (system.clone(), unix_ms(system));
+        let (runtime, since_ms) = (runtime.clone(), unix_ms(runtime));
         let mut hosted = Hosted {
-            system,
+            runtime,
             registry,
             store,
             audit,
@@ -352,7 +359,7 @@
                         ..Spec::default()
                     }),
                 };
-                if let Told::Refused(why) = hosted.change(command, &mut Vec::new()) {
+                if let TenantResponse::Refused(why) = hosted.change(command, &mut Vec::new()) {
                     return Err(format!(
                         "the tenant {name:?} of the settings can't be hosted: {why}"
                     ));
@@ -372,7 +379,7 @@
         }
     }
 
-    fn shown(&self, tenant: tenancy::registry::Tenant) -> Box<Shown> {
+    fn shown(&self, tenant: tenancy::registry::Tenant) -> Box<TenantView> {
         let draining = self
             .registry
             .draining(&tenant.name)
@@ -381,22 +388,22 @@
         let draining = draining
             .filter(|version| version.generation != tenant.version.generation)
             .collect();
-        Box::new(Shown { tenant, draining })
+        Box::new(TenantView { tenant, draining })
     }
 
     fn answer(
         &mut self,
-        ask: Ask,
+        ask: TenantRequest,
         load: impl Fn(TenantId) -> TenantUsage,
         events: &mut Vec<Event>,
-    ) -> Told {
+    ) -> TenantResponse {
         match ask {
-            Ask::Change(command) => self.change(*command, events),
-            Ask::Find(name) => match self.registry.find(&name) {
-                Ok(entry) => Told::Found(self.shown(entry.tenant.clone())),
-                Err(why) => Told::Refused(why),
+            TenantRequest::Change(command) => self.change(*command, events),
+            TenantRequest::Find(name) => match self.registry.find(&name) {
+                Ok(entry) => TenantResponse::Found(self.shown(entry.tenant.clone())),
+                Err(why) => TenantResponse::Refused(why),
             },
-            Ask::Page { after, most, scope } => {
+            TenantRequest::Page { after, most, scope } => {
                 let page = self.registry.page(after.as_deref());
                 let mut page = page.filter(|entry| scope.covers(&entry.tenant.name));
                 let tenants = page
@@ -404,21 +411,21 @@
                     .take(most)
                     .map(|entry| *self.shown(entry.tenant.clone()))
                     .collect();
-                Told::Page(tenants, page.next().is_some())
+                TenantResponse::Page(tenants, page.next().is_some())
             }
-            Ask::Usage(name) => match self.registry.find(&name) {
+            TenantRequest::UsageReport(name) => match self.registry.find(&name) {
                 Ok(entry) => {
                     let drains = self.registry.draining(&name).iter();
                     let drains = drains.filter(|other| other.number != entry.number);
                     let all = std::iter::once(entry).chain(drains);
-                    Told::Usage(
+                    TenantResponse::UsageReport(
                         all.map(|entry| usage(entry, load(entry.number))).collect(),
                         self.since_ms,
                     )
                 }
-                Err(why) => Told::Refused(why),
+                Err(why) => TenantResponse::Refused(why),
             },
-            Ask::Audit {
+            TenantRequest::Audit {
                 before,
                 most,
                 scope,
@@ -431,9 +438,9 @@
                 let mut entries = entries
                     .filter(|entry| tenant.as_ref().is_none_or(|name| entry.tenant == *name));
                 let page = entries.by_ref().take(most).cloned().collect();
-                Told::Audit(page, entries.next().is_some())
+                TenantResponse::Audit(page, entries.next().is_some())
             }
-            Ask::Status => Told::Status(Status {
+            TenantRequest::RegistryReport => TenantResponse::RegistryReport(RegistryReport {
                 tenants: self.registry.len(),
                 seq: self.registry.seq(),
                 lost: self.store.lost,
@@ -443,16 +450,16 @@
         }
     }
 
-    fn change(&mut self, command: Command, events: &mut Vec<Event>) -> Told {
-        let decision = match self.registry.decide(unix_ms(&self.system), &command) {
+    fn change(&mut self, command: Command, events: &mut Vec<Event>) -> TenantResponse {
+        let decision = match self.registry.decide(unix_ms(&self.runtime), &command) {
             Ok(decision) => decision,
-            Err(why) => return Told::Refused(why),
+            Err(why) => return TenantResponse::Refused(why),
         };
         match decision {
-            Decision::Nothing(tenant) => Told::Unchanged(self.shown(*tenant)),
+            Decision::Nothing(tenant) => TenantResponse::Unchanged(self.shown(*tenant)),
             Decision::Again(answered) => {
                 let shown = self.shown(answered.tenant);
-                Told::Made {
+                TenantResponse::Changed {
                     shown,
                     action: answered.action,
                     again: true,
@@ -460,15 +467,15 @@
             }
             Decision::Make(record) => {
                 if let Err(why) = self.make(&record, events) {
-                    return Told::NotKept(why);
+                    return TenantResponse::NotKept(why);
                 }
                 match record.to {
-                    Some(tenant) => Told::Made {
+                    Some(tenant) => TenantResponse::Changed {
                         shown: self.shown(tenant),
                         action: record.action,
                         again: false,
                     },
-                    None => Told::Refused(Refusal::Gone(command.name)),
+                    None => TenantResponse::Refused(Refusal::Gone(command.name)),
                 }
             }
         }
@@ -496,11 +503,11 @@
     }
 
     fn tend(&mut self, events: &mut Vec<Event>) -> bool {
-        let now = unix_ms(&self.system);
+        let now = unix_ms(&self.runtime);
         if let Some(record) = self.registry.drained(now).filter(|_| self.retry_ms <= now) {
             if let Err(why) = self.make(&record, events) {
                 log!(
-                    self.system,
+                    self.runtime,
                     "tenants: one that has drained stays for now: {why}"
                 );
                 self.retry_ms = now + RETRY_MS;
@@ -517,8 +524,8 @@
     }
 }
 
-fn usage(entry: &Entry, load: TenantUsage) -> Usage {
-    Usage {
+fn usage(entry: &Entry, load: TenantUsage) -> UsageReport {
+    UsageReport {
         name: entry.tenant.name.clone(),
         version: entry.tenant.version,
         counts: entry.counts,
--- a/crates/relay/src/tenant_service/store.rs
+++ b/crates/relay/src/tenant_service/store.rs
@@ -5,7 +5,7 @@
 use std::io::{self, Read, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
-use runtime::{log, File, System};
+use runtime::{log, File, Runtime};
 use tenancy::record::{self, Snapshot};
 use tenancy::registry::Record;
 use tenancy::Registry;
@@ -42,13 +42,13 @@
 }
 
 /// The registry's files.
-pub(super) struct Store<S: System> {
-    system: S,
-    copies: Vec<Copy<S::File>>,
+pub(super) struct Store<R: Runtime> {
+    runtime: R,
+    copies: Vec<Copy<R::File>>,
     /// Bytes of the last snapshot.
     snapshot: u64,
     limit: u64,
-    rewriting: Option<Rewriting<S::File>>,
+    rewriting: Option<Rewriting<R::File>>,
     /// Changes since the rewriting began, as they are written.
     tail: Vec<u8>,
     /// A rewriting failed; the next is not begun before the next change.
@@ -60,8 +60,8 @@
 }
 
 /// What the files held.
-pub(super) struct Opened<S: System> {
-    pub store: Store<S>,
+pub(super) struct Opened<R: Runtime> {
+    pub store: Store<R>,
     pub registry: Registry,
     /// Changes that the files still hold.
     pub changes: BTreeMap<u64, Record>,
@@ -69,19 +69,19 @@
     pub fresh: bool,
 }
 
-impl<S: System> Store<S> {
+impl<R: Runtime> Store<R> {
     /// Reads the files in a folder, and mends them. `limit` bounds each, in bytes.
     pub fn open(
-        system: &S,
+        runtime: &R,
         folder: &Path,
         limit: u64,
         classes: &[String],
-    ) -> Result<Opened<S>, String> {
+    ) -> Result<Opened<R>, String> {
         let mut copies = Vec::new();
         let mut texts = Vec::new();
         for name in FILES {
             let path = folder.join(name);
-            let (file, text) = Self::read(system, &path)
+            let (file, text) = Self::read(runtime, &path)
                 .map_err(|e| format!("cannot use {}: {e}", path.display()))?;
             // What follows half a line would be read as a part of it.
             let lines = text
@@ -103,7 +103,7 @@
             .map_err(|e| e.to_string())?;
         let registry = Registry::restored(classes.to_vec(), read.kept);
         let mut store = Store {
-            system: system.clone(),
+            runtime: runtime.clone(),
             copies,
             snapshot: 0,
             limit,
@@ -115,7 +115,7 @@
         };
         if read.lost > 0 {
             log!(
-                *system,
+                *runtime,
                 "tenants: {} changes are lost, a tenant may stand as it did before one",
                 read.lost
             );
@@ -124,14 +124,14 @@
         if fresh || read.spoilt {
             if !fresh {
                 log!(
-                    *system,
+                    *runtime,
                     "tenants: the registry's files differed or were spoilt, and are written anew"
                 );
             }
             // On a full disk both stay as they are: together they hold what was read.
             if let Err(error) = store.anew(&registry, &read.changes) {
                 log!(
-                    *system,
+                    *runtime,
                     "tenants: the registry's files cannot be written anew yet: {error}"
                 );
                 store.spoilt = true;
@@ -145,18 +145,18 @@
         })
     }
 
-    fn read(system: &S, path: &Path) -> io::Result<(S::File, Option<Vec<u8>>)> {
+    fn read(runtime: &R, path: &Path) -> io::Result<(R::File, Option<Vec<u8>>)> {
         // Left by a process that ended while it wrote the file anew.
-        match system.remove(&fresh_path(path)) {
+        match runtime.remove(&fresh_path(path)) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
             _ => {}
         }
-        let exists = match system.read(path) {
+        let exists = match runtime.read(path) {
             Ok(_) => true,
             Err(e) if e.kind() == io::ErrorKind::NotFound => false,
             Err(e) => return Err(e),
         };
-        let mut file = system.open(path)?;
+        let mut file = runtime.open(path)?;
         let mut text = Vec::new();
         file.read_to_end(&mut text)?;
         Ok((file, exists.then_some(text)))
@@ -193,10 +193,10 @@
             .for_each(|change| text.extend(record::change(change)));
         for copy in &mut self.copies {
             let fresh = fresh_path(&copy.path);
-            let mut file = self.system.create(&fresh)?;
+            let mut file = self.runtime.create(&fresh)?;
             file.write_all(&text)
-                .inspect_err(|_| drop(self.system.remove(&fresh)))?;
-            self.system.rename(&fresh, &copy.path)?;
+                .inspect_err(|_| drop(self.runtime.remove(&fresh)))?;
+            self.runtime.rename(&fresh, &copy.path)?;
             (copy.file, copy.length, copy.torn, copy.behind) =
                 (file, text.len() as u64, false, false);
         }
@@ -223,12 +223,12 @@
             Ok(next) => self.rewriting = next,
             Err(error) => {
                 log!(
-                    self.system,
+                    self.runtime,
                     "tenants: the registry's files stay as they are, not written anew: {error}"
                 );
                 self.copies
                     .iter()
-                    .for_each(|copy| drop(self.system.remove(&fresh_path(&copy.path))));
+                    .for_each(|copy| drop(self.runtime.remove(&fresh_path(&copy.path))));
                 self.failed = true;
             }
         }
@@ -237,8 +237,8 @@
     fn slice(
         &mut self,
         registry: &Registry,
-        rewriting: Rewriting<S::File>,
-    ) -> io::Result<Option<Rewriting<S::File>>> {
+        rewriting: Rewriting<R::File>,
+    ) -> io::Result<Option<Rewriting<R::File>>> {
         match rewriting {
             Rewriting::Taking(mut snapshot) => {
                 if !snapshot.take(registry, SLICE.0) {
@@ -261,7 +261,7 @@
                 let fresh = fresh_path(&path);
                 let mut file = match file {
                     Some(file) => file,
-                    None => self.system.create(&fresh)?,
+                    None => self.runtime.create(&fresh)?,
                 };
                 let end = (done + SLICE.1).min(text.len());
                 file.write_all(&text[done..end])?;
@@ -275,7 +275,7 @@
                 }
                 // The changes since the beginning, some of which stand in the snapshot already.
                 file.write_all(&self.tail)?;
-                self.system.rename(&fresh, &path)?;
+                self.runtime.rename(&fresh, &path)?;
                 let length = (text.len() + self.tail.len()) as u64;
                 self.copies[copy] = Copy {
                     path,
--- a/crates/relay/src/undeliverable_service/mod.rs
+++ b/crates/relay/src/undeliverable_service/mod.rs
@@ -20,9 +20,12 @@
 
 use bytes::Bytes;
 use policy::types::{AttemptOutcome, Class, Idempotency, MessageId, Micros};
-use relay_events::undeliverable::{Act, Ask, News, Shown, Status, Told};
-use relay_events::{Input, Verdict};
-use runtime::{log, System};
+use relay_events::undeliverable::{
+    RecordAction, RecordView, StoreReport, UndeliverableEvent, UndeliverableRequest,
+    UndeliverableResponse,
+};
+use relay_events::{DeliveryFailure, RelayEvent};
+use runtime::{log, Runtime};
 use tokio::sync::mpsc;
 use undeliverable::batch::{self, Batch, Counts, Order, Spec};
 use undeliverable::decide::{may_go, Clearance, Need, Terms};
@@ -31,7 +34,7 @@
 use undeliverable::store::{Error, Sums};
 use undeliverable::{Attempt, Filter, Outcome, Reason, Record, RecordId, State, Store};
 
-use crate::journal::{self, Again, Owed, Taken};
+use crate::journal::{self, AcceptedMessage, PendingMessage, ResendOrigin};
 use partner::Question;
 pub use settings::Settings;
 
@@ -82,14 +85,14 @@
 /// A record that is to go to the decision module now.
 pub struct Resend {
     /// The record and the number of its resend.
-    pub again: Again,
+    pub again: ResendOrigin,
     /// The message, whose time is not set.
-    pub taken: Taken,
+    pub taken: AcceptedMessage,
 }
 
 #[derive(Clone)]
 struct Out {
-    again: Again,
+    again: ResendOrigin,
     by: String,
     /// The message's name. A store that was begun anew gives the same number to another record.
     name: String,
@@ -104,10 +107,10 @@
 }
 
 /// The desk of undeliverable messages.
-pub struct Desk<S: System> {
-    system: S,
+pub struct UndeliverableService<R: Runtime> {
+    runtime: R,
     set: Settings,
-    inputs: mpsc::Sender<Input>,
+    inputs: mpsc::Sender<RelayEvent>,
     path: PathBuf,
     store: Option<Store>,
     trouble: Option<String>,
@@ -173,22 +176,22 @@
 }
 
 /// A message's attempts as the store has them, without those from before a resend.
-fn story(owed: &Owed) -> Vec<Attempt> {
-    let (number, past) = owed.again.map_or((0, 0), |again| {
-        (again.number, usize::from(again.past.is_some()))
+fn story(owed: &PendingMessage) -> Vec<Attempt> {
+    let (number, past) = owed.resend.map_or((0, 0), |again| {
+        (again.number, usize::from(again.past_attempt.is_some()))
     });
     let attempts = owed.attempts.iter().enumerate().skip(past);
     let attempt = |(at, attempt): (usize, &journal::Attempt)| {
         let (host, outcome) = owed
-            .told
+            .outcomes
             .get(&(at as u8))
             .cloned()
             .unwrap_or((String::new(), Outcome::Unknown));
         Attempt {
-            sent: attempt.sent,
+            sent: attempt.sent_at,
             host,
             outcome,
-            may_have_run: attempt.may_have_run,
+            may_have_run: attempt.may_have_executed,
             resend: number,
         }
     };
@@ -197,7 +200,7 @@
 
 /// Why a message was given up, as far as what is known of it tells.
 fn reason(
-    owed: &Owed,
+    owed: &PendingMessage,
     class: Option<&Class>,
     abandoned: bool,
     most_attempts: usize,
@@ -206,9 +209,12 @@
     let Some(class) = class else {
         return Reason::NotKnown;
     };
-    let may_have_run = owed.attempts.iter().any(|attempt| attempt.may_have_run);
+    let may_have_run = owed
+        .attempts
+        .iter()
+        .any(|attempt| attempt.may_have_executed);
     // The module ends a message a few rounds before its time is up.
-    let late = now + 100_000 >= owed.taken.due;
+    let late = now + 100_000 >= owed.accepted.deadline;
     match class.idempotency {
         _ if abandoned => Reason::TenantRemoved,
         _ if late && owed.attempts.is_empty() => Reason::OutOfTimeUnsent,
@@ -220,14 +226,14 @@
     }
 }
 
-impl<S: System> Desk<S> {
+impl<R: Runtime> UndeliverableService<R> {
     /// Opens the store. One that can't be used is tried again later: the relay serves all the same.
-    pub fn new(system: S, set: Settings, inputs: mpsc::Sender<Input>) -> Self {
-        let now = system.now();
+    pub fn new(runtime: R, set: Settings, inputs: mpsc::Sender<RelayEvent>) -> Self {
+        let now = runtime.now();
         let path = Path::new(&set.folder).join("undeliverable.redb");
         let rules = Rules::new(set.rules());
-        let mut desk = Desk {
-            system,
+        let mut desk = UndeliverableService {
+            runtime,
             set,
             inputs,
             path,
@@ -256,10 +262,10 @@
     }
 
     fn open(&mut self) {
-        self.reopen = self.system.now() + REOPEN;
+        self.reopen = self.runtime.now() + REOPEN;
         let pages = self
-            .system
-            .pages(&self.path)
+            .runtime
+            .open_random_access(&self.path)
             .map_err(|e| Error::Database(e.to_string()));
         let opened = pages.and_then(|pages| Store::open(pages, self.set.sync));
         let opened = opened.and_then(|store| store.batches().map(|batches| (store, batches)));
@@ -270,7 +276,7 @@
                 }
                 self.store = Some(store);
                 if self.trouble.take().is_some() {
-                    log!(self.system, "undeliverable: the store can be used again");
+                    log!(self.runtime, "undeliverable: the store can be used again");
                 }
             }
             Err(error) => {
@@ -285,7 +291,7 @@
     /// The store can't be used for now.
     fn broken(&mut self, error: &Error) {
         if self.trouble.is_none() {
-            log!(self.system, "undeliverable: {error}");
+            log!(self.runtime, "undeliverable: {error}");
         }
         self.store = None;
         self.trouble = Some(error.to_string());
@@ -298,12 +304,12 @@
             return;
         }
         self.aside += 1;
-        let name = format!("spoilt-{}", self.system.unix_time().as_secs());
+        let name = format!("spoilt-{}", self.runtime.unix_time().as_secs());
         let aside = self.path.with_extension(name);
-        match self.system.rename(&self.path, &aside) {
+        match self.runtime.rename(&self.path, &aside) {
             Ok(()) => {
                 log!(
-                    self.system,
+                    self.runtime,
                     "undeliverable: the store is put aside as {}",
                     aside.display()
                 );
@@ -312,7 +318,7 @@
                 self.looked = 0;
             }
             Err(e) => log!(
-                self.system,
+                self.runtime,
                 "undeliverable: the store can't be put aside: {e}"
             ),
         }
@@ -324,7 +330,7 @@
             Ok(value) => Some(value),
             // One record that can't be read is no reason to leave the others.
             Err(Error::Spoilt(id)) => {
-                log!(self.system, "undeliverable: record {id} can't be read");
+                log!(self.runtime, "undeliverable: record {id} can't be read");
                 None
             }
             Err(error) => {
@@ -389,7 +395,7 @@
     }
 
     /// A resend from before the restart goes on.
-    pub fn restored(&mut self, id: MessageId, again: Again, name: &str, now: Micros) {
+    pub fn restored(&mut self, id: MessageId, again: ResendOrigin, name: &str, now: Micros) {
         // The journal is right where the store has gone back.
         self.with(|store| {
             store.change(again.record, |record| {
@@ -403,7 +409,7 @@
     }
 
     /// Whether a resend from the journal has its end in the store already: it must not be made again.
-    pub fn is_closed(&mut self, again: &Again, name: &str) -> bool {
+    pub fn is_closed(&mut self, again: &ResendOrigin, name: &str) -> bool {
         let found = self.with(|store| store.find(again.record)).flatten();
         found.is_some_and(|record| {
             let sending = matches!(record.state, State::Sending { .. });
@@ -415,34 +421,34 @@
     /// A message was given up; it is kept with the next [`Desk::keep`].
     pub fn given_up(
         &mut self,
-        owed: &Owed,
+        owed: &PendingMessage,
         class: Option<&Class>,
         abandoned: bool,
         most_attempts: usize,
         now: Micros,
     ) {
         let record = self.record(owed, class, abandoned, most_attempts, now);
-        self.fresh(record, owed.taken.body.clone());
+        self.fresh(record, owed.accepted.body.clone());
     }
 
     /// The record of a message that was given up.
     fn record(
         &self,
-        owed: &Owed,
+        owed: &PendingMessage,
         class: Option<&Class>,
         abandoned: bool,
         most_attempts: usize,
         now: Micros,
     ) -> Record {
-        let taken = &owed.taken;
+        let taken = &owed.accepted;
         let origin = Origin {
             name: taken.name.clone(),
             tenant: taken.tenant.clone(),
             class: taken.class.clone(),
             destination: taken.destination,
-            key: taken.key.clone(),
-            order: taken.order,
-            due: taken.due,
+            key: taken.idempotency_key.clone(),
+            order: taken.ordering_key,
+            due: taken.deadline,
         };
         Record {
             origin,
@@ -464,7 +470,7 @@
             self.lost += 1;
             if self.lost % 100 == 1 {
                 log!(
-                    self.system,
+                    self.runtime,
                     "undeliverable: {} messages could not be kept",
                     self.lost
                 );
@@ -490,7 +496,7 @@
     }
 
     fn rest(&mut self, records: &[RecordId]) {
-        let now = self.system.unix_time().as_micros() as Micros;
+        let now = self.runtime.unix_time().as_micros() as Micros;
         self.resting
             .retain(|_, until| *until > now && *until <= now + REST);
         self.resting
@@ -499,7 +505,7 @@
 
     /// Whether it is too early to send a record again; a clock that was set back ends a rest, which is done anew.
     fn rests(&self, id: RecordId) -> bool {
-        let now = self.system.unix_time().as_micros() as Micros;
+        let now = self.runtime.unix_time().as_micros() as Micros;
         self.resting
             .get(&id)
             .is_some_and(|until| *until > now && *until <= now + REST)
@@ -527,21 +533,25 @@
     pub fn came_back(
         &mut self,
         id: MessageId,
-        owed: &Owed,
+        owed: &PendingMessage,
         class: Option<&Class>,
-        verdict: Verdict,
+        verdict: DeliveryFailure,
         most_attempts: usize,
         now: Micros,
     ) -> bool {
-        let failed =
-            matches!(verdict, Verdict::Undeliverable) || owed.attempts.len() >= most_attempts;
+        let failed = matches!(verdict, DeliveryFailure::Undeliverable)
+            || owed.attempts.len() >= most_attempts;
         let why = failed.then(|| reason(owed, class, false, most_attempts, now));
         let mut whole = owed.clone();
-        whole.again = None;
+        whole.resend = None;
         let kept = self.record(&whole, class, false, most_attempts, now);
         self.end(
             id,
-            End::Back(story(owed), why, Box::new((kept, owed.taken.body.clone()))),
+            End::Back(
+                story(owed),
+                why,
+                Box::new((kept, owed.accepted.body.clone())),
+            ),
             now,
         )
     }
@@ -603,7 +613,7 @@
         };
         if batch.ended(delivered) {
             log!(
-                self.system,
+                self.runtime,
                 "undeliverable: batch {} has stopped, as too many fail",
                 batch.spec.name
             );
@@ -612,7 +622,7 @@
     }
 
     /// A resend could not be handed over.
-    pub fn not_begun(&mut self, again: &Again) {
+    pub fn not_begun(&mut self, again: &ResendOrigin) {
         let by = self.with(|store| {
             store.change(again.record, |record| {
                 let by = match &record.state {
@@ -629,7 +639,7 @@
     }
 
     /// The resend is in the journal under this number.
-    pub fn begun(&mut self, id: MessageId, again: Again, name: &str) {
+    pub fn begun(&mut self, id: MessageId, again: ResendOrigin, name: &str) {
         let mut out = Out {
             again,
             by: String::new(),
@@ -686,9 +696,9 @@
             let past = match clearance {
                 Clearance::Clean => None,
                 Clearance::Keyed { first } => Some(journal::Attempt {
-                    sent: first,
+                    sent_at: first,
                     zone: 0,
-                    may_have_run: true,
+                    may_have_executed: true,
                 }),
             };
             let Origin {
@@ -701,22 +711,22 @@
                 ..
             } = origin;
             let body = Bytes::from(body);
-            let taken = Taken {
-                name,
-                key,
-                order,
+            let taken = AcceptedMessage {
+                name: name,
+                idempotency_key: key,
+                ordering_key: order,
                 class,
                 tenant,
                 destination,
-                due: 0,
-                again: true,
+                deadline: 0,
+                is_resubmitted: true,
                 body,
             };
             Resend {
-                again: Again {
+                again: ResendOrigin {
                     record: id,
                     number,
-                    past,
+                    past_attempt: past,
                 },
                 taken,
             }
@@ -726,7 +736,7 @@
     /// Looks after the store, batches and rules; gives what is to be sent now, and the resends whose ends have been
     /// kept meanwhile, so that the journal may forget them.
     pub fn tend(&mut self, now: Micros, live: Live) -> (Vec<Resend>, Vec<MessageId>) {
-        let at = self.system.now();
+        let at = self.runtime.now();
         self.look = at + LOOK;
         if self.store.is_none() && self.reopen <= at {
             self.open();
@@ -744,7 +754,7 @@
             let caps = self.set.caps();
             if let Some(dropped @ 1..) = self.with(|store| store.drop_past(&caps, now, DROP.1)) {
                 log!(
-                    self.system,
+                    self.runtime,
                     "undeliverable: {dropped} records are dropped, past the caps"
                 );
                 if dropped as usize >= DROP.1 {
@@ -910,15 +920,15 @@
         self.asked.insert(id, now);
         self.asking.insert(id);
         let question = Question::new(partner, &record.origin.name, record.origin.key.as_deref());
-        let (system, inputs) = (self.system.clone(), self.inputs.clone());
-        self.system.spawn(async move {
-            let says = question.ask(system).await;
-            let word = News::Word {
+        let (runtime, inputs) = (self.runtime.clone(), self.inputs.clone());
+        self.runtime.spawn(async move {
+            let says = question.ask(runtime).await;
+            let word = UndeliverableEvent::PartnerAnswered {
                 id,
                 asked: now,
                 says,
             };
-            drop(inputs.send(Input::Undeliverable(word)).await);
+            drop(inputs.send(RelayEvent::Undeliverable(word)).await);
         });
         true
     }
@@ -936,13 +946,13 @@
             self.close_applied(id, now);
         }
         // Whoever waits for it goes on at once.
-        self.look = self.system.now();
+        self.look = self.runtime.now();
     }
 
     /// Counts are told from memory; those that a kill takes back are a second's. What is out is counted anew at a start,
     /// and a record that was looked at is not sent again without leave.
     fn keep_batches(&mut self) {
-        let at = self.system.now();
+        let at = self.runtime.now();
         if self.changed.is_empty() || self.keep_counts > at {
             return;
         }
@@ -957,8 +967,8 @@
         }
     }
 
-    fn unavailable(&self) -> Told {
-        Told::Unavailable(
+    fn unavailable(&self) -> UndeliverableResponse {
+        UndeliverableResponse::Unavailable(
             self.trouble
                 .clone()
                 .unwrap_or_else(|| "the store can't be used".into()),
@@ -966,38 +976,46 @@
     }
 
     /// Answers a front; a record that it wants sent again goes to `resends`.
-    pub fn answer(&mut self, ask: Ask, now: Micros, live: Live, resends: &mut Vec<Resend>) -> Told {
+    pub fn answer(
+        &mut self,
+        ask: UndeliverableRequest,
+        now: Micros,
+        live: Live,
+        resends: &mut Vec<Resend>,
+    ) -> UndeliverableResponse {
         self.keep();
         match ask {
-            Ask::Page {
+            UndeliverableRequest::Page {
                 filter,
                 before,
                 most,
             } => self
                 .with(|store| store.page(&filter, before, most))
-                .map_or_else(|| self.unavailable(), Told::Page),
-            Ask::Find(id) => self.shown(id, now),
-            Ask::Body(id) => match self.with(|store| store.body(id)) {
-                Some(Some(body)) => Told::Body(body),
-                Some(None) => Told::Refused(Refusal::NoRecord),
+                .map_or_else(|| self.unavailable(), UndeliverableResponse::Page),
+            UndeliverableRequest::Find(id) => self.shown(id, now),
+            UndeliverableRequest::Body(id) => match self.with(|store| store.body(id)) {
+                Some(Some(body)) => UndeliverableResponse::Body(body),
+                Some(None) => UndeliverableResponse::Refused(Refusal::NoRecord),
                 None => self.unavailable(),
             },
-            Ask::Counts(by) => self
+            UndeliverableRequest::Counts(by) => self
                 .with(|store| store.counts(by))
-                .map_or_else(|| self.unavailable(), Told::Counts),
-            Ask::Status => {
+                .map_or_else(|| self.unavailable(), UndeliverableResponse::Counts),
+            UndeliverableRequest::StoreReport => {
                 let sums = self.with(Store::sums).unwrap_or_default();
-                Told::Status(self.status(sums))
+                UndeliverableResponse::StoreReport(self.status(sums))
             }
-            Ask::Act {
+            UndeliverableRequest::RecordAction {
                 id,
                 act,
                 who,
                 version,
             } => self.act(id, act, &who, version, now, live, resends),
-            Ask::Batches => Told::Batches(self.batches.values().cloned().collect()),
-            Ask::Plan { spec, who } => self.plan(spec, &who, now),
-            Ask::Order {
+            UndeliverableRequest::Batches => {
+                UndeliverableResponse::Batches(self.batches.values().cloned().collect())
+            }
+            UndeliverableRequest::Plan { spec, who } => self.plan(spec, &who, now),
+            UndeliverableRequest::Order {
                 name,
                 order,
                 version,
@@ -1005,8 +1023,8 @@
         }
     }
 
-    fn status(&self, sums: Sums) -> Status {
-        Status {
+    fn status(&self, sums: Sums) -> StoreReport {
+        StoreReport {
             sums,
             lost: self.lost,
             out: self.out.len(),
@@ -1014,14 +1032,14 @@
         }
     }
 
-    fn shown(&mut self, id: RecordId, now: Micros) -> Told {
+    fn shown(&mut self, id: RecordId, now: Micros) -> UndeliverableResponse {
         let terms = self.terms(now);
         match self.with(|store| store.find(id)) {
             Some(Some(record)) => {
                 let need = may_go(&record, &terms).err();
-                Told::Found(Box::new(Shown { id, record, need }))
+                UndeliverableResponse::Found(Box::new(RecordView { id, record, need }))
             }
-            Some(None) => Told::Refused(Refusal::NoRecord),
+            Some(None) => UndeliverableResponse::Refused(Refusal::NoRecord),
             None => self.unavailable(),
         }
     }
@@ -1030,17 +1048,17 @@
     fn act(
         &mut self,
         id: RecordId,
-        act: Act,
+        act: RecordAction,
         who: &str,
         version: Option<u32>,
         now: Micros,
         live: Live,
         resends: &mut Vec<Resend>,
-    ) -> Told {
+    ) -> UndeliverableResponse {
         let lease = self.set.lease();
-        if act == Act::Resend {
+        if act == RecordAction::Resend {
             if !self.room(resends) || !live.spare() {
-                return Told::Busy(COME_AGAIN);
+                return UndeliverableResponse::Busy(COME_AGAIN);
             }
             return match self.start(id, &format!("operator {who}"), who, version, now) {
                 Some(Ok(resend)) => {
@@ -1049,38 +1067,42 @@
                 }
                 Some(Err(refusal)) => {
                     self.look_into(id, &refusal, now);
-                    Told::Refused(refusal)
+                    UndeliverableResponse::Refused(refusal)
                 }
                 None => self.unavailable(),
             };
         }
         let change = |record: &mut Record| match act {
-            Act::Claim => record.claim(who, version, now, lease),
-            Act::Release => record.release(who, version, now),
-            Act::State(says) => {
+            RecordAction::Claim => record.claim(who, version, now, lease),
+            RecordAction::Release => record.release(who, version, now),
+            RecordAction::State(says) => {
                 record.state_that(By::Operator(who.into()), says, now, version, now)
             }
-            Act::Discard => record
+            RecordAction::Discard => record
                 .free(who, version, now)
                 .map(|()| record.close(Closed::Discarded, now)),
-            Act::AskPartner => record.free(who, version, now),
-            Act::Resend => Ok(()),
+            RecordAction::AskPartner => record.free(who, version, now),
+            RecordAction::Resend => Ok(()),
         };
         match self.with(|store| store.change(id, change)) {
             Some(Some(Ok(()))) => {}
-            Some(Some(Err(refusal))) => return Told::Refused(refusal),
-            Some(None) => return Told::Refused(Refusal::NoRecord),
+            Some(Some(Err(refusal))) => return UndeliverableResponse::Refused(refusal),
+            Some(None) => return UndeliverableResponse::Refused(Refusal::NoRecord),
             None => return self.unavailable(),
         }
         match act {
-            Act::State(_) => self.close_applied(id, now),
-            Act::AskPartner if self.asking.len() >= MOST_ASKED && !self.asking.contains(&id) => {
-                return Told::Busy(COME_AGAIN);
+            RecordAction::State(_) => self.close_applied(id, now),
+            RecordAction::AskPartner
+                if self.asking.len() >= MOST_ASKED && !self.asking.contains(&id) =>
+            {
+                return UndeliverableResponse::Busy(COME_AGAIN);
             }
-            Act::AskPartner => {
+            RecordAction::AskPartner => {
                 self.asked.remove(&id);
                 if !self.ask_partner(id, now) {
-                    return Told::Refused(Refusal::Malformed("its partner has no way to be asked"));
+                    return UndeliverableResponse::Refused(Refusal::Malformed(
+                        "its partner has no way to be asked",
+                    ));
                 }
             }
             _ => {}
@@ -1089,12 +1111,12 @@
     }
 
     /// A dry run: counts what a batch would find, and keeps the batch, which does nothing before it is run.
-    fn plan(&mut self, spec: Spec, who: &str, now: Micros) -> Told {
+    fn plan(&mut self, spec: Spec, who: &str, now: Micros) -> UndeliverableResponse {
         if let Err(refusal) = spec.check() {
-            return Told::BatchRefused(refusal);
+            return UndeliverableResponse::BatchRefused(refusal);
         }
         if self.batches.contains_key(&spec.name) {
-            return Told::BatchRefused(batch::Refusal::Exists);
+            return UndeliverableResponse::BatchRefused(batch::Refusal::Exists);
         }
         if self.batches.len() >= batch::MOST {
             let over = self
@@ -1103,7 +1125,7 @@
                 .filter(|batch| batch.state.is_over())
                 .min_by_key(|batch| batch.made);
             let Some(name) = over.map(|batch| batch.spec.name.clone()) else {
-                return Told::BatchRefused(batch::Refusal::TooMany);
+                return UndeliverableResponse::BatchRefused(batch::Refusal::TooMany);
             };
             self.batches.remove(&name);
             self.with(|store| store.forget_batch(&name));
@@ -1131,28 +1153,34 @@
         };
         let batch = match Batch::plan(spec, who, now, upto, counts) {
             Ok(batch) => batch,
-            Err(refusal) => return Told::BatchRefused(refusal),
+            Err(refusal) => return UndeliverableResponse::BatchRefused(refusal),
         };
         if self.with(|store| store.keep_batch(&batch)).is_none() {
             return self.unavailable();
         }
         self.batches.insert(batch.spec.name.clone(), batch.clone());
-        Told::Batch(Box::new(batch))
+        UndeliverableResponse::Batch(Box::new(batch))
     }
 
-    fn order(&mut self, name: &str, order: Order, version: Option<u32>, now: Micros) -> Told {
+    fn order(
+        &mut self,
+        name: &str,
+        order: Order,
+        version: Option<u32>,
+        now: Micros,
+    ) -> UndeliverableResponse {
         let Some(batch) = self.batches.get(name) else {
-            return Told::BatchRefused(batch::Refusal::None);
+            return UndeliverableResponse::BatchRefused(batch::Refusal::None);
         };
         let mut after = batch.clone();
         if let Err(refusal) = after.order(order, version, now) {
-            return Told::BatchRefused(refusal);
+            return UndeliverableResponse::BatchRefused(refusal);
         }
         if self.with(|store| store.keep_batch(&after)).is_none() {
             return self.unavailable();
         }
         self.batches.insert(name.into(), after.clone());
-        self.look = self.system.now();
-        Told::Batch(Box::new(after))
+        self.look = self.runtime.now();
+        UndeliverableResponse::Batch(Box::new(after))
     }
 }
--- a/crates/relay/src/undeliverable_service/partner.rs
+++ b/crates/relay/src/undeliverable_service/partner.rs
@@ -9,7 +9,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use runtime::{Stream, System, Task};
+use runtime::{Runtime, Stream, Task};
 use undeliverable::record::Says;
 
 use super::settings::Partner;
@@ -41,12 +41,12 @@
     }
 
     /// Asks; none if no answer that can be read came in time.
-    pub async fn ask<S: System>(self, system: S) -> Option<Says> {
+    pub async fn ask<R: Runtime>(self, runtime: R) -> Option<Says> {
         let asked = async {
-            let stream = system.connect(self.address).await.ok()?;
+            let stream = runtime.connect(self.address).await.ok()?;
             stream.set_nodelay().ok()?;
             let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-            let mut task = system.spawn(async move { drop(connection.await) });
+            let mut task = runtime.spawn(async move { drop(connection.await) });
             let request = Request::get(&self.path).header(HOST, self.address.to_string());
             let told = async {
                 let answer = sender
@@ -63,10 +63,10 @@
             };
             let told = told.await;
             task.abort();
-            task.ended().await;
+            task.join().await;
             told
         };
-        system.timeout(self.timeout, asked).await.ok().flatten()
+        runtime.timeout(self.timeout, asked).await.ok().flatten()
     }
 }
 
--- a/crates/relay/tests/platform.rs
+++ b/crates/relay/tests/platform.rs
@@ -117,7 +117,7 @@
             .lines()
             .filter(|line| line.contains("unsafe {"))
             .count();
-        let may = usize::from(file.ends_with("runtime/src/inherited.rs"));
+        let may = usize::from(file.ends_with("runtime/src/inherited_listener.rs"));
         assert_eq!(unsafe_calls, may, "{}", file.display());
     }
     assert_eq!(allowed, 1, "one place knows Unix sockets");
--- a/crates/relay/tests/scene/stepped.rs
+++ b/crates/relay/tests/scene/stepped.rs
@@ -14,8 +14,8 @@
 
 use bytes::BytesMut;
 use runtime::{
-    Address, File, Listener, Real, RealListener, RealStream, RealTask, Signal, Signals, Stream,
-    System, Waiting,
+    Address, File, Listener, OsListener, OsRuntime, OsStream, OsTask, PendingInput, Runtime,
+    Signal, Signals, Stream,
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{mpsc, oneshot};
@@ -73,7 +73,7 @@
             signals: Mutex::new(Some(sent)),
         });
         let (kill, killed) = oneshot::channel::<()>();
-        let system = shared.clone();
+        let stepped = Stepped(shared.clone());
         let thread = std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread()
                 .enable_all()
@@ -83,7 +83,7 @@
                 tokio::select! {
                     biased;
                     Ok(()) = killed => None,
-                    ended = relay::run(Stepped(system), None) => Some(ended),
+                    ended = relay::run(stepped, None) => Some(ended),
                 }
             })
         });
@@ -124,33 +124,33 @@
 #[derive(Clone)]
 struct Stepped(Arc<Shared>);
 
-impl System for Stepped {
-    type Task = RealTask;
+impl Runtime for Stepped {
+    type Task = OsTask;
     type Stream = SteppedStream;
     type Listener = SteppedListener;
     type File = SteppedFile;
-    type Pages = Disk;
+    type RandomAccessFile = Disk;
     type Signals = SteppedSignals;
     type Lock = Disk;
 
     fn now(&self) -> Instant {
-        Real.now()
+        OsRuntime.now()
     }
 
     fn unix_time(&self) -> Duration {
-        Real.unix_time()
+        OsRuntime.unix_time()
     }
 
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> {
-        Real.sleep_until(at)
+        OsRuntime.sleep_until(at)
     }
 
-    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> RealTask {
-        Real.spawn(task)
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> OsTask {
+        OsRuntime.spawn(task)
     }
 
     async fn connect(&self, to: impl Into<Address>) -> io::Result<SteppedStream> {
-        let stream = Real.connect(to).await?;
+        let stream = OsRuntime.connect(to).await?;
         Ok(SteppedStream {
             stream,
             shared: self.0.clone(),
@@ -159,20 +159,23 @@
     }
 
     async fn listen(&self, at: impl Into<Address>) -> io::Result<SteppedListener> {
-        Ok(SteppedListener(Real.listen(at).await?, self.0.clone()))
+        Ok(SteppedListener(OsRuntime.listen(at).await?, self.0.clone()))
     }
 
-    fn inherited(&self, descriptor: i32) -> io::Result<SteppedListener> {
-        Ok(SteppedListener(Real.inherited(descriptor)?, self.0.clone()))
+    fn inherited_listener(&self, descriptor: i32) -> io::Result<SteppedListener> {
+        Ok(SteppedListener(
+            OsRuntime.inherited_listener(descriptor)?,
+            self.0.clone(),
+        ))
     }
 
     fn lock(&self, path: &Path) -> io::Result<Option<Disk>> {
-        Real.lock(path)
+        OsRuntime.lock(path)
     }
 
     fn open(&self, path: &Path) -> io::Result<SteppedFile> {
         Ok(SteppedFile {
-            file: Real.open(path)?,
+            file: OsRuntime.open(path)?,
             path: path.into(),
             shared: self.0.clone(),
         })
@@ -180,26 +183,26 @@
 
     fn create(&self, path: &Path) -> io::Result<SteppedFile> {
         Ok(SteppedFile {
-            file: Real.create(path)?,
+            file: OsRuntime.create(path)?,
             path: path.into(),
             shared: self.0.clone(),
         })
     }
 
-    fn pages(&self, path: &Path) -> io::Result<Disk> {
-        Real.pages(path)
+    fn open_random_access(&self, path: &Path) -> io::Result<Disk> {
+        OsRuntime.open_random_access(path)
     }
 
     fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
-        Real.read(path)
+        OsRuntime.read(path)
     }
 
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
-        Real.rename(from, to)
+        OsRuntime.rename(from, to)
     }
 
     fn remove(&self, path: &Path) -> io::Result<()> {
-        Real.remove(path)
+        OsRuntime.remove(path)
     }
 
     fn signals(&self) -> io::Result<SteppedSignals> {
@@ -213,7 +216,7 @@
         ))
     }
 
-    fn variable(&self, name: &str) -> Option<String> {
+    fn env_var(&self, name: &str) -> Option<String> {
         self.0
             .variables
             .iter()
@@ -237,7 +240,7 @@
     }
 }
 
-struct SteppedListener(RealListener, Arc<Shared>);
+struct SteppedListener(OsListener, Arc<Shared>);
 
 impl Listener for SteppedListener {
     type Stream = SteppedStream;
@@ -253,7 +256,7 @@
 }
 
 struct SteppedStream {
-    stream: RealStream,
+    stream: OsStream,
     shared: Arc<Shared>,
     looked: Point,
 }
@@ -271,9 +274,9 @@
         self.stream.try_read_buf(into)
     }
 
-    fn waiting(&self) -> Waiting {
-        let waiting = self.stream.waiting();
-        if waiting == Waiting::Nothing {
+    fn pending_input(&self) -> PendingInput {
+        let waiting = self.stream.pending_input();
+        if waiting == PendingInput::Empty {
             self.shared.at(self.looked);
         }
         waiting
--- a/crates/relayctl/src/control.rs
+++ b/crates/relayctl/src/control.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use clap::{Args, ValueEnum};
-use control::Call;
+use control::Command;
 use serde_json::{Map, Value};
 
 use crate::client::Failure;
@@ -38,12 +38,12 @@
 }
 
 impl Word {
-    fn call(self) -> Call {
+    fn call(self) -> Command {
         match self {
-            Word::Ready => Call::Ready,
-            Word::ShowStat => Call::ShowStat,
-            Word::Drain => Call::Drain,
-            Word::Resume => Call::Resume,
+            Word::Ready => Command::Ready,
+            Word::ShowStat => Command::ShowStat,
+            Word::Drain => Command::Drain,
+            Word::Resume => Command::Resume,
         }
     }
 }
@@ -92,7 +92,7 @@
 }
 
 /// One call; all of it within the time.
-fn ask(at: SocketAddr, call: Call, timeout: Duration) -> std::io::Result<String> {
+fn ask(at: SocketAddr, call: Command, timeout: Duration) -> std::io::Result<String> {
     let until = Instant::now() + timeout;
     let left = || {
         let left = until.saturating_duration_since(Instant::now());
--- a/crates/relayctl/tests/ctl.rs
+++ b/crates/relayctl/tests/ctl.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use runtime::{Real, System};
+use runtime::{OsRuntime, Runtime};
 use serde_json::{json, Value};
 use undeliverable::record::{Effect, Origin};
 use undeliverable::{Attempt, Outcome, Reason, Record, State, Store};
@@ -60,8 +60,8 @@
         version: 1,
         resends: 0,
     };
-    let pages = Real
-        .pages(&folder.join("undeliverable.redb"))
+    let pages = OsRuntime
+        .open_random_access(&folder.join("undeliverable.redb"))
         .expect("a file");
     let store = Store::open(pages, false).expect("a store");
     let records: Vec<(Record, &[u8])> = (1..=count)
@@ -113,7 +113,7 @@
                 .enable_all()
                 .build()
                 .expect("a runtime");
-            let run = relay::run(Real, Some(operator));
+            let run = relay::run(OsRuntime, Some(operator));
             let ended = tokio::task::LocalSet::new().block_on(&runtime, run);
             eprintln!("the relay ended: {ended:?}");
         });
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,13 +1,13 @@
 //! What a relay takes from the system that it runs on: time, timers, tasks, sockets, files, signals,
 //! variables and its log.
 //!
-//! All of it goes through [`System`], so that the same code runs on the machine ([`Real`]) and in a world
+//! All of it goes through [`Runtime`], so that the same code runs on the machine ([`OsRuntime`]) and in a world
 //! whose clock, network and disk are scripted. The traits are static: on the machine each call is the
 //! runtime's own. Random numbers are not here, as the relay draws all of its own from the configured seed;
 //! for the same reason every `select!` on either side of the seam is `biased`.
 
-mod inherited;
-mod real;
+mod inherited_listener;
+mod os;
 
 use std::fmt;
 use std::future::Future;
@@ -20,10 +20,10 @@
 use bytes::BytesMut;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-pub use real::{Real, RealListener, RealStream, RealTask};
+pub use os::{OsListener, OsRuntime, OsStream, OsTask};
 
 /// The system that a relay runs on.
-pub trait System: Clone + 'static {
+pub trait Runtime: Clone + 'static {
     /// A task that was started.
     type Task: Task;
     /// A connection.
@@ -33,7 +33,7 @@
     /// An open file.
     type File: File;
     /// A file of pages.
-    type Pages: Pages;
+    type RandomAccessFile: RandomAccessFile;
     /// The signals sent to this process.
     type Signals: Signals;
     /// A lock on a file, held until this is dropped or the process ends, however it ends.
@@ -60,7 +60,7 @@
 
     /// The listening TCP socket that the process was started with as a descriptor. Others have it too: it is closed when
     /// what this gives is dropped, never shut down, and may be asked for again.
-    fn inherited(&self, descriptor: i32) -> io::Result<Self::Listener>;
+    fn inherited_listener(&self, descriptor: i32) -> io::Result<Self::Listener>;
 
     /// The lock on a file, which is made if there is none; none while another has it.
     fn lock(&self, path: &Path) -> io::Result<Option<Self::Lock>>;
@@ -72,7 +72,7 @@
     fn create(&self, path: &Path) -> io::Result<Self::File>;
 
     /// Opens a file of pages, and makes it if there is none. One process has it open at a time.
-    fn pages(&self, path: &Path) -> io::Result<Self::Pages>;
+    fn open_random_access(&self, path: &Path) -> io::Result<Self::RandomAccessFile>;
 
     /// The whole of a file.
     fn read(&self, path: &Path) -> io::Result<Vec<u8>>;
@@ -87,7 +87,7 @@
     fn signals(&self) -> io::Result<Self::Signals>;
 
     /// A variable of the environment; an empty one counts as none.
-    fn variable(&self, name: &str) -> Option<String>;
+    fn env_var(&self, name: &str) -> Option<String>;
 
     /// A line for the log.
     fn log(&self, line: fmt::Arguments<'_>);
@@ -127,10 +127,10 @@
     }
 }
 
-/// Adds a line to the log of a [`System`], as `eprintln!` would.
+/// Adds a line to the log of a [`Runtime`], as `eprintln!` would.
 #[macro_export]
 macro_rules! log {
-    ($system:expr, $($line:tt)*) => { $crate::System::log(&$system, format_args!($($line)*)) };
+    ($runtime:expr, $($line:tt)*) => { $crate::Runtime::log(&$runtime, format_args!($($line)*)) };
 }
 
 /// A span ended before what was waited for came.
@@ -157,7 +157,7 @@
     fn abort(&self);
 
     /// Ready once the task has ended and what it held is dropped.
-    fn ended(&mut self) -> impl Future<Output = ()>;
+    fn join(&mut self) -> impl Future<Output = ()>;
 }
 
 /// Where connections are taken: `127.0.0.1:8700`, `[::1]:8700` or `unix:/run/madderpitch.sock`.
@@ -211,13 +211,13 @@
 
 /// What waits to be read on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Waiting {
+pub enum PendingInput {
     /// Nothing yet.
-    Nothing,
+    Empty,
     /// Bytes.
     Bytes,
     /// Its end, or an error.
-    End,
+    Closed,
 }
 
 /// A connection; dropping it closes it.
@@ -232,7 +232,7 @@
     fn try_read_buf(&self, into: &mut BytesMut) -> io::Result<usize>;
 
     /// What waits to be read, whatever the runtime has heard of it.
-    fn waiting(&self) -> Waiting;
+    fn pending_input(&self) -> PendingInput;
 }
 
 /// A port or socket that takes connections.
@@ -251,7 +251,7 @@
 }
 
 /// A file that is read and written at any place, as an embedded database does; it may be handed to other threads.
-pub trait Pages: fmt::Debug + Send + Sync + 'static {
+pub trait RandomAccessFile: fmt::Debug + Send + Sync + 'static {
     /// Its length in bytes.
     fn length(&self) -> io::Result<u64>;
 
--- a/crates/runtime/src/real.rs
+++ b/crates/runtime/src/os.rs
@@ -18,19 +18,21 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::JoinHandle;
 
-use crate::{Address, File, Listener, Pages, Signal, Signals, Stream, System, Task, Waiting};
+use crate::{
+    Address, File, Listener, PendingInput, RandomAccessFile, Runtime, Signal, Signals, Stream, Task,
+};
 
 /// The machine that the process runs on. Must be used within a current-thread runtime's `LocalSet`.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Real;
+pub struct OsRuntime;
 
-impl System for Real {
-    type Task = RealTask;
-    type Stream = RealStream;
-    type Listener = RealListener;
+impl Runtime for OsRuntime {
+    type Task = OsTask;
+    type Stream = OsStream;
+    type Listener = OsListener;
     type File = std::fs::File;
-    type Pages = std::fs::File;
-    type Signals = RealSignals;
+    type RandomAccessFile = std::fs::File;
+    type Signals = OsSignals;
     type Lock = std::fs::File;
 
     fn now(&self) -> Instant {
@@ -47,26 +49,26 @@
         tokio::time::sleep_until(at.into())
     }
 
-    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> RealTask {
-        RealTask(tokio::task::spawn_local(task))
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> OsTask {
+        OsTask(tokio::task::spawn_local(task))
     }
 
-    async fn connect(&self, to: impl Into<Address>) -> io::Result<RealStream> {
+    async fn connect(&self, to: impl Into<Address>) -> io::Result<OsStream> {
         match to.into() {
-            Address::Tcp(to) => TcpStream::connect(to).await.map(RealStream::Tcp),
-            Address::Unix(to) => UnixStream::connect(to).await.map(RealStream::Unix),
+            Address::Tcp(to) => TcpStream::connect(to).await.map(OsStream::Tcp),
+            Address::Unix(to) => UnixStream::connect(to).await.map(OsStream::Unix),
         }
     }
 
-    async fn listen(&self, at: impl Into<Address>) -> io::Result<RealListener> {
+    async fn listen(&self, at: impl Into<Address>) -> io::Result<OsListener> {
         match at.into() {
-            Address::Tcp(at) => TcpListener::bind(at).await.map(RealListener::Tcp),
-            Address::Unix(at) => listen_local(&at).await.map(RealListener::Unix),
+            Address::Tcp(at) => TcpListener::bind(at).await.map(OsListener::Tcp),
+            Address::Unix(at) => listen_local(&at).await.map(OsListener::Unix),
         }
     }
 
-    fn inherited(&self, descriptor: i32) -> io::Result<RealListener> {
-        crate::inherited::listener(descriptor).map(RealListener::Tcp)
+    fn inherited_listener(&self, descriptor: i32) -> io::Result<OsListener> {
+        crate::inherited_listener::listener(descriptor).map(OsListener::Tcp)
     }
 
     fn lock(&self, path: &Path) -> io::Result<Option<std::fs::File>> {
@@ -91,7 +93,7 @@
         std::fs::File::create(path)
     }
 
-    fn pages(&self, path: &Path) -> io::Result<std::fs::File> {
+    fn open_random_access(&self, path: &Path) -> io::Result<std::fs::File> {
         let file = self.open(path)?;
         // Guards a store against two relays that were given the same file.
         file.try_lock().map_err(|_| {
@@ -112,15 +114,15 @@
         std::fs::remove_file(path)
     }
 
-    fn signals(&self) -> io::Result<RealSignals> {
-        Ok(RealSignals {
+    fn signals(&self) -> io::Result<OsSignals> {
+        Ok(OsSignals {
             hangup: signal(SignalKind::hangup())?,
             term: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
         })
     }
 
-    fn variable(&self, name: &str) -> Option<String> {
+    fn env_var(&self, name: &str) -> Option<String> {
         std::env::var(name).ok().filter(|value| !value.is_empty())
     }
 
@@ -129,7 +131,7 @@
     }
 }
 
-impl Pages for std::fs::File {
+impl RandomAccessFile for std::fs::File {
     fn length(&self) -> io::Result<u64> {
         Ok(self.metadata()?.len())
     }
@@ -152,14 +154,14 @@
 }
 
 /// A task of the runtime.
-pub struct RealTask(JoinHandle<()>);
+pub struct OsTask(JoinHandle<()>);
 
-impl Task for RealTask {
+impl Task for OsTask {
     fn abort(&self) {
         self.0.abort();
     }
 
-    async fn ended(&mut self) {
+    async fn join(&mut self) {
         // One that was ended early has ended all the same.
         drop((&mut self.0).await);
     }
@@ -189,7 +191,7 @@
 
 /// A connection of the machine.
 #[derive(Debug)]
-pub enum RealStream {
+pub enum OsStream {
     /// By TCP.
     Tcp(TcpStream),
     /// By a Unix socket.
@@ -200,13 +202,13 @@
 macro_rules! either {
     ($stream:expr, $inner:ident => $do:expr) => {
         match $stream {
-            RealStream::Tcp($inner) => $do,
-            RealStream::Unix($inner) => $do,
+            OsStream::Tcp($inner) => $do,
+            OsStream::Unix($inner) => $do,
         }
     };
 }
 
-impl AsyncRead for RealStream {
+impl AsyncRead for OsStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -216,7 +218,7 @@
     }
 }
 
-impl AsyncWrite for RealStream {
+impl AsyncWrite for OsStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -246,11 +248,11 @@
     }
 }
 
-impl Stream for RealStream {
+impl Stream for OsStream {
     fn set_nodelay(&self) -> io::Result<()> {
         match self {
-            RealStream::Tcp(stream) => stream.set_nodelay(true),
-            RealStream::Unix(_) => Ok(()),
+            OsStream::Tcp(stream) => stream.set_nodelay(true),
+            OsStream::Unix(_) => Ok(()),
         }
     }
 
@@ -262,38 +264,38 @@
         either!(self, stream => stream.try_read_buf(into))
     }
 
-    fn waiting(&self) -> Waiting {
+    fn pending_input(&self) -> PendingInput {
         let socket = either!(self, stream => SockRef::from(stream));
         match socket.peek(&mut [MaybeUninit::uninit()]) {
-            Ok(1..) => Waiting::Bytes,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Waiting::Nothing,
-            Ok(0) | Err(_) => Waiting::End,
+            Ok(1..) => PendingInput::Bytes,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => PendingInput::Empty,
+            Ok(0) | Err(_) => PendingInput::Closed,
         }
     }
 }
 
 /// A port or socket of the machine.
 #[derive(Debug)]
-pub enum RealListener {
+pub enum OsListener {
     /// A TCP port.
     Tcp(TcpListener),
     /// A Unix socket.
     Unix(UnixListener),
 }
 
-impl Listener for RealListener {
-    type Stream = RealStream;
+impl Listener for OsListener {
+    type Stream = OsStream;
 
-    async fn accept(&self) -> io::Result<RealStream> {
+    async fn accept(&self) -> io::Result<OsStream> {
         match self {
-            RealListener::Tcp(listener) => listener
+            OsListener::Tcp(listener) => listener
                 .accept()
                 .await
-                .map(|(stream, _)| RealStream::Tcp(stream)),
-            RealListener::Unix(listener) => listener
+                .map(|(stream, _)| OsStream::Tcp(stream)),
+            OsListener::Unix(listener) => listener
                 .accept()
                 .await
-                .map(|(stream, _)| RealStream::Unix(stream)),
+                .map(|(stream, _)| OsStream::Unix(stream)),
         }
     }
 }
@@ -305,13 +307,13 @@
 }
 
 /// SIGHUP, SIGTERM and SIGINT.
-pub struct RealSignals {
+pub struct OsSignals {
     hangup: tokio::signal::unix::Signal,
     term: tokio::signal::unix::Signal,
     interrupt: tokio::signal::unix::Signal,
 }
 
-impl Signals for RealSignals {
+impl Signals for OsSignals {
     async fn next(&mut self) -> Signal {
         tokio::select! {
             biased;
--- a/crates/runtime/tests/local.rs
+++ b/crates/runtime/tests/local.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::os::unix::fs::PermissionsExt;
 
-use runtime::{Address, Listener, Real, Stream, System, Waiting};
+use runtime::{Address, Listener, OsRuntime, PendingInput, Runtime, Stream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 fn local(test: impl std::future::Future<Output = ()>) {
@@ -19,20 +19,20 @@
     local(async {
         let folder = tempfile::tempdir().expect("a folder");
         let at = Address::Unix(folder.path().join("socket"));
-        let listener = Real.listen(at.clone()).await.expect("bound");
-        let mut one = Real.connect(at).await.expect("connected");
+        let listener = OsRuntime.listen(at.clone()).await.expect("bound");
+        let mut one = OsRuntime.connect(at).await.expect("connected");
         let mut other = listener.accept().await.expect("accepted");
         assert!(one.set_nodelay().is_ok());
-        assert_eq!(one.waiting(), Waiting::Nothing);
+        assert_eq!(one.pending_input(), PendingInput::Empty);
         other.write_all(b"hello").await.expect("written");
         one.readable().await.expect("readable");
-        assert_eq!(one.waiting(), Waiting::Bytes);
+        assert_eq!(one.pending_input(), PendingInput::Bytes);
         let mut text = [0; 5];
         one.read_exact(&mut text).await.expect("read");
         assert_eq!(&text, b"hello");
         drop(other);
         one.readable().await.expect("readable");
-        assert_eq!(one.waiting(), Waiting::End);
+        assert_eq!(one.pending_input(), PendingInput::Closed);
     });
 }
 
@@ -42,21 +42,24 @@
         let folder = tempfile::tempdir().expect("a folder");
         let (path, file) = (folder.path().join("socket"), folder.path().join("file"));
         let at = Address::Unix(path.clone());
-        let first = Real.listen(at.clone()).await.expect("bound");
+        let first = OsRuntime.listen(at.clone()).await.expect("bound");
         let mode = std::fs::metadata(&path)
             .expect("a socket")
             .permissions()
             .mode();
         assert_eq!(mode & 0o777, 0o600);
-        let second = Real.listen(at.clone()).await.map(|_| ());
+        let second = OsRuntime.listen(at.clone()).await.map(|_| ());
         assert_eq!(second.expect_err("taken").kind(), ErrorKind::AddrInUse);
         // Its process is gone, the socket is left.
         drop(first);
         assert!(path.exists());
-        Real.listen(at).await.expect("bound again");
+        OsRuntime.listen(at).await.expect("bound again");
         // What is no socket is not touched.
         std::fs::write(&file, "text").expect("a file");
-        let taken = Real.listen(Address::Unix(file.clone())).await.map(|_| ());
+        let taken = OsRuntime
+            .listen(Address::Unix(file.clone()))
+            .await
+            .map(|_| ());
         assert_eq!(taken.expect_err("taken").kind(), ErrorKind::AddrInUse);
         assert_eq!(std::fs::read_to_string(file).expect("a file"), "text");
     });
--- a/crates/simulator/src/cost.rs
+++ b/crates/simulator/src/cost.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::{Stream, System};
+use runtime::{Runtime, Stream};
 
 use crate::loopback::{ask, block_on, free_address, quick, request, Process, Quick};
 use crate::peers::clients::until_ready;
@@ -32,7 +32,7 @@
     };
     field(11)
         .zip(field(12))
-        .map(|(user, system)| user + system)
+        .map(|(user, runtime)| user + runtime)
         .ok_or("no CPU time is told".into())
 }
 
@@ -138,7 +138,7 @@
         state,
         _open,
     } = quick(folder.path(), listen, PARTNERS, LEFT)?;
-    let system = stage.system;
+    let runtime = stage.runtime;
     let registry = folder.path().join("tenants");
     std::fs::create_dir(&registry).map_err(|e| format!("no folder for the tenants: {e}"))?;
     let operator = case
@@ -151,7 +151,7 @@
         .flat_map(|path| ["--operator", path])
         .collect();
     let process = Process::start(relay, &arguments, &file, &state)?;
-    let ready = system
+    let ready = runtime
         .timeout(Duration::from_secs(20), until_ready(&stage, listen))
         .await;
     ready.map_err(|_| format!("{} does not get ready", relay.display()))?;
@@ -160,9 +160,9 @@
     let (done, mut left) = tokio::sync::mpsc::channel::<()>(1);
     for client in 0..CLIENTS {
         let (taken, done, tenants) = (taken.clone(), done.clone(), case.tenants);
-        system.spawn(async move {
+        runtime.spawn(async move {
             let asked = async {
-                let mut stream = system.connect(listen).await?;
+                let mut stream = runtime.connect(listen).await?;
                 stream.set_nodelay()?;
                 for number in 0..messages / CLIENTS {
                     let id = format!("c{client:02}n{number:08}");
@@ -173,7 +173,7 @@
                     let answered = ask(&mut stream, &request).await?;
                     let answered = answered.ok_or(std::io::ErrorKind::UnexpectedEof)?;
                     *taken.borrow_mut() += u64::from(answered);
-                    system.sleep(Duration::from_millis(PAUSE)).await;
+                    runtime.sleep(Duration::from_millis(PAUSE)).await;
                 }
                 Ok::<_, std::io::Error>(())
             };
--- a/crates/simulator/src/demo.rs
+++ b/crates/simulator/src/demo.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use runtime::{Real, System};
+use runtime::{OsRuntime, Runtime};
 use tokio::sync::watch;
 
 use crate::dice::Dice;
@@ -26,7 +26,7 @@
 
 /// The relay itself, in a process of its own.
 pub fn relay() -> Result<(), String> {
-    block_on(relay::run(Real, None))
+    block_on(relay::run(OsRuntime, None))
 }
 
 /// Plays the demo. False if a rule was broken.
@@ -109,18 +109,18 @@
     std::fs::write(&file, config.to_string())
         .map_err(|e| format!("cannot write the configuration: {e}"))?;
 
-    let system = Real;
+    let runtime = OsRuntime;
     let stage = stage(rules);
     let checker = stage.checker.clone();
     for host in &hosts {
         let served = host.clone().serve(stage.clone());
-        system.spawn(async move { drop(served.await) });
+        runtime.spawn(async move { drop(served.await) });
     }
     let (_open, closing) = watch::channel(false);
     let served = discovery
         .clone()
         .serve(stage.clone(), discovery_at, closing);
-    system.spawn(async move { drop(served.await) });
+    runtime.spawn(async move { drop(served.await) });
 
     let say = |line: String| println!("{:5.1} s  {line}", stage.at().as_secs_f64());
     say(format!(
@@ -129,7 +129,7 @@
     ));
     let mut process = Some(Process::start(&program, &["relay"], &file, &state)?);
     stage.see(&Seen::Started(1));
-    let ready = system
+    let ready = runtime
         .timeout(Duration::from_secs(20), until_ready(&stage, relay))
         .await;
     ready.map_err(|_| "the relay did not get ready within 20 s")?;
@@ -149,11 +149,11 @@
             })
             .collect();
         let client = Client::new(stage.clone(), vec![relay], 0, shifted, None);
-        system.spawn(client.run());
+        runtime.spawn(client.run());
     }
     let mood = |block: u16, mood: Mood| *hosts[usize::from(block) - 1].mood.borrow_mut() = mood;
     for second in 1..=ARRIVALS.0 + AFTER {
-        system
+        runtime
             .sleep_until(stage.instant(start + Duration::from_secs(second)))
             .await;
         if second == BROKEN.1 {
@@ -182,7 +182,7 @@
             say("the relay is killed with SIGKILL, and starts again on its journal".into());
             process = Some(Process::start(&program, &["relay"], &file, &state)?);
             stage.see(&Seen::Started(2));
-            let ready = system
+            let ready = runtime
                 .timeout(Duration::from_secs(20), until_ready(&stage, relay))
                 .await;
             ready.map_err(|_| "the relay did not get ready again within 20 s")?;
@@ -200,7 +200,7 @@
         }
     }
     let ended_well = match process.take() {
-        Some(process) => process.stop(&system).await,
+        Some(process) => process.stop(&runtime).await,
         None => false,
     };
     say(format!(
--- a/crates/simulator/src/loopback.rs
+++ b/crates/simulator/src/loopback.rs
@@ -1,4 +1,4 @@
-//! Real processes on loopback sockets: what the demo and the measurement of cost share.
+//! OsRuntime processes on loopback sockets: what the demo and the measurement of cost share.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use runtime::{Listener, Real, System};
+use runtime::{Listener, OsRuntime, Runtime};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -84,7 +84,7 @@
     }
 
     /// SIGTERM; whether it then ended well within five seconds.
-    pub async fn stop(mut self, system: &Real) -> bool {
+    pub async fn stop(mut self, runtime: &OsRuntime) -> bool {
         let pid = i32::try_from(self.0.id()).ok().and_then(Pid::from_raw);
         if pid.is_none_or(|pid| kill_process(pid, Signal::TERM).is_err()) {
             return false;
@@ -93,7 +93,7 @@
             if let Ok(Some(status)) = self.0.try_wait() {
                 return status.success();
             }
-            system.sleep(Duration::from_millis(50)).await;
+            runtime.sleep(Duration::from_millis(50)).await;
         }
         false
     }
@@ -147,10 +147,10 @@
 }
 
 /// A stage on real sockets, where it is not known when the relay closes one, only when a host hears of it.
-pub(crate) fn stage(rules: Rules) -> Stage<Real> {
+pub(crate) fn stage(rules: Rules) -> Stage<OsRuntime> {
     Stage {
-        system: Real,
-        start: Real.now(),
+        runtime: OsRuntime,
+        start: OsRuntime.now(),
         relay: 0,
         checker: Rc::new(RefCell::new(Checker::new(rules, 1))),
         holds: Rc::new(|_| false),
@@ -161,7 +161,7 @@
 
 /// Partners that answer at once, a discovery that lists them, and the files of a relay that calls them.
 pub(crate) struct Quick {
-    pub stage: Stage<Real>,
+    pub stage: Stage<OsRuntime>,
     /// The configuration.
     pub file: PathBuf,
     /// The relay's folder.
@@ -201,12 +201,12 @@
     for address in addresses {
         let own = stage.clone();
         stage
-            .system
+            .runtime
             .spawn(async move { drop(serve(own, address).await) });
     }
     let (_open, closing) = watch::channel(false);
     let served = discovery.serve(stage.clone(), discovery_at, closing);
-    stage.system.spawn(async move { drop(served.await) });
+    stage.runtime.spawn(async move { drop(served.await) });
     Ok(Quick {
         stage,
         file,
@@ -215,12 +215,12 @@
     })
 }
 
-async fn serve(stage: Stage<Real>, at: SocketAddr) -> io::Result<()> {
-    let listener = stage.system.listen(at).await?;
+async fn serve(stage: Stage<OsRuntime>, at: SocketAddr) -> io::Result<()> {
+    let listener = stage.runtime.listen(at).await?;
     loop {
         let mut stream = listener.accept().await?;
         let own = stage.clone();
-        stage.system.spawn(async move {
+        stage.runtime.spawn(async move {
             let mut text = BytesMut::new();
             while let Ok(Some(_)) = read_request(&own, &mut stream, &mut text).await {
                 if stream
@@ -249,7 +249,7 @@
 
 /// Whether a message was taken on; none if the connection ended before it was answered.
 pub(crate) async fn ask(
-    stream: &mut <Real as System>::Stream,
+    stream: &mut <OsRuntime as Runtime>::Stream,
     request: &[u8],
 ) -> io::Result<Option<bool>> {
     stream.write_all(request).await?;
--- a/crates/simulator/src/machine/io.rs
+++ b/crates/simulator/src/machine/io.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use runtime::{Address, File, Listener, Stream, System, Waiting};
+use runtime::{Address, File, Listener, PendingInput, Runtime, Stream};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::disk::Inode;
 use super::net::{ConnId, End, Found, Port, Written};
-use super::{Core, Fate, Lie, Virtual};
+use super::{Core, Fate, Lie, SimulatedRuntime};
 
 /// Bounds of a connection's delay one way, in microseconds.
 const DELAY: (u64, u64) = (50, 1500);
@@ -24,22 +24,25 @@
 /// A connection that is to be cut is so within this many bytes.
 const CUT_WITHIN: u64 = 1200;
 
-pub(super) async fn connect(system: &Virtual, to: Address) -> io::Result<VirtualStream> {
-    let to = match system.core.borrow().lie(system.proc) {
-        Some(Lie::WrongHost) => system.core.borrow().net.neighbour(to),
+pub(super) async fn connect(
+    runtime: &SimulatedRuntime,
+    to: Address,
+) -> io::Result<SimulatedStream> {
+    let to = match runtime.core.borrow().lie(runtime.proc) {
+        Some(Lie::WrongHost) => runtime.core.borrow().net.neighbour(to),
         _ => to,
     };
-    let delay = Duration::from_micros(DELAY.0 + system.random(DELAY.1 - DELAY.0));
-    system.sleep(delay).await;
+    let delay = Duration::from_micros(DELAY.0 + runtime.random(DELAY.1 - DELAY.0));
+    runtime.sleep(delay).await;
     let silent = {
-        let core = system.core.borrow();
-        core.net.fault(&to).silent || core.is_cut(system.proc, &to)
+        let core = runtime.core.borrow();
+        core.net.fault(&to).silent || core.is_cut(runtime.proc, &to)
     };
     if silent {
         return std::future::pending().await;
     }
     let opened = {
-        let mut core = system.core.borrow_mut();
+        let mut core = runtime.core.borrow_mut();
         let core = &mut *core;
         let fault = core.net.fault(&to);
         let cut = core.dice.percent(fault.cuts).then(|| {
@@ -58,7 +61,7 @@
             .filter(|_| !fault.refuses)
             .map(|port| port.proc);
         owner.map(|owner| {
-            let id = core.net.open(to.clone(), [system.proc, owner], delay, cut);
+            let id = core.net.open(to.clone(), [runtime.proc, owner], delay, cut);
             let waiting = core.net.ports.get_mut(&to).map(|port| {
                 port.queue.push_back(id);
                 std::mem::take(&mut port.waiting)
@@ -70,64 +73,64 @@
             id
         })
     };
-    let stream = opened.map(|id| VirtualStream {
-        system: system.clone(),
+    let stream = opened.map(|id| SimulatedStream {
+        runtime: runtime.clone(),
         id,
         side: 0,
     });
-    system.sleep(delay).await;
+    runtime.sleep(delay).await;
     stream.ok_or_else(|| io::ErrorKind::ConnectionRefused.into())
 }
 
-pub(super) fn listen(system: &Virtual, at: Address) -> io::Result<VirtualListener> {
-    let mut core = system.core.borrow_mut();
+pub(super) fn listen(runtime: &SimulatedRuntime, at: Address) -> io::Result<SimulatedListener> {
+    let mut core = runtime.core.borrow_mut();
     if core.net.ports.contains_key(&at) {
         return Err(io::ErrorKind::AddrInUse.into());
     }
     let port = Port {
-        proc: system.proc,
+        proc: runtime.proc,
         queue: Default::default(),
         waiting: BTreeMap::new(),
     };
     core.net.ports.insert(at.clone(), port);
-    Ok(VirtualListener {
-        system: system.clone(),
+    Ok(SimulatedListener {
+        runtime: runtime.clone(),
         at,
         shared: false,
     })
 }
 
 /// The port that the process was started with, which others have too.
-pub(super) fn inherited(system: &Virtual) -> io::Result<VirtualListener> {
-    let core = system.core.borrow();
+pub(super) fn inherited(runtime: &SimulatedRuntime) -> io::Result<SimulatedListener> {
+    let core = runtime.core.borrow();
     let at = core
         .procs
-        .get(&system.proc)
+        .get(&runtime.proc)
         .and_then(|proc| proc.inherited.clone());
     let at = at
         .filter(|at| core.net.ports.contains_key(at))
         .ok_or(io::ErrorKind::InvalidInput)?;
-    Ok(VirtualListener {
-        system: system.clone(),
+    Ok(SimulatedListener {
+        runtime: runtime.clone(),
         at,
         shared: true,
     })
 }
 
 /// A port that takes connections.
-pub struct VirtualListener {
-    system: Virtual,
+pub struct SimulatedListener {
+    runtime: SimulatedRuntime,
     at: Address,
     /// It stays when this is dropped.
     shared: bool,
 }
 
-impl Listener for VirtualListener {
-    type Stream = VirtualStream;
+impl Listener for SimulatedListener {
+    type Stream = SimulatedStream;
 
-    async fn accept(&self) -> io::Result<VirtualStream> {
+    async fn accept(&self) -> io::Result<SimulatedStream> {
         let id = poll_fn(|cx| {
-            let mut core = self.system.core.borrow_mut();
+            let mut core = self.runtime.core.borrow_mut();
             let core = &mut *core;
             let Some(port) = core.net.ports.get_mut(&self.at) else {
                 return Poll::Pending;
@@ -138,30 +141,30 @@
                         .conns
                         .get_mut(&id)
                         .into_iter()
-                        .for_each(|conn| conn.owner[1] = self.system.proc);
+                        .for_each(|conn| conn.owner[1] = self.runtime.proc);
                     Poll::Ready(id)
                 }
                 None => {
-                    port.waiting.insert(self.system.proc, cx.waker().clone());
+                    port.waiting.insert(self.runtime.proc, cx.waker().clone());
                     Poll::Pending
                 }
             }
         });
-        Ok(VirtualStream {
-            system: self.system.clone(),
+        Ok(SimulatedStream {
+            runtime: self.runtime.clone(),
             id: id.await,
             side: 1,
         })
     }
 }
 
-impl Drop for VirtualListener {
+impl Drop for SimulatedListener {
     fn drop(&mut self) {
-        let mut core = self.system.core.borrow_mut();
+        let mut core = self.runtime.core.borrow_mut();
         let core = &mut *core;
         if self.shared {
             let port = core.net.ports.get_mut(&self.at);
-            let waiting = port.and_then(|port| port.waiting.remove(&self.system.proc));
+            let waiting = port.and_then(|port| port.waiting.remove(&self.runtime.proc));
             return drop(waiting);
         }
         let Some(port) = core.net.ports.remove(&self.at) else {
@@ -177,20 +180,20 @@
 }
 
 /// One side of a connection.
-pub struct VirtualStream {
-    system: Virtual,
+pub struct SimulatedStream {
+    runtime: SimulatedRuntime,
     id: ConnId,
     side: usize,
 }
 
-impl VirtualStream {
+impl SimulatedStream {
     /// What comes next, or the waker hears when something has come. Nothing comes to the dead.
     fn look(&self, waker: Option<&Waker>) -> Found {
-        let mut core = self.system.core.borrow_mut();
+        let mut core = self.runtime.core.borrow_mut();
         let now = core.now;
         let dead = core
             .procs
-            .get(&self.system.proc)
+            .get(&self.runtime.proc)
             .is_some_and(|proc| !proc.life.alive());
         let Some(conn) = core.net.conns.get_mut(&self.id).filter(|_| !dead) else {
             return Found::Nothing;
@@ -206,7 +209,7 @@
     /// How much of some bytes is read at once.
     fn portion(&self, bytes: &Bytes, most: usize) -> usize {
         let most = bytes.len().min(most);
-        let mut core = self.system.core.borrow_mut();
+        let mut core = self.runtime.core.borrow_mut();
         if most > 1 && core.dice.percent(SHORT) {
             1 + core.dice.below(most as u64 - 1) as usize
         } else {
@@ -215,7 +218,7 @@
     }
 
     fn taken(&self, count: usize) {
-        if let Some(conn) = self.system.core.borrow_mut().net.conns.get_mut(&self.id) {
+        if let Some(conn) = self.runtime.core.borrow_mut().net.conns.get_mut(&self.id) {
             conn.pipes[self.side].take(count);
         }
     }
@@ -233,18 +236,18 @@
     }
 }
 
-impl VirtualStream {
+impl SimulatedStream {
     /// Whether it came in by the port that the process was started with.
     fn is_clients(&self, core: &Core) -> bool {
         let port = core
             .procs
-            .get(&self.system.proc)
+            .get(&self.runtime.proc)
             .and_then(|this| this.inherited.clone());
         port.is_some() && core.net.conns.get(&self.id).map(|conn| conn.to.clone()) == port
     }
 }
 
-impl AsyncRead for VirtualStream {
+impl AsyncRead for SimulatedStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -263,15 +266,15 @@
     }
 }
 
-impl AsyncWrite for VirtualStream {
+impl AsyncWrite for SimulatedStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         text: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let mut core = self.system.core.borrow_mut();
+        let mut core = self.runtime.core.borrow_mut();
         let core = &mut *core;
-        let most = match core.effect(self.system.proc) {
+        let most = match core.effect(self.runtime.proc) {
             Fate::Dead => return Poll::Pending,
             // Killed within the write: a part of it is out.
             Fate::Dies { .. } => core.dice.below(text.len() as u64 + 1) as usize,
@@ -285,7 +288,7 @@
             .peer(self.id, self.side)
             .and_then(|peer| core.lie(peer))
             .map(|lie| tell_lie(lie, text));
-        let ours = core.lie(self.system.proc);
+        let ours = core.lie(self.runtime.proc);
         if ours == Some(Lie::LoseNotices) && text.starts_with(b"POST /v1/notices") {
             return Poll::Ready(Ok(text.len()));
         }
@@ -306,7 +309,7 @@
             jitter,
         );
         if let Written::Count(count) = &written {
-            core.record_effect(self.system.proc, "send", &text[..*count]);
+            core.record_effect(self.runtime.proc, "send", &text[..*count]);
         }
         core.tell(arrivals, self.id);
         match written {
@@ -326,12 +329,12 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let mut core = self.system.core.borrow_mut();
+        let mut core = self.runtime.core.borrow_mut();
         let core = &mut *core;
-        let mute = core.lie(self.system.proc) == Some(Lie::MuteDoor)
+        let mute = core.lie(self.runtime.proc) == Some(Lie::MuteDoor)
             && self.side == 1
             && !self.is_clients(core);
-        if !mute && core.effect(self.system.proc) == Fate::Alive {
+        if !mute && core.effect(self.runtime.proc) == Fate::Alive {
             let told = core.net.shut(self.id, self.side, core.now);
             core.tell(told, self.id);
         }
@@ -390,7 +393,7 @@
     }
 }
 
-impl Stream for VirtualStream {
+impl Stream for SimulatedStream {
     fn set_nodelay(&self) -> io::Result<()> {
         Ok(())
     }
@@ -416,51 +419,51 @@
         }
     }
 
-    fn waiting(&self) -> Waiting {
+    fn pending_input(&self) -> PendingInput {
         match self.look(None) {
-            Found::Nothing => Waiting::Nothing,
-            Found::Bytes(_) => Waiting::Bytes,
-            Found::End(_) => Waiting::End,
+            Found::Nothing => PendingInput::Empty,
+            Found::Bytes(_) => PendingInput::Bytes,
+            Found::End(_) => PendingInput::Closed,
         }
     }
 }
 
-impl Drop for VirtualStream {
+impl Drop for SimulatedStream {
     fn drop(&mut self) {
-        let mut core = self.system.core.borrow_mut();
+        let mut core = self.runtime.core.borrow_mut();
         let core = &mut *core;
         if self.side == 0
-            && core.lie(self.system.proc) == Some(Lie::KeepCalls)
+            && core.lie(self.runtime.proc) == Some(Lie::KeepCalls)
             && core.net.is_kept(self.id)
         {
             return;
         }
         if self.side == 1 {
-            match core.lie(self.system.proc) {
+            match core.lie(self.runtime.proc) {
                 Some(Lie::KeepClients) if self.is_clients(core) => return,
                 Some(Lie::MuteDoor) if !self.is_clients(core) => return,
                 _ => {}
             }
         }
-        core.record_effect(self.system.proc, "close", &[]);
+        core.record_effect(self.runtime.proc, "close", &[]);
         let told = core.net.close(self.id, self.side, core.now);
         core.tell(told, self.id);
     }
 }
 
 /// An open file.
-pub struct VirtualFile {
-    system: Virtual,
+pub struct SimulatedFile {
+    runtime: SimulatedRuntime,
     inode: Inode,
     at: u64,
     /// It is one of the registry of tenants.
     of_tenants: bool,
 }
 
-impl VirtualFile {
-    pub(super) fn new(system: Virtual, inode: Inode, of_tenants: bool) -> Self {
-        VirtualFile {
-            system,
+impl SimulatedFile {
+    pub(super) fn new(runtime: SimulatedRuntime, inode: Inode, of_tenants: bool) -> Self {
+        SimulatedFile {
+            runtime,
             inode,
             at: 0,
             of_tenants,
@@ -468,7 +471,7 @@
     }
 }
 
-impl Read for VirtualFile {
+impl Read for SimulatedFile {
     fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
         let file = self.inode.borrow();
         let rest = file.get(self.at as usize..).unwrap_or_default();
@@ -479,20 +482,20 @@
     }
 }
 
-impl Write for VirtualFile {
+impl Write for SimulatedFile {
     fn write(&mut self, text: &[u8]) -> io::Result<usize> {
-        let mut core = self.system.core.borrow_mut();
+        let mut core = self.runtime.core.borrow_mut();
         let core = &mut *core;
         // A record's kind stands behind its length and checksum.
-        match (core.lie(self.system.proc), text.get(8)) {
+        match (core.lie(self.runtime.proc), text.get(8)) {
             (Some(Lie::DropTaken), Some(0)) | (Some(Lie::DropAttempts), Some(1)) => {
                 return Ok(text.len())
             }
             (Some(Lie::DropTenants), _) if self.of_tenants => return Ok(text.len()),
             _ => {}
         }
-        let short = core.disk(self.system.proc).short;
-        let most = match core.effect(self.system.proc) {
+        let short = core.disk(self.runtime.proc).short;
+        let most = match core.effect(self.runtime.proc) {
             Fate::Dead => return Err(io::ErrorKind::Other.into()),
             // Torn at any length.
             Fate::Dies { .. } => core.dice.below(text.len() as u64 + 1) as usize,
@@ -502,9 +505,9 @@
             Fate::Alive => text.len(),
         };
         let written = core
-            .disk(self.system.proc)
+            .disk(self.runtime.proc)
             .write(&self.inode, self.at, text, most)?;
-        core.record_effect(self.system.proc, "write", &text[..written]);
+        core.record_effect(self.runtime.proc, "write", &text[..written]);
         self.at += written as u64;
         Ok(written)
     }
@@ -514,7 +517,7 @@
     }
 }
 
-impl Seek for VirtualFile {
+impl Seek for SimulatedFile {
     fn seek(&mut self, to: SeekFrom) -> io::Result<u64> {
         let length = self.inode.borrow().len() as u64;
         let at = match to {
@@ -527,13 +530,13 @@
     }
 }
 
-impl File for VirtualFile {
+impl File for SimulatedFile {
     fn set_len(&self, length: u64) -> io::Result<()> {
-        self.system.effect()?;
-        self.system
+        self.runtime.effect()?;
+        self.runtime
             .core
             .borrow_mut()
-            .disk(self.system.proc)
+            .disk(self.runtime.proc)
             .resize(&self.inode, length as usize);
         Ok(())
     }
--- a/crates/simulator/src/machine/mod.rs
+++ b/crates/simulator/src/machine/mod.rs
@@ -1,5 +1,5 @@
 //! A machine that is all virtual: clock, tasks, network, disk, signals. Processes run on it through
-//! [`System`], and everything that happens on it follows from one seed.
+//! [`Runtime`], and everything that happens on it follows from one seed.
 
 mod disk;
 mod io;
@@ -21,12 +21,12 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-use runtime::{Address, Signal, Signals, System, Task};
+use runtime::{Address, Runtime, Signal, Signals, Task};
 
 pub use disk::Disk;
-pub use io::{VirtualFile, VirtualListener, VirtualStream};
+pub use io::{SimulatedFile, SimulatedListener, SimulatedStream};
 pub use net::AddressFault;
-pub use pages::VirtualPages;
+pub use pages::SimulatedRandomAccessFile;
 
 use crate::dice::Dice;
 use life::{Life, Step};
@@ -272,8 +272,8 @@
     }
 
     /// The system as the world's own tasks see it.
-    pub fn world(&self) -> Virtual {
-        Virtual {
+    pub fn world(&self) -> SimulatedRuntime {
+        SimulatedRuntime {
             core: self.core.clone(),
             proc: 0,
         }
@@ -284,7 +284,7 @@
         &mut self,
         place: usize,
         lie: Option<Lie>,
-        main: impl FnOnce(Virtual) -> F,
+        main: impl FnOnce(SimulatedRuntime) -> F,
     ) -> ProcId
     where
         F: Future<Output = Result<(), String>> + 'static,
@@ -301,12 +301,12 @@
             ..Proc::default()
         };
         self.core.borrow_mut().procs.insert(proc, this);
-        let system = Virtual {
+        let runtime = SimulatedRuntime {
             core: self.core.clone(),
             proc,
         };
-        let (core, main) = (self.core.clone(), main(system.clone()));
-        system.spawn(async move {
+        let (core, main) = (self.core.clone(), main(runtime.clone()));
+        runtime.spawn(async move {
             let ended = main.await;
             // One that was killed goes on to the end of its poll, and nothing that it does there counts.
             if let Some(this) = core
@@ -625,12 +625,12 @@
 
 /// The system as one process sees it.
 #[derive(Clone)]
-pub struct Virtual {
+pub struct SimulatedRuntime {
     core: Rc<RefCell<Core>>,
     proc: ProcId,
 }
 
-impl Virtual {
+impl SimulatedRuntime {
     fn random(&self, n: u64) -> u64 {
         self.core.borrow_mut().dice.below(n)
     }
@@ -652,20 +652,20 @@
         }
     }
 
-    fn file(&self, inode: disk::Inode, path: &Path) -> VirtualFile {
+    fn file(&self, inode: disk::Inode, path: &Path) -> SimulatedFile {
         let of_tenants = path.to_string_lossy().contains("/tenants.");
-        VirtualFile::new(self.clone(), inode, of_tenants)
+        SimulatedFile::new(self.clone(), inode, of_tenants)
     }
 }
 
-impl System for Virtual {
-    type Task = VirtualTask;
-    type Stream = VirtualStream;
-    type Listener = VirtualListener;
-    type File = VirtualFile;
-    type Pages = VirtualPages;
-    type Signals = VirtualSignals;
-    type Lock = VirtualLock;
+impl Runtime for SimulatedRuntime {
+    type Task = SimulatedTask;
+    type Stream = SimulatedStream;
+    type Listener = SimulatedListener;
+    type File = SimulatedFile;
+    type RandomAccessFile = SimulatedRandomAccessFile;
+    type Signals = SimulatedSignals;
+    type Lock = SimulatedLock;
 
     fn now(&self) -> Instant {
         let core = self.core.borrow();
@@ -693,34 +693,34 @@
         }
     }
 
-    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> VirtualTask {
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> SimulatedTask {
         let id = self
             .core
             .borrow_mut()
             .sched
             .spawn(self.proc, Box::pin(task));
-        VirtualTask {
+        SimulatedTask {
             core: self.core.clone(),
             id,
         }
     }
 
-    async fn connect(&self, to: impl Into<Address>) -> std_io::Result<VirtualStream> {
+    async fn connect(&self, to: impl Into<Address>) -> std_io::Result<SimulatedStream> {
         self.effect()?;
         io::connect(self, to.into()).await
     }
 
-    async fn listen(&self, at: impl Into<Address>) -> std_io::Result<VirtualListener> {
+    async fn listen(&self, at: impl Into<Address>) -> std_io::Result<SimulatedListener> {
         self.effect()?;
         io::listen(self, at.into())
     }
 
-    fn inherited(&self, _: i32) -> std_io::Result<VirtualListener> {
+    fn inherited_listener(&self, _: i32) -> std_io::Result<SimulatedListener> {
         self.effect()?;
         io::inherited(self)
     }
 
-    fn lock(&self, path: &Path) -> std_io::Result<Option<VirtualLock>> {
+    fn lock(&self, path: &Path) -> std_io::Result<Option<SimulatedLock>> {
         self.file_effect("lock", path)?;
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
@@ -740,20 +740,20 @@
         core.disk(self.proc).open(path);
         core.taken += 1;
         core.locks.insert(key.clone(), (self.proc, core.taken));
-        Ok(Some(VirtualLock {
+        Ok(Some(SimulatedLock {
             core: self.core.clone(),
             key,
             number: core.taken,
         }))
     }
 
-    fn open(&self, path: &Path) -> std_io::Result<VirtualFile> {
+    fn open(&self, path: &Path) -> std_io::Result<SimulatedFile> {
         self.file_effect("open", path)?;
         let inode = self.core.borrow_mut().disk(self.proc).open(path);
         Ok(self.file(inode, path))
     }
 
-    fn create(&self, path: &Path) -> std_io::Result<VirtualFile> {
+    fn create(&self, path: &Path) -> std_io::Result<SimulatedFile> {
         self.file_effect("create", path)?;
         let mut core = self.core.borrow_mut();
         if let Some(this) = core.procs.get_mut(&self.proc) {
@@ -767,11 +767,14 @@
         Ok(self.file(inode, path))
     }
 
-    fn pages(&self, path: &Path) -> std_io::Result<VirtualPages> {
+    fn open_random_access(&self, path: &Path) -> std_io::Result<SimulatedRandomAccessFile> {
         self.file_effect("pages", path)?;
         let mut core = self.core.borrow_mut();
         let life = core.procs.get(&self.proc).map(|proc| proc.life.clone());
-        Ok(VirtualPages::new(core.disk(self.proc).pages(path), life))
+        Ok(SimulatedRandomAccessFile::new(
+            core.disk(self.proc).pages(path),
+            life,
+        ))
     }
 
     fn read(&self, path: &Path) -> std_io::Result<Vec<u8>> {
@@ -800,14 +803,14 @@
         self.core.borrow_mut().disk(self.proc).remove(path)
     }
 
-    fn signals(&self) -> std_io::Result<VirtualSignals> {
-        Ok(VirtualSignals {
+    fn signals(&self) -> std_io::Result<SimulatedSignals> {
+        Ok(SimulatedSignals {
             core: self.core.clone(),
             proc: self.proc,
         })
     }
 
-    fn variable(&self, name: &str) -> Option<String> {
+    fn env_var(&self, name: &str) -> Option<String> {
         self.core
             .borrow()
             .procs
@@ -831,13 +834,13 @@
 }
 
 /// A lock on a file of a machine.
-pub struct VirtualLock {
+pub struct SimulatedLock {
     core: Rc<RefCell<Core>>,
     key: (usize, PathBuf),
     number: u64,
 }
 
-impl Drop for VirtualLock {
+impl Drop for SimulatedLock {
     fn drop(&mut self) {
         let mut core = self.core.borrow_mut();
         // One whose process was killed may be another's by now.
@@ -887,17 +890,17 @@
 }
 
 /// A task on a machine.
-pub struct VirtualTask {
+pub struct SimulatedTask {
     core: Rc<RefCell<Core>>,
     id: TaskId,
 }
 
-impl Task for VirtualTask {
+impl Task for SimulatedTask {
     fn abort(&self) {
         self.core.borrow_mut().sched.abort(self.id);
     }
 
-    async fn ended(&mut self) {
+    async fn join(&mut self) {
         let ended =
             |cx: &mut Context<'_>| match self.core.borrow_mut().sched.ended(self.id, cx.waker()) {
                 true => Poll::Ready(()),
@@ -908,12 +911,12 @@
 }
 
 /// The signals of a process.
-pub struct VirtualSignals {
+pub struct SimulatedSignals {
     core: Rc<RefCell<Core>>,
     proc: ProcId,
 }
 
-impl Signals for VirtualSignals {
+impl Signals for SimulatedSignals {
     async fn next(&mut self) -> Signal {
         poll_fn(|cx| {
             let mut core = self.core.borrow_mut();
--- a/crates/simulator/src/machine/pages.rs
+++ b/crates/simulator/src/machine/pages.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use runtime::Pages;
+use runtime::RandomAccessFile;
 
 use super::life::{Life, Step};
 
@@ -33,14 +33,14 @@
 
 /// A file of pages as a process has it open.
 #[derive(Debug)]
-pub struct VirtualPages {
+pub struct SimulatedRandomAccessFile {
     file: PageFile,
     life: Option<Arc<Life>>,
 }
 
-impl VirtualPages {
+impl SimulatedRandomAccessFile {
     pub(super) fn new(file: PageFile, life: Option<Arc<Life>>) -> Self {
-        VirtualPages { file, life }
+        SimulatedRandomAccessFile { file, life }
     }
 
     /// How much of so many bytes is written; none by the dead.
@@ -54,7 +54,7 @@
     }
 }
 
-impl Pages for VirtualPages {
+impl RandomAccessFile for SimulatedRandomAccessFile {
     fn length(&self) -> io::Result<u64> {
         Ok(self
             .file
--- a/crates/simulator/src/peers/admins.rs
+++ b/crates/simulator/src/peers/admins.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use runtime::System;
+use runtime::Runtime;
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -43,8 +43,8 @@
 }
 
 /// An administrator.
-pub struct Admin<S> {
-    stage: Stage<S>,
+pub struct Admin<R> {
+    stage: Stage<R>,
     number: u64,
     tenants: Vec<TenantPlan>,
     errands: Vec<Errand>,
@@ -56,10 +56,10 @@
     strikes: std::rc::Rc<dyn Fn()>,
 }
 
-impl<S: System> Admin<S> {
+impl<R: Runtime> Admin<R> {
     /// An administrator.
     pub fn new(
-        stage: Stage<S>,
+        stage: Stage<R>,
         number: u64,
         tenants: Vec<TenantPlan>,
         errands: Vec<Errand>,
@@ -83,7 +83,7 @@
     pub async fn run(mut self) {
         for errand in std::mem::take(&mut self.errands) {
             self.stage
-                .system
+                .runtime
                 .sleep_until(self.stage.instant(errand.at))
                 .await;
             self.go(&errand).await;
@@ -236,7 +236,7 @@
                     (self.stage.news)(format_args!("{method} {path} is not answered: {error}"))
                 }
             }
-            self.stage.system.sleep(TRIES.1).await;
+            self.stage.runtime.sleep(TRIES.1).await;
         }
         self.stage.see(&Seen::TenantUnanswered {
             number,
@@ -280,7 +280,7 @@
 
     /// Sends what can't be read, or not all of it.
     async fn rubbish(&self, kind: u64) -> io::Result<()> {
-        let mut stream = self.stage.system.connect(ADMIN).await?;
+        let mut stream = self.stage.runtime.connect(ADMIN).await?;
         let text: &[u8] = match kind {
             0 => b"\x16\x03\x01\x02\x00 no request at all\r\n\r\n",
             1 => b"POST /v1/tenants HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000000\r\n\r\n{",
@@ -291,14 +291,14 @@
             }
         };
         stream.write_all(text).await?;
-        self.stage.system.sleep(Duration::from_millis(300)).await;
+        self.stage.runtime.sleep(Duration::from_millis(300)).await;
         Ok(())
     }
 }
 
 /// Asks the API as the bearer of a token.
-pub(super) async fn request<S: System>(
-    stage: &Stage<S>,
+pub(super) async fn request<R: Runtime>(
+    stage: &Stage<R>,
     token: &str,
     method: &str,
     path: &str,
@@ -315,7 +315,7 @@
         format!("{method} {path} HTTP/1.1\r\nHost: relay\r\nAuthorization: Bearer {token}\r\n");
     let text = format!("{head}Connection: close\r\n{headers}{kind}\r\n{body}");
     let asked = async {
-        let mut stream = stage.system.connect(ADMIN).await?;
+        let mut stream = stage.runtime.connect(ADMIN).await?;
         stream.write_all(text.as_bytes()).await?;
         let mut read = BytesMut::new();
         loop {
@@ -327,7 +327,7 @@
             }
         }
     };
-    stage.system.timeout(PATIENCE, asked).await?
+    stage.runtime.timeout(PATIENCE, asked).await?
 }
 
 /// A tenant as an answer shows it.
--- a/crates/simulator/src/peers/clients.rs
+++ b/crates/simulator/src/peers/clients.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use runtime::{Stream, System};
+use runtime::{Runtime, Stream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::Stage;
@@ -91,8 +91,8 @@
 
 impl<T: Stream> Connection<T> {
     /// A new one.
-    pub async fn to<S: System<Stream = T>>(stage: &Stage<S>, at: SocketAddr) -> io::Result<Self> {
-        let stream = stage.system.connect(at).await?;
+    pub async fn to<R: Runtime<Stream = T>>(stage: &Stage<R>, at: SocketAddr) -> io::Result<Self> {
+        let stream = stage.runtime.connect(at).await?;
         Ok(Connection {
             stream,
             text: BytesMut::new(),
@@ -116,12 +116,12 @@
 }
 
 /// A client with its own connection and its own list of messages.
-pub struct Client<S: System> {
-    stage: Stage<S>,
+pub struct Client<R: Runtime> {
+    stage: Stage<R>,
     /// The relays that it knows, and the one that it uses now.
     relays: Vec<SocketAddr>,
     at: usize,
-    open: Option<Connection<S::Stream>>,
+    open: Option<Connection<R::Stream>>,
     /// What is to be handed in, by when, with the number of the try and when its time is up.
     plans: BTreeMap<(Duration, u64), (Plan, u32, Duration)>,
     next: u64,
@@ -131,11 +131,11 @@
     shut: Rc<Cell<bool>>,
 }
 
-impl<S: System> Client<S> {
+impl<R: Runtime> Client<R> {
     /// A client of the relays at some addresses, which begins with the one of a number. Where that does not answer
     /// it goes on with the next.
     pub fn new(
-        stage: Stage<S>,
+        stage: Stage<R>,
         relays: Vec<SocketAddr>,
         first: usize,
         plans: Vec<Plan>,
@@ -186,11 +186,11 @@
     /// Hands all in, each at its time.
     pub async fn run(mut self) {
         while let Some(((at, _), (plan, tries, due))) = self.plans.pop_first() {
-            self.stage.system.sleep_until(self.stage.instant(at)).await;
+            self.stage.runtime.sleep_until(self.stage.instant(at)).await;
             // Only a request on a connection that is open goes past a front that is shut.
             while self.shut.get() && (self.open.is_none() || plan.habit != Habit::Plain) {
                 self.open = None;
-                self.stage.system.sleep(Duration::from_millis(50)).await;
+                self.stage.runtime.sleep(Duration::from_millis(50)).await;
             }
             if self.stage.at() + Duration::from_millis(20) > due {
                 continue;
@@ -207,8 +207,8 @@
         if self.open.is_none() {
             let stream = self
                 .stage
-                .system
-                .timeout(PATIENCE, self.stage.system.connect(self.relay()))
+                .runtime
+                .timeout(PATIENCE, self.stage.runtime.connect(self.relay()))
                 .await??;
             stream.set_nodelay()?;
             let mut open = Connection {
@@ -220,7 +220,7 @@
                 open.stream
                     .write_all(&frame(&[b"AUTH", tenant.as_bytes(), secret.as_bytes()]))
                     .await?;
-                let line = self.stage.system.timeout(PATIENCE, open.line()).await??;
+                let line = self.stage.runtime.timeout(PATIENCE, open.line()).await??;
                 // One that is wrong now may be right on another connection.
                 if line.as_deref() != Some("+OK") {
                     return Err(io::ErrorKind::PermissionDenied.into());
@@ -283,13 +283,13 @@
                     id.to_string(),
                 );
                 self.stage
-                    .system
+                    .runtime
                     .spawn(async move { drop(resend(stage, relay, text, id).await) });
             }
             let Some(open) = &mut self.open else {
                 return Some(soon);
             };
-            let heard = match self.stage.system.timeout(PATIENCE, open.line()).await {
+            let heard = match self.stage.runtime.timeout(PATIENCE, open.line()).await {
                 Ok(Ok(Some(line))) => Heard::Line(line),
                 Ok(_) => Heard::Ended,
                 Err(_) => Heard::Nothing,
@@ -371,7 +371,7 @@
     /// Sends what can't be read and waits for an error and a close.
     async fn garble(&mut self) {
         let asked = async {
-            let mut stream = self.stage.system.connect(self.relay()).await?;
+            let mut stream = self.stage.runtime.connect(self.relay()).await?;
             stream.write_all(b"*3\r\n$-7\r\nrubbish\r\n").await?;
             let mut open = Connection {
                 stream,
@@ -384,7 +384,7 @@
         let since = self.stage.at();
         let heard = self
             .stage
-            .system
+            .runtime
             .timeout(Duration::from_secs(3), asked)
             .await;
         let good = match heard {
@@ -399,28 +399,28 @@
     /// Sends half a request and says no more.
     async fn stall(&mut self, half: &[u8]) {
         let stalled = async {
-            let mut stream = self.stage.system.connect(self.relay()).await?;
+            let mut stream = self.stage.runtime.connect(self.relay()).await?;
             stream.write_all(half).await?;
-            self.stage.system.sleep(Duration::from_millis(700)).await;
+            self.stage.runtime.sleep(Duration::from_millis(700)).await;
             Ok::<_, io::Error>(())
         };
         let _ = self
             .stage
-            .system
+            .runtime
             .timeout(Duration::from_secs(2), stalled)
             .await;
     }
 }
 
-async fn resend<S: System>(
-    stage: Stage<S>,
+async fn resend<R: Runtime>(
+    stage: Stage<R>,
     relay: SocketAddr,
     text: Vec<u8>,
     id: String,
 ) -> io::Result<()> {
     let stream = stage
-        .system
-        .timeout(PATIENCE, stage.system.connect(relay))
+        .runtime
+        .timeout(PATIENCE, stage.runtime.connect(relay))
         .await??;
     let mut open = Connection {
         stream,
@@ -428,7 +428,7 @@
         used: false,
     };
     open.stream.write_all(&text).await?;
-    if let Some(line) = stage.system.timeout(PATIENCE, open.line()).await?? {
+    if let Some(line) = stage.runtime.timeout(PATIENCE, open.line()).await?? {
         stage.see(&Seen::Answered(&id, &line));
     }
     Ok(())
@@ -446,23 +446,23 @@
 }
 
 /// Asks with `PING` until the relay answers.
-pub async fn until_ready<S: System>(stage: &Stage<S>, relay: SocketAddr) {
+pub async fn until_ready<R: Runtime>(stage: &Stage<R>, relay: SocketAddr) {
     loop {
         let asked = async {
             let mut open = Connection::to(stage, relay).await?;
             open.stream.write_all(&frame(&[b"PING"])).await?;
             open.line().await
         };
-        let answer = stage.system.timeout(PATIENCE, asked).await;
+        let answer = stage.runtime.timeout(PATIENCE, asked).await;
         if matches!(answer, Ok(Ok(Some(line))) if line == "+PONG") {
             return;
         }
-        stage.system.sleep(Duration::from_millis(20)).await;
+        stage.runtime.sleep(Duration::from_millis(20)).await;
     }
 }
 
 /// Ready once a process's door says that it takes clients.
-pub async fn until_yes<S: System>(stage: &Stage<S>, door: SocketAddr) {
+pub async fn until_yes<R: Runtime>(stage: &Stage<R>, door: SocketAddr) {
     loop {
         let asked = async {
             let mut open = Connection::to(stage, door).await?;
@@ -471,9 +471,9 @@
             open.stream.read_exact(&mut text).await?;
             std::io::Result::Ok(&text == b"ok")
         };
-        if matches!(stage.system.timeout(PATIENCE, asked).await, Ok(Ok(true))) {
+        if matches!(stage.runtime.timeout(PATIENCE, asked).await, Ok(Ok(true))) {
             return;
         }
-        stage.system.sleep(Duration::from_millis(10)).await;
+        stage.runtime.sleep(Duration::from_millis(10)).await;
     }
 }
--- a/crates/simulator/src/peers/discovery.rs
+++ b/crates/simulator/src/peers/discovery.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use runtime::{Listener, Stream, System};
+use runtime::{Listener, Runtime, Stream};
 use serde_json::{json, Value};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
@@ -136,13 +136,13 @@
     }
 
     /// Answers at an address for good; told to end, it takes no new connection and closes the open ones.
-    pub async fn serve<S: System>(
+    pub async fn serve<R: Runtime>(
         self: Rc<Self>,
-        stage: Stage<S>,
+        stage: Stage<R>,
         at: SocketAddr,
         end: tokio::sync::watch::Receiver<bool>,
     ) -> io::Result<()> {
-        let listener = stage.system.listen(at).await?;
+        let listener = stage.runtime.listen(at).await?;
         let mut ends = end.clone();
         loop {
             let stream = tokio::select! {
@@ -151,20 +151,20 @@
                 stream = listener.accept() => stream?,
             };
             let (own, place, mut end) = (self.clone(), stage.clone(), end.clone());
-            stage.system.spawn(async move {
+            stage.runtime.spawn(async move {
                 tokio::select! {
                     biased;
-                    _ = end.wait_for(|end| *end) => place.system.sleep(Duration::from_millis(1500)).await,
+                    _ = end.wait_for(|end| *end) => place.runtime.sleep(Duration::from_millis(1500)).await,
                     _ = own.connection(&place, stream) => {}
                 }
             });
         }
     }
 
-    async fn connection<S: System>(
+    async fn connection<R: Runtime>(
         &self,
-        stage: &Stage<S>,
-        mut stream: S::Stream,
+        stage: &Stage<R>,
+        mut stream: R::Stream,
     ) -> io::Result<()> {
         stream.set_nodelay()?;
         let mut text = BytesMut::new();
@@ -195,7 +195,7 @@
                     stream.write_all(text.as_bytes()).await?;
                     continue;
                 };
-                stage.system.sleep(wait).await;
+                stage.runtime.sleep(wait).await;
             }
             match request.line.split_once("since=") {
                 Some((_, since)) => {
@@ -214,7 +214,7 @@
         Ok(())
     }
 
-    fn notices<S: System>(&self, stage: &Stage<S>, body: &[u8]) -> bool {
+    fn notices<R: Runtime>(&self, stage: &Stage<R>, body: &[u8]) -> bool {
         let lines: Result<Vec<Value>, _> = body
             .split(|byte| *byte == b'\n')
             .filter(|line| !line.is_empty())
@@ -229,11 +229,11 @@
         true
     }
 
-    fn tell<S: System>(&self, stage: &Stage<S>, line: &Line) {
+    fn tell<R: Runtime>(&self, stage: &Stage<R>, line: &Line) {
         stage.see(&Seen::Told(&line.host, line.health == "up"));
     }
 
-    fn tell_whole<S: System>(&self, stage: &Stage<S>) {
+    fn tell_whole<R: Runtime>(&self, stage: &Stage<R>) {
         let lines: Vec<Line> = self.lines.borrow().values().cloned().collect();
         lines.iter().for_each(|line| self.tell(stage, line));
         // What has gone is told by its absence.
@@ -244,10 +244,10 @@
         gone.for_each(|(_, _, line)| stage.see(&Seen::Told(&line.host, false)));
     }
 
-    async fn watch<S: System>(
+    async fn watch<R: Runtime>(
         &self,
-        stage: &Stage<S>,
-        stream: &mut S::Stream,
+        stage: &Stage<R>,
+        stream: &mut R::Stream,
         mut since: u64,
     ) -> io::Result<()> {
         stream
@@ -298,7 +298,7 @@
             tokio::select! {
                 biased;
                 () = news => {}
-                () = stage.system.sleep_until(stage.instant(next)) => {}
+                () = stage.runtime.sleep_until(stage.instant(next)) => {}
                 () = until_closed(stream) => return Ok(()),
             }
         }
