--- a/crates/simulator/src/peers/hosts.rs
+++ b/crates/simulator/src/peers/hosts.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use runtime::{Listener, Stream, System};
+use runtime::{Listener, Runtime, Stream};
 use tokio::io::AsyncWriteExt;
 
 use super::ledger::Ledger;
@@ -114,15 +114,15 @@
     }
 
     /// Takes connections for good.
-    pub async fn serve<S: System>(self: Rc<Self>, stage: Stage<S>) -> io::Result<()>
+    pub async fn serve<R: Runtime>(self: Rc<Self>, stage: Stage<R>) -> io::Result<()>
     where
-        S::Stream: Numbered,
+        R::Stream: Numbered,
     {
-        let listener = stage.system.listen(self.address).await?;
+        let listener = stage.runtime.listen(self.address).await?;
         loop {
             let stream = listener.accept().await?;
             let (host, own) = (self.clone(), stage.clone());
-            stage.system.spawn(async move {
+            stage.runtime.spawn(async move {
                 host.open.set(host.open.get() + 1);
                 own.see(&Seen::Opened(host.open.get()));
                 // A connection that breaks is the relay's to make good.
@@ -132,9 +132,13 @@
         }
     }
 
-    async fn connection<S: System>(&self, stage: &Stage<S>, mut stream: S::Stream) -> io::Result<()>
+    async fn connection<R: Runtime>(
+        &self,
+        stage: &Stage<R>,
+        mut stream: R::Stream,
+    ) -> io::Result<()>
     where
-        S::Stream: Numbered,
+        R::Stream: Numbered,
     {
         stream.set_nodelay()?;
         let mut text = BytesMut::new();
@@ -183,7 +187,7 @@
         Ok(())
     }
 
-    fn called<S: System>(&self, stage: &Stage<S>, request: &Request, conn: u64) -> Called {
+    fn called<R: Runtime>(&self, stage: &Stage<R>, request: &Request, conn: u64) -> Called {
         let text = |name: &str| request.header(name).map(String::from);
         let id = text("x-trace-id").unwrap_or_default();
         let host = (self.name.borrow().clone(), self.block, self.zone.clone());
@@ -248,22 +252,22 @@
     }
 
     /// A call that was not turned away takes effect, or may.
-    fn book<S: System>(&self, stage: &Stage<S>, called: &Called, well: bool) {
+    fn book<R: Runtime>(&self, stage: &Stage<R>, called: &Called, well: bool) {
         if let Some(ledger) = &*self.ledger.borrow() {
             ledger.arrives(stage, called, well);
         }
     }
 
     /// Answers a call; false if the connection is of no further use.
-    async fn answer<S: System>(
+    async fn answer<R: Runtime>(
         &self,
-        stage: &Stage<S>,
-        stream: &mut S::Stream,
+        stage: &Stage<R>,
+        stream: &mut R::Stream,
         name: &CallName,
         called: &Called,
     ) -> io::Result<bool>
     where
-        S::Stream: Numbered,
+        R::Stream: Numbered,
     {
         let mood = self.mood.borrow().clone();
         if mood.hangs {
@@ -311,7 +315,7 @@
         // A relay that gives the call up closes its connection meanwhile.
         tokio::select! {
             biased;
-            () = stage.system.sleep(Duration::from_millis(takes)) => {}
+            () = stage.runtime.sleep(Duration::from_millis(takes)) => {}
             () = until_closed(stream) => return Ok(false),
         }
         if spoils {
@@ -328,7 +332,7 @@
         if mood.trickles {
             let line = good.find('\n').unwrap_or(0) + 1;
             for (count, byte) in good.bytes().enumerate() {
-                stage.system.sleep(Duration::from_millis(40)).await;
+                stage.runtime.sleep(Duration::from_millis(40)).await;
                 if count + 1 == line {
                     stage.see(&Seen::Answers(name, Verdict::Delivered));
                 }
@@ -341,22 +345,22 @@
         if mood.closes && self.draw(|dice| dice.percent(60)) {
             let after = self.draw(|dice| dice.below(250));
             // It may cross the next call, which is then never read.
-            stage.system.sleep(Duration::from_millis(after)).await;
+            stage.runtime.sleep(Duration::from_millis(after)).await;
             return Ok(false);
         }
         Ok(true)
     }
 
-    async fn write<S: System>(
+    async fn write<R: Runtime>(
         &self,
-        stage: &Stage<S>,
-        stream: &mut S::Stream,
+        stage: &Stage<R>,
+        stream: &mut R::Stream,
         name: &CallName,
         verdict: Verdict,
         text: &str,
     ) -> io::Result<()>
     where
-        S::Stream: Numbered,
+        R::Stream: Numbered,
     {
         stage.see(&Seen::Answers(name, verdict));
         stream.write_all(text.as_bytes()).await?;
@@ -365,10 +369,10 @@
     }
 
     /// Tells the checker once the relay has surely read the answer: it still holds the connection then.
-    fn tell_read<S: System>(&self, stage: &Stage<S>, conn: u64, name: &CallName) {
+    fn tell_read<R: Runtime>(&self, stage: &Stage<R>, conn: u64, name: &CallName) {
         let (own, name) = (stage.clone(), name.clone());
-        stage.system.spawn(async move {
-            own.system.sleep(Duration::from_millis(20)).await;
+        stage.runtime.spawn(async move {
+            own.runtime.sleep(Duration::from_millis(20)).await;
             if (own.hears)(conn) {
                 own.see(&Seen::Read(&name));
             }
@@ -376,15 +380,15 @@
     }
 
     /// An answer that is not as it should be. What it says in its first line is still true.
-    async fn spoil<S: System>(
+    async fn spoil<R: Runtime>(
         &self,
-        stage: &Stage<S>,
-        stream: &mut S::Stream,
+        stage: &Stage<R>,
+        stream: &mut R::Stream,
         name: &CallName,
         called: &Called,
     ) -> io::Result<bool>
     where
-        S::Stream: Numbered,
+        R::Stream: Numbered,
     {
         let kind = self.draw(|dice| dice.below(9));
         let (verdict, text): (_, &[u8]) = match kind {
--- a/crates/simulator/src/peers/ledger.rs
+++ b/crates/simulator/src/peers/ledger.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use runtime::{Listener, System};
+use runtime::{Listener, Runtime};
 use tokio::io::AsyncWriteExt;
 
 use super::{read_request, Stage};
@@ -43,7 +43,7 @@
     }
 
     /// A call has come that was not turned away. One that is answered well takes effect, another may.
-    pub fn arrives<S: System>(&self, stage: &Stage<S>, call: &Called, well: bool) {
+    pub fn arrives<R: Runtime>(&self, stage: &Stage<R>, call: &Called, well: bool) {
         let Some(repeat) = stage.checker.borrow().repeat_of(&call.id) else {
             return;
         };
@@ -81,12 +81,12 @@
     }
 
     /// Answers status queries at an address for good: at times late, or with what says nothing.
-    pub async fn serve<S: System>(self, stage: Stage<S>, address: SocketAddr) -> io::Result<()> {
-        let listener = stage.system.listen(address).await?;
+    pub async fn serve<R: Runtime>(self, stage: Stage<R>, address: SocketAddr) -> io::Result<()> {
+        let listener = stage.runtime.listen(address).await?;
         loop {
             let mut stream = listener.accept().await?;
             let (own, ledger) = (stage.clone(), self.clone());
-            stage.system.spawn(async move {
+            stage.runtime.spawn(async move {
                 let mut text = BytesMut::new();
                 let Ok(Some(request)) = read_request(&own, &mut stream, &mut text).await else {
                     return;
@@ -94,7 +94,7 @@
                 let id = request.line.rsplit('/').next().unwrap_or("").to_string();
                 let kind = ledger.0.borrow_mut().dice.below(10);
                 if kind == 0 {
-                    own.system.sleep(LATE).await;
+                    own.runtime.sleep(LATE).await;
                 }
                 // The truth of the moment of the answer.
                 let truth = if ledger.knows(&id) { "done" } else { "absent" };
@@ -110,7 +110,7 @@
                 );
                 // Who does not read it asks again.
                 let _ = stream.write_all(text.as_bytes()).await;
-                own.system.sleep(LATE).await;
+                own.runtime.sleep(LATE).await;
             });
         }
     }
--- a/crates/simulator/src/peers/mod.rs
+++ b/crates/simulator/src/peers/mod.rs
@@ -15,11 +15,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, BytesMut};
-use runtime::{RealStream, Stream, System};
+use runtime::{OsStream, Runtime, Stream};
 use tokio::io::AsyncReadExt;
 
 use crate::checker::Checker;
-use crate::machine::VirtualStream;
+use crate::machine::SimulatedStream;
 use crate::rules::facts::Seen;
 
 /// A connection whose number no other has.
@@ -28,27 +28,27 @@
     fn number(&self) -> u64;
 }
 
-impl Numbered for VirtualStream {
+impl Numbered for SimulatedStream {
     fn number(&self) -> u64 {
-        VirtualStream::number(self)
+        SimulatedStream::number(self)
     }
 }
 
-impl Numbered for RealStream {
+impl Numbered for OsStream {
     fn number(&self) -> u64 {
         match self {
             // The port of the side that made it; ports come again only much later.
-            RealStream::Tcp(stream) => stream.peer_addr().map_or(0, |peer| u64::from(peer.port())),
-            RealStream::Unix(_) => 0,
+            OsStream::Tcp(stream) => stream.peer_addr().map_or(0, |peer| u64::from(peer.port())),
+            OsStream::Unix(_) => 0,
         }
     }
 }
 
 /// What all peers share.
 #[derive(Clone)]
-pub struct Stage<S> {
+pub struct Stage<R> {
     /// The system that they run on.
-    pub system: S,
+    pub runtime: R,
     /// The moment from which all spans count.
     pub start: Instant,
     /// Number of the relay that is talked to, where only one is.
@@ -63,10 +63,10 @@
     pub news: Rc<dyn Fn(std::fmt::Arguments<'_>)>,
 }
 
-impl<S: System> Stage<S> {
+impl<R: Runtime> Stage<R> {
     /// Time since the start.
     pub fn at(&self) -> Duration {
-        self.system.now() - self.start
+        self.runtime.now() - self.start
     }
 
     /// Tells the checker what passes.
@@ -103,9 +103,9 @@
 const LONGEST: usize = 1 << 20;
 
 /// Reads one request; none at the connection's end.
-pub(crate) async fn read_request<S: System>(
-    stage: &Stage<S>,
-    stream: &mut S::Stream,
+pub(crate) async fn read_request<R: Runtime>(
+    stage: &Stage<R>,
+    stream: &mut R::Stream,
     text: &mut BytesMut,
 ) -> io::Result<Option<Request>> {
     let mut begun = None;
--- a/crates/simulator/src/peers/operators.rs
+++ b/crates/simulator/src/peers/operators.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::System;
+use runtime::Runtime;
 use serde_json::Value;
 
 use super::admins::{request, Rogue};
@@ -21,9 +21,9 @@
 const AGAIN: (Duration, u32) = (Duration::from_millis(400), 5);
 
 /// An operator.
-pub struct Operator<S> {
+pub struct Operator<R> {
     /// The stage.
-    pub stage: Stage<S>,
+    pub stage: Stage<R>,
     /// Which of them.
     pub number: usize,
     /// What took effect, which operators find out by other ways than the relay.
@@ -40,19 +40,19 @@
     pub done: Rc<Cell<bool>>,
 }
 
-impl<S: System> Operator<S> {
+impl<R: Runtime> Operator<R> {
     /// Works until its time is over.
     pub async fn run(mut self) {
         let rest = self.dice.between(1_000, 3_000);
-        self.stage.system.sleep(Duration::from_millis(rest)).await;
+        self.stage.runtime.sleep(Duration::from_millis(rest)).await;
         while self.stage.at() < self.until {
             self.work().await;
             let rest = self.dice.between(100, 900);
-            self.stage.system.sleep(Duration::from_millis(rest)).await;
+            self.stage.runtime.sleep(Duration::from_millis(rest)).await;
         }
         while self.number == 0 && !self.done.get() {
             if self.look_at_all().await.is_none() {
-                self.stage.system.sleep(AGAIN.0).await;
+                self.stage.runtime.sleep(AGAIN.0).await;
             }
         }
     }
@@ -82,7 +82,7 @@
             if told.is_some_and(|(status, _)| status != 503) {
                 return;
             }
-            self.stage.system.sleep(AGAIN.0).await;
+            self.stage.runtime.sleep(AGAIN.0).await;
         }
     }
 
--- a/crates/simulator/src/peers/staff.rs
+++ b/crates/simulator/src/peers/staff.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::System;
+use runtime::Runtime;
 use tokio::io::AsyncWriteExt;
 
 use super::clients::{frame, Connection};
@@ -34,7 +34,7 @@
 pub type Door = Rc<Cell<(ProcId, SocketAddr)>>;
 
 /// Asks with `PING` for good, and tells those who open connections whether they may.
-pub async fn front<S: System>(stage: Stage<S>, relay: SocketAddr, shut: Rc<Cell<bool>>) {
+pub async fn front<R: Runtime>(stage: Stage<R>, relay: SocketAddr, shut: Rc<Cell<bool>>) {
     let mut no: Option<Duration> = None;
     loop {
         let asked = async {
@@ -43,18 +43,18 @@
             open.line().await
         };
         // One that says nothing may have died, which the front notices only much later.
-        if let Ok(Ok(Some(line))) = stage.system.timeout(ASKS.1, asked).await {
+        if let Ok(Ok(Some(line))) = stage.runtime.timeout(ASKS.1, asked).await {
             let yes = line == "+PONG";
             stage.see(&Seen::Front(yes));
             no = (!yes).then(|| no.unwrap_or(stage.at()));
         }
         shut.set(no.is_some_and(|no| stage.at() >= no + SHUT));
-        stage.system.sleep(ASKS.0).await;
+        stage.runtime.sleep(ASKS.0).await;
     }
 }
 
 /// Holds a connection of a client for as long as the relay lets it, and uses it once.
-pub async fn idle<S: System>(stage: Stage<S>, relay: SocketAddr, shut: Rc<Cell<bool>>) {
+pub async fn idle<R: Runtime>(stage: Stage<R>, relay: SocketAddr, shut: Rc<Cell<bool>>) {
     loop {
         let held = async {
             let mut open = Connection::to(&stage, relay).await?;
@@ -66,12 +66,12 @@
             // It comes again, whether it was closed or not let in.
             drop(held.await);
         }
-        stage.system.sleep(BACK).await;
+        stage.runtime.sleep(BACK).await;
     }
 }
 
 /// One call at a door: the whole answer, none if the process ended it.
-async fn call<S: System>(stage: &Stage<S>, door: SocketAddr, word: &str) -> io::Result<String> {
+async fn call<R: Runtime>(stage: &Stage<R>, door: SocketAddr, word: &str) -> io::Result<String> {
     let mut open = Connection::to(stage, door).await?;
     open.stream
         .write_all(format!("{word}\n").as_bytes())
@@ -85,12 +85,12 @@
 }
 
 /// Fetches figures for good.
-pub async fn fetch<S: System>(stage: Stage<S>, door: Door) {
+pub async fn fetch<R: Runtime>(stage: Stage<R>, door: Door) {
     loop {
         let (process, at) = door.get();
         let asked = stage.at();
         match stage
-            .system
+            .runtime
             .timeout(PATIENCE, call(&stage, at, "show-stat"))
             .await
         {
@@ -101,22 +101,22 @@
             Err(_) if door.get().0 == process => stage.see(&Seen::DoorSilent),
             Err(_) => {}
         }
-        stage.system.sleep(FETCHES).await;
+        stage.runtime.sleep(FETCHES).await;
     }
 }
 
 /// Comes to the door again and again, and says nothing.
-pub async fn loiter<S: System>(stage: Stage<S>, door: Door) {
+pub async fn loiter<R: Runtime>(stage: Stage<R>, door: Door) {
     loop {
         if let Ok(mut open) = Connection::to(&stage, door.get().1).await {
             let _ = open.line().await;
         }
-        stage.system.sleep(BACK).await;
+        stage.runtime.sleep(BACK).await;
     }
 }
 
 /// Drains a relay, or puts it back to work: says so until it works, or gives up.
-pub async fn switch<S: System>(stage: Stage<S>, door: Door, drain: bool) {
+pub async fn switch<R: Runtime>(stage: Stage<R>, door: Door, drain: bool) {
     let word = if drain { "drain" } else { "resume" };
     let until = stage.at() + if drain { Duration::ZERO } else { AGAIN.1 };
     loop {
@@ -124,7 +124,10 @@
             stage.see(&Seen::Resuming);
         }
         let (process, at) = door.get();
-        let told = stage.system.timeout(PATIENCE, call(&stage, at, word)).await;
+        let told = stage
+            .runtime
+            .timeout(PATIENCE, call(&stage, at, word))
+            .await;
         if matches!(&told, Ok(Ok(text)) if text.starts_with("ok")) {
             // One that was killed with its answer on its way has told the next one nothing.
             if !drain || door.get().0 == process {
@@ -135,6 +138,6 @@
         if stage.at() >= until {
             return;
         }
-        stage.system.sleep(AGAIN.0).await;
+        stage.runtime.sleep(AGAIN.0).await;
     }
 }
--- a/crates/simulator/src/upgrades.rs
+++ b/crates/simulator/src/upgrades.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use runtime::{Real, Stream, System, Waiting};
+use runtime::{OsRuntime, PendingInput, Runtime, Stream};
 use rustix::io::{fcntl_setfd, FdFlags};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -93,9 +93,9 @@
         ];
         Ok((Process::with(relay, &[], &file, &state, &variables)?, door))
     };
-    let system = Real;
+    let runtime = OsRuntime;
     let (mut process, door) = start()?;
-    let ready = system
+    let ready = runtime
         .timeout(Duration::from_secs(20), until_yes(&stage, door))
         .await;
     ready.map_err(|_| format!("{} does not get ready", relay.display()))?;
@@ -105,7 +105,7 @@
         Rc::new(Cell::new(false)),
     );
     for number in 0..CLIENTS {
-        system.spawn(client(
+        runtime.spawn(client(
             listen,
             number,
             pause,
@@ -114,15 +114,15 @@
         ));
     }
     for word in ["ready", "show-stat"] {
-        system.spawn(caller(door.clone(), word, Rc::clone(&book)));
+        runtime.spawn(caller(door.clone(), word, Rc::clone(&book)));
     }
     let (mut took, mut spans) = (Vec::new(), Vec::new());
     for _ in 0..times {
-        system.sleep(BETWEEN).await;
+        runtime.sleep(BETWEEN).await;
         let began = Instant::now();
         book.borrow_mut().in_upgrade = true;
         let (mut new, new_door) = start()?;
-        let ready = system
+        let ready = runtime
             .timeout(Duration::from_secs(20), until_yes(&stage, new_door))
             .await;
         ready.map_err(|_| format!("a new version does not get ready; it {}", new.told()))?;
@@ -130,16 +130,16 @@
         door.set(new_door);
         book.borrow_mut().in_upgrade = false;
         let old = std::mem::replace(&mut process, new);
-        if !old.stop(&system).await {
+        if !old.stop(&runtime).await {
             return Err("an old version did not end well".into());
         }
-        system.sleep(AFTER).await;
+        runtime.sleep(AFTER).await;
         spans.push((began, Instant::now()));
     }
     stop.set(true);
     book.borrow_mut().in_upgrade = true;
-    system.sleep(AFTER).await;
-    if !process.stop(&system).await {
+    runtime.sleep(AFTER).await;
+    if !process.stop(&runtime).await {
         return Err("the last version did not end well".into());
     }
     let book = book.borrow();
@@ -236,17 +236,19 @@
         // A connection that was closed while it was quiet is no loss.
         let kept = open
             .take()
-            .filter(|stream: &<Real as System>::Stream| stream.waiting() != Waiting::End);
+            .filter(|stream: &<OsRuntime as Runtime>::Stream| {
+                stream.pending_input() != PendingInput::Closed
+            });
         let stream = match kept {
             Some(stream) => Ok(stream),
-            None => Real
+            None => OsRuntime
                 .connect(at)
                 .await
                 .and_then(|stream| stream.set_nodelay().map(|()| stream)),
         };
         let Ok(mut stream) = stream else {
             book.borrow_mut().lost.push((Instant::now(), Lost::Refused));
-            Real.sleep(pause.max(Duration::from_millis(5))).await;
+            OsRuntime.sleep(pause.max(Duration::from_millis(5))).await;
             continue;
         };
         let id = format!("c{number:02}n{count:08}");
@@ -264,7 +266,7 @@
             Ok(None) => book.borrow_mut().lost.push((Instant::now(), Lost::Unread)),
             Err(_) => book.borrow_mut().lost.push((Instant::now(), Lost::Reset)),
         }
-        Real.sleep(pause).await;
+        OsRuntime.sleep(pause).await;
     }
 }
 
@@ -273,7 +275,7 @@
     loop {
         let (at, began) = (door.get(), Instant::now());
         let called = async {
-            let mut stream = Real.connect(at).await?;
+            let mut stream = OsRuntime.connect(at).await?;
             stream.write_all(format!("{word}\n").as_bytes()).await?;
             let mut text = BytesMut::new();
             while stream.read_buf(&mut text).await? > 0 {}
@@ -283,11 +285,11 @@
             Err(std::io::Error::from(ErrorKind::UnexpectedEof))
         };
         let answered = matches!(
-            Real.timeout(Duration::from_secs(1), called).await,
+            OsRuntime.timeout(Duration::from_secs(1), called).await,
             Ok(Ok(()))
         );
         book.borrow_mut()
             .called(door.get() == at, answered.then(|| began.elapsed()));
-        Real.sleep(CALLS).await;
+        OsRuntime.sleep(CALLS).await;
     }
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::{Signal, System};
+use runtime::{Runtime, Signal};
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -17,7 +17,7 @@
 use crate::faults::{Fault, Scene, Upgrade};
 use crate::hosted::{self, OPERATOR};
 use crate::kept;
-use crate::machine::{AddressFault, Lie, Machine, ProcId, Virtual, CONFIG};
+use crate::machine::{AddressFault, Lie, Machine, ProcId, SimulatedRuntime, CONFIG};
 use crate::operated;
 use crate::peers::admins::{Admin, Rogue};
 use crate::peers::clients::{until_ready, until_yes, Client};
@@ -138,7 +138,7 @@
     script: &'a Script,
     options: Options,
     machine: Machine,
-    stage: Stage<Virtual>,
+    stage: Stage<SimulatedRuntime>,
     hosts: Vec<Rc<Host>>,
     known: serde_json::Value,
     seats: Vec<Seat>,
@@ -180,11 +180,11 @@
 impl<'a> World<'a> {
     fn new(script: &'a Script, options: Options) -> Self {
         let machine = Machine::new(script.seed, options.traced);
-        let system = machine.world();
+        let runtime = machine.world();
         let (holder, hearer, noter) = (machine.handle(), machine.handle(), machine.handle());
         let stage = Stage {
-            start: system.now(),
-            system,
+            start: runtime.now(),
+            runtime,
             relay: 0,
             checker: Rc::new(RefCell::new(Checker::new(
                 script.rules.clone(),
@@ -271,7 +271,7 @@
     fn run(mut self) -> Report {
         for host in &self.hosts {
             let served = host.clone().serve(self.stage.clone());
-            self.stage.system.spawn(async move { drop(served.await) });
+            self.stage.runtime.spawn(async move { drop(served.await) });
         }
         for relay in 0..self.seats.len() {
             self.serve_discovery(relay);
@@ -302,7 +302,7 @@
                 login,
             );
             let shut = self.seats[number % relays.len()].shut.clone();
-            self.stage.system.spawn(client.behind(shut).run());
+            self.stage.runtime.spawn(client.behind(shut).run());
         }
         self.staff();
         self.administrate();
@@ -426,7 +426,7 @@
             let served = ledger
                 .clone()
                 .serve(self.stage.clone(), kept::status_address(*block));
-            self.stage.system.spawn(async move { drop(served.await) });
+            self.stage.runtime.spawn(async move { drop(served.await) });
         }
         for number in 0..kept::OPERATORS {
             let operator = Operator {
@@ -439,7 +439,7 @@
                 strikes: self.strikes(),
                 done: self.shown.clone(),
             };
-            self.stage.system.spawn(operator.run());
+            self.stage.runtime.spawn(operator.run());
         }
     }
 
@@ -459,12 +459,12 @@
             let (tenants, errands) = (hosted.tenants.clone(), errands.clone());
             let (stage, rogue) = (self.stage.clone(), self.options.rogue);
             let admin = Admin::new(stage, number as u64 + 1, tenants, errands, rogue, strikes);
-            self.stage.system.spawn(admin.run());
+            self.stage.runtime.spawn(admin.run());
         }
     }
 
     /// The stage as seen from a relay.
-    fn of(&self, relay: usize) -> Stage<Virtual> {
+    fn of(&self, relay: usize) -> Stage<SimulatedRuntime> {
         Stage {
             relay,
             ..self.stage.clone()
@@ -480,7 +480,7 @@
             seat.discovery
                 .clone()
                 .serve(stage, discovery_address(relay, seat.moves), closing);
-        self.stage.system.spawn(async move { drop(served.await) });
+        self.stage.runtime.spawn(async move { drop(served.await) });
     }
 
     fn configure(&self, relay: usize) {
@@ -516,7 +516,7 @@
         let beyond =
             self.script.hosted.is_some() || self.script.kept.is_some() || self.script.levels;
         let operator = beyond.then(|| OPERATOR.into());
-        let run = |system| relay::run(system, operator);
+        let run = |runtime| relay::run(runtime, operator);
         let process = self.machine.process(relay, self.options.lie, run);
         if self.script.upgrades {
             self.machine
@@ -543,7 +543,7 @@
         self.seats[relay].touched = self.machine.now();
         let stage = self.of(relay);
         stage.see(&Seen::Started(process));
-        self.stage.system.spawn(async move {
+        self.stage.runtime.spawn(async move {
             until_ready(&stage, relay_address(relay)).await;
             stage.see(&Seen::Ready);
         });
@@ -555,22 +555,22 @@
             return;
         }
         for (relay, seat) in self.seats.iter().enumerate() {
-            let system = &self.stage.system;
-            system.spawn(staff::front(
+            let runtime = &self.stage.runtime;
+            runtime.spawn(staff::front(
                 self.of(relay),
                 relay_address(relay),
                 seat.shut.clone(),
             ));
-            system.spawn(staff::fetch(self.of(relay), seat.door.clone()));
+            runtime.spawn(staff::fetch(self.of(relay), seat.door.clone()));
             for _ in 0..staff::IDLERS {
-                system.spawn(staff::idle(
+                runtime.spawn(staff::idle(
                     self.of(relay),
                     relay_address(relay),
                     seat.shut.clone(),
                 ));
             }
             for _ in 0..staff::LOITERERS {
-                system.spawn(staff::loiter(self.of(relay), seat.door.clone()));
+                runtime.spawn(staff::loiter(self.of(relay), seat.door.clone()));
             }
         }
     }
@@ -846,7 +846,7 @@
         });
         let stage = self.of(relay);
         stage.see(&Seen::Upgrades([old, new]));
-        self.stage.system.spawn(async move {
+        self.stage.runtime.spawn(async move {
             until_yes(&stage, door_address(new)).await;
             yes.set(Some(stage.at()));
         });
@@ -855,7 +855,7 @@
     fn drain(&mut self, drain: bool) {
         let seat = &self.seats[self.struck];
         let switched = staff::switch(self.of(self.struck), seat.door.clone(), drain);
-        self.stage.system.spawn(switched);
+        self.stage.runtime.spawn(switched);
     }
 
     fn retune(&mut self, change: &dyn Fn(&mut serde_json::Value)) {
--- a/crates/undeliverable/src/store.rs
+++ b/crates/undeliverable/src/store.rs
@@ -12,7 +12,7 @@
 use redb::{
     Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, WriteTransaction,
 };
-use runtime::Pages;
+use runtime::RandomAccessFile;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -195,7 +195,7 @@
     syncs: bool,
 }
 
-impl<P: Pages> StorageBackend for File<P> {
+impl<P: RandomAccessFile> StorageBackend for File<P> {
     fn len(&self) -> Result<u64, io::Error> {
         self.pages.length()
     }
@@ -223,7 +223,7 @@
 impl Store {
     /// Opens what a file holds, or makes it. All of it is checked: one that is spoilt gives an error, so that nothing
     /// is told that it does not hold. With `syncs` a change outlasts the machine once it is made, else the process.
-    pub fn open(pages: impl Pages, syncs: bool) -> Result<Self, Error> {
+    pub fn open(pages: impl RandomAccessFile, syncs: bool) -> Result<Self, Error> {
         Store::open_on(File { pages, syncs })
     }
 
--- a/crates/undeliverable/tests/stored_format.rs
+++ b/crates/undeliverable/tests/stored_format.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
-use runtime::{Real, System};
+use runtime::{OsRuntime, Runtime};
 use undeliverable::batch::{Batch, Counts, Order, Spec};
 use undeliverable::record::{By, Origin, Refusal, Says};
 use undeliverable::store::{self, Caps};
@@ -26,7 +26,7 @@
 }
 
 fn open(path: &Path) -> Store {
-    Store::open(Real.pages(path).expect("opens"), false).expect("a store")
+    Store::open(OsRuntime.open_random_access(path).expect("opens"), false).expect("a store")
 }
 
 fn attempt(number: u64, outcome: Outcome) -> Attempt {
