--- a/crates/control/src/lifecycle.rs
+++ b/crates/control/src/lifecycle.rs
@@ -97,7 +97,7 @@
     /// Takes an input. False if it changes nothing where the process stands: it is that already, or is past it.
     ///
     /// Stopping is never left. A drain survives being handed over: whoever takes over is drained too.
-    pub fn tell(&mut self, told: LifecycleEvent, now: Duration) -> bool {
+    pub fn handle(&mut self, told: LifecycleEvent, now: Duration) -> bool {
         let next = match (self.state, told) {
             (LifecycleState::Starting, LifecycleEvent::Started) if self.drained => {
                 LifecycleState::Draining
@@ -134,12 +134,12 @@
     }
 
     /// It takes over from a process that was drained, or not.
-    pub fn inherits(&mut self, drained: bool) {
+    pub fn restore_drained(&mut self, drained: bool) {
         self.drained = drained;
     }
 
     /// Whether another process is to have everything now: it was told so, and clients are gone or have had their time.
-    pub fn hands_over(&self, now: Duration, clients: usize) -> bool {
+    pub fn should_hand_over(&self, now: Duration, clients: usize) -> bool {
         self.handed
             && (clients == 0
                 || self.state == LifecycleState::Stopping
@@ -147,17 +147,17 @@
     }
 
     /// Whether an operator has it drained.
-    pub fn drained(&self) -> bool {
+    pub fn is_drained(&self) -> bool {
         self.drained
     }
 
     /// Whether the process takes clients: the answer to `ready`, and to `PING` yes or no.
-    pub fn ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         self.state == LifecycleState::Serving
     }
 
     /// Whether new connections are accepted. A drained process goes on, as it answers the front's question with no.
-    pub fn accepts(&self, now: Duration) -> bool {
+    pub fn accepts_connections(&self, now: Duration) -> bool {
         match self.state {
             _ if self.handed => false,
             LifecycleState::Starting | LifecycleState::HandingOver => false,
@@ -183,7 +183,7 @@
     }
 
     /// Whether the process ends; `quiet` tells that it has no calls out, no clients and nothing left to do.
-    pub fn ends(&self, now: Duration, quiet: bool) -> bool {
+    pub fn should_exit(&self, now: Duration, quiet: bool) -> bool {
         let past = self.past(now);
         let front = if self.handed {
             Duration::ZERO
@@ -194,17 +194,17 @@
     }
 
     /// Whether its time is up, whatever is left.
-    pub fn must_end(&self, now: Duration) -> bool {
+    pub fn must_exit(&self, now: Duration) -> bool {
         self.state == LifecycleState::Stopping && self.past(now) >= STOP_ENDS
     }
 
     /// When the last call has to have ended, once the process was told to stop.
-    pub fn last_call(&self) -> Option<Duration> {
+    pub fn time_left_for_calls(&self) -> Option<Duration> {
         (self.state == LifecycleState::Stopping).then_some(self.since + STOP_CLOSES)
     }
 
     /// Whether time alone changes what is said, so that it has to be asked again soon.
-    pub fn moves(&self) -> bool {
+    pub fn is_in_transition(&self) -> bool {
         matches!(
             self.state,
             LifecycleState::Draining | LifecycleState::HandingOver | LifecycleState::Stopping
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -57,12 +57,12 @@
     /// All classes of the settings at 0.
     pub fn new<'a>(classes: impl IntoIterator<Item = &'a String>) -> Self {
         let mut ledger = Metrics::default();
-        ledger.classes(classes);
+        ledger.set_classes(classes);
         ledger
     }
 
     /// The classes of the settings from now on; new ones start at 0, and those that went keep their counts.
-    pub fn classes<'a>(&mut self, classes: impl IntoIterator<Item = &'a String>) {
+    pub fn set_classes<'a>(&mut self, classes: impl IntoIterator<Item = &'a String>) {
         self.classes
             .values_mut()
             .for_each(|counts| counts.listed = false);
@@ -82,12 +82,12 @@
     }
 
     /// A message is taken on, or was by an earlier process and is owed its end by this one.
-    pub fn taken(&mut self) {
+    pub fn record_accepted(&mut self) {
         self.taken += 1;
     }
 
     /// A message that was taken on has ended.
-    pub fn ended(&mut self, class: &str, end: MessageEnd) {
+    pub fn record_end(&mut self, class: &str, end: MessageEnd) {
         self.ended += 1;
         debug_assert!(
             self.ended <= self.taken,
@@ -97,17 +97,17 @@
     }
 
     /// Another process owes all that this one owed.
-    pub fn handed_over(&mut self) {
+    pub fn record_handover(&mut self) {
         self.ended = self.taken;
     }
 
     /// A message was not taken on. A class that the settings never had is not counted: names are the client's.
-    pub fn turned_away(&mut self, class: &str, end: MessageEnd) {
+    pub fn record_rejected(&mut self, class: &str, end: MessageEnd) {
         self.count(class, end);
     }
 
     /// A configuration was read again, and taken or turned down.
-    pub fn reloaded(&mut self, taken: bool) {
+    pub fn record_reload(&mut self, taken: bool) {
         self.reloads[usize::from(!taken)] += 1;
     }
 
@@ -117,7 +117,7 @@
     }
 
     /// Messages taken, and those of them that have ended.
-    pub fn totals(&self) -> (u64, u64) {
+    pub fn accepted_and_ended(&self) -> (u64, u64) {
         (self.taken, self.ended)
     }
 
@@ -134,7 +134,7 @@
     }
 
     /// The figures as the door shows them, one `name=value` a line.
-    pub fn show(&self, dispatches: u64, targets: HostCounts) -> String {
+    pub fn render(&self, dispatches: u64, targets: HostCounts) -> String {
         let mut text = String::new();
         // A text takes every line.
         for (class, counts) in &self.classes {
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -28,7 +28,7 @@
     ];
 
     /// Its word on the wire.
-    pub fn word(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
             Command::Ready => "ready",
             Command::ShowStat => "show-stat",
@@ -40,7 +40,7 @@
 
 impl fmt::Display for Command {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.word())
+        f.write_str(self.as_str())
     }
 }
 
@@ -56,7 +56,7 @@
 }
 
 /// Reads the first line of a text. White space round the word and a carriage return are let pass.
-pub fn read(text: &[u8]) -> ParsedLine {
+pub fn parse_line(text: &[u8]) -> ParsedLine {
     let Some(end) = text.iter().position(|byte| *byte == b'\n') else {
         return if text.len() > LONGEST {
             ParsedLine::Wrong("the line is too long")
@@ -70,16 +70,16 @@
     let word = text[..end].trim_ascii();
     let call = Command::ALL
         .into_iter()
-        .find(|call| call.word().as_bytes() == word);
+        .find(|call| call.as_str().as_bytes() == word);
     call.map_or(ParsedLine::Wrong("unknown call"), ParsedLine::Command)
 }
 
 /// The answer to a call that worked.
-pub fn ok(what: &str) -> String {
+pub fn ok_reply(what: &str) -> String {
     format!("ok {what}\n")
 }
 
 /// The answer to a call that did not.
-pub fn fail(why: &str) -> String {
+pub fn fail_reply(why: &str) -> String {
     format!("fail {why}\n")
 }
--- a/crates/control/tests/metrics.rs
+++ b/crates/control/tests/metrics.rs
@@ -64,33 +64,33 @@
             };
             match step {
                 Step::Taken => {
-                    ledger.taken();
+                    ledger.record_accepted();
                     held += 1;
                 }
                 Step::Ended(class, end) if held > 0 => {
-                    ledger.ended(&classes[class], end);
+                    ledger.record_end(&classes[class], end);
                     held -= 1;
                     count(class, end);
                 }
                 Step::Ended(..) => {}
                 Step::TurnedAway(class, end) => {
-                    ledger.turned_away(&classes[class], end);
+                    ledger.record_rejected(&classes[class], end);
                     count(class, end);
                 }
                 Step::Reload(taken) => {
-                    ledger.reloaded(taken);
+                    ledger.record_reload(taken);
                     reloads[usize::from(!taken)] += 1;
                 }
                 Step::HandedOver => {
-                    ledger.handed_over();
+                    ledger.record_handover();
                     held = 0;
                 }
             }
-            let (taken, ended) = ledger.totals();
+            let (taken, ended) = ledger.accepted_and_ended();
             prop_assert_eq!(taken, ended + ledger.concurrent());
             prop_assert_eq!(ledger.concurrent(), held);
         }
-        let text = ledger.show(7, HostCounts { listed: 5, disabled: 2 });
+        let text = ledger.render(7, HostCounts { listed: 5, disabled: 2 });
         for (class, row) in classes.iter().zip(counts) {
             for (name, value) in ["success", "overload", "error"].into_iter().zip(row) {
                 prop_assert_eq!(figure(&text, &format!("{name}.{class}")), Some(value));
@@ -108,10 +108,10 @@
 #[test]
 fn classes_come_at_zero_and_those_that_go_keep_their_counts() {
     let mut ledger = Metrics::new(&names(&["a", "b"]));
-    ledger.taken();
-    ledger.ended("a", MessageEnd::Success);
-    ledger.classes(&names(&["b", "c"]));
-    let text = ledger.show(0, HostCounts::default());
+    ledger.record_accepted();
+    ledger.record_end("a", MessageEnd::Success);
+    ledger.set_classes(&names(&["b", "c"]));
+    let text = ledger.render(0, HostCounts::default());
     assert_eq!(
         (figure(&text, "success.a"), figure(&text, "success.c")),
         (Some(1), Some(0))
@@ -122,10 +122,10 @@
 fn names_of_classes_are_bounded_and_those_in_force_always_stand() {
     let mut ledger = Metrics::default();
     for number in 0..2 * MOST_CLASSES {
-        ledger.classes(&names(&[&format!("c{number}"), "always"]));
-        ledger.turned_away("always", MessageEnd::Error);
+        ledger.set_classes(&names(&[&format!("c{number}"), "always"]));
+        ledger.record_rejected("always", MessageEnd::Error);
     }
-    let text = ledger.show(0, HostCounts::default());
+    let text = ledger.render(0, HostCounts::default());
     assert_eq!(
         text.lines()
             .filter(|line| line.starts_with("relay.success."))
--- a/crates/control/tests/protocol.rs
+++ b/crates/control/tests/protocol.rs
@@ -1,6 +1,6 @@
 //! The line protocol: each call, cut at each byte, and what is none.
 
-use control::protocol::{read, LONGEST};
+use control::protocol::{parse_line, LONGEST};
 use control::{Command, ParsedLine};
 use proptest::prelude::*;
 
@@ -11,15 +11,15 @@
             let text = format!("{call}{end}");
             for cut in 0..text.len() {
                 assert_eq!(
-                    read(&text.as_bytes()[..cut]),
+                    parse_line(&text.as_bytes()[..cut]),
                     ParsedLine::Partial,
                     "{text:?} cut at {cut}"
                 );
             }
-            assert_eq!(read(text.as_bytes()), ParsedLine::Command(call));
+            assert_eq!(parse_line(text.as_bytes()), ParsedLine::Command(call));
             // What follows the line is not looked at.
             assert_eq!(
-                read(format!("{text}more").as_bytes()),
+                parse_line(format!("{text}more").as_bytes()),
                 ParsedLine::Command(call)
             );
         }
@@ -37,19 +37,19 @@
         b"show-stat\0\n",
         &long,
     ] {
-        assert!(matches!(read(text), ParsedLine::Wrong(_)), "{text:?}");
+        assert!(matches!(parse_line(text), ParsedLine::Wrong(_)), "{text:?}");
     }
 }
 
 proptest! {
     #[test]
     fn no_text_is_taken_for_a_call_that_it_does_not_name(text in prop::collection::vec(any::<u8>(), 0..200)) {
-        if let ParsedLine::Command(call) = read(&text) {
+        if let ParsedLine::Command(call) = parse_line(&text) {
             let first = text.split(|byte| *byte == b'\n').next().unwrap_or_default();
-            prop_assert_eq!(first.trim_ascii(), call.word().as_bytes());
+            prop_assert_eq!(first.trim_ascii(), call.as_str().as_bytes());
         }
         if !text.contains(&b'\n') && text.len() <= LONGEST {
-            prop_assert_eq!(read(&text), ParsedLine::Partial);
+            prop_assert_eq!(parse_line(&text), ParsedLine::Partial);
         }
     }
 }
--- a/crates/membership/src/host_membership.rs
+++ b/crates/membership/src/host_membership.rs
@@ -67,7 +67,8 @@
     /// Where relays ask, what the list has to tell binds only some seconds after: a list that was confirmed a moment ago serves until the
     /// answer can be here. Guards a discovery that is overbooked after a restart of most relays, whose calls wait.
     pub fn new(terms: &DiscoverySettings, heard: Option<Duration>) -> Self {
-        let fresh = !terms.pushed && heard.is_none_or(|ago| ago <= PollSchedule::fresh(terms));
+        let fresh = !terms.pushed
+            && heard.is_none_or(|ago| ago <= PollSchedule::confirmation_lifetime(terms));
         let trust = if fresh {
             Trust::Believed
         } else {
@@ -82,21 +83,25 @@
     }
 
     /// A call for the list is made.
-    pub fn asks(&mut self, now: Instant) {
+    pub fn poll_started(&mut self, now: Instant) {
         if self.trust == Trust::Unconfirmed(None) {
-            let hold = if self.pace.pushed() { HOLD } else { ASKED_HOLD };
+            let hold = if self.pace.is_push() {
+                HOLD
+            } else {
+                ASKED_HOLD
+            };
             self.trust = Trust::Unconfirmed(Some(now + hold));
         }
     }
 
     /// Discovery has told where the list stands, and that is in force; or it is silent, and the list has to serve. Whether
     /// calls waited for that.
-    pub fn confirmed(&mut self) -> bool {
+    pub fn confirm(&mut self) -> bool {
         std::mem::replace(&mut self.trust, Trust::Believed) != Trust::Believed
     }
 
     /// Whether calls may rest on the list.
-    pub fn believed(&self, now: Instant) -> bool {
+    pub fn is_list_confirmed(&self, now: Instant) -> bool {
         match self.trust {
             Trust::Believed => true,
             Trust::Unconfirmed(until) => until.is_some_and(|until| until <= now),
@@ -104,7 +109,7 @@
     }
 
     /// Until when calls wait if discovery says nothing, while they do.
-    pub fn waits_until(&self) -> Option<Instant> {
+    pub fn confirmation_deadline(&self) -> Option<Instant> {
         match self.trust {
             Trust::Unconfirmed(until) => until,
             Trust::Believed => None,
@@ -112,7 +117,7 @@
     }
 
     /// A host is listed as up, or drains or is gone.
-    pub fn list(&mut self, host: HostId, up: bool) {
+    pub fn set_listed(&mut self, host: HostId, up: bool) {
         if up {
             self.up.insert(host);
         } else {
@@ -121,20 +126,20 @@
     }
 
     /// Whether a host is listed as up.
-    pub fn is_up(&self, host: HostId) -> bool {
+    pub fn is_listed_up(&self, host: HostId) -> bool {
         self.up.contains(&host)
     }
 
     /// Whether a call to a host may begin.
-    pub fn may_begin(&self, host: HostId, now: Instant) -> bool {
-        self.believed(now) && self.is_up(host)
+    pub fn may_start_call(&self, host: HostId, now: Instant) -> bool {
+        self.is_list_confirmed(now) && self.is_listed_up(host)
     }
 
     /// Judges a list by its version and that of the one in force; `whole` if it stands for itself.
     ///
     /// Guards drains that one discovery told against another, or one that was started again, that is behind: its list
     /// would take them back. And it guards against that list's own drains being passed over meanwhile.
-    pub fn judge(
+    pub fn judge_list(
         &mut self,
         version: u64,
         in_force: u64,
@@ -190,9 +195,9 @@
                 seed: 7,
             };
             let mut members = HostMembership::new(&terms, Some(Duration::from_secs(heard)));
-            members.list(1, true);
+            members.set_listed(1, true);
             assert_eq!(
-                members.may_begin(1, now),
+                members.may_start_call(1, now),
                 serves,
                 "pushed {pushed}, {heard} s"
             );
@@ -202,61 +207,61 @@
     #[test]
     fn a_process_that_starts_calls_nobody_until_its_list_is_confirmed() {
         let (mut members, now) = (members(true), Instant::now());
-        members.list(1, true);
+        members.set_listed(1, true);
         assert!(
-            !members.may_begin(1, now + HOLD * 100),
+            !members.may_start_call(1, now + HOLD * 100),
             "it has not even asked"
         );
-        members.asks(now);
-        assert!(!members.may_begin(1, now));
-        members.list(1, false);
-        members.list(2, true);
-        members.confirmed();
-        assert!(!members.may_begin(1, now) && members.may_begin(2, now));
-        assert_eq!(members.waits_until(), None);
+        members.poll_started(now);
+        assert!(!members.may_start_call(1, now));
+        members.set_listed(1, false);
+        members.set_listed(2, true);
+        members.confirm();
+        assert!(!members.may_start_call(1, now) && members.may_start_call(2, now));
+        assert_eq!(members.confirmation_deadline(), None);
     }
 
     #[test]
     fn a_silent_discovery_holds_calls_up_for_a_bounded_time_however_often_it_is_asked() {
         let (mut members, now) = (members(true), Instant::now());
-        members.list(1, true);
+        members.set_listed(1, true);
         for asked in 0..10 {
-            members.asks(now + HOLD / 4 * asked);
+            members.poll_started(now + HOLD / 4 * asked);
         }
-        assert_eq!(members.waits_until(), Some(now + HOLD));
-        assert!(!members.may_begin(1, now + HOLD - Duration::from_millis(1)));
-        assert!(members.may_begin(1, now + HOLD));
+        assert_eq!(members.confirmation_deadline(), Some(now + HOLD));
+        assert!(!members.may_start_call(1, now + HOLD - Duration::from_millis(1)));
+        assert!(members.may_start_call(1, now + HOLD));
     }
 
     #[test]
     fn an_older_list_is_believed_only_once_it_can_be_no_lag() {
         let (mut members, now) = (members(true), Instant::now());
-        assert_eq!(members.judge(8, 8, false, now), ListFreshness::Current);
-        assert_eq!(members.judge(7, 8, true, now), ListFreshness::Older);
+        assert_eq!(members.judge_list(8, 8, false, now), ListFreshness::Current);
+        assert_eq!(members.judge_list(7, 8, true, now), ListFreshness::Older);
         assert_eq!(
-            members.judge(7, 8, false, now + OLDER_FOR),
+            members.judge_list(7, 8, false, now + OLDER_FOR),
             ListFreshness::Older,
             "a change alone says too little"
         );
         assert_eq!(
-            members.judge(7, 8, true, now + OLDER_FOR - Duration::from_millis(1)),
+            members.judge_list(7, 8, true, now + OLDER_FOR - Duration::from_millis(1)),
             ListFreshness::Older
         );
         assert_eq!(
-            members.judge(7, 8, true, now + OLDER_FOR),
+            members.judge_list(7, 8, true, now + OLDER_FOR),
             ListFreshness::Current
         );
         // The next time counts from its own beginning.
         assert_eq!(
-            members.judge(6, 7, true, now + OLDER_FOR),
+            members.judge_list(6, 7, true, now + OLDER_FOR),
             ListFreshness::Older
         );
         assert_eq!(
-            members.judge(7, 7, true, now + OLDER_FOR),
+            members.judge_list(7, 7, true, now + OLDER_FOR),
             ListFreshness::Current
         );
         assert_eq!(
-            members.judge(6, 7, true, now + OLDER_FOR * 2),
+            members.judge_list(6, 7, true, now + OLDER_FOR * 2),
             ListFreshness::Older
         );
     }
--- a/crates/membership/src/poll_schedule.rs
+++ b/crates/membership/src/poll_schedule.rs
@@ -77,12 +77,12 @@
             rest: Duration::ZERO,
             spoilt: false,
         };
-        pace.heard();
+        pace.record_success();
         pace
     }
 
     /// Changes come unasked.
-    pub fn pushed(&self) -> bool {
+    pub fn is_push(&self) -> bool {
         self.pushed
     }
 
@@ -92,12 +92,12 @@
 
     /// Where relays ask: a list that was confirmed no longer ago than this serves a process that starts until its first call is
     /// answered, before what came after that confirmation binds.
-    pub(crate) fn fresh(terms: &DiscoverySettings) -> Duration {
+    pub(crate) fn confirmation_lifetime(terms: &DiscoverySettings) -> Duration {
         (TOLD_AFTER + terms.drain_grace).saturating_sub(terms.drain_grace / 2 + ANSWER + BEAT)
     }
 
     /// How long to wait before the first call of a process; calls to hosts wait as long, and for the answer.
-    pub fn start(&mut self) -> Duration {
+    pub fn initial_delay(&mut self) -> Duration {
         if self.pushed {
             return Duration::ZERO;
         }
@@ -107,7 +107,7 @@
     }
 
     /// How long to wait for an answer to begin.
-    pub fn patience(&self) -> Duration {
+    pub fn response_timeout(&self) -> Duration {
         if self.pushed {
             return PUSHED_PATIENCE.min(self.drain_grace.mul_f64(PUSHED_PARTS.0));
         }
@@ -115,7 +115,7 @@
     }
 
     /// How long a list that has begun may take to come whole.
-    pub fn whole(&self) -> Duration {
+    pub fn transfer_timeout(&self) -> Duration {
         WHOLE.min(self.drain_grace / 2)
     }
 
@@ -126,7 +126,7 @@
     }
 
     /// Discovery has told something: the next end is the first.
-    pub fn heard(&mut self) {
+    pub fn record_success(&mut self) {
         self.rest = if self.pushed {
             self.pushed_rest().0
         } else {
@@ -144,16 +144,16 @@
 
     /// What discovery said could not be read or was older, and counts as told: how long to rest before asking for the whole
     /// list. Nothing the first time; a flood of such answers must not become one of calls.
-    pub fn spoilt(&mut self) -> Duration {
+    pub fn next_delay_after_bad_list(&mut self) -> Duration {
         match std::mem::replace(&mut self.spoilt, true) {
             false => Duration::ZERO,
-            true => self.rest(),
+            true => self.next_delay(),
         }
     }
 
     /// How long to rest before the next call; longer each time that nothing was heard between. A relay alone rests
     /// for the whole of it, one of many for half to three halves, by chance.
-    pub fn rest(&mut self) -> Duration {
+    pub fn next_delay(&mut self) -> Duration {
         let rest = self.rest;
         let most = if self.pushed {
             self.pushed_rest().1
@@ -183,7 +183,7 @@
         })
     }
 
-    fn pushed(siblings: usize, seed: u64) -> PollSchedule {
+    fn is_push(siblings: usize, seed: u64) -> PollSchedule {
         PollSchedule::new(&DiscoverySettings {
             pushed: true,
             siblings,
@@ -195,11 +195,14 @@
     #[test]
     fn a_relay_alone_asks_at_once_and_soon_again() {
         let mut pace = asked(1, 7);
-        assert_eq!((pace.start(), pace.patience()), (Duration::ZERO, PATIENCE));
-        let rests: Vec<_> = (0..8).map(|_| pace.rest().as_millis()).collect();
+        assert_eq!(
+            (pace.initial_delay(), pace.response_timeout()),
+            (Duration::ZERO, PATIENCE)
+        );
+        let rests: Vec<_> = (0..8).map(|_| pace.next_delay().as_millis()).collect();
         assert_eq!(rests, [50, 100, 200, 400, 800, 1000, 1000, 1000]);
-        pace.heard();
-        assert_eq!(pace.rest(), REST.0);
+        pace.record_success();
+        assert_eq!(pace.next_delay(), REST.0);
     }
 
     /// A hundred relays against a discovery that takes one call from each in eight seconds, and turns away what
@@ -210,7 +213,14 @@
             let mut relays: Vec<_> = (0..100).map(|seed| asked(100, seed * 7919)).collect();
             let mut due: Vec<(Duration, usize)> = Vec::new();
             for (number, pace) in relays.iter_mut().enumerate() {
-                due.push((if started { pace.start() } else { pace.rest() }, number));
+                due.push((
+                    if started {
+                        pace.initial_delay()
+                    } else {
+                        pace.next_delay()
+                    },
+                    number,
+                ));
             }
             let (mut free, mut calls, mut last) = (Duration::ZERO, 0, Duration::ZERO);
             let work = Duration::from_millis(80);
@@ -222,13 +232,13 @@
                 let pace = &mut relays[number];
                 let wait = done - now;
                 if wait > Duration::from_secs(4) {
-                    due.push((now + pace.rest(), number));
+                    due.push((now + pace.next_delay(), number));
                     continue;
                 }
                 // Whoever has given up is answered all the same.
                 free = done;
-                if wait > pace.patience() {
-                    due.push((now + pace.patience() + pace.rest(), number));
+                if wait > pace.response_timeout() {
+                    due.push((now + pace.response_timeout() + pace.next_delay(), number));
                 } else {
                     last = last.max(done);
                 }
@@ -247,7 +257,7 @@
     fn a_watch_that_falls_silent_is_opened_anew_before_its_news_bind() {
         for siblings in [1, 2, 100, 300, 1024, 100_000] {
             for seed in 0..200 {
-                let rest = asked(siblings, seed).rest();
+                let rest = asked(siblings, seed).next_delay();
                 assert!(
                     SILENCE + rest + ANSWER <= TOLD_AFTER + GRACE,
                     "{siblings} relays: {rest:?}"
@@ -261,10 +271,10 @@
     fn an_agent_beside_the_relay_is_asked_at_once_and_never_left_alone_for_long() {
         for siblings in [1, 2, 300, 1024] {
             for seed in 0..200 {
-                let mut pace = pushed(siblings, seed);
-                assert_eq!(pace.start(), Duration::ZERO);
+                let mut pace = is_push(siblings, seed);
+                assert_eq!(pace.initial_delay(), Duration::ZERO);
                 for _ in 0..50 {
-                    let gap = pace.patience() + pace.rest();
+                    let gap = pace.response_timeout() + pace.next_delay();
                     assert!(
                         gap + Duration::from_millis(500) <= GRACE,
                         "{siblings} relays: {gap:?}"
@@ -286,9 +296,9 @@
                     drain_grace,
                     seed,
                 });
-                assert!(pace.whole() <= drain_grace / 2);
+                assert!(pace.transfer_timeout() <= drain_grace / 2);
                 for _ in 0..50 {
-                    let gap = pace.patience() + pace.rest();
+                    let gap = pace.response_timeout() + pace.next_delay();
                     assert!(gap + drain_grace / 4 <= drain_grace, "{millis} ms: {gap:?}");
                 }
             }
@@ -297,9 +307,9 @@
 
     #[test]
     fn what_cannot_be_read_is_asked_for_again_at_once_but_not_for_ever() {
-        for mut pace in [asked(300, 3), pushed(300, 3)] {
-            assert_eq!(pace.spoilt(), Duration::ZERO);
-            let rests: Vec<_> = (0..20).map(|_| pace.spoilt()).collect();
+        for mut pace in [asked(300, 3), is_push(300, 3)] {
+            assert_eq!(pace.next_delay_after_bad_list(), Duration::ZERO);
+            let rests: Vec<_> = (0..20).map(|_| pace.next_delay_after_bad_list()).collect();
             assert!(
                 rests.iter().all(|rest| *rest >= Duration::from_millis(25)),
                 "{rests:?}"
@@ -308,17 +318,17 @@
                 rests.iter().sum::<Duration>() > Duration::from_secs(2),
                 "{rests:?}"
             );
-            pace.heard();
-            assert_eq!(pace.spoilt(), Duration::ZERO);
+            pace.record_success();
+            assert_eq!(pace.next_delay_after_bad_list(), Duration::ZERO);
         }
     }
 
     #[test]
     fn no_number_of_relays_makes_a_wait_longer_than_its_bound() {
         for siblings in [0, 1, 2, 1000, usize::MAX] {
-            for mut pace in [asked(siblings, 3), pushed(siblings, 3)] {
-                assert!(pace.start() <= GRACE / 2 && pace.patience() <= BOUND);
-                assert!((0..50).all(|_| pace.rest() <= BOUND));
+            for mut pace in [asked(siblings, 3), is_push(siblings, 3)] {
+                assert!(pace.initial_delay() <= GRACE / 2 && pace.response_timeout() <= BOUND);
+                assert!((0..50).all(|_| pace.next_delay() <= BOUND));
             }
         }
     }
--- a/crates/relay/src/cached_state.rs
+++ b/crates/relay/src/cached_state.rs
@@ -159,7 +159,7 @@
 }
 
 /// Keeps that discovery was heard just now.
-pub fn hear(runtime: &impl Runtime, folder: &Path) -> io::Result<()> {
+pub fn record_contact(runtime: &impl Runtime, folder: &Path) -> io::Result<()> {
     runtime.write(
         &folder.join("heard"),
         runtime.unix_time().as_millis().to_string().as_bytes(),
@@ -167,7 +167,7 @@
 }
 
 /// How long ago discovery was last heard, as far as the folder tells. What was cut off reads as long ago, what lies ahead as not known.
-pub fn heard(runtime: &impl Runtime, folder: &Path) -> Option<Duration> {
+pub fn time_since_contact(runtime: &impl Runtime, folder: &Path) -> Option<Duration> {
     let text = runtime.read(&folder.join("heard")).ok()?;
     let at = std::str::from_utf8(&text).ok()?.parse().ok()?;
     runtime.unix_time().checked_sub(Duration::from_millis(at))
--- a/crates/relay/src/classes.rs
+++ b/crates/relay/src/classes.rs
@@ -45,14 +45,14 @@
     }
 
     /// A class that is in force.
-    pub fn named(&self, name: &str) -> Option<&Class> {
+    pub fn class_by_name(&self, name: &str) -> Option<&Class> {
         self.entries
             .get(usize::from(self.number(name)?))
             .map(|entry| &entry.terms)
     }
 
     /// The number of a class with these terms, in force or not.
-    pub fn find(&self, name: &str, terms: &Class) -> Option<u16> {
+    pub fn number_of(&self, name: &str, terms: &Class) -> Option<u16> {
         let at = self
             .entries
             .iter()
@@ -61,8 +61,8 @@
     }
 
     /// The number of the class that a message was taken under, in force or not; none if there is no room for it.
-    pub fn taken_under(&mut self, name: &str, terms: &Class) -> Option<u16> {
-        self.find(name, terms).or_else(|| {
+    pub fn number_for_version(&mut self, name: &str, terms: &Class) -> Option<u16> {
+        self.number_of(name, terms).or_else(|| {
             let entry = Entry {
                 name: name.into(),
                 terms: terms.clone(),
@@ -75,7 +75,7 @@
 
     /// Puts other classes in force; false if there is no room, and then nothing has changed. A class that changes is a
     /// new number. `in_use` tells whether a message has a number: those without are given anew.
-    pub fn retune(
+    pub fn update(
         &mut self,
         names: &[String],
         terms: &[Class],
@@ -132,7 +132,7 @@
     }
 
     /// What the numbers mean, in their order.
-    pub fn terms(&self) -> Vec<Class> {
+    pub fn definitions(&self) -> Vec<Class> {
         self.entries
             .iter()
             .map(|entry| entry.terms.clone())
@@ -176,7 +176,7 @@
             class(9, Idempotency::NonIdempotent),
         );
         let mut classes = Classes::new(&names("a b"), &[safe.clone(), safe.clone()]);
-        assert!(classes.retune(
+        assert!(classes.update(
             &names("a b"),
             &[unsafe_.clone(), safe.clone()],
             |number| number == 0
@@ -184,11 +184,11 @@
         assert_eq!(classes.number("a"), Some(2));
         assert_eq!(classes.number("b"), Some(1));
         assert_eq!(
-            classes.terms(),
+            classes.definitions(),
             [safe.clone(), safe.clone(), unsafe_.clone()]
         );
         // Once no message has it, the old number is given anew.
-        assert!(classes.retune(
+        assert!(classes.update(
             &names("a b c"),
             &[unsafe_.clone(), safe.clone(), safe.clone()],
             |_| false
@@ -197,23 +197,23 @@
             (classes.number("a"), classes.number("c")),
             (Some(2), Some(0))
         );
-        assert_eq!(classes.terms().len(), 3);
+        assert_eq!(classes.definitions().len(), 3);
     }
 
     #[test]
     fn a_class_that_goes_and_comes_back_is_unknown_in_between() {
         let safe = class(9, Idempotency::Idempotent);
         let mut classes = Classes::new(&names("a b"), &[safe.clone(), safe.clone()]);
-        assert!(classes.retune(&names("b"), std::slice::from_ref(&safe), |_| true));
+        assert!(classes.update(&names("b"), std::slice::from_ref(&safe), |_| true));
         assert_eq!(classes.number("a"), None);
-        assert!(classes.named("a").is_none());
+        assert!(classes.class_by_name("a").is_none());
         // Back with the same terms, it is the number that its messages still have.
-        assert!(classes.retune(&names("b a"), &[safe.clone(), safe.clone()], |_| true));
+        assert!(classes.update(&names("b a"), &[safe.clone(), safe.clone()], |_| true));
         assert_eq!(classes.number("a"), Some(0));
         let other = class(7, Idempotency::NonIdempotent);
-        assert!(classes.retune(&names("b a"), &[safe.clone(), other.clone()], |_| true));
+        assert!(classes.update(&names("b a"), &[safe.clone(), other.clone()], |_| true));
         assert_eq!(
-            (classes.number("a"), classes.named("a")),
+            (classes.number("a"), classes.class_by_name("a")),
             (Some(2), Some(&other))
         );
     }
@@ -225,9 +225,9 @@
             class(9, Idempotency::NonIdempotent),
         );
         let mut classes = Classes::new(&names("a"), std::slice::from_ref(&unsafe_));
-        assert_eq!(classes.taken_under("a", &unsafe_), Some(0));
-        assert_eq!(classes.taken_under("a", &safe), Some(1));
-        assert_eq!(classes.taken_under("gone", &safe), Some(2));
+        assert_eq!(classes.number_for_version("a", &unsafe_), Some(0));
+        assert_eq!(classes.number_for_version("a", &safe), Some(1));
+        assert_eq!(classes.number_for_version("gone", &safe), Some(2));
         assert_eq!(
             (classes.number("a"), classes.number("gone")),
             (Some(0), None)
@@ -239,16 +239,16 @@
         let mut classes = Classes::new(&names("a"), &[class(1, Idempotency::Idempotent)]);
         let mut turned_down = 0;
         for give_up in 2..MOST as u64 + 50 {
-            let before = classes.terms();
-            if !classes.retune(
+            let before = classes.definitions();
+            if !classes.update(
                 &names("a"),
                 &[class(give_up, Idempotency::Idempotent)],
                 |_| true,
             ) {
                 turned_down += 1;
-                assert_eq!(classes.terms(), before);
+                assert_eq!(classes.definitions(), before);
             }
         }
-        assert_eq!((classes.terms().len(), turned_down), (MOST, 49));
+        assert_eq!((classes.definitions().len(), turned_down), (MOST, 49));
     }
 }
--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -131,7 +131,7 @@
     }
 
     /// Whether the port is open, or connections that waited there are still being taken.
-    pub fn listens(&self) -> bool {
+    pub fn is_accepting(&self) -> bool {
         self.listens.get()
     }
 
@@ -201,7 +201,7 @@
 
 /// Takes connections until the process accepts no more, and those that wait then. `shared` tells that the port outlasts
 /// processes, so that these are for the next one.
-pub async fn listen<R: Runtime>(
+pub async fn accept_connections<R: Runtime>(
     listener: R::Listener,
     clients: Rc<ClientConnections<R>>,
     clock: Clock<R>,
@@ -210,7 +210,7 @@
 ) {
     let runtime = clients.runtime.clone();
     let began = runtime.now();
-    let mut doors = clients.control.doors();
+    let mut doors = clients.control.connection_policy();
     let mut closing = doors.clone();
     clients.listens.set(true);
     let mut until = None;
@@ -281,7 +281,7 @@
     mut waited: Duration,
 ) -> std::io::Result<()> {
     let (runtime, control) = (&seat.clients.runtime, &seat.clients.control);
-    let mut doors = control.doors();
+    let mut doors = control.connection_policy();
     stream.set_nodelay()?;
     let mut named = AuthenticatedSession {
         wanted: seat.clients.auth,
@@ -321,7 +321,7 @@
                                     parts,
                                     clock.now().saturating_sub(waited.as_micros() as u64),
                                     &inputs,
-                                    control.ready(),
+                                    control.is_ready(),
                                     &mut named,
                                 )
                                 .await,
@@ -354,7 +354,7 @@
                 .timeout(REQUEST_TIME, stream.write_all(&out))
                 .await??;
             if malformed {
-                return part(runtime, stream).await;
+                return close_lingering(runtime, stream).await;
             }
             (began, asked, waited) = (None, true, Duration::ZERO);
             // Guards the others against a client at full speed: it has its turn, then they have theirs.
@@ -424,7 +424,7 @@
                     late.write(&mut out);
                     runtime.timeout(REQUEST_TIME, stream.write_all(&out)).await??;
                 }
-                return part(runtime, stream).await;
+                return close_lingering(runtime, stream).await;
             }
         }
     }
@@ -432,7 +432,10 @@
 
 /// Ends sending and closes once the client has read: to close with input unread would reset the
 /// connection, which can destroy the error line on its way.
-pub async fn part<R: Runtime>(runtime: &R, mut stream: R::Stream) -> std::io::Result<()> {
+pub async fn close_lingering<R: Runtime>(
+    runtime: &R,
+    mut stream: R::Stream,
+) -> std::io::Result<()> {
     stream.shutdown().await?;
     let until = runtime.now() + LINGER.0;
     let (mut waste, mut read) = (BytesMut::with_capacity(READ), 0);
--- a/crates/relay/src/control_socket.rs
+++ b/crates/relay/src/control_socket.rs
@@ -17,7 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{watch, Notify};
 
-use crate::client_connections::part;
+use crate::client_connections::close_lingering;
 
 /// Connections at once. One more takes the place of the one that has said nothing for longest.
 const CONNECTIONS: usize = 16;
@@ -77,7 +77,7 @@
     }
 
     /// The ledger, to book in.
-    pub fn ledger(&self) -> std::cell::RefMut<'_, Metrics> {
+    pub fn metrics(&self) -> std::cell::RefMut<'_, Metrics> {
         self.ledger.borrow_mut()
     }
 
@@ -87,7 +87,7 @@
     }
 
     /// What connections are to do, from now on.
-    pub fn doors(&self) -> watch::Receiver<Doors> {
+    pub fn connection_policy(&self) -> watch::Receiver<Doors> {
         self.doors.subscribe()
     }
 
@@ -101,103 +101,109 @@
     }
 
     /// Whether the process takes clients.
-    pub fn ready(&self) -> bool {
-        self.lifecycle.borrow().ready()
+    pub fn is_ready(&self) -> bool {
+        self.lifecycle.borrow().is_ready()
     }
 
     /// Whether new messages are refused, as clients are to go elsewhere.
-    pub fn refuses(&self) -> bool {
+    pub fn rejects_messages(&self) -> bool {
         self.lifecycle.borrow().stage(self.span()) == ConnectionStage::Refusing
     }
 
     /// Takes an input; false if it changes nothing.
-    pub fn tell(&self, told: LifecycleEvent) -> bool {
-        let changed = self.lifecycle.borrow_mut().tell(told, self.span());
+    pub fn handle_event(&self, told: LifecycleEvent) -> bool {
+        let changed = self.lifecycle.borrow_mut().handle(told, self.span());
         if changed {
             log!(self.runtime, "control: {told:?}, now {:?}", self.state());
-            self.show();
+            self.publish_stage();
             self.told.notify_one();
         }
         changed
     }
 
     /// Ready once a call has changed something.
-    pub async fn changed(&self) {
+    pub async fn state_changed(&self) {
         self.told.notified().await;
     }
 
     /// Tells connections what holds now, and says how soon to do so again, if time alone may change it.
-    pub fn show(&self) -> Option<Duration> {
+    pub fn publish_stage(&self) -> Option<Duration> {
         let (lifecycle, now) = (self.lifecycle.borrow(), self.span());
         let doors = Doors {
-            accepts: lifecycle.accepts(now),
+            accepts: lifecycle.accepts_connections(now),
             stage: lifecycle.stage(now),
         };
         self.doors
             .send_if_modified(|old| std::mem::replace(old, doors) != doors);
-        lifecycle.moves().then_some(Duration::from_millis(20))
+        lifecycle
+            .is_in_transition()
+            .then_some(Duration::from_millis(20))
     }
 
     /// Whether the process ends now; `quiet` is asked only when that matters. `listens` tells that the port is still
     /// open: connections that wait there are taken before a quiet process ends.
-    pub fn ends(&self, listens: bool, quiet: impl FnOnce() -> bool) -> bool {
+    pub fn should_exit(&self, listens: bool, quiet: impl FnOnce() -> bool) -> bool {
         let lifecycle = *self.lifecycle.borrow();
-        if lifecycle.state() != LifecycleState::Stopping || !lifecycle.ends(self.span(), quiet()) {
+        if lifecycle.state() != LifecycleState::Stopping
+            || !lifecycle.should_exit(self.span(), quiet())
+        {
             return false;
         }
-        if listens && !lifecycle.must_end(self.span()) {
-            self.tell(LifecycleEvent::Idle);
+        if listens && !lifecycle.must_exit(self.span()) {
+            self.handle_event(LifecycleEvent::Idle);
             return false;
         }
         true
     }
 
     /// Whether another process is to have everything now.
-    pub fn hands_over(&self, clients: usize) -> bool {
-        self.lifecycle.borrow().hands_over(self.span(), clients)
+    pub fn should_hand_over(&self, clients: usize) -> bool {
+        self.lifecycle
+            .borrow()
+            .should_hand_over(self.span(), clients)
     }
 
     /// Whether an operator has the relay drained.
-    pub fn drained(&self) -> bool {
-        self.lifecycle.borrow().drained()
+    pub fn is_drained(&self) -> bool {
+        self.lifecycle.borrow().is_drained()
     }
 
     /// Takes over from a process that was drained, or not.
-    pub fn inherits(&self, drained: bool) {
-        self.lifecycle.borrow_mut().inherits(drained);
+    pub fn restore_drained(&self, drained: bool) {
+        self.lifecycle.borrow_mut().restore_drained(drained);
     }
 
     /// How long from now the last call may be out, once the process was told to stop.
-    pub fn last_call(&self) -> Option<Duration> {
+    pub fn time_left_for_calls(&self) -> Option<Duration> {
         self.lifecycle
             .borrow()
-            .last_call()
+            .time_left_for_calls()
             .map(|at| at.saturating_sub(self.span()))
     }
 
     /// When the module's view of hosts is wanted next.
-    pub fn view_at(&self) -> Option<Instant> {
+    pub fn next_host_count_at(&self) -> Option<Instant> {
         self.view_at.get()
     }
 
     /// The module's view of hosts.
-    pub fn view(&self, targets: HostCounts) {
+    pub fn set_host_counts(&self, targets: HostCounts) {
         self.targets.set(targets);
         self.view_at.set(Some(self.runtime.now() + VIEW));
     }
 
     fn answer(&self, call: Command) -> String {
         match call {
-            Command::Ready if self.ready() => protocol::ok("takes clients"),
-            Command::Ready => {
-                protocol::fail(&format!("takes no clients: {:?}", self.state()).to_lowercase())
-            }
+            Command::Ready if self.is_ready() => protocol::ok_reply("takes clients"),
+            Command::Ready => protocol::fail_reply(
+                &format!("takes no clients: {:?}", self.state()).to_lowercase(),
+            ),
             Command::ShowStat => {
                 let figures = self
                     .ledger
                     .borrow()
-                    .show(self.dispatches.get(), self.targets.get());
-                protocol::ok("figures") + &figures + "eof\n"
+                    .render(self.dispatches.get(), self.targets.get());
+                protocol::ok_reply("figures") + &figures + "eof\n"
             }
             Command::Drain => self.switch(
                 LifecycleEvent::Drain,
@@ -214,17 +220,17 @@
 
     /// A call that asks for a state: it works if the process gets there, or is there already.
     fn switch(&self, told: LifecycleEvent, wanted: LifecycleState, what: &str) -> String {
-        let changed = self.tell(told);
+        let changed = self.handle_event(told);
         match self.state() {
-            state if state == wanted && changed => protocol::ok(what),
-            state if state == wanted => protocol::ok(&format!("{what} already")),
-            state => protocol::fail(&format!("not while {state:?}").to_lowercase()),
+            state if state == wanted && changed => protocol::ok_reply(what),
+            state if state == wanted => protocol::ok_reply(&format!("{what} already")),
+            state => protocol::fail_reply(&format!("not while {state:?}").to_lowercase()),
         }
     }
 }
 
 /// The end that an answer at the door means.
-pub fn end_of(reply: &Reply) -> MessageEnd {
+pub fn end_of_reply(reply: &Reply) -> MessageEnd {
     match reply {
         Reply::Busy(_) => MessageEnd::Overload,
         Reply::Error(_) | Reply::NoAuth | Reply::WrongPass => MessageEnd::Error,
@@ -233,7 +239,7 @@
 }
 
 /// The end that a verdict means.
-pub fn end_by(verdict: DeliveryFailure) -> MessageEnd {
+pub fn end_of_failure(verdict: DeliveryFailure) -> MessageEnd {
     match verdict {
         DeliveryFailure::Undeliverable => MessageEnd::Error,
         DeliveryFailure::Deferred(_) => MessageEnd::Overload,
@@ -249,7 +255,7 @@
 }
 
 /// Takes callers for ever.
-pub async fn listen<R: Runtime>(listener: R::Listener, control: Rc<Control<R>>) {
+pub async fn serve_operators<R: Runtime>(listener: R::Listener, control: Rc<Control<R>>) {
     let callers: Rc<RefCell<Callers>> = Rc::default();
     loop {
         let stream = match listener.accept().await {
@@ -296,7 +302,7 @@
     let until = runtime.now() + LINE_TIME;
     let mut text = BytesMut::new();
     let said = loop {
-        match protocol::read(&text) {
+        match protocol::parse_line(&text) {
             ParsedLine::Partial => {}
             said => break Some(said),
         }
@@ -318,8 +324,8 @@
     let answer = match said {
         None => None,
         Some(ParsedLine::Command(call)) => Some(control.answer(call)),
-        Some(ParsedLine::Wrong(why)) => Some(protocol::fail(why)),
-        Some(ParsedLine::Partial) => Some(protocol::fail("half a line")),
+        Some(ParsedLine::Wrong(why)) => Some(protocol::fail_reply(why)),
+        Some(ParsedLine::Partial) => Some(protocol::fail_reply("half a line")),
     };
     let mut told = Ok(());
     if let Some(answer) = answer {
@@ -328,7 +334,7 @@
             .timeout(ANSWER_TIME, stream.write_all(answer.as_bytes()))
             .await
         {
-            Ok(Ok(())) => part(runtime, stream).await,
+            Ok(Ok(())) => close_lingering(runtime, stream).await,
             Ok(Err(error)) => Err(error),
             Err(late) => Err(late.into()),
         };
--- a/crates/relay/src/discovery_client.rs
+++ b/crates/relay/src/discovery_client.rs
@@ -92,10 +92,10 @@
     members: Rc<RefCell<HostMembership>>,
     inputs: mpsc::Sender<RelayEvent>,
 ) {
-    let start = members.borrow_mut().pace.start();
+    let start = members.borrow_mut().pace.initial_delay();
     runtime.sleep(start).await;
     // An agent beside the relay confirms a list at once where it is asked for it whole; a watch may say nothing for 2 s.
-    let whole = members.borrow().pace.pushed();
+    let whole = members.borrow().pace.is_push();
     let address = *at.borrow();
     let taken = None;
     let mut follower = DiscoveryWatch {
@@ -167,12 +167,12 @@
                 let pace = &mut self.members.borrow_mut().pace;
                 // Guards a discovery whose whole list is sound and whose watch is not: what it said between is no news.
                 if heard && (!spoilt || self.runtime.now() >= began + SILENCE) {
-                    pace.heard();
+                    pace.record_success();
                 }
                 if spoilt {
-                    pace.spoilt()
+                    pace.next_delay_after_bad_list()
                 } else {
-                    pace.rest()
+                    pace.next_delay()
                 }
             };
             self.whole |= spoilt;
@@ -214,7 +214,8 @@
             // Guards against a discovery that falls silent with its connections open: nothing else would tell.
             let mut until = now + SILENCE;
             if feed.is_open() {
-                until = until.min(*began.get_or_insert(now) + self.members.borrow().pace.whole());
+                until = until
+                    .min(*began.get_or_insert(now) + self.members.borrow().pace.transfer_timeout());
             } else {
                 began = None;
             }
@@ -237,7 +238,7 @@
             feed.extend(&data);
             while let Some(item) = feed.next().map_err(|error| Cut::Spoilt(error.into()))? {
                 // Where relays ask, the next process is to know when this one last heard.
-                let tells = self.silent || !self.members.borrow().pace.pushed();
+                let tells = self.silent || !self.members.borrow().pace.is_push();
                 match item {
                     Item::List(list) => self.take(list).await?,
                     Item::Beat if tells => self.confirm(RelayEvent::HostListConfirmed).await?,
@@ -254,7 +255,7 @@
         let word = self
             .members
             .borrow_mut()
-            .judge(version, self.version, list.is_full, now);
+            .judge_list(version, self.version, list.is_full, now);
         if word == ListFreshness::Current {
             (self.version, self.silent, self.taken) = (version, false, Some(list));
             return Ok(self.hand_on().await?);
@@ -298,8 +299,8 @@
     async fn ask(&self, path: &str) -> Result<(Channel<R>, Incoming), Failure> {
         let patience = {
             let mut members = self.members.borrow_mut();
-            members.asks(self.runtime.now());
-            members.pace.patience()
+            members.poll_started(self.runtime.now());
+            members.pace.response_timeout()
         };
         // One span for the connection and the answer: a connection that does not come up is as silent as its agent.
         let until = self.runtime.now() + patience;
@@ -317,7 +318,7 @@
     async fn whole_list(&self) -> Result<HostList, Cut> {
         let (_channel, body) = self.ask("/catalog/members").await?;
         let body = http_body_util::Limited::new(body, LONGEST);
-        let whole = self.members.borrow().pace.whole();
+        let whole = self.members.borrow().pace.transfer_timeout();
         let text = self
             .runtime
             .timeout(whole, body.collect())
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -47,7 +47,7 @@
 pub struct EventLoop<R: Runtime> {
     pub runtime: R,
     pub config: Config,
-    pub relay: DeliveryPolicy,
+    pub policy: DeliveryPolicy,
     pub clock: Clock<R>,
     pub journal: Journal<R>,
     pub tenants: Tenants<R>,
@@ -55,33 +55,33 @@
     pub operator: Option<PathBuf>,
     /// Who may use the administration API.
     pub tokens: watch::Sender<Tokens>,
-    pub hosts: Rc<HostConnections<R>>,
+    pub host_connections: Rc<HostConnections<R>>,
     /// How far the list may be believed.
-    pub members: Rc<RefCell<HostMembership>>,
-    pub notices: Rc<Notifications>,
-    pub inputs: mpsc::Sender<RelayEvent>,
+    pub membership: Rc<RefCell<HostMembership>>,
+    pub notifications: Rc<Notifications>,
+    pub relay_events: mpsc::Sender<RelayEvent>,
     /// What the module has not seen yet.
     pub events: Vec<Event>,
     pub timer: Option<(Micros, u64)>,
     pub last_round: Instant,
-    pub hand: InFlightMessages,
+    pub in_flight: InFlightMessages,
     /// Calls that are out: the attempt, and what ends it early.
     pub calls: Calls,
-    pub directory: HostDirectory,
+    pub host_directory: HostDirectory,
     /// The module's numbers of classes.
     pub classes: Classes,
     /// What is kept of the list and of outages.
-    pub memory: CachedState,
+    pub cached_state: CachedState,
     pub disk: u64,
     /// Where discovery answers, for those who ask it.
     pub discovery: watch::Sender<SocketAddr>,
     /// Whose the folder is.
-    pub office: DirectoryOwner<R>,
+    pub directory_owner: DirectoryOwner<R>,
     /// Where the process stands, and the figures.
     pub control: Rc<Control<R>>,
-    pub trace: CallLog<R>,
+    pub call_log: CallLog<R>,
     /// Messages that were given up, where the operator wants them kept.
-    pub desk: Option<UndeliverableService<R>>,
+    pub undeliverable: Option<UndeliverableService<R>>,
 }
 
 fn logged(runtime: &impl Runtime, what: std::io::Result<()>) {
@@ -115,7 +115,7 @@
 
 impl<R: Runtime> EventLoop<R> {
     /// When the module is to be asked next.
-    pub fn next_round(&self) -> Instant {
+    pub fn next_round_at(&self) -> Instant {
         let tick = Duration::from_micros(self.config.settings.tick.max(1000));
         let soonest = self.last_round + tick;
         match self.timer {
@@ -127,22 +127,22 @@
 
     /// Whether nothing is left to do for what was taken on: no message in hand, no call out, no end to be told.
     pub fn is_idle(&self) -> bool {
-        self.hand.len() == 0
+        self.in_flight.len() == 0
             && self.calls.is_empty()
             && self.events.is_empty()
-            && self.notices.len() == 0
+            && self.notifications.len() == 0
     }
 
     /// Told to stop: no call may be out when the process ends.
-    pub fn stop(&mut self) {
-        if !self.control.tell(Change::Stop) {
+    pub fn begin_shutdown(&mut self) {
+        if !self.control.handle_event(Change::Stop) {
             return;
         }
-        if let Some(left) = self.control.last_call() {
+        if let Some(left) = self.control.time_left_for_calls() {
             let at = self.clock.now() + left.as_micros() as Micros;
             self.events.push(Event::ShuttingDown { at });
         }
-        let (held, out) = (self.hand.len(), self.calls.len());
+        let (held, out) = (self.in_flight.len(), self.calls.len());
         log!(
             self.runtime,
             "told to stop; {held} messages in hand, {out} calls out"
@@ -150,10 +150,10 @@
     }
 
     /// Shows how the module sees the hosts.
-    pub fn view(&self) {
-        let disabled = self.relay.ejected_hosts(self.clock.now());
-        self.control.view(HostCounts {
-            listed: self.directory.count(),
+    pub fn update_host_counts(&self) {
+        let disabled = self.policy.ejected_hosts(self.clock.now());
+        self.control.set_host_counts(HostCounts {
+            listed: self.host_directory.count(),
             disabled,
         });
     }
@@ -161,9 +161,9 @@
     /// Reads the configuration again. One that can't be used leaves the old one in force, whole.
     pub fn reload(&mut self) -> Result<(), String> {
         // What was decided under the old settings is taken on under them.
-        self.round()?;
+        self.run_round()?;
         let changed = Config::load(&self.runtime).and_then(|new| self.retune(new));
-        self.control.ledger().reloaded(changed.is_ok());
+        self.control.metrics().record_reload(changed.is_ok());
         if let Err(error) = changed {
             log!(
                 self.runtime,
@@ -183,13 +183,13 @@
             ));
         }
         let number = |owed: &PendingMessage| match &owed.class_version {
-            Some(terms) => self.classes.find(&owed.accepted.class, &terms.class),
+            Some(terms) => self.classes.number_of(&owed.accepted.class, &terms.class),
             None => self.classes.number(&owed.accepted.class),
         };
-        let in_use: BTreeSet<u16> = self.journal.all().values().filter_map(number).collect();
+        let in_use: BTreeSet<u16> = self.journal.pending().values().filter_map(number).collect();
         if !self
             .classes
-            .retune(&new.classes, &new.settings.classes, |number| {
+            .update(&new.classes, &new.settings.classes, |number| {
                 in_use.contains(&number)
             })
         {
@@ -213,9 +213,12 @@
         );
         self.discovery
             .send_if_modified(|at| std::mem::replace(at, *discovery) != *discovery);
-        self.control.ledger().classes(classes);
-        self.tenants.know_classes(classes);
-        logged(&self.runtime, self.journal.declare(self.classes.in_force()));
+        self.control.metrics().set_classes(classes);
+        self.tenants.set_classes(classes);
+        logged(
+            &self.runtime,
+            self.journal.declare_classes(self.classes.in_force()),
+        );
         self.events.push(self.retuned());
         Ok(())
     }
@@ -223,27 +226,28 @@
     /// Hands to the module what the journal holds, and what another process left beside it.
     pub fn restore(&mut self, left: Option<Left>) -> Result<(), String> {
         let (mut out, mut used) = (BTreeMap::new(), Vec::new());
-        let took_over = self.office.took_over();
+        let took_over = self.directory_owner.took_over();
         let heritage = left.map(|left| {
-            self.directory.adopt(left.numbers);
-            self.hand.know_over(self.runtime.now(), left.over);
+            self.host_directory.adopt_numbers(left.host_numbers);
+            self.in_flight
+                .restore_completed(self.runtime.now(), left.completed);
             // A drain outlasts an upgrade, not a crash.
-            self.control.inherits(left.drained && took_over);
+            self.control.restore_drained(left.is_drained && took_over);
             out = left
-                .out
+                .open_calls
                 .into_iter()
                 .map(|(id, attempt, host)| (id, (attempt, host)))
                 .collect();
-            used = left.used;
-            left.heritage
+            used = left.used_rates;
+            left.policy
         });
         let mut known = std::mem::take(&mut self.config.known);
         // Guards hosts that drain: the configuration's list may be older than what the last process was
         // told, and discovery may be silent now.
-        self.directory
-            .know(known.hosts.iter().map(|line| line.destination));
-        if self.memory.list.version > known.version {
-            known = self.memory.list.clone();
+        self.host_directory
+            .add_destinations(known.hosts.iter().map(|line| line.destination));
+        if self.cached_state.list.version > known.version {
+            known = self.cached_state.list.clone();
         }
         self.list(
             HostList {
@@ -253,9 +257,12 @@
             true,
         );
         self.events.push(Event::HostsUnconfirmed(
-            !self.members.borrow().believed(self.runtime.now()),
+            !self
+                .membership
+                .borrow()
+                .is_list_confirmed(self.runtime.now()),
         ));
-        for (destination, down, back) in self.memory.outages.clone() {
+        for (destination, down, back) in self.cached_state.outages.clone() {
             self.events.push(Event::OutageRestored(Outage {
                 destination,
                 started_at: down,
@@ -264,12 +271,12 @@
         }
         if let Some(heritage) = heritage {
             // It is of routes, which the list makes.
-            self.round()?;
-            self.relay.restore_handover(heritage);
+            self.run_round()?;
+            self.policy.restore_handover(heritage);
         }
         let owed: Vec<(MessageId, PendingMessage)> = self
             .journal
-            .all()
+            .pending()
             .iter()
             .map(|(id, owed)| (*id, owed.clone()))
             .collect();
@@ -281,10 +288,14 @@
             );
         }
         for (id, message) in owed {
-            let tenant = self.tenants.restored(&message.accepted.tenant);
+            let tenant = self.tenants.message_restored(&message.accepted.tenant);
             if let Some(again) = message.resend {
                 // Its end is in the store already, or there is no store any more that could tell of it.
-                let Some(desk) = self.desk.as_mut().filter(|_| message.failure.is_none()) else {
+                let Some(desk) = self
+                    .undeliverable
+                    .as_mut()
+                    .filter(|_| message.failure.is_none())
+                else {
                     self.again_over(id, &message);
                     continue;
                 };
@@ -292,7 +303,7 @@
                     self.over(id);
                     continue;
                 }
-                desk.restored(id, again, &message.accepted.name, self.clock.now());
+                desk.resend_restored(id, again, &message.accepted.name, self.clock.now());
             } else if message.failure == Some(DeliveryFailure::Undeliverable) {
                 // The store may not have it yet.
                 self.given_up(&message);
@@ -305,13 +316,15 @@
                 ..
             } = message;
             if let Some(verdict) = failure {
-                self.notices.add(id, accepted.name, verdict);
+                self.notifications.add(id, accepted.name, verdict);
                 continue;
             }
-            self.hand.restored(id, &accepted);
-            self.control.ledger().taken();
+            self.in_flight.insert_restored(id, &accepted);
+            self.control.metrics().record_accepted();
             let class = match &class_version {
-                Some(terms) => self.classes.taken_under(&accepted.class, &terms.class),
+                Some(terms) => self
+                    .classes
+                    .number_for_version(&accepted.class, &terms.class),
                 None => self.classes.number(&accepted.class),
             };
             let Some(message) =
@@ -352,45 +365,57 @@
                 false => Event::MessageRestored { message, attempts },
             });
         }
-        if self.classes.terms().len() > self.config.settings.classes.len() {
+        if self.classes.definitions().len() > self.config.settings.classes.len() {
             // Some were taken under what no file says any more.
             self.events.insert(0, self.retuned());
         }
         let now = self.clock.now();
-        self.desk.iter_mut().for_each(|desk| desk.settle(now));
-        self.round()?;
-        self.tenants.go_on_from(&used, self.relay.scheduler());
-        logged(&self.runtime, self.journal.declare(self.classes.in_force()));
+        self.undeliverable
+            .iter_mut()
+            .for_each(|desk| desk.reconcile(now));
+        self.run_round()?;
+        self.tenants
+            .restore_used_rates(&used, self.policy.scheduler());
+        logged(
+            &self.runtime,
+            self.journal.declare_classes(self.classes.in_force()),
+        );
         Ok(())
     }
 
     /// Looks at the folder: another process may ask for it, or have told ends of its calls.
-    pub fn tend_office(&mut self) {
+    pub fn check_state_directory(&mut self) {
         if matches!(
             self.control.state(),
             LifecycleState::Serving | LifecycleState::Draining
-        ) && self.office.asked()
+        ) && self.directory_owner.handover_requested()
         {
-            self.control.tell(Change::HandOver);
+            self.control.handle_event(Change::HandOver);
         }
-        let ends = self.office.ends();
+        let ends = self.directory_owner.take_call_ends();
         ends.into_iter().for_each(|end| self.ended(end));
-        self.office.tidy();
+        self.directory_owner.clean_up();
     }
 
     /// What goes across to another process beside the journal.
-    pub fn state(&mut self) -> Left {
+    pub fn handover_state(&mut self) -> Left {
         let out = self
             .calls
             .iter()
             .map(|(id, (attempt, host, _))| (*id, *attempt, *host))
             .collect();
-        let mut state = Left::new(self.control.drained(), out, self.relay.handover_snapshot());
-        (state.numbers, state.over) = (
-            self.directory.numbers(),
-            self.hand.recent(self.runtime.now()),
+        let mut state = Left::new(
+            self.control.is_drained(),
+            out,
+            self.policy.handover_snapshot(),
         );
-        state.used = self.tenants.used(self.clock.now(), self.relay.scheduler());
+        (state.host_numbers, state.completed) = (
+            self.host_directory.numbers(),
+            self.in_flight.recently_completed_names(self.runtime.now()),
+        );
+        state.used_rates = self
+            .tenants
+            .used_rates(self.clock.now(), self.policy.scheduler());
         state
     }
 
@@ -398,7 +423,7 @@
     fn retuned(&self) -> Event {
         let settings = self.config.settings.clone();
         Event::SettingsChanged(Box::new(Settings {
-            classes: self.classes.terms(),
+            classes: self.classes.definitions(),
             ..settings
         }))
     }
@@ -408,11 +433,11 @@
         let now = self.clock.now();
         let (class, most) = (self.class_of(message), self.config.settings.max_attempts);
         if let (Some(desk), Some(again), Some(verdict)) =
-            (&mut self.desk, message.resend, message.failure)
+            (&mut self.undeliverable, message.resend, message.failure)
         {
             if !desk.is_closed(&again, &message.accepted.name) {
-                desk.restored(id, again, &message.accepted.name, now);
-                if !desk.came_back(id, message, class.as_ref(), verdict, most, now) {
+                desk.resend_restored(id, again, &message.accepted.name, now);
+                if !desk.resend_failed(id, message, class.as_ref(), verdict, most, now) {
                     return;
                 }
             }
@@ -423,7 +448,7 @@
     fn class_of(&self, owed: &PendingMessage) -> Option<Class> {
         let terms = owed.class_version.as_ref().map(|terms| &*terms.class);
         terms
-            .or_else(|| self.classes.named(&owed.accepted.class))
+            .or_else(|| self.classes.class_by_name(&owed.accepted.class))
             .cloned()
     }
 
@@ -434,15 +459,15 @@
             self.class_of(owed),
             self.config.settings.max_attempts,
         );
-        let abandoned = self.tenants.removed(&owed.accepted.tenant);
-        if let Some(desk) = &mut self.desk {
-            desk.given_up(owed, class.as_ref(), abandoned, most, now);
+        let abandoned = self.tenants.is_removed(&owed.accepted.tenant);
+        if let Some(desk) = &mut self.undeliverable {
+            desk.record_given_up(owed, class.as_ref(), abandoned, most, now);
         }
     }
 
     fn live(&self) -> Live {
         let settings = &self.config.settings;
-        let (held, out) = (self.hand.len(), self.calls.len());
+        let (held, out) = (self.in_flight.len(), self.calls.len());
         Live {
             held,
             most_held: settings.max_queued,
@@ -452,10 +477,12 @@
     }
 
     /// Lets those who keep undeliverable messages do what is due.
-    pub fn tend_desk(&mut self) {
+    pub fn run_undeliverable_service(&mut self) {
         let (now, live) = (self.clock.now(), self.live());
-        let Some(desk) = &mut self.desk else { return };
-        let (resends, ended) = desk.tend(now, live);
+        let Some(desk) = &mut self.undeliverable else {
+            return;
+        };
+        let (resends, ended) = desk.run(now, live);
         ended.into_iter().for_each(|id| self.over(id));
         for resend in resends {
             self.resend(now, resend);
@@ -464,13 +491,13 @@
 
     fn undeliverable(&mut self, news: UndeliverableEvent) {
         let (now, live) = (self.clock.now(), self.live());
-        match (&mut self.desk, news) {
+        match (&mut self.undeliverable, news) {
             (Some(desk), UndeliverableEvent::PartnerAnswered { id, asked, says }) => {
-                desk.word(id, asked, says, now)
+                desk.partner_answered(id, asked, says, now)
             }
             (Some(desk), UndeliverableEvent::UndeliverableCall(call)) => {
                 let mut resends = Vec::new();
-                let mut told = desk.answer(call.ask, now, live, &mut resends);
+                let mut told = desk.handle_request(call.ask, now, live, &mut resends);
                 for resend in resends {
                     if !self.resend(now, resend) {
                         told = UndeliverableResponse::Refused(Refusal::NotHandedOver);
@@ -494,44 +521,48 @@
         taken.deadline = now
             + self
                 .classes
-                .named(&taken.class)
+                .class_by_name(&taken.class)
                 .map_or(0, |class| class.time_to_live);
-        let known_as = MessageName::of(&taken);
+        let known_as = MessageName::of_message(&taken);
         // A message of this name that is in hand is another one's.
-        let number = match self.hand.holds(&known_as) {
+        let number = match self.in_flight.contains(&known_as) {
             true => None,
-            false => self.tenants.restored(&taken.tenant),
+            false => self.tenants.message_restored(&taken.tenant),
         };
-        let id = self.journal.number();
+        let id = self.journal.next_id();
         let class = self.classes.number(&taken.class);
         let message = number.and_then(|tenant| self.message(id, &taken, tenant, class));
-        let Some(message) = message.filter(|_| self.tenants.stands(&taken.tenant)) else {
+        let Some(message) = message.filter(|_| self.tenants.is_known(&taken.tenant)) else {
             log!(
                 self.runtime,
                 "undeliverable: record {} is not sent again: its class, tenant or name",
                 again.record
             );
             if number.is_some() {
-                self.tenants.released(&taken.tenant);
+                self.tenants.message_released(&taken.tenant);
             }
-            self.desk.iter_mut().for_each(|desk| desk.not_begun(&again));
+            self.undeliverable
+                .iter_mut()
+                .for_each(|desk| desk.resend_not_started(&again));
             return false;
         };
-        if let Err(error) = self.journal.taken_again(id, taken.clone(), again) {
+        if let Err(error) = self.journal.accept_resend(id, taken.clone(), again) {
             log!(
                 self.runtime,
                 "undeliverable: record {} is not sent again: {error}",
                 again.record
             );
-            self.tenants.released(&taken.tenant);
-            self.desk.iter_mut().for_each(|desk| desk.not_begun(&again));
+            self.tenants.message_released(&taken.tenant);
+            self.undeliverable
+                .iter_mut()
+                .for_each(|desk| desk.resend_not_started(&again));
             return false;
         }
-        self.hand.restored(id, &taken);
-        self.control.ledger().taken();
-        self.desk
+        self.in_flight.insert_restored(id, &taken);
+        self.control.metrics().record_accepted();
+        self.undeliverable
             .iter_mut()
-            .for_each(|desk| desk.begun(id, again, &taken.name));
+            .for_each(|desk| desk.resend_started(id, again, &taken.name));
         let past = again.past_attempt.map(|past| PastAttempt {
             sent_at: past.sent_at,
             zone: past.zone,
@@ -560,16 +591,16 @@
             expected_work: None,
             tenant,
             is_resubmitted: taken.is_resubmitted,
-            size: taken.room(),
+            size: taken.journal_size(),
         })
     }
 
     /// Something happened on a socket.
-    pub fn take(&mut self, input: RelayEvent) {
+    pub fn handle_event(&mut self, input: RelayEvent) {
         match input {
             RelayEvent::EnqueueRequest(request) => self.enqueue(request),
             RelayEvent::CallCompleted(end) => {
-                self.office.heard(&end);
+                self.directory_owner.call_completed(&end);
                 self.ended(end);
             }
             RelayEvent::HostListReceived(list) => {
@@ -578,12 +609,14 @@
             }
             RelayEvent::HostListConfirmed => self.heard(),
             RelayEvent::NotificationsAccepted(ids) => {
-                self.desk.iter_mut().for_each(UndeliverableService::keep);
+                self.undeliverable
+                    .iter_mut()
+                    .for_each(UndeliverableService::flush);
                 ids.into_iter().for_each(|id| self.over(id));
             }
             RelayEvent::Tenants(TenantCall { ask, reply }) => {
-                let (sharing, room) = (self.relay.scheduler(), self.journal.regain_spare());
-                let told = self.tenants.answer(
+                let (sharing, room) = (self.policy.scheduler(), self.journal.restore_spare());
+                let told = self.tenants.handle_request(
                     ask,
                     |tenant| sharing.usage(tenant),
                     &mut self.events,
@@ -617,13 +650,16 @@
             reply,
         } = request;
         let Some(reply) = reply else { return };
-        if let Err(why) = self.tenants.speaks(&tenant, login.as_ref()) {
+        if let Err(why) = self.tenants.check_login(&tenant, login.as_ref()) {
             return self.refuse(&class, reply, why);
         }
-        let Some(reply) = self.hand.known(&MessageName::new(&tenant, &name), reply) else {
+        let Some(reply) = self
+            .in_flight
+            .answer_duplicate(&MessageName::new(&tenant, &name), reply)
+        else {
             return;
         };
-        if self.control.refuses() {
+        if self.control.rejects_messages() {
             return self.refuse(&class, reply, Reply::Busy(ELSEWHERE));
         }
         let mut taken = AcceptedMessage {
@@ -645,35 +681,35 @@
             Err(why) => return self.refuse(&taken.class, reply, why),
         };
         taken.tenant = reference;
-        let id = self.journal.number();
+        let id = self.journal.next_id();
         let message = self.message(id, &taken, number, self.classes.number(&taken.class));
         self.events.extend(message.map(Event::MessageReceived));
-        self.hand.arrives(id, taken, reply);
+        self.in_flight.add_arriving(id, taken, reply);
     }
 
     /// Answers a request that never reaches the module.
     fn refuse(&mut self, class: &str, reply: oneshot::Sender<Reply>, why: Reply) {
         self.control
-            .ledger()
-            .turned_away(class, control_socket::end_of(&why));
+            .metrics()
+            .record_rejected(class, control_socket::end_of_reply(&why));
         drop(reply.send(why));
     }
 
     /// Whether a message is one that this relay could carry.
     fn checked(&self, taken: &AcceptedMessage) -> Result<(), Reply> {
         let error = |why: &str| Err(Reply::Error(why.into()));
-        let Some(class) = self.classes.named(&taken.class) else {
+        let Some(class) = self.classes.class_by_name(&taken.class) else {
             return error("unknown class");
         };
         if matches!(class.idempotency, Idempotency::Keyed { .. }) && taken.idempotency_key.is_none()
         {
             return error("the list lacks k");
         }
-        if self.directory.is_empty() {
+        if self.host_directory.is_empty() {
             // Not a host is known yet, which says nothing about this message.
             return Err(Reply::Busy(self.come_again()));
         }
-        if !self.directory.knows(taken.destination) {
+        if !self.host_directory.knows_destination(taken.destination) {
             return error("unknown destination");
         }
         Ok(())
@@ -695,15 +731,15 @@
             elapsed,
             opened_connection,
         } = end;
-        self.trace.call(self.clock.now(), id, opened_connection);
+        self.call_log.call(self.clock.now(), id, opened_connection);
         if self.calls.get(&id).is_some_and(|(out, ..)| *out == attempt) {
             self.calls.remove(&id);
         }
-        let owed = self.journal.all().get(&id);
+        let owed = self.journal.pending().get(&id);
         let over = told_over || owed.is_none_or(|owed| owed.failure.is_some());
         if let Some(owed) = owed.filter(|_| over) {
             if outcome == AttemptOutcome::Delivered && owed.failure.is_none() {
-                self.tenants.delivered(&owed.accepted.tenant);
+                self.tenants.message_delivered(&owed.accepted.tenant);
             }
             if owed.failure.is_none() {
                 let end = if outcome == AttemptOutcome::Delivered {
@@ -716,10 +752,10 @@
                 } else {
                     end
                 };
-                self.control.ledger().ended(&owed.accepted.class, end);
+                self.control.metrics().record_end(&owed.accepted.class, end);
             }
-            self.hand
-                .ended(self.runtime.now(), MessageName::of(&owed.accepted));
+            self.in_flight
+                .complete(self.runtime.now(), MessageName::of_message(&owed.accepted));
         }
         let destination = owed.map(|owed| owed.accepted.destination);
         let kept = outcome == AttemptOutcome::NotStarted
@@ -727,12 +763,12 @@
         if told_over && kept {
             self.over(id);
         } else if outcome == AttemptOutcome::NotStarted {
-            logged(&self.runtime, self.journal.not_begun(id, attempt));
+            logged(&self.runtime, self.journal.discard_attempt(id, attempt));
         } else {
             logged(
                 &self.runtime,
                 self.journal
-                    .outcome(id, attempt, outcome.may_have_executed()),
+                    .record_outcome(id, attempt, outcome.may_have_executed()),
             );
         }
         let names = self
@@ -764,55 +800,63 @@
         destination: Option<u16>,
     ) -> bool {
         let now = self.clock.now();
-        let Some(desk) = &mut self.desk else {
+        let Some(desk) = &mut self.undeliverable else {
             return true;
         };
-        let name = self.directory.name_of(host).unwrap_or_default().to_string();
+        let name = self
+            .host_directory
+            .name_of(host)
+            .unwrap_or_default()
+            .to_string();
         logged(
             &self.runtime,
-            self.journal
-                .told(id, attempt, &name, undeliverable_service::told(outcome)),
+            self.journal.record_host(
+                id,
+                attempt,
+                &name,
+                undeliverable_service::stored_outcome(outcome),
+            ),
         );
         if !desk.is_resend(id) {
             destination
                 .into_iter()
-                .for_each(|destination| desk.called(destination, outcome, now));
+                .for_each(|destination| desk.attempt_ended(destination, outcome, now));
             return true;
         }
-        outcome != AttemptOutcome::Delivered || desk.delivered(id, now)
+        outcome != AttemptOutcome::Delivered || desk.resend_delivered(id, now)
     }
 
     /// Nothing more is owed for a message.
     fn over(&mut self, id: MessageId) {
-        if let Some(owed) = self.journal.all().get(&id) {
-            self.tenants.released(&owed.accepted.tenant);
+        if let Some(owed) = self.journal.pending().get(&id) {
+            self.tenants.message_released(&owed.accepted.tenant);
         }
-        logged(&self.runtime, self.journal.over(id));
+        logged(&self.runtime, self.journal.remove_message(id));
     }
 
     /// Answers those whose message the module did not take on.
     fn turn_away(&mut self, id: MessageId, reply: &Reply) {
-        if let Some(taken) = self.hand.turn_away(id, reply) {
+        if let Some(taken) = self.in_flight.reject_arriving(id, reply) {
             self.control
-                .ledger()
-                .turned_away(&taken.class, control_socket::end_of(reply));
-            self.tenants.turned_away(&taken.tenant);
+                .metrics()
+                .record_rejected(&taken.class, control_socket::end_of_reply(reply));
+            self.tenants.message_rejected(&taken.tenant);
         }
     }
 
     /// The list is confirmed, or discovery is silent and what is remembered has to serve: calls wait no longer.
-    pub fn believe(&mut self) {
-        let waited = self.members.borrow_mut().confirmed();
+    pub fn confirm_host_list(&mut self) {
+        let waited = self.membership.borrow_mut().confirm();
         self.events
             .extend(waited.then_some(Event::HostsUnconfirmed(false)));
     }
 
     /// Discovery was heard.
     fn heard(&mut self) {
-        self.believe();
+        self.confirm_host_list();
         // Where lists are pushed the next process need not know: to it, what its agent has counts as told at once.
         if self.config.settings.polls_discovery {
-            let kept = cached_state::hear(&self.runtime, &self.config.state);
+            let kept = cached_state::record_contact(&self.runtime, &self.config.state);
             kept.unwrap_or_else(|e| log!(self.runtime, "memory: cannot write: {e}"));
         }
     }
@@ -825,7 +869,7 @@
             settings,
             ..
         } = &self.config;
-        let changes = self.directory.take(
+        let changes = self.host_directory.apply_list(
             list,
             &Names {
                 zones,
@@ -834,9 +878,9 @@
             },
         );
         for (host, up) in changes.ready {
-            self.members.borrow_mut().list(host, up);
+            self.membership.borrow_mut().set_listed(host, up);
             if !up {
-                self.hosts.close_idle(host);
+                self.host_connections.close_idle(host);
             }
         }
         self.events.push(Event::HostsUpdated {
@@ -847,7 +891,7 @@
     }
 
     /// Tells the module what happened, and does what it says.
-    pub fn round(&mut self) -> Result<(), String> {
+    pub fn run_round(&mut self) -> Result<(), String> {
         self.last_round = self.runtime.now();
         let now = self.clock.now();
         if let Some((_, token)) = self.timer.filter(|(at, _)| *at <= now) {
@@ -855,10 +899,11 @@
             self.events.push(Event::TimerFired(token));
         }
         let mut actions = Vec::new();
-        self.trace.events(now, &self.events, &self.directory);
-        self.relay
+        self.call_log
+            .events(now, &self.events, &self.host_directory);
+        self.policy
             .handle(now, std::mem::take(&mut self.events), &mut actions);
-        self.trace.actions(now, &actions, &self.relay);
+        self.call_log.actions(now, &actions, &self.policy);
         for action in &actions {
             match action {
                 Action::Reject { id, retry_after } => {
@@ -888,7 +933,7 @@
                         *cancel = None;
                     }
                 }
-                Action::CloseIdleConnections(host) => self.hosts.close_idle(host),
+                Action::CloseIdleConnections(host) => self.host_connections.close_idle(host),
                 // The list is always watched, and there is nobody to probe or talk to.
                 Action::Subscribe(_)
                 | Action::PollDiscovery
@@ -898,8 +943,8 @@
                 Action::Abort(text) => return Err(text),
             }
         }
-        if self.trace.wants_levels(now) {
-            self.trace.levels(now, &route_levels::of(self));
+        if self.call_log.wants_levels(now) {
+            self.call_log.levels(now, &route_levels::of(self));
         }
         Ok(())
     }
@@ -907,19 +952,19 @@
     /// Keeps what has changed of the list and of outages.
     fn remember(&mut self) {
         let outages = self
-            .relay
+            .policy
             .outages()
             .map(|told| (told.destination, told.started_at, told.recovered_at))
             .collect();
-        if !self.directory.has_changed() && self.memory.outages == outages {
+        if !self.host_directory.has_changed() && self.cached_state.outages == outages {
             return;
         }
-        self.memory = CachedState {
-            list: self.directory.whole(),
+        self.cached_state = CachedState {
+            list: self.host_directory.full_list(),
             outages,
         };
         if let Err(error) = self
-            .memory
+            .cached_state
             .save(&self.runtime, &self.config.state, self.disk)
         {
             log!(self.runtime, "memory: cannot write: {error}");
@@ -928,13 +973,13 @@
 
     /// Takes on what the module has kept: on disk first, then the client is told.
     fn take_on(&mut self) {
-        for (id, (taken, replies)) in self.hand.kept() {
+        for (id, (taken, replies)) in self.in_flight.take_arriving() {
             let (name, tenant, class) = (
-                MessageName::of(&taken),
+                MessageName::of_message(&taken),
                 taken.tenant.clone(),
                 taken.class.clone(),
             );
-            let reply = match self.journal.taken(id, taken) {
+            let reply = match self.journal.accept_message(id, taken) {
                 Ok(()) => Reply::Ok,
                 Err(error) => {
                     log!(self.runtime, "journal: cannot take a message on: {error}");
@@ -947,22 +992,22 @@
             }
             if reply != Reply::Ok || !heard {
                 // Nobody was told that it is taken on, so nothing is owed.
-                logged(&self.runtime, self.journal.over(id));
-                self.hand.dropped(&name);
-                self.tenants.turned_away(&tenant);
+                logged(&self.runtime, self.journal.remove_message(id));
+                self.in_flight.remove(&name);
+                self.tenants.message_rejected(&tenant);
                 self.events.push(Event::MessageWithdrawn(id));
                 self.control
-                    .ledger()
-                    .turned_away(&class, control_socket::end_of(&reply));
+                    .metrics()
+                    .record_rejected(&class, control_socket::end_of_reply(&reply));
             } else {
-                self.control.ledger().taken();
-                self.tenants.taken(&tenant);
+                self.control.metrics().record_accepted();
+                self.tenants.message_accepted(&tenant);
             }
         }
     }
 
     fn send(&mut self, now: Micros, id: MessageId, host: HostId, timeout: Micros) {
-        let owed = self.journal.all().get(&id);
+        let owed = self.journal.pending().get(&id);
         let attempt = owed.map_or(0, |owed| {
             owed.attempts.len().min(usize::from(u8::MAX)) as u8
         });
@@ -982,10 +1027,12 @@
             return self.events.push(unsent(AttemptOutcome::Obsolete, true));
         };
         // The module learns with its next round what the list says by now.
-        let listed = self.directory.find(host);
-        let Some(listed) =
-            listed.filter(|_| self.members.borrow().may_begin(host, self.runtime.now()))
-        else {
+        let listed = self.host_directory.find(host);
+        let Some(listed) = listed.filter(|_| {
+            self.membership
+                .borrow()
+                .may_start_call(host, self.runtime.now())
+        }) else {
             return self.events.push(unsent(AttemptOutcome::NotStarted, false));
         };
         let ListedHost {
@@ -1014,7 +1061,7 @@
             timeout: Duration::from_micros(timeout),
             begin_by,
         };
-        if let Err(error) = self.journal.out(
+        if let Err(error) = self.journal.start_attempt(
             id,
             attempt,
             Attempt {
@@ -1027,46 +1074,50 @@
             self.events.push(unsent(AttemptOutcome::Obsolete, false));
             return;
         }
-        if self.desk.is_some() {
-            let name = self.directory.name_of(host).unwrap_or_default().to_string();
+        if self.undeliverable.is_some() {
+            let name = self
+                .host_directory
+                .name_of(host)
+                .unwrap_or_default()
+                .to_string();
             let unknown = undeliverable::Outcome::Unknown;
             logged(
                 &self.runtime,
-                self.journal.told(id, attempt, &name, unknown),
+                self.journal.record_host(id, attempt, &name, unknown),
             );
         }
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert(id, (attempt, host, Some(cancel)));
-        let (hosts, inputs) = (self.hosts.clone(), self.inputs.clone());
+        let (hosts, inputs) = (self.host_connections.clone(), self.relay_events.clone());
         self.runtime
             .spawn(async move { hosts.call(call, cancelled, inputs).await });
     }
 
     /// The module has given up a message that was taken on.
     fn end(&mut self, id: MessageId, verdict: DeliveryFailure) {
-        let Some(owed) = self.journal.all().get(&id) else {
+        let Some(owed) = self.journal.pending().get(&id) else {
             return;
         };
         let name = owed.accepted.name.clone();
-        let known_as = MessageName::of(&owed.accepted);
-        let kept = self.desk.is_some().then(|| owed.clone());
+        let known_as = MessageName::of_message(&owed.accepted);
+        let kept = self.undeliverable.is_some().then(|| owed.clone());
         let again = owed.resend.is_some();
-        self.tenants.ended(&owed.accepted.tenant, verdict);
+        self.tenants.message_failed(&owed.accepted.tenant, verdict);
         let end = if again {
             MessageEnd::Other
         } else {
-            control_socket::end_by(verdict)
+            control_socket::end_of_failure(verdict)
         };
-        self.control.ledger().ended(&owed.accepted.class, end);
-        logged(&self.runtime, self.journal.verdict(id, verdict));
-        self.hand.ended(self.runtime.now(), known_as);
+        self.control.metrics().record_end(&owed.accepted.class, end);
+        logged(&self.runtime, self.journal.record_failure(id, verdict));
+        self.in_flight.complete(self.runtime.now(), known_as);
         if again {
             // Its one final answer was given long ago; the record tells of this end.
             let (now, most) = (self.clock.now(), self.config.settings.max_attempts);
             let class = kept.as_ref().and_then(|owed| self.class_of(owed));
-            let done = match (&mut self.desk, &kept) {
+            let done = match (&mut self.undeliverable, &kept) {
                 (Some(desk), Some(owed)) => {
-                    desk.came_back(id, owed, class.as_ref(), verdict, most, now)
+                    desk.resend_failed(id, owed, class.as_ref(), verdict, most, now)
                 }
                 _ => true,
             };
@@ -1077,7 +1128,7 @@
         if let (DeliveryFailure::Undeliverable, Some(owed)) = (verdict, &kept) {
             self.given_up(owed);
         }
-        self.notices.add(id, name, verdict);
+        self.notifications.add(id, name, verdict);
     }
 }
 
--- a/crates/relay/src/host_connections.rs
+++ b/crates/relay/src/host_connections.rs
@@ -358,17 +358,17 @@
     }
 
     /// Idle connections that are kept.
-    pub fn idle(&self) -> usize {
+    pub fn idle_connections(&self) -> usize {
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
     /// The most that are.
-    pub fn most_idle(&self) -> usize {
+    pub fn max_idle_connections(&self) -> usize {
         self.most_idle
     }
 
     /// Closes what has stood idle too long.
-    pub fn sweep(&self) {
+    pub fn close_expired(&self) {
         let now = self.runtime.now();
         self.waits.borrow_mut().retain(|_, until| *until > now);
         let mut idle = self.idle.borrow_mut();
@@ -406,7 +406,7 @@
 
     fn keep(&self, host: HostId, mut connection: Connection<R>) {
         // Guards a host that drains or is gone, and our table, against connections that nobody will use.
-        if self.retired.get() || !self.members.borrow().is_up(host) {
+        if self.retired.get() || !self.members.borrow().is_listed_up(host) {
             return;
         }
         connection.idle_since = self.runtime.now();
@@ -503,7 +503,7 @@
             if !self
                 .members
                 .borrow()
-                .may_begin(call.host, self.runtime.now())
+                .may_start_call(call.host, self.runtime.now())
             {
                 self.keep(call.host, connection);
                 return plain(AttemptOutcome::NotStarted);
@@ -752,8 +752,8 @@
             },
             None,
         );
-        members.list(1, true);
-        members.confirmed();
+        members.set_listed(1, true);
+        members.confirm();
         let (members, span) = (Rc::new(RefCell::new(members)), Duration::from_secs(5));
         HostConnections::new(OsRuntime, members, span, span, most_idle, Rc::default())
     }
@@ -856,7 +856,7 @@
                 let (inputs, mut ends) = mpsc::channel(1);
                 let (_cancel, cancelled) = oneshot::channel();
                 // What `driver` does at a drain, but for the connections that it closes.
-                hosts.members.borrow_mut().list(1, false);
+                hosts.members.borrow_mut().set_listed(1, false);
                 hosts
                     .call(call(address, Some("k"), b"x"), cancelled, inputs)
                     .await;
--- a/crates/relay/src/host_directory.rs
+++ b/crates/relay/src/host_directory.rs
@@ -78,7 +78,7 @@
     }
 
     /// The numbers that another process gave; hosts that come get others.
-    pub fn adopt(&mut self, numbers: Vec<(String, HostId)>) {
+    pub fn adopt_numbers(&mut self, numbers: Vec<(String, HostId)>) {
         self.next = numbers
             .iter()
             .map(|(_, number)| *number)
@@ -94,7 +94,7 @@
     }
 
     /// The list, whole.
-    pub fn whole(&self) -> HostList {
+    pub fn full_list(&self) -> HostList {
         HostList {
             version: self.version,
             is_full: true,
@@ -118,17 +118,17 @@
     }
 
     /// Whether a destination has ever been told.
-    pub fn knows(&self, destination: DestinationId) -> bool {
+    pub fn knows_destination(&self, destination: DestinationId) -> bool {
         self.destinations.contains(&destination)
     }
 
     /// Destinations that are known though the list may not name them any more.
-    pub fn know(&mut self, destinations: impl Iterator<Item = DestinationId>) {
+    pub fn add_destinations(&mut self, destinations: impl Iterator<Item = DestinationId>) {
         self.destinations.extend(destinations);
     }
 
     /// Takes over a list, or what changed of it.
-    pub fn take(&mut self, list: HostList, names: &Names<'_>) -> Changes {
+    pub fn apply_list(&mut self, list: HostList, names: &Names<'_>) -> Changes {
         (self.version, self.changed) = (list.version, true);
         if list.is_full {
             self.lines.clear();
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -35,7 +35,7 @@
     }
 
     /// The name of a message that was taken on.
-    pub fn of(taken: &AcceptedMessage) -> Self {
+    pub fn of_message(taken: &AcceptedMessage) -> Self {
         MessageName::new(&taken.tenant, &taken.name)
     }
 }
@@ -48,7 +48,7 @@
     /// Numbers of the messages in hand.
     numbers: BTreeMap<MessageName, MessageId>,
     /// Names of messages that were taken on and are over.
-    over: BTreeSet<MessageName>,
+    recently_completed: BTreeSet<MessageName>,
     over_since: VecDeque<(Instant, MessageName)>,
 }
 
@@ -59,14 +59,14 @@
     }
 
     /// Names of messages that are over and still known.
-    pub fn over(&self) -> usize {
-        self.over.len()
+    pub fn recently_completed(&self) -> usize {
+        self.recently_completed.len()
     }
 
     /// Answers a request for a message that is known by its name; gives the way back for one that is not.
     ///
     /// Guards against a second effect: a request with the name of a message that is over brings nothing new.
-    pub fn known(&mut self, name: &MessageName, reply: Waiting) -> Option<Waiting> {
+    pub fn answer_duplicate(&mut self, name: &MessageName, reply: Waiting) -> Option<Waiting> {
         // Sent once more on another connection: it is in hand already.
         if let Some(id) = self.numbers.get(name) {
             match self.arriving.get_mut(id) {
@@ -75,7 +75,7 @@
             }
             return None;
         }
-        if self.over.contains(name) {
+        if self.recently_completed.contains(name) {
             drop(reply.send(Reply::Ok));
             return None;
         }
@@ -83,20 +83,20 @@
     }
 
     /// Whether a message of this name is in hand.
-    pub fn holds(&self, name: &MessageName) -> bool {
+    pub fn contains(&self, name: &MessageName) -> bool {
         self.numbers.contains_key(name)
     }
 
     /// A new message, on which the module is to decide.
-    pub fn arrives(&mut self, id: MessageId, taken: AcceptedMessage, reply: Waiting) {
-        self.numbers.insert(MessageName::of(&taken), id);
+    pub fn add_arriving(&mut self, id: MessageId, taken: AcceptedMessage, reply: Waiting) {
+        self.numbers.insert(MessageName::of_message(&taken), id);
         self.arriving.insert(id, (taken, vec![reply]));
     }
 
     /// The module did not take a message on; none if it did before.
-    pub fn turn_away(&mut self, id: MessageId, reply: &Reply) -> Option<AcceptedMessage> {
+    pub fn reject_arriving(&mut self, id: MessageId, reply: &Reply) -> Option<AcceptedMessage> {
         let (taken, replies) = self.arriving.remove(&id)?;
-        self.numbers.remove(&MessageName::of(&taken));
+        self.numbers.remove(&MessageName::of_message(&taken));
         replies
             .into_iter()
             .for_each(|waiting| drop(waiting.send(reply.clone())));
@@ -104,7 +104,7 @@
     }
 
     /// Names of messages that were over lately, the last one first, for another process.
-    pub fn recent(&self, now: Instant) -> Vec<String> {
+    pub fn recently_completed_names(&self, now: Instant) -> Vec<String> {
         let recent = self
             .over_since
             .iter()
@@ -114,30 +114,30 @@
     }
 
     /// The same, told by another process.
-    pub fn know_over(&mut self, now: Instant, names: Vec<String>) {
+    pub fn restore_completed(&mut self, now: Instant, names: Vec<String>) {
         names
             .into_iter()
             .rev()
-            .for_each(|name| self.ended(now, MessageName(name)));
+            .for_each(|name| self.complete(now, MessageName(name)));
     }
 
     /// The messages that the module has kept, with those who wait to hear so.
-    pub fn kept(&mut self) -> BTreeMap<MessageId, (AcceptedMessage, Vec<Waiting>)> {
+    pub fn take_arriving(&mut self) -> BTreeMap<MessageId, (AcceptedMessage, Vec<Waiting>)> {
         std::mem::take(&mut self.arriving)
     }
 
     /// A message from before a restart.
-    pub fn restored(&mut self, id: MessageId, taken: &AcceptedMessage) {
-        self.numbers.insert(MessageName::of(taken), id);
+    pub fn insert_restored(&mut self, id: MessageId, taken: &AcceptedMessage) {
+        self.numbers.insert(MessageName::of_message(taken), id);
     }
 
     /// A message that was not taken on after all.
-    pub fn dropped(&mut self, name: &MessageName) {
+    pub fn remove(&mut self, name: &MessageName) {
         self.numbers.remove(name);
     }
 
     /// A message that was taken on is over; its name is kept for a while.
-    pub fn ended(&mut self, now: Instant, name: MessageName) {
+    pub fn complete(&mut self, now: Instant, name: MessageName) {
         self.numbers.remove(&name);
         let (most, span) = KNOWN_OVER;
         let old = |(since, _): &(Instant, MessageName)| now - *since > span;
@@ -145,9 +145,9 @@
             let Some((_, gone)) = self.over_since.pop_front() else {
                 break;
             };
-            self.over.remove(&gone);
+            self.recently_completed.remove(&gone);
         }
-        if self.over.insert(name.clone()) {
+        if self.recently_completed.insert(name.clone()) {
             self.over_since.push_back((now, name));
         }
     }
@@ -169,16 +169,20 @@
             InFlightMessages::default(),
             Instant::now(),
         );
-        old.ended(start, name(0));
+        old.complete(start, name(0));
         let now = start + TOLD_OVER + Duration::from_millis(1);
-        (1..=2000).for_each(|number| old.ended(now, name(number)));
-        new.know_over(now, old.recent(now));
-        assert_eq!(new.over(), 2000, "the first one is older");
+        (1..=2000).for_each(|number| old.complete(now, name(number)));
+        new.restore_completed(now, old.recently_completed_names(now));
+        assert_eq!(new.recently_completed(), 2000, "the first one is older");
         for number in [1, 257, 2000] {
             let (reply, mut answer) = oneshot::channel();
-            assert!(new.known(&name(number), reply).is_none());
+            assert!(new.answer_duplicate(&name(number), reply).is_none());
             assert_eq!(answer.try_recv(), Ok(Reply::Ok));
         }
-        assert_eq!(old.recent(now)[0], name(2000).0, "the last one comes first");
+        assert_eq!(
+            old.recently_completed_names(now)[0],
+            name(2000).0,
+            "the last one comes first"
+        );
     }
 }
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -55,7 +55,7 @@
 
 impl AcceptedMessage {
     /// Bytes that the message takes in the journal, at most.
-    pub fn room(&self) -> usize {
+    pub fn journal_size(&self) -> usize {
         self.body.len() + BESIDE
     }
 }
@@ -131,7 +131,7 @@
 
 impl PendingMessage {
     fn new(
-        taken: AcceptedMessage,
+        message: AcceptedMessage,
         again: Option<ResendOrigin>,
         terms: Option<ClassVersion>,
         size: u64,
@@ -141,7 +141,7 @@
             .into_iter()
             .collect();
         PendingMessage {
-            accepted: taken,
+            accepted: message,
             attempts,
             failure: None,
             resend: again,
@@ -237,7 +237,7 @@
     }
 
     /// The same, tried again where it was not.
-    pub fn regain_spare(&mut self) -> bool {
+    pub fn restore_spare(&mut self) -> bool {
         if !self.spare {
             self.keep_spare();
         }
@@ -245,18 +245,18 @@
     }
 
     /// All that is owed.
-    pub fn all(&self) -> &BTreeMap<MessageId, PendingMessage> {
+    pub fn pending(&self) -> &BTreeMap<MessageId, PendingMessage> {
         &self.owed
     }
 
     /// A number for a message that no other in the journal has.
-    pub fn number(&mut self) -> MessageId {
+    pub fn next_id(&mut self) -> MessageId {
         self.next += 1;
         self.next - 1
     }
 
     /// What classes mean from here on; those that are not named are in force no more.
-    pub fn declare<'a>(
+    pub fn declare_classes<'a>(
         &mut self,
         classes: impl Iterator<Item = (&'a String, &'a Class)>,
     ) -> io::Result<()> {
@@ -276,9 +276,9 @@
     }
 
     /// A message is taken on. Once this returns, it outlasts the process.
-    pub fn taken(&mut self, id: MessageId, taken: AcceptedMessage) -> io::Result<()> {
+    pub fn accept_message(&mut self, id: MessageId, taken: AcceptedMessage) -> io::Result<()> {
         let room = self.limit * OWED_PART - self.owed_size as f64;
-        if taken.room() as f64 > room {
+        if taken.journal_size() as f64 > room {
             return Err(io::Error::new(
                 io::ErrorKind::StorageFull,
                 "the journal's part of the disk is full",
@@ -288,24 +288,24 @@
     }
 
     /// A message is sent again. Once this returns, it outlasts the process.
-    pub fn taken_again(
+    pub fn accept_resend(
         &mut self,
         id: MessageId,
-        taken: AcceptedMessage,
+        message: AcceptedMessage,
         again: ResendOrigin,
     ) -> io::Result<()> {
         let room = self.limit * OWED_PART - self.owed_size as f64;
-        if taken.room() as f64 > room {
+        if message.journal_size() as f64 > room {
             return Err(io::Error::new(
                 io::ErrorKind::StorageFull,
                 "the journal's part of the disk is full",
             ));
         }
-        self.write(Record::TakenAgain(id, taken, again))
+        self.write(Record::TakenAgain(id, message, again))
     }
 
     /// The host of an attempt, and how it ended.
-    pub fn told(
+    pub fn record_host(
         &mut self,
         id: MessageId,
         attempt: u8,
@@ -324,13 +324,18 @@
     }
 
     /// An attempt is about to go out.
-    pub fn out(&mut self, id: MessageId, number: u8, attempt: Attempt) -> io::Result<()> {
+    pub fn start_attempt(&mut self, id: MessageId, number: u8, attempt: Attempt) -> io::Result<()> {
         self.write(Record::Out(id, number, attempt))
     }
 
     /// An attempt came back, and the message was not delivered. What the journal says of it already takes no
     /// room: on a full disk that is for ends.
-    pub fn outcome(&mut self, id: MessageId, attempt: u8, may_have_run: bool) -> io::Result<()> {
+    pub fn record_outcome(
+        &mut self,
+        id: MessageId,
+        attempt: u8,
+        may_have_run: bool,
+    ) -> io::Result<()> {
         let known = self
             .owed
             .get(&id)
@@ -342,7 +347,7 @@
     }
 
     /// Not a byte of an attempt was written: it does not count, and the next one has its number.
-    pub fn not_begun(&mut self, id: MessageId, attempt: u8) -> io::Result<()> {
+    pub fn discard_attempt(&mut self, id: MessageId, attempt: u8) -> io::Result<()> {
         if self
             .owed
             .get(&id)
@@ -354,12 +359,12 @@
     }
 
     /// The module has given a message up; the platform is to be told.
-    pub fn verdict(&mut self, id: MessageId, verdict: DeliveryFailure) -> io::Result<()> {
+    pub fn record_failure(&mut self, id: MessageId, verdict: DeliveryFailure) -> io::Result<()> {
         self.write(Record::Verdict(id, verdict))
     }
 
     /// Nothing more is owed for a message.
-    pub fn over(&mut self, id: MessageId) -> io::Result<()> {
+    pub fn remove_message(&mut self, id: MessageId) -> io::Result<()> {
         if !self.owed.contains_key(&id) {
             return Ok(());
         }
@@ -386,7 +391,7 @@
             record,
             Record::AcceptedMessage(..) | Record::TakenAgain(..) | Record::Out(..)
         );
-        if begins && !self.regain_spare() {
+        if begins && !self.restore_spare() {
             written = Err(io::Error::new(
                 io::ErrorKind::StorageFull,
                 "no room for the ends of messages",
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -71,7 +71,7 @@
             .listen(at)
             .await
             .map_err(|e| format!("cannot listen for operators on {at}: {e}"))?;
-        runtime.spawn(control_socket::listen::<R>(door, control.clone()));
+        runtime.spawn(control_socket::serve_operators::<R>(door, control.clone()));
     }
     let (inputs, incoming) = mpsc::channel(INPUTS);
     let clock = Clock::new(runtime.clone());
@@ -139,7 +139,7 @@
         } = self;
         let config = Config::load(runtime)?;
         let wanted = Operator::load(runtime, operator.as_deref())?;
-        let left = office.inheritance().await;
+        let left = office.read_handover().await;
         let folder = config.state.display();
         let disk = (config.limits.disk_mb * 1e6) as u64;
         let journal = Journal::open(runtime.clone(), &config.state, disk)
@@ -181,57 +181,57 @@
             ..
         } = &config;
         let tenants = Tenants::open(runtime, wanted.tenants.as_ref(), tenants, classes, settings)?;
-        let (sharing, terms) = tenants.sharing(settings);
+        let (sharing, terms) = tenants.scheduler(settings);
         let terms_of_discovery = DiscoverySettings {
             pushed: !settings.polls_discovery,
             siblings: settings.replicas,
             drain_grace: config.drain_grace,
             seed: config.seed,
         };
-        let heard = cached_state::heard(runtime, &config.state);
-        let members = Rc::new(RefCell::new(HostMembership::new(
+        let heard = cached_state::time_since_contact(runtime, &config.state);
+        let membership = Rc::new(RefCell::new(HostMembership::new(
             &terms_of_discovery,
             heard,
         )));
         let mut driver = EventLoop {
-            relay: DeliveryPolicy::with_scheduler(settings.clone(), config.seed, sharing),
+            policy: DeliveryPolicy::with_scheduler(settings.clone(), config.seed, sharing),
             tenants,
             operator: operator.clone(),
             tokens: watch::channel(wanted.tokens()).0,
             clock: clock.clone(),
             journal,
-            hosts: Rc::new(HostConnections::new(
+            host_connections: Rc::new(HostConnections::new(
                 runtime.clone(),
-                members.clone(),
+                membership.clone(),
                 config.dial_timeout,
                 config.idle_close,
                 most_idle,
                 control.dispatches(),
             )),
-            members,
-            notices: Rc::default(),
-            inputs: inputs.clone(),
+            membership,
+            notifications: Rc::default(),
+            relay_events: inputs.clone(),
             events: terms,
             timer: None,
             last_round: runtime.now(),
-            hand: InFlightMessages::default(),
+            in_flight: InFlightMessages::default(),
             calls: BTreeMap::new(),
-            directory: HostDirectory::default(),
+            host_directory: HostDirectory::default(),
             classes: Classes::new(classes, &settings.classes),
-            memory: CachedState::load(runtime, &config.state),
+            cached_state: CachedState::load(runtime, &config.state),
             disk,
             discovery,
-            office,
+            directory_owner: office,
             control: control.clone(),
-            trace: CallLog::new(runtime.clone(), wanted.log_calls),
-            desk: wanted
+            call_log: CallLog::new(runtime.clone(), wanted.log_calls),
+            undeliverable: wanted
                 .undeliverable
                 .map(|set| UndeliverableService::new(runtime.clone(), set, inputs.clone())),
             config,
             runtime: runtime.clone(),
         };
         driver
-            .trace
+            .call_log
             .start(driver.clock.now(), &driver.config.settings);
         driver.restore(left)?;
         Ok((driver, at, most_clients))
@@ -250,22 +250,22 @@
             inputs,
             ..
         } = self;
-        let members = driver.members.clone();
-        let version = driver.directory.version();
-        let (hosts, timers) = (driver.hosts.clone(), runtime.clone());
+        let membership = driver.membership.clone();
+        let version = driver.host_directory.version();
+        let (hosts, timers) = (driver.host_connections.clone(), runtime.clone());
         let sweep = async move {
             loop {
                 timers.sleep(Duration::from_millis(250)).await;
-                hosts.sweep();
+                hosts.close_expired();
             }
         };
-        let notices = driver.notices.clone();
+        let notices = driver.notifications.clone();
         let mut tasks = vec![
             runtime.spawn(discovery_client::follow(
                 runtime.clone(),
                 at.clone(),
                 version,
-                members,
+                membership,
                 inputs.clone(),
             )),
             runtime.spawn(discovery_client::notify(
@@ -287,52 +287,52 @@
             runtime.clone(),
             control.clone(),
             most_clients,
-            driver.tenants.wants_login(),
+            driver.tenants.requires_login(),
         );
         if let Some(admin) = Operator::load(runtime, self.operator.as_deref())?.admin {
             let tokens = driver.tokens.subscribe();
             tasks.push(admin::start(runtime, &admin, tokens, inputs.clone()).await?);
         }
-        control.tell(if control.state() == LifecycleState::HandingOver {
+        control.handle_event(if control.state() == LifecycleState::HandingOver {
             LifecycleEvent::TakenBack
         } else {
             LifecycleEvent::Started
         });
-        runtime.spawn(client_connections::listen(
+        runtime.spawn(client_connections::accept_connections(
             listener,
             clients.clone(),
             clock.clone(),
             inputs.clone(),
             self.inherited.is_some(),
         ));
-        driver.office.serves();
+        driver.directory_owner.withdraw_request();
         loop {
             if !self.turn(&mut driver, &clients).await? {
                 return self.last_words(&mut driver).await.map(|()| None);
             }
-            if !self.control.hands_over(clients.count()) {
+            if !self.control.should_hand_over(clients.count()) {
                 continue;
             }
             // What has come is decided before all goes across.
             while let Ok(input) = self.incoming.try_recv() {
-                driver.take(input);
+                driver.handle_event(input);
             }
-            driver.round()?;
-            let state = driver.state();
-            let (held, out) = (driver.hand.len(), state.out.len());
-            match driver.office.give(state, driver.disk) {
+            driver.run_round()?;
+            let state = driver.handover_state();
+            let (held, out) = (driver.in_flight.len(), state.open_calls.len());
+            match driver.directory_owner.hand_over(state, driver.disk) {
                 Ok(mut arm) => {
                     log!(
                         self.runtime,
                         "upgrade: handed over {held} messages; {out} calls are out here"
                     );
                     tasks.iter().for_each(Task::abort);
-                    driver.hosts.retire();
-                    self.control.ledger().handed_over();
+                    driver.host_connections.retire();
+                    self.control.metrics().record_handover();
                     // The other sides of its calls end them when they are dropped.
-                    arm.keep(std::mem::take(&mut driver.calls));
+                    arm.keep_calls(std::mem::take(&mut driver.calls));
                     drop(driver);
-                    arm.let_go();
+                    arm.release_directory();
                     return Ok(Some((arm, clients)));
                 }
                 Err(error) => {
@@ -340,14 +340,14 @@
                         self.runtime,
                         "upgrade: cannot hand over, and serves on: {error}"
                     );
-                    if self.control.tell(LifecycleEvent::TakenBack) {
+                    if self.control.handle_event(LifecycleEvent::TakenBack) {
                         let listener = self
                             .runtime
                             .inherited_listener(self.inherited.unwrap_or(-1));
                         let listener =
                             listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
                         let (clock, inputs) = (self.clock.clone(), self.inputs.clone());
-                        self.runtime.spawn(client_connections::listen(
+                        self.runtime.spawn(client_connections::accept_connections(
                             listener,
                             clients.clone(),
                             clock,
@@ -365,9 +365,9 @@
     async fn last_words(&mut self, driver: &mut EventLoop<R>) -> Result<(), String> {
         self.runtime.sleep(LAST).await;
         while let Ok(input) = self.incoming.try_recv() {
-            driver.take(input);
+            driver.handle_event(input);
         }
-        driver.round()?;
+        driver.run_round()?;
         self.runtime.sleep(LAST).await;
         Ok(())
     }
@@ -386,71 +386,75 @@
             ..
         } = self;
         let now = runtime.now();
-        let mut wake = driver.next_round();
+        let mut wake = driver.next_round_at();
         if wake <= now {
-            driver.round()?;
+            driver.run_round()?;
             return Ok(true);
         }
         if driver
             .tenants
-            .tend(&mut driver.events, driver.journal.has_spare())
+            .run_maintenance(&mut driver.events, driver.journal.has_spare())
         {
             wake = wake.min(now + Duration::from_millis(1));
         }
-        if let Some(due) = driver.desk.as_ref().map(UndeliverableService::due) {
+        if let Some(due) = driver
+            .undeliverable
+            .as_ref()
+            .map(UndeliverableService::next_run_at)
+        {
             if due <= now && control.state() != LifecycleState::Stopping {
-                driver.tend_desk();
+                driver.run_undeliverable_service();
                 return Ok(true);
             }
             wake = wake.min(due.max(now + Duration::from_millis(1)));
         }
         // Messages in hand may go out until the last call has to end, and what a restart costs them is not theirs to lose.
         let idle = || driver.is_idle() && clients.count() == 0 && incoming.is_empty();
-        if control.ends(clients.listens(), idle) {
+        if control.should_exit(clients.is_accepting(), idle) {
             return Ok(false);
         }
-        if let Some(soon) = control.show() {
+        if let Some(soon) = control.publish_stage() {
             wake = wake.min(now + soon);
         }
-        if let Some(at) = control.view_at() {
+        if let Some(at) = control.next_host_count_at() {
             if at <= now {
-                driver.view();
+                driver.update_host_counts();
             }
             wake = wake.min(at.max(now + Duration::from_millis(1)));
         }
-        let doubted = driver.members.borrow().waits_until();
+        let doubted = driver.membership.borrow().confirmation_deadline();
         if let Some(until) = doubted {
             if until <= now {
                 log!(
                     *runtime,
                     "discovery: silent since the start; calls go by the remembered list"
                 );
-                driver.believe();
+                driver.confirm_host_list();
                 return Ok(true);
             }
             wake = wake.min(until);
         }
-        if let Some(at) = driver.office.due() {
+        if let Some(at) = driver.directory_owner.next_check_at() {
             if at <= now {
-                driver.tend_office();
+                driver.check_state_directory();
             }
             wake = wake.min(at.max(now + Duration::from_millis(1)));
         }
         tokio::select! {
             biased;
             signal = signals.next() => match signal {
-                Signal::Stop => driver.stop(),
+                Signal::Stop => driver.begin_shutdown(),
                 Signal::Reload => driver.reload()?,
             },
             Some(input) = incoming.recv() => {
-                driver.take(input);
+                driver.handle_event(input);
                 // What came together goes into one round, which must not wait for ever.
                 for _ in 0..INPUTS {
                     let Ok(input) = incoming.try_recv() else { break };
-                    driver.take(input);
+                    driver.handle_event(input);
                 }
             }
-            () = control.changed() => {}
+            () = control.state_changed() => {}
             () = runtime.sleep_until(wake) => {}
         }
         Ok(true)
@@ -472,11 +476,11 @@
         loop {
             let stopping = control.state() == LifecycleState::Stopping;
             if arm.is_idle() && clients.count() == 0 && (stopping || arm.is_replaced())
-                || control.ends(false, || arm.is_idle())
+                || control.should_exit(false, || arm.is_idle())
             {
                 return None;
             }
-            control.show();
+            control.publish_stage();
             if !stopping {
                 match arm.take_back() {
                     Ok(office) => {
@@ -492,11 +496,11 @@
             tokio::select! {
                 biased;
                 signal = signals.next() => match signal {
-                    Signal::Stop => drop(control.tell(LifecycleEvent::Stop)),
+                    Signal::Stop => drop(control.handle_event(LifecycleEvent::Stop)),
                     Signal::Reload => log!(*runtime, "configuration: it is the new process's to read"),
                 },
                 Some(input) = incoming.recv() => match input {
-                    RelayEvent::CallCompleted(end) => arm.ended(&end).unwrap_or_else(|e| {
+                    RelayEvent::CallCompleted(end) => arm.report_call_end(&end).unwrap_or_else(|e| {
                         log!(*runtime, "upgrade: cannot tell the end of a call: {e}");
                     }),
                     RelayEvent::EnqueueRequest(request) => {
--- a/crates/relay/src/route_levels.rs
+++ b/crates/relay/src/route_levels.rs
@@ -14,17 +14,25 @@
     let settings = &driver.config.settings;
     let (length, longest) = driver.journal.length();
     vec![
-        ("held", driver.hand.len(), settings.max_queued),
-        ("names", driver.hand.over(), KNOWN_OVER.0),
+        ("held", driver.in_flight.len(), settings.max_queued),
+        ("names", driver.in_flight.recently_completed(), KNOWN_OVER.0),
         ("calls", driver.calls.len(), settings.max_calls),
         // Told or not, what has an end is owed until the platform has heard of it.
-        ("notices", driver.notices.len(), driver.journal.all().len()),
-        ("idle", driver.hosts.idle(), driver.hosts.most_idle()),
+        (
+            "notices",
+            driver.notifications.len(),
+            driver.journal.pending().len(),
+        ),
+        (
+            "idle",
+            driver.host_connections.idle_connections(),
+            driver.host_connections.max_idle_connections(),
+        ),
         ("classes", driver.classes.len(), classes::MOST),
         // Keys at rest are let go of when there are more of them than that.
         (
             "turns",
-            driver.relay.handover_snapshot().ordered_keys.len(),
+            driver.policy.handover_snapshot().ordered_keys.len(),
             3 * settings.max_queued,
         ),
         ("journal", length, longest),
--- a/crates/relay/src/state_directory.rs
+++ b/crates/relay/src/state_directory.rs
@@ -45,35 +45,35 @@
     /// Version of the form.
     form: u16,
     /// An operator has the relay drained.
-    pub drained: bool,
+    pub is_drained: bool,
     /// Calls that are out: the message, the attempt and the host.
-    pub out: Vec<(MessageId, u8, HostId)>,
+    pub open_calls: Vec<(MessageId, u8, HostId)>,
     /// Numbers of the hosts, by name.
-    pub numbers: Vec<(String, HostId)>,
+    pub host_numbers: Vec<(String, HostId)>,
     /// Names of messages that were over lately.
-    pub over: Vec<String>,
+    pub completed: Vec<String>,
     /// What the module knows of routes and turns.
-    pub heritage: HandoverSnapshot,
+    pub policy: HandoverSnapshot,
     /// Until when tenants have used their rates; a record of its own behind the state, which older versions let be.
     #[serde(skip)]
-    pub used: Vec<(String, Micros)>,
+    pub used_rates: Vec<(String, Micros)>,
 }
 
 impl HandoverState {
     /// The state of a process that hands over.
     pub fn new(
-        drained: bool,
-        out: Vec<(MessageId, u8, HostId)>,
-        heritage: HandoverSnapshot,
+        is_drained: bool,
+        open_calls: Vec<(MessageId, u8, HostId)>,
+        policy: HandoverSnapshot,
     ) -> Self {
         HandoverState {
             form: FORM,
-            drained,
-            out,
-            numbers: Vec::new(),
-            over: Vec::new(),
-            heritage,
-            used: Vec::new(),
+            is_drained,
+            open_calls,
+            host_numbers: Vec::new(),
+            completed: Vec::new(),
+            policy,
+            used_rates: Vec::new(),
         }
     }
 }
@@ -168,9 +168,9 @@
     next: Option<R::Lock>,
     inherits: bool,
     /// When to look at the folder next, if ever.
-    due: Option<Instant>,
+    next_check_at: Option<Instant>,
     /// Calls that are out at the process before, and how much of its ends is read.
-    out: BTreeMap<MessageId, (u8, HostId)>,
+    open_calls: BTreeMap<MessageId, (u8, HostId)>,
     read: usize,
     /// The process before left a state, which stays until all its calls have ended.
     left: bool,
@@ -191,8 +191,8 @@
             owner: Some(owner),
             next,
             inherits,
-            due,
-            out: BTreeMap::new(),
+            next_check_at: due,
+            open_calls: BTreeMap::new(),
             read: 0,
             left: false,
             arm: None,
@@ -205,14 +205,14 @@
     }
 
     /// What the process before left. Where that can't be read, this waits until none of its calls can be out.
-    pub async fn inheritance(&mut self) -> Option<HandoverState> {
+    pub async fn read_handover(&mut self) -> Option<HandoverState> {
         let runtime = self.folder.runtime.clone();
         let text = runtime.read(&self.folder.path.join(STATE));
         let state = text.ok().and_then(|text| {
             let (state, size) = decode::<HandoverState>(&text).ok().flatten()?;
             let used = decode(&text[size..]).ok().flatten().map(|(used, _)| used);
             Some(HandoverState {
-                used: used.unwrap_or_default(),
+                used_rates: used.unwrap_or_default(),
                 ..state
             })
         });
@@ -223,31 +223,31 @@
             self.settle();
             return None;
         };
-        self.out = state
-            .out
+        self.open_calls = state
+            .open_calls
             .iter()
             .map(|(id, attempt, host)| (*id, (*attempt, *host)))
             .collect();
-        (self.due, self.left) = (Some(runtime.now()), true);
+        (self.next_check_at, self.left) = (Some(runtime.now()), true);
         Some(state)
     }
 
     /// This process takes clients now.
-    pub fn serves(&self) {
+    pub fn withdraw_request(&self) {
         self.folder.remove(ASK);
     }
 
     /// When to look at the folder next.
-    pub fn due(&self) -> Option<Instant> {
-        self.due
+    pub fn next_check_at(&self) -> Option<Instant> {
+        self.next_check_at
     }
 
     /// Whether another process asks for the folder.
-    pub fn asked(&mut self) -> bool {
+    pub fn handover_requested(&mut self) -> bool {
         if !self.inherits || self.next.is_some() || self.arm.is_some() {
             return false;
         }
-        self.due = Some(self.folder.runtime.now() + LOOK);
+        self.next_check_at = Some(self.folder.runtime.now() + LOOK);
         if !self.folder.has(ASK) {
             return false;
         }
@@ -261,12 +261,12 @@
 
     /// Ends of calls that were out at the process before, since they were last asked for. Once that is gone, what has
     /// no end may have run.
-    pub fn ends(&mut self) -> Vec<CompletedCall> {
-        if self.out.is_empty() && self.next.is_none() && self.arm.is_none() {
+    pub fn take_call_ends(&mut self) -> Vec<CompletedCall> {
+        if self.open_calls.is_empty() && self.next.is_none() && self.arm.is_none() {
             return Vec::new();
         }
         let runtime = self.folder.runtime.clone();
-        self.due = Some(runtime.now() + CLOSE_LOOK);
+        self.next_check_at = Some(runtime.now() + CLOSE_LOOK);
         // Asked before its ends are read: what it wrote last is then there.
         let gone = self.arm.is_none() && self.folder.is_free(ARM);
         let text = runtime
@@ -278,16 +278,16 @@
         {
             self.read += size;
             if self
-                .out
+                .open_calls
                 .get(&end.id)
                 .is_some_and(|(attempt, _)| *attempt == end.attempt)
             {
-                self.out.remove(&end.id);
+                self.open_calls.remove(&end.id);
                 ends.push(end);
             }
         }
         if gone {
-            let lost = std::mem::take(&mut self.out).into_iter();
+            let lost = std::mem::take(&mut self.open_calls).into_iter();
             ends.extend(lost.map(|(id, (attempt, host))| CompletedCall {
                 id,
                 attempt,
@@ -303,21 +303,21 @@
     }
 
     /// A call of this process has ended; it may be one from before it took the folder back.
-    pub fn heard(&mut self, end: &CompletedCall) {
+    pub fn call_completed(&mut self, end: &CompletedCall) {
         if self
-            .out
+            .open_calls
             .get(&end.id)
             .is_some_and(|(attempt, _)| *attempt == end.attempt)
         {
-            self.out.remove(&end.id);
+            self.open_calls.remove(&end.id);
         }
     }
 
     /// The ends that were given are in the journal: once all are, and the process before is gone, this one is alone.
-    pub fn tidy(&mut self) {
+    pub fn clean_up(&mut self) {
         let alone = || self.arm.is_some() || self.folder.is_free(ARM);
         // Only once: a request that comes later is not this one's to remove.
-        if (self.left || self.next.is_some()) && self.out.is_empty() && alone() {
+        if (self.left || self.next.is_some()) && self.open_calls.is_empty() && alone() {
             self.settle();
         }
     }
@@ -327,16 +327,16 @@
             self.folder.remove(name);
         }
         (self.next, self.arm, self.left) = (None, None, false);
-        self.due = self.inherits.then(|| self.folder.runtime.now() + LOOK);
+        self.next_check_at = self.inherits.then(|| self.folder.runtime.now() + LOOK);
     }
 
     /// Gives the folder away. On an error it stays with this process.
-    pub fn give(
+    pub fn hand_over(
         &mut self,
         mut state: HandoverState,
         limit: u64,
     ) -> io::Result<DepartingProcess<R>> {
-        self.due = Some(self.folder.runtime.now() + AGAIN);
+        self.next_check_at = Some(self.folder.runtime.now() + AGAIN);
         let (runtime, path) = (&self.folder.runtime, &self.folder.path);
         let busy = || {
             io::Error::new(
@@ -348,8 +348,8 @@
         let most = ((limit as f64 * STATE_PART) as usize).min(LONGEST);
         let mut text = encode(&state)?;
         // Of names that are over the last ones come first, as many as there is room for.
-        while text.len() > most && !state.over.is_empty() {
-            state.over.truncate(state.over.len() / 2);
+        while text.len() > most && !state.completed.is_empty() {
+            state.completed.truncate(state.completed.len() / 2);
             text = encode(&state)?;
         }
         if text.len() > most {
@@ -359,7 +359,7 @@
             ));
         }
         // Of rates that were used as many as there is room for: the others start anew.
-        let mut used = &state.used[..];
+        let mut used = &state.used_rates[..];
         while text.len() + encode(&used)?.len() > most && !used.is_empty() {
             used = &used[..used.len() / 2];
         }
@@ -373,7 +373,7 @@
             .and_then(|()| runtime.rename(&fresh, &path.join(STATE)));
         written.inspect_err(|_| drop(runtime.remove(&fresh)))?;
         let out = state
-            .out
+            .open_calls
             .iter()
             .map(|(id, attempt, _)| (*id, *attempt))
             .collect();
@@ -382,8 +382,8 @@
             folder,
             owner: self.owner.take(),
             _lock: lock,
-            ends,
-            out,
+            call_ends_file: ends,
+            open_calls: out,
             calls: Calls::new(),
             look,
         })
@@ -396,8 +396,8 @@
     /// Until all that uses the folder is closed.
     owner: Option<R::Lock>,
     _lock: R::Lock,
-    ends: R::File,
-    out: BTreeMap<MessageId, u8>,
+    call_ends_file: R::File,
+    open_calls: BTreeMap<MessageId, u8>,
     /// What would end the calls early if it were dropped.
     calls: Calls,
     look: Instant,
@@ -408,29 +408,29 @@
 
 impl<R: Runtime> DepartingProcess<R> {
     /// Its calls, which are to go on.
-    pub fn keep(&mut self, calls: Calls) {
+    pub fn keep_calls(&mut self, calls: Calls) {
         self.calls = calls;
     }
 
     /// This process has closed all that it had in the folder.
-    pub fn let_go(&mut self) {
+    pub fn release_directory(&mut self) {
         self.owner = None;
     }
 
     /// A call has ended, which the new owner is to read.
-    pub fn ended(&mut self, end: &CompletedCall) -> io::Result<()> {
-        if self.out.get(&end.id) == Some(&end.attempt) {
-            self.out.remove(&end.id);
+    pub fn report_call_end(&mut self, end: &CompletedCall) -> io::Result<()> {
+        if self.open_calls.get(&end.id) == Some(&end.attempt) {
+            self.open_calls.remove(&end.id);
             self.calls.remove(&end.id);
         }
         let text = encode(end)?;
-        self.ends.seek(SeekFrom::End(0))?;
-        self.ends.write_all(&text)
+        self.call_ends_file.seek(SeekFrom::End(0))?;
+        self.call_ends_file.write_all(&text)
     }
 
     /// Whether no call is out any more.
     pub fn is_idle(&self) -> bool {
-        self.out.is_empty()
+        self.open_calls.is_empty()
     }
 
     /// Whether the new owner serves. It holds its lock for as long as this process lives: one that has served and
--- a/crates/relay/src/stored_format_tests.rs
+++ b/crates/relay/src/stored_format_tests.rs
@@ -85,30 +85,46 @@
         ("update".to_string(), class(Idempotency::Idempotent)),
     ];
     journal
-        .declare(classes.iter().map(|(name, class)| (name, class)))
+        .declare_classes(classes.iter().map(|(name, class)| (name, class)))
         .expect("written");
     for number in 1..=6 {
-        assert_eq!(journal.number(), number);
+        assert_eq!(journal.next_id(), number);
     }
-    journal.taken(1, taken("m1", "event")).expect("written");
-    journal.out(1, 0, attempt(0, true)).expect("written");
     journal
-        .told(1, 0, "s-0001", Kept::Refused)
+        .accept_message(1, taken("m1", "event"))
         .expect("written");
-    journal.outcome(1, 0, false).expect("written");
-    journal.out(1, 1, attempt(1, true)).expect("written");
-    journal.taken(2, taken("m2", "payout")).expect("written");
-    journal.out(2, 0, attempt(0, true)).expect("written");
-    journal.not_begun(2, 0).expect("written");
     journal
-        .verdict(2, DeliveryFailure::Deferred(500))
+        .start_attempt(1, 0, attempt(0, true))
         .expect("written");
-    journal.taken(3, taken("m3", "update")).expect("written");
-    journal.over(3).expect("written");
-    journal.taken(4, taken("m4", "payout")).expect("written");
-    journal.out(4, 0, attempt(2, true)).expect("written");
     journal
-        .verdict(4, DeliveryFailure::Undeliverable)
+        .record_host(1, 0, "s-0001", Kept::Refused)
+        .expect("written");
+    journal.record_outcome(1, 0, false).expect("written");
+    journal
+        .start_attempt(1, 1, attempt(1, true))
+        .expect("written");
+    journal
+        .accept_message(2, taken("m2", "payout"))
+        .expect("written");
+    journal
+        .start_attempt(2, 0, attempt(0, true))
+        .expect("written");
+    journal.discard_attempt(2, 0).expect("written");
+    journal
+        .record_failure(2, DeliveryFailure::Deferred(500))
+        .expect("written");
+    journal
+        .accept_message(3, taken("m3", "update"))
+        .expect("written");
+    journal.remove_message(3).expect("written");
+    journal
+        .accept_message(4, taken("m4", "payout"))
+        .expect("written");
+    journal
+        .start_attempt(4, 0, attempt(2, true))
+        .expect("written");
+    journal
+        .record_failure(4, DeliveryFailure::Undeliverable)
         .expect("written");
     let again = ResendOrigin {
         record: 12,
@@ -116,16 +132,18 @@
         past_attempt: Some(attempt(9, true)),
     };
     journal
-        .taken_again(5, taken("m5", "event"), again)
+        .accept_resend(5, taken("m5", "event"), again)
+        .expect("written");
+    journal
+        .start_attempt(5, 1, attempt(3, true))
         .expect("written");
-    journal.out(5, 1, attempt(3, true)).expect("written");
     let again = ResendOrigin {
         record: 13,
         number: 1,
         past_attempt: None,
     };
     journal
-        .taken_again(6, taken("m6", "update"), again)
+        .accept_resend(6, taken("m6", "update"), again)
         .expect("written");
 }
 
@@ -161,7 +179,7 @@
 fn summary(journal: &Journal<OsRuntime>) -> Vec<String> {
     let attempt = |one: &Attempt| format!("{}/{}/{}", one.sent_at, one.zone, one.may_have_executed);
     let mut lines = Vec::new();
-    for (id, owed) in journal.all() {
+    for (id, owed) in journal.pending() {
         let AcceptedMessage {
             name,
             idempotency_key,
@@ -388,8 +406,8 @@
         vec![(7, 0, 3), (17, 2, 1)],
         module().handover_snapshot(),
     );
-    state.numbers = vec![("s-0001".into(), 1), ("s-0003".into(), 3)];
-    state.over = vec!["acme\nm9".into(), "acme\nm8".into()];
+    state.host_numbers = vec![("s-0001".into(), 1), ("s-0003".into(), 3)];
+    state.completed = vec!["acme\nm9".into(), "acme\nm8".into()];
     state
 }
 
@@ -402,7 +420,12 @@
         .expect("whole");
     assert_eq!(size, text.len());
     assert_eq!(
-        (read.drained, &read.out, &read.numbers, &read.over),
+        (
+            read.is_drained,
+            &read.open_calls,
+            &read.host_numbers,
+            &read.completed
+        ),
         (
             true,
             &vec![(7, 0, 3), (17, 2, 1)],
--- a/crates/relay/src/tenant_service/audit.rs
+++ b/crates/relay/src/tenant_service/audit.rs
@@ -74,12 +74,12 @@
         };
         changes
             .range(told + 1..)
-            .for_each(|(_, record)| audit.tell(record));
+            .for_each(|(_, record)| audit.append(record));
         Ok(audit)
     }
 
     /// Adds a change. Where the file can't be written, it waits.
-    pub fn tell(&mut self, record: &Record) {
+    pub fn append(&mut self, record: &Record) {
         let entry = Entry::of(record);
         self.at_hand.push_back(entry.clone());
         if self.at_hand.len() > AT_HAND {
@@ -90,12 +90,12 @@
     }
 
     /// Number of the last change that stands in the log.
-    pub fn told(&self) -> u64 {
+    pub fn last_written(&self) -> u64 {
         self.told
     }
 
     /// Changes that wait to be written.
-    pub fn behind(&self) -> usize {
+    pub fn unwritten(&self) -> usize {
         self.untold.len()
     }
 
--- a/crates/relay/src/tenant_service/mod.rs
+++ b/crates/relay/src/tenant_service/mod.rs
@@ -78,14 +78,14 @@
     }
 
     /// The classes of the settings from now on.
-    pub fn know_classes(&mut self, classes: &[String]) {
+    pub fn set_classes(&mut self, classes: &[String]) {
         if let Tenants::Hosted(hosted) = self {
             hosted.registry.know_classes(classes);
         }
     }
 
     /// Who shares the relay with whom, and what the module is told first.
-    pub fn sharing(&self, settings: &Settings) -> (Box<dyn TenantScheduler>, Vec<Event>) {
+    pub fn scheduler(&self, settings: &Settings) -> (Box<dyn TenantScheduler>, Vec<Event>) {
         match self {
             Tenants::Fixed(_) => (Box::new(Shares::of(settings)), Vec::new()),
             Tenants::Hosted(hosted) => {
@@ -99,7 +99,7 @@
 
     /// What tenants have used of their rates, for a process that takes over: by the journal's name for them, those
     /// that are furthest from having it made good first.
-    pub fn used(&self, now: Micros, sharing: &dyn TenantScheduler) -> Vec<(String, Micros)> {
+    pub fn used_rates(&self, now: Micros, sharing: &dyn TenantScheduler) -> Vec<(String, Micros)> {
         let Tenants::Hosted(hosted) = self else {
             return Vec::new();
         };
@@ -120,7 +120,11 @@
     }
 
     /// Goes on from what another process knew of that.
-    pub fn go_on_from(&mut self, used: &[(String, Micros)], sharing: &mut dyn TenantScheduler) {
+    pub fn restore_used_rates(
+        &mut self,
+        used: &[(String, Micros)],
+        sharing: &mut dyn TenantScheduler,
+    ) {
         for (reference, until) in used {
             if let Some(entry) = self.entry(reference) {
                 sharing.restore_rate_used_until(entry.number, *until);
@@ -129,7 +133,7 @@
     }
 
     /// Whether a client may speak for a tenant, as whom it has named itself.
-    pub fn speaks(&mut self, name: &str, login: Option<&Login>) -> Result<(), Reply> {
+    pub fn check_login(&mut self, name: &str, login: Option<&Login>) -> Result<(), Reply> {
         let Tenants::Hosted(hosted) = self else {
             return Ok(());
         };
@@ -177,7 +181,7 @@
     }
 
     /// The number of the tenant of a message that was taken on before a restart.
-    pub fn restored(&mut self, reference: &str) -> Option<TenantId> {
+    pub fn message_restored(&mut self, reference: &str) -> Option<TenantId> {
         match self {
             // One that the settings name no more has no share to keep, and is owed its end all the same.
             Tenants::Fixed(names) => {
@@ -199,7 +203,7 @@
     }
 
     /// A message was not taken on.
-    pub fn turned_away(&mut self, reference: &str) {
+    pub fn message_rejected(&mut self, reference: &str) {
         if let Some(entry) = self.entry(reference) {
             entry.counts.refused += 1;
             entry.owed = entry.owed.saturating_sub(1);
@@ -207,21 +211,21 @@
     }
 
     /// A message was taken on.
-    pub fn taken(&mut self, reference: &str) {
+    pub fn message_accepted(&mut self, reference: &str) {
         self.entry(reference)
             .into_iter()
             .for_each(|entry| entry.counts.taken += 1);
     }
 
     /// A message was delivered.
-    pub fn delivered(&mut self, reference: &str) {
+    pub fn message_delivered(&mut self, reference: &str) {
         self.entry(reference)
             .into_iter()
             .for_each(|entry| entry.counts.delivered += 1);
     }
 
     /// A message was given up.
-    pub fn ended(&mut self, reference: &str, verdict: DeliveryFailure) {
+    pub fn message_failed(&mut self, reference: &str, verdict: DeliveryFailure) {
         let Some(entry) = self.entry(reference) else {
             return;
         };
@@ -232,7 +236,7 @@
     }
 
     /// Whether a tenant is removed, or about to be.
-    pub fn removed(&mut self, reference: &str) -> bool {
+    pub fn is_removed(&mut self, reference: &str) -> bool {
         match self {
             Tenants::Fixed(names) => {
                 !names.is_empty() && !names.iter().any(|name| name == reference)
@@ -245,7 +249,7 @@
     }
 
     /// Whether messages of a tenant may be sent.
-    pub fn stands(&mut self, reference: &str) -> bool {
+    pub fn is_known(&mut self, reference: &str) -> bool {
         match self {
             Tenants::Fixed(names) => names.is_empty() || names.iter().any(|name| name == reference),
             Tenants::Hosted(hosted) => hosted
@@ -256,7 +260,7 @@
     }
 
     /// Nothing more is owed for a message.
-    pub fn released(&mut self, reference: &str) {
+    pub fn message_released(&mut self, reference: &str) {
         if let Some(entry) = self.entry(reference) {
             entry.owed = entry.owed.saturating_sub(1);
         }
@@ -271,13 +275,13 @@
     }
 
     /// Whether clients have to name themselves.
-    pub fn wants_login(&self) -> bool {
+    pub fn requires_login(&self) -> bool {
         matches!(self, Tenants::Hosted(hosted) if hosted.auth)
     }
 
     /// Answers a front; what the module is to be told of it goes to `events`. Nothing is changed while there is
     /// no `room` on the disk but for the ends of messages.
-    pub fn answer(
+    pub fn handle_request(
         &mut self,
         ask: TenantRequest,
         load: impl Fn(TenantId) -> TenantUsage,
@@ -293,14 +297,14 @@
                     "the disk is full, what room there is is for the ends of messages".into(),
                 )
             }
-            Tenants::Hosted(hosted) => hosted.answer(ask, load, events),
+            Tenants::Hosted(hosted) => hosted.handle_request(ask, load, events),
         }
     }
 
     /// What is to be done between rounds, if there is `room` on the disk; true if there is more of it.
-    pub fn tend(&mut self, events: &mut Vec<Event>, room: bool) -> bool {
+    pub fn run_maintenance(&mut self, events: &mut Vec<Event>, room: bool) -> bool {
         match self {
-            Tenants::Hosted(hosted) if room => hosted.tend(events),
+            Tenants::Hosted(hosted) if room => hosted.run_maintenance(events),
             _ => false,
         }
     }
@@ -323,7 +327,7 @@
         } = Store::open(runtime, folder, operator.store_bytes(), classes)?;
         let audit = Audit::open(runtime, folder, operator.audit(), &changes)?;
         // Guards against an end that both files have lost, which they can't tell: the audit log was told of it.
-        let lost = registry.follow(audit.told());
+        let lost = registry.follow(audit.last_written());
         if lost > 0 {
             log!(
                 *runtime,
@@ -391,7 +395,7 @@
         Box::new(TenantView { tenant, draining })
     }
 
-    fn answer(
+    fn handle_request(
         &mut self,
         ask: TenantRequest,
         load: impl Fn(TenantId) -> TenantUsage,
@@ -444,7 +448,7 @@
                 tenants: self.registry.len(),
                 seq: self.registry.seq(),
                 lost: self.store.lost,
-                untold: self.audit.behind(),
+                untold: self.audit.unwritten(),
                 since_ms: self.since_ms,
             }),
         }
@@ -483,9 +487,9 @@
 
     /// Keeps a change, makes it, and tells the module and the audit log.
     fn make(&mut self, record: &Record, events: &mut Vec<Event>) -> Result<(), String> {
-        if self.audit.behind() >= MOST_UNTOLD {
+        if self.audit.unwritten() >= MOST_UNTOLD {
             self.audit.flush();
-            if self.audit.behind() >= MOST_UNTOLD {
+            if self.audit.unwritten() >= MOST_UNTOLD {
                 return Err("the audit log cannot be written".into());
             }
         }
@@ -498,11 +502,11 @@
                 .into_iter()
                 .map(|(number, terms)| Event::TenantChanged(number, terms)),
         );
-        self.audit.tell(record);
+        self.audit.append(record);
         Ok(())
     }
 
-    fn tend(&mut self, events: &mut Vec<Event>) -> bool {
+    fn run_maintenance(&mut self, events: &mut Vec<Event>) -> bool {
         let now = unix_ms(&self.runtime);
         if let Some(record) = self.registry.drained(now).filter(|_| self.retry_ms <= now) {
             if let Err(why) = self.make(&record, events) {
@@ -514,11 +518,11 @@
             }
         }
         // The files hold what the audit log lacks until it has it.
-        if self.audit.behind() > 0 {
+        if self.audit.unwritten() > 0 {
             self.audit.flush();
         }
-        if self.audit.behind() == 0 {
-            self.store.tend(&self.registry);
+        if self.audit.unwritten() == 0 {
+            self.store.continue_rewrite(&self.registry);
         }
         self.store.is_busy()
     }
--- a/crates/relay/src/tenant_service/store.rs
+++ b/crates/relay/src/tenant_service/store.rs
@@ -209,7 +209,7 @@
     }
 
     /// Begins to write the files anew where they have grown, and goes on with a slice of it.
-    pub fn tend(&mut self, registry: &Registry) {
+    pub fn continue_rewrite(&mut self, registry: &Registry) {
         let grown = self.copies[0].length > 2 * self.snapshot + ROOM;
         let grown = grown || self.copies[1].behind || self.spoilt;
         if self.rewriting.is_none() && grown && !self.failed {
--- a/crates/relay/src/undeliverable_service/mod.rs
+++ b/crates/relay/src/undeliverable_service/mod.rs
@@ -162,7 +162,7 @@
 }
 
 /// How the story calls an outcome.
-pub fn told(outcome: AttemptOutcome) -> Outcome {
+pub fn stored_outcome(outcome: AttemptOutcome) -> Outcome {
     match outcome {
         AttemptOutcome::Delivered => Outcome::Delivered,
         AttemptOutcome::Error => Outcome::Error,
@@ -351,14 +351,14 @@
     }
 
     /// When it wants to be looked after next.
-    pub fn due(&self) -> Instant {
+    pub fn next_run_at(&self) -> Instant {
         self.look
     }
 
     /// After the store was opened: what the journal holds of resends goes on. What is being sent by the store's word and
     /// is not in the journal was most likely not begun; but a store whose newest change was torn or spoilt opens as it was before
     /// that, and then its end may be what is missing. It is a doubt.
-    pub fn settle(&mut self, now: Micros) {
+    pub fn reconcile(&mut self, now: Micros) {
         let held: BTreeSet<(RecordId, u32)> = self
             .out
             .values()
@@ -395,7 +395,7 @@
     }
 
     /// A resend from before the restart goes on.
-    pub fn restored(&mut self, id: MessageId, again: ResendOrigin, name: &str, now: Micros) {
+    pub fn resend_restored(&mut self, id: MessageId, again: ResendOrigin, name: &str, now: Micros) {
         // The journal is right where the store has gone back.
         self.with(|store| {
             store.change(again.record, |record| {
@@ -405,7 +405,7 @@
                 Ok::<_, Refusal>(())
             })
         });
-        self.begun(id, again, name);
+        self.resend_started(id, again, name);
     }
 
     /// Whether a resend from the journal has its end in the store already: it must not be made again.
@@ -419,7 +419,7 @@
     }
 
     /// A message was given up; it is kept with the next [`Desk::keep`].
-    pub fn given_up(
+    pub fn record_given_up(
         &mut self,
         owed: &PendingMessage,
         class: Option<&Class>,
@@ -480,7 +480,7 @@
     }
 
     /// Keeps what was given up. Must have been called before the journal forgets any of it.
-    pub fn keep(&mut self) {
+    pub fn flush(&mut self) {
         if self.fresh.is_empty() || self.store.is_none() {
             return;
         }
@@ -517,7 +517,7 @@
     }
 
     /// A live call has ended.
-    pub fn called(&mut self, destination: u16, outcome: AttemptOutcome, now: Micros) {
+    pub fn attempt_ended(&mut self, destination: u16, outcome: AttemptOutcome, now: Micros) {
         if !self.rules.is_empty() {
             self.partners
                 .ended(destination, outcome == AttemptOutcome::Delivered, now);
@@ -525,12 +525,12 @@
     }
 
     /// A resend was delivered. True once that is kept, so that the journal may forget it.
-    pub fn delivered(&mut self, id: MessageId, now: Micros) -> bool {
+    pub fn resend_delivered(&mut self, id: MessageId, now: Micros) -> bool {
         self.end(id, End::Delivered, now)
     }
 
     /// A resend was given up or handed back. True once that is kept, so that the journal may forget it.
-    pub fn came_back(
+    pub fn resend_failed(
         &mut self,
         id: MessageId,
         owed: &PendingMessage,
@@ -585,7 +585,7 @@
             Some(Ok(_) | Err(Error::Spoilt(_))) => {
                 if let End::Back(_, _, kept) = end {
                     self.fresh(kept.0, kept.1);
-                    self.keep();
+                    self.flush();
                 }
             }
             other => {
@@ -622,7 +622,7 @@
     }
 
     /// A resend could not be handed over.
-    pub fn not_begun(&mut self, again: &ResendOrigin) {
+    pub fn resend_not_started(&mut self, again: &ResendOrigin) {
         let by = self.with(|store| {
             store.change(again.record, |record| {
                 let by = match &record.state {
@@ -639,7 +639,7 @@
     }
 
     /// The resend is in the journal under this number.
-    pub fn begun(&mut self, id: MessageId, again: ResendOrigin, name: &str) {
+    pub fn resend_started(&mut self, id: MessageId, again: ResendOrigin, name: &str) {
         let mut out = Out {
             again,
             by: String::new(),
@@ -725,7 +725,7 @@
             Resend {
                 again: ResendOrigin {
                     record: id,
-                    number,
+                    number: number,
                     past_attempt: past,
                 },
                 taken,
@@ -735,14 +735,14 @@
 
     /// Looks after the store, batches and rules; gives what is to be sent now, and the resends whose ends have been
     /// kept meanwhile, so that the journal may forget them.
-    pub fn tend(&mut self, now: Micros, live: Live) -> (Vec<Resend>, Vec<MessageId>) {
+    pub fn run(&mut self, now: Micros, live: Live) -> (Vec<Resend>, Vec<MessageId>) {
         let at = self.runtime.now();
         self.look = at + LOOK;
         if self.store.is_none() && self.reopen <= at {
             self.open();
-            self.settle(now);
+            self.reconcile(now);
         }
-        self.keep();
+        self.flush();
         let mut ended = Vec::new();
         for (id, end) in std::mem::take(&mut self.ends) {
             if self.end(id, end, now) {
@@ -934,7 +934,13 @@
     }
 
     /// A partner has answered, or has not.
-    pub fn word(&mut self, id: RecordId, asked: Micros, says: Option<Says>, now: Micros) {
+    pub fn partner_answered(
+        &mut self,
+        id: RecordId,
+        asked: Micros,
+        says: Option<Says>,
+        now: Micros,
+    ) {
         self.asking.remove(&id);
         let Some(says) = says else { return };
         self.with(|store| {
@@ -976,14 +982,14 @@
     }
 
     /// Answers a front; a record that it wants sent again goes to `resends`.
-    pub fn answer(
+    pub fn handle_request(
         &mut self,
         ask: UndeliverableRequest,
         now: Micros,
         live: Live,
         resends: &mut Vec<Resend>,
     ) -> UndeliverableResponse {
-        self.keep();
+        self.flush();
         match ask {
             UndeliverableRequest::Page {
                 filter,
