--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -23,7 +23,10 @@
 use utoipa_axum::routes;
 
 use crate::auth::{Caller, Tokens};
-use crate::model::*;
+use crate::model::{
+    AuditPage, NewSecret, NewTenant, Patch, RegistryStatus, Replacement, Tenant, TenantPage,
+    TenantUsage,
+};
 use crate::problem::{Problem, ProblemBody};
 use crate::request::{tags, Asked, Tags};
 use crate::settings::Role;
@@ -537,6 +540,7 @@
 }
 
 /// The API's document, from the code.
+#[must_use]
 pub fn document() -> OpenApi {
     routes().split_for_parts().1
 }
--- a/crates/admin/src/auth.rs
+++ b/crates/admin/src/auth.rs
@@ -15,11 +15,16 @@
 
 impl Tokens {
     /// These tokens.
+    #[must_use]
     pub fn new(tokens: &[Token]) -> Self {
         Tokens(tokens.into())
     }
 
     /// Whose token an `Authorization` header bears (RFC 6750, section 2.1).
+    ///
+    /// # Errors
+    ///
+    /// A [`Problem`] with status 401 if the header is missing, malformed or names no known token.
     pub fn who(&self, header: Option<&str>) -> Result<Caller, Problem> {
         let header = header.ok_or_else(|| Problem::unauthorized("a bearer token is needed"))?;
         let (scheme, token) = header.split_once(' ').unwrap_or((header, ""));
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -21,6 +21,10 @@
 pub use settings::{Role, Settings, Token};
 
 /// Listens, and serves the API from then on, until the task is ended. The error is one plain line.
+///
+/// # Errors
+///
+/// One plain line if the address cannot be parsed or bound.
 pub async fn start<R: Runtime>(
     runtime: &R,
     settings: &Settings,
--- a/crates/admin/src/serve.rs
+++ b/crates/admin/src/serve.rs
@@ -102,12 +102,13 @@
         let (router, last) = (router.clone(), last.clone());
         let room = pace.borrow_mut().take(runtime.now());
         async move {
-            let mut response: Response<Body> = match room {
-                true => router
+            let mut response: Response<Body> = if room {
+                router
                     .oneshot(request)
                     .await
-                    .unwrap_or_else(|never| match never {}),
-                false => Problem::too_many_requests().into_response(),
+                    .unwrap_or_else(|never| match never {})
+            } else {
+                Problem::too_many_requests().into_response()
             };
             let date = httpdate::fmt_http_date(std::time::UNIX_EPOCH + runtime.unix_time());
             if let Ok(date) = HeaderValue::from_str(&date) {
--- a/crates/admin/src/settings.rs
+++ b/crates/admin/src/settings.rs
@@ -27,6 +27,7 @@
 
 impl Role {
     /// Its name.
+    #[must_use]
     pub fn name(self) -> &'static str {
         match self {
             Role::Viewer => "viewer",
@@ -52,6 +53,7 @@
 
 impl Token {
     /// The tenants of the token.
+    #[must_use]
     pub fn scope(&self) -> Scope {
         Scope(self.tenants.clone())
     }
@@ -84,6 +86,10 @@
 
 impl Settings {
     /// Whether all is within bounds; the error is one plain line.
+    ///
+    /// # Errors
+    ///
+    /// One plain line that names the first value out of bounds.
     pub fn check(&self) -> Result<(), String> {
         self.address()?;
         if !(1..=MOST.0).contains(&self.connections) {
@@ -130,6 +136,10 @@
     }
 
     /// Where it listens.
+    ///
+    /// # Errors
+    ///
+    /// One plain line if the text is no address.
     pub fn address(&self) -> Result<Address, String> {
         let address: Address = self
             .listen
--- a/crates/admin/src/undeliverable.rs
+++ b/crates/admin/src/undeliverable.rs
@@ -97,9 +97,10 @@
         else {
             return Err(unexpected());
         };
-        match caller.scope.covers(shown.record.origin.tenant_name()) {
-            true => Ok(*shown),
-            false => Err(refused(record::Refusal::NoRecord)),
+        if caller.scope.covers(shown.record.origin.tenant_name()) {
+            Ok(*shown)
+        } else {
+            Err(refused(record::Refusal::NoRecord))
         }
     }
 
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -80,6 +80,7 @@
 
 impl State {
     /// Whether nothing more comes of it.
+    #[must_use]
     pub fn is_over(&self) -> bool {
         matches!(self, State::Done(_) | State::Failed(_) | State::Cancelled)
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -90,6 +90,10 @@
 
 impl Settings {
     /// Checks all of it; the error is one plain line.
+    ///
+    /// # Errors
+    ///
+    /// One plain line that names the first value out of bounds.
     pub fn check(&self) -> Result<(), String> {
         for (class, budget) in Class::ALL.iter().zip(&self.budgets) {
             if budget.weight == 0 || budget.time == 0 || budget.time > SECOND {
@@ -183,6 +187,7 @@
 
 impl Work {
     /// No jobs yet. Budgets are full at the beginning.
+    #[must_use]
     pub fn new(set: Settings, now: Micros) -> Self {
         let full = |budget: &Budget| Left {
             deficit: 0,
@@ -225,6 +230,7 @@
     }
 
     /// A job.
+    #[must_use]
     pub fn find(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id)
     }
@@ -239,6 +245,10 @@
     }
 
     /// Takes a job on.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if the specification is out of bounds or the queue is full.
     pub fn submit(&mut self, spec: Spec) -> Result<JobId, Refusal> {
         if spec.name.is_empty()
             || spec.name.len() > LONGEST_NAME
@@ -270,6 +280,10 @@
     }
 
     /// Follows an order, if the job is in the version that is meant.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if there is no such job, its version is another one, or its state does not allow the order.
     pub fn order(
         &mut self,
         id: JobId,
--- a/crates/simulator/src/checker.rs
+++ b/crates/simulator/src/checker.rs
@@ -89,6 +89,7 @@
 
 impl Checker {
     /// Judges so many relays by these figures.
+    #[must_use]
     pub fn new(figures: Rules, relays: usize) -> Self {
         let lane = |_| Lane {
             facts: Facts::new(figures.clone()),
@@ -104,11 +105,13 @@
     }
 
     /// The first breach so far.
+    #[must_use]
     pub fn breach(&self) -> Option<&Breach> {
         self.breach.as_ref()
     }
 
     /// The repeat rule of a message that was handed in.
+    #[must_use]
     pub fn repeat_of(&self, id: &str) -> Option<Repeat> {
         self.lanes
             .iter()
@@ -117,6 +120,7 @@
     }
 
     /// Messages that were taken on and have no end yet.
+    #[must_use]
     pub fn open(&self) -> usize {
         self.lanes.iter().map(|lane| lane.facts.open.len()).sum()
     }
--- a/crates/simulator/src/cost.rs
+++ b/crates/simulator/src/cost.rs
@@ -69,6 +69,10 @@
 
 /// Measures the builds in turn, each with each number of tenants, `rounds` times, and prints microseconds of CPU a
 /// message and the resident memory at the start.
+///
+/// # Errors
+///
+/// One plain line if a program cannot be started or measured.
 pub fn run(
     relays: &[PathBuf],
     tenants: &[u64],
--- a/crates/simulator/src/demo.rs
+++ b/crates/simulator/src/demo.rs
@@ -25,6 +25,10 @@
 const AFTER: u64 = 10;
 
 /// The relay itself, in a process of its own.
+///
+/// # Errors
+///
+/// The relay's own line.
 pub fn relay() -> Result<(), String> {
     block_on(relay::run(OsRuntime, None))
 }
--- a/crates/simulator/src/dice.rs
+++ b/crates/simulator/src/dice.rs
@@ -9,6 +9,7 @@
 
 impl Dice {
     /// The stream of a seed for one purpose.
+    #[must_use]
     pub fn new(seed: u64, purpose: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         rng.set_stream(purpose);
--- a/crates/simulator/src/faults/mod.rs
+++ b/crates/simulator/src/faults/mod.rs
@@ -173,9 +173,10 @@
         "tenants.b"
     };
     let trouble = |dice: &mut Dice| -> Rc<dyn Trouble> {
-        match dice.percent(60) {
-            true => Rc::new(tenants::KillInChange::draw(dice)),
-            false => Rc::new(tenants::SpoiltRegistry::draw(dice, copy)),
+        if dice.percent(60) {
+            Rc::new(tenants::KillInChange::draw(dice))
+        } else {
+            Rc::new(tenants::SpoiltRegistry::draw(dice, copy))
         }
     };
     let fault = |dice: &mut Dice| {
--- a/crates/simulator/src/faults/tenants.rs
+++ b/crates/simulator/src/faults/tenants.rs
@@ -45,9 +45,12 @@
 impl Trouble for SpoiltRegistry {
     fn begins(&self, scene: &mut dyn Scene, _: Duration) {
         let path = Path::new(FOLDER).join(self.copy);
-        scene.machine().disk(scene.relay(), |disk| match self.cut {
-            true => disk.cut(&path, self.at),
-            false => disk.flip(&path, self.at),
+        scene.machine().disk(scene.relay(), |disk| {
+            if self.cut {
+                disk.cut(&path, self.at)
+            } else {
+                disk.flip(&path, self.at)
+            }
         });
         scene.machine().kill(scene.process());
     }
--- a/crates/simulator/src/hosted.rs
+++ b/crates/simulator/src/hosted.rs
@@ -114,6 +114,7 @@
     }
 
     /// The operator file.
+    #[must_use]
     pub fn operator(&self) -> String {
         let digest = Digest::of(b"token");
         format!(
@@ -125,6 +126,7 @@
     }
 
     /// The registry as it is before the relay's first start.
+    #[must_use]
     pub fn registry(&self) -> Vec<u8> {
         let tenants = self
             .tenants
@@ -134,6 +136,7 @@
     }
 
     /// The tenant that a client speaks for.
+    #[must_use]
     pub fn tenant_of(&self, client: usize) -> &TenantPlan {
         &self.tenants[client % self.tenants.len()]
     }
--- a/crates/simulator/src/kept.rs
+++ b/crates/simulator/src/kept.rs
@@ -38,16 +38,19 @@
 }
 
 /// The store's file.
+#[must_use]
 pub fn store() -> PathBuf {
     PathBuf::from(FOLDER).join("undeliverable.redb")
 }
 
 /// The name and token of an operator.
+#[must_use]
 pub fn operator(number: usize) -> String {
     format!("op-{number}")
 }
 
 /// Where a destination tells what took effect.
+#[must_use]
 pub fn status_address(block: u16) -> SocketAddr {
     SocketAddr::from(([10, 3, block as u8, 1], 9000))
 }
@@ -83,6 +86,7 @@
 
 impl Script {
     /// The day of a seed on which what is given up is kept and sent again.
+    #[must_use]
     pub fn draw_kept(seed: u64) -> Self {
         let (mut script, mut dice) = (Script::draw(seed), Dice::new(seed, 8));
         // A resend comes after whatever its order would have put behind it.
--- a/crates/simulator/src/machine/disk.rs
+++ b/crates/simulator/src/machine/disk.rs
@@ -28,6 +28,7 @@
     }
 
     /// Sum of the sizes below a folder, each file in whole blocks of 512 bytes.
+    #[must_use]
     pub fn size(&self, folder: &Path) -> u64 {
         let below = self
             .files
@@ -39,6 +40,7 @@
     }
 
     /// A file's text.
+    #[must_use]
     pub fn text(&self, path: &Path) -> Option<Vec<u8>> {
         self.files.get(path).map(|inode| inode.borrow().clone())
     }
--- a/crates/simulator/src/machine/io.rs
+++ b/crates/simulator/src/machine/io.rs
@@ -224,6 +224,7 @@
     }
 
     /// A number of the connection, which no other has.
+    #[must_use]
     pub fn number(&self) -> u64 {
         self.id
     }
--- a/crates/simulator/src/machine/mod.rs
+++ b/crates/simulator/src/machine/mod.rs
@@ -272,6 +272,7 @@
     }
 
     /// The system as the world's own tasks see it.
+    #[must_use]
     pub fn world(&self) -> SimulatedRuntime {
         SimulatedRuntime {
             core: self.core.clone(),
@@ -349,21 +350,25 @@
     }
 
     /// Time since the world began.
+    #[must_use]
     pub fn now(&self) -> Duration {
         self.core.borrow().now
     }
 
     /// Tasks polled and timers fired so far.
+    #[must_use]
     pub fn steps(&self) -> u64 {
         self.core.borrow().steps
     }
 
     /// One number for all that has happened.
+    #[must_use]
     pub fn digest(&self) -> u64 {
         self.core.borrow().digest.finish()
     }
 
     /// The same for moments, the order of tasks, effects and written bytes alone: no renamed text changes it.
+    #[must_use]
     pub fn effects_digest(&self) -> u64 {
         self.core.borrow().effects_digest.finish()
     }
@@ -384,6 +389,7 @@
     }
 
     /// Whether a process runs.
+    #[must_use]
     pub fn is_alive(&self, proc: ProcId) -> bool {
         self.core
             .borrow()
@@ -393,6 +399,7 @@
     }
 
     /// How a process ended by itself, if it did.
+    #[must_use]
     pub fn ended(&self, proc: ProcId) -> Option<Result<(), String>> {
         self.core
             .borrow()
@@ -456,9 +463,10 @@
         let to = to.into();
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
-        let changed = match cut {
-            true => core.net.cuts.insert((place, to.clone())),
-            false => core.net.cuts.remove(&(place, to.clone())),
+        let changed = if cut {
+            core.net.cuts.insert((place, to.clone()))
+        } else {
+            core.net.cuts.remove(&(place, to.clone()))
         };
         if !changed {
             return;
@@ -494,6 +502,7 @@
     }
 
     /// Whether a kill is under way that has not struck yet.
+    #[must_use]
     pub fn kill_is_due(&self, proc: ProcId) -> bool {
         self.core
             .borrow()
@@ -503,6 +512,7 @@
     }
 
     /// What those who watch the machine may hold beside it.
+    #[must_use]
     pub fn handle(&self) -> Handle {
         Handle {
             core: self.core.clone(),
@@ -510,6 +520,7 @@
     }
 
     /// Does the next thing, if that is before `until`; else time is `until`, and false is told.
+    #[must_use]
     pub fn step(&self, until: Duration) -> bool {
         let next = {
             let mut core = self.core.borrow_mut();
@@ -592,11 +603,13 @@
 
 impl Handle {
     /// Whether a connection is still held by the side that made it.
+    #[must_use]
     pub fn caller_holds(&self, conn: u64) -> bool {
         self.core.borrow().net.caller_holds(conn)
     }
 
     /// The same, and what is sent on it arrives.
+    #[must_use]
     pub fn caller_hears(&self, conn: u64) -> bool {
         let core = self.core.borrow();
         core.net.caller_holds(conn) && core.net.conns.get(&conn).is_some_and(|conn| !conn.silent)
@@ -901,11 +914,13 @@
     }
 
     async fn join(&mut self) {
-        let ended =
-            |cx: &mut Context<'_>| match self.core.borrow_mut().sched.ended(self.id, cx.waker()) {
-                true => Poll::Ready(()),
-                false => Poll::Pending,
-            };
+        let ended = |cx: &mut Context<'_>| {
+            if self.core.borrow_mut().sched.ended(self.id, cx.waker()) {
+                Poll::Ready(())
+            } else {
+                Poll::Pending
+            }
+        };
         poll_fn(ended).await;
     }
 }
--- a/crates/simulator/src/machine/pages.rs
+++ b/crates/simulator/src/machine/pages.rs
@@ -115,9 +115,10 @@
     }
 
     fn sync(&self) -> io::Result<()> {
-        match self.life.as_ref().is_none_or(|life| life.alive()) {
-            true => Ok(()),
-            false => Err(io::ErrorKind::Other.into()),
+        if self.life.as_ref().is_none_or(|life| life.alive()) {
+            Ok(())
+        } else {
+            Err(io::ErrorKind::Other.into())
         }
     }
 }
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -270,9 +270,10 @@
         "digest of effects {:016x}",
         combined(reports, |report| &report.effects_digest)
     );
-    match rules.is_empty() {
-        true => println!("no rule broken"),
-        false => println!("broken: {rules:?}"),
+    if rules.is_empty() {
+        println!("no rule broken")
+    } else {
+        println!("broken: {rules:?}")
     }
 }
 
--- a/crates/simulator/src/operated.rs
+++ b/crates/simulator/src/operated.rs
@@ -81,6 +81,7 @@
 pub const SPOILT: u64 = 6;
 
 /// A configuration that is not whole, in one of those ways.
+#[must_use]
 pub fn spoil(config: &Value, way: u64) -> Vec<u8> {
     let text = config.to_string().into_bytes();
     let mut config = config.clone();
@@ -102,6 +103,7 @@
 
 impl Script {
     /// The day of a seed on which staff work on the relay.
+    #[must_use]
     pub fn draw_operated(seed: u64) -> Self {
         let (mut script, mut dice) = (Script::draw(seed), Dice::new(seed, 13));
         let changes = Changes::draw(&mut dice, script.rules.attempts);
--- a/crates/simulator/src/peers/admins.rs
+++ b/crates/simulator/src/peers/admins.rs
@@ -201,9 +201,10 @@
     ) -> bool {
         self.asked += 1;
         let number = self.number * 1_000_000 + self.asked;
-        let headers = match errand.insists {
-            true => format!("{headers}Idempotency-Key: k{number}\r\n"),
-            false => headers.into(),
+        let headers = if errand.insists {
+            format!("{headers}Idempotency-Key: k{number}\r\n")
+        } else {
+            headers.into()
         };
         (self.strikes)();
         self.stage.see(&Seen::TenantAsked {
--- a/crates/simulator/src/peers/clients.rs
+++ b/crates/simulator/src/peers/clients.rs
@@ -66,6 +66,7 @@
 }
 
 /// A RESP2 array of bulk strings.
+#[must_use]
 pub fn frame(parts: &[&[u8]]) -> Vec<u8> {
     let mut out = format!("*{}\r\n", parts.len()).into_bytes();
     for part in parts {
--- a/crates/simulator/src/peers/discovery.rs
+++ b/crates/simulator/src/peers/discovery.rs
@@ -41,6 +41,7 @@
 
 impl Line {
     /// The entry as discovery writes it.
+    #[must_use]
     pub fn json(&self) -> Value {
         json!({"host": self.host, "dial": self.dial, "site": self.site, "class": "partner",
             "block": self.block, "health": self.health, "share": f64::from(self.share), "born_ms": 0})
@@ -56,6 +57,7 @@
 
 impl Gate {
     /// One that takes so long for each call.
+    #[must_use]
     pub fn new(each: Duration) -> Rc<Self> {
         Rc::new(Gate {
             each,
@@ -93,6 +95,7 @@
 
 impl Discovery {
     /// Discovery with a first list.
+    #[must_use]
     pub fn new(lines: Vec<Line>) -> Rc<Self> {
         let discovery = Discovery::default();
         discovery.version.set(1);
@@ -136,6 +139,10 @@
     }
 
     /// Answers at an address for good; told to end, it takes no new connection and closes the open ones.
+    ///
+    /// # Errors
+    ///
+    /// The listener's error if the address cannot be bound.
     pub async fn serve<R: Runtime>(
         self: Rc<Self>,
         stage: Stage<R>,
--- a/crates/simulator/src/peers/hosts.rs
+++ b/crates/simulator/src/peers/hosts.rs
@@ -90,6 +90,7 @@
 
 impl Host {
     /// A host that does well.
+    #[must_use]
     pub fn new(
         name: &str,
         block: u16,
@@ -114,6 +115,10 @@
     }
 
     /// Takes connections for good.
+    ///
+    /// # Errors
+    ///
+    /// The listener's error if the address cannot be bound.
     pub async fn serve<R: Runtime>(self: Rc<Self>, stage: Stage<R>) -> io::Result<()>
     where
         R::Stream: Numbered,
--- a/crates/simulator/src/peers/ledger.rs
+++ b/crates/simulator/src/peers/ledger.rs
@@ -34,6 +34,7 @@
 
 impl Ledger {
     /// Nothing has taken effect yet.
+    #[must_use]
     pub fn new(dice: Dice) -> Self {
         Ledger(Rc::new(RefCell::new(Book {
             dice,
@@ -76,11 +77,16 @@
     }
 
     /// Whether a message took effect.
+    #[must_use]
     pub fn knows(&self, id: &str) -> bool {
         self.0.borrow().effects.contains_key(id)
     }
 
     /// Answers status queries at an address for good: at times late, or with what says nothing.
+    ///
+    /// # Errors
+    ///
+    /// The listener's error if the address cannot be bound.
     pub async fn serve<R: Runtime>(self, stage: Stage<R>, address: SocketAddr) -> io::Result<()> {
         let listener = stage.runtime.listen(address).await?;
         loop {
--- a/crates/simulator/src/peers/operators.rs
+++ b/crates/simulator/src/peers/operators.rs
@@ -127,9 +127,10 @@
             15 if self.dice.percent(20) => self.change(&path("discard"), any, None).await,
             _ => {
                 let applied = self.ledger.knows(record["message"].as_str().unwrap_or(""));
-                let says = match applied && self.rogue != Some(Rogue::Perjures) {
-                    true => "applied",
-                    false => "not-applied",
+                let says = if applied && self.rogue != Some(Rogue::Perjures) {
+                    "applied"
+                } else {
+                    "not-applied"
                 };
                 // What is attested is what was found out of the record as it was seen.
                 self.change(
--- a/crates/simulator/src/rolling.rs
+++ b/crates/simulator/src/rolling.rs
@@ -19,6 +19,7 @@
 
 impl Script {
     /// The day of a seed with so many relays and hosts, some hundreds of either; as drawn where none are asked for.
+    #[must_use]
     pub fn draw_rolling(seed: u64, relays: Option<usize>, hosts: Option<usize>) -> Self {
         let mut dice = Dice::new(seed, 12);
         let relays = relays
--- a/crates/simulator/src/rules/facts.rs
+++ b/crates/simulator/src/rules/facts.rs
@@ -155,11 +155,13 @@
 
 impl Call {
     /// Whether it is not known never to have run.
+    #[must_use]
     pub fn may_have_run(&self) -> bool {
         !matches!(self.verdict, Some((_, Verdict::NeverRan(_))))
     }
 
     /// Neither an answer nor the connection's end was seen.
+    #[must_use]
     pub fn is_out(&self) -> bool {
         self.verdict.is_none() && self.ended.is_none()
     }
@@ -202,6 +204,7 @@
 
 impl Message {
     /// Whether it has an end.
+    #[must_use]
     pub fn over(&self) -> bool {
         self.delivered.is_some() || self.notice.is_some()
     }
@@ -388,6 +391,7 @@
 
 impl Facts {
     /// Nothing has passed yet.
+    #[must_use]
     pub fn new(rules: Rules) -> Self {
         Facts {
             attempts: rules.attempts,
@@ -406,12 +410,14 @@
     }
 
     /// A call that was named, and its message.
+    #[must_use]
     pub fn call(&self, name: &CallName) -> Option<(&Message, &Call)> {
         let message = self.messages.get(&name.id)?;
         Some((message, message.calls.get(name.number)?))
     }
 
     /// How long past a moment restarts and a deaf platform excuse.
+    #[must_use]
     pub fn excused_until(&self, at: Duration, patience: Duration) -> Duration {
         let all = self.excused.iter().chain(&self.deaf);
         all.fold(at, |at, (from, until)| {
--- a/crates/simulator/src/rules/mod.rs
+++ b/crates/simulator/src/rules/mod.rs
@@ -41,6 +41,7 @@
 pub(crate) const NOT_PUSHED_OVER: &str = "not pushed over";
 
 /// All rules that are about one relay. The first breach of a moment is the one that is told, so that their order is that of what says most.
+#[must_use]
 pub fn all() -> Vec<Box<dyn Rule>> {
     vec![
         Box::new(calls::Calls),
--- a/crates/simulator/src/script.rs
+++ b/crates/simulator/src/script.rs
@@ -102,11 +102,13 @@
 /// The port that discovery answers at; a reload moves it to the next.
 pub const DISCOVERY_PORT: u16 = 8500;
 /// Where the relay of a number takes clients.
+#[must_use]
 pub fn relay_address(relay: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (relay / 200) as u8, 1 + (relay % 200) as u8], 6379))
 }
 
 /// Where a relay's discovery answers after so many reloads: each has an agent of its own.
+#[must_use]
 pub fn discovery_address(relay: usize, moves: u16) -> SocketAddr {
     SocketAddr::from((
         [10, 200, (relay / 200) as u8, 1 + (relay % 200) as u8],
@@ -123,6 +125,7 @@
 
 impl Script {
     /// The day of a seed.
+    #[must_use]
     pub fn draw(seed: u64) -> Self {
         let mut dice = Dice::new(seed, 0);
         let blocks: Vec<u16> = (1..=dice.between(2, 4) as u16).collect();
@@ -228,6 +231,7 @@
     }
 
     /// The day of a seed on which new versions take over.
+    #[must_use]
     pub fn draw_upgraded(seed: u64) -> Self {
         let (mut script, mut dice) = (Script::draw(seed), Dice::new(seed, 11));
         script.faults.extend(faults::of_upgrades(&mut dice));
@@ -237,6 +241,7 @@
     }
 
     /// The day of a seed so many times over, one after the other, with lines on how full the relay's tables are.
+    #[must_use]
     pub fn draw_long(seed: u64, times: u64) -> Self {
         let mut script = Script::draw(seed);
         let (faults, clients) = (script.faults.clone(), script.clients.clone());
@@ -261,6 +266,7 @@
     }
 
     /// The day of a seed with several tenants, which administrators change.
+    #[must_use]
     pub fn draw_hosted(seed: u64) -> Self {
         let (mut script, mut dice) = (Script::draw(seed), Dice::new(seed, 3));
         let hosted = Hosted::draw(&mut dice);
@@ -278,6 +284,7 @@
     }
 
     /// The day of a seed with several relays, which know of each other only how many they are.
+    #[must_use]
     pub fn draw_fleet(seed: u64) -> Self {
         let (mut script, mut dice) = (Script::draw(seed), Dice::new(seed, 4));
         let relays = dice.between(RELAYS.0, RELAYS.1);
@@ -289,6 +296,7 @@
     }
 
     /// The day of a seed, of a kind.
+    #[must_use]
     pub fn of(days: Days, seed: u64) -> Self {
         match days {
             Days::Plain => Script::draw(seed),
@@ -303,6 +311,7 @@
     }
 
     /// The configuration file of a relay with these settings, with discovery at an address.
+    #[must_use]
     pub fn config(
         &self,
         relay: usize,
@@ -320,6 +329,7 @@
     }
 
     /// When the last message is handed in, and by when all must have their end.
+    #[must_use]
     pub fn ends(&self) -> Duration {
         let plans = self.clients.iter().flatten();
         let last = plans
--- a/crates/simulator/src/shrink.rs
+++ b/crates/simulator/src/shrink.rs
@@ -13,6 +13,7 @@
 
 /// Leaves out faults, then messages by ever smaller groups, as long as the same rule is broken. None if the
 /// script breaks no rule.
+#[must_use]
 pub fn shrink(script: Script, options: Options) -> Option<Small> {
     let rule = play(&script, options).breach?.rule;
     let broken = |script: &Script| play(script, options).breach.is_some_and(|b| b.rule == rule);
--- a/crates/simulator/src/upgrades.rs
+++ b/crates/simulator/src/upgrades.rs
@@ -67,6 +67,10 @@
 
 /// Replaces a relay by itself so many times and prints what clients met; false if an upgrade cost more than two
 /// connections.
+///
+/// # Errors
+///
+/// One plain line if a program cannot be started or a port cannot be had.
 pub fn run(relay: &Path, times: u32, pause: Duration) -> Result<bool, String> {
     block_on(play(relay, times, pause))
 }
--- a/crates/simulator/src/vast.rs
+++ b/crates/simulator/src/vast.rs
@@ -60,6 +60,7 @@
 
 impl Vast {
     /// The figures that are bound: the name, the figure, the bound.
+    #[must_use]
     pub fn figures(&self, script: &Script, counts: &Counts) -> [(&'static str, f64, f64); 3] {
         let starts = (script.relays as u64 + counts.restarts) as f64;
         let ratio = |part: u64, all: f64| part as f64 / all.max(1.0);
@@ -83,6 +84,7 @@
     }
 
     /// The bound that was not kept, if one was not.
+    #[must_use]
     pub fn judge(&self, script: &Script, counts: &Counts, at: Duration) -> Option<Breach> {
         let figures = self.figures(script, counts);
         let (rule, figure, most) = figures
@@ -98,6 +100,7 @@
 
 impl Script {
     /// The day of a seed with so many relays; the load does not depend on their number.
+    #[must_use]
     pub fn draw_vast(seed: u64, relays: usize) -> Self {
         let mut script = Script::draw(seed);
         let mut dice = Dice::new(seed, 6);
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -151,6 +151,7 @@
 }
 
 /// Plays a script to its end or its first breach. A panic counts as a crash of the relay.
+#[must_use]
 pub fn play(script: &Script, options: Options) -> Report {
     let played = catch_unwind(AssertUnwindSafe(|| World::new(script, options).run()));
     played.unwrap_or_else(|panic| {
@@ -692,11 +693,12 @@
 
     fn edge(&mut self, fault: &Fault, begins: bool) {
         self.struck = fault.relay;
-        match begins {
-            true => fault
+        if begins {
+            fault
                 .trouble
-                .begins(self, Duration::from_millis(fault.until)),
-            false => fault.trouble.ends(self),
+                .begins(self, Duration::from_millis(fault.until))
+        } else {
+            fault.trouble.ends(self)
         }
     }
 
--- a/crates/tenancy/src/audit.rs
+++ b/crates/tenancy/src/audit.rs
@@ -78,6 +78,7 @@
     }
 
     /// The entry as a line of JSON.
+    #[must_use]
     pub fn line(&self) -> Vec<u8> {
         // Types of this package, of which none fails to be written.
         let mut text = serde_json::to_vec(self).unwrap_or_default();
@@ -87,6 +88,7 @@
 }
 
 /// A moment, given in milliseconds since the Unix epoch, as RFC 3339 has it.
+#[must_use]
 pub fn rfc3339(at_ms: u64) -> String {
     // The last moment that the format has room for; later ones show as that.
     const LAST: u64 = 253_402_300_799_999;
--- a/crates/tenancy/src/record.rs
+++ b/crates/tenancy/src/record.rs
@@ -57,6 +57,7 @@
 }
 
 /// The line of a change.
+#[must_use]
 pub fn change(record: &Record) -> Vec<u8> {
     encode(&Line::Change(Box::new(record.clone())))
 }
@@ -75,6 +76,7 @@
 
 impl Snapshot {
     /// Nothing of it is taken yet; `lost` changes were lost before.
+    #[must_use]
     pub fn begin(registry: &Registry, lost: u64) -> Self {
         Snapshot {
             text: Vec::new(),
@@ -118,12 +120,14 @@
     }
 
     /// What is to be written.
+    #[must_use]
     pub fn text(self) -> Vec<u8> {
         self.text
     }
 }
 
 /// The whole snapshot of a registry.
+#[must_use]
 pub fn snapshot(registry: &Registry, lost: u64) -> Vec<u8> {
     let mut snapshot = Snapshot::begin(registry, lost);
     snapshot.take(registry, usize::MAX);
@@ -189,6 +193,10 @@
 }
 
 /// Reads the two copies, either of which may be torn, spoilt or missing.
+///
+/// # Errors
+///
+/// [`Unreadable`] if a later version wrote one of the copies.
 pub fn recover(
     classes: &[String],
     one: Option<&[u8]>,
--- a/crates/tenancy/src/registry.rs
+++ b/crates/tenancy/src/registry.rs
@@ -99,6 +99,7 @@
 
 impl Tenant {
     /// How the module is to treat it.
+    #[must_use]
     pub fn terms(&self) -> TenantTerms {
         let standing = match (self.state, self.spec.on_removal) {
             (State::Active, _) => TenantState::Active,
@@ -110,6 +111,7 @@
     }
 
     /// How the journal names it: its name, and its generation if that is not the first.
+    #[must_use]
     pub fn reference(&self) -> String {
         match self.version.generation {
             1 => self.name.clone(),
@@ -401,6 +403,7 @@
     }
 
     /// No tenants, for a relay that knows these classes.
+    #[must_use]
     pub fn new(classes: Vec<String>) -> Self {
         Registry {
             classes,
@@ -409,6 +412,7 @@
     }
 
     /// The registry that was kept.
+    #[must_use]
     pub fn restored(classes: Vec<String>, kept: Kept) -> Self {
         let mut registry = Registry {
             classes,
@@ -440,6 +444,7 @@
     }
 
     /// All that is to be kept.
+    #[must_use]
     pub fn kept(&self) -> Kept {
         Kept {
             seq: self.seq,
@@ -453,6 +458,7 @@
     }
 
     /// Number of the last change.
+    #[must_use]
     pub fn seq(&self) -> u64 {
         self.seq
     }
@@ -465,11 +471,13 @@
     }
 
     /// Tenants there are, those that drain among them.
+    #[must_use]
     pub fn len(&self) -> usize {
         self.numbers.used
     }
 
     /// Whether there are none.
+    #[must_use]
     pub fn is_empty(&self) -> bool {
         self.numbers.used == 0
     }
@@ -496,22 +504,34 @@
     }
 
     /// The newest tenant of a name; it is gone once it has drained, also while an older one still does.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Gone`] if the tenant was removed, [`Refusal::Unknown`] if there is none.
     pub fn find(&self, name: &str) -> Result<&Entry, Refusal> {
         let newest = self.lines.get(name).and_then(Line::newest);
         let gone = self.gone.get(name).copied().unwrap_or(0);
         let newest = newest.filter(|entry| entry.tenant.version.generation > gone);
-        newest.ok_or_else(|| match self.gone.contains_key(name) {
-            true => Refusal::Gone(name.into()),
-            false => Refusal::Unknown(name.chars().take(crate::spec::MOST_NAME).collect()),
+        newest.ok_or_else(|| {
+            if self.gone.contains_key(name) {
+                Refusal::Gone(name.into())
+            } else {
+                Refusal::Unknown(name.chars().take(crate::spec::MOST_NAME).collect())
+            }
         })
     }
 
     /// The tenants of a name that drain.
+    #[must_use]
     pub fn draining(&self, name: &str) -> &[Entry] {
         self.lines.get(name).map_or(&[], |line| &line.draining)
     }
 
     /// The tenant that takes messages of this name on, if it may have one of a class for a destination.
+    ///
+    /// # Errors
+    ///
+    /// The text for the client if there is no such tenant, or its specification does not allow the message.
     pub fn admits(
         &mut self,
         name: &str,
@@ -541,6 +561,7 @@
     }
 
     /// Whether a client may name itself as a tenant with a secret: its generation and the secret's name.
+    #[must_use]
     pub fn login(&self, name: &str, secret: &[u8]) -> Option<Login> {
         let digest = Digest::of(secret);
         let tenant = &self.lines.get(name)?.current.as_ref()?.tenant;
@@ -557,6 +578,7 @@
     }
 
     /// Whether a client that named itself before may still speak for its tenant.
+    #[must_use]
     pub fn knows(&self, login: &Login) -> bool {
         let current = self
             .lines
@@ -572,14 +594,19 @@
     }
 
     /// What a command comes to, as things stand.
+    ///
+    /// # Errors
+    ///
+    /// The [`Refusal`] for the administrator; nothing changes then.
     pub fn decide(&self, now_ms: u64, command: &Command) -> Result<Decision, Refusal> {
         if let Some((key, digest)) = &command.key {
             let mine =
                 |a: &&Answered| a.actor == command.actor.name && a.key == *key && a.lives(now_ms);
             if let Some(answered) = self.answered.iter().find(mine) {
-                return match answered.digest == *digest {
-                    true => Ok(Decision::Again(Box::new(answered.clone()))),
-                    false => Err(Refusal::KeyReused),
+                return if answered.digest == *digest {
+                    Ok(Decision::Again(Box::new(answered.clone())))
+                } else {
+                    Err(Refusal::KeyReused)
                 };
             }
         }
@@ -750,6 +777,7 @@
     }
 
     /// Tenants that drain and are owed nothing any more: the records by which they are gone.
+    #[must_use]
     pub fn drained(&self, now_ms: u64) -> Option<Record> {
         let entries = self.draining.iter().filter_map(|(name, generation)| {
             let line = self.lines.get(name)?;
@@ -774,6 +802,7 @@
     }
 
     /// The state in which a tenant is known.
+    #[must_use]
     pub fn version(&self, name: &str, generation: u32) -> Option<Version> {
         let mut all = self.lines.get(name)?.all();
         all.find(|entry| entry.tenant.version.generation == generation)
@@ -932,6 +961,7 @@
 }
 
 /// A tenant's name in the journal's word for it, which has its generation behind a slash.
+#[must_use]
 pub fn name_of(reference: &str) -> &str {
     reference
         .split_once('/')
--- a/crates/tenancy/src/scope.rs
+++ b/crates/tenancy/src/scope.rs
@@ -8,6 +8,7 @@
 
 impl Scope {
     /// Whether a tenant of this name is among them.
+    #[must_use]
     pub fn covers(&self, name: &str) -> bool {
         self.0
             .iter()
@@ -18,6 +19,7 @@
     }
 
     /// Whether every tenant is.
+    #[must_use]
     pub fn covers_all(&self) -> bool {
         self.0.iter().any(|pattern| pattern == "*")
     }
--- a/crates/tenancy/src/secret.rs
+++ b/crates/tenancy/src/secret.rs
@@ -21,6 +21,7 @@
 
 impl Digest {
     /// The digest of some bytes.
+    #[must_use]
     pub fn of(bytes: &[u8]) -> Self {
         Digest(Sha256::digest(bytes).into())
     }
@@ -36,6 +37,7 @@
     }
 
     /// Whether both are the same, in a time that does not tell where they differ.
+    #[must_use]
     pub fn same(&self, other: &Digest) -> bool {
         self.0.ct_eq(&other.0).into()
     }
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -112,6 +112,7 @@
 
 impl Shares {
     /// No tenants yet, for a relay with so many slots.
+    #[must_use]
     pub fn new(slots: usize) -> Self {
         Shares {
             accounts: BTreeMap::new(),
@@ -125,6 +126,7 @@
     }
 
     /// The tenants of the settings, each with its share as its weight.
+    #[must_use]
     pub fn of(set: &Settings) -> Self {
         let mut shares = Shares::new(set.max_calls);
         for (number, tenant) in (0..).zip(&set.tenants) {
@@ -142,6 +144,7 @@
     }
 
     /// Destinations whose tags are kept, [`MOST_CLOCKS`] at most.
+    #[must_use]
     pub fn destinations(&self) -> usize {
         self.destinations.len()
     }
--- a/crates/tenancy/src/spec.rs
+++ b/crates/tenancy/src/spec.rs
@@ -52,6 +52,7 @@
 
 impl Destinations {
     /// Whether a destination is among them.
+    #[must_use]
     pub fn contains(&self, destination: DestinationId) -> bool {
         (self.first..=self.last).contains(&destination)
     }
@@ -171,6 +172,10 @@
 
 impl Spec {
     /// Whether all values are within their bounds and the classes are among those known.
+    ///
+    /// # Errors
+    ///
+    /// [`Invalid`] names the first value that is out of bounds.
     pub fn check(&self, known_classes: &[String]) -> Result<(), Invalid> {
         if !(1..=MOST_WEIGHT).contains(&self.weight) {
             return Err(Invalid::new(
@@ -231,6 +236,10 @@
     }
 
     /// Whether a message of a class may go to a destination.
+    ///
+    /// # Errors
+    ///
+    /// The text for the client.
     pub fn allows(&self, class: &str, destination: DestinationId) -> Result<(), &'static str> {
         if self
             .classes
@@ -247,6 +256,7 @@
     }
 
     /// The terms by which the module treats a tenant that stands so.
+    #[must_use]
     pub fn terms(&self, state: TenantState) -> TenantTerms {
         let most = |limit: Option<u32>| limit.map_or(usize::MAX, |limit| limit as usize);
         TenantTerms {
@@ -263,6 +273,10 @@
 }
 
 /// Whether a tenant may be called so: letters, digits, `.`, `_` and `-`, the first a letter or digit.
+///
+/// # Errors
+///
+/// [`Invalid`] says what is wrong with the name.
 pub fn check_name(name: &str) -> Result<(), Invalid> {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
     let first = name
--- a/crates/undeliverable/src/batch.rs
+++ b/crates/undeliverable/src/batch.rs
@@ -51,6 +51,7 @@
 
 impl State {
     /// Its word.
+    #[must_use]
     pub fn word(&self) -> &'static str {
         match self {
             State::Planned => "planned",
@@ -63,6 +64,7 @@
     }
 
     /// Whether nothing more comes of it.
+    #[must_use]
     pub fn is_over(&self) -> bool {
         matches!(self, State::Done | State::Cancelled)
     }
@@ -159,6 +161,10 @@
 
 impl Spec {
     /// Checks all of it.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Malformed`] names the first value out of bounds.
     pub fn check(&self) -> Result<(), Refusal> {
         let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
         if self.name.is_empty() || self.name.len() > LONGEST_NAME || !self.name.bytes().all(plain) {
@@ -181,6 +187,10 @@
 
 impl Batch {
     /// A batch that was counted, and has not begun.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Malformed`] if the specification is out of bounds.
     pub fn plan(
         spec: Spec,
         by: &str,
@@ -206,11 +216,16 @@
     }
 
     /// Who sends its records, as their state names it.
+    #[must_use]
     pub fn sender(&self) -> String {
         format!("batch {}", self.spec.name)
     }
 
     /// Follows an order; one that it follows already changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if the batch has another version or is over.
     pub fn order(
         &mut self,
         order: Order,
@@ -240,6 +255,10 @@
     }
 
     /// Whether a record may be sent now; if not, when to look again.
+    ///
+    /// # Errors
+    ///
+    /// The moment at which to ask again.
     pub fn ready(&mut self, now: Micros) -> Result<(), Micros> {
         if self.state != State::Running || self.out >= self.spec.at_once {
             return Err(Micros::MAX);
@@ -272,9 +291,10 @@
     /// A record that it sent has ended. True if the batch has stopped by that.
     pub fn ended(&mut self, delivered: bool) -> bool {
         self.out = self.out.saturating_sub(1);
-        match delivered {
-            true => self.counts.delivered += 1,
-            false => self.counts.failed += 1,
+        if delivered {
+            self.counts.delivered += 1
+        } else {
+            self.counts.failed += 1
         }
         self.recent.push_back(delivered);
         let span = 2 * self.spec.stop_after as usize;
--- a/crates/undeliverable/src/decide.rs
+++ b/crates/undeliverable/src/decide.rs
@@ -66,6 +66,7 @@
 
 impl Need {
     /// Its word.
+    #[must_use]
     pub fn word(self) -> &'static str {
         match self {
             Need::Word => "needs-word",
@@ -92,6 +93,10 @@
 }
 
 /// Whether a message may be sent again now.
+///
+/// # Errors
+///
+/// The [`Need`] that has to be met first.
 pub fn may_go(record: &Record, terms: &Terms) -> Result<Clearance, Need> {
     // What is known to have taken effect never goes, whatever its class.
     let word = word(record, terms);
@@ -175,10 +180,13 @@
                 _ => Err(Need::Agreement),
             }
         }
-        (true, false) => match last_partner.is_some() || operators(0, applied) >= OPERATORS {
-            true => Err(Need::Applied),
-            false => Err(Need::SecondOperator),
-        },
+        (true, false) => {
+            if last_partner.is_some() || operators(0, applied) >= OPERATORS {
+                Err(Need::Applied)
+            } else {
+                Err(Need::SecondOperator)
+            }
+        }
         (false, true) => {
             let partner = last_partner.map(|at| all[at]);
             let fresh =
--- a/crates/undeliverable/src/filter.rs
+++ b/crates/undeliverable/src/filter.rs
@@ -31,6 +31,7 @@
 
 impl Filter {
     /// Whether a record fits.
+    #[must_use]
     pub fn fits(&self, record: &Record) -> bool {
         let origin = &record.origin;
         let tenant = origin.tenant_name();
@@ -55,6 +56,7 @@
     }
 
     /// The same filter, for records that wait to be sent again.
+    #[must_use]
     pub fn of_open(&self) -> Self {
         Filter {
             state: Some(State::Open.word().into()),
--- a/crates/undeliverable/src/record.rs
+++ b/crates/undeliverable/src/record.rs
@@ -64,6 +64,7 @@
     ];
 
     /// Its word.
+    #[must_use]
     pub fn word(self) -> &'static str {
         match self {
             Reason::OutOfTimeUnsent => "out-of-time-unsent",
@@ -78,6 +79,7 @@
     }
 
     /// The reason of a word.
+    #[must_use]
     pub fn of(word: &str) -> Option<Self> {
         Reason::ALL.into_iter().find(|reason| reason.word() == word)
     }
@@ -193,6 +195,7 @@
 
 impl State {
     /// Its word.
+    #[must_use]
     pub fn word(&self) -> &'static str {
         match self {
             State::Open => "open",
@@ -226,6 +229,7 @@
 
 impl Origin {
     /// The tenant's name, without the generation that the journal adds.
+    #[must_use]
     pub fn tenant_name(&self) -> &str {
         name_of(&self.tenant)
     }
@@ -292,11 +296,16 @@
 
 impl Record {
     /// Whether one of its attempts may have run, as far as the attempts alone tell.
+    #[must_use]
     pub fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.may_have_run)
     }
 
     /// Whether somebody may change it, and in which state that finds it: a claim that is over is none.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if the version is another one, or the record is claimed, being sent, or closed.
     pub fn free(&self, who: &str, version: Option<u32>, now: Micros) -> Result<(), Refusal> {
         if let Some(wanted) = version.filter(|wanted| *wanted != self.version) {
             debug_assert!(wanted != self.version);
@@ -318,6 +327,10 @@
     }
 
     /// Sets it aside for an operator.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] as for [`Record::free`], or if the name is empty or too long.
     pub fn claim(
         &mut self,
         who: &str,
@@ -339,6 +352,10 @@
     }
 
     /// Gives a claim up; whoever has none changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] as for [`Record::free`].
     pub fn release(&mut self, who: &str, version: Option<u32>, now: Micros) -> Result<(), Refusal> {
         self.free(who, version, now)?;
         if matches!(self.state, State::Claimed { .. }) {
@@ -348,6 +365,10 @@
     }
 
     /// Adds a statement. The same operator's earlier one on the same resend counts no more.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] as for [`Record::free`], unless the partner itself answers on a claimed record.
     pub fn state_that(
         &mut self,
         by: By,
--- a/crates/undeliverable/src/rules.rs
+++ b/crates/undeliverable/src/rules.rs
@@ -57,6 +57,7 @@
     }
 
     /// Since when a partner is well; none if it is not, or not known to be.
+    #[must_use]
     pub fn well_since(&self, destination: u16) -> Option<Micros> {
         self.good
             .get(&destination)
@@ -74,6 +75,7 @@
 
 impl Rules {
     /// These rules.
+    #[must_use]
     pub fn new(rules: Vec<Rule>) -> Self {
         Rules {
             rules: rules
@@ -84,6 +86,7 @@
     }
 
     /// Whether there are none.
+    #[must_use]
     pub fn is_empty(&self) -> bool {
         self.rules.is_empty()
     }
--- a/crates/undeliverable/src/store.rs
+++ b/crates/undeliverable/src/store.rs
@@ -223,6 +223,10 @@
 impl Store {
     /// Opens what a file holds, or makes it. All of it is checked: one that is spoilt gives an error, so that nothing
     /// is told that it does not hold. With `syncs` a change outlasts the machine once it is made, else the process.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Corrupt`] if the file is damaged, [`Error::Database`] if it cannot be read or written.
     pub fn open(pages: impl RandomAccessFile, syncs: bool) -> Result<Self, Error> {
         Store::open_on(File { pages, syncs })
     }
@@ -257,6 +261,10 @@
 
     /// Keeps records, each with the body of its message. One whose message is kept already changes nothing: the
     /// journal hands over again what it is not sure of. Returns their numbers.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails; nothing is changed then.
     pub fn keep(&self, records: &[(Record, &[u8])]) -> Result<Vec<RecordId>, Error> {
         let change = self.database.begin_write()?;
         let mut numbers = Vec::with_capacity(records.len());
@@ -285,6 +293,10 @@
     }
 
     /// A record.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails.
     pub fn find(&self, id: RecordId) -> Result<Option<Record>, Error> {
         let read = self.database.begin_read()?;
         let table = read.open_table(RECORDS)?;
@@ -302,6 +314,10 @@
     }
 
     /// The body of a record's message.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails.
     pub fn body(&self, id: RecordId) -> Result<Option<Vec<u8>>, Error> {
         let read = self.database.begin_read()?;
         let table = read.open_table(BODIES)?;
@@ -317,6 +333,10 @@
 
     /// Changes a record, in one transaction with all that is found by. The change sees it as it is now; where it gives
     /// an error nothing is written. None if there is no such record.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database fails, [`Error::Spoilt`] if the record cannot be read. The change's own error is the inner result.
     pub fn change<T, E>(
         &self,
         id: RecordId,
@@ -344,6 +364,10 @@
     }
 
     /// Records that fit, newest first, from before a number on.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails.
     pub fn page(
         &self,
         filter: &Filter,
@@ -354,6 +378,10 @@
     }
 
     /// Records that fit, oldest first, from after a number on.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails.
     pub fn after(&self, filter: &Filter, after: RecordId, most: usize) -> Result<Page, Error> {
         self.scan(filter, after, most, false)
     }
@@ -434,6 +462,10 @@
     }
 
     /// How many records there are of each value.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails.
     pub fn counts(&self, by: By) -> Result<Vec<(String, u64)>, Error> {
         let read = self.database.begin_read()?;
         let table = read.open_table(COUNTS)?;
@@ -448,6 +480,10 @@
     }
 
     /// The last record's number.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails.
     pub fn last(&self) -> Result<RecordId, Error> {
         number(&self.database, "last")
     }
@@ -470,6 +506,10 @@
     }
 
     /// Drops what is past the caps, so many records at most; returns how many were. More may be left.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails; nothing is changed then.
     pub fn drop_past(&self, caps: &Caps, now: Micros, most: usize) -> Result<u64, Error> {
         let change = self.database.begin_write()?;
         let mut dropped = 0;
@@ -577,6 +617,10 @@
     }
 
     /// All batches, by name.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails.
     pub fn batches(&self) -> Result<Vec<Batch>, Error> {
         let read = self.database.begin_read()?;
         let mut all = Vec::new();
@@ -590,6 +634,10 @@
     }
 
     /// Keeps a batch as it is now.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails; nothing is changed then.
     pub fn keep_batch(&self, batch: &Batch) -> Result<(), Error> {
         let change = self.database.begin_write()?;
         change
@@ -599,6 +647,10 @@
     }
 
     /// Forgets a batch.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails; nothing is changed then.
     pub fn forget_batch(&self, name: &str) -> Result<(), Error> {
         let change = self.database.begin_write()?;
         change.open_table(BATCHES)?.remove(name)?;
