--- a/crates/simulator/src/demo.rs
+++ b/crates/simulator/src/demo.rs
@@ -34,6 +34,10 @@
 }
 
 /// Plays the demo. False if a rule was broken.
+///
+/// # Errors
+///
+/// One plain line if a process or port cannot be had.
 pub fn run() -> Result<bool, String> {
     block_on(async {
         tokio::select! {
--- a/crates/simulator/src/machine/mod.rs
+++ b/crates/simulator/src/machine/mod.rs
@@ -520,7 +520,6 @@
     }
 
     /// Does the next thing, if that is before `until`; else time is `until`, and false is told.
-    #[must_use]
     pub fn step(&self, until: Duration) -> bool {
         let next = {
             let mut core = self.core.borrow_mut();
--- a/crates/undeliverable/src/store.rs
+++ b/crates/undeliverable/src/store.rs
@@ -489,6 +489,10 @@
     }
 
     /// What the whole holds.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Database`] if the database or its file fails.
     pub fn sums(&self) -> Result<Sums, Error> {
         let read = self.database.begin_read()?;
         let mut dropped = Vec::new();
