--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -1,171 +1,241 @@
-//! One line for each event that the module is told and each action that it takes, for counts over a fleet.
+//! The call log: one line for each event that the policy sees and each action that it takes, for statistics over a
+//! fleet of relays.
 //!
-//! A line is `fleet`, the Unix time in milliseconds, a word and its values, which
-//! `relay-experiments fleet` reads back. Bodies, keys and names of messages are never written.
+//! A line is `fleet`, the Unix time in milliseconds, a word and its values; `relay-experiments fleet` parses it.
+//! Bodies, keys and names of messages are never written.
 
 use std::collections::BTreeMap;
 
-use policy::types::*;
+use policy::types::{
+    Action, AttemptEnd, AttemptOutcome, DestinationId, Event, HostEntry, Message, MessageId,
+    Micros, Settings,
+};
 use policy::DeliveryPolicy;
 use runtime::{log, Runtime};
 
 use crate::host_directory::HostDirectory;
-use crate::route_levels::Level;
 
-/// Levels are written so often.
-const LEVELS: Micros = 10_000_000;
+/// How often table levels are written, in microseconds.
+const LEVEL_INTERVAL: Micros = 10_000_000;
+/// Microseconds in a millisecond, the unit of the lines.
+const MICROS_PER_MS: Micros = 1000;
+/// Stands for the destination of a message that is not known any more.
+const UNKNOWN_DESTINATION: DestinationId = DestinationId::MAX;
 
-/// Writes the lines; does nothing where the operator has not asked for them.
+/// How full a table is.
+pub struct TableLevel {
+    /// The table's name in the call log.
+    pub name: &'static str,
+    /// What the table holds.
+    pub used: usize,
+    /// The most that it may hold, in the same unit.
+    pub capacity: usize,
+}
+
+/// Writes the call log; does nothing where the operator file does not ask for one.
 pub struct CallLog<R> {
     runtime: R,
-    on: bool,
-    /// Destinations of what is held, as an end names only its message; bounded by what is held.
+    is_enabled: bool,
+    /// Destinations of the queued messages, as an event about a message's end has only its number. Bounded by the
+    /// number of queued messages.
     destinations: BTreeMap<MessageId, DestinationId>,
-    /// When levels are next written.
-    levels_at: Micros,
+    /// When levels are written next, in Unix time.
+    next_levels_at: Micros,
 }
 
 impl<R: Runtime> CallLog<R> {
-    /// `on` as the operator file says.
-    pub fn new(runtime: R, on: bool) -> Self {
+    /// A call log, enabled as the operator file says.
+    pub fn new(runtime: R, is_enabled: bool) -> Self {
         CallLog {
             runtime,
-            on,
+            is_enabled,
             destinations: BTreeMap::new(),
-            levels_at: 0,
+            next_levels_at: 0,
         }
     }
 
-    /// The process has started with these settings.
+    /// Records that the process has started with these settings.
     pub fn start(&self, now: Micros, settings: &Settings) {
-        if self.on {
-            let Settings {
-                replicas,
-                max_calls,
-                max_queued,
-                rules,
-                ..
-            } = settings;
-            let discovery = if settings.polls_discovery {
-                "ask"
-            } else {
-                "push"
-            };
-            log!(
-                self.runtime,
-                "fleet {} start siblings={replicas} slots={max_calls} held={max_queued} cold={} discovery={discovery}",
-                now / 1000,
-                rules.warm_up / 1000
-            );
+        if !self.is_enabled {
+            return;
         }
+        let Settings {
+            replicas,
+            max_calls,
+            max_queued,
+            rules,
+            ..
+        } = settings;
+        let discovery = if settings.polls_discovery {
+            "ask"
+        } else {
+            "push"
+        };
+        log!(
+            self.runtime,
+            "fleet {} start siblings={replicas} slots={max_calls} held={max_queued} cold={} discovery={discovery}",
+            now / MICROS_PER_MS,
+            rules.warm_up / MICROS_PER_MS
+        );
     }
 
-    /// A call has ended, for which a connection was opened or not.
-    pub fn call(&self, now: Micros, id: MessageId, fresh: bool) {
-        if self.on && fresh {
-            let destination = self.destinations.get(&id).copied().unwrap_or(u16::MAX);
+    /// Records the end of a call, if a connection was opened for it.
+    pub fn call(&self, now: Micros, id: MessageId, opened_connection: bool) {
+        if self.is_enabled && opened_connection {
+            let destination = self.destination_of(id);
             log!(
                 self.runtime,
                 "fleet {} opened {destination} {id}",
-                now / 1000
+                now / MICROS_PER_MS
             );
         }
     }
 
-    /// What the module is about to be told.
+    /// Records the events of a round, before the policy sees them.
     pub fn events(&mut self, now: Micros, events: &[Event], directory: &HostDirectory) {
-        if !self.on {
+        if !self.is_enabled {
             return;
         }
-        let at = now / 1000;
         for event in events {
-            match event {
-                Event::HostsUpdated { entries, .. } => entries.iter().for_each(|entry| {
-                    let HostEntry { host, destination, state, weight, kind, .. } = entry;
-                    let kind = *kind;
-                    let name = directory.name_of(*host).unwrap_or_default();
-                    log!(
-                        self.runtime,
-                        "fleet {at} list {destination} host={host} kind={kind} weight={weight} {state:?} name={name}"
-                    );
-                }),
-                Event::MessageReceived(m) | Event::MessageRestored { message: m, .. } | Event::MessageResent { message: m, .. } => {
-                    self.destinations.insert(m.id, m.destination);
-                    let word = if matches!(event, Event::MessageReceived(_)) { "arrived" } else { "restored" };
-                    let left = m.deadline.saturating_sub(now) / 1000;
-                    log!(
-                        self.runtime,
-                        "fleet {at} {word} {} {} class={} left={left} again={}",
-                        m.destination,
-                        m.id,
-                        m.class,
-                        u8::from(m.is_resubmitted)
-                    );
-                }
-                Event::AttemptEnded(end) => {
-                    let destination = self.destinations.get(&end.id).copied().unwrap_or(u16::MAX);
-                    let (outcome, wait) = match end.outcome {
-                        AttemptOutcome::Rejected { retry_after } => ("Full".to_string(), retry_after / 1000),
-                        other => (format!("{other:?}"), 0),
-                    };
-                    log!(
-                        self.runtime,
-                        "fleet {at} ended {destination} {} {outcome} wait={wait} took={} report={:?}",
-                        end.id,
-                        end.elapsed / 1000,
-                        end.load_report
-                    );
-                    if end.is_final {
-                        self.destinations.remove(&end.id);
-                    }
-                }
-                Event::OutageRestored(outage) => {
-                    log!(self.runtime, "fleet {at} outage {}", outage.destination);
+            self.event(now, event, directory);
+        }
+    }
+
+    fn event(&mut self, now: Micros, event: &Event, directory: &HostDirectory) {
+        match event {
+            Event::HostsUpdated { entries, .. } => {
+                for entry in entries {
+                    self.host_listed(now, entry, directory);
                 }
-                _ => {}
             }
+            Event::MessageReceived(message) => self.message_queued(now, "arrived", message),
+            Event::MessageRestored { message, .. } | Event::MessageResent { message, .. } => {
+                self.message_queued(now, "restored", message);
+            }
+            Event::AttemptEnded(end) => self.attempt_ended(now, end),
+            Event::OutageRestored(outage) => log!(
+                self.runtime,
+                "fleet {} outage {}",
+                now / MICROS_PER_MS,
+                outage.destination
+            ),
+            _ => {}
         }
     }
 
-    /// Whether it is time to write how full the tables are.
+    fn host_listed(&self, now: Micros, entry: &HostEntry, directory: &HostDirectory) {
+        let HostEntry {
+            host,
+            destination,
+            state,
+            weight,
+            kind,
+            ..
+        } = entry;
+        let name = directory.name_of(*host).unwrap_or_default();
+        log!(
+            self.runtime,
+            "fleet {} list {destination} host={host} kind={kind} weight={weight} {state:?} name={name}",
+            now / MICROS_PER_MS
+        );
+    }
+
+    fn message_queued(&mut self, now: Micros, word: &str, message: &Message) {
+        self.destinations.insert(message.id, message.destination);
+        let time_left = message.deadline.saturating_sub(now) / MICROS_PER_MS;
+        log!(
+            self.runtime,
+            "fleet {} {word} {} {} class={} left={time_left} again={}",
+            now / MICROS_PER_MS,
+            message.destination,
+            message.id,
+            message.class,
+            u8::from(message.is_resubmitted)
+        );
+    }
+
+    fn attempt_ended(&mut self, now: Micros, end: &AttemptEnd) {
+        let destination = self.destination_of(end.id);
+        let (outcome, retry_after) = match end.outcome {
+            AttemptOutcome::Rejected { retry_after } => ("Full".to_string(), retry_after),
+            other => (format!("{other:?}"), 0),
+        };
+        log!(
+            self.runtime,
+            "fleet {} ended {destination} {} {outcome} wait={} took={} report={:?}",
+            now / MICROS_PER_MS,
+            end.id,
+            retry_after / MICROS_PER_MS,
+            end.elapsed / MICROS_PER_MS,
+            end.load_report
+        );
+        if end.is_final {
+            self.destinations.remove(&end.id);
+        }
+    }
+
+    /// Whether table levels are to be written now; schedules the next time if so.
     pub fn wants_levels(&mut self, now: Micros) -> bool {
-        let due = self.on && now >= self.levels_at;
-        self.levels_at = if due { now + LEVELS } else { self.levels_at };
-        due
+        let is_due = self.is_enabled && now >= self.next_levels_at;
+        if is_due {
+            self.next_levels_at = now + LEVEL_INTERVAL;
+        }
+        is_due
     }
 
-    /// How full the tables are.
-    pub fn levels(&self, now: Micros, levels: &[Level]) {
+    /// Records how full the tables are.
+    pub fn levels(&self, now: Micros, levels: &[TableLevel]) {
         let text: String = levels
             .iter()
-            .map(|(name, has, most)| format!(" {name}={has}/{most}"))
+            .map(|level| format!(" {}={}/{}", level.name, level.used, level.capacity))
             .collect();
-        log!(self.runtime, "fleet {} levels{text}", now / 1000);
+        log!(self.runtime, "fleet {} levels{text}", now / MICROS_PER_MS);
     }
 
-    /// What the module has said.
-    pub fn actions(&mut self, now: Micros, actions: &[Action], relay: &DeliveryPolicy) {
-        if !self.on {
+    /// Records the actions of a round, before they are carried out.
+    pub fn actions(&mut self, now: Micros, actions: &[Action], policy: &DeliveryPolicy) {
+        if !self.is_enabled {
             return;
         }
-        let at = now / 1000;
         for action in actions {
-            let (word, id, to) = match action {
-                Action::Send { id, host, .. } => ("send", id, format!(" to={host}")),
-                Action::Reject { id, .. } => ("refuse", id, String::new()),
-                Action::Fail(id) => ("fail", id, String::new()),
-                _ => continue,
-            };
-            let destination = self.destinations.get(id).copied().unwrap_or(u16::MAX);
-            let held = self.destinations.len();
-            let standing = relay.describe_destination(destination);
-            log!(
-                self.runtime,
-                "fleet {at} {word} {destination} {id} held={held}{to} {standing}"
-            );
-            if word != "send" {
-                self.destinations.remove(id);
+            match action {
+                Action::Send { id, host, .. } => {
+                    self.action(now, "send", *id, &format!(" to={host}"), policy);
+                }
+                Action::Reject { id, .. } => self.message_ended(now, "refuse", *id, policy),
+                Action::Fail(id) => self.message_ended(now, "fail", *id, policy),
+                _ => {}
             }
         }
     }
+
+    fn message_ended(&mut self, now: Micros, word: &str, id: MessageId, policy: &DeliveryPolicy) {
+        self.action(now, word, id, "", policy);
+        self.destinations.remove(&id);
+    }
+
+    fn action(
+        &self,
+        now: Micros,
+        word: &str,
+        id: MessageId,
+        target: &str,
+        policy: &DeliveryPolicy,
+    ) {
+        let destination = self.destination_of(id);
+        let queued = self.destinations.len();
+        let description = policy.describe_destination(destination);
+        log!(
+            self.runtime,
+            "fleet {} {word} {destination} {id} held={queued}{target} {description}",
+            now / MICROS_PER_MS
+        );
+    }
+
+    fn destination_of(&self, id: MessageId) -> DestinationId {
+        self.destinations
+            .get(&id)
+            .copied()
+            .unwrap_or(UNKNOWN_DESTINATION)
+    }
 }
--- /dev/null
+++ b/crates/relay/src/event_loop/admission.rs
@@ -0,0 +1,176 @@
+//! Admission of messages: checks a client's request, and accepts it once the policy has queued the message and the
+//! journal has it on disk.
+
+use policy::types::{Event, Idempotency, Message, MessageId, TenantId};
+use relay_events::{EnqueueRequest, Reply};
+use runtime::{log, Runtime};
+use tokio::sync::oneshot;
+
+use super::persistence::log_write_error;
+use super::{EventLoop, MICROS_PER_MS, RETRY_ELSEWHERE_MS};
+use crate::control_socket;
+use crate::in_flight::MessageName;
+use crate::journal::AcceptedMessage;
+
+/// A message that never reaches the policy is deferred for the longest Retry-After of the settings, divided by this.
+const RETRY_AFTER_DIVISOR: u64 = 2;
+
+impl<R: Runtime> EventLoop<R> {
+    /// Checks a message that a client submits. A message that passes is handed to the policy with the next round,
+    /// any other is answered at once.
+    pub(super) fn enqueue(&mut self, request: EnqueueRequest) {
+        let EnqueueRequest {
+            name,
+            ordering_key,
+            class,
+            tenant,
+            destination,
+            deadline,
+            idempotency_key,
+            is_resubmitted,
+            body,
+            login,
+            reply,
+        } = request;
+        let Some(reply) = reply else { return };
+        if let Err(rejection) = self.tenants.check_login(&tenant, login.as_ref()) {
+            return self.reject_request(&class, reply, rejection);
+        }
+        let message_name = MessageName::new(&tenant, &name);
+        let Some(reply) = self.in_flight.answer_duplicate(&message_name, reply) else {
+            return;
+        };
+        if self.control.rejects_messages() {
+            return self.reject_request(&class, reply, Reply::Busy(RETRY_ELSEWHERE_MS));
+        }
+        let message = AcceptedMessage {
+            name,
+            idempotency_key,
+            ordering_key,
+            class,
+            tenant,
+            destination,
+            deadline,
+            is_resubmitted,
+            body,
+        };
+        self.enqueue_new(message, reply);
+    }
+
+    /// Checks a message that is neither a duplicate nor refused by the state of the process.
+    fn enqueue_new(&mut self, mut message: AcceptedMessage, reply: oneshot::Sender<Reply>) {
+        let admitted = self.check_message(&message).and_then(|()| {
+            self.tenants
+                .admit(&message.tenant, &message.class, message.destination)
+        });
+        let (tenant, tenant_reference) = match admitted {
+            Ok(admitted) => admitted,
+            Err(rejection) => return self.reject_request(&message.class, reply, rejection),
+        };
+        message.tenant = tenant_reference;
+        let id = self.journal.next_id();
+        let class = self.classes.number(&message.class);
+        let received = policy_message(id, &message, tenant, class).map(Event::MessageReceived);
+        self.pending_events.extend(received);
+        self.in_flight.add_arriving(id, message, reply);
+    }
+
+    /// Answers a request that never reaches the policy.
+    fn reject_request(&mut self, class: &str, reply: oneshot::Sender<Reply>, rejection: Reply) {
+        self.control
+            .metrics()
+            .record_rejected(class, control_socket::end_of_reply(&rejection));
+        drop(reply.send(rejection));
+    }
+
+    /// Checks that this relay knows the class and the destination of a message, and that a class with idempotency
+    /// keys has one.
+    ///
+    /// # Errors
+    /// The reply for the client.
+    fn check_message(&self, message: &AcceptedMessage) -> Result<(), Reply> {
+        let error = |text: &str| Err(Reply::Error(text.into()));
+        let Some(class) = self.classes.class_by_name(&message.class) else {
+            return error("unknown class");
+        };
+        let needs_key = matches!(class.idempotency, Idempotency::Keyed { .. });
+        if needs_key && message.idempotency_key.is_none() {
+            return error("the list lacks k");
+        }
+        if self.host_directory.is_empty() {
+            // Before the first host list, an unknown destination says nothing about the message.
+            return Err(Reply::Busy(self.default_retry_after_ms()));
+        }
+        if !self.host_directory.knows_destination(message.destination) {
+            return error("unknown destination");
+        }
+        Ok(())
+    }
+
+    /// Retry-After for messages that never reach the policy, in milliseconds.
+    fn default_retry_after_ms(&self) -> u64 {
+        self.config.settings.max_retry_after / (RETRY_AFTER_DIVISOR * MICROS_PER_MS)
+    }
+
+    /// Accepts the messages that the policy has queued: each is on disk before its client is answered.
+    pub(super) fn accept_arriving(&mut self) {
+        for (id, (message, replies)) in self.in_flight.take_arriving() {
+            self.accept(id, message, replies);
+        }
+    }
+
+    fn accept(
+        &mut self,
+        id: MessageId,
+        message: AcceptedMessage,
+        replies: Vec<oneshot::Sender<Reply>>,
+    ) {
+        let name = MessageName::of_message(&message);
+        let tenant = message.tenant.clone();
+        let class = message.class.clone();
+        let reply = match self.journal.accept_message(id, message) {
+            Ok(()) => Reply::Ok,
+            Err(error) => {
+                log!(self.runtime, "journal: cannot take a message on: {error}");
+                Reply::Busy(self.default_retry_after_ms())
+            }
+        };
+        let mut is_answered = false;
+        for waiting in replies {
+            is_answered |= waiting.send(reply.clone()).is_ok();
+        }
+        if reply == Reply::Ok && is_answered {
+            self.control.metrics().record_accepted();
+            self.tenants.message_accepted(&tenant);
+            return;
+        }
+        // No client knows that the message was accepted, so the relay is not bound to deliver it.
+        log_write_error(&self.runtime, self.journal.remove_message(id));
+        self.in_flight.remove(&name);
+        self.tenants.message_rejected(&tenant);
+        self.pending_events.push(Event::MessageWithdrawn(id));
+        self.control
+            .metrics()
+            .record_rejected(&class, control_socket::end_of_reply(&reply));
+    }
+}
+
+/// The message as the policy sees it; none if its class has no number.
+pub(super) fn policy_message(
+    id: MessageId,
+    message: &AcceptedMessage,
+    tenant: TenantId,
+    class: Option<u16>,
+) -> Option<Message> {
+    Some(Message {
+        id,
+        class: class?,
+        destination: message.destination,
+        deadline: message.deadline,
+        ordering_key: message.ordering_key,
+        expected_work: None,
+        tenant,
+        is_resubmitted: message.is_resubmitted,
+        size: message.journal_size(),
+    })
+}
--- /dev/null
+++ b/crates/relay/src/event_loop/attempts.rs
@@ -0,0 +1,234 @@
+//! Attempts to deliver a message: starts calls to hosts, and records how they end.
+
+use std::time::{Duration, Instant};
+
+use policy::types::{
+    AttemptEnd, AttemptOutcome, DestinationId, Event, HostId, Idempotency, MessageId, Micros,
+};
+use relay_events::CompletedCall;
+use runtime::{log, Runtime};
+use tokio::sync::oneshot;
+use undeliverable::Outcome;
+
+use super::load_report::parse_load_report;
+use super::persistence::log_write_error;
+use super::EventLoop;
+use crate::host_connections::Call;
+use crate::host_directory::ListedHost;
+use crate::journal::{Attempt, PendingMessage};
+use crate::undeliverable_service;
+
+/// Whether the policy may expect more attempts of a message after one that could not be started.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum MessageState {
+    Pending,
+    Ended,
+}
+
+impl<R: Runtime> EventLoop<R> {
+    /// Starts an attempt. The journal has it on disk before anything is sent.
+    pub(super) fn send(&mut self, now: Micros, id: MessageId, host: HostId, timeout: Micros) {
+        let Some(pending) = self.journal.pending().get(&id) else {
+            let outcome = AttemptOutcome::Obsolete;
+            return self.attempt_not_sent(id, 0, host, outcome, MessageState::Ended);
+        };
+        let attempt = pending.attempts.len().min(usize::from(u8::MAX)) as u8;
+        let Some(listed) = self.callable_host(host) else {
+            let outcome = AttemptOutcome::NotStarted;
+            return self.attempt_not_sent(id, attempt, host, outcome, MessageState::Pending);
+        };
+        let ListedHost {
+            address,
+            zone,
+            route,
+        } = listed;
+        let call = Call {
+            id,
+            attempt,
+            host,
+            route,
+            address,
+            name: pending.accepted.name.clone(),
+            key: pending.accepted.idempotency_key.clone(),
+            body: pending.accepted.body.clone(),
+            timeout: Duration::from_micros(timeout),
+            begin_by: self.idempotency_deadline(pending),
+        };
+        let record = Attempt {
+            sent_at: now,
+            zone,
+            may_have_executed: true,
+        };
+        if let Err(error) = self.journal.start_attempt(id, attempt, record) {
+            log!(self.runtime, "journal: a call is not made: {error}");
+            let outcome = AttemptOutcome::Obsolete;
+            return self.attempt_not_sent(id, attempt, host, outcome, MessageState::Pending);
+        }
+        if self.undeliverable.is_some() {
+            self.record_host(id, attempt, host, Outcome::Unknown);
+        }
+        self.spawn_call(call);
+    }
+
+    /// The host's entry in the list, if it may be called now. The policy learns of changes to the list only with its
+    /// next round, so its choice may be out of date.
+    fn callable_host(&self, host: HostId) -> Option<ListedHost> {
+        let listed = self.host_directory.find(host)?;
+        let now = self.runtime.now();
+        self.membership
+            .borrow()
+            .may_start_call(host, now)
+            .then_some(listed)
+    }
+
+    /// When a repeated call has to be on its way at the latest: hosts remember an idempotency key only for a window
+    /// after the first attempt that may have been executed. None if there is no such attempt or no such window.
+    fn idempotency_deadline(&self, pending: &PendingMessage) -> Option<Instant> {
+        let first_executed = pending
+            .attempts
+            .iter()
+            .find(|attempt| attempt.may_have_executed)?;
+        match self.class_of(pending)?.idempotency {
+            Idempotency::Keyed { window, .. } => {
+                Some(self.clock.instant(first_executed.sent_at + window))
+            }
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+        }
+    }
+
+    /// Tells the policy that nothing was sent.
+    fn attempt_not_sent(
+        &mut self,
+        id: MessageId,
+        attempt: u8,
+        host: HostId,
+        outcome: AttemptOutcome,
+        state: MessageState,
+    ) {
+        self.pending_events.push(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt,
+            host,
+            outcome,
+            elapsed: 0,
+            is_final: state == MessageState::Ended,
+            load_report: Vec::new(),
+        }));
+    }
+
+    fn spawn_call(&mut self, call: Call) {
+        let (cancel, cancelled) = oneshot::channel();
+        self.open_calls
+            .insert(call.id, (call.attempt, call.host, Some(cancel)));
+        let host_connections = self.host_connections.clone();
+        let relay_events = self.relay_events.clone();
+        self.runtime.spawn(async move {
+            host_connections.call(call, cancelled, relay_events).await;
+        });
+    }
+
+    /// Ends an open call early. The call ends when its channel is dropped; a call of the departing process has no
+    /// channel here and is not ended early.
+    pub(super) fn cancel_attempt(&mut self, id: MessageId, attempt: u8) {
+        if let Some((open_attempt, _, cancel)) = self.open_calls.get_mut(&id) {
+            if *open_attempt == attempt {
+                *cancel = None;
+            }
+        }
+    }
+
+    /// Records how an attempt ended, and passes it to the policy.
+    pub(super) fn attempt_ended(&mut self, call: CompletedCall) {
+        self.call_log
+            .call(self.clock.now(), call.id, call.opened_connection);
+        self.forget_open_call(call.id, call.attempt);
+        let pending = self.journal.pending().get(&call.id);
+        let destination = pending.map(|pending| pending.accepted.destination);
+        let is_failed_or_gone = pending.is_none_or(|pending| pending.failure.is_some());
+        let is_final = call.is_final || is_failed_or_gone;
+        if is_final {
+            self.complete_message(call.id, call.outcome);
+        }
+        self.journal_outcome(&call, destination);
+        let load_report = call.load_report.as_deref();
+        let load_report = self.read_load_report(load_report);
+        self.pending_events.push(Event::AttemptEnded(AttemptEnd {
+            id: call.id,
+            attempt: call.attempt,
+            host: call.host,
+            outcome: call.outcome,
+            elapsed: call.elapsed,
+            is_final,
+            load_report,
+        }));
+    }
+
+    fn forget_open_call(&mut self, id: MessageId, attempt: u8) {
+        let open_call = self.open_calls.get(&id);
+        if open_call.is_some_and(|(open_attempt, ..)| *open_attempt == attempt) {
+            self.open_calls.remove(&id);
+        }
+    }
+
+    /// Writes the outcome of an attempt to the journal, or removes the message if its host says that it is done and
+    /// the undeliverable service has nothing left to write about it.
+    fn journal_outcome(&mut self, call: &CompletedCall, destination: Option<DestinationId>) {
+        let CompletedCall { id, attempt, .. } = *call;
+        let is_not_started = call.outcome == AttemptOutcome::NotStarted;
+        let may_release = is_not_started || self.report_outcome_to_service(call, destination);
+        if call.is_final && may_release {
+            self.release_message(id);
+            return;
+        }
+        let written = if is_not_started {
+            self.journal.discard_attempt(id, attempt)
+        } else {
+            let may_have_executed = call.outcome.may_have_executed();
+            self.journal.record_outcome(id, attempt, may_have_executed)
+        };
+        log_write_error(&self.runtime, written);
+    }
+
+    /// Reports an outcome to the undeliverable service. Returns false if the service has to record the end of a
+    /// resend and cannot do so yet; the journal must then keep the message.
+    fn report_outcome_to_service(
+        &mut self,
+        call: &CompletedCall,
+        destination: Option<DestinationId>,
+    ) -> bool {
+        let now = self.clock.now();
+        if self.undeliverable.is_none() {
+            return true;
+        }
+        let outcome = undeliverable_service::stored_outcome(call.outcome);
+        self.record_host(call.id, call.attempt, call.host, outcome);
+        let Some(service) = &mut self.undeliverable else {
+            return true;
+        };
+        if service.is_resend(call.id) {
+            let is_delivered = call.outcome == AttemptOutcome::Delivered;
+            return !is_delivered || service.resend_delivered(call.id, now);
+        }
+        if let Some(destination) = destination {
+            service.attempt_ended(destination, call.outcome, now);
+        }
+        true
+    }
+
+    /// Writes the name of an attempt's host to the journal, for the record of the message should it fail.
+    fn record_host(&mut self, id: MessageId, attempt: u8, host: HostId, outcome: Outcome) {
+        let name = self.host_directory.name_of(host).unwrap_or_default();
+        log_write_error(
+            &self.runtime,
+            self.journal.record_host(id, attempt, name, outcome),
+        );
+    }
+
+    /// The values of a load report; empty if there is none that can be used.
+    fn read_load_report(&self, text: Option<&str>) -> Vec<f32> {
+        let names = self.config.report.iter();
+        let fields = names.zip(&self.config.settings.report_fields);
+        text.and_then(|text| parse_load_report(fields, text))
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/event_loop/completion.rs
@@ -0,0 +1,121 @@
+//! The end of a message: delivered, deferred or undeliverable.
+
+use control::MessageEnd;
+use policy::types::{AttemptOutcome, Class, MessageId};
+use relay_events::DeliveryFailure;
+use runtime::Runtime;
+
+use super::persistence::log_write_error;
+use super::EventLoop;
+use crate::control_socket;
+use crate::in_flight::MessageName;
+use crate::journal::PendingMessage;
+
+impl<R: Runtime> EventLoop<R> {
+    /// A message's last attempt has ended: counts the end, unless its failure was counted before, and remembers the
+    /// name so that a duplicate is recognised.
+    pub(super) fn complete_message(&mut self, id: MessageId, outcome: AttemptOutcome) {
+        let Some(pending) = self.journal.pending().get(&id) else {
+            return;
+        };
+        let is_delivered = outcome == AttemptOutcome::Delivered;
+        if pending.failure.is_none() {
+            if is_delivered {
+                self.tenants.message_delivered(&pending.accepted.tenant);
+            }
+            let end = if is_delivered && pending.resend.is_none() {
+                MessageEnd::Success
+            } else {
+                MessageEnd::Other
+            };
+            self.control
+                .metrics()
+                .record_end(&pending.accepted.class, end);
+        }
+        let name = MessageName::of_message(&pending.accepted);
+        self.in_flight.complete(self.runtime.now(), name);
+    }
+
+    /// The policy has failed an accepted message. A message is notified to the platform; a resend is not, as its one
+    /// final answer was given when the message failed first.
+    pub(super) fn fail_message(&mut self, id: MessageId, failure: DeliveryFailure) {
+        let Some(pending) = self.journal.pending().get(&id).cloned() else {
+            return;
+        };
+        let is_resend = pending.resend.is_some();
+        let accepted = &pending.accepted;
+        self.tenants.message_failed(&accepted.tenant, failure);
+        let end = if is_resend {
+            MessageEnd::Other
+        } else {
+            control_socket::end_of_failure(failure)
+        };
+        self.control.metrics().record_end(&accepted.class, end);
+        log_write_error(&self.runtime, self.journal.record_failure(id, failure));
+        self.in_flight
+            .complete(self.runtime.now(), MessageName::of_message(accepted));
+        if is_resend {
+            if self.record_failed_resend(id, &pending, failure) {
+                self.release_message(id);
+            }
+            return;
+        }
+        if failure == DeliveryFailure::Undeliverable && self.undeliverable.is_some() {
+            self.record_undeliverable(&pending);
+        }
+        self.notifications.add(id, pending.accepted.name, failure);
+    }
+
+    /// Records the failure of a resend in the undeliverable store. Returns whether the journal may drop the message:
+    /// false while the store cannot be written.
+    pub(super) fn record_failed_resend(
+        &mut self,
+        id: MessageId,
+        pending: &PendingMessage,
+        failure: DeliveryFailure,
+    ) -> bool {
+        let now = self.clock.now();
+        let max_attempts = self.config.settings.max_attempts;
+        let class = self.class_of(pending);
+        let Some(service) = &mut self.undeliverable else {
+            return true;
+        };
+        service.resend_failed(id, pending, class.as_ref(), failure, max_attempts, now)
+    }
+
+    /// Hands an undeliverable message to the store, if there is one.
+    pub(super) fn record_undeliverable(&mut self, pending: &PendingMessage) {
+        let now = self.clock.now();
+        let max_attempts = self.config.settings.max_attempts;
+        let class = self.class_of(pending);
+        let is_tenant_removed = self.tenants.is_removed(&pending.accepted.tenant);
+        if let Some(service) = &mut self.undeliverable {
+            service.record_given_up(
+                pending,
+                class.as_ref(),
+                is_tenant_removed,
+                max_attempts,
+                now,
+            );
+        }
+    }
+
+    /// The class of a message: as it was when the message was accepted, where the journal says so, or as it is now.
+    pub(super) fn class_of(&self, pending: &PendingMessage) -> Option<Class> {
+        if let Some(version) = &pending.class_version {
+            return Some((*version.class).clone());
+        }
+        self.classes.class_by_name(&pending.accepted.class).cloned()
+    }
+
+    /// The platform has accepted the notifications of these messages, which ends all work on them.
+    pub(super) fn notifications_accepted(&mut self, ids: Vec<MessageId>) {
+        // The store has to have an undeliverable message before the journal forgets it.
+        if let Some(service) = &mut self.undeliverable {
+            service.flush();
+        }
+        for id in ids {
+            self.release_message(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/event_loop/handover.rs
@@ -0,0 +1,85 @@
+//! The hand-over of the state directory to another process in an upgrade.
+
+use std::io;
+use std::time::Instant;
+
+use control::{LifecycleEvent, LifecycleState};
+use runtime::{log, Runtime};
+
+use super::EventLoop;
+use crate::state_directory::{DepartingProcess, HandoverState};
+
+impl<R: Runtime> EventLoop<R> {
+    /// Serves now: a request to hand over that is left from before is void.
+    pub fn withdraw_handover_request(&mut self) {
+        self.directory_owner.withdraw_request();
+    }
+
+    /// Checks the state directory if that is due, and returns when the check was due.
+    pub fn check_state_directory_if_due(&mut self, now: Instant) -> Option<Instant> {
+        let due_at = self.directory_owner.next_check_at()?;
+        if due_at <= now {
+            self.check_state_directory();
+        }
+        Some(due_at)
+    }
+
+    /// Looks for a request to hand over, and for ends of the departing process' calls.
+    fn check_state_directory(&mut self) {
+        let may_hand_over = matches!(
+            self.control.state(),
+            LifecycleState::Serving | LifecycleState::Draining
+        );
+        if may_hand_over && self.directory_owner.handover_requested() {
+            self.control.handle_event(LifecycleEvent::HandOver);
+        }
+        for call in self.directory_owner.take_call_ends() {
+            self.attempt_ended(call);
+        }
+        self.directory_owner.clean_up();
+    }
+
+    /// Writes the state for the new owner and gives the state directory away.
+    ///
+    /// # Errors
+    /// If the state cannot be written. The directory then stays with this process.
+    pub fn hand_over(&mut self) -> io::Result<DepartingProcess<R>> {
+        let state = self.handover_state();
+        let messages = self.in_flight.len();
+        let calls = state.open_calls.len();
+        let departing = self.directory_owner.hand_over(state, self.disk_limit)?;
+        log!(
+            self.runtime,
+            "upgrade: handed over {messages} messages; {calls} calls are out here"
+        );
+        Ok(departing)
+    }
+
+    /// Ends the loop after a hand-over. Its open calls go on in the departing process.
+    pub fn retire(mut self, departing: &mut DepartingProcess<R>) {
+        self.host_connections.retire();
+        self.control.metrics().record_handover();
+        // A call ends early when its channel is dropped, so the channels have to outlive this loop.
+        departing.keep_calls(std::mem::take(&mut self.open_calls));
+    }
+
+    /// The state for the new owner that is not in the journal.
+    fn handover_state(&mut self) -> HandoverState {
+        let open_calls = self
+            .open_calls
+            .iter()
+            .map(|(id, (attempt, host, _))| (*id, *attempt, *host))
+            .collect();
+        let mut state = HandoverState::new(
+            self.control.is_drained(),
+            open_calls,
+            self.policy.handover_snapshot(),
+        );
+        state.host_numbers = self.host_directory.numbers();
+        state.completed = self.in_flight.recently_completed_names(self.runtime.now());
+        state.used_rates = self
+            .tenants
+            .used_rates(self.clock.now(), self.policy.scheduler());
+        state
+    }
+}
--- /dev/null
+++ b/crates/relay/src/event_loop/host_list.rs
@@ -0,0 +1,77 @@
+//! Applies host lists from discovery, and tracks whether the list in force is confirmed.
+
+use std::time::Instant;
+
+use policy::types::Event;
+use relay_events::HostList;
+use runtime::{log, Runtime};
+
+use super::EventLoop;
+use crate::host_directory::Names;
+
+/// Where a host list comes from.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum HostListSource {
+    /// From discovery.
+    Discovery,
+    /// From the configuration or the state directory; it may be out of date.
+    Cache,
+}
+
+impl<R: Runtime> EventLoop<R> {
+    /// Discovery has sent a list or a change of it.
+    pub(super) fn host_list_received(&mut self, list: HostList) {
+        self.apply_host_list(list, HostListSource::Discovery);
+        self.discovery_answered();
+    }
+
+    /// Discovery is in contact, so the list in force is the latest.
+    pub(super) fn discovery_answered(&mut self) {
+        self.confirm_host_list();
+        self.record_discovery_contact();
+    }
+
+    /// Ends the wait for a confirmed list: calls may start.
+    fn confirm_host_list(&mut self) {
+        let was_waiting = self.membership.borrow_mut().confirm();
+        if was_waiting {
+            self.pending_events.push(Event::HostsUnconfirmed(false));
+        }
+    }
+
+    /// By when discovery has to confirm the list; none if nothing waits for that.
+    pub fn confirmation_deadline(&self) -> Option<Instant> {
+        self.membership.borrow().confirmation_deadline()
+    }
+
+    /// Discovery is silent: the cached list has to serve.
+    pub fn use_unconfirmed_host_list(&mut self) {
+        log!(
+            self.runtime,
+            "discovery: silent since the start; calls go by the remembered list"
+        );
+        self.confirm_host_list();
+    }
+
+    /// Puts a list in force. Idle connections to hosts that may not be called any more are closed.
+    pub(super) fn apply_host_list(&mut self, list: HostList, source: HostListSource) {
+        let is_full = list.is_full;
+        let names = Names {
+            zones: &self.config.zones,
+            kinds: &self.config.kinds,
+            settings: &self.config.settings.kinds,
+        };
+        let changes = self.host_directory.apply_list(list, &names);
+        for (host, is_ready) in changes.ready {
+            self.membership.borrow_mut().set_listed(host, is_ready);
+            if !is_ready {
+                self.host_connections.close_idle(host);
+            }
+        }
+        self.pending_events.push(Event::HostsUpdated {
+            is_full,
+            cached: source == HostListSource::Cache,
+            entries: changes.entries,
+        });
+    }
+}
--- /dev/null
+++ b/crates/relay/src/event_loop/persistence.rs
@@ -0,0 +1,68 @@
+//! Writes what has to outlast the process: journal records, the cached host list and the time of the last contact
+//! with discovery. A failed write is logged; the relay goes on.
+
+use std::io;
+
+use policy::types::MessageId;
+use runtime::{log, Runtime};
+
+use super::EventLoop;
+use crate::cached_state::{self, CachedState};
+
+/// Logs a failed write to the journal.
+pub(super) fn log_write_error(runtime: &impl Runtime, result: io::Result<()>) {
+    if let Err(error) = result {
+        log!(*runtime, "journal: cannot write: {error}");
+    }
+}
+
+impl<R: Runtime> EventLoop<R> {
+    /// Removes a message from the journal: nothing more has to be done for it.
+    pub(super) fn release_message(&mut self, id: MessageId) {
+        if let Some(pending) = self.journal.pending().get(&id) {
+            self.tenants.message_released(&pending.accepted.tenant);
+        }
+        log_write_error(&self.runtime, self.journal.remove_message(id));
+    }
+
+    /// Writes the definitions of the classes in force to the journal, for messages that outlast them.
+    pub(super) fn declare_classes(&mut self) {
+        log_write_error(
+            &self.runtime,
+            self.journal.declare_classes(self.classes.in_force()),
+        );
+    }
+
+    /// Saves the host list and the outages if either has changed.
+    pub(super) fn save_cached_state(&mut self) {
+        let outages = self
+            .policy
+            .outages()
+            .map(|outage| (outage.destination, outage.started_at, outage.recovered_at))
+            .collect();
+        if !self.host_directory.has_changed() && self.cached_state.outages == outages {
+            return;
+        }
+        self.cached_state = CachedState {
+            list: self.host_directory.full_list(),
+            outages,
+        };
+        if let Err(error) =
+            self.cached_state
+                .save(&self.runtime, &self.config.state, self.disk_limit)
+        {
+            log!(self.runtime, "memory: cannot write: {error}");
+        }
+    }
+
+    /// Records when discovery was last in contact. Where lists are pushed there is nothing to record: discovery
+    /// counts what its agent has received as known to the next process.
+    pub(super) fn record_discovery_contact(&self) {
+        if !self.config.settings.polls_discovery {
+            return;
+        }
+        if let Err(error) = cached_state::record_contact(&self.runtime, &self.config.state) {
+            log!(self.runtime, "memory: cannot write: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/event_loop/restore.rs
@@ -0,0 +1,280 @@
+//! Restores the state of the process before: what the journal and the cache hold, and after an upgrade what the
+//! departing process has left beside them.
+
+use std::collections::BTreeMap;
+
+use policy::types::{Event, HostId, Message, MessageId, Micros, Outage, PastAttempt, TenantId};
+use policy::HandoverSnapshot;
+use relay_events::{DeliveryFailure, HostList};
+use runtime::{log, Runtime};
+
+use super::admission::policy_message;
+use super::host_list::HostListSource;
+use super::{EventLoop, PolicyAborted};
+use crate::journal::{Attempt, PendingMessage, ResendOrigin};
+use crate::state_directory::HandoverState;
+
+/// A call that is open at the departing process.
+struct OpenCall {
+    attempt: u8,
+    host: HostId,
+}
+
+/// The parts of the hand-over that are restored after the host list.
+#[derive(Default)]
+struct DeferredHandover {
+    open_calls: BTreeMap<MessageId, OpenCall>,
+    /// Until when tenants have used their rates, in Unix time.
+    used_rates: Vec<(String, Micros)>,
+    policy: Option<HandoverSnapshot>,
+}
+
+/// What remains to be done for a message after the undeliverable service has seen it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Remaining {
+    /// Nothing: the message was a resend that has ended.
+    Nothing,
+    /// The message is to be notified or delivered.
+    Restore,
+}
+
+impl<R: Runtime> EventLoop<R> {
+    /// Restores everything, and runs the rounds in which the policy learns of it.
+    ///
+    /// # Errors
+    /// [`PolicyAborted`] from one of these rounds.
+    pub(super) fn restore(&mut self, handover: Option<HandoverState>) -> Result<(), PolicyAborted> {
+        let deferred = handover
+            .map(|state| self.restore_handover(state))
+            .unwrap_or_default();
+        self.restore_host_list();
+        self.restore_outages();
+        if let Some(snapshot) = deferred.policy {
+            // The snapshot is about routes, which come into being with the host list.
+            self.run_round()?;
+            self.policy.restore_handover(snapshot);
+        }
+        self.restore_messages(&deferred.open_calls);
+        self.restore_class_definitions();
+        self.reconcile_undeliverable();
+        self.run_round()?;
+        self.tenants
+            .restore_used_rates(&deferred.used_rates, self.policy.scheduler());
+        self.declare_classes();
+        Ok(())
+    }
+
+    /// Restores what does not depend on the host list, and returns the rest.
+    fn restore_handover(&mut self, state: HandoverState) -> DeferredHandover {
+        self.host_directory.adopt_numbers(state.host_numbers);
+        self.in_flight
+            .restore_completed(self.runtime.now(), state.completed);
+        // A drain outlasts an upgrade, but not a crash.
+        let is_drained = state.is_drained && self.directory_owner.took_over();
+        self.control.restore_drained(is_drained);
+        let open_calls = state
+            .open_calls
+            .into_iter()
+            .map(|(id, attempt, host)| (id, OpenCall { attempt, host }))
+            .collect();
+        DeferredHandover {
+            open_calls,
+            used_rates: state.used_rates,
+            policy: Some(state.policy),
+        }
+    }
+
+    /// Restores the newer one of the configured and the cached host list. The configuration may be older than what
+    /// the last process received, and discovery may be silent, so the cached list keeps draining hosts from getting
+    /// calls.
+    fn restore_host_list(&mut self) {
+        let mut known = std::mem::take(&mut self.config.known);
+        self.host_directory
+            .add_destinations(known.hosts.iter().map(|entry| entry.destination));
+        if self.cached_state.list.version > known.version {
+            known = self.cached_state.list.clone();
+        }
+        let list = HostList {
+            is_full: true,
+            ..known
+        };
+        self.apply_host_list(list, HostListSource::Cache);
+        let is_confirmed = self
+            .membership
+            .borrow()
+            .is_list_confirmed(self.runtime.now());
+        self.pending_events
+            .push(Event::HostsUnconfirmed(!is_confirmed));
+    }
+
+    fn restore_outages(&mut self) {
+        for (destination, started_at, recovered_at) in self.cached_state.outages.clone() {
+            self.pending_events.push(Event::OutageRestored(Outage {
+                destination,
+                started_at,
+                recovered_at,
+            }));
+        }
+    }
+
+    /// Restores the messages of the journal in the order of their numbers.
+    fn restore_messages(&mut self, open_calls: &BTreeMap<MessageId, OpenCall>) {
+        // Copied, as restoring a message may change the journal.
+        let pending = self.journal.pending().clone();
+        if !pending.is_empty() {
+            log!(
+                self.runtime,
+                "journal: {} messages are still owed their end",
+                pending.len()
+            );
+        }
+        for (id, message) in pending {
+            self.restore_message(id, message, open_calls.get(&id));
+        }
+    }
+
+    fn restore_message(
+        &mut self,
+        id: MessageId,
+        pending: PendingMessage,
+        open_call: Option<&OpenCall>,
+    ) {
+        let tenant = self.tenants.message_restored(&pending.accepted.tenant);
+        if self.restore_undeliverable(id, &pending) == Remaining::Nothing {
+            return;
+        }
+        if let Some(failure) = pending.failure {
+            self.notifications.add(id, pending.accepted.name, failure);
+            return;
+        }
+        self.in_flight.insert_restored(id, &pending.accepted);
+        self.control.metrics().record_accepted();
+        match self.restored_policy_message(id, &pending, tenant) {
+            Some(message) => self.pass_to_policy(message, &pending.attempts, open_call),
+            None => self.fail_unknown(id, &pending),
+        }
+    }
+
+    /// The message as the policy sees it; none if its class or its tenant is unknown by now.
+    fn restored_policy_message(
+        &mut self,
+        id: MessageId,
+        pending: &PendingMessage,
+        tenant: Option<TenantId>,
+    ) -> Option<Message> {
+        let accepted = &pending.accepted;
+        let class = match &pending.class_version {
+            Some(version) => self
+                .classes
+                .number_for_version(&accepted.class, &version.class),
+            None => self.classes.number(&accepted.class),
+        };
+        policy_message(id, accepted, tenant?, class)
+    }
+
+    /// Passes a message to the policy with its past attempts, as an adopted one if the departing process has handed
+    /// it over.
+    fn pass_to_policy(
+        &mut self,
+        message: Message,
+        attempts: &[Attempt],
+        open_call: Option<&OpenCall>,
+    ) {
+        let open_host = open_call
+            .filter(|call| usize::from(call.attempt) + 1 == attempts.len())
+            .map(|call| call.host);
+        let attempts = attempts
+            .iter()
+            .map(|attempt| PastAttempt {
+                sent_at: attempt.sent_at,
+                zone: attempt.zone,
+                may_have_executed: attempt.may_have_executed,
+            })
+            .collect();
+        let is_adopted = self.directory_owner.took_over() || open_host.is_some();
+        let event = if is_adopted {
+            Event::MessageAdopted {
+                message,
+                attempts,
+                out: open_host,
+            }
+        } else {
+            Event::MessageRestored { message, attempts }
+        };
+        self.pending_events.push(event);
+    }
+
+    /// Ends a message whose class or tenant is unknown by now. It is deferred only if it cannot have been executed.
+    fn fail_unknown(&mut self, id: MessageId, pending: &PendingMessage) {
+        log!(
+            self.runtime,
+            "journal: {} is of a class or tenant that is not known any more",
+            pending.accepted.name
+        );
+        let may_have_executed = pending
+            .attempts
+            .iter()
+            .any(|attempt| attempt.may_have_executed);
+        let failure = if may_have_executed {
+            DeliveryFailure::Undeliverable
+        } else {
+            DeliveryFailure::Deferred(0)
+        };
+        self.fail_message(id, failure);
+    }
+
+    /// Brings the undeliverable store up to date with the journal's record of a message.
+    fn restore_undeliverable(&mut self, id: MessageId, pending: &PendingMessage) -> Remaining {
+        if let Some(origin) = pending.resend {
+            return self.restore_resend(id, pending, origin);
+        }
+        if pending.failure == Some(DeliveryFailure::Undeliverable) {
+            // The process may have ended before the store had it.
+            self.record_undeliverable(pending);
+        }
+        Remaining::Restore
+    }
+
+    fn restore_resend(
+        &mut self,
+        id: MessageId,
+        pending: &PendingMessage,
+        origin: ResendOrigin,
+    ) -> Remaining {
+        let now = self.clock.now();
+        let name = &pending.accepted.name;
+        let Some(service) = &mut self.undeliverable else {
+            // Without a store there is nothing to record the end of a resend in.
+            self.release_message(id);
+            return Remaining::Nothing;
+        };
+        if service.is_closed(&origin, name) {
+            self.release_message(id);
+            return Remaining::Nothing;
+        }
+        service.resend_restored(id, origin, name, now);
+        let Some(failure) = pending.failure else {
+            return Remaining::Restore;
+        };
+        // The journal has the failure, but the store may not.
+        if self.record_failed_resend(id, pending, failure) {
+            self.release_message(id);
+        }
+        Remaining::Nothing
+    }
+
+    /// Some messages may be of classes that the settings do not define any more: the policy needs these first.
+    fn restore_class_definitions(&mut self) {
+        if self.classes.definitions().len() > self.config.settings.classes.len() {
+            let event = self.settings_changed();
+            self.pending_events.insert(0, event);
+        }
+    }
+
+    fn reconcile_undeliverable(&mut self) {
+        let now = self.clock.now();
+        if let Some(service) = &mut self.undeliverable {
+            service.reconcile(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/event_loop/startup.rs
@@ -0,0 +1,242 @@
+//! Opens an event loop on what the state directory holds.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use membership::{DiscoverySettings, HostMembership};
+use policy::types::Settings;
+use policy::DeliveryPolicy;
+use relay_events::{Clock, RelayEvent};
+use runtime::Runtime;
+use tokio::sync::{mpsc, watch};
+
+use super::{EventLoop, StartupError};
+use crate::cached_state::{self, CachedState};
+use crate::call_log::CallLog;
+use crate::classes::Classes;
+use crate::config::Config;
+use crate::control_socket::{self, Control};
+use crate::host_connections::HostConnections;
+use crate::host_directory::HostDirectory;
+use crate::in_flight::InFlightMessages;
+use crate::journal::Journal;
+use crate::operator_config::Operator;
+use crate::state_directory::DirectoryOwner;
+use crate::tenant_service::Tenants;
+use crate::undeliverable_service::{self, UndeliverableService};
+
+/// Descriptors that are neither a client's nor a host's connection: discovery, the journal, the runtime's own.
+const OTHER_SOCKETS: usize = 24;
+/// Descriptors of the administration API beside its connections: the listener, the registry's files, the audit log.
+const ADMIN_SOCKETS: usize = 8;
+/// Bytes in a megabyte of the disk limit.
+const BYTES_PER_MB: f64 = 1e6;
+
+/// What an event loop shares with its process.
+pub struct LoopResources<'a, R: Runtime> {
+    /// The system.
+    pub runtime: &'a R,
+    /// Path of the operator file.
+    pub operator_file: Option<&'a PathBuf>,
+    /// The process' clock.
+    pub clock: &'a Clock<R>,
+    /// Lifecycle and metrics.
+    pub control: &'a Rc<Control<R>>,
+    /// Where the front ends' events go.
+    pub relay_events: &'a mpsc::Sender<RelayEvent>,
+    /// Whether another process may run beside this one in an upgrade.
+    pub may_overlap: bool,
+}
+
+/// An event loop that has restored its state.
+pub struct OpenedLoop<R: Runtime> {
+    /// The loop.
+    pub event_loop: EventLoop<R>,
+    /// The address of discovery, which a reload may change.
+    pub discovery_address: watch::Receiver<SocketAddr>,
+    /// Connections of clients at once.
+    pub max_clients: usize,
+}
+
+/// How the sockets of the settings are divided.
+struct SocketBudget {
+    /// Connections of clients.
+    max_clients: usize,
+    /// Idle connections to hosts.
+    max_idle: usize,
+}
+
+impl SocketBudget {
+    /// Half of the sockets are for clients. Of the other half, calls come before idle connections.
+    fn new(config: &Config, operator: &Operator, may_overlap: bool) -> Result<Self, StartupError> {
+        let max_calls = config.settings.max_calls;
+        let admin = operator
+            .admin
+            .as_ref()
+            .map_or(0, |admin| admin.connections + ADMIN_SOCKETS);
+        let control = config.control.map_or(0, |_| control_socket::SOCKETS);
+        // In an upgrade the other process has its control socket and its last calls open beside this one's.
+        let other_process = if may_overlap {
+            control + OTHER_SOCKETS + max_calls
+        } else {
+            0
+        };
+        let reserved = OTHER_SOCKETS + admin + control + other_process;
+        let sockets = config.limits.sockets.saturating_sub(reserved);
+        let max_clients = sockets / 2;
+        let host_sockets = sockets - max_clients;
+        if max_calls + 1 > host_sockets {
+            return Err(StartupError::TooFewSockets {
+                sockets,
+                slots: max_calls,
+            });
+        }
+        Ok(SocketBudget {
+            max_clients,
+            max_idle: host_sockets - max_calls,
+        })
+    }
+}
+
+impl<R: Runtime> EventLoop<R> {
+    /// Opens the state directory's files and restores what they hold.
+    ///
+    /// # Errors
+    /// If the configuration, the operator file, the journal or the registry cannot be used, if the sockets do not
+    /// suffice, or if the policy aborts.
+    pub async fn open(
+        resources: LoopResources<'_, R>,
+        mut directory_owner: DirectoryOwner<R>,
+    ) -> Result<OpenedLoop<R>, StartupError> {
+        let runtime = resources.runtime;
+        let mut config = Config::load(runtime)
+            .map_err(|error| StartupError::Configuration(error.to_string()))?;
+        let operator_file = resources.operator_file.map(PathBuf::as_path);
+        let operator = Operator::load(runtime, operator_file)
+            .map_err(|error| StartupError::OperatorFile(error.to_string()))?;
+        let handover = directory_owner.read_handover().await;
+        let disk_limit = (config.limits.disk_mb * BYTES_PER_MB) as u64;
+        let journal = open_journal(runtime, &config, disk_limit)?;
+        config.settings.max_queued_bytes = journal.capacity();
+        let budget = SocketBudget::new(&config, &operator, resources.may_overlap)?;
+        let (discovery_sender, discovery_address) = watch::channel(config.discovery);
+        let tenants = open_tenants(runtime, &config, &operator)?;
+        let (scheduler, tenant_events) = tenants.scheduler(&config.settings);
+        let membership = open_membership(runtime, &config);
+        let admin_tokens = watch::channel(operator.tokens()).0;
+        let host_connections =
+            open_host_connections(&resources, &config, &membership, budget.max_idle);
+        let mut event_loop = EventLoop {
+            policy: DeliveryPolicy::with_scheduler(config.settings.clone(), config.seed, scheduler),
+            tenants,
+            operator_file: resources.operator_file.cloned(),
+            admin_tokens,
+            clock: resources.clock.clone(),
+            journal,
+            host_connections,
+            membership,
+            notifications: Rc::default(),
+            relay_events: resources.relay_events.clone(),
+            pending_events: tenant_events,
+            timer: None,
+            last_round_at: runtime.now(),
+            in_flight: InFlightMessages::default(),
+            open_calls: BTreeMap::new(),
+            host_directory: HostDirectory::default(),
+            classes: Classes::new(&config.classes, &config.settings.classes),
+            cached_state: CachedState::load(runtime, &config.state),
+            disk_limit,
+            discovery_address: discovery_sender,
+            directory_owner,
+            control: resources.control.clone(),
+            call_log: CallLog::new(runtime.clone(), operator.log_calls),
+            undeliverable: open_undeliverable_service(&resources, operator.undeliverable),
+            config,
+            runtime: runtime.clone(),
+        };
+        event_loop
+            .call_log
+            .start(event_loop.clock.now(), &event_loop.config.settings);
+        event_loop.restore(handover)?;
+        Ok(OpenedLoop {
+            event_loop,
+            discovery_address,
+            max_clients: budget.max_clients,
+        })
+    }
+}
+
+fn open_journal<R: Runtime>(
+    runtime: &R,
+    config: &Config,
+    disk_limit: u64,
+) -> Result<Journal<R>, StartupError> {
+    Journal::open(runtime.clone(), &config.state, disk_limit).map_err(|source| {
+        StartupError::Journal {
+            folder: config.state.clone(),
+            source,
+        }
+    })
+}
+
+fn open_tenants<R: Runtime>(
+    runtime: &R,
+    config: &Config,
+    operator: &Operator,
+) -> Result<Tenants<R>, StartupError> {
+    Tenants::open(
+        runtime,
+        operator.tenants.as_ref(),
+        &config.tenants,
+        &config.classes,
+        &config.settings,
+    )
+    .map_err(|error| StartupError::Tenants(error.to_string()))
+}
+
+/// The state of the host list. When discovery was last in contact decides whether the list is confirmed at once.
+fn open_membership<R: Runtime>(runtime: &R, config: &Config) -> Rc<RefCell<HostMembership>> {
+    let Settings {
+        polls_discovery,
+        replicas,
+        ..
+    } = config.settings;
+    let settings = DiscoverySettings {
+        pushed: !polls_discovery,
+        siblings: replicas,
+        drain_grace: config.drain_grace,
+        seed: config.seed,
+    };
+    let last_contact = cached_state::time_since_contact(runtime, &config.state);
+    Rc::new(RefCell::new(HostMembership::new(&settings, last_contact)))
+}
+
+fn open_host_connections<R: Runtime>(
+    resources: &LoopResources<'_, R>,
+    config: &Config,
+    membership: &Rc<RefCell<HostMembership>>,
+    max_idle: usize,
+) -> Rc<HostConnections<R>> {
+    Rc::new(HostConnections::new(
+        resources.runtime.clone(),
+        membership.clone(),
+        config.dial_timeout,
+        config.idle_close,
+        max_idle,
+        resources.control.dispatches(),
+    ))
+}
+
+/// The undeliverable service, if the operator file sets one up.
+fn open_undeliverable_service<R: Runtime>(
+    resources: &LoopResources<'_, R>,
+    settings: Option<undeliverable_service::Settings>,
+) -> Option<UndeliverableService<R>> {
+    settings.map(|settings| {
+        let relay_events = resources.relay_events.clone();
+        UndeliverableService::new(resources.runtime.clone(), settings, relay_events)
+    })
+}
--- /dev/null
+++ b/crates/relay/src/event_loop/table_levels.rs
@@ -0,0 +1,57 @@
+//! How full the tables of the relay are, for the call log.
+
+use policy::types::Micros;
+use runtime::Runtime;
+
+use super::EventLoop;
+use crate::call_log::TableLevel;
+use crate::classes;
+use crate::in_flight::KNOWN_OVER;
+
+/// The policy drops idle ordering keys once there are more of them than this many times the queued messages.
+const ORDERING_KEYS_PER_QUEUED_MESSAGE: usize = 3;
+
+impl<R: Runtime> EventLoop<R> {
+    /// Writes the levels to the call log when they are due.
+    pub(super) fn log_table_levels(&mut self, now: Micros) {
+        if self.call_log.wants_levels(now) {
+            self.call_log.levels(now, &self.table_levels());
+        }
+    }
+
+    /// The level of each table that grows with traffic. All are counts, except that of the journal, which is in
+    /// bytes.
+    fn table_levels(&self) -> Vec<TableLevel> {
+        let settings = &self.config.settings;
+        let (journal_length, max_journal_length) = self.journal.length();
+        let (max_completed, _) = KNOWN_OVER;
+        let level = |name, used, capacity| TableLevel {
+            name,
+            used,
+            capacity,
+        };
+        vec![
+            level("held", self.in_flight.len(), settings.max_queued),
+            level("names", self.in_flight.recently_completed(), max_completed),
+            level("calls", self.open_calls.len(), settings.max_calls),
+            // A failed message stays in the journal until the platform has accepted its notification.
+            level(
+                "notices",
+                self.notifications.len(),
+                self.journal.pending().len(),
+            ),
+            level(
+                "idle",
+                self.host_connections.idle_connections(),
+                self.host_connections.max_idle_connections(),
+            ),
+            level("classes", self.classes.len(), classes::MOST),
+            level(
+                "turns",
+                self.policy.handover_snapshot().ordered_keys.len(),
+                ORDERING_KEYS_PER_QUEUED_MESSAGE * settings.max_queued,
+            ),
+            level("journal", journal_length, max_journal_length),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/relay/src/event_loop/undeliverable_messages.rs
@@ -0,0 +1,159 @@
+//! Joins the undeliverable service to the loop: its requests, its periodic run and its resends.
+
+use policy::types::{Event, MessageId, Micros, PastAttempt, TenantId};
+use relay_events::undeliverable::{UndeliverableCall, UndeliverableEvent, UndeliverableResponse};
+use runtime::{log, Runtime};
+use undeliverable::record::Refusal;
+
+use super::admission::policy_message;
+use super::EventLoop;
+use crate::in_flight::MessageName;
+use crate::journal::{AcceptedMessage, ResendOrigin};
+use crate::undeliverable_service::{Live, Resend};
+
+/// Whether a resend has reached the policy.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ResendStart {
+    Started,
+    NotStarted,
+}
+
+impl<R: Runtime> EventLoop<R> {
+    /// Runs what is due in the undeliverable service, and starts the resends that it asks for.
+    pub fn run_undeliverable_service(&mut self) {
+        let now = self.clock.now();
+        let load = self.current_load();
+        let Some(service) = &mut self.undeliverable else {
+            return;
+        };
+        let (resends, ended) = service.run(now, load);
+        for id in ended {
+            self.release_message(id);
+        }
+        for resend in resends {
+            self.start_resend(now, resend);
+        }
+    }
+
+    /// Handles a request to the undeliverable service, or a partner's answer to one of its queries.
+    pub(super) fn handle_undeliverable_event(&mut self, event: UndeliverableEvent) {
+        match event {
+            UndeliverableEvent::PartnerAnswered { id, asked, says } => {
+                let now = self.clock.now();
+                if let Some(service) = &mut self.undeliverable {
+                    service.partner_answered(id, asked, says, now);
+                }
+            }
+            UndeliverableEvent::UndeliverableCall(call) => self.answer_undeliverable_call(call),
+        }
+    }
+
+    fn answer_undeliverable_call(&mut self, call: UndeliverableCall) {
+        let now = self.clock.now();
+        let load = self.current_load();
+        let Some(service) = &mut self.undeliverable else {
+            let response = UndeliverableResponse::Unavailable(
+                "undeliverable messages are not kept here".into(),
+            );
+            drop(call.reply.send(response));
+            return;
+        };
+        let mut resends = Vec::new();
+        let mut response = service.handle_request(call.ask, now, load, &mut resends);
+        for resend in resends {
+            if self.start_resend(now, resend) == ResendStart::NotStarted {
+                response = UndeliverableResponse::Refused(Refusal::NotHandedOver);
+            }
+        }
+        // The caller may have gone away.
+        drop(call.reply.send(response));
+    }
+
+    /// How busy the relay is; resends leave room for other messages.
+    fn current_load(&self) -> Live {
+        let settings = &self.config.settings;
+        Live {
+            held: self.in_flight.len(),
+            most_held: settings.max_queued,
+            out: self.open_calls.len(),
+            slots: settings.max_calls,
+        }
+    }
+
+    /// Hands an undeliverable message to the policy once more, with a new deadline.
+    fn start_resend(&mut self, now: Micros, resend: Resend) -> ResendStart {
+        let Resend {
+            again: origin,
+            taken: mut message,
+        } = resend;
+        message.deadline = now + self.time_to_live(&message.class);
+        let tenant = self.resend_tenant(&message);
+        let id = self.journal.next_id();
+        let class = self.classes.number(&message.class);
+        let resent = tenant
+            .and_then(|tenant| policy_message(id, &message, tenant, class))
+            .filter(|_| self.tenants.is_known(&message.tenant));
+        let Some(resent) = resent else {
+            log!(
+                self.runtime,
+                "undeliverable: record {} is not sent again: its class, tenant or name",
+                origin.record
+            );
+            if tenant.is_some() {
+                self.tenants.message_released(&message.tenant);
+            }
+            return self.resend_not_started(&origin);
+        };
+        if let Err(error) = self.journal.accept_resend(id, message.clone(), origin) {
+            log!(
+                self.runtime,
+                "undeliverable: record {} is not sent again: {error}",
+                origin.record
+            );
+            self.tenants.message_released(&message.tenant);
+            return self.resend_not_started(&origin);
+        }
+        self.resend_accepted(id, &message, origin);
+        let past_attempt = origin.past_attempt.map(|past| PastAttempt {
+            sent_at: past.sent_at,
+            zone: past.zone,
+            may_have_executed: true,
+        });
+        self.pending_events.push(Event::MessageResent {
+            message: resent,
+            attempts: past_attempt.into_iter().collect(),
+        });
+        ResendStart::Started
+    }
+
+    /// Time to live of a class in force, in microseconds; zero for an unknown class.
+    fn time_to_live(&self, class: &str) -> Micros {
+        self.classes
+            .class_by_name(class)
+            .map_or(0, |class| class.time_to_live)
+    }
+
+    /// The tenant's number for a resend. None if a message of this name is in flight, which is another one, or if the
+    /// tenant is unknown.
+    fn resend_tenant(&mut self, message: &AcceptedMessage) -> Option<TenantId> {
+        if self.in_flight.contains(&MessageName::of_message(message)) {
+            return None;
+        }
+        self.tenants.message_restored(&message.tenant)
+    }
+
+    fn resend_accepted(&mut self, id: MessageId, message: &AcceptedMessage, origin: ResendOrigin) {
+        self.in_flight.insert_restored(id, message);
+        self.control.metrics().record_accepted();
+        if let Some(service) = &mut self.undeliverable {
+            service.resend_started(id, origin, &message.name);
+        }
+    }
+
+    fn resend_not_started(&mut self, origin: &ResendOrigin) -> ResendStart {
+        if let Some(service) = &mut self.undeliverable {
+            service.resend_not_started(origin);
+        }
+        ResendStart::NotStarted
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,6 +1,7 @@
-//! The relay: what clients hand in goes to hosts as the decision module says, and a journal keeps what is owed.
+//! The relay: accepts messages from clients and delivers them to hosts as the delivery policy decides. A journal
+//! keeps each accepted message until it is delivered, or until the platform knows that it was not.
 //!
-//! [`run`] is one process's whole life. All that it takes from its system goes through
+//! [`run`] is the whole life of one process. Everything that it needs from the system goes through
 //! [`runtime::Runtime`].
 
 mod cached_state;
@@ -18,11 +19,10 @@
 mod list_decoder;
 mod operator_config;
 mod process;
-mod route_levels;
 mod state_directory;
 #[cfg(test)]
 mod stored_format_tests;
 mod tenant_service;
 mod undeliverable_service;
 
-pub use process::run;
+pub use process::{run, RelayError};
--- /dev/null
+++ b/crates/relay/src/process/departing.rs
@@ -0,0 +1,101 @@
+//! A process that has handed over: waits for its open calls to end, and takes the state directory back if its
+//! successor is gone.
+
+use std::time::Duration;
+
+use control::{LifecycleEvent, LifecycleState};
+use relay_events::{RelayEvent, Reply};
+use runtime::{log, Runtime, Signal, Signals};
+
+use super::Process;
+use crate::client_connections::ClientConnections;
+use crate::event_loop::RETRY_ELSEWHERE_MS;
+use crate::state_directory::{DepartingProcess, DirectoryOwner};
+
+/// How often a departing process checks whether it may end, or whether its successor is gone.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+impl<R: Runtime> Process<R> {
+    /// Waits for the open calls to end. Returns the state directory if it came back to this process; otherwise the
+    /// process ends.
+    pub(super) async fn finish_calls(
+        &mut self,
+        mut departing: DepartingProcess<R>,
+        clients: &ClientConnections<R>,
+    ) -> Option<DirectoryOwner<R>> {
+        loop {
+            if self.may_depart(&departing, clients) {
+                return None;
+            }
+            self.control.publish_stage();
+            if !self.is_stopping() {
+                match departing.take_back() {
+                    Ok(directory_owner) => {
+                        log!(
+                            self.runtime,
+                            "upgrade: the process that took over is gone; this one serves again"
+                        );
+                        return Some(directory_owner);
+                    }
+                    Err(unchanged) => departing = unchanged,
+                }
+            }
+            self.wait_departing(&mut departing).await;
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.control.state() == LifecycleState::Stopping
+    }
+
+    /// Whether the process may end: all calls have ended and the successor serves, or the time to stop has run out.
+    fn may_depart(&self, departing: &DepartingProcess<R>, clients: &ClientConnections<R>) -> bool {
+        let is_idle = departing.is_idle() && clients.count() == 0;
+        if is_idle && (self.is_stopping() || departing.is_replaced()) {
+            return true;
+        }
+        self.control.should_exit(false, || departing.is_idle())
+    }
+
+    /// Waits for a signal, an event or the next check.
+    async fn wait_departing(&mut self, departing: &mut DepartingProcess<R>) {
+        tokio::select! {
+            biased;
+            signal = self.signals.next() => self.handle_signal_departing(signal),
+            Some(event) = self.events.recv() => self.handle_event_departing(event, departing),
+            () = self.runtime.sleep(CHECK_INTERVAL) => {}
+        }
+    }
+
+    fn handle_signal_departing(&self, signal: Signal) {
+        match signal {
+            Signal::Stop => {
+                self.control.handle_event(LifecycleEvent::Stop);
+            }
+            Signal::Reload => log!(
+                self.runtime,
+                "configuration: it is the new process's to read"
+            ),
+        }
+    }
+
+    /// Reports ended calls to the new owner, and sends clients elsewhere. All other events are the new owner's.
+    fn handle_event_departing(&self, event: RelayEvent, departing: &mut DepartingProcess<R>) {
+        match event {
+            RelayEvent::CallCompleted(call) => {
+                if let Err(error) = departing.report_call_end(&call) {
+                    log!(
+                        self.runtime,
+                        "upgrade: cannot tell the end of a call: {error}"
+                    );
+                }
+            }
+            RelayEvent::EnqueueRequest(request) => {
+                if let Some(reply) = request.reply {
+                    drop(reply.send(Reply::Busy(RETRY_ELSEWHERE_MS)));
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/process/error.rs
@@ -0,0 +1,67 @@
+//! Why a relay cannot start or go on.
+
+use std::io;
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+use crate::event_loop::{PolicyAborted, StartupError};
+
+/// Why a relay cannot start or go on. Each message is one plain line for the operator.
+#[derive(Debug, Error)]
+pub enum RelayError {
+    /// The asynchronous runtime cannot be built.
+    #[error("cannot start: {0}")]
+    AsyncRuntime(io::Error),
+    /// The signal handlers cannot be installed.
+    #[error("no signals: {0}")]
+    Signals(io::Error),
+    /// The configuration cannot be used.
+    #[error("{0}")]
+    Configuration(String),
+    /// The operator file cannot be used.
+    #[error("{0}")]
+    OperatorFile(String),
+    /// The variable for the inherited listening socket holds no number.
+    #[error("{text:?} is no descriptor of a socket")]
+    InvalidDescriptor {
+        /// The variable's value.
+        text: String,
+    },
+    /// The inherited descriptor is not a listening socket.
+    #[error("cannot listen on descriptor {descriptor}: {source}")]
+    InheritedListener {
+        /// The descriptor.
+        descriptor: i32,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The control socket cannot be opened.
+    #[error("cannot listen for operators on {address}: {source}")]
+    ListenForOperators {
+        /// The configured address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The listening socket for clients cannot be opened.
+    #[error("cannot listen on {address}: {source}")]
+    ListenForClients {
+        /// The configured address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The state directory cannot be acquired.
+    #[error("{0}")]
+    StateDirectory(String),
+    /// The administration API cannot be started.
+    #[error("{0}")]
+    Administration(String),
+    /// The event loop cannot start.
+    #[error(transparent)]
+    Startup(#[from] StartupError),
+    /// The policy found its own state inconsistent.
+    #[error(transparent)]
+    Policy(#[from] PolicyAborted),
+}
--- /dev/null
+++ b/crates/relay/src/process/serving.rs
@@ -0,0 +1,357 @@
+//! A process that owns the state directory: starts the event loop and its tasks, and serves.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use control::{LifecycleEvent, LifecycleState};
+use runtime::{log, Runtime, Signal, Signals, Task};
+use tokio::sync::watch;
+
+use super::{Process, RelayError, EVENT_QUEUE_CAPACITY};
+use crate::client_connections::{self, ClientConnections};
+use crate::discovery_client;
+use crate::event_loop::{EventLoop, LoopResources, OpenedLoop};
+use crate::operator_config::Operator;
+use crate::state_directory::{DepartingProcess, DirectoryOwner};
+
+/// Before it ends, a process reads what has arrived for this long, and then writes its answers for this long.
+const FINAL_IO_TIME: Duration = Duration::from_millis(5);
+/// How often idle connections to hosts are checked for their age.
+const IDLE_CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The shortest wait for work that is due already but cannot be done yet.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+/// No descriptor: a process without an inherited listener hands nothing over, so the system's error is the right one.
+const NO_DESCRIPTOR: i32 = -1;
+
+/// How a process has stopped serving.
+pub(super) enum Served<R: Runtime> {
+    /// The process ends.
+    Ended,
+    /// Another process has the state directory; the open calls are still this one's.
+    HandedOver {
+        departing: DepartingProcess<R>,
+        clients: Rc<ClientConnections<R>>,
+    },
+}
+
+/// What a pass over the due work has found.
+enum DueWork {
+    /// Something was done, after which other work may be due.
+    Done,
+    /// Nothing is due before this moment.
+    NothingBefore(Instant),
+    /// The process ends now.
+    Exit,
+}
+
+/// Whether the process goes on serving.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    Continue,
+    Exit,
+}
+
+/// All that serves beside the event loop.
+struct Servers<R: Runtime> {
+    clients: Rc<ClientConnections<R>>,
+    /// Address that clients connect to.
+    listen_address: SocketAddr,
+    /// Tasks that end with a hand-over.
+    tasks: Vec<R::Task>,
+}
+
+impl<R: Runtime> Process<R> {
+    /// Serves until the process ends or another one has taken over everything but the open calls.
+    pub(super) async fn serve(
+        &mut self,
+        directory_owner: DirectoryOwner<R>,
+    ) -> Result<Served<R>, RelayError> {
+        let opened = EventLoop::open(self.loop_resources(), directory_owner).await?;
+        let OpenedLoop {
+            mut event_loop,
+            discovery_address,
+            max_clients,
+        } = opened;
+        let servers = self
+            .start_servers(&event_loop, discovery_address, max_clients)
+            .await?;
+        event_loop.withdraw_handover_request();
+        loop {
+            if self.step(&mut event_loop, &servers.clients).await? == Progress::Exit {
+                self.answer_last_requests(&mut event_loop).await?;
+                return Ok(Served::Ended);
+            }
+            if !self.control.should_hand_over(servers.clients.count()) {
+                continue;
+            }
+            self.handle_waiting_events(&mut event_loop);
+            event_loop.run_round()?;
+            match event_loop.hand_over() {
+                Ok(departing) => return Ok(retire(event_loop, departing, servers)),
+                Err(error) => self.resume_serving(&servers, &error)?,
+            }
+        }
+    }
+
+    fn loop_resources(&self) -> LoopResources<'_, R> {
+        LoopResources {
+            runtime: &self.runtime,
+            operator_file: self.operator_file.as_ref(),
+            clock: &self.clock,
+            control: &self.control,
+            relay_events: &self.events_sender,
+            may_overlap: self.inherited_listener.is_some(),
+        }
+    }
+
+    /// Starts the tasks beside the event loop. Clients come last: the first answer to a PING says that all else is in
+    /// place.
+    async fn start_servers(
+        &self,
+        event_loop: &EventLoop<R>,
+        discovery_address: watch::Receiver<SocketAddr>,
+        max_clients: usize,
+    ) -> Result<Servers<R>, RelayError> {
+        let mut tasks = self.spawn_background_tasks(event_loop, discovery_address);
+        let listen_address = event_loop.listen_address();
+        let listener = match self.inherited_listener {
+            Some(descriptor) => self.runtime.inherited_listener(descriptor),
+            None => self.runtime.listen(listen_address).await,
+        };
+        let listener = listener.map_err(|source| listen_error(listen_address, source))?;
+        let clients = ClientConnections::new(
+            self.runtime.clone(),
+            self.control.clone(),
+            max_clients,
+            event_loop.requires_login(),
+        );
+        tasks.extend(self.start_administration(event_loop).await?);
+        self.control.handle_event(self.started_event());
+        self.accept_clients(listener, &clients);
+        Ok(Servers {
+            clients,
+            listen_address,
+            tasks,
+        })
+    }
+
+    /// Starts the clients of discovery and the check of idle connections.
+    fn spawn_background_tasks(
+        &self,
+        event_loop: &EventLoop<R>,
+        discovery_address: watch::Receiver<SocketAddr>,
+    ) -> Vec<R::Task> {
+        let runtime = &self.runtime;
+        let follow = discovery_client::follow(
+            runtime.clone(),
+            discovery_address.clone(),
+            event_loop.host_list_version(),
+            event_loop.membership(),
+            self.events_sender.clone(),
+        );
+        let notify = discovery_client::notify(
+            runtime.clone(),
+            discovery_address,
+            event_loop.notifications(),
+            self.events_sender.clone(),
+        );
+        let host_connections = event_loop.host_connections();
+        let timers = runtime.clone();
+        let close_expired = async move {
+            loop {
+                timers.sleep(IDLE_CONNECTION_CHECK_INTERVAL).await;
+                host_connections.close_expired();
+            }
+        };
+        vec![
+            runtime.spawn(follow),
+            runtime.spawn(notify),
+            runtime.spawn(close_expired),
+        ]
+    }
+
+    /// Starts the administration API if the operator file asks for it.
+    async fn start_administration(
+        &self,
+        event_loop: &EventLoop<R>,
+    ) -> Result<Option<R::Task>, RelayError> {
+        let operator = Operator::load(&self.runtime, self.operator_file.as_deref())
+            .map_err(|error| RelayError::OperatorFile(error.to_string()))?;
+        let Some(settings) = operator.admin else {
+            return Ok(None);
+        };
+        let tokens = event_loop.admin_tokens();
+        let task = admin::start(&self.runtime, &settings, tokens, self.events_sender.clone())
+            .await
+            .map_err(|error| RelayError::Administration(error.to_string()))?;
+        Ok(Some(task))
+    }
+
+    fn started_event(&self) -> LifecycleEvent {
+        if self.control.state() == LifecycleState::HandingOver {
+            LifecycleEvent::TakenBack
+        } else {
+            LifecycleEvent::Started
+        }
+    }
+
+    fn accept_clients(&self, listener: R::Listener, clients: &Rc<ClientConnections<R>>) {
+        self.runtime.spawn(client_connections::accept_connections(
+            listener,
+            clients.clone(),
+            self.clock.clone(),
+            self.events_sender.clone(),
+            self.inherited_listener.is_some(),
+        ));
+    }
+
+    /// Accepts clients again after a hand-over that failed.
+    fn resume_serving(&self, servers: &Servers<R>, error: &io::Error) -> Result<(), RelayError> {
+        log!(
+            self.runtime,
+            "upgrade: cannot hand over, and serves on: {error}"
+        );
+        if !self.control.handle_event(LifecycleEvent::TakenBack) {
+            return Ok(());
+        }
+        let descriptor = self.inherited_listener.unwrap_or(NO_DESCRIPTOR);
+        let listener = self
+            .runtime
+            .inherited_listener(descriptor)
+            .map_err(|source| listen_error(servers.listen_address, source))?;
+        self.accept_clients(listener, &servers.clients);
+        Ok(())
+    }
+
+    /// Answers the requests that arrived while the process was about to end. Messages that are accepted now are
+    /// delivered by the next process.
+    async fn answer_last_requests(
+        &mut self,
+        event_loop: &mut EventLoop<R>,
+    ) -> Result<(), RelayError> {
+        self.runtime.sleep(FINAL_IO_TIME).await;
+        self.handle_waiting_events(event_loop);
+        event_loop.run_round()?;
+        self.runtime.sleep(FINAL_IO_TIME).await;
+        Ok(())
+    }
+
+    fn handle_waiting_events(&mut self, event_loop: &mut EventLoop<R>) {
+        while let Ok(event) = self.events.try_recv() {
+            event_loop.handle_event(event);
+        }
+    }
+
+    /// Does work that is due, or waits for something to happen.
+    async fn step(
+        &mut self,
+        event_loop: &mut EventLoop<R>,
+        clients: &ClientConnections<R>,
+    ) -> Result<Progress, RelayError> {
+        match self.run_due_work(event_loop, clients)? {
+            DueWork::Done => {}
+            DueWork::Exit => return Ok(Progress::Exit),
+            DueWork::NothingBefore(wake_at) => self.wait(event_loop, wake_at).await?,
+        }
+        Ok(Progress::Continue)
+    }
+
+    /// Does work that is due by time, in order of urgency.
+    fn run_due_work(
+        &self,
+        event_loop: &mut EventLoop<R>,
+        clients: &ClientConnections<R>,
+    ) -> Result<DueWork, RelayError> {
+        let now = self.runtime.now();
+        let soonest = now + MIN_WAIT;
+        let mut wake_at = event_loop.next_round_at();
+        if wake_at <= now {
+            event_loop.run_round()?;
+            return Ok(DueWork::Done);
+        }
+        if event_loop.run_tenant_maintenance() {
+            wake_at = wake_at.min(soonest);
+        }
+        if let Some(due_at) = event_loop.next_undeliverable_run_at() {
+            if due_at <= now && self.control.state() != LifecycleState::Stopping {
+                event_loop.run_undeliverable_service();
+                return Ok(DueWork::Done);
+            }
+            wake_at = wake_at.min(due_at.max(soonest));
+        }
+        if self.should_exit(event_loop, clients) {
+            return Ok(DueWork::Exit);
+        }
+        if let Some(delay) = self.control.publish_stage() {
+            wake_at = wake_at.min(now + delay);
+        }
+        if let Some(due_at) = event_loop.update_host_counts_if_due(now) {
+            wake_at = wake_at.min(due_at.max(soonest));
+        }
+        if let Some(deadline) = event_loop.confirmation_deadline() {
+            if deadline <= now {
+                event_loop.use_unconfirmed_host_list();
+                return Ok(DueWork::Done);
+            }
+            wake_at = wake_at.min(deadline);
+        }
+        if let Some(due_at) = event_loop.check_state_directory_if_due(now) {
+            wake_at = wake_at.min(due_at.max(soonest));
+        }
+        Ok(DueWork::NothingBefore(wake_at))
+    }
+
+    /// Whether the process ends now. Messages in flight may be sent until the last call has to end, so that a restart
+    /// costs them no attempt.
+    fn should_exit(&self, event_loop: &EventLoop<R>, clients: &ClientConnections<R>) -> bool {
+        let is_idle = || event_loop.is_idle() && clients.count() == 0 && self.events.is_empty();
+        self.control.should_exit(clients.is_accepting(), is_idle)
+    }
+
+    /// Waits for a signal, an event, a change of the lifecycle or the given moment.
+    async fn wait(
+        &mut self,
+        event_loop: &mut EventLoop<R>,
+        wake_at: Instant,
+    ) -> Result<(), RelayError> {
+        tokio::select! {
+            biased;
+            signal = self.signals.next() => match signal {
+                Signal::Stop => event_loop.begin_shutdown(),
+                Signal::Reload => event_loop.reload()?,
+            },
+            Some(event) = self.events.recv() => {
+                event_loop.handle_event(event);
+                // Events that came together go into one round, which must not be put off for ever.
+                for _ in 0..EVENT_QUEUE_CAPACITY {
+                    let Ok(event) = self.events.try_recv() else { break };
+                    event_loop.handle_event(event);
+                }
+            }
+            () = self.control.state_changed() => {}
+            () = self.runtime.sleep_until(wake_at) => {}
+        }
+        Ok(())
+    }
+}
+
+/// Ends all that served, except the open calls. The directory is released last: no file in it is open then.
+fn retire<R: Runtime>(
+    event_loop: EventLoop<R>,
+    mut departing: DepartingProcess<R>,
+    servers: Servers<R>,
+) -> Served<R> {
+    servers.tasks.iter().for_each(Task::abort);
+    event_loop.retire(&mut departing);
+    departing.release_directory();
+    Served::HandedOver {
+        departing,
+        clients: servers.clients,
+    }
+}
+
+fn listen_error(address: SocketAddr, source: io::Error) -> RelayError {
+    RelayError::ListenForClients { address, source }
+}
--- a/crates/relay/tests/scene/stepped.rs
+++ b/crates/relay/tests/scene/stepped.rs
@@ -83,7 +83,7 @@
                 tokio::select! {
                     biased;
                     Ok(()) = killed => None,
-                    ended = relay::run(stepped, None) => Some(ended),
+                    ended = relay::run(stepped, None) => Some(ended.map_err(|error| error.to_string())),
                 }
             })
         });
--- a/crates/simulator/src/demo.rs
+++ b/crates/simulator/src/demo.rs
@@ -26,7 +26,10 @@
 
 /// The relay itself, in a process of its own.
 pub fn relay() -> Result<(), String> {
-    block_on(relay::run(OsRuntime, None))
+    block_on(async {
+        let ended = relay::run(OsRuntime, None).await;
+        ended.map_err(|error| error.to_string())
+    })
 }
 
 /// Plays the demo. False if a rule was broken.
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -516,7 +516,10 @@
         let beyond =
             self.script.hosted.is_some() || self.script.kept.is_some() || self.script.levels;
         let operator = beyond.then(|| OPERATOR.into());
-        let run = |runtime| relay::run(runtime, operator);
+        let run = |runtime| async {
+            let ended = relay::run(runtime, operator).await;
+            ended.map_err(|error| error.to_string())
+        };
         let process = self.machine.process(relay, self.options.lie, run);
         if self.script.upgrades {
             self.machine
