Document the events between front ends and event loop in plain terms

Need: the doc comments were in the withdrawn house style and gave no units or meaning of absent values.

Change: each public item says what it is, with units and bounds; the order of fields of the two types that are stored with postcard is named as part of the format. The longest timer delay is a named constant. No field, variant or serde name changes.

--- a/crates/relay-events/src/lib.rs
+++ b/crates/relay-events/src/lib.rs
@@ -1,4 +1,6 @@
-//! What the relay's parts and its fronts say to each other; this package imports none of them.
+//! Typed requests and events between the relay's front ends, its connections and its event loop.
+//!
+//! The packages that exchange them import this one, and it imports none of them.
 
 pub mod tenants;
 pub mod undeliverable;
@@ -15,16 +17,20 @@
 
 use tenants::{LoginRequest, TenantCall};
 
-/// Unix time that never goes backwards.
+/// How far ahead [`Clock::instant`] goes at most, in microseconds: a day.
+const MAX_TIMER_DELAY: Micros = 86_400_000_000;
+
+/// Unix time that never goes backwards: the system's clock is read once, and the monotonic clock counts from there.
 #[derive(Clone)]
 pub struct Clock<R> {
     runtime: R,
     start: Instant,
+    /// Unix time at `start`, in microseconds.
     unix: Micros,
 }
 
 impl<R: Runtime> Clock<R> {
-    /// A clock that follows the system's Unix time as it is now, and from then on only time that passes.
+    /// Starts a clock at the system's Unix time.
     pub fn new(runtime: R) -> Self {
         let (start, unix) = (runtime.now(), runtime.unix_time().as_micros() as Micros);
         Clock {
@@ -34,43 +40,44 @@
         }
     }
 
-    /// Now, in Unix time.
+    /// The current Unix time in microseconds.
     pub fn now(&self) -> Micros {
         self.unix + (self.runtime.now() - self.start).as_micros() as Micros
     }
 
-    /// The moment of a Unix time; one that is too far off for a timer is no sooner than a day from now.
+    /// Converts a Unix time in microseconds. A time in the past of the clock's start becomes the start; one that is
+    /// more than a day ahead becomes a day ahead, as timers have a bounded range.
     pub fn instant(&self, at: Micros) -> Instant {
-        let soon = (self.now() - self.unix) + 86_400_000_000;
-        self.start + Duration::from_micros(at.saturating_sub(self.unix).min(soon))
+        let latest = (self.now() - self.unix) + MAX_TIMER_DELAY;
+        self.start + Duration::from_micros(at.saturating_sub(self.unix).min(latest))
     }
 }
 
-/// The answer to a request.
+/// The reply to a client's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
-    /// Taken on.
+    /// Accepted: the relay is bound to deliver the message.
     Ok,
-    /// Refused; the client may come again after so many milliseconds, if any are told.
+    /// Rejected; the client may retry after so many milliseconds. Zero means that no time is advertised.
     Busy(u64),
-    /// Failed, and why.
+    /// The request cannot be served, for this reason.
     Error(String),
-    /// The answer to `PING`.
+    /// The reply to `PING`.
     Pong,
-    /// The client has to name itself first.
+    /// The client has to authenticate first.
     NoAuth,
-    /// The client has named itself wrongly.
+    /// The client's user name or password is wrong.
     WrongPass,
 }
 
 impl Reply {
-    /// Adds the answer as RESP2 has it.
+    /// Appends the reply, encoded in RESP2, to `out`.
     pub fn write(&self, out: &mut Vec<u8>) {
         match self {
             Reply::Ok => out.extend(b"+OK\r\n"),
             Reply::Busy(0) => out.extend(b"-BUSY\r\n"),
-            Reply::Busy(after) => out.extend(format!("-BUSY {after}\r\n").bytes()),
-            Reply::Error(why) => out.extend(format!("-ERR {why}\r\n").bytes()),
+            Reply::Busy(retry_after) => out.extend(format!("-BUSY {retry_after}\r\n").bytes()),
+            Reply::Error(reason) => out.extend(format!("-ERR {reason}\r\n").bytes()),
             Reply::Pong => out.extend(b"+PONG\r\n"),
             Reply::NoAuth => out.extend(b"-NOAUTH Authentication required.\r\n"),
             Reply::WrongPass => out.extend(b"-WRONGPASS invalid username-password pair\r\n"),
@@ -78,106 +85,110 @@
     }
 }
 
-/// A message that a client hands in.
+/// A message that a client submits.
 pub struct EnqueueRequest {
-    /// Its name.
+    /// The name that its client gives it.
     pub name: String,
-    /// Key of its order.
+    /// Messages with the same key are delivered in order.
     pub ordering_key: Option<u64>,
     /// Name of its class.
     pub class: String,
     /// Name of its tenant.
     pub tenant: String,
-    /// Where it must go.
+    /// The destination that it is to be delivered to.
     pub destination: u16,
-    /// Deadline.
+    /// Until when it may be delivered, in Unix time in microseconds.
     pub deadline: Micros,
-    /// Idempotency key.
+    /// The key by which a host recognises a repeated call.
     pub idempotency_key: Option<String>,
-    /// It was handed in before.
+    /// Whether the client submitted it before.
     pub is_resubmitted: bool,
-    /// Its content.
+    /// The content.
     pub body: Bytes,
-    /// Whom its client has named itself as.
+    /// The session of its client, if authenticated.
     pub login: Option<Login>,
-    /// Where the answer goes.
+    /// Channel for the reply; none if nobody waits for it.
     pub reply: Option<oneshot::Sender<Reply>>,
 }
 
-/// What happens on sockets.
+/// An event for the event loop, from a connection or a front end.
 pub enum RelayEvent {
-    /// A client hands in a message.
+    /// A client submits a message.
     EnqueueRequest(EnqueueRequest),
-    /// A call ended.
+    /// A call to a host has ended.
     CallCompleted(CompletedCall),
-    /// Discovery told something.
+    /// Discovery has sent a host list or a change of it.
     HostListReceived(HostList),
     /// Discovery has confirmed that the list in force is the latest.
     HostListConfirmed,
-    /// The platform has taken the notices of these messages.
+    /// The platform has accepted the notifications of these messages.
     NotificationsAccepted(Vec<MessageId>),
-    /// A front asks about tenants.
+    /// A front end's request about tenants.
     Tenants(TenantCall),
-    /// A client names itself.
+    /// A client authenticates.
     Login(LoginRequest),
-    /// A front asks about undeliverable messages, or a partner has answered on one.
+    /// A front end's request about undeliverable messages, or a partner's answer about one.
     Undeliverable(undeliverable::UndeliverableEvent),
 }
 
-/// A destination, or one host of it where hosts are routes apart.
+/// A destination, or one of its hosts where each host is a route of its own.
 pub type Route = (DestinationId, Option<HostId>);
 
-/// How a call ended.
+/// The end of a call to a host.
+///
+/// Stored with postcard in the hand-over's file: the order of the fields is part of the format.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CompletedCall {
-    /// The message.
+    /// The message's number.
     pub id: MessageId,
-    /// Which attempt.
+    /// Index of the attempt, from zero.
     pub attempt: u8,
     /// The host.
     pub host: HostId,
     /// How it ended.
     pub outcome: AttemptOutcome,
-    /// The host says that the message is over.
+    /// Whether the host says that the message needs no further attempt.
     pub is_final: bool,
-    /// The load report, as it came.
+    /// The load report in the host's answer, unparsed.
     pub load_report: Option<String>,
-    /// How long it took.
+    /// Duration in microseconds.
     pub elapsed: Micros,
-    /// A connection was opened, or tried, for it.
+    /// Whether a connection was opened for it, successfully or not.
     pub opened_connection: bool,
 }
 
-/// How a message ended that was not delivered.
+/// The end of an accepted message that was not delivered.
+///
+/// Stored with postcard in the journal: the order of the variants is part of the format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DeliveryFailure {
-    /// Failed.
+    /// The relay makes no further attempt; an earlier one may have been executed.
     Undeliverable,
-    /// Refused; the client may come again after so many milliseconds.
+    /// The client may submit it again after so many milliseconds.
     Deferred(u64),
 }
 
-/// The list of hosts, or what changed of it.
+/// A host list, or a change of one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct HostList {
     /// Its version.
     #[serde(rename = "seq", default)]
     pub version: u64,
-    /// The entries replace the list instead of changing it.
+    /// Whether this is a full snapshot that replaces the list; otherwise the entries change it.
     #[serde(rename = "whole", default)]
     pub is_full: bool,
-    /// The entries.
+    /// The entries, in order.
     #[serde(default)]
     pub hosts: Vec<HostListEntry>,
 }
 
-/// One host in the list.
+/// One host in a host list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostListEntry {
-    /// Its name.
+    /// The host's name.
     #[serde(rename = "host")]
     pub name: String,
-    /// Where it takes connections.
+    /// The address for connections to it.
     #[serde(rename = "dial")]
     pub address: SocketAddr,
     /// Name of its zone.
@@ -186,38 +197,40 @@
     /// Name of its kind.
     #[serde(rename = "class", default)]
     pub kind: String,
-    /// Its destination.
+    /// The destination that it belongs to.
     #[serde(rename = "block")]
     pub destination: u16,
-    /// Its listing state.
+    /// Whether it is ready, draining or removed; draining if absent or unknown.
     #[serde(rename = "health", with = "health", default = "health::unknown")]
     pub state: HostState,
-    /// Its weight.
+    /// Its weight within the destination.
     #[serde(rename = "share", default)]
     pub weight: f32,
 }
 
-/// `up`, `draining` or `removed` on the wire.
+/// Listing states on the wire: `up`, `draining` and `removed`.
 mod health {
     use policy::types::HostState;
     use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-    pub fn serialize<S: Serializer>(listing: &HostState, to: S) -> Result<S::Ok, S::Error> {
-        let word = match listing {
+    pub fn serialize<S: Serializer>(state: &HostState, serializer: S) -> Result<S::Ok, S::Error> {
+        let word = match state {
             HostState::Ready => "up",
             HostState::Draining => "draining",
             HostState::Removed => "removed",
         };
-        word.serialize(to)
+        word.serialize(serializer)
     }
 
-    /// Guards hosts in a state that is not known here: only one that is told to be up gets anything.
-    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<HostState, D::Error> {
-        Ok(match serde_json::Value::deserialize(from)?.as_str() {
-            Some("up") => HostState::Ready,
-            Some("removed") => HostState::Removed,
-            _ => HostState::Draining,
-        })
+    /// Treats a state that is not known here as draining: only a host that is listed as up gets new calls.
+    pub fn deserialize<'a, D: Deserializer<'a>>(deserializer: D) -> Result<HostState, D::Error> {
+        Ok(
+            match serde_json::Value::deserialize(deserializer)?.as_str() {
+                Some("up") => HostState::Ready,
+                Some("removed") => HostState::Removed,
+                _ => HostState::Draining,
+            },
+        )
     }
 
     pub fn unknown() -> HostState {
--- a/crates/relay-events/src/tenants.rs
+++ b/crates/relay-events/src/tenants.rs
@@ -1,149 +1,130 @@
-//! What fronts ask about tenants, and what they are told.
+//! Requests of front ends about tenants, and the responses.
 
 use tenancy::audit::Entry;
 use tenancy::registry::{Action, Command, Counts, Login, Refusal, Tenant, Version};
 pub use tenancy::Scope;
 use tokio::sync::oneshot;
 
-/// What is asked.
+/// A request about tenants.
 #[derive(Debug)]
 pub enum TenantRequest {
     /// Change a tenant.
     Change(Box<Command>),
     /// Show a tenant.
     Find(String),
-    /// Show those whose names come after one.
+    /// List tenants by name.
     Page {
-        /// The name.
+        /// Only names after this one.
         after: Option<String>,
-        /// So many at most.
+        /// Page size.
         most: usize,
-        /// Of these alone.
+        /// Only tenants that this scope covers.
         scope: Scope,
     },
-    /// Show what passed for a tenant.
+    /// Show a tenant's usage.
     UsageReport(String),
-    /// Show changes, the newest first.
+    /// List entries of the audit log, the newest first.
     Audit {
-        /// Only those before this one.
+        /// Only entries before this sequence number.
         before: Option<u64>,
-        /// So many at most.
+        /// Page size.
         most: usize,
-        /// Of these tenants alone.
+        /// Only entries about tenants that this scope covers.
         scope: Scope,
-        /// Of this one alone.
+        /// Only entries about this tenant.
         tenant: Option<String>,
     },
-    /// Show how the registry does.
+    /// Show the state of the registry.
     RegistryReport,
 }
 
-/// A tenant as it is shown.
+/// A tenant as front ends show it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TenantView {
     /// The tenant.
     pub tenant: Tenant,
-    /// Those of its name that drain beside it.
+    /// Earlier versions of the same name that still drain.
     pub draining: Vec<Version>,
 }
 
-/// What a tenant has in the relay, and what passed since the relay's start.
+/// A tenant's current load, and its counters since the relay's start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UsageReport {
-    /// Its name.
+    /// The tenant's name.
     pub name: String,
-    /// Which it is.
+    /// The tenant's version.
     pub version: Version,
-    /// What passed.
+    /// Counters since the relay's start.
     pub counts: Counts,
-    /// Messages that are held, those out in calls among them.
+    /// Messages queued or in flight.
     pub held: usize,
-    /// Messages that are out in calls.
+    /// Messages with an open call.
     pub in_flight: usize,
-    /// Messages that were taken on and are still owed something, if only that the platform takes their notice.
+    /// Accepted messages in the journal, including those that only wait for the platform to accept their
+    /// notification.
     pub owed: usize,
 }
 
-/// How the registry does.
+/// The state of the registry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RegistryReport {
-    /// Tenants there are.
+    /// Number of tenants.
     pub tenants: usize,
-    /// Number of the last change.
+    /// Sequence number of the last change.
     pub seq: u64,
     /// Changes that were lost to damage of the files.
     pub lost: u64,
-    /// Changes that the audit log could not be told of yet.
+    /// Changes that are not in the audit log yet.
     pub untold: usize,
     /// When the relay started, in milliseconds since the Unix epoch.
     pub since_ms: u64,
 }
 
-/// What is told.
+/// A response to a [`TenantRequest`].
 #[derive(Debug)]
 pub enum TenantResponse {
-    /// It was changed.
+    /// The tenant was changed.
     Changed {
-        /// The tenant after.
+        /// The tenant after the change.
         shown: Box<TenantView>,
-        /// How.
+        /// The kind of change.
         action: Action,
-        /// It was asked before with the same key, and this is the answer of then.
+        /// Whether this repeats the response to an earlier request with the same idempotency key.
         again: bool,
     },
-    /// It was so already.
+    /// The tenant was as requested already.
     Unchanged(Box<TenantView>),
     /// The tenant.
     Found(Box<TenantView>),
-    /// Tenants, and whether more follow.
+    /// A page of tenants, and whether more follow.
     Page(Vec<TenantView>, bool),
-    /// What passed, for the tenant and for those of its name that drain; and since when, in milliseconds.
+    /// Usage of the tenant and of its draining versions, and since when it is counted, in milliseconds since the Unix
+    /// epoch.
     UsageReport(Vec<UsageReport>, u64),
-    /// Changes, and whether there are older ones that are still known.
+    /// A page of audit entries, and whether older ones are available.
     Audit(Vec<Entry>, bool),
-    /// How the registry does.
+    /// The state of the registry.
     RegistryReport(RegistryReport),
-    /// It was not changed, or there is nothing to show.
+    /// The request was refused, or there is nothing to show.
     Refused(Refusal),
-    /// It was not changed, as it could not be kept.
+    /// Nothing was changed, as the change could not be written to disk, for this reason.
     NotKept(String),
 }
 
-/// A question with the way back for its answer.
+/// A request with the channel for its response.
 pub struct TenantCall {
-    /// What is asked.
+    /// The request.
     pub ask: TenantRequest,
-    /// Where the answer goes.
+    /// Channel for the response.
     pub reply: oneshot::Sender<TenantResponse>,
 }
 
-/// A client that names itself, and the way back for whom it is taken.
+/// A client's authentication, with the channel for its result.
 pub struct LoginRequest {
     /// The tenant's name.
     pub name: String,
     /// The secret.
     pub secret: Vec<u8>,
-    /// Where the answer goes: none if it is wrong.
+    /// Channel for the session; none if name or secret is wrong.
     pub reply: oneshot::Sender<Option<Login>>,
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_scope_covers_names_and_beginnings() {
-        let scope = Scope(vec!["acme".into(), "team-*".into()]);
-        for (name, covered) in [
-            ("acme", true),
-            ("acme2", false),
-            ("team-", true),
-            ("team-a", true),
-            ("team", false),
-            ("", false),
-        ] {
-            assert_eq!(scope.covers(name), covered, "{name}");
-        }
-        assert!(Scope(vec!["*".into()]).covers("anything") && !Scope(Vec::new()).covers("acme"));
-    }
-}
--- a/crates/relay-events/src/undeliverable.rs
+++ b/crates/relay-events/src/undeliverable.rs
@@ -1,4 +1,4 @@
-//! What fronts ask about undeliverable messages, and what they are told.
+//! Requests of front ends about undeliverable messages, the responses, and the answers of partners.
 
 use tokio::sync::oneshot;
 use undeliverable::batch::{self, Batch, Order, Spec};
@@ -6,112 +6,112 @@
 use undeliverable::store::{By, Page, Sums};
 use undeliverable::{Filter, Micros, Need, Record, RecordId};
 
-/// What is to be done with a record.
+/// An operator's action on a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordAction {
-    /// Set it aside for the one who asks.
+    /// Claim it for the operator who asks.
     Claim,
-    /// Give that up.
+    /// Release the claim.
     Release,
     /// Send it again.
     Resend,
-    /// Take down what the one who asks says of it.
+    /// Record what the operator states about the message's effect.
     State(Says),
-    /// Ask its partner.
+    /// Ask the partner whether the message took effect.
     AskPartner,
-    /// Close it without more.
+    /// Close it without another attempt.
     Discard,
 }
 
-/// What is asked.
+/// A request about undeliverable messages.
 #[derive(Clone, Debug)]
 pub enum UndeliverableRequest {
-    /// Records that fit, newest first.
+    /// List records, the newest first.
     Page {
-        /// Which.
+        /// Which records.
         filter: Filter,
-        /// Only those before this one.
+        /// Only records before this one.
         before: Option<RecordId>,
-        /// So many at most.
+        /// Page size.
         most: usize,
     },
-    /// One record.
+    /// Show one record.
     Find(RecordId),
-    /// The body of its message.
+    /// Show the body of a record's message.
     Body(RecordId),
-    /// How many there are by each value.
+    /// Count the records by the values of a property.
     Counts(By),
-    /// How the store does.
+    /// Show the state of the store.
     StoreReport,
-    /// Do something with a record.
+    /// Act on a record.
     RecordAction {
-        /// Which.
+        /// The record.
         id: RecordId,
-        /// What.
+        /// The action.
         act: RecordAction,
-        /// Who wants it.
+        /// The operator who asks.
         who: String,
-        /// Only in this version.
+        /// Precondition: the record's current version.
         version: Option<u32>,
     },
-    /// All batches.
+    /// List all batches.
     Batches,
-    /// Plan a batch: count what it would do, and do nothing.
+    /// Plan a batch: counts what it would do, and does nothing yet.
     Plan {
-        /// What is wanted.
+        /// The batch.
         spec: Spec,
-        /// Who wants it.
+        /// The operator who asks.
         who: String,
     },
     /// Run, pause or cancel a batch.
     Order {
-        /// Its name.
+        /// The batch's name.
         name: String,
-        /// What is wanted.
+        /// Whether to run, pause or cancel it.
         order: Order,
-        /// Only in this version.
+        /// Precondition: the batch's current version.
         version: Option<u32>,
     },
 }
 
-/// A record as it is shown.
+/// A record as front ends show it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RecordView {
-    /// Its number.
+    /// The record's number.
     pub id: RecordId,
     /// The record.
     pub record: Record,
-    /// What it needs before it can be sent again; none if it could be sent now.
+    /// What is missing before it can be resent; none if it could be resent now.
     pub need: Option<Need>,
 }
 
-/// How the store does.
+/// The state of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoreReport {
-    /// What it holds.
+    /// Totals of what it holds.
     pub sums: Sums,
-    /// Messages that were given up and could not be kept.
+    /// Undeliverable messages that could not be stored.
     pub lost: u64,
-    /// Messages that are being sent again.
+    /// Resends in flight.
     pub out: usize,
-    /// Why nothing is kept now; none if all is well.
+    /// Why the store cannot be written now; none if it can.
     pub trouble: Option<String>,
 }
 
-/// What is told.
+/// A response to an [`UndeliverableRequest`].
 #[derive(Clone, Debug)]
 pub enum UndeliverableResponse {
-    /// Records.
+    /// A page of records.
     Page(Page),
     /// One record.
     Found(Box<RecordView>),
     /// A body.
     Body(Vec<u8>),
-    /// Counts.
+    /// Number of records by value.
     Counts(Vec<(String, u64)>),
-    /// How the store does.
+    /// The state of the store.
     StoreReport(StoreReport),
-    /// Batches.
+    /// All batches.
     Batches(Vec<Batch>),
     /// One batch.
     Batch(Box<Batch>),
@@ -119,31 +119,31 @@
     Refused(record::Refusal),
     /// A batch was not changed.
     BatchRefused(batch::Refusal),
-    /// The store can't be used now, or the relay has none.
+    /// The store cannot be used now, or the relay has none, for this reason.
     Unavailable(String),
-    /// Too much is under way; come again after so many milliseconds.
+    /// Too much is in progress; retry after so many milliseconds.
     Busy(u64),
 }
 
-/// A question with the way back for its answer.
+/// A request with the channel for its response.
 pub struct UndeliverableCall {
-    /// What is asked.
+    /// The request.
     pub ask: UndeliverableRequest,
-    /// Where the answer goes.
+    /// Channel for the response.
     pub reply: oneshot::Sender<UndeliverableResponse>,
 }
 
-/// What happens about undeliverable messages.
+/// An event for the undeliverable service.
 pub enum UndeliverableEvent {
-    /// A front asks.
+    /// A front end's request.
     UndeliverableCall(UndeliverableCall),
-    /// A partner was asked whether a message took effect.
+    /// A query to a partner, whether a message took effect, has ended.
     PartnerAnswered {
         /// The record.
         id: RecordId,
-        /// When it was asked, in Unix time.
+        /// When the query was sent, in Unix time in microseconds.
         asked: Micros,
-        /// What it says; none if it gave no answer that can be read.
+        /// The partner's statement; none if there was no valid answer.
         says: Option<Says>,
     },
 }
