--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -28,7 +28,7 @@
 use crate::in_flight::InFlightMessages;
 use crate::journal::Journal;
 use crate::operator_config::Operator;
-use crate::state_directory::{DepartingProcess, DirectoryOwner, StateDirectory};
+use crate::state_directory::{DepartingProcess, DirectoryOwner, ListenerOrigin, StateDirectory};
 use crate::tenant_service::Tenants;
 use crate::undeliverable_service::UndeliverableService;
 
@@ -88,10 +88,14 @@
     let folder = StateDirectory::new(&process.runtime, &config.state);
     // Guards an upgrade that is called off: told to stop while it waits, this process takes nothing over, and the other one
     // serves on.
+    let listener = match inherited {
+        Some(_) => ListenerOrigin::Inherited,
+        None => ListenerOrigin::Bound,
+    };
     let mut office = tokio::select! {
         biased;
         () = stopped(&mut process.signals) => return Ok(()),
-        office = folder.acquire(inherited.is_some()) => office?,
+        office = folder.acquire(listener) => office.map_err(|error| error.to_string())?,
     };
     loop {
         let Some((arm, clients)) = process.serve(office).await? else {
--- /dev/null
+++ b/crates/relay/src/state_directory/handover_state.rs
@@ -0,0 +1,97 @@
+//! The hand-over snapshot: what a process leaves to its successor beside the journal.
+
+#[cfg(test)]
+mod tests;
+
+use std::io;
+
+use policy::types::{HostId, MessageId, Micros};
+use policy::HandoverSnapshot;
+use serde::{Deserialize, Serialize};
+
+use crate::journal::{decode, encode, LONGEST};
+
+/// The share of the disk limit that the snapshot may take; the rest is the journal's.
+const MAX_DISK_SHARE: f64 = 0.05;
+/// Version of the stored format.
+const FORMAT_VERSION: u16 = 1;
+
+/// What goes to the successor beside the journal. Postcard stores the fields by position.
+#[derive(Serialize, Deserialize)]
+pub struct HandoverState {
+    format_version: u16,
+    /// Whether an operator has drained the relay.
+    pub is_drained: bool,
+    /// Open calls: the message, the attempt's number and the host.
+    pub open_calls: Vec<(MessageId, u8, HostId)>,
+    /// The numbers of hosts, by name.
+    pub host_numbers: Vec<(String, HostId)>,
+    /// Names of messages that were completed lately, the latest first.
+    pub completed: Vec<String>,
+    /// What the delivery policy knows of routes and turns.
+    pub policy: HandoverSnapshot,
+    /// Until when tenants have used their rates. Stored as a record of its own behind the snapshot, which older versions
+    /// do not read.
+    #[serde(skip)]
+    pub used_rates: Vec<(String, Micros)>,
+}
+
+impl HandoverState {
+    /// The state of a process that hands over, as yet without host numbers, completed messages and used rates.
+    pub fn new(
+        is_drained: bool,
+        open_calls: Vec<(MessageId, u8, HostId)>,
+        policy: HandoverSnapshot,
+    ) -> Self {
+        HandoverState {
+            format_version: FORMAT_VERSION,
+            is_drained,
+            open_calls,
+            host_numbers: Vec::new(),
+            completed: Vec::new(),
+            policy,
+            used_rates: Vec::new(),
+        }
+    }
+
+    /// Reads a stored snapshot; `None` where it is torn or of another version. Unreadable rates are left out.
+    pub(super) fn read(bytes: &[u8]) -> Option<Self> {
+        let (state, size) = decode::<HandoverState>(bytes).ok().flatten()?;
+        if state.format_version != FORMAT_VERSION {
+            return None;
+        }
+        let used_rates = decode(&bytes[size..]).ok().flatten();
+        Some(HandoverState {
+            used_rates: used_rates.map(|(rates, _)| rates).unwrap_or_default(),
+            ..state
+        })
+    }
+
+    /// The bytes to store, within the bound that follows from the disk limit in bytes. Names of completed messages and
+    /// used rates are left out where they do not fit.
+    ///
+    /// # Errors
+    /// `StorageFull` if the snapshot does not fit even without them.
+    pub(super) fn encode_bounded(&mut self, disk_limit: u64) -> io::Result<Vec<u8>> {
+        let limit = ((disk_limit as f64 * MAX_DISK_SHARE) as usize).min(LONGEST);
+        let mut bytes = encode(&*self)?;
+        while bytes.len() > limit && !self.completed.is_empty() {
+            self.completed.truncate(self.completed.len() / 2);
+            bytes = encode(&*self)?;
+        }
+        if bytes.len() > limit {
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "there is too much to hand over",
+            ));
+        }
+        let mut used_rates = &self.used_rates[..];
+        while bytes.len() + encode(&used_rates)?.len() > limit && !used_rates.is_empty() {
+            used_rates = &used_rates[..used_rates.len() / 2];
+        }
+        if !used_rates.is_empty() {
+            bytes.extend(encode(&used_rates)?);
+        }
+        Ok(bytes)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/state_directory/mod.rs
@@ -0,0 +1,24 @@
+//! Ownership of the state directory, and its hand-over from one process to the next.
+//!
+//! Exactly one process owns the directory: the one that holds the lock on `owner.lock`. `docs/daily.md` describes the
+//! protocol step by step. The modules divide it as follows:
+//!
+//! - [`ownership`] decides who owns the directory and what comes next; it performs no I/O.
+//! - [`directory`] names the files and performs single operations on them; it decides nothing.
+//! - [`handover_state`] is the snapshot that the owner leaves to its successor.
+//! - [`call_ends`] is the channel by which the departing process reports how its last calls ended.
+//! - [`owner`] and [`departing_process`] are the shells that carry out the actions of [`ownership`].
+
+mod call_ends;
+mod departing_process;
+mod directory;
+mod error;
+mod handover_state;
+mod owner;
+mod ownership;
+
+pub use departing_process::{Calls, DepartingProcess};
+pub use directory::StateDirectory;
+pub use handover_state::HandoverState;
+pub use owner::DirectoryOwner;
+pub use ownership::ListenerOrigin;
--- /dev/null
+++ b/crates/relay/src/state_directory/owner.rs
@@ -0,0 +1,295 @@
+//! The process that owns the state directory, or is about to: it carries out the actions of [`Ownership`] on files.
+
+use std::io;
+use std::time::Instant;
+
+use relay_events::CompletedCall;
+use runtime::{log, Runtime};
+
+use super::call_ends::{CallEndsReader, OpenCalls};
+use super::departing_process::DepartingProcess;
+use super::directory::{
+    StateDirectory, CALL_ENDS, DEPARTING_LOCK, HANDOVER_REQUEST, HANDOVER_STATE,
+    HANDOVER_STATE_TEMPORARY, OWNER_LOCK, SUCCESSOR_LOCK,
+};
+use super::error::OwnershipError;
+use super::handover_state::HandoverState;
+use super::ownership::{
+    ListenerOrigin, Ownership, OwnershipAction, OwnershipEvent, HANDOVER_POLL_INTERVAL,
+};
+
+impl<R: Runtime> StateDirectory<R> {
+    /// Becomes the owner: at once, or once another process hands over. Only a process with an inherited listening
+    /// socket requests a hand-over, and it waits for that without limit.
+    ///
+    /// # Errors
+    /// The directory cannot be locked, another process keeps it, or a third one is about to take over.
+    pub async fn acquire(
+        self,
+        listener: ListenerOrigin,
+    ) -> Result<DirectoryOwner<R>, OwnershipError> {
+        let mut ownership = Ownership::new(listener, self.runtime.now());
+        let mut event = OwnershipEvent::Started;
+        let (mut owner_lock, mut successor_lock) = (None, None);
+        loop {
+            event = match ownership.handle(event, self.runtime.now()) {
+                OwnershipAction::LockOwner => {
+                    owner_lock = self.try_lock(OWNER_LOCK)?;
+                    match owner_lock {
+                        Some(_) => OwnershipEvent::OwnerLockTaken,
+                        None => OwnershipEvent::OwnerLockHeld,
+                    }
+                }
+                OwnershipAction::LockSuccessor => {
+                    successor_lock = self.try_lock(SUCCESSOR_LOCK)?;
+                    self.successor_lock_event(successor_lock.is_some())
+                }
+                OwnershipAction::WriteRequest => {
+                    self.write_request();
+                    OwnershipEvent::RequestWritten
+                }
+                OwnershipAction::Wait => {
+                    self.runtime.sleep(HANDOVER_POLL_INTERVAL).await;
+                    OwnershipEvent::WaitElapsed
+                }
+                OwnershipAction::FailInUse => {
+                    return Err(OwnershipError::InUse {
+                        directory: self.path,
+                    })
+                }
+                OwnershipAction::FailSuccessorExists => {
+                    return Err(OwnershipError::SuccessorExists)
+                }
+                _ => break,
+            };
+        }
+        Ok(DirectoryOwner::new(
+            self,
+            ownership,
+            owner_lock,
+            successor_lock,
+        ))
+    }
+
+    fn try_lock(&self, name: &str) -> Result<Option<R::Lock>, OwnershipError> {
+        self.lock(name).map_err(|source| OwnershipError::Unusable {
+            directory: self.path.clone(),
+            source,
+        })
+    }
+
+    fn successor_lock_event(&self, is_taken: bool) -> OwnershipEvent {
+        if !is_taken {
+            return OwnershipEvent::SuccessorLockHeld;
+        }
+        log!(
+            self.runtime,
+            "upgrade: another process serves; it is asked to hand over"
+        );
+        OwnershipEvent::SuccessorLockTaken
+    }
+
+    /// A request that cannot be written now is written at the next look.
+    fn write_request(&self) {
+        if !self.exists(HANDOVER_REQUEST) {
+            drop(self.runtime.write(&self.file(HANDOVER_REQUEST), b""));
+        }
+    }
+}
+
+/// The right to use the state directory. Dropping it releases the locks.
+pub struct DirectoryOwner<R: Runtime> {
+    directory: StateDirectory<R>,
+    ownership: Ownership,
+    /// Given away with the directory.
+    owner_lock: Option<R::Lock>,
+    /// Held while the previous owner may still run.
+    successor_lock: Option<R::Lock>,
+    call_ends: CallEndsReader,
+    /// What this process kept of its calls when it reclaimed the directory after a hand-over.
+    departing: Option<DepartingProcess<R>>,
+}
+
+impl<R: Runtime> DirectoryOwner<R> {
+    fn new(
+        directory: StateDirectory<R>,
+        ownership: Ownership,
+        owner_lock: Option<R::Lock>,
+        successor_lock: Option<R::Lock>,
+    ) -> Self {
+        DirectoryOwner {
+            directory,
+            ownership,
+            owner_lock,
+            successor_lock,
+            call_ends: CallEndsReader::default(),
+            departing: None,
+        }
+    }
+
+    /// The owner that a departing process becomes again once its successor is gone.
+    pub(super) fn reclaimed(
+        departing: DepartingProcess<R>,
+        ownership: Ownership,
+        owner_lock: R::Lock,
+    ) -> Self {
+        let directory = departing.directory().clone();
+        let owner = DirectoryOwner::new(directory, ownership, Some(owner_lock), None);
+        DirectoryOwner {
+            departing: Some(departing),
+            ..owner
+        }
+    }
+
+    fn handle(&mut self, event: OwnershipEvent) -> OwnershipAction {
+        self.ownership.handle(event, self.directory.runtime.now())
+    }
+
+    /// Whether this process took over from one that was running.
+    pub fn took_over(&self) -> bool {
+        self.ownership.took_over()
+    }
+
+    /// The snapshot that the previous owner left, if any. Without a readable one this waits until the previous owner has
+    /// ended, as its open calls are unknown.
+    pub async fn read_handover(&mut self) -> Option<HandoverState> {
+        let runtime = self.directory.runtime.clone();
+        let bytes = runtime.read(&self.directory.file(HANDOVER_STATE));
+        if let Some(state) = bytes.ok().and_then(|bytes| HandoverState::read(&bytes)) {
+            self.call_ends = CallEndsReader::new(OpenCalls::new(&state.open_calls));
+            self.handle(OwnershipEvent::SnapshotRead);
+            return Some(state);
+        }
+        let mut event = OwnershipEvent::SnapshotMissing;
+        loop {
+            event = match self.handle(event) {
+                OwnershipAction::ProbePredecessor => self.probe_predecessor(),
+                OwnershipAction::Wait => {
+                    runtime.sleep(HANDOVER_POLL_INTERVAL).await;
+                    OwnershipEvent::WaitElapsed
+                }
+                OwnershipAction::CleanUp => self.remove_handover_files(),
+                _ => return None,
+            };
+        }
+    }
+
+    /// Removes the request by which this process got the directory; called once it accepts clients.
+    pub fn withdraw_request(&self) {
+        self.directory.remove(HANDOVER_REQUEST);
+    }
+
+    /// When to look at the directory next.
+    pub fn next_check_at(&self) -> Option<Instant> {
+        self.ownership.next_check_at()
+    }
+
+    /// Whether another process requests the directory. A request whose process is gone is removed.
+    pub fn handover_requested(&mut self) -> bool {
+        let mut event = OwnershipEvent::RequestCheckDue;
+        loop {
+            event = match self.handle(event) {
+                OwnershipAction::FindRequest => self.directory.find_request(),
+                OwnershipAction::ProbeSuccessor => self.directory.probe_successor(),
+                OwnershipAction::RemoveRequest => {
+                    self.directory.remove(HANDOVER_REQUEST);
+                    return false;
+                }
+                action => return action == OwnershipAction::AcceptRequest,
+            };
+        }
+    }
+
+    /// Ends of calls that were open at the previous owner, since the last call. Once that process is gone, the remaining
+    /// calls end as lost: they may have been executed.
+    pub fn take_call_ends(&mut self) -> Vec<CompletedCall> {
+        let has_open_calls = self.call_ends.has_open_calls();
+        let is_last = match self.handle(OwnershipEvent::CallEndsCheckDue { has_open_calls }) {
+            OwnershipAction::ReadOwnCallEnds => false,
+            OwnershipAction::ReadPredecessorCallEnds => self.directory.is_unlocked(DEPARTING_LOCK),
+            _ => return Vec::new(),
+        };
+        let content = self
+            .directory
+            .runtime
+            .read(&self.directory.file(CALL_ENDS))
+            .unwrap_or_default();
+        let mut ends = self.call_ends.read(&content);
+        if is_last {
+            ends.extend(self.call_ends.open_calls().take_lost());
+        }
+        ends
+    }
+
+    /// Records that a call of this process has ended; it may be one from before the directory was reclaimed.
+    pub fn call_completed(&mut self, end: &CompletedCall) {
+        self.call_ends.open_calls().remove(end);
+    }
+
+    /// Ends the hand-over once the journal holds the ends of all calls of the previous owner, and that process is gone.
+    pub fn clean_up(&mut self) {
+        let mut event = OwnershipEvent::CallEndsRecorded {
+            has_open_calls: self.call_ends.has_open_calls(),
+        };
+        loop {
+            event = match self.handle(event) {
+                OwnershipAction::ProbePredecessor => self.probe_predecessor(),
+                OwnershipAction::CleanUp => self.remove_handover_files(),
+                _ => return,
+            };
+        }
+    }
+
+    fn probe_predecessor(&self) -> OwnershipEvent {
+        if self.directory.is_unlocked(DEPARTING_LOCK) {
+            OwnershipEvent::PredecessorGone
+        } else {
+            OwnershipEvent::PredecessorAlive
+        }
+    }
+
+    fn remove_handover_files(&mut self) -> OwnershipEvent {
+        for name in [HANDOVER_STATE, CALL_ENDS, HANDOVER_REQUEST] {
+            self.directory.remove(name);
+        }
+        self.successor_lock = None;
+        self.departing = None;
+        OwnershipEvent::CleanedUp
+    }
+
+    /// Hands the directory over. The limit is that of the disk, in bytes. The departing process still holds the owner
+    /// lock, until it has closed its files.
+    ///
+    /// # Errors
+    /// The directory stays with this process if an earlier departing process still runs, or the snapshot cannot be
+    /// written or is too large.
+    pub fn hand_over(
+        &mut self,
+        mut state: HandoverState,
+        limit: u64,
+    ) -> io::Result<DepartingProcess<R>> {
+        self.handle(OwnershipEvent::HandoverStarted);
+        let departing_lock = self.directory.lock(DEPARTING_LOCK)?.ok_or_else(|| {
+            io::Error::new(
+                io::ErrorKind::WouldBlock,
+                "a process that handed over is still there",
+            )
+        })?;
+        let snapshot = state.encode_bounded(limit)?;
+        let call_ends_file = self
+            .directory
+            .runtime
+            .create(&self.directory.file(CALL_ENDS))?;
+        self.directory
+            .replace(HANDOVER_STATE_TEMPORARY, HANDOVER_STATE, &snapshot)?;
+        self.handle(OwnershipEvent::HandoverWritten);
+        Ok(DepartingProcess::new(
+            self.directory.clone(),
+            self.ownership,
+            self.owner_lock.take(),
+            departing_lock,
+            call_ends_file,
+            OpenCalls::new(&state.open_calls),
+        ))
+    }
+}
--- /dev/null
+++ b/crates/relay/src/state_directory/ownership.rs
@@ -0,0 +1,392 @@
+//! The state machine of ownership: who owns the state directory, and what a process does next. It performs no I/O.
+//!
+//! A process reports what it observed as an [`OwnershipEvent`] and carries out the returned [`OwnershipAction`]. An
+//! action that is a question (a lock, a probe, a search) is followed by the event that answers it. Each state knows
+//! only the events that can occur in it; any other leaves it unchanged.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::{Duration, Instant};
+
+/// How long a process without an inherited socket waits for the owner lock: a process that ends releases its lock
+/// only after its exit.
+pub(super) const OWNER_LOCK_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a successor waits for the successor lock. The owner probes that lock and holds it for an instant; one that
+/// is held for longer has a holder.
+pub(super) const SUCCESSOR_LOCK_TIMEOUT: Duration = Duration::from_millis(200);
+/// How often a serving process looks for a request, and a departing one tries to reclaim the directory.
+pub(super) const REQUEST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How often two processes look at each other's files during a hand-over.
+pub(super) const HANDOVER_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Delay of the next attempt after a hand-over that could not be written.
+pub(super) const HANDOVER_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Where the process has its listening socket from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerOrigin {
+    /// The platform holds the socket and passed it on, so that two processes may run side by side.
+    Inherited,
+    /// The process binds the address itself, which a second process cannot do.
+    Bound,
+}
+
+/// The previous owner, as far as it may still be running.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Predecessor {
+    /// None that handed over to this process.
+    None,
+    /// Another process handed over; this one holds the successor lock.
+    OtherProcess,
+    /// This process handed over and reclaimed the directory; its calls from before are still its own.
+    SameProcess,
+}
+
+/// How the process stands to the directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OwnershipState {
+    /// Tries the owner lock.
+    Acquiring { deadline: Instant },
+    /// Tries the successor lock, as another process owns the directory.
+    Claiming { deadline: Instant },
+    /// Holds the successor lock, and requests the directory until the owner releases it.
+    Requesting,
+    /// Holds the owner lock, and has not read the hand-over snapshot yet.
+    Restoring { predecessor: Predecessor },
+    /// Owns the directory.
+    Owner {
+        predecessor: Predecessor,
+        /// A snapshot was read, and stays until the calls that it names have ended.
+        has_snapshot: bool,
+    },
+    /// Has handed over, and finishes its calls.
+    HandedOver { reclaim_at: Instant },
+}
+
+/// What a process observed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OwnershipEvent {
+    /// The process starts.
+    Started,
+    /// A wait is over.
+    WaitElapsed,
+    /// The owner lock was taken.
+    OwnerLockTaken,
+    /// Another process holds the owner lock, or it cannot be locked.
+    OwnerLockHeld,
+    /// The successor lock was taken.
+    SuccessorLockTaken,
+    /// Another process holds the successor lock, or it cannot be locked.
+    SuccessorLockHeld,
+    /// The request file was written.
+    RequestWritten,
+    /// A valid hand-over snapshot was read.
+    SnapshotRead,
+    /// There is no hand-over snapshot, or an unreadable one.
+    SnapshotMissing,
+    /// It is time to look for a hand-over request.
+    RequestCheckDue,
+    /// There is a request file.
+    RequestFound,
+    /// There is no request file.
+    RequestMissing,
+    /// A process holds the successor lock.
+    SuccessorAlive,
+    /// No process holds the successor lock.
+    SuccessorGone,
+    /// It is time to read ends of the predecessor's calls.
+    CallEndsCheckDue { has_open_calls: bool },
+    /// Ends that were read are in the journal.
+    CallEndsRecorded { has_open_calls: bool },
+    /// The departing process still runs.
+    PredecessorAlive,
+    /// The departing process has ended.
+    PredecessorGone,
+    /// The files of the hand-over are removed, and the locks that it needed are released.
+    CleanedUp,
+    /// A hand-over begins.
+    HandoverStarted,
+    /// The snapshot is written, so that the successor may have the directory.
+    HandoverWritten,
+    /// The departing process asks whether its successor serves.
+    ReplacementCheckDue,
+    /// The departing process asks whether its successor is gone.
+    ReclaimCheckDue,
+}
+
+/// What the process does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OwnershipAction {
+    /// Nothing.
+    None,
+    /// Wait for [`HANDOVER_POLL_INTERVAL`].
+    Wait,
+    /// Try the owner lock.
+    LockOwner,
+    /// Try the successor lock.
+    LockSuccessor,
+    /// Write the request file if there is none: the owner removes a request that looks abandoned.
+    WriteRequest,
+    /// Own the directory, and read what the predecessor left.
+    BecomeOwner,
+    /// Give up, as the directory is in use.
+    FailInUse,
+    /// Give up, as another process waits for the directory.
+    FailSuccessorExists,
+    /// See whether there is a request file.
+    FindRequest,
+    /// See whether a process holds the successor lock.
+    ProbeSuccessor,
+    /// Remove the request of a process that is gone.
+    RemoveRequest,
+    /// Begin to hand over.
+    AcceptRequest,
+    /// See whether the departing process still runs.
+    ProbePredecessor,
+    /// Read ends of calls that another process reports. Whether it still runs is probed before they are read: what it
+    /// wrote last is then there.
+    ReadPredecessorCallEnds,
+    /// Read ends of calls that this process reported.
+    ReadOwnCallEnds,
+    /// Remove the files of the hand-over, and release the locks that it needed.
+    CleanUp,
+    /// The successor serves.
+    ReportReplaced,
+}
+
+/// The ownership of one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Ownership {
+    state: OwnershipState,
+    listener: ListenerOrigin,
+    next_check_at: Option<Instant>,
+}
+
+impl Ownership {
+    /// A process that starts.
+    pub(super) fn new(listener: ListenerOrigin, now: Instant) -> Self {
+        Ownership {
+            state: OwnershipState::Acquiring {
+                deadline: now + OWNER_LOCK_TIMEOUT,
+            },
+            listener,
+            next_check_at: None,
+        }
+    }
+
+    /// When the owner looks at the directory next, if ever.
+    pub(super) fn next_check_at(&self) -> Option<Instant> {
+        self.next_check_at
+    }
+
+    /// Whether this process took over from one that was running.
+    pub(super) fn took_over(&self) -> bool {
+        self.predecessor() == Predecessor::OtherProcess
+    }
+
+    fn predecessor(&self) -> Predecessor {
+        match self.state {
+            OwnershipState::Restoring { predecessor }
+            | OwnershipState::Owner { predecessor, .. } => predecessor,
+            _ => Predecessor::None,
+        }
+    }
+
+    /// Takes an observation, and returns what to do next.
+    pub(super) fn handle(&mut self, event: OwnershipEvent, now: Instant) -> OwnershipAction {
+        match self.state {
+            OwnershipState::Acquiring { deadline } => self.acquire(deadline, event, now),
+            OwnershipState::Claiming { deadline } => self.claim(deadline, event, now),
+            OwnershipState::Requesting => self.request(event, now),
+            OwnershipState::Restoring { predecessor } => self.restore(predecessor, event, now),
+            OwnershipState::Owner {
+                predecessor,
+                has_snapshot,
+            } => self.own(predecessor, has_snapshot, event, now),
+            OwnershipState::HandedOver { reclaim_at } => self.depart(reclaim_at, event, now),
+        }
+    }
+
+    fn acquire(
+        &mut self,
+        deadline: Instant,
+        event: OwnershipEvent,
+        now: Instant,
+    ) -> OwnershipAction {
+        match event {
+            OwnershipEvent::Started | OwnershipEvent::WaitElapsed => OwnershipAction::LockOwner,
+            OwnershipEvent::OwnerLockTaken => self.become_owner(Predecessor::None, now),
+            OwnershipEvent::OwnerLockHeld if self.listener == ListenerOrigin::Inherited => {
+                self.state = OwnershipState::Claiming {
+                    deadline: now + SUCCESSOR_LOCK_TIMEOUT,
+                };
+                OwnershipAction::LockSuccessor
+            }
+            OwnershipEvent::OwnerLockHeld if now >= deadline => OwnershipAction::FailInUse,
+            OwnershipEvent::OwnerLockHeld => OwnershipAction::Wait,
+            _ => OwnershipAction::None,
+        }
+    }
+
+    fn claim(&mut self, deadline: Instant, event: OwnershipEvent, now: Instant) -> OwnershipAction {
+        match event {
+            OwnershipEvent::SuccessorLockTaken => {
+                self.state = OwnershipState::Requesting;
+                OwnershipAction::WriteRequest
+            }
+            OwnershipEvent::SuccessorLockHeld if now >= deadline => {
+                OwnershipAction::FailSuccessorExists
+            }
+            OwnershipEvent::SuccessorLockHeld => OwnershipAction::Wait,
+            OwnershipEvent::WaitElapsed => OwnershipAction::LockSuccessor,
+            _ => OwnershipAction::None,
+        }
+    }
+
+    fn request(&mut self, event: OwnershipEvent, now: Instant) -> OwnershipAction {
+        match event {
+            OwnershipEvent::RequestWritten => OwnershipAction::LockOwner,
+            OwnershipEvent::OwnerLockTaken => self.become_owner(Predecessor::OtherProcess, now),
+            OwnershipEvent::OwnerLockHeld => OwnershipAction::Wait,
+            OwnershipEvent::WaitElapsed => OwnershipAction::WriteRequest,
+            _ => OwnershipAction::None,
+        }
+    }
+
+    fn become_owner(&mut self, predecessor: Predecessor, now: Instant) -> OwnershipAction {
+        self.state = OwnershipState::Restoring { predecessor };
+        self.next_check_at = (self.listener == ListenerOrigin::Inherited).then_some(now);
+        OwnershipAction::BecomeOwner
+    }
+
+    fn restore(
+        &mut self,
+        predecessor: Predecessor,
+        event: OwnershipEvent,
+        now: Instant,
+    ) -> OwnershipAction {
+        match event {
+            OwnershipEvent::SnapshotRead => {
+                self.state = OwnershipState::Owner {
+                    predecessor,
+                    has_snapshot: true,
+                };
+                self.next_check_at = Some(now);
+                OwnershipAction::None
+            }
+            OwnershipEvent::SnapshotMissing if predecessor == Predecessor::SameProcess => {
+                OwnershipAction::CleanUp
+            }
+            OwnershipEvent::SnapshotMissing | OwnershipEvent::WaitElapsed => {
+                OwnershipAction::ProbePredecessor
+            }
+            // Which calls are open there is unknown: none may be left when this process sends the next.
+            OwnershipEvent::PredecessorAlive => OwnershipAction::Wait,
+            OwnershipEvent::PredecessorGone => OwnershipAction::CleanUp,
+            OwnershipEvent::CleanedUp => self.finish_clean_up(now),
+            _ => OwnershipAction::None,
+        }
+    }
+
+    fn own(
+        &mut self,
+        predecessor: Predecessor,
+        has_snapshot: bool,
+        event: OwnershipEvent,
+        now: Instant,
+    ) -> OwnershipAction {
+        match event {
+            OwnershipEvent::RequestCheckDue => self.check_request(predecessor, now),
+            OwnershipEvent::RequestFound => OwnershipAction::ProbeSuccessor,
+            OwnershipEvent::SuccessorAlive => OwnershipAction::AcceptRequest,
+            // Nobody would take what is handed over.
+            OwnershipEvent::SuccessorGone => OwnershipAction::RemoveRequest,
+            OwnershipEvent::CallEndsCheckDue { has_open_calls } => {
+                self.check_call_ends(predecessor, has_open_calls, now)
+            }
+            OwnershipEvent::CallEndsRecorded {
+                has_open_calls: false,
+            } => match predecessor {
+                // Cleans up only once: a later request is not this one's to remove.
+                Predecessor::None | Predecessor::SameProcess if !has_snapshot => {
+                    OwnershipAction::None
+                }
+                Predecessor::SameProcess => OwnershipAction::CleanUp,
+                Predecessor::None | Predecessor::OtherProcess => OwnershipAction::ProbePredecessor,
+            },
+            OwnershipEvent::PredecessorGone => OwnershipAction::CleanUp,
+            OwnershipEvent::CleanedUp => self.finish_clean_up(now),
+            OwnershipEvent::HandoverStarted => {
+                self.next_check_at = Some(now + HANDOVER_RETRY_DELAY);
+                OwnershipAction::None
+            }
+            OwnershipEvent::HandoverWritten => {
+                self.state = OwnershipState::HandedOver {
+                    reclaim_at: now + REQUEST_CHECK_INTERVAL,
+                };
+                OwnershipAction::None
+            }
+            _ => OwnershipAction::None,
+        }
+    }
+
+    fn check_request(&mut self, predecessor: Predecessor, now: Instant) -> OwnershipAction {
+        if self.listener == ListenerOrigin::Bound || predecessor != Predecessor::None {
+            return OwnershipAction::None;
+        }
+        self.next_check_at = Some(now + REQUEST_CHECK_INTERVAL);
+        OwnershipAction::FindRequest
+    }
+
+    fn check_call_ends(
+        &mut self,
+        predecessor: Predecessor,
+        has_open_calls: bool,
+        now: Instant,
+    ) -> OwnershipAction {
+        if predecessor == Predecessor::None && !has_open_calls {
+            return OwnershipAction::None;
+        }
+        self.next_check_at = Some(now + HANDOVER_POLL_INTERVAL);
+        match predecessor {
+            Predecessor::SameProcess => OwnershipAction::ReadOwnCallEnds,
+            Predecessor::None | Predecessor::OtherProcess => {
+                OwnershipAction::ReadPredecessorCallEnds
+            }
+        }
+    }
+
+    fn finish_clean_up(&mut self, now: Instant) -> OwnershipAction {
+        self.state = OwnershipState::Owner {
+            predecessor: Predecessor::None,
+            has_snapshot: false,
+        };
+        self.next_check_at =
+            (self.listener == ListenerOrigin::Inherited).then(|| now + REQUEST_CHECK_INTERVAL);
+        OwnershipAction::None
+    }
+
+    fn depart(
+        &mut self,
+        reclaim_at: Instant,
+        event: OwnershipEvent,
+        now: Instant,
+    ) -> OwnershipAction {
+        match event {
+            OwnershipEvent::ReplacementCheckDue => OwnershipAction::FindRequest,
+            // The successor removes its request once it takes clients, and holds its lock for as long as this process
+            // runs: one that has served and died is no owner.
+            OwnershipEvent::RequestMissing => OwnershipAction::ProbeSuccessor,
+            OwnershipEvent::SuccessorAlive => OwnershipAction::ReportReplaced,
+            OwnershipEvent::ReclaimCheckDue if now >= reclaim_at => {
+                self.state = OwnershipState::HandedOver {
+                    reclaim_at: now + REQUEST_CHECK_INTERVAL,
+                };
+                OwnershipAction::LockSuccessor
+            }
+            OwnershipEvent::SuccessorLockTaken => OwnershipAction::LockOwner,
+            OwnershipEvent::OwnerLockTaken => self.become_owner(Predecessor::SameProcess, now),
+            _ => OwnershipAction::None,
+        }
+    }
+}
