Divide runtime by concern, and give Address::from_str a typed error

Need: the traits, the address and the timeout stood in one file, and all of the operating system's side in another.

Change: one concern a file (runtime, task, stream, file, signal, address, elapsed; os/ likewise), all re-exported by their names as before. Tests are named by behaviour; a new one checks the text of AddressError.

--- a/crates/runtime/src/inherited_listener.rs
+++ b/crates/runtime/src/inherited_listener.rs
@@ -1,4 +1,4 @@
-//! A listening socket that the process was started with.
+//! The listening socket that the process inherited.
 
 use std::io;
 use std::os::fd::{BorrowedFd, OwnedFd};
@@ -6,32 +6,39 @@
 use socket2::Socket;
 use tokio::net::TcpListener;
 
-/// The lowest descriptor that may be given: below are standard input, output and error.
-const LEAST: i32 = 3;
+/// The lowest descriptor that can be inherited; those below are standard input, output and error.
+const FIRST_DESCRIPTOR: i32 = 3;
 
-/// Another descriptor of that socket, ready for the runtime; the one that was given stays as it is.
-pub fn listener(descriptor: i32) -> io::Result<TcpListener> {
-    let wrong = |why: &str| io::Error::new(io::ErrorKind::InvalidInput, why.to_string());
-    if descriptor < LEAST
-        || std::fs::symlink_metadata(format!("/proc/self/fd/{descriptor}")).is_err()
-    {
-        return Err(wrong("it is not open"));
+/// A listener on a duplicate of the inherited descriptor, which itself stays open.
+///
+/// # Errors
+/// `InvalidInput` if the descriptor is not open or is no listening socket.
+pub(crate) fn duplicate_listener(descriptor: i32) -> io::Result<TcpListener> {
+    if descriptor < FIRST_DESCRIPTOR || !is_open(descriptor) {
+        return Err(invalid_input("it is not open"));
     }
-    let socket = Socket::from(copy(descriptor)?);
+    let socket = Socket::from(duplicate(descriptor)?);
     if !socket.is_listener().unwrap_or(false) {
-        return Err(wrong("it is no listening socket"));
+        return Err(invalid_input("it is no listening socket"));
     }
     socket.set_nonblocking(true)?;
     TcpListener::from_std(socket.into())
 }
 
-/// The standard library takes a number for a descriptor only as the caller's word that it is open, and knows no other
-/// way to one that was inherited: its safe calls name only standard input, output and error, and a socket can't be
-/// opened by its path under `/proc`.
+fn is_open(descriptor: i32) -> bool {
+    std::fs::symlink_metadata(format!("/proc/self/fd/{descriptor}")).is_ok()
+}
+
+fn invalid_input(reason: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidInput, reason)
+}
+
+/// The standard library has no safe way to an inherited descriptor: its safe functions name only standard input, output
+/// and error, and a socket cannot be opened by its path under `/proc`.
 #[allow(unsafe_code)]
-fn copy(descriptor: i32) -> io::Result<OwnedFd> {
-    // SAFETY: the caller has just found it open, nothing in this process closes a descriptor that it has not made, and
-    // the borrow ends here.
-    let given = unsafe { BorrowedFd::borrow_raw(descriptor) };
-    given.try_clone_to_owned()
+fn duplicate(descriptor: i32) -> io::Result<OwnedFd> {
+    // SAFETY: the caller has just found the descriptor open, no code of this process closes a descriptor that it has not
+    // opened, and the borrow ends with this function.
+    let inherited = unsafe { BorrowedFd::borrow_raw(descriptor) };
+    inherited.try_clone_to_owned()
 }
--- /dev/null
+++ b/crates/runtime/src/os/listener.rs
@@ -0,0 +1,62 @@
+//! Listeners of the operating system.
+
+use std::fs::Permissions;
+use std::io;
+use std::os::unix::fs::{FileTypeExt, PermissionsExt};
+use std::path::Path;
+
+use tokio::net::{TcpListener, UnixListener, UnixStream};
+
+use super::OsStream;
+use crate::Listener;
+
+/// Mode of a Unix socket: whoever may connect may administer the relay, so only its owner may.
+const OWNER_ONLY: u32 = 0o600;
+
+/// A listener of the operating system.
+#[derive(Debug)]
+pub enum OsListener {
+    /// A TCP port.
+    Tcp(TcpListener),
+    /// A Unix socket.
+    Unix(UnixListener),
+}
+
+impl Listener for OsListener {
+    type Stream = OsStream;
+
+    async fn accept(&self) -> io::Result<OsStream> {
+        match self {
+            OsListener::Tcp(listener) => listener
+                .accept()
+                .await
+                .map(|(stream, _)| OsStream::Tcp(stream)),
+            OsListener::Unix(listener) => listener
+                .accept()
+                .await
+                .map(|(stream, _)| OsStream::Unix(stream)),
+        }
+    }
+}
+
+/// Listens at a Unix socket that only its owner may use.
+pub(super) async fn listen_unix(path: &Path) -> io::Result<UnixListener> {
+    let bind = || -> io::Result<UnixListener> {
+        let listener = UnixListener::bind(path)?;
+        std::fs::set_permissions(path, Permissions::from_mode(OWNER_ONLY))?;
+        Ok(listener)
+    };
+    match bind() {
+        Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
+            // A killed process leaves its socket behind. Any other file of that name is not touched.
+            let is_socket =
+                std::fs::symlink_metadata(path).is_ok_and(|meta| meta.file_type().is_socket());
+            if !is_socket || UnixStream::connect(path).await.is_ok() {
+                return Err(error);
+            }
+            std::fs::remove_file(path)?;
+            bind()
+        }
+        bound => bound,
+    }
+}
--- a/crates/runtime/tests/local.rs
+++ b/crates/runtime/tests/local.rs
@@ -1,12 +1,12 @@
-//! Unix sockets of the machine: whose they are, and what becomes of those that were left behind.
+//! Listeners of the operating system: who may use a Unix socket, and which existing one is replaced.
 
 use std::io::ErrorKind;
 use std::os::unix::fs::PermissionsExt;
 
-use runtime::{Address, Listener, OsRuntime, PendingInput, Runtime, Stream};
+use runtime::{Address, AddressError, Listener, OsRuntime, PendingInput, Runtime, Stream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-fn local(test: impl std::future::Future<Output = ()>) {
+fn run_local(test: impl std::future::Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -15,8 +15,8 @@
 }
 
 #[test]
-fn a_unix_socket_carries_what_a_port_does() {
-    local(async {
+fn unix_socket_carries_bytes_and_reports_pending_input() {
+    run_local(async {
         let folder = tempfile::tempdir().expect("a folder");
         let at = Address::Unix(folder.path().join("socket"));
         let listener = OsRuntime.listen(at.clone()).await.expect("bound");
@@ -37,8 +37,8 @@
 }
 
 #[test]
-fn a_socket_is_its_owners_and_replaces_only_one_that_nobody_listens_at() {
-    local(async {
+fn unix_socket_is_owner_only_and_replaces_only_an_abandoned_socket() {
+    run_local(async {
         let folder = tempfile::tempdir().expect("a folder");
         let (path, file) = (folder.path().join("socket"), folder.path().join("file"));
         let at = Address::Unix(path.clone());
@@ -50,11 +50,11 @@
         assert_eq!(mode & 0o777, 0o600);
         let second = OsRuntime.listen(at.clone()).await.map(|_| ());
         assert_eq!(second.expect_err("taken").kind(), ErrorKind::AddrInUse);
-        // Its process is gone, the socket is left.
+        // The listener is gone, and its socket is left.
         drop(first);
         assert!(path.exists());
         OsRuntime.listen(at).await.expect("bound again");
-        // What is no socket is not touched.
+        // A file that is no socket is not touched.
         std::fs::write(&file, "text").expect("a file");
         let taken = OsRuntime
             .listen(Address::Unix(file.clone()))
@@ -66,7 +66,7 @@
 }
 
 #[test]
-fn addresses_are_read_as_they_are_shown() {
+fn address_is_parsed_as_it_is_displayed() {
     for (text, is_local) in [
         ("127.0.0.1:8700", true),
         ("[::1]:8700", true),
@@ -84,3 +84,23 @@
         assert!(bad.parse::<Address>().is_err(), "{bad}");
     }
 }
+
+#[test]
+fn invalid_address_has_its_reason() {
+    let cases = [
+        (
+            "unix:run",
+            AddressError::RelativePath("run".into()),
+            r#""run" is no absolute path of a socket"#,
+        ),
+        (
+            "localhost:80",
+            AddressError::InvalidSocketAddress("localhost:80".into()),
+            r#""localhost:80" is no address and port"#,
+        ),
+    ];
+    for (text, error, message) in cases {
+        assert_eq!(text.parse::<Address>(), Err(error.clone()));
+        assert_eq!(error.to_string(), message);
+    }
+}
