--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,5 +1,5 @@
-//! What operators say to a relay, and what it says of itself: the line protocol, the ledger of figures, and the
-//! lifecycle (starting, serving, draining, handing over, stopping). No I/O: sockets, clocks and signals are the relay's.
+//! Control of a running relay: the operators' line protocol, the metrics, and the lifecycle (starting, serving,
+//! draining, handing over, stopping). It performs no I/O: sockets, clocks and signals are the relay's.
 
 pub mod lifecycle;
 pub mod metrics;
@@ -7,4 +7,4 @@
 
 pub use lifecycle::{ConnectionStage, Lifecycle, LifecycleEvent, LifecycleState};
 pub use metrics::{HostCounts, MessageEnd, Metrics};
-pub use protocol::{Command, ParsedLine};
+pub use protocol::{Command, LineError, ParsedLine};
--- a/crates/control/src/lifecycle.rs
+++ b/crates/control/src/lifecycle.rs
@@ -1,79 +1,93 @@
-//! Where a process stands between its start and its end, and what that means for the front, for new connections and for
-//! those that are open. SIGTERM, `drain`, `resume` and an upgrade are inputs of this one machine.
+//! The lifecycle of a process, and what each of its states means for readiness, for new connections and for open ones.
+//! SIGTERM, the commands `drain` and `resume`, and a hand-over are events of this one state machine.
 
 use std::time::Duration;
 
-/// A drain: the front asks ten times a second and stops new connections 0.2 s after a no. Until then connections stay
-/// open; from then on they are closed between requests.
-pub const DRAIN_CLOSES: Duration = Duration::from_millis(500);
-/// From here on, new messages in a drain are refused: 4 s after the call none may be younger than 2 s.
-pub const DRAIN_REFUSES: Duration = Duration::from_millis(1500);
-/// After SIGTERM new connections may come for so long; before that, a process that has nothing to do stays.
-pub const STOP_FRONT: Duration = Duration::from_millis(500);
-/// After SIGTERM clients go on using what they have; the last call has ended by then, and connections are closed.
-pub const STOP_CLOSES: Duration = Duration::from_millis(3300);
-/// The process is gone by then; SIGKILL comes 3.7 s after SIGTERM.
-pub const STOP_ENDS: Duration = Duration::from_millis(3550);
-
-/// An upgrade: requests that have begun may come whole for so long; then what is left is refused, and all is handed over.
-pub const HAND_OVER: Duration = Duration::from_millis(300);
-
-/// Where a process stands.
+/// Time after `drain` at which open connections begin to close between requests. The load balancer asks for readiness
+/// ten times a second and stops new connections 0.2 s after a negative answer; until then connections stay open.
+pub const DRAIN_CLOSE_DELAY: Duration = Duration::from_millis(500);
+/// Time after `drain` at which new messages are rejected. 4 s after the command no message may be younger than 2 s.
+pub const DRAIN_REJECT_DELAY: Duration = Duration::from_millis(1500);
+/// Shortest time from SIGTERM to the exit of an idle process, as new connections may still be on the way.
+pub const STOP_MIN_DURATION: Duration = Duration::from_millis(500);
+/// Time after SIGTERM at which connections close. Until then clients use what they have, and the last call has ended.
+pub const STOP_CLOSE_DELAY: Duration = Duration::from_millis(3300);
+/// Longest time from SIGTERM to the exit. SIGKILL follows 3.7 s after SIGTERM.
+pub const STOP_MAX_DURATION: Duration = Duration::from_millis(3550);
+/// Time from the start of a hand-over in which requests that have begun may be completed. Then the remaining ones are
+/// rejected, and everything is handed over.
+pub const HANDOVER_GRACE: Duration = Duration::from_millis(300);
+
+/// The state of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LifecycleState {
-    /// It takes no clients yet.
+    /// It does not accept clients yet.
     Starting,
-    /// It takes clients.
+    /// It accepts clients.
     Serving,
-    /// It is being emptied and will be back.
+    /// An operator drains it; it is to serve again.
     Draining,
-    /// Another process has what it had; it brings its calls to their end.
+    /// Another process takes over, and this one finishes its calls.
     HandingOver,
-    /// It was told to stop.
+    /// It received SIGTERM.
     Stopping,
 }
 
-/// What a process is told.
+impl LifecycleState {
+    /// Its name in replies on the control socket.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LifecycleState::Starting => "starting",
+            LifecycleState::Serving => "serving",
+            LifecycleState::Draining => "draining",
+            LifecycleState::HandingOver => "handingover",
+            LifecycleState::Stopping => "stopping",
+        }
+    }
+}
+
+/// An event of the lifecycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LifecycleEvent {
-    /// All is in place.
+    /// The process is ready to accept clients.
     Started,
-    /// An operator empties it.
+    /// An operator drains the relay.
     Drain,
-    /// An operator puts it back to work.
+    /// An operator ends the drain.
     Resume,
     /// Another process takes over.
     HandOver,
-    /// That process is gone, and this one has everything again.
+    /// That process is gone, or the hand-over failed: this process owns everything again.
     TakenBack,
     /// SIGTERM.
     Stop,
-    /// A process that was told to stop has nothing left to do.
+    /// A process that stops has nothing left to do.
     Idle,
 }
 
-/// What connections are to do.
+/// What open connections do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ConnectionStage {
-    /// Stay open.
+    /// They stay open.
     Open,
-    /// Close between requests; those that have come are served.
+    /// They close between requests; requests that have arrived are served.
     Closing,
-    /// The same, and new messages are refused.
+    /// As [`Closing`](Self::Closing), and new messages are rejected.
     Refusing,
 }
 
-/// The machine. Moments are spans since any fixed start.
+/// The state machine. Moments are durations since any fixed start.
 #[derive(Clone, Copy, Debug)]
 pub struct Lifecycle {
     state: LifecycleState,
+    /// When the state was entered.
     since: Duration,
-    /// An operator has it drained; whoever takes over learns it.
-    drained: bool,
-    /// Another process takes over, or has.
-    handed: bool,
-    /// It stops and has nothing left to do: what the port still holds is served, and no more comes.
-    idle: bool,
+    /// An operator drained the relay. A successor inherits this.
+    is_drained: bool,
+    /// Another process takes over, or has taken over.
+    is_handed_over: bool,
+    /// The process stops and has nothing left to do: connections that wait at the port are served, and no more accepted.
+    is_idle: bool,
 }
 
 impl Default for Lifecycle {
@@ -81,129 +95,142 @@
         Lifecycle {
             state: LifecycleState::Starting,
             since: Duration::ZERO,
-            drained: false,
-            handed: false,
-            idle: false,
+            is_drained: false,
+            is_handed_over: false,
+            is_idle: false,
         }
     }
 }
 
 impl Lifecycle {
-    /// Where it stands.
+    /// The current state.
     pub fn state(&self) -> LifecycleState {
         self.state
     }
 
-    /// Takes an input. False if it changes nothing where the process stands: it is that already, or is past it.
+    /// Handles an event. False if the event changes nothing: the process is in that state already, or past it.
     ///
-    /// Stopping is never left. A drain survives being handed over: whoever takes over is drained too.
-    pub fn handle(&mut self, told: LifecycleEvent, now: Duration) -> bool {
-        let next = match (self.state, told) {
-            (LifecycleState::Starting, LifecycleEvent::Started) if self.drained => {
-                LifecycleState::Draining
+    /// Stopping is final. A drain outlasts a hand-over: the successor is drained too.
+    pub fn handle(&mut self, event: LifecycleEvent, now: Duration) -> bool {
+        if (self.state, event) == (LifecycleState::Stopping, LifecycleEvent::Idle) {
+            return !std::mem::replace(&mut self.is_idle, true);
+        }
+        let Some(next) = self.next_state(event) else {
+            return false;
+        };
+        match event {
+            LifecycleEvent::Drain => self.is_drained = true,
+            LifecycleEvent::Resume => self.is_drained = false,
+            LifecycleEvent::HandOver => self.is_handed_over = true,
+            LifecycleEvent::TakenBack => self.is_handed_over = false,
+            LifecycleEvent::Started | LifecycleEvent::Stop | LifecycleEvent::Idle => {}
+        }
+        self.state = next;
+        self.since = now;
+        true
+    }
+
+    /// The state that an event leads to; `None` if it changes nothing.
+    fn next_state(&self, event: LifecycleEvent) -> Option<LifecycleState> {
+        match (self.state, event) {
+            (LifecycleState::Starting, LifecycleEvent::Started)
+            | (LifecycleState::HandingOver, LifecycleEvent::TakenBack) => {
+                Some(self.working_state())
             }
-            (LifecycleState::Starting, LifecycleEvent::Started) => LifecycleState::Serving,
-            (LifecycleState::Serving, LifecycleEvent::Drain) => LifecycleState::Draining,
-            (LifecycleState::Draining, LifecycleEvent::Resume) => LifecycleState::Serving,
+            (LifecycleState::Serving, LifecycleEvent::Drain) => Some(LifecycleState::Draining),
+            (LifecycleState::Draining, LifecycleEvent::Resume) => Some(LifecycleState::Serving),
             (LifecycleState::Serving | LifecycleState::Draining, LifecycleEvent::HandOver) => {
-                LifecycleState::HandingOver
-            }
-            (LifecycleState::HandingOver, LifecycleEvent::TakenBack) if self.drained => {
-                LifecycleState::Draining
+                Some(LifecycleState::HandingOver)
             }
-            (LifecycleState::HandingOver, LifecycleEvent::TakenBack) => LifecycleState::Serving,
-            (LifecycleState::Stopping, LifecycleEvent::Stop) => return false,
-            (LifecycleState::Stopping, LifecycleEvent::Idle) => {
-                return !std::mem::replace(&mut self.idle, true)
-            }
-            (_, LifecycleEvent::Stop) => LifecycleState::Stopping,
-            _ => return false,
-        };
-        self.drained = match told {
-            LifecycleEvent::Drain => true,
-            LifecycleEvent::Resume => false,
-            _ => self.drained,
-        };
-        self.handed = match told {
-            LifecycleEvent::HandOver => true,
-            LifecycleEvent::TakenBack => false,
-            _ => self.handed,
-        };
-        (self.state, self.since) = (next, now);
-        true
+            (LifecycleState::Stopping, _) => None,
+            (_, LifecycleEvent::Stop) => Some(LifecycleState::Stopping),
+            _ => None,
+        }
     }
 
-    /// It takes over from a process that was drained, or not.
-    pub fn restore_drained(&mut self, drained: bool) {
-        self.drained = drained;
+    fn working_state(&self) -> LifecycleState {
+        if self.is_drained {
+            LifecycleState::Draining
+        } else {
+            LifecycleState::Serving
+        }
     }
 
-    /// Whether another process is to have everything now: it was told so, and clients are gone or have had their time.
+    /// Sets whether the process starts as the successor of a drained one.
+    pub fn restore_drained(&mut self, is_drained: bool) {
+        self.is_drained = is_drained;
+    }
+
+    /// Whether everything is to be handed over now: another process takes over, and the clients are gone or have had
+    /// [`HANDOVER_GRACE`].
     pub fn should_hand_over(&self, now: Duration, clients: usize) -> bool {
-        self.handed
-            && (clients == 0
-                || self.state == LifecycleState::Stopping
-                || self.past(now) >= HAND_OVER)
+        let is_grace_over =
+            self.state == LifecycleState::Stopping || self.time_in_state(now) >= HANDOVER_GRACE;
+        self.is_handed_over && (clients == 0 || is_grace_over)
     }
 
-    /// Whether an operator has it drained.
+    /// Whether an operator has drained the relay.
     pub fn is_drained(&self) -> bool {
-        self.drained
+        self.is_drained
     }
 
-    /// Whether the process takes clients: the answer to `ready`, and to `PING` yes or no.
+    /// Whether the process accepts clients: the answer to `ready` and to `PING`.
     pub fn is_ready(&self) -> bool {
         self.state == LifecycleState::Serving
     }
 
-    /// Whether new connections are accepted. A drained process goes on, as it answers the front's question with no.
+    /// Whether new connections are accepted. A drained process goes on, to answer the load balancer's question with no.
     pub fn accepts_connections(&self, now: Duration) -> bool {
+        if self.is_handed_over {
+            return false;
+        }
         match self.state {
-            _ if self.handed => false,
             LifecycleState::Starting | LifecycleState::HandingOver => false,
             LifecycleState::Serving | LifecycleState::Draining => true,
-            LifecycleState::Stopping => !self.idle && self.past(now) < STOP_CLOSES,
+            LifecycleState::Stopping => !self.is_idle && self.time_in_state(now) < STOP_CLOSE_DELAY,
         }
     }
 
-    /// What open connections are to do.
+    /// What open connections do now.
     pub fn stage(&self, now: Duration) -> ConnectionStage {
-        let past = self.past(now);
+        let elapsed = self.time_in_state(now);
         match self.state {
             LifecycleState::Starting | LifecycleState::Serving => ConnectionStage::Open,
-            LifecycleState::Draining if past >= DRAIN_REFUSES => ConnectionStage::Refusing,
-            LifecycleState::Draining if past >= DRAIN_CLOSES => ConnectionStage::Closing,
+            LifecycleState::Draining if elapsed >= DRAIN_REJECT_DELAY => ConnectionStage::Refusing,
+            LifecycleState::Draining if elapsed >= DRAIN_CLOSE_DELAY => ConnectionStage::Closing,
             LifecycleState::Draining => ConnectionStage::Open,
-            LifecycleState::HandingOver if past < HAND_OVER => ConnectionStage::Closing,
+            LifecycleState::HandingOver if elapsed < HANDOVER_GRACE => ConnectionStage::Closing,
             LifecycleState::HandingOver => ConnectionStage::Refusing,
-            LifecycleState::Stopping if self.handed => ConnectionStage::Refusing,
-            LifecycleState::Stopping if past >= STOP_CLOSES => ConnectionStage::Closing,
+            LifecycleState::Stopping if self.is_handed_over => ConnectionStage::Refusing,
+            LifecycleState::Stopping if elapsed >= STOP_CLOSE_DELAY => ConnectionStage::Closing,
             LifecycleState::Stopping => ConnectionStage::Open,
         }
     }
 
-    /// Whether the process ends; `quiet` tells that it has no calls out, no clients and nothing left to do.
-    pub fn should_exit(&self, now: Duration, quiet: bool) -> bool {
-        let past = self.past(now);
-        let front = if self.handed {
+    /// Whether the process exits now. An idle one has no open calls, no clients and nothing left to do.
+    pub fn should_exit(&self, now: Duration, is_idle: bool) -> bool {
+        let min_duration = if self.is_handed_over {
             Duration::ZERO
         } else {
-            STOP_FRONT
+            STOP_MIN_DURATION
         };
-        self.state == LifecycleState::Stopping && (past >= STOP_ENDS || quiet && past >= front)
+        let may_exit = self.state == LifecycleState::Stopping
+            && is_idle
+            && self.time_in_state(now) >= min_duration;
+        may_exit || self.must_exit(now)
     }
 
-    /// Whether its time is up, whatever is left.
+    /// Whether the process exits now whatever is left to do.
     pub fn must_exit(&self, now: Duration) -> bool {
-        self.state == LifecycleState::Stopping && self.past(now) >= STOP_ENDS
+        self.state == LifecycleState::Stopping && self.time_in_state(now) >= STOP_MAX_DURATION
     }
 
-    /// When the last call has to have ended, once the process was told to stop.
+    /// The moment by which the last call must have ended, if the process stops.
     pub fn time_left_for_calls(&self) -> Option<Duration> {
-        (self.state == LifecycleState::Stopping).then_some(self.since + STOP_CLOSES)
+        (self.state == LifecycleState::Stopping).then_some(self.since + STOP_CLOSE_DELAY)
     }
 
-    /// Whether time alone changes what is said, so that it has to be asked again soon.
+    /// Whether time alone may change the answers, so that they have to be asked for again.
     pub fn is_in_transition(&self) -> bool {
         matches!(
             self.state,
@@ -211,7 +238,7 @@
         )
     }
 
-    fn past(&self, now: Duration) -> Duration {
+    fn time_in_state(&self, now: Duration) -> Duration {
         now.saturating_sub(self.since)
     }
 }
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -1,164 +1,186 @@
-//! The figures: what became of messages, counted where it happens. A process counts from 0.
+//! The metrics of one process: counters of how messages ended, and gauges. All counters start at 0 with the process.
 
 use std::collections::BTreeMap;
-use std::fmt::Write;
+use std::fmt;
 
-/// Classes that are listed at most. Names of classes that went stay, so that their counts do; past this, classes that
-/// are in the settings no more are dropped, the ones with the fewest messages first.
-pub const MOST_CLASSES: usize = 256;
+/// The largest number of classes that are listed. A class that is removed from the settings stays, so that its counters
+/// do; beyond this bound the removed classes with the fewest messages are dropped.
+pub const MAX_CLASSES: usize = 256;
 
-/// How a message ended, or was not taken on.
+/// How a message ended, or why it was not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MessageEnd {
     /// Delivered.
     Success,
-    /// Refused at the door, or handed back.
+    /// Rejected by admission, or deferred to the client.
     Overload,
     /// Failed.
     Error,
-    /// Withdrawn, or over for a reason that is none of these; counted in no figure.
+    /// Cancelled, or ended for a reason that no counter covers.
     Other,
 }
 
 /// Messages of one class by their end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Counts {
+struct ClassCounters {
     success: u64,
     overload: u64,
     error: u64,
-    listed: bool,
+    /// The class is in the settings.
+    is_configured: bool,
 }
 
-impl Counts {
-    fn all(&self) -> u64 {
+impl ClassCounters {
+    fn total(&self) -> u64 {
         self.success + self.overload + self.error
     }
 }
 
-/// Hosts as the list and the module have them.
+/// Numbers of hosts, as the host list and the delivery policy have them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HostCounts {
-    /// Hosts in the list, those that drain among them.
+    /// Hosts in the list, including those that drain.
     pub listed: usize,
-    /// Of these, the ones that the relay sends nothing to now.
+    /// Those of them that the relay currently sends nothing to.
     pub disabled: usize,
 }
 
-/// The figures of one process.
+/// Messages that a process has accepted, and those of them that have ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MessageTotals {
+    /// Messages accepted.
+    pub accepted: u64,
+    /// Of these, the messages that have ended.
+    pub ended: u64,
+}
+
+/// The metrics of one process.
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
-    classes: BTreeMap<String, Counts>,
-    taken: u64,
-    ended: u64,
-    reloads: [u64; 2],
+    classes: BTreeMap<String, ClassCounters>,
+    messages: MessageTotals,
+    successful_reloads: u64,
+    failed_reloads: u64,
 }
 
 impl Metrics {
-    /// All classes of the settings at 0.
+    /// All classes of the settings, at 0.
     pub fn new<'a>(classes: impl IntoIterator<Item = &'a String>) -> Self {
-        let mut ledger = Metrics::default();
-        ledger.set_classes(classes);
-        ledger
+        let mut metrics = Metrics::default();
+        metrics.set_classes(classes);
+        metrics
     }
 
-    /// The classes of the settings from now on; new ones start at 0, and those that went keep their counts.
+    /// Sets the classes of the settings. New ones start at 0, and removed ones keep their counters.
     pub fn set_classes<'a>(&mut self, classes: impl IntoIterator<Item = &'a String>) {
-        self.classes
-            .values_mut()
-            .for_each(|counts| counts.listed = false);
+        for counters in self.classes.values_mut() {
+            counters.is_configured = false;
+        }
         for class in classes {
-            self.classes.entry(class.clone()).or_default().listed = true;
+            let counters = self.classes.entry(class.clone()).or_default();
+            counters.is_configured = true;
         }
-        while self.classes.len() > MOST_CLASSES {
-            let gone = self.classes.iter().filter(|(_, counts)| !counts.listed);
-            let Some(least) = gone
-                .min_by_key(|(_, counts)| counts.all())
-                .map(|(name, _)| name.clone())
-            else {
+        while self.classes.len() > MAX_CLASSES {
+            let Some(name) = self.smallest_removed_class() else {
                 break;
             };
-            self.classes.remove(&least);
+            self.classes.remove(&name);
         }
     }
 
-    /// A message is taken on, or was by an earlier process and is owed its end by this one.
+    fn smallest_removed_class(&self) -> Option<String> {
+        self.classes
+            .iter()
+            .filter(|(_, counters)| !counters.is_configured)
+            .min_by_key(|(_, counters)| counters.total())
+            .map(|(name, _)| name.clone())
+    }
+
+    /// Records a message that this process accepted, or restored from an earlier process.
     pub fn record_accepted(&mut self) {
-        self.taken += 1;
+        self.messages.accepted += 1;
     }
 
-    /// A message that was taken on has ended.
+    /// Records the end of an accepted message.
     pub fn record_end(&mut self, class: &str, end: MessageEnd) {
-        self.ended += 1;
+        self.messages.ended += 1;
         debug_assert!(
-            self.ended <= self.taken,
-            "more messages ended than were taken"
+            self.messages.ended <= self.messages.accepted,
+            "more messages ended than were accepted"
         );
         self.count(class, end);
     }
 
-    /// Another process owes all that this one owed.
+    /// Records that another process has taken over all messages that have not ended.
     pub fn record_handover(&mut self) {
-        self.ended = self.taken;
+        self.messages.ended = self.messages.accepted;
     }
 
-    /// A message was not taken on. A class that the settings never had is not counted: names are the client's.
+    /// Records a message that was not accepted. A class that was never in the settings is not counted, as its name is
+    /// the client's.
     pub fn record_rejected(&mut self, class: &str, end: MessageEnd) {
         self.count(class, end);
     }
 
-    /// A configuration was read again, and taken or turned down.
-    pub fn record_reload(&mut self, taken: bool) {
-        self.reloads[usize::from(!taken)] += 1;
+    /// Records that the configuration was read again, and whether it was applied.
+    pub fn record_reload(&mut self, is_applied: bool) {
+        if is_applied {
+            self.successful_reloads += 1;
+        } else {
+            self.failed_reloads += 1;
+        }
     }
 
-    /// Messages that are taken and not ended.
+    /// The number of accepted messages that have not ended.
     pub fn concurrent(&self) -> u64 {
-        self.taken.saturating_sub(self.ended)
+        self.messages.accepted.saturating_sub(self.messages.ended)
     }
 
-    /// Messages taken, and those of them that have ended.
-    pub fn accepted_and_ended(&self) -> (u64, u64) {
-        (self.taken, self.ended)
+    /// The numbers of accepted and ended messages.
+    pub fn message_totals(&self) -> MessageTotals {
+        self.messages
     }
 
     fn count(&mut self, class: &str, end: MessageEnd) {
-        let Some(counts) = self.classes.get_mut(class) else {
+        let Some(counters) = self.classes.get_mut(class) else {
             return;
         };
         match end {
-            MessageEnd::Success => counts.success += 1,
-            MessageEnd::Overload => counts.overload += 1,
-            MessageEnd::Error => counts.error += 1,
+            MessageEnd::Success => counters.success += 1,
+            MessageEnd::Overload => counters.overload += 1,
+            MessageEnd::Error => counters.error += 1,
             MessageEnd::Other => {}
         }
     }
 
-    /// The figures as the door shows them, one `name=value` a line.
-    pub fn render(&self, dispatches: u64, targets: HostCounts) -> String {
+    /// The metrics as the control socket shows them, one `relay.name=value` a line. Dispatches and hosts are counted
+    /// elsewhere.
+    pub fn render(&self, dispatches: u64, hosts: HostCounts) -> String {
         let mut text = String::new();
-        // A text takes every line.
-        for (class, counts) in &self.classes {
-            let Counts {
-                success,
-                overload,
-                error,
-                ..
-            } = counts;
-            let _ = writeln!(text, "relay.success.{class}={success}");
-            let _ = writeln!(text, "relay.overload.{class}={overload}");
-            let _ = writeln!(text, "relay.error.{class}={error}");
+        for (class, counters) in &self.classes {
+            push_metric(&mut text, format_args!("success.{class}"), counters.success);
+            push_metric(
+                &mut text,
+                format_args!("overload.{class}"),
+                counters.overload,
+            );
+            push_metric(&mut text, format_args!("error.{class}"), counters.error);
         }
-        let plain = [
+        let totals = [
             ("dispatches", dispatches),
             ("concurrent", self.concurrent()),
-            ("targets", targets.listed as u64),
-            ("targets_disabled", targets.disabled as u64),
-            ("reload_success", self.reloads[0]),
-            ("reload_failure", self.reloads[1]),
+            ("targets", hosts.listed as u64),
+            ("targets_disabled", hosts.disabled as u64),
+            ("reload_success", self.successful_reloads),
+            ("reload_failure", self.failed_reloads),
         ];
-        for (figure, value) in plain {
-            let _ = writeln!(text, "relay.{figure}={value}");
+        for (name, value) in totals {
+            push_metric(&mut text, format_args!("{name}"), value);
         }
         text
     }
 }
+
+fn push_metric(text: &mut String, name: fmt::Arguments<'_>, value: u64) {
+    text.push_str(&format!("relay.{name}={value}\n"));
+}
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -1,25 +1,25 @@
-//! One line to a connection: a call in, an answer back that begins with `ok` or `fail`.
+//! The operators' line protocol: a connection carries one command and one reply that begins with `ok` or `fail`.
 
 use std::fmt;
 
-/// Bytes of a call at most, its line break not counted.
-pub const LONGEST: usize = 64;
+/// The longest command in bytes, without its line break.
+pub const MAX_LINE_LENGTH: usize = 64;
 
-/// A call of an operator.
+/// A command of an operator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Command {
-    /// Whether the process takes clients.
+    /// Asks whether the process accepts clients.
     Ready,
-    /// The figures.
+    /// Asks for the metrics.
     ShowStat,
-    /// Empty the relay.
+    /// Drains the relay.
     Drain,
-    /// Back to work.
+    /// Ends a drain.
     Resume,
 }
 
 impl Command {
-    /// All calls.
+    /// All commands.
     pub const ALL: [Command; 4] = [
         Command::Ready,
         Command::ShowStat,
@@ -27,7 +27,7 @@
         Command::Resume,
     ];
 
-    /// Its word on the wire.
+    /// Its name on the wire.
     pub fn as_str(self) -> &'static str {
         match self {
             Command::Ready => "ready",
@@ -44,42 +44,54 @@
     }
 }
 
-/// What stands at the start of a connection's text.
+/// Why a line is rejected. The message is the reply's text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum LineError {
+    /// The line has more than [`MAX_LINE_LENGTH`] bytes.
+    #[error("the line is too long")]
+    TooLong,
+    /// The line is no command.
+    #[error("unknown call")]
+    UnknownCommand,
+}
+
+/// The first line of what a connection has sent so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ParsedLine {
-    /// No whole line yet.
+    /// The line is not complete yet.
     Partial,
-    /// A call.
+    /// A command.
     Command(Command),
-    /// A line that is no call, and why.
-    Wrong(&'static str),
+    /// A line that is no command.
+    Invalid(LineError),
 }
 
-/// Reads the first line of a text. White space round the word and a carriage return are let pass.
+/// Parses the first line. White space around the command and a carriage return are ignored, and so is all that follows
+/// the line.
 pub fn parse_line(text: &[u8]) -> ParsedLine {
-    let Some(end) = text.iter().position(|byte| *byte == b'\n') else {
-        return if text.len() > LONGEST {
-            ParsedLine::Wrong("the line is too long")
-        } else {
-            ParsedLine::Partial
-        };
-    };
-    if end > LONGEST {
-        return ParsedLine::Wrong("the line is too long");
+    let line_end = text.iter().position(|byte| *byte == b'\n');
+    if line_end.unwrap_or(text.len()) > MAX_LINE_LENGTH {
+        return ParsedLine::Invalid(LineError::TooLong);
     }
-    let word = text[..end].trim_ascii();
-    let call = Command::ALL
+    let Some(line_end) = line_end else {
+        return ParsedLine::Partial;
+    };
+    let name = text[..line_end].trim_ascii();
+    Command::ALL
         .into_iter()
-        .find(|call| call.as_str().as_bytes() == word);
-    call.map_or(ParsedLine::Wrong("unknown call"), ParsedLine::Command)
+        .find(|command| command.as_str().as_bytes() == name)
+        .map_or(
+            ParsedLine::Invalid(LineError::UnknownCommand),
+            ParsedLine::Command,
+        )
 }
 
-/// The answer to a call that worked.
-pub fn ok_reply(what: &str) -> String {
-    format!("ok {what}\n")
+/// The reply to a command that succeeded.
+pub fn ok_reply(text: &str) -> String {
+    format!("ok {text}\n")
 }
 
-/// The answer to a call that did not.
-pub fn fail_reply(why: &str) -> String {
-    format!("fail {why}\n")
+/// The reply to a command that failed.
+pub fn fail_reply(reason: &str) -> String {
+    format!("fail {reason}\n")
 }
--- a/crates/control/tests/lifecycle.rs
+++ b/crates/control/tests/lifecycle.rs
@@ -1,14 +1,15 @@
-//! The lifecycle as a table: every state with every input, and what holds as time passes.
+//! The lifecycle: a table of every state with every event, and what changes as time passes.
 
 use std::time::Duration;
 
 use control::lifecycle::{
-    DRAIN_CLOSES, DRAIN_REFUSES, HAND_OVER, STOP_CLOSES, STOP_ENDS, STOP_FRONT,
+    DRAIN_CLOSE_DELAY, DRAIN_REJECT_DELAY, HANDOVER_GRACE, STOP_CLOSE_DELAY, STOP_MAX_DURATION,
+    STOP_MIN_DURATION,
 };
 use control::{ConnectionStage, Lifecycle, LifecycleEvent, LifecycleState};
 
-const MS: Duration = Duration::from_millis(1);
-const INPUTS: [LifecycleEvent; 6] = [
+const MILLISECOND: Duration = Duration::from_millis(1);
+const EVENTS: [LifecycleEvent; 6] = [
     LifecycleEvent::Started,
     LifecycleEvent::Drain,
     LifecycleEvent::Resume,
@@ -17,26 +18,27 @@
     LifecycleEvent::Stop,
 ];
 
-/// A process that got to a state the shortest way.
-fn at(state: LifecycleState) -> Lifecycle {
-    let mut life = Lifecycle::default();
-    let way: &[LifecycleEvent] = match state {
+/// A process that reached a state by the fewest events.
+fn lifecycle_in(state: LifecycleState) -> Lifecycle {
+    let mut lifecycle = Lifecycle::default();
+    let events: &[LifecycleEvent] = match state {
         LifecycleState::Starting => &[],
         LifecycleState::Serving => &[LifecycleEvent::Started],
         LifecycleState::Draining => &[LifecycleEvent::Started, LifecycleEvent::Drain],
         LifecycleState::HandingOver => &[LifecycleEvent::Started, LifecycleEvent::HandOver],
         LifecycleState::Stopping => &[LifecycleEvent::Started, LifecycleEvent::Stop],
     };
-    way.iter()
-        .for_each(|told| assert!(life.handle(*told, Duration::ZERO)));
-    assert_eq!(life.state(), state);
-    life
+    for event in events {
+        assert!(lifecycle.handle(*event, Duration::ZERO));
+    }
+    assert_eq!(lifecycle.state(), state);
+    lifecycle
 }
 
 #[test]
-fn each_state_takes_each_input_as_the_table_says() {
+fn every_event_in_every_state_leads_to_the_state_of_the_table() {
     use LifecycleState::*;
-    // Columns as in INPUTS; none where an input changes nothing.
+    // Columns as in EVENTS; none where an event changes nothing.
     let table: [(LifecycleState, [Option<LifecycleState>; 6]); 5] = [
         (
             Starting,
@@ -71,94 +73,129 @@
         (Stopping, [None, None, None, None, None, None]),
     ];
     for (state, row) in table {
-        for (told, next) in INPUTS.into_iter().zip(row) {
-            let mut life = at(state);
-            assert_eq!(life.handle(told, MS), next.is_some(), "{state:?} {told:?}");
-            assert_eq!(life.state(), next.unwrap_or(state), "{state:?} {told:?}");
-            // Only a process that serves says yes.
-            assert_eq!(life.is_ready(), life.state() == Serving);
+        for (event, next) in EVENTS.into_iter().zip(row) {
+            let mut lifecycle = lifecycle_in(state);
+            assert_eq!(
+                lifecycle.handle(event, MILLISECOND),
+                next.is_some(),
+                "{state:?} {event:?}"
+            );
+            assert_eq!(
+                lifecycle.state(),
+                next.unwrap_or(state),
+                "{state:?} {event:?}"
+            );
+            // Only a serving process is ready.
+            assert_eq!(lifecycle.is_ready(), lifecycle.state() == Serving);
         }
     }
 }
 
 #[test]
-fn a_drained_relay_closes_in_steps_and_leaves_the_page_a_margin() {
-    let life = at(LifecycleState::Draining);
+fn drained_relay_closes_connections_in_stages_within_the_required_time() {
+    let lifecycle = lifecycle_in(LifecycleState::Draining);
     assert!(
-        !life.is_ready() && life.accepts_connections(Duration::from_secs(60)),
-        "it answers the front's question with no"
+        !lifecycle.is_ready() && lifecycle.accepts_connections(Duration::from_secs(60)),
+        "it answers the load balancer's question with no"
+    );
+    assert_eq!(
+        lifecycle.stage(DRAIN_CLOSE_DELAY - MILLISECOND),
+        ConnectionStage::Open
+    );
+    assert_eq!(lifecycle.stage(DRAIN_CLOSE_DELAY), ConnectionStage::Closing);
+    assert_eq!(
+        lifecycle.stage(DRAIN_REJECT_DELAY),
+        ConnectionStage::Refusing
     );
-    assert_eq!(life.stage(DRAIN_CLOSES - MS), ConnectionStage::Open);
-    assert_eq!(life.stage(DRAIN_CLOSES), ConnectionStage::Closing);
-    assert_eq!(life.stage(DRAIN_REFUSES), ConnectionStage::Refusing);
     assert!(
-        !life.should_exit(Duration::from_secs(3600), true),
+        !lifecycle.should_exit(Duration::from_secs(3600), true),
         "a drain ends no process"
     );
-    // The front asks every 0.1 s and stops 0.2 s after a no; 4 s after the call no message may be under 2 s old.
+    // The load balancer asks every 0.1 s and stops 0.2 s after a no; 4 s after the command no message may be under 2 s old.
     assert!(
-        DRAIN_CLOSES > Duration::from_millis(300)
-            && DRAIN_REFUSES + Duration::from_millis(400) < Duration::from_secs(2)
+        DRAIN_CLOSE_DELAY > Duration::from_millis(300)
+            && DRAIN_REJECT_DELAY + Duration::from_millis(400) < Duration::from_secs(2)
     );
 }
 
 #[test]
-fn a_drain_survives_an_upgrade_on_both_sides() {
-    let mut old = at(LifecycleState::Draining);
-    assert!(old.handle(LifecycleEvent::HandOver, MS) && old.is_drained());
+fn drain_survives_a_hand_over_and_its_failure() {
+    let mut old = lifecycle_in(LifecycleState::Draining);
+    assert!(old.handle(LifecycleEvent::HandOver, MILLISECOND) && old.is_drained());
     let mut new = Lifecycle::default();
     new.restore_drained(old.is_drained());
-    assert!(new.handle(LifecycleEvent::Started, MS));
+    assert!(new.handle(LifecycleEvent::Started, MILLISECOND));
     assert_eq!(new.state(), LifecycleState::Draining);
-    assert!(new.handle(LifecycleEvent::Resume, MS) && new.is_ready());
-    // And where the new one dies, the old one is drained as before.
-    assert!(old.handle(LifecycleEvent::TakenBack, MS));
+    assert!(new.handle(LifecycleEvent::Resume, MILLISECOND) && new.is_ready());
+    // If the successor dies, the old process is drained as before.
+    assert!(old.handle(LifecycleEvent::TakenBack, MILLISECOND));
     assert_eq!(old.state(), LifecycleState::Draining);
 }
 
 #[test]
-fn a_process_that_hands_over_accepts_no_more_and_is_never_held_up_by_clients() {
-    let life = at(LifecycleState::HandingOver);
-    assert!(!life.accepts_connections(Duration::ZERO) && !life.is_ready());
+fn process_that_hands_over_accepts_no_connections_and_does_not_wait_for_clients() {
+    let lifecycle = lifecycle_in(LifecycleState::HandingOver);
+    assert!(!lifecycle.accepts_connections(Duration::ZERO) && !lifecycle.is_ready());
     assert_eq!(
-        life.stage(HAND_OVER - MS),
+        lifecycle.stage(HANDOVER_GRACE - MILLISECOND),
         ConnectionStage::Closing,
         "requests that have begun are served"
     );
-    assert_eq!(life.stage(HAND_OVER), ConnectionStage::Refusing);
-    assert!(life.should_hand_over(Duration::ZERO, 0) && !life.should_hand_over(HAND_OVER - MS, 1));
-    assert!(life.should_hand_over(HAND_OVER, 1));
-    // Told to stop in between, it hands over at once and ends as soon as nothing is out.
-    let mut life = life;
-    assert!(life.handle(LifecycleEvent::Stop, MS));
-    assert!(life.should_hand_over(MS, 9) && !life.accepts_connections(MS));
-    assert_eq!(life.stage(MS), ConnectionStage::Refusing);
+    assert_eq!(lifecycle.stage(HANDOVER_GRACE), ConnectionStage::Refusing);
     assert!(
-        life.should_exit(MS, true)
-            && !life.should_exit(MS, false)
-            && life.should_exit(MS + STOP_ENDS, false)
+        lifecycle.should_hand_over(Duration::ZERO, 0)
+            && !lifecycle.should_hand_over(HANDOVER_GRACE - MILLISECOND, 1)
     );
-    assert!(!at(LifecycleState::Serving).should_hand_over(Duration::from_secs(9), 0));
+    assert!(lifecycle.should_hand_over(HANDOVER_GRACE, 1));
+    // On SIGTERM in between it hands over at once, and exits as soon as it is idle.
+    let mut lifecycle = lifecycle;
+    assert!(lifecycle.handle(LifecycleEvent::Stop, MILLISECOND));
+    assert!(
+        lifecycle.should_hand_over(MILLISECOND, 9) && !lifecycle.accepts_connections(MILLISECOND)
+    );
+    assert_eq!(lifecycle.stage(MILLISECOND), ConnectionStage::Refusing);
+    assert!(
+        lifecycle.should_exit(MILLISECOND, true)
+            && !lifecycle.should_exit(MILLISECOND, false)
+            && lifecycle.should_exit(MILLISECOND + STOP_MAX_DURATION, false)
+    );
+    assert!(!lifecycle_in(LifecycleState::Serving).should_hand_over(Duration::from_secs(9), 0));
 }
 
 #[test]
-fn a_stop_serves_on_and_ends_before_the_kill() {
-    let life = at(LifecycleState::Stopping);
-    assert!(life.accepts_connections(STOP_CLOSES - MS) && !life.accepts_connections(STOP_CLOSES));
-    assert_eq!(life.stage(STOP_CLOSES - MS), ConnectionStage::Open);
-    assert_eq!(life.stage(STOP_CLOSES), ConnectionStage::Closing);
+fn stopping_process_serves_on_and_exits_before_sigkill() {
+    let lifecycle = lifecycle_in(LifecycleState::Stopping);
     assert!(
-        !life.should_exit(STOP_FRONT - MS, true),
+        lifecycle.accepts_connections(STOP_CLOSE_DELAY - MILLISECOND)
+            && !lifecycle.accepts_connections(STOP_CLOSE_DELAY)
+    );
+    assert_eq!(
+        lifecycle.stage(STOP_CLOSE_DELAY - MILLISECOND),
+        ConnectionStage::Open
+    );
+    assert_eq!(lifecycle.stage(STOP_CLOSE_DELAY), ConnectionStage::Closing);
+    assert!(
+        !lifecycle.should_exit(STOP_MIN_DURATION - MILLISECOND, true),
         "new connections may still be on the way"
     );
     assert!(
-        life.should_exit(STOP_FRONT, true)
-            && !life.should_exit(STOP_ENDS - MS, false)
-            && life.should_exit(STOP_ENDS, false)
+        lifecycle.should_exit(STOP_MIN_DURATION, true)
+            && !lifecycle.should_exit(STOP_MAX_DURATION - MILLISECOND, false)
+            && lifecycle.should_exit(STOP_MAX_DURATION, false)
     );
     assert!(
-        STOP_ENDS < Duration::from_millis(3700),
+        STOP_MAX_DURATION < Duration::from_millis(3700),
         "SIGKILL comes then"
     );
-    assert_eq!(life.time_left_for_calls(), Some(STOP_CLOSES));
+    assert_eq!(lifecycle.time_left_for_calls(), Some(STOP_CLOSE_DELAY));
+}
+
+#[test]
+fn states_have_stable_names_on_the_wire() {
+    use LifecycleState::*;
+    let names = [Starting, Serving, Draining, HandingOver, Stopping].map(LifecycleState::as_str);
+    assert_eq!(
+        names,
+        ["starting", "serving", "draining", "handingover", "stopping"]
+    );
 }
--- a/crates/control/tests/metrics.rs
+++ b/crates/control/tests/metrics.rs
@@ -1,6 +1,6 @@
-//! The ledger: whatever happens in whatever order, the figures add up.
+//! The metrics: the counters add up after any sequence of events.
 
-use control::metrics::MOST_CLASSES;
+use control::metrics::MAX_CLASSES;
 use control::{HostCounts, MessageEnd, Metrics};
 use proptest::prelude::*;
 
@@ -8,8 +8,8 @@
     list.iter().map(|name| name.to_string()).collect()
 }
 
-/// The value of a figure as the door shows it.
-fn figure(text: &str, name: &str) -> Option<u64> {
+/// The value of a metric as the control socket shows it.
+fn metric(text: &str, name: &str) -> Option<u64> {
     let line = text
         .lines()
         .find_map(|line| line.strip_prefix(&format!("relay.{name}=")));
@@ -27,18 +27,18 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Taken,
+    Accepted,
     Ended(usize, MessageEnd),
-    TurnedAway(usize, MessageEnd),
+    Rejected(usize, MessageEnd),
     Reload(bool),
     HandedOver,
 }
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        4 => Just(Step::Taken),
+        4 => Just(Step::Accepted),
         4 => (0..4usize, end()).prop_map(|(class, end)| Step::Ended(class, end)),
-        2 => (0..4usize, end()).prop_map(|(class, end)| Step::TurnedAway(class, end)),
+        2 => (0..4usize, end()).prop_map(|(class, end)| Step::Rejected(class, end)),
         1 => any::<bool>().prop_map(Step::Reload),
         1 => Just(Step::HandedOver),
     ]
@@ -48,10 +48,10 @@
     #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
 
     #[test]
-    fn what_was_taken_has_ended_or_is_concurrent(steps in prop::collection::vec(step(), 0..200)) {
+    fn accepted_messages_are_either_ended_or_concurrent(steps in prop::collection::vec(step(), 0..200)) {
         let classes = names(&["a", "b", "c", "no class"]);
-        let mut ledger = Metrics::new(&classes[..3]);
-        let (mut held, mut counts, mut reloads) = (0u64, [[0u64; 3]; 3], [0u64; 2]);
+        let mut metrics = Metrics::new(&classes[..3]);
+        let (mut open, mut counts, mut reloads) = (0u64, [[0u64; 3]; 3], [0u64; 2]);
         for step in steps {
             let mut count = |class: usize, end: MessageEnd| {
                 let column = match end {
@@ -63,78 +63,78 @@
                 counts.get_mut(class).into_iter().for_each(|row| row[column] += 1);
             };
             match step {
-                Step::Taken => {
-                    ledger.record_accepted();
-                    held += 1;
+                Step::Accepted => {
+                    metrics.record_accepted();
+                    open += 1;
                 }
-                Step::Ended(class, end) if held > 0 => {
-                    ledger.record_end(&classes[class], end);
-                    held -= 1;
+                Step::Ended(class, end) if open > 0 => {
+                    metrics.record_end(&classes[class], end);
+                    open -= 1;
                     count(class, end);
                 }
                 Step::Ended(..) => {}
-                Step::TurnedAway(class, end) => {
-                    ledger.record_rejected(&classes[class], end);
+                Step::Rejected(class, end) => {
+                    metrics.record_rejected(&classes[class], end);
                     count(class, end);
                 }
-                Step::Reload(taken) => {
-                    ledger.record_reload(taken);
-                    reloads[usize::from(!taken)] += 1;
+                Step::Reload(is_applied) => {
+                    metrics.record_reload(is_applied);
+                    reloads[usize::from(!is_applied)] += 1;
                 }
                 Step::HandedOver => {
-                    ledger.record_handover();
-                    held = 0;
+                    metrics.record_handover();
+                    open = 0;
                 }
             }
-            let (taken, ended) = ledger.accepted_and_ended();
-            prop_assert_eq!(taken, ended + ledger.concurrent());
-            prop_assert_eq!(ledger.concurrent(), held);
+            let totals = metrics.message_totals();
+            prop_assert_eq!(totals.accepted, totals.ended + metrics.concurrent());
+            prop_assert_eq!(metrics.concurrent(), open);
         }
-        let text = ledger.render(7, HostCounts { listed: 5, disabled: 2 });
+        let text = metrics.render(7, HostCounts { listed: 5, disabled: 2 });
         for (class, row) in classes.iter().zip(counts) {
             for (name, value) in ["success", "overload", "error"].into_iter().zip(row) {
-                prop_assert_eq!(figure(&text, &format!("{name}.{class}")), Some(value));
+                prop_assert_eq!(metric(&text, &format!("{name}.{class}")), Some(value));
             }
         }
-        let plain = [("dispatches", 7), ("concurrent", held), ("targets", 5), ("targets_disabled", 2),
+        let totals = [("dispatches", 7), ("concurrent", open), ("targets", 5), ("targets_disabled", 2),
             ("reload_success", reloads[0]), ("reload_failure", reloads[1])];
-        for (name, value) in plain {
-            prop_assert_eq!(figure(&text, name), Some(value));
+        for (name, value) in totals {
+            prop_assert_eq!(metric(&text, name), Some(value));
         }
-        prop_assert_eq!(figure(&text, "success.no class"), None, "names are the client's");
+        prop_assert_eq!(metric(&text, "success.no class"), None, "its name is the client's");
     }
 }
 
 #[test]
-fn classes_come_at_zero_and_those_that_go_keep_their_counts() {
-    let mut ledger = Metrics::new(&names(&["a", "b"]));
-    ledger.record_accepted();
-    ledger.record_end("a", MessageEnd::Success);
-    ledger.set_classes(&names(&["b", "c"]));
-    let text = ledger.render(0, HostCounts::default());
+fn new_classes_start_at_zero_and_removed_ones_keep_their_counters() {
+    let mut metrics = Metrics::new(&names(&["a", "b"]));
+    metrics.record_accepted();
+    metrics.record_end("a", MessageEnd::Success);
+    metrics.set_classes(&names(&["b", "c"]));
+    let text = metrics.render(0, HostCounts::default());
     assert_eq!(
-        (figure(&text, "success.a"), figure(&text, "success.c")),
+        (metric(&text, "success.a"), metric(&text, "success.c")),
         (Some(1), Some(0))
     );
 }
 
 #[test]
-fn names_of_classes_are_bounded_and_those_in_force_always_stand() {
-    let mut ledger = Metrics::default();
-    for number in 0..2 * MOST_CLASSES {
-        ledger.set_classes(&names(&[&format!("c{number}"), "always"]));
-        ledger.record_rejected("always", MessageEnd::Error);
+fn number_of_classes_is_bounded_and_configured_ones_are_always_listed() {
+    let mut metrics = Metrics::default();
+    for number in 0..2 * MAX_CLASSES {
+        metrics.set_classes(&names(&[&format!("c{number}"), "always"]));
+        metrics.record_rejected("always", MessageEnd::Error);
     }
-    let text = ledger.render(0, HostCounts::default());
+    let text = metrics.render(0, HostCounts::default());
     assert_eq!(
         text.lines()
             .filter(|line| line.starts_with("relay.success."))
             .count(),
-        MOST_CLASSES
+        MAX_CLASSES
     );
-    assert_eq!(figure(&text, "error.always"), Some(2 * MOST_CLASSES as u64));
+    assert_eq!(metric(&text, "error.always"), Some(2 * MAX_CLASSES as u64));
     assert_eq!(
-        figure(&text, &format!("success.c{}", 2 * MOST_CLASSES - 1)),
+        metric(&text, &format!("success.c{}", 2 * MAX_CLASSES - 1)),
         Some(0)
     );
 }
--- a/crates/control/tests/protocol.rs
+++ b/crates/control/tests/protocol.rs
@@ -1,14 +1,14 @@
-//! The line protocol: each call, cut at each byte, and what is none.
+//! The line protocol: every command, cut at every byte, and lines that are no command.
 
-use control::protocol::{parse_line, LONGEST};
-use control::{Command, ParsedLine};
+use control::protocol::{parse_line, MAX_LINE_LENGTH};
+use control::{Command, LineError, ParsedLine};
 use proptest::prelude::*;
 
 #[test]
-fn each_call_is_read_once_its_line_is_whole() {
-    for call in Command::ALL {
+fn command_is_parsed_once_its_line_is_complete() {
+    for command in Command::ALL {
         for end in ["\n", "\r\n", " \n"] {
-            let text = format!("{call}{end}");
+            let text = format!("{command}{end}");
             for cut in 0..text.len() {
                 assert_eq!(
                     parse_line(&text.as_bytes()[..cut]),
@@ -16,19 +16,19 @@
                     "{text:?} cut at {cut}"
                 );
             }
-            assert_eq!(parse_line(text.as_bytes()), ParsedLine::Command(call));
-            // What follows the line is not looked at.
+            assert_eq!(parse_line(text.as_bytes()), ParsedLine::Command(command));
+            // What follows the line is ignored.
             assert_eq!(
                 parse_line(format!("{text}more").as_bytes()),
-                ParsedLine::Command(call)
+                ParsedLine::Command(command)
             );
         }
     }
 }
 
 #[test]
-fn what_is_no_call_is_told_so_at_once() {
-    let long = vec![b'a'; LONGEST + 1];
+fn line_that_is_no_command_is_rejected_at_once() {
+    let long = vec![b'a'; MAX_LINE_LENGTH + 1];
     for text in [
         &b"\n"[..],
         b"READY\n",
@@ -37,18 +37,38 @@
         b"show-stat\0\n",
         &long,
     ] {
-        assert!(matches!(parse_line(text), ParsedLine::Wrong(_)), "{text:?}");
+        assert!(
+            matches!(parse_line(text), ParsedLine::Invalid(_)),
+            "{text:?}"
+        );
+    }
+}
+
+#[test]
+fn rejected_line_has_its_reason() {
+    let long = "a".repeat(MAX_LINE_LENGTH + 1);
+    for (text, error, message) in [
+        (long.as_str(), LineError::TooLong, "the line is too long"),
+        (
+            &format!("{long}\n"),
+            LineError::TooLong,
+            "the line is too long",
+        ),
+        ("reboot\n", LineError::UnknownCommand, "unknown call"),
+    ] {
+        assert_eq!(parse_line(text.as_bytes()), ParsedLine::Invalid(error));
+        assert_eq!(error.to_string(), message);
     }
 }
 
 proptest! {
     #[test]
-    fn no_text_is_taken_for_a_call_that_it_does_not_name(text in prop::collection::vec(any::<u8>(), 0..200)) {
-        if let ParsedLine::Command(call) = parse_line(&text) {
+    fn text_is_parsed_only_as_the_command_that_it_names(text in prop::collection::vec(any::<u8>(), 0..200)) {
+        if let ParsedLine::Command(command) = parse_line(&text) {
             let first = text.split(|byte| *byte == b'\n').next().unwrap_or_default();
-            prop_assert_eq!(first.trim_ascii(), call.as_str().as_bytes());
+            prop_assert_eq!(first.trim_ascii(), command.as_str().as_bytes());
         }
-        if !text.contains(&b'\n') && text.len() <= LONGEST {
+        if !text.contains(&b'\n') && text.len() <= MAX_LINE_LENGTH {
             prop_assert_eq!(parse_line(&text), ParsedLine::Partial);
         }
     }
