Test the state directory's shells on files, and the text of ownership errors

Need: the state machine was tested by itself, the shells that join it with files only through whole processes.

Change: owner/tests.rs plays a hand-over, a reclaim, a lost predecessor, a directory in use and a missing one on the file system; error/tests.rs checks each error's line. Events say that a lock is acquired, and acquire needs no bool for its log line.

--- a/crates/relay/src/state_directory/departing_process.rs
+++ b/crates/relay/src/state_directory/departing_process.rs
@@ -109,14 +109,14 @@
                 OwnershipAction::LockSuccessor => {
                     successor_lock = self.directory.lock(SUCCESSOR_LOCK).ok().flatten();
                     match successor_lock {
-                        Some(_) => OwnershipEvent::SuccessorLockTaken,
+                        Some(_) => OwnershipEvent::SuccessorLockAcquired,
                         None => OwnershipEvent::SuccessorLockHeld,
                     }
                 }
                 OwnershipAction::LockOwner => {
                     owner_lock = self.directory.lock(OWNER_LOCK).ok().flatten();
                     match owner_lock {
-                        Some(_) => OwnershipEvent::OwnerLockTaken,
+                        Some(_) => OwnershipEvent::OwnerLockAcquired,
                         None => OwnershipEvent::OwnerLockHeld,
                     }
                 }
--- a/crates/relay/src/state_directory/error.rs
+++ b/crates/relay/src/state_directory/error.rs
@@ -1,5 +1,8 @@
 //! Errors of acquiring the state directory.
 
+#[cfg(test)]
+mod tests;
+
 use std::io;
 use std::path::PathBuf;
 
--- a/crates/relay/src/state_directory/owner.rs
+++ b/crates/relay/src/state_directory/owner.rs
@@ -1,5 +1,8 @@
 //! The process that owns the state directory, or is about to: it carries out the actions of [`Ownership`] on files.
 
+#[cfg(test)]
+mod tests;
+
 use std::io;
 use std::time::Instant;
 
@@ -36,13 +39,19 @@
                 OwnershipAction::LockOwner => {
                     owner_lock = self.try_lock(OWNER_LOCK)?;
                     match owner_lock {
-                        Some(_) => OwnershipEvent::OwnerLockTaken,
+                        Some(_) => OwnershipEvent::OwnerLockAcquired,
                         None => OwnershipEvent::OwnerLockHeld,
                     }
                 }
                 OwnershipAction::LockSuccessor => {
                     successor_lock = self.try_lock(SUCCESSOR_LOCK)?;
-                    self.successor_lock_event(successor_lock.is_some())
+                    match successor_lock {
+                        Some(_) => {
+                            self.log_request();
+                            OwnershipEvent::SuccessorLockAcquired
+                        }
+                        None => OwnershipEvent::SuccessorLockHeld,
+                    }
                 }
                 OwnershipAction::WriteRequest => {
                     self.write_request();
@@ -78,15 +87,11 @@
         })
     }
 
-    fn successor_lock_event(&self, is_taken: bool) -> OwnershipEvent {
-        if !is_taken {
-            return OwnershipEvent::SuccessorLockHeld;
-        }
+    fn log_request(&self) {
         log!(
             self.runtime,
             "upgrade: another process serves; it is asked to hand over"
         );
-        OwnershipEvent::SuccessorLockTaken
     }
 
     /// A request that cannot be written now is written at the next look.
--- /dev/null
+++ b/crates/relay/src/state_directory/owner/tests.rs
@@ -0,0 +1,183 @@
+//! Two owners of one directory on the file system, in one process: locks belong to open files, not to processes.
+
+use std::fs;
+use std::future::Future;
+use std::path::PathBuf;
+
+use policy::types::AttemptOutcome;
+use policy::HandoverSnapshot;
+use relay_events::CompletedCall;
+use runtime::{OsRuntime, Runtime};
+
+use crate::state_directory::error::OwnershipError;
+use crate::state_directory::ownership::{HANDOVER_POLL_INTERVAL, REQUEST_CHECK_INTERVAL};
+use crate::state_directory::{DirectoryOwner, HandoverState, ListenerOrigin, StateDirectory};
+
+const DISK_LIMIT: u64 = 3_000_000;
+
+/// An empty directory of the test's own, removed at its end.
+struct TestDirectory(PathBuf);
+
+impl TestDirectory {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("ownership-{name}-{}", std::process::id()));
+        drop(fs::remove_dir_all(&path));
+        fs::create_dir_all(&path).expect("a directory");
+        TestDirectory(path)
+    }
+
+    async fn acquire(
+        &self,
+        listener: ListenerOrigin,
+    ) -> Result<DirectoryOwner<OsRuntime>, OwnershipError> {
+        StateDirectory::new(&OsRuntime, &self.0)
+            .acquire(listener)
+            .await
+    }
+
+    fn exists(&self, name: &str) -> bool {
+        self.0.join(name).exists()
+    }
+}
+
+impl Drop for TestDirectory {
+    fn drop(&mut self) {
+        drop(fs::remove_dir_all(&self.0));
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// The state of a process with one open call.
+fn state() -> HandoverState {
+    HandoverState::new(false, vec![(7, 0, 3)], HandoverSnapshot::default())
+}
+
+fn end() -> CompletedCall {
+    CompletedCall {
+        id: 7,
+        attempt: 0,
+        host: 3,
+        outcome: AttemptOutcome::Delivered,
+        is_final: false,
+        load_report: None,
+        elapsed: 40_000,
+        opened_connection: false,
+    }
+}
+
+#[test]
+fn directory_goes_to_the_successor_and_call_ends_follow() {
+    run(async {
+        let directory = TestDirectory::new("handover");
+        let mut old = directory
+            .acquire(ListenerOrigin::Inherited)
+            .await
+            .expect("it is free");
+        assert!(old.read_handover().await.is_none());
+        assert!(!old.took_over() && !old.handover_requested());
+        let hand_over = async {
+            while !old.handover_requested() {
+                OsRuntime.sleep(HANDOVER_POLL_INTERVAL).await;
+            }
+            let mut departing = old.hand_over(state(), DISK_LIMIT).expect("it fits");
+            departing.release_directory();
+            departing
+        };
+        let (new, mut departing) =
+            tokio::join!(directory.acquire(ListenerOrigin::Inherited), hand_over);
+        let mut new = new.expect("it is handed over");
+        assert!(new.took_over() && !departing.is_replaced());
+        let left = new.read_handover().await.expect("a snapshot");
+        assert_eq!(left.open_calls, [(7, 0, 3)]);
+        new.withdraw_request();
+        assert!(departing.is_replaced() && !departing.is_idle());
+        assert!(new.take_call_ends().is_empty());
+        departing.report_call_end(&end()).expect("written");
+        assert!(departing.is_idle());
+        assert_eq!(new.take_call_ends(), [end()]);
+        new.clean_up();
+        assert!(directory.exists("upgrade.state"), "the old one still runs");
+        drop(departing);
+        new.clean_up();
+        assert!(!directory.exists("upgrade.state") && !directory.exists("upgrade.ends"));
+        assert!(!new.took_over());
+    });
+}
+
+#[test]
+fn departing_process_reclaims_the_directory_of_a_successor_that_died() {
+    run(async {
+        let directory = TestDirectory::new("reclaim");
+        let mut old = directory
+            .acquire(ListenerOrigin::Inherited)
+            .await
+            .expect("it is free");
+        old.read_handover().await;
+        let mut departing = old.hand_over(state(), DISK_LIMIT).expect("it fits");
+        departing.release_directory();
+        let Err(departing) = departing.take_back() else {
+            panic!("it looked too early");
+        };
+        OsRuntime.sleep(REQUEST_CHECK_INTERVAL).await;
+        let Ok(mut new) = departing.take_back() else {
+            panic!("nobody holds the locks");
+        };
+        assert!(!new.took_over() && !new.handover_requested());
+        assert!(new.read_handover().await.is_some());
+        assert!(new.take_call_ends().is_empty(), "its own call is open");
+        new.call_completed(&end());
+        new.clean_up();
+        assert!(!directory.exists("upgrade.state"));
+    });
+}
+
+#[test]
+fn calls_of_a_predecessor_that_is_gone_end_as_lost() {
+    run(async {
+        let directory = TestDirectory::new("lost");
+        let mut old = directory
+            .acquire(ListenerOrigin::Inherited)
+            .await
+            .expect("it is free");
+        old.read_handover().await;
+        drop(old.hand_over(state(), DISK_LIMIT).expect("it fits"));
+        let mut new = directory
+            .acquire(ListenerOrigin::Bound)
+            .await
+            .expect("it is free");
+        assert!(new.read_handover().await.is_some() && !new.took_over());
+        let ends = new.take_call_ends();
+        assert_eq!(ends.len(), 1);
+        assert_eq!(ends[0].outcome, AttemptOutcome::ConnectionLost);
+    });
+}
+
+#[test]
+fn second_process_without_an_inherited_listener_is_rejected() {
+    run(async {
+        let directory = TestDirectory::new("in-use");
+        let _owner = directory
+            .acquire(ListenerOrigin::Bound)
+            .await
+            .expect("it is free");
+        let error = directory.acquire(ListenerOrigin::Bound).await.err();
+        assert!(matches!(error, Some(OwnershipError::InUse { .. })));
+    });
+}
+
+#[test]
+fn missing_directory_is_unusable() {
+    run(async {
+        let directory = TestDirectory::new("missing");
+        fs::remove_dir_all(&directory.0).expect("removed");
+        let error = directory.acquire(ListenerOrigin::Bound).await.err();
+        assert!(matches!(error, Some(OwnershipError::Unusable { .. })));
+    });
+}
--- a/crates/relay/src/state_directory/ownership.rs
+++ b/crates/relay/src/state_directory/ownership.rs
@@ -70,12 +70,12 @@
     Started,
     /// A wait is over.
     WaitElapsed,
-    /// The owner lock was taken.
-    OwnerLockTaken,
+    /// The owner lock was acquired.
+    OwnerLockAcquired,
     /// Another process holds the owner lock, or it cannot be locked.
     OwnerLockHeld,
-    /// The successor lock was taken.
-    SuccessorLockTaken,
+    /// The successor lock was acquired.
+    SuccessorLockAcquired,
     /// Another process holds the successor lock, or it cannot be locked.
     SuccessorLockHeld,
     /// The request file was written.
@@ -215,7 +215,7 @@
     ) -> OwnershipAction {
         match event {
             OwnershipEvent::Started | OwnershipEvent::WaitElapsed => OwnershipAction::LockOwner,
-            OwnershipEvent::OwnerLockTaken => self.become_owner(Predecessor::None, now),
+            OwnershipEvent::OwnerLockAcquired => self.become_owner(Predecessor::None, now),
             OwnershipEvent::OwnerLockHeld if self.listener == ListenerOrigin::Inherited => {
                 self.state = OwnershipState::Claiming {
                     deadline: now + SUCCESSOR_LOCK_TIMEOUT,
@@ -230,7 +230,7 @@
 
     fn claim(&mut self, deadline: Instant, event: OwnershipEvent, now: Instant) -> OwnershipAction {
         match event {
-            OwnershipEvent::SuccessorLockTaken => {
+            OwnershipEvent::SuccessorLockAcquired => {
                 self.state = OwnershipState::Requesting;
                 OwnershipAction::WriteRequest
             }
@@ -246,7 +246,7 @@
     fn request(&mut self, event: OwnershipEvent, now: Instant) -> OwnershipAction {
         match event {
             OwnershipEvent::RequestWritten => OwnershipAction::LockOwner,
-            OwnershipEvent::OwnerLockTaken => self.become_owner(Predecessor::OtherProcess, now),
+            OwnershipEvent::OwnerLockAcquired => self.become_owner(Predecessor::OtherProcess, now),
             OwnershipEvent::OwnerLockHeld => OwnershipAction::Wait,
             OwnershipEvent::WaitElapsed => OwnershipAction::WriteRequest,
             _ => OwnershipAction::None,
@@ -384,8 +384,8 @@
                 };
                 OwnershipAction::LockSuccessor
             }
-            OwnershipEvent::SuccessorLockTaken => OwnershipAction::LockOwner,
-            OwnershipEvent::OwnerLockTaken => self.become_owner(Predecessor::SameProcess, now),
+            OwnershipEvent::SuccessorLockAcquired => OwnershipAction::LockOwner,
+            OwnershipEvent::OwnerLockAcquired => self.become_owner(Predecessor::SameProcess, now),
             _ => OwnershipAction::None,
         }
     }
--- a/crates/relay/src/state_directory/ownership/tests.rs
+++ b/crates/relay/src/state_directory/ownership/tests.rs
@@ -13,9 +13,9 @@
 const EVENTS: [Event; 24] = [
     Event::Started,
     Event::WaitElapsed,
-    Event::OwnerLockTaken,
+    Event::OwnerLockAcquired,
     Event::OwnerLockHeld,
-    Event::SuccessorLockTaken,
+    Event::SuccessorLockAcquired,
     Event::SuccessorLockHeld,
     Event::RequestWritten,
     Event::SnapshotRead,
@@ -58,7 +58,7 @@
     let mut ownership = Ownership::new(listener, now);
     let steps = [
         (Event::Started, Action::LockOwner),
-        (Event::OwnerLockTaken, Action::BecomeOwner),
+        (Event::OwnerLockAcquired, Action::BecomeOwner),
         (Event::SnapshotMissing, Action::ProbePredecessor),
         (Event::PredecessorGone, Action::CleanUp),
         (Event::CleanedUp, Action::None),
@@ -73,12 +73,12 @@
     let steps = [
         (Event::Started, Action::LockOwner),
         (Event::OwnerLockHeld, Action::LockSuccessor),
-        (Event::SuccessorLockTaken, Action::WriteRequest),
+        (Event::SuccessorLockAcquired, Action::WriteRequest),
         (Event::RequestWritten, Action::LockOwner),
         (Event::OwnerLockHeld, Action::Wait),
         (Event::WaitElapsed, Action::WriteRequest),
         (Event::RequestWritten, Action::LockOwner),
-        (Event::OwnerLockTaken, Action::BecomeOwner),
+        (Event::OwnerLockAcquired, Action::BecomeOwner),
     ];
     play(&mut ownership, now, &steps);
     ownership
@@ -102,8 +102,8 @@
     let mut ownership = departing(now);
     let steps = [
         (Event::ReclaimCheckDue, Action::LockSuccessor),
-        (Event::SuccessorLockTaken, Action::LockOwner),
-        (Event::OwnerLockTaken, Action::BecomeOwner),
+        (Event::SuccessorLockAcquired, Action::LockOwner),
+        (Event::OwnerLockAcquired, Action::BecomeOwner),
     ];
     play(&mut ownership, now + REQUEST_CHECK_INTERVAL, &steps);
     ownership
@@ -173,7 +173,7 @@
     let steps = [
         (Event::Started, Action::LockOwner),
         (Event::OwnerLockHeld, Action::LockSuccessor),
-        (Event::SuccessorLockTaken, Action::WriteRequest),
+        (Event::SuccessorLockAcquired, Action::WriteRequest),
         (Event::RequestWritten, Action::LockOwner),
     ];
     play(&mut ownership, now, &steps);
@@ -184,7 +184,7 @@
     ];
     play(&mut ownership, now + 100 * OWNER_LOCK_TIMEOUT, &steps);
     assert_eq!(ownership.state, OwnershipState::Requesting);
-    let steps = [(Event::OwnerLockTaken, Action::BecomeOwner)];
+    let steps = [(Event::OwnerLockAcquired, Action::BecomeOwner)];
     play(&mut ownership, now, &steps);
     assert!(ownership.took_over());
 }
@@ -244,7 +244,7 @@
     let mut ownership = Ownership::new(ListenerOrigin::Bound, now);
     let steps = [
         (Event::Started, Action::LockOwner),
-        (Event::OwnerLockTaken, Action::BecomeOwner),
+        (Event::OwnerLockAcquired, Action::BecomeOwner),
         (Event::SnapshotRead, Action::None),
         (
             Event::CallEndsCheckDue {
@@ -333,7 +333,7 @@
     play(&mut ownership, due, &steps);
     let steps = [
         (Event::ReclaimCheckDue, Action::LockSuccessor),
-        (Event::SuccessorLockTaken, Action::LockOwner),
+        (Event::SuccessorLockAcquired, Action::LockOwner),
         (Event::OwnerLockHeld, Action::None),
     ];
     play(&mut ownership, due + REQUEST_CHECK_INTERVAL, &steps);
@@ -379,7 +379,7 @@
     let mut claiming = Ownership::new(ListenerOrigin::Inherited, now);
     claiming.handle(Event::OwnerLockHeld, now);
     let mut requesting = claiming;
-    requesting.handle(Event::SuccessorLockTaken, now);
+    requesting.handle(Event::SuccessorLockAcquired, now);
     for start in [
         Ownership::new(ListenerOrigin::Bound, now),
         claiming,
@@ -389,7 +389,7 @@
         for event in EVENTS {
             let mut ownership = start;
             ownership.handle(event, now);
-            let may_own = event == Event::OwnerLockTaken && start != claiming;
+            let may_own = event == Event::OwnerLockAcquired && start != claiming;
             assert_eq!(is_owner(&ownership), may_own, "{event:?} in {start:?}");
         }
     }
