--- a/crates/relay/src/process/error.rs
+++ b/crates/relay/src/process/error.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 
 use crate::event_loop::{PolicyAborted, StartupError};
+use crate::state_directory::OwnershipError;
 
 /// Why a relay cannot start or go on. Each message is one plain line for the operator.
 #[derive(Debug, Error)]
@@ -53,8 +54,8 @@
         source: io::Error,
     },
     /// The state directory cannot be acquired.
-    #[error("{0}")]
-    StateDirectory(String),
+    #[error(transparent)]
+    StateDirectory(#[from] OwnershipError),
     /// The administration API cannot be started.
     #[error("{0}")]
     Administration(String),
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -15,7 +15,7 @@
 use crate::config::Config;
 use crate::control_socket::{self, Control};
 use crate::operator_config::Operator;
-use crate::state_directory::StateDirectory;
+use crate::state_directory::{ListenerOrigin, StateDirectory};
 
 pub use error::RelayError;
 use serving::Served;
@@ -111,14 +111,16 @@
 impl<R: Runtime> Process<R> {
     /// Acquires the state directory, and serves whenever this process owns it.
     async fn run(&mut self, state_directory: StateDirectory<R>) -> Result<(), RelayError> {
+        let listener = match self.inherited_listener {
+            Some(_) => ListenerOrigin::Inherited,
+            None => ListenerOrigin::Bound,
+        };
         // A process that is stopped while it waits takes nothing over, and the other one serves on: this is how an
         // upgrade is called off.
         let mut directory_owner = tokio::select! {
             biased;
             () = wait_for_stop(&mut self.signals) => return Ok(()),
-            acquired = state_directory.acquire(self.inherited_listener.is_some()) => {
-                acquired.map_err(|error| RelayError::StateDirectory(error.to_string()))?
-            }
+            acquired = state_directory.acquire(listener) => acquired?,
         };
         loop {
             let (departing, clients) = match self.serve(directory_owner).await? {
