Divide the host connections into pool, connection, request, response and attempt

Change: host_connections is a folder. StatusLineParser and response::interpret parse without I/O and have tests of their own; ConnectionPool keeps idle connections; WatchedStream records the progress of a transfer; an attempt is a sequence of named steps (reuse_idle_connection, open_connection, reason_not_to_start, exchange, accept_response) that ends in an AttemptResult.

--- /dev/null
+++ b/crates/relay/src/host_connections/attempt.rs
@@ -0,0 +1,290 @@
+//! One attempt at a call: get a connection, check that the call may still start, exchange request and response, and
+//! derive the outcome.
+
+use std::ops::ControlFlow;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use policy::types::AttemptOutcome;
+use runtime::Runtime;
+use tokio::sync::oneshot;
+
+use super::connection::{response_head_overrun, Connection};
+use super::request::{self, EncodedRequest};
+use super::response::{self, ResponseReport};
+use super::{Call, HostConnections};
+
+/// A response with this status says that the message was delivered, even if the rest of it is malformed.
+const DELIVERED_STATUS: u16 = 200;
+
+/// How an attempt ended.
+pub(super) struct AttemptResult<R: Runtime> {
+    pub(super) report: ResponseReport,
+    /// A new connection was opened, or was to be opened, instead of reusing an idle one.
+    pub(super) opened_connection: bool,
+    /// What has to be read before the connection can be used again.
+    pub(super) unread_response: Option<UnreadResponse<R>>,
+}
+
+/// A response whose head was read and whose body was not.
+pub(super) struct UnreadResponse<R: Runtime> {
+    pub(super) connection: Connection<R>,
+    pub(super) response: Response<Incoming>,
+}
+
+/// Where the connection of an attempt comes from.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ConnectionOrigin {
+    /// It was idle in the pool, and the host may have closed it meanwhile.
+    Reused,
+    /// It was opened for the attempt.
+    Opened,
+}
+
+/// What came of writing a request and waiting for the head of its response.
+enum Exchange {
+    Response(Response<Incoming>),
+    /// The connection failed before the last byte of the request was written, so the host has not executed the call.
+    RequestIncomplete,
+    /// The connection failed after that, or the head of the response was malformed, too long or too slow.
+    ResponseFailed,
+    DeadlineReached,
+    Cancelled,
+}
+
+/// When an attempt has to end.
+pub(super) struct AttemptLimits<'a> {
+    pub(super) deadline: Instant,
+    /// Ready when the call is cancelled, also by dropping the sender.
+    pub(super) cancel: &'a mut oneshot::Receiver<()>,
+}
+
+impl<R: Runtime> HostConnections<R> {
+    /// Makes one attempt.
+    ///
+    /// The host may have closed an idle connection. The request then goes to the next one; each turn uses one up, and a
+    /// connection that was opened for the attempt is the last.
+    pub(super) async fn attempt(
+        &self,
+        call: &Call,
+        mut limits: AttemptLimits<'_>,
+    ) -> AttemptResult<R> {
+        loop {
+            let (connection, origin) = match self.reuse_idle_connection(call) {
+                Some(connection) => (connection, ConnectionOrigin::Reused),
+                None => match self.open_connection(call, &mut limits).await {
+                    Ok(connection) => (connection, ConnectionOrigin::Opened),
+                    Err(outcome) => {
+                        return AttemptResult::without_response(outcome, ConnectionOrigin::Opened);
+                    }
+                },
+            };
+            let step = self.attempt_on(call, &mut limits, connection, origin).await;
+            if let ControlFlow::Break(result) = step {
+                return result;
+            }
+        }
+    }
+
+    /// Opens a connection within the dial timeout, as a host that has disappeared does not answer.
+    async fn open_connection(
+        &self,
+        call: &Call,
+        limits: &mut AttemptLimits<'_>,
+    ) -> Result<Connection<R>, AttemptOutcome> {
+        let dial_deadline = limits.deadline.min(self.runtime.now() + self.dial_timeout);
+        let open = Connection::open(&self.runtime, call.address, self.dispatches.clone());
+        tokio::select! {
+            biased;
+            opened = self.runtime.timeout_at(dial_deadline, open) => match opened {
+                Ok(Ok(connection)) => Ok(connection),
+                _ => Err(AttemptOutcome::ConnectFailed),
+            },
+            _ = &mut *limits.cancel => Err(AttemptOutcome::Obsolete),
+        }
+    }
+
+    /// Makes the attempt on a connection, unless the call must not start any more.
+    ///
+    /// Continues with another connection if this one was lost before the host could execute the call.
+    async fn attempt_on(
+        &self,
+        call: &Call,
+        limits: &mut AttemptLimits<'_>,
+        mut connection: Connection<R>,
+        origin: ConnectionOrigin,
+    ) -> ControlFlow<AttemptResult<R>> {
+        if let Some(outcome) = self.reason_not_to_start(call) {
+            self.keep(call.host, connection);
+            return ControlFlow::Break(AttemptResult::without_response(outcome, origin));
+        }
+        let remaining = limits
+            .deadline
+            .saturating_duration_since(self.runtime.now());
+        let Some(EncodedRequest { request, size }) = request::build(call, remaining) else {
+            let outcome = AttemptOutcome::Obsolete;
+            return ControlFlow::Break(AttemptResult::without_response(outcome, origin));
+        };
+        connection.begin_request(size);
+        match self.exchange(&mut connection, request, limits).await {
+            Exchange::Response(response) => {
+                ControlFlow::Break(self.accept_response(call, connection, response, origin))
+            }
+            Exchange::RequestIncomplete => {
+                connection.close().await;
+                match origin {
+                    ConnectionOrigin::Reused => ControlFlow::Continue(()),
+                    // A new connection that takes no request belongs to a host that can't be reached.
+                    ConnectionOrigin::Opened => ControlFlow::Break(
+                        AttemptResult::without_response(AttemptOutcome::ConnectFailed, origin),
+                    ),
+                }
+            }
+            Exchange::ResponseFailed => {
+                ControlFlow::Break(self.end_failed_response(call, connection, origin).await)
+            }
+            Exchange::DeadlineReached => {
+                let outcome = if connection.progress().is_request_complete() {
+                    AttemptOutcome::Timeout
+                } else {
+                    AttemptOutcome::ConnectFailed
+                };
+                ControlFlow::Break(close_and_report(connection, outcome, origin).await)
+            }
+            Exchange::Cancelled => {
+                let outcome = if connection.progress().is_request_complete() {
+                    AttemptOutcome::Cancelled
+                } else {
+                    AttemptOutcome::Obsolete
+                };
+                ControlFlow::Break(close_and_report(connection, outcome, origin).await)
+            }
+        }
+    }
+
+    /// The outcome of a call that must not start any more; `None` if it may.
+    ///
+    /// Opening a connection takes time in which the conditions of the call may change. Nothing of it was written yet, so
+    /// the policy can still choose another host or a later time.
+    fn reason_not_to_start(&self, call: &Call) -> Option<AttemptOutcome> {
+        let now = self.runtime.now();
+        // The host was announced as draining or removed.
+        if !self.members.borrow().may_start_call(call.host, now) {
+            return Some(AttemptOutcome::NotStarted);
+        }
+        // Another call on the route was answered with a wait.
+        if self.retry_after.borrow().is_waiting(call.route, now) {
+            return Some(AttemptOutcome::Obsolete);
+        }
+        // An earlier attempt may have been executed, and the host may have forgotten the idempotency key by now.
+        if call.begin_by.is_some_and(|latest| latest < now) {
+            return Some(AttemptOutcome::Obsolete);
+        }
+        None
+    }
+
+    /// Writes a request and waits for the head of the response.
+    async fn exchange(
+        &self,
+        connection: &mut Connection<R>,
+        request: Request<Full<Bytes>>,
+        limits: &mut AttemptLimits<'_>,
+    ) -> Exchange {
+        let head_overrun = response_head_overrun(self.runtime.clone(), connection.monitor());
+        tokio::select! {
+            biased;
+            sent = connection.sender.try_send_request(request) => match sent {
+                Ok(response) => Exchange::Response(response),
+                Err(_) if !connection.progress().is_request_complete() => Exchange::RequestIncomplete,
+                Err(_) => Exchange::ResponseFailed,
+            },
+            // Bounds the time and the memory that a response's head may take.
+            () = head_overrun => Exchange::ResponseFailed,
+            () = self.runtime.sleep_until(limits.deadline) => Exchange::DeadlineReached,
+            _ = &mut *limits.cancel => Exchange::Cancelled,
+        }
+    }
+
+    /// Ends an attempt whose response has a valid head.
+    fn accept_response(
+        &self,
+        call: &Call,
+        connection: Connection<R>,
+        response: Response<Incoming>,
+        origin: ConnectionOrigin,
+    ) -> AttemptResult<R> {
+        let report = response::interpret(&response);
+        if let AttemptOutcome::Rejected {
+            retry_after: micros @ 1..,
+        } = report.outcome
+        {
+            let deadline = self.runtime.now() + Duration::from_micros(micros);
+            self.retry_after.borrow_mut().extend(call.route, deadline);
+        }
+        AttemptResult {
+            report,
+            opened_connection: origin == ConnectionOrigin::Opened,
+            unread_response: Some(UnreadResponse {
+                connection,
+                response,
+            }),
+        }
+    }
+
+    /// Ends an attempt whose response is missing, malformed, or over its limits of size or time.
+    async fn end_failed_response(
+        &self,
+        call: &Call,
+        connection: Connection<R>,
+        origin: ConnectionOrigin,
+    ) -> AttemptResult<R> {
+        let is_silent = connection.progress().response.bytes_read() == 0;
+        let is_connection_lost = is_silent && origin == ConnectionOrigin::Reused;
+        let outcome = if is_connection_lost {
+            AttemptOutcome::ConnectionLost
+        } else {
+            AttemptOutcome::Reset
+        };
+        let result = close_and_report(connection, outcome, origin).await;
+        if is_connection_lost {
+            // The other idle connections may be lost as well. The next call opens one, which shows whether the host is up.
+            self.close_idle(call.host);
+        }
+        result
+    }
+}
+
+impl<R: Runtime> AttemptResult<R> {
+    /// The result of an attempt that ended before a response's head was complete.
+    fn without_response(outcome: AttemptOutcome, origin: ConnectionOrigin) -> Self {
+        AttemptResult {
+            report: ResponseReport {
+                outcome,
+                is_final: false,
+                load_report: None,
+            },
+            opened_connection: origin == ConnectionOrigin::Opened,
+            unread_response: None,
+        }
+    }
+}
+
+/// Ends an attempt whose connection can't be reused, and returns once it is closed.
+///
+/// The outcome is the given one, unless the response began with status 200.
+async fn close_and_report<R: Runtime>(
+    connection: Connection<R>,
+    outcome: AttemptOutcome,
+    origin: ConnectionOrigin,
+) -> AttemptResult<R> {
+    let mut result = AttemptResult::without_response(outcome, origin);
+    if connection.progress().response.status() == Some(DELIVERED_STATUS) {
+        result.report.outcome = AttemptOutcome::Delivered;
+        result.report.is_final = true;
+    }
+    connection.close().await;
+    result
+}
--- /dev/null
+++ b/crates/relay/src/host_connections/connection_pool.rs
@@ -0,0 +1,105 @@
+//! The idle connections that are kept for further calls.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use policy::types::HostId;
+use runtime::Runtime;
+
+use super::connection::Connection;
+
+/// Idle connections by host, each host's from the one that is idle longest to the newest.
+pub(super) struct ConnectionPool<R: Runtime> {
+    idle: BTreeMap<HostId, Vec<Connection<R>>>,
+    idle_timeout: Duration,
+    max_idle: usize,
+    is_retired: bool,
+}
+
+impl<R: Runtime> ConnectionPool<R> {
+    /// Creates an empty pool of at most `max_idle` connections, each of which serves until it was idle for `idle_timeout`.
+    pub(super) fn new(idle_timeout: Duration, max_idle: usize) -> Self {
+        ConnectionPool {
+            idle: BTreeMap::new(),
+            idle_timeout,
+            max_idle,
+            is_retired: false,
+        }
+    }
+
+    /// The number of idle connections.
+    pub(super) fn len(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
+    /// The upper bound of [`Self::len`].
+    pub(super) fn max_idle(&self) -> usize {
+        self.max_idle
+    }
+
+    /// Whether the pool takes no more connections.
+    pub(super) fn is_retired(&self) -> bool {
+        self.is_retired
+    }
+
+    /// Closes all connections, and takes none from now on.
+    pub(super) fn retire(&mut self) {
+        self.is_retired = true;
+        self.idle.clear();
+    }
+
+    /// Closes the connections to a host.
+    pub(super) fn close_host(&mut self, host: HostId) {
+        self.idle.remove(&host);
+    }
+
+    /// Closes the connections that were idle for too long or were closed by their host.
+    pub(super) fn close_expired(&mut self, now: Instant) {
+        let idle_timeout = self.idle_timeout;
+        self.idle.retain(|_, connections| {
+            connections.retain(|connection| {
+                !connection.sender.is_closed() && now - connection.idle_since < idle_timeout
+            });
+            !connections.is_empty()
+        });
+    }
+
+    /// Removes the newest connection to a host at an address that is usable; newer ones that are not are closed.
+    pub(super) fn take(
+        &mut self,
+        host: HostId,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Option<Connection<R>> {
+        let connections = self.idle.get_mut(&host)?;
+        while let Some(connection) = connections.pop() {
+            let has_expired = now - connection.idle_since >= self.idle_timeout;
+            let is_current = !has_expired && connection.address == address;
+            if is_current && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Adds a connection that has just become idle. If the pool is full, the one that is idle longest is closed.
+    pub(super) fn put(&mut self, host: HostId, mut connection: Connection<R>, now: Instant) {
+        connection.idle_since = now;
+        self.idle.entry(host).or_default().push(connection);
+        if self.len() > self.max_idle {
+            self.close_longest_idle();
+        }
+    }
+
+    fn close_longest_idle(&mut self) {
+        let longest_idle = self
+            .idle
+            .iter_mut()
+            .min_by_key(|(_, connections)| connections.first().map(|first| first.idle_since));
+        if let Some((_, connections)) = longest_idle {
+            connections.remove(0);
+            self.idle.retain(|_, connections| !connections.is_empty());
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/host_connections/tests.rs
@@ -0,0 +1,245 @@
+use super::*;
+
+use std::future::Future;
+
+use membership::DiscoverySettings;
+use policy::types::AttemptOutcome;
+use runtime::OsRuntime;
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+const HOST_ID: HostId = 1;
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+const OK_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+
+fn call_to(address: SocketAddr, key: Option<&str>, body: &[u8]) -> Call {
+    Call {
+        id: 1,
+        attempt: 0,
+        host: HOST_ID,
+        route: (1, None),
+        address,
+        name: "9b1f03aa5c7e2d41".into(),
+        key: key.map(String::from),
+        body: Bytes::copy_from_slice(body),
+        timeout: CALL_TIMEOUT,
+        begin_by: None,
+    }
+}
+
+/// Connections of a relay that may call the host [`HOST_ID`].
+fn host_connections(max_idle: usize) -> HostConnections<OsRuntime> {
+    let mut members = HostMembership::new(
+        &DiscoverySettings {
+            pushed: true,
+            siblings: 1,
+            drain_grace: Duration::from_secs(2),
+            seed: 1,
+        },
+        None,
+    );
+    members.set_listed(HOST_ID, true);
+    members.confirm();
+    let timeout = Duration::from_secs(5);
+    HostConnections::new(
+        OsRuntime,
+        Rc::new(RefCell::new(members)),
+        timeout,
+        timeout,
+        max_idle,
+        Rc::default(),
+    )
+}
+
+fn run_local(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    (listener, address)
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    listener.accept().await.expect("accepted").0
+}
+
+async fn make_call(hosts: &HostConnections<OsRuntime>, call: Call) -> CompletedCall {
+    let (inputs, mut events) = mpsc::channel(1);
+    let (_cancel, cancelled) = oneshot::channel();
+    hosts.call(call, cancelled, inputs).await;
+    match events.recv().await {
+        Some(RelayEvent::CallCompleted(completed)) => completed,
+        _ => panic!("the call reported no outcome"),
+    }
+}
+
+fn encoded_size(call: &Call) -> usize {
+    request::build(call, CALL_TIMEOUT).expect("a request").size as usize
+}
+
+/// Asserts that a host that accepted a connection was sent no byte on it.
+async fn assert_nothing_was_written(listener: &TcpListener) {
+    let mut stream = accept(listener).await;
+    let read = timeout(Duration::from_millis(50), stream.read(&mut [0])).await;
+    assert!(!matches!(read, Ok(Ok(1..))), "not a byte of it was written");
+}
+
+/// If the computed size were too large, calls that were executed would be sent again.
+#[test]
+fn computed_request_size_is_what_is_written() {
+    run_local(async {
+        for (key, body) in [
+            (None, &b""[..]),
+            (Some("5c0f6e1a"), b"body"),
+            (None, &[7; 65536]),
+        ] {
+            let (listener, address) = listen().await;
+            let call = call_to(address, key, body);
+            let size = encoded_size(&call);
+            let hosts = host_connections(1);
+            let peer = async {
+                let mut stream = accept(&listener).await;
+                let mut request = vec![0; size];
+                stream.read_exact(&mut request).await.expect("all of it");
+                stream.write_all(OK_RESPONSE).await.expect("written");
+                assert!(request.ends_with(body));
+                let mut excess = [0];
+                let excess = timeout(Duration::from_millis(100), stream.read(&mut excess)).await;
+                assert!(excess.is_err(), "{excess:?}");
+            };
+            let (completed, ()) = tokio::join!(make_call(&hosts, call), peer);
+            assert_eq!(completed.outcome, AttemptOutcome::Delivered);
+        }
+    });
+}
+
+#[test]
+fn call_past_its_latest_start_is_not_written() {
+    run_local(async {
+        let (listener, address) = listen().await;
+        let hosts = host_connections(1);
+        let call = Call {
+            begin_by: Instant::now().checked_sub(Duration::from_millis(1)),
+            ..call_to(address, Some("k"), b"x")
+        };
+        let completed = make_call(&hosts, call).await;
+        assert_eq!(
+            completed.outcome,
+            AttemptOutcome::Obsolete,
+            "it is known not to have run"
+        );
+        assert_nothing_was_written(&listener).await;
+    });
+}
+
+/// The host is announced as draining while the call has its connection and has written nothing.
+#[test]
+fn call_to_a_host_that_drains_meanwhile_is_not_written() {
+    for reuses_connection in [false, true] {
+        run_local(async move {
+            let (listener, address) = listen().await;
+            let hosts = host_connections(1);
+            if reuses_connection {
+                let opened = Connection::open(&OsRuntime, address, Rc::default()).await;
+                let mut connection = opened.expect("opened");
+                connection.sender.ready().await.expect("ready");
+                hosts.keep(HOST_ID, connection);
+            }
+            // What the event loop does at a drain, except for closing idle connections.
+            hosts.members.borrow_mut().set_listed(HOST_ID, false);
+            let completed = make_call(&hosts, call_to(address, Some("k"), b"x")).await;
+            assert_eq!(
+                (completed.outcome, completed.opened_connection),
+                (AttemptOutcome::NotStarted, !reuses_connection)
+            );
+            assert_nothing_was_written(&listener).await;
+        });
+    }
+}
+
+#[test]
+fn connection_that_breaks_before_the_last_byte_counts_as_failed_connect() {
+    run_local(async {
+        let (listener, address) = listen().await;
+        // More than the sockets' buffers hold, so that the end can't have been written.
+        let call = call_to(address, None, &vec![7; 32 << 20]);
+        let hosts = host_connections(1);
+        let peer = async {
+            let mut stream = accept(&listener).await;
+            stream.read_exact(&mut [0; 1000]).await.expect("some of it");
+        };
+        let (completed, ()) = tokio::join!(make_call(&hosts, call), peer);
+        assert_eq!(completed.outcome, AttemptOutcome::ConnectFailed);
+    });
+}
+
+/// When a second copy of a response arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DuplicateTiming {
+    WithTheResponse,
+    WhileIdle,
+    /// So late that the HTTP library has not noticed it when the next call starts.
+    JustBeforeTheNextRequest,
+}
+
+#[test]
+fn duplicate_response_does_not_answer_the_next_call() {
+    for timing in [
+        DuplicateTiming::WithTheResponse,
+        DuplicateTiming::WhileIdle,
+        DuplicateTiming::JustBeforeTheNextRequest,
+    ] {
+        run_local(call_after_duplicate_response(timing));
+    }
+}
+
+async fn call_after_duplicate_response(timing: DuplicateTiming) {
+    let (listener, address) = listen().await;
+    let hosts = host_connections(4);
+    let call = || call_to(address, None, b"x");
+    let size = encoded_size(&call());
+
+    let peer = async {
+        let mut stream = accept(&listener).await;
+        stream.read_exact(&mut vec![0; size]).await.expect("a call");
+        let response = match timing {
+            DuplicateTiming::WithTheResponse => [OK_RESPONSE, OK_RESPONSE].concat(),
+            _ => OK_RESPONSE.to_vec(),
+        };
+        stream.write_all(&response).await.expect("written");
+        stream
+    };
+    let (completed, stream) = tokio::join!(make_call(&hosts, call()), peer);
+    assert_eq!(completed.outcome, AttemptOutcome::Delivered);
+
+    if timing != DuplicateTiming::WithTheResponse {
+        SockRef::from(&stream).send(OK_RESPONSE).expect("written");
+    }
+    if timing == DuplicateTiming::WhileIdle {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    let peer = async {
+        let mut stream = accept(&listener).await;
+        stream.read_exact(&mut vec![0; size]).await.expect("a call");
+        stream.write_all(BUSY_RESPONSE).await.expect("written");
+    };
+    let both = async { tokio::join!(make_call(&hosts, call()), peer) };
+    let (completed, ()) = timeout(Duration::from_secs(60), both)
+        .await
+        .expect("a call on a new connection");
+    assert_eq!(
+        completed.outcome,
+        AttemptOutcome::Rejected { retry_after: 0 },
+        "{timing:?}"
+    );
+}
