Name the poll schedule's limits and the membership's states in the field's terms

Need: pairs such as REST.0 and the words pace, siblings, patience and told did not say which limit they set, in which unit and why.

Change: each limit is a constant of its own with quantity, unit and reason (PUSH_BACKOFF_MIN, POLL_RESPONSE_TIMEOUT_PER_REPLICA, WATCH_SILENCE_TIMEOUT, HEARTBEAT_INTERVAL); DiscoverySettings has a DiscoveryMode instead of a bool, and replicas instead of siblings; the trust in the list is Confirmation::Pending or Confirmed; HOLD, ASKED_HOLD and OLDER_FOR are PUSH_CONFIRMATION_TIMEOUT, POLL_CONFIRMATION_TIMEOUT and STALE_LIST_ACCEPTED_AFTER, and private, as nothing else uses them. Random draws are the same in number and order.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,9 +1,11 @@
-//! How far the list of hosts may be believed, and when discovery is asked for it. No I/O, no clock: every question
-//! comes with its moment.
+//! Decides how far the host list may be trusted and when to poll discovery for it.
+//!
+//! The crate does no I/O and reads no clock: the caller passes the current time to every query that depends on it.
 
 mod host_membership;
 pub mod poll_schedule;
+mod settings;
 
-pub use host_membership::{
-    DiscoverySettings, HostMembership, ListFreshness, ASKED_HOLD, HOLD, OLDER_FOR,
-};
+pub use host_membership::{HostMembership, ListFreshness};
+pub use poll_schedule::PollSchedule;
+pub use settings::{DiscoveryMode, DiscoverySettings};
--- a/crates/relay/src/discovery_client.rs
+++ b/crates/relay/src/discovery_client.rs
@@ -14,7 +14,7 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use membership::poll_schedule::SILENCE;
+use membership::poll_schedule::WATCH_SILENCE_TIMEOUT;
 use membership::{HostMembership, ListFreshness};
 use policy::types::{HostState, MessageId};
 use relay_events::{DeliveryFailure, HostList, RelayEvent};
@@ -92,10 +92,10 @@
     members: Rc<RefCell<HostMembership>>,
     inputs: mpsc::Sender<RelayEvent>,
 ) {
-    let start = members.borrow_mut().pace.initial_delay();
+    let start = members.borrow_mut().poll_schedule.initial_delay();
     runtime.sleep(start).await;
     // An agent beside the relay confirms a list at once where it is asked for it whole; a watch may say nothing for 2 s.
-    let whole = members.borrow().pace.is_push();
+    let whole = members.borrow().poll_schedule.is_push();
     let address = *at.borrow();
     let taken = None;
     let mut follower = DiscoveryWatch {
@@ -164,9 +164,9 @@
             let Err(cut) = self.listen(&mut heard).await;
             let spoilt = matches!(cut, Cut::Spoilt(_));
             let rest = {
-                let pace = &mut self.members.borrow_mut().pace;
+                let pace = &mut self.members.borrow_mut().poll_schedule;
                 // Guards a discovery whose whole list is sound and whose watch is not: what it said between is no news.
-                if heard && (!spoilt || self.runtime.now() >= began + SILENCE) {
+                if heard && (!spoilt || self.runtime.now() >= began + WATCH_SILENCE_TIMEOUT) {
                     pace.record_success();
                 }
                 if spoilt {
@@ -212,10 +212,12 @@
         loop {
             let now = self.runtime.now();
             // Guards against a discovery that falls silent with its connections open: nothing else would tell.
-            let mut until = now + SILENCE;
+            let mut until = now + WATCH_SILENCE_TIMEOUT;
             if feed.is_open() {
-                until = until
-                    .min(*began.get_or_insert(now) + self.members.borrow().pace.transfer_timeout());
+                until = until.min(
+                    *began.get_or_insert(now)
+                        + self.members.borrow().poll_schedule.transfer_timeout(),
+                );
             } else {
                 began = None;
             }
@@ -238,7 +240,7 @@
             feed.extend(&data);
             while let Some(item) = feed.next().map_err(|error| Cut::Spoilt(error.into()))? {
                 // Where relays ask, the next process is to know when this one last heard.
-                let tells = self.silent || !self.members.borrow().pace.is_push();
+                let tells = self.silent || !self.members.borrow().poll_schedule.is_push();
                 match item {
                     Item::List(list) => self.take(list).await?,
                     Item::Beat if tells => self.confirm(RelayEvent::HostListConfirmed).await?,
@@ -300,7 +302,7 @@
         let patience = {
             let mut members = self.members.borrow_mut();
             members.poll_started(self.runtime.now());
-            members.pace.response_timeout()
+            members.poll_schedule.response_timeout()
         };
         // One span for the connection and the answer: a connection that does not come up is as silent as its agent.
         let until = self.runtime.now() + patience;
@@ -318,7 +320,7 @@
     async fn whole_list(&self) -> Result<HostList, Cut> {
         let (_channel, body) = self.ask("/catalog/members").await?;
         let body = http_body_util::Limited::new(body, LONGEST);
-        let whole = self.members.borrow().pace.transfer_timeout();
+        let whole = self.members.borrow().poll_schedule.transfer_timeout();
         let text = self
             .runtime
             .timeout(whole, body.collect())
@@ -475,7 +477,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use membership::DiscoverySettings;
+    use membership::{DiscoveryMode, DiscoverySettings};
     use runtime::OsRuntime;
 
     /// SIGHUP moves discovery while a list waits for room among the inputs: a drain in it is heard all the same, also in a
@@ -489,7 +491,7 @@
         runtime.block_on(async {
             for (version, older) in [(2, false), (1, true)] {
                 let drain_grace = Duration::from_secs(2);
-                let terms = DiscoverySettings { pushed: true, siblings: 1, drain_grace, seed: 1 };
+                let terms = DiscoverySettings { mode: DiscoveryMode::Push, replicas: 1, drain_grace, seed: 1 };
                 let (inputs, mut driver) = mpsc::channel(1);
                 inputs.try_send(RelayEvent::HostListConfirmed).expect("room for one");
                 let mut follower = DiscoveryWatch {
--- a/crates/relay/src/host_connections/tests.rs
+++ b/crates/relay/src/host_connections/tests.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 
-use membership::DiscoverySettings;
+use membership::{DiscoveryMode, DiscoverySettings};
 use policy::types::AttemptOutcome;
 use runtime::OsRuntime;
 use socket2::SockRef;
@@ -34,8 +34,8 @@
 fn host_connections(max_idle: usize) -> HostConnections<OsRuntime> {
     let mut members = HostMembership::new(
         &DiscoverySettings {
-            pushed: true,
-            siblings: 1,
+            mode: DiscoveryMode::Push,
+            replicas: 1,
             drain_grace: Duration::from_secs(2),
             seed: 1,
         },
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use control::{LifecycleEvent, LifecycleState};
-use membership::{DiscoverySettings, HostMembership};
+use membership::{DiscoveryMode, DiscoverySettings, HostMembership};
 use policy::types::Settings;
 use policy::DeliveryPolicy;
 use relay_events::{Clock, RelayEvent, Reply};
@@ -183,8 +183,12 @@
         let tenants = Tenants::open(runtime, wanted.tenants.as_ref(), tenants, classes, settings)?;
         let (sharing, terms) = tenants.scheduler(settings);
         let terms_of_discovery = DiscoverySettings {
-            pushed: !settings.polls_discovery,
-            siblings: settings.replicas,
+            mode: if settings.polls_discovery {
+                DiscoveryMode::Poll
+            } else {
+                DiscoveryMode::Push
+            },
+            replicas: settings.replicas,
             drain_grace: config.drain_grace,
             seed: config.seed,
         };
