Divide the discovery client into watch, channel, decoder and notifications, with typed errors

Need: one file held the watch of the list, the requests and the notifications; errors were Box<dyn Error> and String.

Change: discovery_client is a folder: request_channel, list_decoder (no I/O, states within a string, within a list and between lists apart), watch (follow, read, apply, deliver), notifications (pending) and notification_sender.

Tests stand in test files. The decoder's error is no longer comparable, as a JSON error in it is not, so `next() == Ok(None)` is `matches!`, and the state that was compared in the same tuple is an assertion of its own.

--- /dev/null
+++ b/crates/relay/src/discovery_client/list_decoder.rs
@@ -0,0 +1,126 @@
+//! Decodes a stream of host lists, without I/O.
+//!
+//! Lists are JSON objects that follow one another, each on one line or indented over several. They arrive in chunks of
+//! any size.
+
+#[cfg(test)]
+mod tests;
+
+use bytes::{Buf, BytesMut};
+use relay_events::HostList;
+
+use super::error::InvalidListError;
+
+/// Upper bound of the size of a list in bytes, enough for some twenty thousand hosts.
+pub const MAX_LIST_BYTES: usize = 4 << 20;
+
+/// One item of the stream.
+#[derive(Debug, PartialEq)]
+pub enum StreamItem {
+    /// A full snapshot of the list, or its changes.
+    List(HostList),
+    /// An empty line: nothing has changed.
+    Heartbeat,
+}
+
+/// Splits a stream into items. Each byte is examined once.
+#[derive(Default)]
+pub struct ListDecoder {
+    buffer: BytesMut,
+    /// Number of bytes at the start of `buffer` that were examined.
+    examined: usize,
+    /// Number of brackets and braces that are open after these bytes.
+    depth: usize,
+    is_in_string: bool,
+    is_after_backslash: bool,
+    /// Only blanks have followed the end of a line within a list.
+    is_line_empty: bool,
+}
+
+impl ListDecoder {
+    /// Adds bytes that were received.
+    pub fn extend(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether a list has begun and is not complete.
+    pub fn is_in_list(&self) -> bool {
+        self.depth > 0
+    }
+
+    /// Returns the next complete item, or `None` if more bytes are needed for one.
+    ///
+    /// After an error the decoder can't continue: the start of the next item is unknown.
+    pub fn next_item(&mut self) -> Result<Option<StreamItem>, InvalidListError> {
+        while let Some(byte) = self.buffer.get(self.examined).copied() {
+            self.examined += 1;
+            if self.examined > MAX_LIST_BYTES {
+                return Err(InvalidListError::TooLong);
+            }
+            let item = if self.is_in_string {
+                self.examine_in_string(byte)?;
+                None
+            } else if self.depth > 0 {
+                self.examine_in_list(byte)?
+            } else {
+                self.examine_between_lists(byte)?
+            };
+            if item.is_some() {
+                return Ok(item);
+            }
+        }
+        Ok(None)
+    }
+
+    fn examine_in_string(&mut self, byte: u8) -> Result<(), InvalidListError> {
+        // JSON strings contain no line ends, so the rest of this list will not arrive.
+        if byte == b'\n' {
+            return Err(InvalidListError::Truncated);
+        }
+        if std::mem::take(&mut self.is_after_backslash) {
+            return Ok(());
+        }
+        match byte {
+            b'\\' => self.is_after_backslash = true,
+            b'"' => self.is_in_string = false,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn examine_in_list(&mut self, byte: u8) -> Result<Option<StreamItem>, InvalidListError> {
+        let was_line_empty = std::mem::take(&mut self.is_line_empty);
+        match byte {
+            b'"' => self.is_in_string = true,
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' if self.depth > 1 => self.depth -= 1,
+            b'}' => return self.end_list().map(Some),
+            // An empty line is a heartbeat, which discovery sends between lists only.
+            b'\n' if was_line_empty => return Err(InvalidListError::Truncated),
+            b'\n' => self.is_line_empty = true,
+            b' ' | b'\t' | b'\r' => self.is_line_empty = was_line_empty,
+            _ => {}
+        }
+        Ok(None)
+    }
+
+    fn examine_between_lists(&mut self, byte: u8) -> Result<Option<StreamItem>, InvalidListError> {
+        match byte {
+            b'{' => self.depth = 1,
+            b'\n' => {
+                self.buffer.advance(std::mem::take(&mut self.examined));
+                return Ok(Some(StreamItem::Heartbeat));
+            }
+            b' ' | b'\t' | b'\r' => {}
+            _ => return Err(InvalidListError::NotAList),
+        }
+        Ok(None)
+    }
+
+    fn end_list(&mut self) -> Result<StreamItem, InvalidListError> {
+        let list = self.buffer.split_to(self.examined);
+        self.examined = 0;
+        self.depth = 0;
+        Ok(StreamItem::List(serde_json::from_slice(&list)?))
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,7 +15,6 @@
 mod host_directory;
 mod in_flight;
 mod journal;
-mod list_decoder;
 mod operator_config;
 mod process;
 mod route_levels;
