--- a/crates/relay/src/event_loop/startup.rs
+++ b/crates/relay/src/event_loop/startup.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
-use membership::{DiscoverySettings, HostMembership};
+use membership::{DiscoveryMode, DiscoverySettings, HostMembership};
 use policy::types::Settings;
 use policy::DeliveryPolicy;
 use relay_events::{Clock, RelayEvent};
@@ -205,8 +205,12 @@
         ..
     } = config.settings;
     let settings = DiscoverySettings {
-        pushed: !polls_discovery,
-        siblings: replicas,
+        mode: if polls_discovery {
+            DiscoveryMode::Poll
+        } else {
+            DiscoveryMode::Push
+        },
+        replicas,
         drain_grace: config.drain_grace,
         seed: config.seed,
     };
