Split client connections into framing, requests, registry, accept loop and read loop

Need: one file of 780 lines held the RESP2 framing, the request parsing, the registry of open connections, the accept loop and a read loop of 145 lines, with errors as strings and limits as unnamed pairs.

Change: a module for each, the first two without I/O. The read loop is a struct with its state and named steps; what select! waits for is separate from what follows. ProtocolError and RequestError replace strings, with the same texts. Pairs of limits are named constants. Two bool arguments became the enums Authentication and PortSharing, which changes three calls in process.rs. The order of select! arms, of yields, of spawned tasks and of drops is as before.

--- /dev/null
+++ b/crates/relay/src/client_connections/accept.rs
@@ -0,0 +1,167 @@
+//! The accept loop.
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use relay_events::{Clock, RelayEvent};
+use runtime::{log, Listener, Runtime};
+use tokio::sync::{mpsc, watch};
+
+use super::connection::Connection;
+use super::registry::ClientConnections;
+use super::ConnectionPolicy;
+
+/// A shared port queues connections while no process accepts. Those accepted within this time after the loop's start
+/// may have queued.
+const STARTUP_QUEUE_WINDOW: Duration = Duration::from_millis(50);
+/// How long such a connection is taken to have queued: the deadlines of its first requests count from that much earlier.
+/// A deadline that is too early does no harm, one that is too late would tell hosts and clients what is not true. A
+/// client that has queued for longer has long given up.
+const MAX_QUEUE_DELAY: Duration = Duration::from_secs(1);
+/// Once the process accepts no more, the port closes when no connection has come for this long ...
+const FINAL_ACCEPT_IDLE_TIMEOUT: Duration = Duration::from_millis(5);
+/// ... and at the latest after this.
+const FINAL_ACCEPT_TIMEOUT: Duration = Duration::from_millis(50);
+/// The pause after the listener has failed to accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Whether the port outlasts this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PortSharing {
+    /// The process opened the port, which closes with it.
+    Exclusive,
+    /// The process inherited the port; what queues there at its end is for the next process.
+    Shared,
+}
+
+/// Accepts and serves connections until the process accepts no more. The connections that have queued on an exclusive
+/// port by then are accepted too: they would be reset, and their requests with them.
+pub async fn accept_connections<R: Runtime>(
+    listener: R::Listener,
+    clients: Rc<ClientConnections<R>>,
+    clock: Clock<R>,
+    events: mpsc::Sender<RelayEvent>,
+    port_sharing: PortSharing,
+) {
+    let started_at = clients.runtime.now();
+    let policy = clients.control.connection_policy();
+    let accept_loop = AcceptLoop {
+        started_at,
+        closing: policy.clone(),
+        policy,
+        final_deadline: None,
+        port_sharing,
+        events,
+        clock,
+        clients,
+        listener,
+    };
+    accept_loop.run().await;
+}
+
+struct AcceptLoop<R: Runtime> {
+    started_at: Instant,
+    /// Tells at once that the process accepts no more.
+    policy: watch::Receiver<ConnectionPolicy>,
+    /// The same, for the wait that ends only when no more connections come.
+    closing: watch::Receiver<ConnectionPolicy>,
+    /// When the loop ends at the latest; none as long as the process accepts.
+    final_deadline: Option<Instant>,
+    port_sharing: PortSharing,
+    events: mpsc::Sender<RelayEvent>,
+    clock: Clock<R>,
+    clients: Rc<ClientConnections<R>>,
+    listener: R::Listener,
+}
+
+enum AcceptOutcome<S> {
+    Accepted(S),
+    Failed(io::Error),
+    Finished,
+}
+
+impl<R: Runtime> AcceptLoop<R> {
+    async fn run(mut self) {
+        self.clients.set_accepting(true);
+        while !self.is_finished() {
+            match self.accept().await {
+                AcceptOutcome::Accepted(stream) => {
+                    self.wait_for_free_slot().await;
+                    self.spawn_connection(stream);
+                }
+                AcceptOutcome::Failed(error) => {
+                    let runtime = &self.clients.runtime;
+                    log!(*runtime, "clients: accept_failed error={error}");
+                    runtime.sleep(ACCEPT_RETRY_DELAY).await;
+                }
+                AcceptOutcome::Finished => break,
+            }
+        }
+        self.clients.set_accepting(false);
+    }
+
+    fn is_finished(&mut self) -> bool {
+        if self.policy.borrow_and_update().accepts {
+            return false;
+        }
+        let runtime = &self.clients.runtime;
+        let deadline = *self
+            .final_deadline
+            .get_or_insert_with(|| runtime.now() + FINAL_ACCEPT_TIMEOUT);
+        self.port_sharing == PortSharing::Shared || runtime.now() >= deadline
+    }
+
+    async fn accept(&mut self) -> AcceptOutcome<R::Stream> {
+        let is_shared = self.port_sharing == PortSharing::Shared;
+        let runtime = &self.clients.runtime;
+        let closing = &mut self.closing;
+        tokio::select! {
+            biased;
+            _ = self.policy.wait_for(|policy| !policy.accepts), if is_shared => AcceptOutcome::Finished,
+            accepted = self.listener.accept() => match accepted {
+                Ok(stream) => AcceptOutcome::Accepted(stream),
+                Err(error) => AcceptOutcome::Failed(error),
+            },
+            () = async {
+                drop(closing.wait_for(|policy| !policy.accepts).await);
+                runtime.sleep(FINAL_ACCEPT_IDLE_TIMEOUT).await;
+            } => AcceptOutcome::Finished,
+        }
+    }
+
+    /// Waits with a connection that was accepted, while the next ones queue on the port. It is served in any case, also
+    /// without a free slot if the process stops accepting meanwhile.
+    async fn wait_for_free_slot(&mut self) {
+        tokio::select! {
+            biased;
+            _ = self.policy.wait_for(|policy| !policy.accepts) => {}
+            () = self.clients.wait_for_free_slot() => {}
+        }
+    }
+
+    fn spawn_connection(&self, stream: R::Stream) {
+        let clock = self.clock.clone();
+        let events = self.events.clone();
+        let slot = self.clients.take_slot();
+        let queue_delay = self.queue_delay();
+        self.clients.runtime.spawn(async move {
+            let Ok(connection) = Connection::open(stream, &slot, &clock, events, queue_delay)
+            else {
+                return;
+            };
+            // A client that goes away is no fault of the relay.
+            drop(connection.serve().await);
+        });
+    }
+
+    /// How long a connection that was just accepted may have queued.
+    fn queue_delay(&self) -> Duration {
+        let is_shared = self.port_sharing == PortSharing::Shared;
+        if is_shared && self.clients.runtime.now() < self.started_at + STARTUP_QUEUE_WINDOW {
+            MAX_QUEUE_DELAY
+        } else {
+            Duration::ZERO
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/client_connections/connection.rs
@@ -0,0 +1,349 @@
+//! One client connection: reading requests, writing replies, and closing in time.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, Bytes, BytesMut};
+use control::ConnectionStage;
+use relay_events::{Clock, RelayEvent, Reply};
+use runtime::{PendingInput, Runtime, Stream};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::{mpsc, watch};
+
+use super::framing::{decode_request, find_frame, Frame, ProtocolError};
+use super::lingering_close::close_lingering;
+use super::registry::ConnectionSlot;
+use super::request::RequestError;
+use super::request_handler::{Answer, RequestHandler};
+use super::{ConnectionPolicy, READ_BUFFER_BYTES};
+
+/// The most requests of one connection that are handled before their replies are written.
+const MAX_PIPELINED_REQUESTS: usize = 64;
+/// A request that has begun must arrive whole within this time.
+const REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same for a request whose body is skipped, as it is too long.
+const SKIPPED_REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// A client must read replies within this time.
+const REPLY_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The first request of a connection that was just opened is on its way: when connections close, it has this long.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(100);
+/// How often a quiet connection is checked. One without a request so far is closed then, as is any quiet one while many
+/// are open.
+const QUIET_CHECK_INTERVAL: Duration = Duration::from_millis(2100);
+/// A connection that has sent a request is closed after it was quiet for this long, also while few are open.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A client connection that is being served.
+///
+/// The fields are dropped in this order: the channel to the event loop before the stream.
+pub(super) struct Connection<'a, R: Runtime> {
+    runtime: &'a R,
+    slot: &'a ConnectionSlot<R>,
+    policy: watch::Receiver<ConnectionPolicy>,
+    handler: RequestHandler<'a, R>,
+    /// Input that was not handled yet.
+    buffer: BytesMut,
+    /// How much of the input belongs to a request that was rejected for its length.
+    bytes_to_skip: usize,
+    opened_at: Instant,
+    /// Since when the current request is incomplete, or since when the connection has been quiet.
+    waiting_since: Option<Instant>,
+    /// Whether a request was answered.
+    has_requested: bool,
+    /// How long the first requests may have queued before the connection was accepted.
+    queue_delay: Duration,
+    stream: R::Stream,
+}
+
+/// What the next part of the input is.
+enum Input {
+    Incomplete,
+    BodyTooLong,
+    Request(Vec<Bytes>),
+}
+
+/// The answers to the requests that were found in the buffer.
+struct AnswerBatch {
+    answers: Vec<Answer>,
+    /// Whether the connection is to be closed once they are written.
+    closes: bool,
+}
+
+/// What a connection waits for.
+struct Wait {
+    /// Whether there is no open request.
+    is_quiet: bool,
+    /// Whether the connection was just opened, and its first request is awaited.
+    awaits_first_request: bool,
+    since: Instant,
+    deadline: Instant,
+}
+
+/// What ended a wait.
+enum WaitOutcome {
+    Readable(io::Result<()>),
+    ConnectionsClosing,
+    EvictionNotified,
+    DeadlineReached,
+}
+
+/// What follows a wait.
+enum NextStep {
+    Continue,
+    Close,
+    CloseLingering,
+}
+
+impl<'a, R: Runtime> Connection<'a, R> {
+    /// Prepares a connection that was just accepted.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error of setting the socket's options.
+    pub(super) fn open(
+        stream: R::Stream,
+        slot: &'a ConnectionSlot<R>,
+        clock: &'a Clock<R>,
+        events: mpsc::Sender<RelayEvent>,
+        queue_delay: Duration,
+    ) -> io::Result<Self> {
+        let clients = &slot.clients;
+        let policy = clients.control.connection_policy();
+        stream.set_nodelay()?;
+        Ok(Connection {
+            runtime: &clients.runtime,
+            slot,
+            policy,
+            handler: RequestHandler::new(&clients.control, clock, events, clients.authentication),
+            buffer: BytesMut::new(),
+            bytes_to_skip: 0,
+            opened_at: clients.runtime.now(),
+            waiting_since: None,
+            has_requested: false,
+            queue_delay,
+            stream,
+        })
+    }
+
+    /// Answers requests until one side closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error that ended the connection; of kind `TimedOut` if the client does not read its replies.
+    pub(super) async fn serve(mut self) -> io::Result<()> {
+        loop {
+            let batch = self.answer_buffered_requests().await;
+            if !batch.answers.is_empty() {
+                self.write_answers(batch.answers).await?;
+                if batch.closes {
+                    return close_lingering(self.runtime, self.stream).await;
+                }
+                self.waiting_since = None;
+                self.has_requested = true;
+                self.queue_delay = Duration::ZERO;
+                // The other connections have their turn, also beside a client that sends at full speed.
+                tokio::task::yield_now().await;
+                continue;
+            }
+            match self.wait_and_read().await? {
+                NextStep::Continue => {}
+                NextStep::Close => return Ok(()),
+                NextStep::CloseLingering => {
+                    return close_lingering(self.runtime, self.stream).await
+                }
+            }
+        }
+    }
+
+    /// Handles the requests in the buffer, up to the pipelining limit.
+    async fn answer_buffered_requests(&mut self) -> AnswerBatch {
+        let mut answers = Vec::new();
+        let mut closes = false;
+        while answers.len() < MAX_PIPELINED_REQUESTS && !closes {
+            match self.next_input() {
+                Ok(Input::Incomplete) => break,
+                Ok(Input::BodyTooLong) => {
+                    answers.push(Answer::from_error(&RequestError::BodyTooLong));
+                }
+                Ok(Input::Request(parts)) => {
+                    answers.push(self.handler.handle(&parts, self.queue_delay).await);
+                    closes = self.handler.has_exhausted_authentication();
+                }
+                Err(error) => {
+                    answers.push(Answer::from_error(&error));
+                    closes = true;
+                }
+            }
+        }
+        AnswerBatch { answers, closes }
+    }
+
+    /// Takes the next request from the buffer.
+    fn next_input(&mut self) -> Result<Input, ProtocolError> {
+        let skipped = self.bytes_to_skip.min(self.buffer.len());
+        self.buffer.advance(skipped);
+        self.bytes_to_skip -= skipped;
+        if self.bytes_to_skip > 0 {
+            return Ok(Input::Incomplete);
+        }
+        match find_frame(&self.buffer)? {
+            Frame::Incomplete => Ok(Input::Incomplete),
+            Frame::BodyTooLong { length } => {
+                self.bytes_to_skip = length;
+                Ok(Input::BodyTooLong)
+            }
+            Frame::Complete { length } => {
+                let frame = self.buffer.split_to(length);
+                decode_request(frame).map(Input::Request)
+            }
+        }
+    }
+
+    /// Waits for the pending answers, and writes all of them at once.
+    async fn write_answers(&mut self, answers: Vec<Answer>) -> io::Result<()> {
+        let mut output = Vec::new();
+        for answer in answers {
+            let reply = match answer {
+                Answer::Immediate(reply) => reply,
+                // The event loop drops no request; if it is gone, the process ends.
+                Answer::Pending(reply) => reply.await.map_err(io::Error::other)?,
+            };
+            reply.write(&mut output);
+        }
+        self.write(&output).await
+    }
+
+    /// Writes replies; fails if the client does not read them in time.
+    async fn write(&mut self, output: &[u8]) -> io::Result<()> {
+        let write = self.stream.write_all(output);
+        self.runtime.timeout(REPLY_WRITE_TIMEOUT, write).await?
+    }
+
+    /// Waits until something happens to the connection, and reads what has arrived.
+    async fn wait_and_read(&mut self) -> io::Result<NextStep> {
+        let wait = self.begin_wait();
+        match self.wait(&wait).await {
+            WaitOutcome::Readable(ready) => {
+                ready?;
+                self.read_input(&wait)
+            }
+            WaitOutcome::ConnectionsClosing => Ok(self.close_if_quiet(&wait).await),
+            WaitOutcome::EvictionNotified => Ok(self.close_if_evicted()),
+            WaitOutcome::DeadlineReached => self.handle_deadline(&wait).await,
+        }
+    }
+
+    fn begin_wait(&mut self) -> Wait {
+        let awaits_first_request =
+            !self.has_requested && self.runtime.now() < self.opened_at + FIRST_REQUEST_GRACE;
+        let is_quiet = self.buffer.is_empty() && self.bytes_to_skip == 0;
+        if is_quiet {
+            // A quiet connection keeps no memory.
+            self.buffer = BytesMut::new();
+            self.slot.mark_quiet();
+        } else {
+            self.slot.mark_busy();
+        }
+        let since = *self.waiting_since.get_or_insert_with(|| self.runtime.now());
+        let deadline = if is_quiet {
+            self.runtime.now() + QUIET_CHECK_INTERVAL
+        } else if self.bytes_to_skip == 0 {
+            since + REQUEST_READ_TIMEOUT
+        } else {
+            since + SKIPPED_REQUEST_READ_TIMEOUT
+        };
+        Wait {
+            is_quiet,
+            awaits_first_request,
+            since,
+            deadline,
+        }
+    }
+
+    /// Waits without reading, so that nothing is lost when one event ends the wait for the others.
+    async fn wait(&mut self, wait: &Wait) -> WaitOutcome {
+        let runtime = self.runtime;
+        let policy = &mut self.policy;
+        let grace_end = self.opened_at + FIRST_REQUEST_GRACE;
+        tokio::select! {
+            biased;
+            ready = self.stream.readable() => WaitOutcome::Readable(ready),
+            () = async {
+                let _ = policy.wait_for(|policy| policy.stage > ConnectionStage::Open).await;
+                if wait.awaits_first_request {
+                    runtime.sleep_until(grace_end).await;
+                }
+            }, if wait.is_quiet => WaitOutcome::ConnectionsClosing,
+            () = self.slot.eviction_notified(), if wait.is_quiet => WaitOutcome::EvictionNotified,
+            () = runtime.sleep_until(wait.deadline) => WaitOutcome::DeadlineReached,
+        }
+    }
+
+    /// Reads what has arrived without waiting for more.
+    fn read_input(&mut self, wait: &Wait) -> io::Result<NextStep> {
+        self.buffer.reserve(READ_BUFFER_BYTES);
+        match self.stream.try_read_buf(&mut self.buffer) {
+            Ok(0) => Ok(NextStep::Close),
+            Ok(_) if self.has_client_given_up() => Ok(NextStep::Close),
+            Ok(_) => {
+                self.slot.mark_busy();
+                if wait.is_quiet {
+                    self.waiting_since = None;
+                }
+                Ok(NextStep::Continue)
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(NextStep::Continue),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Whether the client sent its requests while no process accepted, and has closed the connection since: they are
+    /// not answered.
+    fn has_client_given_up(&self) -> bool {
+        !self.queue_delay.is_zero() && self.stream.pending_input() == PendingInput::Closed
+    }
+
+    /// Closes the connection, as all are to close, unless input has arrived that would be left unread.
+    async fn close_if_quiet(&self, wait: &Wait) -> NextStep {
+        if wait.awaits_first_request {
+            // The grace has passed; the next wait is without it.
+            return NextStep::Continue;
+        }
+        if self.stream.pending_input() != PendingInput::Bytes {
+            return NextStep::Close;
+        }
+        // The runtime is yet to notice those bytes.
+        tokio::task::yield_now().await;
+        NextStep::Continue
+    }
+
+    /// Closes the connection to free its slot, unless a request has arrived meanwhile.
+    fn close_if_evicted(&self) -> NextStep {
+        if self.slot.is_evicted() && self.stream.pending_input() != PendingInput::Bytes {
+            NextStep::Close
+        } else {
+            NextStep::Continue
+        }
+    }
+
+    /// Closes a connection that has been quiet for too long, or whose request did not arrive whole: it would hold its
+    /// slot for good.
+    async fn handle_deadline(&mut self, wait: &Wait) -> io::Result<NextStep> {
+        if !wait.is_quiet {
+            let mut output = Vec::new();
+            Reply::Error(ProtocolError::RequestTimeout.to_string()).write(&mut output);
+            self.write(&output).await?;
+            return Ok(NextStep::CloseLingering);
+        }
+        if self.may_stay_quiet(wait) || self.stream.pending_input() == PendingInput::Bytes {
+            return Ok(NextStep::Continue);
+        }
+        Ok(NextStep::CloseLingering)
+    }
+
+    fn may_stay_quiet(&self, wait: &Wait) -> bool {
+        self.has_requested
+            && !self.slot.clients.is_crowded()
+            && self.runtime.now() - wait.since < IDLE_TIMEOUT
+    }
+}
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -18,7 +18,7 @@
 use crate::cached_state::{self, CachedState};
 use crate::call_log::CallLog;
 use crate::classes::Classes;
-use crate::client_connections::{self, ClientConnections};
+use crate::client_connections::{self, Authentication, ClientConnections, PortSharing};
 use crate::config::Config;
 use crate::control_socket::{self, Control};
 use crate::discovery_client;
@@ -287,7 +287,11 @@
             runtime.clone(),
             control.clone(),
             most_clients,
-            driver.tenants.requires_login(),
+            if driver.tenants.requires_login() {
+                Authentication::Required
+            } else {
+                Authentication::Disabled
+            },
         );
         if let Some(admin) = Operator::load(runtime, self.operator.as_deref())?.admin {
             let tokens = driver.tokens.subscribe();
@@ -303,7 +307,10 @@
             clients.clone(),
             clock.clone(),
             inputs.clone(),
-            self.inherited.is_some(),
+            match self.inherited {
+                Some(_) => PortSharing::Shared,
+                None => PortSharing::Exclusive,
+            },
         ));
         driver.directory_owner.withdraw_request();
         loop {
@@ -352,7 +359,7 @@
                             clients.clone(),
                             clock,
                             inputs,
-                            true,
+                            PortSharing::Shared,
                         ));
                     }
                 }
