Test the exact texts of the adapter's errors before they are typed

Need: the errors are about to become enums, and only parts of their texts were tested.

Change: two tests with 22 inputs and the whole text of each error, written against the code as it stood.

--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -242,3 +242,106 @@
         assert!(Adapter::default().round(9, &bytes(odd)).is_err(), "{odd}");
     }
 }
+
+#[test]
+fn settings_errors_have_their_exact_text() {
+    let class = r#"{"aim":1,"giveUp":1,"effect":"fragile"}"#;
+    for (text, expected) in [
+        (
+            "[]".to_string(),
+            "settings are not an object at the settings text",
+        ),
+        (
+            "{".to_string(),
+            "settings are not JSON (EOF while parsing an object at line 1 column 1) at the settings text",
+        ),
+        ("{}".to_string(), "settings name no class at /services"),
+        (
+            r#"{"services":[{"aim":1,"giveUp":1}]}"#.to_string(),
+            "settings lack a known effect at /services/0/effect",
+        ),
+        (
+            format!(r#"{{"services":[{class},{{"effect":"dedup"}}]}}"#),
+            "settings lack a number at /services/1/window",
+        ),
+        (
+            r#"{"services":[{"effect":"fragile"}]}"#.to_string(),
+            "settings lack a number at /services/0/aim",
+        ),
+        (
+            r#"{"services":[{"effect":"fragile","aim":-1}]}"#.to_string(),
+            "settings lack a number at /services/0/aim",
+        ),
+        (
+            r#"{"services":[{"effect":"fragile","aim":1,"giveUp":0.5}]}"#.to_string(),
+            "settings want a number of 1 or more at /services/0/giveUp",
+        ),
+        (
+            format!(r#"{{"services":[{class}]}}"#),
+            "settings lack a number at /siblings",
+        ),
+        (
+            format!(r#"{{"siblings":2,"ordinal":2,"services":[{class}]}}"#),
+            "settings count fewer relays than there are at /siblings",
+        ),
+        (
+            format!(
+                r#"{{"siblings":1,"services":[{class}],"familyInfo":{{"callsOut":1}},"limits":{{"mostHeld":1,"maxAttempts":0}}}}"#
+            ),
+            "settings want a number of 1 or more at /limits/maxAttempts",
+        ),
+        (
+            format!(
+                r#"{{"siblings":1,"services":[{class}],"familyInfo":{{"callsOut":1}},"limits":{{"mostHeld":1,"maxAttempts":1}}}}"#
+            ),
+            "settings lack a number at /rules/coldFrom",
+        ),
+    ] {
+        let error = settings(text.as_bytes()).expect_err(&text);
+        assert_eq!(error.to_string(), expected, "{text}");
+    }
+}
+
+#[test]
+fn protocol_errors_have_their_exact_text() {
+    for (frame, expected) in [
+        ("63", "unknown event code 99 at byte 0 of the frame"),
+        ("0b 0300", "unknown event code 11 at byte 0 of the frame"),
+        (
+            "06 0300 00",
+            "record wants 8 bytes more than the frame holds at byte 3 of the frame",
+        ),
+        (
+            "0a 10000000 00000000",
+            "roster number 16 is out of range at byte 0 of the frame",
+        ),
+        (
+            "0a 00000000 01000000 0000803f 00 00 03",
+            "unknown host state 3 at byte 15 of the frame",
+        ),
+        (
+            "09 0300 01 0300 2900000000000000 05000000 00",
+            "roster 5 was never sent at byte 3 of the frame",
+        ),
+        (
+            "01 0300 2900000000000000 05000000 04",
+            "unknown list kind 4 at byte 0 of the frame",
+        ),
+        (
+            "02 0300 c4913a5df5c50e00 640ad2557c3bf091 0000 0000003f da05840000000000 e02e0000 0000 01",
+            "0.5 is no destination at byte 0 of the frame",
+        ),
+        (
+            "07 0300 074a1203 0800 44480000 00",
+            "unknown outcome 8 at byte 7 of the frame",
+        ),
+        (
+            "00 0300 0000000000000000 02000000 5b5d",
+            "settings are not an object at the settings text",
+        ),
+    ] {
+        let result = Adapter::default().round(9, &bytes(frame));
+        let error = result.expect_err(frame);
+        assert_eq!(error.to_string(), expected, "{frame}");
+    }
+}
