--- a/crates/relay/src/client_connections/connection.rs
+++ b/crates/relay/src/client_connections/connection.rs
@@ -284,7 +284,7 @@
         self.buffer.reserve(READ_BUFFER_BYTES);
         match self.stream.try_read_buf(&mut self.buffer) {
             Ok(0) => Ok(NextStep::Close),
-            Ok(_) if self.has_client_given_up() => Ok(NextStep::Close),
+            Ok(_) if self.has_client_disconnected() => Ok(NextStep::Close),
             Ok(_) => {
                 self.slot.mark_busy();
                 if wait.is_quiet {
@@ -299,7 +299,7 @@
 
     /// Whether the client sent its requests while no process accepted, and has closed the connection since: they are
     /// not answered.
-    fn has_client_given_up(&self) -> bool {
+    fn has_client_disconnected(&self) -> bool {
         !self.queue_delay.is_zero() && self.stream.pending_input() == PendingInput::Closed
     }
 
--- a/crates/relay/src/client_connections/request/tests.rs
+++ b/crates/relay/src/client_connections/request/tests.rs
@@ -19,18 +19,20 @@
     parse_request(&parts, SENT_AT, authentication)
 }
 
-fn parse_enqueue(ordering_key: &str, name: &str, fields: &str) -> Result<EnqueueRequest, String> {
-    match parse(&["ENQUEUE", ordering_key, name, fields, "body"]) {
-        Ok(Request::Enqueue(request)) => Ok(*request),
-        Ok(_) => panic!("another command"),
-        Err(error) => Err(error.to_string()),
+fn parse_enqueue(
+    ordering_key: &str,
+    name: &str,
+    fields: &str,
+) -> Result<EnqueueRequest, RequestError> {
+    match parse(&["ENQUEUE", ordering_key, name, fields, "body"])? {
+        Request::Enqueue(request) => Ok(*request),
+        _ => panic!("another command"),
     }
 }
 
 fn enqueue_error(ordering_key: &str, name: &str, fields: &str) -> String {
-    parse_enqueue(ordering_key, name, fields)
-        .err()
-        .expect("an error")
+    let error = parse_enqueue(ordering_key, name, fields).err();
+    error.expect("an error").to_string()
 }
 
 fn parse_auth(arguments: &[&str]) -> Result<Option<Credentials>, RequestError> {
