--- a/crates/relay/src/control_socket/mod.rs
+++ b/crates/relay/src/control_socket/mod.rs
@@ -10,4 +10,4 @@
 mod shared_state;
 
 pub use server::{serve_operators, SOCKETS};
-pub use shared_state::{end_of_failure, end_of_reply, Control};
+pub use shared_state::{end_of_failure, end_of_reply, ConnectionPolicy, Control};
--- a/crates/relay/src/process/serving.rs
+++ b/crates/relay/src/process/serving.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 
 use super::{Process, RelayError, EVENT_QUEUE_CAPACITY};
-use crate::client_connections::{self, ClientConnections};
+use crate::client_connections::{self, Authentication, ClientConnections, PortSharing};
 use crate::discovery_client;
 use crate::event_loop::{EventLoop, LoopResources, OpenedLoop};
 use crate::operator_config::Operator;
@@ -121,11 +121,16 @@
             None => self.runtime.listen(listen_address).await,
         };
         let listener = listener.map_err(|source| listen_error(listen_address, source))?;
+        let authentication = if event_loop.requires_login() {
+            Authentication::Required
+        } else {
+            Authentication::Disabled
+        };
         let clients = ClientConnections::new(
             self.runtime.clone(),
             self.control.clone(),
             max_clients,
-            event_loop.requires_login(),
+            authentication,
         );
         tasks.extend(self.start_administration(event_loop).await?);
         self.control.handle_event(self.started_event());
@@ -198,12 +203,16 @@
     }
 
     fn accept_clients(&self, listener: R::Listener, clients: &Rc<ClientConnections<R>>) {
+        let port_sharing = match self.inherited_listener {
+            Some(_) => PortSharing::Shared,
+            None => PortSharing::Exclusive,
+        };
         self.runtime.spawn(client_connections::accept_connections(
             listener,
             clients.clone(),
             self.clock.clone(),
             self.events_sender.clone(),
-            self.inherited_listener.is_some(),
+            port_sharing,
         ));
     }
 
