--- a/crates/membership/src/poll_schedule.rs
+++ b/crates/membership/src/poll_schedule.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use policy::state::Rng;
+use policy::random::RandomFractions;
 
 use crate::DiscoverySettings;
 
@@ -51,7 +51,7 @@
     pushed: bool,
     siblings: u32,
     drain_grace: Duration,
-    dice: Rng,
+    dice: RandomFractions,
     rest: Duration,
     /// The last answer could not be read.
     spoilt: bool,
@@ -68,7 +68,7 @@
             ..
         } = *terms;
         // Not the module's own numbers.
-        let dice = Rng(!seed);
+        let dice = RandomFractions::new(!seed);
         let mut pace = PollSchedule {
             pushed,
             siblings,
@@ -103,7 +103,7 @@
         }
         (EACH_FIRST * (self.siblings - 1))
             .min(self.drain_grace / 2)
-            .mul_f64(self.dice.roll())
+            .mul_f64(self.dice.next_fraction())
     }
 
     /// How long to wait for an answer to begin.
@@ -164,7 +164,7 @@
         if self.siblings < 2 {
             return rest;
         }
-        rest.mul_f64(0.5 + self.dice.roll()).min(BOUND)
+        rest.mul_f64(0.5 + self.dice.next_fraction()).min(BOUND)
     }
 }
 
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,115 +1,127 @@
-//! Whether a message is taken on, and what makes room for it.
+//! Admission: whether a message is accepted, and which ones are rejected to make room.
 
 use std::collections::BTreeMap;
 
-use crate::policy::DeliveryPolicy;
+use crate::decision::{ServiceForecast, SheddingCandidate};
+use crate::queued_message::QueuedMessage;
 use crate::scheduler::Capacity;
-use crate::state::{Fuse, QueuedMessage};
-use crate::tuning::{HOLD_ROOM, OUTAGE_LEAST, SECOND};
-use crate::types::{Action, DestinationId, Message, MessageId, Micros};
+use crate::state::DeliveryPolicy;
+use crate::tuning::{
+    jitter_factor, MAX_FORECAST_SECONDS, MIN_OUTAGE, QUEUE_HEADROOM_DIVISOR, RECOVERED_SHED_DIVISOR,
+    RETRY_AFTER_SHARE, SECOND,
+};
+use crate::types::{Action, DestinationId, Message, Micros};
 
 impl DeliveryPolicy {
-    /// Takes a message on if its tenant may have one more and there is room, or its tenant holds no more than its part.
-    pub(crate) fn at_the_door(&mut self, message: Message, out: &mut Vec<Action>) {
-        if let Err(after) = self.scheduler.admit(self.now, message.tenant) {
-            let after = if after > 0 { after } else { self.advice() };
-            return out.push(Action::Reject { id: message.id, retry_after: after });
+    /// Accepts a message if its tenant may have one more, and there is room or its tenant is within its share.
+    pub(crate) fn admit(&mut self, message: Message, actions: &mut Vec<Action>) {
+        if let Err(wait) = self.scheduler.admit(self.now, message.tenant) {
+            let retry_after = if wait > 0 { wait } else { self.retry_advice() };
+            return actions.push(Action::Reject { id: message.id, retry_after });
         }
-        let most = self.hold(0);
-        let full = |relay: &DeliveryPolicy| {
-            relay.held.len() >= most.messages || relay.bytes + message.size > most.bytes
-        };
-        if full(self) && !self.scheduler.exceeds_share(message.tenant, most) {
-            self.make_room(message.size, out);
+        let capacity = self.queue_capacity();
+        if self.is_full(capacity, message.size) && !self.scheduler.exceeds_share(message.tenant, capacity) {
+            self.make_room(message.size, actions);
         }
-        // Guards the hold where nothing in it may be refused to make room.
-        if full(self) {
-            let after = self.advice();
-            return out.push(Action::Reject { id: message.id, retry_after: after });
+        // Perhaps nothing in the queue may be rejected to make room.
+        if self.is_full(capacity, message.size) {
+            let retry_after = self.retry_advice();
+            return actions.push(Action::Reject { id: message.id, retry_after });
         }
-        self.arrived(message);
+        self.enqueue(message);
     }
 
-    pub(crate) fn arrived(&mut self, message: Message) {
+    fn is_full(&self, capacity: Capacity, size: usize) -> bool {
+        self.queue.len() >= capacity.messages || self.queued_bytes + size > capacity.bytes
+    }
+
+    /// Adds a message to the queue.
+    pub(crate) fn enqueue(&mut self, message: Message) {
         let class = self.class(&message);
-        let stretch = message.expected_work.map_or(0.0, |w| w as f64 * class.objective_stretch) as Micros;
-        let aim_at =
-            (message.deadline.saturating_sub(class.time_to_live) + class.latency_objective + stretch)
-                .min(message.deadline);
-        let (worth, in_order, attempts) = (class.value, class.is_ordered, Vec::new());
+        let stretch = message.expected_work.map_or(0.0, |work| work as f64 * class.objective_stretch);
+        let accepted_at = message.deadline.saturating_sub(class.time_to_live);
+        let objective_at = (accepted_at + class.latency_objective + stretch as Micros).min(message.deadline);
+        let queued = QueuedMessage::new(message, objective_at, class.value);
+        let key = message.ordering_key.filter(|_| class.is_ordered);
         self.scheduler.message_queued(self.now, &message);
-        self.bytes += message.size;
-        if let (true, Some(key)) = (in_order, message.ordering_key) {
-            self.keys.entry(key).or_default().line.push_back(message.id);
+        self.insert_message(queued, key);
+    }
+
+    /// How long a rejected client should stay away.
+    pub(crate) fn retry_advice(&mut self) -> Micros {
+        let jitter = jitter_factor(self.random.next_fraction());
+        (self.settings.max_retry_after as f64 * RETRY_AFTER_SHARE * jitter) as Micros
+    }
+
+    /// What the queue may hold at the end of a round: its capacity but for the headroom.
+    pub(crate) fn queue_target(&self) -> Capacity {
+        let reduced = |most: usize| most - (most / QUEUE_HEADROOM_DIVISOR).max(1).min(most);
+        let bytes = self.settings.max_queued_bytes;
+        Capacity {
+            messages: reduced(self.settings.max_queued),
+            bytes: if bytes == 0 { usize::MAX } else { reduced(bytes) },
         }
-        let (not_before, over, started, owed) = (0, false, false, false);
-        let held = QueuedMessage { message, aim_at, attempts, not_before, over, started, worth, owed };
-        self.held.insert(message.id, held);
     }
 
-    /// How long a refused client is told to stay away.
-    pub(crate) fn advice(&mut self) -> Micros {
-        (self.set.max_retry_after as f64 * 0.75 * self.jitter()) as Micros
+    fn meets_target(&self, target: Capacity, wanted_bytes: usize) -> bool {
+        self.queue.len() <= target.messages && self.queued_bytes + wanted_bytes <= target.bytes
     }
 
-    /// Guards against a hold filled by messages for dead or swamped destinations: the door would turn away good ones.
-    /// Refuses those worth least when their turn may come; a client that comes again is a wider hold than ours. Of what a
-    /// restart found untried a fourth at most, those with the least time left: most is tried also after two restarts.
-    pub(crate) fn make_room(&mut self, wanted: usize, out: &mut Vec<Action>) {
-        let keep = self.hold(HOLD_ROOM);
-        let enough =
-            |relay: &DeliveryPolicy| relay.held.len() <= keep.messages && relay.bytes + wanted <= keep.bytes;
-        if enough(self) {
+    /// Rejects messages until the queue has its headroom, those first whose value is least when their turn may come, or
+    /// messages for destinations that are down would fill it. Of unattempted recovered ones only a part is rejected.
+    pub(crate) fn make_room(&mut self, wanted_bytes: usize, actions: &mut Vec<Action>) {
+        let target = self.queue_target();
+        if self.meets_target(target, wanted_bytes) {
             return;
         }
-        let mut ahead: BTreeMap<DestinationId, (f64, f64)> = BTreeMap::new();
-        let mut ranked: Vec<(bool, f64, MessageId)> = Vec::new();
-        for (id, held) in self.held.iter().filter(|(_, held)| held.waits()) {
-            let destination = held.message.destination;
-            let line = ahead.entry(destination).or_insert_with(|| self.outlook(destination));
-            line.0 += line.1;
-            if held.tainted().is_none() {
-                let turn = self.now + (line.0.min(60.0) * SECOND as f64) as Micros;
-                let worth =
-                    if held.untried() { held.message.deadline as f64 } else { self.worth_at(held, turn) };
-                ranked.push((held.untried(), worth, *id));
-            }
-        }
-        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(b.2.cmp(&a.2)));
-        for (untried, _, id) in ranked {
-            if enough(self) {
+        for SheddingCandidate { id, is_unattempted, .. } in self.shedding_candidates() {
+            if self.meets_target(target, wanted_bytes) {
                 break;
             }
-            let kept = untried && 4 * (self.found.1 + 1) > self.found.0;
-            if !kept && self.scheduler.exceeds_share(self.held[&id].message.tenant, keep) {
-                self.found.1 += usize::from(untried);
-                let after = self.advice();
-                self.end(id, after, out);
+            let is_kept =
+                is_unattempted && RECOVERED_SHED_DIVISOR * (self.recovered_shed + 1) > self.recovered_count;
+            if !is_kept && self.scheduler.exceeds_share(self.queue[&id].message.tenant, target) {
+                self.recovered_shed += usize::from(is_unattempted);
+                let retry_after = self.retry_advice();
+                self.give_up(id, retry_after, actions);
             }
         }
     }
 
-    /// What the hold has room for, but for one part in so many; all if none.
-    pub(crate) fn hold(&self, spared: usize) -> Capacity {
-        let less = |most: usize| most - most.checked_div(spared).map_or(0, |part| part.max(1).min(most));
-        let bytes = if self.set.max_queued_bytes == 0 { usize::MAX } else { less(self.set.max_queued_bytes) };
-        Capacity { messages: less(self.set.max_queued), bytes }
-    }
-
-    /// What is held and may not be refused.
-    pub(crate) fn stuck(&self) -> Capacity {
-        let stuck = self.held.values().filter(|held| !held.waits() || held.tainted().is_some());
-        let (places, bytes) = stuck.fold((0, 0), |(n, sum), held| (n + 1, sum + held.message.size));
-        Capacity { messages: places, bytes }
+    /// The messages that may be rejected, in the order in which they are.
+    fn shedding_candidates(&self) -> Vec<SheddingCandidate> {
+        let mut forecasts: BTreeMap<DestinationId, ServiceForecast> = BTreeMap::new();
+        let mut candidates = Vec::new();
+        for (id, queued) in self.queue.iter().filter(|(_, queued)| queued.is_waiting()) {
+            let destination = queued.message.destination;
+            let forecast = forecasts.entry(destination).or_insert_with(|| self.forecast(destination));
+            forecast.delay += forecast.interval;
+            if queued.first_possible_execution().is_some() {
+                continue;
+            }
+            let turn = self.now + (forecast.delay.min(MAX_FORECAST_SECONDS) * SECOND as f64) as Micros;
+            let is_unattempted = queued.is_unattempted();
+            let worth = match is_unattempted {
+                true => queued.message.deadline as f64,
+                false => self.value_at(queued, turn),
+            };
+            candidates.push(SheddingCandidate { id: *id, is_unattempted, worth });
+        }
+        candidates.sort_by(|a, b| {
+            let by_worth = a.is_unattempted.cmp(&b.is_unattempted).then(a.worth.total_cmp(&b.worth));
+            by_worth.then(b.id.cmp(&a.id))
+        });
+        candidates
     }
 
-    /// Seconds until a destination takes calls again, and between one call and the next.
-    pub(crate) fn outlook(&self, destination: DestinationId) -> (f64, f64) {
-        let (mut pace, mut shut) = (0.0, true);
+    fn forecast(&self, destination: DestinationId) -> ServiceForecast {
+        let (mut rate, mut is_down) = (0.0, true);
         for route in self.routes_to(destination).iter().filter_map(|key| self.routes.get(key)) {
-            pace += route.pace.min(self.ramp(route)).min(SECOND as f64 / route.gap.max(SECOND / 20) as f64);
-            shut &= route.fuse != Fuse::Closed;
+            let backoff_rate = SECOND as f64 / route.pacing.backoff.max(SECOND / 20) as f64;
+            rate += route.pacing.rate.min(self.recovery_ramp(route)).min(backoff_rate);
+            is_down &= !route.breaker.is_closed();
         }
-        (if shut { OUTAGE_LEAST as f64 / SECOND as f64 } else { 0.0 }, 1.0 / pace.max(0.1))
+        let delay = if is_down { MIN_OUTAGE as f64 / SECOND as f64 } else { 0.0 };
+        ServiceForecast { delay, interval: 1.0 / rate.max(0.1) }
     }
 }
--- a/crates/policy/src/circuit_breaker.rs
+++ b/crates/policy/src/circuit_breaker.rs
@@ -1,212 +1,196 @@
-//! The circuit breaker of a route: how outcomes change its state.
+//! The circuit breaker of a route: what the results of calls say of it, when it trips and for how long.
 
-use crate::policy::DeliveryPolicy;
-use crate::state::{Fuse, Route, RouteKey, Verdict};
+use crate::decision::{CallEnd, FailureKind};
+use crate::rolling_window::CallResult;
+use crate::route::{BreakerState, Call, CircuitBreaker, Route, RouteKey};
+use crate::state::DeliveryPolicy;
 use crate::tuning::{
-    ALLOWANCE_SPENT, ALLOWANCE_UNUSED, AVOID, BEST_FADE, CAP_CUT, ERROR_SHARE, FEW, FIRST_GAP, GAP_EVEN,
-    GAP_GROWS, GAP_SHRINKS, GLITCH, OUTAGE_LAST, OUTAGE_LEAST, OUTAGE_SHARE, PACE_RISE, REST_MOST,
-    RUN_OUTAGE, RUN_TRIP, SECOND, SHARERS, SHUT_AFTER, SLEEP_WINDOW, SMOOTH, UNSAFE_DOUBT, VOLUME_FLOOR,
+    jitter_factor, CONSECUTIVE_ERRORS_TO_TRIP, CONSECUTIVE_FAILURES_OF_OUTAGE, EJECTION_DURATION,
+    ERROR_RATIO_TO_TRIP, EXHAUSTED_ALLOWANCE, MIN_CALLS_TO_TRIP, MIN_OUTAGE, OPEN_DURATION,
+    OUTAGE_FAILURE_RATIO, OUTAGE_SAMPLES, RISKY_FAILURE_RATIO, SECOND, SMALL_FLEET, UNAVAILABLE_AFTER,
+    UNUSED_ALLOWANCE,
 };
-use crate::types::{AttemptOutcome, HostId, Micros, PlatformRules, WeightSource};
+use crate::types::{AttemptOutcome, HostId, Micros, PlatformRules};
 
-impl Route {
-    /// Guards a healthy destination with a few broken answers: only where most late calls failed was there an outage.
-    pub(crate) fn failing(&self) -> bool {
-        let last = self.tally.iter().rev().take(OUTAGE_LAST);
-        let (failed, all) = last.fold((0, 0), |(failed, all), (_, verdict)| {
-            (failed + usize::from(*verdict == Verdict::Failed), all + 1)
-        });
-        failed > 1 && failed as f64 >= OUTAGE_SHARE * f64::from(all)
+impl CircuitBreaker {
+    /// Whether many of the latest calls failed. A few broken answers of a healthy destination are no outage.
+    fn is_failing(&self) -> bool {
+        let failed = self.window.count_latest(OUTAGE_SAMPLES, CallResult::Failure);
+        failed > 1 && failed as f64 >= OUTAGE_FAILURE_RATIO * self.window.len().min(OUTAGE_SAMPLES) as f64
     }
 
-    /// Guards a destination that few calls met while it was away: one that fails on behind a fuse that it has
-    /// tripped, or fails several calls with no success between, had an outage, whatever came before.
-    pub(crate) fn out_of_order(&self) -> bool {
-        self.failing() || self.fuse != Fuse::Closed || self.run >= RUN_OUTAGE
+    /// Whether a failure is part of an outage; behind a tripped breaker it is, whatever came before.
+    fn indicates_outage(&self) -> bool {
+        self.is_failing() || !self.is_closed() || self.consecutive_failures >= CONSECUTIVE_FAILURES_OF_OUTAGE
     }
 
-    /// The rest before the next trial, by `chance` of 0 to 1. Guards a destination that comes back against the trials of a
-    /// large fleet, which alone are more than it takes while cold: all together they ask for no more than that, and those
-    /// that failed together don't come together. It hurts where few of the relays have anything for it.
-    pub(crate) fn sleep_window(&self, siblings: f64, rules: &PlatformRules, chance: f64) -> Micros {
-        if siblings <= FEW {
-            return (SLEEP_WINDOW as f64 * (0.9 + 0.2 * chance)) as Micros;
-        }
-        let cold = (rules.overload_factor * rules.initial_capacity_share).max(0.1);
-        let even = self.even_gap(siblings) / cold * SECOND as f64;
-        (even.clamp(SLEEP_WINDOW as f64, OUTAGE_LEAST as f64) * (0.5 + chance)) as Micros
+    /// Whether the route may be down.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.consecutive_failures > 0 || !self.is_closed()
     }
 
-    pub(crate) fn doubtful(&self) -> bool {
-        self.run > 0 || self.fuse != Fuse::Closed
+    /// Whether calls are likely to fail after they may have been executed.
+    pub(crate) fn is_risky(&self) -> bool {
+        let failed = self.window.count(CallResult::Failure) as f64;
+        let is_unreliable = failed > 1.0 && failed > RISKY_FAILURE_RATIO * self.window.len() as f64;
+        !self.is_failure_harmless && (self.is_suspect() || is_unreliable)
     }
 
-    pub(crate) fn risky(&self) -> bool {
-        let failed = self.count(Verdict::Failed) as f64;
-        !self.harmless && (self.doubtful() || failed > 1.0 && failed > UNSAFE_DOUBT * self.tally.len() as f64)
+    /// Whether a call is a probe that its message may not survive.
+    pub(crate) fn risks_message(&self) -> bool {
+        !self.is_closed() && !self.is_failure_harmless
     }
 
+    /// Opens the breaker until this moment.
     pub(crate) fn trip(&mut self, until: Micros) {
-        self.fuse = Fuse::Open(until);
+        self.state = BreakerState::Open(until);
+    }
+
+    /// A call has started: behind a breaker that is not closed it is the probe.
+    pub(crate) fn record_start(&mut self) {
+        if !self.is_closed() {
+            self.state = BreakerState::HalfOpen;
+        }
+    }
+
+    /// A probe that an earlier process had in flight is not this one's: another may start.
+    pub(crate) fn forget_probe(&mut self) {
+        if self.state == BreakerState::HalfOpen {
+            self.trip(0);
+        }
+    }
+
+    /// Whether the window trips the breaker. Where many calls succeed, two failures in a row are no rarity.
+    fn has_too_many_errors(&self) -> bool {
+        let errors = self.window.count(CallResult::Failure) + self.window.count(CallResult::Rejected);
+        let ratio = errors as f64 / self.window.len() as f64;
+        self.consecutive_failures >= CONSECUTIVE_ERRORS_TO_TRIP && self.is_failing()
+            || self.window.len() >= MIN_CALLS_TO_TRIP && ratio > ERROR_RATIO_TO_TRIP
+    }
+}
+
+impl Route {
+    /// How long the breaker stays open, by `chance` of 0 to 1. The probes of a large fleet alone are more than a
+    /// destination takes while it warms up: all together they stay below that, and don't come in step.
+    pub(crate) fn open_duration(&self, replicas: f64, rules: &PlatformRules, chance: f64) -> Micros {
+        if replicas <= SMALL_FLEET {
+            return (OPEN_DURATION as f64 * jitter_factor(chance)) as Micros;
+        }
+        let initial_capacity = (rules.overload_factor * rules.initial_capacity_share).max(0.1);
+        let even = self.limit.even_interval(replicas) / initial_capacity * SECOND as f64;
+        (even.clamp(OPEN_DURATION as f64, MIN_OUTAGE as f64) * (0.5 + chance)) as Micros
     }
 }
 
 impl DeliveryPolicy {
-    /// Books an outcome; `counted` tells that the call was booked as a pending error already.
-    pub(crate) fn judge(
-        &mut self, key: RouteKey, host: HostId, outcome: AttemptOutcome, elapsed: Micros, counted: bool,
-        class: Option<usize>,
-    ) {
-        let (now, chance) = (self.now, self.dice.roll());
-        match outcome {
+    /// Records how a call or probe ended.
+    pub(crate) fn record_outcome(&mut self, end: &CallEnd) {
+        let (now, chance) = (self.now, self.random.next_fraction());
+        match end.outcome {
             AttemptOutcome::Delivered => {
-                // The pending error was a false alarm.
-                if let (true, Some(route)) = (counted, self.routes.get_mut(&key)) {
-                    let last = route.tally.iter().rposition(|(_, v)| *v == Verdict::Failed);
-                    last.and_then(|at| route.tally.remove(at));
+                // The failure that was counted when the call became overdue was a false alarm.
+                if let (true, Some(route)) = (end.was_overdue, self.routes.get_mut(&end.route)) {
+                    route.breaker.window.remove_last(CallResult::Failure);
                 }
-                self.succeeded(key, host, elapsed, chance, class);
+                self.record_success(end, chance);
             }
-            AttemptOutcome::Rejected { .. } => self.refused(key),
-            // Guards healthy hosts: a kept connection that breaks is no news of its host; the next call asks on a new one.
-            AttemptOutcome::ConnectionLost
-            | AttemptOutcome::Cancelled
-            | AttemptOutcome::Obsolete
-            | AttemptOutcome::NotStarted
-                if !counted =>
-            {
-                if let Some(route) = self.routes.get_mut(&key).filter(|r| r.fuse == Fuse::HalfOpen) {
-                    route.trip(now);
+            AttemptOutcome::Rejected { .. } => self.record_rejection(end.route),
+            // A reused connection that breaks says nothing of its host; the next call opens a new one.
+            outcome if outcome.is_inconclusive() && !end.was_overdue => {
+                let route = self.routes.get_mut(&end.route);
+                if let Some(route) = route.filter(|route| route.breaker.state == BreakerState::HalfOpen) {
+                    route.breaker.trip(now);
                 }
             }
-            _ if counted => {
-                // Told at last that the calls failed: only now is the outage witnessed.
-                let route = self.routes.get_mut(&key).filter(|r| !r.witness && r.out_of_order());
-                route.into_iter().for_each(|route| route.saw_outage(now, chance));
+            _ if end.was_overdue => {
+                // Only now is it certain that the calls failed.
+                let route = self.routes.get_mut(&end.route).filter(|route| !route.recovery.is_active);
+                if let Some(route) = route.filter(|route| route.breaker.indicates_outage()) {
+                    route.record_outage(now, chance);
+                }
             }
-            _ => self.failed(key, host, outcome == AttemptOutcome::ConnectFailed, true),
+            outcome => self.record_failure(end.route, end.host, FailureKind::of_outcome(outcome)),
         }
     }
 
-    pub(crate) fn succeeded(
-        &mut self, key: RouteKey, host: HostId, elapsed: Micros, chance: f64, class: Option<usize>,
-    ) {
+    fn record_success(&mut self, end: &CallEnd, chance: f64) {
         let now = self.now;
-        if let Some(host) = self.hosts.get_mut(&host) {
-            (host.run, host.avoid_until) = (0, 0);
+        if let Some(host) = self.hosts.get_mut(&end.host) {
+            (host.consecutive_failures, host.ejected_until) = (0, 0);
         }
-        let Some(route) = self.routes.get_mut(&key) else { return };
-        // Guards a destination whose outage few calls met, as the relay rested after a refusal or waited for two
-        // that hung: what was away from then until now, as far as this relay can tell, is back from an outage.
-        let shut = route.refused_run > 0 && !route.limited && now >= route.shut_since + SHUT_AFTER;
-        let hung = route.run > 1 && now >= route.failing_since + SHUT_AFTER;
-        if shut || hung {
-            route.saw_outage(if shut { route.shut_since } else { route.failing_since }, chance);
-        }
-        let good = route.tally.iter().rfind(|(_, v)| *v == Verdict::Good).map_or(0, |(at, _)| *at);
-        route.push(now, Verdict::Good);
-        (route.run, route.refused_run) = (0, 0);
-        let longest = (route.even_gap(self.siblings) * GAP_EVEN * SECOND as f64) as Micros;
-        route.gap = (route.gap / GAP_SHRINKS).min(longest);
-        route.rest_until = now + route.gap;
-        if route.fuse != Fuse::Closed {
-            // Rest fills no bucket: what has waited must not come at once.
-            (route.fuse, route.tokens) = (Fuse::Closed, route.tokens.min(0.0));
-        }
-        // Guards against the good end of a call from before the outage: the destination would count as warm too soon.
-        let since = now.saturating_sub(elapsed);
-        if route.witness && route.back.is_none() && since >= route.down && now >= route.wait_until {
-            // Guards a busy destination whose queue was full for a moment against the ramp of one that was away.
-            route.witness = route.down < good || now >= good + GLITCH;
-            route.back = Some(now).filter(|_| route.witness);
-        }
-        route.cap += 1.0 / route.cap;
-        let doubt = if self.set.weight_source == WeightSource::Rough { 1.5 } else { 1.1 };
-        let ceiling = route.told.map_or(f64::INFINITY, |told| told * doubt);
-        route.pace = (route.pace + PACE_RISE * route.fair(self.siblings).max(1.0)).min(ceiling);
-        route.best = (route.best * BEST_FADE).max(route.own_rate(now));
-        if let Some(mean) = class.and_then(|c| self.class_usual.get_mut(c)) {
-            let ratio = elapsed as f64 / *mean;
-            *mean += SMOOTH * 0.3 * (elapsed as f64 / route.usual - *mean);
-            route.usual = (route.usual + SMOOTH * (ratio - route.usual)).clamp(0.2, 50.0);
+        let Some(route) = self.routes.get_mut(&end.route) else { return };
+        route.detect_unseen_outage(now, chance);
+        let last_success = route.breaker.window.last_at(CallResult::Success).unwrap_or(0);
+        route.breaker.count_success(now);
+        route.shorten_backoff(now, self.replicas);
+        if !route.breaker.is_closed() {
+            route.breaker.state = BreakerState::Closed;
+            // Waiting fills no bucket: what has queued up must not go out at once.
+            route.pacing.bucket.limit_to(0.0);
         }
+        route.end_outage(now, now.saturating_sub(end.elapsed), last_success);
+        route.raise_rate(now, self.replicas, self.settings.weight_source);
+        self.record_latency(end);
     }
 
-    pub(crate) fn refused(&mut self, key: RouteKey) {
-        let (now, chance, siblings) = (self.now, self.dice.roll(), self.siblings);
+    fn record_rejection(&mut self, key: RouteKey) {
+        let (now, chance, replicas) = (self.now, self.random.next_fraction(), self.replicas);
         let Some(route) = self.routes.get_mut(&key) else { return };
-        route.push(now, Verdict::Refused);
-        route.refused_run += 1;
-        let limited = route.left.is_some_and(|left| left < ALLOWANCE_SPENT);
-        // Where this relay's even part of what is told is in use, the limit is the likelier cause.
-        let busy = route.own_rate(now) * siblings.min(SHARERS) * 2.0 > route.told.unwrap_or(0.0);
-        route.limited = limited || busy;
-        route.shut_since = if route.refused_run == 1 || limited { now } else { route.shut_since };
-        // Refused with the allowance hardly touched, a destination is shut.
-        let shut = route.left.is_some_and(|left| left > ALLOWANCE_UNUSED);
-        if limited {
-            // The part says how soon; not all who were refused may come again at once.
-            route.tokens = route.tokens.min(chance);
-            route.rest_until = route.rest_until.max(route.wait_until);
-        } else if route.rest_until <= now {
-            // Of calls that were out together the first refusal counts.
-            let (fair, even) = (route.fair(siblings), route.even_gap(siblings));
-            let first = (even.clamp(FIRST_GAP.0, FIRST_GAP.1) * SECOND as f64) as Micros;
-            let most = ((even * GAP_EVEN * SECOND as f64) as Micros).clamp(SLEEP_WINDOW, REST_MOST);
-            route.gap = (route.gap * GAP_GROWS).clamp(first, most.max(first));
-            let from = route.pace.min(route.own_rate(now).max(fair));
-            route.pace = (from * CAP_CUT).max(fair / GAP_EVEN);
-            route.cap = (route.cap * CAP_CUT).max(1.0);
-            // Not all who were told the same end of a wait may come at once: within a gap, by chance.
-            let told = route.wait_until > now;
-            let share = if told { chance } else { 0.9 + 0.2 * chance };
-            route.rest_until = now.max(route.wait_until) + (route.gap as f64 * share) as Micros;
+        route.breaker.count_rejection(now);
+        let is_exhausted = route.limit.remaining_allowance.is_some_and(|left| left < EXHAUSTED_ALLOWANCE);
+        route.breaker.is_limit_likely = is_exhausted || route.uses_its_part(now, replicas);
+        if route.breaker.consecutive_rejections == 1 || is_exhausted {
+            route.breaker.rejected_since = now;
+        }
+        if is_exhausted {
+            // The usage factor says how soon; not all who were rejected may come again at once.
+            route.pacing.bucket.limit_to(chance);
+            route.backoff_until = route.backoff_until.max(route.retry_after_until);
+        } else if route.backoff_until <= now {
+            // Of calls that were in flight together the first rejection counts.
+            route.lengthen_backoff(now, replicas, chance);
         }
-        // Refusals alone for long are a shut destination, an outage; a few are its limit.
-        let alone = route.refused_run > RUN_TRIP || route.fuse != Fuse::Closed;
-        if shut || alone && now >= route.shut_since + SHUT_AFTER {
-            route.saw_outage(route.shut_since, chance);
+        // Rejections alone for long are an outage, a few are the limit; with the allowance unused they are one at once.
+        let is_unused = route.limit.remaining_allowance.is_some_and(|left| left > UNUSED_ALLOWANCE);
+        let only_rejections =
+            route.breaker.consecutive_rejections > CONSECUTIVE_ERRORS_TO_TRIP || !route.breaker.is_closed();
+        if is_unused || only_rejections && now >= route.breaker.rejected_since + UNAVAILABLE_AFTER {
+            route.record_outage(route.breaker.rejected_since, chance);
         }
-        if alone {
-            route.harmless = true;
-            route.trip(now + route.sleep_window(siblings, &self.set.rules, chance));
+        if only_rejections {
+            route.breaker.is_failure_harmless = true;
+            route.breaker.trip(now + route.open_duration(replicas, &self.settings.rules, chance));
         }
     }
 
-    /// A call failed, or is out so long that it counts as failed.
-    pub(crate) fn failed(&mut self, key: RouteKey, host: HostId, harmless: bool, told: bool) {
-        let (now, chance, siblings) = (self.now, self.dice.roll(), self.siblings);
+    fn record_failure(&mut self, key: RouteKey, host: HostId, kind: FailureKind) {
+        let (now, chance) = (self.now, self.random.next_fraction());
         if let Some(host) = self.hosts.get_mut(&host) {
-            host.run += 1;
-            host.avoid_until = now + (AVOID as f64 * (0.9 + 0.2 * chance)) as Micros;
+            host.consecutive_failures += 1;
+            host.ejected_until = now + (EJECTION_DURATION as f64 * jitter_factor(chance)) as Micros;
         }
         let Some(route) = self.routes.get_mut(&key) else { return };
-        // An outage of one endpoint must not close the rest: while one is in good standing, use that.
-        let elsewhere = route.hosts.iter().any(|h| self.hosts.get(h).is_some_and(|h| h.avoid_until <= now));
-        route.push(now, Verdict::Failed);
-        route.run += 1;
-        route.failing_since = if route.run == 1 { now } else { route.failing_since };
-        route.harmless = harmless;
-        let failures = route.count(Verdict::Failed);
-        if told && route.out_of_order() {
-            route.saw_outage(now, chance);
+        // The failure of one host must not stop the others: while one is in good standing, that is used.
+        let is_available = |id| self.hosts.get(id).is_some_and(|host| host.ejected_until <= now);
+        let has_alternative = route.hosts.iter().any(is_available);
+        route.breaker.count_failure(now, kind);
+        if kind != FailureKind::Overdue && route.breaker.indicates_outage() {
+            route.record_outage(now, chance);
         }
-        let share = (failures + route.count(Verdict::Refused)) as f64 / route.tally.len() as f64;
-        // Where many calls are good, two failures in a row are no rarity and no outage.
-        let row = route.run >= RUN_TRIP && route.failing();
-        let trips = row || route.tally.len() >= VOLUME_FLOOR && share > ERROR_SHARE;
-        if route.fuse != Fuse::Closed || trips && !elsewhere {
-            route.trip(now + route.sleep_window(siblings, &self.set.rules, chance));
+        let trips = route.breaker.has_too_many_errors() && !has_alternative;
+        if !route.breaker.is_closed() || trips {
+            let rest = route.open_duration(self.replicas, &self.settings.rules, chance);
+            route.breaker.trip(now + rest);
         }
     }
 
-    /// Guards against hangs and silence: what is out far too long is an error before its time-out, any stall.
-    pub(crate) fn overdue(&mut self) {
+    /// Counts calls that are in flight for far too long as failed: a hang shows before the first time-out.
+    pub(crate) fn record_overdue_calls(&mut self) {
         let now = self.now;
-        let late = self.calls.values_mut().filter(|c| !c.overdue && c.overdue_at <= now);
-        let late: Vec<_> = late.map(|c| (std::mem::replace(&mut c.overdue, true), c.route, c.host)).collect();
-        for (_, route, host) in late {
-            self.failed(route, host, false, false);
+        let late = self.calls.values_mut().filter(|call| !call.is_overdue && call.overdue_at <= now);
+        let late: Vec<_> = late.map(Call::mark_overdue).collect();
+        for (route, host) in late {
+            self.record_failure(route, host, FailureKind::Overdue);
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,24 +1,32 @@
-//! Decides when and where to send, hold, retry, refuse or fail each message. It does no I/O: events go in,
-//! actions come out.
+//! Decides when and where to send, queue, retry, reject or fail each message. It does no I/O: events go in, actions
+//! come out.
 
 mod admission;
 mod circuit_breaker;
+mod decision;
 mod diagnostics;
 mod dispatch;
 mod handover;
-pub mod policy;
+mod policy;
+mod queued_message;
+pub mod random;
 mod rate_limit;
 mod recovery;
 mod retry;
 mod rolling_window;
+mod route;
 mod routing;
 pub mod scheduler;
 mod selection;
-pub mod state;
+mod state;
+mod tables;
+mod token_bucket;
 mod tuning;
 pub mod types;
 
-pub use policy::DeliveryPolicy;
+pub use handover::HandoverSnapshot;
+
+pub use route::RouteKey;
 pub use scheduler::TenantScheduler;
-pub use state::HandoverSnapshot;
+pub use state::DeliveryPolicy;
 pub use types::{Action, Event, Settings};
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -1,100 +1,107 @@
-//! Messages and outages that come from an earlier process.
+//! Recovery: outages and what follows them, and messages, calls and state of an earlier process.
 
-use crate::policy::DeliveryPolicy;
-use crate::state::{Attempt, AttemptState, Call, Fuse, HandoverSnapshot, OrderedKey, Route};
-use crate::tuning::{FEW, OUTAGE_LEAST, TALLY_WINDOW};
+use crate::queued_message::AttemptState;
+use crate::route::{Call, Route};
+use crate::state::DeliveryPolicy;
+use crate::tuning::{MAX_GLITCH, MIN_OUTAGE, OUTAGE_RETENTION, SMALL_FLEET, UNAVAILABLE_AFTER};
 use crate::types::{HostId, Message, Micros, Outage, PastAttempt};
 
 impl Route {
-    /// Whether the route must be remembered: an outage is, for a minute after the last call.
-    pub(crate) fn binds(&self, now: Micros) -> bool {
-        let told = self.witness && self.tally.back().is_some_and(|(at, _)| at + 6 * TALLY_WINDOW > now);
-        self.in_flight > 0 || told || self.wait_until.max(self.rest_until) > now
+    /// Whether a route without hosts must still be remembered: calls, waits and outages outlast a change of the list.
+    pub(crate) fn must_be_kept(&self, now: Micros) -> bool {
+        let recent_call = self.breaker.window.latest_at().filter(|at| at + OUTAGE_RETENTION > now);
+        let has_outage = self.recovery.is_active && recent_call.is_some();
+        self.in_flight > 0 || has_outage || self.retry_after_until.max(self.backoff_until) > now
     }
 
-    /// `chance` of 0 to 1 sets when its turn comes: all who saw the outage would call at once otherwise.
-    pub(crate) fn saw_outage(&mut self, since: Micros, chance: f64) {
-        if !self.witness {
-            (self.down, self.tokens) = (since, self.tokens.min(chance));
+    /// Starts the recovery ramp. `chance` of 0 to 1 spreads the turns of all replicas that saw the outage.
+    pub(crate) fn record_outage(&mut self, since: Micros, chance: f64) {
+        if !self.recovery.is_active {
+            self.recovery.down_since = since;
+            self.pacing.bucket.limit_to(chance);
         }
-        (self.witness, self.back) = (true, None);
+        self.recovery.is_active = true;
+        self.recovery.recovered_at = None;
     }
-}
 
-impl DeliveryPolicy {
-    /// Takes a message on with what its attempts from before allow.
-    pub(crate) fn again(&mut self, message: Message, attempts: &[PastAttempt]) {
-        self.arrived(message);
-        let Some(held) = self.held.get_mut(&message.id) else { return };
-        held.attempts.extend(attempts.iter().map(|past| {
-            let fate = if past.may_have_executed { AttemptState::MayHaveRun } else { AttemptState::NeverRan };
-            Attempt { sent: past.sent_at, zone: past.zone, call: 0, fate, called_off: false, booked: 0 }
-        }));
+    /// At a success: an outage that few calls met, as calls hung or backed off, counts from the first error.
+    pub(crate) fn detect_unseen_outage(&mut self, now: Micros, chance: f64) {
+        let breaker = &self.breaker;
+        let was_rejecting = breaker.consecutive_rejections > 0
+            && !breaker.is_limit_likely
+            && now >= breaker.rejected_since + UNAVAILABLE_AFTER;
+        let hung_since = Some(breaker.failing_since).filter(|_| breaker.consecutive_failures > 1);
+        let was_failing = hung_since.is_some_and(|since| now >= since + UNAVAILABLE_AFTER);
+        let since = if was_rejecting { breaker.rejected_since } else { breaker.failing_since };
+        if was_rejecting || was_failing {
+            self.record_outage(since, chance);
+        }
     }
 
-    /// Takes back a message from before a restart.
-    pub(crate) fn restored(&mut self, message: Message, attempts: &[PastAttempt]) {
-        self.again(message, attempts);
-        self.held.get_mut(&message.id).into_iter().for_each(|held| held.owed = attempts.is_empty());
-        self.found.0 += usize::from(attempts.is_empty());
-        // A call that the end of a process cut off may run on at its host.
-        let cut = message.ordering_key.filter(|_| attempts.last().is_some_and(|past| past.may_have_executed));
-        let turn = cut.and_then(|key| self.keys.get_mut(&key));
-        turn.into_iter().for_each(|turn| turn.rest_until = self.now + self.set.rules.ordering_delay);
-        // Guards against a destination that returned while this relay was down, of whose outage the last process saw
-        // too little: those that it owes something are taken for cold, or what was held would come at once.
-        let (now, destination) = (self.now, message.destination);
-        for key in self.routes_to(destination) {
-            let Some(route) = self.routes.get_mut(&key).filter(|route| !route.witness) else { continue };
-            route.saw_outage(now.saturating_sub(OUTAGE_LEAST), 1.0);
-            route.back = Some(now);
+    /// At a success of a call sent at `sent_at`: the outage is over, unless the call is older than it. Where the last
+    /// success came just before, a full queue was taken for an outage, and no ramp is needed.
+    pub(crate) fn end_outage(&mut self, now: Micros, sent_at: Micros, last_success: Micros) {
+        let recovery = &mut self.recovery;
+        let is_down = recovery.is_active && recovery.recovered_at.is_none();
+        if is_down && sent_at >= recovery.down_since && now >= self.retry_after_until {
+            recovery.is_active = recovery.down_since < last_success || now >= last_success + MAX_GLITCH;
+            recovery.recovered_at = Some(now).filter(|_| recovery.is_active);
         }
     }
+}
 
-    /// Takes over from a process with the same list and numbers of hosts and classes.
-    pub fn restore_handover(&mut self, heritage: HandoverSnapshot) {
-        for (key, known) in heritage.routes {
+impl DeliveryPolicy {
+    /// Accepts a message from before a restart.
+    pub(crate) fn restore_message(&mut self, message: Message, attempts: &[PastAttempt]) {
+        self.enqueue_with_attempts(message, attempts);
+        if let Some(queued) = self.queue.get_mut(&message.id) {
+            queued.is_recovered = attempts.is_empty();
+        }
+        self.recovered_count += usize::from(attempts.is_empty());
+        // A call that the end of a process cut off may still be running at its host.
+        let may_run_on = attempts.last().is_some_and(|past| past.may_have_executed);
+        let key = message.ordering_key.filter(|_| may_run_on);
+        if let Some(order) = key.and_then(|key| self.ordered_keys.get_mut(&key)) {
+            order.blocked_until = self.now + self.settings.rules.ordering_delay;
+        }
+        // The destination may have come back while this replica was down and had seen too little of the outage: where
+        // messages wait for it, the ramp applies, or all of them would go out at once.
+        let now = self.now;
+        for key in self.routes_to(message.destination) {
             let Some(route) = self.routes.get_mut(&key) else { continue };
-            // The trial, if it is out still, comes with its message.
-            let fuse = if known.fuse == Fuse::HalfOpen { Fuse::Open(0) } else { known.fuse };
-            *route = Route { hosts: std::mem::take(&mut route.hosts), in_flight: 0, fuse, ..known };
+            if !route.recovery.is_active {
+                route.record_outage(now.saturating_sub(MIN_OUTAGE), 1.0);
+                route.recovery.recovered_at = Some(now);
+            }
         }
-        let turn = |(key, rest_until)| (key, OrderedKey { rest_until, ..OrderedKey::default() });
-        self.keys.extend(heritage.ordered_keys.into_iter().map(turn));
-        self.class_usual.iter_mut().zip(heritage.usual).for_each(|(mine, known)| *mine = known);
     }
 
-    /// Takes over a message, of which a call may be out; that holds its slot until its end is told.
-    pub(crate) fn adopted(&mut self, message: Message, attempts: &[PastAttempt], out: Option<HostId>) {
-        self.again(message, attempts);
-        let (Some(host), id) = (out, message.id) else { return };
+    /// Takes over a message from a process that ends. A call in flight at `host` holds its slot until its end.
+    pub(crate) fn adopt_message(&mut self, message: Message, attempts: &[PastAttempt], host: Option<HostId>) {
+        self.enqueue_with_attempts(message, attempts);
+        let Some(host) = host else { return };
         self.next_call += 1;
-        let call = self.next_call;
-        let last = self.held.get_mut(&id).and_then(|held| held.attempts.last_mut());
-        last.into_iter().for_each(|last| (last.call, last.fate) = (call, AttemptState::Out));
-        let Some(route) = self.route_of(host) else { return };
-        let Some(known) = self.routes.get(&route) else { return };
-        let overdue_at = self.now + self.overdue_after(&self.held[&id], known);
-        self.calls.insert(call, Call { route, host, overdue_at, overdue: false, left: 1 });
-        self.hosts.get_mut(&host).into_iter().for_each(|host| host.in_flight += 1);
-        if let Some(route) = self.routes.get_mut(&route) {
-            route.in_flight += 1;
-            route.fuse = if route.fuse == Fuse::Closed { Fuse::Closed } else { Fuse::HalfOpen };
+        let Some(queued) = self.queue.get_mut(&message.id) else { return };
+        if let Some(last) = queued.attempts.last_mut() {
+            (last.call, last.state) = (self.next_call, AttemptState::InFlight);
         }
+        let Some(key) = self.route_of(host) else { return };
+        let Some(route) = self.routes.get(&key) else { return };
+        let overdue_at = self.now + self.overdue_after(&self.queue[&message.id], route);
+        self.start_call(Call { route: key, host, overdue_at, is_overdue: false, pending_messages: 1 });
     }
 
-    /// Guards a returning destination against a relay that a restart made forget its outage: its fuse
-    /// would be whole, and its backlog would come at once. A destination that is still down gets a trial.
-    pub(crate) fn remembered(&mut self, outage: Outage) {
-        let (now, chance) = (self.now, self.dice.roll());
+    /// Restores an outage from before a restart, or all that waits would go out at once. One that lasts gets a probe.
+    pub(crate) fn restore_outage(&mut self, outage: Outage) {
+        let (now, chance) = (self.now, self.random.next_fraction());
         for key in self.routes_to(outage.destination) {
             let Some(route) = self.routes.get_mut(&key) else { continue };
-            route.saw_outage(outage.started_at.min(now), chance);
-            route.back = outage.recovered_at.map(|back| back.min(now));
-            if route.back.is_none() {
+            route.record_outage(outage.started_at.min(now), chance);
+            route.recovery.recovered_at = outage.recovered_at.map(|at| at.min(now));
+            if route.recovery.recovered_at.is_none() {
                 // Most of a large fleet may have started just now.
-                let rest = route.sleep_window(self.siblings, &self.set.rules, chance);
-                route.trip(if self.siblings > FEW { now + rest } else { now });
+                let rest = route.open_duration(self.replicas, &self.settings.rules, chance);
+                route.breaker.trip(if self.replicas > SMALL_FLEET { now + rest } else { now });
             }
         }
     }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,132 +1,115 @@
-//! How attempts end, and what may be repeated.
+//! Retry: how attempts end, whether a message may be sent again, and its final answer if it is not delivered.
 
-use crate::policy::DeliveryPolicy;
-use crate::state::{AttemptState, QueuedMessage};
-use crate::tuning::{SECOND, SHUT_AFTER};
+use crate::decision::{CallEnd, RepeatRisk};
+use crate::queued_message::{AttemptState, QueuedMessage};
+use crate::state::DeliveryPolicy;
+use crate::tuning::{RETRY_BACKOFF, UNAVAILABLE_AFTER};
 use crate::types::{Action, AttemptEnd, AttemptOutcome, Idempotency, MessageId, Micros};
 
 impl DeliveryPolicy {
-    pub(crate) fn ended(&mut self, end: AttemptEnd) {
-        let now = self.now;
-        let Some(held) = self.held.get_mut(&end.id) else { return };
-        held.over |= end.is_final;
-        let tries = held.attempts.len() as u64;
-        let attempt = held.attempts.get_mut(usize::from(end.attempt)).filter(|a| a.fate == AttemptState::Out);
-        let Some(attempt) = attempt else { return };
-        attempt.fate =
-            if end.outcome.may_have_executed() { AttemptState::MayHaveRun } else { AttemptState::NeverRan };
-        let call_id = attempt.call;
-        self.scheduler.call_ended(&held.message, attempt.booked, end.elapsed);
-        held.attempts.truncate(tries as usize - usize::from(end.outcome == AttemptOutcome::NotStarted));
-        held.owed &= matches!(
-            end.outcome,
-            AttemptOutcome::ConnectFailed | AttemptOutcome::Obsolete | AttemptOutcome::NotStarted
-        );
-        // Guards against a class that always fails somewhere, and against calls that can't be made, following at once.
-        held.not_before = match end.outcome {
-            AttemptOutcome::Error | AttemptOutcome::Reset | AttemptOutcome::Obsolete => {
-                now + SECOND / 5 * tries
-            }
-            _ => now,
-        };
-        let (order_key, over) = (held.message.ordering_key, held.over);
-        let class = usize::from(held.message.class).min(self.class_usual.len() - 1);
-        let may_run_on = matches!(
-            end.outcome,
-            AttemptOutcome::Timeout
-                | AttemptOutcome::Reset
-                | AttemptOutcome::ConnectionLost
-                | AttemptOutcome::Cancelled
-        );
-        if let (true, Some(turn)) = (may_run_on, order_key.and_then(|k| self.keys.get_mut(&k))) {
-            turn.rest_until = turn.rest_until.max(now + self.set.rules.ordering_delay);
+    /// Records what became of an attempt, and when the next may start.
+    pub(crate) fn end_attempt(&mut self, end: AttemptEnd) {
+        let (now, outcome) = (self.now, end.outcome);
+        let Some(queued) = self.queue.get_mut(&end.id) else { return };
+        queued.is_settled |= end.is_final;
+        let attempt_count = queued.attempts.len();
+        let attempt = queued.attempts.get_mut(usize::from(end.attempt));
+        let Some(attempt) = attempt.filter(|attempt| attempt.state == AttemptState::InFlight) else { return };
+        attempt.state = AttemptState::of_ended(outcome.may_have_executed());
+        let call = attempt.call;
+        self.scheduler.call_ended(&queued.message, attempt.expected_duration, end.elapsed);
+        queued.attempts.truncate(attempt_count - usize::from(outcome == AttemptOutcome::NotStarted));
+        queued.is_recovered &= !outcome.reached_host();
+        // A class that always fails somewhere, or a call that can't be made, must not be repeated without a pause.
+        let is_error =
+            matches!(outcome, AttemptOutcome::Error | AttemptOutcome::Reset | AttemptOutcome::Obsolete);
+        let backoff = if is_error { RETRY_BACKOFF * attempt_count as u64 } else { 0 };
+        queued.not_before = now + backoff;
+        let key = queued.message.ordering_key.filter(|_| outcome.may_still_run());
+        if let Some(order) = key.and_then(|key| self.ordered_keys.get_mut(&key)) {
+            order.blocked_until = order.blocked_until.max(now + self.settings.rules.ordering_delay);
         }
-        if over {
-            self.close(end.id);
+        let (message, is_settled) = (queued.message, queued.is_settled);
+        if is_settled {
+            self.settle(end.id);
         }
-        let chance = self.dice.roll();
+        self.end_call(call, self.class_index(&message), end);
+    }
+
+    /// Takes one message out of a call; with the last one the call's outcome counts.
+    fn end_call(&mut self, call_id: u64, class: usize, end: AttemptEnd) {
+        let (now, chance) = (self.now, self.random.next_fraction());
         let Some(call) = self.calls.get_mut(&call_id) else { return };
-        call.left -= 1;
-        let (key, overdue, last) = (call.route, call.overdue, call.left == 0);
+        call.pending_messages -= 1;
+        let (key, was_overdue, is_last) = (call.route, call.is_overdue, call.pending_messages == 0);
         if let Some(route) = self.routes.get_mut(&key) {
-            route.in_flight -= usize::from(last);
-            // A told wait binds from any message of a call, whatever became of the others.
+            route.in_flight -= usize::from(is_last);
+            // The wait of any message of a call binds, whatever became of the others.
             if let AttemptOutcome::Rejected { retry_after: wait @ 1.. } = end.outcome {
-                route.wait_until = route.wait_until.max(now.saturating_add(wait + self.set.tick));
-                if wait > SHUT_AFTER {
-                    route.saw_outage(now, chance);
+                let until = now.saturating_add(wait + self.settings.tick);
+                route.retry_after_until = route.retry_after_until.max(until);
+                if wait > UNAVAILABLE_AFTER {
+                    route.record_outage(now, chance);
                 }
             }
         }
-        if !last {
+        if !is_last {
             return;
         }
-        self.calls.remove(&call_id);
-        if let Some(host) = self.hosts.get_mut(&end.host) {
-            host.in_flight = host.in_flight.saturating_sub(1);
-        }
-        self.report(end.host, &end.load_report);
-        self.judge(key, end.host, end.outcome, end.elapsed, overdue, Some(class));
-    }
-
-    /// Whether the effect rule and the attempt limit allow another attempt.
-    pub(crate) fn may_send(&self, held: &QueuedMessage) -> bool {
-        let allowed = match (self.class(&held.message).idempotency, held.tainted()) {
-            (_, None) | (Idempotency::Idempotent, _) => true,
-            (Idempotency::NonIdempotent, _) => false,
-            (Idempotency::Keyed { window, .. }, Some(first)) => {
-                self.now + 2 * self.set.tick < first.sent + window
-            }
-        };
-        allowed && held.attempts.len() < self.set.max_attempts && self.set.max_calls > 0
+        self.remove_call(call_id, end.host);
+        self.record_load_report(end.host, &end.load_report);
+        let AttemptEnd { host, outcome, elapsed, .. } = end;
+        self.record_outcome(&CallEnd { route: key, host, outcome, elapsed, was_overdue, class: Some(class) });
     }
 
-    /// Ends in time what is not delivered, and at once what may not be sent any more.
-    pub(crate) fn deadlines(&mut self, out: &mut Vec<Action>) {
-        let limit = self.now + 2 * self.set.tick;
-        let done = self.held.iter().filter(|(_, h)| {
-            let spent = || !self.may_send(h) || self.scheduler.abandons_messages(h.message.tenant);
-            !h.over && !h.started && (h.message.deadline <= limit || !h.is_out() && spent())
+    /// Gives the final answer without a delivery: a rejection only where provably nothing was executed.
+    pub(crate) fn give_up(&mut self, id: MessageId, retry_after: Micros, actions: &mut Vec<Action>) {
+        let Some(queued) = self.queue.get(&id).filter(|queued| !queued.is_settled) else { return };
+        actions.push(match queued.first_possible_execution() {
+            None => Action::Reject { id, retry_after },
+            Some(_) => Action::Fail(id),
         });
-        for (id, due) in done.map(|(id, held)| (*id, held.message.deadline)).collect::<Vec<_>>() {
-            // One that ends before its time has spent its attempts: its client may come again.
-            let after = if due <= limit { 0 } else { self.advice() };
-            self.end(id, after, out);
-        }
+        self.settle(id);
     }
 
-    /// The final answer when there will be no delivery: a refusal only where nothing may have run.
-    pub(crate) fn end(&mut self, id: MessageId, after: Micros, out: &mut Vec<Action>) {
-        let Some(held) = self.held.get(&id).filter(|h| !h.over) else { return };
-        let harmless = held.tainted().is_none();
-        out.push(if harmless { Action::Reject { id, retry_after: after } } else { Action::Fail(id) });
-        self.close(id);
+    /// Answers messages whose deadline is near, and at once those that may not be sent any more.
+    pub(crate) fn give_up_undeliverable(&mut self, actions: &mut Vec<Action>) {
+        let limit = self.now + 2 * self.settings.tick;
+        let has_ended = |queued: &QueuedMessage| {
+            !self.may_attempt(queued) || self.scheduler.abandons_messages(queued.message.tenant)
+        };
+        let is_due = |queued: &&QueuedMessage| {
+            queued.message.deadline <= limit || !queued.is_in_flight() && has_ended(queued)
+        };
+        let due =
+            self.open_messages().filter(is_due).map(|queued| (queued.message.id, queued.message.deadline));
+        let due: Vec<_> = due.collect();
+        for (id, deadline) in due {
+            // One that ends before its deadline has used up its attempts: its client may come again.
+            let retry_after = if deadline <= limit { 0 } else { self.retry_advice() };
+            self.give_up(id, retry_after, actions);
+        }
     }
 
-    /// No answer is owed any more; the message stays only while attempts are out.
-    pub(crate) fn close(&mut self, id: MessageId) {
-        let Some(held) = self.held.get_mut(&id) else { return };
-        held.over = true;
-        if held.is_out() {
-            return;
-        }
-        if let Some(turn) = held.message.ordering_key.and_then(|key| self.keys.get_mut(&key)) {
-            turn.line.retain(|other| *other != id);
-            if self.keys.len() > 2 * self.held.len() + self.set.max_queued {
-                self.keys.retain(|_, turn| !turn.line.is_empty() || turn.rest_until > self.now);
-            }
-        }
-        let Some(held) = self.held.remove(&id) else { return };
-        self.scheduler.message_removed(&held.message);
-        self.bytes -= held.message.size;
+    /// Whether idempotency and the limit of attempts allow another attempt.
+    pub(crate) fn may_attempt(&self, queued: &QueuedMessage) -> bool {
+        let (class, soon) = (self.class(&queued.message), self.now + 2 * self.settings.tick);
+        let is_safe = match (class.idempotency, queued.first_possible_execution()) {
+            (_, None) | (Idempotency::Idempotent, _) => true,
+            (Idempotency::NonIdempotent, _) => false,
+            (Idempotency::Keyed { window, .. }, Some(first)) => soon < first.sent_at + window,
+        };
+        is_safe && queued.attempts.len() < self.settings.max_attempts && self.settings.max_calls > 0
     }
 
-    pub(crate) fn risk(&self, id: MessageId) -> u8 {
-        let Some(held) = self.held.get(&id) else { return u8::MAX };
-        match self.class(&held.message).idempotency {
-            Idempotency::Idempotent => 0,
-            Idempotency::Keyed { .. } => 1 + u8::from(held.tainted().is_none()),
-            Idempotency::NonIdempotent => 3,
+    /// What an attempt with this message risks.
+    pub(crate) fn repeat_risk(&self, id: MessageId) -> RepeatRisk {
+        let Some(queued) = self.queue.get(&id) else { return RepeatRisk::UnknownMessage };
+        match (self.class(&queued.message).idempotency, queued.first_possible_execution()) {
+            (Idempotency::Idempotent, _) => RepeatRisk::Idempotent,
+            (Idempotency::Keyed { .. }, Some(_)) => RepeatRisk::KeyAlreadyUsed,
+            (Idempotency::Keyed { .. }, None) => RepeatRisk::KeyUnused,
+            (Idempotency::NonIdempotent, _) => RepeatRisk::NonIdempotent,
         }
     }
 }
--- /dev/null
+++ b/crates/policy/src/route.rs
@@ -0,0 +1,201 @@
+//! The records of routes, hosts and calls. The modules that decide on them add the methods that compare.
+
+use serde::{Deserialize, Serialize};
+
+use crate::decision::FailureKind;
+use crate::rolling_window::{CallResult, RollingWindow};
+use crate::token_bucket::TokenBucket;
+use crate::tuning::{ERROR_WINDOW, INITIAL_CONCURRENCY, MAX_USAGE_FACTOR, RATE_SPAN_SECONDS, SECOND};
+use crate::types::{DestinationId, HostEntry, HostId, Micros};
+
+/// A destination, or one host of it where its hosts are separate routes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RouteKey {
+    /// The destination.
+    pub destination: DestinationId,
+    /// The host, where hosts are separate routes.
+    pub host: Option<HostId>,
+}
+
+/// A listed host.
+pub(crate) struct HostRecord {
+    pub(crate) entry: HostEntry,
+    pub(crate) consecutive_failures: u32,
+    pub(crate) ejected_until: Micros,
+    /// Calls in flight.
+    pub(crate) in_flight: usize,
+}
+
+impl HostRecord {
+    /// A host that has taken no call yet.
+    pub(crate) fn new(entry: HostEntry) -> Self {
+        HostRecord { entry, consecutive_failures: 0, ejected_until: 0, in_flight: 0 }
+    }
+}
+
+/// A call in flight; it may carry several messages.
+pub(crate) struct Call {
+    pub(crate) route: RouteKey,
+    pub(crate) host: HostId,
+    /// From this moment it counts as failed, though it may still be answered.
+    pub(crate) overdue_at: Micros,
+    pub(crate) is_overdue: bool,
+    /// Messages whose attempts have not ended.
+    pub(crate) pending_messages: usize,
+}
+
+impl Call {
+    /// Marks the call as overdue; returns its route and host.
+    pub(crate) fn mark_overdue(&mut self) -> (RouteKey, HostId) {
+        self.is_overdue = true;
+        (self.route, self.host)
+    }
+}
+
+/// State of a circuit breaker.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) enum BreakerState {
+    /// Calls pass.
+    #[default]
+    Closed,
+    /// One probe request is in flight.
+    HalfOpen,
+    /// No call passes until this moment.
+    Open(Micros),
+}
+
+// HandoverSnapshot stores routes in a format that goes by position: the order of all fields below is fixed, and a
+// struct among them stands for its fields.
+
+/// Circuit breaker over a rolling window of call results.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub(crate) struct CircuitBreaker {
+    pub(crate) state: BreakerState,
+    pub(crate) window: RollingWindow,
+    pub(crate) consecutive_failures: u32,
+    /// When the first of the consecutive failures counted.
+    pub(crate) failing_since: Micros,
+    pub(crate) consecutive_rejections: u32,
+    /// Since when rejections cannot be put down to the advertised limit.
+    pub(crate) rejected_since: Micros,
+    /// The last rejection can be put down to the limit.
+    pub(crate) is_limit_likely: bool,
+    /// The last failure proves that nothing was executed.
+    pub(crate) is_failure_harmless: bool,
+}
+
+impl CircuitBreaker {
+    /// Whether calls pass.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.state == BreakerState::Closed
+    }
+
+    /// Counts a success, which ends a series of failures or rejections.
+    pub(crate) fn count_success(&mut self, now: Micros) {
+        self.window.record(now, ERROR_WINDOW, CallResult::Success);
+        (self.consecutive_failures, self.consecutive_rejections) = (0, 0);
+    }
+
+    /// Counts a rejection.
+    pub(crate) fn count_rejection(&mut self, now: Micros) {
+        self.window.record(now, ERROR_WINDOW, CallResult::Rejected);
+        self.consecutive_rejections += 1;
+    }
+
+    /// Counts a failure.
+    pub(crate) fn count_failure(&mut self, now: Micros, kind: FailureKind) {
+        self.window.record(now, ERROR_WINDOW, CallResult::Failure);
+        self.consecutive_failures += 1;
+        if self.consecutive_failures == 1 {
+            self.failing_since = now;
+        }
+        self.is_failure_harmless = kind == FailureKind::NotExecuted;
+    }
+}
+
+/// What the destination says of its limit.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub(crate) struct AdvertisedLimit {
+    /// Calls a second for all replicas together, as listed or reported.
+    pub(crate) per_second: Option<f64>,
+    /// Share of the allowance that the last answer left.
+    pub(crate) remaining_allowance: Option<f64>,
+    /// What this replica may use, as a multiple of its even part of the limit.
+    pub(crate) usage_factor: f64,
+}
+
+impl AdvertisedLimit {
+    /// Seconds between two calls of a replica at which all together use the limit.
+    pub(crate) fn even_interval(&self, replicas: f64) -> f64 {
+        replicas / self.per_second.unwrap_or(replicas)
+    }
+}
+
+/// How fast this replica calls the route.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub(crate) struct Pacing {
+    /// Calls a second.
+    pub(crate) rate: f64,
+    /// Least time between calls after rejections; zero if there were none lately.
+    pub(crate) backoff: Micros,
+    /// Best rate of successes seen; it decays.
+    pub(crate) best_rate: f64,
+    pub(crate) bucket: TokenBucket,
+    /// Calls in flight at most.
+    pub(crate) concurrency_limit: f64,
+}
+
+/// An outage that this replica has seen, and the recovery from it.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub(crate) struct Recovery {
+    /// The recovery ramp applies.
+    pub(crate) is_active: bool,
+    pub(crate) down_since: Micros,
+    /// The first success after the outage.
+    pub(crate) recovered_at: Option<Micros>,
+}
+
+/// What is known of a route.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub(crate) struct Route {
+    /// Its hosts, in ascending order.
+    pub(crate) hosts: Vec<HostId>,
+    pub(crate) breaker: CircuitBreaker,
+    /// End of the wait that the destination asked for.
+    pub(crate) retry_after_until: Micros,
+    /// End of the backoff after rejections.
+    pub(crate) backoff_until: Micros,
+    pub(crate) limit: AdvertisedLimit,
+    pub(crate) pacing: Pacing,
+    /// Calls in flight.
+    pub(crate) in_flight: usize,
+    /// Duration of its calls, as a multiple of that of the same class elsewhere.
+    pub(crate) relative_latency: f64,
+    /// Messages that wait for its destination.
+    pub(crate) waiting_messages: usize,
+    /// Calls a second at which recovered messages are attempted in time; zero if there are none.
+    pub(crate) urgent_rate: f64,
+    pub(crate) recovery: Recovery,
+}
+
+impl Route {
+    /// A route of which nothing is known.
+    pub(crate) fn initial() -> Self {
+        let mut route = Route { relative_latency: 1.0, ..Route::default() };
+        route.breaker.is_failure_harmless = true;
+        route.limit.usage_factor = MAX_USAGE_FACTOR;
+        route.pacing = Pacing {
+            rate: f64::INFINITY,
+            bucket: TokenBucket::with_tokens(1.0),
+            concurrency_limit: INITIAL_CONCURRENCY,
+            ..Pacing::default()
+        };
+        route
+    }
+
+    /// This replica's successes a second of late.
+    pub(crate) fn success_rate(&self, now: Micros) -> f64 {
+        let span = RATE_SPAN_SECONDS * SECOND;
+        self.breaker.window.count_within(CallResult::Success, span, now) as f64 / RATE_SPAN_SECONDS as f64
+    }
+}
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -1,25 +1,116 @@
-//! The table of hosts and routes.
+//! Look-ups in the table of hosts, routes and classes.
 
-use crate::policy::DeliveryPolicy;
-use crate::state::RouteKey;
-use crate::types::{DestinationId, DestinationKind, HostEntry, HostId};
+use std::collections::BTreeSet;
+
+use crate::decision::CallEnd;
+use crate::queued_message::QueuedMessage;
+use crate::route::{HostRecord, Route, RouteKey};
+use crate::state::DeliveryPolicy;
+use crate::tuning::AVERAGE_WEIGHT;
+use crate::types::{Class, DestinationId, DestinationKind, HostEntry, HostId, HostState, Message};
+
+/// The kind of a host whose kind the settings do not have.
+const DEFAULT_KIND: DestinationKind = DestinationKind { has_host_routes: false, max_messages_per_call: 1 };
+
+/// Weight of a new sample in the mean of a class, as a share of that in the mean of a route: several routes add to it.
+const CLASS_WEIGHT_SHARE: f64 = 0.3;
+/// Bounds of a relative latency.
+const MIN_RELATIVE_LATENCY: f64 = 0.2;
+const MAX_RELATIVE_LATENCY: f64 = 50.0;
 
 impl DeliveryPolicy {
+    /// Known hosts that a full list leaves out, as removed.
+    pub(crate) fn unlisted_hosts(&self, entries: &[HostEntry]) -> Vec<HostEntry> {
+        let listed: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
+        let known = self.hosts.values().map(|host| host.entry);
+        let unlisted = known.filter(|entry| !listed.contains(&entry.host));
+        unlisted.map(|entry| HostEntry { state: HostState::Removed, ..entry }).collect()
+    }
+
+    /// Puts a host in its place in the table; returns its route if it is ready.
+    pub(crate) fn place_host(&mut self, entry: HostEntry) -> Option<RouteKey> {
+        if let Some(route) = self.route_of(entry.host).and_then(|key| self.routes.get_mut(&key)) {
+            route.hosts.retain(|host| *host != entry.host);
+        }
+        let known = self.hosts.entry(entry.host).and_modify(|host| host.entry = entry);
+        known.or_insert_with(|| HostRecord::new(entry));
+        match entry.state {
+            HostState::Draining => return None,
+            HostState::Removed => {
+                self.removed_hosts.push(entry.host);
+                return None;
+            }
+            HostState::Ready => {}
+        }
+        let key = self.route_of(entry.host)?;
+        let route = self.routes.entry(key).or_insert_with(Route::initial);
+        route.hosts.push(entry.host);
+        route.hosts.sort_unstable();
+        Some(key)
+    }
+
+    /// Forgets removed hosts once no call to them is in flight, and their routes once nothing of them must be kept.
+    pub(crate) fn forget_removed_hosts(&mut self) {
+        for id in std::mem::take(&mut self.removed_hosts) {
+            let removed = self.hosts.get(&id).filter(|host| host.entry.state == HostState::Removed);
+            let Some(host) = removed else { continue };
+            let key = self.route_of(id);
+            let empty_route =
+                key.and_then(|key| self.routes.get(&key)).filter(|route| route.hosts.is_empty());
+            if host.in_flight > 0 || empty_route.is_some_and(|route| route.must_be_kept(self.now)) {
+                self.removed_hosts.push(id);
+                continue;
+            }
+            if let Some(key) = key.filter(|_| empty_route.is_some()) {
+                self.routes.remove(&key);
+            }
+            self.hosts.remove(&id);
+        }
+    }
+
+    /// The class of a message; the last one if the settings do not have it.
+    pub(crate) fn class(&self, message: &Message) -> &Class {
+        &self.settings.classes[self.class_index(message)]
+    }
+
+    /// Index of the class of a message.
+    pub(crate) fn class_index(&self, message: &Message) -> usize {
+        usize::from(message.class).min(self.settings.classes.len() - 1)
+    }
+
+    /// The kind of a host.
     pub(crate) fn kind(&self, entry: &HostEntry) -> DestinationKind {
-        self.set
-            .kinds
-            .get(usize::from(entry.kind))
-            .copied()
-            .unwrap_or(DestinationKind { has_host_routes: false, max_messages_per_call: 1 })
+        self.settings.kinds.get(usize::from(entry.kind)).copied().unwrap_or(DEFAULT_KIND)
     }
 
+    /// The route of a listed host.
     pub(crate) fn route_of(&self, host: HostId) -> Option<RouteKey> {
         let entry = &self.hosts.get(&host)?.entry;
-        Some((entry.destination, self.kind(entry).has_host_routes.then_some(host)))
+        let host = self.kind(entry).has_host_routes.then_some(host);
+        Some(RouteKey { destination: entry.destination, host })
     }
 
+    /// All routes to a destination, in ascending order.
     pub(crate) fn routes_to(&self, destination: DestinationId) -> Vec<RouteKey> {
-        let range = (destination, None)..=(destination, Some(HostId::MAX));
-        self.routes.range(range).map(|(key, _)| *key).collect()
+        let first = RouteKey { destination, host: None };
+        let last = RouteKey { destination, host: Some(HostId::MAX) };
+        self.routes.range(first..=last).map(|(key, _)| *key).collect()
+    }
+
+    /// Mean duration of a call with this message at the route, in microseconds.
+    pub(crate) fn expected_latency(&self, queued: &QueuedMessage, route: &Route) -> f64 {
+        let class = usize::from(queued.message.class);
+        self.class_latency.get(class).unwrap_or(&self.class_latency[0]) * route.relative_latency
+    }
+
+    /// Updates the moving averages of the call's class and of its route, which are relative to each other.
+    pub(crate) fn record_latency(&mut self, end: &CallEnd) {
+        let Some(mean) = end.class.and_then(|class| self.class_latency.get_mut(class)) else { return };
+        let Some(route) = self.routes.get_mut(&end.route) else { return };
+        let (elapsed, relative) = (end.elapsed as f64, route.relative_latency);
+        let ratio = elapsed / *mean;
+        *mean += AVERAGE_WEIGHT * CLASS_WEIGHT_SHARE * (elapsed / relative - *mean);
+        let average = relative + AVERAGE_WEIGHT * (ratio - relative);
+        route.relative_latency = average.clamp(MIN_RELATIVE_LATENCY, MAX_RELATIVE_LATENCY);
     }
 }
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -1,101 +1,121 @@
-//! Which host and route a message takes.
+//! Selection: whether a route takes a call now, and which host of which route a message goes to.
 
-use crate::policy::DeliveryPolicy;
-use crate::state::{Fuse, QueuedMessage, Route, RouteKey};
-use crate::tuning::{CUT_SHORT, DOUBTFUL_SHARE, HEALTHY_SHARE, OVERDUE, SECOND, UNSAFE_RESERVE};
+use crate::decision::{Readiness, Selection, Urgency};
+use crate::queued_message::QueuedMessage;
+use crate::route::{BreakerState, HostRecord, Route, RouteKey};
+use crate::state::DeliveryPolicy;
+use crate::tuning::{
+    EJECTED_HOST_COST, FAILURE_COST, FEE_COST, HEALTHY_SLOT_SHARE, MAX_COSTED_FAILURES, OVERDUE_FACTOR,
+    RISKY_TIME_RESERVE, SECOND, SHUTDOWN_MARGIN_FACTOR, SUSPECT_SLOT_SHARE,
+};
 use crate::types::{HostId, HostState, Idempotency, MessageId, Micros};
 
+impl Route {
+    /// Until when the breaker or the limits of concurrency allow no further call.
+    fn blocked_until(&self, now: Micros, max_calls: usize, urgency: Urgency) -> Option<Micros> {
+        let slots = max_calls as f64;
+        let most = match self.breaker.is_suspect() {
+            true => (slots * SUSPECT_SLOT_SHARE).floor(),
+            false => (slots * HEALTHY_SLOT_SHARE - 0.01).floor(),
+        };
+        let (in_flight, is_urgent) = (self.in_flight as f64, urgency == Urgency::Recovered);
+        let is_full = match self.breaker.state {
+            BreakerState::Open(until) if until > now && !is_urgent => return Some(until),
+            BreakerState::Open(_) => in_flight >= most.max(2.0),
+            BreakerState::HalfOpen => !is_urgent || in_flight >= most.max(2.0),
+            BreakerState::Closed => in_flight >= most.min(self.pacing.concurrency_limit).max(1.0),
+        };
+        is_full.then_some(Micros::MAX)
+    }
+}
+
 impl DeliveryPolicy {
-    /// Whether the route takes a call now; if not, when to look again.
-    pub(crate) fn opening(&mut self, key: RouteKey, pressing: bool) -> Result<(), Micros> {
+    /// Whether the route takes a call now.
+    pub(crate) fn readiness(&mut self, key: RouteKey, urgency: Urgency) -> Readiness {
         let now = self.now;
         let rate = self.refill(key);
-        let slots = self.set.max_calls as f64;
-        let Some(route) = self.routes.get(&key) else { return Err(Micros::MAX) };
-        // Guards what a restart found untried against its end behind a fuse or a rest; a told wait binds it.
-        let rest = if pressing { route.wait_until } else { route.wait_until.max(route.rest_until) };
-        if rest > now {
-            return Err(rest);
+        let Some(route) = self.routes.get(&key) else { return Readiness::NotBefore(Micros::MAX) };
+        let backoff_until = if urgency == Urgency::Normal { route.backoff_until } else { 0 };
+        let paused_until = route.retry_after_until.max(backoff_until);
+        if paused_until > now {
+            return Readiness::NotBefore(paused_until);
         }
-        let (share, less) = if route.doubtful() { (DOUBTFUL_SHARE, 0.0) } else { (HEALTHY_SHARE, 0.01) };
-        let most = (slots * share - less).floor();
-        let in_flight = route.in_flight as f64;
-        let barred = match route.fuse {
-            Fuse::Open(until) if until > now && !pressing => return Err(until),
-            Fuse::Open(_) => in_flight >= most.max(2.0),
-            Fuse::HalfOpen => !pressing || in_flight >= most.max(2.0),
-            Fuse::Closed => in_flight >= most.min(route.cap).max(1.0),
-        };
-        if barred {
-            return Err(Micros::MAX);
+        if let Some(until) = route.blocked_until(now, self.settings.max_calls, urgency) {
+            return Readiness::NotBefore(until);
         }
-        if route.tokens < 1.0 {
-            return Err((((1.0 - route.tokens) / rate * SECOND as f64) as Micros).saturating_add(now + 1));
+        if route.pacing.bucket.tokens < 1.0 {
+            return Readiness::NotBefore(route.pacing.bucket.time_to_token(rate).saturating_add(now + 1));
         }
-        Ok(())
+        Readiness::Ready
     }
 
-    pub(crate) fn choose(&mut self, id: MessageId) -> Option<(RouteKey, HostId)> {
-        let now = self.now;
-        let (destination, presses) = self.held.get(&id).map(|h| (h.message.destination, h.presses()))?;
-        let mut best: Option<(f64, RouteKey, HostId)> = None;
+    /// The cheapest host that the message may go to now.
+    pub(crate) fn select(&mut self, id: MessageId) -> Option<Selection> {
+        let queued = self.queue.get(&id)?;
+        let (destination, urgency) = (queued.message.destination, Urgency::from(queued.is_urgent()));
+        let mut best: Option<(f64, Selection)> = None;
         for key in self.routes_to(destination) {
-            if self.opening(key, presses).is_err() {
+            if self.readiness(key, urgency) != Readiness::Ready {
                 continue;
             }
-            let (held, route) = (self.held.get(&id)?, self.routes.get(&key)?);
-            let class = self.class(&held.message);
-            // Guards against calls cut off by the end of the process, which count as run: only repeatable ones risk that.
-            let needs = match class.idempotency {
-                Idempotency::NonIdempotent => self.overdue_after(held, route),
-                _ => (CUT_SHORT * self.usual(held, route)) as Micros,
-            };
-            if now.saturating_add(needs) > self.stops_at {
+            let (queued, route) = (self.queue.get(&id)?, self.routes.get(&key)?);
+            if !self.may_use_route(queued, route) {
                 continue;
             }
-            // Guards unsafe messages against a route where calls fail after they may have run: they
-            // wait, while time is left. Hurts when the doubt is false and nothing else goes there.
-            let reserve = (class.time_to_live as f64 * UNSAFE_RESERVE) as Micros;
-            if class.idempotency == Idempotency::NonIdempotent
-                && route.risky()
-                && held.message.deadline > now + reserve
-            {
-                continue;
-            }
-            for host_id in route.hosts.iter().filter(|h| self.fits(held, **h)) {
-                let host = &self.hosts[host_id];
-                let toll = self.set.zone_fees.get(usize::from(host.entry.zone)).filter(|_| key.1.is_some());
-                let away = if host.entry.zone == self.set.zone { 0.0 } else { self.set.cross_zone_fee };
-                let cost = if host.avoid_until > now { 100.0 } else { 0.0 }
-                    + f64::from(host.run.min(5)) * 5.0
-                    + host.in_flight as f64 * route.usual
-                    + (away + toll.copied().unwrap_or(0.0)) * 10.0;
-                if best.is_none_or(|(least, _, _)| cost < least) {
-                    best = Some((cost, key, *host_id));
+            for host_id in route.hosts.iter().filter(|host| self.may_use_host(queued, **host)) {
+                let cost = self.host_cost(&self.hosts[host_id], route, key);
+                if best.is_none_or(|(least, _)| cost < least) {
+                    best = Some((cost, Selection { route: key, host: *host_id }));
                 }
             }
         }
-        best.map(|(_, key, host)| (key, host))
+        best.map(|(_, selection)| selection)
+    }
+
+    /// Whether a call with this message may start at the route now.
+    fn may_use_route(&self, queued: &QueuedMessage, route: &Route) -> bool {
+        let class = self.class(&queued.message);
+        let is_repeatable = class.idempotency != Idempotency::NonIdempotent;
+        // The end of the process cuts off calls, which then may have been executed: only repeatable ones risk that.
+        let time_needed = match is_repeatable {
+            true => (SHUTDOWN_MARGIN_FACTOR * self.expected_latency(queued, route)) as Micros,
+            false => self.overdue_after(queued, route),
+        };
+        if self.now.saturating_add(time_needed) > self.shutdown_at {
+            return false;
+        }
+        // While time is left, non-idempotent messages wait where calls fail after they may have been executed.
+        let reserve = (class.time_to_live as f64 * RISKY_TIME_RESERVE) as Micros;
+        is_repeatable || !route.breaker.is_risky() || queued.message.deadline <= self.now + reserve
     }
 
-    /// Whether the message waits and may go to this host: listed ready, and the key's memory reaches it.
-    pub(crate) fn fits(&self, held: &QueuedMessage, host: HostId) -> bool {
+    /// Whether the message waits and may go to this host: it is ready, and its key is known there.
+    pub(crate) fn may_use_host(&self, queued: &QueuedMessage, host: HostId) -> bool {
         let Some(host) = self.hosts.get(&host) else { return false };
-        let zone_kept = match (self.class(&held.message).idempotency, held.tainted()) {
+        let idempotency = self.class(&queued.message).idempotency;
+        let is_key_known = match (idempotency, queued.first_possible_execution()) {
             (Idempotency::Keyed { zone_only: true, .. }, Some(first)) => first.zone == host.entry.zone,
             _ => true,
         };
-        let theirs = self.scheduler.may_start_call(held.message.tenant);
-        host.entry.state == HostState::Ready && zone_kept && theirs && held.waits() && self.may_send(held)
+        let has_quota = self.scheduler.may_start_call(queued.message.tenant);
+        let is_ready = host.entry.state == HostState::Ready;
+        is_ready && is_key_known && has_quota && queued.is_waiting() && self.may_attempt(queued)
     }
 
-    /// Usual length of a call with this message at the route.
-    pub(crate) fn usual(&self, held: &QueuedMessage, route: &Route) -> f64 {
-        let class = usize::from(held.message.class);
-        self.class_usual.get(class).unwrap_or(&self.class_usual[0]) * route.usual
+    /// What a call to the host costs: ejection, failures, load and fees.
+    fn host_cost(&self, host: &HostRecord, route: &Route, key: RouteKey) -> f64 {
+        let zone = host.entry.zone;
+        let zone_fee = self.settings.zone_fees.get(usize::from(zone)).filter(|_| key.host.is_some());
+        let cross_zone_fee = if zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_fee };
+        let ejection = if host.ejected_until > self.now { EJECTED_HOST_COST } else { 0.0 };
+        ejection
+            + f64::from(host.consecutive_failures.min(MAX_COSTED_FAILURES)) * FAILURE_COST
+            + host.in_flight as f64 * route.relative_latency
+            + (cross_zone_fee + zone_fee.copied().unwrap_or(0.0)) * FEE_COST
     }
 
-    pub(crate) fn overdue_after(&self, held: &QueuedMessage, route: &Route) -> Micros {
-        (OVERDUE * self.usual(held, route)) as Micros + SECOND / 4
+    /// How long a call with this message may be in flight before it counts as failed.
+    pub(crate) fn overdue_after(&self, queued: &QueuedMessage, route: &Route) -> Micros {
+        (OVERDUE_FACTOR * self.expected_latency(queued, route)) as Micros + SECOND / 4
     }
 }
--- /dev/null
+++ b/crates/policy/src/tables.rs
@@ -0,0 +1,122 @@
+//! The tables of queued messages and calls in flight: insertion, removal and sums. Nothing here decides what is sent.
+
+use crate::queued_message::{Attempt, AttemptState, QueuedMessage};
+use crate::route::Call;
+use crate::scheduler::Capacity;
+use crate::state::DeliveryPolicy;
+use crate::types::{HostId, Message, MessageId, Micros, PastAttempt};
+
+impl DeliveryPolicy {
+    /// Messages without a final answer.
+    pub(crate) fn open_messages(&self) -> impl Iterator<Item = &QueuedMessage> {
+        self.queue.values().filter(|queued| !queued.is_settled && !queued.response_started)
+    }
+
+    /// Messages and bytes of those in the queue that meet a condition.
+    pub(crate) fn total_size(&self, condition: impl Fn(&QueuedMessage) -> bool) -> Capacity {
+        let mut total = Capacity { messages: 0, bytes: 0 };
+        for queued in self.queue.values().filter(|queued| condition(queued)) {
+            total.messages += 1;
+            total.bytes += queued.message.size;
+        }
+        total
+    }
+
+    /// What the queue has room for.
+    pub(crate) fn queue_capacity(&self) -> Capacity {
+        let bytes = self.settings.max_queued_bytes;
+        Capacity { messages: self.settings.max_queued, bytes: if bytes == 0 { usize::MAX } else { bytes } }
+    }
+
+    /// Adds a message to the queue, and to the order of its key if it has one.
+    pub(crate) fn insert_message(&mut self, queued: QueuedMessage, ordered_by: Option<u64>) {
+        let Message { id, size, .. } = queued.message;
+        self.queued_bytes += size;
+        if let Some(key) = ordered_by {
+            self.ordered_keys.entry(key).or_default().queue.push_back(id);
+        }
+        self.queue.insert(id, queued);
+    }
+
+    /// Accepts a message of an earlier process, with what its attempts allow.
+    pub(crate) fn enqueue_with_attempts(&mut self, message: Message, attempts: &[PastAttempt]) {
+        self.enqueue(message);
+        if let Some(queued) = self.queue.get_mut(&message.id) {
+            queued.attempts.extend(attempts.iter().map(Attempt::from_past));
+        }
+    }
+
+    /// The streamed answer of a message has started.
+    pub(crate) fn start_response(&mut self, id: MessageId) {
+        if let Some(queued) = self.queue.get_mut(&id) {
+            queued.response_started = true;
+        }
+    }
+
+    /// The message needs no final answer any more; it stays only while attempts are in flight.
+    pub(crate) fn settle(&mut self, id: MessageId) {
+        let Some(queued) = self.queue.get_mut(&id) else { return };
+        queued.is_settled = true;
+        if queued.is_in_flight() {
+            return;
+        }
+        if let Some(message) = self.remove_message(id) {
+            self.scheduler.message_removed(&message);
+        }
+    }
+
+    /// Takes a message out of the queue and out of the order of its key. Keys without messages are forgotten now and
+    /// then, once they are not blocked.
+    pub(crate) fn remove_message(&mut self, id: MessageId) -> Option<Message> {
+        let key = self.queue.get(&id)?.message.ordering_key;
+        if let Some(order) = key.and_then(|key| self.ordered_keys.get_mut(&key)) {
+            order.queue.retain(|other| *other != id);
+            if self.ordered_keys.len() > 2 * self.queue.len() + self.settings.max_queued {
+                let now = self.now;
+                self.ordered_keys.retain(|_, order| !order.queue.is_empty() || order.blocked_until > now);
+            }
+        }
+        let message = self.queue.remove(&id)?.message;
+        self.queued_bytes -= message.size;
+        Some(message)
+    }
+
+    /// Records an attempt of the message in the latest call.
+    pub(crate) fn add_attempt(
+        &mut self, id: MessageId, host: HostId, expected_duration: Micros,
+    ) -> Option<Message> {
+        if let Some(call) = self.calls.get_mut(&self.next_call) {
+            call.pending_messages += 1;
+        }
+        let zone = self.hosts.get(&host)?.entry.zone;
+        let queued = self.queue.get_mut(&id)?;
+        queued.attempts.push(Attempt {
+            sent_at: self.now,
+            zone,
+            call: self.next_call,
+            state: AttemptState::InFlight,
+            is_cancelled: false,
+            expected_duration,
+        });
+        Some(queued.message)
+    }
+
+    /// Adds the latest call to those in flight.
+    pub(crate) fn add_call(&mut self, call: Call) {
+        if let Some(host) = self.hosts.get_mut(&call.host) {
+            host.in_flight += 1;
+        }
+        if let Some(route) = self.routes.get_mut(&call.route) {
+            route.in_flight += 1;
+        }
+        self.calls.insert(self.next_call, call);
+    }
+
+    /// Takes out a call that has ended.
+    pub(crate) fn remove_call(&mut self, id: u64, host: HostId) {
+        self.calls.remove(&id);
+        if let Some(host) = self.hosts.get_mut(&host) {
+            host.in_flight = host.in_flight.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/token_bucket.rs
@@ -0,0 +1,45 @@
+//! A token bucket. Rate and depth are its caller's choice.
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::Micros;
+
+const SECOND: f64 = 1e6;
+
+/// Tokens, and when they were last counted. The count may be negative.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub(crate) struct TokenBucket {
+    pub(crate) tokens: f64,
+    refilled_at: Micros,
+}
+
+impl TokenBucket {
+    /// A bucket with so many tokens.
+    pub(crate) fn with_tokens(tokens: f64) -> Self {
+        TokenBucket { tokens, refilled_at: 0 }
+    }
+
+    /// Adds what came in at `rate` tokens a second since the last refill, up to `depth`. Time before
+    /// `paused_until` adds nothing. An infinite rate fills the bucket.
+    pub(crate) fn refill(&mut self, now: Micros, paused_until: Micros, rate: f64, depth: f64) {
+        let start = self.refilled_at.max(paused_until.min(now));
+        let elapsed = (now - start) as f64 / SECOND;
+        self.tokens = if rate.is_finite() { (self.tokens + rate * elapsed).min(depth) } else { depth };
+        self.refilled_at = now;
+    }
+
+    /// Takes one token.
+    pub(crate) fn take(&mut self) {
+        self.tokens -= 1.0;
+    }
+
+    /// Drops what is above `most`.
+    pub(crate) fn limit_to(&mut self, most: f64) {
+        self.tokens = self.tokens.min(most);
+    }
+
+    /// Time until there is a whole token, at `rate` tokens a second.
+    pub(crate) fn time_to_token(&self, rate: f64) -> Micros {
+        ((1.0 - self.tokens) / rate * SECOND) as Micros
+    }
+}
--- a/crates/policy/src/tuning.rs
+++ b/crates/policy/src/tuning.rs
@@ -3,86 +3,108 @@
 use crate::types::Micros;
 
 pub(crate) const SECOND: Micros = 1_000_000;
-/// Span of the rolling error tally; the article's ten seconds.
-pub(crate) const TALLY_WINDOW: Micros = 10 * SECOND;
-/// Calls of a tally that a process which takes over is told of; all of a busy one's would be too much to write.
-pub(crate) const TALLY_TOLD: usize = 64;
-/// Calls in the tally before its share of errors counts; the article's 20 never fills at a call a second.
-pub(crate) const VOLUME_FLOOR: usize = 4;
-/// Share of errors that trips; the article's 50 percent.
-pub(crate) const ERROR_SHARE: f64 = 0.5;
-/// So many failures with no success between trip below the floor, where they are a fair share of the last calls.
-pub(crate) const RUN_TRIP: u32 = 2;
-/// So many are an outage, whatever their share: where one call in ten fails by itself, one run in a thousand.
-pub(crate) const RUN_OUTAGE: u32 = 3;
-/// Rest before a trial: short against deadlines of many seconds, long against one call.
-pub(crate) const SLEEP_WINDOW: Micros = 3 * SECOND / 2;
-/// A host that failed is avoided so long where another serves.
-pub(crate) const AVOID: Micros = 3 * SECOND;
-/// Trust in a reported limit: so many times its distance from what was told, as a share of that.
-pub(crate) const TRUST: f64 = 2.0;
-/// Bounds of the first gap after a refusal; between them it is that of an even part of the limit.
-pub(crate) const FIRST_GAP: (f64, f64) = (0.25, 2.0);
-/// A refusal makes the gap so many times longer ...
-pub(crate) const GAP_GROWS: Micros = 3;
-/// ... and a success so many times shorter: with both, one call in three is refused where many crowd.
-pub(crate) const GAP_SHRINKS: Micros = 2;
-/// The longest rest after refusals.
-pub(crate) const REST_MOST: Micros = 20 * SECOND;
-/// A refusal with less than this share of the allowance left is due to the limit; reports are noisy.
-pub(crate) const ALLOWANCE_SPENT: f64 = 0.1;
-/// With more than this share left, it is not.
-pub(crate) const ALLOWANCE_UNUSED: f64 = 0.9;
-/// Refusals alone for this long, a trial after the sleep window among them, mean shut, not throttled.
-pub(crate) const SHUT_AFTER: Micros = 13 * SECOND / 10;
-/// A call out this many times its usual length counts as a pending error: slow calls are seldom so slow.
-pub(crate) const OVERDUE: f64 = 5.0;
-/// An attempt that may be repeated is given up after this many times its usual length, at the earliest.
-pub(crate) const PATIENCE: f64 = 10.0;
-/// A call that may be repeated is started if it ends before the process even at this many times its usual length.
-pub(crate) const CUT_SHORT: f64 = 2.0;
-/// Cut of cap and pace by a refusal; gentle, as a second one soon cuts again.
-pub(crate) const CAP_CUT: f64 = 0.8;
-/// No gap need be longer than so many times that of an even part: all together then ask for 0.7 of the limit.
-pub(crate) const GAP_EVEN: f64 = 1.4;
-/// What a relay asks for of its even part of a limit where nothing is left of the allowance, where little is, at most.
-pub(crate) const PART: (f64, f64, f64) = (0.7, 0.95, 4.0);
-/// Less than this share of the allowance is little.
-pub(crate) const ALLOWANCE_LITTLE: f64 = 0.3;
-/// Rise of the part with each report, for all of the allowance above that.
-pub(crate) const PART_RISE: f64 = 0.1;
-/// So many relays are few: their trials alone harm nobody.
-pub(crate) const FEW: f64 = 6.0;
-/// So many relays at most are taken to be busy with one destination at a time.
-pub(crate) const SHARERS: f64 = 3.0;
-/// Rise of the pace with each success, as a share of the fair part.
-pub(crate) const PACE_RISE: f64 = 0.06;
-/// Lowest limit that is believed, in calls a second, so that a route is never given up.
-pub(crate) const PACE_LEAST: f64 = 0.3;
-/// Highest limit that is believed.
-pub(crate) const PACE_MOST: f64 = 1e6;
-/// Fading of the best rate seen, with each success.
-pub(crate) const BEST_FADE: f64 = 0.99;
-/// Calls a route may have out before it has shown more.
-pub(crate) const FIRST_CAP: f64 = 4.0;
-/// The most share of slots for one healthy route; the design's three quarters.
-pub(crate) const HEALTHY_SHARE: f64 = 0.75;
-/// The share of slots for all doubtful routes together; half would let a hang take the other half's work.
-pub(crate) const DOUBTFUL_SHARE: f64 = 0.25;
-/// Share of failures in the tally above which unsafe messages wait.
-pub(crate) const UNSAFE_DOUBT: f64 = 0.2;
-/// Unsafe messages wait no longer once this share of their whole time is left.
-pub(crate) const UNSAFE_RESERVE: f64 = 0.25;
-/// One part in so many of the hold is kept free for what comes in one round.
-pub(crate) const HOLD_ROOM: usize = 10;
-/// Between two good calls no further apart nothing was away, whatever was refused or failed between them.
-pub(crate) const GLITCH: Micros = 3 * SECOND / 2;
-/// An outage counts as at least so long, also what is left of it: most relays see its start late.
-pub(crate) const OUTAGE_LEAST: Micros = 5 * SECOND;
-/// An outage fails most calls: of so many last ones, this share at least, and two.
-pub(crate) const OUTAGE_LAST: usize = 12;
-pub(crate) const OUTAGE_SHARE: f64 = 0.4;
-/// How far ahead the regret of waiting is judged.
-pub(crate) const HORIZON: Micros = 3 * SECOND;
-/// Weight of a new sample in the running means.
-pub(crate) const SMOOTH: f64 = 0.15;
+
+/// Span of the rolling error window.
+pub(crate) const ERROR_WINDOW: Micros = 10 * SECOND;
+/// Ratio of errors that trips the breaker, and the least number of calls; the usual 20 never come within the window.
+pub(crate) const ERROR_RATIO_TO_TRIP: f64 = 0.5;
+pub(crate) const MIN_CALLS_TO_TRIP: usize = 4;
+/// Consecutive failures that trip below the minimum of calls, where many of the latest calls failed.
+pub(crate) const CONSECUTIVE_ERRORS_TO_TRIP: u32 = 2;
+/// Consecutive failures that are an outage at any ratio: one in a thousand where one call in ten fails by itself.
+pub(crate) const CONSECUTIVE_FAILURES_OF_OUTAGE: u32 = 3;
+/// How long a breaker stays open: short against deadlines of many seconds, long against one call.
+pub(crate) const OPEN_DURATION: Micros = 3 * SECOND / 2;
+/// How long a host that failed is ejected where another one serves.
+pub(crate) const EJECTION_DURATION: Micros = 3 * SECOND;
+/// A call in flight for this many times its expected latency counts as failed: slow calls are seldom so slow.
+pub(crate) const OVERDUE_FACTOR: f64 = 5.0;
+/// Latest calls by which an outage is judged, and the ratio of failures among them that is one.
+pub(crate) const OUTAGE_SAMPLES: usize = 12;
+pub(crate) const OUTAGE_FAILURE_RATIO: f64 = 0.4;
+/// Rejections alone for so long, a probe among them, are an outage and not a limit.
+pub(crate) const UNAVAILABLE_AFTER: Micros = 13 * SECOND / 10;
+/// Between two successes no further apart there was no outage, whatever was rejected or failed between them.
+pub(crate) const MAX_GLITCH: Micros = 3 * SECOND / 2;
+/// An outage counts as at least so long, also what is left of it: most replicas see its start late.
+pub(crate) const MIN_OUTAGE: Micros = 5 * SECOND;
+/// The recovery ramp of a removed route is remembered for so long after its last call.
+pub(crate) const OUTAGE_RETENTION: Micros = 6 * ERROR_WINDOW;
+
+/// Pause before the next attempt after an error, for each attempt so far.
+pub(crate) const RETRY_BACKOFF: Micros = SECOND / 5;
+
+/// Weight of a reported limit: so many times its relative distance from the limit believed so far.
+pub(crate) const LIMIT_WEIGHT_FACTOR: f64 = 2.0;
+/// Lowest and highest limit that is believed, in calls a second; a route is never given up.
+pub(crate) const MIN_RATE: f64 = 0.3;
+pub(crate) const MAX_RATE: f64 = 1e6;
+/// Shares of the allowance left: a rejection is due to the limit (reports are noisy), little is left, it is not due.
+pub(crate) const EXHAUSTED_ALLOWANCE: f64 = 0.1;
+pub(crate) const LOW_ALLOWANCE: f64 = 0.3;
+pub(crate) const UNUSED_ALLOWANCE: f64 = 0.9;
+/// Usage factor of a limit whose allowance is exhausted, its bound where the allowance is low, and at most.
+pub(crate) const EXHAUSTED_USAGE_FACTOR: f64 = 0.7;
+pub(crate) const LOW_USAGE_FACTOR: f64 = 0.95;
+pub(crate) const MAX_USAGE_FACTOR: f64 = 4.0;
+/// Growth of the usage factor with each report, for all of the allowance above the low one.
+pub(crate) const USAGE_FACTOR_GROWTH: f64 = 0.1;
+/// Bounds of the first backoff in seconds; between them it is the interval of an even part of the limit.
+pub(crate) const FIRST_BACKOFF_MIN_SECONDS: f64 = 0.25;
+pub(crate) const FIRST_BACKOFF_MAX_SECONDS: f64 = 2.0;
+/// A rejection multiplies the backoff, a success divides it: with both, one call in three is rejected under load.
+pub(crate) const BACKOFF_MULTIPLIER: Micros = 3;
+pub(crate) const BACKOFF_DIVISOR: Micros = 2;
+pub(crate) const MAX_BACKOFF: Micros = 20 * SECOND;
+/// Longest backoff against the interval of an even part: all replicas together then use 0.7 of the limit.
+pub(crate) const MAX_BACKOFF_FACTOR: f64 = 1.4;
+/// Rate and concurrency limit after a rejection; gentle, as a second one soon cuts again.
+pub(crate) const REJECTION_DECREASE: f64 = 0.8;
+/// With each success: growth of the rate, as a share of the fair rate, and decay of the best rate.
+pub(crate) const RATE_GROWTH: f64 = 0.06;
+pub(crate) const BEST_RATE_DECAY: f64 = 0.99;
+/// Span over which this replica's own rate of successes is measured, in seconds.
+pub(crate) const RATE_SPAN_SECONDS: u64 = 3;
+/// The probes of so few replicas alone harm no destination.
+pub(crate) const SMALL_FLEET: f64 = 6.0;
+/// Replicas at most that are taken to be busy with one destination at a time.
+pub(crate) const MAX_BUSY_REPLICAS: f64 = 3.0;
+/// Weight of a new sample in a moving average.
+pub(crate) const AVERAGE_WEIGHT: f64 = 0.15;
+/// Expected latency of a class of which nothing is known: its latency objective divided by this.
+pub(crate) const OBJECTIVE_TO_LATENCY: f64 = 6.0;
+
+/// Calls that a new route may have in flight.
+pub(crate) const INITIAL_CONCURRENCY: f64 = 4.0;
+/// Most slots of a healthy route and of a suspect one, as shares of all; a hang of half would stop the others' work.
+pub(crate) const HEALTHY_SLOT_SHARE: f64 = 0.75;
+pub(crate) const SUSPECT_SLOT_SHARE: f64 = 0.25;
+/// Ratio of failures above which non-idempotent messages wait, until this share of their time to live is left.
+pub(crate) const RISKY_FAILURE_RATIO: f64 = 0.2;
+pub(crate) const RISKY_TIME_RESERVE: f64 = 0.25;
+/// Multiples of the expected latency: least time-out of a repeatable attempt, and time left before a shutdown for it.
+pub(crate) const TIMEOUT_FACTOR: f64 = 10.0;
+pub(crate) const SHUTDOWN_MARGIN_FACTOR: f64 = 2.0;
+/// Cost of an ejected host, of each consecutive failure up to the most that count, and of a point of fees, in calls.
+pub(crate) const EJECTED_HOST_COST: f64 = 100.0;
+pub(crate) const FAILURE_COST: f64 = 5.0;
+pub(crate) const MAX_COSTED_FAILURES: u32 = 5;
+pub(crate) const FEE_COST: f64 = 10.0;
+/// One part in so many of the queue is kept free for what comes in one round.
+pub(crate) const QUEUE_HEADROOM_DIVISOR: usize = 10;
+/// At most one in so many recovered messages makes room for others: most are attempted also after two restarts.
+pub(crate) const RECOVERED_SHED_DIVISOR: usize = 4;
+/// Share of a message's value that delay costs at its latency objective, less where that is further away.
+pub(crate) const EARLY_OBJECTIVE_COST: f64 = 0.02;
+/// How far ahead the cost of delay is judged, and how far the turn of a queued message is forecast at most.
+pub(crate) const DELAY_HORIZON: Micros = 3 * SECOND;
+pub(crate) const MAX_FORECAST_SECONDS: f64 = 60.0;
+/// First pause after discovery failed; it doubles.
+pub(crate) const MIN_POLL_BACKOFF: Micros = SECOND / 2;
+/// Retry-After of rejected clients, as a share of the longest that they heed.
+pub(crate) const RETRY_AFTER_SHARE: f64 = 0.75;
+
+/// Moves a duration by up to a tenth, by `chance` of 0 to 1, so that replicas which saw the same don't act in step.
+pub(crate) fn jitter_factor(chance: f64) -> f64 {
+    0.9 + 0.2 * chance
+}
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -215,6 +215,14 @@
     pub tick: Micros,
 }
 
+impl Settings {
+    /// The value of a field in a load report, if it has one.
+    pub fn reported_value(&self, field: ReportField, values: &[f32]) -> Option<f64> {
+        let index = self.report_fields.iter().position(|known| *known == field)?;
+        values.get(index).map(|value| f64::from(*value))
+    }
+}
+
 /// Listing state of a host; it says nothing of health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostState {
@@ -328,6 +336,33 @@
                 | AttemptOutcome::NotStarted
         )
     }
+
+    /// Whether the call may still be running at its host.
+    pub fn may_still_run(self) -> bool {
+        matches!(
+            self,
+            AttemptOutcome::Timeout
+                | AttemptOutcome::Reset
+                | AttemptOutcome::ConnectionLost
+                | AttemptOutcome::Cancelled
+        )
+    }
+
+    /// Whether anything was written to the host.
+    pub fn reached_host(self) -> bool {
+        !matches!(self, AttemptOutcome::ConnectFailed | AttemptOutcome::Obsolete | AttemptOutcome::NotStarted)
+    }
+
+    /// Whether the outcome says nothing of the host: it comes of a reused connection or of the relay itself.
+    pub fn is_inconclusive(self) -> bool {
+        matches!(
+            self,
+            AttemptOutcome::ConnectionLost
+                | AttemptOutcome::Cancelled
+                | AttemptOutcome::Obsolete
+                | AttemptOutcome::NotStarted
+        )
+    }
 }
 
 /// How an attempt ended.
