--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::decision::{CallMode, Readiness, RepeatRisk, Selection, Urgency};
 use crate::queued_message::{AttemptState, QueuedMessage};
 use crate::route::Call;
-use crate::scheduler::{Candidate, Capacity};
+use crate::scheduler::Candidate;
 use crate::state::DeliveryPolicy;
 use crate::tuning::{DELAY_HORIZON, EARLY_OBJECTIVE_COST, SECOND, TIMEOUT_FACTOR};
 use crate::types::{Action, DestinationId, Idempotency, MessageId, Micros, ValueDecay};
@@ -19,7 +19,8 @@
         candidates.sort_by_key(|candidate| self.dispatch_deadline(candidate.id));
         self.scheduler.order_candidates(self.now, &mut candidates);
         let target = self.queue_target();
-        let mut unsheddable = self.unsheddable();
+        let is_sheddable = |it: &QueuedMessage| it.is_waiting() && it.first_possible_execution().is_none();
+        let mut unsheddable = self.total_size(|queued| !is_sheddable(queued));
         let mut is_short_of_slots = false;
         for index in 0..candidates.len() {
             is_short_of_slots = self.calls.len() >= self.settings.max_calls;
@@ -218,11 +219,6 @@
         self.add_call(call);
     }
 
-    /// What is queued and may not be rejected.
-    pub(crate) fn unsheddable(&self) -> Capacity {
-        self.total_size(|queued| !queued.is_waiting() || queued.first_possible_execution().is_some())
-    }
-
     /// Once few slots are free, cancels the overdue attempt in flight longest; only then, as it may still be answered.
     pub(crate) fn free_slots(&mut self, actions: &mut Vec<Action>) {
         if !self.settings.can_cancel || self.calls.len() + 1 < self.settings.max_calls {
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -64,8 +64,7 @@
         if let Some(order) = key.and_then(|key| self.ordered_keys.get_mut(&key)) {
             order.blocked_until = self.now + self.settings.rules.ordering_delay;
         }
-        // The destination may have come back while this replica was down and had seen too little of the outage: where
-        // messages wait for it, the ramp applies, or all of them would go out at once.
+        // The destination may have come back unseen: the ramp keeps what waits for it from going out at once.
         let now = self.now;
         for key in self.routes_to(message.destination) {
             let Some(route) = self.routes.get_mut(&key) else { continue };
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -6,18 +6,12 @@
 use crate::queued_message::QueuedMessage;
 use crate::route::{HostRecord, Route, RouteKey};
 use crate::state::DeliveryPolicy;
-use crate::tuning::AVERAGE_WEIGHT;
+use crate::tuning::{AVERAGE_WEIGHT, CLASS_WEIGHT_SHARE, MAX_RELATIVE_LATENCY, MIN_RELATIVE_LATENCY};
 use crate::types::{Class, DestinationId, DestinationKind, HostEntry, HostId, HostState, Message};
 
 /// The kind of a host whose kind the settings do not have.
 const DEFAULT_KIND: DestinationKind = DestinationKind { has_host_routes: false, max_messages_per_call: 1 };
 
-/// Weight of a new sample in the mean of a class, as a share of that in the mean of a route: several routes add to it.
-const CLASS_WEIGHT_SHARE: f64 = 0.3;
-/// Bounds of a relative latency.
-const MIN_RELATIVE_LATENCY: f64 = 0.2;
-const MAX_RELATIVE_LATENCY: f64 = 50.0;
-
 impl DeliveryPolicy {
     /// Known hosts that a full list leaves out, as removed.
     pub(crate) fn unlisted_hosts(&self, entries: &[HostEntry]) -> Vec<HostEntry> {
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -1,11 +1,11 @@
-//! What the module asks of whoever says which tenant may take which part of the hold, the slots and the rate.
+//! The interface to the tenant scheduler, which shares the queue, the slots and the rate among tenants.
 //!
-//! The module decides which host, whether to retry and what is turned away; who comes before whom is decided
-//! behind [`Sharing`]. Nothing here decides anything.
+//! The policy decides on hosts, retries and rejections; the order among tenants is decided behind
+//! [`TenantScheduler`]. Nothing here decides anything.
 
 use crate::types::{DestinationId, Message, MessageId, Micros, TenantId, TenantTerms};
 
-/// What there is room for in a hold.
+/// What a queue has room for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Capacity {
     /// Messages.
@@ -14,81 +14,80 @@
     pub bytes: usize,
 }
 
-/// A message that waits for a destination which takes calls now.
+/// A waiting message whose destination takes calls now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
     /// The message.
     pub id: MessageId,
-    /// Whose it is.
+    /// Its tenant.
     pub tenant: TenantId,
-    /// Where it must go.
+    /// Its destination.
     pub destination: DestinationId,
-    /// What waiting costs, in worth.
+    /// The value that is lost by waiting.
     pub cost_of_delay: f64,
-    /// How long its call is likely to hold a slot.
+    /// How long its call is expected to hold a slot.
     pub expected_duration: Micros,
 }
 
-/// Says which tenant may take which part of the hold, the slots and the rate.
+/// Shares the queue, the slots and the rate among tenants.
 pub trait TenantScheduler {
-    /// A tenant's terms from now on; none when it is gone, which holds once nothing of it is held.
+    /// Sets a tenant's terms; none when it is removed, which takes effect once no message of it is queued.
     fn update_tenant(&mut self, now: Micros, tenant: TenantId, terms: Option<TenantTerms>);
 
-    /// Whether the tenant may have one more message taken on; if not, how long its client should stay away, 0
-    /// for as long as the module advises.
+    /// Whether one more message of the tenant may be accepted; the error is its Retry-After, 0 for the policy's own.
     fn admit(&self, now: Micros, tenant: TenantId) -> Result<(), Micros>;
 
-    /// A message is held from now on.
+    /// A message was added to the queue.
     fn message_queued(&mut self, now: Micros, message: &Message);
 
-    /// It is held no more.
+    /// A message was taken out of the queue.
     fn message_removed(&mut self, message: &Message);
 
-    /// Whether the tenant holds more than its part of so much, so that others may have it.
-    fn exceeds_share(&self, tenant: TenantId, room: Capacity) -> bool;
+    /// Whether the tenant's queued messages exceed its share of this capacity.
+    fn exceeds_share(&self, tenant: TenantId, capacity: Capacity) -> bool;
 
-    /// Whether the last of the room is to be kept from the tenant: it has its part, and others may ask.
-    fn must_yield(&mut self, now: Micros, tenant: TenantId, room: Capacity) -> bool;
+    /// Whether the tenant has to leave the rest of the capacity to others, as it has its share.
+    fn must_yield(&mut self, now: Micros, tenant: TenantId, capacity: Capacity) -> bool;
 
-    /// Puts offers, which come with the highest regret first, in the order in which they are to be tried, and
-    /// drops those that may not be.
-    fn order_candidates(&mut self, now: Micros, offers: &mut Vec<Candidate>);
+    /// Puts candidates, which come with the highest cost of delay first, in the order in which they are to be sent,
+    /// and drops those that may not be.
+    fn order_candidates(&mut self, now: Micros, candidates: &mut Vec<Candidate>);
 
-    /// Whether the tenant may have one more call out.
+    /// Whether one more call of the tenant may start.
     fn may_start_call(&self, tenant: TenantId) -> bool;
 
-    /// A message went out in a call that is likely to hold its slot for `cost`, 0 where it joined another's.
+    /// A message was sent in a call that is expected to hold its slot for `cost`, 0 where it joined another's.
     fn call_started(&mut self, message: &Message, cost: Micros);
 
-    /// An attempt came back after `elapsed`, for which `cost` was told when it was sent.
+    /// An attempt ended after `elapsed`, whose `cost` was given when it started.
     fn call_ended(&mut self, message: &Message, cost: Micros, elapsed: Micros);
 
-    /// A round is over; whether offers were left for want of slots alone.
+    /// A round has ended; `short_of_slots` says whether candidates were left for want of slots alone.
     fn round_ended(&mut self, short_of_slots: bool);
 
-    /// Whether the tenant's messages are to end at once.
+    /// Whether the tenant's waiting messages end at once.
     fn abandons_messages(&self, tenant: TenantId) -> bool;
 
-    /// What the tenant has in the relay.
+    /// The tenant's messages in the relay.
     fn usage(&self, tenant: TenantId) -> TenantUsage;
 
-    /// When what the tenant has used of its rate is made good; a moment in the past if it is.
+    /// When the tenant's rate limiter is full again; a moment in the past if it is.
     fn rate_used_until(&self, tenant: TenantId) -> Micros;
 
-    /// The same as another process knew it, for this one to go on from.
+    /// Restores that moment from an earlier process.
     fn restore_rate_used_until(&mut self, tenant: TenantId, until: Micros);
 }
 
-/// What a tenant has in the relay.
+/// A tenant's messages in the relay.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TenantUsage {
-    /// Messages held, those out in calls among them.
+    /// Messages in the queue, those in flight included.
     pub queued: usize,
-    /// Messages out in calls.
+    /// Messages in flight.
     pub in_flight: usize,
 }
 
-/// No tenants: all come as the module has them.
+/// A scheduler for a relay without tenants: it admits all and keeps the policy's order.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NoTenants;
 
--- a/crates/policy/src/tuning.rs
+++ b/crates/policy/src/tuning.rs
@@ -69,8 +69,12 @@
 pub(crate) const SMALL_FLEET: f64 = 6.0;
 /// Replicas at most that are taken to be busy with one destination at a time.
 pub(crate) const MAX_BUSY_REPLICAS: f64 = 3.0;
-/// Weight of a new sample in a moving average.
+/// Weight of a new sample in the moving average of a route, and the share of it in that of a class, to which several
+/// routes add; and the bounds of the former.
 pub(crate) const AVERAGE_WEIGHT: f64 = 0.15;
+pub(crate) const CLASS_WEIGHT_SHARE: f64 = 0.3;
+pub(crate) const MIN_RELATIVE_LATENCY: f64 = 0.2;
+pub(crate) const MAX_RELATIVE_LATENCY: f64 = 50.0;
 /// Expected latency of a class of which nothing is known: its latency objective divided by this.
 pub(crate) const OBJECTIVE_TO_LATENCY: f64 = 6.0;
 
--- /dev/null
+++ b/crates/policy/src/types/mod.rs
@@ -0,0 +1,20 @@
+//! The interface of the policy: settings and events in, actions out.
+
+mod action;
+mod event;
+mod host;
+mod ids;
+mod message;
+mod settings;
+mod tenant;
+
+pub use action::Action;
+pub use event::{AttemptEnd, AttemptOutcome, Event};
+pub use host::{HostEntry, HostState};
+pub use ids::{DestinationId, HostId, MessageId, Micros, TenantId};
+pub use message::{Message, Outage, PastAttempt};
+pub use settings::{
+    Class, DestinationKind, Idempotency, InputError, PlatformRules, ReportField, Settings, ValueDecay,
+    WeightSource,
+};
+pub use tenant::{RateLimit, Tenant, TenantState, TenantTerms};
