Rename the last withdrawn words in the policy and its tests

Need: some functions and test comments still had words of the earlier house style. Change: shed_load, rejection_retry_after, is_next_of_its_key, must_be_retained and priority replace them; comments of the tests say replicas, probes and Retry-After. No assertion changes.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -16,16 +16,16 @@
     /// Accepts a message if its tenant may have one more, and there is room or its tenant is within its share.
     pub(crate) fn admit(&mut self, message: Message, actions: &mut Vec<Action>) {
         if let Err(wait) = self.scheduler.admit(self.now, message.tenant) {
-            let retry_after = if wait > 0 { wait } else { self.retry_advice() };
+            let retry_after = if wait > 0 { wait } else { self.rejection_retry_after() };
             return actions.push(Action::Reject { id: message.id, retry_after });
         }
         let capacity = self.queue_capacity();
         if self.is_full(capacity, message.size) && !self.scheduler.exceeds_share(message.tenant, capacity) {
-            self.make_room(message.size, actions);
+            self.shed_load(message.size, actions);
         }
         // Perhaps nothing in the queue may be rejected to make room.
         if self.is_full(capacity, message.size) {
-            let retry_after = self.retry_advice();
+            let retry_after = self.rejection_retry_after();
             return actions.push(Action::Reject { id: message.id, retry_after });
         }
         self.enqueue(message);
@@ -48,7 +48,7 @@
     }
 
     /// How long a rejected client should stay away.
-    pub(crate) fn retry_advice(&mut self) -> Micros {
+    pub(crate) fn rejection_retry_after(&mut self) -> Micros {
         let jitter = jitter_factor(self.random.next_fraction());
         (self.settings.max_retry_after as f64 * RETRY_AFTER_SHARE * jitter) as Micros
     }
@@ -69,7 +69,7 @@
 
     /// Rejects messages until the queue has its headroom, those first whose value is least when their turn may come, or
     /// messages for destinations that are down would fill it. Of unattempted recovered ones only a part is rejected.
-    pub(crate) fn make_room(&mut self, wanted_bytes: usize, actions: &mut Vec<Action>) {
+    pub(crate) fn shed_load(&mut self, wanted_bytes: usize, actions: &mut Vec<Action>) {
         let target = self.queue_target();
         if self.meets_target(target, wanted_bytes) {
             return;
@@ -82,7 +82,7 @@
                 is_unattempted && RECOVERED_SHED_DIVISOR * (self.recovered_shed + 1) > self.recovered_count;
             if !is_kept && self.scheduler.exceeds_share(self.queue[&id].message.tenant, target) {
                 self.recovered_shed += usize::from(is_unattempted);
-                let retry_after = self.retry_advice();
+                let retry_after = self.rejection_retry_after();
                 self.give_up(id, retry_after, actions);
             }
         }
@@ -101,15 +101,15 @@
             }
             let turn = self.now + (forecast.delay.min(MAX_FORECAST_SECONDS) * SECOND as f64) as Micros;
             let is_unattempted = queued.is_unattempted();
-            let worth = match is_unattempted {
+            let priority = match is_unattempted {
                 true => queued.message.deadline as f64,
                 false => self.value_at(queued, turn),
             };
-            candidates.push(SheddingCandidate { id: *id, is_unattempted, worth });
+            candidates.push(SheddingCandidate { id: *id, is_unattempted, priority });
         }
         candidates.sort_by(|a, b| {
-            let by_worth = a.is_unattempted.cmp(&b.is_unattempted).then(a.worth.total_cmp(&b.worth));
-            by_worth.then(b.id.cmp(&a.id))
+            let by_priority = a.is_unattempted.cmp(&b.is_unattempted).then(a.priority.total_cmp(&b.priority));
+            by_priority.then(b.id.cmp(&a.id))
         });
         candidates
     }
--- a/crates/policy/src/decision.rs
+++ b/crates/policy/src/decision.rs
@@ -102,5 +102,5 @@
     pub(crate) id: MessageId,
     pub(crate) is_unattempted: bool,
     /// The deadline of one that was recovered and not attempted, otherwise the value when its turn may come.
-    pub(crate) worth: f64,
+    pub(crate) priority: f64,
 }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -52,7 +52,7 @@
         let mut waiting: BTreeMap<DestinationId, Vec<MessageId>> = BTreeMap::new();
         for (id, queued) in &self.queue {
             let may_start = !self.hosts_unconfirmed && queued.is_waiting() && queued.not_before <= self.now;
-            if may_start && self.is_its_turn(queued) {
+            if may_start && self.is_next_of_its_key(queued) {
                 waiting.entry(queued.message.destination).or_default().push(*id);
             }
         }
@@ -154,7 +154,7 @@
     }
 
     /// Whether no earlier message of its ordering key is queued or may still run at a host.
-    fn is_its_turn(&self, queued: &QueuedMessage) -> bool {
+    fn is_next_of_its_key(&self, queued: &QueuedMessage) -> bool {
         let key = queued.message.ordering_key.filter(|_| self.class(&queued.message).is_ordered);
         let Some(order) = key.and_then(|key| self.ordered_keys.get(&key)) else { return true };
         let blocks_itself = queued.attempts.iter().any(|a| a.state == AttemptState::MayHaveExecuted);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -19,7 +19,7 @@
         self.record_overdue_calls();
         self.give_up_undeliverable(actions);
         self.dispatch(actions);
-        self.make_room(0, actions);
+        self.shed_load(0, actions);
         self.free_slots(actions);
         if !self.is_subscribed && self.poll_at <= now {
             actions.push(Action::Subscribe(true));
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -8,7 +8,7 @@
 
 impl Route {
     /// Whether a route without hosts must still be remembered: calls, waits and outages outlast a change of the list.
-    pub(crate) fn must_be_kept(&self, now: Micros) -> bool {
+    pub(crate) fn must_be_retained(&self, now: Micros) -> bool {
         let recent_call = self.breaker.window.latest_at().filter(|at| at + OUTAGE_RETENTION > now);
         let has_outage = self.recovery.is_active && recent_call.is_some();
         self.in_flight > 0 || has_outage || self.retry_after_until.max(self.backoff_until) > now
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -86,7 +86,7 @@
         let due: Vec<_> = due.collect();
         for (id, deadline) in due {
             // One that ends before its deadline has used up its attempts: its client may come again.
-            let retry_after = if deadline <= limit { 0 } else { self.retry_advice() };
+            let retry_after = if deadline <= limit { 0 } else { self.rejection_retry_after() };
             self.give_up(id, retry_after, actions);
         }
     }
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -51,7 +51,7 @@
             let key = self.route_of(id);
             let empty_route =
                 key.and_then(|key| self.routes.get(&key)).filter(|route| route.hosts.is_empty());
-            if host.in_flight > 0 || empty_route.is_some_and(|route| route.must_be_kept(self.now)) {
+            if host.in_flight > 0 || empty_route.is_some_and(|route| route.must_be_retained(self.now)) {
                 self.removed_hosts.push(id);
                 continue;
             }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -78,17 +78,17 @@
     let now = 100 * SECOND;
     let mut set = settings();
     (set.max_queued, set.max_calls) = (3, 8);
-    let mut relay = DeliveryPolicy::new(set, 7);
-    handle(&mut relay, now, vec![listed(false)]);
+    let mut policy = DeliveryPolicy::new(set, 7);
+    handle(&mut policy, now, vec![listed(false)]);
     for id in 1..=3 {
         // Out, each: there is nothing to make room with.
         handle(
-            &mut relay,
+            &mut policy,
             now + id * SECOND,
             vec![Event::MessageReceived(message(id, 0, now + id * SECOND))],
         );
     }
     let actions =
-        handle(&mut relay, now + 4 * SECOND, vec![Event::MessageReceived(message(4, 0, now + 4 * SECOND))]);
+        handle(&mut policy, now + 4 * SECOND, vec![Event::MessageReceived(message(4, 0, now + 4 * SECOND))]);
     assert!(actions.iter().any(|a| matches!(a, Action::Reject { id: 4, retry_after: 1.. })), "{actions:?}");
 }
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -76,8 +76,8 @@
     assert_eq!(harness.delivered.len(), 20, "an even part is a call in five seconds");
 }
 
-/// Calls that one of a hundred relays with a full hold makes in twenty seconds at a destination that is listed with
-/// a limit and reports another, and so much of its allowance left, at each call.
+/// Calls that one of a hundred replicas with a full queue makes in twenty seconds to a destination that is listed with
+/// one limit and reports another, and so much of its allowance left, at each call.
 fn count_calls_with_remaining_allowance(left: f32, listed: f32, limit: f32) -> usize {
     let shared = HostEntry { weight: listed, ..host(1, 1) };
     let mut harness = PolicyHarness::new(settings_of_hundred_replicas(), vec![shared]);
@@ -88,7 +88,7 @@
     let start = harness.now;
     while harness.now < start + 20 * SECOND {
         for (id, _) in harness.in_flight() {
-            // Half of the refusals tell a wait.
+            // Half of the rejections have a Retry-After.
             let wait = (id % 2) * 300 * MILLISECOND;
             let outcome = if left < 0.05 {
                 AttemptOutcome::Rejected { retry_after: wait }
@@ -104,7 +104,7 @@
 
 #[test]
 fn hundred_replicas_together_stay_below_an_exhausted_limit() {
-    // An even part is half a call a second, ten in this time; the first ones go out before anything is told.
+    // An even part is half a call a second, ten in this time; the first ones go out before the first report.
     let spent = count_calls_with_remaining_allowance(0.0, 50.0, 50.0);
     assert!(spent <= 4 + 6, "{spent} calls each at a limit of which nothing is left");
     let low = count_calls_with_remaining_allowance(0.25, 50.0, 50.0);
@@ -163,20 +163,20 @@
     assert_eq!(harness.delivered.len(), 1, "but it must get its turn");
 }
 
-/// A hundred relays whose calls all failed at one instant, while the destination stays away: the trials of any
-/// second and a half are no more than it takes while cold, but for chance.
+/// The calls of all replicas failed at one instant, and the destination stays down: the probes of any second and a
+/// half are no more than its initial capacity, but for chance.
 #[test]
 fn probes_of_hundred_replicas_stay_below_initial_capacity() {
     let (set, limit) = (settings_of_hundred_replicas(), 60.0);
     let mut trials: Vec<Micros> = Vec::new();
     for seed in 0..100 {
-        let mut relay = DeliveryPolicy::new(set.clone(), seed * 7919 + 1);
+        let mut policy = DeliveryPolicy::new(set.clone(), seed * 7919 + 1);
         let mut now = 100 * SECOND;
         let entries = vec![HostEntry { weight: limit, ..host(1, 1) }];
         let mut actions =
-            handle(&mut relay, now, vec![Event::HostsUpdated { is_full: true, cached: false, entries }]);
+            handle(&mut policy, now, vec![Event::HostsUpdated { is_full: true, cached: false, entries }]);
         let arrivals = (0..20).map(|id| Event::MessageReceived(message(id, 0, now))).collect();
-        actions.extend(handle(&mut relay, now, arrivals));
+        actions.extend(handle(&mut policy, now, arrivals));
         let end = now + 12 * SECOND;
         let mut tries: std::collections::BTreeMap<MessageId, u8> = Default::default();
         while now < end {
@@ -200,11 +200,11 @@
                     load_report: report,
                 }));
             }
-            actions = handle(&mut relay, now, events);
+            actions = handle(&mut policy, now, events);
         }
     }
     trials.sort_unstable();
-    // From when all have tripped.
+    // From when all breakers are open.
     let late: Vec<Micros> = trials.into_iter().filter(|at| *at > 102 * SECOND).collect();
     let most =
         late.iter().map(|from| late.iter().filter(|at| (*from..*from + 3 * SECOND / 2).contains(at)).count());
--- a/crates/policy/tests/recovery.rs
+++ b/crates/policy/tests/recovery.rs
@@ -27,7 +27,7 @@
         let capacity = told * (rules.initial_capacity_share + (1.0 - rules.initial_capacity_share) * warm);
         let part = rules.overload_factor * capacity * rules.overload_duration as f64 / 1e6 / 2.0;
         // One more than the rate gives fits into a span that begins with a call.
-        assert!(sent <= part + 1.0, "{sent} calls in a span from {start}, this relay's part is {part}");
+        assert!(sent <= part + 1.0, "{sent} calls in a span from {start}, this replica's part is {part}");
     }
     assert!(harness.delivered.len() > 20, "but it must get some: {}", harness.delivered.len());
 }
@@ -46,15 +46,15 @@
         (0, vec![past(true, now - 7 * SECOND)], true, false),
         (0, vec![past(true, now - 7 * SECOND); 8], false, true),
     ] {
-        let mut relay = DeliveryPolicy::new(settings(), 7);
-        let actions = handle(&mut relay, now, vec![listed(true), restored(class, attempts.clone())]);
+        let mut policy = DeliveryPolicy::new(settings(), 7);
+        let actions = handle(&mut policy, now, vec![listed(true), restored(class, attempts.clone())]);
         let was_sent = actions.iter().any(|action| matches!(action, Action::Send { id: 1, .. }));
         assert_eq!((was_sent, actions.contains(&Action::Fail(1))), (sent, failed), "{class} {attempts:?}");
     }
     // All attempts are used up and none was executed: the rejection has a Retry-After.
-    let mut relay = DeliveryPolicy::new(settings(), 7);
+    let mut policy = DeliveryPolicy::new(settings(), 7);
     let actions =
-        handle(&mut relay, now, vec![listed(true), restored(2, vec![past(false, now - SECOND); 8])]);
+        handle(&mut policy, now, vec![listed(true), restored(2, vec![past(false, now - SECOND); 8])]);
     assert!(matches!(actions[..], [Action::Reject { id: 1, retry_after: 1.. }]), "{actions:?}");
 }
 
@@ -67,18 +67,18 @@
     assert!(gap > 20 * MILLISECOND, "there is something to wait for");
     let one = |id, key| Message { ordering_key: Some(key), ..message(id, 2, now) };
     for (may_have_run, key, waits) in [(true, 7, true), (true, 8, false), (false, 7, false)] {
-        let mut relay = DeliveryPolicy::new(set.clone(), 7);
-        // As after another process's calls: it could be told of the end of none of them.
+        let mut policy = DeliveryPolicy::new(set.clone(), 7);
+        // As after the calls of another process, whose ends are unknown.
         let attempts =
             vec![PastAttempt { sent_at: now - SECOND, zone: 0, may_have_executed: may_have_run }; 8];
         let restored = Event::MessageRestored { message: one(1, 7), attempts };
         let mut actions =
-            handle(&mut relay, now, vec![listed(true), restored, Event::MessageReceived(one(2, key))]);
+            handle(&mut policy, now, vec![listed(true), restored, Event::MessageReceived(one(2, key))]);
         let sent = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Send { id: 2, .. }));
         let mut at = now;
         while !sent(&actions) && at < now + 10 * SECOND {
             at += 10 * MILLISECOND;
-            actions = handle(&mut relay, at, Vec::new());
+            actions = handle(&mut policy, at, Vec::new());
         }
         let waited = (now + gap..now + 10 * SECOND).contains(&at);
         assert_eq!(waited, waits, "{may_have_run}, {key}: {} ms", (at - now) / MILLISECOND);
@@ -89,13 +89,13 @@
 fn restored_outage_allows_one_probe() {
     let now = 100 * SECOND;
     for (back, most) in [(None, 1), (Some(now - SECOND), 1), (Some(now - 11 * SECOND), 12)] {
-        let mut relay = DeliveryPolicy::new(settings(), 7);
+        let mut policy = DeliveryPolicy::new(settings(), 7);
         let outage = Outage { destination: 1, started_at: now - 20 * SECOND, recovered_at: back };
         let mut events = vec![listed(true), Event::OutageRestored(outage)];
         events.extend((1..=12).map(|id| Event::MessageReceived(message(id, 0, now))));
-        let sent = handle(&mut relay, now, events).len();
+        let sent = handle(&mut policy, now, events).len();
         assert!(sent <= most, "{sent} sent, back {back:?}");
-        assert_eq!(relay.outages().count(), usize::from(most == 1));
+        assert_eq!(policy.outages().count(), usize::from(most == 1));
     }
 }
 
@@ -103,24 +103,24 @@
 #[test]
 fn restored_messages_are_paced_by_the_recovery_ramp() {
     let now = 100 * SECOND;
-    let mut relay = DeliveryPolicy::new(settings(), 7);
+    let mut policy = DeliveryPolicy::new(settings(), 7);
     let entries = vec![host(1, 1), host(2, 2)];
     let mut events = vec![Event::HostsUpdated { is_full: true, cached: true, entries }];
     let restored = |id| Event::MessageRestored { message: message(id, 0, now), attempts: Vec::new() };
     events.extend((1..=8).map(restored));
-    // Another destination, of which nothing was owed.
+    // Another destination, for which nothing was recovered.
     events.extend(
         (11..=14).map(|id| Event::MessageReceived(Message { destination: 2, ..message(id, 0, now) })),
     );
-    let actions = handle(&mut relay, now, events);
+    let actions = handle(&mut policy, now, events);
     let sent = |actions: &[Action], host| {
         actions.iter().filter(|a| matches!(a, Action::Send { host: to, .. } if *to == host)).count()
     };
     assert_eq!((sent(&actions, 1), sent(&actions, 2) > 1), (1, true), "{actions:?}");
-    // Two relays, told of 20 calls a second, cold at a fifth, twice over: 4 a second.
+    // Two replicas, a limit of 20 calls a second, a fifth of it at first, overload at twice that: 4 a second.
     let mut more = 0;
     for tick in 1..=50 {
-        more += sent(&handle(&mut relay, now + tick * 10 * MILLISECOND, Vec::new()), 1);
+        more += sent(&handle(&mut policy, now + tick * 10 * MILLISECOND, Vec::new()), 1);
     }
     assert!((1..=2).contains(&more), "{more} in half a second");
 }
@@ -130,7 +130,7 @@
 fn outage_hidden_by_backoff_starts_the_recovery_ramp() {
     let shut = |busy: bool| {
         let mut harness = PolicyHarness::new(settings(), vec![host(1, 1)]);
-        // 20 a second are told for two relays: six a second are this relay's part, one is far from it.
+        // The limit is 20 a second for two replicas: six a second use this replica's part, one is far from it.
         for _ in 0..30 {
             let id = harness.receive(0, 1, None);
             harness.end_attempt(id, AttemptOutcome::Delivered);
@@ -144,7 +144,7 @@
         harness.policy.outages().count()
     };
     assert_eq!(shut(false), 1);
-    // At its limit a destination refuses too, and is not away.
+    // A destination at its limit rejects calls too, and is not down.
     assert_eq!(shut(true), 0);
 }
 
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -98,15 +98,15 @@
 #[test]
 fn no_call_starts_that_shutdown_would_cut_off() {
     let now = 100 * SECOND;
-    let mut relay = DeliveryPolicy::new(settings(), 7);
+    let mut policy = DeliveryPolicy::new(settings(), 7);
     let stopping = Event::ShuttingDown { at: now + 3 * SECOND };
     let arrived = |id, class, now| Event::MessageReceived(message(id, class, now));
-    let early = handle(&mut relay, now, vec![listed(false), stopping, arrived(1, 2, now)]);
+    let early = handle(&mut policy, now, vec![listed(false), stopping, arrived(1, 2, now)]);
     assert!(matches!(early[..], [Action::Send { id: 1, .. }]), "{early:?}");
     // By now an unsafe call might be cut off; one that may be repeated should end in time.
     let now = now + 2 * SECOND;
-    let late = handle(&mut relay, now, vec![arrived(2, 2, now), arrived(3, 0, now)]);
+    let late = handle(&mut policy, now, vec![arrived(2, 2, now), arrived(3, 0, now)]);
     assert!(matches!(late[..], [Action::Send { id: 3, .. }]), "{late:?}");
     let now = now + 9 * SECOND / 10;
-    assert_eq!(handle(&mut relay, now, vec![arrived(4, 0, now)]), []);
+    assert_eq!(handle(&mut policy, now, vec![arrived(4, 0, now)]), []);
 }
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -439,9 +439,9 @@
     }
 }
 
-pub fn handle(relay: &mut DeliveryPolicy, now: Micros, events: Vec<Event>) -> Vec<Action> {
+pub fn handle(policy: &mut DeliveryPolicy, now: Micros, events: Vec<Event>) -> Vec<Action> {
     let mut actions = Vec::new();
-    relay.handle(now, events, &mut actions);
+    policy.handle(now, events, &mut actions);
     actions.retain(|action| !matches!(action, Action::SetTimer { .. }));
     actions
 }
