--- a/crates/membership/src/poll_schedule/mod.rs
+++ b/crates/membership/src/poll_schedule/mod.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use policy::state::Rng;
+use policy::random::RandomFractions;
 
 use crate::{DiscoveryMode, DiscoverySettings};
 
@@ -83,7 +83,7 @@
     /// At least 1 and at most [`MAX_REPLICAS`].
     replicas: u32,
     drain_grace: Duration,
-    rng: Rng,
+    rng: RandomFractions,
     /// The next backoff, before jitter.
     backoff: Duration,
     last_list_was_bad: bool,
@@ -93,7 +93,7 @@
     /// Creates the schedule of one of `settings.replicas` relays, with random numbers from the configured seed.
     pub fn new(settings: &DiscoverySettings) -> Self {
         // Inverted, so that the sequence differs from the one that the policy draws from the same seed.
-        let rng = Rng(!settings.seed);
+        let rng = RandomFractions::new(!settings.seed);
         let mut schedule = PollSchedule {
             mode: settings.mode,
             replicas: settings.replicas.clamp(1, MAX_REPLICAS) as u32,
@@ -131,7 +131,7 @@
             DiscoveryMode::Push => Duration::ZERO,
             DiscoveryMode::Poll => (POLL_BACKOFF_MIN_PER_REPLICA * (self.replicas - 1))
                 .min(self.drain_grace / 2)
-                .mul_f64(self.rng.roll()),
+                .mul_f64(self.rng.next_fraction()),
         }
     }
 
@@ -182,7 +182,9 @@
         if self.replicas < 2 {
             return backoff;
         }
-        backoff.mul_f64(0.5 + self.rng.roll()).min(MAX_DELAY)
+        backoff
+            .mul_f64(0.5 + self.rng.next_fraction())
+            .min(MAX_DELAY)
     }
 
     fn min_backoff(&self) -> Duration {
--- /dev/null
+++ b/crates/policy/src/recovery.rs
@@ -0,0 +1,107 @@
+//! Recovery: outages and what follows them, and messages, calls and state of an earlier process.
+
+use crate::queued_message::AttemptState;
+use crate::route::{Call, Route};
+use crate::state::DeliveryPolicy;
+use crate::tuning::{MAX_GLITCH, MIN_OUTAGE, OUTAGE_RETENTION, SMALL_FLEET, UNAVAILABLE_AFTER};
+use crate::types::{HostId, Message, Micros, Outage, PastAttempt};
+
+impl Route {
+    /// Whether a route without hosts must still be remembered: calls, waits and outages outlast a change of the list.
+    pub(crate) fn must_be_retained(&self, now: Micros) -> bool {
+        let recent_call = self.breaker.window.latest_at().filter(|at| at + OUTAGE_RETENTION > now);
+        let has_outage = self.recovery.is_active && recent_call.is_some();
+        self.in_flight > 0 || has_outage || self.retry_after_until.max(self.backoff_until) > now
+    }
+
+    /// Starts the recovery ramp. `chance` of 0 to 1 spreads the turns of all replicas that saw the outage.
+    pub(crate) fn record_outage(&mut self, since: Micros, chance: f64) {
+        if !self.recovery.is_active {
+            self.recovery.down_since = since;
+            self.pacing.bucket.limit_to(chance);
+        }
+        self.recovery.is_active = true;
+        self.recovery.recovered_at = None;
+    }
+
+    /// At a success: an outage that few calls met, as calls hung or backed off, counts from the first error.
+    pub(crate) fn detect_unseen_outage(&mut self, now: Micros, chance: f64) {
+        let breaker = &self.breaker;
+        let was_rejecting = breaker.consecutive_rejections > 0
+            && !breaker.is_limit_likely
+            && now >= breaker.rejected_since + UNAVAILABLE_AFTER;
+        let hung_since = Some(breaker.failing_since).filter(|_| breaker.consecutive_failures > 1);
+        let was_failing = hung_since.is_some_and(|since| now >= since + UNAVAILABLE_AFTER);
+        let since = if was_rejecting { breaker.rejected_since } else { breaker.failing_since };
+        if was_rejecting || was_failing {
+            self.record_outage(since, chance);
+        }
+    }
+
+    /// At a success of a call sent at `sent_at`: the outage is over, unless the call is older than it. Where the last
+    /// success came just before, a full queue was taken for an outage, and no ramp is needed.
+    pub(crate) fn end_outage(&mut self, now: Micros, sent_at: Micros, last_success: Micros) {
+        let recovery = &mut self.recovery;
+        let is_down = recovery.is_active && recovery.recovered_at.is_none();
+        if is_down && sent_at >= recovery.down_since && now >= self.retry_after_until {
+            recovery.is_active = recovery.down_since < last_success || now >= last_success + MAX_GLITCH;
+            recovery.recovered_at = Some(now).filter(|_| recovery.is_active);
+        }
+    }
+}
+
+impl DeliveryPolicy {
+    /// Accepts a message from before a restart.
+    pub(crate) fn restore_message(&mut self, message: Message, attempts: &[PastAttempt]) {
+        self.enqueue_with_attempts(message, attempts);
+        if let Some(queued) = self.queue.get_mut(&message.id) {
+            queued.is_recovered = attempts.is_empty();
+        }
+        self.recovered_count += usize::from(attempts.is_empty());
+        // A call that the end of a process cut off may still be running at its host.
+        let may_run_on = attempts.last().is_some_and(|past| past.may_have_executed);
+        let key = message.ordering_key.filter(|_| may_run_on);
+        if let Some(order) = key.and_then(|key| self.ordered_keys.get_mut(&key)) {
+            order.blocked_until = self.now + self.settings.rules.ordering_delay;
+        }
+        // The destination may have come back unseen: the ramp keeps what waits for it from going out at once.
+        let now = self.now;
+        for key in self.routes_to(message.destination) {
+            let Some(route) = self.routes.get_mut(&key) else { continue };
+            if !route.recovery.is_active {
+                route.record_outage(now.saturating_sub(MIN_OUTAGE), 1.0);
+                route.recovery.recovered_at = Some(now);
+            }
+        }
+    }
+
+    /// Takes over a message from a process that ends. A call in flight at `host` holds its slot until its end.
+    pub(crate) fn adopt_message(&mut self, message: Message, attempts: &[PastAttempt], host: Option<HostId>) {
+        self.enqueue_with_attempts(message, attempts);
+        let Some(host) = host else { return };
+        self.next_call += 1;
+        let Some(queued) = self.queue.get_mut(&message.id) else { return };
+        if let Some(last) = queued.attempts.last_mut() {
+            (last.call, last.state) = (self.next_call, AttemptState::InFlight);
+        }
+        let Some(key) = self.route_of(host) else { return };
+        let Some(route) = self.routes.get(&key) else { return };
+        let overdue_at = self.now + self.overdue_after(&self.queue[&message.id], route);
+        self.start_call(Call { route: key, host, overdue_at, is_overdue: false, pending_messages: 1 });
+    }
+
+    /// Restores an outage from before a restart, or all that waits would go out at once. One that lasts gets a probe.
+    pub(crate) fn restore_outage(&mut self, outage: Outage) {
+        let (now, chance) = (self.now, self.random.next_fraction());
+        for key in self.routes_to(outage.destination) {
+            let Some(route) = self.routes.get_mut(&key) else { continue };
+            route.record_outage(outage.started_at.min(now), chance);
+            route.recovery.recovered_at = outage.recovered_at.map(|at| at.min(now));
+            if route.recovery.recovered_at.is_none() {
+                // Most of a large fleet may have started just now.
+                let rest = route.open_duration(self.replicas, &self.settings.rules, chance);
+                route.breaker.trip(if self.replicas > SMALL_FLEET { now + rest } else { now });
+            }
+        }
+    }
+}
