Keep the call log's words for outcomes and host states, whatever the types are called

Cause: the log printed the types' names, which the renaming changed ('Ok' to 'Delivered', 'Gone' to 'Removed'), and relay-experiments matches the old words: it would have counted every delivery as failed. Seen by reading; neither the tests of the parser, which have lines of their own, nor the digests of effects tell it.

Change: words of their own in the call log, and a test that holds each of them. Two redundant field names, which the linter refused, go too.

--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -4,11 +4,14 @@
 //! A line is `fleet`, the Unix time in milliseconds, a word and its values; `relay-experiments fleet` parses it.
 //! Bodies, keys and names of messages are never written.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use policy::types::{
-    Action, AttemptEnd, AttemptOutcome, DestinationId, Event, HostEntry, Message, MessageId,
-    Micros, Settings,
+    Action, AttemptEnd, AttemptOutcome, DestinationId, Event, HostEntry, HostState, Message,
+    MessageId, Micros, Settings,
 };
 use policy::DeliveryPolicy;
 use runtime::{log, Runtime};
@@ -135,8 +138,9 @@
         let name = directory.name_of(*host).unwrap_or_default();
         log!(
             self.runtime,
-            "fleet {} list {destination} host={host} kind={kind} weight={weight} {state:?} name={name}",
-            now / MICROS_PER_MS
+            "fleet {} list {destination} host={host} kind={kind} weight={weight} {} name={name}",
+            now / MICROS_PER_MS,
+            state_word(*state)
         );
     }
 
@@ -156,15 +160,16 @@
 
     fn attempt_ended(&mut self, now: Micros, end: &AttemptEnd) {
         let destination = self.destination_of(end.id);
-        let (outcome, retry_after) = match end.outcome {
-            AttemptOutcome::Rejected { retry_after } => ("Full".to_string(), retry_after),
-            other => (format!("{other:?}"), 0),
+        let retry_after = match end.outcome {
+            AttemptOutcome::Rejected { retry_after } => retry_after,
+            _ => 0,
         };
         log!(
             self.runtime,
-            "fleet {} ended {destination} {} {outcome} wait={} took={} report={:?}",
+            "fleet {} ended {destination} {} {} wait={} took={} report={:?}",
             now / MICROS_PER_MS,
             end.id,
+            outcome_word(end.outcome),
             retry_after / MICROS_PER_MS,
             end.elapsed / MICROS_PER_MS,
             end.load_report
@@ -239,3 +244,28 @@
             .unwrap_or(UNKNOWN_DESTINATION)
     }
 }
+
+/// The word for an outcome. Tools that count over logs match it, also in logs of earlier versions.
+fn outcome_word(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Delivered => "Ok",
+        AttemptOutcome::Error => "Error",
+        AttemptOutcome::Rejected { .. } => "Full",
+        AttemptOutcome::Timeout => "Timeout",
+        AttemptOutcome::ConnectFailed => "ConnectFailed",
+        AttemptOutcome::Reset => "Reset",
+        AttemptOutcome::ConnectionLost => "Dropped",
+        AttemptOutcome::Cancelled => "Cancelled",
+        AttemptOutcome::Obsolete => "Moot",
+        AttemptOutcome::NotStarted => "NotBegun",
+    }
+}
+
+/// The word for a host's state, matched like that of an outcome.
+fn state_word(state: HostState) -> &'static str {
+    match state {
+        HostState::Ready => "Ready",
+        HostState::Draining => "Draining",
+        HostState::Removed => "Gone",
+    }
+}
--- a/crates/relay/src/undeliverable_service/mod.rs
+++ b/crates/relay/src/undeliverable_service/mod.rs
@@ -712,7 +712,7 @@
             } = origin;
             let body = Bytes::from(body);
             let taken = AcceptedMessage {
-                name: name,
+                name,
                 idempotency_key: key,
                 ordering_key: order,
                 class,
@@ -725,7 +725,7 @@
             Resend {
                 again: ResendOrigin {
                     record: id,
-                    number: number,
+                    number,
                     past_attempt: past,
                 },
                 taken,
