Give the cached state typed rows and named steps for its encoding

Need: rows of hosts were unnamed tuples of seven fields, and encoding was one dense function.

Change: StoredHost serializes as the same JSON array; a name table, file names and the stored states are named.

--- a/crates/relay/src/cached_state.rs
+++ b/crates/relay/src/cached_state.rs
@@ -1,6 +1,7 @@
-//! What a relay was told, which a restart must not make it forget: kept whole in a small file of its own.
+//! The cached list of hosts and outages, which survives a restart in a small file of its own.
 //!
-//! The file is a line of JSON and a line with that line's CRC-32. One without it is from a version that kept none.
+//! The file is a line of JSON and a line with the CRC-32 of the first one. A file without the second line is from a
+//! version that wrote no checksum.
 
 use std::io;
 use std::net::SocketAddr;
@@ -10,236 +11,239 @@
 use policy::types::{HostState, Micros};
 use relay_events::{HostList, HostListEntry};
 use runtime::{log, Runtime};
-use serde::{Deserialize, Serialize};
-
-/// Part of the disk's limit that the file may take: two of it come on top of the journal's files, which leave a quarter.
-const PART: f64 = 0.05;
-
-/// The list of hosts, and outages.
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// Share of the disk limit that the file may take. Two such files come on top of those of the journal, which leave a
+/// quarter of the limit.
+const MAX_DISK_SHARE: f64 = 0.05;
+/// Name of the file in the state folder.
+const STATE_FILE: &str = "memory";
+/// Name of the file with the time of the last contact with discovery.
+const CONTACT_FILE: &str = "heard";
+/// Stored state of a host that may be called.
+const STORED_READY: u8 = 0;
+/// Stored state of a host that is draining.
+const STORED_DRAINING: u8 = 1;
+
+/// The list of hosts and the outages that a restarted relay begins with.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct CachedState {
     /// The list of hosts.
     pub list: HostList,
-    /// Outages: the destination, since when, and the first success after.
+    /// Outages of destinations.
     pub outages: Vec<Outage>,
 }
 
+/// An outage: the destination, when it began and when the first success came after it, both in Unix time.
 type Outage = (u16, Micros, Option<Micros>);
 
-/// A host: its name, address, zone and kind by index of the names, destination, 0 if it is up or 1 if it drains, weight.
-type Row = (String, SocketAddr, usize, usize, u16, u8, f32);
+/// A host of the list. Its JSON is an array of the fields in this order.
+struct StoredHost {
+    name: String,
+    address: SocketAddr,
+    zone_index: usize,
+    kind_index: usize,
+    destination: u16,
+    state: u8,
+    weight: f32,
+}
+
+impl Serialize for StoredHost {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let row = (
+            &self.name,
+            self.address,
+            self.zone_index,
+            self.kind_index,
+            self.destination,
+            self.state,
+            self.weight,
+        );
+        row.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for StoredHost {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (name, address, zone_index, kind_index, destination, state, weight) =
+            Deserialize::deserialize(deserializer)?;
+        Ok(StoredHost {
+            name,
+            address,
+            zone_index,
+            kind_index,
+            destination,
+            state,
+            weight,
+        })
+    }
+}
 
-/// As the file has it: names that many hosts share stand there once, some 55 bytes a host.
+impl StoredHost {
+    /// The host as an entry of the list; `None` if an index has no name.
+    fn into_entry(self, names: &[String]) -> Option<HostListEntry> {
+        Some(HostListEntry {
+            name: self.name,
+            address: self.address,
+            zone: names.get(self.zone_index)?.clone(),
+            kind: names.get(self.kind_index)?.clone(),
+            destination: self.destination,
+            state: match self.state {
+                STORED_READY => HostState::Ready,
+                _ => HostState::Draining,
+            },
+            weight: self.weight,
+        })
+    }
+}
+
+/// The names of zones and kinds, which many hosts share; each is stored once.
+#[derive(Default)]
+struct NameTable(Vec<String>);
+
+impl NameTable {
+    /// The index of a name, which is added if it is new.
+    fn index_of(&mut self, name: &str) -> usize {
+        let known = self.0.iter().position(|known| known == name);
+        known.unwrap_or_else(|| {
+            self.0.push(name.to_owned());
+            self.0.len() - 1
+        })
+    }
+}
+
+/// The content of the file, which takes about 55 bytes a host.
 #[derive(Serialize, Deserialize)]
 struct StoredState {
-    seq: u64,
+    #[serde(rename = "seq")]
+    version: u64,
     names: Vec<String>,
-    hosts: Vec<Row>,
+    hosts: Vec<StoredHost>,
     outages: Vec<Outage>,
 }
 
 impl StoredState {
-    fn of(memory: &CachedState) -> Self {
-        let mut names: Vec<String> = Vec::new();
-        let mut index = |name: &String| {
-            names
-                .iter()
-                .position(|known| known == name)
-                .unwrap_or_else(|| {
-                    names.push(name.clone());
-                    names.len() - 1
-                })
-        };
-        let row = |line: &HostListEntry| {
-            let drains = u8::from(line.state != HostState::Ready);
-            let HostListEntry {
-                name,
-                address,
-                zone,
-                kind,
-                destination,
-                weight,
-                ..
-            } = line;
-            (
-                name.clone(),
-                *address,
-                index(zone),
-                index(kind),
-                *destination,
-                drains,
-                *weight,
-            )
-        };
-        let hosts = memory.list.hosts.iter().map(row).collect();
+    fn new(state: &CachedState) -> Self {
+        let mut names = NameTable::default();
+        let entries = state.list.hosts.iter();
+        let hosts = entries
+            .map(|entry| stored_host(entry, &mut names))
+            .collect();
         StoredState {
-            seq: memory.list.version,
-            names,
+            version: state.list.version,
+            names: names.0,
             hosts,
-            outages: memory.outages.clone(),
+            outages: state.outages.clone(),
         }
     }
 
-    /// None where an index names nothing.
-    fn whole(self) -> Option<CachedState> {
-        let name = |at: usize| self.names.get(at).cloned();
-        let line = |(host, dial, site, class, block, drains, share): Row| {
-            let health = if drains == 0 {
-                HostState::Ready
-            } else {
-                HostState::Draining
-            };
-            Some(HostListEntry {
-                name: host,
-                address: dial,
-                zone: name(site)?,
-                kind: name(class)?,
-                destination: block,
-                state: health,
-                weight: share,
-            })
-        };
-        let hosts = self.hosts.into_iter().map(line).collect::<Option<_>>()?;
+    /// The state that is stored; `None` if an index has no name.
+    fn into_state(self) -> Option<CachedState> {
+        let names = self.names;
+        let hosts = self.hosts.into_iter();
+        let entries = hosts.map(|host| host.into_entry(&names));
         Some(CachedState {
             list: HostList {
-                version: self.seq,
+                version: self.version,
                 is_full: true,
-                hosts,
+                hosts: entries.collect::<Option<_>>()?,
             },
             outages: self.outages,
         })
     }
 }
 
+fn stored_host(entry: &HostListEntry, names: &mut NameTable) -> StoredHost {
+    StoredHost {
+        name: entry.name.clone(),
+        address: entry.address,
+        zone_index: names.index_of(&entry.zone),
+        kind_index: names.index_of(&entry.kind),
+        destination: entry.destination,
+        state: match entry.state {
+            HostState::Ready => STORED_READY,
+            _ => STORED_DRAINING,
+        },
+        weight: entry.weight,
+    }
+}
+
 impl CachedState {
-    /// What the folder holds; nothing if that can't be read.
+    /// Loads the state from the folder. A file that is missing or damaged counts as an empty state.
     pub fn load(runtime: &impl Runtime, folder: &Path) -> Self {
-        let Ok(text) = runtime.read(&folder.join("memory")) else {
+        let Ok(text) = runtime.read(&folder.join(STATE_FILE)) else {
             return CachedState::default();
         };
-        CachedState::read(&text).unwrap_or_else(|| {
+        CachedState::decode(&text).unwrap_or_else(|| {
             log!(*runtime, "memory: dropped, it cannot be read");
             CachedState::default()
         })
     }
 
-    fn read(text: &[u8]) -> Option<Self> {
+    /// Decodes the content of the file; `None` if it is damaged.
+    fn decode(text: &[u8]) -> Option<Self> {
         let text = std::str::from_utf8(text).ok()?;
         match text.split_once('\n') {
-            Some((line, sum)) if sum.trim_end() == sum_of(line) => {
-                serde_json::from_str::<StoredState>(line).ok()?.whole()
+            Some((line, checksum)) if checksum.trim_end() == checksum_line(line) => {
+                serde_json::from_str::<StoredState>(line).ok()?.into_state()
             }
             Some(_) => None,
             None => serde_json::from_str(text).ok(),
         }
     }
 
-    fn text(&self) -> io::Result<String> {
-        let line = serde_json::to_string(&StoredState::of(self))?;
-        let sum = sum_of(&line);
-        Ok(line + "\n" + &sum + "\n")
+    /// Encodes the content of the file.
+    fn encode(&self) -> io::Result<String> {
+        let line = serde_json::to_string(&StoredState::new(self))?;
+        let checksum = checksum_line(&line);
+        Ok(format!("{line}\n{checksum}\n"))
     }
 
-    /// Puts this in place of what the folder holds, which may have `limit` bytes in all.
+    /// Replaces the file in the folder, which may hold `limit` bytes in all.
+    ///
+    /// # Errors
+    /// `StorageFull` if the file would take more than its share of the limit; otherwise the error of the write, after
+    /// which the old file stands.
     pub fn save(&self, runtime: &impl Runtime, folder: &Path, limit: u64) -> io::Result<()> {
-        let text = self.text()?;
-        if text.len() as f64 > limit as f64 * PART {
+        let text = self.encode()?;
+        if text.len() as f64 > limit as f64 * MAX_DISK_SHARE {
             return Err(io::Error::new(
                 io::ErrorKind::StorageFull,
                 "the list of hosts is too long to keep",
             ));
         }
-        let path = folder.join("memory");
-        let fresh: PathBuf = path.with_extension("new");
-        let written = runtime.write(&fresh, text.as_bytes());
-        // Half of it would take room that others need.
-        written.inspect_err(|_| drop(runtime.remove(&fresh)))?;
-        runtime.rename(&fresh, &path)
+        let path = folder.join(STATE_FILE);
+        let replacement: PathBuf = path.with_extension("new");
+        let written = runtime.write(&replacement, text.as_bytes());
+        // A partial file would take space that other files need.
+        written.inspect_err(|_| drop(runtime.remove(&replacement)))?;
+        runtime.rename(&replacement, &path)
     }
 }
 
-/// Keeps that discovery was heard just now.
+/// Records the current time as that of the last contact with discovery.
+///
+/// # Errors
+/// The error of the write.
 pub fn record_contact(runtime: &impl Runtime, folder: &Path) -> io::Result<()> {
     runtime.write(
-        &folder.join("heard"),
+        &folder.join(CONTACT_FILE),
         runtime.unix_time().as_millis().to_string().as_bytes(),
     )
 }
 
-/// How long ago discovery was last heard, as far as the folder tells. What was cut off reads as long ago, what lies ahead as not known.
+/// The time since the last recorded contact with discovery; `None` if the file cannot be read or its time lies in the
+/// future. A file that was cut off has fewer digits and thus reads as a time long ago.
 pub fn time_since_contact(runtime: &impl Runtime, folder: &Path) -> Option<Duration> {
-    let text = runtime.read(&folder.join("heard")).ok()?;
+    let text = runtime.read(&folder.join(CONTACT_FILE)).ok()?;
     let at = std::str::from_utf8(&text).ok()?.parse().ok()?;
     runtime.unix_time().checked_sub(Duration::from_millis(at))
 }
 
-fn sum_of(line: &str) -> String {
+/// The second line of the file.
+fn checksum_line(line: &str) -> String {
     format!("crc32 {:08x}", crc32fast::hash(line.as_bytes()))
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn memory(hosts: u16) -> CachedState {
-        let line = |at: u16| HostListEntry {
-            name: format!("s-{at:08x}"),
-            address: SocketAddr::from(([127, 12, (at >> 8) as u8, at as u8], 40_000)),
-            zone: format!("leith-dc-{}", at % 4),
-            kind: ["major-partner", "partner"][usize::from(at % 2)].into(),
-            destination: at / 3,
-            state: if at.is_multiple_of(5) {
-                HostState::Draining
-            } else {
-                HostState::Ready
-            },
-            weight: 1234.5,
-        };
-        let list = HostList {
-            version: 7,
-            is_full: true,
-            hosts: (0..hosts).map(line).collect(),
-        };
-        let outage = |at| (at, 1_796_168_056_871_000, Some(1_796_168_056_991_000));
-        CachedState {
-            list,
-            outages: (0..hosts / 3).map(outage).collect(),
-        }
-    }
-
-    #[test]
-    fn what_is_kept_is_read_again_also_what_a_version_before_kept() {
-        let memory = memory(30);
-        assert_eq!(
-            CachedState::read(memory.text().expect("text").as_bytes()),
-            Some(memory.clone())
-        );
-        let before =
-            serde_json::json!({"list": memory.list, "outages": memory.outages}).to_string();
-        assert_eq!(CachedState::read(before.as_bytes()), Some(memory));
-    }
-
-    /// Wherever a bit is flipped or the file is cut, it counts as none rather than as another list.
-    #[test]
-    fn a_memory_that_is_spoilt_counts_as_none() {
-        let text = memory(5).text().expect("text").into_bytes();
-        let last = text.len() - 1;
-        for at in 0..last {
-            for bit in 0..8 {
-                let mut spoilt = text.clone();
-                spoilt[at] ^= 1 << bit;
-                assert_eq!(CachedState::read(&spoilt), None, "bit {bit} of byte {at}");
-            }
-            assert_eq!(CachedState::read(&text[..at]), None, "cut at {at}");
-        }
-        for text in ["", "{}", "\n", "null", "{\"list\":1,\"outages\":[]}"] {
-            assert_eq!(CachedState::read(text.as_bytes()), None, "{text}");
-        }
-    }
-
-    #[test]
-    fn a_thousand_hosts_and_their_outages_fit_in_a_folder_of_a_megabyte_and_a_half() {
-        let length = memory(1024).text().expect("text").len();
-        assert!(length as f64 <= 1_500_000.0 * PART, "{length} bytes");
-    }
-}
+mod tests;
