Apply a list of hosts in named steps

Need: one function of 68 lines assigned numbers, kept the list and built the policy's entries.

Change: a function each for an entry, a new number and a host that is gone; doc comments in the field's terms.

--- a/crates/relay/src/host_directory.rs
+++ b/crates/relay/src/host_directory.rs
@@ -1,4 +1,4 @@
-//! What is known of hosts: their names on the wire, the module's numbers for them, and where they stand.
+//! The directory of hosts: their names on the wire, the policy's numbers for them, and their addresses and routes.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -6,51 +6,51 @@
 use policy::types::{DestinationId, DestinationKind, HostEntry, HostId, HostState};
 use relay_events::{HostList, HostListEntry, Route};
 
-/// What is kept of a host in the list.
+/// A host that is in the list.
 #[derive(Clone, Copy)]
 pub struct ListedHost {
-    /// Where it takes connections.
+    /// Where it accepts connections.
     pub address: SocketAddr,
     /// Its zone.
     pub zone: u8,
-    /// For which calls a wait that one of them is told holds.
+    /// The route whose calls share a Retry-After.
     pub route: Route,
 }
 
-/// The names in the configuration that lines of the list refer to, by index.
+/// The configured names to which entries of the list refer, by index.
 pub struct Names<'a> {
     /// Zones.
     pub zones: &'a [String],
     /// Kinds of destination.
     pub kinds: &'a [String],
-    /// What the settings say of the kinds.
+    /// Settings of the kinds, by index.
     pub settings: &'a [DestinationKind],
 }
 
-/// What a list, or a part of one, changes.
+/// What a list changes.
 pub struct Changes {
-    /// For the module.
+    /// The entries for the policy.
     pub entries: Vec<HostEntry>,
-    /// Hosts in the order told: whether they may be called, or drain or are gone.
+    /// Whether each host is ready, in the order of the list; false if it is draining or removed.
     pub ready: Vec<(HostId, bool)>,
 }
 
-/// The hosts as last told.
+/// The hosts as discovery last reported them.
 #[derive(Default)]
 pub struct HostDirectory {
     numbers: BTreeMap<String, HostId>,
-    /// The same the other way round.
+    /// Names by number.
     names: BTreeMap<HostId, String>,
     listed: BTreeMap<HostId, ListedHost>,
     destinations: BTreeSet<DestinationId>,
     next: HostId,
     lines: BTreeMap<String, HostListEntry>,
     version: u64,
-    /// Since it was last asked for.
+    /// Whether a list was applied since the last call of `has_changed`.
     changed: bool,
 }
 
-/// Where a name stands in a list of them.
+/// The index of a name in a list of names.
 pub fn index_of(names: &[String], name: &str) -> Option<u16> {
     names
         .iter()
@@ -64,7 +64,8 @@
         self.version
     }
 
-    /// Whether anything was told since this was last asked; an older list may change hosts under the same version.
+    /// Whether a list was applied since the last call. The version does not tell, as a list may change hosts under the same
+    /// version.
     pub fn has_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
     }
@@ -77,7 +78,7 @@
             .collect()
     }
 
-    /// The numbers that another process gave; hosts that come get others.
+    /// Adopts the numbers that another process assigned; new hosts get others.
     pub fn adopt_numbers(&mut self, numbers: Vec<(String, HostId)>) {
         self.next = numbers
             .iter()
@@ -88,12 +89,12 @@
         self.numbers.extend(numbers);
     }
 
-    /// Hosts in the list.
+    /// The number of hosts in the list.
     pub fn count(&self) -> usize {
         self.lines.len()
     }
 
-    /// The list, whole.
+    /// The full list.
     pub fn full_list(&self) -> HostList {
         HostList {
             version: self.version,
@@ -112,88 +113,102 @@
         self.names.get(&host).map(String::as_str)
     }
 
-    /// Whether no destination has ever been told.
+    /// Whether no destination is known.
     pub fn is_empty(&self) -> bool {
         self.destinations.is_empty()
     }
 
-    /// Whether a destination has ever been told.
+    /// Whether a destination is known, listed or not.
     pub fn knows_destination(&self, destination: DestinationId) -> bool {
         self.destinations.contains(&destination)
     }
 
-    /// Destinations that are known though the list may not name them any more.
+    /// Adds destinations that are known though the list may not name them any more.
     pub fn add_destinations(&mut self, destinations: impl Iterator<Item = DestinationId>) {
         self.destinations.extend(destinations);
     }
 
-    /// Takes over a list, or what changed of it.
+    /// Applies a full snapshot of the list or a change to it.
     pub fn apply_list(&mut self, list: HostList, names: &Names<'_>) -> Changes {
-        (self.version, self.changed) = (list.version, true);
+        self.version = list.version;
+        self.changed = true;
+        let mut removed = BTreeMap::new();
         if list.is_full {
+            // A host that a full snapshot does not name is gone.
             self.lines.clear();
+            removed = self.numbers.clone();
         }
-        let mut missing = if list.is_full {
-            self.numbers.clone()
-        } else {
-            BTreeMap::new()
-        };
         let mut changes = Changes {
             entries: Vec::new(),
             ready: Vec::new(),
         };
         for line in list.hosts {
-            match line.state {
-                HostState::Removed => self.lines.remove(&line.name),
-                _ => self.lines.insert(line.name.clone(), line.clone()),
-            };
-            missing.remove(&line.name);
-            let number = *self.numbers.entry(line.name.clone()).or_insert_with(|| {
-                self.next += 1;
-                self.names.insert(self.next, line.name.clone());
-                self.next
-            });
-            // Those past the last number are one, which is nobody's own.
-            let index =
-                |names, name| u8::try_from(index_of(names, name).unwrap_or(0)).unwrap_or(u8::MAX);
-            let (zone, kind) = (
-                index(names.zones, &line.zone),
-                index(names.kinds, &line.kind),
-            );
-            let apart = names
-                .settings
-                .get(usize::from(kind))
-                .is_some_and(|kind| kind.has_host_routes);
-            let route = (line.destination, apart.then_some(number));
-            changes.entries.push(HostEntry {
-                host: number,
-                destination: line.destination,
-                kind,
-                zone,
-                state: line.state,
-                weight: line.weight,
-            });
-            self.destinations.insert(line.destination);
-            if line.state == HostState::Removed {
-                missing.insert(line.name, number);
-            } else {
-                self.listed.insert(
-                    number,
-                    ListedHost {
-                        address: line.address,
-                        zone,
-                        route,
-                    },
-                );
+            removed.remove(&line.name);
+            let is_removed = line.state == HostState::Removed;
+            let entry = self.apply_entry(&line, names);
+            let host = entry.host;
+            changes.ready.push((host, entry.state == HostState::Ready));
+            changes.entries.push(entry);
+            if is_removed {
+                removed.insert(line.name, host);
             }
-            changes.ready.push((number, line.state == HostState::Ready));
         }
-        for (name, number) in missing {
-            self.numbers.remove(&name);
-            self.names.remove(&number);
-            self.listed.remove(&number);
-            changes.ready.push((number, false));
+        for (name, host) in removed {
+            self.forget(&name, host);
+            changes.ready.push((host, false));
         }
         changes
     }
+
+    /// Applies one entry of a list and returns it in the policy's terms.
+    fn apply_entry(&mut self, line: &HostListEntry, names: &Names<'_>) -> HostEntry {
+        let host = self.number_for(&line.name);
+        let zone = saturating_index(names.zones, &line.zone);
+        let kind = saturating_index(names.kinds, &line.kind);
+        self.destinations.insert(line.destination);
+        if line.state == HostState::Removed {
+            self.lines.remove(&line.name);
+        } else {
+            self.lines.insert(line.name.clone(), line.clone());
+            let settings = names.settings.get(usize::from(kind));
+            let has_own_route = settings.is_some_and(|kind| kind.has_host_routes);
+            let listed = ListedHost {
+                address: line.address,
+                zone,
+                route: (line.destination, has_own_route.then_some(host)),
+            };
+            self.listed.insert(host, listed);
+        }
+        HostEntry {
+            host,
+            destination: line.destination,
+            kind,
+            zone,
+            state: line.state,
+            weight: line.weight,
+        }
+    }
+
+    /// The number of a host, which is assigned if the host is new.
+    fn number_for(&mut self, name: &str) -> HostId {
+        if let Some(host) = self.numbers.get(name) {
+            return *host;
+        }
+        self.next += 1;
+        self.numbers.insert(name.to_owned(), self.next);
+        self.names.insert(self.next, name.to_owned());
+        self.next
+    }
+
+    fn forget(&mut self, name: &str, host: HostId) {
+        self.numbers.remove(name);
+        self.names.remove(&host);
+        self.listed.remove(&host);
+    }
+}
+
+/// The index of a name, 0 if it is unknown. Names beyond the last index share that one, which belongs to no name.
+fn saturating_index(names: &[String], name: &str) -> u8 {
+    let index = index_of(names, name).unwrap_or(0);
+    u8::try_from(index).unwrap_or(u8::MAX)
 }
