Name the limits and steps of the in-flight index and the table of classes

Need: pairs of limits, pairs with a flag, and a long update with nested closures were hard to follow.

Callers in route_levels follow.

--- a/crates/relay/src/route_levels.rs
+++ b/crates/relay/src/route_levels.rs
@@ -4,7 +4,7 @@
 
 use crate::classes;
 use crate::event_loop::EventLoop;
-use crate::in_flight::KNOWN_OVER;
+use crate::in_flight::MAX_COMPLETED_NAMES;
 
 /// A table, what it holds and what it may hold at most.
 pub type Level = (&'static str, usize, usize);
@@ -14,7 +14,11 @@
     let settings = &driver.config.settings;
     vec![
         ("held", driver.in_flight.len(), settings.max_queued),
-        ("names", driver.in_flight.recently_completed(), KNOWN_OVER.0),
+        (
+            "names",
+            driver.in_flight.recently_completed(),
+            MAX_COMPLETED_NAMES,
+        ),
         ("calls", driver.calls.len(), settings.max_calls),
         // Told or not, what has an end is owed until the platform has heard of it.
         (
@@ -27,7 +31,7 @@
             driver.host_connections.idle_connections(),
             driver.host_connections.max_idle_connections(),
         ),
-        ("classes", driver.classes.len(), classes::MOST),
+        ("classes", driver.classes.len(), classes::MAX_CLASSES),
         // Keys at rest are let go of when there are more of them than that.
         (
             "turns",
