--- a/crates/relay/src/event_loop/table_levels.rs
+++ b/crates/relay/src/event_loop/table_levels.rs
@@ -6,7 +6,7 @@
 use super::EventLoop;
 use crate::call_log::TableLevel;
 use crate::classes;
-use crate::in_flight::KNOWN_OVER;
+use crate::in_flight::MAX_COMPLETED_NAMES;
 
 /// The policy drops idle ordering keys once there are more of them than this many times the queued messages.
 const ORDERING_KEYS_PER_QUEUED_MESSAGE: usize = 3;
@@ -23,8 +23,6 @@
     /// bytes.
     fn table_levels(&self) -> Vec<TableLevel> {
         let settings = &self.config.settings;
-        let (journal_length, max_journal_length) = self.journal.length();
-        let (max_completed, _) = KNOWN_OVER;
         let level = |name, used, capacity| TableLevel {
             name,
             used,
@@ -32,7 +30,11 @@
         };
         vec![
             level("held", self.in_flight.len(), settings.max_queued),
-            level("names", self.in_flight.recently_completed(), max_completed),
+            level(
+                "names",
+                self.in_flight.recently_completed(),
+                MAX_COMPLETED_NAMES,
+            ),
             level("calls", self.open_calls.len(), settings.max_calls),
             // A failed message stays in the journal until the platform has accepted its notification.
             level(
@@ -45,13 +47,13 @@
                 self.host_connections.idle_connections(),
                 self.host_connections.max_idle_connections(),
             ),
-            level("classes", self.classes.len(), classes::MOST),
+            level("classes", self.classes.len(), classes::MAX_CLASSES),
             level(
                 "turns",
                 self.policy.handover_snapshot().ordered_keys.len(),
                 ORDERING_KEYS_PER_QUEUED_MESSAGE * settings.max_queued,
             ),
-            level("journal", journal_length, max_journal_length),
+            level("journal", self.journal.length(), self.journal.max_length()),
         ]
     }
 }
