Let a full connection pool pass over hosts whose last idle connection was taken

The choice is a function of its own now, which passes over empty lists; a test of it fails without that. No other connection is chosen than before.

--- a/crates/relay/src/host_connections/connection_pool.rs
+++ b/crates/relay/src/host_connections/connection_pool.rs
@@ -1,5 +1,8 @@
 //! The idle connections that are kept for further calls.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -93,13 +96,22 @@
     }
 
     fn close_longest_idle(&mut self) {
-        let longest_idle = self
-            .idle
-            .iter_mut()
-            .min_by_key(|(_, connections)| connections.first().map(|first| first.idle_since));
-        if let Some((_, connections)) = longest_idle {
+        let host = host_of_longest_idle(&self.idle, |connection| connection.idle_since);
+        if let Some(connections) = host.and_then(|host| self.idle.get_mut(&host)) {
             connections.remove(0);
             self.idle.retain(|_, connections| !connections.is_empty());
         }
     }
 }
+
+/// The host whose first connection has been idle longest. A host whose last connection was just taken has an empty list,
+/// which does not count.
+fn host_of_longest_idle<T>(
+    idle: &BTreeMap<HostId, Vec<T>>,
+    idle_since: impl Fn(&T) -> Instant,
+) -> Option<HostId> {
+    idle.iter()
+        .filter_map(|(host, connections)| Some((idle_since(connections.first()?), *host)))
+        .min()
+        .map(|(_, host)| host)
+}
