Type the errors of the configuration and the operator file, and read them in named steps

Need: the last two modules of stored and configured state still gave texts as errors. ConfigError and OperatorFileError have today's lines as their messages; bounds are named constants; load is cut into steps in the order of before.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,26 +1,40 @@
-//! What the relay is told at its start: the environment's variables and the configuration file.
+//! The relay's configuration: the environment's variables and the configuration file.
+
+mod error;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use adapter as wire;
-use policy::types::Settings;
+use adapter::parse_settings;
+use policy::types::{Micros, Settings};
 use relay_events::HostList;
 use runtime::{log, Runtime};
 use serde::Deserialize;
 use serde_json::Value;
 
-/// What the protocol leaves a host that drains where the settings say nothing.
-const DRAIN_GRACE: Duration = Duration::from_secs(2);
+pub use error::ConfigError;
+
+/// How long a host that drains may still get calls, where the settings do not say.
+const DEFAULT_DRAIN_GRACE: Duration = Duration::from_secs(2);
+/// The longest time that clients may be told to wait, in microseconds.
+const LONGEST_RETRY_AFTER: Micros = 3_600_000_000;
+/// The longest tick, in microseconds.
+const LONGEST_TICK: Micros = 1_000_000;
+/// No span of the settings is as long as this, in microseconds.
+const LONGEST_SPAN: f64 = 1e12;
+/// With fewer file descriptors the relay could not hold a call and a client at once.
+const MIN_SOCKETS: usize = 64;
+/// With less disk space the journal could not hold a message.
+const MIN_DISK_MB: f64 = 0.25;
 
 /// Limits of the machine that the relay runs on.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 pub struct Limits {
     /// File descriptors, sockets among them.
     pub sockets: usize,
-    /// Megabytes in the folder that lasts.
+    /// Megabytes in the state directory.
     pub disk_mb: f64,
 }
 
@@ -37,17 +51,17 @@
     settings: Value,
 }
 
-/// All that the relay is told.
+/// The configuration, checked as a whole.
 pub struct Config {
-    /// Paths of all keys, but for what stands in lists.
+    /// Paths of all keys of the file, except those within lists.
     pub keys: BTreeSet<String>,
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
-    /// The folder that lasts.
+    /// The state directory, which outlasts the process.
     pub state: PathBuf,
-    /// Where operators call; nowhere if none.
+    /// Where the control socket listens, if there is one.
     pub control: Option<SocketAddr>,
     /// Seed of all random numbers.
     pub seed: u64,
@@ -55,7 +69,7 @@
     pub limits: Limits,
     /// The list of hosts as this relay last had it.
     pub known: HostList,
-    /// The module's settings.
+    /// The policy's settings.
     pub settings: Settings,
     /// Names of the classes, by index.
     pub classes: Vec<String>,
@@ -67,67 +81,47 @@
     pub zones: Vec<String>,
     /// Names of the values in load reports, by index.
     pub report: Vec<String>,
-    /// A connection that is not up by then has failed.
+    /// How long a connection may take to be established.
     pub dial_timeout: Duration,
-    /// Hosts close connections that were idle for this long.
+    /// Hosts close connections that have been idle for this long.
     pub idle_close: Duration,
-    /// A host that drains, or is gone, gets nothing new so long after that was told.
+    /// How long after it was announced as draining or removed a host may still get calls.
     pub drain_grace: Duration,
 }
 
 impl Config {
-    /// Reads the variables and the file; the error is one plain line.
+    /// Reads the environment's variables and the configuration file.
+    ///
+    /// Variables take precedence over the file, except for discovery: the file is replaced while the process runs, and the
+    /// variables, which are not, would send it, or the next process, back to an address that is out of use.
     ///
-    /// Variables win over the file, but for discovery: the file is replaced while the process runs, and the
-    /// variables, which are not, would send it, or the next one, back to an address that was left.
-    pub fn load(runtime: &impl Runtime) -> Result<Self, String> {
+    /// # Errors
+    ///
+    /// [`ConfigError`] names the first value that is missing or cannot be used.
+    pub fn load(runtime: &impl Runtime) -> Result<Self, ConfigError> {
+        let (keys, file) = read_file(runtime)?;
         let variable = |name: &str| runtime.env_var(name);
-        let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-        let text = runtime
-            .read(Path::new(&path))
-            .map_err(|e| format!("cannot read {path}: {e}"))?;
-        let unusable = |e: serde_json::Error| format!("{path} is no usable configuration: {e}");
-        let whole: Value = serde_json::from_slice(&text).map_err(unusable)?;
-        let mut found = BTreeSet::new();
-        keys(&whole, "", &mut found);
-        let file = File::deserialize(&whole).map_err(unusable)?;
-        let told = |name: &str, in_file: Option<String>| {
+        let required = |name: &'static str, in_file: Option<String>| {
             variable(name)
                 .or(in_file)
-                .ok_or_else(|| format!("{name} is not set"))
+                .ok_or(ConfigError::NotSet { name })
         };
-        let from_variable = variable("BALANCER_DISCOVERY");
-        if let (Some(given), Some(holds)) = (&from_variable, &file.discovery) {
-            if given != holds {
-                log!(
-                    *runtime,
-                    "configuration: discovery is at {holds} by the file, which holds, not at {given}"
-                );
-            }
-        }
-        let discovery = file
-            .discovery
-            .or(from_variable)
-            .ok_or("discovery is not set")?;
-        let settings =
-            wire::settings(file.settings.to_string().as_bytes()).map_err(|e| e.to_string())?;
+        let discovery = discovery_address(runtime, file.discovery)?;
+        let settings = parse_settings(file.settings.to_string().as_bytes())?;
         let root = &file.settings;
         let classes = names(root, "/services")?;
-        if settings.max_retry_after > 3_600_000_000 || settings.tick > 1_000_000 {
-            return Err("settings hold a span that is out of range".into());
-        }
+        check_spans(&settings)?;
         Ok(Config {
-            keys: found,
-            listen: address(&told("BALANCER_LISTEN", file.listen)?)?,
-            discovery: address(&discovery)?,
-            state: PathBuf::from(told("BALANCER_STATE", file.state)?),
+            keys,
+            listen: parse_address(&required("BALANCER_LISTEN", file.listen)?)?,
+            discovery: parse_address(&discovery)?,
+            state: PathBuf::from(required("BALANCER_STATE", file.state)?),
             control: variable("BALANCER_CONTROL")
                 .or(file.control)
-                .map(|at| address(&at))
+                .map(|text| parse_address(&text))
                 .transpose()?,
-            seed: u64::from_str_radix(&file.seed, 16)
-                .map_err(|_| format!("seed {:?} is no hexadecimal number", file.seed))?,
-            limits: checked(file.limits)?,
+            seed: parse_seed(file.seed)?,
+            limits: check_limits(file.limits)?,
             known: file.known,
             classes,
             tenants: names(root, "/tenants")?,
@@ -136,24 +130,19 @@
             report: names(root, "/stats/fields")?,
             dial_timeout: span(root, "/limits/dialTimeout")?,
             idle_close: span(root, "/limits/idleClose")?,
-            drain_grace: match root.pointer("/rules/drainGrace") {
-                Some(_) => span(root, "/rules/drainGrace")?,
-                None => DRAIN_GRACE,
-            },
+            drain_grace: drain_grace(root)?,
             settings,
         })
     }
-}
 
-impl Config {
-    /// What this configuration lacks against the one in force: a file that was cut or half written reads as one that
-    /// sets much to nothing.
-    pub fn lacks(&self, in_force: &Config) -> Option<String> {
+    /// A key of the configuration in force that this one lacks: a file that was cut, or written by half, would silently set
+    /// its missing keys to nothing.
+    pub fn missing_key(&self, in_force: &Config) -> Option<String> {
         in_force.keys.difference(&self.keys).next().cloned()
     }
 
     /// Keys whose new values count from the next start on only.
-    pub fn fixed(&self, in_force: &Config) -> Vec<&'static str> {
+    pub fn changes_for_next_start(&self, in_force: &Config) -> Vec<&'static str> {
         let (old, new) = (in_force, self);
         let (before, after) = (&old.settings, &new.settings);
         let changes = [
@@ -194,8 +183,8 @@
             .collect()
     }
 
-    /// Takes over what may change while the process runs.
-    pub fn retune(&mut self, new: Config) {
+    /// Applies what may change while the process runs.
+    pub fn apply(&mut self, new: Config) {
         let old = std::mem::take(&mut self.settings);
         self.settings = Settings {
             kinds: old.kinds,
@@ -215,37 +204,82 @@
     }
 }
 
-/// Collects the paths of a value's keys; what stands in lists comes and goes, and so do the hosts.
-fn keys(value: &Value, at: &str, found: &mut BTreeSet<String>) {
+/// Reads the file that `BALANCER_CONFIG` names, with the paths of all its keys.
+fn read_file(runtime: &impl Runtime) -> Result<(BTreeSet<String>, File), ConfigError> {
+    let name = "BALANCER_CONFIG";
+    let path = runtime.env_var(name).ok_or(ConfigError::NotSet { name })?;
+    let text = match runtime.read(Path::new(&path)) {
+        Ok(text) => text,
+        Err(source) => return Err(ConfigError::Unreadable { path, source }),
+    };
+    let mut keys = BTreeSet::new();
+    let parsed = serde_json::from_slice(&text).and_then(|value: Value| {
+        collect_keys(&value, "", &mut keys);
+        File::deserialize(&value)
+    });
+    match parsed {
+        Ok(file) => Ok((keys, file)),
+        Err(source) => Err(ConfigError::Malformed { path, source }),
+    }
+}
+
+/// Collects the paths of a value's keys. Entries of lists come and go, and so do hosts: they do not count.
+fn collect_keys(value: &Value, parent: &str, found: &mut BTreeSet<String>) {
     for (key, value) in value.as_object().into_iter().flatten() {
-        let path = if at.is_empty() {
+        let path = if parent.is_empty() {
             key.clone()
         } else {
-            format!("{at}.{key}")
+            format!("{parent}.{key}")
         };
-        keys(value, &path, found);
+        collect_keys(value, &path, found);
         found.insert(path);
     }
 }
 
-fn address(text: &str) -> Result<SocketAddr, String> {
+fn discovery_address(
+    runtime: &impl Runtime,
+    in_file: Option<String>,
+) -> Result<String, ConfigError> {
+    let from_variable = runtime.env_var("BALANCER_DISCOVERY");
+    if let (Some(given), Some(holds)) = (&from_variable, &in_file) {
+        if given != holds {
+            log!(
+                *runtime,
+                "configuration: discovery is at {holds} by the file, which holds, not at {given}"
+            );
+        }
+    }
+    in_file
+        .or(from_variable)
+        .ok_or(ConfigError::NotSet { name: "discovery" })
+}
+
+fn check_spans(settings: &Settings) -> Result<(), ConfigError> {
+    if settings.max_retry_after > LONGEST_RETRY_AFTER || settings.tick > LONGEST_TICK {
+        return Err(ConfigError::SpanOutOfRange);
+    }
+    Ok(())
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, ConfigError> {
     text.parse()
-        .map_err(|_| format!("{text:?} is no address and port"))
+        .map_err(|_| ConfigError::InvalidAddress { text: text.into() })
+}
+
+fn parse_seed(text: String) -> Result<u64, ConfigError> {
+    u64::from_str_radix(&text, 16).map_err(|_| ConfigError::InvalidSeed { text })
 }
 
-fn checked(limits: Limits) -> Result<Limits, String> {
-    // Under these figures the relay could not hold a call and a client at once.
-    if limits.sockets < 64 || !limits.disk_mb.is_finite() || limits.disk_mb < 0.25 {
-        return Err(format!(
-            "limits are too small: {} sockets, {} MB",
-            limits.sockets, limits.disk_mb
-        ));
+fn check_limits(limits: Limits) -> Result<Limits, ConfigError> {
+    let Limits { sockets, disk_mb } = limits;
+    if sockets < MIN_SOCKETS || !disk_mb.is_finite() || disk_mb < MIN_DISK_MB {
+        return Err(ConfigError::LimitsTooSmall { sockets, disk_mb });
     }
     Ok(limits)
 }
 
-/// The names in a list of strings or of objects that have one; an absent list is empty.
-fn names(root: &Value, path: &str) -> Result<Vec<String>, String> {
+/// The names in a list of strings, or of objects with a name; an absent list is empty.
+fn names(root: &Value, path: &'static str) -> Result<Vec<String>, ConfigError> {
     let list = root
         .pointer(path)
         .and_then(Value::as_array)
@@ -256,18 +290,25 @@
             .or_else(|| entry.get("name")?.as_str())
             .map(String::from)
     };
-    let bad = || format!("settings lack a name at {path}");
     list.iter()
-        .map(|entry| name(entry).ok_or_else(bad))
+        .map(|entry| name(entry).ok_or(ConfigError::MissingName { path }))
         .collect()
 }
 
-fn span(root: &Value, path: &str) -> Result<Duration, String> {
+fn span(root: &Value, path: &'static str) -> Result<Duration, ConfigError> {
     let micros = root
         .pointer(path)
         .and_then(Value::as_f64)
-        .filter(|v| (1.0..1e12).contains(v));
+        .filter(|micros| (1.0..LONGEST_SPAN).contains(micros));
     micros
-        .map(|v| Duration::from_micros(v as u64))
-        .ok_or_else(|| format!("settings lack a span at {path}"))
+        .map(|micros| Duration::from_micros(micros as u64))
+        .ok_or(ConfigError::MissingSpan { path })
+}
+
+fn drain_grace(root: &Value) -> Result<Duration, ConfigError> {
+    let path = "/rules/drainGrace";
+    match root.pointer(path) {
+        Some(_) => span(root, path),
+        None => Ok(DEFAULT_DRAIN_GRACE),
+    }
 }
--- a/crates/relay/src/event_loop/error.rs
+++ b/crates/relay/src/event_loop/error.rs
@@ -5,6 +5,9 @@
 
 use thiserror::Error;
 
+use crate::config::ConfigError;
+use crate::operator_config::OperatorFileError;
+
 /// The policy found its own state inconsistent. The process has to end; the journal holds all that matters.
 #[derive(Debug, Error)]
 #[error("{0}")]
@@ -14,11 +17,11 @@
 #[derive(Debug, Error)]
 pub enum StartupError {
     /// The configuration cannot be used.
-    #[error("{0}")]
-    Configuration(String),
+    #[error(transparent)]
+    Configuration(#[from] ConfigError),
     /// The operator file cannot be used.
-    #[error("{0}")]
-    OperatorFile(String),
+    #[error(transparent)]
+    OperatorFile(#[from] OperatorFileError),
     /// The journal cannot be opened or read.
     #[error("cannot use the journal in {}: {source}", folder.display())]
     Journal {
@@ -47,8 +50,8 @@
 #[derive(Debug, Error)]
 pub(super) enum ReloadError {
     /// The file cannot be read or is not valid.
-    #[error("{0}")]
-    Configuration(String),
+    #[error(transparent)]
+    Configuration(#[from] ConfigError),
     /// A key of the configuration in force is missing: the file may be half written.
     #[error("the new one lacks {key}, so it may be half of a file")]
     MissingKey {
--- a/crates/relay/src/event_loop/reload.rs
+++ b/crates/relay/src/event_loop/reload.rs
@@ -20,7 +20,7 @@
         // Messages that the policy has decided on are accepted under the settings of that decision.
         self.run_round()?;
         let reloaded = Config::load(&self.runtime)
-            .map_err(|error| ReloadError::Configuration(error.to_string()))
+            .map_err(ReloadError::Configuration)
             .and_then(|config| self.apply_configuration(config));
         self.control.metrics().record_reload(reloaded.is_ok());
         if let Err(error) = reloaded {
@@ -40,13 +40,13 @@
 
     /// Puts a configuration in force, whole or not at all.
     fn apply_configuration(&mut self, config: Config) -> Result<(), ReloadError> {
-        if let Some(key) = config.lacks(&self.config) {
+        if let Some(key) = config.missing_key(&self.config) {
             let key = key.to_string();
             return Err(ReloadError::MissingKey { key });
         }
         self.update_classes(&config)?;
         self.log_fixed_settings(&config);
-        self.config.retune(config);
+        self.config.apply(config);
         self.publish_configuration();
         self.declare_classes();
         self.push_settings_changed();
@@ -83,7 +83,7 @@
 
     /// Logs the changed settings that take effect only with the next start.
     fn log_fixed_settings(&self, config: &Config) {
-        let fixed = config.fixed(&self.config);
+        let fixed = config.changes_for_next_start(&self.config);
         if !fixed.is_empty() {
             log!(
                 self.runtime,
--- a/crates/relay/src/event_loop/startup.rs
+++ b/crates/relay/src/event_loop/startup.rs
@@ -112,11 +112,9 @@
         mut directory_owner: DirectoryOwner<R>,
     ) -> Result<OpenedLoop<R>, StartupError> {
         let runtime = resources.runtime;
-        let mut config = Config::load(runtime)
-            .map_err(|error| StartupError::Configuration(error.to_string()))?;
+        let mut config = Config::load(runtime)?;
         let operator_file = resources.operator_file.map(PathBuf::as_path);
-        let operator = Operator::load(runtime, operator_file)
-            .map_err(|error| StartupError::OperatorFile(error.to_string()))?;
+        let operator = Operator::load(runtime, operator_file)?;
         let handover = directory_owner.read_handover().await;
         let disk_limit = (config.limits.disk_mb * BYTES_PER_MB) as u64;
         let journal = open_journal(runtime, &config, disk_limit)?;
--- a/crates/relay/src/operator_config.rs
+++ b/crates/relay/src/operator_config.rs
@@ -1,4 +1,6 @@
-//! The operator file: what goes beyond the platform's configuration. Without it nothing of that is switched on.
+//! The operator file: what goes beyond the platform's configuration. Without it, nothing of that is switched on.
+
+mod error;
 
 use std::path::Path;
 
@@ -7,10 +9,18 @@
 use serde::Deserialize;
 use tokio::sync::watch;
 
-/// Bounds of the sizes that may be set, in megabytes, and of the audit log's files.
-const STORE_MB: (u64, u64) = (1, 4096);
-const AUDIT_MB: (u64, u64) = (1, 4096);
-const AUDIT_FILES: (u32, u32) = (1, 1000);
+use error::InvalidValue;
+pub use error::OperatorFileError;
+
+/// Bounds of the size of each registry file, in megabytes.
+const MIN_STORE_MB: u64 = 1;
+const MAX_STORE_MB: u64 = 4096;
+/// Bounds of the size of one file of the audit log, in megabytes.
+const MIN_AUDIT_MB: u64 = 1;
+const MAX_AUDIT_MB: u64 = 4096;
+/// Bounds of the number of older files of the audit log.
+const MIN_AUDIT_FILES: u64 = 1;
+const MAX_AUDIT_FILES: u64 = 1000;
 
 /// What an operator sets.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -77,47 +87,65 @@
         (self.audit_mb << 20, self.audit_files)
     }
 
-    fn check(&self) -> Result<(), String> {
-        let within = |name: &str, value: u64, (least, most): (u64, u64)| {
-            if (least..=most).contains(&value) {
-                Ok(())
-            } else {
-                Err(format!("tenants.{name} is not from {least} to {most}"))
-            }
-        };
+    fn check(&self) -> Result<(), InvalidValue> {
         if !Path::new(&self.folder).is_absolute() {
-            return Err(format!(
-                "tenants.folder: {:?} is no absolute path",
-                self.folder
-            ));
+            let folder = self.folder.clone();
+            return Err(InvalidValue::RelativeFolder { folder });
         }
-        within("store_mb", self.store_mb, STORE_MB)?;
-        within("audit_mb", self.audit_mb, AUDIT_MB)?;
-        let files = (u64::from(AUDIT_FILES.0), u64::from(AUDIT_FILES.1));
-        within("audit_files", u64::from(self.audit_files), files)
+        check_range("store_mb", self.store_mb, MIN_STORE_MB, MAX_STORE_MB)?;
+        check_range("audit_mb", self.audit_mb, MIN_AUDIT_MB, MAX_AUDIT_MB)?;
+        let audit_files = u64::from(self.audit_files);
+        check_range("audit_files", audit_files, MIN_AUDIT_FILES, MAX_AUDIT_FILES)
+    }
+}
+
+fn check_range(key: &'static str, value: u64, min: u64, max: u64) -> Result<(), InvalidValue> {
+    if (min..=max).contains(&value) {
+        Ok(())
+    } else {
+        Err(InvalidValue::OutOfRange { key, min, max })
     }
 }
 
 impl Operator {
-    /// Reads the file and checks all of it; the error is one plain line.
-    pub fn load(runtime: &impl Runtime, path: Option<&Path>) -> Result<Self, String> {
+    /// Reads the file and checks it as a whole. Without a file, nothing is switched on.
+    ///
+    /// # Errors
+    ///
+    /// [`OperatorFileError`] says what is wrong with the file.
+    pub fn load(runtime: &impl Runtime, path: Option<&Path>) -> Result<Self, OperatorFileError> {
         let Some(path) = path else {
             return Ok(Operator::default());
         };
-        let shown = path.display();
-        let text = runtime
-            .read(path)
-            .map_err(|e| format!("cannot read {shown}: {e}"))?;
-        let text = std::str::from_utf8(&text).map_err(|_| format!("{shown} is no text"))?;
-        let bad = |e: String| {
-            format!(
-                "{shown} is no usable operator file: {}",
-                e.trim().replace('\n', " ")
-            )
+        let shown = path.display().to_string();
+        let bytes = match runtime.read(path) {
+            Ok(bytes) => bytes,
+            Err(source) => {
+                return Err(OperatorFileError::Unreadable {
+                    path: shown,
+                    source,
+                })
+            }
+        };
+        let Ok(text) = std::str::from_utf8(&bytes) else {
+            return Err(OperatorFileError::NotText { path: shown });
+        };
+        let operator: Operator = match toml::from_str(text) {
+            Ok(operator) => operator,
+            Err(source) => {
+                return Err(OperatorFileError::Malformed {
+                    path: shown,
+                    source,
+                })
+            }
         };
-        let operator: Operator = toml::from_str(text).map_err(|e| bad(e.to_string()))?;
-        operator.check().map_err(bad)?;
-        Ok(operator)
+        match operator.check() {
+            Ok(()) => Ok(operator),
+            Err(source) => Err(OperatorFileError::Invalid {
+                path: shown,
+                source,
+            }),
+        }
     }
 
     /// Who may use the administration API.
@@ -125,23 +153,23 @@
         Tokens::new(self.admin.as_ref().map_or(&[], |admin| &admin.tokens))
     }
 
-    fn check(&self) -> Result<(), String> {
-        self.tenants.as_ref().map_or(Ok(()), Tenants::check)?;
-        self.undeliverable
-            .as_ref()
-            .map_or(Ok(()), crate::undeliverable_service::Settings::check)?;
+    fn check(&self) -> Result<(), InvalidValue> {
+        if let Some(tenants) = &self.tenants {
+            tenants.check()?;
+        }
+        if let Some(undeliverable) = &self.undeliverable {
+            undeliverable.check().map_err(InvalidValue::Undeliverable)?;
+        }
         if let Some(admin) = &self.admin {
-            admin.check()?;
+            admin.check().map_err(InvalidValue::Administration)?;
             if self.tenants.is_none() && self.undeliverable.is_none() {
-                return Err(
-                    "admin needs tenants or undeliverable: there is nothing else to administrate"
-                        .into(),
-                );
+                return Err(InvalidValue::NothingToAdministrate);
             }
         }
         Ok(())
     }
 }
+
 /// Reads the file again, for its tokens; one that is not usable changes nothing.
 pub fn read_again(runtime: &impl Runtime, path: Option<&Path>, tokens: &watch::Sender<Tokens>) {
     if path.is_none() {
--- a/crates/relay/src/process/error.rs
+++ b/crates/relay/src/process/error.rs
@@ -5,7 +5,9 @@
 
 use thiserror::Error;
 
+use crate::config::ConfigError;
 use crate::event_loop::{PolicyAborted, StartupError};
+use crate::operator_config::OperatorFileError;
 use crate::state_directory::OwnershipError;
 
 /// Why a relay cannot start or go on. Each message is one plain line for the operator.
@@ -18,11 +20,11 @@
     #[error("no signals: {0}")]
     Signals(io::Error),
     /// The configuration cannot be used.
-    #[error("{0}")]
-    Configuration(String),
+    #[error(transparent)]
+    Configuration(#[from] ConfigError),
     /// The operator file cannot be used.
-    #[error("{0}")]
-    OperatorFile(String),
+    #[error(transparent)]
+    OperatorFile(#[from] OperatorFileError),
     /// The variable for the inherited listening socket holds no number.
     #[error("{text:?} is no descriptor of a socket")]
     InvalidDescriptor {
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -47,10 +47,8 @@
 pub async fn run<R: Runtime>(runtime: R, operator_file: Option<PathBuf>) -> Result<(), RelayError> {
     // The handlers are installed first: without a handler, a signal ends the process.
     let signals = runtime.signals().map_err(RelayError::Signals)?;
-    let config =
-        Config::load(&runtime).map_err(|error| RelayError::Configuration(error.to_string()))?;
-    Operator::load(&runtime, operator_file.as_deref())
-        .map_err(|error| RelayError::OperatorFile(error.to_string()))?;
+    let config = Config::load(&runtime)?;
+    Operator::load(&runtime, operator_file.as_deref())?;
     let inherited_listener = inherited_listener(&runtime)?;
     let control = Control::new(&runtime, &config.classes, config.control.is_some());
     start_control_socket(&runtime, &config, &control).await?;
--- a/crates/relay/src/process/serving.rs
+++ b/crates/relay/src/process/serving.rs
@@ -182,8 +182,7 @@
         &self,
         event_loop: &EventLoop<R>,
     ) -> Result<Option<R::Task>, RelayError> {
-        let operator = Operator::load(&self.runtime, self.operator_file.as_deref())
-            .map_err(|error| RelayError::OperatorFile(error.to_string()))?;
+        let operator = Operator::load(&self.runtime, self.operator_file.as_deref())?;
         let Some(settings) = operator.admin else {
             return Ok(None);
         };
