Take out the policy's InputError, which nothing names any more

The adapter's SettingsError took its place when the settings were cut out; the type stood on without a user.

--- a/crates/policy/src/types/settings.rs
+++ b/crates/policy/src/types/settings.rs
@@ -1,6 +1,4 @@
-//! Settings of the policy, and errors in them.
-
-use std::fmt;
+//! Settings of the policy.
 
 use serde::{Deserialize, Serialize};
 
@@ -156,20 +154,3 @@
         values.get(index).map(|value| f64::from(*value))
     }
 }
-
-/// Why settings or a frame of the wire were not accepted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct InputError {
-    /// What is wrong.
-    pub problem: String,
-    /// Where it is: an offset in the frame, or a key of the settings.
-    pub location: String,
-}
-
-impl fmt::Display for InputError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} at {}", self.problem, self.location)
-    }
-}
-
-impl std::error::Error for InputError {}
