Wait in the upgrade tests until a port that was just closed is free

Suspected, not proved: a relay that another test of the same process starts holds copies of all descriptors between fork and exec. Change: bind_again waits until the port is free, and fails the test after the usual minute.

--- a/crates/relay/tests/scene/mod.rs
+++ b/crates/relay/tests/scene/mod.rs
@@ -15,6 +15,7 @@
 
 use runtime::Signal;
 use serde_json::{json, Value};
+use socket2::Socket;
 use stepped::Inside;
 
 /// Far more than anything here takes, so that a slow machine gives the same verdict.
@@ -48,6 +49,12 @@
     TcpListener::bind(address()).expect("a loopback port")
 }
 
+/// Binds a socket to a port that this process has just closed. A relay that another test starts holds copies of this
+/// process' descriptors until it executes its program, so that the port can be in use for that long.
+pub fn bind_again(socket: &Socket, address: SocketAddr) {
+    until("the port to be free", || socket.bind(&address.into()).ok());
+}
+
 /// A call as a host saw it.
 #[derive(Clone, Debug)]
 pub struct Seen {
