Tell the checker of an outage from the state of the hosts, where faults overlap

No caller was affected. Cause: each fault reported the end of its own outage (faults/partners.rs). ShutTold of destination 2 ended at 11.37 within a BlackHole (9.48 to 14.43), so that a call in the black hole passed for one that had ended. Change: World::observe_outage looks at the destination's hosts; an outage begins with the first fault and ends with the last. No check changed.

--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod kept;
 pub mod machine;
 pub mod operated;
+mod outages;
 pub mod peers;
 pub mod rng;
 pub mod rolling;
--- a/crates/simulator/src/machine/mod.rs
+++ b/crates/simulator/src/machine/mod.rs
@@ -251,6 +251,12 @@
         state.set_silent(affected, partitioned);
     }
 
+    /// What is wrong with an address.
+    #[must_use]
+    pub fn address_fault(&self, address: impl Into<Address>) -> AddressFault {
+        self.state.borrow().network.fault(&address.into())
+    }
+
     /// Sets what is wrong with an address. The connections that are open fall silent with it, and are reset when the
     /// silence ends.
     pub fn set_address_fault(&self, address: impl Into<Address>, fault: AddressFault) {
--- a/crates/simulator/src/machine/network.rs
+++ b/crates/simulator/src/machine/network.rs
@@ -23,6 +23,14 @@
     pub reset_percent: u64,
 }
 
+impl AddressFault {
+    /// Whether no new connection to the address comes up.
+    #[must_use]
+    pub fn is_unreachable(&self) -> bool {
+        self.refuses || self.silent
+    }
+}
+
 /// A listening port.
 pub(super) struct Port {
     /// The process that opened it.
--- a/crates/simulator/src/peers/host_behavior.rs
+++ b/crates/simulator/src/peers/host_behavior.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Percentage of failing calls from which a host counts as down.
+const OUTAGE_ERROR_PERCENT: u64 = 50;
+
 /// How a host treats its calls at present.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HostBehavior {
@@ -31,6 +34,15 @@
     pub max_connections: Option<usize>,
 }
 
+impl HostBehavior {
+    /// Whether the host serves no call, or fails most.
+    #[must_use]
+    pub fn is_unavailable(&self) -> bool {
+        let fails_most = self.error_percent >= OUTAGE_ERROR_PERCENT;
+        self.hangs || self.drops_calls || self.rejection.is_some() || fails_most
+    }
+}
+
 /// How a host rejects all calls.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Rejection {
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -22,6 +22,7 @@
     AddressFault, Machine, PlantedFault, ProcessId, SimulatedRuntime, CONFIG_PATH,
 };
 use crate::operated;
+use crate::outages::OngoingOutages;
 use crate::peers::admins::{Admin, MisbehavingAdmin};
 use crate::peers::clients::Client;
 use crate::peers::connection::{until_ready, until_takes_clients};
@@ -154,6 +155,7 @@
     strike: Rc<Cell<(ProcessId, Option<u64>)>>,
     /// All records of what was given up were shown.
     shown: Rc<Cell<bool>>,
+    outages: OngoingOutages,
 }
 
 /// Plays a script to its end or its first violation. A panic counts as a crash of the relay.
@@ -275,6 +277,7 @@
             seats,
             struck: 0,
             strike: Rc::default(),
+            outages: OngoingOutages::default(),
             shown: Rc::default(),
         }
     }
@@ -494,6 +497,22 @@
         }
     }
 
+    /// A fault with which a destination may be down has begun or ended. Faults overlap: what counts is the state of the
+    /// destination's hosts.
+    fn observe_outage(&self, destination: u16) {
+        let is_down = self.of_block(destination).any(|host| {
+            let is_unreachable = self.machine.address_fault(host.address).is_unreachable();
+            is_unreachable || host.behavior.borrow().is_unavailable()
+        });
+        if self.outages.record(destination, is_down) {
+            self.of(self.struck)
+                .observe(&Observation::DestinationOutage {
+                    destination,
+                    is_down,
+                });
+        }
+    }
+
     fn serve_discovery(&mut self, relay: usize) {
         let (close, closing) = watch::channel(false);
         let context = self.of(relay);
@@ -753,7 +772,10 @@
     }
 
     fn observe(&self, observation: &Observation<'_>) {
-        self.of(self.struck).observe(observation);
+        match observation {
+            Observation::DestinationOutage { destination, .. } => self.observe_outage(*destination),
+            _ => self.of(self.struck).observe(observation),
+        }
     }
 
     fn host_behavior(&self, block: u16, change: &dyn Fn(&mut HostBehavior)) {
--- a/crates/simulator/tests/regressions.rs
+++ b/crates/simulator/tests/regressions.rs
@@ -21,7 +21,8 @@
     days_hold(Days::Plain, [972_377]);
 }
 
-/// Guards against a message without an end: its tenant was removed with `refuse` while its call was in a black hole.
+/// Guards against an outage that counts as over when the first of two overlapping faults ends: a call in a black hole was
+/// taken for one that had ended.
 #[test]
 fn messages_of_a_removed_tenant_end_while_their_call_hangs() {
     days_hold(Days::Hosted, [953_879]);
