Answer a change of a tenant once both replicas have it

Cause: ReplicaStore::append answered a change once the leading replica had it. The following one, which a full disk did not take, was marked as behind until a rewrite that the same disk did not take either; a flipped bit in the leading replica then took the change away. Change: if either write fails the change is taken back and answered 503; the mark of a replica that is behind is gone with its only cause. Why it works: what is answered is in two files, so that no single further fault takes it away.

--- a/crates/relay/src/tenant_service/error.rs
+++ b/crates/relay/src/tenant_service/error.rs
@@ -37,7 +37,7 @@
     /// Too many changes wait for the audit log, which cannot be written.
     #[error("the audit log cannot be written")]
     AuditLogUnavailable,
-    /// The leading replica cannot be written.
+    /// A replica cannot be written.
     #[error("the registry cannot be written: {0}")]
     ReplicaUnavailable(io::Error),
 }
--- a/crates/relay/src/tenant_service/replica.rs
+++ b/crates/relay/src/tenant_service/replica.rs
@@ -14,10 +14,8 @@
     file: F,
     /// Bytes up to the end of the last complete line.
     length: u64,
-    /// The file ends in a partial line that could not be truncated yet.
+    /// The file ends in a partial or retracted line that could not be truncated yet.
     is_torn: bool,
-    /// The file lacks changes that the other replica has.
-    is_behind: bool,
 }
 
 /// A replica as it was opened.
@@ -47,7 +45,6 @@
             file,
             length,
             is_torn: length < text.len() as u64,
-            is_behind: false,
         };
         Ok(OpenedReplica {
             replica,
@@ -60,16 +57,6 @@
         self.length
     }
 
-    /// Whether the file lacks changes that the other replica has.
-    pub fn is_behind(&self) -> bool {
-        self.is_behind
-    }
-
-    /// Notes that the file lacks changes that the other replica has, until it is replaced.
-    pub fn mark_behind(&mut self) {
-        self.is_behind = true;
-    }
-
     /// Appends complete lines. After an error the file holds none of them, or is truncated before the next append.
     pub fn append(&mut self, lines: &[u8]) -> io::Result<()> {
         if self.is_torn {
@@ -85,6 +72,12 @@
         written
     }
 
+    /// Takes back the last append, of `size` bytes. If the file cannot be truncated now, it is before the next append.
+    pub fn retract(&mut self, size: usize) {
+        self.length -= size as u64;
+        self.is_torn = self.truncate_partial_line().is_err();
+    }
+
     fn truncate_partial_line(&mut self) -> io::Result<()> {
         self.file.set_len(self.length)?;
         self.is_torn = false;
@@ -112,7 +105,6 @@
         self.file = replacement;
         self.length = length;
         self.is_torn = false;
-        self.is_behind = false;
         Ok(())
     }
 }
--- a/crates/relay/src/tenant_service/replica_store.rs
+++ b/crates/relay/src/tenant_service/replica_store.rs
@@ -1,5 +1,5 @@
-//! The registry's two replica files. A change is in the leading replica before it is answered; either replica repairs
-//! damage of the other. Both are rewritten from time to time, in slices.
+//! The registry's two replica files. A change is in both before it is answered; either replica repairs damage of the
+//! other. Both are rewritten from time to time, in slices.
 
 use std::collections::BTreeMap;
 use std::io::{self, Write};
@@ -20,8 +20,6 @@
 const FOLLOWER_FILE: &str = "tenants.b";
 /// Index of the leading replica.
 const LEADER: usize = 0;
-/// Index of the following replica.
-const FOLLOWER: usize = 1;
 /// Bytes that the changes may take beyond the size of the snapshot before the replicas are rewritten.
 const REWRITE_SLACK_BYTES: u64 = 1 << 20;
 
@@ -110,7 +108,10 @@
         self.lost_changes += changes;
     }
 
-    /// Writes a change. Once this returns, the change outlasts the process; after an error no replica holds it.
+    /// Writes a change to both replicas. Once this returns, the change outlasts the process, and the loss of either replica.
+    ///
+    /// # Errors
+    /// The error of the write to either replica; neither holds the change then.
     pub fn append(&mut self, record: &ChangeRecord) -> io::Result<()> {
         let line = registry_file::encode_change(record);
         let [leader, follower] = &mut self.replicas;
@@ -122,10 +123,9 @@
             ));
         }
         leader.append(&line)?;
-        if follower.is_behind() || follower.append(&line).is_err() {
-            // The change is in the leading replica; a rewrite brings it to the other.
-            follower.mark_behind();
-        }
+        follower
+            .append(&line)
+            .inspect_err(|_| leader.retract(line.len()))?;
         if let Some(rewrite) = &mut self.rewrite {
             rewrite.append_change(&line);
         }
@@ -159,9 +159,7 @@
     fn is_rewrite_due(&self) -> bool {
         let max_bytes = 2 * self.snapshot_bytes + REWRITE_SLACK_BYTES;
         let has_grown = self.replicas[LEADER].length() > max_bytes;
-        let needs_rewrite =
-            has_grown || self.replicas[FOLLOWER].is_behind() || self.is_repair_pending;
-        needs_rewrite && !self.is_rewrite_suspended
+        (has_grown || self.is_repair_pending) && !self.is_rewrite_suspended
     }
 
     fn suspend_rewrite(&mut self, error: &io::Error) {
