Shed messages of a hand-over no more than those of a restart

Cause: adopt_message did not mark messages without an attempt as recovered, so that the limit of a fourth (load_shedding.rs may_shed) did not hold for them, and the oldest were worth the least. The log did not name adopted messages before (destination 65535); it does now. Change: a message is marked as restored or adopted. Both are shed up to a fourth; only restored ones go past an open breaker and first by deadline, as a hand-over costs no time and passes the breaker's state on. Result: adopted_messages_are_not_shed_for_arrivals_beyond_a_fourth failed before (8 of 8 are shed) and passes.

--- a/crates/policy/src/dispatch_order.rs
+++ b/crates/policy/src/dispatch_order.rs
@@ -77,10 +77,10 @@
         }
     }
 
-    /// The deadline of a recovered message that was not attempted, as these go first; `Micros::MAX` for all others.
+    /// The deadline of a restored message that was not attempted, as these go first; `Micros::MAX` for all others.
     pub(crate) fn dispatch_deadline(&self, id: MessageId) -> Micros {
         let queued = &self.queue[&id];
-        if queued.is_unattempted() {
+        if queued.is_unattempted_since_restart() {
             queued.message.deadline
         } else {
             Micros::MAX
--- a/crates/policy/src/queued_message.rs
+++ b/crates/policy/src/queued_message.rs
@@ -53,6 +53,17 @@
     }
 }
 
+/// How a message came from an earlier process that made no attempt which reached a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Recovery {
+    /// It did not, or an attempt has reached a host since.
+    None,
+    /// A restart found it.
+    Restored,
+    /// A process handed it over that was still running.
+    Adopted,
+}
+
 /// A message in the queue, waiting or in flight.
 pub(crate) struct QueuedMessage {
     pub(crate) message: Message,
@@ -66,8 +77,8 @@
     /// Its streamed answer has started.
     pub(crate) response_started: bool,
     pub(crate) value: f64,
-    /// An earlier process accepted it, and no attempt has reached a host since.
-    pub(crate) is_recovered: bool,
+    /// The earlier process that accepted it, until an attempt reaches a host.
+    pub(crate) recovery: Recovery,
 }
 
 impl QueuedMessage {
@@ -81,7 +92,7 @@
             is_settled: false,
             response_started: false,
             value,
-            is_recovered: false,
+            recovery: Recovery::None,
         }
     }
 
@@ -99,7 +110,12 @@
 
     /// Whether it was recovered and no attempt has reached a host or is in flight.
     pub(crate) fn is_unattempted(&self) -> bool {
-        self.is_recovered && !self.is_in_flight()
+        self.recovery != Recovery::None && !self.is_in_flight()
+    }
+
+    /// Whether that was by a restart, which has cost it time.
+    pub(crate) fn is_unattempted_since_restart(&self) -> bool {
+        self.recovery == Recovery::Restored && !self.is_in_flight()
     }
 
     /// The last attempt, if it is in flight and was not cancelled.
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -1,13 +1,13 @@
 //! Recovery: outages and what follows them, and messages, calls and state of an earlier process.
 
 use crate::call::Call;
-use crate::queued_message::AttemptState;
+use crate::queued_message::{AttemptState, Recovery};
 use crate::route::Route;
 use crate::state::DeliveryPolicy;
 use crate::tuning::{
     MIN_OUTAGE, MIN_SUCCESS_GAP_OF_OUTAGE, OUTAGE_RETENTION, SMALL_FLEET, UNAVAILABLE_AFTER,
 };
-use crate::types::{HostId, Message, Micros, Outage, PastAttempt};
+use crate::types::{HostId, Message, MessageId, Micros, Outage, PastAttempt};
 
 impl Route {
     /// Whether a route without hosts must be retained: calls, a Retry-After, a backoff and an outage
@@ -66,10 +66,7 @@
     /// Accepts a message from before a restart.
     pub(crate) fn restore_message(&mut self, message: Message, attempts: &[PastAttempt]) {
         self.enqueue_with_attempts(message, attempts);
-        if let Some(queued) = self.queue.get_mut(&message.id) {
-            queued.is_recovered = attempts.is_empty();
-        }
-        self.recovered_count += usize::from(attempts.is_empty());
+        self.mark_recovered(message.id, Recovery::Restored);
         // A call that the end of a process cut off may still be running at its host.
         let may_still_run = attempts.last().is_some_and(|past| past.may_have_executed);
         let key = message.ordering_key.filter(|_| may_still_run);
@@ -89,6 +86,15 @@
         }
     }
 
+    /// Marks a message without attempts as recovered.
+    fn mark_recovered(&mut self, id: MessageId, recovery: Recovery) {
+        let queued = self.queue.get_mut(&id);
+        if let Some(queued) = queued.filter(|queued| queued.attempts.is_empty()) {
+            queued.recovery = recovery;
+            self.recovered_count += 1;
+        }
+    }
+
     /// Takes over a message from a process that ends. A call in flight at `host` holds its slot until its end.
     pub(crate) fn adopt_message(
         &mut self,
@@ -97,6 +103,7 @@
         host: Option<HostId>,
     ) {
         self.enqueue_with_attempts(message, attempts);
+        self.mark_recovered(message.id, Recovery::Adopted);
         let Some(host) = host else { return };
         self.latest_call += 1;
         let Some(queued) = self.queue.get_mut(&message.id) else {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,7 +1,7 @@
 //! Retry: how attempts end, whether a message may be sent again, and its final answer if it is not delivered.
 
 use crate::call::CallEnd;
-use crate::queued_message::{AttemptState, QueuedMessage};
+use crate::queued_message::{AttemptState, QueuedMessage, Recovery};
 use crate::state::DeliveryPolicy;
 use crate::tuning::{ANSWER_MARGIN_ROUNDS, RETRY_BACKOFF, UNAVAILABLE_AFTER};
 use crate::types::{
@@ -41,7 +41,9 @@
         if outcome == AttemptOutcome::NotStarted {
             queued.attempts.pop();
         }
-        queued.is_recovered &= !outcome.reached_host();
+        if outcome.reached_host() {
+            queued.recovery = Recovery::None;
+        }
         queued.not_before = self.now + retry_backoff(outcome, attempt_count);
         let message = queued.message;
         let is_settled = queued.is_settled;
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -1,7 +1,7 @@
 //! Selection: whether a route takes a call now, and which host of which route a message goes to.
 
 use crate::host_record::HostRecord;
-use crate::queued_message::QueuedMessage;
+use crate::queued_message::{QueuedMessage, Recovery};
 use crate::route::{BreakerState, Route};
 use crate::state::DeliveryPolicy;
 use crate::tuning::{
@@ -40,7 +40,7 @@
 impl QueuedMessage {
     /// Recovered if not even a connection was tried for it since the restart.
     pub(crate) fn urgency(&self) -> Urgency {
-        if self.is_recovered && self.attempts.is_empty() {
+        if self.recovery == Recovery::Restored && self.attempts.is_empty() {
             Urgency::Recovered
         } else {
             Urgency::Normal
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -25,7 +25,7 @@
     pub(crate) queue: BTreeMap<MessageId, QueuedMessage>,
     /// Bytes of these messages.
     pub(crate) queued_bytes: usize,
-    /// Messages that a restart found without an attempt.
+    /// Messages that a restart found without an attempt, or a hand-over.
     pub(crate) recovered_count: usize,
     /// Those of them that were rejected to make room.
     pub(crate) recovered_shed: usize,
--- a/crates/policy/tests/recovery.rs
+++ b/crates/policy/tests/recovery.rs
@@ -257,6 +257,41 @@
     );
 }
 
+/// Messages that another process handed over count as accepted: arrivals of higher value must not displace them.
+#[test]
+fn adopted_messages_are_not_shed_for_arrivals_beyond_a_fourth() {
+    let now = 100 * SECOND;
+    let adopted = 8;
+    let settings = Settings {
+        max_queued: 10,
+        ..settings()
+    };
+    let mut policy = DeliveryPolicy::new(settings, 7);
+    let no_host = Event::HostsUnconfirmed(true);
+    let mut events = vec![cached_host_list(), no_host];
+    events.extend((1..=adopted).map(|id| Event::MessageAdopted {
+        // Accepted ten seconds ago: worth less than what arrives.
+        message: message(id, IDEMPOTENT, now - 10 * SECOND),
+        attempts: Vec::new(),
+        in_flight_at: None,
+    }));
+    handle(&mut policy, now, events);
+    let mut shed = 0;
+    for round in 1..=20 {
+        let now = now + round * 10 * MILLISECOND;
+        let arrivals = (0..3).map(|number| {
+            Event::MessageReceived(message(100 * round + number, NON_IDEMPOTENT, now))
+        });
+        let actions = handle(&mut policy, now, arrivals.collect());
+        let rejected = actions.iter().filter_map(|action| match action {
+            Action::Reject { id, .. } => Some(*id),
+            _ => None,
+        });
+        shed += rejected.filter(|id| *id <= adopted).count() as u64;
+    }
+    assert!(4 * shed <= adopted, "{shed} of {adopted} are shed");
+}
+
 /// Outages after calls at this interval, a rejection with a Retry-After of a second, and a success after it.
 fn outages_after_retry_after(call_interval: Micros) -> usize {
     let mut harness = PolicyHarness::new(settings(), vec![host(1, 1)]);
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -112,7 +112,9 @@
                 }
             }
             Event::MessageReceived(message) => self.message_queued(now, "message_arrived", message),
-            Event::MessageRestored { message, .. } | Event::MessageResent { message, .. } => {
+            Event::MessageRestored { message, .. }
+            | Event::MessageResent { message, .. }
+            | Event::MessageAdopted { message, .. } => {
                 self.message_queued(now, "message_restored", message);
             }
             Event::AttemptEnded(end) => self.attempt_ended(now, end),
