--- a/crates/relay/src/host_connections/attempt.rs
+++ b/crates/relay/src/host_connections/attempt.rs
@@ -155,19 +155,17 @@
                 let outcome = if connection.progress().is_request_complete() {
                     AttemptOutcome::Timeout
                 } else {
-                    call.start.retract();
                     AttemptOutcome::ConnectFailed
                 };
-                ControlFlow::Break(close_and_report(connection, outcome, origin).await)
+                ControlFlow::Break(close_and_report(call, connection, outcome, origin).await)
             }
             Exchange::Cancelled => {
                 let outcome = if connection.progress().is_request_complete() {
                     AttemptOutcome::Cancelled
                 } else {
-                    call.start.retract();
                     AttemptOutcome::Obsolete
                 };
-                ControlFlow::Break(close_and_report(connection, outcome, origin).await)
+                ControlFlow::Break(close_and_report(call, connection, outcome, origin).await)
             }
         }
     }
@@ -255,7 +253,7 @@
         } else {
             AttemptOutcome::Reset
         };
-        let result = close_and_report(connection, outcome, origin).await;
+        let result = close_and_report(call, connection, outcome, origin).await;
         if is_connection_lost {
             // The other idle connections may be lost as well. The next call opens one, which shows whether the host is up.
             self.close_idle(call.host);
@@ -281,8 +279,10 @@
 
 /// Ends an attempt whose connection can't be reused, and returns once it is closed.
 ///
-/// The outcome is the given one, unless the response began with status 200.
+/// The outcome is the given one, unless the response began with status 200. A request that was not written completely
+/// cannot be executed, so that its start is retracted.
 async fn close_and_report<R: Runtime>(
+    call: &Call,
     connection: Connection<R>,
     outcome: AttemptOutcome,
     origin: ConnectionOrigin,
@@ -292,6 +292,9 @@
         result.report.outcome = AttemptOutcome::Delivered;
         result.report.is_final = true;
     }
+    if !connection.progress().is_request_complete() {
+        call.start.retract();
+    }
     connection.close().await;
     result
 }
--- a/crates/simulator/src/hosted.rs
+++ b/crates/simulator/src/hosted.rs
@@ -24,8 +24,10 @@
 const TENANTS: u64 = 3;
 /// Administrators of a day.
 const ADMINS: u64 = 2;
-/// Times between which they are at work, in milliseconds.
-const AT_WORK: (u64, u64) = (500, 14_500);
+/// When their first task may begin, in milliseconds.
+const FIRST_TASK_AT_MS: u64 = 500;
+/// When their last task may begin, in milliseconds.
+const LAST_TASK_AT_MS: u64 = 14_500;
 
 /// A tenant at the beginning of a day.
 #[derive(Clone, Debug)]
@@ -245,7 +247,7 @@
 
 /// A task, or two that belong together: what is paused or removed comes back, so that the day goes on.
 fn draw_tasks(rng: &mut SimulationRng) -> Vec<AdminTask> {
-    let at = rng.between(AT_WORK.0, AT_WORK.1);
+    let at = rng.between(FIRST_TASK_AT_MS, LAST_TASK_AT_MS);
     let tenant = rng.below(TENANTS) as usize;
     let (uses_stale_version, insists) = (rng.percent(15), rng.percent(50));
     let one = |at: u64, action| AdminTask {
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod rng;
 pub mod rolling;
 pub mod script;
+mod traffic;
 pub mod vast;
 pub mod world;
--- a/crates/simulator/src/operated.rs
+++ b/crates/simulator/src/operated.rs
@@ -13,12 +13,16 @@
 
 /// The class that comes and goes.
 pub const RUSH: &str = "rush";
-/// The class that turns unsafe, and the effect that it has then.
-pub const HARDENED: (&str, &str) = ("event", "fragile");
+/// The class that becomes non-idempotent.
+pub const HARDENED_CLASS: &str = "event";
+/// The effect that the settings give it then.
+const HARDENED_EFFECT: &str = "fragile";
 /// A new configuration is in use so long after its signal, in milliseconds.
 pub const IN_USE: u64 = 1_200;
-/// Messages of the class that comes and goes, and how long they may take, in milliseconds.
-const RUSHES: (usize, u64) = (25, 6_000);
+/// Messages of the class that comes and goes.
+const RUSH_MESSAGES: usize = 25;
+/// Time to live of these messages, in milliseconds.
+const RUSH_TIME_TO_LIVE_MS: u64 = 6_000;
 
 /// When what changes, in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -61,7 +65,7 @@
     classes.retain(|class| class["name"] != RUSH);
     if there {
         classes.push(
-            json!({"name": RUSH, "aim": 300_000, "giveUp": RUSHES.1 * 1000, "worth": 2.0, "lateWorth": 0.4,
+            json!({"name": RUSH, "aim": 300_000, "giveUp": RUSH_TIME_TO_LIVE_MS * 1000, "worth": 2.0, "lateWorth": 0.4,
             "fifoByKey": false, "effect": "fragile", "keyScope": "all"}),
         );
     }
@@ -71,10 +75,10 @@
 pub fn harden(settings: &mut Value) {
     let class = classes(settings)
         .iter_mut()
-        .find(|class| class["name"] == HARDENED.0);
+        .find(|class| class["name"] == HARDENED_CLASS);
     class
         .into_iter()
-        .for_each(|class| class["effect"] = HARDENED.1.into());
+        .for_each(|class| class["effect"] = HARDENED_EFFECT.into());
 }
 
 /// Ways in which a configuration is not whole.
@@ -123,12 +127,12 @@
             let from = Duration::from_millis(at + IN_USE);
             let plans = script.clients.iter_mut().flatten();
             plans
-                .filter(|plan| plan.class == HARDENED.0)
+                .filter(|plan| plan.class == HARDENED_CLASS)
                 .for_each(|plan| plan.non_idempotent_from = Some(from));
         }
         let blocks: Vec<u16> = script.limits.capacity.keys().copied().collect();
         let many = script.clients.len() as u64;
-        for number in 0..RUSHES.0 {
+        for number in 0..RUSH_MESSAGES {
             let plan = PlannedMessage {
                 at: Duration::from_millis(
                     rng.between(changes.rush.0 + IN_USE, changes.rush.1 - 100),
@@ -141,7 +145,7 @@
                 is_ordered: false,
                 non_idempotent_from: None,
                 destination: *rng.pick(&blocks),
-                time_to_live_ms: RUSHES.1,
+                time_to_live_ms: RUSH_TIME_TO_LIVE_MS,
                 body_bytes: rng.below(200) as usize,
                 behavior: ClientBehavior::Regular,
             };
--- a/crates/simulator/src/rolling.rs
+++ b/crates/simulator/src/rolling.rs
@@ -6,16 +6,22 @@
 use crate::script::{HostPlan, Script};
 use crate::vast;
 
-/// Relays and hosts of a day, where no other number is asked for: at least, and at most.
-pub const RELAYS: (u64, u64) = (8, 24);
-/// The same for hosts.
-pub const HOSTS: (u64, u64) = (10, 40);
+/// Relays of a day at least, where no number is asked for.
+pub const MIN_RELAYS: u64 = 8;
+/// Relays of a day at most, where no number is asked for.
+pub const MAX_RELAYS: u64 = 24;
+/// Hosts of a day at least, where no number is asked for.
+pub const MIN_HOSTS: u64 = 10;
+/// Hosts of a day at most, where no number is asked for.
+pub const MAX_HOSTS: u64 = 40;
 /// Relays that the settings tell of, at least.
 const FLEET: usize = 300;
 /// Hosts of a destination.
 const EACH: usize = 3;
-/// Calls a second that all destinations take together, and one of them at least.
-const ALL: (u64, u64) = (250, 3);
+/// Calls a second that all destinations take together.
+const TOTAL_CAPACITY: u64 = 250;
+/// Calls a second that a destination takes at least.
+const MIN_CAPACITY: u64 = 3;
 
 impl Script {
     /// The day of a seed with so many relays and hosts, some hundreds of either; as drawn where none are asked for.
@@ -23,10 +29,10 @@
     pub fn draw_rolling(seed: u64, relays: Option<usize>, hosts: Option<usize>) -> Self {
         let mut rng = SimulationRng::new(seed, 12);
         let relays = relays
-            .unwrap_or(rng.between(RELAYS.0, RELAYS.1) as usize)
+            .unwrap_or(rng.between(MIN_RELAYS, MAX_RELAYS) as usize)
             .max(1);
         let hosts = hosts
-            .unwrap_or(rng.between(HOSTS.0, HOSTS.1) as usize)
+            .unwrap_or(rng.between(MIN_HOSTS, MAX_HOSTS) as usize)
             .max(1);
         let mut script = Script::draw_vast(seed, relays);
         script.vast = None;
@@ -52,7 +58,7 @@
                 .limits
                 .capacity
                 .entry(block as u16)
-                .or_insert((ALL.0 / blocks).max(ALL.1) as f64);
+                .or_insert((TOTAL_CAPACITY / blocks).max(MIN_CAPACITY) as f64);
         }
         script.faults = faults::of_rolling(&mut rng, relays, hosts, EACH);
         let pushed = seed.is_multiple_of(2);
--- a/crates/simulator/src/script.rs
+++ b/crates/simulator/src/script.rs
@@ -10,20 +10,23 @@
 use crate::history::{Idempotency, Limits};
 use crate::hosted::Hosted;
 use crate::kept::Kept;
-use crate::peers::clients::{ClientBehavior, PlannedMessage};
+use crate::peers::clients::PlannedMessage;
 use crate::rng::SimulationRng;
+use crate::traffic::{self, Class, Surge, TrafficPlan, ARRIVAL_SPAN_MS};
 use crate::vast::Vast;
 
-/// Clients hand messages in for this long, and at least so many of them.
-const ARRIVALS: (u64, usize) = (15_000, 200);
-/// Clients of a day.
-const CLIENTS: u64 = 8;
-/// Relays of a day that has several.
-const RELAYS: (u64, u64) = (3, 5);
-/// Attempts at most; on every fourth day fewer, so that the bound is met.
-const ATTEMPTS: (u64, u64) = (2, 12);
-/// What a drain may leave a relay, in milliseconds.
-const GRACES: [u64; 5] = [1_000, 1_500, 2_000, 2_000, 3_000];
+/// Relays of a day that has several, at least.
+const MIN_RELAYS: u64 = 3;
+/// Relays of a day that has several, at most.
+const MAX_RELAYS: u64 = 5;
+/// Attempts of a message on most days, at most.
+const MAX_ATTEMPTS: u64 = 12;
+/// On every fourth day the limit of attempts lies between this and half of the usual one, so that it is met.
+const MIN_FEW_ATTEMPTS: u64 = 2;
+/// The grace after a drain, in milliseconds.
+const DRAIN_GRACES_MS: [u64; 5] = [1_000, 1_500, 2_000, 2_000, 3_000];
+/// Bytes in a megabyte of the disk limit.
+const BYTES_PER_MB: f64 = 1e6;
 
 /// The part of the disk that messages may take, and what one takes beside its body at most.
 const JOURNAL_PART: f64 = 0.3;
@@ -116,102 +119,34 @@
     ))
 }
 
-struct Class {
-    name: &'static str,
-    idempotency: Idempotency,
-    in_order: bool,
-    left: u64,
-}
-
 impl Script {
     /// The day of a seed.
     #[must_use]
     pub fn draw(seed: u64) -> Self {
         let mut rng = SimulationRng::new(seed, 0);
-        let blocks: Vec<u16> = (1..=rng.between(2, 4) as u16).collect();
-        let mut hosts = Vec::new();
-        for block in &blocks {
-            let slow = rng.percent(20);
-            for number in 0..rng.between(1, 2) {
-                let name = format!("s-{block}{number}");
-                let address = SocketAddr::from(([10, 1, *block as u8, number as u8 + 1], 8080));
-                let takes = if slow { (50, 400) } else { (3, 60) };
-                let zone = if number == 0 { "a" } else { "b" };
-                hosts.push(HostPlan {
-                    name,
-                    block: *block,
-                    zone,
-                    address,
-                    takes,
-                });
-            }
-        }
-        let zone_only = rng.percent(30);
-        let window = Duration::from_millis(rng.between(2_000, 20_000));
-        let in_order = rng.percent(60);
-        let classes = [
-            Class {
-                name: "update",
-                idempotency: Idempotency::Idempotent,
-                in_order,
-                left: 6_000,
-            },
-            Class {
-                name: "event",
-                idempotency: Idempotency::Keyed { window, zone_only },
-                in_order: false,
-                left: 8_000,
-            },
-            Class {
-                name: "payout",
-                idempotency: Idempotency::NonIdempotent,
-                in_order: in_order && rng.percent(50),
-                left: 10_000,
-            },
-        ];
-        let capacity: BTreeMap<u16, f64> = blocks
-            .iter()
-            .map(|b| (*b, rng.between(8, 60) as f64))
-            .collect();
-        let few = SimulationRng::new(seed, 2).between(ATTEMPTS.0, ATTEMPTS.1 / 2);
-        let attempts = if seed % 4 == 3 { few } else { ATTEMPTS.1 } as usize;
-        let limits = Limits {
-            max_attempts: attempts,
-            ordering_pause: Duration::from_millis(rng.between(100, 800)),
-            warm_up_initial_share: rng.between(15, 60) as f64 / 100.0,
-            warm_up_time: Duration::from_millis(rng.between(2_000, 8_000)),
-            overload_factor: 2.0,
-            overload_window: Duration::from_millis(rng.between(1_000, 2_500)),
-            // Numbers of their own, so that all else of a seed's day stays as it was.
-            drain_grace: Duration::from_millis(*SimulationRng::new(seed, 14).pick(&GRACES)),
-            time_after_objective: Duration::ZERO,
-            max_disk_bytes: 0,
-            capacity,
-            max_in_flight: 0,
-            max_queued_messages: 0,
-            max_queued_bytes: 0,
-            message_overhead_bytes: MESSAGE_OVERHEAD_BYTES,
-            tenants: Vec::new(),
-            undeliverable_are_resent: false,
-            undeliverable_store_is_damaged: false,
-            requests_may_vanish: false,
-            corrupted_responses: Vec::new(),
-            transient_class: None,
-            discovery_is_pushed: true,
-        };
+        let destinations: Vec<u16> = (1..=rng.between(2, 4) as u16).collect();
+        let hosts = draw_hosts(&mut rng, &destinations);
+        let classes = draw_classes(&mut rng);
+        let limits = draw_limits(seed, &mut rng, &destinations);
         let disk_mb = *rng.pick(&[0.25, 0.4, 1.0, 3.0]);
         let settings = settings(&limits, &classes, &mut rng);
-        let faults = faults::draw(&mut rng, &blocks, hosts.len());
+        let faults = faults::draw(&mut rng, &destinations, hosts.len());
         let number =
             |path: &str| settings.pointer(path).and_then(Value::as_u64).unwrap_or(0) as usize;
         let limits = Limits {
-            max_disk_bytes: (disk_mb * 1e6) as u64,
+            max_disk_bytes: (disk_mb * BYTES_PER_MB) as u64,
             max_in_flight: number("/familyInfo/callsOut"),
             max_queued_messages: number("/limits/mostHeld"),
-            max_queued_bytes: (disk_mb * 1e6 * JOURNAL_PART) as usize,
+            max_queued_bytes: (disk_mb * BYTES_PER_MB * JOURNAL_PART) as usize,
             ..limits
         };
-        let clients = messages(&mut rng, &classes, &blocks, &faults);
+        let plan = TrafficPlan {
+            classes: &classes,
+            destinations: &destinations,
+            misbehaving_percent: faults.iter().find_map(|fault| fault.trouble.bad_clients()),
+            surges: faults.iter().filter_map(surge_of).collect(),
+        };
+        let clients = traffic::draw_messages(&mut rng, &plan);
         Script {
             seed,
             hosts,
@@ -246,7 +181,7 @@
         let mut script = Script::draw(seed);
         let (faults, clients) = (script.faults.clone(), script.clients.clone());
         for time in 1..times {
-            let later = time * ARRIVALS.0;
+            let later = time * ARRIVAL_SPAN_MS;
             let again = |fault: &Fault| Fault {
                 from: fault.from + later,
                 until: fault.until + later,
@@ -287,7 +222,7 @@
     #[must_use]
     pub fn draw_fleet(seed: u64) -> Self {
         let (mut script, mut rng) = (Script::draw(seed), SimulationRng::new(seed, 4));
-        let relays = rng.between(RELAYS.0, RELAYS.1);
+        let relays = rng.between(MIN_RELAYS, MAX_RELAYS);
         let blocks: Vec<u16> = script.limits.capacity.keys().copied().collect();
         faults::of_fleet(&mut rng, &mut script.faults, relays, &blocks);
         script.settings["siblings"] = relays.into();
@@ -390,72 +325,97 @@
     })
 }
 
-fn messages(
-    rng: &mut SimulationRng,
-    classes: &[Class],
-    blocks: &[u16],
-    faults: &[Fault],
-) -> Vec<Vec<PlannedMessage>> {
-    let mut clients: Vec<Vec<PlannedMessage>> = (0..CLIENTS).map(|_| Vec::new()).collect();
-    let bad = faults.iter().find_map(|fault| fault.trouble.bad_clients());
-    let large = rng.percent(40);
-    let mut number = 0;
-    let mut add = |rng: &mut SimulationRng, at: u64, block: u16| {
-        number += 1;
-        let class = rng.pick(classes);
-        let habit = match bad {
-            Some(share) if rng.percent(share) => *rng.pick(&[
-                ClientBehavior::Duplicates,
-                ClientBehavior::Disconnects,
-                ClientBehavior::Stalls,
-                ClientBehavior::SendsMalformed,
-            ]),
-            _ => ClientBehavior::Regular,
-        };
-        // A relay gets all messages of a key, and a client sends those of one key one after another.
-        let client = rng.below(CLIENTS);
-        let order = if rng.percent(50) {
-            client * 100 + rng.between(1, 3)
-        } else {
-            0
-        };
-        let size = if large {
-            rng.below(4_000)
-        } else {
-            rng.below(200)
-        } as usize;
-        clients[client as usize].push(PlannedMessage {
-            at: Duration::from_millis(at),
-            name: format!("m{number:04}"),
-            tenant: "acme".into(),
-            class: class.name,
-            idempotency: class.idempotency,
-            ordering_key: order,
-            is_ordered: class.in_order,
-            non_idempotent_from: None,
-            destination: block,
-            time_to_live_ms: if rng.percent(10) {
-                rng.between(200, 2_000)
-            } else {
-                class.left
-            },
-            body_bytes: size,
-            behavior: habit,
-        });
-    };
-    for count in 0..ARRIVALS.1 as u64 {
-        // Evenly over the whole time, each a little off its place.
-        let at = 100 + count * (ARRIVALS.0 - 200) / ARRIVALS.1 as u64 + rng.below(100);
-        let block = *rng.pick(blocks);
-        add(rng, at, block);
-    }
-    for fault in faults {
-        if let Some((block, many)) = fault.trouble.surge() {
-            for _ in 0..many {
-                let at = rng.between(fault.from, fault.until.min(ARRIVALS.0));
-                add(rng, at, block);
-            }
+/// The hosts of all destinations, one or two each.
+fn draw_hosts(rng: &mut SimulationRng, destinations: &[u16]) -> Vec<HostPlan> {
+    let mut hosts = Vec::new();
+    for destination in destinations {
+        let is_slow = rng.percent(20);
+        for number in 0..rng.between(1, 2) {
+            let last_octet = number as u8 + 1;
+            hosts.push(HostPlan {
+                name: format!("s-{destination}{number}"),
+                block: *destination,
+                zone: if number == 0 { "a" } else { "b" },
+                address: SocketAddr::from(([10, 1, *destination as u8, last_octet], 8080)),
+                takes: if is_slow { (50, 400) } else { (3, 60) },
+            });
         }
     }
-    clients
+    hosts
+}
+
+/// The surge that a fault is, if it is one.
+fn surge_of(fault: &Fault) -> Option<Surge> {
+    let (destination, messages) = fault.trouble.surge()?;
+    Some(Surge {
+        destination,
+        messages,
+        from_ms: fault.from,
+        until_ms: fault.until.min(ARRIVAL_SPAN_MS),
+    })
+}
+
+/// An idempotent class, a keyed one and a non-idempotent one.
+fn draw_classes(rng: &mut SimulationRng) -> [Class; 3] {
+    let zone_only = rng.percent(30);
+    let window = Duration::from_millis(rng.between(2_000, 20_000));
+    let in_order = rng.percent(60);
+    [
+        Class {
+            name: "update",
+            idempotency: Idempotency::Idempotent,
+            in_order,
+            left: 6_000,
+        },
+        Class {
+            name: "event",
+            idempotency: Idempotency::Keyed { window, zone_only },
+            in_order: false,
+            left: 8_000,
+        },
+        Class {
+            name: "payout",
+            idempotency: Idempotency::NonIdempotent,
+            in_order: in_order && rng.percent(50),
+            left: 10_000,
+        },
+    ]
+}
+
+/// The limits, without those that follow from the settings. Some are drawn from numbers of their own, so that they
+/// change nothing else of a seed's day.
+fn draw_limits(seed: u64, rng: &mut SimulationRng, destinations: &[u16]) -> Limits {
+    let capacity: BTreeMap<u16, f64> = destinations
+        .iter()
+        .map(|destination| (*destination, rng.between(8, 60) as f64))
+        .collect();
+    let few_attempts = SimulationRng::new(seed, 2).between(MIN_FEW_ATTEMPTS, MAX_ATTEMPTS / 2);
+    let max_attempts = if seed % 4 == 3 {
+        few_attempts
+    } else {
+        MAX_ATTEMPTS
+    };
+    Limits {
+        max_attempts: max_attempts as usize,
+        ordering_pause: Duration::from_millis(rng.between(100, 800)),
+        warm_up_initial_share: rng.between(15, 60) as f64 / 100.0,
+        warm_up_time: Duration::from_millis(rng.between(2_000, 8_000)),
+        overload_factor: 2.0,
+        overload_window: Duration::from_millis(rng.between(1_000, 2_500)),
+        drain_grace: Duration::from_millis(*SimulationRng::new(seed, 14).pick(&DRAIN_GRACES_MS)),
+        time_after_objective: Duration::ZERO,
+        max_disk_bytes: 0,
+        capacity,
+        max_in_flight: 0,
+        max_queued_messages: 0,
+        max_queued_bytes: 0,
+        message_overhead_bytes: MESSAGE_OVERHEAD_BYTES,
+        tenants: Vec::new(),
+        undeliverable_are_resent: false,
+        undeliverable_store_is_damaged: false,
+        requests_may_vanish: false,
+        corrupted_responses: Vec::new(),
+        transient_class: None,
+        discovery_is_pushed: true,
+    }
 }
--- a/crates/simulator/src/vast.rs
+++ b/crates/simulator/src/vast.rs
@@ -15,12 +15,18 @@
 pub const RELAYS: usize = 100;
 /// Clients hand messages in for so many milliseconds.
 const ARRIVALS: u64 = 16_000;
-/// Time for the aim, and until a message is given up.
-const TIMES: (Duration, Duration) = (Duration::from_millis(1_000), Duration::from_millis(9_000));
-/// Messages that all relays hold at most, and calls that they have out, at whatever number of relays.
-const ALL: (usize, usize) = (2_400, 400);
-/// The same for each relay at least.
-const LEAST: (usize, usize) = (24, 5);
+/// Latency objective of all classes.
+const LATENCY_OBJECTIVE: Duration = Duration::from_millis(1_000);
+/// Time to live of all messages.
+const TIME_TO_LIVE: Duration = Duration::from_millis(9_000);
+/// Messages that all relays together queue at most, whatever their number.
+const TOTAL_QUEUED: usize = 2_400;
+/// Calls that all relays together have in flight at most.
+const TOTAL_IN_FLIGHT: usize = 400;
+/// Messages that each relay may queue at least.
+const MIN_QUEUED: usize = 24;
+/// Calls that each relay may have in flight at least.
+const MIN_IN_FLIGHT: usize = 5;
 /// Discovery answers one call from each relay in so many milliseconds, whatever their number.
 const ALL_CALLS: u64 = 5_000;
 
@@ -128,8 +134,8 @@
         script.relays = relays;
         script.disk_mb = 1.0;
         let (held, slots) = (
-            (ALL.0 / relays).max(LEAST.0),
-            (ALL.1 / relays).clamp(LEAST.1, 60),
+            (TOTAL_QUEUED / relays).max(MIN_QUEUED),
+            (TOTAL_IN_FLIGHT / relays).clamp(MIN_IN_FLIGHT, 60),
         );
         script.limits = Limits {
             max_attempts: 12,
@@ -140,7 +146,7 @@
             max_queued_messages: held,
             max_disk_bytes: 1_000_000,
             max_queued_bytes: 300_000,
-            time_after_objective: TIMES.1 - TIMES.0,
+            time_after_objective: TIME_TO_LIVE - LATENCY_OBJECTIVE,
             discovery_is_pushed: false,
             ..script.limits
         };
@@ -159,8 +165,8 @@
         for (number, (name, idempotency)) in CLASSES.iter().enumerate() {
             let class = &mut set["services"][number];
             class["name"] = (*name).into();
-            class["aim"] = micros(TIMES.0).into();
-            class["giveUp"] = micros(TIMES.1).into();
+            class["aim"] = micros(LATENCY_OBJECTIVE).into();
+            class["giveUp"] = micros(TIME_TO_LIVE).into();
             class["fifoByKey"] = false.into();
             class["keyScope"] = "all".into();
             if let Idempotency::Keyed { window, .. } = idempotency {
@@ -208,7 +214,7 @@
                 100 + rng.below(ARRIVALS)
             };
             let (class, idempotency) = *rng.pick(classes);
-            let left = TIMES.1.as_millis() as u64;
+            let left = TIME_TO_LIVE.as_millis() as u64;
             clients[rng.below(relays as u64) as usize].push(PlannedMessage {
                 at: Duration::from_millis(at),
                 name: format!("m{number:05}"),
