Let a repeatable message probe a destination whose slots hung calls hold

Cause: while its breaker is not closed a destination has a quarter of the slots, hung calls counted (selection.rs blocked_until). Payouts that went out before the breaker opened hang to their deadlines and hold more than that, so that no probe starts. Change: where all calls of the route in flight hang, a message that may be repeated may probe, up to the slots of a healthy route. Unsafe messages wait as before. Why it works: the probe's attempt times out, so that a destination that stays away holds few slots more, under three quarters, and one that is back closes its breaker.

--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -56,18 +56,41 @@
     NotBefore(Micros),
 }
 
+/// Slots of a healthy route at most.
+fn healthy_slots(max_calls: usize) -> f64 {
+    (max_calls as f64 * HEALTHY_SLOT_SHARE - HEALTHY_SLOT_MARGIN).floor()
+}
+
+/// Slots of a route at most while its breaker is not closed and some call in flight does not hang.
+fn probe_slots(max_calls: usize) -> f64 {
+    let share = (max_calls as f64 * SUSPECT_SLOT_SHARE).floor();
+    share.max(MIN_SUSPECT_SLOTS)
+}
+
 impl Route {
+    /// Whether hung calls hold all slots of a route whose breaker is not closed. Only a repeatable message may be the probe
+    /// then: its attempt times out, and does not hold a slot to its deadline as well.
+    fn needs_slot_beyond_hung_calls(&self, max_calls: usize) -> bool {
+        !self.breaker.is_closed() && self.in_flight as f64 >= probe_slots(max_calls)
+    }
+
     /// Until when the breaker or the limits of concurrency allow no further call; `Micros::MAX` until a call ends.
-    fn blocked_until(&self, now: Micros, max_calls: usize, urgency: Urgency) -> Option<Micros> {
-        let slots = max_calls as f64;
+    /// `probe_slots` is the most calls in flight while the breaker is not closed.
+    fn blocked_until(
+        &self,
+        now: Micros,
+        max_calls: usize,
+        probe_slots: f64,
+        urgency: Urgency,
+    ) -> Option<Micros> {
         let most = if self.breaker.is_suspect() {
-            (slots * SUSPECT_SLOT_SHARE).floor()
+            (max_calls as f64 * SUSPECT_SLOT_SHARE).floor()
         } else {
-            (slots * HEALTHY_SLOT_SHARE - HEALTHY_SLOT_MARGIN).floor()
+            healthy_slots(max_calls)
         };
         let in_flight = self.in_flight as f64;
         let is_urgent = urgency == Urgency::Recovered;
-        let lacks_probe_slot = in_flight >= most.max(MIN_SUSPECT_SLOTS);
+        let lacks_probe_slot = in_flight >= probe_slots;
         let is_full = match self.breaker.state {
             BreakerState::Open(until) if until > now && !is_urgent => return Some(until),
             BreakerState::Open(_) => lacks_probe_slot,
@@ -94,7 +117,9 @@
         if paused_until > now {
             return Readiness::NotBefore(paused_until);
         }
-        if let Some(until) = route.blocked_until(now, self.settings.max_calls, urgency) {
+        let max_calls = self.settings.max_calls;
+        let probe_slots = self.probe_slots(key, route);
+        if let Some(until) = route.blocked_until(now, max_calls, probe_slots, urgency) {
             return Readiness::NotBefore(until);
         }
         let bucket = &route.pacing.bucket;
@@ -105,6 +130,22 @@
         Readiness::Ready
     }
 
+    /// Calls that a route may have in flight while its breaker is not closed. Where all of them hang, as many as a healthy
+    /// route: unsafe calls hang to their deadlines, and must not keep a destination that is back from its probe.
+    fn probe_slots(&self, key: RouteKey, route: &Route) -> f64 {
+        let max_calls = self.settings.max_calls;
+        let usual = probe_slots(max_calls);
+        if !route.needs_slot_beyond_hung_calls(max_calls) {
+            return usual;
+        }
+        let mut calls = self.calls.values().filter(|call| call.route == key);
+        if calls.all(|call| call.is_slow) {
+            healthy_slots(max_calls).max(usual)
+        } else {
+            usual
+        }
+    }
+
     /// The cheapest host that the message may go to now; of equals the first.
     pub(crate) fn select(&mut self, id: MessageId) -> Option<Selection> {
         let queued = self.queue.get(&id)?;
@@ -150,6 +191,9 @@
         if self.now.saturating_add(time_needed) > self.shutdown_at {
             return false;
         }
+        if !is_repeatable && route.needs_slot_beyond_hung_calls(self.settings.max_calls) {
+            return false;
+        }
         // While time is left, non-idempotent messages wait where calls fail after they may have been executed.
         let reserve = (class.time_to_live as f64 * RISKY_TIME_RESERVE) as Micros;
         is_repeatable || !route.breaker.is_risky() || queued.message.deadline <= self.now + reserve
--- a/crates/policy/tests/circuit_breaker.rs
+++ b/crates/policy/tests/circuit_breaker.rs
@@ -167,6 +167,30 @@
     assert_eq!(count_delivered(&harness, &healthy), 20);
 }
 
+/// Calls that hang to their deadlines hold all slots that a suspect destination has. Once it is back, a repeatable message
+/// has to find out.
+#[test]
+fn destination_whose_slots_are_held_by_hung_calls_is_probed() {
+    let mut harness = PolicyHarness::new(settings(), vec![host(1, 1)]);
+    let hung: Vec<_> = (0..6)
+        .map(|_| harness.receive(NON_IDEMPOTENT, 1, None))
+        .collect();
+    for _ in 0..30 {
+        harness.advance(SECOND / 10);
+    }
+    assert!(harness.in_flight().len() >= 3, "they hold the slots");
+    let waiting = harness.receive(IDEMPOTENT, 1, None);
+    for _ in 0..40 {
+        harness.advance(SECOND / 10);
+        if harness.in_flight().iter().any(|call| call.id == waiting) {
+            harness.end_attempt(waiting, AttemptOutcome::Delivered);
+        }
+    }
+    assert!(harness.delivered.contains_key(&waiting), "it is delivered");
+    let is_answered = |id: &MessageId| harness.answers.contains_key(id);
+    assert!(!hung.iter().any(is_answered), "while the calls hang");
+}
+
 #[test]
 fn failing_host_does_not_open_the_breaker_of_its_destination() {
     let mut harness = PolicyHarness::new(settings(), vec![host(1, 1), host(2, 1)]);
