Reproduce answers that come twice, over real sockets, at chosen instants

The second of six notices is lost where its answer is a copy of the first one's. The shared listener of operations.rs moves to support/upgrade.rs unchanged.

--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -12,6 +12,7 @@
 
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
+use support::upgrade::{kill, wait_until_ready, SharedListener};
 use support::*;
 
 fn up(name: &str, host: &Host, block: u16) -> Value {
@@ -347,56 +348,6 @@
     assert_eq!(host.calls_of(&id).len(), 1);
 }
 
-/// The listening socket for clients, which the platform holds and every process inherits.
-struct SharedListener {
-    socket: Socket,
-}
-
-impl SharedListener {
-    fn new(test_bed: &TestBed) -> SharedListener {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        socket.set_reuse_address(true).expect("set");
-        rebind(&socket, test_bed.listen);
-        socket.listen(128).expect("listens");
-        socket.set_cloexec(false).expect("set");
-        SharedListener { socket }
-    }
-
-    /// Starts a process with its own control socket beside the running ones.
-    fn start(&self, test_bed: &TestBed) -> (Child, SocketAddr) {
-        let control_address = bind().local_addr().expect("bound");
-        let log = std::fs::File::options()
-            .create(true)
-            .append(true)
-            .open(test_bed.folder.join("log"));
-        let mut command = test_bed.command();
-        command.env("BALANCER_SOCKET_FD", self.socket.as_raw_fd().to_string());
-        command.env("BALANCER_CONTROL", control_address.to_string());
-        let child = command
-            .stdout(Stdio::null())
-            .stderr(log.expect("a log"))
-            .spawn()
-            .expect("starts");
-        (child, control_address)
-    }
-}
-
-fn wait_until_ready(control_address: SocketAddr) {
-    wait_until("the process to be ready", || {
-        let mut stream = TcpStream::connect(control_address).ok()?;
-        stream.write_all(b"ready\n").ok()?;
-        let mut line = String::new();
-        BufReader::new(stream).read_line(&mut line).ok()?;
-        line.starts_with("ok").then_some(())
-    });
-}
-
-/// Kills a process and reaps it.
-fn kill(mut child: Child) {
-    drop(child.kill());
-    drop(child.wait());
-}
-
 #[test]
 fn new_version_takes_over_calls_messages_and_ids() {
     let slow = Host::new(|_, _| HostResponse::Delayed(1200, ok_text()));
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod faults;
 pub mod in_process;
+pub mod repeating_host;
+pub mod upgrade;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -231,6 +233,21 @@
     found.map(|(_, value)| value.trim().to_string())
 }
 
+const NOTICES_ACCEPTED: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
+
+/// Waits for the first byte of the next request, sends the answer to the request before once more, and resets the
+/// connection without reading the request.
+fn repeat_answer_and_reset(mut stream: TcpStream) -> Option<()> {
+    if stream.peek(&mut [0]).ok()? == 0 {
+        return None;
+    }
+    stream.write_all(NOTICES_ACCEPTED).ok()?;
+    // The relay reads the answer before the reset discards it.
+    thread::sleep(Duration::from_millis(20));
+    let socket = Socket::from(stream);
+    socket.set_linger(Some(Duration::ZERO)).ok()
+}
+
 /// A discovery service whose host list the test changes.
 #[derive(Clone)]
 pub struct Discovery {
@@ -253,6 +270,9 @@
     pub poll_delay_ms: Arc<AtomicU32>,
     /// While set, notices are rejected with status 503.
     pub reject_notices: Arc<AtomicBool>,
+    /// While set, the answer to the notices before is sent again as the first byte of further notices arrives, and the
+    /// connection is reset before these are read.
+    pub repeat_notice_answers: Arc<AtomicBool>,
     /// Request lines of all requests received.
     pub requests: Arc<Mutex<Vec<String>>>,
 }
@@ -272,6 +292,7 @@
             malformed_first_line: Arc::default(),
             poll_delay_ms: Arc::default(),
             reject_notices: Arc::default(),
+            repeat_notice_answers: Arc::default(),
             requests: Arc::default(),
         };
         let peer = discovery.clone();
@@ -358,7 +379,10 @@
                     .lines()
                     .map(|line| serde_json::from_str(line).expect("a notice is JSON"));
                 self.notices.lock().unwrap().extend(lines);
-                writer.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").ok()?;
+                writer.write_all(NOTICES_ACCEPTED).ok()?;
+                if self.repeat_notice_answers.load(Ordering::SeqCst) {
+                    return repeat_answer_and_reset(writer);
+                }
                 continue;
             }
             while self.silent.load(Ordering::SeqCst) {
