Send each batch of notices on a connection of its own

Callers saw messages with neither a delivery nor a notice. Responses carry no identifier, and only the first one of a connection cannot be the copy of an earlier one; notices go to the machine's own agent, one POST at a time, so that a connection each costs little.

--- a/crates/relay/src/discovery_client/notification_sender.rs
+++ b/crates/relay/src/discovery_client/notification_sender.rs
@@ -36,7 +36,6 @@
     notifications: Rc<Notifications>,
     inputs: mpsc::Sender<RelayEvent>,
 ) {
-    let mut channel = None;
     let mut backoff = RETRY_BACKOFF_MIN;
     loop {
         let batch = notifications.next_batch();
@@ -49,14 +48,13 @@
         // Notifications are idempotent.
         let sent = tokio::select! {
             biased;
-            sent = send_batch(&runtime, &mut channel, address, &batch, backoff) => sent,
+            sent = send_batch(&runtime, address, &batch, backoff) => sent,
             changed = current_address.changed() => match changed {
                 Ok(()) => Err(DiscoveryError::AddressChanged),
                 Err(_) => return,
             },
         };
         if sent.is_err() {
-            channel = None;
             backoff = (backoff * 2).min(RETRY_BACKOFF_MAX);
             continue;
         }
@@ -72,12 +70,11 @@
 /// Sends a batch. After a failure, waits for the backoff before returning the error.
 async fn send_batch<R: Runtime>(
     runtime: &R,
-    channel: &mut Option<RequestChannel<R>>,
     address: SocketAddr,
     batch: &NotificationBatch,
     backoff: Duration,
 ) -> Result<(), DiscoveryError> {
-    let posted = post(runtime, channel, address, batch.body.clone()).await;
+    let posted = post(runtime, address, batch.body.clone()).await;
     if let Err(error) = &posted {
         log!(
             *runtime,
@@ -90,21 +87,14 @@
     posted
 }
 
-/// Posts notifications on the channel, or on a new one if the channel is missing or not usable.
+/// Posts notifications on a new connection: a response on a reused one could be a copy of the response to an earlier
+/// request, as responses carry no identifier.
 async fn post<R: Runtime>(
     runtime: &R,
-    channel: &mut Option<RequestChannel<R>>,
     address: SocketAddr,
     body: Bytes,
 ) -> Result<(), DiscoveryError> {
-    let is_usable = match channel {
-        Some(open) => open.address() == address && open.becomes_ready(RESPONSE_TIMEOUT).await,
-        None => false,
-    };
-    let channel = match channel {
-        Some(open) if is_usable => open,
-        _ => channel.insert(RequestChannel::open(runtime, address, RESPONSE_TIMEOUT).await?),
-    };
+    let mut channel = RequestChannel::open(runtime, address, RESPONSE_TIMEOUT).await?;
     let response = channel
         .send(Method::POST, NOTIFICATIONS_PATH, body, RESPONSE_TIMEOUT)
         .await?;
--- a/crates/relay/src/discovery_client/request_channel.rs
+++ b/crates/relay/src/discovery_client/request_channel.rs
@@ -41,18 +41,7 @@
         })
     }
 
-    /// The address that the channel is connected to.
-    pub(super) fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Waits up to `timeout` for the channel to accept another request; false if it does not.
-    pub(super) async fn becomes_ready(&mut self, timeout: Duration) -> bool {
-        let ready = self.runtime.timeout(timeout, self.sender.ready()).await;
-        matches!(ready, Ok(Ok(())))
-    }
-
-    /// Sends a request; `timeout` bounds the time until the head of the response is complete.
+    /// Sends the only request of the channel; `timeout` bounds the time until the head of the response is complete.
     pub(super) async fn send(
         &mut self,
         method: Method,
