Believe a response on a reused connection only once the connection was silent behind it

Cause: the bytes of a host were taken as the answer to the call that is out, only because they came on its connection. A host that sends an answer twice shifts all later ones by one: a shifted 200 ends a message that was refused, a shifted 503 frees a call that has run for a retry. The check before the first byte sees what has arrived by then, not what is on its way.

Fix, decided in policy/response_confirmation.rs: the first response of a connection cannot be a copy and is believed at once. What follows is parsed; where candidates differ the call may have run, and a wait among them is honoured. Calls that must not run twice use no connection that has carried a rejection. A host that sent a surplus answer gets a connection for each call for 60 s. Surplus answers are logged by host, closes of connections are counted by reason.

Test changes: connections_are_reused_newest_first waits for the rest of a connection between two calls, as a connection may not be used at once after a later response; should_start_handover has a third condition, with its row.

--- a/crates/control/src/lifecycle.rs
+++ b/crates/control/src/lifecycle.rs
@@ -207,13 +207,24 @@
         self.is_drained = is_drained;
     }
 
-    /// Whether everything is to be handed over now: another process is taking over, and the clients have disconnected,
-    /// [`HANDOVER_GRACE`] has passed, or this process is stopping.
+    /// Whether another process is taking over.
     #[must_use]
-    pub fn should_start_handover(&self, now: Duration, clients: usize) -> bool {
+    pub fn has_successor(&self) -> bool {
+        self.has_successor
+    }
+
+    /// Whether everything is to be handed over now: another process is taking over, and the clients have disconnected and
+    /// all responses of hosts are confirmed, [`HANDOVER_GRACE`] has passed, or this process is stopping.
+    #[must_use]
+    pub fn should_start_handover(
+        &self,
+        now: Duration,
+        clients: usize,
+        unconfirmed_calls: usize,
+    ) -> bool {
         let is_grace_over =
             self.state == LifecycleState::Stopping || self.time_in_state(now) >= HANDOVER_GRACE;
-        self.has_successor && (clients == 0 || is_grace_over)
+        self.has_successor && (clients == 0 && unconfirmed_calls == 0 || is_grace_over)
     }
 
     /// Whether an operator has drained the relay.
--- a/crates/control/tests/lifecycle.rs
+++ b/crates/control/tests/lifecycle.rs
@@ -146,15 +146,16 @@
     );
     assert_eq!(lifecycle.stage(HANDOVER_GRACE), ConnectionStage::Refusing);
     assert!(
-        lifecycle.should_start_handover(Duration::ZERO, 0)
-            && !lifecycle.should_start_handover(HANDOVER_GRACE - MILLISECOND, 1)
+        lifecycle.should_start_handover(Duration::ZERO, 0, 0)
+            && !lifecycle.should_start_handover(HANDOVER_GRACE - MILLISECOND, 1, 0)
+            && !lifecycle.should_start_handover(HANDOVER_GRACE - MILLISECOND, 0, 1)
     );
-    assert!(lifecycle.should_start_handover(HANDOVER_GRACE, 1));
+    assert!(lifecycle.should_start_handover(HANDOVER_GRACE, 1, 1));
     // On SIGTERM during the grace time it hands over at once, and exits as soon as it is idle.
     let mut lifecycle = lifecycle;
     assert!(lifecycle.handle(LifecycleEvent::Stop, MILLISECOND));
     assert!(
-        lifecycle.should_start_handover(MILLISECOND, 9)
+        lifecycle.should_start_handover(MILLISECOND, 9, 9)
             && !lifecycle.accepts_connections(MILLISECOND)
     );
     assert_eq!(lifecycle.stage(MILLISECOND), ConnectionStage::Refusing);
@@ -163,7 +164,9 @@
             && !lifecycle.should_exit(MILLISECOND, false)
             && lifecycle.should_exit(MILLISECOND + STOP_MAX_DURATION, false)
     );
-    assert!(!lifecycle_in(LifecycleState::Serving).should_start_handover(Duration::from_secs(9), 0));
+    assert!(
+        !lifecycle_in(LifecycleState::Serving).should_start_handover(Duration::from_secs(9), 0, 0)
+    );
 }
 
 #[test]
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -36,7 +36,8 @@
     }
 
     fn is_full(&self, capacity: Capacity, size: usize) -> bool {
-        self.queue.len() >= capacity.messages || self.queued_bytes + size > capacity.bytes
+        let used = self.queue_size;
+        used.messages >= capacity.messages || used.bytes + size > capacity.bytes
     }
 
     /// Adds a message to the queue and computes when its latency objective ends.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,8 @@
 //!   `dispatch` groups them into calls.
 //! - `call_outcome`, `circuit_breaker`, `rate_limit` and `recovery` act on the outcomes of calls; `latency` estimates
 //!   their duration.
+//! - `response_confirmation` decides whether a response on a reused connection may be believed, for the shell that makes
+//!   the calls.
 //! - `retry` ends attempts, and answers messages that will not be delivered.
 //! - `tuning` contains the constants of all of these modules.
 //!
@@ -32,6 +34,7 @@
 pub mod random;
 mod rate_limit;
 mod recovery;
+pub mod response_confirmation;
 mod retry;
 mod rolling_window;
 mod route;
--- a/crates/policy/src/load_shedding.rs
+++ b/crates/policy/src/load_shedding.rs
@@ -65,11 +65,12 @@
     /// Number and bytes of queued messages that cannot be rejected because they are in flight or may have been
     /// executed.
     pub(crate) fn unsheddable_size(&self) -> Capacity {
-        self.total_size(|queued| !is_sheddable(queued))
+        self.total_size(|queued| queued.uses_capacity && !is_sheddable(queued))
     }
 
     fn meets_target(&self, target: Capacity, wanted_bytes: usize) -> bool {
-        self.queue.len() <= target.messages && self.queued_bytes + wanted_bytes <= target.bytes
+        let size = self.queue_size;
+        size.messages <= target.messages && size.bytes + wanted_bytes <= target.bytes
     }
 
     /// Rejects messages until the queue has its headroom, starting with those that will have the lowest value when they
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -59,7 +59,11 @@
             Event::SettingsChanged(settings) => self.change_settings(*settings),
             Event::ShuttingDown { at } => self.shutdown_at = at,
             Event::ResponseStarted { id } => self.start_response(id),
+            Event::AttemptAnswered(end) => self.answer_attempt(end),
             Event::AttemptEnded(end) => self.end_attempt(end),
+            Event::RetryAfterReceived { host, retry_after } => {
+                self.receive_retry_after(host, retry_after);
+            }
             Event::MessageWithdrawn(id) => self.settle(id),
             Event::TenantChanged(tenant, terms) => {
                 self.scheduler.update_tenant(self.now, tenant, terms);
--- a/crates/policy/src/queued_message.rs
+++ b/crates/policy/src/queued_message.rs
@@ -35,6 +35,8 @@
     pub(crate) call: u64,
     pub(crate) state: AttemptState,
     pub(crate) is_cancelled: bool,
+    /// The call was answered and holds no slot any more, but its response is not confirmed.
+    pub(crate) is_answered: bool,
     /// How long the attempt was expected to hold its slot; 0 if it joined the call of another message.
     pub(crate) expected_duration: Micros,
 }
@@ -48,6 +50,7 @@
             call: 0,
             state: AttemptState::of_ended(past.may_have_executed),
             is_cancelled: false,
+            is_answered: false,
             expected_duration: 0,
         }
     }
@@ -77,6 +80,9 @@
     /// The streamed answer of the message has started.
     pub(crate) response_started: bool,
     pub(crate) value: f64,
+    /// The message counts against the capacity of the queue. One that was answered as delivered no longer does, although
+    /// the response may not be confirmed.
+    pub(crate) uses_capacity: bool,
     /// How the message came from an earlier process; reset once an attempt reaches a host.
     pub(crate) recovery: Recovery,
 }
@@ -92,6 +98,7 @@
             is_settled: false,
             response_started: false,
             value,
+            uses_capacity: true,
             recovery: Recovery::None,
         }
     }
@@ -118,10 +125,11 @@
         self.recovery == Recovery::Restored && !self.is_in_flight()
     }
 
-    /// The last attempt, if it is in flight and was not cancelled.
+    /// The last attempt, if it holds a slot and was not cancelled.
     pub(crate) fn cancellable_attempt(&self) -> Option<&Attempt> {
         let last = self.attempts.last()?;
-        Some(last).filter(|last| last.state == AttemptState::InFlight && !last.is_cancelled)
+        let holds_slot = last.state == AttemptState::InFlight && !last.is_answered;
+        Some(last).filter(|last| holds_slot && !last.is_cancelled)
     }
 
     /// The first attempt that may have been executed or may still be, in flight included.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -5,7 +5,7 @@
 use crate::state::DeliveryPolicy;
 use crate::tuning::{ANSWER_MARGIN_ROUNDS, RETRY_BACKOFF, UNAVAILABLE_AFTER};
 use crate::types::{
-    Action, AttemptEnd, AttemptOutcome, Idempotency, Message, MessageId, Micros, RouteKey,
+    Action, AttemptEnd, AttemptOutcome, HostId, Idempotency, Message, MessageId, Micros, RouteKey,
 };
 
 /// Risk of another attempt, from the lowest to the highest.
@@ -19,6 +19,37 @@
 }
 
 impl DeliveryPolicy {
+    /// Frees the slot of an attempt that was answered, and records the outcome of its call. The message stays in flight
+    /// until the response is confirmed.
+    pub(crate) fn answer_attempt(&mut self, end: AttemptEnd) {
+        let Some(queued) = self.queue.get_mut(&end.id) else {
+            return;
+        };
+        let message = queued.message;
+        let Some(attempt) = queued.attempts.get_mut(usize::from(end.attempt)) else {
+            return;
+        };
+        if attempt.state != AttemptState::InFlight || attempt.is_answered {
+            return;
+        }
+        attempt.is_answered = true;
+        let call = attempt.call;
+        self.scheduler
+            .call_ended(&message, attempt.expected_duration, end.elapsed);
+        if end.outcome == AttemptOutcome::Delivered {
+            self.release_capacity(end.id);
+        }
+        self.end_call(call, self.class_index(&message), end);
+    }
+
+    /// Honours a wait that a host requested outside the response to a call in flight.
+    pub(crate) fn receive_retry_after(&mut self, host: HostId, retry_after: Micros) {
+        let chance = self.random.next_fraction();
+        if let Some(route) = self.route_of(host) {
+            self.record_retry_after(route, retry_after, chance);
+        }
+    }
+
     /// Records the outcome of an attempt and sets the earliest time of the next one.
     pub(crate) fn end_attempt(&mut self, end: AttemptEnd) {
         let outcome = end.outcome;
@@ -35,9 +66,11 @@
         }
         attempt.state = AttemptState::of_ended(outcome.may_have_executed());
         let call = attempt.call;
-        let expected_duration = attempt.expected_duration;
-        self.scheduler
-            .call_ended(&queued.message, expected_duration, end.elapsed);
+        if !attempt.is_answered {
+            let expected_duration = attempt.expected_duration;
+            self.scheduler
+                .call_ended(&queued.message, expected_duration, end.elapsed);
+        }
         if outcome == AttemptOutcome::NotStarted {
             queued.attempts.pop();
         }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -6,7 +6,7 @@
 use crate::types::{DestinationId, Message, MessageId, Micros, TenantId, TenantTerms};
 
 /// A number of messages and of bytes in the queue: its capacity, or a part in use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Capacity {
     /// Number of messages.
     pub messages: usize,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -7,7 +7,7 @@
 use crate::queued_message::{OrderedKey, QueuedMessage};
 use crate::random::RandomFractions;
 use crate::route::Route;
-use crate::scheduler::{NoTenants, TenantScheduler};
+use crate::scheduler::{Capacity, NoTenants, TenantScheduler};
 use crate::tuning::{initial_latency, MIN_POLL_BACKOFF};
 use crate::types::{HostId, MessageId, Micros, RouteKey, Settings};
 
@@ -23,8 +23,8 @@
     pub(crate) now: Micros,
     /// Messages that wait or are in flight.
     pub(crate) queue: BTreeMap<MessageId, QueuedMessage>,
-    /// Total size of the messages in `queue`, in bytes.
-    pub(crate) queued_bytes: usize,
+    /// Number and bytes of the messages in `queue` that count against its capacity.
+    pub(crate) queue_size: Capacity,
     /// Number of messages without an attempt that a restart or a hand-over recovered.
     pub(crate) recovered_count: usize,
     /// How many of the recovered messages were rejected to free capacity.
@@ -74,7 +74,7 @@
             random: RandomFractions::new(seed),
             now: 0,
             queue: BTreeMap::new(),
-            queued_bytes: 0,
+            queue_size: Capacity::default(),
             recovered_count: 0,
             recovered_shed: 0,
             hosts: BTreeMap::new(),
--- a/crates/policy/src/tables.rs
+++ b/crates/policy/src/tables.rs
@@ -17,10 +17,7 @@
 
     /// Number and total bytes of the queued messages that meet `condition`.
     pub(crate) fn total_size(&self, condition: impl Fn(&QueuedMessage) -> bool) -> Capacity {
-        let mut total = Capacity {
-            messages: 0,
-            bytes: 0,
-        };
+        let mut total = Capacity::default();
         for queued in self.queue.values().filter(|queued| condition(queued)) {
             total.messages += 1;
             total.bytes += queued.message.size;
@@ -40,7 +37,8 @@
     /// Adds a message to the queue, and to the order of the key `ordered_by` if there is one.
     pub(crate) fn insert_message(&mut self, queued: QueuedMessage, ordered_by: Option<u64>) {
         let Message { id, size, .. } = queued.message;
-        self.queued_bytes += size;
+        self.queue_size.messages += 1;
+        self.queue_size.bytes += size;
         if let Some(key) = ordered_by {
             self.ordered_keys
                 .entry(key)
@@ -77,15 +75,31 @@
         if queued.is_in_flight() {
             return;
         }
-        if let Some(message) = self.remove_message(id) {
-            self.scheduler.message_removed(&message);
-        }
+        self.release_capacity(id);
+        self.remove_message(id);
+    }
+
+    /// Takes a message out of the capacity of the queue and of its tenant's share. Does nothing if that has happened
+    /// before.
+    pub(crate) fn release_capacity(&mut self, id: MessageId) {
+        let queued = self.queue.get_mut(&id);
+        let Some(queued) = queued.filter(|queued| queued.uses_capacity) else {
+            return;
+        };
+        queued.uses_capacity = false;
+        let message = queued.message;
+        self.queue_size.messages -= 1;
+        self.queue_size.bytes -= message.size;
+        self.scheduler.message_removed(&message);
     }
 
-    /// Removes a message from the queue and from the order of its key. When too many keys have accumulated, drops those
-    /// without messages that are not blocked.
-    pub(crate) fn remove_message(&mut self, id: MessageId) -> Option<Message> {
-        let key = self.queue.get(&id)?.message.ordering_key;
+    /// Removes a message that uses no capacity from the queue and from the order of its key. When too many keys have
+    /// accumulated, drops those without messages that are not blocked.
+    fn remove_message(&mut self, id: MessageId) {
+        let Some(queued) = self.queue.get(&id) else {
+            return;
+        };
+        let key = queued.message.ordering_key;
         if let Some(order) = key.and_then(|key| self.ordered_keys.get_mut(&key)) {
             order.queue.retain(|other| *other != id);
             if self.ordered_keys.len() > 2 * self.queue.len() + self.settings.max_queued {
@@ -94,9 +108,7 @@
                     .retain(|_, order| !order.queue.is_empty() || order.blocked_until > now);
             }
         }
-        let message = self.queue.remove(&id)?.message;
-        self.queued_bytes -= message.size;
-        Some(message)
+        self.queue.remove(&id);
     }
 
     /// Adds an attempt of the message to the latest call and returns the message.
@@ -117,6 +129,7 @@
             call: self.latest_call,
             state: AttemptState::InFlight,
             is_cancelled: false,
+            is_answered: false,
             expected_duration,
         });
         Some(queued.message)
--- a/crates/policy/src/tuning.rs
+++ b/crates/policy/src/tuning.rs
@@ -64,6 +64,23 @@
 /// The window of an idempotency key divided by this is the maximum time-out of the first attempt with the key.
 pub(crate) const KEY_WINDOW_DIVISOR: Micros = 2;
 
+// Response confirmation
+
+/// Span over which the longest response time of a host is measured.
+pub(crate) const RESPONSE_TIME_SPAN: Micros = 30 * SECOND;
+/// Number of response times of a host below which its longest one is not representative.
+pub(crate) const MIN_RESPONSE_SAMPLES: u64 = 20;
+/// Longest wait for a true response, as a multiple of the longest recent response time of its host.
+pub(crate) const RESPONSE_WAIT_FACTOR: Micros = 2;
+/// Shortest wait for a true response of a host with few samples, from the start of its call.
+pub(crate) const INITIAL_RESPONSE_WAIT: Micros = SECOND / 4;
+/// Longest wait for a true response, from the start of its call.
+pub(crate) const MAX_RESPONSE_WAIT: Micros = 3 * SECOND / 4;
+/// Shortest time for which a connection rests after a response.
+pub(crate) const MIN_SETTLING_TIME: Micros = SECOND / 50;
+/// How long connections to a host are used for a single call after it has sent a surplus response.
+pub(crate) const SURPLUS_QUARANTINE: Micros = 60 * SECOND;
+
 // Limits and pacing
 
 /// Weight of a reported limit, as a multiple of its relative difference from the known limit.
--- a/crates/policy/src/types/event.rs
+++ b/crates/policy/src/types/event.rs
@@ -159,8 +159,18 @@
         /// Message that is being answered.
         id: MessageId,
     },
+    /// A call was answered on a reused connection, and its slot is free. The response is not confirmed yet:
+    /// [`Event::AttemptEnded`] follows, perhaps with another outcome, and the message stays in flight until then.
+    AttemptAnswered(AttemptEnd),
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
+    /// A host requested a wait in a response that belongs to no call, or to none that is in flight any more.
+    RetryAfterReceived {
+        /// Host that sent the response.
+        host: HostId,
+        /// How long to wait.
+        retry_after: Micros,
+    },
     /// The client has withdrawn the message.
     MessageWithdrawn(MessageId),
     /// A tenant's terms changed; `None` if the tenant was removed.
--- a/crates/relay-events/src/lib.rs
+++ b/crates/relay-events/src/lib.rs
@@ -116,8 +116,13 @@
 pub enum RelayEvent {
     /// A client submits a message.
     EnqueueRequest(EnqueueRequest),
+    /// A host has answered a call on a reused connection. The response is not confirmed yet: [`RelayEvent::CallCompleted`]
+    /// follows, perhaps with another outcome.
+    CallAnswered(CompletedCall),
     /// A call to a host has ended.
     CallCompleted(CompletedCall),
+    /// A host has sent responses that belong to no call.
+    SurplusResponses(SurplusResponses),
     /// Discovery has sent a host list or a change of it.
     HostListReceived(HostList),
     /// Discovery has confirmed that the current host list is the latest.
@@ -155,6 +160,21 @@
     pub opened_connection: bool,
 }
 
+/// Responses of a host that belong to no call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SurplusResponses {
+    /// The host that sent them.
+    pub host: HostId,
+    /// Number of responses, including an incomplete one.
+    pub count: u64,
+    /// Number of all surplus responses of the host that this process has received recently.
+    pub total: u64,
+    /// The longest wait that they request; zero if none.
+    pub retry_after: Micros,
+    /// The message whose outcome they put in doubt; `None` if there is none.
+    pub reopened: Option<MessageId>,
+}
+
 /// The end of an accepted message that was not delivered.
 ///
 /// Stored with postcard in the journal: the order of the variants is part of the format.
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -17,6 +17,7 @@
 use policy::DeliveryPolicy;
 use runtime::{log, Runtime};
 
+use crate::host_connections::{CloseCounts, CloseReason};
 use crate::host_directory::HostDirectory;
 
 /// Interval between log lines with the table levels, in microseconds.
@@ -206,6 +207,19 @@
         );
     }
 
+    /// Records how many connections to hosts were closed so far, by reason.
+    pub fn record_closed_connections(&self, now: Micros, counts: &CloseCounts) {
+        let text: String = CloseReason::ALL
+            .iter()
+            .map(|reason| format!(" {}={}", reason.name(), counts.get(*reason)))
+            .collect();
+        log!(
+            self.runtime,
+            "call_log: connections_closed time_ms={}{text}",
+            now / MICROS_PER_MS
+        );
+    }
+
     /// Records the actions of a round. Must be called before they are executed.
     pub fn record_actions(&mut self, now: Micros, actions: &[Action], policy: &DeliveryPolicy) {
         if !self.is_enabled {
--- a/crates/relay/src/control_socket/shared_state.rs
+++ b/crates/relay/src/control_socket/shared_state.rs
@@ -156,11 +156,17 @@
         must_exit
     }
 
-    /// Whether the hand-over to another process is to start now, given the number of open client connections.
-    pub fn should_start_handover(&self, clients: usize) -> bool {
+    /// Whether another process is taking over.
+    pub fn has_successor(&self) -> bool {
+        self.lifecycle.borrow().has_successor()
+    }
+
+    /// Whether the hand-over to another process is to start now, given the numbers of open client connections and of calls
+    /// whose responses are not confirmed.
+    pub fn should_start_handover(&self, clients: usize, unconfirmed_calls: usize) -> bool {
         self.lifecycle
             .borrow()
-            .should_start_handover(self.uptime(), clients)
+            .should_start_handover(self.uptime(), clients, unconfirmed_calls)
     }
 
     /// Whether an operator has drained the relay.
--- a/crates/relay/src/event_loop/attempts.rs
+++ b/crates/relay/src/event_loop/attempts.rs
@@ -6,7 +6,7 @@
 use policy::types::{
     AttemptEnd, AttemptOutcome, DestinationId, Event, HostId, Idempotency, MessageId, Micros,
 };
-use relay_events::CompletedCall;
+use relay_events::{CompletedCall, SurplusResponses};
 use runtime::{log, Runtime};
 use tokio::sync::oneshot;
 use undeliverable::Outcome;
@@ -15,9 +15,9 @@
 use super::load_report::parse_load_report;
 use super::persistence::log_write_error;
 use super::EventLoop;
-use crate::host_connections::{AttemptStart, Call};
+use crate::host_connections::{AttemptStart, Call, Confirmation, Repeatability};
 use crate::host_directory::ListedHost;
-use crate::journal::{Attempt, PendingMessage};
+use crate::journal::{Attempt, Journal, PendingMessage};
 use crate::state_directory::RunningCall;
 use crate::undeliverable_service;
 
@@ -56,6 +56,8 @@
             name: pending.accepted.name.clone(),
             key: pending.accepted.idempotency_key.clone(),
             body: pending.accepted.body.clone(),
+            repeatability: self.repeatability(pending),
+            confirmation: self.confirmation(&journal),
             timeout: Duration::from_micros(timeout),
             latest_start: self.idempotency_deadline(pending),
             start: self.attempt_start(id, number, attempt, host),
@@ -117,6 +119,25 @@
         }
     }
 
+    /// Whether a message may be executed twice. One whose class is unknown may not.
+    fn repeatability(&self, pending: &PendingMessage) -> Repeatability {
+        match self.class_of(pending).map(|class| class.idempotency) {
+            Some(Idempotency::Idempotent | Idempotency::Keyed { .. }) => Repeatability::Repeatable,
+            Some(Idempotency::NonIdempotent) | None => Repeatability::NotRepeatable,
+        }
+    }
+
+    /// Whether outcomes may wait for a confirmation. They may not while a hand-over is due, as the new process would count
+    /// each call as in flight, or while messages that wait for their end could fill the journal.
+    fn confirmation(&self, journal: &Journal<R>) -> Confirmation {
+        let is_filling = journal.pending_size() > journal.capacity() / 2;
+        if is_filling || self.control.has_successor() {
+            Confirmation::AtOnce
+        } else {
+            Confirmation::MayWait
+        }
+    }
+
     /// Reports to the policy that an attempt was not sent.
     fn attempt_not_sent(
         &mut self,
@@ -161,6 +182,41 @@
         }
     }
 
+    /// Passes a response that is not confirmed yet to the policy, which frees the slot of the call.
+    pub(super) fn attempt_answered(&mut self, call: CompletedCall) {
+        let load_report = self.read_load_report(call.load_report.as_deref());
+        self.pending_events.push(Event::AttemptAnswered(AttemptEnd {
+            id: call.id,
+            attempt: call.attempt,
+            host: call.host,
+            outcome: call.outcome,
+            elapsed: call.elapsed,
+            is_final: call.is_final,
+            load_report,
+        }));
+    }
+
+    /// Logs responses that belong to no call, and passes the wait that they request to the policy.
+    pub(super) fn surplus_received(&mut self, surplus: &SurplusResponses) {
+        let name = self
+            .host_directory
+            .name_of(surplus.host)
+            .unwrap_or_default();
+        let is_reopened = surplus.reopened.is_some();
+        log!(
+            self.runtime,
+            "hosts: surplus_responses host={name} count={} total={} call_reopened={is_reopened}",
+            surplus.count,
+            surplus.total
+        );
+        if surplus.retry_after > 0 {
+            self.pending_events.push(Event::RetryAfterReceived {
+                host: surplus.host,
+                retry_after: surplus.retry_after,
+            });
+        }
+    }
+
     /// Records how an attempt ended, and passes it to the policy.
     pub(super) fn attempt_ended(&mut self, call: CompletedCall) {
         self.call_log
--- a/crates/relay/src/event_loop/mod.rs
+++ b/crates/relay/src/event_loop/mod.rs
@@ -202,6 +202,8 @@
     pub fn handle_event(&mut self, event: RelayEvent) {
         match event {
             RelayEvent::EnqueueRequest(request) => self.enqueue(request),
+            RelayEvent::CallAnswered(call) => self.attempt_answered(call),
+            RelayEvent::SurplusResponses(surplus) => self.surplus_received(&surplus),
             RelayEvent::CallCompleted(call) => {
                 self.directory_owner.call_completed(&call);
                 self.attempt_ended(call);
--- a/crates/relay/src/event_loop/table_levels.rs
+++ b/crates/relay/src/event_loop/table_levels.rs
@@ -17,6 +17,8 @@
     pub(super) fn log_table_levels(&mut self, now: Micros) {
         if self.call_log.table_levels_due(now) {
             self.call_log.record_table_levels(now, &self.table_levels());
+            self.call_log
+                .record_closed_connections(now, self.host_connections.close_counts());
         }
     }
 
--- a/crates/relay/src/host_connections/attempt.rs
+++ b/crates/relay/src/host_connections/attempt.rs
@@ -8,11 +8,14 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use policy::response_confirmation::{ConnectionReuse, ResponsePosition};
 use policy::types::AttemptOutcome;
 use runtime::Runtime;
 use tokio::sync::oneshot;
 
+use super::close_reason::CloseReason;
 use super::connection::{response_head_overrun, Connection};
+use super::connection_pool::UnsolicitedInput;
 use super::request::{self, EncodedRequest};
 use super::response::{self, ResponseReport};
 use super::{Call, HostConnections};
@@ -63,17 +66,18 @@
 }
 
 impl<R: Runtime> HostConnections<R> {
-    /// Makes one attempt.
+    /// Makes one attempt, on a connection as `reuse` permits.
     ///
     /// The host may have closed an idle connection, in which case the request is written to the next one. Each iteration
     /// consumes one idle connection; the last iteration uses a connection that was opened for the attempt.
     pub(super) async fn attempt(
         &self,
         call: &Call,
+        reuse: ConnectionReuse,
         mut limits: AttemptLimits<'_>,
     ) -> AttemptResult<R> {
         loop {
-            let (connection, origin) = match self.reuse_idle_connection(call) {
+            let (connection, origin) = match self.reuse_idle_connection(call, reuse) {
                 Some(connection) => (connection, ConnectionOrigin::Reused),
                 None => match self.open_connection(call, &mut limits).await {
                     Ok(connection) => (connection, ConnectionOrigin::Opened),
@@ -96,7 +100,12 @@
         limits: &mut AttemptLimits<'_>,
     ) -> Result<Connection<R>, AttemptOutcome> {
         let dial_deadline = limits.deadline.min(self.runtime.now() + self.dial_timeout);
-        let open = Connection::open(&self.runtime, call.address, self.dispatches.clone());
+        let open = Connection::open(
+            &self.runtime,
+            call.address,
+            self.dispatches.clone(),
+            self.close_counts.clone(),
+        );
         tokio::select! {
             biased;
             opened = self.runtime.timeout_at(dial_deadline, open) => match opened {
@@ -128,13 +137,16 @@
             let outcome = AttemptOutcome::Obsolete;
             return ControlFlow::Break(AttemptResult::without_response(outcome, origin));
         };
-        connection.begin_request(size, call.start.clone());
+        connection.begin_request(self.runtime.now(), size, call.start.clone());
         match self.exchange(&mut connection, request, limits).await {
             Exchange::Response(response) => {
                 ControlFlow::Break(self.accept_response(call, connection, response, origin))
             }
             Exchange::RequestIncomplete => {
-                connection.close().await;
+                if let Some(input) = UnsolicitedInput::of(&connection) {
+                    self.record_unsolicited(call, input);
+                }
+                connection.close(CloseReason::RequestIncomplete).await;
                 if call.start.has_failed() {
                     let outcome = AttemptOutcome::Obsolete;
                     return ControlFlow::Break(AttemptResult::without_response(outcome, origin));
@@ -157,7 +169,10 @@
                 } else {
                     AttemptOutcome::ConnectFailed
                 };
-                ControlFlow::Break(close_and_report(call, connection, outcome, origin).await)
+                let reason = CloseReason::Timeout;
+                ControlFlow::Break(
+                    close_and_report(call, connection, outcome, origin, reason).await,
+                )
             }
             Exchange::Cancelled => {
                 let outcome = if connection.progress().is_request_complete() {
@@ -165,7 +180,10 @@
                 } else {
                     AttemptOutcome::Obsolete
                 };
-                ControlFlow::Break(close_and_report(call, connection, outcome, origin).await)
+                let reason = CloseReason::Cancelled;
+                ControlFlow::Break(
+                    close_and_report(call, connection, outcome, origin, reason).await,
+                )
             }
         }
     }
@@ -202,7 +220,8 @@
         tokio::select! {
             biased;
             sent = connection.sender.try_send_request(request) => match sent {
-                Ok(response) => Exchange::Response(response),
+                Ok(response) if may_answer(connection, &response) => Exchange::Response(response),
+                Ok(_) => Exchange::RequestIncomplete,
                 Err(_) if !connection.progress().is_request_complete() => Exchange::RequestIncomplete,
                 Err(_) => Exchange::ResponseFailed,
             },
@@ -253,7 +272,8 @@
         } else {
             AttemptOutcome::Reset
         };
-        let result = close_and_report(call, connection, outcome, origin).await;
+        let reason = CloseReason::ResponseFailed;
+        let result = close_and_report(call, connection, outcome, origin, reason).await;
         if is_connection_lost {
             // The other idle connections may be lost as well. The next call opens a new connection, which shows whether
             // the host is up.
@@ -278,24 +298,36 @@
     }
 }
 
+/// Whether a response can answer the current request. A host begins a call when its last byte has arrived: before that, it
+/// can only reject the call.
+fn may_answer<R: Runtime>(connection: &Connection<R>, response: &Response<Incoming>) -> bool {
+    let is_rejection = !response::interpret(response).outcome.may_have_executed();
+    let may_reject = connection.position() == ResponsePosition::First && is_rejection;
+    connection.progress().is_request_complete() || may_reject
+}
+
 /// Ends an attempt whose connection can't be reused, and returns once it is closed.
 ///
-/// The outcome is `outcome`, unless the response began with status 200. A request that was not written completely
-/// cannot have been executed, so its start is retracted.
+/// The outcome is `outcome`, unless the first response of the connection began with status 200. A later response may be
+/// the copy of an earlier one, and the connection cannot be observed any longer. A request that was not written
+/// completely cannot have been executed, so its start is retracted.
 async fn close_and_report<R: Runtime>(
     call: &Call,
     connection: Connection<R>,
     outcome: AttemptOutcome,
     origin: ConnectionOrigin,
+    reason: CloseReason,
 ) -> AttemptResult<R> {
     let mut result = AttemptResult::without_response(outcome, origin);
-    if connection.progress().response.status() == Some(DELIVERED_STATUS) {
+    let is_complete = connection.progress().is_request_complete();
+    let has_success_status = connection.progress().response.status() == Some(DELIVERED_STATUS);
+    if has_success_status && is_complete && connection.position() == ResponsePosition::First {
         result.report.outcome = AttemptOutcome::Delivered;
         result.report.is_final = true;
     }
-    if !connection.progress().is_request_complete() {
+    if !is_complete {
         call.start.retract();
     }
-    connection.close().await;
+    connection.close(reason).await;
     result
 }
--- a/crates/relay/src/host_connections/mod.rs
+++ b/crates/relay/src/host_connections/mod.rs
@@ -1,30 +1,35 @@
 //! Makes calls to hosts, over connections that are reused between calls.
 //!
 //! [`HostConnections`] combines the submodules: [`connection_pool`] keeps idle connections, [`attempt`] makes one attempt
-//! on a [`connection`], [`watched_stream`] records the progress of the transfer, and [`request`], [`response`] and
-//! [`status_line`] encode and parse without I/O.
+//! on a [`connection`], [`settling`] observes the connection after a response, [`watched_stream`] records the progress of
+//! the transfer, and [`request`], [`response`], [`response_framing`], [`surplus`] and [`status_line`] encode and parse
+//! without I/O. Whether a response is believed is decided by [`policy::response_confirmation`].
 
 mod attempt;
 mod attempt_start;
+mod close_reason;
 mod connection;
 mod connection_pool;
 mod request;
 mod response;
+mod response_framing;
 mod retry_after;
+mod settling;
 mod status_line;
+mod surplus;
 #[cfg(test)]
 mod tests;
 mod watched_stream;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Body;
 use membership::HostMembership;
+use policy::response_confirmation::{ConnectionReuse, HostResponses};
 use policy::types::{HostId, MessageId, Micros};
 use policy::RouteKey;
 use relay_events::{CompletedCall, RelayEvent};
@@ -32,22 +37,31 @@
 use tokio::sync::{mpsc, oneshot};
 
 pub use attempt_start::{AttemptRecorder, AttemptStart};
+pub use close_reason::{CloseCounts, CloseReason};
 
-use attempt::{AttemptLimits, UnreadResponse};
+use attempt::AttemptLimits;
 use connection::Connection;
 use connection_pool::ConnectionPool;
 use response::ResponseReport;
 use retry_after::RetryAfterDeadlines;
 
-/// Time limit for reading the body of a response, after which its connection is closed instead of reused.
-const RESPONSE_BODY_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Maximum size of a response body in bytes. The connection of a longer one is closed instead of reused.
-const RESPONSE_BODY_MAX_BYTES: usize = 64 << 10;
+/// Whether a call may be executed twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeatability {
+    /// The message is idempotent, or its host recognizes its idempotency key.
+    Repeatable,
+    /// The message must not be executed twice.
+    NotRepeatable,
+}
 
-/// Maximum time for which reporting the outcome of a call is delayed until its connection is idle, so that the next call
-/// can reuse the connection.
-const OUTCOME_DELAY_MAX: Duration = Duration::from_millis(5);
+/// Whether the outcome of a call may wait until its response is confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Confirmation {
+    /// The response may be one of a reused connection, which is confirmed by a silence behind it.
+    MayWait,
+    /// The response must be the first of its connection, which needs no confirmation.
+    AtOnce,
+}
 
 /// A call to be made.
 pub struct Call {
@@ -67,6 +81,10 @@
     pub key: Option<String>,
     /// The message's body, sent unchanged.
     pub body: Bytes,
+    /// Whether the call may be executed twice.
+    pub repeatability: Repeatability,
+    /// Whether the outcome may wait for a confirmation.
+    pub confirmation: Confirmation,
     /// Maximum duration of the attempt.
     pub timeout: Duration,
     /// Latest time at which the call may start, because the host may have discarded its idempotency key after that.
@@ -86,6 +104,13 @@
     dial_timeout: Duration,
     /// Number of requests that were written completely, on all connections.
     dispatches: Rc<Cell<u64>>,
+    close_counts: Rc<CloseCounts>,
+    /// What responses have shown about the hosts that were called recently.
+    responses: RefCell<BTreeMap<HostId, HostResponses>>,
+    /// Number of connections that rest after a response. Each of them is in use by a task.
+    settling: Cell<usize>,
+    /// The origin of the times in `responses`.
+    started_at: Instant,
 }
 
 impl<R: Runtime> HostConnections<R> {
@@ -103,6 +128,7 @@
     ) -> Self {
         // A tenth shorter than the timeout of hosts, so that no request is sent while the host closes the connection.
         let idle_timeout = host_idle_timeout - host_idle_timeout / 10;
+        let started_at = runtime.now();
         HostConnections {
             runtime,
             pool: RefCell::new(ConnectionPool::new(idle_timeout, max_idle)),
@@ -110,9 +136,18 @@
             retry_after: RefCell::default(),
             dial_timeout,
             dispatches,
+            close_counts: Rc::default(),
+            responses: RefCell::default(),
+            settling: Cell::new(0),
+            started_at,
         }
     }
 
+    /// The number of calls that were answered, but whose responses are not confirmed.
+    pub fn unconfirmed_calls(&self) -> usize {
+        self.settling.get()
+    }
+
     /// The number of idle connections.
     pub fn idle_connections(&self) -> usize {
         self.pool.borrow().len()
@@ -123,18 +158,29 @@
         self.pool.borrow().max_idle()
     }
 
+    /// Numbers of connections that were closed, by reason.
+    pub fn close_counts(&self) -> &CloseCounts {
+        &self.close_counts
+    }
+
     /// Closes the connections that have expired, and removes the `Retry-After` waits that have ended.
     pub fn close_expired(&self) {
         let now = self.runtime.now();
         self.retry_after.borrow_mut().remove_expired(now);
         self.pool.borrow_mut().close_expired(now);
+        let now = self.micros(now);
+        self.responses
+            .borrow_mut()
+            .retain(|_, responses| !responses.is_expired(now));
     }
 
     /// Closes the idle connections to a host.
     ///
     /// A connection in use is closed at the end of its call if the host is draining or removed by then.
     pub fn close_idle(&self, host: HostId) {
-        self.pool.borrow_mut().close_host(host);
+        self.pool
+            .borrow_mut()
+            .close_host(host, CloseReason::NotNeeded);
     }
 
     /// Closes all idle connections, and from now on each connection as soon as it becomes idle.
@@ -142,9 +188,10 @@
         self.pool.borrow_mut().retire();
     }
 
-    /// Makes a call and reports its outcome as [`RelayEvent::CallCompleted`].
+    /// Makes a call and reports its outcome as [`RelayEvent::CallCompleted`]. A response that may be the copy of an earlier
+    /// one is reported as [`RelayEvent::CallAnswered`] first, and its outcome once it is confirmed.
     ///
-    /// The call ends early when `cancel` receives or its sender is dropped.
+    /// The call ends early when `cancel` receives or its sender is dropped before the host has answered.
     pub async fn call(
         &self,
         call: Call,
@@ -156,14 +203,15 @@
             deadline: start + call.timeout,
             cancel: &mut cancel,
         };
-        let result = self.attempt(&call, limits).await;
+        let reuse = self.connection_reuse(&call, start);
+        let result = self.attempt(&call, reuse, limits).await;
         let elapsed = (self.runtime.now() - start).as_micros() as Micros;
         let ResponseReport {
             outcome,
             is_final,
             load_report,
         } = result.report;
-        let completed = RelayEvent::CallCompleted(CompletedCall {
+        let completed = CompletedCall {
             id: call.id,
             attempt: call.attempt,
             host: call.host,
@@ -172,62 +220,62 @@
             load_report,
             elapsed,
             opened_connection: result.opened_connection,
-        });
-        let Some(unread) = result.unread_response else {
-            return drop(inputs.send(completed).await);
         };
-        let mut finish = std::pin::pin!(self.finish_response(call.host, unread));
-        let finished = self
-            .runtime
-            .timeout(OUTCOME_DELAY_MAX, &mut finish)
-            .await
-            .is_ok();
-        drop(inputs.send(completed).await);
-        if !finished {
-            finish.await;
+        match result.unread_response {
+            Some(unread) => {
+                self.finish_call(&call, reuse, completed, unread, &inputs)
+                    .await;
+            }
+            None => drop(inputs.send(RelayEvent::CallCompleted(completed)).await),
         }
     }
 
-    /// Reads the body of a response, so that its connection can be reused. Closes the connection if that fails.
-    async fn finish_response(&self, host: HostId, unread: UnreadResponse<R>) {
-        let UnreadResponse {
-            mut connection,
-            response,
-        } = unread;
-        let body = response.into_body();
-        let is_body_read = body.is_end_stream() || {
-            let rest = Limited::new(body, RESPONSE_BODY_MAX_BYTES).collect();
-            let collected = self.runtime.timeout(RESPONSE_BODY_TIMEOUT, rest).await;
-            matches!(collected, Ok(Ok(_)))
-        };
-        if is_body_read && self.becomes_ready(&mut connection).await {
-            self.return_to_pool(host, connection);
-        } else {
-            connection.close().await;
-        }
+    /// Whether a call that starts at `now` may use a connection that has carried other calls.
+    fn connection_reuse(&self, call: &Call, now: Instant) -> ConnectionReuse {
+        // The number of resting connections is bounded.
+        let may_rest = self.settling.get() < self.max_idle_connections();
+        let may_wait = may_rest && call.confirmation == Confirmation::MayWait;
+        let responses = self.responses.borrow();
+        let responses = responses.get(&call.host).copied().unwrap_or_default();
+        let is_repeatable = call.repeatability == Repeatability::Repeatable;
+        responses.connection_reuse(self.micros(now), is_repeatable, may_wait)
     }
 
-    /// Waits up to [`RESPONSE_BODY_TIMEOUT`] for a connection to accept another request; false if it does not.
-    async fn becomes_ready(&self, connection: &mut Connection<R>) -> bool {
-        let ready = self
-            .runtime
-            .timeout(RESPONSE_BODY_TIMEOUT, connection.sender.ready())
-            .await;
-        matches!(ready, Ok(Ok(())))
+    /// A time in the unit of the policy, from the creation of the connections.
+    fn micros(&self, at: Instant) -> Micros {
+        at.saturating_duration_since(self.started_at).as_micros() as Micros
     }
 
-    /// Takes the most recently used idle connection that is usable for a call from the pool.
-    fn reuse_idle_connection(&self, call: &Call) -> Option<Connection<R>> {
+    /// Takes the most recently used idle connection that is usable for a call from the pool. If the call needs a new
+    /// connection, closes an idle one in its place, as hosts bound the number of connections.
+    fn reuse_idle_connection(&self, call: &Call, reuse: ConnectionReuse) -> Option<Connection<R>> {
         let now = self.runtime.now();
-        self.pool.borrow_mut().take(call.host, call.address, now)
+        let mut pool = self.pool.borrow_mut();
+        let accepts = |connection: &Connection<R>| match reuse {
+            ConnectionReuse::Allowed => true,
+            ConnectionReuse::AfterDeliveries => connection.has_only_deliveries(),
+            ConnectionReuse::SingleUse => false,
+        };
+        let connection = pool.take(call.host, call.address, now, accepts);
+        if connection.is_none() {
+            pool.close_one(call.host, CloseReason::Replaced);
+        }
+        let unsolicited = pool.take_unsolicited(call.host);
+        drop(pool);
+        if let Some(input) = unsolicited {
+            self.record_unsolicited(call, input);
+        }
+        connection
     }
 
     /// Returns a connection to the pool for further calls. The connection is closed instead if no further calls are
     /// possible, because its host is draining or removed or the process is ending.
-    fn return_to_pool(&self, host: HostId, connection: Connection<R>) {
+    fn return_to_pool(&self, host: HostId, mut connection: Connection<R>) {
         let mut pool = self.pool.borrow_mut();
         if !pool.is_retired() && self.members.borrow().is_ready(host) {
             pool.put(host, connection, self.runtime.now());
+        } else {
+            connection.set_close_reason(CloseReason::NotNeeded);
         }
     }
 }
--- a/crates/relay/src/host_connections/tests.rs
+++ b/crates/relay/src/host_connections/tests.rs
@@ -28,6 +28,8 @@
         name: "9b1f03aa5c7e2d41".into(),
         key: key.map(String::from),
         body: Bytes::copy_from_slice(body),
+        repeatability: Repeatability::Repeatable,
+        confirmation: Confirmation::MayWait,
         timeout: CALL_TIMEOUT,
         latest_start: None,
         start: AttemptStart::new(Rc::new(NoopRecorder)),
@@ -83,14 +85,17 @@
     listener.accept().await.expect("accept connection").0
 }
 
+/// Makes a call and returns once its connection is idle or closed.
 async fn make_call(hosts: &HostConnections<OsRuntime>, call: Call) -> CompletedCall {
-    let (inputs, mut events) = mpsc::channel(1);
+    let (inputs, mut events) = mpsc::channel(8);
     let (_cancel, cancelled) = oneshot::channel();
     hosts.call(call, cancelled, inputs).await;
-    match events.recv().await {
-        Some(RelayEvent::CallCompleted(completed)) => completed,
-        _ => panic!("call reported no outcome"),
+    while let Some(event) = events.recv().await {
+        if let RelayEvent::CallCompleted(completed) = event {
+            return completed;
+        }
     }
+    panic!("call reported no outcome");
 }
 
 fn encoded_size(call: &Call) -> usize {
@@ -261,7 +266,8 @@
             let (listener, address) = listen().await;
             let hosts = host_connections(1);
             if reuses_connection {
-                let opened = Connection::open(&OsRuntime, address, Rc::default()).await;
+                let opened =
+                    Connection::open(&OsRuntime, address, Rc::default(), Rc::default()).await;
                 let mut connection = opened.expect("connection opened");
                 connection.sender.ready().await.expect("connection ready");
                 hosts.return_to_pool(HOST_ID, connection);
@@ -369,3 +375,129 @@
         "{timing:?}"
     );
 }
+
+/// A host that answers the first call of a connection, sends a copy of that answer `copy_after` the last byte of the second
+/// request, and the true answer to it `answer_after` that.
+async fn copy_behind_the_next_request(
+    listener: &TcpListener,
+    size: usize,
+    answers: [&[u8]; 2],
+    answer_after: Duration,
+) {
+    let mut stream = accept(listener).await;
+    let mut request = vec![0; size];
+    stream
+        .read_exact(&mut request)
+        .await
+        .expect("read first request");
+    stream.write_all(answers[0]).await.expect("answer written");
+    stream
+        .read_exact(&mut request)
+        .await
+        .expect("read second request");
+    tokio::time::sleep(Duration::from_millis(2)).await;
+    stream.write_all(answers[0]).await.expect("copy written");
+    tokio::time::sleep(answer_after).await;
+    // The relay may have closed the connection.
+    drop(stream.write_all(answers[1]).await);
+}
+
+/// Makes two calls on one connection, of which the second seems to get the answer to the first, and returns its outcome.
+async fn outcome_of_call_behind_a_copy(answers: [&'static [u8]; 2]) -> AttemptOutcome {
+    let (listener, address) = listen().await;
+    let hosts = host_connections(4);
+    let call = || call_to(address, None, b"x");
+    let size = encoded_size(&call());
+    let answer_after = Duration::from_millis(80);
+    let peer = copy_behind_the_next_request(&listener, size, answers, answer_after);
+    let calls = async {
+        make_call(&hosts, call()).await;
+        make_call(&hosts, call()).await
+    };
+    let (completed, ()) = tokio::join!(calls, peer);
+    assert!(!completed.opened_connection, "the connection was reused");
+    assert_eq!(
+        hosts.close_counts().get(CloseReason::SurplusResponse),
+        1,
+        "the shifted connection is closed"
+    );
+    completed.outcome
+}
+
+#[test]
+fn copy_of_a_delivery_does_not_deliver_a_rejected_call() {
+    run_local(async {
+        let outcome = outcome_of_call_behind_a_copy([OK_RESPONSE, BUSY_RESPONSE]).await;
+        assert_eq!(outcome, AttemptOutcome::ConnectionLost);
+    });
+}
+
+#[test]
+fn copy_of_a_rejection_does_not_free_an_executed_call_for_a_retry() {
+    run_local(async {
+        let outcome = outcome_of_call_behind_a_copy([BUSY_RESPONSE, OK_RESPONSE]).await;
+        assert_eq!(outcome, AttemptOutcome::ConnectionLost);
+    });
+}
+
+#[test]
+fn copy_of_the_same_status_leaves_the_outcome_as_it_is() {
+    run_local(async {
+        let outcome = outcome_of_call_behind_a_copy([OK_RESPONSE, OK_RESPONSE]).await;
+        assert_eq!(outcome, AttemptOutcome::Delivered);
+        let outcome = outcome_of_call_behind_a_copy([BUSY_RESPONSE, BUSY_RESPONSE]).await;
+        assert_eq!(outcome, AttemptOutcome::Rejected { retry_after: 0 });
+    });
+}
+
+#[test]
+fn wait_requested_behind_a_copy_is_honoured() {
+    const WAIT_RESPONSE: &[u8] =
+        b"HTTP/1.1 429 Slow\r\nX-Backoff-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
+    run_local(async {
+        let (listener, address) = listen().await;
+        let hosts = host_connections(4);
+        let call = || call_to(address, None, b"x");
+        let size = encoded_size(&call());
+        let answers = [OK_RESPONSE, WAIT_RESPONSE];
+        let answer_after = Duration::from_millis(20);
+        let peer = copy_behind_the_next_request(&listener, size, answers, answer_after);
+        let calls = async {
+            make_call(&hosts, call()).await;
+            make_call(&hosts, call()).await;
+            make_call(&hosts, call()).await
+        };
+        let (completed, ()) = tokio::join!(calls, peer);
+        assert_eq!(completed.outcome, AttemptOutcome::Obsolete);
+        assert_nothing_was_written(&listener).await;
+    });
+}
+
+/// The first connection has carried a rejection, whose copy could make an executed call look as if it never ran.
+#[test]
+fn call_that_may_not_run_twice_gets_a_new_connection_after_a_rejection() {
+    run_local(async {
+        let (listener, address) = listen().await;
+        let hosts = host_connections(4);
+        let call = || Call {
+            repeatability: Repeatability::NotRepeatable,
+            ..call_to(address, None, b"x")
+        };
+        let size = encoded_size(&call());
+        let peer = async {
+            for answer in [BUSY_RESPONSE, OK_RESPONSE] {
+                let mut stream = accept(&listener).await;
+                let mut request = vec![0; size];
+                stream.read_exact(&mut request).await.expect("read request");
+                stream.write_all(answer).await.expect("answer written");
+            }
+        };
+        let calls = async {
+            make_call(&hosts, call()).await;
+            make_call(&hosts, call()).await
+        };
+        let (completed, ()) = tokio::join!(calls, peer);
+        assert!(completed.opened_connection);
+        assert_eq!(completed.outcome, AttemptOutcome::Delivered);
+    });
+}
--- a/crates/relay/src/journal/mod.rs
+++ b/crates/relay/src/journal/mod.rs
@@ -82,6 +82,11 @@
         (self.disk_limit * PENDING_SHARE) as usize
     }
 
+    /// Bytes that the records of pending messages take.
+    pub fn pending_size(&self) -> usize {
+        self.index.size() as usize
+    }
+
     /// Length of the file in bytes.
     pub fn length(&self) -> usize {
         self.file.length() as usize
--- a/crates/relay/src/process/serving.rs
+++ b/crates/relay/src/process/serving.rs
@@ -85,7 +85,12 @@
                 self.answer_last_requests(&mut event_loop).await?;
                 return Ok(ServeOutcome::Ended);
             }
-            if !self.control.should_start_handover(servers.clients.count()) {
+            let unconfirmed_calls = event_loop.host_connections().unconfirmed_calls();
+            let clients = servers.clients.count();
+            if !self
+                .control
+                .should_start_handover(clients, unconfirmed_calls)
+            {
                 continue;
             }
             self.handle_waiting_events(&mut event_loop);
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -4,14 +4,11 @@
 mod support;
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::os::fd::AsRawFd;
-use std::process::{Child, Stdio};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
-use socket2::{Domain, Socket, Type};
 use support::upgrade::{kill, wait_until_ready, SharedListener};
 use support::*;
 
--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -35,6 +35,9 @@
     }
 }
 
+/// Longer than a connection rests after the response of a host that answers at once.
+const CONNECTION_REST: Duration = Duration::from_millis(300);
+
 #[test]
 fn connections_are_reused_newest_first() {
     let host = Host::new(|_, _| ok());
@@ -42,6 +45,8 @@
     for number in 1..=20 {
         assert_eq!(test_bed.enqueue("update", 7).1, "+OK");
         wait_until("the call", || (host.calls().len() == number).then_some(()));
+        // After a response that could be a copy, the connection rests.
+        std::thread::sleep(CONNECTION_REST);
     }
     assert!(
         host.calls().iter().all(|call| call.connection == 0),
