--- a/crates/relay/src/host_connections/surplus.rs
+++ b/crates/relay/src/host_connections/surplus.rs
@@ -11,10 +11,12 @@
 /// The surplus responses of a connection since its last request.
 #[derive(Debug, Default)]
 pub(super) struct SurplusResponses {
-    /// Outcomes of the complete responses.
+    /// Outcomes of the responses whose heads are complete.
     outcomes: Vec<AttemptOutcome>,
     /// The response whose bytes are arriving; `None` between two responses.
     partial: Option<ResponseFraming>,
+    /// The head of `partial` is complete, and its outcome is among `outcomes`.
+    has_partial_head: bool,
     is_endless: bool,
 }
 
@@ -31,11 +33,14 @@
 
     fn add(&mut self, framing: ResponseFraming) {
         self.is_endless |= framing.is_unbounded() || self.outcomes.len() >= MAX_SURPLUS_RESPONSES;
+        let had_head = self.has_partial_head;
+        self.has_partial_head = framing.head().is_some() && !framing.is_complete();
         match framing.head() {
-            Some(head) if framing.is_complete() => {
-                self.outcomes.push(response::interpret(head).outcome);
-            }
-            _ => self.partial = Some(framing),
+            Some(head) if !had_head => self.outcomes.push(response::interpret(head).outcome),
+            _ => {}
+        }
+        if !framing.is_complete() {
+            self.partial = Some(framing);
         }
     }
 
@@ -46,10 +51,11 @@
 
     /// Number of responses, including an incomplete one.
     pub(super) fn count(&self) -> u64 {
-        self.outcomes.len() as u64 + u64::from(self.partial.is_some())
+        let has_headless = self.partial.is_some() && !self.has_partial_head;
+        self.outcomes.len() as u64 + u64::from(has_headless)
     }
 
-    /// Outcomes of the complete responses.
+    /// Outcomes of the responses whose heads are complete.
     pub(super) fn outcomes(&self) -> &[AttemptOutcome] {
         &self.outcomes
     }
@@ -61,18 +67,15 @@
 
     /// Whether the outcomes of some responses are unknown.
     pub(super) fn is_incomplete(&self) -> bool {
-        self.is_endless || self.partial.is_some()
+        self.is_endless || self.partial.is_some() && !self.has_partial_head
     }
 
     /// The longest wait that the responses request; zero if none.
     pub(super) fn retry_after(&self) -> Micros {
-        let partial_head = self.partial.as_ref().and_then(ResponseFraming::head);
-        let partial = partial_head.map(|head| response::interpret(head).outcome);
-        let waits = self.outcomes.iter().copied().chain(partial);
         let wait = |outcome| match outcome {
             AttemptOutcome::Rejected { retry_after } => retry_after,
             _ => 0,
         };
-        waits.map(wait).max().unwrap_or(0)
+        self.outcomes.iter().copied().map(wait).max().unwrap_or(0)
     }
 }
--- a/crates/simulator/src/commands/replay.rs
+++ b/crates/simulator/src/commands/replay.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use super::{print_faults, CommandOutcome};
-use crate::script::{ScenarioKind, Script};
+use crate::script::Script;
 use crate::world::{play, Options, Report};
 
 /// Lines of the trace that are printed if it is not written to a file.
@@ -25,23 +25,18 @@
     },
 }
 
-/// Plays a seed and prints its faults, the last lines of the trace unless it is written to a file, and the result.
+/// Plays a script and prints its faults, the last lines of the trace unless it is written to a file, and the result.
 ///
 /// # Errors
 ///
 /// If the trace can't be written.
-pub fn run(
-    seed: u64,
-    trace_file: Option<&Path>,
-    kind: ScenarioKind,
-) -> Result<CommandOutcome, ReplayError> {
-    let script = Script::draw_kind(kind, seed);
-    print_faults(&script);
+pub fn run(script: &Script, trace_file: Option<&Path>) -> Result<CommandOutcome, ReplayError> {
+    print_faults(script);
     let options = Options {
         traced: true,
         ..Options::default()
     };
-    let report = play(&script, options);
+    let report = play(script, options);
     match trace_file {
         Some(path) => write_trace(path, &report)?,
         None => print_trace_end(&report),
--- a/crates/simulator/src/commands/run.rs
+++ b/crates/simulator/src/commands/run.rs
@@ -54,13 +54,20 @@
     pub relays: Option<usize>,
     /// Number of hosts in a rolling scenario; drawn if not given.
     pub hosts: Option<usize>,
+    /// Whether hosts send some of their responses twice.
+    pub repeats_responses: bool,
 }
 
 impl RunPlan {
     fn script(&self, seed: u64) -> Script {
-        match self.kind {
+        let script = match self.kind {
             ScenarioKind::Rolling => Script::draw_rolling(seed, self.relays, self.hosts),
             kind => Script::draw_kind(kind, seed),
+        };
+        if self.repeats_responses {
+            script.with_repeated_responses()
+        } else {
+            script
         }
     }
 }
--- a/crates/simulator/src/faults/mod.rs
+++ b/crates/simulator/src/faults/mod.rs
@@ -173,6 +173,21 @@
     }
 }
 
+/// Draws for each destination what percentage of its responses are sent twice, until `until_ms`.
+pub fn draw_repeated_responses(
+    rng: &mut SimulationRng,
+    destinations: &[u16],
+    until_ms: u64,
+) -> Vec<Fault> {
+    let fault = |destination: &u16| Fault {
+        from: 1,
+        until: until_ms,
+        relay: 0,
+        behavior: Rc::new(partners::Repeats(*destination, rng.between(1, 15))),
+    };
+    destinations.iter().map(fault).collect()
+}
+
 /// Draws up to two faults of the tenant registry.
 pub fn draw_tenant_faults(rng: &mut SimulationRng) -> Vec<Fault> {
     // All corruption hits one replica: the other repairs it, but not damage to both.
--- a/crates/simulator/src/faults/partners.rs
+++ b/crates/simulator/src/faults/partners.rs
@@ -268,6 +268,20 @@
     }
 }
 
+/// A partner sends this percentage of its responses twice.
+#[derive(Debug)]
+pub(super) struct Repeats(pub u16, pub u64);
+
+impl FaultBehavior for Repeats {
+    fn inject(&self, context: &mut dyn FaultContext, _: Duration) {
+        context.update_hosts(self.0, &|behavior| behavior.repeat_percent = self.1);
+    }
+
+    fn clear(&self, context: &mut dyn FaultContext) {
+        context.update_hosts(self.0, &|behavior| behavior.repeat_percent = 0);
+    }
+}
+
 /// A partner limits its calls a second to this number, and sends Retry-After with calls beyond it.
 #[derive(Debug)]
 pub(super) struct Limited(u16, u64);
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -11,7 +11,7 @@
 use simulator::commands::cost::CostPlan;
 use simulator::commands::run::{parse_seeds, RunPlan};
 use simulator::commands::{cost, demo, replay, run, shrink, upgrades, CommandOutcome};
-use simulator::script::ScenarioKind;
+use simulator::script::{ScenarioKind, Script};
 
 /// Exit code for invalid arguments, and for a command that can't be carried out.
 const EXIT_ERROR: u8 = 2;
@@ -46,6 +46,9 @@
         /// Number of hosts in a rolling scenario; drawn if not given.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=3072))]
         hosts: Option<u16>,
+        /// Let hosts send some of their responses twice.
+        #[arg(long)]
+        repeat_responses: bool,
     },
     /// Play one seed and print its trace.
     Replay {
@@ -57,6 +60,9 @@
         /// The kind of scenario.
         #[arg(long, value_enum, default_value_t)]
         days: ScenarioKind,
+        /// Let hosts send some of their responses twice.
+        #[arg(long)]
+        repeat_responses: bool,
     },
     /// Reduce a seed's script to the faults and messages that the violation needs.
     Shrink {
@@ -135,6 +141,7 @@
             days,
             relays,
             hosts,
+            repeat_responses,
         } => run::run(&RunPlan {
             seeds,
             jobs,
@@ -142,8 +149,22 @@
             kind: days,
             relays: relays.map(usize::from),
             hosts: hosts.map(usize::from),
+            repeats_responses: repeat_responses,
         })?,
-        Command::Replay { seed, trace, days } => replay::run(seed, trace.as_deref(), days)?,
+        Command::Replay {
+            seed,
+            trace,
+            days,
+            repeat_responses,
+        } => {
+            let script = Script::draw_kind(days, seed);
+            let script = if repeat_responses {
+                script.with_repeated_responses()
+            } else {
+                script
+            };
+            replay::run(&script, trace.as_deref())?
+        }
         Command::Shrink { seed, days } => shrink::run(seed, days),
         Command::Demo => demo::run()?,
         Command::Cost {
--- a/crates/simulator/src/peers/host_behavior.rs
+++ b/crates/simulator/src/peers/host_behavior.rs
@@ -16,6 +16,8 @@
     pub error_percent: u64,
     /// Percentage of the responses that are corrupted.
     pub corruption_percent: u64,
+    /// Percentage of the responses that are sent twice.
+    pub repeat_percent: u64,
     /// How it rejects all calls; none if it does not.
     pub rejection: Option<Rejection>,
     /// Whether it reads calls without ever responding.
@@ -60,6 +62,7 @@
             max_response_ms: 60,
             error_percent: 0,
             corruption_percent: 0,
+            repeat_percent: 0,
             rejection: None,
             hangs: false,
             drops_calls: false,
--- a/crates/simulator/src/peers/hosts.rs
+++ b/crates/simulator/src/peers/hosts.rs
@@ -13,6 +13,7 @@
 
 use super::effect_log::EffectLog;
 use super::host_behavior::{HostBehavior, Rejection};
+use super::repeating_stream::{CopyTiming, RepeatingStream};
 use super::{discard_until_closed, read_request, Numbered, PeerContext, Request};
 use crate::history::{CallId, CallOutcome, HostIdentity, Observation, ReceivedCall};
 use crate::rng::SimulationRng;
@@ -124,12 +125,13 @@
     async fn connection<R: Runtime>(
         &self,
         context: &PeerContext<R>,
-        mut stream: R::Stream,
+        stream: R::Stream,
     ) -> io::Result<()>
     where
         R::Stream: Numbered,
     {
         stream.set_nodelay()?;
+        let mut stream = RepeatingStream::new(context.runtime.clone(), stream);
         let mut text = BytesMut::new();
         let max_connections = self.behavior.borrow().max_connections;
         let is_over_limit = max_connections.is_some_and(|max| self.open_connections.get() > max);
@@ -274,7 +276,7 @@
     async fn respond<R: Runtime>(
         &self,
         context: &PeerContext<R>,
-        stream: &mut R::Stream,
+        stream: &mut RepeatingStream<R>,
         id: &CallId,
         call: &ReceivedCall,
     ) -> io::Result<AfterResponse>
@@ -335,7 +337,7 @@
     async fn reject<R: Runtime>(
         &self,
         context: &PeerContext<R>,
-        stream: &mut R::Stream,
+        stream: &mut RepeatingStream<R>,
         id: &CallId,
         wait: Duration,
         behavior: &HostBehavior,
@@ -366,7 +368,7 @@
     async fn respond_delivered<R: Runtime>(
         &self,
         context: &PeerContext<R>,
-        stream: &mut R::Stream,
+        stream: &mut RepeatingStream<R>,
         id: &CallId,
         behavior: &HostBehavior,
     ) -> io::Result<AfterResponse>
@@ -404,7 +406,7 @@
     async fn write<R: Runtime>(
         &self,
         context: &PeerContext<R>,
-        stream: &mut R::Stream,
+        stream: &mut RepeatingStream<R>,
         id: &CallId,
         outcome: CallOutcome,
         text: &str,
@@ -413,8 +415,19 @@
         R::Stream: Numbered,
     {
         context.observe(&Observation::ResponseStarted { call: id, outcome });
-        stream.write_all(text.as_bytes()).await?;
-        self.report_read(context, stream.number(), id);
+        // Behind a copy, the relay cannot be certain that a response belongs to its call.
+        let is_certain = !stream.has_repeated();
+        let repeat_percent = self.behavior.borrow().repeat_percent;
+        // Drawn only where the fault is active, so that other scenarios keep their sequence.
+        if repeat_percent > 0 && self.draw(|rng| rng.percent(repeat_percent)) {
+            let timing = self.draw(CopyTiming::draw);
+            stream.write_twice(text.as_bytes(), timing).await?;
+        } else {
+            stream.write_all(text.as_bytes()).await?;
+        }
+        if is_certain {
+            self.report_read(context, stream.number(), id);
+        }
         Ok(())
     }
 
@@ -434,7 +447,7 @@
     async fn respond_corrupted<R: Runtime>(
         &self,
         context: &PeerContext<R>,
-        stream: &mut R::Stream,
+        stream: &mut RepeatingStream<R>,
         id: &CallId,
         call: &ReceivedCall,
     ) -> io::Result<AfterResponse>
--- a/crates/simulator/src/peers/mod.rs
+++ b/crates/simulator/src/peers/mod.rs
@@ -11,6 +11,7 @@
 pub mod host_behavior;
 pub mod hosts;
 pub mod operators;
+mod repeating_stream;
 
 use std::cell::RefCell;
 use std::io;
@@ -110,7 +111,7 @@
 /// Reads one request; none at the end of the connection.
 pub(crate) async fn read_request<R: Runtime>(
     context: &PeerContext<R>,
-    stream: &mut R::Stream,
+    stream: &mut impl Stream,
     text: &mut BytesMut,
 ) -> io::Result<Option<Request>> {
     let mut first_byte_at = None;
--- a/crates/simulator/src/script.rs
+++ b/crates/simulator/src/script.rs
@@ -28,6 +28,9 @@
 /// Bytes in a megabyte of the disk limit.
 const BYTES_PER_MB: f64 = 1e6;
 
+/// Stream of random numbers for repeated responses.
+const REPEATED_RESPONSES_STREAM: u64 = 21;
+
 /// Share of the disk that queued messages may use.
 const JOURNAL_DISK_SHARE: f64 = 0.3;
 /// Maximum disk space of a message beyond its body.
@@ -251,6 +254,17 @@
         }
     }
 
+    /// Adds hosts that send some of their responses twice, at any instant, during the whole scenario.
+    #[must_use]
+    pub fn with_repeated_responses(mut self) -> Self {
+        let mut rng = SimulationRng::new(self.seed, REPEATED_RESPONSES_STREAM);
+        let destinations: Vec<u16> = self.limits.capacity.keys().copied().collect();
+        let repeats = faults::draw_repeated_responses(&mut rng, &destinations, ARRIVAL_SPAN_MS);
+        self.faults.extend(repeats);
+        self.faults.sort_by_key(|fault| fault.from);
+        self
+    }
+
     /// The configuration file of a relay: `settings`, the host snapshot `known`, and the address of its discovery agent.
     #[must_use]
     pub fn config(
