--- a/crates/policy/src/tuning.rs
+++ b/crates/policy/src/tuning.rs
@@ -74,8 +74,8 @@
 pub(crate) const RESPONSE_WAIT_FACTOR: Micros = 2;
 /// Shortest wait for a true response of a host with few samples, from the start of its call.
 pub(crate) const INITIAL_RESPONSE_WAIT: Micros = SECOND / 4;
-/// Longest wait for a true response, from the start of its call.
-pub(crate) const MAX_RESPONSE_WAIT: Micros = 3 * SECOND / 4;
+/// Longest wait for a true response, from the start of its call. Metrics lag behind by it, and may lag by half a second.
+pub(crate) const MAX_RESPONSE_WAIT: Micros = 9 * SECOND / 20;
 /// Shortest time for which a connection rests after a response.
 pub(crate) const MIN_SETTLING_TIME: Micros = SECOND / 50;
 /// How long connections to a host are used for a single call after it has sent a surplus response.
