Do not count what a host sends on a new connection as a surplus response

A host at its connection limit may reject a connection before it reads anything. That counted as a surplus response, and each call to the host would then have opened a connection for a minute. Only bytes that follow a response are counted now. rejection_of_a_new_connection_is_no_surplus_response holds; it was written with the change, by reading, and was not run on the commit before.

--- a/crates/relay/src/host_connections/tests.rs
+++ b/crates/relay/src/host_connections/tests.rs
@@ -501,3 +501,34 @@
         assert_eq!(completed.outcome, AttemptOutcome::Delivered);
     });
 }
+
+/// At its connection limit, a host may reject a connection before it has read anything.
+#[test]
+fn rejection_of_a_new_connection_is_no_surplus_response() {
+    run_local(async {
+        let (listener, address) = listen().await;
+        let hosts = host_connections(4);
+        let call = || call_to(address, None, b"x");
+        let size = encoded_size(&call());
+        let peer = async {
+            let mut rejected = accept(&listener).await;
+            rejected.write_all(BUSY_RESPONSE).await.expect("written");
+            drop(rejected);
+            let mut stream = accept(&listener).await;
+            let mut request = vec![0; size];
+            for _ in 0..2 {
+                stream.read_exact(&mut request).await.expect("read request");
+                stream.write_all(OK_RESPONSE).await.expect("written");
+            }
+        };
+        let calls = async {
+            make_call(&hosts, call()).await;
+            make_call(&hosts, call()).await;
+            make_call(&hosts, call()).await
+        };
+        let (completed, ()) = tokio::join!(calls, peer);
+        assert_eq!(completed.outcome, AttemptOutcome::Delivered);
+        assert!(!completed.opened_connection, "the connection is reused");
+        assert_eq!(hosts.close_counts().get(CloseReason::SurplusResponse), 0);
+    });
+}
--- a/crates/relay/src/host_connections/watched_stream.rs
+++ b/crates/relay/src/host_connections/watched_stream.rs
@@ -131,9 +131,16 @@
         self.bytes_written >= self.request_start + self.request_size
     }
 
-    /// Whether bytes have arrived that belong to no request, or too early for their request.
+    /// Whether bytes have arrived after a response that belong to no request, or too early for their request. What a host
+    /// sends on a new connection, such as a rejection at its connection limit, is not counted.
     pub(super) fn has_unsolicited_input(&self) -> bool {
-        self.has_unsolicited_input || self.has_early_response && self.requests > 1
+        let is_unsolicited = self.has_unsolicited_input || self.has_early_response;
+        is_unsolicited && self.has_earlier_response()
+    }
+
+    /// Whether the connection has received a response before the current request, or before it became idle.
+    fn has_earlier_response(&self) -> bool {
+        self.requests > 1 || self.requests == 1 && self.is_idle
     }
 
     fn has_request_started(&self) -> bool {
@@ -144,7 +151,9 @@
     fn receive(&mut self, bytes: &[u8]) -> io::Result<usize> {
         if self.is_idle {
             self.has_unsolicited_input = true;
-            self.surplus.push(bytes);
+            if self.has_earlier_response() {
+                self.surplus.push(bytes);
+            }
             return Err(unsolicited_input());
         }
         if self.surplus.is_endless() {
