--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,6 +18,31 @@
 pub const BROKEN: i32 = 1;
 pub const COULD_NOT_RUN: i32 = 2;
 
+/// Time after which a case that has not ended by itself is stopped. A case takes 40 s at most on an idle machine.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
+
+/// The relay's process, 0 while there is none, and its folder. They are for the end at [`TIME_LIMIT`].
+static RELAY_PROCESS: AtomicU32 = AtomicU32::new(0);
+static RELAY_FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+
+/// Ends a case that takes too long, with its relay: it could not run.
+fn stop_at_time_limit(record: Record) {
+    thread::spawn(move || {
+        thread::sleep(TIME_LIMIT);
+        record.write("result: could not run, the case did not end in time");
+        let process = RELAY_PROCESS.load(Ordering::SeqCst);
+        if process != 0 {
+            let _ = Command::new("kill")
+                .args(["-KILL", &process.to_string()])
+                .status();
+        }
+        if let Some(folder) = RELAY_FOLDER.lock().unwrap().take() {
+            let _ = std::fs::remove_dir_all(folder);
+        }
+        std::process::exit(COULD_NOT_RUN);
+    });
+}
+
 /// Whether the disruption is played.
 pub fn with_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
@@ -33,10 +58,12 @@
 impl Record {
     pub fn new() -> Self {
         let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".into());
-        Record {
+        let record = Record {
             file: Arc::new(Mutex::new(File::create(path).expect("record.txt"))),
             start: Instant::now(),
-        }
+        };
+        stop_at_time_limit(record.clone());
+        record
     }
 
     pub fn write(&self, text: &str) {
@@ -514,6 +541,7 @@
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(folder.join("state")).expect("a temporary folder");
         std::fs::create_dir_all(folder.join("tmp")).expect("a temporary folder");
+        *RELAY_FOLDER.lock().unwrap() = Some(folder.clone());
         let listen = bind().local_addr().unwrap();
         Relay {
             listen,
@@ -570,6 +598,7 @@
             .expect("the relay starts");
         self.record
             .write(&format!("platform starts the relay: {}", self.command));
+        RELAY_PROCESS.store(process.id(), Ordering::SeqCst);
         self.process = Some(process);
         let ready = wait_until(limit, || self.has_exited().is_some() || self.ping());
         let exited = self.has_exited();
@@ -600,6 +629,7 @@
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
+            RELAY_PROCESS.store(0, Ordering::SeqCst);
             let _ = process.wait();
             self.record
                 .write("platform SIGKILL to the relay; it is gone");
