Refuse a message under the id of another tenant's message

A bad client had used its id for another tenant; that second message was taken on and rejected by load shedding.

Cause: names were scoped by tenant, while hosts, partners' queries and the platform's notices know the id alone.

Another tenant's message under it is answered -BUSY with half of the longest wait: harmless to hand in again, under a new id. The stored forms are unchanged.

--- a/crates/relay/src/event_loop/admission.rs
+++ b/crates/relay/src/event_loop/admission.rs
@@ -11,7 +11,7 @@
 use super::persistence::log_write_error;
 use super::{EventLoop, MICROS_PER_MS, RETRY_ELSEWHERE_MS};
 use crate::control_socket;
-use crate::in_flight::MessageName;
+use crate::in_flight::{MessageName, Submission};
 use crate::journal::AcceptedMessage;
 
 /// The Retry-After of a message that never reaches the policy is the maximum of the settings, divided by this.
@@ -39,8 +39,13 @@
             return self.reject_request(&class, reply, rejection);
         }
         let message_name = MessageName::new(&tenant, &name);
-        let Some(reply) = self.in_flight.answer_duplicate(&message_name, reply) else {
-            return;
+        let reply = match self.in_flight.answer_duplicate(&message_name, reply) {
+            Submission::New(reply) => reply,
+            Submission::Duplicate => return,
+            Submission::NameInUse(reply) => {
+                let busy = Reply::Busy(self.default_retry_after_ms());
+                return self.reject_request(&class, reply, busy);
+            }
         };
         if self.control.rejects_messages() {
             return self.reject_request(&class, reply, Reply::Busy(RETRY_ELSEWHERE_MS));
--- a/crates/relay/src/event_loop/completion.rs
+++ b/crates/relay/src/event_loop/completion.rs
@@ -9,7 +9,7 @@
 use super::EventLoop;
 use crate::control_socket;
 use crate::in_flight::MessageName;
-use crate::journal::PendingMessage;
+use crate::journal::{AcceptedMessage, PendingMessage};
 use crate::undeliverable_service::FailedMessage;
 
 impl<R: Runtime> EventLoop<R> {
@@ -47,6 +47,7 @@
         };
         let is_resend = pending.resend.is_some();
         let accepted = &pending.accepted;
+        let failure = self.failure_under_shared_name(accepted, failure);
         self.tenants.message_failed(&accepted.tenant, failure);
         let end = if is_resend {
             MessageEnd::Other
@@ -70,6 +71,21 @@
         self.notifications.add(id, pending.accepted.name, failure);
     }
 
+    /// The failure to notify for a message. A deferral promises that the message was not executed, and the platform
+    /// would take it for the end of any message of this name, so none is reported while another tenant's is open.
+    pub(super) fn failure_under_shared_name(
+        &self,
+        accepted: &AcceptedMessage,
+        failure: DeliveryFailure,
+    ) -> DeliveryFailure {
+        let name = MessageName::of_message(accepted);
+        if self.in_flight.is_name_shared(&name) {
+            DeliveryFailure::Undeliverable
+        } else {
+            failure
+        }
+    }
+
     /// Records the failure of a resend in the undeliverable store. Returns whether the journal may drop the message:
     /// false while the store cannot be written.
     pub(super) fn record_failed_resend(
--- a/crates/relay/src/event_loop/restore.rs
+++ b/crates/relay/src/event_loop/restore.rs
@@ -108,7 +108,7 @@
             .extend(outages.map(|outage| Event::OutageRestored(*outage)));
     }
 
-    /// Restores the messages of the journal in the order of their numbers.
+    /// Restores the messages of the journal, the open ones first, each in the order of their numbers.
     fn restore_messages(&mut self, open_calls: &BTreeMap<MessageId, OpenCall>) {
         // Copied, as restoring a message may change the journal.
         let pending = self.journal.borrow().pending().clone();
@@ -119,7 +119,11 @@
                 pending.len()
             );
         }
-        for (id, message) in pending {
+        // The notification of a failed message depends on the names of the open ones.
+        let (failed, open): (Vec<_>, Vec<_>) = pending
+            .into_iter()
+            .partition(|(_, message)| message.failure.is_some());
+        for (id, message) in open.into_iter().chain(failed) {
             self.restore_message(id, message, open_calls.get(&id));
         }
     }
@@ -135,6 +139,7 @@
             return;
         }
         if let Some(failure) = pending.failure {
+            let failure = self.failure_under_shared_name(&pending.accepted, failure);
             self.notifications.add(id, pending.accepted.name, failure);
             return;
         }
--- a/crates/relay/src/journal/record.rs
+++ b/crates/relay/src/journal/record.rs
@@ -13,7 +13,7 @@
 /// A message as its client submitted it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AcceptedMessage {
-    /// The name that the client gave the message, unique within its tenant.
+    /// The name that the client gave the message. Hosts and the platform know the message by it.
     pub name: String,
     /// Idempotency key that is sent to the host; `None` if the client gave none.
     pub idempotency_key: Option<String>,
