Keep a failed message's id in use until the platform has accepted its notice

Seen: a message fails while the platform refuses notices, and the process is killed. After the restart its id was free, for any tenant: a payout under it was taken on and called, and the notice of the first message, sent then, would be read as the payout's end.

Change: the name stays in use until the platform has accepted the notice, over a restart too.

--- a/crates/relay/src/event_loop/completion.rs
+++ b/crates/relay/src/event_loop/completion.rs
@@ -68,7 +68,19 @@
         if failure == DeliveryFailure::Undeliverable && self.undeliverable.is_some() {
             self.record_undeliverable(&pending);
         }
-        self.notifications.add(id, pending.accepted.name, failure);
+        self.notify_failure(id, &pending.accepted, failure);
+    }
+
+    /// Queues the notification of a failed message, whose name stays in use until the platform has accepted it.
+    pub(super) fn notify_failure(
+        &mut self,
+        id: MessageId,
+        accepted: &AcceptedMessage,
+        failure: DeliveryFailure,
+    ) {
+        let name = MessageName::of_message(accepted);
+        self.in_flight.await_notification(name);
+        self.notifications.add(id, accepted.name.clone(), failure);
     }
 
     /// The failure to notify for a message. A deferral promises that the message was not executed, and the platform
@@ -136,6 +148,14 @@
         self.classes.class_by_name(&pending.accepted.class).cloned()
     }
 
+    fn forget_notified_name(&mut self, id: MessageId) {
+        let journal = self.journal.borrow();
+        if let Some(pending) = journal.pending().get(&id) {
+            self.in_flight
+                .notified(&MessageName::of_message(&pending.accepted));
+        }
+    }
+
     /// Ends all work on messages whose notifications the platform has accepted.
     pub(super) fn notifications_accepted(&mut self, ids: Vec<MessageId>) {
         // An undeliverable message must be in the store before it is removed from the journal.
@@ -143,6 +163,7 @@
             service.flush();
         }
         for id in ids {
+            self.forget_notified_name(id);
             self.release_message(id);
         }
     }
--- a/crates/relay/src/event_loop/restore.rs
+++ b/crates/relay/src/event_loop/restore.rs
@@ -140,7 +140,7 @@
         }
         if let Some(failure) = pending.failure {
             let failure = self.failure_under_shared_name(&pending.accepted, failure);
-            self.notifications.add(id, pending.accepted.name, failure);
+            self.notify_failure(id, &pending.accepted, failure);
             return;
         }
         self.in_flight.insert_restored(id, &pending.accepted);
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -68,7 +68,7 @@
         self.names.is_open(name)
     }
 
-    /// Whether a message of another tenant is in flight under the name.
+    /// Whether a message of another tenant uses the name and is in flight, or its failure is still to be notified.
     pub fn is_name_shared(&self, name: &MessageName) -> bool {
         self.names.is_shared(name)
     }
@@ -123,6 +123,16 @@
     pub fn complete(&mut self, now: Instant, name: MessageName) {
         self.names.end(now, name);
     }
+
+    /// Keeps the name of a failed message in use until [`Self::notified`], as its notification goes out under it.
+    pub fn await_notification(&mut self, name: MessageName) {
+        self.names.add_unnotified(name);
+    }
+
+    /// The platform has accepted the notification of a failed message.
+    pub fn notified(&mut self, name: &MessageName) {
+        self.names.remove_unnotified(name);
+    }
 }
 
 #[cfg(test)]
--- a/crates/relay/src/in_flight/message_names.rs
+++ b/crates/relay/src/in_flight/message_names.rs
@@ -75,6 +75,8 @@
 #[derive(Default)]
 pub struct MessageNames {
     open: BTreeMap<MessageName, MessageId>,
+    /// Ended messages whose failure the platform has not accepted yet.
+    unnotified: BTreeSet<MessageName>,
     /// Recently ended messages.
     ended: BTreeSet<MessageName>,
     /// The names in `ended` with the times of completion, oldest first.
@@ -97,10 +99,12 @@
         if let Some(id) = self.open.get(name) {
             return NameUse::OpenMessage(*id);
         }
-        if self.ended.contains(name) {
+        if self.unnotified.contains(name) || self.ended.contains(name) {
             return NameUse::EndedMessage;
         }
-        let is_used = self.is_open(name) || users_in(&self.ended, name).next().is_some();
+        let is_used = self.is_open(name)
+            || users_in(&self.unnotified, name).next().is_some()
+            || users_in(&self.ended, name).next().is_some();
         if is_used {
             NameUse::OtherTenant
         } else {
@@ -113,9 +117,13 @@
         self.open_users(name).next().is_some()
     }
 
-    /// Whether an open message of another tenant uses the name. Only versions before this check accepted such messages.
+    /// Whether a message of another tenant uses the name that is open or whose failure is still to be notified. Only
+    /// versions before this check accepted such messages.
     pub fn is_shared(&self, name: &MessageName) -> bool {
-        self.open_users(name).any(|user| user != name)
+        let mut users = self
+            .open_users(name)
+            .chain(users_in(&self.unnotified, name));
+        users.any(|user| user != name)
     }
 
     /// Adds an open message.
@@ -128,6 +136,16 @@
         self.open.remove(name);
     }
 
+    /// Adds an ended message whose failure the platform has not accepted yet. Its name stays in use until then.
+    pub fn add_unnotified(&mut self, name: MessageName) {
+        self.unnotified.insert(name);
+    }
+
+    /// Removes a message whose failure the platform has accepted.
+    pub fn remove_unnotified(&mut self, name: &MessageName) {
+        self.unnotified.remove(name);
+    }
+
     /// Moves a message from the open ones to the ended ones. Names that are expired or exceed the maximum number are
     /// dropped.
     pub fn end(&mut self, now: Instant, name: MessageName) {
--- a/crates/relay/src/in_flight/tests.rs
+++ b/crates/relay/src/in_flight/tests.rs
@@ -96,6 +96,13 @@
     restarted.insert_restored(1, &own);
     assert_eq!(submit(&mut restarted, &other), IN_USE, "from the journal");
     assert_eq!(submit(&mut restarted, &own), DUPLICATE);
+
+    let mut restarted = InFlightMessages::default();
+    restarted.await_notification(name.clone());
+    assert_eq!(submit(&mut restarted, &other), IN_USE, "not notified");
+    assert_eq!(submit(&mut restarted, &own), DUPLICATE);
+    restarted.notified(&name);
+    assert_eq!(submit(&mut restarted, &other), NEW);
 }
 
 #[test]
@@ -110,7 +117,10 @@
     messages.insert_restored(2, &second);
     assert!(messages.is_name_shared(&first_name));
     messages.complete(Instant::now(), second_name.clone());
+    messages.await_notification(second_name.clone());
     assert_eq!(messages.len(), 1);
+    assert!(messages.is_name_shared(&first_name), "not notified");
+    messages.notified(&second_name);
     assert!(!messages.is_name_shared(&first_name));
     assert!(messages.is_name_shared(&second_name));
     assert_eq!(submit(&mut messages, &first), DUPLICATE);
--- a/crates/relay/tests/message_names.rs
+++ b/crates/relay/tests/message_names.rs
@@ -226,6 +226,42 @@
     kill(old);
 }
 
+/// Guards against a notification, delayed by a restart, that reaches the platform as the end of a later message.
+#[test]
+fn id_of_failed_message_is_refused_until_its_notice_is_accepted() {
+    let mut relay = TwoTenants::started();
+    let reject_notices = relay.test_bed.discovery.reject_notices.clone();
+    reject_notices.store(true, Ordering::SeqCst);
+    let answer = relay.submit(
+        OTHER,
+        PAYOUT_ID,
+        "update",
+        OTHER_DESTINATION,
+        SHORT_TIME_TO_LIVE_MS,
+    );
+    assert_eq!(answer, "+OK");
+    wait_until("a rejected notice", || {
+        (relay.test_bed.discovery.request_count("POST") > 0).then_some(())
+    });
+    relay.test_bed.kill();
+    relay.test_bed.start();
+    let submit = || {
+        relay.submit(
+            OWNER,
+            PAYOUT_ID,
+            "payout",
+            PAYOUT_DESTINATION,
+            TIME_TO_LIVE_MS,
+        )
+    };
+    assert_eq!(submit(), ID_IN_USE);
+    reject_notices.store(false, Ordering::SeqCst);
+    wait_until("the id to be free", || (submit() == "+OK").then_some(()));
+    assert_eq!(relay.notices().len(), 1);
+    relay.wait_for_payout_call();
+    assert_eq!(relay.notices().len(), 1);
+}
+
 /// Guards against a deferral of one message that the platform takes for the end of the other.
 #[test]
 fn messages_that_share_an_id_in_an_older_journal_are_not_reported_as_deferred() {
