--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -20,7 +20,7 @@
 
 impl DeliveryPolicy {
     /// Frees the slot of an attempt that was answered, and records the outcome of its call. The message stays in flight
-    /// until the response is confirmed.
+    /// until the response is confirmed; if the response is final, it needs no other answer meanwhile.
     pub(crate) fn answer_attempt(&mut self, end: AttemptEnd) {
         let Some(queued) = self.queue.get_mut(&end.id) else {
             return;
@@ -33,6 +33,7 @@
             return;
         }
         attempt.is_answered = true;
+        queued.is_settled |= end.is_final;
         let call = attempt.call;
         self.scheduler
             .call_ended(&message, attempt.expected_duration, end.elapsed);
@@ -56,12 +57,16 @@
         let Some(queued) = self.queue.get_mut(&end.id) else {
             return;
         };
-        queued.is_settled |= end.is_final;
         let attempt_count = queued.attempts.len();
         let Some(attempt) = queued.attempts.get_mut(usize::from(end.attempt)) else {
+            queued.is_settled |= end.is_final;
             return;
         };
-        if attempt.state != AttemptState::InFlight {
+        let is_in_flight = attempt.state == AttemptState::InFlight;
+        // A final response that was not confirmed leaves the message open.
+        queued.is_settled &= !(is_in_flight && attempt.is_answered);
+        queued.is_settled |= end.is_final;
+        if !is_in_flight {
             return;
         }
         attempt.state = AttemptState::of_ended(outcome.may_have_executed());
--- a/crates/policy/src/tuning.rs
+++ b/crates/policy/src/tuning.rs
@@ -76,8 +76,10 @@
 pub(crate) const INITIAL_RESPONSE_WAIT: Micros = SECOND / 4;
 /// Longest wait for a true response, from the start of its call. Metrics lag behind by it, and may lag by half a second.
 pub(crate) const MAX_RESPONSE_WAIT: Micros = 9 * SECOND / 20;
-/// Shortest time for which a connection rests after a response.
+/// Shortest wait for a true response, from the response that was reported.
 pub(crate) const MIN_SETTLING_TIME: Micros = SECOND / 50;
+/// How long a connection rests after a response, so that a copy which follows right behind arrives before the next request.
+pub(crate) const CONNECTION_REST: Micros = SECOND / 10;
 /// How long connections to a host are used for a single call after it has sent a surplus response.
 pub(crate) const SURPLUS_QUARANTINE: Micros = 60 * SECOND;
 
--- a/crates/policy/src/types/event.rs
+++ b/crates/policy/src/types/event.rs
@@ -160,7 +160,8 @@
         id: MessageId,
     },
     /// A call was answered on a reused connection, and its slot is free. The response is not confirmed yet:
-    /// [`Event::AttemptEnded`] follows, perhaps with another outcome, and the message stays in flight until then.
+    /// [`Event::AttemptEnded`] follows, perhaps with another outcome, and the message stays in flight until then. If the
+    /// answer is final, the message needs no other final answer unless that event takes it back.
     AttemptAnswered(AttemptEnd),
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
--- a/crates/policy/tests/response_confirmation.rs
+++ b/crates/policy/tests/response_confirmation.rs
@@ -1,7 +1,8 @@
 //! Whether a response on a reused connection is believed, and how long that takes.
 
 use policy::response_confirmation::{
-    confirmed_outcome, ConnectionReuse, HostResponses, ResponsePosition, SettlingEnd,
+    confirmed_outcome, connection_rest, ConfirmationTime, ConnectionReuse, Credibility,
+    HostResponses, ResponsePosition, SettlingEnd,
 };
 use policy::types::{AttemptOutcome, Micros};
 
@@ -24,6 +25,7 @@
             for end in [
                 SettlingEnd::Silent,
                 SettlingEnd::Closed,
+                SettlingEnd::Reset,
                 SettlingEnd::Unreadable,
             ] {
                 let outcome = confirmed_outcome(ResponsePosition::First, reported, surplus, end);
@@ -35,9 +37,10 @@
 
 #[test]
 fn later_response_is_believed_only_if_no_surplus_response_contradicts_it() {
-    let (silent, closed, unreadable) = (
+    let (silent, closed, reset, unreadable) = (
         SettlingEnd::Silent,
         SettlingEnd::Closed,
+        SettlingEnd::Reset,
         SettlingEnd::Unreadable,
     );
     let rows: [(
@@ -45,16 +48,21 @@
         &[AttemptOutcome],
         SettlingEnd,
         AttemptOutcome,
-    ); 14] = [
+    ); 19] = [
         (DELIVERED, &[], silent, DELIVERED),
         (DELIVERED, &[], closed, DELIVERED),
+        (DELIVERED, &[], reset, DELIVERED),
         (DELIVERED, &[], unreadable, IN_DOUBT),
         (REJECTED, &[], silent, REJECTED),
+        (REJECTED, &[], reset, IN_DOUBT),
         (REJECTED, &[], unreadable, IN_DOUBT),
         (ERROR, &[], silent, ERROR),
+        (ERROR, &[], reset, IN_DOUBT),
         (DELIVERED, &[DELIVERED], silent, DELIVERED),
+        (DELIVERED, &[DELIVERED], reset, DELIVERED),
         (DELIVERED, &[DELIVERED], unreadable, IN_DOUBT),
         (DELIVERED, &[REJECTED], silent, IN_DOUBT),
+        (DELIVERED, &[REJECTED], reset, IN_DOUBT),
         (DELIVERED, &[DELIVERED, REJECTED], closed, IN_DOUBT),
         (REJECTED, &[DELIVERED], silent, IN_DOUBT),
         (REJECTED, &[ERROR], silent, IN_DOUBT),
@@ -62,41 +70,158 @@
         (REJECTED, &[REJECTED_FOR_1_S], closed, REJECTED_FOR_1_S),
     ];
     for (reported, surplus, end, expected) in rows {
-        let outcome = confirmed_outcome(ResponsePosition::Later, reported, surplus, end);
-        assert_eq!(outcome, expected, "{reported:?}, {surplus:?}, {end:?}");
+        for position in [ResponsePosition::Later, ResponsePosition::Repeated] {
+            let outcome = confirmed_outcome(position, reported, surplus, end);
+            assert_eq!(outcome, expected, "{reported:?}, {surplus:?}, {end:?}");
+        }
+    }
+}
+
+/// Records deliveries whose responses are the first ones of their connections.
+fn record_first(responses: &mut HostResponses, now: Micros, count: usize, elapsed: Micros) {
+    for _ in 0..count {
+        responses.record_response(now, Credibility::Certain, elapsed);
+        responses.record_confirmed_delivery(elapsed);
     }
 }
 
 #[test]
-fn connection_stays_silent_for_longer_than_the_host_has_taken_lately() {
+fn rejection_is_confirmed_by_silence_for_longer_than_the_host_has_taken_lately() {
     let mut responses = HostResponses::default();
     let wait = |responses: &HostResponses, elapsed| {
-        responses.settling_time(ResponsePosition::Later, elapsed)
+        let credibility = responses.credibility(ResponsePosition::Later, REJECTED, elapsed);
+        let position = ResponsePosition::Later;
+        match responses.confirmation_time(position, credibility, REJECTED, elapsed) {
+            ConfirmationTime::Lasting(time) => time,
+            ConfirmationTime::UntilCallLimit => panic!("bounded for a rejection"),
+        }
     };
-    assert_eq!(responses.settling_time(ResponsePosition::First, 0), 0);
-    responses.record_response(SECOND, 15 * MILLISECOND);
+    assert_eq!(
+        responses.confirmation_time(ResponsePosition::First, Credibility::Certain, REJECTED, 0),
+        ConfirmationTime::Lasting(0)
+    );
+    record_first(&mut responses, SECOND, 1, 15 * MILLISECOND);
     assert!(
         wait(&responses, 2 * MILLISECOND) >= 200 * MILLISECOND,
         "one sample says little"
     );
-    for _ in 0..30 {
-        responses.record_response(SECOND, 80 * MILLISECOND);
-    }
+    record_first(&mut responses, SECOND, 30, 80 * MILLISECOND);
     assert_eq!(
         wait(&responses, 2 * MILLISECOND),
         158 * MILLISECOND,
         "the true response could take as long"
     );
     assert!(wait(&responses, SECOND) > 0);
-    for _ in 0..30 {
-        responses.record_response(100 * SECOND, MILLISECOND);
-    }
+    record_first(&mut responses, 100 * SECOND, 30, MILLISECOND);
     assert!(
         wait(&responses, MILLISECOND) < 80 * MILLISECOND,
         "old response times are forgotten"
     );
 }
 
+#[test]
+fn repeated_delivery_sooner_than_the_host_has_ever_answered_is_doubtful() {
+    let (first, later, repeated) = (
+        ResponsePosition::First,
+        ResponsePosition::Later,
+        ResponsePosition::Repeated,
+    );
+    let mut responses = HostResponses::default();
+    assert_eq!(
+        responses.credibility(repeated, DELIVERED, SECOND),
+        Credibility::Doubtful,
+        "nothing is known of the host"
+    );
+    record_first(&mut responses, SECOND, 1, 80 * MILLISECOND);
+    record_first(&mut responses, SECOND, 1, 75 * MILLISECOND);
+    record_first(&mut responses, SECOND, 1, 90 * MILLISECOND);
+    responses.record_response(SECOND, Credibility::Doubtful, 2 * MILLISECOND);
+    let rows = [
+        (first, DELIVERED, 0, Credibility::Certain),
+        (first, REJECTED, 0, Credibility::Certain),
+        (later, DELIVERED, 2, Credibility::Likely),
+        (repeated, REJECTED, 2, Credibility::Likely),
+        (repeated, ERROR, 2, Credibility::Likely),
+        (repeated, DELIVERED, 0, Credibility::Doubtful),
+        (repeated, DELIVERED, 74, Credibility::Doubtful),
+        (repeated, DELIVERED, 75, Credibility::Likely),
+        (repeated, DELIVERED, 1_000, Credibility::Likely),
+    ];
+    for (position, reported, elapsed_ms, expected) in rows {
+        assert_eq!(
+            responses.credibility(position, reported, elapsed_ms * MILLISECOND),
+            expected,
+            "{position:?} {reported:?} after {elapsed_ms} ms"
+        );
+    }
+}
+
+#[test]
+fn delivery_is_kept_for_the_rest_or_until_the_limit_of_its_call() {
+    let mut responses = HostResponses::default();
+    record_first(&mut responses, SECOND, 30, 80 * MILLISECOND);
+    let (first, later, repeated) = (
+        ResponsePosition::First,
+        ResponsePosition::Later,
+        ResponsePosition::Repeated,
+    );
+    let rows = [
+        (first, Credibility::Certain, ConfirmationTime::Lasting(0)),
+        (
+            later,
+            Credibility::Likely,
+            ConfirmationTime::Lasting(connection_rest()),
+        ),
+        (
+            repeated,
+            Credibility::Likely,
+            ConfirmationTime::Lasting(70 * MILLISECOND),
+        ),
+        (
+            repeated,
+            Credibility::Doubtful,
+            ConfirmationTime::UntilCallLimit,
+        ),
+    ];
+    for (position, credibility, expected) in rows {
+        let elapsed = 90 * MILLISECOND;
+        let time = responses.confirmation_time(position, credibility, DELIVERED, elapsed);
+        assert_eq!(time, expected, "{position:?} {credibility:?}");
+    }
+}
+
+#[test]
+fn host_that_leaves_a_call_unanswered_gets_new_connections_until_it_answers() {
+    let mut responses = HostResponses::default();
+    let reuse = |responses: &HostResponses, now| responses.connection_reuse(now, true, true);
+    record_first(&mut responses, SECOND, 30, 80 * MILLISECOND);
+    responses.record_call(2 * SECOND);
+    let soon = 2 * SECOND + 160 * MILLISECOND;
+    assert_eq!(reuse(&responses, soon), ConnectionReuse::Allowed);
+    assert_eq!(reuse(&responses, soon + 1), ConnectionReuse::SingleUse);
+    responses.record_call(3 * SECOND);
+    let now = 3 * SECOND + MILLISECOND;
+    responses.record_response(now, Credibility::Doubtful, MILLISECOND);
+    assert_eq!(reuse(&responses, now), ConnectionReuse::SingleUse, "a copy");
+    responses.record_response(now, Credibility::Certain, MILLISECOND);
+    assert_eq!(reuse(&responses, now), ConnectionReuse::Allowed);
+    responses.record_call(now);
+    responses.record_response(now + MILLISECOND, Credibility::Doubtful, MILLISECOND);
+    let later = now + 5 * SECOND;
+    assert_eq!(
+        reuse(&responses, later),
+        ConnectionReuse::Allowed,
+        "no call is left unanswered"
+    );
+}
+
+#[test]
+fn connection_rests_for_longer_than_a_copy_right_behind_a_response_takes() {
+    for late in [1, 5, 20, 60] {
+        assert!(connection_rest() > late * MILLISECOND);
+    }
+}
+
 #[test]
 fn host_that_sent_a_surplus_response_gets_a_connection_for_each_call() {
     let mut responses = HostResponses::default();
--- a/crates/relay-events/src/lib.rs
+++ b/crates/relay-events/src/lib.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use policy::response_confirmation::Credibility;
 use policy::types::{AttemptOutcome, HostId, HostState, MessageId, Micros};
 use runtime::Runtime;
 use serde::{Deserialize, Serialize};
@@ -118,7 +119,14 @@
     EnqueueRequest(EnqueueRequest),
     /// A host has answered a call on a reused connection. The response is not confirmed yet: [`RelayEvent::CallCompleted`]
     /// follows, perhaps with another outcome.
-    CallAnswered(CompletedCall),
+    CallAnswered {
+        /// The call as the response reports it.
+        call: CompletedCall,
+        /// How far the response is believed.
+        credibility: Credibility,
+    },
+    /// A doubtful response to the call of this message has become likely.
+    ResponseLikely(MessageId),
     /// A call to a host has ended.
     CallCompleted(CompletedCall),
     /// A host has sent responses that belong to no call.
--- a/crates/relay/src/event_loop/attempts.rs
+++ b/crates/relay/src/event_loop/attempts.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use policy::response_confirmation::Credibility;
 use policy::types::{
     AttemptEnd, AttemptOutcome, DestinationId, Event, HostId, Idempotency, MessageId, Micros,
 };
@@ -59,6 +60,7 @@
             repeatability: self.repeatability(pending),
             confirmation: self.confirmation(&journal),
             timeout: Duration::from_micros(timeout),
+            message_deadline: self.clock.instant(pending.accepted.deadline),
             latest_start: self.idempotency_deadline(pending),
             start: self.attempt_start(id, number, attempt, host),
         };
@@ -182,8 +184,14 @@
         }
     }
 
-    /// Passes a response that is not confirmed yet to the policy, which frees the slot of the call.
-    pub(super) fn attempt_answered(&mut self, call: CompletedCall) {
+    /// Passes a response that is not confirmed yet to the policy, which frees the slot of the call. A reported delivery
+    /// stands unless it is taken back.
+    pub(super) fn attempt_answered(&mut self, call: CompletedCall, credibility: Credibility) {
+        let is_delivered = call.outcome == AttemptOutcome::Delivered;
+        let is_final = is_delivered && self.may_end_provisionally(call.id);
+        if is_final && credibility.may_write_end() {
+            self.deliver_provisionally(call.id);
+        }
         let load_report = self.read_load_report(call.load_report.as_deref());
         self.pending_events.push(Event::AttemptAnswered(AttemptEnd {
             id: call.id,
@@ -191,7 +199,7 @@
             host: call.host,
             outcome: call.outcome,
             elapsed: call.elapsed,
-            is_final: call.is_final,
+            is_final,
             load_report,
         }));
     }
@@ -232,6 +240,8 @@
         let is_final = call.is_final || is_failed_or_gone;
         if is_final {
             self.complete_message(call.id, call.outcome);
+        } else {
+            self.journal.borrow_mut().reopen_message(call.id);
         }
         self.journal_outcome(&call, destination);
         let load_report = call.load_report.as_deref();
--- a/crates/relay/src/event_loop/completion.rs
+++ b/crates/relay/src/event_loop/completion.rs
@@ -9,7 +9,7 @@
 use super::EventLoop;
 use crate::control_socket;
 use crate::in_flight::MessageName;
-use crate::journal::{AcceptedMessage, PendingMessage};
+use crate::journal::{AcceptedMessage, DeliveryState, PendingMessage};
 use crate::undeliverable_service::FailedMessage;
 
 impl<R: Runtime> EventLoop<R> {
@@ -21,7 +21,7 @@
             return;
         };
         let is_delivered = outcome == AttemptOutcome::Delivered;
-        if pending.failure.is_none() {
+        if pending.failure.is_none() && pending.delivery == DeliveryState::NotReported {
             if is_delivered {
                 self.tenants.message_delivered(&pending.accepted.tenant);
             }
@@ -38,6 +38,28 @@
         self.in_flight.complete(self.runtime.now(), name);
     }
 
+    /// Whether a response that is not confirmed may end a message.
+    pub(super) fn may_end_provisionally(&self, id: MessageId) -> bool {
+        let journal = self.journal.borrow();
+        let pending = journal.pending().get(&id);
+        pending.is_some_and(PendingMessage::may_end_provisionally)
+    }
+
+    /// Counts a message as delivered and writes its end, but keeps it until its response is confirmed. Does nothing if the
+    /// response may not end the message.
+    pub(super) fn deliver_provisionally(&mut self, id: MessageId) {
+        let mut journal = self.journal.borrow_mut();
+        let pending = journal.pending().get(&id);
+        let Some(pending) = pending.filter(|pending| pending.may_end_provisionally()) else {
+            return;
+        };
+        self.tenants.message_delivered(&pending.accepted.tenant);
+        self.control
+            .metrics()
+            .record_end(&pending.accepted.class, MessageEnd::Success);
+        log_write_error(&self.runtime, journal.deliver_provisionally(id));
+    }
+
     /// Ends an accepted message that the policy has failed, and notifies the platform. The failure of a resend is not
     /// notified: the platform gets one final answer for a message, and got it when the message first failed.
     pub(super) fn fail_message(&mut self, id: MessageId, failure: DeliveryFailure) {
--- a/crates/relay/src/event_loop/mod.rs
+++ b/crates/relay/src/event_loop/mod.rs
@@ -202,7 +202,10 @@
     pub fn handle_event(&mut self, event: RelayEvent) {
         match event {
             RelayEvent::EnqueueRequest(request) => self.enqueue(request),
-            RelayEvent::CallAnswered(call) => self.attempt_answered(call),
+            RelayEvent::CallAnswered { call, credibility } => {
+                self.attempt_answered(call, credibility);
+            }
+            RelayEvent::ResponseLikely(id) => self.deliver_provisionally(id),
             RelayEvent::SurplusResponses(surplus) => self.surplus_received(&surplus),
             RelayEvent::CallCompleted(call) => {
                 self.directory_owner.call_completed(&call);
--- a/crates/relay/src/host_connections/attempt.rs
+++ b/crates/relay/src/host_connections/attempt.rs
@@ -138,6 +138,7 @@
             return ControlFlow::Break(AttemptResult::without_response(outcome, origin));
         };
         connection.begin_request(self.runtime.now(), size, call.start.clone());
+        self.record_call(call.host);
         match self.exchange(&mut connection, request, limits).await {
             Exchange::Response(response) => {
                 ControlFlow::Break(self.accept_response(call, connection, response, origin))
--- a/crates/relay/src/host_connections/connection.rs
+++ b/crates/relay/src/host_connections/connection.rs
@@ -113,10 +113,13 @@
 
     /// The position of the response to the current request.
     pub(super) fn position(&self) -> ResponsePosition {
-        if self.progress().may_be_copy() {
-            ResponsePosition::Later
-        } else {
+        let progress = self.progress();
+        if !progress.may_be_copy() {
             ResponsePosition::First
+        } else if progress.repeats_earlier_response() {
+            ResponsePosition::Repeated
+        } else {
+            ResponsePosition::Later
         }
     }
 
--- a/crates/relay/src/host_connections/mod.rs
+++ b/crates/relay/src/host_connections/mod.rs
@@ -34,7 +34,7 @@
 use policy::RouteKey;
 use relay_events::{CompletedCall, RelayEvent};
 use runtime::Runtime;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 
 pub use attempt_start::{AttemptRecorder, AttemptStart};
 pub use close_reason::{CloseCounts, CloseReason};
@@ -44,6 +44,7 @@
 use connection_pool::ConnectionPool;
 use response::ResponseReport;
 use retry_after::RetryAfterDeadlines;
+use settling::AnsweredCall;
 
 /// Whether a call may be executed twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,6 +88,8 @@
     pub confirmation: Confirmation,
     /// Maximum duration of the attempt.
     pub timeout: Duration,
+    /// The deadline of the message. Its response is not observed for longer.
+    pub message_deadline: Instant,
     /// Latest time at which the call may start, because the host may have discarded its idempotency key after that.
     /// `None` if it may start at any time.
     pub latest_start: Option<Instant>,
@@ -108,7 +111,11 @@
     /// What responses have shown about the hosts that were called recently.
     responses: RefCell<BTreeMap<HostId, HostResponses>>,
     /// Number of connections that rest after a response. Each of them is in use by a task.
-    settling: Cell<usize>,
+    resting: Cell<usize>,
+    /// Number of calls that were answered, but whose responses are neither confirmed nor likely.
+    unconfirmed: Cell<usize>,
+    /// Notified when no further calls are made.
+    retired: Notify,
     /// The origin of the times in `responses`.
     started_at: Instant,
 }
@@ -138,14 +145,16 @@
             dispatches,
             close_counts: Rc::default(),
             responses: RefCell::default(),
-            settling: Cell::new(0),
+            resting: Cell::new(0),
+            unconfirmed: Cell::new(0),
+            retired: Notify::new(),
             started_at,
         }
     }
 
-    /// The number of calls that were answered, but whose responses are not confirmed.
+    /// The number of calls that were answered, but whose responses are neither confirmed nor likely.
     pub fn unconfirmed_calls(&self) -> usize {
-        self.settling.get()
+        self.unconfirmed.get()
     }
 
     /// The number of idle connections.
@@ -183,9 +192,11 @@
             .close_host(host, CloseReason::NotNeeded);
     }
 
-    /// Closes all idle connections, and from now on each connection as soon as it becomes idle.
+    /// Closes all idle connections, and from now on each connection as soon as it becomes idle. Responses are confirmed by
+    /// what has followed them so far, as the new owner of the state directory waits for the ends of their calls.
     pub fn retire(&self) {
         self.pool.borrow_mut().retire();
+        self.retired.notify_waiters();
     }
 
     /// Makes a call and reports its outcome as [`RelayEvent::CallCompleted`]. A response that may be the copy of an earlier
@@ -199,8 +210,9 @@
         inputs: mpsc::Sender<RelayEvent>,
     ) {
         let start = self.runtime.now();
+        let deadline = start + call.timeout;
         let limits = AttemptLimits {
-            deadline: start + call.timeout,
+            deadline,
             cancel: &mut cancel,
         };
         let reuse = self.connection_reuse(&call, start);
@@ -223,8 +235,13 @@
         };
         match result.unread_response {
             Some(unread) => {
-                self.finish_call(&call, reuse, completed, unread, &inputs)
-                    .await;
+                let answered = AnsweredCall {
+                    call: &call,
+                    completed,
+                    reuse,
+                    deadline: deadline.min(call.message_deadline),
+                };
+                self.finish_call(answered, unread, &inputs).await;
             }
             None => drop(inputs.send(RelayEvent::CallCompleted(completed)).await),
         }
@@ -233,8 +250,7 @@
     /// Whether a call that starts at `now` may use a connection that has carried other calls.
     fn connection_reuse(&self, call: &Call, now: Instant) -> ConnectionReuse {
         // The number of resting connections is bounded.
-        let may_rest = self.settling.get() < self.max_idle_connections();
-        let may_wait = may_rest && call.confirmation == Confirmation::MayWait;
+        let may_wait = self.may_rest() && call.confirmation == Confirmation::MayWait;
         let responses = self.responses.borrow();
         let responses = responses.get(&call.host).copied().unwrap_or_default();
         let is_repeatable = call.repeatability == Repeatability::Repeatable;
--- a/crates/relay/src/host_connections/settling.rs
+++ b/crates/relay/src/host_connections/settling.rs
@@ -7,7 +7,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::Response;
 use policy::response_confirmation::{
-    confirmed_outcome, ConnectionReuse, ResponsePosition, SettlingEnd,
+    confirmed_outcome, connection_rest, ConfirmationTime, ConnectionReuse, Credibility,
+    HostResponses, ResponsePosition, SettlingEnd,
 };
 use policy::types::{AttemptOutcome, HostId, MessageId, Micros};
 use relay_events::{CompletedCall, RelayEvent, SurplusResponses};
@@ -18,16 +19,12 @@
 use super::close_reason::CloseReason;
 use super::connection::Connection;
 use super::connection_pool::UnsolicitedInput;
-use super::watched_stream::StreamEnd;
+use super::watched_stream::{StreamEnd, TransferMonitor};
 use super::{Call, HostConnections};
 
 /// Time limit for reading the body of a response, after which its connection is closed instead of reused.
 const RESPONSE_BODY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Maximum time for which reporting the outcome of a call is delayed until its connection is idle, so that the next call
-/// can reuse the connection.
-const OUTCOME_DELAY_MAX: Duration = Duration::from_millis(5);
-
 /// Maximum size of a response body in bytes. The connection of a longer one is closed instead of reused.
 pub(super) const RESPONSE_BODY_MAX_BYTES: usize = 64 << 10;
 
@@ -37,17 +34,27 @@
 /// Time that bytes which have arrived need to be read, after the process was held up.
 const READ_LAG: Duration = Duration::from_millis(1);
 
-/// Counts a resting connection while it exists.
-struct SettlingGuard<'a>(&'a Cell<usize>);
+/// An answered call.
+pub(super) struct AnsweredCall<'a> {
+    pub(super) call: &'a Call,
+    /// The call as its response reports it.
+    pub(super) completed: CompletedCall,
+    pub(super) reuse: ConnectionReuse,
+    /// The time limit of the call, or the deadline of its message if that is sooner.
+    pub(super) deadline: Instant,
+}
+
+/// Counts a connection while it exists.
+struct CountGuard<'a>(&'a Cell<usize>);
 
-impl<'a> SettlingGuard<'a> {
-    fn new(settling: &'a Cell<usize>) -> Self {
-        settling.set(settling.get() + 1);
-        SettlingGuard(settling)
+impl<'a> CountGuard<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        CountGuard(count)
     }
 }
 
-impl Drop for SettlingGuard<'_> {
+impl Drop for CountGuard<'_> {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
@@ -57,9 +64,7 @@
     /// Reports a call that was answered, and keeps its connection unless a surplus response follows.
     pub(super) async fn finish_call(
         &self,
-        call: &Call,
-        reuse: ConnectionReuse,
-        completed: CompletedCall,
+        answered: AnsweredCall<'_>,
         unread: UnreadResponse<R>,
         inputs: &mpsc::Sender<RelayEvent>,
     ) {
@@ -67,111 +72,217 @@
             mut connection,
             response,
         } = unread;
-        connection.record_outcome(completed.outcome);
+        connection.record_outcome(answered.completed.outcome);
         if connection.position() == ResponsePosition::First {
-            return self
-                .finish_first_call(call, reuse, completed, connection, response, inputs)
+            self.finish_first_call(answered, connection, response, inputs)
+                .await;
+        } else {
+            self.finish_later_call(answered, connection, response, inputs)
                 .await;
         }
-        let answered = RelayEvent::CallAnswered(completed.clone());
+    }
+
+    /// Reports a call whose response is the first of its connection, and so belongs to it.
+    async fn finish_first_call(
+        &self,
+        answered: AnsweredCall<'_>,
+        connection: Connection<R>,
+        response: Response<Incoming>,
+        inputs: &mpsc::Sender<RelayEvent>,
+    ) {
+        let call = answered.call;
+        let elapsed = self.elapsed(&connection);
+        self.record_response(call.host, Credibility::Certain, elapsed);
+        self.record_confirmed(call.host, answered.completed.outcome, elapsed);
+        let rested_at = self.rest_deadline();
+        let completed = RelayEvent::CallCompleted(answered.completed);
+        let close_reason = match answered.reuse {
+            ConnectionReuse::SingleUse => Some(CloseReason::SingleUse),
+            _ if !self.may_rest() => Some(CloseReason::Evicted),
+            _ => None,
+        };
+        if let Some(reason) = close_reason {
+            connection.close(reason).await;
+            return drop(inputs.send(completed).await);
+        }
+        let _resting = CountGuard::new(&self.resting);
+        drop(inputs.send(completed).await);
+        let end = if self.read_body(response).await {
+            SettlingEnd::Silent
+        } else {
+            SettlingEnd::Reset
+        };
+        self.rest(call, connection, end, rested_at, inputs).await;
+    }
+
+    /// Reports a call whose response may belong to an earlier one, and then its outcome once that is confirmed.
+    async fn finish_later_call(
+        &self,
+        answered: AnsweredCall<'_>,
+        connection: Connection<R>,
+        response: Response<Incoming>,
+        inputs: &mpsc::Sender<RelayEvent>,
+    ) {
+        let AnsweredCall {
+            call, completed, ..
+        } = answered;
+        let _resting = CountGuard::new(&self.resting);
+        let rested_at = self.rest_deadline();
+        let elapsed = self.elapsed(&connection);
+        let credibility = self.credibility(call.host, &connection, completed.outcome, elapsed);
+        self.record_response(call.host, credibility, elapsed);
+        let confirmed_at = self
+            .confirmation_deadline(
+                call.host,
+                &connection,
+                credibility,
+                completed.outcome,
+                elapsed,
+            )
+            .unwrap_or(answered.deadline);
+        let answered = RelayEvent::CallAnswered {
+            call: completed.clone(),
+            credibility,
+        };
         drop(inputs.send(answered).await);
-        let end = self.settle(call.host, &connection, response).await;
+        let is_doubtful = credibility == Credibility::Doubtful;
+        let may_write_end = completed.outcome == AttemptOutcome::Delivered && !is_doubtful;
+        let unconfirmed = (!may_write_end).then(|| CountGuard::new(&self.unconfirmed));
+        let mut end = if self.read_body(response).await {
+            SettlingEnd::Silent
+        } else {
+            SettlingEnd::Reset
+        };
+        if end == SettlingEnd::Silent && is_doubtful {
+            let doubted_until = self.doubt_deadline(call.host, elapsed).min(confirmed_at);
+            end = self.observe(&connection, doubted_until).await;
+        }
+        if end == SettlingEnd::Silent && connection.progress().surplus.is_empty() {
+            if is_doubtful {
+                drop(inputs.send(RelayEvent::ResponseLikely(call.id)).await);
+            }
+            let _unconfirmed = unconfirmed.filter(|_| !is_doubtful);
+            end = self.observe(&connection, confirmed_at).await;
+        }
         let outcome = confirmed(&connection, completed.outcome, end);
+        if end == SettlingEnd::Silent && connection.progress().surplus.is_empty() {
+            self.record_confirmed(call.host, outcome, elapsed);
+        }
         let reopened = (outcome != completed.outcome).then_some(call.id);
         self.report_surplus(call, &connection, reopened, inputs)
             .await;
-        self.keep_or_close(call.host, connection, end).await;
         let confirmed = CompletedCall {
             is_final: completed.is_final && reopened.is_none(),
             outcome,
             ..completed
         };
         drop(inputs.send(RelayEvent::CallCompleted(confirmed)).await);
+        self.rest(call, connection, end, rested_at, inputs).await;
     }
 
-    /// Reports a call whose response is the first of its connection, and so belongs to it.
-    async fn finish_first_call(
+    /// Until when a connection rests whose response has just arrived.
+    fn rest_deadline(&self) -> Instant {
+        self.runtime.now() + Duration::from_micros(connection_rest())
+    }
+
+    /// Whether one more connection may rest.
+    pub(super) fn may_rest(&self) -> bool {
+        self.resting.get() < self.max_idle_connections()
+    }
+
+    /// Observes a connection until it has rested, and then returns it to the pool unless it has ended or a surplus response
+    /// has arrived.
+    async fn rest(
         &self,
         call: &Call,
-        reuse: ConnectionReuse,
-        completed: CompletedCall,
         connection: Connection<R>,
-        response: Response<Incoming>,
+        end: SettlingEnd,
+        rested_at: Instant,
         inputs: &mpsc::Sender<RelayEvent>,
     ) {
-        let completed = RelayEvent::CallCompleted(completed);
-        self.record_response(call.host, &connection);
-        if reuse == ConnectionReuse::SingleUse {
-            connection.close(CloseReason::SingleUse).await;
-            return drop(inputs.send(completed).await);
-        }
-        let finish = async {
-            let mut connection = connection;
-            let end = self.finish_response(&mut connection, response).await;
-            self.report_surplus(call, &connection, None, inputs).await;
-            self.keep_or_close(call.host, connection, end).await;
+        let is_reported = UnsolicitedInput::of(&connection).is_some();
+        let may_continue = end == SettlingEnd::Silent && !is_reported;
+        let end = if may_continue && self.runtime.now() < rested_at {
+            self.observe(&connection, rested_at).await
+        } else {
+            end
         };
-        let mut finish = std::pin::pin!(finish);
-        let finished = self.runtime.timeout(OUTCOME_DELAY_MAX, &mut finish).await;
-        drop(inputs.send(completed).await);
-        if finished.is_err() {
-            finish.await;
+        if !is_reported {
+            self.report_surplus(call, &connection, None, inputs).await;
         }
+        self.keep_or_close(call.host, connection, end).await;
     }
 
-    /// Reads the rest of a response, and waits until its connection accepts another request.
-    async fn finish_response(
-        &self,
-        connection: &mut Connection<R>,
-        response: Response<Incoming>,
-    ) -> SettlingEnd {
-        if !self.read_body(response).await {
-            return SettlingEnd::Unreadable;
-        }
-        let ready = connection.sender.ready();
-        match self.runtime.timeout(RESPONSE_BODY_TIMEOUT, ready).await {
-            Ok(Ok(())) => SettlingEnd::Silent,
-            _ => SettlingEnd::Closed,
+    /// Records that the request of a call is about to be written.
+    pub(super) fn record_call(&self, host: HostId) {
+        let now = self.micros(self.runtime.now());
+        let mut responses = self.responses.borrow_mut();
+        responses.entry(host).or_default().record_call(now);
+    }
+
+    /// How long ago the current request of a connection began.
+    fn elapsed(&self, connection: &Connection<R>) -> Micros {
+        (self.runtime.now() - connection.request_began_at()).as_micros() as Micros
+    }
+
+    /// Records how long the host took to respond.
+    fn record_response(&self, host: HostId, credibility: Credibility, elapsed: Micros) {
+        let now = self.micros(self.runtime.now());
+        let mut responses = self.responses.borrow_mut();
+        let responses = responses.entry(host).or_default();
+        responses.record_response(now, credibility, elapsed);
+    }
+
+    /// Records how long the host took for a response that certainly belongs to its call.
+    fn record_confirmed(&self, host: HostId, outcome: AttemptOutcome, elapsed: Micros) {
+        if outcome == AttemptOutcome::Delivered {
+            let mut responses = self.responses.borrow_mut();
+            let responses = responses.entry(host).or_default();
+            responses.record_confirmed_delivery(elapsed);
         }
     }
 
-    /// Reads the rest of a response, and then observes its connection for the settling time.
-    async fn settle(
+    /// How far the response on a connection is believed, which came after `elapsed`.
+    fn credibility(
         &self,
         host: HostId,
         connection: &Connection<R>,
-        response: Response<Incoming>,
-    ) -> SettlingEnd {
-        let _guard = SettlingGuard::new(&self.settling);
-        let elapsed = self.record_response(host, connection);
-        let quiet_until = self.settling_deadline(host, connection, elapsed);
-        if !self.read_body(response).await {
-            return SettlingEnd::Unreadable;
-        }
-        self.observe(connection, quiet_until).await
+        outcome: AttemptOutcome,
+        elapsed: Micros,
+    ) -> Credibility {
+        let responses = self.responses_of(host);
+        responses.credibility(connection.position(), outcome, elapsed)
     }
 
-    /// Records how long the host took to respond to the current request of a connection, and returns it.
-    fn record_response(&self, host: HostId, connection: &Connection<R>) -> Micros {
-        let now = self.runtime.now();
-        let elapsed = (now - connection.request_began_at()).as_micros() as Micros;
-        let mut responses = self.responses.borrow_mut();
-        let responses = responses.entry(host).or_default();
-        responses.record_response(self.micros(now), elapsed);
-        elapsed
+    /// Until when a doubtful response has to stay alone to become likely.
+    fn doubt_deadline(&self, host: HostId, elapsed: Micros) -> Instant {
+        let doubt_time = self.responses_of(host).doubt_time(elapsed);
+        self.runtime.now() + Duration::from_micros(doubt_time)
+    }
+
+    /// What responses have shown about a host.
+    fn responses_of(&self, host: HostId) -> HostResponses {
+        let responses = self.responses.borrow();
+        responses.get(&host).copied().unwrap_or_default()
     }
 
-    /// Until when a connection must stay silent that has just received the head of a response.
-    fn settling_deadline(
+    /// Until when the message of a response is kept that has just arrived; `None` for the time limit of its call.
+    fn confirmation_deadline(
         &self,
         host: HostId,
         connection: &Connection<R>,
+        credibility: Credibility,
+        outcome: AttemptOutcome,
         elapsed: Micros,
-    ) -> Instant {
-        let responses = self.responses.borrow();
-        let responses = responses.get(&host).copied().unwrap_or_default();
-        let settling_time = responses.settling_time(connection.position(), elapsed);
-        self.runtime.now() + Duration::from_micros(settling_time)
+    ) -> Option<Instant> {
+        let responses = self.responses_of(host);
+        let position = connection.position();
+        match responses.confirmation_time(position, credibility, outcome, elapsed) {
+            ConfirmationTime::Lasting(time) => {
+                Some(self.runtime.now() + Duration::from_micros(time))
+            }
+            ConfirmationTime::UntilCallLimit => None,
+        }
     }
 
     /// Reads the body of a response; false if that fails.
@@ -191,27 +302,38 @@
         let mut observed_until = quiet_until;
         let mut has_surplus = false;
         loop {
-            let read = monitor.read_notify.notified();
-            let is_over = self.runtime.timeout_at(observed_until, read).await.is_err();
+            let is_over = self.is_silent_until(&monitor, observed_until).await;
             if is_over {
                 self.runtime.sleep(READ_LAG).await;
             }
             let progress = connection.progress();
             match progress.end {
                 Some(StreamEnd::Closed) => return end_of(connection, SettlingEnd::Closed),
-                Some(StreamEnd::Failed) => return SettlingEnd::Unreadable,
+                Some(StreamEnd::Failed) => return end_of(connection, SettlingEnd::Reset),
                 None => {}
             }
             if !progress.surplus.is_empty() && !has_surplus {
                 has_surplus = true;
-                let latest = self.runtime.now() + SURPLUS_READ_TIMEOUT;
-                observed_until = observed_until.max(latest);
+                observed_until = self.runtime.now() + SURPLUS_READ_TIMEOUT;
             } else if is_over {
                 return end_of(connection, SettlingEnd::Silent);
             }
         }
     }
 
+    /// Waits for the next read of a connection; true if there was none until `until`, or until no further calls are made.
+    async fn is_silent_until(&self, monitor: &TransferMonitor, until: Instant) -> bool {
+        if self.pool.borrow().is_retired() {
+            return true;
+        }
+        tokio::select! {
+            biased;
+            () = monitor.read_notify.notified() => false,
+            () = self.retired.notified() => true,
+            () = self.runtime.sleep_until(until) => true,
+        }
+    }
+
     /// Reports the responses that followed the response to the last request of a connection, and honours the waits that
     /// they request.
     async fn report_surplus(
@@ -278,7 +400,9 @@
         match end {
             _ if has_surplus => connection.close(CloseReason::SurplusResponse).await,
             SettlingEnd::Closed => connection.close(CloseReason::HostClosed).await,
-            SettlingEnd::Unreadable => connection.close(CloseReason::ResponseFailed).await,
+            SettlingEnd::Reset | SettlingEnd::Unreadable => {
+                connection.close(CloseReason::ResponseFailed).await;
+            }
             SettlingEnd::Silent if connection.sender.is_closed() => {
                 connection.close(CloseReason::HostClosed).await;
             }
--- a/crates/relay/src/host_connections/tests.rs
+++ b/crates/relay/src/host_connections/tests.rs
@@ -13,6 +13,9 @@
 const HOST_ID: HostId = 1;
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 const OK_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const ERROR_RESPONSE: &[u8] = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
+const LIMITED_RESPONSE: &[u8] =
+    b"HTTP/1.1 429 Limited\r\nX-Backoff-Ms: 20\r\nContent-Length: 0\r\n\r\n";
 const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
 
 fn call_to(address: SocketAddr, key: Option<&str>, body: &[u8]) -> Call {
@@ -31,6 +34,7 @@
         repeatability: Repeatability::Repeatable,
         confirmation: Confirmation::MayWait,
         timeout: CALL_TIMEOUT,
+        message_deadline: Instant::now() + CALL_TIMEOUT,
         latest_start: None,
         start: AttemptStart::new(Rc::new(NoopRecorder)),
     }
@@ -390,6 +394,8 @@
         .read_exact(&mut request)
         .await
         .expect("read first request");
+    // Longer than the copy takes, as the work of a host.
+    tokio::time::sleep(Duration::from_millis(10)).await;
     stream.write_all(answers[0]).await.expect("answer written");
     stream
         .read_exact(&mut request)
@@ -404,11 +410,18 @@
 
 /// Makes two calls on one connection, of which the second seems to get the answer to the first, and returns its outcome.
 async fn outcome_of_call_behind_a_copy(answers: [&'static [u8]; 2]) -> AttemptOutcome {
+    outcome_of_call_answered_late(answers, Duration::from_millis(80)).await
+}
+
+/// Like [`outcome_of_call_behind_a_copy`]; the true answer comes `answer_after` the copy.
+async fn outcome_of_call_answered_late(
+    answers: [&'static [u8]; 2],
+    answer_after: Duration,
+) -> AttemptOutcome {
     let (listener, address) = listen().await;
     let hosts = host_connections(4);
     let call = || call_to(address, None, b"x");
     let size = encoded_size(&call());
-    let answer_after = Duration::from_millis(80);
     let peer = copy_behind_the_next_request(&listener, size, answers, answer_after);
     let calls = async {
         make_call(&hosts, call()).await;
@@ -432,6 +445,131 @@
     });
 }
 
+/// Guards against a true answer that is dropped because it comes later than the doubt lasts.
+#[test]
+fn copy_of_a_delivery_does_not_deliver_a_call_that_fails_late() {
+    run_local(async {
+        let late = Duration::from_millis(600);
+        for answer in [ERROR_RESPONSE, BUSY_RESPONSE] {
+            let outcome = outcome_of_call_answered_late([OK_RESPONSE, answer], late).await;
+            assert_eq!(outcome, AttemptOutcome::ConnectionLost);
+        }
+    });
+}
+
+/// Long enough for each answer, and of as many digits when a part of it has passed.
+const SHORT_CALL_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How a host answers the call behind a copy, and the outcome of that call.
+const ANSWERS_BEHIND_A_COPY: [(Option<&[u8]>, AttemptOutcome); 4] = [
+    (Some(ERROR_RESPONSE), AttemptOutcome::Error),
+    (
+        Some(BUSY_RESPONSE),
+        AttemptOutcome::Rejected { retry_after: 0 },
+    ),
+    (
+        Some(LIMITED_RESPONSE),
+        AttemptOutcome::Rejected {
+            retry_after: 20_000,
+        },
+    ),
+    (None, AttemptOutcome::Timeout),
+];
+
+/// Serves a connection: answers its first call, sends a copy of that answer `copy_after` it, and answers the next call with
+/// `answer`; with `None`, never. Each answer takes `work`. The first call of another connection is answered with `answer`.
+async fn serve_with_copy(
+    listener: &TcpListener,
+    size: usize,
+    copy_after: Duration,
+    work: Duration,
+    answer: Option<&[u8]>,
+) {
+    let mut first = accept(listener).await;
+    let mut request = vec![0; size];
+    first.read_exact(&mut request).await.expect("read request");
+    tokio::time::sleep(work).await;
+    first.write_all(OK_RESPONSE).await.expect("answer written");
+    let copy = async {
+        tokio::time::sleep(copy_after).await;
+        drop(first.write_all(OK_RESPONSE).await);
+        let mut request = vec![0; size];
+        let has_next = first.read_exact(&mut request).await.is_ok();
+        has_next.then_some(&mut first)
+    };
+    let next = async { accept(listener).await };
+    tokio::pin!(copy, next);
+    let mut second;
+    let stream = tokio::select! {
+        Some(reused) = &mut copy => reused,
+        accepted = &mut next => {
+            second = accepted;
+            second.read_exact(&mut request).await.expect("read request");
+            &mut second
+        }
+    };
+    tokio::time::sleep(work).await;
+    if let Some(answer) = answer {
+        stream.write_all(answer).await.expect("answer written");
+    }
+    // Open until the relay closes it.
+    drop(stream.read(&mut [0]).await);
+}
+
+/// Makes a call, and another one as soon as the first is reported; returns the outcome of the second.
+async fn outcome_of_call_right_behind(
+    copy_after: Duration,
+    work: Duration,
+    answer: Option<&[u8]>,
+) -> AttemptOutcome {
+    let (listener, address) = listen().await;
+    let hosts = host_connections(4);
+    let call = || Call {
+        timeout: SHORT_CALL_TIMEOUT,
+        ..call_to(address, None, b"x")
+    };
+    let encoded = request::build(&call(), SHORT_CALL_TIMEOUT).expect("valid request");
+    let size = encoded.size as usize;
+    let (inputs, mut events) = mpsc::channel(8);
+    let (_cancel, cancelled) = oneshot::channel();
+    let first = hosts.call(call(), cancelled, inputs);
+    let second = async {
+        while let Some(event) = events.recv().await {
+            if matches!(event, RelayEvent::CallCompleted(_)) {
+                return make_call(&hosts, call()).await;
+            }
+        }
+        panic!("call reported no outcome");
+    };
+    let calls = async { tokio::join!(first, second).1 };
+    let peer = serve_with_copy(&listener, size, copy_after, work, answer);
+    tokio::select! {
+        completed = calls => completed.outcome,
+        () = async { peer.await; std::future::pending().await } => unreachable!(),
+    }
+}
+
+/// Guards against a connection that is used again before a copy behind its last answer has come.
+#[test]
+fn copy_right_behind_an_answer_is_not_taken_for_the_answer_to_the_next_call() {
+    let milliseconds = Duration::from_millis;
+    let threads = ANSWERS_BEHIND_A_COPY.map(|(answer, expected)| {
+        std::thread::spawn(move || {
+            for copy_after in [1, 5, 20].map(milliseconds) {
+                for work in [3, 30, 200].map(milliseconds) {
+                    run_local(async move {
+                        let outcome = outcome_of_call_right_behind(copy_after, work, answer).await;
+                        assert_eq!(outcome, expected, "{copy_after:?} {work:?}");
+                    });
+                }
+            }
+        })
+    });
+    for thread in threads {
+        thread.join().expect("each call has its own outcome");
+    }
+}
+
 #[test]
 fn copy_of_a_rejection_does_not_free_an_executed_call_for_a_retry() {
     run_local(async {
--- a/crates/relay/src/host_connections/watched_stream.rs
+++ b/crates/relay/src/host_connections/watched_stream.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Whether an earlier response may have begun with exactly this.
+    fn includes(&self, start: &[u8]) -> bool {
+        self.has_more || self.starts.iter().any(|known| known == start)
+    }
+
     /// Whether an earlier response may have begun with these bytes.
     fn any_begins_with(&self, bytes: &[u8]) -> bool {
         self.has_more || self.starts.iter().any(|known| known.starts_with(bytes))
@@ -126,6 +131,11 @@
                 || self.earlier_responses.any_begins_with(self.framing.start()))
     }
 
+    /// Whether the response to the current request begins with the same bytes as an earlier one.
+    pub(super) fn repeats_earlier_response(&self) -> bool {
+        self.earlier_responses.includes(self.framing.start())
+    }
+
     /// Whether the last byte of the current request was written. Before that, the host cannot have executed the call.
     pub(super) fn is_request_complete(&self) -> bool {
         self.bytes_written >= self.request_start + self.request_size
--- a/crates/relay/src/journal/mod.rs
+++ b/crates/relay/src/journal/mod.rs
@@ -27,7 +27,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use pending_index::PendingMessage;
+pub use pending_index::{DeliveryState, PendingMessage};
 pub use record::{AcceptedMessage, Attempt, ResendOrigin};
 pub use record_framing::{decode, encode, MAX_PAYLOAD_SIZE};
 
@@ -211,9 +211,10 @@
         }
     }
 
-    /// Whether the journal states that an attempt of a pending message may have been executed.
+    /// Whether the file states that an attempt of a pending message may have been executed.
     pub fn is_started(&self, id: MessageId, number: u8) -> bool {
         let pending = self.index.get(id);
+        let pending = pending.filter(|pending| pending.delivery != DeliveryState::Provisional);
         let attempt = pending.and_then(|pending| pending.attempts.get(usize::from(number)));
         attempt.is_some_and(|attempt| attempt.may_have_executed)
     }
@@ -318,10 +319,48 @@
     /// # Errors
     /// The error of the write. In this process the message is removed nevertheless.
     pub fn remove_message(&mut self, id: MessageId) -> io::Result<()> {
-        if self.index.get(id).is_none() {
+        let completed = Record::MessageCompleted { id };
+        match self.delivery(id) {
+            None => Ok(()),
+            Some(DeliveryState::Provisional) => {
+                self.index.apply(completed, 0);
+                Ok(())
+            }
+            Some(_) => self.write(completed),
+        }
+    }
+
+    /// Records the end of a message that is probably delivered. The message remains pending in this process until
+    /// [`Journal::remove_message`] confirms its end or [`Journal::reopen_message`] takes it back. Does nothing for a
+    /// message that is not pending, or was delivered provisionally before.
+    ///
+    /// # Errors
+    /// The error of the write. The message is provisionally delivered nevertheless.
+    pub fn deliver_provisionally(&mut self, id: MessageId) -> io::Result<()> {
+        if self.delivery(id) != Some(DeliveryState::NotReported) {
             return Ok(());
         }
-        self.write(Record::MessageCompleted { id })
+        let completed = Record::MessageCompleted { id };
+        let encoded = encode(&completed)?;
+        let result = self
+            .make_space(&completed, encoded.len())
+            .and_then(|()| self.append(&completed, &encoded));
+        self.lacks_records |= result.is_err();
+        self.index.set_delivery(id, DeliveryState::Provisional);
+        result
+    }
+
+    /// Takes back the provisional delivery of a message. Its records are missing from the file until
+    /// [`Journal::write_missing_records`]. Does nothing for any other message.
+    pub fn reopen_message(&mut self, id: MessageId) {
+        if self.delivery(id) == Some(DeliveryState::Provisional) {
+            self.index.set_delivery(id, DeliveryState::Reopened);
+            self.lacks_records = true;
+        }
+    }
+
+    fn delivery(&self, id: MessageId) -> Option<DeliveryState> {
+        self.index.get(id).map(|pending| pending.delivery)
     }
 
     fn check_capacity(&self, message: &AcceptedMessage) -> io::Result<()> {
--- a/crates/relay/src/journal/pending_index.rs
+++ b/crates/relay/src/journal/pending_index.rs
@@ -29,10 +29,24 @@
     /// The definition of the message's class when it was accepted; `None` for a message from a version of the program
     /// that did not record classes.
     pub class_version: Option<ClassVersion>,
+    /// Whether a response has reported the message as delivered.
+    pub delivery: DeliveryState,
     /// Bytes of the message's records.
     size: u64,
 }
 
+/// Whether a response has reported a pending message as delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeliveryState {
+    /// No response has.
+    NotReported,
+    /// A response has that is not confirmed yet. The file holds the end of the message, so that no other process delivers
+    /// it again.
+    Provisional,
+    /// A response had that turned out to belong to another call. The file holds the message again.
+    Reopened,
+}
+
 /// The definition of a class that was in force when a message was accepted.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClassVersion {
@@ -58,6 +72,7 @@
             resend,
             outcomes: BTreeMap::new(),
             class_version,
+            delivery: DeliveryState::NotReported,
             size,
         }
     }
@@ -96,6 +111,13 @@
         usize::from(number) < self.attempts.len() && !self.unrecorded_attempts.contains(&number)
     }
 
+    /// Whether a response that is not confirmed may end the message: not after it has failed or was reopened, and not if
+    /// it is a resend, whose end needs a confirmed response.
+    pub fn may_end_provisionally(&self) -> bool {
+        let is_open = self.failure.is_none() && self.resend.is_none();
+        is_open && self.delivery == DeliveryState::NotReported
+    }
+
     fn version(&self) -> Option<u64> {
         self.class_version.as_ref().map(|class| class.version)
     }
@@ -233,6 +255,11 @@
         }
     }
 
+    /// Sets whether a response has reported a message as delivered.
+    pub(super) fn set_delivery(&mut self, id: MessageId, delivery: DeliveryState) {
+        self.update(id, 0, |pending| pending.delivery = delivery);
+    }
+
     /// Adds an attempt without a record in the file.
     pub(super) fn put_unrecorded_attempt(&mut self, id: MessageId, number: u8, attempt: Attempt) {
         self.update(id, 0, |pending| {
@@ -283,7 +310,10 @@
     /// version are first, before any declaration.
     pub(super) fn encode_snapshot(&self) -> io::Result<Vec<u8>> {
         let mut snapshot = Vec::with_capacity(self.size as usize);
-        let mut messages: Vec<(&MessageId, &PendingMessage)> = self.messages.iter().collect();
+        let pending = self.messages.iter();
+        let mut messages: Vec<(&MessageId, &PendingMessage)> = pending
+            .filter(|(_, pending)| pending.delivery != DeliveryState::Provisional)
+            .collect();
         messages.sort_by_key(|(id, pending)| (pending.version(), **id));
         let mut declared_version = None;
         for (id, pending) in messages {
--- a/crates/simulator/tests/repeated_responses.rs
+++ b/crates/simulator/tests/repeated_responses.rs
@@ -3,14 +3,19 @@
 use simulator::script::{ScenarioKind, Script};
 use simulator::world::{play, Options};
 
-/// Seeds, among those that are played, on which a host hangs or becomes slow right behind a copy. They are played by
+/// Seeds, among those that are played, on which a host hangs right behind a copy. They are played by
 /// `copy_at_a_host_that_hangs_loses_nothing`.
-const HANGING_HOSTS: [(ScenarioKind, &[u64]); 5] = [
+const HANGING_HOSTS: [(ScenarioKind, &[u64]); 3] = [
     (ScenarioKind::Plain, &[104, 147]),
+    (ScenarioKind::Kept, &[104]),
+    (ScenarioKind::Upgraded, &[104]),
+];
+/// Seeds on which the true response comes long after a copy, or a host hangs before the call behind one.
+const LATE_RESPONSES: [(ScenarioKind, &[u64]); 4] = [
     (ScenarioKind::Hosted, &[9, 96]),
     (ScenarioKind::Fleet, &[578]),
-    (ScenarioKind::Kept, &[104, 234]),
-    (ScenarioKind::Upgraded, &[104, 207]),
+    (ScenarioKind::Kept, &[234]),
+    (ScenarioKind::Upgraded, &[207]),
 ];
 
 fn violation(kind: ScenarioKind, seed: u64) -> Option<String> {
@@ -64,11 +69,21 @@
     hold(ScenarioKind::Kept, 0..100);
 }
 
-#[test]
-fn copy_at_a_host_that_hangs_loses_nothing() {
-    let broken: Vec<String> = HANGING_HOSTS
+/// Plays these seeds, and asserts that each violates no invariant.
+fn hold_seeds(seeds: &[(ScenarioKind, &[u64])]) {
+    let broken: Vec<String> = seeds
         .iter()
         .flat_map(|(kind, seeds)| seeds.iter().filter_map(|seed| violation(*kind, *seed)))
         .collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+#[test]
+fn true_response_long_after_a_copy_is_not_lost() {
+    hold_seeds(&LATE_RESPONSES);
+}
+
+#[test]
+fn copy_at_a_host_that_hangs_loses_nothing() {
+    hold_seeds(&HANGING_HOSTS);
+}
