--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use policy::types::{Action, AttemptOutcome, Event, Settings};
+use policy::types::{Action, AttemptEnd, AttemptOutcome, Event, Settings};
 use policy::DeliveryPolicy;
 use support::{
     handle, host, host_list, message, run_with_outcome, settings, PolicyHarness, IDEMPOTENT, KEYED,
@@ -143,3 +143,50 @@
     let last = handle(&mut policy, now, vec![received(4, IDEMPOTENT, now)]);
     assert_eq!(last, []);
 }
+
+/// The end of the first attempt of message 1, at host 1.
+fn attempt_end(outcome: AttemptOutcome, is_final: bool) -> AttemptEnd {
+    AttemptEnd {
+        id: 1,
+        attempt: 0,
+        host: 1,
+        outcome,
+        elapsed: 100 * MILLISECOND,
+        is_final,
+        load_report: Vec::new(),
+    }
+}
+
+#[test]
+fn final_answer_that_is_not_confirmed_stands_until_it_is_taken_back() {
+    for (class, is_taken_back) in [
+        (NON_IDEMPOTENT, false),
+        (NON_IDEMPOTENT, true),
+        (IDEMPOTENT, true),
+    ] {
+        let mut policy = DeliveryPolicy::new(settings(), 1);
+        let mut now = SECOND;
+        let received = Event::MessageReceived(message(1, class, now));
+        let sent = handle(&mut policy, now, vec![host_list(), received]);
+        assert!(matches!(sent[..], [Action::Send { id: 1, .. }]), "{sent:?}");
+        now += 100 * MILLISECOND;
+        let answered = attempt_end(AttemptOutcome::Delivered, true);
+        let none = handle(&mut policy, now, vec![Event::AttemptAnswered(answered)]);
+        assert_eq!(none, []);
+        // Past the deadline of the message.
+        now += 30 * SECOND;
+        assert_eq!(handle(&mut policy, now, Vec::new()), []);
+        let end = if is_taken_back {
+            attempt_end(AttemptOutcome::ConnectionLost, false)
+        } else {
+            attempt_end(AttemptOutcome::Delivered, true)
+        };
+        let ended = handle(&mut policy, now, vec![Event::AttemptEnded(end)]);
+        let expected = if is_taken_back {
+            vec![Action::Fail(1)]
+        } else {
+            Vec::new()
+        };
+        assert_eq!(ended, expected, "{class} {is_taken_back}");
+    }
+}
--- a/crates/relay/src/journal/tests.rs
+++ b/crates/relay/src/journal/tests.rs
@@ -138,3 +138,37 @@
     journal.remove_message(ID).expect("written");
     assert!(journal.start_attempt(ID, 0, attempt()).is_err());
 }
+
+/// Guards against a delivery that the next process takes back, and against one that this process cannot.
+#[test]
+fn provisional_delivery_ends_the_message_for_the_next_process_until_it_is_taken_back() {
+    let directory = TempDir::new().expect("a directory");
+    let mut journal = journal(&directory);
+    start(&mut journal, 0);
+    journal.deliver_provisionally(ID).expect("written");
+    assert!(journal.pending().contains_key(&ID), "kept in this process");
+    assert!(!journal.is_started(ID, 0), "no call for a new owner");
+    assert!(reopen(&directory).pending().is_empty());
+    journal.write_missing_records().expect("written");
+    assert!(reopen(&directory).pending().is_empty());
+
+    journal.reopen_message(ID);
+    assert!(journal.lacks_records());
+    journal.write_missing_records().expect("written");
+    assert_eq!(attempts(&reopen(&directory)), [true]);
+    assert!(!journal.pending()[&ID].may_end_provisionally());
+    journal.remove_message(ID).expect("written");
+    assert!(reopen(&directory).pending().is_empty());
+}
+
+#[test]
+fn confirmed_delivery_is_written_once() {
+    let directory = TempDir::new().expect("a directory");
+    let mut journal = journal(&directory);
+    start(&mut journal, 0);
+    journal.deliver_provisionally(ID).expect("written");
+    let length = journal.length();
+    journal.remove_message(ID).expect("known");
+    assert!(journal.pending().is_empty());
+    assert_eq!(journal.length(), length);
+}
