Choose ports for tests without opening a socket

Cause (by reading, not forced): tests chose a port by opening and closing a listener. A program that another test starts at that moment holds a copy of the listener until it executes, so the port can still be in use when the relay binds. The IP address is the test's own, so no other socket of the machine can have taken it.

Change: an address for a program is a new loopback IP address and a fixed port, and no socket is opened for it; in all tests of crates/relay that start a relay, and in relayctl's. `rebind` stays where a test itself binds again. free_address of relay-simulator's measurements, which no test uses, still opens a socket.

--- a/crates/relay/tests/admin/startup.rs
+++ b/crates/relay/tests/admin/startup.rs
@@ -100,7 +100,7 @@
     for name in ["tenants", "undeliverable"] {
         fs::create_dir_all(test_bed.folder.join(name)).expect("a folder");
     }
-    let address = bind().local_addr().expect("bound").to_string();
+    let address = unused_address().to_string();
     let text = shipped.replace(
         "/var/lib/madderpitch",
         &test_bed.folder.display().to_string(),
--- a/crates/relay/tests/api/mod.rs
+++ b/crates/relay/tests/api/mod.rs
@@ -8,7 +8,7 @@
 use ureq::http::{Method, Request};
 use ureq::Agent;
 
-use crate::support::{bind, TestBed};
+use crate::support::{unused_address, TestBed};
 
 /// A response of the administration API.
 #[derive(Debug)]
@@ -174,7 +174,7 @@
 /// Prepares a relay that hosts tenants, without starting it; returns it with the address of its API.
 pub fn new_with_tenants(hosts: Vec<Value>, tenants: &str, admin: &str) -> (TestBed, String) {
     let mut test_bed = TestBed::new(hosts);
-    let address = bind().local_addr().expect("bound").to_string();
+    let address = unused_address().to_string();
     test_bed.operator = Some(operator(&test_bed, &address, tenants, admin));
     (test_bed, address)
 }
--- a/crates/relay/tests/api_transcripts.rs
+++ b/crates/relay/tests/api_transcripts.rs
@@ -92,7 +92,7 @@
     /// Starts a relay with these sections of the operator file beside `[admin]`, which contains the lines of `limits`.
     fn start(hosts: Vec<Value>, limits: &str, sections: impl Fn(&Path) -> String) -> Self {
         let mut test_bed = TestBed::new(hosts);
-        let address = bind().local_addr().expect("bound");
+        let address = unused_address();
         let mut operator = format!("[admin]\nlisten = \"{address}\"\n{limits}\n");
         for (name, role, scope, digest) in TOKENS {
             operator += &format!(
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -52,7 +52,7 @@
 /// Prepares a relay with a control socket; returns it with the address of the socket.
 fn with_control_socket(known: Vec<Value>) -> (TestBed, SocketAddr) {
     let mut test_bed = TestBed::new(known);
-    let control_address = bind().local_addr().expect("bound");
+    let control_address = unused_address();
     test_bed.config["control"] = json!(control_address.to_string());
     (test_bed, control_address)
 }
@@ -135,7 +135,7 @@
     });
     let (mut test_bed, control_address) = with_control_socket(vec![
         up("a", &host, 1),
-        entry("b", bind().local_addr().unwrap(), 2, "draining"),
+        entry("b", unused_address(), 2, "draining"),
     ]);
     test_bed.start();
     let none = metrics(control_address);
@@ -348,7 +348,7 @@
 #[test]
 fn new_version_takes_over_calls_messages_and_ids() {
     let slow = Host::new(|_, _| HostResponse::Delayed(1200, ok_text()));
-    let down = bind().local_addr().expect("bound");
+    let down = unused_address();
     let test_bed = &mut TestBed::new(vec![up("a", &slow, 1), entry("b", down, 2, "up")]);
     let shared_listener = SharedListener::new(test_bed);
     let (mut old, old_control_address) = shared_listener.start(test_bed);
--- a/crates/relay/tests/relay/retries.rs
+++ b/crates/relay/tests/relay/retries.rs
@@ -30,7 +30,7 @@
     // A listener whose backlog is full establishes no connection until it accepts one.
     let socket =
         socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    let any: std::net::SocketAddr = bind().local_addr().expect("bound");
+    let any: std::net::SocketAddr = unused_address();
     socket.bind(&any.into()).expect("bound");
     socket.listen(0).expect("listens");
     let fill: Vec<_> = (0..4)
@@ -90,7 +90,7 @@
 #[test]
 fn unsafe_message_is_retried_only_if_it_cannot_have_executed() {
     // Nothing listens at this address, so the call is never sent.
-    let gone = bind().local_addr().expect("bound");
+    let gone = unused_address();
     let host = Host::new(|_, _| ok());
     let mut test_bed = TestBed::started(vec![entry("a", gone, 1, "up"), up("b", &host, 1)]);
     let (id, _) = test_bed.enqueue("payout", 1);
--- a/crates/relay/tests/restart.rs
+++ b/crates/relay/tests/restart.rs
@@ -207,7 +207,7 @@
     settings_here["tenants"] = tenants;
     let ids = submit_unattempted(&mut test_bed, &host, "update", 2 * DEADLINE_MS);
     // The host moves to an address where nothing listens yet.
-    let moved = bind().local_addr().expect("bound");
+    let moved = unused_address();
     test_bed.discovery.push(2, &[entry("a", moved, 1, "up")]);
     test_bed.start();
     wait_until("refused connections of most messages", || {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -7,7 +7,7 @@
 pub mod upgrade;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -20,6 +20,10 @@
 use serde_json::{json, Value};
 use socket2::Socket;
 
+/// The ports of [`unused_address`]. Test processes that share their IP addresses have different ones.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u32 = 10_000;
+
 /// Limit for each wait of a test. It is far longer than any awaited operation takes, so that a slow machine does not
 /// fail a test.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(60);
@@ -39,21 +43,25 @@
     }
 }
 
-/// Returns a loopback address that no other socket uses, so that no outgoing connection can take its port.
-fn address() -> String {
+/// Returns a loopback IP address that no other socket uses, so that no outgoing connection can take its ports.
+fn unused_ip() -> Ipv4Addr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let n = NEXT.fetch_add(1, Ordering::Relaxed);
-    format!(
-        "127.{}.{}.{}:0",
-        1 + std::process::id() % 250,
-        n / 200,
-        1 + n % 200
-    )
+    let octets = [1 + std::process::id() % 250, n / 200, 1 + n % 200];
+    let [a, b, c] = octets.map(|octet| octet as u8);
+    Ipv4Addr::new(127, a, b, c)
+}
+
+/// Returns an address for a program to bind. No socket is opened to choose the port: a program that another test starts at
+/// that moment would hold a copy of it, and the port would still be in use.
+pub fn unused_address() -> SocketAddr {
+    let port = FIRST_PORT + (std::process::id() / 250 % PORTS) as u16;
+    SocketAddr::from((unused_ip(), port))
 }
 
 /// Binds a listener to an unused loopback address.
 pub fn bind() -> TcpListener {
-    TcpListener::bind(address()).expect("a loopback port")
+    TcpListener::bind((unused_ip(), 0)).expect("a loopback port")
 }
 
 /// Binds a socket to a port that this process has just closed. A relay that another test starts holds copies of this
@@ -517,7 +525,7 @@
     /// Prepares a relay whose configuration and discovery list these hosts, without starting it.
     pub fn new(hosts: Vec<Value>) -> TestBed {
         let discovery = Discovery::new();
-        let listen = bind().local_addr().expect("bound");
+        let listen = unused_address();
         let folder = std::env::temp_dir().join(format!(
             "madderpitch-{}-{}",
             std::process::id(),
--- a/crates/relay/tests/support/upgrade.rs
+++ b/crates/relay/tests/support/upgrade.rs
@@ -7,7 +7,7 @@
 
 use socket2::{Domain, Socket, Type};
 
-use super::{bind, rebind, wait_until, TestBed};
+use super::{rebind, unused_address, wait_until, TestBed};
 
 /// The listening socket for clients, which the platform holds and every process inherits.
 pub struct SharedListener {
@@ -26,7 +26,7 @@
 
     /// Starts a process with its own control socket beside the running ones.
     pub fn start(&self, test_bed: &TestBed) -> (Child, SocketAddr) {
-        let control_address = bind().local_addr().expect("bound");
+        let control_address = unused_address();
         let log = std::fs::File::options()
             .create(true)
             .append(true)
--- a/crates/relay/tests/surplus_answers.rs
+++ b/crates/relay/tests/surplus_answers.rs
@@ -330,7 +330,7 @@
 /// The copy of an answer to earlier notices arrives with the first byte of further ones, which are never read.
 #[test]
 fn notice_is_not_lost_to_a_copy_of_an_earlier_answer() {
-    let closed = bind().local_addr().expect("bound");
+    let closed = unused_address();
     let mut test_bed = TestBed::started(vec![entry("a", closed, 1, "up")]);
     test_bed
         .discovery
--- a/crates/relay/tests/terms.rs
+++ b/crates/relay/tests/terms.rs
@@ -22,7 +22,7 @@
 
 /// An address at which nothing listens.
 fn closed_port() -> std::net::SocketAddr {
-    bind().local_addr().expect("bound")
+    unused_address()
 }
 
 /// Prepares a relay with a control file for faults.
--- a/crates/relay/tests/transcripts.rs
+++ b/crates/relay/tests/transcripts.rs
@@ -244,7 +244,7 @@
 fn discovery_requests_match_golden_transcript() {
     let host = Host::new(|_, _| HostResponse::Close);
     // An address that refuses connections.
-    let closed = bind().local_addr().expect("bound");
+    let closed = unused_address();
     let mut test_bed = TestBed::new(vec![
         entry("a", host.address, 7, "up"),
         entry("b", closed, 8, "up"),
@@ -268,7 +268,7 @@
 fn control_socket_replies_match_golden_transcript() {
     let host = Host::new(|_, _| ok());
     let mut test_bed = TestBed::new(vec![entry("a", host.address, 7, "up")]);
-    let control = bind().local_addr().expect("bound");
+    let control = unused_address();
     test_bed.config["control"] = json!(control.to_string());
     test_bed.start();
     let mut lines = Vec::new();
--- a/crates/relay/tests/unstarted_attempts.rs
+++ b/crates/relay/tests/unstarted_attempts.rs
@@ -33,7 +33,7 @@
 
 impl FullBacklog {
     fn new() -> Self {
-        let address: SocketAddr = bind().local_addr().expect("bound");
+        let address: SocketAddr = unused_address();
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         rebind(&socket, address);
         socket.listen(BACKLOG).expect("listens");
--- a/crates/relayctl/tests/ctl.rs
+++ b/crates/relayctl/tests/ctl.rs
@@ -1,8 +1,9 @@
 //! Tests of `relayctl` against a relay in this process: the output, and the exit codes that scripts rely on.
 
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -11,16 +12,22 @@
 use undeliverable::record::{Idempotency, Origin};
 use undeliverable::{Attempt, Outcome, Reason, Record, RecordState, Store};
 
+/// A port below those of outgoing connections.
+const RELAY_PORT: u16 = 20_000;
 const RELAYCTL: &str = env!("CARGO_BIN_EXE_relayctl");
 
+/// Returns an address to bind. No socket is opened to choose the port: a program that another test starts at that moment
+/// would hold a copy of it.
+fn unused_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [high, low, ..] = std::process::id().to_le_bytes();
+    let ip = Ipv4Addr::new(127, high, low, NEXT.fetch_add(1, Ordering::Relaxed));
+    SocketAddr::from((ip, RELAY_PORT))
+}
+
 /// The configuration of a relay without hosts.
 fn relay_configuration(folder: &Path) -> Value {
-    let free = || {
-        TcpListener::bind("127.0.0.1:0")
-            .and_then(|l| l.local_addr())
-            .expect("a port")
-            .to_string()
-    };
+    let free = || unused_address().to_string();
     json!({"name": "n0", "listen": free(), "discovery": free(), "state": folder, "seed": "1",
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3}, "known": {"seq": 1, "hosts": []},
         "settings": {"dcs": ["a"], "discovery": "push", "skus": ["p"], "tick": 5000, "siblings": 1,
