Let the idle connection of a race test rest before it is used

Cause: the test took the journaled end of the first message for the return of its connection to the pool. Change: it waits 0.3 s more; all assertions stand.

--- a/crates/relay/tests/races.rs
+++ b/crates/relay/tests/races.rs
@@ -154,6 +154,9 @@
     }
 }
 
+/// Longer than a connection rests after a response.
+const LONGER_THAN_A_REST: Duration = Duration::from_millis(300);
+
 /// Runs one case. Returns false if the idle connection was not used.
 fn connection_ends_at_first_byte(class: &str, ends: Ends) -> bool {
     let listener = bind();
@@ -176,7 +179,7 @@
     let over = Arc::new(Mutex::new(false));
     let (mine, done, told) = (kept.clone(), ended.clone(), over.clone());
     relay.set_hook(move |point| {
-        // The end of the first message is journaled once its connection has been returned to the pool.
+        // The end of the first message is journaled when its connection begins to rest.
         *told.lock().unwrap() |= point == HookPoint::JournalWritten;
         if let Some(stream) = mine
             .lock()
@@ -199,6 +202,8 @@
     wait_until("the end of the first message", || {
         over.lock().unwrap().then_some(())
     });
+    // The connection rests after its response, before it is returned to the pool.
+    thread::sleep(LONGER_THAN_A_REST);
     *kept.lock().unwrap() = Some(stream);
     let ids = Arc::new(Mutex::new(Vec::new()));
     serve(listener, ids.clone());
