Doubt a response only if it came a millisecond sooner than its host has ever answered

Cause: a host that answers within 0.3 ms beats its own fastest answer by microseconds again and again; each time the response counted as doubtful, and its connection was held until the call's limit.

Change: sooner by less than 1 ms is no sign of a copy.

--- a/crates/policy/src/response_confirmation.rs
+++ b/crates/policy/src/response_confirmation.rs
@@ -10,7 +10,7 @@
 //! repeats an earlier response, and came sooner than its host has ever answered.
 
 use crate::tuning::{
-    CONNECTION_REST, INITIAL_RESPONSE_WAIT, MAX_RESPONSE_WAIT, MIN_RESPONSE_SAMPLES,
+    CONNECTION_REST, INITIAL_RESPONSE_WAIT, MAX_RESPONSE_WAIT, MIN_LEAD, MIN_RESPONSE_SAMPLES,
     MIN_SETTLING_TIME, RESPONSE_TIME_SPAN, RESPONSE_WAIT_FACTOR, SURPLUS_QUARANTINE,
 };
 use crate::types::{AttemptOutcome, Micros};
@@ -207,7 +207,7 @@
             ResponsePosition::Repeated | ResponsePosition::Later => return Credibility::Likely,
         }
         match self.shortest_delivery {
-            Some(shortest) if elapsed >= shortest => Credibility::Likely,
+            Some(shortest) if elapsed + MIN_LEAD > shortest => Credibility::Likely,
             _ => Credibility::Doubtful,
         }
     }
--- a/crates/policy/src/tuning.rs
+++ b/crates/policy/src/tuning.rs
@@ -78,6 +78,9 @@
 pub(crate) const MAX_RESPONSE_WAIT: Micros = 9 * SECOND / 20;
 /// Shortest wait for a true response, from the response that was reported.
 pub(crate) const MIN_SETTLING_TIME: Micros = SECOND / 50;
+/// Least time by which a response has to come sooner than its host has ever answered, to be doubtful. Hosts on the same
+/// machine differ by less from one response to the next.
+pub(crate) const MIN_LEAD: Micros = SECOND / 1000;
 /// How long a connection rests after a response, so that a copy which follows right behind arrives before the next request.
 pub(crate) const CONNECTION_REST: Micros = SECOND / 10;
 /// How long connections to a host are used for a single call after it has sent a surplus response.
--- a/crates/policy/tests/response_confirmation.rs
+++ b/crates/policy/tests/response_confirmation.rs
@@ -156,6 +156,15 @@
     }
 }
 
+/// Guards against connections that are held for the time limit of a call because responses differ by microseconds.
+#[test]
+fn response_sooner_by_less_than_a_millisecond_is_not_doubtful() {
+    let mut responses = HostResponses::default();
+    record_first(&mut responses, SECOND, 1, 300);
+    let credibility = responses.credibility(ResponsePosition::Repeated, DELIVERED, 100);
+    assert_eq!(credibility, Credibility::Likely);
+}
+
 #[test]
 fn delivery_is_kept_for_the_rest_or_until_the_limit_of_its_call() {
     let mut responses = HostResponses::default();
