Keep the names of ended messages for as long as they may come again, over kills and upgrades

Callers saw: a delivered payout was called a second time when its id came again behind 4,667 others, after SIGKILL, or a second after a hand-over.

Cause: at most 4,096 names were kept, oldest dropped first, whatever their class; none outlasted a kill, and a hand-over told those of one second.

Names of messages that may be repeated make room; names of others are never dropped early: without space for another one, no such message is accepted (-BUSY). A message that was not accepted after all is withdrawn by a record of its own.

--- a/crates/relay/src/event_loop/admission.rs
+++ b/crates/relay/src/event_loop/admission.rs
@@ -10,6 +10,7 @@
 
 use super::persistence::log_write_error;
 use super::{EventLoop, MICROS_PER_MS, RETRY_ELSEWHERE_MS};
+use crate::completed_names::Repeatability;
 use crate::control_socket;
 use crate::in_flight::{MessageName, Submission};
 use crate::journal::AcceptedMessage;
@@ -114,9 +115,19 @@
         {
             return error("unknown destination");
         }
+        if self.lacks_space_for_name(class.idempotency) {
+            return Err(Reply::Busy(self.default_retry_after_ms()));
+        }
         Ok(())
     }
 
+    /// Whether the name of a message could not be kept after its end, although the message must not be repeated.
+    fn lacks_space_for_name(&self, idempotency: Idempotency) -> bool {
+        let mut ended = self.in_flight.ended().borrow_mut();
+        Repeatability::from(&idempotency) == Repeatability::NotRepeatable
+            && ended.is_full(self.clock.now())
+    }
+
     /// Retry-After for messages that never reach the policy, in milliseconds.
     fn default_retry_after_ms(&self) -> u64 {
         self.config.settings.max_retry_after / (RETRY_AFTER_DIVISOR * MICROS_PER_MS)
@@ -167,7 +178,7 @@
             return;
         }
         // No client was told that the message is accepted, so the relay does not have to deliver it.
-        let removed = self.journal.borrow_mut().remove_message(id);
+        let removed = self.journal.borrow_mut().withdraw_message(id);
         log_write_error(&self.runtime, removed);
         self.in_flight.remove(&name);
         self.tenants.message_rejected(&tenant);
--- a/crates/relay/src/event_loop/completion.rs
+++ b/crates/relay/src/event_loop/completion.rs
@@ -35,7 +35,9 @@
                 .record_end(&pending.accepted.class, end);
         }
         let name = MessageName::of_message(&pending.accepted);
-        self.in_flight.complete(self.runtime.now(), name);
+        let repeatability = pending.repeatability();
+        self.in_flight
+            .complete(self.clock.now(), &name, repeatability);
     }
 
     /// Whether a response that is not confirmed may end a message.
@@ -57,7 +59,8 @@
         self.control
             .metrics()
             .record_end(&pending.accepted.class, MessageEnd::Success);
-        log_write_error(&self.runtime, journal.deliver_provisionally(id));
+        let now = self.clock.now();
+        log_write_error(&self.runtime, journal.deliver_provisionally(id, now));
     }
 
     /// Ends an accepted message that the policy has failed, and notifies the platform. The failure of a resend is not
@@ -79,8 +82,7 @@
         self.control.metrics().record_end(&accepted.class, end);
         let recorded = self.journal.borrow_mut().record_failure(id, failure);
         log_write_error(&self.runtime, recorded);
-        self.in_flight
-            .complete(self.runtime.now(), MessageName::of_message(accepted));
+        self.forget_open_name(&pending);
         if is_resend {
             if self.record_failed_resend(id, &pending, failure) {
                 self.release_message(id);
@@ -93,6 +95,14 @@
         self.notify_failure(id, &pending.accepted, failure);
     }
 
+    /// Moves the name of a message that has failed to those of ended messages.
+    pub(super) fn forget_open_name(&mut self, pending: &PendingMessage) {
+        let name = MessageName::of_message(&pending.accepted);
+        let repeatability = pending.repeatability();
+        self.in_flight
+            .complete(self.clock.now(), &name, repeatability);
+    }
+
     /// Queues the notification of a failed message, whose name stays in use until the platform has accepted it.
     pub(super) fn notify_failure(
         &mut self,
--- a/crates/relay/src/event_loop/handover.rs
+++ b/crates/relay/src/event_loop/handover.rs
@@ -88,7 +88,6 @@
             self.policy.handover_snapshot(),
         );
         state.host_numbers = self.host_directory.numbers();
-        state.completed = self.in_flight.recently_completed_names(self.runtime.now());
         state.used_rates = self
             .tenants
             .used_rates(self.clock.now(), self.policy.scheduler());
--- a/crates/relay/src/event_loop/restore.rs
+++ b/crates/relay/src/event_loop/restore.rs
@@ -11,6 +11,7 @@
 use super::admission::policy_message;
 use super::host_list::HostListSource;
 use super::{EventLoop, PolicyAborted};
+use crate::completed_names::Repeatability;
 use crate::journal::{Attempt, PendingMessage, ResendOrigin};
 use crate::state_directory::{HandoverState, OpenCall};
 
@@ -63,7 +64,7 @@
     fn restore_handover(&mut self, state: HandoverState) -> DeferredHandover {
         self.host_directory.adopt_numbers(state.host_numbers);
         self.in_flight
-            .restore_completed(self.runtime.now(), state.completed);
+            .restore_completed(self.clock.now(), &state.completed);
         // A drain persists over an upgrade, but not over a crash.
         let is_drained = state.is_drained && self.directory_owner.took_over();
         self.control.restore_drained(is_drained);
@@ -140,6 +141,11 @@
         }
         if let Some(failure) = pending.failure {
             let failure = self.failure_under_shared_name(&pending.accepted, failure);
+            if failure == DeliveryFailure::Undeliverable
+                && pending.repeatability() == Repeatability::NotRepeatable
+            {
+                self.forget_open_name(&pending);
+            }
             self.notify_failure(id, &pending.accepted, failure);
             return;
         }
--- a/crates/relay/src/event_loop/startup.rs
+++ b/crates/relay/src/event_loop/startup.rs
@@ -18,12 +18,13 @@
 use crate::call_log::CallLog;
 use crate::classes::Classes;
 use crate::clock_anchor::{self, AnchorFile};
+use crate::completed_names::{CompletedNames, NameLimits};
 use crate::config::Config;
 use crate::control_socket::{self, Control};
 use crate::host_connections::HostConnections;
 use crate::host_directory::HostDirectory;
 use crate::in_flight::InFlightMessages;
-use crate::journal::Journal;
+use crate::journal::{Journal, SharedNames};
 use crate::memory_budget::{MachineLimits, MemoryBudget, TooLittleMemory};
 use crate::operator_config::OperatorConfig;
 use crate::state_directory::{DirectoryOwner, HandoverState};
@@ -126,7 +127,8 @@
         let handover = directory_owner.read_handover().await;
         let memory = memory_budget(&config, resources.may_overlap)?;
         let disk_limit = memory.state_files;
-        let journal = open_journal(runtime, &config, disk_limit).await?;
+        let completed_names = completed_names(&config, memory.completed_names);
+        let journal = open_journal(&resources, &config, disk_limit, &completed_names).await?;
         config.settings.max_queued_bytes = journal.capacity();
         let budget = SocketBudget::new(&config, &operator, resources.may_overlap)?;
         let (discovery_sender, discovery_address) = watch::channel(config.discovery);
@@ -152,7 +154,7 @@
             pending_events: tenant_events,
             timer: None,
             last_round_at: runtime.now(),
-            in_flight: InFlightMessages::default(),
+            in_flight: InFlightMessages::new(completed_names),
             open_calls: BTreeMap::new(),
             host_directory: HostDirectory::default(),
             classes: Classes::new(&config.classes, &config.settings.classes),
@@ -195,12 +197,26 @@
     })
 }
 
+/// Creates the table of the names of ended messages, which are kept until the deadline of any copy has passed.
+fn completed_names(config: &Config, limits: NameLimits) -> SharedNames {
+    let classes = config.settings.classes.iter();
+    let longest_life = classes.map(|class| class.time_to_live).max();
+    let names = CompletedNames::new(config.seed, limits, longest_life.unwrap_or_default());
+    Rc::new(RefCell::new(names))
+}
+
 async fn open_journal<R: Runtime>(
-    runtime: &R,
+    resources: &LoopResources<'_, R>,
     config: &Config,
     disk_limit: u64,
+    completed_names: &SharedNames,
 ) -> Result<Journal<R>, StartupError> {
-    let open = async || Journal::open(runtime.clone(), &config.state, disk_limit);
+    let runtime = resources.runtime;
+    let now = resources.clock.now();
+    let open = async || {
+        let names = completed_names.clone();
+        Journal::open(runtime.clone(), &config.state, disk_limit, names, now)
+    };
     retry_transient(runtime, open)
         .await
         .map_err(|source| StartupError::Journal {
--- a/crates/relay/src/event_loop/table_levels.rs
+++ b/crates/relay/src/event_loop/table_levels.rs
@@ -6,7 +6,6 @@
 use super::EventLoop;
 use crate::call_log::TableLevel;
 use crate::classes;
-use crate::in_flight::MAX_COMPLETED_NAMES;
 
 /// Capacity of the ordering keys, as a multiple of the maximum of queued messages. The policy drops idle keys once there
 /// are more than twice the queued messages plus that maximum.
@@ -32,13 +31,10 @@
             capacity,
         };
         let journal = self.journal.borrow();
+        let ended = self.in_flight.ended().borrow();
         vec![
             level("held", self.in_flight.len(), settings.max_queued),
-            level(
-                "names",
-                self.in_flight.recently_completed(),
-                MAX_COMPLETED_NAMES,
-            ),
+            level("names", ended.len(), ended.capacity()),
             level("calls", self.open_calls.len(), settings.max_calls),
             // A failed message stays in the journal until the platform has accepted its notification.
             level("notices", self.notifications.len(), journal.pending().len()),
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -3,15 +3,15 @@
 mod message_names;
 
 use std::collections::BTreeMap;
-use std::time::Instant;
 
-use policy::types::MessageId;
+use policy::types::{MessageId, Micros};
 use relay_events::Reply;
 use tokio::sync::oneshot;
 
-use crate::journal::AcceptedMessage;
+use crate::completed_names::Repeatability;
+use crate::journal::{AcceptedMessage, SharedNames};
 
-pub use message_names::{MessageName, MAX_COMPLETED_NAMES};
+pub use message_names::MessageName;
 use message_names::{MessageNames, NameUse};
 
 /// The channel to a client that waits for its reply.
@@ -37,14 +37,22 @@
 }
 
 impl InFlightMessages {
+    /// No messages in flight; `ended` has the names of those that ended before.
+    pub fn new(ended: SharedNames) -> Self {
+        InFlightMessages {
+            arriving: BTreeMap::new(),
+            names: MessageNames::new(ended),
+        }
+    }
+
     /// The number of messages in flight, arriving ones included.
     pub fn len(&self) -> usize {
         self.names.open_count()
     }
 
-    /// The number of completed messages whose names are remembered.
-    pub fn recently_completed(&self) -> usize {
-        self.names.ended_count()
+    /// The names of messages that have ended.
+    pub fn ended(&self) -> &SharedNames {
+        self.names.ended()
     }
 
     /// Answers a request whose message is in flight or recently completed. A duplicate must not be accepted, since it
@@ -90,16 +98,11 @@
         Some(message)
     }
 
-    /// Names of messages that completed within the hand-over window, the latest first.
-    pub fn recently_completed_names(&self, now: Instant) -> Vec<String> {
-        let recent = self.names.recently_ended(now);
-        recent.map(MessageName::to_stored).collect()
-    }
-
-    /// Restores the names that another process handed over, the latest first.
-    pub fn restore_completed(&mut self, now: Instant, names: Vec<String>) {
-        for name in names.iter().rev() {
-            self.complete(now, MessageName::from_stored(name));
+    /// Restores the names that a process of an earlier version handed over; it did not tell whether they may be repeated.
+    pub fn restore_completed(&mut self, now: Micros, names: &[String]) {
+        for name in names {
+            let name = MessageName::from_stored(name);
+            self.complete(now, &name, Repeatability::NotRepeatable);
         }
     }
 
@@ -119,9 +122,9 @@
         self.names.remove_open(name);
     }
 
-    /// Moves a message from those in flight to those recently completed.
-    pub fn complete(&mut self, now: Instant, name: MessageName) {
-        self.names.end(now, name);
+    /// Moves a message from those in flight to those that have ended.
+    pub fn complete(&mut self, now: Micros, name: &MessageName, message: Repeatability) {
+        self.names.end(now, name, message);
     }
 
     /// Keeps the name of a failed message in use until [`Self::notified`], as its notification goes out under it.
--- a/crates/relay/src/in_flight/message_names.rs
+++ b/crates/relay/src/in_flight/message_names.rs
@@ -1,21 +1,14 @@
 //! Who uses which message name. Hosts and the platform know a message by its name alone, so a name belongs to one message
 //! among all tenants while the message is open, and for some time after that.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::time::{Duration, Instant};
+use std::collections::{BTreeMap, BTreeSet};
 
-use policy::types::MessageId;
+use policy::types::{MessageId, Micros};
 use tenancy::registry::tenant_name;
 
-use crate::journal::AcceptedMessage;
+use crate::completed_names::{NameOwner, Repeatability};
+use crate::journal::{AcceptedMessage, SharedNames};
 
-/// The most completed messages whose names are remembered, to recognize duplicates.
-pub const MAX_COMPLETED_NAMES: usize = 4096;
-/// How long the name of a completed message is remembered: as long as a client may resubmit it.
-const COMPLETED_NAME_TTL: Duration = Duration::from_secs(30);
-/// Names of messages that completed within this time are handed over to the next process. A client waits 400 ms for its
-/// reply and resubmits at once.
-pub(super) const HANDOVER_WINDOW: Duration = Duration::from_secs(1);
 /// Separates tenant and name where both are stored as one text. No tenant's name contains a line break.
 const STORED_SEPARATOR: char = '\n';
 
@@ -41,12 +34,7 @@
         MessageName::new(&message.tenant, &message.name)
     }
 
-    /// The stored form of the hand-over snapshot.
-    pub(super) fn to_stored(&self) -> String {
-        format!("{}{STORED_SEPARATOR}{}", self.tenant, self.name)
-    }
-
-    /// Reads the stored form. A text without a tenant names a message of no known tenant.
+    /// Reads the stored form of a hand-over snapshot. A text without a tenant names a message of no known tenant.
     pub(super) fn from_stored(stored: &str) -> Self {
         let (tenant, name) = stored.split_once(STORED_SEPARATOR).unwrap_or(("", stored));
         MessageName::new(tenant, name)
@@ -77,21 +65,27 @@
     open: BTreeMap<MessageName, MessageId>,
     /// Ended messages whose failure the platform has not accepted yet.
     unnotified: BTreeSet<MessageName>,
-    /// Recently ended messages.
-    ended: BTreeSet<MessageName>,
-    /// The names in `ended` with the times of completion, oldest first.
-    completions: VecDeque<(Instant, MessageName)>,
+    /// Messages that have ended.
+    ended: SharedNames,
 }
 
 impl MessageNames {
+    /// No open messages; `ended` has the names of those that ended before.
+    pub fn new(ended: SharedNames) -> Self {
+        MessageNames {
+            ended,
+            ..MessageNames::default()
+        }
+    }
+
     /// The number of open messages.
     pub fn open_count(&self) -> usize {
         self.open.len()
     }
 
-    /// The number of ended messages whose names are remembered for some time.
-    pub fn ended_count(&self) -> usize {
-        self.ended.len()
+    /// The names of messages that have ended.
+    pub fn ended(&self) -> &SharedNames {
+        &self.ended
     }
 
     /// Determines what a submission under a name is.
@@ -99,12 +93,13 @@
         if let Some(id) = self.open.get(name) {
             return NameUse::OpenMessage(*id);
         }
-        if self.unnotified.contains(name) || self.ended.contains(name) {
+        let ended = self.ended.borrow().owner(&name.tenant, &name.name);
+        if self.unnotified.contains(name) || ended == Some(NameOwner::SameTenant) {
             return NameUse::EndedMessage;
         }
         let is_used = self.is_open(name)
             || users_in(&self.unnotified, name).next().is_some()
-            || users_in(&self.ended, name).next().is_some();
+            || ended.is_some();
         if is_used {
             NameUse::OtherTenant
         } else {
@@ -146,36 +141,11 @@
         self.unnotified.remove(name);
     }
 
-    /// Moves a message from the open ones to the ended ones. Names that are expired or exceed the maximum number are
-    /// dropped.
-    pub fn end(&mut self, now: Instant, name: MessageName) {
-        self.open.remove(&name);
-        self.drop_old_names(now);
-        if self.ended.insert(name.clone()) {
-            self.completions.push_back((now, name));
-        }
-    }
-
-    /// Drops expired names, and the oldest ones until there is space for one more name.
-    fn drop_old_names(&mut self, now: Instant) {
-        let is_expired =
-            |(completed_at, _): &(Instant, MessageName)| now - *completed_at > COMPLETED_NAME_TTL;
-        while self.completions.len() >= MAX_COMPLETED_NAMES
-            || self.completions.front().is_some_and(is_expired)
-        {
-            let Some((_, name)) = self.completions.pop_front() else {
-                break;
-            };
-            self.ended.remove(&name);
-        }
-    }
-
-    /// Names of messages that ended within the hand-over window, the latest first.
-    pub fn recently_ended(&self, now: Instant) -> impl Iterator<Item = &MessageName> {
-        let completions = self.completions.iter().rev();
-        completions
-            .take_while(move |(completed_at, _)| now - *completed_at <= HANDOVER_WINDOW)
-            .map(|(_, name)| name)
+    /// Moves a message from the open ones to the ended ones.
+    pub fn end(&mut self, now: Micros, name: &MessageName, message: Repeatability) {
+        self.open.remove(name);
+        let mut ended = self.ended.borrow_mut();
+        ended.insert(now, &name.tenant, &name.name, message);
     }
 
     fn open_users<'a>(&'a self, name: &'a MessageName) -> impl Iterator<Item = &'a MessageName> {
--- a/crates/relay/src/journal/mod.rs
+++ b/crates/relay/src/journal/mod.rs
@@ -5,11 +5,13 @@
 //! (`record_framing`), the index (`pending_index`), the file (`journal_file`) and the space reserved for the
 //! ends of messages (`reserve_file`).
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
+use std::rc::Rc;
 
-use policy::types::{Class, MessageId};
+use policy::types::{Class, MessageId, Micros};
 use relay_events::DeliveryFailure;
 use runtime::Runtime;
 use undeliverable::Outcome;
@@ -19,6 +21,8 @@
 use record::Record;
 use reserve_file::ReserveFile;
 
+use crate::completed_names::CompletedNames;
+
 mod journal_file;
 mod pending_index;
 mod record;
@@ -33,21 +37,28 @@
 
 /// Share of the disk limit that the records of pending messages may take.
 const PENDING_SHARE: f64 = 0.3;
+/// Share of the disk limit that the stored names of ended messages may take.
+pub const NAMES_SHARE: f64 = 0.05;
 /// Share of the disk limit that the file may take before it is compacted. The old and the new file exist side by side
 /// during compaction. Together they stay under the limit, with space left for the small records of messages that are
 /// pending already.
-const FILE_SHARE: f64 = 0.45;
+const FILE_SHARE: f64 = 0.4;
 /// Maximum number of characters of a host's name that are recorded.
 const MAX_HOST_NAME_CHARS: usize = 64;
 
 /// Error text for messages and attempts that are refused while no space is reserved for the ends of messages.
 const NO_SPACE_FOR_ENDS: &str = "no disk space is reserved for the ends of messages";
 
+/// The names of ended messages, which the journal stores and the event loop adds.
+pub type SharedNames = Rc<RefCell<CompletedNames>>;
+
 /// The journal of one state directory. A single process has it open.
 pub struct Journal<R: Runtime> {
     file: JournalFile<R>,
     reserve: ReserveFile<R>,
     index: PendingIndex,
+    /// Names of messages that have ended.
+    completed_names: SharedNames,
     /// Whether records that could not be written are only in the index, so that the file would restore an older state.
     lacks_records: bool,
     /// Disk limit of the journal's folder, in bytes.
@@ -55,15 +66,25 @@
 }
 
 impl<R: Runtime> Journal<R> {
-    /// Opens the journal in a folder and reads the pending messages. `limit` is the disk limit of the folder, in bytes.
+    /// Opens the journal in a folder and reads the pending messages, and the names of those that ended. `limit` is the disk
+    /// limit of the folder, in bytes, and `now` the time by the relay's clock.
     ///
     /// # Errors
     /// If the file cannot be read, or if it holds a record that a newer version of the program wrote.
-    pub fn open(runtime: R, folder: &Path, limit: u64) -> io::Result<Self> {
+    pub fn open(
+        runtime: R,
+        folder: &Path,
+        limit: u64,
+        completed_names: SharedNames,
+        now: Micros,
+    ) -> io::Result<Self> {
         let disk_limit = limit as f64;
         let (mut file, content) = JournalFile::open(runtime.clone(), folder.join("journal"))?;
         let mut index = PendingIndex::new();
-        let valid_length = replay(&content, &mut index)?;
+        let valid_length = {
+            let mut names = completed_names.borrow_mut();
+            replay(&content, &mut index, &mut names, now)?
+        };
         file.remove_unfinished_replacement();
         file.recover(valid_length as u64);
         let mut reserve = ReserveFile::new(runtime, file.path(), disk_limit);
@@ -72,6 +93,7 @@
             file,
             reserve,
             index,
+            completed_names,
             lacks_records: false,
             disk_limit,
         })
@@ -94,7 +116,7 @@
 
     /// Maximum length of the file in bytes, whether or not it can be compacted.
     pub fn max_length(&self) -> usize {
-        (self.disk_limit * (FILE_SHARE + PENDING_SHARE)) as usize
+        (self.disk_limit * (FILE_SHARE + PENDING_SHARE + NAMES_SHARE)) as usize
     }
 
     /// Whether space is reserved for the ends of messages. If not, the disk was full at the last try, and other records
@@ -330,16 +352,32 @@
         }
     }
 
+    /// Records that a message was not accepted after all, so that its name is free. Does nothing for a message that is not
+    /// pending.
+    ///
+    /// # Errors
+    /// The error of the write. In this process the message is removed nevertheless.
+    pub fn withdraw_message(&mut self, id: MessageId) -> io::Result<()> {
+        if self.index.get(id).is_none() {
+            return Ok(());
+        }
+        self.write(Record::MessageWithdrawn { id })
+    }
+
     /// Records the end of a message that is probably delivered. The message remains pending in this process until
     /// [`Journal::remove_message`] confirms its end or [`Journal::reopen_message`] takes it back. Does nothing for a
     /// message that is not pending, or was delivered provisionally before.
     ///
     /// # Errors
     /// The error of the write. The message is provisionally delivered nevertheless.
-    pub fn deliver_provisionally(&mut self, id: MessageId) -> io::Result<()> {
-        if self.delivery(id) != Some(DeliveryState::NotReported) {
+    pub fn deliver_provisionally(&mut self, id: MessageId, now: Micros) -> io::Result<()> {
+        let pending = self.index.get(id);
+        let is_open = |pending: &&PendingMessage| pending.delivery == DeliveryState::NotReported;
+        let Some(pending) = pending.filter(is_open) else {
             return Ok(());
-        }
+        };
+        // A snapshot does not contain the message from now on.
+        pending.add_name(&mut self.completed_names.borrow_mut(), now);
         let completed = Record::MessageCompleted { id };
         let encoded = encode(&completed)?;
         let result = self
@@ -391,7 +429,7 @@
         if length > self.disk_limit * FILE_SHARE {
             result = self.compact();
             // If compaction fails there is no second file, and messages that are pending already may use its space.
-            let fits = length <= self.disk_limit * (FILE_SHARE + PENDING_SHARE);
+            let fits = length <= self.disk_limit * (FILE_SHARE + PENDING_SHARE + NAMES_SHARE);
             if fits && !record.accepts_message() {
                 result = Ok(());
             }
@@ -441,7 +479,7 @@
     /// # Errors
     /// The error of the write, or `StorageFull` if the old and the new file together exceed the maximum length.
     pub fn write_missing_records(&mut self) -> io::Result<()> {
-        let snapshot = self.index.encode_snapshot()?;
+        let snapshot = self.encode_snapshot()?;
         let both = self.file.length() + snapshot.len() as u64;
         if both > self.max_length() as u64 {
             return Err(storage_full(
@@ -457,9 +495,21 @@
         Ok(())
     }
 
+    /// Encodes the names of ended messages, then the shortest sequence of records that restores the index.
+    fn encode_snapshot(&self) -> io::Result<Vec<u8>> {
+        let names = self.completed_names.borrow();
+        let mut snapshot = Vec::new();
+        for block in names.to_stored() {
+            let seed = names.seed();
+            snapshot.extend(encode(&Record::NamesCompleted { seed, names: block })?);
+        }
+        self.index.encode_into(&mut snapshot)?;
+        Ok(snapshot)
+    }
+
     /// Replaces the file with one that holds only the pending messages and the classes in force.
     fn compact(&mut self) -> io::Result<()> {
-        let snapshot = self.index.encode_snapshot()?;
+        let snapshot = self.encode_snapshot()?;
         if snapshot.len() as u64 >= self.file.length() {
             return Err(storage_full("compaction would not shorten the journal"));
         }
@@ -468,9 +518,26 @@
 }
 
 /// Applies all complete records of the file's content and returns their total length in bytes.
-fn replay(content: &[u8], index: &mut PendingIndex) -> io::Result<usize> {
+fn replay(
+    content: &[u8],
+    index: &mut PendingIndex,
+    names: &mut CompletedNames,
+    now: Micros,
+) -> io::Result<usize> {
     let mut position = 0;
     while let Some((record, size)) = decode(&content[position..])? {
+        match &record {
+            Record::MessageCompleted { id } => {
+                if let Some(pending) = index.get(*id) {
+                    pending.add_name(names, now);
+                }
+            }
+            Record::NamesCompleted {
+                seed,
+                names: stored,
+            } => names.restore(now, *seed, stored),
+            _ => {}
+        }
         index.apply(record, size as u64);
         position += size;
     }
--- a/crates/relay/src/journal/pending_index.rs
+++ b/crates/relay/src/journal/pending_index.rs
@@ -4,12 +4,14 @@
 use std::io;
 use std::rc::Rc;
 
-use policy::types::{Class, MessageId};
+use policy::types::{Class, MessageId, Micros};
 use relay_events::DeliveryFailure;
+use tenancy::registry::tenant_name;
 use undeliverable::Outcome;
 
 use super::record::{AcceptedMessage, Attempt, Record, ResendOrigin};
 use super::record_framing::encode;
+use crate::completed_names::{CompletedNames, Repeatability};
 
 /// A message that was accepted and has not been completed.
 #[derive(Clone, Debug, PartialEq)]
@@ -118,6 +120,31 @@
         is_open && self.delivery == DeliveryState::NotReported
     }
 
+    /// Adds the name of a message that has ended. A failed one may come again if it surely has not run, or if it may be
+    /// repeated.
+    pub(super) fn add_name(&self, names: &mut CompletedNames, now: Micros) {
+        let may_come_again = match self.failure {
+            None => false,
+            Some(DeliveryFailure::Deferred(_)) => true,
+            Some(DeliveryFailure::Undeliverable) => {
+                self.repeatability() == Repeatability::Repeatable
+            }
+        };
+        if may_come_again {
+            return;
+        }
+        let tenant = tenant_name(&self.accepted.tenant);
+        names.insert(now, tenant, &self.accepted.name, self.repeatability());
+    }
+
+    /// Whether the message may be delivered again. A message without a definition of its class may not.
+    pub fn repeatability(&self) -> Repeatability {
+        let class = self.class_version.as_ref();
+        class.map_or(Repeatability::NotRepeatable, |version| {
+            Repeatability::from(&version.class.idempotency)
+        })
+    }
+
     fn version(&self) -> Option<u64> {
         self.class_version.as_ref().map(|class| class.version)
     }
@@ -250,7 +277,9 @@
             Record::DeliveryFailed { id, failure } => {
                 self.update(id, size, |pending| pending.failure = Some(failure));
             }
-            Record::MessageCompleted { id } => self.remove(id),
+            Record::MessageCompleted { id } | Record::MessageWithdrawn { id } => self.remove(id),
+            // The journal keeps the names.
+            Record::NamesCompleted { .. } => {}
             Record::ClassDeclared { name, class } => self.declare_class(name, class),
         }
     }
@@ -304,12 +333,12 @@
         self.classes.insert(name, declared);
     }
 
-    /// Encodes the shortest sequence of records that restores this index.
+    /// Appends the shortest sequence of records that restores this index.
     ///
     /// Messages are sorted by the version of their class, so that each version is declared once. Messages without a
     /// version are first, before any declaration.
-    pub(super) fn encode_snapshot(&self) -> io::Result<Vec<u8>> {
-        let mut snapshot = Vec::with_capacity(self.size as usize);
+    pub(super) fn encode_into(&self, snapshot: &mut Vec<u8>) -> io::Result<()> {
+        snapshot.reserve_exact(self.size as usize);
         let pending = self.messages.iter();
         let mut messages: Vec<(&MessageId, &PendingMessage)> = pending
             .filter(|(_, pending)| pending.delivery != DeliveryState::Provisional)
@@ -323,12 +352,12 @@
                     snapshot.extend(encode_class(&pending.accepted.class, class)?);
                 }
             }
-            pending.encode_records(*id, &mut snapshot)?;
+            pending.encode_records(*id, snapshot)?;
         }
         for (name, class) in &self.classes {
             snapshot.extend(encode_class(name, class)?);
         }
-        Ok(snapshot)
+        Ok(())
     }
 }
 
--- a/crates/relay/src/journal/record.rs
+++ b/crates/relay/src/journal/record.rs
@@ -118,6 +118,11 @@
     ClassDeclared { name: String, class: Class },
     /// The request of an attempt was not written completely, so that its host cannot have executed it.
     AttemptDiscarded { id: MessageId, number: u8 },
+    /// A message was not accepted after all, because its client was not told that it was.
+    MessageWithdrawn { id: MessageId },
+    /// Names of messages that have ended, as [`CompletedNames`](crate::completed_names::CompletedNames) stores them, and the
+    /// seed of their hashes.
+    NamesCompleted { seed: u64, names: Bytes },
 }
 
 impl Record {
@@ -138,7 +143,9 @@
     pub(super) fn ends_work(&self) -> bool {
         matches!(
             self,
-            Record::DeliveryFailed { .. } | Record::MessageCompleted { .. }
+            Record::DeliveryFailed { .. }
+                | Record::MessageCompleted { .. }
+                | Record::MessageWithdrawn { .. }
         )
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod classes;
 mod client_connections;
 mod clock_anchor;
+mod completed_names;
 mod config;
 mod control_socket;
 mod discovery_client;
--- a/crates/relay/src/memory_budget.rs
+++ b/crates/relay/src/memory_budget.rs
@@ -9,6 +9,8 @@
 use thiserror::Error;
 
 use crate::client_connections::RequestMemoryLimits;
+use crate::completed_names::{NameLimits, COMPLETED_NAME_BYTES, STORED_NAME_BYTES};
+use crate::journal;
 
 /// Bytes in a megabyte of the limits.
 pub const BYTES_PER_MB: f64 = 1e6;
@@ -31,6 +33,8 @@
 const LONG_REQUESTS_SHARE: f64 = 0.1;
 /// ... long requests that arrive in pieces, ...
 const ARRIVING_SHARE: f64 = 0.07;
+/// ... names of messages that have ended, ...
+const COMPLETED_NAMES_SHARE: f64 = 0.12;
 /// ... and a list of hosts while it is received. The rest is for hosts and their connections.
 const HOST_LIST_SHARE: f64 = 0.08;
 /// Bytes of a list of hosts that are received in any case, sufficient for about five thousand hosts.
@@ -70,6 +74,8 @@
     pub max_clients: usize,
     /// Bytes of clients' requests.
     pub requests: RequestMemoryLimits,
+    /// Numbers of ended messages whose names are kept.
+    pub completed_names: NameLimits,
     /// Bytes of a list of hosts that is being received.
     pub host_list: usize,
 }
@@ -102,11 +108,22 @@
                 long: share(LONG_REQUESTS_SHARE),
                 arriving: share(ARRIVING_SHARE),
             },
+            completed_names: name_limits(share(COMPLETED_NAMES_SHARE), state_files),
             host_list: share(HOST_LIST_SHARE).clamp(MIN_HOST_LIST_BYTES, MAX_HOST_LIST_BYTES),
         })
     }
 }
 
+/// The names that fit into this many bytes of memory. Those that are stored have to fit into the journal, too.
+fn name_limits(memory: usize, state_files: f64) -> NameLimits {
+    let all = memory / COMPLETED_NAME_BYTES;
+    let stored = (state_files * journal::NAMES_SHARE) as usize / STORED_NAME_BYTES;
+    NameLimits {
+        all,
+        not_repeatable: all.min(stored),
+    }
+}
+
 /// The memory limit, in whole megabytes, that leaves each process enough for [`MIN_CLIENTS`].
 fn least_memory_mb(disk_mb: f64, processes: f64) -> f64 {
     let clients = (MIN_CLIENTS * CONNECTION_BYTES) as f64 / CONNECTIONS_SHARE;
--- a/crates/relay/src/memory_budget/tests.rs
+++ b/crates/relay/src/memory_budget/tests.rs
@@ -18,6 +18,7 @@
         + budget.requests.short
         + budget.requests.long
         + budget.requests.arriving
+        + budget.completed_names.all * COMPLETED_NAME_BYTES
         + budget.host_list;
     let messages = budget.state_files as f64 * MESSAGES_PER_FILES;
     processes * process + budget.state_files as usize + messages as usize
@@ -53,6 +54,13 @@
     assert!(budget(64.0, 3.0, 2).max_clients >= 500);
 }
 
+/// A page names 120 messages a second, on one day three times as many; their names are kept for 30 s or longer.
+#[test]
+fn least_memory_and_disk_of_the_pages_keep_the_names_of_the_busiest_day() {
+    let names = budget(32.0, 3.0, 1).completed_names;
+    assert!(names.not_repeatable >= 3 * 120 * 30, "{names:?}");
+}
+
 #[test]
 fn too_little_memory_is_reported_with_what_is_needed() {
     for (disk_mb, processes) in [(3.0, 1), (30.0, 1), (3.0, 2), (30.0, 2)] {
--- a/crates/relay/tests/repeated_ids.rs
+++ b/crates/relay/tests/repeated_ids.rs
@@ -10,6 +10,7 @@
 
 const PAYOUT_ID: &str = "payout-1";
 const TIME_TO_LIVE_MS: u64 = 30_000;
+const SLOW_CALL_MS: u64 = 10_000;
 /// Requests that are written at once.
 const BATCH: usize = 50;
 /// Messages between a payout and its repetition. More: `OTHER_MESSAGES=100000 cargo test -p relay --test repeated_ids`.
@@ -40,6 +41,21 @@
         client.line()
     }
 
+    /// Submits a message whose call takes long, and waits for the call.
+    fn submit_slow_message(&self) {
+        const NAME: &str = "slow";
+        self.host.script(|call, _| match call.id.as_str() {
+            NAME => HostResponse::Delayed(SLOW_CALL_MS, ok_text()),
+            _ => ok(),
+        });
+        let mut client = self.test_bed.client();
+        client.send(&Payouts::request(NAME, "update"));
+        assert_eq!(client.line(), "+OK");
+        wait_until("the slow call", || {
+            self.host.calls_of(NAME).first().cloned()
+        });
+    }
+
     fn wait_for_call(&self) {
         wait_until("the call of the payout", || {
             self.host.calls_of(PAYOUT_ID).first().cloned()
@@ -111,6 +127,8 @@
     payouts.wait_for_call();
     payouts.submit_others(2_000);
     thread::sleep(SETTLE_TIME);
+    // The old process runs until its open call has ended.
+    payouts.submit_slow_message();
     let (new, control_address) = listener.start(&payouts.test_bed);
     wait_until_ready(control_address);
     payouts.assert_payout_is_not_called_again();
