Call no host of a list that could not be stored, and store the list of the largest fleet

Cause: with 3,200 hosts the list takes 176 KB and its share of disk_mb 3 was 150 KB. It was not written, the file of an older list or the configuration's list stayed in its place, and a second after the start calls began under that.

A list that is still too large is stored as its version without hosts: the next process calls none before discovery has sent a list.

--- a/crates/relay/src/cached_state.rs
+++ b/crates/relay/src/cached_state.rs
@@ -15,7 +15,7 @@
 
 /// Share of the disk limit that the file may take. The old and the new file may exist at once, beside the files of the
 /// journal, which leave a quarter of the limit.
-const MAX_DISK_SHARE: f64 = 0.05;
+const MAX_DISK_SHARE: f64 = 0.08;
 /// Name of the file in the state directory.
 const STATE_FILE: &str = "memory";
 /// Name of the file with the time of the last contact with discovery.
@@ -229,24 +229,57 @@
 
     /// Replaces the file in the folder. `limit` is the disk limit of the whole folder, in bytes.
     ///
+    /// A list that is too large is stored without its hosts. The next process then calls none before discovery has sent a
+    /// list, as an older one may have a removed host at whose address another destination's host runs.
+    ///
     /// # Errors
     /// `StorageFull` if the file would take more than its share of the limit; otherwise the error of the write, after
     /// which the old file stays in place.
     pub fn save(&self, runtime: &impl Runtime, folder: &Path, limit: u64) -> io::Result<()> {
+        let max_bytes = limit as f64 * MAX_DISK_SHARE;
         let text = self.encode()?;
-        if text.len() as f64 > limit as f64 * MAX_DISK_SHARE {
-            return Err(io::Error::new(
-                io::ErrorKind::StorageFull,
-                "the host list exceeds its share of the disk limit",
-            ));
+        if text.len() as f64 <= max_bytes {
+            return replace_file(runtime, folder, &text);
         }
-        let path = folder.join(STATE_FILE);
-        let replacement: PathBuf = path.with_extension("new");
-        let written = runtime.write(&replacement, text.as_bytes());
-        // A partial file would occupy space that other files need.
-        written.inspect_err(|_| drop(runtime.remove(&replacement)))?;
-        runtime.rename(&replacement, &path)
+        replace_file(runtime, folder, &self.without_hosts(max_bytes).encode()?)?;
+        Err(io::Error::new(
+            io::ErrorKind::StorageFull,
+            "the host list exceeds its share of the disk limit",
+        ))
     }
+
+    /// The same version of the list without its hosts, and with the outages if they fit into `max_bytes`.
+    fn without_hosts(&self, max_bytes: f64) -> Self {
+        let list = HostList {
+            version: self.list.version,
+            is_full: true,
+            hosts: Vec::new(),
+        };
+        let with_outages = CachedState {
+            list: list.clone(),
+            outages: self.outages.clone(),
+        };
+        let fits = with_outages
+            .encode()
+            .is_ok_and(|text| text.len() as f64 <= max_bytes);
+        if fits {
+            return with_outages;
+        }
+        CachedState {
+            list,
+            outages: Vec::new(),
+        }
+    }
+}
+
+/// Replaces the file in the folder atomically.
+fn replace_file(runtime: &impl Runtime, folder: &Path, text: &str) -> io::Result<()> {
+    let path = folder.join(STATE_FILE);
+    let replacement: PathBuf = path.with_extension("new");
+    let written = runtime.write(&replacement, text.as_bytes());
+    // A partial file would occupy space that other files need.
+    written.inspect_err(|_| drop(runtime.remove(&replacement)))?;
+    runtime.rename(&replacement, &path)
 }
 
 /// Records the current time, by the relay's clock, as that of the last contact with discovery.
--- a/crates/relay/src/cached_state/tests.rs
+++ b/crates/relay/src/cached_state/tests.rs
@@ -77,3 +77,32 @@
         "{length} bytes"
     );
 }
+
+#[test]
+fn state_of_the_largest_fleet_fits_in_its_share_of_three_megabytes() {
+    let length = cached_state(3200).encode().expect("text").len();
+    assert!(
+        length as f64 <= 3_000_000.0 * MAX_DISK_SHARE,
+        "{length} bytes"
+    );
+}
+
+#[test]
+fn list_that_is_too_large_is_stored_without_its_hosts() {
+    let folder = tempfile::TempDir::new().expect("a folder");
+    let older = cached_state(5);
+    older
+        .save(&runtime::OsRuntime, folder.path(), 3_000_000)
+        .expect("written");
+    let mut large = cached_state(300);
+    large.list.version = 8;
+    let error = large.save(&runtime::OsRuntime, folder.path(), 100_000);
+    assert_eq!(
+        error.expect_err("too large").kind(),
+        io::ErrorKind::StorageFull
+    );
+    let stored = CachedState::load(&runtime::OsRuntime, folder.path());
+    assert_eq!(stored.list.version, 8);
+    assert!(stored.list.hosts.is_empty());
+    assert_eq!(stored.outages, large.outages);
+}
