--- a/crates/relay/tests/memory.rs
+++ b/crates/relay/tests/memory.rs
@@ -2,26 +2,20 @@
 
 #[path = "memory/clients.rs"]
 mod clients;
+#[path = "memory/monitor.rs"]
+mod monitor;
 mod support;
 
-use std::fs;
-use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::thread::{self, JoinHandle};
+use std::sync::atomic::Ordering;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::Duration;
 
 use clients::{summarize, Answers, Misbehavior, Pressure, UsualClients};
+use monitor::{target_bytes, MemoryMonitor, LEAST_MEMORY_MB};
 use serde_json::Value;
 use support::*;
 
-/// The least memory that a page names, in megabytes (LATER, Score).
-const LEAST_MEMORY_MB: u64 = 32;
-const BYTES_PER_MB: u64 = 1_000_000;
-/// Share of the memory limit that the process and its files may take.
-const TARGET_SHARE: f64 = 0.8;
-/// How often memory is read.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 const DESTINATIONS: u16 = 20;
 /// Connections of clients that misbehave at once.
 const BAD_CLIENTS: usize = 400;
@@ -34,63 +28,6 @@
 /// Time by which the answers to usual clients may come later beside bad ones.
 const MAX_DELAY: Duration = Duration::from_millis(50);
 
-/// Reads the memory of a process and the size of its files until it is dropped.
-struct MemoryMonitor {
-    stop: Arc<AtomicBool>,
-    most_file_bytes: Arc<AtomicUsize>,
-    process: u32,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl MemoryMonitor {
-    fn start(test_bed: &TestBed) -> MemoryMonitor {
-        let stop = Arc::new(AtomicBool::new(false));
-        let most_file_bytes = Arc::new(AtomicUsize::new(0));
-        let (stopped, most) = (stop.clone(), most_file_bytes.clone());
-        let folder = test_bed.folder.join("state");
-        let thread = thread::spawn(move || {
-            while !stopped.load(Ordering::Relaxed) {
-                most.fetch_max(file_bytes(&folder), Ordering::Relaxed);
-                thread::sleep(SAMPLE_INTERVAL);
-            }
-        });
-        MemoryMonitor {
-            stop,
-            most_file_bytes,
-            process: test_bed.relay.as_ref().expect("runs").id(),
-            thread: Some(thread),
-        }
-    }
-
-    /// The most memory of the process so far and the largest size of its files, in bytes.
-    fn peak(&self) -> u64 {
-        self.peak_of_process() + self.most_file_bytes.load(Ordering::Relaxed) as u64
-    }
-
-    /// The most resident memory of the process so far, in bytes (`VmHWM`, `proc_pid_status(5)`).
-    fn peak_of_process(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.process));
-        let status = status.expect("the relay has ended");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-        kilobytes.expect("a number") << 10
-    }
-}
-
-impl Drop for MemoryMonitor {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        drop(self.thread.take().map(JoinHandle::join));
-    }
-}
-
-/// The size of all files in a folder; each counts in whole blocks of 512 bytes (DEPLOY, Limits).
-fn file_bytes(folder: &Path) -> usize {
-    let entries = fs::read_dir(folder).into_iter().flatten().flatten();
-    let sizes = entries.filter_map(|entry| Some(entry.metadata().ok()?.len() as usize));
-    sizes.map(|size| size.div_ceil(512) * 512).sum()
-}
-
 /// A relay with the least memory and hosts that behave alike.
 struct SmallRelay {
     test_bed: TestBed,
@@ -136,10 +73,15 @@
         )
     }
 
-    fn assert_memory_is_under_target(&self, monitor: &MemoryMonitor) {
-        let target = (self.memory_mb * BYTES_PER_MB) as f64 * TARGET_SHARE;
-        let peak = monitor.peak() as f64;
-        println!("peak {:.1} MB of {:.1} MB", peak / 1e6, target / 1e6);
+    fn assert_memory_is_under_target(&mut self, monitor: &MemoryMonitor) {
+        let process = self.test_bed.relay.as_mut().expect("was started");
+        assert!(
+            process.try_wait().expect("waits").is_none(),
+            "the relay has ended"
+        );
+        let target = target_bytes(self.memory_mb);
+        let peak = monitor.peak();
+        println!("peak {peak} of {target} bytes");
         assert!(peak < target, "peak {peak} bytes, target {target}");
     }
 }
@@ -294,19 +236,7 @@
     let mut relay = SmallRelay::new(&host);
     relay.set_limit("disk_mb", 30);
     let monitor = relay.start();
-    let misbehaviors = [
-        Misbehavior::StopsInLargeRequest,
-        Misbehavior::WritesSlowly,
-        Misbehavior::WritesSingleBytes,
-        Misbehavior::PipelinesLargeRequests,
-        Misbehavior::SendsManyFields,
-        Misbehavior::SendsRefusedThenValid,
-        Misbehavior::NeverReadsPongs,
-        Misbehavior::NeverReadsReplies,
-        Misbehavior::AbortsPayouts,
-        Misbehavior::SendsUnsoundNames,
-    ];
-    let pressure = Pressure::start(relay.test_bed.listen, &misbehaviors, BAD_CLIENTS);
+    let pressure = Pressure::start(relay.test_bed.listen, &Misbehavior::ALL, BAD_CLIENTS);
     thread::sleep(PRESSURE_TIME);
     pressure.stop();
     relay.assert_memory_is_under_target(&monitor);
--- a/crates/relay/tests/memory/clients.rs
+++ b/crates/relay/tests/memory/clients.rs
@@ -1,5 +1,7 @@
 //! Clients that send much, slowly or without reading, and usual clients whose answers are timed beside them.
 
+#![allow(dead_code)]
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -47,6 +49,21 @@
     SendsUnsoundNames,
 }
 
+impl Misbehavior {
+    pub const ALL: [Misbehavior; 10] = [
+        Misbehavior::StopsInLargeRequest,
+        Misbehavior::WritesSlowly,
+        Misbehavior::WritesSingleBytes,
+        Misbehavior::PipelinesLargeRequests,
+        Misbehavior::SendsManyFields,
+        Misbehavior::SendsRefusedThenValid,
+        Misbehavior::NeverReadsPongs,
+        Misbehavior::NeverReadsReplies,
+        Misbehavior::AbortsPayouts,
+        Misbehavior::SendsUnsoundNames,
+    ];
+}
+
 /// Results of the bad clients.
 #[derive(Default)]
 pub struct PressureLog {
--- a/crates/relay/tests/soak.rs
+++ b/crates/relay/tests/soak.rs
@@ -1,10 +1,15 @@
 //! Soak test with real processes and sockets: clients use their connections until SIGKILL, signals are sent in series,
-//! and system calls, writes, hosts and the wall clock fail in between. Each seed determines a plan.
+//! and system calls, writes, hosts and the wall clock fail in between. In most runs other clients misbehave meanwhile; the
+//! memory of each process is measured. Each seed determines a plan.
 //!
 //! CI runs a few seeds. To run more: `SOAK_SEEDS=100..150 cargo test -p relay --test soak -- --nocapture`.
 
 #[path = "soak/client.rs"]
 mod client;
+#[path = "memory/clients.rs"]
+mod clients;
+#[path = "memory/monitor.rs"]
+mod monitor;
 #[path = "soak/plan.rs"]
 mod plan;
 mod support;
@@ -16,6 +21,8 @@
 use std::time::{Duration, Instant};
 
 use client::{Log, Request};
+use clients::Pressure;
+use monitor::{target_bytes, MemoryMonitor, LEAST_MEMORY_MB};
 use plan::{Disturbance, Plan, Turn};
 use support::faults::Faults;
 use support::*;
@@ -39,6 +46,9 @@
 /// Additional time because the machine is busy with other seeds.
 const MACHINE_SLACK: Duration = Duration::from_secs(2);
 
+/// Clients of a run that misbehave.
+const BAD_CLIENTS: usize = 40;
+
 /// The relay of one seed, with its hosts and clients.
 struct Soak {
     seed: u64,
@@ -50,6 +60,8 @@
     ready_at: Instant,
     /// From each SIGKILL to the next start.
     downtimes: Vec<RangeInclusive<Instant>>,
+    /// The most memory of any process so far, with its files, in bytes.
+    peak_bytes: u64,
 }
 
 impl Soak {
@@ -61,6 +73,7 @@
             .map(|(host, block)| entry(&format!("h{block}"), host.address, block, "up"));
         let mut test_bed = TestBed::new(known.collect());
         test_bed.config["limits"]["sockets"] = plan.max_sockets.into();
+        test_bed.config["limits"]["memory_mb"] = LEAST_MEMORY_MB.into();
         let faults = Faults::new(&test_bed.folder);
         faults.seed(plan.seed as i64);
         test_bed.faults = Some(faults.clone());
@@ -73,19 +86,27 @@
             log: Arc::default(),
             ready_at: Instant::now(),
             downtimes: Vec::new(),
+            peak_bytes: 0,
         }
     }
 
     fn play(mut self, plan: &Plan) -> Vec<String> {
         for (number, turn) in plan.turns.iter().enumerate() {
-            self.play_turn(number, turn);
+            self.play_turn(number, turn, plan);
         }
         self.set_faults(&Disturbance::default());
         self.wait_for_ends();
         self.violations()
     }
 
-    fn play_turn(&mut self, number: usize, turn: &Turn) {
+    fn play_turn(&mut self, number: usize, turn: &Turn, plan: &Plan) {
+        let monitor = MemoryMonitor::start(&self.test_bed);
+        let bad_clients = if plan.misbehaviors.is_empty() {
+            0
+        } else {
+            BAD_CLIENTS
+        };
+        let pressure = Pressure::start(self.test_bed.listen, &plan.misbehaviors, bad_clients);
         let crowd: Vec<TcpStream> = (0..turn.idle_connections)
             .filter_map(|_| TcpStream::connect(self.test_bed.listen).ok())
             .collect();
@@ -106,8 +127,11 @@
             }
             thread::sleep((stopped_at + KILL_AFTER_STOP).saturating_duration_since(Instant::now()));
         }
+        self.peak_bytes = self.peak_bytes.max(monitor.peak());
+        drop(monitor);
         let killed_at = Instant::now();
         self.test_bed.kill();
+        pressure.stop();
         drop(crowd);
         for client in clients {
             client.join().expect("no panic");
@@ -178,6 +202,13 @@
                 violations.push(format!("no whole answer: {request:?}"));
             }
         }
+        let target = target_bytes(LEAST_MEMORY_MB);
+        if self.peak_bytes >= target {
+            let peak = self.peak_bytes;
+            violations.push(format!(
+                "peak memory {peak} bytes, at most {target} are allowed"
+            ));
+        }
         if log.accepted.is_empty() {
             violations.push("nothing was accepted".into());
         }
--- a/crates/relay/tests/soak/plan.rs
+++ b/crates/relay/tests/soak/plan.rs
@@ -5,6 +5,7 @@
 use rand_xoshiro::rand_core::{Rng, SeedableRng};
 use rand_xoshiro::SplitMix64;
 
+use crate::clients::Misbehavior;
 use crate::support::{ok, ok_text, status, Host, HostResponse};
 
 /// Destinations, each with one host.
@@ -72,6 +73,8 @@
     pub hosts: Vec<HostBehavior>,
     pub max_sockets: u64,
     pub turns: Vec<Turn>,
+    /// What the clients do that misbehave beside the others; empty if there are none.
+    pub misbehaviors: Vec<Misbehavior>,
 }
 
 struct Random(SplitMix64);
@@ -113,6 +116,7 @@
             turns: (0..TURNS)
                 .map(|_| draw_turn(&mut random, is_crowded))
                 .collect(),
+            misbehaviors: draw_misbehaviors(&mut random),
         }
     }
 }
@@ -140,6 +144,14 @@
     }
 }
 
+fn draw_misbehaviors(random: &mut Random) -> Vec<Misbehavior> {
+    if random.one_in(3) {
+        return Vec::new();
+    }
+    let kinds = random.between(1, 4);
+    (0..kinds).map(|_| random.pick(&Misbehavior::ALL)).collect()
+}
+
 fn draw_disturbance(random: &mut Random) -> Disturbance {
     let mut percent = |most| {
         if random.one_in(2) {
