--- a/crates/relay/tests/memory.rs
+++ b/crates/relay/tests/memory.rs
@@ -6,6 +6,7 @@
 mod monitor;
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -25,6 +26,8 @@
 /// Time for which the usual clients are alone, and then for which the bad ones are there too.
 const CALM_TIME: Duration = Duration::from_secs(1);
 const PRESSURE_TIME: Duration = Duration::from_secs(10);
+/// Time for which clients or hosts press on the relay where only its memory is checked.
+const FILL_TIME: Duration = Duration::from_secs(4);
 /// Time by which the answers to usual clients may come later beside bad ones.
 const MAX_DELAY: Duration = Duration::from_millis(50);
 
@@ -36,9 +39,19 @@
 
 impl SmallRelay {
     fn new(host: &Host) -> SmallRelay {
-        let entries = (1..=DESTINATIONS)
-            .map(|block| entry(&format!("h{block}"), host.address, block, "up"))
-            .collect();
+        SmallRelay::with_idle_hosts(host, 0)
+    }
+
+    /// With this many other hosts, which get no calls.
+    fn with_idle_hosts(host: &Host, count: usize) -> SmallRelay {
+        let used =
+            (1..=DESTINATIONS).map(|block| entry(&format!("h{block}"), host.address, block, "up"));
+        let idle = (0..count).map(|number| {
+            let address = SocketAddr::from(([127, 9, (number >> 8) as u8, number as u8], 6379));
+            let block = DESTINATIONS + 1 + (number / 2) as u16;
+            entry(&format!("idle-{number:08x}"), address, block, "up")
+        });
+        let entries = used.chain(idle).collect();
         let mut test_bed = TestBed::new(entries);
         let mut relay = SmallRelay {
             memory_mb: LEAST_MEMORY_MB,
@@ -175,7 +188,7 @@
     let monitor = relay.start();
     let listen = relay.test_bed.listen;
     let pressure = Pressure::start(listen, &[Misbehavior::PipelinesLargeRequests], BAD_CLIENTS);
-    thread::sleep(PRESSURE_TIME);
+    thread::sleep(FILL_TIME);
     pressure.stop();
     relay.assert_memory_is_under_target(&monitor);
 }
@@ -220,7 +233,7 @@
         Duration::ZERO,
         60_000,
     );
-    thread::sleep(PRESSURE_TIME);
+    thread::sleep(FILL_TIME);
     usual.stop();
     relay.assert_memory_is_under_target(&monitor);
     drop(monitor);
@@ -229,15 +242,96 @@
     relay.assert_memory_is_under_target(&monitor);
 }
 
+/// Plays all misbehaving clients at once, and kills and restarts the relay meanwhile.
+fn assert_withstands_all(mut relay: SmallRelay) {
+    let _alone = run_alone();
+    let monitor = relay.start();
+    let pressure = Pressure::start(relay.test_bed.listen, &Misbehavior::ALL, BAD_CLIENTS);
+    thread::sleep(FILL_TIME);
+    relay.assert_memory_is_under_target(&monitor);
+    drop(monitor);
+    relay.test_bed.kill();
+    let monitor = relay.start();
+    thread::sleep(CALM_TIME);
+    pressure.stop();
+    relay.assert_memory_is_under_target(&monitor);
+}
+
 #[test]
 fn all_misbehaving_clients_at_once_do_not_exhaust_memory() {
-    let _alone = run_alone();
     let host = Host::new(|_, _| ok());
     let mut relay = SmallRelay::new(&host);
     relay.set_limit("disk_mb", 30);
+    assert_withstands_all(relay);
+}
+
+#[test]
+fn all_misbehaving_clients_at_once_do_not_exhaust_memory_with_3200_hosts() {
+    let host = Host::new(|_, _| ok());
+    let mut relay = SmallRelay::with_idle_hosts(&host, 3_200 - usize::from(DESTINATIONS));
+    relay.set_limit("disk_mb", 30);
+    assert_withstands_all(relay);
+}
+
+#[test]
+fn all_misbehaving_clients_at_once_do_not_exhaust_memory_with_256_descriptors() {
+    let host = Host::new(|_, _| HostResponse::Hang);
+    let mut relay = SmallRelay::new(&host);
+    relay.set_limit("sockets", 256);
+    assert_withstands_all(relay);
+}
+
+#[test]
+fn large_answers_and_endless_heads_do_not_exhaust_memory() {
+    let _alone = run_alone();
+    let large = format!(
+        "HTTP/1.1 500 E\r\nContent-Length: 64000\r\n\r\n{}",
+        "x".repeat(64_000)
+    );
+    let endless = format!("HTTP/1.1 500 E\r\n{}", "a: b\r\n".repeat(6_000));
+    let host = Host::new(move |_, before| {
+        HostResponse::Text(if before % 2 == 0 {
+            large.clone()
+        } else {
+            endless.clone()
+        })
+    });
+    let mut relay = SmallRelay::new(&host);
+    relay.test_bed.config["settings"]["familyInfo"]["callsOut"] = 256.into();
     let monitor = relay.start();
-    let pressure = Pressure::start(relay.test_bed.listen, &Misbehavior::ALL, BAD_CLIENTS);
-    thread::sleep(PRESSURE_TIME);
+    let usual = relay.usual_clients("usual", 2_000);
+    thread::sleep(FILL_TIME);
+    usual.stop();
+    relay.assert_memory_is_under_target(&monitor);
+}
+
+/// Number of messages of usual clients that were accepted.
+fn accepted(answers: &Answers) -> usize {
+    let accepted = answers.iter().flatten();
+    accepted.filter(|(reply, _)| reply == "+OK").count()
+}
+
+#[test]
+fn large_requests_of_usual_clients_pass_beside_clients_that_stop_in_theirs() {
+    /// Percentage of the rate without bad clients.
+    const MIN_RATE_PERCENT: usize = 5;
+    let _alone = run_alone();
+    let host = Host::new(|_, _| ok());
+    let mut relay = SmallRelay::new(&host);
+    let monitor = relay.start();
+    let usual = relay.usual_clients("calm", 60_000);
+    thread::sleep(FILL_TIME);
+    let calm = accepted(&usual.stop());
+    let pressure = Pressure::start(
+        relay.test_bed.listen,
+        &[Misbehavior::StopsInLargeRequest, Misbehavior::WritesSlowly],
+        BAD_CLIENTS,
+    );
+    let usual = relay.usual_clients("usual", 60_000);
+    thread::sleep(FILL_TIME);
+    let pressed = accepted(&usual.stop());
     pressure.stop();
+    println!("{calm} accepted alone, {pressed} beside bad clients");
+    assert!(pressed * 100 >= calm * MIN_RATE_PERCENT);
     relay.assert_memory_is_under_target(&monitor);
 }
--- a/crates/relay/tests/repeated_ids.rs
+++ b/crates/relay/tests/repeated_ids.rs
@@ -155,3 +155,19 @@
     payouts.submit_others(2_000);
     payouts.assert_payout_is_not_called_again();
 }
+
+#[test]
+fn unread_requests_of_a_client_that_left_are_not_called() {
+    /// More than what is read before the first replies are written.
+    const MAX_CALLS: usize = 64;
+    let mut payouts = Payouts::new();
+    payouts.test_bed.start();
+    let mut client = payouts.test_bed.client();
+    let names = (0..400).map(|number| format!("left-{number}"));
+    let requests = names.map(|name| Payouts::request(&name, "payout"));
+    client.send(&requests.collect::<Vec<_>>().concat());
+    drop(client);
+    thread::sleep(SETTLE_TIME);
+    let calls = payouts.host.calls().len();
+    assert!(calls <= MAX_CALLS, "{calls} calls");
+}
--- a/crates/runtime/src/os/stream.rs
+++ b/crates/runtime/src/os/stream.rs
@@ -1,15 +1,15 @@
 //! Connections of the operating system.
 
 use std::cell::RefCell;
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::os::fd::AsRawFd;
-use std::pin::Pin;
-use std::task::{ready, Context, Poll};
+use std::pin::{pin, Pin};
+use std::task::{ready, Context, Poll, Waker};
 
 use bytes::BytesMut;
 use nix::sys::socket::{recv, MsgFlags};
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpStream, UnixStream};
@@ -175,22 +175,16 @@
     }
 
     fn peer_state(&self) -> PeerState {
-        const NO_WAIT: Timespec = Timespec {
-            tv_sec: 0,
-            tv_nsec: 0,
-        };
-        let polled = for_either!(self, stream => {
-            let mut descriptors = [PollFd::new(stream, PollFlags::RDHUP)];
-            poll(&mut descriptors, Some(&NO_WAIT)).map(|_| descriptors[0].revents())
-        });
-        // A failed poll says nothing about the peer.
-        let events = polled.unwrap_or(PollFlags::empty());
-        if events.intersects(PollFlags::ERR | PollFlags::HUP) {
-            PeerState::Gone
-        } else if events.contains(PollFlags::RDHUP) {
-            PeerState::SendingEnded
-        } else {
-            PeerState::Open
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let mut context = Context::from_waker(Waker::noop());
+        let state = for_either!(self, stream => pin!(stream.ready(interest)).poll(&mut context));
+        // A connection that is not ready for anything is open as far as tokio knows.
+        match state {
+            Poll::Ready(Ok(ready)) if ready.is_write_closed() || ready.is_error() => {
+                PeerState::Gone
+            }
+            Poll::Ready(Ok(ready)) if ready.is_read_closed() => PeerState::SendingEnded,
+            _ => PeerState::Open,
         }
     }
 }
--- a/crates/runtime/src/stream.rs
+++ b/crates/runtime/src/stream.rs
@@ -63,7 +63,8 @@
     /// queried from the socket itself, and nothing is consumed.
     fn pending_len(&self, max: usize) -> usize;
 
-    /// Whether the peer has closed the connection, even if unread input precedes the close.
+    /// Whether the peer has closed the connection, even if unread input precedes the close. The async runtime may learn of it
+    /// a little later.
     fn peer_state(&self) -> PeerState;
 }
 
