--- a/crates/relay/tests/memory/monitor.rs
+++ b/crates/relay/tests/memory/monitor.rs
@@ -1,7 +1,7 @@
 //! The memory of a relay process, with its files.
 
 use std::fs;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -25,6 +25,8 @@
 /// Reads the memory of a process and the size of its files until it is dropped.
 pub struct MemoryMonitor {
     stop: Arc<AtomicBool>,
+    process: u32,
+    folder: PathBuf,
     peaks: Arc<Peaks>,
     thread: Option<JoinHandle<()>>,
 }
@@ -51,14 +53,17 @@
         let (stopped, updated) = (stop.clone(), peaks.clone());
         let folder = test_bed.folder.join("state");
         let process = test_bed.relay.as_ref().expect("runs").id();
+        let monitored = folder.clone();
         let thread = thread::spawn(move || {
             while !stopped.load(Ordering::Relaxed) {
-                updated.update(process, &folder);
+                updated.update(process, &monitored);
                 thread::sleep(SAMPLE_INTERVAL);
             }
         });
         MemoryMonitor {
             stop,
+            process,
+            folder,
             peaks,
             thread: Some(thread),
         }
@@ -66,6 +71,7 @@
 
     /// The most memory of the process so far and the largest size of its files, in bytes.
     pub fn peak(&self) -> u64 {
+        self.peaks.update(self.process, &self.folder);
         let Peaks { process, files } = &*self.peaks;
         process.load(Ordering::Relaxed) + files.load(Ordering::Relaxed)
     }
