--- a/crates/relay/src/client_connections/connection.rs
+++ b/crates/relay/src/client_connections/connection.rs
@@ -55,6 +55,8 @@
     reserved: Option<UnansweredRequest>,
     /// The connection's turn to read and handle a long request.
     long_request_turn: Option<LongRequestTurn>,
+    /// Number of turns in which the connection has sent many requests, without a pause.
+    turns_in_a_row: usize,
     /// Memory for the long request that arrives in pieces.
     arrival: Option<ArrivalReservation>,
     opened_at: Instant,
@@ -118,6 +120,7 @@
             needed_space: None,
             reserved: None,
             long_request_turn: None,
+            turns_in_a_row: 0,
             arrival: None,
             opened_at: clients.runtime.now(),
             waiting_since: None,
--- a/crates/relay/src/client_connections/connection/answering.rs
+++ b/crates/relay/src/client_connections/connection/answering.rs
@@ -14,6 +14,7 @@
 use crate::client_connections::request::RequestError;
 use crate::client_connections::request_handler::Answer;
 use crate::client_connections::request_memory::UnansweredRequest;
+use crate::client_connections::turn_limiter::TurnCost;
 
 /// Maximum number of requests of one connection that are handled before their replies are written.
 const MAX_PIPELINED_REQUESTS: usize = 64;
@@ -67,12 +68,23 @@
             // While much input is unread, it is unknown whether the client has left, and the connection takes a slot.
             return Ok(NextStep::CloseLingering);
         }
-        if is_long_error || requests > MAX_UNLIMITED_REQUESTS {
+        let takes_turn = is_long_error || requests > MAX_UNLIMITED_REQUESTS;
+        if takes_turn && self.has_unhandled_input() {
+            self.turns_in_a_row += 1;
+            let cost = if is_long_error {
+                TurnCost::LongError
+            } else {
+                TurnCost::ManyRequests {
+                    turns: self.turns_in_a_row,
+                }
+            };
             tokio::select! {
                 biased;
-                () = turns.wait_for_turn(self.runtime) => {}
+                () = turns.wait_for_turn(self.runtime, cost) => {}
                 () = self.client_left(is_long_error) => return Ok(NextStep::Close),
             }
+        } else {
+            self.turns_in_a_row = 0;
         }
         self.wait_for_reset().await;
         Ok(NextStep::Continue)
--- a/crates/relay/src/client_connections/connection/closing.rs
+++ b/crates/relay/src/client_connections/connection/closing.rs
@@ -13,7 +13,7 @@
 /// left.
 const RESET_TIMEOUT: Duration = Duration::from_millis(50);
 /// How often it is checked whether a client has left whose connection waits for its turn.
-const QUEUED_PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const QUEUED_PEER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How often it is checked whether the client has closed the connection.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// A connection that has sent a request is closed after being idle for this long, even while few are open.
@@ -60,7 +60,7 @@
         }
     }
 
-    fn has_unhandled_input(&self) -> bool {
+    pub(super) fn has_unhandled_input(&self) -> bool {
         !self.input.is_empty()
             || self.deferred.is_some()
             || self.stream.pending_input() == PendingInput::Bytes
--- a/crates/relay/src/client_connections/turn_limiter.rs
+++ b/crates/relay/src/client_connections/turn_limiter.rs
@@ -11,13 +11,36 @@
 use runtime::Runtime;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Time between two turns of connections that have taken more than their share.
+/// Number of turns in a row after which a connection's further turns are delayed.
+const MAX_UNDELAYED_TURNS: usize = 32;
+/// Time between two turns of connections that have had more.
 const TURN_INTERVAL: Duration = Duration::from_millis(1);
 /// Number of connections waiting for their turn from which on no other has to wait that may be closed instead.
 const CROWDED_QUEUE_LENGTH: usize = 32;
 /// Number of connections that may read and handle a long request while each other task gets one turn.
 const MAX_LONG_REQUESTS: usize = 1;
 
+/// What a connection has taken from others.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum TurnCost {
+    /// Many requests, in this number of turns without a pause.
+    ManyRequests {
+        /// Number of turns.
+        turns: usize,
+    },
+    /// A long request that was an error.
+    LongError,
+}
+
+impl TurnCost {
+    fn is_delayed(self) -> bool {
+        match self {
+            TurnCost::ManyRequests { turns } => turns > MAX_UNDELAYED_TURNS,
+            TurnCost::LongError => true,
+        }
+    }
+}
+
 /// The order of turns of connections that send many or long requests.
 pub(super) struct TurnLimiter {
     /// Held by the connection with many requests whose turn is next.
@@ -57,11 +80,17 @@
         })
     }
 
-    /// Waits until a connection that has sent many requests, or a long one that was an error, may have others handled.
-    pub(super) async fn wait_for_turn(&self, runtime: &impl Runtime) {
+    /// Waits until a connection that has taken more than its share may have other requests handled. Every other task gets a
+    /// turn between those of two such connections.
+    pub(super) async fn wait_for_turn(&self, runtime: &impl Runtime, last: TurnCost) {
         let _waiting = WaitingTurn::begin(&self.waiting);
-        if let Ok(_turn) = self.next.acquire().await {
+        let Ok(_turn) = self.next.acquire().await else {
+            return;
+        };
+        if last.is_delayed() {
             runtime.sleep(TURN_INTERVAL).await;
+        } else {
+            tokio::task::yield_now().await;
         }
     }
 
