--- a/crates/relay/src/client_connections/connection/closing.rs
+++ b/crates/relay/src/client_connections/connection/closing.rs
@@ -52,8 +52,8 @@
     /// has closed the connection answers the replies with a reset, and these requests are not handled.
     pub(super) async fn wait_for_reset(&self) {
         let deadline = self.runtime.now() + RESET_TIMEOUT;
-        while self.has_unhandled_input()
-            && self.stream.peer_state() == PeerState::SendingEnded
+        while self.stream.peer_state() == PeerState::SendingEnded
+            && self.has_unhandled_input()
             && self.runtime.now() < deadline
         {
             self.runtime.sleep(PEER_CHECK_INTERVAL).await;
