Serve on while the log cannot be written

Callers saw: a process ended by itself, with no line that says why.

Cause: eprintln panics if standard error cannot be written (a full disk, a reader that has gone), and the text of the panic is lost in the same way.

Change: OsRuntime writes each line in one call and ignores a failure, as a log line is less than the messages of a process.

--- a/crates/runtime/src/os/mod.rs
+++ b/crates/runtime/src/os/mod.rs
@@ -11,7 +11,7 @@
 use std::fmt;
 use std::fs::TryLockError;
 use std::future::Future;
-use std::io;
+use std::io::{self, Write};
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -130,6 +130,7 @@
     }
 
     fn log(&self, line: fmt::Arguments<'_>) {
-        eprintln!("{line}");
+        // A log that cannot be written, such as on a full disk, must not end the process, as `eprintln` would.
+        drop(io::stderr().write_all(format!("{line}\n").as_bytes()));
     }
 }
