Let other connections handle long requests while an error is written

Found by reading the change again, not played: a connection kept the only turn to handle a long request while it wrote an error to a client that reads nothing, up to 2 s, and no other long request was handled meanwhile. write() gives the turn back, and the check of an incomplete request does before its error. No test forces it: the reply buffer would have to be full at exactly that reply.

--- a/crates/relay/src/client_connections/connection/answering.rs
+++ b/crates/relay/src/client_connections/connection/answering.rs
@@ -182,8 +182,10 @@
         Ok(errors)
     }
 
-    /// Writes replies; fails if the client does not read them within [`REPLY_WRITE_TIMEOUT`].
+    /// Writes replies; fails if the client does not read them within [`REPLY_WRITE_TIMEOUT`]. Meanwhile other connections
+    /// may handle long requests.
     pub(super) async fn write(&mut self, output: &[u8]) -> io::Result<()> {
+        self.long_request_turn = None;
         let write = self.stream.write_all(output);
         self.runtime.timeout(REPLY_WRITE_TIMEOUT, write).await?
     }
--- a/crates/relay/src/client_connections/connection/long_requests.rs
+++ b/crates/relay/src/client_connections/connection/long_requests.rs
@@ -41,12 +41,12 @@
             }
             last_arrived = Some(arrived);
             let now = self.runtime.now();
+            drop(turn);
             if now >= deadline {
                 return self.reject_incomplete(ProtocolError::RequestTimeout).await;
             }
             let interval = ((now - began_at) / ARRIVAL_CHECK_BACKOFF)
                 .clamp(MIN_ARRIVAL_CHECK_INTERVAL, MAX_ARRIVAL_CHECK_INTERVAL);
-            drop(turn);
             self.runtime.sleep_until(deadline.min(now + interval)).await;
         }
     }
