--- a/crates/relay/src/event_loop/completion.rs
+++ b/crates/relay/src/event_loop/completion.rs
@@ -34,10 +34,7 @@
                 .metrics()
                 .record_end(&pending.accepted.class, end);
         }
-        let name = MessageName::of_message(&pending.accepted);
-        let repeatability = pending.repeatability();
-        self.in_flight
-            .complete(self.clock.now(), &name, repeatability);
+        self.in_flight.complete_pending(self.clock.now(), pending);
     }
 
     /// Whether a response that is not confirmed may end a message.
@@ -82,7 +79,7 @@
         self.control.metrics().record_end(&accepted.class, end);
         let recorded = self.journal.borrow_mut().record_failure(id, failure);
         log_write_error(&self.runtime, recorded);
-        self.forget_open_name(&pending);
+        self.in_flight.complete_pending(self.clock.now(), &pending);
         if is_resend {
             if self.record_failed_resend(id, &pending, failure) {
                 self.release_message(id);
@@ -95,14 +92,6 @@
         self.notify_failure(id, &pending.accepted, failure);
     }
 
-    /// Moves the name of a message that has failed to those of ended messages.
-    pub(super) fn forget_open_name(&mut self, pending: &PendingMessage) {
-        let name = MessageName::of_message(&pending.accepted);
-        let repeatability = pending.repeatability();
-        self.in_flight
-            .complete(self.clock.now(), &name, repeatability);
-    }
-
     /// Queues the notification of a failed message, whose name stays in use until the platform has accepted it.
     pub(super) fn notify_failure(
         &mut self,
--- a/crates/relay/src/event_loop/restore.rs
+++ b/crates/relay/src/event_loop/restore.rs
@@ -144,7 +144,7 @@
             if failure == DeliveryFailure::Undeliverable
                 && pending.repeatability() == Repeatability::NotRepeatable
             {
-                self.forget_open_name(&pending);
+                self.in_flight.complete_pending(self.clock.now(), &pending);
             }
             self.notify_failure(id, &pending.accepted, failure);
             return;
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::completed_names::Repeatability;
-use crate::journal::{AcceptedMessage, SharedNames};
+use crate::journal::{AcceptedMessage, PendingMessage, SharedNames};
 
 pub use message_names::MessageName;
 use message_names::{MessageNames, NameUse};
@@ -122,6 +122,12 @@
         self.names.remove_open(name);
     }
 
+    /// Moves a message of the journal from those in flight to those that have ended.
+    pub fn complete_pending(&mut self, now: Micros, pending: &PendingMessage) {
+        let name = MessageName::of_message(&pending.accepted);
+        self.complete(now, &name, pending.repeatability());
+    }
+
     /// Moves a message from those in flight to those that have ended.
     pub fn complete(&mut self, now: Micros, name: &MessageName, message: Repeatability) {
         self.names.end(now, name, message);
--- a/crates/runtime/tests/local.rs
+++ b/crates/runtime/tests/local.rs
@@ -1,20 +1,15 @@
 //! Tests of listeners on Unix sockets: access rights and the replacement of abandoned sockets. Also tests of the
 //! parsing of addresses.
 
+mod support;
+
 use std::io::ErrorKind;
 use std::os::unix::fs::PermissionsExt;
 
 use runtime::{Address, AddressError, Listener, OsRuntime, PendingInput, Runtime, Stream};
+use support::run_local;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-fn run_local(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn unix_socket_carries_bytes_and_reports_pending_input() {
     run_local(async {
--- a/crates/runtime/tests/peer_state.rs
+++ b/crates/runtime/tests/peer_state.rs
@@ -1,9 +1,12 @@
 //! What a connection tells of its peer without consuming input.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use runtime::{Listener, OsRuntime, OsStream, PeerState, Runtime, Stream};
+use support::run_local;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -37,14 +40,6 @@
     assert_eq!(stream.pending_len(3), 3);
 }
 
-fn run_local(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn close_is_seen_behind_unread_input() {
     run_local(async {
