--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -88,7 +88,7 @@
     let record = Record::new();
     let folders: Vec<Folder> = (0..RELAYS).map(|_| Folder::new()).collect();
     let trouble = has_trouble();
-    let start = Instant::now() + Duration::from_millis(2_000);
+    let start = Instant::now() + Duration::from_millis(4_000);
     let at = |ms: u64| start + Duration::from_millis(ms);
     let partner = Arc::new(Mutex::new(Partner {
         down_from: at(OUTAGE_AT_MS),
@@ -130,7 +130,7 @@
         relays.push((listen, Relay::start(&folders[number], &config, &[], "")));
     }
     for (listen, _) in &relays {
-        if !wait_ready(*listen, Duration::from_millis(1_500)) {
+        if !wait_ready(*listen, Duration::from_millis(3_500)) {
             record.tell("a relay is not ready");
             return NOT_RUN;
         }
