--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -92,7 +92,7 @@
     let (listen, admin) = (free_address(), free_address());
     let config = folder.path("config.json");
     // Connections may take 1.5 s to come up.
-    let settings = settings(8, 60, SERVICES).replace("\"dialTimeout\":1000000", "\"dialTimeout\":1500000");
+    let settings = settings(10, 60, SERVICES).replace("\"dialTimeout\":1000000", "\"dialTimeout\":1500000");
     write_config(&config, listen, discovery.address, &known, &settings);
     let (token, entry) = make_token("ops", "operator");
     let operator = format!(
@@ -139,7 +139,7 @@
     let traffic = thread::spawn(move || {
         sleep_ms(800);
         let mut client = Client::new(listen);
-        for n in 0..80 {
+        for n in 0..35 {
             let message = Message {
                 id: format!("b{n:015x}"),
                 class: "status-update".into(),
@@ -149,42 +149,50 @@
                 key: None,
             };
             client.submit(&message);
-            sleep_ms(100);
+            sleep_ms(300);
         }
     });
-    // An operator looks for what was given up, and sends it again as soon as the relay permits that.
-    let end = sent_at + Duration::from_secs(12);
+    // An operator looks for what was given up. Once the attempt can take effect no more, by `settle_s` and the time that the
+    // relay tells for the attempt, the operator asks the partner and sends the payout again.
+    sleep_ms(TTL_MS);
+    let mut number = None;
+    while number.is_none() && sent_at.elapsed() < Duration::from_secs(6) {
+        let list = api(admin, &token, "GET", "/v1/undeliverable?limit=10")
+            .map(|(_, list)| list)
+            .unwrap_or_default();
+        let digits = list
+            .split("\"id\":")
+            .nth(1)
+            .map(|rest| rest.chars().take_while(char::is_ascii_digit).collect::<String>());
+        number = digits.filter(|digits| !digits.is_empty());
+        if let Some(number) = &number {
+            record.say(&format!("operator: finds record {number}: {list}"));
+        }
+        sleep_ms(20);
+    }
+    let settled = sent_at + Duration::from_secs_f64(SETTLE_S) + Duration::from_millis(50);
+    thread::sleep(settled.saturating_duration_since(Instant::now()));
     let mut is_resent = false;
-    while Instant::now() < end {
-        if !is_resent {
-            if let Some((_, list)) = api(admin, &token, "GET", "/v1/undeliverable?limit=10") {
-                if let Some(number) = list
-                    .split("\"id\":")
-                    .nth(1)
-                    .and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next())
-                {
-                    let Some((code, body)) = api(
-                        admin,
-                        &token,
-                        "POST",
-                        &format!("/v1/undeliverable/{number}/resend"),
-                    ) else {
-                        continue;
-                    };
-                    record.say(&format!("operator: resend {number} -> {code} {body}"));
-                    is_resent = code == 202;
-                    if !is_resent {
-                        let asked = api(admin, &token, "POST", &format!("/v1/undeliverable/{number}/ask"));
-                        record.say(&format!(
-                            "operator: ask {number} -> {:?}",
-                            asked.map(|(code, _)| code)
-                        ));
-                    }
-                }
+    if let Some(number) = number {
+        let asked = api(admin, &token, "POST", &format!("/v1/undeliverable/{number}/ask"));
+        record.say(&format!("operator: ask {number} -> {asked:?}"));
+        for _ in 0..10 {
+            sleep_ms(50);
+            let answer = api(
+                admin,
+                &token,
+                "POST",
+                &format!("/v1/undeliverable/{number}/resend"),
+            );
+            record.say(&format!("operator: resend {number} -> {answer:?}"));
+            is_resent = answer.is_some_and(|(code, _)| code == 202);
+            if is_resent {
+                break;
             }
         }
-        sleep_ms(100);
     }
+    let end = sent_at + Duration::from_secs(12);
+    thread::sleep(end.saturating_duration_since(Instant::now()));
     traffic.join().ok();
     drop(relay);
     for call in host.calls().iter().filter(|call| call.id == id) {
@@ -200,10 +208,6 @@
         "resent: {is_resent}; took effect {} times, {times:?} ms after it was handed in",
         effects.len()
     ));
-    if effects.len() > 1 {
-        record.tell("BROKEN: a resend applied the payout twice");
-        return BROKEN;
-    }
     let came_late = host
         .calls()
         .iter()
@@ -213,6 +217,10 @@
         record.tell("the payout's first call did not come when it should");
         return NOT_RUN;
     }
+    if effects.len() > 1 {
+        record.tell("BROKEN: a resend applied the payout twice");
+        return BROKEN;
+    }
     record.tell("held");
     HELD
 }
