--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -86,7 +86,17 @@
     let status_address = need(status.local_addr(), "a port");
     serve_status(status, ledger.clone(), record.clone());
 
-    let hosts = vec![Entry::of(&host, 1, 10.0)];
+    // Seven other partners' hosts, which are as fast as usual: one host of eight is slow.
+    let others: Vec<Host> = (2..=8u16)
+        .map(|block| Host::start(&format!("s-{block}"), &record, |_| answer(150, 200)))
+        .collect();
+    let mut hosts = vec![Entry::of(&host, 1, 10.0)];
+    hosts.extend(
+        others
+            .iter()
+            .zip(2..)
+            .map(|(host, block)| Entry::of(host, block, 10.0)),
+    );
     let known = list_json(41, true, &hosts);
     let discovery = Discovery::start(&record, 41, hosts);
     let (listen, admin) = (free_address(), free_address());
@@ -115,6 +125,19 @@
         record.tell("the relay is not ready");
         return NOT_RUN;
     }
+    // The other partners get a message each, over a connection each.
+    for block in 2..=8u16 {
+        let message = Message {
+            id: format!("c{block:015x}"),
+            class: "status-update".into(),
+            tenant: "forthside-cash".into(),
+            ttl_ms: 24_000,
+            dest: block,
+            key: None,
+        };
+        let answer = Client::new(listen).submit(&message);
+        record.say(&format!("client: {} status-update -> {answer}", message.id));
+    }
     let crowd = trouble.then(|| host.hold_up_connections());
     let id = "00000000000000a1".to_string();
     let message = Message {
@@ -202,6 +225,15 @@
             (call.arrived - sent_at).as_millis()
         ));
     }
+    let mut connections: Vec<_> = host.calls().iter().map(|call| call.connection).collect();
+    connections.sort_unstable();
+    connections.dedup();
+    let to_others = others.iter().filter(|host| !host.calls().is_empty()).count();
+    record.tell(&format!(
+        "connections with calls: {} to the slow host, {to_others} or more to the others; late: {}",
+        connections.len(),
+        u32::from(trouble)
+    ));
     let effects = ledger.lock().unwrap().get(&id).cloned().unwrap_or_default();
     let times: Vec<u128> = effects.iter().map(|at| (*at - sent_at).as_millis()).collect();
     record.tell(&format!(
