--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod faults;
+pub mod full_backlog;
 pub mod in_process;
 pub mod repeating_host;
 pub mod slow_start;
--- a/crates/relay/tests/unstarted_attempts.rs
+++ b/crates/relay/tests/unstarted_attempts.rs
@@ -2,21 +2,17 @@
 
 mod support;
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
-use socket2::{Domain, Socket, Type};
+use support::full_backlog::FullBacklog;
 use support::*;
 
 /// Payouts that wait for a connection at the kill.
 const PAYOUTS: usize = 10;
 /// Time to live of a payout, in milliseconds.
 const TIME_TO_LIVE_MS: u64 = 15_000;
-/// More than the number of connections established at once, so that none is established on the relay's side only.
-const BACKLOG: i32 = 32;
-/// A connection that is not established after this time is not in the backlog.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// When the process is killed, in milliseconds after the last payout was accepted.
 const KILLS_WHILE_CONNECTING_MS: [u64; 10] = [0, 5, 20, 50, 100, 200, 400, 600, 800, 950];
 /// Kill times for connections that are established after about a second, when their first packets are retransmitted.
@@ -24,37 +20,6 @@
     900, 960, 990, 1_000, 1_010, 1_020, 1_030, 1_050, 1_100, 1_200,
 ];
 
-/// A host that accepts no connection, and whose backlog is full.
-struct FullBacklog {
-    listener: TcpListener,
-    /// Connections that fill the backlog.
-    fillers: Vec<TcpStream>,
-}
-
-impl FullBacklog {
-    fn new() -> Self {
-        let address: SocketAddr = unused_address();
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        rebind(&socket, address);
-        socket.listen(BACKLOG).expect("listens");
-        let connect = || TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok();
-        FullBacklog {
-            fillers: std::iter::from_fn(connect).collect(),
-            listener: socket.into(),
-        }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.listener.local_addr().expect("bound")
-    }
-
-    /// Accepts connections from now on.
-    fn open(self) -> Host {
-        drop(self.fillers);
-        Host::at(self.listener, |_, _| ok())
-    }
-}
-
 /// Starts a relay that has accepted payouts for a host, and returns it with their ids.
 fn relay_with_payouts(host: SocketAddr, dial_timeout_micros: u64) -> (TestBed, Vec<String>) {
     let mut test_bed = TestBed::new(vec![entry("a", host, 1, "up")]);
@@ -111,7 +76,7 @@
         let (mut test_bed, payouts) = relay_with_payouts(host.address(), 1_000_000);
         thread::sleep(moment);
         test_bed.kill();
-        assert_delivered_after_restart(test_bed, &host.open(), &payouts);
+        assert_delivered_after_restart(test_bed, &host.open(|_, _| ok()), &payouts);
     });
 }
 
@@ -121,7 +86,7 @@
     for_each_kill(KILLS_AROUND_THE_CONNECTION_MS, |moment| {
         let host = FullBacklog::new();
         let (mut test_bed, payouts) = relay_with_payouts(host.address(), 3_000_000);
-        let host = host.open();
+        let host = host.open(|_, _| ok());
         thread::sleep(moment);
         test_bed.kill();
         assert_delivered_after_restart(test_bed, &host, &payouts);
