--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -38,6 +38,8 @@
     detail: String,
     current_version: Option<String>,
     field: Option<&'static str>,
+    /// Value of `Retry-After`, in seconds.
+    retry_after_s: Option<u64>,
 }
 
 impl Problem {
@@ -49,6 +51,15 @@
             detail: detail.into(),
             current_version: None,
             field: None,
+            retry_after_s: None,
+        }
+    }
+
+    /// Tells the caller to retry after so many seconds.
+    pub fn with_retry_after(self, seconds: u64) -> Self {
+        Problem {
+            retry_after_s: Some(seconds),
+            ..self
         }
     }
 
@@ -151,6 +162,9 @@
             }
             _ => {}
         }
+        if let Some(seconds) = self.retry_after_s {
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+        }
         if let Some(etag) = etag {
             headers.insert(ETAG, etag);
         }
--- a/crates/admin/src/refusals.rs
+++ b/crates/admin/src/refusals.rs
@@ -4,9 +4,12 @@
 use tenancy::registry::RegistryError;
 use undeliverable::batch::BatchError;
 use undeliverable::record::RecordError;
+use undeliverable::ResendBlocked;
 
 use crate::problem::Problem;
 
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
 impl From<RegistryError> for Problem {
     fn from(error: RegistryError) -> Self {
         let detail = error.to_string();
@@ -34,7 +37,7 @@
 impl From<RecordError> for Problem {
     fn from(error: RecordError) -> Self {
         let detail = error.to_string();
-        let (status, kind) = match error {
+        let (status, kind) = match &error {
             RecordError::Version(current) => return Problem::stale(current.to_string(), detail),
             RecordError::Malformed(_) => return Problem::invalid_value(detail),
             RecordError::NoRecord => (StatusCode::NOT_FOUND, "no-such-record"),
@@ -45,7 +48,21 @@
             RecordError::Settling => (StatusCode::TOO_MANY_REQUESTS, "record-resting"),
             RecordError::NotAccepted => (StatusCode::CONFLICT, "not-handed-over"),
         };
-        Problem::new(status, kind, detail)
+        let problem = Problem::new(status, kind, detail);
+        match retry_after(&error) {
+            Some(micros) => problem.with_retry_after(micros.div_ceil(MICROS_PER_SECOND)),
+            None => problem,
+        }
+    }
+}
+
+/// Microseconds after which a caller may retry, if that is known.
+fn retry_after(error: &RecordError) -> Option<u64> {
+    match error {
+        RecordError::ResendBlocked(ResendBlocked::AttestationTooEarly { retry_after }) => {
+            *retry_after
+        }
+        _ => None,
     }
 }
 
--- a/crates/admin/src/undeliverable/records/model.rs
+++ b/crates/admin/src/undeliverable/records/model.rs
@@ -13,7 +13,7 @@
 /// An attempt to deliver a message.
 #[derive(Debug, Serialize, ToSchema)]
 pub struct UndeliverableAttempt {
-    /// When it was sent.
+    /// When its host was chosen; the host cannot have received it before.
     #[schema(format = DateTime)]
     pub at: String,
     /// The host; null if it is not known.
@@ -48,7 +48,7 @@
     #[schema(value_type = String, example = "not-applied")]
     #[serde(rename = "says")]
     pub claim: ExecutionClaim,
-    /// When it was stated; it does not cover later attempts.
+    /// When it was asked for; it does not cover a call that could still take effect then.
     #[schema(format = DateTime)]
     pub at: String,
     /// Number of resends before the statement.
@@ -121,6 +121,16 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     #[schema(value_type = Option<String>, example = "needs-word")]
     pub needs: Option<Option<&'static str>>,
+    /// When its last call ended; null if that is not recorded, as a call is open or the relay was restarted meanwhile.
+    /// Absent in lists.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schema(value_type = Option<String>, format = DateTime)]
+    pub calls_ended_at: Option<Option<String>>,
+    /// From when on a statement of not-applied may be asked for to count; null while a call is open, or if nothing can have
+    /// been executed. Absent in lists.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schema(value_type = Option<String>, format = DateTime)]
+    pub word_counts_from: Option<Option<String>>,
 }
 
 impl UndeliverableRecord {
@@ -150,6 +160,8 @@
             attempts: record.attempts.iter().map(Into::into).collect(),
             statements: record.attestations.iter().map(Into::into).collect(),
             needs: None,
+            calls_ended_at: None,
+            word_counts_from: None,
         }
     }
 }
@@ -158,11 +170,18 @@
     fn from(view: &RecordView) -> Self {
         UndeliverableRecord {
             needs: Some(view.blocked.map(ResendBlocked::as_str)),
+            calls_ended_at: Some(view.record.calls_ended_at.map(timestamp::format)),
+            word_counts_from: Some(word_counts_from(view)),
             ..UndeliverableRecord::in_list(view.id, &view.record)
         }
     }
 }
 
+fn word_counts_from(view: &RecordView) -> Option<String> {
+    let counts_from = view.attestations_count_from.filter(|from| *from > 0);
+    counts_from.map(timestamp::format)
+}
+
 /// The holder of a record in this state, and the time of the state; see [`UndeliverableRecord::state_at`].
 fn holder_and_time(state: &RecordState) -> (Option<String>, Option<String>) {
     let (holder, time) = match state {
--- a/crates/experiments/src/store_benchmark/sample_records.rs
+++ b/crates/experiments/src/store_benchmark/sample_records.rs
@@ -32,6 +32,7 @@
         state: RecordState::Open,
         version: 1,
         resends: 0,
+        calls_ended_at: None,
     }
 }
 
--- a/crates/relay-events/src/undeliverable.rs
+++ b/crates/relay-events/src/undeliverable.rs
@@ -83,6 +83,9 @@
     pub record: Record,
     /// What is missing before the message can be resent; `None` if it could be resent now.
     pub blocked: Option<ResendBlocked>,
+    /// The earliest time at which an attestation of `not applied` may be requested to count, in Unix time: zero if none is
+    /// needed, `None` while a call is open.
+    pub attestations_count_from: Option<Micros>,
 }
 
 /// The state of the store.
--- a/crates/relay/src/event_loop/attempts.rs
+++ b/crates/relay/src/event_loop/attempts.rs
@@ -230,6 +230,7 @@
         self.call_log
             .record_call(self.clock.now(), call.id, call.opened_connection);
         self.forget_open_call(call.id, call.attempt);
+        self.report_calls_end(call.id);
         let (destination, is_failed_or_gone) = {
             let journal = self.journal.borrow();
             let pending = journal.pending().get(&call.id);
@@ -257,6 +258,22 @@
         }));
     }
 
+    /// Whether a call of a message is open, in this process or in the departing one.
+    pub(super) fn is_call_open(&self, id: MessageId) -> bool {
+        self.open_calls.contains_key(&id) || self.directory_owner.is_call_open(id)
+    }
+
+    /// Reports to the undeliverable service that no call of a message is open any more.
+    fn report_calls_end(&mut self, id: MessageId) {
+        if self.is_call_open(id) {
+            return;
+        }
+        let now = self.clock.now();
+        if let Some(service) = &mut self.undeliverable {
+            service.calls_ended(id, now);
+        }
+    }
+
     fn forget_open_call(&mut self, id: MessageId, attempt: u8) {
         let open_call = self.open_calls.get(&id);
         if open_call.is_some_and(|open_call| open_call.attempt == attempt) {
--- a/crates/relay/src/event_loop/completion.rs
+++ b/crates/relay/src/event_loop/completion.rs
@@ -87,7 +87,7 @@
             return;
         }
         if failure == DeliveryFailure::Undeliverable && self.undeliverable.is_some() {
-            self.record_undeliverable(&pending);
+            self.record_undeliverable(id, &pending);
         }
         self.notify_failure(id, &pending.accepted, failure);
     }
@@ -130,6 +130,7 @@
         let now = self.clock.now();
         let max_attempts = self.config.settings.max_attempts;
         let class = self.class_of(pending);
+        let is_call_open = self.is_call_open(id);
         let Some(service) = &mut self.undeliverable else {
             return true;
         };
@@ -139,24 +140,28 @@
             is_tenant_removed: false,
             max_attempts,
             failed_at: now,
+            is_call_open,
         };
         service.resend_failed(id, &failed, failure)
     }
 
     /// Records an undeliverable message in the store, if there is one.
-    pub(super) fn record_undeliverable(&mut self, pending: &PendingMessage) {
+    pub(super) fn record_undeliverable(&mut self, id: MessageId, pending: &PendingMessage) {
         let now = self.clock.now();
         let max_attempts = self.config.settings.max_attempts;
         let class = self.class_of(pending);
         let is_tenant_removed = self.tenants.is_removed(&pending.accepted.tenant);
+        let is_call_open = self.is_call_open(id);
         if let Some(service) = &mut self.undeliverable {
-            service.record_undeliverable(&FailedMessage {
+            let failed = FailedMessage {
                 pending,
                 class: class.as_ref(),
                 is_tenant_removed,
                 max_attempts,
                 failed_at: now,
-            });
+                is_call_open,
+            };
+            service.record_undeliverable(id, &failed);
         }
     }
 
--- a/crates/relay/src/event_loop/restore.rs
+++ b/crates/relay/src/event_loop/restore.rs
@@ -232,7 +232,7 @@
         }
         if pending.failure == Some(DeliveryFailure::Undeliverable) {
             // The previous process may have ended before the record reached the store.
-            self.record_undeliverable(pending);
+            self.record_undeliverable(id, pending);
         }
         Remaining::Restore
     }
--- a/crates/relay/src/event_loop/startup.rs
+++ b/crates/relay/src/event_loop/startup.rs
@@ -290,6 +290,12 @@
 ) -> Option<UndeliverableService<R>> {
     settings.map(|settings| {
         let relay_events = resources.relay_events.clone();
-        UndeliverableService::new(resources.runtime.clone(), settings, relay_events)
+        let started_at = resources.clock.now();
+        UndeliverableService::new(
+            resources.runtime.clone(),
+            settings,
+            relay_events,
+            started_at,
+        )
     })
 }
--- a/crates/relay/src/state_directory/call_ends.rs
+++ b/crates/relay/src/state_directory/call_ends.rs
@@ -37,6 +37,11 @@
         self.0.is_empty()
     }
 
+    /// Whether a call of this message has not ended.
+    pub(super) fn contains(&self, id: MessageId) -> bool {
+        self.0.contains_key(&id)
+    }
+
     /// Removes a call that has ended. Returns false if the call is not among the open ones, or was removed before.
     pub(super) fn remove(&mut self, end: &CompletedCall) -> bool {
         let is_open = self
@@ -88,6 +93,10 @@
         &mut self.open_calls
     }
 
+    pub(super) fn is_call_open(&self, id: MessageId) -> bool {
+        self.open_calls.contains(id)
+    }
+
     pub(super) fn has_open_calls(&self) -> bool {
         !self.open_calls.is_empty()
     }
--- a/crates/relay/src/state_directory/owner.rs
+++ b/crates/relay/src/state_directory/owner.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::time::Instant;
 
+use policy::types::MessageId;
 use relay_events::CompletedCall;
 use runtime::{log, retry_transient, Runtime};
 
@@ -229,6 +230,11 @@
         ends
     }
 
+    /// Whether a call of this message that was open at the hand-over has not ended.
+    pub fn is_call_open(&self, id: MessageId) -> bool {
+        self.call_ends.is_call_open(id)
+    }
+
     /// Records that a call of this process has ended. The call may have begun before the directory was reclaimed.
     pub fn call_completed(&mut self, end: &CompletedCall) {
         self.call_ends.open_calls_mut().remove(end);
--- a/crates/relay/src/undeliverable_service/failed_message.rs
+++ b/crates/relay/src/undeliverable_service/failed_message.rs
@@ -22,6 +22,8 @@
     pub max_attempts: usize,
     /// When the message failed, in microseconds since the Unix epoch.
     pub failed_at: Micros,
+    /// Whether a call of the message is still open.
+    pub is_call_open: bool,
 }
 
 impl FailedMessage<'_> {
@@ -51,9 +53,15 @@
             state: RecordState::Open,
             version: 1,
             resends: 0,
+            calls_ended_at: self.calls_ended_at(),
         }
     }
 
+    /// When the calls of this delivery had ended; `None` while one is open.
+    pub fn calls_ended_at(&self) -> Option<Micros> {
+        (!self.is_call_open).then_some(self.failed_at)
+    }
+
     /// Whether the message has used up its attempts.
     pub fn is_out_of_attempts(&self) -> bool {
         self.pending.attempts.len() >= self.max_attempts
--- a/crates/relay/src/undeliverable_service/mod.rs
+++ b/crates/relay/src/undeliverable_service/mod.rs
@@ -14,6 +14,7 @@
 
 mod batch_runner;
 mod failed_message;
+mod open_calls;
 mod partner_client;
 mod partner_query;
 mod reconciliation;
@@ -31,7 +32,7 @@
 use relay_events::{DeliveryFailure, RelayEvent};
 use runtime::Runtime;
 use tokio::sync::mpsc;
-use undeliverable::record::{Attester, ExecutionClaim};
+use undeliverable::record::ExecutionClaim;
 use undeliverable::RecordId;
 
 use crate::journal::ResendOrigin;
@@ -89,8 +90,14 @@
 
 impl<R: Runtime> UndeliverableService<R> {
     /// Creates the service and opens the store. A store that cannot be used is opened again later; the relay serves
-    /// messages meanwhile.
-    pub fn new(runtime: R, settings: Settings, relay_events: mpsc::Sender<RelayEvent>) -> Self {
+    /// messages meanwhile. `started_at` is the current time of the relay's clock: the calls of earlier processes have ended,
+    /// or are known as open.
+    pub fn new(
+        runtime: R,
+        settings: Settings,
+        relay_events: mpsc::Sender<RelayEvent>,
+        started_at: Micros,
+    ) -> Self {
         let now = runtime.now();
         let store = StoreLifecycle::new(runtime.clone(), &settings);
         let partners = settings.partners.clone();
@@ -98,7 +105,7 @@
         let rules = RuleRunner::new(&settings);
         let mut service = UndeliverableService {
             submission: Submission::new(runtime.clone()),
-            resender: Resender::new(runtime.clone(), settings, store, queries),
+            resender: Resender::new(runtime.clone(), settings, store, queries, started_at),
             batches: BatchRunner::new(runtime.clone()),
             rules,
             next_poll_at: now,
@@ -115,6 +122,7 @@
             OpenResult::Quarantined => {
                 self.batches.clear();
                 self.rules.restart_scan();
+                self.resender.store_replaced();
             }
         }
     }
@@ -133,6 +141,7 @@
             self.reconcile(now);
         }
         self.flush();
+        self.resender.write_call_ends();
         let ended = self.retry_unsaved_outcomes(now);
         let Resender {
             store, settings, ..
@@ -164,8 +173,9 @@
     }
 
     /// Adds an undeliverable message, which the next [`UndeliverableService::flush`] stores.
-    pub fn record_undeliverable(&mut self, failed: &FailedMessage<'_>) {
+    pub fn record_undeliverable(&mut self, id: MessageId, failed: &FailedMessage<'_>) {
         self.submission.add(UnsavedRecord {
+            message: id,
             record: failed.record(),
             body: failed.pending.accepted.body.clone(),
         });
@@ -174,8 +184,13 @@
     /// Stores the undeliverable messages that were added. The journal must not remove any of them before.
     pub fn flush(&mut self) {
         let stored = self.submission.flush(&mut self.resender.store);
-        if !stored.is_empty() {
-            self.resender.settle(&stored);
+        self.resender.records_saved(&stored);
+    }
+
+    /// Records that no call of a message is open any more. Only matters for a message that failed with an open call.
+    pub fn calls_ended(&mut self, id: MessageId, now: Micros) {
+        if !self.submission.record_calls_end(id, now) {
+            self.resender.calls_ended(id, now);
         }
     }
 
@@ -242,7 +257,9 @@
         let outcome = FailedResend {
             attempts: failed.attempts(),
             reason: has_failed.then(|| failed.reason()),
+            calls_ended_at: failed.calls_ended_at(),
             replacement: UnsavedRecord {
+                message: id,
                 record: replacement.record(),
                 body: original.accepted.body.clone(),
             },
@@ -274,11 +291,7 @@
     ) {
         self.resender.partner_queries.query_completed(id);
         let Some(claim) = claim else { return };
-        self.resender.store.access(|store| {
-            store.update(id, |record| {
-                record.attest(Attester::Partner, claim, queried_at, None, now)
-            })
-        });
+        self.resender.attest_for_partner(id, claim, queried_at, now);
         if claim == ExecutionClaim::Applied {
             self.resender.close_if_applied(id, now);
         }
--- a/crates/relay/src/undeliverable_service/partner_query.rs
+++ b/crates/relay/src/undeliverable_service/partner_query.rs
@@ -7,11 +7,10 @@
 use relay_events::RelayEvent;
 use runtime::Runtime;
 use tokio::sync::mpsc;
-use undeliverable::RecordId;
+use undeliverable::{Record, RecordId};
 
 use super::partner_client::PartnerQuery;
 use super::settings::Partner;
-use super::store_lifecycle::StoreLifecycle;
 
 /// Maximum number of queries in progress.
 const MAX_PARTNER_QUERIES: usize = 8;
@@ -21,7 +20,7 @@
 /// Whether a partner's answer can be expected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueryState {
-    /// An answer is awaited, or the query will be sent once others have ended.
+    /// An answer is awaited, or a query can be sent once others have ended or its answer can count.
     Awaited,
     /// The partner was queried recently or cannot be queried, or the record cannot be read.
     NotPossible,
@@ -49,31 +48,31 @@
         }
     }
 
-    /// Queries the partner of a record, unless a query is in progress or was sent recently.
+    /// Queries the partner of a record, unless a query is in progress or was sent recently. An answer of `not applied`
+    /// counts only if it was requested from `answers_count_from` on, so a query before that time does not delay one after
+    /// it; `None` if the time is not known yet.
     pub fn query(
         &mut self,
         id: RecordId,
-        store: &mut StoreLifecycle<R>,
+        record: &Record,
+        answers_count_from: Option<Micros>,
         now: Micros,
     ) -> QueryState {
         if self.in_progress.contains(&id) {
             return QueryState::Awaited;
         }
-        if self
-            .queried_at
-            .get(&id)
-            .is_some_and(|at| is_recent(*at, now))
-        {
-            return QueryState::NotPossible;
-        }
-        let Some(record) = store.access(|store| store.find(id)).flatten() else {
-            return QueryState::NotPossible;
-        };
         let destination = record.origin.destination;
         let mut partners = self.partners.iter();
         let Some(partner) = partners.find(|partner| partner.destination == destination) else {
             return QueryState::NotPossible;
         };
+        if let Some(queried_at) = self.recent_query(id, now) {
+            match answers_count_from.filter(|from| *from <= now) {
+                None => return QueryState::Awaited,
+                Some(from) if queried_at >= from => return QueryState::NotPossible,
+                Some(_) => {}
+            }
+        }
         if self.in_progress.len() >= MAX_PARTNER_QUERIES {
             return QueryState::Awaited;
         }
@@ -106,6 +105,12 @@
         self.in_progress.remove(&id);
     }
 
+    /// When the partner was queried for a record, if that was recently.
+    fn recent_query(&self, id: RecordId, now: Micros) -> Option<Micros> {
+        let queried_at = self.queried_at.get(&id).copied();
+        queried_at.filter(|at| is_recent(*at, now))
+    }
+
     /// Allows the next query for a record before the interval is over.
     pub fn forget(&mut self, id: RecordId) {
         self.queried_at.remove(&id);
--- a/crates/relay/src/undeliverable_service/requests.rs
+++ b/crates/relay/src/undeliverable_service/requests.rs
@@ -6,7 +6,7 @@
 };
 use runtime::Runtime;
 use undeliverable::record::{Attester, RecordError, Resolution};
-use undeliverable::resend_policy::check_resend;
+use undeliverable::resend_policy::{attestations_count_from, check_resend};
 use undeliverable::store::StoreError;
 use undeliverable::{Record, RecordId, Store};
 
@@ -180,7 +180,10 @@
             None => return UndeliverableResponse::Unavailable(store.unavailability()),
         }
         match request.action {
-            RecordAction::Attest(_) => self.resender.close_if_applied(id, request.now),
+            RecordAction::Attest(_) => {
+                self.resender.close_if_applied(id, request.now);
+                self.resender.log_early_attestation(id, request.now);
+            }
             RecordAction::QueryPartner => {
                 if let Err(response) = query_partner(&mut self.resender, id, request.now) {
                     return response;
@@ -245,14 +248,16 @@
     id: RecordId,
     now: Micros,
 ) -> UndeliverableResponse {
-    let policy = resender.policy(now);
+    let policy = resender.policy_for(id, now);
     match resender.store.access(|store| store.find(id)) {
         Some(Some(record)) => {
             let blocked = check_resend(&record, &policy).err();
+            let attestations_count_from = attestations_count_from(&record, &policy);
             UndeliverableResponse::Found(Box::new(RecordView {
                 id,
                 record,
                 blocked,
+                attestations_count_from,
             }))
         }
         Some(None) => UndeliverableResponse::Refused(RecordError::NoRecord),
--- a/crates/relay/src/undeliverable_service/resend.rs
+++ b/crates/relay/src/undeliverable_service/resend.rs
@@ -5,24 +5,28 @@
 
 use bytes::Bytes;
 use policy::types::{MessageId, Micros};
-use runtime::Runtime;
+use runtime::{log, Runtime};
 use thiserror::Error;
-use undeliverable::record::{Origin, RecordError, Resolution};
-use undeliverable::resend_policy::{check_resend, ResendBlocked, ResendPermit, ResendPolicy};
+use undeliverable::record::{Attester, ExecutionClaim, Origin, RecordError, Resolution};
+use undeliverable::resend_policy::{
+    attestations_count_from, check_resend, ResendBlocked, ResendPermit, ResendPolicy,
+};
 use undeliverable::store::StoreError;
 use undeliverable::{Record, RecordId, RecordState};
 
+use super::open_calls::OpenCalls;
 use super::partner_query::{PartnerQueries, QueryState};
 use super::resend_outcome::{
     apply_outcome, DeliveryResult, PendingResend, RecordMatch, ResendOutcome,
 };
 use super::settings::Settings;
 use super::store_lifecycle::StoreLifecycle;
-use super::submission::Submission;
+use super::submission::{SavedRecord, Submission};
 use crate::journal::{self, AcceptedMessage, ResendOrigin};
 
-/// Minimum time between the failure of a record's delivery and its resend. The last call is cancelled only when the
-/// delivery fails, and has certainly ended after this time.
+const MICROS_PER_MS: Micros = 1_000;
+/// Minimum time between the failure of a record's delivery and its resend, so that a resend does not immediately follow the
+/// call that failed.
 const RESEND_SETTLE_TIME: Duration = Duration::from_secs(1);
 
 /// A message to submit to the policy again.
@@ -86,6 +90,10 @@
     /// Records whose delivery failed less than [`RESEND_SETTLE_TIME`] ago, and the time before which they are not
     /// resent.
     settling_until: BTreeMap<RecordId, Instant>,
+    /// Calls of this process that were open when their messages failed.
+    open_calls: OpenCalls,
+    /// When this process began to serve, in Unix time.
+    started_at: Micros,
 }
 
 impl<R: Runtime> Resender<R> {
@@ -95,6 +103,7 @@
         settings: Settings,
         store: StoreLifecycle<R>,
         partner_queries: PartnerQueries<R>,
+        started_at: Micros,
     ) -> Self {
         Resender {
             runtime,
@@ -104,15 +113,27 @@
             pending: BTreeMap::new(),
             unsaved_outcomes: BTreeMap::new(),
             settling_until: BTreeMap::new(),
+            open_calls: OpenCalls::default(),
+            started_at,
+        }
+    }
+
+    /// The conditions under which a record may be resent at the time `now`.
+    pub fn policy_for(&self, id: RecordId, now: Micros) -> ResendPolicy {
+        let is_call_open = self.open_calls.is_open(id);
+        ResendPolicy {
+            earlier_calls_ended_at: (!is_call_open).then_some(self.started_at),
+            ..self.policy(now)
         }
     }
 
-    /// The conditions under which records may be resent at the time `now`.
+    /// The conditions under which records without an open call may be resent at the time `now`.
     pub fn policy(&self, now: Micros) -> ResendPolicy {
         ResendPolicy {
             now,
             key_expiry_margin: self.settings.key_expiry_margin(),
             settle_time: self.settings.settle_time(),
+            earlier_calls_ended_at: Some(self.started_at),
             attestation_validity: self.settings.attestation_validity(),
             max_resends: self.settings.max_resends,
         }
@@ -154,7 +175,7 @@
     ///
     /// [`ResendError`] if the record may not be resent or cannot be read.
     pub fn check(&mut self, request: &ResendRequest<'_>, now: Micros) -> Result<(), ResendError> {
-        let policy = self.policy(now);
+        let policy = self.policy_for(request.record, now);
         let found = self
             .store
             .access(|store| store.find(request.record))
@@ -178,7 +199,7 @@
         request: &ResendRequest<'_>,
         now: Micros,
     ) -> Result<Resend, ResendError> {
-        let policy = self.policy(now);
+        let policy = self.policy_for(request.record, now);
         let begun = self
             .store
             .access(|store| {
@@ -195,21 +216,60 @@
         Ok(begun.into_resend(request.record, body))
     }
 
-    /// Delays the next resend of records.
-    pub fn settle(&mut self, records: &[RecordId]) {
+    /// Delays the first resend of records that were stored, and notes which of them have an open call.
+    pub fn records_saved(&mut self, saved: &[SavedRecord]) {
+        for record in saved {
+            self.settle(record.id);
+            if record.is_call_open {
+                self.open_calls.add(record.message, record.id);
+            }
+        }
+    }
+
+    /// Delays the next resend of a record.
+    fn settle(&mut self, record: RecordId) {
         let now = self.runtime.now();
         self.settling_until.retain(|_, until| *until > now);
-        let until = now + RESEND_SETTLE_TIME;
-        self.settling_until
-            .extend(records.iter().map(|id| (*id, until)));
+        self.settling_until.insert(record, now + RESEND_SETTLE_TIME);
     }
 
-    /// Whether it is too early to resend a record.
+    /// Whether it is too early to resend a record, for instance as a call is still open.
     pub fn is_settling(&self, id: RecordId) -> bool {
         let now = self.runtime.now();
-        self.settling_until
-            .get(&id)
-            .is_some_and(|until| *until > now)
+        let rests_until = self.settling_until.get(&id);
+        rests_until.is_some_and(|until| *until > now) || self.open_calls.is_open(id)
+    }
+
+    /// Records that no call of a failed message is open any more.
+    pub fn calls_ended(&mut self, message: MessageId, ended_at: Micros) {
+        if let Some(ResendOutcome::Failed(failed)) = self.unsaved_outcomes.get_mut(&message) {
+            failed.record_calls_end(ended_at);
+        }
+        self.open_calls.end(message, ended_at);
+        self.write_call_ends();
+    }
+
+    /// Writes the ends of calls to the records that lack them. An end that cannot be written is kept, and blocks the resend
+    /// of its record until then.
+    pub fn write_call_ends(&mut self) {
+        for end in self.open_calls.unrecorded_ends() {
+            let written = self.store.get().map(|store| {
+                store.update(end.record, |record| {
+                    record.record_calls_end(end.ended_at);
+                    Ok::<_, RecordError>(())
+                })
+            });
+            match written {
+                None => return,
+                Some(Ok(_) | Err(StoreError::Unreadable(_))) => self.open_calls.remove(end.message),
+                Some(Err(error)) => self.store.mark_unavailable(&error),
+            }
+        }
+    }
+
+    /// Forgets what belongs to the records of a store that has been replaced by an empty one.
+    pub fn store_replaced(&mut self) {
+        self.open_calls.clear();
     }
 
     /// Handles a record that may not be resent: queries its partner, or closes it, if that applies. Returns whether a
@@ -221,9 +281,9 @@
         now: Micros,
     ) -> QueryState {
         match refusal {
-            RecordError::ResendBlocked(ResendBlocked::NeedsAttestation) => {
-                self.query_partner(id, now)
-            }
+            RecordError::ResendBlocked(
+                ResendBlocked::NeedsAttestation | ResendBlocked::AttestationTooEarly { .. },
+            ) => self.query_partner(id, now),
             RecordError::ResendBlocked(ResendBlocked::Applied) => {
                 self.close_if_applied(id, now);
                 QueryState::NotPossible
@@ -234,12 +294,49 @@
 
     /// Queries a record's partner, unless it was queried recently.
     pub fn query_partner(&mut self, id: RecordId, now: Micros) -> QueryState {
-        self.partner_queries.query(id, &mut self.store, now)
+        let Some(record) = self.store.access(|store| store.find(id)).flatten() else {
+            return QueryState::NotPossible;
+        };
+        let answers_count_from = attestations_count_from(&record, &self.policy_for(id, now));
+        self.partner_queries
+            .query(id, &record, answers_count_from, now)
+    }
+
+    /// Adds a partner's answer to its record.
+    pub fn attest_for_partner(
+        &mut self,
+        id: RecordId,
+        claim: ExecutionClaim,
+        queried_at: Micros,
+        now: Micros,
+    ) {
+        self.store.access(|store| {
+            store.update(id, |record| {
+                record.attest(Attester::Partner, claim, queried_at, None, now)
+            })
+        });
+        self.log_early_attestation(id, now);
+    }
+
+    /// Logs that an attestation was requested too early, if that is what a record lacks.
+    pub fn log_early_attestation(&mut self, id: RecordId, now: Micros) {
+        let Some(record) = self.store.access(|store| store.find(id)).flatten() else {
+            return;
+        };
+        let blocked = check_resend(&record, &self.policy_for(id, now)).err();
+        if let Some(ResendBlocked::AttestationTooEarly { retry_after }) = blocked {
+            let retry_after_ms = retry_after.map(|micros| micros.div_ceil(MICROS_PER_MS));
+            log!(
+                self.runtime,
+                "undeliverable: word_too_early record={id} counts_in_ms={}",
+                retry_after_ms.map_or("unknown".into(), |ms| ms.to_string())
+            );
+        }
     }
 
     /// Closes a record if its attestations state that the message already took effect.
     pub fn close_if_applied(&mut self, id: RecordId, now: Micros) {
-        let policy = self.policy(now);
+        let policy = self.policy_for(id, now);
         self.store.access(|store| {
             store.update(id, |record| {
                 record.check_unclaimed("", None, now)?;
@@ -336,14 +433,18 @@
             })
         });
         match written {
-            Some(Ok(Some(Ok(RecordMatch::SameMessage)))) => {}
+            Some(Ok(Some(Ok(RecordMatch::SameMessage)))) => {
+                if outcome.has_open_call() {
+                    self.open_calls.add(id, record);
+                }
+            }
             // The record cannot be read, or was in a store that is quarantined: the message is stored as a new record,
             // with the attempts that are known.
             Some(Ok(_) | Err(StoreError::Unreadable(_))) => {
                 if let ResendOutcome::Failed(failed) = outcome {
                     submission.add(failed.replacement);
                     let stored = submission.flush(&mut self.store);
-                    self.settle(&stored);
+                    self.records_saved(&stored);
                 }
             }
             unavailable => {
@@ -355,7 +456,7 @@
             }
         }
         self.pending.remove(&id);
-        self.settle(&[record]);
+        self.settle(record);
         // An earlier answer of the partner does not cover this resend.
         self.partner_queries.forget(record);
         let sender = pending.sender;
--- a/crates/relay/src/undeliverable_service/resend_outcome.rs
+++ b/crates/relay/src/undeliverable_service/resend_outcome.rs
@@ -33,6 +33,14 @@
             ResendOutcome::Failed(_) => DeliveryResult::NotDelivered,
         }
     }
+
+    /// Whether a call of the resend is still open.
+    pub fn has_open_call(&self) -> bool {
+        match self {
+            ResendOutcome::Delivered => false,
+            ResendOutcome::Failed(failed) => failed.calls_ended_at.is_none(),
+        }
+    }
 }
 
 /// A resend that ended without delivery.
@@ -42,10 +50,20 @@
     pub attempts: Vec<Attempt>,
     /// Why the resend failed; none if it was deferred before it failed.
     pub reason: Option<Reason>,
+    /// When the calls of the resend had ended; none while one is open.
+    pub calls_ended_at: Option<Micros>,
     /// The record to store if the original record is gone or unreadable.
     pub replacement: UnsavedRecord,
 }
 
+impl FailedResend {
+    /// Records that no call of the resend is open any more.
+    pub fn record_calls_end(&mut self, ended_at: Micros) {
+        self.calls_ended_at = Some(ended_at);
+        self.replacement.record.record_calls_end(ended_at);
+    }
+}
+
 /// A resend in flight.
 #[derive(Clone)]
 pub struct PendingResend {
@@ -92,7 +110,8 @@
         match outcome {
             ResendOutcome::Delivered => record.resolve(Resolution::Delivered, now),
             ResendOutcome::Failed(failed) => {
-                record.reopen_after_resend(failed.attempts.clone(), failed.reason)
+                let attempts = failed.attempts.clone();
+                record.reopen_after_resend(attempts, failed.reason, failed.calls_ended_at);
             }
         }
     }
--- a/crates/relay/src/undeliverable_service/rule_runner.rs
+++ b/crates/relay/src/undeliverable_service/rule_runner.rs
@@ -86,7 +86,7 @@
         }
         let rule = self.rules.matching_rule(record, &self.partners, now)?;
         // Checked first, so that a record that may not be resent does not consume the rule's rate.
-        if let Err(blocked) = check_resend(record, &resender.policy(now)) {
+        if let Err(blocked) = check_resend(record, &resender.policy_for(id, now)) {
             resender.handle_refusal(id, &RecordError::ResendBlocked(blocked), now);
             return None;
         }
--- a/crates/relay/src/undeliverable_service/submission.rs
+++ b/crates/relay/src/undeliverable_service/submission.rs
@@ -1,6 +1,7 @@
 //! Queue of undeliverable messages that are not stored yet.
 
 use bytes::Bytes;
+use policy::types::{MessageId, Micros};
 use runtime::{log, Runtime};
 use undeliverable::{Record, RecordId};
 
@@ -14,12 +15,25 @@
 /// A record that is not stored yet.
 #[derive(Clone, Debug)]
 pub struct UnsavedRecord {
+    /// The message that failed.
+    pub message: MessageId,
     /// The record to store.
     pub record: Record,
     /// The body of its message.
     pub body: Bytes,
 }
 
+/// A record that was stored.
+#[derive(Clone, Copy, Debug)]
+pub struct SavedRecord {
+    /// The record's number.
+    pub id: RecordId,
+    /// The message that failed.
+    pub message: MessageId,
+    /// Whether a call of the message is still open.
+    pub is_call_open: bool,
+}
+
 /// Records that wait to be stored.
 pub struct Submission<R: Runtime> {
     runtime: R,
@@ -46,6 +60,16 @@
         self.unsaved_records.push(record);
     }
 
+    /// Records the end of a message's open call. Returns whether the record of the message is in the queue.
+    pub fn record_calls_end(&mut self, message: MessageId, ended_at: Micros) -> bool {
+        let mut queued = self.unsaved_records.iter_mut();
+        let Some(unsaved) = queued.find(|unsaved| unsaved.message == message) else {
+            return false;
+        };
+        unsaved.record.record_calls_end(ended_at);
+        true
+    }
+
     fn count_dropped(&mut self) {
         self.dropped_records += 1;
         if self.dropped_records % DROPPED_RECORDS_PER_LOG_LINE == 1 {
@@ -57,8 +81,8 @@
         }
     }
 
-    /// Writes all records to the store, if it is available. Returns their numbers; none if nothing was written.
-    pub fn flush(&mut self, store: &mut StoreLifecycle<R>) -> Vec<RecordId> {
+    /// Writes all records to the store, if it is available. Returns those that were written.
+    pub fn flush(&mut self, store: &mut StoreLifecycle<R>) -> Vec<SavedRecord> {
         if self.unsaved_records.is_empty() || !store.is_available() {
             return Vec::new();
         }
@@ -70,8 +94,14 @@
         let Some(numbers) = store.access(|store| store.insert(&records)) else {
             return Vec::new();
         };
-        self.unsaved_records.clear();
-        numbers
+        let saved = self.unsaved_records.drain(..).zip(numbers);
+        saved
+            .map(|(unsaved, id)| SavedRecord {
+                id,
+                message: unsaved.message,
+                is_call_open: unsaved.record.calls_ended_at.is_none(),
+            })
+            .collect()
     }
 
     /// Number of records that could not be stored and are lost.
--- a/crates/relay/tests/undeliverable/main.rs
+++ b/crates/relay/tests/undeliverable/main.rs
@@ -3,6 +3,7 @@
 #[path = "../api/mod.rs"]
 mod api;
 mod batches_and_rules;
+mod late_calls;
 mod load;
 mod records;
 mod resends;
@@ -101,6 +102,14 @@
 impl UndeliverableTestBed {
     /// Starts the relay. `more` is appended to the `[undeliverable]` section; `held` is the limit of held messages.
     fn new(hosts: Vec<Value>, ledger: &Ledger, more: &str, held: u32) -> UndeliverableTestBed {
+        let more = format!("settle_s = 0.0\n{more}");
+        let mut bed = UndeliverableTestBed::prepare(hosts, ledger, &more, held);
+        bed.test_bed.start();
+        bed
+    }
+
+    /// As [`UndeliverableTestBed::new`], without starting the relay. `more` sets `settle_s`, too.
+    fn prepare(hosts: Vec<Value>, ledger: &Ledger, more: &str, held: u32) -> UndeliverableTestBed {
         let (mut test_bed, address) = new_with_tenants(hosts, "", "");
         test_bed.config["settings"]["limits"]["mostHeld"] = json!(held);
         if held > 1000 {
@@ -111,7 +120,7 @@
         let text = test_bed.operator.take().expect("a file");
         let (admin, tokens) = text.split_once("[[admin.tokens]]").expect("tokens");
         let section = format!(
-            "[undeliverable]\nfolder = {:?}\nsettle_s = 0.0\n{more}\n[[undeliverable.partners]]\ndestination = 1\n\
+            "[undeliverable]\nfolder = {:?}\n{more}\n[[undeliverable.partners]]\ndestination = 1\n\
              address = \"{}\"\npath = \"/s/{{id}}\"\napplied = [\"done\"]\nnot_applied = [\"absent\"]\n\
              timeout_ms = 2000\n",
             folder.display().to_string(),
@@ -133,7 +142,6 @@
         test_bed.operator = Some(format!(
             "{tenants}[admin]{admin}[[admin.tokens]]{tokens}{more_tokens}{section}"
         ));
-        test_bed.start();
         let api = Api::new(&address, Some(&token("ops")));
         UndeliverableTestBed {
             test_bed,
--- a/crates/relayctl/tests/ctl.rs
+++ b/crates/relayctl/tests/ctl.rs
@@ -66,6 +66,7 @@
         state: RecordState::Open,
         version: 1,
         resends: 0,
+        calls_ended_at: None,
     };
     let pages = OsRuntime
         .open_random_access(&folder.join("undeliverable.redb"))
--- a/crates/undeliverable/src/attestation.rs
+++ b/crates/undeliverable/src/attestation.rs
@@ -2,12 +2,12 @@
 //!
 //! An attestation of `applied` always counts, because an effect is permanent. An attestation of `not applied` counts
 //! only if it covers every attempt: it was made for the current number of resends and requested after the last attempt
-//! had settled. `unknown` never counts. The attestations that count are reduced to three properties, which select a
+//! had settled, as [`crate::resend_policy`] determines. `unknown` never counts. The attestations that count are reduced to three properties, which select a
 //! row of this table:
 //!
 //! | claims that count | partner's latest claim | two operators agree on | resolution |
 //! | --- | --- | --- | --- |
-//! | none | any | any | needs an attestation |
+//! | none | any | any | needs an attestation, or a later one if one was requested too early |
 //! | all `not applied` | in date | any | not applied |
 //! | all `not applied` | expired or none | `not applied` | not applied |
 //! | all `not applied` | expired | nothing | needs an attestation |
@@ -71,8 +71,8 @@
 pub(crate) struct AttestationWindow {
     /// Current number of resends of the record.
     pub(crate) resends: u32,
-    /// The time from which no attempt that may have run can still be running, in Unix time.
-    pub(crate) settled_at: Micros,
+    /// The time from which no attempt that may have run can still be running, in Unix time; `None` if it is not known yet.
+    pub(crate) settled_at: Option<Micros>,
     /// The current Unix time.
     pub(crate) now: Micros,
     /// How long a partner's claim of `not applied` remains valid.
@@ -92,9 +92,38 @@
     /// count.
     fn covers_all_attempts(&self, attestation: &Attestation) -> bool {
         attestation.resends == self.resends
-            && attestation.at >= self.settled_at
+            && !self.is_too_early(attestation)
             && attestation.at <= self.now
     }
+
+    /// Whether an attempt may still have been running when the attestation was requested.
+    fn is_too_early(&self, attestation: &Attestation) -> bool {
+        self.settled_at
+            .is_none_or(|settled_at| attestation.at < settled_at)
+    }
+
+    /// Whether an attestation would count if it had been requested later.
+    fn has_early_attestation(&self, attestations: &[Attestation]) -> bool {
+        attestations.iter().any(|attestation| {
+            attestation.claim == ExecutionClaim::NotApplied
+                && attestation.resends == self.resends
+                && self.is_too_early(attestation)
+        })
+    }
+
+    /// Time until an attestation counts if it is requested then; `None` if that is not known yet.
+    fn retry_after(&self) -> Option<Micros> {
+        Some(self.settled_at?.saturating_sub(self.now))
+    }
+
+    /// What is missing if no attestation counts.
+    fn missing_attestation(&self, attestations: &[Attestation]) -> ResendBlocked {
+        if self.has_early_attestation(attestations) {
+            let retry_after = self.retry_after();
+            return ResendBlocked::AttestationTooEarly { retry_after };
+        }
+        ResendBlocked::NeedsAttestation
+    }
 }
 
 /// The combined claims of all attestations that count.
@@ -226,7 +255,7 @@
 
     let evidence = Evidence::gather(attestations, window);
     match (evidence.claims, evidence.partner, evidence.operators) {
-        (Claims::None, _, _) => Err(NeedsAttestation),
+        (Claims::None, _, _) => Err(window.missing_attestation(attestations)),
         (Claims::NotApplied, Partner::InDate, _) => Ok(()),
         (Claims::NotApplied, _, Operators::NotApplied) => Ok(()),
         (Claims::NotApplied, Partner::Expired, _) => Err(NeedsAttestation),
--- a/crates/undeliverable/src/record/stored.rs
+++ b/crates/undeliverable/src/record/stored.rs
@@ -1,4 +1,5 @@
 //! The stored form of a record. Postcard encodes it by position, so no field or variant may be moved, added or removed.
+//! [`Record::calls_ended_at`] is stored behind the other fields, where versions that do not know it ignore it.
 
 use serde::{Deserialize, Serialize};
 use tenancy::registry::tenant_name;
@@ -116,7 +117,7 @@
 /// An attempt to deliver a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Attempt {
-    /// When the attempt was sent, in Unix time.
+    /// When its host was chosen, in Unix time. The host cannot have received its request before.
     pub sent: Micros,
     /// The host's name; empty if unknown.
     pub host: String,
@@ -228,6 +229,10 @@
     pub version: u32,
     /// Number of resends that were started.
     pub resends: u32,
+    /// When the last call of the attempts ended, in Unix time. `None` if that is not recorded: a call was still open, or
+    /// the process ended before it, or an earlier version wrote the record.
+    #[serde(skip)]
+    pub calls_ended_at: Option<Micros>,
 }
 
 impl Record {
--- a/crates/undeliverable/src/record/tests.rs
+++ b/crates/undeliverable/src/record/tests.rs
@@ -72,7 +72,7 @@
         record.check_unclaimed("ann", None, 1000),
         Err(RecordError::Sending)
     );
-    record.reopen_after_resend(vec![attempt(9, true)], Some(Reason::MayHaveRun));
+    record.reopen_after_resend(vec![attempt(9, true)], Some(Reason::MayHaveRun), Some(9));
     assert_eq!(
         (record.attempts.len(), record.reason, record.given_up_at),
         (1, Reason::MayHaveRun, 5_000_000)
@@ -88,7 +88,7 @@
         record.check_unclaimed("ann", None, 1003),
         Err(RecordError::Closed("delivered"))
     );
-    record.reopen_after_resend(vec![attempt(9, true)], None);
+    record.reopen_after_resend(vec![attempt(9, true)], None, Some(9));
     assert_eq!(
         record.attempts.len(),
         1,
@@ -109,6 +109,7 @@
                 .map(|at| attempt(100 * round + at, at == 3))
                 .collect(),
             None,
+            Some(100 * round + 12),
         );
     }
     assert_eq!(record.attempts.len(), MAX_ATTEMPTS);
--- a/crates/undeliverable/src/record/transitions.rs
+++ b/crates/undeliverable/src/record/transitions.rs
@@ -144,7 +144,7 @@
     }
 
     /// Sending becomes open because the outcome of the resend is lost. The resend may have run at any time since it
-    /// started, so an attempt that may have run is added at either end of that period.
+    /// started, so an attempt that may have run is added at either end of that period. The end of its calls is not known.
     pub fn record_unknown_outcome(&mut self, now: Micros) {
         let RecordState::Sending { since, .. } = self.state else {
             return;
@@ -158,7 +158,7 @@
             resend,
         };
         let attempts = vec![unknown_attempt(since.min(now)), unknown_attempt(now)];
-        self.reopen_after_resend(attempts, None);
+        self.reopen_after_resend(attempts, None, None);
     }
 
     /// Any state but closed becomes sending. Used if the store has lost the change that started the resend `number`,
@@ -174,8 +174,13 @@
     }
 
     /// Sending becomes open because the resend ended without delivery. The attempts of the resend are added. A `reason`
-    /// of `None` keeps the earlier reason.
-    pub fn reopen_after_resend(&mut self, attempts: Vec<Attempt>, reason: Option<Reason>) {
+    /// of `None` keeps the earlier reason. `calls_ended_at` is `None` if a call of the resend is still open.
+    pub fn reopen_after_resend(
+        &mut self,
+        attempts: Vec<Attempt>,
+        reason: Option<Reason>,
+        calls_ended_at: Option<Micros>,
+    ) {
         if !matches!(self.state, RecordState::Sending { .. }) {
             return;
         }
@@ -183,9 +188,16 @@
             self.push_attempt(attempt);
         }
         self.reason = reason.unwrap_or(self.reason);
+        self.calls_ended_at = calls_ended_at;
         self.transition_to(RecordState::Open);
     }
 
+    /// Records that the last open call has ended. The version does not change, as the end permits no transition that an
+    /// operator could not have expected.
+    pub fn record_calls_end(&mut self, ended_at: Micros) {
+        self.calls_ended_at = self.calls_ended_at.max(Some(ended_at));
+    }
+
     /// Any state becomes closed with this resolution.
     pub fn resolve(&mut self, resolution: Resolution, now: Micros) {
         self.transition_to(RecordState::Closed(resolution, now));
--- a/crates/undeliverable/src/resend_blocked.rs
+++ b/crates/undeliverable/src/resend_blocked.rs
@@ -10,6 +10,11 @@
 pub enum ResendBlocked {
     /// No attestation counts: an attestation by the partner or by two operators is needed.
     NeedsAttestation,
+    /// An attestation was requested while an attempt could still be running: a later one is needed.
+    AttestationTooEarly {
+        /// Microseconds until one that is requested then counts; `None` while a call is open.
+        retry_after: Option<u64>,
+    },
     /// Attestations contradict each other: two operators have to agree after the last contradiction.
     NeedsAgreement,
     /// One operator has attested; a second one has to agree.
@@ -26,6 +31,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             ResendBlocked::NeedsAttestation => "needs-word",
+            ResendBlocked::AttestationTooEarly { .. } => "word-too-early",
             ResendBlocked::NeedsAgreement => "needs-agreement",
             ResendBlocked::NeedsSecondOperator => "needs-second-operator",
             ResendBlocked::Applied => "applied",
@@ -40,6 +46,9 @@
             ResendBlocked::NeedsAttestation => {
                 "it may have taken effect; the partner's word or two operators' is needed"
             }
+            ResendBlocked::AttestationTooEarly { .. } => {
+                "what was said of it was asked for while a call could still take effect; a later word is needed"
+            }
             ResendBlocked::NeedsAgreement => {
                 "what was said of it is contradictory; two operators have to agree"
             }
--- a/crates/undeliverable/src/rules/tests.rs
+++ b/crates/undeliverable/src/rules/tests.rs
@@ -60,7 +60,7 @@
         None,
         "a resend is in flight"
     );
-    record.reopen_after_resend(Vec::new(), None);
+    record.reopen_after_resend(Vec::new(), None, Some(0));
     assert_eq!(rules.matching_rule(&record, &partners, 24_999_999), None);
     assert_eq!(rules.matching_rule(&record, &partners, 25_000_000), Some(0));
     rules.record_resend(0, 25_000_000);
--- a/crates/undeliverable/src/store/database.rs
+++ b/crates/undeliverable/src/store/database.rs
@@ -5,7 +5,7 @@
 use redb::{Database, StorageBackend};
 use runtime::RandomAccessFile;
 
-use super::encoding::decode;
+use super::encoding;
 use super::error::StoreError;
 use super::recovery::{open_database, Durability, FileBackend};
 use crate::record::{Record, RecordId};
@@ -42,7 +42,7 @@
 
     /// Decodes a record. A record that can't be read is counted.
     pub(super) fn decode_record(&self, id: RecordId, encoded: &[u8]) -> Result<Record, StoreError> {
-        decode(encoded).ok_or_else(|| {
+        encoding::decode_record(encoded).ok_or_else(|| {
             self.count_unreadable_value();
             StoreError::Unreadable(id)
         })
--- a/crates/undeliverable/src/store/encoding.rs
+++ b/crates/undeliverable/src/store/encoding.rs
@@ -5,6 +5,8 @@
 use serde::Serialize;
 
 use super::error::StoreError;
+use crate::record::Record;
+use crate::Micros;
 
 const ENCODING_VERSION: u8 = 1;
 const CHECKSUM_BYTES: usize = 4;
@@ -18,6 +20,25 @@
     Ok(fill_header(encoded))
 }
 
+/// Encodes a record. The end of its calls, if it is recorded, stands behind the fields that every version knows: earlier
+/// versions ignore it, and lose it when they change the record.
+pub(super) fn encode_record(record: &Record) -> Result<Vec<u8>, StoreError> {
+    let Some(ended_at) = record.calls_ended_at else {
+        return encode(record);
+    };
+    encode(&(record, ended_at))
+}
+
+/// Decodes a record, also one without the end of its calls; none if its header or payload is damaged.
+pub(super) fn decode_record(encoded: &[u8]) -> Option<Record> {
+    let (mut record, rest) = postcard::take_from_bytes::<Record>(decode_bytes(encoded)?).ok()?;
+    if !rest.is_empty() {
+        let ended_at: Micros = postcard::from_bytes(rest).ok()?;
+        record.calls_ended_at = Some(ended_at);
+    }
+    Some(record)
+}
+
 /// Encodes bytes unchanged, after the header.
 pub(super) fn encode_bytes(payload: &[u8]) -> Vec<u8> {
     let mut encoded = vec![0; HEADER_BYTES];
--- a/crates/undeliverable/src/store/eviction.rs
+++ b/crates/undeliverable/src/store/eviction.rs
@@ -3,7 +3,7 @@
 use redb::{ReadableTable, WriteTransaction};
 
 use super::database::Store;
-use super::encoding::decode;
+use super::encoding::decode_record;
 use super::error::StoreError;
 use super::group::GroupBy;
 use super::tables::{
@@ -161,7 +161,7 @@
         let Some(encoded) = encoded else {
             return Ok(());
         };
-        let record: Option<Record> = decode(&encoded);
+        let record = decode_record(&encoded);
         if record.as_ref().is_some_and(is_being_sent) {
             return Ok(());
         }
@@ -201,7 +201,7 @@
     let mut oldest = Vec::new();
     for entry in table.iter()?.take(max_records) {
         let (id, encoded) = entry?;
-        let record: Option<Record> = decode(encoded.value());
+        let record = decode_record(encoded.value());
         oldest.push(OldestRecord {
             id: id.value(),
             given_up_at: record.map(|record| record.given_up_at),
--- a/crates/undeliverable/src/store/tables.rs
+++ b/crates/undeliverable/src/store/tables.rs
@@ -3,7 +3,7 @@
 
 use redb::{ReadTransaction, ReadableTable, TableDefinition, WriteTransaction};
 
-use super::encoding::{encode, HEADER_BYTES};
+use super::encoding::{encode_record, HEADER_BYTES};
 use super::error::StoreError;
 use super::group::GroupBy;
 use crate::record::{Record, RecordId};
@@ -116,9 +116,9 @@
     after: &Record,
     body_bytes: usize,
 ) -> Result<(), StoreError> {
-    let encoded = encode(after)?;
+    let encoded = encode_record(after)?;
     let bytes_before = match before {
-        Some(before) => accounted_bytes(encode(before)?.len(), body_bytes),
+        Some(before) => accounted_bytes(encode_record(before)?.len(), body_bytes),
         None => 0,
     };
     let bytes_change = accounted_bytes(encoded.len(), body_bytes) - bytes_before;
--- a/crates/undeliverable/src/test_records.rs
+++ b/crates/undeliverable/src/test_records.rs
@@ -41,5 +41,6 @@
         state: RecordState::Open,
         version: 1,
         resends: 0,
+        calls_ended_at: None,
     }
 }
--- a/crates/undeliverable/tests/resend_policy.rs
+++ b/crates/undeliverable/tests/resend_policy.rs
@@ -14,10 +14,11 @@
 };
 
 /// The outcomes in the last column of the file. Each of them needs at least one case.
-const ALL_OUTCOMES: [&str; 7] = [
+const ALL_OUTCOMES: [&str; 8] = [
     "may-go",
     "may-go-with-key",
     "needs-word",
+    "word-too-early",
     "needs-agreement",
     "needs-second-operator",
     "applied",
@@ -139,6 +140,7 @@
         state: state(columns[4]),
         version: 1,
         resends,
+        calls_ended_at: None,
     }
 }
 
@@ -165,6 +167,7 @@
         now,
         key_expiry_margin: micros(value("margin")),
         settle_time: micros(value("settle")),
+        earlier_calls_ended_at: Some(0),
         attestation_validity: micros(value("fresh")),
         max_resends: number(value("most-resends")),
     }
@@ -217,6 +220,7 @@
 fn resend_blocked_identifiers_and_texts_are_unchanged() {
     let golden = "\
 needs-word: it may have taken effect; the partner's word or two operators' is needed
+word-too-early: what was said of it was asked for while a call could still take effect; a later word is needed
 needs-agreement: what was said of it is contradictory; two operators have to agree
 needs-second-operator: another operator's word is needed beside the first
 applied: it has taken effect
@@ -224,6 +228,7 @@
 ";
     let all_blocked = [
         ResendBlocked::NeedsAttestation,
+        ResendBlocked::AttestationTooEarly { retry_after: None },
         ResendBlocked::NeedsAgreement,
         ResendBlocked::NeedsSecondOperator,
         ResendBlocked::Applied,
--- a/crates/undeliverable/tests/store_tables.rs
+++ b/crates/undeliverable/tests/store_tables.rs
@@ -102,6 +102,7 @@
         state: RecordState::Open,
         version: 1,
         resends: 0,
+        calls_ended_at: None,
     }
 }
 
@@ -160,7 +161,7 @@
     update(store, 8, |record| {
         record.begin_resend("ann", NOW);
         let resent = attempt(9, Outcome::TimedOut, true, 1);
-        record.reopen_after_resend(vec![resent], Some(Reason::AttemptsSpent));
+        record.reopen_after_resend(vec![resent], Some(Reason::AttemptsSpent), None);
         record.begin_resend("batch weekly", NOW + 10);
         record.record_unknown_outcome(NOW + 20);
         record.begin_resend("bob", NOW + 30);
--- a/crates/undeliverable/tests/stored_format.rs
+++ b/crates/undeliverable/tests/stored_format.rs
@@ -45,6 +45,9 @@
     }
 }
 
+/// A record with the end of its last call, as the first version that knows it stores it.
+const RECORD_WITH_CALLS_END: &str = "record-with-calls-end.txt";
+
 /// One record for each reason, each with attempts of every outcome.
 fn records() -> Vec<Record> {
     let outcomes = [
@@ -89,6 +92,7 @@
         state: RecordState::Open,
         version: 1,
         resends: 0,
+        calls_ended_at: None,
     };
     Reason::ALL.into_iter().zip(1..).map(record).collect()
 }
@@ -364,3 +368,40 @@
     drop(store);
     fs::remove_dir_all(directory).expect("removed");
 }
+
+#[test]
+fn record_with_the_end_of_its_calls_keeps_its_bytes_and_is_read_by_earlier_versions() {
+    let path = directory("calls-end").join("undeliverable.redb");
+    let mut record = records().remove(1);
+    record.calls_ended_at = Some(1_796_168_061_000_000);
+    {
+        let store = open(&path);
+        let inserted = store.insert(&[(record.clone(), b"body")]);
+        assert_eq!(inserted.expect("inserted"), [1]);
+        assert_eq!(store.find(1).expect("readable"), Some(record.clone()));
+    }
+    let text = dump(&path);
+    let line = text.lines().next().expect("a record");
+    let golden = fs::read_to_string(golden_path(RECORD_WITH_CALLS_END)).expect("a golden file");
+    assert_eq!(line, golden.trim_end());
+    // Earlier versions decode the fields that they know and ignore what follows: the checksum covers both.
+    let value = unhex(line.rsplit(' ').next().expect("a value"));
+    let (known, rest) = postcard::take_from_bytes::<Record>(&value[5..]).expect("a record");
+    assert_eq!(rest.len(), 8);
+    let without_end = Record {
+        calls_ended_at: None,
+        ..record
+    };
+    assert_eq!(known, without_end);
+    // What such a version writes has no end, and the start of the next process takes its place.
+    let rewritten = postcard::to_allocvec(&known).expect("encoded");
+    assert_eq!(rewritten, value[5..value.len() - rest.len()]);
+}
+
+fn unhex(text: &str) -> Vec<u8> {
+    let digits = text.as_bytes().chunks(2);
+    let pairs = digits.map(|pair| std::str::from_utf8(pair).expect("digits"));
+    pairs
+        .map(|pair| u8::from_str_radix(pair, 16).expect("a byte"))
+        .collect()
+}
