Simulate connections that come up late, hosts that read late, and calls that take time

No fault made a connection come up late or a host begin a call late, and a call took effect as it arrived, so that no word of a partner could be too early.

With four times the work, applied once is reported.

--- a/crates/simulator/src/faults/mod.rs
+++ b/crates/simulator/src/faults/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod fleet_restart;
 mod kept;
+mod late_calls;
 mod listing;
 mod partners;
 mod process;
@@ -24,6 +25,7 @@
 pub use fleet::add_fleet_faults;
 pub use fleet_restart::{add_fleet_restart, FleetRestart};
 pub use kept::draw_undeliverable_store_faults;
+pub use late_calls::draw_late_calls;
 pub use rolling::draw_rolling_faults;
 pub use staff::draw_operator_actions;
 pub use tenants::draw_tenant_faults;
--- a/crates/simulator/src/faults/partners.rs
+++ b/crates/simulator/src/faults/partners.rs
@@ -304,6 +304,53 @@
     }
 }
 
+/// This percentage of connections to a partner come up late, by up to this many milliseconds.
+#[derive(Debug)]
+pub(super) struct LateConnections(u16, u64, u64);
+
+impl LateConnections {
+    pub fn draw(rng: &mut SimulationRng, destination: u16) -> Self {
+        LateConnections(destination, rng.between(30, 100), rng.between(200, 1_500))
+    }
+}
+
+impl FaultBehavior for LateConnections {
+    fn inject(&self, context: &mut dyn FaultContext, _: Duration) {
+        context.set_address_fault(
+            self.0,
+            AddressFault {
+                late_percent: self.1,
+                max_lateness_ms: self.2,
+                ..AddressFault::default()
+            },
+        );
+    }
+
+    fn clear(&self, context: &mut dyn FaultContext) {
+        context.set_address_fault(self.0, AddressFault::default());
+    }
+}
+
+/// A partner's hosts begin calls up to this many milliseconds after their arrival, or when their connections end.
+#[derive(Debug)]
+pub(super) struct LateReads(u16, u64);
+
+impl LateReads {
+    pub fn draw(rng: &mut SimulationRng, destination: u16) -> Self {
+        LateReads(destination, rng.between(200, 1_500))
+    }
+}
+
+impl FaultBehavior for LateReads {
+    fn inject(&self, context: &mut dyn FaultContext, _: Duration) {
+        context.update_hosts(self.0, &|behavior| behavior.max_begin_delay_ms = self.1);
+    }
+
+    fn clear(&self, context: &mut dyn FaultContext) {
+        context.update_hosts(self.0, &|behavior| behavior.max_begin_delay_ms = 0);
+    }
+}
+
 /// A partner's responses take this many milliseconds longer.
 #[derive(Debug)]
 pub(super) struct Slow(u16, u64);
--- a/crates/simulator/src/kept.rs
+++ b/crates/simulator/src/kept.rs
@@ -12,6 +12,7 @@
 use crate::faults;
 use crate::history::Idempotency;
 use crate::hosted::ADMIN_ADDRESS;
+use crate::late_calls;
 use crate::rng::SimulationRng;
 use crate::script::Script;
 
@@ -21,8 +22,8 @@
 pub const OPERATORS: usize = 2;
 /// Time after the last message's deadline for which operators go on.
 pub const OPERATOR_TIME: Duration = Duration::from_secs(12);
-/// Time after an attempt was sent in which it may still take effect.
-const EFFECT_DELAY: Duration = Duration::from_secs(1);
+/// Time after the end of a call in which it may still take effect.
+pub const EFFECT_DELAY: Duration = Duration::from_secs(1);
 
 /// The parameters that such a scenario adds to a plain one.
 #[derive(Clone, Debug)]
@@ -35,6 +36,8 @@
     pub max_concurrent_resends: u64,
     /// Percentage of calls that end in an error, over the whole scenario.
     pub error_percent: u64,
+    /// Maximum time that hosts work on a call before it takes effect; zero if calls take effect as they arrive.
+    pub max_work: Duration,
 }
 
 /// Path of the store's file.
@@ -121,7 +124,11 @@
             resends_on_recovery: rng.percent(40),
             max_concurrent_resends: rng.between(1, 8),
             error_percent: rng.between(2, 12),
+            max_work: Duration::ZERO,
         });
+        if late_calls::applies_to(seed) {
+            late_calls::add_to(&mut script);
+        }
         script
     }
 }
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod hosted;
 pub mod invariants;
 pub mod kept;
+mod late_calls;
 pub mod machine;
 pub mod operated;
 mod outages;
--- a/crates/simulator/src/machine/dial.rs
+++ b/crates/simulator/src/machine/dial.rs
@@ -30,6 +30,9 @@
     };
     let delay = draw_delay(context);
     context.sleep(delay).await;
+    if let Some(lateness) = draw_lateness(context, &to) {
+        context.sleep(lateness).await;
+    }
     if is_unreachable(context, &to) {
         return std::future::pending().await;
     }
@@ -45,6 +48,15 @@
     Duration::from_micros(MIN_DELAY_MICROS + above_min)
 }
 
+/// Draws whether a connection comes up late, and the additional time. Draws nothing without the fault, so that other
+/// scenarios keep their sequence.
+fn draw_lateness(context: &ProcessContext, to: &Address) -> Option<Duration> {
+    let mut state = context.state.borrow_mut();
+    let fault = state.network.fault(to);
+    let is_late = fault.late_percent > 0 && state.rng.percent(fault.late_percent);
+    is_late.then(|| Duration::from_millis(state.rng.below(fault.max_lateness_ms)))
+}
+
 fn is_unreachable(context: &ProcessContext, to: &Address) -> bool {
     let state = context.state.borrow();
     state.network.fault(to).silent || state.is_partitioned(context.process, to)
--- a/crates/simulator/src/machine/network.rs
+++ b/crates/simulator/src/machine/network.rs
@@ -21,6 +21,10 @@
     pub silent: bool,
     /// Percentage of new connections that are reset after some bytes.
     pub reset_percent: u64,
+    /// Percentage of new connections that come up late.
+    pub late_percent: u64,
+    /// Maximum additional time that a late connection takes, in milliseconds.
+    pub max_lateness_ms: u64,
 }
 
 impl AddressFault {
--- a/crates/simulator/src/peers/effect_log.rs
+++ b/crates/simulator/src/peers/effect_log.rs
@@ -17,6 +17,8 @@
 
 /// Percentage of calls that take effect among those without a successful response.
 const SILENT_EFFECT_PERCENT: u64 = 50;
+/// How often a host that has not begun a call notices that its connection has ended.
+pub const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Delay of a late status page.
 const LATE_RESPONSE_TIME: Duration = Duration::from_secs(3);
 
@@ -29,6 +31,21 @@
     key: String,
 }
 
+/// When a call takes effect.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EffectTiming {
+    /// From the arrival of the call until its host begins it, unless its connection ends before.
+    pub begin_delay: Duration,
+    /// From then until it takes effect, whether or not the relay still waits.
+    pub work: Duration,
+}
+
+impl EffectTiming {
+    fn is_immediate(self) -> bool {
+        self.begin_delay + self.work == Duration::ZERO
+    }
+}
+
 struct Effects {
     rng: SimulationRng,
     /// How many times each message took effect.
@@ -59,6 +76,7 @@
         context: &PeerContext<R>,
         call: &ReceivedCall,
         is_success: bool,
+        timing: EffectTiming,
     ) {
         let id = &call.message_id;
         let Some(idempotency) = context.checker.borrow().idempotency_of(id) else {
@@ -71,7 +89,22 @@
         if effects.is_repeated(call, idempotency, context.elapsed()) {
             return;
         }
-        let times = effects.times.entry(id.clone()).or_default();
+        drop(effects);
+        if timing.is_immediate() {
+            return self.apply(context, id);
+        }
+        let (log, own) = (self.clone(), context.clone());
+        let (id, connection) = (id.clone(), call.connection);
+        context.runtime.spawn(async move {
+            wait_until_begun(&own, connection, timing.begin_delay).await;
+            own.runtime.sleep(timing.work).await;
+            log.apply(&own, &id);
+        });
+    }
+
+    fn apply<R: Runtime>(&self, context: &PeerContext<R>, id: &str) {
+        let mut effects = self.0.borrow_mut();
+        let times = effects.times.entry(id.into()).or_default();
         *times += 1;
         let times = *times;
         drop(effects);
@@ -133,6 +166,14 @@
     }
 }
 
+/// Waits until a host begins a call: after the delay, or as the connection ends.
+async fn wait_until_begun<R: Runtime>(context: &PeerContext<R>, connection: u64, delay: Duration) {
+    let begins_at = context.elapsed() + delay;
+    while context.elapsed() < begins_at && (context.is_connection_open)(connection) {
+        context.runtime.sleep(CONNECTION_CHECK_INTERVAL).await;
+    }
+}
+
 impl Effects {
     /// Whether the call's idempotency key is remembered; if not, remembers it.
     fn is_repeated(
--- a/crates/simulator/src/peers/host_behavior.rs
+++ b/crates/simulator/src/peers/host_behavior.rs
@@ -35,6 +35,12 @@
     pub rejections_use_limit: bool,
     /// Maximum number of open connections; calls on further connections are rejected.
     pub max_connections: Option<usize>,
+    /// Maximum time after the arrival of a call until the host begins it, in milliseconds. It begins at the latest when the
+    /// connection ends.
+    pub max_begin_delay_ms: u64,
+    /// Maximum time that the host works on a call until it takes effect, in milliseconds. With zero, calls take effect as
+    /// they arrive.
+    pub max_work_ms: u64,
 }
 
 impl HostBehavior {
@@ -71,6 +77,8 @@
             max_calls_per_second: None,
             rejections_use_limit: false,
             max_connections: None,
+            max_begin_delay_ms: 0,
+            max_work_ms: 0,
         }
     }
 }
--- a/crates/simulator/src/peers/hosts.rs
+++ b/crates/simulator/src/peers/hosts.rs
@@ -11,7 +11,7 @@
 use runtime::{Listener, Runtime, Stream};
 use tokio::io::AsyncWriteExt;
 
-use super::effect_log::EffectLog;
+use super::effect_log::{EffectLog, EffectTiming};
 use super::host_behavior::{HostBehavior, Rejection};
 use super::repeating_stream::{CopyTiming, RepeatingStream};
 use super::{discard_until_closed, read_request, Numbered, PeerContext, Request};
@@ -150,7 +150,7 @@
                 continue;
             };
             if self.behavior.borrow().drops_calls {
-                self.record_effect(context, &call, false);
+                self.record_silent_effect(context, &call);
                 context.observe(&Observation::CallConnectionClosed(&id));
                 return Ok(());
             }
@@ -267,12 +267,39 @@
         context: &PeerContext<R>,
         call: &ReceivedCall,
         is_success: bool,
+        timing: EffectTiming,
     ) {
         if let Some(effect_log) = &*self.effect_log.borrow() {
-            effect_log.record_call(context, call, is_success);
+            effect_log.record_call(context, call, is_success, timing);
         }
     }
 
+    /// Records a call that gets no response. It may take effect after any work.
+    fn record_silent_effect<R: Runtime>(&self, context: &PeerContext<R>, call: &ReceivedCall) {
+        let timing = EffectTiming {
+            begin_delay: self.draw_begin_delay(),
+            work: self.draw_work(),
+        };
+        self.record_effect(context, call, false, timing);
+    }
+
+    /// Draws how long after its arrival a call begins. Draws nothing if all begin at once, so that other scenarios keep
+    /// their sequence.
+    fn draw_begin_delay(&self) -> Duration {
+        self.draw_up_to(self.behavior.borrow().max_begin_delay_ms)
+    }
+
+    fn draw_work(&self) -> Duration {
+        self.draw_up_to(self.behavior.borrow().max_work_ms)
+    }
+
+    fn draw_up_to(&self, max_ms: u64) -> Duration {
+        if max_ms == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_millis(self.draw(|rng| rng.between(0, max_ms)))
+    }
+
     async fn respond<R: Runtime>(
         &self,
         context: &PeerContext<R>,
@@ -285,7 +312,7 @@
     {
         let behavior = self.behavior.borrow().clone();
         if behavior.hangs {
-            self.record_effect(context, call, false);
+            self.record_silent_effect(context, call);
             discard_until_closed(stream).await;
             return Ok(AfterResponse::Close);
         }
@@ -300,13 +327,20 @@
                 rng.percent(behavior.corruption_percent),
             )
         });
-        if !is_corrupted {
-            self.record_effect(context, call, !is_error);
+        let begin_delay = self.draw_begin_delay();
+        let response_time = Duration::from_millis(response_ms);
+        if is_error && !is_corrupted {
+            let work = self.draw_work();
+            self.record_effect(context, call, false, EffectTiming { begin_delay, work });
+        } else if !is_corrupted {
+            // A call has taken effect when its success is reported.
+            let work = response_time.min(Duration::from_millis(behavior.max_work_ms));
+            self.record_effect(context, call, true, EffectTiming { begin_delay, work });
         }
         // A relay that abandons the call closes its connection during the wait.
         tokio::select! {
             biased;
-            () = context.runtime.sleep(Duration::from_millis(response_ms)) => {}
+            () = context.runtime.sleep(begin_delay + response_time) => {}
             () = discard_until_closed(stream) => return Ok(AfterResponse::Close),
         }
         if is_corrupted {
@@ -477,7 +511,8 @@
                 (CallOutcome::Delivered, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nabc")
             }
         };
-        self.record_effect(context, call, outcome == CallOutcome::Delivered);
+        let is_success = outcome == CallOutcome::Delivered;
+        self.record_effect(context, call, is_success, EffectTiming::default());
         context.observe(&Observation::ResponseStarted { call: id, outcome });
         stream.write_all(text).await?;
         if matches!(kind, 4 | 6) {
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -198,7 +198,9 @@
                 (behavior.min_response_ms, behavior.max_response_ms) = plan.response_ms;
             }
             if let Some(kept) = &script.kept {
-                host.behavior.borrow_mut().error_percent = kept.error_percent;
+                let mut behavior = host.behavior.borrow_mut();
+                behavior.error_percent = kept.error_percent;
+                behavior.max_work_ms = kept.max_work.as_millis() as u64;
             }
             if let Some(vast) = &script.vast {
                 let mut behavior = host.behavior.borrow_mut();
--- a/crates/simulator/tests/kept.rs
+++ b/crates/simulator/tests/kept.rs
@@ -16,6 +16,11 @@
 /// the restart.
 const CALLS_CUT_OFF_BEFORE_THEIR_FIRST_BYTE: u64 = 191;
 
+/// Seeds in which a payout took effect twice: its call began late, and a word counted that was asked for before.
+const RESENT_WHILE_A_LATE_CALL_RAN: [u64; 7] = [
+    200_242, 200_254, 200_766, 201_118, 201_258, 201_490, 201_594,
+];
+
 #[test]
 fn all_invariants_hold_on_the_first_seeds() {
     support::hold(ScenarioKind::Kept, (0..200).chain(MENDED), 20);
@@ -30,6 +35,12 @@
     );
 }
 
+/// Guards against a resend while a call that began late may still take effect.
+#[test]
+fn payouts_whose_calls_begin_late_are_applied_once() {
+    support::hold(ScenarioKind::Kept, RESENT_WHILE_A_LATE_CALL_RAN, 20);
+}
+
 #[test]
 fn records_are_closed_by_resends_and_by_partners_status_pages() {
     let counts = (0..20).map(|seed| play(&Script::draw_kept(seed), Options::default()).counts);
@@ -60,6 +71,25 @@
     caught("applied once", MisbehavingAdmin::AttestsFalsely);
 }
 
+/// Work that takes longer than the operator file says makes a payout take effect twice.
+#[test]
+fn work_beyond_the_settle_time_is_reported_as_second_effects() {
+    let works_long = |script: &mut Script| {
+        if let Some(kept) = &mut script.kept {
+            kept.max_work *= 4;
+        }
+    };
+    let late_days = (2..1_600).step_by(4);
+    let options = Options::default();
+    support::seeds_until(
+        ScenarioKind::Kept,
+        "applied once",
+        late_days,
+        options,
+        works_long,
+    );
+}
+
 #[test]
 fn missing_record_is_reported() {
     caught("accounted for", MisbehavingAdmin::OmitsRecord);
