Free the administration API's address before the state directory is handed over

What callers saw: in an upgrade of a relay with [admin] the new process could end with "cannot listen on ... for administration: address in use"; the old one took the directory back, and the upgrade had failed.

Cause: the old process aborted the task that listens and released the directory in the same step. An aborted task drops its listener at its next turn, so the new process could be faster.

Change: the directory is released once the aborted tasks have ended.

--- a/crates/relay/src/process/serving.rs
+++ b/crates/relay/src/process/serving.rs
@@ -100,7 +100,7 @@
             self.handle_waiting_events(&mut event_loop);
             event_loop.run_round()?;
             match event_loop.start_handover() {
-                Ok(departing) => return Ok(retire(event_loop, departing, servers)),
+                Ok(departing) => return Ok(retire(event_loop, departing, servers).await),
                 Err(error) => self.resume_serving(&servers, &error)?,
             }
         }
@@ -372,14 +372,18 @@
     }
 }
 
-/// Stops all parts except the open calls. The state directory is released last, when no file in it is open.
-fn retire<R: Runtime>(
+/// Stops all parts except the open calls. The state directory is released last, when no file in it is open and the address
+/// of the administration API is free for the next owner.
+async fn retire<R: Runtime>(
     event_loop: EventLoop<R>,
     mut departing: DepartingProcess<R>,
-    servers: Servers<R>,
+    mut servers: Servers<R>,
 ) -> ServeOutcome<R> {
     servers.tasks.iter().for_each(Task::abort);
     event_loop.retire(&mut departing);
+    for task in &mut servers.tasks {
+        task.join().await;
+    }
     departing.release_directory();
     ServeOutcome::Departing {
         departing,
--- a/crates/simulator/src/late_calls.rs
+++ b/crates/simulator/src/late_calls.rs
@@ -1,5 +1,5 @@
 //! Calls that begin late and take time, in scenarios in which undeliverable messages are resent: connections come up late,
-//! hosts read calls late, and each call takes effect only after its work.
+//! hosts read calls late, and each call takes effect only after its work. Some of these scenarios have upgrades, too.
 //!
 //! They extend some scenarios, with draws from a random sequence of their own.
 
@@ -17,6 +17,8 @@
 const SEED_PERIOD: u64 = 4;
 /// Remainder of such seeds.
 const SEED_REMAINDER: u64 = 2;
+/// Percentage of the scenarios with late calls in which the relay is upgraded.
+const UPGRADE_PERCENT: u64 = 30;
 
 /// Whether the scenario of a seed has late calls.
 pub(crate) fn applies_to(seed: u64) -> bool {
@@ -35,6 +37,10 @@
     let destinations: Vec<u16> = script.limits.capacity.keys().copied().collect();
     let late_calls = faults::draw_late_calls(&mut rng, &destinations);
     script.faults.extend(late_calls);
+    if rng.percent(UPGRADE_PERCENT) {
+        script.faults.extend(faults::draw_upgrades(&mut rng));
+        script.upgrades = true;
+    }
     script.faults.sort_by_key(|fault| fault.from);
     if let Some(kept) = &mut script.kept {
         kept.max_work = max_work();
--- a/crates/simulator/tests/kept.rs
+++ b/crates/simulator/tests/kept.rs
@@ -35,6 +35,12 @@
     );
 }
 
+/// Guards against a new version that ends as the old one still listens for the administration API.
+#[test]
+fn new_version_takes_over_the_address_of_the_administration_api() {
+    support::hold(ScenarioKind::Kept, [110, 174, 200_578, 200_586], 20);
+}
+
 /// Guards against a resend while a call that began late may still take effect.
 #[test]
 fn payouts_whose_calls_begin_late_are_applied_once() {
