--- a/crates/simulator/tests/regressions.rs
+++ b/crates/simulator/tests/regressions.rs
@@ -55,6 +55,18 @@
     invariants_hold(ScenarioKind::Operated, [208]);
 }
 
+/// Guards against calls beyond the budget of a destination whose connections came up late.
+#[test]
+fn returning_destination_with_late_connections_gets_no_call_beyond_its_budget() {
+    invariants_hold(ScenarioKind::Kept, [200_372]);
+}
+
+/// Guards against recovered messages that are given up with no call after an upgrade beside a silent list.
+#[test]
+fn recovered_messages_of_an_upgrade_beside_a_silent_list_are_called() {
+    invariants_hold(ScenarioKind::Kept, [201_466]);
+}
+
 /// Guards against the rejection of a tenant's message while the tenant is below its share of the queue.
 #[test]
 fn tenant_below_its_share_is_accepted() {
