Divide resends into their start, their settling and their attestations

What obtains and applies attestations, and what delays a resend until its calls have ended, are modules of their own below it.

--- a/crates/relay/src/undeliverable_service/resend.rs
+++ b/crates/relay/src/undeliverable_service/resend.rs
@@ -1,34 +1,33 @@
 //! Resends of records: whether one may begin, which are in flight, and how each outcome is stored.
+//!
+//! [`attestations`] obtains and applies the statements that a resend needs, and [`settling`] delays resends until the calls
+//! before them have ended.
+
+mod attestations;
+mod settling;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use policy::types::{MessageId, Micros};
-use runtime::{log, Runtime};
+use runtime::Runtime;
 use thiserror::Error;
-use undeliverable::record::{Attester, ExecutionClaim, Origin, RecordError, Resolution};
-use undeliverable::resend_policy::{
-    attestations_count_from, check_resend, ResendBlocked, ResendPermit, ResendPolicy,
-};
+use undeliverable::record::{Origin, RecordError};
+use undeliverable::resend_policy::{check_resend, ResendPermit, ResendPolicy};
 use undeliverable::store::StoreError;
 use undeliverable::{Record, RecordId, RecordState};
 
 use super::open_calls::OpenCalls;
-use super::partner_query::{PartnerQueries, QueryState};
+use super::partner_query::PartnerQueries;
 use super::resend_outcome::{
     apply_outcome, DeliveryResult, PendingResend, RecordMatch, ResendOutcome,
 };
 use super::settings::Settings;
 use super::store_lifecycle::StoreLifecycle;
-use super::submission::{SavedRecord, Submission};
+use super::submission::Submission;
 use crate::journal::{self, AcceptedMessage, ResendOrigin};
 
-const MICROS_PER_MS: Micros = 1_000;
-/// Minimum time between the failure of a record's delivery and its resend, so that a resend does not immediately follow the
-/// call that failed.
-const RESEND_SETTLE_TIME: Duration = Duration::from_secs(1);
-
 /// A message to submit to the policy again.
 pub struct Resend {
     /// The message's record and the number of the resend.
@@ -87,7 +86,7 @@
     pending: BTreeMap<MessageId, PendingResend>,
     /// Outcomes of resends that could not be written to the store.
     unsaved_outcomes: BTreeMap<MessageId, ResendOutcome>,
-    /// Records whose delivery failed less than [`RESEND_SETTLE_TIME`] ago, and the time before which they are not
+    /// Records whose delivery failed a short time ago, and the time before which they are not
     /// resent.
     settling_until: BTreeMap<RecordId, Instant>,
     /// Calls of this process that were open when their messages failed.
@@ -216,138 +215,6 @@
         Ok(begun.into_resend(request.record, body))
     }
 
-    /// Delays the first resend of records that were stored, and notes which of them have an open call.
-    pub fn records_saved(&mut self, saved: &[SavedRecord]) {
-        for record in saved {
-            self.settle(record.id);
-            if record.is_call_open {
-                self.open_calls.add(record.message, record.id);
-            }
-        }
-    }
-
-    /// Delays the next resend of a record.
-    fn settle(&mut self, record: RecordId) {
-        let now = self.runtime.now();
-        self.settling_until.retain(|_, until| *until > now);
-        self.settling_until.insert(record, now + RESEND_SETTLE_TIME);
-    }
-
-    /// Whether it is too early to resend a record, for instance as a call is still open.
-    pub fn is_settling(&self, id: RecordId) -> bool {
-        let now = self.runtime.now();
-        let rests_until = self.settling_until.get(&id);
-        rests_until.is_some_and(|until| *until > now) || self.open_calls.is_open(id)
-    }
-
-    /// Records that no call of a failed message is open any more.
-    pub fn calls_ended(&mut self, message: MessageId, ended_at: Micros) {
-        if let Some(ResendOutcome::Failed(failed)) = self.unsaved_outcomes.get_mut(&message) {
-            failed.record_calls_end(ended_at);
-        }
-        self.open_calls.end(message, ended_at);
-        self.write_call_ends();
-    }
-
-    /// Writes the ends of calls to the records that lack them. An end that cannot be written is kept, and blocks the resend
-    /// of its record until then.
-    pub fn write_call_ends(&mut self) {
-        for end in self.open_calls.unrecorded_ends() {
-            let written = self.store.get().map(|store| {
-                store.update(end.record, |record| {
-                    record.record_calls_end(end.ended_at);
-                    Ok::<_, RecordError>(())
-                })
-            });
-            match written {
-                None => return,
-                Some(Ok(_) | Err(StoreError::Unreadable(_))) => self.open_calls.remove(end.message),
-                Some(Err(error)) => self.store.mark_unavailable(&error),
-            }
-        }
-    }
-
-    /// Forgets what belongs to the records of a store that has been replaced by an empty one.
-    pub fn store_replaced(&mut self) {
-        self.open_calls.clear();
-    }
-
-    /// Handles a record that may not be resent: queries its partner, or closes it, if that applies. Returns whether a
-    /// partner's answer may permit the resend soon.
-    pub fn handle_refusal(
-        &mut self,
-        id: RecordId,
-        refusal: &RecordError,
-        now: Micros,
-    ) -> QueryState {
-        match refusal {
-            RecordError::ResendBlocked(
-                ResendBlocked::NeedsAttestation | ResendBlocked::AttestationTooEarly { .. },
-            ) => self.query_partner(id, now),
-            RecordError::ResendBlocked(ResendBlocked::Applied) => {
-                self.close_if_applied(id, now);
-                QueryState::NotPossible
-            }
-            _ => QueryState::NotPossible,
-        }
-    }
-
-    /// Queries a record's partner, unless it was queried recently.
-    pub fn query_partner(&mut self, id: RecordId, now: Micros) -> QueryState {
-        let Some(record) = self.store.access(|store| store.find(id)).flatten() else {
-            return QueryState::NotPossible;
-        };
-        let answers_count_from = attestations_count_from(&record, &self.policy_for(id, now));
-        self.partner_queries
-            .query(id, &record, answers_count_from, now)
-    }
-
-    /// Adds a partner's answer to its record.
-    pub fn attest_for_partner(
-        &mut self,
-        id: RecordId,
-        claim: ExecutionClaim,
-        queried_at: Micros,
-        now: Micros,
-    ) {
-        self.store.access(|store| {
-            store.update(id, |record| {
-                record.attest(Attester::Partner, claim, queried_at, None, now)
-            })
-        });
-        self.log_early_attestation(id, now);
-    }
-
-    /// Logs that an attestation was requested too early, if that is what a record lacks.
-    pub fn log_early_attestation(&mut self, id: RecordId, now: Micros) {
-        let Some(record) = self.store.access(|store| store.find(id)).flatten() else {
-            return;
-        };
-        let blocked = check_resend(&record, &self.policy_for(id, now)).err();
-        if let Some(ResendBlocked::AttestationTooEarly { retry_after }) = blocked {
-            let retry_after_ms = retry_after.map(|micros| micros.div_ceil(MICROS_PER_MS));
-            log!(
-                self.runtime,
-                "undeliverable: word_too_early record={id} counts_in_ms={}",
-                retry_after_ms.map_or("unknown".into(), |ms| ms.to_string())
-            );
-        }
-    }
-
-    /// Closes a record if its attestations state that the message already took effect.
-    pub fn close_if_applied(&mut self, id: RecordId, now: Micros) {
-        let policy = self.policy_for(id, now);
-        self.store.access(|store| {
-            store.update(id, |record| {
-                record.check_unclaimed("", None, now)?;
-                if check_resend(record, &policy) == Err(ResendBlocked::Applied) {
-                    record.resolve(Resolution::AppliedBefore, now);
-                }
-                Ok::<_, RecordError>(())
-            })
-        });
-    }
-
     /// Records that the journal has accepted a resend as message `id`.
     pub fn resend_started(&mut self, id: MessageId, origin: ResendOrigin, name: &str) {
         let mut pending = PendingResend {
