--- a/crates/undeliverable/src/resend_policy/tests.rs
+++ b/crates/undeliverable/src/resend_policy/tests.rs
@@ -202,7 +202,7 @@
     );
 }
 
-/// A record whose only attempt was sent at 10 s, and whose last call ended then.
+/// A record whose only attempt was sent at 10 s; `calls_ended_at` is the recorded end of its last call, if any.
 fn record_with_calls_end(calls_ended_at: Option<Micros>) -> Record {
     let attempts = vec![attempt(10 * SECOND, true)];
     Record {
